Lay out the packages and the interfaces between them

The boundaries come first so that packages can be written side by side: what the core is told and what it emits (core/core.h), what crosses to workers, platform and peers (port/), and the decisions as a pure library (policy/sched.h). The home of a task starts it itself under a grant from the worker's owner; docs/DESIGN.md says what that was weighed against. Base (ids, blobs, errors, reasons, counters, log, ring) compiles with -Wall -Wextra -Werror; nothing runs yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,85 @@
+# Packages, in the order of who may use whom: base < model < port < policy <
+# core; adapter and daemon sit on top of them; cli uses base,
+# model and adapter alone.  tools/check-layers keeps it so.
+PACKAGES = adapter core policy port model base
+VARIANT ?= release
+B = build/$(VARIANT)
+
+CC = gcc
+PKGS = libulfius jansson libzmq argtable2 ck libxxhash libcurl libmicrohttpd gnutls
+CPPFLAGS = -Iinclude -D_GNU_SOURCE
+WARN = -std=c11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+  -Wmissing-prototypes -Wvla -Wpointer-arith -Wwrite-strings
+CFLAGS_release = -O2 -g
+CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
+  -fno-omit-frame-pointer
+CFLAGS_tsan = -O1 -g -fsanitize=thread -fno-omit-frame-pointer
+CFLAGS = $(WARN) $(CFLAGS_$(VARIANT)) -pthread
+LDFLAGS = $(CFLAGS_$(VARIANT)) -pthread
+LDLIBS = -lulfius -lorcania -ljansson -lzmq -lmsgpackc -largtable2 -lck \
+  -lxxhash -lcurl -lmicrohttpd -lgnutls -lm
+
+LIBS = $(PACKAGES:%=$(B)/lib%.a)
+DAEMON_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/daemon/*.c)))
+CLI_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/cli/*.c)))
+BINS = $(B)/cuminmuxd $(B)/cuminmux
+SUPPORT_OBJ = $(patsubst test/%.c,$(B)/test/%.o,$(wildcard test/support/*.c))
+UNIT = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
+STANDIN = $(patsubst test/standin/%_main.c,$(B)/standin-%,$(wildcard test/standin/*_main.c))
+STANDIN_OBJ = $(patsubst test/%.c,$(B)/test/%.o,$(filter-out %_main.c,$(wildcard test/standin/*.c)))
+BENCH = $(patsubst test/bench/%.c,$(B)/bench/%,$(wildcard test/bench/bench_*.c))
+PROOF = $(patsubst test/proof/%.c,$(B)/proof/%,$(wildcard test/proof/proof_*.c))
+DEMO = $(patsubst test/demo/%_main.c,$(B)/%,$(wildcard test/demo/*_main.c))
+
+all: $(BINS) $(STANDIN) $(DEMO)
+unit: $(UNIT)
+benches: $(BENCH)
+proof-programs: $(PROOF)
+.PHONY: all unit benches proof-programs clean
+.SECONDARY:
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+# Test code may also include its own support headers.
+$(B)/test/%.o: CPPFLAGS += -Itest
+
+define package
+$(B)/lib$(1).a: $(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/$(1)/*.c))
+	@mkdir -p $$(@D)
+	@rm -f $$@
+	ar rcs $$@ $$^
+endef
+$(foreach p,$(PACKAGES),$(eval $(call package,$(p))))
+
+$(B)/cuminmuxd: $(B)/src/daemon/main.o $(DAEMON_OBJ) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
+
+$(B)/cuminmux: $(B)/src/cli/main.o $(CLI_OBJ) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
+
+$(B)/standin-%: $(B)/test/standin/%_main.o $(STANDIN_OBJ) $(SUPPORT_OBJ) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
+
+TESTLINK = $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) -lcmocka $(LDLIBS)
+
+$(B)/unit/%: $(B)/test/unit/%.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(DAEMON_OBJ) $(CLI_OBJ) $(LIBS)
+	@mkdir -p $(@D)
+	$(TESTLINK)
+$(B)/bench/%: $(B)/test/bench/%.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(DAEMON_OBJ) $(LIBS)
+	@mkdir -p $(@D)
+	$(TESTLINK)
+$(B)/proof/%: $(B)/test/proof/%.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(DAEMON_OBJ) $(LIBS)
+	@mkdir -p $(@D)
+	$(TESTLINK)
+$(B)/%: $(B)/test/demo/%_main.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(LIBS)
+	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
+
+clean:
+	rm -rf build
+
+# Targets that install, check, run the demo and measure live in one file each.
+include $(wildcard tools/*.mk)
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/base/counters.h
@@ -0,0 +1,70 @@
+#ifndef BASE_COUNTERS_H
+#define BASE_COUNTERS_H
+
+#include "base/reason.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* Counters that only grow, and gauges: symbol, exported name, help. */
+#define MUX_COUNTERS(X)                                                       \
+  X (REQUESTS, "requests_total", "requests accepted from callers")            \
+  X (ANSWERED, "answered_total", "requests answered with a result")           \
+  X (NOT_RUN, "not_run_total", "requests answered as not run")                \
+  X (UNKNOWN, "unknown_total", "requests answered as unknown")                \
+  X (STARTS, "starts_total", "task starts sent to workers")                   \
+  X (STARTS_REPEATED, "starts_repeated_total", "starts answered from before") \
+  X (GRANTS, "grants_total", "places granted on own workers")                 \
+  X (GRANTS_REMOTE, "grants_remote_total", "places granted to peers")         \
+  X (CLAIMS, "claims_total", "claims won")                                    \
+  X (CLAIMS_LOST, "claims_lost_total", "claims lost or handed over")          \
+  X (SETTLED_RAN, "settled_ran_total", "starts of unknown fate that ran")     \
+  X (SETTLED_NEVER, "settled_never_total", "starts put down by a tombstone")  \
+  X (JOBS_ACCEPTED, "jobs_accepted_total", "jobs recorded")                   \
+  X (JOBS_DONE, "jobs_done_total", "jobs ended")                              \
+  X (JOBS_ADOPTED, "jobs_adopted_total", "jobs taken over from dead daemons") \
+  X (TABLE_WRITES, "table_writes_total", "transactions sent to the table")    \
+  X (TABLE_ROWS, "table_rows_written_total", "rows written to the table")     \
+  X (TABLE_READS, "table_reads_total", "reads sent to the table")             \
+  X (PEER_SENT, "peer_messages_sent_total", "messages sent to peers")         \
+  X (PEER_SENT_BYTES, "peer_sent_bytes_total", "bytes sent to peers")         \
+  X (PEER_RECEIVED, "peer_messages_received_total", "messages from peers")    \
+  X (PEER_BAD, "peer_messages_bad_total", "peer messages not understood")     \
+  X (WORKER_CALLS, "worker_calls_total", "calls made to workers")             \
+  X (CONFIG_CHANGES, "config_changes_total", "changes committed here")        \
+  X (EVENTS, "core_events_total", "events handled by the core")               \
+  X (EVENTS_DROPPED, "core_events_dropped_total", "late events for the gone")
+
+/**
+ * enum MuxCounter - names one counter
+ */
+typedef enum
+{
+#define MUX_COUNTER_ENUM(symbol, name, help) MUX_COUNT_##symbol,
+  MUX_COUNTERS (MUX_COUNTER_ENUM)
+#undef MUX_COUNTER_ENUM
+      MUX_COUNTER_COUNT
+} MuxCounter;
+
+typedef struct MuxCounters MuxCounters;
+
+/** mux_counters_new() - all zero; any thread may add; NULL: memory is out */
+MuxCounters *mux_counters_new (void);
+void mux_counters_free (MuxCounters *counters);
+void mux_count (MuxCounters *counters, MuxCounter counter, uint64_t n);
+/** mux_count_refused() - an answer or grant was refused for @reason */
+void mux_count_refused (MuxCounters *counters, MuxReason reason);
+/** mux_count_retry() - something is tried again, or fenced, for @reason */
+void mux_count_retry (MuxCounters *counters, MuxReason reason);
+uint64_t mux_counter_value (const MuxCounters *counters, MuxCounter counter);
+uint64_t mux_refused_value (const MuxCounters *counters, MuxReason reason);
+uint64_t mux_retry_value (const MuxCounters *counters, MuxReason reason);
+
+/**
+ * mux_counters_print() - Prometheus text
+ * @out: buffer, always closed with a NUL when @cap > 0
+ * Return: bytes that the whole text needs, without the NUL.
+ */
+size_t mux_counters_print (const MuxCounters *counters, char *out, size_t cap);
+
+#endif
--- /dev/null
+++ b/include/base/ring.h
@@ -0,0 +1,32 @@
+#ifndef BASE_RING_H
+#define BASE_RING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct MuxRing MuxRing;
+
+/**
+ * mux_ring_new() - bounded ring of pointers, many producers, many consumers
+ * @capacity: power of two; one slot stays free
+ * Return: NULL when memory or descriptors are out.
+ */
+MuxRing *mux_ring_new (uint32_t capacity);
+/** mux_ring_free() - the entries left inside stay the caller's */
+void mux_ring_free (MuxRing *ring);
+/** mux_ring_push() - false at once when full; never waits */
+bool mux_ring_push (MuxRing *ring, void *item);
+/** mux_ring_pop() - NULL when empty */
+void *mux_ring_pop (MuxRing *ring);
+/**
+ * mux_ring_wait() - wait until something may be there
+ * @timeout_ms: at most this long; negative waits without end
+ * Return: an entry or NULL.
+ */
+void *mux_ring_wait (MuxRing *ring, int32_t timeout_ms);
+/** mux_ring_fd() - becomes readable when something was pushed */
+int mux_ring_fd (const MuxRing *ring);
+/** mux_ring_wake() - let @n waiting consumers return with NULL */
+void mux_ring_wake (MuxRing *ring, uint32_t n);
+
+#endif
--- /dev/null
+++ b/include/port/peer.h
@@ -0,0 +1,99 @@
+#ifndef PORT_PEER_H
+#define PORT_PEER_H
+
+#include "base/blob.h"
+#include "base/id.h"
+#include "base/reason.h"
+#include "model/spec.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * enum MuxPeerVerb - what a message between daemons says
+ */
+typedef enum
+{
+  MUX_PEER_HEARTBEAT,     /* I live, this is my state */
+  MUX_PEER_GRANT_ASK,     /* book a place for a task of mine */
+  MUX_PEER_GRANT,         /* booked there */
+  MUX_PEER_GRANT_REFUSED, /* not booked, for this reason */
+  MUX_PEER_GRANT_CANCEL,  /* the asker no longer wants it */
+  MUX_PEER_GRANT_END,     /* the granted task ended, or never will start */
+  MUX_PEER_TASK_ENDED,    /* owner to home: your task ended, as listed */
+  MUX_PEER_HANDOVER,      /* I gave up my claim on this worker: take it */
+  MUX_PEER_CONFIG_HINT,   /* a revision was committed */
+  MUX_PEER_CONFIG_ASK,    /* send me what you have after this revision */
+  MUX_PEER_CONFIG_ROWS,   /* changes, as JSON, in order */
+  MUX_PEER_BYE,           /* I am stopping */
+  MUX_PEER_VERB_COUNT
+} MuxPeerVerb;
+
+/**
+ * struct MuxPeerMsg - one message between daemons
+ * @verb: what it says; the fields beside it are those it uses
+ * @from: sending instance
+ * @from_dc: its data centre                            (HEARTBEAT)
+ * @from_addr: its peer address                         (HEARTBEAT)
+ * @from_incarnation: start of its process, in ms       (all)
+ * @to: instance that is meant
+ * @revision: configuration in force at the sender      (HEARTBEAT, CONFIG_*)
+ * @stopping: it takes no new work                      (HEARTBEAT)
+ * @free: what its workers could still hold in all      (HEARTBEAT)
+ * @total: what its workers hold in all                 (HEARTBEAT)
+ * @queued: requests that wait at it                    (HEARTBEAT)
+ * @oldest_ms: how long the first of them has waited    (HEARTBEAT)
+ * @task: the task meant                                (GRANT_*, TASK_ENDED)
+ * @group: gang that the task is part of, or none       (GRANT_ASK)
+ * @group_count: tasks of that gang                     (GRANT_ASK)
+ * @class_name: its class                               (GRANT_ASK)
+ * @start_within_ms: time left until it should start    (GRANT_ASK)
+ * @give_up_ms: time left after which it is refused     (GRANT_ASK)
+ * @worker: worker granted, handed over, or listed      (GRANT, HANDOVER, …)
+ * @worker_addr: its address                            (GRANT)
+ * @epoch: claim's epoch                                (GRANT, HANDOVER)
+ * @incarnation: life of the worker                     (GRANT)
+ * @not_after_ms: last moment for the start, worker's clock (GRANT)
+ * @size: what was booked                               (GRANT)
+ * @reason: why refused                                 (GRANT_REFUSED)
+ * @retry_ms: when to ask again                         (GRANT_REFUSED)
+ * @state: how the task ended, a MuxTaskState           (GRANT_END, TASK_ENDED)
+ * @ran_ms: how long it ran                             (GRANT_END, TASK_ENDED)
+ * @body: JSON of CONFIG_ROWS, or NULL; holds a reference
+ */
+typedef struct
+{
+  MuxPeerVerb verb;
+  char from[MUX_NAME_LEN];
+  char from_dc[MUX_NAME_LEN];
+  char from_addr[MUX_ADDR_LEN];
+  uint64_t from_incarnation;
+  char to[MUX_NAME_LEN];
+  uint64_t revision;
+  bool stopping;
+  MuxSize free;
+  MuxSize total;
+  uint32_t queued;
+  uint32_t oldest_ms;
+  MuxId task;
+  MuxId group;
+  uint32_t group_count;
+  char class_name[MUX_NAME_LEN];
+  uint32_t start_within_ms;
+  uint32_t give_up_ms;
+  char worker[MUX_NAME_LEN];
+  char worker_addr[MUX_ADDR_LEN];
+  uint64_t epoch;
+  uint64_t incarnation;
+  int64_t not_after_ms;
+  MuxSize size;
+  MuxReason reason;
+  uint32_t retry_ms;
+  uint32_t state;
+  uint32_t ran_ms;
+  MuxBlob *body;
+} MuxPeerMsg;
+
+const char *mux_peer_verb_name (MuxPeerVerb verb);
+
+#endif
--- /dev/null
+++ b/src/base/counters.c
@@ -0,0 +1,138 @@
+#include "base/counters.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct MuxCounters
+{
+  atomic_uint_fast64_t counter[MUX_COUNTER_COUNT];
+  atomic_uint_fast64_t refused[MUX_REASON_COUNT];
+  atomic_uint_fast64_t retry[MUX_REASON_COUNT];
+};
+
+typedef struct
+{
+  const char *name;
+  const char *help;
+} CounterInfo;
+
+static const CounterInfo counter_info[MUX_COUNTER_COUNT] = {
+#define COUNTER_INFO(symbol, name, help) [MUX_COUNT_##symbol] = { name, help },
+  MUX_COUNTERS (COUNTER_INFO)
+#undef COUNTER_INFO
+};
+
+MuxCounters *
+mux_counters_new (void)
+{
+  return calloc (1, sizeof (MuxCounters));
+}
+
+void
+mux_counters_free (MuxCounters *counters)
+{
+  free (counters);
+}
+
+static void
+add (atomic_uint_fast64_t *value, uint64_t n)
+{
+  atomic_fetch_add_explicit (value, n, memory_order_relaxed);
+}
+
+static uint64_t
+get (const atomic_uint_fast64_t *value)
+{
+  return atomic_load_explicit (value, memory_order_relaxed);
+}
+
+void
+mux_count (MuxCounters *counters, MuxCounter counter, uint64_t n)
+{
+  add (&counters->counter[counter], n);
+}
+
+void
+mux_count_refused (MuxCounters *counters, MuxReason reason)
+{
+  add (&counters->refused[reason], 1);
+}
+
+void
+mux_count_retry (MuxCounters *counters, MuxReason reason)
+{
+  add (&counters->retry[reason], 1);
+}
+
+uint64_t
+mux_counter_value (const MuxCounters *counters, MuxCounter counter)
+{
+  return get (&counters->counter[counter]);
+}
+
+uint64_t
+mux_refused_value (const MuxCounters *counters, MuxReason reason)
+{
+  return get (&counters->refused[reason]);
+}
+
+uint64_t
+mux_retry_value (const MuxCounters *counters, MuxReason reason)
+{
+  return get (&counters->retry[reason]);
+}
+
+typedef struct
+{
+  char *bytes;
+  size_t cap;
+  size_t len;
+} Text;
+
+static void __attribute__ ((format (printf, 2, 3)))
+text_add (Text *text, const char *format, ...)
+{
+  size_t room = text->len < text->cap ? text->cap - text->len : 0;
+  va_list args;
+  int n;
+
+  va_start (args, format);
+  n = vsnprintf (room > 0 ? text->bytes + text->len : NULL, room, format, args);
+  va_end (args);
+  if (n > 0)
+    text->len += (size_t) n;
+}
+
+static void
+print_reasons (Text *text,
+               const char *name,
+               const char *help,
+               const atomic_uint_fast64_t *values)
+{
+  text_add (text, "# HELP cuminmux_%s %s\n# TYPE cuminmux_%s counter\n", name,
+            help, name);
+  for (uint32_t i = 1; i < MUX_REASON_COUNT; i++)
+    text_add (text, "cuminmux_%s{reason=\"%s\"} %" PRIu64 "\n", name,
+              mux_reason_name ((MuxReason) i), get (&values[i]));
+}
+
+size_t
+mux_counters_print (const MuxCounters *counters, char *out, size_t cap)
+{
+  Text text = { out, cap, 0 };
+
+  for (uint32_t i = 0; i < MUX_COUNTER_COUNT; i++)
+    text_add (&text,
+              "# HELP cuminmux_%s %s\n# TYPE cuminmux_%s counter\n"
+              "cuminmux_%s %" PRIu64 "\n",
+              counter_info[i].name, counter_info[i].help, counter_info[i].name,
+              counter_info[i].name, get (&counters->counter[i]));
+  print_reasons (&text, "refused_total", "refusals by reason",
+                 counters->refused);
+  print_reasons (&text, "retries_total", "retries and fencings by reason",
+                 counters->retry);
+  return text.len;
+}
--- /dev/null
+++ b/tools/check.mk
@@ -0,0 +1,3 @@
+.PHONY: deps
+deps:
+	sh tools/deps
