--- /dev/null
+++ b/src/core/core_private.h
@@ -0,0 +1,90 @@
+#ifndef CORE_CORE_PRIVATE_H
+#define CORE_CORE_PRIVATE_H
+
+#include "core/core.h"
+#include "policy/sched.h"
+
+#include <uthash.h>
+
+/* How long a grant may be used, on the worker's clock. */
+#define GRANT_TTL_MS 3000
+/* What a home waits before it asks for a grant again, if nothing was heard. */
+#define ASK_REPEAT_MS 1000
+/* Time limit of calls that a worker answers at once. */
+#define WORKER_TIMEOUT_MS 1000
+/* Time limit of a table call. */
+#define TABLE_TIMEOUT_MS 2000
+/* Least time between two tries of the same thing. */
+#define RETRY_MS 100
+
+typedef struct Pending Pending;
+typedef struct Member Member;
+typedef struct Worker Worker;
+typedef struct Grant Grant;
+typedef struct Task Task;
+typedef struct Timers Timers;
+typedef struct Commit Commit;
+typedef struct Config Config;
+typedef struct Jobs Jobs;
+typedef struct Budgets Budgets;
+
+/* The core: every part keeps its own state behind its pointer. */
+struct MuxCore
+{
+  MuxCoreOptions opt;
+  char name[MUX_NAME_LEN];
+  char data_centre[MUX_NAME_LEN];
+  char peer_addr[MUX_ADDR_LEN];
+  MuxSink *sink;
+  MuxCounters *counters;
+  MuxSched *sched;
+  int64_t now_ms;
+  uint64_t rng;
+  uint64_t next_call_id;
+  uint64_t next_task;
+  int64_t next_heartbeat_ms;
+  int64_t next_far_heartbeat_ms;
+  bool stopping;
+  bool stopped;
+  bool pumping;
+  Pending *pending;
+  Member *members;
+  Worker *workers;
+  Worker **by_index; /* workers by the scheduler's index */
+  uint32_t index_count;
+  Grant *grants;
+  Task *tasks;
+  Timers *timers;
+  Commit *commit;
+  Config *config;
+  Jobs *jobs;
+  Budgets *budgets;
+};
+
+/** core_random() - next number of the seeded generator */
+uint64_t core_random (MuxCore *core);
+/** core_jitter() - @base_ms plus up to as much again */
+int64_t core_jitter (MuxCore *core, int64_t base_ms);
+/** core_mint() - a task id never given before */
+MuxId core_mint (MuxCore *core);
+/** core_log() - a change of state, for people */
+void
+core_log (MuxCore *core, int level, const char *event, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+/** core_answer() - the one answer to a call */
+void core_answer (MuxCore *core,
+                  uint64_t call,
+                  MuxOutcome outcome,
+                  MuxReason reason,
+                  uint32_t retry_ms,
+                  MuxId task,
+                  MuxBlob *body);
+/** core_answer_json() - INFO answer; takes @json over; NULL: memory is out */
+void
+core_answer_json (MuxCore *core, uint64_t call, uint32_t status, json_t *json);
+/** core_answer_findings() - BAD_FIELD with everything that is wrong */
+void core_answer_findings (MuxCore *core,
+                           uint64_t call,
+                           const MuxFindings *findings);
+
+#endif
--- /dev/null
+++ b/src/core/jobs.h
@@ -0,0 +1,30 @@
+#ifndef CORE_JOBS_H
+#define CORE_JOBS_H
+
+#include "task.h"
+
+/* Jobs: recorded before they are acknowledged, carried on by any daemon. */
+Jobs *jobs_new (void);
+void jobs_free (Jobs *jobs);
+/** jobs_ask() - every MUX_ASK_JOB_* */
+void jobs_ask (MuxCore *core, const MuxAsk *ask);
+void jobs_tick (MuxCore *core);
+int64_t jobs_wake_ms (const MuxCore *core);
+/** jobs_member_dead() - its jobs want a new home */
+void jobs_member_dead (MuxCore *core, const char *name);
+/** jobs_record() - a job's task was granted room: write where, then send it
+ * TASK_EV_ROW_WRITTEN (or drop it, if the job has another home now) */
+void jobs_record (MuxCore *core, Task *task);
+/** jobs_task_ended() - for good; the task is freed by the caller after */
+void jobs_task_ended (MuxCore *core,
+                      const Task *task,
+                      MuxOutcome outcome,
+                      MuxReason reason,
+                      MuxTaskState state,
+                      const MuxBlob *result);
+/** jobs_caller_gone() - a JOB_WAIT's caller hung up */
+void jobs_caller_gone (MuxCore *core, uint64_t call);
+/** jobs_give_away() - stopping: write no more, peers will adopt */
+bool jobs_give_away (MuxCore *core);
+
+#endif
--- /dev/null
+++ b/src/core/owner.h
@@ -0,0 +1,42 @@
+#ifndef CORE_OWNER_H
+#define CORE_OWNER_H
+
+#include "core_private.h"
+
+/* Room on one of this daemon's workers that was asked for or is booked. */
+struct Grant
+{
+  MuxId task;
+  MuxPeerMsg ask;       /* what was asked; its body is always NULL */
+  bool placed;          /* booked; otherwise it waits in the scheduler */
+  bool seen;            /* the worker listed it as started */
+  Worker *worker;       /* where, once placed */
+  uint64_t epoch;       /* claim under which it was granted */
+  int64_t not_after_ms; /* last moment of its start, worker's clock */
+  MuxSize size;
+  UT_hash_handle hh;
+};
+
+/** owner_ask() - a home, maybe this daemon, wants room */
+void owner_ask (MuxCore *core, const MuxPeerMsg *ask);
+/** owner_cancel() - a home no longer wants it */
+void owner_cancel (MuxCore *core, MuxId task);
+/** owner_end() - a home says how it ended */
+void owner_end (MuxCore *core, const MuxPeerMsg *msg);
+/** owner_pump() - take and hand out the scheduler's decisions */
+void owner_pump (MuxCore *core);
+/** owner_report() - the worker's list, of all running or of changes */
+void owner_report (MuxCore *core,
+                   Worker *worker,
+                   const MuxWorkerReply *reply,
+                   bool whole);
+/** owner_drop() - the claim on @worker is gone: forget what was booked there
+ * and tell the homes of what was not yet placed to ask elsewhere */
+void owner_drop (MuxCore *core, Worker *worker);
+/** owner_waiting() - asks not yet placed */
+uint32_t owner_waiting (const MuxCore *core);
+/** owner_refuse_all() - stopping: send the waiting ones elsewhere */
+void owner_refuse_all (MuxCore *core, MuxReason reason);
+void owner_free (MuxCore *core);
+
+#endif
--- /dev/null
+++ b/src/core/task.h
@@ -0,0 +1,171 @@
+#ifndef CORE_TASK_H
+#define CORE_TASK_H
+
+#include "core_private.h"
+
+/**
+ * enum TaskState - life of a task at its home
+ */
+typedef enum
+{
+  TASK_WAITING,   /* a pause before the next ask */
+  TASK_ASKING,    /* an owner was asked for room */
+  TASK_RECORDING, /* granted; its intent is being written */
+  TASK_READING,   /* the write's answer was lost; its row is being read */
+  TASK_STARTED,   /* the start is on its way or being carried out */
+  TASK_RUNNING,   /* known to run; its end is awaited */
+  TASK_SETTLING,  /* the start's fate is unknown; the worker is being asked */
+  TASK_FOLLOWING, /* another home's attempt is being watched */
+  TASK_STOPPING,  /* a stop is on its way */
+  TASK_STATE_COUNT
+} TaskState;
+
+/**
+ * enum TaskEventKind - what can happen to a task at its home
+ */
+typedef enum
+{
+  TASK_EV_TIMER,
+  TASK_EV_GRANTED,
+  TASK_EV_REFUSED, /* the owner won't, or is lost */
+  TASK_EV_ROW_WRITTEN,
+  TASK_EV_ROW_FOUND, /* a row stands already */
+  TASK_EV_ROW_ABSENT,
+  TASK_EV_ROW_UNKNOWN, /* the write's answer was lost */
+  TASK_EV_STORE_DOWN,
+  TASK_EV_ENDED, /* ran: done, failed or stopped */
+  TASK_EV_SEEN_RUNNING,
+  TASK_EV_ABSENT,      /* the worker has not seen it, and made no mark */
+  TASK_EV_NOT_STARTED, /* this start certainly had no effect */
+  TASK_EV_NEVER,       /* a tombstone stands: it will never start there */
+  TASK_EV_OTHER_LIFE,  /* the worker restarted since and forgot */
+  TASK_EV_LOST,        /* no answer from the worker */
+  TASK_EV_GIVE_UP,     /* the caller's time is over */
+  TASK_EV_CANCEL,
+  TASK_EVENT_COUNT
+} TaskEventKind;
+
+/* What a row or a grant says of where an attempt runs. */
+typedef struct
+{
+  uint32_t attempt;
+  char worker[MUX_NAME_LEN];
+  char addr[MUX_ADDR_LEN];
+  uint64_t incarnation;
+  char home[MUX_NAME_LEN];
+  uint64_t home_incarnation;
+} Intent;
+
+/* An event with what came with it; everything is borrowed. */
+typedef struct
+{
+  TaskEventKind kind;
+  const MuxPeerMsg *msg;       /* GRANTED, REFUSED */
+  const MuxWorkerReply *reply; /* ENDED */
+  const Intent *intent;        /* ROW_FOUND */
+  uint64_t rev;                /* ROW_WRITTEN, ROW_FOUND */
+  MuxReason reason;            /* REFUSED, NOT_STARTED, LOST */
+  uint32_t retry_ms;           /* REFUSED */
+} TaskEvent;
+
+/* A caller that waits for a task. */
+typedef struct Waiter Waiter;
+struct Waiter
+{
+  uint64_t call;
+  int64_t give_up_ms;
+  Waiter *next;
+};
+
+/* A task at its home, found by @key, which stays over its attempts. */
+struct Task
+{
+  MuxId key;
+  MuxId id; /* of this attempt */
+  uint32_t attempt;
+  TaskState state;
+  char class_name[MUX_NAME_LEN];
+  MuxKind kind;
+  MuxSize size;
+  uint32_t run_ms;
+  bool idempotent;
+  bool keyed;   /* has a row once/<key> */
+  bool has_job; /* its row is the job's */
+  MuxId job;
+  uint32_t job_index;
+  MuxId group;
+  uint32_t group_count;
+  Waiter *waiters;
+  int64_t start_by_ms;
+  int64_t give_up_ms; /* INT64_MAX: never */
+  int64_t wake_ms;
+  MuxBlob *body;
+  char owner[MUX_NAME_LEN]; /* asked, or who granted */
+  Intent at;                /* where it is granted, started or followed */
+  uint64_t epoch;
+  int64_t not_after_ms;
+  uint64_t row_rev;
+  bool granted;     /* room is booked for it at @owner */
+  bool probed;      /* a fetch is on its way */
+  bool absent_seen; /* FOLLOWING: seen absent once */
+  uint32_t asks;    /* owners asked for this attempt */
+  uint32_t retries;
+  MuxReason last_reason;
+  uint32_t last_retry_ms;
+  char tried[4][MUX_NAME_LEN]; /* owners that refused this attempt */
+  UT_hash_handle hh;
+};
+
+/**
+ * struct TaskOptions - construction of a task
+ * @key: stays over attempts
+ * @spec: its class
+ * @keyed: needs a row once/<key>
+ * @body: input; a reference is taken
+ * @call: first waiter, or 0
+ * @give_up_ms: on the core's clock
+ * @job: job it is part of, or none
+ * @job_index: its number there
+ * @attempt: first attempt to make
+ * @group: gang, or none
+ * @group_count: tasks of that gang
+ */
+typedef struct
+{
+  MuxId key;
+  const MuxClassSpec *spec;
+  bool keyed;
+  MuxBlob *body;
+  uint64_t call;
+  int64_t give_up_ms;
+  MuxId job;
+  uint32_t job_index;
+  uint32_t attempt;
+  MuxId group;
+  uint32_t group_count;
+} TaskOptions;
+
+/** task_new() - begins by asking for room; NULL: memory is out */
+Task *task_new (MuxCore *core, const TaskOptions *options);
+/** task_resume() - a task that a row places on a worker: find out there */
+Task *task_resume (MuxCore *core, const TaskOptions *options, const Intent *at);
+Task *task_find (MuxCore *core, MuxId key);
+/** task_event() - run the state table; the task may be gone after it */
+void task_event (MuxCore *core, Task *task, const TaskEvent *event);
+/** task_drop() - forget it without a word (its job went to another home) */
+void task_drop (MuxCore *core, Task *task);
+/** tasks_timer() - a timer of @subject fired */
+void tasks_timer (MuxCore *core, int64_t at_ms, MuxId subject);
+/** tasks_owner_lost() - asks at this owner go elsewhere */
+void tasks_owner_lost (MuxCore *core, const char *owner);
+/** tasks_peer() - GRANT, GRANT_REFUSED, TASK_ENDED */
+void tasks_peer (MuxCore *core, const MuxPeerMsg *msg);
+/** tasks_request() - a caller's request */
+void tasks_request (MuxCore *core, const MuxAsk *ask);
+/** tasks_waiting() - tasks whose caller still waits */
+uint32_t tasks_waiting (const MuxCore *core);
+void tasks_free (MuxCore *core);
+
+const char *task_state_name (TaskState state);
+
+#endif
--- /dev/null
+++ b/src/core/worker.h
@@ -0,0 +1,60 @@
+#ifndef CORE_WORKER_H
+#define CORE_WORKER_H
+
+#include "core_private.h"
+
+/**
+ * enum ClaimState - this daemon's right to a worker
+ */
+typedef enum
+{
+  CLAIM_NONE,
+  CLAIM_ASKED, /* a claim is on its way */
+  CLAIM_HELD,
+  CLAIM_GIVING, /* a release is on its way */
+} ClaimState;
+
+/* A worker of this data centre. */
+struct Worker
+{
+  char name[MUX_NAME_LEN];
+  char addr[MUX_ADDR_LEN];
+  char rack[MUX_NAME_LEN];
+  MuxInstanceState listed;
+  ClaimState claim;
+  uint32_t index;           /* in the scheduler while held, or MUX_NO_WORKER */
+  uint64_t epoch;           /* ours while held, else the highest known */
+  char owner[MUX_NAME_LEN]; /* who held it when last told */
+  uint64_t incarnation;
+  int64_t clock_ahead_ms; /* its clock less ours, never too large */
+  uint64_t cursor;
+  MuxSize capacity;
+  bool leaving; /* by its own word */
+  bool renewing;
+  int64_t next_ms;  /* next claim or renewal */
+  int64_t heard_ms; /* last answer */
+  uint32_t unheard; /* calls in a row without an answer */
+  uint32_t open;    /* grants on it */
+  UT_hash_handle hh;
+};
+
+void workers_listed (MuxCore *core, const MuxInstanceList *list);
+void workers_tick (MuxCore *core);
+int64_t workers_wake_ms (const MuxCore *core);
+void workers_free (MuxCore *core);
+/** workers_reconsider() - members changed: claim or give up */
+void workers_reconsider (MuxCore *core);
+/** workers_handover() - a peer gave up its claim for us */
+void workers_handover (MuxCore *core, const MuxPeerMsg *msg);
+/** workers_usable() - drains or breakers changed */
+void workers_usable (MuxCore *core);
+/** workers_held() - claims held or being given up */
+uint32_t workers_held (const MuxCore *core);
+
+Worker *worker_find (MuxCore *core, const char *name);
+/** worker_clock_ms() - a moment that the worker's clock has surely reached */
+int64_t worker_clock_ms (const MuxCore *core, const Worker *worker);
+/** worker_fenced() - a higher epoch or another incarnation was met */
+void worker_fenced (MuxCore *core, Worker *worker, MuxReason reason);
+
+#endif
