Add the core: members, claims, grants, tasks and grouped intents

A task's home asks an owner for room and starts it itself; what is unknown is settled at the one worker that its intent names. A start that failed for certain goes on under the next attempt's number, whose id no worker has seen.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+	@echo "CC $(VARIANT) $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 # Test code may also include its own support headers.
 $(B)/test/%.o: CPPFLAGS += -Itest
--- a/include/port/worker.h
+++ b/include/port/worker.h
@@ -132,6 +132,7 @@
  * @worker: its name
  * @incarnation: the life that answered; 0 when none did
  * @epoch: highest epoch that the worker knows
+ * @owner: who claimed it at that epoch, or ""
  * @worker_now_ms: its clock when it answered
  * @capacity: CLAIM, RENEW: what it can hold
  * @leaving: it will go and takes no starts
@@ -150,6 +151,7 @@
   char worker[MUX_NAME_LEN];
   uint64_t incarnation;
   uint64_t epoch;
+  char owner[MUX_NAME_LEN];
   int64_t worker_now_ms;
   MuxSize capacity;
   bool leaving;
--- /dev/null
+++ b/src/core/budget.h
@@ -0,0 +1,15 @@
+#ifndef CORE_BUDGET_H
+#define CORE_BUDGET_H
+
+#include "core_private.h"
+
+/* Retry budgets by class: retries may be a bounded share of what came, so
+ * that a failing cell is not buried under its own retries. */
+
+/** budget_earn() - a request or task of the class came */
+void budget_earn (MuxCore *core, const char *class_name);
+/** budget_take() - false: the class's budget is spent */
+bool budget_take (MuxCore *core, const char *class_name);
+void budgets_free (MuxCore *core);
+
+#endif
--- /dev/null
+++ b/src/core/core.c
@@ -0,0 +1,418 @@
+#include "call.h"
+#include "commit.h"
+#include "config.h"
+#include "core_private.h"
+#include "jobs.h"
+#include "member.h"
+#include "owner.h"
+#include "show.h"
+#include "task.h"
+#include "timers.h"
+#include "worker.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Waiting and booked tasks that the scheduler's tables are first sized for. */
+#define TASKS_HINT 1024
+/* While stopping, how often to look whether all is done. */
+#define STOP_LOOK_MS 20
+
+uint64_t
+core_random (MuxCore *core)
+{
+  /* splitmix64: any seed, zero too, gives a full-period sequence. */
+  uint64_t z = core->rng += 0x9e3779b97f4a7c15u;
+
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+  return z ^ (z >> 31);
+}
+
+int64_t
+core_jitter (MuxCore *core, int64_t base_ms)
+{
+  return base_ms + (int64_t) (core_random (core) % (uint64_t) (base_ms + 1));
+}
+
+MuxId
+core_mint (MuxCore *core)
+{
+  MuxId life = { mux_hash_name (core->name, 0), core->opt.incarnation };
+
+  return mux_id_of_part (life, ++core->next_task);
+}
+
+void
+core_log (MuxCore *core, int level, const char *event, const char *format, ...)
+{
+  char text[256];
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (text, sizeof text, format, args);
+  va_end (args);
+  core->sink->state_log (core->sink, level, event, text);
+}
+
+static void
+count_answer (MuxCore *core, MuxOutcome outcome, MuxReason reason)
+{
+  switch (outcome)
+    {
+    case MUX_OUTCOME_DONE:
+    case MUX_OUTCOME_FAILED:
+      mux_count (core->counters, MUX_COUNT_ANSWERED, 1);
+      break;
+    case MUX_OUTCOME_NOT_RUN:
+      mux_count (core->counters, MUX_COUNT_NOT_RUN, 1);
+      break;
+    case MUX_OUTCOME_UNKNOWN:
+      mux_count (core->counters, MUX_COUNT_UNKNOWN, 1);
+      break;
+    case MUX_OUTCOME_INFO:
+      break;
+    }
+  if (reason != MUX_REASON_NONE)
+    mux_count_refused (core->counters, reason);
+}
+
+void
+core_answer (MuxCore *core,
+             uint64_t call,
+             MuxOutcome outcome,
+             MuxReason reason,
+             uint32_t retry_ms,
+             MuxId task,
+             MuxBlob *body)
+{
+  MuxAnswer answer = {
+    .call = call,
+    .outcome = outcome,
+    .reason = reason,
+    .status = mux_reason_status (reason),
+    .retry_after_ms = retry_ms,
+    .task = task,
+    .body = body,
+  };
+
+  count_answer (core, outcome, reason);
+  core->sink->answer (core->sink, &answer);
+}
+
+void
+core_answer_json (MuxCore *core, uint64_t call, uint32_t status, json_t *json)
+{
+  char *text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
+  MuxAnswer answer = { .call = call, .status = status, .json = true };
+
+  json_decref (json);
+  answer.outcome = MUX_OUTCOME_INFO;
+  answer.body = text == NULL ? NULL : mux_blob_new (text, strlen (text));
+  free (text);
+  if (answer.body == NULL)
+    {
+      core_answer (core, call, MUX_OUTCOME_INFO, MUX_REASON_INTERNAL, 0,
+                   (MuxId){ 0, 0 }, NULL);
+      return;
+    }
+  core->sink->answer (core->sink, &answer);
+  mux_blob_unref (answer.body);
+}
+
+void
+core_answer_findings (MuxCore *core, uint64_t call, const MuxFindings *findings)
+{
+  json_t *json = json_pack ("{s:s, s:s, s:s, s:o}", "outcome", "not_run",
+                            "reason", mux_reason_name (MUX_REASON_BAD_FIELD),
+                            "text", mux_reason_help (MUX_REASON_BAD_FIELD),
+                            "findings", mux_findings_to_json (findings));
+  char *text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
+  MuxAnswer answer = {
+    .call = call,
+    .outcome = MUX_OUTCOME_NOT_RUN,
+    .reason = MUX_REASON_BAD_FIELD,
+    .status = mux_reason_status (MUX_REASON_BAD_FIELD),
+    .json = true,
+  };
+
+  json_decref (json);
+  answer.body = text == NULL ? NULL : mux_blob_new (text, strlen (text));
+  free (text);
+  count_answer (core, answer.outcome, answer.reason);
+  core->sink->answer (core->sink, &answer);
+  mux_blob_unref (answer.body);
+}
+
+static bool
+options_good (const MuxCoreOptions *options, MuxError *err)
+{
+  if (!mux_name_valid (options->name) || !mux_name_valid (options->data_centre))
+    return mux_error_set (err, MUX_ERROR_USAGE,
+                          "instance or data centre has no valid name");
+  if (options->lease_ms == 0 || options->heartbeat_ms == 0
+      || options->suspect_ms <= options->heartbeat_ms
+      || options->dead_ms <= options->suspect_ms || options->queue_max == 0
+      || options->writes_per_s == 0)
+    return mux_error_set (err, MUX_ERROR_USAGE,
+                          "need heartbeat < suspect < dead and limits over 0");
+  return true;
+}
+
+MuxCore *
+mux_core_new (const MuxCoreOptions *options, MuxError *err)
+{
+  MuxCore *core;
+  MuxSchedOptions sched = { .seed = options->seed,
+                            .queue_max = options->queue_max,
+                            .tasks_hint = TASKS_HINT };
+
+  if (!options_good (options, err))
+    return NULL;
+  core = calloc (1, sizeof *core);
+  if (core == NULL)
+    {
+      mux_error_set (err, MUX_ERROR_MEMORY, "no memory for the core");
+      return NULL;
+    }
+  core->opt = *options;
+  mux_name_copy (core->name, options->name);
+  mux_name_copy (core->data_centre, options->data_centre);
+  snprintf (core->peer_addr, sizeof core->peer_addr, "%s", options->peer_addr);
+  core->sink = options->sink;
+  core->counters = options->counters;
+  core->rng = options->seed;
+  core->sched = mux_sched_new (&sched);
+  core->timers = timers_new ();
+  core->commit = commit_new ();
+  core->config = config_new ();
+  core->jobs = jobs_new ();
+  if (core->sched == NULL || core->timers == NULL || core->commit == NULL
+      || core->config == NULL || core->jobs == NULL)
+    {
+      mux_core_free (core);
+      mux_error_set (err, MUX_ERROR_MEMORY, "no memory for the core");
+      return NULL;
+    }
+  return core;
+}
+
+void
+mux_core_free (MuxCore *core)
+{
+  if (core == NULL)
+    return;
+  tasks_free (core);
+  owner_free (core);
+  workers_free (core);
+  members_free (core);
+  calls_free (core);
+  jobs_free (core->jobs);
+  config_free (core->config);
+  commit_free (core->commit);
+  timers_free (core->timers);
+  mux_sched_free (core->sched);
+  free (core);
+}
+
+static void
+on_ask (MuxCore *core, const MuxAsk *ask)
+{
+  switch (ask->verb)
+    {
+    case MUX_ASK_REQUEST:
+      tasks_request (core, ask);
+      break;
+    case MUX_ASK_JOB_SUBMIT:
+    case MUX_ASK_JOB_GET:
+    case MUX_ASK_JOB_WAIT:
+    case MUX_ASK_JOB_CANCEL:
+    case MUX_ASK_JOB_LIST:
+      jobs_ask (core, ask);
+      break;
+    case MUX_ASK_CONFIG_PUT:
+    case MUX_ASK_CONFIG_REMOVE:
+    case MUX_ASK_CONFIG_GET:
+    case MUX_ASK_CONFIG_LIST:
+    case MUX_ASK_CONFIG_HISTORY:
+    case MUX_ASK_CONFIG_REVERT:
+    case MUX_ASK_DRAIN:
+      config_ask (core, ask);
+      break;
+    case MUX_ASK_STATUS:
+      show_status (core, ask->call);
+      break;
+    case MUX_ASK_WORKERS:
+      show_workers (core, ask->call);
+      break;
+    case MUX_ASK_RISK:
+      show_risk (core, ask->call);
+      break;
+    }
+}
+
+static void
+on_peer (MuxCore *core, const MuxPeerMsg *msg)
+{
+  switch (msg->verb)
+    {
+    case MUX_PEER_HEARTBEAT:
+      members_heartbeat (core, msg);
+      break;
+    case MUX_PEER_BYE:
+      members_bye (core, msg);
+      break;
+    case MUX_PEER_GRANT_ASK:
+      owner_ask (core, msg);
+      break;
+    case MUX_PEER_GRANT_CANCEL:
+      owner_cancel (core, msg->task);
+      break;
+    case MUX_PEER_GRANT_END:
+      owner_end (core, msg);
+      break;
+    case MUX_PEER_GRANT:
+    case MUX_PEER_GRANT_REFUSED:
+    case MUX_PEER_TASK_ENDED:
+      tasks_peer (core, msg);
+      break;
+    case MUX_PEER_HANDOVER:
+      workers_handover (core, msg);
+      break;
+    case MUX_PEER_CONFIG_HINT:
+    case MUX_PEER_CONFIG_ASK:
+    case MUX_PEER_CONFIG_ROWS:
+      config_peer (core, msg);
+      break;
+    case MUX_PEER_VERB_COUNT:
+      break;
+    }
+}
+
+static void
+run_timers (MuxCore *core)
+{
+  int64_t at_ms;
+  MuxId subject;
+
+  while (timers_pop (core->timers, core->now_ms, &at_ms, &subject))
+    tasks_timer (core, at_ms, subject);
+}
+
+static void
+begin_stop (MuxCore *core)
+{
+  if (core->stopping)
+    return;
+  core->stopping = true;
+  core_log (core, 5, "stopping", "held=%u waiting=%u", workers_held (core),
+            tasks_waiting (core));
+  owner_refuse_all (core, MUX_REASON_STOPPING);
+  members_farewell (core);
+  workers_reconsider (core);
+}
+
+static void
+look_stopped (MuxCore *core)
+{
+  if (!core->stopping || core->stopped)
+    return;
+  if (tasks_waiting (core) > 0 || workers_held (core) > 0
+      || !jobs_give_away (core))
+    return;
+  core->stopped = true;
+  core_log (core, 5, "stopped", "tasks=%u", HASH_COUNT (core->tasks));
+}
+
+void
+mux_core_step (MuxCore *core, const MuxEvent *event, int64_t now_ms)
+{
+  if (now_ms > core->now_ms)
+    core->now_ms = now_ms;
+  if (core->started_ms == 0)
+    core->started_ms = core->last_step_ms = core->now_ms;
+  members_after_pause (core, core->now_ms - core->last_step_ms);
+  core->last_step_ms = core->now_ms;
+  mux_count (core->counters, MUX_COUNT_EVENTS, 1);
+  switch (event->kind)
+    {
+    case MUX_EVENT_TICK:
+      break;
+    case MUX_EVENT_ASK:
+      on_ask (core, event->u.ask);
+      break;
+    case MUX_EVENT_CALLER_GONE:
+      jobs_caller_gone (core, event->u.call);
+      break;
+    case MUX_EVENT_WORKER_REPLY:
+      call_worker_reply (core, event->u.worker_reply);
+      break;
+    case MUX_EVENT_TABLE_REPLY:
+      call_table_reply (core, event->u.table_reply);
+      break;
+    case MUX_EVENT_PEER:
+      mux_count (core->counters, MUX_COUNT_PEER_RECEIVED, 1);
+      on_peer (core, event->u.peer);
+      break;
+    case MUX_EVENT_INSTANCES:
+      members_listed (core, event->u.instances);
+      workers_listed (core, event->u.instances);
+      break;
+    case MUX_EVENT_STOP:
+      begin_stop (core);
+      break;
+    }
+  run_timers (core);
+  members_tick (core);
+  workers_tick (core);
+  config_tick (core);
+  jobs_tick (core);
+  commit_tick (core);
+  owner_pump (core);
+  look_stopped (core);
+}
+
+static int64_t
+earlier (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+int64_t
+mux_core_wake_ms (const MuxCore *core)
+{
+  int64_t at = timers_next_ms (core->timers);
+
+  at = earlier (at, members_wake_ms (core));
+  at = earlier (at, workers_wake_ms (core));
+  at = earlier (at, config_wake_ms (core));
+  at = earlier (at, jobs_wake_ms (core));
+  at = earlier (at, commit_wake_ms (core));
+  at = earlier (at, mux_sched_wake_ms (core->sched));
+  if (core->stopping)
+    at = earlier (at, core->now_ms + STOP_LOOK_MS);
+  return at;
+}
+
+bool
+mux_core_ready (const MuxCore *core)
+{
+  return !core->stopping && config_loaded (core);
+}
+
+bool
+mux_core_stopped (const MuxCore *core)
+{
+  return core->stopped;
+}
+
+const char *
+mux_outcome_name (MuxOutcome outcome)
+{
+  static const char *const names[]
+      = { "done", "not_run", "unknown", "failed", "info" };
+
+  return names[outcome];
+}
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -42,8 +42,11 @@
   uint64_t rng;
   uint64_t next_call_id;
   uint64_t next_task;
+  int64_t started_ms; /* first event; 0: none yet */
+  int64_t last_step_ms;
   int64_t next_heartbeat_ms;
   int64_t next_far_heartbeat_ms;
+  int64_t next_workers_ms;
   bool stopping;
   bool stopped;
   bool pumping;
@@ -54,6 +57,7 @@
   uint32_t index_count;
   Grant *grants;
   Task *tasks;
+  Task *tasks_by_id;
   Timers *timers;
   Commit *commit;
   Config *config;
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -15,7 +15,8 @@
 /** jobs_record() - a job's task was granted room: write where, then send it
  * TASK_EV_ROW_WRITTEN (or drop it, if the job has another home now) */
 void jobs_record (MuxCore *core, Task *task);
-/** jobs_task_ended() - for good; the task is freed by the caller after */
+/** jobs_task_ended() - for good; the task is freed by the caller after.  It
+ * must not end other tasks in the same call: their lists are being walked. */
 void jobs_task_ended (MuxCore *core,
                       const Task *task,
                       MuxOutcome outcome,
--- /dev/null
+++ b/src/core/member.c
@@ -0,0 +1,343 @@
+#include "member.h"
+
+#include "config.h"
+#include "jobs.h"
+#include "owner.h"
+#include "task.h"
+#include "worker.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Heartbeats to other data centres are this many times rarer, and silence
+ * from there is borne as much longer: a cell of 26 daemons stays within its
+ * bytes a second. */
+#define FAR_FACTOR 5
+/* A dead member is kept so long for operators to see, then dropped. */
+#define DEAD_KEPT_MS 600000
+/* Most members known, against a flood of made-up names. */
+#define MEMBERS_MAX 256
+
+Member *
+member_find (MuxCore *core, const char *name)
+{
+  Member *member;
+
+  HASH_FIND_STR (core->members, name, member);
+  return member;
+}
+
+bool
+member_usable (const Member *member)
+{
+  return member->state == MEMBER_LIVE && !member->stopping;
+}
+
+static void
+fill_sender (MuxCore *core, MuxPeerMsg *msg)
+{
+  mux_name_copy (msg->from, core->name);
+  msg->from_incarnation = core->opt.incarnation;
+}
+
+bool
+member_send (MuxCore *core, const Member *member, MuxPeerMsg *msg)
+{
+  fill_sender (core, msg);
+  mux_name_copy (msg->to, member->name);
+  if (core->sink->peer_send (core->sink, member->addr, msg))
+    return true;
+  mux_count_retry (core->counters, MUX_REASON_RING_FULL);
+  return false;
+}
+
+void
+members_send_all (MuxCore *core, MuxPeerMsg *msg)
+{
+  Member *member, *next;
+
+  HASH_ITER (hh, core->members, member, next)
+  if (member->state != MEMBER_DEAD)
+    member_send (core, member, msg);
+}
+
+static void
+fill_heartbeat (MuxCore *core, MuxPeerMsg *msg)
+{
+  MuxSchedStats stats = mux_sched_stats (core->sched, core->now_ms);
+
+  *msg = (MuxPeerMsg){ .verb = MUX_PEER_HEARTBEAT };
+  fill_sender (core, msg);
+  mux_name_copy (msg->from_dc, core->data_centre);
+  snprintf (msg->from_addr, sizeof msg->from_addr, "%s", core->peer_addr);
+  msg->revision = config_revision (core);
+  msg->stopping = core->stopping;
+  msg->free = stats.free;
+  msg->total = stats.total;
+  msg->queued = stats.queued;
+  msg->oldest_ms = stats.oldest_ms;
+}
+
+static bool
+addr_known (const MuxCore *core, const char *addr)
+{
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    if (strcmp (m->addr, addr) == 0 && m->state != MEMBER_DEAD)
+      return true;
+  return false;
+}
+
+static void
+greet (MuxCore *core, const char *addr)
+{
+  MuxPeerMsg msg;
+
+  if (strcmp (addr, core->peer_addr) == 0 || addr_known (core, addr))
+    return;
+  fill_heartbeat (core, &msg);
+  core->sink->peer_send (core->sink, addr, &msg);
+}
+
+static void
+send_heartbeats (MuxCore *core, bool far_too)
+{
+  MuxPeerMsg msg;
+  Member *member, *next;
+
+  fill_heartbeat (core, &msg);
+  HASH_ITER (hh, core->members, member, next)
+  {
+    /* The dead are greeted too: it is how a healed cut is found. */
+    if (member->near ? member->state != MEMBER_DEAD || far_too : far_too)
+      member_send (core, member, &msg);
+  }
+  if (!far_too)
+    return;
+  for (uint32_t i = 0; i < core->opt.seed_count; i++)
+    greet (core, core->opt.seeds[i]);
+}
+
+static void
+member_changed (MuxCore *core, Member *member, MemberState state)
+{
+  static const char *const event[]
+      = { "member_live", "member_suspect", "member_dead" };
+
+  member->state = state;
+  core_log (core, state == MEMBER_DEAD ? 4 : 5, event[state],
+            "member=%s data_centre=%s incarnation=%llu", member->name,
+            member->data_centre, (unsigned long long) member->incarnation);
+  if (state == MEMBER_SUSPECT)
+    return;
+  if (state == MEMBER_DEAD)
+    {
+      tasks_owner_lost (core, member->name);
+      jobs_member_dead (core, member->name);
+    }
+  workers_reconsider (core);
+}
+
+static Member *
+member_new (MuxCore *core, const MuxPeerMsg *msg)
+{
+  Member *member;
+
+  if (HASH_COUNT (core->members) >= MEMBERS_MAX)
+    return NULL;
+  member = calloc (1, sizeof *member);
+  if (member == NULL)
+    return NULL;
+  mux_name_copy (member->name, msg->from);
+  member->state = MEMBER_DEAD;
+  HASH_ADD_STR (core->members, name, member);
+  return member;
+}
+
+void
+members_heartbeat (MuxCore *core, const MuxPeerMsg *msg)
+{
+  Member *member = member_find (core, msg->from);
+  bool new_life;
+
+  if (strcmp (msg->from, core->name) == 0)
+    return;
+  if (member == NULL)
+    member = member_new (core, msg);
+  if (member == NULL)
+    return;
+  /* A message of a former life that arrives late must not bring it back. */
+  if (msg->from_incarnation < member->incarnation)
+    return;
+  new_life
+      = msg->from_incarnation > member->incarnation && member->incarnation != 0;
+  if (new_life && member->state != MEMBER_DEAD)
+    tasks_owner_lost (core, member->name);
+  if (new_life)
+    jobs_member_dead (core, member->name);
+  member->incarnation = msg->from_incarnation;
+  mux_name_copy (member->data_centre, msg->from_dc);
+  snprintf (member->addr, sizeof member->addr, "%s", msg->from_addr);
+  member->near = strcmp (msg->from_dc, core->data_centre) == 0;
+  member->heard_ms = core->now_ms;
+  member->free = msg->free;
+  member->total = msg->total;
+  member->queued = msg->queued;
+  member->oldest_ms = msg->oldest_ms;
+  if (member->state != MEMBER_LIVE || member->stopping != msg->stopping)
+    {
+      bool was_dead = member->state == MEMBER_DEAD;
+
+      member->stopping = msg->stopping;
+      member_changed (core, member, MEMBER_LIVE);
+      /* Answer at once, so that a newcomer need not wait for our next one. */
+      if (was_dead)
+        {
+          MuxPeerMsg hello;
+
+          fill_heartbeat (core, &hello);
+          member_send (core, member, &hello);
+        }
+    }
+  member->revision = msg->revision;
+  config_heard (core, member, msg->revision);
+}
+
+void
+members_bye (MuxCore *core, const MuxPeerMsg *msg)
+{
+  Member *member = member_find (core, msg->from);
+
+  if (member == NULL || msg->from_incarnation < member->incarnation
+      || member->stopping)
+    return;
+  member->stopping = true;
+  core_log (core, 5, "member_stopping", "member=%s", member->name);
+  workers_reconsider (core);
+}
+
+void
+members_listed (MuxCore *core, const MuxInstanceList *list)
+{
+  for (uint32_t i = 0; i < list->count; i++)
+    {
+      const MuxInstance *it = &list->item[i];
+
+      /* Late either way: "live" only makes it worth a greeting, and whether
+       * it lives is then told by its own heartbeats. */
+      if (it->role == MUX_ROLE_ENTRY && it->state != MUX_INSTANCE_GONE
+          && member_find (core, it->name) == NULL
+          && strcmp (it->name, core->name) != 0)
+        greet (core, it->addr);
+    }
+}
+
+static void
+look_silent (MuxCore *core, Member *member)
+{
+  int64_t silent_ms = core->now_ms - member->heard_ms;
+  int64_t factor = member->near ? 1 : FAR_FACTOR;
+
+  if (member->state == MEMBER_LIVE
+      && silent_ms >= core->opt.suspect_ms * factor)
+    member_changed (core, member, MEMBER_SUSPECT);
+  if (member->state == MEMBER_SUSPECT
+      && silent_ms >= core->opt.dead_ms * factor)
+    member_changed (core, member, MEMBER_DEAD);
+}
+
+/*
+ * Failure: this process was frozen or starved, then wakes.  To it all peers
+ * have been silent for as long, so it would call them dead and claim all
+ * their workers.  The silence was ours: a gap without steps is no evidence,
+ * so it is taken out of every member's silence.
+ */
+void
+members_after_pause (MuxCore *core, int64_t gap_ms)
+{
+  Member *member, *next;
+
+  if (gap_ms < (int64_t) core->opt.suspect_ms)
+    return;
+  core_log (core, 4, "was_paused", "gap_ms=%lld", (long long) gap_ms);
+  HASH_ITER (hh, core->members, member, next)
+  if (member->state != MEMBER_DEAD)
+    member->heard_ms += gap_ms;
+}
+
+void
+members_tick (MuxCore *core)
+{
+  bool far_too = core->now_ms >= core->next_far_heartbeat_ms;
+  Member *member, *next;
+
+  if (core->now_ms < core->next_heartbeat_ms)
+    return;
+  send_heartbeats (core, far_too);
+  core->next_heartbeat_ms = core->now_ms + core->opt.heartbeat_ms;
+  if (far_too)
+    core->next_far_heartbeat_ms
+        = core->now_ms + (int64_t) core->opt.heartbeat_ms * FAR_FACTOR;
+  HASH_ITER (hh, core->members, member, next)
+  {
+    look_silent (core, member);
+    if (member->state == MEMBER_DEAD
+        && core->now_ms - member->heard_ms > DEAD_KEPT_MS)
+      {
+        HASH_DEL (core->members, member);
+        free (member);
+      }
+  }
+}
+
+int64_t
+members_wake_ms (const MuxCore *core)
+{
+  return core->next_heartbeat_ms;
+}
+
+void
+members_farewell (MuxCore *core)
+{
+  MuxPeerMsg msg = { .verb = MUX_PEER_BYE };
+
+  members_send_all (core, &msg);
+}
+
+uint64_t
+members_rank (const char *name, const char *subject)
+{
+  return mux_hash_name (subject, mux_hash_name (name, 0));
+}
+
+bool
+members_first (MuxCore *core, const char *subject, bool near)
+{
+  uint64_t mine = members_rank (core->name, subject);
+
+  if (core->stopping)
+    return false;
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    {
+      uint64_t rank;
+
+      if (m->state == MEMBER_DEAD || m->stopping || (near && !m->near))
+        continue;
+      rank = members_rank (m->name, subject);
+      if (rank > mine || (rank == mine && strcmp (m->name, core->name) > 0))
+        return false;
+    }
+  return true;
+}
+
+void
+members_free (MuxCore *core)
+{
+  Member *member, *next;
+
+  HASH_ITER (hh, core->members, member, next)
+  {
+    HASH_DEL (core->members, member);
+    free (member);
+  }
+}
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -36,6 +36,8 @@
 void members_bye (MuxCore *core, const MuxPeerMsg *msg);
 /** members_listed() - greet daemons on the platform's list */
 void members_listed (MuxCore *core, const MuxInstanceList *list);
+/** members_after_pause() - this process took no step for @gap_ms */
+void members_after_pause (MuxCore *core, int64_t gap_ms);
 void members_tick (MuxCore *core);
 int64_t members_wake_ms (const MuxCore *core);
 void members_free (MuxCore *core);
--- /dev/null
+++ b/src/core/owner.c
@@ -0,0 +1,379 @@
+#include "owner.h"
+
+#include "member.h"
+#include "task.h"
+#include "worker.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+static Grant *
+grant_find (MuxCore *core, MuxId task)
+{
+  Grant *grant;
+
+  HASH_FIND (hh, core->grants, &task, sizeof task, grant);
+  return grant;
+}
+
+static Grant *
+grant_new (MuxCore *core, const MuxPeerMsg *ask)
+{
+  Grant *grant = calloc (1, sizeof *grant);
+
+  if (grant == NULL)
+    return NULL;
+  grant->task = ask->task;
+  grant->ask = *ask;
+  grant->ask.body = NULL;
+  HASH_ADD (hh, core->grants, task, sizeof grant->task, grant);
+  return grant;
+}
+
+static void
+grant_free (MuxCore *core, Grant *grant)
+{
+  if (grant->worker != NULL)
+    {
+      if (!grant->seen)
+        grant->worker->open--;
+      DL_DELETE (grant->worker->grants, grant);
+    }
+  HASH_DEL (core->grants, grant);
+  free (grant);
+}
+
+static void
+grant_bind (Grant *grant, Worker *worker, bool seen)
+{
+  grant->placed = true;
+  grant->seen = seen;
+  grant->worker = worker;
+  grant->epoch = worker->epoch;
+  if (!seen)
+    worker->open++;
+  DL_APPEND (worker->grants, grant);
+}
+
+static void
+tell_home (MuxCore *core, const char *home, MuxPeerMsg *msg)
+{
+  Member *member;
+
+  if (strcmp (home, core->name) == 0)
+    {
+      mux_name_copy (msg->from, core->name);
+      msg->from_incarnation = core->opt.incarnation;
+      tasks_peer (core, msg);
+      return;
+    }
+  member = member_find (core, home);
+  if (member != NULL)
+    member_send (core, member, msg);
+}
+
+static void
+refuse (MuxCore *core,
+        const MuxPeerMsg *ask,
+        MuxReason reason,
+        uint32_t retry_ms)
+{
+  MuxPeerMsg msg = { .verb = MUX_PEER_GRANT_REFUSED,
+                     .task = ask->task,
+                     .reason = reason,
+                     .retry_ms = retry_ms };
+
+  tell_home (core, ask->from, &msg);
+}
+
+static void
+send_grant (MuxCore *core, const Grant *grant)
+{
+  const Worker *worker = grant->worker;
+  MuxPeerMsg msg = { .verb = MUX_PEER_GRANT,
+                     .task = grant->task,
+                     .epoch = grant->epoch,
+                     .incarnation = worker->incarnation,
+                     .not_after_ms = grant->not_after_ms,
+                     .size = grant->size };
+
+  mux_name_copy (msg.worker, worker->name);
+  snprintf (msg.worker_addr, sizeof msg.worker_addr, "%s", worker->addr);
+  if (strcmp (grant->ask.from, core->name) != 0)
+    mux_count (core->counters, MUX_COUNT_GRANTS_REMOTE, 1);
+  tell_home (core, grant->ask.from, &msg);
+}
+
+static void
+ask_again (MuxCore *core, Grant *grant, const MuxPeerMsg *ask)
+{
+  if (strcmp (grant->ask.from, ask->from) != 0)
+    refuse (core, ask, MUX_REASON_KEY_IN_USE, RETRY_MS);
+  else if (grant->placed && !grant->seen)
+    send_grant (core, grant);
+}
+
+void
+owner_ask (MuxCore *core, const MuxPeerMsg *ask)
+{
+  Grant *grant = grant_find (core, ask->task);
+  MuxTaskAsk task = { .task = ask->task,
+                      .group = ask->group,
+                      .group_count = ask->group_count,
+                      .class_name = ask->class_name,
+                      .start_by_ms = core->now_ms + ask->start_within_ms,
+                      .give_up_ms = core->now_ms + ask->give_up_ms,
+                      .avoid = MUX_NO_WORKER };
+  MuxVerdict verdict;
+
+  if (grant != NULL)
+    {
+      ask_again (core, grant, ask);
+      return;
+    }
+  if (core->stopping)
+    {
+      refuse (core, ask, MUX_REASON_STOPPING, 0);
+      return;
+    }
+  verdict = mux_sched_submit (core->sched, &task, core->now_ms);
+  if (verdict.reason != MUX_REASON_NONE)
+    {
+      refuse (core, ask, verdict.reason, verdict.retry_ms);
+      return;
+    }
+  if (grant_new (core, ask) == NULL)
+    {
+      mux_sched_cancel (core->sched, ask->task);
+      refuse (core, ask, MUX_REASON_INTERNAL, RETRY_MS);
+    }
+}
+
+void
+owner_cancel (MuxCore *core, MuxId task)
+{
+  Grant *grant = grant_find (core, task);
+
+  if (grant == NULL || grant->seen)
+    return;
+  if (grant->placed)
+    mux_sched_ended (core->sched, task, MUX_END_NO_START, 0, (MuxSize){ 0 },
+                     core->now_ms);
+  else
+    mux_sched_cancel (core->sched, task);
+  grant_free (core, grant);
+}
+
+static MuxTaskEnd
+end_of_state (MuxTaskState state)
+{
+  switch (state)
+    {
+    case MUX_TASK_DONE:
+    case MUX_TASK_DONE_GONE:
+      return MUX_END_OK;
+    case MUX_TASK_FAILED:
+      return MUX_END_FAILED;
+    case MUX_TASK_STOPPED:
+      return MUX_END_STOPPED;
+    case MUX_TASK_ABSENT:
+    case MUX_TASK_FORGOTTEN:
+    case MUX_TASK_RUNNING:
+      break;
+    }
+  return MUX_END_NO_START;
+}
+
+void
+owner_end (MuxCore *core, const MuxPeerMsg *msg)
+{
+  Grant *grant = grant_find (core, msg->task);
+
+  if (grant == NULL || !grant->placed
+      || strcmp (grant->ask.from, msg->from) != 0)
+    return;
+  mux_sched_ended (core->sched, msg->task,
+                   end_of_state ((MuxTaskState) msg->state), msg->ran_ms,
+                   (MuxSize){ 0 }, core->now_ms);
+  grant_free (core, grant);
+}
+
+static void
+place (MuxCore *core, const MuxPlacement *placement)
+{
+  Grant *grant = grant_find (core, placement->task);
+
+  if (grant == NULL)
+    {
+      if (placement->worker != MUX_NO_WORKER)
+        mux_sched_ended (core->sched, placement->task, MUX_END_NO_START, 0,
+                         (MuxSize){ 0 }, core->now_ms);
+      return;
+    }
+  if (placement->worker == MUX_NO_WORKER)
+    {
+      MuxPeerMsg ask = grant->ask;
+
+      grant_free (core, grant);
+      refuse (core, &ask, placement->reason, placement->retry_ms);
+      return;
+    }
+  grant_bind (grant, core->by_index[placement->worker], false);
+  grant->size = placement->size;
+  grant->not_after_ms = worker_clock_ms (core, grant->worker) + GRANT_TTL_MS;
+  mux_count (core->counters, MUX_COUNT_GRANTS, 1);
+  send_grant (core, grant);
+}
+
+void
+owner_pump (MuxCore *core)
+{
+  MuxPlacement placement;
+
+  if (core->pumping)
+    return;
+  core->pumping = true;
+  while (mux_sched_next (core->sched, core->now_ms, &placement))
+    place (core, &placement);
+  core->pumping = false;
+}
+
+static void
+see_running (MuxCore *core, Worker *worker, const MuxTaskReport *report)
+{
+  Grant *grant = grant_find (core, report->task);
+  MuxPeerMsg ask = { .task = report->task };
+
+  if (grant != NULL && grant->worker == worker)
+    {
+      if (!grant->seen)
+        worker->open--;
+      grant->seen = true;
+      mux_sched_started (core->sched, report->task, core->now_ms);
+      return;
+    }
+  /* Waiting for a second place while it runs here: this is a late start of
+   * an earlier attempt's twin; what runs is booked first. */
+  if (grant != NULL)
+    owner_cancel (core, report->task);
+  mux_name_copy (ask.from, report->home);
+  mux_name_copy (ask.class_name, report->class_name);
+  grant = grant_new (core, &ask);
+  if (grant == NULL)
+    return;
+  grant->size = report->size;
+  grant_bind (grant, worker, true);
+  mux_sched_adopt (core->sched, report->task, report->class_name, worker->index,
+                   report->size);
+}
+
+static void
+see_ended (MuxCore *core, Worker *worker, const MuxTaskReport *report)
+{
+  Grant *grant = grant_find (core, report->task);
+  MuxPeerMsg msg = { .verb = MUX_PEER_TASK_ENDED,
+                     .task = report->task,
+                     .state = report->state,
+                     .ran_ms = report->ran_ms };
+  char home[MUX_NAME_LEN];
+
+  if (grant == NULL || grant->worker != worker)
+    return;
+  mux_sched_ended (core->sched, report->task, end_of_state (report->state),
+                   report->ran_ms, report->used, core->now_ms);
+  mux_name_copy (home, grant->ask.from);
+  mux_name_copy (msg.worker, worker->name);
+  grant_free (core, grant);
+  tell_home (core, home, &msg);
+}
+
+/*
+ * Failure: a grant's message, or its start, was lost, and nobody will ever
+ * say that the room is free.  Once a list was taken after the start's last
+ * moment, both on the worker's clock, a start not on it can't come any more.
+ */
+static void
+free_unused (MuxCore *core, Worker *worker, int64_t listed_ms)
+{
+  Grant *grant, *next;
+
+  if (worker->open == 0)
+    return;
+  DL_FOREACH_SAFE (worker->grants, grant, next)
+  {
+    if (grant->seen || listed_ms <= grant->not_after_ms)
+      continue;
+    mux_sched_ended (core->sched, grant->task, MUX_END_NO_START, 0,
+                     (MuxSize){ 0 }, core->now_ms);
+    grant_free (core, grant);
+  }
+}
+
+void
+owner_report (MuxCore *core, Worker *worker, const MuxWorkerReply *reply)
+{
+  for (uint32_t i = 0; i < reply->report_count; i++)
+    {
+      const MuxTaskReport *report = &reply->reports[i];
+
+      if (report->state == MUX_TASK_RUNNING)
+        see_running (core, worker, report);
+      else
+        see_ended (core, worker, report);
+    }
+  free_unused (core, worker, reply->worker_now_ms);
+}
+
+void
+owner_drop (MuxCore *core, Worker *worker, bool life_over)
+{
+  while (worker->grants != NULL)
+    {
+      Grant *grant = worker->grants;
+      MuxPeerMsg msg = { .verb = MUX_PEER_TASK_ENDED,
+                         .task = grant->task,
+                         .state = MUX_TASK_ABSENT };
+      char home[MUX_NAME_LEN];
+      bool tell = life_over && grant->seen;
+
+      mux_name_copy (home, grant->ask.from);
+      mux_name_copy (msg.worker, worker->name);
+      grant_free (core, grant);
+      if (tell)
+        tell_home (core, home, &msg);
+    }
+}
+
+void
+owner_refuse_all (MuxCore *core, MuxReason reason)
+{
+  Grant *grant, *next;
+
+  HASH_ITER (hh, core->grants, grant, next)
+  {
+    MuxPeerMsg ask = grant->ask;
+
+    if (grant->placed)
+      continue;
+    mux_sched_cancel (core->sched, grant->task);
+    grant_free (core, grant);
+    refuse (core, &ask, reason, 0);
+  }
+}
+
+uint32_t
+owner_waiting (const MuxCore *core)
+{
+  return mux_sched_stats (core->sched, core->now_ms).queued;
+}
+
+void
+owner_free (MuxCore *core)
+{
+  Grant *grant, *next;
+
+  HASH_ITER (hh, core->grants, grant, next)
+  grant_free (core, grant);
+}
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -14,6 +14,8 @@
   uint64_t epoch;       /* claim under which it was granted */
   int64_t not_after_ms; /* last moment of its start, worker's clock */
   MuxSize size;
+  Grant *prev; /* on the same worker */
+  Grant *next;
   UT_hash_handle hh;
 };
 
@@ -26,13 +28,11 @@
 /** owner_pump() - take and hand out the scheduler's decisions */
 void owner_pump (MuxCore *core);
 /** owner_report() - the worker's list, of all running or of changes */
-void owner_report (MuxCore *core,
-                   Worker *worker,
-                   const MuxWorkerReply *reply,
-                   bool whole);
+void owner_report (MuxCore *core, Worker *worker,
+                   const MuxWorkerReply *reply);
 /** owner_drop() - the claim on @worker is gone: forget what was booked there
- * and tell the homes of what was not yet placed to ask elsewhere */
-void owner_drop (MuxCore *core, Worker *worker);
+ * @life_over: the worker's tasks are gone too, which the homes are told */
+void owner_drop (MuxCore *core, Worker *worker, bool life_over);
 /** owner_waiting() - asks not yet placed */
 uint32_t owner_waiting (const MuxCore *core);
 /** owner_refuse_all() - stopping: send the waiting ones elsewhere */
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -108,12 +108,16 @@
   bool granted;     /* room is booked for it at @owner */
   bool probed;      /* a fetch is on its way */
   bool absent_seen; /* FOLLOWING: seen absent once */
+  bool cancelled;   /* to be stopped as soon as it is found */
+  bool ran;         /* an attempt may have run: "not run" can't be said */
+  uint32_t lost;    /* calls in a row without an answer */
   uint32_t asks;    /* owners asked for this attempt */
   uint32_t retries;
   MuxReason last_reason;
   uint32_t last_retry_ms;
   char tried[4][MUX_NAME_LEN]; /* owners that refused this attempt */
   UT_hash_handle hh;
+  UT_hash_handle by_id; /* in tasks_by_id, under the present attempt's id */
 };
 
 /**
--- /dev/null
+++ b/src/core/task_call.c
@@ -0,0 +1,222 @@
+#include "call.h"
+#include "task_private.h"
+#include "worker.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Longest that a start or fetch holds its connection for the end. */
+#define WAIT_MAX_MS 60000
+/* A start is looked after on a second connection once it has taken so many
+ * times its declared run time, and this long besides. */
+#define PROBE_RUNS 2
+#define PROBE_MS 1000
+
+static void
+ended (MuxCore *core, Task *task, const MuxWorkerReply *reply)
+{
+  TaskEvent event = { .kind = TASK_EV_ENDED, .reply = reply };
+
+  task_event (core, task, &event);
+}
+
+static void
+happened (MuxCore *core, Task *task, TaskEventKind kind, MuxReason reason)
+{
+  TaskEvent event = { .kind = kind, .reason = reason };
+
+  task_event (core, task, &event);
+}
+
+static void
+on_state (MuxCore *core, Task *task, const MuxWorkerReply *reply)
+{
+  switch (reply->state)
+    {
+    case MUX_TASK_RUNNING:
+      happened (core, task, TASK_EV_SEEN_RUNNING, MUX_REASON_NONE);
+      break;
+    case MUX_TASK_DONE:
+    case MUX_TASK_DONE_GONE:
+    case MUX_TASK_FAILED:
+    case MUX_TASK_STOPPED:
+      ended (core, task, reply);
+      break;
+    case MUX_TASK_ABSENT:
+      happened (core, task, TASK_EV_ABSENT, MUX_REASON_NONE);
+      break;
+    case MUX_TASK_FORGOTTEN:
+      happened (core, task, TASK_EV_NEVER, MUX_REASON_FENCED_TOMBSTONE);
+      break;
+    }
+}
+
+/* What a refusal of a start says; each is certain: it had no effect. */
+static MuxReason
+start_refusal (MuxWorkerStatus status)
+{
+  switch (status)
+    {
+    case MUX_WORKER_OLD_EPOCH:
+      return MUX_REASON_FENCED_EPOCH;
+    case MUX_WORKER_OLD_INCARNATION:
+      return MUX_REASON_FENCED_INCARNATION;
+    case MUX_WORKER_LATE:
+      return MUX_REASON_FENCED_LATE;
+    case MUX_WORKER_TOMBSTONE:
+      return MUX_REASON_FENCED_TOMBSTONE;
+    case MUX_WORKER_NO_ROOM:
+      return MUX_REASON_WORKER_FULL;
+    case MUX_WORKER_IS_LEAVING:
+      return MUX_REASON_WORKER_LEAVING;
+    case MUX_WORKER_NOT_SENT:
+      return MUX_REASON_WORKER_UNREACHED;
+    case MUX_WORKER_OK:
+    case MUX_WORKER_BAD:
+    case MUX_WORKER_NO_ANSWER:
+      break;
+    }
+  return MUX_REASON_INTERNAL;
+}
+
+static Task *
+of_reply (MuxCore *core, MuxId key, uint64_t attempt)
+{
+  Task *task = task_find (core, key);
+
+  if (task != NULL && task->attempt == attempt)
+    return task;
+  /* The answer of a superseded attempt, or of a task that ended. */
+  mux_count (core->counters, MUX_COUNT_EVENTS_DROPPED, 1);
+  return NULL;
+}
+
+static void
+start_done (MuxCore *core,
+            MuxId key,
+            uint64_t attempt,
+            const MuxWorkerReply *reply)
+{
+  Task *task = of_reply (core, key, attempt);
+
+  if (task == NULL)
+    return;
+  switch (reply->status)
+    {
+    case MUX_WORKER_OK:
+      on_state (core, task, reply);
+      break;
+    case MUX_WORKER_NO_ANSWER:
+      happened (core, task, TASK_EV_LOST, MUX_REASON_WORKER_SILENT);
+      break;
+    case MUX_WORKER_IS_LEAVING:
+      worker_left (core, reply->worker);
+      happened (core, task, TASK_EV_NOT_STARTED, MUX_REASON_WORKER_LEAVING);
+      break;
+    default:
+      happened (core, task, TASK_EV_NOT_STARTED, start_refusal (reply->status));
+      break;
+    }
+}
+
+static void
+look_done (MuxCore *core,
+           MuxId key,
+           uint64_t attempt,
+           const MuxWorkerReply *reply)
+{
+  Task *task = of_reply (core, key, attempt);
+
+  if (task == NULL)
+    return;
+  task->probed = false;
+  switch (reply->status)
+    {
+    case MUX_WORKER_OK:
+      on_state (core, task, reply);
+      break;
+    case MUX_WORKER_OLD_INCARNATION:
+      happened (core, task, TASK_EV_OTHER_LIFE, MUX_REASON_FENCED_INCARNATION);
+      break;
+    default:
+      if (worker_gone (core, task->at.worker))
+        happened (core, task, TASK_EV_OTHER_LIFE, MUX_REASON_WORKER_SILENT);
+      else
+        happened (core, task, TASK_EV_LOST, MUX_REASON_WORKER_SILENT);
+      break;
+    }
+}
+
+static void
+call_init (const Task *task, MuxWorkerVerb verb, MuxWorkerCall *call)
+{
+  *call = (MuxWorkerCall){ .verb = verb,
+                           .task = task->id,
+                           .incarnation = task->at.incarnation,
+                           .timeout_ms = WORKER_TIMEOUT_MS };
+  mux_name_copy (call->worker, task->at.worker);
+  snprintf (call->addr, sizeof call->addr, "%s", task->at.addr);
+}
+
+static uint32_t
+bounded_wait (const MuxCore *core, const Task *task)
+{
+  int64_t left = task->give_up_ms - core->now_ms;
+
+  if (left < 0)
+    return 0;
+  return left > WAIT_MAX_MS ? WAIT_MAX_MS : (uint32_t) left;
+}
+
+void
+task_start (MuxCore *core, Task *task)
+{
+  MuxWorkerCall call;
+
+  call_init (task, MUX_WORKER_START, &call);
+  call.epoch = task->epoch;
+  call.not_after_ms = task->not_after_ms;
+  call.wait_ms = task->has_job ? 0 : bounded_wait (core, task);
+  call.timeout_ms += call.wait_ms;
+  mux_name_copy (call.class_name, task->class_name);
+  mux_name_copy (call.home, core->name);
+  call.kind = task->kind;
+  call.size = task->size;
+  call.run_ms = task->run_ms;
+  call.body = task->body;
+  mux_count (core->counters, MUX_COUNT_STARTS, 1);
+  task_wake (core, task, PROBE_MS + (int64_t) task->run_ms * PROBE_RUNS);
+  if (!call_worker (core, &call, start_done, task->key, task->attempt))
+    happened (core, task, TASK_EV_NOT_STARTED, MUX_REASON_RING_FULL);
+}
+
+void
+task_fetch (MuxCore *core, Task *task, uint32_t wait_ms)
+{
+  MuxWorkerCall call;
+
+  if (task->probed)
+    return;
+  call_init (task, MUX_WORKER_FETCH, &call);
+  call.wait_ms = wait_ms;
+  call.timeout_ms += wait_ms;
+  task->probed = call_worker (core, &call, look_done, task->key, task->attempt);
+}
+
+void
+task_forget (MuxCore *core, Task *task)
+{
+  MuxWorkerCall call;
+
+  call_init (task, MUX_WORKER_FORGET, &call);
+  call_worker (core, &call, look_done, task->key, task->attempt);
+}
+
+void
+task_stop (MuxCore *core, Task *task)
+{
+  MuxWorkerCall call;
+
+  call_init (task, MUX_WORKER_STOP, &call);
+  call_worker (core, &call, look_done, task->key, task->attempt);
+}
--- /dev/null
+++ b/src/core/task_private.h
@@ -0,0 +1,50 @@
+#ifndef CORE_TASK_PRIVATE_H
+#define CORE_TASK_PRIVATE_H
+
+#include "task.h"
+
+/* Shared by the files of the task's life. */
+
+/** task_wake() - a TIMER event in @after_ms, in place of any set before */
+void task_wake (MuxCore *core, Task *task, int64_t after_ms);
+/** task_attempt_set() - make attempt number @attempt the present one */
+void task_attempt_set (MuxCore *core, Task *task, uint32_t attempt);
+/** task_ask() - choose an owner and ask it for room */
+void task_ask (MuxCore *core, Task *task);
+/** task_ask_repeat() - the same owner again: the message may be lost */
+void task_ask_repeat (MuxCore *core, Task *task);
+/** task_ask_cancel() - tell the owner that the ask is void */
+void task_ask_cancel (MuxCore *core, Task *task);
+/** task_asked_all() - no owner is left to ask for this attempt */
+bool task_asked_all (MuxCore *core, const Task *task);
+/** task_refused_by() - do not ask @owner again for this attempt */
+void task_refused_by (Task *task, const char *owner);
+/** task_grant_end() - tell the owner how the granted attempt ended */
+void
+task_grant_end (MuxCore *core, Task *task, MuxTaskState state, uint32_t ran_ms);
+/** task_release_stray() - a grant that is not wanted (any more) */
+void task_release_stray (MuxCore *core, const MuxPeerMsg *grant);
+
+/* Calls to the worker in task->at; each reply becomes one event. */
+void task_start (MuxCore *core, Task *task);
+void task_fetch (MuxCore *core, Task *task, uint32_t wait_ms);
+void task_forget (MuxCore *core, Task *task);
+void task_stop (MuxCore *core, Task *task);
+
+/** task_finish() - answer everybody and free the task */
+void task_finish (MuxCore *core,
+                  Task *task,
+                  MuxOutcome outcome,
+                  MuxReason reason,
+                  uint32_t retry_ms,
+                  MuxTaskState state,
+                  MuxBlob *result);
+/** task_detach() - answer everybody; the task goes on without them */
+void task_detach (MuxCore *core,
+                  Task *task,
+                  MuxOutcome outcome,
+                  MuxReason reason,
+                  uint32_t retry_ms);
+void task_free (MuxCore *core, Task *task);
+
+#endif
--- a/src/core/worker.h
+++ b/src/core/worker.h
@@ -14,12 +14,14 @@
   CLAIM_GIVING, /* a release is on its way */
 } ClaimState;
 
-/* A worker of this data centre. */
+/* A worker on the list; only those of this data centre are claimed. */
 struct Worker
 {
   char name[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
   char rack[MUX_NAME_LEN];
+  char data_centre[MUX_NAME_LEN];
+  bool near; /* of this data centre */
   MuxInstanceState listed;
   ClaimState claim;
   uint32_t index;           /* in the scheduler while held, or MUX_NO_WORKER */
@@ -34,7 +36,8 @@
   int64_t next_ms;  /* next claim or renewal */
   int64_t heard_ms; /* last answer */
   uint32_t unheard; /* calls in a row without an answer */
-  uint32_t open;    /* grants on it */
+  Grant *grants;    /* booked on it */
+  uint32_t open;    /* of which not yet seen started */
   UT_hash_handle hh;
 };
 
@@ -52,6 +55,10 @@
 uint32_t workers_held (const MuxCore *core);
 
 Worker *worker_find (MuxCore *core, const char *name);
+/** worker_gone() - the platform listed this worker's life as over */
+bool worker_gone (MuxCore *core, const char *name);
+/** worker_left() - it said by itself that it is leaving */
+void worker_left (MuxCore *core, const char *name);
 /** worker_clock_ms() - a moment that the worker's clock has surely reached */
 int64_t worker_clock_ms (const MuxCore *core, const Worker *worker);
 /** worker_fenced() - a higher epoch or another incarnation was met */
