Add the worker stand-in and the worker adapter

The adapter opens a connection for each call, so that NOT_SENT means that no connection came about and nothing is ever repeated behind its back.

Adds mux_task_state_parse() to port/worker.h.

--- a/include/port/worker.h
+++ b/include/port/worker.h
@@ -167,5 +167,6 @@
                                       uint32_t reports);
 void mux_worker_reply_free (MuxWorkerReply *reply);
 const char *mux_task_state_name (MuxTaskState state);
+bool mux_task_state_parse (const char *text, MuxTaskState *state);
 
 #endif
--- /dev/null
+++ b/src/adapter/worker_http_client.c
@@ -0,0 +1,216 @@
+#include "worker_http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 1000L
+#define KEEPALIVE_IDLE_S 2L
+#define KEEPALIVE_INTERVAL_S 1L
+#define SILENT_MS 5000U
+#define BODY_MAX ((size_t) 64 << 20)
+/* A buffer that grew beyond this is given back after its call. */
+#define BODY_KEEP ((size_t) 64 << 10)
+
+struct MuxWorkerClient
+{
+  CURL *curl;
+  const atomic_bool *stop;
+  char *body;
+  size_t body_len;
+  size_t body_cap;
+};
+
+static bool
+reserve (MuxWorkerClient *client, size_t need)
+{
+  size_t cap = client->body_cap > 0 ? client->body_cap : 1024;
+  char *body;
+
+  if (need <= client->body_cap)
+    return true;
+  while (cap < need)
+    cap *= 2;
+  body = realloc (client->body, cap);
+  if (body == NULL)
+    return false;
+  client->body = body;
+  client->body_cap = cap;
+  return true;
+}
+
+/* A short return makes curl end the exchange with an error. */
+static size_t
+on_body (char *bytes, size_t size, size_t count, void *ctx)
+{
+  MuxWorkerClient *client = ctx;
+  size_t len = size * count;
+
+  if (len > BODY_MAX - client->body_len
+      || !reserve (client, client->body_len + len))
+    return 0;
+  memcpy (client->body + client->body_len, bytes, len);
+  client->body_len += len;
+  return len;
+}
+
+static int
+on_progress (void *ctx,
+             curl_off_t down_total,
+             curl_off_t down,
+             curl_off_t up_total,
+             curl_off_t up)
+{
+  const MuxWorkerClient *client = ctx;
+
+  (void) down_total;
+  (void) down;
+  (void) up_total;
+  (void) up;
+  return atomic_load_explicit (client->stop, memory_order_relaxed);
+}
+
+/* Guards against a connection that something between the two ends has lost
+ * track of while an answer is waited for: no error ever shows, the call would
+ * sit out its whole timeout.  The kernel's probes go unanswered then, and the
+ * connection fails after SILENT_MS. */
+static int
+on_socket (void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+  unsigned int silent_ms = SILENT_MS;
+
+  (void) ctx;
+  (void) purpose;
+  (void) setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+                     sizeof silent_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+/* Every call opens its connection and closes it: an idle connection that has
+ * gone silent can then not swallow a call, and curl's own repeat of a request
+ * on a dead kept connection, which would blur "not sent", never happens. */
+static void
+set_options (MuxWorkerClient *client)
+{
+  CURL *curl = client->curl;
+
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_PROXY, "");
+  curl_easy_setopt (curl, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (curl, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (curl, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+  curl_easy_setopt (curl, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, client);
+  curl_easy_setopt (curl, CURLOPT_XFERINFOFUNCTION, on_progress);
+  curl_easy_setopt (curl, CURLOPT_XFERINFODATA, client);
+  curl_easy_setopt (curl, CURLOPT_NOPROGRESS, 0L);
+}
+
+MuxWorkerClient *
+mux_worker_client_new (const atomic_bool *stop)
+{
+  MuxWorkerClient *client = calloc (1, sizeof *client);
+
+  if (client == NULL)
+    return NULL;
+  client->stop = stop;
+  client->curl = curl_easy_init ();
+  if (client->curl == NULL)
+    {
+      free (client);
+      return NULL;
+    }
+  set_options (client);
+  return client;
+}
+
+void
+mux_worker_client_free (MuxWorkerClient *client)
+{
+  if (client == NULL)
+    return;
+  curl_easy_cleanup (client->curl);
+  free (client->body);
+  free (client);
+}
+
+/* Guards against a cut answer that passes for a whole one: without a declared
+ * length the end of the connection would count as the end of the answer. */
+static bool
+is_whole (const MuxWorkerClient *client)
+{
+  curl_off_t declared = -1;
+
+  curl_easy_getinfo (client->curl, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+                     &declared);
+  return declared >= 0 && (size_t) declared == client->body_len;
+}
+
+static bool
+was_connected (const MuxWorkerClient *client)
+{
+  curl_off_t connect_us = 0;
+
+  return curl_easy_getinfo (client->curl, CURLINFO_CONNECT_TIME_T, &connect_us)
+             != CURLE_OK
+         || connect_us != 0;
+}
+
+static void
+reset_body (MuxWorkerClient *client)
+{
+  client->body_len = 0;
+  if (client->body_cap <= BODY_KEEP)
+    return;
+  free (client->body);
+  client->body = NULL;
+  client->body_cap = 0;
+}
+
+MuxWorkerOutcome
+mux_worker_client_post (MuxWorkerClient *client,
+                        const MuxWorkerRequest *request)
+{
+  CURL *curl = client->curl;
+  const MuxBlob *body = request->body;
+  CURLcode code;
+
+  reset_body (client);
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body != NULL ? body->bytes : "");
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t) (body != NULL ? body->len : 0));
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, request->headers);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long) request->timeout_ms);
+  if (curl_easy_setopt (curl, CURLOPT_URL, request->url) != CURLE_OK)
+    return MUX_EXCHANGE_NOT_SENT;
+  code = curl_easy_perform (curl);
+  if (code == CURLE_OK)
+    return is_whole (client) ? MUX_EXCHANGE_WHOLE : MUX_EXCHANGE_NO_ANSWER;
+  return was_connected (client) ? MUX_EXCHANGE_NO_ANSWER
+                                : MUX_EXCHANGE_NOT_SENT;
+}
+
+const char *
+mux_worker_client_header (MuxWorkerClient *client, const char *name)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (client->curl, name, 0, CURLH_HEADER, -1, &header)
+      != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+const char *
+mux_worker_client_body (const MuxWorkerClient *client, size_t *len)
+{
+  *len = client->body_len;
+  return client->body_len > 0 ? client->body : "";
+}
--- a/src/port/data.c
+++ b/src/port/data.c
@@ -3,6 +3,7 @@
 #include "port/worker.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 MuxTableCall *
 mux_table_call_new (MuxTableVerb verb, uint32_t rows)
@@ -85,14 +86,26 @@
   free (reply);
 }
 
+static const char *const task_state_names[]
+    = { "absent",  "running",   "done",     "failed",
+        "stopped", "forgotten", "done_gone" };
+
 const char *
 mux_task_state_name (MuxTaskState state)
 {
-  static const char *const names[]
-      = { "absent",  "running",   "done",     "failed",
-          "stopped", "forgotten", "done_gone" };
+  return task_state_names[state];
+}
 
-  return names[state];
+bool
+mux_task_state_parse (const char *text, MuxTaskState *state)
+{
+  for (int i = MUX_TASK_ABSENT; i <= MUX_TASK_DONE_GONE; i++)
+    if (strcmp (text, task_state_names[i]) == 0)
+      {
+        *state = (MuxTaskState) i;
+        return true;
+      }
+  return false;
 }
 
 const char *
--- /dev/null
+++ b/test/standin/worker_listen.c
@@ -0,0 +1,94 @@
+#include "standin/worker_listen.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024
+#define CONNECTIONS_MAX 8192
+#define STACK_BYTES (256 * 1024)
+
+static bool
+parse (const char *address, struct sockaddr_in *in)
+{
+  char ip[MUX_ADDR_LEN];
+  const char *colon = strrchr (address, ':');
+  size_t len = colon != NULL ? (size_t) (colon - address) : 0;
+  char *end;
+  unsigned long port;
+
+  if (colon == NULL || len >= sizeof ip)
+    return false;
+  memcpy (ip, address, len);
+  ip[len] = 0;
+  port = strtoul (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != 0 || port > UINT16_MAX)
+    return false;
+  memset (in, 0, sizeof *in);
+  in->sin_family = AF_INET;
+  in->sin_port = htons ((uint16_t) port);
+  return inet_pton (AF_INET, ip, &in->sin_addr) == 1;
+}
+
+int
+standin_worker_listen (const char *address,
+                       char addr[MUX_ADDR_LEN],
+                       uint16_t *port,
+                       MuxError *err)
+{
+  struct sockaddr_in in;
+  socklen_t len = sizeof in;
+  char ip[INET_ADDRSTRLEN];
+  int on = 1;
+  int fd;
+
+  if (!parse (address, &in))
+    {
+      mux_error_set (err, MUX_ERROR_USAGE, "not an ip:port: %s", address);
+      return -1;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0
+      || bind (fd, (struct sockaddr *) &in, sizeof in) < 0
+      || listen (fd, BACKLOG) < 0
+      || getsockname (fd, (struct sockaddr *) &in, &len) < 0)
+    {
+      mux_error_set (err, MUX_ERROR_IO, "can't listen at %s: %s", address,
+                     strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return -1;
+    }
+  *port = ntohs (in.sin_port);
+  inet_ntop (AF_INET, &in.sin_addr, ip, sizeof ip);
+  snprintf (addr, MUX_ADDR_LEN, "%s:%u", ip, (unsigned int) *port);
+  return fd;
+}
+
+bool
+standin_worker_serve (struct _u_instance *http,
+                      int fd,
+                      MHD_NotifyConnectionCallback notify,
+                      void *notify_ctx)
+{
+  struct MHD_OptionItem options[] = {
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t) mhd_request_completed, NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t) ulfius_uri_logger, NULL },
+    { MHD_OPTION_LISTEN_SOCKET, fd, NULL },
+    { MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL },
+    { MHD_OPTION_THREAD_STACK_SIZE, STACK_BYTES, NULL },
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t) notify, notify_ctx },
+    { MHD_OPTION_END, 0, NULL },
+  };
+
+  return ulfius_start_framework_with_mhd_options (
+             http,
+             MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
+                 | MHD_USE_POLL,
+             options)
+         == U_OK;
+}
--- /dev/null
+++ b/test/standin/worker_wire.h
@@ -0,0 +1,22 @@
+#ifndef STANDIN_WORKER_WIRE_H
+#define STANDIN_WORKER_WIRE_H
+
+#include "port/worker.h"
+
+#include <ulfius.h>
+
+/** standin_worker_read_call() - a request of docs/platform/worker.md
+ * Return: false when it is wrong; @call->body is the caller's to unref. */
+bool standin_worker_read_call (const struct _u_request *request,
+                               MuxWorkerCall *call);
+/** standin_worker_write_reply() - the answer to such a request */
+void standin_worker_write_reply (const MuxWorkerReply *reply,
+                                 const MuxWorkerCall *call,
+                                 bool repeated,
+                                 struct _u_response *response);
+/** standin_worker_write_status() - an answer without any content */
+void standin_worker_write_status (struct _u_response *response,
+                                  unsigned int http_status,
+                                  const char *word);
+
+#endif
--- /dev/null
+++ b/test/unit/test_worker_adapter.c
@@ -0,0 +1,529 @@
+#include "adapter/worker.h"
+#include "base/ring.h"
+#include "standin/worker_listen.h"
+#include "standin/worker_server.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define INCARNATION 77
+#define LEASE_MS 1000
+#define GRACE_MS 500
+/* Far beyond any wait of a test that passes. */
+#define TIMEOUT_MS 20000
+
+typedef struct
+{
+  MuxInbox inbox;
+  MuxRing *replies;
+  MuxWorkerPort *port;
+  StandinWorkerServer *server;
+  atomic_llong now_ms;
+  uint64_t calls;
+} Fixture;
+
+static bool
+on_reply (MuxInbox *inbox, MuxWorkerReply *reply)
+{
+  Fixture *f = (Fixture *) inbox;
+
+  assert_true (mux_ring_push (f->replies, reply));
+  return true;
+}
+
+static int64_t
+fake_now (void *ctx)
+{
+  Fixture *f = ctx;
+
+  return atomic_load (&f->now_ms);
+}
+
+static int
+set_up (void **state)
+{
+  Fixture *f = calloc (1, sizeof *f);
+  StandinWorkerServerOptions options
+      = { .worker = { .name = "w1",
+                      .incarnation = INCARNATION,
+                      .capacity = { 8000, 8000, 0, 8 },
+                      .grace_ms = GRACE_MS,
+                      .retain_ms = 60000,
+                      .run_ms = 0,
+                      .usage_lag_ms = 50 },
+          .listen = "127.0.0.1:0",
+          .log_fd = -1,
+          .now_ms = fake_now,
+          .ctx = f };
+  MuxWorkerHttpOptions adapter
+      = { .inbox = &f->inbox, .threads = 4, .control_threads = 2, .queue = 64 };
+
+  f->inbox.worker_reply = on_reply;
+  f->replies = mux_ring_new (64);
+  atomic_store (&f->now_ms, 1000);
+  f->server = standin_worker_server_new (&options, NULL);
+  f->port = mux_worker_http_new (&adapter, NULL);
+  *state = f;
+  return f->server == NULL || f->port == NULL;
+}
+
+static int
+tear_down (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerReply *reply;
+
+  if (f->port != NULL)
+    f->port->free (f->port);
+  standin_worker_server_free (f->server);
+  while ((reply = mux_ring_pop (f->replies)) != NULL)
+    mux_worker_reply_free (reply);
+  mux_ring_free (f->replies);
+  free (f);
+  return 0;
+}
+
+static void
+post (Fixture *f, MuxWorkerCall call)
+{
+  call.call_id = ++f->calls;
+  if (call.worker[0] == 0)
+    strcpy (call.worker, "w1");
+  if (call.addr[0] == 0)
+    strcpy (call.addr, standin_worker_server_addr (f->server));
+  if (call.timeout_ms == 0)
+    call.timeout_ms = TIMEOUT_MS;
+  assert_true (f->port->call (f->port, &call));
+}
+
+static MuxWorkerReply *
+next_reply (Fixture *f)
+{
+  MuxWorkerReply *reply = NULL;
+
+  while (reply == NULL)
+    reply = mux_ring_wait (f->replies, -1);
+  return reply;
+}
+
+static MuxWorkerReply *
+send_call (Fixture *f, MuxWorkerCall call)
+{
+  MuxWorkerReply *reply;
+
+  post (f, call);
+  reply = next_reply (f);
+  assert_int_equal (reply->call_id, f->calls);
+  return reply;
+}
+
+static MuxWorkerStatus
+status_of (Fixture *f, MuxWorkerCall call)
+{
+  MuxWorkerReply *reply = send_call (f, call);
+  MuxWorkerStatus status = reply->status;
+
+  mux_worker_reply_free (reply);
+  return status;
+}
+
+static MuxTaskState
+state_of (Fixture *f, MuxWorkerVerb verb, uint64_t id)
+{
+  MuxWorkerReply *reply
+      = send_call (f, (MuxWorkerCall){ .verb = verb, .task = { 0, id } });
+  MuxTaskState state = reply->state;
+
+  assert_int_equal (reply->status, MUX_WORKER_OK);
+  mux_worker_reply_free (reply);
+  return state;
+}
+
+static MuxWorkerCall
+claim_call (uint64_t epoch)
+{
+  return (MuxWorkerCall){ .verb = MUX_WORKER_CLAIM,
+                          .owner = "m1",
+                          .epoch = epoch,
+                          .lease_ms = LEASE_MS };
+}
+
+static MuxWorkerCall
+start_call (uint64_t id, MuxKind kind)
+{
+  return (MuxWorkerCall){ .verb = MUX_WORKER_START,
+                          .task = { 0, id },
+                          .epoch = 1,
+                          .incarnation = INCARNATION,
+                          .class_name = "booking",
+                          .home = "m2",
+                          .kind = kind,
+                          .size = { 1000, 100, 0, 1 } };
+}
+
+static size_t
+ignore (char *bytes, size_t size, size_t count, void *ctx)
+{
+  (void) bytes;
+  (void) ctx;
+  return size * count;
+}
+
+static void
+set_fault (Fixture *f, const char *json)
+{
+  char url[MUX_ADDR_LEN + 16];
+  CURL *curl = curl_easy_init ();
+
+  snprintf (url, sizeof url, "http://%s/ctl",
+            standin_worker_server_addr (f->server));
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_PROXY, "");
+  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, json);
+  curl_easy_setopt (curl, CURLOPT_FAILONERROR, 1L);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, ignore);
+  assert_int_equal (curl_easy_perform (curl), CURLE_OK);
+  curl_easy_cleanup (curl);
+}
+
+static void
+test_whole_answer (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  const char *head = "answer:00000000000000000000000000000001:";
+  size_t head_len = strlen (head);
+  unsigned char bytes[65536];
+  MuxWorkerReply *reply;
+
+  for (size_t i = 0; i < sizeof bytes; i++)
+    bytes[i] = (unsigned char) (i * 7 + i / 256);
+  status_of (f, claim_call (1));
+  start.body = mux_blob_new (bytes, sizeof bytes);
+  start.wait_ms = TIMEOUT_MS;
+  reply = send_call (f, start);
+  mux_blob_unref (start.body);
+  assert_int_equal (reply->status, MUX_WORKER_OK);
+  assert_int_equal (reply->state, MUX_TASK_DONE);
+  assert_int_equal (reply->result->len, head_len + sizeof bytes);
+  assert_memory_equal (reply->result->bytes, head, head_len);
+  assert_memory_equal (reply->result->bytes + head_len, bytes, sizeof bytes);
+  mux_worker_reply_free (reply);
+}
+
+static void
+test_claim_tells_the_worker (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerReply *reply = send_call (f, claim_call (5));
+
+  assert_int_equal (reply->status, MUX_WORKER_OK);
+  assert_int_equal (reply->incarnation, INCARNATION);
+  assert_int_equal (reply->epoch, 5);
+  assert_int_equal (reply->worker_now_ms, 1000);
+  assert_int_equal (reply->capacity.cpu_milli, 8000);
+  assert_int_equal (reply->capacity.slots, 8);
+  assert_false (reply->leaving);
+  mux_worker_reply_free (reply);
+  set_fault (f, "{\"leaving\":true}");
+  reply = send_call (f, (MuxWorkerCall){ .verb = MUX_WORKER_RENEW,
+                                         .epoch = 5,
+                                         .lease_ms = LEASE_MS });
+  assert_int_equal (reply->status, MUX_WORKER_OK);
+  assert_true (reply->leaving);
+  mux_worker_reply_free (reply);
+}
+
+/* The worker's process is gone: its port refuses.  Nothing was sent, so the
+ * task may be started elsewhere at once. */
+static void
+test_refused_connect_is_not_sent (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  struct sockaddr_in in
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof in;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  /* Bound but not listening: nobody else can take the port meanwhile. */
+  assert_int_equal (bind (fd, (struct sockaddr *) &in, sizeof in), 0);
+  getsockname (fd, (struct sockaddr *) &in, &len);
+  snprintf (start.addr, sizeof start.addr, "127.0.0.1:%u",
+            (unsigned int) ntohs (in.sin_port));
+  assert_int_equal (status_of (f, start), MUX_WORKER_NOT_SENT);
+  close (fd);
+}
+
+/* A start takes effect and its answer is lost.  The home may not say "not
+ * run": asked to forget the tasks, the worker says which ran and which runs.
+ */
+static void
+test_lost_answer_is_settled (void **state)
+{
+  Fixture *f = *state;
+
+  status_of (f, claim_call (1));
+  set_fault (f, "{\"lose_answers\":2}");
+  assert_int_equal (status_of (f, start_call (1, MUX_KIND_LONG_RUNNING)),
+                    MUX_WORKER_NO_ANSWER);
+  assert_int_equal (status_of (f, start_call (2, MUX_KIND_SERVICE)),
+                    MUX_WORKER_NO_ANSWER);
+  assert_int_equal (state_of (f, MUX_WORKER_FORGET, 1), MUX_TASK_RUNNING);
+  assert_int_equal (state_of (f, MUX_WORKER_FORGET, 2), MUX_TASK_DONE);
+}
+
+/* A start is lost on its way, its home settles with a tombstone and tells the
+ * caller "not run"; then the start arrives after all and must be refused. */
+static void
+test_tombstone_refuses_start (void **state)
+{
+  Fixture *f = *state;
+
+  status_of (f, claim_call (1));
+  assert_int_equal (state_of (f, MUX_WORKER_FORGET, 1), MUX_TASK_FORGOTTEN);
+  assert_int_equal (status_of (f, start_call (1, MUX_KIND_SERVICE)),
+                    MUX_WORKER_TOMBSTONE);
+}
+
+static void
+test_stale_starts_are_refused (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+
+  status_of (f, claim_call (2));
+  assert_int_equal (status_of (f, start), MUX_WORKER_OLD_EPOCH);
+  start.epoch = 2;
+  start.incarnation = INCARNATION + 1;
+  assert_int_equal (status_of (f, start), MUX_WORKER_OLD_INCARNATION);
+  start.incarnation = INCARNATION;
+  start.not_after_ms = 999;
+  assert_int_equal (status_of (f, start), MUX_WORKER_LATE);
+  assert_int_equal (state_of (f, MUX_WORKER_FETCH, 1), MUX_TASK_ABSENT);
+  assert_int_equal (status_of (f, claim_call (2)), MUX_WORKER_OLD_EPOCH);
+}
+
+static void
+test_claim_passes_tasks_on (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerReply *reply;
+
+  status_of (f, claim_call (1));
+  status_of (f, start_call (1, MUX_KIND_LONG_RUNNING));
+  atomic_fetch_add (&f->now_ms, LEASE_MS + GRACE_MS - 1);
+  reply = send_call (f, claim_call (2));
+  assert_int_equal (reply->report_count, 1);
+  assert_int_equal (reply->reports[0].task.lo, 1);
+  assert_int_equal (reply->reports[0].state, MUX_TASK_RUNNING);
+  assert_int_equal (reply->reports[0].kind, MUX_KIND_LONG_RUNNING);
+  assert_int_equal (reply->reports[0].size.cpu_milli, 1000);
+  assert_string_equal (reply->reports[0].class_name, "booking");
+  assert_string_equal (reply->reports[0].home, "m2");
+  mux_worker_reply_free (reply);
+  atomic_fetch_add (&f->now_ms, LEASE_MS + GRACE_MS - 1);
+  assert_int_equal (state_of (f, MUX_WORKER_FETCH, 1), MUX_TASK_RUNNING);
+}
+
+/* The same start reaches the worker twice, the second with another body.  One
+ * execution only: both get the first's answer. */
+static void
+test_repeated_start (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  const char *answer = "answer:00000000000000000000000000000001:first";
+  MuxWorkerReply *reply;
+
+  status_of (f, claim_call (1));
+  start.body = mux_blob_new ("first", 5);
+  status_of (f, start);
+  mux_blob_unref (start.body);
+  start.body = mux_blob_new ("second", 6);
+  reply = send_call (f, start);
+  mux_blob_unref (start.body);
+  assert_int_equal (reply->state, MUX_TASK_DONE);
+  assert_string_equal (reply->result->bytes, answer);
+  mux_worker_reply_free (reply);
+}
+
+static void
+test_start_waits_for_the_end (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_LONG_RUNNING);
+  uint64_t start_id;
+
+  status_of (f, claim_call (1));
+  start.wait_ms = TIMEOUT_MS;
+  post (f, start);
+  start_id = f->calls;
+  standin_worker_server_wait (f->server, 1);
+  post (f, (MuxWorkerCall){ .verb = MUX_WORKER_STOP, .task = { 0, 1 } });
+  for (int i = 0; i < 2; i++)
+    {
+      MuxWorkerReply *reply = next_reply (f);
+
+      assert_in_range (reply->call_id, start_id, f->calls);
+      assert_int_equal (reply->status, MUX_WORKER_OK);
+      assert_int_equal (reply->state, MUX_TASK_STOPPED);
+      mux_worker_reply_free (reply);
+    }
+}
+
+/* A worker has left and another has its address by now.  The start for the
+ * first must not run at the second, and was certainly not sent to the first.
+ */
+static void
+test_taken_over_address (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+
+  status_of (f, claim_call (1));
+  strcpy (start.worker, "w0");
+  assert_int_equal (status_of (f, start), MUX_WORKER_NOT_SENT);
+  assert_int_equal (state_of (f, MUX_WORKER_FETCH, 1), MUX_TASK_ABSENT);
+}
+
+/* The worker takes the call in and hangs.  Its kernel accepts the bytes, so
+ * whether the task was started is unknown. */
+static void
+test_hanging_worker_is_no_answer (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  uint16_t port;
+  int fd = standin_worker_listen ("127.0.0.1:0", start.addr, &port, NULL);
+
+  start.timeout_ms = 200;
+  assert_int_equal (status_of (f, start), MUX_WORKER_NO_ANSWER);
+  close (fd);
+}
+
+typedef struct
+{
+  int fd;
+  const char *answer;
+} CutServer;
+
+static void *
+serve_cut (void *ctx)
+{
+  const CutServer *cut = ctx;
+  int fd = accept (cut->fd, NULL, NULL);
+  char bytes[4096];
+  size_t len = 0;
+
+  while (len < sizeof bytes - 1)
+    {
+      ssize_t n = recv (fd, bytes + len, sizeof bytes - 1 - len, 0);
+
+      if (n <= 0)
+        break;
+      len += (size_t) n;
+      bytes[len] = 0;
+      if (strstr (bytes, "\r\n\r\n") != NULL)
+        break;
+    }
+  send (fd, cut->answer, strlen (cut->answer), MSG_NOSIGNAL);
+  close (fd);
+  return NULL;
+}
+
+/* The connection breaks in the middle of an answer, or in one that does not
+ * say its length.  Passed on, the desk would get half a confirmation. */
+static void
+test_cut_answer_is_no_answer (void **state)
+{
+  static const char *const lengths[]
+      = { "Content-Length: 9\r\n", "Connection: close\r\n" };
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  uint16_t port;
+  int fd = standin_worker_listen ("127.0.0.1:0", start.addr, &port, NULL);
+
+  for (int i = 0; i < 2; i++)
+    {
+      char answer[1024];
+      CutServer cut = { fd, answer };
+      pthread_t thread;
+
+      snprintf (answer, sizeof answer,
+                "HTTP/1.1 200 OK\r\n%sCuminmux-Status: ok\r\n"
+                "Cuminmux-Worker: w1\r\nCuminmux-Incarnation: 77\r\n"
+                "Cuminmux-Epoch: 1\r\nCuminmux-Now-Ms: 1\r\n"
+                "Cuminmux-Leaving: 0\r\nCuminmux-State: done\r\n"
+                "Cuminmux-Task: 00000000000000000000000000000001\r\n"
+                "Cuminmux-Ran-Ms: 1\r\n\r\nhalf",
+                lengths[i]);
+      assert_int_equal (pthread_create (&thread, NULL, serve_cut, &cut), 0);
+      assert_int_equal (status_of (f, start), MUX_WORKER_NO_ANSWER);
+      pthread_join (thread, NULL);
+    }
+  close (fd);
+}
+
+/* The daemon stops while calls are on their way and in the ring.  Each call
+ * that was taken gets its one reply: those sent are unknown, the rest not. */
+static void
+test_free_replies_to_all (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  uint16_t port;
+  int fd = standin_worker_listen ("127.0.0.1:0", start.addr, &port, NULL);
+  uint32_t replies = 0;
+  MuxWorkerReply *reply;
+
+  for (int i = 0; i < 10; i++)
+    post (f, start);
+  f->port->free (f->port);
+  f->port = NULL;
+  while ((reply = mux_ring_pop (f->replies)) != NULL)
+    {
+      assert_true (reply->status == MUX_WORKER_NO_ANSWER
+                   || reply->status == MUX_WORKER_NOT_SENT);
+      mux_worker_reply_free (reply);
+      replies++;
+    }
+  assert_int_equal (replies, 10);
+  close (fd);
+}
+
+#define TEST(f) cmocka_unit_test_setup_teardown (f, set_up, tear_down)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    TEST (test_whole_answer),
+    TEST (test_claim_tells_the_worker),
+    TEST (test_refused_connect_is_not_sent),
+    TEST (test_lost_answer_is_settled),
+    TEST (test_tombstone_refuses_start),
+    TEST (test_stale_starts_are_refused),
+    TEST (test_claim_passes_tasks_on),
+    TEST (test_repeated_start),
+    TEST (test_start_waits_for_the_end),
+    TEST (test_taken_over_address),
+    TEST (test_hanging_worker_is_no_answer),
+    TEST (test_cut_answer_is_no_answer),
+    TEST (test_free_replies_to_all),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
