Add the platform stand-in and the platform adapter

The stand-in keeps table, objects and the lagging instance list in memory behind an ulfius server, with faults set by POST /ctl. The adapter speaks to it from one thread per call in flight, each with a libcurl handle of its own.

libcurl sends a request again by itself when a reused connection ends without an answer, which would apply a write twice; the hook that it calls before every sending stops the second one and also tells DOWN from UNKNOWN.

--- a/include/adapter/platform.h
+++ b/include/adapter/platform.h
@@ -9,6 +9,8 @@
  * struct MuxPlatformHttpOptions - construction of the platform adapter
  * @inbox: where replies and instance lists go
  * @url: "http://ip:port" of the platform's services
+ * @name: own instance name, told to the platform
+ * @data_centre: own data centre, told to the platform
  * @threads: calls in flight at once
  * @queue: calls that may wait, power of two
  * @list_every_ms: how often the instance list is read
@@ -18,6 +20,8 @@
 {
   MuxInbox *inbox;
   const char *url;
+  const char *name;
+  const char *data_centre;
   uint32_t threads;
   uint32_t queue;
   uint32_t list_every_ms;
--- /dev/null
+++ b/src/adapter/platform_internal.h
@@ -0,0 +1,130 @@
+#ifndef ADAPTER_PLATFORM_INTERNAL_H
+#define ADAPTER_PLATFORM_INTERNAL_H
+
+#include "adapter/platform.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stddef.h>
+
+/* Most bytes of an answer that are read. */
+#define PLATFORM_ANSWER_MAX ((size_t) 64 * 1024 * 1024)
+
+/**
+ * enum PlatformEnd - how far an HTTP exchange came
+ */
+typedef enum
+{
+  PLATFORM_NOT_SENT,  /* no byte of the request left */
+  PLATFORM_NO_ANSWER, /* it may have arrived; no whole answer came */
+  PLATFORM_ANSWERED,
+} PlatformEnd;
+
+/**
+ * struct PlatformBytes - growing buffer of bytes
+ */
+typedef struct
+{
+  char *bytes;
+  size_t len;
+  size_t cap;
+} PlatformBytes;
+
+/**
+ * struct PlatformRequest - an HTTP request to the platform
+ * @method: "GET", "POST", "PUT" or "DELETE"
+ * @path: with its query
+ * @body: sent with POST and PUT; may be NULL when @body_len is 0
+ * @timeout_ms: for the whole exchange
+ */
+typedef struct
+{
+  const char *method;
+  char path[512];
+  const void *body;
+  size_t body_len;
+  uint32_t timeout_ms;
+} PlatformRequest;
+
+/**
+ * struct PlatformAnswer - what came back
+ * @status: HTTP status
+ * @no_effect: the platform itself says that the call had no effect
+ * @rev: revision of an object
+ * @body: overwritten by the next exchange on the same client
+ */
+typedef struct
+{
+  long status;
+  bool no_effect;
+  uint64_t rev;
+  PlatformBytes *body;
+} PlatformAnswer;
+
+/* Counts silent connections; shared by all clients of an adapter. */
+typedef struct
+{
+  atomic_uint_fast32_t timeouts;
+} PlatformSilence;
+
+/**
+ * struct PlatformClient - one thread's connection to the platform
+ */
+typedef struct
+{
+  CURL *curl;
+  struct curl_slist *headers;
+  const char *url;
+  PlatformSilence *silence;
+  uint_fast32_t timeouts_seen;
+  uint32_t sendings;
+  PlatformBytes body;
+} PlatformClient;
+
+bool mux_platform_client_init (PlatformClient *client,
+                               const MuxPlatformHttpOptions *options,
+                               PlatformSilence *silence);
+void mux_platform_client_deinit (PlatformClient *client);
+PlatformEnd mux_platform_exchange (PlatformClient *client,
+                                   const PlatformRequest *request,
+                                   PlatformAnswer *answer);
+/** mux_platform_bytes_add() - false when memory is out */
+bool
+mux_platform_bytes_add (PlatformBytes *buffer, const void *bytes, size_t len);
+
+/** mux_platform_encode() - the request of @call
+ * @storage: holds what the request's body points to, unless it is an object
+ * Return: false when memory is out or a name is too long. */
+bool mux_platform_encode (const MuxTableCall *call,
+                          PlatformBytes *storage,
+                          PlatformRequest *request);
+/** mux_platform_is_write() - whether losing the answer leaves doubt */
+bool mux_platform_is_write (const MuxTableCall *call);
+/** mux_platform_decode() - the reply that an exchange ended with */
+MuxTableReply *mux_platform_decode (const MuxTableCall *call,
+                                    PlatformEnd end,
+                                    const PlatformAnswer *answer);
+/** mux_platform_decode_list() - NULL when it is no instance list */
+MuxInstanceList *mux_platform_decode_list (const char *bytes, size_t len);
+
+/**
+ * struct PlatformLister - the thread that reads the instance list
+ */
+typedef struct
+{
+  MuxInbox *inbox;
+  PlatformClient client;
+  uint32_t every_ms;
+  int stop_fd;
+  bool running;
+  pthread_t thread;
+} PlatformLister;
+
+bool mux_platform_lister_start (PlatformLister *lister,
+                                const MuxPlatformHttpOptions *options,
+                                PlatformSilence *silence);
+/** mux_platform_lister_stop() - also after a start that failed */
+void mux_platform_lister_stop (PlatformLister *lister);
+
+#endif
--- /dev/null
+++ b/test/standin/platform_ctl.h
@@ -0,0 +1,27 @@
+#ifndef STANDIN_PLATFORM_CTL_H
+#define STANDIN_PLATFORM_CTL_H
+
+#include "base/error.h"
+#include "standin/platform_faults.h"
+#include "standin/platform_state.h"
+
+#include <jansson.h>
+
+/* JSON of the control calls and of the instance list. */
+
+/** standin_platform_ctl_plan() - change the fields of @plan that @json names
+ * @silence: set when open connections are to go silent
+ * Return: false, with @findings filled, when a field is not understood. */
+bool standin_platform_ctl_plan (const json_t *json,
+                                StandinFaultPlan *plan,
+                                bool *silence,
+                                MuxFindings *findings);
+bool standin_platform_ctl_instance (const json_t *json,
+                                    MuxInstance *instance,
+                                    MuxFindings *findings);
+json_t *standin_platform_ctl_stats (const StandinPlatformStats *stats,
+                                    StandinFaults *faults);
+json_t *standin_platform_ctl_list (const MuxInstanceList *list);
+json_t *standin_platform_ctl_findings (const MuxFindings *findings);
+
+#endif
--- /dev/null
+++ b/test/standin/platform_faults.c
@@ -0,0 +1,207 @@
+#include "standin/platform_faults.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define PPM 1000000
+
+struct StandinFaults
+{
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  StandinFaultPlan plan;
+  bool stopping;
+  uint64_t connections;
+  uint64_t silent_to; /* connections up to this number are silent */
+  uint64_t random;
+  uint64_t refused;
+  uint64_t cut;
+  uint64_t lost;
+};
+
+StandinFaults *
+standin_platform_faults_new (void)
+{
+  StandinFaults *faults = calloc (1, sizeof *faults);
+  pthread_condattr_t attr;
+
+  if (faults == NULL)
+    return NULL;
+  pthread_mutex_init (&faults->lock, NULL);
+  pthread_condattr_init (&attr);
+  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
+  pthread_cond_init (&faults->changed, &attr);
+  pthread_condattr_destroy (&attr);
+  return faults;
+}
+
+void
+standin_platform_faults_free (StandinFaults *faults)
+{
+  if (faults == NULL)
+    return;
+  pthread_cond_destroy (&faults->changed);
+  pthread_mutex_destroy (&faults->lock);
+  free (faults);
+}
+
+void
+standin_platform_faults_get (StandinFaults *faults, StandinFaultPlan *plan)
+{
+  pthread_mutex_lock (&faults->lock);
+  *plan = faults->plan;
+  pthread_mutex_unlock (&faults->lock);
+}
+
+void
+standin_platform_faults_set (StandinFaults *faults,
+                             const StandinFaultPlan *plan)
+{
+  pthread_mutex_lock (&faults->lock);
+  if (plan->lose_seed != faults->plan.lose_seed)
+    faults->random = plan->lose_seed;
+  faults->plan = *plan;
+  pthread_cond_broadcast (&faults->changed);
+  pthread_mutex_unlock (&faults->lock);
+}
+
+void
+standin_platform_faults_stop (StandinFaults *faults)
+{
+  pthread_mutex_lock (&faults->lock);
+  faults->stopping = true;
+  pthread_cond_broadcast (&faults->changed);
+  pthread_mutex_unlock (&faults->lock);
+}
+
+void
+standin_platform_faults_silence (StandinFaults *faults)
+{
+  pthread_mutex_lock (&faults->lock);
+  faults->silent_to = faults->connections;
+  pthread_mutex_unlock (&faults->lock);
+}
+
+uint64_t
+standin_platform_faults_connection (StandinFaults *faults)
+{
+  uint64_t number;
+
+  pthread_mutex_lock (&faults->lock);
+  number = ++faults->connections;
+  pthread_mutex_unlock (&faults->lock);
+  return number;
+}
+
+static bool
+is_cut (const StandinFaultPlan *plan, const char *const from[2])
+{
+  for (uint32_t i = 0; i < plan->cut_count; i++)
+    if (strcmp (plan->cut[i], from[0]) == 0
+        || strcmp (plan->cut[i], from[1]) == 0)
+      return true;
+  return false;
+}
+
+static void
+wait_ms (StandinFaults *faults, uint32_t ms)
+{
+  struct timespec end;
+
+  clock_gettime (CLOCK_MONOTONIC, &end);
+  end.tv_sec += ms / 1000;
+  end.tv_nsec += (long) (ms % 1000) * 1000000;
+  if (end.tv_nsec >= 1000000000)
+    {
+      end.tv_sec++;
+      end.tv_nsec -= 1000000000;
+    }
+  while (!faults->stopping
+         && pthread_cond_timedwait (&faults->changed, &faults->lock, &end)
+                != ETIMEDOUT)
+    ;
+}
+
+StandinVerdict
+standin_platform_faults_admit (StandinFaults *faults,
+                               const char *const from[2],
+                               uint64_t connection,
+                               bool list,
+                               uint32_t latency_ms)
+{
+  const StandinFaultPlan *plan = &faults->plan;
+  StandinVerdict verdict = STANDIN_LET_IN;
+
+  pthread_mutex_lock (&faults->lock);
+  while (connection <= faults->silent_to && !faults->stopping)
+    pthread_cond_wait (&faults->changed, &faults->lock);
+  if (is_cut (plan, from))
+    {
+      faults->cut++;
+      verdict = STANDIN_CLOSE;
+    }
+  else if (list ? plan->list_down : plan->down)
+    {
+      faults->refused++;
+      verdict = STANDIN_REFUSE;
+    }
+  else
+    {
+      if (latency_ms + plan->slow_ms > 0)
+        wait_ms (faults, latency_ms + plan->slow_ms);
+      while (plan->hang && !faults->stopping)
+        pthread_cond_wait (&faults->changed, &faults->lock);
+    }
+  if (faults->stopping)
+    verdict = STANDIN_CLOSE;
+  pthread_mutex_unlock (&faults->lock);
+  return verdict;
+}
+
+static bool
+draw_loss (StandinFaults *faults)
+{
+  uint64_t x;
+
+  if (faults->plan.lose_ppm == 0)
+    return false;
+  faults->random += 0x9e3779b97f4a7c15;
+  x = faults->random;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
+  return (x ^ (x >> 31)) % PPM < faults->plan.lose_ppm;
+}
+
+bool
+standin_platform_faults_loses (StandinFaults *faults)
+{
+  bool loses;
+
+  pthread_mutex_lock (&faults->lock);
+  loses = draw_loss (faults);
+  if (faults->plan.lose_next > 0)
+    {
+      faults->plan.lose_next--;
+      loses = true;
+    }
+  if (loses)
+    faults->lost++;
+  pthread_mutex_unlock (&faults->lock);
+  return loses;
+}
+
+void
+standin_platform_faults_counts (StandinFaults *faults,
+                                uint64_t *refused,
+                                uint64_t *cut,
+                                uint64_t *lost)
+{
+  pthread_mutex_lock (&faults->lock);
+  *refused = faults->refused;
+  *cut = faults->cut;
+  *lost = faults->lost;
+  pthread_mutex_unlock (&faults->lock);
+}
