Carry messages between daemons over ZeroMQ

A flat msgpack array per message, driven by a list of fields per verb, and one thread that owns a ROUTER and a DEALER per peer address.

--- /dev/null
+++ b/src/adapter/peer_curve.h
@@ -0,0 +1,47 @@
+#ifndef ADAPTER_PEER_CURVE_H
+#define ADAPTER_PEER_CURVE_H
+
+#include "base/error.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define MUX_CURVE_KEY_BYTES 32
+#define MUX_CURVE_KEY_TEXT 41
+
+/**
+ * struct MuxPeerCurve - encryption between the daemons of one user
+ * @on: keys were given
+ * @secret_text: secret key, Z85
+ * @public_text: public key, Z85
+ * @public_key: public key, binary
+ * @zap: REP socket that answers ZeroMQ's question whether a key is accepted
+ */
+typedef struct
+{
+  bool on;
+  char secret_text[MUX_CURVE_KEY_TEXT];
+  char public_text[MUX_CURVE_KEY_TEXT];
+  uint8_t public_key[MUX_CURVE_KEY_BYTES];
+  void *zap;
+} MuxPeerCurve;
+
+/**
+ * mux_peer_curve_open() - check the keys and start to answer for them
+ * @secret: Z85, or NULL for no encryption, as must @public be then
+ * Return: false with @err set when the keys are no pair.
+ */
+bool mux_peer_curve_open (MuxPeerCurve *curve,
+                          void *zmq,
+                          const char *secret,
+                          const char *public,
+                          MuxError *err);
+void mux_peer_curve_close (MuxPeerCurve *curve);
+/** mux_peer_curve_server() - set a socket up before it is bound */
+bool mux_peer_curve_server (const MuxPeerCurve *curve, void *socket);
+/** mux_peer_curve_client() - set a socket up before it is connected */
+bool mux_peer_curve_client (const MuxPeerCurve *curve, void *socket);
+/** mux_peer_curve_answer() - answer the questions that wait at @zap */
+void mux_peer_curve_answer (const MuxPeerCurve *curve);
+
+#endif
--- /dev/null
+++ b/src/adapter/peer_fields.c
@@ -0,0 +1,107 @@
+#include "peer_fields.h"
+
+static const MuxPeerField common_fields[] = {
+  { MUX_FIELD_NAME, "from", offsetof (MuxPeerMsg, from) },
+  { MUX_FIELD_U64, "from_incarnation",
+    offsetof (MuxPeerMsg, from_incarnation) },
+  { MUX_FIELD_NAME_OR_NONE, "to", offsetof (MuxPeerMsg, to) },
+};
+
+static const MuxPeerField heartbeat_fields[] = {
+  { MUX_FIELD_NAME, "from_dc", offsetof (MuxPeerMsg, from_dc) },
+  { MUX_FIELD_ADDR, "from_addr", offsetof (MuxPeerMsg, from_addr) },
+  { MUX_FIELD_U64, "revision", offsetof (MuxPeerMsg, revision) },
+  { MUX_FIELD_BOOL, "stopping", offsetof (MuxPeerMsg, stopping) },
+  { MUX_FIELD_SIZE, "free", offsetof (MuxPeerMsg, free) },
+  { MUX_FIELD_SIZE, "total", offsetof (MuxPeerMsg, total) },
+  { MUX_FIELD_U32, "queued", offsetof (MuxPeerMsg, queued) },
+  { MUX_FIELD_U32, "oldest_ms", offsetof (MuxPeerMsg, oldest_ms) },
+};
+
+static const MuxPeerField grant_ask_fields[] = {
+  { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
+  { MUX_FIELD_ID_OR_NONE, "group", offsetof (MuxPeerMsg, group) },
+  { MUX_FIELD_U32, "group_count", offsetof (MuxPeerMsg, group_count) },
+  { MUX_FIELD_NAME, "class_name", offsetof (MuxPeerMsg, class_name) },
+  { MUX_FIELD_U32, "start_within_ms", offsetof (MuxPeerMsg, start_within_ms) },
+  { MUX_FIELD_U32, "give_up_ms", offsetof (MuxPeerMsg, give_up_ms) },
+};
+
+static const MuxPeerField grant_fields[] = {
+  { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
+  { MUX_FIELD_NAME, "worker", offsetof (MuxPeerMsg, worker) },
+  { MUX_FIELD_ADDR, "worker_addr", offsetof (MuxPeerMsg, worker_addr) },
+  { MUX_FIELD_U64, "epoch", offsetof (MuxPeerMsg, epoch) },
+  { MUX_FIELD_U64, "incarnation", offsetof (MuxPeerMsg, incarnation) },
+  { MUX_FIELD_I64, "not_after_ms", offsetof (MuxPeerMsg, not_after_ms) },
+  { MUX_FIELD_SIZE, "size", offsetof (MuxPeerMsg, size) },
+};
+
+static const MuxPeerField refused_fields[] = {
+  { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
+  { MUX_FIELD_REASON, "reason", offsetof (MuxPeerMsg, reason) },
+  { MUX_FIELD_U32, "retry_ms", offsetof (MuxPeerMsg, retry_ms) },
+};
+
+static const MuxPeerField cancel_fields[] = {
+  { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
+};
+
+static const MuxPeerField ended_fields[] = {
+  { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
+  { MUX_FIELD_NAME_OR_NONE, "worker", offsetof (MuxPeerMsg, worker) },
+  { MUX_FIELD_STATE, "state", offsetof (MuxPeerMsg, state) },
+  { MUX_FIELD_U32, "ran_ms", offsetof (MuxPeerMsg, ran_ms) },
+};
+
+static const MuxPeerField handover_fields[] = {
+  { MUX_FIELD_NAME, "worker", offsetof (MuxPeerMsg, worker) },
+  { MUX_FIELD_U64, "epoch", offsetof (MuxPeerMsg, epoch) },
+};
+
+static const MuxPeerField revision_fields[] = {
+  { MUX_FIELD_U64, "revision", offsetof (MuxPeerMsg, revision) },
+};
+
+static const MuxPeerField config_rows_fields[] = {
+  { MUX_FIELD_U64, "revision", offsetof (MuxPeerMsg, revision) },
+  { MUX_FIELD_BODY, "body", offsetof (MuxPeerMsg, body) },
+};
+
+#define COUNT(array) ((uint32_t) (sizeof (array) / sizeof (array)[0]))
+
+const MuxPeerFieldList mux_peer_common_fields
+    = { common_fields, COUNT (common_fields) };
+
+const MuxPeerFieldList mux_peer_verb_fields[MUX_PEER_VERB_COUNT] = {
+  [MUX_PEER_HEARTBEAT] = { heartbeat_fields, COUNT (heartbeat_fields) },
+  [MUX_PEER_GRANT_ASK] = { grant_ask_fields, COUNT (grant_ask_fields) },
+  [MUX_PEER_GRANT] = { grant_fields, COUNT (grant_fields) },
+  [MUX_PEER_GRANT_REFUSED] = { refused_fields, COUNT (refused_fields) },
+  [MUX_PEER_GRANT_CANCEL] = { cancel_fields, COUNT (cancel_fields) },
+  [MUX_PEER_GRANT_END] = { ended_fields, COUNT (ended_fields) },
+  [MUX_PEER_TASK_ENDED] = { ended_fields, COUNT (ended_fields) },
+  [MUX_PEER_HANDOVER] = { handover_fields, COUNT (handover_fields) },
+  [MUX_PEER_CONFIG_HINT] = { revision_fields, COUNT (revision_fields) },
+  [MUX_PEER_CONFIG_ASK] = { revision_fields, COUNT (revision_fields) },
+  [MUX_PEER_CONFIG_ROWS] = { config_rows_fields, COUNT (config_rows_fields) },
+  [MUX_PEER_BYE] = { NULL, 0 },
+};
+
+static uint32_t
+list_entries (const MuxPeerFieldList *list)
+{
+  uint32_t n = list->count;
+
+  for (uint32_t i = 0; i < list->count; i++)
+    if (list->fields[i].kind == MUX_FIELD_SIZE)
+      n += MUX_PEER_SIZE_ENTRIES - 1;
+  return n;
+}
+
+uint32_t
+mux_peer_entries (MuxPeerVerb verb)
+{
+  return MUX_PEER_HEAD_ENTRIES + list_entries (&mux_peer_common_fields)
+         + list_entries (&mux_peer_verb_fields[verb]);
+}
--- /dev/null
+++ b/src/adapter/peer_fields.h
@@ -0,0 +1,61 @@
+#ifndef ADAPTER_PEER_FIELDS_H
+#define ADAPTER_PEER_FIELDS_H
+
+#include "port/peer.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* Version of the format; a daemon refuses every other. */
+#define MUX_PEER_VERSION 1
+/* Longest body of a message. */
+#define MUX_PEER_BODY_MAX (4U << 20)
+/* More than all other fields of a message can take. */
+#define MUX_PEER_FIXED_MAX 768U
+#define MUX_PEER_MSG_MAX (MUX_PEER_BODY_MAX + MUX_PEER_FIXED_MAX)
+
+/* A message is one flat msgpack array: the version, the verb, the fields that
+ * all messages have, and those that the verb uses, in the order of its list. */
+
+typedef enum
+{
+  MUX_FIELD_NAME,
+  MUX_FIELD_NAME_OR_NONE,
+  MUX_FIELD_ADDR,
+  MUX_FIELD_BOOL,
+  MUX_FIELD_U32,
+  MUX_FIELD_U64,
+  MUX_FIELD_I64,
+  MUX_FIELD_ID,
+  MUX_FIELD_ID_OR_NONE,
+  MUX_FIELD_SIZE,
+  MUX_FIELD_REASON,
+  MUX_FIELD_STATE,
+  MUX_FIELD_BODY,
+} MuxPeerFieldKind;
+
+typedef struct
+{
+  MuxPeerFieldKind kind;
+  const char *name;
+  size_t offset;
+} MuxPeerField;
+
+#define MUX_PEER_SIZE_ENTRIES 4
+#define MUX_PEER_ID_BYTES 16
+/* The entries before the fields: version and verb. */
+#define MUX_PEER_HEAD_ENTRIES 2
+
+typedef struct
+{
+  const MuxPeerField *fields;
+  uint32_t count;
+} MuxPeerFieldList;
+
+extern const MuxPeerFieldList mux_peer_common_fields;
+extern const MuxPeerFieldList mux_peer_verb_fields[MUX_PEER_VERB_COUNT];
+
+/** mux_peer_entries() - entries of the array that carries a @verb */
+uint32_t mux_peer_entries (MuxPeerVerb verb);
+
+#endif
--- /dev/null
+++ b/src/adapter/peer_link.c
@@ -0,0 +1,247 @@
+#include "peer_link.h"
+
+#include "base/log.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define RECONNECT_MS 50
+/* Only echoes, which are empty, come back on a link. */
+#define ECHO_BYTES_MAX 0
+#define HEAR_BATCH 4096
+
+static bool
+set_int (void *socket, int option, int value)
+{
+  return zmq_setsockopt (socket, option, &value, sizeof value) == 0;
+}
+
+/* ZeroMQ's own heartbeats, off by default, end connections that died below it
+ * on either side, and the other limits those that never came to be. */
+bool
+mux_peer_socket_common (void *socket, uint32_t silent_ms)
+{
+  int silent = (int) silent_ms;
+  int interval = silent / 2 > 0 ? silent / 2 : 1;
+
+  return set_int (socket, ZMQ_LINGER, 0)
+         && set_int (socket, ZMQ_SNDHWM, MUX_PEER_LINK_QUEUE)
+         && set_int (socket, ZMQ_RCVHWM, MUX_PEER_LINK_QUEUE)
+         && set_int (socket, ZMQ_HEARTBEAT_IVL, interval)
+         && set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, silent)
+         && set_int (socket, ZMQ_HANDSHAKE_IVL, silent);
+}
+
+/* ZMQ_IMMEDIATE stays off: with it the first message to an address, sent
+ * before the connection stands, would always be lost.  What waits in a link
+ * that never connects goes away with it after silent_ms. */
+static void *
+link_open (const MuxPeerLinks *links, const char *addr)
+{
+  void *socket = zmq_socket (links->zmq, ZMQ_DEALER);
+  char endpoint[MUX_ADDR_LEN + 8];
+  int64_t echo_max = ECHO_BYTES_MAX;
+
+  if (socket == NULL)
+    return NULL;
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", addr);
+  if (mux_peer_socket_common (socket, links->silent_ms)
+      && set_int (socket, ZMQ_IPV6, addr[0] == '[')
+      && set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS)
+      && set_int (socket, ZMQ_CONNECT_TIMEOUT, (int) links->silent_ms)
+      && zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &echo_max, sizeof echo_max)
+             == 0
+      && mux_peer_curve_client (links->curve, socket)
+      && zmq_connect (socket, endpoint) == 0)
+    return socket;
+  zmq_close (socket);
+  return NULL;
+}
+
+static void
+link_close (MuxPeerLinks *links, MuxPeerLink *link)
+{
+  HASH_DEL (links->by_addr, link);
+  if (link->socket != NULL)
+    zmq_close (link->socket);
+  free (link);
+}
+
+static void
+count_dropped (const MuxPeerLinks *links)
+{
+  if (links->counters != NULL)
+    mux_count_refused (links->counters, MUX_REASON_RING_FULL);
+}
+
+static bool
+links_are_full (MuxPeerLinks *links)
+{
+  bool full = HASH_COUNT (links->by_addr) >= MUX_PEER_LINKS_MAX;
+
+  if (full && !links->full)
+    mux_log (MUX_LOG_WARNING, "peer_links_full", "links=%d",
+             MUX_PEER_LINKS_MAX);
+  links->full = full;
+  return full;
+}
+
+static MuxPeerLink *
+link_find (MuxPeerLinks *links, const char *addr)
+{
+  MuxPeerLink *link = NULL;
+
+  HASH_FIND_STR (links->by_addr, addr, link);
+  if (link != NULL || links_are_full (links))
+    return link;
+  link = calloc (1, sizeof *link);
+  if (link == NULL)
+    return NULL;
+  snprintf (link->addr, sizeof link->addr, "%s", addr);
+  HASH_ADD_STR (links->by_addr, addr, link);
+  return link;
+}
+
+void
+mux_peer_links_send (MuxPeerLinks *links,
+                     const char *addr,
+                     const MuxBlob *blob,
+                     int64_t now_ms)
+{
+  MuxPeerLink *link = link_find (links, addr);
+
+  if (link == NULL)
+    {
+      count_dropped (links);
+      return;
+    }
+  link->used_ms = now_ms;
+  if (link->waiting_since_ms == 0)
+    link->waiting_since_ms = now_ms;
+  if (link->socket == NULL)
+    link->socket = link_open (links, addr);
+  if (link->socket == NULL
+      || zmq_send (link->socket, blob->bytes, blob->len, ZMQ_DONTWAIT) < 0)
+    {
+      count_dropped (links);
+      return;
+    }
+  if (links->counters == NULL)
+    return;
+  mux_count (links->counters, MUX_COUNT_PEER_SENT, 1);
+  mux_count (links->counters, MUX_COUNT_PEER_SENT_BYTES, blob->len);
+}
+
+static void
+link_probe (MuxPeerLink *link)
+{
+  if (zmq_send (link->socket, "", 0, ZMQ_DONTWAIT) == 0)
+    link->probes++;
+}
+
+void
+mux_peer_link_hear (MuxPeerLink *link)
+{
+  char none;
+
+  if (link->socket == NULL)
+    return;
+  for (int i = 0; i < HEAR_BATCH; i++)
+    {
+      if (zmq_recv (link->socket, &none, 0, ZMQ_DONTWAIT) < 0)
+        return;
+      link->waiting_since_ms = 0;
+      if (link->probes > 0)
+        link->probes--;
+      if (link->silent)
+        mux_log (MUX_LOG_NOTICE, "peer_link_back", "addr=%s", link->addr);
+      link->silent = false;
+    }
+}
+
+/* Guards against a connection that goes silent for good while new ones work,
+ * because something between the two ends, such as a firewall or a balancer,
+ * has lost track of it.  It shows as sends that succeed, no error, and no echo
+ * of a probe; ZeroMQ alone may keep such a connection, since a box in between
+ * can go on acknowledging its bytes.  A probe is echoed by the peer's own
+ * thread, so an echo proves the whole way there and back; without one for
+ * silent_ms a new connection, which takes a new path through the box, is the
+ * only cure.  What waits in the old one is dropped with it: sending it again
+ * might deliver it twice. */
+static void
+link_replace (MuxPeerLinks *links, MuxPeerLink *link)
+{
+  if (link->socket != NULL)
+    zmq_close (link->socket);
+  link->socket = link_open (links, link->addr);
+  link->waiting_since_ms = 0;
+  link->probes = 0;
+  if (!link->silent)
+    mux_log (MUX_LOG_WARNING, "peer_link_replaced", "addr=%s silent_ms=%u",
+             link->addr, (unsigned) links->silent_ms);
+  link->silent = true;
+  if (links->counters != NULL)
+    mux_count_retry (links->counters, MUX_REASON_PEER_SILENT);
+}
+
+static void
+link_tick (MuxPeerLinks *links, MuxPeerLink *link, int64_t now_ms)
+{
+  int64_t idle_ms = now_ms - link->used_ms;
+
+  mux_peer_link_hear (link);
+  if (idle_ms >= (int64_t) links->silent_ms * MUX_PEER_IDLE_FACTOR)
+    {
+      link_close (links, link);
+      return;
+    }
+  if (link->waiting_since_ms == 0)
+    return;
+  if (now_ms - link->waiting_since_ms >= links->silent_ms)
+    link_replace (links, link);
+  else if (link->probes == 0 && link->socket != NULL)
+    link_probe (link);
+}
+
+void
+mux_peer_links_tick (MuxPeerLinks *links, int64_t now_ms, int64_t paused_ms)
+{
+  MuxPeerLink *link;
+  MuxPeerLink *next;
+
+  HASH_ITER (hh, links->by_addr, link, next)
+  {
+    if (link->waiting_since_ms != 0)
+      link->waiting_since_ms += paused_ms;
+    link_tick (links, link, now_ms);
+  }
+}
+
+uint32_t
+mux_peer_links_probe (MuxPeerLinks *links)
+{
+  MuxPeerLink *link;
+  MuxPeerLink *next;
+  uint32_t waiting = 0;
+
+  HASH_ITER (hh, links->by_addr, link, next)
+  {
+    if (link->socket == NULL || link->silent || link->waiting_since_ms == 0)
+      continue;
+    link_probe (link);
+    waiting += link->probes > 0;
+  }
+  return waiting;
+}
+
+void
+mux_peer_links_close (MuxPeerLinks *links)
+{
+  MuxPeerLink *link;
+  MuxPeerLink *next;
+
+  HASH_ITER (hh, links->by_addr, link, next)
+  link_close (links, link);
+}
--- /dev/null
+++ b/src/adapter/peer_link.h
@@ -0,0 +1,77 @@
+#ifndef ADAPTER_PEER_LINK_H
+#define ADAPTER_PEER_LINK_H
+
+#include "base/blob.h"
+#include "base/counters.h"
+#include "base/id.h"
+#include "peer_curve.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+/* Addresses that one daemon speaks to at once. */
+#define MUX_PEER_LINKS_MAX 256
+/* Messages that may wait inside one connection. */
+#define MUX_PEER_LINK_QUEUE 1024
+/* A link is closed when nothing was sent on it for this many silent_ms. */
+#define MUX_PEER_IDLE_FACTOR 10
+
+/**
+ * struct MuxPeerLink - connection to the listener of one peer address
+ * @addr: "ip:port"
+ * @socket: DEALER
+ * @used_ms: when something was last sent here
+ * @waiting_since_ms: first send that no echo has followed yet; 0: none
+ * @probes: probes sent whose echo has not come back
+ * @silent: it has been replaced for silence and was not heard since
+ */
+typedef struct
+{
+  char addr[MUX_ADDR_LEN];
+  void *socket;
+  int64_t used_ms;
+  int64_t waiting_since_ms;
+  uint32_t probes;
+  bool silent;
+  UT_hash_handle hh;
+} MuxPeerLink;
+
+/**
+ * struct MuxPeerLinks - the outgoing links, all used by one thread
+ * @zmq: context
+ * @curve: encryption
+ * @counters: may be NULL
+ * @silent_ms: a link that is not heard for this long is replaced
+ * @by_addr: links
+ * @full: the bound was reached and has been reported
+ */
+typedef struct
+{
+  void *zmq;
+  const MuxPeerCurve *curve;
+  MuxCounters *counters;
+  uint32_t silent_ms;
+  MuxPeerLink *by_addr;
+  bool full;
+} MuxPeerLinks;
+
+/** mux_peer_socket_common() - options of every socket that meets a peer */
+bool mux_peer_socket_common (void *socket, uint32_t silent_ms);
+/** mux_peer_links_send() - hand @blob to the link of @addr, or drop it */
+void mux_peer_links_send (MuxPeerLinks *links,
+                          const char *addr,
+                          const MuxBlob *blob,
+                          int64_t now_ms);
+/** mux_peer_links_tick() - hear, probe, replace and close links
+ * @paused_ms: time for which this thread could hear nothing, or 0 */
+void
+mux_peer_links_tick (MuxPeerLinks *links, int64_t now_ms, int64_t paused_ms);
+/** mux_peer_links_probe() - ask for an echo behind everything sent so far
+ * Return: links that are waited for. */
+uint32_t mux_peer_links_probe (MuxPeerLinks *links);
+/** mux_peer_link_hear() - read away the echoes that came back */
+void mux_peer_link_hear (MuxPeerLink *link);
+void mux_peer_links_close (MuxPeerLinks *links);
+
+#endif
