Add the configuration log with changes, following, peers and answers

Compiles; no test has run yet, as the rest of the core is not there. MuxAsk gains wall_ms for the history, config.h config_abandon() and config_changing().

--- a/include/core/core.h
+++ b/include/core/core.h
@@ -63,6 +63,7 @@
  * @revision: CONFIG_HISTORY: after this; CONFIG_REVERT: back to this
  * @change: CONFIG_*: id of the change, chosen by the client, for repeats
  * @who: operator's name for the history
+ * @wall_ms: time of day when it was asked, for the history
  * @flag: DRAIN: on or off
  * @body: bytes of a request or job, JSON of a CONFIG_PUT; holds a reference
  */
@@ -81,6 +82,7 @@
   uint64_t revision;
   MuxId change;
   char who[MUX_NAME_LEN];
+  int64_t wall_ms;
   bool flag;
   MuxBlob *body;
 } MuxAsk;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -6,6 +6,10 @@
 /* What operators set: the log of changes in the table, applied in order. */
 Config *config_new (void);
 void config_free (Config *config);
+/** config_abandon() - answer every change in flight; before config_free() */
+void config_abandon (MuxCore *core);
+/** config_changing() - changes in flight; a graceful stop awaits 0 */
+uint32_t config_changing (const MuxCore *core);
 /** config_ask() - every MUX_ASK_CONFIG_* and MUX_ASK_DRAIN */
 void config_ask (MuxCore *core, const MuxAsk *ask);
 /** config_peer() - MUX_PEER_CONFIG_* */
--- /dev/null
+++ b/src/core/config_private.h
@@ -0,0 +1,211 @@
+#ifndef CORE_CONFIG_PRIVATE_H
+#define CORE_CONFIG_PRIVATE_H
+
+#include "config.h"
+
+#include "call.h"
+#include "member.h"
+#include "worker.h"
+
+#include <jansson.h>
+
+/* Rows of the platform's table. */
+#define CONFIG_HEAD_KEY "config/head"
+#define CONFIG_LOG_PREFIX "config/log/"
+#define CONFIG_SNAPSHOT_KEY "config/snapshot"
+/* Name of the one object of the sort "cell". */
+#define CONFIG_CELL_NAME "cell"
+/* Least time between two reads of the head. */
+#define CONFIG_POLL_MS 700
+/* Least time between two asks of peers. */
+#define CONFIG_PEER_ASK_MS 200
+/* A change that is not settled by then is answered as unknown. */
+#define CONFIG_CHANGE_LIMIT_MS 10000
+/* Most changes in flight at one daemon. */
+#define CONFIG_CHANGES_MAX 64
+/* Revisions between two snapshots. */
+#define CONFIG_SNAPSHOT_EVERY 256
+/* Most removed objects that are remembered. */
+#define CONFIG_REMOVED_MAX 4096
+/* Most objects in one page for a peer; each is a few hundred bytes. */
+#define CONFIG_PAGE_OBJECTS 128
+/* Most changes in one page of the history. */
+#define CONFIG_HISTORY_PAGE 64
+/* Most older changes looked at for a revert. */
+#define CONFIG_REVERT_STEPS 256
+
+#define CONFIG_KEY_LEN (MUX_NAME_LEN + 8)
+
+/* One configured object, or the memory of a removed one. */
+typedef struct
+{
+  char key[CONFIG_KEY_LEN]; /* "sort/name" */
+  MuxConfigSort sort;
+  char name[MUX_NAME_LEN];
+  uint64_t revision; /* of its last change */
+  json_t *value;     /* NULL: removed */
+  MuxClassSpec spec; /* of a class; its name is "" when the value is bad */
+  bool unapplied;    /* the scheduler has not taken it: memory was out */
+  UT_hash_handle hh;
+} ConfigObject;
+
+/**
+ * enum ChangeState - life of an operator's change
+ */
+typedef enum
+{
+  CHANGE_QUEUED,  /* an earlier change is being made */
+  CHANGE_PAUSED,  /* until wake_ms, then it is checked again */
+  CHANGE_CHECK,   /* its change row and the head are being read */
+  CHANGE_SYNC,    /* the log is being read up to the head */
+  CHANGE_LOOK_UP, /* a revert: an older change is being read */
+  CHANGE_WRITE,   /* the transaction is on its way */
+} ChangeState;
+
+typedef struct ConfigChange ConfigChange;
+struct ConfigChange
+{
+  uint64_t serial;
+  uint64_t call;
+  ChangeState state;
+  MuxConfigSort sort;
+  char name[MUX_NAME_LEN];
+  json_t *value; /* NULL: remove */
+  bool expect_set;
+  uint64_t expect;
+  MuxId change;
+  char who[MUX_NAME_LEN];
+  int64_t wall_ms;
+  bool revert; /* the value is still to be found in the log */
+  uint64_t revert_to;
+  uint64_t cursor;       /* LOOK_UP: revision being read */
+  uint32_t steps;        /* LOOK_UP: revisions read */
+  uint64_t checked_from; /* in force when the check was sent */
+  uint64_t head_rev;     /* of the head row in the last check */
+  json_t *row;           /* WRITE: the log row */
+  bool unsure;           /* an earlier write may take effect yet */
+  uint32_t retries;
+  int64_t wake_ms;
+  int64_t give_up_ms;
+  ConfigChange *prev;
+  ConfigChange *next;
+};
+
+/**
+ * enum FollowState - what the follower reads now
+ */
+typedef enum
+{
+  FOLLOW_IDLE,
+  FOLLOW_HEAD,
+  FOLLOW_SNAPSHOT_ROW,
+  FOLLOW_SNAPSHOT,
+  FOLLOW_LOG,
+} FollowState;
+
+/* A peer's state being received, page by page. */
+typedef struct
+{
+  char peer[MUX_NAME_LEN];
+  json_t *rows;    /* objects so far; NULL: nothing is being received */
+  bool whole;      /* objects that are not among them are gone */
+  bool based;      /* @base is set */
+  uint64_t base;   /* no removal after this may have been forgotten */
+  uint64_t cursor; /* last revision received */
+} ConfigTransfer;
+
+struct Config
+{
+  uint64_t revision;
+  uint64_t floor; /* removals up to here may be forgotten */
+  uint64_t heard; /* highest revision that anyone told of */
+  bool loaded;
+  bool down; /* the last read of the table failed */
+  ConfigObject *objects;
+  uint32_t removed_count;
+  uint32_t unapplied_count;
+  FollowState follow;
+  bool follow_again;
+  uint64_t head;
+  int64_t poll_ms;
+  int64_t peer_ask_ms;
+  ConfigTransfer transfer;
+  ConfigChange *changes;
+  uint32_t change_count;
+  uint64_t serial;
+  uint64_t snapshot_revision; /* being written; 0: none */
+};
+
+/* config_object.c: the objects in force. */
+const char *config_sort_name (MuxConfigSort sort);
+bool config_sort_parse (const char *text, MuxConfigSort *sort);
+/** config_object() - also a removed one; NULL: never heard of */
+ConfigObject *
+config_object (const Config *config, MuxConfigSort sort, const char *name);
+/** config_object_revision() - 0: it does not exist */
+uint64_t config_object_revision (const ConfigObject *object);
+/** config_check() - findings on giving @name the @value, NULL: remove it;
+ * *@value is replaced by its full form.  False: memory is out. */
+bool config_check (const Config *config,
+                   MuxConfigSort sort,
+                   const char *name,
+                   json_t **value,
+                   MuxFindings *findings);
+/** config_apply_row() - take a log row of the next revision; older ones are
+ * passed over.  False: memory is out, or a revision between is missing. */
+bool config_apply_row (MuxCore *core, const json_t *row);
+/** config_apply_state() - take objects of a snapshot or peer, all at once
+ * @whole: what is not among them is gone
+ * @revision: what they amount to, higher than the one in force */
+bool config_apply_state (MuxCore *core,
+                         const json_t *objects,
+                         bool whole,
+                         uint64_t floor,
+                         uint64_t revision);
+/** config_object_json() - its form in snapshots and pages */
+json_t *config_object_json (const ConfigObject *object);
+void config_objects_retry (MuxCore *core);
+void config_objects_sort (Config *config, bool by_revision);
+void config_objects_free (Config *config);
+
+/* config_follow.c: reading the table. */
+void config_follow (MuxCore *core);
+void config_log_key (char key[MUX_ROW_KEY_LEN], uint64_t revision);
+/** config_row_json() - NULL: absent or not JSON */
+json_t *config_row_json (const MuxRow *row);
+/** config_row_revision() - its "revision"; 0 when absent; false: bad row */
+bool config_row_revision (const MuxRow *row, uint64_t *revision);
+void config_table_down (MuxCore *core, bool down);
+/** config_moved() - a higher revision is in force now */
+void config_moved (MuxCore *core);
+/** config_json_blob() - takes @json over; NULL: memory is out */
+MuxBlob *config_json_blob (json_t *json);
+
+/* config_peer.c: asking and telling other daemons. */
+void config_peer_ask (MuxCore *core, Member *member);
+void config_hint (MuxCore *core);
+
+/* config_snapshot.c: the whole configuration as an object. */
+void config_snapshot_write (MuxCore *core);
+
+/* config_change.c: operators' changes. */
+void config_change_ask (MuxCore *core, const MuxAsk *ask);
+void config_changes_run (MuxCore *core);
+int64_t config_changes_wake_ms (const MuxCore *core);
+/** config_changes_store_down() - refuse those that certainly made no write */
+void config_changes_store_down (MuxCore *core);
+
+/* config_show.c: answers. */
+void config_show (MuxCore *core, const MuxAsk *ask);
+void config_answer_done (MuxCore *core, uint64_t call, uint64_t revision);
+void config_answer_refused (MuxCore *core,
+                            uint64_t call,
+                            MuxReason reason,
+                            uint32_t retry_ms);
+void config_answer_absent (MuxCore *core, uint64_t call, MuxConfigSort sort);
+/** config_answer_lost() - REVISION, with what stands now */
+void config_answer_lost (MuxCore *core, uint64_t call, ConfigObject *object);
+/** config_answer_unknown() - WRITE_UNKNOWN, with the id to repeat */
+void config_answer_unknown (MuxCore *core, uint64_t call, MuxId change);
+
+#endif
--- /dev/null
+++ b/src/core/config_show.c
@@ -0,0 +1,170 @@
+#include "config_private.h"
+
+#include <stdio.h>
+
+void
+config_answer_done (MuxCore *core, uint64_t call, uint64_t revision)
+{
+  core_answer_json (core, call, 200,
+                    json_pack ("{s:I}", "revision", (json_int_t) revision));
+}
+
+void
+config_answer_refused (MuxCore *core,
+                       uint64_t call,
+                       MuxReason reason,
+                       uint32_t retry_ms)
+{
+  static const MuxId none;
+
+  core_answer (core, call, MUX_OUTCOME_NOT_RUN, reason, retry_ms, none, NULL);
+}
+
+/* A refusal whose body says more than core_answer() would; takes @json over,
+ * and does without it when memory is out. */
+static void
+answer_with (MuxCore *core,
+             uint64_t call,
+             MuxOutcome outcome,
+             MuxReason reason,
+             json_t *json)
+{
+  MuxAnswer answer = { .call = call, .outcome = outcome, .reason = reason };
+
+  answer.status = mux_reason_status (reason);
+  answer.json = true;
+  answer.body = config_json_blob (json);
+  mux_count_refused (core->counters, reason);
+  core->sink->answer (core->sink, &answer);
+  mux_blob_unref (answer.body);
+}
+
+void
+config_answer_absent (MuxCore *core, uint64_t call, MuxConfigSort sort)
+{
+  static const MuxReason reasons[MUX_CONFIG_SORT_COUNT]
+      = { MUX_REASON_UNKNOWN_CLASS, MUX_REASON_UNKNOWN_PRODUCT,
+          MUX_REASON_UNKNOWN_PATH, MUX_REASON_UNKNOWN_WORKER };
+
+  config_answer_refused (core, call, reasons[sort], 0);
+}
+
+static json_t *
+object_shown (const ConfigObject *object)
+{
+  return json_pack ("{s:s, s:I, s:O}", "name", object->name, "revision",
+                    (json_int_t) object->revision, "value", object->value);
+}
+
+void
+config_answer_lost (MuxCore *core, uint64_t call, ConfigObject *object)
+{
+  uint64_t revision = config_object_revision (object);
+  json_t *value = revision != 0 ? json_incref (object->value) : json_null ();
+
+  answer_with (core, call, MUX_OUTCOME_NOT_RUN, MUX_REASON_REVISION,
+               json_pack ("{s:s, s:s, s:s, s:I, s:o}", "outcome", "not_run",
+                          "reason", "revision", "text",
+                          mux_reason_help (MUX_REASON_REVISION), "revision",
+                          (json_int_t) revision, "value", value));
+}
+
+void
+config_answer_unknown (MuxCore *core, uint64_t call, MuxId change)
+{
+  char hex[MUX_ID_HEX_LEN];
+
+  mux_id_format (change, hex);
+  answer_with (core, call, MUX_OUTCOME_UNKNOWN, MUX_REASON_WRITE_UNKNOWN,
+               json_pack ("{s:s, s:s, s:s, s:s}", "outcome", "unknown",
+                          "reason", "write_unknown", "text",
+                          "ask again with the same change id", "change", hex));
+}
+
+static void
+show_one (MuxCore *core, const MuxAsk *ask)
+{
+  const ConfigObject *object
+      = config_object (core->config, ask->sort, ask->name);
+
+  if (config_object_revision (object) == 0)
+    config_answer_absent (core, ask->call, ask->sort);
+  else
+    core_answer_json (core, ask->call, 200, object_shown (object));
+}
+
+static void
+show_all (MuxCore *core, const MuxAsk *ask)
+{
+  Config *config = core->config;
+  const ConfigObject *object;
+  json_t *items = json_array ();
+
+  config_objects_sort (config, false);
+  for (object = config->objects; object != NULL; object = object->hh.next)
+    if (object->sort == ask->sort && object->value != NULL
+        && json_array_append_new (items, object_shown (object)) != 0)
+      {
+        json_decref (items);
+        core_answer_json (core, ask->call, 200, NULL);
+        return;
+      }
+  core_answer_json (core, ask->call, 200,
+                    json_pack ("{s:I, s:o}", "revision",
+                               (json_int_t) config->revision, "items", items));
+}
+
+static void
+history_read (MuxCore *core,
+              MuxId subject,
+              uint64_t call,
+              const MuxTableReply *reply)
+{
+  json_t *changes;
+
+  (void) subject;
+  if (reply->status != MUX_TABLE_OK)
+    {
+      config_answer_refused (core, call, MUX_REASON_STORE_DOWN, CONFIG_POLL_MS);
+      return;
+    }
+  changes = json_array ();
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    json_array_append_new (changes, config_row_json (&reply->rows[i]));
+  core_answer_json (
+      core, call, 200,
+      json_pack ("{s:o, s:b}", "changes", changes, "more", (int) reply->more));
+}
+
+static void
+show_history (MuxCore *core, const MuxAsk *ask)
+{
+  static const MuxId none;
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_SCAN, 2);
+
+  if (call == NULL)
+    {
+      config_answer_refused (core, ask->call, MUX_REASON_INTERNAL, 0);
+      return;
+    }
+  call->timeout_ms = TABLE_TIMEOUT_MS;
+  call->limit = CONFIG_HISTORY_PAGE;
+  snprintf (call->rows[0].key, MUX_ROW_KEY_LEN, "%s", CONFIG_LOG_PREFIX);
+  config_log_key (call->rows[1].key, ask->revision);
+  if (!call_table (core, call, history_read, none, ask->call))
+    config_answer_refused (core, ask->call, MUX_REASON_RING_FULL, RETRY_MS);
+}
+
+void
+config_show (MuxCore *core, const MuxAsk *ask)
+{
+  if (ask->verb == MUX_ASK_CONFIG_HISTORY)
+    show_history (core, ask);
+  else if (!core->config->loaded)
+    config_answer_refused (core, ask->call, MUX_REASON_STORE_DOWN,
+                           CONFIG_POLL_MS);
+  else if (ask->verb == MUX_ASK_CONFIG_GET)
+    show_one (core, ask);
+  else
+    show_all (core, ask);
+}
