Add the program cuminmux for operators

One argtable per verb is built from a table of arguments; everything wrong is reported at once, and the bounds of fields stand in the model alone. ulfius's client does not tell a refused connection from a lost answer, so a connection is tried first: only a daemon that takes none was certainly sent nothing. A change keeps its id over all its sendings.

--- /dev/null
+++ b/src/cli/run.c
@@ -0,0 +1,146 @@
+#include "verb.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+mux_findings_print (FILE *err, const MuxFindings *findings)
+{
+  for (uint32_t i = 0; i < findings->count; i++)
+    fprintf (err, "cuminmux: %s: %s\n", findings->item[i].place,
+             findings->item[i].text);
+  if (findings->dropped > 0)
+    fprintf (err, "cuminmux: and %u more\n", (unsigned) findings->dropped);
+}
+
+static void
+print_program_help (FILE *out)
+{
+  char words[48];
+
+  fputs ("usage: cuminmux VERB [ARGUMENTS]\n\n", out);
+  for (const MuxVerb *verb = mux_verbs; verb->group != NULL; verb++)
+    {
+      snprintf (words, sizeof words, "%s%s%s", verb->group,
+                verb->name != NULL ? " " : "",
+                verb->name != NULL ? verb->name : "");
+      fprintf (out, "  %-16s %s\n", words, verb->help);
+    }
+  fputs ("\n'cuminmux VERB --help' shows the arguments of a verb; they follow "
+         "the verb.\n\n"
+         "exit codes:\n"
+         "  0  done\n"
+         "  1  a daemon refused; the reason is printed\n"
+         "  2  bad use\n"
+         "  3  no daemon can be reached\n"
+         "  4  outcome unknown: it may have taken effect\n"
+         "  5  not run, or not yet: try later\n",
+         out);
+}
+
+static const MuxVerb *
+find_verb (int argc, char **argv, int *words)
+{
+  for (const MuxVerb *verb = mux_verbs; verb->group != NULL; verb++)
+    {
+      if (argc < 2 || strcmp (verb->group, argv[1]) != 0)
+        continue;
+      if (verb->name == NULL)
+        {
+          *words = 1;
+          return verb;
+        }
+      if (argc >= 3 && strcmp (verb->name, argv[2]) == 0)
+        {
+          *words = 2;
+          return verb;
+        }
+    }
+  return NULL;
+}
+
+static int
+refuse_verb (MuxCliHost *host, int argc, char **argv)
+{
+  if (argc < 2)
+    fputs ("cuminmux: a verb must be given; see cuminmux --help\n", host->err);
+  else
+    fprintf (host->err,
+             "cuminmux: \"%s%s%s\" is no verb; see cuminmux --help\n", argv[1],
+             argc > 2 ? " " : "", argc > 2 ? argv[2] : "");
+  return MUX_EXIT_USAGE;
+}
+
+static void
+print_verb_help (const MuxVerb *verb, FILE *out)
+{
+  char words[48];
+
+  snprintf (words, sizeof words, "%s%s%s", verb->group,
+            verb->name != NULL ? " " : "",
+            verb->name != NULL ? verb->name : "");
+  mux_args_help (&verb->args, words, out);
+  fprintf (out, "\n%s\n", verb->help);
+}
+
+static void
+check_servers (MuxCliCall *call, MuxFindings *findings)
+{
+  const char *text = call->args.text[MUX_ARG_SERVER];
+
+  if (text == NULL)
+    mux_findings_add (findings, "--server",
+                      "must be given, here or as CUMINMUX_SERVER");
+  else if (!mux_servers_parse (text, &call->servers))
+    mux_findings_add (findings, "--server",
+                      "must be 1 to %d of http://ip:port with commas between, "
+                      "not \"%s\"",
+                      MUX_SERVERS_MAX, text);
+}
+
+static int
+run_verb (MuxCliCall *call, int argc, char **argv)
+{
+  MuxFindings *findings = calloc (1, sizeof *findings);
+  int code = MUX_EXIT_USAGE;
+
+  if (findings == NULL)
+    {
+      fputs ("cuminmux: memory is out\n", call->host->err);
+      return MUX_EXIT_LATER;
+    }
+  mux_args_parse (&call->verb->args, call->host, argc, argv, &call->args,
+                  findings);
+  if (call->args.text[MUX_ARG_HELP] != NULL)
+    {
+      print_verb_help (call->verb, call->host->out);
+      free (findings);
+      return MUX_EXIT_OK;
+    }
+  check_servers (call, findings);
+  call->timeout_ms = (uint32_t) call->args.number[MUX_ARG_TIMEOUT_MS];
+  call->json = call->args.number[MUX_ARG_JSON] != 0;
+  mux_findings_print (call->host->err, findings);
+  if (findings->count == 0)
+    code = call->verb->run (call);
+  free (findings);
+  return code;
+}
+
+int
+mux_cli_run (MuxCliHost *host, int argc, char **argv)
+{
+  MuxCliCall call = { .host = host };
+  int words = 0;
+
+  if (argc >= 2
+      && (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "help") == 0))
+    {
+      print_program_help (host->out);
+      return MUX_EXIT_OK;
+    }
+  call.verb = find_verb (argc, argv, &words);
+  if (call.verb == NULL)
+    return refuse_verb (host, argc, argv);
+  return run_verb (&call, argc - words, argv + words);
+}
--- /dev/null
+++ b/src/cli/verb.h
@@ -0,0 +1,102 @@
+#ifndef CLI_VERB_H
+#define CLI_VERB_H
+
+#include "args.h"
+#include "client.h"
+
+#include <jansson.h>
+
+typedef struct MuxCliCall MuxCliCall;
+
+/**
+ * struct MuxVerb - one verb of the command line
+ * @group: first word
+ * @name: second word, or NULL
+ * @sort: sort of configured object that it deals with, or NULL
+ * @help: one line
+ * @args: its arguments besides the global ones
+ * @run: does it and returns an enum MuxExit
+ */
+typedef struct
+{
+  const char *group;
+  const char *name;
+  const char *sort;
+  const char *help;
+  MuxArgList args;
+  int (*run) (MuxCliCall *call);
+} MuxVerb;
+
+/**
+ * struct MuxCliCall - one run of a verb
+ * @host: the process around it
+ * @verb: what is run
+ * @args: its checked arguments
+ * @servers: daemons to talk to
+ * @timeout_ms: longest wait for an answer
+ * @json: print JSON
+ */
+struct MuxCliCall
+{
+  MuxCliHost *host;
+  const MuxVerb *verb;
+  MuxArgs args;
+  MuxServers servers;
+  uint32_t timeout_ms;
+  bool json;
+};
+
+/* Closed by an entry without a group. */
+extern const MuxVerb mux_verbs[];
+
+int mux_verb_status (MuxCliCall *call);
+int mux_verb_workers (MuxCliCall *call);
+int mux_verb_risk (MuxCliCall *call);
+int mux_verb_counters (MuxCliCall *call);
+int mux_verb_history (MuxCliCall *call);
+int mux_verb_config_get (MuxCliCall *call);
+int mux_verb_config_list (MuxCliCall *call);
+int mux_verb_config_rm (MuxCliCall *call);
+int mux_verb_config_revert (MuxCliCall *call);
+int mux_verb_class_set (MuxCliCall *call);
+int mux_verb_product_set (MuxCliCall *call);
+int mux_verb_cell_set (MuxCliCall *call);
+int mux_verb_drain (MuxCliCall *call);
+int mux_verb_job_submit (MuxCliCall *call);
+int mux_verb_job_show (MuxCliCall *call);
+int mux_verb_job_wait (MuxCliCall *call);
+int mux_verb_job_cancel (MuxCliCall *call);
+int mux_verb_job_list (MuxCliCall *call);
+int mux_verb_request (MuxCliCall *call);
+
+/** mux_call_read() - GET @path with up to one parameter (@name may be NULL)
+ * @json: receives the answer, owned by the caller; NULL unless it is OK
+ * Return: an enum MuxExit; what went wrong is printed. */
+int mux_call_read (MuxCliCall *call,
+                   const char *path,
+                   MuxHttpPair query,
+                   uint32_t timeout_ms,
+                   json_t **json);
+
+/** mux_call_report() - print what an answer that is not OK says
+ * Return: @code */
+int mux_call_report (MuxCliCall *call, int code, const MuxHttpAnswer *answer);
+
+/** mux_call_json() - the body of an OK answer; prints when it is no JSON */
+json_t *mux_call_json (MuxCliCall *call, const MuxHttpAnswer *answer);
+
+/** mux_call_change() - send a change with its id and who makes it, print the
+ * revision that it made and, if asked, wait until it is in force
+ * @change: method, path, query and body; the rest is filled here */
+int mux_call_change (MuxCliCall *call, MuxHttpCall *change);
+
+/** mux_findings_print() - each finding on a line of its own */
+void mux_findings_print (FILE *err, const MuxFindings *findings);
+
+/** mux_wait_in_force() - poll until every reachable daemon has @revision
+ * @waiting: receives the names of those that lack it, an array to be freed
+ * Return: whether all have it. */
+bool
+mux_wait_in_force (MuxCliCall *call, json_int_t revision, json_t **waiting);
+
+#endif
--- /dev/null
+++ b/src/cli/work.c
@@ -0,0 +1,225 @@
+#include "body.h"
+#include "render.h"
+#include "verb.h"
+
+#include <inttypes.h>
+#include <orcania.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_HEADER "Idempotency-Key"
+#define GIVE_UP_HEADER "Cuminmux-Give-Up-Ms"
+
+static bool
+work_key (MuxCliCall *call, char out[MUX_KEY_LEN])
+{
+  const char *given = call->args.text[MUX_ARG_KEY];
+  MuxId id;
+
+  if (given != NULL)
+    {
+      snprintf (out, MUX_KEY_LEN, "%s", given);
+      return true;
+    }
+  if (call->host->new_id (call->host, &id))
+    {
+      mux_id_format (id, out);
+      return true;
+    }
+  fputs ("cuminmux: the system gives no random bytes\n", call->host->err);
+  return false;
+}
+
+static json_t *
+json_of_result (const MuxHttpAnswer *answer)
+{
+  json_t *json
+      = json_pack ("{s:s, s:s}", "outcome", "done", "task", answer->task);
+  json_t *text = json_stringn (answer->body, answer->body_len);
+  struct _o_datum coded = { 0, NULL };
+
+  if (text != NULL)
+    json_object_set_new (json, "body", text);
+  else if (o_base64_encode_alloc ((const unsigned char *) answer->body,
+                                  answer->body_len, &coded))
+    {
+      json_object_set_new (
+          json, "body_base64",
+          json_stringn ((const char *) coded.data, coded.size));
+      o_free (coded.data);
+    }
+  return json;
+}
+
+static void
+print_result (MuxCliCall *call, const MuxHttpAnswer *answer)
+{
+  json_t *json;
+
+  if (!call->json)
+    {
+      fwrite (answer->body, 1, answer->body_len, call->host->out);
+      return;
+    }
+  json = json_of_result (answer);
+  mux_render_json (call->host->out, json);
+  json_decref (json);
+}
+
+static void
+print_recorded (MuxCliCall *call, const MuxHttpAnswer *answer)
+{
+  json_t *json = mux_call_json (call, answer);
+  const char *id = json_string_value (json_object_get (json, "id"));
+
+  if (call->json && json != NULL)
+    mux_render_json (call->host->out, json);
+  else if (id != NULL)
+    fprintf (call->host->out, "%s\n", id);
+  json_decref (json);
+}
+
+/* Reads the body, sends it under an idempotency key and prints the answer.
+ * The key makes a repeat find out what became of the first sending. */
+static int
+submit (MuxCliCall *call,
+        MuxHttpCall *http,
+        void (*print) (MuxCliCall *, const MuxHttpAnswer *))
+{
+  char key[MUX_KEY_LEN];
+  MuxHttpAnswer answer;
+  MuxBody body;
+  int code;
+
+  if (!work_key (call, key))
+    return MUX_EXIT_LATER;
+  if (!mux_body_read (call, &body))
+    return MUX_EXIT_USAGE;
+  http->method = "POST";
+  http->header[0] = (MuxHttpPair){ KEY_HEADER, key };
+  http->body = body.bytes;
+  http->body_len = body.len;
+  http->write = true;
+  http->repeatable = true;
+  code = mux_http_exchange (call->host, &call->servers, http, &answer);
+  if (code == MUX_EXIT_OK)
+    print (call, &answer);
+  else
+    mux_call_report (call, code, &answer);
+  if (code == MUX_EXIT_UNKNOWN)
+    fprintf (call->host->err,
+             "cuminmux: the same command with --key %s settles it\n", key);
+  mux_http_answer_free (&answer);
+  free (body.bytes);
+  return code;
+}
+
+int
+mux_verb_request (MuxCliCall *call)
+{
+  int64_t give_up_ms = call->args.number[MUX_ARG_GIVE_UP_MS];
+  char give_up[24];
+  MuxHttpCall http
+      = { .header = { { NULL, NULL }, { GIVE_UP_HEADER, give_up } },
+          .timeout_ms = call->timeout_ms + (uint32_t) give_up_ms };
+
+  snprintf (give_up, sizeof give_up, "%" PRId64, give_up_ms);
+  snprintf (http.path, sizeof http.path, "/v1/request/%s",
+            call->args.text[MUX_ARG_NAME]);
+  return submit (call, &http, print_result);
+}
+
+int
+mux_verb_job_submit (MuxCliCall *call)
+{
+  char tasks[24];
+  MuxHttpCall http = { .path = "/v1/jobs",
+                       .query = { { "class", call->args.text[MUX_ARG_NAME] },
+                                  { "tasks", tasks } },
+                       .timeout_ms = call->timeout_ms };
+
+  snprintf (tasks, sizeof tasks, "%" PRId64, call->args.number[MUX_ARG_TASKS]);
+  return submit (call, &http, print_recorded);
+}
+
+static void
+print_job (MuxCliCall *call, const json_t *job)
+{
+  static const MuxColumn columns[] = { { "TASK", "index" },
+                                       { "STATE", "state" },
+                                       { "WORKER", "worker" },
+                                       { "ATTEMPT", "attempt" },
+                                       { NULL, NULL } };
+
+  if (call->json)
+    {
+      mux_render_json (call->host->out, job);
+      return;
+    }
+  mux_render_fields (call->host->out, job);
+  fputc ('\n', call->host->out);
+  mux_render_table (call->host->out, json_object_get (job, "tasks"), columns);
+}
+
+static void
+job_path (const MuxCliCall *call, char *out, size_t cap)
+{
+  snprintf (out, cap, "/v1/jobs/%s", call->args.text[MUX_ARG_JOB]);
+}
+
+static int
+read_job (MuxCliCall *call, MuxHttpPair query, uint32_t timeout_ms)
+{
+  char path[64];
+  json_t *job;
+  int code;
+
+  job_path (call, path, sizeof path);
+  code = mux_call_read (call, path, query, timeout_ms, &job);
+  if (code == MUX_EXIT_OK)
+    print_job (call, job);
+  json_decref (job);
+  return code;
+}
+
+int
+mux_verb_job_show (MuxCliCall *call)
+{
+  return read_job (call, (MuxHttpPair){ NULL, NULL }, call->timeout_ms);
+}
+
+int
+mux_verb_job_wait (MuxCliCall *call)
+{
+  int64_t wait_ms = call->args.number[MUX_ARG_WAIT_MS];
+  char text[24];
+
+  snprintf (text, sizeof text, "%" PRId64, wait_ms);
+  return read_job (call, (MuxHttpPair){ "wait_ms", text },
+                   call->timeout_ms + (uint32_t) wait_ms);
+}
+
+int
+mux_verb_job_cancel (MuxCliCall *call)
+{
+  /* Cancelling a cancelled job changes nothing, so a repeat is harmless. */
+  MuxHttpCall http = { .method = "DELETE",
+                       .timeout_ms = call->timeout_ms,
+                       .write = true,
+                       .repeatable = true };
+  MuxHttpAnswer answer;
+  json_t *job;
+  int code;
+
+  job_path (call, http.path, sizeof http.path);
+  code = mux_http_exchange (call->host, &call->servers, &http, &answer);
+  if (code != MUX_EXIT_OK)
+    mux_call_report (call, code, &answer);
+  else if ((job = mux_call_json (call, &answer)) != NULL)
+    {
+      print_job (call, job);
+      json_decref (job);
+    }
+  mux_http_answer_free (&answer);
+  return code;
+}
