--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -127,20 +127,25 @@
   return code;
 }
 
+static bool
+asks_help (const char *word)
+{
+  return strcmp (word, "--help") == 0 || strcmp (word, "help") == 0;
+}
+
 int
 mux_cli_run (MuxCliHost *host, int argc, char **argv)
 {
   MuxCliCall call = { .host = host };
   int words = 0;
 
-  if (argc >= 2
-      && (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "help") == 0))
+  call.verb = find_verb (argc, argv, &words);
+  if (call.verb != NULL)
+    return run_verb (&call, argc - words, argv + words);
+  if ((argc >= 2 && asks_help (argv[1])) || (argc >= 3 && asks_help (argv[2])))
     {
       print_program_help (host->out);
       return MUX_EXIT_OK;
     }
-  call.verb = find_verb (argc, argv, &words);
-  if (call.verb == NULL)
-    return refuse_verb (host, argc, argv);
-  return run_verb (&call, argc - words, argv + words);
+  return refuse_verb (host, argc, argv);
 }
