--- a/src/cli/args.c
+++ b/src/cli/args.c
@@ -280,7 +280,7 @@
   errno = 0;
   *value = strtoll (text, &end, 10);
   return errno == 0 && end != text && *end == 0
-         && !isspace ((unsigned char) *text);
+         && (isdigit ((unsigned char) *text) || *text == '-');
 }
 
 static void
--- a/src/cli/call.c
+++ b/src/cli/call.c
@@ -68,12 +68,13 @@
                const MuxHttpAnswer *answer,
                const json_t *body)
 {
-  char *text = mux_render_text (json_object_get (body, "text"));
+  const json_t *told = json_object_get (body, "text");
+  char *text = mux_render_text (told);
 
   fprintf (err, "cuminmux: %s", text_of_code (code));
   if (answer->reason[0] != 0)
     fprintf (err, ": %s", answer->reason);
-  if (body != NULL && text != NULL)
+  if (told != NULL && text != NULL)
     fprintf (err, ": %s", text);
   fputc ('\n', err);
   free (text);
@@ -84,7 +85,11 @@
 }
 
 static void
-report_machine (FILE *out, int code, const MuxHttpAnswer *answer, json_t *body)
+report_machine (FILE *out,
+                int code,
+                const MuxHttpAnswer *answer,
+                json_t *body,
+                MuxHttpPair settle)
 {
   json_t *report = json_is_object (body) ? json_copy (body) : json_object ();
 
@@ -96,21 +101,32 @@
   if (answer->retry_ms[0] != 0)
     json_object_set_new (report, "retry_ms",
                          json_integer (atoll (answer->retry_ms)));
+  if (settle.name != NULL)
+    json_object_set_new (report, settle.name, json_string (settle.value));
   mux_render_json (out, report);
   json_decref (report);
 }
 
 int
-mux_call_report (MuxCliCall *call, int code, const MuxHttpAnswer *answer)
+mux_call_report (MuxCliCall *call,
+                 int code,
+                 const MuxHttpAnswer *answer,
+                 MuxHttpPair settle)
 {
   json_t *body = NULL;
 
+  if (code != MUX_EXIT_UNKNOWN)
+    settle.name = NULL;
   if (answer->body != NULL)
     body = json_loadb (answer->body, answer->body_len, 0, NULL);
   if (call->json)
-    report_machine (call->host->out, code, answer, body);
+    report_machine (call->host->out, code, answer, body, settle);
   else
     report_people (call->host->err, code, answer, body);
+  if (!call->json && settle.name != NULL)
+    fprintf (call->host->err,
+             "cuminmux: the same command with --%s %s settles it\n",
+             settle.name, settle.value);
   json_decref (body);
   return code;
 }
@@ -133,7 +149,7 @@
   snprintf (http.path, sizeof http.path, "%s", path);
   code = mux_http_exchange (call->host, &call->servers, &http, &answer);
   if (code != MUX_EXIT_OK)
-    mux_call_report (call, code, &answer);
+    mux_call_report (call, code, &answer, (MuxHttpPair){ NULL, NULL });
   else if ((*json = mux_call_json (call, &answer)) == NULL)
     code = MUX_EXIT_UNREACHED;
   mux_http_answer_free (&answer);
--- a/src/cli/change.c
+++ b/src/cli/change.c
@@ -6,6 +6,7 @@
 
 #define CHANGE_HEADER "Cuminmux-Change"
 #define WHO_HEADER "Cuminmux-Who"
+#define SETTLE_FLAG "change"
 
 static bool
 change_id (MuxCliCall *call, char out[MUX_ID_HEX_LEN])
@@ -66,7 +67,8 @@
   if (result == NULL || revision <= 0)
     {
       json_decref (result);
-      return MUX_EXIT_UNKNOWN;
+      return mux_call_report (call, MUX_EXIT_UNKNOWN, answer,
+                              (MuxHttpPair){ SETTLE_FLAG, id });
     }
   json_object_set_new (result, "change", json_string (id));
   if (!call->json)
@@ -104,10 +106,7 @@
   if (code == MUX_EXIT_OK)
     code = print_committed (call, &answer, id);
   else
-    mux_call_report (call, code, &answer);
-  if (code == MUX_EXIT_UNKNOWN)
-    fprintf (call->host->err,
-             "cuminmux: the same command with --change %s settles it\n", id);
+    mux_call_report (call, code, &answer, (MuxHttpPair){ SETTLE_FLAG, id });
   mux_http_answer_free (&answer);
   return code;
 }
--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netdb.h>
+#include <orcania.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #include <unistd.h>
 
 #define SCHEME "http://"
+#define CONNECT_MS_MAX 2000
 
 /* Splits "ip:port" or "[ip6]:port" and lets the system check the numbers. */
 static struct addrinfo *
@@ -82,6 +84,8 @@
 
   if (connect (fd, to->ai_addr, to->ai_addrlen) == 0)
     return true;
+  if (timeout_ms > CONNECT_MS_MAX)
+    timeout_ms = CONNECT_MS_MAX;
   if (errno != EINPROGRESS || poll (&wait, 1, (int) timeout_ms) != 1)
     return false;
   return getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 && error == 0;
@@ -123,6 +127,12 @@
                                      seconds, U_OPT_NONE)
       != U_OK)
     return false;
+  /* Without the empty proxy the HTTP client would follow http_proxy from the
+   * environment, and a write could go through a party that repeats it.  The
+   * property for it takes no empty text. */
+  request->proxy = o_strdup ("");
+  if (request->proxy == NULL)
+    return false;
   for (const MuxHttpPair *p = call->query; p->name != NULL; p++)
     if (u_map_put (request->map_url, p->name, p->value) != U_OK)
       return false;
--- a/src/cli/verb.h
+++ b/src/cli/verb.h
@@ -78,9 +78,16 @@
                    uint32_t timeout_ms,
                    json_t **json);
 
-/** mux_call_report() - print what an answer that is not OK says
- * Return: @code */
-int mux_call_report (MuxCliCall *call, int code, const MuxHttpAnswer *answer);
+/**
+ * mux_call_report() - print what an answer that is not OK says
+ * @settle: the flag and value with which the same command settles an unknown
+ *   outcome; a NULL name: there is none
+ * Return: @code
+ */
+int mux_call_report (MuxCliCall *call,
+                     int code,
+                     const MuxHttpAnswer *answer,
+                     MuxHttpPair settle);
 
 /** mux_call_json() - the body of an OK answer; prints when it is no JSON */
 json_t *mux_call_json (MuxCliCall *call, const MuxHttpAnswer *answer);
--- a/src/cli/view.c
+++ b/src/cli/view.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <time.h>
 
-static const MuxHttpPair no_query = { NULL, NULL };
+static const MuxHttpPair no_pair = { NULL, NULL };
 
 /* Reads @path and prints the array @field of the answer as a table. */
 static int
@@ -16,7 +16,7 @@
             const MuxColumn *columns)
 {
   json_t *json;
-  int code = mux_call_read (call, path, no_query, call->timeout_ms, &json);
+  int code = mux_call_read (call, path, no_pair, call->timeout_ms, &json);
 
   if (code == MUX_EXIT_OK && call->json)
     mux_render_json (call->host->out, json);
@@ -64,7 +64,7 @@
 {
   json_t *json;
   int code
-      = mux_call_read (call, "/v1/status", no_query, call->timeout_ms, &json);
+      = mux_call_read (call, "/v1/status", no_pair, call->timeout_ms, &json);
 
   if (code == MUX_EXIT_OK && call->json)
     mux_render_json (call->host->out, json);
@@ -226,7 +226,7 @@
   int code = mux_http_exchange (call->host, &call->servers, &http, &answer);
 
   if (code != MUX_EXIT_OK)
-    mux_call_report (call, code, &answer);
+    mux_call_report (call, code, &answer, no_pair);
   else
     {
       json_t *json = counters_of_text (answer.body);
--- a/src/cli/work.c
+++ b/src/cli/work.c
@@ -9,6 +9,7 @@
 
 #define KEY_HEADER "Idempotency-Key"
 #define GIVE_UP_HEADER "Cuminmux-Give-Up-Ms"
+#define SETTLE_FLAG "key"
 
 static bool
 work_key (MuxCliCall *call, char out[MUX_KEY_LEN])
@@ -105,10 +106,7 @@
   if (code == MUX_EXIT_OK)
     print (call, &answer);
   else
-    mux_call_report (call, code, &answer);
-  if (code == MUX_EXIT_UNKNOWN)
-    fprintf (call->host->err,
-             "cuminmux: the same command with --key %s settles it\n", key);
+    mux_call_report (call, code, &answer, (MuxHttpPair){ SETTLE_FLAG, key });
   mux_http_answer_free (&answer);
   free (body.bytes);
   return code;
@@ -214,7 +212,7 @@
   job_path (call, http.path, sizeof http.path);
   code = mux_http_exchange (call->host, &call->servers, &http, &answer);
   if (code != MUX_EXIT_OK)
-    mux_call_report (call, code, &answer);
+    mux_call_report (call, code, &answer, (MuxHttpPair){ NULL, NULL });
   else if ((job = mux_call_json (call, &answer)) != NULL)
     {
       print_job (call, job);
