Schedule one owner's workers: books, index, deadlines and gangs

First whole form of the policy package: classes, products, workers and their books, waiting tasks in a heap per class by start deadline, gangs all or nothing, drops on give-up, adoption. Placement takes the fullest worker that fits from bitmaps (one per level of free room, one per distinct size), so a decision reads words of 64 workers rather than workers.

Learning, reserve, breakers, forecasts are not in yet.

--- /dev/null
+++ b/src/policy/admit.c
@@ -0,0 +1,111 @@
+#include "internal.h"
+
+static MuxReason
+refusal (MuxSched *sched, const MuxTaskAsk *ask, int64_t now_ms)
+{
+  MuxClass *class = mux_class_find (sched, ask->class_name);
+  bool gang = !mux_id_is_none (ask->group);
+  uint32_t count = gang && ask->group_count > 0 ? ask->group_count : 1;
+
+  if (class == NULL || !class->configured)
+    return MUX_REASON_UNKNOWN_CLASS;
+  if (mux_idmap_get (&sched->task_ids, ask->task) != MUX_NONE)
+    return MUX_REASON_KEY_IN_USE;
+  if (sched->present == 0)
+    return MUX_REASON_NO_WORKERS;
+  if (mux_class_fit_count (sched, class) < count)
+    return MUX_REASON_NEVER_FITS;
+  if (sched->usable == 0)
+    return MUX_REASON_NO_WORKERS;
+  if (ask->give_up_ms <= now_ms)
+    return MUX_REASON_DEADLINE;
+  if (sched->waiting >= sched->options.queue_max)
+    return MUX_REASON_QUEUE_FULL;
+  return MUX_REASON_NONE;
+}
+
+static bool
+join_gang (MuxSched *sched, uint32_t t, const MuxTaskAsk *ask)
+{
+  MuxTask *task = &sched->task[t];
+  uint32_t wanted = ask->group_count > 0 ? ask->group_count : 1;
+  uint32_t g = mux_idmap_get (&sched->gang_ids, ask->group);
+
+  if (g == MUX_NONE)
+    g = mux_gang_new (sched, ask->group, wanted, task->class_id);
+  if (g == MUX_NONE)
+    return false;
+
+  MuxGang *gang = &sched->gang[g];
+
+  if (gang->class_id != task->class_id || gang->wanted != wanted
+      || gang->members.count >= gang->wanted)
+    return false;
+  task->gang = g;
+  task->state = MUX_TASK_GATHERING;
+  mux_list_add (sched, &gang->members, MUX_LINK_MEMBER, t);
+  return true;
+}
+
+/* The last member to ask makes the gang complete; its first stands for it. */
+static bool
+complete_gang (MuxSched *sched, uint32_t g)
+{
+  MuxGang *gang = &sched->gang[g];
+
+  if (gang->members.count < gang->wanted)
+    return true;
+  for (uint32_t m = gang->members.head; m != MUX_NONE;
+       m = sched->task[m].link[MUX_LINK_MEMBER].next)
+    sched->task[m].state = MUX_TASK_WAITING;
+  gang->queued = true;
+  gang->tried = 0;
+  return mux_queue_add (sched, gang->members.head);
+}
+
+static bool
+enter (MuxSched *sched, const MuxTaskAsk *ask, int64_t now_ms)
+{
+  uint32_t t = mux_task_new (sched, ask->task);
+
+  if (t == MUX_NONE)
+    return false;
+
+  MuxTask *task = &sched->task[t];
+  MuxClass *class = mux_class_find (sched, ask->class_name);
+
+  task->class_id = class->id;
+  task->state = MUX_TASK_WAITING;
+  task->start_by_ms = ask->start_by_ms;
+  task->give_up_ms = ask->give_up_ms;
+  task->asked_ms = now_ms;
+  task->avoid = ask->avoid;
+  if (!mux_id_is_none (ask->group) && !join_gang (sched, t, ask))
+    {
+      mux_task_free (sched, t);
+      return false;
+    }
+  mux_list_add (sched, &sched->age, MUX_LINK_AGE, t);
+  class->waiting++;
+  sched->waiting++;
+
+  MuxHeapNode node = { task->give_up_ms, task->seq, t };
+  bool queued = task->gang == MUX_NONE ? mux_queue_add (sched, t)
+                                       : complete_gang (sched, task->gang);
+
+  if (queued && mux_heap_push (&sched->expire, sched->expire_pos, node))
+    return true;
+  mux_queue_leave (sched, t);
+  mux_task_free (sched, t);
+  return false;
+}
+
+MuxVerdict
+mux_sched_submit (MuxSched *sched, const MuxTaskAsk *ask, int64_t now_ms)
+{
+  MuxReason reason = refusal (sched, ask, now_ms);
+
+  if (reason == MUX_REASON_NONE && !enter (sched, ask, now_ms))
+    reason = MUX_REASON_INTERNAL;
+  return (MuxVerdict){ .reason = reason };
+}
--- /dev/null
+++ b/src/policy/books.c
@@ -0,0 +1,215 @@
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A usable worker counts in the totals; leave and enter bracket a change. */
+static void
+leave_totals (MuxSched *sched, const MuxWorker *worker)
+{
+  if (!worker->usable)
+    return;
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      sched->total[d] -= mux_size_dim (worker->capacity, d);
+      sched->free[d] -= mux_size_dim (worker->free, d);
+    }
+}
+
+static uint32_t
+left (uint32_t capacity, uint64_t booked)
+{
+  return booked < capacity ? (uint32_t) (capacity - booked) : 0;
+}
+
+static void
+enter_totals (MuxSched *sched, MuxWorker *worker)
+{
+  const MuxSize *cap = &worker->capacity;
+
+  worker->free = (MuxSize){
+    .cpu_milli = left (cap->cpu_milli, worker->booked[MUX_DIM_CPU]),
+    .mem_mib = left (cap->mem_mib, worker->booked[MUX_DIM_MEM]),
+    .accels = left (cap->accels, worker->booked[MUX_DIM_ACCELS]),
+    .slots = left (cap->slots, worker->booked[MUX_DIM_SLOTS]),
+  };
+  if (!worker->usable)
+    return;
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      sched->total[d] += mux_size_dim (worker->capacity, d);
+      sched->free[d] += mux_size_dim (worker->free, d);
+    }
+}
+
+static void
+change_booked (MuxSched *sched, const MuxTask *task, int sign)
+{
+  MuxWorker *worker = &sched->worker[task->worker];
+  MuxClass *class = sched->class_at[task->class_id];
+
+  leave_totals (sched, worker);
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      uint64_t n = mux_size_dim (task->size, d);
+
+      worker->booked[d]
+          = sign > 0 ? worker->booked[d] + n : worker->booked[d] - n;
+      if (class->product != NULL)
+        class->product->booked[d] = sign > 0 ? class->product->booked[d] + n
+                                             : class->product->booked[d] - n;
+    }
+  enter_totals (sched, worker);
+  mux_index_update (sched, task->worker);
+}
+
+void
+mux_book (MuxSched *sched, uint32_t t, uint32_t w, MuxSize size)
+{
+  MuxTask *task = &sched->task[t];
+
+  task->state = MUX_TASK_BOOKED;
+  task->worker = w;
+  task->size = size;
+  mux_list_add (sched, &sched->worker[w].tasks, MUX_LINK_WORKER, t);
+  sched->class_at[task->class_id]->booked++;
+  sched->booked++;
+  change_booked (sched, task, 1);
+}
+
+void
+mux_unbook (MuxSched *sched, uint32_t t)
+{
+  MuxTask *task = &sched->task[t];
+
+  change_booked (sched, task, -1);
+  mux_list_drop (sched, &sched->worker[task->worker].tasks, MUX_LINK_WORKER, t);
+  sched->class_at[task->class_id]->booked--;
+  sched->booked--;
+  sched->room_gen++;
+  task->worker = MUX_NONE;
+  if (task->emitting)
+    mux_list_drop (sched, &sched->emission, MUX_LINK_MEMBER, t);
+  task->emitting = false;
+}
+
+static uint32_t
+worker_slot (MuxSched *sched)
+{
+  for (uint32_t w = 0; sched->present < sched->workers && w < sched->workers;
+       w++)
+    if (!sched->worker[w].present)
+      return w;
+  if (sched->workers == sched->worker_room)
+    {
+      uint32_t room = sched->worker_room < 64 ? 64 : sched->worker_room * 2;
+      MuxWorker *worker = realloc (sched->worker, room * sizeof *worker);
+
+      if (worker == NULL)
+        return MUX_NO_WORKER;
+      sched->worker = worker;
+      sched->worker_room = room;
+      if (!mux_index_grow (sched, room))
+        return MUX_NO_WORKER;
+    }
+  return sched->workers++;
+}
+
+uint32_t
+mux_sched_worker_add (MuxSched *sched,
+                      const char *name,
+                      const char *rack,
+                      MuxSize capacity)
+{
+  uint32_t w = worker_slot (sched);
+
+  if (w == MUX_NO_WORKER)
+    return w;
+
+  MuxWorker *worker = &sched->worker[w];
+
+  *worker = (MuxWorker){
+    .capacity = capacity, .present = true, .usable = true, .level = MUX_NONE
+  };
+  mux_name_copy (worker->name, name);
+  mux_name_copy (worker->rack, rack);
+  mux_list_init (&worker->tasks);
+  sched->present++;
+  sched->usable++;
+  sched->worker_gen++;
+  sched->room_gen++;
+  enter_totals (sched, worker);
+  mux_index_update (sched, w);
+  return w;
+}
+
+static MuxWorker *
+worker_at (const MuxSched *sched, uint32_t w)
+{
+  if (w >= sched->workers || !sched->worker[w].present)
+    return NULL;
+  return &sched->worker[w];
+}
+
+void
+mux_sched_worker_resize (MuxSched *sched, uint32_t w, MuxSize capacity)
+{
+  MuxWorker *worker = worker_at (sched, w);
+
+  if (worker == NULL)
+    return;
+  leave_totals (sched, worker);
+  worker->capacity = capacity;
+  enter_totals (sched, worker);
+  sched->worker_gen++;
+  sched->room_gen++;
+  mux_index_update (sched, w);
+}
+
+void
+mux_sched_worker_usable (MuxSched *sched, uint32_t w, bool usable)
+{
+  MuxWorker *worker = worker_at (sched, w);
+
+  if (worker == NULL || worker->usable == usable)
+    return;
+  leave_totals (sched, worker);
+  worker->usable = usable;
+  enter_totals (sched, worker);
+  sched->usable = usable ? sched->usable + 1 : sched->usable - 1;
+  sched->room_gen++;
+  mux_index_update (sched, w);
+}
+
+void
+mux_sched_worker_remove (MuxSched *sched, uint32_t w)
+{
+  MuxWorker *worker = worker_at (sched, w);
+
+  if (worker == NULL)
+    return;
+  while (worker->tasks.head != MUX_NONE)
+    {
+      uint32_t t = worker->tasks.head;
+
+      mux_unbook (sched, t);
+      mux_task_free (sched, t);
+    }
+  mux_sched_worker_usable (sched, w, false);
+  worker->present = false;
+  sched->present--;
+  sched->worker_gen++;
+  /* The index is reused: "avoid" of who still waits meant the old worker. */
+  for (uint32_t t = sched->age.head; t != MUX_NONE;
+       t = sched->task[t].link[MUX_LINK_AGE].next)
+    if (sched->task[t].avoid == w)
+      sched->task[t].avoid = MUX_NONE;
+}
+
+MuxSize
+mux_sched_worker_free (const MuxSched *sched, uint32_t w)
+{
+  const MuxWorker *worker = worker_at (sched, w);
+
+  return worker != NULL ? worker->free : (MuxSize){ 0 };
+}
--- /dev/null
+++ b/src/policy/classes.c
@@ -0,0 +1,213 @@
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+MuxClass *
+mux_class_find (MuxSched *sched, const char *name)
+{
+  MuxClass *class = NULL;
+
+  HASH_FIND_STR (sched->class_names, name, class);
+  return class;
+}
+
+static MuxProduct *
+product_get (MuxSched *sched, const char *name)
+{
+  MuxProduct *product = NULL;
+
+  HASH_FIND_STR (sched->product_names, name, product);
+  if (product != NULL)
+    return product;
+  product = calloc (1, sizeof *product);
+  if (product == NULL)
+    return NULL;
+  mux_name_copy (product->spec.name, name);
+  HASH_ADD_STR (sched->product_names, spec.name, product);
+  return product;
+}
+
+static bool
+grow_classes (MuxSched *sched)
+{
+  uint32_t room = sched->class_room < 16 ? 16 : sched->class_room * 2;
+  MuxClass **at = realloc (sched->class_at, room * sizeof *at);
+
+  if (at == NULL)
+    return false;
+  sched->class_at = at;
+  sched->class_room = room;
+  return true;
+}
+
+MuxClass *
+mux_class_ghost (MuxSched *sched, const char *name)
+{
+  MuxClass *class = mux_class_find (sched, name);
+
+  if (class != NULL)
+    return class;
+  if (sched->classes == sched->class_room && !grow_classes (sched))
+    return NULL;
+  class = calloc (1, sizeof *class);
+  if (class == NULL)
+    return NULL;
+  mux_name_copy (class->spec.name, name);
+  class->id = sched->classes;
+  class->shape = MUX_NONE;
+  sched->class_at[sched->classes++] = class;
+  HASH_ADD_STR (sched->class_names, spec.name, class);
+  return class;
+}
+
+static bool
+set_size (MuxSched *sched, MuxClass *class, MuxSize size)
+{
+  uint32_t shape = mux_index_shape_ref (sched, size);
+
+  if (shape == MUX_NONE)
+    return false;
+  if (class->shape != MUX_NONE)
+    mux_index_shape_unref (sched, class->shape);
+  class->shape = shape;
+  class->size = size;
+  class->fit_gen = 0;
+  return true;
+}
+
+/* What its tasks hold moves with the class from product to product. */
+static void
+move_booked (MuxSched *sched, MuxClass *class, MuxProduct *to)
+{
+  for (uint32_t t = 0; t < sched->tasks; t++)
+    {
+      const MuxTask *task = &sched->task[t];
+
+      if (task->state != MUX_TASK_BOOKED || task->class_id != class->id)
+        continue;
+      for (uint32_t d = 0; d < MUX_DIMS; d++)
+        {
+          if (class->product != NULL)
+            class->product->booked[d] -= mux_size_dim (task->size, d);
+          to->booked[d] += mux_size_dim (task->size, d);
+        }
+    }
+  class->product = to;
+}
+
+bool
+mux_sched_class_set (MuxSched *sched, const MuxClassSpec *spec)
+{
+  MuxProduct *product = product_get (sched, spec->product);
+  MuxClass *class = mux_class_ghost (sched, spec->name);
+  MuxSize size = spec->size;
+
+  if (product == NULL || class == NULL)
+    return false;
+  size.slots = size.slots == 0 ? 1 : size.slots;
+  if (!set_size (sched, class, size))
+    return false;
+  if (class->product != product)
+    move_booked (sched, class, product);
+  class->spec = *spec;
+  class->configured = true;
+  sched->room_gen++;
+  return true;
+}
+
+void
+mux_sched_class_remove (MuxSched *sched, const char *name)
+{
+  MuxClass *class = mux_class_find (sched, name);
+
+  if (class == NULL || !class->configured)
+    return;
+  class->configured = false;
+  for (uint32_t t = 0; t<sched->tasks &&class->waiting> 0; t++)
+    if (sched->task[t].class_id == class->id
+        && (sched->task[t].state == MUX_TASK_WAITING
+            || sched->task[t].state == MUX_TASK_GATHERING))
+      mux_queue_drop (sched, t, MUX_REASON_UNKNOWN_CLASS);
+  mux_index_shape_unref (sched, class->shape);
+  class->shape = MUX_NONE;
+}
+
+bool
+mux_sched_product_set (MuxSched *sched, const MuxProductSpec *spec)
+{
+  MuxProduct *product = product_get (sched, spec->name);
+
+  if (product == NULL)
+    return false;
+  product->spec = *spec;
+  product->configured = true;
+  sched->room_gen++;
+  return true;
+}
+
+void
+mux_sched_product_remove (MuxSched *sched, const char *name)
+{
+  MuxProduct *product = NULL;
+
+  HASH_FIND_STR (sched->product_names, name, product);
+  if (product == NULL)
+    return;
+  product->configured = false;
+  product->spec.quota = (MuxSize){ 0 };
+  sched->room_gen++;
+}
+
+void
+mux_classes_clear (MuxSched *sched)
+{
+  MuxProduct *product, *next;
+
+  HASH_CLEAR (hh, sched->class_names);
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      mux_heap_clear (&sched->class_at[i]->queue);
+      free (sched->class_at[i]);
+    }
+  free (sched->class_at);
+  HASH_ITER (hh, sched->product_names, product, next)
+  {
+    HASH_DEL (sched->product_names, product);
+    free (product);
+  }
+}
+
+uint64_t
+mux_class_fit_count (MuxSched *sched, MuxClass *class)
+{
+  if (class->fit_gen == sched->worker_gen)
+    return class->fit_count;
+  class->fit_gen = sched->worker_gen;
+  class->fit_count = 0;
+  for (uint32_t w = 0; w < sched->workers; w++)
+    if (sched->worker[w].present)
+      class->fit_count
+          += mux_size_times (class->size, sched->worker[w].capacity);
+  return class->fit_count;
+}
+
+bool
+mux_product_allows (const MuxSched *sched, const MuxClass *class, uint32_t n)
+{
+  const MuxProduct *product = class->product;
+
+  /* A part smaller than one task still lets one run, or it never would. */
+  if (n == 1 && product->booked[MUX_DIM_SLOTS] == 0)
+    return true;
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      uint64_t quota = mux_size_dim (product->spec.quota, d);
+      uint64_t part = (quota * sched->share_ppm + 999999) / 1000000;
+      uint64_t more = (uint64_t) n * mux_size_dim (class->size, d);
+
+      if (quota > 0 && product->booked[d] + more > part)
+        return false;
+    }
+  return true;
+}
--- /dev/null
+++ b/src/policy/index.c
@@ -0,0 +1,262 @@
+#include "internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define WORD_BITS 64u
+
+static uint32_t
+words_for (uint32_t n)
+{
+  return (n + WORD_BITS - 1) / WORD_BITS;
+}
+
+static bool
+bits_grow (MuxBits *bits, uint32_t old_words, uint32_t words)
+{
+  uint32_t total = words + words_for (words);
+  uint64_t *word = calloc (total, sizeof *word);
+
+  if (word == NULL)
+    return false;
+  if (bits->word != NULL)
+    {
+      memcpy (word, bits->word, old_words * sizeof *word);
+      memcpy (word + words, bits->summary,
+              words_for (old_words) * sizeof *word);
+    }
+  free (bits->word);
+  bits->word = word;
+  bits->summary = word + words;
+  return true;
+}
+
+bool
+mux_bits_test (const MuxBits *bits, uint32_t i)
+{
+  return bits->word[i / WORD_BITS] >> (i % WORD_BITS) & 1;
+}
+
+static void
+bits_set (MuxBits *bits, uint32_t i, bool on)
+{
+  uint32_t k = i / WORD_BITS;
+  uint64_t bit = UINT64_C (1) << (i % WORD_BITS);
+
+  if ((bits->word[k] & bit ? true : false) == on)
+    return;
+  bits->word[k] ^= bit;
+  bits->count = on ? bits->count + 1 : bits->count - 1;
+  if (bits->word[k] != 0)
+    bits->summary[k / WORD_BITS] |= UINT64_C (1) << (k % WORD_BITS);
+  else
+    bits->summary[k / WORD_BITS] &= ~(UINT64_C (1) << (k % WORD_BITS));
+}
+
+bool
+mux_index_grow (MuxSched *sched, uint32_t workers)
+{
+  MuxIndex *index = &sched->index;
+  uint32_t words = words_for (workers);
+
+  if (words <= index->words)
+    return true;
+  for (uint32_t i = 0; i < MUX_LEVELS; i++)
+    if (!bits_grow (&index->level[i], index->words, words))
+      return false;
+  for (uint32_t i = 0; i < index->shapes; i++)
+    if (index->shape[i].refs > 0
+        && !bits_grow (&index->shape[i].fits, index->words, words))
+      return false;
+  index->words = words;
+  return true;
+}
+
+void
+mux_index_clear (MuxIndex *index)
+{
+  for (uint32_t i = 0; i < MUX_LEVELS; i++)
+    free (index->level[i].word);
+  for (uint32_t i = 0; i < index->shapes; i++)
+    free (index->shape[i].fits.word);
+  free (index->shape);
+}
+
+static bool
+open_for_work (const MuxWorker *worker)
+{
+  return worker->present && worker->usable;
+}
+
+/* Mean share of room left over the resources that the worker has, in levels:
+ * taking the lowest level that fits fills workers up, and only the last one
+ * starts an idle worker. */
+static uint32_t
+level_of (const MuxWorker *worker)
+{
+  uint64_t sum = 0;
+  uint32_t n = 0;
+
+  if (worker->tasks.count == 0)
+    return MUX_LEVELS - 1;
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      uint32_t cap = mux_size_dim (worker->capacity, d);
+
+      if (cap == 0)
+        continue;
+      sum += (uint64_t) mux_size_dim (worker->free, d) * 1024 / cap;
+      n++;
+    }
+  return n == 0 ? 0 : (uint32_t) (sum * (MUX_LEVELS - 2) / (n * 1024));
+}
+
+void
+mux_index_update (MuxSched *sched, uint32_t w)
+{
+  MuxWorker *worker = &sched->worker[w];
+  MuxIndex *index = &sched->index;
+  bool open = open_for_work (worker);
+  uint32_t level = open ? level_of (worker) : MUX_NONE;
+
+  if (level != worker->level)
+    {
+      if (worker->level != MUX_NONE)
+        bits_set (&index->level[worker->level], w, false);
+      if (level != MUX_NONE)
+        bits_set (&index->level[level], w, true);
+      worker->level = level;
+    }
+  for (uint32_t i = 0; i < index->shapes; i++)
+    if (index->shape[i].refs > 0)
+      bits_set (&index->shape[i].fits, w,
+                open && mux_fits (index->shape[i].size, worker->free));
+}
+
+static bool
+size_equal (MuxSize a, MuxSize b)
+{
+  return a.cpu_milli == b.cpu_milli && a.mem_mib == b.mem_mib
+         && a.accels == b.accels && a.slots == b.slots;
+}
+
+static uint32_t
+shape_slot (MuxIndex *index)
+{
+  for (uint32_t i = 0; i < index->shapes; i++)
+    if (index->shape[i].refs == 0)
+      return i;
+  if (index->shapes == index->shape_room)
+    {
+      uint32_t room = index->shape_room < 16 ? 16 : index->shape_room * 2;
+      MuxShape *shape = realloc (index->shape, room * sizeof *shape);
+
+      if (shape == NULL)
+        return MUX_NONE;
+      index->shape = shape;
+      index->shape_room = room;
+    }
+  index->shape[index->shapes] = (MuxShape){ 0 };
+  return index->shapes++;
+}
+
+uint32_t
+mux_index_shape_ref (MuxSched *sched, MuxSize size)
+{
+  MuxIndex *index = &sched->index;
+
+  for (uint32_t i = 0; i < index->shapes; i++)
+    if (index->shape[i].refs > 0 && size_equal (index->shape[i].size, size))
+      {
+        index->shape[i].refs++;
+        return i;
+      }
+
+  uint32_t s = shape_slot (index);
+
+  if (s == MUX_NONE)
+    return MUX_NONE;
+
+  MuxShape *shape = &index->shape[s];
+
+  free (shape->fits.word);
+  shape->fits = (MuxBits){ 0 };
+  if (!bits_grow (&shape->fits, 0, index->words))
+    return MUX_NONE;
+  shape->size = size;
+  shape->refs = 1;
+  for (uint32_t w = 0; w < sched->workers; w++)
+    bits_set (&shape->fits, w,
+              open_for_work (&sched->worker[w])
+                  && mux_fits (size, sched->worker[w].free));
+  return s;
+}
+
+void
+mux_index_shape_unref (MuxSched *sched, uint32_t shape)
+{
+  sched->index.shape[shape].refs--;
+}
+
+/* First worker in both sets, @avoid left out. */
+static uint32_t
+first_common (const MuxIndex *index,
+              const MuxBits *a,
+              const MuxBits *b,
+              uint32_t avoid)
+{
+  for (uint32_t s = 0; s < words_for (index->words); s++)
+    for (uint64_t sum = a->summary[s] & b->summary[s]; sum != 0; sum &= sum - 1)
+      {
+        uint32_t k = s * WORD_BITS + (uint32_t) __builtin_ctzll (sum);
+        uint64_t both = a->word[k] & b->word[k];
+
+        if (avoid / WORD_BITS == k)
+          both &= ~(UINT64_C (1) << (avoid % WORD_BITS));
+        if (both != 0)
+          return k * WORD_BITS + (uint32_t) __builtin_ctzll (both);
+      }
+  return MUX_NONE;
+}
+
+uint32_t
+mux_index_find (const MuxSched *sched, uint32_t shape, uint32_t avoid)
+{
+  const MuxIndex *index = &sched->index;
+  const MuxBits *fits = &index->shape[shape].fits;
+
+  if (fits->count == 0)
+    return MUX_NONE;
+  for (uint32_t i = 0; i < MUX_LEVELS; i++)
+    {
+      if (index->level[i].count == 0)
+        continue;
+
+      uint32_t w = first_common (index, &index->level[i], fits, avoid);
+
+      if (w != MUX_NONE)
+        return w;
+    }
+  return MUX_NONE;
+}
+
+bool
+mux_index_holds (const MuxSched *sched,
+                 uint32_t shape,
+                 uint32_t n,
+                 uint32_t avoid)
+{
+  const MuxShape *want = &sched->index.shape[shape];
+  uint64_t held = 0;
+
+  for (uint32_t k = 0; k < sched->index.words && held < n; k++)
+    for (uint64_t word = want->fits.word[k]; word != 0 && held < n;
+         word &= word - 1)
+      {
+        uint32_t w = k * WORD_BITS + (uint32_t) __builtin_ctzll (word);
+
+        if (w != avoid)
+          held += mux_size_times (want->size, sched->worker[w].free);
+      }
+  return held >= n;
+}
--- /dev/null
+++ b/src/policy/internal.h
@@ -0,0 +1,355 @@
+#ifndef POLICY_INTERNAL_H
+#define POLICY_INTERNAL_H
+
+#include "heap.h"
+#include "idmap.h"
+#include "policy/sched.h"
+
+#include <uthash.h>
+
+/* Resources of a MuxSize seen as an array, for loops over all of them. */
+#define MUX_DIMS 4
+typedef enum
+{
+  MUX_DIM_CPU,
+  MUX_DIM_MEM,
+  MUX_DIM_ACCELS,
+  MUX_DIM_SLOTS,
+} MuxDim;
+
+/* Levels of free room that the index sorts workers into; the last one holds
+ * idle workers alone. */
+#define MUX_LEVELS 32
+
+/**
+ * struct MuxList - doubly linked list of tasks by index
+ */
+typedef struct
+{
+  uint32_t head;
+  uint32_t tail;
+  uint32_t count;
+} MuxList;
+
+typedef struct
+{
+  uint32_t prev;
+  uint32_t next;
+} MuxLink;
+
+/* Which of a task's links a list runs through. */
+typedef enum
+{
+  MUX_LINK_AGE,    /* waiting tasks by the time they asked */
+  MUX_LINK_MEMBER, /* members of a gang, of the drops or of the emission */
+  MUX_LINK_WORKER, /* tasks booked on one worker */
+  MUX_LINKS
+} MuxLinkKind;
+
+typedef enum
+{
+  MUX_TASK_FREE,
+  MUX_TASK_GATHERING, /* member of a gang that is not complete */
+  MUX_TASK_WAITING,
+  MUX_TASK_DROPPING, /* in the list of drops not yet told */
+  MUX_TASK_BOOKED,
+} MuxTaskState;
+
+/**
+ * struct MuxTask - a task that waits or is booked
+ * @id: its id
+ * @seq: order of asking, breaks ties
+ * @start_by_ms: target for the start
+ * @give_up_ms: dropped after this
+ * @asked_ms: when it asked
+ * @booked_ms: when it was booked
+ * @size: what is booked
+ * @class_id: its class
+ * @gang: its gang while it waits, or MUX_NONE
+ * @worker: where it is booked, or MUX_NONE
+ * @avoid: worker not to use, or MUX_NONE
+ * @state: see enum MuxTaskState
+ * @reason: why it is dropped
+ * @emitting: booked but not yet told
+ * @started: was seen running
+ */
+typedef struct
+{
+  MuxId id;
+  uint64_t seq;
+  int64_t start_by_ms;
+  int64_t give_up_ms;
+  int64_t asked_ms;
+  int64_t booked_ms;
+  MuxSize size;
+  uint32_t class_id;
+  uint32_t gang;
+  uint32_t worker;
+  uint32_t avoid;
+  MuxLink link[MUX_LINKS];
+  uint8_t state;
+  uint8_t reason;
+  bool emitting;
+  bool started;
+} MuxTask;
+
+/**
+ * struct MuxGang - tasks that start together
+ * @group: its id
+ * @members: those that have asked
+ * @wanted: how many there are
+ * @class_id: class of all members
+ * @queued: complete and in its class's queue
+ * @tried: room generation of the last vain try
+ */
+typedef struct
+{
+  MuxId group;
+  MuxList members;
+  uint32_t wanted;
+  uint32_t class_id;
+  bool used;
+  bool queued;
+  uint64_t tried;
+} MuxGang;
+
+/**
+ * struct MuxProduct - a product's part of the books
+ * @spec: as configured; without a quota until it is
+ * @booked: what its tasks hold now
+ */
+typedef struct
+{
+  MuxProductSpec spec;
+  bool configured;
+  uint64_t booked[MUX_DIMS];
+  uint32_t classes;
+  UT_hash_handle hh;
+} MuxProduct;
+
+/**
+ * struct MuxClass - a class, its queue and its part of the books
+ * @spec: as configured
+ * @configured: false: only for tasks that were adopted or still run
+ * @size: what a task of it is booked with
+ * @shape: entry of @size in the index, or MUX_NONE
+ * @queue: waiting tasks and leaders of complete gangs by start_by_ms
+ * @waiting: tasks waiting, gathering ones too
+ * @booked: tasks booked
+ * @fit_gen: worker generation at which @fit_count was computed
+ * @fit_count: tasks that all workers together hold when empty
+ */
+typedef struct
+{
+  MuxClassSpec spec;
+  uint32_t id;
+  bool configured;
+  MuxSize size;
+  uint32_t shape;
+  MuxProduct *product;
+  MuxHeap queue;
+  uint32_t waiting;
+  uint32_t booked;
+  uint64_t fit_gen;
+  uint64_t fit_count;
+  UT_hash_handle hh;
+} MuxClass;
+
+/**
+ * struct MuxWorker - a worker and what is booked on it
+ * @capacity: what it has
+ * @booked: sums of what is booked, beyond @capacity only by adoption
+ * @free: capacity less booked, never below 0
+ * @present: the index is in use
+ * @usable: may get new work, as the caller says
+ * @level: level of the index it stands in, or MUX_NONE
+ */
+typedef struct
+{
+  char name[MUX_NAME_LEN];
+  char rack[MUX_NAME_LEN];
+  MuxSize capacity;
+  uint64_t booked[MUX_DIMS];
+  MuxSize free;
+  MuxList tasks;
+  bool present;
+  bool usable;
+  uint32_t level;
+} MuxWorker;
+
+/**
+ * struct MuxBits - set of workers with a summary of its non-zero words
+ */
+typedef struct
+{
+  uint64_t *word;
+  uint64_t *summary;
+  uint32_t count;
+} MuxBits;
+
+/**
+ * struct MuxShape - one distinct size that classes are booked with
+ * @size: the size
+ * @refs: classes with it; 0: unused
+ * @fits: workers where it fits now
+ */
+typedef struct
+{
+  MuxSize size;
+  uint32_t refs;
+  MuxBits fits;
+} MuxShape;
+
+/**
+ * struct MuxIndex - workers by free room
+ * @words: words of each set
+ * @level: workers by level of free room
+ * @shape: the distinct sizes
+ */
+typedef struct
+{
+  uint32_t words;
+  MuxBits level[MUX_LEVELS];
+  MuxShape *shape;
+  uint32_t shapes;
+  uint32_t shape_room;
+} MuxIndex;
+
+struct MuxSched
+{
+  MuxSchedOptions options;
+  MuxCellSpec cell;
+  uint32_t share_ppm;
+
+  MuxIdMap task_ids;
+  MuxTask *task;
+  uint32_t *queue_pos;
+  uint32_t *expire_pos;
+  uint32_t tasks;
+  uint32_t task_room;
+  uint32_t task_free;
+  uint64_t seq;
+
+  MuxIdMap gang_ids;
+  MuxGang *gang;
+  uint32_t gangs;
+  uint32_t gang_room;
+  uint32_t gang_free;
+
+  MuxClass **class_at;
+  uint32_t classes;
+  uint32_t class_room;
+  MuxClass *class_names;
+  MuxProduct *product_names;
+
+  MuxWorker *worker;
+  uint32_t workers;
+  uint32_t worker_room;
+  uint32_t present;
+  uint32_t usable;
+  uint64_t worker_gen;
+  uint64_t room_gen;
+  uint64_t total[MUX_DIMS];
+  uint64_t free[MUX_DIMS];
+
+  MuxIndex index;
+  MuxHeap expire;
+  MuxList age;
+  MuxList drops;
+  MuxList emission;
+  uint32_t waiting;
+  uint32_t booked;
+};
+
+static inline uint32_t
+mux_size_dim (MuxSize size, uint32_t dim)
+{
+  switch (dim)
+    {
+    case MUX_DIM_CPU:
+      return size.cpu_milli;
+    case MUX_DIM_MEM:
+      return size.mem_mib;
+    case MUX_DIM_ACCELS:
+      return size.accels;
+    default:
+      return size.slots;
+    }
+}
+
+static inline bool
+mux_fits (MuxSize need, MuxSize room)
+{
+  return (need.cpu_milli <= room.cpu_milli) & (need.mem_mib <= room.mem_mib)
+         & (need.accels <= room.accels) & (need.slots <= room.slots);
+}
+
+/** mux_size_times() - how many of @size fit into @room together */
+static inline uint32_t
+mux_size_times (MuxSize size, MuxSize room)
+{
+  uint32_t n = UINT32_MAX;
+
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      uint32_t need = mux_size_dim (size, d);
+
+      if (need > 0 && mux_size_dim (room, d) / need < n)
+        n = mux_size_dim (room, d) / need;
+    }
+  return n;
+}
+
+/* tasks.c: the pool of tasks and gangs, and their lists */
+uint32_t mux_task_new (MuxSched *sched, MuxId id);
+void mux_task_free (MuxSched *sched, uint32_t t);
+void mux_list_init (MuxList *list);
+void
+mux_list_add (MuxSched *sched, MuxList *list, MuxLinkKind kind, uint32_t t);
+void
+mux_list_drop (MuxSched *sched, MuxList *list, MuxLinkKind kind, uint32_t t);
+uint32_t
+mux_gang_new (MuxSched *sched, MuxId group, uint32_t wanted, uint32_t class_id);
+void mux_gang_free (MuxSched *sched, uint32_t g);
+
+/* classes.c: classes and products */
+MuxClass *mux_class_find (MuxSched *sched, const char *name);
+/** mux_class_ghost() - the class, or one not configured to book under */
+MuxClass *mux_class_ghost (MuxSched *sched, const char *name);
+void mux_classes_clear (MuxSched *sched);
+/** mux_class_fit_count() - its tasks that all empty workers hold together */
+uint64_t mux_class_fit_count (MuxSched *sched, MuxClass *class);
+/** mux_product_allows() - @n more tasks of @class are within the quota */
+bool
+mux_product_allows (const MuxSched *sched, const MuxClass *class, uint32_t n);
+
+/* books.c: workers and what is booked on them */
+void mux_book (MuxSched *sched, uint32_t t, uint32_t w, MuxSize size);
+void mux_unbook (MuxSched *sched, uint32_t t);
+
+/* index.c: which worker to take */
+bool mux_bits_test (const MuxBits *bits, uint32_t i);
+bool mux_index_grow (MuxSched *sched, uint32_t workers);
+void mux_index_clear (MuxIndex *index);
+/** mux_index_update() - after any change of a worker */
+void mux_index_update (MuxSched *sched, uint32_t w);
+/** mux_index_shape_ref() - MUX_NONE: no memory */
+uint32_t mux_index_shape_ref (MuxSched *sched, MuxSize size);
+void mux_index_shape_unref (MuxSched *sched, uint32_t shape);
+/** mux_index_find() - best fit, or MUX_NONE */
+uint32_t mux_index_find (const MuxSched *sched, uint32_t shape, uint32_t avoid);
+/** mux_index_holds() - @n tasks of @shape fit together now */
+bool mux_index_holds (const MuxSched *sched,
+                      uint32_t shape,
+                      uint32_t n,
+                      uint32_t avoid);
+
+/* queue.c: what waits */
+bool mux_queue_add (MuxSched *sched, uint32_t t);
+/** mux_queue_leave() - take a waiting task out of all queues; its gang, if
+ * it was complete, gathers again */
+void mux_queue_leave (MuxSched *sched, uint32_t t);
+/** mux_queue_drop() - put a waiting task, and its gang, among the drops */
+void mux_queue_drop (MuxSched *sched, uint32_t t, MuxReason reason);
+
+#endif
--- /dev/null
+++ b/src/policy/queue.c
@@ -0,0 +1,99 @@
+#include "internal.h"
+
+bool
+mux_queue_add (MuxSched *sched, uint32_t t)
+{
+  MuxTask *task = &sched->task[t];
+  MuxHeapNode node = { task->start_by_ms, task->seq, t };
+
+  return mux_heap_push (&sched->class_at[task->class_id]->queue,
+                        sched->queue_pos, node);
+}
+
+static void
+unqueue (MuxSched *sched, uint32_t t)
+{
+  MuxClass *class = sched->class_at[sched->task[t].class_id];
+
+  if (sched->queue_pos[t] != MUX_NONE)
+    mux_heap_remove (&class->queue, sched->queue_pos, sched->queue_pos[t]);
+}
+
+static void
+gather_again (MuxSched *sched, MuxGang *gang)
+{
+  unqueue (sched, gang->members.head);
+  gang->queued = false;
+  for (uint32_t m = gang->members.head; m != MUX_NONE;
+       m = sched->task[m].link[MUX_LINK_MEMBER].next)
+    sched->task[m].state = MUX_TASK_GATHERING;
+}
+
+/* An incomplete gang has nobody in the queue and starts nothing. */
+static void
+leave_gang (MuxSched *sched, uint32_t t)
+{
+  uint32_t g = sched->task[t].gang;
+  MuxGang *gang = &sched->gang[g];
+
+  if (gang->queued)
+    gather_again (sched, gang);
+  mux_list_drop (sched, &gang->members, MUX_LINK_MEMBER, t);
+  sched->task[t].gang = MUX_NONE;
+  if (gang->members.count == 0)
+    mux_gang_free (sched, g);
+}
+
+void
+mux_queue_leave (MuxSched *sched, uint32_t t)
+{
+  MuxTask *task = &sched->task[t];
+
+  if (task->gang != MUX_NONE)
+    leave_gang (sched, t);
+  unqueue (sched, t);
+  if (sched->expire_pos[t] != MUX_NONE)
+    mux_heap_remove (&sched->expire, sched->expire_pos, sched->expire_pos[t]);
+  mux_list_drop (sched, &sched->age, MUX_LINK_AGE, t);
+  sched->class_at[task->class_id]->waiting--;
+  sched->waiting--;
+}
+
+static void
+drop_one (MuxSched *sched, uint32_t t, MuxReason reason)
+{
+  mux_queue_leave (sched, t);
+  sched->task[t].state = MUX_TASK_DROPPING;
+  sched->task[t].reason = (uint8_t) reason;
+  mux_list_add (sched, &sched->drops, MUX_LINK_MEMBER, t);
+}
+
+void
+mux_queue_drop (MuxSched *sched, uint32_t t, MuxReason reason)
+{
+  uint32_t g = sched->task[t].gang;
+
+  if (g == MUX_NONE)
+    {
+      drop_one (sched, t, reason);
+      return;
+    }
+  /* Without one member the others can never start. */
+  while (sched->gang[g].used && sched->gang[g].members.head != MUX_NONE)
+    drop_one (sched, sched->gang[g].members.head, reason);
+}
+
+bool
+mux_sched_cancel (MuxSched *sched, MuxId id)
+{
+  uint32_t t = mux_idmap_get (&sched->task_ids, id);
+
+  if (t == MUX_NONE || sched->task[t].state == MUX_TASK_BOOKED)
+    return false;
+  if (sched->task[t].state == MUX_TASK_DROPPING)
+    mux_list_drop (sched, &sched->drops, MUX_LINK_MEMBER, t);
+  else
+    mux_queue_leave (sched, t);
+  mux_task_free (sched, t);
+  return true;
+}
--- /dev/null
+++ b/src/policy/sched.c
@@ -0,0 +1,183 @@
+#include "internal.h"
+
+#include <stdlib.h>
+
+#define TASKS_MIN 64u
+#define QUEUE_MAX_DEFAULT 10000u
+
+static bool
+init (MuxSched *sched)
+{
+  uint32_t room = sched->options.tasks_hint < TASKS_MIN
+                      ? TASKS_MIN
+                      : sched->options.tasks_hint;
+
+  sched->task = calloc (room, sizeof *sched->task);
+  sched->queue_pos = calloc (room, sizeof *sched->queue_pos);
+  sched->expire_pos = calloc (room, sizeof *sched->expire_pos);
+  sched->task_room = room;
+  return sched->task != NULL && sched->queue_pos != NULL
+         && sched->expire_pos != NULL && mux_idmap_init (&sched->task_ids, room)
+         && mux_idmap_init (&sched->gang_ids, 0)
+         && mux_heap_reserve (&sched->expire, room)
+         && mux_index_grow (sched, 1);
+}
+
+MuxSched *
+mux_sched_new (const MuxSchedOptions *options)
+{
+  MuxSched *sched = calloc (1, sizeof *sched);
+
+  if (sched == NULL)
+    return NULL;
+  sched->options = *options;
+  if (sched->options.queue_max == 0)
+    sched->options.queue_max = QUEUE_MAX_DEFAULT;
+  sched->share_ppm = 1000000;
+  sched->task_free = MUX_NONE;
+  sched->gang_free = MUX_NONE;
+  sched->worker_gen = 1;
+  sched->room_gen = 1;
+  mux_list_init (&sched->age);
+  mux_list_init (&sched->drops);
+  mux_list_init (&sched->emission);
+  if (!init (sched))
+    {
+      mux_sched_free (sched);
+      return NULL;
+    }
+  return sched;
+}
+
+void
+mux_sched_free (MuxSched *sched)
+{
+  if (sched == NULL)
+    return;
+  mux_classes_clear (sched);
+  mux_index_clear (&sched->index);
+  mux_heap_clear (&sched->expire);
+  mux_idmap_clear (&sched->task_ids);
+  mux_idmap_clear (&sched->gang_ids);
+  free (sched->task);
+  free (sched->queue_pos);
+  free (sched->expire_pos);
+  free (sched->gang);
+  free (sched->worker);
+  free (sched);
+}
+
+void
+mux_sched_cell_set (MuxSched *sched, const MuxCellSpec *spec)
+{
+  sched->cell = *spec;
+}
+
+void
+mux_sched_share_set (MuxSched *sched, uint32_t share_ppm)
+{
+  sched->share_ppm = share_ppm;
+  sched->room_gen++;
+}
+
+bool
+mux_sched_adopt (MuxSched *sched,
+                 MuxId id,
+                 const char *class_name,
+                 uint32_t w,
+                 MuxSize size)
+{
+  MuxClass *class = mux_class_ghost (sched, class_name);
+  uint32_t t = mux_idmap_get (&sched->task_ids, id);
+
+  if (class == NULL || w >= sched->workers || !sched->worker[w].present)
+    return false;
+  if (t == MUX_NONE)
+    t = mux_task_new (sched, id);
+  else if (sched->task[t].state == MUX_TASK_BOOKED)
+    mux_unbook (sched, t);
+  else if (sched->task[t].state == MUX_TASK_DROPPING)
+    mux_list_drop (sched, &sched->drops, MUX_LINK_MEMBER, t);
+  else
+    mux_queue_leave (sched, t);
+  if (t == MUX_NONE)
+    return false;
+  size.slots = size.slots == 0 ? 1 : size.slots;
+  sched->task[t].class_id = class->id;
+  mux_book (sched, t, w, size);
+  sched->task[t].started = true;
+  return true;
+}
+
+void
+mux_sched_started (MuxSched *sched, MuxId id, int64_t now_ms)
+{
+  uint32_t t = mux_idmap_get (&sched->task_ids, id);
+
+  (void) now_ms;
+  if (t != MUX_NONE && sched->task[t].state == MUX_TASK_BOOKED)
+    sched->task[t].started = true;
+}
+
+bool
+mux_sched_ended (MuxSched *sched,
+                 MuxId id,
+                 MuxTaskEnd end,
+                 uint32_t ran_ms,
+                 MuxSize used,
+                 int64_t now_ms)
+{
+  uint32_t t = mux_idmap_get (&sched->task_ids, id);
+
+  (void) end;
+  (void) ran_ms;
+  (void) used;
+  (void) now_ms;
+  if (t == MUX_NONE || sched->task[t].state != MUX_TASK_BOOKED)
+    return false;
+  mux_unbook (sched, t);
+  mux_task_free (sched, t);
+  return true;
+}
+
+uint32_t
+mux_sched_booked_on (const MuxSched *sched, MuxId id)
+{
+  uint32_t t = mux_idmap_get (&sched->task_ids, id);
+
+  if (t == MUX_NONE || sched->task[t].state != MUX_TASK_BOOKED)
+    return MUX_NO_WORKER;
+  return sched->task[t].worker;
+}
+
+static uint32_t
+cut (uint64_t n)
+{
+  return n < UINT32_MAX ? (uint32_t) n : UINT32_MAX;
+}
+
+static MuxSize
+size_of (const uint64_t dims[MUX_DIMS])
+{
+  return (MuxSize){ .cpu_milli = cut (dims[MUX_DIM_CPU]),
+                    .mem_mib = cut (dims[MUX_DIM_MEM]),
+                    .accels = cut (dims[MUX_DIM_ACCELS]),
+                    .slots = cut (dims[MUX_DIM_SLOTS]) };
+}
+
+MuxSchedStats
+mux_sched_stats (const MuxSched *sched, int64_t now_ms)
+{
+  MuxSchedStats stats = { .total = size_of (sched->total),
+                          .free = size_of (sched->free),
+                          .queued = sched->waiting,
+                          .booked = sched->booked };
+
+  if (sched->age.head != MUX_NONE)
+    {
+      int64_t wait = now_ms - sched->task[sched->age.head].asked_ms;
+
+      stats.oldest_ms = wait > 0 ? cut ((uint64_t) wait) : 0;
+    }
+  return stats;
+}
