Read the settings, and join the daemon's threads

Settings come from flags, then the environment, then defaults; all that is wrong is reported at once with its place. The callers' side talks to the core through a narrow table, so that it can be tested without one. Replies of workers and the platform have rings of their own with reserved room, so that callers and peers can't push them out.

--- a/include/base/settings.h
+++ b/include/base/settings.h
@@ -22,7 +22,8 @@
 
 /**
  * struct MuxSettingSpec - one setting
- * @flag: long flag without its dashes
+ * @flag: long flag without its dashes; NULL: environment only, for secrets,
+ *   which a command line would show to every process of the instance
  * @env: environment variable; a flag goes before it
  * @kind: see enum MuxSettingKind
  * @unit: "ms", "MiB", … or ""
--- /dev/null
+++ b/src/daemon/deadline.c
@@ -0,0 +1,32 @@
+#include "deadline.h"
+
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000L
+#define NS_PER_S 1000000000L
+
+void
+mux_cond_init (pthread_cond_t *cond)
+{
+  pthread_condattr_t attr;
+
+  pthread_condattr_init (&attr);
+  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
+  pthread_cond_init (cond, &attr);
+  pthread_condattr_destroy (&attr);
+}
+
+struct timespec
+mux_deadline_after (uint32_t ms)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  t.tv_sec += ms / MS_PER_S;
+  t.tv_nsec += (long) (ms % MS_PER_S) * NS_PER_MS;
+  if (t.tv_nsec >= NS_PER_S)
+    {
+      t.tv_sec++;
+      t.tv_nsec -= NS_PER_S;
+    }
+  return t;
+}
--- /dev/null
+++ b/src/daemon/door.h
@@ -0,0 +1,68 @@
+#ifndef DAEMON_DOOR_H
+#define DAEMON_DOOR_H
+
+#include "core/core.h"
+
+/* What the door needs of the rest of the daemon; any thread may call it. */
+typedef struct MuxDoorBackend MuxDoorBackend;
+struct MuxDoorBackend
+{
+  /* Takes @ask over when it returns true; one mux_door_answer() follows.
+   * False: the ring to the core is full. */
+  bool (*submit) (MuxDoorBackend *backend, MuxAsk *ask);
+  /* The caller of @call has hung up; best effort. */
+  void (*gone) (MuxDoorBackend *backend, uint64_t call);
+  /* The daemon may be sent callers. */
+  bool (*ready) (MuxDoorBackend *backend);
+};
+
+/**
+ * struct MuxDoorOptions - construction of the callers' side
+ * @backend: borrowed
+ * @counters: borrowed
+ * @listen: "ip:port"; port 0 lets the kernel pick
+ * @callers_max: most callers waiting for an answer
+ * @idle_s: a connection silent for this long is closed, unless its caller
+ *   waits for an answer
+ * @body_max: most bytes of a body
+ * @tls_cert: PEM text; NULL: plain HTTP
+ * @tls_key: PEM text
+ */
+typedef struct
+{
+  MuxDoorBackend *backend;
+  MuxCounters *counters;
+  const char *listen;
+  uint32_t callers_max;
+  uint32_t idle_s;
+  uint32_t body_max;
+  const char *tls_cert;
+  const char *tls_key;
+} MuxDoorOptions;
+
+typedef struct MuxDoor MuxDoor;
+
+/** mux_door_new() - not listening yet, but answers may come
+ * Return: NULL with @err set when memory is out. */
+MuxDoor *mux_door_new (const MuxDoorOptions *options, MuxError *err);
+/** mux_door_listen() - let callers in
+ * @bound: receives the "ip:port" in use, MUX_ADDR_LEN bytes
+ * Return: false with @err set when the address can't be had. */
+bool mux_door_listen (MuxDoor *door, char *bound, MuxError *err);
+/** mux_door_answer() - hand an answer to its caller; any thread
+ * Return: false when that caller has gone. */
+bool mux_door_answer (MuxDoor *door, const MuxAnswer *answer);
+/** mux_door_refuse_new() - answer new work with STOPPING from now on */
+void mux_door_refuse_new (MuxDoor *door);
+/** mux_door_drain() - wait until every answer begun has been written
+ * Return: false when @timeout_ms passed first. */
+bool mux_door_drain (MuxDoor *door, uint32_t timeout_ms);
+/** mux_door_abandon() - answer all that still wait with UNKNOWN */
+void mux_door_abandon (MuxDoor *door);
+/** mux_door_stop_listening() - close the port and every connection; after it
+ * the backend is called no more */
+void mux_door_stop_listening (MuxDoor *door);
+/** mux_door_free() - stops listening first */
+void mux_door_free (MuxDoor *door);
+
+#endif
--- /dev/null
+++ b/src/daemon/door_connection.c
@@ -0,0 +1,65 @@
+#include "door_private.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+
+/* ulfius does not hand its callbacks the connection, and each connection has
+ * a thread of its own: what belongs to it is kept by thread. */
+static _Thread_local struct MHD_Connection *this_connection;
+static _Thread_local bool answer_begun;
+
+void
+mux_connection_set (struct MHD_Connection *connection)
+{
+  this_connection = connection;
+}
+
+void
+mux_connection_timeout (uint32_t seconds)
+{
+  if (this_connection != NULL)
+    MHD_set_connection_option (this_connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                               (unsigned int) seconds);
+}
+
+bool
+mux_connection_gone (void)
+{
+  const union MHD_ConnectionInfo *info;
+  char byte;
+  ssize_t n;
+
+  if (this_connection == NULL)
+    return false;
+  info = MHD_get_connection_info (this_connection,
+                                  MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == NULL)
+    return false;
+  n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0
+         || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK
+             && errno != EINTR);
+}
+
+void
+mux_connection_answer_begins (MuxDoor *door)
+{
+  answer_begun = true;
+  pthread_mutex_lock (&door->lock);
+  door->unwritten++;
+  pthread_mutex_unlock (&door->lock);
+}
+
+void
+mux_connection_request_ended (MuxDoor *door)
+{
+  this_connection = NULL;
+  if (!answer_begun)
+    return;
+  answer_begun = false;
+  pthread_mutex_lock (&door->lock);
+  door->unwritten--;
+  if (door->unwritten == 0)
+    pthread_cond_broadcast (&door->written);
+  pthread_mutex_unlock (&door->lock);
+}
--- /dev/null
+++ b/src/daemon/door_private.h
@@ -0,0 +1,100 @@
+#ifndef DAEMON_DOOR_PRIVATE_H
+#define DAEMON_DOOR_PRIVATE_H
+
+#include "door.h"
+#include "waiters.h"
+
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <ulfius.h>
+
+typedef struct MuxRoute MuxRoute;
+
+/**
+ * struct MuxRouteBinding - what ulfius hands to the callback of one route
+ * @door: the door
+ * @route: the route; NULL: no path matched
+ */
+typedef struct
+{
+  MuxDoor *door;
+  const MuxRoute *route;
+} MuxRouteBinding;
+
+struct MuxDoor
+{
+  MuxDoorOptions options;
+  MuxWaiters *waiters;
+  struct _u_instance http;
+  bool http_made;
+  bool listening;
+  MuxRouteBinding *binding; /* one a route, then the one for no route */
+  atomic_bool refuse_new;
+  pthread_mutex_t lock; /* guards unwritten */
+  pthread_cond_t written;
+  uint32_t unwritten; /* answers begun and not yet given to the system */
+};
+
+/**
+ * struct MuxRoute - a method and path, and how its ask is read
+ * @method: HTTP method
+ * @path: in ulfius's form, ":name" for a variable
+ * @verb: what is asked of the core
+ * @read: fills the ask; adds what is wrong to @findings, or sets @reason to
+ *   refuse for anything but a bad field
+ * @serve: answers by itself instead of asking the core
+ */
+struct MuxRoute
+{
+  const char *method;
+  const char *path;
+  MuxAskVerb verb;
+  void (*read) (const struct _u_request *request,
+                MuxAsk *ask,
+                MuxFindings *findings,
+                MuxReason *reason);
+  void (*serve) (MuxDoor *door, struct _u_response *response);
+};
+
+/** mux_routes() - the table */
+const MuxRoute *mux_routes (uint32_t *count);
+/** mux_route_is_new_work() - refused while the daemon is stopping */
+bool mux_route_is_new_work (const MuxRoute *route);
+/** mux_route_is_work() - counts against the callers' bound, not the reserve */
+bool mux_route_is_work (const MuxRoute *route);
+
+/** mux_door_serve() - ulfius callback of every route */
+int mux_door_serve (const struct _u_request *request,
+                    struct _u_response *response,
+                    void *binding);
+
+/* Connection of the calling thread: each has a thread of its own. */
+/** mux_connection_set() - a request begins on @connection */
+void mux_connection_set (struct MHD_Connection *connection);
+/** mux_connection_timeout() - close it after so long a silence; 0: never */
+void mux_connection_timeout (uint32_t seconds);
+/** mux_connection_gone() - the caller has closed its side */
+bool mux_connection_gone (void);
+/** mux_connection_answer_begins() - counts an answer as not yet written */
+void mux_connection_answer_begins (MuxDoor *door);
+/** mux_connection_request_ended() - its answer is written, or nobody reads it
+ */
+void mux_connection_request_ended (MuxDoor *door);
+
+/** mux_respond_answer() - an answer of the core as HTTP */
+void mux_respond_answer (struct _u_response *response, const MuxAnswer *answer);
+/** mux_respond_refusal() - a refusal of the door itself; counts it
+ * @findings: may be NULL */
+void mux_respond_refusal (MuxDoor *door,
+                          struct _u_response *response,
+                          MuxReason reason,
+                          const MuxFindings *findings);
+/** mux_respond_metrics() - the counters */
+void mux_respond_metrics (MuxDoor *door, struct _u_response *response);
+/** mux_respond_healthz() - 200 while the process serves */
+void mux_respond_healthz (MuxDoor *door, struct _u_response *response);
+/** mux_respond_readyz() - 200, or 503 while it should get no callers */
+void mux_respond_readyz (MuxDoor *door, struct _u_response *response);
+
+#endif
--- /dev/null
+++ b/src/daemon/door_respond.c
@@ -0,0 +1,169 @@
+#include "door_private.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+/* How soon a caller that this daemon turned away may come back. */
+#define REFUSED_RETRY_MS 1000
+#define HEADER_LEN 32
+
+static void
+add_header (struct _u_response *response, const char *name, const char *value)
+{
+  u_map_put (response->map_header, name, value);
+}
+
+static void
+add_retry (struct _u_response *response, uint32_t retry_ms)
+{
+  char value[HEADER_LEN];
+
+  if (retry_ms == 0)
+    return;
+  snprintf (value, sizeof value, "%" PRIu32,
+            retry_ms / MS_PER_S + (retry_ms % MS_PER_S != 0));
+  add_header (response, "Retry-After", value);
+  snprintf (value, sizeof value, "%" PRIu32, retry_ms);
+  add_header (response, "Cuminmux-Retry-Ms", value);
+}
+
+static void
+set_error_body (struct _u_response *response,
+                MuxOutcome outcome,
+                MuxReason reason,
+                const MuxFindings *findings)
+{
+  json_t *json = json_pack (
+      "{s:s, s:s, s:s, s:o}", "outcome", mux_outcome_name (outcome), "reason",
+      mux_reason_name (reason), "text", mux_reason_help (reason), "findings",
+      findings != NULL ? mux_findings_to_json (findings) : json_array ());
+  char *text = json != NULL ? json_dumps (json, JSON_COMPACT) : NULL;
+
+  /* Status and headers tell the outcome without the body, too. */
+  if (text != NULL)
+    ulfius_set_string_body_response (response, (unsigned int) response->status,
+                                     text);
+  add_header (response, "Content-Type", "application/json");
+  free (text);
+  json_decref (json);
+}
+
+static bool
+needs_reason (MuxOutcome outcome)
+{
+  return outcome != MUX_OUTCOME_DONE && outcome != MUX_OUTCOME_INFO;
+}
+
+void
+mux_respond_answer (struct _u_response *response, const MuxAnswer *answer)
+{
+  char task[MUX_ID_HEX_LEN];
+  bool refused = needs_reason (answer->outcome);
+
+  response->status = (long) answer->status;
+  add_header (response, "Cuminmux-Outcome", mux_outcome_name (answer->outcome));
+  if (answer->reason != MUX_REASON_NONE)
+    add_header (response, "Cuminmux-Reason", mux_reason_name (answer->reason));
+  add_retry (response, answer->retry_after_ms);
+  if (!mux_id_is_none (answer->task))
+    {
+      mux_id_format (answer->task, task);
+      add_header (response, "Cuminmux-Task", task);
+    }
+  if (answer->body == NULL && refused)
+    {
+      set_error_body (response, answer->outcome, answer->reason, NULL);
+      return;
+    }
+  add_header (response, "Content-Type",
+              answer->json ? "application/json" : "application/octet-stream");
+  if (answer->body == NULL || answer->body->len == 0)
+    return;
+  if (ulfius_set_binary_body_response (response,
+                                       (unsigned int) response->status,
+                                       answer->body->bytes, answer->body->len)
+      == U_OK)
+    return;
+  /* Memory is out: an answer without its bytes would be a cut answer.  The
+   * task ran, so the caller may ask again with its key. */
+  response->status = (long) mux_reason_status (MUX_REASON_UNKNOWN_FATE);
+  add_header (response, "Cuminmux-Outcome",
+              mux_outcome_name (MUX_OUTCOME_UNKNOWN));
+  add_header (response, "Cuminmux-Reason",
+              mux_reason_name (MUX_REASON_UNKNOWN_FATE));
+}
+
+static uint32_t
+retry_of_refusal (MuxReason reason)
+{
+  switch (reason)
+    {
+    case MUX_REASON_CALLERS_FULL:
+    case MUX_REASON_RING_FULL:
+    case MUX_REASON_STOPPING:
+    case MUX_REASON_INTERNAL:
+      return REFUSED_RETRY_MS;
+    default:
+      return 0;
+    }
+}
+
+void
+mux_respond_refusal (MuxDoor *door,
+                     struct _u_response *response,
+                     MuxReason reason,
+                     const MuxFindings *findings)
+{
+  MuxOutcome outcome = reason == MUX_REASON_UNKNOWN_FATE ? MUX_OUTCOME_UNKNOWN
+                                                         : MUX_OUTCOME_NOT_RUN;
+
+  mux_count_refused (door->options.counters, reason);
+  response->status = (long) mux_reason_status (reason);
+  add_header (response, "Cuminmux-Outcome", mux_outcome_name (outcome));
+  add_header (response, "Cuminmux-Reason", mux_reason_name (reason));
+  add_retry (response, retry_of_refusal (reason));
+  set_error_body (response, outcome, reason, findings);
+}
+
+void
+mux_respond_metrics (MuxDoor *door, struct _u_response *response)
+{
+  size_t len = mux_counters_print (door->options.counters, NULL, 0);
+  /* Counters that grow meanwhile may need some bytes more. */
+  size_t cap = len + len / 8 + 1;
+  char *text = malloc (cap);
+
+  if (text == NULL)
+    {
+      mux_respond_refusal (door, response, MUX_REASON_INTERNAL, NULL);
+      return;
+    }
+  mux_counters_print (door->options.counters, text, cap);
+  ulfius_set_string_body_response (response, MHD_HTTP_OK, text);
+  add_header (response, "Content-Type", "text/plain; version=0.0.4");
+  free (text);
+}
+
+void
+mux_respond_healthz (MuxDoor *door, struct _u_response *response)
+{
+  (void) door;
+  ulfius_set_string_body_response (response, MHD_HTTP_OK, "ok\n");
+}
+
+void
+mux_respond_readyz (MuxDoor *door, struct _u_response *response)
+{
+  bool ready = !door->refuse_new
+               && door->options.backend->ready (door->options.backend);
+
+  if (ready)
+    ulfius_set_string_body_response (response, MHD_HTTP_OK, "ready\n");
+  else
+    ulfius_set_string_body_response (response, MHD_HTTP_SERVICE_UNAVAILABLE,
+                                     "not ready\n");
+}
--- /dev/null
+++ b/src/daemon/door_serve.c
@@ -0,0 +1,158 @@
+#include "door_private.h"
+#include "inbox.h"
+
+#include <stdlib.h>
+
+/* How often a waiting caller's connection is looked at for a hang-up. */
+#define LOOK_EVERY_MS 1000
+/* Bound of a question that names none of its own. */
+#define QUESTION_MS 60000
+/* The core answers by the bound; this is for answers under way. */
+#define GRACE_MS 15000
+
+static uint32_t
+bound_of (const MuxAsk *ask)
+{
+  return (ask->give_up_ms > 0 ? ask->give_up_ms : QUESTION_MS) + GRACE_MS;
+}
+
+/*
+ * Wait until the core has answered, the caller has hung up, the door is
+ * closed, or the bound has passed.  The bound guards against an answer that
+ * never comes, which would hold the caller and its slot for good; the caller
+ * is told that the fate is unknown, which is true whatever became of it.
+ */
+static MuxReason
+await_answer (MuxDoor *door,
+              uint64_t call,
+              uint32_t bound_ms,
+              MuxAnswer *answer)
+{
+  for (uint32_t waited = 0; waited < bound_ms; waited += LOOK_EVERY_MS)
+    switch (mux_waiters_wait (door->waiters, call, LOOK_EVERY_MS, answer))
+      {
+      case MUX_WAIT_ANSWERED:
+        return MUX_REASON_NONE;
+      case MUX_WAIT_CLOSED:
+        return MUX_REASON_UNKNOWN_FATE;
+      case MUX_WAIT_TIMEOUT:
+        if (!mux_connection_gone ())
+          break;
+        door->options.backend->gone (door->options.backend, call);
+        return MUX_REASON_CALLER_GONE;
+      }
+  door->options.backend->gone (door->options.backend, call);
+  return MUX_REASON_UNKNOWN_FATE;
+}
+
+/* Takes @ask over. */
+static void
+ask_core (MuxDoor *door,
+          const MuxRoute *route,
+          MuxAsk *ask,
+          struct _u_response *response)
+{
+  uint32_t bound_ms = bound_of (ask);
+  MuxReason reason;
+  MuxAnswer answer;
+  uint64_t call;
+
+  if (!mux_waiters_enter (door->waiters, !mux_route_is_work (route), &call))
+    {
+      mux_ask_free (ask);
+      mux_respond_refusal (door, response, MUX_REASON_CALLERS_FULL, NULL);
+      return;
+    }
+  ask->call = call;
+  /* A caller that waits is silent; its connection is not closed for that.
+   * Setting the timeout again afterwards starts it anew. */
+  mux_connection_timeout (0);
+  if (!door->options.backend->submit (door->options.backend, ask))
+    {
+      mux_ask_free (ask);
+      reason = MUX_REASON_RING_FULL;
+    }
+  else
+    reason = await_answer (door, call, bound_ms, &answer);
+  mux_waiters_leave (door->waiters, call);
+  mux_connection_timeout (door->options.idle_s);
+  if (reason != MUX_REASON_NONE)
+    {
+      mux_respond_refusal (door, response, reason, NULL);
+      return;
+    }
+  mux_respond_answer (response, &answer);
+  mux_blob_unref (answer.body);
+}
+
+static MuxReason
+read_ask (MuxDoor *door,
+          const MuxRoute *route,
+          const struct _u_request *request,
+          MuxAsk *ask,
+          MuxFindings *findings)
+{
+  MuxReason reason = MUX_REASON_NONE;
+
+  /* ulfius keeps at most one byte over the limit and drops the rest. */
+  if (request->binary_body_length > door->options.body_max)
+    return MUX_REASON_BODY_TOO_LARGE;
+  ask->verb = route->verb;
+  if (route->read != NULL)
+    route->read (request, ask, findings, &reason);
+  if (reason == MUX_REASON_NONE && findings->count > 0)
+    reason = MUX_REASON_BAD_FIELD;
+  return reason;
+}
+
+static void
+serve_route (MuxDoor *door,
+             const MuxRoute *route,
+             const struct _u_request *request,
+             struct _u_response *response)
+{
+  MuxFindings findings = { .count = 0, .dropped = 0 };
+  MuxReason reason;
+  MuxAsk *ask;
+
+  if (route->serve != NULL)
+    {
+      route->serve (door, response);
+      return;
+    }
+  if (door->refuse_new && mux_route_is_new_work (route))
+    {
+      mux_respond_refusal (door, response, MUX_REASON_STOPPING, NULL);
+      return;
+    }
+  ask = calloc (1, sizeof *ask);
+  if (ask == NULL)
+    {
+      mux_respond_refusal (door, response, MUX_REASON_INTERNAL, NULL);
+      return;
+    }
+  reason = read_ask (door, route, request, ask, &findings);
+  if (reason == MUX_REASON_NONE)
+    {
+      ask_core (door, route, ask, response);
+      return;
+    }
+  mux_ask_free (ask);
+  mux_respond_refusal (door, response, reason, &findings);
+}
+
+int
+mux_door_serve (const struct _u_request *request,
+                struct _u_response *response,
+                void *data)
+{
+  const MuxRouteBinding *binding = data;
+
+  mux_connection_answer_begins (binding->door);
+  if (binding->route == NULL)
+    mux_respond_refusal (binding->door, response, MUX_REASON_UNKNOWN_PATH,
+                         NULL);
+  else
+    serve_route (binding->door, binding->route, request, response);
+  return U_CALLBACK_COMPLETE;
+}
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,50 @@
+#include "base/log.h"
+#include "run.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+
+static bool
+wants_help (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    {
+      bool text = strcmp (argv[i], "--help") == 0;
+      bool markdown = strcmp (argv[i], "--help-markdown") == 0;
+
+      if (!text && !markdown)
+        continue;
+      if (text)
+        printf ("cuminmuxd [settings]\n");
+      mux_daemon_options_help (markdown);
+      return true;
+    }
+  return false;
+}
+
+int
+main (int argc, char **argv)
+{
+  static MuxFindings findings;
+  MuxDaemonOptions options;
+  int code;
+
+  if (wants_help (argc, argv))
+    return 0;
+  if (!mux_daemon_options_read (argc, argv, &options, &findings))
+    {
+      for (uint32_t i = 0; i < findings.count; i++)
+        fprintf (stderr, "cuminmuxd: %s: %s\n", findings.item[i].place,
+                 findings.item[i].text);
+      if (findings.dropped > 0)
+        fprintf (stderr, "cuminmuxd: and %" PRIu32 " more\n", findings.dropped);
+      return EXIT_USAGE;
+    }
+  mux_log_open ("cuminmuxd", options.log_level);
+  code = mux_daemon_run (&options);
+  mux_daemon_options_free (&options);
+  return code;
+}
--- /dev/null
+++ b/src/daemon/run.c
@@ -0,0 +1,328 @@
+#include "run.h"
+
+#include "adapter/peer.h"
+#include "adapter/platform.h"
+#include "adapter/worker.h"
+#include "core_thread.h"
+#include "pem.h"
+#include "waiters.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+#include <time.h>
+
+#define EXIT_FAILED 1
+#define KIB 1024
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000L
+#define WORKER_QUEUE 4096
+#define PLATFORM_QUEUE 256
+#define PEER_QUEUE 4096
+#define PEER_RING 4096
+/* A link between daemons carries a heartbeat at least every so many of their
+ * intervals; one that is silent longer has lost its way. */
+#define SILENT_HEARTBEATS 4
+/* For answers that the stop ended, to be written. */
+#define ABANDON_MS 1000
+
+typedef struct
+{
+  const MuxDaemonOptions *options;
+  MuxCounters *counters;
+  MuxDaemonInbox *inbox;
+  MuxWorkerPort *worker;
+  MuxPlatformPort *platform;
+  MuxPeerPort *peer;
+  MuxCoreThread *core;
+  MuxDoor *door;
+  char *tls_cert;
+  char *tls_key;
+  char listen[MUX_ADDR_LEN];
+  char peer_listen[MUX_ADDR_LEN];
+} Daemon;
+
+static uint32_t
+power_of_two_over (uint32_t n)
+{
+  uint32_t size = 2;
+
+  while (size <= n)
+    size *= 2;
+  return size;
+}
+
+/* Calls that wait in an adapter's queues or are in flight.  A reply ring of
+ * this many slots has room for the reply of each. */
+static uint32_t
+worker_calls_max (const MuxDaemonOptions *options)
+{
+  return 2 * WORKER_QUEUE + options->worker_threads
+         + options->worker_control_threads;
+}
+
+static uint32_t
+table_calls_max (const MuxDaemonOptions *options)
+{
+  return PLATFORM_QUEUE + options->platform_threads;
+}
+
+static bool
+make_inbox (Daemon *daemon, MuxError *err)
+{
+  MuxInboxOptions options = {
+    .counters = daemon->counters,
+    /* Every caller has at most one ask inside. */
+    .asks = power_of_two_over (
+        2 * (daemon->options->callers_max + MUX_WAITERS_RESERVE)),
+    .peers = PEER_RING,
+    .worker_replies = power_of_two_over (worker_calls_max (daemon->options)),
+    .table_replies = power_of_two_over (table_calls_max (daemon->options)),
+  };
+
+  daemon->inbox = mux_inbox_new (&options);
+  if (daemon->inbox == NULL)
+    return mux_error_set (err, MUX_ERROR_MEMORY, "no memory for the rings");
+  return true;
+}
+
+static bool
+make_worker (Daemon *daemon, MuxError *err)
+{
+  MuxWorkerHttpOptions options = {
+    .inbox = mux_inbox_port (daemon->inbox),
+    .threads = daemon->options->worker_threads,
+    .control_threads = daemon->options->worker_control_threads,
+    .queue = WORKER_QUEUE,
+    .counters = daemon->counters,
+  };
+
+  daemon->worker = mux_worker_http_new (&options, err);
+  return daemon->worker != NULL;
+}
+
+static bool
+make_platform (Daemon *daemon, MuxError *err)
+{
+  MuxPlatformHttpOptions options = {
+    .inbox = mux_inbox_port (daemon->inbox),
+    .url = daemon->options->platform_url,
+    .threads = daemon->options->platform_threads,
+    .queue = PLATFORM_QUEUE,
+    .list_every_ms = daemon->options->list_every_ms,
+    .counters = daemon->counters,
+  };
+
+  if (*daemon->options->platform_url == 0)
+    return true;
+  daemon->platform = mux_platform_http_new (&options, err);
+  return daemon->platform != NULL;
+}
+
+static const char *
+null_if_empty (const char *text)
+{
+  return *text != 0 ? text : NULL;
+}
+
+static bool
+make_peer (Daemon *daemon, MuxError *err)
+{
+  MuxPeerZmqOptions options = {
+    .inbox = mux_inbox_port (daemon->inbox),
+    .listen = daemon->options->peer_listen,
+    .name = daemon->options->name,
+    .queue = PEER_QUEUE,
+    .silent_ms = SILENT_HEARTBEATS * daemon->options->heartbeat_ms,
+    .secret_key = null_if_empty (daemon->options->curve_secret_key),
+    .public_key = null_if_empty (daemon->options->curve_public_key),
+    .counters = daemon->counters,
+  };
+
+  daemon->peer = mux_peer_zmq_new (&options, daemon->peer_listen, err);
+  return daemon->peer != NULL;
+}
+
+static uint64_t
+wall_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_REALTIME, &t);
+  return (uint64_t) t.tv_sec * MS_PER_S + (uint64_t) (t.tv_nsec / NS_PER_MS);
+}
+
+static bool
+make_core (Daemon *daemon, MuxError *err)
+{
+  const MuxDaemonOptions *given = daemon->options;
+  uint64_t seed;
+  MuxCoreThreadOptions options = {
+    .inbox = daemon->inbox,
+    .worker = daemon->worker,
+    .worker_calls_max = worker_calls_max (given),
+    .platform = daemon->platform,
+    .table_calls_max = table_calls_max (given),
+    .peer = daemon->peer,
+    .core = {
+      .counters = daemon->counters,
+      .name = given->name,
+      .data_centre = given->data_centre,
+      .peer_addr = daemon->peer_listen,
+      .incarnation = wall_ms (),
+      .seeds = given->seeds,
+      .seed_count = given->seed_count,
+      .lease_ms = given->lease_ms,
+      .heartbeat_ms = given->heartbeat_ms,
+      .suspect_ms = given->suspect_ms,
+      .dead_ms = given->dead_ms,
+      .queue_max = given->queue_max,
+      .writes_per_s = given->writes_per_s,
+    },
+  };
+
+  if (getrandom (&seed, sizeof seed, 0) != sizeof seed)
+    return mux_error_set (err, MUX_ERROR_IO, "no random seed");
+  options.core.seed = seed;
+  daemon->core = mux_core_thread_new (&options, err);
+  return daemon->core != NULL;
+}
+
+static bool
+make_door (Daemon *daemon, MuxError *err)
+{
+  const MuxDaemonOptions *given = daemon->options;
+  MuxDoorOptions options = {
+    .backend = mux_core_thread_backend (daemon->core),
+    .counters = daemon->counters,
+    .listen = given->listen,
+    .callers_max = given->callers_max,
+    .idle_s = given->caller_idle_s,
+    .body_max = given->body_max_kib * KIB,
+    .tls_cert = daemon->tls_cert,
+    .tls_key = daemon->tls_key,
+  };
+
+  daemon->door = mux_door_new (&options, err);
+  return daemon->door != NULL;
+}
+
+static bool
+read_tls (Daemon *daemon, MuxError *err)
+{
+  if (*daemon->options->tls_cert_file == 0)
+    return true;
+  daemon->tls_cert = mux_pem_read (daemon->options->tls_cert_file, err);
+  if (daemon->tls_cert == NULL)
+    return false;
+  daemon->tls_key = mux_pem_read (daemon->options->tls_key_file, err);
+  return daemon->tls_key != NULL;
+}
+
+static bool
+start (Daemon *daemon, MuxError *err)
+{
+  daemon->counters = mux_counters_new ();
+  if (daemon->counters == NULL)
+    return mux_error_set (err, MUX_ERROR_MEMORY, "no memory for counters");
+  return read_tls (daemon, err) && make_inbox (daemon, err)
+         && make_worker (daemon, err) && make_platform (daemon, err)
+         && make_peer (daemon, err) && make_core (daemon, err)
+         && make_door (daemon, err)
+         && mux_core_thread_start (daemon->core, daemon->door, err)
+         && mux_door_listen (daemon->door, daemon->listen, err);
+}
+
+/*
+ * Callers first, so that nothing new comes; then the core, so that nothing
+ * new is asked of the adapters; then the adapters, whose threads may push
+ * replies until they are gone; then what is left in the rings.
+ */
+static void
+daemon_free (Daemon *daemon)
+{
+  if (daemon->door != NULL)
+    mux_door_abandon (daemon->door);
+  if (daemon->door != NULL && !mux_door_drain (daemon->door, ABANDON_MS))
+    mux_log (MUX_LOG_WARNING, "answers_cut", "after_ms=%d", ABANDON_MS);
+  mux_door_stop_listening (daemon->door);
+  if (daemon->core != NULL)
+    mux_core_thread_join (daemon->core);
+  if (daemon->peer != NULL)
+    daemon->peer->free (daemon->peer);
+  if (daemon->platform != NULL)
+    daemon->platform->free (daemon->platform);
+  if (daemon->worker != NULL)
+    daemon->worker->free (daemon->worker);
+  mux_core_thread_free (daemon->core);
+  mux_door_free (daemon->door);
+  mux_inbox_free (daemon->inbox);
+  mux_counters_free (daemon->counters);
+  free (daemon->tls_cert);
+  free (daemon->tls_key);
+}
+
+/* Blocked before any thread starts, so that all threads inherit it. */
+static void
+block_signals (sigset_t *stop)
+{
+  sigemptyset (stop);
+  sigaddset (stop, SIGTERM);
+  sigaddset (stop, SIGINT);
+  pthread_sigmask (SIG_BLOCK, stop, NULL);
+  /* A peer or caller that closes its end is an error of the write. */
+  signal (SIGPIPE, SIG_IGN);
+}
+
+/*
+ * A planned stop cuts off no answer: new work is refused, what runs is
+ * finished by the core, and every answer begun is written, all in one bound.
+ */
+static void
+stop_gracefully (Daemon *daemon)
+{
+  int64_t end_ms = mux_now_ms () + daemon->options->stop_after_ms;
+  bool stopped;
+  int64_t left_ms;
+
+  mux_log (MUX_LOG_NOTICE, "stopping", "bound_ms=%" PRIu32,
+           daemon->options->stop_after_ms);
+  mux_door_refuse_new (daemon->door);
+  mux_core_thread_stop_work (daemon->core);
+  stopped = mux_core_thread_wait_stopped (daemon->core,
+                                          daemon->options->stop_after_ms);
+  left_ms = end_ms - mux_now_ms ();
+  if (stopped)
+    stopped
+        = mux_door_drain (daemon->door, left_ms > 0 ? (uint32_t) left_ms : 0);
+  mux_log (stopped ? MUX_LOG_NOTICE : MUX_LOG_WARNING, "stopped", "whole=%s",
+           stopped ? "yes" : "no");
+}
+
+int
+mux_daemon_run (const MuxDaemonOptions *options)
+{
+  Daemon daemon = { .options = options };
+  MuxError err = { MUX_ERROR_NONE, "" };
+  sigset_t stop;
+  int signal_number;
+
+  block_signals (&stop);
+  if (!start (&daemon, &err))
+    {
+      mux_log (MUX_LOG_ERR, "start_failed", "error=\"%s\"", err.text);
+      daemon_free (&daemon);
+      return EXIT_FAILED;
+    }
+  mux_log (MUX_LOG_NOTICE, "started", "name=%s listen=%s peer=%s",
+           options->name, daemon.listen, daemon.peer_listen);
+  printf ("listening %s peer %s\n", daemon.listen, daemon.peer_listen);
+  fflush (stdout);
+  while (sigwait (&stop, &signal_number) != 0)
+    continue;
+  stop_gracefully (&daemon);
+  daemon_free (&daemon);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/daemon/settings_table.c
@@ -0,0 +1,215 @@
+#include "settings_table.h"
+
+#include "core/core.h"
+
+#include <string.h>
+
+/* Characters of a CURVE key as Z85. */
+#define CURVE_KEY_LEN 40
+#define KIB 1024
+
+enum
+{
+  NAME,
+  DATA_CENTRE,
+  LISTEN,
+  PEER_LISTEN,
+  PLATFORM,
+  SEEDS,
+  LEASE_MS,
+  HEARTBEAT_MS,
+  SUSPECT_MS,
+  DEAD_MS,
+  QUEUE_MAX,
+  WRITES_PER_S,
+  CALLERS_MAX,
+  CALLER_IDLE_S,
+  WORKER_THREADS,
+  WORKER_CONTROL_THREADS,
+  PLATFORM_THREADS,
+  LIST_EVERY_MS,
+  BODY_MAX_KIB,
+  STOP_AFTER_MS,
+  CURVE_SECRET_KEY,
+  CURVE_PUBLIC_KEY,
+  TLS_CERT_FILE,
+  TLS_KEY_FILE,
+  LOG_LEVEL,
+  SETTING_COUNT
+};
+
+/* clang-format off */
+static const MuxSettingSpec specs[SETTING_COUNT] = {
+  [NAME] = { "name", "CUMINMUX_NAME", MUX_SETTING_NAME, "", 0, 0, NULL,
+    "this instance's name, unique in the cell" },
+  [DATA_CENTRE] = { "data-centre", "CUMINMUX_DATA_CENTRE", MUX_SETTING_NAME,
+    "", 0, 0, NULL, "data centre that this instance stands in" },
+  [LISTEN] = { "listen", "CUMINMUX_LISTEN", MUX_SETTING_ADDRESS, "", 0, 0,
+    NULL, "address for callers' HTTP; port 0 lets the kernel pick" },
+  [PEER_LISTEN] = { "peer-listen", "CUMINMUX_PEER_LISTEN",
+    MUX_SETTING_ADDRESS, "", 0, 0, NULL,
+    "address for other daemons, as they reach it; port 0 lets the kernel pick" },
+  [PLATFORM] = { "platform", "CUMINMUX_PLATFORM", MUX_SETTING_URL, "", 0, 0,
+    "", "platform's services; none: nothing can be recorded or listed" },
+  [SEEDS] = { "seeds", "CUMINMUX_SEEDS", MUX_SETTING_ADDRESSES, "", 0, 0, "",
+    "peer addresses of daemons to greet first" },
+  [LEASE_MS] = { "lease-ms", "CUMINMUX_LEASE_MS", MUX_SETTING_INTEGER, "ms",
+    1000, 60000, "6000", "lease asked of workers" },
+  [HEARTBEAT_MS] = { "heartbeat-ms", "CUMINMUX_HEARTBEAT_MS",
+    MUX_SETTING_INTEGER, "ms", 20, 10000, "300",
+    "time between heartbeats to peers" },
+  [SUSPECT_MS] = { "suspect-ms", "CUMINMUX_SUSPECT_MS", MUX_SETTING_INTEGER,
+    "ms", 40, 30000, "900", "silence after which a peer gets no new asks" },
+  [DEAD_MS] = { "dead-ms", "CUMINMUX_DEAD_MS", MUX_SETTING_INTEGER, "ms", 60,
+    60000, "1500", "silence after which a peer's workers are claimed" },
+  [QUEUE_MAX] = { "queue-max", "CUMINMUX_QUEUE_MAX", MUX_SETTING_INTEGER, "",
+    1, 1000000, "4096", "most requests and tasks waiting here" },
+  [WRITES_PER_S] = { "writes-per-s", "CUMINMUX_WRITES_PER_S",
+    MUX_SETTING_INTEGER, "per s", 1, 1000, "50",
+    "this daemon's share of the table's writes" },
+  [CALLERS_MAX] = { "callers-max", "CUMINMUX_CALLERS_MAX",
+    MUX_SETTING_INTEGER, "", 1, 16384, "1024",
+    "most callers waiting for an answer; one thread each" },
+  [CALLER_IDLE_S] = { "caller-idle-s", "CUMINMUX_CALLER_IDLE_S",
+    MUX_SETTING_INTEGER, "s", 1, 3600, "60",
+    "a caller's connection silent for this long is closed" },
+  [WORKER_THREADS] = { "worker-threads", "CUMINMUX_WORKER_THREADS",
+    MUX_SETTING_INTEGER, "", 1, 4096, "96",
+    "starts and fetches in flight at once" },
+  [WORKER_CONTROL_THREADS] = { "worker-control-threads",
+    "CUMINMUX_WORKER_CONTROL_THREADS", MUX_SETTING_INTEGER, "", 1, 256, "8",
+    "other worker calls, such as renewals, in flight at once" },
+  [PLATFORM_THREADS] = { "platform-threads", "CUMINMUX_PLATFORM_THREADS",
+    MUX_SETTING_INTEGER, "", 1, 256, "4", "platform calls in flight at once" },
+  [LIST_EVERY_MS] = { "list-every-ms", "CUMINMUX_LIST_EVERY_MS",
+    MUX_SETTING_INTEGER, "ms", 50, 60000, "1000",
+    "time between reads of the instance list" },
+  [BODY_MAX_KIB] = { "body-max-kib", "CUMINMUX_BODY_MAX_KIB",
+    MUX_SETTING_INTEGER, "KiB", 1, MUX_BODY_MAX / KIB, "4096",
+    "largest body of a caller" },
+  [STOP_AFTER_MS] = { "stop-after-ms", "CUMINMUX_STOP_AFTER_MS",
+    MUX_SETTING_INTEGER, "ms", 0, 3600000, "30000",
+    "bound of the graceful stop" },
+  [CURVE_SECRET_KEY] = { NULL, "CUMINMUX_CURVE_SECRET_KEY", MUX_SETTING_TEXT,
+    "", 0, 0, "", "secret key between daemons, Z85; none: no encryption" },
+  [CURVE_PUBLIC_KEY] = { NULL, "CUMINMUX_CURVE_PUBLIC_KEY", MUX_SETTING_TEXT,
+    "", 0, 0, "", "the matching public key, Z85" },
+  [TLS_CERT_FILE] = { "tls-cert-file", "CUMINMUX_TLS_CERT_FILE",
+    MUX_SETTING_TEXT, "", 0, 0, "",
+    "PEM certificate for callers; none: plain HTTP" },
+  [TLS_KEY_FILE] = { "tls-key-file", "CUMINMUX_TLS_KEY_FILE",
+    MUX_SETTING_TEXT, "", 0, 0, "", "PEM key for callers" },
+  [LOG_LEVEL] = { "log-level", "CUMINMUX_LOG_LEVEL", MUX_SETTING_INTEGER, "",
+    MUX_LOG_ERR, MUX_LOG_INFO, "5",
+    "highest syslog severity printed: 3 errors, 4 warnings, 5 notices, 6 all" },
+};
+/* clang-format on */
+
+static uint32_t
+integer (const MuxDaemonOptions *options, uint32_t index)
+{
+  return (uint32_t) mux_settings_integer (options->settings, index);
+}
+
+static const char *
+text (const MuxDaemonOptions *options, uint32_t index)
+{
+  return mux_settings_text (options->settings, index);
+}
+
+static void
+fill_texts (MuxDaemonOptions *options)
+{
+  options->name = text (options, NAME);
+  options->data_centre = text (options, DATA_CENTRE);
+  options->listen = text (options, LISTEN);
+  options->peer_listen = text (options, PEER_LISTEN);
+  options->platform_url = text (options, PLATFORM);
+  options->curve_secret_key = text (options, CURVE_SECRET_KEY);
+  options->curve_public_key = text (options, CURVE_PUBLIC_KEY);
+  options->tls_cert_file = text (options, TLS_CERT_FILE);
+  options->tls_key_file = text (options, TLS_KEY_FILE);
+  options->seeds
+      = mux_settings_addresses (options->settings, SEEDS, &options->seed_count);
+}
+
+static void
+fill_integers (MuxDaemonOptions *options)
+{
+  options->lease_ms = integer (options, LEASE_MS);
+  options->heartbeat_ms = integer (options, HEARTBEAT_MS);
+  options->suspect_ms = integer (options, SUSPECT_MS);
+  options->dead_ms = integer (options, DEAD_MS);
+  options->queue_max = integer (options, QUEUE_MAX);
+  options->writes_per_s = integer (options, WRITES_PER_S);
+  options->callers_max = integer (options, CALLERS_MAX);
+  options->caller_idle_s = integer (options, CALLER_IDLE_S);
+  options->worker_threads = integer (options, WORKER_THREADS);
+  options->worker_control_threads = integer (options, WORKER_CONTROL_THREADS);
+  options->platform_threads = integer (options, PLATFORM_THREADS);
+  options->list_every_ms = integer (options, LIST_EVERY_MS);
+  options->body_max_kib = integer (options, BODY_MAX_KIB);
+  options->stop_after_ms = integer (options, STOP_AFTER_MS);
+  options->log_level = (MuxLogLevel) integer (options, LOG_LEVEL);
+}
+
+static void
+check_curve_key (const char *key, uint32_t index, MuxFindings *findings)
+{
+  if (*key != 0 && strlen (key) != CURVE_KEY_LEN)
+    mux_findings_add (findings, specs[index].env, "is not %d characters long",
+                      CURVE_KEY_LEN);
+}
+
+/* What no single setting shows. */
+static void
+check_together (const MuxDaemonOptions *options, MuxFindings *findings)
+{
+  if (options->suspect_ms <= options->heartbeat_ms)
+    mux_findings_add (findings, "--suspect-ms", "must be over --heartbeat-ms");
+  if (options->dead_ms <= options->suspect_ms)
+    mux_findings_add (findings, "--dead-ms", "must be over --suspect-ms");
+  check_curve_key (options->curve_secret_key, CURVE_SECRET_KEY, findings);
+  check_curve_key (options->curve_public_key, CURVE_PUBLIC_KEY, findings);
+  if ((*options->curve_secret_key == 0) != (*options->curve_public_key == 0))
+    mux_findings_add (findings, specs[CURVE_SECRET_KEY].env,
+                      "goes together with CUMINMUX_CURVE_PUBLIC_KEY");
+  if ((*options->tls_cert_file == 0) != (*options->tls_key_file == 0))
+    mux_findings_add (findings, "--tls-cert-file",
+                      "goes together with --tls-key-file");
+}
+
+bool
+mux_daemon_options_read (int argc,
+                         char **argv,
+                         MuxDaemonOptions *options,
+                         MuxFindings *findings)
+{
+  uint32_t before = findings->count;
+
+  memset (options, 0, sizeof *options);
+  options->settings
+      = mux_settings_read (specs, SETTING_COUNT, argc, argv, findings);
+  if (options->settings == NULL)
+    return false;
+  fill_texts (options);
+  fill_integers (options);
+  check_together (options, findings);
+  if (findings->count == before)
+    return true;
+  mux_daemon_options_free (options);
+  return false;
+}
+
+void
+mux_daemon_options_free (MuxDaemonOptions *options)
+{
+  mux_settings_free (options->settings);
+  memset (options, 0, sizeof *options);
+}
+
+void
+mux_daemon_options_help (bool markdown)
+{
+  mux_settings_help (specs, SETTING_COUNT, markdown);
+}
