--- a/test/support/proc.c
+++ b/test/support/proc.c
@@ -140,7 +140,10 @@
                             "%s did not print \"listening …\" in %u ms",
                             options->argv[0], options->listen_ms);
   while (strncmp (line, LISTENING, strlen (LISTENING)) != 0);
-  snprintf (proc->line, sizeof proc->line, "%s", line + strlen (LISTENING));
+  memmove (line, line + strlen (LISTENING),
+           strlen (line) + 1 - strlen (LISTENING));
+  memcpy (proc->line, line, sizeof proc->line);
+  proc->line[sizeof proc->line - 1] = 0;
   return true;
 }
 
