--- /dev/null
+++ b/test/support/cluster.c
@@ -0,0 +1,241 @@
+#include "support/cluster.h"
+
+#include "support/callers.h"
+#include "support/http.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define ANY_PORT "127.0.0.1:0"
+#define LISTEN_MS 10000
+#define LOOK_EVERY_MS 50
+#define WORKERS_PER_RACK 8
+#define ARGS_MAX 24
+
+static bool
+start_member (const MuxClusterOptions *options,
+              MuxMember *member,
+              const char *const *argv,
+              MuxError *err)
+{
+  char err_path[MUX_PATH_LEN];
+  MuxProcOptions proc = { argv, err_path, LISTEN_MS };
+
+  snprintf (err_path, sizeof err_path, "%s/%s.err", options->scratch,
+            member->name);
+  member->proc = mux_proc_start (&proc, err);
+  if (member->proc == NULL)
+    return false;
+  if (mux_proc_word (member->proc, 0, member->addr, sizeof member->addr))
+    return true;
+  return mux_error_set (err, MUX_ERROR_PROTOCOL, "%s listens on \"%s\"",
+                        argv[0], mux_proc_line (member->proc));
+}
+
+static bool
+start_platform (MuxCluster *cluster, MuxError *err)
+{
+  char path[MUX_PATH_LEN];
+  const char *argv[] = { path, "--listen", ANY_PORT, NULL };
+
+  snprintf (path, sizeof path, "%s/standin-platform", cluster->options.bin);
+  mux_name_copy (cluster->platform.name, "platform");
+  return start_member (&cluster->options, &cluster->platform, argv, err);
+}
+
+static const char *
+data_centre_of (const MuxClusterOptions *options, uint32_t index)
+{
+  return options->data_centres[index % options->data_centre_count];
+}
+
+static bool
+start_worker (MuxCluster *cluster, uint32_t index, MuxError *err)
+{
+  const MuxClusterOptions *options = &cluster->options;
+  MuxMember *worker = &cluster->worker[index];
+  char path[MUX_PATH_LEN];
+  char capacity[64];
+  char platform[MUX_ADDR_LEN + 8];
+  char rack[16];
+  const char *argv[] = { path,
+                         "--name",
+                         worker->name,
+                         "--listen",
+                         ANY_PORT,
+                         "--capacity",
+                         capacity,
+                         "--log",
+                         worker->log,
+                         "--platform",
+                         platform,
+                         "--data-centre",
+                         worker->data_centre,
+                         "--rack",
+                         rack,
+                         NULL };
+
+  snprintf (path, sizeof path, "%s/standin-worker", options->bin);
+  snprintf (worker->name, sizeof worker->name, "worker-%02u", index + 1);
+  snprintf (worker->log, sizeof worker->log, "%s/worker-%02u.jsonl",
+            options->scratch, index + 1);
+  snprintf (capacity, sizeof capacity, "%u,%u,%u,%u",
+            options->capacity.cpu_milli, options->capacity.mem_mib,
+            options->capacity.accels, options->capacity.slots);
+  snprintf (platform, sizeof platform, "http://%s", cluster->platform.addr);
+  snprintf (rack, sizeof rack, "rack-%u",
+            index / options->data_centre_count / WORKERS_PER_RACK + 1);
+  mux_name_copy (worker->data_centre, data_centre_of (options, index));
+  cluster->worker_count = index + 1;
+  return start_member (options, worker, argv, err);
+}
+
+/* "listening ip:port peer ip:port": the first daemon is everyone's seed. */
+static bool
+keep_seed (MuxCluster *cluster, const MuxMember *daemon, MuxError *err)
+{
+  if (cluster->seed_peer[0] != 0
+      || mux_proc_word (daemon->proc, 2, cluster->seed_peer,
+                        sizeof cluster->seed_peer))
+    return true;
+  return mux_error_set (err, MUX_ERROR_PROTOCOL, "no peer address in \"%s\"",
+                        mux_proc_line (daemon->proc));
+}
+
+static bool
+start_daemon (MuxCluster *cluster, uint32_t index, MuxError *err)
+{
+  const MuxClusterOptions *options = &cluster->options;
+  MuxMember *daemon = &cluster->daemon[index];
+  char path[MUX_PATH_LEN];
+  char platform[MUX_ADDR_LEN + 8];
+  const char *argv[] = { path,
+                         "--name",
+                         daemon->name,
+                         "--data-centre",
+                         daemon->data_centre,
+                         "--listen",
+                         ANY_PORT,
+                         "--peer-listen",
+                         ANY_PORT,
+                         "--platform",
+                         platform,
+                         "--seeds",
+                         cluster->seed_peer,
+                         NULL };
+
+  /* The first one has nobody to greet; workers and peers find it. */
+  if (cluster->seed_peer[0] == 0)
+    argv[sizeof argv / sizeof argv[0] - 3] = NULL;
+  snprintf (path, sizeof path, "%s/cuminmuxd", options->bin);
+  snprintf (daemon->name, sizeof daemon->name, "entry-%u", index + 1);
+  snprintf (platform, sizeof platform, "http://%s", cluster->platform.addr);
+  mux_name_copy (daemon->data_centre, data_centre_of (options, index));
+  cluster->daemon_count = index + 1;
+  return start_member (options, daemon, argv, err)
+         && keep_seed (cluster, daemon, err);
+}
+
+static bool
+start_all (MuxCluster *cluster, MuxError *err)
+{
+  const MuxClusterOptions *options = &cluster->options;
+
+  if (options->daemons > MUX_CLUSTER_DAEMONS_MAX
+      || options->workers > MUX_CLUSTER_WORKERS_MAX)
+    return mux_error_set (err, MUX_ERROR_LIMIT, "too many processes");
+  if (!start_platform (cluster, err))
+    return false;
+  for (uint32_t i = 0; i < options->workers; i++)
+    if (!start_worker (cluster, i, err))
+      return false;
+  for (uint32_t i = 0; i < options->daemons; i++)
+    if (!start_daemon (cluster, i, err))
+      return false;
+  return true;
+}
+
+MuxCluster *
+mux_cluster_new (const MuxClusterOptions *options, MuxError *err)
+{
+  MuxCluster *cluster = calloc (1, sizeof *cluster);
+
+  if (cluster == NULL)
+    return NULL;
+  cluster->options = *options;
+  if (start_all (cluster, err))
+    return cluster;
+  mux_cluster_free (cluster);
+  return NULL;
+}
+
+static bool
+is_ready (MuxHttp *http, const MuxMember *daemon)
+{
+  MuxHttpAsk ask = { .method = "GET",
+                     .addr = daemon->addr,
+                     .path = "/readyz",
+                     .timeout_ms = LISTEN_MS };
+  MuxHttpReply reply;
+
+  if (!mux_http_call (http, &ask, &reply, NULL))
+    return false;
+  mux_http_reply_clear (&reply);
+  return reply.status == 200;
+}
+
+static bool
+lists_workers (MuxHttp *http, const MuxMember *daemon, uint32_t count)
+{
+  json_t *answer
+      = mux_http_json (http, "GET", daemon->addr, "/v1/workers", NULL, NULL);
+  size_t listed = json_array_size (json_object_get (answer, "workers"));
+
+  json_decref (answer);
+  return listed >= count;
+}
+
+static bool
+await_daemon (MuxHttp *http,
+              const MuxMember *daemon,
+              uint32_t workers,
+              int64_t until_ms,
+              MuxError *err)
+{
+  while (!is_ready (http, daemon) || !lists_workers (http, daemon, workers))
+    {
+      if (mux_mono_ms () >= until_ms)
+        return mux_error_set (err, MUX_ERROR_UNAVAILABLE,
+                              "%s is not ready with %u workers", daemon->name,
+                              workers);
+      mux_pause_ms (LOOK_EVERY_MS);
+    }
+  return true;
+}
+
+bool
+mux_cluster_await (MuxCluster *cluster, uint32_t timeout_ms, MuxError *err)
+{
+  int64_t until = mux_mono_ms () + timeout_ms;
+  MuxHttp *http = mux_http_new ();
+  bool ok = http != NULL;
+
+  for (uint32_t i = 0; ok && i < cluster->daemon_count; i++)
+    ok = await_daemon (http, &cluster->daemon[i], cluster->worker_count, until,
+                       err);
+  mux_http_free (http);
+  return ok;
+}
+
+void
+mux_cluster_free (MuxCluster *cluster)
+{
+  if (cluster == NULL)
+    return;
+  for (uint32_t i = 0; i < cluster->daemon_count; i++)
+    mux_proc_free (cluster->daemon[i].proc);
+  for (uint32_t i = 0; i < cluster->worker_count; i++)
+    mux_proc_free (cluster->worker[i].proc);
+  mux_proc_free (cluster->platform.proc);
+  free (cluster);
+}
--- /dev/null
+++ b/test/support/cluster.h
@@ -0,0 +1,78 @@
+#ifndef SUPPORT_CLUSTER_H
+#define SUPPORT_CLUSTER_H
+
+#include "base/error.h"
+#include "base/id.h"
+#include "model/spec.h"
+#include "support/proc.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define MUX_CLUSTER_DAEMONS_MAX 16
+#define MUX_CLUSTER_WORKERS_MAX 64
+#define MUX_PATH_LEN 256
+
+/**
+ * struct MuxClusterOptions - the platform stand-in, daemons and workers
+ * @bin: folder of the programs
+ * @scratch: folder for logs
+ * @data_centres: their names; daemons and workers are spread in turn
+ * @data_centre_count: entries of @data_centres
+ * @daemons: in all
+ * @workers: in all
+ * @capacity: of each worker
+ */
+typedef struct
+{
+  const char *bin;
+  const char *scratch;
+  const char *const *data_centres;
+  uint32_t data_centre_count;
+  uint32_t daemons;
+  uint32_t workers;
+  MuxSize capacity;
+} MuxClusterOptions;
+
+/**
+ * struct MuxMember - one process of the cluster
+ * @proc: the process
+ * @name: instance
+ * @data_centre: where
+ * @addr: "ip:port" of its HTTP side
+ * @log: a worker's execution log
+ */
+typedef struct
+{
+  MuxProc *proc;
+  char name[MUX_NAME_LEN];
+  char data_centre[MUX_NAME_LEN];
+  char addr[MUX_ADDR_LEN];
+  char log[MUX_PATH_LEN];
+} MuxMember;
+
+/**
+ * struct MuxCluster - the processes, freed by mux_cluster_free()
+ */
+typedef struct
+{
+  MuxClusterOptions options;
+  MuxMember platform;
+  uint32_t daemon_count;
+  MuxMember daemon[MUX_CLUSTER_DAEMONS_MAX];
+  uint32_t worker_count;
+  MuxMember worker[MUX_CLUSTER_WORKERS_MAX];
+  char seed_peer[MUX_ADDR_LEN]; /* peer address of the first daemon */
+} MuxCluster;
+
+/** mux_cluster_new() - start all; on the main thread, see mux_proc_guard()
+ * Return: NULL with @err set, nothing left running. */
+MuxCluster *mux_cluster_new (const MuxClusterOptions *options, MuxError *err);
+/** mux_cluster_await() - until every daemon is ready and lists all workers
+ * Return: false with @err set after @timeout_ms. */
+bool
+mux_cluster_await (MuxCluster *cluster, uint32_t timeout_ms, MuxError *err);
+/** mux_cluster_free() - kill what still runs */
+void mux_cluster_free (MuxCluster *cluster);
+
+#endif
--- a/test/support/history_check.c
+++ b/test/support/history_check.c
@@ -302,12 +302,13 @@
         mux_history_break (history, MUX_RULE_NOT_RUN_RAN, "call %llu task %s",
                            (unsigned long long) call->call, call->task);
     }
-  HASH_ITER (hh, works, work, next)
-  {
-    check_work (index, work);
-    HASH_DEL (works, work);
-    free (work);
-  }
+  for (work = works; work != NULL; work = next)
+    {
+      next = work->hh.next;
+      check_work (index, work);
+      HASH_DEL (works, work);
+      free (work);
+    }
 }
 
 static void
