Carry jobs: recorded before acknowledged, adopted by conditional write

A job is a header row (its revision fences a former home) and part rows with where each task was placed, written before its start; the body goes to the object store first. Any daemon adopts a job whose home is dead, and resumes each task at the worker its row names. Compiles; not run yet.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -209,6 +209,7 @@
   workers_free (core);
   members_free (core);
   calls_free (core);
+  jobs_clear (core);
   jobs_free (core->jobs);
   config_free (core->config);
   commit_free (core->commit);
@@ -368,9 +369,10 @@
   members_tick (core);
   workers_tick (core);
   config_tick (core);
+  /* Placements first: what they want recorded goes out in the same step. */
+  owner_pump (core);
   jobs_tick (core);
   commit_tick (core);
-  owner_pump (core);
   look_stopped (core);
 }
 
--- /dev/null
+++ b/src/core/jobs.c
@@ -0,0 +1,167 @@
+#include "jobs_private.h"
+
+#include "config.h"
+
+#include <stdlib.h>
+
+Jobs *
+jobs_new (void)
+{
+  return calloc (1, sizeof (Jobs));
+}
+
+void
+jobs_free (Jobs *jobs)
+{
+  free (jobs);
+}
+
+void
+jobs_clear (MuxCore *core)
+{
+  Job *job, *next;
+
+  if (core->jobs == NULL)
+    return;
+  HASH_ITER (hh, core->jobs->open, job, next)
+  job_free (core, job);
+  job_submits_free (core);
+  job_waits_free (core);
+}
+
+Job *
+job_find (MuxCore *core, MuxId id)
+{
+  Job *job;
+
+  HASH_FIND (hh, core->jobs->open, &id, sizeof id, job);
+  return job;
+}
+
+Job *
+job_new (MuxCore *core, const JobHeader *header, uint64_t rev, MuxBlob *body)
+{
+  Job *job = calloc (1, sizeof *job);
+
+  if (job == NULL)
+    return NULL;
+  job->slots = calloc (header->task_count, sizeof *job->slots);
+  job->dirty = calloc (job_parts (header), sizeof *job->dirty);
+  job->written = calloc (header->task_count, sizeof *job->written);
+  job->pending = calloc (header->task_count, sizeof *job->pending);
+  if (job->slots == NULL || job->dirty == NULL || job->written == NULL
+      || job->pending == NULL)
+    {
+      free (job->slots);
+      free (job->dirty);
+      free (job->written);
+      free (job->pending);
+      free (job);
+      return NULL;
+    }
+  job->id = header->id;
+  job->header = *header;
+  job->rev = rev;
+  job->body = mux_blob_ref (body);
+  HASH_ADD (hh, core->jobs->open, id, sizeof job->id, job);
+  return job;
+}
+
+void
+job_free (MuxCore *core, Job *job)
+{
+  HASH_DEL (core->jobs->open, job);
+  mux_blob_unref (job->body);
+  free (job->slots);
+  free (job->dirty);
+  free (job->written);
+  free (job->pending);
+  free (job);
+}
+
+static void
+refuse (MuxCore *core, const MuxAsk *ask, MuxReason reason)
+{
+  core_answer (core, ask->call, MUX_OUTCOME_NOT_RUN, reason, RETRY_MS * 10,
+               ask->id, NULL);
+}
+
+void
+jobs_ask (MuxCore *core, const MuxAsk *ask)
+{
+  if (core->stopping && ask->verb != MUX_ASK_JOB_GET
+      && ask->verb != MUX_ASK_JOB_LIST)
+    {
+      refuse (core, ask, MUX_REASON_STOPPING);
+      return;
+    }
+  switch (ask->verb)
+    {
+    case MUX_ASK_JOB_SUBMIT:
+      job_submit (core, ask);
+      break;
+    case MUX_ASK_JOB_WAIT:
+      job_wait (core, ask);
+      break;
+    case MUX_ASK_JOB_CANCEL:
+      job_ask_cancel (core, ask);
+      break;
+    case MUX_ASK_JOB_LIST:
+      job_list (core, ask);
+      break;
+    default:
+      job_show (core, ask);
+      break;
+    }
+}
+
+void
+jobs_tick (MuxCore *core)
+{
+  Job *job, *next;
+
+  if (!core->stopping)
+    job_scan (core);
+  job_waits_tick (core);
+  if (core->now_ms < core->jobs->next_write_ms)
+    return;
+  HASH_ITER (hh, core->jobs->open, job, next)
+  if (job->dirty_any)
+    job_write (core, job);
+}
+
+int64_t
+jobs_wake_ms (const MuxCore *core)
+{
+  int64_t at = core->jobs->next_scan_ms;
+  int64_t wait = job_waits_wake_ms (core);
+
+  for (const Job *job = core->jobs->open; job != NULL; job = job->hh.next)
+    if (job->dirty_any && !job->writing && job->write_ms < at)
+      at = job->write_ms;
+  if (wait < at)
+    at = wait;
+  return at;
+}
+
+void
+jobs_member_dead (MuxCore *core, const char *name)
+{
+  (void) name;
+  /* Soon, from the first row on, and not all daemons in the same moment. */
+  core->jobs->scan_after[0] = 0;
+  core->jobs->next_scan_ms = core->now_ms + core_jitter (core, RETRY_MS);
+}
+
+bool
+jobs_give_away (MuxCore *core)
+{
+  Job *job, *next;
+
+  /* What is placed but not yet written must not be lost with this process:
+   * its home's successor looks only where the rows say. */
+  HASH_ITER (hh, core->jobs->open, job, next)
+  if (job->writing || job->urgent)
+    return false;
+  return core->jobs->submits == NULL;
+}
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -6,6 +6,8 @@
 /* Jobs: recorded before they are acknowledged, carried on by any daemon. */
 Jobs *jobs_new (void);
 void jobs_free (Jobs *jobs);
+/** jobs_clear() - answer who waits and free every job; before jobs_free() */
+void jobs_clear (MuxCore *core);
 /** jobs_ask() - every MUX_ASK_JOB_* */
 void jobs_ask (MuxCore *core, const MuxAsk *ask);
 void jobs_tick (MuxCore *core);
--- /dev/null
+++ b/src/core/jobs_private.h
@@ -0,0 +1,179 @@
+#ifndef CORE_JOBS_PRIVATE_H
+#define CORE_JOBS_PRIVATE_H
+
+#include "jobs.h"
+
+/* Tasks whose whereabouts share one row. */
+#define PART_TASKS 32
+/* Most tasks of a job, not a gang, that ask for room or start at once. */
+#define WINDOW_TASKS 64
+/* Bytes of an object's key. */
+#define OBJECT_KEY_LEN 64
+
+/**
+ * enum SlotState - a job's task as recorded
+ */
+typedef enum
+{
+  SLOT_NEW,    /* not placed on any worker yet */
+  SLOT_PLACED, /* may have been started where the slot says */
+  SLOT_DONE,
+  SLOT_FAILED,
+  SLOT_UNKNOWN, /* may have run; must not run again */
+  SLOT_CANCELLED,
+  SLOT_STATE_COUNT
+} SlotState;
+
+typedef struct
+{
+  SlotState state;
+  bool active; /* a task of the core minds it */
+  uint32_t attempt;
+  char worker[MUX_NAME_LEN];
+  char addr[MUX_ADDR_LEN];
+  uint64_t incarnation;
+} Slot;
+
+/**
+ * enum JobState - a job as recorded
+ */
+typedef enum
+{
+  JOB_OPEN,
+  JOB_DONE,      /* every task ended well */
+  JOB_FAILED,    /* every task ended, some not well */
+  JOB_CANCELLED, /* an operator or caller ended it */
+  JOB_STATE_COUNT
+} JobState;
+
+/* What the row job/open/<id> or job/done/<id> holds. */
+typedef struct
+{
+  MuxId id;
+  char class_name[MUX_NAME_LEN];
+  uint32_t task_count;
+  JobState state;
+  bool cancel; /* asked for; the home has to carry it out */
+  char home[MUX_NAME_LEN];
+  uint64_t home_incarnation;
+  char object[OBJECT_KEY_LEN]; /* where the body is; "": no body */
+  uint32_t done;               /* ended tasks, in a job that has ended */
+  uint32_t failed;
+} JobHeader;
+
+typedef struct Job Job;
+struct Job
+{
+  MuxId id;
+  JobHeader header;
+  uint64_t rev; /* of its row: fences a former home */
+  MuxBlob *body;
+  Slot *slots;
+  uint8_t *dirty; /* parts to be written */
+  bool dirty_any;
+  bool urgent; /* a task waits for the write */
+  bool writing;
+  bool reading;
+  bool ended;   /* every slot is final; only its last write is missing */
+  bool dropped; /* carried on elsewhere */
+  uint32_t active;
+  uint32_t final;
+  uint32_t next_new; /* no SLOT_NEW below this one */
+  int64_t write_ms;  /* not before */
+  MuxId *written;    /* keys of tasks that wait for the write in flight */
+  uint32_t written_count;
+  MuxId *pending; /* the same for the next write */
+  uint32_t pending_count;
+  UT_hash_handle hh;
+};
+
+/* A caller that waits for a job's end, own or another daemon's. */
+typedef struct JobWait JobWait;
+struct JobWait
+{
+  uint64_t call;
+  MuxId id;
+  int64_t give_up_ms;
+  int64_t look_ms;
+  bool looking;
+  JobWait *next;
+};
+
+/* A submission until it is recorded. */
+typedef struct JobSubmit JobSubmit;
+struct JobSubmit
+{
+  MuxId id;
+  uint64_t call;
+  JobHeader header;
+  MuxBlob *body;
+  int64_t give_up_ms;
+  uint32_t tries;
+  UT_hash_handle hh;
+};
+
+struct Jobs
+{
+  Job *open; /* carried by this daemon */
+  JobSubmit *submits;
+  JobWait *waits;
+  int64_t next_write_ms;
+  int64_t next_scan_ms;
+  bool scanning;
+  char scan_after[MUX_ROW_KEY_LEN];
+};
+
+const char *job_state_name (JobState state);
+const char *slot_state_name (SlotState state);
+
+/* Rows (jobs_row.c). */
+void job_row_key (const char *prefix, MuxId id, char out[MUX_ROW_KEY_LEN]);
+void job_part_key (MuxId id, uint32_t part, char out[MUX_ROW_KEY_LEN]);
+MuxBlob *job_header_to_blob (const JobHeader *header);
+bool job_header_from_blob (const MuxBlob *blob, JobHeader *header);
+/** job_part_to_blob() - the slots of part number @part */
+MuxBlob *job_part_to_blob (const Job *job, uint32_t part);
+bool job_part_from_blob (Job *job, uint32_t part, const MuxBlob *blob);
+uint32_t job_parts (const JobHeader *header);
+
+/* Jobs carried here (jobs.c, jobs_carry.c). */
+Job *job_find (MuxCore *core, MuxId id);
+/** job_new() - takes a reference of @body; NULL: memory is out */
+Job *
+job_new (MuxCore *core, const JobHeader *header, uint64_t rev, MuxBlob *body);
+void job_free (MuxCore *core, Job *job);
+/** job_carry() - give its tasks something to do, as far as its window goes */
+void job_carry (MuxCore *core, Job *job);
+/** job_cancel() - carry out what header.cancel says */
+void job_cancel (MuxCore *core, Job *job);
+/** job_drop() - it has another home now: let go of its tasks */
+void job_drop (MuxCore *core, Job *job);
+/** job_write() - send what is dirty, if it is time and none is in flight */
+void job_write (MuxCore *core, Job *job);
+/** job_reread() - somebody changed its row: learn who and why */
+void job_reread (MuxCore *core, Job *job);
+/** job_ended() - its last write is done: tell who waits and free it */
+void job_ended (MuxCore *core, Job *job);
+
+/* Submission, adoption and questions (jobs_submit.c, jobs_adopt.c,
+ * jobs_show.c). */
+void job_submit (MuxCore *core, const MuxAsk *ask);
+void job_submits_free (MuxCore *core);
+void job_scan (MuxCore *core);
+void job_show (MuxCore *core, const MuxAsk *ask);
+void job_list (MuxCore *core, const MuxAsk *ask);
+void job_wait (MuxCore *core, const MuxAsk *ask);
+void job_waits_tick (MuxCore *core);
+int64_t job_waits_wake_ms (const MuxCore *core);
+void job_ask_cancel (MuxCore *core, const MuxAsk *ask);
+/** job_answer() - the job as known here, to one call */
+void job_answer (MuxCore *core, uint64_t call, uint32_t status, const Job *job);
+/** job_answer_header() - the job as its row has it */
+void job_answer_header (MuxCore *core,
+                        uint64_t call,
+                        uint32_t status,
+                        const JobHeader *header);
+void job_waits_tell (MuxCore *core, const JobHeader *header);
+void job_waits_free (MuxCore *core);
+
+#endif
--- /dev/null
+++ b/src/core/jobs_show.c
@@ -0,0 +1,393 @@
+#include "call.h"
+#include "jobs_private.h"
+#include "member.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Between looks at the row of a job that another daemon carries. */
+#define LOOK_MS 500
+
+static json_t *
+header_json (const JobHeader *header)
+{
+  char hex[MUX_ID_HEX_LEN];
+
+  mux_id_format (header->id, hex);
+  return json_pack (
+      "{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:I}", "id", hex, "class",
+      header->class_name, "state", job_state_name (header->state), "home",
+      header->home, "cancel", header->cancel, "task_count",
+      (json_int_t) header->task_count, "done", (json_int_t) header->done,
+      "failed", (json_int_t) header->failed);
+}
+
+/* What the task waits for, where it has no place yet. */
+static const char *
+waits_for (MuxCore *core, const Job *job, uint32_t index)
+{
+  const Task *task = task_find (core, mux_id_of_part (job->id, index));
+
+  if (task == NULL || job->slots[index].state != SLOT_NEW)
+    return "";
+  if (task->last_reason != MUX_REASON_NONE)
+    return mux_reason_name (task->last_reason);
+  return task_state_name (task->state);
+}
+
+static json_t *
+job_json (MuxCore *core, const Job *job)
+{
+  json_t *json = header_json (&job->header);
+  json_t *tasks = json_array ();
+
+  for (uint32_t i = 0; i < job->header.task_count; i++)
+    {
+      const Slot *slot = &job->slots[i];
+
+      json_array_append_new (
+          tasks,
+          json_pack ("{s:I, s:s, s:s, s:I, s:s}", "index", (json_int_t) i,
+                     "state", slot_state_name (slot->state), "worker",
+                     slot->worker, "attempt", (json_int_t) slot->attempt,
+                     "waits_for", waits_for (core, job, i)));
+    }
+  json_object_set_new (json, "tasks", tasks);
+  return json;
+}
+
+void
+job_answer (MuxCore *core, uint64_t call, uint32_t status, const Job *job)
+{
+  core_answer_json (core, call, status, job_json (core, job));
+}
+
+void
+job_answer_header (MuxCore *core,
+                   uint64_t call,
+                   uint32_t status,
+                   const JobHeader *header)
+{
+  core_answer_json (core, call, status, header_json (header));
+}
+
+static void
+answer_reason (MuxCore *core, uint64_t call, MuxReason reason, MuxId id)
+{
+  core_answer (core, call, MUX_OUTCOME_INFO, reason,
+               reason == MUX_REASON_UNKNOWN_JOB ? 0 : RETRY_MS * 10, id, NULL);
+}
+
+/* Reads both places where a job's row may stand. */
+static bool
+get_rows (MuxCore *core, MuxId id, TableDone done, uint64_t aux)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_GET, 2);
+
+  if (call == NULL)
+    return false;
+  job_row_key ("open", id, call->rows[0].key);
+  job_row_key ("done", id, call->rows[1].key);
+  return call_table (core, call, done, id, aux);
+}
+
+/* Reason NONE: @header is filled from the row that stands. */
+static MuxReason
+read_header (const MuxTableReply *reply, JobHeader *header, uint32_t *row)
+{
+  if (reply->status != MUX_TABLE_OK || reply->row_count < 2)
+    return MUX_REASON_STORE_DOWN;
+  for (*row = 0; *row < 2; ++*row)
+    if (job_header_from_blob (reply->rows[*row].value, header))
+      return MUX_REASON_NONE;
+  return MUX_REASON_UNKNOWN_JOB;
+}
+
+static void
+show_done (MuxCore *core, MuxId id, uint64_t call, const MuxTableReply *reply)
+{
+  JobHeader header;
+  uint32_t row;
+  MuxReason reason = read_header (reply, &header, &row);
+
+  if (reason != MUX_REASON_NONE)
+    answer_reason (core, call, reason, id);
+  else
+    job_answer_header (core, call, 200, &header);
+}
+
+void
+job_show (MuxCore *core, const MuxAsk *ask)
+{
+  const Job *job = job_find (core, ask->id);
+
+  if (job != NULL)
+    job_answer (core, ask->call, 200, job);
+  else if (!get_rows (core, ask->id, show_done, ask->call))
+    answer_reason (core, ask->call, MUX_REASON_RING_FULL, ask->id);
+}
+
+static void
+list_done (MuxCore *core, MuxId id, uint64_t call, const MuxTableReply *reply)
+{
+  json_t *jobs;
+
+  if (reply->status != MUX_TABLE_OK)
+    {
+      answer_reason (core, call, MUX_REASON_STORE_DOWN, id);
+      return;
+    }
+  jobs = json_array ();
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    {
+      JobHeader header;
+
+      if (job_header_from_blob (reply->rows[i].value, &header))
+        json_array_append_new (jobs, header_json (&header));
+    }
+  core_answer_json (
+      core, call, 200,
+      json_pack ("{s:o, s:b}", "jobs", jobs, "more", reply->more));
+}
+
+void
+job_list (MuxCore *core, const MuxAsk *ask)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_SCAN, 2);
+
+  if (call != NULL)
+    {
+      snprintf (call->rows[0].key, sizeof call->rows[0].key, "job/open/");
+      if (!mux_id_is_none (ask->id))
+        job_row_key ("open", ask->id, call->rows[1].key);
+      call->limit = MUX_ROWS_MAX;
+    }
+  if (call == NULL || !call_table (core, call, list_done, ask->id, ask->call))
+    answer_reason (core, ask->call, MUX_REASON_RING_FULL, ask->id);
+}
+
+/* Cancelling rewrites the row with its flag.  That also moves its revision,
+ * so the home's next write is refused, and it reads why. */
+static void
+cancel_put_done (MuxCore *core,
+                 MuxId id,
+                 uint64_t call,
+                 const MuxTableReply *reply)
+{
+  Job *job = job_find (core, id);
+
+  switch (reply->status)
+    {
+    case MUX_TABLE_OK:
+      if (job != NULL)
+        {
+          job->rev = reply->rev;
+          job_answer (core, call, 200, job);
+          job_cancel (core, job);
+          return;
+        }
+      get_rows (core, id, show_done, call);
+      return;
+    case MUX_TABLE_CONFLICT:
+      answer_reason (core, call, MUX_REASON_FENCED_ROW, id);
+      return;
+    case MUX_TABLE_UNKNOWN:
+      core_answer (core, call, MUX_OUTCOME_UNKNOWN, MUX_REASON_WRITE_UNKNOWN,
+                   RETRY_MS * 10, id, NULL);
+      return;
+    case MUX_TABLE_DOWN:
+    case MUX_TABLE_BAD:
+      answer_reason (core, call, MUX_REASON_STORE_DOWN, id);
+      return;
+    }
+}
+
+static void
+cancel_read_done (MuxCore *core,
+                  MuxId id,
+                  uint64_t call,
+                  const MuxTableReply *reply)
+{
+  JobHeader header;
+  uint32_t row;
+  MuxReason reason = read_header (reply, &header, &row);
+  MuxTableCall *put;
+
+  if (reason != MUX_REASON_NONE)
+    {
+      answer_reason (core, call, reason, id);
+      return;
+    }
+  if (row == 1)
+    {
+      job_answer_header (core, call, 200, &header);
+      return;
+    }
+  header.cancel = true;
+  put = mux_table_call_new (MUX_TABLE_TXN, 1);
+  if (put != NULL)
+    {
+      job_row_key ("open", id, put->rows[0].key);
+      put->rows[0].rev = reply->rows[0].rev;
+      put->rows[0].value = job_header_to_blob (&header);
+    }
+  if (put != NULL && put->rows[0].value == NULL)
+    {
+      mux_table_call_free (put);
+      put = NULL;
+    }
+  if (put == NULL || !call_table (core, put, cancel_put_done, id, call))
+    answer_reason (core, call, MUX_REASON_RING_FULL, id);
+}
+
+void
+job_ask_cancel (MuxCore *core, const MuxAsk *ask)
+{
+  if (!get_rows (core, ask->id, cancel_read_done, ask->call))
+    answer_reason (core, ask->call, MUX_REASON_RING_FULL, ask->id);
+}
+
+void
+job_wait (MuxCore *core, const MuxAsk *ask)
+{
+  JobWait *wait = calloc (1, sizeof *wait);
+
+  if (wait == NULL)
+    {
+      answer_reason (core, ask->call, MUX_REASON_INTERNAL, ask->id);
+      return;
+    }
+  wait->call = ask->call;
+  wait->id = ask->id;
+  wait->give_up_ms = core->now_ms + ask->give_up_ms;
+  wait->look_ms = core->now_ms;
+  wait->next = core->jobs->waits;
+  core->jobs->waits = wait;
+}
+
+static JobWait **
+wait_at (MuxCore *core, uint64_t call)
+{
+  JobWait **at = &core->jobs->waits;
+
+  while (*at != NULL && (*at)->call != call)
+    at = &(*at)->next;
+  return at;
+}
+
+static void
+wait_remove (JobWait **at)
+{
+  JobWait *wait = *at;
+
+  *at = wait->next;
+  free (wait);
+}
+
+static void
+look_done (MuxCore *core, MuxId id, uint64_t call, const MuxTableReply *reply)
+{
+  JobWait **at = wait_at (core, call);
+  JobHeader header;
+  uint32_t row;
+  MuxReason reason = read_header (reply, &header, &row);
+
+  if (*at == NULL)
+    return;
+  (*at)->looking = false;
+  (*at)->look_ms = core->now_ms + core_jitter (core, LOOK_MS);
+  if (reason == MUX_REASON_UNKNOWN_JOB)
+    {
+      answer_reason (core, call, reason, id);
+      wait_remove (at);
+    }
+  else if (reason == MUX_REASON_NONE && row == 1)
+    {
+      job_answer_header (core, call, 200, &header);
+      wait_remove (at);
+    }
+}
+
+static bool
+expire (MuxCore *core, JobWait **at)
+{
+  if (core->now_ms < (*at)->give_up_ms)
+    return false;
+  answer_reason (core, (*at)->call, MUX_REASON_DEADLINE, (*at)->id);
+  wait_remove (at);
+  return true;
+}
+
+void
+job_waits_tick (MuxCore *core)
+{
+  JobWait **at = &core->jobs->waits;
+
+  while (*at != NULL)
+    {
+      JobWait *wait = *at;
+
+      if (expire (core, at))
+        continue;
+      if (!wait->looking && core->now_ms >= wait->look_ms)
+        {
+          wait->look_ms = core->now_ms + LOOK_MS;
+          if (job_find (core, wait->id) == NULL)
+            wait->looking = get_rows (core, wait->id, look_done, wait->call);
+        }
+      at = &wait->next;
+    }
+}
+
+int64_t
+job_waits_wake_ms (const MuxCore *core)
+{
+  int64_t at = INT64_MAX;
+
+  for (const JobWait *w = core->jobs->waits; w != NULL; w = w->next)
+    {
+      if (w->look_ms < at)
+        at = w->look_ms;
+      if (w->give_up_ms < at)
+        at = w->give_up_ms;
+    }
+  return at;
+}
+
+void
+job_waits_tell (MuxCore *core, const JobHeader *header)
+{
+  JobWait **at = &core->jobs->waits;
+
+  while (*at != NULL)
+    {
+      if (!mux_id_equal ((*at)->id, header->id))
+        {
+          at = &(*at)->next;
+          continue;
+        }
+      job_answer_header (core, (*at)->call, 200, header);
+      wait_remove (at);
+    }
+}
+
+void
+jobs_caller_gone (MuxCore *core, uint64_t call)
+{
+  JobWait **at = wait_at (core, call);
+
+  if (*at != NULL)
+    wait_remove (at);
+}
+
+void
+job_waits_free (MuxCore *core)
+{
+  while (core->jobs->waits != NULL)
+    {
+      answer_reason (core, core->jobs->waits->call, MUX_REASON_STOPPING,
+                     core->jobs->waits->id);
+      wait_remove (&core->jobs->waits);
+    }
+}
--- /dev/null
+++ b/src/core/jobs_submit.c
@@ -0,0 +1,244 @@
+#include "call.h"
+#include "config.h"
+#include "jobs_private.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Tries of a write whose answer was lost before the caller hears "unknown". */
+#define TRIES_MAX 5
+
+static void send_row (MuxCore *core, JobSubmit *submit);
+
+static JobSubmit *
+submit_find (MuxCore *core, MuxId id)
+{
+  JobSubmit *submit;
+
+  HASH_FIND (hh, core->jobs->submits, &id, sizeof id, submit);
+  return submit;
+}
+
+static void
+submit_free (MuxCore *core, JobSubmit *submit)
+{
+  HASH_DEL (core->jobs->submits, submit);
+  mux_blob_unref (submit->body);
+  free (submit);
+}
+
+void
+job_submits_free (MuxCore *core)
+{
+  JobSubmit *submit, *next;
+
+  HASH_ITER (hh, core->jobs->submits, submit, next)
+  {
+    core_answer (core, submit->call, MUX_OUTCOME_UNKNOWN, MUX_REASON_STOPPING,
+                 RETRY_MS * 10, submit->id, NULL);
+    submit_free (core, submit);
+  }
+}
+
+static void
+submit_refuse (MuxCore *core, JobSubmit *submit, MuxReason reason)
+{
+  /* After a lost answer it may be on record, or be so soon. */
+  MuxOutcome outcome
+      = submit->tries > 1 ? MUX_OUTCOME_UNKNOWN : MUX_OUTCOME_NOT_RUN;
+
+  core_answer (core, submit->call, outcome, reason, RETRY_MS * 10, submit->id,
+               NULL);
+  submit_free (core, submit);
+}
+
+static void
+accept (MuxCore *core, JobSubmit *submit, uint64_t rev)
+{
+  Job *job = job_new (core, &submit->header, rev, submit->body);
+
+  mux_count (core->counters, MUX_COUNT_JOBS_ACCEPTED, 1);
+  /* Recorded is accepted, even if this daemon has no memory to carry it: its
+   * row has no living home then, or this one, and a scan adopts it. */
+  job_answer_header (core, submit->call, 202, &submit->header);
+  submit_free (core, submit);
+  if (job != NULL)
+    job_carry (core, job);
+}
+
+/* A row of that id stands: an earlier submission of the same key, or this one
+ * by a write whose answer was lost. */
+static void
+found (MuxCore *core, JobSubmit *submit, const MuxTableReply *reply)
+{
+  JobHeader header;
+
+  if (reply->row_count == 0
+      || !job_header_from_blob (reply->rows[0].value, &header))
+    {
+      submit_refuse (core, submit, MUX_REASON_INTERNAL);
+      return;
+    }
+  if (header.state == JOB_OPEN && strcmp (header.home, core->name) == 0
+      && header.home_incarnation == core->opt.incarnation
+      && job_find (core, submit->id) == NULL)
+    {
+      accept (core, submit, reply->rows[0].rev);
+      return;
+    }
+  job_answer_header (core, submit->call, 202, &header);
+  submit_free (core, submit);
+}
+
+static void
+row_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+{
+  JobSubmit *submit = submit_find (core, id);
+
+  (void) aux;
+  if (submit == NULL)
+    return;
+  switch (reply->status)
+    {
+    case MUX_TABLE_OK:
+      accept (core, submit, reply->rev);
+      break;
+    case MUX_TABLE_CONFLICT:
+      found (core, submit, reply);
+      break;
+    case MUX_TABLE_UNKNOWN:
+      mux_count_retry (core->counters, MUX_REASON_WRITE_UNKNOWN);
+      /* The condition makes the repeat safe: it finds the row, or is first. */
+      if (submit->tries < TRIES_MAX)
+        send_row (core, submit);
+      else
+        submit_refuse (core, submit, MUX_REASON_WRITE_UNKNOWN);
+      break;
+    case MUX_TABLE_DOWN:
+    case MUX_TABLE_BAD:
+      submit_refuse (core, submit, MUX_REASON_STORE_DOWN);
+      break;
+    }
+}
+
+static void
+send_row (MuxCore *core, JobSubmit *submit)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_TXN, 2);
+  MuxId id = submit->id;
+
+  submit->tries++;
+  if (call != NULL)
+    {
+      job_row_key ("open", id, call->rows[0].key);
+      call->rows[0].rev = MUX_REV_ABSENT;
+      call->rows[0].value = job_header_to_blob (&submit->header);
+      job_row_key ("done", id, call->rows[1].key);
+      call->rows[1].rev = MUX_REV_ABSENT;
+      call->rows[1].check_only = true;
+    }
+  if (call == NULL || !call_table (core, call, row_done, id, 0))
+    submit_refuse (core, submit, MUX_REASON_RING_FULL);
+}
+
+static void
+object_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+{
+  JobSubmit *submit = submit_find (core, id);
+
+  (void) aux;
+  if (submit == NULL)
+    return;
+  if (reply->status == MUX_TABLE_OK)
+    send_row (core, submit);
+  else
+    submit_refuse (core, submit, MUX_REASON_STORE_DOWN);
+}
+
+/* The body is stored before the row that names it, so that no row ever names
+ * a body that is not there; its key has its hash, so that another body under
+ * the same idempotency key can't change it. */
+static void
+send_object (MuxCore *core, JobSubmit *submit)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_OBJECT_PUT, 1);
+
+  if (call != NULL)
+    {
+      snprintf (call->rows[0].key, sizeof call->rows[0].key, "%s",
+                submit->header.object);
+      call->rows[0].value = mux_blob_ref (submit->body);
+    }
+  if (call == NULL || !call_table (core, call, object_done, submit->id, 0))
+    submit_refuse (core, submit, MUX_REASON_RING_FULL);
+}
+
+static MuxReason
+check (MuxCore *core, const MuxAsk *ask, const MuxClassSpec *spec)
+{
+  if (!config_loaded (core))
+    return MUX_REASON_STORE_DOWN;
+  if (spec == NULL)
+    return MUX_REASON_UNKNOWN_CLASS;
+  if (spec->kind == MUX_KIND_SERVICE)
+    return MUX_REASON_KIND_MISMATCH;
+  if (ask->task_count == 0 || ask->task_count > MUX_JOB_TASKS_MAX)
+    return MUX_REASON_BAD_FIELD;
+  if (HASH_COUNT (core->jobs->submits) >= core->opt.queue_max)
+    return MUX_REASON_QUEUE_FULL;
+  return MUX_REASON_NONE;
+}
+
+static void
+name_object (JobSubmit *submit)
+{
+  char hex[MUX_ID_HEX_LEN];
+
+  if (submit->body == NULL || submit->body->len == 0)
+    return;
+  mux_id_format (submit->id, hex);
+  snprintf (submit->header.object, sizeof submit->header.object,
+            "job/%s-%016" PRIx64, hex,
+            (uint64_t) XXH3_64bits (submit->body->bytes, submit->body->len));
+}
+
+void
+job_submit (MuxCore *core, const MuxAsk *ask)
+{
+  MuxReason reason = check (core, ask, config_class (core, ask->name));
+  MuxId id = ask->key[0] == 0 ? core_mint (core)
+                              : mux_id_of_key (ask->name, ask->key);
+  JobSubmit *submit = NULL;
+
+  if (reason == MUX_REASON_NONE && submit_find (core, id) != NULL)
+    reason = MUX_REASON_KEY_IN_USE;
+  if (reason == MUX_REASON_NONE)
+    {
+      submit = calloc (1, sizeof *submit);
+      reason = submit == NULL ? MUX_REASON_INTERNAL : MUX_REASON_NONE;
+    }
+  if (reason != MUX_REASON_NONE)
+    {
+      core_answer (core, ask->call, MUX_OUTCOME_NOT_RUN, reason,
+                   reason == MUX_REASON_UNKNOWN_CLASS ? 0 : RETRY_MS * 10,
+                   (MuxId){ 0, 0 }, NULL);
+      return;
+    }
+  submit->id = id;
+  submit->call = ask->call;
+  submit->body = mux_blob_ref (ask->body);
+  submit->header = (JobHeader){ .id = id,
+                                .task_count = ask->task_count,
+                                .home_incarnation = core->opt.incarnation };
+  mux_name_copy (submit->header.class_name, ask->name);
+  mux_name_copy (submit->header.home, core->name);
+  name_object (submit);
+  HASH_ADD (hh, core->jobs->submits, id, sizeof submit->id, submit);
+  if (submit->header.object[0] != 0)
+    send_object (core, submit);
+  else
+    send_row (core, submit);
+}
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -28,8 +28,7 @@
 /** owner_pump() - take and hand out the scheduler's decisions */
 void owner_pump (MuxCore *core);
 /** owner_report() - the worker's list, of all running or of changes */
-void owner_report (MuxCore *core, Worker *worker,
-                   const MuxWorkerReply *reply);
+void owner_report (MuxCore *core, Worker *worker, const MuxWorkerReply *reply);
 /** owner_drop() - the claim on @worker is gone: forget what was booked there
  * @life_over: the worker's tasks are gone too, which the homes are told */
 void owner_drop (MuxCore *core, Worker *worker, bool life_over);
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -288,8 +288,12 @@
 static bool
 try_again (const Task *task)
 {
-  return task->idempotent && !task->cancelled
-         && (task->has_job || task->waiters != NULL)
+  if (!task->idempotent || task->cancelled)
+    return false;
+  /* A long-running service is meant to run until it is cancelled. */
+  if (task->kind == MUX_KIND_LONG_RUNNING)
+    return true;
+  return (task->has_job || task->waiters != NULL)
          && task->retries < FAILED_RETRIES;
 }
 
