--- a/include/adapter/peer.h
+++ b/include/adapter/peer.h
@@ -32,11 +32,14 @@
 
 /** mux_peer_zmq_new() - ZeroMQ between daemons
  * @bound: receives the "ip:port" in use, MUX_ADDR_LEN bytes
+ * Its send() also returns false for an address that is no "ip:port".  Its
+ * free() hands over what waits, for at most silent_ms.
  * Return: NULL with @err set when it can't listen. */
 MuxPeerPort *
 mux_peer_zmq_new (const MuxPeerZmqOptions *options, char *bound, MuxError *err);
 
-/** mux_peer_encode() - msgpack form; NULL: memory is out */
+/** mux_peer_encode() - msgpack form; NULL: memory is out, or a body over
+ * 4 MiB */
 MuxBlob *mux_peer_encode (const MuxPeerMsg *msg);
 /** mux_peer_decode() - false with @err when malformed, of another version, or
  * with a field out of range; on true @msg->body may hold a reference */
--- a/include/port/ports.h
+++ b/include/port/ports.h
@@ -16,7 +16,8 @@
 {
   bool (*worker_reply) (MuxInbox *inbox, MuxWorkerReply *reply);
   bool (*table_reply) (MuxInbox *inbox, MuxTableReply *reply);
-  bool (*peer_msg) (MuxInbox *inbox, const MuxPeerMsg *msg); /* copies it */
+  bool (*peer_msg) (MuxInbox *inbox,
+                    const MuxPeerMsg *msg); /* copies it, refs its body */
   bool (*instances) (MuxInbox *inbox, MuxInstanceList *list);
 };
 
--- a/src/adapter/peer_curve.c
+++ b/src/adapter/peer_curve.c
@@ -88,16 +88,14 @@
 
   if (!curve->on)
     return true;
-  /* Without an enforced domain ZeroMQ lets every key in whenever its question
-   * finds no handler. */
+  /* ZeroMQ lets every key in while nobody answers its question, so zap is
+   * bound before a server is and closed after it. */
   return zmq_setsockopt (socket, ZMQ_CURVE_SERVER, &on, sizeof on) == 0
          && zmq_setsockopt (socket, ZMQ_CURVE_SECRETKEY, curve->secret_text,
                             MUX_CURVE_KEY_TEXT)
                 == 0
          && zmq_setsockopt (socket, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN,
                             strlen (ZAP_DOMAIN))
-                == 0
-         && zmq_setsockopt (socket, ZMQ_ZAP_ENFORCE_DOMAIN, &on, sizeof on)
                 == 0;
 }
 
--- a/src/adapter/peer_link.c
+++ b/src/adapter/peer_link.c
@@ -8,8 +8,8 @@
 #include <zmq.h>
 
 #define RECONNECT_MS 50
-/* Only echoes, which are empty, come back on a link. */
-#define ECHO_BYTES_MAX 0
+/* Only echoes, which are empty, and ZeroMQ's own commands come back. */
+#define FRAME_BYTES_MAX 1024
 #define HEAR_BATCH 4096
 
 static bool
@@ -18,8 +18,9 @@
   return zmq_setsockopt (socket, option, &value, sizeof value) == 0;
 }
 
-/* ZeroMQ's own heartbeats, off by default, end connections that died below it
- * on either side, and the other limits those that never came to be. */
+/* ZeroMQ's own heartbeats, off by default, end connections that died while
+ * nothing was sent, on either side; they wait longer than a link that is in
+ * use, whose replacement is more than a new connection. */
 bool
 mux_peer_socket_common (void *socket, uint32_t silent_ms)
 {
@@ -30,7 +31,7 @@
          && set_int (socket, ZMQ_SNDHWM, MUX_PEER_LINK_QUEUE)
          && set_int (socket, ZMQ_RCVHWM, MUX_PEER_LINK_QUEUE)
          && set_int (socket, ZMQ_HEARTBEAT_IVL, interval)
-         && set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, silent)
+         && set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, 2 * silent)
          && set_int (socket, ZMQ_HANDSHAKE_IVL, silent);
 }
 
@@ -42,7 +43,7 @@
 {
   void *socket = zmq_socket (links->zmq, ZMQ_DEALER);
   char endpoint[MUX_ADDR_LEN + 8];
-  int64_t echo_max = ECHO_BYTES_MAX;
+  int64_t frame_max = FRAME_BYTES_MAX;
 
   if (socket == NULL)
     return NULL;
@@ -51,7 +52,7 @@
       && set_int (socket, ZMQ_IPV6, addr[0] == '[')
       && set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS)
       && set_int (socket, ZMQ_CONNECT_TIMEOUT, (int) links->silent_ms)
-      && zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &echo_max, sizeof echo_max)
+      && zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &frame_max, sizeof frame_max)
              == 0
       && mux_peer_curve_client (links->curve, socket)
       && zmq_connect (socket, endpoint) == 0)
@@ -201,7 +202,7 @@
     return;
   if (now_ms - link->waiting_since_ms >= links->silent_ms)
     link_replace (links, link);
-  else if (link->probes == 0 && link->socket != NULL)
+  else if (link->socket != NULL)
     link_probe (link);
 }
 
--- /dev/null
+++ b/src/adapter/peer_thread.c
@@ -0,0 +1,245 @@
+#include "peer_thread.h"
+
+#include "adapter/peer.h"
+
+#include <stdlib.h>
+#include <time.h>
+#include <zmq.h>
+
+/* Messages taken from one side before the other has its turn. */
+#define BATCH 256
+
+enum
+{
+  POLL_OUTGOING,
+  POLL_LISTENER,
+  POLL_ZAP,
+  POLL_BASE
+};
+
+static int64_t
+now_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (int64_t) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
+count (const MuxPeerZmq *peer, MuxCounter counter)
+{
+  if (peer->counters != NULL)
+    mux_count (peer->counters, counter, 1);
+}
+
+void
+mux_peer_outgoing_free (MuxPeerOutgoing *out)
+{
+  mux_blob_unref (out->msg.body);
+  free (out);
+}
+
+static bool
+send_next (MuxPeerZmq *peer, int64_t now)
+{
+  MuxPeerOutgoing *out = mux_ring_wait (peer->outgoing, 0);
+  MuxBlob *blob;
+
+  if (out == NULL)
+    return false;
+  blob = mux_peer_encode (&out->msg);
+  if (blob != NULL)
+    mux_peer_links_send (&peer->links, out->addr, blob, now);
+  mux_blob_unref (blob);
+  mux_peer_outgoing_free (out);
+  return true;
+}
+
+static void
+send_waiting (MuxPeerZmq *peer, int64_t now)
+{
+  for (int i = 0; i < BATCH; i++)
+    if (!send_next (peer, now))
+      return;
+}
+
+static void
+deliver (MuxPeerZmq *peer, zmq_msg_t *payload)
+{
+  MuxPeerMsg msg;
+
+  if (!mux_peer_decode (zmq_msg_data (payload), zmq_msg_size (payload), &msg,
+                        NULL))
+    {
+      count (peer, MUX_COUNT_PEER_BAD);
+      return;
+    }
+  count (peer, MUX_COUNT_PEER_RECEIVED);
+  (void) peer->inbox->peer_msg (peer->inbox, &msg);
+  mux_blob_unref (msg.body);
+}
+
+static void
+echo (MuxPeerZmq *peer, zmq_msg_t *identity)
+{
+  if (zmq_msg_send (identity, peer->listener, ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0)
+    (void) zmq_send (peer->listener, "", 0, ZMQ_DONTWAIT);
+}
+
+/* Reads away the frames of a message that has too many. */
+static void
+skip_frames (MuxPeerZmq *peer)
+{
+  zmq_msg_t frame;
+  bool more = true;
+
+  while (more)
+    {
+      zmq_msg_init (&frame);
+      more = zmq_msg_recv (&frame, peer->listener, ZMQ_DONTWAIT) >= 0
+             && zmq_msg_more (&frame) != 0;
+      zmq_msg_close (&frame);
+    }
+}
+
+/* A message is the link's identity and one payload; an empty one is a probe. */
+static void
+receive_payload (MuxPeerZmq *peer, zmq_msg_t *identity)
+{
+  zmq_msg_t payload;
+
+  zmq_msg_init (&payload);
+  if (!zmq_msg_more (identity)
+      || zmq_msg_recv (&payload, peer->listener, ZMQ_DONTWAIT) < 0)
+    count (peer, MUX_COUNT_PEER_BAD);
+  else if (zmq_msg_more (&payload))
+    {
+      skip_frames (peer);
+      count (peer, MUX_COUNT_PEER_BAD);
+    }
+  else if (zmq_msg_size (&payload) == 0)
+    echo (peer, identity);
+  else
+    deliver (peer, &payload);
+  zmq_msg_close (&payload);
+}
+
+static void
+receive_waiting (MuxPeerZmq *peer)
+{
+  zmq_msg_t identity;
+  bool there = true;
+
+  for (int i = 0; i < BATCH && there; i++)
+    {
+      zmq_msg_init (&identity);
+      there = zmq_msg_recv (&identity, peer->listener, ZMQ_DONTWAIT) >= 0;
+      if (there)
+        receive_payload (peer, &identity);
+      zmq_msg_close (&identity);
+    }
+}
+
+/* A thread that was held up for long has heard nothing meanwhile; that time
+ * is not held against its links. */
+static void
+tick (MuxPeerZmq *peer, int64_t now)
+{
+  int64_t late_ms = now - peer->next_tick_ms;
+
+  if (late_ms < 0)
+    return;
+  mux_peer_links_tick (&peer->links, now,
+                       late_ms > peer->links.silent_ms ? late_ms : 0);
+  peer->next_tick_ms = now + peer->tick_ms;
+}
+
+static uint32_t
+poll_base (const MuxPeerZmq *peer, zmq_pollitem_t *items)
+{
+  items[POLL_OUTGOING]
+      = (zmq_pollitem_t){ NULL, mux_ring_fd (peer->outgoing), ZMQ_POLLIN, 0 };
+  items[POLL_LISTENER] = (zmq_pollitem_t){ peer->listener, 0, ZMQ_POLLIN, 0 };
+  items[POLL_ZAP] = (zmq_pollitem_t){ peer->curve.zap, 0, ZMQ_POLLIN, 0 };
+  return peer->curve.on ? POLL_BASE : POLL_ZAP;
+}
+
+static void
+serve (MuxPeerZmq *peer, const zmq_pollitem_t *items, int64_t now)
+{
+  if (items[POLL_OUTGOING].revents != 0)
+    send_waiting (peer, now);
+  if (items[POLL_LISTENER].revents != 0)
+    receive_waiting (peer);
+  if (peer->curve.on && items[POLL_ZAP].revents != 0)
+    mux_peer_curve_answer (&peer->curve);
+}
+
+static void
+run (MuxPeerZmq *peer)
+{
+  zmq_pollitem_t items[POLL_BASE];
+  int used = (int) poll_base (peer, items);
+
+  peer->next_tick_ms = now_ms () + peer->tick_ms;
+  while (!atomic_load (&peer->stopping))
+    {
+      int64_t wait_ms = peer->next_tick_ms - now_ms ();
+
+      if (zmq_poll (items, used, wait_ms > 0 ? wait_ms : 0) > 0)
+        serve (peer, items, now_ms ());
+      tick (peer, now_ms ());
+    }
+}
+
+/* Links whose last probe has not come back. */
+static uint32_t
+poll_links (const MuxPeerZmq *peer, zmq_pollitem_t *items)
+{
+  MuxPeerLink *link;
+  MuxPeerLink *next;
+  uint32_t n = 0;
+
+  HASH_ITER (hh, peer->links.by_addr, link, next)
+  if (link->socket != NULL && !link->silent && link->probes > 0)
+    items[n++] = (zmq_pollitem_t){ link->socket, 0, ZMQ_POLLIN, 0 };
+  return n;
+}
+
+/* The last word, such as BYE, would be lost if the sockets were closed under
+ * it.  An echo of a probe sent behind it proves that it arrived; a peer that
+ * does not echo holds the end up for no more than silent_ms. */
+static void
+flush (MuxPeerZmq *peer)
+{
+  zmq_pollitem_t items[POLL_BASE + MUX_PEER_LINKS_MAX];
+  int64_t end_ms = now_ms () + peer->links.silent_ms;
+  uint32_t base = poll_base (peer, items);
+  uint32_t waiting;
+
+  while (send_next (peer, now_ms ()))
+    ;
+  mux_peer_links_probe (&peer->links);
+  while ((waiting = poll_links (peer, items + base)) > 0 && now_ms () < end_ms)
+    {
+      MuxPeerLink *link;
+      MuxPeerLink *next;
+
+      (void) zmq_poll (items, (int) (base + waiting), end_ms - now_ms ());
+      serve (peer, items, now_ms ());
+      HASH_ITER (hh, peer->links.by_addr, link, next)
+      mux_peer_link_hear (link);
+    }
+}
+
+void *
+mux_peer_thread_main (void *arg)
+{
+  MuxPeerZmq *peer = arg;
+
+  run (peer);
+  flush (peer);
+  mux_peer_links_close (&peer->links);
+  return NULL;
+}
--- /dev/null
+++ b/test/support/tcp_forwarder.c
@@ -0,0 +1,212 @@
+#include "support/tcp_forwarder.h"
+
+#include "base/id.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define PAIRS_MAX 64
+#define WAIT_S 30
+
+/* Frozen ends stay open; they are closed with the forwarder. */
+typedef struct
+{
+  int fd[2];
+  bool frozen;
+} Pair;
+
+struct TcpForwarder
+{
+  pthread_t thread;
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
+  int wake;
+  int listener;
+  bool stopping;
+  struct sockaddr_in target;
+  Pair pairs[PAIRS_MAX];
+  uint32_t count;
+  uint32_t closed;
+};
+
+static struct sockaddr_in
+parse (const char *addr)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  sa.sin_port = htons ((uint16_t) atoi (strrchr (addr, ':') + 1));
+  return sa;
+}
+
+static void
+accept_pair (TcpForwarder *fw)
+{
+  int in = accept (fw->listener, NULL, NULL);
+  int out = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (in >= 0 && out >= 0 && fw->count < PAIRS_MAX
+      && connect (out, (struct sockaddr *) &fw->target, sizeof fw->target) == 0)
+    {
+      fw->pairs[fw->count++] = (Pair){ { in, out }, false };
+      return;
+    }
+  if (in >= 0)
+    close (in);
+  if (out >= 0)
+    close (out);
+}
+
+static bool
+write_all (int fd, const char *bytes, ssize_t len)
+{
+  while (len > 0)
+    {
+      ssize_t n = send (fd, bytes, (size_t) len, MSG_NOSIGNAL);
+
+      if (n <= 0)
+        return false;
+      bytes += n;
+      len -= n;
+    }
+  return true;
+}
+
+static void
+pump (TcpForwarder *fw, Pair *pair, int from)
+{
+  char buf[4096];
+  ssize_t n = recv (pair->fd[from], buf, sizeof buf, 0);
+
+  if (n > 0 && write_all (pair->fd[1 - from], buf, n))
+    return;
+  close (pair->fd[0]);
+  close (pair->fd[1]);
+  pair->fd[0] = pair->fd[1] = -1;
+  fw->closed++;
+  pthread_cond_broadcast (&fw->changed);
+}
+
+static int
+end_to_poll (const Pair *pair, int end)
+{
+  return pair->frozen ? -1 : pair->fd[end];
+}
+
+static void *
+forwarder_main (void *arg)
+{
+  TcpForwarder *fw = arg;
+  struct pollfd fds[2 + 2 * PAIRS_MAX];
+
+  pthread_mutex_lock (&fw->mutex);
+  while (!fw->stopping)
+    {
+      uint32_t count = fw->count;
+      eventfd_t woken;
+
+      fds[0] = (struct pollfd){ fw->wake, POLLIN, 0 };
+      fds[1] = (struct pollfd){ fw->listener, POLLIN, 0 };
+      for (uint32_t i = 0; i < 2 * count; i++)
+        fds[2 + i] = (struct pollfd){ end_to_poll (&fw->pairs[i / 2], i % 2),
+                                      POLLIN, 0 };
+      pthread_mutex_unlock (&fw->mutex);
+      poll (fds, 2 + 2 * count, -1);
+      pthread_mutex_lock (&fw->mutex);
+      if (fds[0].revents != 0)
+        eventfd_read (fw->wake, &woken);
+      for (uint32_t i = 0; i < 2 * count; i++)
+        if (fds[2 + i].revents != 0
+            && end_to_poll (&fw->pairs[i / 2], i % 2) >= 0)
+          pump (fw, &fw->pairs[i / 2], i % 2);
+      if (fds[1].revents != 0)
+        accept_pair (fw);
+    }
+  pthread_mutex_unlock (&fw->mutex);
+  return NULL;
+}
+
+TcpForwarder *
+tcp_forwarder_new (const char *target, char *addr)
+{
+  TcpForwarder *fw = calloc (1, sizeof *fw);
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  socklen_t len = sizeof sa;
+
+  if (fw == NULL)
+    abort ();
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  fw->target = parse (target);
+  fw->wake = eventfd (0, EFD_CLOEXEC);
+  fw->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (fw->listener, (struct sockaddr *) &sa, sizeof sa) != 0
+      || listen (fw->listener, PAIRS_MAX) != 0
+      || getsockname (fw->listener, (struct sockaddr *) &sa, &len) != 0)
+    abort ();
+  snprintf (addr, MUX_ADDR_LEN, "127.0.0.1:%u", ntohs (sa.sin_port));
+  pthread_mutex_init (&fw->mutex, NULL);
+  pthread_cond_init (&fw->changed, NULL);
+  if (pthread_create (&fw->thread, NULL, forwarder_main, fw) != 0)
+    abort ();
+  return fw;
+}
+
+void
+tcp_forwarder_free (TcpForwarder *fw)
+{
+  pthread_mutex_lock (&fw->mutex);
+  fw->stopping = true;
+  pthread_mutex_unlock (&fw->mutex);
+  eventfd_write (fw->wake, 1);
+  pthread_join (fw->thread, NULL);
+  for (uint32_t i = 0; i < 2 * fw->count; i++)
+    if (fw->pairs[i / 2].fd[i % 2] >= 0)
+      close (fw->pairs[i / 2].fd[i % 2]);
+  close (fw->listener);
+  close (fw->wake);
+  pthread_cond_destroy (&fw->changed);
+  pthread_mutex_destroy (&fw->mutex);
+  free (fw);
+}
+
+void
+tcp_forwarder_retarget (TcpForwarder *fw, const char *target)
+{
+  pthread_mutex_lock (&fw->mutex);
+  fw->target = parse (target);
+  pthread_mutex_unlock (&fw->mutex);
+}
+
+void
+tcp_forwarder_freeze (TcpForwarder *fw)
+{
+  pthread_mutex_lock (&fw->mutex);
+  for (uint32_t i = 0; i < fw->count; i++)
+    fw->pairs[i].frozen = true;
+  pthread_mutex_unlock (&fw->mutex);
+  eventfd_write (fw->wake, 1);
+}
+
+bool
+tcp_forwarder_wait_closed (TcpForwarder *fw, uint32_t n)
+{
+  struct timespec end;
+  bool there;
+  int rc = 0;
+
+  clock_gettime (CLOCK_REALTIME, &end);
+  end.tv_sec += WAIT_S;
+  pthread_mutex_lock (&fw->mutex);
+  while (!(there = fw->closed >= n) && rc == 0)
+    rc = pthread_cond_timedwait (&fw->changed, &fw->mutex, &end);
+  pthread_mutex_unlock (&fw->mutex);
+  return there;
+}
--- /dev/null
+++ b/test/unit/test_peer_codec.c
@@ -0,0 +1,339 @@
+#include "adapter/peer.h"
+#include "port/worker.h"
+#include "support/peer_sample.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Largest heartbeat that the daemons of the sample should send. */
+#define HEARTBEAT_BYTES_MAX 140
+
+/* Decodes from a block of exactly @len bytes, so that the sanitizer sees any
+ * read beyond it. */
+static bool
+decode_exact (const void *bytes, size_t len, MuxPeerMsg *msg, MuxError *err)
+{
+  void *block = malloc (len > 0 ? len : 1);
+  bool ok;
+
+  assert_non_null (block);
+  memcpy (block, bytes, len);
+  ok = mux_peer_decode (block, len, msg, err);
+  free (block);
+  return ok;
+}
+
+static MuxBlob *
+encode_sample (MuxPeerVerb verb)
+{
+  MuxPeerMsg msg;
+  MuxBlob *blob;
+
+  peer_sample (verb, &msg);
+  blob = mux_peer_encode (&msg);
+  assert_non_null (blob);
+  mux_blob_unref (msg.body);
+  return blob;
+}
+
+static void
+assert_msgs_equal (MuxPeerMsg *a, MuxPeerMsg *b)
+{
+  MuxBlob *body_a = a->body;
+  MuxBlob *body_b = b->body;
+
+  assert_int_equal (body_a == NULL, body_b == NULL);
+  if (body_a != NULL)
+    {
+      assert_int_equal (body_a->len, body_b->len);
+      assert_memory_equal (body_a->bytes, body_b->bytes, body_a->len);
+    }
+  a->body = NULL;
+  b->body = NULL;
+  assert_memory_equal (a, b, sizeof *a);
+  mux_blob_unref (body_a);
+  mux_blob_unref (body_b);
+}
+
+static void
+test_round_trip (void **state)
+{
+  (void) state;
+  for (int verb = 0; verb < MUX_PEER_VERB_COUNT; verb++)
+    {
+      MuxBlob *blob = encode_sample ((MuxPeerVerb) verb);
+      MuxError err = { 0 };
+      MuxPeerMsg sent;
+      MuxPeerMsg got;
+
+      peer_sample ((MuxPeerVerb) verb, &sent);
+      assert_true (decode_exact (blob->bytes, blob->len, &got, &err));
+      assert_int_equal (err.code, MUX_ERROR_NONE);
+      assert_msgs_equal (&sent, &got);
+      mux_blob_unref (blob);
+    }
+}
+
+static void
+test_optional_fields_absent (void **state)
+{
+  MuxPeerMsg sent;
+  MuxPeerMsg got;
+  MuxBlob *blob;
+
+  (void) state;
+  peer_sample (MUX_PEER_GRANT_ASK, &sent);
+  sent.group = (MuxId){ 0, 0 };
+  memset (sent.to, 0, sizeof sent.to);
+  blob = mux_peer_encode (&sent);
+  assert_true (decode_exact (blob->bytes, blob->len, &got, NULL));
+  assert_msgs_equal (&sent, &got);
+  mux_blob_unref (blob);
+}
+
+static void
+test_only_fields_of_verb_travel (void **state)
+{
+  MuxBlob *alone = encode_sample (MUX_PEER_HEARTBEAT);
+  MuxBlob *both;
+  MuxPeerMsg msg;
+
+  (void) state;
+  peer_sample (MUX_PEER_HEARTBEAT, &msg);
+  mux_name_copy (msg.worker, "nizwa-w017");
+  msg.epoch = 7;
+  msg.body = mux_blob_new ("[]", 2);
+  both = mux_peer_encode (&msg);
+  assert_int_equal (alone->len, both->len);
+  assert_memory_equal (alone->bytes, both->bytes, alone->len);
+  assert_true (alone->len <= HEARTBEAT_BYTES_MAX);
+  mux_blob_unref (msg.body);
+  mux_blob_unref (alone);
+  mux_blob_unref (both);
+}
+
+static void
+test_truncation_refused (void **state)
+{
+  (void) state;
+  for (int verb = 0; verb < MUX_PEER_VERB_COUNT; verb++)
+    {
+      MuxBlob *blob = encode_sample ((MuxPeerVerb) verb);
+
+      for (size_t len = 0; len < blob->len; len++)
+        {
+          MuxError err = { 0 };
+          MuxPeerMsg got;
+
+          assert_false (decode_exact (blob->bytes, len, &got, &err));
+          assert_int_equal (err.code, MUX_ERROR_PROTOCOL);
+          assert_null (got.body);
+        }
+      mux_blob_unref (blob);
+    }
+}
+
+static void
+test_trailing_bytes_refused (void **state)
+{
+  (void) state;
+  for (int verb = 0; verb < MUX_PEER_VERB_COUNT; verb++)
+    {
+      MuxBlob *blob = encode_sample ((MuxPeerVerb) verb);
+      MuxPeerMsg got;
+
+      /* The blob's closing NUL, which is a msgpack 0, is the byte too many. */
+      assert_false (decode_exact (blob->bytes, blob->len + 1, &got, NULL));
+      assert_null (got.body);
+      mux_blob_unref (blob);
+    }
+}
+
+/* What was let through must be a message that survives another round. */
+static void
+check_accepted (MuxPeerMsg *got)
+{
+  MuxBlob *again = mux_peer_encode (got);
+  MuxPeerMsg second;
+
+  assert_non_null (again);
+  assert_true (decode_exact (again->bytes, again->len, &second, NULL));
+  assert_msgs_equal (got, &second);
+  mux_blob_unref (again);
+}
+
+static void
+test_corruption_decodes_or_fails (void **state)
+{
+  (void) state;
+  for (int verb = 0; verb < MUX_PEER_VERB_COUNT; verb++)
+    {
+      MuxBlob *blob = encode_sample ((MuxPeerVerb) verb);
+
+      for (size_t at = 0; at < blob->len; at++)
+        for (int delta = 1; delta < 256; delta++)
+          {
+            char byte = blob->bytes[at];
+            MuxError err = { 0 };
+            MuxPeerMsg got;
+
+            blob->bytes[at] = (char) (byte + delta);
+            if (decode_exact (blob->bytes, blob->len, &got, &err))
+              check_accepted (&got);
+            else
+              assert_int_equal (err.code, MUX_ERROR_PROTOCOL);
+            blob->bytes[at] = byte;
+          }
+      mux_blob_unref (blob);
+    }
+}
+
+static void
+assert_refused (const MuxPeerMsg *msg)
+{
+  MuxBlob *blob = mux_peer_encode (msg);
+  MuxError err = { 0 };
+  MuxPeerMsg got;
+
+  assert_non_null (blob);
+  assert_false (decode_exact (blob->bytes, blob->len, &got, &err));
+  assert_int_equal (err.code, MUX_ERROR_PROTOCOL);
+  mux_blob_unref (blob);
+}
+
+static void
+test_out_of_range_refused (void **state)
+{
+  MuxPeerMsg msg;
+
+  (void) state;
+  peer_sample (MUX_PEER_GRANT_REFUSED, &msg);
+  msg.reason = MUX_REASON_COUNT;
+  assert_refused (&msg);
+  peer_sample (MUX_PEER_GRANT_END, &msg);
+  msg.state = MUX_TASK_DONE_GONE + 1;
+  assert_refused (&msg);
+  peer_sample (MUX_PEER_TASK_ENDED, &msg);
+  msg.task = (MuxId){ 0, 0 };
+  assert_refused (&msg);
+  peer_sample (MUX_PEER_HEARTBEAT, &msg);
+  strcpy (msg.from_addr, "entry.example:7411");
+  assert_refused (&msg);
+  strcpy (msg.from_addr, "10.20.30.41:65536");
+  assert_refused (&msg);
+  strcpy (msg.from_addr, "10.20.30.41:0");
+  assert_refused (&msg);
+  peer_sample (MUX_PEER_BYE, &msg);
+  strcpy (msg.from, "no name");
+  assert_refused (&msg);
+  msg.from[0] = 0;
+  assert_refused (&msg);
+}
+
+static void
+test_unknown_verb_and_version_refused (void **state)
+{
+  /* The head of a message of 5 entries is 1 byte; version and verb follow. */
+  enum
+  {
+    VERSION_AT = 1,
+    VERB_AT = 2
+  };
+  MuxBlob *blob = encode_sample (MUX_PEER_BYE);
+  MuxPeerMsg msg;
+
+  (void) state;
+  blob->bytes[VERB_AT] = MUX_PEER_VERB_COUNT;
+  assert_false (decode_exact (blob->bytes, blob->len, &msg, NULL));
+  blob->bytes[VERB_AT] = MUX_PEER_BYE;
+  assert_true (decode_exact (blob->bytes, blob->len, &msg, NULL));
+  blob->bytes[VERSION_AT]++;
+  assert_false (decode_exact (blob->bytes, blob->len, &msg, NULL));
+  mux_blob_unref (blob);
+  peer_sample (MUX_PEER_BYE, &msg);
+  msg.verb = MUX_PEER_VERB_COUNT;
+  assert_null (mux_peer_encode (&msg));
+}
+
+static void
+test_lengths_are_not_trusted (void **state)
+{
+  /* Story: a sender that is broken or hostile names a length of 4 GiB, or
+   * nests arrays.  A decoder that reserves what a length names, or descends
+   * as deep as the input does, takes the daemon down with one short message.
+   */
+  static const unsigned char heads[][6] = {
+    { 0xdd, 0xff, 0xff, 0xff, 0xff, 0x01 }, /* array of 2^32 - 1 entries */
+    { 0x95, 0xdd, 0xff, 0xff, 0xff, 0xff }, /* one inside a message */
+    { 0x95, 0xdf, 0xff, 0xff, 0xff, 0xff }, /* map */
+    { 0x95, 0xc6, 0xff, 0xff, 0xff, 0xff }, /* binary */
+    { 0x95, 0xdb, 0xff, 0xff, 0xff, 0xff }, /* string */
+    { 0x95, 0xc9, 0xff, 0xff, 0xff, 0xff }, /* extension */
+    { 0x91, 0x91, 0x91, 0x91, 0x91, 0x91 }, /* nested arrays */
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    {
+      MuxPeerMsg got;
+      MuxError err = { 0 };
+
+      assert_false (decode_exact (heads[i], sizeof heads[i], &got, &err));
+      assert_int_equal (err.code, MUX_ERROR_PROTOCOL);
+    }
+}
+
+static void
+test_body_bounds (void **state)
+{
+  const size_t most = 4U << 20;
+  char *bytes = calloc (1, most + 1);
+  MuxPeerMsg msg;
+  MuxPeerMsg got;
+  MuxBlob *blob;
+
+  (void) state;
+  peer_sample (MUX_PEER_CONFIG_ROWS, &msg);
+  mux_blob_unref (msg.body);
+  msg.body = mux_blob_new (bytes, most + 1);
+  assert_null (mux_peer_encode (&msg));
+  mux_blob_unref (msg.body);
+  msg.body = mux_blob_new (bytes, most);
+  blob = mux_peer_encode (&msg);
+  assert_non_null (blob);
+  assert_true (decode_exact (blob->bytes, blob->len, &got, NULL));
+  assert_msgs_equal (&msg, &got);
+  mux_blob_unref (blob);
+  peer_sample (MUX_PEER_CONFIG_ROWS, &msg);
+  mux_blob_unref (msg.body);
+  msg.body = NULL;
+  blob = mux_peer_encode (&msg);
+  assert_true (decode_exact (blob->bytes, blob->len, &got, NULL));
+  assert_null (got.body);
+  mux_blob_unref (blob);
+  free (bytes);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_round_trip),
+    cmocka_unit_test (test_optional_fields_absent),
+    cmocka_unit_test (test_only_fields_of_verb_travel),
+    cmocka_unit_test (test_truncation_refused),
+    cmocka_unit_test (test_trailing_bytes_refused),
+    cmocka_unit_test (test_corruption_decodes_or_fails),
+    cmocka_unit_test (test_out_of_range_refused),
+    cmocka_unit_test (test_unknown_verb_and_version_refused),
+    cmocka_unit_test (test_lengths_are_not_trusted),
+    cmocka_unit_test (test_body_bounds),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_peer_zmq.c
@@ -0,0 +1,523 @@
+#include "adapter/peer.h"
+#include "support/peer_inbox.h"
+#include "support/peer_sample.h"
+#include "support/tcp_forwarder.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+#include <zmq.h>
+
+/* Silence that no test reaches, and one that tests of silence wait for. */
+#define SILENT_LONG_MS 20000
+#define SILENT_SHORT_MS 200
+/* Pause between two sends of a peer that goes on sending. */
+#define SEND_EVERY_MS 20
+#define SENDS_MAX (PEER_WAIT_MS / SEND_EVERY_MS)
+#define KEY_TEXT 41
+
+typedef struct
+{
+  PeerInbox *inbox;
+  MuxCounters *counters;
+  MuxPeerPort *port;
+  char addr[MUX_ADDR_LEN];
+} Peer;
+
+typedef struct
+{
+  char secret[KEY_TEXT];
+  char public[KEY_TEXT];
+} KeyPair;
+
+static MuxPeerZmqOptions
+options_of (Peer *peer, uint32_t silent_ms)
+{
+  return (MuxPeerZmqOptions){ .inbox = &peer->inbox->inbox,
+                              .listen = "127.0.0.1:0",
+                              .name = "test",
+                              .queue = 1024,
+                              .silent_ms = silent_ms,
+                              .counters = peer->counters };
+}
+
+static Peer
+peer_prepare (void)
+{
+  return (Peer){ .inbox = peer_inbox_new (), .counters = mux_counters_new () };
+}
+
+static void
+peer_open (Peer *peer, const MuxPeerZmqOptions *options)
+{
+  MuxError err = { 0 };
+
+  peer->port = mux_peer_zmq_new (options, peer->addr, &err);
+  if (peer->port == NULL)
+    fail_msg ("%s", err.text);
+}
+
+static Peer
+peer_new (uint32_t silent_ms, const KeyPair *keys)
+{
+  Peer peer = peer_prepare ();
+  MuxPeerZmqOptions options = options_of (&peer, silent_ms);
+
+  if (keys != NULL)
+    {
+      options.secret_key = keys->secret;
+      options.public_key = keys->public;
+    }
+  peer_open (&peer, &options);
+  return peer;
+}
+
+static void
+peer_end (Peer *peer)
+{
+  peer->port->free (peer->port);
+  peer_inbox_free (peer->inbox);
+  mux_counters_free (peer->counters);
+}
+
+static MuxPeerMsg
+hint (const char *from, uint64_t revision)
+{
+  MuxPeerMsg msg;
+
+  peer_sample (MUX_PEER_CONFIG_HINT, &msg);
+  mux_name_copy (msg.from, from);
+  msg.revision = revision;
+  return msg;
+}
+
+static void
+send_hint (Peer *peer, const char *addr, const char *from, uint64_t revision)
+{
+  MuxPeerMsg msg = hint (from, revision);
+
+  assert_true (peer->port->send (peer->port, addr, &msg));
+}
+
+/* Sends revisions from @first on until one of them arrives at @to. */
+static void
+send_until_arrived (Peer *peer,
+                    const char *addr,
+                    const char *from,
+                    uint64_t first,
+                    Peer *to)
+{
+  for (uint64_t i = 0; i < SENDS_MAX; i++)
+    {
+      send_hint (peer, addr, from, first + i);
+      if (peer_inbox_wait (to->inbox, from, first, SEND_EVERY_MS))
+        return;
+    }
+  fail_msg ("nothing arrived from %s", from);
+}
+
+static void
+assert_revisions_rise (const PeerInbox *inbox)
+{
+  for (uint32_t i = 1; i < inbox->count; i++)
+    assert_true (inbox->msgs[i].revision > inbox->msgs[i - 1].revision);
+}
+
+static void
+test_two_adapters_exchange (void **state)
+{
+  Peer a = peer_new (SILENT_LONG_MS, NULL);
+  Peer b = peer_new (SILENT_LONG_MS, NULL);
+  MuxPeerMsg msg = hint ("a", 1);
+  MuxBlob *blob = mux_peer_encode (&msg);
+
+  (void) state;
+  send_hint (&a, b.addr, "a", 1);
+  send_hint (&b, a.addr, "b", 2);
+  assert_true (peer_inbox_wait (b.inbox, "a", 1, PEER_WAIT_MS));
+  assert_true (peer_inbox_wait (a.inbox, "b", 2, PEER_WAIT_MS));
+  assert_false (a.port->send (a.port, "localhost:7411", &msg));
+  assert_int_equal (mux_counter_value (a.counters, MUX_COUNT_PEER_SENT), 1);
+  assert_int_equal (mux_counter_value (a.counters, MUX_COUNT_PEER_SENT_BYTES),
+                    blob->len);
+  assert_int_equal (mux_counter_value (a.counters, MUX_COUNT_PEER_RECEIVED), 1);
+  mux_blob_unref (blob);
+  peer_end (&a);
+  peer_end (&b);
+}
+
+static void
+test_bad_messages_counted (void **state)
+{
+  Peer b = peer_new (SILENT_LONG_MS, NULL);
+  MuxPeerMsg msg = hint ("raw", 1);
+  MuxBlob *blob = mux_peer_encode (&msg);
+  void *zmq = zmq_ctx_new ();
+  void *raw = zmq_socket (zmq, ZMQ_DEALER);
+  char endpoint[MUX_ADDR_LEN + 8];
+  int linger = 0;
+
+  (void) state;
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", b.addr);
+  zmq_setsockopt (raw, ZMQ_LINGER, &linger, sizeof linger);
+  assert_int_equal (zmq_connect (raw, endpoint), 0);
+  zmq_send (raw, "garbage", 7, 0);
+  zmq_send (raw, blob->bytes, blob->len, ZMQ_SNDMORE);
+  zmq_send (raw, "one frame", 9, ZMQ_SNDMORE);
+  zmq_send (raw, "too many", 8, 0);
+  zmq_send (raw, blob->bytes, blob->len, 0);
+  assert_true (peer_inbox_wait (b.inbox, "raw", 1, PEER_WAIT_MS));
+  assert_int_equal (mux_counter_value (b.counters, MUX_COUNT_PEER_BAD), 2);
+  assert_int_equal (mux_counter_value (b.counters, MUX_COUNT_PEER_RECEIVED), 1);
+  zmq_close (raw);
+  zmq_ctx_term (zmq);
+  mux_blob_unref (blob);
+  peer_end (&b);
+}
+
+static void
+test_peer_restarts (void **state)
+{
+  /* Story: a daemon is replaced and its successor answers at the same
+   * address.  The sender's connection breaks, and what it sends must reach
+   * the successor without the sender being told. */
+  Peer a = peer_new (SILENT_LONG_MS, NULL);
+  Peer first = peer_new (SILENT_LONG_MS, NULL);
+  Peer second;
+  char addr[MUX_ADDR_LEN];
+  TcpForwarder *forwarder = tcp_forwarder_new (first.addr, addr);
+
+  (void) state;
+  send_hint (&a, addr, "a", 1);
+  assert_true (peer_inbox_wait (first.inbox, "a", 1, PEER_WAIT_MS));
+  second = peer_new (SILENT_LONG_MS, NULL);
+  tcp_forwarder_retarget (forwarder, second.addr);
+  peer_end (&first);
+  send_until_arrived (&a, addr, "a", 2, &second);
+  peer_end (&a);
+  peer_end (&second);
+  tcp_forwarder_free (forwarder);
+}
+
+static void
+test_silent_link_is_replaced (void **state)
+{
+  /* Story: messages to one peer stop arriving for good, though no connection
+   * is reported broken and a new one to the same peer works.  A box between
+   * the two has lost track of the connection and drops what comes on it. */
+  Peer a = peer_new (SILENT_SHORT_MS, NULL);
+  Peer b = peer_new (SILENT_SHORT_MS, NULL);
+  char addr[MUX_ADDR_LEN];
+  TcpForwarder *forwarder = tcp_forwarder_new (b.addr, addr);
+
+  (void) state;
+  send_until_arrived (&a, addr, "a", 1, &b);
+  tcp_forwarder_freeze (forwarder);
+  send_until_arrived (&a, addr, "a", SENDS_MAX + 1, &b);
+  peer_end (&a);
+  assert_revisions_rise (b.inbox);
+  peer_end (&b);
+  tcp_forwarder_free (forwarder);
+}
+
+/* Reads one message of a ROUTER; the hash of its identity, 0: none came. */
+static uint32_t
+router_read (void *router)
+{
+  unsigned char identity[256];
+  zmq_pollitem_t item = { router, 0, ZMQ_POLLIN, 0 };
+  uint32_t hash = 1;
+  char payload[256];
+  int len;
+
+  if (zmq_poll (&item, 1, SEND_EVERY_MS) <= 0)
+    return 0;
+  len = zmq_recv (router, identity, sizeof identity, 0);
+  for (int i = 0; i < len; i++)
+    hash = hash * 31 + identity[i];
+  zmq_recv (router, payload, sizeof payload, 0);
+  return hash;
+}
+
+static void
+test_link_without_echo_is_replaced (void **state)
+{
+  /* Story: a connection looks alive, for something on its way still answers
+   * ZeroMQ's heartbeats, yet no echo comes back from the peer itself.  Only
+   * the link's own silence tells. */
+  Peer a = peer_new (SILENT_SHORT_MS, NULL);
+  void *zmq = zmq_ctx_new ();
+  void *router = zmq_socket (zmq, ZMQ_ROUTER);
+  char endpoint[MUX_ADDR_LEN + 8];
+  size_t len = sizeof endpoint;
+  int linger = 0;
+  uint32_t first = 0;
+  uint32_t last = 0;
+
+  (void) state;
+  zmq_setsockopt (router, ZMQ_LINGER, &linger, sizeof linger);
+  assert_int_equal (zmq_bind (router, "tcp://127.0.0.1:*"), 0);
+  zmq_getsockopt (router, ZMQ_LAST_ENDPOINT, endpoint, &len);
+  for (uint64_t i = 0; i < SENDS_MAX && last == first; i++)
+    {
+      uint32_t hash;
+
+      send_hint (&a, endpoint + strlen ("tcp://"), "a", i);
+      while ((hash = router_read (router)) != 0 && last == first)
+        {
+          first = first == 0 ? hash : first;
+          last = hash;
+        }
+    }
+  assert_int_not_equal (first, last);
+  assert_true (mux_retry_value (a.counters, MUX_REASON_PEER_SILENT) >= 1);
+  peer_end (&a);
+  zmq_close (router);
+  zmq_ctx_term (zmq);
+}
+
+static void
+test_idle_link_is_closed (void **state)
+{
+  Peer a = peer_new (SILENT_SHORT_MS, NULL);
+  Peer b = peer_new (SILENT_LONG_MS, NULL);
+  char addr[MUX_ADDR_LEN];
+  TcpForwarder *forwarder = tcp_forwarder_new (b.addr, addr);
+
+  (void) state;
+  send_until_arrived (&a, addr, "a", 1, &b);
+  assert_true (tcp_forwarder_wait_closed (forwarder, 1));
+  send_until_arrived (&a, addr, "a", SENDS_MAX + 1, &b);
+  peer_end (&a);
+  peer_end (&b);
+  tcp_forwarder_free (forwarder);
+}
+
+static void
+test_links_are_bounded (void **state)
+{
+  Peer a = peer_new (1000, NULL);
+  Peer b = peer_new (1000, NULL);
+  const char *port = strrchr (b.addr, ':');
+  char addr[MUX_ADDR_LEN];
+
+  (void) state;
+  send_hint (&a, b.addr, "a", 1);
+  for (int i = 0; i < 256; i++)
+    {
+      snprintf (addr, sizeof addr, "127.1.0.%d%s", i, port);
+      send_hint (&a, addr, "a", 1);
+    }
+  send_until_arrived (&a, b.addr, "a", 2, &b);
+  assert_int_equal (mux_refused_value (a.counters, MUX_REASON_RING_FULL), 1);
+  peer_end (&a);
+  peer_end (&b);
+}
+
+static void
+test_last_word_arrives (void **state)
+{
+  /* Story: a daemon says BYE and stops at once.  If its sockets were closed
+   * under the message, its peers would go on counting on it until its
+   * heartbeats were missed. */
+  Peer a = peer_new (SILENT_LONG_MS, NULL);
+  Peer b = peer_new (SILENT_LONG_MS, NULL);
+  MuxPeerMsg bye;
+
+  (void) state;
+  peer_sample (MUX_PEER_BYE, &bye);
+  assert_true (a.port->send (a.port, b.addr, &bye));
+  peer_end (&a);
+  assert_int_equal (peer_inbox_seen (b.inbox, bye.from), 1);
+  peer_end (&b);
+}
+
+static void
+test_full_ring_refuses (void **state)
+{
+  enum
+  {
+    QUEUE = 8
+  };
+  Peer a = peer_new (SILENT_LONG_MS, NULL);
+  Peer b = peer_prepare ();
+  MuxPeerZmqOptions options = options_of (&b, SILENT_LONG_MS);
+  MuxPeerMsg msg = hint ("b", QUEUE);
+
+  (void) state;
+  options.queue = QUEUE;
+  peer_open (&b, &options);
+  peer_inbox_close_gate (b.inbox);
+  send_hint (&a, b.addr, "a", 1);
+  assert_true (peer_inbox_wait_at_gate (b.inbox));
+  /* The thread of b is held at the gate: nothing leaves its ring, of which
+   * one slot stays free. */
+  for (uint64_t i = 1; i < QUEUE; i++)
+    send_hint (&b, a.addr, "b", i);
+  assert_false (b.port->send (b.port, a.addr, &msg));
+  peer_inbox_open_gate (b.inbox);
+  assert_true (peer_inbox_wait (a.inbox, "b", QUEUE - 1, PEER_WAIT_MS));
+  assert_true (b.port->send (b.port, a.addr, &msg));
+  assert_true (peer_inbox_wait (a.inbox, "b", QUEUE, PEER_WAIT_MS));
+  assert_int_equal (peer_inbox_seen (a.inbox, "b"), QUEUE);
+  peer_end (&a);
+  peer_end (&b);
+}
+
+static KeyPair
+key_pair (void)
+{
+  KeyPair keys;
+
+  assert_int_equal (zmq_curve_keypair (keys.public, keys.secret), 0);
+  return keys;
+}
+
+static void
+test_other_keys_get_nothing_through (void **state)
+{
+  /* Story: a daemon of another user, or one without encryption, is pointed at
+   * our listener.  It tries for as long as it likes while ours get through. */
+  KeyPair ours = key_pair ();
+  KeyPair theirs = key_pair ();
+  Peer a = peer_new (SILENT_LONG_MS, &ours);
+  Peer b = peer_new (SILENT_LONG_MS, &ours);
+  Peer other = peer_new (SILENT_SHORT_MS, &theirs);
+  Peer plain = peer_new (SILENT_SHORT_MS, NULL);
+  uint64_t n = 0;
+
+  (void) state;
+  while (n < SENDS_MAX
+         && (mux_retry_value (other.counters, MUX_REASON_PEER_SILENT) < 2
+             || mux_retry_value (plain.counters, MUX_REASON_PEER_SILENT) < 2))
+    {
+      send_hint (&other, b.addr, "other", n);
+      send_hint (&plain, b.addr, "plain", n);
+      send_hint (&a, b.addr, "a", n);
+      assert_true (peer_inbox_wait (b.inbox, "a", n++, PEER_WAIT_MS));
+      /* Nobody writes here: the pace of the senders. */
+      (void) peer_inbox_wait (a.inbox, "nobody", 0, SEND_EVERY_MS);
+    }
+  assert_true (n < SENDS_MAX);
+  assert_int_equal (peer_inbox_seen (b.inbox, "other"), 0);
+  assert_int_equal (peer_inbox_seen (b.inbox, "plain"), 0);
+  peer_end (&a);
+  peer_end (&b);
+  peer_end (&other);
+  peer_end (&plain);
+}
+
+/* A client that knows the listener's public key and has a pair of its own. */
+static void *
+stranger_connect (void *zmq, const KeyPair *server, const char *addr)
+{
+  KeyPair own = key_pair ();
+  void *socket = zmq_socket (zmq, ZMQ_DEALER);
+  char endpoint[MUX_ADDR_LEN + 8];
+  int linger = 0;
+
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", addr);
+  zmq_setsockopt (socket, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_setsockopt (socket, ZMQ_CURVE_SERVERKEY, server->public, KEY_TEXT);
+  zmq_setsockopt (socket, ZMQ_CURVE_PUBLICKEY, own.public, KEY_TEXT);
+  zmq_setsockopt (socket, ZMQ_CURVE_SECRETKEY, own.secret, KEY_TEXT);
+  assert_int_equal (zmq_socket_monitor (socket, "inproc://stranger",
+                                        ZMQ_EVENT_HANDSHAKE_FAILED_AUTH
+                                            | ZMQ_EVENT_HANDSHAKE_SUCCEEDED),
+                    0);
+  assert_int_equal (zmq_connect (socket, endpoint), 0);
+  return socket;
+}
+
+static void
+test_stranger_that_knows_the_public_key (void **state)
+{
+  /* Story: the public key, which is no secret, is all that a client needs to
+   * open CURVE's handshake with a pair of its own.  Unless the listener checks
+   * the client's key too, anybody who saw that key is let in. */
+  KeyPair ours = key_pair ();
+  Peer b = peer_new (SILENT_LONG_MS, &ours);
+  MuxPeerMsg msg = hint ("stranger", 1);
+  MuxBlob *blob = mux_peer_encode (&msg);
+  void *zmq = zmq_ctx_new ();
+  void *socket = stranger_connect (zmq, &ours, b.addr);
+  void *monitor = zmq_socket (zmq, ZMQ_PAIR);
+  int wait_ms = PEER_WAIT_MS;
+  uint16_t event = 0;
+  char frame[6];
+
+  (void) state;
+  zmq_setsockopt (monitor, ZMQ_RCVTIMEO, &wait_ms, sizeof wait_ms);
+  assert_int_equal (zmq_connect (monitor, "inproc://stranger"), 0);
+  zmq_send (socket, blob->bytes, blob->len, 0);
+  assert_int_equal (zmq_recv (monitor, frame, sizeof frame, 0), sizeof frame);
+  memcpy (&event, frame, sizeof event);
+  assert_int_equal (event, ZMQ_EVENT_HANDSHAKE_FAILED_AUTH);
+  assert_int_equal (peer_inbox_seen (b.inbox, "stranger"), 0);
+  mux_blob_unref (blob);
+  zmq_socket_monitor (socket, NULL, 0);
+  zmq_close (monitor);
+  zmq_close (socket);
+  zmq_ctx_term (zmq);
+  peer_end (&b);
+}
+
+static void
+assert_new_refused (const MuxPeerZmqOptions *options, MuxErrorCode code)
+{
+  MuxError err = { 0 };
+  char addr[MUX_ADDR_LEN];
+
+  assert_null (mux_peer_zmq_new (options, addr, &err));
+  assert_int_equal (err.code, code);
+}
+
+static void
+test_wrong_options_refused (void **state)
+{
+  KeyPair one = key_pair ();
+  KeyPair two = key_pair ();
+  Peer b = peer_new (SILENT_LONG_MS, NULL);
+  MuxPeerZmqOptions good = options_of (&b, SILENT_LONG_MS);
+  MuxPeerZmqOptions options = good;
+
+  (void) state;
+  options.listen = b.addr;
+  assert_new_refused (&options, MUX_ERROR_IO);
+  options.listen = "localhost:0";
+  assert_new_refused (&options, MUX_ERROR_USAGE);
+  options = good;
+  options.queue = 3;
+  assert_new_refused (&options, MUX_ERROR_USAGE);
+  options = good;
+  options.secret_key = one.secret;
+  assert_new_refused (&options, MUX_ERROR_USAGE);
+  options.public_key = two.public;
+  assert_new_refused (&options, MUX_ERROR_USAGE);
+  peer_end (&b);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_two_adapters_exchange),
+    cmocka_unit_test (test_bad_messages_counted),
+    cmocka_unit_test (test_peer_restarts),
+    cmocka_unit_test (test_silent_link_is_replaced),
+    cmocka_unit_test (test_link_without_echo_is_replaced),
+    cmocka_unit_test (test_idle_link_is_closed),
+    cmocka_unit_test (test_links_are_bounded),
+    cmocka_unit_test (test_last_word_arrives),
+    cmocka_unit_test (test_full_ring_refuses),
+    cmocka_unit_test (test_other_keys_get_nothing_through),
+    cmocka_unit_test (test_stranger_that_knows_the_public_key),
+    cmocka_unit_test (test_wrong_options_refused),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
