--- a/test/standin/worker_server.c
+++ b/test/standin/worker_server.c
@@ -4,12 +4,12 @@
 #include "standin/worker_fault.h"
 #include "standin/worker_listen.h"
 #include "standin/worker_log.h"
+#include "standin/worker_time.h"
 #include "standin/worker_wire.h"
 
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <ulfius.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -48,40 +48,12 @@
   bool stopping;
 };
 
-static int64_t
-clock_ms (clockid_t clock)
-{
-  struct timespec now;
-
-  clock_gettime (clock, &now);
-  return now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static int64_t
 now_ms (const StandinWorkerServer *server)
 {
   if (server->options.now_ms != NULL)
     return server->options.now_ms (server->options.ctx);
-  return clock_ms (CLOCK_BOOTTIME);
-}
-
-static struct timespec
-deadline_in (int64_t ms)
-{
-  int64_t at_ms = clock_ms (CLOCK_MONOTONIC) + ms;
-
-  return (struct timespec){ at_ms / 1000, at_ms % 1000 * 1000000 };
-}
-
-static void
-cond_init (pthread_cond_t *cond)
-{
-  pthread_condattr_t attr;
-
-  pthread_condattr_init (&attr);
-  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
-  pthread_cond_init (cond, &attr);
-  pthread_condattr_destroy (&attr);
+  return standin_worker_clock_ms (CLOCK_BOOTTIME);
 }
 
 static void
@@ -93,9 +65,9 @@
 
   if (server->options.log_fd < 0)
     return;
-  len = standin_worker_log_line (event, server->options.worker.name,
-                                 server->options.worker.incarnation,
-                                 clock_ms (CLOCK_REALTIME), line);
+  len = standin_worker_log_line (
+      event, server->options.worker.name, server->options.worker.incarnation,
+      standin_worker_clock_ms (CLOCK_REALTIME), line);
   /* History checking relies on the log: without it there is no truth. */
   if (write (server->options.log_fd, line, len) != (ssize_t) len)
     abort ();
@@ -139,7 +111,7 @@
       left_ms = server->due_ms - now_ms (server);
       if (left_ms > TICK_MAX_MS)
         left_ms = TICK_MAX_MS;
-      deadline = deadline_in (left_ms);
+      deadline = standin_worker_deadline_in (left_ms);
       pthread_cond_timedwait (&server->due_changed, &server->lock, &deadline);
     }
   pthread_mutex_unlock (&server->lock);
@@ -150,7 +122,7 @@
 static void
 pass_gate (StandinWorkerServer *server)
 {
-  struct timespec deadline = deadline_in (HANG_MAX_MS);
+  struct timespec deadline = standin_worker_deadline_in (HANG_MAX_MS);
 
   while (server->faults.hang && !server->stopping)
     if (pthread_cond_timedwait (&server->faults_changed, &server->lock,
@@ -174,11 +146,11 @@
 static void
 wait_for_end (StandinWorkerServer *server, MuxId task, uint32_t wait_ms)
 {
-  struct timespec deadline = deadline_in (wait_ms);
+  struct timespec deadline = standin_worker_deadline_in (wait_ms);
   Waiter waiter = { .task = task };
   int timed_out = 0;
 
-  cond_init (&waiter.ended);
+  standin_worker_cond_init (&waiter.ended);
   DL_APPEND (server->waiters, &waiter);
   server->waits++;
   pthread_cond_broadcast (&server->waits_changed);
@@ -222,15 +194,6 @@
   return true;
 }
 
-static void
-pause_ms (uint32_t ms)
-{
-  struct timespec time = { ms / 1000, (long) (ms % 1000) * 1000000 };
-
-  if (ms > 0)
-    nanosleep (&time, NULL);
-}
-
 static void
 serve_call (StandinWorkerServer *server,
             const MuxWorkerCall *call,
@@ -254,7 +217,7 @@
     }
   slow_ms = server->faults.slow_ms;
   pthread_mutex_unlock (&server->lock);
-  pause_ms (slow_ms);
+  standin_worker_pause_ms (slow_ms);
   if (cut)
     standin_worker_conns_cut (server->conns, request->client_address);
   if (reply == NULL)
@@ -356,9 +319,9 @@
   server->options.worker.on_end = on_end;
   server->due_ms = INT64_MAX;
   pthread_mutex_init (&server->lock, NULL);
-  cond_init (&server->due_changed);
-  cond_init (&server->faults_changed);
-  cond_init (&server->waits_changed);
+  standin_worker_cond_init (&server->due_changed);
+  standin_worker_cond_init (&server->faults_changed);
+  standin_worker_cond_init (&server->waits_changed);
   server->conns = standin_worker_conns_new ();
   server->worker = standin_worker_new (&server->options.worker);
   if (server->conns != NULL && server->worker != NULL
--- a/test/unit/test_worker_adapter.c
+++ b/test/unit/test_worker_adapter.c
@@ -414,6 +414,40 @@
   close (fd);
 }
 
+/* The worker is paused with a start in its hands and wakes after the start's
+ * last moment, when its home has long told the caller "not run". */
+static void
+test_start_in_a_pause_is_late (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
+  MuxWorkerReply *reply;
+
+  status_of (f, claim_call (1));
+  set_fault (f, "{\"hang\":true}");
+  start.not_after_ms = atomic_load (&f->now_ms);
+  post (f, start);
+  atomic_fetch_add (&f->now_ms, 1);
+  set_fault (f, "{\"hang\":false}");
+  reply = next_reply (f);
+  assert_int_equal (reply->status, MUX_WORKER_LATE);
+  mux_worker_reply_free (reply);
+  assert_int_equal (state_of (f, MUX_WORKER_FETCH, 1), MUX_TASK_ABSENT);
+}
+
+static void
+test_deaf_worker (void **state)
+{
+  Fixture *f = *state;
+
+  status_of (f, claim_call (1));
+  set_fault (f, "{\"deaf\":true}");
+  assert_int_equal (status_of (f, start_call (1, MUX_KIND_SERVICE)),
+                    MUX_WORKER_NO_ANSWER);
+  set_fault (f, "{\"deaf\":false}");
+  assert_int_equal (state_of (f, MUX_WORKER_FORGET, 1), MUX_TASK_FORGOTTEN);
+}
+
 typedef struct
 {
   int fd;
@@ -521,6 +555,8 @@
     TEST (test_start_waits_for_the_end),
     TEST (test_taken_over_address),
     TEST (test_hanging_worker_is_no_answer),
+    TEST (test_start_in_a_pause_is_late),
+    TEST (test_deaf_worker),
     TEST (test_cut_answer_is_no_answer),
     TEST (test_free_replies_to_all),
   };
