--- a/include/port/table.h
+++ b/include/port/table.h
@@ -24,7 +24,8 @@
   MUX_TABLE_TXN,        /* all puts, if every row's condition holds */
   MUX_TABLE_GET,        /* the rows named */
   MUX_TABLE_SCAN,       /* rows of a key prefix, in key order, a page */
-  MUX_TABLE_OBJECT_PUT, /* object store: rows[0] names and holds it */
+  MUX_TABLE_OBJECT_PUT, /* object store: rows[0] names and holds it; without
+                           a value it is deleted */
   MUX_TABLE_OBJECT_GET, /* object store: rows[0] names it */
 } MuxTableVerb;
 
--- a/src/adapter/platform_encode.c
+++ b/src/adapter/platform_encode.c
@@ -87,7 +87,7 @@
   msgpack_packer out;
   int bad;
 
-  storage->len = 0;
+  mux_platform_bytes_clear (storage);
   msgpack_packer_init (&out, storage, pack_write);
   bad = call->verb == MUX_TABLE_SCAN ? pack_scan (&out, call)
                                      : pack_rows (&out, call);
--- a/src/adapter/platform_exchange.c
+++ b/src/adapter/platform_exchange.c
@@ -9,6 +9,19 @@
  * have forgotten it. */
 #define IDLE_MAX_S 30
 #define HEADER_LEN 128
+/* A buffer that grew beyond this is not kept for the next exchange. */
+#define KEPT_MAX ((size_t) 1024 * 1024)
+
+void
+mux_platform_bytes_clear (PlatformBytes *buffer)
+{
+  buffer->len = 0;
+  if (buffer->cap <= KEPT_MAX)
+    return;
+  free (buffer->bytes);
+  buffer->bytes = NULL;
+  buffer->cap = 0;
+}
 
 bool
 mux_platform_bytes_add (PlatformBytes *buffer, const void *bytes, size_t len)
@@ -177,7 +190,7 @@
   CURLcode code;
 
   memset (answer, 0, sizeof *answer);
-  client->body.len = 0;
+  mux_platform_bytes_clear (&client->body);
   client->sendings = 0;
   if (!set_up (client, request))
     return PLATFORM_NOT_SENT;
--- a/src/adapter/platform_internal.h
+++ b/src/adapter/platform_internal.h
@@ -89,6 +89,8 @@
 PlatformEnd mux_platform_exchange (PlatformClient *client,
                                    const PlatformRequest *request,
                                    PlatformAnswer *answer);
+/** mux_platform_bytes_clear() - empty; keeps memory unless it is large */
+void mux_platform_bytes_clear (PlatformBytes *buffer);
 /** mux_platform_bytes_add() - false when memory is out */
 bool
 mux_platform_bytes_add (PlatformBytes *buffer, const void *bytes, size_t len);
--- a/test/standin/platform_faults.c
+++ b/test/standin/platform_faults.c
@@ -14,6 +14,7 @@
   pthread_cond_t changed;
   StandinFaultPlan plan;
   bool stopping;
+  uint32_t held;
   uint64_t connections;
   uint64_t silent_to; /* connections up to this number are silent */
   uint64_t random;
@@ -106,8 +107,8 @@
   return false;
 }
 
-static void
-wait_ms (StandinFaults *faults, uint32_t ms)
+static struct timespec
+time_after (uint32_t ms)
 {
   struct timespec end;
 
@@ -119,12 +120,47 @@
       end.tv_sec++;
       end.tv_nsec -= 1000000000;
     }
+  return end;
+}
+
+static void
+wait_ms (StandinFaults *faults, uint32_t ms)
+{
+  struct timespec end = time_after (ms);
+
   while (!faults->stopping
          && pthread_cond_timedwait (&faults->changed, &faults->lock, &end)
                 != ETIMEDOUT)
     ;
 }
 
+static void
+hold (StandinFaults *faults)
+{
+  faults->held++;
+  pthread_cond_broadcast (&faults->changed);
+  while (faults->plan.hang && !faults->stopping)
+    pthread_cond_wait (&faults->changed, &faults->lock);
+  faults->held--;
+}
+
+bool
+standin_platform_faults_wait_held (StandinFaults *faults,
+                                   uint32_t count,
+                                   uint32_t timeout_ms)
+{
+  struct timespec end = time_after (timeout_ms);
+  bool reached;
+  int rc = 0;
+
+  pthread_mutex_lock (&faults->lock);
+  while (faults->held < count && rc != ETIMEDOUT)
+    rc = pthread_cond_timedwait (&faults->changed, &faults->lock, &end);
+  reached = faults->held >= count;
+  pthread_mutex_unlock (&faults->lock);
+  return reached;
+}
+
 StandinVerdict
 standin_platform_faults_admit (StandinFaults *faults,
                                const char *const from[2],
@@ -150,10 +186,12 @@
     }
   else
     {
-      if (latency_ms + plan->slow_ms > 0)
-        wait_ms (faults, latency_ms + plan->slow_ms);
-      while (plan->hang && !faults->stopping)
-        pthread_cond_wait (&faults->changed, &faults->lock);
+      uint32_t delay_ms = latency_ms + (list ? 0 : plan->slow_ms);
+
+      if (delay_ms > 0)
+        wait_ms (faults, delay_ms);
+      if (!list)
+        hold (faults);
     }
   if (faults->stopping)
     verdict = STANDIN_CLOSE;
--- a/test/standin/platform_faults.h
+++ b/test/standin/platform_faults.h
@@ -12,8 +12,9 @@
  * struct StandinFaultPlan - which faults are in force
  * @down: table and object store answer 503 without effect
  * @list_down: so does the instance list
- * @hang: calls wait until this ends, then take effect
- * @slow_ms: each call waits this long before it takes effect
+ * @hang: calls of table and object store are held until this ends, and take
+ *   effect then
+ * @slow_ms: each of them waits this long before it takes effect
  * @lose_next: so many writes take effect and get no answer
  * @lose_ppm: share of the writes that get no answer
  * @lose_seed: seed of that choice
@@ -56,6 +57,13 @@
 void standin_platform_faults_stop (StandinFaults *faults);
 /** standin_platform_faults_silence() - every connection open now goes silent */
 void standin_platform_faults_silence (StandinFaults *faults);
+/**
+ * standin_platform_faults_wait_held() - wait until @count calls are held
+ * Return: false when that takes longer than @timeout_ms.
+ */
+bool standin_platform_faults_wait_held (StandinFaults *faults,
+                                        uint32_t count,
+                                        uint32_t timeout_ms);
 /** standin_platform_faults_connection() - number of a new connection */
 uint64_t standin_platform_faults_connection (StandinFaults *faults);
 
--- a/test/standin/platform_main.c
+++ b/test/standin/platform_main.c
@@ -18,6 +18,15 @@
   struct arg_end *end;
 } Flags;
 
+static void
+free_flags (Flags *flags)
+{
+  void *table[] = { flags->listen, flags->read_ms, flags->write_ms,
+                    flags->list_lag_ms, flags->end };
+
+  arg_freetable (table, sizeof table / sizeof table[0]);
+}
+
 static bool
 read_flags (Flags *flags, int argc, char **argv)
 {
@@ -91,14 +100,20 @@
 {
   Flags flags;
   sigset_t set;
+  int status;
 
   if (!read_flags (&flags, argc, argv))
-    return EXIT_FAILURE;
+    {
+      free_flags (&flags);
+      return EXIT_FAILURE;
+    }
   /* Before any thread starts, so that all of them leave signals to main. */
   sigemptyset (&set);
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGINT);
   pthread_sigmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
-  return serve (&flags, &set);
+  status = serve (&flags, &set);
+  free_flags (&flags);
+  return status;
 }
--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -13,8 +13,10 @@
 
 /* Long enough never to decide a test on its own. */
 #define PATIENCE_MS 20000
-/* Timeout of calls that are meant to run into it. */
+/* Timeout of calls that are meant to run into it, sent or not. */
 #define SHORT_MS 150
+/* The same, and long enough for the call to be sent on a busy machine. */
+#define HANG_MS 1000
 #define DATA_CENTRE "nizwa-hall"
 
 typedef struct
@@ -58,13 +60,13 @@
 }
 
 static void
-start_adapter (Fixture *fixture)
+start_adapter (Fixture *fixture, uint32_t threads)
 {
   MuxPlatformHttpOptions options = { .inbox = &fixture->inbox,
                                      .url = fixture->url,
                                      .name = "e1",
                                      .data_centre = DATA_CENTRE,
-                                     .threads = 1,
+                                     .threads = threads,
                                      .queue = 64,
                                      .list_every_ms = 1,
                                      .counters = fixture->counters };
@@ -90,7 +92,7 @@
   start_server (fixture, "127.0.0.1:0");
   snprintf (fixture->url, sizeof fixture->url, "http://%s",
             standin_platform_server_addr (fixture->server));
-  start_adapter (fixture);
+  start_adapter (fixture, 1);
   *state = fixture;
   return 0;
 }
@@ -359,31 +361,64 @@
 {
   Fixture *fixture = *state;
 
-  set_faults (fixture, (StandinFaultPlan){ .hang = true });
   MuxTableCall *call = put_new ("late", MUX_REV_ABSENT, "1");
-  call->timeout_ms = SHORT_MS;
+  MuxTableReply *reply;
+  bool found = false;
+
+  set_faults (fixture, (StandinFaultPlan){ .hang = true });
+  call->timeout_ms = HANG_MS;
   assert_int_equal (ask_status (fixture, call), MUX_TABLE_UNKNOWN);
   call = get_new ("late");
   call->timeout_ms = SHORT_MS;
   assert_int_equal (ask_status (fixture, call), MUX_TABLE_DOWN);
   assert_int_equal (stats_of (fixture).txns, 0);
+  set_faults (fixture, (StandinFaultPlan){ .hang = false });
+  while (!found)
+    {
+      reply = ask (fixture, get_new ("late"));
+      assert_int_equal (reply->status, MUX_TABLE_OK);
+      found = reply->rows[0].value != NULL;
+      mux_table_reply_free (reply);
+    }
+  assert_int_equal (stats_of (fixture).txns, 1);
 }
 
-/* A connection goes silent for good while new ones work, as when a firewall
- * has dropped its state.  Without a new connection after the first timeout
- * every later call would wait out its timeout too. */
+/* Makes both threads of the adapter talk to the platform at the same time. */
 static void
-test_silent_connection_is_left (void **state)
+ask_on_both_threads (Fixture *fixture)
+{
+  set_faults (fixture, (StandinFaultPlan){ .hang = true });
+  for (uint32_t i = 0; i < 2; i++)
+    assert_true (fixture->port->call (fixture->port, get_new ("a")));
+  assert_true (
+      standin_platform_faults_wait_held (fixture->faults, 2, PATIENCE_MS));
+  set_faults (fixture, (StandinFaultPlan){ .hang = false });
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      MuxTableReply *reply = next_reply (fixture);
+
+      assert_int_equal (reply->status, MUX_TABLE_OK);
+      mux_table_reply_free (reply);
+    }
+}
+
+/* The table seems slow for a whole timeout again and again, although it is up.
+ * All open connections went silent for good while new ones work, as when a
+ * firewall loses its state, and each thread finds that out on its own call. */
+static void
+test_one_timeout_renews_every_connection (void **state)
 {
   Fixture *fixture = *state;
   MuxTableCall *call;
 
-  assert_int_equal (ask_status (fixture, get_new ("a")), MUX_TABLE_OK);
+  fixture->port->free (fixture->port);
+  start_adapter (fixture, 2);
+  ask_on_both_threads (fixture);
   standin_platform_faults_silence (fixture->faults);
   call = get_new ("a");
   call->timeout_ms = SHORT_MS;
   assert_int_equal (ask_status (fixture, call), MUX_TABLE_DOWN);
-  assert_int_equal (ask_status (fixture, get_new ("a")), MUX_TABLE_OK);
+  ask_on_both_threads (fixture);
 }
 
 static void
@@ -566,7 +601,7 @@
     HTTP_TEST (test_refused_connection_is_down),
     HTTP_TEST (test_cut_data_centre),
     HTTP_TEST (test_hanging_write_is_unknown),
-    HTTP_TEST (test_silent_connection_is_left),
+    HTTP_TEST (test_one_timeout_renews_every_connection),
     HTTP_TEST (test_scan_pages),
     HTTP_TEST (test_values_hold_any_bytes),
     HTTP_TEST (test_object_round_trip),
