--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -1,4 +1,4 @@
-#include "adapter/platform.h"
+#include "../../src/adapter/platform_internal.h"
 #include "base/ring.h"
 #include "standin/platform_server.h"
 
@@ -17,6 +17,8 @@
 #define SHORT_MS 150
 /* The same, and long enough for the call to be sent on a busy machine. */
 #define HANG_MS 1000
+/* Calls that may wait: one less than the slots of their ring. */
+#define QUEUE 32
 #define DATA_CENTRE "nizwa-hall"
 
 typedef struct
@@ -67,7 +69,7 @@
                                      .name = "e1",
                                      .data_centre = DATA_CENTRE,
                                      .threads = threads,
-                                     .queue = 64,
+                                     .queue = QUEUE,
                                      .list_every_ms = 1,
                                      .counters = fixture->counters };
   MuxError err = { 0 };
@@ -587,6 +589,98 @@
   assert_int_equal (replies, 20);
 }
 
+static void
+test_full_queue_refuses (void **state)
+{
+  Fixture *fixture = *state;
+
+  set_faults (fixture, (StandinFaultPlan){ .hang = true });
+  assert_true (fixture->port->call (fixture->port, get_new ("a")));
+  assert_true (
+      standin_platform_faults_wait_held (fixture->faults, 1, PATIENCE_MS));
+  for (uint32_t i = 0; i < QUEUE - 1; i++)
+    assert_true (fixture->port->call (fixture->port, get_new ("a")));
+  assert_false (fixture->port->call (fixture->port, get_new ("a")));
+  set_faults (fixture, (StandinFaultPlan){ .hang = false });
+  for (uint32_t i = 0; i < QUEUE; i++)
+    {
+      MuxTableReply *reply = next_reply (fixture);
+
+      assert_int_equal (reply->status, MUX_TABLE_OK);
+      mux_table_reply_free (reply);
+    }
+  assert_null (mux_ring_pop (fixture->replies));
+}
+
+static MuxTableStatus
+decode_status (MuxTableCall *call,
+               long http_status,
+               bool no_effect,
+               const char *bytes,
+               size_t len)
+{
+  PlatformBytes body = { 0 };
+  PlatformAnswer answer
+      = { .status = http_status, .no_effect = no_effect, .body = &body };
+  MuxTableReply *reply;
+  MuxTableStatus status;
+
+  assert_true (mux_platform_bytes_add (&body, bytes, len));
+  reply = mux_platform_decode (call, PLATFORM_ANSWERED, &answer);
+  status = reply->status;
+  mux_table_reply_free (reply);
+  free (body.bytes);
+  return status;
+}
+
+/* A write is reported as not written, is done again, and stands twice.  A
+ * balancer between has answered 503 or 502 in the platform's place after it
+ * had passed the request on; only the platform itself can say "no effect". */
+static void
+test_errors_from_between_leave_doubt (void **state)
+{
+  MuxTableCall *write = put_new ("a", MUX_REV_ANY, "1");
+  MuxTableCall *read = get_new ("a");
+
+  (void) state;
+  assert_int_equal (decode_status (write, 503, true, "", 0), MUX_TABLE_DOWN);
+  assert_int_equal (decode_status (write, 503, false, "", 0),
+                    MUX_TABLE_UNKNOWN);
+  assert_int_equal (decode_status (write, 502, false, "", 0),
+                    MUX_TABLE_UNKNOWN);
+  assert_int_equal (decode_status (read, 502, false, "", 0), MUX_TABLE_DOWN);
+  mux_table_call_free (write);
+  mux_table_call_free (read);
+}
+
+static void
+test_garbled_answers (void **state)
+{
+  static const char rows[] = "\x91\x93\xa1"
+                             "a\x07\xc4\x01v"; /* [["a", 7, bin "v"]] */
+  size_t len = sizeof rows - 1;
+  MuxTableCall *write = put_new ("a", MUX_REV_ANY, "1");
+  MuxTableCall *read = get_new ("a");
+
+  (void) state;
+  assert_int_equal (decode_status (read, 200, false, rows, len), MUX_TABLE_OK);
+  assert_int_equal (decode_status (write, 409, false, rows, len),
+                    MUX_TABLE_CONFLICT);
+  for (size_t cut = 0; cut < len; cut++)
+    {
+      assert_int_equal (decode_status (read, 200, false, rows, cut),
+                        MUX_TABLE_DOWN);
+      assert_int_equal (decode_status (write, 409, false, rows, cut),
+                        MUX_TABLE_UNKNOWN);
+    }
+  assert_int_equal (decode_status (write, 200, false, rows, len),
+                    MUX_TABLE_UNKNOWN);
+  assert_int_equal (decode_status (read, 200, false, "\x90", 1),
+                    MUX_TABLE_DOWN);
+  mux_table_call_free (write);
+  mux_table_call_free (read);
+}
+
 int
 main (void)
 {
@@ -608,6 +702,9 @@
     HTTP_TEST (test_bad_request_is_bad),
     HTTP_TEST (test_instance_list_arrives),
     HTTP_TEST (test_free_answers_every_call),
+    HTTP_TEST (test_full_queue_refuses),
+    cmocka_unit_test (test_errors_from_between_leave_doubt),
+    cmocka_unit_test (test_garbled_answers),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
