--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -1,5 +1,50 @@
 #include "internal.h"
 
+/* Half of the queue is divided among the classes, the other half is common:
+ * a class that floods the queue leaves the others their part. */
+static bool
+has_place (const MuxSched *sched, const MuxClass *class, uint32_t more)
+{
+  uint32_t max = sched->options.queue_max;
+  uint32_t configured = 0;
+  uint32_t own;
+  uint64_t common = 0;
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    configured += sched->class_at[i]->configured;
+  own = max / 2 / (configured > 0 ? configured : 1);
+  if (class->waiting + more <= own)
+    return true;
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      const MuxClass *other = sched->class_at[i];
+      uint32_t waits = other->waiting + (other == class ? more : 0);
+
+      common += waits > own ? waits - own : 0;
+    }
+  return common + (uint64_t) own * configured <= max;
+}
+
+static uint32_t
+members_missing (const MuxSched *sched, const MuxTaskAsk *ask, uint32_t count)
+{
+  uint32_t g = mux_idmap_get (&sched->gang_ids, ask->group);
+
+  if (g == MUX_NONE)
+    return count;
+  return count > sched->gang[g].members.count
+             ? count - sched->gang[g].members.count
+             : 1;
+}
+
+static MuxReason
+why_late (const MuxSched *sched, const MuxClass *class)
+{
+  if (!mux_product_allows (sched, class, 1))
+    return MUX_REASON_QUOTA;
+  return class->urgent ? MUX_REASON_DEADLINE : MUX_REASON_OVERLOAD;
+}
+
 static MuxReason
 refusal (MuxSched *sched, const MuxTaskAsk *ask, int64_t now_ms)
 {
@@ -19,8 +64,11 @@
     return MUX_REASON_NO_WORKERS;
   if (ask->give_up_ms <= now_ms)
     return MUX_REASON_DEADLINE;
-  if (sched->waiting >= sched->options.queue_max)
-    return MUX_REASON_QUEUE_FULL;
+  if (!has_place (sched, class, gang ? members_missing (sched, ask, count) : 1))
+    return mux_product_allows (sched, class, 1) ? MUX_REASON_QUEUE_FULL
+                                                : MUX_REASON_QUOTA;
+  if (ask->give_up_ms - now_ms < mux_forecast_wait_ms (sched, class))
+    return why_late (sched, class);
   return MUX_REASON_NONE;
 }
 
@@ -104,8 +152,16 @@
 mux_sched_submit (MuxSched *sched, const MuxTaskAsk *ask, int64_t now_ms)
 {
   MuxReason reason = refusal (sched, ask, now_ms);
+  MuxClass *class = mux_class_find (sched, ask->class_name);
 
   if (reason == MUX_REASON_NONE && !enter (sched, ask, now_ms))
     reason = MUX_REASON_INTERNAL;
-  return (MuxVerdict){ .reason = reason };
+  /* What is refused is demand all the same, for the reserve and forecasts. */
+  if (class != NULL && reason != MUX_REASON_KEY_IN_USE)
+    class->arrivals.ticked++;
+  if (reason == MUX_REASON_NONE || reason == MUX_REASON_UNKNOWN_CLASS
+      || reason == MUX_REASON_NEVER_FITS)
+    return (MuxVerdict){ .reason = reason };
+  return (MuxVerdict){ .reason = reason,
+                       .retry_ms = mux_forecast_retry_ms (sched, class) };
 }
--- a/src/policy/books.c
+++ b/src/policy/books.c
@@ -11,8 +11,11 @@
     return;
   for (uint32_t d = 0; d < MUX_DIMS; d++)
     {
+      uint64_t n = mux_size_dim (worker->free, d);
+
       sched->total[d] -= mux_size_dim (worker->capacity, d);
-      sched->free[d] -= mux_size_dim (worker->free, d);
+      sched->free[d] -= n;
+      sched->hold.free[d] -= worker->held ? n : 0;
     }
 }
 
@@ -37,8 +40,11 @@
     return;
   for (uint32_t d = 0; d < MUX_DIMS; d++)
     {
+      uint64_t n = mux_size_dim (worker->free, d);
+
       sched->total[d] += mux_size_dim (worker->capacity, d);
-      sched->free[d] += mux_size_dim (worker->free, d);
+      sched->free[d] += n;
+      sched->hold.free[d] += worker->held ? n : 0;
     }
 }
 
@@ -59,6 +65,8 @@
         class->product->booked[d] = sign > 0 ? class->product->booked[d] + n
                                              : class->product->booked[d] - n;
     }
+  class->rack_count[worker->rack->id]
+      = class->rack_count[worker->rack->id] + (sign > 0 ? 1u : -1u);
   enter_totals (sched, worker);
   mux_index_update (sched, task->worker);
 }
@@ -93,6 +101,50 @@
   task->emitting = false;
 }
 
+static bool
+grow_racks (MuxSched *sched)
+{
+  uint32_t room = sched->rack_room * 2;
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    if (!mux_class_racks_grow (sched->class_at[i], sched->rack_room, room))
+      return false;
+  sched->rack_room = room;
+  return true;
+}
+
+/* Ids of racks stay, so that the classes' counts need no moving. */
+static MuxRack *
+rack_get (MuxSched *sched, const char *name)
+{
+  MuxRack *rack = NULL;
+
+  HASH_FIND_STR (sched->rack_names, name, rack);
+  if (rack != NULL)
+    return rack;
+  if (sched->rack_ids == sched->rack_room && !grow_racks (sched))
+    return NULL;
+  rack = calloc (1, sizeof *rack);
+  if (rack == NULL)
+    return NULL;
+  mux_name_copy (rack->name, name);
+  rack->id = sched->rack_ids++;
+  HASH_ADD_STR (sched->rack_names, name, rack);
+  return rack;
+}
+
+void
+mux_racks_clear (MuxSched *sched)
+{
+  MuxRack *rack, *next;
+
+  HASH_ITER (hh, sched->rack_names, rack, next)
+  {
+    HASH_DEL (sched->rack_names, rack);
+    free (rack);
+  }
+}
+
 static uint32_t
 worker_slot (MuxSched *sched)
 {
@@ -121,7 +173,8 @@
                       const char *rack,
                       MuxSize capacity)
 {
-  uint32_t w = worker_slot (sched);
+  MuxRack *at = rack_get (sched, rack);
+  uint32_t w = at != NULL ? worker_slot (sched) : MUX_NO_WORKER;
 
   if (w == MUX_NO_WORKER)
     return w;
@@ -132,7 +185,8 @@
     .capacity = capacity, .present = true, .usable = true, .level = MUX_NONE
   };
   mux_name_copy (worker->name, name);
-  mux_name_copy (worker->rack, rack);
+  worker->rack = at;
+  sched->racks += at->workers++ == 0;
   mux_list_init (&worker->tasks);
   sched->present++;
   sched->usable++;
@@ -196,7 +250,12 @@
       mux_task_free (sched, t);
     }
   mux_sched_worker_usable (sched, w, false);
+  mux_breaker_reset (sched, w);
+  /* No part of a hold outlives its worker: the index may mean another. */
+  if (worker->held)
+    mux_hold_drop (sched);
   worker->present = false;
+  sched->racks -= --worker->rack->workers == 0;
   sched->present--;
   sched->worker_gen++;
   /* The index is reused: "avoid" of who still waits meant the old worker. */
--- a/src/policy/classes.c
+++ b/src/policy/classes.c
@@ -3,6 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A long-running class with at most this target is started like a request. */
+#define URGENT_WITHIN_MS 10000u
+/* Idle quota is lent only to tasks that end within this, as it comes back by
+ * their ends alone. */
+#define BORROW_RUN_MAX_MS 60000u
+
 MuxClass *
 mux_class_find (MuxSched *sched, const char *name)
 {
@@ -56,13 +62,31 @@
   mux_name_copy (class->spec.name, name);
   class->id = sched->classes;
   class->shape = MUX_NONE;
+  if (!mux_class_racks_grow (class, 0, sched->rack_room))
+    {
+      free (class);
+      return NULL;
+    }
   sched->class_at[sched->classes++] = class;
   HASH_ADD_STR (sched->class_names, spec.name, class);
   return class;
 }
 
-static bool
-set_size (MuxSched *sched, MuxClass *class, MuxSize size)
+bool
+mux_class_racks_grow (MuxClass *class, uint32_t old, uint32_t racks)
+{
+  uint32_t *count = realloc (class->rack_count, racks * sizeof *count);
+
+  if (count == NULL)
+    return false;
+  for (uint32_t i = old; i < racks; i++)
+    count[i] = 0;
+  class->rack_count = count;
+  return true;
+}
+
+bool
+mux_class_resize (MuxSched *sched, MuxClass *class, MuxSize size)
 {
   uint32_t shape = mux_index_shape_ref (sched, size);
 
@@ -96,6 +120,30 @@
   class->product = to;
 }
 
+bool
+mux_class_urgent (const MuxClassSpec *spec)
+{
+  if (spec->kind == MUX_KIND_SERVICE)
+    return true;
+  return spec->kind == MUX_KIND_LONG_RUNNING
+         && spec->start_within_ms <= URGENT_WITHIN_MS;
+}
+
+bool
+mux_class_borrows (const MuxClass *class)
+{
+  uint32_t run = mux_learn_run_ms (class, 900000);
+
+  return run <= BORROW_RUN_MAX_MS;
+}
+
+static bool
+declares_anew (const MuxClass *class, const MuxClassSpec *spec)
+{
+  return !class->configured || class->spec.run_ms != spec->run_ms
+         || memcmp (&class->spec.size, &spec->size, sizeof spec->size) != 0;
+}
+
 bool
 mux_sched_class_set (MuxSched *sched, const MuxClassSpec *spec)
 {
@@ -105,12 +153,17 @@
 
   if (product == NULL || class == NULL)
     return false;
+  bool anew = declares_anew (class, spec);
+
   size.slots = size.slots == 0 ? 1 : size.slots;
-  if (!set_size (sched, class, size))
+  if (anew && !mux_class_resize (sched, class, size))
     return false;
   if (class->product != product)
     move_booked (sched, class, product);
   class->spec = *spec;
+  class->urgent = mux_class_urgent (spec);
+  if (anew)
+    mux_learn_declared (class);
   class->configured = true;
   sched->room_gen++;
   return true;
@@ -168,6 +221,7 @@
   for (uint32_t i = 0; i < sched->classes; i++)
     {
       mux_heap_clear (&sched->class_at[i]->queue);
+      free (sched->class_at[i]->rack_count);
       free (sched->class_at[i]);
     }
   free (sched->class_at);
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -1,5 +1,21 @@
 #include "internal.h"
 
+/* Reserve, hold, rates and sizes are looked at anew this often. */
+#define TICK_MS 100
+/* Reports after which a class's booking size is looked at anew. */
+#define REPORTS_PER_LOOK 64u
+/* Tasks behind one that may not use the only worker free. */
+#define LOOK_BEHIND 8u
+
+/* Who goes first: within each tier the earliest start deadline. */
+typedef enum
+{
+  TIER_URGENT,  /* short waits promised, product within its quota */
+  TIER_PATIENT, /* the rest within quota */
+  TIER_BORROW,  /* on idle quota of others */
+  TIER_NONE,    /* the quota is used up and can't be overdrawn */
+} Tier;
+
 static bool
 emit_drop (MuxSched *sched, MuxPlacement *out)
 {
@@ -10,6 +26,9 @@
   *out = (MuxPlacement){ .task = sched->task[t].id,
                          .worker = MUX_NO_WORKER,
                          .reason = (MuxReason) sched->task[t].reason };
+  if (out->reason == MUX_REASON_DEADLINE)
+    out->retry_ms = mux_forecast_retry_ms (
+        sched, sched->class_at[sched->task[t].class_id]);
   mux_list_drop (sched, &sched->drops, MUX_LINK_MEMBER, t);
   mux_task_free (sched, t);
   return true;
@@ -45,49 +64,137 @@
 emit_later (MuxSched *sched, uint32_t t, uint32_t w, int64_t now_ms)
 {
   MuxTask *task = &sched->task[t];
+  MuxClass *class = sched->class_at[task->class_id];
+  int64_t wait = now_ms - task->asked_ms;
 
+  if (mux_hold_owned (sched, t))
+    mux_hold_drop (sched);
   mux_queue_leave (sched, t);
-  mux_book (sched, t, w, sched->class_at[task->class_id]->size);
+  mux_book (sched, t, w, class->size);
   task->booked_ms = now_ms;
   task->emitting = true;
   mux_list_add (sched, &sched->emission, MUX_LINK_MEMBER, t);
+  class->starts.ticked++;
+  mux_hist_add (&class->wait_hist, wait > 0 ? (uint32_t) wait : 0, 1);
+}
+
+static Tier
+tier_of (const MuxSched *sched, const MuxClass *class, uint32_t n)
+{
+  if (mux_product_allows (sched, class, n))
+    return class->urgent ? TIER_URGENT : TIER_PATIENT;
+  return mux_class_borrows (class) ? TIER_BORROW : TIER_NONE;
 }
 
+/* Urgent work within quota may take everything, as may who is overdue and had
+ * workers drained for it; all others leave the reserve alone. */
 static bool
-place_one (MuxSched *sched, MuxClass *class, uint32_t t, int64_t now_ms)
+room_allowed (const MuxSched *sched,
+              const MuxClass *class,
+              uint32_t t,
+              uint32_t n,
+              int64_t now_ms)
 {
-  uint32_t avoid = sched->task[t].avoid;
+  bool holder = mux_hold_owned (sched, t);
+
+  if (holder && now_ms >= sched->task[t].start_by_ms)
+    return true;
+  if (tier_of (sched, class, n) == TIER_URGENT)
+    return true;
+  return mux_reserve_leaves (sched, class, n, holder);
+}
+
+static MuxSeek
+seek_for (const MuxSched *sched,
+          const MuxClass *class,
+          uint32_t t,
+          int64_t now_ms)
+{
+  return (MuxSeek){ .class = class,
+                    .avoid = sched->task[t].avoid,
+                    .into_hold = mux_hold_owned (sched, t)
+                                 || mux_hold_backfills (sched, class, now_ms),
+                    .now_ms = now_ms };
+}
+
+static bool
+probe_with (MuxSched *sched, const MuxSeek *seek, uint32_t t)
+{
+  uint32_t w = mux_breaker_probe (sched, seek);
+  MuxBreaker *breaker;
+
+  if (w == MUX_NONE)
+    return false;
+  breaker = &sched->worker[w].breaker;
+  breaker->state = MUX_BREAKER_PROBING;
+  breaker->probe = sched->task[t].id;
+  emit_later (sched, t, w, seek->now_ms);
+  return true;
+}
+
+static bool
+place_task (MuxSched *sched, MuxClass *class, uint32_t t, int64_t now_ms)
+{
+  MuxSeek seek = seek_for (sched, class, t, now_ms);
   uint32_t w;
 
-  if (!mux_product_allows (sched, class, 1))
+  if (!room_allowed (sched, class, t, 1, now_ms))
     return false;
-  w = mux_index_find (sched, class->shape, avoid);
+  if (probe_with (sched, &seek, t))
+    return true;
+  w = mux_index_find (sched, &seek);
   /* With one worker in all there is nowhere else to go. */
   if (w == MUX_NONE && sched->usable == 1)
-    w = mux_index_find (sched, class->shape, MUX_NONE);
+    {
+      seek.avoid = MUX_NONE;
+      w = mux_index_find (sched, &seek);
+    }
   if (w == MUX_NONE)
     return false;
   emit_later (sched, t, w, now_ms);
   return true;
 }
 
+/* One that avoids the only worker free lets those behind it pass. */
 static bool
-place_gang (MuxSched *sched, MuxClass *class, uint32_t g, int64_t now_ms)
+place_alone (MuxSched *sched, MuxClass *class, uint32_t t, int64_t now_ms)
 {
-  MuxGang *gang = &sched->gang[g];
+  uint32_t avoid = sched->task[t].avoid;
 
-  if (gang->tried == sched->room_gen)
-    return false;
-  gang->tried = sched->room_gen;
-  if (!mux_product_allows (sched, class, gang->wanted)
-      || !mux_index_holds (sched, class->shape, gang->wanted, MUX_NONE))
+  if (place_task (sched, class, t, now_ms))
+    return true;
+  if (avoid == MUX_NONE || sched->index.shape[class->shape].fits.count == 0)
     return false;
-  for (uint32_t n = gang->wanted; n > 0; n--)
+  for (uint32_t i = 1; i < class->queue.count && i <= LOOK_BEHIND; i++)
     {
-      uint32_t w = mux_index_find (sched, class->shape, MUX_NONE);
+      uint32_t behind = class->queue.node[i].item;
 
-      emit_later (sched, sched->gang[g].members.head, w, now_ms);
+      if (sched->task[behind].avoid != avoid
+          && sched->task[behind].gang == MUX_NONE
+          && place_task (sched, class, behind, now_ms))
+        return true;
     }
+  return false;
+}
+
+static bool
+place_gang (MuxSched *sched, MuxClass *class, uint32_t t, int64_t now_ms)
+{
+  MuxGang *gang = &sched->gang[sched->task[t].gang];
+  uint32_t n = gang->wanted;
+  MuxSeek seek = seek_for (sched, class, t, now_ms);
+
+  if (gang->tried == sched->room_gen)
+    return false;
+  gang->tried = sched->room_gen;
+  seek.avoid = MUX_NONE;
+  if (!room_allowed (sched, class, t, n, now_ms)
+      || !mux_index_holds (sched, &seek, n))
+    return false;
+  /* All fit together and have one size, so that no search can fail now. */
+  while (n-- > 0)
+    emit_later (sched, gang->members.head, mux_index_find (sched, &seek),
+                now_ms);
   return true;
 }
 
@@ -95,39 +202,122 @@
 place (MuxSched *sched, MuxClass *class, uint32_t t, int64_t now_ms)
 {
   if (sched->task[t].gang != MUX_NONE)
-    return place_gang (sched, class, sched->task[t].gang, now_ms);
-  return place_one (sched, class, t, now_ms);
+    return place_gang (sched, class, t, now_ms);
+  return place_alone (sched, class, t, now_ms);
+}
+
+static bool
+place_holder (MuxSched *sched, int64_t now_ms)
+{
+  MuxHold *hold = &sched->hold;
+  uint32_t t = hold->task;
+
+  if (t == MUX_NONE || hold->tried == sched->room_gen)
+    return false;
+  hold->tried = sched->room_gen;
+  if (!mux_hold_owned (sched, t) || sched->queue_pos[t] == MUX_NONE)
+    {
+      mux_hold_drop (sched);
+      return false;
+    }
+  return place (sched, sched->class_at[sched->task[t].class_id], t, now_ms);
+}
+
+static uint32_t
+head_count (const MuxSched *sched, const MuxClass *class)
+{
+  uint32_t g = sched->task[class->queue.node->item].gang;
+
+  return g == MUX_NONE ? 1 : sched->gang[g].wanted;
 }
 
-/* The earliest deadline that can start now. */
+/* A class whose size fits nowhere needs no search, unless it may probe. */
 static bool
-place_earliest (MuxSched *sched, int64_t now_ms)
+worth_trying (const MuxSched *sched, const MuxClass *class, int64_t now_ms)
 {
-  int64_t after = INT64_MIN;
-  uint32_t after_id = 0;
+  return class->queue.count > 0 && class->tried != sched->decisions
+         && (sched->index.shape[class->shape].fits.count > 0
+             || now_ms >= sched->next_probe_ms);
+}
+
+static MuxClass *
+first_class (const MuxSched *sched, int64_t now_ms)
+{
+  MuxClass *best = NULL;
+  Tier best_tier = TIER_NONE;
 
-  for (;;)
+  for (uint32_t i = 0; i < sched->classes; i++)
     {
-      MuxClass *best = NULL;
+      MuxClass *class = sched->class_at[i];
+      Tier tier;
 
-      for (uint32_t i = 0; i < sched->classes; i++)
+      if (!worth_trying (sched, class, now_ms))
+        continue;
+      tier = tier_of (sched, class, head_count (sched, class));
+      if (tier < best_tier
+          || (tier == best_tier && best != NULL
+              && class->queue.node->key < best->queue.node->key))
         {
-          MuxClass *class = sched->class_at[i];
-          const MuxHeapNode *head = class->queue.node;
-
-          if (class->queue.count == 0 || head->key < after
-              || (head->key == after && i < after_id))
-            continue;
-          if (best == NULL || head->key < best->queue.node->key)
-            best = class;
+          best = class;
+          best_tier = tier;
         }
-      if (best == NULL)
-        return false;
-      after = best->queue.node->key;
-      after_id = best->id + 1;
-      if (place (sched, best, best->queue.node->item, now_ms))
+    }
+  return best;
+}
+
+static bool
+place_first (MuxSched *sched, int64_t now_ms)
+{
+  MuxClass *class;
+
+  sched->decisions++;
+  while ((class = first_class (sched, now_ms)) != NULL)
+    {
+      if (place (sched, class, class->queue.node->item, now_ms))
         return true;
+      class->tried = sched->decisions;
     }
+  return false;
+}
+
+static void
+learn_sizes (MuxSched *sched)
+{
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      MuxClass *class = sched->class_at[i];
+      MuxSize size;
+
+      if (!class->configured || class->reports < REPORTS_PER_LOOK)
+        continue;
+      class->reports = 0;
+      size = mux_learn_size (sched, class);
+      /* Memory out: the old size stands, it is tried again. */
+      if (memcmp (&size, &class->size, sizeof size) != 0
+          && mux_class_resize (sched, class, size))
+        sched->room_gen++;
+    }
+}
+
+void
+mux_sched_tick (MuxSched *sched, int64_t now_ms)
+{
+  double dt = sched->tick_ms == INT64_MIN
+                  ? TICK_MS
+                  : (double) (now_ms - sched->tick_ms + TICK_MS);
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      mux_flow_tick (&sched->class_at[i]->arrivals, dt);
+      mux_flow_tick (&sched->class_at[i]->starts, dt);
+    }
+  mux_flow_tick (&sched->ends, dt);
+  learn_sizes (sched);
+  mux_reserve_update (sched);
+  mux_hold_tick (sched, now_ms);
+  sched->tick_ms = now_ms + TICK_MS;
+  /* The reserve may have shrunk, so that what did not fit may do so now. */
+  sched->room_gen++;
 }
 
 bool
@@ -135,16 +325,25 @@
 {
   if (emit_placed (sched, out))
     return true;
+  if (now_ms >= sched->tick_ms)
+    mux_sched_tick (sched, now_ms);
   drop_expired (sched, now_ms);
   if (emit_drop (sched, out))
     return true;
-  return place_earliest (sched, now_ms) && emit_placed (sched, out);
+  return (place_holder (sched, now_ms) || place_first (sched, now_ms))
+         && emit_placed (sched, out);
 }
 
 int64_t
 mux_sched_wake_ms (const MuxSched *sched)
 {
+  int64_t wake = INT64_MAX;
+
   if (sched->emission.count > 0 || sched->drops.count > 0)
     return 0;
-  return sched->expire.count > 0 ? sched->expire.node[0].key : INT64_MAX;
+  if (sched->expire.count > 0)
+    wake = sched->expire.node[0].key;
+  if (sched->waiting > 0 && sched->tick_ms < wake)
+    wake = sched->tick_ms;
+  return wake;
 }
--- /dev/null
+++ b/src/policy/hold.c
@@ -0,0 +1,337 @@
+#include "internal.h"
+
+#include <stdlib.h>
+
+/* A hold lasts twice its forecast, and at least this long. */
+#define HOLD_MIN_MS 10000
+/* Wait after which a task that is overdue is looked at again. */
+#define OVERDUE_MIN_MS 100
+/* How long tasks may run that backfill a hold which is blocked otherwise. */
+#define BLOCKED_MS 1000
+/* Workers looked at for a hold: enough to hold the gang so many times. */
+#define CHOICE_FACTOR 2u
+#define CHOICE_MIN 16u
+
+static int
+compare_release (const void *a, const void *b)
+{
+  const MuxRelease *x = a;
+  const MuxRelease *y = b;
+
+  if (x->end_ms != y->end_ms)
+    return x->end_ms < y->end_ms ? -1 : 1;
+  return x->worker < y->worker ? -1 : x->worker > y->worker;
+}
+
+/* When a running task should end; overdue ones take a quarter longer than
+ * they did so far. */
+static int64_t
+forecast_end (const MuxSched *sched, const MuxTask *task, int64_t now_ms)
+{
+  uint32_t run = mux_learn_run_ms (sched->class_at[task->class_id], 900000);
+  int64_t ran = now_ms - task->booked_ms;
+
+  if (run == UINT32_MAX)
+    return INT64_MAX;
+  if (ran < run)
+    return task->booked_ms + run;
+  return now_ms + OVERDUE_MIN_MS + ran / 4;
+}
+
+bool
+mux_hold_owned (const MuxSched *sched, uint32_t t)
+{
+  return sched->hold.task != MUX_NONE && sched->hold.task == t
+         && mux_id_equal (sched->hold.task_id, sched->task[t].id);
+}
+
+static void
+change_free (MuxSched *sched, uint32_t w, int sign)
+{
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      uint64_t n = mux_size_dim (sched->worker[w].free, d);
+
+      sched->hold.free[d]
+          = sign > 0 ? sched->hold.free[d] + n : sched->hold.free[d] - n;
+    }
+}
+
+void
+mux_hold_drop (MuxSched *sched)
+{
+  MuxHold *hold = &sched->hold;
+
+  for (uint32_t i = 0; i < hold->count; i++)
+    {
+      uint32_t w = hold->workers[i];
+
+      if (!sched->worker[w].held)
+        continue;
+      if (sched->worker[w].usable)
+        change_free (sched, w, -1);
+      mux_index_held (sched, w, false);
+    }
+  hold->count = 0;
+  hold->task = MUX_NONE;
+}
+
+static uint32_t
+tasks_on (const MuxSched *sched, const uint32_t *workers, uint32_t count)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    n += sched->worker[workers[i]].tasks.count;
+  return n;
+}
+
+static uint32_t
+releases_of (const MuxSched *sched,
+             const uint32_t *workers,
+             uint32_t count,
+             int64_t now_ms,
+             MuxRelease *out)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    for (uint32_t t = sched->worker[workers[i]].tasks.head; t != MUX_NONE;
+         t = sched->task[t].link[MUX_LINK_WORKER].next)
+      out[n++] = (MuxRelease){ .end_ms
+                               = forecast_end (sched, &sched->task[t], now_ms),
+                               .worker = i,
+                               .size = sched->task[t].size };
+  qsort (out, n, sizeof *out, compare_release);
+  return n;
+}
+
+static bool
+hold_room (MuxHold *hold, uint32_t count)
+{
+  uint32_t *workers;
+  MuxSize *left;
+
+  if (count <= hold->room)
+    return true;
+  workers = realloc (hold->workers, count * sizeof *workers);
+  if (workers == NULL)
+    return false;
+  hold->workers = workers;
+  left = realloc (hold->left, count * sizeof *left);
+  if (left == NULL)
+    return false;
+  hold->left = left;
+  hold->room = count;
+  return true;
+}
+
+static MuxRelease *
+release_room (MuxHold *hold, uint32_t count)
+{
+  MuxRelease *release;
+
+  if (count <= hold->release_room && hold->release != NULL)
+    return hold->release;
+  release = realloc (hold->release, 2 * (count + 1) * sizeof *release);
+  if (release == NULL)
+    return NULL;
+  hold->release = release;
+  hold->release_room = 2 * (count + 1);
+  return release;
+}
+
+/*
+ * When @n tasks of @class fit together on hold.workers, if nothing else starts
+ * there; INT64_MAX: not to be foreseen.  Leaves in hold.left what is free on
+ * each worker by then.
+ */
+static int64_t
+ready_at (MuxSched *sched,
+          const MuxClass *class,
+          uint32_t n,
+          uint32_t count,
+          int64_t now_ms)
+{
+  MuxHold *hold = &sched->hold;
+  const uint32_t *workers = hold->workers;
+  MuxRelease *release = release_room (hold, tasks_on (sched, workers, count));
+  MuxSize *room = hold->left;
+  int64_t ready = now_ms;
+  uint64_t fit = 0;
+  uint32_t releases;
+
+  if (release == NULL)
+    return INT64_MAX;
+  releases = releases_of (sched, workers, count, now_ms, release);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      room[i] = sched->worker[workers[i]].free;
+      fit += mux_size_times (class->size, room[i]);
+    }
+  for (uint32_t i = 0; i < releases && fit < n; i++)
+    {
+      uint32_t k = release[i].worker;
+
+      fit -= mux_size_times (class->size, room[k]);
+      room[k] = mux_size_add (room[k], release[i].size);
+      fit += mux_size_times (class->size, room[k]);
+      ready = release[i].end_ms;
+    }
+  return fit >= n ? ready : INT64_MAX;
+}
+
+static uint32_t
+unit_count (const MuxSched *sched, uint32_t t)
+{
+  uint32_t g = sched->task[t].gang;
+
+  return g == MUX_NONE ? 1 : sched->gang[g].wanted;
+}
+
+/* Keep of the workers looked at those that take part, the roomiest first. */
+static uint32_t
+trim (const MuxClass *class,
+      uint32_t n,
+      uint32_t *workers,
+      const MuxSize *room,
+      uint32_t count)
+{
+  uint32_t kept = 0;
+  uint64_t fit = 0;
+
+  for (uint32_t i = 0; i < count && fit < n; i++)
+    {
+      uint32_t times = mux_size_times (class->size, room[i]);
+
+      fit += times;
+      if (times > 0)
+        workers[kept++] = workers[i];
+    }
+  return kept;
+}
+
+static void
+begin (MuxSched *sched, uint32_t t, int64_t now_ms)
+{
+  MuxHold *hold = &sched->hold;
+  const MuxClass *class = sched->class_at[sched->task[t].class_id];
+  uint32_t n = unit_count (sched, t);
+  uint32_t cap = sched->workers < CHOICE_MIN + CHOICE_FACTOR * n
+                     ? sched->workers
+                     : CHOICE_MIN + CHOICE_FACTOR * n;
+  uint32_t count;
+
+  if (!hold_room (hold, cap))
+    return;
+  count = mux_index_emptiest (sched, class,
+                              (uint64_t) n * CHOICE_FACTOR + CHOICE_MIN,
+                              hold->workers, cap);
+  hold->ready_ms = ready_at (sched, class, n, count, now_ms);
+  if (hold->ready_ms == INT64_MAX)
+    return;
+  hold->count = trim (class, n, hold->workers, hold->left, count);
+  hold->task = t;
+  hold->task_id = sched->task[t].id;
+  hold->tried = 0;
+  hold->until_ms = now_ms + 2 * (hold->ready_ms - now_ms) + HOLD_MIN_MS;
+  for (uint32_t i = 0; i < hold->count; i++)
+    {
+      mux_index_held (sched, hold->workers[i], true);
+      change_free (sched, hold->workers[i], 1);
+    }
+}
+
+/* The end of stragglers is forecast anew, so that backfill stays possible. */
+static void
+refresh (MuxSched *sched, int64_t now_ms)
+{
+  MuxHold *hold = &sched->hold;
+  const MuxClass *class = sched->class_at[sched->task[hold->task].class_id];
+
+  hold->ready_ms = ready_at (sched, class, unit_count (sched, hold->task),
+                             hold->count, now_ms);
+  /* All fits, yet the reserve or a quota stands in the way: until that is
+   * over, short tasks may use the room. */
+  if (hold->ready_ms <= now_ms)
+    hold->ready_ms = now_ms + BLOCKED_MS;
+}
+
+static bool
+stands (const MuxSched *sched, int64_t now_ms)
+{
+  const MuxHold *hold = &sched->hold;
+
+  return hold->task != MUX_NONE && mux_hold_owned (sched, hold->task)
+         && sched->task[hold->task].state == MUX_TASK_WAITING
+         && sched->queue_pos[hold->task] != MUX_NONE && now_ms < hold->until_ms;
+}
+
+/* Gangs, tasks too large for any gap, and whoever has used up half of its
+ * promised wait: without a hold smaller or more urgent ones would take every
+ * gap before them. */
+static bool
+deserves (const MuxSched *sched, const MuxClass *class, int64_t now_ms)
+{
+  const MuxHeapNode *head = class->queue.node;
+  int64_t half = class->spec.start_within_ms / 2;
+
+  if (class->queue.count == 0 || class->shape == MUX_NONE
+      || !mux_product_allows (sched, class, unit_count (sched, head->item)))
+    return false;
+  return sched->task[head->item].gang != MUX_NONE
+         || sched->index.shape[class->shape].fits.count == 0
+         || now_ms >= head->key - half;
+}
+
+/* One hold at a time, the earliest deadline first: holds can't wait for each
+ * other.  One that expired without success goes behind the others. */
+static uint32_t
+choose (const MuxSched *sched, MuxId expired, int64_t now_ms)
+{
+  const MuxHeapNode *best = NULL;
+  uint32_t again = MUX_NONE;
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      const MuxClass *class = sched->class_at[i];
+      const MuxHeapNode *head = class->queue.node;
+
+      if (!deserves (sched, class, now_ms))
+        continue;
+      if (mux_id_equal (sched->task[head->item].id, expired))
+        again = head->item;
+      else if (best == NULL || head->key < best->key)
+        best = head;
+    }
+  return best != NULL ? best->item : again;
+}
+
+void
+mux_hold_tick (MuxSched *sched, int64_t now_ms)
+{
+  MuxId expired = sched->hold.task_id;
+  uint32_t t;
+
+  if (stands (sched, now_ms))
+    {
+      refresh (sched, now_ms);
+      return;
+    }
+  mux_hold_drop (sched);
+  if (sched->waiting == 0)
+    return;
+  t = choose (sched, expired, now_ms);
+  if (t != MUX_NONE)
+    begin (sched, t, now_ms);
+}
+
+bool
+mux_hold_backfills (const MuxSched *sched,
+                    const MuxClass *class,
+                    int64_t now_ms)
+{
+  uint32_t run = mux_learn_run_ms (class, 900000);
+
+  return run != UINT32_MAX && now_ms + run <= sched->hold.ready_ms;
+}
--- a/src/policy/index.c
+++ b/src/policy/index.c
@@ -4,6 +4,9 @@
 #include <string.h>
 
 #define WORD_BITS 64u
+/* Workers looked at for one that spreads its class over racks and has not
+ * just failed it; then the best fit is taken as it is. */
+#define SEARCH_MAX 32u
 
 static uint32_t
 words_for (uint32_t n)
@@ -68,6 +71,8 @@
     if (index->shape[i].refs > 0
         && !bits_grow (&index->shape[i].fits, index->words, words))
       return false;
+  if (!bits_grow (&index->held, index->words, words))
+    return false;
   index->words = words;
   return true;
 }
@@ -79,13 +84,15 @@
     free (index->level[i].word);
   for (uint32_t i = 0; i < index->shapes; i++)
     free (index->shape[i].fits.word);
+  free (index->held.word);
   free (index->shape);
 }
 
 static bool
 open_for_work (const MuxWorker *worker)
 {
-  return worker->present && worker->usable;
+  return worker->present && worker->usable
+         && worker->breaker.state == MUX_BREAKER_CLOSED;
 }
 
 /* Mean share of room left over the resources that the worker has, in levels:
@@ -198,65 +205,162 @@
   sched->index.shape[shape].refs--;
 }
 
-/* First worker in both sets, @avoid left out. */
+/* What a search has seen so far. */
+typedef struct
+{
+  const MuxSched *sched;
+  const MuxSeek *seek;
+  bool spare_hold;
+  uint32_t rack_limit;
+  uint32_t seen;
+  uint32_t first;
+} Search;
+
+static bool
+suits (const Search *search, uint32_t w)
+{
+  const MuxClass *class = search->seek->class;
+  const MuxWorker *worker = &search->sched->worker[w];
+
+  if (search->rack_limit > 0 && class->rack_count != NULL
+      && class->rack_count[worker->rack->id] >= search->rack_limit)
+    return false;
+  return !mux_breaker_shuns (search->sched, class, w, search->seek->now_ms);
+}
+
+/* Workers of one word that are free for this search. */
+static uint64_t
+candidates (const Search *search, const MuxBits *level, uint32_t k)
+{
+  const MuxIndex *index = &search->sched->index;
+  uint64_t word
+      = level->word[k] & index->shape[search->seek->class->shape].fits.word[k];
+
+  if (search->spare_hold)
+    word &= ~index->held.word[k];
+  if (search->seek->avoid / WORD_BITS == k)
+    word &= ~(UINT64_C (1) << (search->seek->avoid % WORD_BITS));
+  return word;
+}
+
 static uint32_t
-first_common (const MuxIndex *index,
-              const MuxBits *a,
-              const MuxBits *b,
-              uint32_t avoid)
+search_level (Search *search, const MuxBits *level)
 {
+  const MuxIndex *index = &search->sched->index;
+  const MuxBits *fits = &index->shape[search->seek->class->shape].fits;
+
   for (uint32_t s = 0; s < words_for (index->words); s++)
-    for (uint64_t sum = a->summary[s] & b->summary[s]; sum != 0; sum &= sum - 1)
+    for (uint64_t sum = level->summary[s] & fits->summary[s]; sum != 0;
+         sum &= sum - 1)
       {
         uint32_t k = s * WORD_BITS + (uint32_t) __builtin_ctzll (sum);
-        uint64_t both = a->word[k] & b->word[k];
 
-        if (avoid / WORD_BITS == k)
-          both &= ~(UINT64_C (1) << (avoid % WORD_BITS));
-        if (both != 0)
-          return k * WORD_BITS + (uint32_t) __builtin_ctzll (both);
+        for (uint64_t word = candidates (search, level, k); word != 0;
+             word &= word - 1)
+          {
+            uint32_t w = k * WORD_BITS + (uint32_t) __builtin_ctzll (word);
+
+            if (suits (search, w))
+              return w;
+            if (search->first == MUX_NONE)
+              search->first = w;
+            if (++search->seen >= SEARCH_MAX)
+              return search->first;
+          }
       }
   return MUX_NONE;
 }
 
+/* A rack that fails takes at most about twice its share of a service. */
+static uint32_t
+rack_limit (const MuxSched *sched, const MuxClass *class)
+{
+  if (class->spec.kind != MUX_KIND_SERVICE
+      && class->spec.kind != MUX_KIND_LONG_RUNNING)
+    return 0;
+  return 2 + 2 * (class->booked + 1) / (sched->racks > 0 ? sched->racks : 1);
+}
+
 uint32_t
-mux_index_find (const MuxSched *sched, uint32_t shape, uint32_t avoid)
+mux_index_find (const MuxSched *sched, const MuxSeek *seek)
 {
   const MuxIndex *index = &sched->index;
-  const MuxBits *fits = &index->shape[shape].fits;
+  Search search = { .sched = sched,
+                    .seek = seek,
+                    .spare_hold = !seek->into_hold && index->held.count > 0,
+                    .rack_limit = rack_limit (sched, seek->class),
+                    .first = MUX_NONE };
 
-  if (fits->count == 0)
+  if (index->shape[seek->class->shape].fits.count == 0)
     return MUX_NONE;
   for (uint32_t i = 0; i < MUX_LEVELS; i++)
     {
       if (index->level[i].count == 0)
         continue;
 
-      uint32_t w = first_common (index, &index->level[i], fits, avoid);
+      uint32_t w = search_level (&search, &index->level[i]);
 
       if (w != MUX_NONE)
         return w;
     }
-  return MUX_NONE;
+  return search.first;
 }
 
 bool
-mux_index_holds (const MuxSched *sched,
-                 uint32_t shape,
-                 uint32_t n,
-                 uint32_t avoid)
+mux_index_holds (const MuxSched *sched, const MuxSeek *seek, uint32_t n)
 {
-  const MuxShape *want = &sched->index.shape[shape];
-  uint64_t held = 0;
+  const MuxIndex *index = &sched->index;
+  const MuxShape *want = &index->shape[seek->class->shape];
+  uint64_t found = 0;
 
-  for (uint32_t k = 0; k < sched->index.words && held < n; k++)
-    for (uint64_t word = want->fits.word[k]; word != 0 && held < n;
-         word &= word - 1)
-      {
-        uint32_t w = k * WORD_BITS + (uint32_t) __builtin_ctzll (word);
+  for (uint32_t k = 0; k < index->words && found < n; k++)
+    {
+      uint64_t word = want->fits.word[k];
 
-        if (w != avoid)
-          held += mux_size_times (want->size, sched->worker[w].free);
-      }
-  return held >= n;
+      if (!seek->into_hold)
+        word &= ~index->held.word[k];
+      for (; word != 0 && found < n; word &= word - 1)
+        {
+          uint32_t w = k * WORD_BITS + (uint32_t) __builtin_ctzll (word);
+
+          found += mux_size_times (want->size, sched->worker[w].free);
+        }
+    }
+  return found >= n;
+}
+
+void
+mux_index_held (MuxSched *sched, uint32_t w, bool held)
+{
+  sched->worker[w].held = held;
+  bits_set (&sched->index.held, w, held);
+}
+
+uint32_t
+mux_index_emptiest (const MuxSched *sched,
+                    const MuxClass *class,
+                    uint64_t n,
+                    uint32_t *out,
+                    uint32_t cap)
+{
+  const MuxIndex *index = &sched->index;
+  uint64_t together = 0;
+  uint32_t count = 0;
+
+  for (uint32_t i = MUX_LEVELS; i-- > 0;)
+    for (uint32_t k = 0; k < index->words && index->level[i].count > 0; k++)
+      for (uint64_t word = index->level[i].word[k]; word != 0; word &= word - 1)
+        {
+          uint32_t w = k * WORD_BITS + (uint32_t) __builtin_ctzll (word);
+          uint32_t times
+              = mux_size_times (class->size, sched->worker[w].capacity);
+
+          if (times == 0)
+            continue;
+          if (count == cap || together >= n)
+            return count;
+          out[count++] = w;
+          together += times;
+        }
+  return count;
 }
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -2,6 +2,7 @@
 #define POLICY_INTERNAL_H
 
 #include "heap.h"
+#include "hist.h"
 #include "idmap.h"
 #include "policy/sched.h"
 
@@ -127,6 +128,19 @@
   UT_hash_handle hh;
 } MuxProduct;
 
+/**
+ * struct MuxFlow - rate of something, over a short and a long memory
+ * @ticked: happenings since the last tick
+ * @fast: per ms, over some seconds
+ * @slow: per ms, over half a minute
+ */
+typedef struct
+{
+  uint32_t ticked;
+  double fast;
+  double slow;
+} MuxFlow;
+
 /**
  * struct MuxClass - a class, its queue and its part of the books
  * @spec: as configured
@@ -136,6 +150,19 @@
  * @queue: waiting tasks and leaders of complete gangs by start_by_ms
  * @waiting: tasks waiting, gathering ones too
  * @booked: tasks booked
+ * @tried: decision in which it could not be placed
+ * @urgent: a short wait is promised; others yield to it
+ * @arrivals: tasks that asked
+ * @starts: tasks placed
+ * @run_hist: run times, the declared one as prior
+ * @run_mean_ms: their mean
+ * @cpu_hist: processors used, as reported
+ * @mem_hist: memory used, as reported
+ * @wait_hist: waits until placed
+ * @reports: reports since its booking size was last looked at
+ * @failed: failures, the first on each worker alone, that are not forgotten
+ * @judged: those and all successes
+ * @rack_count: tasks booked in each rack
  * @fit_gen: worker generation at which @fit_count was computed
  * @fit_count: tasks that all workers together hold when empty
  */
@@ -150,11 +177,63 @@
   MuxHeap queue;
   uint32_t waiting;
   uint32_t booked;
+  uint64_t tried;
+  bool urgent;
+  MuxFlow arrivals;
+  MuxFlow starts;
+  MuxHist run_hist;
+  double run_mean_ms;
+  MuxHist cpu_hist;
+  MuxHist mem_hist;
+  MuxHist wait_hist;
+  uint32_t reports;
+  double failed;
+  double judged;
+  uint32_t *rack_count;
   uint64_t fit_gen;
   uint64_t fit_count;
   UT_hash_handle hh;
 } MuxClass;
 
+typedef enum
+{
+  MUX_BREAKER_CLOSED,
+  MUX_BREAKER_OPEN,    /* no work until open_until_ms, then one probe */
+  MUX_BREAKER_PROBING, /* its probe runs */
+} MuxBreakerState;
+
+/**
+ * struct MuxBreaker - whether a worker is trusted with work
+ * @state: see enum MuxBreakerState
+ * @blame: failures that were unlike their class's record elsewhere
+ * @backoff_ms: pause before the next probe
+ * @open_until_ms: when it may be probed
+ * @probe: task of the probe
+ * @failing: classes, by id modulo 64, whose last task here failed
+ * @failing_ms: when the last of them did
+ */
+typedef struct
+{
+  MuxBreakerState state;
+  double blame;
+  uint32_t backoff_ms;
+  int64_t open_until_ms;
+  MuxId probe;
+  uint64_t failing;
+  int64_t failing_ms;
+} MuxBreaker;
+
+/**
+ * struct MuxRack - a rack's name; its index counts in MuxClass.rack_count
+ */
+typedef struct
+{
+  char name[MUX_NAME_LEN];
+  uint32_t id;
+  uint32_t workers;
+  UT_hash_handle hh;
+} MuxRack;
+
 /**
  * struct MuxWorker - a worker and what is booked on it
  * @capacity: what it has
@@ -162,21 +241,77 @@
  * @free: capacity less booked, never below 0
  * @present: the index is in use
  * @usable: may get new work, as the caller says
+ * @held: drained for the task or gang of the hold
  * @level: level of the index it stands in, or MUX_NONE
  */
 typedef struct
 {
   char name[MUX_NAME_LEN];
-  char rack[MUX_NAME_LEN];
+  MuxRack *rack;
   MuxSize capacity;
   uint64_t booked[MUX_DIMS];
   MuxSize free;
   MuxList tasks;
   bool present;
   bool usable;
+  bool held;
   uint32_t level;
+  MuxBreaker breaker;
 } MuxWorker;
 
+/**
+ * struct MuxRelease - room that a running task is forecast to give back
+ */
+typedef struct
+{
+  int64_t end_ms;
+  uint32_t worker;
+  MuxSize size;
+} MuxRelease;
+
+/**
+ * struct MuxHold - workers that are drained for one blocked task or gang
+ * @task: the task, or the leader of the gang, or MUX_NONE
+ * @task_id: its id, as the index may be reused
+ * @workers: the workers, in @count entries
+ * @ready_ms: when all is forecast to fit there; others may backfill until then
+ * @until_ms: when it expires
+ * @tried: room generation of the last vain try
+ * @free: what is free on those workers
+ * @left: scratch, as long as @workers
+ * @release: scratch, of @release_room entries
+ */
+typedef struct
+{
+  uint32_t task;
+  MuxId task_id;
+  uint32_t *workers;
+  uint32_t count;
+  uint32_t room;
+  int64_t ready_ms;
+  int64_t until_ms;
+  uint64_t tried;
+  uint64_t free[MUX_DIMS];
+  MuxSize *left;
+  MuxRelease *release;
+  uint32_t release_room;
+} MuxHold;
+
+/**
+ * struct MuxSeek - what a search for a worker asks for
+ * @class: whose task it is
+ * @avoid: worker not to use, or MUX_NONE
+ * @into_hold: workers held for another may be taken
+ * @now_ms: the time
+ */
+typedef struct
+{
+  const MuxClass *class;
+  uint32_t avoid;
+  bool into_hold;
+  int64_t now_ms;
+} MuxSeek;
+
 /**
  * struct MuxBits - set of workers with a summary of its non-zero words
  */
@@ -204,12 +339,14 @@
  * struct MuxIndex - workers by free room
  * @words: words of each set
  * @level: workers by level of free room
+ * @held: workers of the hold
  * @shape: the distinct sizes
  */
 typedef struct
 {
   uint32_t words;
   MuxBits level[MUX_LEVELS];
+  MuxBits held;
   MuxShape *shape;
   uint32_t shapes;
   uint32_t shape_room;
@@ -252,6 +389,19 @@
   uint64_t total[MUX_DIMS];
   uint64_t free[MUX_DIMS];
 
+  MuxRack *rack_names;
+  uint32_t racks;
+  uint32_t rack_ids;
+  uint32_t rack_room;
+  uint32_t tripped;
+  int64_t next_probe_ms;
+  int64_t tick_ms;
+  uint64_t decisions;
+  MuxFlow ends;
+  uint64_t reserve[MUX_DIMS];
+  MuxHold hold;
+  uint64_t random;
+
   MuxIndex index;
   MuxHeap expire;
   MuxList age;
@@ -317,8 +467,16 @@
 /** mux_class_ghost() - the class, or one not configured to book under */
 MuxClass *mux_class_ghost (MuxSched *sched, const char *name);
 void mux_classes_clear (MuxSched *sched);
+/** mux_class_urgent() - others yield to work of @spec */
+bool mux_class_urgent (const MuxClassSpec *spec);
 /** mux_class_fit_count() - its tasks that all empty workers hold together */
 uint64_t mux_class_fit_count (MuxSched *sched, MuxClass *class);
+/** mux_class_resize() - book its tasks with @size from now on */
+bool mux_class_resize (MuxSched *sched, MuxClass *class, MuxSize size);
+/** mux_class_racks_grow() - count in @racks racks; false: no memory */
+bool mux_class_racks_grow (MuxClass *class, uint32_t old, uint32_t racks);
+/** mux_class_borrows() - its tasks end soon enough to use idle quota */
+bool mux_class_borrows (const MuxClass *class);
 /** mux_product_allows() - @n more tasks of @class are within the quota */
 bool
 mux_product_allows (const MuxSched *sched, const MuxClass *class, uint32_t n);
@@ -326,6 +484,7 @@
 /* books.c: workers and what is booked on them */
 void mux_book (MuxSched *sched, uint32_t t, uint32_t w, MuxSize size);
 void mux_unbook (MuxSched *sched, uint32_t t);
+void mux_racks_clear (MuxSched *sched);
 
 /* index.c: which worker to take */
 bool mux_bits_test (const MuxBits *bits, uint32_t i);
@@ -337,12 +496,81 @@
 uint32_t mux_index_shape_ref (MuxSched *sched, MuxSize size);
 void mux_index_shape_unref (MuxSched *sched, uint32_t shape);
 /** mux_index_find() - best fit, or MUX_NONE */
-uint32_t mux_index_find (const MuxSched *sched, uint32_t shape, uint32_t avoid);
+uint32_t mux_index_find (const MuxSched *sched, const MuxSeek *seek);
 /** mux_index_holds() - @n tasks of @shape fit together now */
-bool mux_index_holds (const MuxSched *sched,
-                      uint32_t shape,
-                      uint32_t n,
-                      uint32_t avoid);
+bool mux_index_holds (const MuxSched *sched, const MuxSeek *seek, uint32_t n);
+
+/** mux_index_held() - @w joins or leaves the workers of the hold */
+void mux_index_held (MuxSched *sched, uint32_t w, bool held);
+/** mux_index_emptiest() - up to @cap workers that can hold tasks of @class
+ * when empty, those with most room first; stops when they hold @n together
+ * Return: how many. */
+uint32_t mux_index_emptiest (const MuxSched *sched,
+                             const MuxClass *class,
+                             uint64_t n,
+                             uint32_t *out,
+                             uint32_t cap);
+
+/* learn.c: what is known of a class from its reports */
+void mux_flow_tick (MuxFlow *flow, double dt_ms);
+double mux_flow_rate (const MuxFlow *flow);
+void mux_learn_declared (MuxClass *class);
+/** mux_learn_end() - a task of it ran @ran_ms and used @used */
+void mux_learn_end (MuxClass *class, uint32_t ran_ms, MuxSize used);
+/** mux_learn_size() - what to book for a task: the declared size, or more
+ * when reports show more; never more than the largest worker has */
+MuxSize mux_learn_size (const MuxSched *sched, const MuxClass *class);
+/** mux_learn_run_ms() - run time that @ppm of its tasks don't exceed;
+ * UINT32_MAX: they run until stopped */
+uint32_t mux_learn_run_ms (const MuxClass *class, uint32_t ppm);
+
+/* reserve.c: room kept for the urgent work that is forecast */
+void mux_reserve_update (MuxSched *sched);
+/** mux_reserve_leaves() - @n tasks of @class may take room without eating
+ * into the reserve */
+bool mux_reserve_leaves (const MuxSched *sched,
+                         const MuxClass *class,
+                         uint32_t n,
+                         bool holder);
+
+/* hold.c: the reservation of a blocked gang or large task */
+void mux_hold_tick (MuxSched *sched, int64_t now_ms);
+void mux_hold_drop (MuxSched *sched);
+/** mux_hold_owned() - @t is who the hold is for */
+bool mux_hold_owned (const MuxSched *sched, uint32_t t);
+/** mux_hold_backfills() - a task of @class started now is forecast to end
+ * before the hold needs its workers */
+bool mux_hold_backfills (const MuxSched *sched,
+                         const MuxClass *class,
+                         int64_t now_ms);
+
+/* breaker.c: workers that fail what they start */
+void mux_breaker_end (MuxSched *sched,
+                      const MuxTask *task,
+                      MuxTaskEnd end,
+                      uint32_t ran_ms,
+                      int64_t now_ms);
+/** mux_breaker_probe() - tripped worker that a task of @class may probe now,
+ * or MUX_NONE */
+uint32_t mux_breaker_probe (MuxSched *sched, const MuxSeek *seek);
+/** mux_breaker_shuns() - @class failed lately on worker @w but not elsewhere */
+bool mux_breaker_shuns (const MuxSched *sched,
+                        const MuxClass *class,
+                        uint32_t w,
+                        int64_t now_ms);
+/** mux_breaker_reset() - nothing is known of worker @w any more */
+void mux_breaker_reset (MuxSched *sched, uint32_t w);
+
+/* forecast.c: waits to come */
+/** mux_forecast_wait_ms() - wait of a task of @class that asks now */
+uint32_t mux_forecast_wait_ms (MuxSched *sched, const MuxClass *class);
+/** mux_forecast_retry_ms() - when to come back after a refusal, with jitter */
+uint32_t mux_forecast_retry_ms (MuxSched *sched, const MuxClass *class);
+uint32_t mux_jitter (MuxSched *sched, uint32_t ms);
+
+/* decide.c */
+/** mux_sched_tick() - what is looked at now and then, not at each decision */
+void mux_sched_tick (MuxSched *sched, int64_t now_ms);
 
 /* queue.c: what waits */
 bool mux_queue_add (MuxSched *sched, uint32_t t);
--- /dev/null
+++ b/src/policy/learn.c
@@ -0,0 +1,105 @@
+#include "internal.h"
+
+#include <math.h>
+
+#define FAST_MS 3000.0
+#define SLOW_MS 30000.0
+/* The declared run time counts as so many observations. */
+#define PRIOR_WEIGHT 8u
+/* Reports needed before a size is learned from them. */
+#define SIZE_REPORTS_MIN 20u
+#define SIZE_QUANTILE_PPM 990000u
+/* A report of more than this many times the declared size is an error of the
+ * worker's accounting rather than the class's need. */
+#define SIZE_FACTOR_MAX 8u
+#define MEAN_WEIGHT_MAX 256.0
+
+void
+mux_flow_tick (MuxFlow *flow, double dt_ms)
+{
+  double rate = flow->ticked / dt_ms;
+
+  flow->ticked = 0;
+  flow->fast += (rate - flow->fast) * (1 - exp (-dt_ms / FAST_MS));
+  flow->slow += (rate - flow->slow) * (1 - exp (-dt_ms / SLOW_MS));
+}
+
+double
+mux_flow_rate (const MuxFlow *flow)
+{
+  return flow->fast > flow->slow ? flow->fast : flow->slow;
+}
+
+void
+mux_learn_declared (MuxClass *class)
+{
+  class->run_hist = (MuxHist){ 0 };
+  class->cpu_hist = (MuxHist){ 0 };
+  class->mem_hist = (MuxHist){ 0 };
+  class->run_mean_ms = class->spec.run_ms;
+  if (class->spec.run_ms > 0)
+    mux_hist_add (&class->run_hist, class->spec.run_ms, PRIOR_WEIGHT);
+}
+
+void
+mux_learn_end (MuxClass *class, uint32_t ran_ms, MuxSize used)
+{
+  double weight;
+
+  if (ran_ms > 0)
+    {
+      mux_hist_add (&class->run_hist, ran_ms, 1);
+      weight = class->run_hist.count;
+      weight = weight < MEAN_WEIGHT_MAX ? weight : MEAN_WEIGHT_MAX;
+      class->run_mean_ms += (ran_ms - class->run_mean_ms) / weight;
+    }
+  if (used.cpu_milli > 0)
+    mux_hist_add (&class->cpu_hist, used.cpu_milli, 1);
+  if (used.mem_mib > 0)
+    mux_hist_add (&class->mem_hist, used.mem_mib, 1);
+  class->reports++;
+}
+
+static uint32_t
+learned (const MuxHist *hist, uint32_t declared, uint32_t most)
+{
+  uint32_t seen = mux_hist_quantile (hist, SIZE_QUANTILE_PPM);
+  uint64_t bound = (uint64_t) declared * SIZE_FACTOR_MAX;
+
+  if (hist->count < SIZE_REPORTS_MIN || seen <= declared)
+    return declared;
+  if (declared > 0 && seen > bound)
+    seen = (uint32_t) bound;
+  /* A class must not learn itself out of every worker. */
+  return seen > most && most >= declared ? most : seen;
+}
+
+MuxSize
+mux_learn_size (const MuxSched *sched, const MuxClass *class)
+{
+  MuxSize size = class->spec.size;
+  MuxSize most = { 0 };
+
+  size.slots = size.slots == 0 ? 1 : size.slots;
+  for (uint32_t w = 0; w < sched->workers; w++)
+    {
+      const MuxWorker *worker = &sched->worker[w];
+
+      if (!worker->present || !mux_fits (size, worker->capacity))
+        continue;
+      if (worker->capacity.cpu_milli + (uint64_t) worker->capacity.mem_mib
+          > (uint64_t) most.cpu_milli + most.mem_mib)
+        most = worker->capacity;
+    }
+  size.cpu_milli = learned (&class->cpu_hist, size.cpu_milli, most.cpu_milli);
+  size.mem_mib = learned (&class->mem_hist, size.mem_mib, most.mem_mib);
+  return size;
+}
+
+uint32_t
+mux_learn_run_ms (const MuxClass *class, uint32_t ppm)
+{
+  if (class->run_hist.count == 0 || class->spec.kind == MUX_KIND_LONG_RUNNING)
+    return UINT32_MAX;
+  return mux_hist_quantile (&class->run_hist, ppm);
+}
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #define TASKS_MIN 64u
+#define RACKS_MIN 16u
 #define QUEUE_MAX_DEFAULT 10000u
 
 static bool
@@ -38,6 +39,12 @@
   sched->gang_free = MUX_NONE;
   sched->worker_gen = 1;
   sched->room_gen = 1;
+  sched->rack_room = RACKS_MIN;
+  sched->hold.task = MUX_NONE;
+  sched->next_probe_ms = INT64_MAX;
+  sched->tick_ms = INT64_MIN;
+  /* The generator must not start from 0. */
+  sched->random = options->seed * 2 + 1;
   mux_list_init (&sched->age);
   mux_list_init (&sched->drops);
   mux_list_init (&sched->emission);
@@ -55,7 +62,11 @@
   if (sched == NULL)
     return;
   mux_classes_clear (sched);
+  mux_racks_clear (sched);
   mux_index_clear (&sched->index);
+  free (sched->hold.workers);
+  free (sched->hold.left);
+  free (sched->hold.release);
   mux_heap_clear (&sched->expire);
   mux_idmap_clear (&sched->task_ids);
   mux_idmap_clear (&sched->gang_ids);
@@ -129,12 +140,12 @@
 {
   uint32_t t = mux_idmap_get (&sched->task_ids, id);
 
-  (void) end;
-  (void) ran_ms;
-  (void) used;
-  (void) now_ms;
   if (t == MUX_NONE || sched->task[t].state != MUX_TASK_BOOKED)
     return false;
+  if (end == MUX_END_OK)
+    mux_learn_end (sched->class_at[sched->task[t].class_id], ran_ms, used);
+  mux_breaker_end (sched, &sched->task[t], end, ran_ms, now_ms);
+  sched->ends.ticked++;
   mux_unbook (sched, t);
   mux_task_free (sched, t);
   return true;
