Split the config changes and walk an object's changes for a revert

The queue of changes and the check, decision and write of one are two files now. A revert follows the chain of an object's changes in the log.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -1,4 +1,4 @@
-#include "config_private.h"
+#include "config_change.h"
 
 #include <stdlib.h>
 
--- a/src/core/config_follow.c
+++ b/src/core/config_follow.c
@@ -10,6 +10,12 @@
   snprintf (key, MUX_ROW_KEY_LEN, CONFIG_LOG_PREFIX "%020" PRIu64, revision);
 }
 
+uint64_t
+json_number (const json_t *json, const char *key)
+{
+  return (uint64_t) json_integer_value (json_object_get (json, key));
+}
+
 json_t *
 config_row_json (const MuxRow *row)
 {
@@ -27,8 +33,7 @@
   if (row->value == NULL)
     return true;
   json = config_row_json (row);
-  *revision
-      = (uint64_t) json_integer_value (json_object_get (json, "revision"));
+  *revision = json_number (json, "revision");
   json_decref (json);
   return *revision != 0;
 }
@@ -41,8 +46,9 @@
   if (config->down == down)
     return;
   config->down = down;
-  core_log (core, down ? 4 : 5, down ? "config_store_down" : "config_store_up",
-            "revision=%" PRIu64, config->revision);
+  core_log (core, down ? MUX_LOG_WARNING : MUX_LOG_NOTICE,
+            down ? "config_store_down" : "config_store_up", "revision=%" PRIu64,
+            config->revision);
 }
 
 static void
@@ -74,6 +80,7 @@
 follow_caught_up (MuxCore *core)
 {
   core->config->loaded = true;
+  core->config->stuck = false;
   follow_end (core);
 }
 
@@ -113,6 +120,21 @@
   return true;
 }
 
+/* The head names a revision that the log does not give, or memory is out:
+ * what is in force stays, and the next poll tries again. */
+static void
+follow_stuck (MuxCore *core)
+{
+  Config *config = core->config;
+
+  if (!config->stuck)
+    core_log (core, MUX_LOG_ERR, "config_stuck",
+              "revision=%" PRIu64 " head=%" PRIu64, config->revision,
+              config->head);
+  config->stuck = true;
+  follow_end (core);
+}
+
 static void
 log_read (MuxCore *core,
           MuxId subject,
@@ -137,7 +159,7 @@
   else if (config->revision > before)
     follow_log (core);
   else
-    follow_end (core);
+    follow_stuck (core);
 }
 
 static void
@@ -163,13 +185,10 @@
 
   if (reply->row_count > 0)
     state = config_row_json (&reply->rows[0]);
-  revision
-      = (uint64_t) json_integer_value (json_object_get (state, "revision"));
+  revision = json_number (state, "revision");
   if (revision > config->revision
-      && config_apply_state (
-          core, json_object_get (state, "objects"), true,
-          (uint64_t) json_integer_value (json_object_get (state, "floor")),
-          revision))
+      && config_apply_state (core, json_object_get (state, "objects"), true,
+                             json_number (state, "floor"), revision))
     config_moved (core);
   json_decref (state);
 }
--- a/src/core/config_object.c
+++ b/src/core/config_object.c
@@ -4,6 +4,7 @@
 
 #include "config_private.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -110,6 +111,13 @@
     config->unapplied_count--;
 }
 
+static void
+log_bad (MuxCore *core, const char *key, uint64_t revision)
+{
+  core_log (core, MUX_LOG_ERR, "config_bad", "object=%s revision=%" PRIu64, key,
+            revision);
+}
+
 static bool
 class_in_force (MuxCore *core, ConfigObject *object)
 {
@@ -124,8 +132,7 @@
     }
   if (!mux_class_from_json (object->value, object->key, &spec, &findings))
     {
-      core_log (core, 3, "config_bad", "object=%s revision=%llu", object->key,
-                (unsigned long long) object->revision);
+      log_bad (core, object->key, object->revision);
       return true;
     }
   mux_name_copy (spec.name, object->name);
@@ -147,8 +154,7 @@
   mux_name_copy (spec.name, object->name);
   if (mux_product_from_json (object->value, object->key, &spec, &findings))
     return mux_sched_product_set (core->sched, &spec);
-  core_log (core, 3, "config_bad", "object=%s revision=%llu", object->key,
-            (unsigned long long) object->revision);
+  log_bad (core, object->key, object->revision);
   return true;
 }
 
@@ -257,8 +263,7 @@
 {
   const char *name = json_string_value (json_object_get (row, "name"));
   const char *sort_text = json_string_value (json_object_get (row, "sort"));
-  uint64_t revision
-      = (uint64_t) json_integer_value (json_object_get (row, "revision"));
+  uint64_t revision = json_number (row, "revision");
   json_t *value = json_object_get (row, "value");
   ConfigObject *object;
   MuxConfigSort sort;
@@ -266,13 +271,13 @@
   if (name == NULL || !mux_name_valid (name)
       || !config_sort_parse (sort_text, &sort))
     {
-      core_log (core, 3, "config_bad", "revision=%llu",
-                (unsigned long long) revision);
+      log_bad (core, "?", revision);
       return true;
     }
   object = object_get_or_add (core->config, sort, name);
   if (object == NULL)
     return false;
+  object->round = core->config->round;
   if (object->revision < revision)
     object_set (core, object, revision, json_is_object (value) ? value : NULL);
   return true;
@@ -282,8 +287,7 @@
 config_apply_row (MuxCore *core, const json_t *row)
 {
   Config *config = core->config;
-  uint64_t revision
-      = (uint64_t) json_integer_value (json_object_get (row, "revision"));
+  uint64_t revision = json_number (row, "revision");
 
   if (revision <= config->revision)
     return true;
@@ -294,33 +298,21 @@
   return true;
 }
 
-static bool
-state_holds (const json_t *objects, const ConfigObject *object)
-{
-  json_t *row;
-  size_t i;
-
-  json_array_foreach ((json_t *) objects, i, row)
-  {
-    const char *name = json_string_value (json_object_get (row, "name"));
-    const char *sort = json_string_value (json_object_get (row, "sort"));
-
-    if (name != NULL && sort != NULL && strcmp (name, object->name) == 0
-        && strcmp (sort, sort_names[object->sort]) == 0)
-      return true;
-  }
-  return false;
-}
-
+/* Whatever the state that was just taken does not hold has been removed so
+ * long ago that its sender has forgotten it; so do we. */
 static void
-remove_missing (MuxCore *core, const json_t *objects, uint64_t revision)
+remove_missing (MuxCore *core)
 {
+  Config *config = core->config;
   ConfigObject *object, *next;
 
-  HASH_ITER (hh, core->config->objects, object, next)
+  HASH_ITER (hh, config->objects, object, next)
   {
-    if (object->value != NULL && !state_holds (objects, object))
-      object_set (core, object, revision, NULL);
+    if (object->round == config->round)
+      continue;
+    if (object->value != NULL)
+      object_set (core, object, object->revision, NULL);
+    object_free (config, object);
   }
 }
 
@@ -335,13 +327,14 @@
   json_t *row;
   size_t i;
 
+  config->round++;
   json_array_foreach ((json_t *) objects, i, row)
   {
     if (!row_in_force (core, row))
       return false;
   }
   if (whole)
-    remove_missing (core, objects, revision);
+    remove_missing (core);
   if (floor > config->floor)
     config->floor = floor;
   config->revision = revision;
--- a/src/core/config_peer.c
+++ b/src/core/config_peer.c
@@ -47,24 +47,26 @@
   transfer_ask (core, member);
 }
 
-static bool
-may_have_more (const Config *config, const Member *member)
-{
-  return member->state == MEMBER_LIVE
-         && (!config->loaded || member->revision > config->revision);
-}
-
+/* A living peer with more than is in force here, else, before anything is
+ * known here, any living one. */
 static const Member *
 random_peer (MuxCore *core)
 {
-  const Member *member, *found = NULL;
-  uint64_t count = 0;
+  const Config *config = core->config;
+  const Member *member, *ahead = NULL, *other = NULL;
+  uint64_t ahead_count = 0, other_count = 0;
 
   for (member = core->members; member != NULL; member = member->hh.next)
-    if (may_have_more (core->config, member)
-        && core_random (core) % ++count == 0)
-      found = member;
-  return found;
+    {
+      if (member->state != MEMBER_LIVE)
+        continue;
+      if (member->revision > config->revision
+          && core_random (core) % ++ahead_count == 0)
+        ahead = member;
+      if (!config->loaded && core_random (core) % ++other_count == 0)
+        other = member;
+    }
+  return ahead != NULL ? ahead : other;
 }
 
 void
@@ -115,11 +117,7 @@
     {
       if (object->revision <= after)
         continue;
-      /* Objects of one revision, as a snapshot's removals are, stay on one
-       * page: the cursor could not tell them apart. */
-      if (json_array_size (objects) >= CONFIG_PAGE_OBJECTS
-          && ((const ConfigObject *) object->hh.prev)->revision
-                 < object->revision)
+      if (json_array_size (objects) == CONFIG_PAGE_OBJECTS)
         {
           *more = true;
           break;
@@ -157,31 +155,25 @@
   mux_blob_unref (msg.body);
 }
 
-static uint64_t
-page_number (const json_t *page, const char *key)
-{
-  return (uint64_t) json_integer_value (json_object_get (page, key));
-}
-
 static void
 transfer_apply (MuxCore *core, const json_t *page)
 {
   Config *config = core->config;
   ConfigTransfer *transfer = &config->transfer;
-  uint64_t through = page_number (page, "through");
+  uint64_t through = json_number (page, "through");
   bool loaded = config->loaded;
   bool applied = through > config->revision
                  && config_apply_state (core, transfer->rows, transfer->whole,
-                                        page_number (page, "floor"), through);
+                                        json_number (page, "floor"), through);
 
-  if (applied || (!loaded && through == config->revision))
+  if (applied || through <= config->revision)
     config->loaded = true;
   transfer_end (config);
   if (applied)
     config_moved (core);
   if (config->loaded && !loaded)
-    core_log (core, 5, "config_from_peer", "revision=%llu",
-              (unsigned long long) config->revision);
+    core_log (core, MUX_LOG_NOTICE, "config_from_peer", "revision=%" PRIu64,
+              config->revision);
 }
 
 static void
@@ -194,9 +186,9 @@
   if (!transfer->based)
     {
       transfer->based = true;
-      transfer->base = page_number (page, "through");
+      transfer->base = json_number (page, "through");
     }
-  if (page_number (page, "floor") > transfer->base)
+  if (json_number (page, "floor") > transfer->base)
     {
       transfer_begin (core, member, 0);
       return;
@@ -208,7 +200,7 @@
       return;
     }
   last = json_array_get (objects, json_array_size (objects) - 1);
-  transfer->cursor = page_number (last, "revision");
+  transfer->cursor = json_number (last, "revision");
   transfer_ask (core, member);
 }
 
@@ -224,7 +216,7 @@
     return;
   page = json_loadb (msg->body->bytes, msg->body->len, 0, NULL);
   /* A page that was asked for before: its successor is awaited. */
-  if (page != NULL && page_number (page, "after") == transfer->cursor)
+  if (page != NULL && json_number (page, "after") == transfer->cursor)
     take_page (core, member, page);
   json_decref (page);
 }
--- a/src/core/config_private.h
+++ b/src/core/config_private.h
@@ -7,6 +7,9 @@
 #include "member.h"
 #include "worker.h"
 
+#include "base/log.h"
+
+#include <inttypes.h>
 #include <jansson.h>
 
 /* Rows of the platform's table. */
@@ -45,51 +48,12 @@
   uint64_t revision; /* of its last change */
   json_t *value;     /* NULL: removed */
   MuxClassSpec spec; /* of a class; its name is "" when the value is bad */
+  uint64_t round;    /* state in which it was seen last */
   bool unapplied;    /* the scheduler has not taken it: memory was out */
   UT_hash_handle hh;
 } ConfigObject;
 
-/**
- * enum ChangeState - life of an operator's change
- */
-typedef enum
-{
-  CHANGE_QUEUED,  /* an earlier change is being made */
-  CHANGE_PAUSED,  /* until wake_ms, then it is checked again */
-  CHANGE_CHECK,   /* its change row and the head are being read */
-  CHANGE_SYNC,    /* the log is being read up to the head */
-  CHANGE_LOOK_UP, /* a revert: an older change is being read */
-  CHANGE_WRITE,   /* the transaction is on its way */
-} ChangeState;
-
 typedef struct ConfigChange ConfigChange;
-struct ConfigChange
-{
-  uint64_t serial;
-  uint64_t call;
-  ChangeState state;
-  MuxConfigSort sort;
-  char name[MUX_NAME_LEN];
-  json_t *value; /* NULL: remove */
-  bool expect_set;
-  uint64_t expect;
-  MuxId change;
-  char who[MUX_NAME_LEN];
-  int64_t wall_ms;
-  bool revert; /* the value is still to be found in the log */
-  uint64_t revert_to;
-  uint64_t cursor;       /* LOOK_UP: revision being read */
-  uint32_t steps;        /* LOOK_UP: revisions read */
-  uint64_t checked_from; /* in force when the check was sent */
-  uint64_t head_rev;     /* of the head row in the last check */
-  json_t *row;           /* WRITE: the log row */
-  bool unsure;           /* an earlier write may take effect yet */
-  uint32_t retries;
-  int64_t wake_ms;
-  int64_t give_up_ms;
-  ConfigChange *prev;
-  ConfigChange *next;
-};
 
 /**
  * enum FollowState - what the follower reads now
@@ -122,10 +86,12 @@
   bool loaded;
   bool down; /* the last read of the table failed */
   ConfigObject *objects;
+  uint64_t round; /* states taken, to tell what the last one lacked */
   uint32_t removed_count;
   uint32_t unapplied_count;
   FollowState follow;
   bool follow_again;
+  bool stuck; /* the head is ahead of the log: said once */
   uint64_t head;
   int64_t poll_ms;
   int64_t peer_ask_ms;
@@ -180,6 +146,8 @@
 void config_moved (MuxCore *core);
 /** config_json_blob() - takes @json over; NULL: memory is out */
 MuxBlob *config_json_blob (json_t *json);
+/** json_number() - an unsigned field; 0 when absent */
+uint64_t json_number (const json_t *json, const char *key);
 
 /* config_peer.c: asking and telling other daemons. */
 void config_peer_ask (MuxCore *core, Member *member);
--- /dev/null
+++ b/src/core/config_write.c
@@ -0,0 +1,395 @@
+#include "config_change.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Rows of a change's transaction. */
+enum
+{
+  WRITE_HEAD,
+  WRITE_LOG,
+  WRITE_CHANGE,
+  WRITE_ROWS
+};
+
+/* Rows of a change's check. */
+enum
+{
+  CHECK_CHANGE,
+  CHECK_HEAD,
+  CHECK_ROWS
+};
+
+static void
+change_key (char key[MUX_ROW_KEY_LEN], MuxId change)
+{
+  char hex[MUX_ID_HEX_LEN];
+
+  mux_id_format (change, hex);
+  snprintf (key, MUX_ROW_KEY_LEN, "config/change/%s", hex);
+}
+
+static void
+change_call (MuxCore *core,
+             ConfigChange *change,
+             ChangeState state,
+             MuxTableCall *call,
+             TableDone done)
+{
+  if (call == NULL)
+    {
+      change_pause (core, change, MUX_REASON_INTERNAL);
+      return;
+    }
+  change->state = state;
+  call->timeout_ms = TABLE_TIMEOUT_MS;
+  if (!call_table (core, call, done, (MuxId){ 0, change->serial }, 0))
+    change_pause (core, change, MUX_REASON_RING_FULL);
+}
+
+static void
+commit_in_force (MuxCore *core, const ConfigChange *change, uint64_t revision)
+{
+  Config *config = core->config;
+
+  mux_count (core->counters, MUX_COUNT_CONFIG_CHANGES, 1);
+  core_log (core, MUX_LOG_NOTICE, "config_committed",
+            "revision=%" PRIu64 " object=%s/%s who=%s", revision,
+            config_sort_name (change->sort), change->name, change->who);
+  if (revision != config->revision + 1 || !config_apply_row (core, change->row))
+    return;
+  config_moved (core);
+  if (revision % CONFIG_SNAPSHOT_EVERY == 0)
+    config_snapshot_write (core);
+}
+
+static void
+write_done (MuxCore *core,
+            MuxId subject,
+            uint64_t aux,
+            const MuxTableReply *reply)
+{
+  ConfigChange *change = change_find (core, subject, CHANGE_WRITE);
+  uint64_t revision;
+
+  (void) aux;
+  if (change == NULL)
+    return;
+  revision = change->checked_from + 1;
+  switch (reply->status)
+    {
+    case MUX_TABLE_OK:
+      commit_in_force (core, change, revision);
+      change_accepted (core, change, revision);
+      break;
+    case MUX_TABLE_CONFLICT:
+      change_pause (core, change, MUX_REASON_FENCED_ROW);
+      break;
+    case MUX_TABLE_UNKNOWN:
+      /* It may even land after the next check has found nothing.  A repeat
+       * has the same change row and the same head as conditions, and a
+       * refusal is given only once the head is past both, so it can neither
+       * apply twice nor after it was refused. */
+      change->unsure = true;
+      change_pause (core, change, MUX_REASON_WRITE_UNKNOWN);
+      break;
+    case MUX_TABLE_DOWN:
+      change_store_down (core, change);
+      break;
+    default:
+      change->state = CHANGE_PAUSED;
+      change_give_up (core, change, MUX_REASON_INTERNAL);
+    }
+  config_changes_run (core);
+}
+
+static json_t *
+log_row (const MuxCore *core, const ConfigChange *change)
+{
+  const ConfigObject *object
+      = config_object (core->config, change->sort, change->name);
+  json_t *value
+      = change->value != NULL ? json_incref (change->value) : json_null ();
+  uint64_t prior = object != NULL ? object->revision : 0;
+  uint64_t floor = object != NULL ? 0 : core->config->floor;
+  char hex[MUX_ID_HEX_LEN];
+
+  mux_id_format (change->change, hex);
+  return json_pack ("{s:I, s:s, s:s, s:o, s:I, s:I, s:s, s:s, s:I}", "revision",
+                    (json_int_t) (change->checked_from + 1), "sort",
+                    config_sort_name (change->sort), "name", change->name,
+                    "value", value, "prior", (json_int_t) prior, "floor",
+                    (json_int_t) floor, "change", hex, "who", change->who,
+                    "when_ms", (json_int_t) change->wall_ms);
+}
+
+static MuxTableCall *
+write_call (const ConfigChange *change)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_TXN, WRITE_ROWS);
+  json_int_t revision = (json_int_t) (change->checked_from + 1);
+  MuxRow *rows;
+
+  if (call == NULL)
+    return NULL;
+  rows = call->rows;
+  snprintf (rows[WRITE_HEAD].key, MUX_ROW_KEY_LEN, "%s", CONFIG_HEAD_KEY);
+  rows[WRITE_HEAD].rev = change->head_rev;
+  rows[WRITE_HEAD].value
+      = config_json_blob (json_pack ("{s:I}", "revision", revision));
+  config_log_key (rows[WRITE_LOG].key, (uint64_t) revision);
+  rows[WRITE_LOG].rev = MUX_REV_ABSENT;
+  rows[WRITE_LOG].value = config_json_blob (json_incref (change->row));
+  change_key (rows[WRITE_CHANGE].key, change->change);
+  rows[WRITE_CHANGE].rev = MUX_REV_ABSENT;
+  rows[WRITE_CHANGE].value
+      = config_json_blob (json_pack ("{s:I}", "revision", revision));
+  for (int i = 0; i < WRITE_ROWS; i++)
+    if (rows[i].value == NULL)
+      {
+        mux_table_call_free (call);
+        return NULL;
+      }
+  return call;
+}
+
+static void
+change_write (MuxCore *core, ConfigChange *change)
+{
+  json_decref (change->row);
+  change->row = log_row (core, change);
+  change_call (core, change, CHANGE_WRITE,
+               change->row != NULL ? write_call (change) : NULL, write_done);
+}
+
+static void
+answer_findings (MuxCore *core,
+                 ConfigChange *change,
+                 const MuxFindings *findings)
+{
+  core_answer_findings (core, change->call, findings);
+  change_end (core, change);
+}
+
+/* A removed object that has been forgotten breaks the chain of its changes:
+ * what it was before can't be told from here. */
+static void
+look_up_too_far (MuxCore *core, ConfigChange *change)
+{
+  MuxFindings findings = { 0 };
+
+  mux_findings_add (&findings, "to",
+                    "revision %" PRIu64 " of %s can't be found from its "
+                    "changes; set the value shown by the history",
+                    change->revert_to, change->name);
+  answer_findings (core, change, &findings);
+}
+
+static void
+looked_up (ConfigChange *change, const json_t *value)
+{
+  json_decref (change->value);
+  change->value
+      = json_is_object (value) ? json_incref ((json_t *) value) : NULL;
+  change->revert = false;
+}
+
+/* One step back; false: the chain is broken. */
+static bool
+look_up_step (ConfigChange *change, const json_t *row)
+{
+  const char *name = json_string_value (json_object_get (row, "name"));
+  uint64_t prior = json_number (row, "prior");
+
+  if (name == NULL || strcmp (name, change->name) != 0
+      || ++change->steps > CONFIG_REVERT_STEPS)
+    return false;
+  if (change->cursor <= change->revert_to)
+    looked_up (change, json_object_get (row, "value"));
+  else if (prior == 0 && change->revert_to <= json_number (row, "floor"))
+    return false;
+  else if (prior == 0)
+    looked_up (change, NULL);
+  change->cursor = prior;
+  return true;
+}
+
+static void
+look_up_done (MuxCore *core,
+              MuxId subject,
+              uint64_t aux,
+              const MuxTableReply *reply)
+{
+  ConfigChange *change = change_find (core, subject, CHANGE_LOOK_UP);
+  json_t *row;
+
+  (void) aux;
+  if (change == NULL)
+    return;
+  if (reply->status != MUX_TABLE_OK || reply->row_count == 0)
+    change_store_down (core, change);
+  else
+    {
+      row = config_row_json (&reply->rows[0]);
+      change->state = CHANGE_PAUSED;
+      if (!look_up_step (change, row))
+        look_up_too_far (core, change);
+      json_decref (row);
+    }
+  config_changes_run (core);
+}
+
+/* Each log row names the change of its object before it: walk back. */
+static void
+change_look_up (MuxCore *core, ConfigChange *change)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_GET, 1);
+
+  if (call != NULL)
+    config_log_key (call->rows[0].key, change->cursor);
+  change_call (core, change, CHANGE_LOOK_UP, call, look_up_done);
+}
+
+static bool
+change_beaten (const ConfigChange *change, const ConfigObject *object)
+{
+  return change->expect_set
+         && change->expect != config_object_revision (object);
+}
+
+/* What a revert to a revision not reached, or of an object of which nothing
+ * is remembered, comes to. */
+static void
+change_look_up_from (MuxCore *core,
+                     ConfigChange *change,
+                     const ConfigObject *object)
+{
+  const Config *config = core->config;
+
+  if (change->revert_to > config->revision
+      || (object == NULL && change->revert_to <= config->floor))
+    {
+      look_up_too_far (core, change);
+      return;
+    }
+  if (change->cursor == 0 && object != NULL)
+    change->cursor = object->revision;
+  if (change->cursor != 0)
+    change_look_up (core, change);
+  else
+    {
+      config_answer_absent (core, change->call, change->sort);
+      change_end (core, change);
+    }
+}
+
+static void
+change_validate (MuxCore *core, ConfigChange *change)
+{
+  MuxFindings findings = { 0 };
+
+  if (!config_check (core->config, change->sort, change->name, &change->value,
+                     &findings))
+    change_pause (core, change, MUX_REASON_INTERNAL);
+  else if (findings.count > 0)
+    answer_findings (core, change, &findings);
+  else
+    change_write (core, change);
+}
+
+/* The state in force is that of the head: decide on the change. */
+static void
+change_decide (MuxCore *core, ConfigChange *change)
+{
+  ConfigObject *object
+      = config_object (core->config, change->sort, change->name);
+  bool exists = config_object_revision (object) != 0;
+
+  if (change_beaten (change, object))
+    {
+      config_answer_lost (core, change->call, object);
+      change_end (core, change);
+    }
+  else if (change->revert)
+    change_look_up_from (core, change, object);
+  else if (change->sort == MUX_CONFIG_DRAIN
+           && exists == (change->value != NULL))
+    change_accepted (core, change,
+                     exists ? object->revision : core->config->revision);
+  else if (change->value == NULL && !exists)
+    {
+      config_answer_absent (core, change->call, change->sort);
+      change_end (core, change);
+    }
+  else
+    change_validate (core, change);
+}
+
+static void
+change_checked (MuxCore *core, ConfigChange *change, const MuxRow *rows)
+{
+  Config *config = core->config;
+  uint64_t revision, head;
+
+  if (!config_row_revision (&rows[CHECK_CHANGE], &revision)
+      || !config_row_revision (&rows[CHECK_HEAD], &head))
+    {
+      change_give_up (core, change, MUX_REASON_INTERNAL);
+      return;
+    }
+  if (revision != 0)
+    {
+      change_accepted (core, change, revision);
+      return;
+    }
+  change->head_rev = rows[CHECK_HEAD].rev;
+  if (head > config->revision)
+    {
+      change->state = CHANGE_SYNC;
+      config_follow (core);
+    }
+  /* The two rows are not read at one moment, and the state may have moved
+   * since.  Only when it is the same from before the check until now does
+   * the missing change row say that no earlier write of it has landed. */
+  else if (head != change->checked_from || config->revision != head)
+    change_pause (core, change, MUX_REASON_FENCED_ROW);
+  else
+    change_decide (core, change);
+}
+
+static void
+check_done (MuxCore *core,
+            MuxId subject,
+            uint64_t aux,
+            const MuxTableReply *reply)
+{
+  ConfigChange *change = change_find (core, subject, CHANGE_CHECK);
+
+  (void) aux;
+  if (change == NULL)
+    return;
+  if (reply->status != MUX_TABLE_OK || reply->row_count < CHECK_ROWS)
+    change_store_down (core, change);
+  else
+    {
+      config_table_down (core, false);
+      change_checked (core, change, reply->rows);
+    }
+  config_changes_run (core);
+}
+
+void
+change_check (MuxCore *core, ConfigChange *change)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_GET, CHECK_ROWS);
+
+  change->checked_from = core->config->revision;
+  if (call != NULL)
+    {
+      change_key (call->rows[CHECK_CHANGE].key, change->change);
+      snprintf (call->rows[CHECK_HEAD].key, MUX_ROW_KEY_LEN, "%s",
+                CONFIG_HEAD_KEY);
+    }
+  change_call (core, change, CHANGE_CHECK, call, check_done);
+}
