--- a/test/demo/demo_main.c
+++ b/test/demo/demo_main.c
@@ -134,6 +134,10 @@
   answer = mux_http_json (demo->http, "POST", demo->cluster->daemon[0].addr,
                           path, NULL, &err);
   demo->drained = answer != NULL;
+  if (demo->drained)
+    mux_jsonl_write (demo->log,
+                     json_pack ("{s:s, s:s, s:I}", "event", "leaving", "worker",
+                                worker, "t_ms", (json_int_t) mux_mono_ms ()));
   printf ("demo: drain of worker %s %s\n", worker,
           demo->drained ? "accepted" : err.text);
   json_decref (answer);
@@ -263,15 +267,17 @@
   for (uint32_t i = 0; i < report->finding_count; i++)
     printf ("demo: %s\n", report->finding[i]);
   printf ("demo: %u submissions in the callers' log, %u executions in the "
-          "workers' logs, failed=%u overcommitted=%u bad_log_lines=%u\n",
+          "workers' logs, failed=%u overcommitted=%u started_while_leaving=%u "
+          "bad_log_lines=%u\n",
           report->calls, report->starts, tally->failed,
-          broken[MUX_RULE_OVERCOMMIT], broken[MUX_RULE_LOG]);
+          broken[MUX_RULE_OVERCOMMIT], broken[MUX_RULE_LEAVING],
+          broken[MUX_RULE_LOG]);
   printf ("demo: requests=%d answered=%u not_run=%u unknown=%u lost=%u "
           "doubled=%u wrong_answer=%u jobs_done=%u/%d\n",
           REQUESTS, tally->done, tally->not_run, tally->unknown, lost, doubled,
           wrong, jobs_done (demo), JOBS);
   return lost + doubled + wrong + broken[MUX_RULE_OVERCOMMIT]
-                 + broken[MUX_RULE_LOG]
+                 + broken[MUX_RULE_LEAVING] + broken[MUX_RULE_LOG]
              == 0
          && demo->drained && tally->done >= ANSWERED_MIN
          && jobs_done (demo) == JOBS;
--- a/test/support/history.c
+++ b/test/support/history.c
@@ -1,6 +1,5 @@
 #include "support/history_data.h"
 
-#include <errno.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -12,7 +11,8 @@
 {
   static const char *const names[MUX_RULE_COUNT]
       = { "log",          "ran_twice",   "two_places",     "overcommit",
-          "wrong_answer", "not_run_ran", "done_never_ran", "job_open" };
+          "wrong_answer", "not_run_ran", "done_never_ran", "job_open",
+          "leaving" };
 
   return names[rule];
 }
@@ -110,6 +110,7 @@
   mux_name_copy (worker->name, name);
   worker->capacity = capacity;
   worker->died_ms = STILL_RUNNING;
+  worker->leaving_ms = STILL_RUNNING;
 }
 
 /* A text field of @json; false when it is missing or does not fit. */
@@ -212,18 +213,32 @@
   return false;
 }
 
-static bool
-read_died (MuxHistory *history, const json_t *json)
+static Worker *
+named_worker (const MuxHistory *history, const json_t *json)
 {
   char name[MUX_NAME_LEN];
-  Worker *worker;
 
   if (!get_text (json, "worker", name, sizeof name))
-    return false;
-  worker = mux_history_find_worker (history, name);
+    return NULL;
+  return mux_history_find_worker (history, name);
+}
+
+static bool
+read_died (MuxHistory *history, const json_t *json)
+{
+  Worker *worker = named_worker (history, json);
+
   return worker != NULL && get_time (json, &worker->died_ms);
 }
 
+static bool
+read_leaving (MuxHistory *history, const json_t *json)
+{
+  Worker *worker = named_worker (history, json);
+
+  return worker != NULL && get_time (json, &worker->leaving_ms);
+}
+
 static bool
 read_call (MuxHistory *history, const json_t *json)
 {
@@ -239,6 +254,8 @@
     return read_job_end (history, json);
   if (strcmp (event, "died") == 0)
     return read_died (history, json);
+  if (strcmp (event, "leaving") == 0)
+    return read_leaving (history, json);
   return false;
 }
 
@@ -349,59 +366,3 @@
 {
   read_lines (history, text, len, read_work);
 }
-
-static char *
-read_file (const char *path, size_t *len, MuxError *err)
-{
-  FILE *file = fopen (path, "r");
-  char *text = NULL;
-  size_t cap = 0;
-  ssize_t n;
-
-  if (file == NULL)
-    {
-      mux_error_set (err, MUX_ERROR_IO, "%s: %s", path, strerror (errno));
-      return NULL;
-    }
-  /* No NUL byte stands in a log, so this reads the whole of it. */
-  n = getdelim (&text, &cap, 0, file);
-  if (n < 0 && ferror (file))
-    mux_error_set (err, MUX_ERROR_IO, "%s can't be read", path);
-  else
-    *len = n < 0 ? 0 : (size_t) n;
-  if (n < 0 && !ferror (file) && text == NULL)
-    text = calloc (1, 1);
-  if (n < 0 && ferror (file))
-    {
-      free (text);
-      text = NULL;
-    }
-  fclose (file);
-  return text;
-}
-
-bool
-mux_history_calls_file (MuxHistory *history, const char *path, MuxError *err)
-{
-  size_t len = 0;
-  char *text = read_file (path, &len, err);
-
-  if (text == NULL)
-    return false;
-  mux_history_calls (history, text, len);
-  free (text);
-  return true;
-}
-
-bool
-mux_history_work_file (MuxHistory *history, const char *path, MuxError *err)
-{
-  size_t len = 0;
-  char *text = read_file (path, &len, err);
-
-  if (text == NULL)
-    return false;
-  mux_history_work (history, text, len);
-  free (text);
-  return true;
-}
--- a/test/support/history.h
+++ b/test/support/history.h
@@ -22,6 +22,8 @@
  *   {"event":"job","job":HEX,"class":S,"tasks":N,"body_hash":S}: 202 came
  *   {"event":"job_end","job":HEX,"state":"done|failed|cancelled"}: as shown
  *   {"event":"died","worker":S,"t_ms":N}: the driver killed that worker
+ *   {"event":"leaving","worker":S,"t_ms":N}: a drain of it was accepted
+ * All times are of the monotonic clock; a "mono_ms" goes before a "t_ms".
  *
  * Workers' logs, one per worker, as the worker stand-in writes them; "start"
  * and "end" lines count, the others are skipped.  A last line without its
@@ -41,12 +43,15 @@
   MUX_RULE_NOT_RUN_RAN,    /* told not_run, but it executed */
   MUX_RULE_DONE_NEVER_RAN, /* told done, but it did not execute to its end */
   MUX_RULE_JOB_OPEN,       /* an accepted job that did not end */
+  MUX_RULE_LEAVING,        /* a start on a leaving worker, past the grace */
   MUX_RULE_COUNT
 } MuxRule;
 
 const char *mux_rule_name (MuxRule rule);
 
 #define MUX_HISTORY_FINDINGS 32
+/* A leaving worker gets nothing new after so long. */
+#define MUX_LEAVING_GRACE_MS 2000
 
 /**
  * struct MuxHistoryReport - verdict
--- a/test/support/history_check.c
+++ b/test/support/history_check.c
@@ -209,6 +209,23 @@
                          run_at (history, i)->worker);
 }
 
+static void
+check_leaving (MuxHistory *history)
+{
+  for (uint32_t i = 0; i < history->executions.count; i++)
+    {
+      const Execution *run = run_at (history, i);
+      const Worker *worker = mux_history_find_worker (history, run->worker);
+
+      if (worker != NULL && worker->leaving_ms != STILL_RUNNING
+          && run->start_ms > worker->leaving_ms + MUX_LEAVING_GRACE_MS)
+        mux_history_break (history, MUX_RULE_LEAVING,
+                           "%s started %s %lld ms after its drain", run->worker,
+                           run->task,
+                           (long long) (run->start_ms - worker->leaving_ms));
+    }
+}
+
 static void
 check_done (const Index *index, const Call *call)
 {
@@ -361,6 +378,7 @@
     }
   check_two_places (&index);
   check_room (history);
+  check_leaving (history);
   check_calls (&index);
   check_jobs (&index);
   groups_free (&index.by_task);
--- a/test/support/history_data.h
+++ b/test/support/history_data.h
@@ -54,7 +54,8 @@
 {
   char name[MUX_NAME_LEN];
   MuxSize capacity;
-  int64_t died_ms; /* STILL_RUNNING: it did not */
+  int64_t died_ms;    /* STILL_RUNNING: it did not */
+  int64_t leaving_ms; /* STILL_RUNNING: it does not */
 } Worker;
 
 /* Growing array; @items is of the element's size. */
--- a/test/unit/test_history.c
+++ b/test/unit/test_history.c
@@ -294,6 +294,21 @@
   reject_history (history, MUX_RULE_OVERCOMMIT, 1);
 }
 
+/* Within the grace it may still start; after it, it may not. */
+static void
+test_leaving (void **state)
+{
+  MuxHistory *history = history_new ();
+
+  (void) state;
+  line_of_calls (history,
+                 "{\"event\":\"leaving\",\"worker\":\"w1\",\"t_ms\":10}\n");
+  start (history, 10 + MUX_LEAVING_GRACE_MS, "w1", "t1", "b1");
+  start (history, 11 + MUX_LEAVING_GRACE_MS, "w1", "t2", "b2");
+  start (history, 11 + MUX_LEAVING_GRACE_MS, "w2", "t3", "b3");
+  reject_history (history, MUX_RULE_LEAVING, 1);
+}
+
 /* Cut; of another task; of another caller's body. */
 static void
 test_wrong_answer (void **state)
@@ -410,6 +425,7 @@
     cmocka_unit_test (test_killed_is_not_two_places),
     cmocka_unit_test (test_overcommit),
     cmocka_unit_test (test_overcommit_slots),
+    cmocka_unit_test (test_leaving),
     cmocka_unit_test (test_wrong_answer),
     cmocka_unit_test (test_not_run_ran),
     cmocka_unit_test (test_not_run_ran_unnamed),
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -22,9 +22,9 @@
 	$(STEP) clang-tidy $(SUB) check-tidy
 	$(STEP) cppcheck $(SUB) check-cppcheck
 	$(STEP) build-asan $(SUB) VARIANT=asan unit
-	$(STEP) unit-asan tools/run-tests $(UNIT:build/$(VARIANT)/%=build/asan/%)
+	$(STEP) unit-asan env TEST_LABEL=asan tools/run-tests $(UNIT:build/$(VARIANT)/%=build/asan/%)
 	$(STEP) build-tsan $(SUB) VARIANT=tsan $(TSAN_TESTS:%=build/tsan/unit/%)
-	$(STEP) unit-tsan tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%)
+	$(STEP) unit-tsan env TEST_LABEL=tsan tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%)
 	$(STEP) unit tools/run-tests $(UNIT)
 
 check-format:
@@ -39,6 +39,7 @@
 check-cppcheck:
 	cppcheck --quiet --error-exitcode=1 --std=c11 -j$(CHECK_JOBS) \
 	  --enable=warning,performance,portability \
+	  --library=tools/cppcheck.cfg \
 	  --suppressions-list=tools/cppcheck-suppressions -Iinclude -Itest \
 	  -D_GNU_SOURCE src test
 
