Link tests and stand-ins from archives

Every program linked all of test/support, so a support file that needs cmocka or the door broke the stand-ins. Archives link only what is used.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 DAEMON_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/daemon/*.c)))
 CLI_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/cli/*.c)))
 BINS = $(B)/cuminmuxd $(B)/cuminmux
-SUPPORT_OBJ = $(patsubst test/%.c,$(B)/test/%.o,$(wildcard test/support/*.c))
+# Archives, so that a program links only the parts that it uses.
+TESTLIBS = $(B)/libsupport.a $(B)/libstandin.a $(B)/libdaemon.a $(B)/libcli.a
 UNIT = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
 STANDIN = $(patsubst test/standin/%_main.c,$(B)/standin-%,$(wildcard test/standin/*_main.c))
 STANDIN_OBJ = $(patsubst test/%.c,$(B)/test/%.o,$(filter-out %_main.c,$(wildcard test/standin/*.c)))
@@ -50,7 +51,7 @@
 $(B)/lib$(1).a: $(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/$(1)/*.c))
 	@mkdir -p $$(@D)
 	@rm -f $$@
-	ar rcs $$@ $$^
+	@ar rcs $$@ $$^
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package,$(p))))
 
@@ -60,22 +61,28 @@
 $(B)/cuminmux: $(B)/src/cli/main.o $(CLI_OBJ) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
 
-$(B)/standin-%: $(B)/test/standin/%_main.o $(STANDIN_OBJ) $(SUPPORT_OBJ) $(LIBS)
-	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
+$(B)/libsupport.a: $(patsubst test/%.c,$(B)/test/%.o,$(wildcard test/support/*.c))
+$(B)/libstandin.a: $(STANDIN_OBJ)
+$(B)/libdaemon.a: $(DAEMON_OBJ)
+$(B)/libcli.a: $(CLI_OBJ)
+$(TESTLIBS):
+	@mkdir -p $(@D)
+	@rm -f $@
+	@ar rcs $@ $^
 
-TESTLINK = $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) -lcmocka $(LDLIBS)
+TESTLINK = mkdir -p $(@D) && $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) \
+  -Wl,--start-group $(TESTLIBS) $(LIBS) -Wl,--end-group -lcmocka $(LDLIBS)
 
-$(B)/unit/%: $(B)/test/unit/%.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(DAEMON_OBJ) $(CLI_OBJ) $(LIBS)
-	@mkdir -p $(@D)
-	$(TESTLINK)
-$(B)/bench/%: $(B)/test/bench/%.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(DAEMON_OBJ) $(LIBS)
-	@mkdir -p $(@D)
-	$(TESTLINK)
-$(B)/proof/%: $(B)/test/proof/%.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(DAEMON_OBJ) $(LIBS)
-	@mkdir -p $(@D)
-	$(TESTLINK)
-$(B)/%: $(B)/test/demo/%_main.o $(SUPPORT_OBJ) $(STANDIN_OBJ) $(LIBS)
-	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
+$(B)/standin-%: $(B)/test/standin/%_main.o $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
+$(B)/unit/%: $(B)/test/unit/%.o $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
+$(B)/bench/%: $(B)/test/bench/%.o $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
+$(B)/proof/%: $(B)/test/proof/%.o $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
+$(B)/%: $(B)/test/demo/%_main.o $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
 
 clean:
 	rm -rf build
