Tell newcomers the members, and name a worker's owner in its answers

Ruled out: the store (no write failed) and worker silence (none counted). A newcomer is told the addresses its greeter knows. A refused claim says who holds the worker, which the duel rule needs. Heartbeats carry the largest worker so that a job no worker can hold is refused when it is submitted, and a cancelled job's home is told at once. The demo's gang still does not end.

--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -26,6 +26,8 @@
   MUX_PEER_CONFIG_ASK,    /* send me what you have after this revision */
   MUX_PEER_CONFIG_ROWS,   /* changes, as JSON, in order */
   MUX_PEER_BYE,           /* I am stopping */
+  MUX_PEER_MEMBERS,       /* addresses of daemons that I know to live */
+  MUX_PEER_JOB_HINT,      /* the row of this job of yours was changed */
   MUX_PEER_VERB_COUNT
 } MuxPeerVerb;
 
@@ -41,6 +43,7 @@
  * @stopping: it takes no new work                      (HEARTBEAT)
  * @free: what its workers could still hold in all      (HEARTBEAT)
  * @total: what its workers hold in all                 (HEARTBEAT)
+ * @largest: most of each resource on any of its workers (HEARTBEAT)
  * @queued: requests that wait at it                    (HEARTBEAT)
  * @oldest_ms: how long the first of them has waited    (HEARTBEAT)
  * @task: the task meant                                (GRANT_*, TASK_ENDED)
@@ -59,7 +62,8 @@
  * @retry_ms: when to ask again                         (GRANT_REFUSED)
  * @state: how the task ended, a MuxTaskState           (GRANT_END, TASK_ENDED)
  * @ran_ms: how long it ran                             (GRANT_END, TASK_ENDED)
- * @body: JSON of CONFIG_ROWS, or NULL; holds a reference
+ * @body: JSON of CONFIG_ROWS, addresses of MEMBERS with blanks between them,
+ *   or NULL; holds a reference
  */
 typedef struct
 {
@@ -73,6 +77,7 @@
   bool stopping;
   MuxSize free;
   MuxSize total;
+  MuxSize largest;
   uint32_t queued;
   uint32_t oldest_ms;
   MuxId task;
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -14,6 +14,7 @@
   { MUX_FIELD_BOOL, "stopping", offsetof (MuxPeerMsg, stopping) },
   { MUX_FIELD_SIZE, "free", offsetof (MuxPeerMsg, free) },
   { MUX_FIELD_SIZE, "total", offsetof (MuxPeerMsg, total) },
+  { MUX_FIELD_SIZE, "largest", offsetof (MuxPeerMsg, largest) },
   { MUX_FIELD_U32, "queued", offsetof (MuxPeerMsg, queued) },
   { MUX_FIELD_U32, "oldest_ms", offsetof (MuxPeerMsg, oldest_ms) },
 };
@@ -43,7 +44,7 @@
   { MUX_FIELD_U32, "retry_ms", offsetof (MuxPeerMsg, retry_ms) },
 };
 
-static const MuxPeerField cancel_fields[] = {
+static const MuxPeerField task_fields[] = {
   { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
 };
 
@@ -68,6 +69,10 @@
   { MUX_FIELD_BODY, "body", offsetof (MuxPeerMsg, body) },
 };
 
+static const MuxPeerField members_fields[] = {
+  { MUX_FIELD_BODY, "body", offsetof (MuxPeerMsg, body) },
+};
+
 #define COUNT(array) ((uint32_t) (sizeof (array) / sizeof (array)[0]))
 
 const MuxPeerFieldList mux_peer_common_fields
@@ -78,7 +83,7 @@
   [MUX_PEER_GRANT_ASK] = { grant_ask_fields, COUNT (grant_ask_fields) },
   [MUX_PEER_GRANT] = { grant_fields, COUNT (grant_fields) },
   [MUX_PEER_GRANT_REFUSED] = { refused_fields, COUNT (refused_fields) },
-  [MUX_PEER_GRANT_CANCEL] = { cancel_fields, COUNT (cancel_fields) },
+  [MUX_PEER_GRANT_CANCEL] = { task_fields, COUNT (task_fields) },
   [MUX_PEER_GRANT_END] = { ended_fields, COUNT (ended_fields) },
   [MUX_PEER_TASK_ENDED] = { ended_fields, COUNT (ended_fields) },
   [MUX_PEER_HANDOVER] = { handover_fields, COUNT (handover_fields) },
@@ -86,6 +91,8 @@
   [MUX_PEER_CONFIG_ASK] = { revision_fields, COUNT (revision_fields) },
   [MUX_PEER_CONFIG_ROWS] = { config_rows_fields, COUNT (config_rows_fields) },
   [MUX_PEER_BYE] = { NULL, 0 },
+  [MUX_PEER_MEMBERS] = { members_fields, COUNT (members_fields) },
+  [MUX_PEER_JOB_HINT] = { task_fields, COUNT (task_fields) },
 };
 
 static uint32_t
--- a/src/adapter/worker_http_wire.c
+++ b/src/adapter/worker_http_wire.c
@@ -156,6 +156,7 @@
 {
   uint64_t now_ms;
   uint64_t leaving;
+  const char *owner = mux_worker_client_header (client, "Cuminmux-Owner");
 
   if (!read_number (client, "Cuminmux-Incarnation", UINT64_MAX,
                     &reply->incarnation)
@@ -163,6 +164,8 @@
       || !read_number (client, "Cuminmux-Now-Ms", INT64_MAX, &now_ms)
       || !read_number (client, "Cuminmux-Leaving", 1, &leaving))
     return false;
+  if (owner != NULL && mux_name_valid (owner))
+    mux_name_copy (reply->owner, owner);
   reply->worker_now_ms = (int64_t) now_ms;
   reply->leaving = leaving != 0;
   return true;
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -287,6 +287,12 @@
     case MUX_PEER_CONFIG_ROWS:
       config_peer (core, msg);
       break;
+    case MUX_PEER_MEMBERS:
+      members_told (core, msg);
+      break;
+    case MUX_PEER_JOB_HINT:
+      jobs_hint (core, msg->task);
+      break;
     case MUX_PEER_VERB_COUNT:
       break;
     }
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -153,6 +153,15 @@
   core->jobs->next_scan_ms = core->now_ms + core_jitter (core, RETRY_MS);
 }
 
+void
+jobs_hint (MuxCore *core, MuxId id)
+{
+  Job *job = job_find (core, id);
+
+  if (job != NULL)
+    job_reread (core, job);
+}
+
 bool
 jobs_give_away (MuxCore *core)
 {
--- a/src/core/jobs_show.c
+++ b/src/core/jobs_show.c
@@ -167,6 +167,15 @@
     answer_reason (core, ask->call, MUX_REASON_RING_FULL, ask->id);
 }
 
+/* All are told, as the home may have changed since the row was read. */
+static void
+hint_home (MuxCore *core, MuxId id)
+{
+  MuxPeerMsg msg = { .verb = MUX_PEER_JOB_HINT, .task = id };
+
+  members_send_all (core, &msg);
+}
+
 /* Cancelling rewrites the row with its flag.  That also moves its revision,
  * so the home's next write is refused, and it reads why. */
 static void
@@ -187,6 +196,7 @@
           job_cancel (core, job);
           return;
         }
+      hint_home (core, id);
       get_rows (core, id, show_done, call);
       return;
     case MUX_TABLE_CONFLICT:
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -1,6 +1,7 @@
 #include "call.h"
 #include "config.h"
 #include "jobs_private.h"
+#include "member.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -187,6 +188,8 @@
     return MUX_REASON_KIND_MISMATCH;
   if (ask->task_count == 0 || ask->task_count > MUX_JOB_TASKS_MAX)
     return MUX_REASON_BAD_FIELD;
+  if (!members_could_hold (core, spec->size))
+    return MUX_REASON_NEVER_FITS;
   if (HASH_COUNT (core->jobs->submits) >= core->opt.queue_max)
     return MUX_REASON_QUEUE_FULL;
   return MUX_REASON_NONE;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -16,6 +16,8 @@
 #define FAR_FACTOR 5
 /* A dead member is kept so long for operators to see, then dropped. */
 #define DEAD_KEPT_MS 600000
+/* Most addresses named in one message. */
+#define MEMBERS_TOLD 64
 /* Most members known, against a flood of made-up names. */
 #define MEMBERS_MAX 256
 
@@ -75,6 +77,7 @@
   msg->stopping = core->stopping;
   msg->free = stats.free;
   msg->total = stats.total;
+  msg->largest = workers_largest (core);
   msg->queued = stats.queued;
   msg->oldest_ms = stats.oldest_ms;
 }
@@ -118,6 +121,64 @@
     greet (core, core->opt.seeds[i]);
 }
 
+/* A newcomer need know one daemon only: that one names the others to it, and
+ * each of them answers its greeting. */
+static void
+tell_members (MuxCore *core, const Member *to)
+{
+  char text[MEMBERS_TOLD * MUX_ADDR_LEN];
+  MuxPeerMsg msg = { .verb = MUX_PEER_MEMBERS };
+  size_t len = 0;
+
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    if (m != to && m->state == MEMBER_LIVE && len + MUX_ADDR_LEN < sizeof text)
+      len += (size_t) snprintf (text + len, sizeof text - len, "%s ", m->addr);
+  if (len == 0)
+    return;
+  msg.body = mux_blob_new (text, len);
+  if (msg.body != NULL)
+    member_send (core, to, &msg);
+  mux_blob_unref (msg.body);
+}
+
+void
+members_told (MuxCore *core, const MuxPeerMsg *msg)
+{
+  char text[MEMBERS_TOLD * MUX_ADDR_LEN];
+  char *rest = text;
+  const char *addr;
+
+  if (msg->body == NULL || msg->body->len >= sizeof text)
+    return;
+  memcpy (text, msg->body->bytes, msg->body->len);
+  text[msg->body->len] = 0;
+  while ((addr = strsep (&rest, " ")) != NULL)
+    if (addr[0] != 0 && strlen (addr) < MUX_ADDR_LEN)
+      greet (core, addr);
+}
+
+bool
+members_could_hold (MuxCore *core, MuxSize size)
+{
+  bool known = false;
+
+  if (workers_held (core) > 0)
+    {
+      known = true;
+      if (mux_size_fits (size, workers_largest (core)))
+        return true;
+    }
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    {
+      if (m->state == MEMBER_DEAD || m->largest.slots == 0)
+        continue;
+      known = true;
+      if (mux_size_fits (size, m->largest))
+        return true;
+    }
+  return !known;
+}
+
 static void
 member_changed (MuxCore *core, Member *member, MemberState state)
 {
@@ -182,6 +243,7 @@
   member->heard_ms = core->now_ms;
   member->free = msg->free;
   member->total = msg->total;
+  member->largest = msg->largest;
   member->queued = msg->queued;
   member->oldest_ms = msg->oldest_ms;
   if (member->state != MEMBER_LIVE || member->stopping != msg->stopping)
@@ -197,6 +259,7 @@
 
           fill_heartbeat (core, &hello);
           member_send (core, member, &hello);
+          tell_members (core, member);
         }
     }
   member->revision = msg->revision;
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -27,12 +27,18 @@
   uint64_t revision;
   MuxSize free; /* as last told, less what was asked since */
   MuxSize total;
+  MuxSize largest;
   uint32_t queued;
   uint32_t oldest_ms;
   UT_hash_handle hh;
 };
 
 void members_heartbeat (MuxCore *core, const MuxPeerMsg *msg);
+/** members_told() - a peer names daemons that it knows */
+void members_told (MuxCore *core, const MuxPeerMsg *msg);
+/** members_could_hold() - some owner has a worker that could hold @size, or
+ * it is not known yet */
+bool members_could_hold (MuxCore *core, MuxSize size);
 void members_bye (MuxCore *core, const MuxPeerMsg *msg);
 /** members_listed() - greet daemons on the platform's list */
 void members_listed (MuxCore *core, const MuxInstanceList *list);
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -498,6 +498,27 @@
   return core->workers == NULL ? INT64_MAX : core->next_workers_ms;
 }
 
+MuxSize
+workers_largest (const MuxCore *core)
+{
+  MuxSize max = { 0 };
+
+  for (const Worker *w = core->workers; w != NULL; w = w->hh.next)
+    {
+      if (w->claim != CLAIM_HELD)
+        continue;
+      if (w->capacity.cpu_milli > max.cpu_milli)
+        max.cpu_milli = w->capacity.cpu_milli;
+      if (w->capacity.mem_mib > max.mem_mib)
+        max.mem_mib = w->capacity.mem_mib;
+      if (w->capacity.accels > max.accels)
+        max.accels = w->capacity.accels;
+      if (w->capacity.slots > max.slots)
+        max.slots = w->capacity.slots;
+    }
+  return max;
+}
+
 uint32_t
 workers_held (const MuxCore *core)
 {
--- a/src/core/worker.h
+++ b/src/core/worker.h
@@ -51,6 +51,8 @@
 void workers_handover (MuxCore *core, const MuxPeerMsg *msg);
 /** workers_usable() - drains or breakers changed */
 void workers_usable (MuxCore *core);
+/** workers_largest() - most of each resource on any worker held */
+MuxSize workers_largest (const MuxCore *core);
 /** workers_held() - claims held or being given up */
 uint32_t workers_held (const MuxCore *core);
 
--- a/src/port/data.c
+++ b/src/port/data.c
@@ -114,7 +114,8 @@
   static const char *const names[MUX_PEER_VERB_COUNT]
       = { "heartbeat",    "grant_ask",  "grant",       "grant_refused",
           "grant_cancel", "grant_end",  "task_ended",  "handover",
-          "config_hint",  "config_ask", "config_rows", "bye" };
+          "config_hint",  "config_ask", "config_rows", "bye",
+          "members",      "job_hint" };
 
   return names[verb];
 }
--- a/test/standin/worker_logic.c
+++ b/test/standin/worker_logic.c
@@ -65,6 +65,8 @@
   mux_name_copy (reply->worker, worker->name);
   reply->incarnation = worker->options.incarnation;
   reply->epoch = worker->epoch;
+  if (worker->claimed)
+    mux_name_copy (reply->owner, worker->owner);
   reply->worker_now_ms = now_ms;
   reply->capacity = worker->options.capacity;
   reply->leaving = worker->leaving;
--- a/test/standin/worker_wire.c
+++ b/test/standin/worker_wire.c
@@ -207,6 +207,8 @@
   u_map_put (response->map_header, "Cuminmux-Worker", reply->worker);
   put_number (response, "Cuminmux-Incarnation", reply->incarnation);
   put_number (response, "Cuminmux-Epoch", reply->epoch);
+  if (reply->owner[0] != 0)
+    u_map_put (response->map_header, "Cuminmux-Owner", reply->owner);
   put_number (response, "Cuminmux-Now-Ms", (uint64_t) reply->worker_now_ms);
   put_number (response, "Cuminmux-Leaving", reply->leaving);
   if (reply->status == MUX_WORKER_OK
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const char members[] = "10.0.0.1:7000 10.0.0.2:7000";
 static const char rows[] = "[{\"class\":\"basket-booking\"}]";
 
 static void
@@ -18,6 +19,7 @@
   msg->total = (MuxSize){ 1600000, 6553600, 32, 400 };
   msg->queued = 1800;
   msg->oldest_ms = 950;
+  msg->largest = (MuxSize){ 64000, 131072, 4, 8 };
 }
 
 static void
@@ -83,6 +85,12 @@
     case MUX_PEER_CONFIG_ASK:
       msg->revision = 1235;
       break;
+    case MUX_PEER_MEMBERS:
+      msg->body = mux_blob_new (members, sizeof members - 1);
+      break;
+    case MUX_PEER_JOB_HINT:
+      msg->task = (MuxId){ 0x0123456789abcdef, 0xfedcba9876543210 };
+      break;
     case MUX_PEER_GRANT_CANCEL:
     case MUX_PEER_BYE:
     case MUX_PEER_VERB_COUNT:
