Await the classes at every daemon before the demo's load

The programs' folder is now taken from the demo's own path, so that another build variant can be shown too.

--- a/test/demo/demo_main.c
+++ b/test/demo/demo_main.c
@@ -10,6 +10,7 @@
 #include "support/proc.h"
 
 #include <curl/curl.h>
+#include <libgen.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -85,14 +86,17 @@
         return false;
       json_decref (answer);
     }
+  for (uint32_t i = 0; i < sizeof objects / sizeof objects[0]; i++)
+    if (!mux_cluster_await_path (demo->cluster, objects[i].path, START_MS, err))
+      return false;
   return true;
 }
 
 static bool
-set_up (Demo *demo, MuxError *err)
+set_up (Demo *demo, const char *bin, MuxError *err)
 {
   const MuxClusterOptions options
-      = { .bin = "build/release",
+      = { .bin = bin,
           .scratch = demo->scratch,
           .data_centres = data_centres,
           .data_centre_count = sizeof data_centres / sizeof data_centres[0],
@@ -292,17 +296,18 @@
 }
 
 int
-main (void)
+main (int argc, char **argv)
 {
   Demo demo = { 0 };
   MuxHistoryReport report = { 0 };
   MuxError err = { 0 };
   bool ok;
 
+  (void) argc;
   setvbuf (stdout, NULL, _IOLBF, 0);
   mux_proc_guard ();
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  ok = set_up (&demo, &err) && run_load (&demo, &err);
+  ok = set_up (&demo, dirname (argv[0]), &err) && run_load (&demo, &err);
   if (ok)
     {
       print_risk (&demo);
--- a/test/support/cluster.c
+++ b/test/support/cluster.c
@@ -170,12 +170,11 @@
 }
 
 static bool
-is_ready (MuxHttp *http, const MuxMember *daemon)
+answers (MuxHttp *http, const MuxMember *daemon, const char *path)
 {
-  MuxHttpAsk ask = { .method = "GET",
-                     .addr = daemon->addr,
-                     .path = "/readyz",
-                     .timeout_ms = LISTEN_MS };
+  MuxHttpAsk ask = {
+    .method = "GET", .addr = daemon->addr, .path = path, .timeout_ms = LISTEN_MS
+  };
   MuxHttpReply reply;
 
   if (!mux_http_call (http, &ask, &reply, NULL))
@@ -202,7 +201,8 @@
               int64_t until_ms,
               MuxError *err)
 {
-  while (!is_ready (http, daemon) || !lists_workers (http, daemon, workers))
+  while (!answers (http, daemon, "/readyz")
+         || !lists_workers (http, daemon, workers))
     {
       if (mux_mono_ms () >= until_ms)
         return mux_error_set (err, MUX_ERROR_UNAVAILABLE,
@@ -227,6 +227,27 @@
   return ok;
 }
 
+bool
+mux_cluster_await_path (MuxCluster *cluster,
+                        const char *path,
+                        uint32_t timeout_ms,
+                        MuxError *err)
+{
+  int64_t until = mux_mono_ms () + timeout_ms;
+  MuxHttp *http = mux_http_new ();
+  uint32_t i = 0;
+
+  while (http != NULL && i < cluster->daemon_count && mux_mono_ms () < until)
+    if (answers (http, &cluster->daemon[i], path))
+      i++;
+    else
+      mux_pause_ms (LOOK_EVERY_MS);
+  mux_http_free (http);
+  return i == cluster->daemon_count
+         || mux_error_set (err, MUX_ERROR_UNAVAILABLE, "%s: %s is not shown",
+                           cluster->daemon[i].name, path);
+}
+
 void
 mux_cluster_free (MuxCluster *cluster)
 {
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -72,6 +72,11 @@
  * Return: false with @err set after @timeout_ms. */
 bool
 mux_cluster_await (MuxCluster *cluster, uint32_t timeout_ms, MuxError *err);
+/** mux_cluster_await_path() - until every daemon answers GET @path with 200 */
+bool mux_cluster_await_path (MuxCluster *cluster,
+                             const char *path,
+                             uint32_t timeout_ms,
+                             MuxError *err);
 /** mux_cluster_free() - kill what still runs */
 void mux_cluster_free (MuxCluster *cluster);
 
--- a/test/support/proc.c
+++ b/test/support/proc.c
@@ -137,8 +137,8 @@
   do
     if (!read_line (proc->out_fd, until, line, sizeof line))
       return mux_error_set (err, MUX_ERROR_IO,
-                            "%s did not print \"listening …\" in %u ms",
-                            options->argv[0], options->listen_ms);
+                            "no line \"listening …\" came from %s",
+                            options->argv[0]);
   while (strncmp (line, LISTENING, strlen (LISTENING)) != 0);
   memmove (line, line + strlen (LISTENING),
            strlen (line) + 1 - strlen (LISTENING));
