Log one end for each start of the worker stand-in

A stopped task had a stop line and no end line, so a reader of the log that pairs starts with ends would have seen it running for ever. Now a stop is followed by an end with the state stopped; the unit test asserts both lines.

--- a/src/adapter/worker_http.c
+++ b/src/adapter/worker_http.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <time.h>
 
-#define STACK_BYTES (256 * 1024)
+#define STACK_BYTES ((size_t) 256 * 1024)
 #define IDLE_LOOK_MS 1000
 /* What the way there and back may take of a call's timeout. */
 #define TRAVEL_MS 250
--- a/test/standin/worker_conn.c
+++ b/test/standin/worker_conn.c
@@ -33,15 +33,14 @@
 standin_worker_conns_free (StandinConns *conns)
 {
   Conn *conn;
-  Conn *next;
 
   if (conns == NULL)
     return;
-  HASH_ITER (hh, conns->by_peer, conn, next)
-  {
-    HASH_DEL (conns->by_peer, conn);
-    free (conn);
-  }
+  while ((conn = conns->by_peer) != NULL)
+    {
+      HASH_DEL (conns->by_peer, conn);
+      free (conn);
+    }
   pthread_mutex_destroy (&conns->lock);
   free (conns);
 }
--- a/test/standin/worker_listen.c
+++ b/test/standin/worker_listen.c
@@ -10,7 +10,7 @@
 
 #define BACKLOG 1024
 #define CONNECTIONS_MAX 8192
-#define STACK_BYTES (256 * 1024)
+#define STACK_BYTES ((intptr_t) 256 * 1024)
 
 static bool
 parse (const char *address, struct sockaddr_in *in)
--- a/test/standin/worker_logic.c
+++ b/test/standin/worker_logic.c
@@ -32,10 +32,11 @@
   if (worker == NULL)
     return;
   HASH_CLEAR (hh, worker->by_id);
-  DL_FOREACH_SAFE (worker->changes, task, next)
-  {
-    standin_worker_task_free (task);
-  }
+  for (task = worker->changes; task != NULL; task = next)
+    {
+      next = task->next;
+      standin_worker_task_free (task);
+    }
   free (worker);
 }
 
@@ -130,10 +131,10 @@
       = reply_new (worker, call, MUX_WORKER_OK, worker->running_count, now_ms);
   if (reply == NULL)
     return NULL;
-  DL_FOREACH2 (worker->running, task, run_next)
-  {
-    report (task, &reply->reports[i++], now_ms);
-  }
+  for (task = worker->running; task != NULL; task = task->run_next)
+    {
+      report (task, &reply->reports[i++], now_ms);
+    }
   return reply;
 }
 
@@ -257,8 +258,7 @@
   StandinTask *task = standin_worker_find (worker, call->task);
 
   if (task != NULL && task->state == MUX_TASK_RUNNING)
-    standin_worker_end_task (worker, task, MUX_TASK_STOPPED, "stop", "asked",
-                             now_ms);
+    standin_worker_end_task (worker, task, MUX_TASK_STOPPED, "asked", now_ms);
   return reply_task (worker, call, task, now_ms);
 }
 
--- a/test/standin/worker_main.c
+++ b/test/standin/worker_main.c
@@ -101,10 +101,10 @@
 }
 
 static int
-serve (const Flags *flags, StandinWorkerServerOptions *options)
+serve (const Flags *flags, StandinWorkerServerOptions options)
 {
   StandinRegistration registration
-      = { NULL, options->worker.name, flags->data_centre->sval[0],
+      = { NULL, options.worker.name, flags->data_centre->sval[0],
           flags->rack->sval[0], NULL };
   StandinWorkerServer *server;
   MuxError err = { 0 };
@@ -119,10 +119,10 @@
   if (flags->platform->count > 0)
     {
       registration.platform = flags->platform->sval[0];
-      options->on_leaving = on_leaving;
-      options->ctx = &registration;
+      options.on_leaving = on_leaving;
+      options.ctx = &registration;
     }
-  server = standin_worker_server_new (options, &err);
+  server = standin_worker_server_new (&options, &err);
   if (server == NULL)
     {
       fprintf (stderr, "standin-worker: %s\n", err.text);
@@ -152,5 +152,5 @@
       return EXIT_FAILURE;
     }
   ulfius_global_init ();
-  return serve (&flags, &options);
+  return serve (&flags, options);
 }
--- a/test/standin/worker_server.c
+++ b/test/standin/worker_server.c
@@ -79,11 +79,11 @@
   StandinWorkerServer *server = ctx;
   Waiter *waiter;
 
-  DL_FOREACH (server->waiters, waiter)
-  {
-    if (mux_id_equal (waiter->task, task))
-      pthread_cond_signal (&waiter->ended);
-  }
+  for (waiter = server->waiters; waiter != NULL; waiter = waiter->next)
+    {
+      if (mux_id_equal (waiter->task, task))
+        pthread_cond_signal (&waiter->ended);
+    }
 }
 
 static void
@@ -342,10 +342,10 @@
 
   pthread_mutex_lock (&server->lock);
   server->stopping = true;
-  DL_FOREACH (server->waiters, waiter)
-  {
-    pthread_cond_signal (&waiter->ended);
-  }
+  for (waiter = server->waiters; waiter != NULL; waiter = waiter->next)
+    {
+      pthread_cond_signal (&waiter->ended);
+    }
   pthread_cond_broadcast (&server->faults_changed);
   pthread_cond_broadcast (&server->due_changed);
   pthread_mutex_unlock (&server->lock);
--- a/test/standin/worker_state.c
+++ b/test/standin/worker_state.c
@@ -87,7 +87,6 @@
 standin_worker_end_task (StandinWorker *worker,
                          StandinTask *task,
                          MuxTaskState state,
-                         const char *event,
                          const char *reason,
                          int64_t now_ms)
 {
@@ -102,7 +101,9 @@
     task->answer = standin_worker_task_answer (task, "failed");
   DL_APPEND2 (worker->ended, task, end_prev, end_next);
   touch (worker, task);
-  standin_worker_tell_task (worker, event, reason, task, now_ms);
+  if (state == MUX_TASK_STOPPED)
+    standin_worker_tell_task (worker, "stop", reason, task, now_ms);
+  standin_worker_tell_task (worker, "end", reason, task, now_ms);
   mux_blob_unref (task->body);
   task->body = NULL;
   if (worker->options.on_end != NULL)
@@ -122,16 +123,17 @@
   StandinTask *task;
   StandinTask *next;
 
-  DL_FOREACH_SAFE2 (worker->running, task, next, run_next)
-  {
-    if (task->ends_ms <= until_ms)
-      standin_worker_end_task (
-          worker, task, task->will_fail ? MUX_TASK_FAILED : MUX_TASK_DONE,
-          "end", NULL, task->ends_ms);
-    else if (now_ms >= lapse_ms (worker))
-      standin_worker_end_task (worker, task, MUX_TASK_STOPPED, "stop", "lease",
-                               now_ms);
-  }
+  for (task = worker->running; task != NULL; task = next)
+    {
+      next = task->run_next;
+      if (task->ends_ms <= until_ms)
+        standin_worker_end_task (
+            worker, task, task->will_fail ? MUX_TASK_FAILED : MUX_TASK_DONE,
+            NULL, task->ends_ms);
+      else if (now_ms >= lapse_ms (worker))
+        standin_worker_end_task (worker, task, MUX_TASK_STOPPED, "lease",
+                                 now_ms);
+    }
 }
 
 static void
@@ -139,14 +141,14 @@
 {
   StandinTask *task;
 
-  DL_FOREACH2 (worker->running, task, run_next)
-  {
-    if (task->usage_ms > now_ms)
-      continue;
-    task->usage_ms = STANDIN_WORKER_NEVER;
-    task->used = task->will_use;
-    touch (worker, task);
-  }
+  for (task = worker->running; task != NULL; task = task->run_next)
+    {
+      if (task->usage_ms > now_ms)
+        continue;
+      task->usage_ms = STANDIN_WORKER_NEVER;
+      task->used = task->will_use;
+      touch (worker, task);
+    }
 }
 
 static void
@@ -194,13 +196,13 @@
       = worker->running != NULL ? lapse_ms (worker) : STANDIN_WORKER_NEVER;
   const StandinTask *task;
 
-  DL_FOREACH2 (worker->running, task, run_next)
-  {
-    if (task->ends_ms < due_ms)
-      due_ms = task->ends_ms;
-    if (task->usage_ms < due_ms)
-      due_ms = task->usage_ms;
-  }
+  for (task = worker->running; task != NULL; task = task->run_next)
+    {
+      if (task->ends_ms < due_ms)
+        due_ms = task->ends_ms;
+      if (task->usage_ms < due_ms)
+        due_ms = task->usage_ms;
+    }
   return due_ms;
 }
 
--- a/test/standin/worker_state.h
+++ b/test/standin/worker_state.h
@@ -48,11 +48,11 @@
 StandinTask *standin_worker_find (StandinWorker *worker, MuxId id);
 /** standin_worker_add() - takes @task over */
 void standin_worker_add (StandinWorker *worker, StandinTask *task);
-/** standin_worker_end_task() - only of a running task; logs it as @event */
+/** standin_worker_end_task() - only of a running task; logs an end, and a stop
+ *  before it when that is what ended it */
 void standin_worker_end_task (StandinWorker *worker,
                               StandinTask *task,
                               MuxTaskState state,
-                              const char *event,
                               const char *reason,
                               int64_t now_ms);
 /** standin_worker_end_due() - end what has run long enough */
--- a/test/unit/test_worker_standin.c
+++ b/test/unit/test_worker_standin.c
@@ -19,6 +19,7 @@
   StandinWorker *worker;
   int64_t now_ms;
   char last_event[32];
+  char event_before[32];
   char last_reason[32];
   uint32_t overcommits;
 } Fixture;
@@ -29,6 +30,7 @@
   Fixture *f = ctx;
   const char *reason = event->reason != NULL ? event->reason : "";
 
+  strcpy (f->event_before, f->last_event);
   strcpy (f->last_event, event->event);
   strcpy (f->last_reason, reason);
   f->overcommits += strcmp (event->event, "overcommit_attempt") == 0;
@@ -177,7 +179,8 @@
   assert_int_equal (state_of (f, 1), MUX_TASK_RUNNING);
   f->now_ms += GRACE_MS;
   assert_int_equal (standin_worker_tick (f->worker, f->now_ms), INT64_MAX);
-  assert_string_equal (f->last_event, "stop");
+  assert_string_equal (f->event_before, "stop");
+  assert_string_equal (f->last_event, "end");
   assert_string_equal (f->last_reason, "lease");
   assert_int_equal (state_of (f, 1), MUX_TASK_STOPPED);
 }
