Let a refused gang ask anew together, and mend a lost wake-up of the ring

Cause: after an owner's refusal each task of a gang chose its next owner by itself, from heartbeats that changed in between; the tasks spread over owners that each waited for the rest, or one owner's "never fits" ended the accepted job. Ruled out: room (the cell was idle) and the classes (known everywhere).

--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -119,8 +119,12 @@
 
   if (item != NULL)
     {
-      /* Its token may be gone already; a spare token costs one empty look. */
-      (void) eventfd_read (ring->fd, &one);
+      /* Failure: the token read here may be another item's, pushed since our
+       * own token was taken by a consumer that found nothing; that item would
+       * lie there with every consumer asleep.  So the token goes back while
+       * anything is left; a spare one costs one empty look. */
+      if (eventfd_read (ring->fd, &one) == 0 && ck_ring_size (&ring->ring) > 0)
+        mux_ring_wake (ring, 1);
       return item;
     }
   if (poll (&fd, 1, timeout_ms) > 0)
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -184,6 +184,45 @@
   job_carry (core, job);
 }
 
+static bool
+still_asking (const Task *task)
+{
+  return task->state == TASK_ASKING || task->state == TASK_WAITING;
+}
+
+/*
+ * Failure: an owner refuses a gang, and each of its tasks by itself picks
+ * another owner from what it knows at that moment.  They pick different ones,
+ * and each owner waits for a gang that never gets complete: the job hangs.
+ * So the whole gang asks anew, under a new group id and at one moment.
+ */
+bool
+jobs_gang_again (MuxCore *core, Task *task, int64_t pause_ms)
+{
+  Job *job = job_find (core, task->job);
+  MuxId group;
+
+  if (job == NULL)
+    return false;
+  for (uint32_t i = 0; i < job->header.task_count; i++)
+    {
+      const Task *t = task_find (core, mux_id_of_part (job->id, i));
+
+      if (t != NULL && mux_id_equal (t->group, task->group)
+          && !still_asking (t))
+        return false;
+    }
+  group = mux_id_of_part (job->id, MUX_JOB_TASKS_MAX + ++job->rounds);
+  for (uint32_t i = 0; i < job->header.task_count; i++)
+    {
+      Task *t = task_find (core, mux_id_of_part (job->id, i));
+
+      if (t != NULL && !mux_id_is_none (t->group))
+        task_ask_group (core, t, group, pause_ms);
+    }
+  return true;
+}
+
 static SlotState
 slot_of (const Task *task, MuxOutcome outcome, MuxReason reason)
 {
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -78,6 +78,7 @@
   bool dropped; /* carried on elsewhere */
   uint32_t active;
   uint32_t final;
+  uint32_t rounds;   /* times that its gang has asked */
   uint32_t next_new; /* no SLOT_NEW below this one */
   int64_t write_ms;  /* not before */
   MuxId *written;    /* keys of tasks that wait for the write in flight */
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -156,6 +156,8 @@
 Task *task_find (MuxCore *core, MuxId key);
 /** task_event() - run the state table; the task may be gone after it */
 void task_event (MuxCore *core, Task *task, const TaskEvent *event);
+/** task_ask_group() - void its ask and ask as part of @group in @pause_ms */
+void task_ask_group (MuxCore *core, Task *task, MuxId group, int64_t pause_ms);
 /** task_drop() - forget it without a word (its job went to another home) */
 void task_drop (MuxCore *core, Task *task);
 /** tasks_timer() - a timer of @subject fired */
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -31,6 +31,21 @@
   return false;
 }
 
+static uint32_t
+times (uint32_t one, uint32_t count)
+{
+  uint64_t all = (uint64_t) one * count;
+
+  return all > UINT32_MAX ? UINT32_MAX : (uint32_t) all;
+}
+
+static MuxSize
+gang_size (MuxSize one, uint32_t count)
+{
+  return (MuxSize){ times (one.cpu_milli, count), times (one.mem_mib, count),
+                    times (one.accels, count), times (one.slots, count) };
+}
+
 static Choice
 weigh (const Task *task,
        const char *name,
@@ -50,8 +65,9 @@
    * so only what does not change between them may count. */
   if (!mux_id_is_none (task->group))
     {
-      choice.room = mux_size_fits (task->size, total);
-      queued = total.slots < task->group_count ? task->group_count : 0;
+      choice.room
+          = mux_size_fits (gang_size (task->size, task->group_count), total);
+      queued = 0;
     }
   choice.cost = (uint64_t) (queued + 1) * 1000 * distance / total.slots;
   return choice;
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -1,6 +1,7 @@
 #include "budget.h"
 #include "commit.h"
 #include "jobs.h"
+#include "member.h"
 #include "task_private.h"
 
 #include <stdio.h>
@@ -154,13 +155,24 @@
     }
 }
 
+void
+task_ask_group (MuxCore *core, Task *task, MuxId group, int64_t pause_ms)
+{
+  task_ask_cancel (core, task);
+  task->group = group;
+  task->state = TASK_WAITING;
+  task_wake (core, task, pause_ms);
+}
+
 /* Whether asking again later can't help the one who waits now. */
 static bool
-refusal_final (const Task *task, MuxReason reason)
+refusal_final (MuxCore *core, const Task *task, MuxReason reason)
 {
   switch (reason)
     {
     case MUX_REASON_NEVER_FITS:
+      /* It speaks of one owner's workers; a job was accepted and waits. */
+      return !task->has_job && !members_could_hold (core, task->size);
     case MUX_REASON_KIND_MISMATCH:
       return true;
     case MUX_REASON_QUEUE_FULL:
@@ -188,6 +200,12 @@
       commit_read (core, task);
       return;
     }
+  if (!mux_id_is_none (task->group))
+    {
+      if (jobs_gang_again (core, task, core_jitter (core, pause_ms)))
+        return;
+      task->group = (MuxId){ 0, 0 };
+    }
   if (task->owner[0] != 0)
     {
       task_refused_by (task, task->owner);
@@ -197,7 +215,7 @@
           return;
         }
     }
-  if (refusal_final (task, event->reason))
+  if (refusal_final (core, task, event->reason))
     finish_not_run (core, task, event->reason, event->retry_ms);
   else
     pause_then_ask (core, task, pause_ms);
