--- a/src/adapter/platform_list.c
+++ b/src/adapter/platform_list.c
@@ -63,26 +63,35 @@
   return true;
 }
 
-MuxInstanceList *
-mux_platform_decode_list (const char *bytes, size_t len)
+static MuxInstanceList *
+read_instances (const json_t *items)
 {
-  json_t *json = json_loadb (bytes, len, 0, NULL);
-  const json_t *items = json_object_get (json, "instances");
   size_t count = json_array_size (items);
-  MuxInstanceList *list = NULL;
+  MuxInstanceList *list;
 
-  if (json_is_array (items) && count <= LIST_MAX)
-    list = calloc (1, sizeof *list + count * sizeof list->item[0]);
-  for (size_t i = 0; list != NULL && i < count; i++)
+  if (!json_is_array (items) || count > LIST_MAX)
+    return NULL;
+  list = calloc (1, sizeof *list + count * sizeof list->item[0]);
+  if (list == NULL)
+    return NULL;
+  for (size_t i = 0; i < count; i++)
     {
       if (!read_instance (json_array_get (items, i), &list->item[i]))
         {
           free (list);
-          list = NULL;
-          break;
+          return NULL;
         }
       list->count++;
     }
+  return list;
+}
+
+MuxInstanceList *
+mux_platform_decode_list (const char *bytes, size_t len)
+{
+  json_t *json = json_loadb (bytes, len, 0, NULL);
+  MuxInstanceList *list = read_instances (json_object_get (json, "instances"));
+
   json_decref (json);
   return list;
 }
--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -279,6 +279,31 @@
   mux_table_call_free (read);
 }
 
+/* One entry that can't be read spoils the list: an instance missing from it
+ * would look as if it had never been. */
+static void
+test_list_is_whole_or_nothing (void **state)
+{
+  static const char good[]
+      = "{\"instances\":[{\"name\":\"w\",\"data_centre\":\"d\",\"rack\":\"r\","
+        "\"addr\":\"10.0.0.1:1\",\"state\":\"gone\",\"role\":\"entry\"}]}";
+  char odd[sizeof good];
+  MuxInstanceList *list;
+
+  (void) state;
+  list = mux_platform_decode_list (good, sizeof good - 1);
+  assert_non_null (list);
+  assert_int_equal (list->count, 1);
+  assert_int_equal (list->item[0].state, MUX_INSTANCE_GONE);
+  assert_int_equal (list->item[0].role, MUX_ROLE_ENTRY);
+  free (list);
+  strcpy (odd, good);
+  memcpy (strstr (odd, "gone"), "GONE", 4);
+  assert_null (mux_platform_decode_list (odd, sizeof odd - 1));
+  assert_null (mux_platform_decode_list (good, sizeof good - 2));
+  assert_null (mux_platform_decode_list ("{}", 2));
+}
+
 int
 main (void)
 {
@@ -294,6 +319,7 @@
     HTTP_TEST (test_instance_list_arrives),
     cmocka_unit_test (test_errors_from_between_leave_doubt),
     cmocka_unit_test (test_garbled_answers),
+    cmocka_unit_test (test_list_is_whole_or_nothing),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
