Count calls once, and answer a call whose reply was lost

The adapters count what was sent; the core no longer does. Cause 2: a reply dropped between an adapter and the core (full ring, no memory) left its caller waiting for ever: commit groups and renewals stop. Overdue calls are answered as of unknown effect 5 s past their time limit.

--- a/src/core/call.c
+++ b/src/core/call.c
@@ -2,6 +2,12 @@
 
 #include <stdlib.h>
 
+/* An adapter replies within a call's own time limit.  So much later its reply
+ * is lost: its ring was full, or memory was out. */
+#define OVERDUE_MS 5000
+/* Between looks for overdue calls. */
+#define LOOK_MS 1000
+
 struct Pending
 {
   uint64_t call_id;
@@ -9,6 +15,9 @@
   TableDone table_done;
   MuxId subject;
   uint64_t aux;
+  int64_t overdue_ms; /* no reply can come any more */
+  int verb;
+  char worker[MUX_NAME_LEN];
   UT_hash_handle hh;
 };
 
@@ -45,9 +54,11 @@
   if (pending == NULL)
     return false;
   pending->worker_done = done;
+  pending->verb = call->verb;
+  pending->overdue_ms = core->now_ms + call->timeout_ms + OVERDUE_MS;
+  mux_name_copy (pending->worker, call->worker);
   call->call_id = pending->call_id;
   mux_name_copy (call->owner, core->name);
-  mux_count (core->counters, MUX_COUNT_WORKER_CALLS, 1);
   if (core->sink->worker_call (core->sink, call))
     return true;
   mux_count_retry (core->counters, MUX_REASON_RING_FULL);
@@ -55,18 +66,6 @@
   return false;
 }
 
-static void
-count_table_call (MuxCore *core, const MuxTableCall *call)
-{
-  if (call->verb == MUX_TABLE_TXN || call->verb == MUX_TABLE_OBJECT_PUT)
-    {
-      mux_count (core->counters, MUX_COUNT_TABLE_WRITES, 1);
-      mux_count (core->counters, MUX_COUNT_TABLE_ROWS, call->row_count);
-      return;
-    }
-  mux_count (core->counters, MUX_COUNT_TABLE_READS, 1);
-}
-
 bool
 call_table (MuxCore *core,
             MuxTableCall *call,
@@ -85,7 +84,8 @@
   call->call_id = pending->call_id;
   if (call->timeout_ms == 0)
     call->timeout_ms = TABLE_TIMEOUT_MS;
-  count_table_call (core, call);
+  pending->verb = call->verb;
+  pending->overdue_ms = core->now_ms + call->timeout_ms + OVERDUE_MS;
   if (core->sink->table_call (core->sink, call))
     return true;
   mux_count_retry (core->counters, MUX_REASON_RING_FULL);
@@ -131,6 +131,51 @@
     pending.table_done (core, pending.subject, pending.aux, reply);
 }
 
+static void
+make_up (MuxCore *core, const Pending *lost)
+{
+  MuxWorkerReply worker = { .call_id = lost->call_id,
+                            .verb = (MuxWorkerVerb) lost->verb,
+                            .status = MUX_WORKER_NO_ANSWER };
+  MuxTableReply table = { .call_id = lost->call_id,
+                          .verb = (MuxTableVerb) lost->verb,
+                          .status = MUX_TABLE_UNKNOWN };
+
+  mux_name_copy (worker.worker, lost->worker);
+  if (lost->worker_done != NULL)
+    call_worker_reply (core, &worker);
+  else
+    call_table_reply (core, &table);
+}
+
+/*
+ * Failure: a reply was dropped on its way to the core.  Whatever waits for it
+ * waits for ever: a worker is never renewed again, no group of intents is
+ * written any more.  A call that is overdue is therefore answered here, with
+ * "may have taken effect"; should its reply come after all, it finds nothing.
+ */
+void
+calls_tick (MuxCore *core)
+{
+  Pending *pending, *next;
+
+  if (core->now_ms < core->next_calls_ms)
+    return;
+  core->next_calls_ms = core->now_ms + LOOK_MS;
+  HASH_ITER (hh, core->pending, pending, next)
+  {
+    Pending lost = *pending;
+
+    if (core->now_ms < lost.overdue_ms)
+      continue;
+    mux_count_retry (core->counters, MUX_REASON_RING_FULL);
+    make_up (core, &lost);
+    /* Handling it may have ended any other call: begin anew next time. */
+    core->next_calls_ms = core->now_ms;
+    return;
+  }
+}
+
 void
 calls_free (MuxCore *core)
 {
--- a/src/core/call.h
+++ b/src/core/call.h
@@ -28,6 +28,8 @@
                  uint64_t aux);
 void call_worker_reply (MuxCore *core, const MuxWorkerReply *reply);
 void call_table_reply (MuxCore *core, const MuxTableReply *reply);
+/** calls_tick() - answer calls whose reply was lost */
+void calls_tick (MuxCore *core);
 void calls_free (MuxCore *core);
 
 #endif
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -372,6 +372,7 @@
       break;
     }
   run_timers (core);
+  calls_tick (core);
   members_tick (core);
   workers_tick (core);
   config_tick (core);
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -47,6 +47,7 @@
   int64_t next_heartbeat_ms;
   int64_t next_far_heartbeat_ms;
   int64_t next_workers_ms;
+  int64_t next_calls_ms;
   bool stopping;
   bool stopped;
   bool pumping;
