--- a/src/core/core.c
+++ b/src/core/core.c
@@ -360,7 +360,6 @@
       call_table_reply (core, event->u.table_reply);
       break;
     case MUX_EVENT_PEER:
-      mux_count (core->counters, MUX_COUNT_PEER_RECEIVED, 1);
       on_peer (core, event->u.peer);
       break;
     case MUX_EVENT_INSTANCES:
