--- a/src/core/budget.c
+++ b/src/core/budget.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 
 /* A retry costs 1000; what comes earns a tenth of one. */
-#define RETRY_COST 1000
-#define EARN 100
+#define RETRY_COST INT64_C (1000)
+#define EARN INT64_C (100)
 /* Retries that a quiet class has at hand. */
 #define FULL (50 * RETRY_COST)
 
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -11,11 +11,11 @@
 /* What a home waits before it asks for a grant again, if nothing was heard. */
 #define ASK_REPEAT_MS 1000
 /* Time limit of calls that a worker answers at once. */
-#define WORKER_TIMEOUT_MS 1000
+#define WORKER_TIMEOUT_MS INT64_C (1000)
 /* Time limit of a table call. */
 #define TABLE_TIMEOUT_MS 2000
 /* Least time between two tries of the same thing. */
-#define RETRY_MS 100
+#define RETRY_MS INT64_C (100)
 
 typedef struct Pending Pending;
 typedef struct Member Member;
