Give asks their time of day and the platform our name

The clock's functions are in one place now. The core and the daemon both logged stopping and stopped; the daemon's lines have names of their own.

--- a/src/daemon/deadline.c
+++ b/src/daemon/clock.c
@@ -1,9 +1,35 @@
-#include "deadline.h"
+#include "clock.h"
 
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000L
 #define NS_PER_S 1000000000L
 
+static int64_t
+read_ms (clockid_t clock)
+{
+  struct timespec t;
+
+  clock_gettime (clock, &t);
+  return (int64_t) t.tv_sec * MS_PER_S + t.tv_nsec / NS_PER_MS;
+}
+
+/*
+ * CLOCK_BOOTTIME goes on while the instance is suspended.  A clock that
+ * stands still meanwhile would let a daemon wake up and believe that its
+ * leases and grants, which have lapsed at the workers, still hold.
+ */
+int64_t
+mux_now_ms (void)
+{
+  return read_ms (CLOCK_BOOTTIME);
+}
+
+int64_t
+mux_wall_ms (void)
+{
+  return read_ms (CLOCK_REALTIME);
+}
+
 void
 mux_cond_init (pthread_cond_t *cond)
 {
--- a/src/daemon/core_thread.c
+++ b/src/daemon/core_thread.c
@@ -1,16 +1,13 @@
 #include "core_thread.h"
 
 #include "base/log.h"
-#include "deadline.h"
+#include "clock.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stddef.h>
 #include <stdlib.h>
-#include <time.h>
 
-#define MS_PER_S 1000
-#define NS_PER_MS 1000000L
 /* Peers' messages and callers' asks taken before replies are looked at again.
  */
 #define BATCH 64
@@ -37,20 +34,6 @@
   bool stopped;
 };
 
-/*
- * CLOCK_BOOTTIME goes on while the instance is suspended.  A clock that
- * stands still meanwhile would let a daemon wake up and believe that its
- * leases and grants, which have lapsed at the workers, still hold.
- */
-int64_t
-mux_now_ms (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_BOOTTIME, &t);
-  return (int64_t) t.tv_sec * MS_PER_S + t.tv_nsec / NS_PER_MS;
-}
-
 static MuxCoreThread *
 thread_of_sink (MuxSink *sink)
 {
--- a/src/daemon/core_thread.h
+++ b/src/daemon/core_thread.h
@@ -50,7 +50,5 @@
 void mux_core_thread_join (MuxCoreThread *thread);
 /** mux_core_thread_free() - joins it first when it runs */
 void mux_core_thread_free (MuxCoreThread *thread);
-/** mux_now_ms() - the daemon's clock */
-int64_t mux_now_ms (void);
 
 #endif
--- a/src/daemon/door.c
+++ b/src/daemon/door.c
@@ -1,7 +1,7 @@
 #include "door_private.h"
 
 #include "base/address.h"
-#include "deadline.h"
+#include "clock.h"
 
 #include <errno.h>
 #include <stdlib.h>
--- a/src/daemon/door_serve.c
+++ b/src/daemon/door_serve.c
@@ -1,3 +1,4 @@
+#include "clock.h"
 #include "door_private.h"
 #include "inbox.h"
 
@@ -98,6 +99,7 @@
   if (request->binary_body_length > door->options.body_max)
     return MUX_REASON_BODY_TOO_LARGE;
   ask->verb = route->verb;
+  ask->wall_ms = mux_wall_ms ();
   if (route->read != NULL)
     route->read (request, ask, findings, &reason);
   if (reason == MUX_REASON_NONE && findings->count > 0)
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -3,6 +3,7 @@
 #include "adapter/peer.h"
 #include "adapter/platform.h"
 #include "adapter/worker.h"
+#include "clock.h"
 #include "core_thread.h"
 #include "pem.h"
 #include "waiters.h"
@@ -12,12 +13,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/random.h>
-#include <time.h>
 
 #define EXIT_FAILED 1
 #define KIB 1024
-#define MS_PER_S 1000
-#define NS_PER_MS 1000000L
 #define WORKER_QUEUE 4096
 #define PLATFORM_QUEUE 256
 #define PEER_QUEUE 4096
@@ -109,6 +107,8 @@
   MuxPlatformHttpOptions options = {
     .inbox = mux_inbox_port (daemon->inbox),
     .url = daemon->options->platform_url,
+    .name = daemon->options->name,
+    .data_centre = daemon->options->data_centre,
     .threads = daemon->options->platform_threads,
     .queue = PLATFORM_QUEUE,
     .list_every_ms = daemon->options->list_every_ms,
@@ -145,15 +145,6 @@
   return daemon->peer != NULL;
 }
 
-static uint64_t
-wall_ms (void)
-{
-  struct timespec t;
-
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (uint64_t) t.tv_sec * MS_PER_S + (uint64_t) (t.tv_nsec / NS_PER_MS);
-}
-
 static bool
 make_core (Daemon *daemon, MuxError *err)
 {
@@ -171,7 +162,7 @@
       .name = given->name,
       .data_centre = given->data_centre,
       .peer_addr = daemon->peer_listen,
-      .incarnation = wall_ms (),
+      .incarnation = (uint64_t) mux_wall_ms (),
       .seeds = given->seeds,
       .seed_count = given->seed_count,
       .lease_ms = given->lease_ms,
@@ -287,7 +278,7 @@
   bool stopped;
   int64_t left_ms;
 
-  mux_log (MUX_LOG_NOTICE, "stopping", "bound_ms=%" PRIu32,
+  mux_log (MUX_LOG_NOTICE, "stop_begun", "bound_ms=%" PRIu32,
            daemon->options->stop_after_ms);
   mux_door_refuse_new (daemon->door);
   mux_core_thread_stop_work (daemon->core);
@@ -297,7 +288,7 @@
   if (stopped)
     stopped
         = mux_door_drain (daemon->door, left_ms > 0 ? (uint32_t) left_ms : 0);
-  mux_log (stopped ? MUX_LOG_NOTICE : MUX_LOG_WARNING, "stopped", "whole=%s",
+  mux_log (stopped ? MUX_LOG_NOTICE : MUX_LOG_WARNING, "stop_ended", "whole=%s",
            stopped ? "yes" : "no");
 }
 
--- a/src/daemon/waiters.c
+++ b/src/daemon/waiters.c
@@ -1,6 +1,6 @@
 #include "waiters.h"
 
-#include "deadline.h"
+#include "clock.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
