Test the inbox, and read the door's test request in bounds

The address sanitizer found that the keep-alive test sent bytes from behind its request text; its length is now taken from the text. clang-tidy asked for wider products in two constants.

--- a/src/daemon/door.c
+++ b/src/daemon/door.c
@@ -10,7 +10,7 @@
 
 /* A handler needs little; the rest of a thread's usual 8 MiB is only address
  * space, which small instances may bound. */
-#define THREAD_STACK (256 * 1024)
+#define THREAD_STACK (INT64_C (256) * 1024)
 #define LISTEN_BACKLOG 1024
 /* ulfius wants a port although it is given a socket. */
 #define UNUSED_PORT 1
--- a/src/daemon/pem.c
+++ b/src/daemon/pem.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PEM_MAX (64 * 1024)
+#define PEM_MAX ((size_t) 64 * 1024)
 
 char *
 mux_pem_read (const char *path, MuxError *err)
--- a/test/unit/test_door.c
+++ b/test/unit/test_door.c
@@ -516,13 +516,14 @@
 static void
 test_keep_alive (void **state)
 {
+  static const char next[] = "GET /v1/risk HTTP/1.1\r\nHost: x\r\n\r\n";
   Bench *bench = *state;
   int fd = begin (bench, "GET /v1/status HTTP/1.1");
   RawReply reply = raw_read_reply (fd);
 
   assert_int_equal (reply.status, 200);
   raw_reply_free (&reply);
-  assert_true (raw_send (fd, "GET /v1/risk HTTP/1.1\r\nHost: x\r\n\r\n", 36));
+  assert_true (raw_send (fd, next, sizeof next - 1));
   reply = raw_read_reply (fd);
   assert_int_equal (reply.status, 200);
   assert_int_equal (bench->fake.ask_count, 2);
--- /dev/null
+++ b/test/unit/test_inbox.c
@@ -0,0 +1,132 @@
+#include "../../src/daemon/inbox.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define RING 4
+/* One slot of a ring stays free. */
+#define RING_ROOM (RING - 1)
+
+typedef struct
+{
+  MuxCounters *counters;
+  MuxDaemonInbox *inbox;
+} Bench;
+
+static int
+setup (void **state)
+{
+  Bench *bench = calloc (1, sizeof *bench);
+  MuxInboxOptions options = {
+    .asks = RING, .peers = RING, .worker_replies = RING, .table_replies = RING
+  };
+
+  assert_non_null (bench);
+  bench->counters = mux_counters_new ();
+  options.counters = bench->counters;
+  bench->inbox = mux_inbox_new (&options);
+  assert_non_null (bench->inbox);
+  *state = bench;
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  Bench *bench = *state;
+
+  mux_inbox_free (bench->inbox);
+  mux_counters_free (bench->counters);
+  free (bench);
+  return 0;
+}
+
+static MuxWorkerReply *
+reply_new (uint64_t call_id)
+{
+  MuxWorkerCall call = { .call_id = call_id };
+
+  return mux_worker_reply_new (&call, MUX_WORKER_OK, 0);
+}
+
+/* Callers and a loud peer flood a daemon while a worker sends the answer of a
+ * booking.  Their surplus is refused and counted at once; the answer finds
+ * its room, or the booking's fate would be lost. */
+static void
+test_flood_leaves_room_for_replies (void **state)
+{
+  Bench *bench = *state;
+  MuxInbox *port = mux_inbox_port (bench->inbox);
+  MuxPeerMsg msg = { .verb = MUX_PEER_HEARTBEAT };
+  MuxAsk *surplus = calloc (1, sizeof *surplus);
+  MuxWorkerReply *reply;
+
+  for (int i = 0; i < RING_ROOM; i++)
+    {
+      assert_true (mux_inbox_ask (bench->inbox, calloc (1, sizeof (MuxAsk))));
+      assert_true (port->peer_msg (port, &msg));
+    }
+  assert_false (mux_inbox_ask (bench->inbox, surplus));
+  free (surplus);
+  assert_false (port->peer_msg (port, &msg));
+  assert_int_equal (mux_refused_value (bench->counters, MUX_REASON_RING_FULL),
+                    2);
+  assert_true (port->worker_reply (port, reply_new (7)));
+  reply = mux_inbox_take_worker_reply (bench->inbox);
+  assert_int_equal (reply->call_id, 7);
+  mux_worker_reply_free (reply);
+}
+
+static void
+test_latest_instances_count (void **state)
+{
+  Bench *bench = *state;
+  MuxInbox *port = mux_inbox_port (bench->inbox);
+  MuxInstanceList *list;
+
+  assert_true (port->instances (port, calloc (1, sizeof *list)));
+  list = calloc (1, sizeof *list + sizeof list->item[0]);
+  list->count = 1;
+  assert_true (port->instances (port, list));
+  list = mux_inbox_take_instances (bench->inbox);
+  assert_int_equal (list->count, 1);
+  free (list);
+  assert_null (mux_inbox_take_instances (bench->inbox));
+}
+
+/* An entry that comes between the last look and the sleep must not wait for
+ * the sleep's end: a caller would see a whole second of delay now and then.
+ * The sleeps here have no end, so the test hangs if one begins. */
+static void
+test_no_sleep_past_an_entry (void **state)
+{
+  Bench *bench = *state;
+  MuxInbox *port = mux_inbox_port (bench->inbox);
+
+  mux_inbox_mark (bench->inbox);
+  assert_true (port->worker_reply (port, reply_new (1)));
+  mux_inbox_sleep (bench->inbox, -1);
+  mux_inbox_mark (bench->inbox);
+  mux_inbox_gone (bench->inbox, 9);
+  mux_inbox_sleep (bench->inbox, -1);
+  assert_int_equal (mux_inbox_take_gone (bench->inbox), 9);
+  assert_int_equal (mux_inbox_take_gone (bench->inbox), 0);
+}
+
+#define TEST(f) cmocka_unit_test_setup_teardown (f, setup, teardown)
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    TEST (test_flood_leaves_room_for_replies),
+    TEST (test_latest_instances_count),
+    TEST (test_no_sleep_past_an_entry),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
