Close the port before the last answers, and cut no caller off at a stop

A trial of a stop with 40 callers left one without any answer: its connection had been let in, but its request had not been read when the HTTP side was taken down. Requests now count from their first line, not from the handler; the port closes first, the process lingers for what was let in, and answers during a stop close their connection so that callers go elsewhere. Tests of door, settings and inbox pass.

--- a/src/daemon/door.c
+++ b/src/daemon/door.c
@@ -27,6 +27,7 @@
       return NULL;
     }
   door->options = *options;
+  door->port_fd = -1;
   pthread_mutex_init (&door->lock, NULL);
   mux_cond_init (&door->written);
   door->waiters = mux_waiters_new (options->callers_max);
@@ -68,8 +69,8 @@
 static void *
 request_begins (void *cls, const char *uri, struct MHD_Connection *connection)
 {
-  mux_connection_set (connection);
-  return ulfius_uri_logger (cls, uri);
+  mux_connection_request_begins (cls, connection);
+  return ulfius_uri_logger (NULL, uri);
 }
 
 static void
@@ -138,7 +139,7 @@
   struct MHD_OptionItem options[OPTIONS_MAX] = {
     { MHD_OPTION_LISTEN_SOCKET, fd, NULL },
     { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t) request_ended, door },
-    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t) request_begins, NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t) request_begins, door },
     { MHD_OPTION_CONNECTION_LIMIT, (intptr_t) connection_limit (door), NULL },
     { MHD_OPTION_CONNECTION_TIMEOUT, (intptr_t) door->options.idle_s, NULL },
     { MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK, NULL },
@@ -192,6 +193,16 @@
   door->refuse_new = true;
 }
 
+void
+mux_door_close_port (MuxDoor *door)
+{
+  if (!door->listening || door->port_fd >= 0)
+    return;
+  door->port_fd = MHD_quiesce_daemon (door->http.mhd_daemon);
+  if (door->port_fd >= 0)
+    close (door->port_fd);
+}
+
 bool
 mux_door_drain (MuxDoor *door, uint32_t timeout_ms)
 {
--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -52,9 +52,12 @@
 /** mux_door_answer() - hand an answer to its caller; any thread
  * Return: false when that caller has gone. */
 bool mux_door_answer (MuxDoor *door, const MuxAnswer *answer);
-/** mux_door_refuse_new() - answer new work with STOPPING from now on */
+/** mux_door_refuse_new() - answer new work with STOPPING from now on, and
+ * close each connection after its answer, so that its caller goes elsewhere */
 void mux_door_refuse_new (MuxDoor *door);
-/** mux_door_drain() - wait until every answer begun has been written
+/** mux_door_close_port() - let no new connection in; those open go on */
+void mux_door_close_port (MuxDoor *door);
+/** mux_door_drain() - wait until every request begun has been answered
  * Return: false when @timeout_ms passed first. */
 bool mux_door_drain (MuxDoor *door, uint32_t timeout_ms);
 /** mux_door_abandon() - answer all that still wait with UNKNOWN */
--- a/src/daemon/door_connection.c
+++ b/src/daemon/door_connection.c
@@ -6,12 +6,14 @@
 /* ulfius does not hand its callbacks the connection, and each connection has
  * a thread of its own: what belongs to it is kept by thread. */
 static _Thread_local struct MHD_Connection *this_connection;
-static _Thread_local bool answer_begun;
 
 void
-mux_connection_set (struct MHD_Connection *connection)
+mux_connection_request_begins (MuxDoor *door, struct MHD_Connection *connection)
 {
   this_connection = connection;
+  pthread_mutex_lock (&door->lock);
+  door->unwritten++;
+  pthread_mutex_unlock (&door->lock);
 }
 
 void
@@ -41,22 +43,10 @@
              && errno != EINTR);
 }
 
-void
-mux_connection_answer_begins (MuxDoor *door)
-{
-  answer_begun = true;
-  pthread_mutex_lock (&door->lock);
-  door->unwritten++;
-  pthread_mutex_unlock (&door->lock);
-}
-
 void
 mux_connection_request_ended (MuxDoor *door)
 {
   this_connection = NULL;
-  if (!answer_begun)
-    return;
-  answer_begun = false;
   pthread_mutex_lock (&door->lock);
   door->unwritten--;
   if (door->unwritten == 0)
--- a/src/daemon/door_private.h
+++ b/src/daemon/door_private.h
@@ -29,11 +29,12 @@
   struct _u_instance http;
   bool http_made;
   bool listening;
+  int port_fd;              /* from mux_door_close_port(); -1: none */
   MuxRouteBinding *binding; /* one a route, then the one for no route */
   atomic_bool refuse_new;
   pthread_mutex_t lock; /* guards unwritten */
   pthread_cond_t written;
-  uint32_t unwritten; /* answers begun and not yet given to the system */
+  uint32_t unwritten; /* requests begun whose answer is not yet written */
 };
 
 /**
@@ -70,14 +71,13 @@
                     void *binding);
 
 /* Connection of the calling thread: each has a thread of its own. */
-/** mux_connection_set() - a request begins on @connection */
-void mux_connection_set (struct MHD_Connection *connection);
+/** mux_connection_request_begins() - its answer counts as not yet written */
+void mux_connection_request_begins (MuxDoor *door,
+                                    struct MHD_Connection *connection);
 /** mux_connection_timeout() - close it after so long a silence; 0: never */
 void mux_connection_timeout (uint32_t seconds);
 /** mux_connection_gone() - the caller has closed its side */
 bool mux_connection_gone (void);
-/** mux_connection_answer_begins() - counts an answer as not yet written */
-void mux_connection_answer_begins (MuxDoor *door);
 /** mux_connection_request_ended() - its answer is written, or nobody reads it
  */
 void mux_connection_request_ended (MuxDoor *door);
--- a/src/daemon/door_serve.c
+++ b/src/daemon/door_serve.c
@@ -150,11 +150,12 @@
 {
   const MuxRouteBinding *binding = data;
 
-  mux_connection_answer_begins (binding->door);
   if (binding->route == NULL)
     mux_respond_refusal (binding->door, response, MUX_REASON_UNKNOWN_PATH,
                          NULL);
   else
     serve_route (binding->door, binding->route, request, response);
+  if (binding->door->refuse_new)
+    u_map_put (response->map_header, "Connection", "close");
   return U_CALLBACK_COMPLETE;
 }
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -13,9 +13,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/random.h>
+#include <time.h>
 
 #define EXIT_FAILED 1
 #define KIB 1024
+#define NS_PER_MS 1000000L
 #define WORKER_QUEUE 4096
 #define PLATFORM_QUEUE 256
 #define PEER_QUEUE 4096
@@ -23,6 +25,9 @@
 /* A link between daemons carries a heartbeat at least every so many of their
  * intervals; one that is silent longer has lost its way. */
 #define SILENT_HEARTBEATS 4
+/* From the closing of the port until every request of a connection that was
+ * let in has arrived, in round trips of callers some tens. */
+#define LINGER_MS 200
 /* For answers that the stop ended, to be written. */
 #define ABANDON_MS 1000
 
@@ -267,9 +272,20 @@
   signal (SIGPIPE, SIG_IGN);
 }
 
+static void
+linger (void)
+{
+  struct timespec time = { .tv_nsec = LINGER_MS * NS_PER_MS };
+
+  nanosleep (&time, NULL);
+}
+
 /*
  * A planned stop cuts off no answer: new work is refused, what runs is
- * finished by the core, and every answer begun is written, all in one bound.
+ * finished by the core, and every request begun is answered, all in one bound.
+ * A caller that was let in just before the port closes would find its
+ * connection cut without a word, not knowing whether it was run; so the
+ * process lingers until its request is there, too, and is refused by name.
  */
 static void
 stop_gracefully (Daemon *daemon)
@@ -284,6 +300,11 @@
   mux_core_thread_stop_work (daemon->core);
   stopped = mux_core_thread_wait_stopped (daemon->core,
                                           daemon->options->stop_after_ms);
+  if (stopped)
+    {
+      mux_door_close_port (daemon->door);
+      linger ();
+    }
   left_ms = end_ms - mux_now_ms ();
   if (stopped)
     stopped
--- a/test/unit/test_door.c
+++ b/test/unit/test_door.c
@@ -437,10 +437,12 @@
   assert_string_equal (raw_header (&reply, "Cuminmux-Reason"), "stopping");
   assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "not_run");
   assert_string_equal (raw_header (&reply, "Retry-After"), "1");
+  assert_string_equal (raw_header (&reply, "Connection"), "close");
   raw_reply_free (&reply);
   reply = ask (bench, "GET /readyz HTTP/1.1", "", 0);
   assert_int_equal (reply.status, 503);
   raw_reply_free (&reply);
+  mux_door_close_port (bench->door);
   assert_false (mux_door_drain (bench->door, 0));
   answer_text (bench, bench->fake.asks[0].call, "confirmed");
   assert_true (mux_door_drain (bench->door, 60000));
