--- a/include/adapter/peer.h
+++ b/include/adapter/peer.h
@@ -33,7 +33,7 @@
 /** mux_peer_zmq_new() - ZeroMQ between daemons
  * @bound: receives the "ip:port" in use, MUX_ADDR_LEN bytes
  * Its send() also returns false for an address that is no "ip:port".  Its
- * free() hands over what waits, for at most silent_ms.
+ * free() hands over what waits, for at most 2 s.
  * Return: NULL with @err set when it can't listen. */
 MuxPeerPort *
 mux_peer_zmq_new (const MuxPeerZmqOptions *options, char *bound, MuxError *err);
--- a/src/adapter/peer_link.c
+++ b/src/adapter/peer_link.c
@@ -8,7 +8,7 @@
 #include <zmq.h>
 
 #define RECONNECT_MS 50
-/* Only echoes, which are empty, and ZeroMQ's own commands come back. */
+/* Only echoes and ZeroMQ's own commands come back. */
 #define FRAME_BYTES_MAX 1024
 #define HEAR_BATCH 4096
 
@@ -102,7 +102,10 @@
     return NULL;
   snprintf (link->addr, sizeof link->addr, "%s", addr);
   HASH_ADD_STR (links->by_addr, addr, link);
-  return link;
+  if (link->hh.tbl != NULL)
+    return link;
+  free (link);
+  return NULL;
 }
 
 void
@@ -138,30 +141,48 @@
 static void
 link_probe (MuxPeerLink *link)
 {
-  if (zmq_send (link->socket, "", 0, ZMQ_DONTWAIT) == 0)
-    link->probes++;
+  char frame[MUX_PEER_PROBE_BYTES] = { MUX_PEER_PROBE_MARK };
+  uint32_t number = link->probe + 1;
+
+  memcpy (frame + 1, &number, sizeof number);
+  if (zmq_send (link->socket, frame, sizeof frame, ZMQ_DONTWAIT) >= 0)
+    link->probe = number;
+}
+
+static void
+link_heard (MuxPeerLink *link, const char *frame)
+{
+  memcpy (&link->echo, frame + 1, sizeof link->echo);
+  link->waiting_since_ms = 0;
+  if (link->silent)
+    mux_log (MUX_LOG_NOTICE, "peer_link_back", "addr=%s", link->addr);
+  link->silent = false;
 }
 
 void
 mux_peer_link_hear (MuxPeerLink *link)
 {
-  char none;
+  char frame[MUX_PEER_PROBE_BYTES];
 
   if (link->socket == NULL)
     return;
   for (int i = 0; i < HEAR_BATCH; i++)
     {
-      if (zmq_recv (link->socket, &none, 0, ZMQ_DONTWAIT) < 0)
+      int len = zmq_recv (link->socket, frame, sizeof frame, ZMQ_DONTWAIT);
+
+      if (len < 0)
         return;
-      link->waiting_since_ms = 0;
-      if (link->probes > 0)
-        link->probes--;
-      if (link->silent)
-        mux_log (MUX_LOG_NOTICE, "peer_link_back", "addr=%s", link->addr);
-      link->silent = false;
+      if (len == sizeof frame && frame[0] == MUX_PEER_PROBE_MARK)
+        link_heard (link, frame);
     }
 }
 
+bool
+mux_peer_link_awaits_echo (const MuxPeerLink *link)
+{
+  return link->socket != NULL && !link->silent && link->echo != link->probe;
+}
+
 /* Guards against a connection that goes silent for good while new ones work,
  * because something between the two ends, such as a firewall or a balancer,
  * has lost track of it.  It shows as sends that succeed, no error, and no echo
@@ -178,7 +199,7 @@
     zmq_close (link->socket);
   link->socket = link_open (links, link->addr);
   link->waiting_since_ms = 0;
-  link->probes = 0;
+  link->echo = link->probe;
   if (!link->silent)
     mux_log (MUX_LOG_WARNING, "peer_link_replaced", "addr=%s silent_ms=%u",
              link->addr, (unsigned) links->silent_ms);
@@ -206,6 +227,12 @@
     link_probe (link);
 }
 
+static int64_t
+earlier (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
 void
 mux_peer_links_tick (MuxPeerLinks *links, int64_t now_ms, int64_t paused_ms)
 {
@@ -215,26 +242,21 @@
   HASH_ITER (hh, links->by_addr, link, next)
   {
     if (link->waiting_since_ms != 0)
-      link->waiting_since_ms += paused_ms;
+      link->waiting_since_ms
+          = earlier (link->waiting_since_ms + paused_ms, now_ms);
     link_tick (links, link, now_ms);
   }
 }
 
-uint32_t
+void
 mux_peer_links_probe (MuxPeerLinks *links)
 {
   MuxPeerLink *link;
   MuxPeerLink *next;
-  uint32_t waiting = 0;
 
   HASH_ITER (hh, links->by_addr, link, next)
-  {
-    if (link->socket == NULL || link->silent || link->waiting_since_ms == 0)
-      continue;
+  if (link->socket != NULL && link->waiting_since_ms != 0)
     link_probe (link);
-    waiting += link->probes > 0;
-  }
-  return waiting;
 }
 
 void
--- a/src/adapter/peer_link.h
+++ b/src/adapter/peer_link.h
@@ -8,6 +8,9 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+
+/* Out of memory, uthash leaves the entry out instead of ending the process. */
+#define HASH_NONFATAL_OOM 1
 #include <uthash.h>
 
 /* Addresses that one daemon speaks to at once. */
@@ -17,13 +20,19 @@
 /* A link is closed when nothing was sent on it for this many silent_ms. */
 #define MUX_PEER_IDLE_FACTOR 10
 
+/* A probe is this byte, with which no message begins, and a number; the peer
+ * sends it back as it came. */
+#define MUX_PEER_PROBE_MARK 0
+#define MUX_PEER_PROBE_BYTES 5
+
 /**
  * struct MuxPeerLink - connection to the listener of one peer address
  * @addr: "ip:port"
  * @socket: DEALER
  * @used_ms: when something was last sent here
  * @waiting_since_ms: first send that no echo has followed yet; 0: none
- * @probes: probes sent whose echo has not come back
+ * @probe: number of the last probe sent
+ * @echo: number of the last probe that came back
  * @silent: it has been replaced for silence and was not heard since
  */
 typedef struct
@@ -32,7 +41,8 @@
   void *socket;
   int64_t used_ms;
   int64_t waiting_since_ms;
-  uint32_t probes;
+  uint32_t probe;
+  uint32_t echo;
   bool silent;
   UT_hash_handle hh;
 } MuxPeerLink;
@@ -67,11 +77,13 @@
  * @paused_ms: time for which this thread could hear nothing, or 0 */
 void
 mux_peer_links_tick (MuxPeerLinks *links, int64_t now_ms, int64_t paused_ms);
-/** mux_peer_links_probe() - ask for an echo behind everything sent so far
- * Return: links that are waited for. */
-uint32_t mux_peer_links_probe (MuxPeerLinks *links);
-/** mux_peer_link_hear() - read away the echoes that came back */
+/** mux_peer_links_probe() - ask for an echo behind everything sent so far */
+void mux_peer_links_probe (MuxPeerLinks *links);
+/** mux_peer_link_hear() - read the echoes that came back */
 void mux_peer_link_hear (MuxPeerLink *link);
+/** mux_peer_link_awaits_echo() - its last probe has not come back yet,
+ * and it is not known to be silent */
+bool mux_peer_link_awaits_echo (const MuxPeerLink *link);
 void mux_peer_links_close (MuxPeerLinks *links);
 
 #endif
--- a/src/adapter/peer_thread.c
+++ b/src/adapter/peer_thread.c
@@ -8,6 +8,8 @@
 
 /* Messages taken from one side before the other has its turn. */
 #define BATCH 256
+/* How long the end of the thread waits for what was sent last to arrive. */
+#define FLUSH_MAX_MS 2000
 
 enum
 {
@@ -51,6 +53,8 @@
   blob = mux_peer_encode (&out->msg);
   if (blob != NULL)
     mux_peer_links_send (&peer->links, out->addr, blob, now);
+  else if (peer->counters != NULL)
+    mux_count_refused (peer->counters, MUX_REASON_INTERNAL);
   mux_blob_unref (blob);
   mux_peer_outgoing_free (out);
   return true;
@@ -80,11 +84,18 @@
   mux_blob_unref (msg.body);
 }
 
+static bool
+is_probe (zmq_msg_t *payload)
+{
+  return zmq_msg_size (payload) == MUX_PEER_PROBE_BYTES
+         && *(const char *) zmq_msg_data (payload) == MUX_PEER_PROBE_MARK;
+}
+
 static void
-echo (MuxPeerZmq *peer, zmq_msg_t *identity)
+echo (MuxPeerZmq *peer, zmq_msg_t *identity, zmq_msg_t *probe)
 {
   if (zmq_msg_send (identity, peer->listener, ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0)
-    (void) zmq_send (peer->listener, "", 0, ZMQ_DONTWAIT);
+    (void) zmq_msg_send (probe, peer->listener, ZMQ_DONTWAIT);
 }
 
 /* Reads away the frames of a message that has too many. */
@@ -103,7 +114,7 @@
     }
 }
 
-/* A message is the link's identity and one payload; an empty one is a probe. */
+/* A message is the link's identity and one payload. */
 static void
 receive_payload (MuxPeerZmq *peer, zmq_msg_t *identity)
 {
@@ -118,8 +129,8 @@
       skip_frames (peer);
       count (peer, MUX_COUNT_PEER_BAD);
     }
-  else if (zmq_msg_size (&payload) == 0)
-    echo (peer, identity);
+  else if (is_probe (&payload))
+    echo (peer, identity, &payload);
   else
     deliver (peer, &payload);
   zmq_msg_close (&payload);
@@ -202,19 +213,19 @@
   uint32_t n = 0;
 
   HASH_ITER (hh, peer->links.by_addr, link, next)
-  if (link->socket != NULL && !link->silent && link->probes > 0)
+  if (mux_peer_link_awaits_echo (link))
     items[n++] = (zmq_pollitem_t){ link->socket, 0, ZMQ_POLLIN, 0 };
   return n;
 }
 
 /* The last word, such as BYE, would be lost if the sockets were closed under
  * it.  An echo of a probe sent behind it proves that it arrived; a peer that
- * does not echo holds the end up for no more than silent_ms. */
+ * does not echo holds the end up for no more than FLUSH_MAX_MS. */
 static void
 flush (MuxPeerZmq *peer)
 {
   zmq_pollitem_t items[POLL_BASE + MUX_PEER_LINKS_MAX];
-  int64_t end_ms = now_ms () + peer->links.silent_ms;
+  int64_t end_ms = now_ms () + FLUSH_MAX_MS;
   uint32_t base = poll_base (peer, items);
   uint32_t waiting;
 
--- a/test/unit/test_peer_zmq.c
+++ b/test/unit/test_peer_zmq.c
@@ -121,10 +121,15 @@
 }
 
 static void
-assert_revisions_rise (const PeerInbox *inbox)
+assert_revisions_rise (PeerInbox *inbox)
 {
+  bool rise = true;
+
+  pthread_mutex_lock (&inbox->mutex);
   for (uint32_t i = 1; i < inbox->count; i++)
-    assert_true (inbox->msgs[i].revision > inbox->msgs[i - 1].revision);
+    rise = rise && inbox->msgs[i].revision > inbox->msgs[i - 1].revision;
+  pthread_mutex_unlock (&inbox->mutex);
+  assert_true (rise);
 }
 
 static void
