Give every keyed request a row while the table is up; tell owners their share

A key says that two submissions are one task, idempotent or not, and a booking or report must not run in two places at once. With the table away idempotent work goes on: daemons of one data centre ask the owner that the key picks, which books an id once; between data centres it is not told apart (documented). Also: owners learn their share of the cell for quotas (nobody set it), jobs of a stopping daemon are adopted at once, and a waiting write no longer wakes the core in a loop.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -130,6 +130,12 @@
     job_write (core, job);
 }
 
+static int64_t
+later (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
 int64_t
 jobs_wake_ms (const MuxCore *core)
 {
@@ -137,8 +143,9 @@
   int64_t wait = job_waits_wake_ms (core);
 
   for (const Job *job = core->jobs->open; job != NULL; job = job->hh.next)
-    if (job->dirty_any && !job->writing && job->write_ms < at)
-      at = job->write_ms;
+    if (job->dirty_any && !job->writing && !job->reading
+        && later (job->write_ms, core->jobs->next_write_ms) < at)
+      at = later (job->write_ms, core->jobs->next_write_ms);
   if (wait < at)
     at = wait;
   return at;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -276,6 +276,7 @@
     return;
   member->stopping = true;
   core_log (core, 5, "member_stopping", "member=%s", member->name);
+  jobs_member_dead (core, member->name);
   workers_reconsider (core);
 }
 
@@ -309,6 +310,21 @@
     member_changed (core, member, MEMBER_DEAD);
 }
 
+/* Quotas are for the cell; each owner grants its part of them, by the part of
+ * the living owners' processors that it holds. */
+static void
+update_share (MuxCore *core)
+{
+  uint64_t mine = mux_sched_stats (core->sched, core->now_ms).total.cpu_milli;
+  uint64_t all = mine;
+
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    if (m->state != MEMBER_DEAD)
+      all += m->total.cpu_milli;
+  if (all > 0)
+    mux_sched_share_set (core->sched, (uint32_t) (mine * 1000000 / all));
+}
+
 /*
  * Failure: this process was frozen or starved, then wakes.  To it all peers
  * have been silent for as long, so it would call them dead and claim all
@@ -337,6 +353,7 @@
   if (core->now_ms < core->next_heartbeat_ms)
     return;
   send_heartbeats (core, far_too);
+  update_share (core);
   core->next_heartbeat_ms = core->now_ms + core->opt.heartbeat_ms;
   if (far_too)
     core->next_far_heartbeat_ms
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -391,7 +391,7 @@
   else
     {
       options.key = mux_id_of_key (ask->name, ask->key);
-      options.keyed = !spec->idempotent;
+      options.keyed = true;
     }
   task = task_find (core, options.key);
   if (task != NULL)
@@ -404,7 +404,7 @@
       refuse_request (core, ask, MUX_REASON_QUEUE_FULL, RETRY_MS);
       return;
     }
-  if (options.keyed && commit_store_down (core))
+  if (options.keyed && !spec->idempotent && commit_store_down (core))
     {
       refuse_request (core, ask, MUX_REASON_STORE_DOWN, NOT_READY_RETRY_MS);
       return;
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -1,3 +1,4 @@
+#include "commit.h"
 #include "member.h"
 #include "owner.h"
 #include "task_private.h"
@@ -83,12 +84,49 @@
   return a->cost < b->cost;
 }
 
+/*
+ * Failure: the table is away and the same idempotent key comes to two daemons
+ * of this data centre at once; without a row they would run it in two places
+ * at one time.  Both ask the same owner, picked by the key, and it books one
+ * task id once.
+ */
+static Choice
+choose_by_key (MuxCore *core, const Task *task)
+{
+  MuxSchedStats stats = mux_sched_stats (core->sched, core->now_ms);
+  char key[MUX_ID_HEX_LEN];
+  Choice best = { 0 };
+  uint64_t best_rank = 0;
+
+  mux_id_format (task->key, key);
+  if (!core->stopping && stats.total.slots > 0)
+    {
+      best = (Choice){ .usable = true, .name = core->name };
+      best_rank = members_rank (core->name, key);
+    }
+  for (Member *m = core->members; m != NULL; m = m->hh.next)
+    {
+      uint64_t rank = members_rank (m->name, key);
+
+      if (!m->near || !member_usable (m) || m->total.slots == 0
+          || (best.usable && rank < best_rank))
+        continue;
+      best = (Choice){ .usable = true, .name = m->name, .member = m };
+      best_rank = rank;
+    }
+  if (best.usable && tried (task, best.name))
+    best.usable = false;
+  return best;
+}
+
 static Choice
 choose (MuxCore *core, const Task *task)
 {
   MuxSchedStats stats = mux_sched_stats (core->sched, core->now_ms);
   Choice best = { 0 };
 
+  if (task->keyed && task->idempotent && commit_store_down (core))
+    return choose_by_key (core, task);
   if (!core->stopping)
     best = weigh (task, core->name, NULL, stats.free, stats.total, stats.queued,
                   1);
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -142,7 +142,7 @@
       jobs_record (core, task);
       return;
     }
-  if (!task->keyed)
+  if (!task->keyed || (task->idempotent && commit_store_down (core)))
     {
       start_now (core, task);
       return;
@@ -288,13 +288,23 @@
   commit_read (core, task);
 }
 
-/* The start has not left, whatever the table has: not run, and said so. */
+/*
+ * The start has not left, whatever the table has: not run, and said so.  Work
+ * that may be done twice goes on without its row: with the table away, a
+ * second submission through another data centre can't be told from a first.
+ */
 static void
 s_store_down (MuxCore *core, Task *task, const TaskEvent *event)
 {
   (void) event;
+  if (task->idempotent && !task->has_job && task->granted)
+    {
+      mux_count_retry (core->counters, MUX_REASON_STORE_DOWN);
+      start_now (core, task);
+      return;
+    }
   task_grant_end (core, task, MUX_TASK_ABSENT, 0);
-  if (!task->has_job)
+  if (!task->has_job && !task->idempotent)
     {
       finish_not_run (core, task, MUX_REASON_STORE_DOWN, UNKNOWN_RETRY_MS);
       return;
