Race four operators on one class over whole cores, with lost answers

A fake table, sink and net drive several cores on one fake clock. With the table's conditions off the same checks fail, as they must. The core answers changes in flight before it is freed and awaits them at a stop.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -204,6 +204,7 @@
 {
   if (core == NULL)
     return;
+  config_abandon (core);
   tasks_free (core);
   owner_free (core);
   workers_free (core);
@@ -327,7 +328,7 @@
   if (!core->stopping || core->stopped)
     return;
   if (tasks_waiting (core) > 0 || workers_held (core) > 0
-      || !jobs_give_away (core))
+      || config_changing (core) > 0 || !jobs_give_away (core))
     return;
   core->stopped = true;
   core_log (core, 5, "stopped", "tasks=%u", HASH_COUNT (core->tasks));
--- /dev/null
+++ b/test/support/fake_sink.h
@@ -0,0 +1,42 @@
+#ifndef SUPPORT_FAKE_SINK_H
+#define SUPPORT_FAKE_SINK_H
+
+#include "core/core.h"
+
+/* One message to a peer, as sent. */
+typedef struct
+{
+  char addr[MUX_ADDR_LEN];
+  MuxPeerMsg msg;
+} FakeSent;
+
+/**
+ * struct FakeSink - records the actions of a core in the order of their sort
+ * @sink: give its address to the core
+ * @full: every call to an adapter is refused, as by a full ring
+ * @answers: answers, each with its own reference of the body
+ * @worker_calls: calls to workers, likewise
+ * @table_calls: calls to the platform, owned
+ * @sent: messages to peers
+ * @logs: changes of state told so far
+ *
+ * A test takes what it wants: it answers calls in whatever order, then sets
+ * the count to 0, or lets fake_sink_clear() drop everything.
+ */
+typedef struct
+{
+  MuxSink sink;
+  bool full;
+  uint32_t answer_count, worker_count, table_count, sent_count;
+  uint32_t answer_cap, worker_cap, table_cap, sent_cap;
+  MuxAnswer *answers;
+  MuxWorkerCall *worker_calls;
+  MuxTableCall **table_calls;
+  FakeSent *sent;
+  uint32_t logs;
+} FakeSink;
+
+void fake_sink_init (FakeSink *sink);
+void fake_sink_clear (FakeSink *sink);
+
+#endif
--- /dev/null
+++ b/test/support/fake_table.h
@@ -0,0 +1,34 @@
+#ifndef SUPPORT_FAKE_TABLE_H
+#define SUPPORT_FAKE_TABLE_H
+
+#include "port/table.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct FakeTable - the platform's table and object store in memory
+ * @down: every call ends as MUX_TABLE_DOWN
+ * @ignore_conditions: transactions are carried out whatever their conditions;
+ *   shows that a test which relies on them fails without
+ * @rev: revision given last
+ * @count: rows
+ * @rows: in key order; objects have "object:" before their key
+ */
+typedef struct
+{
+  bool down;
+  bool ignore_conditions;
+  uint64_t rev;
+  uint32_t count;
+  uint32_t cap;
+  MuxRow *rows;
+} FakeTable;
+
+void fake_table_clear (FakeTable *table);
+/** fake_table_call() - carry @call out; its rows are only read */
+MuxTableReply *fake_table_call (FakeTable *table, const MuxTableCall *call);
+/** fake_table_find() - NULL: no such row */
+const MuxRow *fake_table_find (const FakeTable *table, const char *key);
+
+#endif
--- /dev/null
+++ b/test/unit/test_config_race.c
@@ -0,0 +1,368 @@
+#include "support/config_cell.h"
+
+#include <inttypes.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* Four operators, each at another daemon, change the same class 200 times
+ * each.  Answers of writes are lost, some writes land only after the loss was
+ * told, and the table is away for a while.  What would go wrong: a change that
+ * is told as accepted but overwritten, one that is made twice because it was
+ * repeated, one told as refused that is in force later, or a daemon that falls
+ * back to an older configuration.  The cause would be a write that does not
+ * depend on the head that it was decided on. */
+
+#define OPERATORS 4
+#define CHANGES 200
+#define NODES 5
+#define OUTAGE_AFTER 300
+#define OUTAGE_MS 5000
+#define REPEAT_MS 300
+#define LOST_PPM 150000
+/* Now and then one daemon alone can't reach the table for so long, longer
+ * than it tries to settle a change. */
+#define CUT_MS 12000
+/* A race that is not over by then has gone wrong. */
+#define RACE_MS 3600000
+/* So many faults are proof enough. */
+#define WRONG_MAX 20
+#define LOG_PREFIX "config/log/"
+/* Calls: a probe's is PROBE + node, an operator's is its number in the upper
+ * half. */
+#define PROBE UINT64_C (1000000)
+
+typedef enum
+{
+  TOLD_NOTHING,
+  TOLD_ACCEPTED,
+  TOLD_BEATEN,
+} Told;
+
+typedef struct
+{
+  Told told;
+  uint64_t revision; /* told with it */
+  bool expect_set;
+  uint64_t expect;
+  uint32_t seen; /* in the history */
+} Change;
+
+typedef struct
+{
+  uint32_t number; /* of the change being made */
+  uint64_t seen;   /* revision of the class that it knows of */
+  uint64_t call;   /* outstanding, or 0 */
+  uint32_t asks;
+  int64_t ask_ms;
+  Change changes[CHANGES];
+} Operator;
+
+typedef struct
+{
+  ConfigCell cell;
+  Operator operators[OPERATORS];
+  uint64_t shown[FAKE_NODES_MAX]; /* highest revision that a node showed */
+  uint32_t settled;
+  uint32_t unknown, refused;
+  uint32_t wrong;
+} Race;
+
+static void
+wrong (Race *race, const char *what, uint64_t revision)
+{
+  if (race->wrong++ < 5)
+    print_message ("%s, revision %" PRIu64 "\n", what, revision);
+}
+
+/* The committed change of a revision; NULL: there is none. */
+static json_t *
+log_row (Race *race, uint64_t revision)
+{
+  char key[MUX_ROW_KEY_LEN];
+  const MuxRow *row;
+
+  snprintf (key, sizeof key, LOG_PREFIX "%020" PRIu64, revision);
+  row = fake_table_find (&race->cell.net->table, key);
+  return row == NULL ? NULL
+                     : json_loadb (row->value->bytes, row->value->len, 0, NULL);
+}
+
+static uint64_t
+number (const json_t *json, const char *key)
+{
+  return (uint64_t) json_integer_value (json_object_get (json, key));
+}
+
+static void
+look_shown (Race *race, uint32_t node, const json_t *shown)
+{
+  uint64_t revision = number (shown, "revision");
+  json_t *row = log_row (race, revision);
+
+  if (revision < race->shown[node])
+    wrong (race, "a lower revision is shown", revision);
+  if (!json_equal (json_object_get (row, "value"),
+                   json_object_get (shown, "value")))
+    wrong (race, "what is shown was not committed", revision);
+  race->shown[node] = revision;
+  json_decref (row);
+}
+
+static void
+settle (Race *race, Operator *op, Told told, uint64_t revision)
+{
+  op->changes[op->number].told = told;
+  op->changes[op->number].revision = revision;
+  op->seen = revision;
+  op->number++;
+  race->settled++;
+}
+
+static void
+take_told (Race *race,
+           Operator *op,
+           const MuxAnswer *answer,
+           const json_t *body)
+{
+  op->call = 0;
+  op->ask_ms = race->cell.net->now_ms;
+  if (answer->status == 200)
+    settle (race, op, TOLD_ACCEPTED, number (body, "revision"));
+  else if (answer->reason == MUX_REASON_REVISION)
+    settle (race, op, TOLD_BEATEN, number (body, "revision"));
+  else if (answer->outcome == MUX_OUTCOME_UNKNOWN)
+    race->unknown++;
+  else
+    {
+      race->refused++;
+      op->ask_ms += REPEAT_MS;
+    }
+}
+
+static void
+answer_came (void *user, uint32_t node, const MuxAnswer *answer)
+{
+  Race *race = user;
+  uint64_t who = answer->call >> 32;
+  json_t *body = answer->body == NULL ? NULL
+                                      : json_loadb (answer->body->bytes,
+                                                    answer->body->len, 0, NULL);
+
+  config_cell_take (&race->cell, answer);
+  if (answer->call == PROBE + node && answer->status == 200)
+    look_shown (race, node, body);
+  if (who > 0 && race->operators[who - 1].call != answer->call)
+    wrong (race, "a second answer came", 0);
+  else if (who > 0)
+    take_told (race, &race->operators[who - 1], answer, body);
+  json_decref (body);
+}
+
+/* Every second operator states what it saw; the others just write.  Each
+ * repeat goes to another daemon, under the same id. */
+static void
+ask_change (Race *race, uint32_t index)
+{
+  Operator *op = &race->operators[index];
+  Change *change = &op->changes[op->number];
+  MuxAsk ask = { .verb = MUX_ASK_CONFIG_PUT,
+                 .sort = MUX_CONFIG_CLASS,
+                 .name = "desk",
+                 .change = { index + 1, op->number + 1 },
+                 .who = "operator" };
+  char value[256];
+
+  if (op->call != 0 || op->number == CHANGES
+      || race->cell.net->now_ms < op->ask_ms)
+    return;
+  change->expect_set = index % 2 == 1;
+  change->expect = op->seen;
+  ask.expect_set = change->expect_set;
+  ask.expect = change->expect;
+  ask.call = op->call = (uint64_t) (index + 1) << 32 | ++op->asks;
+  config_cell_class (value, index * CHANGES + op->number + 1);
+  ask.body = mux_blob_new (value, strlen (value));
+  fake_net_ask (race->cell.net, (index + op->asks) % NODES, &ask);
+  mux_blob_unref (ask.body);
+}
+
+static void
+probe (Race *race)
+{
+  MuxAsk ask = { .verb = MUX_ASK_CONFIG_GET,
+                 .sort = MUX_CONFIG_CLASS,
+                 .name = "desk" };
+
+  for (uint32_t node = 0; node < NODES; node++)
+    {
+      ask.call = PROBE + node;
+      fake_net_ask (race->cell.net, node, &ask);
+    }
+}
+
+/* One row of the history, against what its operator was told. */
+static void
+check_row (Race *race, const json_t *row, uint64_t revision, uint64_t before)
+{
+  MuxId id;
+  Change *change;
+
+  if (!mux_id_parse (json_string_value (json_object_get (row, "change")), &id)
+      || id.hi == 0 || id.hi > OPERATORS || id.lo == 0 || id.lo > CHANGES)
+    {
+      wrong (race, "a change of nobody", revision);
+      return;
+    }
+  change = &race->operators[id.hi - 1].changes[id.lo - 1];
+  if (change->seen++ > 0)
+    wrong (race, "a change was made twice", revision);
+  if (change->told != TOLD_ACCEPTED || change->revision != revision)
+    wrong (race, "told otherwise than what was made", revision);
+  if (change->expect_set && change->expect != before)
+    wrong (race, "made on another state than was expected", revision);
+  if (number (json_object_get (row, "value"), "start_within_ms")
+      != (id.hi - 1) * CHANGES + id.lo)
+    wrong (race, "another value than was asked for", revision);
+}
+
+static void
+check_history (Race *race, uint64_t first)
+{
+  uint64_t revision = first;
+  json_t *row;
+
+  while ((row = log_row (race, revision + 1)) != NULL)
+    {
+      if (number (row, "revision") != revision + 1)
+        wrong (race, "a row in the wrong place", revision + 1);
+      check_row (race, row, revision + 1, revision);
+      json_decref (row);
+      revision++;
+    }
+  for (uint32_t i = 0; i < OPERATORS * CHANGES; i++)
+    {
+      const Change *change = &race->operators[i / CHANGES].changes[i % CHANGES];
+
+      if (change->told == TOLD_ACCEPTED && change->seen != 1)
+        wrong (race, "an accepted change is not there", change->revision);
+    }
+  for (uint32_t node = 0; node < NODES; node++)
+    if (race->shown[node] != revision)
+      wrong (race, "not in force everywhere", race->shown[node]);
+}
+
+static uint64_t
+race_begin (Race *race, uint64_t seed)
+{
+  char value[256];
+  uint64_t first;
+
+  config_cell_init (&race->cell, seed, NODES);
+  race->cell.net->hooks.user = race;
+  race->cell.net->hooks.answer = answer_came;
+  config_cell_put (&race->cell, 0, MUX_CONFIG_PRODUCT, "kiosk",
+                   "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,"
+                   "\"slots\":0}}");
+  config_cell_class (value, 1);
+  first = config_cell_put (&race->cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  for (uint32_t i = 0; i < OPERATORS; i++)
+    race->operators[i].seen = first;
+  return first;
+}
+
+static void
+cut_none (FakeNet *net)
+{
+  for (uint32_t node = 0; node < NODES; node++)
+    net->nodes[node].table_cut = false;
+}
+
+static void
+cut_one (FakeNet *net)
+{
+  cut_none (net);
+  net->nodes[mux_random_below (&net->random, NODES)].table_cut = true;
+}
+
+/* Return: how many things were wrong. */
+static uint32_t
+run_race (uint64_t seed, bool ignore_conditions)
+{
+  static Race race;
+  FakeNet *net;
+  uint64_t first;
+  int64_t up_ms = INT64_MAX;
+  int64_t cut_ms = 0;
+  int64_t end_ms;
+
+  race = (Race){ 0 };
+  first = race_begin (&race, seed);
+  net = race.cell.net;
+  net->lost_ppm = LOST_PPM;
+  net->table.ignore_conditions = ignore_conditions;
+  end_ms = net->now_ms + RACE_MS;
+  while (race.settled < OPERATORS * CHANGES && net->now_ms < end_ms
+         && race.wrong < WRONG_MAX)
+    {
+      for (uint32_t i = 0; i < OPERATORS; i++)
+        ask_change (&race, i);
+      fake_net_next (net);
+      probe (&race);
+      if (race.settled >= OUTAGE_AFTER && up_ms == INT64_MAX)
+        {
+          net->table.down = true;
+          up_ms = net->now_ms + OUTAGE_MS;
+        }
+      if (net->now_ms >= up_ms)
+        net->table.down = false;
+      if (net->now_ms >= cut_ms)
+        {
+          cut_one (net);
+          cut_ms = net->now_ms + CUT_MS;
+        }
+    }
+  if (race.settled < OPERATORS * CHANGES)
+    wrong (&race, "changes were never settled", 0);
+  cut_none (net);
+  net->lost_ppm = 0;
+  fake_net_run (net, 4000);
+  probe (&race);
+  check_history (&race, first);
+  print_message ("settled %u, told unknown %u, refused %u, wrong %u\n",
+                 race.settled, race.unknown, race.refused, race.wrong);
+  config_cell_free (&race.cell);
+  return race.wrong;
+}
+
+static void
+test_operators_race (void **state)
+{
+  (void) state;
+  for (uint64_t seed = 1; seed <= 5; seed++)
+    assert_int_equal (run_race (seed, false), 0);
+}
+
+/* The same with a table that does not look at conditions: the checks above
+ * must see that changes overwrite one another. */
+static void
+test_race_without_conditions_is_seen (void **state)
+{
+  (void) state;
+  assert_int_not_equal (run_race (1, true), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_operators_race),
+    cmocka_unit_test (test_race_without_conditions_is_seen),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
