Shield urgent work by a square-root rule, and let a hold claim its room

Three faults stood behind it: the bound was put on the instant in place of the mean; the sums over resources counted room in which no urgent task fits; the mean run time was too noisy. Room is now counted in urgent tasks, kept at mean plus Halfin-Whitt swing, and falls slowly.

A hold claims what it is going to take, also while urgent tasks borrow it; before, singles took that room and gangs never started at 110%.

--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -67,7 +67,8 @@
   if (!has_place (sched, class, gang ? members_missing (sched, ask, count) : 1))
     return mux_product_allows (sched, class, 1) ? MUX_REASON_QUEUE_FULL
                                                 : MUX_REASON_QUOTA;
-  if (ask->give_up_ms - now_ms < mux_forecast_wait_ms (sched, class))
+  if (!sched->tuning.no_forecast
+      && ask->give_up_ms - now_ms < mux_forecast_wait_ms (sched, class))
     return why_late (sched, class);
   return MUX_REASON_NONE;
 }
--- a/src/policy/books.c
+++ b/src/policy/books.c
@@ -15,7 +15,6 @@
 
       sched->total[d] -= mux_size_dim (worker->capacity, d);
       sched->free[d] -= n;
-      sched->hold.free[d] -= worker->held ? n : 0;
     }
 }
 
@@ -44,7 +43,6 @@
 
       sched->total[d] += mux_size_dim (worker->capacity, d);
       sched->free[d] += n;
-      sched->hold.free[d] += worker->held ? n : 0;
     }
 }
 
@@ -59,12 +57,17 @@
     {
       uint64_t n = mux_size_dim (task->size, d);
 
+      if (!class->urgent)
+        sched->patient_booked[d] = sign > 0 ? sched->patient_booked[d] + n
+                                            : sched->patient_booked[d] - n;
       worker->booked[d]
           = sign > 0 ? worker->booked[d] + n : worker->booked[d] - n;
       if (class->product != NULL)
         class->product->booked[d] = sign > 0 ? class->product->booked[d] + n
                                              : class->product->booked[d] - n;
     }
+  if (class->urgent)
+    sched->urgent_running += sign > 0 ? 1u : -1u;
   class->rack_count[worker->rack->id]
       = class->rack_count[worker->rack->id] + (sign > 0 ? 1u : -1u);
   enter_totals (sched, worker);
@@ -194,6 +197,7 @@
   sched->room_gen++;
   enter_totals (sched, worker);
   mux_index_update (sched, w);
+  mux_reserve_resize (sched);
   return w;
 }
 
--- a/src/policy/breaker.c
+++ b/src/policy/breaker.c
@@ -153,6 +153,8 @@
   if (end != MUX_END_FAILED)
     return;
   breaker->blame += blame_for (class, ran_ms);
+  if (sched->tuning.no_breaker)
+    return;
   if (breaker->blame >= BLAME_OPEN && breaker->state == MUX_BREAKER_CLOSED)
     trip (sched, task->worker, now_ms);
 }
@@ -201,6 +203,7 @@
 {
   const MuxBreaker *breaker = &sched->worker[w].breaker;
 
-  return (breaker->failing & class_bit (class)) != 0
+  return !sched->tuning.no_breaker
+         && (breaker->failing & class_bit (class)) != 0
          && now_ms - breaker->failing_ms < SHUN_MS && !class_at_fault (class);
 }
--- a/src/policy/classes.c
+++ b/src/policy/classes.c
@@ -97,13 +97,29 @@
   class->shape = shape;
   class->size = size;
   class->fit_gen = 0;
+  mux_reserve_resize (sched);
   return true;
 }
 
-/* What its tasks hold moves with the class from product to product. */
 static void
-move_booked (MuxSched *sched, MuxClass *class, MuxProduct *to)
+move (uint64_t *from, uint64_t *to, uint64_t n)
 {
+  if (from != NULL)
+    *from -= n;
+  *to += n;
+}
+
+/* What its tasks hold moves with the class from product to product, and
+ * between urgent and patient work. */
+static void
+move_booked (MuxSched *sched, MuxClass *class, MuxProduct *to, bool urgent)
+{
+  bool flips = class->urgent != urgent;
+
+  if (flips)
+    sched->urgent_running = urgent ? sched->urgent_running + class->booked
+                                   : sched->urgent_running - class->booked;
+
   for (uint32_t t = 0; t < sched->tasks; t++)
     {
       const MuxTask *task = &sched->task[t];
@@ -112,12 +128,17 @@
         continue;
       for (uint32_t d = 0; d < MUX_DIMS; d++)
         {
-          if (class->product != NULL)
-            class->product->booked[d] -= mux_size_dim (task->size, d);
-          to->booked[d] += mux_size_dim (task->size, d);
+          uint64_t n = mux_size_dim (task->size, d);
+
+          move (class->product != NULL ? &class->product->booked[d] : NULL,
+                &to->booked[d], n);
+          if (flips)
+            sched->patient_booked[d] = urgent ? sched->patient_booked[d] - n
+                                              : sched->patient_booked[d] + n;
         }
     }
   class->product = to;
+  class->urgent = urgent;
 }
 
 bool
@@ -158,13 +179,13 @@
   size.slots = size.slots == 0 ? 1 : size.slots;
   if (anew && !mux_class_resize (sched, class, size))
     return false;
-  if (class->product != product)
-    move_booked (sched, class, product);
+  if (class->product != product || class->urgent != mux_class_urgent (spec))
+    move_booked (sched, class, product, mux_class_urgent (spec));
   class->spec = *spec;
-  class->urgent = mux_class_urgent (spec);
   if (anew)
     mux_learn_declared (class);
   class->configured = true;
+  mux_reserve_resize (sched);
   sched->room_gen++;
   return true;
 }
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -82,26 +82,23 @@
 tier_of (const MuxSched *sched, const MuxClass *class, uint32_t n)
 {
   if (mux_product_allows (sched, class, n))
-    return class->urgent ? TIER_URGENT : TIER_PATIENT;
+    return class->urgent || sched->tuning.no_tiers ? TIER_URGENT : TIER_PATIENT;
   return mux_class_borrows (class) ? TIER_BORROW : TIER_NONE;
 }
 
-/* Urgent work within quota may take everything, as may who is overdue and had
- * workers drained for it; all others leave the reserve alone. */
+/* Urgent work within quota may take everything; all others leave the reserve
+ * alone, except who is overdue while its like hold next to nothing. */
 static bool
-room_allowed (const MuxSched *sched,
-              const MuxClass *class,
-              uint32_t t,
-              uint32_t n,
-              int64_t now_ms)
+ignores_reserve (const MuxSched *sched,
+                 const MuxClass *class,
+                 uint32_t t,
+                 uint32_t n,
+                 int64_t now_ms)
 {
-  bool holder = mux_hold_owned (sched, t);
-
-  if (holder && now_ms >= sched->task[t].start_by_ms)
-    return true;
   if (tier_of (sched, class, n) == TIER_URGENT)
     return true;
-  return mux_reserve_leaves (sched, class, n, holder);
+  return mux_hold_owned (sched, t) && now_ms >= sched->task[t].start_by_ms
+         && mux_reserve_floor (sched, class, n);
 }
 
 static MuxSeek
@@ -138,8 +135,6 @@
   MuxSeek seek = seek_for (sched, class, t, now_ms);
   uint32_t w;
 
-  if (!room_allowed (sched, class, t, 1, now_ms))
-    return false;
   if (probe_with (sched, &seek, t))
     return true;
   w = mux_index_find (sched, &seek);
@@ -149,7 +144,9 @@
       seek.avoid = MUX_NONE;
       w = mux_index_find (sched, &seek);
     }
-  if (w == MUX_NONE)
+  if (w == MUX_NONE
+      || (!ignores_reserve (sched, class, t, 1, now_ms)
+          && !mux_reserve_spares (sched, class, w, mux_hold_owned (sched, t))))
     return false;
   emit_later (sched, t, w, now_ms);
   return true;
@@ -183,13 +180,15 @@
   MuxGang *gang = &sched->gang[sched->task[t].gang];
   uint32_t n = gang->wanted;
   MuxSeek seek = seek_for (sched, class, t, now_ms);
+  uint64_t loss;
 
   if (gang->tried == sched->room_gen)
     return false;
   gang->tried = sched->room_gen;
   seek.avoid = MUX_NONE;
-  if (!room_allowed (sched, class, t, n, now_ms)
-      || !mux_index_holds (sched, &seek, n))
+  if (!mux_index_holds (sched, &seek, n, &loss)
+      || (!ignores_reserve (sched, class, t, n, now_ms)
+          && !mux_reserve_leaves (sched, loss, mux_hold_owned (sched, t))))
     return false;
   /* All fit together and have one size, so that no search can fail now. */
   while (n-- > 0)
--- a/src/policy/hold.c
+++ b/src/policy/hold.c
@@ -45,34 +45,15 @@
          && mux_id_equal (sched->hold.task_id, sched->task[t].id);
 }
 
-static void
-change_free (MuxSched *sched, uint32_t w, int sign)
-{
-  for (uint32_t d = 0; d < MUX_DIMS; d++)
-    {
-      uint64_t n = mux_size_dim (sched->worker[w].free, d);
-
-      sched->hold.free[d]
-          = sign > 0 ? sched->hold.free[d] + n : sched->hold.free[d] - n;
-    }
-}
-
 void
 mux_hold_drop (MuxSched *sched)
 {
   MuxHold *hold = &sched->hold;
 
   for (uint32_t i = 0; i < hold->count; i++)
-    {
-      uint32_t w = hold->workers[i];
-
-      if (!sched->worker[w].held)
-        continue;
-      if (sched->worker[w].usable)
-        change_free (sched, w, -1);
-      mux_index_held (sched, w, false);
-    }
+    mux_index_held (sched, hold->workers[i], false);
   hold->count = 0;
+  hold->need = 0;
   hold->task = MUX_NONE;
 }
 
@@ -189,26 +170,38 @@
   return g == MUX_NONE ? 1 : sched->gang[g].wanted;
 }
 
-/* Keep of the workers looked at those that take part, the roomiest first. */
+/* Room for urgent tasks that @n tasks of @class take of @room. */
 static uint32_t
-trim (const MuxClass *class,
-      uint32_t n,
-      uint32_t *workers,
-      const MuxSize *room,
-      uint32_t count)
+need_of (const MuxSched *sched, const MuxClass *class, uint32_t n, MuxSize room)
 {
-  uint32_t kept = 0;
-  uint64_t fit = 0;
+  MuxSize left = room;
+
+  if (sched->urgent_size.slots == 0)
+    return 0;
+  for (uint32_t i = 0; i < n; i++)
+    left = mux_size_sub (left, class->size);
+  return mux_size_times (sched->urgent_size, room)
+         - mux_size_times (sched->urgent_size, left);
+}
 
-  for (uint32_t i = 0; i < count && fit < n; i++)
+/* Keep of the workers looked at those that take part, the roomiest first. */
+static void
+trim (MuxSched *sched, const MuxClass *class, uint32_t n, uint32_t count)
+{
+  MuxHold *hold = &sched->hold;
+
+  hold->need = 0;
+  for (uint32_t i = 0; i < count && n > 0; i++)
     {
-      uint32_t times = mux_size_times (class->size, room[i]);
+      uint32_t times = mux_size_times (class->size, hold->left[i]);
 
-      fit += times;
-      if (times > 0)
-        workers[kept++] = workers[i];
+      if (times == 0)
+        continue;
+      times = times < n ? times : n;
+      n -= times;
+      hold->need += need_of (sched, class, times, hold->left[i]);
+      hold->workers[hold->count++] = hold->workers[i];
     }
-  return kept;
 }
 
 static void
@@ -230,16 +223,13 @@
   hold->ready_ms = ready_at (sched, class, n, count, now_ms);
   if (hold->ready_ms == INT64_MAX)
     return;
-  hold->count = trim (class, n, hold->workers, hold->left, count);
+  trim (sched, class, n, count);
   hold->task = t;
   hold->task_id = sched->task[t].id;
   hold->tried = 0;
   hold->until_ms = now_ms + 2 * (hold->ready_ms - now_ms) + HOLD_MIN_MS;
   for (uint32_t i = 0; i < hold->count; i++)
-    {
-      mux_index_held (sched, hold->workers[i], true);
-      change_free (sched, hold->workers[i], 1);
-    }
+    mux_index_held (sched, hold->workers[i], true);
 }
 
 /* The end of stragglers is forecast anew, so that backfill stays possible. */
@@ -319,7 +309,7 @@
       return;
     }
   mux_hold_drop (sched);
-  if (sched->waiting == 0)
+  if (sched->waiting == 0 || sched->tuning.no_hold)
     return;
   t = choose (sched, expired, now_ms);
   if (t != MUX_NONE)
--- a/src/policy/index.c
+++ b/src/policy/index.c
@@ -99,11 +99,13 @@
  * taking the lowest level that fits fills workers up, and only the last one
  * starts an idle worker. */
 static uint32_t
-level_of (const MuxWorker *worker)
+level_of (const MuxWorker *worker, bool first_fit)
 {
   uint64_t sum = 0;
   uint32_t n = 0;
 
+  if (first_fit)
+    return 0;
   if (worker->tasks.count == 0)
     return MUX_LEVELS - 1;
   for (uint32_t d = 0; d < MUX_DIMS; d++)
@@ -124,7 +126,7 @@
   MuxWorker *worker = &sched->worker[w];
   MuxIndex *index = &sched->index;
   bool open = open_for_work (worker);
-  uint32_t level = open ? level_of (worker) : MUX_NONE;
+  uint32_t level = open ? level_of (worker, sched->tuning.first_fit) : MUX_NONE;
 
   if (level != worker->level)
     {
@@ -134,6 +136,7 @@
         bits_set (&index->level[level], w, true);
       worker->level = level;
     }
+  mux_reserve_count (sched, w);
   for (uint32_t i = 0; i < index->shapes; i++)
     if (index->shape[i].refs > 0)
       bits_set (&index->shape[i].fits, w,
@@ -275,6 +278,8 @@
 static uint32_t
 rack_limit (const MuxSched *sched, const MuxClass *class)
 {
+  if (sched->tuning.no_spread)
+    return 0;
   if (class->spec.kind != MUX_KIND_SERVICE
       && class->spec.kind != MUX_KIND_LONG_RUNNING)
     return 0;
@@ -306,27 +311,50 @@
   return search.first;
 }
 
+/* What worker @w loses of its room for urgent tasks with @n more of @size. */
+static uint32_t
+urgent_loss (const MuxSched *sched, uint32_t w, MuxSize size, uint32_t n)
+{
+  const MuxWorker *worker = &sched->worker[w];
+  MuxSize left = worker->free;
+
+  if (worker->urgent_room == 0)
+    return 0;
+  left.cpu_milli -= size.cpu_milli * n;
+  left.mem_mib -= size.mem_mib * n;
+  left.accels -= size.accels * n;
+  left.slots -= size.slots * n;
+  return worker->urgent_room - mux_size_times (sched->urgent_size, left);
+}
+
 bool
-mux_index_holds (const MuxSched *sched, const MuxSeek *seek, uint32_t n)
+mux_index_holds (const MuxSched *sched,
+                 const MuxSeek *seek,
+                 uint32_t n,
+                 uint64_t *loss)
 {
   const MuxIndex *index = &sched->index;
   const MuxShape *want = &index->shape[seek->class->shape];
-  uint64_t found = 0;
+  uint32_t missing = n;
 
-  for (uint32_t k = 0; k < index->words && found < n; k++)
+  *loss = 0;
+  for (uint32_t k = 0; k < index->words && missing > 0; k++)
     {
       uint64_t word = want->fits.word[k];
 
       if (!seek->into_hold)
         word &= ~index->held.word[k];
-      for (; word != 0 && found < n; word &= word - 1)
+      for (; word != 0 && missing > 0; word &= word - 1)
         {
           uint32_t w = k * WORD_BITS + (uint32_t) __builtin_ctzll (word);
+          uint32_t times = mux_size_times (want->size, sched->worker[w].free);
 
-          found += mux_size_times (want->size, sched->worker[w].free);
+          times = times < missing ? times : missing;
+          missing -= times;
+          *loss += urgent_loss (sched, w, want->size, times);
         }
     }
-  return found >= n;
+  return missing == 0;
 }
 
 void
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -5,6 +5,7 @@
 #include "hist.h"
 #include "idmap.h"
 #include "policy/sched.h"
+#include "policy/tuning.h"
 
 #include <uthash.h>
 
@@ -242,6 +243,7 @@
  * @present: the index is in use
  * @usable: may get new work, as the caller says
  * @held: drained for the task or gang of the hold
+ * @urgent_room: urgent tasks of the largest size that it could start now
  * @level: level of the index it stands in, or MUX_NONE
  */
 typedef struct
@@ -255,6 +257,7 @@
   bool present;
   bool usable;
   bool held;
+  uint32_t urgent_room;
   uint32_t level;
   MuxBreaker breaker;
 } MuxWorker;
@@ -277,7 +280,7 @@
  * @ready_ms: when all is forecast to fit there; others may backfill until then
  * @until_ms: when it expires
  * @tried: room generation of the last vain try
- * @free: what is free on those workers
+ * @need: room for urgent tasks that it is going to take
  * @left: scratch, as long as @workers
  * @release: scratch, of @release_room entries
  */
@@ -291,7 +294,7 @@
   int64_t ready_ms;
   int64_t until_ms;
   uint64_t tried;
-  uint64_t free[MUX_DIMS];
+  uint64_t need;
   MuxSize *left;
   MuxRelease *release;
   uint32_t release_room;
@@ -398,7 +401,13 @@
   int64_t tick_ms;
   uint64_t decisions;
   MuxFlow ends;
-  uint64_t reserve[MUX_DIMS];
+  double shield;
+  MuxSize urgent_size;
+  uint64_t urgent_room;
+  uint64_t urgent_most;
+  uint32_t urgent_running;
+  uint64_t patient_booked[MUX_DIMS];
+  MuxTuning tuning;
   MuxHold hold;
   uint64_t random;
 
@@ -497,9 +506,12 @@
 void mux_index_shape_unref (MuxSched *sched, uint32_t shape);
 /** mux_index_find() - best fit, or MUX_NONE */
 uint32_t mux_index_find (const MuxSched *sched, const MuxSeek *seek);
-/** mux_index_holds() - @n tasks of @shape fit together now */
-bool mux_index_holds (const MuxSched *sched, const MuxSeek *seek, uint32_t n);
-
+/** mux_index_holds() - @n tasks fit together now
+ * @loss: room for urgent tasks that they would take, about */
+bool mux_index_holds (const MuxSched *sched,
+                      const MuxSeek *seek,
+                      uint32_t n,
+                      uint64_t *loss);
 /** mux_index_held() - @w joins or leaves the workers of the hold */
 void mux_index_held (MuxSched *sched, uint32_t w, bool held);
 /** mux_index_emptiest() - up to @cap workers that can hold tasks of @class
@@ -526,12 +538,23 @@
 
 /* reserve.c: room kept for the urgent work that is forecast */
 void mux_reserve_update (MuxSched *sched);
-/** mux_reserve_leaves() - @n tasks of @class may take room without eating
+/** mux_reserve_floor() - others than urgent hold so little that the reserve
+ * must not keep @n tasks of @class out */
+bool
+mux_reserve_floor (const MuxSched *sched, const MuxClass *class, uint32_t n);
+/** mux_reserve_count() - count anew what worker @w has for urgent tasks */
+void mux_reserve_count (MuxSched *sched, uint32_t w);
+/** mux_reserve_resize() - after a change of urgent classes or of workers */
+void mux_reserve_resize (MuxSched *sched);
+/** mux_reserve_spares() - a task of @class may go to worker @w without eating
  * into the reserve */
-bool mux_reserve_leaves (const MuxSched *sched,
+bool mux_reserve_spares (const MuxSched *sched,
                          const MuxClass *class,
-                         uint32_t n,
+                         uint32_t w,
                          bool holder);
+/** mux_reserve_leaves() - the reserve allows to lose @loss of the room for
+ * urgent tasks */
+bool mux_reserve_leaves (const MuxSched *sched, uint64_t loss, bool holder);
 
 /* hold.c: the reservation of a blocked gang or large task */
 void mux_hold_tick (MuxSched *sched, int64_t now_ms);
--- a/src/policy/learn.c
+++ b/src/policy/learn.c
@@ -12,7 +12,10 @@
 /* A report of more than this many times the declared size is an error of the
  * worker's accounting rather than the class's need. */
 #define SIZE_FACTOR_MAX 8u
-#define MEAN_WEIGHT_MAX 256.0
+/* The mean run time is one over so many ms of reports, within bounds. */
+#define MEAN_OVER_MS 10000.0
+#define MEAN_WEIGHT_MIN 64.0
+#define MEAN_WEIGHT_MAX 4096.0
 
 void
 mux_flow_tick (MuxFlow *flow, double dt_ms)
@@ -49,8 +52,9 @@
   if (ran_ms > 0)
     {
       mux_hist_add (&class->run_hist, ran_ms, 1);
-      weight = class->run_hist.count;
-      weight = weight < MEAN_WEIGHT_MAX ? weight : MEAN_WEIGHT_MAX;
+      weight = fmax (MEAN_WEIGHT_MIN, class->arrivals.slow * MEAN_OVER_MS);
+      weight = fmin (weight, MEAN_WEIGHT_MAX);
+      weight = fmin (weight, class->run_hist.count);
       class->run_mean_ms += (ran_ms - class->run_mean_ms) / weight;
     }
   if (used.cpu_milli > 0)
@@ -61,12 +65,12 @@
 }
 
 static uint32_t
-learned (const MuxHist *hist, uint32_t declared, uint32_t most)
+learned (const MuxHist *hist, uint32_t declared, uint32_t most, bool below)
 {
   uint32_t seen = mux_hist_quantile (hist, SIZE_QUANTILE_PPM);
   uint64_t bound = (uint64_t) declared * SIZE_FACTOR_MAX;
 
-  if (hist->count < SIZE_REPORTS_MIN || seen <= declared)
+  if (hist->count < SIZE_REPORTS_MIN || (seen <= declared && !below))
     return declared;
   if (declared > 0 && seen > bound)
     seen = (uint32_t) bound;
@@ -79,6 +83,10 @@
 {
   MuxSize size = class->spec.size;
   MuxSize most = { 0 };
+  bool below = sched->tuning.below_declared;
+
+  if (sched->tuning.no_learning)
+    return class->size;
 
   size.slots = size.slots == 0 ? 1 : size.slots;
   for (uint32_t w = 0; w < sched->workers; w++)
@@ -91,8 +99,9 @@
           > (uint64_t) most.cpu_milli + most.mem_mib)
         most = worker->capacity;
     }
-  size.cpu_milli = learned (&class->cpu_hist, size.cpu_milli, most.cpu_milli);
-  size.mem_mib = learned (&class->mem_hist, size.mem_mib, most.mem_mib);
+  size.cpu_milli
+      = learned (&class->cpu_hist, size.cpu_milli, most.cpu_milli, below);
+  size.mem_mib = learned (&class->mem_hist, size.mem_mib, most.mem_mib, below);
   return size;
 }
 
--- a/src/policy/reserve.c
+++ b/src/policy/reserve.c
@@ -2,76 +2,192 @@
 
 #include <math.h>
 
-/* Standard normal quantiles for the shares that targets state. */
+/* Others than urgent may always hold this part of the cell, so that sustained
+ * urgent overload does not starve them. */
+#define FLOOR_PPM 50000u
+/* The promise is aimed at with this much to spare, for errors of the
+ * forecast. */
+#define MISS_MARGIN 4.0
+/* Part of the way down that the shield goes at each tick. */
+#define FALL 0.05
+#define BETA_STEP 0.1
+#define BETA_MAX 4.0
+
+/**
+ * struct Demand - urgent work forecast
+ * @tasks: mean number running at once: arrivals times run time
+ * @rate: arrivals per ms
+ * @within_ms: the shortest wait promised
+ * @miss: the smallest share that may miss it
+ */
+typedef struct
+{
+  double tasks;
+  double rate;
+  double within_ms;
+  double miss;
+} Demand;
+
+static Demand
+forecast_demand (const MuxSched *sched)
+{
+  Demand demand = { .within_ms = 1e9, .miss = 1 };
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      const MuxClass *class = sched->class_at[i];
+      double rate = mux_flow_rate (&class->arrivals);
+      double miss = (1e6 - class->spec.start_share_ppm) / 1e6;
+
+      if (!class->configured || !class->urgent || rate <= 0
+          || class->spec.kind == MUX_KIND_LONG_RUNNING)
+        continue;
+      demand.tasks += rate * class->run_mean_ms;
+      demand.rate += rate;
+      demand.within_ms = fmin (demand.within_ms, class->spec.start_within_ms);
+      demand.miss = fmin (demand.miss, miss);
+    }
+  return demand;
+}
+
+/* Chance that a task waits at all with @beta standard deviations of room
+ * above the mean (Halfin and Whitt). */
 static double
-normal_quantile (uint32_t ppm)
+wait_chance (double beta)
 {
-  if (ppm >= 999000)
-    return 3.1;
-  if (ppm >= 990000)
-    return 2.4;
-  return ppm >= 950000 ? 1.7 : 1.3;
+  double density = exp (-beta * beta / 2) / sqrt (2 * M_PI);
+  double below = erfc (-beta / M_SQRT2) / 2;
+
+  return 1 / (1 + beta * below / density);
 }
 
 /*
- * Tasks of the class that should be able to run at once.  Arrivals times run
- * time is their mean number and its square root their spread.  A task that
- * may wait takes the room of those that end in the meantime, so a long target
- * with short run times needs hardly more than the mean.
+ * Room above the mean so that only the share allowed waits longer than
+ * promised: those who wait are served at the rate of the room above the mean,
+ * so that the chance of a wait falls exponentially with its length.
  */
 static double
-wanted_at_once (const MuxClass *class)
+swing (const Demand *demand)
 {
-  double mean = mux_flow_rate (&class->arrivals) * class->run_mean_ms;
-  double spread = normal_quantile (class->spec.start_share_ppm) * sqrt (mean);
-  double turn = class->run_mean_ms > 0
-                    ? class->spec.start_within_ms / class->run_mean_ms
-                    : 0;
-  double excess = spread - mean * turn;
-
-  return mean + (excess > 0 ? excess : 0);
+  double spread = sqrt (demand->tasks);
+  double turns = demand->within_ms * demand->rate / demand->tasks;
+  double beta = BETA_STEP;
+
+  while (beta < BETA_MAX
+         && wait_chance (beta) * exp (-beta * spread * turns)
+                > demand->miss / MISS_MARGIN)
+    beta += BETA_STEP;
+  return beta * spread;
 }
 
 void
 mux_reserve_update (MuxSched *sched)
 {
-  double sum[MUX_DIMS] = { 0 };
+  Demand demand = forecast_demand (sched);
+  double idle = (double) sched->urgent_most * sched->cell.idle_ppm / 1e6;
+  double more, want;
+
+  if (demand.tasks <= 0)
+    {
+      sched->shield = 0;
+      return;
+    }
+  /* What is kept above the mean stands idle on average, so that the idle
+   * target of the cell bounds it. */
+  more = swing (&demand);
+  want = demand.tasks + fmin (more, idle);
+  /* Patient tasks come in at each dip and stay for long, so the shield rises
+   * at once and falls slowly. */
+  sched->shield = fmax (want, sched->shield + (want - sched->shield) * FALL);
+}
+
+static MuxSize
+largest_urgent (const MuxSched *sched)
+{
+  MuxSize most = { 0 };
 
   for (uint32_t i = 0; i < sched->classes; i++)
     {
       const MuxClass *class = sched->class_at[i];
-      double more;
+      MuxSize size = class->size;
 
-      if (!class->configured || !class->urgent
-          || class->spec.kind == MUX_KIND_LONG_RUNNING)
-        continue;
-      more = wanted_at_once (class) - class->booked;
-      if (more <= 0)
+      if (!class->configured || !class->urgent)
         continue;
-      for (uint32_t d = 0; d < MUX_DIMS; d++)
-        sum[d] += more * mux_size_dim (class->size, d);
+      most.cpu_milli
+          = size.cpu_milli > most.cpu_milli ? size.cpu_milli : most.cpu_milli;
+      most.mem_mib = size.mem_mib > most.mem_mib ? size.mem_mib : most.mem_mib;
+      most.slots = size.slots > most.slots ? size.slots : most.slots;
     }
-  for (uint32_t d = 0; d < MUX_DIMS; d++)
+  return most;
+}
+
+void
+mux_reserve_count (MuxSched *sched, uint32_t w)
+{
+  MuxWorker *worker = &sched->worker[w];
+  bool open = worker->level != MUX_NONE && sched->urgent_size.slots > 0;
+  uint32_t now = open ? mux_size_times (sched->urgent_size, worker->free) : 0;
+
+  sched->urgent_room = sched->urgent_room - worker->urgent_room + now;
+  worker->urgent_room = now;
+}
+
+void
+mux_reserve_resize (MuxSched *sched)
+{
+  sched->urgent_size = largest_urgent (sched);
+  sched->urgent_most = 0;
+  for (uint32_t w = 0; w < sched->workers; w++)
     {
-      double most = (double) sched->total[d] * sched->cell.idle_ppm / 1e6;
+      const MuxWorker *worker = &sched->worker[w];
 
-      sched->reserve[d] = (uint64_t) (sum[d] < most ? sum[d] : most);
+      mux_reserve_count (sched, w);
+      if (worker->present && worker->usable && sched->urgent_size.slots > 0)
+        sched->urgent_most
+            += mux_size_times (sched->urgent_size, worker->capacity);
     }
 }
 
 bool
-mux_reserve_leaves (const MuxSched *sched,
+mux_reserve_leaves (const MuxSched *sched, uint64_t loss, bool holder)
+{
+  double kept = fmax (0, sched->shield - sched->urgent_running);
+
+  /* What the holder is going to take is no spare room for anybody else, be
+   * it free now or lent to urgent tasks. */
+  if (!holder)
+    kept += (double) sched->hold.need;
+  return sched->tuning.no_reserve || loss == 0
+         || (double) sched->urgent_room >= kept + (double) loss;
+}
+
+bool
+mux_reserve_spares (const MuxSched *sched,
                     const MuxClass *class,
-                    uint32_t n,
+                    uint32_t w,
                     bool holder)
 {
+  const MuxWorker *worker = &sched->worker[w];
+  MuxSize then = mux_size_sub (worker->free, class->size);
+  uint32_t room = sched->urgent_size.slots > 0
+                      ? mux_size_times (sched->urgent_size, then)
+                      : 0;
+
+  return mux_reserve_leaves (sched, worker->urgent_room - room, holder);
+}
+
+bool
+mux_reserve_floor (const MuxSched *sched, const MuxClass *class, uint32_t n)
+{
+  if (sched->patient_booked[MUX_DIM_SLOTS] == 0)
+    return true;
   for (uint32_t d = 0; d < MUX_DIMS; d++)
     {
       uint64_t need = (uint64_t) n * mux_size_dim (class->size, d);
-      /* What drains for the holder is no spare room for anybody else. */
-      uint64_t kept = sched->reserve[d] + (holder ? 0 : sched->hold.free[d]);
+      uint64_t floor = sched->total[d] / 1000000 * FLOOR_PPM
+                       + sched->total[d] % 1000000 * FLOOR_PPM / 1000000;
 
-      if (need > 0 && sched->free[d] < need + kept)
+      if (sched->patient_booked[d] + need > floor)
         return false;
     }
   return true;
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -84,6 +84,12 @@
   sched->cell = *spec;
 }
 
+void
+mux_sched_tune (MuxSched *sched, const MuxTuning *tuning)
+{
+  sched->tuning = *tuning;
+}
+
 void
 mux_sched_share_set (MuxSched *sched, uint32_t share_ppm)
 {
--- /dev/null
+++ b/test/bench/bench_policy.c
@@ -0,0 +1,147 @@
+#include "policy/tuning.h"
+#include "support/load.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* What the policy decides, against the baselines, on both users' mixes.
+ * Prints "name value unit" lines; the same on every machine. */
+
+#define RUN_MS 300000
+
+typedef struct
+{
+  const char *name;
+  bool naive;
+  MuxTuning tuning;
+  LoadOrder order;
+  LoadPick pick;
+} Candidate;
+
+static const Candidate candidates[] = {
+  { .name = "cuminmux" },
+  { .name = "no_hold", .tuning.no_hold = true },
+  { .name = "no_spread", .tuning.no_spread = true },
+  { .name = "no_reserve", .tuning.no_reserve = true },
+  { .name = "no_learning", .tuning.no_learning = true },
+  { .name = "no_tiers", .tuning.no_tiers = true },
+  { .name = "no_forecast", .tuning.no_forecast = true },
+  { .name = "pick_first", .tuning.first_fit = true },
+  { .name = "below", .tuning.below_declared = true },
+  { .name = "first_fit",
+    .naive = true,
+    .order = LOAD_ORDER_ARRIVAL,
+    .pick = LOAD_PICK_FIRST },
+  { .name = "random_two",
+    .naive = true,
+    .order = LOAD_ORDER_ARRIVAL,
+    .pick = LOAD_PICK_TWO },
+  { .name = "strict",
+    .naive = true,
+    .order = LOAD_ORDER_STRICT,
+    .pick = LOAD_PICK_FIRST },
+  { .name = "edf",
+    .naive = true,
+    .order = LOAD_ORDER_EDF,
+    .pick = LOAD_PICK_BEST },
+  { .name = "slack",
+    .naive = true,
+    .order = LOAD_ORDER_SLACK,
+    .pick = LOAD_PICK_BEST },
+  { .name = "fair",
+    .naive = true,
+    .order = LOAD_ORDER_FAIR,
+    .pick = LOAD_PICK_BEST },
+  { .name = "drf",
+    .naive = true,
+    .order = LOAD_ORDER_DRF,
+    .pick = LOAD_PICK_BEST },
+};
+
+static const char *only;
+
+static LoadPolicy *
+make (const Candidate *c, const LoadMix *mix)
+{
+  LoadPolicy *policy;
+
+  if (c->naive)
+    return load_policy_naive (mix, c->order, c->pick);
+  policy = load_policy_sched (mix);
+  mux_sched_tune (load_policy_sched_of (policy), &c->tuning);
+  return policy;
+}
+
+static void
+line (const char *head, const char *what, double value, const char *unit)
+{
+  printf ("%s.%s %.6g %s\n", head, what, value, unit);
+}
+
+static void
+print_class (const char *head, const char *name, const LoadClassResult *r)
+{
+  char at[128];
+  double n = r->asked > 0 ? r->asked : 1;
+
+  snprintf (at, sizeof at, "%s.%s", head, name);
+  line (at, "inside", 100.0 * r->inside / n, "%");
+  line (at, "p50_wait", r->p50_ms, "ms");
+  line (at, "p99_wait", r->p99_ms, "ms");
+  line (at, "max_wait", r->max_ms, "ms");
+  line (at, "refused", 100.0 * r->refused / n, "%");
+  line (at, "dropped", 100.0 * r->dropped / n, "%");
+  line (at, "rack_most", r->rack_most_ppm / 1e4, "%");
+}
+
+static void
+print_result (const char *head, const LoadMix *mix, const LoadResult *r)
+{
+  line (head, "urgent_inside",
+        100.0 * r->urgent_inside / (r->urgent_asked > 0 ? r->urgent_asked : 1),
+        "%");
+  line (head, "packing", 100 * r->packing, "%");
+  line (head, "idle_workers", r->idle_workers, "workers");
+  line (head, "overrun", 100 * r->overrun, "%");
+  line (head, "batch_longest", r->batch_max_ms, "ms");
+  for (uint32_t c = 0; c < mix->classes; c++)
+    print_class (head, mix->class[c].spec.name, &r->class[c]);
+}
+
+static void
+bench_loads (const LoadMix *mix)
+{
+  static const uint32_t loads[] = { 70, 90, 110 };
+
+  for (size_t l = 0; l < sizeof loads / sizeof *loads; l++)
+    for (size_t i = 0; i < sizeof candidates / sizeof *candidates; i++)
+      {
+        LoadRun run = { .load = loads[l] / 100.0,
+                        .ms = RUN_MS,
+                        .seed = 7,
+                        .slow_class = MUX_NO_WORKER };
+        LoadPolicy *policy;
+        LoadResult result;
+        char head[96];
+
+        if (only != NULL && strstr (only, candidates[i].name) == NULL)
+          continue;
+        policy = make (&candidates[i], mix);
+
+        load_run (policy, &run, &result);
+        policy->ops.free (policy);
+        snprintf (head, sizeof head, "%s.%u.%s", mix->name, loads[l],
+                  candidates[i].name);
+        print_result (head, mix, &result);
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc > 1)
+    only = argv[1];
+  bench_loads (load_mix_hajar ());
+  bench_loads (load_mix_gridwatch ());
+  return 0;
+}
