--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -32,6 +32,7 @@
   X (PEER_RECEIVED, "peer_messages_received_total", "messages from peers")    \
   X (PEER_BAD, "peer_messages_bad_total", "peer messages not understood")     \
   X (WORKER_CALLS, "worker_calls_total", "calls made to workers")             \
+  X (ROWS_SWEPT, "rows_swept_total", "transactions that dropped old rows")    \
   X (CONFIG_CHANGES, "config_changes_total", "changes committed here")        \
   X (EVENTS, "core_events_total", "events handled by the core")               \
   X (EVENTS_DROPPED, "core_events_dropped_total", "late events for the gone")
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -193,6 +193,7 @@
  * @dead_ms: silence after which a peer's workers are claimed
  * @queue_max: most requests and tasks waiting here
  * @writes_per_s: this daemon's share of the table's writes
+ * @key_keep_s: how long keys and ended jobs are remembered
  * @ticket_key: secret that tickets are signed with; NULL or "": none
  */
 typedef struct
@@ -212,6 +213,7 @@
   uint32_t dead_ms;
   uint32_t queue_max;
   uint32_t writes_per_s;
+  uint32_t key_keep_s;
   const char *ticket_key;
 } MuxCoreOptions;
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -6,6 +6,7 @@
 #include "member.h"
 #include "owner.h"
 #include "show.h"
+#include "sweep.h"
 #include "task.h"
 #include "ticket.h"
 #include "timers.h"
@@ -192,8 +193,9 @@
   core->commit = commit_new ();
   core->config = config_new ();
   core->jobs = jobs_new ();
+  core->sweep = sweep_new ();
   if (core->sched == NULL || core->timers == NULL || core->commit == NULL
-      || core->config == NULL || core->jobs == NULL)
+      || core->config == NULL || core->jobs == NULL || core->sweep == NULL)
     {
       mux_core_free (core);
       mux_error_set (err, MUX_ERROR_MEMORY, "no memory for the core");
@@ -217,6 +219,7 @@
   jobs_free (core->jobs);
   config_free (core->config);
   commit_free (core->commit);
+  sweep_free (core->sweep);
   timers_free (core->timers);
   mux_sched_free (core->sched);
   free (core);
@@ -225,6 +228,8 @@
 static void
 on_ask (MuxCore *core, const MuxAsk *ask)
 {
+  if (ask->wall_ms > core->wall_ms)
+    core->wall_ms = ask->wall_ms;
   switch (ask->verb)
     {
     case MUX_ASK_REQUEST:
@@ -388,6 +393,7 @@
   /* Placements first: what they want recorded goes out in the same step. */
   owner_pump (core);
   jobs_tick (core);
+  sweep_tick (core);
   commit_tick (core);
   look_stopped (core);
 }
@@ -408,6 +414,7 @@
   at = earlier (at, config_wake_ms (core));
   at = earlier (at, jobs_wake_ms (core));
   at = earlier (at, commit_wake_ms (core));
+  at = earlier (at, sweep_wake_ms (core));
   at = earlier (at, mux_sched_wake_ms (core->sched));
   if (core->stopping)
     at = earlier (at, core->now_ms + STOP_LOOK_MS);
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -27,6 +27,7 @@
 typedef struct Config Config;
 typedef struct Jobs Jobs;
 typedef struct Budgets Budgets;
+typedef struct Sweep Sweep;
 
 /* The core: every part keeps its own state behind its pointer. */
 struct MuxCore
@@ -44,6 +45,7 @@
   uint64_t next_task;
   int64_t started_ms; /* first event; 0: none yet */
   int64_t last_step_ms;
+  int64_t wall_ms; /* time of day of the latest ask; 0: none yet */
   int64_t next_heartbeat_ms;
   int64_t next_far_heartbeat_ms;
   int64_t next_workers_ms;
@@ -64,6 +66,7 @@
   Config *config;
   Jobs *jobs;
   Budgets *budgets;
+  Sweep *sweep;
 };
 
 /** core_random() - next number of the seeded generator */
--- a/src/core/jobs_row.c
+++ b/src/core/jobs_row.c
@@ -77,12 +77,13 @@
 
   mux_id_format (header->id, hex);
   return json_blob (json_pack (
-      "{s:s, s:s, s:I, s:s, s:b, s:s, s:I, s:s, s:I, s:I}", "id", hex, "class",
-      header->class_name, "task_count", (json_int_t) header->task_count,
-      "state", job_state_name (header->state), "cancel", header->cancel, "home",
-      header->home, "home_incarnation", (json_int_t) header->home_incarnation,
-      "object", header->object, "done", (json_int_t) header->done, "failed",
-      (json_int_t) header->failed));
+      "{s:s, s:s, s:I, s:s, s:b, s:s, s:I, s:s, s:I, s:I, s:I}", "id", hex,
+      "class", header->class_name, "task_count",
+      (json_int_t) header->task_count, "state", job_state_name (header->state),
+      "cancel", header->cancel, "home", header->home, "home_incarnation",
+      (json_int_t) header->home_incarnation, "object", header->object, "done",
+      (json_int_t) header->done, "failed", (json_int_t) header->failed, "at_ms",
+      (json_int_t) header->at_ms));
 }
 
 bool
@@ -91,16 +92,17 @@
   json_t *json
       = blob == NULL ? NULL : json_loadb (blob->bytes, blob->len, 0, NULL);
   const char *id, *class_name, *state, *home, *object;
-  json_int_t tasks, incarnation, done, failed;
+  json_int_t tasks, incarnation, done, failed, at_ms;
   int cancel;
-  bool good = json != NULL
-              && json_unpack (
-                     json, "{s:s, s:s, s:I, s:s, s:b, s:s, s:I, s:s, s:I, s:I}",
-                     "id", &id, "class", &class_name, "task_count", &tasks,
-                     "state", &state, "cancel", &cancel, "home", &home,
-                     "home_incarnation", &incarnation, "object", &object,
-                     "done", &done, "failed", &failed)
-                     == 0;
+  bool good
+      = json != NULL
+        && json_unpack (
+               json, "{s:s, s:s, s:I, s:s, s:b, s:s, s:I, s:s, s:I, s:I, s:I}",
+               "id", &id, "class", &class_name, "task_count", &tasks, "state",
+               &state, "cancel", &cancel, "home", &home, "home_incarnation",
+               &incarnation, "object", &object, "done", &done, "failed",
+               &failed, "at_ms", &at_ms)
+               == 0;
 
   *header = (JobHeader){ 0 };
   good = good && mux_id_parse (id, &header->id)
@@ -115,6 +117,7 @@
       header->home_incarnation = (uint64_t) incarnation;
       header->done = (uint32_t) done;
       header->failed = (uint32_t) failed;
+      header->at_ms = at_ms;
       snprintf (header->object, sizeof header->object, "%s", object);
     }
   json_decref (json);
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -235,7 +235,8 @@
   submit->body = mux_blob_ref (ask->body);
   submit->header = (JobHeader){ .id = id,
                                 .task_count = ask->task_count,
-                                .home_incarnation = core->opt.incarnation };
+                                .home_incarnation = core->opt.incarnation,
+                                .at_ms = ask->wall_ms };
   mux_name_copy (submit->header.class_name, ask->name);
   mux_name_copy (submit->header.home, core->name);
   name_object (submit);
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -54,6 +54,7 @@
   uint64_t incarnation;
   char home[MUX_NAME_LEN];
   uint64_t home_incarnation;
+  int64_t at_ms; /* time of day, for dropping old rows */
 } Intent;
 
 /* An event with what came with it; everything is borrowed. */
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -136,7 +136,8 @@
   task->granted = true;
   task->at = (Intent){ .attempt = task->attempt,
                        .incarnation = msg->incarnation,
-                       .home_incarnation = core->opt.incarnation };
+                       .home_incarnation = core->opt.incarnation,
+                       .at_ms = core->wall_ms };
   mux_name_copy (task->at.worker, msg->worker);
   mux_name_copy (task->at.home, core->name);
   snprintf (task->at.addr, sizeof task->at.addr, "%s", msg->worker_addr);
@@ -227,7 +228,11 @@
           return;
         }
     }
-  if (refusal_final (core, task, event->reason))
+  /* A stopping daemon with nobody left to ask gives up, and says so at once
+   * rather than at the caller's own time limit. */
+  if (core->stopping && task->owner[0] == 0 && !task->has_job)
+    finish_not_run (core, task, MUX_REASON_STOPPING, RETRY_MS * 10);
+  else if (refusal_final (core, task, event->reason))
     finish_not_run (core, task, event->reason, event->retry_ms);
   else
     pause_then_ask (core, task, pause_ms);
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -176,6 +176,7 @@
       .dead_ms = given->dead_ms,
       .queue_max = given->queue_max,
       .writes_per_s = given->writes_per_s,
+      .key_keep_s = given->key_keep_s,
       /* All daemons of a user have it, and nobody else. */
       .ticket_key = given->curve_secret_key,
     },
--- a/src/daemon/settings_table.c
+++ b/src/daemon/settings_table.c
@@ -22,6 +22,7 @@
   DEAD_MS,
   QUEUE_MAX,
   WRITES_PER_S,
+  KEY_KEEP_S,
   CALLERS_MAX,
   CALLER_IDLE_S,
   WORKER_THREADS,
@@ -67,6 +68,9 @@
   [WRITES_PER_S] = { "writes-per-s", "CUMINMUX_WRITES_PER_S",
     MUX_SETTING_INTEGER, "per s", 1, 1000, "50",
     "this daemon's share of the table's writes" },
+  [KEY_KEEP_S] = { "key-keep-s", "CUMINMUX_KEY_KEEP_S", MUX_SETTING_INTEGER,
+    "s", 600, 2592000, "86400",
+    "how long idempotency keys and ended jobs are remembered" },
   [CALLERS_MAX] = { "callers-max", "CUMINMUX_CALLERS_MAX",
     MUX_SETTING_INTEGER, "", 1, 16384, "1024",
     "most callers waiting for an answer; one thread each" },
@@ -142,6 +146,7 @@
   options->dead_ms = integer (options, DEAD_MS);
   options->queue_max = integer (options, QUEUE_MAX);
   options->writes_per_s = integer (options, WRITES_PER_S);
+  options->key_keep_s = integer (options, KEY_KEEP_S);
   options->callers_max = integer (options, CALLERS_MAX);
   options->caller_idle_s = integer (options, CALLER_IDLE_S);
   options->worker_threads = integer (options, WORKER_THREADS);
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -50,6 +50,7 @@
   uint32_t dead_ms;
   uint32_t queue_max;
   uint32_t writes_per_s;
+  uint32_t key_keep_s;
   uint32_t callers_max;
   uint32_t caller_idle_s;
   uint32_t worker_threads;
