--- a/test/demo/demo_main.c
+++ b/test/demo/demo_main.c
@@ -247,6 +247,29 @@
   return ok;
 }
 
+/* What a job that is not done says of itself. */
+static void
+print_open_jobs (Demo *demo)
+{
+  for (uint32_t i = 0; i < JOBS; i++)
+    {
+      char path[64];
+      char *text;
+      json_t *json;
+
+      if (strcmp (demo->jobs[i].state, "done") == 0)
+        continue;
+      snprintf (path, sizeof path, "/v1/jobs/%s", demo->jobs[i].id);
+      json = mux_http_json (demo->http, "GET", demo->cluster->daemon[0].addr,
+                            path, NULL, NULL);
+      text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
+      printf ("demo: job %s: %s\n", demo->jobs[i].key,
+              text == NULL ? "can't be shown" : text);
+      free (text);
+      json_decref (json);
+    }
+}
+
 static uint32_t
 jobs_done (const Demo *demo)
 {
@@ -311,6 +334,7 @@
   if (ok)
     {
       print_risk (&demo);
+      print_open_jobs (&demo);
       /* The logs are judged once nobody writes to them any more. */
       for (uint32_t i = 0; i < demo.cluster->daemon_count; i++)
         mux_proc_signal (demo.cluster->daemon[i].proc, SIGTERM);
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -1,7 +1,7 @@
 # `make check` is what CI runs; each step prints its name and its time.
 CHECK_JOBS ?= $(shell n=$$(nproc); echo $$(( n > 8 ? 8 : n )))
 SOURCES = $(shell find src include test -name '*.[ch]')
-LINT_FLAGS = $(CPPFLAGS) -Itest -std=c11
+LINT_FLAGS = $(CPPFLAGS) -Itest -std=c11 -include tools/lint.h
 # Unit tests that run several threads of ours; they run under tsan as well.
 TSAN_TESTS = test_ring
 STEP = @tools/step
