--- a/test/support/fake_table.c
+++ b/test/support/fake_table.c
@@ -193,6 +193,7 @@
 {
   if (table->down)
     return mux_table_reply_new (call, MUX_TABLE_DOWN, 0);
+  table->calls++;
   switch (call->verb)
     {
     case MUX_TABLE_TXN:
--- a/test/support/fake_table.h
+++ b/test/support/fake_table.h
@@ -11,6 +11,7 @@
  * @down: every call ends as MUX_TABLE_DOWN
  * @ignore_conditions: transactions are carried out whatever their conditions;
  *   shows that a test which relies on them fails without
+ * @calls: calls carried out
  * @rev: revision given last
  * @count: rows
  * @rows: in key order; objects have "object:" before their key
@@ -19,6 +20,7 @@
 {
   bool down;
   bool ignore_conditions;
+  uint64_t calls;
   uint64_t rev;
   uint32_t count;
   uint32_t cap;
--- /dev/null
+++ b/test/unit/test_config.c
@@ -0,0 +1,449 @@
+#include "support/config_cell.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define NODES 3
+#define NO_QUOTA \
+  "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,\"slots\":0}}"
+
+/* A cell with the product "kiosk" and the class "desk", in force at all. */
+static uint64_t
+begin (ConfigCell *cell, uint64_t seed)
+{
+  char value[256];
+  uint64_t revision;
+
+  config_cell_init (cell, seed, NODES);
+  config_cell_class (value, 100);
+  assert_int_not_equal (
+      config_cell_put (cell, 0, MUX_CONFIG_PRODUCT, "kiosk", NO_QUOTA), 0);
+  revision = config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  assert_int_not_equal (revision, 0);
+  fake_net_run (cell->net, 1000);
+  return revision;
+}
+
+static void
+ask (ConfigCell *cell,
+     uint32_t node,
+     MuxAskVerb verb,
+     MuxConfigSort sort,
+     const char *name)
+{
+  MuxAsk it = { .verb = verb, .sort = sort };
+
+  mux_name_copy (it.name, name);
+  config_cell_ask (cell, node, &it);
+}
+
+/* Revision of the class "desk" as a node shows it. */
+static uint64_t
+shown (ConfigCell *cell, uint32_t node)
+{
+  ask (cell, node, MUX_ASK_CONFIG_GET, MUX_CONFIG_CLASS, "desk");
+  return config_cell_number (cell, "revision");
+}
+
+static size_t
+listed (ConfigCell *cell, uint32_t node, MuxConfigSort sort)
+{
+  ask (cell, node, MUX_ASK_CONFIG_LIST, sort, "");
+  return json_array_size (json_object_get (cell->json, "items"));
+}
+
+static void
+put_classes (ConfigCell *cell, uint32_t count)
+{
+  char name[MUX_NAME_LEN];
+  char value[256];
+
+  config_cell_class (value, 100);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      snprintf (name, sizeof name, "class-%u", i);
+      config_cell_put (cell, i % NODES, MUX_CONFIG_CLASS, name, value);
+    }
+}
+
+static void
+drain (ConfigCell *cell, uint32_t node, const char *worker, bool on)
+{
+  MuxAsk it = { .verb = MUX_ASK_DRAIN, .flag = on };
+
+  mux_name_copy (it.name, worker);
+  config_cell_ask (cell, node, &it);
+}
+
+static void
+assert_refused (const ConfigCell *cell, MuxReason reason)
+{
+  assert_int_equal (cell->answer.outcome, MUX_OUTCOME_NOT_RUN);
+  assert_string_equal (mux_reason_name (cell->answer.reason),
+                       mux_reason_name (reason));
+}
+
+static void
+assert_finding (const ConfigCell *cell, const char *place)
+{
+  const json_t *findings = json_object_get (cell->json, "findings");
+  const char *found = json_string_value (
+      json_object_get (json_array_get (findings, 0), "place"));
+
+  assert_refused (cell, MUX_REASON_BAD_FIELD);
+  assert_non_null (found);
+  assert_string_equal (found, place);
+}
+
+/* An instance is replaced while the table is away.  Its callers would get
+ * "unknown class" from a daemon that serves before it knows the classes, or
+ * nothing at all from one that waits for the table.  Its peers have it all. */
+static void
+test_start_without_table (void **state)
+{
+  ConfigCell cell;
+  int64_t from_ms;
+  uint32_t node;
+
+  (void) state;
+  begin (&cell, 1);
+  put_classes (&cell, 300);
+  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "class-7");
+  cell.net->table.down = true;
+  from_ms = cell.net->now_ms;
+  node = fake_net_add (cell.net, "entry-new", "izki-hall");
+  assert_false (mux_core_ready (cell.net->nodes[node].core));
+  while (!mux_core_ready (cell.net->nodes[node].core))
+    fake_net_next (cell.net);
+  assert_true (cell.net->now_ms - from_ms <= 2000);
+  assert_int_equal (shown (&cell, node), shown (&cell, 0));
+  assert_int_equal (listed (&cell, node, MUX_CONFIG_CLASS), 300);
+  config_cell_free (&cell);
+}
+
+/* One data centre loses the platform, the others go on changing things.  Its
+ * daemons would serve with what was in force at the cut, for hours, though
+ * their peers know better; a page read while a change is made would mix two
+ * revisions. */
+static void
+test_follow_peers (void **state)
+{
+  ConfigCell cell;
+  char value[256];
+  uint64_t revision;
+
+  (void) state;
+  begin (&cell, 2);
+  put_classes (&cell, 200);
+  cell.net->nodes[2].table_cut = true;
+  fake_net_run (cell.net, 3000);
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      config_cell_class (value, 200 + i);
+      revision
+          = config_cell_put (&cell, i % 2, MUX_CONFIG_CLASS, "desk", value);
+    }
+  fake_net_run (cell.net, 3000);
+  assert_int_equal (shown (&cell, 2), revision);
+  assert_int_equal (listed (&cell, 2, MUX_CONFIG_CLASS), 201);
+  config_cell_free (&cell);
+}
+
+/* A daemon is cut off from everything for as long as 8,400 changes take.
+ * Workers drained and given back meanwhile are forgotten by the others; were
+ * it sent only what has changed since, it would keep one drained for ever. */
+static void
+test_back_after_a_day (void **state)
+{
+  ConfigCell cell;
+  char name[MUX_NAME_LEN];
+
+  (void) state;
+  begin (&cell, 3);
+  drain (&cell, 0, "old", true);
+  fake_net_run (cell.net, 1000);
+  assert_int_equal (listed (&cell, 2, MUX_CONFIG_DRAIN), 1);
+  cell.net->nodes[2].table_cut = true;
+  cell.net->cut[0][2] = cell.net->cut[1][2] = true;
+  drain (&cell, 0, "old", false);
+  for (uint32_t i = 0; i < 4200; i++)
+    {
+      snprintf (name, sizeof name, "worker-%u", i);
+      drain (&cell, 0, name, true);
+      drain (&cell, 0, name, false);
+    }
+  cell.net->cut[0][2] = cell.net->cut[1][2] = false;
+  fake_net_run (cell.net, 8000);
+  assert_int_equal (listed (&cell, 2, MUX_CONFIG_DRAIN), 0);
+  assert_int_equal (shown (&cell, 2), shown (&cell, 0));
+  config_cell_free (&cell);
+}
+
+/* A new daemon must not read a day's changes one by one. */
+static void
+test_start_from_snapshot (void **state)
+{
+  ConfigCell cell;
+  uint64_t calls;
+  uint32_t node;
+
+  (void) state;
+  begin (&cell, 4);
+  put_classes (&cell, 600);
+  for (uint32_t i = 0; i < NODES; i++)
+    fake_net_kill (cell.net, i);
+  calls = cell.net->table.calls;
+  node = fake_net_add (cell.net, "entry-new", "izki-hall");
+  while (!mux_core_ready (cell.net->nodes[node].core))
+    fake_net_next (cell.net);
+  assert_true (cell.net->table.calls - calls <= 5);
+  assert_int_equal (listed (&cell, node, MUX_CONFIG_CLASS), 601);
+  config_cell_free (&cell);
+}
+
+/* Two operators open the same class, each changes what it saw, and the second
+ * would silently undo the first. */
+static void
+test_expect (void **state)
+{
+  ConfigCell cell;
+  MuxAsk it = { .verb = MUX_ASK_CONFIG_PUT,
+                .sort = MUX_CONFIG_CLASS,
+                .name = "desk",
+                .expect_set = true };
+  char value[256];
+  uint64_t revision;
+
+  (void) state;
+  it.expect = begin (&cell, 5);
+  config_cell_class (value, 200);
+  it.body = mux_blob_new (value, strlen (value));
+  config_cell_ask (&cell, 1, &it);
+  revision = config_cell_number (&cell, "revision");
+  assert_int_equal (cell.answer.status, 200);
+  config_cell_ask (&cell, 2, &it);
+  assert_refused (&cell, MUX_REASON_REVISION);
+  assert_int_equal (cell.answer.status, 409);
+  assert_int_equal (config_cell_number (&cell, "revision"), revision);
+  assert_int_equal (
+      json_integer_value (json_object_get (json_object_get (cell.json, "value"),
+                                           "start_within_ms")),
+      200);
+  it.expect = 0;
+  config_cell_ask (&cell, 2, &it);
+  assert_refused (&cell, MUX_REASON_REVISION);
+  mux_blob_unref (it.body);
+  config_cell_free (&cell);
+}
+
+/* The answer of a write is lost, and the daemon can't read it back.  The
+ * operator must not be told that it failed, as it may be in force; asking
+ * again, anywhere, must find out and not make it twice. */
+static void
+test_lost_answer (void **state)
+{
+  (void) state;
+  for (uint64_t seed = 1; seed <= 6; seed++)
+    {
+      MuxAsk it = { .verb = MUX_ASK_DRAIN,
+                    .name = "worker-1",
+                    .flag = true,
+                    .change = { 7, seed } };
+      ConfigCell cell;
+      uint64_t revision;
+
+      begin (&cell, seed);
+      cell.net->lost_ppm = 1000000;
+      config_cell_send (&cell, 0, &it);
+      fake_net_run (cell.net, 50);
+      cell.net->nodes[0].table_cut = true;
+      while (cell.answers == 0)
+        fake_net_next (cell.net);
+      assert_int_equal (cell.answer.outcome, MUX_OUTCOME_UNKNOWN);
+      assert_int_equal (cell.answer.reason, MUX_REASON_WRITE_UNKNOWN);
+      cell.net->lost_ppm = 0;
+      config_cell_ask (&cell, 1, &it);
+      assert_int_equal (cell.answer.status, 200);
+      revision = config_cell_number (&cell, "revision");
+      fake_net_run (cell.net, 3000);
+      config_cell_ask (&cell, 2, &it);
+      assert_int_equal (config_cell_number (&cell, "revision"), revision);
+      ask (&cell, 2, MUX_ASK_CONFIG_HISTORY, MUX_CONFIG_CLASS, "");
+      assert_int_equal (
+          json_array_size (json_object_get (cell.json, "changes")), 3);
+      config_cell_free (&cell);
+    }
+}
+
+/* With the table away a change is refused at once, and what is in force stays
+ * so and is shown. */
+static void
+test_table_away (void **state)
+{
+  ConfigCell cell;
+  uint64_t revision;
+  int64_t from_ms;
+
+  (void) state;
+  revision = begin (&cell, 6);
+  cell.net->table.down = true;
+  fake_net_run (cell.net, 3000);
+  from_ms = cell.net->now_ms;
+  drain (&cell, 0, "worker-1", true);
+  assert_refused (&cell, MUX_REASON_STORE_DOWN);
+  assert_int_not_equal (cell.answer.retry_after_ms, 0);
+  assert_int_equal (cell.net->now_ms, from_ms);
+  assert_int_equal (shown (&cell, 0), revision);
+  cell.net->table.down = false;
+  fake_net_run (cell.net, 3000);
+  drain (&cell, 0, "worker-1", true);
+  assert_int_equal (cell.answer.status, 200);
+  config_cell_free (&cell);
+}
+
+static void
+test_values_are_checked (void **state)
+{
+  ConfigCell cell;
+  char value[256];
+
+  (void) state;
+  begin (&cell, 7);
+  assert_int_equal (config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", "{"),
+                    0);
+  assert_refused (&cell, MUX_REASON_BAD_JSON);
+  config_cell_put (&cell, 0, MUX_CONFIG_CELL, "cell", "{\"idle\":1}");
+  assert_finding (&cell, "idle");
+  config_cell_put (&cell, 0, MUX_CONFIG_CELL, "other", "{\"idle_ppm\":1}");
+  assert_finding (&cell, "name");
+  config_cell_put (&cell, 0, MUX_CONFIG_PRODUCT, "a/b", NO_QUOTA);
+  assert_finding (&cell, "name");
+  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
+  assert_finding (&cell, "name");
+  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "desk");
+  assert_int_equal (cell.answer.status, 200);
+  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "desk");
+  assert_refused (&cell, MUX_REASON_UNKNOWN_CLASS);
+  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
+  assert_int_equal (cell.answer.status, 200);
+  config_cell_class (value, 100);
+  config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  assert_finding (&cell, "product");
+  config_cell_free (&cell);
+}
+
+static void
+revert (ConfigCell *cell, uint32_t node, uint64_t to)
+{
+  MuxAsk it = { .verb = MUX_ASK_CONFIG_REVERT,
+                .sort = MUX_CONFIG_CLASS,
+                .name = "desk",
+                .revision = to,
+                .who = "on-call",
+                .wall_ms = 5 };
+
+  config_cell_ask (cell, node, &it);
+}
+
+static void
+test_revert (void **state)
+{
+  ConfigCell cell;
+  char value[256];
+  uint64_t first, third;
+  const json_t *last;
+
+  (void) state;
+  first = begin (&cell, 8);
+  config_cell_class (value, 200);
+  config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  drain (&cell, 0, "worker-1", true);
+  config_cell_class (value, 300);
+  third = config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  revert (&cell, 1, third - 1);
+  assert_int_equal (config_cell_number (&cell, "revision"), third + 1);
+  ask (&cell, 1, MUX_ASK_CONFIG_HISTORY, MUX_CONFIG_CLASS, "");
+  last
+      = json_array_get (json_object_get (cell.json, "changes"), (size_t) third);
+  assert_int_equal (json_integer_value (json_object_get (
+                        json_object_get (last, "value"), "start_within_ms")),
+                    200);
+  assert_string_equal (json_string_value (json_object_get (last, "who")),
+                       "on-call");
+  assert_int_equal (json_integer_value (json_object_get (last, "when_ms")), 5);
+  revert (&cell, 2, first - 1);
+  assert_int_equal (cell.answer.status, 200);
+  ask (&cell, 2, MUX_ASK_CONFIG_GET, MUX_CONFIG_CLASS, "desk");
+  assert_refused (&cell, MUX_REASON_UNKNOWN_CLASS);
+  revert (&cell, 2, third + 100);
+  assert_finding (&cell, "to");
+  config_cell_free (&cell);
+}
+
+typedef struct
+{
+  uint32_t answers[100];
+  uint32_t full;
+} Tally;
+
+static void
+count_answer (void *user, uint32_t node, const MuxAnswer *answer)
+{
+  Tally *tally = user;
+
+  (void) node;
+  tally->answers[answer->call]++;
+  tally->full += answer->reason == MUX_REASON_QUEUE_FULL;
+}
+
+/* A hundred changes arrive at once at a daemon whose table hangs, and then its
+ * process ends.  Each caller must hear of its change, and once. */
+static void
+test_one_answer_each (void **state)
+{
+  FakeHooks hooks;
+  ConfigCell cell;
+  Tally tally = { 0 };
+
+  (void) state;
+  begin (&cell, 9);
+  hooks = (FakeHooks){ .user = &tally, .answer = count_answer };
+  cell.net->hooks = hooks;
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      MuxAsk it = { .verb = MUX_ASK_DRAIN, .flag = true, .call = i };
+
+      snprintf (it.name, sizeof it.name, "worker-%u", i);
+      fake_net_ask (cell.net, 0, &it);
+    }
+  assert_int_equal (tally.full, 36);
+  fake_net_run (cell.net, 100);
+  fake_net_kill (cell.net, 0);
+  for (uint32_t i = 0; i < 100; i++)
+    assert_int_equal (tally.answers[i], 1);
+  config_cell_free (&cell);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_start_without_table),
+    cmocka_unit_test (test_follow_peers),
+    cmocka_unit_test (test_back_after_a_day),
+    cmocka_unit_test (test_start_from_snapshot),
+    cmocka_unit_test (test_expect),
+    cmocka_unit_test (test_lost_answer),
+    cmocka_unit_test (test_table_away),
+    cmocka_unit_test (test_values_are_checked),
+    cmocka_unit_test (test_revert),
+    cmocka_unit_test (test_one_answer_each),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/unit/test_config_race.c
+++ b/test/unit/test_config_race.c
@@ -22,7 +22,9 @@
 #define NODES 5
 #define OUTAGE_AFTER 300
 #define OUTAGE_MS 5000
-#define REPEAT_MS 300
+/* Longer than a late write takes, so that one of a change that was told as
+ * refused is seen before it is asked again. */
+#define REPEAT_MS 600
 #define LOST_PPM 150000
 /* Now and then one daemon alone can't reach the table for so long, longer
  * than it tries to settle a change. */
@@ -32,6 +34,7 @@
 /* So many faults are proof enough. */
 #define WRONG_MAX 20
 #define LOG_PREFIX "config/log/"
+#define CHANGE_PREFIX "config/change/"
 /* Calls: a probe's is PROBE + node, an operator's is its number in the upper
  * half. */
 #define PROBE UINT64_C (1000000)
@@ -49,6 +52,8 @@
   uint64_t revision; /* told with it */
   bool expect_set;
   uint64_t expect;
+  bool unknown;  /* told so of one of its asks */
+  bool refused;  /* told of another one that it was not made */
   uint32_t seen; /* in the history */
 } Change;
 
@@ -113,6 +118,21 @@
   json_decref (row);
 }
 
+/* A change of which every ask was told as not made is not there. */
+static void
+look_refused (Race *race, uint32_t index)
+{
+  const Operator *op = &race->operators[index];
+  const Change *change = &op->changes[op->number];
+  MuxId id = { index + 1, op->number + 1 };
+  char key[MUX_ROW_KEY_LEN] = CHANGE_PREFIX;
+
+  mux_id_format (id, key + strlen (CHANGE_PREFIX));
+  if (change->refused && !change->unknown
+      && fake_table_find (&race->cell.net->table, key) != NULL)
+    wrong (race, "told as refused, but it was made", op->number);
+}
+
 static void
 settle (Race *race, Operator *op, Told told, uint64_t revision)
 {
@@ -136,10 +156,14 @@
   else if (answer->reason == MUX_REASON_REVISION)
     settle (race, op, TOLD_BEATEN, number (body, "revision"));
   else if (answer->outcome == MUX_OUTCOME_UNKNOWN)
-    race->unknown++;
+    {
+      race->unknown++;
+      op->changes[op->number].unknown = true;
+    }
   else
     {
       race->refused++;
+      op->changes[op->number].refused = true;
       op->ask_ms += REPEAT_MS;
     }
 }
@@ -180,6 +204,7 @@
   if (op->call != 0 || op->number == CHANGES
       || race->cell.net->now_ms < op->ask_ms)
     return;
+  look_refused (race, index);
   change->expect_set = index % 2 == 1;
   change->expect = op->seen;
   ask.expect_set = change->expect_set;
