Give every peer message with a body the room for it

MEMBERS came with a body, but the encoder made room beyond the fixed 768 bytes for CONFIG_ROWS alone, so a list of some 40 addresses was dropped unsent. The test of the bounds, widened from one verb to all with a body, failed before and passes now; the longest heartbeat is tested to fit.

--- a/src/adapter/peer_encode.c
+++ b/src/adapter/peer_encode.c
@@ -128,6 +128,17 @@
   return failed == 0;
 }
 
+static bool
+verb_has_body (MuxPeerVerb verb)
+{
+  const MuxPeerFieldList *list = &mux_peer_verb_fields[verb];
+
+  for (uint32_t i = 0; i < list->count; i++)
+    if (list->fields[i].kind == MUX_FIELD_BODY)
+      return true;
+  return false;
+}
+
 MuxBlob *
 mux_peer_encode (const MuxPeerMsg *msg)
 {
@@ -137,7 +148,7 @@
 
   if ((uint32_t) msg->verb >= MUX_PEER_VERB_COUNT)
     return NULL;
-  if (msg->verb == MUX_PEER_CONFIG_ROWS && msg->body != NULL)
+  if (msg->body != NULL && verb_has_body (msg->verb))
     {
       if (msg->body->len > MUX_PEER_BODY_MAX)
         return NULL;
--- a/test/unit/test_peer_codec.c
+++ b/test/unit/test_peer_codec.c
@@ -288,8 +288,11 @@
     }
 }
 
+/* Story: MEMBERS of a large cell were never sent, since only CONFIG_ROWS got
+ * room for a body beyond the fixed fields, and daemons stayed unknown to each
+ * other.  Every verb whose sample has a body must carry the longest one. */
 static void
-test_body_bounds (void **state)
+check_body_bounds (MuxPeerVerb verb)
 {
   const size_t most = 4U << 20;
   char *bytes = calloc (1, most + 1);
@@ -297,9 +300,13 @@
   MuxPeerMsg got;
   MuxBlob *blob;
 
-  (void) state;
-  peer_sample (MUX_PEER_CONFIG_ROWS, &msg);
+  peer_sample (verb, &msg);
   mux_blob_unref (msg.body);
+  msg.body = NULL;
+  blob = mux_peer_encode (&msg);
+  assert_true (decode_exact (blob->bytes, blob->len, &got, NULL));
+  assert_null (got.body);
+  mux_blob_unref (blob);
   msg.body = mux_blob_new (bytes, most + 1);
   assert_null (mux_peer_encode (&msg));
   mux_blob_unref (msg.body);
@@ -309,14 +316,52 @@
   assert_true (decode_exact (blob->bytes, blob->len, &got, NULL));
   assert_msgs_equal (&msg, &got);
   mux_blob_unref (blob);
-  peer_sample (MUX_PEER_CONFIG_ROWS, &msg);
-  mux_blob_unref (msg.body);
-  msg.body = NULL;
+  free (bytes);
+}
+
+static void
+test_body_bounds (void **state)
+{
+  int with_body = 0;
+
+  (void) state;
+  for (int verb = 0; verb < MUX_PEER_VERB_COUNT; verb++)
+    {
+      MuxPeerMsg msg;
+
+      peer_sample ((MuxPeerVerb) verb, &msg);
+      if (msg.body == NULL)
+        continue;
+      mux_blob_unref (msg.body);
+      check_body_bounds ((MuxPeerVerb) verb);
+      with_body++;
+    }
+  assert_true (with_body >= 2);
+}
+
+static void
+test_longest_fields_fit (void **state)
+{
+  const MuxSize size = { UINT32_MAX, UINT32_MAX, UINT32_MAX, UINT32_MAX };
+  MuxPeerMsg msg;
+  MuxPeerMsg got;
+  MuxBlob *blob;
+
+  (void) state;
+  peer_sample (MUX_PEER_HEARTBEAT, &msg);
+  memset (msg.from, 'n', MUX_NAME_LEN - 1);
+  memset (msg.from_dc, 'd', MUX_NAME_LEN - 1);
+  memset (msg.to, 't', MUX_NAME_LEN - 1);
+  strcpy (msg.from_addr,
+          "[2001:0db8:1111:2222:3333:4444:255.255.255.255]:65535");
+  msg.from_incarnation = msg.revision = UINT64_MAX;
+  msg.free = msg.total = msg.largest = size;
+  msg.queued = msg.oldest_ms = UINT32_MAX;
   blob = mux_peer_encode (&msg);
+  assert_non_null (blob);
   assert_true (decode_exact (blob->bytes, blob->len, &got, NULL));
-  assert_null (got.body);
+  assert_msgs_equal (&msg, &got);
   mux_blob_unref (blob);
-  free (bytes);
 }
 
 int
@@ -333,6 +378,7 @@
     cmocka_unit_test (test_unknown_verb_and_version_refused),
     cmocka_unit_test (test_lengths_are_not_trusted),
     cmocka_unit_test (test_body_bounds),
+    cmocka_unit_test (test_longest_fields_fit),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
