Place a gang over several owners, all of it or nothing

Cause: a gang was asked of one owner, so one larger than that owner's workers could never run, whatever the cell had free. Also: a peer's message that was meant for another daemon, or comes from its former life, is dropped.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -269,9 +269,28 @@
     }
 }
 
+/*
+ * Failure: an address was taken over by another daemon, or a message of a
+ * peer's former life arrives late.  Its words were meant for, or come from,
+ * somebody else: a late GRANT_END would free room that is in use.
+ */
+static bool
+misdirected (MuxCore *core, const MuxPeerMsg *msg)
+{
+  const Member *from = member_find (core, msg->from);
+
+  return (msg->to[0] != 0 && strcmp (msg->to, core->name) != 0)
+         || (from != NULL && msg->from_incarnation < from->incarnation);
+}
+
 static void
 on_peer (MuxCore *core, const MuxPeerMsg *msg)
 {
+  if (misdirected (core, msg))
+    {
+      mux_count (core->counters, MUX_COUNT_EVENTS_DROPPED, 1);
+      return;
+    }
   switch (msg->verb)
     {
     case MUX_PEER_HEARTBEAT:
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -123,11 +123,12 @@
   if (!core->stopping)
     job_scan (core);
   job_waits_tick (core);
-  if (core->now_ms < core->jobs->next_write_ms)
-    return;
   HASH_ITER (hh, core->jobs->open, job, next)
-  if (job->dirty_any)
-    job_write (core, job);
+  {
+    job_gang_tick (core, job);
+    if (job->dirty_any && core->now_ms >= core->jobs->next_write_ms)
+      job_write (core, job);
+  }
 }
 
 static int64_t
@@ -143,9 +144,13 @@
   int64_t wait = job_waits_wake_ms (core);
 
   for (const Job *job = core->jobs->open; job != NULL; job = job->hh.next)
-    if (job->dirty_any && !job->writing && !job->reading
-        && later (job->write_ms, core->jobs->next_write_ms) < at)
-      at = later (job->write_ms, core->jobs->next_write_ms);
+    {
+      if (job->gang_state != GANG_NONE && job->gang_at_ms < at)
+        at = job->gang_at_ms;
+      if (job->dirty_any && !job->writing && !job->reading
+          && later (job->write_ms, core->jobs->next_write_ms) < at)
+        at = later (job->write_ms, core->jobs->next_write_ms);
+    }
   if (wait < at)
     at = wait;
   return at;
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -19,10 +19,10 @@
 /** jobs_record() - a job's task was granted room: write where, then send it
  * TASK_EV_ROW_WRITTEN (or drop it, if the job has another home now) */
 void jobs_record (MuxCore *core, Task *task);
-/** jobs_gang_again() - an owner refused @task's gang: void all its asks and
- * let them ask anew together, after @pause_ms.  False: part of the gang has
- * room already, so @task asks alone. */
-bool jobs_gang_again (MuxCore *core, Task *task, int64_t pause_ms);
+/** jobs_gang_held() - @task of a gang has room */
+void jobs_gang_held (MuxCore *core, Task *task);
+/** jobs_gang_refused() - an owner won't hold @task's gang, or is lost */
+void jobs_gang_refused (MuxCore *core, Task *task, MuxReason reason);
 /** jobs_task_ended() - for good; the task is freed by the caller after.  It
  * must not end other tasks in the same call: their lists are being walked. */
 void jobs_task_ended (MuxCore *core,
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -69,18 +69,15 @@
                           .give_up_ms = INT64_MAX,
                           .job = job->id,
                           .job_index = index,
+                          .in_gang = gang,
                           .attempt = slot->attempt == 0 ? 1 : slot->attempt };
   Intent at = { .attempt = options.attempt, .incarnation = slot->incarnation };
 
-  if (gang)
-    {
-      options.group = job->id;
-      options.group_count = job->header.task_count;
-    }
   slot->active = true;
   job->active++;
   if (slot->state == SLOT_NEW)
     {
+      job->asking++;
       task_new (core, &options);
       return;
     }
@@ -89,18 +86,6 @@
   task_resume (core, &options, &at);
 }
 
-/* Tasks that still ask for room; those that run need no window. */
-static uint32_t
-asking (const Job *job)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < job->next_new; i++)
-    if (job->slots[i].active && job->slots[i].state == SLOT_NEW)
-      count++;
-  return count;
-}
-
 void
 job_carry (MuxCore *core, Job *job)
 {
@@ -110,8 +95,10 @@
   if (spec == NULL || job->ended || job->dropped || job->header.cancel
       || core->stopping)
     return;
-  room = spec->kind == MUX_KIND_GANG ? job->header.task_count
-                                     : WINDOW_TASKS - asking (job);
+  /* Tasks that run need no window. */
+  room = job->asking < WINDOW_TASKS ? WINDOW_TASKS - job->asking : 0;
+  if (spec->kind == MUX_KIND_GANG)
+    room = job->header.task_count;
   while (job->next_new < job->header.task_count && room > 0)
     {
       Slot *slot = &job->slots[job->next_new];
@@ -124,6 +111,8 @@
         }
       job->next_new++;
     }
+  if (spec->kind == MUX_KIND_GANG && job->asking > 0)
+    job_gang_begin (core, job);
 }
 
 void
@@ -173,6 +162,8 @@
       return;
     }
   slot = &job->slots[task->job_index];
+  if (slot->state == SLOT_NEW)
+    job->asking--;
   slot->state = SLOT_PLACED;
   slot->attempt = task->attempt;
   slot->incarnation = task->at.incarnation;
@@ -184,45 +175,6 @@
   job_carry (core, job);
 }
 
-static bool
-still_asking (const Task *task)
-{
-  return task->state == TASK_ASKING || task->state == TASK_WAITING;
-}
-
-/*
- * Failure: an owner refuses a gang, and each of its tasks by itself picks
- * another owner from what it knows at that moment.  They pick different ones,
- * and each owner waits for a gang that never gets complete: the job hangs.
- * So the whole gang asks anew, under a new group id and at one moment.
- */
-bool
-jobs_gang_again (MuxCore *core, Task *task, int64_t pause_ms)
-{
-  Job *job = job_find (core, task->job);
-  MuxId group;
-
-  if (job == NULL)
-    return false;
-  for (uint32_t i = 0; i < job->header.task_count; i++)
-    {
-      const Task *t = task_find (core, mux_id_of_part (job->id, i));
-
-      if (t != NULL && mux_id_equal (t->group, task->group)
-          && !still_asking (t))
-        return false;
-    }
-  group = mux_id_of_part (job->id, MUX_JOB_TASKS_MAX + ++job->rounds);
-  for (uint32_t i = 0; i < job->header.task_count; i++)
-    {
-      Task *t = task_find (core, mux_id_of_part (job->id, i));
-
-      if (t != NULL && !mux_id_is_none (t->group))
-        task_ask_group (core, t, group, pause_ms);
-    }
-  return true;
-}
-
 static SlotState
 slot_of (const Task *task, MuxOutcome outcome, MuxReason reason)
 {
@@ -249,6 +201,8 @@
   (void) result;
   if (job == NULL)
     return;
+  if (job->slots[task->job_index].state == SLOT_NEW)
+    job->asking--;
   job->slots[task->job_index].active = false;
   job->active--;
   slot_end (core, job, task->job_index, slot_of (task, outcome, reason));
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -62,6 +62,35 @@
   int64_t at_ms; /* time of day when it was submitted */
 } JobHeader;
 
+/* Most owners that a gang is spread over. */
+#define GANG_PARTS_MAX 32
+
+/* What an owner is asked to hold of a gang. */
+typedef struct
+{
+  char owner[MUX_NAME_LEN];
+  uint32_t tasks;
+  uint32_t asked;
+  uint32_t first; /* number of its first task */
+} GangPart;
+
+/* What an owner turned out to be able to hold at most. */
+typedef struct
+{
+  char owner[MUX_NAME_LEN];
+  uint32_t tasks;
+} GangBound;
+
+/**
+ * enum GangState - how far a gang is with its places
+ */
+typedef enum
+{
+  GANG_NONE,    /* no gang, or all of it is placed */
+  GANG_PAUSING, /* asks when gang_at_ms comes */
+  GANG_ASKING,  /* its parts are asked one after the other */
+} GangState;
+
 typedef struct Job Job;
 struct Job
 {
@@ -78,11 +107,20 @@
   bool ended;   /* every slot is final; only its last write is missing */
   bool dropped; /* carried on elsewhere */
   uint32_t active;
+  uint32_t asking; /* of which not placed yet */
   uint32_t final;
-  uint32_t rounds;   /* times that its gang has asked */
   uint32_t next_new; /* no SLOT_NEW below this one */
-  int64_t write_ms;  /* not before */
-  MuxId *written;    /* keys of tasks that wait for the write in flight */
+  GangState gang_state;
+  int64_t gang_at_ms;
+  uint32_t gang_rounds;
+  uint32_t gang_parts;
+  uint32_t gang_now;  /* part that is being asked */
+  uint32_t gang_held; /* tasks of that part that have room */
+  GangPart gang_part[GANG_PARTS_MAX];
+  GangBound gang_bound[GANG_PARTS_MAX];
+  uint32_t gang_bound_count;
+  int64_t write_ms; /* not before */
+  MuxId *written;   /* keys of tasks that wait for the write in flight */
   uint32_t written_count;
   MuxId *pending; /* the same for the next write */
   uint32_t pending_count;
@@ -146,6 +184,9 @@
 void job_free (MuxCore *core, Job *job);
 /** job_carry() - give its tasks something to do, as far as its window goes */
 void job_carry (MuxCore *core, Job *job);
+/** job_gang_begin() - its tasks are there and wait to be placed together */
+void job_gang_begin (MuxCore *core, Job *job);
+void job_gang_tick (MuxCore *core, Job *job);
 /** job_cancel() - carry out what header.cancel says */
 void job_cancel (MuxCore *core, Job *job);
 /** job_drop() - it has another home now: let go of its tasks */
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -99,8 +99,7 @@
   task->has_job = !mux_id_is_none (options->job);
   task->job = options->job;
   task->job_index = options->job_index;
-  task->group = options->group;
-  task->group_count = options->group_count;
+  task->in_gang = options->in_gang;
   task->start_by_ms = core->now_ms + spec->start_within_ms;
   task->give_up_ms = options->give_up_ms;
   task->body = mux_blob_ref (options->body);
@@ -122,8 +121,9 @@
 
   if (task == NULL)
     return NULL;
-  task->state = TASK_ASKING;
-  task_ask (core, task);
+  task->state = task->in_gang ? TASK_WAITING : TASK_ASKING;
+  if (!task->in_gang)
+    task_ask (core, task);
   return task_find (core, options->key);
 }
 
@@ -240,7 +240,8 @@
 
   HASH_ITER (hh, core->tasks, task, next)
   {
-    if (task->state != TASK_ASKING || strcmp (task->owner, owner) != 0)
+    if ((task->state != TASK_ASKING && task->state != TASK_HOLDING)
+        || strcmp (task->owner, owner) != 0)
       continue;
     task_event (core, task, &event);
   }
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -10,6 +10,7 @@
 {
   TASK_WAITING,   /* a pause before the next ask */
   TASK_ASKING,    /* an owner was asked for room */
+  TASK_HOLDING,   /* granted; the rest of its gang is not yet */
   TASK_RECORDING, /* granted; its intent is being written */
   TASK_READING,   /* the write's answer was lost; its row is being read */
   TASK_STARTED,   /* the start is on its way or being carried out */
@@ -96,6 +97,7 @@
   bool has_job;  /* its row is the job's */
   MuxId job;
   uint32_t job_index;
+  bool in_gang; /* not placed yet, and only with its whole gang */
   MuxId group;
   uint32_t group_count;
   Waiter *waiters;
@@ -134,8 +136,7 @@
  * @job: job it is part of, or none
  * @job_index: its number there
  * @attempt: first attempt to make
- * @group: gang, or none
- * @group_count: tasks of that gang
+ * @in_gang: the job's gang asks for it
  * @minting: the room is for a ticket
  */
 typedef struct
@@ -149,8 +150,7 @@
   MuxId job;
   uint32_t job_index;
   uint32_t attempt;
-  MuxId group;
-  uint32_t group_count;
+  bool in_gang;
   bool minting;
 } TaskOptions;
 
@@ -161,8 +161,16 @@
 Task *task_find (MuxCore *core, MuxId key);
 /** task_event() - run the state table; the task may be gone after it */
 void task_event (MuxCore *core, Task *task, const TaskEvent *event);
-/** task_ask_group() - void its ask and ask as part of @group in @pause_ms */
-void task_ask_group (MuxCore *core, Task *task, MuxId group, int64_t pause_ms);
+/** task_ask_owner() - ask @owner for a place as one of @count of @group */
+void task_ask_owner (MuxCore *core,
+                     Task *task,
+                     const char *owner,
+                     MuxId group,
+                     uint32_t count);
+/** task_gang_wait() - give back what it holds or asks for, and wait */
+void task_gang_wait (MuxCore *core, Task *task);
+/** task_record() - its gang is held: have its placement written */
+void task_record (MuxCore *core, Task *task);
 /** task_drop() - forget it without a word (its job went to another home) */
 void task_drop (MuxCore *core, Task *task);
 /** tasks_timer() - a timer of @subject fired */
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -32,21 +32,6 @@
   return false;
 }
 
-static uint32_t
-times (uint32_t one, uint32_t count)
-{
-  uint64_t all = (uint64_t) one * count;
-
-  return all > UINT32_MAX ? UINT32_MAX : (uint32_t) all;
-}
-
-static MuxSize
-gang_size (MuxSize one, uint32_t count)
-{
-  return (MuxSize){ times (one.cpu_milli, count), times (one.mem_mib, count),
-                    times (one.accels, count), times (one.slots, count) };
-}
-
 static Choice
 weigh (const Task *task,
        const char *name,
@@ -62,14 +47,6 @@
     return choice;
   choice.usable = true;
   choice.room = queued == 0 && mux_size_fits (task->size, free);
-  /* A gang's tasks all choose in one step and must choose the same owner,
-   * so only what does not change between them may count. */
-  if (!mux_id_is_none (task->group))
-    {
-      choice.room
-          = mux_size_fits (gang_size (task->size, task->group_count), total);
-      queued = 0;
-    }
   choice.cost = (uint64_t) (queued + 1) * 1000 * distance / total.slots;
   return choice;
 }
@@ -131,7 +108,7 @@
     best = weigh (task, core->name, NULL, stats.free, stats.total, stats.queued,
                   1);
   /* With room here there is no better place: no message, no delay. */
-  if (best.usable && best.room && mux_id_is_none (task->group))
+  if (best.usable && best.room)
     return best;
   for (Member *m = core->members; m != NULL; m = m->hh.next)
     {
@@ -214,7 +191,7 @@
     }
   mux_name_copy (task->owner, choice.name);
   task->asks++;
-  if (choice.member != NULL && mux_id_is_none (task->group))
+  if (choice.member != NULL)
     {
       choice.member->free = mux_size_sub (choice.member->free, task->size);
       if (!choice.room)
@@ -223,6 +200,20 @@
   send_ask (core, task);
 }
 
+void
+task_ask_owner (MuxCore *core,
+                Task *task,
+                const char *owner,
+                MuxId group,
+                uint32_t count)
+{
+  task->state = TASK_ASKING;
+  task->group = group;
+  task->group_count = count;
+  mux_name_copy (task->owner, owner);
+  send_ask (core, task);
+}
+
 void
 task_ask_repeat (MuxCore *core, Task *task)
 {
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -70,6 +70,7 @@
   task->probed = false;
   task->absent_seen = false;
   task->lost = 0;
+  task->in_gang = false;
   task->group = (MuxId){ 0, 0 };
   task->group_count = 0;
   if (task->waiters == NULL && !task->has_job)
@@ -149,10 +150,15 @@
       ticket_granted (core, task, msg);
       return;
     }
+  if (task->in_gang)
+    {
+      task->state = TASK_HOLDING;
+      jobs_gang_held (core, task);
+      return;
+    }
   if (task->has_job)
     {
-      task->state = TASK_RECORDING;
-      jobs_record (core, task);
+      task_record (core, task);
       return;
     }
   if (!task->keyed || (task->idempotent && commit_store_down (core)))
@@ -169,12 +175,26 @@
 }
 
 void
-task_ask_group (MuxCore *core, Task *task, MuxId group, int64_t pause_ms)
+task_gang_wait (MuxCore *core, Task *task)
 {
-  task_ask_cancel (core, task);
-  task->group = group;
+  if (task->granted)
+    task_grant_end (core, task, MUX_TASK_ABSENT, 0);
+  else
+    task_ask_cancel (core, task);
+  task->owner[0] = 0;
   task->state = TASK_WAITING;
-  task_wake (core, task, pause_ms);
+  task->wake_ms = 0;
+  /* A new number: a late grant of the last round can't be taken for one of
+   * the next. */
+  task_attempt_set (core, task, task->attempt + 1);
+}
+
+void
+task_record (MuxCore *core, Task *task)
+{
+  task->in_gang = false;
+  task->state = TASK_RECORDING;
+  jobs_record (core, task);
 }
 
 /* Whether asking again later can't help the one who waits now. */
@@ -213,11 +233,10 @@
       commit_read (core, task);
       return;
     }
-  if (!mux_id_is_none (task->group))
+  if (task->in_gang)
     {
-      if (jobs_gang_again (core, task, core_jitter (core, pause_ms)))
-        return;
-      task->group = (MuxId){ 0, 0 };
+      jobs_gang_refused (core, task, event->reason);
+      return;
     }
   if (task->owner[0] != 0)
     {
@@ -626,6 +645,10 @@
     [TASK_EV_GIVE_UP] = s_give_up_early,
     [TASK_EV_CANCEL] = s_cancel_early,
   },
+  [TASK_HOLDING] = {
+    [TASK_EV_REFUSED] = s_refused,
+    [TASK_EV_CANCEL] = s_cancel_early,
+  },
   [TASK_RECORDING] = {
     [TASK_EV_ROW_WRITTEN] = s_row_written,
     [TASK_EV_ROW_FOUND] = s_row_found,
@@ -715,8 +738,8 @@
 task_state_name (TaskState state)
 {
   static const char *const names[TASK_STATE_COUNT]
-      = { "waiting", "asking",   "recording", "reading", "started",
-          "running", "settling", "following", "stopping" };
+      = { "waiting", "asking",  "holding",  "recording", "reading",
+          "started", "running", "settling", "following", "stopping" };
 
   return names[state];
 }
