Forecast per class which targets are at risk, with cause and cure

Urgent classes: fluid queue and the Halfin-Whitt chance of a wait; others: how long the queue takes to drain against the time its head and tail have left.

--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -75,6 +75,7 @@
   task->emitting = true;
   mux_list_add (sched, &sched->emission, MUX_LINK_MEMBER, t);
   class->starts.ticked++;
+  class->inside.ticked += now_ms <= task->start_by_ms;
   mux_hist_add (&class->wait_hist, wait > 0 ? (uint32_t) wait : 0, 1);
 }
 
@@ -309,6 +310,7 @@
     {
       mux_flow_tick (&sched->class_at[i]->arrivals, dt);
       mux_flow_tick (&sched->class_at[i]->starts, dt);
+      mux_flow_tick (&sched->class_at[i]->inside, dt);
     }
   mux_flow_tick (&sched->ends, dt);
   learn_sizes (sched);
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -154,7 +154,8 @@
  * @tried: decision in which it could not be placed
  * @urgent: a short wait is promised; others yield to it
  * @arrivals: tasks that asked
- * @starts: tasks placed
+ * @starts: tasks placed, or dropped
+ * @inside: tasks placed inside the promised wait
  * @run_hist: run times, the declared one as prior
  * @run_mean_ms: their mean
  * @cpu_hist: processors used, as reported
@@ -182,6 +183,7 @@
   bool urgent;
   MuxFlow arrivals;
   MuxFlow starts;
+  MuxFlow inside;
   MuxHist run_hist;
   double run_mean_ms;
   MuxHist cpu_hist;
@@ -538,6 +540,9 @@
 
 /* reserve.c: room kept for the urgent work that is forecast */
 void mux_reserve_update (MuxSched *sched);
+/** mux_wait_chance() - chance that a task waits at all with @beta standard
+ * deviations of room above the mean (Halfin and Whitt) */
+double mux_wait_chance (double beta);
 /** mux_reserve_floor() - others than urgent hold so little that the reserve
  * must not keep @n tasks of @class out */
 bool
--- a/src/policy/reserve.c
+++ b/src/policy/reserve.c
@@ -50,10 +50,8 @@
   return demand;
 }
 
-/* Chance that a task waits at all with @beta standard deviations of room
- * above the mean (Halfin and Whitt). */
-static double
-wait_chance (double beta)
+double
+mux_wait_chance (double beta)
 {
   double density = exp (-beta * beta / 2) / sqrt (2 * M_PI);
   double below = erfc (-beta / M_SQRT2) / 2;
@@ -74,7 +72,7 @@
   double beta = BETA_STEP;
 
   while (beta < BETA_MAX
-         && wait_chance (beta) * exp (-beta * spread * turns)
+         && mux_wait_chance (beta) * exp (-beta * spread * turns)
                 > demand->miss / MISS_MARGIN)
     beta += BETA_STEP;
   return beta * spread;
--- a/test/bench/bench_policy.c
+++ b/test/bench/bench_policy.c
@@ -92,6 +92,13 @@
   line (at, "refused", 100.0 * r->refused / n, "%");
   line (at, "dropped", 100.0 * r->dropped / n, "%");
   line (at, "rack_most", r->rack_most_ppm / 1e4, "%");
+  line (at, "failed", r->failed, "tasks");
+  line (at, "windows", r->windows, "windows");
+  line (at, "windows_missed", r->missed, "windows");
+  line (at, "false_alarms", r->flags_false, "windows");
+  line (at, "missed_alarms", r->flags_missed, "windows");
+  if (r->missed_ms >= 0 && r->flagged_ms >= 0)
+    line (at, "lead", (double) (r->missed_ms - r->flagged_ms), "ms");
 }
 
 static void
@@ -101,6 +108,7 @@
         100.0 * r->urgent_inside / (r->urgent_asked > 0 ? r->urgent_asked : 1),
         "%");
   line (head, "packing", 100 * r->packing, "%");
+  line (head, "packing_most", 100 * r->packing_most, "%");
   line (head, "idle_workers", r->idle_workers, "workers");
   line (head, "overrun", 100 * r->overrun, "%");
   line (head, "batch_longest", r->batch_max_ms, "ms");
