--- a/test/bench/bench_policy.c
+++ b/test/bench/bench_policy.c
@@ -92,7 +92,6 @@
   line (at, "refused", 100.0 * r->refused / n, "%");
   line (at, "dropped", 100.0 * r->dropped / n, "%");
   line (at, "rack_most", r->rack_most_ppm / 1e4, "%");
-  line (at, "failed", r->failed, "tasks");
   line (at, "windows", r->windows, "windows");
   line (at, "windows_missed", r->missed, "windows");
   line (at, "false_alarms", r->flags_false, "windows");
@@ -104,6 +103,8 @@
 static void
 print_result (const char *head, const LoadMix *mix, const LoadResult *r)
 {
+  double failed = 0;
+
   line (head, "urgent_inside",
         100.0 * r->urgent_inside / (r->urgent_asked > 0 ? r->urgent_asked : 1),
         "%");
@@ -111,39 +112,80 @@
   line (head, "packing_most", 100 * r->packing_most, "%");
   line (head, "idle_workers", r->idle_workers, "workers");
   line (head, "overrun", 100 * r->overrun, "%");
+  for (uint32_t c = 0; c < mix->classes; c++)
+    failed += r->class[c].failed;
+  line (head, "tasks_failed", failed, "tasks");
   line (head, "batch_longest", r->batch_max_ms, "ms");
   for (uint32_t c = 0; c < mix->classes; c++)
     print_class (head, mix->class[c].spec.name, &r->class[c]);
 }
 
+static void
+run_one (const char *what,
+         const LoadMix *mix,
+         const Candidate *candidate,
+         const LoadRun *run)
+{
+  LoadPolicy *policy;
+  LoadResult result;
+  char head[96];
+
+  if (only != NULL && strstr (only, candidate->name) == NULL)
+    return;
+  policy = make (candidate, mix);
+  load_run (policy, run, &result);
+  policy->ops.free (policy);
+  snprintf (head, sizeof head, "%s.%s.%s", mix->name, what, candidate->name);
+  print_result (head, mix, &result);
+}
+
 static void
 bench_loads (const LoadMix *mix)
 {
-  static const uint32_t loads[] = { 70, 90, 110 };
+  static const char *const names[] = { "70", "90", "110" };
+  static const double loads[] = { 0.7, 0.9, 1.1 };
 
   for (size_t l = 0; l < sizeof loads / sizeof *loads; l++)
     for (size_t i = 0; i < sizeof candidates / sizeof *candidates; i++)
       {
-        LoadRun run = { .load = loads[l] / 100.0,
-                        .ms = RUN_MS,
-                        .seed = 7,
-                        .slow_class = MUX_NO_WORKER };
-        LoadPolicy *policy;
-        LoadResult result;
-        char head[96];
-
-        if (only != NULL && strstr (only, candidates[i].name) == NULL)
-          continue;
-        policy = make (&candidates[i], mix);
-
-        load_run (policy, &run, &result);
-        policy->ops.free (policy);
-        snprintf (head, sizeof head, "%s.%u.%s", mix->name, loads[l],
-                  candidates[i].name);
-        print_result (head, mix, &result);
+        LoadRun run = {
+          .load = loads[l], .ms = RUN_MS, .seed = 7, .slow_class = MUX_NO_WORKER
+        };
+
+        run_one (names[l], mix, &candidates[i], &run);
       }
 }
 
+/* One worker in ten fails all; the batch class runs ten times as long as it
+ * declared; the load rises by half in the middle. */
+static void
+bench_faults (const LoadMix *mix)
+{
+  static const Candidate kept[]
+      = { { .name = "cuminmux" },
+          { .name = "no_breaker", .tuning.no_breaker = true },
+          { .name = "first_fit",
+            .naive = true,
+            .order = LOAD_ORDER_ARRIVAL,
+            .pick = LOAD_PICK_FIRST } };
+  LoadRun run
+      = { .load = 0.7, .ms = RUN_MS, .seed = 7, .slow_class = MUX_NO_WORKER };
+
+  for (size_t i = 0; i < sizeof kept / sizeof *kept; i++)
+    {
+      LoadRun broken = run;
+      LoadRun slow = run;
+      LoadRun surge = run;
+
+      broken.broken = mix->workers / 10;
+      slow.slow_class = 2;
+      surge.surge_ms = RUN_MS / 2;
+      run_one ("broken", mix, &kept[i], &broken);
+      run_one ("slow", mix, &kept[i], &slow);
+      run_one ("surge", mix, &kept[i], &surge);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -151,5 +193,7 @@
     only = argv[1];
   bench_loads (load_mix_hajar ());
   bench_loads (load_mix_gridwatch ());
+  bench_faults (load_mix_hajar ());
+  bench_faults (load_mix_gridwatch ());
   return 0;
 }
