--- a/include/policy/sched.h
+++ b/include/policy/sched.h
@@ -146,6 +146,9 @@
 
 /** mux_sched_started() - it was seen running */
 void mux_sched_started (MuxSched *sched, MuxId task, int64_t now_ms);
+/** mux_sched_used() - usage report of a booked task that runs on: learned
+ * from, and its booking grows to it when it uses more than was booked */
+void mux_sched_used (MuxSched *sched, MuxId task, MuxSize used);
 /** mux_sched_ended() - unbook; false: it was not booked
  * @used: as reported; all 0 when not known */
 bool mux_sched_ended (MuxSched *sched,
--- a/src/policy/books.c
+++ b/src/policy/books.c
@@ -104,6 +104,14 @@
   task->emitting = false;
 }
 
+void
+mux_rebook (MuxSched *sched, uint32_t t, MuxSize size)
+{
+  change_booked (sched, &sched->task[t], -1);
+  sched->task[t].size = size;
+  change_booked (sched, &sched->task[t], 1);
+}
+
 static bool
 grow_racks (MuxSched *sched)
 {
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -494,6 +494,8 @@
 
 /* books.c: workers and what is booked on them */
 void mux_book (MuxSched *sched, uint32_t t, uint32_t w, MuxSize size);
+/** mux_rebook() - a booked task is found to need another size */
+void mux_rebook (MuxSched *sched, uint32_t t, MuxSize size);
 void mux_unbook (MuxSched *sched, uint32_t t);
 void mux_racks_clear (MuxSched *sched);
 
@@ -529,6 +531,8 @@
 void mux_flow_tick (MuxFlow *flow, double dt_ms);
 double mux_flow_rate (const MuxFlow *flow);
 void mux_learn_declared (MuxClass *class);
+/** mux_learn_usage() - a task of it uses @used */
+void mux_learn_usage (MuxClass *class, MuxSize used);
 /** mux_learn_end() - a task of it ran @ran_ms and used @used */
 void mux_learn_end (MuxClass *class, uint32_t ran_ms, MuxSize used);
 /** mux_learn_size() - what to book for a task: the declared size, or more
--- a/src/policy/learn.c
+++ b/src/policy/learn.c
@@ -44,6 +44,16 @@
     mux_hist_add (&class->run_hist, class->spec.run_ms, PRIOR_WEIGHT);
 }
 
+void
+mux_learn_usage (MuxClass *class, MuxSize used)
+{
+  if (used.cpu_milli > 0)
+    mux_hist_add (&class->cpu_hist, used.cpu_milli, 1);
+  if (used.mem_mib > 0)
+    mux_hist_add (&class->mem_hist, used.mem_mib, 1);
+  class->reports++;
+}
+
 void
 mux_learn_end (MuxClass *class, uint32_t ran_ms, MuxSize used)
 {
@@ -57,11 +67,7 @@
       weight = fmin (weight, class->run_hist.count);
       class->run_mean_ms += (ran_ms - class->run_mean_ms) / weight;
     }
-  if (used.cpu_milli > 0)
-    mux_hist_add (&class->cpu_hist, used.cpu_milli, 1);
-  if (used.mem_mib > 0)
-    mux_hist_add (&class->mem_hist, used.mem_mib, 1);
-  class->reports++;
+  mux_learn_usage (class, used);
 }
 
 static uint32_t
--- a/src/policy/risk.c
+++ b/src/policy/risk.c
@@ -260,9 +260,9 @@
 static double
 seen_share (const MuxClass *class)
 {
-  if (class->starts.slow < SEEN_RATE_MIN)
+  if (class->starts.fast < SEEN_RATE_MIN)
     return 1;
-  return fmin (1, class->inside.slow / class->starts.slow);
+  return fmin (1, class->inside.fast / class->starts.fast);
 }
 
 static MuxRisk
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -136,6 +136,33 @@
     sched->task[t].started = true;
 }
 
+static uint32_t
+more_of (uint32_t a, uint32_t b)
+{
+  return a > b ? a : b;
+}
+
+/* A class that declares too little would overload its workers until its first
+ * tasks end; what runs is booked with what it is seen to use. */
+void
+mux_sched_used (MuxSched *sched, MuxId id, MuxSize used)
+{
+  uint32_t t = mux_idmap_get (&sched->task_ids, id);
+  MuxTask *task;
+
+  if (t == MUX_NONE || sched->task[t].state != MUX_TASK_BOOKED)
+    return;
+  task = &sched->task[t];
+  mux_learn_usage (sched->class_at[task->class_id], used);
+  if (used.cpu_milli <= task->size.cpu_milli
+      && used.mem_mib <= task->size.mem_mib)
+    return;
+  mux_rebook (sched, t,
+              (MuxSize){ more_of (used.cpu_milli, task->size.cpu_milli),
+                         more_of (used.mem_mib, task->size.mem_mib),
+                         task->size.accels, task->size.slots });
+}
+
 bool
 mux_sched_ended (MuxSched *sched,
                  MuxId id,
--- a/test/support/load.h
+++ b/test/support/load.h
@@ -63,6 +63,7 @@
   int64_t give_up_ms;
   int64_t placed_ms;
   bool measured;
+  bool reported;
 } LoadTask;
 
 typedef struct LoadPolicy LoadPolicy;
@@ -72,6 +73,7 @@
  * @submit: false: refused
  * @next: next decision; @worker MUX_NO_WORKER: dropped
  * @ended: a placed task ended
+ * @used: usage report of a task that runs on; may be NULL
  */
 typedef struct
 {
@@ -81,6 +83,7 @@
                 uint32_t *task,
                 uint32_t *worker);
   void (*ended) (LoadPolicy *policy, uint32_t task, bool ok, int64_t now_ms);
+  void (*used) (LoadPolicy *policy, uint32_t task);
   uint32_t (*at_risk) (LoadPolicy *policy, int64_t now_ms, bool *flags);
   void (*free) (LoadPolicy *policy);
 } LoadPolicyOps;
--- a/test/support/load_naive.c
+++ b/test/support/load_naive.c
@@ -282,7 +282,8 @@
 {
   Naive *p = calloc (1, sizeof *p);
 
-  p->base.ops = (LoadPolicyOps){ submit, next, ended, at_risk, free_naive };
+  p->base.ops
+      = (LoadPolicyOps){ submit, next, ended, NULL, at_risk, free_naive };
   p->base.mix = mix;
   p->order = order;
   p->pick = pick;
--- a/test/support/load_run.c
+++ b/test/support/load_run.c
@@ -10,6 +10,7 @@
 #define WINDOWS_MAX 256
 #define RACKS_MAX 1024
 #define FAIL_MS 10
+#define REPORT_LAG_MS 2000
 #define ATTEMPTS 3
 
 typedef enum
@@ -321,12 +322,31 @@
     }
 }
 
+/* Tasks that have run for a while are reported once. */
+static void
+report_usage (State *s)
+{
+  if (s->policy->ops.used == NULL)
+    return;
+  for (uint32_t i = 0; i < s->events; i++)
+    {
+      LoadTask *task = &s->task[s->event[i].what];
+
+      if (s->event[i].kind != EVENT_END || task->reported
+          || s->now_ms - task->placed_ms < REPORT_LAG_MS)
+        continue;
+      task->reported = true;
+      s->policy->ops.used (s->policy, s->event[i].what);
+    }
+}
+
 static void
 sample (State *s)
 {
   bool flags[LOAD_CLASSES] = { false };
 
   sample_racks (s);
+  report_usage (s);
   if (s->policy->ops.at_risk (s->policy, s->now_ms, flags) == 0)
     return;
   for (uint32_t c = 0; c < s->mix->classes; c++)
--- a/test/support/load_sched.c
+++ b/test/support/load_sched.c
@@ -53,6 +53,16 @@
                    (uint32_t) (now_ms - task->placed_ms), used, now_ms);
 }
 
+static void
+used (LoadPolicy *policy, uint32_t t)
+{
+  SchedPolicy *p = (SchedPolicy *) policy;
+  const LoadTask *task = &(*policy->tasks)[t];
+
+  mux_sched_used (p->sched, (MuxId){ 1, t + 1 },
+                  (MuxSize){ task->cpu_milli, task->mem_mib, 0, 1 });
+}
+
 static uint32_t
 at_risk (LoadPolicy *policy, int64_t now_ms, bool *flags)
 {
@@ -82,7 +92,8 @@
       = { .seed = 1, .queue_max = 8000, .tasks_hint = 20000 };
   MuxCellSpec cell = { .idle_ppm = mix->idle_ppm };
 
-  p->base.ops = (LoadPolicyOps){ submit, next, ended, at_risk, free_policy };
+  p->base.ops
+      = (LoadPolicyOps){ submit, next, ended, used, at_risk, free_policy };
   p->base.mix = mix;
   p->sched = mux_sched_new (&options);
   mux_sched_cell_set (p->sched, &cell);
