--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -154,7 +154,8 @@
  * @tried: decision in which it could not be placed
  * @urgent: a short wait is promised; others yield to it
  * @arrivals: tasks that asked
- * @starts: tasks placed
+ * @starts: tasks placed, or dropped
+ * @inside: tasks placed inside the promised wait
  * @run_hist: run times, the declared one as prior
  * @run_mean_ms: their mean
  * @cpu_hist: processors used, as reported
@@ -182,6 +183,7 @@
   bool urgent;
   MuxFlow arrivals;
   MuxFlow starts;
+  MuxFlow inside;
   MuxHist run_hist;
   double run_mean_ms;
   MuxHist cpu_hist;
@@ -492,6 +494,8 @@
 
 /* books.c: workers and what is booked on them */
 void mux_book (MuxSched *sched, uint32_t t, uint32_t w, MuxSize size);
+/** mux_rebook() - a booked task is found to need another size */
+void mux_rebook (MuxSched *sched, uint32_t t, MuxSize size);
 void mux_unbook (MuxSched *sched, uint32_t t);
 void mux_racks_clear (MuxSched *sched);
 
@@ -527,6 +531,8 @@
 void mux_flow_tick (MuxFlow *flow, double dt_ms);
 double mux_flow_rate (const MuxFlow *flow);
 void mux_learn_declared (MuxClass *class);
+/** mux_learn_usage() - a task of it uses @used */
+void mux_learn_usage (MuxClass *class, MuxSize used);
 /** mux_learn_end() - a task of it ran @ran_ms and used @used */
 void mux_learn_end (MuxClass *class, uint32_t ran_ms, MuxSize used);
 /** mux_learn_size() - what to book for a task: the declared size, or more
@@ -538,6 +544,9 @@
 
 /* reserve.c: room kept for the urgent work that is forecast */
 void mux_reserve_update (MuxSched *sched);
+/** mux_wait_chance() - chance that a task waits at all with @beta standard
+ * deviations of room above the mean (Halfin and Whitt) */
+double mux_wait_chance (double beta);
 /** mux_reserve_floor() - others than urgent hold so little that the reserve
  * must not keep @n tasks of @class out */
 bool
