Put forwarders before a test cluster's members, and restart them

The history run needs links that go silent or refuse, and members that come back under their names. Members' ports are dropped from the forwarder at a kill: the kernel may give them to anybody. Demo path unchanged (linked is off there).

--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -166,7 +166,8 @@
       .counters = daemon->counters,
       .name = given->name,
       .data_centre = given->data_centre,
-      .peer_addr = daemon->peer_listen,
+      .peer_addr = *given->peer_advertise != 0 ? given->peer_advertise
+                                               : daemon->peer_listen,
       .incarnation = (uint64_t) mux_wall_ms (),
       .seeds = given->seeds,
       .seed_count = given->seed_count,
--- a/src/daemon/settings_table.c
+++ b/src/daemon/settings_table.c
@@ -14,6 +14,7 @@
   DATA_CENTRE,
   LISTEN,
   PEER_LISTEN,
+  PEER_ADVERTISE,
   PLATFORM,
   SEEDS,
   LEASE_MS,
@@ -50,6 +51,9 @@
   [PEER_LISTEN] = { "peer-listen", "CUMINMUX_PEER_LISTEN",
     MUX_SETTING_ADDRESS, "", 0, 0, NULL,
     "address for other daemons, as they reach it; port 0 lets the kernel pick" },
+  [PEER_ADVERTISE] = { "peer-advertise", "CUMINMUX_PEER_ADVERTISE",
+    MUX_SETTING_ADDRESS, "", 0, 0, "",
+    "address that peers are told, if they reach --peer-listen by another" },
   [PLATFORM] = { "platform", "CUMINMUX_PLATFORM", MUX_SETTING_URL, "", 0, 0,
     "", "platform's services; none: nothing can be recorded or listed" },
   [SEEDS] = { "seeds", "CUMINMUX_SEEDS", MUX_SETTING_ADDRESSES, "", 0, 0, "",
@@ -128,6 +132,7 @@
   options->data_centre = text (options, DATA_CENTRE);
   options->listen = text (options, LISTEN);
   options->peer_listen = text (options, PEER_LISTEN);
+  options->peer_advertise = text (options, PEER_ADVERTISE);
   options->platform_url = text (options, PLATFORM);
   options->curve_secret_key = text (options, CURVE_SECRET_KEY);
   options->curve_public_key = text (options, CURVE_PUBLIC_KEY);
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -11,6 +11,7 @@
  * @data_centre: where it stands
  * @listen: callers' HTTP address
  * @peer_listen: peers' ZeroMQ address
+ * @peer_advertise: address told to peers, or "": the one listened on
  * @platform_url: platform's services; "": none
  * @seeds: peers to greet first
  * @seed_count: entries of @seeds
@@ -41,6 +42,7 @@
   const char *data_centre;
   const char *listen;
   const char *peer_listen;
+  const char *peer_advertise;
   const char *platform_url;
   const char *const *seeds;
   uint32_t seed_count;
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -5,6 +5,7 @@
 #include "base/id.h"
 #include "model/spec.h"
 #include "support/proc.h"
+#include "support/tcp_forwarder.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -22,6 +23,8 @@
  * @daemons: in all
  * @workers: in all
  * @capacity: of each worker
+ * @linked: a forwarder before each worker, and before each daemon's two sides
+ * @lease_ms: the daemons' setting; 0: their default
  */
 typedef struct
 {
@@ -32,14 +35,21 @@
   uint32_t daemons;
   uint32_t workers;
   MuxSize capacity;
+  bool linked;
+  uint32_t lease_ms;
 } MuxClusterOptions;
 
 /**
  * struct MuxMember - one process of the cluster
- * @proc: the process
+ * @proc: the process; NULL while it is dead
  * @name: instance
  * @data_centre: where
- * @addr: "ip:port" of its HTTP side
+ * @addr: "ip:port" by which its HTTP side is reached
+ * @direct: the same without the forwarder
+ * @link: forwarder before its HTTP side, or NULL
+ * @peer_link: forwarder before a daemon's peer side, or NULL
+ * @peer_addr: by which peers reach a daemon, when linked
+ * @lives: times that it was started
  * @log: a worker's execution log
  */
 typedef struct
@@ -48,6 +58,11 @@
   char name[MUX_NAME_LEN];
   char data_centre[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
+  char direct[MUX_ADDR_LEN];
+  TcpForwarder *link;
+  TcpForwarder *peer_link;
+  char peer_addr[MUX_ADDR_LEN];
+  uint32_t lives;
   char log[MUX_PATH_LEN];
 } MuxMember;
 
@@ -77,6 +92,20 @@
                              const char *path,
                              uint32_t timeout_ms,
                              MuxError *err);
+/** mux_cluster_kill() - kill -9, and reap */
+void mux_cluster_kill (MuxMember *member);
+/** mux_cluster_start_daemon(), mux_cluster_start_worker() - a new life under
+ * the same name and addresses; on the main thread */
+bool
+mux_cluster_start_daemon (MuxCluster *cluster, uint32_t index, MuxError *err);
+bool
+mux_cluster_start_worker (MuxCluster *cluster, uint32_t index, MuxError *err);
+/** mux_cluster_register() - tell the platform of a linked worker
+ * @state: "live", "leaving" or "gone" */
+bool mux_cluster_register (MuxCluster *cluster,
+                           const MuxMember *worker,
+                           const char *state,
+                           MuxError *err);
 /** mux_cluster_free() - kill what still runs */
 void mux_cluster_free (MuxCluster *cluster);
 
--- a/test/support/tcp_forwarder.c
+++ b/test/support/tcp_forwarder.c
@@ -13,7 +13,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#define PAIRS_MAX 64
+/* Open connections at once; one more is refused. */
+#define PAIRS_MAX 512
 #define WAIT_S 30
 
 /* Frozen ends stay open; they are closed with the forwarder. */
@@ -32,6 +33,8 @@
   int listener;
   bool stopping;
   struct sockaddr_in target;
+  bool targeted;
+  TcpForwarderMode mode;
   Pair pairs[PAIRS_MAX];
   uint32_t count;
   uint32_t closed;
@@ -47,16 +50,29 @@
   return sa;
 }
 
+/* A place for one more connection, or NULL. */
+static Pair *
+free_pair (TcpForwarder *fw)
+{
+  for (uint32_t i = 0; i < fw->count; i++)
+    if (fw->pairs[i].fd[0] < 0)
+      return &fw->pairs[i];
+  return fw->count < PAIRS_MAX ? &fw->pairs[fw->count++] : NULL;
+}
+
 static void
 accept_pair (TcpForwarder *fw)
 {
-  int in = accept (fw->listener, NULL, NULL);
+  int in = accept4 (fw->listener, NULL, NULL, SOCK_CLOEXEC);
   int out = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  Pair *pair = NULL;
 
-  if (in >= 0 && out >= 0 && fw->count < PAIRS_MAX
+  if (in >= 0 && out >= 0 && fw->targeted && fw->mode != TCP_FORWARDER_REFUSE
       && connect (out, (struct sockaddr *) &fw->target, sizeof fw->target) == 0)
+    pair = free_pair (fw);
+  if (pair != NULL)
     {
-      fw->pairs[fw->count++] = (Pair){ { in, out }, false };
+      *pair = (Pair){ { in, out }, false };
       return;
     }
   if (in >= 0)
@@ -81,13 +97,8 @@
 }
 
 static void
-pump (TcpForwarder *fw, Pair *pair, int from)
+close_pair (TcpForwarder *fw, Pair *pair)
 {
-  char buf[4096];
-  ssize_t n = recv (pair->fd[from], buf, sizeof buf, 0);
-
-  if (n > 0 && write_all (pair->fd[1 - from], buf, n))
-    return;
   close (pair->fd[0]);
   close (pair->fd[1]);
   pair->fd[0] = pair->fd[1] = -1;
@@ -95,10 +106,22 @@
   pthread_cond_broadcast (&fw->changed);
 }
 
+static void
+pump (TcpForwarder *fw, Pair *pair, int from)
+{
+  char buf[16384];
+  ssize_t n = recv (pair->fd[from], buf, sizeof buf, 0);
+
+  if (n <= 0 || !write_all (pair->fd[1 - from], buf, n))
+    close_pair (fw, pair);
+}
+
 static int
-end_to_poll (const Pair *pair, int end)
+end_to_poll (const TcpForwarder *fw, const Pair *pair, int end)
 {
-  return pair->frozen ? -1 : pair->fd[end];
+  if (pair->frozen || fw->mode == TCP_FORWARDER_SILENT)
+    return -1;
+  return pair->fd[end];
 }
 
 static void *
@@ -116,8 +139,9 @@
       fds[0] = (struct pollfd){ fw->wake, POLLIN, 0 };
       fds[1] = (struct pollfd){ fw->listener, POLLIN, 0 };
       for (uint32_t i = 0; i < 2 * count; i++)
-        fds[2 + i] = (struct pollfd){ end_to_poll (&fw->pairs[i / 2], i % 2),
-                                      POLLIN, 0 };
+        fds[2 + i]
+            = (struct pollfd){ end_to_poll (fw, &fw->pairs[i / 2], i % 2),
+                               POLLIN, 0 };
       pthread_mutex_unlock (&fw->mutex);
       poll (fds, 2 + 2 * count, -1);
       pthread_mutex_lock (&fw->mutex);
@@ -125,7 +149,7 @@
         eventfd_read (fw->wake, &woken);
       for (uint32_t i = 0; i < 2 * count; i++)
         if (fds[2 + i].revents != 0
-            && end_to_poll (&fw->pairs[i / 2], i % 2) >= 0)
+            && end_to_poll (fw, &fw->pairs[i / 2], i % 2) >= 0)
           pump (fw, &fw->pairs[i / 2], i % 2);
       if (fds[1].revents != 0)
         accept_pair (fw);
@@ -144,7 +168,9 @@
   if (fw == NULL)
     abort ();
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  fw->target = parse (target);
+  if (target != NULL)
+    fw->target = parse (target);
+  fw->targeted = target != NULL;
   fw->wake = eventfd (0, EFD_CLOEXEC);
   fw->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (bind (fw->listener, (struct sockaddr *) &sa, sizeof sa) != 0
@@ -181,8 +207,22 @@
 tcp_forwarder_retarget (TcpForwarder *fw, const char *target)
 {
   pthread_mutex_lock (&fw->mutex);
-  fw->target = parse (target);
+  if (target != NULL)
+    fw->target = parse (target);
+  fw->targeted = target != NULL;
+  pthread_mutex_unlock (&fw->mutex);
+}
+
+void
+tcp_forwarder_mode (TcpForwarder *fw, TcpForwarderMode mode)
+{
+  pthread_mutex_lock (&fw->mutex);
+  fw->mode = mode;
+  for (uint32_t i = 0; mode == TCP_FORWARDER_REFUSE && i < fw->count; i++)
+    if (fw->pairs[i].fd[0] >= 0)
+      close_pair (fw, &fw->pairs[i]);
   pthread_mutex_unlock (&fw->mutex);
+  eventfd_write (fw->wake, 1);
 }
 
 void
--- a/test/support/tcp_forwarder.h
+++ b/test/support/tcp_forwarder.h
@@ -7,13 +7,22 @@
 /* Stands between two ends like a middlebox, on loopback. */
 typedef struct TcpForwarder TcpForwarder;
 
+typedef enum
+{
+  TCP_FORWARDER_PASS,
+  TCP_FORWARDER_SILENT, /* nothing passes; it comes late, in PASS again */
+  TCP_FORWARDER_REFUSE, /* closes what is open, and each new one at once */
+} TcpForwarderMode;
+
 /** tcp_forwarder_new() - forward a port that the kernel picks to @target
- * @target: "127.0.0.1:port"
+ * @target: "127.0.0.1:port"; NULL: none yet, connections are closed
  * @addr: receives the address to connect to, MUX_ADDR_LEN bytes */
 TcpForwarder *tcp_forwarder_new (const char *target, char *addr);
 void tcp_forwarder_free (TcpForwarder *forwarder);
 /** tcp_forwarder_retarget() - where connections from now on lead */
 void tcp_forwarder_retarget (TcpForwarder *forwarder, const char *target);
+/** tcp_forwarder_mode() - from now on, for all connections */
+void tcp_forwarder_mode (TcpForwarder *forwarder, TcpForwarderMode mode);
 /** tcp_forwarder_freeze() - forget the connections that stand: they stay open
  * and nothing passes them any more, while new ones work */
 void tcp_forwarder_freeze (TcpForwarder *forwarder);
