--- a/test/support/callers.c
+++ b/test/support/callers.c
@@ -1,8 +1,6 @@
 #include "support/callers.h"
 
-#include "support/hash.h"
-#include "support/http.h"
-#include "support/random.h"
+#include "support/request.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -10,8 +8,6 @@
 #include <string.h>
 #include <time.h>
 
-#define BODY_MAX 1024
-#define ANSWER_MAX (BODY_MAX + 64)
 /* Between two submissions of one call, longer each time. */
 #define PAUSE_MS 50
 /* The connection outlives the daemon's own limit, which answers first. */
@@ -29,18 +25,6 @@
   MuxCallersTally tally;
 };
 
-/* One call and its latest submission. */
-typedef struct
-{
-  uint32_t number;
-  char key[MUX_KEY_LEN];
-  char body[BODY_MAX];
-  size_t body_len;
-  int64_t submit_ms;
-  bool answered;
-  MuxHttpReply reply;
-} Call;
-
 int64_t
 mux_mono_ms (void)
 {
@@ -58,126 +42,43 @@
   nanosleep (&t, NULL);
 }
 
-/* The key makes the body its own; random bytes follow, zeros among them. */
 static void
-fill_call (const MuxCallersOptions *options, uint32_t number, Call *call)
+fill_call (const MuxCallersOptions *options,
+           uint32_t number,
+           MuxTestRequest *call)
 {
-  MuxRandom random = { options->seed + number };
-  size_t len;
-
+  memset (call, 0, sizeof *call);
+  call->class_name = options->class_name;
+  call->idempotent = options->idempotent;
   call->number = number;
+  call->give_up_ms = options->give_up_ms;
+  call->timeout_ms = options->give_up_ms + EXTRA_MS;
   snprintf (call->key, sizeof call->key, "%s-%u", options->key_prefix, number);
-  len = (size_t) snprintf (call->body, sizeof call->body, "%s:", call->key);
-  call->body_len = len + mux_random_below (&random, BODY_MAX - (uint32_t) len);
-  for (; len < call->body_len; len++)
-    call->body[len] = (char) mux_random_below (&random, 256);
-}
-
-static const char *
-outcome_of (const Call *call)
-{
-  if (!call->answered || call->reply.outcome[0] == 0)
-    return "none";
-  return call->reply.outcome;
-}
-
-static void
-submit (const MuxCallersOptions *options,
-        MuxHttp *http,
-        Call *call,
-        const char *addr)
-{
-  char path[128];
-  char key[MUX_KEY_LEN + 32];
-  char give_up[64];
-  const char *headers[]
-      = { key, give_up, "Content-Type: application/octet-stream", NULL };
-  MuxHttpAsk ask = { .method = "POST",
-                     .addr = addr,
-                     .path = path,
-                     .headers = headers,
-                     .body = call->body,
-                     .body_len = call->body_len,
-                     .timeout_ms = options->give_up_ms + EXTRA_MS };
-
-  snprintf (path, sizeof path, "/v1/request/%s", options->class_name);
-  snprintf (key, sizeof key, "Idempotency-Key: %s", call->key);
-  snprintf (give_up, sizeof give_up, "Cuminmux-Give-Up-Ms: %u",
-            options->give_up_ms);
-  call->submit_ms = mux_mono_ms ();
-  call->answered = mux_http_call (http, &ask, &call->reply, NULL);
-}
-
-/* What the task named in the answer must have given. */
-static void
-expect_hash (const Call *call, char out[MUX_HASH_TEXT_LEN])
-{
-  char bytes[ANSWER_MAX];
-  int n = snprintf (bytes, sizeof bytes, "answer:%s:", call->reply.task);
-
-  memcpy (bytes + n, call->body, call->body_len);
-  mux_hash_text (bytes, (size_t) n + call->body_len, out);
-}
-
-static void
-log_submission (const MuxCallersOptions *options, const Call *call)
-{
-  char body[MUX_HASH_TEXT_LEN];
-  char expect[MUX_HASH_TEXT_LEN] = "";
-  char answer[MUX_HASH_TEXT_LEN] = "";
-
-  mux_hash_text (call->body, call->body_len, body);
-  if (call->answered)
-    {
-      mux_hash_text (call->reply.body, call->reply.body_len, answer);
-      expect_hash (call, expect);
-    }
-  mux_jsonl_write (
-      options->log,
-      json_pack (
-          "{s:s, s:I, s:s, s:s, s:b, s:I, s:I, s:s, s:s, s:s, s:s, s:s, s:s}",
-          "event", "request", "call", (json_int_t) call->number, "class",
-          options->class_name, "key", call->key, "idempotent",
-          (int) options->idempotent, "submit_ms", (json_int_t) call->submit_ms,
-          "answer_ms", (json_int_t) mux_mono_ms (), "outcome",
-          outcome_of (call), "task", call->reply.task, "reason",
-          call->reply.reason, "body_hash", body, "answer_hash", answer,
-          "expect_hash", expect));
-}
-
-/* Worth the same key again: nothing is known yet of what became of it. */
-static bool
-still_open (const Call *call)
-{
-  const char *outcome = outcome_of (call);
-
-  return strcmp (outcome, "none") == 0 || strcmp (outcome, "unknown") == 0
-         || strcmp (call->reply.reason, "key_in_use") == 0;
+  mux_request_fill (call, call->key, options->seed + number, 0);
 }
 
 static uint32_t
-run_call (const MuxCallersOptions *options, MuxHttp *http, Call *call)
+run_call (const MuxCallersOptions *options, MuxHttp *http, MuxTestRequest *call)
 {
   uint32_t tried = 0;
 
   for (;;)
     {
-      submit (options, http, call,
-              options->addrs[(call->number + tried) % options->addr_count]);
+      mux_request_send (
+          call, http,
+          options->addrs[(call->number + tried) % options->addr_count],
+          options->log);
       tried++;
-      log_submission (options, call);
-      if (call->answered)
-        mux_http_reply_clear (&call->reply);
-      if (!still_open (call) || tried == options->tries)
+      if (!mux_request_open (call) || tried == options->tries)
         return tried;
       mux_pause_ms (PAUSE_MS * tried);
     }
 }
 
 static void
-count_call (MuxCallersTally *tally, const Call *call, uint32_t tried)
+count_call (MuxCallersTally *tally, const MuxTestRequest *call, uint32_t tried)
 {
-  const char *outcome = outcome_of (call);
+  const char *outcome = mux_request_outcome (call);
 
   tally->submissions += tried;
   if (strcmp (outcome, "done") == 0)
@@ -197,7 +98,7 @@
 {
   MuxCallers *callers = arg;
   MuxHttp *http = mux_http_new ();
-  Call *call = calloc (1, sizeof *call);
+  MuxTestRequest *call = calloc (1, sizeof *call);
   uint32_t tried;
 
   if (http == NULL || call == NULL)
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -7,6 +7,7 @@
 #include "support/proc.h"
 #include "support/tcp_forwarder.h"
 
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -62,7 +63,7 @@
   TcpForwarder *link;
   TcpForwarder *peer_link;
   char peer_addr[MUX_ADDR_LEN];
-  uint32_t lives;
+  _Atomic uint32_t lives;
   char log[MUX_PATH_LEN];
 } MuxMember;
 
--- a/test/support/history.c
+++ b/test/support/history.c
@@ -12,7 +12,7 @@
   static const char *const names[MUX_RULE_COUNT]
       = { "log",          "ran_twice",   "two_places",     "overcommit",
           "wrong_answer", "not_run_ran", "done_never_ran", "job_open",
-          "leaving" };
+          "leaving",      "config_lost", "config_back" };
 
   return names[rule];
 }
@@ -74,6 +74,10 @@
   history->calls.item_size = sizeof (Call);
   history->jobs.item_size = sizeof (Job);
   history->workers.item_size = sizeof (Worker);
+  history->deaths.item_size = sizeof (Death);
+  history->changes.item_size = sizeof (Change);
+  history->kept.item_size = sizeof (Kept);
+  history->shown.item_size = sizeof (Shown);
   return history;
 }
 
@@ -86,6 +90,10 @@
   free (history->calls.items);
   free (history->jobs.items);
   free (history->workers.items);
+  free (history->deaths.items);
+  free (history->changes.items);
+  free (history->kept.items);
+  free (history->shown.items);
   free (history);
 }
 
@@ -109,13 +117,15 @@
 
   mux_name_copy (worker->name, name);
   worker->capacity = capacity;
-  worker->died_ms = STILL_RUNNING;
   worker->leaving_ms = STILL_RUNNING;
 }
 
 /* A text field of @json; false when it is missing or does not fit. */
-static bool
-get_text (const json_t *json, const char *name, char *out, size_t cap)
+bool
+mux_history_get_text (const json_t *json,
+                      const char *name,
+                      char *out,
+                      size_t cap)
 {
   const char *text = json_string_value (json_object_get (json, name));
 
@@ -125,8 +135,8 @@
   return true;
 }
 
-static bool
-get_integer (const json_t *json, const char *name, int64_t *out)
+bool
+mux_history_get_integer (const json_t *json, const char *name, int64_t *out)
 {
   const json_t *value = json_object_get (json, name);
 
@@ -141,7 +151,7 @@
 {
   int64_t value;
 
-  if (!get_integer (json, name, &value) || value > UINT32_MAX)
+  if (!mux_history_get_integer (json, name, &value) || value > UINT32_MAX)
     return false;
   *out = (uint32_t) value;
   return true;
@@ -162,7 +172,8 @@
 static bool
 get_time (const json_t *json, int64_t *out)
 {
-  return get_integer (json, "mono_ms", out) || get_integer (json, "t_ms", out);
+  return mux_history_get_integer (json, "mono_ms", out)
+         || mux_history_get_integer (json, "t_ms", out);
 }
 
 static bool
@@ -172,17 +183,22 @@
   const json_t *idempotent = json_object_get (json, "idempotent");
   int64_t number;
 
-  if (!get_integer (json, "call", &number) || !json_is_boolean (idempotent))
+  if (!mux_history_get_integer (json, "call", &number)
+      || !json_is_boolean (idempotent))
     return false;
   call->call = (uint64_t) number;
   call->idempotent = json_is_true (idempotent);
-  return get_text (json, "class", call->class_name, sizeof call->class_name)
-         && get_text (json, "key", call->key, sizeof call->key)
-         && get_text (json, "outcome", call->outcome, sizeof call->outcome)
-         && get_text (json, "task", call->task, sizeof call->task)
-         && get_text (json, "body_hash", call->body_hash, HASH_LEN)
-         && get_text (json, "answer_hash", call->answer_hash, HASH_LEN)
-         && get_text (json, "expect_hash", call->expect_hash, HASH_LEN);
+  return mux_history_get_text (json, "class", call->class_name,
+                               sizeof call->class_name)
+         && mux_history_get_text (json, "key", call->key, sizeof call->key)
+         && mux_history_get_text (json, "outcome", call->outcome,
+                                  sizeof call->outcome)
+         && mux_history_get_text (json, "task", call->task, sizeof call->task)
+         && mux_history_get_text (json, "body_hash", call->body_hash, HASH_LEN)
+         && mux_history_get_text (json, "answer_hash", call->answer_hash,
+                                  HASH_LEN)
+         && mux_history_get_text (json, "expect_hash", call->expect_hash,
+                                  HASH_LEN);
 }
 
 static bool
@@ -190,9 +206,10 @@
 {
   Job *job = mux_list_add (&history->jobs);
 
-  return get_text (json, "job", job->job, sizeof job->job)
-         && get_text (json, "class", job->class_name, sizeof job->class_name)
-         && get_text (json, "body_hash", job->body_hash, HASH_LEN)
+  return mux_history_get_text (json, "job", job->job, sizeof job->job)
+         && mux_history_get_text (json, "class", job->class_name,
+                                  sizeof job->class_name)
+         && mux_history_get_text (json, "body_hash", job->body_hash, HASH_LEN)
          && get_u32 (json, "tasks", &job->tasks);
 }
 
@@ -201,14 +218,15 @@
 {
   char id[MUX_ID_HEX_LEN];
 
-  if (!get_text (json, "job", id, sizeof id))
+  if (!mux_history_get_text (json, "job", id, sizeof id))
     return false;
   for (uint32_t i = 0; i < history->jobs.count; i++)
     {
       Job *job = mux_list_at (&history->jobs, i);
 
       if (strcmp (job->job, id) == 0)
-        return get_text (json, "state", job->state, sizeof job->state);
+        return mux_history_get_text (json, "state", job->state,
+                                     sizeof job->state);
     }
   return false;
 }
@@ -218,7 +236,7 @@
 {
   char name[MUX_NAME_LEN];
 
-  if (!get_text (json, "worker", name, sizeof name))
+  if (!mux_history_get_text (json, "worker", name, sizeof name))
     return NULL;
   return mux_history_find_worker (history, name);
 }
@@ -226,9 +244,11 @@
 static bool
 read_died (MuxHistory *history, const json_t *json)
 {
-  Worker *worker = named_worker (history, json);
+  const Worker *worker = named_worker (history, json);
+  Death *death = mux_list_add (&history->deaths);
 
-  return worker != NULL && get_time (json, &worker->died_ms);
+  death->worker = worker == NULL ? "" : worker->name;
+  return worker != NULL && get_time (json, &death->at_ms);
 }
 
 static bool
@@ -244,7 +264,7 @@
 {
   char event[16];
 
-  if (!get_text (json, "event", event, sizeof event))
+  if (!mux_history_get_text (json, "event", event, sizeof event))
     return false;
   if (strcmp (event, "request") == 0)
     return read_request (history, json);
@@ -256,7 +276,7 @@
     return read_died (history, json);
   if (strcmp (event, "leaving") == 0)
     return read_leaving (history, json);
-  return false;
+  return mux_history_config (history, event, json);
 }
 
 static bool
@@ -265,16 +285,18 @@
   Execution *run = mux_list_add (&history->executions);
   int64_t incarnation;
 
-  if (!get_integer (json, "incarnation", &incarnation))
+  if (!mux_history_get_integer (json, "incarnation", &incarnation))
     return false;
   run->incarnation = (uint64_t) incarnation;
   run->end_ms = STILL_RUNNING;
   run->start_line = history->lines;
   run->end_line = NO_LINE;
-  return get_text (json, "task", run->task, sizeof run->task)
-         && get_text (json, "worker", run->worker, sizeof run->worker)
-         && get_text (json, "class", run->class_name, sizeof run->class_name)
-         && get_text (json, "body_hash", run->body_hash, HASH_LEN)
+  return mux_history_get_text (json, "task", run->task, sizeof run->task)
+         && mux_history_get_text (json, "worker", run->worker,
+                                  sizeof run->worker)
+         && mux_history_get_text (json, "class", run->class_name,
+                                  sizeof run->class_name)
+         && mux_history_get_text (json, "body_hash", run->body_hash, HASH_LEN)
          && get_size (json, &run->size) && get_time (json, &run->start_ms);
 }
 
@@ -305,10 +327,10 @@
   int64_t incarnation;
   Execution *run;
 
-  if (!get_text (json, "task", task, sizeof task)
-      || !get_text (json, "worker", worker, sizeof worker)
-      || !get_text (json, "state", state, sizeof state)
-      || !get_integer (json, "incarnation", &incarnation))
+  if (!mux_history_get_text (json, "task", task, sizeof task)
+      || !mux_history_get_text (json, "worker", worker, sizeof worker)
+      || !mux_history_get_text (json, "state", state, sizeof state)
+      || !mux_history_get_integer (json, "incarnation", &incarnation))
     return false;
   run = find_open (history, task, worker, (uint64_t) incarnation);
   if (run == NULL || !get_time (json, &run->end_ms))
@@ -316,7 +338,8 @@
   run->end_line = history->lines;
   run->done = strcmp (state, "done") == 0;
   return !run->done
-         || get_text (json, "answer_hash", run->answer_hash, HASH_LEN);
+         || mux_history_get_text (json, "answer_hash", run->answer_hash,
+                                  HASH_LEN);
 }
 
 static bool
@@ -324,7 +347,7 @@
 {
   char event[32];
 
-  if (!get_text (json, "event", event, sizeof event))
+  if (!mux_history_get_text (json, "event", event, sizeof event))
     return false;
   if (strcmp (event, "start") == 0)
     return read_start (history, json);
--- a/test/support/history.h
+++ b/test/support/history.h
@@ -21,8 +21,14 @@
  *     expect_hash of those that the task named by Cuminmux-Task must give.
  *   {"event":"job","job":HEX,"class":S,"tasks":N,"body_hash":S}: 202 came
  *   {"event":"job_end","job":HEX,"state":"done|failed|cancelled"}: as shown
- *   {"event":"died","worker":S,"t_ms":N}: the driver killed that worker
+ *   {"event":"died","worker":S,"t_ms":N}: that worker's process has ended
  *   {"event":"leaving","worker":S,"t_ms":N}: a drain of it was accepted
+ *   {"event":"change","who":S,"expect":N,"outcome":S,"revision":N}: a change
+ *     of configuration; who names that change alone, revision if done
+ *   {"event":"kept","daemon":S,"revision":N,"object":S,"who":S}: a row of the
+ *     history as that daemon shows it at the end, in its order
+ *   {"event":"shown","daemon":S,"life":N,"revision":N}: in force there, as
+ *     shown, in the order seen
  * All times are of the monotonic clock; a "mono_ms" goes before a "t_ms".
  *
  * Workers' logs, one per worker, as the worker stand-in writes them; "start"
@@ -44,6 +50,9 @@
   MUX_RULE_DONE_NEVER_RAN, /* told done, but it did not execute to its end */
   MUX_RULE_JOB_OPEN,       /* an accepted job that did not end */
   MUX_RULE_LEAVING,        /* a start on a leaving worker, past the grace */
+  MUX_RULE_CONFIG_LOST,    /* an accepted change not once in the history, or
+                              one that was refused, or unseen, is */
+  MUX_RULE_CONFIG_BACK,    /* a daemon went back, or is behind at the end */
   MUX_RULE_COUNT
 } MuxRule;
 
--- a/test/support/history_check.c
+++ b/test/support/history_check.c
@@ -94,8 +94,14 @@
       if (run->end_ms != STILL_RUNNING)
         continue;
       worker = mux_history_find_worker (history, run->worker);
-      if (worker != NULL && worker->died_ms >= run->start_ms)
-        run->end_ms = worker->died_ms;
+      for (uint32_t j = 0; worker != NULL && j < history->deaths.count; j++)
+        {
+          const Death *death = mux_list_at (&history->deaths, j);
+
+          if (strcmp (death->worker, worker->name) == 0
+              && death->at_ms >= run->start_ms && death->at_ms < run->end_ms)
+            run->end_ms = death->at_ms;
+        }
       for (uint32_t j = i + 1; j < history->executions.count; j++)
         {
           const Execution *later = run_at (history, j);
@@ -381,6 +387,7 @@
   check_leaving (history);
   check_calls (&index);
   check_jobs (&index);
+  mux_history_check_config (history);
   groups_free (&index.by_task);
   groups_free (&index.by_body);
   history->report.calls = history->calls.count;
--- a/test/support/history_data.h
+++ b/test/support/history_data.h
@@ -3,6 +3,7 @@
 
 #include "support/history.h"
 
+#include <jansson.h>
 #include <stdint.h>
 
 /* Bytes of a hash as text with its closing NUL. */
@@ -54,10 +55,38 @@
 {
   char name[MUX_NAME_LEN];
   MuxSize capacity;
-  int64_t died_ms;    /* STILL_RUNNING: it did not */
   int64_t leaving_ms; /* STILL_RUNNING: it does not */
 } Worker;
 
+typedef struct
+{
+  const char *worker;
+  int64_t at_ms;
+} Death;
+
+typedef struct
+{
+  char who[MUX_NAME_LEN];
+  int64_t expect;
+  char outcome[16];
+  int64_t revision;
+} Change;
+
+typedef struct
+{
+  char daemon[MUX_NAME_LEN];
+  int64_t revision;
+  char object[MUX_NAME_LEN];
+  char who[MUX_NAME_LEN];
+} Kept;
+
+typedef struct
+{
+  char daemon[MUX_NAME_LEN];
+  int64_t life;
+  int64_t revision;
+} Shown;
+
 /* Growing array; @items is of the element's size. */
 typedef struct
 {
@@ -72,7 +101,11 @@
   List executions; /* of Execution */
   List calls;      /* of Call */
   List jobs;       /* of Job */
-  List workers;    /* of Worker */
+  List workers;    /* of Worker; all told before any line */
+  List deaths;     /* of Death */
+  List changes;    /* of Change */
+  List kept;       /* of Kept */
+  List shown;      /* of Shown */
   uint64_t lines;  /* read so far */
   MuxHistoryReport report;
 };
@@ -81,6 +114,18 @@
  * out, since a checker must not leave anything out */
 void *mux_list_add (List *list);
 void *mux_list_at (const List *list, uint32_t index);
+/* A field of @json; false when it is missing or does not fit. */
+bool mux_history_get_text (const json_t *json,
+                           const char *name,
+                           char *out,
+                           size_t cap);
+bool
+mux_history_get_integer (const json_t *json, const char *name, int64_t *out);
+/** mux_history_config() - take in a line about configuration */
+bool
+mux_history_config (MuxHistory *history, const char *event, const json_t *json);
+/** mux_history_check_config() - its two rules */
+void mux_history_check_config (MuxHistory *history);
 Worker *mux_history_find_worker (const MuxHistory *history, const char *name);
 void
 mux_history_break (MuxHistory *history, MuxRule rule, const char *format, ...)
--- a/test/support/http.c
+++ b/test/support/http.c
@@ -122,6 +122,8 @@
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, ask->method);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long) ask->timeout_ms);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, (long) ask->once);
+  curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, (long) ask->once);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, reply);
   curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, on_header);
--- a/test/support/http.h
+++ b/test/support/http.h
@@ -18,6 +18,8 @@
  * @body: bytes, or NULL
  * @body_len: length of @body
  * @timeout_ms: for the whole call
+ * @once: on a connection of its own: libcurl repeats a call by itself when a
+ *   connection that it kept turns out to be closed
  */
 typedef struct
 {
@@ -28,6 +30,7 @@
   const void *body;
   size_t body_len;
   uint32_t timeout_ms;
+  bool once;
 } MuxHttpAsk;
 
 /**
--- a/test/unit/test_history.c
+++ b/test/unit/test_history.c
@@ -410,10 +410,27 @@
     }
 }
 
+/* A worker dies twice; its first life's task ended at the first death. */
+static void
+test_two_places_after_second_death (void **state)
+{
+  MuxHistory *history = history_new ();
+
+  (void) state;
+  start (history, 10, "w1", "t1", "b1");
+  line_of_calls (history,
+                 "{\"event\":\"died\",\"worker\":\"w1\",\"t_ms\":90}\n");
+  line_of_calls (history,
+                 "{\"event\":\"died\",\"worker\":\"w1\",\"t_ms\":20}\n");
+  start (history, 15, "w2", "t1", "b2");
+  reject_history (history, MUX_RULE_TWO_PLACES, 1);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_two_places_after_second_death),
     cmocka_unit_test (test_good),
     cmocka_unit_test (test_good_second_attempt),
     cmocka_unit_test (test_good_full_worker),
