Adopt one's own orphaned jobs, and name no shared attempt as not run

A look that was asked for while one was under way was lost too. Ruled out: frozen homes (fenced by the row) and a first choice that died (its death asks for a look). Now a daemon adopts rows that name it and that it does not mind, and a lost look is made up for.

Cause of not_run_ran: a keyed submission told not_run named the key's first attempt, which another submission ran. The answer names none now.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -155,9 +155,8 @@
 jobs_member_dead (MuxCore *core, const char *name)
 {
   (void) name;
-  /* Soon, from the first row on, and not all daemons in the same moment. */
-  core->jobs->scan_after[0] = 0;
-  core->jobs->next_scan_ms = core->now_ms + core_jitter (core, RETRY_MS);
+  /* Soon, and not all daemons in the same moment. */
+  job_scan_soon (core, RETRY_MS);
 }
 
 void
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -12,16 +12,25 @@
 /* Before the first look: peers must have been heard by then. */
 #define SCAN_FIRST_MS 3000
 
-/* The home of a row is alive if it is this process, or a member that is not
- * known to be dead in that same life.  A member never heard of counts as
- * dead: the first look comes only when all that live have been heard. */
+/*
+ * The home of a row is alive if it is a member that is not known to be dead
+ * in that same life, or this process and it minds the job.  A member never
+ * heard of counts as dead: the first look comes only when all that live have
+ * been heard.
+ *
+ * Failure: the answer to the write that made this process the home was lost,
+ * or memory was out after it.  The row names a living home that knows nothing
+ * of the job, so nobody would carry it, and an accepted job never ends.  Only
+ * this process can tell, so what it does not mind it adopts again.
+ */
 static bool
 home_lives (MuxCore *core, const JobHeader *header)
 {
   const Member *member;
 
   if (strcmp (header->home, core->name) == 0)
-    return header->home_incarnation == core->opt.incarnation;
+    return header->home_incarnation == core->opt.incarnation
+           && job_submitting (core, header->id);
   member = member_find (core, header->home);
   return member != NULL && member->state != MEMBER_DEAD && !member->stopping
          && member->incarnation == header->home_incarnation;
@@ -32,9 +41,11 @@
 {
   char hex[MUX_ID_HEX_LEN];
 
+  if (job_find (core, header->id) != NULL || home_lives (core, header))
+    return false;
   mux_id_format (header->id, hex);
-  return !home_lives (core, header) && job_find (core, header->id) == NULL
-         && members_first (core, hex, false);
+  return strcmp (header->home, core->name) == 0
+         || members_first (core, hex, false);
 }
 
 static void
@@ -62,14 +73,25 @@
     job_cancel (core, job);
 }
 
+void
+job_scan_soon (MuxCore *core, int64_t after_ms)
+{
+  Jobs *jobs = core->jobs;
+  int64_t at_ms = core->now_ms + core_jitter (core, after_ms);
+
+  /* The look that is under way may have passed the row already. */
+  jobs->scan_again = jobs->scanning || jobs->scan_after[0] != 0;
+  if (at_ms < jobs->next_scan_ms)
+    jobs->next_scan_ms = at_ms;
+}
+
 static void
 abandon (MuxCore *core, Job *job)
 {
-  /* Its row names this daemon as home, yet it can't be carried now: the next
-   * look finds it again. */
+  /* Its row names this daemon as home, or may soon, yet it can't be carried
+   * now: the next look finds it again. */
   job_drop (core, job);
-  if (core->jobs->next_scan_ms > core->now_ms + SCAN_FIRST_MS)
-    core->jobs->next_scan_ms = core->now_ms + SCAN_FIRST_MS;
+  job_scan_soon (core, SCAN_FIRST_MS);
 }
 
 static void
@@ -162,13 +184,17 @@
   (void) aux;
   if (job == NULL)
     return;
-  if (reply->status != MUX_TABLE_OK)
+  if (reply->status == MUX_TABLE_CONFLICT)
     {
-      /* Another one took it, or it can't be told: nothing has been done for
-       * it here yet. */
+      /* Another one took it; nothing has been done for it here yet. */
       job_drop (core, job);
       return;
     }
+  if (reply->status != MUX_TABLE_OK)
+    {
+      abandon (core, job);
+      return;
+    }
   job->rev = reply->rev;
   fetch_parts (core, job);
 }
@@ -200,7 +226,7 @@
       call = NULL;
     }
   if (call == NULL || !call_table (core, call, take_done, job->id, 0))
-    job_drop (core, job);
+    abandon (core, job);
 }
 
 static void
@@ -235,6 +261,11 @@
                 reply->rows[reply->row_count - 1].key);
       jobs->next_scan_ms = core->now_ms + SCAN_PAGE_MS;
     }
+  else if (jobs->scan_again)
+    {
+      jobs->scan_again = false;
+      jobs->next_scan_ms = core->now_ms + core_jitter (core, RETRY_MS);
+    }
 }
 
 void
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -122,6 +122,7 @@
   int64_t next_write_ms;
   int64_t next_scan_ms;
   bool scanning;
+  bool scan_again; /* something changed during the look under way */
   char scan_after[MUX_ROW_KEY_LEN];
 };
 
@@ -161,7 +162,11 @@
  * jobs_show.c). */
 void job_submit (MuxCore *core, const MuxAsk *ask);
 void job_submits_free (MuxCore *core);
+/** job_submitting() - a submission here waits for its row */
+bool job_submitting (MuxCore *core, MuxId id);
 void job_scan (MuxCore *core);
+/** job_scan_soon() - look through the open jobs after @after_ms or so */
+void job_scan_soon (MuxCore *core, int64_t after_ms);
 void job_show (MuxCore *core, const MuxAsk *ask);
 void job_list (MuxCore *core, const MuxAsk *ask);
 void job_wait (MuxCore *core, const MuxAsk *ask);
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -11,6 +11,8 @@
 
 /* Tries of a write whose answer was lost before the caller hears "unknown". */
 #define TRIES_MAX 5
+/* Pause before a look for a row that an unanswered write may have left. */
+#define UNKNOWN_SCAN_MS 3000
 
 static void send_row (MuxCore *core, JobSubmit *submit);
 
@@ -23,6 +25,12 @@
   return submit;
 }
 
+bool
+job_submitting (MuxCore *core, MuxId id)
+{
+  return submit_find (core, id) != NULL;
+}
+
 static void
 submit_free (MuxCore *core, JobSubmit *submit)
 {
@@ -54,6 +62,8 @@
   core_answer (core, submit->call, outcome, reason, RETRY_MS * 10, submit->id,
                NULL);
   submit_free (core, submit);
+  if (outcome == MUX_OUTCOME_UNKNOWN)
+    job_scan_soon (core, UNKNOWN_SCAN_MS);
 }
 
 static void
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -170,12 +170,18 @@
              MuxTaskState state,
              MuxBlob *result)
 {
+  MuxId named = task->id;
+
+  /* All submissions of a key share its attempts' ids: another one may run
+   * the attempt that this one did not. */
+  if (task->keyed && outcome == MUX_OUTCOME_NOT_RUN)
+    named = (MuxId){ 0, 0 };
   while (task->waiters != NULL)
     {
       Waiter *waiter = task->waiters;
 
       task->waiters = waiter->next;
-      core_answer (core, waiter->call, outcome, reason, retry_ms, task->id,
+      core_answer (core, waiter->call, outcome, reason, retry_ms, named,
                    result);
       free (waiter);
     }
--- a/test/support/mixed_jobs.c
+++ b/test/support/mixed_jobs.c
@@ -138,6 +138,27 @@
     tally->open++;
 }
 
+/* What the daemons say of a job that should have ended. */
+static void
+print_open (MuxMixedJobs *jobs, const MuxTestJob *job)
+{
+  const MuxCluster *cluster = jobs->options.cluster;
+  char path[64];
+
+  snprintf (path, sizeof path, "/v1/jobs/%s", job->id);
+  for (uint32_t i = 0; i < cluster->daemon_count; i++)
+    {
+      json_t *answer = mux_http_json (
+          jobs->http, "GET", cluster->daemon[i].addr, path, NULL, NULL);
+      char *text = json_dumps (answer, JSON_COMPACT);
+
+      printf ("open: %s: %s\n", cluster->daemon[i].name,
+              text == NULL ? "no answer" : text);
+      free (text);
+      json_decref (answer);
+    }
+}
+
 void
 mux_mixed_jobs_stop (MuxMixedJobs *jobs,
                      uint32_t timeout_ms,
@@ -158,6 +179,8 @@
       mux_job_wait (jobs->http, jobs->options.cluster, &jobs->entry[i].job,
                     jobs->options.log, left_ms > 0 ? (uint32_t) left_ms : 0);
       count (tally, &jobs->entry[i].job);
+      if (jobs->entry[i].job.state[0] == 0)
+        print_open (jobs, &jobs->entry[i].job);
     }
   mux_http_free (jobs->http);
   free (jobs);
