--- a/test/support/fake_net.c
+++ b/test/support/fake_net.c
@@ -18,12 +18,14 @@
 {
   int64_t at_ms;
   uint32_t node;
-  uint64_t incarnation;   /* life of the node that is meant */
-  MuxTableCall *call;     /* on its way to the table */
-  bool answered;          /* of @call: its loss was told already */
-  MuxTableReply *reply;   /* from the table */
-  MuxWorkerReply *worker; /* from a worker */
-  MuxPeerMsg msg;         /* from a peer */
+  uint64_t incarnation;    /* life of the node that is meant */
+  MuxTableCall *call;      /* on its way to the table */
+  bool answered;           /* of @call: its loss was told already */
+  MuxTableReply *reply;    /* from the table */
+  MuxWorkerReply *worker;  /* from a worker */
+  MuxPeerMsg msg;          /* from a peer */
+  void (*act) (void *arg); /* of a stand-in beside the net */
+  void *arg;
   FakeDelivery *prev, *next;
 };
 
@@ -82,6 +84,13 @@
   item->call = NULL;
 }
 
+static int64_t
+table_delay_ms (FakeNet *net)
+{
+  return mux_random_below (&net->random,
+                           TABLE_DELAY_MS + 1 + net->table_slow_ms);
+}
+
 static void
 reach_table (FakeNet *net, FakeDelivery *item)
 {
@@ -98,8 +107,7 @@
   else
     {
       reply = fake_table_call (&net->table, item->call);
-      deliver (net, item->node,
-               mux_random_below (&net->random, TABLE_DELAY_MS + 1))
+      deliver (net, item->node, table_delay_ms (net))
           ->reply
           = reply;
     }
@@ -108,10 +116,18 @@
 static void
 send_to_peer (FakeNet *net, uint32_t from, const FakeSent *sent)
 {
+  int64_t at_ms = net->now_ms + PEER_DELAY_MS
+                  + mux_random_below (&net->random, net->peer_slow_ms + 1);
+
+  if (mux_random_below (&net->random, PPM) < net->peer_lost_ppm)
+    return;
   for (uint32_t i = 0; i < net->node_count; i++)
     if (strcmp (net->nodes[i].addr, sent->addr) == 0 && !net->cut[from][i])
       {
-        deliver (net, i, PEER_DELAY_MS)->msg = sent->msg;
+        if (at_ms < net->last_ms[from][i])
+          at_ms = net->last_ms[from][i];
+        net->last_ms[from][i] = at_ms;
+        deliver (net, i, at_ms - net->now_ms)->msg = sent->msg;
         mux_blob_ref (sent->msg.body);
       }
 }
@@ -136,9 +152,7 @@
   fake_sink_init (&net->nodes[node].sink);
   net->nodes[node].sink.full = taken.full;
   for (uint32_t i = 0; i < taken.table_count; i++)
-    deliver (net, node, mux_random_below (&net->random, TABLE_DELAY_MS + 1))
-        ->call
-        = taken.table_calls[i];
+    deliver (net, node, table_delay_ms (net))->call = taken.table_calls[i];
   taken.table_count = 0;
   for (uint32_t i = 0; i < taken.sent_count; i++)
     send_to_peer (net, node, &taken.sent[i]);
@@ -212,6 +226,7 @@
   node->seeds[0] = net->nodes[0].addr;
   node->incarnation = options.incarnation = (uint64_t) ++net->now_ms;
   node->ticked_ms = net->now_ms;
+  node->thaw_ms = 0;
   node->core = mux_core_new (&options, NULL);
   if (node->core == NULL)
     abort ();
@@ -246,6 +261,24 @@
   fake_net_give (net, node, &(MuxEvent){ .kind = MUX_EVENT_ASK, .u.ask = ask });
 }
 
+void
+fake_net_freeze (FakeNet *net, uint32_t node, int64_t ms)
+{
+  net->nodes[node].thaw_ms = net->now_ms + ms;
+}
+
+void
+fake_net_later (FakeNet *net,
+                int64_t delay_ms,
+                void (*act) (void *arg),
+                void *arg)
+{
+  FakeDelivery *item = deliver (net, 0, delay_ms);
+
+  item->act = act;
+  item->arg = arg;
+}
+
 void
 fake_net_reply (FakeNet *net,
                 uint32_t node,
@@ -286,6 +319,8 @@
   if (node->core == NULL)
     return INT64_MAX;
   at_ms = mux_core_wake_ms (node->core);
+  if (at_ms < node->thaw_ms)
+    at_ms = node->thaw_ms;
   return at_ms > node->ticked_ms ? at_ms : node->ticked_ms + 1;
 }
 
@@ -313,6 +348,13 @@
   return first;
 }
 
+static bool
+is_frozen (const FakeNet *net, uint32_t node)
+{
+  return net->nodes[node].core != NULL
+         && net->nodes[node].thaw_ms > net->now_ms;
+}
+
 void
 fake_net_next (FakeNet *net)
 {
@@ -324,7 +366,16 @@
       if (item->at_ms > net->now_ms)
         net->now_ms = item->at_ms;
       DL_DELETE (net->deliveries, item);
-      arrive (net, item);
+      if (item->act != NULL)
+        item->act (item->arg);
+      else if (item->call == NULL && is_frozen (net, item->node))
+        {
+          item->at_ms = net->nodes[item->node].thaw_ms;
+          DL_APPEND (net->deliveries, item);
+          return;
+        }
+      else
+        arrive (net, item);
       delivery_free (item);
       return;
     }
--- a/test/support/fake_net.h
+++ b/test/support/fake_net.h
@@ -12,6 +12,7 @@
  * struct FakeNode - one daemon's core
  * @core: NULL: not running
  * @table_cut: it can't reach the table; its peers can
+ * @thaw_ms: it takes no steps before this; what comes waits
  */
 typedef struct
 {
@@ -25,6 +26,7 @@
   bool table_cut;
   uint64_t incarnation;
   int64_t ticked_ms;
+  int64_t thaw_ms;
 } FakeNode;
 
 typedef struct FakeNet FakeNet;
@@ -46,6 +48,10 @@
  * @lost_ppm: share of writes whose answer is lost (MUX_TABLE_UNKNOWN): a third
  *   takes effect, a third does not, a third takes effect after the loss was
  *   told
+ * @table_slow_ms: calls to the table take up to so much longer
+ * @peer_lost_ppm: share of messages between daemons that are dropped
+ * @peer_slow_ms: messages between daemons take up to so much longer; those of
+ *   one link stay in order
  * @cut: messages from one node to another are dropped
  * @node_count: nodes, running or not
  */
@@ -55,7 +61,11 @@
   MuxRandom random;
   FakeTable table;
   uint32_t lost_ppm;
+  uint32_t table_slow_ms;
+  uint32_t peer_lost_ppm;
+  uint32_t peer_slow_ms;
   bool cut[FAKE_NODES_MAX][FAKE_NODES_MAX];
+  int64_t last_ms[FAKE_NODES_MAX][FAKE_NODES_MAX];
   FakeHooks hooks;
   uint32_t node_count;
   FakeNode nodes[FAKE_NODES_MAX];
@@ -78,6 +88,13 @@
                      uint32_t node,
                      MuxWorkerReply *reply,
                      int64_t delay_ms);
+/** fake_net_freeze() - it takes no steps for @ms while time goes on */
+void fake_net_freeze (FakeNet *net, uint32_t node, int64_t ms);
+/** fake_net_later() - call @act after @delay_ms */
+void fake_net_later (FakeNet *net,
+                     int64_t delay_ms,
+                     void (*act) (void *arg),
+                     void *arg);
 /** fake_net_next() - the next delivery or wake-up, whichever comes first */
 void fake_net_next (FakeNet *net);
 /** fake_net_run() - all that happens in the next @ms */
--- /dev/null
+++ b/test/support/fake_worker.c
@@ -0,0 +1,300 @@
+#include "support/fake_worker.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define NET_DELAY_MS 2
+#define PPM 1000000
+
+/* A call until its reply is on the way. */
+typedef struct FakeWorkerCall FakeWorkerCall;
+struct FakeWorkerCall
+{
+  FakeWorker *worker;
+  MuxWorkerCall call;
+  uint32_t node;
+  uint64_t node_incarnation;
+  uint64_t worker_incarnation;
+  int64_t deadline_ms; /* the caller hears NO_ANSWER then */
+  int64_t wait_ms;     /* the answer need not come before the task's end */
+  bool answered;
+  bool waiting;
+  FakeWorkerCall *prev, *next;
+};
+
+static int64_t
+clock_ms (const FakeWorker *worker)
+{
+  return worker->net->now_ms + worker->clock_ahead_ms;
+}
+
+static int64_t
+delay_ms (FakeWorker *worker)
+{
+  return 1
+         + mux_random_below (&worker->net->random,
+                             NET_DELAY_MS + worker->slow_ms);
+}
+
+static void
+drop (FakeWorkerCall *item)
+{
+  DL_DELETE (item->worker->calls, item);
+  mux_blob_unref (item->call.body);
+  free (item);
+}
+
+/* Takes @reply over; a caller that has been restarted hears nothing. */
+static void
+give_reply (FakeWorkerCall *item, MuxWorkerReply *reply, int64_t at_ms)
+{
+  FakeNet *net = item->worker->net;
+
+  if (item->answered
+      || net->nodes[item->node].incarnation != item->node_incarnation)
+    mux_worker_reply_free (reply);
+  else
+    fake_net_reply (net, item->node, reply, at_ms - net->now_ms);
+  item->answered = true;
+}
+
+static void
+give_nothing (FakeWorkerCall *item)
+{
+  give_reply (item,
+              mux_worker_reply_new (&item->call, MUX_WORKER_NO_ANSWER, 0),
+              item->deadline_ms);
+}
+
+static bool
+answer_lost (FakeWorkerCall *item)
+{
+  FakeWorker *worker = item->worker;
+
+  if (item->call.verb == MUX_WORKER_START && worker->lose_starts > 0)
+    {
+      worker->lose_starts--;
+      return true;
+    }
+  return worker->silent || worker->cut[item->node]
+         || mux_random_below (&worker->net->random, PPM) < worker->lost_ppm;
+}
+
+static void
+answer (FakeWorkerCall *item, MuxWorkerReply *reply)
+{
+  int64_t at_ms = item->worker->net->now_ms + delay_ms (item->worker);
+
+  if (answer_lost (item) || at_ms > item->deadline_ms)
+    {
+      mux_worker_reply_free (reply);
+      give_nothing (item);
+    }
+  else
+    give_reply (item, reply, at_ms);
+  drop (item);
+}
+
+static MuxWorkerReply *
+look (FakeWorkerCall *item)
+{
+  MuxWorkerCall fetch = item->call;
+
+  fetch.verb = MUX_WORKER_FETCH;
+  fetch.epoch = 0;
+  return standin_worker_call (item->worker->logic, &fetch,
+                              clock_ms (item->worker), NULL);
+}
+
+static void tick (void *arg);
+
+static void
+tick_again (FakeWorker *worker)
+{
+  int64_t at_ms = standin_worker_tick (worker->logic, clock_ms (worker));
+
+  if (at_ms == INT64_MAX)
+    return;
+  at_ms -= worker->clock_ahead_ms;
+  if (worker->tick_ms > worker->net->now_ms && worker->tick_ms <= at_ms)
+    return;
+  worker->tick_ms = at_ms;
+  fake_net_later (worker->net, at_ms - worker->net->now_ms, tick, worker);
+}
+
+static void
+tick (void *arg)
+{
+  tick_again (arg);
+}
+
+/* The logic's on_end; the answers leave in the next event, since it may be in
+ * the midst of a call. */
+static void
+release (void *arg)
+{
+  FakeWorkerCall *item = arg;
+
+  answer (item, look (item));
+}
+
+static void
+task_ended (void *ctx, MuxId task)
+{
+  FakeWorker *worker = ctx;
+  FakeWorkerCall *item;
+
+  DL_FOREACH (worker->calls, item)
+  {
+    if (!item->waiting || !mux_id_equal (item->call.task, task))
+      continue;
+    item->waiting = false;
+    fake_net_later (worker->net, 0, release, item);
+  }
+}
+
+static void
+wait_over (void *arg)
+{
+  FakeWorker *worker = arg;
+  FakeWorkerCall *item, *next;
+
+  DL_FOREACH_SAFE (worker->calls, item, next)
+  {
+    if (!item->waiting || item->wait_ms > worker->net->now_ms)
+      continue;
+    item->waiting = false;
+    answer (item, look (item));
+  }
+}
+
+/* What a worker that lacks a mechanism makes of a call. */
+static MuxWorkerReply *
+carry_out (FakeWorkerCall *item)
+{
+  FakeWorker *worker = item->worker;
+  MuxWorkerCall call = item->call;
+  MuxWorkerReply *reply;
+
+  if (worker->ignores_incarnation)
+    call.incarnation = 0;
+  if (worker->ignores_not_after)
+    call.not_after_ms = 0;
+  if (worker->ignores_forget && call.verb == MUX_WORKER_FORGET)
+    {
+      reply = look (item);
+      if (reply->status == MUX_WORKER_OK && reply->state == MUX_TASK_ABSENT)
+        reply->state = MUX_TASK_FORGOTTEN;
+      return reply;
+    }
+  if (worker->ignores_epoch && call.verb == MUX_WORKER_START)
+    {
+      reply = look (item);
+      call.epoch = reply->epoch;
+      mux_worker_reply_free (reply);
+    }
+  return standin_worker_call (worker->logic, &call, clock_ms (worker), NULL);
+}
+
+static void
+arrive (void *arg)
+{
+  FakeWorkerCall *item = arg;
+  FakeWorker *worker = item->worker;
+  MuxWorkerReply *reply;
+  bool may_wait;
+
+  if (worker->silent || worker->cut[item->node])
+    {
+      give_nothing (item);
+      drop (item);
+      return;
+    }
+  worker->starts_seen += item->call.verb == MUX_WORKER_START;
+  item->worker_incarnation = worker->options.incarnation;
+  reply = carry_out (item);
+  tick_again (worker);
+  may_wait = item->call.verb == MUX_WORKER_START
+             || item->call.verb == MUX_WORKER_FETCH;
+  if (may_wait && item->call.wait_ms > 0 && reply->status == MUX_WORKER_OK
+      && reply->state == MUX_TASK_RUNNING)
+    {
+      mux_worker_reply_free (reply);
+      item->waiting = true;
+      item->wait_ms = worker->net->now_ms + item->call.wait_ms;
+      fake_net_later (worker->net, item->call.wait_ms, wait_over, worker);
+      return;
+    }
+  answer (item, reply);
+}
+
+void
+fake_worker_call (FakeWorker *worker, uint32_t node, const MuxWorkerCall *call)
+{
+  FakeWorkerCall *item = calloc (1, sizeof *item);
+  int64_t arrive_ms = delay_ms (worker);
+
+  if (item == NULL)
+    abort ();
+  item->worker = worker;
+  item->call = *call;
+  mux_blob_ref (call->body);
+  item->node = node;
+  item->node_incarnation = worker->net->nodes[node].incarnation;
+  item->deadline_ms = worker->net->now_ms + call->timeout_ms;
+  DL_APPEND (worker->calls, item);
+  if (call->verb == MUX_WORKER_START && worker->late_starts > 0)
+    {
+      worker->late_starts--;
+      arrive_ms = worker->late_ms;
+      give_nothing (item);
+    }
+  fake_net_later (worker->net, arrive_ms, arrive, item);
+}
+
+static void
+begin_life (FakeWorker *worker)
+{
+  worker->logic = standin_worker_new (&worker->options);
+  worker->tick_ms = 0;
+}
+
+void
+fake_worker_init (FakeWorker *worker,
+                  FakeNet *net,
+                  const StandinWorkerOptions *options)
+{
+  worker->net = net;
+  mux_name_copy (worker->name, options->name);
+  worker->options = *options;
+  worker->options.name = worker->name;
+  worker->options.ctx = worker;
+  worker->options.on_end = task_ended;
+  begin_life (worker);
+}
+
+void
+fake_worker_clear (FakeWorker *worker)
+{
+  while (worker->calls != NULL)
+    drop (worker->calls);
+  standin_worker_free (worker->logic);
+}
+
+void
+fake_worker_restart (FakeWorker *worker)
+{
+  FakeWorkerCall *item, *next;
+
+  DL_FOREACH_SAFE (worker->calls, item, next)
+  {
+    if (!item->waiting)
+      continue;
+    give_nothing (item);
+    drop (item);
+  }
+  standin_worker_free (worker->logic);
+  worker->options.incarnation++;
+  begin_life (worker);
+}
