Tell a row of an earlier grant from the row of the grant at hand

Cause: a home took a found row for its own lost write when attempt, worker and home life agreed. Ruled out: the worker's memory of ids, which a restart ends by design.

--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -85,7 +85,8 @@
 intent_to_blob (const Intent *intent)
 {
   json_t *json = json_pack (
-      "{s:I, s:s, s:s, s:I, s:s, s:I}", "attempt", (json_int_t) intent->attempt,
+      "{s:I, s:I, s:s, s:s, s:I, s:s, s:I}", "attempt",
+      (json_int_t) intent->attempt, "grant", (json_int_t) intent->grant,
       "worker", intent->worker, "addr", intent->addr, "incarnation",
       (json_int_t) intent->incarnation, "home", intent->home,
       "home_incarnation", (json_int_t) intent->home_incarnation);
@@ -101,7 +102,7 @@
 intent_from_blob (const MuxBlob *blob, Intent *intent)
 {
   json_t *json;
-  json_int_t attempt, incarnation, home_incarnation;
+  json_int_t attempt, grant, incarnation, home_incarnation;
   const char *worker, *addr, *home;
   bool good;
 
@@ -109,15 +110,16 @@
     return false;
   json = json_loadb (blob->bytes, blob->len, 0, NULL);
   good = json != NULL
-         && json_unpack (json, "{s:I, s:s, s:s, s:I, s:s, s:I}", "attempt",
-                         &attempt, "worker", &worker, "addr", &addr,
-                         "incarnation", &incarnation, "home", &home,
+         && json_unpack (json, "{s:I, s:I, s:s, s:s, s:I, s:s, s:I}", "attempt",
+                         &attempt, "grant", &grant, "worker", &worker, "addr",
+                         &addr, "incarnation", &incarnation, "home", &home,
                          "home_incarnation", &home_incarnation)
                 == 0
          && attempt > 0 && attempt < UINT32_MAX && strlen (addr) < MUX_ADDR_LEN;
   if (good)
     {
       *intent = (Intent){ .attempt = (uint32_t) attempt,
+                          .grant = (uint64_t) grant,
                           .incarnation = (uint64_t) incarnation,
                           .home_incarnation = (uint64_t) home_incarnation };
       good = mux_name_copy (intent->worker, worker)
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -42,6 +42,7 @@
   uint64_t rng;
   uint64_t next_call_id;
   uint64_t next_task;
+  uint64_t next_grant;
   int64_t started_ms; /* first event; 0: none yet */
   int64_t last_step_ms;
   int64_t next_heartbeat_ms;
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -45,10 +45,13 @@
   TASK_EVENT_COUNT
 } TaskEventKind;
 
-/* What a row or a grant says of where an attempt runs. */
+/* What a row or a grant says of where an attempt runs.  @grant counts the
+ * grants that this life of the home was given, so that no two are taken for
+ * one another. */
 typedef struct
 {
   uint32_t attempt;
+  uint64_t grant;
   char worker[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
   uint64_t incarnation;
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -135,6 +135,7 @@
 
   task->granted = true;
   task->at = (Intent){ .attempt = task->attempt,
+                       .grant = ++core->next_grant,
                        .incarnation = msg->incarnation,
                        .home_incarnation = core->opt.incarnation };
   mux_name_copy (task->at.worker, msg->worker);
@@ -240,10 +241,17 @@
   task_start_now (core, task);
 }
 
+/*
+ * Failure: an earlier submission of the key at this same daemon wrote the
+ * row, for the same worker, and ran.  Taken for the row of the grant at hand,
+ * it would be started again; once the worker has restarted that is refused as
+ * certainly not started, and the next attempt runs the task a second time.
+ * The number of the grant tells the two apart.
+ */
 static bool
 is_ours (const MuxCore *core, const Task *task, const Intent *intent)
 {
-  return intent->attempt == task->attempt
+  return intent->attempt == task->attempt && intent->grant == task->at.grant
          && intent->home_incarnation == core->opt.incarnation
          && strcmp (intent->home, core->name) == 0
          && strcmp (intent->worker, task->at.worker) == 0
--- a/test/proof/proof_random.c
+++ b/test/proof/proof_random.c
@@ -14,7 +14,7 @@
 #define NODES 4
 #define WORKERS 5
 #define BUSY_MS 60000
-#define SETTLE_MS 45000
+#define SETTLE_MS 200000
 #define FAULT_MS 12000
 #define PPM 1000000
 
