Carry jobs whose row names this daemon, and find what a cancelled one runs

A row that names this life is now taken again unless job or submission is known; the write stays conditional. Ruled out: the scan, which read those rows.

--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -12,29 +12,45 @@
 /* Before the first look: peers must have been heard by then. */
 #define SCAN_FIRST_MS 3000
 
-/* The home of a row is alive if it is this process, or a member that is not
- * known to be dead in that same life.  A member never heard of counts as
- * dead: the first look comes only when all that live have been heard. */
+static bool
+is_home (const MuxCore *core, const JobHeader *header)
+{
+  return strcmp (header->home, core->name) == 0
+         && header->home_incarnation == core->opt.incarnation;
+}
+
+/* The home of a row is alive if it is a member that is not known to be dead
+ * in that same life.  A member never heard of counts as dead: the first look
+ * comes only when all that live have been heard. */
 static bool
 home_lives (MuxCore *core, const JobHeader *header)
 {
   const Member *member;
 
-  if (strcmp (header->home, core->name) == 0)
-    return header->home_incarnation == core->opt.incarnation;
   member = member_find (core, header->home);
   return member != NULL && member->state != MEMBER_DEAD && !member->stopping
          && member->incarnation == header->home_incarnation;
 }
 
+/*
+ * Failure: the write that made this daemon the home took effect and its answer
+ * was lost, or the job's parts could not be read after it.  The row then names
+ * a home that lives, so nobody else adopts the job, and here nobody carries
+ * it: it would stay open for ever.  A row that names this life of this daemon
+ * is therefore taken again when neither job nor submission is known.
+ */
 static bool
 ours_to_adopt (MuxCore *core, const JobHeader *header)
 {
   char hex[MUX_ID_HEX_LEN];
 
+  if (job_find (core, header->id) != NULL
+      || job_submitting (core, header->id))
+    return false;
+  if (is_home (core, header))
+    return true;
   mux_id_format (header->id, hex);
-  return !home_lives (core, header) && job_find (core, header->id) == NULL
-         && members_first (core, hex, false);
+  return !home_lives (core, header) && members_first (core, hex, false);
 }
 
 static void
@@ -162,10 +178,14 @@
   (void) aux;
   if (job == NULL)
     return;
+  if (reply->status == MUX_TABLE_UNKNOWN)
+    {
+      abandon (core, job);
+      return;
+    }
   if (reply->status != MUX_TABLE_OK)
     {
-      /* Another one took it, or it can't be told: nothing has been done for
-       * it here yet. */
+      /* Another one took it: nothing has been done for it here yet. */
       job_drop (core, job);
       return;
     }
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -122,8 +122,7 @@
   const MuxClassSpec *spec = config_class (core, job->header.class_name);
   uint32_t room;
 
-  if (spec == NULL || job->ended || job->dropped || job->header.cancel
-      || core->stopping)
+  if (spec == NULL || job->ended || job->dropped || core->stopping)
     return;
   room = spec->kind == MUX_KIND_GANG ? job->header.task_count
                                      : WINDOW_TASKS - asking (job);
@@ -131,7 +130,10 @@
     {
       Slot *slot = &job->slots[job->next_new];
 
-      if (!slot_final (slot) && !slot->active)
+      /* Of a cancelled job only what may run is looked after: it has to be
+       * found before it can be stopped. */
+      if (!slot_final (slot) && !slot->active
+          && (!job->header.cancel || slot->state == SLOT_PLACED))
         {
           give_task (core, job, job->next_new, spec);
           if (slot->state == SLOT_NEW)
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -159,6 +159,8 @@
 /* Submission, adoption and questions (jobs_submit.c, jobs_adopt.c,
  * jobs_show.c). */
 void job_submit (MuxCore *core, const MuxAsk *ask);
+/** job_submitting() - a submission of this id is not recorded yet */
+bool job_submitting (MuxCore *core, MuxId id);
 void job_submits_free (MuxCore *core);
 void job_scan (MuxCore *core);
 void job_show (MuxCore *core, const MuxAsk *ask);
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -23,6 +23,12 @@
   return submit;
 }
 
+bool
+job_submitting (MuxCore *core, MuxId id)
+{
+  return submit_find (core, id) != NULL;
+}
+
 static void
 submit_free (MuxCore *core, JobSubmit *submit)
 {
