Send asks back that an owner can place no more

Ruled out: the home, whose repeats did arrive. 1 s after a worker is lost the owner refuses what the usable ones could not hold even empty, gangs by their whole size.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -384,6 +384,7 @@
   calls_tick (core);
   members_tick (core);
   workers_tick (core);
+  owner_recheck (core);
   config_tick (core);
   /* Placements first: what they want recorded goes out in the same step. */
   owner_pump (core);
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -49,6 +49,7 @@
   int64_t next_far_heartbeat_ms;
   int64_t next_workers_ms;
   int64_t next_calls_ms;
+  int64_t recheck_ms; /* of asks that may fit nowhere any more; 0: not due */
   bool stopping;
   bool stopped;
   bool pumping;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -348,6 +348,20 @@
     }
 }
 
+void
+owner_send_back (MuxCore *core, MuxId task, MuxReason reason)
+{
+  Grant *grant = grant_find (core, task);
+  MuxPeerMsg ask;
+
+  if (grant == NULL || grant->placed)
+    return;
+  ask = grant->ask;
+  mux_sched_cancel (core->sched, task);
+  grant_free (core, grant);
+  refuse (core, &ask, reason, 0);
+}
+
 static Grant *
 first_waiting (const MuxCore *core)
 {
@@ -366,13 +380,7 @@
   Grant *grant;
 
   while ((grant = first_waiting (core)) != NULL)
-    {
-      MuxPeerMsg ask = grant->ask;
-
-      mux_sched_cancel (core->sched, grant->task);
-      grant_free (core, grant);
-      refuse (core, &ask, reason, 0);
-    }
+    owner_send_back (core, grant->task, reason);
 }
 
 uint32_t
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -36,6 +36,12 @@
 uint32_t owner_waiting (const MuxCore *core);
 /** owner_refuse_all() - stopping: send the waiting ones elsewhere */
 void owner_refuse_all (MuxCore *core, MuxReason reason);
+/** owner_send_back() - refuse an ask that is not placed, if it is known */
+void owner_send_back (MuxCore *core, MuxId task, MuxReason reason);
+/** owner_recheck_later() - a worker was lost: see what can't be placed now */
+void owner_recheck_later (MuxCore *core);
+/** owner_recheck() - send back what no usable worker could hold, if due */
+void owner_recheck (MuxCore *core);
 void owner_free (MuxCore *core);
 
 #endif
--- /dev/null
+++ b/src/core/owner_recheck.c
@@ -0,0 +1,80 @@
+#include "config.h"
+#include "owner.h"
+#include "worker.h"
+
+#include <stdlib.h>
+
+/* After a worker was lost, so that a claim or answer that is on its way can
+ * bring it back first. */
+#define RECHECK_MS 1000
+
+void
+owner_recheck_later (MuxCore *core)
+{
+  if (core->recheck_ms == 0)
+    core->recheck_ms = core->now_ms + RECHECK_MS;
+}
+
+/* How many of @size the workers could hold if they were empty, up to @enough.
+ */
+static uint32_t
+could_hold (const MuxCore *core, MuxSize size, uint32_t enough)
+{
+  uint32_t count = 0;
+
+  for (const Worker *w = core->workers; w != NULL && count < enough;
+       w = w->hh.next)
+    {
+      MuxSize free = w->capacity;
+
+      while (w->usable && count < enough && mux_size_fits (size, free))
+        {
+          free = mux_size_sub (free, size);
+          count++;
+        }
+    }
+  return count;
+}
+
+static bool
+hopeless (const MuxCore *core, const Grant *grant)
+{
+  const MuxClassSpec *spec = config_class (core, grant->ask.class_name);
+  uint32_t count
+      = mux_id_is_none (grant->ask.group) ? 1 : grant->ask.group_count;
+  MuxSize size;
+
+  if (grant->placed || spec == NULL)
+    return false;
+  size = spec->size;
+  size.slots = 1;
+  return could_hold (core, size, count) < count;
+}
+
+/*
+ * Failure: an owner loses its workers to another one, or they fall silent,
+ * while asks wait with it.  To their homes it still lives and repeats cost it
+ * nothing, so a job would wait there until its ask expires while others have
+ * room.  What the workers that are left can't hold is sent back.
+ */
+void
+owner_recheck (MuxCore *core)
+{
+  uint32_t count = 0;
+  Grant *grant, *next;
+  MuxId *ids;
+
+  if (core->recheck_ms == 0 || core->now_ms < core->recheck_ms)
+    return;
+  core->recheck_ms = 0;
+  ids = malloc ((HASH_COUNT (core->grants) + 1) * sizeof *ids);
+  if (ids == NULL)
+    return;
+  HASH_ITER (hh, core->grants, grant, next)
+  if (hopeless (core, grant))
+    ids[count++] = grant->task;
+  /* A refusal may end other asks of a home in this daemon. */
+  for (uint32_t i = 0; i < count; i++)
+    owner_send_back (core, ids[i], MUX_REASON_NO_WORKERS);
+  free (ids);
+}
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -53,8 +53,13 @@
 static void
 update_usable (MuxCore *core, Worker *worker)
 {
+  bool was = worker->usable;
+
+  worker->usable = worker->index != MUX_NO_WORKER && usable (core, worker);
   if (worker->index != MUX_NO_WORKER)
-    mux_sched_worker_usable (core->sched, worker->index, usable (core, worker));
+    mux_sched_worker_usable (core->sched, worker->index, worker->usable);
+  if (was && !worker->usable)
+    owner_recheck_later (core);
 }
 
 void
@@ -108,6 +113,8 @@
     }
   worker->index = MUX_NO_WORKER;
   worker->claim = CLAIM_NONE;
+  worker->usable = false;
+  owner_recheck_later (core);
   mux_count (core->counters, MUX_COUNT_CLAIMS_LOST, 1);
 }
 
--- a/src/core/worker.h
+++ b/src/core/worker.h
@@ -32,6 +32,7 @@
   uint64_t cursor;
   MuxSize capacity;
   bool leaving; /* by its own word */
+  bool usable;  /* gets new work */
   bool renewing;
   int64_t next_ms;  /* next claim or renewal */
   int64_t heard_ms; /* last answer */
