--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -43,6 +43,7 @@
   uint64_t rng;
   uint64_t next_call_id;
   uint64_t next_task;
+  uint64_t next_grant;
   int64_t started_ms; /* first event; 0: none yet */
   int64_t last_step_ms;
   int64_t wall_ms; /* time of day of the latest ask; 0: none yet */
@@ -50,6 +51,7 @@
   int64_t next_far_heartbeat_ms;
   int64_t next_workers_ms;
   int64_t next_calls_ms;
+  int64_t recheck_ms; /* of asks that may fit nowhere any more; 0: not due */
   bool stopping;
   bool stopped;
   bool pumping;
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -12,40 +12,44 @@
 /* Before the first look: peers must have been heard by then. */
 #define SCAN_FIRST_MS 3000
 
-/*
- * The home of a row is alive if it is a member that is not known to be dead
- * in that same life, or this process and it minds the job.  A member never
- * heard of counts as dead: the first look comes only when all that live have
- * been heard.
- *
- * Failure: the answer to the write that made this process the home was lost,
- * or memory was out after it.  The row names a living home that knows nothing
- * of the job, so nobody would carry it, and an accepted job never ends.  Only
- * this process can tell, so what it does not mind it adopts again.
- */
+static bool
+is_home (const MuxCore *core, const JobHeader *header)
+{
+  return strcmp (header->home, core->name) == 0
+         && header->home_incarnation == core->opt.incarnation;
+}
+
+/* The home of a row is alive if it is a member that is not known to be dead
+ * in that same life.  A member never heard of counts as dead: the first look
+ * comes only when all that live have been heard. */
 static bool
 home_lives (MuxCore *core, const JobHeader *header)
 {
   const Member *member;
 
-  if (strcmp (header->home, core->name) == 0)
-    return header->home_incarnation == core->opt.incarnation
-           && job_submitting (core, header->id);
   member = member_find (core, header->home);
   return member != NULL && member->state != MEMBER_DEAD && !member->stopping
          && member->incarnation == header->home_incarnation;
 }
 
+/*
+ * Failure: the write that made this daemon the home took effect and its answer
+ * was lost, or the job's parts could not be read after it.  The row then names
+ * a home that lives, so nobody else adopts the job, and here nobody carries
+ * it: it would stay open for ever.  A row that names this life of this daemon
+ * is therefore taken again when neither job nor submission is known.
+ */
 static bool
 ours_to_adopt (MuxCore *core, const JobHeader *header)
 {
   char hex[MUX_ID_HEX_LEN];
 
-  if (job_find (core, header->id) != NULL || home_lives (core, header))
+  if (job_find (core, header->id) != NULL || job_submitting (core, header->id))
     return false;
+  if (is_home (core, header))
+    return true;
   mux_id_format (header->id, hex);
-  return strcmp (header->home, core->name) == 0
-         || members_first (core, hex, false);
+  return !home_lives (core, header) && members_first (core, hex, false);
 }
 
 static void
@@ -186,7 +190,7 @@
     return;
   if (reply->status == MUX_TABLE_CONFLICT)
     {
-      /* Another one took it; nothing has been done for it here yet. */
+      /* Another one took it: nothing has been done for it here yet. */
       job_drop (core, job);
       return;
     }
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -58,11 +58,26 @@
   look_ended (core, job);
 }
 
+/*
+ * Failure: a gang's home dies when only some of its tasks are recorded as
+ * placed.  Its new home would ask for the rest as a gang of the whole size,
+ * which never gets complete, and the job hangs.  The rest of a gang that is
+ * placed in part asks one by one.
+ */
+static bool
+none_placed (const Job *job)
+{
+  for (uint32_t i = 0; i < job->header.task_count; i++)
+    if (job->slots[i].state != SLOT_NEW)
+      return false;
+  return true;
+}
+
 static void
 give_task (MuxCore *core, Job *job, uint32_t index, const MuxClassSpec *spec)
 {
   Slot *slot = &job->slots[index];
-  bool gang = spec->kind == MUX_KIND_GANG && slot->state == SLOT_NEW;
+  bool gang = spec->kind == MUX_KIND_GANG && none_placed (job);
   TaskOptions options = { .key = mux_id_of_part (job->id, index),
                           .spec = spec,
                           .body = job->body,
@@ -92,8 +107,7 @@
   const MuxClassSpec *spec = config_class (core, job->header.class_name);
   uint32_t room;
 
-  if (spec == NULL || job->ended || job->dropped || job->header.cancel
-      || core->stopping)
+  if (spec == NULL || job->ended || job->dropped || core->stopping)
     return;
   /* Tasks that run need no window. */
   room = job->asking < WINDOW_TASKS ? WINDOW_TASKS - job->asking : 0;
@@ -103,7 +117,10 @@
     {
       Slot *slot = &job->slots[job->next_new];
 
-      if (!slot_final (slot) && !slot->active)
+      /* Of a cancelled job only what may run is looked after: it has to be
+       * found before it can be stopped. */
+      if (!slot_final (slot) && !slot->active
+          && (!job->header.cancel || slot->state == SLOT_PLACED))
         {
           give_task (core, job, job->next_new, spec);
           if (slot->state == SLOT_NEW)
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -202,9 +202,9 @@
 /* Submission, adoption and questions (jobs_submit.c, jobs_adopt.c,
  * jobs_show.c). */
 void job_submit (MuxCore *core, const MuxAsk *ask);
-void job_submits_free (MuxCore *core);
-/** job_submitting() - a submission here waits for its row */
+/** job_submitting() - a submission of this id is not recorded yet */
 bool job_submitting (MuxCore *core, MuxId id);
+void job_submits_free (MuxCore *core);
 void job_scan (MuxCore *core);
 /** job_scan_soon() - look through the open jobs after @after_ms or so */
 void job_scan_soon (MuxCore *core, int64_t after_ms);
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -349,20 +349,38 @@
 }
 
 void
-owner_refuse_all (MuxCore *core, MuxReason reason)
+owner_send_back (MuxCore *core, MuxId task, MuxReason reason)
 {
-  Grant *grant, *next;
+  Grant *grant = grant_find (core, task);
+  MuxPeerMsg ask;
 
-  HASH_ITER (hh, core->grants, grant, next)
-  {
-    MuxPeerMsg ask = grant->ask;
+  if (grant == NULL || grant->placed)
+    return;
+  ask = grant->ask;
+  mux_sched_cancel (core->sched, task);
+  grant_free (core, grant);
+  refuse (core, &ask, reason, 0);
+}
 
-    if (grant->placed)
-      continue;
-    mux_sched_cancel (core->sched, grant->task);
-    grant_free (core, grant);
-    refuse (core, &ask, reason, 0);
-  }
+static Grant *
+first_waiting (const MuxCore *core)
+{
+  Grant *grant = core->grants;
+
+  while (grant != NULL && grant->placed)
+    grant = grant->hh.next;
+  return grant;
+}
+
+/* A refusal to a home in this daemon may void other asks at once, such as a
+ * gang's, so the search begins anew after each. */
+void
+owner_refuse_all (MuxCore *core, MuxReason reason)
+{
+  Grant *grant;
+
+  while ((grant = first_waiting (core)) != NULL)
+    owner_send_back (core, grant->task, reason);
 }
 
 uint32_t
