Count the bytes of peer messages and worker calls

The forwarder of the tests counts what it passes on and reuses the places of ended connections, as the worker adapter opens one for each call.

--- a/test/support/tcp_forwarder.c
+++ b/test/support/tcp_forwarder.c
@@ -35,6 +35,7 @@
   Pair pairs[PAIRS_MAX];
   uint32_t count;
   uint32_t closed;
+  uint64_t bytes;
 };
 
 static struct sockaddr_in
@@ -47,17 +48,32 @@
   return sa;
 }
 
+/* A place whose connection has ended, else a new one. */
+static Pair *
+free_pair (TcpForwarder *fw)
+{
+  for (uint32_t i = 0; i < fw->count; i++)
+    if (fw->pairs[i].fd[0] < 0)
+      return &fw->pairs[i];
+  return fw->count < PAIRS_MAX ? &fw->pairs[fw->count++] : NULL;
+}
+
 static void
 accept_pair (TcpForwarder *fw)
 {
   int in = accept (fw->listener, NULL, NULL);
   int out = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  if (in >= 0 && out >= 0 && fw->count < PAIRS_MAX
+  if (in >= 0 && out >= 0
       && connect (out, (struct sockaddr *) &fw->target, sizeof fw->target) == 0)
     {
-      fw->pairs[fw->count++] = (Pair){ { in, out }, false };
-      return;
+      Pair *pair = free_pair (fw);
+
+      if (pair != NULL)
+        {
+          *pair = (Pair){ { in, out }, false };
+          return;
+        }
     }
   if (in >= 0)
     close (in);
@@ -87,7 +103,10 @@
   ssize_t n = recv (pair->fd[from], buf, sizeof buf, 0);
 
   if (n > 0 && write_all (pair->fd[1 - from], buf, n))
-    return;
+    {
+      fw->bytes += (uint64_t) n;
+      return;
+    }
   close (pair->fd[0]);
   close (pair->fd[1]);
   pair->fd[0] = pair->fd[1] = -1;
@@ -185,6 +204,17 @@
   pthread_mutex_unlock (&fw->mutex);
 }
 
+uint64_t
+tcp_forwarder_bytes (TcpForwarder *fw)
+{
+  uint64_t bytes;
+
+  pthread_mutex_lock (&fw->mutex);
+  bytes = fw->bytes;
+  pthread_mutex_unlock (&fw->mutex);
+  return bytes;
+}
+
 void
 tcp_forwarder_freeze (TcpForwarder *fw)
 {
--- a/test/support/tcp_forwarder.h
+++ b/test/support/tcp_forwarder.h
@@ -19,5 +19,7 @@
 void tcp_forwarder_freeze (TcpForwarder *forwarder);
 /** tcp_forwarder_wait_closed() - until an end has closed @n connections */
 bool tcp_forwarder_wait_closed (TcpForwarder *forwarder, uint32_t n);
+/** tcp_forwarder_bytes() - passed on so far, both ways together */
+uint64_t tcp_forwarder_bytes (TcpForwarder *forwarder);
 
 #endif
