--- a/test/bench/slopes_core.c
+++ b/test/bench/slopes_core.c
@@ -12,9 +12,9 @@
 
 #define WINDOW_MS 60000
 #define NS_PER_S(cpu_ns) ((double) (cpu_ns) / (WINDOW_MS / 1000.0))
-#define CLASS_JSON                                                            \
-  "{\"product\":\"p\",\"kind\":\"%s\",\"idempotent\":%s,"                     \
-  "\"start_within_ms\":2800,\"start_share_ppm\":990000,"                      \
+#define CLASS_JSON                                        \
+  "{\"product\":\"p\",\"kind\":\"%s\",\"idempotent\":%s," \
+  "\"start_within_ms\":2800,\"start_share_ppm\":990000,"  \
   "\"size\":{\"cpu_milli\":100,\"mem_mib\":100,\"accels\":0},\"run_ms\":%u}"
 
 static void
@@ -108,11 +108,9 @@
 
   for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
     {
-      CoreHarnessOptions options = { .workers = 200,
-                                     .slots = 64,
-                                     .remote = true,
-                                     .members = 1,
-                                     .table_ms = 2 };
+      CoreHarnessOptions options = {
+        .workers = 200, .slots = 64, .remote = true, .members = 1, .table_ms = 2
+      };
       CoreHarness *h = harness_with_product (&options);
       MuxAsk ask = { .verb = MUX_ASK_JOB_SUBMIT,
                      .name = "service-x",
--- a/test/support/core_harness.c
+++ b/test/support/core_harness.c
@@ -460,9 +460,8 @@
 {
   for (uint32_t i = 0; i < h->options.workers; i++)
     {
-      MuxWorkerCall call = {
-        .verb = MUX_WORKER_CLAIM, .epoch = 1, .lease_ms = 100000000
-      };
+      MuxWorkerCall call
+          = { .verb = MUX_WORKER_CLAIM, .epoch = 1, .lease_ms = 100000000 };
 
       snprintf (call.worker, sizeof call.worker, "w%04u", i);
       member_name (0, call.owner);
--- a/test/support/core_harness.h
+++ b/test/support/core_harness.h
@@ -75,8 +75,7 @@
 /** core_harness_ask() - an ask of the door; fills in its call */
 void core_harness_ask (CoreHarness *harness, MuxAsk *ask);
 /** core_harness_peer() - a message from member number @member */
-void
-core_harness_peer (CoreHarness *harness, uint32_t member, MuxPeerMsg *msg);
+void core_harness_peer (CoreHarness *harness, uint32_t member, MuxPeerMsg *msg);
 /** core_harness_put() - put a configured object and see it accepted */
 void core_harness_put (CoreHarness *harness,
                        MuxConfigSort sort,
