Pace renewals and far heartbeats by the size of the cell

At 208 workers, a daemon's share of 5,400 at 26 daemons, renewals were 198 a second when busy (slopes_core, worker.renewals.busy), 134 KB/s at the 677 bytes that slopes_wire counts for each; the budget of all control is 6 KB/s. A daemon of more than 16 workers now asks for longer leases in proportion and renews at 4.2 a second there; up to 16 nothing changes. No rerun is decided by a lease's end, so a longer one only lets tasks of a worker that is cut off run on for longer. The cadence follows the lease that was asked for, not the one that would be asked now: the test of a take-over fails otherwise.

Heartbeats to far members were 0.67/s for each of them without bound; from ten on they get rarer with their number, and stay under 7 a second in all.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -10,10 +10,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Heartbeats to other data centres are this many times rarer, and silence
- * from there is borne as much longer: a cell of 26 daemons stays within its
- * bytes a second. */
-#define FAR_FACTOR 5
+/* Heartbeats to other data centres are this many times rarer at least, and
+ * silence from there is borne as much longer. */
+#define FAR_FACTOR_MIN 5
+/* With more members there, rarer by one for each so many, so that a daemon
+ * sends a bounded number of heartbeats a second however large the cell is. */
+#define FAR_MEMBERS_EACH 2
 /* A dead member is kept so long for operators to see, then dropped. */
 #define DEAD_KEPT_MS 600000
 /* Most addresses named in one message. */
@@ -21,6 +23,21 @@
 /* Most members known, against a flood of made-up names. */
 #define MEMBERS_MAX 256
 
+/* Both ends of a link reckon it from their own members, which differ while
+ * the cell grows or shrinks: three and five heartbeats are missing before a
+ * member counts as suspect and dead, so a few members more or less do not
+ * matter. */
+static int64_t
+far_factor (const MuxCore *core)
+{
+  uint32_t far = 0;
+
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    far += !m->near && m->state != MEMBER_DEAD;
+  return far > FAR_FACTOR_MIN * FAR_MEMBERS_EACH ? far / FAR_MEMBERS_EACH
+                                                 : FAR_FACTOR_MIN;
+}
+
 Member *
 member_find (MuxCore *core, const char *name)
 {
@@ -297,10 +314,10 @@
 }
 
 static void
-look_silent (MuxCore *core, Member *member)
+look_silent (MuxCore *core, Member *member, int64_t far)
 {
   int64_t silent_ms = core->now_ms - member->heard_ms;
-  int64_t factor = member->near ? 1 : FAR_FACTOR;
+  int64_t factor = member->near ? 1 : far;
 
   if (member->state == MEMBER_LIVE
       && silent_ms >= core->opt.suspect_ms * factor)
@@ -348,19 +365,21 @@
 members_tick (MuxCore *core)
 {
   bool far_too = core->now_ms >= core->next_far_heartbeat_ms;
+  int64_t far;
   Member *member, *next;
 
   if (core->now_ms < core->next_heartbeat_ms)
     return;
+  far = far_factor (core);
   send_heartbeats (core, far_too);
   update_share (core);
   core->next_heartbeat_ms = core->now_ms + core->opt.heartbeat_ms;
   if (far_too)
     core->next_far_heartbeat_ms
-        = core->now_ms + (int64_t) core->opt.heartbeat_ms * FAR_FACTOR;
+        = core->now_ms + (int64_t) core->opt.heartbeat_ms * far;
   HASH_ITER (hh, core->members, member, next)
   {
-    look_silent (core, member);
+    look_silent (core, member, far);
     if (member->state == MEMBER_DEAD
         && core->now_ms - member->heard_ms > DEAD_KEPT_MS)
       {
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -2,6 +2,7 @@
 
 #include "call.h"
 #include "config.h"
+#include "lease.h"
 #include "member.h"
 #include "owner.h"
 
@@ -9,8 +10,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A worker with something booked on it is asked for changes this often. */
-#define RENEW_BUSY_MS 1000
 /* How often claims and renewals are looked at. */
 #define WORKERS_LOOK_MS 50
 /* Calls in a row without an answer after which it gets no new work. */
@@ -153,16 +152,6 @@
     }
 }
 
-static int64_t
-renew_every_ms (const MuxCore *core, const Worker *worker)
-{
-  int64_t idle_ms = core->opt.lease_ms / 3;
-
-  if (worker->grants != NULL && idle_ms > RENEW_BUSY_MS)
-    return RENEW_BUSY_MS;
-  return idle_ms;
-}
-
 static void
 unheard (MuxCore *core, Worker *worker)
 {
@@ -242,7 +231,7 @@
   worker->epoch = reply->epoch;
   mux_name_copy (worker->owner, core->name);
   heard (core, worker, reply);
-  worker->next_ms = core->now_ms + renew_every_ms (core, worker);
+  worker->next_ms = core->now_ms + lease_renew_ms (core, worker);
   if (!take_hold (core, worker, reply))
     return;
   owner_report (core, worker, reply);
@@ -251,14 +240,14 @@
 
 static void
 call_init (const MuxCore *core,
-           const Worker *worker,
+           Worker *worker,
            MuxWorkerVerb verb,
            MuxWorkerCall *call)
 {
   *call = (MuxWorkerCall){ .verb = verb };
   mux_name_copy (call->worker, worker->name);
   snprintf (call->addr, sizeof call->addr, "%s", worker->addr);
-  call->lease_ms = core->opt.lease_ms;
+  worker->lease_ms = call->lease_ms = lease_ask_ms (core);
   call->timeout_ms = WORKER_TIMEOUT_MS;
   call->epoch = worker->epoch;
 }
@@ -296,7 +285,7 @@
       heard (core, worker, reply);
       owner_report (core, worker, reply);
       update_usable (core, worker);
-      worker->next_ms = core->now_ms + renew_every_ms (core, worker);
+      worker->next_ms = core->now_ms + lease_renew_ms (core, worker);
       break;
     case MUX_WORKER_OLD_EPOCH:
       worker->epoch = reply->epoch;
--- a/src/core/worker.h
+++ b/src/core/worker.h
@@ -33,11 +33,12 @@
   MuxSize capacity;
   bool leaving; /* by its own word */
   bool renewing;
-  int64_t next_ms;  /* next claim or renewal */
-  int64_t heard_ms; /* last answer */
-  uint32_t unheard; /* calls in a row without an answer */
-  Grant *grants;    /* booked on it */
-  uint32_t open;    /* of which not yet seen started */
+  uint32_t lease_ms; /* last asked for */
+  int64_t next_ms;   /* next claim or renewal */
+  int64_t heard_ms;  /* last answer */
+  uint32_t unheard;  /* calls in a row without an answer */
+  Grant *grants;     /* booked on it */
+  uint32_t open;     /* of which not yet seen started */
   UT_hash_handle hh;
 };
 
--- a/test/bench/slopes_core.c
+++ b/test/bench/slopes_core.c
@@ -11,7 +11,8 @@
 #include <string.h>
 
 #define WINDOW_MS 60000
-#define NS_PER_S(cpu_ns) ((double) (cpu_ns) / (WINDOW_MS / 1000.0))
+#define LEASES_SETTLE_MS 300000
+#define PER_S(count) ((double) (count) / (WINDOW_MS / 1000.0))
 #define CLASS_JSON                                        \
   "{\"product\":\"p\",\"kind\":\"%s\",\"idempotent\":%s," \
   "\"start_within_ms\":2800,\"start_share_ppm\":990000,"  \
@@ -52,7 +53,7 @@
   uint64_t bytes;
 
   core_harness_run (h, WINDOW_MS);
-  slope_add (cpu, size, NS_PER_S (h->cpu_ns - before));
+  slope_add (cpu, size, PER_S (h->cpu_ns - before));
   core_harness_free (h, &bytes);
   slope_add (heap, size, (double) bytes);
 }
@@ -60,7 +61,8 @@
 static void
 workers (const char *name, uint32_t tasks_each)
 {
-  static const uint32_t sizes[] = { 50, 100, 200, 400, 800 };
+  static const uint32_t sizes[] = { 16, 50, 100, 208, 400, 800 };
+  Slope renewals = { 0 };
   Slope cpu = { 0 };
   Slope heap = { 0 };
   char label[64];
@@ -71,9 +73,19 @@
                                      .slots = 64,
                                      .running = sizes[i] * tasks_each,
                                      .members = tasks_each > 0 };
+      CoreHarness *h = core_harness_new (&options);
+      uint64_t before;
 
-      idle_minute (core_harness_new (&options), sizes[i], &cpu, &heap);
+      /* Leases grow with the workers held; let them all be renewed once. */
+      core_harness_run (h, LEASES_SETTLE_MS);
+      before = h->asked[MUX_WORKER_RENEW];
+      core_harness_run (h, WINDOW_MS);
+      slope_add (&renewals, sizes[i],
+                 PER_S (h->asked[MUX_WORKER_RENEW] - before));
+      idle_minute (h, sizes[i], &cpu, &heap);
     }
+  snprintf (label, sizeof label, "worker.renewals.%s", name);
+  slope_print (&renewals, label, "renewals/s/worker");
   snprintf (label, sizeof label, "core.cpu.worker_%s", name);
   slope_print (&cpu, label, "ns/s/worker");
   snprintf (label, sizeof label, "core.heap.worker_%s", name);
@@ -195,8 +207,7 @@
       uint64_t before = h->sent[MUX_PEER_HEARTBEAT];
 
       core_harness_run (h, WINDOW_MS);
-      slope_add (&sent, sizes[i],
-                 NS_PER_S (h->sent[MUX_PEER_HEARTBEAT] - before));
+      slope_add (&sent, sizes[i], PER_S (h->sent[MUX_PEER_HEARTBEAT] - before));
       idle_minute (h, sizes[i], &cpu, &heap);
     }
   snprintf (label, sizeof label, "core.cpu.member_%s", name);
--- a/test/support/core_harness.c
+++ b/test/support/core_harness.c
@@ -14,7 +14,6 @@
 #define WORKER_MS 1
 #define LEASE_MS 6000
 #define HEARTBEAT_MS 300
-/* Far members are heard once in so many rounds. */
 #define FAR_ROUNDS 5
 #define WORKER_LIFE 7
 #define SETTLE_MS 20000
@@ -98,6 +97,7 @@
   CoreHarness *h = (CoreHarness *) sink;
   HarnessCall *item = call_new (h->now_ms + WORKER_MS);
 
+  h->asked[call->verb]++;
   item->call = *call;
   mux_name_copy (item->call.owner, NAME);
   mux_blob_ref (call->body);
@@ -163,10 +163,11 @@
 static void
 on_state_log (MuxSink *sink, int level, const char *event, const char *text)
 {
-  (void) sink;
+  CoreHarness *h = (CoreHarness *) sink;
+
   (void) level;
-  (void) event;
   (void) text;
+  h->suspects += strcmp (event, "member_suspect") == 0;
 }
 
 static void
@@ -296,7 +297,7 @@
 static void
 send_heartbeats (CoreHarness *h)
 {
-  bool far_too = h->heartbeats++ % FAR_ROUNDS == 0;
+  bool far_too = h->heartbeats++ % h->options.far_rounds == 0;
 
   h->heartbeat_ms = h->now_ms + HEARTBEAT_MS;
   for (uint32_t i = 0; i < h->options.members; i++)
@@ -470,10 +471,9 @@
     }
 }
 
-static void
-list_instances (CoreHarness *h)
+void
+core_harness_list (CoreHarness *h, uint32_t count)
 {
-  uint32_t count = h->options.workers;
   MuxInstanceList *list
       = calloc (1, sizeof *list + count * sizeof list->item[0]);
   MuxEvent event = { MUX_EVENT_INSTANCES, { .instances = list } };
@@ -524,6 +524,8 @@
 
   must (h != NULL && options->workers <= HARNESS_WORKERS_MAX, "options");
   h->options = *options;
+  if (h->options.far_rounds == 0)
+    h->options.far_rounds = FAR_ROUNDS;
   h->sink = (MuxSink){ on_answer, on_worker_call, on_table_call, on_peer_send,
                        on_state_log };
   h->now_ms = START_MS;
@@ -538,7 +540,8 @@
   core.counters = h->counters;
   h->core = mux_core_new (&core, NULL);
   must (h->core != NULL && h->platform != NULL, "set-up");
-  list_instances (h);
+  core_harness_list (h,
+                     options->listed > 0 ? options->listed : options->workers);
   core_harness_run (h, SETTLE_MS);
   must (mux_core_ready (h->core), "the core is not ready");
   return h;
--- a/test/support/core_harness.h
+++ b/test/support/core_harness.h
@@ -11,20 +11,24 @@
 /**
  * struct CoreHarnessOptions - one core on a fake clock, without I/O
  * @workers: stand-in workers
+ * @listed: how many of them the instance list names at first; 0: all
  * @remote: the first member holds the workers, not this core
  * @running: tasks of the first member that run on them from before, in turn
  * @members: peers that send heartbeats
  * @near: how many of them are in this core's data centre
+ * @far_rounds: far members are heard once in so many heartbeats; 0: 5
  * @slots: of each worker
  * @table_ms: a table call's answer comes after this
  */
 typedef struct
 {
   uint32_t workers;
+  uint32_t listed;
   bool remote;
   uint32_t running;
   uint32_t members;
   uint32_t near;
+  uint32_t far_rounds;
   uint32_t slots;
   uint32_t table_ms;
 } CoreHarnessOptions;
@@ -38,8 +42,9 @@
  * @steps: events handed in
  * @answers: by MuxOutcome
  * @last: the last answer; its body is not kept
- * @grants: GRANT messages to peers
  * @sent: messages to peers, by verb
+ * @suspects: how often a member was called suspect
+ * @asked: calls to workers, by verb
  */
 typedef struct
 {
@@ -63,6 +68,8 @@
   uint64_t answers[MUX_OUTCOME_INFO + 1];
   MuxAnswer last;
   uint64_t sent[MUX_PEER_VERB_COUNT];
+  uint32_t suspects;
+  uint64_t asked[MUX_WORKER_RELEASE + 1];
   uint64_t next_call;
 } CoreHarness;
 
@@ -70,6 +77,8 @@
 CoreHarness *core_harness_new (const CoreHarnessOptions *options);
 /** core_harness_free() - @core_bytes: heap that the core itself held */
 void core_harness_free (CoreHarness *harness, uint64_t *core_bytes);
+/** core_harness_list() - the instance list names the first @count workers */
+void core_harness_list (CoreHarness *harness, uint32_t count);
 /** core_harness_run() - let @ms of the fake clock pass */
 void core_harness_run (CoreHarness *harness, int64_t ms);
 /** core_harness_ask() - an ask of the door; fills in its call */
