Share the looks for jobs without a home among the daemons

Each daemon read all rows of open jobs every 30 to 60 s: with 2,000 of them and 25 members 12,285 rows in five minutes at one daemon, 41 a second of some 300 bytes, over its whole budget of control. A cell with few open jobs reads one page a look, as before. Who may adopt is decided by the part too, so the one that looks is the one that may.

--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -11,6 +11,14 @@
 #define SCAN_PAGE_MS 20
 /* Before the first look: peers must have been heard by then. */
 #define SCAN_FIRST_MS 3000
+/* Open jobs are divided by the first bits of their ids; each part is looked
+ * through by the daemon that is first choice for it, so that all daemons
+ * together read the rows about once a look, not each of them all rows. */
+#define PARTS 64
+#define PART_SHIFT 58
+#define OPEN_PREFIX "job/open/"
+/* Rows of a page: few, since a page may reach into parts of others. */
+#define SCAN_ROWS 32
 
 /* The home of a row is alive if it is this process, or a member that is not
  * known to be dead in that same life.  A member never heard of counts as
@@ -27,14 +35,26 @@
          && member->incarnation == header->home_incarnation;
 }
 
+static uint32_t
+part_of (MuxId id)
+{
+  return (uint32_t) (id.hi >> PART_SHIFT);
+}
+
 static bool
-ours_to_adopt (MuxCore *core, const JobHeader *header)
+part_is_ours (MuxCore *core, uint32_t part)
 {
-  char hex[MUX_ID_HEX_LEN];
+  char subject[MUX_NAME_LEN];
+
+  snprintf (subject, sizeof subject, "jobs-%u", part);
+  return members_first (core, subject, false);
+}
 
-  mux_id_format (header->id, hex);
+static bool
+ours_to_adopt (MuxCore *core, const JobHeader *header)
+{
   return !home_lives (core, header) && job_find (core, header->id) == NULL
-         && members_first (core, hex, false);
+         && part_is_ours (core, part_of (header->id));
 }
 
 static void
@@ -203,6 +223,44 @@
     job_drop (core, job);
 }
 
+/* Go on at the first part of ours from @part on; false: there is none. */
+static bool
+scan_from_part (MuxCore *core, uint32_t part)
+{
+  Jobs *jobs = core->jobs;
+  MuxId start = { 0, 0 };
+  char hex[MUX_ID_HEX_LEN];
+
+  while (part < PARTS && !part_is_ours (core, part))
+    part++;
+  if (part == PARTS)
+    return false;
+  /* Two digits sort before every id that begins with them. */
+  start.hi = (uint64_t) part << PART_SHIFT;
+  mux_id_format (start, hex);
+  snprintf (jobs->scan_after, sizeof jobs->scan_after, OPEN_PREFIX "%.2s", hex);
+  return true;
+}
+
+/* Where the look goes on after a page; false: it has ended. */
+static bool
+scan_on (MuxCore *core, const MuxTableReply *reply)
+{
+  Jobs *jobs = core->jobs;
+  const char *last;
+  MuxId id;
+
+  if (!reply->more || reply->row_count == 0)
+    return false;
+  last = reply->rows[reply->row_count - 1].key;
+  if (!mux_id_parse (last + sizeof OPEN_PREFIX - 1, &id))
+    return false;
+  if (!part_is_ours (core, part_of (id)))
+    return scan_from_part (core, part_of (id) + 1);
+  snprintf (jobs->scan_after, sizeof jobs->scan_after, "%s", last);
+  return true;
+}
+
 static void
 scan_done (MuxCore *core,
            MuxId subject,
@@ -214,7 +272,6 @@
   (void) subject;
   (void) aux;
   jobs->scanning = false;
-  jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_EVERY_MS / 2);
   if (reply->status != MUX_TABLE_OK)
     {
       jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_FIRST_MS);
@@ -228,13 +285,13 @@
           && ours_to_adopt (core, &header))
         take (core, &reply->rows[i], &header);
     }
-  jobs->scan_after[0] = 0;
-  if (reply->more && reply->row_count > 0)
+  if (scan_on (core, reply))
     {
-      snprintf (jobs->scan_after, sizeof jobs->scan_after, "%s",
-                reply->rows[reply->row_count - 1].key);
       jobs->next_scan_ms = core->now_ms + SCAN_PAGE_MS;
+      return;
     }
+  jobs->scan_after[0] = 0;
+  jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_EVERY_MS / 2);
 }
 
 void
@@ -248,12 +305,14 @@
   if (jobs->scanning || core->now_ms < jobs->next_scan_ms)
     return;
   jobs->next_scan_ms = core->now_ms + SCAN_FIRST_MS;
+  if (jobs->scan_after[0] == 0 && !scan_from_part (core, 0))
+    return;
   call = mux_table_call_new (MUX_TABLE_SCAN, 2);
   if (call == NULL)
     return;
-  snprintf (call->rows[0].key, sizeof call->rows[0].key, "job/open/");
+  snprintf (call->rows[0].key, sizeof call->rows[0].key, OPEN_PREFIX);
   snprintf (call->rows[1].key, sizeof call->rows[1].key, "%s",
             jobs->scan_after);
-  call->limit = MUX_ROWS_MAX;
+  call->limit = SCAN_ROWS;
   jobs->scanning = call_table (core, call, scan_done, (MuxId){ 0, 0 }, 0);
 }
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -4,6 +4,8 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -11,6 +13,9 @@
 #define WORKERS 208
 #define TASKS_EACH 4
 #define MINUTES_MS (5 * 60 * 1000)
+#define JOBS 2000
+/* Looks for jobs without a home in that time. */
+#define LOOKS_MAX 10
 
 static void
 test_renewals_are_paced (void **state)
@@ -97,11 +102,76 @@
   core_harness_free (h, NULL);
 }
 
+/* Rows of open jobs, spread over all ids, of @home. */
+static void
+put_open_jobs (CoreHarness *h, uint32_t count, const char *home)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      MuxId id = { mux_hash_name ("job", i), i };
+      char hex[MUX_ID_HEX_LEN];
+      char text[512];
+      MuxRow row = { .rev = MUX_REV_ABSENT };
+      StandinRowSet failed;
+      uint64_t rev;
+
+      mux_id_format (id, hex);
+      snprintf (row.key, sizeof row.key, "job/open/%s", hex);
+      snprintf (text, sizeof text,
+                "{\"id\":\"%s\",\"class\":\"c\",\"task_count\":1,"
+                "\"state\":\"open\",\"cancel\":false,\"home\":\"%s\","
+                "\"home_incarnation\":1,\"object\":\"\",\"done\":0,"
+                "\"failed\":0,\"at_ms\":1}",
+                hex, home);
+      row.value = mux_blob_new (text, strlen (text));
+      assert_int_equal (
+          standin_platform_txn (h->platform, &row, 1, &rev, &failed),
+          MUX_TABLE_OK);
+      mux_blob_unref (row.value);
+    }
+}
+
+static void
+test_one_daemon_adopts_all_jobs (void **state)
+{
+  CoreHarnessOptions options = { .table_ms = 1 };
+  CoreHarness *h = core_harness_new (&options);
+
+  (void) state;
+  put_open_jobs (h, JOBS, "entry-gone");
+  core_harness_run (h, MINUTES_MS);
+  assert_int_equal (mux_counter_value (h->counters, MUX_COUNT_JOBS_ADOPTED),
+                    JOBS);
+  core_harness_free (h, NULL);
+}
+
+/* Each of 25 daemons reads its part of the open jobs, and some rows over. */
+static void
+test_looks_for_jobs_are_shared (void **state)
+{
+  CoreHarnessOptions options = { .members = 24, .near = 1, .table_ms = 1 };
+  CoreHarness *h = core_harness_new (&options);
+  StandinPlatformStats from;
+  StandinPlatformStats to;
+
+  (void) state;
+  put_open_jobs (h, JOBS, "entry-m00");
+  standin_platform_stats (h->platform, &from);
+  core_harness_run (h, MINUTES_MS);
+  standin_platform_stats (h->platform, &to);
+  assert_in_range (to.rows_read - from.rows_read, JOBS / 25,
+                   LOOKS_MAX * JOBS / 4);
+  assert_int_equal (mux_counter_value (h->counters, MUX_COUNT_JOBS_ADOPTED), 0);
+  core_harness_free (h, NULL);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_far_heartbeats_are_bounded),
+      = { cmocka_unit_test (test_one_daemon_adopts_all_jobs),
+          cmocka_unit_test (test_looks_for_jobs_are_shared),
+          cmocka_unit_test (test_far_heartbeats_are_bounded),
           cmocka_unit_test (test_renewals_are_paced),
           cmocka_unit_test (test_takeover_lets_no_lease_lapse),
           cmocka_unit_test (test_takeover_at_once_lets_no_lease_lapse) };
