--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -27,6 +27,7 @@
   job_free (core, job);
   job_submits_free (core);
   job_waits_free (core);
+  job_retakes_free (core);
 }
 
 Job *
@@ -142,6 +143,7 @@
 {
   int64_t at = core->jobs->next_scan_ms;
   int64_t wait = job_waits_wake_ms (core);
+  int64_t retake = job_retakes_wake_ms (core);
 
   for (const Job *job = core->jobs->open; job != NULL; job = job->hh.next)
     {
@@ -153,6 +155,8 @@
     }
   if (wait < at)
     at = wait;
+  if (retake < at)
+    at = retake;
   return at;
 }
 
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -3,14 +3,27 @@
 #include "member.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Between looks through the open jobs for ones without a living home. */
 #define SCAN_EVERY_MS 60000
+/* Between looks at a row that should be carried here. */
+#define RETAKE_MS 1500
+/* Looks that find no row before it is believed that none will come. */
+#define RETAKE_TRIES 20
 /* Between pages of one look. */
 #define SCAN_PAGE_MS 20
 /* Before the first look: peers must have been heard by then. */
 #define SCAN_FIRST_MS 3000
+/* Open jobs are divided by the first bits of their ids; each part is looked
+ * through by the daemon that is first choice for it, so that all daemons
+ * together read the rows about once a look, not each of them all rows. */
+#define PARTS 64
+#define PART_SHIFT 58
+#define OPEN_PREFIX "job/open/"
+/* Rows of a page: few, since a page may reach into parts of others. */
+#define SCAN_ROWS 32
 
 static bool
 is_home (const MuxCore *core, const JobHeader *header)
@@ -32,24 +45,29 @@
          && member->incarnation == header->home_incarnation;
 }
 
-/*
- * Failure: the write that made this daemon the home took effect and its answer
- * was lost, or the job's parts could not be read after it.  The row then names
- * a home that lives, so nobody else adopts the job, and here nobody carries
- * it: it would stay open for ever.  A row that names this life of this daemon
- * is therefore taken again when neither job nor submission is known.
- */
+static uint32_t
+part_of (MuxId id)
+{
+  return (uint32_t) (id.hi >> PART_SHIFT);
+}
+
 static bool
-ours_to_adopt (MuxCore *core, const JobHeader *header)
+part_is_ours (MuxCore *core, uint32_t part)
 {
-  char hex[MUX_ID_HEX_LEN];
+  char subject[MUX_NAME_LEN];
 
+  snprintf (subject, sizeof subject, "jobs-%u", part);
+  return members_first (core, subject, false);
+}
+
+static bool
+ours_to_adopt (MuxCore *core, const JobHeader *header)
+{
   if (job_find (core, header->id) != NULL || job_submitting (core, header->id))
     return false;
-  if (is_home (core, header))
-    return true;
-  mux_id_format (header->id, hex);
-  return !home_lives (core, header) && members_first (core, hex, false);
+  return is_home (core, header)
+         || (!home_lives (core, header)
+             && part_is_ours (core, part_of (header->id)));
 }
 
 static void
@@ -92,10 +110,10 @@
 static void
 abandon (MuxCore *core, Job *job)
 {
-  /* Its row names this daemon as home, or may soon, yet it can't be carried
-   * now: the next look finds it again. */
+  MuxId id = job->id;
+
   job_drop (core, job);
-  job_scan_soon (core, SCAN_FIRST_MS);
+  job_retake (core, id);
 }
 
 static void
@@ -233,6 +251,134 @@
     abandon (core, job);
 }
 
+/*
+ * Failure: the write that made this daemon the home took effect and its answer
+ * was lost, or the job's parts could not be read after it.  The row then names
+ * a home that lives, so nobody else adopts the job, and here nobody carries
+ * it: it would stay open for ever.  Only this daemon knows, so it looks at
+ * that row again until it carries the job or the row names another.
+ */
+void
+job_retake (MuxCore *core, MuxId id)
+{
+  JobRetake *retake;
+
+  HASH_FIND (hh, core->jobs->retakes, &id, sizeof id, retake);
+  if (retake == NULL)
+    {
+      retake = calloc (1, sizeof *retake);
+      if (retake == NULL)
+        return;
+      retake->id = id;
+      HASH_ADD (hh, core->jobs->retakes, id, sizeof retake->id, retake);
+    }
+  retake->tries = RETAKE_TRIES;
+  retake->at_ms = core->now_ms + core_jitter (core, RETAKE_MS);
+}
+
+static void
+retake_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+{
+  JobRetake *retake;
+  JobHeader header;
+
+  (void) aux;
+  HASH_FIND (hh, core->jobs->retakes, &id, sizeof id, retake);
+  if (retake == NULL || reply->status != MUX_TABLE_OK || reply->row_count == 0)
+    return;
+  /* Not there: the write may yet land, late. */
+  if (reply->rows[0].rev == MUX_REV_ABSENT && --retake->tries > 0)
+    return;
+  HASH_DEL (core->jobs->retakes, retake);
+  free (retake);
+  if (job_header_from_blob (reply->rows[0].value, &header)
+      && is_home (core, &header) && ours_to_adopt (core, &header))
+    take (core, &reply->rows[0], &header);
+}
+
+static void
+look_again (MuxCore *core, JobRetake *retake)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_GET, 1);
+
+  retake->at_ms = core->now_ms + core_jitter (core, RETAKE_MS);
+  if (call == NULL)
+    return;
+  job_row_key ("open", retake->id, call->rows[0].key);
+  call_table (core, call, retake_done, retake->id, 0);
+}
+
+static void
+look_at_retakes (MuxCore *core)
+{
+  JobRetake *retake, *next;
+
+  HASH_ITER (hh, core->jobs->retakes, retake, next)
+  if (core->now_ms >= retake->at_ms)
+    look_again (core, retake);
+}
+
+int64_t
+job_retakes_wake_ms (const MuxCore *core)
+{
+  int64_t at = INT64_MAX;
+
+  for (const JobRetake *r = core->jobs->retakes; r != NULL; r = r->hh.next)
+    if (r->at_ms < at)
+      at = r->at_ms;
+  return at;
+}
+
+void
+job_retakes_free (MuxCore *core)
+{
+  JobRetake *retake, *next;
+
+  HASH_ITER (hh, core->jobs->retakes, retake, next)
+  {
+    HASH_DEL (core->jobs->retakes, retake);
+    free (retake);
+  }
+}
+
+/* Go on at the first part of ours from @part on; false: there is none. */
+static bool
+scan_from_part (MuxCore *core, uint32_t part)
+{
+  Jobs *jobs = core->jobs;
+  MuxId start = { 0, 0 };
+  char hex[MUX_ID_HEX_LEN];
+
+  while (part < PARTS && !part_is_ours (core, part))
+    part++;
+  if (part == PARTS)
+    return false;
+  /* Two digits sort before every id that begins with them. */
+  start.hi = (uint64_t) part << PART_SHIFT;
+  mux_id_format (start, hex);
+  snprintf (jobs->scan_after, sizeof jobs->scan_after, OPEN_PREFIX "%.2s", hex);
+  return true;
+}
+
+/* Where the look goes on after a page; false: it has ended. */
+static bool
+scan_on (MuxCore *core, const MuxTableReply *reply)
+{
+  Jobs *jobs = core->jobs;
+  const char *last;
+  MuxId id;
+
+  if (!reply->more || reply->row_count == 0)
+    return false;
+  last = reply->rows[reply->row_count - 1].key;
+  if (!mux_id_parse (last + sizeof OPEN_PREFIX - 1, &id))
+    return false;
+  if (!part_is_ours (core, part_of (id)))
+    return scan_from_part (core, part_of (id) + 1);
+  snprintf (jobs->scan_after, sizeof jobs->scan_after, "%s", last);
+  return true;
+}
+
 static void
 scan_done (MuxCore *core,
            MuxId subject,
@@ -244,7 +390,6 @@
   (void) subject;
   (void) aux;
   jobs->scanning = false;
-  jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_EVERY_MS / 2);
   if (reply->status != MUX_TABLE_OK)
     {
       jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_FIRST_MS);
@@ -258,18 +403,16 @@
           && ours_to_adopt (core, &header))
         take (core, &reply->rows[i], &header);
     }
-  jobs->scan_after[0] = 0;
-  if (reply->more && reply->row_count > 0)
+  if (scan_on (core, reply))
     {
-      snprintf (jobs->scan_after, sizeof jobs->scan_after, "%s",
-                reply->rows[reply->row_count - 1].key);
       jobs->next_scan_ms = core->now_ms + SCAN_PAGE_MS;
+      return;
     }
-  else if (jobs->scan_again)
-    {
-      jobs->scan_again = false;
-      jobs->next_scan_ms = core->now_ms + core_jitter (core, RETRY_MS);
-    }
+  jobs->scan_after[0] = 0;
+  jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_EVERY_MS / 2);
+  if (jobs->scan_again)
+    jobs->next_scan_ms = core->now_ms + core_jitter (core, RETRY_MS);
+  jobs->scan_again = false;
 }
 
 void
@@ -278,17 +421,20 @@
   Jobs *jobs = core->jobs;
   MuxTableCall *call;
 
+  look_at_retakes (core);
   if (jobs->next_scan_ms == 0)
     jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_FIRST_MS);
   if (jobs->scanning || core->now_ms < jobs->next_scan_ms)
     return;
   jobs->next_scan_ms = core->now_ms + SCAN_FIRST_MS;
+  if (jobs->scan_after[0] == 0 && !scan_from_part (core, 0))
+    return;
   call = mux_table_call_new (MUX_TABLE_SCAN, 2);
   if (call == NULL)
     return;
-  snprintf (call->rows[0].key, sizeof call->rows[0].key, "job/open/");
+  snprintf (call->rows[0].key, sizeof call->rows[0].key, OPEN_PREFIX);
   snprintf (call->rows[1].key, sizeof call->rows[1].key, "%s",
             jobs->scan_after);
-  call->limit = MUX_ROWS_MAX;
+  call->limit = SCAN_ROWS;
   jobs->scanning = call_table (core, call, scan_done, (MuxId){ 0, 0 }, 0);
 }
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -152,8 +152,20 @@
   UT_hash_handle hh;
 };
 
+/* A job whose row names this life of this daemon, or may soon, and which is
+ * not carried here. */
+typedef struct JobRetake JobRetake;
+struct JobRetake
+{
+  MuxId id;
+  int64_t at_ms;
+  uint32_t tries; /* left, while there is no row */
+  UT_hash_handle hh;
+};
+
 struct Jobs
 {
+  JobRetake *retakes;
   Job *open; /* carried by this daemon */
   JobSubmit *submits;
   JobWait *waits;
@@ -206,6 +218,10 @@
 bool job_submitting (MuxCore *core, MuxId id);
 void job_submits_free (MuxCore *core);
 void job_scan (MuxCore *core);
+/** job_retake() - look at the row of a job that this daemon had to let go */
+void job_retake (MuxCore *core, MuxId id);
+int64_t job_retakes_wake_ms (const MuxCore *core);
+void job_retakes_free (MuxCore *core);
 /** job_scan_soon() - look through the open jobs after @after_ms or so */
 void job_scan_soon (MuxCore *core, int64_t after_ms);
 void job_show (MuxCore *core, const MuxAsk *ask);
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -12,7 +12,6 @@
 /* Tries of a write whose answer was lost before the caller hears "unknown". */
 #define TRIES_MAX 5
 /* Pause before a look for a row that an unanswered write may have left. */
-#define UNKNOWN_SCAN_MS 3000
 
 static void send_row (MuxCore *core, JobSubmit *submit);
 
@@ -61,9 +60,9 @@
 
   core_answer (core, submit->call, outcome, reason, RETRY_MS * 10, submit->id,
                NULL);
-  submit_free (core, submit);
   if (outcome == MUX_OUTCOME_UNKNOWN)
-    job_scan_soon (core, UNKNOWN_SCAN_MS);
+    job_retake (core, submit->id);
+  submit_free (core, submit);
 }
 
 static void
@@ -72,9 +71,10 @@
   Job *job = job_new (core, &submit->header, rev, submit->body);
 
   mux_count (core->counters, MUX_COUNT_JOBS_ACCEPTED, 1);
-  /* Recorded is accepted, even if this daemon has no memory to carry it: its
-   * row has no living home then, or this one, and a scan adopts it. */
   job_answer_header (core, submit->call, 202, &submit->header);
+  /* Recorded is accepted, even if there is no memory to carry it yet. */
+  if (job == NULL)
+    job_retake (core, submit->id);
   submit_free (core, submit);
   if (job != NULL)
     job_carry (core, job);
--- a/test/support/tcp_forwarder.c
+++ b/test/support/tcp_forwarder.c
@@ -38,6 +38,7 @@
   Pair pairs[PAIRS_MAX];
   uint32_t count;
   uint32_t closed;
+  uint64_t bytes; /* passed on, both ways together */
 };
 
 static struct sockaddr_in
@@ -113,7 +114,11 @@
   ssize_t n = recv (pair->fd[from], buf, sizeof buf, 0);
 
   if (n <= 0 || !write_all (pair->fd[1 - from], buf, n))
-    close_pair (fw, pair);
+    {
+      close_pair (fw, pair);
+      return;
+    }
+  fw->bytes += (uint64_t) n;
 }
 
 static int
@@ -225,6 +230,17 @@
   eventfd_write (fw->wake, 1);
 }
 
+uint64_t
+tcp_forwarder_bytes (TcpForwarder *fw)
+{
+  uint64_t bytes;
+
+  pthread_mutex_lock (&fw->mutex);
+  bytes = fw->bytes;
+  pthread_mutex_unlock (&fw->mutex);
+  return bytes;
+}
+
 void
 tcp_forwarder_freeze (TcpForwarder *fw)
 {
