--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -11,7 +11,6 @@
 
 /* Tries of a write whose answer was lost before the caller hears "unknown". */
 #define TRIES_MAX 5
-/* Pause before a look for a row that an unanswered write may have left. */
 
 static void send_row (MuxCore *core, JobSubmit *submit);
 
