Keep gangs whole when asks, grants or their home are lost

Ruled out: placement, which never had a complete gang to place. The gang's part of the job code moves to a file of its own.

--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -23,6 +23,8 @@
  * let them ask anew together, after @pause_ms.  False: part of the gang has
  * room already, so @task asks alone. */
 bool jobs_gang_again (MuxCore *core, Task *task, int64_t pause_ms);
+/** jobs_gang_broken() - part of @task's gang has room already or has ended */
+bool jobs_gang_broken (MuxCore *core, const Task *task);
 /** jobs_task_ended() - for good; the task is freed by the caller after.  It
  * must not end other tasks in the same call: their lists are being walked. */
 void jobs_task_ended (MuxCore *core,
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -44,8 +44,7 @@
 {
   char hex[MUX_ID_HEX_LEN];
 
-  if (job_find (core, header->id) != NULL
-      || job_submitting (core, header->id))
+  if (job_find (core, header->id) != NULL || job_submitting (core, header->id))
     return false;
   if (is_home (core, header))
     return true;
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -58,26 +58,11 @@
   look_ended (core, job);
 }
 
-/*
- * Failure: a gang's home dies when only some of its tasks are recorded as
- * placed.  Its new home would ask for the rest as a gang of the whole size,
- * which never gets complete, and the job hangs.  The rest of a gang that is
- * placed in part asks one by one.
- */
-static bool
-none_placed (const Job *job)
-{
-  for (uint32_t i = 0; i < job->header.task_count; i++)
-    if (job->slots[i].state != SLOT_NEW)
-      return false;
-  return true;
-}
-
 static void
 give_task (MuxCore *core, Job *job, uint32_t index, const MuxClassSpec *spec)
 {
   Slot *slot = &job->slots[index];
-  bool gang = spec->kind == MUX_KIND_GANG && none_placed (job);
+  bool gang = spec->kind == MUX_KIND_GANG && job_none_placed (job);
   TaskOptions options = { .key = mux_id_of_part (job->id, index),
                           .spec = spec,
                           .body = job->body,
@@ -202,45 +187,6 @@
   job_carry (core, job);
 }
 
-static bool
-still_asking (const Task *task)
-{
-  return task->state == TASK_ASKING || task->state == TASK_WAITING;
-}
-
-/*
- * Failure: an owner refuses a gang, and each of its tasks by itself picks
- * another owner from what it knows at that moment.  They pick different ones,
- * and each owner waits for a gang that never gets complete: the job hangs.
- * So the whole gang asks anew, under a new group id and at one moment.
- */
-bool
-jobs_gang_again (MuxCore *core, Task *task, int64_t pause_ms)
-{
-  Job *job = job_find (core, task->job);
-  MuxId group;
-
-  if (job == NULL)
-    return false;
-  for (uint32_t i = 0; i < job->header.task_count; i++)
-    {
-      const Task *t = task_find (core, mux_id_of_part (job->id, i));
-
-      if (t != NULL && mux_id_equal (t->group, task->group)
-          && !still_asking (t))
-        return false;
-    }
-  group = mux_id_of_part (job->id, MUX_JOB_TASKS_MAX + ++job->rounds);
-  for (uint32_t i = 0; i < job->header.task_count; i++)
-    {
-      Task *t = task_find (core, mux_id_of_part (job->id, i));
-
-      if (t != NULL && !mux_id_is_none (t->group))
-        task_ask_group (core, t, group, pause_ms);
-    }
-  return true;
-}
-
 static SlotState
 slot_of (const Task *task, MuxOutcome outcome, MuxReason reason)
 {
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -137,12 +137,14 @@
 bool job_part_from_blob (Job *job, uint32_t part, const MuxBlob *blob);
 uint32_t job_parts (const JobHeader *header);
 
-/* Jobs carried here (jobs.c, jobs_carry.c). */
+/* Jobs carried here (jobs.c, jobs_carry.c, jobs_gang.c). */
 Job *job_find (MuxCore *core, MuxId id);
 /** job_new() - takes a reference of @body; NULL: memory is out */
 Job *
 job_new (MuxCore *core, const JobHeader *header, uint64_t rev, MuxBlob *body);
 void job_free (MuxCore *core, Job *job);
+/** job_none_placed() - no task has been placed or has ended */
+bool job_none_placed (const Job *job);
 /** job_carry() - give its tasks something to do, as far as its window goes */
 void job_carry (MuxCore *core, Job *job);
 /** job_cancel() - carry out what header.cancel says */
