--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -56,7 +56,8 @@
  * @worker_addr: its address                            (GRANT)
  * @epoch: claim's epoch                                (GRANT, HANDOVER)
  * @incarnation: life of the worker                     (GRANT)
- * @not_after_ms: last moment for the start, worker's clock (GRANT)
+ * @not_after_ms: last moment for the start, worker's clock (GRANT); which
+ *   grant is meant (GRANT_END)
  * @size: what was booked                               (GRANT)
  * @reason: why refused                                 (GRANT_REFUSED)
  * @retry_ms: when to ask again                         (GRANT_REFUSED)
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -52,6 +52,7 @@
   { MUX_FIELD_ID, "task", offsetof (MuxPeerMsg, task) },
   { MUX_FIELD_NAME_OR_NONE, "worker", offsetof (MuxPeerMsg, worker) },
   { MUX_FIELD_STATE, "state", offsetof (MuxPeerMsg, state) },
+  { MUX_FIELD_I64, "not_after_ms", offsetof (MuxPeerMsg, not_after_ms) },
   { MUX_FIELD_U32, "ran_ms", offsetof (MuxPeerMsg, ran_ms) },
 };
 
--- a/src/core/jobs_gang.c
+++ b/src/core/jobs_gang.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* With part of a gang held, the rest must be granted within this time; it is
- * less than the life of a grant. */
+/* With one place of a gang held, the rest must be granted within this time;
+ * it is less than the life of a grant. */
 #define HOLD_MS 2000
 /* First pause before a gang asks anew; it doubles. */
 #define AGAIN_MS 250
@@ -24,6 +24,21 @@
   uint32_t now;   /* tasks that it could hold now */
 } Candidate;
 
+/*
+ * Failure: a gang's home dies when only some of its tasks are recorded as
+ * placed.  Its new home would ask for the rest as a gang of the whole size,
+ * which never gets complete, and the job hangs.  The rest of a gang that is
+ * placed in part asks one by one.
+ */
+bool
+job_none_placed (const Job *job)
+{
+  for (uint32_t i = 0; i < job->header.task_count; i++)
+    if (job->slots[i].state != SLOT_NEW)
+      return false;
+  return true;
+}
+
 static uint32_t
 ratio (uint32_t total, uint32_t one)
 {
@@ -295,6 +310,10 @@
   if (job == NULL || job->gang_state != GANG_ASKING)
     return;
   job->gang_held++;
+  /* From the first place on the clock runs: grants do not live long, and a
+   * lost one must not leave the others waiting beside it. */
+  if (job->gang_at_ms == INT64_MAX)
+    job->gang_at_ms = core->now_ms + HOLD_MS;
   if (job->gang_held < job->gang_part[job->gang_now].tasks)
     return;
   if (job->gang_now + 1 == job->gang_parts)
@@ -302,8 +321,6 @@
       record_all (core, job);
       return;
     }
-  if (job->gang_now == 0)
-    job->gang_at_ms = core->now_ms + HOLD_MS;
   job->gang_now++;
   job->gang_held = 0;
   ask_part (core, job);
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -106,12 +106,27 @@
   tell_home (core, grant->ask.from, &msg);
 }
 
+static void
+void_ask (MuxCore *core, Grant *grant)
+{
+  if (grant->placed)
+    mux_sched_ended (core->sched, grant->task, MUX_END_NO_START, 0,
+                     (MuxSize){ 0 }, core->now_ms);
+  else
+    mux_sched_cancel (core->sched, grant->task);
+  grant_free (core, grant);
+}
+
 static void
 ask_again (MuxCore *core, Grant *grant, const MuxPeerMsg *ask)
 {
-  if (strcmp (grant->ask.from, ask->from) != 0)
-    refuse (core, ask, MUX_REASON_KEY_IN_USE, RETRY_MS);
-  else if (grant->placed && !grant->seen)
+  if (strcmp (grant->ask.from, ask->from) != 0 || grant->seen)
+    {
+      refuse (core, ask, MUX_REASON_KEY_IN_USE, RETRY_MS);
+      return;
+    }
+  grant->ask.from_incarnation = ask->from_incarnation;
+  if (grant->placed)
     send_grant (core, grant);
 }
 
@@ -128,6 +143,14 @@
                       .avoid = MUX_NO_WORKER };
   MuxVerdict verdict;
 
+  /* The cancel of an ask in another group was lost: that gang is void. */
+  if (grant != NULL && !grant->placed
+      && !mux_id_equal (grant->ask.group, ask->group)
+      && strcmp (grant->ask.from, ask->from) == 0)
+    {
+      void_ask (core, grant);
+      grant = NULL;
+    }
   if (grant != NULL)
     {
       ask_again (core, grant, ask);
@@ -151,19 +174,33 @@
     }
 }
 
+/*
+ * Failure: the same key is asked for through two daemons.  The one that is
+ * refused gives up, and its word, taken for the other's, would free room that
+ * the other's start is about to fill: the worker is given more than it holds.
+ * The same comes from a word of the home's former life that arrives late.
+ */
+static bool
+is_asker (const Grant *grant, const MuxPeerMsg *msg)
+{
+  return strcmp (grant->ask.from, msg->from) == 0
+         && (grant->ask.from_incarnation == msg->from_incarnation
+             || grant->ask.from_incarnation == 0);
+}
+
+/*
+ * Failure: a cancel crosses the grant, and the home, asking for the same task
+ * once more, takes that grant for the answer: it starts where nothing is
+ * booked any more.  What is placed therefore stays booked: its home answers a
+ * grant that it does not want with GRANT_END, or the booking runs out.
+ */
 void
-owner_cancel (MuxCore *core, MuxId task)
+owner_cancel (MuxCore *core, const MuxPeerMsg *msg)
 {
-  Grant *grant = grant_find (core, task);
+  Grant *grant = grant_find (core, msg->task);
 
-  if (grant == NULL || grant->seen)
-    return;
-  if (grant->placed)
-    mux_sched_ended (core->sched, task, MUX_END_NO_START, 0, (MuxSize){ 0 },
-                     core->now_ms);
-  else
-    mux_sched_cancel (core->sched, task);
-  grant_free (core, grant);
+  if (grant != NULL && !grant->placed && is_asker (grant, msg))
+    void_ask (core, grant);
 }
 
 static MuxTaskEnd
@@ -191,9 +228,14 @@
 {
   Grant *grant = grant_find (core, msg->task);
 
-  /* From any daemon: a ticket's grant is ended by the one it was brought to,
-   * and nobody else speaks of an attempt that is not its own. */
-  if (grant == NULL || !grant->placed)
+  /*
+   * Failure: a home's word comes late, when its grant has run out and the same
+   * attempt was granted to another.  Freed by it, that one's room would be
+   * given away while its start runs.  The last moment tells grants apart, also
+   * a ticket's, which is ended by whoever it was brought to.
+   */
+  if (grant == NULL || !grant->placed
+      || grant->not_after_ms != msg->not_after_ms)
     return;
   mux_sched_ended (core->sched, msg->task,
                    end_of_state ((MuxTaskState) msg->state), msg->ran_ms,
@@ -259,7 +301,7 @@
   /* Waiting for a second place while it runs here: this is a late start of
    * an earlier attempt's twin; what runs is booked first. */
   if (grant != NULL)
-    owner_cancel (core, report->task);
+    void_ask (core, grant);
   mux_name_copy (ask.from, report->home);
   mux_name_copy (ask.class_name, report->class_name);
   grant = grant_new (core, &ask);
@@ -383,6 +425,22 @@
     owner_send_back (core, grant->task, reason);
 }
 
+/*
+ * Failure: a home dies, or comes back as a new life, with asks waiting here.
+ * Members of its gangs would wait for others that never ask, and what is
+ * placed for the rest stands unused until it runs out.
+ */
+void
+owner_home_lost (MuxCore *core, const char *home, uint64_t incarnation)
+{
+  Grant *grant, *next;
+
+  HASH_ITER (hh, core->grants, grant, next)
+  if (!grant->placed && strcmp (grant->ask.from, home) == 0
+      && grant->ask.from_incarnation <= incarnation)
+    void_ask (core, grant);
+}
+
 uint32_t
 owner_waiting (const MuxCore *core)
 {
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -228,8 +228,9 @@
   if (strcmp (owner, core->name) == 0)
     {
       mux_name_copy (msg->from, core->name);
+      msg->from_incarnation = core->opt.incarnation;
       if (msg->verb == MUX_PEER_GRANT_CANCEL)
-        owner_cancel (core, msg->task);
+        owner_cancel (core, msg);
       else
         owner_end (core, msg);
       return;
@@ -255,6 +256,7 @@
   MuxPeerMsg msg = { .verb = MUX_PEER_GRANT_END,
                      .task = task->id,
                      .state = state,
+                     .not_after_ms = task->not_after_ms,
                      .ran_ms = ran_ms };
 
   if (!task->granted)
@@ -268,6 +270,7 @@
 {
   MuxPeerMsg msg = { .verb = MUX_PEER_GRANT_END,
                      .task = grant->task,
+                     .not_after_ms = grant->not_after_ms,
                      .state = MUX_TASK_ABSENT };
 
   tell_owner (core, grant->from, &msg);
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -47,6 +47,7 @@
 fill_end (MuxPeerMsg *msg)
 {
   mux_name_copy (msg->worker, "nizwa-w017");
+  msg->not_after_ms = -1764700001123;
   msg->state = MUX_TASK_DONE_GONE;
   msg->ran_ms = 180;
 }
