Let a fake worker that restarts answer no call of its former life

Cause: a start that waited for its task's end was looked up in the restarted worker and answered old_incarnation, as if it had been refused on arrival; the home then told not_run for what had run (random proof, seed 107). A real process takes its connections with it, so the call now ends without an answer.

--- a/test/support/fake_worker.c
+++ b/test/support/fake_worker.c
@@ -72,6 +72,9 @@
 {
   FakeWorker *worker = item->worker;
 
+  /* The process that took the call has ended, and its connections with it. */
+  if (item->worker_incarnation != worker->options.incarnation)
+    return true;
   if (item->call.verb == MUX_WORKER_START && worker->lose_starts > 0)
     {
       worker->lose_starts--;
