--- a/test/support/mixed_callers.c
+++ b/test/support/mixed_callers.c
@@ -67,11 +67,13 @@
 } Caller;
 
 static CallKind
-draw_kind (MuxRandom *random)
+draw_kind (MuxMixSort sort, MuxRandom *random)
 {
   uint32_t drawn = mux_random_below (random, SHARES);
   uint32_t i = 0;
 
+  if (sort != MUX_MIX_ALL)
+    return sort == MUX_MIX_LOOKUPS ? CALL_LOOKUP : CALL_BOOKING;
   while (drawn >= shares[i].share)
     drawn -= shares[i++].share;
   return shares[i].kind;
@@ -126,6 +128,15 @@
   count (&caller->tally, mux_request_outcome (&caller->request));
 }
 
+/* Worth another submission of the same key elsewhere. */
+static bool
+goes_on (const Caller *caller)
+{
+  if (caller->mix->options->sort == MUX_MIX_BOOKINGS)
+    return strcmp (mux_request_outcome (&caller->request), "done") != 0;
+  return mux_request_open (&caller->request);
+}
+
 /* Through one daemon after the other while its fate is open. */
 static void
 send_until_told (Caller *caller, uint32_t daemon)
@@ -135,7 +146,7 @@
   for (uint32_t i = 1; i <= options->tries; i++)
     {
       send_once (caller, daemon + i);
-      if (!mux_request_open (&caller->request))
+      if (!goes_on (caller))
         return;
       mux_pause_ms (RETRY_PAUSE_MS * i);
     }
@@ -170,7 +181,7 @@
 {
   MuxMix *mix = caller->mix;
   const MuxMixOptions *options = mix->options;
-  CallKind kind = draw_kind (&caller->random);
+  CallKind kind = draw_kind (options->sort, &caller->random);
   uint32_t daemon = mux_random_below (&caller->random, options->addr_count);
 
   caller->tally.calls++;
@@ -200,12 +211,15 @@
   /* A call without a key is another work if it is sent again. */
   if (kind != CALL_LOOKUP && kind != CALL_LOOKUP_HANG_UP)
     send_until_told (caller, daemon);
+  if (strcmp (mux_request_outcome (&caller->request), "done") != 0)
+    caller->tally.not_done++;
 }
 
 static void
 add_tally (MuxMixTally *sum, const MuxMixTally *part)
 {
   sum->calls += part->calls;
+  sum->not_done += part->not_done;
   sum->submissions += part->submissions;
   sum->done += part->done;
   sum->not_run += part->not_run;
--- a/test/support/mixed_callers.h
+++ b/test/support/mixed_callers.h
@@ -6,6 +6,16 @@
 
 #include <stdint.h>
 
+/**
+ * enum MuxMixSort - which of the ways
+ */
+typedef enum
+{
+  MUX_MIX_ALL,
+  MUX_MIX_LOOKUPS,  /* calls without a key only */
+  MUX_MIX_BOOKINGS, /* new keys only, sent elsewhere until they are done */
+} MuxMixSort;
+
 /**
  * struct MuxMixOptions - callers that behave in every way that callers do
  *
@@ -13,6 +23,7 @@
  * the same key by another caller while the first still runs, or much later;
  * callers that hang up; calls without a key.
  *
+ * @sort: which calls
  * @booking: a class that is not idempotent
  * @lookup: an idempotent one
  * @addrs: "ip:port" of the daemons
@@ -26,6 +37,7 @@
  */
 typedef struct
 {
+  MuxMixSort sort;
   const char *booking;
   const char *lookup;
   const char *const *addrs;
@@ -39,11 +51,13 @@
 } MuxMixOptions;
 
 /**
- * struct MuxMixTally - submissions by what they were told; calls in all
+ * struct MuxMixTally - submissions by what they were told; calls in all, and
+ * those of them whose last submission was not told "done"
  */
 typedef struct
 {
   uint32_t calls;
+  uint32_t not_done;
   uint32_t submissions;
   uint32_t done;
   uint32_t not_run;
