--- a/src/policy/books.c
+++ b/src/policy/books.c
@@ -93,6 +93,7 @@
 {
   MuxTask *task = &sched->task[t];
 
+  mux_breaker_forget_probe (sched, task);
   change_booked (sched, task, -1);
   mux_list_drop (sched, &sched->worker[task->worker].tasks, MUX_LINK_WORKER, t);
   sched->class_at[task->class_id]->booked--;
--- a/src/policy/breaker.c
+++ b/src/policy/breaker.c
@@ -5,6 +5,8 @@
 #define BLAME_OPEN 2.5
 #define BACKOFF_FIRST_MS 1000u
 #define BACKOFF_MAX_MS 60000u
+/* A probe waits so long for a task that may be run twice. */
+#define PROBE_ANY_MS 10000
 /* How long a class stays off a worker that failed it. */
 #define SHUN_MS 30000
 /* A class's record fades; so many verdicts count. */
@@ -12,7 +14,7 @@
 /* From this share of failing workers on, the class itself is at fault, but
  * not before so many verdicts are in. */
 #define CLASS_AT_FAULT 0.5
-#define VERDICTS_MIN 3.0
+#define VERDICTS_MIN 2.0
 /* Blame for a failure of a class that has no record yet. */
 #define BLAME_UNKNOWN 0.25
 
@@ -166,18 +168,34 @@
 
   return worker->present && worker->usable && w != seek->avoid
          && worker->breaker.state == MUX_BREAKER_OPEN
-         && worker->breaker.open_until_ms <= seek->now_ms
+         && worker->breaker.open_until_ms
+                    + (seek->class->spec.idempotent ? 0 : PROBE_ANY_MS)
+                <= seek->now_ms
          && mux_fits (seek->class->size, worker->free);
 }
 
-/* A probe may fail, so only a class that can be run again is used for it. */
+void
+mux_breaker_forget_probe (MuxSched *sched, const MuxTask *task)
+{
+  MuxBreaker *breaker = &sched->worker[task->worker].breaker;
+
+  if (breaker->state != MUX_BREAKER_PROBING
+      || !mux_id_equal (breaker->probe, task->id))
+    return;
+  breaker->state = MUX_BREAKER_OPEN;
+  if (breaker->open_until_ms < sched->next_probe_ms)
+    sched->next_probe_ms = breaker->open_until_ms;
+}
+
+/* A probe may fail, so a class that can be run again is used for it, unless
+ * none has come for long. */
 uint32_t
 mux_breaker_probe (MuxSched *sched, const MuxSeek *seek)
 {
   int64_t next = INT64_MAX;
 
   if (sched->tripped == 0 || seek->now_ms < sched->next_probe_ms
-      || !seek->class->spec.idempotent || class_at_fault (seek->class))
+      || class_at_fault (seek->class))
     return MUX_NONE;
   for (uint32_t w = 0; w < sched->workers; w++)
     {
@@ -205,5 +223,5 @@
 
   return !sched->tuning.no_breaker
          && (breaker->failing & class_bit (class)) != 0
-         && now_ms - breaker->failing_ms < SHUN_MS && !class_at_fault (class);
+         && now_ms - breaker->failing_ms < SHUN_MS;
 }
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -340,7 +340,8 @@
 {
   int64_t wake = INT64_MAX;
 
-  if (sched->emission.count > 0 || sched->drops.count > 0)
+  if (sched->emission.count > 0 || sched->drops.count > 0
+      || (sched->waiting > 0 && sched->tick_ms == INT64_MIN))
     return 0;
   if (sched->expire.count > 0)
     wake = sched->expire.node[0].key;
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -582,10 +582,13 @@
                       MuxTaskEnd end,
                       uint32_t ran_ms,
                       int64_t now_ms);
+/** mux_breaker_forget_probe() - @task is unbooked and tells nothing */
+void mux_breaker_forget_probe (MuxSched *sched, const MuxTask *task);
 /** mux_breaker_probe() - tripped worker that a task of @class may probe now,
  * or MUX_NONE */
 uint32_t mux_breaker_probe (MuxSched *sched, const MuxSeek *seek);
-/** mux_breaker_shuns() - @class failed lately on worker @w but not elsewhere */
+/** mux_breaker_shuns() - @class failed lately on worker @w: others are tried
+ * first, which also tells whether it fails there alone */
 bool mux_breaker_shuns (const MuxSched *sched,
                         const MuxClass *class,
                         uint32_t w,
--- a/src/policy/risk.c
+++ b/src/policy/risk.c
@@ -158,20 +158,38 @@
 }
 
 static double
-patient_share (const MuxSched *sched,
-               const MuxClass *class,
-               const Outlook *out,
-               int64_t now_ms)
+waiting_share (const MuxClass *class, double drain, int64_t now_ms)
 {
-  MuxDim binding;
-  double head;
-
-  (void) sched;
   if (class->queue.count == 0)
     return 1;
-  head = (double) (class->queue.node->key - now_ms);
-  return queue_share (head, class->spec.start_within_ms,
-                      drain_ms (out, &binding));
+  return queue_share ((double) (class->queue.node->key - now_ms),
+                      class->spec.start_within_ms, drain);
+}
+
+/* A quota that is used up, or tasks that never end, let nothing through that
+ * does not fit now. */
+static bool
+stuck (const MuxSched *sched, const MuxClass *class)
+{
+  if (!mux_product_allows (sched, class, 1) && !mux_class_borrows (class))
+    return true;
+  return class->spec.kind == MUX_KIND_LONG_RUNNING
+         && sched->index.shape[class->shape].fits.count == 0;
+}
+
+static double
+forecast_share (const MuxSched *sched,
+                const MuxClass *class,
+                const Outlook *out,
+                int64_t now_ms)
+{
+  MuxDim binding;
+
+  if (stuck (sched, class))
+    return waiting_share (class, 10 * HORIZON_MS, now_ms);
+  if (class->urgent && class->spec.kind != MUX_KIND_LONG_RUNNING)
+    return urgent_share (out, class->spec.start_within_ms);
+  return waiting_share (class, drain_ms (out, &binding), now_ms);
 }
 
 static MuxRiskCause
@@ -271,8 +289,7 @@
         const Outlook *out,
         int64_t now_ms)
 {
-  double share = class->urgent ? urgent_share (out, class->spec.start_within_ms)
-                               : patient_share (sched, class, out, now_ms);
+  double share = forecast_share (sched, class, out, now_ms);
   MuxRisk risk
       = { .target_ppm = class->spec.start_share_ppm,
           .queued = class->waiting,
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -123,6 +123,8 @@
   sched->task[t].class_id = class->id;
   mux_book (sched, t, w, size);
   sched->task[t].started = true;
+  /* When it started is not told; now is near enough for forecasts. */
+  sched->task[t].booked_ms = sched->tick_ms == INT64_MIN ? 0 : sched->tick_ms;
   return true;
 }
 
--- /dev/null
+++ b/test/unit/test_sched_faults.c
@@ -0,0 +1,241 @@
+#include "support/sched_cell.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+/* Run @count tasks of @class_name; those on worker @broken fail, or all when
+ * @bad.  Returns how many failed on worker @broken. */
+static uint32_t
+run_tasks (Cell *cell,
+           const char *class_name,
+           uint32_t count,
+           uint32_t broken,
+           bool bad)
+{
+  uint32_t failed = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      MuxPlacement placed;
+
+      cell_ask (cell, class_name);
+      placed = cell_place (cell);
+      cell->now_ms += 10;
+      failed += placed.worker == broken;
+      if (placed.worker == broken || bad)
+        cell_fail (cell, placed.task);
+      else
+        cell_end (cell, placed.task, 1000);
+    }
+  return failed;
+}
+
+static void
+open_three (Cell *cell, uint32_t workers)
+{
+  static const char *const names[] = { "urgent-a", "urgent-b", "urgent-c" };
+
+  cell_open (cell, workers);
+  for (int i = 0; i < 3; i++)
+    {
+      MuxClassSpec spec = cell_class (names[i], MUX_KIND_SERVICE, 100);
+
+      cell_set (cell, &spec);
+    }
+}
+
+/*
+ * One worker fails whatever it starts, within 10 ms.  It is free again at
+ * once and would be given the next task, and the next: callers would see most
+ * of their requests fail.  A few failures must close it.
+ */
+static void
+test_broken_worker (void **state)
+{
+  Cell cell;
+  uint32_t failed = 0;
+
+  (void) state;
+  open_three (&cell, 4);
+  for (int i = 0; i < 30; i++)
+    {
+      failed += run_tasks (&cell, "urgent-a", 2, 0, false);
+      failed += run_tasks (&cell, "urgent-b", 2, 0, false);
+      failed += run_tasks (&cell, "urgent-c", 2, 0, false);
+    }
+  assert_in_range (failed, 1, 8);
+  cell_close (&cell);
+}
+
+/*
+ * A class has a bug and fails on every worker.  The workers must stay in use
+ * for the other classes: they are not to blame.
+ */
+static void
+test_bad_class (void **state)
+{
+  Cell cell;
+  MuxPlacement placed;
+
+  (void) state;
+  open_three (&cell, 2);
+  run_tasks (&cell, "urgent-a", 20, MUX_NO_WORKER, false);
+  run_tasks (&cell, "urgent-b", 200, MUX_NO_WORKER, true);
+  for (int i = 0; i < 8; i++)
+    {
+      cell_ask (&cell, "urgent-a");
+      placed = cell_place (&cell);
+      assert_int_equal (placed.worker,
+                        mux_sched_booked_on (cell.sched, placed.task));
+    }
+  cell_ask (&cell, "urgent-a");
+  cell_idle (&cell);
+  cell_close (&cell);
+}
+
+/*
+ * A broken worker is repaired.  One probe finds out, and only one at a time
+ * may be risked; after it the worker is used as before.
+ */
+static void
+test_probe_mends (void **state)
+{
+  Cell cell;
+  MuxPlacement placed[8];
+  uint32_t probes = 0;
+
+  (void) state;
+  open_three (&cell, 2);
+  for (int i = 0; i < 8; i++)
+    {
+      cell.now_ms += 31000;
+      run_tasks (&cell, "urgent-a", 1, 0, false);
+      run_tasks (&cell, "urgent-b", 1, 0, false);
+      run_tasks (&cell, "urgent-c", 1, 0, false);
+    }
+  cell.now_ms += 120000;
+  for (int i = 0; i < 5; i++)
+    {
+      cell_ask (&cell, "urgent-a");
+      placed[i] = cell_place (&cell);
+      probes += placed[i].worker == 0;
+    }
+  assert_int_equal (probes, 1);
+  for (int i = 0; i < 5; i++)
+    cell_end (&cell, placed[i].task, 1000);
+  for (int i = 0; i < 8; i++)
+    {
+      cell_ask (&cell, "urgent-a");
+      cell_place (&cell);
+    }
+  cell_close (&cell);
+}
+
+/*
+ * A class declares a quarter of the memory that it uses.  Workers filled by
+ * the declaration would run out of it; what is reported must be booked, for
+ * the tasks that run and for those to come.
+ */
+static void
+test_declared_too_little (void **state)
+{
+  Cell cell;
+  MuxClassSpec spec = cell_class ("batch", MUX_KIND_BATCH, 10000);
+  MuxSize used = { 1000, 4096, 0, 1 };
+  MuxPlacement placed;
+
+  (void) state;
+  cell_open (&cell, 1);
+  cell_set (&cell, &spec);
+  for (int i = 0; i < 2; i++)
+    {
+      cell_ask (&cell, "batch");
+      placed = cell_place (&cell);
+      assert_int_equal (placed.size.mem_mib, 1024);
+      mux_sched_used (cell.sched, placed.task, used);
+    }
+  assert_int_equal (mux_sched_worker_free (cell.sched, 0).mem_mib,
+                    16384 - 2 * 4096);
+  for (int i = 0; i < 64; i++)
+    mux_sched_used (cell.sched, placed.task, used);
+  cell.now_ms += 200;
+  cell_ask (&cell, "batch");
+  placed = cell_place (&cell);
+  assert_in_range (placed.size.mem_mib, 4096, 4096 * 9 / 8);
+  cell_close (&cell);
+}
+
+/*
+ * Reports that are wrong say that a class needs more than any worker has.
+ * It must go on running, one to a worker, and not be refused for ever.
+ */
+static void
+test_report_beyond_workers (void **state)
+{
+  Cell cell;
+  MuxClassSpec spec = cell_class ("batch", MUX_KIND_BATCH, 10000);
+  MuxSize used = { 90000, 900000, 0, 1 };
+  MuxPlacement placed;
+
+  (void) state;
+  spec.size = (MuxSize){ 4000, 8192, 0, 1 };
+  cell_open (&cell, 1);
+  cell_set (&cell, &spec);
+  for (int i = 0; i < 200; i++)
+    {
+      cell_ask (&cell, "batch");
+      placed = cell_place (&cell);
+      cell.now_ms += 10;
+      assert_true (mux_sched_ended (cell.sched, placed.task, MUX_END_OK, 1000,
+                                    used, cell.now_ms));
+    }
+  assert_int_equal (placed.size.mem_mib, 16384);
+  cell_close (&cell);
+}
+
+/*
+ * A worker is found running more than it can hold, after its owner changed.
+ * What runs is booked; free is 0 and not a huge number; nothing is added
+ * until enough has ended.
+ */
+static void
+test_adopt_beyond_capacity (void **state)
+{
+  Cell cell;
+  MuxSize size = { 6000, 12288, 0, 1 };
+  MuxSize room;
+
+  (void) state;
+  open_three (&cell, 1);
+  for (uint64_t i = 1; i <= 2; i++)
+    assert_true (
+        mux_sched_adopt (cell.sched, (MuxId){ 5, i }, "gone", 0, size));
+  room = mux_sched_worker_free (cell.sched, 0);
+  assert_int_equal (room.cpu_milli, 0);
+  assert_int_equal (room.mem_mib, 0);
+  assert_int_equal (room.slots, 2);
+  cell_ask (&cell, "urgent-a");
+  cell_idle (&cell);
+  cell_end (&cell, (MuxId){ 5, 1 }, 1000);
+  assert_int_equal (mux_sched_worker_free (cell.sched, 0).cpu_milli, 2000);
+  cell_place (&cell);
+  cell_close (&cell);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_broken_worker),
+    cmocka_unit_test (test_bad_class),
+    cmocka_unit_test (test_probe_mends),
+    cmocka_unit_test (test_declared_too_little),
+    cmocka_unit_test (test_report_beyond_workers),
+    cmocka_unit_test (test_adopt_beyond_capacity),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_sched_order.c
@@ -0,0 +1,276 @@
+#include "support/sched_cell.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+static void
+open_two (Cell *cell, uint32_t workers)
+{
+  MuxClassSpec urgent = cell_class ("urgent", MUX_KIND_SERVICE, 100);
+  MuxClassSpec batch = cell_class ("batch", MUX_KIND_BATCH, 10000);
+
+  cell_open (cell, workers);
+  cell_set (cell, &urgent);
+  cell_set (cell, &batch);
+}
+
+/*
+ * A hotel's booking comes while the nightly settlement fills the cell and its
+ * queue.  The next free slot must go to the booking, although the settlement
+ * has asked long before.
+ */
+static void
+test_urgent_before_batch (void **state)
+{
+  Cell cell;
+  MuxId first, late, urgent;
+
+  (void) state;
+  open_two (&cell, 1);
+  first = cell_ask (&cell, "batch");
+  for (int i = 0; i < 3; i++)
+    cell_ask (&cell, "batch");
+  for (int i = 0; i < 4; i++)
+    cell_place (&cell);
+  late = cell_ask (&cell, "batch");
+  cell.now_ms += 10;
+  urgent = cell_ask (&cell, "urgent");
+  cell_idle (&cell);
+  cell_end (&cell, first, 100);
+  assert_true (mux_id_equal (cell_place (&cell).task, urgent));
+  cell_end (&cell, urgent, 100);
+  assert_true (mux_id_equal (cell_place (&cell).task, late));
+  cell_close (&cell);
+}
+
+/*
+ * More bookings come than the cell can run, without a pause.  The settlement
+ * has the lower claim, yet it must start at last: once it is overdue a worker
+ * is drained for it.
+ */
+static void
+test_batch_does_not_starve (void **state)
+{
+  Cell cell;
+  MuxId batch;
+  MuxId running[8];
+  uint32_t first = 0;
+  uint32_t count = 0;
+  bool started = false;
+
+  (void) state;
+  open_two (&cell, 2);
+  for (; count < 8; count++)
+    {
+      cell_ask (&cell, "urgent");
+      running[count] = cell_place (&cell).task;
+    }
+  batch = cell_ask (&cell, "batch");
+  for (int i = 0; i < 4000 && !started; i++)
+    {
+      MuxPlacement placed;
+      MuxVerdict verdict;
+
+      cell.now_ms += 50;
+      cell_end (&cell, running[first++ % 8], 400);
+      count--;
+      cell_ask_for (&cell, "urgent", 500, &verdict);
+      cell_ask_for (&cell, "urgent", 500, &verdict);
+      while (mux_sched_next (cell.sched, cell.now_ms, &placed))
+        {
+          if (placed.worker == MUX_NO_WORKER)
+            continue;
+          started = started || mux_id_equal (placed.task, batch);
+          running[(first + count++) % 8] = placed.task;
+        }
+    }
+  assert_true (started);
+  assert_int_not_equal (mux_sched_booked_on (cell.sched, batch), MUX_NO_WORKER);
+  cell_close (&cell);
+}
+
+/*
+ * A caller that can't be served by its time to give up must hear so at that
+ * moment, with a time to come back, and not wait for a slot to get free.
+ */
+static void
+test_gives_up_at_once (void **state)
+{
+  Cell cell;
+  MuxVerdict verdict;
+  MuxPlacement dropped;
+  MuxId late;
+
+  (void) state;
+  open_two (&cell, 1);
+  for (int i = 0; i < 4; i++)
+    {
+      cell_ask (&cell, "urgent");
+      cell_place (&cell);
+    }
+  late = cell_ask_for (&cell, "urgent", 300, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_NONE);
+  cell_idle (&cell);
+  assert_in_range (mux_sched_wake_ms (cell.sched), 0, cell.now_ms + 300);
+  cell.now_ms += 300;
+  assert_true (mux_sched_next (cell.sched, cell.now_ms, &dropped));
+  assert_true (mux_id_equal (dropped.task, late));
+  assert_int_equal (dropped.worker, MUX_NO_WORKER);
+  assert_int_equal (dropped.reason, MUX_REASON_DEADLINE);
+  assert_true (dropped.retry_ms > 0);
+  cell_close (&cell);
+}
+
+/*
+ * A class floods the queue.  Callers of another class must still find a place
+ * in it, and those of the first are told that their queue is full.
+ */
+static void
+test_places_for_each_class (void **state)
+{
+  Cell cell;
+  MuxVerdict verdict = { 0 };
+  uint32_t batch = 0;
+
+  (void) state;
+  open_two (&cell, 1);
+  while (verdict.reason == MUX_REASON_NONE && batch < 2000)
+    {
+      cell_ask_for (&cell, "batch", 100000000, &verdict);
+      batch++;
+    }
+  assert_int_equal (verdict.reason, MUX_REASON_QUEUE_FULL);
+  assert_true (verdict.retry_ms > 0);
+  assert_in_range (batch, 700, 800);
+  for (int i = 0; i < 250; i++)
+    {
+      cell_ask_for (&cell, "urgent", 100000000, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  cell_close (&cell);
+}
+
+/*
+ * One product leaves its quota idle and another borrows it.  When the first
+ * has work again, the next free slots are its own until its quota is reached;
+ * what can't end soon must not borrow at all.
+ */
+static void
+test_quota_lent_and_returned (void **state)
+{
+  Cell cell;
+  MuxProductSpec lender = { .name = "lender", .quota = { .slots = 2 } };
+  MuxProductSpec borrower = { .name = "borrower", .quota = { .slots = 2 } };
+  MuxClassSpec a = cell_class ("urgent-a", MUX_KIND_SERVICE, 100);
+  MuxClassSpec b = cell_class ("urgent-b", MUX_KIND_SERVICE, 100);
+  MuxClassSpec c = cell_class ("lasting", MUX_KIND_LONG_RUNNING, 10000);
+  MuxId lent[4];
+  MuxId back;
+
+  (void) state;
+  mux_name_copy (a.product, "lender");
+  mux_name_copy (b.product, "borrower");
+  mux_name_copy (c.product, "borrower");
+  c.run_ms = 0;
+  cell_open (&cell, 1);
+  assert_true (mux_sched_product_set (cell.sched, &lender));
+  assert_true (mux_sched_product_set (cell.sched, &borrower));
+  cell_set (&cell, &a);
+  cell_set (&cell, &b);
+  cell_set (&cell, &c);
+  for (int i = 0; i < 4; i++)
+    {
+      cell_ask (&cell, "urgent-b");
+      lent[i] = cell_place (&cell).task;
+    }
+  cell_ask (&cell, "urgent-b");
+  back = cell_ask (&cell, "urgent-a");
+  cell_end (&cell, lent[0], 100);
+  assert_true (mux_id_equal (cell_place (&cell).task, back));
+  cell_end (&cell, lent[1], 100);
+  cell_place (&cell);
+  cell_end (&cell, lent[2], 100);
+  cell_ask (&cell, "lasting");
+  cell_idle (&cell);
+  cell_close (&cell);
+}
+
+/* A class is removed while its tasks wait and run: those waiting are told,
+ * those running stay booked. */
+static void
+test_class_removed (void **state)
+{
+  Cell cell;
+  MuxPlacement dropped;
+  MuxVerdict verdict;
+  MuxId runs, waits;
+
+  (void) state;
+  open_two (&cell, 1);
+  runs = cell_ask (&cell, "batch");
+  cell_place (&cell);
+  waits = cell_ask (&cell, "batch");
+  mux_sched_class_remove (cell.sched, "batch");
+  assert_true (mux_sched_next (cell.sched, cell.now_ms, &dropped));
+  assert_true (mux_id_equal (dropped.task, waits));
+  assert_int_equal (dropped.reason, MUX_REASON_UNKNOWN_CLASS);
+  assert_int_equal (mux_sched_booked_on (cell.sched, runs), 0);
+  cell_ask_for (&cell, "batch", 1000, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_UNKNOWN_CLASS);
+  cell_end (&cell, runs, 100);
+  cell_close (&cell);
+}
+
+/* Ten thousand waiting tasks are cancelled: each is known once, and nothing
+ * of them is left in any queue. */
+static void
+test_wave_of_cancellations (void **state)
+{
+  MuxSchedOptions options = { .queue_max = 40000 };
+  Cell cell = { .now_ms = 1000 };
+  MuxClassSpec batch = cell_class ("batch", MUX_KIND_BATCH, 10000);
+  MuxSchedStats stats;
+
+  (void) state;
+  cell.sched = mux_sched_new (&options);
+  mux_sched_worker_add (cell.sched, "w", "r", (MuxSize){ 1000, 1024, 0, 1 });
+  cell_set (&cell, &batch);
+  cell_ask (&cell, "batch");
+  cell_place (&cell);
+  for (int i = 0; i < 10000; i++)
+    {
+      MuxVerdict verdict;
+
+      cell_ask_for (&cell, "batch", INT32_MAX, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  for (uint64_t id = 10001; id > 1; id--)
+    {
+      assert_true (mux_sched_cancel (cell.sched, (MuxId){ 1, id }));
+      assert_false (mux_sched_cancel (cell.sched, (MuxId){ 1, id }));
+    }
+  stats = mux_sched_stats (cell.sched, cell.now_ms);
+  assert_int_equal (stats.queued, 0);
+  assert_int_equal (stats.booked, 1);
+  cell_idle (&cell);
+  cell_close (&cell);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_urgent_before_batch),
+    cmocka_unit_test (test_batch_does_not_starve),
+    cmocka_unit_test (test_gives_up_at_once),
+    cmocka_unit_test (test_places_for_each_class),
+    cmocka_unit_test (test_quota_lent_and_returned),
+    cmocka_unit_test (test_class_removed),
+    cmocka_unit_test (test_wave_of_cancellations),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/unit/test_sched_risk.c
@@ -0,0 +1,132 @@
+#include "support/sched_cell.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+static MuxRisk
+risk_of (Cell *cell, const char *class_name)
+{
+  MuxRisk risk[8];
+  uint32_t n = mux_sched_risk (cell->sched, cell->now_ms, risk, 8);
+
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (risk[i].class_name, class_name) == 0)
+      return risk[i];
+  fail_msg ("%s is not listed", class_name);
+  return risk[0];
+}
+
+/* @per_tick tasks ask every 100 ms, for @ticks; each runs for a second. */
+static void
+run_load (Cell *cell, uint32_t per_tick, uint32_t ticks)
+{
+  static MuxId running[4096];
+  static int64_t end_ms[4096];
+  static uint32_t count;
+
+  if (ticks == 0)
+    count = 0;
+  for (uint32_t i = 0; i < ticks; i++)
+    {
+      MuxPlacement placed;
+      MuxVerdict verdict;
+
+      cell->now_ms += 100;
+      for (uint32_t k = 0; k < count; k++)
+        if (end_ms[k] <= cell->now_ms)
+          {
+            cell_end (cell, running[k], 1000);
+            count--;
+            running[k] = running[count];
+            end_ms[k] = end_ms[count];
+            k--;
+          }
+      for (uint32_t k = 0; k < per_tick; k++)
+        cell_ask_for (cell, "urgent", 5000, &verdict);
+      while (mux_sched_next (cell->sched, cell->now_ms, &placed))
+        if (placed.worker != MUX_NO_WORKER)
+          {
+            running[count] = placed.task;
+            end_ms[count++] = cell->now_ms + 1000;
+          }
+    }
+}
+
+/*
+ * Outage reports come faster and faster.  The operators must be told while
+ * starts are still in time, with what binds and how much would help, and must
+ * not be told so at half the load.
+ */
+static void
+test_flagged_before_missed (void **state)
+{
+  Cell cell;
+  MuxClassSpec spec = cell_class ("urgent", MUX_KIND_SERVICE, 100);
+  MuxRisk risk;
+  bool flagged = false;
+
+  (void) state;
+  cell_open (&cell, 25);
+  cell_set (&cell, &spec);
+  run_load (&cell, 0, 0);
+  run_load (&cell, 5, 600);
+  risk = risk_of (&cell, "urgent");
+  assert_false (risk.at_risk);
+  assert_int_equal (risk.cause, MUX_RISK_NONE);
+  for (uint32_t rate = 6; rate < 14 && !flagged; rate++)
+    {
+      run_load (&cell, rate, 50);
+      risk = risk_of (&cell, "urgent");
+      flagged = risk.at_risk;
+      if (!flagged)
+        assert_int_equal (mux_sched_stats (cell.sched, cell.now_ms).queued, 0);
+    }
+  assert_true (flagged);
+  assert_true (risk.forecast_ppm < risk.target_ppm);
+  assert_int_equal (risk.cause, MUX_RISK_SLOTS);
+  assert_true (risk.cure.slots > 0);
+  assert_true (risk.p99_wait_ms <= spec.start_within_ms);
+  cell_close (&cell);
+}
+
+/* A long-running class has used up its product's quota: the cell is empty, so
+ * the operators must be told that the quota binds. */
+static void
+test_quota_binds (void **state)
+{
+  Cell cell;
+  MuxProductSpec product = { .name = "product", .quota = { .slots = 1 } };
+  MuxClassSpec spec = cell_class ("lasting", MUX_KIND_LONG_RUNNING, 10000);
+  MuxRisk risk;
+
+  (void) state;
+  spec.run_ms = 0;
+  cell_open (&cell, 2);
+  assert_true (mux_sched_product_set (cell.sched, &product));
+  cell_set (&cell, &spec);
+  cell_ask (&cell, "lasting");
+  cell_place (&cell);
+  cell_ask (&cell, "lasting");
+  cell.now_ms += 11000;
+  cell_idle (&cell);
+  risk = risk_of (&cell, "lasting");
+  assert_true (risk.at_risk);
+  assert_int_equal (risk.cause, MUX_RISK_QUOTA);
+  assert_int_equal (risk.queued, 1);
+  cell_close (&cell);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_flagged_before_missed),
+    cmocka_unit_test (test_quota_binds),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
