--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -1,5 +1,10 @@
 #include "internal.h"
 
+/* A queue beyond the target for this long does not drain by itself. */
+#define STANDING_MS 1000
+/* Nothing was shed for this long: the overload is over. */
+#define CALM_MS 1000
+
 /* Half of the queue is divided among the classes, the other half is common:
  * a class that floods the queue leaves the others their part. */
 static bool
@@ -37,6 +42,36 @@
              : 1;
 }
 
+/*
+ * Failure: more urgent work comes than the cell can run.  Taken in until the
+ * time to give up, each task would wait that long and none start inside its
+ * target.  A queue that stands for a while beyond the target is therefore
+ * held at half of it, by refusing at once what is too much; a short one after
+ * a burst is left to drain.
+ */
+static bool
+sheds (MuxSched *sched, MuxClass *class, int64_t now_ms)
+{
+  int64_t wait = mux_forecast_wait_ms (sched, class, now_ms);
+  int64_t within = class->spec.start_within_ms;
+
+  if (!class->urgent || class->spec.kind == MUX_KIND_LONG_RUNNING)
+    return false;
+  if (wait <= (class->shedding ? within / 2 : within))
+    {
+      if (!class->shedding || now_ms - class->shed_ms > CALM_MS)
+        {
+          class->shedding = false;
+          class->calm_ms = now_ms;
+        }
+      return false;
+    }
+  class->shedding = class->shedding || now_ms - class->calm_ms > STANDING_MS;
+  if (class->shedding)
+    class->shed_ms = now_ms;
+  return class->shedding;
+}
+
 static MuxReason
 why_late (const MuxSched *sched, const MuxClass *class)
 {
@@ -68,7 +103,8 @@
     return mux_product_allows (sched, class, 1) ? MUX_REASON_QUEUE_FULL
                                                 : MUX_REASON_QUOTA;
   if (!sched->tuning.no_forecast
-      && ask->give_up_ms - now_ms < mux_forecast_wait_ms (sched, class))
+      && (ask->give_up_ms - now_ms < mux_forecast_wait_ms (sched, class, now_ms)
+          || sheds (sched, class, now_ms)))
     return why_late (sched, class);
   return MUX_REASON_NONE;
 }
@@ -164,5 +200,6 @@
       || reason == MUX_REASON_NEVER_FITS)
     return (MuxVerdict){ .reason = reason };
   return (MuxVerdict){ .reason = reason,
-                       .retry_ms = mux_forecast_retry_ms (sched, class) };
+                       .retry_ms
+                       = mux_forecast_retry_ms (sched, class, now_ms) };
 }
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -17,7 +17,7 @@
 } Tier;
 
 static bool
-emit_drop (MuxSched *sched, MuxPlacement *out)
+emit_drop (MuxSched *sched, int64_t now_ms, MuxPlacement *out)
 {
   uint32_t t = sched->drops.head;
 
@@ -28,7 +28,7 @@
                          .reason = (MuxReason) sched->task[t].reason };
   if (out->reason == MUX_REASON_DEADLINE)
     out->retry_ms = mux_forecast_retry_ms (
-        sched, sched->class_at[sched->task[t].class_id]);
+        sched, sched->class_at[sched->task[t].class_id], now_ms);
   mux_list_drop (sched, &sched->drops, MUX_LINK_MEMBER, t);
   mux_task_free (sched, t);
   return true;
@@ -329,7 +329,7 @@
   if (now_ms >= sched->tick_ms)
     mux_sched_tick (sched, now_ms);
   drop_expired (sched, now_ms);
-  if (emit_drop (sched, out))
+  if (emit_drop (sched, now_ms, out))
     return true;
   return (place_holder (sched, now_ms) || place_first (sched, now_ms))
          && emit_placed (sched, out);
--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -17,51 +17,85 @@
   return (uint32_t) (ms - quarter + sched->random % (2 * quarter + 1));
 }
 
-/* Who goes before a new task of @class, and how fast those leave. */
-static void
-queue_before (const MuxSched *sched,
-              const MuxClass *class,
-              double *tasks,
-              double *rate)
+/* Part of @other's queue whose deadline lies before that of a new task of
+ * @class, taking its deadlines as spread evenly. */
+static double
+part_before (const MuxClass *class, const MuxClass *other, int64_t now_ms)
 {
-  *tasks = 0;
-  *rate = 0;
+  double mine = class->spec.start_within_ms;
+  double last = other->spec.start_within_ms;
+  double head;
+
+  if (other->urgent != class->urgent)
+    return other->urgent ? 1 : 0;
+  if (other->queue.count == 0 || last <= mine)
+    return 1;
+  head = (double) (other->queue.node->key - now_ms);
+  return head >= mine ? 0 : (mine - head) / (last - head);
+}
+
+/* Tasks that go before a new one of @class. */
+static double
+tasks_before (const MuxSched *sched, const MuxClass *class, int64_t now_ms)
+{
+  double tasks = 0;
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    {
+      const MuxClass *other = sched->class_at[i];
+
+      if (other->configured && other->waiting > 0)
+        tasks += other->waiting * part_before (class, other, now_ms);
+    }
+  return tasks;
+}
+
+/*
+ * How fast tasks like those of @class end, per ms.  What runs is looked at and
+ * not how many started of late: those are few just when few are let in, and
+ * the forecast would keep itself true.
+ */
+static double
+ends_per_ms (const MuxSched *sched, const MuxClass *class)
+{
+  double floor
+      = class->run_mean_ms > 0
+            ? CAPACITY_FLOOR * (double) class->fit_count / class->run_mean_ms
+            : 0;
+  double rate = 0;
+
   for (uint32_t i = 0; i < sched->classes; i++)
     {
       const MuxClass *other = sched->class_at[i];
 
-      if (!other->configured)
-        continue;
-      if (other->urgent == class->urgent)
-        *rate += mux_flow_rate (&other->starts);
-      if (other->urgent == class->urgent || other->urgent)
-        *tasks += other->waiting;
+      if (other->urgent == class->urgent && other->run_mean_ms > 0)
+        rate += other->booked / other->run_mean_ms;
     }
+  return rate > floor ? rate : floor;
 }
 
 uint32_t
-mux_forecast_wait_ms (MuxSched *sched, const MuxClass *class)
+mux_forecast_wait_ms (const MuxSched *sched,
+                      const MuxClass *class,
+                      int64_t now_ms)
 {
-  double tasks, rate, floor, wait;
+  double rate, wait;
 
   if (sched->index.shape[class->shape].fits.count > 0 && class->waiting == 0)
     return 0;
-  queue_before (sched, class, &tasks, &rate);
-  floor = class->run_mean_ms > 0
-              ? CAPACITY_FLOOR * (double) class->fit_count / class->run_mean_ms
-              : 0;
-  rate = rate > floor ? rate : floor;
+  rate = ends_per_ms (sched, class);
   if (rate < RATE_MIN)
     return 0;
-  wait = tasks / rate;
+  wait = tasks_before (sched, class, now_ms) / rate;
   return wait < UINT32_MAX / 2 ? (uint32_t) wait : UINT32_MAX / 2;
 }
 
 uint32_t
-mux_forecast_retry_ms (MuxSched *sched, const MuxClass *class)
+mux_forecast_retry_ms (MuxSched *sched, const MuxClass *class, int64_t now_ms)
 {
-  uint32_t wait
-      = class->shape != MUX_NONE ? mux_forecast_wait_ms (sched, class) : 0;
+  uint32_t wait = class->shape != MUX_NONE
+                      ? mux_forecast_wait_ms (sched, class, now_ms)
+                      : 0;
 
   wait = wait < RETRY_MIN_MS ? RETRY_MIN_MS : wait;
   return mux_jitter (sched, wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS);
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -161,6 +161,9 @@
  * @cpu_hist: processors used, as reported
  * @mem_hist: memory used, as reported
  * @wait_hist: waits until placed
+ * @shedding: its queue is held short by refusals
+ * @calm_ms: when its forecast wait was last inside the target
+ * @shed_ms: when it was last refused for it
  * @reports: reports since its booking size was last looked at
  * @failed: failures, the first on each worker alone, that are not forgotten
  * @judged: those and all successes
@@ -189,6 +192,9 @@
   MuxHist cpu_hist;
   MuxHist mem_hist;
   MuxHist wait_hist;
+  bool shedding;
+  int64_t calm_ms;
+  int64_t shed_ms;
   uint32_t reports;
   double failed;
   double judged;
@@ -598,9 +604,12 @@
 
 /* forecast.c: waits to come */
 /** mux_forecast_wait_ms() - wait of a task of @class that asks now */
-uint32_t mux_forecast_wait_ms (MuxSched *sched, const MuxClass *class);
+uint32_t mux_forecast_wait_ms (const MuxSched *sched,
+                               const MuxClass *class,
+                               int64_t now_ms);
 /** mux_forecast_retry_ms() - when to come back after a refusal, with jitter */
-uint32_t mux_forecast_retry_ms (MuxSched *sched, const MuxClass *class);
+uint32_t
+mux_forecast_retry_ms (MuxSched *sched, const MuxClass *class, int64_t now_ms);
 uint32_t mux_jitter (MuxSched *sched, uint32_t ms);
 
 /* decide.c */
--- a/test/bench/bench_policy.c
+++ b/test/bench/bench_policy.c
@@ -157,12 +157,14 @@
 }
 
 /* One worker in ten fails all; the batch class runs ten times as long as it
- * declared; the load rises by half in the middle. */
+ * declared; the load rises by half in the middle; twice the load throughout,
+ * so that urgent work alone is too much. */
 static void
 bench_faults (const LoadMix *mix)
 {
   static const Candidate kept[]
       = { { .name = "cuminmux" },
+          { .name = "no_forecast", .tuning.no_forecast = true },
           { .name = "no_breaker", .tuning.no_breaker = true },
           { .name = "first_fit",
             .naive = true,
@@ -176,10 +178,13 @@
       LoadRun broken = run;
       LoadRun slow = run;
       LoadRun surge = run;
+      LoadRun flood = run;
 
       broken.broken = mix->workers / 10;
       slow.slow_class = 2;
       surge.surge_ms = RUN_MS / 2;
+      flood.load = 2.0;
+      run_one ("flood", mix, &kept[i], &flood);
       run_one ("broken", mix, &kept[i], &broken);
       run_one ("slow", mix, &kept[i], &slow);
       run_one ("surge", mix, &kept[i], &surge);
