Confirm a hint to its sender alone, and test a write that lands late

A change had every daemon tell every other; now its committer tells all and each tells the committer back. A core driven by hand shows the case in which a late write comes into force while its own check is on the way.

--- a/src/core/config_follow.c
+++ b/src/core/config_follow.c
@@ -153,7 +153,7 @@
     }
   apply_rows (core, reply);
   if (config->revision > before)
-    config_moved (core);
+    config_moved (core, false);
   if (config->revision >= config->head)
     follow_caught_up (core);
   else if (config->revision > before)
@@ -189,7 +189,7 @@
   if (revision > config->revision
       && config_apply_state (core, json_object_get (state, "objects"), true,
                              json_number (state, "floor"), revision))
-    config_moved (core);
+    config_moved (core, false);
   json_decref (state);
 }
 
@@ -290,11 +290,11 @@
 }
 
 void
-config_moved (MuxCore *core)
+config_moved (MuxCore *core, bool committed)
 {
   Config *config = core->config;
 
   if (config->heard < config->revision)
     config->heard = config->revision;
-  config_hint (core);
+  config_hint (core, committed);
 }
--- a/src/core/config_peer.c
+++ b/src/core/config_peer.c
@@ -81,12 +81,18 @@
 }
 
 void
-config_hint (MuxCore *core)
+config_hint (MuxCore *core, bool all)
 {
+  Config *config = core->config;
   MuxPeerMsg msg = { .verb = MUX_PEER_CONFIG_HINT };
+  const Member *hinter = member_find (core, config->hinter);
 
-  msg.revision = core->config->revision;
-  members_send_all (core, &msg);
+  msg.revision = config->revision;
+  config->hinter[0] = 0;
+  if (all)
+    members_send_all (core, &msg);
+  else if (hinter != NULL)
+    member_send (core, hinter, &msg);
 }
 
 void
@@ -170,7 +176,7 @@
     config->loaded = true;
   transfer_end (config);
   if (applied)
-    config_moved (core);
+    config_moved (core, false);
   if (config->loaded && !loaded)
     core_log (core, MUX_LOG_NOTICE, "config_from_peer", "revision=%" PRIu64,
               config->revision);
@@ -234,6 +240,8 @@
     {
       if (member->revision < msg->revision)
         member->revision = msg->revision;
+      if (core->config->revision < msg->revision)
+        mux_name_copy (core->config->hinter, member->name);
       config_heard (core, member, msg->revision);
     }
 }
--- a/src/core/config_private.h
+++ b/src/core/config_private.h
@@ -81,8 +81,9 @@
 struct Config
 {
   uint64_t revision;
-  uint64_t floor; /* removals up to here may be forgotten */
-  uint64_t heard; /* highest revision that anyone told of */
+  uint64_t floor;            /* removals up to here may be forgotten */
+  uint64_t heard;            /* highest revision that anyone told of */
+  char hinter[MUX_NAME_LEN]; /* who hinted at it, until it is in force */
   bool loaded;
   bool down; /* the last read of the table failed */
   ConfigObject *objects;
@@ -142,8 +143,9 @@
 /** config_row_revision() - its "revision"; 0 when absent; false: bad row */
 bool config_row_revision (const MuxRow *row, uint64_t *revision);
 void config_table_down (MuxCore *core, bool down);
-/** config_moved() - a higher revision is in force now */
-void config_moved (MuxCore *core);
+/** config_moved() - a higher revision is in force now: say so to all when it
+ * was committed here, else to who hinted at it */
+void config_moved (MuxCore *core, bool committed);
 /** config_json_blob() - takes @json over; NULL: memory is out */
 MuxBlob *config_json_blob (json_t *json);
 /** json_number() - an unsigned field; 0 when absent */
@@ -151,7 +153,7 @@
 
 /* config_peer.c: asking and telling other daemons. */
 void config_peer_ask (MuxCore *core, Member *member);
-void config_hint (MuxCore *core);
+void config_hint (MuxCore *core, bool all);
 
 /* config_snapshot.c: the whole configuration as an object. */
 void config_snapshot_write (MuxCore *core);
--- a/src/core/config_write.c
+++ b/src/core/config_write.c
@@ -59,7 +59,7 @@
             config_sort_name (change->sort), change->name, change->who);
   if (revision != config->revision + 1 || !config_apply_row (core, change->row))
     return;
-  config_moved (core);
+  config_moved (core, true);
   if (revision % CONFIG_SNAPSHOT_EVERY == 0)
     config_snapshot_write (core);
 }
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -57,6 +57,19 @@
   return json_array_size (json_object_get (cell->json, "items"));
 }
 
+/* Runs until a new daemon would take callers. */
+static void
+await_ready (ConfigCell *cell, uint32_t node)
+{
+  int64_t from_ms = cell->net->now_ms;
+
+  while (!mux_core_ready (cell->net->nodes[node].core))
+    {
+      fake_net_next (cell->net);
+      assert_true (cell->net->now_ms - from_ms <= 2000);
+    }
+}
+
 static void
 put_classes (ConfigCell *cell, uint32_t count)
 {
@@ -107,7 +120,6 @@
 test_start_without_table (void **state)
 {
   ConfigCell cell;
-  int64_t from_ms;
   uint32_t node;
 
   (void) state;
@@ -115,12 +127,9 @@
   put_classes (&cell, 300);
   ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "class-7");
   cell.net->table.down = true;
-  from_ms = cell.net->now_ms;
   node = fake_net_add (cell.net, "entry-new", "izki-hall");
   assert_false (mux_core_ready (cell.net->nodes[node].core));
-  while (!mux_core_ready (cell.net->nodes[node].core))
-    fake_net_next (cell.net);
-  assert_true (cell.net->now_ms - from_ms <= 2000);
+  await_ready (&cell, node);
   assert_int_equal (shown (&cell, node), shown (&cell, 0));
   assert_int_equal (listed (&cell, node, MUX_CONFIG_CLASS), 300);
   config_cell_free (&cell);
@@ -199,8 +208,7 @@
     fake_net_kill (cell.net, i);
   calls = cell.net->table.calls;
   node = fake_net_add (cell.net, "entry-new", "izki-hall");
-  while (!mux_core_ready (cell.net->nodes[node].core))
-    fake_net_next (cell.net);
+  await_ready (&cell, node);
   assert_true (cell.net->table.calls - calls <= 5);
   assert_int_equal (listed (&cell, node, MUX_CONFIG_CLASS), 601);
   config_cell_free (&cell);
@@ -280,6 +288,139 @@
     }
 }
 
+/* One core whose table is answered by hand. */
+typedef struct
+{
+  FakeSink sink;
+  FakeTable table;
+  MuxCounters *counters;
+  MuxCore *core;
+  int64_t now_ms;
+} Bench;
+
+static void
+bench_give (Bench *bench, MuxEventKind kind, const void *what)
+{
+  MuxEvent event = { .kind = kind };
+
+  event.u.ask = what;
+  mux_core_step (bench->core, &event, bench->now_ms);
+}
+
+static void
+bench_init (Bench *bench)
+{
+  static const MuxCoreOptions options = { .name = "entry-0",
+                                          .data_centre = "izki-hall",
+                                          .peer_addr = "127.0.0.1:9000",
+                                          .incarnation = 1,
+                                          .lease_ms = 5000,
+                                          .heartbeat_ms = 500,
+                                          .suspect_ms = 2000,
+                                          .dead_ms = 5000,
+                                          .queue_max = 10,
+                                          .writes_per_s = 50 };
+  MuxCoreOptions own = options;
+
+  *bench = (Bench){ .now_ms = 1000, .counters = mux_counters_new () };
+  fake_sink_init (&bench->sink);
+  own.sink = &bench->sink.sink;
+  own.counters = bench->counters;
+  bench->core = mux_core_new (&own, NULL);
+  assert_non_null (bench->core);
+}
+
+static void
+bench_free (Bench *bench)
+{
+  mux_core_free (bench->core);
+  mux_counters_free (bench->counters);
+  fake_sink_clear (&bench->sink);
+  fake_table_clear (&bench->table);
+}
+
+/* The latest call to the table about @key, taken from the sink. */
+static MuxTableCall *
+bench_take (Bench *bench, MuxTableVerb verb, const char *key)
+{
+  for (uint32_t i = bench->sink.table_count; i-- > 0;)
+    {
+      MuxTableCall *call = bench->sink.table_calls[i];
+
+      if (call->verb != verb
+          || strncmp (call->rows[0].key, key, strlen (key)) != 0)
+        continue;
+      bench->sink.table_calls[i]
+          = bench->sink.table_calls[--bench->sink.table_count];
+      return call;
+    }
+  fail_msg ("no call about %s", key);
+  return NULL;
+}
+
+static void
+bench_reply (Bench *bench, MuxTableCall *call, MuxTableReply *reply)
+{
+  if (reply == NULL)
+    reply = fake_table_call (&bench->table, call);
+  bench_give (bench, MUX_EVENT_TABLE_REPLY, reply);
+  mux_table_reply_free (reply);
+  mux_table_call_free (call);
+}
+
+/* A product that must not exist yet is set, and the write's answer is lost.
+ * The change's row is read and is not there; then the write lands after all,
+ * and the poll brings it into force before the read of the head comes back.
+ * Now the product exists: the operator would be told that somebody else was
+ * first, though it was this very change. */
+static void
+test_write_lands_during_check (void **state)
+{
+  MuxAsk it = { .verb = MUX_ASK_CONFIG_PUT,
+                .sort = MUX_CONFIG_PRODUCT,
+                .name = "kiosk",
+                .expect_set = true,
+                .change = { 1, 1 } };
+  MuxTableCall *write, *check;
+  MuxTableReply *absent, *lost;
+  Bench bench;
+
+  (void) state;
+  bench_init (&bench);
+  bench_give (&bench, MUX_EVENT_TICK, NULL);
+  bench_reply (&bench, bench_take (&bench, MUX_TABLE_GET, "config/head"), NULL);
+  it.body = mux_blob_new (NO_QUOTA, strlen (NO_QUOTA));
+  bench_give (&bench, MUX_EVENT_ASK, &it);
+  bench_reply (&bench, bench_take (&bench, MUX_TABLE_GET, "config/change/"),
+               NULL);
+  write = bench_take (&bench, MUX_TABLE_TXN, "config/head");
+  lost = mux_table_reply_new (write, MUX_TABLE_UNKNOWN, 0);
+  bench_give (&bench, MUX_EVENT_TABLE_REPLY, lost);
+  check = bench_take (&bench, MUX_TABLE_GET, "config/change/");
+  absent = fake_table_call (&bench.table, check);
+  mux_table_reply_free (fake_table_call (&bench.table, write));
+  bench.now_ms += 2000;
+  bench_give (&bench, MUX_EVENT_TICK, NULL);
+  bench_reply (&bench, bench_take (&bench, MUX_TABLE_GET, "config/head"), NULL);
+  bench_reply (&bench, bench_take (&bench, MUX_TABLE_SCAN, "config/log/"),
+               NULL);
+  mux_blob_unref (absent->rows[1].value);
+  absent->rows[1] = *fake_table_find (&bench.table, "config/head");
+  mux_blob_ref (absent->rows[1].value);
+  bench_reply (&bench, check, absent);
+  assert_int_equal (bench.sink.answer_count, 0);
+  bench.now_ms += 1000;
+  bench_give (&bench, MUX_EVENT_TICK, NULL);
+  bench_reply (&bench, bench_take (&bench, MUX_TABLE_GET, "config/change/"),
+               NULL);
+  assert_int_equal (bench.sink.answer_count, 1);
+  assert_int_equal (bench.sink.answers[0].status, 200);
+  mux_table_reply_free (lost);
+  mux_table_call_free (write);
+  mux_blob_unref (it.body);
+  bench_free (&bench);
+}
+
 /* With the table away a change is refused at once, and what is in force stays
  * so and is shown. */
 static void
@@ -439,6 +580,7 @@
     cmocka_unit_test (test_start_from_snapshot),
     cmocka_unit_test (test_expect),
     cmocka_unit_test (test_lost_answer),
+    cmocka_unit_test (test_write_lands_during_check),
     cmocka_unit_test (test_table_away),
     cmocka_unit_test (test_values_are_checked),
     cmocka_unit_test (test_revert),
