--- a/src/core/config_write.c
+++ b/src/core/config_write.c
@@ -111,13 +111,14 @@
       = config_object (core->config, change->sort, change->name);
   json_t *value
       = change->value != NULL ? json_incref (change->value) : json_null ();
+  uint64_t revision = change->checked_from + 1;
   uint64_t prior = object != NULL ? object->revision : 0;
   uint64_t floor = object != NULL ? 0 : core->config->floor;
   char hex[MUX_ID_HEX_LEN];
 
   mux_id_format (change->change, hex);
   return json_pack ("{s:I, s:s, s:s, s:o, s:I, s:I, s:s, s:s, s:I}", "revision",
-                    (json_int_t) (change->checked_from + 1), "sort",
+                    (json_int_t) revision, "sort",
                     config_sort_name (change->sort), "name", change->name,
                     "value", value, "prior", (json_int_t) prior, "floor",
                     (json_int_t) floor, "change", hex, "who", change->who,
@@ -128,7 +129,7 @@
 write_call (const ConfigChange *change)
 {
   MuxTableCall *call = mux_table_call_new (MUX_TABLE_TXN, WRITE_ROWS);
-  json_int_t revision = (json_int_t) (change->checked_from + 1);
+  uint64_t revision = change->checked_from + 1;
   MuxRow *rows;
 
   if (call == NULL)
@@ -136,15 +137,15 @@
   rows = call->rows;
   snprintf (rows[WRITE_HEAD].key, MUX_ROW_KEY_LEN, "%s", CONFIG_HEAD_KEY);
   rows[WRITE_HEAD].rev = change->head_rev;
-  rows[WRITE_HEAD].value
-      = config_json_blob (json_pack ("{s:I}", "revision", revision));
-  config_log_key (rows[WRITE_LOG].key, (uint64_t) revision);
+  rows[WRITE_HEAD].value = config_json_blob (
+      json_pack ("{s:I}", "revision", (json_int_t) revision));
+  config_log_key (rows[WRITE_LOG].key, revision);
   rows[WRITE_LOG].rev = MUX_REV_ABSENT;
   rows[WRITE_LOG].value = config_json_blob (json_incref (change->row));
   change_key (rows[WRITE_CHANGE].key, change->change);
   rows[WRITE_CHANGE].rev = MUX_REV_ABSENT;
-  rows[WRITE_CHANGE].value
-      = config_json_blob (json_pack ("{s:I}", "revision", revision));
+  rows[WRITE_CHANGE].value = config_json_blob (
+      json_pack ("{s:I}", "revision", (json_int_t) revision));
   for (int i = 0; i < WRITE_ROWS; i++)
     if (rows[i].value == NULL)
       {
