Describe the configuration, and keep a class whose new value can't be read

A daemon of an older version met a value that it does not know and then refused the class's requests; now it keeps what it had.

--- a/src/core/config_object.c
+++ b/src/core/config_object.c
@@ -124,9 +124,9 @@
   MuxFindings findings = { 0 };
   MuxClassSpec spec = { 0 };
 
-  object->spec.name[0] = 0;
   if (object->value == NULL)
     {
+      object->spec.name[0] = 0;
       mux_sched_class_remove (core->sched, object->name);
       return true;
     }
--- a/src/core/config_private.h
+++ b/src/core/config_private.h
@@ -47,7 +47,7 @@
   char name[MUX_NAME_LEN];
   uint64_t revision; /* of its last change */
   json_t *value;     /* NULL: removed */
-  MuxClassSpec spec; /* of a class; its name is "" when the value is bad */
+  MuxClassSpec spec; /* of a class: in force; name "": none */
   uint64_t round;    /* state in which it was seen last */
   bool unapplied;    /* the scheduler has not taken it: memory was out */
   UT_hash_handle hh;
--- a/test/support/fake_net.c
+++ b/test/support/fake_net.c
@@ -107,9 +107,7 @@
   else
     {
       reply = fake_table_call (&net->table, item->call);
-      deliver (net, item->node, table_delay_ms (net))
-          ->reply
-          = reply;
+      deliver (net, item->node, table_delay_ms (net))->reply = reply;
     }
 }
 
