Ask all daemons, take settings before the verb, tickets and keys

Global options that stand before the verb are now moved behind it, before a "--" among its arguments.

Members carry no HTTP address, so only those given are asked.

--- a/src/cli/args.h
+++ b/src/cli/args.h
@@ -37,9 +37,11 @@
   MUX_ARG_AFTER,
   MUX_ARG_TASKS,
   MUX_ARG_KEY,
+  MUX_ARG_TICKET,
   MUX_ARG_BODY,
   MUX_ARG_FILE,
   MUX_ARG_GIVE_UP_MS,
+  MUX_ARG_ALL,
   MUX_ARG_COUNT
 } MuxArg;
 
@@ -82,6 +84,13 @@
                      MuxArgs *args,
                      MuxFindings *findings);
 
+/**
+ * mux_args_leading() - words before the verb that belong to global options
+ * @argv: as main() got it
+ * Return: how many words after @argv[0], values of flags among them.
+ */
+int mux_args_leading (int argc, char **argv);
+
 /** mux_args_help() - the syntax line and the glossary of a verb */
 void mux_args_help (const MuxArgList *list, const char *verb, FILE *out);
 
--- a/src/cli/config.c
+++ b/src/cli/config.c
@@ -161,7 +161,7 @@
 int
 mux_verb_config_get (MuxCliCall *call)
 {
-  MuxHttpCall http;
+  MuxHttpCall http = { .path = "" };
   json_t *json;
   int code;
 
--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -18,7 +18,7 @@
 {
   char words[48];
 
-  fputs ("usage: cuminmux VERB [ARGUMENTS]\n\n", out);
+  fputs ("usage: cuminmux [SETTINGS] VERB [ARGUMENTS]\n\n", out);
   for (const MuxVerb *verb = mux_verbs; verb->group != NULL; verb++)
     {
       snprintf (words, sizeof words, "%s%s%s", verb->group,
@@ -27,14 +27,15 @@
       fprintf (out, "  %-16s %s\n", words, verb->help);
     }
   fputs ("\n'cuminmux VERB --help' shows the arguments of a verb; they follow "
-         "the verb.\n\n"
+         "the verb.\nThe settings --server, --timeout-ms, --who and --json may "
+         "also go before it.\n\n"
          "exit codes:\n"
          "  0  done\n"
          "  1  a daemon refused; the reason is printed\n"
          "  2  bad use\n"
          "  3  no daemon can be reached\n"
          "  4  outcome unknown: it may have taken effect\n"
-         "  5  not run, or not yet: try later\n",
+         "  5  not run, or not yet: try later; with --all: not all answered\n",
          out);
 }
 
@@ -117,7 +118,8 @@
       free (findings);
       return MUX_EXIT_OK;
     }
-  check_servers (call, findings);
+  if (!call->verb->local)
+    check_servers (call, findings);
   call->timeout_ms = (uint32_t) call->args.number[MUX_ARG_TIMEOUT_MS];
   call->json = call->args.number[MUX_ARG_JSON] != 0;
   mux_findings_print (call->host->err, findings);
@@ -133,19 +135,47 @@
   return strcmp (word, "--help") == 0 || strcmp (word, "help") == 0;
 }
 
+static int
+run_without_verb (MuxCliHost *host, int argc, char **argv)
+{
+  if ((argc >= 2 && asks_help (argv[1])) || (argc >= 3 && asks_help (argv[2])))
+    {
+      print_program_help (host->out);
+      return MUX_EXIT_OK;
+    }
+  return refuse_verb (host, argc, argv);
+}
+
 int
 mux_cli_run (MuxCliHost *host, int argc, char **argv)
 {
   MuxCliCall call = { .host = host };
+  int leading = mux_args_leading (argc, argv);
+  int rest = argc - leading;
+  char **line = calloc ((size_t) argc + 1, sizeof *line);
   int words = 0;
+  int code;
 
-  call.verb = find_verb (argc, argv, &words);
-  if (call.verb != NULL)
-    return run_verb (&call, argc - words, argv + words);
-  if ((argc >= 2 && asks_help (argv[1])) || (argc >= 3 && asks_help (argv[2])))
+  if (line == NULL)
     {
-      print_program_help (host->out);
-      return MUX_EXIT_OK;
+      fputs ("cuminmux: memory is out\n", host->err);
+      return MUX_EXIT_LATER;
     }
-  return refuse_verb (host, argc, argv);
+  line[0] = argv[0];
+  memcpy (line + 1, argv + 1 + leading, (size_t) (rest - 1) * sizeof *line);
+  call.verb = find_verb (rest, line, &words);
+  if (call.verb == NULL)
+    {
+      code = run_without_verb (host, rest, line);
+      free (line);
+      return code;
+    }
+  /* The options go right after the verb: a "--" among its arguments would
+   * make positional ones of what follows it. */
+  memmove (line + 1 + words + leading, line + 1 + words,
+           (size_t) (rest - 1 - words) * sizeof *line);
+  memcpy (line + 1 + words, argv + 1, (size_t) leading * sizeof *line);
+  code = run_verb (&call, argc - words, line + words);
+  free (line);
+  return code;
 }
--- a/src/cli/verb.h
+++ b/src/cli/verb.h
@@ -16,6 +16,7 @@
  * @help: one line
  * @args: its arguments besides the global ones
  * @run: does it and returns an enum MuxExit
+ * @local: asks no daemon
  */
 typedef struct
 {
@@ -25,6 +26,7 @@
   const char *help;
   MuxArgList args;
   int (*run) (MuxCliCall *call);
+  bool local;
 } MuxVerb;
 
 /**
@@ -68,6 +70,8 @@
 int mux_verb_job_cancel (MuxCliCall *call);
 int mux_verb_job_list (MuxCliCall *call);
 int mux_verb_request (MuxCliCall *call);
+int mux_verb_ticket (MuxCliCall *call);
+int mux_verb_keygen (MuxCliCall *call);
 
 /** mux_call_read() - GET @path with up to one parameter (@name may be NULL)
  * @json: receives the answer, owned by the caller; NULL unless it is OK
@@ -78,6 +82,18 @@
                    uint32_t timeout_ms,
                    json_t **json);
 
+/**
+ * mux_call_read_all() - GET @path from every daemon of the list, one by one
+ * @answers: receives the answers, an array owned by the caller
+ * @unanswered: receives the addresses of the others, likewise; each is also
+ *   printed with what went wrong
+ * Return: an enum MuxExit; MUX_EXIT_LATER when only a part answered.
+ */
+int mux_call_read_all (MuxCliCall *call,
+                       const char *path,
+                       json_t **answers,
+                       json_t **unanswered);
+
 /**
  * mux_call_report() - print what an answer that is not OK says
  * @settle: the flag and value with which the same command settles an unknown
--- a/src/cli/view.c
+++ b/src/cli/view.c
@@ -1,3 +1,4 @@
+#include "merge.h"
 #include "render.h"
 #include "verb.h"
 
@@ -8,20 +9,71 @@
 
 static const MuxHttpPair no_pair = { NULL, NULL };
 
-/* Reads @path and prints the array @field of the answer as a table. */
+/* Prints the rows that many daemons' answers came to, and in JSON also which
+ * daemons did not answer; people are told that on standard error. */
+static void
+print_merged (MuxCliCall *call,
+              const char *field,
+              json_t *rows,
+              json_t *unanswered,
+              const MuxColumn *columns)
+{
+  json_t *json
+      = json_pack ("{s:O, s:O}", field, rows, "unanswered", unanswered);
+
+  if (call->json)
+    mux_render_json (call->host->out, json);
+  else
+    mux_render_table (call->host->out, rows, columns);
+  json_decref (json);
+}
+
+/**
+ * struct View - an array that daemons show
+ * @path: where it is read
+ * @field: its name in the answer
+ * @merge: makes one array of many daemons' answers; NULL: one daemon tells all
+ * @columns: its table
+ */
+typedef struct
+{
+  const char *path;
+  const char *field;
+  json_t *(*merge) (const json_t *answers);
+  const MuxColumn *columns;
+} View;
+
+static int
+show_all (MuxCliCall *call, const View *view)
+{
+  json_t *answers, *unanswered, *rows;
+  int code = mux_call_read_all (call, view->path, &answers, &unanswered);
+
+  if (code != MUX_EXIT_UNREACHED)
+    {
+      rows = view->merge (answers);
+      print_merged (call, view->field, rows, unanswered, view->columns);
+      json_decref (rows);
+    }
+  json_decref (answers);
+  json_decref (unanswered);
+  return code;
+}
+
 static int
-show_table (MuxCliCall *call,
-            const char *path,
-            const char *field,
-            const MuxColumn *columns)
+show_table (MuxCliCall *call, const View *view)
 {
   json_t *json;
-  int code = mux_call_read (call, path, no_pair, call->timeout_ms, &json);
+  int code;
 
+  if (call->args.number[MUX_ARG_ALL] != 0 && view->merge != NULL)
+    return show_all (call, view);
+  code = mux_call_read (call, view->path, no_pair, call->timeout_ms, &json);
   if (code == MUX_EXIT_OK && call->json)
     mux_render_json (call->host->out, json);
   else if (code == MUX_EXIT_OK)
-    mux_render_table (call->host->out, json_object_get (json, field), columns);
+    mux_render_table (call->host->out, json_object_get (json, view->field),
+                      view->columns);
   json_decref (json);
   return code;
 }
@@ -59,13 +111,40 @@
     fputc ('\n', out);
 }
 
+static int
+show_status_all (MuxCliCall *call)
+{
+  static const MuxColumn columns[] = { { "INSTANCE", "instance" },
+                                       { "DATA CENTRE", "data_centre" },
+                                       { "REVISION", "revision" },
+                                       { "READY", "ready" },
+                                       { "STOPPING", "stopping" },
+                                       { "STORE DOWN", "store_down" },
+                                       { "WORKERS HELD", "workers_held" },
+                                       { "QUEUED", "queued" },
+                                       { "BOOKED", "booked" },
+                                       { "MEMBERS NOT LIVE", "not_live" },
+                                       { NULL, NULL } };
+  json_t *answers, *unanswered;
+  int code = mux_call_read_all (call, "/v1/status", &answers, &unanswered);
+
+  mux_merge_status (answers);
+  if (code != MUX_EXIT_UNREACHED)
+    print_merged (call, "daemons", answers, unanswered, columns);
+  json_decref (answers);
+  json_decref (unanswered);
+  return code;
+}
+
 int
 mux_verb_status (MuxCliCall *call)
 {
   json_t *json;
-  int code
-      = mux_call_read (call, "/v1/status", no_pair, call->timeout_ms, &json);
+  int code;
 
+  if (call->args.number[MUX_ARG_ALL] != 0)
+    return show_status_all (call);
+  code = mux_call_read (call, "/v1/status", no_pair, call->timeout_ms, &json);
   if (code == MUX_EXIT_OK && call->json)
     mux_render_json (call->host->out, json);
   else if (code == MUX_EXIT_OK)
@@ -90,11 +169,14 @@
                                        { "FREE MIB", "free.mem_mib" },
                                        { "FREE ACCELS", "free.accels" },
                                        { "FREE SLOTS", "free.slots" },
-                                       { "USABLE", "usable" },
+                                       { "HELD", "held" },
                                        { "DRAINED", "drained" },
                                        { NULL, NULL } };
 
-  return show_table (call, "/v1/workers", "workers", columns);
+  static const View view
+      = { "/v1/workers", "workers", mux_merge_workers, columns };
+
+  return show_table (call, &view);
 }
 
 int
@@ -110,7 +192,9 @@
                                        { "CURE", "cure" },
                                        { NULL, NULL } };
 
-  return show_table (call, "/v1/risk", "classes", columns);
+  static const View view = { "/v1/risk", "classes", mux_merge_risk, columns };
+
+  return show_table (call, &view);
 }
 
 int
@@ -120,7 +204,9 @@
       = { { "ID", "id" },     { "CLASS", "class" },       { "STATE", "state" },
           { "HOME", "home" }, { "REVISION", "revision" }, { NULL, NULL } };
 
-  return show_table (call, "/v1/jobs", "jobs", columns);
+  static const View view = { "/v1/jobs", "jobs", NULL, columns };
+
+  return show_table (call, &view);
 }
 
 /* Adds "when", in UTC, to each change beside its "when_ms". */
--- a/src/cli/work.c
+++ b/src/cli/work.c
@@ -9,7 +9,7 @@
 
 #define KEY_HEADER "Idempotency-Key"
 #define GIVE_UP_HEADER "Cuminmux-Give-Up-Ms"
-#define SETTLE_FLAG "key"
+#define TICKET_HEADER "Cuminmux-Ticket"
 
 static bool
 work_key (MuxCliCall *call, char out[MUX_KEY_LEN])
@@ -80,33 +80,55 @@
   json_decref (json);
 }
 
-/* Reads the body, sends it under an idempotency key and prints the answer.
- * The key makes a repeat find out what became of the first sending. */
+/* What names the work, so that a repeat finds out what became of the first
+ * sending: a key, made up unless one was given,, or the ticket that was given.
+ */
+static bool
+work_name (MuxCliCall *call,
+           char key[MUX_KEY_LEN],
+           MuxHttpPair *header,
+           MuxHttpPair *settle)
+{
+  const char *ticket = call->args.text[MUX_ARG_TICKET];
+
+  if (ticket != NULL)
+    {
+      *header = (MuxHttpPair){ TICKET_HEADER, ticket };
+      *settle = (MuxHttpPair){ "ticket", ticket };
+      return true;
+    }
+  *header = (MuxHttpPair){ KEY_HEADER, key };
+  *settle = (MuxHttpPair){ "key", key };
+  return work_key (call, key);
+}
+
+/* Reads the body, sends it under its key or ticket and prints the answer. */
 static int
 submit (MuxCliCall *call,
-        MuxHttpCall *http,
+        const MuxHttpCall *work,
         void (*print) (MuxCliCall *, const MuxHttpAnswer *))
 {
+  MuxHttpCall http = *work;
   char key[MUX_KEY_LEN];
+  MuxHttpPair settle;
   MuxHttpAnswer answer;
   MuxBody body;
   int code;
 
-  if (!work_key (call, key))
+  if (!work_name (call, key, &http.header[0], &settle))
     return MUX_EXIT_LATER;
   if (!mux_body_read (call, &body))
     return MUX_EXIT_USAGE;
-  http->method = "POST";
-  http->header[0] = (MuxHttpPair){ KEY_HEADER, key };
-  http->body = body.bytes;
-  http->body_len = body.len;
-  http->write = true;
-  http->repeatable = true;
-  code = mux_http_exchange (call->host, &call->servers, http, &answer);
+  http.method = "POST";
+  http.body = body.bytes;
+  http.body_len = body.len;
+  http.write = true;
+  http.repeatable = true;
+  code = mux_http_exchange (call->host, &call->servers, &http, &answer);
   if (code == MUX_EXIT_OK)
     print (call, &answer);
   else
-    mux_call_report (call, code, &answer, (MuxHttpPair){ SETTLE_FLAG, key });
+    mux_call_report (call, code, &answer, settle);
   mux_http_answer_free (&answer);
   free (body.bytes);
   return code;
@@ -121,6 +143,12 @@
       = { .header = { { NULL, NULL }, { GIVE_UP_HEADER, give_up } },
           .timeout_ms = call->timeout_ms + (uint32_t) give_up_ms };
 
+  if (call->args.text[MUX_ARG_KEY] != NULL
+      && call->args.text[MUX_ARG_TICKET] != NULL)
+    {
+      fputs ("cuminmux: --key, --ticket: give one of them\n", call->host->err);
+      return MUX_EXIT_USAGE;
+    }
   snprintf (give_up, sizeof give_up, "%" PRId64, give_up_ms);
   snprintf (http.path, sizeof http.path, "/v1/request/%s",
             call->args.text[MUX_ARG_NAME]);
--- a/test/support/cli_door.c
+++ b/test/support/cli_door.c
@@ -59,6 +59,8 @@
         " change=", u_map_get_case (request->map_header, "Cuminmux-Change"));
   note (door, " who=", u_map_get_case (request->map_header, "Cuminmux-Who"));
   note (door, " key=", u_map_get_case (request->map_header, "Idempotency-Key"));
+  note (door,
+        " ticket=", u_map_get_case (request->map_header, "Cuminmux-Ticket"));
   note (door, " give_up=",
         u_map_get_case (request->map_header, "Cuminmux-Give-Up-Ms"));
   note (door, " body=", len > 0 ? body : NULL);
