Write the operators' page, with its tables made from the sources

Found on the way, left alone: the same key at a daemon that has answered "unknown" is held past its give-up time; it stands on the page as a known fault.

--- a/tools/check.mk
+++ b/tools/check.mk
@@ -19,6 +19,7 @@
 	$(STEP) layers $(SUB) check-layers
 	$(STEP) ratio $(SUB) check-ratio
 	$(STEP) known-red $(SUB) check-known-red
+	$(STEP) pages $(SUB) check-pages
 	$(STEP) clang-tidy $(SUB) check-tidy
 	$(STEP) cppcheck $(SUB) check-cppcheck
 	$(STEP) build-asan $(SUB) VARIANT=asan unit
--- /dev/null
+++ b/tools/pages.mk
@@ -0,0 +1,6 @@
+# The generated tables of docs/OPERATING.md.
+.PHONY: pages check-pages
+pages: $(B)/cuminmuxd
+	tools/pages $<
+check-pages: $(B)/cuminmuxd
+	tools/pages $< --check
