Let a job's home look for its tasks' ends when they are due

With paced renewals an owner of 64 workers lists them every 14 s, one of 208 every 58 s, and the end of a job's task was learned there or by a look after 10 to 20 s. The home now looks after the declared run time and ever more rarely from there, so a job of half-second tasks on 208 workers ends within 6 s; the test fails with the looks as they were. The harness's stand-ins kept answers for a second only, under what is taken for given of workers; that showed as jobs that never ended, and is 2 minutes now.

--- a/src/core/task.h
+++ b/src/core/task.h
@@ -118,6 +118,7 @@
   bool absent_seen; /* FOLLOWING: seen absent once */
   bool cancelled;   /* to be stopped as soon as it is found */
   bool ran;         /* an attempt may have run: "not run" can't be said */
+  uint32_t looks;   /* at this attempt, while it runs */
   uint32_t lost;    /* calls in a row without an answer */
   uint32_t asks;    /* owners asked for this attempt */
   uint32_t retries;
--- a/src/core/task_call.c
+++ b/src/core/task_call.c
@@ -184,6 +184,7 @@
   call.size = task->size;
   call.run_ms = task->run_ms;
   call.body = task->body;
+  task->looks = 0;
   mux_count (core->counters, MUX_COUNT_STARTS, 1);
   task_wake (core, task, PROBE_MS + (int64_t) task->run_ms * PROBE_RUNS);
   if (!call_worker (core, &call, start_done, task->key, task->attempt))
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -13,7 +13,9 @@
 #define ABSENT_PAUSE_MS 300
 /* Calls without an answer after which a caller is told "unknown". */
 #define LOST_MAX 4
-/* A job's running task is looked at so often, if nobody tells of its end. */
+/* A job's running task is looked at, if nobody tells of its end, after its
+ * declared run time, then after twice that and so on, within these bounds. */
+#define JOB_LOOK_MIN_MS 500
 #define JOB_LOOK_MS 10000
 /* Times that a failed run of idempotent work is tried again. */
 #define FAILED_RETRIES 2
@@ -398,12 +400,30 @@
                  0, reply->state, reply->result);
 }
 
+/*
+ * Failure: an owner of many workers lists their tasks rarely, and a job of
+ * short tasks would wait for each list.  Its home looks by itself, soon after
+ * the end is due, then ever more rarely, as declared run times are often far
+ * too short.
+ */
+static int64_t
+job_look_ms (const Task *task)
+{
+  int64_t look_ms
+      = task->run_ms > JOB_LOOK_MIN_MS ? task->run_ms : JOB_LOOK_MIN_MS;
+
+  for (uint32_t i = 0; i < task->looks && look_ms < JOB_LOOK_MS; i++)
+    look_ms *= 2;
+  return task->run_ms == 0 || look_ms > JOB_LOOK_MS ? JOB_LOOK_MS : look_ms;
+}
+
 static void
 await_end (MuxCore *core, Task *task)
 {
   if (task->has_job)
     {
-      task_wake (core, task, core_jitter (core, JOB_LOOK_MS));
+      task_wake (core, task, core_jitter (core, job_look_ms (task)));
+      task->looks++;
       return;
     }
   task_wake (core, task, FETCH_WAIT_MS + WORKER_TIMEOUT_MS * 2);
--- a/test/bench/slopes_core.c
+++ b/test/bench/slopes_core.c
@@ -92,6 +92,31 @@
   slope_print (&heap, label, "bytes/worker");
 }
 
+/* Workers of other data centres, which this core only knows by name. */
+static void
+workers_known (void)
+{
+  static const uint32_t sizes[] = { 675, 1350, 2700, 5400 };
+  Slope cpu = { 0 };
+  Slope heap = { 0 };
+  Slope list = { 0 };
+
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      CoreHarnessOptions options
+          = { .workers = sizes[i], .slots = 8, .remote = true, .members = 1 };
+      CoreHarness *h = core_harness_new (&options);
+      uint64_t before = h->cpu_ns;
+
+      core_harness_list (h, sizes[i]);
+      slope_add (&list, sizes[i], (double) (h->cpu_ns - before));
+      idle_minute (h, sizes[i], &cpu, &heap);
+    }
+  slope_print (&cpu, "core.cpu.worker_known", "ns/s/worker");
+  slope_print (&heap, "core.heap.worker_known", "bytes/worker");
+  slope_print (&list, "core.cpu.instance_listed", "ns/instance");
+}
+
 static void
 tasks_owned (void)
 {
@@ -439,6 +464,7 @@
 {
   workers ("idle", 0);
   workers ("busy", 4);
+  workers_known ();
   tasks_owned ();
   tasks_home ();
   objects ("class", true);
--- a/test/bench/slopes_wire.c
+++ b/test/bench/slopes_wire.c
@@ -1,9 +1,11 @@
 /* Bytes on the wire of each kind of message: peers' messages as encoded, and
  * worker calls of the real adapter, counted between it and the stand-in.
  * What TCP/IP and ZeroMQ's frames add is not in it. */
+#include "../../src/adapter/platform_internal.h"
 #include "adapter/peer.h"
 #include "adapter/worker.h"
 #include "base/ring.h"
+#include "standin/platform_ctl.h"
 #include "standin/worker_server.h"
 #include "support/peer_sample.h"
 #include "support/slope.h"
@@ -46,6 +48,15 @@
   return mux_ring_push (((Replies *) inbox)->replies, reply);
 }
 
+static double
+cpu_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double) now.tv_sec * 1e6 + (double) now.tv_nsec / 1e3;
+}
+
 static void
 peer_messages (void)
 {
@@ -64,6 +75,51 @@
     }
 }
 
+/* The instance list as the stand-in words it, and reading it. */
+static void
+instance_list (void)
+{
+  static const uint32_t sizes[] = { 675, 1350, 2700, 5400 };
+  Slope bytes = { 0 };
+  Slope cpu = { 0 };
+
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      MuxInstanceList *list
+          = calloc (1, sizeof *list + sizes[i] * sizeof list->item[0]);
+      uint64_t rev;
+      json_t *json;
+      double from;
+      char *text;
+
+      check (list != NULL, "memory is out");
+      for (; list->count < sizes[i]; list->count++)
+        {
+          MuxInstance *it = &list->item[list->count];
+
+          snprintf (it->name, sizeof it->name, "nizwa-w%04u", list->count);
+          strcpy (it->data_centre, "nizwa-hall");
+          snprintf (it->rack, sizeof it->rack, "rack-%u", list->count / 8);
+          snprintf (it->addr, sizeof it->addr, "10.20.30.%u:9000",
+                    list->count % 250);
+          it->role = MUX_ROLE_WORKER;
+        }
+      json = standin_platform_ctl_list (list, 1);
+      text = json_dumps (json, JSON_COMPACT);
+      slope_add (&bytes, sizes[i], (double) strlen (text));
+      free (list);
+      from = cpu_us ();
+      list = mux_platform_decode_list (text, strlen (text), &rev);
+      slope_add (&cpu, sizes[i], (cpu_us () - from) * 1000);
+      check (list != NULL && list->count == sizes[i], "bad list");
+      free (list);
+      free (text);
+      json_decref (json);
+    }
+  slope_print (&bytes, "wire.platform.list", "bytes/instance");
+  slope_print (&cpu, "wire.platform.list.decode", "ns/instance");
+}
+
 static void
 call_once (Wire *wire, MuxWorkerCall *call)
 {
@@ -80,15 +136,6 @@
   mux_worker_reply_free (reply);
 }
 
-static double
-cpu_us (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
-  return (double) now.tv_sec * 1e6 + (double) now.tv_nsec / 1e3;
-}
-
 /* The process holds adapter, forwarder and stand-in, so its processor time is
  * an upper bound of the adapter's. */
 static void
@@ -201,6 +248,7 @@
 main (void)
 {
   peer_messages ();
+  instance_list ();
   worker_messages ();
   return EXIT_SUCCESS;
 }
--- a/test/support/core_harness.c
+++ b/test/support/core_harness.c
@@ -184,7 +184,7 @@
               .incarnation = HARNESS_WORKER_LIFE,
               .capacity = { 64000, 256000, 0, h->options.slots },
               .grace_ms = 1000,
-              .retain_ms = 1000,
+              .retain_ms = 120000,
               .ctx = h,
               .on_end = harness_task_ended };
 
--- a/test/support/core_harness.h
+++ b/test/support/core_harness.h
@@ -5,7 +5,7 @@
 #include "standin/platform_state.h"
 #include "standin/worker_logic.h"
 
-#define HARNESS_WORKERS_MAX 2048
+#define HARNESS_WORKERS_MAX 6144
 #define HARNESS_MEMBERS_MAX 64
 
 /**
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -165,11 +165,45 @@
   core_harness_free (h, NULL);
 }
 
+/*
+ * An owner of many workers learns late that tasks on them have ended, as it
+ * renews rarely.  A job of half a second would take ten to twenty,
+ * until the next renewal or a late look of its home.
+ */
+static void
+test_job_does_not_wait_for_renewals (void **state)
+{
+  CoreHarnessOptions options
+      = { .workers = WORKERS, .slots = 64, .table_ms = 5 };
+  CoreHarness *h = core_harness_new (&options);
+  MuxAsk ask = { .verb = MUX_ASK_JOB_SUBMIT,
+                 .name = "nightly",
+                 .task_count = 320,
+                 .body = mux_blob_new ("run_ms=500\n", 11) };
+
+  (void) state;
+  core_harness_put (h, MUX_CONFIG_PRODUCT, "p",
+                    "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,"
+                    "\"accels\":0,\"slots\":0}}");
+  core_harness_put (h, MUX_CONFIG_CLASS, "nightly",
+                    "{\"product\":\"p\",\"kind\":\"batch\","
+                    "\"idempotent\":true,\"start_within_ms\":2800,"
+                    "\"start_share_ppm\":990000,\"size\":{\"cpu_milli\":100,"
+                    "\"mem_mib\":100,\"accels\":0},\"run_ms\":500}");
+  core_harness_run (h, MINUTES_MS);
+  core_harness_ask (h, &ask);
+  core_harness_run (h, 6000);
+  assert_int_equal (mux_counter_value (h->counters, MUX_COUNT_JOBS_DONE), 1);
+  mux_blob_unref (ask.body);
+  core_harness_free (h, NULL);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_one_daemon_adopts_all_jobs),
+      = { cmocka_unit_test (test_job_does_not_wait_for_renewals),
+          cmocka_unit_test (test_one_daemon_adopts_all_jobs),
           cmocka_unit_test (test_looks_for_jobs_are_shared),
           cmocka_unit_test (test_far_heartbeats_are_bounded),
           cmocka_unit_test (test_renewals_are_paced),
