Let only the asker void its grant, and keep what is placed booked

Cause: GRANT_CANCEL freed whatever was booked under the task's id. Also closed: a cancel that crosses its grant, and words of a home's former life. Ruled out: the worker's lists, which had the task. Asks for a task seen running are refused as key in use rather than met with silence.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -303,7 +303,7 @@
       owner_ask (core, msg);
       break;
     case MUX_PEER_GRANT_CANCEL:
-      owner_cancel (core, msg->task);
+      owner_cancel (core, msg);
       break;
     case MUX_PEER_GRANT_END:
       owner_end (core, msg);
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -109,9 +109,13 @@
 static void
 ask_again (MuxCore *core, Grant *grant, const MuxPeerMsg *ask)
 {
-  if (strcmp (grant->ask.from, ask->from) != 0)
-    refuse (core, ask, MUX_REASON_KEY_IN_USE, RETRY_MS);
-  else if (grant->placed && !grant->seen)
+  if (strcmp (grant->ask.from, ask->from) != 0 || grant->seen)
+    {
+      refuse (core, ask, MUX_REASON_KEY_IN_USE, RETRY_MS);
+      return;
+    }
+  grant->ask.from_incarnation = ask->from_incarnation;
+  if (grant->placed)
     send_grant (core, grant);
 }
 
@@ -151,21 +155,46 @@
     }
 }
 
-void
-owner_cancel (MuxCore *core, MuxId task)
+/*
+ * Failure: the same key is asked for through two daemons.  The one that is
+ * refused gives up, and its word, taken for the other's, would free room that
+ * the other's start is about to fill: the worker is given more than it holds.
+ * The same comes from a word of the home's former life that arrives late.
+ */
+static bool
+is_asker (const Grant *grant, const MuxPeerMsg *msg)
 {
-  Grant *grant = grant_find (core, task);
+  return strcmp (grant->ask.from, msg->from) == 0
+         && (grant->ask.from_incarnation == msg->from_incarnation
+             || grant->ask.from_incarnation == 0);
+}
 
-  if (grant == NULL || grant->seen)
-    return;
+static void
+void_ask (MuxCore *core, Grant *grant)
+{
   if (grant->placed)
-    mux_sched_ended (core->sched, task, MUX_END_NO_START, 0, (MuxSize){ 0 },
-                     core->now_ms);
+    mux_sched_ended (core->sched, grant->task, MUX_END_NO_START, 0,
+                     (MuxSize){ 0 }, core->now_ms);
   else
-    mux_sched_cancel (core->sched, task);
+    mux_sched_cancel (core->sched, grant->task);
   grant_free (core, grant);
 }
 
+/*
+ * Failure: a cancel crosses the grant, and the home, asking for the same task
+ * once more, takes that grant for the answer: it starts where nothing is
+ * booked any more.  What is placed therefore stays booked: its home answers a
+ * grant that it does not want with GRANT_END, or the booking runs out.
+ */
+void
+owner_cancel (MuxCore *core, const MuxPeerMsg *msg)
+{
+  Grant *grant = grant_find (core, msg->task);
+
+  if (grant != NULL && !grant->placed && is_asker (grant, msg))
+    void_ask (core, grant);
+}
+
 static MuxTaskEnd
 end_of_state (MuxTaskState state)
 {
@@ -259,7 +288,7 @@
   /* Waiting for a second place while it runs here: this is a late start of
    * an earlier attempt's twin; what runs is booked first. */
   if (grant != NULL)
-    owner_cancel (core, report->task);
+    void_ask (core, grant);
   mux_name_copy (ask.from, report->home);
   mux_name_copy (ask.class_name, report->class_name);
   grant = grant_new (core, &ask);
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -22,7 +22,7 @@
 /** owner_ask() - a home, maybe this daemon, wants room */
 void owner_ask (MuxCore *core, const MuxPeerMsg *ask);
 /** owner_cancel() - a home no longer wants it */
-void owner_cancel (MuxCore *core, MuxId task);
+void owner_cancel (MuxCore *core, const MuxPeerMsg *msg);
 /** owner_end() - a home says how it ended */
 void owner_end (MuxCore *core, const MuxPeerMsg *msg);
 /** owner_pump() - take and hand out the scheduler's decisions */
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -228,8 +228,9 @@
   if (strcmp (owner, core->name) == 0)
     {
       mux_name_copy (msg->from, core->name);
+      msg->from_incarnation = core->opt.incarnation;
       if (msg->verb == MUX_PEER_GRANT_CANCEL)
-        owner_cancel (core, msg->task);
+        owner_cancel (core, msg);
       else
         owner_end (core, msg);
       return;
