--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -113,20 +113,21 @@
   room = job->asking < WINDOW_TASKS ? WINDOW_TASKS - job->asking : 0;
   if (spec->kind == MUX_KIND_GANG)
     room = job->header.task_count;
+  /* Room that is still booked from before is granted at once, and that calls
+   * this again, so the number moves on before the task is given. */
   while (job->next_new < job->header.task_count && room > 0)
     {
-      Slot *slot = &job->slots[job->next_new];
+      uint32_t index = job->next_new++;
+      const Slot *slot = &job->slots[index];
 
       /* Of a cancelled job only what may run is looked after: it has to be
        * found before it can be stopped. */
-      if (!slot_final (slot) && !slot->active
-          && (!job->header.cancel || slot->state == SLOT_PLACED))
-        {
-          give_task (core, job, job->next_new, spec);
-          if (slot->state == SLOT_NEW)
-            room--;
-        }
-      job->next_new++;
+      if (slot_final (slot) || slot->active
+          || (job->header.cancel && slot->state != SLOT_PLACED))
+        continue;
+      if (slot->state == SLOT_NEW)
+        room--;
+      give_task (core, job, index, spec);
     }
   if (spec->kind == MUX_KIND_GANG && job->asking > 0)
     job_gang_begin (core, job);
