--- a/src/core/member.c
+++ b/src/core/member.c
@@ -211,6 +211,7 @@
   if (state == MEMBER_DEAD)
     {
       tasks_owner_lost (core, member->name);
+      owner_home_lost (core, member->name, member->incarnation);
       jobs_member_dead (core, member->name);
     }
   workers_reconsider (core);
@@ -252,7 +253,10 @@
   if (new_life && member->state != MEMBER_DEAD)
     tasks_owner_lost (core, member->name);
   if (new_life)
-    jobs_member_dead (core, member->name);
+    {
+      owner_home_lost (core, member->name, member->incarnation);
+      jobs_member_dead (core, member->name);
+    }
   member->incarnation = msg->from_incarnation;
   mux_name_copy (member->data_centre, msg->from_dc);
   snprintf (member->addr, sizeof member->addr, "%s", msg->from_addr);
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -106,6 +106,17 @@
   tell_home (core, grant->ask.from, &msg);
 }
 
+static void
+void_ask (MuxCore *core, Grant *grant)
+{
+  if (grant->placed)
+    mux_sched_ended (core->sched, grant->task, MUX_END_NO_START, 0,
+                     (MuxSize){ 0 }, core->now_ms);
+  else
+    mux_sched_cancel (core->sched, grant->task);
+  grant_free (core, grant);
+}
+
 static void
 ask_again (MuxCore *core, Grant *grant, const MuxPeerMsg *ask)
 {
@@ -132,6 +143,14 @@
                       .avoid = MUX_NO_WORKER };
   MuxVerdict verdict;
 
+  /* The cancel of an ask in another group was lost: that gang is void. */
+  if (grant != NULL && !grant->placed
+      && !mux_id_equal (grant->ask.group, ask->group)
+      && strcmp (grant->ask.from, ask->from) == 0)
+    {
+      void_ask (core, grant);
+      grant = NULL;
+    }
   if (grant != NULL)
     {
       ask_again (core, grant, ask);
@@ -169,17 +188,6 @@
              || grant->ask.from_incarnation == 0);
 }
 
-static void
-void_ask (MuxCore *core, Grant *grant)
-{
-  if (grant->placed)
-    mux_sched_ended (core->sched, grant->task, MUX_END_NO_START, 0,
-                     (MuxSize){ 0 }, core->now_ms);
-  else
-    mux_sched_cancel (core->sched, grant->task);
-  grant_free (core, grant);
-}
-
 /*
  * Failure: a cancel crosses the grant, and the home, asking for the same task
  * once more, takes that grant for the answer: it starts where nothing is
@@ -412,6 +420,22 @@
     owner_send_back (core, grant->task, reason);
 }
 
+/*
+ * Failure: a home dies, or comes back as a new life, with asks waiting here.
+ * Members of its gangs would wait for others that never ask, and what is
+ * placed for the rest stands unused until it runs out.
+ */
+void
+owner_home_lost (MuxCore *core, const char *home, uint64_t incarnation)
+{
+  Grant *grant, *next;
+
+  HASH_ITER (hh, core->grants, grant, next)
+  if (!grant->placed && strcmp (grant->ask.from, home) == 0
+      && grant->ask.from_incarnation <= incarnation)
+    void_ask (core, grant);
+}
+
 uint32_t
 owner_waiting (const MuxCore *core)
 {
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -38,6 +38,8 @@
 void owner_refuse_all (MuxCore *core, MuxReason reason);
 /** owner_send_back() - refuse an ask that is not placed, if it is known */
 void owner_send_back (MuxCore *core, MuxId task, MuxReason reason);
+/** owner_home_lost() - asks of lives of @home up to @incarnation are void */
+void owner_home_lost (MuxCore *core, const char *home, uint64_t incarnation);
 /** owner_recheck_later() - a worker was lost: see what can't be placed now */
 void owner_recheck_later (MuxCore *core);
 /** owner_recheck() - send back what no usable worker could hold, if due */
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -15,6 +15,8 @@
 #define LOST_MAX 4
 /* A job's running task is looked at so often, if nobody tells of its end. */
 #define JOB_LOOK_MS 10000
+/* Longest pause before a refused ask is made again. */
+#define ASK_PAUSE_MAX_MS 5000
 /* Times that a failed run of idempotent work is tried again. */
 #define FAILED_RETRIES 2
 /* Longest that a fetch waits for a request's end. */
@@ -224,6 +226,9 @@
 {
   int64_t pause_ms = event->retry_ms > RETRY_MS ? event->retry_ms : RETRY_MS;
 
+  /* Advice for callers may be minutes; a job must not sleep through room. */
+  if (pause_ms > ASK_PAUSE_MAX_MS)
+    pause_ms = ASK_PAUSE_MAX_MS;
   if (event->reason != MUX_REASON_NO_WORKERS || task->owner[0] != 0)
     mux_count_retry (core->counters, event->reason);
   task->last_reason = event->reason;
