Put a job's parts on condition of their own revisions

Ruled out: the adopter's read (one page, after its own write) and the header's fence (the same home, the same revision). A late write now finds the part moved. Reading again after a lost answer is paced; it was sent at once each time while the store was down.

--- a/include/core/core.h
+++ b/include/core/core.h
@@ -12,8 +12,9 @@
 #define MUX_BODY_MAX (4u << 20)
 /* Bytes of a ticket's text with its closing NUL. */
 #define MUX_TICKET_LEN 512
-/* Most tasks of one job. */
-#define MUX_JOB_TASKS_MAX 4096
+/* Most tasks of one job: their parts and the job's own two rows fit one
+ * transaction. */
+#define MUX_JOB_TASKS_MAX 4032
 
 /**
  * enum MuxAskVerb - what a caller or operator asks of this daemon
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -39,6 +39,17 @@
   return job;
 }
 
+static void
+arrays_free (Job *job)
+{
+  free (job->slots);
+  free (job->dirty);
+  free (job->in_write);
+  free (job->part_rev);
+  free (job->written);
+  free (job->pending);
+}
+
 Job *
 job_new (MuxCore *core, const JobHeader *header, uint64_t rev, MuxBlob *body)
 {
@@ -48,15 +59,14 @@
     return NULL;
   job->slots = calloc (header->task_count, sizeof *job->slots);
   job->dirty = calloc (job_parts (header), sizeof *job->dirty);
+  job->in_write = calloc (job_parts (header), sizeof *job->in_write);
+  job->part_rev = calloc (job_parts (header), sizeof *job->part_rev);
   job->written = calloc (header->task_count, sizeof *job->written);
   job->pending = calloc (header->task_count, sizeof *job->pending);
-  if (job->slots == NULL || job->dirty == NULL || job->written == NULL
-      || job->pending == NULL)
+  if (job->slots == NULL || job->dirty == NULL || job->in_write == NULL
+      || job->part_rev == NULL || job->written == NULL || job->pending == NULL)
     {
-      free (job->slots);
-      free (job->dirty);
-      free (job->written);
-      free (job->pending);
+      arrays_free (job);
       free (job);
       return NULL;
     }
@@ -73,10 +83,7 @@
 {
   HASH_DEL (core->jobs->open, job);
   mux_blob_unref (job->body);
-  free (job->slots);
-  free (job->dirty);
-  free (job->written);
-  free (job->pending);
+  arrays_free (job);
   free (job);
 }
 
@@ -127,31 +134,25 @@
   HASH_ITER (hh, core->jobs->open, job, next)
   {
     job_gang_tick (core, job);
-    if (job->dirty_any && core->now_ms >= core->jobs->next_write_ms)
-      job_write (core, job);
+    job_write (core, job);
   }
 }
 
-static int64_t
-later (int64_t a, int64_t b)
-{
-  return a > b ? a : b;
-}
-
 int64_t
 jobs_wake_ms (const MuxCore *core)
 {
   int64_t at = core->jobs->next_scan_ms;
   int64_t wait = job_waits_wake_ms (core);
   int64_t retake = job_retakes_wake_ms (core);
+  int64_t write_ms;
 
   for (const Job *job = core->jobs->open; job != NULL; job = job->hh.next)
     {
       if (job->gang_state != GANG_NONE && job->gang_at_ms < at)
         at = job->gang_at_ms;
-      if (job->dirty_any && !job->writing && !job->reading
-          && later (job->write_ms, core->jobs->next_write_ms) < at)
-        at = later (job->write_ms, core->jobs->next_write_ms);
+      write_ms = job_write_wake_ms (core, job);
+      if (write_ms < at)
+        at = write_ms;
     }
   if (wait < at)
     at = wait;
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -156,7 +156,6 @@
 parts_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
 {
   Job *job = job_find (core, id);
-  char key[MUX_ROW_KEY_LEN];
 
   (void) aux;
   if (job == NULL)
@@ -166,36 +165,19 @@
       abandon (core, job);
       return;
     }
+  job_parts_found (job, reply);
   for (uint32_t i = 0; i < reply->row_count; i++)
-    for (uint32_t part = 0; part < job_parts (&job->header); part++)
-      {
-        job_part_key (job->id, part, key);
-        if (strcmp (key, reply->rows[i].key) == 0
-            && !job_part_from_blob (job, part, reply->rows[i].value))
-          {
-            abandon (core, job);
-            return;
-          }
-      }
-  fetch_body (core, job);
-}
-
-static void
-fetch_parts (MuxCore *core, Job *job)
-{
-  MuxTableCall *call = mux_table_call_new (MUX_TABLE_SCAN, 2);
-
-  if (call != NULL)
     {
-      char hex[MUX_ID_HEX_LEN];
-
-      mux_id_format (job->id, hex);
-      snprintf (call->rows[0].key, sizeof call->rows[0].key, "job/part/%s/",
-                hex);
-      call->limit = MUX_ROWS_MAX;
+      uint32_t part = job_part_of_key (job, reply->rows[i].key);
+
+      if (part < job_parts (&job->header)
+          && !job_part_from_blob (job, part, reply->rows[i].value))
+        {
+          abandon (core, job);
+          return;
+        }
     }
-  if (call == NULL || !call_table (core, call, parts_done, job->id, 0))
-    abandon (core, job);
+  fetch_body (core, job);
 }
 
 static void
@@ -218,7 +200,8 @@
       return;
     }
   job->rev = reply->rev;
-  fetch_parts (core, job);
+  if (!job_read_parts (core, job, parts_done))
+    abandon (core, job);
 }
 
 /* Becoming the home is one conditional write: of several that try, one wins,
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -1,6 +1,7 @@
 #ifndef CORE_JOBS_PRIVATE_H
 #define CORE_JOBS_PRIVATE_H
 
+#include "call.h"
 #include "jobs.h"
 
 /* Tasks whose whereabouts share one row. */
@@ -104,8 +105,11 @@
   bool urgent; /* a task waits for the write */
   bool writing;
   bool reading;
-  bool ended;   /* every slot is final; only its last write is missing */
-  bool dropped; /* carried on elsewhere */
+  bool stale;         /* its rows must be read before the next write */
+  uint8_t *in_write;  /* parts in the write in flight */
+  uint64_t *part_rev; /* as last known */
+  bool ended;         /* every slot is final; only its last write is missing */
+  bool dropped;       /* carried on elsewhere */
   uint32_t active;
   uint32_t asking; /* of which not placed yet */
   uint32_t final;
@@ -188,6 +192,12 @@
 MuxBlob *job_part_to_blob (const Job *job, uint32_t part);
 bool job_part_from_blob (Job *job, uint32_t part, const MuxBlob *blob);
 uint32_t job_parts (const JobHeader *header);
+/** job_part_of_key() - number of the part that a row holds; UINT32_MAX: none */
+uint32_t job_part_of_key (const Job *job, const char *key);
+/** job_read_parts() - all parts of a job; false: nothing was sent */
+bool job_read_parts (MuxCore *core, Job *job, TableDone done);
+/** job_parts_found() - learn the parts' revisions */
+void job_parts_found (Job *job, const MuxTableReply *reply);
 
 /* Jobs carried here (jobs.c, jobs_carry.c, jobs_gang.c). */
 Job *job_find (MuxCore *core, MuxId id);
@@ -208,6 +218,8 @@
 void job_drop (MuxCore *core, Job *job);
 /** job_write() - send what is dirty, if it is time and none is in flight */
 void job_write (MuxCore *core, Job *job);
+/** job_write_wake_ms() - when job_write() has something to do */
+int64_t job_write_wake_ms (const MuxCore *core, const Job *job);
 /** job_reread() - somebody changed its row: learn who and why */
 void job_reread (MuxCore *core, Job *job);
 /** job_ended() - its last write is done: tell who waits and free it */
--- a/src/core/jobs_row.c
+++ b/src/core/jobs_row.c
@@ -183,3 +183,44 @@
   json_decref (array);
   return good;
 }
+
+uint32_t
+job_part_of_key (const Job *job, const char *key)
+{
+  const char *number = strrchr (key, '/');
+  char want[MUX_ROW_KEY_LEN];
+  uint32_t part
+      = number == NULL ? UINT32_MAX : (uint32_t) strtoul (number + 1, NULL, 10);
+
+  if (part >= job_parts (&job->header))
+    return UINT32_MAX;
+  job_part_key (job->id, part, want);
+  return strcmp (want, key) == 0 ? part : UINT32_MAX;
+}
+
+void
+job_parts_found (Job *job, const MuxTableReply *reply)
+{
+  memset (job->part_rev, 0, job_parts (&job->header) * sizeof *job->part_rev);
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    {
+      uint32_t part = job_part_of_key (job, reply->rows[i].key);
+
+      if (part < job_parts (&job->header))
+        job->part_rev[part] = reply->rows[i].rev;
+    }
+}
+
+bool
+job_read_parts (MuxCore *core, Job *job, TableDone done)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_SCAN, 2);
+  char hex[MUX_ID_HEX_LEN];
+
+  if (call == NULL)
+    return false;
+  mux_id_format (job->id, hex);
+  snprintf (call->rows[0].key, sizeof call->rows[0].key, "job/part/%s/", hex);
+  call->limit = MUX_ROWS_MAX;
+  return call_table (core, call, done, job->id, 0);
+}
--- /dev/null
+++ b/src/core/jobs_write.c
@@ -0,0 +1,310 @@
+#include "call.h"
+#include "jobs_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Pause after the store did not take a write. */
+#define STORE_PAUSE_MS 1000
+
+/* Tasks whose placement was in the write: tell each that it stands. */
+static void
+tell_written (MuxCore *core, Job *job)
+{
+  uint32_t count = job->written_count;
+  MuxId id = job->id;
+  MuxId *keys = malloc ((count + 1) * sizeof *keys);
+  TaskEvent event = { .kind = TASK_EV_ROW_WRITTEN };
+
+  job->written_count = 0;
+  if (keys == NULL)
+    return;
+  memcpy (keys, job->written, count * sizeof *keys);
+  for (uint32_t i = 0; i < count && job_find (core, id) == job; i++)
+    {
+      Task *task = task_find (core, keys[i]);
+
+      if (task != NULL && task->state == TASK_RECORDING)
+        task_event (core, task, &event);
+    }
+  free (keys);
+}
+
+/* The write did not happen, or that can't be told: the same is due again, and
+ * the tasks go on waiting for it. */
+static void
+write_again (MuxCore *core, Job *job, int64_t pause_ms)
+{
+  for (uint32_t i = 0;
+       i < job->written_count && job->pending_count < job->header.task_count;
+       i++)
+    job->pending[job->pending_count++] = job->written[i];
+  job->written_count = 0;
+  for (uint32_t i = 0; i < job_parts (&job->header); i++)
+    job->dirty[i] = job->dirty[i] || job->in_write[i];
+  job->dirty_any = true;
+  job->write_ms = core->now_ms + core_jitter (core, pause_ms);
+}
+
+static void
+parts_stand (Job *job, uint64_t rev)
+{
+  for (uint32_t i = 0; i < job_parts (&job->header); i++)
+    if (job->in_write[i])
+      job->part_rev[i] = rev;
+}
+
+static void
+write_done (MuxCore *core, MuxId id, uint64_t last, const MuxTableReply *reply)
+{
+  Job *job = job_find (core, id);
+
+  if (job == NULL)
+    return;
+  job->writing = false;
+  switch (reply->status)
+    {
+    case MUX_TABLE_OK:
+      if (last)
+        {
+          job_ended (core, job);
+          return;
+        }
+      parts_stand (job, reply->rev);
+      job->urgent = job->pending_count > 0;
+      tell_written (core, job);
+      break;
+    case MUX_TABLE_CONFLICT:
+      write_again (core, job, 0);
+      job->stale = true;
+      break;
+    case MUX_TABLE_UNKNOWN:
+      mux_count_retry (core->counters, MUX_REASON_WRITE_UNKNOWN);
+      write_again (core, job, RETRY_MS);
+      job->stale = true;
+      break;
+    case MUX_TABLE_DOWN:
+    case MUX_TABLE_BAD:
+      mux_count_retry (core->counters, MUX_REASON_STORE_DOWN);
+      write_again (core, job, STORE_PAUSE_MS);
+      break;
+    }
+}
+
+static uint32_t
+dirty_parts (const Job *job)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < job_parts (&job->header); i++)
+    count += job->dirty[i];
+  return count;
+}
+
+/*
+ * Failure: the answer of a write is lost, it is done again, tasks start, and
+ * then the first one lands, late, and puts back what it knew: tasks that run
+ * are recorded as not placed, and the next home starts them a second time.
+ * So each part is put on condition of its own revision; a late write finds it
+ * moved and has no effect.  The header's revision, checked with it, keeps out
+ * the writes of a former home.
+ */
+static bool
+fill_parts (Job *job, MuxTableCall *call)
+{
+  uint32_t row = 1;
+
+  job_row_key ("open", job->id, call->rows[0].key);
+  call->rows[0].rev = job->rev;
+  call->rows[0].check_only = true;
+  for (uint32_t i = 0; i < job_parts (&job->header); i++)
+    {
+      job->in_write[i] = job->dirty[i];
+      if (!job->dirty[i])
+        continue;
+      job_part_key (job->id, i, call->rows[row].key);
+      call->rows[row].rev = job->part_rev[i];
+      call->rows[row].value = job_part_to_blob (job, i);
+      if (call->rows[row++].value == NULL)
+        return false;
+      job->dirty[i] = 0;
+    }
+  return true;
+}
+
+static MuxTableCall *
+parts_call (Job *job)
+{
+  MuxTableCall *call
+      = mux_table_call_new (MUX_TABLE_TXN, 1 + dirty_parts (job));
+
+  if (call == NULL || fill_parts (job, call))
+    return call;
+  mux_table_call_free (call);
+  return NULL;
+}
+
+/* The last write moves the job from the open ones to the ended ones. */
+static MuxTableCall *
+end_call (Job *job)
+{
+  uint32_t parts = job_parts (&job->header);
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_TXN, 2 + parts);
+
+  if (call == NULL)
+    return NULL;
+  job->header.state = job->header.cancel       ? JOB_CANCELLED
+                      : job->header.failed > 0 ? JOB_FAILED
+                                               : JOB_DONE;
+  job_row_key ("open", job->id, call->rows[0].key);
+  call->rows[0].rev = job->rev;
+  job_row_key ("done", job->id, call->rows[1].key);
+  call->rows[1].rev = MUX_REV_ANY;
+  call->rows[1].value = job_header_to_blob (&job->header);
+  for (uint32_t i = 0; i < parts; i++)
+    {
+      job_part_key (job->id, i, call->rows[2 + i].key);
+      call->rows[2 + i].rev = MUX_REV_ANY;
+    }
+  if (call->rows[1].value != NULL)
+    return call;
+  mux_table_call_free (call);
+  return NULL;
+}
+
+static void
+send_write (MuxCore *core, Job *job)
+{
+  bool last = job->ended;
+  MuxTableCall *call = last ? end_call (job) : parts_call (job);
+
+  memcpy (job->written, job->pending,
+          job->pending_count * sizeof *job->written);
+  job->written_count = job->pending_count;
+  job->pending_count = 0;
+  job->dirty_any = false;
+  if (call != NULL && call_table (core, call, write_done, job->id, last))
+    {
+      job->writing = true;
+      core->jobs->next_write_ms
+          = core->now_ms + 1000 / (int64_t) core->opt.writes_per_s;
+      return;
+    }
+  write_again (core, job, RETRY_MS);
+}
+
+static void
+reread_failed (MuxCore *core, Job *job)
+{
+  job->reading = false;
+  job->write_ms = core->now_ms + core_jitter (core, STORE_PAUSE_MS);
+}
+
+static void
+parts_reread (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+{
+  Job *job = job_find (core, id);
+
+  (void) aux;
+  if (job == NULL)
+    return;
+  if (reply->status != MUX_TABLE_OK)
+    {
+      reread_failed (core, job);
+      return;
+    }
+  job->reading = false;
+  job->stale = false;
+  job_parts_found (job, reply);
+}
+
+static void
+reread_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+{
+  Job *job = job_find (core, id);
+  JobHeader header;
+
+  (void) aux;
+  if (job == NULL)
+    return;
+  if (reply->status != MUX_TABLE_OK || reply->row_count < 2)
+    {
+      reread_failed (core, job);
+      return;
+    }
+  if (job_header_from_blob (reply->rows[1].value, &header))
+    {
+      /* Our own last write whose answer was lost, or another home's. */
+      job->header = header;
+      job_ended (core, job);
+      return;
+    }
+  if (!job_header_from_blob (reply->rows[0].value, &header)
+      || strcmp (header.home, core->name) != 0
+      || header.home_incarnation != core->opt.incarnation)
+    {
+      job_drop (core, job);
+      return;
+    }
+  job->rev = reply->rows[0].rev;
+  if (header.cancel && !job->header.cancel)
+    job_cancel (core, job);
+  if (!job_read_parts (core, job, parts_reread))
+    reread_failed (core, job);
+}
+
+static void
+send_reread (MuxCore *core, Job *job)
+{
+  MuxTableCall *call = mux_table_call_new (MUX_TABLE_GET, 2);
+
+  if (call != NULL)
+    {
+      job_row_key ("open", job->id, call->rows[0].key);
+      job_row_key ("done", job->id, call->rows[1].key);
+    }
+  if (call != NULL && call_table (core, call, reread_done, job->id, 0))
+    job->reading = true;
+  else
+    reread_failed (core, job);
+}
+
+void
+job_reread (MuxCore *core, Job *job)
+{
+  job->stale = true;
+  job->write_ms = core->now_ms;
+}
+
+void
+job_write (MuxCore *core, Job *job)
+{
+  if ((!job->dirty_any && !job->stale) || job->writing || job->reading
+      || core->now_ms < job->write_ms)
+    return;
+  if (job->stale)
+    send_reread (core, job);
+  else if (core->now_ms >= core->jobs->next_write_ms)
+    send_write (core, job);
+}
+
+int64_t
+job_write_wake_ms (const MuxCore *core, const Job *job)
+{
+  if ((!job->dirty_any && !job->stale) || job->writing || job->reading)
+    return INT64_MAX;
+  if (!job->stale && core->jobs->next_write_ms > job->write_ms)
+    return core->jobs->next_write_ms;
+  return job->write_ms;
+}
+
+void
+job_ended (MuxCore *core, Job *job)
+{
+  core_log (core, 6, "job_ended", "class=%s state=%s done=%u failed=%u",
+            job->header.class_name, job_state_name (job->header.state),
+            job->header.done, job->header.failed);
+  mux_count (core->counters, MUX_COUNT_JOBS_DONE, 1);
+  job_waits_tell (core, &job->header);
+  job_free (core, job);
+}
