Try a worker again that nothing may probe

Cause: an open breaker closes only by a probe, and only idempotent single tasks probe. Ruled out: room and claims. 10 s after it could have been probed a worker now gets work on trial; one failure opens it again with a doubled pause.

--- a/src/policy/breaker.c
+++ b/src/policy/breaker.c
@@ -7,6 +7,8 @@
 #define BACKOFF_MAX_MS 60000u
 /* A probe waits so long for a task that may be run twice. */
 #define PROBE_ANY_MS 10000
+/* An open worker that is due and was not probed for so long is tried. */
+#define UNPROBED_MS 10000
 /* How long a class stays off a worker that failed it. */
 #define SHUN_MS 30000
 /* A class's record fades; so many verdicts count. */
@@ -85,9 +87,11 @@
   if (breaker->state == MUX_BREAKER_CLOSED)
     {
       sched->tripped++;
-      backoff = BACKOFF_FIRST_MS;
+      if (!breaker->on_trial)
+        backoff = BACKOFF_FIRST_MS;
     }
   breaker->state = MUX_BREAKER_OPEN;
+  breaker->on_trial = false;
   breaker->backoff_ms = backoff < BACKOFF_MAX_MS ? backoff : BACKOFF_MAX_MS;
   breaker->open_until_ms = now_ms + mux_jitter (sched, breaker->backoff_ms);
   if (breaker->open_until_ms < sched->next_probe_ms)
@@ -151,7 +155,10 @@
       return;
     }
   if (end == MUX_END_OK)
-    breaker->blame /= 2;
+    {
+      breaker->blame /= 2;
+      breaker->on_trial = false;
+    }
   if (end != MUX_END_FAILED)
     return;
   breaker->blame += blame_for (class, ran_ms);
@@ -183,6 +190,7 @@
       || !mux_id_equal (breaker->probe, task->id))
     return;
   breaker->state = MUX_BREAKER_OPEN;
+  breaker->on_trial = false;
   if (breaker->open_until_ms < sched->next_probe_ms)
     sched->next_probe_ms = breaker->open_until_ms;
 }
@@ -213,6 +221,29 @@
   return MUX_NONE;
 }
 
+/*
+ * Failure: a worker is mended after its breaker opened, and all that waits may
+ * not probe it: it runs at most once, or it is a gang.  The breaker would stay
+ * open for ever, and with all of an owner's workers so nothing would start
+ * any more.  Such a worker gets work again, but one failure opens it at once
+ * and for longer.
+ */
+void
+mux_breaker_tick (MuxSched *sched, int64_t now_ms)
+{
+  for (uint32_t w = 0; w < sched->workers && sched->tripped > 0; w++)
+    {
+      MuxBreaker *breaker = &sched->worker[w].breaker;
+
+      if (!sched->worker[w].present || breaker->state != MUX_BREAKER_OPEN
+          || now_ms - breaker->open_until_ms < UNPROBED_MS)
+        continue;
+      mend (sched, w);
+      breaker->blame = BLAME_OPEN - BLAME_UNKNOWN;
+      breaker->on_trial = true;
+    }
+}
+
 bool
 mux_breaker_shuns (const MuxSched *sched,
                    const MuxClass *class,
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -314,6 +314,7 @@
     }
   mux_flow_tick (&sched->ends, dt);
   learn_sizes (sched);
+  mux_breaker_tick (sched, now_ms);
   mux_reserve_update (sched);
   mux_hold_tick (sched, now_ms);
   sched->tick_ms = now_ms + TICK_MS;
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -217,6 +217,7 @@
  * @blame: failures that were unlike their class's record elsewhere
  * @backoff_ms: pause before the next probe
  * @open_until_ms: when it may be probed
+ * @on_trial: closed because nothing probed it; it opens as if it had failed one
  * @probe: task of the probe
  * @failing: classes, by id modulo 64, whose last task here failed
  * @failing_ms: when the last of them did
@@ -227,6 +228,7 @@
   double blame;
   uint32_t backoff_ms;
   int64_t open_until_ms;
+  bool on_trial;
   MuxId probe;
   uint64_t failing;
   int64_t failing_ms;
@@ -593,6 +595,8 @@
 /** mux_breaker_probe() - tripped worker that a task of @class may probe now,
  * or MUX_NONE */
 uint32_t mux_breaker_probe (MuxSched *sched, const MuxSeek *seek);
+/** mux_breaker_tick() - close what could not be probed for long */
+void mux_breaker_tick (MuxSched *sched, int64_t now_ms);
 /** mux_breaker_shuns() - @class failed lately on worker @w: others are tried
  * first, which also tells whether it fails there alone */
 bool mux_breaker_shuns (const MuxSched *sched,
