Prove placement and at most once by focused stories

Each story plays a failure on whole cores over fakes, and again with the ground of its mechanism taken away, which must break the promise.

--- /dev/null
+++ b/test/proof/proof_once.c
@@ -0,0 +1,241 @@
+#include "support/proof.h"
+
+#include <string.h>
+
+#define GIVE_UP_MS 8000
+
+/* Steps until a row of a key stands in the table. */
+static void
+until_row (Scenario *s)
+{
+  int64_t until_ms = s->net->now_ms + 5000;
+  uint32_t rows = 0;
+
+  while (rows == 0 && s->net->now_ms < until_ms)
+    {
+      fake_net_next (s->net);
+      for (uint32_t i = 0; i < s->net->table.count; i++)
+        rows += strncmp (s->net->table.rows[i].key, "once/", 5) == 0;
+    }
+  proof_expect (s, rows > 0, "no row was written");
+}
+
+/* A member redeems a voucher at two counters in two data centres at once,
+ * which are cut off from each other.  Each daemon asks its own workers; only
+ * the row, written on condition that none stands, lets one of them start. */
+static void
+once_both_at_once (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 500);
+  uint32_t call = s->call_count;
+
+  s->net->table.ignore_conditions = without;
+  scenario_cut (s, 0, 1, true);
+  scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_submit (s, 1, tag, GIVE_UP_MS);
+  scenario_run (s, GIVE_UP_MS);
+  proof_expect_all (s, call, 2, MUX_OUTCOME_DONE);
+  scenario_settle (s, 30000);
+}
+
+/* A redemption is answered; its daemon dies; the desk, which lost the answer,
+ * sends the same key through another data centre.  The row leads to the
+ * worker, which still has the answer. */
+static void
+once_later (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 500);
+
+  s->net->table.ignore_conditions = without;
+  scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_run (s, 3000);
+  fake_net_kill (s->net, 0);
+  scenario_run (s, 30000);
+  scenario_submit (s, 1, tag, GIVE_UP_MS);
+  scenario_run (s, GIVE_UP_MS);
+  proof_expect_all (s, s->call_count - 1, 1, MUX_OUTCOME_DONE);
+  scenario_settle (s, 30000);
+}
+
+/* The row is written and its home freezes before the start leaves.  The key
+ * comes again elsewhere and, since the attempt was never started, a second
+ * one runs.  Then the first home wakes and starts the first.  The tombstone
+ * that the second home left at the worker refuses it. */
+static void
+once_home_frozen (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+
+  s->workers[0].ignores_forget = s->workers[1].ignores_forget = without;
+  s->workers[0].ignores_not_after = s->workers[1].ignores_not_after = true;
+  scenario_submit (s, 0, tag, 20000);
+  until_row (s);
+  fake_net_freeze (s->net, 0, 2500);
+  scenario_run (s, 50);
+  scenario_submit (s, 1, tag, 10000);
+  scenario_run (s, 20000);
+  proof_expect_all (s, s->call_count - 2, 2, MUX_OUTCOME_DONE);
+  scenario_settle (s, 30000);
+}
+
+/* The home is killed between its row and its start, or between its start and
+ * its answer.  The same key through another daemon gets one run's answer. */
+static void
+once_home_killed (Scenario *s, bool without)
+{
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 3000);
+
+      s->net->table.ignore_conditions = without;
+      scenario_submit (s, 0, tag, 20000);
+      if (i == 0)
+        until_row (s);
+      else
+        scenario_until_running (s, tag);
+      fake_net_kill (s->net, 0);
+      scenario_run (s, 20);
+      scenario_submit (s, 1, tag, 20000);
+      scenario_run (s, 20000);
+      proof_expect_all (s, s->call_count - 1, 1, MUX_OUTCOME_DONE);
+      proof_expect (s, s->works[tag].runs == 1, "it did not run once");
+      fake_net_start (s->net, 0);
+      scenario_run (s, 12000);
+    }
+  scenario_settle (s, 30000);
+}
+
+/* A write's answer is lost: the row may stand, not stand, or come to stand
+ * later.  Its home reads it back before anything is started, so that the
+ * callers hear one run's answer or, truly, that nothing ran. */
+static void
+once_write_lost (Scenario *s, bool without)
+{
+  uint32_t tags[8];
+
+  (void) without;
+  s->net->lost_ppm = 1000000;
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      tags[i] = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+      scenario_submit (s, i % 2, tags[i], GIVE_UP_MS);
+    }
+  scenario_run (s, 3000);
+  s->net->lost_ppm = 0;
+  for (uint32_t i = 0; i < 8; i++)
+    scenario_submit (s, (i + 1) % 2, tags[i], GIVE_UP_MS);
+  scenario_run (s, 10000);
+  proof_expect_all (s, s->call_count - 8, 8, MUX_OUTCOME_DONE);
+  scenario_settle (s, 30000);
+}
+
+/* The same, and the daemon is killed before it can read the row back.  The
+ * write may take effect after its process is gone. */
+static void
+write_lost_and_killed (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+
+  (void) without;
+  s->net->lost_ppm = 1000000;
+  scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_run (s, 30);
+  fake_net_kill (s->net, 0);
+  s->net->lost_ppm = 0;
+  scenario_submit (s, 1, tag, 20000);
+  scenario_run (s, 20000);
+  proof_expect_all (s, s->call_count - 1, 1, MUX_OUTCOME_DONE);
+  scenario_settle (s, 30000);
+}
+
+/* A redemption runs, its answer is lost with the connection, and the worker
+ * restarts: nobody can know any more whether it ran.  It must not run again,
+ * and the caller is told that its fate is unknown. */
+static void
+once_worker_restarted (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+
+  s->workers[0].ignores_incarnation = without;
+  s->workers[0].silent = false;
+  scenario_submit (s, 0, tag, 20000);
+  scenario_until_running (s, tag);
+  s->workers[0].silent = true;
+  scenario_run (s, 2000);
+  scenario_restart_worker (s, 0);
+  s->workers[0].silent = false;
+  scenario_run (s, 20000);
+  proof_expect_all (s, s->call_count - 1, 1, MUX_OUTCOME_UNKNOWN);
+  scenario_settle (s, 30000);
+}
+
+/* A start is held up on its way and taken for lost; its attempt is put down
+ * at the worker and another one runs.  When the first arrives after all it
+ * meets the tombstone. */
+static void
+once_start_overtaken (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, false, 0, 300);
+
+  s->workers[0].ignores_forget = without;
+  s->workers[0].ignores_not_after = true;
+  s->workers[0].late_starts = 1;
+  s->workers[0].late_ms = 5000;
+  scenario_submit (s, 0, tag, 1500);
+  scenario_run (s, 1000);
+  scenario_settle (s, 30000);
+}
+
+/* The desk asks again with the same key when the worker has long dropped what
+ * it knew of the run: its absence there proves nothing any more. */
+static void
+once_worker_forgot (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+
+  (void) without;
+  scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_run (s, 1500000);
+  scenario_submit (s, 1, tag, GIVE_UP_MS);
+  scenario_settle (s, 30000);
+}
+
+/* The caller is told "not run": the store was down when its row was to be
+ * written, or no worker had room before its deadline.  It never runs then,
+ * also after everything has healed. */
+static void
+not_run_is_true (Scenario *s, bool without)
+{
+  (void) without;
+  proof_fill (s, 0, SCENARIO_ONCE, 10, 2500);
+  scenario_run (s, 50);
+  for (uint32_t i = 0; i < 4; i++)
+    scenario_request (s, i % 2, SCENARIO_ONCE, 100, 1000);
+  scenario_run (s, 1500);
+  s->store_fails = s->net->table.down = true;
+  scenario_run (s, 1500);
+  for (uint32_t i = 0; i < 4; i++)
+    scenario_request (s, i % 2, SCENARIO_ONCE, 100, 1000);
+  scenario_run (s, 2000);
+  proof_expect_all (s, s->call_count - 4, 4, MUX_OUTCOME_NOT_RUN);
+  scenario_settle (s, 30000);
+}
+
+static const Proof proofs[] = {
+  { "once_both_at_once", once_both_at_once, true, 2, 2, 2 },
+  { "once_later", once_later, true, 2, 2, 2 },
+  { "once_home_frozen", once_home_frozen, true, 2, 2, 2 },
+  { "once_home_killed", once_home_killed, true, 2, 2, 2 },
+  { "once_write_lost", once_write_lost, false, 2, 2, 1 },
+  { "write_lost_and_killed", write_lost_and_killed, false, 2, 2, 2 },
+  { "once_worker_restarted", once_worker_restarted, true, 1, 1, 1 },
+  { "once_start_overtaken", once_start_overtaken, true, 1, 1, 1 },
+  { "once_worker_forgot", once_worker_forgot, false, 2, 1, 1 },
+  { "not_run_is_true", not_run_is_true, false, 2, 1, 1 },
+};
+
+int
+main (void)
+{
+  return proof_main (proofs, sizeof proofs / sizeof proofs[0]);
+}
--- /dev/null
+++ b/test/proof/proof_place.c
@@ -0,0 +1,99 @@
+#include "support/proof.h"
+
+#include <string.h>
+
+/* A daemon is frozen past its lease; others claim its worker and fill it.  It
+ * wakes, still believes that it holds the worker, and grants room from its old
+ * books.  A user would see tasks crash for want of memory.  The worker refuses
+ * starts of an older claim. */
+static void
+two_owners (Scenario *s, bool without)
+{
+  uint32_t old = s->owner[0];
+
+  s->workers[0].ignores_epoch = without;
+  fake_net_freeze (s->net, old, 9000);
+  scenario_run (s, 8500);
+  proof_expect (s, s->owner[0] != old, "nobody took the worker over");
+  proof_fill (s, s->owner[0], SCENARIO_MANY, 4, 6000);
+  scenario_run (s, 300);
+  fake_net_freeze (s->net, old, 0);
+  proof_fill (s, old, SCENARIO_MANY, 4, 6000);
+  scenario_settle (s, 30000);
+}
+
+/* The same while the store is down: nothing but the worker can tell the two
+ * owners apart, and the requests go on. */
+static void
+frozen_store_down (Scenario *s, bool without)
+{
+  s->store_fails = true;
+  s->net->table.down = true;
+  scenario_run (s, 3000);
+  two_owners (s, without);
+}
+
+/* A start is held up on its way for longer than its grant lives.  Its room is
+ * given to others; then it arrives after all and would be one too many.  The
+ * worker refuses it by the grant's last moment, on its own clock. */
+static void
+late_start (Scenario *s, bool without)
+{
+  s->workers[0].ignores_not_after = without;
+  s->workers[0].late_starts = 1;
+  s->workers[0].late_ms = 6000;
+  proof_fill (s, 0, SCENARIO_MANY, 1, 8000);
+  scenario_run (s, 5000);
+  proof_fill (s, 0, SCENARIO_MANY, 4, 8000);
+  scenario_settle (s, 30000);
+}
+
+/* A worker restarts while a start is on its way to its former life.  In the
+ * new life, filled by others, nobody has booked it.  The worker refuses calls
+ * that mean another incarnation, and starts under a claim of that life. */
+static void
+restart_start_on_way (Scenario *s, bool without)
+{
+  s->workers[0].ignores_incarnation = without;
+  s->workers[0].ignores_epoch = without;
+  s->workers[0].late_starts = 1;
+  s->workers[0].late_ms = 2900;
+  proof_fill (s, 0, SCENARIO_MANY, 1, 8000);
+  scenario_run (s, 100);
+  scenario_restart_worker (s, 0);
+  scenario_run (s, 2000);
+  proof_fill (s, 0, SCENARIO_MANY, 4, 8000);
+  scenario_settle (s, 30000);
+}
+
+/* Two submissions of one key at daemons of one data centre run one task: both
+ * ask for the same id.  When the second gives up, its word must not free the
+ * room of the first, whose start is under way; else others fill that room. */
+static void
+second_asker_gives_up (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_MANY, true, 0, 5000);
+  uint32_t home = s->owner[0];
+
+  (void) without;
+  s->workers[0].slow_ms = 400;
+  scenario_submit (s, home, tag, 9000);
+  scenario_submit (s, 1 - home, tag, 60);
+  scenario_run (s, 100);
+  proof_fill (s, home, SCENARIO_MANY, 4, 5000);
+  scenario_settle (s, 30000);
+}
+
+static const Proof proofs[] = {
+  { "two_owners", two_owners, true, 3, 1, 1 },
+  { "frozen_store_down", frozen_store_down, true, 3, 1, 1 },
+  { "late_start", late_start, true, 1, 1, 1 },
+  { "restart_start_on_way", restart_start_on_way, true, 1, 1, 1 },
+  { "second_asker_gives_up", second_asker_gives_up, false, 2, 1, 1 },
+};
+
+int
+main (void)
+{
+  return proof_main (proofs, sizeof proofs / sizeof proofs[0]);
+}
--- a/test/support/fake_worker.c
+++ b/test/support/fake_worker.c
@@ -180,7 +180,7 @@
   MuxWorkerCall call = item->call;
   MuxWorkerReply *reply;
 
-  if (worker->ignores_incarnation)
+  if (worker->ignores_incarnation && call.verb != MUX_WORKER_RENEW)
     call.incarnation = 0;
   if (worker->ignores_not_after)
     call.not_after_ms = 0;
