Take a worker's absence of a task for proof only while it remembers

Ruled out: the row, which stood. Rows and slots now carry the start's last moment on the worker's clock; 5 minutes after it absence and tombstones tell nothing any more and the fate is unknown, as after a restart.

--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -85,12 +85,12 @@
 intent_to_blob (const Intent *intent)
 {
   json_t *json = json_pack (
-      "{s:I, s:I, s:s, s:s, s:I, s:s, s:I, s:I}", "attempt",
+      "{s:I, s:I, s:s, s:s, s:I, s:s, s:I, s:I, s:I}", "attempt",
       (json_int_t) intent->attempt, "grant", (json_int_t) intent->grant,
       "worker", intent->worker, "addr", intent->addr, "incarnation",
       (json_int_t) intent->incarnation, "home", intent->home,
-      "home_incarnation", (json_int_t) intent->home_incarnation, "at_ms",
-      (json_int_t) intent->at_ms);
+      "home_incarnation", (json_int_t) intent->home_incarnation, "not_after_ms",
+      (json_int_t) intent->not_after_ms, "at_ms", (json_int_t) intent->at_ms);
   char *text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
   MuxBlob *blob = text == NULL ? NULL : mux_blob_new (text, strlen (text));
 
@@ -103,7 +103,7 @@
 intent_from_blob (const MuxBlob *blob, Intent *intent)
 {
   json_t *json;
-  json_int_t attempt, grant, incarnation, home_incarnation, at_ms;
+  json_int_t attempt, grant, incarnation, home_incarnation, not_after_ms, at_ms;
   const char *worker, *addr, *home;
   bool good;
 
@@ -111,11 +111,11 @@
     return false;
   json = json_loadb (blob->bytes, blob->len, 0, NULL);
   good = json != NULL
-         && json_unpack (json, "{s:I, s:I, s:s, s:s, s:I, s:s, s:I, s:I}",
+         && json_unpack (json, "{s:I, s:I, s:s, s:s, s:I, s:s, s:I, s:I, s:I}",
                          "attempt", &attempt, "grant", &grant, "worker",
                          &worker, "addr", &addr, "incarnation", &incarnation,
                          "home", &home, "home_incarnation", &home_incarnation,
-                         "at_ms", &at_ms)
+                         "not_after_ms", &not_after_ms, "at_ms", &at_ms)
                 == 0
          && attempt > 0 && attempt < UINT32_MAX && strlen (addr) < MUX_ADDR_LEN;
   if (good)
@@ -124,6 +124,7 @@
                           .grant = (uint64_t) grant,
                           .incarnation = (uint64_t) incarnation,
                           .home_incarnation = (uint64_t) home_incarnation,
+                          .not_after_ms = not_after_ms,
                           .at_ms = at_ms };
       good = mux_name_copy (intent->worker, worker)
              && mux_name_copy (intent->home, home);
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -71,7 +71,9 @@
                           .job_index = index,
                           .in_gang = gang,
                           .attempt = slot->attempt == 0 ? 1 : slot->attempt };
-  Intent at = { .attempt = options.attempt, .incarnation = slot->incarnation };
+  Intent at = { .attempt = options.attempt,
+                .incarnation = slot->incarnation,
+                .not_after_ms = slot->not_after_ms };
 
   slot->active = true;
   job->active++;
@@ -170,6 +172,7 @@
   slot->state = SLOT_PLACED;
   slot->attempt = task->attempt;
   slot->incarnation = task->at.incarnation;
+  slot->not_after_ms = task->at.not_after_ms;
   memcpy (slot->worker, task->at.worker, sizeof slot->worker);
   memcpy (slot->addr, task->at.addr, sizeof slot->addr);
   if (job->pending_count < job->header.task_count)
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -32,6 +32,7 @@
   char worker[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
   uint64_t incarnation;
+  int64_t not_after_ms; /* last moment of its start, worker's clock */
 } Slot;
 
 /**
--- a/src/core/jobs_row.c
+++ b/src/core/jobs_row.c
@@ -142,9 +142,10 @@
       const Slot *slot = &job->slots[i];
 
       json_array_append_new (
-          array, json_pack ("[I, I, s, s, I]", (json_int_t) slot->state,
+          array, json_pack ("[I, I, s, s, I, I]", (json_int_t) slot->state,
                             (json_int_t) slot->attempt, slot->worker,
-                            slot->addr, (json_int_t) slot->incarnation));
+                            slot->addr, (json_int_t) slot->incarnation,
+                            (json_int_t) slot->not_after_ms));
     }
   return json_blob (array);
 }
@@ -152,11 +153,11 @@
 static bool
 slot_from_json (Slot *slot, json_t *json)
 {
-  json_int_t state, attempt, incarnation;
+  json_int_t state, attempt, incarnation, not_after_ms;
   const char *worker, *addr;
 
-  if (json_unpack (json, "[I, I, s, s, I]", &state, &attempt, &worker, &addr,
-                   &incarnation)
+  if (json_unpack (json, "[I, I, s, s, I, I]", &state, &attempt, &worker, &addr,
+                   &incarnation, &not_after_ms)
           != 0
       || state < 0 || state >= SLOT_STATE_COUNT || attempt < 0
       || attempt >= UINT32_MAX || strlen (addr) >= MUX_ADDR_LEN
@@ -165,6 +166,7 @@
   slot->state = (SlotState) state;
   slot->attempt = (uint32_t) attempt;
   slot->incarnation = (uint64_t) incarnation;
+  slot->not_after_ms = not_after_ms;
   snprintf (slot->addr, sizeof slot->addr, "%s", addr);
   return true;
 }
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -456,9 +456,9 @@
   task->granted = true;
   mux_name_copy (task->owner, ticket->owner);
   task->epoch = ticket->epoch;
-  task->not_after_ms = ticket->not_after_ms;
   task->at = (Intent){ .attempt = 1,
                        .incarnation = ticket->incarnation,
+                       .not_after_ms = ticket->not_after_ms,
                        .home_incarnation = core->opt.incarnation };
   mux_name_copy (task->at.worker, ticket->worker);
   mux_name_copy (task->at.home, core->name);
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -58,6 +58,7 @@
   uint64_t incarnation;
   char home[MUX_NAME_LEN];
   uint64_t home_incarnation;
+  int64_t not_after_ms; /* last moment of its start, worker's clock */
   int64_t at_ms; /* time of day, for dropping old rows */
 } Intent;
 
@@ -111,7 +112,6 @@
   char owner[MUX_NAME_LEN]; /* asked, or who granted */
   Intent at;                /* where it is granted, started or followed */
   uint64_t epoch;
-  int64_t not_after_ms;
   uint64_t row_rev;
   bool granted;     /* room is booked for it at @owner */
   bool probed;      /* a fetch is on its way */
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -256,7 +256,7 @@
   MuxPeerMsg msg = { .verb = MUX_PEER_GRANT_END,
                      .task = task->id,
                      .state = state,
-                     .not_after_ms = task->not_after_ms,
+                     .not_after_ms = task->at.not_after_ms,
                      .ran_ms = ran_ms };
 
   if (!task->granted)
--- a/src/core/task_call.c
+++ b/src/core/task_call.c
@@ -7,6 +7,9 @@
 
 /* Longest that a start or fetch holds its connection for the end. */
 #define WAIT_MAX_MS 60000
+/* A worker knows ids and tombstones for at least so long after the last moment
+ * of their start; docs/platform/worker.md. */
+#define WORKER_MEMORY_MS 300000
 /* A start is looked after on a second connection once it has taken so many
  * times its declared run time, and this long besides. */
 #define PROBE_RUNS 2
@@ -28,9 +31,28 @@
   task_event (core, task, &event);
 }
 
+/*
+ * Failure: a caller asks again with its key, or a partition heals, when the
+ * worker has dropped what it knew of the attempt, which ran.  Its absence, and
+ * a tombstone that could therefore be set, would pass for a proof that it never
+ * started, and it would run a second time.  After the time for which a worker
+ * is sure to remember, both say as little as a worker that restarted.
+ */
+static bool
+too_late_to_tell (const Task *task, const MuxWorkerReply *reply)
+{
+  return (reply->state == MUX_TASK_ABSENT || reply->state == MUX_TASK_FORGOTTEN)
+         && reply->worker_now_ms > task->at.not_after_ms + WORKER_MEMORY_MS;
+}
+
 static void
 on_state (MuxCore *core, Task *task, const MuxWorkerReply *reply)
 {
+  if (too_late_to_tell (task, reply))
+    {
+      happened (core, task, TASK_EV_OTHER_LIFE, MUX_REASON_UNKNOWN_FATE);
+      return;
+    }
   switch (reply->state)
     {
     case MUX_TASK_RUNNING:
@@ -175,7 +197,7 @@
 
   call_init (task, MUX_WORKER_START, &call);
   call.epoch = task->epoch;
-  call.not_after_ms = task->not_after_ms;
+  call.not_after_ms = task->at.not_after_ms;
   call.wait_ms = task->has_job ? 0 : bounded_wait (core, task);
   call.timeout_ms += call.wait_ms;
   mux_name_copy (call.class_name, task->class_name);
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -143,12 +143,12 @@
                        .grant = ++core->next_grant,
                        .incarnation = msg->incarnation,
                        .home_incarnation = core->opt.incarnation,
+                       .not_after_ms = msg->not_after_ms,
                        .at_ms = core->wall_ms };
   mux_name_copy (task->at.worker, msg->worker);
   mux_name_copy (task->at.home, core->name);
   snprintf (task->at.addr, sizeof task->at.addr, "%s", msg->worker_addr);
   task->epoch = msg->epoch;
-  task->not_after_ms = msg->not_after_ms;
   task->size = msg->size;
   if (task->minting)
     {
