--- a/src/policy/classes.c
+++ b/src/policy/classes.c
@@ -38,7 +38,7 @@
 grow_classes (MuxSched *sched)
 {
   uint32_t room = sched->class_room < 16 ? 16 : sched->class_room * 2;
-  MuxClass **at = realloc (sched->class_at, room * sizeof *at);
+  MuxClass **at = realloc (sched->class_at, room * sizeof (MuxClass *));
 
   if (at == NULL)
     return false;
--- a/src/policy/hold.c
+++ b/src/policy/hold.c
@@ -119,14 +119,15 @@
 release_room (MuxHold *hold, uint32_t count)
 {
   MuxRelease *release;
+  uint32_t room = 2 * (count + 1);
 
   if (count <= hold->release_room && hold->release != NULL)
     return hold->release;
-  release = realloc (hold->release, 2 * (count + 1) * sizeof *release);
+  release = realloc (hold->release, (size_t) room * sizeof *release);
   if (release == NULL)
     return NULL;
   hold->release = release;
-  hold->release_room = 2 * (count + 1);
+  hold->release_room = room;
   return release;
 }
 
--- a/src/policy/index.c
+++ b/src/policy/index.c
@@ -117,7 +117,7 @@
       sum += (uint64_t) mux_size_dim (worker->free, d) * 1024 / cap;
       n++;
     }
-  return n == 0 ? 0 : (uint32_t) (sum * (MUX_LEVELS - 2) / (n * 1024));
+  return n == 0 ? 0 : (uint32_t) (sum * (MUX_LEVELS - 2) / n / 1024);
 }
 
 void
--- a/test/support/load_run.c
+++ b/test/support/load_run.c
@@ -1,4 +1,4 @@
-#include "load.h"
+#include "load_private.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -6,58 +6,11 @@
 
 #define TICK_MS 100
 #define SAMPLE_MS 1000
-#define WINDOW_MS 10000
-#define WINDOWS_MAX 256
-#define RACKS_MAX 1024
 #define FAIL_MS 10
 #define REPORT_LAG_MS 2000
-#define ATTEMPTS 3
-
-typedef enum
-{
-  EVENT_ARRIVAL,
-  EVENT_END,
-  EVENT_TICK,
-  EVENT_SAMPLE,
-} EventKind;
-
-typedef struct
-{
-  int64_t at_ms;
-  uint64_t seq;
-  EventKind kind;
-  uint32_t what;
-} Event;
-
-typedef struct
-{
-  LoadPolicy *policy;
-  const LoadMix *mix;
-  const LoadRun *run;
-  LoadResult *result;
-  uint64_t random;
-  uint64_t seq;
-  int64_t now_ms;
-  Event *event;
-  uint32_t events, event_room;
-  LoadTask *task;
-  uint32_t tasks, task_room, groups;
-  double rate[LOAD_CLASSES]; /* arrivals per ms */
-  double next_ms[LOAD_CLASSES];
-  uint32_t *waits[LOAD_CLASSES];
-  uint32_t wait_count[LOAD_CLASSES], wait_room[LOAD_CLASSES];
-  uint32_t *on_worker;
-  uint64_t *used_cpu, *used_mem;
-  uint32_t in_use, over, running;
-  uint64_t sum_cpu, sum_mem;
-  double area_use, area_over, area_cpu, area_mem, area_ms, area_least;
-  uint32_t window[LOAD_CLASSES][WINDOWS_MAX][3]; /* asked, inside, flagged */
-  double rack_sum[LOAD_CLASSES];
-  uint32_t rack_samples[LOAD_CLASSES];
-} State;
 
 static double
-draw_unit (State *s)
+draw_unit (LoadState *s)
 {
   s->random ^= s->random << 13;
   s->random ^= s->random >> 7;
@@ -72,7 +25,7 @@
 }
 
 static void
-push (State *s, int64_t at_ms, EventKind kind, uint32_t what)
+push (LoadState *s, int64_t at_ms, EventKind kind, uint32_t what)
 {
   Event e = { at_ms, s->seq++, kind, what };
   uint32_t i = s->events++;
@@ -88,7 +41,7 @@
 }
 
 static Event
-pop (State *s)
+pop (LoadState *s)
 {
   Event top = s->event[0];
   Event last = s->event[--s->events];
@@ -107,7 +60,7 @@
 }
 
 static void
-set_rates (State *s)
+set_rates (LoadState *s)
 {
   double used[3] = { 0 };
   double most = 0;
@@ -134,7 +87,7 @@
 }
 
 static void
-next_arrival (State *s, uint32_t c)
+next_arrival (LoadState *s, uint32_t c)
 {
   bool surge = s->run->surge_ms > 0 && s->now_ms >= s->run->surge_ms;
   double rate = s->rate[c] * (surge ? 1.5 : 1);
@@ -145,7 +98,7 @@
 }
 
 static uint32_t
-new_task (State *s)
+new_task (LoadState *s)
 {
   if (s->tasks == s->task_room)
     {
@@ -155,14 +108,8 @@
   return s->tasks++;
 }
 
-static uint32_t
-window_of (const LoadTask *task)
-{
-  return (uint32_t) (task->asked_ms / WINDOW_MS) % WINDOWS_MAX;
-}
-
 static void
-ask (State *s, uint32_t t)
+ask (LoadState *s, uint32_t t)
 {
   LoadTask *task = &s->task[t];
   LoadClassResult *r = &s->result->class[task->class_id];
@@ -172,7 +119,7 @@
 }
 
 static void
-arrive (State *s, uint32_t c)
+arrive (LoadState *s, uint32_t c)
 {
   const LoadClass *class = &s->mix->class[c];
   uint32_t slow = s->run->slow_class == c ? 10 : 1;
@@ -201,60 +148,20 @@
                     && s->now_ms + class->spec.start_within_ms < s->run->ms,
       };
       s->result->class[c].asked += task->measured;
-      s->window[c][window_of (task)][0]++;
+      s->window[c][load_window (task)][0]++;
       ask (s, t);
     }
   next_arrival (s, c);
 }
 
-static void
-change_use (State *s, const LoadTask *task, int sign)
-{
-  uint32_t w = task->worker;
-  const MuxSize *cap = &s->mix->capacity;
-  bool over = s->used_cpu[w] > cap->cpu_milli || s->used_mem[w] > cap->mem_mib;
-
-  s->over -= over;
-  s->in_use -= s->on_worker[w] > 0;
-  s->on_worker[w] += (uint32_t) sign;
-  s->running += (uint32_t) sign;
-  s->used_cpu[w] += (uint64_t) (int64_t) sign * task->cpu_milli;
-  s->used_mem[w] += (uint64_t) (int64_t) sign * task->mem_mib;
-  s->sum_cpu += (uint64_t) (int64_t) sign * task->cpu_milli;
-  s->sum_mem += (uint64_t) (int64_t) sign * task->mem_mib;
-  s->in_use += s->on_worker[w] > 0;
-  s->over += s->used_cpu[w] > cap->cpu_milli || s->used_mem[w] > cap->mem_mib;
-}
-
-static void
-note_wait (State *s, const LoadTask *task)
-{
-  uint32_t c = task->class_id;
-  uint32_t wait = (uint32_t) (s->now_ms - task->asked_ms);
-  bool inside = s->now_ms <= task->start_by_ms;
-  LoadClassResult *r = &s->result->class[c];
-
-  s->window[c][window_of (task)][1] += inside;
-  if (!task->measured)
-    return;
-  r->inside += inside;
-  r->max_ms = wait > r->max_ms ? wait : r->max_ms;
-  if (s->wait_count[c] == s->wait_room[c])
-    {
-      s->wait_room[c] = s->wait_room[c] * 2 + 256;
-      s->waits[c] = realloc (s->waits[c], s->wait_room[c] * sizeof **s->waits);
-    }
-  s->waits[c][s->wait_count[c]++] = wait;
-}
-
 static bool
-broken (const State *s, uint32_t w)
+broken (const LoadState *s, uint32_t w)
 {
   return s->run->broken > 0 && w % (s->mix->workers / s->run->broken) == 0;
 }
 
 static void
-decide (State *s)
+decide (LoadState *s)
 {
   uint32_t t, w;
 
@@ -269,21 +176,21 @@
         }
       task->worker = w;
       task->placed_ms = s->now_ms;
-      change_use (s, task, 1);
+      load_change_use (s, task, 1);
       if (!broken (s, w))
-        note_wait (s, task);
+        load_note_wait (s, task);
       push (s, s->now_ms + (broken (s, w) ? FAIL_MS : task->run_ms), EVENT_END,
             t);
     }
 }
 
 static void
-end_task (State *s, uint32_t t)
+end_task (LoadState *s, uint32_t t)
 {
   bool ok = !broken (s, s->task[t].worker);
   uint32_t again;
 
-  change_use (s, &s->task[t], -1);
+  load_change_use (s, &s->task[t], -1);
   s->policy->ops.ended (s->policy, t, ok, s->now_ms);
   if (ok)
     return;
@@ -296,37 +203,9 @@
   ask (s, again);
 }
 
-static void
-sample_racks (State *s)
-{
-  static uint32_t count[LOAD_CLASSES][RACKS_MAX];
-  uint32_t sum[LOAD_CLASSES] = { 0 };
-
-  memset (count, 0, sizeof count);
-  for (uint32_t i = 0; i < s->events; i++)
-    if (s->event[i].kind == EVENT_END)
-      {
-        const LoadTask *task = &s->task[s->event[i].what];
-
-        count[task->class_id][task->worker / s->mix->rack_size]++;
-        sum[task->class_id]++;
-      }
-  for (uint32_t c = 0; c < s->mix->classes; c++)
-    {
-      uint32_t most = 0;
-
-      for (uint32_t r = 0; r < RACKS_MAX; r++)
-        most = count[c][r] > most ? count[c][r] : most;
-      if (sum[c] < 8)
-        continue;
-      s->rack_sum[c] += (double) most / sum[c];
-      s->rack_samples[c]++;
-    }
-}
-
 /* Tasks that have run for a while are reported once. */
 static void
-report_usage (State *s)
+report_usage (LoadState *s)
 {
   if (s->policy->ops.used == NULL)
     return;
@@ -343,11 +222,11 @@
 }
 
 static void
-sample (State *s)
+sample (LoadState *s)
 {
   bool flags[LOAD_CLASSES] = { false };
 
-  sample_racks (s);
+  load_sample_racks (s);
   report_usage (s);
   if (s->policy->ops.at_risk (s->policy, s->now_ms, flags) == 0)
     return;
@@ -363,36 +242,8 @@
     }
 }
 
-/* Workers that would do if tasks could be cut up at will. */
-static double
-least_workers (const State *s)
-{
-  const MuxSize *cap = &s->mix->capacity;
-  double cpu = ceil ((double) s->sum_cpu / cap->cpu_milli);
-  double mem = ceil ((double) s->sum_mem / cap->mem_mib);
-
-  return fmax (fmax (cpu, mem), ceil ((double) s->running / cap->slots));
-}
-
-static void
-pass_time (State *s, int64_t to_ms)
-{
-  double dt = (double) (to_ms - s->now_ms);
-
-  if (s->now_ms >= s->run->ms / 5)
-    {
-      s->area_ms += dt;
-      s->area_use += dt * s->in_use;
-      s->area_over += dt * s->over;
-      s->area_least += dt * least_workers (s);
-      s->area_cpu += dt * (double) s->sum_cpu / s->mix->capacity.cpu_milli;
-      s->area_mem += dt * (double) s->sum_mem / s->mix->capacity.mem_mib;
-    }
-  s->now_ms = to_ms;
-}
-
 static void
-handle (State *s, const Event *e)
+handle (LoadState *s, const Event *e)
 {
   switch (e->kind)
     {
@@ -412,103 +263,10 @@
     }
 }
 
-static int
-compare_waits (const void *a, const void *b)
-{
-  uint32_t x = *(const uint32_t *) a;
-  uint32_t y = *(const uint32_t *) b;
-
-  return x < y ? -1 : x > y;
-}
-
-static bool
-window_missed (const State *s, uint32_t c, uint32_t i)
-{
-  const uint32_t *w = s->window[c][i];
-
-  return w[0] >= 20
-         && (uint64_t) w[1] * 1000000
-                < (uint64_t) w[0] * s->mix->class[c].spec.start_share_ppm;
-}
-
-/* Tasks that ask in window k miss in the window @late after it.  An alarm is
- * false when none of those misses between it and three windows on; a miss is
- * unannounced when there was no alarm from the window before they asked to
- * the one in which they missed. */
-static void
-judge_alarms (State *s, uint32_t c)
-{
-  LoadClassResult *r = &s->result->class[c];
-  uint32_t within = s->mix->class[c].spec.start_within_ms;
-  uint32_t late = within / WINDOW_MS;
-  uint32_t first = (uint32_t) (s->run->ms / 5 / WINDOW_MS) + 1;
-  uint32_t end = (uint32_t) ((s->run->ms - within) / WINDOW_MS);
-
-  for (uint32_t i = first; i < end && i < WINDOWS_MAX; i++)
-    {
-      bool soon = false;
-      bool told = false;
-
-      r->windows++;
-      for (uint32_t k = i > late ? i - late : 0; k < i + 4 && k < end; k++)
-        soon = soon || window_missed (s, c, k);
-      for (uint32_t k = i - 1; k <= i + late; k++)
-        told = told || s->window[c][k][2] > 0;
-      r->flags_false += s->window[c][i][2] > 0 && !soon;
-      if (!window_missed (s, c, i))
-        continue;
-      r->missed++;
-      r->flags_missed += !told;
-      if (r->missed_ms < 0)
-        r->missed_ms = (int64_t) i * WINDOW_MS + within;
-    }
-}
-
-static void
-finish_class (State *s, uint32_t c)
-{
-  LoadClassResult *r = &s->result->class[c];
-  uint32_t n = s->wait_count[c];
-
-  qsort (s->waits[c], n, sizeof **s->waits, compare_waits);
-  if (n > 0)
-    {
-      r->p50_ms = s->waits[c][n / 2];
-      r->p99_ms = s->waits[c][n - 1 - n / 100];
-    }
-  if (s->rack_samples[c] > 0)
-    r->rack_most_ppm = (uint32_t) (1e6 * s->rack_sum[c] / s->rack_samples[c]);
-  judge_alarms (s, c);
-  free (s->waits[c]);
-  if (s->mix->class[c].spec.kind == MUX_KIND_SERVICE)
-    {
-      s->result->urgent_asked += r->asked;
-      s->result->urgent_inside += r->inside;
-    }
-  else if (r->max_ms > s->result->batch_max_ms)
-    s->result->batch_max_ms = r->max_ms;
-}
-
-/* Who still waits at the end has waited that long at least. */
-static void
-count_waiting (State *s)
-{
-  for (uint32_t t = 0; t < s->tasks; t++)
-    {
-      const LoadTask *task = &s->task[t];
-      LoadClassResult *r = &s->result->class[task->class_id];
-      uint32_t wait = (uint32_t) (s->now_ms - task->asked_ms);
-
-      if (task->measured && task->worker == MUX_NO_WORKER
-          && task->give_up_ms > s->now_ms && wait > r->max_ms)
-        r->max_ms = wait;
-    }
-}
-
 void
 load_run (LoadPolicy *policy, const LoadRun *run, LoadResult *result)
 {
-  State *s = calloc (1, sizeof *s);
+  LoadState *s = calloc (1, sizeof *s);
   uint32_t workers = policy->mix->workers;
 
   *result = (LoadResult){ 0 };
@@ -533,17 +291,11 @@
     {
       Event e = pop (s);
 
-      pass_time (s, e.at_ms);
+      load_pass_time (s, e.at_ms);
       handle (s, &e);
       decide (s);
     }
-  count_waiting (s);
-  for (uint32_t c = 0; c < s->mix->classes; c++)
-    finish_class (s, c);
-  result->packing = (s->area_cpu + s->area_mem) / 2 / s->area_use;
-  result->packing_most = (s->area_cpu + s->area_mem) / 2 / s->area_least;
-  result->idle_workers = workers - s->area_use / s->area_ms;
-  result->overrun = s->area_over / s->area_ms / workers;
+  load_finish (s);
   free (s->on_worker);
   free (s->used_cpu);
   free (s->used_mem);
