Spread what runs on evenly over racks

The second replica of a long-running service could stand in the rack of the first (limit 2 + twice the share); now each rack takes its share only.

--- a/src/policy/index.c
+++ b/src/policy/index.c
@@ -6,7 +6,7 @@
 #define WORD_BITS 64u
 /* Workers looked at for one that spreads its class over racks and has not
  * just failed it; then the best fit is taken as it is. */
-#define SEARCH_MAX 32u
+#define SEARCH_MAX 256u
 
 static uint32_t
 words_for (uint32_t n)
@@ -274,16 +274,20 @@
   return MUX_NONE;
 }
 
-/* A rack that fails takes at most about twice its share of a service. */
+/* What runs on is spread evenly, so that a rack that fails takes only its
+ * share.  Requests come and go: of those it takes about twice its share at
+ * most, which leaves room for packing. */
 static uint32_t
 rack_limit (const MuxSched *sched, const MuxClass *class)
 {
+  uint32_t racks = sched->racks > 0 ? sched->racks : 1;
+
   if (sched->tuning.no_spread)
     return 0;
-  if (class->spec.kind != MUX_KIND_SERVICE
-      && class->spec.kind != MUX_KIND_LONG_RUNNING)
-    return 0;
-  return 2 + 2 * (class->booked + 1) / (sched->racks > 0 ? sched->racks : 1);
+  if (class->spec.kind == MUX_KIND_LONG_RUNNING)
+    return 1 + class->booked / racks;
+  return class->spec.kind == MUX_KIND_SERVICE ? 2 + 2 * class->booked / racks
+                                              : 0;
 }
 
 uint32_t
--- a/test/unit/test_sched_faults.c
+++ b/test/unit/test_sched_faults.c
@@ -225,6 +225,30 @@
   cell_close (&cell);
 }
 
+/*
+ * A rack loses its power.  If a service's replicas all stood in it, since one
+ * worker could hold them all, the service would be gone.
+ */
+static void
+test_spread_over_racks (void **state)
+{
+  Cell cell;
+  MuxClassSpec spec = cell_class ("lasting", MUX_KIND_LONG_RUNNING, 10000);
+  uint32_t in_rack[4] = { 0 };
+
+  (void) state;
+  cell_open (&cell, 8);
+  cell_set (&cell, &spec);
+  for (int i = 0; i < 4; i++)
+    {
+      cell_ask (&cell, "lasting");
+      in_rack[cell_place (&cell).worker / 2]++;
+    }
+  for (int r = 0; r < 4; r++)
+    assert_int_equal (in_rack[r], 1);
+  cell_close (&cell);
+}
+
 int
 main (void)
 {
@@ -235,6 +259,7 @@
     cmocka_unit_test (test_declared_too_little),
     cmocka_unit_test (test_report_beyond_workers),
     cmocka_unit_test (test_adopt_beyond_capacity),
+    cmocka_unit_test (test_spread_over_racks),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
