Judge a job that asks at once by the room that is free

The forecast looked at what runs alone: on an empty cell 400 tasks asked before the first decision were refused from about the 100th on, as nothing ran. Tasks that start at the next decisions now count as started. Found by reading; test_job_on_empty_cell shows it.

--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -74,19 +74,45 @@
   return rate > floor ? rate : floor;
 }
 
+/* Tasks of @class that start at the next decisions, about: a job that asks
+ * for all its tasks at once must not be judged as if the cell were full. */
+static double
+start_now (const MuxSched *sched, const MuxClass *class)
+{
+  double kept = sched->shield - sched->urgent_running;
+  double tasks = UINT32_MAX;
+
+  if (sched->index.shape[class->shape].fits.count == 0)
+    return 0;
+  for (uint32_t d = 0; d < MUX_DIMS; d++)
+    {
+      double size = mux_size_dim (class->size, d);
+
+      if (size > 0 && (double) sched->free[d] / size < tasks)
+        tasks = (double) sched->free[d] / size;
+    }
+  if (!class->urgent && kept > 0)
+    tasks -= kept;
+  return tasks > 0 ? tasks : 0;
+}
+
 uint32_t
 mux_forecast_wait_ms (const MuxSched *sched,
                       const MuxClass *class,
                       int64_t now_ms)
 {
+  double now = start_now (sched, class);
+  double before = tasks_before (sched, class, now_ms) - now;
   double rate, wait;
 
-  if (sched->index.shape[class->shape].fits.count > 0 && class->waiting == 0)
+  if (before < 0)
     return 0;
   rate = ends_per_ms (sched, class);
+  if (class->run_mean_ms > 0)
+    rate += now / class->run_mean_ms;
   if (rate < RATE_MIN)
     return 0;
-  wait = tasks_before (sched, class, now_ms) / rate;
+  wait = before / rate;
   return wait < UINT32_MAX / 2 ? (uint32_t) wait : UINT32_MAX / 2;
 }
 
--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -198,6 +198,35 @@
   cell_close (&cell);
 }
 
+/*
+ * A settlement asks for all its tasks at once, and the cell is empty.  Before
+ * any is placed nothing runs and nothing has ended; it must not be refused
+ * for that, as four rounds of the cell end well before it gives up.
+ */
+static void
+test_job_on_empty_cell (void **state)
+{
+  Cell cell;
+  MuxVerdict verdict;
+
+  (void) state;
+  open_two (&cell, 25);
+  for (int i = 0; i < 400; i++)
+    {
+      cell_ask_for (&cell, "batch", 10000, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  for (int i = 0; i < 100; i++)
+    cell_place (&cell);
+  cell_idle (&cell);
+  /* It is refused what really comes too late. */
+  for (int i = 0; i < 200; i++)
+    cell_ask_for (&cell, "batch", 1000, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
+  assert_true (verdict.retry_ms > 0);
+  cell_close (&cell);
+}
+
 /* A class is removed while its tasks wait and run: those waiting are told,
  * those running stay booked. */
 static void
@@ -268,6 +297,7 @@
     cmocka_unit_test (test_gives_up_at_once),
     cmocka_unit_test (test_places_for_each_class),
     cmocka_unit_test (test_quota_lent_and_returned),
+    cmocka_unit_test (test_job_on_empty_cell),
     cmocka_unit_test (test_class_removed),
     cmocka_unit_test (test_wave_of_cancellations),
   };
