Answer a caller who asks again within its own time limit

Cause: after "unknown" a task lingers for ten minutes without callers, and a caller that joined it inherited that limit; the first to join now sets it, and a worker that stays silent is told at once again.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -14,7 +14,6 @@
   X (UNKNOWN, "unknown_total", "requests answered as unknown")                \
   X (TICKETS, "tickets_total", "tickets given to callers")                    \
   X (STARTS, "starts_total", "task starts sent to workers")                   \
-  X (STARTS_REPEATED, "starts_repeated_total", "starts answered from before") \
   X (GRANTS, "grants_total", "places granted on own workers")                 \
   X (GRANTS_REMOTE, "grants_remote_total", "places granted to peers")         \
   X (CLAIMS, "claims_total", "claims won")                                    \
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -43,12 +43,18 @@
       free (waiter);
       return false;
     }
+  /*
+   * Failure: a caller told "unknown" asks again; the task has lingered without
+   * callers, with a time limit of its own, and the new caller, who has a
+   * shorter one, would be held until that.  The first caller's limit is the
+   * task's, and only another caller's can make it later.
+   */
+  if (task->waiters == NULL || give_up_ms > task->give_up_ms)
+    task->give_up_ms = give_up_ms;
   waiter->call = call;
   waiter->give_up_ms = give_up_ms;
   waiter->next = task->waiters;
   task->waiters = waiter;
-  if (give_up_ms > task->give_up_ms)
-    task->give_up_ms = give_up_ms;
   return true;
 }
 
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -59,7 +59,7 @@
   char home[MUX_NAME_LEN];
   uint64_t home_incarnation;
   int64_t not_after_ms; /* last moment of its start, worker's clock */
-  int64_t at_ms; /* time of day, for dropping old rows */
+  int64_t at_ms;        /* time of day, for dropping old rows */
 } Intent;
 
 /* An event with what came with it; everything is borrowed. */
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -519,7 +519,7 @@
 {
   mux_count_retry (core->counters, event->reason);
   task->lost++;
-  if (task->lost == LOST_MAX && task->waiters != NULL)
+  if (task->lost >= LOST_MAX && task->waiters != NULL)
     task_detach (core, task, MUX_OUTCOME_UNKNOWN, MUX_REASON_UNKNOWN_FATE,
                  UNKNOWN_RETRY_MS);
   task_wake (core, task,
--- a/test/demo/failover_main.c
+++ b/test/demo/failover_main.c
@@ -359,9 +359,9 @@
   kill->held_count = held_by (bench, victim, kill->held);
   kill->at_ms = mux_mono_ms ();
   mux_cluster_kill (victim);
-  mux_jsonl_write (bench->log, json_pack ("{s:s, s:s, s:I}", "event", "killed",
-                                          "daemon", victim->name, "t_ms",
-                                          (json_int_t) kill->at_ms));
+  mux_jsonl_write (bench->log,
+                   json_pack ("{s:s, s:s, s:I}", "event", "killed", "daemon",
+                              victim->name, "t_ms", (json_int_t) kill->at_ms));
   if (!await_held (bench, NULL, err))
     return false;
   mux_pause_ms (PLACED_MS);
--- a/test/proof/proof_random.c
+++ b/test/proof/proof_random.c
@@ -73,8 +73,7 @@
   uint32_t node = some_node (c);
   uint32_t tag = c->s->work_count == 0 ? 0 : below (c, c->s->work_count);
 
-  if (node != UINT32_MAX && c->s->work_count > 0
-      && c->s->works[tag].parts > 0)
+  if (node != UINT32_MAX && c->s->work_count > 0 && c->s->works[tag].parts > 0)
     scenario_cancel (c->s, node, tag);
 }
 
@@ -164,11 +163,10 @@
       net->peer_slow_ms = below (c, 2) * below (c, 1500);
       break;
     default:
-      worker->state = worker->state == MUX_INSTANCE_LIVE
-                          ? MUX_INSTANCE_LEAVING
-                          : MUX_INSTANCE_LIVE;
-      standin_worker_set_leaving (worker->logic, worker->state
-                                                     == MUX_INSTANCE_LEAVING);
+      worker->state = worker->state == MUX_INSTANCE_LIVE ? MUX_INSTANCE_LEAVING
+                                                         : MUX_INSTANCE_LIVE;
+      standin_worker_set_leaving (worker->logic,
+                                  worker->state == MUX_INSTANCE_LEAVING);
       break;
     }
 }
@@ -246,8 +244,8 @@
 main (int argc, char **argv)
 {
   uint64_t first = argc > 1 ? strtoull (argv[1], NULL, 10) : 1;
-  uint64_t last = argc > 2 ? strtoull (argv[2], NULL, 10)
-                           : (argc > 1 ? first : SEEDS);
+  uint64_t last
+      = argc > 2 ? strtoull (argv[2], NULL, 10) : (argc > 1 ? first : SEEDS);
   uint32_t bad = 0;
   uint32_t steps = 0;
 
--- a/test/support/fake_worker.c
+++ b/test/support/fake_worker.c
@@ -62,8 +62,7 @@
 static void
 give_nothing (FakeWorkerCall *item)
 {
-  give_reply (item,
-              mux_worker_reply_new (&item->call, MUX_WORKER_NO_ANSWER, 0),
+  give_reply (item, mux_worker_reply_new (&item->call, MUX_WORKER_NO_ANSWER, 0),
               item->deadline_ms);
 }
 
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -67,7 +67,7 @@
       fill_grant (msg);
       break;
     case MUX_PEER_GRANT_REFUSED:
-      msg->reason = MUX_REASON_NO_CAPACITY;
+      msg->reason = MUX_REASON_NO_WORKERS;
       msg->retry_ms = 75;
       break;
     case MUX_PEER_GRANT_END:
--- a/test/support/scenario.c
+++ b/test/support/scenario.c
@@ -122,7 +122,9 @@
   while (s->calls[call].answers == 0)
     fake_net_next (s->net);
   if (s->calls[call].answer.status != 200)
-    scenario_wrong (s, "configuration of %s was refused: %u %s", name, s->calls[call].answer.status, mux_reason_name (s->calls[call].answer.reason));
+    scenario_wrong (s, "configuration of %s was refused: %u %s", name,
+                    s->calls[call].answer.status,
+                    mux_reason_name (s->calls[call].answer.reason));
 }
 
 static void
@@ -149,9 +151,8 @@
 scenario_new (uint64_t seed, uint32_t nodes, uint32_t workers, uint32_t spread)
 {
   Scenario *s = calloc (1, sizeof *s);
-  FakeHooks hooks = { .user = s,
-                      .answer = scenario_answered,
-                      .worker_call = to_worker };
+  FakeHooks hooks
+      = { .user = s, .answer = scenario_answered, .worker_call = to_worker };
   char name[MUX_NAME_LEN];
 
   if (s == NULL)
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -114,10 +114,8 @@
                         uint32_t parts,
                         uint32_t run_ms);
 /** scenario_submit() - submit @tag at @node; Return: number of the call */
-uint32_t scenario_submit (Scenario *s,
-                          uint32_t node,
-                          uint32_t tag,
-                          uint32_t give_up_ms);
+uint32_t
+scenario_submit (Scenario *s, uint32_t node, uint32_t tag, uint32_t give_up_ms);
 /** scenario_request() - both at once */
 uint32_t scenario_request (Scenario *s,
                            uint32_t node,
--- a/test/support/scenario_check.c
+++ b/test/support/scenario_check.c
@@ -205,7 +205,8 @@
 {
   Scenario *s = user;
   ScenarioCall *call = &s->calls[answer->call - 1];
-  ScenarioWork *work = call->tag == SCENARIO_NO_TAG ? NULL : &s->works[call->tag];
+  ScenarioWork *work
+      = call->tag == SCENARIO_NO_TAG ? NULL : &s->works[call->tag];
 
   /* What a process says while it is being killed reaches nobody. */
   if (s->net->nodes[node].core == NULL)
--- a/test/unit/test_cli_all.c
+++ b/test/unit/test_cli_all.c
@@ -192,7 +192,7 @@
   cli_session_will (session, 200, "{\"ticket\":\"1;ab;9f\",\"valid_ms\":3000}");
   assert_int_equal (cli_session_run (session, "ticket seats --json"),
                     MUX_EXIT_OK);
-  cli_session_will_refuse (session, 503, "not_run", "no_capacity", "{}");
+  cli_session_will_refuse (session, 503, "not_run", "no_workers", "{}");
   assert_int_equal (cli_session_run (session, "ticket seats"), MUX_EXIT_LATER);
   cli_session_will (session, 200, "[]");
   assert_int_equal (cli_session_run (session, "ticket seats"),
