Tell all of newly claimed workers at once, and ask again where room is

Cause of slow failover: the successor claimed a dead daemon's workers 1.5 s after its death, but homes learned of its room by the next heartbeat, 1.5 s apart between data centres, and asks at the dead one were repeated there until it was called dead, 7.5 s for far homes. Ruled out: claims themselves (all won by 1.76 s) and old tasks in the slots.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -16,6 +16,8 @@
 /* With more members there, rarer by one for each so many, so that a daemon
  * sends a bounded number of heartbeats a second however large the cell is. */
 #define FAR_MEMBERS_EACH 2
+/* Between a change of room that others should know of and telling them. */
+#define NEWS_MS 20
 /* A dead member is kept so long for operators to see, then dropped. */
 #define DEAD_KEPT_MS 600000
 /* Most addresses named in one message. */
@@ -393,6 +395,17 @@
   }
 }
 
+/* Several claims are won in the same moment: one heartbeat tells of all. */
+void
+members_news (MuxCore *core)
+{
+  int64_t at_ms = core->now_ms + NEWS_MS;
+
+  if (at_ms < core->next_heartbeat_ms)
+    core->next_heartbeat_ms = at_ms;
+  core->next_far_heartbeat_ms = core->next_heartbeat_ms;
+}
+
 int64_t
 members_wake_ms (const MuxCore *core)
 {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -45,6 +45,8 @@
 /** members_after_pause() - this process took no step for @gap_ms */
 void members_after_pause (MuxCore *core, int64_t gap_ms);
 void members_tick (MuxCore *core);
+/** members_news() - tell all soon, also far ones, what room is here now */
+void members_news (MuxCore *core);
 int64_t members_wake_ms (const MuxCore *core);
 void members_free (MuxCore *core);
 /** members_farewell() - tell all that this daemon stops */
--- a/src/core/task_ask.c
+++ b/src/core/task_ask.c
@@ -214,6 +214,17 @@
   send_ask (core, task);
 }
 
+bool
+task_room_elsewhere (MuxCore *core, const Task *task)
+{
+  Choice choice;
+
+  if (!mux_id_is_none (task->group))
+    return false;
+  choice = choose (core, task);
+  return choice.usable && choice.room && strcmp (choice.name, task->owner) != 0;
+}
+
 void
 task_ask_repeat (MuxCore *core, Task *task)
 {
--- a/src/core/task_private.h
+++ b/src/core/task_private.h
@@ -29,6 +29,9 @@
 void task_ask (MuxCore *core, Task *task);
 /** task_ask_repeat() - the same owner again: the message may be lost */
 void task_ask_repeat (MuxCore *core, Task *task);
+/** task_room_elsewhere() - another owner than the one asked could place it at
+ * once; never for a gang, whose tasks must stay with one owner */
+bool task_room_elsewhere (MuxCore *core, const Task *task);
 /** task_ask_cancel() - tell the owner that the ask is void */
 void task_ask_cancel (MuxCore *core, Task *task);
 /** task_asked_all() - no owner is left to ask for this attempt */
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -130,6 +130,13 @@
 s_ask_repeat (MuxCore *core, Task *task, const TaskEvent *event)
 {
   (void) event;
+  /* Who was asked may be dead and not known to be, or long busy. */
+  if (task_room_elsewhere (core, task))
+    {
+      task_ask_cancel (core, task);
+      ask_fresh (core, task);
+      return;
+    }
   task_ask_repeat (core, task);
 }
 
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -243,6 +243,9 @@
     return;
   owner_report (core, worker, reply);
   update_usable (core, worker);
+  /* Homes ask who had room when last heard: after a takeover that would be
+   * the dead one for as long as a far heartbeat takes. */
+  members_news (core);
 }
 
 static void
