Measure the table's writes at two loads

With short runs the slots turn over several times as fast, which shows whether groups take more rows as starts come faster.

--- a/test/demo/failover_main.c
+++ b/test/demo/failover_main.c
@@ -203,8 +203,9 @@
   return value;
 }
 
+/* @name: of the load, before each measure */
 static bool
-steady (Bench *bench, MuxError *err)
+table_writes (Bench *bench, const char *name, MuxError *err)
 {
   MuxMixTally tally = { 0 };
   MuxStarts starts = { 0 };
@@ -227,16 +228,29 @@
     return false;
   count = mux_starts_count (&starts, from_ms, to_ms);
   mux_starts_clear (&starts);
-  printf ("steady_starts %.0f per_s\n",
+  printf ("%s_starts %.0f per_s\n", name,
           (double) count * 1000 / (double) (to_ms - from_ms));
-  printf ("steady_table_writes %.1f per_s\n",
+  printf ("%s_table_writes %.1f per_s\n", name,
           (double) txns * 1000 / (double) (to_ms - from_ms));
   if (count > 0)
-    printf ("table_writes_per_1000_starts %.1f writes\n",
+    printf ("%s_table_writes_per_1000_starts %.1f writes\n", name,
             (double) txns * PER_STARTS / count);
   return true;
 }
 
+static bool
+steady (Bench *bench, MuxError *err)
+{
+  bool ok;
+
+  if (!table_writes (bench, "slow", err))
+    return false;
+  bench->mix.short_runs = true;
+  ok = table_writes (bench, "busy", err);
+  bench->mix.short_runs = false;
+  return ok;
+}
+
 static bool
 restart_all (Bench *bench, MuxError *err)
 {
@@ -359,9 +373,9 @@
   kill->held_count = held_by (bench, victim, kill->held);
   kill->at_ms = mux_mono_ms ();
   mux_cluster_kill (victim);
-  mux_jsonl_write (bench->log, json_pack ("{s:s, s:s, s:I}", "event", "killed",
-                                          "daemon", victim->name, "t_ms",
-                                          (json_int_t) kill->at_ms));
+  mux_jsonl_write (bench->log,
+                   json_pack ("{s:s, s:s, s:I}", "event", "killed", "daemon",
+                              victim->name, "t_ms", (json_int_t) kill->at_ms));
   if (!await_held (bench, NULL, err))
     return false;
   mux_pause_ms (PLACED_MS);
--- a/test/support/mixed_callers.c
+++ b/test/support/mixed_callers.c
@@ -94,7 +94,7 @@
   request->number = number;
   request->give_up_ms = options->give_up_ms;
   request->timeout_ms = options->give_up_ms + EXTRA_MS;
-  if (mux_random_below (&random, LONG_ONE_IN) == 0)
+  if (!options->short_runs && mux_random_below (&random, LONG_ONE_IN) == 0)
     run_ms = LONG_MS;
   snprintf (name, sizeof name, "%s-%u", class_name, number);
   if (!idempotent)
--- a/test/support/mixed_callers.h
+++ b/test/support/mixed_callers.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "support/jsonl.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /**
@@ -31,6 +32,7 @@
  * @threads: callers at once
  * @tries: submissions of one keyed call at most
  * @give_up_ms: told to the daemon
+ * @short_runs: no call takes long
  * @pause_ms: between two calls of a caller, at most
  * @seed: of every choice
  * @log: receives a line per submission
@@ -45,6 +47,7 @@
   uint32_t threads;
   uint32_t tries;
   uint32_t give_up_ms;
+  bool short_runs;
   uint32_t pause_ms;
   uint64_t seed;
   MuxJsonl *log;
