--- a/test/bench/bench_policy.c
+++ b/test/bench/bench_policy.c
@@ -59,6 +59,7 @@
 };
 
 static const char *only;
+static const char *only_mix;
 
 static LoadPolicy *
 make (const Candidate *c, const LoadMix *mix)
@@ -191,14 +192,24 @@
     }
 }
 
+static void
+bench_mix (const LoadMix *mix)
+{
+  if (only_mix != NULL && strcmp (only_mix, mix->name) != 0)
+    return;
+  bench_loads (mix);
+  bench_faults (mix);
+}
+
+/* Arguments to look at a part: names of candidates, "" for all, and a mix. */
 int
 main (int argc, char **argv)
 {
-  if (argc > 1)
+  if (argc > 1 && argv[1][0] != 0)
     only = argv[1];
-  bench_loads (load_mix_hajar ());
-  bench_loads (load_mix_gridwatch ());
-  bench_faults (load_mix_hajar ());
-  bench_faults (load_mix_gridwatch ());
+  if (argc > 2)
+    only_mix = argv[2];
+  bench_mix (load_mix_hajar ());
+  bench_mix (load_mix_gridwatch ());
   return 0;
 }
