Read again when a cancel meets another write of its job

Cause: a cancel that lost the race for the job's row was refused as fenced_row and the operator had to repeat it. It now reads the row again, which may say that the job has ended. Ruled out: a loop, as each conflict is another's write that took effect.

--- a/src/core/jobs_show.c
+++ b/src/core/jobs_show.c
@@ -176,6 +176,11 @@
   members_send_all (core, &msg);
 }
 
+static void cancel_read_done (MuxCore *core,
+                              MuxId id,
+                              uint64_t call,
+                              const MuxTableReply *reply);
+
 /* Cancelling rewrites the row with its flag.  That also moves its revision,
  * so the home's next write is refused, and it reads why. */
 static void
@@ -200,7 +205,10 @@
       get_rows (core, id, show_done, call);
       return;
     case MUX_TABLE_CONFLICT:
-      answer_reason (core, call, MUX_REASON_FENCED_ROW, id);
+      /* Its home wrote in between; what it wrote may be the end. */
+      mux_count_retry (core->counters, MUX_REASON_FENCED_ROW);
+      if (!get_rows (core, id, cancel_read_done, call))
+        answer_reason (core, call, MUX_REASON_RING_FULL, id);
       return;
     case MUX_TABLE_UNKNOWN:
       core_answer (core, call, MUX_OUTCOME_UNKNOWN, MUX_REASON_WRITE_UNKNOWN,
