--- a/include/policy/sched.h
+++ b/include/policy/sched.h
@@ -164,6 +164,7 @@
  * struct MuxSchedStats - the books at a glance
  * @total: capacity of usable workers
  * @free: of which free
+ * @room: of which on workers whose breaker is closed
  * @queued: tasks waiting
  * @booked: tasks booked
  * @oldest_ms: wait of the one waiting longest
@@ -172,6 +173,7 @@
 {
   MuxSize total;
   MuxSize free;
+  MuxSize room;
   uint32_t queued;
   uint32_t booked;
   uint32_t oldest_ms;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -92,7 +92,7 @@
   snprintf (msg->from_addr, sizeof msg->from_addr, "%s", core->peer_addr);
   msg->revision = config_revision (core);
   msg->stopping = core->stopping;
-  msg->free = stats.free;
+  msg->free = stats.room;
   msg->total = stats.total;
   msg->largest = workers_largest (core);
   msg->queued = stats.queued;
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -211,11 +211,33 @@
                     .slots = cut (dims[MUX_DIM_SLOTS]) };
 }
 
+/*
+ * Failure: a worker that fails everything is always free.  Told as room, it
+ * would draw tasks to its owner, where they wait for a probe while other
+ * owners have workers that work.
+ */
+static MuxSize
+trusted_free (const MuxSched *sched)
+{
+  MuxSize free = size_of (sched->free);
+
+  for (uint32_t w = 0; w < sched->workers && sched->tripped > 0; w++)
+    {
+      const MuxWorker *worker = &sched->worker[w];
+
+      if (worker->present && worker->usable
+          && worker->breaker.state != MUX_BREAKER_CLOSED)
+        free = mux_size_sub (free, worker->free);
+    }
+  return free;
+}
+
 MuxSchedStats
 mux_sched_stats (const MuxSched *sched, int64_t now_ms)
 {
   MuxSchedStats stats = { .total = size_of (sched->total),
                           .free = size_of (sched->free),
+                          .room = trusted_free (sched),
                           .queued = sched->waiting,
                           .booked = sched->booked };
 
