Prove leaving, stopping and each line of what fails

Thirteen stories on whole cores over fakes: leaving workers, also behind silent links, a planned stop, dead daemons and instances, wrong sizes, a wave of cancels, a worker that fails everything, the store down and slow, connections silent or one way, and answers out of order. The first three are played again without their mechanism and then break.

--- /dev/null
+++ b/test/proof/proof_faults.c
@@ -0,0 +1,340 @@
+#include "support/proof.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GIVE_UP_MS 10000
+#define LEAVING_MS 2000
+
+static uint32_t
+starts_seen (const Scenario *s, uint32_t worker)
+{
+  return s->workers[worker].starts_seen;
+}
+
+/* One request every 50 ms at each daemon that runs. */
+static uint32_t
+load (Scenario *s, int64_t ms, ScenarioClass class_id)
+{
+  int64_t until_ms = s->net->now_ms + ms;
+  uint32_t first = s->call_count;
+
+  while (s->net->now_ms < until_ms)
+    {
+      for (uint32_t i = 0; i < s->net->node_count; i++)
+        if (s->net->nodes[i].core != NULL)
+          scenario_request (s, i, class_id, 100, GIVE_UP_MS);
+      scenario_run (s, 50);
+    }
+  return first;
+}
+
+static uint32_t
+count_told (const Scenario *s, uint32_t first, MuxOutcome outcome)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = first; i < s->call_count; i++)
+    count += scenario_told (s, i, outcome);
+  return count;
+}
+
+/* An instance is to be replaced: the platform lists it as leaving.  A caller
+ * whose request still went there would be cut off.  2 s after the word came no
+ * start arrives there any more, from any daemon. */
+static void
+leaving_worker (Scenario *s, bool without)
+{
+  uint32_t seen;
+
+  load (s, 1000, SCENARIO_MANY);
+  s->workers[0].state = MUX_INSTANCE_LEAVING;
+  s->lists_late = without;
+  load (s, LEAVING_MS, SCENARIO_MANY);
+  seen = starts_seen (s, 0);
+  load (s, 3000, SCENARIO_MANY);
+  proof_expect (s, starts_seen (s, 0) == seen, "a leaving worker got a start");
+  scenario_settle (s, 20000);
+}
+
+/* The worker leaves while the links to it are silent: its own word can't come,
+ * and starts that were sent get no answer.  Nothing new goes there after 2 s,
+ * also once the links are back, and every caller has an answer. */
+static void
+leaving_and_silent (Scenario *s, bool without)
+{
+  uint32_t seen;
+
+  load (s, 500, SCENARIO_MANY);
+  memset (s->workers[0].cut, 1, sizeof s->workers[0].cut);
+  s->workers[0].state = MUX_INSTANCE_LEAVING;
+  s->lists_late = without;
+  load (s, LEAVING_MS, SCENARIO_MANY);
+  memset (s->workers[0].cut, 0, sizeof s->workers[0].cut);
+  seen = starts_seen (s, 0);
+  load (s, 3000, SCENARIO_MANY);
+  proof_expect (s, starts_seen (s, 0) == seen, "a leaving worker got a start");
+  scenario_settle (s, 20000);
+}
+
+/* A daemon is stopped as planned, under load.  Each of its callers gets the
+ * answer, its workers are placed on by others within a second, and callers at
+ * other daemons notice nothing. */
+static void
+graceful_stop (Scenario *s, bool without)
+{
+  uint32_t old = s->owner[0];
+  uint32_t first = load (s, 1000, SCENARIO_MANY);
+  int64_t stop_ms = s->net->now_ms;
+
+  if (without)
+    fake_net_kill (s->net, old);
+  else
+    scenario_stop (s, old);
+  while (s->net->nodes[old].core != NULL
+         && !mux_core_stopped (s->net->nodes[old].core)
+         && s->net->now_ms < stop_ms + GIVE_UP_MS)
+    fake_net_next (s->net);
+  proof_expect (s, s->net->now_ms < stop_ms + 5000, "the stop took over 5 s");
+  if (s->net->nodes[old].core != NULL)
+    fake_net_kill (s->net, old);
+  scenario_run (s, 1000);
+  proof_expect (s, s->owner[0] != old, "nobody took the claim");
+  load (s, 1000, SCENARIO_MANY);
+  scenario_run (s, 3000);
+  proof_expect_all (s, first, s->call_count - first, MUX_OUTCOME_DONE);
+  scenario_settle (s, 20000);
+}
+
+/* A daemon dies under load with the store down.  Its workers are placed on
+ * again once others know it dead; callers at the others get their answers. */
+static void
+daemon_dies (Scenario *s, bool without)
+{
+  uint32_t old = s->owner[0];
+  uint32_t first;
+
+  (void) without;
+  s->store_fails = s->net->table.down = true;
+  load (s, 500, SCENARIO_MANY);
+  fake_net_kill (s->net, old);
+  scenario_run (s, 6500);
+  proof_expect (s, s->owner[0] != old, "its worker was not claimed");
+  first = proof_fill (s, s->owner[0], SCENARIO_MANY, 15, 1000);
+  scenario_run (s, 4000);
+  proof_expect (s, scenario_runs_on (s, 0, s->calls[first].asked_ms) > 0,
+                "its worker is not placed on");
+  proof_expect_all (s, first, s->call_count - first, MUX_OUTCOME_DONE);
+  scenario_settle (s, 20000);
+}
+
+/* An instance dies without a word.  Requests that ran there and may run again
+ * do so elsewhere once the platform lists it as gone; new ones go elsewhere
+ * after a moment. */
+static void
+instance_fails (Scenario *s, bool without)
+{
+  uint32_t first = proof_fill (s, 0, SCENARIO_MANY, 8, 1500);
+
+  (void) without;
+  scenario_run (s, 500);
+  s->workers[0].silent = true;
+  scenario_life_over (s, 0);
+  scenario_run (s, 1000);
+  s->workers[0].state = MUX_INSTANCE_GONE;
+  scenario_run (s, 9000);
+  proof_expect_all (s, first, 8, MUX_OUTCOME_DONE);
+  first = load (s, 500, SCENARIO_MANY);
+  scenario_run (s, 3000);
+  proof_expect_all (s, first, s->call_count - first, MUX_OUTCOME_DONE);
+}
+
+/* Work that no worker can ever hold is refused at once and truly, and so is a
+ * job of it; work that declares 100 ms and takes 4 s still gets its whole
+ * answer. */
+static void
+wrong_sizes (Scenario *s, bool without)
+{
+  uint32_t huge = proof_fill (s, 0, SCENARIO_HUGE, 3, 100);
+  uint32_t slow = proof_fill (s, 0, SCENARIO_MANY, 3, 4000);
+
+  (void) without;
+  scenario_run (s, 300);
+  proof_expect_all (s, huge, 3, MUX_OUTCOME_NOT_RUN);
+  proof_expect (s, s->calls[huge].answer.reason == MUX_REASON_NEVER_FITS,
+                "the reason is not that it never fits");
+  scenario_run (s, 9000);
+  proof_expect_all (s, slow, 3, MUX_OUTCOME_DONE);
+  scenario_settle (s, 10000);
+}
+
+/* Forty jobs are cancelled in one wave, some running, some waiting.  All end,
+ * nothing of them runs on, and requests after it find the room. */
+static void
+cancel_wave (Scenario *s, bool without)
+{
+  uint32_t tags[40];
+  uint32_t first;
+
+  (void) without;
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      tags[i] = scenario_work (s, SCENARIO_BATCH + i % 3, true, 3, 60000);
+      scenario_submit (s, i % s->net->node_count, tags[i], GIVE_UP_MS);
+    }
+  scenario_run (s, 3000);
+  for (uint32_t i = 0; i < 40; i++)
+    scenario_cancel (s, (i + 1) % s->net->node_count, tags[i]);
+  scenario_run (s, 12000);
+  for (uint32_t i = 0; i < 40; i++)
+    proof_expect (s, s->works[tags[i]].running == 0, "cancelled work runs on");
+  first = proof_fill (s, 0, SCENARIO_MANY, 8, 200);
+  scenario_run (s, 3000);
+  proof_expect_all (s, first, 8, MUX_OUTCOME_DONE);
+  scenario_settle (s, 60000);
+}
+
+/* A worker fails whatever it starts, and so is always free.  Requests that may
+ * run again are answered by others, and it soon gets next to nothing; mended,
+ * it is used again, also when only work that runs once is left. */
+static void
+fails_everything (Scenario *s, bool without)
+{
+  uint32_t first;
+  uint32_t seen;
+
+  (void) without;
+  load (s, 2000, SCENARIO_MANY);
+  standin_worker_set_fail_all (s->workers[0].logic, true);
+  load (s, 2000, SCENARIO_MANY);
+  seen = starts_seen (s, 0);
+  first = load (s, 4000, SCENARIO_MANY);
+  proof_expect (s, starts_seen (s, 0) - seen < 20, "it still gets many starts");
+  scenario_run (s, GIVE_UP_MS + 1000);
+  proof_expect_all (s, first, s->call_count - first, MUX_OUTCOME_DONE);
+  standin_worker_set_fail_all (s->workers[0].logic, false);
+  scenario_run (s, 60000);
+  seen = starts_seen (s, 0);
+  load (s, 15000, SCENARIO_ONCE);
+  proof_expect (s, starts_seen (s, 0) > seen, "mended, it is not used");
+  scenario_settle (s, 20000);
+}
+
+/* The store is down for a minute.  Requests that may run again are served,
+ * others are told at once, and truly, that they were not run; jobs on record
+ * go on and end once it is back. */
+static void
+store_down_long (Scenario *s, bool without)
+{
+  uint32_t job = scenario_work (s, SCENARIO_REDO, true, 3, 4000);
+  uint32_t many, once;
+
+  (void) without;
+  scenario_submit (s, 0, job, GIVE_UP_MS);
+  scenario_run (s, 1000);
+  s->store_fails = s->net->table.down = true;
+  scenario_run (s, 30000);
+  many = proof_fill (s, 0, SCENARIO_MANY, 6, 200);
+  once = proof_fill (s, 0, SCENARIO_ONCE, 6, 200);
+  scenario_run (s, 3000);
+  proof_expect_all (s, many, 6, MUX_OUTCOME_DONE);
+  proof_expect_all (s, once, 6, MUX_OUTCOME_NOT_RUN);
+  scenario_run (s, 30000);
+  scenario_settle (s, 60000);
+  proof_expect (s, s->works[job].runs == 3, "a job's task ran again");
+}
+
+/* Each call to the store takes up to 1.4 s.  Work that must not run twice is
+ * slower, not wrong, and work without a key does not wait for it. */
+static void
+store_slow (Scenario *s, bool without)
+{
+  uint32_t first;
+
+  (void) without;
+  s->store_fails = true;
+  s->net->table_slow_ms = 700;
+  first = proof_fill (s, 0, SCENARIO_ONCE, 6, 200);
+  scenario_submit (s, 0, scenario_work (s, SCENARIO_ONCE, false, 0, 200), 1500);
+  scenario_run (s, GIVE_UP_MS + 1000);
+  proof_expect_all (s, first, 7, MUX_OUTCOME_DONE);
+  scenario_settle (s, 20000);
+}
+
+/* The connection that carries an answer goes silent for good while new ones
+ * work.  The caller gets the answer over another connection, and nothing is
+ * started again. */
+static void
+silent_connection (Scenario *s, bool without)
+{
+  uint32_t first;
+
+  (void) without;
+  s->workers[0].lose_starts = s->workers[1].lose_starts = 3;
+  first = proof_fill (s, 0, SCENARIO_ONCE, 6, 500);
+  scenario_run (s, 9000);
+  proof_expect_all (s, first, 6, MUX_OUTCOME_DONE);
+  proof_expect (s, s->run_count == 6, "something ran again");
+  scenario_settle (s, 20000);
+}
+
+/* Messages from one daemon to another vanish, the other way they arrive.  The
+ * one that is not heard is asked nothing for long; callers get answers. */
+static void
+silent_one_way (Scenario *s, bool without)
+{
+  uint32_t first;
+
+  (void) without;
+  s->net->cut[0][1] = true;
+  first = load (s, 8000, SCENARIO_MANY);
+  scenario_run (s, GIVE_UP_MS);
+  proof_expect (s,
+                count_told (s, first, MUX_OUTCOME_DONE) * 100
+                    >= (s->call_count - first) * 99,
+                "over 1 % of the callers got no answer");
+  scenario_settle (s, 30000);
+}
+
+/* Answers overtake one another, some are lost, attempts are superseded.  Each
+ * caller gets one answer, whole, and its own; the checker compares each. */
+static void
+own_whole_answer (Scenario *s, bool without)
+{
+  uint32_t first;
+
+  (void) without;
+  for (uint32_t i = 0; i < s->worker_count; i++)
+    {
+      s->workers[i].slow_ms = 900;
+      s->workers[i].lost_ppm = 200000;
+      s->workers[i].late_starts = 3;
+      s->workers[i].late_ms = 2500;
+    }
+  first = load (s, 4000, SCENARIO_MANY);
+  scenario_settle (s, 40000);
+  proof_expect (s, count_told (s, first, MUX_OUTCOME_DONE) > 50,
+                "hardly a caller got its answer");
+}
+
+static const Proof proofs[] = {
+  { "leaving_worker", leaving_worker, true, 3, 3, 1 },
+  { "leaving_and_silent", leaving_and_silent, true, 3, 3, 1 },
+  { "graceful_stop", graceful_stop, true, 3, 4, 1 },
+  { "daemon_dies", daemon_dies, false, 3, 4, 1 },
+  { "instance_fails", instance_fails, false, 1, 3, 1 },
+  { "wrong_sizes", wrong_sizes, false, 2, 2, 1 },
+  { "cancel_wave", cancel_wave, false, 3, 4, 2 },
+  { "fails_everything", fails_everything, false, 2, 4, 1 },
+  { "store_down_long", store_down_long, false, 2, 2, 1 },
+  { "store_slow", store_slow, false, 1, 2, 1 },
+  { "silent_connection", silent_connection, false, 1, 2, 1 },
+  { "silent_one_way", silent_one_way, false, 3, 3, 1 },
+  { "own_whole_answer", own_whole_answer, false, 2, 4, 1 },
+};
+
+int
+main (void)
+{
+  return proof_main (proofs, sizeof proofs / sizeof proofs[0]);
+}
