Count a row's write for the task that wanted it alone

Cause: a keyed request was given up while its row was being written; the same key came again at that daemon, and the first write's answer was taken for the second's: the task started at a worker that no row named, and the next submission, led elsewhere by the row, ran the work a second time (random proof, seed 268: row at worker-4, run at worker-1, tombstone at worker-4, run at worker-2). Ruled out: the worker's memory and the row's condition.

--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -13,14 +13,27 @@
  * in place of each request finding out for itself. */
 #define DOWN_MS 1000
 
+/*
+ * What a row is wanted for.  Failure: a task is given up with its write in
+ * flight, the same key comes again, and that write's answer is taken for the
+ * new task's: it starts where no row says so, and the next submission finds
+ * nothing there and runs the work a second time.  So an answer counts for the
+ * want that it answers alone.
+ */
+typedef struct
+{
+  MuxId key;
+  uint64_t want;
+} Entry;
+
 /* Tasks whose rows are to be written, or read, in order of arrival. */
 typedef struct
 {
-  MuxId *key;
+  Entry *entry;
   uint32_t head;
   uint32_t count;
   uint32_t cap;
-  MuxId group[GROUP_MAX]; /* in flight */
+  Entry group[GROUP_MAX]; /* in flight */
   uint32_t group_count;
   bool in_flight;
 } Queue;
@@ -29,6 +42,7 @@
 {
   Queue put;
   Queue read;
+  uint64_t wants;
   int64_t next_put_ms;
   int64_t down_until_ms;
 };
@@ -44,38 +58,38 @@
 {
   if (commit == NULL)
     return;
-  free (commit->put.key);
-  free (commit->read.key);
+  free (commit->put.entry);
+  free (commit->read.entry);
   free (commit);
 }
 
 static bool
-queue_push (Queue *queue, MuxId key)
+queue_push (Queue *queue, Entry entry)
 {
   if (queue->count == queue->cap)
     {
       uint32_t cap = queue->cap == 0 ? 64 : queue->cap * 2;
-      MuxId *grown = malloc (cap * sizeof *grown);
+      Entry *grown = malloc (cap * sizeof *grown);
 
       if (grown == NULL)
         return false;
       for (uint32_t i = 0; i < queue->count; i++)
-        grown[i] = queue->key[(queue->head + i) % queue->cap];
-      free (queue->key);
-      queue->key = grown;
+        grown[i] = queue->entry[(queue->head + i) % queue->cap];
+      free (queue->entry);
+      queue->entry = grown;
       queue->head = 0;
       queue->cap = cap;
     }
-  queue->key[(queue->head + queue->count++) % queue->cap] = key;
+  queue->entry[(queue->head + queue->count++) % queue->cap] = entry;
   return true;
 }
 
 static bool
-queue_pop (Queue *queue, MuxId *key)
+queue_pop (Queue *queue, Entry *entry)
 {
   if (queue->count == 0)
     return false;
-  *key = queue->key[queue->head];
+  *entry = queue->entry[queue->head];
   queue->head = (queue->head + 1) % queue->cap;
   queue->count--;
   return true;
@@ -143,33 +157,51 @@
   snprintf (out, MUX_ROW_KEY_LEN, "once/%s", hex);
 }
 
+static Entry
+want (MuxCore *core, Task *task)
+{
+  task->want = ++core->commit->wants;
+  return (Entry){ task->key, task->want };
+}
+
+/* The task that still wants what @entry stands for. */
+static Task *
+wanting (MuxCore *core, Entry entry, TaskState wanted)
+{
+  Task *task = task_find (core, entry.key);
+
+  if (task == NULL || task->want != entry.want || task->state != wanted)
+    return NULL;
+  return task;
+}
+
 bool
 commit_put (MuxCore *core, Task *task)
 {
-  return queue_push (&core->commit->put, task->key);
+  return queue_push (&core->commit->put, want (core, task));
 }
 
 static void
 tell (MuxCore *core,
-      MuxId key,
+      Entry entry,
       TaskState wanted,
       TaskEventKind kind,
       uint64_t rev)
 {
-  Task *task = task_find (core, key);
+  Task *task = wanting (core, entry, wanted);
   TaskEvent event = { .kind = kind, .rev = rev };
 
-  if (task != NULL && task->state == wanted)
+  if (task != NULL)
     task_event (core, task, &event);
 }
 
 void
 commit_read (MuxCore *core, Task *task)
 {
-  MuxId key = task->key;
+  Entry entry = want (core, task);
 
-  if (!queue_push (&core->commit->read, key))
-    tell (core, key, TASK_READING, TASK_EV_STORE_DOWN, 0);
+  if (!queue_push (&core->commit->read, entry))
+    tell (core, entry, TASK_READING, TASK_EV_STORE_DOWN, 0);
 }
 
 static void
@@ -193,7 +225,7 @@
             TaskEventKind kind,
             uint64_t rev)
 {
-  MuxId group[GROUP_MAX];
+  Entry group[GROUP_MAX];
   uint32_t count = queue->group_count;
 
   memcpy (group, queue->group, count * sizeof group[0]);
@@ -216,14 +248,14 @@
 }
 
 static void
-tell_row (MuxCore *core, MuxId key, TaskState wanted, const MuxRow *row)
+tell_row (MuxCore *core, Entry entry, TaskState wanted, const MuxRow *row)
 {
-  Task *task = task_find (core, key);
+  Task *task = wanting (core, entry, wanted);
   Intent intent;
   TaskEvent event
       = { .kind = TASK_EV_ROW_FOUND, .intent = &intent, .rev = row->rev };
 
-  if (task == NULL || task->state != wanted)
+  if (task == NULL)
     return;
   if (row->rev == MUX_REV_ABSENT)
     event.kind = TASK_EV_ROW_ABSENT;
@@ -238,7 +270,7 @@
 split_group (MuxCore *core, const MuxTableReply *reply)
 {
   Queue *put = &core->commit->put;
-  MuxId group[GROUP_MAX];
+  Entry group[GROUP_MAX];
   uint32_t count = put->group_count;
 
   memcpy (group, put->group, count * sizeof group[0]);
@@ -246,7 +278,7 @@
   put->in_flight = false;
   for (uint32_t i = 0; i < count; i++)
     {
-      const MuxRow *row = row_of (reply, group[i]);
+      const MuxRow *row = row_of (reply, group[i].key);
 
       if (row != NULL)
         tell_row (core, group[i], TASK_RECORDING, row);
@@ -292,7 +324,7 @@
            const MuxTableReply *reply)
 {
   Queue *read = &core->commit->read;
-  MuxId group[GROUP_MAX];
+  Entry group[GROUP_MAX];
   uint32_t count = read->group_count;
 
   (void) subject;
@@ -308,7 +340,7 @@
   read->in_flight = false;
   for (uint32_t i = 0; i < count; i++)
     {
-      const MuxRow *row = row_of (reply, group[i]);
+      const MuxRow *row = row_of (reply, group[i].key);
 
       if (row != NULL)
         tell_row (core, group[i], TASK_READING, row);
@@ -321,16 +353,12 @@
 static uint32_t
 take_group (MuxCore *core, Queue *queue, TaskState wanted)
 {
-  MuxId key;
+  Entry entry;
 
   queue->group_count = 0;
-  while (queue->group_count < GROUP_MAX && queue_pop (queue, &key))
-    {
-      const Task *task = task_find (core, key);
-
-      if (task != NULL && task->state == wanted)
-        queue->group[queue->group_count++] = key;
-    }
+  while (queue->group_count < GROUP_MAX && queue_pop (queue, &entry))
+    if (wanting (core, entry, wanted) != NULL)
+      queue->group[queue->group_count++] = entry;
   return queue->group_count;
 }
 
@@ -339,7 +367,7 @@
 {
   for (uint32_t i = 0; i < put->group_count; i++)
     {
-      const Task *task = task_find (core, put->group[i]);
+      const Task *task = task_find (core, put->group[i].key);
 
       row_key (task->key, call->rows[i].key);
       call->rows[i].rev = task->row_rev;
@@ -383,7 +411,7 @@
     return;
   call = mux_table_call_new (MUX_TABLE_GET, count);
   for (uint32_t i = 0; call != NULL && i < count; i++)
-    row_key (read->group[i], call->rows[i].key);
+    row_key (read->group[i].key, call->rows[i].key);
   read->in_flight = true;
   if (call == NULL || !call_table (core, call, read_done, (MuxId){ 0, 0 }, 0))
     tell_group (core, read, TASK_READING, TASK_EV_STORE_DOWN, 0);
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -113,6 +113,7 @@
   Intent at;                /* where it is granted, started or followed */
   uint64_t epoch;
   uint64_t row_rev;
+  uint64_t want;    /* which write or read of its row is awaited */
   bool granted;     /* room is booked for it at @owner */
   bool probed;      /* a fetch is on its way */
   bool absent_seen; /* FOLLOWING: seen absent once */
