--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -50,6 +50,14 @@
   free (job->pending);
 }
 
+Job *
+job_of_turn (MuxCore *core, MuxId id, uint64_t turn)
+{
+  Job *job = job_find (core, id);
+
+  return job != NULL && job->turn == turn ? job : NULL;
+}
+
 Job *
 job_new (MuxCore *core, const JobHeader *header, uint64_t rev, MuxBlob *body)
 {
@@ -71,6 +79,7 @@
       return NULL;
     }
   job->id = header->id;
+  job->turn = ++core->jobs->turns;
   job->header = *header;
   job->rev = rev;
   job->body = mux_blob_ref (body);
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -117,11 +117,10 @@
 }
 
 static void
-body_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+body_done (MuxCore *core, MuxId id, uint64_t turn, const MuxTableReply *reply)
 {
-  Job *job = job_find (core, id);
+  Job *job = job_of_turn (core, id, turn);
 
-  (void) aux;
   if (job == NULL)
     return;
   if (reply->status != MUX_TABLE_OK || reply->row_count == 0
@@ -148,16 +147,15 @@
   if (call != NULL)
     snprintf (call->rows[0].key, sizeof call->rows[0].key, "%s",
               job->header.object);
-  if (call == NULL || !call_table (core, call, body_done, job->id, 0))
+  if (call == NULL || !call_table (core, call, body_done, job->id, job->turn))
     abandon (core, job);
 }
 
 static void
-parts_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+parts_done (MuxCore *core, MuxId id, uint64_t turn, const MuxTableReply *reply)
 {
-  Job *job = job_find (core, id);
+  Job *job = job_of_turn (core, id, turn);
 
-  (void) aux;
   if (job == NULL)
     return;
   if (reply->status != MUX_TABLE_OK)
@@ -181,11 +179,10 @@
 }
 
 static void
-take_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+take_done (MuxCore *core, MuxId id, uint64_t turn, const MuxTableReply *reply)
 {
-  Job *job = job_find (core, id);
+  Job *job = job_of_turn (core, id, turn);
 
-  (void) aux;
   if (job == NULL)
     return;
   if (reply->status == MUX_TABLE_CONFLICT)
@@ -230,7 +227,7 @@
       mux_table_call_free (call);
       call = NULL;
     }
-  if (call == NULL || !call_table (core, call, take_done, job->id, 0))
+  if (call == NULL || !call_table (core, call, take_done, job->id, job->turn))
     abandon (core, job);
 }
 
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -97,6 +97,7 @@
 struct Job
 {
   MuxId id;
+  uint64_t turn; /* which carrying of this job by this process it is */
   JobHeader header;
   uint64_t rev; /* of its row: fences a former home */
   MuxBlob *body;
@@ -170,6 +171,7 @@
 
 struct Jobs
 {
+  uint64_t turns;
   JobRetake *retakes;
   Job *open; /* carried by this daemon */
   JobSubmit *submits;
@@ -202,6 +204,15 @@
 
 /* Jobs carried here (jobs.c, jobs_carry.c, jobs_gang.c). */
 Job *job_find (MuxCore *core, MuxId id);
+/**
+ * job_of_turn() - the job that a call was made for; NULL: it is not carried
+ * any more, or anew
+ *
+ * Failure: a job is let go with a write in flight and soon carried again.
+ * Taken for the answer of the new turn's write, the old one's would start
+ * tasks whose places are not recorded.
+ */
+Job *job_of_turn (MuxCore *core, MuxId id, uint64_t turn);
 /** job_new() - takes a reference of @body; NULL: memory is out */
 Job *
 job_new (MuxCore *core, const JobHeader *header, uint64_t rev, MuxBlob *body);
--- a/src/core/jobs_row.c
+++ b/src/core/jobs_row.c
@@ -224,5 +224,5 @@
   mux_id_format (job->id, hex);
   snprintf (call->rows[0].key, sizeof call->rows[0].key, "job/part/%s/", hex);
   call->limit = MUX_ROWS_MAX;
-  return call_table (core, call, done, job->id, 0);
+  return call_table (core, call, done, job->id, job->turn);
 }
--- a/src/core/jobs_write.c
+++ b/src/core/jobs_write.c
@@ -55,24 +55,11 @@
 }
 
 static void
-write_done (MuxCore *core, MuxId id, uint64_t last, const MuxTableReply *reply)
+not_written (MuxCore *core, Job *job, MuxTableStatus status)
 {
-  Job *job = job_find (core, id);
-
-  if (job == NULL)
-    return;
-  job->writing = false;
-  switch (reply->status)
+  switch (status)
     {
     case MUX_TABLE_OK:
-      if (last)
-        {
-          job_ended (core, job);
-          return;
-        }
-      parts_stand (job, reply->rev);
-      job->urgent = job->pending_count > 0;
-      tell_written (core, job);
       break;
     case MUX_TABLE_CONFLICT:
       write_again (core, job, 0);
@@ -91,6 +78,41 @@
     }
 }
 
+static void
+end_done (MuxCore *core, MuxId id, uint64_t turn, const MuxTableReply *reply)
+{
+  Job *job = job_of_turn (core, id, turn);
+
+  if (job == NULL)
+    return;
+  job->writing = false;
+  if (reply->status == MUX_TABLE_OK)
+    job_ended (core, job);
+  else
+    not_written (core, job, reply->status);
+}
+
+static void
+parts_written (MuxCore *core,
+               MuxId id,
+               uint64_t turn,
+               const MuxTableReply *reply)
+{
+  Job *job = job_of_turn (core, id, turn);
+
+  if (job == NULL)
+    return;
+  job->writing = false;
+  if (reply->status != MUX_TABLE_OK)
+    {
+      not_written (core, job, reply->status);
+      return;
+    }
+  parts_stand (job, reply->rev);
+  job->urgent = job->pending_count > 0;
+  tell_written (core, job);
+}
+
 static uint32_t
 dirty_parts (const Job *job)
 {
@@ -183,7 +205,9 @@
   job->written_count = job->pending_count;
   job->pending_count = 0;
   job->dirty_any = false;
-  if (call != NULL && call_table (core, call, write_done, job->id, last))
+  if (call != NULL
+      && call_table (core, call, last ? end_done : parts_written, job->id,
+                     job->turn))
     {
       job->writing = true;
       core->jobs->next_write_ms
@@ -201,11 +225,13 @@
 }
 
 static void
-parts_reread (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+parts_reread (MuxCore *core,
+              MuxId id,
+              uint64_t turn,
+              const MuxTableReply *reply)
 {
-  Job *job = job_find (core, id);
+  Job *job = job_of_turn (core, id, turn);
 
-  (void) aux;
   if (job == NULL)
     return;
   if (reply->status != MUX_TABLE_OK)
@@ -219,12 +245,11 @@
 }
 
 static void
-reread_done (MuxCore *core, MuxId id, uint64_t aux, const MuxTableReply *reply)
+reread_done (MuxCore *core, MuxId id, uint64_t turn, const MuxTableReply *reply)
 {
-  Job *job = job_find (core, id);
+  Job *job = job_of_turn (core, id, turn);
   JobHeader header;
 
-  (void) aux;
   if (job == NULL)
     return;
   if (reply->status != MUX_TABLE_OK || reply->row_count < 2)
@@ -263,7 +288,7 @@
       job_row_key ("open", job->id, call->rows[0].key);
       job_row_key ("done", job->id, call->rows[1].key);
     }
-  if (call != NULL && call_table (core, call, reread_done, job->id, 0))
+  if (call != NULL && call_table (core, call, reread_done, job->id, job->turn))
     job->reading = true;
   else
     reread_failed (core, job);
