Share the golden files' check and let it print a diff

The command line's sessions had a check of their own, which on a difference printed both texts whole. It is now test/support/golden.c, for sessions of cores and of the door too, and prints a unified diff of the lines that differ. The fake sink gets a tap, through which a recorder sees a core's events and actions in the order in which they come; the sink itself keeps them by sort.

--- a/test/support/cli_session.c
+++ b/test/support/cli_session.c
@@ -1,15 +1,11 @@
 #include "support/cli_session.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
+#include "support/golden.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
-#define GOLDEN_DIR "test/golden/"
 #define WORDS_MAX 40
 
 static const char *
@@ -157,40 +153,13 @@
   cli_door_will (&session->door, (CliDoorAnswer){ .status = 0 });
 }
 
-static char *
-read_file (const char *path)
-{
-  FILE *file = fopen (path, "rb");
-  char *text = calloc (1, CLI_DOOR_SEEN_LEN);
-
-  if (file == NULL || text == NULL)
-    fail_msg ("%s can't be read; MUX_GOLDEN_WRITE=1 writes it", path);
-  if (fread (text, 1, CLI_DOOR_SEEN_LEN - 1, file) == 0)
-    fail_msg ("%s is empty", path);
-  fclose (file);
-  return text;
-}
-
 /* The session must be the golden file, word for word. */
 void
 cli_session_assert_golden (CliSession *session, const char *name)
 {
-  const char *write = getenv ("MUX_GOLDEN_WRITE");
-  char path[128];
-  char *golden;
+  char file[64];
 
-  snprintf (path, sizeof path, GOLDEN_DIR "cli_%s.txt", name);
+  snprintf (file, sizeof file, "cli_%s", name);
   fflush (session->log);
-  if (write != NULL && strcmp (write, "1") == 0)
-    {
-      FILE *file = fopen (path, "wb");
-
-      assert_non_null (file);
-      fwrite (session->text, 1, session->text_len, file);
-      assert_int_equal (fclose (file), 0);
-      return;
-    }
-  golden = read_file (path);
-  assert_string_equal (session->text, golden);
-  free (golden);
+  golden_assert (file, session->text);
 }
--- a/test/support/fake_net.c
+++ b/test/support/fake_net.c
@@ -149,6 +149,7 @@
 
   fake_sink_init (&net->nodes[node].sink);
   net->nodes[node].sink.full = taken.full;
+  net->nodes[node].sink.tap = taken.tap;
   for (uint32_t i = 0; i < taken.table_count; i++)
     deliver (net, node, table_delay_ms (net))->call = taken.table_calls[i];
   taken.table_count = 0;
@@ -249,6 +250,10 @@
 void
 fake_net_give (FakeNet *net, uint32_t node, const MuxEvent *event)
 {
+  FakeTap *tap = net->nodes[node].sink.tap;
+
+  if (tap != NULL)
+    tap->event (tap, event);
   mux_core_step (net->nodes[node].core, event, net->now_ms);
   drain_sink (net, node);
 }
--- a/test/support/fake_sink.c
+++ b/test/support/fake_sink.c
@@ -20,6 +20,8 @@
 {
   FakeSink *fake = (FakeSink *) sink;
 
+  if (fake->tap != NULL)
+    fake->tap->sink.answer (&fake->tap->sink, answer);
   fake->answers = grow (fake->answers, fake->answer_count, &fake->answer_cap,
                         sizeof fake->answers[0]);
   mux_blob_ref (answer->body);
@@ -31,6 +33,8 @@
 {
   FakeSink *fake = (FakeSink *) sink;
 
+  if (fake->tap != NULL)
+    fake->tap->sink.worker_call (&fake->tap->sink, call);
   if (fake->full)
     return false;
   fake->worker_calls = grow (fake->worker_calls, fake->worker_count,
@@ -45,6 +49,8 @@
 {
   FakeSink *fake = (FakeSink *) sink;
 
+  if (fake->tap != NULL)
+    fake->tap->sink.table_call (&fake->tap->sink, call);
   if (fake->full)
     {
       mux_table_call_free (call);
@@ -61,6 +67,8 @@
 {
   FakeSink *fake = (FakeSink *) sink;
 
+  if (fake->tap != NULL)
+    fake->tap->sink.peer_send (&fake->tap->sink, addr, msg);
   if (fake->full)
     return false;
   fake->sent = grow (fake->sent, fake->sent_count, &fake->sent_cap,
@@ -74,10 +82,11 @@
 static void
 take_log (MuxSink *sink, int level, const char *event, const char *text)
 {
-  (void) level;
-  (void) event;
-  (void) text;
-  ((FakeSink *) sink)->logs++;
+  FakeSink *fake = (FakeSink *) sink;
+
+  if (fake->tap != NULL)
+    fake->tap->sink.state_log (&fake->tap->sink, level, event, text);
+  fake->logs++;
 }
 
 void
--- a/test/support/fake_sink.h
+++ b/test/support/fake_sink.h
@@ -10,9 +10,19 @@
   MuxPeerMsg msg;
 } FakeSent;
 
+/* Sees a core's events, and as a sink its actions, in the order in which they
+ * come; what its calls return is not used. */
+typedef struct FakeTap FakeTap;
+struct FakeTap
+{
+  MuxSink sink;
+  void (*event) (FakeTap *tap, const MuxEvent *event);
+};
+
 /**
  * struct FakeSink - records the actions of a core in the order of their sort
  * @sink: give its address to the core
+ * @tap: sees everything first, or NULL
  * @full: every call to an adapter is refused, as by a full ring
  * @answers: answers, each with its own reference of the body
  * @worker_calls: calls to workers, likewise
@@ -26,6 +36,7 @@
 typedef struct
 {
   MuxSink sink;
+  FakeTap *tap;
   bool full;
   uint32_t answer_count, worker_count, table_count, sent_count;
   uint32_t answer_cap, worker_cap, table_cap, sent_cap;
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -54,9 +54,8 @@
 check-known-red:
 	tools/check-known-red
 
-GOLDEN = $(filter $(B)/unit/test_golden%,$(UNIT))
+GOLDEN = $(filter $(B)/unit/test_golden% $(B)/unit/test_cli%,$(UNIT))
 golden: $(GOLDEN)
-	@test -n "$(GOLDEN)" || { echo 'no test/unit/test_golden*.c'; exit 1; }
 	set -e; for t in $(GOLDEN); do MUX_GOLDEN_WRITE=1 $$t; done
 
 bench: all benches
