Record whole sessions of cores in golden files

Seven short sessions on the fake clock with a fixed seed: a booking through a remote owner, one key at two daemons, a start whose answer is lost, a batch and a gang over two owners, an owner killed, two operators at one object, a graceful stop. Each line is an event with its time, below it the actions in their order. Left out is only a wake-up that leads to no action. Every session is played twice and must give the same bytes; it does, and the order of uthash's iteration is that of insertion, so nothing had to change in the core.

--- a/test/support/scenario.c
+++ b/test/support/scenario.c
@@ -112,12 +112,11 @@
 configure (Scenario *s, MuxConfigSort sort, const char *name, const char *value)
 {
   MuxAsk ask = { .verb = MUX_ASK_CONFIG_PUT, .sort = sort };
-  uint32_t call = add_call (s, 0, SCENARIO_NO_TAG, 0);
+  uint32_t call;
 
   mux_name_copy (ask.name, name);
-  ask.call = call + 1;
   ask.body = mux_blob_new (value, strlen (value));
-  fake_net_ask (s->net, 0, &ask);
+  call = scenario_call (s, 0, &ask);
   mux_blob_unref (ask.body);
   while (s->calls[call].answers == 0)
     fake_net_next (s->net);
@@ -257,6 +256,16 @@
   return scenario_submit (s, node, tag, give_up_ms);
 }
 
+uint32_t
+scenario_call (Scenario *s, uint32_t node, MuxAsk *ask)
+{
+  uint32_t call = add_call (s, node, SCENARIO_NO_TAG, ask->give_up_ms);
+
+  ask->call = call + 1;
+  fake_net_ask (s->net, node, ask);
+  return call;
+}
+
 void
 scenario_cancel (Scenario *s, uint32_t node, uint32_t tag)
 {
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -122,6 +122,8 @@
                            ScenarioClass class_id,
                            uint32_t run_ms,
                            uint32_t give_up_ms);
+/** scenario_call() - a question or change; Return: number of the call */
+uint32_t scenario_call (Scenario *s, uint32_t node, MuxAsk *ask);
 void scenario_cancel (Scenario *s, uint32_t node, uint32_t tag);
 void scenario_stop (Scenario *s, uint32_t node);
 void scenario_restart_worker (Scenario *s, uint32_t worker);
--- /dev/null
+++ b/test/unit/test_golden_core.c
@@ -0,0 +1,305 @@
+#include "support/core_record.h"
+#include "support/golden.h"
+#include "support/scenario.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define SEED 11
+#define GIVE_UP_MS 8000
+
+/* One session: a cell of its own and the record of it. */
+typedef struct
+{
+  Scenario *s;
+  CoreRecord *record;
+} Session;
+
+static Session
+begin (uint32_t nodes, uint32_t workers, uint32_t centres)
+{
+  Session session = { .s = scenario_new (SEED, nodes, workers, centres) };
+
+  session.record = core_record_new (session.s->net);
+  return session;
+}
+
+static char *
+end (Session *session)
+{
+  char *text = core_record_end (session->record);
+
+  if (session->s->wrong > 0)
+    fail_msg ("%s", session->s->first_wrong);
+  scenario_free (session->s);
+  return text;
+}
+
+/* Plays @story twice: the same seed must give the same bytes, since otherwise
+ * a difference from the file would tell nothing. */
+static void
+assert_golden (const char *name, char *(*story) (void) )
+{
+  char *first = story (), *second = story ();
+
+  assert_string_equal (first, second);
+  free (second);
+  golden_assert (name, first);
+  free (first);
+}
+
+/* The node's own workers take nothing, so that another owner must be asked. */
+static void
+leave_own (Scenario *s, uint32_t node)
+{
+  for (uint32_t i = 0; i < s->worker_count; i++)
+    if (s->owner[i] == node)
+      s->workers[i].state = MUX_INSTANCE_LEAVING;
+  scenario_run (s, 1100);
+}
+
+static char *
+booking_story (void)
+{
+  Session session = begin (2, 2, 2);
+  Scenario *s = session.s;
+  uint32_t call;
+
+  core_record_note (session.record, "entry-0's own workers are leaving");
+  leave_own (s, 0);
+  core_record_note (session.record, "a keyed booking at entry-0");
+  call = scenario_request (s, 0, SCENARIO_ONCE, 50, GIVE_UP_MS);
+  scenario_run (s, 300);
+  assert_true (scenario_told (s, call, MUX_OUTCOME_DONE));
+  return end (&session);
+}
+
+/* A seat is booked at a daemon whose own workers are leaving: the owner of
+ * another grants a place, the row of the key is written, and only then the
+ * start leaves.  A place granted after the start, or a start before the row,
+ * would let the same key run twice. */
+static void
+test_booking (void **state)
+{
+  (void) state;
+  assert_golden ("core_booking", booking_story);
+}
+
+static char *
+same_key_story (void)
+{
+  Session session = begin (2, 2, 2);
+  Scenario *s = session.s;
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 200);
+  uint32_t call;
+
+  core_record_note (session.record, "one key at both daemons");
+  call = scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_submit (s, 1, tag, GIVE_UP_MS);
+  scenario_run (s, 300);
+  assert_true (scenario_told (s, call, MUX_OUTCOME_DONE));
+  assert_true (scenario_told (s, call + 1, MUX_OUTCOME_DONE));
+  assert_int_equal (s->works[tag].runs, 1);
+  return end (&session);
+}
+
+/* A voucher is redeemed at two counters at once.  Both daemons ask for a
+ * place and write the key's row; one loses the row and must wait at the
+ * winner's worker for its answer, not start a second run. */
+static void
+test_same_key (void **state)
+{
+  (void) state;
+  assert_golden ("core_same_key", same_key_story);
+}
+
+static char *
+lost_start_story (void)
+{
+  Session session = begin (2, 2, 2);
+  Scenario *s = session.s;
+  uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+  uint32_t call;
+
+  core_record_note (session.record, "the answer of the next start is lost");
+  s->workers[0].lose_starts = s->workers[1].lose_starts = 1;
+  call = scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_run (s, 1000);
+  assert_true (scenario_told (s, call, MUX_OUTCOME_DONE));
+  assert_int_equal (s->works[tag].runs, 1);
+  return end (&session);
+}
+
+/* A start takes effect and its answer never comes.  The home settles at the
+ * worker and gives the caller the one run's answer; a home that starts anew
+ * elsewhere would book the seat twice. */
+static void
+test_lost_start (void **state)
+{
+  (void) state;
+  assert_golden ("core_lost_start", lost_start_story);
+}
+
+static char *
+jobs_story (void)
+{
+  Session session = begin (2, 2, 2);
+  Scenario *s = session.s;
+  uint32_t batch = scenario_work (s, SCENARIO_BATCH, true, 2, 100);
+  uint32_t gang = scenario_work (s, SCENARIO_GANG, true, 6, 100);
+
+  core_record_note (session.record, "a batch job of 2 tasks at entry-0");
+  scenario_submit (s, 0, batch, GIVE_UP_MS);
+  scenario_run (s, 1000);
+  core_record_note (session.record,
+                    "a gang of 6 at entry-1; a worker holds 4 at once");
+  scenario_submit (s, 1, gang, GIVE_UP_MS);
+  scenario_run (s, 2500);
+  assert_int_equal (s->works[batch].runs, 2);
+  assert_int_equal (s->works[gang].runs, 6);
+  assert_int_equal (s->works[batch].running + s->works[gang].running, 0);
+  assert_int_not_equal (s->owner[0], s->owner[1]);
+  return end (&session);
+}
+
+/* A settlement batch is recorded before its caller hears of it, placed and
+ * closed; a forecast's gang needs two owners' workers at the same time and
+ * starts only when every task has its place. */
+static void
+test_jobs (void **state)
+{
+  (void) state;
+  assert_golden ("core_jobs", jobs_story);
+}
+
+static char *
+killed_story (void)
+{
+  Session session = begin (2, 2, 1);
+  Scenario *s = session.s;
+  uint32_t tag = scenario_work (s, SCENARIO_REDO, true, 1, 8000);
+  uint32_t call;
+
+  scenario_submit (s, 1, tag, GIVE_UP_MS);
+  scenario_until_running (s, tag);
+  scenario_run (s, 500);
+  core_record_note (session.record, "entry-1 is killed");
+  fake_net_kill (s->net, 1);
+  scenario_run (s, 14000);
+  assert_int_equal (s->owner[0], 0);
+  assert_int_equal (s->owner[1], 0);
+  assert_int_equal (s->works[tag].running, 0);
+  core_record_note (session.record, "the job's caller asks at entry-0");
+  call = scenario_submit (s, 0, tag, GIVE_UP_MS);
+  scenario_run (s, 50);
+  assert_true (s->calls[call].answers == 1);
+  return end (&session);
+}
+
+/* A daemon dies with a job's task running on its worker.  The other claims
+ * the worker at a higher epoch, finds the task in its list and the job in the
+ * table, and ends it; a job that nobody adopts would stay open for good. */
+static void
+test_owner_killed (void **state)
+{
+  (void) state;
+  assert_golden ("core_owner_killed", killed_story);
+}
+
+static uint32_t
+put_cell (Scenario *s, uint32_t node, const char *who, const char *value)
+{
+  uint32_t call;
+  MuxAsk ask = { .verb = MUX_ASK_CONFIG_PUT,
+                 .sort = MUX_CONFIG_CELL,
+                 .name = "cell",
+                 .expect_set = true };
+
+  mux_name_copy (ask.who, who);
+  ask.body = mux_blob_new (value, strlen (value));
+  ask.change = (MuxId){ 1, node + 1 };
+  call = scenario_call (s, node, &ask);
+  mux_blob_unref (ask.body);
+  return call;
+}
+
+static char *
+change_story (void)
+{
+  Session session = begin (2, 2, 2);
+  Scenario *s = session.s;
+  uint32_t first, second;
+
+  core_record_note (session.record, "both operators saw no cell object");
+  first = put_cell (s, 0, "hajar", "{\"idle_ppm\":50000}");
+  second = put_cell (s, 1, "derby", "{\"idle_ppm\":90000}");
+  scenario_run (s, 600);
+  assert_int_equal ((s->calls[first].answer.status == 200)
+                        + (s->calls[second].answer.status == 200),
+                    1);
+  assert_int_equal ((s->calls[first].answer.status == 409)
+                        + (s->calls[second].answer.status == 409),
+                    1);
+  return end (&session);
+}
+
+/* Two operators change the same object at two daemons at once, each on what
+ * it saw.  One is committed and in force at both; the other is told what
+ * stands now, and its value never shows. */
+static void
+test_change (void **state)
+{
+  (void) state;
+  assert_golden ("core_change", change_story);
+}
+
+static char *
+stop_story (void)
+{
+  Session session = begin (2, 2, 1);
+  Scenario *s = session.s;
+  uint32_t call = scenario_request (s, 0, SCENARIO_ONCE, 1500, GIVE_UP_MS);
+  uint32_t late;
+
+  scenario_run (s, 100);
+  core_record_note (session.record, "entry-0 is to stop");
+  scenario_stop (s, 0);
+  scenario_run (s, 100);
+  core_record_note (session.record, "a caller who comes too late");
+  late = scenario_request (s, 0, SCENARIO_ONCE, 50, GIVE_UP_MS);
+  scenario_run (s, 2000);
+  assert_true (scenario_told (s, call, MUX_OUTCOME_DONE));
+  assert_true (scenario_told (s, late, MUX_OUTCOME_NOT_RUN));
+  assert_true (mux_core_stopped (s->net->nodes[0].core));
+  assert_int_equal (s->owner[0], 1);
+  assert_int_equal (s->owner[1], 1);
+  return end (&session);
+}
+
+/* A daemon is stopped with a booking in flight.  Its caller still gets the
+ * whole answer, new ones are told to go elsewhere, its workers are handed
+ * over, and only then is it done. */
+static void
+test_graceful_stop (void **state)
+{
+  (void) state;
+  assert_golden ("core_graceful_stop", stop_story);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_booking),       cmocka_unit_test (test_same_key),
+    cmocka_unit_test (test_lost_start),    cmocka_unit_test (test_jobs),
+    cmocka_unit_test (test_owner_killed),  cmocka_unit_test (test_change),
+    cmocka_unit_test (test_graceful_stop),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
