Let `make golden` write every file before it fails

It ended at the first program with a failing test, so that files of the programs after it stayed as they were. Now all are run and the status tells at the end.

--- a/tools/check.mk
+++ b/tools/check.mk
@@ -56,7 +56,7 @@
 
 GOLDEN = $(filter $(B)/unit/test_golden% $(B)/unit/test_cli%,$(UNIT))
 golden: $(GOLDEN)
-	set -e; for t in $(GOLDEN); do MUX_GOLDEN_WRITE=1 $$t; done
+	@bad=0; for t in $^; do MUX_GOLDEN_WRITE=1 $$t || bad=1; done; exit $$bad
 
 bench: all benches
 	@test -n "$(BENCH)" || { echo 'no test/bench/bench_*.c'; exit 1; }
