Let no job wait for ever for a class or behind what can't fit

The books' model test expected drops for lateness alone; it now accepts never_fits where the workers, empty, could not hold the task at the largest size it ever had. Running tasks' usage reports reach the learner.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -4,6 +4,9 @@
 
 #include <stdlib.h>
 
+/* Between looks for jobs whose tasks have not all been set going. */
+#define CARRY_MS 1000
+
 Jobs *
 jobs_new (void)
 {
@@ -132,6 +135,24 @@
     }
 }
 
+/*
+ * Failure: a job is adopted before this daemon has its class, as when both
+ * come with a start, or its class is set again after it was removed.  Nothing
+ * of the job's own would ever set it going.
+ */
+static void
+carry_on (MuxCore *core)
+{
+  Job *job, *next;
+
+  if (core->now_ms < core->jobs->next_carry_ms)
+    return;
+  core->jobs->next_carry_ms = core->now_ms + CARRY_MS;
+  HASH_ITER (hh, core->jobs->open, job, next)
+  if (job->carried && job->next_new < job->header.task_count)
+    job_carry (core, job);
+}
+
 void
 jobs_tick (MuxCore *core)
 {
@@ -140,6 +161,7 @@
   if (!core->stopping)
     job_scan (core);
   job_waits_tick (core);
+  carry_on (core);
   HASH_ITER (hh, core->jobs->open, job, next)
   {
     job_gang_tick (core, job);
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -91,6 +91,7 @@
   const MuxClassSpec *spec = config_class (core, job->header.class_name);
   uint32_t room;
 
+  job->carried = true;
   if (spec == NULL || job->ended || job->dropped || core->stopping)
     return;
   /* Tasks that run need no window. */
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -111,6 +111,7 @@
   uint8_t *in_write;  /* parts in the write in flight */
   uint64_t *part_rev; /* as last known */
   bool ended;         /* every slot is final; only its last write is missing */
+  bool carried;       /* its rows and body have been read */
   bool dropped;       /* carried on elsewhere */
   uint32_t active;
   uint32_t asking; /* of which not placed yet */
@@ -177,6 +178,7 @@
   JobSubmit *submits;
   JobWait *waits;
   int64_t next_write_ms;
+  int64_t next_carry_ms;
   int64_t next_scan_ms;
   bool scanning;
   bool scan_again; /* something changed during the look under way */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -296,6 +296,7 @@
       grant->seen = true;
       mux_name_copy (grant->ask.from, report->home);
       mux_sched_started (core->sched, report->task, core->now_ms);
+      mux_sched_used (core->sched, report->task, report->used);
       return;
     }
   /* Waiting for a second place while it runs here: this is a late start of
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -299,6 +299,19 @@
     }
 }
 
+/*
+ * Failure: what waits fitted when it asked, and since then its class was found
+ * to need more, or the workers that could hold it have left.  It would stand
+ * at the head of its class for ever, and all behind it.
+ */
+static void
+drop_hopeless (MuxSched *sched, MuxClass *class)
+{
+  while (class->queue.count > 0
+         && mux_class_fit_count (sched, class) < head_count (sched, class))
+    mux_queue_drop (sched, class->queue.node->item, MUX_REASON_NEVER_FITS);
+}
+
 void
 mux_sched_tick (MuxSched *sched, int64_t now_ms)
 {
@@ -314,6 +327,9 @@
     }
   mux_flow_tick (&sched->ends, dt);
   learn_sizes (sched);
+  for (uint32_t i = 0; i < sched->classes && sched->present > 0; i++)
+    if (sched->class_at[i]->configured)
+      drop_hopeless (sched, sched->class_at[i]);
   mux_breaker_tick (sched, now_ms);
   mux_reserve_update (sched);
   mux_hold_tick (sched, now_ms);
--- a/src/policy/learn.c
+++ b/src/policy/learn.c
@@ -76,7 +76,12 @@
   uint32_t seen = mux_hist_quantile (hist, SIZE_QUANTILE_PPM);
   uint64_t bound = (uint64_t) declared * SIZE_FACTOR_MAX;
 
-  if (hist->count < SIZE_REPORTS_MIN || (seen <= declared && !below))
+  if (hist->count < SIZE_REPORTS_MIN)
+    return declared;
+  /* Buckets are an eighth wide: what shares the declared size's bucket keeps
+   * to it, or tasks that use just what they declared would be booked above it
+   * and a worker that holds four of them would hold three. */
+  if (!below && mux_hist_share (hist, declared) >= SIZE_QUANTILE_PPM)
     return declared;
   if (declared > 0 && seen > bound)
     seen = (uint32_t) bound;
--- a/test/unit/test_sched_books.c
+++ b/test/unit/test_sched_books.c
@@ -50,6 +50,7 @@
   ModelWorker worker[WORKERS];
   ModelTask task[TASKS];
   MuxSize declared[CLASSES];
+  MuxSize most[CLASSES]; /* ever declared or reported, by resource */
   uint32_t next_gang;
   uint32_t placed;
   uint32_t dropped;
@@ -83,6 +84,20 @@
 static const char *const class_names[CLASSES]
     = { "booking", "settle", "forecast", "desk" };
 
+static uint32_t
+most (uint32_t a, uint32_t b)
+{
+  return a > b ? a : b;
+}
+
+static void
+note_size (Model *m, uint32_t c, MuxSize size)
+{
+  m->most[c] = (MuxSize){ most (m->most[c].cpu_milli, size.cpu_milli),
+                          most (m->most[c].mem_mib, size.mem_mib),
+                          most (m->most[c].accels, size.accels), 1 };
+}
+
 static void
 set_class (Model *m, uint32_t c)
 {
@@ -93,6 +108,7 @@
                         .run_ms = 100 };
 
   m->declared[c] = draw_size (m, 1);
+  note_size (m, c, m->declared[c]);
   spec.size = m->declared[c];
   mux_name_copy (spec.name, class_names[c]);
   assert_true (mux_sched_class_set (m->sched, &spec));
@@ -287,11 +303,35 @@
   m->placed++;
 }
 
+/* How many of a class the present workers could hold if they were empty, each
+ * as large as it was ever declared or seen. */
+static uint32_t
+could_hold (const Model *m, uint32_t c)
+{
+  uint32_t count = 0;
+
+  for (uint32_t w = 0; w < WORKERS; w++)
+    {
+      MuxSize free = m->worker[w].capacity;
+
+      for (; m->worker[w].present && mux_size_fits (m->most[c], free); count++)
+        free = mux_size_sub (free, m->most[c]);
+    }
+  return count;
+}
+
 static void
 check_dropped (Model *m, uint32_t t, const MuxPlacement *p)
 {
   int64_t give_up = m->task[t].give_up_ms;
 
+  if (p->reason == MUX_REASON_NEVER_FITS)
+    {
+      assert_true (could_hold (m, m->task[t].class_id)
+                   < (m->task[t].gang != 0 ? GANG_SIZE : 1));
+      m->task[t].state = ABSENT;
+      return;
+    }
   assert_int_equal (p->reason, MUX_REASON_DEADLINE);
   for (uint32_t k = 0; m->task[t].gang != 0 && k < TASKS; k++)
     if (m->task[k].gang == m->task[t].gang && m->task[k].give_up_ms < give_up)
@@ -350,7 +390,10 @@
                                      used, m->now_ms),
                     booked);
   if (booked)
-    m->task[t].state = ABSENT;
+    {
+      note_size (m, m->task[t].class_id, used);
+      m->task[t].state = ABSENT;
+    }
 }
 
 static void
