Name the scheduler's parts by the terms of the field

A hold is a reservation (a job hold means something else to operators), the shield the reserve level, patient work deferrable, shunning avoiding.

--- a/include/policy/tuning.h
+++ b/include/policy/tuning.h
@@ -7,7 +7,7 @@
  * struct MuxTuning - parts of the policy that a benchmark leaves out to
  * measure what they bring; a daemon never does
  * @no_reserve: no room is kept for urgent work
- * @no_hold: no workers are drained for gangs and large tasks
+ * @no_reservation: no workers are drained for gangs and large tasks
  * @no_breaker: workers are trusted whatever they fail
  * @no_learning: the declared size is booked
  * @no_spread: racks are not looked at
@@ -19,7 +19,7 @@
 typedef struct
 {
   bool no_reserve;
-  bool no_hold;
+  bool no_reservation;
   bool no_breaker;
   bool no_learning;
   bool no_spread;
--- a/src/policy/books.c
+++ b/src/policy/books.c
@@ -58,8 +58,9 @@
       uint64_t n = mux_size_dim (task->size, d);
 
       if (!class->urgent)
-        sched->patient_booked[d] = sign > 0 ? sched->patient_booked[d] + n
-                                            : sched->patient_booked[d] - n;
+        sched->deferrable_booked[d] = sign > 0
+                                          ? sched->deferrable_booked[d] + n
+                                          : sched->deferrable_booked[d] - n;
       worker->booked[d]
           = sign > 0 ? worker->booked[d] + n : worker->booked[d] - n;
       if (class->product != NULL)
@@ -264,9 +265,10 @@
     }
   mux_sched_worker_usable (sched, w, false);
   mux_breaker_reset (sched, w);
-  /* No part of a hold outlives its worker: the index may mean another. */
+  /* No part of a reservation outlives its worker: the index may mean another.
+   */
   if (worker->held)
-    mux_hold_drop (sched);
+    mux_reservation_drop (sched);
   worker->present = false;
   sched->racks -= --worker->rack->workers == 0;
   sched->present--;
--- a/src/policy/breaker.c
+++ b/src/policy/breaker.c
@@ -10,7 +10,7 @@
 /* An open worker that is due and was not probed for so long is tried. */
 #define UNPROBED_MS 10000
 /* How long a class stays off a worker that failed it. */
-#define SHUN_MS 30000
+#define AVOID_MS 30000
 /* A class's record fades; so many verdicts count. */
 #define JUDGED_MAX 32.0
 /* From this share of failing workers on, the class itself is at fault, but
@@ -100,7 +100,7 @@
 }
 
 static void
-mend (MuxSched *sched, uint32_t w)
+close_breaker (MuxSched *sched, uint32_t w)
 {
   MuxBreaker *breaker = &sched->worker[w].breaker;
 
@@ -115,7 +115,7 @@
 void
 mux_breaker_reset (MuxSched *sched, uint32_t w)
 {
-  mend (sched, w);
+  close_breaker (sched, w);
   sched->worker[w].breaker = (MuxBreaker){ 0 };
 }
 
@@ -126,7 +126,7 @@
 
   if (end == MUX_END_OK)
     {
-      mend (sched, w);
+      close_breaker (sched, w);
       return;
     }
   /* Stopped or never started tells nothing: probe again, no longer pause. */
@@ -238,21 +238,21 @@
       if (!sched->worker[w].present || breaker->state != MUX_BREAKER_OPEN
           || now_ms - breaker->open_until_ms < UNPROBED_MS)
         continue;
-      mend (sched, w);
+      close_breaker (sched, w);
       breaker->blame = BLAME_OPEN - BLAME_UNKNOWN;
       breaker->on_trial = true;
     }
 }
 
 bool
-mux_breaker_shuns (const MuxSched *sched,
-                   const MuxClass *class,
-                   uint32_t w,
-                   int64_t now_ms)
+mux_breaker_avoids (const MuxSched *sched,
+                    const MuxClass *class,
+                    uint32_t w,
+                    int64_t now_ms)
 {
   const MuxBreaker *breaker = &sched->worker[w].breaker;
 
   return !sched->tuning.no_breaker
          && (breaker->failing & class_bit (class)) != 0
-         && now_ms - breaker->failing_ms < SHUN_MS;
+         && now_ms - breaker->failing_ms < AVOID_MS;
 }
--- a/src/policy/classes.c
+++ b/src/policy/classes.c
@@ -110,7 +110,7 @@
 }
 
 /* What its tasks hold moves with the class from product to product, and
- * between urgent and patient work. */
+ * between urgent and deferrable work. */
 static void
 move_booked (MuxSched *sched, MuxClass *class, MuxProduct *to, bool urgent)
 {
@@ -133,8 +133,9 @@
           move (class->product != NULL ? &class->product->booked[d] : NULL,
                 &to->booked[d], n);
           if (flips)
-            sched->patient_booked[d] = urgent ? sched->patient_booked[d] - n
-                                              : sched->patient_booked[d] + n;
+            sched->deferrable_booked[d] = urgent
+                                              ? sched->deferrable_booked[d] - n
+                                              : sched->deferrable_booked[d] + n;
         }
     }
   class->product = to;
--- a/src/policy/decide.c
+++ b/src/policy/decide.c
@@ -1,6 +1,6 @@
 #include "internal.h"
 
-/* Reserve, hold, rates and sizes are looked at anew this often. */
+/* Reserve, reservation, rates and sizes are looked at anew this often. */
 #define TICK_MS 100
 /* Reports after which a class's booking size is looked at anew. */
 #define REPORTS_PER_LOOK 64u
@@ -10,10 +10,10 @@
 /* Who goes first: within each tier the earliest start deadline. */
 typedef enum
 {
-  TIER_URGENT,  /* short waits promised, product within its quota */
-  TIER_PATIENT, /* the rest within quota */
-  TIER_BORROW,  /* on idle quota of others */
-  TIER_NONE,    /* the quota is used up and can't be overdrawn */
+  TIER_URGENT,     /* short waits promised, product within its quota */
+  TIER_DEFERRABLE, /* the rest within quota */
+  TIER_BORROW,     /* on idle quota of others */
+  TIER_NONE,       /* the quota is used up and can't be overdrawn */
 } Tier;
 
 static bool
@@ -67,8 +67,8 @@
   MuxClass *class = sched->class_at[task->class_id];
   int64_t wait = now_ms - task->asked_ms;
 
-  if (mux_hold_owned (sched, t))
-    mux_hold_drop (sched);
+  if (mux_reservation_owned (sched, t))
+    mux_reservation_drop (sched);
   mux_queue_leave (sched, t);
   mux_book (sched, t, w, class->size);
   task->booked_ms = now_ms;
@@ -83,7 +83,8 @@
 tier_of (const MuxSched *sched, const MuxClass *class, uint32_t n)
 {
   if (mux_product_allows (sched, class, n))
-    return class->urgent || sched->tuning.no_tiers ? TIER_URGENT : TIER_PATIENT;
+    return class->urgent || sched->tuning.no_tiers ? TIER_URGENT
+                                                   : TIER_DEFERRABLE;
   return mux_class_borrows (class) ? TIER_BORROW : TIER_NONE;
 }
 
@@ -98,7 +99,8 @@
 {
   if (tier_of (sched, class, n) == TIER_URGENT)
     return true;
-  return mux_hold_owned (sched, t) && now_ms >= sched->task[t].start_by_ms
+  return mux_reservation_owned (sched, t)
+         && now_ms >= sched->task[t].start_by_ms
          && mux_reserve_floor (sched, class, n);
 }
 
@@ -110,8 +112,9 @@
 {
   return (MuxSeek){ .class = class,
                     .avoid = sched->task[t].avoid,
-                    .into_hold = mux_hold_owned (sched, t)
-                                 || mux_hold_backfills (sched, class, now_ms),
+                    .into_reservation
+                    = mux_reservation_owned (sched, t)
+                      || mux_reservation_backfills (sched, class, now_ms),
                     .now_ms = now_ms };
 }
 
@@ -147,7 +150,8 @@
     }
   if (w == MUX_NONE
       || (!ignores_reserve (sched, class, t, 1, now_ms)
-          && !mux_reserve_spares (sched, class, w, mux_hold_owned (sched, t))))
+          && !mux_reserve_spares (sched, class, w,
+                                  mux_reservation_owned (sched, t))))
     return false;
   emit_later (sched, t, w, now_ms);
   return true;
@@ -189,7 +193,8 @@
   seek.avoid = MUX_NONE;
   if (!mux_index_holds (sched, &seek, n, &loss)
       || (!ignores_reserve (sched, class, t, n, now_ms)
-          && !mux_reserve_leaves (sched, loss, mux_hold_owned (sched, t))))
+          && !mux_reserve_leaves (sched, loss,
+                                  mux_reservation_owned (sched, t))))
     return false;
   /* All fit together and have one size, so that no search can fail now. */
   while (n-- > 0)
@@ -207,17 +212,17 @@
 }
 
 static bool
-place_holder (MuxSched *sched, int64_t now_ms)
+place_reserved (MuxSched *sched, int64_t now_ms)
 {
-  MuxHold *hold = &sched->hold;
-  uint32_t t = hold->task;
+  MuxReservation *res = &sched->reservation;
+  uint32_t t = res->task;
 
-  if (t == MUX_NONE || hold->tried == sched->room_gen)
+  if (t == MUX_NONE || res->tried == sched->room_gen)
     return false;
-  hold->tried = sched->room_gen;
-  if (!mux_hold_owned (sched, t) || sched->queue_pos[t] == MUX_NONE)
+  res->tried = sched->room_gen;
+  if (!mux_reservation_owned (sched, t) || sched->queue_pos[t] == MUX_NONE)
     {
-      mux_hold_drop (sched);
+      mux_reservation_drop (sched);
       return false;
     }
   return place (sched, sched->class_at[sched->task[t].class_id], t, now_ms);
@@ -316,7 +321,7 @@
   learn_sizes (sched);
   mux_breaker_tick (sched, now_ms);
   mux_reserve_update (sched);
-  mux_hold_tick (sched, now_ms);
+  mux_reservation_tick (sched, now_ms);
   sched->tick_ms = now_ms + TICK_MS;
   /* The reserve may have shrunk, so that what did not fit may do so now. */
   sched->room_gen++;
@@ -332,7 +337,7 @@
   drop_expired (sched, now_ms);
   if (emit_drop (sched, now_ms, out))
     return true;
-  return (place_holder (sched, now_ms) || place_first (sched, now_ms))
+  return (place_reserved (sched, now_ms) || place_first (sched, now_ms))
          && emit_placed (sched, out);
 }
 
--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -79,7 +79,7 @@
 static double
 start_now (const MuxSched *sched, const MuxClass *class)
 {
-  double kept = sched->shield - sched->urgent_running;
+  double kept = sched->reserve_target - sched->urgent_running;
   double tasks = UINT32_MAX;
 
   if (sched->index.shape[class->shape].fits.count == 0)
--- a/src/policy/index.c
+++ b/src/policy/index.c
@@ -213,7 +213,7 @@
 {
   const MuxSched *sched;
   const MuxSeek *seek;
-  bool spare_hold;
+  bool spare_reservation;
   uint32_t rack_limit;
   uint32_t seen;
   uint32_t first;
@@ -228,7 +228,7 @@
   if (search->rack_limit > 0 && class->rack_count != NULL
       && class->rack_count[worker->rack->id] >= search->rack_limit)
     return false;
-  return !mux_breaker_shuns (search->sched, class, w, search->seek->now_ms);
+  return !mux_breaker_avoids (search->sched, class, w, search->seek->now_ms);
 }
 
 /* Workers of one word that are free for this search. */
@@ -239,7 +239,7 @@
   uint64_t word
       = level->word[k] & index->shape[search->seek->class->shape].fits.word[k];
 
-  if (search->spare_hold)
+  if (search->spare_reservation)
     word &= ~index->held.word[k];
   if (search->seek->avoid / WORD_BITS == k)
     word &= ~(UINT64_C (1) << (search->seek->avoid % WORD_BITS));
@@ -294,11 +294,12 @@
 mux_index_find (const MuxSched *sched, const MuxSeek *seek)
 {
   const MuxIndex *index = &sched->index;
-  Search search = { .sched = sched,
-                    .seek = seek,
-                    .spare_hold = !seek->into_hold && index->held.count > 0,
-                    .rack_limit = rack_limit (sched, seek->class),
-                    .first = MUX_NONE };
+  Search search
+      = { .sched = sched,
+          .seek = seek,
+          .spare_reservation = !seek->into_reservation && index->held.count > 0,
+          .rack_limit = rack_limit (sched, seek->class),
+          .first = MUX_NONE };
 
   if (index->shape[seek->class->shape].fits.count == 0)
     return MUX_NONE;
@@ -346,7 +347,7 @@
     {
       uint64_t word = want->fits.word[k];
 
-      if (!seek->into_hold)
+      if (!seek->into_reservation)
         word &= ~index->held.word[k];
       for (; word != 0 && missing > 0; word &= word - 1)
         {
@@ -362,7 +363,7 @@
 }
 
 void
-mux_index_held (MuxSched *sched, uint32_t w, bool held)
+mux_index_reserve (MuxSched *sched, uint32_t w, bool held)
 {
   sched->worker[w].held = held;
   bits_set (&sched->index.held, w, held);
--- a/src/policy/internal.h
+++ b/src/policy/internal.h
@@ -97,8 +97,8 @@
                       const MuxSeek *seek,
                       uint32_t n,
                       uint64_t *loss);
-/** mux_index_held() - @w joins or leaves the workers of the hold */
-void mux_index_held (MuxSched *sched, uint32_t w, bool held);
+/** mux_index_reserve() - @w joins or leaves the workers of the reservation */
+void mux_index_reserve (MuxSched *sched, uint32_t w, bool held);
 /** mux_index_emptiest() - up to @cap workers that can hold tasks of @class
  * when empty, those with most room first; stops when they hold @n together
  * Return: how many. */
@@ -146,16 +146,16 @@
  * urgent tasks */
 bool mux_reserve_leaves (const MuxSched *sched, uint64_t loss, bool holder);
 
-/* hold.c: the reservation of a blocked gang or large task */
-void mux_hold_tick (MuxSched *sched, int64_t now_ms);
-void mux_hold_drop (MuxSched *sched);
-/** mux_hold_owned() - @t is who the hold is for */
-bool mux_hold_owned (const MuxSched *sched, uint32_t t);
-/** mux_hold_backfills() - a task of @class started now is forecast to end
- * before the hold needs its workers */
-bool mux_hold_backfills (const MuxSched *sched,
-                         const MuxClass *class,
-                         int64_t now_ms);
+/* reservation.c: the reservation of a blocked gang or large task */
+void mux_reservation_tick (MuxSched *sched, int64_t now_ms);
+void mux_reservation_drop (MuxSched *sched);
+/** mux_reservation_owned() - @t is who the reservation is for */
+bool mux_reservation_owned (const MuxSched *sched, uint32_t t);
+/** mux_reservation_backfills() - a task of @class started now is forecast to
+ * end before the reservation needs its workers */
+bool mux_reservation_backfills (const MuxSched *sched,
+                                const MuxClass *class,
+                                int64_t now_ms);
 
 /* breaker.c: workers that fail what they start */
 void mux_breaker_end (MuxSched *sched,
@@ -170,12 +170,12 @@
 uint32_t mux_breaker_probe (MuxSched *sched, const MuxSeek *seek);
 /** mux_breaker_tick() - close what could not be probed for long */
 void mux_breaker_tick (MuxSched *sched, int64_t now_ms);
-/** mux_breaker_shuns() - @class failed lately on worker @w: others are tried
+/** mux_breaker_avoids() - @class failed lately on worker @w: others are tried
  * first, which also tells whether it fails there alone */
-bool mux_breaker_shuns (const MuxSched *sched,
-                        const MuxClass *class,
-                        uint32_t w,
-                        int64_t now_ms);
+bool mux_breaker_avoids (const MuxSched *sched,
+                         const MuxClass *class,
+                         uint32_t w,
+                         int64_t now_ms);
 /** mux_breaker_reset() - nothing is known of worker @w any more */
 void mux_breaker_reset (MuxSched *sched, uint32_t w);
 
--- a/src/policy/hold.c
+++ b/src/policy/reservation.c
@@ -2,13 +2,15 @@
 
 #include <stdlib.h>
 
-/* A hold lasts twice its forecast, and at least this long. */
-#define HOLD_MIN_MS 10000
+/* A reservation lasts twice its forecast, and at least this long. */
+#define RESERVATION_MIN_MS 10000
 /* Wait after which a task that is overdue is looked at again. */
 #define OVERDUE_MIN_MS 100
-/* How long tasks may run that backfill a hold which is blocked otherwise. */
+/* How long tasks may run that backfill a reservation which is blocked
+ * otherwise. */
 #define BLOCKED_MS 1000
-/* Workers looked at for a hold: enough to hold the gang so many times. */
+/* Workers looked at for a reservation: enough to hold the gang so many times.
+ */
 #define CHOICE_FACTOR 2u
 #define CHOICE_MIN 16u
 
@@ -39,22 +41,22 @@
 }
 
 bool
-mux_hold_owned (const MuxSched *sched, uint32_t t)
+mux_reservation_owned (const MuxSched *sched, uint32_t t)
 {
-  return sched->hold.task != MUX_NONE && sched->hold.task == t
-         && mux_id_equal (sched->hold.task_id, sched->task[t].id);
+  return sched->reservation.task != MUX_NONE && sched->reservation.task == t
+         && mux_id_equal (sched->reservation.task_id, sched->task[t].id);
 }
 
 void
-mux_hold_drop (MuxSched *sched)
+mux_reservation_drop (MuxSched *sched)
 {
-  MuxHold *hold = &sched->hold;
+  MuxReservation *res = &sched->reservation;
 
-  for (uint32_t i = 0; i < hold->count; i++)
-    mux_index_held (sched, hold->workers[i], false);
-  hold->count = 0;
-  hold->need = 0;
-  hold->task = MUX_NONE;
+  for (uint32_t i = 0; i < res->count; i++)
+    mux_index_reserve (sched, res->workers[i], false);
+  res->count = 0;
+  res->need = 0;
+  res->task = MUX_NONE;
 }
 
 /* One that has left or is distrusted since it was chosen is of no use. */
@@ -96,45 +98,45 @@
 }
 
 static bool
-hold_room (MuxHold *hold, uint32_t count)
+workers_room (MuxReservation *res, uint32_t count)
 {
   uint32_t *workers;
   MuxSize *left;
 
-  if (count <= hold->room)
+  if (count <= res->room)
     return true;
-  workers = realloc (hold->workers, count * sizeof *workers);
+  workers = realloc (res->workers, count * sizeof *workers);
   if (workers == NULL)
     return false;
-  hold->workers = workers;
-  left = realloc (hold->left, count * sizeof *left);
+  res->workers = workers;
+  left = realloc (res->left, count * sizeof *left);
   if (left == NULL)
     return false;
-  hold->left = left;
-  hold->room = count;
+  res->left = left;
+  res->room = count;
   return true;
 }
 
 static MuxRelease *
-release_room (MuxHold *hold, uint32_t count)
+release_room (MuxReservation *res, uint32_t count)
 {
   MuxRelease *release;
   uint32_t room = 2 * (count + 1);
 
-  if (count <= hold->release_room && hold->release != NULL)
-    return hold->release;
-  release = realloc (hold->release, (size_t) room * sizeof *release);
+  if (count <= res->release_room && res->release != NULL)
+    return res->release;
+  release = realloc (res->release, (size_t) room * sizeof *release);
   if (release == NULL)
     return NULL;
-  hold->release = release;
-  hold->release_room = room;
+  res->release = release;
+  res->release_room = room;
   return release;
 }
 
 /*
- * When @n tasks of @class fit together on hold.workers, if nothing else starts
- * there; INT64_MAX: not to be foreseen.  Leaves in hold.left what is free on
- * each worker by then.
+ * When @n tasks of @class fit together on reservation.workers, if nothing else
+ * starts there; INT64_MAX: not to be foreseen.  Leaves in reservation.left what
+ * is free on each worker by then.
  */
 static int64_t
 ready_at (MuxSched *sched,
@@ -143,10 +145,10 @@
           uint32_t count,
           int64_t now_ms)
 {
-  MuxHold *hold = &sched->hold;
-  const uint32_t *workers = hold->workers;
-  MuxRelease *release = release_room (hold, tasks_on (sched, workers, count));
-  MuxSize *room = hold->left;
+  MuxReservation *res = &sched->reservation;
+  const uint32_t *workers = res->workers;
+  MuxRelease *release = release_room (res, tasks_on (sched, workers, count));
+  MuxSize *room = res->left;
   int64_t ready = now_ms;
   uint64_t fit = 0;
   uint32_t releases;
@@ -198,26 +200,26 @@
 static void
 trim (MuxSched *sched, const MuxClass *class, uint32_t n, uint32_t count)
 {
-  MuxHold *hold = &sched->hold;
+  MuxReservation *res = &sched->reservation;
 
-  hold->need = 0;
+  res->need = 0;
   for (uint32_t i = 0; i < count && n > 0; i++)
     {
-      uint32_t times = mux_size_times (class->size, hold->left[i]);
+      uint32_t times = mux_size_times (class->size, res->left[i]);
 
       if (times == 0)
         continue;
       times = times < n ? times : n;
       n -= times;
-      hold->need += need_of (sched, class, times, hold->left[i]);
-      hold->workers[hold->count++] = hold->workers[i];
+      res->need += need_of (sched, class, times, res->left[i]);
+      res->workers[res->count++] = res->workers[i];
     }
 }
 
 static void
 begin (MuxSched *sched, uint32_t t, int64_t now_ms)
 {
-  MuxHold *hold = &sched->hold;
+  MuxReservation *res = &sched->reservation;
   const MuxClass *class = sched->class_at[sched->task[t].class_id];
   uint32_t n = unit_count (sched, t);
   uint32_t cap = sched->workers < CHOICE_MIN + CHOICE_FACTOR * n
@@ -225,54 +227,54 @@
                      : CHOICE_MIN + CHOICE_FACTOR * n;
   uint32_t count;
 
-  if (!hold_room (hold, cap))
+  if (!workers_room (res, cap))
     return;
   count = mux_index_emptiest (sched, class,
                               (uint64_t) n * CHOICE_FACTOR + CHOICE_MIN,
-                              hold->workers, cap);
-  hold->ready_ms = ready_at (sched, class, n, count, now_ms);
-  if (hold->ready_ms == INT64_MAX)
+                              res->workers, cap);
+  res->ready_ms = ready_at (sched, class, n, count, now_ms);
+  if (res->ready_ms == INT64_MAX)
     return;
   trim (sched, class, n, count);
-  hold->task = t;
-  hold->task_id = sched->task[t].id;
-  hold->tried = 0;
-  hold->until_ms = now_ms + 2 * (hold->ready_ms - now_ms) + HOLD_MIN_MS;
-  for (uint32_t i = 0; i < hold->count; i++)
-    mux_index_held (sched, hold->workers[i], true);
+  res->task = t;
+  res->task_id = sched->task[t].id;
+  res->tried = 0;
+  res->until_ms = now_ms + 2 * (res->ready_ms - now_ms) + RESERVATION_MIN_MS;
+  for (uint32_t i = 0; i < res->count; i++)
+    mux_index_reserve (sched, res->workers[i], true);
 }
 
 /* The end of stragglers is forecast anew, so that backfill stays possible. */
 static void
 refresh (MuxSched *sched, int64_t now_ms)
 {
-  MuxHold *hold = &sched->hold;
-  const MuxClass *class = sched->class_at[sched->task[hold->task].class_id];
+  MuxReservation *res = &sched->reservation;
+  const MuxClass *class = sched->class_at[sched->task[res->task].class_id];
 
-  hold->ready_ms = ready_at (sched, class, unit_count (sched, hold->task),
-                             hold->count, now_ms);
+  res->ready_ms = ready_at (sched, class, unit_count (sched, res->task),
+                            res->count, now_ms);
   /* All fits, yet the reserve or a quota stands in the way: until that is
    * over, short tasks may use the room. */
-  if (hold->ready_ms <= now_ms)
-    hold->ready_ms = now_ms + BLOCKED_MS;
+  if (res->ready_ms <= now_ms)
+    res->ready_ms = now_ms + BLOCKED_MS;
   /* Its workers can't hold it any more, as some have left. */
-  if (hold->ready_ms == INT64_MAX)
-    mux_hold_drop (sched);
+  if (res->ready_ms == INT64_MAX)
+    mux_reservation_drop (sched);
 }
 
 static bool
 stands (const MuxSched *sched, int64_t now_ms)
 {
-  const MuxHold *hold = &sched->hold;
+  const MuxReservation *res = &sched->reservation;
 
-  return hold->task != MUX_NONE && mux_hold_owned (sched, hold->task)
-         && sched->task[hold->task].state == MUX_TASK_WAITING
-         && sched->queue_pos[hold->task] != MUX_NONE && now_ms < hold->until_ms;
+  return res->task != MUX_NONE && mux_reservation_owned (sched, res->task)
+         && sched->task[res->task].state == MUX_TASK_WAITING
+         && sched->queue_pos[res->task] != MUX_NONE && now_ms < res->until_ms;
 }
 
 /* Gangs, tasks too large for any gap, and whoever has used up half of its
- * promised wait: without a hold smaller or more urgent ones would take every
- * gap before them. */
+ * promised wait: without a reservation smaller or more urgent ones would take
+ * every gap before them. */
 static bool
 deserves (const MuxSched *sched, const MuxClass *class, int64_t now_ms)
 {
@@ -287,7 +289,7 @@
          || now_ms >= head->key - half;
 }
 
-/* One hold at a time, the earliest deadline first: holds can't wait for each
+/* One at a time, the earliest deadline first: reservations can't wait for each
  * other.  One that expired without success goes behind the others. */
 static uint32_t
 choose (const MuxSched *sched, MuxId expired, int64_t now_ms)
@@ -311,18 +313,18 @@
 }
 
 void
-mux_hold_tick (MuxSched *sched, int64_t now_ms)
+mux_reservation_tick (MuxSched *sched, int64_t now_ms)
 {
-  MuxId expired = sched->hold.task_id;
+  MuxId expired = sched->reservation.task_id;
   uint32_t t;
 
   if (stands (sched, now_ms))
     refresh (sched, now_ms);
   else
-    mux_hold_drop (sched);
-  if (sched->hold.task != MUX_NONE)
+    mux_reservation_drop (sched);
+  if (sched->reservation.task != MUX_NONE)
     return;
-  if (sched->waiting == 0 || sched->tuning.no_hold)
+  if (sched->waiting == 0 || sched->tuning.no_reservation)
     return;
   t = choose (sched, expired, now_ms);
   if (t != MUX_NONE)
@@ -330,11 +332,11 @@
 }
 
 bool
-mux_hold_backfills (const MuxSched *sched,
-                    const MuxClass *class,
-                    int64_t now_ms)
+mux_reservation_backfills (const MuxSched *sched,
+                           const MuxClass *class,
+                           int64_t now_ms)
 {
   uint32_t run = mux_learn_run_ms (class, 900000);
 
-  return run != UINT32_MAX && now_ms + run <= sched->hold.ready_ms;
+  return run != UINT32_MAX && now_ms + run <= sched->reservation.ready_ms;
 }
--- a/src/policy/reserve.c
+++ b/src/policy/reserve.c
@@ -8,7 +8,7 @@
 /* The promise is aimed at with this much to spare, for errors of the
  * forecast. */
 #define MISS_MARGIN 4.0
-/* Part of the way down that the shield goes at each tick. */
+/* Part of the way down that the reserve_target goes at each tick. */
 #define FALL 0.05
 #define BETA_STEP 0.1
 #define BETA_MAX 4.0
@@ -87,16 +87,17 @@
 
   if (demand.tasks <= 0)
     {
-      sched->shield = 0;
+      sched->reserve_target = 0;
       return;
     }
   /* What is kept above the mean stands idle on average, so that the idle
    * target of the cell bounds it. */
   more = swing (&demand);
   want = demand.tasks + fmin (more, idle);
-  /* Patient tasks come in at each dip and stay for long, so the shield rises
-   * at once and falls slowly. */
-  sched->shield = fmax (want, sched->shield + (want - sched->shield) * FALL);
+  /* Deferrable tasks come in at each dip and stay for long, so the reserve
+   * rises at once and falls slowly. */
+  sched->reserve_target = fmax (
+      want, sched->reserve_target + (want - sched->reserve_target) * FALL);
 }
 
 static MuxSize
@@ -149,12 +150,12 @@
 bool
 mux_reserve_leaves (const MuxSched *sched, uint64_t loss, bool holder)
 {
-  double kept = fmax (0, sched->shield - sched->urgent_running);
+  double kept = fmax (0, sched->reserve_target - sched->urgent_running);
 
   /* What the holder is going to take is no spare room for anybody else, be
    * it free now or lent to urgent tasks. */
   if (!holder)
-    kept += (double) sched->hold.need;
+    kept += (double) sched->reservation.need;
   return sched->tuning.no_reserve || loss == 0
          || (double) sched->urgent_room >= kept + (double) loss;
 }
@@ -177,7 +178,7 @@
 bool
 mux_reserve_floor (const MuxSched *sched, const MuxClass *class, uint32_t n)
 {
-  if (sched->patient_booked[MUX_DIM_SLOTS] == 0)
+  if (sched->deferrable_booked[MUX_DIM_SLOTS] == 0)
     return true;
   for (uint32_t d = 0; d < MUX_DIMS; d++)
     {
@@ -185,7 +186,7 @@
       uint64_t floor = sched->total[d] / 1000000 * FLOOR_PPM
                        + sched->total[d] % 1000000 * FLOOR_PPM / 1000000;
 
-      if (sched->patient_booked[d] + need > floor)
+      if (sched->deferrable_booked[d] + need > floor)
         return false;
     }
   return true;
--- a/src/policy/risk.c
+++ b/src/policy/risk.c
@@ -28,8 +28,8 @@
  * @urgent_tasks: of them running at once
  * @urgent_waiting: waiting now
  * @urgent_capacity: that could run at once as things are
- * @patient_work: resources times ms that the others wait for
- * @patient_room: resources left to the others
+ * @deferrable_work: resources times ms that the others wait for
+ * @deferrable_room: resources left to the others
  */
 typedef struct
 {
@@ -37,8 +37,8 @@
   double urgent_tasks;
   double urgent_waiting;
   double urgent_capacity;
-  double patient_work[MUX_DIMS];
-  double patient_room[MUX_DIMS];
+  double deferrable_work[MUX_DIMS];
+  double deferrable_room[MUX_DIMS];
 } Outlook;
 
 /* Arrivals go on rising as they do now. */
@@ -69,9 +69,9 @@
       double size = mux_size_dim (class->size, d);
 
       if (class->urgent)
-        out->patient_room[d] -= rate * class->run_mean_ms * size;
+        out->deferrable_room[d] -= rate * class->run_mean_ms * size;
       else
-        out->patient_work[d] += class->waiting * class->run_mean_ms * size;
+        out->deferrable_work[d] += class->waiting * class->run_mean_ms * size;
     }
 }
 
@@ -83,7 +83,7 @@
   out.urgent_capacity
       = (double) sched->urgent_room + (double) sched->urgent_running;
   for (uint32_t d = 0; d < MUX_DIMS; d++)
-    out.patient_room[d] = (double) sched->total[d];
+    out.deferrable_room[d] = (double) sched->total[d];
   for (uint32_t i = 0; i < sched->classes; i++)
     if (sched->class_at[i]->configured)
       look_at_class (&out, sched->class_at[i]);
@@ -129,9 +129,9 @@
 
   for (uint32_t d = 0; d < MUX_DIMS; d++)
     {
-      double ms = out->patient_work[d] <= 0 ? 0
-                  : out->patient_room[d] > 0
-                      ? out->patient_work[d] / out->patient_room[d]
+      double ms = out->deferrable_work[d] <= 0 ? 0
+                  : out->deferrable_room[d] > 0
+                      ? out->deferrable_work[d] / out->deferrable_room[d]
                       : 10 * HORIZON_MS;
 
       if (ms <= longest)
@@ -266,9 +266,9 @@
       double tasks = out->urgent_tasks + 2 * sqrt (out->urgent_tasks)
                      + out->urgent_waiting - out->urgent_capacity;
 
-      more[d] = class->urgent
-                    ? size * tasks
-                    : out->patient_work[d] / within - out->patient_room[d];
+      more[d] = class->urgent ? size * tasks
+                              : out->deferrable_work[d] / within
+                                    - out->deferrable_room[d];
     }
   return (MuxSize){ cut (more[MUX_DIM_CPU]), cut (more[MUX_DIM_MEM]),
                     cut (more[MUX_DIM_ACCELS]), cut (more[MUX_DIM_SLOTS]) };
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -40,7 +40,7 @@
   sched->worker_gen = 1;
   sched->room_gen = 1;
   sched->rack_room = RACKS_MIN;
-  sched->hold.task = MUX_NONE;
+  sched->reservation.task = MUX_NONE;
   sched->next_probe_ms = INT64_MAX;
   sched->tick_ms = INT64_MIN;
   /* The generator must not start from 0. */
@@ -64,9 +64,9 @@
   mux_classes_clear (sched);
   mux_racks_clear (sched);
   mux_index_clear (&sched->index);
-  free (sched->hold.workers);
-  free (sched->hold.left);
-  free (sched->hold.release);
+  free (sched->reservation.workers);
+  free (sched->reservation.left);
+  free (sched->reservation.release);
   mux_heap_clear (&sched->expire);
   mux_idmap_clear (&sched->task_ids);
   mux_idmap_clear (&sched->gang_ids);
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -252,7 +252,7 @@
  * @free: capacity less booked, never below 0
  * @present: the index is in use
  * @usable: may get new work, as the caller says
- * @held: drained for the task or gang of the hold
+ * @held: drained for the task or gang of the reservation
  * @urgent_room: urgent tasks of the largest size that it could start now
  * @level: level of the index it stands in, or MUX_NONE
  */
@@ -283,7 +283,7 @@
 } MuxRelease;
 
 /**
- * struct MuxHold - workers that are drained for one blocked task or gang
+ * struct MuxReservation - workers that are drained for one blocked task or gang
  * @task: the task, or the leader of the gang, or MUX_NONE
  * @task_id: its id, as the index may be reused
  * @workers: the workers, in @count entries
@@ -308,20 +308,20 @@
   MuxSize *left;
   MuxRelease *release;
   uint32_t release_room;
-} MuxHold;
+} MuxReservation;
 
 /**
  * struct MuxSeek - what a search for a worker asks for
  * @class: whose task it is
  * @avoid: worker not to use, or MUX_NONE
- * @into_hold: workers held for another may be taken
+ * @into_reservation: workers reserved for another may be taken
  * @now_ms: the time
  */
 typedef struct
 {
   const MuxClass *class;
   uint32_t avoid;
-  bool into_hold;
+  bool into_reservation;
   int64_t now_ms;
 } MuxSeek;
 
@@ -352,7 +352,7 @@
  * struct MuxIndex - workers by free room
  * @words: words of each set
  * @level: workers by level of free room
- * @held: workers of the hold
+ * @held: workers of the reservation
  * @shape: the distinct sizes
  */
 typedef struct
@@ -411,14 +411,14 @@
   int64_t tick_ms;
   uint64_t decisions;
   MuxFlow ends;
-  double shield;
+  double reserve_target;
   MuxSize urgent_size;
   uint64_t urgent_room;
   uint64_t urgent_most;
   uint32_t urgent_running;
-  uint64_t patient_booked[MUX_DIMS];
+  uint64_t deferrable_booked[MUX_DIMS];
   MuxTuning tuning;
-  MuxHold hold;
+  MuxReservation reservation;
   uint64_t random;
 
   MuxIndex index;
--- a/test/bench/bench_policy.c
+++ b/test/bench/bench_policy.c
@@ -20,7 +20,7 @@
 
 static const Candidate candidates[] = {
   { .name = "cuminmux" },
-  { .name = "no_hold", .tuning.no_hold = true },
+  { .name = "no_reservation", .tuning.no_reservation = true },
   { .name = "no_spread", .tuning.no_spread = true },
   { .name = "no_reserve", .tuning.no_reserve = true },
   { .name = "no_learning", .tuning.no_learning = true },
