--- a/src/core/jobs_show.c
+++ b/src/core/jobs_show.c
@@ -197,6 +197,7 @@
       if (job != NULL)
         {
           job->rev = reply->rev;
+          job->header.cancel = true;
           job_answer (core, call, 200, job);
           job_cancel (core, job);
           return;
--- a/src/daemon/door_respond.c
+++ b/src/daemon/door_respond.c
@@ -10,6 +10,8 @@
 /* How soon a caller that this daemon turned away may come back. */
 #define REFUSED_RETRY_MS 1000
 #define HEADER_LEN 32
+/* The first HTTP status that tells of an error. */
+#define STATUS_ERROR 400
 
 static void
 add_header (struct _u_response *response, const char *name, const char *value)
@@ -52,17 +54,11 @@
   json_decref (json);
 }
 
-static bool
-needs_reason (MuxOutcome outcome)
-{
-  return outcome != MUX_OUTCOME_DONE && outcome != MUX_OUTCOME_INFO;
-}
-
 void
 mux_respond_answer (struct _u_response *response, const MuxAnswer *answer)
 {
   char task[MUX_ID_HEX_LEN];
-  bool refused = needs_reason (answer->outcome);
+  bool refused = answer->status >= STATUS_ERROR;
 
   response->status = (long) answer->status;
   add_header (response, "Cuminmux-Outcome", mux_outcome_name (answer->outcome));
