--- a/tools/check.mk
+++ b/tools/check.mk
@@ -27,6 +27,7 @@
 	$(STEP) build-tsan $(SUB) VARIANT=tsan $(TSAN_TESTS:%=build/tsan/unit/%)
 	$(STEP) unit-tsan env TEST_LABEL=tsan tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%)
 	$(STEP) unit tools/run-tests $(UNIT)
+	$(STEP) proofs tools/run-tests $(PROOF_FAST)
 
 check-format:
 	clang-format --dry-run -Werror $(SOURCES)
