Adopt jobs only with the classes known and their slots read

(2) By reading: a cancel that came while an adopter still read the slots would have ended all of them as new while tasks of the job ran. Ruled out: the adoption's write, which stood. Looks wait for the configuration, every look carries on what had no class, and slots not yet read are left alone.

--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -1,4 +1,5 @@
 #include "call.h"
+#include "config.h"
 #include "jobs_private.h"
 #include "member.h"
 
@@ -73,6 +74,7 @@
 static void
 adopted (MuxCore *core, Job *job)
 {
+  job->loaded = true;
   mux_count (core->counters, MUX_COUNT_JOBS_ADOPTED, 1);
   core_log (core, 5, "job_adopted", "class=%s tasks=%u", job->header.class_name,
             job->header.task_count);
@@ -395,6 +397,17 @@
   jobs->scan_again = false;
 }
 
+/* A job whose class was not configured when it came is carried on once it
+ * is. */
+static void
+carry_all (MuxCore *core)
+{
+  Job *job, *next;
+
+  HASH_ITER (hh, core->jobs->open, job, next)
+  job_carry (core, job);
+}
+
 void
 job_scan (MuxCore *core)
 {
@@ -406,6 +419,13 @@
     jobs->next_scan_ms = core->now_ms + core_jitter (core, SCAN_FIRST_MS);
   if (jobs->scanning || core->now_ms < jobs->next_scan_ms)
     return;
+  /* Without the classes an adopted job could not be carried. */
+  if (!config_loaded (core))
+    {
+      jobs->next_scan_ms = core->now_ms + RETRY_MS;
+      return;
+    }
+  carry_all (core);
   jobs->next_scan_ms = core->now_ms + SCAN_FIRST_MS;
   if (jobs->scan_after[0] == 0 && !scan_from_part (core, 0))
     return;
--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -91,7 +91,8 @@
   const MuxClassSpec *spec = config_class (core, job->header.class_name);
   uint32_t room;
 
-  if (spec == NULL || job->ended || job->dropped || core->stopping)
+  if (spec == NULL || !job->loaded || job->ended || job->dropped
+      || core->stopping)
     return;
   /* Tasks that run need no window. */
   room = job->asking < WINDOW_TASKS ? WINDOW_TASKS - job->asking : 0;
@@ -123,6 +124,9 @@
   TaskEvent event = { .kind = TASK_EV_CANCEL, .reason = MUX_REASON_CANCELLED };
 
   job->header.cancel = true;
+  /* Slots that were not read yet look new; adoption comes back to this. */
+  if (!job->loaded)
+    return;
   for (uint32_t i = 0; i < job->header.task_count; i++)
     {
       Task *task = task_find (core, mux_id_of_part (job->id, i));
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -104,6 +104,7 @@
   Slot *slots;
   uint8_t *dirty; /* parts to be written */
   bool dirty_any;
+  bool loaded; /* the slots are those on record */
   bool urgent; /* a task waits for the write */
   bool writing;
   bool reading;
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -75,8 +75,10 @@
   if (job == NULL)
     job_retake (core, submit->id);
   submit_free (core, submit);
-  if (job != NULL)
-    job_carry (core, job);
+  if (job == NULL)
+    return;
+  job->loaded = true;
+  job_carry (core, job);
 }
 
 /* A row of that id stands: an earlier submission of the same key, or this one
