--- a/test/proof/proof_once.c
+++ b/test/proof/proof_once.c
@@ -129,8 +129,38 @@
   scenario_settle (s, 30000);
 }
 
-/* The same, and the daemon is killed before it can read the row back.  The
- * write may take effect after its process is gone. */
+/* A desk gives up while its row is being written and asks again: the second
+ * submission is granted another worker.  The answer to the first write must
+ * not start it there, or the row leads the next one to a worker where nothing
+ * ran, and the voucher is redeemed twice. */
+static void
+once_given_up_in_write (Scenario *s, bool without)
+{
+  (void) without;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
+
+      s->net->table_slow_ms = 700;
+      scenario_submit (s, 0, tag, 40);
+      scenario_run (s, 50);
+      standin_worker_set_leaving (s->workers[i * 2].logic, true);
+      s->workers[i * 2].state = MUX_INSTANCE_LEAVING;
+      scenario_lists (s);
+      scenario_submit (s, 0, tag, GIVE_UP_MS);
+      s->net->table_slow_ms = 0;
+      scenario_run (s, 3000);
+      s->workers[i * 2].state = MUX_INSTANCE_LIVE;
+      standin_worker_set_leaving (s->workers[i * 2].logic, false);
+      scenario_submit (s, 1, tag, GIVE_UP_MS);
+      scenario_run (s, GIVE_UP_MS);
+      proof_expect_all (s, s->call_count - 2, 2, MUX_OUTCOME_DONE);
+    }
+  scenario_settle (s, 30000);
+}
+
+/* A write's answer is lost and its daemon is killed before it can read the
+ * row back.  The write may take effect after its process is gone. */
 static void
 write_lost_and_killed (Scenario *s, bool without)
 {
@@ -227,6 +257,7 @@
   { "once_home_frozen", once_home_frozen, true, 2, 2, 2 },
   { "once_home_killed", once_home_killed, true, 2, 2, 2 },
   { "once_write_lost", once_write_lost, false, 2, 2, 1 },
+  { "once_given_up_in_write", once_given_up_in_write, false, 2, 4, 2 },
   { "write_lost_and_killed", write_lost_and_killed, false, 2, 2, 2 },
   { "once_worker_restarted", once_worker_restarted, true, 1, 1, 1 },
   { "once_start_overtaken", once_start_overtaken, true, 1, 1, 1 },
--- a/test/support/scenario.c
+++ b/test/support/scenario.c
@@ -34,10 +34,9 @@
   return items;
 }
 
-static void
-give_lists (void *arg)
+void
+scenario_lists (Scenario *s)
 {
-  Scenario *s = arg;
   MuxInstanceList *list
       = calloc (1, sizeof *list + s->worker_count * sizeof list->item[0]);
   MuxEvent event = { .kind = MUX_EVENT_INSTANCES, .u.instances = list };
@@ -59,6 +58,14 @@
         && s->net->nodes[i].thaw_ms <= s->net->now_ms)
       fake_net_give (s->net, i, &event);
   free (list);
+}
+
+static void
+give_lists (void *arg)
+{
+  Scenario *s = arg;
+
+  scenario_lists (s);
   fake_net_later (s->net, LIST_EVERY_MS, give_lists, s);
 }
 
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -106,6 +106,8 @@
                         uint32_t workers,
                         uint32_t centres);
 void scenario_free (Scenario *s);
+/** scenario_lists() - give every daemon the list of workers now */
+void scenario_lists (Scenario *s);
 void scenario_run (Scenario *s, int64_t ms);
 /** scenario_work() - new work; @parts over 0: a job of so many tasks */
 uint32_t scenario_work (Scenario *s,
