--- a/src/policy/hist.h
+++ b/src/policy/hist.h
@@ -8,18 +8,20 @@
 
 /**
  * struct MuxHist - logarithmic histogram that forgets slowly
+ * @most: largest observation; bounds what a bucket's upper edge adds
  * @count: sum of all buckets; they are halved when it reaches a bound
  * @bucket: observations by magnitude
  */
 typedef struct
 {
+  uint32_t most;
   uint32_t count;
   uint32_t bucket[MUX_HIST_BUCKETS];
 } MuxHist;
 
 void mux_hist_add (MuxHist *hist, uint32_t value, uint32_t times);
 /** mux_hist_quantile() - upper edge of the bucket in which the @ppm quantile
- * lies; 0 when empty */
+ * lies, or the largest observation if that is less; 0 when empty */
 uint32_t mux_hist_quantile (const MuxHist *hist, uint32_t ppm);
 /** mux_hist_share() - share of observations up to @value, in millionths */
 uint32_t mux_hist_share (const MuxHist *hist, uint32_t value);
