--- a/test/proof/proof_faults.c
+++ b/test/proof/proof_faults.c
@@ -87,6 +87,9 @@
   uint32_t first = load (s, 1000, SCENARIO_MANY);
   int64_t stop_ms = s->net->now_ms;
 
+  proof_fill (s, old, SCENARIO_MANY, 3, 2500);
+  scenario_run (s, 100);
+
   if (without)
     fake_net_kill (s->net, old);
   else
@@ -296,6 +299,27 @@
   scenario_settle (s, 30000);
 }
 
+/* The first attempt of a request is held up on its way, put down and made
+ * anew.  When the worker then refuses the first, its answer must not be taken
+ * for the second's, which runs: the work would be started a third time. */
+static void
+superseded_reply (Scenario *s, bool without)
+{
+  (void) without;
+  s->workers[0].late_starts = 1;
+  s->workers[0].late_ms = 6000;
+  scenario_submit (s, 0, scenario_work (s, SCENARIO_ONCE, false, 0, 4000),
+                   20000);
+  scenario_run (s, 1000);
+  s->workers[0].cut[0] = true;
+  scenario_run (s, 1600);
+  s->workers[0].cut[0] = false;
+  scenario_run (s, 15000);
+  proof_expect_all (s, s->call_count - 1, 1, MUX_OUTCOME_DONE);
+  proof_expect (s, s->run_count == 1, "it did not run once");
+  scenario_settle (s, 10000);
+}
+
 /* Answers overtake one another, some are lost, attempts are superseded.  Each
  * caller gets one answer, whole, and its own; the checker compares each. */
 static void
@@ -330,6 +354,7 @@
   { "store_slow", store_slow, false, 1, 2, 1 },
   { "silent_connection", silent_connection, false, 1, 2, 1 },
   { "silent_one_way", silent_one_way, false, 3, 3, 1 },
+  { "superseded_reply", superseded_reply, false, 1, 1, 1 },
   { "own_whole_answer", own_whole_answer, false, 2, 4, 1 },
 };
 
--- a/test/proof/proof_place.c
+++ b/test/proof/proof_place.c
@@ -76,19 +76,48 @@
   uint32_t home = s->owner[0];
 
   (void) without;
-  s->workers[0].slow_ms = 400;
+  s->net->table_slow_ms = 300;
   scenario_submit (s, home, tag, 9000);
   scenario_submit (s, 1 - home, tag, 60);
   scenario_run (s, 100);
+  s->net->table_slow_ms = 0;
   proof_fill (s, home, SCENARIO_MANY, 4, 5000);
   scenario_settle (s, 30000);
 }
 
+/* A daemon is frozen for long and wakes.  To it all others have been silent
+ * for as long; taking them for dead it would claim every worker, and every
+ * start that they have under way would be refused.  What was sent to it in the
+ * meantime is lost.  Its own silence is no evidence, so workers that others
+ * were first for are not claimed. */
+static void
+wakes_quietly (Scenario *s, bool without)
+{
+  uint32_t old = s->owner[0];
+  uint32_t owner[SCENARIO_WORKERS_MAX];
+  uint32_t claims[SCENARIO_WORKERS_MAX];
+
+  (void) without;
+  memcpy (owner, s->owner, sizeof owner);
+  fake_net_freeze (s->net, old, 9000);
+  for (uint32_t i = 0; i < s->net->node_count; i++)
+    s->net->cut[i][old] = true;
+  scenario_run (s, 8990);
+  memset (s->net->cut, 0, sizeof s->net->cut);
+  memcpy (claims, s->claims, sizeof claims);
+  scenario_run (s, 400);
+  for (uint32_t i = 0; i < s->worker_count; i++)
+    proof_expect (s, owner[i] == old || s->claims[i] == claims[i],
+                  "it claimed a worker of others");
+  scenario_settle (s, 20000);
+}
+
 static const Proof proofs[] = {
   { "two_owners", two_owners, true, 3, 1, 1 },
   { "frozen_store_down", frozen_store_down, true, 3, 1, 1 },
   { "late_start", late_start, true, 1, 1, 1 },
   { "restart_start_on_way", restart_start_on_way, true, 1, 1, 1 },
+  { "wakes_quietly", wakes_quietly, false, 3, 4, 1 },
   { "second_asker_gives_up", second_asker_gives_up, false, 2, 1, 1 },
 };
 
--- a/test/support/fake_worker.c
+++ b/test/support/fake_worker.c
@@ -250,7 +250,8 @@
     {
       worker->late_starts--;
       arrive_ms = worker->late_ms;
-      give_nothing (item);
+      if (arrive_ms >= (int64_t) call->timeout_ms)
+        give_nothing (item);
     }
   fake_net_later (worker->net, arrive_ms, arrive, item);
 }
--- a/test/support/fake_worker.h
+++ b/test/support/fake_worker.h
@@ -12,8 +12,7 @@
  * @cut: the same for calls of one node
  * @lost_ppm: share of answers that are lost, after the effect
  * @lose_starts: so many answers of START are lost, after the effect
- * @late_starts: so many STARTs arrive only after @late_ms; their caller hears
- *   nothing in time
+ * @late_starts: so many STARTs arrive only after @late_ms
  * @slow_ms: calls and answers take up to so much longer, so that they overtake
  *   one another
  * @ignores_epoch, @ignores_incarnation, @ignores_not_after, @ignores_forget:
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -71,6 +71,7 @@
  * struct Scenario - daemons' cores, workers and a table on a fake clock, with
  *   a checker that looks at every execution and answer
  * @owner: node whose claim stands at a worker; UINT32_MAX: none
+ * @claims: claims that a worker granted so far
  * @wrong: broken promises so far; @first_wrong names the first
  * @store_fails: the table will be away at times; then idempotent requests go
  *   on without their rows and two submissions of one may both run (DESIGN)
@@ -83,6 +84,7 @@
   FakeWorker workers[SCENARIO_WORKERS_MAX];
   MuxSize booked[SCENARIO_WORKERS_MAX];
   uint32_t owner[SCENARIO_WORKERS_MAX];
+  uint32_t claims[SCENARIO_WORKERS_MAX];
   ScenarioWork *works;
   uint32_t work_count, work_cap;
   ScenarioRun *runs;
--- a/test/support/scenario_check.c
+++ b/test/support/scenario_check.c
@@ -163,7 +163,10 @@
   if (strcmp (event->event, "start") == 0)
     began (s, worker, event);
   else if (strcmp (event->event, "claim") == 0)
-    s->owner[worker] = node_of (s, event->owner);
+    {
+      s->owner[worker] = node_of (s, event->owner);
+      s->claims[worker]++;
+    }
   else if (strcmp (event->event, "overcommit_attempt") == 0)
     scenario_wrong (s, "worker %u was to hold more than it can", worker);
   if (strcmp (event->event, "end") != 0)
