--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -149,7 +149,7 @@
     return;
   core->jobs->next_carry_ms = core->now_ms + CARRY_MS;
   HASH_ITER (hh, core->jobs->open, job, next)
-  if (job->carried && job->next_new < job->header.task_count)
+  if (job->loaded && job->next_new < job->header.task_count)
     job_carry (core, job);
 }
 
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -104,6 +104,7 @@
   Slot *slots;
   uint8_t *dirty; /* parts to be written */
   bool dirty_any;
+  bool loaded; /* the slots are those on record */
   bool urgent; /* a task waits for the write */
   bool writing;
   bool reading;
@@ -111,7 +112,6 @@
   uint8_t *in_write;  /* parts in the write in flight */
   uint64_t *part_rev; /* as last known */
   bool ended;         /* every slot is final; only its last write is missing */
-  bool carried;       /* its rows and body have been read */
   bool dropped;       /* carried on elsewhere */
   uint32_t active;
   uint32_t asking; /* of which not placed yet */
