--- a/test/bench/bench_door.c
+++ b/test/bench/bench_door.c
@@ -14,7 +14,7 @@
 #include <time.h>
 
 #define WORKERS 4
-#define SLOTS 128
+#define SLOTS 128u
 #define CALLERS_MAX 256
 #define READY_MS 20000
 #define TIMEOUT_MS 30000
@@ -219,8 +219,8 @@
       const char *value = strrchr (line, ' ');
 
       if (strstr (line, "{reason=") != NULL && strcmp (value, " 0") != 0)
-        printf ("door.daemon.c%u.%.*s%s total\n", callers,
-                (int) (value - line), line, value);
+        printf ("door.daemon.c%u.%.*s%s total\n", callers, (int) (value - line),
+                line, value);
     }
   mux_http_reply_clear (&reply);
   mux_http_free (http);
