Look at jobs' long tasks ever more rarely, and soon when a daemon dies

A home looked at each running task of its jobs every 10 to 20 s: 208 looks a second and 148 KB/s for 3,115 tasks, a daemon's share of 81,000. The owner tells of ends; the look is for when its word was lost.

--- a/src/core/task.c
+++ b/src/core/task.c
@@ -252,6 +252,10 @@
 
   HASH_ITER (hh, core->tasks, task, next)
   {
+    /* Its worker may have gone with the daemon that would have told of it,
+     * and that need not be the one that granted it. */
+    if (task->has_job && task->state == TASK_RUNNING)
+      task_look_soon (core, task);
     if ((task->state != TASK_ASKING && task->state != TASK_HOLDING)
         || strcmp (task->owner, owner) != 0)
       continue;
--- a/src/core/task_private.h
+++ b/src/core/task_private.h
@@ -66,4 +66,8 @@
                   uint32_t retry_ms);
 void task_free (MuxCore *core, Task *task);
 
+/** task_look_soon() - a job's running task may have lost who tells of its end
+ */
+void task_look_soon (MuxCore *core, Task *task);
+
 #endif
--- a/src/core/task_steps.c
+++ b/src/core/task_steps.c
@@ -14,9 +14,11 @@
 /* Calls without an answer after which a caller is told "unknown". */
 #define LOST_MAX 4
 /* A job's running task is looked at, if nobody tells of its end, after its
- * declared run time, then after twice that and so on, within these bounds. */
+ * declared run time, then after twice that and so on, within these bounds; one
+ * that declares none, first after the time below. */
 #define JOB_LOOK_MIN_MS 500
-#define JOB_LOOK_MS 10000
+#define JOB_LOOK_FIRST_MS 10000
+#define JOB_LOOK_MAX_MS 1200000
 /* Longest pause before a refused ask is made again. */
 #define ASK_PAUSE_MAX_MS 5000
 /* Times that a failed run of idempotent work is tried again. */
@@ -415,18 +417,29 @@
 /*
  * Failure: an owner of many workers lists their tasks rarely, and a job of
  * short tasks would wait for each list.  Its home looks by itself, soon after
- * the end is due, then ever more rarely, as declared run times are often far
- * too short.
+ * the end is due, then ever more rarely: declared run times are often far too
+ * short, and looks at thousands of long tasks would be all that a daemon does.
+ * A lost word of a task's end so delays its job by about the task's run time.
  */
 static int64_t
 job_look_ms (const Task *task)
 {
-  int64_t look_ms
-      = task->run_ms > JOB_LOOK_MIN_MS ? task->run_ms : JOB_LOOK_MIN_MS;
+  int64_t look_ms = task->run_ms;
 
-  for (uint32_t i = 0; i < task->looks && look_ms < JOB_LOOK_MS; i++)
+  if (look_ms == 0)
+    look_ms = JOB_LOOK_FIRST_MS;
+  if (look_ms < JOB_LOOK_MIN_MS)
+    look_ms = JOB_LOOK_MIN_MS;
+  for (uint32_t i = 0; i < task->looks && look_ms < JOB_LOOK_MAX_MS; i++)
     look_ms *= 2;
-  return task->run_ms == 0 || look_ms > JOB_LOOK_MS ? JOB_LOOK_MS : look_ms;
+  return look_ms < JOB_LOOK_MAX_MS ? look_ms : JOB_LOOK_MAX_MS;
+}
+
+void
+task_look_soon (MuxCore *core, Task *task)
+{
+  task->looks = 0;
+  task_wake (core, task, core_jitter (core, JOB_LOOK_FIRST_MS));
 }
 
 static void
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -198,11 +198,49 @@
   core_harness_free (h, NULL);
 }
 
+/*
+ * A service's tasks run for days.  Their home hears of an end from the owner;
+ * when a daemon dies, it may take that word with it, for the worker can die in
+ * the same rack.  The home looks by itself then, and else hardly ever.
+ */
+static void
+test_looks_at_long_tasks_are_rare (void **state)
+{
+  CoreHarnessOptions options = {
+    .workers = WORKERS, .slots = 64, .remote = true, .members = 2, .table_ms = 1
+  };
+  CoreHarness *h = core_harness_new (&options);
+  MuxAsk ask
+      = { .verb = MUX_ASK_JOB_SUBMIT, .name = "desk", .task_count = 1000 };
+  uint64_t before;
+
+  (void) state;
+  core_harness_put (h, MUX_CONFIG_PRODUCT, "p",
+                    "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,"
+                    "\"accels\":0,\"slots\":0}}");
+  core_harness_put (h, MUX_CONFIG_CLASS, "desk",
+                    "{\"product\":\"p\",\"kind\":\"long_running\","
+                    "\"idempotent\":true,\"start_within_ms\":2800,"
+                    "\"start_share_ppm\":990000,\"size\":{\"cpu_milli\":100,"
+                    "\"mem_mib\":100,\"accels\":0},\"run_ms\":0}");
+  core_harness_ask (h, &ask);
+  core_harness_run (h, 6 * MINUTES_MS);
+  before = h->asked[MUX_WORKER_FETCH];
+  core_harness_run (h, 6 * MINUTES_MS);
+  assert_in_range (h->asked[MUX_WORKER_FETCH] - before, 500, 2 * 1000);
+  before = h->asked[MUX_WORKER_FETCH];
+  h->options.members = 1;
+  core_harness_run (h, 30000);
+  assert_in_range (h->asked[MUX_WORKER_FETCH] - before, 1000, 2 * 1000);
+  core_harness_free (h, NULL);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_job_does_not_wait_for_renewals),
+      = { cmocka_unit_test (test_looks_at_long_tasks_are_rare),
+          cmocka_unit_test (test_job_does_not_wait_for_renewals),
           cmocka_unit_test (test_one_daemon_adopts_all_jobs),
           cmocka_unit_test (test_looks_for_jobs_are_shared),
           cmocka_unit_test (test_far_heartbeats_are_bounded),
