--- a/test/bench/bench_door.c
+++ b/test/bench/bench_door.c
@@ -219,8 +219,8 @@
       const char *value = strrchr (line, ' ');
 
       if (strstr (line, "{reason=") != NULL && strcmp (value, " 0") != 0)
-        printf ("door.daemon.c%u.%.*s%s total\n", callers,
-                (int) (value - line), line, value);
+        printf ("door.daemon.c%u.%.*s%s total\n", callers, (int) (value - line),
+                line, value);
     }
   mux_http_reply_clear (&reply);
   mux_http_free (http);
@@ -289,7 +289,7 @@
 
   snprintf (path, sizeof path, "%s/standin-worker", bin);
   snprintf (name, sizeof name, "direct-%u", index);
-  snprintf (capacity, sizeof capacity, "128000,131072,0,%u", SLOTS);
+  snprintf (capacity, sizeof capacity, "128000,131072,0,%d", SLOTS);
   bench->direct[index] = mux_proc_start (&options, &err);
   check (bench->direct[index] != NULL, "worker", &err);
   check (mux_proc_word (bench->direct[index], 0, bench->direct_addr[index],
--- a/test/bench/slopes_core.c
+++ b/test/bench/slopes_core.c
@@ -32,7 +32,7 @@
   char json[512];
 
   snprintf (json, sizeof json, CLASS_JSON, kind, idempotent ? "true" : "false",
-            strcmp (kind, "long_running") == 0 ? 0 : 5);
+            strcmp (kind, "long_running") == 0 ? 0U : 5U);
   core_harness_put (h, MUX_CONFIG_CLASS, name, json);
 }
 
