--- a/test/support/operators.c
+++ b/test/support/operators.c
@@ -263,11 +263,13 @@
                               object, "who", json_object_get (row, "who")));
 }
 
-/* All pages of the history at one daemon. */
+/* All pages of the history at one daemon.  A page that can't be read is asked
+ * for again; what is still missing at the end counts as lost. */
 static void
 log_history (const MuxOperatorsOptions *options,
              MuxHttp *http,
-             const MuxMember *daemon)
+             const MuxMember *daemon,
+             int64_t until_ms)
 {
   int64_t after = 0;
   bool more = true;
@@ -281,6 +283,11 @@
 
       snprintf (path, sizeof path, "/v1/history?after=%lld", (long long) after);
       page = get (http, daemon->addr, path);
+      if (page == NULL && mux_mono_ms () < until_ms)
+        {
+          mux_pause_ms (LOOK_PAUSE_MS);
+          continue;
+        }
       more = json_is_true (json_object_get (page, "more"));
       json_array_foreach (json_object_get (page, "changes"), i, row)
       {
@@ -309,6 +316,6 @@
       mux_pause_ms (LOOK_PAUSE_MS);
     }
   for (uint32_t i = 0; http != NULL && i < options->cluster->daemon_count; i++)
-    log_history (options, http, &options->cluster->daemon[i]);
+    log_history (options, http, &options->cluster->daemon[i], until_ms);
   mux_http_free (http);
 }
