--- a/src/base/mac.c
+++ b/src/base/mac.c
@@ -18,7 +18,7 @@
                         strlen (text), code)
       != 0)
     return false;
-  for (unsigned i = 0; i < sizeof code; i++)
+  for (size_t i = 0; i < sizeof code; i++)
     snprintf (out + 2 * i, 3, "%02x", code[i]);
   return true;
 }
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -87,13 +87,12 @@
   if (index >= core->index_count)
     {
       uint32_t count = index + 64;
-      Worker **grown
-          = realloc (core->by_index, count * sizeof core->by_index[0]);
+      Worker **grown = realloc (core->by_index, count * sizeof (Worker *));
 
       if (grown == NULL)
         return false;
       memset (grown + core->index_count, 0,
-              (count - core->index_count) * sizeof grown[0]);
+              (count - core->index_count) * sizeof (Worker *));
       core->by_index = grown;
       core->index_count = count;
     }
