Warn at start of a peers' port without keys

A daemon without CURVE keys believes whoever reaches its peer port and signs tickets with an empty secret, and nothing said so.

--- a/include/base/address.h
+++ b/include/base/address.h
@@ -16,6 +16,10 @@
                         struct sockaddr_storage *addr,
                         socklen_t *len);
 
+/** mux_address_loopback() - whether @text, as mux_address_parse() reads it, is
+ * reached from this instance alone */
+bool mux_address_loopback (const char *text);
+
 /** mux_address_format() - write @addr as mux_address_parse() reads it
  * Return: false when the family is unknown or @cap is too small. */
 bool
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -3,6 +3,7 @@
 #include "adapter/peer.h"
 #include "adapter/platform.h"
 #include "adapter/worker.h"
+#include "base/address.h"
 #include "clock.h"
 #include "core_thread.h"
 #include "pem.h"
@@ -317,6 +318,17 @@
            stopped ? "yes" : "no");
 }
 
+/* Without keys anyone who reaches the peers' port is believed, and tickets are
+ * signed with a secret that everybody has. */
+static void
+warn_without_keys (const Daemon *daemon)
+{
+  if (*daemon->options->curve_secret_key == 0
+      && !mux_address_loopback (daemon->peer_listen))
+    mux_log (MUX_LOG_WARNING, "peers_unchecked", "peer=%s keys=none",
+             daemon->peer_listen);
+}
+
 int
 mux_daemon_run (const MuxDaemonOptions *options)
 {
@@ -334,6 +346,7 @@
     }
   mux_log (MUX_LOG_NOTICE, "started", "name=%s listen=%s peer=%s",
            options->name, daemon.listen, daemon.peer_listen);
+  warn_without_keys (&daemon);
   printf ("listening %s peer %s\n", daemon.listen, daemon.peer_listen);
   fflush (stdout);
   while (sigwait (&stop, &signal_number) != 0)
