Let cuminmux speak HTTPS and check certificates

--server takes https URLs, --ca-file or CUMINMUX_CA_FILE names the certificates that alone are trusted; else the system's. ulfius's client takes a folder of certificates beside the system's but no file, and tells neither what was wrong with a certificate nor whether anything was sent, so the command line uses libcurl, on which ulfius's is built, as the adapters do. What is certainly not sent is now told by curl's call before the request, in place of a trial connection made beforehand. A refused certificate is named with its daemon; nothing is sent to it. Timeouts are no longer rounded up to seconds.

--- a/src/cli/all.c
+++ b/src/cli/all.c
@@ -6,22 +6,25 @@
 static json_t *
 read_one (MuxCliCall *call, uint32_t index, const char *path)
 {
-  MuxServers one = { .count = 1 };
+  MuxServers one = { .count = 1,
+                     .server = { call->servers.server[index] },
+                     .ca_file = call->servers.ca_file };
   MuxHttpCall http
       = { .method = "GET", .timeout_ms = call->timeout_ms, .repeatable = true };
   MuxHttpAnswer answer;
   json_t *json = NULL;
   int code;
 
-  snprintf (one.addr[0], sizeof one.addr[0], "%s", call->servers.addr[index]);
   snprintf (http.path, sizeof http.path, "%s", path);
   code = mux_http_exchange (call->host, &one, &http, &answer);
   if (code == MUX_EXIT_OK)
     json = json_loadb (answer.body, answer.body_len, 0, NULL);
   if (!json_is_object (json))
     {
+      /* The error names the daemon by itself. */
       fprintf (call->host->err, "cuminmux: no answer from %s%s%s\n",
-               one.addr[0], answer.reason[0] != 0 ? ": " : "", answer.reason);
+               answer.error[0] != 0 ? answer.error : one.server[0].addr,
+               answer.reason[0] != 0 ? ": " : "", answer.reason);
       json_decref (json);
       json = NULL;
     }
@@ -45,7 +48,7 @@
         json_array_append_new (*answers, json);
       else
         json_array_append_new (*unanswered,
-                               json_string (call->servers.addr[i]));
+                               json_string (call->servers.server[i].addr));
     }
   if (json_array_size (*answers) == 0)
     return MUX_EXIT_UNREACHED;
--- a/src/cli/arg_spec.c
+++ b/src/cli/arg_spec.c
@@ -9,7 +9,11 @@
 const MuxArgSpec mux_arg_specs[MUX_ARG_COUNT] = {
   [MUX_ARG_SERVER]
   = { "server", "URLS", MUX_CHECK_TEXT, 0, 0, 0, NULL,
-      "daemons, tried in order: http://ip:port[,…] (CUMINMUX_SERVER)" },
+      "daemons, tried in order: http[s]://ip:port[,…] (CUMINMUX_SERVER)" },
+  [MUX_ARG_CA_FILE]
+  = { "ca-file", "PATH", MUX_CHECK_TEXT, 0, 0, 0, NULL,
+      "PEM certificates that alone are trusted for https; default: the "
+      "system's (CUMINMUX_CA_FILE)" },
   [MUX_ARG_TIMEOUT_MS]
   = { "timeout-ms", "MS", MUX_CHECK_NUMBER, 1, TIMEOUT_MS_MAX, 5000, NULL,
       "longest wait for an answer; default 5000 (CUMINMUX_TIMEOUT_MS)" },
--- a/src/cli/args.c
+++ b/src/cli/args.c
@@ -16,6 +16,7 @@
   MuxArg arg;
   const char *name;
 } environment[] = { { MUX_ARG_SERVER, "CUMINMUX_SERVER" },
+                    { MUX_ARG_CA_FILE, "CUMINMUX_CA_FILE" },
                     { MUX_ARG_TIMEOUT_MS, "CUMINMUX_TIMEOUT_MS" },
                     { MUX_ARG_WHO, "CUMINMUX_WHO" },
                     { MUX_ARG_JSON, "CUMINMUX_JSON" } };
--- a/src/cli/args.h
+++ b/src/cli/args.h
@@ -12,6 +12,7 @@
 typedef enum
 {
   MUX_ARG_SERVER,
+  MUX_ARG_CA_FILE,
   MUX_ARG_TIMEOUT_MS,
   MUX_ARG_WHO,
   MUX_ARG_JSON,
--- a/src/cli/call.c
+++ b/src/cli/call.c
@@ -76,6 +76,8 @@
     fprintf (err, ": %s", answer->reason);
   if (told != NULL && text != NULL)
     fprintf (err, ": %s", text);
+  if (code == MUX_EXIT_UNREACHED && answer->error[0] != 0)
+    fprintf (err, ": %s", answer->error);
   fputc ('\n', err);
   free (text);
   print_findings (err, json_object_get (body, "findings"));
@@ -98,6 +100,8 @@
     json_object_set_new (report, "text", json_string (text_of_code (code)));
   if (answer->reason[0] != 0)
     json_object_set_new (report, "reason", json_string (answer->reason));
+  if (code == MUX_EXIT_UNREACHED && answer->error[0] != 0)
+    json_object_set_new (report, "error", json_string (answer->error));
   if (answer->retry_ms[0] != 0)
     json_object_set_new (report, "retry_ms",
                          json_integer (atoll (answer->retry_ms)));
--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -1,60 +1,44 @@
 #include "client.h"
 
-#include <errno.h>
-#include <netdb.h>
-#include <orcania.h>
-#include <poll.h>
+#include "base/address.h"
+
+#include <curl/curl.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <ulfius.h>
-#include <unistd.h>
 
-#define SCHEME "http://"
+#define HTTP "http://"
+#define HTTPS "https://"
 #define CONNECT_MS_MAX 2000
+#define BODY_MAX ((size_t) 64 << 20)
 
-/* Splits "ip:port" or "[ip6]:port" and lets the system check the numbers. */
-static struct addrinfo *
-address_of (const char *addr)
-{
-  struct addrinfo hints = { .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
-                            .ai_socktype = SOCK_STREAM };
-  struct addrinfo *found = NULL;
-  char host[MUX_ADDR_LEN];
-  const char *colon = strrchr (addr, ':');
-  size_t len;
-
-  if (colon == NULL || colon == addr || colon[1] == 0)
-    return NULL;
-  len = (size_t) (colon - addr);
-  if (addr[0] == '[' && colon[-1] == ']')
-    {
-      addr++;
-      len -= 2;
-    }
-  memcpy (host, addr, len);
-  host[len] = 0;
-  return getaddrinfo (host, colon + 1, &hints, &found) == 0 ? found : NULL;
+static bool
+scheme_parse (const char **text, size_t *len, const char *scheme)
+{
+  size_t n = strlen (scheme);
+
+  if (*len <= n || strncmp (*text, scheme, n) != 0)
+    return false;
+  *text += n;
+  *len -= n;
+  return true;
 }
 
 static bool
-server_parse (const char *text, size_t len, char addr[MUX_ADDR_LEN])
+server_parse (const char *text, size_t len, MuxServer *server)
 {
-  size_t scheme = strlen (SCHEME);
-  struct addrinfo *found;
+  struct sockaddr_storage addr;
+  socklen_t addr_len;
 
-  if (len > scheme && text[len - 1] == '/')
-    len--;
-  if (len <= scheme || strncmp (text, SCHEME, scheme) != 0
-      || len - scheme >= MUX_ADDR_LEN)
+  server->tls = scheme_parse (&text, &len, HTTPS);
+  if (!server->tls && !scheme_parse (&text, &len, HTTP))
     return false;
-  memcpy (addr, text + scheme, len - scheme);
-  addr[len - scheme] = 0;
-  found = address_of (addr);
-  if (found == NULL)
+  if (text[len - 1] == '/')
+    len--;
+  if (len >= MUX_ADDR_LEN)
     return false;
-  freeaddrinfo (found);
-  return true;
+  memcpy (server->addr, text, len);
+  server->addr[len] = 0;
+  return mux_address_parse (server->addr, &addr, &addr_len);
 }
 
 bool
@@ -66,7 +50,7 @@
       size_t len = strcspn (text, ",");
 
       if (servers->count == MUX_SERVERS_MAX
-          || !server_parse (text, len, servers->addr[servers->count]))
+          || !server_parse (text, len, &servers->server[servers->count]))
         return false;
       servers->count++;
       if (text[len] == 0)
@@ -75,129 +59,249 @@
     }
 }
 
+/* Not ulfius's client, which this one takes the place of: that takes no file of
+ * certificates to trust, its error does not say whether anything was sent nor
+ * what was wrong with the certificate, and its timeout counts whole seconds.
+ * It is built on libcurl itself. */
+
+/**
+ * struct Exchange - one sending
+ * @curl: the HTTP client
+ * @headers: of the request, owned
+ * @answer: being filled
+ * @sent: the request may have left
+ */
+typedef struct
+{
+  CURL *curl;
+  struct curl_slist *headers;
+  MuxHttpAnswer *answer;
+  bool sent;
+} Exchange;
+
+/* Called with the connection made and, under TLS, its certificate checked,
+ * right before the request is sent.  A failure before this was certainly sent
+ * nothing; one after it may have reached the daemon. */
+static int
+on_send (void *ctx, char *ip, char *own_ip, int port, int own_port)
+{
+  Exchange *exchange = ctx;
+
+  (void) ip;
+  (void) own_ip;
+  (void) port;
+  (void) own_port;
+  exchange->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+/* A short return makes curl end the exchange with an error. */
+static size_t
+on_body (char *bytes, size_t size, size_t count, void *ctx)
+{
+  MuxHttpAnswer *answer = ((Exchange *) ctx)->answer;
+  size_t len = size * count;
+  char *body;
+
+  if (len > BODY_MAX - answer->body_len)
+    return 0;
+  body = realloc (answer->body, answer->body_len + len + 1);
+  if (body == NULL)
+    return 0;
+  memcpy (body + answer->body_len, bytes, len);
+  answer->body = body;
+  answer->body_len += len;
+  body[answer->body_len] = 0;
+  return len;
+}
+
 static bool
-connect_within (int fd, const struct addrinfo *to, uint32_t timeout_ms)
+add_header (Exchange *exchange, const char *name, const char *value)
 {
-  struct pollfd wait = { .fd = fd, .events = POLLOUT };
-  int error = 0;
-  socklen_t len = sizeof error;
+  char line[1024];
+  struct curl_slist *headers;
+  int n = snprintf (line, sizeof line, "%s: %s", name, value);
 
-  if (connect (fd, to->ai_addr, to->ai_addrlen) == 0)
-    return true;
-  if (timeout_ms > CONNECT_MS_MAX)
-    timeout_ms = CONNECT_MS_MAX;
-  if (errno != EINPROGRESS || poll (&wait, 1, (int) timeout_ms) != 1)
+  if (n < 0 || (size_t) n >= sizeof line)
     return false;
-  return getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 && error == 0;
+  headers = curl_slist_append (exchange->headers, line);
+  if (headers != NULL)
+    exchange->headers = headers;
+  return headers != NULL;
 }
 
-/* The HTTP client says only that a call failed, not whether anything was
- * sent.  A daemon that takes no connection here was certainly sent nothing;
- * a failure after this may have reached it. */
 static bool
-takes_connections (const char *addr, uint32_t timeout_ms)
+fill_headers (Exchange *exchange, const MuxHttpCall *call)
 {
-  struct addrinfo *to = address_of (addr);
-  bool connected = false;
-  int fd;
-
-  if (to == NULL)
+  /* curl's own would call the body a form. */
+  if (call->body != NULL
+      && !add_header (exchange, "Content-Type", "application/octet-stream"))
     return false;
-  fd = socket (to->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd >= 0)
+  for (const MuxHttpPair *p = call->header; p->name != NULL; p++)
+    if (!add_header (exchange, p->name, p->value))
+      return false;
+  return curl_easy_setopt (exchange->curl, CURLOPT_HTTPHEADER,
+                           exchange->headers)
+         == CURLE_OK;
+}
+
+static bool
+fill_query (CURLU *url, const MuxHttpCall *call)
+{
+  char pair[1024];
+
+  for (const MuxHttpPair *p = call->query; p->name != NULL; p++)
     {
-      connected = connect_within (fd, to, timeout_ms);
-      close (fd);
+      int n = snprintf (pair, sizeof pair, "%s=%s", p->name, p->value);
+
+      if (n < 0 || (size_t) n >= sizeof pair
+          || curl_url_set (url, CURLUPART_QUERY, pair,
+                           CURLU_APPENDQUERY | CURLU_URLENCODE)
+                 != CURLUE_OK)
+        return false;
     }
-  freeaddrinfo (to);
-  return connected;
+  return true;
 }
 
 static bool
-fill_request (struct _u_request *request,
-              const char *addr,
+fill_url (Exchange *exchange, const MuxServer *server, const MuxHttpCall *call)
+{
+  char text[sizeof HTTPS + MUX_ADDR_LEN + sizeof call->path];
+  char *whole = NULL;
+  CURLU *url = curl_url ();
+  bool filled;
+
+  snprintf (text, sizeof text, "%s%s%s", server->tls ? HTTPS : HTTP,
+            server->addr, call->path);
+  filled = url != NULL
+           && curl_url_set (url, CURLUPART_URL, text, 0) == CURLUE_OK
+           && fill_query (url, call)
+           && curl_url_get (url, CURLUPART_URL, &whole, 0) == CURLUE_OK
+           && curl_easy_setopt (exchange->curl, CURLOPT_URL, whole) == CURLE_OK;
+  curl_free (whole);
+  curl_url_cleanup (url);
+  return filled;
+}
+
+static bool
+fill_tls (Exchange *exchange, const char *ca_file)
+{
+  CURL *curl = exchange->curl;
+
+  if (ca_file == NULL)
+    return true;
+  /* Who names its authority trusts no other, whatever the system has. */
+  return curl_easy_setopt (curl, CURLOPT_CAPATH, NULL) == CURLE_OK
+         && curl_easy_setopt (curl, CURLOPT_CAINFO, ca_file) == CURLE_OK;
+}
+
+static bool
+fill_request (Exchange *exchange,
+              const MuxServer *server,
+              const char *ca_file,
               const MuxHttpCall *call)
 {
-  char url[sizeof SCHEME + MUX_ADDR_LEN + sizeof call->path];
-  unsigned long seconds = (call->timeout_ms + 999) / 1000;
+  CURL *curl = exchange->curl;
+  long timeout_ms = (long) call->timeout_ms;
+  long connect_ms = timeout_ms < CONNECT_MS_MAX ? timeout_ms : CONNECT_MS_MAX;
 
-  snprintf (url, sizeof url, SCHEME "%s%s", addr, call->path);
-  if (ulfius_set_request_properties (request, U_OPT_HTTP_VERB, call->method,
-                                     U_OPT_HTTP_URL, url, U_OPT_TIMEOUT,
-                                     seconds, U_OPT_NONE)
-      != U_OK)
-    return false;
-  /* Without the empty proxy the HTTP client would follow http_proxy from the
-   * environment, and a write could go through a party that repeats it.  The
-   * property for it takes no empty text. */
-  request->proxy = o_strdup ("");
-  if (request->proxy == NULL)
-    return false;
-  for (const MuxHttpPair *p = call->query; p->name != NULL; p++)
-    if (u_map_put (request->map_url, p->name, p->value) != U_OK)
-      return false;
-  for (const MuxHttpPair *p = call->header; p->name != NULL; p++)
-    if (u_map_put (request->map_header, p->name, p->value) != U_OK)
-      return false;
-  return call->body == NULL
-         || ulfius_set_binary_body_request (request, call->body, call->body_len)
-                == U_OK;
+  curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, call->method);
+  /* Else the HTTP client would follow http_proxy from the environment, and a
+   * write could go through a party that repeats it. */
+  curl_easy_setopt (curl, CURLOPT_PROXY, "");
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, exchange);
+  curl_easy_setopt (curl, CURLOPT_PREREQFUNCTION, on_send);
+  curl_easy_setopt (curl, CURLOPT_PREREQDATA, exchange);
+  if (call->body != NULL)
+    {
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t) call->body_len);
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDS, call->body);
+    }
+  return fill_url (exchange, server, call) && fill_headers (exchange, call)
+         && fill_tls (exchange, ca_file);
 }
 
 static void
-copy_header (const struct _u_response *response,
-             const char *name,
-             char *out,
-             size_t cap)
+copy_header (CURL *curl, const char *name, char *out, size_t cap)
 {
-  const char *value = u_map_get_case (response->map_header, name);
+  struct curl_header *header;
 
-  snprintf (out, cap, "%s", value != NULL ? value : "");
+  if (curl_easy_header (curl, name, 0, CURLH_HEADER, -1, &header) == CURLHE_OK)
+    snprintf (out, cap, "%s", header->value);
 }
 
 static bool
-take_answer (const struct _u_response *response, MuxHttpAnswer *answer)
+take_answer (CURL *curl, MuxHttpAnswer *answer)
 {
-  answer->body = malloc (response->binary_body_length + 1);
+  if (answer->body == NULL)
+    answer->body = calloc (1, 1);
   if (answer->body == NULL)
     return false;
-  if (response->binary_body_length > 0)
-    memcpy (answer->body, response->binary_body, response->binary_body_length);
-  answer->body[response->binary_body_length] = 0;
-  answer->body_len = response->binary_body_length;
-  answer->status = response->status;
-  copy_header (response, "Cuminmux-Outcome", answer->outcome,
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &answer->status);
+  copy_header (curl, "Cuminmux-Outcome", answer->outcome,
                sizeof answer->outcome);
-  copy_header (response, "Cuminmux-Reason", answer->reason,
-               sizeof answer->reason);
-  copy_header (response, "Cuminmux-Retry-Ms", answer->retry_ms,
+  copy_header (curl, "Cuminmux-Reason", answer->reason, sizeof answer->reason);
+  copy_header (curl, "Cuminmux-Retry-Ms", answer->retry_ms,
                sizeof answer->retry_ms);
-  copy_header (response, "Cuminmux-Task", answer->task, sizeof answer->task);
+  copy_header (curl, "Cuminmux-Task", answer->task, sizeof answer->task);
   return true;
 }
 
+/* What an operator can mend: a daemon that is there, but not to be trusted. */
+static const char *
+tls_error (CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_PEER_FAILED_VERIFICATION:
+      return "its certificate is not trusted, or is for another address";
+    case CURLE_SSL_CACERT_BADFILE:
+      return "the certificates of --ca-file can't be used";
+    case CURLE_SSL_CONNECT_ERROR:
+      return "TLS could not be set up; does it speak plain HTTP?";
+    default:
+      return NULL;
+    }
+}
+
+static MuxSent
+perform (Exchange *exchange, const MuxServer *server)
+{
+  MuxHttpAnswer *answer = exchange->answer;
+  CURLcode code = curl_easy_perform (exchange->curl);
+
+  if (code == CURLE_OK && take_answer (exchange->curl, answer))
+    return MUX_SENT_ANSWERED;
+  mux_http_answer_free (answer);
+  if (exchange->sent)
+    return MUX_SENT_LOST;
+  if (tls_error (code) != NULL)
+    snprintf (answer->error, sizeof answer->error, "%s: %s", server->addr,
+              tls_error (code));
+  return MUX_SENT_NOT_REACHED;
+}
+
 MuxSent
-mux_http_send (const char *addr, const MuxHttpCall *call, MuxHttpAnswer *answer)
+mux_http_send (const MuxServer *server,
+               const char *ca_file,
+               const MuxHttpCall *call,
+               MuxHttpAnswer *answer)
 {
-  struct _u_request request;
-  struct _u_response response;
+  Exchange exchange = { .curl = curl_easy_init (), .answer = answer };
   MuxSent sent = MUX_SENT_NOT_REACHED;
 
-  if (!takes_connections (addr, call->timeout_ms)
-      || ulfius_init_request (&request) != U_OK)
+  memset (answer, 0, sizeof *answer);
+  if (exchange.curl == NULL)
     return MUX_SENT_NOT_REACHED;
-  if (ulfius_init_response (&response) == U_OK)
-    {
-      if (fill_request (&request, addr, call))
-        {
-          sent = MUX_SENT_LOST;
-          if (ulfius_send_http_request (&request, &response) == U_OK
-              && take_answer (&response, answer))
-            sent = MUX_SENT_ANSWERED;
-        }
-      ulfius_clean_response (&response);
-    }
-  ulfius_clean_request (&request);
+  if (fill_request (&exchange, server, ca_file, call))
+    sent = perform (&exchange, server);
+  curl_slist_free_all (exchange.headers);
+  curl_easy_cleanup (exchange.curl);
   return sent;
 }
 
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -9,19 +9,34 @@
 #define MUX_SERVERS_MAX 16
 #define MUX_HTTP_PAIRS_MAX 4
 
+/**
+ * struct MuxServer - one daemon
+ * @tls: speaks HTTPS
+ * @addr: its "ip:port"
+ */
+typedef struct
+{
+  bool tls;
+  char addr[MUX_ADDR_LEN];
+} MuxServer;
+
 /**
  * struct MuxServers - daemons to talk to, in order
  * @count: used entries
- * @addr: "ip:port" of each
+ * @server: each of them
+ * @ca_file: PEM certificates that their own must come from; NULL: the
+ *   system's.  Borrowed.
  */
 typedef struct
 {
   uint32_t count;
-  char addr[MUX_SERVERS_MAX][MUX_ADDR_LEN];
+  MuxServer server[MUX_SERVERS_MAX];
+  const char *ca_file;
 } MuxServers;
 
 /**
- * mux_servers_parse() - read "http://ip:port[,http://ip:port…]"
+ * mux_servers_parse() - read "http[s]://ip:port[,…]"
+ * @servers: its list is filled
  * Return: false when @text is anything else.
  */
 bool mux_servers_parse (const char *text, MuxServers *servers);
@@ -43,8 +58,7 @@
  * @header: headers, closed by a NULL name
  * @body: bytes to send, or NULL
  * @body_len: length of @body
- * @timeout_ms: longest wait for the answer; the HTTP client counts it in
- *   whole seconds, rounded up
+ * @timeout_ms: longest wait for the answer
  * @write: it may change or run something
  * @repeatable: sending it again can't make it take effect twice
  */
@@ -70,6 +84,7 @@
  * @reason: header Cuminmux-Reason, or ""
  * @retry_ms: header Cuminmux-Retry-Ms, or ""
  * @task: header Cuminmux-Task, or ""
+ * @error: why a daemon that is there could not be talked to, or ""
  */
 typedef struct
 {
@@ -80,6 +95,7 @@
   char reason[MUX_NAME_LEN];
   char retry_ms[24];
   char task[MUX_ID_HEX_LEN];
+  char error[160];
 } MuxHttpAnswer;
 
 /**
@@ -92,8 +108,11 @@
   MUX_SENT_LOST,        /* it may have been sent; no whole answer came */
 } MuxSent;
 
-/** mux_http_send() - send @call once to the daemon at @addr */
-MuxSent mux_http_send (const char *addr,
+/** mux_http_send() - send @call once to @server
+ * @ca_file: as in struct MuxServers
+ * @answer: filled; its @error alone unless it was answered */
+MuxSent mux_http_send (const MuxServer *server,
+                       const char *ca_file,
                        const MuxHttpCall *call,
                        MuxHttpAnswer *answer);
 
--- a/src/cli/exchange.c
+++ b/src/cli/exchange.c
@@ -112,10 +112,13 @@
   for (uint32_t i = 0; i < servers->count && !progress->done; i++)
     {
       MuxHttpAnswer fresh = { .status = 0 };
-      MuxSent sent = mux_http_send (servers->addr[i], call, &fresh);
+      MuxSent sent
+          = mux_http_send (&servers->server[i], servers->ca_file, call, &fresh);
 
       if (sent == MUX_SENT_LOST)
         note_lost (progress, call);
+      if (fresh.error[0] != 0)
+        memcpy (answer->error, fresh.error, sizeof answer->error);
       if (sent != MUX_SENT_ANSWERED)
         continue;
       mux_http_answer_free (answer);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,10 +1,10 @@
 #include "cli/cli.h"
 
+#include <curl/curl.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
 #include <time.h>
-#include <ulfius.h>
 
 static const char *
 system_setting (MuxCliHost *host, const char *name)
@@ -51,13 +51,13 @@
                       .err = stderr };
   int code;
 
-  if (ulfius_global_init () != U_OK)
+  if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
     {
       fputs ("cuminmux: the HTTP client can't be set up\n", stderr);
       return MUX_EXIT_UNREACHED;
     }
   code = mux_cli_run (&host, argc, argv);
-  ulfius_global_close ();
+  curl_global_cleanup ();
   /* A result that was not written (a full disk, a closed pipe) must not look
    * like success to a script. */
   if (fflush (stdout) != 0 || ferror (stdout))
--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -1,7 +1,9 @@
 #include "verb.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 void
 mux_findings_print (FILE *err, const MuxFindings *findings)
@@ -27,7 +29,8 @@
       fprintf (out, "  %-16s %s\n", words, verb->help);
     }
   fputs ("\n'cuminmux VERB --help' shows the arguments of a verb; they follow "
-         "the verb.\nThe settings --server, --timeout-ms, --who and --json may "
+         "the verb.\nThe settings --server, --ca-file, --timeout-ms, --who and "
+         "--json may "
          "also go before it.\n\n"
          "exit codes:\n"
          "  0  done\n"
@@ -94,11 +97,24 @@
                       "must be given, here or as CUMINMUX_SERVER");
   else if (!mux_servers_parse (text, &call->servers))
     mux_findings_add (findings, "--server",
-                      "must be 1 to %d of http://ip:port with commas between, "
+                      "must be 1 to %d of http[s]://ip:port with commas "
+                      "between, "
                       "not \"%s\"",
                       MUX_SERVERS_MAX, text);
 }
 
+/* A file that is not there would show only as a daemon that is not trusted. */
+static void
+check_ca_file (MuxCliCall *call, MuxFindings *findings)
+{
+  const char *path = call->args.text[MUX_ARG_CA_FILE];
+
+  if (path != NULL && access (path, R_OK) != 0)
+    mux_findings_add (findings, "--ca-file", "can't read \"%s\": %s", path,
+                      strerror (errno));
+  call->servers.ca_file = path;
+}
+
 static int
 run_verb (MuxCliCall *call, int argc, char **argv)
 {
@@ -119,7 +135,10 @@
       return MUX_EXIT_OK;
     }
   if (!call->verb->local)
-    check_servers (call, findings);
+    {
+      check_servers (call, findings);
+      check_ca_file (call, findings);
+    }
   call->timeout_ms = (uint32_t) call->args.number[MUX_ARG_TIMEOUT_MS];
   call->json = call->args.number[MUX_ARG_JSON] != 0;
   mux_findings_print (call->host->err, findings);
