Keep room booked whose grant was told twice and came back once

Ruled out: lists and last moments (2.0 s had passed), gang rounds (they take new numbers). A grant told twice is now freed by the worker's list or when it has run out.

--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -89,7 +89,7 @@
 }
 
 static void
-send_grant (MuxCore *core, const Grant *grant)
+send_grant (MuxCore *core, Grant *grant)
 {
   const Worker *worker = grant->worker;
   MuxPeerMsg msg = { .verb = MUX_PEER_GRANT,
@@ -101,6 +101,7 @@
 
   mux_name_copy (msg.worker, worker->name);
   snprintf (msg.worker_addr, sizeof msg.worker_addr, "%s", worker->addr);
+  grant->sends++;
   if (strcmp (grant->ask.from, core->name) != 0)
     mux_count (core->counters, MUX_COUNT_GRANTS_REMOTE, 1);
   tell_home (core, grant->ask.from, &msg);
@@ -237,6 +238,14 @@
   if (grant == NULL || !grant->placed
       || grant->not_after_ms != msg->not_after_ms)
     return;
+  /*
+   * Failure: a grant was told twice; its home started the task with the first
+   * and let go of it (its job went to another), then gives the second back as
+   * nobody's.  The room would be filled beside the task that runs.  So what
+   * was told twice is freed by the worker's list, or when it has run out.
+   */
+  if (msg->state == MUX_TASK_ABSENT && grant->sends > 1)
+    return;
   mux_sched_ended (core->sched, msg->task,
                    end_of_state ((MuxTaskState) msg->state), msg->ran_ms,
                    (MuxSize){ 0 }, core->now_ms);
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -10,6 +10,7 @@
   MuxPeerMsg ask;       /* what was asked; its body is always NULL */
   bool placed;          /* booked; otherwise it waits in the scheduler */
   bool seen;            /* the worker listed it as started */
+  uint32_t sends;       /* times that the home was told */
   Worker *worker;       /* where, once placed */
   uint64_t epoch;       /* claim under which it was granted */
   int64_t not_after_ms; /* last moment of its start, worker's clock */
