--- a/test/bench/bench_door.c
+++ b/test/bench/bench_door.c
@@ -289,7 +289,7 @@
 
   snprintf (path, sizeof path, "%s/standin-worker", bin);
   snprintf (name, sizeof name, "direct-%u", index);
-  snprintf (capacity, sizeof capacity, "128000,131072,0,%d", SLOTS);
+  snprintf (capacity, sizeof capacity, "128000,131072,0,%u", SLOTS);
   bench->direct[index] = mux_proc_start (&options, &err);
   check (bench->direct[index] != NULL, "worker", &err);
   check (mux_proc_word (bench->direct[index], 0, bench->direct_addr[index],
