Believe no absence older than the news that a task runs

Cause: after a pause a home sends a look and a FORGET at once. The look finds nothing, the held up start arrives, the FORGET finds it running and its answer overtakes the look's; RUNNING + ABSENT meant "forgotten", so idempotent work was started elsewhere while it ran and its booking was freed. Ruled out: worker restarts (another incarnation answers for itself) and the worker's memory (judged by its clock). Requests alone do not get there, since one look is in flight at a time; jobs and cancels do. Conclusion: calls are numbered; an absence asked for before the task was seen running only makes its home look again.

--- a/src/core/task.h
+++ b/src/core/task.h
@@ -113,15 +113,17 @@
   Intent at;                /* where it is granted, started or followed */
   uint64_t epoch;
   uint64_t row_rev;
-  uint64_t want;    /* which write or read of its row is awaited */
-  bool granted;     /* room is booked for it at @owner */
-  bool probed;      /* a fetch is on its way */
-  bool absent_seen; /* FOLLOWING: seen absent once */
-  bool cancelled;   /* to be stopped as soon as it is found */
-  bool ran;         /* an attempt may have run: "not run" can't be said */
-  uint32_t looks;   /* at this attempt, while it runs */
-  uint32_t lost;    /* calls in a row without an answer */
-  uint32_t asks;    /* owners asked for this attempt */
+  uint64_t want;       /* which write or read of its row is awaited */
+  bool granted;        /* room is booked for it at @owner */
+  bool probed;         /* a fetch is on its way */
+  bool absent_seen;    /* FOLLOWING: seen absent once */
+  bool cancelled;      /* to be stopped as soon as it is found */
+  bool ran;            /* an attempt may have run: "not run" can't be said */
+  uint32_t looks;      /* at this attempt, while it runs */
+  uint32_t calls;      /* made of workers for it */
+  uint32_t running_at; /* @calls when it was seen running; 0: not yet */
+  uint32_t lost;       /* calls in a row without an answer */
+  uint32_t asks;       /* owners asked for this attempt */
   uint32_t retries;
   MuxReason last_reason;
   uint32_t last_retry_ms;
--- a/src/core/task_call.c
+++ b/src/core/task_call.c
@@ -45,9 +45,34 @@
          && reply->worker_now_ms > task->at.not_after_ms + WORKER_MEMORY_MS;
 }
 
+/* A call's number stands above its attempt, so that replies tell both. */
+static uint64_t
+aux_of (uint32_t call, uint32_t attempt)
+{
+  return (uint64_t) call << 32 | attempt;
+}
+
+/*
+ * Failure: a look and a tombstone are asked for at the same time, as after a
+ * pause of this process.  The look finds nothing, the held up start arrives,
+ * the other finds it running, and its answer overtakes the look's.  The look's,
+ * taken for news, has the task started elsewhere while it runs, and its room
+ * given away.  What was asked before it was seen running says nothing then.
+ */
+static bool
+stale_absence (const Task *task, uint32_t call, const MuxWorkerReply *reply)
+{
+  return reply->state == MUX_TASK_ABSENT && call <= task->running_at;
+}
+
 static void
-on_state (MuxCore *core, Task *task, const MuxWorkerReply *reply)
+on_state (MuxCore *core, Task *task, uint32_t call, const MuxWorkerReply *reply)
 {
+  if (stale_absence (task, call, reply))
+    {
+      happened (core, task, TASK_EV_TIMER, MUX_REASON_NONE);
+      return;
+    }
   if (too_late_to_tell (task, reply))
     {
       happened (core, task, TASK_EV_OTHER_LIFE, MUX_REASON_UNKNOWN_FATE);
@@ -56,6 +81,7 @@
   switch (reply->state)
     {
     case MUX_TASK_RUNNING:
+      task->running_at = task->calls;
       happened (core, task, TASK_EV_SEEN_RUNNING, MUX_REASON_NONE);
       break;
     case MUX_TASK_DONE:
@@ -102,11 +128,11 @@
 }
 
 static Task *
-of_reply (MuxCore *core, MuxId key, uint64_t attempt)
+of_reply (MuxCore *core, MuxId key, uint64_t aux)
 {
   Task *task = task_find (core, key);
 
-  if (task != NULL && task->attempt == attempt)
+  if (task != NULL && task->attempt == (uint32_t) aux)
     return task;
   /* The answer of a superseded attempt, or of a task that ended. */
   mux_count (core->counters, MUX_COUNT_EVENTS_DROPPED, 1);
@@ -114,19 +140,16 @@
 }
 
 static void
-start_done (MuxCore *core,
-            MuxId key,
-            uint64_t attempt,
-            const MuxWorkerReply *reply)
+start_done (MuxCore *core, MuxId key, uint64_t aux, const MuxWorkerReply *reply)
 {
-  Task *task = of_reply (core, key, attempt);
+  Task *task = of_reply (core, key, aux);
 
   if (task == NULL)
     return;
   switch (reply->status)
     {
     case MUX_WORKER_OK:
-      on_state (core, task, reply);
+      on_state (core, task, (uint32_t) (aux >> 32), reply);
       break;
     case MUX_WORKER_NO_ANSWER:
       happened (core, task, TASK_EV_LOST, MUX_REASON_WORKER_SILENT);
@@ -142,12 +165,9 @@
 }
 
 static void
-look_done (MuxCore *core,
-           MuxId key,
-           uint64_t attempt,
-           const MuxWorkerReply *reply)
+look_done (MuxCore *core, MuxId key, uint64_t aux, const MuxWorkerReply *reply)
 {
-  Task *task = of_reply (core, key, attempt);
+  Task *task = of_reply (core, key, aux);
 
   if (task == NULL)
     return;
@@ -155,7 +175,7 @@
   switch (reply->status)
     {
     case MUX_WORKER_OK:
-      on_state (core, task, reply);
+      on_state (core, task, (uint32_t) (aux >> 32), reply);
       break;
     case MUX_WORKER_OLD_INCARNATION:
       happened (core, task, TASK_EV_OTHER_LIFE, MUX_REASON_FENCED_INCARNATION);
@@ -169,6 +189,13 @@
     }
 }
 
+static bool
+send_call (MuxCore *core, Task *task, MuxWorkerCall *call, WorkerDone done)
+{
+  return call_worker (core, call, done, task->key,
+                      aux_of (++task->calls, task->attempt));
+}
+
 static void
 call_init (const Task *task, MuxWorkerVerb verb, MuxWorkerCall *call)
 {
@@ -209,7 +236,7 @@
   task->looks = 0;
   mux_count (core->counters, MUX_COUNT_STARTS, 1);
   task_wake (core, task, PROBE_MS + (int64_t) task->run_ms * PROBE_RUNS);
-  if (!call_worker (core, &call, start_done, task->key, task->attempt))
+  if (!send_call (core, task, &call, start_done))
     happened (core, task, TASK_EV_NOT_STARTED, MUX_REASON_RING_FULL);
 }
 
@@ -223,7 +250,7 @@
   call_init (task, MUX_WORKER_FETCH, &call);
   call.wait_ms = wait_ms;
   call.timeout_ms += wait_ms;
-  task->probed = call_worker (core, &call, look_done, task->key, task->attempt);
+  task->probed = send_call (core, task, &call, look_done);
 }
 
 void
@@ -232,7 +259,7 @@
   MuxWorkerCall call;
 
   call_init (task, MUX_WORKER_FORGET, &call);
-  call_worker (core, &call, look_done, task->key, task->attempt);
+  send_call (core, task, &call, look_done);
 }
 
 void
@@ -241,5 +268,5 @@
   MuxWorkerCall call;
 
   call_init (task, MUX_WORKER_STOP, &call);
-  call_worker (core, &call, look_done, task->key, task->attempt);
+  send_call (core, task, &call, look_done);
 }
--- a/test/proof/proof_faults.c
+++ b/test/proof/proof_faults.c
@@ -341,6 +341,31 @@
                 "hardly a caller got its answer");
 }
 
+/* A job's daemon pauses with a start held up on its way.  Waking, it looks and
+ * asks for a tombstone at once: the look finds nothing, the start arrives, the
+ * other finds it running, and the answers overtake one another.  Taken for
+ * news, the older one has the task started elsewhere while it runs. */
+static void
+stale_absence (Scenario *s, bool without)
+{
+  (void) without;
+  for (uint32_t round = 0; round < 6; round++)
+    {
+      for (uint32_t i = 0; i < s->worker_count; i++)
+        {
+          s->workers[i].slow_ms = 900;
+          s->workers[i].late_starts = 4;
+          s->workers[i].late_ms = 1600;
+        }
+      scenario_submit (s, 0, scenario_work (s, SCENARIO_REDO, false, 8, 4000),
+                       GIVE_UP_MS);
+      scenario_run (s, 100);
+      fake_net_freeze (s->net, 0, 1250);
+      scenario_run (s, 8000);
+    }
+  scenario_settle (s, 60000);
+}
+
 static const Proof proofs[] = {
   { "leaving_worker", leaving_worker, true, 3, 3, 1 },
   { "leaving_and_silent", leaving_and_silent, true, 3, 3, 1 },
@@ -355,6 +380,7 @@
   { "silent_connection", silent_connection, false, 1, 2, 1 },
   { "silent_one_way", silent_one_way, false, 3, 3, 1 },
   { "superseded_reply", superseded_reply, false, 1, 1, 1 },
+  { "stale_absence", stale_absence, false, 2, 4, 1 },
   { "own_whole_answer", own_whole_answer, false, 2, 4, 1 },
 };
 
