End a stop beside a silent worker, and sleep while stopping

Cause: (1) a claim is given up only when no granted start is open, and only a list of the worker closes one whose home can't settle; from a silent worker none comes, so its owner never stopped. (2) A stopping daemon looks for no jobs, yet its next look and its retakes counted as due, so its thread spun; so did a wait for a job's end while its read of the row was on its way for over 0.5 s. Ruled out: fencing a start that may still be taken: the worker refuses it past the grant's last moment, reckoned on a clock that the worker has surely reached. Conclusion: an open grant past its last moment holds nothing up; what a stopping daemon won't do wakes nobody.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -172,9 +172,10 @@
 int64_t
 jobs_wake_ms (const MuxCore *core)
 {
-  int64_t at = core->jobs->next_scan_ms;
+  /* A stopping daemon adopts nothing, so these stay overdue. */
+  int64_t at = core->stopping ? INT64_MAX : core->jobs->next_scan_ms;
+  int64_t retake = core->stopping ? INT64_MAX : job_retakes_wake_ms (core);
   int64_t wait = job_waits_wake_ms (core);
-  int64_t retake = job_retakes_wake_ms (core);
   int64_t write_ms;
 
   for (const Job *job = core->jobs->open; job != NULL; job = job->hh.next)
--- a/src/core/jobs_show.c
+++ b/src/core/jobs_show.c
@@ -366,7 +366,7 @@
 
   for (const JobWait *w = core->jobs->waits; w != NULL; w = w->next)
     {
-      if (w->look_ms < at)
+      if (!w->looking && w->look_ms < at)
         at = w->look_ms;
       if (w->give_up_ms < at)
         at = w->give_up_ms;
--- a/src/core/worker.c
+++ b/src/core/worker.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 /* How often claims and renewals are looked at. */
 #define WORKERS_LOOK_MS 50
@@ -364,6 +365,24 @@
   member_send (core, member, &msg);
 }
 
+/*
+ * Failure: a worker falls silent with a granted start on its way.  No list
+ * tells that the start never came, and its owner, asked to stop, would wait
+ * for one for ever.  Past its last moment the worker refuses the start anyway.
+ */
+static bool
+start_on_way (const MuxCore *core, const Worker *worker)
+{
+  const Grant *grant;
+
+  DL_FOREACH (worker->grants, grant)
+  {
+    if (!grant->seen && grant->not_after_ms >= worker_clock_ms (core, worker))
+      return true;
+  }
+  return false;
+}
+
 /* Only once no granted start is on its way: it would be fenced. */
 static void
 give (MuxCore *core, Worker *worker)
@@ -371,7 +390,7 @@
   MuxWorkerCall call;
 
   update_usable (core, worker);
-  if (worker->open > 0)
+  if (worker->open > 0 && start_on_way (core, worker))
     return;
   call_init (core, worker, MUX_WORKER_RELEASE, &call);
   if (call_worker (core, &call, release_done, (MuxId){ 0, 0 }, 0))
--- a/test/proof/proof_faults.c
+++ b/test/proof/proof_faults.c
@@ -366,6 +366,28 @@
   scenario_settle (s, 60000);
 }
 
+/* A worker falls silent with a start on its way, and its owner is stopped.
+ * The owner must end: the start is too late for the worker to take once its
+ * last moment has passed, so there is nothing to wait for.  Meanwhile it
+ * sleeps between events, so that its instance is not kept busy. */
+static void
+stops_beside_silence (Scenario *s, bool without)
+{
+  FakeNode *node = &s->net->nodes[0];
+  uint64_t events;
+
+  (void) without;
+  s->workers[0].silent = true;
+  proof_fill (s, 0, SCENARIO_ONCE, 1, 500);
+  scenario_run (s, 100);
+  scenario_stop (s, 0);
+  events = mux_counter_value (node->counters, MUX_COUNT_EVENTS);
+  scenario_run (s, 70000);
+  events = mux_counter_value (node->counters, MUX_COUNT_EVENTS) - events;
+  proof_expect (s, events < 10000, "it spun while it stopped");
+  proof_expect (s, mux_core_stopped (node->core), "it never stopped");
+}
+
 static const Proof proofs[] = {
   { "leaving_worker", leaving_worker, true, 3, 3, 1 },
   { "leaving_and_silent", leaving_and_silent, true, 3, 3, 1 },
@@ -381,6 +403,7 @@
   { "silent_one_way", silent_one_way, false, 3, 3, 1 },
   { "superseded_reply", superseded_reply, false, 1, 1, 1 },
   { "stale_absence", stale_absence, false, 2, 4, 1 },
+  { "stops_beside_silence", stops_beside_silence, false, 1, 1, 1 },
   { "own_whole_answer", own_whole_answer, false, 2, 4, 1 },
 };
 
