Answer a cancel whose last look meets a full ring

Cause: after the cancel's write the job is read once more to show it; when that read could not be sent (ring full, memory out) nobody answered the operator. Ruled out: the other reads and writes of jobs_show.c, jobs_submit.c and the config files check what call_table() and get_rows() return. Conclusion: answered with ring_full; the cancel itself stands and is shown by the next question.

--- a/src/core/jobs_show.c
+++ b/src/core/jobs_show.c
@@ -203,7 +203,8 @@
           return;
         }
       hint_home (core, id);
-      get_rows (core, id, show_done, call);
+      if (!get_rows (core, id, show_done, call))
+        answer_reason (core, call, MUX_REASON_RING_FULL, id);
       return;
     case MUX_TABLE_CONFLICT:
       /* Its home wrote in between; what it wrote may be the end. */
--- a/test/proof/proof_faults.c
+++ b/test/proof/proof_faults.c
@@ -388,6 +388,31 @@
   proof_expect (s, mux_core_stopped (node->core), "it never stopped");
 }
 
+/* A cancel is accepted, and the read that would show the job to the operator
+ * finds the ring to the table full.  The operator is answered all the same. */
+static void
+cancel_ring_full (Scenario *s, bool without)
+{
+  FakeNode *node = &s->net->nodes[0];
+  uint32_t tag, cancels = 0;
+
+  (void) without;
+  for (uint32_t at_ms = 0; at_ms < 16; at_ms++)
+    {
+      tag = scenario_work (s, SCENARIO_REDO, false, 1, 500);
+      scenario_submit (s, 1, tag, GIVE_UP_MS);
+      scenario_run (s, 100);
+      scenario_cancel (s, 0, tag);
+      scenario_run (s, at_ms);
+      node->sink.full = true;
+      scenario_run (s, 20);
+      node->sink.full = false;
+      scenario_run (s, 100);
+      cancels += s->calls[s->call_count - 1].answers;
+    }
+  proof_expect (s, cancels == 16, "a cancel was not answered once");
+}
+
 static const Proof proofs[] = {
   { "leaving_worker", leaving_worker, true, 3, 3, 1 },
   { "leaving_and_silent", leaving_and_silent, true, 3, 3, 1 },
@@ -404,6 +429,7 @@
   { "superseded_reply", superseded_reply, false, 1, 1, 1 },
   { "stale_absence", stale_absence, false, 2, 4, 1 },
   { "stops_beside_silence", stops_beside_silence, false, 1, 1, 1 },
+  { "cancel_ring_full", cancel_ring_full, false, 2, 1, 1 },
   { "own_whole_answer", own_whole_answer, false, 2, 4, 1 },
 };
 
