Give a job's task again after memory was out; ask a gang's next part right

Cause: (1) a task that could not be made stayed counted as minded, and tasks whose write was confirmed while a scratch copy of their keys could not be allocated were never told: their jobs would never end. The copy was needless. (2) Room still booked from before is granted within the ask itself; the last such grant of a part asked the next part from task 0 on, so held tasks would be asked for twice and tasks without a grant recorded as placed. Ruled out for (2): a gang's first turn, whose grants come after the step. Found by reading; no test makes memory run out. Conclusion: task_begin() is the one way to make a task (it stood twice) and says whether there is one; the next part's first task is set before the ask.

--- a/src/core/jobs_carry.c
+++ b/src/core/jobs_carry.c
@@ -55,7 +55,25 @@
   look_ended (core, job);
 }
 
+/*
+ * Failure: memory is out when a task is made.  Counted as minded it would be
+ * given to nobody again, and the job would never end.  It stays with the ones
+ * not given yet, which are looked at each second.
+ */
 static void
+give_later (Job *job, uint32_t index)
+{
+  Slot *slot = &job->slots[index];
+
+  slot->active = false;
+  job->active--;
+  job->asking -= slot->state == SLOT_NEW;
+  if (index < job->next_new)
+    job->next_new = index;
+}
+
+/* False: memory is out. */
+static bool
 give_task (MuxCore *core, Job *job, uint32_t index, const MuxClassSpec *spec)
 {
   Slot *slot = &job->slots[index];
@@ -71,18 +89,24 @@
   Intent at = { .attempt = options.attempt,
                 .incarnation = slot->incarnation,
                 .not_after_ms = slot->not_after_ms };
+  bool given;
 
   slot->active = true;
   job->active++;
-  if (slot->state == SLOT_NEW)
+  memcpy (at.worker, slot->worker, sizeof at.worker);
+  memcpy (at.addr, slot->addr, sizeof at.addr);
+  if (slot->state != SLOT_NEW)
+    {
+      given = task_resume (core, &options, &at);
+    }
+  else
     {
       job->asking++;
-      task_new (core, &options);
-      return;
+      given = task_begin (core, &options);
     }
-  memcpy (at.worker, slot->worker, sizeof at.worker);
-  memcpy (at.addr, slot->addr, sizeof at.addr);
-  task_resume (core, &options, &at);
+  if (!given)
+    give_later (job, index);
+  return given;
 }
 
 void
@@ -112,7 +136,8 @@
         continue;
       if (slot->state == SLOT_NEW)
         room--;
-      give_task (core, job, index, spec);
+      if (!give_task (core, job, index, spec))
+        return;
     }
   if (spec->kind == MUX_KIND_GANG && job->asking > 0)
     job_gang_begin (core, job);
--- a/src/core/jobs_gang.c
+++ b/src/core/jobs_gang.c
@@ -188,26 +188,23 @@
 static void
 ask_part (MuxCore *core, Job *job)
 {
-  GangPart *part = &job->gang_part[job->gang_now];
-  MuxId group = mux_id_of_part (job->id, MUX_JOB_TASKS_MAX
-                                             + job->gang_rounds * GANG_PARTS_MAX
-                                             + job->gang_now + 1);
+  uint32_t now = job->gang_now;
+  GangPart *part = &job->gang_part[now];
+  MuxId group = mux_id_of_part (
+      job->id, MUX_JOB_TASKS_MAX + job->gang_rounds * GANG_PARTS_MAX + now + 1);
 
   for (uint32_t i = part->first; i < job->header.task_count; i++)
     {
       Task *task = gang_task (core, job, i);
 
-      if (part->asked == part->tasks)
-        {
-          if (job->gang_now + 1 < job->gang_parts)
-            job->gang_part[job->gang_now + 1].first = i;
-          return;
-        }
       if (task == NULL)
         continue;
-      part->asked++;
+      /* Room that is still booked from before is granted at once, and the last
+       * grant of a part has the next one asked, from its first task on. */
+      if (++part->asked == part->tasks && now + 1 < job->gang_parts)
+        job->gang_part[now + 1].first = i + 1;
       task_ask_owner (core, task, part->owner, group, part->tasks);
-      if (job->gang_state != GANG_ASKING)
+      if (job->gang_state != GANG_ASKING || part->asked == part->tasks)
         return;
     }
 }
--- a/src/core/jobs_write.c
+++ b/src/core/jobs_write.c
@@ -11,23 +11,18 @@
 static void
 tell_written (MuxCore *core, Job *job)
 {
-  uint32_t count = job->written_count;
-  MuxId id = job->id;
-  MuxId *keys = malloc ((count + 1) * sizeof *keys);
   TaskEvent event = { .kind = TASK_EV_ROW_WRITTEN };
 
-  job->written_count = 0;
-  if (keys == NULL)
-    return;
-  memcpy (keys, job->written, count * sizeof *keys);
-  for (uint32_t i = 0; i < count && job_find (core, id) == job; i++)
+  /* What a task does next may be recorded again, in @pending; the job itself
+   * ends or is dropped by answers of the table alone. */
+  for (uint32_t i = 0; i < job->written_count; i++)
     {
-      Task *task = task_find (core, keys[i]);
+      Task *task = task_find (core, job->written[i]);
 
       if (task != NULL && task->state == TASK_RECORDING)
         task_event (core, task, &event);
     }
-  free (keys);
+  job->written_count = 0;
 }
 
 /* The write did not happen, or that can't be told: the same is due again, and
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -120,31 +120,31 @@
   return task;
 }
 
-Task *
-task_new (MuxCore *core, const TaskOptions *options)
+bool
+task_begin (MuxCore *core, const TaskOptions *options)
 {
   Task *task = task_make (core, options);
 
   if (task == NULL)
-    return NULL;
+    return false;
   task->state = task->in_gang ? TASK_WAITING : TASK_ASKING;
   if (!task->in_gang)
     task_ask (core, task);
-  return task_find (core, options->key);
+  return true;
 }
 
-Task *
+bool
 task_resume (MuxCore *core, const TaskOptions *options, const Intent *at)
 {
   Task *task = task_make (core, options);
 
   if (task == NULL)
-    return NULL;
+    return false;
   task->at = *at;
   task->state = TASK_FOLLOWING;
   task_fetch (core, task, 0);
   task_wake (core, task, WORKER_TIMEOUT_MS * 2);
-  return task;
+  return true;
 }
 
 void
@@ -434,18 +434,6 @@
     refuse_request (core, ask, MUX_REASON_INTERNAL, RETRY_MS);
 }
 
-bool
-task_begin (MuxCore *core, const TaskOptions *options)
-{
-  Task *task = task_make (core, options);
-
-  if (task == NULL)
-    return false;
-  task->state = TASK_ASKING;
-  task_ask (core, task);
-  return true;
-}
-
 bool
 task_begin_ticket (MuxCore *core,
                    const MuxAsk *ask,
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -161,10 +161,16 @@
   bool minting;
 } TaskOptions;
 
-/** task_new() - begins by asking for room; NULL: memory is out */
-Task *task_new (MuxCore *core, const TaskOptions *options);
-/** task_resume() - a task that a row places on a worker: find out there */
-Task *task_resume (MuxCore *core, const TaskOptions *options, const Intent *at);
+/**
+ * task_begin() - a new task: asks for room, unless its gang will for it
+ *
+ * Return: false: memory is out and there is no task.  With true it may have
+ * ended already.
+ */
+bool task_begin (MuxCore *core, const TaskOptions *options);
+/** task_resume() - a task that a row places on a worker: find out there;
+ * false as above */
+bool task_resume (MuxCore *core, const TaskOptions *options, const Intent *at);
 Task *task_find (MuxCore *core, MuxId key);
 /** task_event() - run the state table; the task may be gone after it */
 void task_event (MuxCore *core, Task *task, const TaskEvent *event);
--- a/src/core/task_private.h
+++ b/src/core/task_private.h
@@ -10,9 +10,7 @@
 bool task_request_refused (MuxCore *core,
                            const MuxAsk *ask,
                            const MuxClassSpec *spec);
-/** task_begin() - task_new() for a request; false: nothing was begun */
-bool task_begin (MuxCore *core, const TaskOptions *options);
-/** task_begin_ticket() - start under a ticket's grant; false as above */
+/** task_begin_ticket() - start under a ticket's grant; false: memory is out */
 bool task_begin_ticket (MuxCore *core,
                         const MuxAsk *ask,
                         const MuxClassSpec *spec,
