Refuse a request with two keys

Cause: ulfius keeps headers in a map, one value of each name, so of two Idempotency-Key headers (a desk's and a gateway's) one was taken without a word, and the desk's repeat under its own key could run a second time. The same held for the ticket, the give-up time, the change's id and its author. Ruled out: reading ulfius's map for it, which has lost the others by then; the door counts them at the connection. Before: seven new cases of test_bad_input_is_refused_and_counted, the first answered 200; after: all 15 tests of test_door pass.

--- a/src/daemon/door_connection.c
+++ b/src/daemon/door_connection.c
@@ -1,6 +1,7 @@
 #include "door_private.h"
 
 #include <errno.h>
+#include <strings.h>
 #include <sys/socket.h>
 
 /* ulfius does not hand its callbacks the connection, and each connection has
@@ -43,6 +44,37 @@
              && errno != EINTR);
 }
 
+typedef struct
+{
+  const char *name;
+  uint32_t count;
+} HeaderCount;
+
+static enum MHD_Result
+count_header (void *cls,
+              enum MHD_ValueKind kind,
+              const char *name,
+              const char *value)
+{
+  HeaderCount *header = cls;
+
+  (void) kind;
+  (void) value;
+  header->count += strcasecmp (name, header->name) == 0;
+  return MHD_YES;
+}
+
+bool
+mux_connection_repeats_header (const char *name)
+{
+  HeaderCount header = { name, 0 };
+
+  if (this_connection != NULL)
+    (void) MHD_get_connection_values (this_connection, MHD_HEADER_KIND,
+                                      count_header, &header);
+  return header.count > 1;
+}
+
 void
 mux_connection_request_ended (MuxDoor *door)
 {
--- a/src/daemon/door_private.h
+++ b/src/daemon/door_private.h
@@ -78,6 +78,9 @@
 void mux_connection_timeout (uint32_t seconds);
 /** mux_connection_gone() - the caller has closed its side */
 bool mux_connection_gone (void);
+/** mux_connection_repeats_header() - the request has it twice or more
+ * ulfius keeps one value of each name, without a word about the others. */
+bool mux_connection_repeats_header (const char *name);
 /** mux_connection_request_ended() - its answer is written, or nobody reads it
  */
 void mux_connection_request_ended (MuxDoor *door);
--- a/src/daemon/door_routes.c
+++ b/src/daemon/door_routes.c
@@ -55,6 +55,17 @@
   return u_map_get_case (request->map_header, name);
 }
 
+/* A header that means one thing: given twice, it is refused. */
+static const char *
+single_header (const struct _u_request *request,
+               const char *name,
+               MuxFindings *findings)
+{
+  if (mux_connection_repeats_header (name))
+    mux_findings_add (findings, name, "is given twice");
+  return header (request, name);
+}
+
 static const char *
 query (const struct _u_request *request, const char *name)
 {
@@ -82,6 +93,8 @@
 
   if (key == NULL)
     return;
+  if (mux_connection_repeats_header ("Idempotency-Key"))
+    *reason = MUX_REASON_BAD_KEY;
   len = strlen (key);
   for (size_t i = 0; i < len; i++)
     if (key[i] < ' ' || key[i] > '~')
@@ -100,7 +113,8 @@
   if (ticket == NULL)
     return;
   /* With a key besides, it would not be clear which of them names the work. */
-  if (ticket[0] == 0 || strlen (ticket) >= MUX_TICKET_LEN || ask->key[0] != 0)
+  if (ticket[0] == 0 || strlen (ticket) >= MUX_TICKET_LEN || ask->key[0] != 0
+      || mux_connection_repeats_header ("Cuminmux-Ticket"))
     *reason = MUX_REASON_BAD_TICKET;
   else
     memcpy (ask->ticket, ticket, strlen (ticket) + 1);
@@ -120,7 +134,7 @@
               MuxFindings *findings,
               MuxReason *reason)
 {
-  const char *text = header (request, "Cuminmux-Give-Up-Ms");
+  const char *text = single_header (request, "Cuminmux-Give-Up-Ms", findings);
   uint64_t give_up_ms = GIVE_UP_DEFAULT_MS;
 
   read_name (query (request, "class_name"), "path.class", ask->name, findings);
@@ -236,8 +250,8 @@
              MuxAsk *ask,
              MuxFindings *findings)
 {
-  const char *change = header (request, "Cuminmux-Change");
-  const char *who = header (request, "Cuminmux-Who");
+  const char *change = single_header (request, "Cuminmux-Change", findings);
+  const char *who = single_header (request, "Cuminmux-Who", findings);
   const char *expect = query (request, "expect");
 
   if (change != NULL && !mux_id_parse (change, &ask->change))
--- a/test/unit/test_door.c
+++ b/test/unit/test_door.c
@@ -171,6 +171,24 @@
     MUX_REASON_BAD_KEY },
   { "POST /v1/jobs?class=c&tasks=1 HTTP/1.1\r\nIdempotency-Key: \x80",
     MUX_REASON_BAD_KEY },
+  { "POST /v1/request/basket HTTP/1.1\r\nIdempotency-Key: a\r\n"
+    "Idempotency-Key: b",
+    MUX_REASON_BAD_KEY },
+  { "POST /v1/request/basket HTTP/1.1\r\nIdempotency-Key: a\r\n"
+    "idempotency-key: b",
+    MUX_REASON_BAD_KEY },
+  { "POST /v1/jobs?class=c&tasks=1 HTTP/1.1\r\nIDEMPOTENCY-KEY: a\r\n"
+    "Idempotency-Key: a",
+    MUX_REASON_BAD_KEY },
+  { "POST /v1/request/basket HTTP/1.1\r\nCuminmux-Ticket: a\r\n"
+    "cuminmux-ticket: b",
+    MUX_REASON_BAD_TICKET },
+  { "POST /v1/request/basket HTTP/1.1\r\nCuminmux-Give-Up-Ms: 5\r\n"
+    "cuminmux-give-up-ms: 6",
+    MUX_REASON_BAD_FIELD },
+  { "PUT /v1/config/class/a HTTP/1.1\r\nCuminmux-Who: a\r\ncuminmux-who: b",
+    MUX_REASON_BAD_FIELD },
+  { "POST /v1/jobs?class=c&class=d&tasks=1 HTTP/1.1", MUX_REASON_BAD_FIELD },
   { "POST /v1/request/b%40d HTTP/1.1", MUX_REASON_BAD_FIELD },
   { "POST /v1/request/" KEY_64 " HTTP/1.1", MUX_REASON_BAD_FIELD },
   { "POST /v1/request/a?class_name=b HTTP/1.1", MUX_REASON_BAD_FIELD },
@@ -201,7 +219,9 @@
 };
 
 /* A caller's mistake must come back as such.  Taken for something else, a
- * malformed key would let a voucher be redeemed as if it had none. */
+ * malformed key would let a voucher be redeemed as if it had none; and of two
+ * keys, one by the desk and one by a gateway before it, one would be picked in
+ * silence, so that the desk's repeat under its own key redeems it again. */
 static void
 test_bad_input_is_refused_and_counted (void **state)
 {
