Advise to come back only against what passes

Cause: callers of core_answer() in configuration and jobs gave one pause with every reason, so bad_json, kind_mismatch, never_fits or bad_field carried Retry-After; a program that heeds it sends the same malformed call for ever. Two places had exceptions of their own. Whether a reason passes now stands once, beside its status, and core and door both ask it. Ruled out: dropping the advice at each caller, which the next would forget; and advice with the door's own unknown_fate, as an unkeyed repeat runs twice. Before: test_retry_advice failed at bad_json (100 ms, not 0); after: it and the golden, door, config, cli and history tests pass.

--- a/include/base/reason.h
+++ b/include/base/reason.h
@@ -1,6 +1,7 @@
 #ifndef BASE_REASON_H
 #define BASE_REASON_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Every refusal, retry and fencing reason: symbol, name on the wire and in
@@ -67,5 +68,8 @@
 const char *mux_reason_help (MuxReason reason);
 /** mux_reason_status() - HTTP status of an answer that carries it */
 uint32_t mux_reason_status (MuxReason reason);
+/** mux_reason_passes() - the same call may succeed later; if not, its answer
+ * carries no advice when to come back */
+bool mux_reason_passes (MuxReason reason);
 
 #endif
--- a/src/base/reason.c
+++ b/src/base/reason.c
@@ -1,5 +1,8 @@
 #include "base/reason.h"
 
+#define STATUS_TOO_MANY 429
+#define STATUS_INTERNAL 500
+
 typedef struct
 {
   const char *name;
@@ -31,3 +34,21 @@
 {
   return reason_info[reason].status;
 }
+
+bool
+mux_reason_passes (MuxReason reason)
+{
+  uint32_t status = mux_reason_status (reason);
+
+  switch (reason)
+    {
+    case MUX_REASON_KEY_IN_USE:
+    case MUX_REASON_FENCED_ROW:
+      return true;
+    case MUX_REASON_TASK_FAILED:
+    case MUX_REASON_CALLER_GONE:
+      return false;
+    default:
+      return status == STATUS_TOO_MANY || status >= STATUS_INTERNAL;
+    }
+}
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -95,7 +95,7 @@
     .outcome = outcome,
     .reason = reason,
     .status = mux_reason_status (reason),
-    .retry_after_ms = retry_ms,
+    .retry_after_ms = mux_reason_passes (reason) ? retry_ms : 0,
     .task = task,
     .body = body,
   };
--- a/src/core/jobs_show.c
+++ b/src/core/jobs_show.c
@@ -75,8 +75,7 @@
 static void
 answer_reason (MuxCore *core, uint64_t call, MuxReason reason, MuxId id)
 {
-  core_answer (core, call, MUX_OUTCOME_INFO, reason,
-               reason == MUX_REASON_UNKNOWN_JOB ? 0 : RETRY_MS * 10, id, NULL);
+  core_answer (core, call, MUX_OUTCOME_INFO, reason, RETRY_MS * 10, id, NULL);
 }
 
 /* Reads both places where a job's row may stand. */
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -236,8 +236,7 @@
     }
   if (reason != MUX_REASON_NONE)
     {
-      core_answer (core, ask->call, MUX_OUTCOME_NOT_RUN, reason,
-                   reason == MUX_REASON_UNKNOWN_CLASS ? 0 : RETRY_MS * 10,
+      core_answer (core, ask->call, MUX_OUTCOME_NOT_RUN, reason, RETRY_MS * 10,
                    (MuxId){ 0, 0 }, NULL);
       return;
     }
--- a/src/daemon/door_respond.c
+++ b/src/daemon/door_respond.c
@@ -93,21 +93,6 @@
               mux_reason_name (MUX_REASON_UNKNOWN_FATE));
 }
 
-static uint32_t
-retry_of_refusal (MuxReason reason)
-{
-  switch (reason)
-    {
-    case MUX_REASON_CALLERS_FULL:
-    case MUX_REASON_RING_FULL:
-    case MUX_REASON_STOPPING:
-    case MUX_REASON_INTERNAL:
-      return REFUSED_RETRY_MS;
-    default:
-      return 0;
-    }
-}
-
 void
 mux_respond_refusal (MuxDoor *door,
                      struct _u_response *response,
@@ -121,7 +106,8 @@
   response->status = (long) mux_reason_status (reason);
   add_header (response, "Cuminmux-Outcome", mux_outcome_name (outcome));
   add_header (response, "Cuminmux-Reason", mux_reason_name (reason));
-  add_retry (response, retry_of_refusal (reason));
+  if (outcome == MUX_OUTCOME_NOT_RUN && mux_reason_passes (reason))
+    add_retry (response, REFUSED_RETRY_MS);
   set_error_body (response, outcome, reason, findings);
 }
 
