Forget silent connections to the platform for good

Cause: after another thread's timeout a thread opened one new connection, but its silent one stayed among libcurl's idle ones; the call after that took the oldest idle connection, which was the silent one, and waited out its timeout. So after a loss of connection state every thread still lost one call, a write among them left in doubt. Each handle now keeps one connection alone. Ruled out: a new connection for every call, which costs a round trip and a port each; a lower idle age, which still leaves the window.

--- a/src/adapter/platform_exchange.c
+++ b/src/adapter/platform_exchange.c
@@ -145,6 +145,7 @@
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, client->headers);
   curl_easy_setopt (curl, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_MAXCONNECTS, 1L);
   curl_easy_setopt (curl, CURLOPT_MAXAGE_CONN, (long) IDLE_MAX_S);
   curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long) connect_ms);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long) request->timeout_ms);
@@ -158,7 +159,8 @@
 /* Guards against connections that went silent for good: what lies between has
  * lost track of them, and each call on one waits out its timeout.  Such a
  * loss strikes all connections at once, so after any thread's timeout every
- * thread opens a new one. */
+ * thread opens a new one; as it keeps one alone, its silent one is closed by
+ * that, which libcurl would take again as the oldest. */
 static void
 avoid_silent_connection (PlatformClient *client)
 {
--- a/test/unit/test_platform_faults.c
+++ b/test/unit/test_platform_faults.c
@@ -172,6 +172,26 @@
   ask_on_both_threads (fixture);
 }
 
+/* The same loss, a call later: the new connections are fine, but a thread that
+ * had none time out has its silent one still among its idle ones.  libcurl
+ * takes the oldest that is idle, so the next call goes to nobody after all. */
+static void
+test_silent_connection_never_comes_back (void **state)
+{
+  PlatformFixture *fixture = *state;
+  MuxTableCall *call;
+
+  fixture->port->free (fixture->port);
+  platform_start_adapter (fixture, 2);
+  ask_on_both_threads (fixture);
+  standin_platform_faults_silence (fixture->faults);
+  call = platform_get_new ("a");
+  call->timeout_ms = SHORT_MS;
+  assert_int_equal (platform_ask_status (fixture, call), MUX_TABLE_DOWN);
+  for (uint32_t round = 0; round < 3; round++)
+    ask_on_both_threads (fixture);
+}
+
 /* Each call taken before the end gets exactly one reply, and none that was
  * still queued is left in doubt. */
 static void
@@ -239,6 +259,7 @@
     HTTP_TEST (test_cut_data_centre),
     HTTP_TEST (test_hanging_write_is_unknown),
     HTTP_TEST (test_one_timeout_renews_every_connection),
+    HTTP_TEST (test_silent_connection_never_comes_back),
     HTTP_TEST (test_free_answers_every_call),
     HTTP_TEST (test_full_queue_refuses),
   };
