--- a/src/adapter/worker_http_wire.c
+++ b/src/adapter/worker_http_wire.c
@@ -1,10 +1,10 @@
 #include "worker_http_wire.h"
 
-#include <errno.h>
+#include "base/number.h"
+
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 typedef struct
@@ -124,14 +124,7 @@
              uint64_t max,
              uint64_t *out)
 {
-  const char *text = mux_worker_client_header (client, name);
-  char *end;
-
-  if (text == NULL || *text < '0' || *text > '9')
-    return false;
-  errno = 0;
-  *out = strtoull (text, &end, 10);
-  return errno == 0 && *end == 0 && *out <= max;
+  return mux_unsigned_parse (mux_worker_client_header (client, name), max, out);
 }
 
 /* Guards against an answer of somebody else, such as another worker that has
--- a/src/daemon/door_routes.c
+++ b/src/daemon/door_routes.c
@@ -1,32 +1,14 @@
 #include "door_private.h"
 
+#include "base/number.h"
+
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* Most milliseconds that a caller may wait. */
 #define WAIT_MAX_MS 600000
 #define GIVE_UP_DEFAULT_MS 30000
 
-static bool
-parse_unsigned (const char *text, uint64_t *value)
-{
-  uint64_t n = 0;
-
-  if (*text == 0)
-    return false;
-  for (; *text != 0; text++)
-    {
-      uint64_t digit = (uint64_t) (*text - '0');
-
-      if (*text < '0' || *text > '9' || n > (UINT64_MAX - digit) / 10)
-        return false;
-      n = n * 10 + digit;
-    }
-  *value = n;
-  return true;
-}
-
 /* @place is told to the caller when @text is no number in the range. */
 static bool
 read_number (const char *text,
@@ -38,7 +20,7 @@
 {
   uint64_t n;
 
-  if (text != NULL && parse_unsigned (text, &n) && n >= min && n <= max)
+  if (mux_unsigned_parse (text, max, &n) && n >= min)
     {
       *value = n;
       return true;
--- a/test/unit/test_worker_adapter.c
+++ b/test/unit/test_worker_adapter.c
@@ -2,10 +2,10 @@
 #include "base/ring.h"
 #include "standin/worker_listen.h"
 #include "standin/worker_server.h"
+#include "support/canned_server.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
-#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdatomic.h>
@@ -448,36 +448,6 @@
   assert_int_equal (state_of (f, MUX_WORKER_FORGET, 1), MUX_TASK_FORGOTTEN);
 }
 
-typedef struct
-{
-  int fd;
-  const char *answer;
-} CutServer;
-
-static void *
-serve_cut (void *ctx)
-{
-  const CutServer *cut = ctx;
-  int fd = accept (cut->fd, NULL, NULL);
-  char bytes[4096];
-  size_t len = 0;
-
-  while (len < sizeof bytes - 1)
-    {
-      ssize_t n = recv (fd, bytes + len, sizeof bytes - 1 - len, 0);
-
-      if (n <= 0)
-        break;
-      len += (size_t) n;
-      bytes[len] = 0;
-      if (strstr (bytes, "\r\n\r\n") != NULL)
-        break;
-    }
-  send (fd, cut->answer, strlen (cut->answer), MSG_NOSIGNAL);
-  close (fd);
-  return NULL;
-}
-
 /* The connection breaks in the middle of an answer, or in one that does not
  * say its length.  Passed on, the desk would get half a confirmation. */
 static void
@@ -487,14 +457,11 @@
       = { "Content-Length: 9\r\n", "Connection: close\r\n" };
   Fixture *f = *state;
   MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
-  uint16_t port;
-  int fd = standin_worker_listen ("127.0.0.1:0", start.addr, &port, NULL);
 
   for (int i = 0; i < 2; i++)
     {
       char answer[1024];
-      CutServer cut = { fd, answer };
-      pthread_t thread;
+      CannedServer *server;
 
       snprintf (answer, sizeof answer,
                 "HTTP/1.1 200 OK\r\n%sCuminmux-Status: ok\r\n"
@@ -504,11 +471,10 @@
                 "Cuminmux-Task: 00000000000000000000000000000001\r\n"
                 "Cuminmux-Ran-Ms: 1\r\n\r\nhalf",
                 lengths[i]);
-      assert_int_equal (pthread_create (&thread, NULL, serve_cut, &cut), 0);
+      server = canned_server_new (answer, start.addr);
       assert_int_equal (status_of (f, start), MUX_WORKER_NO_ANSWER);
-      pthread_join (thread, NULL);
+      canned_server_free (server);
     }
-  close (fd);
 }
 
 /* The daemon stops while calls are on their way and in the ring.  Each call
