Take no cut object for a whole one

Cause: the platform adapter took any 200 for an object. An answer that gives neither a length nor chunks ends with its connection, so half an object passed for a job's whole input or answer; and a 200 without Cuminmux-Revision, as of another server at that address, counted as a kept object. The revision was read by strtoull(), which takes -7 and 7x. Now only an answer that says its own end and names the revision counts; else DOWN, and UNKNOWN for a write. Ruled out: tables and lists, whose MessagePack and JSON show a cut themselves (test_garbled_answers).

--- a/src/adapter/platform_decode.c
+++ b/src/adapter/platform_decode.c
@@ -153,7 +153,8 @@
   return NULL;
 }
 
-/* NULL when the answer can't be made sense of. */
+/* NULL when the answer can't be made sense of.  An object's 200 that names no
+ * revision is not the object store's. */
 static MuxTableReply *
 read_answer (const MuxTableCall *call, const PlatformAnswer *answer)
 {
@@ -169,10 +170,12 @@
           || (answer->status == STATUS_CONFLICT
               && call->verb == MUX_TABLE_TXN)))
     return read_packed (call, answer);
-  if (call->verb == MUX_TABLE_OBJECT_PUT && answer->status == STATUS_OK)
+  if (call->verb == MUX_TABLE_OBJECT_PUT && answer->status == STATUS_OK
+      && answer->has_rev)
     return read_object_put (call, answer);
   if (call->verb == MUX_TABLE_OBJECT_GET
-      && (answer->status == STATUS_OK || answer->status == STATUS_ABSENT))
+      && ((answer->status == STATUS_OK && answer->has_rev)
+          || answer->status == STATUS_ABSENT))
     return read_object (call, answer);
   return NULL;
 }
--- a/src/adapter/platform_exchange.c
+++ b/src/adapter/platform_exchange.c
@@ -1,5 +1,7 @@
 #include "platform_internal.h"
 
+#include "base/number.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -181,7 +183,24 @@
     answer->no_effect = strcmp (header->value, "none") == 0;
   if (curl_easy_header (curl, "Cuminmux-Revision", 0, CURLH_HEADER, -1, &header)
       == CURLHE_OK)
-    answer->rev = strtoull (header->value, NULL, 10);
+    answer->has_rev
+        = mux_unsigned_parse (header->value, UINT64_MAX, &answer->rev);
+}
+
+/* Guards against a cut object that passes for a whole one: without a length or
+ * chunks the end of the connection would count as the end of the answer.  What
+ * either of them promises, libcurl sees kept. */
+static bool
+says_its_end (CURL *curl)
+{
+  struct curl_header *header;
+  curl_off_t declared = -1;
+
+  curl_easy_getinfo (curl, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &declared);
+  return declared >= 0
+         || curl_easy_header (curl, "Transfer-Encoding", 0, CURLH_HEADER, -1,
+                              &header)
+                == CURLHE_OK;
 }
 
 PlatformEnd
@@ -200,7 +219,7 @@
   code = curl_easy_perform (client->curl);
   if (code == CURLE_OPERATION_TIMEDOUT && client->sendings > 0)
     atomic_fetch_add (&client->silence->timeouts, 1);
-  if (code != CURLE_OK)
+  if (code != CURLE_OK || !says_its_end (client->curl))
     return client->sendings > 0 ? PLATFORM_NO_ANSWER : PLATFORM_NOT_SENT;
   curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &answer->status);
   read_headers (client->curl, answer);
--- a/src/adapter/platform_internal.h
+++ b/src/adapter/platform_internal.h
@@ -51,13 +51,15 @@
  * struct PlatformAnswer - what came back
  * @status: HTTP status
  * @no_effect: the platform itself says that the call had no effect
- * @rev: revision of an object
+ * @has_rev: the answer names an object's revision
+ * @rev: that revision
  * @body: overwritten by the next exchange on the same client
  */
 typedef struct
 {
   long status;
   bool no_effect;
+  bool has_rev;
   uint64_t rev;
   PlatformBytes *body;
 } PlatformAnswer;
