Speak to instances by plain names and numbers only

Cause: an instance's name came unchecked from the platform's list into the headers of every call to that worker and into log lines, where a line end in it makes a header of its own; and its address went into a URL as it was, so a host name asked a resolver and "user@ip:port" was split by libcurl. An unusable name is left out of the list, an unusable address is NOT_SENT. Ruled out: refusing the whole list for it, which keeps the rule for entries that can't be read but would let one registration stop all news; checking addresses in the list, which would hide that a known instance is gone.

--- a/src/adapter/platform_list.c
+++ b/src/adapter/platform_list.c
@@ -67,6 +67,12 @@
   return true;
 }
 
+/*
+ * Failure: an instance's name with a line end in it becomes a header of its
+ * own in every call to that worker.  Such a name can't be spoken of to anybody
+ * and was never known here, so leaving it out loses nothing, while refusing
+ * the list would lose everybody else's news for one of them.
+ */
 static MuxInstanceList *
 read_instances (const json_t *items)
 {
@@ -80,12 +86,14 @@
     return NULL;
   for (size_t i = 0; i < count; i++)
     {
-      if (!read_instance (json_array_get (items, i), &list->item[i]))
+      MuxInstance *instance = &list->item[list->count];
+
+      if (!read_instance (json_array_get (items, i), instance))
         {
           free (list);
           return NULL;
         }
-      list->count++;
+      list->count += mux_name_valid (instance->name);
     }
   return list;
 }
--- a/src/adapter/worker_http.c
+++ b/src/adapter/worker_http.c
@@ -1,5 +1,6 @@
 #include "adapter/worker.h"
 
+#include "base/address.h"
 #include "base/ring.h"
 #include "worker_http_client.h"
 #include "worker_http_wire.h"
@@ -152,13 +153,25 @@
   return NULL;
 }
 
+/* Guards against a name that a resolver would have to be asked for, or text
+ * that a URL splits differently: the call would hold its thread, or go to
+ * another machine than the list means. */
+static bool
+is_by_number (const char *addr)
+{
+  struct sockaddr_storage parsed;
+  socklen_t len;
+
+  return mux_address_parse (addr, &parsed, &len);
+}
+
 static void
 serve (WorkerHttp *http, MuxWorkerClient *client, Job *job)
 {
   int64_t left_ms = job->deadline_ms - now_ms ();
   MuxWorkerReply *reply = NULL;
 
-  if (left_ms > 0 && client != NULL)
+  if (left_ms > 0 && client != NULL && is_by_number (job->call.addr))
     reply = exchange (http, client, job, (uint32_t) left_ms);
   finish (http, job, reply);
 }
--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -345,6 +345,29 @@
   assert_null (mux_platform_decode_list ("{}", 2, &rev));
 }
 
+/* A worker registers as "w 1\r\nCuminmux-Epoch: 9".  Put into a header of each
+ * call to it, or into a log line, its name would pass for lines of ours; and
+ * no daemon can name it to another.  It is left out; the others are served. */
+static void
+test_instance_without_usable_name_is_left_out (void **state)
+{
+  static const char text[]
+      = "{\"instances\":[{\"name\":\"w 1\\r\\nCuminmux-Epoch: 9\","
+        "\"data_centre\":\"d\",\"rack\":\"r\",\"addr\":\"10.0.0.1:1\","
+        "\"state\":\"live\",\"role\":\"worker\"},{\"name\":\"w2\","
+        "\"data_centre\":\"d\",\"rack\":\"r\",\"addr\":\"10.0.0.2:1\","
+        "\"state\":\"live\",\"role\":\"worker\"}]}";
+  MuxInstanceList *list;
+  uint64_t rev;
+
+  (void) state;
+  list = mux_platform_decode_list (text, sizeof text - 1, &rev);
+  assert_non_null (list);
+  assert_int_equal (list->count, 1);
+  assert_string_equal (list->item[0].name, "w2");
+  free (list);
+}
+
 int
 main (void)
 {
@@ -362,6 +385,7 @@
     cmocka_unit_test (test_errors_from_between_leave_doubt),
     cmocka_unit_test (test_garbled_answers),
     cmocka_unit_test (test_list_is_whole_or_nothing),
+    cmocka_unit_test (test_instance_without_usable_name_is_left_out),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_worker_adapter.c
+++ b/test/unit/test_worker_adapter.c
@@ -267,6 +267,24 @@
   close (fd);
 }
 
+/* A worker is listed by host name, or with a path behind its port.  Asking a
+ * resolver holds a thread for seconds, and what it says may be another machine:
+ * work goes to addresses by number alone. */
+static void
+test_address_that_is_no_number_is_not_sent (void **state)
+{
+  Fixture *f = *state;
+  MuxWorkerCall claim = claim_call (1);
+  const char *addr = standin_worker_server_addr (f->server);
+
+  snprintf (claim.addr, sizeof claim.addr, "localhost%s", strrchr (addr, ':'));
+  assert_int_equal (status_of (f, claim), MUX_WORKER_NOT_SENT);
+  snprintf (claim.addr, sizeof claim.addr, "user@%s", addr);
+  assert_int_equal (status_of (f, claim), MUX_WORKER_NOT_SENT);
+  snprintf (claim.addr, sizeof claim.addr, "%s", addr);
+  assert_int_equal (status_of (f, claim), MUX_WORKER_OK);
+}
+
 /* A start takes effect and its answer is lost.  The home may not say "not
  * run": asked to forget the tasks, the worker says which ran and which runs.
  */
@@ -513,6 +531,7 @@
     TEST (test_whole_answer),
     TEST (test_claim_tells_the_worker),
     TEST (test_refused_connect_is_not_sent),
+    TEST (test_address_that_is_no_number_is_not_sent),
     TEST (test_lost_answer_is_settled),
     TEST (test_tombstone_refuses_start),
     TEST (test_stale_starts_are_refused),
