Let every answer of the door name its outcome

docs/API.md says that every answer carries Cuminmux-Outcome; /metrics, /healthz and /readyz did not, and a balancer's probe that logs the header saw none. They say info now, as other answers about the daemon do, and text/plain as their type. Before: test_own_pages, which now asks for the header, fails; after: all 15 tests of test_door and 4 of test_golden_door pass.

--- a/src/daemon/door_respond.c
+++ b/src/daemon/door_respond.c
@@ -111,6 +111,15 @@
   set_error_body (response, outcome, reason, findings);
 }
 
+static void
+set_page (struct _u_response *response, unsigned int status, const char *text)
+{
+  ulfius_set_string_body_response (response, status, text);
+  add_header (response, "Cuminmux-Outcome",
+              mux_outcome_name (MUX_OUTCOME_INFO));
+  add_header (response, "Content-Type", "text/plain");
+}
+
 void
 mux_respond_metrics (MuxDoor *door, struct _u_response *response)
 {
@@ -125,7 +134,8 @@
       return;
     }
   mux_counters_print (door->options.counters, text, cap);
-  ulfius_set_string_body_response (response, MHD_HTTP_OK, text);
+  set_page (response, MHD_HTTP_OK, text);
+  /* Prometheus reads its text format by this version. */
   add_header (response, "Content-Type", "text/plain; version=0.0.4");
   free (text);
 }
@@ -134,7 +144,7 @@
 mux_respond_healthz (MuxDoor *door, struct _u_response *response)
 {
   (void) door;
-  ulfius_set_string_body_response (response, MHD_HTTP_OK, "ok\n");
+  set_page (response, MHD_HTTP_OK, "ok\n");
 }
 
 void
@@ -144,8 +154,7 @@
                && door->options.backend->ready (door->options.backend);
 
   if (ready)
-    ulfius_set_string_body_response (response, MHD_HTTP_OK, "ready\n");
+    set_page (response, MHD_HTTP_OK, "ready\n");
   else
-    ulfius_set_string_body_response (response, MHD_HTTP_SERVICE_UNAVAILABLE,
-                                     "not ready\n");
+    set_page (response, MHD_HTTP_SERVICE_UNAVAILABLE, "not ready\n");
 }
--- a/test/unit/test_door.c
+++ b/test/unit/test_door.c
@@ -553,23 +553,29 @@
   close (fd);
 }
 
+static RawReply
+own_page (Bench *bench, const char *line, int status)
+{
+  RawReply reply = ask (bench, line, "", 0);
+
+  assert_int_equal (reply.status, status);
+  assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "info");
+  return reply;
+}
+
 static void
 test_own_pages (void **state)
 {
   Bench *bench = *state;
-  RawReply reply = ask (bench, "GET /healthz HTTP/1.1", "", 0);
+  RawReply reply = own_page (bench, "GET /healthz HTTP/1.1", 200);
 
-  assert_int_equal (reply.status, 200);
   raw_reply_free (&reply);
-  reply = ask (bench, "GET /readyz HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 200);
+  reply = own_page (bench, "GET /readyz HTTP/1.1", 200);
   raw_reply_free (&reply);
   bench->fake.is_ready = false;
-  reply = ask (bench, "GET /readyz HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 503);
+  reply = own_page (bench, "GET /readyz HTTP/1.1", 503);
   raw_reply_free (&reply);
-  reply = ask (bench, "GET /metrics HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 200);
+  reply = own_page (bench, "GET /metrics HTTP/1.1", 200);
   assert_non_null (strstr (reply.body, "cuminmux_refused_total{reason=\"bad_"));
   raw_reply_free (&reply);
 }
