--- a/src/adapter/platform_exchange.c
+++ b/src/adapter/platform_exchange.c
@@ -1,5 +1,7 @@
 #include "platform_internal.h"
 
+#include "base/number.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -145,6 +147,7 @@
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, client->headers);
   curl_easy_setopt (curl, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_MAXCONNECTS, 1L);
   curl_easy_setopt (curl, CURLOPT_MAXAGE_CONN, (long) IDLE_MAX_S);
   curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long) connect_ms);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long) request->timeout_ms);
@@ -158,7 +161,8 @@
 /* Guards against connections that went silent for good: what lies between has
  * lost track of them, and each call on one waits out its timeout.  Such a
  * loss strikes all connections at once, so after any thread's timeout every
- * thread opens a new one. */
+ * thread opens a new one; as it keeps one alone, its silent one is closed by
+ * that, which libcurl would take again as the oldest. */
 static void
 avoid_silent_connection (PlatformClient *client)
 {
@@ -179,7 +183,24 @@
     answer->no_effect = strcmp (header->value, "none") == 0;
   if (curl_easy_header (curl, "Cuminmux-Revision", 0, CURLH_HEADER, -1, &header)
       == CURLHE_OK)
-    answer->rev = strtoull (header->value, NULL, 10);
+    answer->has_rev
+        = mux_unsigned_parse (header->value, UINT64_MAX, &answer->rev);
+}
+
+/* Guards against a cut object that passes for a whole one: without a length or
+ * chunks the end of the connection would count as the end of the answer.  What
+ * either of them promises, libcurl sees kept. */
+static bool
+says_its_end (CURL *curl)
+{
+  struct curl_header *header;
+  curl_off_t declared = -1;
+
+  curl_easy_getinfo (curl, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &declared);
+  return declared >= 0
+         || curl_easy_header (curl, "Transfer-Encoding", 0, CURLH_HEADER, -1,
+                              &header)
+                == CURLHE_OK;
 }
 
 PlatformEnd
@@ -198,7 +219,7 @@
   code = curl_easy_perform (client->curl);
   if (code == CURLE_OPERATION_TIMEDOUT && client->sendings > 0)
     atomic_fetch_add (&client->silence->timeouts, 1);
-  if (code != CURLE_OK)
+  if (code != CURLE_OK || !says_its_end (client->curl))
     return client->sendings > 0 ? PLATFORM_NO_ANSWER : PLATFORM_NOT_SENT;
   curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &answer->status);
   read_headers (client->curl, answer);
--- a/src/daemon/door_respond.c
+++ b/src/daemon/door_respond.c
@@ -93,21 +93,6 @@
               mux_reason_name (MUX_REASON_UNKNOWN_FATE));
 }
 
-static uint32_t
-retry_of_refusal (MuxReason reason)
-{
-  switch (reason)
-    {
-    case MUX_REASON_CALLERS_FULL:
-    case MUX_REASON_RING_FULL:
-    case MUX_REASON_STOPPING:
-    case MUX_REASON_INTERNAL:
-      return REFUSED_RETRY_MS;
-    default:
-      return 0;
-    }
-}
-
 void
 mux_respond_refusal (MuxDoor *door,
                      struct _u_response *response,
@@ -121,10 +106,20 @@
   response->status = (long) mux_reason_status (reason);
   add_header (response, "Cuminmux-Outcome", mux_outcome_name (outcome));
   add_header (response, "Cuminmux-Reason", mux_reason_name (reason));
-  add_retry (response, retry_of_refusal (reason));
+  if (outcome == MUX_OUTCOME_NOT_RUN && mux_reason_passes (reason))
+    add_retry (response, REFUSED_RETRY_MS);
   set_error_body (response, outcome, reason, findings);
 }
 
+static void
+set_page (struct _u_response *response, unsigned int status, const char *text)
+{
+  ulfius_set_string_body_response (response, status, text);
+  add_header (response, "Cuminmux-Outcome",
+              mux_outcome_name (MUX_OUTCOME_INFO));
+  add_header (response, "Content-Type", "text/plain");
+}
+
 void
 mux_respond_metrics (MuxDoor *door, struct _u_response *response)
 {
@@ -139,7 +134,8 @@
       return;
     }
   mux_counters_print (door->options.counters, text, cap);
-  ulfius_set_string_body_response (response, MHD_HTTP_OK, text);
+  set_page (response, MHD_HTTP_OK, text);
+  /* Prometheus reads its text format by this version. */
   add_header (response, "Content-Type", "text/plain; version=0.0.4");
   free (text);
 }
@@ -148,7 +144,7 @@
 mux_respond_healthz (MuxDoor *door, struct _u_response *response)
 {
   (void) door;
-  ulfius_set_string_body_response (response, MHD_HTTP_OK, "ok\n");
+  set_page (response, MHD_HTTP_OK, "ok\n");
 }
 
 void
@@ -158,8 +154,7 @@
                && door->options.backend->ready (door->options.backend);
 
   if (ready)
-    ulfius_set_string_body_response (response, MHD_HTTP_OK, "ready\n");
+    set_page (response, MHD_HTTP_OK, "ready\n");
   else
-    ulfius_set_string_body_response (response, MHD_HTTP_SERVICE_UNAVAILABLE,
-                                     "not ready\n");
+    set_page (response, MHD_HTTP_SERVICE_UNAVAILABLE, "not ready\n");
 }
