Read the adapters' clock in one place

Three adapters and the command line each had their own reading of CLOCK_MONOTONIC in milliseconds, one of them unsigned; mux_monotonic_ms() serves them.

--- /dev/null
+++ b/include/base/clock.h
@@ -0,0 +1,9 @@
+#ifndef BASE_CLOCK_H
+#define BASE_CLOCK_H
+
+#include <stdint.h>
+
+/** mux_monotonic_ms() - CLOCK_MONOTONIC, for timeouts */
+int64_t mux_monotonic_ms (void);
+
+#endif
--- a/src/adapter/peer_thread.c
+++ b/src/adapter/peer_thread.c
@@ -1,9 +1,9 @@
 #include "peer_thread.h"
 
 #include "adapter/peer.h"
+#include "base/clock.h"
 
 #include <stdlib.h>
-#include <time.h>
 #include <zmq.h>
 
 /* Messages taken from one side before the other has its turn. */
@@ -19,15 +19,6 @@
   POLL_BASE
 };
 
-static int64_t
-now_ms (void)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_MONOTONIC, &ts);
-  return (int64_t) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void
 count (const MuxPeerZmq *peer, MuxCounter counter)
 {
@@ -196,14 +187,14 @@
   zmq_pollitem_t items[POLL_BASE];
   int used = (int) poll_base (peer, items);
 
-  peer->next_tick_ms = now_ms () + peer->tick_ms;
+  peer->next_tick_ms = mux_monotonic_ms () + peer->tick_ms;
   while (!atomic_load (&peer->stopping))
     {
-      int64_t wait_ms = peer->next_tick_ms - now_ms ();
+      int64_t wait_ms = peer->next_tick_ms - mux_monotonic_ms ();
 
       if (zmq_poll (items, used, wait_ms > 0 ? wait_ms : 0) > 0)
-        serve (peer, items, now_ms ());
-      tick (peer, now_ms ());
+        serve (peer, items, mux_monotonic_ms ());
+      tick (peer, mux_monotonic_ms ());
     }
 }
 
@@ -228,20 +219,22 @@
 flush (MuxPeerZmq *peer)
 {
   zmq_pollitem_t items[POLL_BASE + MUX_PEER_LINKS_MAX];
-  int64_t end_ms = now_ms () + FLUSH_MAX_MS;
+  int64_t end_ms = mux_monotonic_ms () + FLUSH_MAX_MS;
   uint32_t base = poll_base (peer, items);
   uint32_t waiting;
 
-  while (send_next (peer, now_ms ()))
+  while (send_next (peer, mux_monotonic_ms ()))
     ;
   mux_peer_links_probe (&peer->links);
-  while ((waiting = poll_links (peer, items + base)) > 0 && now_ms () < end_ms)
+  while ((waiting = poll_links (peer, items + base)) > 0
+         && mux_monotonic_ms () < end_ms)
     {
       MuxPeerLink *link;
       MuxPeerLink *next;
 
-      (void) zmq_poll (items, (int) (base + waiting), end_ms - now_ms ());
-      serve (peer, items, now_ms ());
+      (void) zmq_poll (items, (int) (base + waiting),
+                       end_ms - mux_monotonic_ms ());
+      serve (peer, items, mux_monotonic_ms ());
       HASH_ITER (hh, peer->links.by_addr, link, next)
       mux_peer_link_hear (link);
     }
--- a/src/adapter/platform_http.c
+++ b/src/adapter/platform_http.c
@@ -1,16 +1,16 @@
 #include "platform_internal.h"
 
+#include "base/clock.h"
 #include "base/ring.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 /* A call on its way through the ring. */
 typedef struct
 {
   MuxTableCall *call;
-  uint64_t deadline_ms;
+  int64_t deadline_ms;
 } Job;
 
 typedef struct Adapter Adapter;
@@ -37,15 +37,6 @@
   Caller callers[];
 };
 
-static uint64_t
-now_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
-}
-
 static void
 count_call (MuxCounters *counters, const MuxTableCall *call)
 {
@@ -85,7 +76,7 @@
 run_job (Caller *caller, Job *job)
 {
   Adapter *adapter = caller->adapter;
-  uint64_t now = now_ms ();
+  int64_t now = mux_monotonic_ms ();
   PlatformAnswer answer = { 0 };
   PlatformRequest request;
   PlatformEnd end;
@@ -131,7 +122,7 @@
   if (job != NULL)
     {
       job->call = call;
-      job->deadline_ms = now_ms () + call->timeout_ms;
+      job->deadline_ms = mux_monotonic_ms () + call->timeout_ms;
       if (mux_ring_push (adapter->ring, job))
         return true;
     }
--- a/src/adapter/worker_http.c
+++ b/src/adapter/worker_http.c
@@ -1,6 +1,7 @@
 #include "adapter/worker.h"
 
 #include "base/address.h"
+#include "base/clock.h"
 #include "base/ring.h"
 #include "worker_http_client.h"
 #include "worker_http_wire.h"
@@ -8,7 +9,6 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
 #define STACK_BYTES ((size_t) 256 * 1024)
 #define IDLE_LOOK_MS 1000
@@ -55,15 +55,6 @@
   Pool control; /* all others */
 };
 
-static int64_t
-now_ms (void)
-{
-  struct timespec now;
-
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
 static Job *
 job_new (const MuxWorkerCall *call)
 {
@@ -79,7 +70,7 @@
     }
   job->call = *call;
   mux_blob_ref (job->call.body);
-  job->deadline_ms = now_ms () + call->timeout_ms;
+  job->deadline_ms = mux_monotonic_ms () + call->timeout_ms;
   return job;
 }
 
@@ -168,7 +159,7 @@
 static void
 serve (WorkerHttp *http, MuxWorkerClient *client, Job *job)
 {
-  int64_t left_ms = job->deadline_ms - now_ms ();
+  int64_t left_ms = job->deadline_ms - mux_monotonic_ms ();
   MuxWorkerReply *reply = NULL;
 
   if (left_ms > 0 && client != NULL && is_by_number (job->call.addr))
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,3 +1,4 @@
+#include "base/clock.h"
 #include "cli/cli.h"
 
 #include <curl/curl.h>
@@ -16,11 +17,8 @@
 static uint64_t
 system_now_ms (MuxCliHost *host)
 {
-  struct timespec now;
-
   (void) host;
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
+  return (uint64_t) mux_monotonic_ms ();
 }
 
 static void
