--- a/test/support/mixed_jobs.c
+++ b/test/support/mixed_jobs.c
@@ -138,14 +138,12 @@
     tally->open++;
 }
 
-/* What the daemons say of a job that should have ended. */
+/* What every daemon answers to GET @path. */
 static void
-print_open (MuxMixedJobs *jobs, const MuxTestJob *job)
+print_all (MuxMixedJobs *jobs, const char *path)
 {
   const MuxCluster *cluster = jobs->options.cluster;
-  char path[64];
 
-  snprintf (path, sizeof path, "/v1/jobs/%s", job->id);
   for (uint32_t i = 0; i < cluster->daemon_count; i++)
     {
       json_t *answer = mux_http_json (
@@ -159,6 +157,17 @@
     }
 }
 
+/* What the daemons say of a job that should have ended. */
+static void
+print_open (MuxMixedJobs *jobs, const MuxTestJob *job)
+{
+  char path[64];
+
+  snprintf (path, sizeof path, "/v1/jobs/%s", job->id);
+  print_all (jobs, path);
+  print_all (jobs, "/v1/status");
+}
+
 void
 mux_mixed_jobs_stop (MuxMixedJobs *jobs,
                      uint32_t timeout_ms,
