Count a job's time to be remembered from its end

Cause: the row of an ended job was swept key_keep_s after its submission. A job that ran longer was forgotten as it ended; a repeat of its key then ran it a second time, once its worker had forgotten it, too. The time of day stood still between asks besides, so quiet daemons neither swept nor dated rows truly. Ruled out: the worker alone (its memory is minutes, and ends with its life). Conclusion: the last write dates the row anew; the time of day goes on with the core's clock.

--- a/src/core/core.c
+++ b/src/core/core.c
@@ -375,6 +375,8 @@
   if (core->started_ms == 0)
     core->started_ms = core->last_step_ms = core->now_ms;
   members_after_pause (core, core->now_ms - core->last_step_ms);
+  if (core->wall_ms != 0)
+    core->wall_ms += core->now_ms - core->last_step_ms;
   core->last_step_ms = core->now_ms;
   mux_count (core->counters, MUX_COUNT_EVENTS, 1);
   switch (event->kind)
--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -46,7 +46,7 @@
   uint64_t next_grant;
   int64_t started_ms; /* first event; 0: none yet */
   int64_t last_step_ms;
-  int64_t wall_ms; /* time of day of the latest ask; 0: none yet */
+  int64_t wall_ms; /* time of day, first told by an ask; 0: not yet */
   int64_t next_heartbeat_ms;
   int64_t next_far_heartbeat_ms;
   int64_t next_workers_ms;
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -61,7 +61,7 @@
   char object[OBJECT_KEY_LEN]; /* where the body is; "": no body */
   uint32_t done;               /* ended tasks, in a job that has ended */
   uint32_t failed;
-  int64_t at_ms; /* time of day when it was submitted */
+  int64_t at_ms; /* time of day when it was submitted, then when it ended */
 } JobHeader;
 
 /* Most owners that a gang is spread over. */
--- a/src/core/jobs_write.c
+++ b/src/core/jobs_write.c
@@ -161,9 +161,15 @@
   return NULL;
 }
 
-/* The last write moves the job from the open ones to the ended ones. */
+/*
+ * The last write moves the job from the open ones to the ended ones.
+ *
+ * Failure: a job runs for longer than keys are remembered.  Counted from its
+ * submission its row is swept as it ends, and a repeat of its key runs it
+ * again.  So it is counted from its end.
+ */
 static MuxTableCall *
-end_call (Job *job)
+end_call (const MuxCore *core, Job *job)
 {
   uint32_t parts = job_parts (&job->header);
   MuxTableCall *call = mux_table_call_new (MUX_TABLE_TXN, 2 + parts);
@@ -173,6 +179,8 @@
   job->header.state = job->header.cancel       ? JOB_CANCELLED
                       : job->header.failed > 0 ? JOB_FAILED
                                                : JOB_DONE;
+  if (core->wall_ms > job->header.at_ms)
+    job->header.at_ms = core->wall_ms;
   job_row_key ("open", job->id, call->rows[0].key);
   call->rows[0].rev = job->rev;
   job_row_key ("done", job->id, call->rows[1].key);
@@ -193,7 +201,7 @@
 send_write (MuxCore *core, Job *job)
 {
   bool last = job->ended;
-  MuxTableCall *call = last ? end_call (job) : parts_call (job);
+  MuxTableCall *call = last ? end_call (core, job) : parts_call (job);
 
   memcpy (job->written, job->pending,
           job->pending_count * sizeof *job->written);
--- a/test/proof/proof_once.c
+++ b/test/proof/proof_once.c
@@ -251,6 +251,30 @@
   scenario_settle (s, 30000);
 }
 
+/* A settlement runs for longer than keys are remembered.  Its row is counted
+ * from its submission and swept as soon as it ends; the one who submitted it
+ * asks again with its key, and it all runs a second time once the worker has
+ * forgotten it, too. */
+static void
+long_job_remembered (Scenario *s, bool without)
+{
+  uint32_t tag = scenario_work (s, SCENARIO_BATCH, true, 1, 700000);
+
+  (void) without;
+  scenario_submit (s, 0, tag, 10000);
+  scenario_run (s, 710000);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      scenario_call (s, 0, &(MuxAsk){ .verb = MUX_ASK_STATUS });
+      scenario_run (s, 65000);
+    }
+  scenario_restart_worker (s, 0);
+  scenario_run (s, 10000);
+  scenario_submit (s, 0, tag, 10000);
+  scenario_run (s, 5000);
+  proof_expect (s, s->run_count == 1, "the job did not run once");
+}
+
 static const Proof proofs[] = {
   { "once_both_at_once", once_both_at_once, true, 2, 2, 2 },
   { "once_later", once_later, true, 2, 2, 2 },
@@ -262,6 +286,7 @@
   { "once_worker_restarted", once_worker_restarted, true, 1, 1, 1 },
   { "once_start_overtaken", once_start_overtaken, true, 1, 1, 1 },
   { "once_worker_forgot", once_worker_forgot, false, 2, 1, 1 },
+  { "long_job_remembered", long_job_remembered, false, 1, 1, 1 },
   { "not_run_is_true", not_run_is_true, false, 2, 1, 1 },
 };
 
