Divide the steps of a task by what they do

Cause: task_steps.c had grown to 800 lines of steps of all states. Now the table stands alone, and the steps in five files: asking, its row, running, settling, ends. Written twice and now once: having the row written, giving back what is held or asked for, two constants. Ruled out: changes of behaviour; functions were moved and renamed (step_...), all proofs and proof_random 1 300 pass as before (0 bad).

--- a/src/core/task.c
+++ b/src/core/task.c
@@ -12,8 +12,6 @@
 
 /* A task whose callers have all been answered "unknown" is minded so long. */
 #define LINGER_MS 600000
-/* When a caller told "unknown" may ask again. */
-#define UNKNOWN_RETRY_MS 1000
 /* Wait advised while this daemon has no configuration yet. */
 #define NOT_READY_RETRY_MS 1000
 
--- a/src/core/task_private.h
+++ b/src/core/task_private.h
@@ -6,6 +6,9 @@
 
 /* Shared by the files of the task's life. */
 
+/* When a caller told "unknown" may ask again. */
+#define UNKNOWN_RETRY_MS 1000
+
 /** task_request_refused() - answers a request that can't be taken */
 bool task_request_refused (MuxCore *core,
                            const MuxAsk *ask,
--- /dev/null
+++ b/src/core/task_steps.h
@@ -0,0 +1,72 @@
+#ifndef CORE_TASK_STEPS_H
+#define CORE_TASK_STEPS_H
+
+#include "task_private.h"
+
+/* The steps that the table in task_steps.c names, and what they share.  After
+ * a step, and after any of these, the task may be gone. */
+
+/* Pause before an attempt that was absent is looked for again. */
+#define ABSENT_PAUSE_MS 300
+
+/** task_finish_not_run() - end it; nothing was started by this submission */
+void task_finish_not_run (MuxCore *core,
+                          Task *task,
+                          MuxReason reason,
+                          uint32_t retry_ms);
+/** task_finish_unknown() - end it; it may have run */
+void task_finish_unknown (MuxCore *core, Task *task, MuxReason reason);
+/** task_next_attempt() - this attempt is over for certain: go on with the next
+ * number, whose id no worker has seen */
+void task_next_attempt (MuxCore *core, Task *task, MuxReason reason);
+/** task_ask_fresh() - ask for room, also owners that refused before */
+void task_ask_fresh (MuxCore *core, Task *task);
+/** task_pause_then_ask() - the same after @pause_ms with jitter */
+void task_pause_then_ask (MuxCore *core, Task *task, int64_t pause_ms);
+/** task_give_back() - the room that it holds, or has asked for */
+void task_give_back (MuxCore *core, Task *task);
+/** task_write_row() - have its intent written; then it may start */
+void task_write_row (MuxCore *core, Task *task);
+/** task_settle() - find out at its worker, or have it never start there */
+void task_settle (MuxCore *core, Task *task);
+
+/* Looking for room (task_steps_ask.c). */
+void step_ask (MuxCore *core, Task *task, const TaskEvent *event);
+void step_ask_repeat (MuxCore *core, Task *task, const TaskEvent *event);
+void step_granted (MuxCore *core, Task *task, const TaskEvent *event);
+void step_refused (MuxCore *core, Task *task, const TaskEvent *event);
+
+/* Its row (task_steps_row.c). */
+void step_row_written (MuxCore *core, Task *task, const TaskEvent *event);
+void step_row_found (MuxCore *core, Task *task, const TaskEvent *event);
+void step_row_absent (MuxCore *core, Task *task, const TaskEvent *event);
+void step_row_unknown (MuxCore *core, Task *task, const TaskEvent *event);
+void step_store_down (MuxCore *core, Task *task, const TaskEvent *event);
+
+/* Started (task_steps_run.c). */
+void step_ended (MuxCore *core, Task *task, const TaskEvent *event);
+void step_not_started (MuxCore *core, Task *task, const TaskEvent *event);
+void step_seen_running (MuxCore *core, Task *task, const TaskEvent *event);
+void step_probe_running (MuxCore *core, Task *task, const TaskEvent *event);
+void step_not_there_yet (MuxCore *core, Task *task, const TaskEvent *event);
+void step_look (MuxCore *core, Task *task, const TaskEvent *event);
+void step_await (MuxCore *core, Task *task, const TaskEvent *event);
+void step_stop_again (MuxCore *core, Task *task, const TaskEvent *event);
+
+/* What became of a start (task_steps_settle.c). */
+void step_start_lost (MuxCore *core, Task *task, const TaskEvent *event);
+void step_settle_again (MuxCore *core, Task *task, const TaskEvent *event);
+void step_lost (MuxCore *core, Task *task, const TaskEvent *event);
+void step_never (MuxCore *core, Task *task, const TaskEvent *event);
+void step_settled_ended (MuxCore *core, Task *task, const TaskEvent *event);
+void step_other_life (MuxCore *core, Task *task, const TaskEvent *event);
+void step_absent (MuxCore *core, Task *task, const TaskEvent *event);
+
+/* Time over, or cancelled (task_steps_end.c). */
+void step_give_up_early (MuxCore *core, Task *task, const TaskEvent *event);
+void step_give_up_late (MuxCore *core, Task *task, const TaskEvent *event);
+void step_cancel_early (MuxCore *core, Task *task, const TaskEvent *event);
+void step_cancel_late (MuxCore *core, Task *task, const TaskEvent *event);
+void step_cancel_running (MuxCore *core, Task *task, const TaskEvent *event);
+
+#endif
--- /dev/null
+++ b/src/core/task_steps_end.c
@@ -0,0 +1,123 @@
+#include "task_steps.h"
+
+#include "budget.h"
+
+/* How attempts and tasks end, and what their callers are told. */
+
+/* Pauses between attempts double up to this many times. */
+#define BACKOFF_DOUBLINGS 5
+
+void
+task_finish_not_run (MuxCore *core,
+                     Task *task,
+                     MuxReason reason,
+                     uint32_t retry_ms)
+{
+  MuxOutcome outcome = task->ran ? MUX_OUTCOME_FAILED : MUX_OUTCOME_NOT_RUN;
+
+  task_finish (core, task, outcome, reason, retry_ms, MUX_TASK_ABSENT, NULL);
+}
+
+void
+task_finish_unknown (MuxCore *core, Task *task, MuxReason reason)
+{
+  task_finish (core, task, MUX_OUTCOME_UNKNOWN, reason, UNKNOWN_RETRY_MS,
+               MUX_TASK_ABSENT, NULL);
+}
+
+void
+task_next_attempt (MuxCore *core, Task *task, MuxReason reason)
+{
+  uint32_t doublings = task->retries;
+
+  mux_count_retry (core->counters, reason);
+  task->last_reason = reason;
+  task->last_retry_ms = RETRY_MS;
+  task->granted = false;
+  task->probed = false;
+  task->absent_seen = false;
+  task->lost = 0;
+  task->in_gang = false;
+  task->group = (MuxId){ 0, 0 };
+  task->group_count = 0;
+  if (task->waiters == NULL && !task->has_job)
+    {
+      task_free (core, task);
+      return;
+    }
+  if (task->cancelled)
+    {
+      task_finish_not_run (core, task, MUX_REASON_CANCELLED, 0);
+      return;
+    }
+  /* Another attempt elsewhere would be a second run if the ticket came to
+   * another daemon as well: its caller fetches a new one. */
+  if (task->ticketed)
+    {
+      task_finish_not_run (core, task, reason, 0);
+      return;
+    }
+  task_attempt_set (core, task, task->attempt + 1);
+  task->retries++;
+  if (!budget_take (core, task->class_name) && !task->has_job)
+    {
+      task_finish_not_run (core, task, MUX_REASON_RETRY_BUDGET, RETRY_MS * 10);
+      return;
+    }
+  if (doublings == 0)
+    {
+      task_ask_fresh (core, task);
+      return;
+    }
+  if (doublings > BACKOFF_DOUBLINGS)
+    doublings = BACKOFF_DOUBLINGS;
+  task_pause_then_ask (core, task, (int64_t) RETRY_MS << (doublings - 1));
+}
+
+void
+step_give_up_early (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  MuxReason reason = task->last_reason;
+
+  (void) event;
+  task_give_back (core, task);
+  if (reason == MUX_REASON_NONE)
+    reason = MUX_REASON_DEADLINE;
+  task_finish_not_run (core, task, reason, task->last_retry_ms);
+}
+
+void
+step_give_up_late (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  (void) event;
+  if (task->waiters == NULL)
+    {
+      task_free (core, task);
+      return;
+    }
+  task_detach (core, task, MUX_OUTCOME_UNKNOWN, MUX_REASON_UNKNOWN_FATE,
+               UNKNOWN_RETRY_MS);
+}
+
+void
+step_cancel_early (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  (void) event;
+  task_give_back (core, task);
+  task_finish_not_run (core, task, MUX_REASON_CANCELLED, 0);
+}
+
+void
+step_cancel_late (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  (void) event;
+  task->cancelled = true;
+  task_settle (core, task);
+}
+
+void
+step_cancel_running (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  task->cancelled = true;
+  step_seen_running (core, task, event);
+}
--- /dev/null
+++ b/src/core/task_steps_row.c
@@ -0,0 +1,112 @@
+#include "task_steps.h"
+
+#include "commit.h"
+
+#include <string.h>
+
+/* Steps of a task whose row is written or read: RECORDING, READING. */
+
+void
+task_write_row (MuxCore *core, Task *task)
+{
+  task->state = TASK_RECORDING;
+  if (!commit_put (core, task))
+    {
+      task_grant_end (core, task, MUX_TASK_ABSENT, 0);
+      task_finish_not_run (core, task, MUX_REASON_INTERNAL, RETRY_MS);
+    }
+}
+
+void
+step_row_written (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  task->row_rev = event->rev;
+  task_start_now (core, task);
+}
+
+/*
+ * Failure: an earlier submission of the key at this same daemon wrote the
+ * row, for the same worker, and ran.  Taken for the row of the grant at hand,
+ * it would be started again; once the worker has restarted that is refused as
+ * certainly not started, and the next attempt runs the task a second time.
+ * The number of the grant tells the two apart.
+ */
+static bool
+is_ours (const MuxCore *core, const Task *task, const Intent *intent)
+{
+  return intent->attempt == task->attempt && intent->grant == task->at.grant
+         && intent->home_incarnation == core->opt.incarnation
+         && strcmp (intent->home, core->name) == 0
+         && strcmp (intent->worker, task->at.worker) == 0
+         && intent->incarnation == task->at.incarnation;
+}
+
+/* Somebody's attempt is on record: this submission gets that one's answer,
+ * or, once it is certain that it never starts, makes the next attempt. */
+void
+step_row_found (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  if (task->granted && is_ours (core, task, event->intent))
+    {
+      step_row_written (core, task, event);
+      return;
+    }
+  mux_count_retry (core->counters, MUX_REASON_FENCED_ROW);
+  task_grant_end (core, task, MUX_TASK_ABSENT, 0);
+  task->row_rev = event->rev;
+  task->at = *event->intent;
+  task->absent_seen = false;
+  task->probed = false;
+  task->lost = 0;
+  task_attempt_set (core, task, event->intent->attempt);
+  task->state = TASK_FOLLOWING;
+  task_fetch (core, task, 0);
+  task_wake (core, task, WORKER_TIMEOUT_MS * 2);
+}
+
+void
+step_row_absent (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  (void) event;
+  task->row_rev = MUX_REV_ABSENT;
+  if (!task->granted)
+    {
+      task_pause_then_ask (core, task, RETRY_MS);
+      return;
+    }
+  task_write_row (core, task);
+}
+
+void
+step_row_unknown (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  (void) event;
+  mux_count_retry (core->counters, MUX_REASON_WRITE_UNKNOWN);
+  task->state = TASK_READING;
+  commit_read (core, task);
+}
+
+/*
+ * The start has not left, whatever the table has: not run, and said so.  Work
+ * that may be done twice goes on without its row: with the table away, a
+ * second submission through another data centre can't be told from a first.
+ */
+void
+step_store_down (MuxCore *core, Task *task, const TaskEvent *event)
+{
+  (void) event;
+  if (task->idempotent && !task->has_job && task->granted)
+    {
+      mux_count_retry (core->counters, MUX_REASON_STORE_DOWN);
+      task_start_now (core, task);
+      return;
+    }
+  task_grant_end (core, task, MUX_TASK_ABSENT, 0);
+  if (!task->has_job && !task->idempotent)
+    {
+      task_finish_not_run (core, task, MUX_REASON_STORE_DOWN, UNKNOWN_RETRY_MS);
+      return;
+    }
+  mux_count_retry (core->counters, MUX_REASON_STORE_DOWN);
+  task_pause_then_ask (core, task, UNKNOWN_RETRY_MS);
+}
