Keep benchmarks and whole-cell programs beside test/, not in it

test/ held four things: tests, stand-ins, measuring programs and programs that run a whole cell as processes. The measuring programs are now in bench/, the whole-cell ones (demo, history, failover) in demo/, each with the support that only they use in a support/ of its own. Nothing but paths changes.

Two parts go with the programs whose code they are, although unit tests check them: the process driver and the history checker are demo/support, tested by test_proc and test_history*; core_harness is bench/support (slopes_core), used by test_core_pacing.

Objects now lie in build/<variant>/obj, since the program build/release/demo and a folder of demo's objects cannot share a name. format, cppcheck and the include flags cover the new folders.

--- a/Makefile
+++ b/Makefile
@@ -20,17 +20,18 @@
   -lxxhash -lcurl -lmicrohttpd -lgnutls -lm
 
 LIBS = $(PACKAGES:%=$(B)/lib%.a)
-DAEMON_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/daemon/*.c)))
-CLI_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/cli/*.c)))
+DAEMON_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/obj/src/%.o,$(wildcard src/daemon/*.c)))
+CLI_OBJ = $(filter-out %/main.o,$(patsubst src/%.c,$(B)/obj/src/%.o,$(wildcard src/cli/*.c)))
 BINS = $(B)/cuminmuxd $(B)/cuminmux
 # Archives, so that a program links only the parts that it uses.
-TESTLIBS = $(B)/libsupport.a $(B)/libstandin.a $(B)/libdaemon.a $(B)/libcli.a
+TESTLIBS = $(B)/libbench.a $(B)/libdemo.a $(B)/libsupport.a $(B)/libstandin.a \
+  $(B)/libdaemon.a $(B)/libcli.a
 UNIT = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
 STANDIN = $(patsubst test/standin/%_main.c,$(B)/standin-%,$(wildcard test/standin/*_main.c))
-STANDIN_OBJ = $(patsubst test/%.c,$(B)/test/%.o,$(filter-out %_main.c,$(wildcard test/standin/*.c)))
-BENCH = $(patsubst test/bench/%.c,$(B)/bench/%,$(wildcard test/bench/bench_*.c))
+STANDIN_OBJ = $(patsubst test/%.c,$(B)/obj/test/%.o,$(filter-out %_main.c,$(wildcard test/standin/*.c)))
+BENCH = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/bench_*.c))
 PROOF = $(patsubst test/proof/%.c,$(B)/proof/%,$(wildcard test/proof/proof_*.c))
-DEMO = $(patsubst test/demo/%_main.c,$(B)/%,$(wildcard test/demo/*_main.c))
+DEMO = $(patsubst demo/%_main.c,$(B)/%,$(wildcard demo/*_main.c))
 
 all: $(BINS) $(STANDIN) $(DEMO)
 unit: $(UNIT)
@@ -39,29 +40,32 @@
 .PHONY: all unit benches proof-programs clean
 .SECONDARY:
 
-$(B)/%.o: %.c
+$(B)/obj/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "CC $(VARIANT) $<"
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
-# Test code may also include its own support headers.
-$(B)/test/%.o: CPPFLAGS += -Itest
+# Tests, benchmarks and the demo may also include each other's support headers.
+OUTER = test bench demo
+$(OUTER:%=$(B)/obj/%/%.o): CPPFLAGS += -Itest -I.
 
 define package
-$(B)/lib$(1).a: $(patsubst src/%.c,$(B)/src/%.o,$(wildcard src/$(1)/*.c))
+$(B)/lib$(1).a: $(patsubst src/%.c,$(B)/obj/src/%.o,$(wildcard src/$(1)/*.c))
 	@mkdir -p $$(@D)
 	@rm -f $$@
 	@ar rcs $$@ $$^
 endef
 $(foreach p,$(PACKAGES),$(eval $(call package,$(p))))
 
-$(B)/cuminmuxd: $(B)/src/daemon/main.o $(DAEMON_OBJ) $(LIBS)
+$(B)/cuminmuxd: $(B)/obj/src/daemon/main.o $(DAEMON_OBJ) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
 
-$(B)/cuminmux: $(B)/src/cli/main.o $(CLI_OBJ) $(LIBS)
+$(B)/cuminmux: $(B)/obj/src/cli/main.o $(CLI_OBJ) $(LIBS)
 	$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIBS) $(LIBS) $(LDLIBS)
 
-$(B)/libsupport.a: $(patsubst test/%.c,$(B)/test/%.o,$(wildcard test/support/*.c))
+$(B)/libsupport.a: $(patsubst %.c,$(B)/obj/%.o,$(wildcard test/support/*.c))
+$(B)/libbench.a: $(patsubst %.c,$(B)/obj/%.o,$(wildcard bench/support/*.c))
+$(B)/libdemo.a: $(patsubst %.c,$(B)/obj/%.o,$(wildcard demo/support/*.c))
 $(B)/libstandin.a: $(STANDIN_OBJ)
 $(B)/libdaemon.a: $(DAEMON_OBJ)
 $(B)/libcli.a: $(CLI_OBJ)
@@ -73,15 +77,15 @@
 TESTLINK = mkdir -p $(@D) && $(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) \
   -Wl,--start-group $(TESTLIBS) $(LIBS) -Wl,--end-group -lcmocka $(LDLIBS)
 
-$(B)/standin-%: $(B)/test/standin/%_main.o $(TESTLIBS) $(LIBS)
+$(B)/standin-%: $(B)/obj/test/standin/%_main.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
-$(B)/unit/%: $(B)/test/unit/%.o $(TESTLIBS) $(LIBS)
+$(B)/unit/%: $(B)/obj/test/unit/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
-$(B)/bench/%: $(B)/test/bench/%.o $(TESTLIBS) $(LIBS)
+$(B)/bench/%: $(B)/obj/bench/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
-$(B)/proof/%: $(B)/test/proof/%.o $(TESTLIBS) $(LIBS)
+$(B)/proof/%: $(B)/obj/test/proof/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
-$(B)/%: $(B)/test/demo/%_main.o $(TESTLIBS) $(LIBS)
+$(B)/%: $(B)/obj/demo/%_main.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
 
 clean:
--- a/test/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -4,9 +4,9 @@
  * that no hint is sent and each finds the change by its own poll.  Daemons are
  * asked for their revision in a loop, so a figure is late by up to one call
  * to each, which is printed too. */
-#include "support/callers.h"
-#include "support/cluster.h"
-#include "support/http.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/http.h"
 
 #include <curl/curl.h>
 #include <libgen.h>
--- a/test/bench/bench_door.c
+++ b/bench/bench_door.c
@@ -1,9 +1,9 @@
 /* Requests through one daemon against the same calls made directly to worker
  * stand-ins, in one run: the ratio of throughputs and what the daemon adds at
  * p50 and p99, with 1, 32 and 256 callers. */
-#include "support/callers.h"
-#include "support/cluster.h"
-#include "support/http.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/http.h"
 
 #include <curl/curl.h>
 #include <libgen.h>
--- a/test/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -1,5 +1,5 @@
 #include "policy/tuning.h"
-#include "support/load.h"
+#include "bench/support/load.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/test/bench/bench_worker_call.c
+++ b/bench/bench_worker_call.c
@@ -1,7 +1,7 @@
 /* What a call to a worker costs the caller: ulfius's client, the adapter's
  * client (a handle kept, a connection for each call) and the same handle with
  * its connection kept too.  Prints microseconds and their ratios. */
-#include "../../src/adapter/worker_http_client.h"
+#include "../src/adapter/worker_http_client.h"
 #include "standin/worker_server.h"
 
 #include <stdio.h>
--- a/test/bench/slopes_core.c
+++ b/bench/slopes_core.c
@@ -3,8 +3,8 @@
  * on a fake clock; its worker calls and table calls are answered by the
  * stand-ins' logic without any I/O, so what stands here is the decisions'
  * cost alone.  slopes_wire and slopes_daemon have the rest. */
-#include "support/core_harness.h"
-#include "support/slope.h"
+#include "bench/support/core_harness.h"
+#include "bench/support/slope.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/bench/slopes_daemon.c
+++ b/bench/slopes_daemon.c
@@ -2,9 +2,9 @@
  * the wire to workers and platform, counted by forwarders between them, to
  * peers by the daemons' own counters; processor time of the first daemon from
  * /proc over the window; its resident memory at the end. */
-#include "support/callers.h"
-#include "support/cluster.h"
-#include "support/http.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/http.h"
 #include "support/tcp_forwarder.h"
 
 #include <curl/curl.h>
--- a/test/bench/slopes_wire.c
+++ b/bench/slopes_wire.c
@@ -1,14 +1,14 @@
 /* Bytes on the wire of each kind of message: peers' messages as encoded, and
  * worker calls of the real adapter, counted between it and the stand-in.
  * What TCP/IP and ZeroMQ's frames add is not in it. */
-#include "../../src/adapter/platform_internal.h"
+#include "../src/adapter/platform_internal.h"
 #include "adapter/peer.h"
 #include "adapter/worker.h"
 #include "base/ring.h"
 #include "standin/platform_ctl.h"
 #include "standin/worker_server.h"
 #include "support/peer_sample.h"
-#include "support/slope.h"
+#include "bench/support/slope.h"
 #include "support/tcp_forwarder.h"
 
 #include <stdio.h>
--- a/test/support/core_harness.c
+++ b/bench/support/core_harness.c
@@ -1,4 +1,4 @@
-#include "support/core_harness_private.h"
+#include "bench/support/core_harness_private.h"
 
 #include <malloc.h>
 #include <stdio.h>
--- a/test/support/core_harness_private.h
+++ b/bench/support/core_harness_private.h
@@ -1,7 +1,7 @@
 #ifndef SUPPORT_CORE_HARNESS_PRIVATE_H
 #define SUPPORT_CORE_HARNESS_PRIVATE_H
 
-#include "support/core_harness.h"
+#include "bench/support/core_harness.h"
 
 #include <uthash.h>
 #include <utlist.h>
--- a/test/support/core_harness_sink.c
+++ b/bench/support/core_harness_sink.c
@@ -1,4 +1,4 @@
-#include "support/core_harness_private.h"
+#include "bench/support/core_harness_private.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/support/load_measure.c
+++ b/bench/support/load_measure.c
@@ -1,4 +1,4 @@
-#include "load_private.h"
+#include "bench/support/load_private.h"
 
 #include <math.h>
 #include <stdlib.h>
--- a/test/support/load_mix.c
+++ b/bench/support/load_mix.c
@@ -1,4 +1,4 @@
-#include "load.h"
+#include "bench/support/load.h"
 
 /* Declared sizes and run times are wrong by up to four times either way. */
 
--- a/test/support/load_naive.c
+++ b/bench/support/load_naive.c
@@ -1,4 +1,4 @@
-#include "load.h"
+#include "bench/support/load.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/test/support/load_private.h
+++ b/bench/support/load_private.h
@@ -1,7 +1,7 @@
 #ifndef SUPPORT_LOAD_PRIVATE_H
 #define SUPPORT_LOAD_PRIVATE_H
 
-#include "load.h"
+#include "bench/support/load.h"
 
 #define WINDOW_MS 10000
 #define WINDOWS_MAX 256
--- a/test/support/load_sched.c
+++ b/bench/support/load_sched.c
@@ -1,4 +1,4 @@
-#include "load.h"
+#include "bench/support/load.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/support/slope.c
+++ b/bench/support/slope.c
@@ -1,4 +1,4 @@
-#include "support/slope.h"
+#include "bench/support/slope.h"
 
 #include <math.h>
 #include <stdio.h>
--- a/test/demo/demo_main.c
+++ b/demo/demo_main.c
@@ -1,13 +1,13 @@
 /* The main job end to end: three data centres as separate processes, booking
  * requests and jobs, a daemon killed and a worker drained half way, and what
  * callers were told held against what the workers logged. */
-#include "support/callers.h"
-#include "support/cluster.h"
-#include "support/history.h"
-#include "support/http.h"
-#include "support/jobs.h"
-#include "support/jsonl.h"
-#include "support/proc.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/history.h"
+#include "demo/support/http.h"
+#include "demo/support/jobs.h"
+#include "demo/support/jsonl.h"
+#include "demo/support/proc.h"
 
 #include <curl/curl.h>
 #include <libgen.h>
--- a/test/demo/failover_main.c
+++ b/demo/failover_main.c
@@ -1,11 +1,11 @@
 /* Measures over separate processes: what a daemon's death, a rolling restart
  * and a leaving worker cost, and the table's writes.  Prints one line
  * "name value unit" each; it judges nothing. */
-#include "support/callers.h"
-#include "support/cluster.h"
-#include "support/http.h"
-#include "support/mixed_callers.h"
-#include "support/starts.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/http.h"
+#include "demo/support/mixed_callers.h"
+#include "demo/support/starts.h"
 
 #include <curl/curl.h>
 #include <inttypes.h>
--- a/test/demo/history_main.c
+++ b/demo/history_main.c
@@ -1,13 +1,13 @@
 /* One seeded run of separate processes under faults, and what callers and
  * operators were told held against what the workers and the table kept. */
-#include "support/callers.h"
-#include "support/cluster.h"
-#include "support/fault_inject.h"
-#include "support/history.h"
-#include "support/http.h"
-#include "support/mixed_callers.h"
-#include "support/mixed_jobs.h"
-#include "support/operators.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/fault_inject.h"
+#include "demo/support/history.h"
+#include "demo/support/http.h"
+#include "demo/support/mixed_callers.h"
+#include "demo/support/mixed_jobs.h"
+#include "demo/support/operators.h"
 
 #include <curl/curl.h>
 #include <libgen.h>
--- a/test/support/callers.c
+++ b/demo/support/callers.c
@@ -1,6 +1,6 @@
-#include "support/callers.h"
+#include "demo/support/callers.h"
 
-#include "support/request.h"
+#include "demo/support/request.h"
 
 #include <pthread.h>
 #include <stdio.h>
--- a/test/support/callers.h
+++ b/demo/support/callers.h
@@ -2,7 +2,7 @@
 #define SUPPORT_CALLERS_H
 
 #include "base/error.h"
-#include "support/jsonl.h"
+#include "demo/support/jsonl.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/test/support/cluster.c
+++ b/demo/support/cluster.c
@@ -1,7 +1,7 @@
-#include "support/cluster.h"
+#include "demo/support/cluster.h"
 
-#include "support/callers.h"
-#include "support/http.h"
+#include "demo/support/callers.h"
+#include "demo/support/http.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/test/support/cluster.h
+++ b/demo/support/cluster.h
@@ -4,7 +4,7 @@
 #include "base/error.h"
 #include "base/id.h"
 #include "model/spec.h"
-#include "support/proc.h"
+#include "demo/support/proc.h"
 #include "support/tcp_forwarder.h"
 
 #include <stdatomic.h>
--- a/test/support/fault_inject.c
+++ b/demo/support/fault_inject.c
@@ -1,7 +1,7 @@
-#include "support/fault_inject.h"
+#include "demo/support/fault_inject.h"
 
-#include "support/callers.h"
-#include "support/http.h"
+#include "demo/support/callers.h"
+#include "demo/support/http.h"
 
 #include <signal.h>
 #include <string.h>
--- a/test/support/fault_inject.h
+++ b/demo/support/fault_inject.h
@@ -1,9 +1,9 @@
 #ifndef SUPPORT_FAULT_INJECT_H
 #define SUPPORT_FAULT_INJECT_H
 
-#include "support/cluster.h"
-#include "support/fault_plan.h"
-#include "support/jsonl.h"
+#include "demo/support/cluster.h"
+#include "demo/support/fault_plan.h"
+#include "demo/support/jsonl.h"
 
 /**
  * struct MuxFaultRun - a plan being carried out on a linked cluster
--- a/test/support/fault_plan.c
+++ b/demo/support/fault_plan.c
@@ -1,4 +1,4 @@
-#include "support/fault_plan.h"
+#include "demo/support/fault_plan.h"
 
 #include "support/random.h"
 
--- a/test/support/hash.c
+++ b/demo/support/hash.c
@@ -1,4 +1,4 @@
-#include "support/hash.h"
+#include "demo/support/hash.h"
 
 #include <stdio.h>
 
--- a/test/support/history.c
+++ b/demo/support/history.c
@@ -1,4 +1,4 @@
-#include "support/history_data.h"
+#include "demo/support/history_data.h"
 
 #include <jansson.h>
 #include <stdarg.h>
--- a/test/support/history_data.h
+++ b/demo/support/history_data.h
@@ -1,7 +1,7 @@
 #ifndef SUPPORT_HISTORY_DATA_H
 #define SUPPORT_HISTORY_DATA_H
 
-#include "support/history.h"
+#include "demo/support/history.h"
 
 #include <jansson.h>
 #include <stdint.h>
--- a/test/support/history_file.c
+++ b/demo/support/history_file.c
@@ -1,4 +1,4 @@
-#include "support/history.h"
+#include "demo/support/history.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/test/support/http.c
+++ b/demo/support/http.c
@@ -1,4 +1,4 @@
-#include "support/http.h"
+#include "demo/support/http.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
--- a/test/support/jobs.c
+++ b/demo/support/jobs.c
@@ -1,7 +1,7 @@
-#include "support/jobs.h"
+#include "demo/support/jobs.h"
 
-#include "support/callers.h"
-#include "support/hash.h"
+#include "demo/support/callers.h"
+#include "demo/support/hash.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/test/support/jobs.h
+++ b/demo/support/jobs.h
@@ -1,9 +1,9 @@
 #ifndef SUPPORT_JOBS_H
 #define SUPPORT_JOBS_H
 
-#include "support/cluster.h"
-#include "support/http.h"
-#include "support/jsonl.h"
+#include "demo/support/cluster.h"
+#include "demo/support/http.h"
+#include "demo/support/jsonl.h"
 
 /**
  * struct MuxTestJob - a job as its submitter sees it
--- a/test/support/jsonl.c
+++ b/demo/support/jsonl.c
@@ -1,4 +1,4 @@
-#include "support/jsonl.h"
+#include "demo/support/jsonl.h"
 
 #include <errno.h>
 #include <fcntl.h>
--- a/test/support/mixed_callers.c
+++ b/demo/support/mixed_callers.c
@@ -1,8 +1,8 @@
-#include "support/mixed_callers.h"
+#include "demo/support/mixed_callers.h"
 
-#include "support/callers.h"
+#include "demo/support/callers.h"
 #include "support/random.h"
-#include "support/request.h"
+#include "demo/support/request.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
--- a/test/support/mixed_jobs.c
+++ b/demo/support/mixed_jobs.c
@@ -1,8 +1,8 @@
-#include "support/mixed_jobs.h"
+#include "demo/support/mixed_jobs.h"
 
-#include "support/callers.h"
-#include "support/http.h"
-#include "support/jobs.h"
+#include "demo/support/callers.h"
+#include "demo/support/http.h"
+#include "demo/support/jobs.h"
 #include "support/random.h"
 
 #include <pthread.h>
--- a/test/support/mixed_jobs.h
+++ b/demo/support/mixed_jobs.h
@@ -1,8 +1,8 @@
 #ifndef SUPPORT_MIXED_JOBS_H
 #define SUPPORT_MIXED_JOBS_H
 
-#include "support/cluster.h"
-#include "support/jsonl.h"
+#include "demo/support/cluster.h"
+#include "demo/support/jsonl.h"
 
 #include <stdint.h>
 
--- a/test/support/operators.c
+++ b/demo/support/operators.c
@@ -1,7 +1,7 @@
-#include "support/operators.h"
+#include "demo/support/operators.h"
 
-#include "support/callers.h"
-#include "support/http.h"
+#include "demo/support/callers.h"
+#include "demo/support/http.h"
 #include "support/random.h"
 
 #include <pthread.h>
--- a/test/support/operators.h
+++ b/demo/support/operators.h
@@ -1,8 +1,8 @@
 #ifndef SUPPORT_OPERATORS_H
 #define SUPPORT_OPERATORS_H
 
-#include "support/cluster.h"
-#include "support/jsonl.h"
+#include "demo/support/cluster.h"
+#include "demo/support/jsonl.h"
 
 #include <stdint.h>
 
--- a/test/support/proc.c
+++ b/demo/support/proc.c
@@ -1,4 +1,4 @@
-#include "support/proc.h"
+#include "demo/support/proc.h"
 
 #include <errno.h>
 #include <fcntl.h>
--- a/test/support/request.c
+++ b/demo/support/request.c
@@ -1,7 +1,7 @@
-#include "support/request.h"
+#include "demo/support/request.h"
 
-#include "support/callers.h"
-#include "support/hash.h"
+#include "demo/support/callers.h"
+#include "demo/support/hash.h"
 #include "support/random.h"
 
 #include <stdio.h>
--- a/test/support/request.h
+++ b/demo/support/request.h
@@ -1,8 +1,8 @@
 #ifndef SUPPORT_REQUEST_H
 #define SUPPORT_REQUEST_H
 
-#include "support/http.h"
-#include "support/jsonl.h"
+#include "demo/support/http.h"
+#include "demo/support/jsonl.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/test/support/starts.c
+++ b/demo/support/starts.c
@@ -1,4 +1,4 @@
-#include "support/starts.h"
+#include "demo/support/starts.h"
 
 #include <errno.h>
 #include <jansson.h>
--- a/test/support/starts.h
+++ b/demo/support/starts.h
@@ -2,7 +2,7 @@
 #define SUPPORT_STARTS_H
 
 #include "base/error.h"
-#include "support/cluster.h"
+#include "demo/support/cluster.h"
 
 #include <stdint.h>
 
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -1,5 +1,5 @@
 /* Traffic that a daemon spends on itself stays bounded as the cell grows. */
-#include "support/core_harness.h"
+#include "bench/support/core_harness.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/test/unit/test_history_config.c
+++ b/test/unit/test_history_config.c
@@ -1,4 +1,4 @@
-#include "support/history.h"
+#include "demo/support/history.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -1,7 +1,7 @@
 # `make check` is what CI runs; each step prints its name and its time.
 CHECK_JOBS ?= $(shell n=$$(nproc); echo $$(( n > 8 ? 8 : n )))
-SOURCES = $(shell find src include test -name '*.[ch]')
-LINT_FLAGS = $(CPPFLAGS) -Itest -std=c11 -include tools/lint.h
+SOURCES = $(shell find src include test bench demo -name '*.[ch]')
+LINT_FLAGS = $(CPPFLAGS) -Itest -I. -std=c11 -include tools/lint.h
 # Unit tests that run several threads of ours; they run under tsan as well.
 TSAN_TESTS = test_ring test_door test_inbox test_worker_adapter \
   test_platform_adapter test_platform_faults test_peer_zmq test_peer_curve
@@ -44,8 +44,8 @@
 	cppcheck --quiet --error-exitcode=1 --std=c11 -j$(CHECK_JOBS) \
 	  --enable=warning,performance,portability \
 	  --library=tools/cppcheck.cfg \
-	  --suppressions-list=tools/cppcheck-suppressions -Iinclude -Itest \
-	  -D_GNU_SOURCE src test
+	  --suppressions-list=tools/cppcheck-suppressions -Iinclude -Itest -I. \
+	  -D_GNU_SOURCE src test bench demo
 
 check-layers:
 	tools/check-layers --self-test
@@ -62,5 +62,5 @@
 	@bad=0; for t in $^; do MUX_GOLDEN_WRITE=1 $$t || bad=1; done; exit $$bad
 
 bench: all benches
-	@test -n "$(BENCH)" || { echo 'no test/bench/bench_*.c'; exit 1; }
+	@test -n "$(BENCH)" || { echo 'no bench/bench_*.c'; exit 1; }
 	@set -e; for b in $(BENCH); do $$b; done
