Forecast the wait of a task that would become late

With late tasks behind the timely ones, a task that misses its deadline waits far longer than the queue's length over the rate says.

The forecast now lets the timely tasks before it go at their part of the rate; what is left after the promise waits behind all late ones at theirs.

--- a/src/policy/forecast.c
+++ b/src/policy/forecast.c
@@ -1,5 +1,7 @@
 #include "internal.h"
 
+#include <math.h>
+
 /* A flow this small is no measurement; the class's capacity is then used. */
 #define RATE_MIN 1e-6
 #define CAPACITY_FLOOR 0.1
@@ -17,14 +19,24 @@
   return (uint32_t) (ms - quarter + sched->random % (2 * quarter + 1));
 }
 
-/* Part of @other's queue whose deadline lies before that of a new task of
- * @class, taking its deadlines as spread evenly. */
+/* Tasks of @class in its late lane, gangs counted by their members. */
+static double
+late_tasks (const MuxClass *class)
+{
+  double late = class->queue[MUX_LANE_LATE].count;
+  double all = late + class->queue[MUX_LANE_TIMELY].count;
+
+  return late > 0 ? class->waiting * late / all : 0;
+}
+
+/* Part of @other's timely tasks whose deadline lies before that of a new task
+ * of @class, taking their deadlines as spread evenly. */
 static double
 part_before (const MuxClass *class, const MuxClass *other, int64_t now_ms)
 {
   double mine = class->spec.start_within_ms;
   double last = other->spec.start_within_ms;
-  const MuxHeapNode *first = mux_queue_earliest (other);
+  const MuxHeapNode *first = mux_queue_head (other, MUX_LANE_TIMELY);
   double head;
 
   if (other->urgent != class->urgent)
@@ -35,7 +47,7 @@
   return head >= mine ? 0 : (mine - head) / (last - head);
 }
 
-/* Tasks that go before a new one of @class. */
+/* Timely tasks that go before a new one of @class. */
 static double
 tasks_before (const MuxSched *sched, const MuxClass *class, int64_t now_ms)
 {
@@ -46,11 +58,36 @@
       const MuxClass *other = sched->class_at[i];
 
       if (other->configured && other->waiting > 0)
-        tasks += other->waiting * part_before (class, other, now_ms);
+        tasks += (other->waiting - late_tasks (other))
+                 * part_before (class, other, now_ms);
     }
   return tasks;
 }
 
+/*
+ * When @before timely tasks and all late ones are served at @rate.  A task
+ * that can't start in time becomes late itself, behind those that are late by
+ * then, and these get their share of the starts alone.
+ */
+static double
+deferrable_wait (const MuxSched *sched,
+                 const MuxClass *class,
+                 double before,
+                 double rate)
+{
+  double within = class->spec.start_within_ms;
+  double late = 0;
+  double timely_rate;
+
+  for (uint32_t i = 0; i < sched->classes; i++)
+    late += late_tasks (sched->class_at[i]);
+  timely_rate = late > 0 ? rate * (1 - MUX_LATE_SHARE) : rate;
+  if (before <= within * timely_rate || !mux_late_yields (sched, class))
+    return before / timely_rate;
+  late += before - within * timely_rate;
+  return fmax (within, late / (rate * MUX_LATE_SHARE));
+}
+
 /*
  * How fast tasks like those of @class end, per ms.  What runs is looked at and
  * not how many started of late: those are few just when few are let in, and
@@ -113,7 +150,8 @@
     rate += now / class->run_mean_ms;
   if (rate < RATE_MIN)
     return 0;
-  wait = before / rate;
+  wait = class->urgent ? before / rate
+                       : deferrable_wait (sched, class, before, rate);
   return wait < UINT32_MAX / 2 ? (uint32_t) wait : UINT32_MAX / 2;
 }
 
