--- a/test/proof/proof_once.c
+++ b/test/proof/proof_once.c
@@ -261,6 +261,7 @@
   uint32_t tag = scenario_work (s, SCENARIO_BATCH, true, 1, 700000);
 
   (void) without;
+  s->dated = true;
   scenario_submit (s, 0, tag, 10000);
   scenario_run (s, 710000);
   for (uint32_t i = 0; i < 4; i++)
--- a/test/proof/proof_random.c
+++ b/test/proof/proof_random.c
@@ -218,6 +218,7 @@
 
   c.s = scenario_new (seed, NODES, WORKERS, 1 + below (&c, 2));
   c.s->verbose = verbose;
+  c.s->dated = true;
   c.s->store_fails = seed % 2 == 0;
   until_ms = c.s->net->now_ms + BUSY_MS;
   while (c.s->net->now_ms < until_ms)
--- a/test/support/scenario.c
+++ b/test/support/scenario.c
@@ -238,7 +238,7 @@
   MuxAsk ask = { .call = call + 1,
                  .verb = work->parts > 0 ? MUX_ASK_JOB_SUBMIT : MUX_ASK_REQUEST,
                  .give_up_ms = give_up_ms,
-                 .wall_ms = s->net->now_ms,
+                 .wall_ms = s->dated ? s->net->now_ms : 0,
                  .task_count = work->parts };
 
   work->calls++;
@@ -270,7 +270,7 @@
   uint32_t call = add_call (s, node, SCENARIO_NO_TAG, ask->give_up_ms);
 
   ask->call = call + 1;
-  ask->wall_ms = s->net->now_ms;
+  ask->wall_ms = s->dated ? s->net->now_ms : 0;
   fake_net_ask (s->net, node, ask);
   return call;
 }
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -76,6 +76,7 @@
  * @store_fails: the table will be away at times; then idempotent requests go
  *   on without their rows and two submissions of one may both run (DESIGN)
  * @lists_late: the platform's list of instances is not delivered
+ * @dated: asks tell the time of day, without which no row is swept
  */
 typedef struct
 {
@@ -95,6 +96,7 @@
   char first_wrong[256];
   bool store_fails;
   bool lists_late;
+  bool dated;
   bool verbose;
   uint32_t steps;
 } Scenario;
