Let a closed pipe not end the command without a word

Cause: libcurl is told to use no signals (CURLOPT_NOSIGNAL), so it leaves SIGPIPE to the program, which left it at its default. Over TLS a write to a connection that the daemon has closed raises it, and so does a closed pipe behind the command: the process died in the middle of a change without saying that its outcome is unknown. The daemon ignores the signal already. Ruled out: CURLOPT_NOSIGNAL 0, under which libcurl's timeouts use SIGALRM.

--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -1,6 +1,7 @@
 #include "verb.h"
 
 #include <errno.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -175,6 +176,10 @@
   int words = 0;
   int code;
 
+  /* Guards against an end without a word: a daemon that closes while it is
+   * sent to over TLS, or a closed pipe behind the command, raises SIGPIPE.
+   * Ignored, it is an error of the write, which is told. */
+  signal (SIGPIPE, SIG_IGN);
   if (line == NULL)
     {
       fputs ("cuminmux: memory is out\n", host->err);
--- a/test/unit/test_cli_cut.c
+++ b/test/unit/test_cli_cut.c
@@ -2,10 +2,14 @@
 #include "support/cli_session.h"
 
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -45,12 +49,48 @@
   assert_int_equal (code_of (session, HEAD "\r\nhalf"), MUX_EXIT_UNKNOWN);
 }
 
+/*
+ * An operator sends a change and the daemon's side closes half way, or the
+ * shell's pipe behind the command is closed.  The system ends the process at
+ * its next write, without a word on whether the change took effect: libcurl
+ * leaves the signal alone when it is told to use none.
+ */
+static void
+test_closed_pipe_does_not_end_it (void **state)
+{
+  CliSession *session = *state;
+  char program[] = "cuminmux";
+  char help[] = "--help";
+  char *argv[] = { program, help, NULL };
+  int fd[2];
+  int status = 0;
+  pid_t pid;
+
+  assert_int_equal (pipe (fd), 0);
+  close (fd[0]);
+  pid = fork ();
+  assert_true (pid >= 0);
+  if (pid == 0)
+    {
+      signal (SIGPIPE, SIG_DFL);
+      session->host.out = fdopen (fd[1], "w");
+      mux_cli_run (&session->host, 2, argv);
+      _exit (fflush (session->host.out) != 0 ? EXIT_SUCCESS : EXIT_FAILURE);
+    }
+  close (fd[1]);
+  assert_int_equal (waitpid (pid, &status, 0), pid);
+  assert_true (WIFEXITED (status));
+  assert_int_equal (WEXITSTATUS (status), EXIT_SUCCESS);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_cut_answer_is_unknown,
                                      cli_session_set_up, cli_session_tear_down),
+    cmocka_unit_test_setup_teardown (test_closed_pipe_does_not_end_it,
+                                     cli_session_set_up, cli_session_tear_down),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
