Advise no coming back where it could run work twice

An unkeyed request of a class that is not idempotent was told "unknown" with Retry-After; a client that heeds it sends the work again, and nothing tells the second from the first.

--- a/src/core/task.c
+++ b/src/core/task.c
@@ -175,6 +175,17 @@
   return task->waiters != NULL;
 }
 
+/*
+ * Failure: work without a key may have run, its caller is told to come back,
+ * does so, and it runs a second time.
+ */
+uint32_t
+task_unknown_retry_ms (const Task *task)
+{
+  return task->keyed || task->ticketed || task->idempotent ? UNKNOWN_RETRY_MS
+                                                           : 0;
+}
+
 void
 task_detach (MuxCore *core,
              Task *task,
@@ -250,7 +261,8 @@
         }
       *at = waiter->next;
       core_answer (core, waiter->call, MUX_OUTCOME_UNKNOWN,
-                   MUX_REASON_UNKNOWN_FATE, UNKNOWN_RETRY_MS, task->id, NULL);
+                   MUX_REASON_UNKNOWN_FATE, task_unknown_retry_ms (task),
+                   task->id, NULL);
       free (waiter);
     }
 }
@@ -524,7 +536,8 @@
 
         task->waiters = waiter->next;
         core_answer (core, waiter->call, MUX_OUTCOME_UNKNOWN,
-                     MUX_REASON_STOPPING, UNKNOWN_RETRY_MS, task->id, NULL);
+                     MUX_REASON_STOPPING, task_unknown_retry_ms (task),
+                     task->id, NULL);
         free (waiter);
       }
     task_free (core, task);
--- a/src/core/task_private.h
+++ b/src/core/task_private.h
@@ -9,6 +9,10 @@
 /* When a caller told "unknown" may ask again. */
 #define UNKNOWN_RETRY_MS 1000
 
+/** task_unknown_retry_ms() - when a caller told "unknown" may ask again; 0:
+ * never, as nothing would tell the same work from new */
+uint32_t task_unknown_retry_ms (const Task *task);
+
 /** task_request_refused() - answers a request that can't be taken */
 bool task_request_refused (MuxCore *core,
                            const MuxAsk *ask,
--- a/src/core/task_steps_end.c
+++ b/src/core/task_steps_end.c
@@ -10,8 +10,8 @@
 void
 task_finish_unknown (MuxCore *core, Task *task, MuxReason reason)
 {
-  task_finish (core, task, MUX_OUTCOME_UNKNOWN, reason, UNKNOWN_RETRY_MS,
-               MUX_TASK_ABSENT, NULL);
+  task_finish (core, task, MUX_OUTCOME_UNKNOWN, reason,
+               task_unknown_retry_ms (task), MUX_TASK_ABSENT, NULL);
 }
 
 void
@@ -85,7 +85,7 @@
       return;
     }
   task_detach (core, task, MUX_OUTCOME_UNKNOWN, MUX_REASON_UNKNOWN_FATE,
-               UNKNOWN_RETRY_MS);
+               task_unknown_retry_ms (task));
 }
 
 void
--- a/src/core/task_steps_settle.c
+++ b/src/core/task_steps_settle.c
@@ -36,7 +36,7 @@
   task->lost++;
   if (task->lost >= LOST_MAX && task->waiters != NULL)
     task_detach (core, task, MUX_OUTCOME_UNKNOWN, MUX_REASON_UNKNOWN_FATE,
-                 UNKNOWN_RETRY_MS);
+                 task_unknown_retry_ms (task));
   task_wake (core, task,
              core_jitter (core, task->lost < LOST_MAX ? RETRY_MS * 2
                                                       : UNKNOWN_RETRY_MS));
