Read no task that its refusal may have freed

Cause: with memory out the read of a refused key's row is answered within commit_read(), which ends and frees the task; its key was read after that. Ruled out: the other callers of commit_read(), which do nothing afterwards. Found by reading; no test makes memory run out. Conclusion: the timer is set first.

--- a/src/core/task_steps_refuse.c
+++ b/src/core/task_steps_refuse.c
@@ -40,9 +40,9 @@
     }
   task->state = TASK_REFUSING;
   task_mark_refused (task);
+  task_wake (core, task, ROW_MS);
+  /* With memory out the task has its answer and is gone after this. */
   commit_read (core, task);
-  if (task_find (core, task->key) == task)
-    task_wake (core, task, ROW_MS);
 }
 
 /* Those who were refused hear so; for whoever joined since then the task
