--- a/test/unit/test_golden_core.c
+++ b/test/unit/test_golden_core.c
@@ -42,16 +42,23 @@
   return text;
 }
 
-/* Plays @story twice: the same seed must give the same bytes, since otherwise
- * a difference from the file would tell nothing. */
+typedef struct
+{
+  const char *file;
+  char *(*play) (void);
+} Story;
+
+/* Plays the story twice: the same seed must give the same bytes, since
+ * otherwise a difference from the file would tell nothing. */
 static void
-assert_golden (const char *name, char *(*story) (void) )
+test_story (void **state)
 {
-  char *first = story (), *second = story ();
+  const Story *story = *state;
+  char *first = story->play (), *second = story->play ();
 
   assert_string_equal (first, second);
   free (second);
-  golden_assert (name, first);
+  golden_assert (story->file, first);
   free (first);
 }
 
@@ -65,6 +72,10 @@
   scenario_run (s, 1100);
 }
 
+/* A seat is booked at a daemon whose own workers are leaving: the owner of
+ * another grants a place, the row of the key is written, and only then the
+ * start leaves.  A place granted after the start, or a start before the row,
+ * would let the same key run twice. */
 static char *
 booking_story (void)
 {
@@ -81,17 +92,9 @@
   return end (&session);
 }
 
-/* A seat is booked at a daemon whose own workers are leaving: the owner of
- * another grants a place, the row of the key is written, and only then the
- * start leaves.  A place granted after the start, or a start before the row,
- * would let the same key run twice. */
-static void
-test_booking (void **state)
-{
-  (void) state;
-  assert_golden ("core_booking", booking_story);
-}
-
+/* A voucher is redeemed at two counters at once.  Both daemons ask for a
+ * place and write the key's row; one loses the row and must wait at the
+ * winner's worker for its answer, not start a second run. */
 static char *
 same_key_story (void)
 {
@@ -110,16 +113,9 @@
   return end (&session);
 }
 
-/* A voucher is redeemed at two counters at once.  Both daemons ask for a
- * place and write the key's row; one loses the row and must wait at the
- * winner's worker for its answer, not start a second run. */
-static void
-test_same_key (void **state)
-{
-  (void) state;
-  assert_golden ("core_same_key", same_key_story);
-}
-
+/* A start takes effect and its answer never comes.  The home settles at the
+ * worker and gives the caller the one run's answer; a home that starts anew
+ * elsewhere would book the seat twice. */
 static char *
 lost_start_story (void)
 {
@@ -137,16 +133,9 @@
   return end (&session);
 }
 
-/* A start takes effect and its answer never comes.  The home settles at the
- * worker and gives the caller the one run's answer; a home that starts anew
- * elsewhere would book the seat twice. */
-static void
-test_lost_start (void **state)
-{
-  (void) state;
-  assert_golden ("core_lost_start", lost_start_story);
-}
-
+/* A settlement batch is recorded before its caller hears of it, placed and
+ * closed; a forecast's gang needs two owners' workers at the same time and
+ * starts only when every task has its place. */
 static char *
 jobs_story (void)
 {
@@ -169,18 +158,11 @@
   return end (&session);
 }
 
-/* A settlement batch is recorded before its caller hears of it, placed and
- * closed; a forecast's gang needs two owners' workers at the same time and
- * starts only when every task has its place. */
-static void
-test_jobs (void **state)
-{
-  (void) state;
-  assert_golden ("core_jobs", jobs_story);
-}
-
+/* A daemon dies with a job's task running on its worker.  The other claims
+ * the worker at a higher epoch, finds the task in its list and the job in the
+ * table, and ends it; a job that nobody adopts would stay open for good. */
 static char *
-killed_story (void)
+owner_killed_story (void)
 {
   Session session = begin (2, 2, 1);
   Scenario *s = session.s;
@@ -203,16 +185,6 @@
   return end (&session);
 }
 
-/* A daemon dies with a job's task running on its worker.  The other claims
- * the worker at a higher epoch, finds the task in its list and the job in the
- * table, and ends it; a job that nobody adopts would stay open for good. */
-static void
-test_owner_killed (void **state)
-{
-  (void) state;
-  assert_golden ("core_owner_killed", killed_story);
-}
-
 static uint32_t
 put_cell (Scenario *s, uint32_t node, const char *who, const char *value)
 {
@@ -230,6 +202,9 @@
   return call;
 }
 
+/* Two operators change the same object at two daemons at once, each on what
+ * it saw.  One is committed and in force at both; the other is told what
+ * stands now, and its value never shows. */
 static char *
 change_story (void)
 {
@@ -250,18 +225,11 @@
   return end (&session);
 }
 
-/* Two operators change the same object at two daemons at once, each on what
- * it saw.  One is committed and in force at both; the other is told what
- * stands now, and its value never shows. */
-static void
-test_change (void **state)
-{
-  (void) state;
-  assert_golden ("core_change", change_story);
-}
-
+/* A daemon is stopped with a booking in flight.  Its caller still gets the
+ * whole answer, new ones are told to go elsewhere, its workers are handed
+ * over, and only then is it done. */
 static char *
-stop_story (void)
+graceful_stop_story (void)
 {
   Session session = begin (2, 2, 1);
   Scenario *s = session.s;
@@ -283,24 +251,20 @@
   return end (&session);
 }
 
-/* A daemon is stopped with a booking in flight.  Its caller still gets the
- * whole answer, new ones are told to go elsewhere, its workers are handed
- * over, and only then is it done. */
-static void
-test_graceful_stop (void **state)
-{
-  (void) state;
-  assert_golden ("core_graceful_stop", stop_story);
-}
+#define STORY(title)                                 \
+  {                                                  \
+    "test_" #title, test_story, NULL, NULL, &(Story) \
+    {                                                \
+      "core_" #title, title##_story                  \
+    }                                                \
+  }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_booking),       cmocka_unit_test (test_same_key),
-    cmocka_unit_test (test_lost_start),    cmocka_unit_test (test_jobs),
-    cmocka_unit_test (test_owner_killed),  cmocka_unit_test (test_change),
-    cmocka_unit_test (test_graceful_stop),
+    STORY (booking),      STORY (same_key), STORY (lost_start),    STORY (jobs),
+    STORY (owner_killed), STORY (change),   STORY (graceful_stop),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
