Start and end the command line's tests in one place

Two programs had the same main function around ulfius' global state; it is the group's set-up in cli_session now. 11 and 7 tests as before, all pass.

--- a/test/support/cli_session.c
+++ b/test/support/cli_session.c
@@ -40,6 +40,21 @@
   return true;
 }
 
+int
+cli_session_begin (void **state)
+{
+  (void) state;
+  return ulfius_global_init () == U_OK ? 0 : -1;
+}
+
+int
+cli_session_end (void **state)
+{
+  (void) state;
+  ulfius_global_close ();
+  return 0;
+}
+
 int
 cli_session_set_up (void **state)
 {
--- a/test/support/cli_session.h
+++ b/test/support/cli_session.h
@@ -27,6 +27,13 @@
   FILE *log;
 } CliSession;
 
+#define CLI_SESSION(test)                                    \
+  cmocka_unit_test_setup_teardown (test, cli_session_set_up, \
+                                   cli_session_tear_down)
+
+/** cli_session_begin() - for cmocka, around the tests of a program */
+int cli_session_begin (void **state);
+int cli_session_end (void **state);
 /** cli_session_set_up() - for cmocka; *@state is the session */
 int cli_session_set_up (void **state);
 int cli_session_tear_down (void **state);
--- a/test/unit/test_cli.c
+++ b/test/unit/test_cli.c
@@ -386,27 +386,19 @@
 int
 main (void)
 {
-#define SESSION(test)                                        \
-  cmocka_unit_test_setup_teardown (test, cli_session_set_up, \
-                                   cli_session_tear_down)
   const struct CMUnitTest tests[] = {
-    SESSION (test_views),
-    SESSION (test_config),
-    SESSION (test_work),
-    SESSION (test_refusals),
-    SESSION (test_bad_use),
-    SESSION (test_help),
-    SESSION (test_lost_answer_repeats_the_same_change),
-    SESSION (test_not_run_after_a_lost_answer_is_unknown),
-    SESSION (test_moves_on_to_the_next_server),
-    SESSION (test_no_proxy_from_the_environment),
-    SESSION (test_wait_until_in_force),
+    CLI_SESSION (test_views),
+    CLI_SESSION (test_config),
+    CLI_SESSION (test_work),
+    CLI_SESSION (test_refusals),
+    CLI_SESSION (test_bad_use),
+    CLI_SESSION (test_help),
+    CLI_SESSION (test_lost_answer_repeats_the_same_change),
+    CLI_SESSION (test_not_run_after_a_lost_answer_is_unknown),
+    CLI_SESSION (test_moves_on_to_the_next_server),
+    CLI_SESSION (test_no_proxy_from_the_environment),
+    CLI_SESSION (test_wait_until_in_force),
   };
-  int failed;
 
-  if (ulfius_global_init () != U_OK)
-    return 1;
-  failed = cmocka_run_group_tests (tests, NULL, NULL);
-  ulfius_global_close ();
-  return failed;
+  return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
 }
--- a/test/unit/test_cli_all.c
+++ b/test/unit/test_cli_all.c
@@ -245,23 +245,15 @@
 int
 main (void)
 {
-#define SESSION(test)                                        \
-  cmocka_unit_test_setup_teardown (test, cli_session_set_up, \
-                                   cli_session_tear_down)
   const struct CMUnitTest tests[] = {
-    SESSION (test_workers_of_all),
-    SESSION (test_risk_of_all),
-    SESSION (test_status_of_all),
-    SESSION (test_all_but_some),
-    SESSION (test_settings_before_the_verb),
-    SESSION (test_tickets),
-    SESSION (test_keygen),
+    CLI_SESSION (test_workers_of_all),
+    CLI_SESSION (test_risk_of_all),
+    CLI_SESSION (test_status_of_all),
+    CLI_SESSION (test_all_but_some),
+    CLI_SESSION (test_settings_before_the_verb),
+    CLI_SESSION (test_tickets),
+    CLI_SESSION (test_keygen),
   };
-  int failed;
 
-  if (ulfius_global_init () != U_OK)
-    return 1;
-  failed = cmocka_run_group_tests (tests, NULL, NULL);
-  ulfius_global_close ();
-  return failed;
+  return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
 }
