--- a/test/standin/platform_codec.c
+++ b/test/standin/platform_codec.c
@@ -74,8 +74,17 @@
   return row->value != NULL;
 }
 
-bool
-standin_platform_read_txn (const void *bytes, size_t len, StandinRowSet *rows)
+static bool
+read_key_row (const msgpack_object *object, MuxRow *row)
+{
+  return read_key (object, row->key);
+}
+
+static bool
+read_rows (const void *bytes,
+           size_t len,
+           bool (*read_row) (const msgpack_object *object, MuxRow *row),
+           StandinRowSet *rows)
 {
   const msgpack_object_array *array;
   msgpack_unpacked unpacked;
@@ -86,7 +95,7 @@
   good = array != NULL && array->size > 0 && array->size <= MUX_ROWS_MAX;
   while (good && rows->count < array->size)
     {
-      good = read_txn_row (&array->ptr[rows->count], &rows->row[rows->count]);
+      good = read_row (&array->ptr[rows->count], &rows->row[rows->count]);
       rows->count++;
     }
   msgpack_unpacked_destroy (&unpacked);
@@ -94,22 +103,15 @@
 }
 
 bool
-standin_platform_read_keys (const void *bytes, size_t len, StandinRowSet *rows)
+standin_platform_read_txn (const void *bytes, size_t len, StandinRowSet *rows)
 {
-  const msgpack_object_array *array;
-  msgpack_unpacked unpacked;
-  bool good;
+  return read_rows (bytes, len, read_txn_row, rows);
+}
 
-  memset (rows, 0, sizeof *rows);
-  array = unpack_array (&unpacked, bytes, len);
-  good = array != NULL && array->size > 0 && array->size <= MUX_ROWS_MAX;
-  while (good && rows->count < array->size)
-    {
-      good = read_key (&array->ptr[rows->count], rows->row[rows->count].key);
-      rows->count++;
-    }
-  msgpack_unpacked_destroy (&unpacked);
-  return good;
+bool
+standin_platform_read_keys (const void *bytes, size_t len, StandinRowSet *rows)
+{
+  return read_rows (bytes, len, read_key_row, rows);
 }
 
 bool
--- a/test/support/platform_fixture.h
+++ b/test/support/platform_fixture.h
@@ -32,6 +32,8 @@
 } PlatformFixture;
 
 /* Shared steps of the platform adapter's tests. */
+#define PLATFORM_TEST(name) \
+  cmocka_unit_test_setup_teardown (name, platform_set_up, platform_tear_down)
 
 /** platform_start_adapter() - sets the port, which was freed or unset
  */
--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -10,6 +10,18 @@
 
 #include <cmocka.h>
 
+static void
+expect_put (PlatformFixture *fixture,
+            const char *key,
+            uint64_t rev,
+            const char *value,
+            MuxTableStatus status)
+{
+  MuxTableCall *call = platform_put_new (key, rev, value);
+
+  assert_int_equal (platform_ask_status (fixture, call), status);
+}
+
 static void
 test_conflict_gives_the_failing_rows (void **state)
 {
@@ -44,12 +56,8 @@
   MuxTableCall *call = platform_call_new (MUX_TABLE_TXN, 3);
   MuxTableReply *reply;
 
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("a", MUX_REV_ANY, "1")),
-      MUX_TABLE_OK);
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("b", MUX_REV_ANY, "1")),
-      MUX_TABLE_OK);
+  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
+  expect_put (fixture, "b", MUX_REV_ANY, "1", MUX_TABLE_OK);
   platform_set_row (call, 0, "a", 1, NULL, 0);
   platform_set_row (call, 1, "b", 2, NULL, 0);
   call->rows[1].check_only = true;
@@ -371,17 +379,15 @@
 int
 main (void)
 {
-#define HTTP_TEST(name) \
-  cmocka_unit_test_setup_teardown (name, platform_set_up, platform_tear_down)
   const struct CMUnitTest tests[] = {
-    HTTP_TEST (test_conflict_gives_the_failing_rows),
-    HTTP_TEST (test_txn_checks_and_deletes),
-    HTTP_TEST (test_scan_pages),
-    HTTP_TEST (test_values_hold_any_bytes),
-    HTTP_TEST (test_object_round_trip),
-    HTTP_TEST (test_bad_request_is_bad),
-    HTTP_TEST (test_instance_list_arrives),
-    HTTP_TEST (test_list_is_read_as_changes),
+    PLATFORM_TEST (test_conflict_gives_the_failing_rows),
+    PLATFORM_TEST (test_txn_checks_and_deletes),
+    PLATFORM_TEST (test_scan_pages),
+    PLATFORM_TEST (test_values_hold_any_bytes),
+    PLATFORM_TEST (test_object_round_trip),
+    PLATFORM_TEST (test_bad_request_is_bad),
+    PLATFORM_TEST (test_instance_list_arrives),
+    PLATFORM_TEST (test_list_is_read_as_changes),
     cmocka_unit_test (test_errors_from_between_leave_doubt),
     cmocka_unit_test (test_garbled_answers),
     cmocka_unit_test (test_list_is_whole_or_nothing),
--- a/test/unit/test_platform_faults.c
+++ b/test/unit/test_platform_faults.c
@@ -9,6 +9,25 @@
 
 #include <cmocka.h>
 
+static void
+expect_put (PlatformFixture *fixture,
+            const char *key,
+            uint64_t rev,
+            const char *value,
+            MuxTableStatus status)
+{
+  MuxTableCall *call = platform_put_new (key, rev, value);
+
+  assert_int_equal (platform_ask_status (fixture, call), status);
+}
+
+static void
+expect_get (PlatformFixture *fixture, const char *key, MuxTableStatus status)
+{
+  assert_int_equal (platform_ask_status (fixture, platform_get_new (key)),
+                    status);
+}
+
 /* A guest's voucher is redeemed and the platform's answer is lost on a
  * connection that had served before.  The HTTP client may send such a request
  * again by itself; then the second sending finds the row of the first, reports
@@ -19,15 +38,9 @@
   PlatformFixture *fixture = *state;
   MuxTableReply *reply;
 
-  assert_int_equal (
-      platform_ask_status (fixture,
-                           platform_put_new ("first", MUX_REV_ABSENT, "1")),
-      MUX_TABLE_OK);
+  expect_put (fixture, "first", MUX_REV_ABSENT, "1", MUX_TABLE_OK);
   platform_set_faults (fixture, (StandinFaultPlan){ .lose_next = 1 });
-  assert_int_equal (
-      platform_ask_status (fixture,
-                           platform_put_new ("once", MUX_REV_ABSENT, "2")),
-      MUX_TABLE_UNKNOWN);
+  expect_put (fixture, "once", MUX_REV_ABSENT, "2", MUX_TABLE_UNKNOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 2);
   reply = platform_ask (fixture, platform_get_new ("once"));
   assert_int_equal (reply->status, MUX_TABLE_OK);
@@ -54,16 +67,11 @@
   PlatformFixture *fixture = *state;
 
   platform_set_faults (fixture, (StandinFaultPlan){ .down = true });
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("a", MUX_REV_ANY, "1")),
-      MUX_TABLE_DOWN);
-  assert_int_equal (platform_ask_status (fixture, platform_get_new ("a")),
-                    MUX_TABLE_DOWN);
+  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_DOWN);
+  expect_get (fixture, "a", MUX_TABLE_DOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 0);
   platform_set_faults (fixture, (StandinFaultPlan){ .down = false });
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("a", MUX_REV_ANY, "1")),
-      MUX_TABLE_OK);
+  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
 }
 
 static void
@@ -71,16 +79,11 @@
 {
   PlatformFixture *fixture = *state;
 
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("a", MUX_REV_ANY, "1")),
-      MUX_TABLE_OK);
+  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
   standin_platform_server_free (fixture->server);
   fixture->server = NULL;
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("b", MUX_REV_ANY, "1")),
-      MUX_TABLE_DOWN);
-  assert_int_equal (platform_ask_status (fixture, platform_get_new ("b")),
-                    MUX_TABLE_DOWN);
+  expect_put (fixture, "b", MUX_REV_ANY, "1", MUX_TABLE_DOWN);
+  expect_get (fixture, "b", MUX_TABLE_DOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 1);
 }
 
@@ -91,18 +94,13 @@
 
   platform_set_faults (
       fixture, (StandinFaultPlan){ .cut_count = 1, .cut = { DATA_CENTRE } });
-  assert_int_equal (platform_ask_status (fixture, platform_get_new ("a")),
-                    MUX_TABLE_DOWN);
+  expect_get (fixture, "a", MUX_TABLE_DOWN);
   /* The request went out, so the adapter can't know that it had no effect. */
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("a", MUX_REV_ANY, "1")),
-      MUX_TABLE_UNKNOWN);
+  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_UNKNOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 0);
   platform_set_faults (
       fixture, (StandinFaultPlan){ .cut_count = 1, .cut = { "elsewhere" } });
-  assert_int_equal (
-      platform_ask_status (fixture, platform_put_new ("a", MUX_REV_ANY, "1")),
-      MUX_TABLE_OK);
+  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
 }
 
 /* A write hangs in the platform past its timeout and takes effect once the
@@ -249,19 +247,17 @@
 int
 main (void)
 {
-#define HTTP_TEST(name) \
-  cmocka_unit_test_setup_teardown (name, platform_set_up, platform_tear_down)
   const struct CMUnitTest tests[] = {
-    HTTP_TEST (test_lost_answer_is_unknown_and_sent_once),
-    HTTP_TEST (test_lost_object_answer_is_unknown),
-    HTTP_TEST (test_platform_down_is_down),
-    HTTP_TEST (test_refused_connection_is_down),
-    HTTP_TEST (test_cut_data_centre),
-    HTTP_TEST (test_hanging_write_is_unknown),
-    HTTP_TEST (test_one_timeout_renews_every_connection),
-    HTTP_TEST (test_silent_connection_never_comes_back),
-    HTTP_TEST (test_free_answers_every_call),
-    HTTP_TEST (test_full_queue_refuses),
+    PLATFORM_TEST (test_lost_answer_is_unknown_and_sent_once),
+    PLATFORM_TEST (test_lost_object_answer_is_unknown),
+    PLATFORM_TEST (test_platform_down_is_down),
+    PLATFORM_TEST (test_refused_connection_is_down),
+    PLATFORM_TEST (test_cut_data_centre),
+    PLATFORM_TEST (test_hanging_write_is_unknown),
+    PLATFORM_TEST (test_one_timeout_renews_every_connection),
+    PLATFORM_TEST (test_silent_connection_never_comes_back),
+    PLATFORM_TEST (test_free_answers_every_call),
+    PLATFORM_TEST (test_full_queue_refuses),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_worker_adapter.c
+++ b/test/unit/test_worker_adapter.c
@@ -3,9 +3,9 @@
 #include "standin/worker_listen.h"
 #include "standin/worker_server.h"
 #include "support/canned_server.h"
+#include "support/cli_door.h"
+#include "support/raw_http.h"
 
-#include <arpa/inet.h>
-#include <curl/curl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdatomic.h>
@@ -173,29 +173,19 @@
                           .size = { 1000, 100, 0, 1 } };
 }
 
-static size_t
-ignore (char *bytes, size_t size, size_t count, void *ctx)
-{
-  (void) bytes;
-  (void) ctx;
-  return size * count;
-}
-
 static void
 set_fault (Fixture *f, const char *json)
 {
-  char url[MUX_ADDR_LEN + 16];
-  CURL *curl = curl_easy_init ();
-
-  snprintf (url, sizeof url, "http://%s/ctl",
-            standin_worker_server_addr (f->server));
-  curl_easy_setopt (curl, CURLOPT_URL, url);
-  curl_easy_setopt (curl, CURLOPT_PROXY, "");
-  curl_easy_setopt (curl, CURLOPT_POSTFIELDS, json);
-  curl_easy_setopt (curl, CURLOPT_FAILONERROR, 1L);
-  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, ignore);
-  assert_int_equal (curl_easy_perform (curl), CURLE_OK);
-  curl_easy_cleanup (curl);
+  char text[256];
+  int n = snprintf (text, sizeof text,
+                    "POST /ctl HTTP/1.1\r\nHost: x\r\n"
+                    "Content-Length: %zu\r\n\r\n%s",
+                    strlen (json), json);
+  RawReply reply
+      = raw_exchange (standin_worker_server_addr (f->server), text, (size_t) n);
+
+  assert_in_range (reply.status, 200, 299);
+  raw_reply_free (&reply);
 }
 
 static void
@@ -253,16 +243,11 @@
 {
   Fixture *f = *state;
   MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
-  struct sockaddr_in in
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t len = sizeof in;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  /* Bound but not listening: nobody else can take the port meanwhile. */
-  assert_int_equal (bind (fd, (struct sockaddr *) &in, sizeof in), 0);
-  getsockname (fd, (struct sockaddr *) &in, &len);
+  int fd;
+
   snprintf (start.addr, sizeof start.addr, "127.0.0.1:%u",
-            (unsigned int) ntohs (in.sin_port));
+            cli_port_refusing (&fd));
+  assert_true (fd >= 0);
   assert_int_equal (status_of (f, start), MUX_WORKER_NOT_SENT);
   close (fd);
 }
