--- a/test/support/sched_cell.c
+++ b/test/support/sched_cell.c
@@ -7,6 +7,23 @@
 #include <cmocka.h>
 #include <stdio.h>
 
+int
+cell_set_up (void **state)
+{
+  static Cell cell;
+
+  cell = (Cell){ 0 };
+  *state = &cell;
+  return 0;
+}
+
+int
+cell_tear_down (void **state)
+{
+  cell_close (*state);
+  return 0;
+}
+
 void
 cell_open (Cell *cell, uint32_t workers)
 {
--- a/test/support/sched_cell.h
+++ b/test/support/sched_cell.h
@@ -13,6 +13,12 @@
   uint64_t next_id;
 } Cell;
 
+/** cell_set_up() - for cmocka; *@state is a Cell for the test to open */
+int cell_set_up (void **state);
+int cell_tear_down (void **state);
+#define CELL_TEST(test) \
+  cmocka_unit_test_setup_teardown (test, cell_set_up, cell_tear_down)
+
 void cell_open (Cell *cell, uint32_t workers);
 void cell_close (Cell *cell);
 MuxClassSpec cell_class (const char *name, MuxKind kind, uint32_t within_ms);
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -119,20 +119,18 @@
 static void
 test_start_without_table (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   uint32_t node;
 
-  (void) state;
-  begin (&cell, 1);
-  put_classes (&cell, 300);
-  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "class-7");
-  cell.net->table.down = true;
-  node = fake_net_add (cell.net, "entry-new", "izki-hall");
-  assert_false (mux_core_ready (cell.net->nodes[node].core));
-  await_ready (&cell, node);
-  assert_int_equal (shown (&cell, node), shown (&cell, 0));
-  assert_int_equal (listed (&cell, node, MUX_CONFIG_CLASS), 300);
-  config_cell_free (&cell);
+  begin (cell, 1);
+  put_classes (cell, 300);
+  ask (cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "class-7");
+  cell->net->table.down = true;
+  node = fake_net_add (cell->net, "entry-new", "izki-hall");
+  assert_false (mux_core_ready (cell->net->nodes[node].core));
+  await_ready (cell, node);
+  assert_int_equal (shown (cell, node), shown (cell, 0));
+  assert_int_equal (listed (cell, node, MUX_CONFIG_CLASS), 300);
 }
 
 /* One data centre loses the platform, the others go on changing things.  Its
@@ -142,25 +140,22 @@
 static void
 test_follow_peers (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   char value[256];
   uint64_t revision;
 
-  (void) state;
-  begin (&cell, 2);
-  put_classes (&cell, 200);
-  cell.net->nodes[2].table_cut = true;
-  fake_net_run (cell.net, 3000);
+  begin (cell, 2);
+  put_classes (cell, 200);
+  cell->net->nodes[2].table_cut = true;
+  fake_net_run (cell->net, 3000);
   for (uint32_t i = 0; i < 40; i++)
     {
       config_cell_class (value, 200 + i);
-      revision
-          = config_cell_put (&cell, i % 2, MUX_CONFIG_CLASS, "desk", value);
+      revision = config_cell_put (cell, i % 2, MUX_CONFIG_CLASS, "desk", value);
     }
-  fake_net_run (cell.net, 3000);
-  assert_int_equal (shown (&cell, 2), revision);
-  assert_int_equal (listed (&cell, 2, MUX_CONFIG_CLASS), 201);
-  config_cell_free (&cell);
+  fake_net_run (cell->net, 3000);
+  assert_int_equal (shown (cell, 2), revision);
+  assert_int_equal (listed (cell, 2, MUX_CONFIG_CLASS), 201);
 }
 
 /* A daemon is cut off from everything for as long as 8,400 changes take.
@@ -169,49 +164,45 @@
 static void
 test_back_after_a_day (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   char name[MUX_NAME_LEN];
 
-  (void) state;
-  begin (&cell, 3);
-  drain (&cell, 0, "old", true);
-  fake_net_run (cell.net, 1000);
-  assert_int_equal (listed (&cell, 2, MUX_CONFIG_DRAIN), 1);
-  cell.net->nodes[2].table_cut = true;
-  cell.net->cut[0][2] = cell.net->cut[1][2] = true;
-  drain (&cell, 0, "old", false);
+  begin (cell, 3);
+  drain (cell, 0, "old", true);
+  fake_net_run (cell->net, 1000);
+  assert_int_equal (listed (cell, 2, MUX_CONFIG_DRAIN), 1);
+  cell->net->nodes[2].table_cut = true;
+  cell->net->cut[0][2] = cell->net->cut[1][2] = true;
+  drain (cell, 0, "old", false);
   for (uint32_t i = 0; i < 4200; i++)
     {
       snprintf (name, sizeof name, "worker-%u", i);
-      drain (&cell, 0, name, true);
-      drain (&cell, 0, name, false);
+      drain (cell, 0, name, true);
+      drain (cell, 0, name, false);
     }
-  cell.net->cut[0][2] = cell.net->cut[1][2] = false;
-  fake_net_run (cell.net, 8000);
-  assert_int_equal (listed (&cell, 2, MUX_CONFIG_DRAIN), 0);
-  assert_int_equal (shown (&cell, 2), shown (&cell, 0));
-  config_cell_free (&cell);
+  cell->net->cut[0][2] = cell->net->cut[1][2] = false;
+  fake_net_run (cell->net, 8000);
+  assert_int_equal (listed (cell, 2, MUX_CONFIG_DRAIN), 0);
+  assert_int_equal (shown (cell, 2), shown (cell, 0));
 }
 
 /* A new daemon must not read a day's changes one by one. */
 static void
 test_start_from_snapshot (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   uint64_t calls;
   uint32_t node;
 
-  (void) state;
-  begin (&cell, 4);
-  put_classes (&cell, 600);
+  begin (cell, 4);
+  put_classes (cell, 600);
   for (uint32_t i = 0; i < NODES; i++)
-    fake_net_kill (cell.net, i);
-  calls = cell.net->table.calls;
-  node = fake_net_add (cell.net, "entry-new", "izki-hall");
-  await_ready (&cell, node);
-  assert_true (cell.net->table.calls - calls <= 5);
-  assert_int_equal (listed (&cell, node, MUX_CONFIG_CLASS), 601);
-  config_cell_free (&cell);
+    fake_net_kill (cell->net, i);
+  calls = cell->net->table.calls;
+  node = fake_net_add (cell->net, "entry-new", "izki-hall");
+  await_ready (cell, node);
+  assert_true (cell->net->table.calls - calls <= 5);
+  assert_int_equal (listed (cell, node, MUX_CONFIG_CLASS), 601);
 }
 
 /* Two operators open the same class, each changes what it saw, and the second
@@ -219,7 +210,7 @@
 static void
 test_expect (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   MuxAsk it = { .verb = MUX_ASK_CONFIG_PUT,
                 .sort = MUX_CONFIG_CLASS,
                 .name = "desk",
@@ -227,26 +218,24 @@
   char value[256];
   uint64_t revision;
 
-  (void) state;
-  it.expect = begin (&cell, 5);
+  it.expect = begin (cell, 5);
   config_cell_class (value, 200);
   it.body = mux_blob_new (value, strlen (value));
-  config_cell_ask (&cell, 1, &it);
-  revision = config_cell_number (&cell, "revision");
-  assert_int_equal (cell.answer.status, 200);
-  config_cell_ask (&cell, 2, &it);
-  assert_refused (&cell, MUX_REASON_REVISION);
-  assert_int_equal (cell.answer.status, 409);
-  assert_int_equal (config_cell_number (&cell, "revision"), revision);
+  config_cell_ask (cell, 1, &it);
+  revision = config_cell_number (cell, "revision");
+  assert_int_equal (cell->answer.status, 200);
+  config_cell_ask (cell, 2, &it);
+  assert_refused (cell, MUX_REASON_REVISION);
+  assert_int_equal (cell->answer.status, 409);
+  assert_int_equal (config_cell_number (cell, "revision"), revision);
   assert_int_equal (
-      json_integer_value (json_object_get (json_object_get (cell.json, "value"),
-                                           "start_within_ms")),
+      json_integer_value (json_object_get (
+          json_object_get (cell->json, "value"), "start_within_ms")),
       200);
   it.expect = 0;
-  config_cell_ask (&cell, 2, &it);
-  assert_refused (&cell, MUX_REASON_REVISION);
+  config_cell_ask (cell, 2, &it);
+  assert_refused (cell, MUX_REASON_REVISION);
   mux_blob_unref (it.body);
-  config_cell_free (&cell);
 }
 
 /* The answer of a write is lost, and the daemon can't read it back.  The
@@ -426,56 +415,52 @@
 static void
 test_table_away (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   uint64_t revision;
   int64_t from_ms;
 
-  (void) state;
-  revision = begin (&cell, 6);
-  cell.net->table.down = true;
-  fake_net_run (cell.net, 3000);
-  from_ms = cell.net->now_ms;
-  drain (&cell, 0, "worker-1", true);
-  assert_refused (&cell, MUX_REASON_STORE_DOWN);
-  assert_int_not_equal (cell.answer.retry_after_ms, 0);
-  assert_int_equal (cell.net->now_ms, from_ms);
-  assert_int_equal (shown (&cell, 0), revision);
-  cell.net->table.down = false;
-  fake_net_run (cell.net, 3000);
-  drain (&cell, 0, "worker-1", true);
-  assert_int_equal (cell.answer.status, 200);
-  config_cell_free (&cell);
+  revision = begin (cell, 6);
+  cell->net->table.down = true;
+  fake_net_run (cell->net, 3000);
+  from_ms = cell->net->now_ms;
+  drain (cell, 0, "worker-1", true);
+  assert_refused (cell, MUX_REASON_STORE_DOWN);
+  assert_int_not_equal (cell->answer.retry_after_ms, 0);
+  assert_int_equal (cell->net->now_ms, from_ms);
+  assert_int_equal (shown (cell, 0), revision);
+  cell->net->table.down = false;
+  fake_net_run (cell->net, 3000);
+  drain (cell, 0, "worker-1", true);
+  assert_int_equal (cell->answer.status, 200);
 }
 
 static void
 test_values_are_checked (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   char value[256];
 
-  (void) state;
-  begin (&cell, 7);
-  assert_int_equal (config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", "{"),
+  begin (cell, 7);
+  assert_int_equal (config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", "{"),
                     0);
-  assert_refused (&cell, MUX_REASON_BAD_JSON);
-  config_cell_put (&cell, 0, MUX_CONFIG_CELL, "cell", "{\"idle\":1}");
-  assert_finding (&cell, "idle");
-  config_cell_put (&cell, 0, MUX_CONFIG_CELL, "other", "{\"idle_ppm\":1}");
-  assert_finding (&cell, "name");
-  config_cell_put (&cell, 0, MUX_CONFIG_PRODUCT, "a/b", NO_QUOTA);
-  assert_finding (&cell, "name");
-  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
-  assert_finding (&cell, "name");
-  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "desk");
-  assert_int_equal (cell.answer.status, 200);
-  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "desk");
-  assert_refused (&cell, MUX_REASON_UNKNOWN_CLASS);
-  ask (&cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
-  assert_int_equal (cell.answer.status, 200);
+  assert_refused (cell, MUX_REASON_BAD_JSON);
+  config_cell_put (cell, 0, MUX_CONFIG_CELL, "cell", "{\"idle\":1}");
+  assert_finding (cell, "idle");
+  config_cell_put (cell, 0, MUX_CONFIG_CELL, "other", "{\"idle_ppm\":1}");
+  assert_finding (cell, "name");
+  config_cell_put (cell, 0, MUX_CONFIG_PRODUCT, "a/b", NO_QUOTA);
+  assert_finding (cell, "name");
+  ask (cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
+  assert_finding (cell, "name");
+  ask (cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "desk");
+  assert_int_equal (cell->answer.status, 200);
+  ask (cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_CLASS, "desk");
+  assert_refused (cell, MUX_REASON_UNKNOWN_CLASS);
+  ask (cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
+  assert_int_equal (cell->answer.status, 200);
   config_cell_class (value, 100);
-  config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", value);
-  assert_finding (&cell, "product");
-  config_cell_free (&cell);
+  config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  assert_finding (cell, "product");
 }
 
 static void
@@ -494,36 +479,34 @@
 static void
 test_revert (void **state)
 {
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   char value[256];
   uint64_t first, third;
   const json_t *last;
 
-  (void) state;
-  first = begin (&cell, 8);
+  first = begin (cell, 8);
   config_cell_class (value, 200);
-  config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", value);
-  drain (&cell, 0, "worker-1", true);
+  config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  drain (cell, 0, "worker-1", true);
   config_cell_class (value, 300);
-  third = config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", value);
-  revert (&cell, 1, third - 1);
-  assert_int_equal (config_cell_number (&cell, "revision"), third + 1);
-  ask (&cell, 1, MUX_ASK_CONFIG_HISTORY, MUX_CONFIG_CLASS, "");
-  last
-      = json_array_get (json_object_get (cell.json, "changes"), (size_t) third);
+  third = config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  revert (cell, 1, third - 1);
+  assert_int_equal (config_cell_number (cell, "revision"), third + 1);
+  ask (cell, 1, MUX_ASK_CONFIG_HISTORY, MUX_CONFIG_CLASS, "");
+  last = json_array_get (json_object_get (cell->json, "changes"),
+                         (size_t) third);
   assert_int_equal (json_integer_value (json_object_get (
                         json_object_get (last, "value"), "start_within_ms")),
                     200);
   assert_string_equal (json_string_value (json_object_get (last, "who")),
                        "on-call");
   assert_int_equal (json_integer_value (json_object_get (last, "when_ms")), 5);
-  revert (&cell, 2, first - 1);
-  assert_int_equal (cell.answer.status, 200);
-  ask (&cell, 2, MUX_ASK_CONFIG_GET, MUX_CONFIG_CLASS, "desk");
-  assert_refused (&cell, MUX_REASON_UNKNOWN_CLASS);
-  revert (&cell, 2, third + 100);
-  assert_finding (&cell, "to");
-  config_cell_free (&cell);
+  revert (cell, 2, first - 1);
+  assert_int_equal (cell->answer.status, 200);
+  ask (cell, 2, MUX_ASK_CONFIG_GET, MUX_CONFIG_CLASS, "desk");
+  assert_refused (cell, MUX_REASON_UNKNOWN_CLASS);
+  revert (cell, 2, third + 100);
+  assert_finding (cell, "to");
 }
 
 typedef struct
@@ -548,43 +531,60 @@
 test_one_answer_each (void **state)
 {
   FakeHooks hooks;
-  ConfigCell cell;
+  ConfigCell *cell = *state;
   Tally tally = { 0 };
 
-  (void) state;
-  begin (&cell, 9);
+  begin (cell, 9);
   hooks = (FakeHooks){ .user = &tally, .answer = count_answer };
-  cell.net->hooks = hooks;
+  cell->net->hooks = hooks;
   for (uint32_t i = 0; i < 100; i++)
     {
       MuxAsk it = { .verb = MUX_ASK_DRAIN, .flag = true, .call = i };
 
       snprintf (it.name, sizeof it.name, "worker-%u", i);
-      fake_net_ask (cell.net, 0, &it);
+      fake_net_ask (cell->net, 0, &it);
     }
   assert_int_equal (tally.full, 36);
-  fake_net_run (cell.net, 100);
-  fake_net_kill (cell.net, 0);
+  fake_net_run (cell->net, 100);
+  fake_net_kill (cell->net, 0);
   for (uint32_t i = 0; i < 100; i++)
     assert_int_equal (tally.answers[i], 1);
-  config_cell_free (&cell);
 }
 
+static int
+set_up (void **state)
+{
+  static ConfigCell cell;
+
+  *state = &cell;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  config_cell_free (*state);
+  return 0;
+}
+
+#define CELL_TEST(test) \
+  cmocka_unit_test_setup_teardown (test, set_up, tear_down)
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_start_without_table),
-    cmocka_unit_test (test_follow_peers),
-    cmocka_unit_test (test_back_after_a_day),
-    cmocka_unit_test (test_start_from_snapshot),
-    cmocka_unit_test (test_expect),
+    CELL_TEST (test_start_without_table),
+    CELL_TEST (test_follow_peers),
+    CELL_TEST (test_back_after_a_day),
+    CELL_TEST (test_start_from_snapshot),
+    CELL_TEST (test_expect),
     cmocka_unit_test (test_lost_answer),
     cmocka_unit_test (test_write_lands_during_check),
-    cmocka_unit_test (test_table_away),
-    cmocka_unit_test (test_values_are_checked),
-    cmocka_unit_test (test_revert),
-    cmocka_unit_test (test_one_answer_each),
+    CELL_TEST (test_table_away),
+    CELL_TEST (test_values_are_checked),
+    CELL_TEST (test_revert),
+    CELL_TEST (test_one_answer_each),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_sched_faults.c
+++ b/test/unit/test_sched_faults.c
@@ -55,19 +55,17 @@
 static void
 test_broken_worker (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   uint32_t failed = 0;
 
-  (void) state;
-  open_three (&cell, 4);
+  open_three (cell, 4);
   for (int i = 0; i < 30; i++)
     {
-      failed += run_tasks (&cell, "urgent-a", 2, 0, false);
-      failed += run_tasks (&cell, "urgent-b", 2, 0, false);
-      failed += run_tasks (&cell, "urgent-c", 2, 0, false);
+      failed += run_tasks (cell, "urgent-a", 2, 0, false);
+      failed += run_tasks (cell, "urgent-b", 2, 0, false);
+      failed += run_tasks (cell, "urgent-c", 2, 0, false);
     }
   assert_in_range (failed, 1, 8);
-  cell_close (&cell);
 }
 
 /*
@@ -77,23 +75,21 @@
 static void
 test_bad_class (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxPlacement placed;
 
-  (void) state;
-  open_three (&cell, 2);
-  run_tasks (&cell, "urgent-a", 20, MUX_NO_WORKER, false);
-  run_tasks (&cell, "urgent-b", 200, MUX_NO_WORKER, true);
+  open_three (cell, 2);
+  run_tasks (cell, "urgent-a", 20, MUX_NO_WORKER, false);
+  run_tasks (cell, "urgent-b", 200, MUX_NO_WORKER, true);
   for (int i = 0; i < 8; i++)
     {
-      cell_ask (&cell, "urgent-a");
-      placed = cell_place (&cell);
+      cell_ask (cell, "urgent-a");
+      placed = cell_place (cell);
       assert_int_equal (placed.worker,
-                        mux_sched_booked_on (cell.sched, placed.task));
+                        mux_sched_booked_on (cell->sched, placed.task));
     }
-  cell_ask (&cell, "urgent-a");
-  cell_idle (&cell);
-  cell_close (&cell);
+  cell_ask (cell, "urgent-a");
+  cell_idle (cell);
 }
 
 /*
@@ -103,35 +99,33 @@
 static void
 test_probe_mends (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxPlacement placed[8];
   uint32_t probes = 0;
 
-  (void) state;
-  open_three (&cell, 2);
+  open_three (cell, 2);
   for (int i = 0; i < 8; i++)
     {
-      cell.now_ms += 31000;
-      run_tasks (&cell, "urgent-a", 1, 0, false);
-      run_tasks (&cell, "urgent-b", 1, 0, false);
-      run_tasks (&cell, "urgent-c", 1, 0, false);
+      cell->now_ms += 31000;
+      run_tasks (cell, "urgent-a", 1, 0, false);
+      run_tasks (cell, "urgent-b", 1, 0, false);
+      run_tasks (cell, "urgent-c", 1, 0, false);
     }
-  cell.now_ms += 120000;
+  cell->now_ms += 120000;
   for (int i = 0; i < 5; i++)
     {
-      cell_ask (&cell, "urgent-a");
-      placed[i] = cell_place (&cell);
+      cell_ask (cell, "urgent-a");
+      placed[i] = cell_place (cell);
       probes += placed[i].worker == 0;
     }
   assert_int_equal (probes, 1);
   for (int i = 0; i < 5; i++)
-    cell_end (&cell, placed[i].task, 1000);
+    cell_end (cell, placed[i].task, 1000);
   for (int i = 0; i < 8; i++)
     {
-      cell_ask (&cell, "urgent-a");
-      cell_place (&cell);
+      cell_ask (cell, "urgent-a");
+      cell_place (cell);
     }
-  cell_close (&cell);
 }
 
 /*
@@ -142,30 +136,28 @@
 static void
 test_declared_too_little (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxClassSpec spec = cell_class ("batch", MUX_KIND_BATCH, 10000);
   MuxSize used = { 1000, 4096, 0, 1 };
   MuxPlacement placed;
 
-  (void) state;
-  cell_open (&cell, 1);
-  cell_set (&cell, &spec);
+  cell_open (cell, 1);
+  cell_set (cell, &spec);
   for (int i = 0; i < 2; i++)
     {
-      cell_ask (&cell, "batch");
-      placed = cell_place (&cell);
+      cell_ask (cell, "batch");
+      placed = cell_place (cell);
       assert_int_equal (placed.size.mem_mib, 1024);
-      mux_sched_used (cell.sched, placed.task, used);
+      mux_sched_used (cell->sched, placed.task, used);
     }
-  assert_int_equal (mux_sched_worker_free (cell.sched, 0).mem_mib,
+  assert_int_equal (mux_sched_worker_free (cell->sched, 0).mem_mib,
                     16384 - 2 * 4096);
   for (int i = 0; i < 64; i++)
-    mux_sched_used (cell.sched, placed.task, used);
-  cell.now_ms += 200;
-  cell_ask (&cell, "batch");
-  placed = cell_place (&cell);
+    mux_sched_used (cell->sched, placed.task, used);
+  cell->now_ms += 200;
+  cell_ask (cell, "batch");
+  placed = cell_place (cell);
   assert_in_range (placed.size.mem_mib, 4096, 4096 * 9 / 8);
-  cell_close (&cell);
 }
 
 /*
@@ -175,25 +167,23 @@
 static void
 test_report_beyond_workers (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxClassSpec spec = cell_class ("batch", MUX_KIND_BATCH, 10000);
   MuxSize used = { 90000, 900000, 0, 1 };
   MuxPlacement placed;
 
-  (void) state;
   spec.size = (MuxSize){ 4000, 8192, 0, 1 };
-  cell_open (&cell, 1);
-  cell_set (&cell, &spec);
+  cell_open (cell, 1);
+  cell_set (cell, &spec);
   for (int i = 0; i < 200; i++)
     {
-      cell_ask (&cell, "batch");
-      placed = cell_place (&cell);
-      cell.now_ms += 10;
-      assert_true (mux_sched_ended (cell.sched, placed.task, MUX_END_OK, 1000,
-                                    used, cell.now_ms));
+      cell_ask (cell, "batch");
+      placed = cell_place (cell);
+      cell->now_ms += 10;
+      assert_true (mux_sched_ended (cell->sched, placed.task, MUX_END_OK, 1000,
+                                    used, cell->now_ms));
     }
   assert_int_equal (placed.size.mem_mib, 16384);
-  cell_close (&cell);
 }
 
 /*
@@ -204,25 +194,23 @@
 static void
 test_adopt_beyond_capacity (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxSize size = { 6000, 12288, 0, 1 };
   MuxSize room;
 
-  (void) state;
-  open_three (&cell, 1);
+  open_three (cell, 1);
   for (uint64_t i = 1; i <= 2; i++)
     assert_true (
-        mux_sched_adopt (cell.sched, (MuxId){ 5, i }, "gone", 0, size));
-  room = mux_sched_worker_free (cell.sched, 0);
+        mux_sched_adopt (cell->sched, (MuxId){ 5, i }, "gone", 0, size));
+  room = mux_sched_worker_free (cell->sched, 0);
   assert_int_equal (room.cpu_milli, 0);
   assert_int_equal (room.mem_mib, 0);
   assert_int_equal (room.slots, 2);
-  cell_ask (&cell, "urgent-a");
-  cell_idle (&cell);
-  cell_end (&cell, (MuxId){ 5, 1 }, 1000);
-  assert_int_equal (mux_sched_worker_free (cell.sched, 0).cpu_milli, 2000);
-  cell_place (&cell);
-  cell_close (&cell);
+  cell_ask (cell, "urgent-a");
+  cell_idle (cell);
+  cell_end (cell, (MuxId){ 5, 1 }, 1000);
+  assert_int_equal (mux_sched_worker_free (cell->sched, 0).cpu_milli, 2000);
+  cell_place (cell);
 }
 
 /*
@@ -232,34 +220,32 @@
 static void
 test_spread_over_racks (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxClassSpec spec = cell_class ("lasting", MUX_KIND_LONG_RUNNING, 10000);
   uint32_t in_rack[4] = { 0 };
 
-  (void) state;
-  cell_open (&cell, 8);
-  cell_set (&cell, &spec);
+  cell_open (cell, 8);
+  cell_set (cell, &spec);
   for (int i = 0; i < 4; i++)
     {
-      cell_ask (&cell, "lasting");
-      in_rack[cell_place (&cell).worker / 2]++;
+      cell_ask (cell, "lasting");
+      in_rack[cell_place (cell).worker / 2]++;
     }
   for (int r = 0; r < 4; r++)
     assert_int_equal (in_rack[r], 1);
-  cell_close (&cell);
 }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_broken_worker),
-    cmocka_unit_test (test_bad_class),
-    cmocka_unit_test (test_probe_mends),
-    cmocka_unit_test (test_declared_too_little),
-    cmocka_unit_test (test_report_beyond_workers),
-    cmocka_unit_test (test_adopt_beyond_capacity),
-    cmocka_unit_test (test_spread_over_racks),
+    CELL_TEST (test_broken_worker),
+    CELL_TEST (test_bad_class),
+    CELL_TEST (test_probe_mends),
+    CELL_TEST (test_declared_too_little),
+    CELL_TEST (test_report_beyond_workers),
+    CELL_TEST (test_adopt_beyond_capacity),
+    CELL_TEST (test_spread_over_racks),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_sched_gang.c
+++ b/test/unit/test_sched_gang.c
@@ -42,25 +42,23 @@
 static void
 test_all_or_nothing (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId busy[4];
   MuxId gang;
 
-  (void) state;
-  open_gang (&cell, 2);
+  open_gang (cell, 2);
   for (int i = 0; i < 4; i++)
     {
-      cell_ask (&cell, "batch");
-      busy[i] = cell_place (&cell).task;
+      cell_ask (cell, "batch");
+      busy[i] = cell_place (cell).task;
     }
-  gang = cell_gang (&cell, "gang", 4);
+  gang = cell_gang (cell, "gang", 4);
   for (int i = 0; i < 4; i++)
     {
-      cell_idle (&cell);
-      cell_end (&cell, busy[i], 1000);
+      cell_idle (cell);
+      cell_end (cell, busy[i], 1000);
     }
-  assert_int_equal (place_all (&cell, gang, 4), 4);
-  cell_close (&cell);
+  assert_int_equal (place_all (cell, gang, 4), 4);
 }
 
 /* One member has not asked yet: nobody starts.  One is cancelled: the others
@@ -68,30 +66,28 @@
 static void
 test_incomplete_gang (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxPlacement dropped;
   MuxId gang;
 
-  (void) state;
-  open_gang (&cell, 2);
-  gang = cell_gang (&cell, "gang", 3);
-  assert_true (mux_sched_cancel (cell.sched, (MuxId){ 1, gang.lo + 1 }));
-  cell_idle (&cell);
-  cell.now_ms += 60000;
+  open_gang (cell, 2);
+  gang = cell_gang (cell, "gang", 3);
+  assert_true (mux_sched_cancel (cell->sched, (MuxId){ 1, gang.lo + 1 }));
+  cell_idle (cell);
+  cell->now_ms += 60000;
   for (int i = 0; i < 2; i++)
     {
-      assert_true (mux_sched_next (cell.sched, cell.now_ms, &dropped));
+      assert_true (mux_sched_next (cell->sched, cell->now_ms, &dropped));
       assert_int_equal (dropped.reason, MUX_REASON_DEADLINE);
     }
-  cell_idle (&cell);
-  cell_close (&cell);
+  cell_idle (cell);
 }
 
 /* A job that no cell of this size can ever hold is refused at once. */
 static void
 test_never_fits (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxTaskAsk ask = { .task = { 1, 1 },
                      .group = { 2, 1 },
                      .group_count = 5,
@@ -99,11 +95,9 @@
                      .give_up_ms = 100000,
                      .avoid = MUX_NO_WORKER };
 
-  (void) state;
-  open_gang (&cell, 2);
-  assert_int_equal (mux_sched_submit (cell.sched, &ask, 1000).reason,
+  open_gang (cell, 2);
+  assert_int_equal (mux_sched_submit (cell->sched, &ask, 1000).reason,
                     MUX_REASON_NEVER_FITS);
-  cell_close (&cell);
 }
 
 /*
@@ -114,38 +108,36 @@
 static void
 test_small_ones_do_not_delay (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId gang;
   MuxId running[64];
   uint32_t head = 0;
   uint32_t tail = 0;
   uint32_t members = 0;
 
-  (void) state;
-  open_gang (&cell, 2);
+  open_gang (cell, 2);
   for (int i = 0; i < 8; i++)
     {
-      cell_ask (&cell, "batch");
-      running[tail++ % 64] = cell_place (&cell).task;
+      cell_ask (cell, "batch");
+      running[tail++ % 64] = cell_place (cell).task;
     }
-  gang = cell_gang (&cell, "gang", 4);
+  gang = cell_gang (cell, "gang", 4);
   for (int i = 0; i < 200 && members == 0; i++)
     {
       MuxPlacement placed;
 
-      cell.now_ms += 125;
+      cell->now_ms += 125;
       if (head < tail)
-        cell_end (&cell, running[head++ % 64], 1000);
-      cell_ask (&cell, "batch");
-      while (mux_sched_next (cell.sched, cell.now_ms, &placed))
+        cell_end (cell, running[head++ % 64], 1000);
+      cell_ask (cell, "batch");
+      while (mux_sched_next (cell->sched, cell->now_ms, &placed))
         if (placed.task.lo >= gang.lo && placed.task.lo < gang.lo + 4)
           members++;
         else
           running[tail++ % 64] = placed.task;
     }
   assert_int_equal (members, 4);
-  assert_true (cell.now_ms < 1000 + 10000);
-  cell_close (&cell);
+  assert_true (cell->now_ms < 1000 + 10000);
 }
 
 /*
@@ -155,30 +147,28 @@
 static void
 test_two_gangs_no_deadlock (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId first, second;
   uint32_t placed_first, placed_second;
 
-  (void) state;
-  open_gang (&cell, 2);
-  cell_ask (&cell, "batch");
-  cell_place (&cell);
-  first = cell_gang (&cell, "gang", 4);
-  cell.now_ms += 1;
-  second = cell_gang (&cell, "gang", 4);
-  cell_idle (&cell);
-  cell.now_ms += 1000;
-  cell_end (&cell, (MuxId){ 1, 1 }, 1000);
-  placed_first = place_all (&cell, first, 4);
+  open_gang (cell, 2);
+  cell_ask (cell, "batch");
+  cell_place (cell);
+  first = cell_gang (cell, "gang", 4);
+  cell->now_ms += 1;
+  second = cell_gang (cell, "gang", 4);
+  cell_idle (cell);
+  cell->now_ms += 1000;
+  cell_end (cell, (MuxId){ 1, 1 }, 1000);
+  placed_first = place_all (cell, first, 4);
   assert_int_equal (placed_first, 4);
   for (uint32_t i = 0; i < 4; i++)
     {
-      cell_idle (&cell);
-      cell_end (&cell, (MuxId){ 1, first.lo + i }, 1000);
+      cell_idle (cell);
+      cell_end (cell, (MuxId){ 1, first.lo + i }, 1000);
     }
-  placed_second = place_all (&cell, second, 4);
+  placed_second = place_all (cell, second, 4);
   assert_int_equal (placed_second, 4);
-  cell_close (&cell);
 }
 
 /*
@@ -189,40 +179,38 @@
 static void
 test_held_workers_leave (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId busy[12];
   MuxId gang;
 
-  (void) state;
-  open_gang (&cell, 3);
+  open_gang (cell, 3);
   for (int i = 0; i < 12; i++)
     {
-      cell_ask (&cell, "batch");
-      busy[i] = cell_place (&cell).task;
+      cell_ask (cell, "batch");
+      busy[i] = cell_place (cell).task;
     }
-  gang = cell_gang (&cell, "gang", 2);
-  cell.now_ms += 200;
-  cell_idle (&cell);
-  mux_sched_worker_usable (cell.sched, 0, false);
-  mux_sched_worker_usable (cell.sched, 1, false);
-  cell.now_ms += 200;
+  gang = cell_gang (cell, "gang", 2);
+  cell->now_ms += 200;
+  cell_idle (cell);
+  mux_sched_worker_usable (cell->sched, 0, false);
+  mux_sched_worker_usable (cell->sched, 1, false);
+  cell->now_ms += 200;
   for (int i = 0; i < 12; i++)
-    cell_end (&cell, busy[i], 1000);
-  assert_int_equal (place_all (&cell, gang, 2), 2);
-  assert_int_equal (mux_sched_booked_on (cell.sched, gang), 2);
-  cell_close (&cell);
+    cell_end (cell, busy[i], 1000);
+  assert_int_equal (place_all (cell, gang, 2), 2);
+  assert_int_equal (mux_sched_booked_on (cell->sched, gang), 2);
 }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_all_or_nothing),
-    cmocka_unit_test (test_incomplete_gang),
-    cmocka_unit_test (test_never_fits),
-    cmocka_unit_test (test_small_ones_do_not_delay),
-    cmocka_unit_test (test_two_gangs_no_deadlock),
-    cmocka_unit_test (test_held_workers_leave),
+    CELL_TEST (test_all_or_nothing),
+    CELL_TEST (test_incomplete_gang),
+    CELL_TEST (test_never_fits),
+    CELL_TEST (test_small_ones_do_not_delay),
+    CELL_TEST (test_two_gangs_no_deadlock),
+    CELL_TEST (test_held_workers_leave),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -25,25 +25,23 @@
 static void
 test_urgent_before_batch (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId first, late, urgent;
 
-  (void) state;
-  open_two (&cell, 1);
-  first = cell_ask (&cell, "batch");
+  open_two (cell, 1);
+  first = cell_ask (cell, "batch");
   for (int i = 0; i < 3; i++)
-    cell_ask (&cell, "batch");
+    cell_ask (cell, "batch");
   for (int i = 0; i < 4; i++)
-    cell_place (&cell);
-  late = cell_ask (&cell, "batch");
-  cell.now_ms += 10;
-  urgent = cell_ask (&cell, "urgent");
-  cell_idle (&cell);
-  cell_end (&cell, first, 100);
-  assert_true (mux_id_equal (cell_place (&cell).task, urgent));
-  cell_end (&cell, urgent, 100);
-  assert_true (mux_id_equal (cell_place (&cell).task, late));
-  cell_close (&cell);
+    cell_place (cell);
+  late = cell_ask (cell, "batch");
+  cell->now_ms += 10;
+  urgent = cell_ask (cell, "urgent");
+  cell_idle (cell);
+  cell_end (cell, first, 100);
+  assert_true (mux_id_equal (cell_place (cell).task, urgent));
+  cell_end (cell, urgent, 100);
+  assert_true (mux_id_equal (cell_place (cell).task, late));
 }
 
 /*
@@ -54,32 +52,31 @@
 static void
 test_batch_does_not_starve (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId batch;
   MuxId running[8];
   uint32_t first = 0;
   uint32_t count = 0;
   bool started = false;
 
-  (void) state;
-  open_two (&cell, 2);
+  open_two (cell, 2);
   for (; count < 8; count++)
     {
-      cell_ask (&cell, "urgent");
-      running[count] = cell_place (&cell).task;
+      cell_ask (cell, "urgent");
+      running[count] = cell_place (cell).task;
     }
-  batch = cell_ask (&cell, "batch");
+  batch = cell_ask (cell, "batch");
   for (int i = 0; i < 4000 && !started; i++)
     {
       MuxPlacement placed;
       MuxVerdict verdict;
 
-      cell.now_ms += 50;
-      cell_end (&cell, running[first++ % 8], 400);
+      cell->now_ms += 50;
+      cell_end (cell, running[first++ % 8], 400);
       count--;
-      cell_ask_for (&cell, "urgent", 500, &verdict);
-      cell_ask_for (&cell, "urgent", 500, &verdict);
-      while (mux_sched_next (cell.sched, cell.now_ms, &placed))
+      cell_ask_for (cell, "urgent", 500, &verdict);
+      cell_ask_for (cell, "urgent", 500, &verdict);
+      while (mux_sched_next (cell->sched, cell->now_ms, &placed))
         {
           if (placed.worker == MUX_NO_WORKER)
             continue;
@@ -88,8 +85,8 @@
         }
     }
   assert_true (started);
-  assert_int_not_equal (mux_sched_booked_on (cell.sched, batch), MUX_NO_WORKER);
-  cell_close (&cell);
+  assert_int_not_equal (mux_sched_booked_on (cell->sched, batch),
+                        MUX_NO_WORKER);
 }
 
 /*
@@ -101,38 +98,36 @@
 static void
 test_late_behind_timely (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxId late[2];
   MuxId running;
   uint32_t starts[2] = { 0 };
 
-  (void) state;
-  open_two (&cell, 1);
+  open_two (cell, 1);
   for (int i = 0; i < 4; i++)
     {
-      running = cell_ask (&cell, "batch");
-      cell_place (&cell);
+      running = cell_ask (cell, "batch");
+      cell_place (cell);
     }
-  late[0] = cell_ask (&cell, "batch");
-  late[1] = cell_ask (&cell, "batch");
-  cell.now_ms += 9000;
-  cell_ask (&cell, "batch");
-  cell.now_ms += 1001;
-  cell_idle (&cell);
+  late[0] = cell_ask (cell, "batch");
+  late[1] = cell_ask (cell, "batch");
+  cell->now_ms += 9000;
+  cell_ask (cell, "batch");
+  cell->now_ms += 1001;
+  cell_idle (cell);
   for (int i = 0; i < 40; i++)
     {
       bool is_late;
 
-      cell_ask (&cell, "batch");
-      cell_end (&cell, running, 100);
-      running = cell_place (&cell).task;
+      cell_ask (cell, "batch");
+      cell_end (cell, running, 100);
+      running = cell_place (cell).task;
       is_late = mux_id_equal (running, late[starts[1] > 0]);
       starts[is_late]++;
       assert_true (!is_late || (uint32_t) i >= 9 * starts[1]);
-      cell.now_ms += 10;
+      cell->now_ms += 10;
     }
   assert_int_equal (starts[1], 2);
-  cell_close (&cell);
 }
 
 /*
@@ -142,29 +137,27 @@
 static void
 test_gives_up_at_once (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxVerdict verdict;
   MuxPlacement dropped;
   MuxId late;
 
-  (void) state;
-  open_two (&cell, 1);
+  open_two (cell, 1);
   for (int i = 0; i < 4; i++)
     {
-      cell_ask (&cell, "urgent");
-      cell_place (&cell);
+      cell_ask (cell, "urgent");
+      cell_place (cell);
     }
-  late = cell_ask_for (&cell, "urgent", 300, &verdict);
+  late = cell_ask_for (cell, "urgent", 300, &verdict);
   assert_int_equal (verdict.reason, MUX_REASON_NONE);
-  cell_idle (&cell);
-  assert_in_range (mux_sched_wake_ms (cell.sched), 0, cell.now_ms + 300);
-  cell.now_ms += 300;
-  assert_true (mux_sched_next (cell.sched, cell.now_ms, &dropped));
+  cell_idle (cell);
+  assert_in_range (mux_sched_wake_ms (cell->sched), 0, cell->now_ms + 300);
+  cell->now_ms += 300;
+  assert_true (mux_sched_next (cell->sched, cell->now_ms, &dropped));
   assert_true (mux_id_equal (dropped.task, late));
   assert_int_equal (dropped.worker, MUX_NO_WORKER);
   assert_int_equal (dropped.reason, MUX_REASON_DEADLINE);
   assert_true (dropped.retry_ms > 0);
-  cell_close (&cell);
 }
 
 /*
@@ -174,15 +167,14 @@
 static void
 test_places_for_each_class (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxVerdict verdict = { 0 };
   uint32_t batch = 0;
 
-  (void) state;
-  open_two (&cell, 1);
+  open_two (cell, 1);
   while (verdict.reason == MUX_REASON_NONE && batch < 2000)
     {
-      cell_ask_for (&cell, "batch", 100000000, &verdict);
+      cell_ask_for (cell, "batch", 100000000, &verdict);
       batch++;
     }
   assert_int_equal (verdict.reason, MUX_REASON_QUEUE_FULL);
@@ -190,10 +182,9 @@
   assert_in_range (batch, 700, 800);
   for (int i = 0; i < 250; i++)
     {
-      cell_ask_for (&cell, "urgent", 100000000, &verdict);
+      cell_ask_for (cell, "urgent", 100000000, &verdict);
       assert_int_equal (verdict.reason, MUX_REASON_NONE);
     }
-  cell_close (&cell);
 }
 
 /*
@@ -204,7 +195,7 @@
 static void
 test_quota_lent_and_returned (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxProductSpec lender = { .name = "lender", .quota = { .slots = 2 } };
   MuxProductSpec borrower = { .name = "borrower", .quota = { .slots = 2 } };
   MuxClassSpec a = cell_class ("urgent-a", MUX_KIND_SERVICE, 100);
@@ -213,32 +204,30 @@
   MuxId lent[4];
   MuxId back;
 
-  (void) state;
   mux_name_copy (a.product, "lender");
   mux_name_copy (b.product, "borrower");
   mux_name_copy (c.product, "borrower");
   c.run_ms = 0;
-  cell_open (&cell, 1);
-  assert_true (mux_sched_product_set (cell.sched, &lender));
-  assert_true (mux_sched_product_set (cell.sched, &borrower));
-  cell_set (&cell, &a);
-  cell_set (&cell, &b);
-  cell_set (&cell, &c);
+  cell_open (cell, 1);
+  assert_true (mux_sched_product_set (cell->sched, &lender));
+  assert_true (mux_sched_product_set (cell->sched, &borrower));
+  cell_set (cell, &a);
+  cell_set (cell, &b);
+  cell_set (cell, &c);
   for (int i = 0; i < 4; i++)
     {
-      cell_ask (&cell, "urgent-b");
-      lent[i] = cell_place (&cell).task;
+      cell_ask (cell, "urgent-b");
+      lent[i] = cell_place (cell).task;
     }
-  cell_ask (&cell, "urgent-b");
-  back = cell_ask (&cell, "urgent-a");
-  cell_end (&cell, lent[0], 100);
-  assert_true (mux_id_equal (cell_place (&cell).task, back));
-  cell_end (&cell, lent[1], 100);
-  cell_place (&cell);
-  cell_end (&cell, lent[2], 100);
-  cell_ask (&cell, "lasting");
-  cell_idle (&cell);
-  cell_close (&cell);
+  cell_ask (cell, "urgent-b");
+  back = cell_ask (cell, "urgent-a");
+  cell_end (cell, lent[0], 100);
+  assert_true (mux_id_equal (cell_place (cell).task, back));
+  cell_end (cell, lent[1], 100);
+  cell_place (cell);
+  cell_end (cell, lent[2], 100);
+  cell_ask (cell, "lasting");
+  cell_idle (cell);
 }
 
 /*
@@ -249,25 +238,23 @@
 static void
 test_job_on_empty_cell (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxVerdict verdict;
 
-  (void) state;
-  open_two (&cell, 25);
+  open_two (cell, 25);
   for (int i = 0; i < 400; i++)
     {
-      cell_ask_for (&cell, "batch", 10000, &verdict);
+      cell_ask_for (cell, "batch", 10000, &verdict);
       assert_int_equal (verdict.reason, MUX_REASON_NONE);
     }
   for (int i = 0; i < 100; i++)
-    cell_place (&cell);
-  cell_idle (&cell);
+    cell_place (cell);
+  cell_idle (cell);
   /* It is refused what really comes too late. */
   for (int i = 0; i < 200; i++)
-    cell_ask_for (&cell, "batch", 1000, &verdict);
+    cell_ask_for (cell, "batch", 1000, &verdict);
   assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
   assert_true (verdict.retry_ms > 0);
-  cell_close (&cell);
 }
 
 /* A class is removed while its tasks wait and run: those waiting are told,
@@ -275,25 +262,23 @@
 static void
 test_class_removed (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxPlacement dropped;
   MuxVerdict verdict;
   MuxId runs, waits;
 
-  (void) state;
-  open_two (&cell, 1);
-  runs = cell_ask (&cell, "batch");
-  cell_place (&cell);
-  waits = cell_ask (&cell, "batch");
-  mux_sched_class_remove (cell.sched, "batch");
-  assert_true (mux_sched_next (cell.sched, cell.now_ms, &dropped));
+  open_two (cell, 1);
+  runs = cell_ask (cell, "batch");
+  cell_place (cell);
+  waits = cell_ask (cell, "batch");
+  mux_sched_class_remove (cell->sched, "batch");
+  assert_true (mux_sched_next (cell->sched, cell->now_ms, &dropped));
   assert_true (mux_id_equal (dropped.task, waits));
   assert_int_equal (dropped.reason, MUX_REASON_UNKNOWN_CLASS);
-  assert_int_equal (mux_sched_booked_on (cell.sched, runs), 0);
-  cell_ask_for (&cell, "batch", 1000, &verdict);
+  assert_int_equal (mux_sched_booked_on (cell->sched, runs), 0);
+  cell_ask_for (cell, "batch", 1000, &verdict);
   assert_int_equal (verdict.reason, MUX_REASON_UNKNOWN_CLASS);
-  cell_end (&cell, runs, 100);
-  cell_close (&cell);
+  cell_end (cell, runs, 100);
 }
 
 /* Ten thousand waiting tasks are cancelled: each is known once, and nothing
@@ -335,14 +320,14 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_urgent_before_batch),
-    cmocka_unit_test (test_batch_does_not_starve),
-    cmocka_unit_test (test_late_behind_timely),
-    cmocka_unit_test (test_gives_up_at_once),
-    cmocka_unit_test (test_places_for_each_class),
-    cmocka_unit_test (test_quota_lent_and_returned),
-    cmocka_unit_test (test_job_on_empty_cell),
-    cmocka_unit_test (test_class_removed),
+    CELL_TEST (test_urgent_before_batch),
+    CELL_TEST (test_batch_does_not_starve),
+    CELL_TEST (test_late_behind_timely),
+    CELL_TEST (test_gives_up_at_once),
+    CELL_TEST (test_places_for_each_class),
+    CELL_TEST (test_quota_lent_and_returned),
+    CELL_TEST (test_job_on_empty_cell),
+    CELL_TEST (test_class_removed),
     cmocka_unit_test (test_wave_of_cancellations),
   };
 
--- a/test/unit/test_sched_risk.c
+++ b/test/unit/test_sched_risk.c
@@ -64,33 +64,32 @@
 static void
 test_flagged_before_missed (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxClassSpec spec = cell_class ("urgent", MUX_KIND_SERVICE, 100);
   MuxRisk risk;
   bool flagged = false;
 
-  (void) state;
-  cell_open (&cell, 25);
-  cell_set (&cell, &spec);
-  run_load (&cell, 0, 0);
-  run_load (&cell, 5, 600);
-  risk = risk_of (&cell, "urgent");
+  cell_open (cell, 25);
+  cell_set (cell, &spec);
+  run_load (cell, 0, 0);
+  run_load (cell, 5, 600);
+  risk = risk_of (cell, "urgent");
   assert_false (risk.at_risk);
   assert_int_equal (risk.cause, MUX_RISK_NONE);
   for (uint32_t rate = 6; rate < 14 && !flagged; rate++)
     {
-      run_load (&cell, rate, 50);
-      risk = risk_of (&cell, "urgent");
+      run_load (cell, rate, 50);
+      risk = risk_of (cell, "urgent");
       flagged = risk.at_risk;
       if (!flagged)
-        assert_int_equal (mux_sched_stats (cell.sched, cell.now_ms).queued, 0);
+        assert_int_equal (mux_sched_stats (cell->sched, cell->now_ms).queued,
+                          0);
     }
   assert_true (flagged);
   assert_true (risk.forecast_ppm < risk.target_ppm);
   assert_int_equal (risk.cause, MUX_RISK_SLOTS);
   assert_true (risk.cure.slots > 0);
   assert_true (risk.p99_wait_ms <= spec.start_within_ms);
-  cell_close (&cell);
 }
 
 /* A long-running class has used up its product's quota: the cell is empty, so
@@ -98,34 +97,32 @@
 static void
 test_quota_binds (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxProductSpec product = { .name = "product", .quota = { .slots = 1 } };
   MuxClassSpec spec = cell_class ("lasting", MUX_KIND_LONG_RUNNING, 10000);
   MuxRisk risk;
 
-  (void) state;
   spec.run_ms = 0;
-  cell_open (&cell, 2);
-  assert_true (mux_sched_product_set (cell.sched, &product));
-  cell_set (&cell, &spec);
-  cell_ask (&cell, "lasting");
-  cell_place (&cell);
-  cell_ask (&cell, "lasting");
-  cell.now_ms += 11000;
-  cell_idle (&cell);
-  risk = risk_of (&cell, "lasting");
+  cell_open (cell, 2);
+  assert_true (mux_sched_product_set (cell->sched, &product));
+  cell_set (cell, &spec);
+  cell_ask (cell, "lasting");
+  cell_place (cell);
+  cell_ask (cell, "lasting");
+  cell->now_ms += 11000;
+  cell_idle (cell);
+  risk = risk_of (cell, "lasting");
   assert_true (risk.at_risk);
   assert_int_equal (risk.cause, MUX_RISK_QUOTA);
   assert_int_equal (risk.queued, 1);
-  cell_close (&cell);
 }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_flagged_before_missed),
-    cmocka_unit_test (test_quota_binds),
+    CELL_TEST (test_flagged_before_missed),
+    CELL_TEST (test_quota_binds),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
