List the cases of the configuration's history checks in a table

Seven test functions were the same but for the lines that they wrote and the rule that these break. They are rows of a table under the same test names; each is still accepted, or rejected for its rule so many times and for no other. 7 tests as before, all pass.

--- a/test/unit/test_history_config.c
+++ b/test/unit/test_history_config.c
@@ -12,171 +12,144 @@
 #define DONE "done"
 #define NOT_RUN "not_run"
 
-static void
-line_of_calls (MuxHistory *history, const char *line)
-{
-  mux_history_calls (history, line, strlen (line));
-}
-
-static void
-reject_history (MuxHistory *history, MuxRule rule, uint32_t times)
+/* Writes a line of the history; what @text and @revision are, it says. */
+typedef int (*Write) (char line[256],
+                      const char *who,
+                      const char *text,
+                      int revision);
+
+/* An operator is told @text of a change of revision 4. */
+static int
+change (char line[256], const char *who, const char *text, int revision)
 {
-  MuxHistoryReport report;
-
-  assert_false (mux_history_check (history, &report));
-  for (uint32_t i = 0; i < MUX_RULE_COUNT; i++)
-    if (report.broken[i] != (i == rule ? times : 0))
-      fail_msg ("%s broken %u times", mux_rule_name ((MuxRule) i),
-                report.broken[i]);
-  mux_history_free (history);
+  return snprintf (line, 256,
+                   "{\"event\":\"change\",\"who\":\"%s\",\"expect\":4,"
+                   "\"outcome\":\"%s\",\"revision\":%d}\n",
+                   who, text, revision);
 }
 
-static void
-change (MuxHistory *history, const char *who, const char *outcome, int revision)
+/* A daemon's history has a change by @text. */
+static int
+kept (char line[256], const char *who, const char *text, int revision)
 {
-  char line[256];
-
-  snprintf (line, sizeof line,
-            "{\"event\":\"change\",\"who\":\"%s\",\"expect\":%d,"
-            "\"outcome\":\"%s\",\"revision\":%d}\n",
-            who, 4, outcome, revision);
-  line_of_calls (history, line);
+  return snprintf (line, 256,
+                   "{\"event\":\"kept\",\"daemon\":\"%s\",\"revision\":%d,"
+                   "\"object\":\"class/seat\",\"who\":\"%s\"}\n",
+                   who, revision, text);
 }
 
-static void
-kept (MuxHistory *history, const char *daemon, const char *who, int revision)
+/* A daemon shows it, in its life number @text. */
+static int
+shown (char line[256], const char *who, const char *text, int revision)
 {
-  char line[256];
-
-  snprintf (line, sizeof line,
-            "{\"event\":\"kept\",\"daemon\":\"%s\",\"revision\":%d,"
-            "\"object\":\"class/seat\",\"who\":\"%s\"}\n",
-            daemon, revision, who);
-  line_of_calls (history, line);
+  return snprintf (line, 256,
+                   "{\"event\":\"shown\",\"daemon\":\"%s\",\"life\":%s,"
+                   "\"revision\":%d}\n",
+                   who, text, revision);
 }
 
-static void
-shown (MuxHistory *history, const char *daemon, int life, int revision)
+typedef struct
 {
-  char line[256];
-
-  snprintf (line, sizeof line,
-            "{\"event\":\"shown\",\"daemon\":\"%s\",\"life\":%d,"
-            "\"revision\":%d}\n",
-            daemon, life, revision);
-  line_of_calls (history, line);
-}
-
+  const char *name;
+  struct
+  {
+    Write write;
+    const char *who;
+    const char *text;
+    int revision;
+  } line[9];
+  MuxRule rule; /* broken, or MUX_RULE_COUNT */
+  uint32_t times;
+} Case;
+
+static Case cases[] = {
+  { "test_good_config",
+    { { change, "op-1", "none", 0 },
+      { change, "op-1", DONE, 5 },
+      { change, "op-2", NOT_RUN, 0 },
+      { change, "op-3", "unknown", 0 },
+      { kept, "d1", "setup", 4 },
+      { kept, "d1", "op-1", 5 },
+      { shown, "d1", "1", 5 },
+      { shown, "d1", "2", 4 },
+      { shown, "d1", "2", 5 } },
+    MUX_RULE_COUNT,
+    0 },
+  /* An operator is told that a change was accepted, and it is not there. */
+  { "test_config_lost",
+    { { change, "op-1", DONE, 5 }, { kept, "d1", "setup", 4 } },
+    MUX_RULE_CONFIG_LOST,
+    1 },
+  /* Twice there, and the second one follows the first, unseen. */
+  { "test_config_twice",
+    { { change, "op-1", "unknown", 0 },
+      { kept, "d1", "setup", 4 },
+      { kept, "d1", "op-1", 5 },
+      { kept, "d1", "op-1", 6 } },
+    MUX_RULE_CONFIG_LOST,
+    2 },
+  { "test_config_refused_is_there",
+    { { change, "op-1", NOT_RUN, 0 },
+      { kept, "d1", "setup", 4 },
+      { kept, "d1", "op-1", 5 } },
+    MUX_RULE_CONFIG_LOST,
+    1 },
+  /* Two operators saw revision 4 and both were accepted: one is overwritten. */
+  { "test_config_overwritten",
+    { { change, "op-1", DONE, 5 },
+      { change, "op-2", DONE, 6 },
+      { kept, "d1", "setup", 4 },
+      { kept, "d1", "op-1", 5 },
+      { kept, "d1", "op-2", 6 } },
+    MUX_RULE_CONFIG_LOST,
+    1 },
+  { "test_config_back",
+    { { shown, "d1", "1", 5 },
+      { shown, "d2", "1", 4 },
+      { shown, "d1", "1", 4 } },
+    MUX_RULE_CONFIG_BACK,
+    1 },
+  { "test_config_behind",
+    { { change, "op-1", DONE, 5 },
+      { kept, "d1", "setup", 4 },
+      { kept, "d1", "op-1", 5 },
+      { shown, "d2", "1", 4 } },
+    MUX_RULE_CONFIG_BACK,
+    1 },
+};
+
+#define CASES (sizeof cases / sizeof cases[0])
+
+/* Breaks the case's rule so many times and no other rule. */
 static void
-test_good_config (void **state)
+test_case (void **state)
 {
+  const Case *it = *state;
   MuxHistory *history = mux_history_new ();
   MuxHistoryReport report;
+  char line[256];
 
-  (void) state;
-  change (history, "op-1", "none", 0);
-  change (history, "op-1", DONE, 5);
-  change (history, "op-2", NOT_RUN, 0);
-  change (history, "op-3", "unknown", 0);
-  kept (history, "d1", "setup", 4);
-  kept (history, "d1", "op-1", 5);
-  shown (history, "d1", 1, 5);
-  shown (history, "d1", 2, 4);
-  shown (history, "d1", 2, 5);
-  assert_true (mux_history_check (history, &report));
+  for (size_t i = 0; i < 9 && it->line[i].write != NULL; i++)
+    mux_history_calls (history, line,
+                       (size_t) it->line[i].write (line, it->line[i].who,
+                                                   it->line[i].text,
+                                                   it->line[i].revision));
+  assert_int_equal (mux_history_check (history, &report), it->times == 0);
+  for (uint32_t i = 0; i < MUX_RULE_COUNT; i++)
+    if (report.broken[i] != (i == it->rule ? it->times : 0))
+      fail_msg ("%s broken %u times", mux_rule_name ((MuxRule) i),
+                report.broken[i]);
   mux_history_free (history);
 }
 
-/* An operator is told that a change was accepted, and it is not there. */
-static void
-test_config_lost (void **state)
-{
-  MuxHistory *history = mux_history_new ();
-
-  (void) state;
-  change (history, "op-1", DONE, 5);
-  kept (history, "d1", "setup", 4);
-  reject_history (history, MUX_RULE_CONFIG_LOST, 1);
-}
-
-static void
-test_config_twice (void **state)
-{
-  MuxHistory *history = mux_history_new ();
-
-  (void) state;
-  change (history, "op-1", "unknown", 0);
-  kept (history, "d1", "setup", 4);
-  kept (history, "d1", "op-1", 5);
-  kept (history, "d1", "op-1", 6);
-  /* Twice there, and the second one follows the first, unseen. */
-  reject_history (history, MUX_RULE_CONFIG_LOST, 2);
-}
-
-static void
-test_config_refused_is_there (void **state)
-{
-  MuxHistory *history = mux_history_new ();
-
-  (void) state;
-  change (history, "op-1", NOT_RUN, 0);
-  kept (history, "d1", "setup", 4);
-  kept (history, "d1", "op-1", 5);
-  reject_history (history, MUX_RULE_CONFIG_LOST, 1);
-}
-
-/* Two operators saw revision 4 and both were accepted: one is overwritten. */
-static void
-test_config_overwritten (void **state)
-{
-  MuxHistory *history = mux_history_new ();
-
-  (void) state;
-  change (history, "op-1", DONE, 5);
-  change (history, "op-2", DONE, 6);
-  kept (history, "d1", "setup", 4);
-  kept (history, "d1", "op-1", 5);
-  kept (history, "d1", "op-2", 6);
-  reject_history (history, MUX_RULE_CONFIG_LOST, 1);
-}
-
-static void
-test_config_back (void **state)
-{
-  MuxHistory *history = mux_history_new ();
-
-  (void) state;
-  shown (history, "d1", 1, 5);
-  shown (history, "d2", 1, 4);
-  shown (history, "d1", 1, 4);
-  reject_history (history, MUX_RULE_CONFIG_BACK, 1);
-}
-
-static void
-test_config_behind (void **state)
-{
-  MuxHistory *history = mux_history_new ();
-
-  (void) state;
-  change (history, "op-1", DONE, 5);
-  kept (history, "d1", "setup", 4);
-  kept (history, "d1", "op-1", 5);
-  shown (history, "d2", 1, 4);
-  reject_history (history, MUX_RULE_CONFIG_BACK, 1);
-}
-
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_good_config),
-    cmocka_unit_test (test_config_lost),
-    cmocka_unit_test (test_config_twice),
-    cmocka_unit_test (test_config_refused_is_there),
-    cmocka_unit_test (test_config_overwritten),
-    cmocka_unit_test (test_config_back),
-    cmocka_unit_test (test_config_behind),
-  };
+  struct CMUnitTest tests[CASES];
 
+  for (size_t i = 0; i < CASES; i++)
+    tests[i] = (struct CMUnitTest){ .name = cases[i].name,
+                                    .test_func = test_case,
+                                    .initial_state = &cases[i] };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
