--- a/test/support/fake_sink.c
+++ b/test/support/fake_sink.c
@@ -3,8 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-static void *
-grow (void *items, uint32_t count, uint32_t *cap, size_t size)
+void *
+fake_sink_grow (void *items, uint32_t count, uint32_t *cap, size_t size)
 {
   if (count < *cap)
     return items;
@@ -22,8 +22,8 @@
 
   if (fake->tap != NULL)
     fake->tap->sink.answer (&fake->tap->sink, answer);
-  fake->answers = grow (fake->answers, fake->answer_count, &fake->answer_cap,
-                        sizeof fake->answers[0]);
+  fake->answers = fake_sink_grow (fake->answers, fake->answer_count,
+                                  &fake->answer_cap, sizeof fake->answers[0]);
   mux_blob_ref (answer->body);
   fake->answers[fake->answer_count++] = *answer;
 }
@@ -37,8 +37,9 @@
     fake->tap->sink.worker_call (&fake->tap->sink, call);
   if (fake->full)
     return false;
-  fake->worker_calls = grow (fake->worker_calls, fake->worker_count,
-                             &fake->worker_cap, sizeof fake->worker_calls[0]);
+  fake->worker_calls
+      = fake_sink_grow (fake->worker_calls, fake->worker_count,
+                        &fake->worker_cap, sizeof fake->worker_calls[0]);
   mux_blob_ref (call->body);
   fake->worker_calls[fake->worker_count++] = *call;
   return true;
@@ -56,8 +57,9 @@
       mux_table_call_free (call);
       return false;
     }
-  fake->table_calls = grow (fake->table_calls, fake->table_count,
-                            &fake->table_cap, sizeof fake->table_calls[0]);
+  fake->table_calls
+      = fake_sink_grow (fake->table_calls, fake->table_count, &fake->table_cap,
+                        sizeof fake->table_calls[0]);
   fake->table_calls[fake->table_count++] = call;
   return true;
 }
@@ -71,8 +73,8 @@
     fake->tap->sink.peer_send (&fake->tap->sink, addr, msg);
   if (fake->full)
     return false;
-  fake->sent = grow (fake->sent, fake->sent_count, &fake->sent_cap,
-                     sizeof fake->sent[0]);
+  fake->sent = fake_sink_grow (fake->sent, fake->sent_count, &fake->sent_cap,
+                               sizeof fake->sent[0]);
   snprintf (fake->sent[fake->sent_count].addr, MUX_ADDR_LEN, "%s", addr);
   mux_blob_ref (msg->body);
   fake->sent[fake->sent_count++].msg = *msg;
--- a/test/support/fake_sink.h
+++ b/test/support/fake_sink.h
@@ -47,6 +47,8 @@
   uint32_t logs;
 } FakeSink;
 
+/** fake_sink_grow() - @items with room for one more than @count */
+void *fake_sink_grow (void *items, uint32_t count, uint32_t *cap, size_t size);
 void fake_sink_init (FakeSink *sink);
 void fake_sink_clear (FakeSink *sink);
 
--- a/test/support/fake_table.c
+++ b/test/support/fake_table.c
@@ -1,5 +1,7 @@
 #include "support/fake_table.h"
 
+#include "support/fake_sink.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,13 +48,8 @@
 static void
 insert_row (FakeTable *table, uint32_t at, const char *key)
 {
-  if (table->count == table->cap)
-    {
-      table->cap = table->cap * 2 + 64;
-      table->rows = realloc (table->rows, table->cap * sizeof table->rows[0]);
-      if (table->rows == NULL)
-        abort ();
-    }
+  table->rows = fake_sink_grow (table->rows, table->count, &table->cap,
+                                sizeof table->rows[0]);
   memmove (&table->rows[at + 1], &table->rows[at],
            (table->count - at) * sizeof table->rows[0]);
   table->count++;
--- a/test/support/scenario.c
+++ b/test/support/scenario.c
@@ -22,18 +22,6 @@
   "\"kind\":\"service\",\"idempotent\":true",
 };
 
-static void *
-grow (void *items, uint32_t count, uint32_t *cap, size_t size)
-{
-  if (count < *cap)
-    return items;
-  *cap = *cap * 2 + 64;
-  items = realloc (items, *cap * size);
-  if (items == NULL)
-    abort ();
-  return items;
-}
-
 void
 scenario_lists (Scenario *s)
 {
@@ -105,7 +93,8 @@
 static uint32_t
 add_call (Scenario *s, uint32_t node, uint32_t tag, uint32_t give_up_ms)
 {
-  s->calls = grow (s->calls, s->call_count, &s->call_cap, sizeof *s->calls);
+  s->calls = fake_sink_grow (s->calls, s->call_count, &s->call_cap,
+                             sizeof *s->calls);
   s->calls[s->call_count]
       = (ScenarioCall){ .tag = tag,
                         .node = node,
@@ -219,7 +208,7 @@
   uint32_t tag = s->work_count++;
   char key[MUX_KEY_LEN];
 
-  s->works = grow (s->works, tag, &s->work_cap, sizeof *s->works);
+  s->works = fake_sink_grow (s->works, tag, &s->work_cap, sizeof *s->works);
   s->works[tag] = (ScenarioWork){ .class_id = class_id,
                                   .keyed = keyed || parts > 0,
                                   .parts = parts,
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -37,6 +37,28 @@
   core_harness_free (h, NULL);
 }
 
+/* A daemon with work on all workers, of which the list shows 16. */
+static CoreHarness *
+few_listed (void)
+{
+  CoreHarnessOptions options = { .workers = WORKERS,
+                                 .listed = 16,
+                                 .slots = 64,
+                                 .running = WORKERS * TASKS_EACH,
+                                 .members = 1 };
+
+  return core_harness_new (&options);
+}
+
+static void
+expect_all_held (CoreHarness *h)
+{
+  core_harness_run (h, MINUTES_MS);
+  assert_int_equal (h->sent[MUX_PEER_TASK_ENDED], 0);
+  assert_int_equal (mux_counter_value (h->counters, MUX_COUNT_CLAIMS), WORKERS);
+  core_harness_free (h, NULL);
+}
+
 /*
  * A peer dies and leaves its workers to this daemon.  Renewals slow down from
  * one moment to the next, while the leases that stand were asked for at the
@@ -46,12 +68,7 @@
 static void
 test_takeover_lets_no_lease_lapse (void **state)
 {
-  CoreHarnessOptions options = { .workers = WORKERS,
-                                 .listed = 16,
-                                 .slots = 64,
-                                 .running = WORKERS * TASKS_EACH,
-                                 .members = 1 };
-  CoreHarness *h = core_harness_new (&options);
+  CoreHarness *h = few_listed ();
 
   (void) state;
   /* At each offset into the quick cadence, as renewals may be on their way. */
@@ -60,28 +77,17 @@
       core_harness_list (h, count);
       core_harness_run (h, 1037);
     }
-  core_harness_run (h, MINUTES_MS);
-  assert_int_equal (h->sent[MUX_PEER_TASK_ENDED], 0);
-  assert_int_equal (mux_counter_value (h->counters, MUX_COUNT_CLAIMS), WORKERS);
-  core_harness_free (h, NULL);
+  expect_all_held (h);
 }
 
 static void
 test_takeover_at_once_lets_no_lease_lapse (void **state)
 {
-  CoreHarnessOptions options = { .workers = WORKERS,
-                                 .listed = 16,
-                                 .slots = 64,
-                                 .running = WORKERS * TASKS_EACH,
-                                 .members = 1 };
-  CoreHarness *h = core_harness_new (&options);
+  CoreHarness *h = few_listed ();
 
   (void) state;
   core_harness_list (h, WORKERS);
-  core_harness_run (h, MINUTES_MS);
-  assert_int_equal (h->sent[MUX_PEER_TASK_ENDED], 0);
-  assert_int_equal (mux_counter_value (h->counters, MUX_COUNT_CLAIMS), WORKERS);
-  core_harness_free (h, NULL);
+  expect_all_held (h);
 }
 
 /* Members of other data centres at the size to design for.  Each of them
@@ -165,6 +171,23 @@
   core_harness_free (h, NULL);
 }
 
+static void
+put_class (CoreHarness *h, const char *name, const char *kind, int run_ms)
+{
+  char text[512];
+
+  core_harness_put (h, MUX_CONFIG_PRODUCT, "p",
+                    "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,"
+                    "\"accels\":0,\"slots\":0}}");
+  snprintf (text, sizeof text,
+            "{\"product\":\"p\",\"kind\":\"%s\",\"idempotent\":true,"
+            "\"start_within_ms\":2800,\"start_share_ppm\":990000,"
+            "\"size\":{\"cpu_milli\":100,\"mem_mib\":100,\"accels\":0},"
+            "\"run_ms\":%d}",
+            kind, run_ms);
+  core_harness_put (h, MUX_CONFIG_CLASS, name, text);
+}
+
 /*
  * An owner of many workers learns late that tasks on them have ended, as it
  * renews rarely.  A job of half a second would take ten to twenty,
@@ -182,14 +205,7 @@
                  .body = mux_blob_new ("run_ms=500\n", 11) };
 
   (void) state;
-  core_harness_put (h, MUX_CONFIG_PRODUCT, "p",
-                    "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,"
-                    "\"accels\":0,\"slots\":0}}");
-  core_harness_put (h, MUX_CONFIG_CLASS, "nightly",
-                    "{\"product\":\"p\",\"kind\":\"batch\","
-                    "\"idempotent\":true,\"start_within_ms\":2800,"
-                    "\"start_share_ppm\":990000,\"size\":{\"cpu_milli\":100,"
-                    "\"mem_mib\":100,\"accels\":0},\"run_ms\":500}");
+  put_class (h, "nightly", "batch", 500);
   core_harness_run (h, MINUTES_MS);
   core_harness_ask (h, &ask);
   core_harness_run (h, 6000);
@@ -215,14 +231,7 @@
   uint64_t before;
 
   (void) state;
-  core_harness_put (h, MUX_CONFIG_PRODUCT, "p",
-                    "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,"
-                    "\"accels\":0,\"slots\":0}}");
-  core_harness_put (h, MUX_CONFIG_CLASS, "desk",
-                    "{\"product\":\"p\",\"kind\":\"long_running\","
-                    "\"idempotent\":true,\"start_within_ms\":2800,"
-                    "\"start_share_ppm\":990000,\"size\":{\"cpu_milli\":100,"
-                    "\"mem_mib\":100,\"accels\":0},\"run_ms\":0}");
+  put_class (h, "desk", "long_running", 0);
   core_harness_ask (h, &ask);
   core_harness_run (h, 6 * MINUTES_MS);
   before = h->asked[MUX_WORKER_FETCH];
