--- a/test/support/door_bench.c
+++ b/test/support/door_bench.c
@@ -1,13 +1,5 @@
 #include "door_bench.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 int
 door_bench_set_up (void **state)
--- a/test/support/golden.c
+++ b/test/support/golden.c
@@ -1,13 +1,7 @@
 #include "support/golden.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
 #include <stdbool.h>
-#include <stdint.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
 
 #define GOLDEN_DIR "test/golden/"
 #define CONTEXT 3
--- a/test/support/raw_http.c
+++ b/test/support/raw_http.c
@@ -1,19 +1,12 @@
 #include "support/raw_http.h"
 
 #include "base/address.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stdint.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 int
 raw_connect (const char *addr)
 {
--- a/test/support/sched_cell.c
+++ b/test/support/sched_cell.c
@@ -1,11 +1,5 @@
 #include "sched_cell.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-
-#include <cmocka.h>
-#include <stdio.h>
+#include "support/test.h"
 
 int
 cell_set_up (void **state)
--- a/test/unit/test_cli.c
+++ b/test/unit/test_cli.c
@@ -1,14 +1,8 @@
 #include "support/cli_session.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define JOB "0123456789abcdef0123456789abcdef"
 #define CLASS_SET                                                     \
   "class set seats --product booking --kind service --idempotent no " \
--- a/test/unit/test_cli_all.c
+++ b/test/unit/test_cli_all.c
@@ -1,13 +1,8 @@
 #include "support/cli_session.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
-#include <cmocka.h>
 #include <zmq.h>
 
 #define KEY_LEN 40
--- a/test/unit/test_cli_cut.c
+++ b/test/unit/test_cli_cut.c
@@ -1,18 +1,11 @@
 #include "support/canned_server.h"
 #include "support/cli_session.h"
+#include "support/test.h"
 
-#include <setjmp.h>
 #include <signal.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define HEAD              \
   "HTTP/1.1 200 OK\r\n"   \
   "Connection: close\r\n" \
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -1,12 +1,5 @@
 #include "support/config_cell.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define NODES 3
 #define NO_QUOTA \
--- a/test/unit/test_config_race.c
+++ b/test/unit/test_config_race.c
@@ -1,13 +1,7 @@
 #include "support/config_cell.h"
+#include "support/test.h"
 
 #include <inttypes.h>
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <string.h>
-
-#include <cmocka.h>
 
 /* Four operators, each at another daemon, change the same class 200 times
  * each.  Answers of writes are lost, some writes land only after the loss was
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -1,13 +1,6 @@
 /* Traffic that a daemon spends on itself stays bounded as the cell grows. */
 #include "bench/support/core_harness.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 /* A daemon's share of the workers at the size to design for. */
 #define WORKERS 208
--- a/test/unit/test_door_input.c
+++ b/test/unit/test_door_input.c
@@ -1,15 +1,8 @@
 #include "support/door_bench.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define TASK_ID "00000000000000010000000000000002"
 
 typedef struct
--- a/test/unit/test_golden_core.c
+++ b/test/unit/test_golden_core.c
@@ -1,14 +1,7 @@
 #include "support/core_record.h"
 #include "support/golden.h"
 #include "support/scenario.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define SEED 11
 #define GIVE_UP_MS 8000
--- a/test/unit/test_golden_door.c
+++ b/test/unit/test_golden_door.c
@@ -2,17 +2,11 @@
 #include "support/golden.h"
 #include "support/raw_http.h"
 #include "support/scenario.h"
+#include "support/test.h"
 
 #include <poll.h>
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define SEED 11
 #define BODY_MAX 4096
 #define CLASS                                                          \
--- a/test/unit/test_history.c
+++ b/test/unit/test_history.c
@@ -1,13 +1,5 @@
 #include "demo/support/history.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <stdio.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define DONE "done"
 #define NOT_RUN "not_run"
--- a/test/unit/test_inbox.c
+++ b/test/unit/test_inbox.c
@@ -1,11 +1,5 @@
 #include "../../src/daemon/inbox.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define RING 4
 /* One slot of a ring stays free. */
--- a/test/unit/test_jobs_orphan.c
+++ b/test/unit/test_jobs_orphan.c
@@ -1,12 +1,5 @@
 #include "support/fake_net.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define SEED 7
 /* Longer than the longest pause between two looks through the open jobs. */
--- a/test/unit/test_peer_codec.c
+++ b/test/unit/test_peer_codec.c
@@ -1,14 +1,7 @@
 #include "adapter/peer.h"
 #include "port/worker.h"
 #include "support/peer_sample.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
-#include <stdlib.h>
-#include <string.h>
+#include "support/test.h"
 
 /* Largest heartbeat that the daemons of the sample should send. */
 #define HEARTBEAT_BYTES_MAX 140
--- a/test/unit/test_peer_curve.c
+++ b/test/unit/test_peer_curve.c
@@ -1,12 +1,6 @@
 #include "support/peer_end.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
-#include <stdio.h>
-#include <string.h>
 #include <zmq.h>
 
 static void
--- a/test/unit/test_peer_zmq.c
+++ b/test/unit/test_peer_zmq.c
@@ -1,14 +1,8 @@
 #include "support/peer_end.h"
 #include "support/peer_sample.h"
 #include "support/tcp_forwarder.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <cmocka.h>
-#include <stdio.h>
-#include <string.h>
 #include <zmq.h>
 
 static void
--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -1,14 +1,6 @@
 #include "../../src/adapter/platform_internal.h"
 #include "support/platform_fixture.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 static void
 expect_put (PlatformFixture *fixture,
--- a/test/unit/test_platform_cut.c
+++ b/test/unit/test_platform_cut.c
@@ -1,12 +1,6 @@
 #include "support/canned_server.h"
 #include "support/platform_fixture.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define OK "HTTP/1.1 200 OK\r\n"
 #define CLOSE "Connection: close\r\n"
--- a/test/unit/test_platform_standin.c
+++ b/test/unit/test_platform_standin.c
@@ -1,15 +1,7 @@
 #include "standin/platform_ctl.h"
 #include "standin/platform_faults.h"
 #include "standin/platform_state.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define MANY_ROWS 100000
 
--- a/test/unit/test_proc.c
+++ b/test/unit/test_proc.c
@@ -1,15 +1,10 @@
 #include "demo/support/proc.h"
+#include "support/test.h"
 
-#include <setjmp.h>
 #include <signal.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define LONG_MS 30000
 
 static MuxProc *
--- a/test/unit/test_retry_advice.c
+++ b/test/unit/test_retry_advice.c
@@ -1,11 +1,5 @@
 #include "support/config_cell.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define SEED 11
 #define NODES 1
--- a/test/unit/test_ring.c
+++ b/test/unit/test_ring.c
@@ -1,13 +1,7 @@
 #include "base/ring.h"
+#include "support/test.h"
 
 #include <pthread.h>
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-#include <stdlib.h>
-
-#include <cmocka.h>
 
 #define PRODUCERS 4
 #define CONSUMERS 2
--- a/test/unit/test_sched_books.c
+++ b/test/unit/test_sched_books.c
@@ -1,11 +1,5 @@
 #include "policy/sched.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-
-#include <cmocka.h>
-#include <string.h>
+#include "support/test.h"
 
 /*
  * A seeded random sequence of operations, checked after each one against a
--- a/test/unit/test_sched_faults.c
+++ b/test/unit/test_sched_faults.c
@@ -1,10 +1,5 @@
 #include "support/sched_cell.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 /* Run @count tasks of @class_name; those on worker @broken fail, or all when
  * @bad.  Returns how many failed on worker @broken. */
--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -1,10 +1,5 @@
 #include "support/sched_cell.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 static void
 open_two (Cell *cell, uint32_t workers)
--- a/test/unit/test_sched_risk.c
+++ b/test/unit/test_sched_risk.c
@@ -1,11 +1,5 @@
 #include "support/sched_cell.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-
-#include <cmocka.h>
-#include <string.h>
+#include "support/test.h"
 
 static MuxRisk
 risk_of (Cell *cell, const char *class_name)
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -1,12 +1,5 @@
 #include "base/settings.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 enum
 {
--- a/test/unit/test_spec.c
+++ b/test/unit/test_spec.c
@@ -1,11 +1,5 @@
 #include "model/spec.h"
-
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <string.h>
-
-#include <cmocka.h>
+#include "support/test.h"
 
 #define CLASS                                                        \
   "{\"product\":\"booking\",\"kind\":\"gang\",\"idempotent\":false," \
--- a/test/unit/test_tls.c
+++ b/test/unit/test_tls.c
@@ -1,19 +1,13 @@
 #include "base/address.h"
 #include "support/cli_session.h"
 #include "support/fake_backend.h"
+#include "support/test.h"
 
 #include <arpa/inet.h>
 #include <gnutls/x509.h>
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdlib.h>
-#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define PEM_MAX 4096
 #define PATH_FORM "/tmp/cuminmux-ca-XXXXXX"
 #define DAY_S 86400
--- a/test/unit/test_worker_adapter.c
+++ b/test/unit/test_worker_adapter.c
@@ -5,19 +5,12 @@
 #include "support/canned_server.h"
 #include "support/cli_door.h"
 #include "support/raw_http.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
 #include <stdatomic.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cmocka.h>
-
 #define INCARNATION 77
 #define LEASE_MS 1000
 #define GRACE_MS 500
--- a/test/unit/test_worker_standin.c
+++ b/test/unit/test_worker_standin.c
@@ -1,13 +1,8 @@
 #include "standin/worker_log.h"
 #include "standin/worker_logic.h"
+#include "support/test.h"
 
 #include <jansson.h>
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
-#include <string.h>
-
-#include <cmocka.h>
 
 #define INCARNATION 77
 #define LEASE_MS 1000
