List the history checker's cases in one table

27 test functions in two files wrote lines and asked for a verdict; they are rows of a table now, and the loops over three or five variants are rows of their own: 35 tests in place of 27.

--- a/test/unit/test_history.c
+++ b/test/unit/test_history.c
@@ -1,448 +1,332 @@
 #include "demo/support/history.h"
 #include "support/test.h"
 
-#define DONE "done"
-#define NOT_RUN "not_run"
-
-static const MuxSize capacity = { 4000, 1000, 1, 2 };
-
-/* One worker "w1" and one "w2" of that capacity. */
-static MuxHistory *
-history_new (void)
-{
-  MuxHistory *history = mux_history_new ();
-
-  assert_non_null (history);
-  mux_history_worker (history, "w1", capacity);
-  mux_history_worker (history, "w2", capacity);
-  return history;
-}
-
-static void
-start_sized (MuxHistory *history,
-             int t_ms,
-             const char *worker,
-             int life,
-             const char *task,
-             const char *body,
-             MuxSize size)
+#define LINES_MAX 12
+
+/*
+ * A case: the lines of a history, and the rule that these break so many times,
+ * and no other; 0 times: none.  "-" is an empty field; a time with a plus has
+ * MUX_LEAVING_GRACE_MS added.
+ *
+ * start TIME WORKER LIFE TASK BODY [CPU/MEM/ACCELS/SLOTS]
+ * end TIME WORKER TASK STATE
+ * told KEY OUTCOME TASK BODY ANSWER
+ * change WHO OUTCOME REVISION (of a change that expects revision 4)
+ * kept DAEMON WHO REVISION (of the change by WHO)
+ * shown DAEMON LIFE REVISION
+ * work TEXT, without a newline; else a line of the callers as it is
+ */
+typedef struct
 {
-  char line[512];
-  int n = snprintf (line, sizeof line,
-                    "{\"t_ms\":1,\"mono_ms\":%d,\"worker\":\"%s\","
-                    "\"incarnation\":%d,\"event\":\"start\",\"task\":\"%s\","
-                    "\"class\":\"seat\",\"home\":\"d1\",\"epoch\":1,\"size\":"
-                    "{\"cpu_milli\":%u,\"mem_mib\":%u,\"accels\":%u,"
-                    "\"slots\":%u},\"state\":\"running\",\"body_hash\":\"%s\","
-                    "\"answer_hash\":\"\"}\n",
-                    t_ms, worker, life, task, size.cpu_milli, size.mem_mib,
-                    size.accels, size.slots, body);
+  const char *name;
+  const char *line[LINES_MAX];
+  MuxRule rule;
+  uint32_t times;
+} Case;
 
-  mux_history_work (history, line, (size_t) n);
-}
+static const MuxSize capacity = { 4000, 1000, 1, 2 };
 
-static void
-start (MuxHistory *history,
-       int t_ms,
-       const char *worker,
-       const char *task,
-       const char *body)
+#define JOB(tasks)                                        \
+  "{\"event\":\"job\",\"job\":\"j1\",\"class\":\"seat\"," \
+  "\"tasks\":" tasks ",\"body_hash\":\"bj\"}"
+#define JOB_END "{\"event\":\"job_end\",\"job\":\"j1\",\"state\":\"done\"}"
+#define DIED(t_ms) "{\"event\":\"died\",\"worker\":\"w1\",\"t_ms\":" t_ms "}"
+#define LEAVING "{\"event\":\"leaving\",\"worker\":\"w1\",\"t_ms\":10}"
+
+static Case cases[] = {
+  { "test_good",
+    { "start 10 w1 1 t1 b1", "end 20 w1 t1 done", "told k1 done t1 b1 a-t1",
+      "told k2 not_run - b2 -", "told k3 unknown t3 b3 -",
+      "start 20 w1 1 t3 b3" },
+    MUX_RULE_COUNT,
+    0 },
+  /* Its first submission was not run; the next is an attempt of its own. */
+  { "test_good_second_attempt",
+    { "told k1 not_run t1 b1 -", "start 10 w2 1 t2 b1", "end 20 w2 t2 done",
+      "told k1 done t2 b1 a-t2" },
+    MUX_RULE_COUNT,
+    0 },
+  /* A slot freed and taken again in the same millisecond, a worker filled to
+   * the brim, and a line cut by a kill. */
+  { "test_good_full_worker",
+    { "start 10 w1 1 t1 b1 2000/500/0/1", "start 10 w1 1 t2 b2 2000/500/0/1",
+      "end 10 w1 t1 done", "start 10 w1 1 t3 b3 2000/500/0/1",
+      "work {\"event\":\"st" },
+    MUX_RULE_COUNT,
+    0 },
+  /* A new life starts empty: what the old one ran is over. */
+  { "test_good_restart",
+    { "start 10 w1 1 t1 b1 4000/1000/1/2", "start 30 w1 2 t2 b2 4000/1000/1/2",
+      "start 40 w2 1 t1 b9" },
+    MUX_RULE_COUNT,
+    0 },
+  { "test_good_job",
+    { JOB ("2"), "start 10 w1 1 t1 bj", "start 10 w2 1 t2 bj",
+      "end 20 w1 t1 done", "end 20 w2 t2 done", JOB_END },
+    MUX_RULE_COUNT,
+    0 },
+  { "test_ran_twice",
+    { "start 10 w1 1 t1 b1", "end 15 w1 t1 failed", "start 20 w2 1 t2 b1",
+      "end 25 w2 t2 done", "told k1 done t2 b1 a-t2" },
+    MUX_RULE_RAN_TWICE,
+    1 },
+  { "test_two_places",
+    { "start 10 w1 1 t1 b1", "start 15 w2 1 t1 b1", "end 20 w1 t1 done",
+      "end 25 w2 t1 done" },
+    MUX_RULE_TWO_PLACES,
+    1 },
+  /* Still running on a worker that nobody killed. */
+  { "test_two_places_open",
+    { "start 10 w1 1 t1 b1", "start 15 w2 1 t1 b1" },
+    MUX_RULE_TWO_PLACES,
+    1 },
+  { "test_killed_is_not_two_places",
+    { "start 10 w1 1 t1 b1", "start 15 w2 1 t1 b1", DIED ("12") },
+    MUX_RULE_COUNT,
+    0 },
+  { "test_overcommit_cpu",
+    { "start 10 w1 1 t1 b1 2500/100/0/1", "start 10 w1 1 t2 b2 2500/100/0/1",
+      "end 10 w1 t1 done" },
+    MUX_RULE_OVERCOMMIT,
+    1 },
+  { "test_overcommit_mem",
+    { "start 10 w1 1 t1 b1 1000/600/0/1", "start 10 w1 1 t2 b2 1000/600/0/1",
+      "end 10 w1 t1 done" },
+    MUX_RULE_OVERCOMMIT,
+    1 },
+  { "test_overcommit_accels",
+    { "start 10 w1 1 t1 b1 1000/100/1/1", "start 10 w1 1 t2 b2 1000/100/1/1",
+      "end 10 w1 t1 done" },
+    MUX_RULE_OVERCOMMIT,
+    1 },
+  { "test_overcommit_slots",
+    { "start 10 w1 1 t1 b1", "start 11 w1 1 t2 b2", "start 12 w1 1 t3 b3" },
+    MUX_RULE_OVERCOMMIT,
+    1 },
+  /* Within the grace it may still start; after it, it may not. */
+  { "test_leaving",
+    { LEAVING, "start +10 w1 1 t1 b1", "start +11 w1 1 t2 b2",
+      "start +11 w2 1 t3 b3" },
+    MUX_RULE_LEAVING,
+    1 },
+  { "test_wrong_answer_cut",
+    { "start 10 w1 1 t1 b1", "end 20 w1 t1 done", "told k1 done t1 b1 a-t" },
+    MUX_RULE_WRONG_ANSWER,
+    1 },
+  { "test_wrong_answer_of_task",
+    { "start 10 w1 1 t1 b1", "end 20 w1 t1 done", "told k1 done t1 b1 a-t2" },
+    MUX_RULE_WRONG_ANSWER,
+    1 },
+  { "test_wrong_answer_of_body",
+    { "start 10 w1 1 t1 b1", "end 20 w1 t1 done", "told k1 done t1 b2 a-t1" },
+    MUX_RULE_WRONG_ANSWER,
+    1 },
+  { "test_not_run_ran",
+    { "told k1 not_run t1 b1 -", "told k1 unknown - b1 -",
+      "start 500 w1 1 t1 b1" },
+    MUX_RULE_NOT_RUN_RAN,
+    1 },
+  /* The answer named no task, and nobody was told anything else of this key. */
+  { "test_not_run_ran_unnamed",
+    { "start 10 w1 1 t1 b1", "end 20 w1 t1 done", "told k1 not_run - b1 -" },
+    MUX_RULE_NOT_RUN_RAN,
+    1 },
+  { "test_done_never_ran",
+    { "start 10 w1 1 t1 b1", "end 20 w1 t1 stopped",
+      "told k1 done t1 b1 a-t1" },
+    MUX_RULE_DONE_NEVER_RAN,
+    1 },
+  { "test_job_open", { JOB ("1") }, MUX_RULE_JOB_OPEN, 1 },
+  { "test_job_done_never_ran",
+    { JOB ("2"), "start 10 w1 1 t1 bj", "end 20 w1 t1 done", JOB_END },
+    MUX_RULE_DONE_NEVER_RAN,
+    1 },
+  { "test_bad_line_cut", { "{" }, MUX_RULE_LOG, 1 },
+  { "test_bad_line_array", { "[]" }, MUX_RULE_LOG, 1 },
+  { "test_bad_line_unknown", { "{\"event\":\"nonsense\"}" }, MUX_RULE_LOG, 1 },
+  /* A submission that can't be read is not believed either. */
+  { "test_bad_line_request",
+    { "{\"event\":\"request\",\"call\":1}" },
+    MUX_RULE_LOG,
+    1 },
+  { "test_bad_line_job_end",
+    { "{\"event\":\"job_end\",\"job\":\"j9\",\"state\":\"done\"}" },
+    MUX_RULE_LOG,
+    1 },
+  /* A worker dies twice; its first life's task ended at the first death. */
+  { "test_two_places_after_second_death",
+    { "start 10 w1 1 t1 b1", DIED ("90"), DIED ("20"), "start 15 w2 1 t1 b2" },
+    MUX_RULE_TWO_PLACES,
+    1 },
+  { "test_good_config",
+    { "change op-1 none 0", "change op-1 done 5", "change op-2 not_run 0",
+      "change op-3 unknown 0", "kept d1 setup 4", "kept d1 op-1 5",
+      "shown d1 1 5", "shown d1 2 4", "shown d1 2 5" },
+    MUX_RULE_COUNT,
+    0 },
+  /* An operator is told that a change was accepted, and it is not there. */
+  { "test_config_lost",
+    { "change op-1 done 5", "kept d1 setup 4" },
+    MUX_RULE_CONFIG_LOST,
+    1 },
+  /* Twice there, and the second one follows the first, unseen. */
+  { "test_config_twice",
+    { "change op-1 unknown 0", "kept d1 setup 4", "kept d1 op-1 5",
+      "kept d1 op-1 6" },
+    MUX_RULE_CONFIG_LOST,
+    2 },
+  { "test_config_refused_is_there",
+    { "change op-1 not_run 0", "kept d1 setup 4", "kept d1 op-1 5" },
+    MUX_RULE_CONFIG_LOST,
+    1 },
+  /* Two operators saw revision 4 and both were accepted: one is overwritten. */
+  { "test_config_overwritten",
+    { "change op-1 done 5", "change op-2 done 6", "kept d1 setup 4",
+      "kept d1 op-1 5", "kept d1 op-2 6" },
+    MUX_RULE_CONFIG_LOST,
+    1 },
+  { "test_config_back",
+    { "shown d1 1 5", "shown d2 1 4", "shown d1 1 4" },
+    MUX_RULE_CONFIG_BACK,
+    1 },
+  { "test_config_behind",
+    { "change op-1 done 5", "kept d1 setup 4", "kept d1 op-1 5",
+      "shown d2 1 4" },
+    MUX_RULE_CONFIG_BACK,
+    1 },
+};
+
+#define CASES (sizeof cases / sizeof cases[0])
+
+typedef struct
 {
-  start_sized (history, t_ms, worker, 1, task, body,
-               (MuxSize){ 1000, 100, 0, 1 });
-}
+  char f[5][24];
+  int t_ms;
+} Fields;
 
-static void
-end_as (MuxHistory *history,
-        int t_ms,
-        const char *worker,
-        const char *task,
-        const char *state)
+/* Reads up to five fields after the line's first word. */
+static bool
+is_line (const char *line, const char *word, Fields *of)
 {
-  char line[512];
-  int n = snprintf (line, sizeof line,
-                    "{\"mono_ms\":%d,\"worker\":\"%s\",\"incarnation\":1,"
-                    "\"event\":\"end\",\"task\":\"%s\",\"state\":\"%s\","
-                    "\"answer_hash\":\"a-%s\"}\n",
-                    t_ms, worker, task, state, task);
-
-  mux_history_work (history, line, (size_t) n);
+  size_t len = strlen (word);
+  const char *t;
+
+  if (strncmp (line, word, len) != 0 || line[len] != ' ')
+    return false;
+  sscanf (line + len, "%23s %23s %23s %23s %23s", of->f[0], of->f[1], of->f[2],
+          of->f[3], of->f[4]);
+  for (int i = 0; i < 5; i++)
+    if (strcmp (of->f[i], "-") == 0)
+      of->f[i][0] = 0;
+  t = of->f[0];
+  of->t_ms = atoi (t) + (t[0] == '+' ? MUX_LEAVING_GRACE_MS : 0);
+  return true;
 }
 
-static void
-end (MuxHistory *history, int t_ms, const char *worker, const char *task)
+static int
+start (char out[512], const Fields *of, const char *line)
 {
-  end_as (history, t_ms, worker, task, "done");
+  MuxSize size = { 1000, 100, 0, 1 };
+
+  sscanf (line, "start %*s %*s %*s %*s %*s %u/%u/%u/%u", &size.cpu_milli,
+          &size.mem_mib, &size.accels, &size.slots);
+  return snprintf (
+      out, 512,
+      "{\"t_ms\":1,\"mono_ms\":%d,\"worker\":\"%s\",\"incarnation\":%s,"
+      "\"event\":\"start\",\"task\":\"%s\",\"class\":\"seat\","
+      "\"home\":\"d1\",\"epoch\":1,\"size\":{\"cpu_milli\":%u,"
+      "\"mem_mib\":%u,\"accels\":%u,\"slots\":%u},\"state\":\"running\","
+      "\"body_hash\":\"%s\",\"answer_hash\":\"\"}\n",
+      of->t_ms, of->f[1], of->f[2], of->f[3], size.cpu_milli, size.mem_mib,
+      size.accels, size.slots, of->f[4]);
 }
 
-static void
-told (MuxHistory *history,
-      const char *key,
-      const char *outcome,
-      const char *task,
-      const char *body,
-      const char *answer)
+/* A line of the workers' logs; 0: it is none. */
+static int
+work_line (char out[512], const char *line)
 {
-  char line[512];
-  int n = snprintf (line, sizeof line,
-                    "{\"event\":\"request\",\"call\":7,\"class\":\"seat\","
-                    "\"key\":\"%s\",\"idempotent\":false,\"submit_ms\":1,"
-                    "\"answer_ms\":2,\"outcome\":\"%s\",\"task\":\"%s\","
-                    "\"reason\":\"\",\"body_hash\":\"%s\","
-                    "\"answer_hash\":\"%s\",\"expect_hash\":\"a-%s\"}\n",
-                    key, outcome, task, body, answer, task);
-
-  mux_history_calls (history, line, (size_t) n);
+  Fields of = { 0 };
+
+  if (is_line (line, "start", &of))
+    return start (out, &of, line);
+  if (is_line (line, "end", &of))
+    return snprintf (out, 512,
+                     "{\"mono_ms\":%d,\"worker\":\"%s\",\"incarnation\":1,"
+                     "\"event\":\"end\",\"task\":\"%s\",\"state\":\"%s\","
+                     "\"answer_hash\":\"a-%s\"}\n",
+                     of.t_ms, of.f[1], of.f[2], of.f[3], of.f[2]);
+  if (is_line (line, "work", &of))
+    return snprintf (out, 512, "%s", line + strlen ("work "));
+  return 0;
 }
 
-static void
-line_of_calls (MuxHistory *history, const char *line)
+static int
+call_line (char out[512], const char *line)
 {
-  mux_history_calls (history, line, strlen (line));
+  Fields of = { 0 };
+
+  if (is_line (line, "told", &of))
+    return snprintf (out, 512,
+                     "{\"event\":\"request\",\"call\":7,\"class\":\"seat\","
+                     "\"key\":\"%s\",\"idempotent\":false,\"submit_ms\":1,"
+                     "\"answer_ms\":2,\"outcome\":\"%s\",\"task\":\"%s\","
+                     "\"reason\":\"\",\"body_hash\":\"%s\","
+                     "\"answer_hash\":\"%s\",\"expect_hash\":\"a-%s\"}\n",
+                     of.f[0], of.f[1], of.f[2], of.f[3], of.f[4], of.f[2]);
+  if (is_line (line, "change", &of))
+    return snprintf (out, 512,
+                     "{\"event\":\"change\",\"who\":\"%s\",\"expect\":4,"
+                     "\"outcome\":\"%s\",\"revision\":%s}\n",
+                     of.f[0], of.f[1], of.f[2]);
+  if (is_line (line, "kept", &of))
+    return snprintf (out, 512,
+                     "{\"event\":\"kept\",\"daemon\":\"%s\",\"revision\":%s,"
+                     "\"object\":\"class/seat\",\"who\":\"%s\"}\n",
+                     of.f[0], of.f[2], of.f[1]);
+  if (is_line (line, "shown", &of))
+    return snprintf (out, 512,
+                     "{\"event\":\"shown\",\"daemon\":\"%s\",\"life\":%s,"
+                     "\"revision\":%s}\n",
+                     of.f[0], of.f[1], of.f[2]);
+  return snprintf (out, 512, "%s\n", line);
 }
 
 static void
-accept_history (MuxHistory *history)
+test_case (void **state)
 {
+  const Case *it = *state;
+  MuxHistory *history = mux_history_new ();
   MuxHistoryReport report;
+  char out[512];
 
-  if (!mux_history_check (history, &report))
-    fail_msg ("%s", report.finding[0]);
-  mux_history_free (history);
-}
-
-/* Broken @rule @times times and no other rule. */
-static void
-reject_history (MuxHistory *history, MuxRule rule, uint32_t times)
-{
-  MuxHistoryReport report;
+  mux_history_worker (history, "w1", capacity);
+  mux_history_worker (history, "w2", capacity);
+  for (size_t i = 0; i < LINES_MAX && it->line[i] != NULL; i++)
+    {
+      int len = work_line (out, it->line[i]);
 
-  assert_false (mux_history_check (history, &report));
+      if (len > 0)
+        mux_history_work (history, out, (size_t) len);
+      else
+        mux_history_calls (history, out, (size_t) call_line (out, it->line[i]));
+    }
+  if (mux_history_check (history, &report) != (it->times == 0))
+    fail_msg ("%s", it->times == 0 ? report.finding[0] : "accepted");
   for (uint32_t i = 0; i < MUX_RULE_COUNT; i++)
-    if (report.broken[i] != (i == rule ? times : 0))
+    if (report.broken[i] != (i == it->rule ? it->times : 0))
       fail_msg ("%s broken %u times", mux_rule_name ((MuxRule) i),
                 report.broken[i]);
   mux_history_free (history);
 }
 
-static void
-test_good (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  end (history, 20, "w1", "t1");
-  told (history, "k1", DONE, "t1", "b1", "a-t1");
-  told (history, "k2", NOT_RUN, "", "b2", "");
-  told (history, "k3", "unknown", "t3", "b3", "");
-  start (history, 20, "w1", "t3", "b3");
-  accept_history (history);
-}
-
-/* Its first submission was not run; the next is an attempt of its own. */
-static void
-test_good_second_attempt (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  told (history, "k1", NOT_RUN, "t1", "b1", "");
-  start (history, 10, "w2", "t2", "b1");
-  end (history, 20, "w2", "t2");
-  told (history, "k1", DONE, "t2", "b1", "a-t2");
-  accept_history (history);
-}
-
-/* A slot freed and taken again in the same millisecond, a worker filled to the
- * brim, and a line cut by a kill. */
-static void
-test_good_full_worker (void **state)
-{
-  MuxHistory *history = history_new ();
-  MuxSize half = { 2000, 500, 0, 1 };
-
-  (void) state;
-  start_sized (history, 10, "w1", 1, "t1", "b1", half);
-  start_sized (history, 10, "w1", 1, "t2", "b2", half);
-  end (history, 10, "w1", "t1");
-  start_sized (history, 10, "w1", 1, "t3", "b3", half);
-  mux_history_work (history, "{\"event\":\"st", 12);
-  accept_history (history);
-}
-
-/* A new life starts empty: what the old one ran is over. */
-static void
-test_good_restart (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start_sized (history, 10, "w1", 1, "t1", "b1", capacity);
-  start_sized (history, 30, "w1", 2, "t2", "b2", capacity);
-  start (history, 40, "w2", "t1", "b9");
-  accept_history (history);
-}
-
-static void
-test_good_job (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  line_of_calls (history, "{\"event\":\"job\",\"job\":\"j1\",\"class\":"
-                          "\"seat\",\"tasks\":2,\"body_hash\":\"bj\"}\n");
-  start (history, 10, "w1", "t1", "bj");
-  start (history, 10, "w2", "t2", "bj");
-  end (history, 20, "w1", "t1");
-  end (history, 20, "w2", "t2");
-  line_of_calls (history,
-                 "{\"event\":\"job_end\",\"job\":\"j1\",\"state\":\"done\"}\n");
-  accept_history (history);
-}
-
-static void
-test_ran_twice (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  end_as (history, 15, "w1", "t1", "failed");
-  start (history, 20, "w2", "t2", "b1");
-  end (history, 25, "w2", "t2");
-  told (history, "k1", DONE, "t2", "b1", "a-t2");
-  reject_history (history, MUX_RULE_RAN_TWICE, 1);
-}
-
-static void
-test_two_places (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  start (history, 15, "w2", "t1", "b1");
-  end (history, 20, "w1", "t1");
-  end (history, 25, "w2", "t1");
-  reject_history (history, MUX_RULE_TWO_PLACES, 1);
-}
-
-/* Still running on a worker that nobody killed. */
-static void
-test_two_places_open (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  start (history, 15, "w2", "t1", "b1");
-  reject_history (history, MUX_RULE_TWO_PLACES, 1);
-}
-
-static void
-test_killed_is_not_two_places (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  start (history, 15, "w2", "t1", "b1");
-  line_of_calls (history,
-                 "{\"event\":\"died\",\"worker\":\"w1\",\"t_ms\":12}\n");
-  accept_history (history);
-}
-
-static void
-test_overcommit (void **state)
-{
-  static const MuxSize over[] = {
-    { 2500, 100, 0, 1 },
-    { 1000, 600, 0, 1 },
-    { 1000, 100, 1, 1 },
-  };
-
-  (void) state;
-  for (uint32_t i = 0; i < 3; i++)
-    {
-      MuxHistory *history = history_new ();
-
-      start_sized (history, 10, "w1", 1, "t1", "b1", over[i]);
-      start_sized (history, 10, "w1", 1, "t2", "b2", over[i]);
-      end (history, 10, "w1", "t1");
-      reject_history (history, MUX_RULE_OVERCOMMIT, 1);
-    }
-}
-
-static void
-test_overcommit_slots (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  start (history, 11, "w1", "t2", "b2");
-  start (history, 12, "w1", "t3", "b3");
-  reject_history (history, MUX_RULE_OVERCOMMIT, 1);
-}
-
-/* Within the grace it may still start; after it, it may not. */
-static void
-test_leaving (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  line_of_calls (history,
-                 "{\"event\":\"leaving\",\"worker\":\"w1\",\"t_ms\":10}\n");
-  start (history, 10 + MUX_LEAVING_GRACE_MS, "w1", "t1", "b1");
-  start (history, 11 + MUX_LEAVING_GRACE_MS, "w1", "t2", "b2");
-  start (history, 11 + MUX_LEAVING_GRACE_MS, "w2", "t3", "b3");
-  reject_history (history, MUX_RULE_LEAVING, 1);
-}
-
-/* Cut; of another task; of another caller's body. */
-static void
-test_wrong_answer (void **state)
-{
-  static const char *const answer[] = { "a-t", "a-t2", "a-t1" };
-  static const char *const body[] = { "b1", "b1", "b2" };
-
-  (void) state;
-  for (uint32_t i = 0; i < 3; i++)
-    {
-      MuxHistory *history = history_new ();
-
-      start (history, 10, "w1", "t1", "b1");
-      end (history, 20, "w1", "t1");
-      told (history, "k1", DONE, "t1", body[i], answer[i]);
-      reject_history (history, MUX_RULE_WRONG_ANSWER, 1);
-    }
-}
-
-static void
-test_not_run_ran (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  told (history, "k1", NOT_RUN, "t1", "b1", "");
-  told (history, "k1", "unknown", "", "b1", "");
-  start (history, 500, "w1", "t1", "b1");
-  reject_history (history, MUX_RULE_NOT_RUN_RAN, 1);
-}
-
-/* The answer named no task, and nobody was told anything else of this key. */
-static void
-test_not_run_ran_unnamed (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  end (history, 20, "w1", "t1");
-  told (history, "k1", NOT_RUN, "", "b1", "");
-  reject_history (history, MUX_RULE_NOT_RUN_RAN, 1);
-}
-
-static void
-test_done_never_ran (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  end_as (history, 20, "w1", "t1", "stopped");
-  told (history, "k1", DONE, "t1", "b1", "a-t1");
-  reject_history (history, MUX_RULE_DONE_NEVER_RAN, 1);
-}
-
-static void
-test_job_open (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  line_of_calls (history, "{\"event\":\"job\",\"job\":\"j1\",\"class\":"
-                          "\"seat\",\"tasks\":1,\"body_hash\":\"bj\"}\n");
-  reject_history (history, MUX_RULE_JOB_OPEN, 1);
-}
-
-static void
-test_job_done_never_ran (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  line_of_calls (history, "{\"event\":\"job\",\"job\":\"j1\",\"class\":"
-                          "\"seat\",\"tasks\":2,\"body_hash\":\"bj\"}\n");
-  start (history, 10, "w1", "t1", "bj");
-  end (history, 20, "w1", "t1");
-  line_of_calls (history,
-                 "{\"event\":\"job_end\",\"job\":\"j1\",\"state\":\"done\"}\n");
-  reject_history (history, MUX_RULE_DONE_NEVER_RAN, 1);
-}
-
-static void
-test_bad_lines (void **state)
-{
-  static const char *const bad[]
-      = { "{\n", "[]\n", "{\"event\":\"nonsense\"}\n",
-          "{\"event\":\"request\",\"call\":1}\n",
-          "{\"event\":\"job_end\",\"job\":\"j9\",\"state\":\"done\"}\n" };
-
-  (void) state;
-  for (uint32_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
-    {
-      MuxHistory *history = history_new ();
-
-      line_of_calls (history, bad[i]);
-      /* A submission that can't be read is not believed either. */
-      reject_history (history, MUX_RULE_LOG, 1);
-    }
-}
-
-/* A worker dies twice; its first life's task ended at the first death. */
-static void
-test_two_places_after_second_death (void **state)
-{
-  MuxHistory *history = history_new ();
-
-  (void) state;
-  start (history, 10, "w1", "t1", "b1");
-  line_of_calls (history,
-                 "{\"event\":\"died\",\"worker\":\"w1\",\"t_ms\":90}\n");
-  line_of_calls (history,
-                 "{\"event\":\"died\",\"worker\":\"w1\",\"t_ms\":20}\n");
-  start (history, 15, "w2", "t1", "b2");
-  reject_history (history, MUX_RULE_TWO_PLACES, 1);
-}
-
 int
 main (void)
 {
-  const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_two_places_after_second_death),
-    cmocka_unit_test (test_good),
-    cmocka_unit_test (test_good_second_attempt),
-    cmocka_unit_test (test_good_full_worker),
-    cmocka_unit_test (test_good_restart),
-    cmocka_unit_test (test_good_job),
-    cmocka_unit_test (test_ran_twice),
-    cmocka_unit_test (test_two_places),
-    cmocka_unit_test (test_two_places_open),
-    cmocka_unit_test (test_killed_is_not_two_places),
-    cmocka_unit_test (test_overcommit),
-    cmocka_unit_test (test_overcommit_slots),
-    cmocka_unit_test (test_leaving),
-    cmocka_unit_test (test_wrong_answer),
-    cmocka_unit_test (test_not_run_ran),
-    cmocka_unit_test (test_not_run_ran_unnamed),
-    cmocka_unit_test (test_done_never_ran),
-    cmocka_unit_test (test_job_open),
-    cmocka_unit_test (test_job_done_never_ran),
-    cmocka_unit_test (test_bad_lines),
-  };
+  struct CMUnitTest tests[CASES];
 
+  for (size_t i = 0; i < CASES; i++)
+    tests[i] = (struct CMUnitTest){ .name = cases[i].name,
+                                    .test_func = test_case,
+                                    .initial_state = &cases[i] };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
