Open the door of its tests in one place

test_door, test_door_input and test_tls opened and freed a door each before the fake backend, two of them with a struct around it; the fake does it now.

--- a/test/support/door_bench.c
+++ b/test/support/door_bench.c
@@ -4,42 +4,27 @@
 int
 door_bench_set_up (void **state)
 {
-  DoorBench *bench = calloc (1, sizeof *bench);
-  MuxDoorOptions options = { .listen = "127.0.0.1:0",
-                             .callers_max = DOOR_BENCH_CALLERS_MAX,
-                             .idle_s = 1,
-                             .body_max = DOOR_BENCH_BODY_MAX };
-  MuxError err = { MUX_ERROR_NONE, "" };
+  FakeBackend *fake = calloc (1, sizeof *fake);
 
-  assert_non_null (bench);
-  fake_backend_init (&bench->fake);
-  bench->counters = mux_counters_new ();
-  options.backend = &bench->fake.backend;
-  options.counters = bench->counters;
-  bench->door = mux_door_new (&options, &err);
-  assert_non_null (bench->door);
-  bench->fake.door = bench->door;
-  if (!mux_door_listen (bench->door, bench->addr, &err))
-    fail_msg ("%s", err.text);
-  *state = bench;
+  assert_non_null (fake);
+  fake_backend_open (fake,
+                     (MuxDoorOptions){ .callers_max = DOOR_BENCH_CALLERS_MAX,
+                                       .idle_s = 1,
+                                       .body_max = DOOR_BENCH_BODY_MAX });
+  *state = fake;
   return 0;
 }
 
 int
 door_bench_tear_down (void **state)
 {
-  DoorBench *bench = *state;
-
-  mux_door_abandon (bench->door);
-  mux_door_free (bench->door);
-  fake_backend_clear (&bench->fake);
-  mux_counters_free (bench->counters);
-  free (bench);
+  fake_backend_close (*state);
+  free (*state);
   return 0;
 }
 
 RawReply
-door_bench_ask (DoorBench *bench,
+door_bench_ask (FakeBackend *fake,
                 const char *line_and_headers,
                 const void *body,
                 size_t len)
@@ -52,16 +37,16 @@
 
   if (len > 0)
     memcpy (text + n, body, len);
-  reply = raw_exchange (bench->addr, text, (size_t) n + len);
+  reply = raw_exchange (fake->addr, text, (size_t) n + len);
   free (text);
   return reply;
 }
 
 int
-door_bench_begin (DoorBench *bench, const char *line_and_headers)
+door_bench_begin (FakeBackend *fake, const char *line_and_headers)
 {
   char text[512];
-  int fd = raw_connect (bench->addr);
+  int fd = raw_connect (fake->addr);
   int n
       = snprintf (text, sizeof text, "%s\r\nHost: x\r\n\r\n", line_and_headers);
 
@@ -70,14 +55,14 @@
 }
 
 void
-door_bench_answer (DoorBench *bench, uint64_t call, const char *text)
+door_bench_answer (FakeBackend *fake, uint64_t call, const char *text)
 {
   MuxAnswer answer = { .call = call,
                        .outcome = MUX_OUTCOME_DONE,
                        .status = 200,
                        .body = mux_blob_new (text, strlen (text)) };
 
-  assert_true (mux_door_answer (bench->door, &answer));
+  assert_true (mux_door_answer (fake->door, &answer));
   mux_blob_unref (answer.body);
 }
 
@@ -90,3 +75,25 @@
   assert_memory_equal (reply->body, text, strlen (text));
   raw_reply_free (reply);
 }
+
+void
+door_bench_expect_status (FakeBackend *fake,
+                          const char *line_and_headers,
+                          const void *body,
+                          size_t len,
+                          int status)
+{
+  RawReply reply = door_bench_ask (fake, line_and_headers, body, len);
+
+  assert_int_equal (reply.status, status);
+  raw_reply_free (&reply);
+}
+
+void
+door_bench_expect_come_back (RawReply *reply, const char *reason)
+{
+  assert_int_equal (reply->status, 503);
+  assert_string_equal (raw_header (reply, "Cuminmux-Reason"), reason);
+  assert_string_equal (raw_header (reply, "Cuminmux-Outcome"), "not_run");
+  assert_string_equal (raw_header (reply, "Retry-After"), "1");
+}
--- a/test/support/door_bench.h
+++ b/test/support/door_bench.h
@@ -7,38 +7,35 @@
 #define DOOR_BENCH_BODY_MAX 4096
 #define DOOR_BENCH_CALLERS_MAX 2
 
-/**
- * struct DoorBench - the door before a fake core
- * @fake: the core
- * @counters: the door's
- * @door: listening
- * @addr: where
- */
-typedef struct
-{
-  FakeBackend fake;
-  MuxCounters *counters;
-  MuxDoor *door;
-  char addr[MUX_ADDR_LEN];
-} DoorBench;
-
 /* Shared steps of the door's tests; what fails in them fails the test. */
 
-/** door_bench_set_up() - for cmocka; *@state is the bench */
+/** door_bench_set_up() - for cmocka; *@state is the FakeBackend */
 int door_bench_set_up (void **state);
 int door_bench_tear_down (void **state);
 /** door_bench_ask() - send a request, read its answer
  * @line_and_headers: without those that tell host and length */
-RawReply door_bench_ask (DoorBench *bench,
+RawReply door_bench_ask (FakeBackend *fake,
                          const char *line_and_headers,
                          const void *body,
                          size_t len);
 /** door_bench_begin() - send a request without a body
  * Return: the connection that its answer will come on. */
-int door_bench_begin (DoorBench *bench, const char *line_and_headers);
+int door_bench_begin (FakeBackend *fake, const char *line_and_headers);
 /** door_bench_answer() - the core's answer to @call: done, with @text */
-void door_bench_answer (DoorBench *bench, uint64_t call, const char *text);
+void door_bench_answer (FakeBackend *fake, uint64_t call, const char *text);
 /** door_bench_expect_body() - @reply is done with @text; frees it */
 void door_bench_expect_body (RawReply *reply, const char *text);
+/** door_bench_expect_status() - ask, and look at the answer's status alone */
+void door_bench_expect_status (FakeBackend *fake,
+                               const char *line_and_headers,
+                               const void *body,
+                               size_t len,
+                               int status);
+/** door_bench_expect_come_back() - @reply is "not run", 503 for @reason, and
+ *  says when to come back */
+void door_bench_expect_come_back (RawReply *reply, const char *reason);
+#define DOOR_TEST(test)                                     \
+  cmocka_unit_test_setup_teardown (test, door_bench_set_up, \
+                                   door_bench_tear_down)
 
 #endif
--- a/test/support/fake_backend.c
+++ b/test/support/fake_backend.c
@@ -1,7 +1,6 @@
 #include "support/fake_backend.h"
 
-#include <stdlib.h>
-#include <string.h>
+#include "support/test.h"
 
 static bool
 submit (MuxDoorBackend *backend, MuxAsk *ask)
@@ -44,8 +43,10 @@
 }
 
 void
-fake_backend_init (FakeBackend *fake)
+fake_backend_open (FakeBackend *fake, MuxDoorOptions options)
 {
+  MuxError err = { MUX_ERROR_NONE, "" };
+
   memset (fake, 0, sizeof *fake);
   fake->backend = (MuxDoorBackend){ submit, gone, ready };
   fake->is_ready = true;
@@ -53,6 +54,14 @@
   fake->answer.status = 200;
   pthread_mutex_init (&fake->lock, NULL);
   pthread_cond_init (&fake->changed, NULL);
+  fake->counters = mux_counters_new ();
+  options.listen = "127.0.0.1:0";
+  options.backend = &fake->backend;
+  options.counters = fake->counters;
+  fake->door = mux_door_new (&options, &err);
+  assert_non_null (fake->door);
+  if (!mux_door_listen (fake->door, fake->addr, &err))
+    fail_msg ("%s", err.text);
 }
 
 void
@@ -78,17 +87,13 @@
 }
 
 void
-fake_backend_reset (FakeBackend *fake)
+fake_backend_close (FakeBackend *fake)
 {
+  mux_door_abandon (fake->door);
+  mux_door_free (fake->door);
   for (uint32_t i = 0; i < fake->ask_count; i++)
     mux_blob_unref (fake->asks[i].body);
-  fake->ask_count = 0;
-}
-
-void
-fake_backend_clear (FakeBackend *fake)
-{
-  fake_backend_reset (fake);
+  mux_counters_free (fake->counters);
   pthread_cond_destroy (&fake->changed);
   pthread_mutex_destroy (&fake->lock);
 }
--- a/test/support/fake_backend.h
+++ b/test/support/fake_backend.h
@@ -20,7 +20,9 @@
 /**
  * struct FakeBackend - stands in for the core behind the door
  * @backend: first member
- * @door: where answers go
+ * @door: listening; where answers go
+ * @addr: where it listens
+ * @counters: the door's
  * @mode: see enum FakeMode
  * @answer: for FAKE_ANSWER, but for its call
  * @is_ready: told to the door
@@ -32,6 +34,8 @@
 {
   MuxDoorBackend backend;
   MuxDoor *door;
+  char addr[MUX_ADDR_LEN];
+  MuxCounters *counters;
   FakeMode mode;
   MuxAnswer answer;
   bool is_ready;
@@ -42,13 +46,12 @@
   pthread_cond_t changed;
 } FakeBackend;
 
-void fake_backend_init (FakeBackend *fake);
+/** fake_backend_open() - a door of @options on a port that the kernel picks */
+void fake_backend_open (FakeBackend *fake, MuxDoorOptions options);
 /** fake_backend_wait_asks() - until so many asks have come */
 void fake_backend_wait_asks (FakeBackend *fake, uint32_t count);
 /** fake_backend_wait_gone() - until a hang-up came; its call */
 uint64_t fake_backend_wait_gone (FakeBackend *fake);
-/** fake_backend_reset() - forget the asks */
-void fake_backend_reset (FakeBackend *fake);
-void fake_backend_clear (FakeBackend *fake);
+void fake_backend_close (FakeBackend *fake);
 
 #endif
--- a/test/unit/test_door.c
+++ b/test/unit/test_door.c
@@ -11,17 +11,17 @@
 static void
 test_bytes_pass_unchanged (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   char bytes[1024];
   RawReply reply;
 
   for (size_t i = 0; i < sizeof bytes; i++)
     bytes[i] = (char) i;
-  bench->fake.answer.outcome = MUX_OUTCOME_DONE;
-  bench->fake.answer.task = (MuxId){ 1, 2 };
-  bench->fake.answer.body = mux_blob_new (bytes, sizeof bytes);
+  fake->answer.outcome = MUX_OUTCOME_DONE;
+  fake->answer.task = (MuxId){ 1, 2 };
+  fake->answer.body = mux_blob_new (bytes, sizeof bytes);
   reply
-      = door_bench_ask (bench,
+      = door_bench_ask (fake,
                         "POST /v1/request/basket HTTP/1.1\r\n"
                         "idempotency-key: k 1~\r\nCuminmux-Give-Up-Ms: 1500\r\n"
                         "Content-Type: application/x-www-form-urlencoded",
@@ -34,14 +34,14 @@
                        "application/octet-stream");
   assert_int_equal (reply.body_len, sizeof bytes);
   assert_memory_equal (reply.body, bytes, sizeof bytes);
-  assert_int_equal (bench->fake.ask_count, 1);
-  assert_int_equal (bench->fake.asks[0].verb, MUX_ASK_REQUEST);
-  assert_string_equal (bench->fake.asks[0].name, "basket");
-  assert_string_equal (bench->fake.asks[0].key, "k 1~");
-  assert_int_equal (bench->fake.asks[0].give_up_ms, 1500);
-  assert_int_equal (bench->fake.asks[0].body->len, sizeof bytes);
-  assert_memory_equal (bench->fake.asks[0].body->bytes, bytes, sizeof bytes);
-  mux_blob_unref (bench->fake.answer.body);
+  assert_int_equal (fake->ask_count, 1);
+  assert_int_equal (fake->asks[0].verb, MUX_ASK_REQUEST);
+  assert_string_equal (fake->asks[0].name, "basket");
+  assert_string_equal (fake->asks[0].key, "k 1~");
+  assert_int_equal (fake->asks[0].give_up_ms, 1500);
+  assert_int_equal (fake->asks[0].body->len, sizeof bytes);
+  assert_memory_equal (fake->asks[0].body->bytes, bytes, sizeof bytes);
+  mux_blob_unref (fake->answer.body);
   raw_reply_free (&reply);
 }
 
@@ -50,20 +50,20 @@
 static void
 test_answers_out_of_order (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply;
   int first;
   int second;
 
-  bench->fake.mode = FAKE_HOLD;
-  first = door_bench_begin (bench, "POST /v1/request/a HTTP/1.1");
-  fake_backend_wait_asks (&bench->fake, 1);
-  second = door_bench_begin (bench, "POST /v1/request/b HTTP/1.1");
-  fake_backend_wait_asks (&bench->fake, 2);
-  door_bench_answer (bench, bench->fake.asks[1].call, "of the second");
+  fake->mode = FAKE_HOLD;
+  first = door_bench_begin (fake, "POST /v1/request/a HTTP/1.1");
+  fake_backend_wait_asks (fake, 1);
+  second = door_bench_begin (fake, "POST /v1/request/b HTTP/1.1");
+  fake_backend_wait_asks (fake, 2);
+  door_bench_answer (fake, fake->asks[1].call, "of the second");
   reply = raw_read_reply (second);
   door_bench_expect_body (&reply, "of the second");
-  door_bench_answer (bench, bench->fake.asks[0].call, "of the first");
+  door_bench_answer (fake, fake->asks[0].call, "of the first");
   reply = raw_read_reply (first);
   door_bench_expect_body (&reply, "of the first");
   close (first);
@@ -76,33 +76,28 @@
 static void
 test_callers_full (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   int fds[DOOR_BENCH_CALLERS_MAX];
   RawReply reply;
 
-  bench->fake.mode = FAKE_HOLD;
+  fake->mode = FAKE_HOLD;
   for (uint32_t i = 0; i < DOOR_BENCH_CALLERS_MAX; i++)
     {
-      fds[i] = door_bench_begin (bench, "POST /v1/request/a HTTP/1.1");
-      fake_backend_wait_asks (&bench->fake, i + 1);
+      fds[i] = door_bench_begin (fake, "POST /v1/request/a HTTP/1.1");
+      fake_backend_wait_asks (fake, i + 1);
     }
-  reply = door_bench_ask (bench, "POST /v1/request/a HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 503);
-  assert_string_equal (raw_header (&reply, "Cuminmux-Reason"), "callers_full");
-  assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "not_run");
-  assert_string_equal (raw_header (&reply, "Retry-After"), "1");
-  assert_int_equal (
-      mux_refused_value (bench->counters, MUX_REASON_CALLERS_FULL), 1);
-  raw_reply_free (&reply);
-  pthread_mutex_lock (&bench->fake.lock);
-  bench->fake.mode = FAKE_ANSWER;
-  pthread_mutex_unlock (&bench->fake.lock);
-  reply = door_bench_ask (bench, "GET /v1/status HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 200);
+  reply = door_bench_ask (fake, "POST /v1/request/a HTTP/1.1", "", 0);
+  door_bench_expect_come_back (&reply, "callers_full");
+  assert_int_equal (mux_refused_value (fake->counters, MUX_REASON_CALLERS_FULL),
+                    1);
   raw_reply_free (&reply);
+  pthread_mutex_lock (&fake->lock);
+  fake->mode = FAKE_ANSWER;
+  pthread_mutex_unlock (&fake->lock);
+  door_bench_expect_status (fake, "GET /v1/status HTTP/1.1", "", 0, 200);
   for (uint32_t i = 0; i < DOOR_BENCH_CALLERS_MAX; i++)
     {
-      door_bench_answer (bench, bench->fake.asks[i].call, "whole");
+      door_bench_answer (fake, fake->asks[i].call, "whole");
       reply = raw_read_reply (fds[i]);
       door_bench_expect_body (&reply, "whole");
       close (fds[i]);
@@ -112,29 +107,26 @@
 static void
 test_ring_full (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply;
 
-  bench->fake.mode = FAKE_FULL;
-  reply = door_bench_ask (bench, "POST /v1/request/a HTTP/1.1", "body", 4);
-  assert_int_equal (reply.status, 503);
-  assert_string_equal (raw_header (&reply, "Cuminmux-Reason"), "ring_full");
-  assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "not_run");
-  assert_string_equal (raw_header (&reply, "Retry-After"), "1");
+  fake->mode = FAKE_FULL;
+  reply = door_bench_ask (fake, "POST /v1/request/a HTTP/1.1", "body", 4);
+  door_bench_expect_come_back (&reply, "ring_full");
   raw_reply_free (&reply);
 }
 
 static void
 test_refusal_of_the_core (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply;
 
-  bench->fake.answer = (MuxAnswer){ .outcome = MUX_OUTCOME_NOT_RUN,
-                                    .reason = MUX_REASON_QUEUE_FULL,
-                                    .status = 429,
-                                    .retry_after_ms = 1500 };
-  reply = door_bench_ask (bench, "POST /v1/request/a HTTP/1.1", "", 0);
+  fake->answer = (MuxAnswer){ .outcome = MUX_OUTCOME_NOT_RUN,
+                              .reason = MUX_REASON_QUEUE_FULL,
+                              .status = 429,
+                              .retry_after_ms = 1500 };
+  reply = door_bench_ask (fake, "POST /v1/request/a HTTP/1.1", "", 0);
   assert_int_equal (reply.status, 429);
   assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "not_run");
   assert_string_equal (raw_header (&reply, "Cuminmux-Reason"), "queue_full");
@@ -151,29 +143,24 @@
 static void
 test_stop_cuts_nothing_off (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply;
   int fd;
 
-  bench->fake.mode = FAKE_HOLD;
-  fd = door_bench_begin (bench, "POST /v1/request/a HTTP/1.1");
-  fake_backend_wait_asks (&bench->fake, 1);
-  mux_door_refuse_new (bench->door);
-  reply = door_bench_ask (bench, "POST /v1/request/a HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 503);
-  assert_string_equal (raw_header (&reply, "Cuminmux-Reason"), "stopping");
-  assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "not_run");
-  assert_string_equal (raw_header (&reply, "Retry-After"), "1");
+  fake->mode = FAKE_HOLD;
+  fd = door_bench_begin (fake, "POST /v1/request/a HTTP/1.1");
+  fake_backend_wait_asks (fake, 1);
+  mux_door_refuse_new (fake->door);
+  reply = door_bench_ask (fake, "POST /v1/request/a HTTP/1.1", "", 0);
+  door_bench_expect_come_back (&reply, "stopping");
   assert_string_equal (raw_header (&reply, "Connection"), "close");
   raw_reply_free (&reply);
-  reply = door_bench_ask (bench, "GET /readyz HTTP/1.1", "", 0);
-  assert_int_equal (reply.status, 503);
-  raw_reply_free (&reply);
-  mux_door_close_port (bench->door);
-  assert_false (mux_door_drain (bench->door, 0));
-  door_bench_answer (bench, bench->fake.asks[0].call, "confirmed");
-  assert_true (mux_door_drain (bench->door, 60000));
-  mux_door_stop_listening (bench->door);
+  door_bench_expect_status (fake, "GET /readyz HTTP/1.1", "", 0, 503);
+  mux_door_close_port (fake->door);
+  assert_false (mux_door_drain (fake->door, 0));
+  door_bench_answer (fake, fake->asks[0].call, "confirmed");
+  assert_true (mux_door_drain (fake->door, 60000));
+  mux_door_stop_listening (fake->door);
   reply = raw_read_reply (fd);
   door_bench_expect_body (&reply, "confirmed");
   close (fd);
@@ -184,14 +171,14 @@
 static void
 test_abandoned_is_unknown (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply;
   int fd;
 
-  bench->fake.mode = FAKE_HOLD;
-  fd = door_bench_begin (bench, "POST /v1/request/a HTTP/1.1");
-  fake_backend_wait_asks (&bench->fake, 1);
-  mux_door_abandon (bench->door);
+  fake->mode = FAKE_HOLD;
+  fd = door_bench_begin (fake, "POST /v1/request/a HTTP/1.1");
+  fake_backend_wait_asks (fake, 1);
+  mux_door_abandon (fake->door);
   reply = raw_read_reply (fd);
   assert_int_equal (reply.status, 504);
   assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "unknown");
@@ -206,18 +193,18 @@
 static void
 test_waiting_is_not_silence (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply;
   int waiting;
   int silent;
 
-  bench->fake.mode = FAKE_HOLD;
-  waiting = door_bench_begin (bench, "POST /v1/request/a HTTP/1.1");
-  fake_backend_wait_asks (&bench->fake, 1);
-  silent = raw_connect (bench->addr);
+  fake->mode = FAKE_HOLD;
+  waiting = door_bench_begin (fake, "POST /v1/request/a HTTP/1.1");
+  fake_backend_wait_asks (fake, 1);
+  silent = raw_connect (fake->addr);
   raw_wait_closed (silent);
   close (silent);
-  door_bench_answer (bench, bench->fake.asks[0].call, "late but whole");
+  door_bench_answer (fake, fake->asks[0].call, "late but whole");
   reply = raw_read_reply (waiting);
   door_bench_expect_body (&reply, "late but whole");
   raw_wait_closed (waiting);
@@ -230,24 +217,24 @@
 test_caller_hangs_up (void **state)
 {
   MuxAnswer late = { .outcome = MUX_OUTCOME_DONE, .status = 200 };
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   uint64_t call;
 
-  bench->fake.mode = FAKE_HOLD;
-  close (door_bench_begin (bench, "POST /v1/request/a HTTP/1.1"));
-  call = fake_backend_wait_gone (&bench->fake);
-  assert_int_equal (call, bench->fake.asks[0].call);
-  assert_true (mux_door_drain (bench->door, 60000));
+  fake->mode = FAKE_HOLD;
+  close (door_bench_begin (fake, "POST /v1/request/a HTTP/1.1"));
+  call = fake_backend_wait_gone (fake);
+  assert_int_equal (call, fake->asks[0].call);
+  assert_true (mux_door_drain (fake->door, 60000));
   late.call = call;
-  assert_false (mux_door_answer (bench->door, &late));
+  assert_false (mux_door_answer (fake->door, &late));
 }
 
 static void
 test_keep_alive (void **state)
 {
   static const char next[] = "GET /v1/risk HTTP/1.1\r\nHost: x\r\n\r\n";
-  DoorBench *bench = *state;
-  int fd = door_bench_begin (bench, "GET /v1/status HTTP/1.1");
+  FakeBackend *fake = *state;
+  int fd = door_bench_begin (fake, "GET /v1/status HTTP/1.1");
   RawReply reply = raw_read_reply (fd);
 
   assert_int_equal (reply.status, 200);
@@ -255,15 +242,15 @@
   assert_true (raw_send (fd, next, sizeof next - 1));
   reply = raw_read_reply (fd);
   assert_int_equal (reply.status, 200);
-  assert_int_equal (bench->fake.ask_count, 2);
+  assert_int_equal (fake->ask_count, 2);
   raw_reply_free (&reply);
   close (fd);
 }
 
 static RawReply
-own_page (DoorBench *bench, const char *line, int status)
+own_page (FakeBackend *fake, const char *line, int status)
 {
-  RawReply reply = door_bench_ask (bench, line, "", 0);
+  RawReply reply = door_bench_ask (fake, line, "", 0);
 
   assert_int_equal (reply.status, status);
   assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "info");
@@ -273,38 +260,35 @@
 static void
 test_own_pages (void **state)
 {
-  DoorBench *bench = *state;
-  RawReply reply = own_page (bench, "GET /healthz HTTP/1.1", 200);
+  FakeBackend *fake = *state;
+  RawReply reply = own_page (fake, "GET /healthz HTTP/1.1", 200);
 
   raw_reply_free (&reply);
-  reply = own_page (bench, "GET /readyz HTTP/1.1", 200);
+  reply = own_page (fake, "GET /readyz HTTP/1.1", 200);
   raw_reply_free (&reply);
-  bench->fake.is_ready = false;
-  reply = own_page (bench, "GET /readyz HTTP/1.1", 503);
+  fake->is_ready = false;
+  reply = own_page (fake, "GET /readyz HTTP/1.1", 503);
   raw_reply_free (&reply);
-  reply = own_page (bench, "GET /metrics HTTP/1.1", 200);
+  reply = own_page (fake, "GET /metrics HTTP/1.1", 200);
   assert_non_null (strstr (reply.body, "cuminmux_refused_total{reason=\"bad_"));
   raw_reply_free (&reply);
 }
 
-#define TEST(f) \
-  cmocka_unit_test_setup_teardown (f, door_bench_set_up, door_bench_tear_down)
-
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    TEST (test_bytes_pass_unchanged),
-    TEST (test_answers_out_of_order),
-    TEST (test_callers_full),
-    TEST (test_ring_full),
-    TEST (test_refusal_of_the_core),
-    TEST (test_stop_cuts_nothing_off),
-    TEST (test_abandoned_is_unknown),
-    TEST (test_waiting_is_not_silence),
-    TEST (test_caller_hangs_up),
-    TEST (test_keep_alive),
-    TEST (test_own_pages),
+    DOOR_TEST (test_bytes_pass_unchanged),
+    DOOR_TEST (test_answers_out_of_order),
+    DOOR_TEST (test_callers_full),
+    DOOR_TEST (test_ring_full),
+    DOOR_TEST (test_refusal_of_the_core),
+    DOOR_TEST (test_stop_cuts_nothing_off),
+    DOOR_TEST (test_abandoned_is_unknown),
+    DOOR_TEST (test_waiting_is_not_silence),
+    DOOR_TEST (test_caller_hangs_up),
+    DOOR_TEST (test_keep_alive),
+    DOOR_TEST (test_own_pages),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_door_input.c
+++ b/test/unit/test_door_input.c
@@ -80,13 +80,13 @@
 static void
 test_bad_input_is_refused_and_counted (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
 
   for (size_t i = 0; i < sizeof bad_cases / sizeof bad_cases[0]; i++)
     {
       MuxReason reason = bad_cases[i].reason;
-      uint64_t before = mux_refused_value (bench->counters, reason);
-      RawReply reply = door_bench_ask (bench, bad_cases[i].request, NULL, 0);
+      uint64_t before = mux_refused_value (fake->counters, reason);
+      RawReply reply = door_bench_ask (fake, bad_cases[i].request, NULL, 0);
 
       if (reply.status != (int) mux_reason_status (reason)
           || strcmp (raw_header (&reply, "Cuminmux-Reason"),
@@ -95,19 +95,18 @@
         fail_msg ("%s: %s", bad_cases[i].request, reply.head);
       assert_string_equal (raw_header (&reply, "Cuminmux-Outcome"), "not_run");
       assert_non_null (strstr (reply.body, mux_reason_name (reason)));
-      assert_int_equal (mux_refused_value (bench->counters, reason),
-                        before + 1);
+      assert_int_equal (mux_refused_value (fake->counters, reason), before + 1);
       raw_reply_free (&reply);
     }
-  assert_int_equal (bench->fake.ask_count, 0);
+  assert_int_equal (fake->ask_count, 0);
 }
 
 static void
 test_all_findings_of_a_request (void **state)
 {
-  DoorBench *bench = *state;
+  FakeBackend *fake = *state;
   RawReply reply
-      = door_bench_ask (bench, "POST /v1/jobs?class=*&tasks=x HTTP/1.1", "", 0);
+      = door_bench_ask (fake, "POST /v1/jobs?class=*&tasks=x HTTP/1.1", "", 0);
 
   assert_non_null (strstr (reply.body, "query.class"));
   assert_non_null (strstr (reply.body, "query.tasks"));
@@ -139,15 +138,15 @@
     { "POST /v1/workers/w1/drain HTTP/1.1", MUX_ASK_DRAIN },
     { "POST /v1/workers/w1/undrain HTTP/1.1", MUX_ASK_DRAIN },
   };
-  DoorBench *bench = *state;
-  MuxAsk *asks = bench->fake.asks;
+  FakeBackend *fake = *state;
+  MuxAsk *asks = fake->asks;
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      RawReply reply = door_bench_ask (bench, cases[i].request, "{}", 2);
+      RawReply reply = door_bench_ask (fake, cases[i].request, "{}", 2);
 
       assert_int_equal (reply.status, 200);
-      assert_int_equal (bench->fake.ask_count, i + 1);
+      assert_int_equal (fake->ask_count, i + 1);
       assert_int_equal (asks[i].verb, cases[i].verb);
       raw_reply_free (&reply);
     }
@@ -169,22 +168,17 @@
   static char body[DOOR_BENCH_BODY_MAX * 4];
   static const char chunked[] = "POST /v1/request/a HTTP/1.1\r\nHost: x\r\n"
                                 "Transfer-Encoding: chunked\r\n\r\n1800\r\n";
-  DoorBench *bench = *state;
-  RawReply reply = door_bench_ask (bench, "POST /v1/request/a HTTP/1.1", body,
-                                   DOOR_BENCH_BODY_MAX);
+  FakeBackend *fake = *state;
+  RawReply reply;
   int fd;
 
-  assert_int_equal (reply.status, 200);
-  raw_reply_free (&reply);
-  reply = door_bench_ask (bench, "POST /v1/request/a HTTP/1.1", body,
-                          DOOR_BENCH_BODY_MAX + 1);
-  assert_int_equal (reply.status, 413);
-  raw_reply_free (&reply);
-  reply = door_bench_ask (bench, "PUT /v1/config/class/a HTTP/1.1", body,
-                          sizeof body);
-  assert_int_equal (reply.status, 413);
-  raw_reply_free (&reply);
-  fd = raw_connect (bench->addr);
+  door_bench_expect_status (fake, "POST /v1/request/a HTTP/1.1", body,
+                            DOOR_BENCH_BODY_MAX, 200);
+  door_bench_expect_status (fake, "POST /v1/request/a HTTP/1.1", body,
+                            DOOR_BENCH_BODY_MAX + 1, 413);
+  door_bench_expect_status (fake, "PUT /v1/config/class/a HTTP/1.1", body,
+                            sizeof body, 413);
+  fd = raw_connect (fake->addr);
   raw_send (fd, chunked, sizeof chunked - 1);
   raw_send (fd, body, 0x1800);
   raw_send (fd, "\r\n0\r\n\r\n", 7);
@@ -193,21 +187,18 @@
   raw_reply_free (&reply);
   close (fd);
   assert_int_equal (
-      mux_refused_value (bench->counters, MUX_REASON_BODY_TOO_LARGE), 3);
-  assert_int_equal (bench->fake.ask_count, 1);
+      mux_refused_value (fake->counters, MUX_REASON_BODY_TOO_LARGE), 3);
+  assert_int_equal (fake->ask_count, 1);
 }
 
-#define TEST(f) \
-  cmocka_unit_test_setup_teardown (f, door_bench_set_up, door_bench_tear_down)
-
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    TEST (test_bad_input_is_refused_and_counted),
-    TEST (test_all_findings_of_a_request),
-    TEST (test_ask_of_each_path),
-    TEST (test_body_limit),
+    DOOR_TEST (test_bad_input_is_refused_and_counted),
+    DOOR_TEST (test_all_findings_of_a_request),
+    DOOR_TEST (test_ask_of_each_path),
+    DOOR_TEST (test_body_limit),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_tls.c
+++ b/test/unit/test_tls.c
@@ -24,9 +24,6 @@
 {
   CliSession *session;
   FakeBackend fake;
-  MuxCounters *counters;
-  MuxDoor *door;
-  char addr[MUX_ADDR_LEN];
   Identity right;
   Identity wrong;
 } Bench;
@@ -81,30 +78,6 @@
 }
 
 /* A door whose certificate is for @ip. */
-static void
-open_door (Bench *bench, const char *ip)
-{
-  MuxDoorOptions options = { .listen = "127.0.0.1:0",
-                             .callers_max = 1,
-                             .idle_s = 60,
-                             .body_max = 4096,
-                             .tls_cert = bench->right.cert,
-                             .tls_key = bench->right.key };
-  MuxError err = { MUX_ERROR_NONE, "" };
-
-  identity_make (&bench->right, ip);
-  identity_make (&bench->wrong, ip);
-  fake_backend_init (&bench->fake);
-  bench->counters = mux_counters_new ();
-  options.backend = &bench->fake.backend;
-  options.counters = bench->counters;
-  bench->door = mux_door_new (&options, &err);
-  assert_non_null (bench->door);
-  bench->fake.door = bench->door;
-  if (!mux_door_listen (bench->door, bench->addr, &err))
-    fail_msg ("%s", err.text);
-}
-
 static int
 setup_for (void **state, const char *ip)
 {
@@ -114,7 +87,14 @@
   if (bench == NULL || cli_session_set_up (&session) != 0)
     return -1;
   bench->session = session;
-  open_door (bench, ip);
+  identity_make (&bench->right, ip);
+  identity_make (&bench->wrong, ip);
+  fake_backend_open (&bench->fake,
+                     (MuxDoorOptions){ .callers_max = 1,
+                                       .idle_s = 60,
+                                       .body_max = 4096,
+                                       .tls_cert = bench->right.cert,
+                                       .tls_key = bench->right.key });
   *state = bench;
   return 0;
 }
@@ -137,10 +117,7 @@
   Bench *bench = *state;
   void *session = bench->session;
 
-  mux_door_abandon (bench->door);
-  mux_door_free (bench->door);
-  fake_backend_clear (&bench->fake);
-  mux_counters_free (bench->counters);
+  fake_backend_close (&bench->fake);
   unlink (bench->right.path);
   unlink (bench->wrong.path);
   free (bench);
@@ -173,14 +150,15 @@
 {
   char line[256];
 
-  assert_int_equal (request (bench, bench->addr, ca_file), MUX_EXIT_UNREACHED);
+  assert_int_equal (request (bench, bench->fake.addr, ca_file),
+                    MUX_EXIT_UNREACHED);
   expect_said (bench, "its certificate is not trusted, or is for another "
                       "address");
   snprintf (line, sizeof line, "status --all --server https://%s --ca-file %s",
-            bench->addr, ca_file);
+            bench->fake.addr, ca_file);
   assert_int_equal (cli_session_run (bench->session, line), MUX_EXIT_UNREACHED);
   snprintf (line, sizeof line, "! cuminmux: no answer from %s: its certificate",
-            bench->addr);
+            bench->fake.addr);
   expect_said (bench, line);
   assert_int_equal (bench->fake.ask_count, 0);
 }
@@ -192,7 +170,7 @@
 
   bench->fake.answer.outcome = MUX_OUTCOME_DONE;
   bench->fake.answer.body = mux_blob_new ("basket 7", 8);
-  assert_int_equal (request (bench, bench->addr, bench->right.path),
+  assert_int_equal (request (bench, bench->fake.addr, bench->right.path),
                     MUX_EXIT_OK);
   expect_said (bench, "\nbasket 7\n");
   assert_int_equal (bench->fake.ask_count, 1);
@@ -231,9 +209,10 @@
   assert_int_equal (request (bench, plain, bench->right.path),
                     MUX_EXIT_UNREACHED);
   expect_said (bench, "TLS could not be set up; does it speak plain HTTP?");
-  assert_int_equal (request (bench, bench->addr, "/tmp"), MUX_EXIT_UNREACHED);
+  assert_int_equal (request (bench, bench->fake.addr, "/tmp"),
+                    MUX_EXIT_UNREACHED);
   expect_said (bench, "the certificates of --ca-file can't be used");
-  assert_int_equal (request (bench, bench->addr, "/nowhere/ca.pem"),
+  assert_int_equal (request (bench, bench->fake.addr, "/nowhere/ca.pem"),
                     MUX_EXIT_USAGE);
   expect_said (bench, "--ca-file: can't read \"/nowhere/ca.pem\": No such");
   assert_int_equal (bench->fake.ask_count, 0);
