Tell a proof's story of the missing mechanism by its scenario

Most of the stories took a flag only to leave it unused; it is a field of the scenario now. The same proofs are played with and without their mechanisms.

--- a/test/proof/proof_faults.c
+++ b/test/proof/proof_faults.c
@@ -43,13 +43,13 @@
  * whose request still went there would be cut off.  2 s after the word came no
  * start arrives there any more, from any daemon. */
 static void
-leaving_worker (Scenario *s, bool without)
+leaving_worker (Scenario *s)
 {
   uint32_t seen;
 
   load (s, 1000, SCENARIO_MANY);
   s->workers[0].state = MUX_INSTANCE_LEAVING;
-  s->lists_late = without;
+  s->lists_late = s->without;
   load (s, LEAVING_MS, SCENARIO_MANY);
   seen = starts_seen (s, 0);
   load (s, 3000, SCENARIO_MANY);
@@ -61,14 +61,14 @@
  * and starts that were sent get no answer.  Nothing new goes there after 2 s,
  * also once the links are back, and every caller has an answer. */
 static void
-leaving_and_silent (Scenario *s, bool without)
+leaving_and_silent (Scenario *s)
 {
   uint32_t seen;
 
   load (s, 500, SCENARIO_MANY);
   memset (s->workers[0].cut, 1, sizeof s->workers[0].cut);
   s->workers[0].state = MUX_INSTANCE_LEAVING;
-  s->lists_late = without;
+  s->lists_late = s->without;
   load (s, LEAVING_MS, SCENARIO_MANY);
   memset (s->workers[0].cut, 0, sizeof s->workers[0].cut);
   seen = starts_seen (s, 0);
@@ -81,7 +81,7 @@
  * answer, its workers are placed on by others within a second, and callers at
  * other daemons notice nothing. */
 static void
-graceful_stop (Scenario *s, bool without)
+graceful_stop (Scenario *s)
 {
   uint32_t old = s->owner[0];
   uint32_t first = load (s, 1000, SCENARIO_MANY);
@@ -90,7 +90,7 @@
   proof_fill (s, old, SCENARIO_MANY, 3, 2500);
   scenario_run (s, 100);
 
-  if (without)
+  if (s->without)
     fake_net_kill (s->net, old);
   else
     scenario_stop (s, old);
@@ -112,12 +112,11 @@
 /* A daemon dies under load with the store down.  Its workers are placed on
  * again once others know it dead; callers at the others get their answers. */
 static void
-daemon_dies (Scenario *s, bool without)
+daemon_dies (Scenario *s)
 {
   uint32_t old = s->owner[0];
   uint32_t first;
 
-  (void) without;
   s->store_fails = s->net->table.down = true;
   load (s, 500, SCENARIO_MANY);
   fake_net_kill (s->net, old);
@@ -135,11 +134,10 @@
  * do so elsewhere once the platform lists it as gone; new ones go elsewhere
  * after a moment. */
 static void
-instance_fails (Scenario *s, bool without)
+instance_fails (Scenario *s)
 {
   uint32_t first = proof_fill (s, 0, SCENARIO_MANY, 8, 1500);
 
-  (void) without;
   scenario_run (s, 500);
   s->workers[0].silent = true;
   scenario_life_over (s, 0);
@@ -156,12 +154,11 @@
  * job of it; work that declares 100 ms and takes 4 s still gets its whole
  * answer. */
 static void
-wrong_sizes (Scenario *s, bool without)
+wrong_sizes (Scenario *s)
 {
   uint32_t huge = proof_fill (s, 0, SCENARIO_HUGE, 3, 100);
   uint32_t slow = proof_fill (s, 0, SCENARIO_MANY, 3, 4000);
 
-  (void) without;
   scenario_run (s, 300);
   proof_expect_all (s, huge, 3, MUX_OUTCOME_NOT_RUN);
   proof_expect (s, s->calls[huge].answer.reason == MUX_REASON_NEVER_FITS,
@@ -174,12 +171,11 @@
 /* Forty jobs are cancelled in one wave, some running, some waiting.  All end,
  * nothing of them runs on, and requests after it find the room. */
 static void
-cancel_wave (Scenario *s, bool without)
+cancel_wave (Scenario *s)
 {
   uint32_t tags[40];
   uint32_t first;
 
-  (void) without;
   for (uint32_t i = 0; i < 40; i++)
     {
       tags[i] = scenario_work (s, SCENARIO_BATCH + i % 3, true, 3, 60000);
@@ -201,12 +197,11 @@
  * run again are answered by others, and it soon gets next to nothing; mended,
  * it is used again, also when only work that runs once is left. */
 static void
-fails_everything (Scenario *s, bool without)
+fails_everything (Scenario *s)
 {
   uint32_t first;
   uint32_t seen;
 
-  (void) without;
   load (s, 2000, SCENARIO_MANY);
   standin_worker_set_fail_all (s->workers[0].logic, true);
   load (s, 2000, SCENARIO_MANY);
@@ -227,12 +222,11 @@
  * others are told at once, and truly, that they were not run; jobs on record
  * go on and end once it is back. */
 static void
-store_down_long (Scenario *s, bool without)
+store_down_long (Scenario *s)
 {
   uint32_t job = scenario_work (s, SCENARIO_REDO, true, 3, 4000);
   uint32_t many, once;
 
-  (void) without;
   scenario_submit (s, 0, job, GIVE_UP_MS);
   scenario_run (s, 1000);
   s->store_fails = s->net->table.down = true;
@@ -250,11 +244,10 @@
 /* Each call to the store takes up to 1.4 s.  Work that must not run twice is
  * slower, not wrong, and work without a key does not wait for it. */
 static void
-store_slow (Scenario *s, bool without)
+store_slow (Scenario *s)
 {
   uint32_t first;
 
-  (void) without;
   s->store_fails = true;
   s->net->table_slow_ms = 700;
   first = proof_fill (s, 0, SCENARIO_ONCE, 6, 200);
@@ -268,11 +261,10 @@
  * work.  The caller gets the answer over another connection, and nothing is
  * started again. */
 static void
-silent_connection (Scenario *s, bool without)
+silent_connection (Scenario *s)
 {
   uint32_t first;
 
-  (void) without;
   s->workers[0].lose_starts = s->workers[1].lose_starts = 3;
   first = proof_fill (s, 0, SCENARIO_ONCE, 6, 500);
   scenario_run (s, 9000);
@@ -284,11 +276,10 @@
 /* Messages from one daemon to another vanish, the other way they arrive.  The
  * one that is not heard is asked nothing for long; callers get answers. */
 static void
-silent_one_way (Scenario *s, bool without)
+silent_one_way (Scenario *s)
 {
   uint32_t first;
 
-  (void) without;
   s->net->cut[0][1] = true;
   first = load (s, 8000, SCENARIO_MANY);
   scenario_run (s, GIVE_UP_MS);
@@ -303,9 +294,8 @@
  * anew.  When the worker then refuses the first, its answer must not be taken
  * for the second's, which runs: the work would be started a third time. */
 static void
-superseded_reply (Scenario *s, bool without)
+superseded_reply (Scenario *s)
 {
-  (void) without;
   s->workers[0].late_starts = 1;
   s->workers[0].late_ms = 6000;
   scenario_submit (s, 0, scenario_work (s, SCENARIO_ONCE, false, 0, 4000),
@@ -323,11 +313,10 @@
 /* Answers overtake one another, some are lost, attempts are superseded.  Each
  * caller gets one answer, whole, and its own; the checker compares each. */
 static void
-own_whole_answer (Scenario *s, bool without)
+own_whole_answer (Scenario *s)
 {
   uint32_t first;
 
-  (void) without;
   for (uint32_t i = 0; i < s->worker_count; i++)
     {
       s->workers[i].slow_ms = 900;
@@ -346,9 +335,8 @@
  * other finds it running, and the answers overtake one another.  Taken for
  * news, the older one has the task started elsewhere while it runs. */
 static void
-stale_absence (Scenario *s, bool without)
+stale_absence (Scenario *s)
 {
-  (void) without;
   for (uint32_t round = 0; round < 6; round++)
     {
       for (uint32_t i = 0; i < s->worker_count; i++)
@@ -371,12 +359,11 @@
  * last moment has passed, so there is nothing to wait for.  Meanwhile it
  * sleeps between events, so that its instance is not kept busy. */
 static void
-stops_beside_silence (Scenario *s, bool without)
+stops_beside_silence (Scenario *s)
 {
   FakeNode *node = &s->net->nodes[0];
   uint64_t events;
 
-  (void) without;
   s->workers[0].silent = true;
   proof_fill (s, 0, SCENARIO_ONCE, 1, 500);
   scenario_run (s, 100);
@@ -391,12 +378,11 @@
 /* A cancel is accepted, and the read that would show the job to the operator
  * finds the ring to the table full.  The operator is answered all the same. */
 static void
-cancel_ring_full (Scenario *s, bool without)
+cancel_ring_full (Scenario *s)
 {
   FakeNode *node = &s->net->nodes[0];
   uint32_t tag, cancels = 0;
 
-  (void) without;
   for (uint32_t at_ms = 0; at_ms < 16; at_ms++)
     {
       tag = scenario_work (s, SCENARIO_REDO, false, 1, 500);
--- a/test/proof/proof_give_up.c
+++ b/test/proof/proof_give_up.c
@@ -9,12 +9,11 @@
  * it said: the daemon, which goes on minding the task for itself, must not
  * hold the new caller for as long as that. */
 static void
-give_up_again (Scenario *s, bool without)
+give_up_again (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 60000);
   uint32_t call;
 
-  (void) without;
   scenario_submit (s, 0, tag, 20000);
   s->workers[scenario_until_running (s, tag)].silent = true;
   scenario_run (s, 20000);
--- a/test/proof/proof_once.c
+++ b/test/proof/proof_once.c
@@ -24,12 +24,12 @@
  * which are cut off from each other.  Each daemon asks its own workers; only
  * the row, written on condition that none stands, lets one of them start. */
 static void
-once_both_at_once (Scenario *s, bool without)
+once_both_at_once (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 500);
   uint32_t call = s->call_count;
 
-  s->net->table.ignore_conditions = without;
+  s->net->table.ignore_conditions = s->without;
   scenario_cut (s, 0, 1, true);
   scenario_submit (s, 0, tag, GIVE_UP_MS);
   scenario_submit (s, 1, tag, GIVE_UP_MS);
@@ -42,11 +42,11 @@
  * sends the same key through another data centre.  The row leads to the
  * worker, which still has the answer. */
 static void
-once_later (Scenario *s, bool without)
+once_later (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 500);
 
-  s->net->table.ignore_conditions = without;
+  s->net->table.ignore_conditions = s->without;
   scenario_submit (s, 0, tag, GIVE_UP_MS);
   scenario_run (s, 3000);
   fake_net_kill (s->net, 0);
@@ -62,11 +62,11 @@
  * one runs.  Then the first home wakes and starts the first.  The tombstone
  * that the second home left at the worker refuses it. */
 static void
-once_home_frozen (Scenario *s, bool without)
+once_home_frozen (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
 
-  s->workers[0].ignores_forget = s->workers[1].ignores_forget = without;
+  s->workers[0].ignores_forget = s->workers[1].ignores_forget = s->without;
   s->workers[0].ignores_not_after = s->workers[1].ignores_not_after = true;
   scenario_submit (s, 0, tag, 20000);
   until_row (s);
@@ -81,13 +81,13 @@
 /* The home is killed between its row and its start, or between its start and
  * its answer.  The same key through another daemon gets one run's answer. */
 static void
-once_home_killed (Scenario *s, bool without)
+once_home_killed (Scenario *s)
 {
   for (uint32_t i = 0; i < 2; i++)
     {
       uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 3000);
 
-      s->net->table.ignore_conditions = without;
+      s->net->table.ignore_conditions = s->without;
       scenario_submit (s, 0, tag, 20000);
       if (i == 0)
         until_row (s);
@@ -109,11 +109,10 @@
  * later.  Its home reads it back before anything is started, so that the
  * callers hear one run's answer or, truly, that nothing ran. */
 static void
-once_write_lost (Scenario *s, bool without)
+once_write_lost (Scenario *s)
 {
   uint32_t tags[8];
 
-  (void) without;
   s->net->lost_ppm = 1000000;
   for (uint32_t i = 0; i < 8; i++)
     {
@@ -134,9 +133,8 @@
  * not start it there, or the row leads the next one to a worker where nothing
  * ran, and the voucher is redeemed twice. */
 static void
-once_given_up_in_write (Scenario *s, bool without)
+once_given_up_in_write (Scenario *s)
 {
-  (void) without;
   for (uint32_t i = 0; i < 2; i++)
     {
       uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
@@ -162,11 +160,10 @@
 /* A write's answer is lost and its daemon is killed before it can read the
  * row back.  The write may take effect after its process is gone. */
 static void
-write_lost_and_killed (Scenario *s, bool without)
+write_lost_and_killed (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
 
-  (void) without;
   s->net->lost_ppm = 1000000;
   scenario_submit (s, 0, tag, GIVE_UP_MS);
   scenario_run (s, 30);
@@ -182,11 +179,11 @@
  * restarts: nobody can know any more whether it ran.  It must not run again,
  * and the caller is told that its fate is unknown. */
 static void
-once_worker_restarted (Scenario *s, bool without)
+once_worker_restarted (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
 
-  s->workers[0].ignores_incarnation = without;
+  s->workers[0].ignores_incarnation = s->without;
   s->workers[0].silent = false;
   scenario_submit (s, 0, tag, 20000);
   scenario_until_running (s, tag);
@@ -203,11 +200,11 @@
  * at the worker and another one runs.  When the first arrives after all it
  * meets the tombstone. */
 static void
-once_start_overtaken (Scenario *s, bool without)
+once_start_overtaken (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_BATCH, true, 1, 300);
 
-  s->workers[0].ignores_forget = without;
+  s->workers[0].ignores_forget = s->without;
   s->workers[0].ignores_not_after = true;
   s->workers[0].late_starts = 1;
   s->workers[0].late_ms = 5000;
@@ -219,11 +216,10 @@
 /* The desk asks again with the same key when the worker has long dropped what
  * it knew of the run: its absence there proves nothing any more. */
 static void
-once_worker_forgot (Scenario *s, bool without)
+once_worker_forgot (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 300);
 
-  (void) without;
   scenario_submit (s, 0, tag, GIVE_UP_MS);
   scenario_run (s, 1500000);
   scenario_submit (s, 1, tag, GIVE_UP_MS);
@@ -235,11 +231,10 @@
  * row can't be read: a first submission may have run, so nobody is told that.
  * One that did run and whose answer was lost is sent again in the outage. */
 static void
-not_run_is_true (Scenario *s, bool without)
+not_run_is_true (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_ONCE, true, 0, 100);
 
-  (void) without;
   scenario_submit (s, 0, tag, GIVE_UP_MS);
   scenario_run (s, 1000);
   proof_fill (s, 0, SCENARIO_ONCE, 10, 2500);
@@ -263,11 +258,10 @@
  * asks again with its key, and it all runs a second time once the worker has
  * forgotten it, too. */
 static void
-long_job_remembered (Scenario *s, bool without)
+long_job_remembered (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_BATCH, true, 1, 700000);
 
-  (void) without;
   s->dated = true;
   scenario_submit (s, 0, tag, 10000);
   scenario_run (s, 710000);
--- a/test/proof/proof_place.c
+++ b/test/proof/proof_place.c
@@ -7,11 +7,11 @@
  * books.  A user would see tasks crash for want of memory.  The worker refuses
  * starts of an older claim. */
 static void
-two_owners (Scenario *s, bool without)
+two_owners (Scenario *s)
 {
   uint32_t old = s->owner[0];
 
-  s->workers[0].ignores_epoch = without;
+  s->workers[0].ignores_epoch = s->without;
   fake_net_freeze (s->net, old, 9000);
   scenario_run (s, 8500);
   proof_expect (s, s->owner[0] != old, "nobody took the worker over");
@@ -25,21 +25,21 @@
 /* The same while the store is down: nothing but the worker can tell the two
  * owners apart, and the requests go on. */
 static void
-frozen_store_down (Scenario *s, bool without)
+frozen_store_down (Scenario *s)
 {
   s->store_fails = true;
   s->net->table.down = true;
   scenario_run (s, 3000);
-  two_owners (s, without);
+  two_owners (s);
 }
 
 /* A start is held up on its way for longer than its grant lives.  Its room is
  * given to others; then it arrives after all and would be one too many.  The
  * worker refuses it by the grant's last moment, on its own clock. */
 static void
-late_start (Scenario *s, bool without)
+late_start (Scenario *s)
 {
-  s->workers[0].ignores_not_after = without;
+  s->workers[0].ignores_not_after = s->without;
   s->workers[0].late_starts = 1;
   s->workers[0].late_ms = 6000;
   proof_fill (s, 0, SCENARIO_MANY, 1, 8000);
@@ -52,10 +52,10 @@
  * new life, filled by others, nobody has booked it.  The worker refuses calls
  * that mean another incarnation, and starts under a claim of that life. */
 static void
-restart_start_on_way (Scenario *s, bool without)
+restart_start_on_way (Scenario *s)
 {
-  s->workers[0].ignores_incarnation = without;
-  s->workers[0].ignores_epoch = without;
+  s->workers[0].ignores_incarnation = s->without;
+  s->workers[0].ignores_epoch = s->without;
   s->workers[0].late_starts = 1;
   s->workers[0].late_ms = 2900;
   proof_fill (s, 0, SCENARIO_MANY, 1, 8000);
@@ -70,12 +70,11 @@
  * ask for the same id.  When the second gives up, its word must not free the
  * room of the first, whose start is under way; else others fill that room. */
 static void
-second_asker_gives_up (Scenario *s, bool without)
+second_asker_gives_up (Scenario *s)
 {
   uint32_t tag = scenario_work (s, SCENARIO_MANY, true, 0, 5000);
   uint32_t home = s->owner[0];
 
-  (void) without;
   s->net->table_slow_ms = 300;
   scenario_submit (s, home, tag, 9000);
   scenario_submit (s, 1 - home, tag, 60);
@@ -91,13 +90,12 @@
  * after a second.  Its own silence is no evidence, so workers that others
  * were first for are not claimed. */
 static void
-wakes_quietly (Scenario *s, bool without)
+wakes_quietly (Scenario *s)
 {
   uint32_t old = s->owner[0];
   uint32_t owner[SCENARIO_WORKERS_MAX];
   uint32_t claims[SCENARIO_WORKERS_MAX];
 
-  (void) without;
   memcpy (owner, s->owner, sizeof owner);
   fake_net_freeze (s->net, old, 9000);
   for (uint32_t i = 0; i < s->net->node_count; i++)
--- a/test/support/proof.c
+++ b/test/support/proof.c
@@ -53,7 +53,8 @@
           = scenario_new (seed, proof->nodes, proof->workers, proof->centres);
 
       s->verbose = getenv ("PROOF_VERBOSE") != NULL;
-      proof->story (s, without);
+      s->without = without;
+      proof->story (s);
       if (s->wrong > 0 && !without)
         printf ("# %s, seed %u: %s\n", proof->id, (uint32_t) seed,
                 s->first_wrong);
--- a/test/support/proof.h
+++ b/test/support/proof.h
@@ -6,15 +6,15 @@
 /**
  * struct Proof - a promise, shown to hold and to depend on its mechanism
  * @id: its name
- * @story: plays it on a new cell; @without: with the mechanism's ground taken
- *   away.  What breaks is told by scenario_wrong().
+ * @story: plays it on a new cell, as far as it says so with the mechanism's
+ *   ground taken away.  What breaks is told by scenario_wrong().
  * @caught: the run without must break the promise; false: it is not played,
  *   docs/PROOFS.md says how else the proof was seen to fail
  */
 typedef struct
 {
   const char *id;
-  void (*story) (Scenario *s, bool without);
+  void (*story) (Scenario *s);
   bool caught;
   uint32_t nodes, workers, centres;
 } Proof;
--- a/test/support/scenario.h
+++ b/test/support/scenario.h
@@ -76,6 +76,7 @@
  * @store_fails: the table will be away at times; then idempotent requests go
  *   on without their rows and two submissions of one may both run (DESIGN)
  * @lists_late: the platform's list of instances is not delivered
+ * @without: the mechanism that a proof is about is to have its ground taken
  * @dated: asks tell the time of day, without which no row is swept
  */
 typedef struct
@@ -96,6 +97,7 @@
   char first_wrong[256];
   bool store_fails;
   bool lists_late;
+  bool without;
   bool dated;
   bool verbose;
   uint32_t steps;
