--- a/test/support/sched_cell.c
+++ b/test/support/sched_cell.c
@@ -130,6 +130,13 @@
   return placed;
 }
 
+MuxPlacement
+cell_start (Cell *cell, const char *class_name)
+{
+  cell_ask (cell, class_name);
+  return cell_place (cell);
+}
+
 void
 cell_idle (Cell *cell)
 {
--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -57,8 +57,7 @@
   open_two (cell, 2);
   for (; count < 8; count++)
     {
-      cell_ask (cell, "urgent");
-      running[count] = cell_place (cell).task;
+      running[count] = cell_start (cell, "urgent").task;
     }
   batch = cell_ask (cell, "batch");
   for (int i = 0; i < 4000 && !started; i++)
@@ -140,8 +139,7 @@
   open_two (cell, 1);
   for (int i = 0; i < 4; i++)
     {
-      cell_ask (cell, "urgent");
-      cell_place (cell);
+      cell_start (cell, "urgent");
     }
   late = cell_ask_for (cell, "urgent", 300, &verdict);
   assert_int_equal (verdict.reason, MUX_REASON_NONE);
@@ -211,8 +209,7 @@
   cell_set (cell, &c);
   for (int i = 0; i < 4; i++)
     {
-      cell_ask (cell, "urgent-b");
-      lent[i] = cell_place (cell).task;
+      lent[i] = cell_start (cell, "urgent-b").task;
     }
   cell_ask (cell, "urgent-b");
   back = cell_ask (cell, "urgent-a");
--- a/test/unit/test_sched_risk.c
+++ b/test/unit/test_sched_risk.c
@@ -100,8 +100,7 @@
   cell_open (cell, 2);
   assert_true (mux_sched_product_set (cell->sched, &product));
   cell_set (cell, &spec);
-  cell_ask (cell, "lasting");
-  cell_place (cell);
+  cell_start (cell, "lasting");
   cell_ask (cell, "lasting");
   cell->now_ms += 11000;
   cell_idle (cell);
