--- a/test/support/cli_session.c
+++ b/test/support/cli_session.c
@@ -1,9 +1,8 @@
 #include "support/cli_session.h"
 
 #include "support/golden.h"
+#include "support/test.h"
 
-#include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
 #define WORDS_MAX 40
@@ -141,6 +140,15 @@
   return cli_session_run_with (session, line, "from standard input");
 }
 
+void
+cli_session_expect (CliSession *session, const char *line, int code)
+{
+  int got = cli_session_run (session, line);
+
+  if (got != code)
+    fail_msg ("%s: exit %d, not %d", line, got, code);
+}
+
 void
 cli_session_will (CliSession *session, unsigned int status, const char *body)
 {
--- a/test/support/cli_session.h
+++ b/test/support/cli_session.h
@@ -45,6 +45,8 @@
 int
 cli_session_run_with (CliSession *session, const char *line, const char *input);
 int cli_session_run (CliSession *session, const char *line);
+/** cli_session_expect() - run it; the test fails unless it exits with @code */
+void cli_session_expect (CliSession *session, const char *line, int code);
 
 /** cli_session_will() - the daemon's next answer */
 void
--- a/test/unit/test_cli.c
+++ b/test/unit/test_cli.c
@@ -57,10 +57,10 @@
   for (size_t i = 0; i < sizeof views / sizeof views[0]; i++)
     {
       cli_session_will (session, 200, views[i].body);
-      assert_int_equal (cli_session_run (session, views[i].line), MUX_EXIT_OK);
+      cli_session_expect (session, views[i].line, MUX_EXIT_OK);
       snprintf (line, sizeof line, "%s --json", views[i].line);
       cli_session_will (session, 200, views[i].body);
-      assert_int_equal (cli_session_run (session, line), MUX_EXIT_OK);
+      cli_session_expect (session, line, MUX_EXIT_OK);
     }
   cli_session_assert_golden (session, "views");
 }
@@ -90,30 +90,29 @@
   for (size_t i = 0; i < sizeof changes / sizeof changes[0]; i++)
     {
       cli_session_will (session, 200, "{\"revision\":8}");
-      assert_int_equal (cli_session_run (session, changes[i]), MUX_EXIT_OK);
+      cli_session_expect (session, changes[i], MUX_EXIT_OK);
     }
   snprintf (body, sizeof body,
             "{\"name\":\"seats\",\"revision\":8,\"value\":%s}", class_value);
   cli_session_will (session, 200, body);
-  assert_int_equal (cli_session_run (session, "class get seats"), MUX_EXIT_OK);
+  cli_session_expect (session, "class get seats", MUX_EXIT_OK);
   cli_session_will (session, 200, body);
-  assert_int_equal (cli_session_run (session, "class get seats --json"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "class get seats --json", MUX_EXIT_OK);
   snprintf (body, sizeof body,
             "{\"items\":[{\"name\":\"seats\",\"revision\":8,\"value\":%s}]}",
             class_value);
   cli_session_will (session, 200, body);
-  assert_int_equal (cli_session_run (session, "class list"), MUX_EXIT_OK);
+  cli_session_expect (session, "class list", MUX_EXIT_OK);
   cli_session_will (
       session, 200,
       "{\"items\":[{\"name\":\"booking\",\"revision\":2,\"value\":"
       "{\"quota\":{\"cpu_milli\":9000000,\"mem_mib\":1,\"accels\":0,"
       "\"slots\":400}}}]}");
-  assert_int_equal (cli_session_run (session, "product list"), MUX_EXIT_OK);
+  cli_session_expect (session, "product list", MUX_EXIT_OK);
   cli_session_will (
       session, 200,
       "{\"name\":\"cell\",\"revision\":4,\"value\":{\"idle_ppm\":1}}");
-  assert_int_equal (cli_session_run (session, "cell get"), MUX_EXIT_OK);
+  cli_session_expect (session, "cell get", MUX_EXIT_OK);
   cli_session_assert_golden (session, "config");
 }
 
@@ -128,35 +127,30 @@
   CliSession *session = *state;
 
   cli_session_will (session, 202, "{\"id\":\"" JOB "\"}");
-  assert_int_equal (
-      cli_session_run (session,
-                       "job submit nightly --tasks 3 --key k-1 --body night"),
-      MUX_EXIT_OK);
+  cli_session_expect (session,
+                      "job submit nightly --tasks 3 --key k-1 --body night",
+                      MUX_EXIT_OK);
   cli_session_will (session, 200, job);
-  assert_int_equal (cli_session_run (session, "job show " JOB), MUX_EXIT_OK);
+  cli_session_expect (session, "job show " JOB, MUX_EXIT_OK);
   cli_session_will (session, 200, job);
-  assert_int_equal (
-      cli_session_run (session, "job wait " JOB " --wait-ms 9 --json"),
-      MUX_EXIT_OK);
+  cli_session_expect (session, "job wait " JOB " --wait-ms 9 --json",
+                      MUX_EXIT_OK);
   cli_session_will_refuse (session, 504, "info", NULL, "{}");
-  assert_int_equal (cli_session_run (session, "job wait " JOB), MUX_EXIT_LATER);
+  cli_session_expect (session, "job wait " JOB, MUX_EXIT_LATER);
   cli_session_will (session, 200, job);
-  assert_int_equal (cli_session_run (session, "job cancel " JOB), MUX_EXIT_OK);
+  cli_session_expect (session, "job cancel " JOB, MUX_EXIT_OK);
   cli_session_will (session, 200,
                     "{\"jobs\":[{\"id\":\"" JOB "\",\"class\":\"nightly\","
                     "\"state\":\"running\"}]}");
-  assert_int_equal (cli_session_run (session, "job list"), MUX_EXIT_OK);
+  cli_session_expect (session, "job list", MUX_EXIT_OK);
   cli_session_will (session, 200, "seat 4 is yours\n");
-  assert_int_equal (cli_session_run (session, "request seats --give-up-ms 700"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "request seats --give-up-ms 700", MUX_EXIT_OK);
   cli_session_will (session, 200, "seat 4 is yours");
-  assert_int_equal (cli_session_run (session, "request seats --json --body x"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "request seats --json --body x", MUX_EXIT_OK);
   cli_door_will (
       &session->door,
       (CliDoorAnswer){ .status = 200, .body = "\xff\x00\x01", .body_len = 3 });
-  assert_int_equal (cli_session_run (session, "request seats --json --body x"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "request seats --json --body x", MUX_EXIT_OK);
   cli_session_assert_golden (session, "work");
 }
 
@@ -173,25 +167,21 @@
   CliSession *session = *state;
 
   cli_session_will_refuse (session, 409, "not_run", "revision", conflict);
-  assert_int_equal (cli_session_run (session, CLASS_SET " --expect 8"),
-                    MUX_EXIT_REFUSED);
+  cli_session_expect (session, CLASS_SET " --expect 8", MUX_EXIT_REFUSED);
   cli_session_will_refuse (session, 400, "not_run", "bad_field", bad);
-  assert_int_equal (cli_session_run (session, CLASS_SET), MUX_EXIT_REFUSED);
+  cli_session_expect (session, CLASS_SET, MUX_EXIT_REFUSED);
   cli_session_will_refuse (session, 400, "not_run", "bad_field", bad);
-  assert_int_equal (cli_session_run (session, CLASS_SET " --json"),
-                    MUX_EXIT_REFUSED);
+  cli_session_expect (session, CLASS_SET " --json", MUX_EXIT_REFUSED);
   cli_session_will_refuse (session, 404, "not_run", "unknown_class", "{}");
-  assert_int_equal (cli_session_run (session, "class get nobody"),
-                    MUX_EXIT_REFUSED);
+  cli_session_expect (session, "class get nobody", MUX_EXIT_REFUSED);
   cli_session_will_refuse (session, 429, "not_run", "queue_full", "{}");
-  assert_int_equal (cli_session_run (session, "request seats"), MUX_EXIT_LATER);
+  cli_session_expect (session, "request seats", MUX_EXIT_LATER);
   cli_session_will_refuse (session, 503, "not_run", "store_down", "{}");
-  assert_int_equal (cli_session_run (session, CLASS_SET), MUX_EXIT_LATER);
+  cli_session_expect (session, CLASS_SET, MUX_EXIT_LATER);
   cli_session_will_refuse (session, 502, "failed", "task_failed", "{}");
-  assert_int_equal (cli_session_run (session, "request seats"),
-                    MUX_EXIT_REFUSED);
+  cli_session_expect (session, "request seats", MUX_EXIT_REFUSED);
   cli_session_will (session, 200, "no JSON");
-  assert_int_equal (cli_session_run (session, "status"), MUX_EXIT_UNREACHED);
+  cli_session_expect (session, "status", MUX_EXIT_UNREACHED);
   cli_session_assert_golden (session, "refusals");
 }
 
@@ -200,37 +190,32 @@
 {
   CliSession *session = *state;
 
-  assert_int_equal (cli_session_run (session, ""), MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "klass list"), MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "class"), MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "class get"), MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "class get a b --frob"),
-                    MUX_EXIT_USAGE);
-  assert_int_equal (
-      cli_session_run (session, "class get ../product --json --json"),
-      MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session,
-                                     "class set seats --idempotent maybe "
-                                     "--run-ms 1x --expect -1 --change ab"),
-                    MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session,
-                                     "class set seats --product p! --kind cron "
-                                     "--idempotent yes --start-within-ms 0 "
-                                     "--share-ppm 1000001 --cpu-milli -1 "
-                                     "--mem-mib 16777217 --accels 65 "
-                                     "--run-ms 604800001"),
-                    MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "cell set --idle-ppm 1000001"),
-                    MUX_EXIT_USAGE);
-  assert_int_equal (
-      cli_session_run (session, "request seats --body a --file b"),
-      MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "job show 12"), MUX_EXIT_USAGE);
-  assert_int_equal (cli_session_run (session, "status --server http://door:80"),
-                    MUX_EXIT_USAGE);
+  cli_session_expect (session, "", MUX_EXIT_USAGE);
+  cli_session_expect (session, "klass list", MUX_EXIT_USAGE);
+  cli_session_expect (session, "class", MUX_EXIT_USAGE);
+  cli_session_expect (session, "class get", MUX_EXIT_USAGE);
+  cli_session_expect (session, "class get a b --frob", MUX_EXIT_USAGE);
+  cli_session_expect (session, "class get ../product --json --json",
+                      MUX_EXIT_USAGE);
+  cli_session_expect (session,
+                      "class set seats --idempotent maybe "
+                      "--run-ms 1x --expect -1 --change ab",
+                      MUX_EXIT_USAGE);
+  cli_session_expect (session,
+                      "class set seats --product p! --kind cron "
+                      "--idempotent yes --start-within-ms 0 "
+                      "--share-ppm 1000001 --cpu-milli -1 "
+                      "--mem-mib 16777217 --accels 65 "
+                      "--run-ms 604800001",
+                      MUX_EXIT_USAGE);
+  cli_session_expect (session, "cell set --idle-ppm 1000001", MUX_EXIT_USAGE);
+  cli_session_expect (session, "request seats --body a --file b",
+                      MUX_EXIT_USAGE);
+  cli_session_expect (session, "job show 12", MUX_EXIT_USAGE);
+  cli_session_expect (session, "status --server http://door:80",
+                      MUX_EXIT_USAGE);
   session->server[0] = 0;
-  assert_int_equal (cli_session_run (session, "status --timeout-ms 0"),
-                    MUX_EXIT_USAGE);
+  cli_session_expect (session, "status --timeout-ms 0", MUX_EXIT_USAGE);
   cli_session_assert_golden (session, "bad_use");
 }
 
@@ -240,10 +225,10 @@
   CliSession *session = *state;
 
   session->server[0] = 0;
-  assert_int_equal (cli_session_run (session, "--help"), MUX_EXIT_OK);
-  assert_int_equal (cli_session_run (session, "class --help"), MUX_EXIT_OK);
-  assert_int_equal (cli_session_run (session, "class set --help"), MUX_EXIT_OK);
-  assert_int_equal (cli_session_run (session, "request --help"), MUX_EXIT_OK);
+  cli_session_expect (session, "--help", MUX_EXIT_OK);
+  cli_session_expect (session, "class --help", MUX_EXIT_OK);
+  cli_session_expect (session, "class set --help", MUX_EXIT_OK);
+  cli_session_expect (session, "request --help", MUX_EXIT_OK);
   cli_session_assert_golden (session, "help");
 }
 
@@ -258,7 +243,7 @@
 
   cli_session_will_break_off (session);
   cli_session_will (session, 200, "{\"revision\":8}");
-  assert_int_equal (cli_session_run (session, CLASS_SET), MUX_EXIT_OK);
+  cli_session_expect (session, CLASS_SET, MUX_EXIT_OK);
   cli_session_assert_golden (session, "lost_answer");
 }
 
@@ -273,26 +258,21 @@
 
   cli_session_will_break_off (session);
   cli_session_will_refuse (session, 503, "not_run", "store_down", "{}");
-  assert_int_equal (cli_session_run (session, CLASS_SET), MUX_EXIT_UNKNOWN);
+  cli_session_expect (session, CLASS_SET, MUX_EXIT_UNKNOWN);
   cli_session_will_break_off (session);
   cli_session_will_refuse (session, 409, "not_run", "revision", "{}");
-  assert_int_equal (cli_session_run (session, CLASS_SET " --expect 7"),
-                    MUX_EXIT_REFUSED);
+  cli_session_expect (session, CLASS_SET " --expect 7", MUX_EXIT_REFUSED);
   cli_session_will_refuse (session, 504, "unknown", "unknown_fate", "{}");
   cli_session_will_refuse (session, 504, "unknown", "unknown_fate", "{}");
-  assert_int_equal (cli_session_run (session, "request seats"),
-                    MUX_EXIT_UNKNOWN);
+  cli_session_expect (session, "request seats", MUX_EXIT_UNKNOWN);
   cli_session_will_break_off (session);
   cli_session_will_break_off (session);
-  assert_int_equal (
-      cli_session_run (session, "request seats --key desk-7 --json"),
-      MUX_EXIT_UNKNOWN);
+  cli_session_expect (session, "request seats --key desk-7 --json",
+                      MUX_EXIT_UNKNOWN);
   cli_session_will (session, 200, "{\"revision\":8}");
-  assert_int_equal (cli_session_run (session, CLASS_SET " --change " JOB),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, CLASS_SET " --change " JOB, MUX_EXIT_OK);
   cli_session_will (session, 200, "cut by a party in between");
-  assert_int_equal (cli_session_run (session, CLASS_SET " --json"),
-                    MUX_EXIT_UNKNOWN);
+  cli_session_expect (session, CLASS_SET " --json", MUX_EXIT_UNKNOWN);
   cli_session_assert_golden (session, "unknown");
 }
 
@@ -311,18 +291,17 @@
   assert_true (fd >= 0);
   snprintf (session->server, sizeof session->server, "http://127.0.0.1:%u",
             gone);
-  assert_int_equal (cli_session_run (session, "status"), MUX_EXIT_UNREACHED);
-  assert_int_equal (cli_session_run (session, CLASS_SET " --json"),
-                    MUX_EXIT_UNREACHED);
+  cli_session_expect (session, "status", MUX_EXIT_UNREACHED);
+  cli_session_expect (session, CLASS_SET " --json", MUX_EXIT_UNREACHED);
   snprintf (list, sizeof list,
             "http://127.0.0.1:%u,http://127.0.0.1:%u,http://127.0.0.1:%u", gone,
             port, port);
   memcpy (session->server, list, sizeof list);
   cli_session_will_refuse (session, 503, "not_run", "stopping", "{}");
   cli_session_will (session, 200, "{\"revision\":8}");
-  assert_int_equal (cli_session_run (session, CLASS_SET), MUX_EXIT_OK);
+  cli_session_expect (session, CLASS_SET, MUX_EXIT_OK);
   cli_session_will (session, 200, STATUS);
-  assert_int_equal (cli_session_run (session, "status --json"), MUX_EXIT_OK);
+  cli_session_expect (session, "status --json", MUX_EXIT_OK);
   close (fd);
   cli_session_assert_golden (session, "servers");
 }
@@ -341,7 +320,7 @@
             cli_port_refusing (&fd));
   assert_int_equal (setenv ("http_proxy", proxy, 1), 0);
   cli_session_will (session, 200, STATUS);
-  assert_int_equal (cli_session_run (session, "status"), MUX_EXIT_OK);
+  cli_session_expect (session, "status", MUX_EXIT_OK);
   close (fd);
 }
 
@@ -360,20 +339,17 @@
   cli_session_will (session, 200, "{\"revision\":9}");
   cli_session_will (session, 200, STATUS);
   cli_session_will (session, 200, caught_up);
-  assert_int_equal (cli_session_run (session, "worker drain w-01 --wait"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "worker drain w-01 --wait", MUX_EXIT_OK);
   assert_int_equal (session->now_ms, 100);
   cli_session_will (session, 200, "{\"revision\":9}");
   for (int i = 0; i < 3; i++)
     cli_session_will (session, 200, STATUS);
-  assert_int_equal (
-      cli_session_run (session, "worker drain w-01 --wait --wait-ms 200"),
-      MUX_EXIT_LATER);
+  cli_session_expect (session, "worker drain w-01 --wait --wait-ms 200",
+                      MUX_EXIT_LATER);
   cli_session_will (session, 200, "{\"revision\":9}");
   cli_session_will (session, 200, STATUS);
-  assert_int_equal (
-      cli_session_run (session, "worker drain w-01 --wait --wait-ms 0 --json"),
-      MUX_EXIT_LATER);
+  cli_session_expect (session, "worker drain w-01 --wait --wait-ms 0 --json",
+                      MUX_EXIT_LATER);
   cli_session_assert_golden (session, "wait");
 }
 
--- a/test/unit/test_cli_all.c
+++ b/test/unit/test_cli_all.c
@@ -37,7 +37,7 @@
       cli_session_will (session, 200, first);
       cli_session_will (session, 200, second);
       snprintf (line, sizeof line, forms[i], verb);
-      assert_int_equal (cli_session_run (session, line), code);
+      cli_session_expect (session, line, code);
     }
 }
 
@@ -132,20 +132,18 @@
   use_three_servers (session, &fd);
   cli_session_will (session, 200, "{\"classes\":[{\"class\":\"seats\"}]}");
   cli_session_will_refuse (session, 503, "info", "ring_full", "{}");
-  assert_int_equal (cli_session_run (session, "risk --all"), MUX_EXIT_LATER);
+  cli_session_expect (session, "risk --all", MUX_EXIT_LATER);
   fflush (session->log);
   assert_non_null (strstr (session->text, "seats"));
   assert_non_null (strstr (session->text, ": ring_full\n"));
   cli_session_will (session, 200, "{\"classes\":[]}");
   cli_session_will (session, 200, "not JSON");
-  assert_int_equal (cli_session_run (session, "risk --all --json"),
-                    MUX_EXIT_LATER);
+  cli_session_expect (session, "risk --all --json", MUX_EXIT_LATER);
   fflush (session->log);
   assert_non_null (strstr (session->text, "\"unanswered\": [\n    \"127."));
   cli_session_will_refuse (session, 503, "info", "stopping", "{}");
   cli_session_will_refuse (session, 503, "info", "stopping", "{}");
-  assert_int_equal (cli_session_run (session, "status --all"),
-                    MUX_EXIT_UNREACHED);
+  cli_session_expect (session, "status --all", MUX_EXIT_UNREACHED);
   close (fd);
 }
 
@@ -159,7 +157,7 @@
             session->server);
   session->server[0] = 0;
   cli_session_will (session, 200, "{\"name\":\"seats\",\"revision\":8}");
-  assert_int_equal (cli_session_run (session, line), MUX_EXIT_OK);
+  cli_session_expect (session, line, MUX_EXIT_OK);
   fflush (session->log);
   assert_non_null (strstr (session->text, "> GET /v1/config/class/seats\n{\n"));
   /* The line names this run's port: not for the golden file. */
@@ -171,9 +169,8 @@
   cli_session_run (session, "--server");
   cli_session_run (session, "--frob status");
   cli_session_run (session, "--timeout-ms 0 status");
-  assert_int_equal (cli_session_run (session, "--json --help"), MUX_EXIT_OK);
-  assert_int_equal (cli_session_run (session, "--json ticket --help"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "--json --help", MUX_EXIT_OK);
+  cli_session_expect (session, "--json ticket --help", MUX_EXIT_OK);
   cli_session_assert_golden (session, "before_verb");
 }
 
@@ -183,27 +180,22 @@
   CliSession *session = *state;
 
   cli_session_will (session, 200, "{\"ticket\":\"1;ab;9f\",\"valid_ms\":3000}");
-  assert_int_equal (cli_session_run (session, "ticket seats"), MUX_EXIT_OK);
+  cli_session_expect (session, "ticket seats", MUX_EXIT_OK);
   cli_session_will (session, 200, "{\"ticket\":\"1;ab;9f\",\"valid_ms\":3000}");
-  assert_int_equal (cli_session_run (session, "ticket seats --json"),
-                    MUX_EXIT_OK);
+  cli_session_expect (session, "ticket seats --json", MUX_EXIT_OK);
   cli_session_will_refuse (session, 503, "not_run", "no_workers", "{}");
-  assert_int_equal (cli_session_run (session, "ticket seats"), MUX_EXIT_LATER);
+  cli_session_expect (session, "ticket seats", MUX_EXIT_LATER);
   cli_session_will (session, 200, "[]");
-  assert_int_equal (cli_session_run (session, "ticket seats"),
-                    MUX_EXIT_UNREACHED);
+  cli_session_expect (session, "ticket seats", MUX_EXIT_UNREACHED);
   cli_session_will (session, 200, "seat 4 is yours\n");
-  assert_int_equal (
-      cli_session_run (session, "request seats --ticket 1;ab;9f --body x"),
-      MUX_EXIT_OK);
-  assert_int_equal (
-      cli_session_run (session, "request seats --ticket 1;ab;9f --key k"),
-      MUX_EXIT_USAGE);
+  cli_session_expect (session, "request seats --ticket 1;ab;9f --body x",
+                      MUX_EXIT_OK);
+  cli_session_expect (session, "request seats --ticket 1;ab;9f --key k",
+                      MUX_EXIT_USAGE);
   cli_session_will_break_off (session);
   cli_session_will_break_off (session);
-  assert_int_equal (
-      cli_session_run (session, "request seats --ticket 1;ab;9f --body x"),
-      MUX_EXIT_UNKNOWN);
+  cli_session_expect (session, "request seats --ticket 1;ab;9f --body x",
+                      MUX_EXIT_UNKNOWN);
   cli_session_assert_golden (session, "tickets");
 }
 
@@ -216,8 +208,8 @@
   const char *at;
 
   session->server[0] = 0;
-  assert_int_equal (cli_session_run (session, "keygen"), MUX_EXIT_OK);
-  assert_int_equal (cli_session_run (session, "keygen"), MUX_EXIT_OK);
+  cli_session_expect (session, "keygen", MUX_EXIT_OK);
+  cli_session_expect (session, "keygen", MUX_EXIT_OK);
   fflush (session->log);
   at = session->text;
   for (int i = 0; i < 2; i++)
@@ -234,7 +226,7 @@
       at++;
     }
   assert_string_not_equal (secret[0], secret[1]);
-  assert_int_equal (cli_session_run (session, "keygen --json"), MUX_EXIT_OK);
+  cli_session_expect (session, "keygen --json", MUX_EXIT_OK);
 }
 
 int
--- a/test/unit/test_tls.c
+++ b/test/unit/test_tls.c
@@ -156,7 +156,7 @@
                       "address");
   snprintf (line, sizeof line, "status --all --server https://%s --ca-file %s",
             bench->fake.addr, ca_file);
-  assert_int_equal (cli_session_run (bench->session, line), MUX_EXIT_UNREACHED);
+  cli_session_expect (bench->session, line, MUX_EXIT_UNREACHED);
   snprintf (line, sizeof line, "! cuminmux: no answer from %s: its certificate",
             bench->fake.addr);
   expect_said (bench, line);
