--- a/test/support/cli_session.h
+++ b/test/support/cli_session.h
@@ -27,6 +27,13 @@
   FILE *log;
 } CliSession;
 
+#define CLI_SESSION(test)                                    \
+  cmocka_unit_test_setup_teardown (test, cli_session_set_up, \
+                                   cli_session_tear_down)
+
+/** cli_session_begin() - for cmocka, around the tests of a program */
+int cli_session_begin (void **state);
+int cli_session_end (void **state);
 /** cli_session_set_up() - for cmocka; *@state is the session */
 int cli_session_set_up (void **state);
 int cli_session_tear_down (void **state);
@@ -38,6 +45,8 @@
 int
 cli_session_run_with (CliSession *session, const char *line, const char *input);
 int cli_session_run (CliSession *session, const char *line);
+/** cli_session_expect() - run it; the test fails unless it exits with @code */
+void cli_session_expect (CliSession *session, const char *line, int code);
 
 /** cli_session_will() - the daemon's next answer */
 void
--- a/test/support/sched_cell.c
+++ b/test/support/sched_cell.c
@@ -1,11 +1,22 @@
 #include "sched_cell.h"
+#include "support/test.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
-#include <stddef.h>
+int
+cell_set_up (void **state)
+{
+  static Cell cell;
+
+  cell = (Cell){ 0 };
+  *state = &cell;
+  return 0;
+}
 
-#include <cmocka.h>
-#include <stdio.h>
+int
+cell_tear_down (void **state)
+{
+  cell_close (*state);
+  return 0;
+}
 
 void
 cell_open (Cell *cell, uint32_t workers)
@@ -119,6 +130,13 @@
   return placed;
 }
 
+MuxPlacement
+cell_start (Cell *cell, const char *class_name)
+{
+  cell_ask (cell, class_name);
+  return cell_place (cell);
+}
+
 void
 cell_idle (Cell *cell)
 {
