Test that a class refused altogether is told to be at risk

Story: a flood takes the cell and every settlement is refused at once; by the queue alone its target looks met. The test fails when refusals are left out of the outlook (tried), and passes with them.

--- a/test/unit/test_sched_risk.c
+++ b/test/unit/test_sched_risk.c
@@ -120,12 +120,49 @@
   cell_close (&cell);
 }
 
+/*
+ * A flood takes the whole cell, and every settlement that asks is refused at
+ * once.  None waits and none starts, so that by the queue alone its target
+ * looks met; the operators must be told that it is not.
+ */
+static void
+test_refused_is_at_risk (void **state)
+{
+  Cell cell;
+  MuxClassSpec spec = cell_class ("batch", MUX_KIND_BATCH, 10000);
+  MuxVerdict verdict;
+  MuxPlacement placed;
+
+  (void) state;
+  cell_open (&cell, 1);
+  cell_set (&cell, &spec);
+  for (int i = 0; i < 4; i++)
+    {
+      cell_ask (&cell, "batch");
+      cell_place (&cell);
+    }
+  assert_false (risk_of (&cell, "batch").at_risk);
+  while (cell.now_ms < 5000)
+    {
+      cell.now_ms += 100;
+      while (mux_sched_next (cell.sched, cell.now_ms, &placed))
+        assert_int_equal (placed.worker, MUX_NO_WORKER);
+      do
+        cell_ask_for (&cell, "batch", 100, &verdict);
+      while (verdict.reason == MUX_REASON_NONE);
+      assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
+    }
+  assert_true (risk_of (&cell, "batch").at_risk);
+  cell_close (&cell);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_flagged_before_missed),
     cmocka_unit_test (test_quota_binds),
+    cmocka_unit_test (test_refused_is_at_risk),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
