Test that who would wait behind the late ones is refused at once

Story: a hundred settlements are late and more are due than can start in time; a new one would be dropped after its whole time to give up. With the wait taken from the queue's length alone the test fails (tried): it is taken in; one with time enough is taken in either way.

--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -135,6 +135,45 @@
   cell_close (&cell);
 }
 
+/*
+ * A hundred settlements are late and more are due than can start in time.  A
+ * new one would become late itself and, behind the hundred, be dropped after
+ * its whole time to give up.  It must hear so at once; one that has the time
+ * is taken in.
+ */
+static void
+test_refused_behind_late (void **state)
+{
+  Cell cell;
+  MuxVerdict verdict;
+
+  (void) state;
+  open_two (&cell, 1);
+  for (int i = 0; i < 4; i++)
+    {
+      cell_ask (&cell, "batch");
+      cell_place (&cell);
+    }
+  for (int i = 0; i < 100; i++)
+    {
+      cell_ask_for (&cell, "batch", 400000, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  cell.now_ms += 10001;
+  cell_idle (&cell);
+  for (int i = 0; i < 40; i++)
+    {
+      cell_ask_for (&cell, "batch", 400000, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  cell_ask_for (&cell, "batch", 60000, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
+  assert_true (verdict.retry_ms > 0);
+  cell_ask_for (&cell, "batch", 400000, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_NONE);
+  cell_close (&cell);
+}
+
 /*
  * A caller that can't be served by its time to give up must hear so at that
  * moment, with a time to come back, and not wait for a slot to get free.
@@ -338,6 +377,7 @@
     cmocka_unit_test (test_urgent_before_batch),
     cmocka_unit_test (test_batch_does_not_starve),
     cmocka_unit_test (test_late_behind_timely),
+    cmocka_unit_test (test_refused_behind_late),
     cmocka_unit_test (test_gives_up_at_once),
     cmocka_unit_test (test_places_for_each_class),
     cmocka_unit_test (test_quota_lent_and_returned),
