Let a gang that waits go to an owner that has room for all of it

Cause: a gang is asked of the owner with most room now, once. It then stayed in that owner's queue even when others stood idle: the owner had given its workers to daemons that came later, or it has one worker whose last room the reserve keeps for urgent work until the gang's promise (60 s) is over.

Ruled out: breakers (no failures there), lost asks (the owner has all four), a part that is held (none is).

Now the home looks every 2 to 4 s, while nothing is held, whether another owner has room for all of it now, and asks anew as after a refusal. Not touched: a gang that needs all the room there is still waits for its promise's end while the reserve's forecast is above nothing.

--- a/src/core/jobs_gang.c
+++ b/src/core/jobs_gang.c
@@ -8,6 +8,9 @@
 /* With one place of a gang held, the rest must be granted within this time;
  * it is less than the life of a grant. */
 #define HOLD_MS 2000
+/* Between looks of a gang that waits at its first owner for another that has
+ * room at once. */
+#define ELSEWHERE_MS 2000
 /* First pause before a gang asks anew; it doubles. */
 #define AGAIN_MS 250
 #define DOUBLINGS_MAX 5
@@ -173,6 +176,12 @@
   return left == 0;
 }
 
+static bool
+none_held (const Job *job)
+{
+  return job->gang_now == 0 && job->gang_held == 0;
+}
+
 /* The gang's tasks that wait to be placed, in the order of their numbers. */
 static Task *
 gang_task (MuxCore *core, const Job *job, uint32_t index)
@@ -236,7 +245,7 @@
   job->gang_state = GANG_ASKING;
   job->gang_now = 0;
   job->gang_held = 0;
-  job->gang_at_ms = INT64_MAX;
+  job->gang_at_ms = core->now_ms + core_jitter (core, ELSEWHERE_MS);
   ask_part (core, job);
 }
 
@@ -306,11 +315,11 @@
 
   if (job == NULL || job->gang_state != GANG_ASKING)
     return;
-  job->gang_held++;
   /* From the first place on the clock runs: grants do not live long, and a
    * lost one must not leave the others waiting beside it. */
-  if (job->gang_at_ms == INT64_MAX)
+  if (none_held (job))
     job->gang_at_ms = core->now_ms + HOLD_MS;
+  job->gang_held++;
   if (job->gang_held < job->gang_part[job->gang_now].tasks)
     return;
   if (job->gang_now + 1 == job->gang_parts)
@@ -323,6 +332,31 @@
   ask_part (core, job);
 }
 
+/*
+ * Failure: a gang waits in an owner's queue, and that owner has given most of
+ * its workers to daemons that came since, or keeps what it has for urgent
+ * work.  Others stand idle, and the gang starts when its promise is long over.
+ * Nothing of it is held yet, so it can still go to them.
+ */
+static bool
+room_elsewhere (MuxCore *core, const Job *job, const MuxClassSpec *spec)
+{
+  Candidate candidate[GANG_PARTS_MAX];
+  MuxSize one = spec->size;
+  uint32_t tasks = 0;
+  uint32_t count;
+
+  one.slots = 1;
+  for (uint32_t i = 0; i < job->gang_parts; i++)
+    tasks += job->gang_part[i].tasks;
+  count = gather (core, job, one, candidate);
+  for (uint32_t i = 0; i < count; i++)
+    if (min (candidate[i].now, candidate[i].could) >= tasks
+        && strcmp (candidate[i].name, job->gang_part[0].owner) != 0)
+      return true;
+  return false;
+}
+
 void
 job_gang_tick (MuxCore *core, Job *job)
 {
@@ -330,6 +364,12 @@
 
   if (job->gang_state == GANG_NONE || core->now_ms < job->gang_at_ms)
     return;
+  if (job->gang_state == GANG_ASKING && none_held (job)
+      && (spec == NULL || !room_elsewhere (core, job, spec)))
+    {
+      job->gang_at_ms = core->now_ms + core_jitter (core, ELSEWHERE_MS);
+      return;
+    }
   if (job->gang_state == GANG_ASKING)
     {
       again (core, job);
