Find the jobs that nobody carries without the look through all of them

Cause: a job is adopted in the look that follows its home's death, and that look passes it over when - this daemon still holds it, since it has not yet met its changed row (it was cut off while another took it), and lets go of it afterwards; - its own taking met a conflict, as a cancel makes one; - the row landed after the look, and the caller's next try finds it; - the home's life was never heard of here, so that its end was no news. The job then waits for the next look at all, 30 to 60 s later; an accepted job so ends a minute late.

Now a daemon that lets go of a job looks at its row again 8 to 16 s later and takes it if the named home is dead; a look that meets a row of a job held here that names another has the job read its row; a daemon that is first heard of is a reason for a look. 8 s, so that two that can't hear each other do not take a job from one another all the time.

proof_random heals for 40 s from now on.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -6,6 +6,9 @@
 
 /* Between looks for jobs whose tasks have not all been set going. */
 #define CARRY_MS 1000
+/* From hearing a daemon for the first time to a look through the open jobs:
+ * the others that live must have been heard by then. */
+#define NEWCOMER_MS 3000
 
 Jobs *
 jobs_new (void)
@@ -201,6 +204,17 @@
   job_scan_soon (core, RETRY_MS);
 }
 
+/*
+ * Failure: a daemon that could not be heard here records jobs, dies, and comes
+ * back when the cut has healed.  Its former life was never known here, so its
+ * end is no news, and its jobs would wait for the next look at all.
+ */
+void
+jobs_member_new (MuxCore *core)
+{
+  job_scan_soon (core, NEWCOMER_MS);
+}
+
 void
 jobs_hint (MuxCore *core, MuxId id)
 {
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -14,6 +14,8 @@
 int64_t jobs_wake_ms (const MuxCore *core);
 /** jobs_member_dead() - its jobs want a new home */
 void jobs_member_dead (MuxCore *core, const char *name);
+/** jobs_member_new() - a daemon is heard for the first time */
+void jobs_member_new (MuxCore *core);
 /** jobs_hint() - a peer changed the row of this job */
 void jobs_hint (MuxCore *core, MuxId id);
 /** jobs_record() - a job's task was granted room: write where, then send it
--- a/src/core/jobs_adopt.c
+++ b/src/core/jobs_adopt.c
@@ -11,6 +11,9 @@
 #define SCAN_EVERY_MS 60000
 /* Between looks at a row that should be carried here. */
 #define RETAKE_MS 1500
+/* Before a look at the row of a job that another daemon took: two that can't
+ * hear each other must not take it from one another all the time. */
+#define LET_GO_MS 8000
 /* Looks that find no row before it is believed that none will come. */
 #define RETAKE_TRIES 20
 /* Between pages of one look. */
@@ -36,11 +39,13 @@
 /* The home of a row is alive if it is a member that is not known to be dead
  * in that same life.  A member never heard of counts as dead: the first look
  * comes only when all that live have been heard. */
-static bool
-home_lives (MuxCore *core, const JobHeader *header)
+bool
+job_home_lives (MuxCore *core, const JobHeader *header)
 {
   const Member *member;
 
+  if (is_home (core, header))
+    return true;
   member = member_find (core, header->home);
   return member != NULL && member->state != MEMBER_DEAD && !member->stopping
          && member->incarnation == header->home_incarnation;
@@ -61,13 +66,19 @@
   return members_first (core, subject, false);
 }
 
+static bool
+is_held (MuxCore *core, MuxId id)
+{
+  return job_find (core, id) != NULL || job_submitting (core, id);
+}
+
 static bool
 ours_to_adopt (MuxCore *core, const JobHeader *header)
 {
-  if (job_find (core, header->id) != NULL || job_submitting (core, header->id))
+  if (is_held (core, header->id))
     return false;
   return is_home (core, header)
-         || (!home_lives (core, header)
+         || (!job_home_lives (core, header)
              && part_is_ours (core, part_of (header->id)));
 }
 
@@ -189,8 +200,8 @@
     return;
   if (reply->status == MUX_TABLE_CONFLICT)
     {
-      /* Another one took it: nothing has been done for it here yet. */
-      job_drop (core, job);
+      /* Another one took it, or it was only cancelled: its row will tell. */
+      job_let_go (core, job);
       return;
     }
   if (reply->status != MUX_TABLE_OK)
@@ -238,10 +249,14 @@
  * was lost, or the job's parts could not be read after it.  The row then names
  * a home that lives, so nobody else adopts the job, and here nobody carries
  * it: it would stay open for ever.  Only this daemon knows, so it looks at
- * that row again until it carries the job or the row names another.
+ * that row again until it carries the job or the row names another that lives.
+ *
+ * The same look is due when this daemon lets go of a job that another took and
+ * that one has died since: the looks after its death passed over the job, as
+ * it was still held here.
  */
-void
-job_retake (MuxCore *core, MuxId id)
+static void
+retake_after (MuxCore *core, MuxId id, int64_t after_ms)
 {
   JobRetake *retake;
 
@@ -255,7 +270,22 @@
       HASH_ADD (hh, core->jobs->retakes, id, sizeof retake->id, retake);
     }
   retake->tries = RETAKE_TRIES;
-  retake->at_ms = core->now_ms + core_jitter (core, RETAKE_MS);
+  retake->at_ms = core->now_ms + core_jitter (core, after_ms);
+}
+
+void
+job_retake (MuxCore *core, MuxId id)
+{
+  retake_after (core, id, RETAKE_MS);
+}
+
+void
+job_let_go (MuxCore *core, Job *job)
+{
+  MuxId id = job->id;
+
+  job_drop (core, job);
+  retake_after (core, id, LET_GO_MS);
 }
 
 static void
@@ -273,8 +303,10 @@
     return;
   HASH_DEL (core->jobs->retakes, retake);
   free (retake);
+  /* One row that may be nobody's is not worth asking whose part it is in. */
   if (job_header_from_blob (reply->rows[0].value, &header)
-      && is_home (core, &header) && ours_to_adopt (core, &header))
+      && !is_held (core, id)
+      && (is_home (core, &header) || !job_home_lives (core, &header)))
     take (core, &reply->rows[0], &header);
 }
 
@@ -361,6 +393,26 @@
   return true;
 }
 
+/*
+ * Failure: another daemon took a job that is still held here, as by one that
+ * was cut off, and its tasks wait for room: nothing is written, so nothing
+ * tells that it is gone.  Should the other die, the job seems to be carried.
+ */
+static void
+look_at_row (MuxCore *core, const MuxRow *row)
+{
+  JobHeader header;
+  Job *job;
+
+  if (!job_header_from_blob (row->value, &header))
+    return;
+  job = job_find (core, header.id);
+  if (job != NULL && job->loaded && !is_home (core, &header))
+    job_reread (core, job);
+  else if (ours_to_adopt (core, &header))
+    take (core, row, &header);
+}
+
 static void
 scan_done (MuxCore *core,
            MuxId subject,
@@ -378,13 +430,7 @@
       return;
     }
   for (uint32_t i = 0; i < reply->row_count; i++)
-    {
-      JobHeader header;
-
-      if (job_header_from_blob (reply->rows[i].value, &header)
-          && ours_to_adopt (core, &header))
-        take (core, &reply->rows[i], &header);
-    }
+    look_at_row (core, &reply->rows[i]);
   if (scan_on (core, reply))
     {
       jobs->next_scan_ms = core->now_ms + SCAN_PAGE_MS;
--- a/src/core/jobs_private.h
+++ b/src/core/jobs_private.h
@@ -246,8 +246,12 @@
 bool job_submitting (MuxCore *core, MuxId id);
 void job_submits_free (MuxCore *core);
 void job_scan (MuxCore *core);
+/** job_home_lives() - the daemon that carries the job is not known dead */
+bool job_home_lives (MuxCore *core, const JobHeader *header);
 /** job_retake() - look at the row of a job that this daemon had to let go */
 void job_retake (MuxCore *core, MuxId id);
+/** job_let_go() - drop it as another home's, and look whether that one lives */
+void job_let_go (MuxCore *core, Job *job);
 int64_t job_retakes_wake_ms (const MuxCore *core);
 void job_retakes_free (MuxCore *core);
 /** job_scan_soon() - look through the open jobs after @after_ms or so */
--- a/src/core/jobs_submit.c
+++ b/src/core/jobs_submit.c
@@ -102,6 +102,9 @@
       return;
     }
   job_answer_header (core, submit->call, 202, &header);
+  /* The row may have landed after the looks that followed its home's death. */
+  if (header.state == JOB_OPEN && !job_home_lives (core, &header))
+    job_retake (core, submit->id);
   submit_free (core, submit);
 }
 
--- a/src/core/jobs_write.c
+++ b/src/core/jobs_write.c
@@ -271,7 +271,7 @@
       || strcmp (header.home, core->name) != 0
       || header.home_incarnation != core->opt.incarnation)
     {
-      job_drop (core, job);
+      job_let_go (core, job);
       return;
     }
   job->rev = reply->rows[0].rev;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -252,6 +252,8 @@
       = msg->from_incarnation > member->incarnation && member->incarnation != 0;
   if (new_life && member->state != MEMBER_DEAD)
     tasks_owner_lost (core, member->name);
+  if (member->incarnation == 0)
+    jobs_member_new (core);
   if (new_life)
     {
       owner_home_lost (core, member->name, member->incarnation);
--- a/test/proof/proof_random.c
+++ b/test/proof/proof_random.c
@@ -14,7 +14,9 @@
 #define NODES 4
 #define WORKERS 5
 #define BUSY_MS 60000
-#define SETTLE_MS 200000
+/* Less than the time between two looks through all open jobs, which would find
+ * a job that nobody carries. */
+#define SETTLE_MS 40000
 #define FAULT_MS 12000
 #define PPM 1000000
 
--- a/test/support/scenario.c
+++ b/test/support/scenario.c
@@ -9,6 +9,8 @@
 /* Daemons wait this long before their first claim. */
 #define SETTLE_MS 9000
 #define JOB_GIVE_UP_MS 60000
+/* Between looks for daemons that have stopped. */
+#define STOPPED_MS 1000
 
 static const char *const centres[] = { "hall-a", "hall-b", "hall-c" };
 static const char *const class_names[SCENARIO_CLASSES]
@@ -319,6 +321,16 @@
   return 0;
 }
 
+/* A daemon that has stopped is a process that ends. */
+static void
+end_stopped (Scenario *s)
+{
+  for (uint32_t i = 0; i < s->net->node_count; i++)
+    if (s->net->nodes[i].core != NULL
+        && mux_core_stopped (s->net->nodes[i].core))
+      fake_net_kill (s->net, i);
+}
+
 void
 scenario_settle (Scenario *s, int64_t ms)
 {
@@ -346,6 +358,10 @@
       standin_worker_set_leaving (worker->logic, false);
       standin_worker_set_fail_all (worker->logic, false);
     }
-  scenario_run (s, ms);
+  for (int64_t left_ms = ms; left_ms > 0; left_ms -= STOPPED_MS)
+    {
+      scenario_run (s, left_ms < STOPPED_MS ? left_ms : STOPPED_MS);
+      end_stopped (s);
+    }
   scenario_check_ended (s);
 }
