Draw no random number for a look that is not due

A daemon that has not looked yet, or will soon, needs no look for a newcomer, and a gang's first deadline needs no spread: gangs begin at different times.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -212,6 +212,12 @@
 void
 jobs_member_new (MuxCore *core)
 {
+  const Jobs *jobs = core->jobs;
+
+  /* Soon enough as it is, as after this daemon's own start. */
+  if (!jobs->scanning && jobs->scan_after[0] == 0
+      && jobs->next_scan_ms <= core->now_ms + 2 * NEWCOMER_MS)
+    return;
   job_scan_soon (core, NEWCOMER_MS);
 }
 
--- a/src/core/jobs_gang.c
+++ b/src/core/jobs_gang.c
@@ -245,7 +245,7 @@
   job->gang_state = GANG_ASKING;
   job->gang_now = 0;
   job->gang_held = 0;
-  job->gang_at_ms = core->now_ms + core_jitter (core, ELSEWHERE_MS);
+  job->gang_at_ms = core->now_ms + ELSEWHERE_MS;
   ask_part (core, job);
 }
 
