Listen, serve and wait in one way in both stand-ins

The platform's stand-in had its own copy of listening, of the HTTP start, of a condition on the monotonic clock and of the random numbers; peer_inbox had the conditions once more.

--- a/test/standin/worker_listen.c
+++ b/test/standin/listen.c
@@ -1,4 +1,4 @@
-#include "standin/worker_listen.h"
+#include "standin/listen.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -35,10 +35,10 @@
 }
 
 int
-standin_worker_listen (const char *address,
-                       char addr[MUX_ADDR_LEN],
-                       uint16_t *port,
-                       MuxError *err)
+standin_listen (const char *address,
+                char addr[MUX_ADDR_LEN],
+                uint16_t *port,
+                MuxError *err)
 {
   struct sockaddr_in in;
   socklen_t len = sizeof in;
@@ -70,14 +70,17 @@
 }
 
 bool
-standin_worker_serve (struct _u_instance *http,
-                      int fd,
-                      MHD_NotifyConnectionCallback notify,
-                      void *notify_ctx)
+standin_serve (struct _u_instance *http,
+               int fd,
+               StandinUriLog uri_log,
+               MHD_NotifyConnectionCallback notify,
+               void *notify_ctx)
 {
   struct MHD_OptionItem options[] = {
     { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t) mhd_request_completed, NULL },
-    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t) ulfius_uri_logger, NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK,
+      uri_log != NULL ? (intptr_t) uri_log : (intptr_t) ulfius_uri_logger,
+      NULL },
     { MHD_OPTION_LISTEN_SOCKET, fd, NULL },
     { MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL },
     { MHD_OPTION_THREAD_STACK_SIZE, STACK_BYTES, NULL },
--- a/test/standin/platform_faults.c
+++ b/test/standin/platform_faults.c
@@ -1,10 +1,12 @@
 #include "standin/platform_faults.h"
 
+#include "standin/time.h"
+#include "support/random.h"
+
 #include <errno.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define PPM 1000000
 
@@ -17,7 +19,7 @@
   uint32_t held;
   uint64_t connections;
   uint64_t silent_to; /* connections up to this number are silent */
-  uint64_t random;
+  MuxRandom random;
   uint64_t refused;
   uint64_t cut;
   uint64_t lost;
@@ -27,15 +29,11 @@
 standin_platform_faults_new (void)
 {
   StandinFaults *faults = calloc (1, sizeof *faults);
-  pthread_condattr_t attr;
 
   if (faults == NULL)
     return NULL;
   pthread_mutex_init (&faults->lock, NULL);
-  pthread_condattr_init (&attr);
-  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
-  pthread_cond_init (&faults->changed, &attr);
-  pthread_condattr_destroy (&attr);
+  standin_cond_init (&faults->changed);
   return faults;
 }
 
@@ -63,7 +61,7 @@
 {
   pthread_mutex_lock (&faults->lock);
   if (plan->lose_seed != faults->plan.lose_seed)
-    faults->random = plan->lose_seed;
+    faults->random.state = plan->lose_seed;
   faults->plan = *plan;
   pthread_cond_broadcast (&faults->changed);
   pthread_mutex_unlock (&faults->lock);
@@ -107,26 +105,10 @@
   return false;
 }
 
-static struct timespec
-time_after (uint32_t ms)
-{
-  struct timespec end;
-
-  clock_gettime (CLOCK_MONOTONIC, &end);
-  end.tv_sec += ms / 1000;
-  end.tv_nsec += (long) (ms % 1000) * 1000000;
-  if (end.tv_nsec >= 1000000000)
-    {
-      end.tv_sec++;
-      end.tv_nsec -= 1000000000;
-    }
-  return end;
-}
-
 static void
 wait_ms (StandinFaults *faults, uint32_t ms)
 {
-  struct timespec end = time_after (ms);
+  struct timespec end = standin_deadline_in (ms);
 
   while (!faults->stopping
          && pthread_cond_timedwait (&faults->changed, &faults->lock, &end)
@@ -149,7 +131,7 @@
                                    uint32_t count,
                                    uint32_t timeout_ms)
 {
-  struct timespec end = time_after (timeout_ms);
+  struct timespec end = standin_deadline_in (timeout_ms);
   bool reached;
   int rc = 0;
 
@@ -199,27 +181,14 @@
   return verdict;
 }
 
-static bool
-draw_loss (StandinFaults *faults)
-{
-  uint64_t x;
-
-  if (faults->plan.lose_ppm == 0)
-    return false;
-  faults->random += 0x9e3779b97f4a7c15;
-  x = faults->random;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
-  return (x ^ (x >> 31)) % PPM < faults->plan.lose_ppm;
-}
-
 bool
 standin_platform_faults_loses (StandinFaults *faults)
 {
   bool loses;
 
   pthread_mutex_lock (&faults->lock);
-  loses = draw_loss (faults);
+  loses = faults->plan.lose_ppm > 0
+          && mux_random_next (&faults->random) % PPM < faults->plan.lose_ppm;
   if (faults->plan.lose_next > 0)
     {
       faults->plan.lose_next--;
--- a/test/standin/platform_server.c
+++ b/test/standin/platform_server.c
@@ -1,16 +1,12 @@
 #include "standin/platform_server.h"
 
+#include "standin/listen.h"
 #include "standin/platform_routes.h"
 
-#include <arpa/inet.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define BODY_MAX (64 * 1024 * 1024)
-#define LISTEN_BACKLOG 256
 
 struct StandinPlatformServer
 {
@@ -20,64 +16,12 @@
   bool initialised;
 };
 
-/* Binds here rather than in the library, which knows no port 0. */
-static int
-listen_on (const char *text, char addr[MUX_ADDR_LEN], struct sockaddr_in *bound)
-{
-  socklen_t len = sizeof *bound;
-  char ip[INET_ADDRSTRLEN];
-  unsigned int port;
-  int yes = 1;
-  int fd;
-
-  if (sscanf (text, "%15[0-9.]:%u", ip, &port) != 2 || port > UINT16_MAX)
-    return -1;
-  memset (bound, 0, sizeof *bound);
-  bound->sin_family = AF_INET;
-  bound->sin_port = htons ((uint16_t) port);
-  if (inet_pton (AF_INET, ip, &bound->sin_addr) != 1)
-    return -1;
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    return -1;
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-  if (bind (fd, (struct sockaddr *) bound, sizeof *bound) < 0
-      || listen (fd, LISTEN_BACKLOG) < 0
-      || getsockname (fd, (struct sockaddr *) bound, &len) < 0)
-    {
-      close (fd);
-      return -1;
-    }
-  snprintf (addr, MUX_ADDR_LEN, "%s:%u", ip,
-            (unsigned int) ntohs (bound->sin_port));
-  return fd;
-}
-
-static bool
-start (StandinPlatformServer *server, int fd)
-{
-  struct MHD_OptionItem ops[] = {
-    { MHD_OPTION_LISTEN_SOCKET, fd, NULL },
-    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t) mhd_request_completed, NULL },
-    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t) standin_platform_note_connection,
-      NULL },
-    { MHD_OPTION_END, 0, NULL },
-  };
-
-  return ulfius_start_framework_with_mhd_options (
-             &server->http,
-             MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
-                 | MHD_USE_ITC | MHD_USE_POLL,
-             ops)
-         == U_OK;
-}
-
 StandinPlatformServer *
 standin_platform_server_new (const StandinPlatformServerOptions *options,
                              MuxError *err)
 {
   StandinPlatformServer *server = calloc (1, sizeof *server);
-  struct sockaddr_in bound;
+  uint16_t port;
   int fd;
 
   if (server == NULL)
@@ -86,22 +30,21 @@
       return NULL;
     }
   server->options = *options;
-  fd = listen_on (options->listen, server->addr, &bound);
+  fd = standin_listen (options->listen, server->addr, &port, err);
   if (fd < 0)
     {
-      mux_error_set (err, MUX_ERROR_IO, "can't listen on %s", options->listen);
       free (server);
       return NULL;
     }
   server->initialised
-      = ulfius_init_instance (&server->http, ntohs (bound.sin_port), NULL, NULL)
-        == U_OK;
+      = ulfius_init_instance (&server->http, port, NULL, NULL) == U_OK;
   server->http.max_post_body_size = BODY_MAX;
   server->http.check_utf8 = 0;
   server->http.allowed_post_processor = U_POST_PROCESS_NONE;
   if (server->initialised
       && standin_platform_add_routes (&server->http, &server->options)
-      && start (server, fd))
+      && standin_serve (&server->http, fd, standin_platform_note_connection,
+                        NULL, NULL))
     return server;
   mux_error_set (err, MUX_ERROR_IO, "can't start the HTTP server");
   close (fd);
--- a/test/standin/platform_state.c
+++ b/test/standin/platform_state.c
@@ -1,12 +1,12 @@
 #include "standin/platform_state.h"
 
+#include "base/clock.h"
 #include "standin/platform_list.h"
 #include "standin/platform_rows.h"
 
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 struct StandinPlatform
 {
@@ -21,11 +21,8 @@
 static uint64_t
 monotonic_ms (void *clock)
 {
-  struct timespec now;
-
   (void) clock;
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (uint64_t) now.tv_sec * 1000 + (uint64_t) now.tv_nsec / 1000000;
+  return (uint64_t) mux_monotonic_ms ();
 }
 
 StandinPlatform *
--- a/test/standin/worker_time.c
+++ b/test/standin/time.c
@@ -1,7 +1,7 @@
-#include "standin/worker_time.h"
+#include "standin/time.h"
 
 int64_t
-standin_worker_clock_ms (clockid_t clock)
+standin_clock_ms (clockid_t clock)
 {
   struct timespec now;
 
@@ -10,15 +10,15 @@
 }
 
 struct timespec
-standin_worker_deadline_in (int64_t ms)
+standin_deadline_in (int64_t ms)
 {
-  int64_t at_ms = standin_worker_clock_ms (CLOCK_MONOTONIC) + ms;
+  int64_t at_ms = standin_clock_ms (CLOCK_MONOTONIC) + ms;
 
   return (struct timespec){ at_ms / 1000, at_ms % 1000 * 1000000 };
 }
 
 void
-standin_worker_cond_init (pthread_cond_t *cond)
+standin_cond_init (pthread_cond_t *cond)
 {
   pthread_condattr_t attr;
 
@@ -29,7 +29,7 @@
 }
 
 void
-standin_worker_pause_ms (uint32_t ms)
+standin_pause_ms (uint32_t ms)
 {
   struct timespec time = { ms / 1000, (long) (ms % 1000) * 1000000 };
 
--- a/test/standin/worker_server.c
+++ b/test/standin/worker_server.c
@@ -2,9 +2,9 @@
 
 #include "standin/worker_conn.h"
 #include "standin/worker_fault.h"
-#include "standin/worker_listen.h"
+#include "standin/listen.h"
 #include "standin/worker_log.h"
-#include "standin/worker_time.h"
+#include "standin/time.h"
 #include "standin/worker_wire.h"
 
 #include <pthread.h>
@@ -53,7 +53,7 @@
 {
   if (server->options.now_ms != NULL)
     return server->options.now_ms (server->options.ctx);
-  return standin_worker_clock_ms (CLOCK_BOOTTIME);
+  return standin_clock_ms (CLOCK_BOOTTIME);
 }
 
 static void
@@ -65,9 +65,9 @@
 
   if (server->options.log_fd < 0)
     return;
-  len = standin_worker_log_line (
-      event, server->options.worker.name, server->options.worker.incarnation,
-      standin_worker_clock_ms (CLOCK_REALTIME), line);
+  len = standin_worker_log_line (event, server->options.worker.name,
+                                 server->options.worker.incarnation,
+                                 standin_clock_ms (CLOCK_REALTIME), line);
   /* History checking relies on the log: without it there is no truth. */
   if (write (server->options.log_fd, line, len) != (ssize_t) len)
     abort ();
@@ -111,7 +111,7 @@
       left_ms = server->due_ms - now_ms (server);
       if (left_ms > TICK_MAX_MS)
         left_ms = TICK_MAX_MS;
-      deadline = standin_worker_deadline_in (left_ms);
+      deadline = standin_deadline_in (left_ms);
       pthread_cond_timedwait (&server->due_changed, &server->lock, &deadline);
     }
   pthread_mutex_unlock (&server->lock);
@@ -122,7 +122,7 @@
 static void
 pass_gate (StandinWorkerServer *server)
 {
-  struct timespec deadline = standin_worker_deadline_in (HANG_MAX_MS);
+  struct timespec deadline = standin_deadline_in (HANG_MAX_MS);
 
   while (server->faults.hang && !server->stopping)
     if (pthread_cond_timedwait (&server->faults_changed, &server->lock,
@@ -146,11 +146,11 @@
 static void
 wait_for_end (StandinWorkerServer *server, MuxId task, uint32_t wait_ms)
 {
-  struct timespec deadline = standin_worker_deadline_in (wait_ms);
+  struct timespec deadline = standin_deadline_in (wait_ms);
   Waiter waiter = { .task = task };
   int timed_out = 0;
 
-  standin_worker_cond_init (&waiter.ended);
+  standin_cond_init (&waiter.ended);
   DL_APPEND (server->waiters, &waiter);
   server->waits++;
   pthread_cond_broadcast (&server->waits_changed);
@@ -217,7 +217,7 @@
     }
   slow_ms = server->faults.slow_ms;
   pthread_mutex_unlock (&server->lock);
-  standin_worker_pause_ms (slow_ms);
+  standin_pause_ms (slow_ms);
   if (cut)
     standin_worker_conns_cut (server->conns, request->client_address);
   if (reply == NULL)
@@ -279,8 +279,7 @@
 {
   struct _u_instance *http = &server->http;
   uint16_t port;
-  int fd = standin_worker_listen (server->options.listen, server->addr, &port,
-                                  err);
+  int fd = standin_listen (server->options.listen, server->addr, &port, err);
 
   if (fd < 0)
     return false;
@@ -293,8 +292,8 @@
   ulfius_add_endpoint_by_val (http, "POST", "/worker", "/:verb", 0, on_call,
                               server);
   ulfius_add_endpoint_by_val (http, "POST", "/ctl", NULL, 0, on_ctl, server);
-  server->serving = standin_worker_serve (http, fd, standin_worker_conns_notify,
-                                          server->conns);
+  server->serving = standin_serve (http, fd, NULL, standin_worker_conns_notify,
+                                   server->conns);
   if (server->serving)
     return true;
   ulfius_clean_instance (http);
@@ -319,9 +318,9 @@
   server->options.worker.on_end = on_end;
   server->due_ms = INT64_MAX;
   pthread_mutex_init (&server->lock, NULL);
-  standin_worker_cond_init (&server->due_changed);
-  standin_worker_cond_init (&server->faults_changed);
-  standin_worker_cond_init (&server->waits_changed);
+  standin_cond_init (&server->due_changed);
+  standin_cond_init (&server->faults_changed);
+  standin_cond_init (&server->waits_changed);
   server->conns = standin_worker_conns_new ();
   server->worker = standin_worker_new (&server->options.worker);
   if (server->conns != NULL && server->worker != NULL
--- a/test/support/peer_inbox.c
+++ b/test/support/peer_inbox.c
@@ -1,8 +1,9 @@
 #include "support/peer_inbox.h"
 
+#include "standin/time.h"
+
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 static bool
 take (MuxInbox *base, const MuxPeerMsg *msg)
@@ -31,16 +32,12 @@
 peer_inbox_new (void)
 {
   PeerInbox *inbox = calloc (1, sizeof *inbox);
-  pthread_condattr_t attr;
 
   if (inbox == NULL)
     abort ();
   inbox->inbox.peer_msg = take;
   pthread_mutex_init (&inbox->mutex, NULL);
-  pthread_condattr_init (&attr);
-  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
-  pthread_cond_init (&inbox->changed, &attr);
-  pthread_condattr_destroy (&attr);
+  standin_cond_init (&inbox->changed);
   return inbox;
 }
 
@@ -52,19 +49,6 @@
   free (inbox);
 }
 
-static struct timespec
-deadline_after (uint32_t wait_ms)
-{
-  struct timespec ts;
-
-  clock_gettime (CLOCK_MONOTONIC, &ts);
-  ts.tv_sec += wait_ms / 1000;
-  ts.tv_nsec += (long) (wait_ms % 1000) * 1000000;
-  ts.tv_sec += ts.tv_nsec / 1000000000;
-  ts.tv_nsec %= 1000000000;
-  return ts;
-}
-
 static uint32_t
 count_from (const PeerInbox *inbox, const char *from, uint64_t revision)
 {
@@ -82,7 +66,7 @@
                  uint64_t revision,
                  uint32_t wait_ms)
 {
-  struct timespec end = deadline_after (wait_ms);
+  struct timespec end = standin_deadline_in (wait_ms);
   bool there;
   int rc = 0;
 
@@ -128,7 +112,7 @@
 bool
 peer_inbox_wait_at_gate (PeerInbox *inbox)
 {
-  struct timespec end = deadline_after (PEER_WAIT_MS);
+  struct timespec end = standin_deadline_in (PEER_WAIT_MS);
   bool there;
   int rc = 0;
 
--- a/test/unit/test_worker_adapter.c
+++ b/test/unit/test_worker_adapter.c
@@ -1,6 +1,6 @@
 #include "adapter/worker.h"
 #include "base/ring.h"
-#include "standin/worker_listen.h"
+#include "standin/listen.h"
 #include "standin/worker_server.h"
 #include "support/canned_server.h"
 #include "support/cli_door.h"
@@ -403,7 +403,7 @@
   Fixture *f = *state;
   MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
   uint16_t port;
-  int fd = standin_worker_listen ("127.0.0.1:0", start.addr, &port, NULL);
+  int fd = standin_listen ("127.0.0.1:0", start.addr, &port, NULL);
 
   start.timeout_ms = 200;
   assert_int_equal (status_of (f, start), MUX_WORKER_NO_ANSWER);
@@ -481,7 +481,7 @@
   Fixture *f = *state;
   MuxWorkerCall start = start_call (1, MUX_KIND_SERVICE);
   uint16_t port;
-  int fd = standin_worker_listen ("127.0.0.1:0", start.addr, &port, NULL);
+  int fd = standin_listen ("127.0.0.1:0", start.addr, &port, NULL);
   uint32_t replies = 0;
   MuxWorkerReply *reply;
 
