--- a/test/support/canned_server.c
+++ b/test/support/canned_server.c
@@ -1,16 +1,12 @@
 #include "canned_server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
+#include "standin/listen.h"
+#include "support/test.h"
+
 #include <pthread.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 16
-
 struct CannedServer
 {
   const char *answer;
@@ -18,15 +14,6 @@
   pthread_t thread;
 };
 
-static void
-require (bool holds)
-{
-  if (holds)
-    return;
-  perror ("canned server");
-  abort ();
-}
-
 static void
 read_head (int fd)
 {
@@ -77,20 +64,13 @@
 canned_server_new (const char *answer, char *addr)
 {
   CannedServer *server = calloc (1, sizeof *server);
-  struct sockaddr_in in
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t len = sizeof in;
+  uint16_t port;
 
-  require (server != NULL);
+  assert_non_null (server);
   server->answer = answer;
-  server->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  require (server->fd >= 0);
-  require (bind (server->fd, (struct sockaddr *) &in, sizeof in) == 0);
-  require (listen (server->fd, BACKLOG) == 0);
-  require (getsockname (server->fd, (struct sockaddr *) &in, &len) == 0);
-  snprintf (addr, MUX_ADDR_LEN, "127.0.0.1:%u",
-            (unsigned int) ntohs (in.sin_port));
-  require (pthread_create (&server->thread, NULL, serve, server) == 0);
+  server->fd = standin_listen ("127.0.0.1:0", addr, &port, NULL);
+  assert_true (server->fd >= 0);
+  assert_int_equal (pthread_create (&server->thread, NULL, serve, server), 0);
   return server;
 }
 
--- a/test/support/peer_end.c
+++ b/test/support/peer_end.c
@@ -2,26 +2,16 @@
 
 #include "support/peer_sample.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-#include <zmq.h>
+#include "support/test.h"
 
-/* These objects are also linked into programs without cmocka. */
-static void
-require (bool holds, const char *what)
-{
-  if (holds)
-    return;
-  fprintf (stderr, "peer_end: %s\n", what);
-  abort ();
-}
+#include <zmq.h>
 
 KeyPair
 key_pair (void)
 {
   KeyPair keys;
 
-  require (zmq_curve_keypair (keys.public, keys.secret) == 0, "no keys");
+  assert_int_equal (zmq_curve_keypair (keys.public, keys.secret), 0);
   return keys;
 }
 
@@ -48,7 +38,8 @@
   MuxError err = { 0 };
 
   peer->port = mux_peer_zmq_new (options, peer->addr, &err);
-  require (peer->port != NULL, err.text);
+  if (peer->port == NULL)
+    fail_msg ("%s", err.text);
 }
 
 Peer
@@ -90,7 +81,7 @@
 {
   MuxPeerMsg msg = hint (from, revision);
 
-  require (peer->port->send (peer->port, addr, &msg), "the ring is full");
+  assert_true (peer->port->send (peer->port, addr, &msg));
 }
 
 void
@@ -106,5 +97,5 @@
       if (peer_inbox_wait (to->inbox, from, first, SEND_EVERY_MS))
         return;
     }
-  require (false, "nothing arrived");
+  fail_msg ("nothing arrived");
 }
--- a/test/support/platform_fixture.c
+++ b/test/support/platform_fixture.c
@@ -1,22 +1,9 @@
 #include "support/platform_fixture.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
+#include "support/test.h"
 
 #define CALL_ID 77
 
-/* Stand-ins are linked to this too, so it does without the test library: what
- * fails here ends the whole test program. */
-static void
-require (bool holds, const char *what)
-{
-  if (holds)
-    return;
-  fprintf (stderr, "platform fixture: failed: %s\n", what);
-  abort ();
-}
-
 static bool
 take_reply (MuxInbox *inbox, MuxTableReply *reply)
 {
@@ -41,7 +28,7 @@
   MuxError err = { 0 };
 
   fixture->server = standin_platform_server_new (&options, &err);
-  require (fixture->server != NULL, "fixture->server");
+  assert_non_null (fixture->server);
 }
 
 void
@@ -58,7 +45,7 @@
   MuxError err = { 0 };
 
   fixture->port = mux_platform_http_new (&options, &err);
-  require (fixture->port != NULL, "fixture->port");
+  assert_non_null (fixture->port);
 }
 
 int
@@ -154,15 +141,15 @@
   /* A wait may end early with nothing; it ends late only on failure. */
   for (uint32_t i = 0; reply == NULL && i < 100; i++)
     reply = mux_ring_wait (fixture->replies, PATIENCE_MS);
-  require (reply != NULL, "reply");
-  require (reply->call_id == CALL_ID, "reply of the call");
+  assert_non_null (reply);
+  assert_int_equal (reply->call_id, CALL_ID);
   return reply;
 }
 
 MuxTableReply *
 platform_ask (PlatformFixture *fixture, MuxTableCall *call)
 {
-  require (fixture->port->call (fixture->port, call), "call taken");
+  assert_true (fixture->port->call (fixture->port, call));
   return platform_next_reply (fixture);
 }
 
@@ -190,3 +177,24 @@
   standin_platform_stats (fixture->platform, &stats);
   return stats;
 }
+
+void
+platform_expect_put (PlatformFixture *fixture,
+                     const char *key,
+                     uint64_t rev,
+                     const char *value,
+                     MuxTableStatus status)
+{
+  MuxTableCall *call = platform_put_new (key, rev, value);
+
+  assert_int_equal (platform_ask_status (fixture, call), status);
+}
+
+void
+platform_expect_get (PlatformFixture *fixture,
+                     const char *key,
+                     MuxTableStatus status)
+{
+  assert_int_equal (platform_ask_status (fixture, platform_get_new (key)),
+                    status);
+}
--- a/test/support/platform_fixture.h
+++ b/test/support/platform_fixture.h
@@ -56,6 +56,15 @@
 MuxTableReply *platform_ask (PlatformFixture *fixture, MuxTableCall *call);
 MuxTableStatus platform_ask_status (PlatformFixture *fixture,
                                     MuxTableCall *call);
+/** platform_expect_put() - put a row; the test fails unless told @status */
+void platform_expect_put (PlatformFixture *fixture,
+                          const char *key,
+                          uint64_t rev,
+                          const char *value,
+                          MuxTableStatus status);
+void platform_expect_get (PlatformFixture *fixture,
+                          const char *key,
+                          MuxTableStatus status);
 void platform_set_faults (PlatformFixture *fixture, StandinFaultPlan plan);
 StandinPlatformStats platform_stats_of (PlatformFixture *fixture);
 
--- a/test/support/scenario_check.c
+++ b/test/support/scenario_check.c
@@ -100,13 +100,8 @@
   s->booked[worker] = mux_size_add (s->booked[worker], run.size);
   if (!mux_size_fits (s->booked[worker], at->options.capacity))
     scenario_wrong (s, "worker %u holds more than it can", worker);
-  if (s->run_count == s->run_cap)
-    {
-      s->run_cap = s->run_cap * 2 + 64;
-      s->runs = realloc (s->runs, s->run_cap * sizeof *s->runs);
-      if (s->runs == NULL)
-        abort ();
-    }
+  s->runs
+      = fake_sink_grow (s->runs, s->run_count, &s->run_cap, sizeof *s->runs);
   s->runs[s->run_count++] = run;
   s->works[run.tag].runs++;
   s->works[run.tag].running++;
--- a/test/support/tcp_forwarder.c
+++ b/test/support/tcp_forwarder.c
@@ -1,6 +1,6 @@
 #include "support/tcp_forwarder.h"
 
-#include "base/id.h"
+#include "standin/listen.h"
 
 #include <arpa/inet.h>
 #include <poll.h>
@@ -167,22 +167,17 @@
 tcp_forwarder_new (const char *target, char *addr)
 {
   TcpForwarder *fw = calloc (1, sizeof *fw);
-  struct sockaddr_in sa = { .sin_family = AF_INET };
-  socklen_t len = sizeof sa;
+  uint16_t port;
 
   if (fw == NULL)
     abort ();
-  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   if (target != NULL)
     fw->target = parse (target);
   fw->targeted = target != NULL;
   fw->wake = eventfd (0, EFD_CLOEXEC);
-  fw->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (bind (fw->listener, (struct sockaddr *) &sa, sizeof sa) != 0
-      || listen (fw->listener, PAIRS_MAX) != 0
-      || getsockname (fw->listener, (struct sockaddr *) &sa, &len) != 0)
+  fw->listener = standin_listen ("127.0.0.1:0", addr, &port, NULL);
+  if (fw->listener < 0)
     abort ();
-  snprintf (addr, MUX_ADDR_LEN, "127.0.0.1:%u", ntohs (sa.sin_port));
   pthread_mutex_init (&fw->mutex, NULL);
   pthread_cond_init (&fw->changed, NULL);
   if (pthread_create (&fw->thread, NULL, forwarder_main, fw) != 0)
--- a/test/unit/test_platform_adapter.c
+++ b/test/unit/test_platform_adapter.c
@@ -2,18 +2,6 @@
 #include "support/platform_fixture.h"
 #include "support/test.h"
 
-static void
-expect_put (PlatformFixture *fixture,
-            const char *key,
-            uint64_t rev,
-            const char *value,
-            MuxTableStatus status)
-{
-  MuxTableCall *call = platform_put_new (key, rev, value);
-
-  assert_int_equal (platform_ask_status (fixture, call), status);
-}
-
 static void
 test_conflict_gives_the_failing_rows (void **state)
 {
@@ -48,8 +36,8 @@
   MuxTableCall *call = platform_call_new (MUX_TABLE_TXN, 3);
   MuxTableReply *reply;
 
-  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
-  expect_put (fixture, "b", MUX_REV_ANY, "1", MUX_TABLE_OK);
+  platform_expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
+  platform_expect_put (fixture, "b", MUX_REV_ANY, "1", MUX_TABLE_OK);
   platform_set_row (call, 0, "a", 1, NULL, 0);
   platform_set_row (call, 1, "b", 2, NULL, 0);
   call->rows[1].check_only = true;
--- a/test/unit/test_platform_cut.c
+++ b/test/unit/test_platform_cut.c
@@ -91,11 +91,9 @@
 int
 main (void)
 {
-#define HTTP_TEST(name) \
-  cmocka_unit_test_setup_teardown (name, platform_set_up, platform_tear_down)
   const struct CMUnitTest tests[] = {
-    HTTP_TEST (test_cut_object_is_not_read),
-    HTTP_TEST (test_foreign_200_is_no_write),
+    PLATFORM_TEST (test_cut_object_is_not_read),
+    PLATFORM_TEST (test_foreign_200_is_no_write),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_platform_faults.c
+++ b/test/unit/test_platform_faults.c
@@ -1,25 +1,6 @@
 #include "support/platform_fixture.h"
 #include "support/test.h"
 
-static void
-expect_put (PlatformFixture *fixture,
-            const char *key,
-            uint64_t rev,
-            const char *value,
-            MuxTableStatus status)
-{
-  MuxTableCall *call = platform_put_new (key, rev, value);
-
-  assert_int_equal (platform_ask_status (fixture, call), status);
-}
-
-static void
-expect_get (PlatformFixture *fixture, const char *key, MuxTableStatus status)
-{
-  assert_int_equal (platform_ask_status (fixture, platform_get_new (key)),
-                    status);
-}
-
 /* A guest's voucher is redeemed and the platform's answer is lost on a
  * connection that had served before.  The HTTP client may send such a request
  * again by itself; then the second sending finds the row of the first, reports
@@ -30,9 +11,9 @@
   PlatformFixture *fixture = *state;
   MuxTableReply *reply;
 
-  expect_put (fixture, "first", MUX_REV_ABSENT, "1", MUX_TABLE_OK);
+  platform_expect_put (fixture, "first", MUX_REV_ABSENT, "1", MUX_TABLE_OK);
   platform_set_faults (fixture, (StandinFaultPlan){ .lose_next = 1 });
-  expect_put (fixture, "once", MUX_REV_ABSENT, "2", MUX_TABLE_UNKNOWN);
+  platform_expect_put (fixture, "once", MUX_REV_ABSENT, "2", MUX_TABLE_UNKNOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 2);
   reply = platform_ask (fixture, platform_get_new ("once"));
   assert_int_equal (reply->status, MUX_TABLE_OK);
@@ -59,11 +40,11 @@
   PlatformFixture *fixture = *state;
 
   platform_set_faults (fixture, (StandinFaultPlan){ .down = true });
-  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_DOWN);
-  expect_get (fixture, "a", MUX_TABLE_DOWN);
+  platform_expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_DOWN);
+  platform_expect_get (fixture, "a", MUX_TABLE_DOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 0);
   platform_set_faults (fixture, (StandinFaultPlan){ .down = false });
-  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
+  platform_expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
 }
 
 static void
@@ -71,11 +52,11 @@
 {
   PlatformFixture *fixture = *state;
 
-  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
+  platform_expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
   standin_platform_server_free (fixture->server);
   fixture->server = NULL;
-  expect_put (fixture, "b", MUX_REV_ANY, "1", MUX_TABLE_DOWN);
-  expect_get (fixture, "b", MUX_TABLE_DOWN);
+  platform_expect_put (fixture, "b", MUX_REV_ANY, "1", MUX_TABLE_DOWN);
+  platform_expect_get (fixture, "b", MUX_TABLE_DOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 1);
 }
 
@@ -86,13 +67,13 @@
 
   platform_set_faults (
       fixture, (StandinFaultPlan){ .cut_count = 1, .cut = { DATA_CENTRE } });
-  expect_get (fixture, "a", MUX_TABLE_DOWN);
+  platform_expect_get (fixture, "a", MUX_TABLE_DOWN);
   /* The request went out, so the adapter can't know that it had no effect. */
-  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_UNKNOWN);
+  platform_expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_UNKNOWN);
   assert_int_equal (platform_stats_of (fixture).txns, 0);
   platform_set_faults (
       fixture, (StandinFaultPlan){ .cut_count = 1, .cut = { "elsewhere" } });
-  expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
+  platform_expect_put (fixture, "a", MUX_REV_ANY, "1", MUX_TABLE_OK);
 }
 
 /* A write hangs in the platform past its timeout and takes effect once the
