--- a/test/proof/proof_once.c
+++ b/test/proof/proof_once.c
@@ -9,15 +9,16 @@
 until_row (Scenario *s)
 {
   int64_t until_ms = s->net->now_ms + 5000;
-  uint32_t rows = 0;
+  const MuxRow *row = NULL;
 
-  while (rows == 0 && s->net->now_ms < until_ms)
+  while ((row == NULL || strncmp (row->key, "once/", 5) != 0)
+         && s->net->now_ms < until_ms)
     {
       fake_net_next (s->net);
-      for (uint32_t i = 0; i < s->net->table.count; i++)
-        rows += strncmp (s->net->table.rows[i].key, "once/", 5) == 0;
+      row = fake_table_from (&s->net->table, "once/");
     }
-  proof_expect (s, rows > 0, "no row was written");
+  proof_expect (s, row != NULL && strncmp (row->key, "once/", 5) == 0,
+                "no row was written");
 }
 
 /* A member redeems a voucher at two counters in two data centres at once,
--- a/test/support/fake_table.c
+++ b/test/support/fake_table.c
@@ -1,87 +1,43 @@
 #include "support/fake_table.h"
 
-#include "support/fake_sink.h"
-
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define OBJECT_PREFIX "object:"
 
-/* Index of the first row with a key of at least @key. */
-static uint32_t
-lower_bound (const FakeTable *table, const char *key)
+const MuxRow *
+fake_table_from (const FakeTable *table, const char *key)
 {
-  uint32_t low = 0, high = table->count;
-
-  while (low < high)
-    {
-      uint32_t mid = (low + high) / 2;
-
-      if (strcmp (table->rows[mid].key, key) < 0)
-        low = mid + 1;
-      else
-        high = mid;
-    }
-  return low;
+  return table->rows != NULL ? standin_platform_rows_from (table->rows, key)
+                             : NULL;
 }
 
 const MuxRow *
 fake_table_find (const FakeTable *table, const char *key)
 {
-  uint32_t at = lower_bound (table, key);
-
-  if (at == table->count || strcmp (table->rows[at].key, key) != 0)
-    return NULL;
-  return &table->rows[at];
-}
-
-static void
-remove_row (FakeTable *table, uint32_t at)
-{
-  mux_blob_unref (table->rows[at].value);
-  table->count--;
-  memmove (&table->rows[at], &table->rows[at + 1],
-           (table->count - at) * sizeof table->rows[0]);
-}
+  const MuxRow *row = fake_table_from (table, key);
 
-static void
-insert_row (FakeTable *table, uint32_t at, const char *key)
-{
-  table->rows = fake_sink_grow (table->rows, table->count, &table->cap,
-                                sizeof table->rows[0]);
-  memmove (&table->rows[at + 1], &table->rows[at],
-           (table->count - at) * sizeof table->rows[0]);
-  table->count++;
-  table->rows[at] = (MuxRow){ 0 };
-  snprintf (table->rows[at].key, MUX_ROW_KEY_LEN, "%s", key);
+  return row != NULL && strcmp (row->key, key) == 0 ? row : NULL;
 }
 
 static void
 put_row (FakeTable *table, const char *key, MuxBlob *value)
 {
-  uint32_t at = lower_bound (table, key);
-  bool found = at < table->count && strcmp (table->rows[at].key, key) == 0;
-
+  if (table->rows == NULL)
+    table->rows = standin_platform_rows_new ();
+  if (table->rows == NULL)
+    abort ();
   if (value == NULL)
-    {
-      if (found)
-        remove_row (table, at);
-      return;
-    }
-  if (!found)
-    insert_row (table, at, key);
-  mux_blob_unref (table->rows[at].value);
-  table->rows[at].value = mux_blob_ref (value);
-  table->rows[at].rev = table->rev;
+    standin_platform_rows_remove (table->rows, key);
+  else if (!standin_platform_rows_put (table->rows, key, table->rev, value))
+    abort ();
 }
 
 void
 fake_table_clear (FakeTable *table)
 {
-  while (table->count > 0)
-    remove_row (table, table->count - 1);
-  free (table->rows);
+  standin_platform_rows_free (table->rows);
   *table = (FakeTable){ 0 };
 }
 
@@ -155,13 +111,11 @@
   MuxTableReply *reply = mux_table_reply_new (call, MUX_TABLE_OK, call->limit);
   const char *prefix = call->rows[0].key;
   const char *after = call->rows[1].key;
-  uint32_t at = lower_bound (table, *after != 0 ? after : prefix);
+  const MuxRow *row = fake_table_from (table, *after != 0 ? after : prefix);
 
   reply->row_count = 0;
-  for (; at < table->count; at++)
+  for (; row != NULL; row = standin_platform_rows_next (row))
     {
-      const MuxRow *row = &table->rows[at];
-
       if (strcmp (row->key, after) == 0)
         continue;
       if (strncmp (row->key, prefix, strlen (prefix)) != 0)
--- a/test/support/fake_table.h
+++ b/test/support/fake_table.h
@@ -1,7 +1,7 @@
 #ifndef SUPPORT_FAKE_TABLE_H
 #define SUPPORT_FAKE_TABLE_H
 
-#include "port/table.h"
+#include "standin/platform_rows.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -13,8 +13,7 @@
  *   shows that a test which relies on them fails without
  * @calls: calls carried out
  * @rev: revision given last
- * @count: rows
- * @rows: in key order; objects have "object:" before their key
+ * @rows: in key order, NULL at first; objects have "object:" before their key
  */
 typedef struct
 {
@@ -22,9 +21,7 @@
   bool ignore_conditions;
   uint64_t calls;
   uint64_t rev;
-  uint32_t count;
-  uint32_t cap;
-  MuxRow *rows;
+  StandinRows *rows;
 } FakeTable;
 
 void fake_table_clear (FakeTable *table);
@@ -32,5 +29,8 @@
 MuxTableReply *fake_table_call (FakeTable *table, const MuxTableCall *call);
 /** fake_table_find() - NULL: no such row */
 const MuxRow *fake_table_find (const FakeTable *table, const char *key);
+/** fake_table_from() - first row with a key of at least @key, or NULL; the
+ *  others follow by standin_platform_rows_next() */
+const MuxRow *fake_table_from (const FakeTable *table, const char *key);
 
 #endif
--- a/test/support/scenario_check.c
+++ b/test/support/scenario_check.c
@@ -279,11 +279,10 @@
 static void
 print_rows (const Scenario *s, const char *hex)
 {
-  for (uint32_t i = 0; i < s->net->table.count; i++)
-    if (strstr (s->net->table.rows[i].key, hex) != NULL)
-      printf ("%s %.*s\n", s->net->table.rows[i].key,
-              (int) s->net->table.rows[i].value->len,
-              s->net->table.rows[i].value->bytes);
+  for (const MuxRow *row = fake_table_from (&s->net->table, ""); row != NULL;
+       row = standin_platform_rows_next (row))
+    if (strstr (row->key, hex) != NULL)
+      printf ("%s %.*s\n", row->key, (int) row->value->len, row->value->bytes);
 }
 
 static void
