Show a golden difference by what lies between equal ends

The longest common subsequence of a session and its file made the difference smaller and took 60 lines; lines before, between and after the first and the last difference are enough to see it.

--- a/test/support/golden.c
+++ b/test/support/golden.c
@@ -35,105 +35,32 @@
   return lines;
 }
 
-/* Length of the longest common subsequence of the lines from each pair of
- * positions on, for the part that differs. */
-static uint32_t *
-common_lengths (char *const *a, uint32_t n, char *const *b, uint32_t m)
-{
-  size_t width = (size_t) m + 1;
-  uint32_t *len = calloc (((size_t) n + 1) * width, sizeof *len);
-
-  assert_non_null (len);
-  for (uint32_t i = n; i-- > 0;)
-    for (uint32_t j = m; j-- > 0;)
-      {
-        uint32_t down = len[(i + 1) * width + j],
-                 right = len[i * width + j + 1];
-
-        len[i * width + j] = strcmp (a[i], b[j]) == 0
-                                 ? len[(i + 1) * width + j + 1] + 1
-                                 : (down > right ? down : right);
-      }
-  return len;
-}
-
-/* Prints lines, leaving out those that stand CONTEXT lines away from any
- * difference. */
-typedef struct
-{
-  const char *held[CONTEXT];
-  uint32_t held_count;
-  uint32_t after;
-  uint32_t line;
-  bool open;
-} Hunks;
-
-static void
-print_same (Hunks *hunks, const char *line)
-{
-  hunks->line++;
-  if (hunks->after > 0)
-    {
-      hunks->after--;
-      fprintf (stderr, " %s\n", line);
-      return;
-    }
-  if (hunks->held_count == CONTEXT)
-    {
-      memmove (hunks->held, hunks->held + 1,
-               sizeof hunks->held[0] * (CONTEXT - 1));
-      hunks->held_count--;
-      hunks->open = false;
-    }
-  hunks->held[hunks->held_count++] = line;
-}
-
 static void
-print_changed (Hunks *hunks, char mark, const char *line)
+print_lines (const char *mark, Lines lines, uint32_t from, uint32_t to)
 {
-  if (!hunks->open)
-    fprintf (stderr, "@@ line %u @@\n", hunks->line - hunks->held_count + 1);
-  for (uint32_t i = 0; i < hunks->held_count; i++)
-    fprintf (stderr, " %s\n", hunks->held[i]);
-  hunks->held_count = 0;
-  hunks->after = CONTEXT;
-  hunks->open = true;
-  hunks->line += mark == '-';
-  fprintf (stderr, "%c%s\n", mark, line);
+  for (uint32_t i = from; i < to && i < lines.count; i++)
+    fprintf (stderr, "%s%s\n", mark, lines.line[i]);
 }
 
+/* What lies between the lines that both have at the beginning and those that
+ * both have at the end, with some lines around it. */
 static void
 print_diff (Lines a, Lines b)
 {
-  uint32_t head = 0, tail = 0, i = 0, j = 0, n, m, *len;
-  Hunks hunks = { .open = false };
+  uint32_t head = 0, tail = 0;
 
   while (head < a.count && head < b.count
          && strcmp (a.line[head], b.line[head]) == 0)
-    print_same (&hunks, a.line[head++]);
+    head++;
   while (head + tail < a.count && head + tail < b.count
          && strcmp (a.line[a.count - tail - 1], b.line[b.count - tail - 1])
                 == 0)
     tail++;
-  n = a.count - head - tail;
-  m = b.count - head - tail;
-  len = common_lengths (a.line + head, n, b.line + head, m);
-  while (i < n || j < m)
-    if (i < n && j < m && strcmp (a.line[head + i], b.line[head + j]) == 0)
-      {
-        print_same (&hunks, a.line[head + i++]);
-        j++;
-      }
-    else if (i < n
-             && (j == m
-                 || len[(i + 1) * ((size_t) m + 1) + j]
-                        >= len[i * ((size_t) m + 1) + j + 1]))
-      print_changed (&hunks, '-', a.line[head + i++]);
-    else
-      print_changed (&hunks, '+', b.line[head + j++]);
-  for (i = 0; i < tail && hunks.after > 0; i++)
-    print_same (&hunks, a.line[head + n + i]);
-  free (len);
+  fprintf (stderr, "@@ line %u @@\n", head + 1);
+  print_lines (" ", a, head > CONTEXT ? head - CONTEXT : 0, head);
+  print_lines ("-", a, head, a.count - tail);
+  print_lines ("+", b, head, b.count - tail);
+  print_lines (" ", a, a.count - tail, a.count - tail + CONTEXT);
 }
 
 static char *
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -27,20 +27,22 @@
   { "url", "CUMINMUX_URL", MUX_SETTING_URL, "", 0, 0, "", "a URL" },
 };
 
+/* Of the last READ. */
+static MuxFindings findings;
+
 static MuxSettings *
-read_argv (MuxFindings *findings, const char *const *argv)
+read_argv (const char *const *argv)
 {
   char *copy[16] = { (char *) (uintptr_t) "prog" };
   int argc = 1;
 
-  memset (findings, 0, sizeof *findings);
+  memset (&findings, 0, sizeof findings);
   for (; argv[argc - 1] != NULL; argc++)
     copy[argc] = (char *) (uintptr_t) argv[argc - 1];
-  return mux_settings_read (specs, SPEC_COUNT, argc, copy, findings);
+  return mux_settings_read (specs, SPEC_COUNT, argc, copy, &findings);
 }
 
-#define READ(findings, ...) \
-  read_argv (findings, (const char *const[]){ __VA_ARGS__, NULL })
+#define READ(...) read_argv ((const char *const[]){ __VA_ARGS__, NULL })
 
 static int
 clear_environment (void **state)
@@ -53,19 +55,25 @@
 }
 
 static bool
-has_place (const MuxFindings *findings, const char *place)
+has_place (const char *place)
 {
-  for (uint32_t i = 0; i < findings->count; i++)
-    if (strcmp (findings->item[i].place, place) == 0)
+  for (uint32_t i = 0; i < findings.count; i++)
+    if (strcmp (findings.item[i].place, place) == 0)
       return true;
   return false;
 }
 
+static void
+expect_one (const char *place)
+{
+  assert_int_equal (findings.count, 1);
+  assert_string_equal (findings.item[0].place, place);
+}
+
 static void
 test_defaults (void **state)
 {
-  MuxFindings findings;
-  MuxSettings *settings = READ (&findings, "--name=a");
+  MuxSettings *settings = READ ("--name=a");
   uint32_t count;
 
   (void) state;
@@ -83,7 +91,6 @@
 static void
 test_flag_goes_before_environment (void **state)
 {
-  MuxFindings findings;
   MuxSettings *settings;
 
   (void) state;
@@ -91,7 +98,7 @@
   setenv ("CUMINMUX_COUNT_MAX", "11", 1);
   setenv ("CUMINMUX_VERBOSE", "1", 1);
   setenv ("CUMINMUX_SECRET", "hush", 1);
-  settings = READ (&findings, "--name", "of-flag");
+  settings = READ ("--name", "of-flag");
   assert_non_null (settings);
   assert_string_equal (mux_settings_text (settings, NAME), "of-flag");
   assert_int_equal (mux_settings_integer (settings, COUNT_MAX), 11);
@@ -103,9 +110,7 @@
 static void
 test_addresses (void **state)
 {
-  MuxFindings findings;
-  MuxSettings *settings
-      = READ (&findings, "--name=a", "--peers=10.0.0.1:1,[::1]:2");
+  MuxSettings *settings = READ ("--name=a", "--peers=10.0.0.1:1,[::1]:2");
   const char *const *address;
   uint32_t count;
 
@@ -123,23 +128,24 @@
 static void
 test_all_findings_at_once (void **state)
 {
-  MuxFindings findings;
+  static const char *const places[] = { "--name",
+                                        "--listen",
+                                        "CUMINMUX_COUNT_MAX",
+                                        "--peers",
+                                        "CUMINMUX_VERBOSE",
+                                        "--url",
+                                        "CUMINMUX_NONSENSE",
+                                        "--bogus",
+                                        "stray" };
 
   (void) state;
   setenv ("CUMINMUX_NONSENSE", "1", 1);
   setenv ("CUMINMUX_COUNT_MAX", "21", 1);
   setenv ("CUMINMUX_VERBOSE", "yes", 1);
-  assert_null (READ (&findings, "--listen=localhost:80", "--peers=1.2.3.4:x,",
+  assert_null (READ ("--listen=localhost:80", "--peers=1.2.3.4:x,",
                      "--url=ftp://1.2.3.4:5", "--bogus=1", "stray"));
-  assert_true (has_place (&findings, "--name"));
-  assert_true (has_place (&findings, "--listen"));
-  assert_true (has_place (&findings, "CUMINMUX_COUNT_MAX"));
-  assert_true (has_place (&findings, "--peers"));
-  assert_true (has_place (&findings, "CUMINMUX_VERBOSE"));
-  assert_true (has_place (&findings, "--url"));
-  assert_true (has_place (&findings, "CUMINMUX_NONSENSE"));
-  assert_true (has_place (&findings, "--bogus"));
-  assert_true (has_place (&findings, "stray"));
+  for (size_t i = 0; i < sizeof places / sizeof places[0]; i++)
+    assert_true (has_place (places[i]));
   /* Two entries of --peers are wrong. */
   assert_int_equal (findings.count, 10);
 }
@@ -147,12 +153,9 @@
 static void
 test_given_twice (void **state)
 {
-  MuxFindings findings;
-
   (void) state;
-  assert_null (READ (&findings, "--name=a", "--name=b"));
-  assert_int_equal (findings.count, 1);
-  assert_string_equal (findings.item[0].place, "--name");
+  assert_null (READ ("--name=a", "--name=b"));
+  expect_one ("--name");
 }
 
 static void
@@ -166,20 +169,18 @@
                                      "--count-max=12x",
                                      "--count-max=99999999999999999999",
                                      "--count-max=-12" };
-  MuxFindings findings;
   MuxSettings *settings;
 
   (void) state;
   for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
     {
-      assert_null (READ (&findings, "--name=a", bad[i]));
-      assert_int_equal (findings.count, 1);
-      assert_string_equal (findings.item[0].place, "--count-max");
+      assert_null (READ ("--name=a", bad[i]));
+      expect_one ("--count-max");
     }
-  settings = READ (&findings, "--name=a", "--count-max=10");
+  settings = READ ("--name=a", "--count-max=10");
   assert_non_null (settings);
   mux_settings_free (settings);
-  settings = READ (&findings, "--name=a", "--count-max=20");
+  settings = READ ("--name=a", "--count-max=20");
   assert_non_null (settings);
   mux_settings_free (settings);
 }
@@ -189,27 +190,24 @@
 static void
 test_secret_has_no_flag (void **state)
 {
-  MuxFindings findings;
-
   (void) state;
-  assert_null (READ (&findings, "--name=a", "--secret=hush"));
-  assert_int_equal (findings.count, 1);
-  assert_string_equal (findings.item[0].place, "--secret");
+  assert_null (READ ("--name=a", "--secret=hush"));
+  expect_one ("--secret");
   assert_null (strstr (findings.item[0].text, "hush"));
 }
 
 int
 main (void)
 {
+#define SETTINGS(test) cmocka_unit_test_setup (test, clear_environment)
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test_setup (test_defaults, clear_environment),
-    cmocka_unit_test_setup (test_flag_goes_before_environment,
-                            clear_environment),
-    cmocka_unit_test_setup (test_addresses, clear_environment),
-    cmocka_unit_test_setup (test_all_findings_at_once, clear_environment),
-    cmocka_unit_test_setup (test_given_twice, clear_environment),
-    cmocka_unit_test_setup (test_integer_ranges, clear_environment),
-    cmocka_unit_test_setup (test_secret_has_no_flag, clear_environment),
+    SETTINGS (test_defaults),
+    SETTINGS (test_flag_goes_before_environment),
+    SETTINGS (test_addresses),
+    SETTINGS (test_all_findings_at_once),
+    SETTINGS (test_given_twice),
+    SETTINGS (test_integer_ranges),
+    SETTINGS (test_secret_has_no_flag),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_spec.c
+++ b/test/unit/test_spec.c
@@ -16,9 +16,11 @@
   return json;
 }
 
-/* Reads @text as a class; "place: text" of each finding, a line each. */
+/* "place: text" of each finding of the last class, a line each. */
+static char found[2048];
+
 static bool
-read_class (const char *text, MuxClassSpec *spec, char *found, size_t cap)
+read_class (const char *text, MuxClassSpec *spec)
 {
   static MuxFindings findings;
   json_t *json = parse (text);
@@ -30,7 +32,7 @@
   json_decref (json);
   found[0] = 0;
   for (uint32_t i = 0; i < findings.count; i++)
-    used += (size_t) snprintf (found + used, cap - used, "%s: %s\n",
+    used += (size_t) snprintf (found + used, sizeof found - used, "%s: %s\n",
                                findings.item[i].place, findings.item[i].text);
   assert_int_equal (ok, findings.count == 0);
   return ok;
@@ -40,12 +42,11 @@
 test_class_round_trip (void **state)
 {
   MuxClassSpec spec = { .name = "seats" };
-  char found[1024];
   json_t *json;
   json_t *same = parse (CLASS);
 
   (void) state;
-  assert_true (read_class (CLASS, &spec, found, sizeof found));
+  assert_true (read_class (CLASS, &spec));
   assert_string_equal (spec.name, "seats");
   assert_string_equal (spec.product, "booking");
   assert_int_equal (spec.kind, MUX_KIND_GANG);
@@ -62,14 +63,13 @@
 test_share_has_a_default (void **state)
 {
   MuxClassSpec spec = { .name = "" };
-  char found[1024];
 
   (void) state;
   assert_true (read_class (
       "{\"product\":\"p\",\"kind\":\"service\",\"idempotent\":true,"
       "\"start_within_ms\":1,\"size\":{\"cpu_milli\":0,\"mem_mib\":0,"
       "\"accels\":0},\"run_ms\":0}",
-      &spec, found, sizeof found));
+      &spec));
   assert_int_equal (spec.start_share_ppm, 990000);
   assert_true (spec.idempotent);
 }
@@ -78,10 +78,9 @@
 test_all_missing_fields_are_found (void **state)
 {
   MuxClassSpec spec;
-  char found[1024];
 
   (void) state;
-  assert_false (read_class ("{}", &spec, found, sizeof found));
+  assert_false (read_class ("{}", &spec));
   assert_string_equal (found, "class.product: missing\n"
                               "class.kind: missing\n"
                               "class.idempotent: missing\n"
@@ -94,7 +93,6 @@
 test_all_wrong_fields_are_found (void **state)
 {
   MuxClassSpec spec;
-  char found[2048];
 
   (void) state;
   assert_false (read_class (
@@ -102,7 +100,7 @@
       "\"start_within_ms\":0,\"start_share_ppm\":1000001,"
       "\"size\":{\"cpu_milli\":-1,\"mem_mib\":1.5,\"accels\":65,\"slots\":1},"
       "\"run_ms\":604800001,\"weight\":3}",
-      &spec, found, sizeof found));
+      &spec));
   assert_string_equal (
       found, "class.weight: unknown field\n"
              "class.product: must be a name of 1 to 47 of a-z A-Z 0-9 . _ -\n"
@@ -121,7 +119,6 @@
 test_bounds_are_inclusive (void **state)
 {
   MuxClassSpec spec;
-  char found[1024];
 
   (void) state;
   assert_true (read_class (
@@ -129,13 +126,13 @@
       "\"start_within_ms\":604800000,\"start_share_ppm\":1000000,"
       "\"size\":{\"cpu_milli\":1024000,\"mem_mib\":16777216,\"accels\":64},"
       "\"run_ms\":604800000}",
-      &spec, found, sizeof found));
+      &spec));
   assert_false (read_class (
       "{\"product\":\"p\",\"kind\":\"batch\",\"idempotent\":true,"
       "\"start_within_ms\":604800001,\"start_share_ppm\":0,"
       "\"size\":{\"cpu_milli\":1024001,\"mem_mib\":16777217,\"accels\":0},"
       "\"run_ms\":0}",
-      &spec, found, sizeof found));
+      &spec));
   assert_string_equal (
       found, "class.start_within_ms: must be 1 to 604800000, not 604800001\n"
              "class.start_share_ppm: must be 1 to 1000000, not 0\n"
@@ -147,10 +144,9 @@
 test_not_an_object (void **state)
 {
   MuxClassSpec spec;
-  char found[256];
 
   (void) state;
-  assert_false (read_class ("[]", &spec, found, sizeof found));
+  assert_false (read_class ("[]", &spec));
   assert_string_equal (found, "class: must be an object\n");
 }
 
