--- a/test/support/scenario_check.c
+++ b/test/support/scenario_check.c
@@ -100,13 +100,8 @@
   s->booked[worker] = mux_size_add (s->booked[worker], run.size);
   if (!mux_size_fits (s->booked[worker], at->options.capacity))
     scenario_wrong (s, "worker %u holds more than it can", worker);
-  if (s->run_count == s->run_cap)
-    {
-      s->run_cap = s->run_cap * 2 + 64;
-      s->runs = realloc (s->runs, s->run_cap * sizeof *s->runs);
-      if (s->runs == NULL)
-        abort ();
-    }
+  s->runs
+      = fake_sink_grow (s->runs, s->run_count, &s->run_cap, sizeof *s->runs);
   s->runs[s->run_count++] = run;
   s->works[run.tag].runs++;
   s->works[run.tag].running++;
@@ -284,11 +279,10 @@
 static void
 print_rows (const Scenario *s, const char *hex)
 {
-  for (uint32_t i = 0; i < s->net->table.count; i++)
-    if (strstr (s->net->table.rows[i].key, hex) != NULL)
-      printf ("%s %.*s\n", s->net->table.rows[i].key,
-              (int) s->net->table.rows[i].value->len,
-              s->net->table.rows[i].value->bytes);
+  for (const MuxRow *row = fake_table_from (&s->net->table, ""); row != NULL;
+       row = standin_platform_rows_next (row))
+    if (strstr (row->key, hex) != NULL)
+      printf ("%s %.*s\n", row->key, (int) row->value->len, row->value->bytes);
 }
 
 static void
