Send back asks that their home does not repeat

Cause: a home gives up an ask (its job went to another, its gang asks anew) and the word is lost. Left in the owner's queue is a member of a gang whose others are gone: it is never placed and stays for as long as its ask says, up to an hour. The owner tells that it has a queue, and homes then take it for busy.

Ruled out: asks of dead homes (those are voided when the home is lost).

A home that waits repeats its ask every second or two, so what is not repeated in four looks, 5 s apart, is sent back with peer_silent. It counts looks, not time, so that a pause of the owner itself, in which no repeat can come, does not void all its asks.

--- a/src/core/core_private.h
+++ b/src/core/core_private.h
@@ -52,6 +52,7 @@
   int64_t next_workers_ms;
   int64_t next_calls_ms;
   int64_t recheck_ms; /* of asks that may fit nowhere any more; 0: not due */
+  int64_t unheard_ms; /* next look for asks that are not repeated */
   bool stopping;
   bool stopped;
   bool pumping;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -127,6 +127,7 @@
       return;
     }
   grant->ask.from_incarnation = ask->from_incarnation;
+  grant->unheard = 0;
   if (grant->placed)
     send_grant (core, grant);
 }
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -11,6 +11,7 @@
   bool placed;          /* booked; otherwise it waits in the scheduler */
   bool seen;            /* the worker listed it as started */
   uint32_t sends;       /* times that the home was told */
+  uint32_t unheard;     /* looks since the home asked last, not placed */
   Worker *worker;       /* where, once placed */
   uint64_t epoch;       /* claim under which it was granted */
   int64_t not_after_ms; /* last moment of its start, worker's clock */
@@ -43,7 +44,8 @@
 void owner_home_lost (MuxCore *core, const char *home, uint64_t incarnation);
 /** owner_recheck_later() - a worker was lost: see what can't be placed now */
 void owner_recheck_later (MuxCore *core);
-/** owner_recheck() - send back what no usable worker could hold, if due */
+/** owner_recheck() - send back what no usable worker could hold and what its
+ * home does not repeat, if due */
 void owner_recheck (MuxCore *core);
 void owner_free (MuxCore *core);
 
--- a/src/core/owner_recheck.c
+++ b/src/core/owner_recheck.c
@@ -7,6 +7,11 @@
 /* After a worker was lost, so that a claim or answer that is on its way can
  * bring it back first. */
 #define RECHECK_MS 1000
+/* Between looks for asks that are not repeated, and how many of them in a row
+ * make an ask void: looks, not time, so that this daemon's own pause, in which
+ * no repeat could come, counts as one. */
+#define UNHEARD_MS 5000
+#define UNHEARD_MAX 4
 
 void
 owner_recheck_later (MuxCore *core)
@@ -51,6 +56,51 @@
   return could_hold (core, size, count) < count;
 }
 
+static bool
+unheard (const MuxCore *core, const Grant *grant)
+{
+  (void) core;
+  return !grant->placed && grant->unheard >= UNHEARD_MAX;
+}
+
+static void
+send_back_all (MuxCore *core,
+               bool (*chosen) (const MuxCore *core, const Grant *grant),
+               MuxReason reason)
+{
+  uint32_t count = 0;
+  Grant *grant, *next;
+  MuxId *ids = malloc ((HASH_COUNT (core->grants) + 1) * sizeof *ids);
+
+  if (ids == NULL)
+    return;
+  HASH_ITER (hh, core->grants, grant, next)
+  if (chosen (core, grant))
+    ids[count++] = grant->task;
+  /* A refusal may end other asks of a home in this daemon. */
+  for (uint32_t i = 0; i < count; i++)
+    owner_send_back (core, ids[i], reason);
+  free (ids);
+}
+
+/*
+ * Failure: a home gives up an ask and its word is lost.  A task that is alone
+ * is placed some day and its grant runs out; a member of a gang whose others
+ * are gone waits here for as long as its ask says, up to an hour, and to all
+ * homes this daemon seems to have a queue.  A home that still wants it repeats
+ * its ask every second or two, so what is not repeated is sent back.
+ */
+static void
+drop_unheard (MuxCore *core)
+{
+  if (core->now_ms < core->unheard_ms)
+    return;
+  core->unheard_ms = core->now_ms + UNHEARD_MS;
+  for (Grant *grant = core->grants; grant != NULL; grant = grant->hh.next)
+    grant->unheard++;
+  send_back_all (core, unheard, MUX_REASON_PEER_SILENT);
+}
+
 /*
  * Failure: an owner loses its workers to another one, or they fall silent,
  * while asks wait with it.  To their homes it still lives and repeats cost it
@@ -60,21 +110,9 @@
 void
 owner_recheck (MuxCore *core)
 {
-  uint32_t count = 0;
-  Grant *grant, *next;
-  MuxId *ids;
-
+  drop_unheard (core);
   if (core->recheck_ms == 0 || core->now_ms < core->recheck_ms)
     return;
   core->recheck_ms = 0;
-  ids = malloc ((HASH_COUNT (core->grants) + 1) * sizeof *ids);
-  if (ids == NULL)
-    return;
-  HASH_ITER (hh, core->grants, grant, next)
-  if (hopeless (core, grant))
-    ids[count++] = grant->task;
-  /* A refusal may end other asks of a home in this daemon. */
-  for (uint32_t i = 0; i < count; i++)
-    owner_send_back (core, ids[i], MUX_REASON_NO_WORKERS);
-  free (ids);
+  send_back_all (core, hopeless, MUX_REASON_NO_WORKERS);
 }
