Count refusals for want of room in the outlook of a class

Such a refusal now counts as a start outside the target in what was seen of late; refusals for other reasons don't.

--- a/src/policy/admit.c
+++ b/src/policy/admit.c
@@ -185,6 +185,16 @@
   return false;
 }
 
+/* Failure: a class whose tasks are all refused starts nothing, has nothing
+ * waiting, and would look as if its targets were met.  A refusal for want of
+ * room therefore counts as a start outside the target. */
+static bool
+refused_for_load (MuxReason reason)
+{
+  return reason == MUX_REASON_DEADLINE || reason == MUX_REASON_OVERLOAD
+         || reason == MUX_REASON_QUOTA || reason == MUX_REASON_QUEUE_FULL;
+}
+
 MuxVerdict
 mux_sched_submit (MuxSched *sched, const MuxTaskAsk *ask, int64_t now_ms)
 {
@@ -196,6 +206,8 @@
   /* What is refused is demand all the same, for the reserve and forecasts. */
   if (class != NULL && reason != MUX_REASON_KEY_IN_USE)
     class->arrivals.ticked++;
+  if (refused_for_load (reason))
+    class->starts.ticked++;
   if (reason == MUX_REASON_NONE || reason == MUX_REASON_UNKNOWN_CLASS
       || reason == MUX_REASON_NEVER_FITS)
     return (MuxVerdict){ .reason = reason };
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -165,7 +165,7 @@
  * @tried: for each lane, decision in which its head could not be placed
  * @urgent: a short wait is promised; others yield to it
  * @arrivals: tasks that asked
- * @starts: tasks placed, or dropped
+ * @starts: tasks placed, or refused for want of room
  * @inside: tasks placed inside the promised wait
  * @run_hist: run times, the declared one as prior
  * @run_mean_ms: their mean
