Test that who would wait behind the late ones is refused at once

Story: a hundred settlements are late and more are due than can start in time; a new one would be dropped after its whole time to give up. With the wait taken from the queue's length alone the test fails (tried): it is taken in; one with time enough is taken in either way.

--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -124,6 +124,40 @@
   assert_int_equal (starts[1], 2);
 }
 
+/*
+ * A hundred settlements are late and more are due than can start in time.  A
+ * new one would become late itself and, behind the hundred, be dropped after
+ * its whole time to give up.  It must hear so at once; one that has the time
+ * is taken in.
+ */
+static void
+test_refused_behind_late (void **state)
+{
+  Cell *cell = *state;
+  MuxVerdict verdict;
+
+  open_two (cell, 1);
+  for (int i = 0; i < 4; i++)
+    cell_start (cell, "batch");
+  for (int i = 0; i < 100; i++)
+    {
+      cell_ask_for (cell, "batch", 400000, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  cell->now_ms += 10001;
+  cell_idle (cell);
+  for (int i = 0; i < 40; i++)
+    {
+      cell_ask_for (cell, "batch", 400000, &verdict);
+      assert_int_equal (verdict.reason, MUX_REASON_NONE);
+    }
+  cell_ask_for (cell, "batch", 60000, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
+  assert_true (verdict.retry_ms > 0);
+  cell_ask_for (cell, "batch", 400000, &verdict);
+  assert_int_equal (verdict.reason, MUX_REASON_NONE);
+}
+
 /*
  * A caller that can't be served by its time to give up must hear so at that
  * moment, with a time to come back, and not wait for a slot to get free.
@@ -320,6 +354,7 @@
     CELL_TEST (test_quota_lent_and_returned),
     CELL_TEST (test_job_on_empty_cell),
     CELL_TEST (test_class_removed),
+    CELL_TEST (test_refused_behind_late),
     cmocka_unit_test (test_wave_of_cancellations),
   };
 
