--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -8,7 +8,7 @@
 #define CARRY_MS 1000
 /* From hearing a daemon for the first time to a look through the open jobs:
  * the others that live must have been heard by then. */
-#define NEWCOMER_MS 3000
+#define NEWCOMER_MS INT64_C (3000)
 
 Jobs *
 jobs_new (void)
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -33,7 +33,7 @@
 	$(STEP) proofs tools/run-tests $(PROOF)
 
 check-format:
-	clang-format --dry-run -Werror $(SOURCES)
+	@clang-format --dry-run -Werror $(SOURCES)
 
 # One process per file, CHECK_JOBS at a time.
 check-tidy:
