Take the cell of two scheduler tests from cmocka like the others

The tests of refusals were written before cells came from the set-up of cmocka; they opened and closed their own. Steps and assertions are the same.

--- a/test/unit/test_sched_order.c
+++ b/test/unit/test_sched_order.c
@@ -133,34 +133,29 @@
 static void
 test_refused_behind_late (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxVerdict verdict;
 
-  (void) state;
-  open_two (&cell, 1);
+  open_two (cell, 1);
   for (int i = 0; i < 4; i++)
-    {
-      cell_ask (&cell, "batch");
-      cell_place (&cell);
-    }
+    cell_start (cell, "batch");
   for (int i = 0; i < 100; i++)
     {
-      cell_ask_for (&cell, "batch", 400000, &verdict);
+      cell_ask_for (cell, "batch", 400000, &verdict);
       assert_int_equal (verdict.reason, MUX_REASON_NONE);
     }
-  cell.now_ms += 10001;
-  cell_idle (&cell);
+  cell->now_ms += 10001;
+  cell_idle (cell);
   for (int i = 0; i < 40; i++)
     {
-      cell_ask_for (&cell, "batch", 400000, &verdict);
+      cell_ask_for (cell, "batch", 400000, &verdict);
       assert_int_equal (verdict.reason, MUX_REASON_NONE);
     }
-  cell_ask_for (&cell, "batch", 60000, &verdict);
+  cell_ask_for (cell, "batch", 60000, &verdict);
   assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
   assert_true (verdict.retry_ms > 0);
-  cell_ask_for (&cell, "batch", 400000, &verdict);
+  cell_ask_for (cell, "batch", 400000, &verdict);
   assert_int_equal (verdict.reason, MUX_REASON_NONE);
-  cell_close (&cell);
 }
 
 /*
@@ -359,7 +354,7 @@
     CELL_TEST (test_quota_lent_and_returned),
     CELL_TEST (test_job_on_empty_cell),
     CELL_TEST (test_class_removed),
-    cmocka_unit_test (test_refused_behind_late),
+    CELL_TEST (test_refused_behind_late),
     cmocka_unit_test (test_wave_of_cancellations),
   };
 
--- a/test/unit/test_sched_risk.c
+++ b/test/unit/test_sched_risk.c
@@ -118,32 +118,27 @@
 static void
 test_refused_is_at_risk (void **state)
 {
-  Cell cell;
+  Cell *cell = *state;
   MuxClassSpec spec = cell_class ("batch", MUX_KIND_BATCH, 10000);
   MuxVerdict verdict;
   MuxPlacement placed;
 
-  (void) state;
-  cell_open (&cell, 1);
-  cell_set (&cell, &spec);
+  cell_open (cell, 1);
+  cell_set (cell, &spec);
   for (int i = 0; i < 4; i++)
+    cell_start (cell, "batch");
+  assert_false (risk_of (cell, "batch").at_risk);
+  while (cell->now_ms < 5000)
     {
-      cell_ask (&cell, "batch");
-      cell_place (&cell);
-    }
-  assert_false (risk_of (&cell, "batch").at_risk);
-  while (cell.now_ms < 5000)
-    {
-      cell.now_ms += 100;
-      while (mux_sched_next (cell.sched, cell.now_ms, &placed))
+      cell->now_ms += 100;
+      while (mux_sched_next (cell->sched, cell->now_ms, &placed))
         assert_int_equal (placed.worker, MUX_NO_WORKER);
       do
-        cell_ask_for (&cell, "batch", 100, &verdict);
+        cell_ask_for (cell, "batch", 100, &verdict);
       while (verdict.reason == MUX_REASON_NONE);
       assert_int_equal (verdict.reason, MUX_REASON_OVERLOAD);
     }
-  assert_true (risk_of (&cell, "batch").at_risk);
-  cell_close (&cell);
+  assert_true (risk_of (cell, "batch").at_risk);
 }
 
 int
@@ -152,7 +147,7 @@
   const struct CMUnitTest tests[] = {
     CELL_TEST (test_flagged_before_missed),
     CELL_TEST (test_quota_binds),
-    cmocka_unit_test (test_refused_is_at_risk),
+    CELL_TEST (test_refused_is_at_risk),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
