Cut a connection in one way in both stand-ins

The worker's stand-in kept a table of open connections to find the one to cut; the platform's notes it on the connection's own thread, which both do now. Three runs of the 66 tests of stand-ins and adapters: all pass, as before.

--- a/test/standin/listen.c
+++ b/test/standin/listen.c
@@ -12,6 +12,10 @@
 #define CONNECTIONS_MAX 8192
 #define STACK_BYTES ((intptr_t) 256 * 1024)
 
+/* Each connection has a thread, so this belongs to the connection whose
+ * request is being handled. */
+static _Thread_local int connection_fd = -1;
+
 static bool
 parse (const char *address, struct sockaddr_in *in)
 {
@@ -69,22 +73,33 @@
   return fd;
 }
 
+/* Called on a connection's thread before each of its requests. */
+static void *
+note_connection (void *cls, const char *uri, struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  connection_fd = info != NULL ? info->connect_fd : -1;
+  return ulfius_uri_logger (cls, uri);
+}
+
+void
+standin_cut_connection (void)
+{
+  if (connection_fd >= 0)
+    shutdown (connection_fd, SHUT_RDWR);
+}
+
 bool
-standin_serve (struct _u_instance *http,
-               int fd,
-               StandinUriLog uri_log,
-               MHD_NotifyConnectionCallback notify,
-               void *notify_ctx)
+standin_serve (struct _u_instance *http, int fd)
 {
   struct MHD_OptionItem options[] = {
     { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t) mhd_request_completed, NULL },
-    { MHD_OPTION_URI_LOG_CALLBACK,
-      uri_log != NULL ? (intptr_t) uri_log : (intptr_t) ulfius_uri_logger,
-      NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t) note_connection, NULL },
     { MHD_OPTION_LISTEN_SOCKET, fd, NULL },
     { MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL },
     { MHD_OPTION_THREAD_STACK_SIZE, STACK_BYTES, NULL },
-    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t) notify, notify_ctx },
     { MHD_OPTION_END, 0, NULL },
   };
 
--- a/test/standin/listen.h
+++ b/test/standin/listen.h
@@ -17,18 +17,11 @@
                     char addr[MUX_ADDR_LEN],
                     uint16_t *port,
                     MuxError *err);
-/* Called on a connection's thread before each of its requests; NULL: ulfius'
- * own. */
-typedef void *(*StandinUriLog) (void *cls,
-                                const char *uri,
-                                struct MHD_Connection *connection);
-
-/** standin_serve() - start @http on the listening socket @fd, a thread
- *  for each connection; @notify, if not NULL, is told of connections */
-bool standin_serve (struct _u_instance *http,
-                    int fd,
-                    StandinUriLog uri_log,
-                    MHD_NotifyConnectionCallback notify,
-                    void *notify_ctx);
+/** standin_serve() - start @http on the listening socket @fd, a thread for each
+ *  connection */
+bool standin_serve (struct _u_instance *http, int fd);
+/** standin_cut_connection() - end the connection whose request the calling
+ *  thread handles; its caller gets no answer */
+void standin_cut_connection (void);
 
 #endif
--- a/test/standin/platform_routes.c
+++ b/test/standin/platform_routes.c
@@ -1,12 +1,12 @@
 #include "standin/platform_routes.h"
 
+#include "standin/listen.h"
 #include "standin/platform_codec.h"
 #include "standin/platform_ctl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define CONTENT_ROWS "application/msgpack"
 #define CONTENT_BYTES "application/octet-stream"
@@ -16,30 +16,15 @@
 typedef struct _u_request Request;
 typedef struct _u_response Response;
 
-/* The server runs a thread for each connection, so these belong to the
+/* The server runs a thread for each connection, so this belongs to the
  * connection whose request is being handled. */
-static _Thread_local int connection_fd;
 static _Thread_local uint64_t connection_number;
 
-/* libmicrohttpd calls this on the connection's thread before each request. */
-void *
-standin_platform_note_connection (void *cls,
-                                  const char *uri,
-                                  struct MHD_Connection *connection)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-  connection_fd = info != NULL ? info->connect_fd : -1;
-  return ulfius_uri_logger (cls, uri);
-}
-
 /* The caller sees the connection end without an answer. */
 static int
 close_connection (Response *response)
 {
-  if (connection_fd >= 0)
-    shutdown (connection_fd, SHUT_RDWR);
+  standin_cut_connection ();
   ulfius_set_empty_body_response (response, 500);
   return U_CALLBACK_COMPLETE;
 }
--- a/test/standin/platform_routes.h
+++ b/test/standin/platform_routes.h
@@ -10,10 +10,5 @@
 /** standin_platform_add_routes() - @server outlives @http's run */
 bool standin_platform_add_routes (struct _u_instance *http,
                                   StandinPlatformServerOptions *server);
-/** standin_platform_note_connection() - libmicrohttpd's URI log callback,
- * which it calls on the connection's own thread before each request */
-void *standin_platform_note_connection (void *cls,
-                                        const char *uri,
-                                        struct MHD_Connection *connection);
 
 #endif
--- a/test/standin/platform_server.c
+++ b/test/standin/platform_server.c
@@ -43,8 +43,7 @@
   server->http.allowed_post_processor = U_POST_PROCESS_NONE;
   if (server->initialised
       && standin_platform_add_routes (&server->http, &server->options)
-      && standin_serve (&server->http, fd, standin_platform_note_connection,
-                        NULL, NULL))
+      && standin_serve (&server->http, fd))
     return server;
   mux_error_set (err, MUX_ERROR_IO, "can't start the HTTP server");
   close (fd);
--- a/test/standin/worker_server.c
+++ b/test/standin/worker_server.c
@@ -1,6 +1,5 @@
 #include "standin/worker_server.h"
 
-#include "standin/worker_conn.h"
 #include "standin/worker_fault.h"
 #include "standin/listen.h"
 #include "standin/worker_log.h"
@@ -34,7 +33,6 @@
   bool serving;
   pthread_t ticker;
   bool ticking;
-  StandinConns *conns;
 
   pthread_mutex_t lock; /* guards all below */
   pthread_cond_t due_changed;
@@ -197,7 +195,6 @@
 static void
 serve_call (StandinWorkerServer *server,
             const MuxWorkerCall *call,
-            const struct _u_request *request,
             struct _u_response *response)
 {
   MuxWorkerReply *reply = NULL;
@@ -219,7 +216,7 @@
   pthread_mutex_unlock (&server->lock);
   standin_pause_ms (slow_ms);
   if (cut)
-    standin_worker_conns_cut (server->conns, request->client_address);
+    standin_cut_connection ();
   if (reply == NULL)
     standin_worker_write_status (response, 500, "internal");
   else
@@ -241,7 +238,7 @@
            && strcmp (call.worker, server->options.worker.name) != 0)
     standin_worker_write_status (response, 421, "wrong_worker");
   else
-    serve_call (server, &call, request, response);
+    serve_call (server, &call, response);
   mux_blob_unref (call.body);
   return U_CALLBACK_CONTINUE;
 }
@@ -292,8 +289,7 @@
   ulfius_add_endpoint_by_val (http, "POST", "/worker", "/:verb", 0, on_call,
                               server);
   ulfius_add_endpoint_by_val (http, "POST", "/ctl", NULL, 0, on_ctl, server);
-  server->serving = standin_serve (http, fd, NULL, standin_worker_conns_notify,
-                                   server->conns);
+  server->serving = standin_serve (http, fd);
   if (server->serving)
     return true;
   ulfius_clean_instance (http);
@@ -321,9 +317,8 @@
   standin_cond_init (&server->due_changed);
   standin_cond_init (&server->faults_changed);
   standin_cond_init (&server->waits_changed);
-  server->conns = standin_worker_conns_new ();
   server->worker = standin_worker_new (&server->options.worker);
-  if (server->conns != NULL && server->worker != NULL
+  if (server->worker != NULL
       && pthread_create (&server->ticker, NULL, run_ticker, server) == 0)
     server->ticking = true;
   if (!server->ticking)
@@ -364,7 +359,6 @@
   if (server->ticking)
     pthread_join (server->ticker, NULL);
   standin_worker_free (server->worker);
-  standin_worker_conns_free (server->conns);
   pthread_cond_destroy (&server->due_changed);
   pthread_cond_destroy (&server->faults_changed);
   pthread_cond_destroy (&server->waits_changed);
