--- a/test/standin/worker_wire.c
+++ b/test/standin/worker_wire.c
@@ -1,9 +1,9 @@
 #include "standin/worker_wire.h"
 
-#include <errno.h>
+#include "base/number.h"
+
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 typedef struct
@@ -38,15 +38,9 @@
              uint64_t *out)
 {
   const char *text = u_map_get_case (request->map_header, header);
-  char *end;
 
   *out = 0;
-  if (text == NULL)
-    return true;
-  errno = 0;
-  *out = strtoull (text, &end, 10);
-  return errno == 0 && end != text && *end == 0 && text[0] != '-'
-         && *out <= max;
+  return text == NULL || mux_unsigned_parse (text, max, out);
 }
 
 static bool
--- a/test/support/config_cell.c
+++ b/test/support/config_cell.c
@@ -1,8 +1,6 @@
 #include "support/config_cell.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
+#include "support/test.h"
 
 /* Data centres of the cell, in turn. */
 static const char *const centres[]
@@ -83,6 +81,25 @@
   return cell->answer.status == 200 ? config_cell_number (cell, "revision") : 0;
 }
 
+uint64_t
+config_cell_begin (ConfigCell *cell,
+                   uint64_t seed,
+                   uint32_t nodes,
+                   uint32_t start_ms)
+{
+  char value[256];
+  uint64_t revision;
+
+  config_cell_init (cell, seed, nodes);
+  config_cell_class (value, start_ms);
+  assert_int_not_equal (
+      config_cell_put (cell, 0, MUX_CONFIG_PRODUCT, "kiosk", CONFIG_NO_QUOTA),
+      0);
+  revision = config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  assert_int_not_equal (revision, 0);
+  return revision;
+}
+
 void
 config_cell_class (char out[256], uint32_t start_ms)
 {
--- a/test/support/config_cell.h
+++ b/test/support/config_cell.h
@@ -5,6 +5,9 @@
 
 #include <jansson.h>
 
+#define CONFIG_NO_QUOTA \
+  "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,\"slots\":0}}"
+
 /**
  * struct ConfigCell - a cell whose configuration is asked and changed
  * @net: the daemons
@@ -36,6 +39,12 @@
                           MuxConfigSort sort,
                           const char *name,
                           const char *value);
+/** config_cell_begin() - init, then a product "kiosk" and a class "desk" of it;
+ *  Return: the class's revision */
+uint64_t config_cell_begin (ConfigCell *cell,
+                            uint64_t seed,
+                            uint32_t nodes,
+                            uint32_t start_ms);
 /** config_cell_class() - value of a class that starts within @start_ms */
 void config_cell_class (char out[256], uint32_t start_ms);
 /** config_cell_number() - a field of the last answer's body */
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -2,22 +2,13 @@
 #include "support/test.h"
 
 #define NODES 3
-#define NO_QUOTA \
-  "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,\"slots\":0}}"
 
 /* A cell with the product "kiosk" and the class "desk", in force at all. */
 static uint64_t
 begin (ConfigCell *cell, uint64_t seed)
 {
-  char value[256];
-  uint64_t revision;
+  uint64_t revision = config_cell_begin (cell, seed, NODES, 100);
 
-  config_cell_init (cell, seed, NODES);
-  config_cell_class (value, 100);
-  assert_int_not_equal (
-      config_cell_put (cell, 0, MUX_CONFIG_PRODUCT, "kiosk", NO_QUOTA), 0);
-  revision = config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
-  assert_int_not_equal (revision, 0);
   fake_net_run (cell->net, 1000);
   return revision;
 }
@@ -371,7 +362,7 @@
   bench_init (&bench);
   bench_give (&bench, MUX_EVENT_TICK, NULL);
   bench_reply (&bench, bench_take (&bench, MUX_TABLE_GET, "config/head"), NULL);
-  it.body = mux_blob_new (NO_QUOTA, strlen (NO_QUOTA));
+  it.body = mux_blob_new (CONFIG_NO_QUOTA, strlen (CONFIG_NO_QUOTA));
   bench_give (&bench, MUX_EVENT_ASK, &it);
   bench_reply (&bench, bench_take (&bench, MUX_TABLE_GET, "config/change/"),
                NULL);
@@ -441,7 +432,7 @@
   assert_finding (cell, "idle");
   config_cell_put (cell, 0, MUX_CONFIG_CELL, "other", "{\"idle_ppm\":1}");
   assert_finding (cell, "name");
-  config_cell_put (cell, 0, MUX_CONFIG_PRODUCT, "a/b", NO_QUOTA);
+  config_cell_put (cell, 0, MUX_CONFIG_PRODUCT, "a/b", CONFIG_NO_QUOTA);
   assert_finding (cell, "name");
   ask (cell, 0, MUX_ASK_CONFIG_REMOVE, MUX_CONFIG_PRODUCT, "kiosk");
   assert_finding (cell, "name");
--- a/test/unit/test_config_race.c
+++ b/test/unit/test_config_race.c
@@ -278,17 +278,10 @@
 static uint64_t
 race_begin (Race *race, uint64_t seed)
 {
-  char value[256];
-  uint64_t first;
+  uint64_t first = config_cell_begin (&race->cell, seed, NODES, 1);
 
-  config_cell_init (&race->cell, seed, NODES);
   race->cell.net->hooks.user = race;
   race->cell.net->hooks.answer = answer_came;
-  config_cell_put (&race->cell, 0, MUX_CONFIG_PRODUCT, "kiosk",
-                   "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,"
-                   "\"slots\":0}}");
-  config_cell_class (value, 1);
-  first = config_cell_put (&race->cell, 0, MUX_CONFIG_CLASS, "desk", value);
   for (uint32_t i = 0; i < OPERATORS; i++)
     race->operators[i].seen = first;
   return first;
--- a/test/unit/test_retry_advice.c
+++ b/test/unit/test_retry_advice.c
@@ -33,22 +33,13 @@
 test_final_refusals_invite_nobody_back (void **state)
 {
   ConfigCell cell;
-  char service[256];
 
   (void) state;
-  config_cell_init (&cell, SEED, NODES);
+  config_cell_begin (&cell, SEED, NODES, START_MS);
   config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "a", "{");
   expect_final (&cell, MUX_REASON_BAD_JSON);
   submit (&cell, "nobody", 1);
   expect_final (&cell, MUX_REASON_UNKNOWN_CLASS);
-  config_cell_class (service, START_MS);
-  assert_int_not_equal (
-      config_cell_put (&cell, 0, MUX_CONFIG_PRODUCT, "kiosk",
-                       "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,"
-                       "\"accels\":0,\"slots\":0}}"),
-      0);
-  assert_int_not_equal (
-      config_cell_put (&cell, 0, MUX_CONFIG_CLASS, "desk", service), 0);
   submit (&cell, "desk", 1);
   expect_final (&cell, MUX_REASON_KIND_MISMATCH);
   config_cell_free (&cell);
