Divide tasks and workers by what their files do

No behaviour is changed: functions were moved and some renamed; all unit tests and proofs pass as before.

--- a/src/core/task_private.h
+++ b/src/core/task_private.h
@@ -13,6 +13,11 @@
  * never, as nothing would tell the same work from new */
 uint32_t task_unknown_retry_ms (const Task *task);
 
+/** task_make() - a task that nothing has been done for; NULL: memory is out */
+Task *task_make (MuxCore *core, const TaskOptions *options);
+/** task_add_waiter() - a caller that gets its answer; false: memory is out */
+bool
+task_add_waiter (MuxCore *core, Task *task, uint64_t call, int64_t give_up_ms);
 /** task_request_refused() - answers a request that can't be taken */
 bool task_request_refused (MuxCore *core,
                            const MuxAsk *ask,
--- /dev/null
+++ b/src/core/task_request.c
@@ -0,0 +1,142 @@
+#include "task_private.h"
+
+#include "commit.h"
+#include "config.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Requests as callers bring them. */
+
+/* Wait advised while this daemon has no configuration yet. */
+#define NOT_READY_RETRY_MS 1000
+
+static void
+refuse_request (MuxCore *core,
+                const MuxAsk *ask,
+                MuxReason reason,
+                uint32_t retry_ms)
+{
+  /* Another time or elsewhere the same may be taken, or have been. */
+  bool named = ask->key[0] != 0 || ask->ticket[0] != 0;
+
+  core_answer (core, ask->call,
+               named && mux_reason_passes (reason) ? MUX_OUTCOME_UNKNOWN
+                                                   : MUX_OUTCOME_NOT_RUN,
+               reason, retry_ms, (MuxId){ 0, 0 }, NULL);
+}
+
+static bool
+same_body (const MuxBlob *a, const MuxBlob *b)
+{
+  size_t a_len = a == NULL ? 0 : a->len;
+  size_t b_len = b == NULL ? 0 : b->len;
+
+  return a_len == b_len
+         && (a_len == 0 || memcmp (a->bytes, b->bytes, a_len) == 0);
+}
+
+/* The same key again at the same daemon: both get the one answer. */
+void
+task_join (MuxCore *core, Task *task, const MuxAsk *ask)
+{
+  if (!same_body (task->body, ask->body))
+    refuse_request (core, ask, MUX_REASON_KEY_IN_USE, 0);
+  else if (!task_add_waiter (core, task, ask->call,
+                             core->now_ms + ask->give_up_ms))
+    refuse_request (core, ask, MUX_REASON_INTERNAL, RETRY_MS);
+}
+
+bool
+task_request_refused (MuxCore *core,
+                      const MuxAsk *ask,
+                      const MuxClassSpec *spec)
+{
+  if (core->stopping)
+    refuse_request (core, ask, MUX_REASON_STOPPING, RETRY_MS);
+  else if (!config_loaded (core))
+    refuse_request (core, ask, MUX_REASON_STORE_DOWN, NOT_READY_RETRY_MS);
+  else if (spec == NULL)
+    refuse_request (core, ask, MUX_REASON_UNKNOWN_CLASS, 0);
+  else if (spec->kind != MUX_KIND_SERVICE)
+    refuse_request (core, ask, MUX_REASON_KIND_MISMATCH, 0);
+  else if (ask->give_up_ms == 0)
+    refuse_request (core, ask, MUX_REASON_DEADLINE, 0);
+  else
+    return false;
+  return true;
+}
+
+void
+tasks_request (MuxCore *core, const MuxAsk *ask)
+{
+  const MuxClassSpec *spec = config_class (core, ask->name);
+  TaskOptions options = { .spec = spec,
+                          .body = ask->body,
+                          .call = ask->call,
+                          .give_up_ms = core->now_ms + ask->give_up_ms,
+                          .attempt = 1 };
+  Task *task;
+
+  mux_count (core->counters, MUX_COUNT_REQUESTS, 1);
+  if (task_request_refused (core, ask, spec))
+    return;
+  if (ask->key[0] == 0)
+    {
+      options.key = core_mint (core);
+    }
+  else
+    {
+      options.key = mux_id_of_key (ask->name, ask->key);
+      options.keyed = true;
+    }
+  task = task_find (core, options.key);
+  if (task != NULL)
+    {
+      task_join (core, task, ask);
+      return;
+    }
+  if (HASH_COUNT (core->tasks) >= core->opt.queue_max * 2)
+    {
+      refuse_request (core, ask, MUX_REASON_QUEUE_FULL, RETRY_MS);
+      return;
+    }
+  if (options.keyed && !spec->idempotent && commit_store_down (core))
+    {
+      refuse_request (core, ask, MUX_REASON_STORE_DOWN, NOT_READY_RETRY_MS);
+      return;
+    }
+  if (!task_begin (core, &options))
+    refuse_request (core, ask, MUX_REASON_INTERNAL, RETRY_MS);
+}
+
+bool
+task_begin_ticket (MuxCore *core,
+                   const MuxAsk *ask,
+                   const MuxClassSpec *spec,
+                   const Ticket *ticket)
+{
+  TaskOptions options = { .spec = spec,
+                          .key = ticket->key,
+                          .body = ask->body,
+                          .call = ask->call,
+                          .give_up_ms = core->now_ms + ask->give_up_ms,
+                          .attempt = 1 };
+  Task *task = task_make (core, &options);
+
+  if (task == NULL)
+    return false;
+  task->ticketed = true;
+  task->granted = true;
+  mux_name_copy (task->owner, ticket->owner);
+  task->epoch = ticket->epoch;
+  task->at = (Intent){ .attempt = 1,
+                       .incarnation = ticket->incarnation,
+                       .not_after_ms = ticket->not_after_ms,
+                       .home_incarnation = core->opt.incarnation };
+  mux_name_copy (task->at.worker, ticket->worker);
+  mux_name_copy (task->at.home, core->name);
+  snprintf (task->at.addr, sizeof task->at.addr, "%s", ticket->addr);
+  task_start_now (core, task);
+  return true;
+}
--- /dev/null
+++ b/src/core/worker_claim.c
@@ -0,0 +1,343 @@
+#include "worker_private.h"
+
+#include "call.h"
+#include "lease.h"
+#include "member.h"
+#include "owner.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+/* Claims: won, renewed, lost and given up. */
+
+/* A fenced owner ranked below the other waits this many leases. */
+#define YIELD_LEASES 4
+
+static bool
+index_set (MuxCore *core, uint32_t index, Worker *worker)
+{
+  if (index >= core->index_count)
+    {
+      uint32_t count = index + 64;
+      Worker **grown = realloc (core->by_index, count * sizeof (Worker *));
+
+      if (grown == NULL)
+        return false;
+      memset (grown + core->index_count, 0,
+              (count - core->index_count) * sizeof (Worker *));
+      core->by_index = grown;
+      core->index_count = count;
+    }
+  core->by_index[index] = worker;
+  return true;
+}
+
+void
+worker_let_go (MuxCore *core, Worker *worker, bool life_over)
+{
+  owner_drop (core, worker, life_over);
+  if (worker->index != MUX_NO_WORKER)
+    {
+      mux_sched_worker_remove (core->sched, worker->index);
+      core->by_index[worker->index] = NULL;
+    }
+  worker->index = MUX_NO_WORKER;
+  worker->claim = CLAIM_NONE;
+  worker->usable = false;
+  owner_recheck_later (core);
+  mux_count (core->counters, MUX_COUNT_CLAIMS_LOST, 1);
+}
+
+static bool
+take_hold (MuxCore *core, Worker *worker, const MuxWorkerReply *reply)
+{
+  worker->capacity = reply->capacity;
+  worker->index = mux_sched_worker_add (core->sched, worker->name, worker->rack,
+                                        reply->capacity);
+  if (worker->index == MUX_NO_WORKER)
+    return false;
+  if (!index_set (core, worker->index, worker))
+    {
+      mux_sched_worker_remove (core->sched, worker->index);
+      worker->index = MUX_NO_WORKER;
+      return false;
+    }
+  worker->claim = CLAIM_HELD;
+  mux_count (core->counters, MUX_COUNT_CLAIMS, 1);
+  core_log (core, 5, "claim_won", "worker=%s epoch=%llu tasks=%u", worker->name,
+            (unsigned long long) worker->epoch, reply->report_count);
+  return true;
+}
+
+static void
+heard (MuxCore *core, Worker *worker, const MuxWorkerReply *reply)
+{
+  worker->heard_ms = core->now_ms;
+  worker->unheard = 0;
+  worker->leaving = reply->leaving;
+  worker->cursor = reply->cursor;
+  worker->incarnation = reply->incarnation;
+  /* Its clock had read worker_now_ms before the answer reached us, so the
+   * difference is never too large: a last moment computed from it is never
+   * later than meant. */
+  worker->clock_ahead_ms = reply->worker_now_ms - core->now_ms;
+  if (!mux_size_fits (reply->capacity, worker->capacity)
+      || !mux_size_fits (worker->capacity, reply->capacity))
+    {
+      worker->capacity = reply->capacity;
+      if (worker->index != MUX_NO_WORKER)
+        mux_sched_worker_resize (core->sched, worker->index, reply->capacity);
+    }
+}
+
+static void
+unheard (MuxCore *core, Worker *worker)
+{
+  worker->unheard++;
+  if (worker->unheard == UNHEARD_MAX)
+    core_log (core, 4, "worker_silent", "worker=%s", worker->name);
+  mux_count_retry (core->counters, MUX_REASON_WORKER_SILENT);
+  worker_update_usable (core, worker);
+}
+
+/*
+ * Failure: two daemons each see the other as dead and fence each other off
+ * the same worker for ever, so that neither gets a start through.  The one
+ * ranked below for this worker waits long before it claims again, the other
+ * shortly, so one of them holds it.
+ */
+static int64_t
+duel_wait_ms (MuxCore *core, const Worker *worker)
+{
+  int64_t wait_ms = core->opt.lease_ms;
+
+  if (worker->owner[0] != 0
+      && members_rank (worker->owner, worker->name)
+             > members_rank (core->name, worker->name))
+    wait_ms *= YIELD_LEASES;
+  return core_jitter (core, wait_ms);
+}
+
+void
+worker_fenced (MuxCore *core, Worker *worker, MuxReason reason)
+{
+  bool restarted = reason == MUX_REASON_FENCED_INCARNATION;
+
+  if (worker->claim == CLAIM_NONE)
+    return;
+  mux_count_retry (core->counters, reason);
+  core_log (core, 4, "claim_lost", "worker=%s reason=%s owner=%s", worker->name,
+            mux_reason_name (reason), worker->owner);
+  worker_let_go (core, worker, restarted);
+  worker->next_ms
+      = core->now_ms + (restarted ? 0 : duel_wait_ms (core, worker));
+}
+
+static void
+claim_done (MuxCore *core,
+            MuxId subject,
+            uint64_t aux,
+            const MuxWorkerReply *reply)
+{
+  Worker *worker = worker_find (core, reply->worker);
+
+  (void) subject;
+  if (worker == NULL || worker->claim != CLAIM_ASKED)
+    return;
+  worker->claim = CLAIM_NONE;
+  if (reply->owner[0] != 0)
+    mux_name_copy (worker->owner, reply->owner);
+  if (reply->status == MUX_WORKER_OLD_EPOCH)
+    {
+      bool first_try = aux == 0 || strcmp (reply->owner, core->name) == 0;
+
+      worker->epoch = reply->epoch;
+      mux_count_retry (core->counters, MUX_REASON_FENCED_EPOCH);
+      worker->next_ms = first_try ? core->now_ms
+                                  : core->now_ms + duel_wait_ms (core, worker);
+      return;
+    }
+  if (reply->status != MUX_WORKER_OK)
+    {
+      /* It may have taken effect: the next try must go above it. */
+      if (reply->status == MUX_WORKER_NO_ANSWER)
+        worker->epoch++;
+      unheard (core, worker);
+      worker->next_ms = core->now_ms + core_jitter (core, RETRY_MS * 5);
+      return;
+    }
+  worker->epoch = reply->epoch;
+  mux_name_copy (worker->owner, core->name);
+  heard (core, worker, reply);
+  worker->next_ms = core->now_ms + lease_renew_ms (core, worker);
+  if (!take_hold (core, worker, reply))
+    return;
+  owner_report (core, worker, reply);
+  worker_update_usable (core, worker);
+  /* Homes ask who had room when last heard: after a takeover that would be
+   * the dead one for as long as a far heartbeat takes. */
+  members_news (core);
+}
+
+static void
+call_init (const MuxCore *core,
+           Worker *worker,
+           MuxWorkerVerb verb,
+           MuxWorkerCall *call)
+{
+  *call = (MuxWorkerCall){ .verb = verb };
+  mux_name_copy (call->worker, worker->name);
+  snprintf (call->addr, sizeof call->addr, "%s", worker->addr);
+  worker->lease_ms = call->lease_ms = lease_ask_ms (core);
+  call->timeout_ms = WORKER_TIMEOUT_MS;
+  call->epoch = worker->epoch;
+}
+
+void
+worker_claim (MuxCore *core, Worker *worker)
+{
+  MuxWorkerCall call;
+
+  call_init (core, worker, MUX_WORKER_CLAIM, &call);
+  call.epoch = worker->epoch + 1;
+  worker->next_ms = core->now_ms + core_jitter (core, RETRY_MS);
+  if (call_worker (core, &call, claim_done, (MuxId){ 0, 0 }, worker->epoch > 0))
+    worker->claim = CLAIM_ASKED;
+}
+
+static void
+renew_done (MuxCore *core,
+            MuxId subject,
+            uint64_t aux,
+            const MuxWorkerReply *reply)
+{
+  Worker *worker = worker_find (core, reply->worker);
+
+  (void) subject;
+  if (worker == NULL)
+    return;
+  worker->renewing = false;
+  /* The answer to a renewal under a claim that ended meanwhile. */
+  if (worker->claim != CLAIM_HELD || worker->epoch != aux)
+    return;
+  switch (reply->status)
+    {
+    case MUX_WORKER_OK:
+      heard (core, worker, reply);
+      owner_report (core, worker, reply);
+      worker_update_usable (core, worker);
+      worker->next_ms = core->now_ms + lease_renew_ms (core, worker);
+      break;
+    case MUX_WORKER_OLD_EPOCH:
+      worker->epoch = reply->epoch;
+      mux_name_copy (worker->owner, reply->owner);
+      worker_fenced (core, worker, MUX_REASON_FENCED_EPOCH);
+      break;
+    case MUX_WORKER_OLD_INCARNATION:
+      worker_fenced (core, worker, MUX_REASON_FENCED_INCARNATION);
+      break;
+    default:
+      unheard (core, worker);
+      worker->next_ms = core->now_ms + core_jitter (core, RETRY_MS * 2);
+      break;
+    }
+}
+
+void
+worker_renew (MuxCore *core, Worker *worker)
+{
+  MuxWorkerCall call;
+
+  call_init (core, worker, MUX_WORKER_RENEW, &call);
+  call.incarnation = worker->incarnation;
+  call.cursor = worker->cursor;
+  worker->next_ms = core->now_ms + RETRY_MS;
+  worker->renewing
+      = call_worker (core, &call, renew_done, (MuxId){ 0, 0 }, worker->epoch);
+}
+
+/* The one to take @worker next, if any. */
+static Member *
+successor (MuxCore *core, const Worker *worker)
+{
+  Member *best = NULL;
+
+  for (Member *m = core->members; m != NULL; m = m->hh.next)
+    if (m->near && member_usable (m)
+        && (best == NULL
+            || members_rank (m->name, worker->name)
+                   > members_rank (best->name, worker->name)))
+      best = m;
+  return best;
+}
+
+static void
+release_done (MuxCore *core,
+              MuxId subject,
+              uint64_t aux,
+              const MuxWorkerReply *reply)
+{
+  Worker *worker = worker_find (core, reply->worker);
+  MuxPeerMsg msg = { .verb = MUX_PEER_HANDOVER };
+  Member *member;
+
+  (void) subject;
+  (void) aux;
+  if (worker == NULL || worker->claim != CLAIM_GIVING)
+    return;
+  worker_let_go (core, worker, false);
+  worker->next_ms = core->now_ms + core->opt.lease_ms;
+  core_log (core, 5, "claim_given", "worker=%s", worker->name);
+  member = successor (core, worker);
+  if (member == NULL)
+    return;
+  mux_name_copy (msg.worker, worker->name);
+  msg.epoch = worker->epoch;
+  member_send (core, member, &msg);
+}
+
+/*
+ * Failure: a worker falls silent with a granted start on its way.  No list
+ * tells that the start never came, and its owner, asked to stop, would wait
+ * for one for ever.  Past its last moment the worker refuses the start anyway.
+ */
+static bool
+start_on_way (const MuxCore *core, const Worker *worker)
+{
+  const Grant *grant;
+
+  DL_FOREACH (worker->grants, grant)
+  {
+    if (!grant->seen && grant->not_after_ms >= worker_clock_ms (core, worker))
+      return true;
+  }
+  return false;
+}
+
+/* Only once no granted start is on its way: it would be fenced. */
+void
+worker_give (MuxCore *core, Worker *worker)
+{
+  MuxWorkerCall call;
+
+  worker_update_usable (core, worker);
+  if (worker->open > 0 && start_on_way (core, worker))
+    return;
+  call_init (core, worker, MUX_WORKER_RELEASE, &call);
+  if (call_worker (core, &call, release_done, (MuxId){ 0, 0 }, 0))
+    worker->claim = CLAIM_GIVING;
+}
+
+void
+workers_handover (MuxCore *core, const MuxPeerMsg *msg)
+{
+  Worker *worker = worker_find (core, msg->worker);
+
+  if (worker == NULL || !worker->near || worker->claim != CLAIM_NONE)
+    return;
+  if (msg->epoch > worker->epoch)
+    worker->epoch = msg->epoch;
+  worker->next_ms = core->now_ms;
+}
