Share the table's writes among the daemons that live

Cause: each daemon had a share of its own by setting, 50 a second by default, which makes 1,300 a second of 26 daemons, over what the platform takes.

--- a/include/core/core.h
+++ b/include/core/core.h
@@ -193,7 +193,8 @@
  * @suspect_ms: silence after which a peer gets no new asks
  * @dead_ms: silence after which a peer's workers are claimed
  * @queue_max: most requests and tasks waiting here
- * @writes_per_s: this daemon's share of the table's writes
+ * @writes_per_s: writes that the table takes from all daemons together; each
+ *   keeps to its part by the number of daemons that it knows to live
  * @key_keep_s: how long keys and ended jobs are remembered
  * @ticket_key: secret that tickets are signed with; NULL or "": none
  */
--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -1,6 +1,7 @@
 #include "commit.h"
 
 #include "call.h"
+#include "member.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -396,8 +397,7 @@
       mux_table_call_free (call);
       call = NULL;
     }
-  core->commit->next_put_ms
-      = core->now_ms + 1000 / (int64_t) core->opt.writes_per_s;
+  core->commit->next_put_ms = core->now_ms + commit_pace_ms (core);
   put->in_flight = true;
   if (call == NULL || !call_table (core, call, put_done, (MuxId){ 0, 0 }, 0))
     tell_group (core, put, TASK_RECORDING, TASK_EV_STORE_DOWN, 0);
@@ -420,6 +420,12 @@
     tell_group (core, read, TASK_READING, TASK_EV_STORE_DOWN, 0);
 }
 
+int64_t
+commit_pace_ms (const MuxCore *core)
+{
+  return 1000 * (int64_t) (members_alive (core) + 1) / core->opt.writes_per_s;
+}
+
 void
 commit_tick (MuxCore *core)
 {
--- a/src/core/commit.h
+++ b/src/core/commit.h
@@ -4,7 +4,7 @@
 #include "task.h"
 
 /* Intents of keyed tasks, written in groups: one transaction in flight, at
- * most writes_per_s of them, each of many rows. */
+ * most this daemon's part of writes_per_s, each of many rows. */
 Commit *commit_new (void);
 void commit_free (Commit *commit);
 /** commit_put() - write @task's intent on condition of its row_rev; ends in
@@ -12,6 +12,9 @@
 bool commit_put (MuxCore *core, Task *task);
 /** commit_read() - read @task's row; ends as above */
 void commit_read (MuxCore *core, Task *task);
+/** commit_pace_ms() - between two writes, so that all living daemons together
+ * stay within what the table takes */
+int64_t commit_pace_ms (const MuxCore *core);
 void commit_tick (MuxCore *core);
 int64_t commit_wake_ms (const MuxCore *core);
 /** commit_store_down() - the table answered nothing lately */
--- a/src/core/jobs_write.c
+++ b/src/core/jobs_write.c
@@ -1,4 +1,5 @@
 #include "call.h"
+#include "commit.h"
 #include "jobs_private.h"
 
 #include <stdlib.h>
@@ -213,8 +214,7 @@
                      job->turn))
     {
       job->writing = true;
-      core->jobs->next_write_ms
-          = core->now_ms + 1000 / (int64_t) core->opt.writes_per_s;
+      core->jobs->next_write_ms = core->now_ms + commit_pace_ms (core);
       return;
     }
   write_again (core, job, RETRY_MS);
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -47,6 +47,16 @@
   return member;
 }
 
+uint32_t
+members_alive (const MuxCore *core)
+{
+  uint32_t alive = 0;
+
+  for (const Member *m = core->members; m != NULL; m = m->hh.next)
+    alive += m->state != MEMBER_DEAD;
+  return alive;
+}
+
 bool
 member_usable (const Member *member)
 {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -53,6 +53,8 @@
 void members_farewell (MuxCore *core);
 
 Member *member_find (MuxCore *core, const char *name);
+/** members_alive() - peers that are not dead */
+uint32_t members_alive (const MuxCore *core);
 /** member_usable() - may be asked for grants */
 bool member_usable (const Member *member);
 /** member_send() - fill in the sender and send; false: its ring is full */
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -20,7 +20,7 @@
  * @suspect_ms: silence after which a peer gets no new asks
  * @dead_ms: silence after which a peer's workers are claimed
  * @queue_max: most requests and tasks waiting here
- * @writes_per_s: share of the table's writes
+ * @writes_per_s: of the table, from all daemons together
  * @callers_max: most callers waiting for an answer
  * @caller_idle_s: a caller's connection silent for this long is closed
  * @worker_threads: START and FETCH calls in flight at once
--- a/test/unit/test_core_pacing.c
+++ b/test/unit/test_core_pacing.c
@@ -237,6 +237,39 @@
   core_harness_free (h, NULL);
 }
 
+/* The table takes 1,000 writes a second from all daemons together.  At one of
+ * 25 requests with keys come faster than its part of that: they share writes,
+ * and are all answered. */
+static void
+test_writes_are_shared (void **state)
+{
+  CoreHarnessOptions options
+      = { .workers = 8, .slots = 64, .members = 24, .near = 1, .table_ms = 1 };
+  CoreHarness *h = core_harness_new (&options);
+  MuxAsk ask = { .verb = MUX_ASK_REQUEST,
+                 .name = "desk",
+                 .give_up_ms = 10000,
+                 .body = mux_blob_new ("run_ms=5\n", 9) };
+  StandinPlatformStats from;
+  StandinPlatformStats to;
+
+  (void) state;
+  put_class (h, "desk", "service", 5);
+  standin_platform_stats (h->platform, &from);
+  for (uint32_t i = 0; i < 2000; i++)
+    {
+      snprintf (ask.key, sizeof ask.key, "report-%u", i);
+      core_harness_ask (h, &ask);
+      core_harness_run (h, 5);
+    }
+  core_harness_run (h, 1000);
+  standin_platform_stats (h->platform, &to);
+  assert_int_equal (h->answers[MUX_OUTCOME_DONE], 2000);
+  assert_in_range (to.txns - from.txns, 200, 11 * 1000 / 25 + 1);
+  mux_blob_unref (ask.body);
+  core_harness_free (h, NULL);
+}
+
 int
 main (void)
 {
@@ -247,6 +280,7 @@
           cmocka_unit_test (test_looks_for_jobs_are_shared),
           cmocka_unit_test (test_far_heartbeats_are_bounded),
           cmocka_unit_test (test_renewals_are_paced),
+          cmocka_unit_test (test_writes_are_shared),
           cmocka_unit_test (test_takeover_lets_no_lease_lapse),
           cmocka_unit_test (test_takeover_at_once_lets_no_lease_lapse) };
 
