Let a caller say that a key is sent for the first time

Only the caller knows that it has not sent the key before; with Cuminmux-First: 1 it is told not_run as before. A second submission that joins at the same daemon takes the word back.

--- a/include/core/core.h
+++ b/include/core/core.h
@@ -58,6 +58,7 @@
  * @verb: what is asked
  * @name: class of a request or job; object of a CONFIG_*; worker of a DRAIN
  * @key: idempotency key, "" for none
+ * @first: REQUEST with a key: the caller has not sent that key before
  * @ticket: REQUEST: where a ticket was given, else ""
  * @id: job of a JOB_*
  * @sort: of a CONFIG_*
@@ -78,6 +79,7 @@
   MuxAskVerb verb;
   char name[MUX_NAME_LEN];
   char key[MUX_KEY_LEN];
+  bool first;
   char ticket[MUX_TICKET_LEN];
   MuxId id;
   MuxConfigSort sort;
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -98,6 +98,7 @@
   task->idempotent = spec->idempotent;
   task->keyed = options->keyed;
   task->minting = options->minting;
+  task->first = options->first;
   task->has_job = !mux_id_is_none (options->job);
   task->job = options->job;
   task->job_index = options->job_index;
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -97,6 +97,7 @@
   MuxSize size;
   uint32_t run_ms;
   bool idempotent;
+  bool first;    /* every submission so far was said to be the key's first */
   bool keyed;    /* has a row once/<key> */
   bool ticketed; /* it may start under its ticket's grant alone */
   bool minting;  /* its room is for a ticket, not for a start from here */
@@ -147,6 +148,7 @@
  * @attempt: first attempt to make
  * @in_gang: the job's gang asks for it
  * @minting: the room is for a ticket
+ * @first: the caller says that the key has not been sent before
  */
 typedef struct
 {
@@ -161,6 +163,7 @@
   uint32_t attempt;
   bool in_gang;
   bool minting;
+  bool first;
 } TaskOptions;
 
 /**
--- a/src/core/task_request.c
+++ b/src/core/task_request.c
@@ -18,7 +18,7 @@
                 uint32_t retry_ms)
 {
   /* Another time or elsewhere the same may be taken, or have been. */
-  bool named = ask->key[0] != 0 || ask->ticket[0] != 0;
+  bool named = (ask->key[0] != 0 && !ask->first) || ask->ticket[0] != 0;
 
   core_answer (core, ask->call,
                named && mux_reason_passes (reason) ? MUX_OUTCOME_UNKNOWN
@@ -40,6 +40,8 @@
 void
 task_join (MuxCore *core, Task *task, const MuxAsk *ask)
 {
+  /* Two that each claim to be the first can't both be. */
+  task->first = false;
   if (!same_body (task->body, ask->body))
     refuse_request (core, ask, MUX_REASON_KEY_IN_USE, 0);
   else if (!task_add_waiter (core, task, ask->call,
@@ -89,6 +91,7 @@
     {
       options.key = mux_id_of_key (ask->name, ask->key);
       options.keyed = true;
+      options.first = ask->first;
     }
   task = task_find (core, options.key);
   if (task != NULL)
--- a/src/core/task_steps_refuse.c
+++ b/src/core/task_steps_refuse.c
@@ -17,7 +17,8 @@
  * Failure: the answer to a key's first submission is lost, and the second is
  * refused for want of room or of the table.  Told "not run", the caller would
  * take a new key, and the voucher is redeemed twice.  So a key's row is read
- * before that is said: where it can't be, the answer is "unknown".
+ * before that is said: where it can't be, the answer is "unknown".  A caller
+ * who says that it never sent the key before needs no row for that.
  */
 void
 task_finish_not_run (MuxCore *core,
@@ -27,7 +28,7 @@
 {
   task->last_reason = reason;
   task->last_retry_ms = retry_ms;
-  if (!task->keyed || task->waiters == NULL)
+  if (!task->keyed || task->first || task->waiters == NULL)
     {
       task_finish (core, task, outcome_of (task), reason, retry_ms,
                    MUX_TASK_ABSENT, NULL);
--- a/src/daemon/door_private.h
+++ b/src/daemon/door_private.h
@@ -60,6 +60,8 @@
 
 /** mux_routes() - the table */
 const MuxRoute *mux_routes (uint32_t *count);
+/** mux_route_first() - the caller says that its key was never sent before */
+bool mux_route_first (const struct _u_request *request);
 /** mux_route_is_new_work() - refused while the daemon is stopping */
 bool mux_route_is_new_work (const MuxRoute *route);
 /** mux_route_is_work() - counts against the callers' bound, not the reserve */
--- a/src/daemon/door_routes.c
+++ b/src/daemon/door_routes.c
@@ -37,6 +37,14 @@
   return u_map_get_case (request->map_header, name);
 }
 
+bool
+mux_route_first (const struct _u_request *request)
+{
+  const char *first = header (request, "Cuminmux-First");
+
+  return first != NULL && strcmp (first, "1") == 0;
+}
+
 /* A header that means one thing: given twice, it is refused. */
 static const char *
 single_header (const struct _u_request *request,
@@ -125,6 +133,7 @@
                  findings);
   ask->give_up_ms = (uint32_t) give_up_ms;
   read_key (request, ask, reason);
+  ask->first = mux_route_first (request);
   read_ticket (request, ask, reason);
   read_body (request, ask, reason);
 }
--- a/src/daemon/door_serve.c
+++ b/src/daemon/door_serve.c
@@ -54,7 +54,7 @@
           struct _u_response *response)
 {
   uint32_t bound_ms = bound_of (ask);
-  bool named = ask->key[0] != 0 || ask->ticket[0] != 0;
+  bool named = (ask->key[0] != 0 && !ask->first) || ask->ticket[0] != 0;
   MuxReason reason;
   MuxAnswer answer;
   uint64_t call;
@@ -112,7 +112,8 @@
 static bool
 names_work (const struct _u_request *request)
 {
-  return u_map_has_key_case (request->map_header, "Idempotency-Key")
+  return (u_map_has_key_case (request->map_header, "Idempotency-Key")
+          && !mux_route_first (request))
          || u_map_has_key_case (request->map_header, "Cuminmux-Ticket");
 }
 
--- a/test/proof/proof_give_up.c
+++ b/test/proof/proof_give_up.c
@@ -26,8 +26,35 @@
   scenario_settle (s, 90000);
 }
 
+/* The store is down.  A desk that sends a key for the first time, and says so,
+ * hears "not run" and may take another way; sent again, the key may have run
+ * for all that the daemon can read, and the desk hears "unknown". */
+static void
+first_is_not_run (Scenario *s)
+{
+  MuxAsk ask = { .verb = MUX_ASK_REQUEST,
+                 .name = "once",
+                 .key = "voucher-17",
+                 .first = true,
+                 .give_up_ms = SHORT_MS,
+                 .body = mux_blob_new ("run_ms=10", 9) };
+  uint32_t call;
+
+  s->store_fails = s->net->table.down = true;
+  for (uint32_t i = 0; i < 2; i++, ask.first = false)
+    {
+      call = scenario_call (s, 0, &ask);
+      scenario_run (s, SHORT_MS);
+      proof_expect_all (s, call, 1,
+                        i == 0 ? MUX_OUTCOME_NOT_RUN : MUX_OUTCOME_UNKNOWN);
+    }
+  mux_blob_unref (ask.body);
+  scenario_settle (s, 30000);
+}
+
 static const Proof proofs[] = {
   { "give_up_again", give_up_again, false, 1, 1, 1 },
+  { "first_is_not_run", first_is_not_run, false, 1, 1, 1 },
 };
 
 int
