Remove a count of waiting asks that nothing calls

owner_waiting() was written for the stop, which came to ask the scheduler's statistics instead. It is the only public function in src/ that no object refers to (looked for over all objects of src, test, bench and demo). No behaviour changes.

--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -452,12 +452,6 @@
     void_ask (core, grant);
 }
 
-uint32_t
-owner_waiting (const MuxCore *core)
-{
-  return mux_sched_stats (core->sched, core->now_ms).queued;
-}
-
 void
 owner_free (MuxCore *core)
 {
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -34,8 +34,6 @@
 /** owner_drop() - the claim on @worker is gone: forget what was booked there
  * @life_over: the worker's tasks are gone too, which the homes are told */
 void owner_drop (MuxCore *core, Worker *worker, bool life_over);
-/** owner_waiting() - asks not yet placed */
-uint32_t owner_waiting (const MuxCore *core);
 /** owner_refuse_all() - stopping: send the waiting ones elsewhere */
 void owner_refuse_all (MuxCore *core, MuxReason reason);
 /** owner_send_back() - refuse an ask that is not placed, if it is known */
