Count each failed run once and keep the workers of adopted runs recorded

Cause: a takeover lists ends in any order, and a run below the last counted one was not counted (BUDGET); the new planner's progress row dropped the workers of runs that it had adopted, so that a third planner started them again (TWICE).

Change: failed runs are a set; workers of a former planner stay in the row; a job table whose history is lost is read again by all its parts (MIXED, pending).

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -78,6 +78,17 @@
     stage->approval[i].stored = stage->approval[i].written;
 }
 
+static bool
+is_former (const CellStage *stage, const char *id)
+{
+  for (uint32_t i = 0; i < stage->former_count; i++)
+    if (strcmp (stage->former[i], id) == 0)
+      return true;
+  return false;
+}
+
+/* Those of a former planner stay in the list: runs that this one adopted are
+ * there. */
 json_t *
 cell_approvals_json (const MuxCell *cell, const CellStage *stage)
 {
@@ -91,7 +102,8 @@
     return list;
   HASH_ITER (hh, cell->workers, worker, next)
   if (worker->slot < stage->approval_count
-      && stage->approval[worker->slot].yes)
+      && stage->approval[worker->slot].yes
+      && !is_former (stage, worker->info.id))
     (void) json_array_append_new (list, json_string (worker->info.id));
   return list;
 }
@@ -134,10 +146,7 @@
     return true;
   if (!is_recorded (stage) || !stage->job->spec->queue.approval.needed)
     return cell_all_heard (cell);
-  if (!former_heard (cell, stage))
-    return false;
-  stage->former_count = 0;
-  return true;
+  return former_heard (cell, stage);
 }
 
 const char *
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -47,7 +47,7 @@
                                                .seen = cell_worker_row,
                                                .whole = cell_workers_whole };
   cell->follow[FOLLOW_JOBS]
-      = (CellFollow){ .table = MUX_TABLE_JOBS, .seen = cell_jobs_row };
+      = (CellFollow){ .table = MUX_TABLE_JOBS, .seen = cell_jobs_row, .parted = true };
 }
 
 MuxCell *
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -65,13 +65,14 @@
 /**
  * struct CellFollow - a table kept up with: read whole, then its changes
  * @table: which
- * @part: its part that is read whole
  * @seen: told of each row
  * @whole: told when a whole reading begins (false) and ends (true); or NULL
  * @term: only in that term of the planner; 0: always
  * @on: wanted at all
  * @loaded: read whole once
  * @busy: a call is on its way
+ * @parted: its rows lie in the parts of the jobs, else in part ""
+ * @part: part that is read now
  * @from: next page's first key
  * @version: known up to here
  * @next_ms: no call before
@@ -85,6 +86,8 @@
   bool on;
   bool loaded;
   bool busy;
+  bool parted;
+  uint32_t part;
   char from[MUX_ROW_NAME_LEN];
   uint64_t version;
   int64_t next_ms;
@@ -194,6 +197,22 @@
   CELL_TASK_DONE,
 } CellTaskState;
 
+/* Most failed runs of a task, or gang, that are told apart.  Queues allow a
+ * handful of attempts. */
+#define CELL_FAILED_RUNS_MAX 16
+
+/**
+ * struct CellFailures - failed runs, each counted once
+ * A list may tell an end again after a change of planner, and in any order.
+ * @count: used entries
+ * @run: their numbers
+ */
+typedef struct
+{
+  uint32_t count;
+  uint32_t run[CELL_FAILED_RUNS_MAX];
+} CellFailures;
+
 /**
  * struct CellTask - one task
  * @run: highest number given to a run of it
@@ -207,8 +226,7 @@
   uint32_t index;
   CellTaskState state;
   uint32_t run;
-  uint32_t failures;
-  uint32_t failed_run;  /* last run that was counted as failed */
+  CellFailures failures;
   uint32_t failed_slot; /* worker of it, by slot + 1; 0: none */
   CellBooking *booking;
   char saved[MUX_TOKEN_LEN];
@@ -260,8 +278,7 @@
   bool unlocked;
   uint32_t left;
   uint32_t run;
-  uint32_t failures;
-  uint32_t failed_run;
+  CellFailures failures;
   bool run_over;
   uint32_t approval_count;
   CellApproval *approval;
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -22,11 +22,18 @@
   follow->term = term;
   follow->loaded = version != 0;
   follow->busy = false;
+  follow->part = 0;
   follow->from[0] = 0;
   follow->version = version;
   follow->next_ms = 0;
 }
 
+static bool
+begins (const CellFollow *follow)
+{
+  return follow->from[0] == 0 && follow->part == 0;
+}
+
 static void
 send_scan (MuxCell *cell, CellFollow *follow, uint64_t number)
 {
@@ -39,7 +46,10 @@
   call->table = follow->table;
   call->timeout_ms = CELL_STORE_TIMEOUT_MS;
   snprintf (call->from, sizeof call->from, "%s", follow->from);
-  if (follow->from[0] == 0 && follow->whole != NULL)
+  if (follow->parted)
+    snprintf (call->part, sizeof call->part, "%s",
+              cell->part[follow->part].name);
+  if (begins (follow) && follow->whole != NULL)
     follow->whole (cell, false);
   follow->busy = cell_call (cell, call, &pending);
 }
@@ -79,7 +89,7 @@
 static void
 page_read (MuxCell *cell, CellFollow *follow, const MuxCellReply *reply)
 {
-  if (follow->from[0] == 0)
+  if (begins (follow))
     follow->version = reply->version;
   if (reply->more && reply->row_count > 0)
     {
@@ -87,6 +97,11 @@
       return;
     }
   follow->from[0] = 0;
+  if (follow->parted && follow->part + 1 < CELL_PARTS)
+    {
+      follow->part++;
+      return;
+    }
   follow->loaded = true;
   if (follow->whole != NULL)
     follow->whole (cell, true);
@@ -106,6 +121,7 @@
   if (reply->status == MUX_CELL_HISTORY)
     {
       follow->loaded = false;
+      follow->part = 0;
       follow->from[0] = 0;
       follow->next_ms = cell->time.now_ms;
       cell_log (cell, "history_lost", "{s:i, s:I}", "table",
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -333,10 +333,10 @@
     {
       const CellStage *stage = job->stage[i];
 
-      if (stage->failures >= max && !stage->spec->long_running)
+      if (stage->failures.count >= max && !stage->spec->long_running)
         return true;
       for (uint32_t j = 0; j < stage->spec->count; j++)
-        if (stage->task[j].failures >= max && !stage->spec->long_running)
+        if (stage->task[j].failures.count >= max && !stage->spec->long_running)
           return true;
     }
   return false;
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -55,16 +55,38 @@
     }
 }
 
+static json_t *
+runs_json (const CellFailures *failures)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < failures->count; i++)
+    (void) json_array_append_new (list, json_integer (failures->run[i]));
+  return list;
+}
+
+static void
+runs_apply (CellFailures *failures, const json_t *list)
+{
+  const json_t *run;
+  size_t i;
+
+  failures->count = 0;
+  json_array_foreach (list, i, run)
+  if (failures->count < CELL_FAILED_RUNS_MAX)
+    failures->run[failures->count++] = (uint32_t) json_integer_value (run);
+}
+
 static json_t *
 failures_json (const CellStage *stage)
 {
   json_t *list = json_array ();
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].failures > 0)
+    if (stage->task[i].failures.count > 0)
       (void) json_array_append_new (
-          list, json_pack ("[iii]", (int) i, (int) stage->task[i].failures,
-                           (int) stage->task[i].failed_run));
+          list,
+          json_pack ("[io]", (int) i, runs_json (&stage->task[i].failures)));
   return list;
 }
 
@@ -86,10 +108,9 @@
   char bitmap[MUX_STEP_TASKS_MAX / BITS_PER_DIGIT + 2];
 
   bitmap_text (stage, bitmap);
-  return json_pack ("{s:i, s:i, s:s, s:i, s:i, s:o, s:o, s:o}", "occurrence",
+  return json_pack ("{s:i, s:i, s:s, s:o, s:o, s:o, s:o}", "occurrence",
                     (int) stage->occurrence, "step", (int) stage->step, "done",
-                    bitmap, "gang_failures", (int) stage->failures,
-                    "gang_failed_run", (int) stage->failed_run, "failures",
+                    bitmap, "gang_failures", runs_json (&stage->failures), "failures",
                     failures_json (stage), "saved", saved_json (stage), "workers",
                     cell_approvals_json (cell, stage));
 }
@@ -118,10 +139,7 @@
 
     if (index < 0 || index >= stage->spec->count)
       continue;
-    stage->task[index].failures
-        = (uint32_t) json_integer_value (json_array_get (pair, 1));
-    stage->task[index].failed_run
-        = (uint32_t) json_integer_value (json_array_get (pair, 2));
+    runs_apply (&stage->task[index].failures, json_array_get (pair, 1));
   }
   json_array_foreach (saved, i, pair)
   {
@@ -147,10 +165,7 @@
     return;
   stage = job->stage[at];
   bitmap_apply (stage, done);
-  stage->failures
-      = (uint32_t) json_integer_value (json_object_get (json, "gang_failures"));
-  stage->failed_run = (uint32_t) json_integer_value (
-      json_object_get (json, "gang_failed_run"));
+  runs_apply (&stage->failures, json_object_get (json, "gang_failures"));
   cell_approvals_apply (stage, json_object_get (json, "workers"));
   apply_pairs (stage, json_object_get (json, "failures"),
                json_object_get (json, "saved"));
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -307,13 +307,24 @@
     task_done (cell, &stage->task[i]);
 }
 
+/* False: it was counted before. */
+static bool
+add_failure (CellFailures *failures, uint32_t run)
+{
+  for (uint32_t i = 0; i < failures->count; i++)
+    if (failures->run[i] == run)
+      return false;
+  if (failures->count < CELL_FAILED_RUNS_MAX)
+    failures->run[failures->count++] = run;
+  return true;
+}
+
 static void
 count_failure (MuxCell *cell, CellTask *task, CellWorker *worker, uint32_t run)
 {
   CellStage *stage = task->stage;
   bool gang = stage->spec->gang;
-  uint32_t *failed_run = gang ? &stage->failed_run : &task->failed_run;
-  uint32_t *failures = gang ? &stage->failures : &task->failures;
+  CellFailures *failures = gang ? &stage->failures : &task->failures;
 
   task->failed_slot = worker->slot + 1;
   worker->strikes++;
@@ -323,12 +334,9 @@
       cell_log (cell, "worker_avoided", "{s:s, s:i}", "worker", worker->info.id,
                 "strikes", (int) worker->strikes);
     }
-  /* A list may tell an end again after a change of planner: it counts once. */
-  if (run <= *failed_run || stage->spec->long_running)
+  if (stage->spec->long_running || !add_failure (failures, run))
     return;
-  *failed_run = run;
-  (*failures)++;
-  if (*failures >= stage->job->spec->queue.attempts_max)
+  if (failures->count >= stage->job->spec->queue.attempts_max)
     cell_job_fail (cell, stage->job, "attempts_used");
 }
 
