Leave gang members alone that wait at their end

Ruled out: tickets that lapse (no start was refused for one).

Change: progress counts as standing still below 100 percent alone; jobs lie in two parts, so that ends need half the commits.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -8,8 +8,9 @@
 
 /* Parts that jobs are spread over by their ids.  One part takes 200
  * transactions a second at 5 ms each; submissions and ends of today are some
- * 90 a second in all, so that four stay under a tenth of that each. */
-#define CELL_PARTS 4
+ * 90 a second in all, so that two stay under a quarter of that each, and each
+ * part more costs commits of its own. */
+#define CELL_PARTS 2
 /* Most jobs of one commit: a call holds 100 entries, a job takes three. */
 #define CELL_COMMIT_JOBS 30
 /* A commit, scan or worker call without an answer for so long counts as lost;
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -7,7 +7,7 @@
 #define FENCE_KEY "fence"
 /* Ends are stored in groups: those that come within this time share a commit,
  * which is paid for.  A tenth of what an urgent job may wait in all. */
-#define WINDOW_MS 25
+#define WINDOW_MS 30
 #define RETRY_MS 100
 #define BITS_PER_DIGIT 4
 /* Most jobs of one commit: a call holds 100 entries, an ended job takes four
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -147,8 +147,9 @@
   const MuxStepSpec *spec = booking->task->stage->spec;
   int64_t still_ms = cell->time.now_ms - booking->moved_ms;
 
+  /* At its end a gang's member waits for the others. */
   if (spec->long_running || booking->task->state != CELL_TASK_RUNNING
-      || !booking->listed)
+      || !booking->listed || booking->percent >= SHARES)
     return false;
   return still_ms > STILL_MS
          && still_ms > (int64_t) spec->estimate_ms * STILL_SHARES / SHARES;
