--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -101,8 +101,7 @@
   if (!is_recorded (stage) || stage->approval_count == 0)
     return list;
   HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->slot < stage->approval_count
-      && stage->approval[worker->slot].yes
+  if (worker->slot < stage->approval_count && stage->approval[worker->slot].yes
       && !is_former (stage, worker->info.id))
     (void) json_array_append_new (list, json_string (worker->info.id));
   return list;
@@ -160,7 +159,8 @@
     return NULL;
   approval = &stage->approval[worker->slot];
   if (!approval->yes || approval->proof == NULL
-      || (is_recorded (stage) && !approval->stored) || cell->time.now_ms > approval->until_ms - PROOF_MARGIN_MS)
+      || (is_recorded (stage) && !approval->stored)
+      || cell->time.now_ms > approval->until_ms - PROOF_MARGIN_MS)
     return NULL;
   return approval->proof;
 }
@@ -321,23 +321,49 @@
   uint64_t number;
   MuxTaskRef step;
   uint32_t candidate_count;
+  uint32_t *slot; /* of the workers named */
   int64_t sent_ms;
   char member[MUX_NAME_LEN];
   UT_hash_handle hh;
 };
 
 static void
-mark_asked (CellStage *stage, CellWorker *const *candidates, uint32_t count)
+mark_asked (CellStage *stage,
+            CellQuestion *question,
+            CellWorker *const *candidates)
 {
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < question->candidate_count; i++)
     {
-      CellApproval *approval = cell_approval (stage, candidates[i]);
+      question->slot[i] = candidates[i]->slot;
+      cell_approval (stage, candidates[i])->asked = true;
+    }
+}
 
-      stage->asked_count += !approval->asked;
-      approval->asked = true;
+/*
+ * Guards against a step that never runs: a question that was lost with the
+ * daemon that asked it would leave its workers marked as asked and not
+ * approved, and a gang that needs them would wait for good.
+ */
+static void
+unmark_asked (CellStage *stage, const CellQuestion *question)
+{
+  for (uint32_t i = 0; i < question->candidate_count; i++)
+    {
+      CellApproval *approval = &stage->approval[question->slot[i]];
+
+      approval->asked = approval->yes;
     }
 }
 
+static void
+question_free (CellQuestion *question)
+{
+  if (question == NULL)
+    return;
+  free (question->slot);
+  free (question);
+}
+
 bool
 cell_approval_ask (MuxCell *cell,
                    CellStage *stage,
@@ -353,8 +379,13 @@
   if (member == NULL || count == 0 || !make_room (cell, stage))
     return false;
   question = calloc (1, sizeof *question);
-  if (question == NULL)
-    return false;
+  if (question != NULL)
+    question->slot = calloc (count, sizeof *question->slot);
+  if (question == NULL || question->slot == NULL)
+    {
+      question_free (question);
+      return false;
+    }
   question->number = ++cell->next_question;
   question->step = cell_task_ref (&stage->task[0]);
   question->candidate_count = count;
@@ -364,11 +395,11 @@
           cell, member, question->number,
           question_json (stage, candidates, count, cost_ms + OVERDUE_MS)))
     {
-      free (question);
+      question_free (question);
       return false;
     }
   HASH_ADD (hh, cell->questions, number, sizeof question->number, question);
-  mark_asked (stage, candidates, count);
+  mark_asked (stage, question, candidates);
   stage->asking = true;
   member->asking = question->number;
   member->asking_cost_ms = cost_ms;
@@ -392,7 +423,6 @@
     return;
   if (!approval->yes && is_recorded (stage))
     cell_job_dirty (cell, stage->job);
-  stage->yes_count += !approval->yes;
   approval->yes = true;
   free (approval->proof);
   approval->proof = strdup (given->proof);
@@ -432,7 +462,10 @@
 
       stage->asking = false;
       if (!answered)
-        stage->ask_after_ms = cell->time.now_ms + RETRY_MS;
+        {
+          unmark_asked (stage, question);
+          stage->ask_after_ms = cell->time.now_ms + RETRY_MS;
+        }
       for (uint32_t i = 0; i < count; i++)
         take_approval (cell, stage, &approvals[i],
                        cell->time.now_ms + valid_ms);
@@ -443,7 +476,7 @@
             (int) question->candidate_count, "approved", (int) count, "took_ms",
             (json_int_t) (cell->time.now_ms - question->sent_ms));
   HASH_DEL (cell->questions, question);
-  free (question);
+  question_free (question);
   cell->replan = true;
 }
 
@@ -468,7 +501,7 @@
   HASH_ITER (hh, cell->questions, question, next)
   {
     HASH_DEL (cell->questions, question);
-    free (question);
+    question_free (question);
   }
 }
 
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -71,6 +71,13 @@
             mux_cell_status_name (reply->status));
 }
 
+void
+cell_store_silent (MuxCell *cell, int64_t since_ms)
+{
+  cell->store_failing_ms = since_ms;
+  cell_log (cell, "store_failing", "{s:s}", "status", "silent");
+}
+
 bool
 cell_store_ok (const MuxCell *cell)
 {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -46,8 +46,9 @@
   cell->follow[FOLLOW_WORKERS] = (CellFollow){ .table = MUX_TABLE_WORKERS,
                                                .seen = cell_worker_row,
                                                .whole = cell_workers_whole };
-  cell->follow[FOLLOW_JOBS]
-      = (CellFollow){ .table = MUX_TABLE_JOBS, .seen = cell_jobs_row, .parted = true };
+  cell->follow[FOLLOW_JOBS] = (CellFollow){ .table = MUX_TABLE_JOBS,
+                                            .seen = cell_jobs_row,
+                                            .parted = true };
 }
 
 MuxCell *
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -262,10 +262,8 @@
  * @left: tasks not yet done
  * @run: GANG: number of its last run
  * @failures: GANG: runs that failed
- * @ended: GANG: the run has ended, its members are being collected
  * @approval: by the worker's slot
  * @asking: an approval question is under way
- * @asked_count: workers asked about so far
  * @due_ms: when its job should have ended
  * @latest_ms: latest start of this stage that still meets that
  */
@@ -280,15 +278,12 @@
   uint32_t left;
   uint32_t run;
   CellFailures failures;
-  bool run_over;
   uint32_t approval_count;
   CellApproval *approval;
   uint32_t former_count;
   char (*former)[MUX_NAME_LEN]; /* workers that a former planner could use */
   bool asking;
   int64_t ask_after_ms;
-  uint32_t asked_count;
-  uint32_t yes_count;
   int64_t latest_ms;
   uint32_t rank;       /* in time, late, or worth nothing any more */
   int64_t reserved_ms; /* since when workers are kept free for it; 0: none */
@@ -379,8 +374,8 @@
   bool roster_asked;
   bool lost_marked; /* the roster says when its lease is surely over */
   bool mark_asked;
-  int64_t lost_ms;  /* out of reach since; 0: it is not */
-  int64_t over_ms;  /* as a former planner marked it; 0: not marked */
+  int64_t lost_ms; /* out of reach since; 0: it is not */
+  int64_t over_ms; /* as a former planner marked it; 0: not marked */
   bool heard;
   bool reachable;
   bool dead;
@@ -432,6 +427,7 @@
   int64_t load_next_ms;
   CellSubmission *submissions;
   bool submitting;
+  int64_t submit_sent_ms;
   int64_t next_submit_ms;
 } CellPart;
 
@@ -468,10 +464,10 @@
   CellInquiry *inquiries;
 
   /* The store as this daemon sees it. */
-  int64_t store_ok_ms;      /* last answer that served */
-  int64_t store_clock_ms; /* the store's steady clock at its last answer, */
+  int64_t store_ok_ms;       /* last answer that served */
+  int64_t store_clock_ms;    /* the store's steady clock at its last answer, */
   int64_t store_clock_at_ms; /* and ours */
-  int64_t store_failing_ms; /* first failure since; 0: none */
+  int64_t store_failing_ms;  /* first failure since; 0: none */
 
   /* The claim. */
   CellClaim claim;
@@ -512,6 +508,8 @@
 /* call.c: calls and their replies. */
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
 void cell_store_result (MuxCell *cell, const MuxCellReply *reply);
+/** cell_store_silent() - no answer of it came since @since_ms */
+void cell_store_silent (MuxCell *cell, int64_t since_ms);
 bool cell_store_ok (const MuxCell *cell);
 uint32_t cell_part_of (const char *id);
 MuxCellChange *cell_change (MuxCellCall *call,
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -6,6 +6,8 @@
  * connection that went silent is noticed soon. */
 #define WAIT_MS 5000
 #define WAIT_GRACE_MS 1500
+/* Twice what the slowest store seen takes for an answer. */
+#define PROBE_MS 600
 /* After a failure; a store that is away is asked twice a second. */
 #define RETRY_MS 250
 /* Between two answers with changes: rows that come closely together then
@@ -65,8 +67,11 @@
     return;
   call->table = follow->table;
   call->after = follow->version;
-  call->wait_ms = WAIT_MS;
-  call->timeout_ms = WAIT_MS + WAIT_GRACE_MS;
+  /* While the store fails the answer itself is the news: one that waited for
+   * a change would leave callers refused for seconds after its return. */
+  call->wait_ms = cell->store_failing_ms == 0 ? WAIT_MS : 0;
+  call->timeout_ms
+      = cell->store_failing_ms == 0 ? WAIT_MS + WAIT_GRACE_MS : PROBE_MS;
   follow->busy = cell_call (cell, call, &pending);
 }
 
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -393,7 +393,8 @@
   HASH_ITER (hh, cell->jobs, job, next)
   if (job->end_stored && job->bookings == 0)
     remember_ended (cell, job);
-  else if ((occurrences_left (job) || job->cancelled || job->failed) && !job->ended)
+  else if ((occurrences_left (job) || job->cancelled || job->failed)
+           && !job->ended)
     cell_job_advance (cell, job);
 }
 
@@ -405,9 +406,10 @@
 
   if (job != NULL)
     {
-      *state = job->end_stored ? job->end : job->cancelled ? MUX_JOB_CANCELLED
-               : job->started ? MUX_JOB_ACTIVE
-                              : MUX_JOB_QUEUED;
+      *state = job->end_stored  ? job->end
+               : job->cancelled ? MUX_JOB_CANCELLED
+               : job->started   ? MUX_JOB_ACTIVE
+                                : MUX_JOB_QUEUED;
       return true;
     }
   HASH_FIND_STR (cell->ended, id, ended);
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -72,9 +72,9 @@
   size_t i;
 
   failures->count = 0;
-  json_array_foreach (list, i, run)
-  if (failures->count < CELL_FAILED_RUNS_MAX)
-    failures->run[failures->count++] = (uint32_t) json_integer_value (run);
+  json_array_foreach (list, i, run) if (failures->count < CELL_FAILED_RUNS_MAX)
+      failures->run[failures->count++]
+      = (uint32_t) json_integer_value (run);
 }
 
 static json_t *
@@ -110,8 +110,9 @@
   bitmap_text (stage, bitmap);
   return json_pack ("{s:i, s:i, s:s, s:o, s:o, s:o, s:o}", "occurrence",
                     (int) stage->occurrence, "step", (int) stage->step, "done",
-                    bitmap, "gang_failures", runs_json (&stage->failures), "failures",
-                    failures_json (stage), "saved", saved_json (stage), "workers",
+                    bitmap, "gang_failures", runs_json (&stage->failures),
+                    "failures", failures_json (stage), "saved",
+                    saved_json (stage), "workers",
                     cell_approvals_json (cell, stage));
 }
 
@@ -122,9 +123,9 @@
 
   for (uint32_t i = 0; i < job->stage_count; i++)
     (void) json_array_append_new (stages, stage_json (cell, job->stage[i]));
-  return json_pack ("{s:b, s:i, s:o}", "started", (int) job->started, "occurrences",
-                    (int) job->stage_count / (int) job->spec->step_count,
-                    "stages", stages);
+  return json_pack (
+      "{s:b, s:i, s:o}", "started", (int) job->started, "occurrences",
+      (int) job->stage_count / (int) job->spec->step_count, "stages", stages);
 }
 
 static void
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -32,8 +32,7 @@
       CellWorker *worker = cell_worker_add (cell, reply->row[i].key);
       json_t *json = cell_blob_json (reply->row[i].value);
       const char *addr = json_string_value (json_object_get (json, "addr"));
-      int64_t over_ms
-          = json_integer_value (json_object_get (json, "over_ms"));
+      int64_t over_ms = json_integer_value (json_object_get (json, "over_ms"));
 
       if (worker != NULL && addr != NULL)
         {
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -8,8 +8,16 @@
  * target is over: its next try, at another daemon, can still be in time. */
 #define GIVE_UP_MS 300
 /* A commit whose fate is not known is repeated until so long before the caller
- * stops waiting, so that the answer still reaches it. */
+ * stops waiting, so that the answer still reaches it, */
 #define ANSWER_MS 200
+/* and no longer than this: a third of what callers usually wait, so that a
+ * try at another daemon can still be in time. */
+#define HOLD_MS 1000
+/* A commit takes some 10 ms, 300 ms where the store is at its slowest: without
+ * an answer for so long, new jobs are refused before they become doubtful, */
+#define SLOW_MS 450
+/* and for so long, its answer counts as lost. */
+#define TIMEOUT_MS 700
 #define RETRY_MS 60
 /* Told to callers who are refused: the store's short troubles are over in a
  * second, another daemon may serve at once. */
@@ -70,7 +78,11 @@
     }
   submission->job = job;
   submission->call = question->call;
-  submission->give_up_ms = now + question->give_up_ms - ANSWER_MS;
+  submission->give_up_ms
+      = now
+        + (question->give_up_ms < HOLD_MS + ANSWER_MS
+               ? (int64_t) question->give_up_ms - ANSWER_MS
+               : HOLD_MS);
   DL_APPEND (part->submissions, submission);
   if (!cell_store_ok (cell))
     {
@@ -208,7 +220,8 @@
       return;
     }
   snprintf (call->part, sizeof call->part, "%s", part->name);
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  call->timeout_ms = TIMEOUT_MS;
+  part->submit_sent_ms = cell->time.now_ms;
   DL_FOREACH (part->submissions, submission)
   {
     if (jobs == CELL_COMMIT_JOBS)
@@ -235,6 +248,9 @@
 
       if (part->submissions == NULL)
         continue;
+      if (part->submitting && cell->store_failing_ms == 0
+          && cell->time.now_ms - part->submit_sent_ms > SLOW_MS)
+        cell_store_silent (cell, part->submit_sent_ms);
       give_up_overdue (cell, part);
       if (!part->submitting && cell->time.now_ms >= part->next_submit_ms)
         send_group (cell, part);
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -225,7 +225,8 @@
 cell_worker_usable (const MuxCell *cell, const CellWorker *worker)
 {
   return worker->heard && worker->reachable && worker->in_roster
-         && !worker->lost_marked && worker->listed && !worker->dead && !worker->info.draining
+         && !worker->lost_marked && worker->listed && !worker->dead
+         && !worker->info.draining
          && cell->time.now_ms >= worker->avoid_until_ms;
 }
 
@@ -292,10 +293,10 @@
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
   /* An unanswered renewal may still arrive: asking for ever longer leases
    * would keep the tasks of a lost worker out of work for good. */
-  call->lease_until_ms = worker->heard && worker->reachable
-                                 && !worker->lost_marked
-                             ? cell_worker_lease (cell, worker)
-                             : 0;
+  call->lease_until_ms
+      = worker->heard && worker->reachable && !worker->lost_marked
+            ? cell_worker_lease (cell, worker)
+            : 0;
   worker->renewing = cell_call (cell, call, &pending);
   if (!worker->renewing)
     worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
--- /dev/null
+++ b/test/support/cell_world.c
@@ -0,0 +1,890 @@
+#include "support/cell_world.h"
+
+#include "support/test.h"
+
+#include <utlist.h>
+
+#define STORE_MS 5
+#define WORKER_MS 1
+#define APPROVAL_MS 10
+#define PEER_MS 1
+#define LEASE_MS 4000
+#define DEAD_MS 1200
+#define WALL_MS INT64_C (1700000000000)
+
+/* Something that arrives at a cell later. */
+struct WorldEvent
+{
+  int64_t due_ms;
+  uint32_t cell;
+  uint64_t incarnation; /* of the cell meant */
+  MuxCellReply *reply;
+  MuxCellCall *waiting; /* a FOLLOW or RENEW that waits for something new */
+  bool is_peer;
+  MuxPeerMsg peer;
+  WorldEvent *prev;
+  WorldEvent *next;
+};
+
+static MuxCellTime
+time_of (const World *world)
+{
+  return (MuxCellTime){ world->now_ms, WALL_MS + world->now_ms };
+}
+
+static uint64_t
+incarnation_of (const World *world, uint32_t cell)
+{
+  return world->cell[cell].dead ? 0
+                                : (uint64_t) (uintptr_t) world->cell[cell].cell;
+}
+
+static WorldEvent *
+event_new (World *world, uint32_t cell, int64_t in_ms)
+{
+  WorldEvent *event = calloc (1, sizeof *event);
+
+  assert_non_null (event);
+  event->due_ms = world->now_ms + in_ms;
+  event->cell = cell;
+  event->incarnation = incarnation_of (world, cell);
+  DL_APPEND (world->events, event);
+  return event;
+}
+
+static void
+answer_call (World *world, uint32_t cell, MuxCellReply *reply, int64_t in_ms)
+{
+  event_new (world, cell, in_ms)->reply = reply;
+}
+
+static void
+event_free (WorldEvent *event)
+{
+  mux_cell_reply_free (event->reply);
+  mux_cell_call_free (event->waiting);
+  if (event->is_peer)
+    mux_blob_unref (event->peer.body);
+  free (event);
+}
+
+/* The store. */
+
+static WorldRow *
+row_find (World *world, MuxCellTable table, const char *part, const char *key)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == table && strcmp (world->row[i].part, part) == 0
+        && strcmp (world->row[i].key, key) == 0)
+      return &world->row[i];
+  return NULL;
+}
+
+static WorldRow *
+row_make (World *world, MuxCellTable table, const char *part, const char *key)
+{
+  WorldRow *row = row_find (world, table, part, key);
+
+  if (row != NULL)
+    return row;
+  assert_true (world->row_count < WORLD_ROWS_MAX);
+  row = &world->row[world->row_count++];
+  row->table = table;
+  snprintf (row->part, sizeof row->part, "%s", part);
+  snprintf (row->key, sizeof row->key, "%s", key);
+  row->removed = true;
+  return row;
+}
+
+static uint64_t
+version_of (World *world, MuxCellTable table, const char *part, const char *key)
+{
+  const WorldRow *row = row_find (world, table, part, key);
+
+  return row != NULL && !row->removed ? row->version : 0;
+}
+
+static void
+copy_row (const World *world, const WorldRow *from, MuxCellRow *to)
+{
+  snprintf (to->part, sizeof to->part, "%s", from->part);
+  snprintf (to->key, sizeof to->key, "%s", from->key);
+  to->table = from->table;
+  to->version = from->version;
+  to->removed = from->removed;
+  to->value = from->removed ? NULL : mux_blob_ref (from->value);
+  if (from->table == MUX_TABLE_CONFIG)
+    {
+      to->config = calloc (1, sizeof *to->config + sizeof to->config->item[0]);
+      memcpy (to->config, from->value->bytes, from->value->len);
+    }
+  if (from->table == MUX_TABLE_WORKERS && !from->removed)
+    for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
+      if (strcmp (world->worker[i].info.id, from->key) == 0)
+        {
+          to->worker = calloc (1, sizeof *to->worker);
+          *to->worker = world->worker[i].info;
+        }
+}
+
+static void
+do_commit (World *world, const MuxCellCall *call, MuxCellReply *reply)
+{
+  assert_true (mux_cell_reply_rows (reply, call->change_count));
+  assert_true (call->change_count <= 100);
+  for (uint32_t i = 0; i < call->change_count; i++)
+    {
+      const MuxCellChange *change = &call->change[i];
+      uint64_t have
+          = version_of (world, change->table, call->part, change->key);
+
+      if (change->kind != MUX_CHANGE_EXPECT)
+        continue;
+      if (have != change->version)
+        reply->status = MUX_CELL_CONFLICT;
+      reply->row[reply->row_count].table = change->table;
+      reply->row[reply->row_count].version = have;
+      snprintf (reply->row[reply->row_count].key, MUX_ROW_NAME_LEN, "%s",
+                change->key);
+      reply->row_count++;
+    }
+  if (reply->status != MUX_CELL_OK)
+    return;
+  reply->version = ++world->version;
+  world->commits++;
+  for (uint32_t i = 0; i < call->change_count; i++)
+    {
+      const MuxCellChange *change = &call->change[i];
+      WorldRow *row;
+
+      if (change->kind == MUX_CHANGE_EXPECT)
+        continue;
+      row = row_make (world, change->table, call->part, change->key);
+      mux_blob_unref (row->value);
+      row->value = change->kind == MUX_CHANGE_PUT ? mux_blob_ref (change->value)
+                                                  : NULL;
+      row->removed = change->kind == MUX_CHANGE_REMOVE;
+      row->version = world->version;
+    }
+}
+
+static int
+by_key (const void *x, const void *y)
+{
+  return strcmp (((const MuxCellRow *) x)->key, ((const MuxCellRow *) y)->key);
+}
+
+static void
+do_scan (World *world, const MuxCellCall *call, MuxCellReply *reply)
+{
+  assert_true (mux_cell_reply_rows (reply, world->row_count));
+  for (uint32_t i = 0; i < world->row_count; i++)
+    {
+      const WorldRow *row = &world->row[i];
+
+      if (row->table == call->table && !row->removed
+          && strcmp (row->part, call->part) == 0
+          && strcmp (row->key, call->from) >= 0
+          && (call->to[0] == 0 || strcmp (row->key, call->to) < 0))
+        copy_row (world, row, &reply->row[reply->row_count++]);
+    }
+  if (reply->row_count > 0)
+    qsort (reply->row, reply->row_count, sizeof *reply->row, by_key);
+  reply->version = world->version;
+}
+
+static int
+by_version (const void *x, const void *y)
+{
+  const MuxCellRow *a = x;
+  const MuxCellRow *b = y;
+
+  return a->version < b->version ? -1 : a->version > b->version;
+}
+
+/* False: nothing new yet. */
+static bool
+do_follow (World *world, const MuxCellCall *call, MuxCellReply *reply)
+{
+  if (call->after < world->forgotten)
+    {
+      reply->status = MUX_CELL_HISTORY;
+      return true;
+    }
+  assert_true (mux_cell_reply_rows (reply, world->row_count));
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == call->table
+        && world->row[i].version > call->after)
+      copy_row (world, &world->row[i], &reply->row[reply->row_count++]);
+  if (reply->row_count > 0)
+    qsort (reply->row, reply->row_count, sizeof *reply->row, by_version);
+  reply->version = world->version;
+  return reply->row_count > 0;
+}
+
+/* Workers. */
+
+static WorldWorker *
+worker_at (World *world, const char *addr)
+{
+  for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
+    if (world->worker[i].used && strcmp (world->worker[i].info.addr, addr) == 0)
+      return &world->worker[i];
+  return NULL;
+}
+
+static WorldStart *
+start_of (World *world, const WorldRun *run)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    if (world->start[i].run == run->run
+        && memcmp (&world->start[i].task, &run->task, sizeof run->task) == 0)
+      return &world->start[i];
+  return NULL;
+}
+
+static void
+end_run (World *world, WorldWorker *worker, WorldRun *run, MuxRunEnd end)
+{
+  WorldStart *start = start_of (world, run);
+
+  run->number = ++worker->next_end;
+  run->end = end;
+  if (start == NULL)
+    return;
+  start->ended_ms = world->now_ms;
+  start->end = end;
+}
+
+static WorldRun *
+run_find (WorldWorker *worker, const MuxTaskRef *task, uint32_t number)
+{
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    if (worker->run[i].used && worker->run[i].run == number
+        && memcmp (&worker->run[i].task, task, sizeof *task) == 0)
+      return &worker->run[i];
+  return NULL;
+}
+
+static WorldRun *
+free_run (WorldWorker *worker)
+{
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    if (!worker->run[i].used)
+      {
+        memset (&worker->run[i], 0, sizeof worker->run[i]);
+        return &worker->run[i];
+      }
+  fail_msg ("a worker has no place for another run");
+  return &worker->run[0];
+}
+
+static void
+do_start (World *world, WorldWorker *worker, const MuxCellCall *call)
+{
+  WorldRun *run = run_find (worker, &call->task, call->run);
+  WorldStart *start;
+
+  if (run != NULL)
+    return;
+  run = free_run (worker);
+  run->used = true;
+  run->task = call->task;
+  run->run = call->run;
+  run->began_ms = world->now_ms;
+  run->ends_ms
+      = worker->stuck_percent != 0 ? INT64_MAX : world->now_ms + world->task_ms;
+  assert_true (world->start_count < WORLD_STARTS_MAX);
+  start = &world->start[world->start_count++];
+  memset (start, 0, sizeof *start);
+  start->task = call->task;
+  start->run = call->run;
+  start->worker = (uint32_t) (worker - world->worker);
+  start->at_ms = world->now_ms;
+}
+
+/* A run that is not there yet is refused when it comes. */
+static void
+do_stop (World *world, WorldWorker *worker, const MuxCellCall *call)
+{
+  WorldRun *run = run_find (worker, &call->task, call->run);
+
+  if (run != NULL && run->number == 0)
+    end_run (world, worker, run, MUX_RUN_STOPPED);
+}
+
+static void
+list_runs (World *world,
+           WorldWorker *worker,
+           const MuxCellCall *call,
+           MuxCellReply *reply)
+{
+  reply->report = calloc (WORLD_RUNS_MAX, sizeof *reply->report);
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    {
+      WorldRun *run = &worker->run[i];
+      MuxRunReport *report = &reply->report[reply->report_count];
+      int64_t spent = world->now_ms - run->began_ms;
+
+      if (run->used && run->number != 0 && run->number <= call->acked)
+        run->used = false;
+      if (!run->used)
+        continue;
+      report->task = run->task;
+      report->run = run->run;
+      report->number = run->number;
+      report->end = run->end;
+      report->percent = worker->stuck_percent != 0
+                            ? worker->stuck_percent
+                            : (uint32_t) (spent * 100 / world->task_ms);
+      reply->report_count++;
+    }
+}
+
+static bool
+has_ends (const WorldWorker *worker, uint64_t acked)
+{
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    if (worker->run[i].used && worker->run[i].number > acked)
+      return true;
+  return false;
+}
+
+static MuxCellReply *
+worker_serves (World *world, WorldWorker *worker, const MuxCellCall *call)
+{
+  MuxCellReply *reply = mux_cell_reply_new (call, MUX_CELL_OK);
+
+  reply->clock_ms = world->now_ms;
+  if (strcmp (call->worker, worker->info.id) != 0)
+    {
+      reply->status = MUX_CELL_OTHER_LIFE;
+      return reply;
+    }
+  if (call->fence < worker->fence)
+    {
+      reply->status = MUX_CELL_FENCED;
+      return reply;
+    }
+  worker->fence = call->fence;
+  if (call->lease_until_ms > worker->lease_until_ms)
+    worker->lease_until_ms = call->lease_until_ms;
+  if (call->verb == MUX_CELL_START)
+    do_start (world, worker, call);
+  else if (call->verb == MUX_CELL_STOP)
+    do_stop (world, worker, call);
+  else
+    list_runs (world, worker, call, reply);
+  return reply;
+}
+
+static void
+worker_call (World *world, uint32_t cell, MuxCellCall *call)
+{
+  WorldWorker *worker = worker_at (world, call->addr);
+  bool order = call->verb != MUX_CELL_RENEW;
+  WorldFault fault = worker != NULL && order ? worker->fault : WORLD_SERVES;
+
+  if (worker == NULL || worker->cut || fault == WORLD_SILENT)
+    answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
+                 call->timeout_ms);
+  else if (fault == WORLD_REFUSES)
+    answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_NOT_DONE),
+                 WORKER_MS);
+  else if (fault == WORLD_LOSES_ANSWER)
+    {
+      mux_cell_reply_free (worker_serves (world, worker, call));
+      answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
+                   call->timeout_ms);
+    }
+  else if (call->verb == MUX_CELL_RENEW && call->wait_ms > 0
+           && !has_ends (worker, call->acked))
+    {
+      event_new (world, cell, call->wait_ms)->waiting = call;
+      return;
+    }
+  else
+    answer_call (world, cell, worker_serves (world, worker, call), WORKER_MS);
+  mux_cell_call_free (call);
+}
+
+static void
+approve (World *world, uint32_t cell, MuxCellCall *call)
+{
+  MuxCellReply *reply = mux_cell_reply_new (call, MUX_CELL_OK);
+
+  world->approvals_asked++;
+  if (world->lose_approvals)
+    {
+      reply->status = MUX_CELL_NOT_DONE;
+      answer_call (world, cell, reply, call->timeout_ms);
+      mux_cell_call_free (call);
+      return;
+    }
+  reply->valid_ms = 2000;
+  reply->approval = calloc (call->candidate_count + 1, sizeof *reply->approval);
+  for (uint32_t i = 0; i < call->candidate_count; i++)
+    {
+      MuxApproval *approval = &reply->approval[reply->approval_count++];
+
+      snprintf (approval->worker, sizeof approval->worker, "%s",
+                call->candidate[i]);
+      snprintf (approval->proof, sizeof approval->proof, "yes");
+    }
+  answer_call (world, cell, reply, APPROVAL_MS);
+  mux_cell_call_free (call);
+}
+
+static void
+store_call (World *world, uint32_t cell, MuxCellCall *call)
+{
+  WorldFault fault = world->cell[cell].store;
+  MuxCellReply *reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  bool served = true;
+
+  if (fault == WORLD_REFUSES)
+    reply->status = MUX_CELL_NOT_DONE;
+  else if (fault == WORLD_SILENT)
+    reply->status = MUX_CELL_UNKNOWN;
+  else if (call->verb == MUX_CELL_COMMIT)
+    do_commit (world, call, reply);
+  else if (call->verb == MUX_CELL_SCAN)
+    do_scan (world, call, reply);
+  else
+    served = do_follow (world, call, reply);
+  reply->store_clock_ms = world->now_ms;
+  if (fault == WORLD_LOSES_ANSWER && call->verb == MUX_CELL_COMMIT)
+    reply->status = MUX_CELL_UNKNOWN;
+  if (!served)
+    {
+      mux_cell_reply_free (reply);
+      event_new (world, cell, call->wait_ms)->waiting = call;
+      return;
+    }
+  answer_call (world, cell, reply,
+               reply->status == MUX_CELL_UNKNOWN ? call->timeout_ms : STORE_MS);
+  mux_cell_call_free (call);
+}
+
+/* The sink. */
+
+static bool
+sink_call (MuxCellSink *sink, MuxCellCall *call)
+{
+  WorldCell *cell = (WorldCell *) sink;
+
+  if (call->verb == MUX_CELL_APPROVE)
+    approve (cell->world, cell->number, call);
+  else if (call->addr[0] != 0)
+    worker_call (cell->world, cell->number, call);
+  else
+    store_call (cell->world, cell->number, call);
+  return true;
+}
+
+static void
+sink_answer (MuxCellSink *sink, const MuxQuestionReply *reply)
+{
+  World *world = ((WorldCell *) sink)->world;
+
+  assert_true (reply->call < 256);
+  assert_false (world->answered[reply->call]);
+  world->answer[reply->call] = *reply;
+  world->answered[reply->call] = true;
+}
+
+static bool
+sink_peer_send (MuxCellSink *sink, const char *addr, const MuxPeerMsg *msg)
+{
+  World *world = ((WorldCell *) sink)->world;
+
+  for (uint32_t i = 0; i < WORLD_CELLS_MAX; i++)
+    if (world->cell[i].cell != NULL && strcmp (world->cell[i].addr, addr) == 0)
+      {
+        WorldEvent *event = event_new (world, i, PEER_MS);
+
+        event->is_peer = true;
+        event->peer = *msg;
+        mux_blob_ref (msg->body);
+      }
+  return true;
+}
+
+static void
+sink_log (MuxCellSink *sink, const char *event, json_t *fields)
+{
+  WorldCell *cell = (WorldCell *) sink;
+
+  assert_non_null (fields);
+  if (getenv ("WORLD_LOG") != NULL)
+    {
+      char *text = json_dumps (fields, JSON_COMPACT);
+
+      print_message ("%6lld cell %u %s %s\n", (long long) cell->world->now_ms,
+                     cell->number, event, text);
+      free (text);
+    }
+  json_decref (fields);
+}
+
+/* Time. */
+
+static void
+deliver (World *world, WorldEvent *event)
+{
+  WorldCell *cell = &world->cell[event->cell];
+
+  if (cell->dead || event->incarnation != incarnation_of (world, event->cell))
+    return;
+  if (event->is_peer)
+    mux_cell_peer (cell->cell, time_of (world), &event->peer);
+  else
+    mux_cell_reply (cell->cell, time_of (world), event->reply);
+  event->reply = NULL;
+}
+
+static void
+end_wait (World *world, WorldEvent *event, bool overdue)
+{
+  MuxCellCall *call = event->waiting;
+  WorldWorker *worker;
+  MuxCellReply *reply;
+
+  if (call->verb == MUX_CELL_RENEW)
+    {
+      worker = worker_at (world, call->addr);
+      if (worker != NULL && !worker->cut
+          && (overdue || has_ends (worker, call->acked)))
+        event->reply = worker_serves (world, worker, call);
+      else if (overdue)
+        event->reply = mux_cell_reply_new (call, MUX_CELL_UNKNOWN);
+      return;
+    }
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  reply->store_clock_ms = world->now_ms;
+  if (do_follow (world, call, reply) || overdue)
+    event->reply = reply;
+  else
+    mux_cell_reply_free (reply);
+}
+
+static void
+step_events (World *world)
+{
+  WorldEvent *event;
+  WorldEvent *next;
+
+  DL_FOREACH_SAFE (world->events, event, next)
+  {
+    bool due = event->due_ms <= world->now_ms;
+
+    if (event->waiting != NULL && event->reply == NULL)
+      end_wait (world, event, due);
+    if (world->cell[event->cell].frozen && !world->cell[event->cell].dead)
+      continue;
+    if (!due && (event->waiting == NULL || event->reply == NULL))
+      continue;
+    DL_DELETE (world->events, event);
+    deliver (world, event);
+    event_free (event);
+    /* What was delivered may have removed or added others. */
+    next = world->events;
+  }
+}
+
+static void
+step_workers (World *world)
+{
+  for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
+    for (uint32_t j = 0; world->worker[i].used && j < WORLD_RUNS_MAX; j++)
+      {
+        WorldWorker *worker = &world->worker[i];
+        WorldRun *run = &worker->run[j];
+
+        if (!run->used || run->number != 0)
+          continue;
+        if (worker->lease_until_ms <= world->now_ms)
+          end_run (world, worker, run, MUX_RUN_LAPSED);
+        else if (run->ends_ms <= world->now_ms)
+          end_run (world, worker, run,
+                   worker->fails ? MUX_RUN_FAILED : MUX_RUN_DONE);
+      }
+}
+
+void
+world_run (World *world, int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i++)
+    {
+      world->now_ms++;
+      step_workers (world);
+      step_events (world);
+      for (uint32_t c = 0; c < WORLD_CELLS_MAX; c++)
+        if (world->cell[c].cell != NULL && !world->cell[c].dead
+            && !world->cell[c].frozen && world->now_ms % 4 == 0)
+          (void) mux_cell_tick (world->cell[c].cell, time_of (world));
+    }
+}
+
+void
+world_cell_start (World *world, uint32_t number)
+{
+  WorldCell *cell = &world->cell[number];
+  char name[MUX_NAME_LEN];
+  MuxCellOptions options = {
+    .sink = &cell->sink,
+    .counters = world->counters,
+    .name = name,
+    .data_centre = "nizwa-hall",
+    .peer_addr = cell->addr,
+    .incarnation = ++world->incarnation,
+    .seed = number,
+    .lease_ms = LEASE_MS,
+    .dead_ms = DEAD_MS,
+  };
+  static char names[WORLD_CELLS_MAX][MUX_NAME_LEN];
+
+  snprintf (name, sizeof name, "entry-%u", number);
+  snprintf (names[number], MUX_NAME_LEN, "%s", name);
+  options.name = names[number];
+  snprintf (cell->addr, sizeof cell->addr, "10.0.0.%u:7000", number + 1);
+  cell->sink
+      = (MuxCellSink){ sink_call, sink_answer, sink_peer_send, sink_log };
+  cell->world = world;
+  cell->number = number;
+  mux_cell_free (cell->cell);
+  cell->cell = mux_cell_new (&options, NULL);
+  assert_non_null (cell->cell);
+  cell->dead = false;
+  cell->frozen = false;
+}
+
+void
+world_cell_kill (World *world, uint32_t cell)
+{
+  world->cell[cell].dead = true;
+}
+
+static void
+add_config (World *world)
+{
+  WorldRow *row = row_make (world, MUX_TABLE_CONFIG, "", "config");
+  MuxQueueConfig *config = calloc (1, sizeof *config + sizeof config->item[0]);
+  MuxQueueSpec *queue = &config->item[0];
+
+  config->version = 1;
+  config->count = 1;
+  snprintf (queue->name, sizeof queue->name, "batch");
+  snprintf (queue->host, sizeof queue->host, "cell.example");
+  snprintf (queue->prefix, sizeof queue->prefix, "/batch/");
+  snprintf (queue->service, sizeof queue->service, "booking");
+  queue->priority = 1;
+  queue->attempts_max = 3;
+  queue->slack_milli = 4000;
+  queue->target_ms = 1000;
+  queue->approval = (MuxApprovalSpec){ true, 5000, 100, 2000 };
+  row->value = mux_blob_new (config, sizeof *config + sizeof config->item[0]);
+  row->removed = false;
+  row->version = ++world->version;
+  free (config);
+}
+
+static void
+list_worker (World *world, uint32_t number)
+{
+  WorldRow *row
+      = row_make (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id);
+
+  mux_blob_unref (row->value);
+  row->value = mux_blob_new ("{}", 2);
+  row->removed = false;
+  row->version = ++world->version;
+}
+
+static void
+add_worker (World *world, uint32_t number)
+{
+  WorldWorker *worker = &world->worker[number];
+
+  worker->used = true;
+  snprintf (worker->info.id, sizeof worker->info.id, "i-%u-1", number);
+  snprintf (worker->info.addr, sizeof worker->info.addr, "10.1.0.%u:8000",
+            number + 1);
+  snprintf (worker->info.service, sizeof worker->info.service, "booking");
+  snprintf (worker->info.kind, sizeof worker->info.kind, "a");
+  snprintf (worker->info.rack, sizeof worker->info.rack, "r1-%u", number / 4);
+  worker->info.capacity = (MuxSize){ 32000, 131072, 0, 0 };
+  list_worker (world, number);
+}
+
+World *
+world_new (uint32_t cells, uint32_t workers)
+{
+  World *world = calloc (1, sizeof *world);
+
+  assert_non_null (world);
+  world->now_ms = 1000;
+  world->task_ms = 1000;
+  world->counters = mux_counters_new ();
+  add_config (world);
+  for (uint32_t i = 0; i < workers; i++)
+    add_worker (world, i);
+  for (uint32_t i = 0; i < cells; i++)
+    world_cell_start (world, i);
+  world_run (world, 700);
+  assert_true (world_planner (world) < WORLD_CELLS_MAX);
+  return world;
+}
+
+void
+world_free (World *world)
+{
+  WorldEvent *event;
+  WorldEvent *next;
+
+  for (uint32_t i = 0; i < WORLD_CELLS_MAX; i++)
+    mux_cell_free (world->cell[i].cell);
+  DL_FOREACH_SAFE (world->events, event, next)
+  {
+    DL_DELETE (world->events, event);
+    event_free (event);
+  }
+  for (uint32_t i = 0; i < world->row_count; i++)
+    mux_blob_unref (world->row[i].value);
+  mux_counters_free (world->counters);
+  free (world);
+}
+
+uint32_t
+world_planner (const World *world)
+{
+  const WorldRow *row = NULL;
+  json_t *json;
+  const char *name;
+  uint32_t number = WORLD_CELLS_MAX;
+
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == MUX_TABLE_CLAIM && !world->row[i].removed)
+      row = &world->row[i];
+  if (row == NULL)
+    return number;
+  json = json_loadb (row->value->bytes, row->value->len, 0, NULL);
+  name = json_string_value (json_object_get (json, "name"));
+  if (name != NULL && strncmp (name, "entry-", 6) == 0)
+    number = (uint32_t) atoi (name + 6);
+  json_decref (json);
+  return number;
+}
+
+static MuxQuestion *
+question_new (World *world, MuxQuestionVerb verb, const char *id)
+{
+  MuxQuestion *question = calloc (1, sizeof *question);
+
+  question->verb = verb;
+  question->call = ++world->next_question;
+  question->give_up_ms = 3000;
+  snprintf (question->host, sizeof question->host, "cell.example");
+  snprintf (question->path, sizeof question->path, "/batch/%s", id);
+  return question;
+}
+
+uint64_t
+world_submit (World *world, uint32_t cell, MuxJobSpec *job, const char *id)
+{
+  MuxQuestion *question = question_new (world, MUX_QUESTION_SUBMIT, id);
+  uint64_t number = question->call;
+
+  question->job = job;
+  mux_cell_question (world->cell[cell].cell, time_of (world), question);
+  return number;
+}
+
+uint64_t
+world_ask (World *world, uint32_t cell, MuxQuestionVerb verb, const char *id)
+{
+  MuxQuestion *question = question_new (world, verb, id);
+  uint64_t number = question->call;
+
+  mux_cell_question (world->cell[cell].cell, time_of (world), question);
+  return number;
+}
+
+MuxJobState
+world_state (World *world, uint32_t cell, const char *id)
+{
+  uint64_t call = world_ask (world, cell, MUX_QUESTION_STATE, id);
+
+  world_run (world, 400);
+  assert_true (world->answered[call]);
+  if (world->answer[call].outcome == MUX_OUTCOME_ABSENT)
+    return MUX_JOB_ABSENT;
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_STATE);
+  return world->answer[call].state;
+}
+
+uint32_t
+world_starts (const World *world, const char *id)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    n += strcmp (world->start[i].task.job, id) == 0;
+  return n;
+}
+
+bool
+world_twice (const World *world)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    for (uint32_t j = 0; j < i; j++)
+      {
+        const WorldStart *a = &world->start[j];
+        const WorldStart *b = &world->start[i];
+
+        if (memcmp (&a->task, &b->task, sizeof a->task) == 0
+            && (a->ended_ms == 0 || b->at_ms < a->ended_ms
+                || a->end == MUX_RUN_DONE))
+          return true;
+      }
+  return false;
+}
+
+MuxJobSpec *
+world_job (uint32_t steps, uint32_t tasks, uint32_t cpu_milli)
+{
+  MuxJobSpec *job = mux_job_new (steps);
+
+  job->payload = strdup ("work");
+  for (uint32_t i = 0; i < steps; i++)
+    {
+      job->step[i].count = tasks;
+      job->step[i].size.cpu_milli = cpu_milli;
+      job->step[i].size.mem_mib = 1024;
+      job->step[i].estimate_ms = 1000;
+      job->step[i].after = i > 0 ? UINT64_C (1) << (i - 1) : 0;
+    }
+  return job;
+}
+
+void
+world_worker_restart (World *world, uint32_t number)
+{
+  WorldWorker *worker = &world->worker[number];
+  WorldRow *row = row_find (world, MUX_TABLE_WORKERS, "", worker->info.id);
+  char id[MUX_NAME_LEN];
+
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    if (worker->run[i].used && worker->run[i].number == 0)
+      end_run (world, worker, &worker->run[i], MUX_RUN_LAPSED);
+  row->removed = true;
+  row->version = ++world->version;
+  memset (worker->run, 0, sizeof worker->run);
+  worker->fence = 0;
+  worker->next_end = 0;
+  worker->lease_until_ms = 0;
+  snprintf (id, sizeof id, "i-%u-%llu", number,
+            (unsigned long long) world->version);
+  snprintf (worker->info.id, sizeof worker->info.id, "%s", id);
+  list_worker (world, number);
+}
--- /dev/null
+++ b/test/support/cell_world.h
@@ -0,0 +1,157 @@
+#ifndef SUPPORT_CELL_WORLD_H
+#define SUPPORT_CELL_WORLD_H
+
+#include "cell/cell.h"
+
+/*
+ * A few daemons' cores of stepped jobs on one fake clock, with a store, workers
+ * and a policy service in memory.  All of it is plain data, so that a test can
+ * break any part at any moment.
+ */
+
+#define WORLD_CELLS_MAX 3
+#define WORLD_WORKERS_MAX 8
+#define WORLD_ROWS_MAX 512
+#define WORLD_RUNS_MAX 256
+#define WORLD_STARTS_MAX 1024
+
+/**
+ * enum WorldFault - what becomes of a call
+ */
+typedef enum
+{
+  WORLD_SERVES,
+  WORLD_REFUSES,      /* without effect, answered so */
+  WORLD_LOSES_ANSWER, /* done, the caller hears nothing */
+  WORLD_SILENT,       /* not done, the caller hears nothing */
+} WorldFault;
+
+typedef struct
+{
+  MuxCellTable table;
+  char part[MUX_ROW_NAME_LEN];
+  char key[MUX_ROW_NAME_LEN];
+  uint64_t version;
+  bool removed;
+  MuxBlob *value;
+} WorldRow;
+
+/**
+ * struct WorldRun - a run at a worker, running or ended and not acknowledged
+ * @ends_ms: when it ends by itself; INT64_MAX: never
+ * @number: of its end; 0: it runs
+ */
+typedef struct
+{
+  bool used;
+  MuxTaskRef task;
+  uint32_t run;
+  int64_t began_ms;
+  int64_t ends_ms;
+  uint64_t number;
+  MuxRunEnd end;
+  uint32_t percent;
+} WorldRun;
+
+/**
+ * struct WorldWorker - one life of a worker
+ * @fault: of START and STOP
+ * @cut: no call reaches it or comes back, from any cell
+ * @fails: all that it starts fails after @task_ms
+ * @stuck_percent: what its runs report, and they never end; 0: they work
+ */
+typedef struct
+{
+  bool used;
+  bool listed;
+  MuxWorkerInfo info;
+  WorldFault fault;
+  bool cut;
+  bool fails;
+  uint32_t stuck_percent;
+  uint64_t fence;
+  uint64_t next_end;
+  int64_t lease_until_ms;
+  WorldRun run[WORLD_RUNS_MAX];
+} WorldWorker;
+
+/**
+ * struct WorldStart - a start that a worker began to carry out
+ */
+typedef struct
+{
+  MuxTaskRef task;
+  uint32_t run;
+  uint32_t worker;
+  int64_t at_ms;
+  int64_t ended_ms; /* 0: it runs */
+  MuxRunEnd end;
+} WorldStart;
+
+typedef struct WorldEvent WorldEvent;
+typedef struct World World;
+
+/* A core with its sink. */
+typedef struct
+{
+  MuxCellSink sink; /* first */
+  World *world;
+  uint32_t number;
+  MuxCell *cell;
+  bool frozen;
+  bool dead;
+  WorldFault store;
+  char addr[MUX_ADDR_LEN];
+} WorldCell;
+
+struct World
+{
+  int64_t now_ms;
+  uint64_t version;
+  uint64_t forgotten; /* changes up to this version can't be followed */
+  uint64_t incarnation;
+  MuxCounters *counters;
+  WorldCell cell[WORLD_CELLS_MAX];
+  uint32_t row_count;
+  WorldRow row[WORLD_ROWS_MAX];
+  WorldWorker worker[WORLD_WORKERS_MAX];
+  uint32_t start_count;
+  WorldStart start[WORLD_STARTS_MAX];
+  int64_t task_ms; /* run time of a task */
+  bool lose_approvals;
+  uint32_t approvals_asked;
+  uint32_t commits;
+  WorldEvent *events;
+  MuxQuestionReply answer[256]; /* by the question's call */
+  bool answered[256];
+  uint64_t next_question;
+};
+
+/** world_new() - @cells daemons, @workers workers of 32 processors */
+World *world_new (uint32_t cells, uint32_t workers);
+void world_free (World *world);
+/** world_cell_start() - (again, as a new process) */
+void world_cell_start (World *world, uint32_t cell);
+void world_cell_kill (World *world, uint32_t cell);
+/** world_run() - let @ms pass */
+void world_run (World *world, int64_t ms);
+/** world_planner() - the cell that plans; WORLD_CELLS_MAX: none */
+uint32_t world_planner (const World *world);
+/** world_submit() - hand in; the answer comes while time passes
+ * Return: number of the question */
+uint64_t
+world_submit (World *world, uint32_t cell, MuxJobSpec *job, const char *id);
+uint64_t
+world_ask (World *world, uint32_t cell, MuxQuestionVerb verb, const char *id);
+/** world_state() - asks and waits a little */
+MuxJobState world_state (World *world, uint32_t cell, const char *id);
+/** world_starts() - of the tasks of a job */
+uint32_t world_starts (const World *world, const char *id);
+/** world_twice() - two runs of a task at once, or one after it was done */
+bool world_twice (const World *world);
+/** world_job() - @steps steps of @tasks tasks, one after the other */
+MuxJobSpec *world_job (uint32_t steps, uint32_t tasks, uint32_t cpu_milli);
+/** world_worker_restart() - a new life at the same address */
+void world_worker_restart (World *world, uint32_t worker);
+
+#endif
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -92,6 +92,31 @@
     case MUX_PEER_JOB_HINT:
       msg->task = (MuxId){ 0x0123456789abcdef, 0xfedcba9876543210 };
       break;
+    case MUX_PEER_HELLO:
+      strcpy (msg->from_addr, "10.20.30.41:7411");
+      msg->table_ok = true;
+      break;
+    case MUX_PEER_WELCOME:
+      msg->epoch = 42;
+      msg->table_ok = true;
+      break;
+    case MUX_PEER_JOB_ASK:
+    case MUX_PEER_APPROVAL_ASK:
+      strcpy (msg->from_addr, "10.20.30.41:7411");
+      msg->call = 77;
+      msg->body = mux_blob_new (rows, sizeof rows - 1);
+      break;
+    case MUX_PEER_JOB_TOLD:
+      msg->call = 77;
+      msg->found = true;
+      msg->job_state = 2;
+      msg->queued = 12;
+      break;
+    case MUX_PEER_APPROVAL_TOLD:
+      msg->call = 77;
+      msg->found = true;
+      msg->body = mux_blob_new (rows, sizeof rows - 1);
+      break;
     case MUX_PEER_GRANT_CANCEL:
     case MUX_PEER_BYE:
     case MUX_PEER_VERB_COUNT:
--- /dev/null
+++ b/test/unit/test_cell.c
@@ -0,0 +1,567 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#define CELLS 3
+#define WORKERS 4
+/* Long enough for a takeover and what it has to wait for. */
+#define TAKEOVER_MS 4000
+/* A successor waits so long for a worker that it never heard: the former
+ * planner's trust in its claim, and a lease. */
+#define UNHEARD_MS 13000
+
+static uint32_t
+other_than (uint32_t cell)
+{
+  return (cell + 1) % CELLS;
+}
+
+static void
+assert_accepted (World *world, uint64_t call)
+{
+  assert_true (world->answered[call]);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_ACCEPTED);
+}
+
+static MuxJobSpec *
+gang (uint32_t tasks, uint32_t cpu_milli)
+{
+  MuxJobSpec *job = world_job (1, tasks, cpu_milli);
+
+  job->step[0].gang = true;
+  return job;
+}
+
+static void
+test_steps_in_order (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint64_t call = world_submit (world, 0, world_job (2, 3, 1000), "job-a");
+
+  (void) state;
+  world_run (world, 100);
+  assert_accepted (world, call);
+  assert_int_equal (world_state (world, 1, "job-a"), MUX_JOB_ACTIVE);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  world_run (world, 3000);
+  assert_int_equal (world_starts (world, "job-a"), 6);
+  for (uint32_t i = 0; i < 3; i++)
+    assert_true (world->start[3 + i].at_ms >= world->start[i].ended_ms);
+  for (uint32_t cell = 0; cell < CELLS; cell++)
+    assert_int_equal (world_state (world, cell, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_state (world, 0, "job-b"), MUX_JOB_ABSENT);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+static void
+test_same_id_is_one_job (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint64_t a = world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  uint64_t b = world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  uint64_t c = world_submit (world, 1, world_job (1, 1, 1000), "job-a");
+  uint64_t d;
+
+  (void) state;
+  world_run (world, 3000);
+  d = world_submit (world, 2, world_job (1, 1, 1000), "job-a");
+  world_run (world, 2000);
+  assert_accepted (world, a);
+  assert_accepted (world, b);
+  assert_accepted (world, c);
+  assert_accepted (world, d);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_free (world);
+}
+
+/*
+ * A caller hands a job in; the store keeps it and the answer is lost.  If the
+ * daemon then said "not accepted", the caller would send the work elsewhere,
+ * and it would be done twice.  The daemon must say "accepted" or "unknown".
+ */
+static void
+test_unanswered_commit_is_never_refused (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint64_t lost;
+  uint64_t known;
+
+  (void) state;
+  world->cell[0].store = WORLD_LOSES_ANSWER;
+  lost = world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 100);
+  world->cell[0].store = WORLD_REFUSES;
+  world_run (world, 5000);
+  assert_true (world->answered[lost]);
+  assert_int_equal (world->answer[lost].outcome, MUX_OUTCOME_UNKNOWN);
+  world->cell[0].store = WORLD_SERVES;
+  world_run (world, 1000);
+  known = world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 1000);
+  assert_accepted (world, known);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_free (world);
+}
+
+/*
+ * The store turns a daemon away.  A caller who is held until its deadline
+ * can't be served by another daemon in time; it is refused within a fraction
+ * of a second, and the refusal is true.
+ */
+static void
+test_refusal_is_quick_and_true (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint64_t call;
+
+  (void) state;
+  world->cell[0].store = WORLD_REFUSES;
+  call = world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 500);
+  assert_true (world->answered[call]);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_REFUSED);
+  assert_true (world->answer[call].retry_ms > 0);
+  world->cell[0].store = WORLD_SERVES;
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_ABSENT);
+  assert_int_equal (world_starts (world, "job-a"), 0);
+  world_free (world);
+}
+
+/*
+ * The planner dies while tasks run.  Its successor must take the running tasks
+ * over from the workers' lists: started again they would run twice, forgotten
+ * the job would never end.
+ */
+static void
+test_successor_adopts_running_tasks (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t call;
+
+  (void) state;
+  world->task_ms = 6000;
+  call = world_submit (world, other_than (planner), world_job (1, 4, 1000),
+                       "job-a");
+  world_run (world, 500);
+  assert_accepted (world, call);
+  assert_int_equal (world_starts (world, "job-a"), 4);
+  world_cell_kill (world, planner);
+  world_run (world, 10000);
+  assert_int_not_equal (world_planner (world), planner);
+  assert_int_equal (world_starts (world, "job-a"), 4);
+  assert_int_equal (world_state (world, other_than (planner), "job-a"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A gang is done just when its planner is replaced.  The successor learns of
+ * the good end while the gang still stands in its plan; it must not start it
+ * again, and the room of members not yet listed as ended stays taken.
+ */
+static void
+test_ended_gang_is_not_started_again (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  (void) world_submit (world, other_than (planner), gang (6, 9000), "job-a");
+  world_run (world, 900);
+  assert_int_equal (world_starts (world, "job-a"), 6);
+  world_cell_kill (world, planner);
+  world_run (world, TAKEOVER_MS);
+  assert_int_equal (world_starts (world, "job-a"), 6);
+  assert_int_equal (world_state (world, other_than (planner), "job-a"),
+                    MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+/*
+ * A planner is frozen while another takes over, and wakes with all its state.
+ * Its next orders would start tasks that its successor runs elsewhere; it must
+ * read the claim before it orders anything.
+ */
+static void
+test_frozen_planner_orders_nothing (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world->task_ms = 2000;
+  (void) world_submit (world, other_than (planner), world_job (2, 4, 9000),
+                       "job-a");
+  world_run (world, 500);
+  world->cell[planner].frozen = true;
+  world_run (world, 5000);
+  assert_int_not_equal (world_planner (world), planner);
+  world->cell[planner].frozen = false;
+  world_run (world, 5000);
+  assert_int_equal (world_state (world, planner, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_starts (world, "job-a"), 8);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A worker can't be reached any more and runs on.  Its task may be started
+ * elsewhere only once its lease is surely over there, however slow its clock.
+ */
+static void
+test_lost_worker_runs_until_its_lease_ends (void **state)
+{
+  World *world = world_new (1, 2);
+
+  (void) state;
+  world->task_ms = 20000;
+  (void) world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world->worker[world->start[0].worker].cut = true;
+  world_run (world, 3500);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_run (world, 4000);
+  assert_int_equal (world_starts (world, "job-a"), 2);
+  assert_int_not_equal (world->start[0].worker, world->start[1].worker);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A worker and the planner are lost at the same moment.  The successor has
+ * never heard that worker: what ran there is started again only after the
+ * longest time that it can still run, while jobs that could never have run
+ * there go on at once.
+ */
+static void
+test_unheard_worker_blocks_its_own_jobs_alone (void **state)
+{
+  World *world = world_new (CELLS, 1);
+  uint32_t planner = world_planner (world);
+  uint32_t other = other_than (planner);
+
+  (void) state;
+  world->task_ms = 30000;
+  (void) world_submit (world, other, world_job (1, 1, 1000), "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world->worker[0].cut = true;
+  world_cell_kill (world, planner);
+  world_run (world, TAKEOVER_MS);
+  world->worker[1] = world->worker[0];
+  world->worker[1].cut = false;
+  snprintf (world->worker[1].info.addr, MUX_ADDR_LEN, "10.1.0.99:8000");
+  world_worker_restart (world, 1);
+  /* The copy's restart unlisted the life that it was copied from. */
+  world->start[0].ended_ms = 0;
+  (void) world_submit (world, other, world_job (1, 1, 1000), "job-b");
+  world_run (world, 1000);
+  assert_int_equal (world_starts (world, "job-b"), 1);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_run (world, UNHEARD_MS);
+  assert_int_equal (world_starts (world, "job-a"), 2);
+  world_free (world);
+}
+
+/*
+ * A start is carried out and its answer lost.  Nobody knows whether the task
+ * runs; started elsewhere at once it might run twice.
+ */
+static void
+test_lost_start_is_settled_first (void **state)
+{
+  World *world = world_new (1, 2);
+  uint32_t first;
+
+  (void) state;
+  for (uint32_t i = 0; i < 2; i++)
+    world->worker[i].fault = WORLD_LOSES_ANSWER;
+  (void) world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 400);
+  first = world->start[0].worker;
+  for (uint32_t i = 0; i < 2; i++)
+    world->worker[i].fault = WORLD_SERVES;
+  world_run (world, 6000);
+  assert_true (first < 2);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A step whose policy question was lost with the daemon that asked it: the
+ * workers named must be asked about again, else a gang waits for good beside
+ * idle workers.
+ */
+static void
+test_lost_question_is_asked_again (void **state)
+{
+  World *world = world_new (1, WORKERS);
+
+  (void) state;
+  world->lose_approvals = true;
+  (void) world_submit (world, 0, gang (6, 9000), "job-a");
+  world_run (world, 1000);
+  assert_int_equal (world_starts (world, "job-a"), 0);
+  world->lose_approvals = false;
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+/*
+ * A poisoned task fails every time, on two workers; the planner dies between,
+ * and its successor hears of the ends in the order of the workers' lists.
+ * Each failed run counts once: one too few and the task is tried more often
+ * than its queue allows, one too many and a sound job is given up.
+ */
+static void
+test_attempts_are_counted_over_a_takeover (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t other = other_than (planner);
+
+  (void) state;
+  world->task_ms = 300;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].fails = true;
+  /* No end is stored any more, so that all of them stay in the lists. */
+  (void) world_submit (world, other, world_job (1, 1, 1000), "job-a");
+  world_run (world, 150);
+  world->cell[planner].store = WORLD_REFUSES;
+  world_run (world, 900);
+  world_cell_kill (world, planner);
+  world_run (world, TAKEOVER_MS);
+  assert_int_equal (world_state (world, other, "job-a"), MUX_JOB_FAILED);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  world_free (world);
+}
+
+/*
+ * Jobs come while the store forgets its history: the planner's feed ends, and
+ * a reading that missed the parts where jobs lie would leave them waiting for
+ * good, and report none of them as pending.
+ */
+static void
+test_forgotten_history_is_read_again (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t other = other_than (planner);
+
+  (void) state;
+  world->cell[planner].store = WORLD_REFUSES;
+  world_run (world, 5200);
+  (void) world_submit (world, other, world_job (1, 1, 1000), "job-a");
+  (void) world_submit (world, other, world_job (1, 1, 1000), "job-b");
+  (void) world_submit (world, other, world_job (1, 1, 1000), "job-c");
+  world_run (world, 50);
+  world->forgotten = world->version;
+  world->cell[planner].store = WORLD_SERVES;
+  world_run (world, 5000);
+  assert_int_equal (world_state (world, other, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_state (world, other, "job-b"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_state (world, other, "job-c"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+static void
+test_cancel_stops_what_runs (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t other = other_than (planner);
+  uint64_t cancel;
+
+  (void) state;
+  world->task_ms = 5000;
+  (void) world_submit (world, other, world_job (2, 4, 1000), "job-a");
+  world_run (world, 500);
+  cancel = world_ask (world, other, MUX_QUESTION_CANCEL, "job-a");
+  world_run (world, 500);
+  assert_true (world->answered[cancel]);
+  assert_int_equal (world->answer[cancel].outcome, MUX_OUTCOME_CANCELLED);
+  for (uint32_t i = 0; i < world->start_count; i++)
+    assert_int_equal (world->start[i].end, MUX_RUN_STOPPED);
+  world_run (world, 3000);
+  assert_int_equal (world_starts (world, "job-a"), 4);
+  for (uint32_t cell = 0; cell < CELLS; cell++)
+    assert_int_equal (world_state (world, cell, "job-a"), MUX_JOB_CANCELLED);
+  cancel = world_ask (world, other, MUX_QUESTION_CANCEL, "job-z");
+  world_run (world, 500);
+  assert_int_equal (world->answer[cancel].outcome, MUX_OUTCOME_ABSENT);
+  world_free (world);
+}
+
+/*
+ * A worker's tasks stand still, its health is good.  They are stopped and run
+ * elsewhere; a gang's member that has done its part and waits for the others
+ * is left alone.
+ */
+static void
+test_hung_tasks_run_elsewhere (void **state)
+{
+  World *world = world_new (1, 2);
+
+  (void) state;
+  world->worker[0].stuck_percent = 40;
+  world->worker[1].stuck_percent = 40;
+  (void) world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 300);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world->worker[0].stuck_percent = 0;
+  world->worker[1].stuck_percent = 0;
+  for (uint32_t i = 0; i < 2; i++)
+    world->worker[i].run[0].percent = 40;
+  world->worker[world->start[0].worker].stuck_percent = 40;
+  world_run (world, 8000);
+  assert_true (world_starts (world, "job-a") >= 2);
+  assert_int_equal (world->start[0].end, MUX_RUN_STOPPED);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+static void
+test_member_at_its_end_waits (void **state)
+{
+  World *world = world_new (1, 1);
+
+  (void) state;
+  world->worker[0].stuck_percent = 100;
+  (void) world_submit (world, 0, gang (2, 9000), "job-a");
+  world_run (world, 9000);
+  assert_int_equal (world_starts (world, "job-a"), 2);
+  assert_int_equal (world->start[0].ended_ms, 0);
+  world_free (world);
+}
+
+/*
+ * A worker crashes and a new life answers at its address.  The old life's
+ * tasks are known to be gone: they are started again at once rather than
+ * after the lease.
+ */
+static void
+test_other_life_frees_tasks_at_once (void **state)
+{
+  World *world = world_new (1, 1);
+
+  (void) state;
+  world->task_ms = 3000;
+  (void) world_submit (world, 0, world_job (1, 2, 1000), "job-a");
+  world_run (world, 500);
+  world_worker_restart (world, 0);
+  world_run (world, 1500);
+  assert_int_equal (world_starts (world, "job-a"), 4);
+  world_run (world, 4000);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+static void
+test_room_is_never_exceeded (void **state)
+{
+  World *world = world_new (CELLS, 2);
+  uint32_t used[2];
+
+  (void) state;
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      (void) world_submit (world, i % CELLS, world_job (1, 3, 7000), id);
+    }
+  world_run (world, 15000);
+  for (uint32_t i = 0; i < world->start_count; i++)
+    {
+      used[0] = used[1] = 0;
+      for (uint32_t j = 0; j < world->start_count; j++)
+        if (world->start[j].at_ms <= world->start[i].at_ms
+            && (world->start[j].ended_ms == 0
+                || world->start[j].ended_ms > world->start[i].at_ms))
+          used[world->start[j].worker] += 7000;
+      assert_true (used[0] <= 32000 && used[1] <= 32000);
+    }
+  assert_int_equal (world_state (world, 0, "job-11"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+/*
+ * Daemons are restarted one after the other.  A planner that stops names its
+ * heir, which plans at once instead of after the silence that a death takes.
+ */
+static void
+test_stopping_planner_hands_over (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  (void) world_submit (world, other_than (planner), world_job (2, 4, 1000),
+                       "job-a");
+  world_run (world, 300);
+  mux_cell_stop (world->cell[planner].cell,
+                 (MuxCellTime){ world->now_ms, 1700000000000 });
+  world_run (world, 400);
+  assert_true (mux_cell_stopped (world->cell[planner].cell));
+  assert_int_not_equal (world_planner (world), planner);
+  assert_true (world_planner (world) < WORLD_CELLS_MAX);
+  world_run (world, 4000);
+  assert_int_equal (world_state (world, other_than (planner), "job-a"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+static void
+test_unknown_queue (void **state)
+{
+  World *world = world_new (1, 1);
+  MuxQuestion *question = calloc (1, sizeof *question);
+
+  (void) state;
+  question->verb = MUX_QUESTION_STATE;
+  question->call = 200;
+  snprintf (question->host, sizeof question->host, "other.example");
+  snprintf (question->path, sizeof question->path, "/batch/x");
+  mux_cell_question (world->cell[0].cell,
+                     (MuxCellTime){ world->now_ms, 1700000000000 }, question);
+  assert_true (world->answered[200]);
+  assert_int_equal (world->answer[200].outcome, MUX_OUTCOME_NO_QUEUE);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_steps_in_order),
+    cmocka_unit_test (test_same_id_is_one_job),
+    cmocka_unit_test (test_unanswered_commit_is_never_refused),
+    cmocka_unit_test (test_refusal_is_quick_and_true),
+    cmocka_unit_test (test_successor_adopts_running_tasks),
+    cmocka_unit_test (test_ended_gang_is_not_started_again),
+    cmocka_unit_test (test_frozen_planner_orders_nothing),
+    cmocka_unit_test (test_lost_worker_runs_until_its_lease_ends),
+    cmocka_unit_test (test_unheard_worker_blocks_its_own_jobs_alone),
+    cmocka_unit_test (test_lost_start_is_settled_first),
+    cmocka_unit_test (test_lost_question_is_asked_again),
+    cmocka_unit_test (test_attempts_are_counted_over_a_takeover),
+    cmocka_unit_test (test_forgotten_history_is_read_again),
+    cmocka_unit_test (test_cancel_stops_what_runs),
+    cmocka_unit_test (test_hung_tasks_run_elsewhere),
+    cmocka_unit_test (test_member_at_its_end_waits),
+    cmocka_unit_test (test_other_life_frees_tasks_at_once),
+    cmocka_unit_test (test_room_is_never_exceeded),
+    cmocka_unit_test (test_stopping_planner_hands_over),
+    cmocka_unit_test (test_unknown_queue),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
