Let the planner's sign of life in the store count beside its greetings

Change: the planner renews a row every 700 ms under the condition of its claim, which also confirms the claim; a planner is replaced when it is silent on both ways.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -476,6 +476,8 @@
   int64_t term_began_ms;
   int64_t verified_ms; /* the claim was surely ours then */
   bool verifying;
+  bool beating;
+  int64_t next_beat_ms;
   int64_t last_event_ms;
   bool claiming;
   int64_t claim_after_ms;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -6,6 +6,10 @@
 #include <string.h>
 
 #define CLAIM_KEY "claim"
+#define BEAT_KEY "beat"
+/* The planner writes a sign of life into the store this often; two of them fit
+ * into dead_ms.  Each is a call that is paid for. */
+#define BEAT_MS 700
 /* Time between greetings to the planner; six of them fit into dead_ms. */
 #define HELLO_MS 250
 /* Daemons claim one after the other, spread over this time, so that the first
@@ -18,9 +22,6 @@
 #define STORE_BAD_MS 600
 /* The heir of a claim given up has so much of a start before the others. */
 #define HEIR_MS 350
-/* The planner reads its claim again when nothing has confirmed it for so long.
- */
-#define VERIFY_MS 1000
 /* A planner orders nothing when its claim has not been confirmed for so long:
  * longer than the store's usual outages, so that they leave the running tasks
  * alone.  A successor waits it out before it counts a worker that it can't
@@ -127,6 +128,8 @@
   cell->term = cell->claim.version;
   cell->term_began_ms = cell->time.now_ms;
   cell->verifying = false;
+  cell->beating = false;
+  cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
   cell->end_seq = 0;
   cell->worker_slots = 0;
   cell_log (cell, "planner_began", "{s:I, s:i}", "term",
@@ -174,6 +177,8 @@
 {
   bool ours;
 
+  if (strcmp (row->key, BEAT_KEY) == 0)
+    cell->planner_heard_ms = cell->time.now_ms;
   if (strcmp (row->key, CLAIM_KEY) != 0 || row->version <= cell->claim.version)
     return;
   read_claim (&cell->claim, row);
@@ -310,9 +315,51 @@
   cell->verifying = false;
   if (reply->status != MUX_CELL_OK || reply->row_count == 0)
     return;
-  cell_claim_row (cell, &reply->row[0]);
-  if (cell->role != CELL_FOLLOWER && reply->row[0].version == cell->term)
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    {
+      const MuxCellRow *row = &reply->row[i];
+
+      cell_claim_row (cell, row);
+      if (cell->role != CELL_FOLLOWER && row->version == cell->term)
+        cell_verified (cell, pending->sent_ms);
+    }
+}
+
+static void
+beaten (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  cell->beating = false;
+  if (reply->status == MUX_CELL_OK)
     cell_verified (cell, pending->sent_ms);
+  else if (reply->status == MUX_CELL_CONFLICT)
+    cell_claim_doubt (cell, "beat_conflict");
+}
+
+/*
+ * Guards against planners that replace each other in turn: a daemon that is
+ * cut off from the others, but not from the store, hears no planner and would
+ * claim, upon which the others hear none.  All follow the table of the claim;
+ * a sign of life there counts like a greeting, so that only a planner that is
+ * silent on both ways is replaced.  Its condition confirms the claim besides.
+ */
+static void
+beat (MuxCell *cell)
+{
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  CellPending pending = { .done = beaten, .term = cell->term };
+
+  cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
+  if (call == NULL || !mux_cell_call_changes (call, 2))
+    {
+      mux_cell_call_free (call);
+      return;
+    }
+  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_CLAIM, CLAIM_KEY)->version
+      = cell->term;
+  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_CLAIM, BEAT_KEY)->value
+      = mux_blob_new ("{}", 2);
+  cell->beating = cell_call (cell, call, &pending);
 }
 
 static void
@@ -341,8 +388,13 @@
 
   if (paused_ms > PAUSE_MS)
     cell_claim_doubt (cell, "paused");
-  if (!cell->verifying && now - cell->verified_ms > VERIFY_MS)
-    verify (cell);
+  if (cell->verified_ms == 0)
+    {
+      if (!cell->verifying)
+        verify (cell);
+    }
+  else if (!cell->beating && now >= cell->next_beat_ms)
+    beat (cell);
 }
 
 void
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -498,7 +498,7 @@
 {
   World *world = ((WorldCell *) sink)->world;
 
-  for (uint32_t i = 0; i < WORLD_CELLS_MAX; i++)
+  for (uint32_t i = 0; i < WORLD_CELLS_MAX && !world->peers_cut; i++)
     if (world->cell[i].cell != NULL && strcmp (world->cell[i].addr, addr) == 0)
       {
         WorldEvent *event = event_new (world, i, PEER_MS);
@@ -764,7 +764,8 @@
   uint32_t number = WORLD_CELLS_MAX;
 
   for (uint32_t i = 0; i < world->row_count; i++)
-    if (world->row[i].table == MUX_TABLE_CLAIM && !world->row[i].removed)
+    if (world->row[i].table == MUX_TABLE_CLAIM
+        && strcmp (world->row[i].key, "claim") == 0)
       row = &world->row[i];
   if (row == NULL)
     return number;
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -519,6 +519,35 @@
   world_free (world);
 }
 
+/*
+ * Messages between the daemons are lost, all of them reach the store and the
+ * workers.  Each daemon hears no planner; were that enough to claim, planners
+ * would replace each other every second and little would be planned.
+ */
+static void
+test_cut_between_daemons_keeps_the_planner (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t version = 0;
+
+  (void) state;
+  world->peers_cut = true;
+  world_run (world, 8000);
+  assert_int_equal (world_planner (world), planner);
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == MUX_TABLE_CLAIM
+        && strcmp (world->row[i].key, "claim") == 0)
+      version = world->row[i].version;
+  assert_true (version < 40);
+  (void) world_submit (world, other_than (planner), world_job (1, 2, 1000),
+                       "job-a");
+  world_run (world, 2000);
+  assert_int_equal (world_state (world, other_than (planner), "job-a"),
+                    MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
 static void
 test_unknown_queue (void **state)
 {
@@ -560,6 +589,7 @@
     cmocka_unit_test (test_other_life_frees_tasks_at_once),
     cmocka_unit_test (test_room_is_never_exceeded),
     cmocka_unit_test (test_stopping_planner_hands_over),
+    cmocka_unit_test (test_cut_between_daemons_keeps_the_planner),
     cmocka_unit_test (test_unknown_queue),
   };
 
