Test the platform folder, the log and the waiting callers; count and time calls

Tests beside platform/ need no kit: formats both ways, the HTTP client against cut answers, the callers' side.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 # Archives, so that a program links only the parts that it uses.
 TESTLIBS = $(PLATFORM) $(B)/libbench.a $(B)/libdemo.a $(B)/libsupport.a $(B)/libstandin.a \
   $(B)/libdaemon.a $(B)/libcli.a
-UNIT = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
+UNIT = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c)) \
+  $(patsubst platform/test/%.c,$(B)/platform/%,$(wildcard platform/test/test_*.c))
 STANDIN = $(patsubst test/standin/%_main.c,$(B)/standin-%,$(wildcard test/standin/*_main.c))
 STANDIN_OBJ = $(patsubst test/%.c,$(B)/obj/test/%.o,$(filter-out %_main.c,$(wildcard test/standin/*.c)))
 BENCH = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/bench_*.c))
@@ -48,7 +49,7 @@
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 # Tests, benchmarks and the demo may also include each other's support headers.
-OUTER = test bench demo
+OUTER = test bench demo platform/test
 $(OUTER:%=$(B)/obj/%/%.o): CPPFLAGS += -Itest -I.
 
 define package
@@ -87,6 +88,8 @@
 	@$(TESTLINK)
 $(B)/unit/%: $(B)/obj/test/unit/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
+$(B)/platform/%: $(B)/obj/platform/test/%.o $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
 $(B)/bench/%: $(B)/obj/bench/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
 $(B)/proof/%: $(B)/obj/test/proof/%.o $(TESTLIBS) $(LIBS)
--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -7,34 +7,59 @@
 #include <stdint.h>
 
 /* Counters that only grow, and gauges: symbol, exported name, help. */
-#define MUX_COUNTERS(X)                                                       \
-  X (REQUESTS, "requests_total", "requests accepted from callers")            \
-  X (ANSWERED, "answered_total", "requests answered with a result")           \
-  X (NOT_RUN, "not_run_total", "requests answered as not run")                \
-  X (UNKNOWN, "unknown_total", "requests answered as unknown")                \
-  X (TICKETS, "tickets_total", "tickets given to callers")                    \
-  X (STARTS, "starts_total", "task starts sent to workers")                   \
-  X (GRANTS, "grants_total", "places granted on own workers")                 \
-  X (GRANTS_REMOTE, "grants_remote_total", "places granted to peers")         \
-  X (CLAIMS, "claims_total", "claims won")                                    \
-  X (CLAIMS_LOST, "claims_lost_total", "claims lost or handed over")          \
-  X (SETTLED_RAN, "settled_ran_total", "starts of unknown fate that ran")     \
-  X (SETTLED_NEVER, "settled_never_total", "starts put down by a tombstone")  \
-  X (JOBS_ACCEPTED, "jobs_accepted_total", "jobs recorded")                   \
-  X (JOBS_DONE, "jobs_done_total", "jobs ended")                              \
-  X (JOBS_ADOPTED, "jobs_adopted_total", "jobs taken over from dead daemons") \
-  X (TABLE_WRITES, "table_writes_total", "transactions sent to the table")    \
-  X (TABLE_ROWS, "table_rows_written_total", "rows written to the table")     \
-  X (TABLE_READS, "table_reads_total", "reads sent to the table")             \
-  X (PEER_SENT, "peer_messages_sent_total", "messages sent to peers")         \
-  X (PEER_SENT_BYTES, "peer_sent_bytes_total", "bytes sent to peers")         \
-  X (PEER_RECEIVED, "peer_messages_received_total", "messages from peers")    \
-  X (PEER_BAD, "peer_messages_bad_total", "peer messages not understood")     \
-  X (WORKER_CALLS, "worker_calls_total", "calls made to workers")             \
-  X (ROWS_SWEPT, "rows_swept_total", "transactions that dropped old rows")    \
-  X (CONFIG_CHANGES, "config_changes_total", "changes committed here")        \
-  X (EVENTS, "core_events_total", "events handled by the core")               \
-  X (EVENTS_DROPPED, "core_events_dropped_total", "late events for the gone")
+#define MUX_COUNTERS(X)                                                        \
+  X (REQUESTS, "requests_total", "requests accepted from callers")             \
+  X (ANSWERED, "answered_total", "requests answered with a result")            \
+  X (NOT_RUN, "not_run_total", "requests answered as not run")                 \
+  X (UNKNOWN, "unknown_total", "requests answered as unknown")                 \
+  X (TICKETS, "tickets_total", "tickets given to callers")                     \
+  X (STARTS, "starts_total", "task starts sent to workers")                    \
+  X (GRANTS, "grants_total", "places granted on own workers")                  \
+  X (GRANTS_REMOTE, "grants_remote_total", "places granted to peers")          \
+  X (CLAIMS, "claims_total", "claims won")                                     \
+  X (CLAIMS_LOST, "claims_lost_total", "claims lost or handed over")           \
+  X (SETTLED_RAN, "settled_ran_total", "starts of unknown fate that ran")      \
+  X (SETTLED_NEVER, "settled_never_total", "starts put down by a tombstone")   \
+  X (JOBS_ACCEPTED, "jobs_accepted_total", "jobs recorded")                    \
+  X (JOBS_DONE, "jobs_done_total", "jobs ended")                               \
+  X (JOBS_ADOPTED, "jobs_adopted_total", "jobs taken over from dead daemons")  \
+  X (TABLE_WRITES, "table_writes_total", "transactions sent to the table")     \
+  X (TABLE_ROWS, "table_rows_written_total", "rows written to the table")      \
+  X (TABLE_READS, "table_reads_total", "reads sent to the table")              \
+  X (PEER_SENT, "peer_messages_sent_total", "messages sent to peers")          \
+  X (PEER_SENT_BYTES, "peer_sent_bytes_total", "bytes sent to peers")          \
+  X (PEER_RECEIVED, "peer_messages_received_total", "messages from peers")     \
+  X (PEER_BAD, "peer_messages_bad_total", "peer messages not understood")      \
+  X (WORKER_CALLS, "worker_calls_total", "calls made to workers")              \
+  X (ROWS_SWEPT, "rows_swept_total", "transactions that dropped old rows")     \
+  X (CONFIG_CHANGES, "config_changes_total", "changes committed here")         \
+  X (EVENTS, "core_events_total", "events handled by the core")                \
+  X (EVENTS_DROPPED, "core_events_dropped_total", "late events for the gone")  \
+  X (APPROVALS, "approval_questions_total", "questions to the policy service") \
+  X (TERMS, "planner_terms_total", "times that this daemon began to plan")     \
+  X (RUNS_FAILED, "runs_failed_total", "runs of tasks that ended as failed")   \
+  X (RUNS_LOST, "runs_lost_total", "runs that ended with their worker")        \
+  X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")
+
+/* Times in milliseconds, counted by ranges. */
+#define MUX_HISTOGRAMS(X)                                                   \
+  X (JOB_WAIT, "job_wait_ms", "from a job's acceptance to its first start") \
+  X (JOB_TIME, "job_time_ms", "from a job's acceptance to its stored end")  \
+  X (STORE, "store_call_ms", "calls to the store that do not wait")         \
+  X (WORKER, "worker_order_ms", "starts and stops until they are answered") \
+  X (APPROVAL, "approval_ms", "questions to the policy service")            \
+  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")
+
+/**
+ * enum MuxHistogram - names one histogram
+ */
+typedef enum
+{
+#define MUX_HISTOGRAM_ENUM(symbol, name, help) MUX_HIST_##symbol,
+  MUX_HISTOGRAMS (MUX_HISTOGRAM_ENUM)
+#undef MUX_HISTOGRAM_ENUM
+      MUX_HISTOGRAM_COUNT
+} MuxHistogram;
 
 /**
  * enum MuxCounter - names one counter
@@ -57,6 +82,8 @@
 void mux_count_refused (MuxCounters *counters, MuxReason reason);
 /** mux_count_retry() - something is tried again, or fenced, for @reason */
 void mux_count_retry (MuxCounters *counters, MuxReason reason);
+/** mux_observe() - one time, in ms; below 0 counts as 0 */
+void mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms);
 uint64_t mux_counter_value (const MuxCounters *counters, MuxCounter counter);
 uint64_t mux_refused_value (const MuxCounters *counters, MuxReason reason);
 uint64_t mux_retry_value (const MuxCounters *counters, MuxReason reason);
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -6,11 +6,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Upper ends of the ranges, in ms; the last range has none. */
+static const int64_t range_ms[]
+    = { 1,   2,    5,    10,   20,    50,    100,  200,
+        500, 1000, 2000, 5000, 10000, 20000, 60000 };
+#define ENDS (sizeof range_ms / sizeof range_ms[0])
+#define RANGES (ENDS + 1)
+
 struct MuxCounters
 {
   atomic_uint_fast64_t counter[MUX_COUNTER_COUNT];
   atomic_uint_fast64_t refused[MUX_REASON_COUNT];
   atomic_uint_fast64_t retry[MUX_REASON_COUNT];
+  atomic_uint_fast64_t range[MUX_HISTOGRAM_COUNT][RANGES];
+  atomic_uint_fast64_t sum_ms[MUX_HISTOGRAM_COUNT];
 };
 
 typedef struct
@@ -25,6 +34,12 @@
 #undef COUNTER_INFO
 };
 
+static const CounterInfo histogram_info[MUX_HISTOGRAM_COUNT] = {
+#define HISTOGRAM_INFO(symbol, name, help) [MUX_HIST_##symbol] = { name, help },
+  MUX_HISTOGRAMS (HISTOGRAM_INFO)
+#undef HISTOGRAM_INFO
+};
+
 MuxCounters *
 mux_counters_new (void)
 {
@@ -85,6 +100,19 @@
   return get (&counters->retry[reason]);
 }
 
+void
+mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms)
+{
+  size_t i = 0;
+
+  if (ms < 0)
+    ms = 0;
+  while (i < ENDS && ms > range_ms[i])
+    i++;
+  add (&counters->range[histogram][i], 1);
+  add (&counters->sum_ms[histogram], (uint64_t) ms);
+}
+
 typedef struct
 {
   char *bytes;
@@ -119,6 +147,27 @@
               mux_reason_name ((MuxReason) i), get (&values[i]));
 }
 
+static void
+print_histogram (Text *text, const MuxCounters *counters, uint32_t histogram)
+{
+  const char *name = histogram_info[histogram].name;
+  uint64_t count = 0;
+
+  text_add (text, "# HELP cuminmux_%s %s\n# TYPE cuminmux_%s histogram\n", name,
+            histogram_info[histogram].help, name);
+  for (size_t i = 0; i < ENDS; i++)
+    {
+      count += get (&counters->range[histogram][i]);
+      text_add (text, "cuminmux_%s_bucket{le=\"%" PRId64 "\"} %" PRIu64 "\n",
+                name, range_ms[i], count);
+    }
+  count += get (&counters->range[histogram][ENDS]);
+  text_add (text,
+            "cuminmux_%s_bucket{le=\"+Inf\"} %" PRIu64 "\n"
+            "cuminmux_%s_sum %" PRIu64 "\ncuminmux_%s_count %" PRIu64 "\n",
+            name, count, name, get (&counters->sum_ms[histogram]), name, count);
+}
+
 size_t
 mux_counters_print (const MuxCounters *counters, char *out, size_t cap)
 {
@@ -134,5 +183,7 @@
                  counters->refused);
   print_reasons (&text, "retries_total", "retries and fencings by reason",
                  counters->retry);
+  for (uint32_t i = 0; i < MUX_HISTOGRAM_COUNT; i++)
+    print_histogram (&text, counters, i);
   return text.len;
 }
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -11,6 +11,22 @@
  * callers are refused at once rather than held.  Three short tries. */
 #define STORE_AWAY_MS 400
 
+static void
+count_call (MuxCell *cell, MuxCellVerb verb)
+{
+  static const MuxCounter counter[] = {
+    [MUX_CELL_COMMIT] = MUX_COUNT_TABLE_WRITES,
+    [MUX_CELL_SCAN] = MUX_COUNT_TABLE_READS,
+    [MUX_CELL_FOLLOW] = MUX_COUNT_TABLE_READS,
+    [MUX_CELL_START] = MUX_COUNT_WORKER_CALLS,
+    [MUX_CELL_STOP] = MUX_COUNT_WORKER_CALLS,
+    [MUX_CELL_RENEW] = MUX_COUNT_WORKER_CALLS,
+    [MUX_CELL_APPROVE] = MUX_COUNT_APPROVALS,
+  };
+
+  mux_count (cell->options.counters, counter[verb], 1);
+}
+
 bool
 cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending)
 {
@@ -29,6 +45,7 @@
   entry->sent_ms = cell->time.now_ms;
   call->call_id = entry->call_id;
   HASH_ADD (hh, cell->pending, call_id, sizeof entry->call_id, entry);
+  count_call (cell, call->verb);
   if (cell->options.sink->call (cell->options.sink, call))
     return true;
   HASH_DEL (cell->pending, entry);
@@ -85,6 +102,20 @@
          || cell->time.now_ms - cell->store_failing_ms < STORE_AWAY_MS;
 }
 
+static void
+observe (MuxCell *cell, const CellPending *entry, const MuxCellReply *reply)
+{
+  int64_t took_ms = cell->time.now_ms - entry->sent_ms;
+  MuxCounters *counters = cell->options.counters;
+
+  if (reply->verb == MUX_CELL_COMMIT || reply->verb == MUX_CELL_SCAN)
+    mux_observe (counters, MUX_HIST_STORE, took_ms);
+  else if (reply->verb == MUX_CELL_START || reply->verb == MUX_CELL_STOP)
+    mux_observe (counters, MUX_HIST_WORKER, took_ms);
+  else if (reply->verb == MUX_CELL_APPROVE)
+    mux_observe (counters, MUX_HIST_APPROVAL, took_ms);
+}
+
 void
 mux_cell_reply (MuxCell *cell, MuxCellTime time, MuxCellReply *reply)
 {
@@ -97,6 +128,7 @@
   if (entry != NULL)
     {
       HASH_DEL (cell->pending, entry);
+      observe (cell, entry, reply);
       /* What belongs to an earlier term speaks of state that is gone. */
       if (entry->term == 0 || entry->term == cell->term)
         entry->done (cell, entry, reply);
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -497,7 +497,7 @@
 
   HASH_ITER (hh, cell->members, member, next)
   if (member->table_ok && !member->stopping
-      && cell->time.now_ms - member->heard_ms < 2 * HELLO_MS
+      && cell->time.now_ms - member->heard_ms < INT64_C (2) * HELLO_MS
       && (best == NULL || member->incarnation > best->incarnation))
     best = member;
   return best != NULL ? best->name : "";
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -67,7 +67,7 @@
 {
   uint32_t steps = job->spec->step_count;
   CellStage **stage
-      = realloc (job->stage, (job->stage_count + steps) * sizeof *job->stage);
+      = realloc (job->stage, (job->stage_count + steps) * sizeof (CellStage *));
 
   if (stage == NULL)
     return false;
@@ -260,6 +260,9 @@
   job->end = state;
   for (uint32_t i = 0; i < job->stage_count; i++)
     cell_stage_leave_plan (cell, job->stage[i]);
+  mux_count (cell->options.counters, MUX_COUNT_JOBS_DONE, 1);
+  mux_observe (cell->options.counters, MUX_HIST_JOB_TIME,
+               cell->time.now_ms - job->began_ms);
   cell_log (cell, "job_ended", "{s:s, s:s, s:I, s:I}", "job", job->id, "state",
             mux_job_state_name (state), "took_ms",
             (json_int_t) (cell->time.now_ms - job->began_ms), "due_ms",
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -211,6 +211,9 @@
   CellJob *next;
 
   cell->role = CELL_PLANNING;
+  mux_count (cell->options.counters, MUX_COUNT_TERMS, 1);
+  mux_observe (cell->options.counters, MUX_HIST_TAKEOVER,
+               cell->time.now_ms - cell->term_began_ms);
   cell_log (cell, "planning", "{s:I, s:i, s:I}", "term",
             (json_int_t) cell->term, "jobs", (int) HASH_COUNT (cell->jobs),
             "after_ms", (json_int_t) (cell->time.now_ms - cell->term_began_ms));
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -158,19 +158,14 @@
 ask (MuxCell *cell, CellStage *stage)
 {
   Candidate *candidate;
-  CellWorker **worker;
+  CellWorker *worker[CANDIDATES_MAX];
   uint32_t count;
 
   if (stage->asking || cell->time.now_ms < stage->ask_after_ms)
     return;
   candidate = calloc (HASH_COUNT (cell->workers) + 1, sizeof *candidate);
-  worker = calloc (CANDIDATES_MAX, sizeof *worker);
-  if (candidate == NULL || worker == NULL)
-    {
-      free (candidate);
-      free (worker);
-      return;
-    }
+  if (candidate == NULL)
+    return;
   count = collect (cell, stage, candidate);
   if (count > 0)
     qsort (candidate, count, sizeof *candidate, by_room);
@@ -179,7 +174,6 @@
     worker[i] = candidate[i].worker;
   (void) cell_approval_ask (cell, stage, worker, count);
   free (candidate);
-  free (worker);
 }
 
 void
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -204,26 +204,27 @@
   CellJob *job;
   CellJob *next;
 
-  DL_FOREACH_SAFE2 (part->dirty, job, next, dirty_next)
-  {
-    if (!job->in_commit)
-      continue;
-    job->in_commit = false;
-    job->progress_stored = true;
-    if (job->dirty_again)
-      {
-        job->dirty_again = false;
+  for (job = part->dirty; job != NULL; job = next)
+    {
+      next = job->dirty_next;
+      if (!job->in_commit)
         continue;
-      }
-    DL_DELETE2 (part->dirty, job, dirty_prev, dirty_next);
-    job->dirty = false;
-    /* A gang's other members may still be on their way out: the job stays
-     * until their room is free. */
-    job->end_stored = job->ended;
-    for (uint32_t i = 0; i < job->stage_count; i++)
-      cell_approvals_stored (job->stage[i]);
-    cell->replan = true;
-  }
+      job->in_commit = false;
+      job->progress_stored = true;
+      if (job->dirty_again)
+        {
+          job->dirty_again = false;
+          continue;
+        }
+      DL_DELETE2 (part->dirty, job, dirty_prev, dirty_next);
+      job->dirty = false;
+      /* A gang's other members may still be on their way out: the job stays
+       * until their room is free. */
+      job->end_stored = job->ended;
+      for (uint32_t i = 0; i < job->stage_count; i++)
+        cell_approvals_stored (job->stage[i]);
+      cell->replan = true;
+    }
 }
 
 static void
@@ -231,11 +232,11 @@
 {
   CellJob *job;
 
-  DL_FOREACH2 (part->dirty, job, dirty_next)
-  {
-    job->in_commit = false;
-    job->dirty_again = false;
-  }
+  for (job = part->dirty; job != NULL; job = job->dirty_next)
+    {
+      job->in_commit = false;
+      job->dirty_again = false;
+    }
 }
 
 /*
@@ -313,16 +314,16 @@
       = part->fence_version;
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_FENCE, FENCE_KEY)->value
       = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
-  DL_FOREACH2 (part->dirty, job, dirty_next)
-  {
-    if (++jobs > ENDS_MAX)
-      {
-        /* Those behind it are not stored yet. */
-        pending.number = part->stored_seq;
-        break;
-      }
-    add_job (cell, call, job);
-  }
+  for (job = part->dirty; job != NULL; job = job->dirty_next)
+    {
+      if (++jobs > ENDS_MAX)
+        {
+          /* Those behind it are not stored yet. */
+          pending.number = part->stored_seq;
+          break;
+        }
+      add_job (cell, call, job);
+    }
   part->committing = cell_call (cell, call, &pending);
   if (part->committing)
     return;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -233,6 +233,9 @@
     {
       if (task->state == CELL_TASK_STARTING)
         task->state = CELL_TASK_RUNNING;
+      if (!task->stage->job->started)
+        mux_observe (cell->options.counters, MUX_HIST_JOB_WAIT,
+                     cell->time.now_ms - task->stage->job->began_ms);
       task->stage->job->started = true;
       return;
     }
@@ -360,6 +363,12 @@
               job->id, "step", (int) stage->step, "task", (int) task->index,
               "run", (int) run, "worker", worker->info.id, "end",
               mux_run_end_name (end));
+  if (end == MUX_RUN_FAILED)
+    mux_count (cell->options.counters, MUX_COUNT_RUNS_FAILED, 1);
+  else if (end == MUX_RUN_STOPPED)
+    mux_count (cell->options.counters, MUX_COUNT_RUNS_STOPPED, 1);
+  else if (end == MUX_RUN_LAPSED)
+    mux_count (cell->options.counters, MUX_COUNT_RUNS_LOST, 1);
   if (end == MUX_RUN_DONE && !stage->spec->long_running)
     {
       worker->strikes = 0;
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -52,6 +52,10 @@
   cell_log (cell, outcome == MUX_OUTCOME_ACCEPTED ? "accepted" : "refused",
             "{s:s, s:s, s:s}", "job", submission->job->id, "queue",
             submission->job->queue.name, "why", why);
+  if (outcome == MUX_OUTCOME_ACCEPTED)
+    mux_count (cell->options.counters, MUX_COUNT_JOBS_ACCEPTED, 1);
+  else
+    mux_count_refused (cell->options.counters, MUX_REASON_STORE_DOWN);
   cell_answer (cell, submission->call, outcome);
   DL_DELETE (part->submissions, submission);
   submission_free (submission);
@@ -78,11 +82,10 @@
     }
   submission->job = job;
   submission->call = question->call;
-  submission->give_up_ms
-      = now
-        + (question->give_up_ms < HOLD_MS + ANSWER_MS
-               ? (int64_t) question->give_up_ms - ANSWER_MS
-               : HOLD_MS);
+  submission->give_up_ms = now
+                           + (question->give_up_ms < HOLD_MS + ANSWER_MS
+                                  ? (int64_t) question->give_up_ms - ANSWER_MS
+                                  : HOLD_MS);
   DL_APPEND (part->submissions, submission);
   if (!cell_store_ok (cell))
     {
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -89,7 +89,7 @@
   MuxPlatformOptions options = {
     .inbox = mux_cell_thread_replies (daemon->thread),
     .store = daemon->options->store,
-    .advisor = daemon->options->approvals,
+    .approvals = daemon->options->approvals,
     .queue = CALL_QUEUE,
   };
 
--- a/src/daemon/cell_thread.c
+++ b/src/daemon/cell_thread.c
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "base/ring.h"
-#include "callers.h"
+#include "question_waiters.h"
 #include "clock.h"
 
 #include <signal.h>
@@ -45,7 +45,7 @@
   MuxCellThreadOptions options;
   MuxCell *cell;
   MuxRing *ring;
-  MuxCallers *callers;
+  MuxQuestionWaiters *callers;
   MuxCellPort *platform;
   MuxPeerPort *peer;
   pthread_t thread;
@@ -75,7 +75,7 @@
 {
   MuxCellThread *thread = (MuxCellThread *) sink;
 
-  if (!mux_callers_answer (thread->callers, reply))
+  if (!mux_question_waiters_answer (thread->callers, reply))
     mux_count (thread->options.cell.counters, MUX_COUNT_EVENTS_DROPPED, 1);
 }
 
@@ -179,7 +179,7 @@
 
   *reply = (MuxQuestionReply){ .outcome = MUX_OUTCOME_REFUSED,
                                .retry_ms = COME_BACK_MS };
-  if (!mux_callers_enter (thread->callers, &call))
+  if (!mux_question_waiters_enter (thread->callers, &call))
     {
       mux_question_free (question);
       return;
@@ -188,10 +188,11 @@
   if (!push_question (thread, question))
     {
       mux_question_free (question);
-      (void) mux_callers_wait (thread->callers, call, 0, reply);
+      (void) mux_question_waiters_wait (thread->callers, call, 0, reply);
       return;
     }
-  if (!mux_callers_wait (thread->callers, call, wait_ms, reply) && write)
+  if (!mux_question_waiters_wait (thread->callers, call, wait_ms, reply)
+      && write)
     reply->outcome = MUX_OUTCOME_UNKNOWN;
 }
 
@@ -223,7 +224,7 @@
   thread->options = *options;
   thread->options.cell.sink = &thread->sink;
   thread->ring = mux_ring_new (options->queue);
-  thread->callers = mux_callers_new ();
+  thread->callers = mux_question_waiters_new ();
   thread->cell = mux_cell_new (&thread->options.cell, err);
   if (thread->ring != NULL && thread->callers != NULL && thread->cell != NULL)
     return thread;
@@ -344,7 +345,7 @@
       event_free (event);
     }
   mux_ring_free (thread->ring);
-  mux_callers_free (thread->callers);
+  mux_question_waiters_free (thread->callers);
   free (thread);
 }
 
--- a/src/daemon/callers.c
+++ b/src/daemon/question_waiters.c
@@ -1,4 +1,4 @@
-#include "callers.h"
+#include "question_waiters.h"
 
 #include "clock.h"
 
@@ -14,17 +14,17 @@
   UT_hash_handle hh;
 } Caller;
 
-struct MuxCallers
+struct MuxQuestionWaiters
 {
   pthread_mutex_t lock;
   uint64_t next_call;
   Caller *by_call;
 };
 
-MuxCallers *
-mux_callers_new (void)
+MuxQuestionWaiters *
+mux_question_waiters_new (void)
 {
-  MuxCallers *callers = calloc (1, sizeof *callers);
+  MuxQuestionWaiters *callers = calloc (1, sizeof *callers);
 
   if (callers == NULL)
     return NULL;
@@ -34,7 +34,7 @@
 }
 
 void
-mux_callers_free (MuxCallers *callers)
+mux_question_waiters_free (MuxQuestionWaiters *callers)
 {
   if (callers == NULL)
     return;
@@ -43,7 +43,7 @@
 }
 
 bool
-mux_callers_enter (MuxCallers *callers, uint64_t *call)
+mux_question_waiters_enter (MuxQuestionWaiters *callers, uint64_t *call)
 {
   Caller *caller = calloc (1, sizeof *caller);
 
@@ -59,7 +59,7 @@
 }
 
 static Caller *
-find (MuxCallers *callers, uint64_t call)
+find (MuxQuestionWaiters *callers, uint64_t call)
 {
   Caller *caller;
 
@@ -68,10 +68,10 @@
 }
 
 bool
-mux_callers_wait (MuxCallers *callers,
-                  uint64_t call,
-                  uint32_t timeout_ms,
-                  MuxQuestionReply *reply)
+mux_question_waiters_wait (MuxQuestionWaiters *callers,
+                           uint64_t call,
+                           uint32_t timeout_ms,
+                           MuxQuestionReply *reply)
 {
   struct timespec deadline = mux_deadline_after (timeout_ms);
   Caller *caller;
@@ -93,7 +93,8 @@
 }
 
 bool
-mux_callers_answer (MuxCallers *callers, const MuxQuestionReply *reply)
+mux_question_waiters_answer (MuxQuestionWaiters *callers,
+                             const MuxQuestionReply *reply)
 {
   Caller *caller;
 
--- /dev/null
+++ b/src/daemon/question_waiters.h
@@ -0,0 +1,26 @@
+#ifndef DAEMON_QUESTION_WAITERS_H
+#define DAEMON_QUESTION_WAITERS_H
+
+#include "port/cell.h"
+
+/* Callers that wait for an answer to a question, found by its call number. */
+typedef struct MuxQuestionWaiters MuxQuestionWaiters;
+
+MuxQuestionWaiters *mux_question_waiters_new (void);
+/** mux_question_waiters_free() - every caller has left */
+void mux_question_waiters_free (MuxQuestionWaiters *callers);
+/** mux_question_waiters_enter() - false: memory is out
+ * @call: receives a number that no other question has */
+bool mux_question_waiters_enter (MuxQuestionWaiters *callers, uint64_t *call);
+/** mux_question_waiters_wait() - and leave
+ * Return: false when @timeout_ms passed first. */
+bool mux_question_waiters_wait (MuxQuestionWaiters *callers,
+                                uint64_t call,
+                                uint32_t timeout_ms,
+                                MuxQuestionReply *reply);
+/** mux_question_waiters_answer() - hand an answer over; any thread
+ * Return: false when that caller has gone. */
+bool mux_question_waiters_answer (MuxQuestionWaiters *callers,
+                                  const MuxQuestionReply *reply);
+
+#endif
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -118,7 +118,7 @@
   uint32_t start_count;
   WorldStart start[WORLD_STARTS_MAX];
   int64_t task_ms; /* run time of a task */
-  bool peers_cut; /* messages between daemons are lost */
+  bool peers_cut;  /* messages between daemons are lost */
   bool lose_approvals;
   uint32_t approvals_asked;
   uint32_t commits;
--- /dev/null
+++ b/test/unit/test_question_waiters.c
@@ -0,0 +1,92 @@
+#include "../../src/daemon/question_waiters.h"
+
+#include "support/test.h"
+
+#include <pthread.h>
+
+#define CALLERS 32
+
+typedef struct
+{
+  MuxQuestionWaiters *callers;
+  uint64_t call;
+  MuxQuestionReply reply;
+  bool answered;
+} Waiter;
+
+static void *
+wait_main (void *arg)
+{
+  Waiter *waiter = arg;
+
+  waiter->answered = mux_question_waiters_wait (waiter->callers, waiter->call,
+                                                60000, &waiter->reply);
+  return NULL;
+}
+
+static void
+test_each_gets_its_own (void **state)
+{
+  MuxQuestionWaiters *callers = mux_question_waiters_new ();
+  Waiter waiter[CALLERS];
+  pthread_t thread[CALLERS];
+
+  (void) state;
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      waiter[i].callers = callers;
+      assert_true (mux_question_waiters_enter (callers, &waiter[i].call));
+      assert_int_equal (
+          pthread_create (&thread[i], NULL, wait_main, &waiter[i]), 0);
+    }
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      MuxQuestionReply reply
+          = { .call = waiter[CALLERS - 1 - i].call,
+              .outcome = MUX_OUTCOME_PENDING,
+              .pending = (uint32_t) waiter[CALLERS - 1 - i].call };
+
+      assert_true (mux_question_waiters_answer (callers, &reply));
+    }
+  for (uint32_t i = 0; i < CALLERS; i++)
+    {
+      pthread_join (thread[i], NULL);
+      assert_true (waiter[i].answered);
+      assert_int_equal (waiter[i].reply.pending, waiter[i].call);
+    }
+  mux_question_waiters_free (callers);
+}
+
+/*
+ * An answer comes after its caller has given up.  It must find nobody, rather
+ * than the next caller, who would take another job's answer for its own.
+ */
+static void
+test_late_answer_finds_nobody (void **state)
+{
+  MuxQuestionWaiters *callers = mux_question_waiters_new ();
+  MuxQuestionReply reply = { .outcome = MUX_OUTCOME_ACCEPTED };
+  MuxQuestionReply got;
+  uint64_t first;
+  uint64_t second;
+
+  (void) state;
+  assert_true (mux_question_waiters_enter (callers, &first));
+  assert_false (mux_question_waiters_wait (callers, first, 0, &got));
+  assert_true (mux_question_waiters_enter (callers, &second));
+  reply.call = first;
+  assert_false (mux_question_waiters_answer (callers, &reply));
+  assert_false (mux_question_waiters_wait (callers, second, 0, &got));
+  mux_question_waiters_free (callers);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_each_gets_its_own),
+    cmocka_unit_test (test_late_answer_finds_nobody),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -1,11 +1,12 @@
 # `make check` is what CI runs; each step prints its name and its time.
 CHECK_JOBS ?= $(shell n=$$(nproc); echo $$(( n > 8 ? 8 : n )))
-SOURCES = $(shell find src include test bench demo -name '*.[ch]')
+SOURCES = $(shell find src include platform test bench demo -name '*.[ch]')
 LINT_FLAGS = $(CPPFLAGS) -Itest -I. -std=c11 -include tools/lint.h
 # Unit tests that run several threads of ours; they run under tsan as well.
-TSAN_TESTS = test_ring test_door test_door_input test_inbox \
+TSAN_TESTS = test_question_waiters test_event_log test_ring test_door test_door_input test_inbox \
   test_worker_adapter test_platform_adapter test_platform_cut \
   test_platform_faults test_peer_zmq test_peer_curve
+TSAN_PLATFORM = test_http test_door
 TSAN_ENV = TEST_LABEL=tsan TSAN_OPTIONS="suppressions=$(CURDIR)/tools/tsan.supp history_size=7"
 STEP = @tools/step
 SUB = $(MAKE) --no-print-directory -j$(CHECK_JOBS)
@@ -27,8 +28,8 @@
 	$(STEP) cppcheck $(SUB) check-cppcheck
 	$(STEP) build-asan $(SUB) VARIANT=asan unit
 	$(STEP) unit-asan env TEST_LABEL=asan tools/run-tests $(UNIT:build/$(VARIANT)/%=build/asan/%)
-	$(STEP) build-tsan $(SUB) VARIANT=tsan $(TSAN_TESTS:%=build/tsan/unit/%)
-	$(STEP) unit-tsan env $(TSAN_ENV) tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%)
+	$(STEP) build-tsan $(SUB) VARIANT=tsan $(TSAN_TESTS:%=build/tsan/unit/%) $(TSAN_PLATFORM:%=build/tsan/platform/%)
+	$(STEP) unit-tsan env $(TSAN_ENV) tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%) $(TSAN_PLATFORM:%=build/tsan/platform/%)
 	$(STEP) unit tools/run-tests $(UNIT)
 	$(STEP) proofs tools/run-tests $(PROOF)
 
@@ -37,7 +38,7 @@
 
 # One process per file, CHECK_JOBS at a time.
 check-tidy:
-	@find src -name '*.c' -print0 \
+	@find src platform -path platform/test -prune -o -name '*.c' -print0 \
 	  | xargs -0 -P $(CHECK_JOBS) -I{} sh -c \
 	    'clang-tidy --quiet "{}" -- $(LINT_FLAGS) 2>build/tidy.$$$$ || { cat build/tidy.$$$$; exit 1; }; rm -f build/tidy.$$$$'
 
@@ -46,7 +47,7 @@
 	  --enable=warning,performance,portability \
 	  --library=tools/cppcheck.cfg \
 	  --suppressions-list=tools/cppcheck-suppressions -Iinclude -Itest -I. \
-	  -D_GNU_SOURCE src test bench demo
+	  -D_GNU_SOURCE src platform test bench demo
 
 check-layers:
 	tools/check-layers --self-test
