--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -8,6 +8,8 @@
  * daemon that does not plan at its greetings. */
 #define PLANNER_TICK_MS 20
 #define FOLLOWER_TICK_MS 50
+/* Looks at all jobs, whose cost grows with their number. */
+#define LOOK_MS 50
 
 static void
 config_row (MuxCell *cell, const MuxCellRow *row)
@@ -159,11 +161,15 @@
   cell_load_tick (cell);
   if (cell->role != CELL_PLANNING)
     return;
-  cell_workers_tick (cell);
-  cell_roster_tick (cell);
-  cell_jobs_tick (cell);
   cell_progress_tick (cell);
-  cell_approvals_tick (cell);
+  if (cell->time.now_ms >= cell->next_look_ms)
+    {
+      cell->next_look_ms = cell->time.now_ms + LOOK_MS;
+      cell_roster_tick (cell);
+      cell_jobs_tick (cell);
+      cell_approvals_tick (cell);
+    }
+  cell_workers_tick (cell);
   cell_plan (cell);
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -502,6 +502,8 @@
   bool roster_busy;
   int64_t roster_next_ms;
   int64_t next_plan_ms;
+  int64_t next_look_ms;
+  int64_t slow_pass_ms;
   int64_t last_plan_ms;
   uint64_t next_question;
   uint64_t starts;
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -7,6 +7,10 @@
 #define PASS_MS 4
 /* A pass without any event: proofs run out and avoided workers come back. */
 #define IDLE_PASS_MS 100
+/* Between two passes over all stages; those between look at urgent ones alone.
+ * The others may wait seconds, so that this delay is nothing to them, and each
+ * look costs a pass over the workers. */
+#define SLOW_PASS_MS 16
 /* Gangs that workers are kept free for at once.  More of them would leave much
  * of the cell idle while none of them can start. */
 #define RESERVATIONS_MAX 2
@@ -105,14 +109,23 @@
   DL_SORT (cell->plan, order);
 }
 
+static void
+clear_reservations (MuxCell *cell)
+{
+  CellWorker *worker;
+  CellWorker *next;
+
+  HASH_ITER (hh, cell->workers, worker, next)
+  worker->reserved = NULL;
+}
+
 void
 cell_plan (MuxCell *cell)
 {
   uint32_t reservations = RESERVATIONS_MAX;
   CellStage *stage;
   CellStage *next;
-  CellWorker *worker;
-  CellWorker *next_worker;
+  bool all = cell->time.now_ms >= cell->slow_pass_ms;
 
   if (!cell_may_order (cell) || cell->stopping)
     return;
@@ -124,10 +137,15 @@
   cell->last_plan_ms = cell->time.now_ms;
   cell->next_plan_ms = cell->time.now_ms + IDLE_PASS_MS;
   rank_all (cell);
-  HASH_ITER (hh, cell->workers, worker, next_worker)
-  worker->reserved = NULL;
+  if (all)
+    {
+      cell->slow_pass_ms = cell->time.now_ms + SLOW_PASS_MS;
+      clear_reservations (cell);
+    }
   DL_FOREACH_SAFE (cell->plan, stage, next)
   {
+    if (!all && stage->job->spec->queue.priority != 0)
+      continue;
     /* What a former planner may have started is looked for first. */
     if (!cell_stage_is_settled (cell, stage))
       continue;
