Plan again at once after all daemons were restarted; hold room for gangs

Cause: after a power loss each daemon found the claim of a process that is gone and waited out its silence; a gang that renewed its proofs lost its room to small tasks meanwhile and tried again until it was late.

Change: the daemon whose name stands in the claim claims again at once and tells those that greet it; silence of 1 s counts; room found by a gang is held while its proofs are renewed, and workers kept free stay the same ones.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -256,6 +256,15 @@
   CellBooking *next;
 };
 
+/**
+ * struct CellHold - room of a worker that only one gang may use
+ */
+typedef struct
+{
+  CellWorker *worker;
+  uint32_t tasks;
+} CellHold;
+
 /**
  * struct CellStage - one step of one occurrence of a job
  * @ready: its turn has come and some task waits: it is in the plan
@@ -285,8 +294,10 @@
   bool asking;
   int64_t ask_after_ms;
   int64_t latest_ms;
-  uint32_t rank;       /* in time, late, or worth nothing any more */
-  int64_t reserved_ms; /* since when workers are kept free for it; 0: none */
+  uint32_t rank; /* in time, late, or worth nothing any more */
+  uint32_t hold_count;
+  CellHold *hold; /* GANG: room kept while its proofs are renewed */
+  int64_t hold_until_ms;
   CellTask *task;
   CellStage *prev;
   CellStage *next;
@@ -391,7 +402,10 @@
   int64_t avoid_until_ms;
   uint32_t strikes;
   MuxSize booked;
-  CellStage *reserved;
+  MuxSize held;             /* room kept for gangs about to start */
+  uint32_t hold_count;      /* stages that hold some of it */
+  CellStage *reserved;      /* waiting gang that it is kept free for */
+  CellStage *last_reserved; /* in the pass before */
   CellBooking *bookings;
   UT_hash_handle hh;
 };
@@ -481,6 +495,8 @@
   int64_t last_event_ms;
   bool claiming;
   int64_t claim_after_ms;
+  int64_t claim_retry_ms;
+  bool planner_restarted; /* its process is gone, a younger one answers */
   int64_t planner_heard_ms;
   int64_t planner_store_bad_ms; /* it says so since; 0: it does not */
   int64_t next_hello_ms;
@@ -675,6 +691,12 @@
 MuxSize cell_worker_free (const CellWorker *worker);
 uint32_t cell_worker_holds (const CellStage *stage, MuxSize free);
 void cell_place_tasks (MuxCell *cell, CellStage *stage);
+/** cell_hold() - keep room for @tasks of the stage at @worker
+ * Return: false when memory is out. */
+bool cell_hold (CellStage *stage, CellWorker *worker, uint32_t tasks);
+void cell_holds_release (CellStage *stage);
+/** cell_held() - tasks whose room the stage holds at @worker */
+uint32_t cell_held (const CellStage *stage, const CellWorker *worker);
 void cell_place_gang (MuxCell *cell, CellStage *stage, uint32_t *reservations);
 
 #endif
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -9,7 +9,7 @@
 #define BEAT_KEY "beat"
 /* The planner writes a sign of life into the store this often; two of them fit
  * into dead_ms.  Each is a call that is paid for. */
-#define BEAT_MS 700
+#define BEAT_MS 500
 /* Time between greetings to the planner; six of them fit into dead_ms. */
 #define HELLO_MS 250
 /* Daemons claim one after the other, spread over this time, so that the first
@@ -185,6 +185,7 @@
   ours = cell->claim.incarnation == cell->options.incarnation;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_store_bad_ms = 0;
+  cell->planner_restarted = false;
   cell->next_hello_ms = 0;
   cell->claim_after_ms = cell->time.now_ms + spread (cell);
   if (cell->claim.incarnation == 0
@@ -218,6 +219,7 @@
   (void) pending;
   cell->claiming = false;
   cell->claim_after_ms = cell->time.now_ms + RETRY_MS + spread (cell);
+  cell->claim_retry_ms = cell->time.now_ms + RETRY_MS;
   if (reply->status != MUX_CELL_OK || cell->stopping)
     return;
   row.value = cell_json_blob (json_pack ("{s:s, s:s, s:I, s:i}", "name",
@@ -288,6 +290,20 @@
                                         &msg);
 }
 
+/*
+ * Where all processes were killed at once, each finds the claim of one that is
+ * gone.  Waiting out its silence would leave the jobs of all callers standing
+ * for over a second; the daemon that bears its name knows better, and tells
+ * those that greet it (see welcome()).
+ */
+static bool
+is_our_former_life (const MuxCell *cell)
+{
+  return cell->claim.incarnation != 0
+         && cell->claim.incarnation != cell->options.incarnation
+         && strcmp (cell->claim.name, cell->options.name) == 0;
+}
+
 static void
 follower_tick (MuxCell *cell)
 {
@@ -296,10 +312,16 @@
   if (cell->claim.incarnation != 0 && now >= cell->next_hello_ms)
     hello (cell);
   if (cell->claiming || cell->stopping || !cell->claim.known
-      || now < cell->claim_after_ms || !cell_store_ok (cell))
+      || !cell_store_ok (cell))
+    return;
+  if (is_our_former_life (cell) && now >= cell->claim_retry_ms)
+    claim (cell, "own_former_life");
+  if (cell->claiming || now < cell->claim_after_ms)
     return;
   if (cell->claim.incarnation == 0)
     claim (cell, "vacant");
+  else if (cell->planner_restarted)
+    claim (cell, "restarted");
   else if (now - cell->planner_heard_ms > cell->options.dead_ms + spread (cell))
     claim (cell, "silent");
   else if (cell->planner_store_bad_ms != 0
@@ -413,6 +435,8 @@
     planner_tick (cell, paused_ms);
 }
 
+/* Also from one that does not plan: its incarnation tells that the planner of
+ * its name is gone. */
 static void
 welcome (MuxCell *cell, const MuxPeerMsg *hello)
 {
@@ -453,6 +477,14 @@
 static void
 hear_planner (MuxCell *cell, const MuxPeerMsg *msg)
 {
+  if (strcmp (msg->from, cell->claim.name) != 0)
+    return;
+  if (msg->from_incarnation > cell->claim.incarnation
+      && !cell->planner_restarted)
+    {
+      cell->planner_restarted = true;
+      cell->claim_after_ms = cell->time.now_ms + spread (cell);
+    }
   if (msg->from_incarnation != cell->claim.incarnation)
     return;
   cell->planner_heard_ms = cell->time.now_ms;
@@ -467,9 +499,10 @@
 {
   if (msg->verb == MUX_PEER_WELCOME)
     hear_planner (cell, msg);
-  else if (cell->role != CELL_FOLLOWER)
+  else
     {
-      note_member (cell, msg);
+      if (cell->role != CELL_FOLLOWER)
+        note_member (cell, msg);
       welcome (cell, msg);
     }
 }
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -6,8 +6,8 @@
 /* Workers named in the first policy question about a gang; the promised time
  * of its job counts a question about thirty. */
 #define CANDIDATES_MAX 40
-/* Of those approved, how many are asked about again beyond those needed. */
-#define RENEW_SPARE 1
+/* Room is held no longer than this for proofs; a question takes half of it. */
+#define HOLD_MAX_MS 900
 
 typedef struct
 {
@@ -16,6 +16,7 @@
   uint32_t ever; /* members that fit when it is empty */
   bool yes;
   bool proven;
+  bool kept; /* it was kept free for the gang in the pass before */
 } Place;
 
 /* What may be used of a worker, less what is kept for an earlier gang. */
@@ -61,7 +62,8 @@
   return n;
 }
 
-/* The roomiest first: fewest workers, least apart. */
+/* Those kept free so far first, else the gang would change its mind in each
+ * pass and none would ever be free; then the roomiest: fewest workers. */
 static int
 by_room (const void *x, const void *y)
 {
@@ -70,6 +72,8 @@
 
   if (a->yes != b->yes)
     return a->yes ? -1 : 1;
+  if (a->kept != b->kept)
+    return a->kept ? -1 : 1;
   if (a->now != b->now)
     return a->now > b->now ? -1 : 1;
   return a->worker->slot < b->worker->slot ? -1 : 1;
@@ -117,25 +121,31 @@
   (void) cell_approval_ask (cell, stage, worker, n);
 }
 
-/* Only those that the gang is about to start on. */
+/* Only those that the gang is about to start on; their room is held until the
+ * answer. */
 static void
 ask_again (MuxCell *cell, CellStage *stage, const Place *place, uint32_t count)
 {
   CellWorker *worker[CANDIDATES_MAX];
-  uint32_t room = 0;
+  uint32_t left = stage->spec->count;
   uint32_t n = 0;
-  uint32_t spare = 0;
 
-  for (uint32_t i = 0; i < count && n < CANDIDATES_MAX; i++)
+  cell_holds_release (stage);
+  for (uint32_t i = 0; i < count && n < CANDIDATES_MAX && left > 0; i++)
     {
-      if (!place[i].yes || place[i].now == 0)
+      uint32_t take = place[i].now < left ? place[i].now : left;
+
+      if (!place[i].yes || take == 0)
         continue;
-      if (room >= stage->spec->count && spare++ >= RENEW_SPARE)
-        break;
-      room += place[i].now;
       worker[n++] = place[i].worker;
+      left -= take;
+      if (!cell_hold (stage, place[i].worker, take))
+        break;
     }
-  (void) cell_approval_ask (cell, stage, worker, n);
+  if (left == 0 && cell_approval_ask (cell, stage, worker, n))
+    stage->hold_until_ms = cell->time.now_ms + HOLD_MAX_MS;
+  else
+    cell_holds_release (stage);
 }
 
 typedef struct
@@ -190,8 +200,12 @@
   Room room = sum_up (stage, place, count);
   uint32_t need = stage->spec->count;
 
+  if (stage->hold_count > 0 && cell->time.now_ms > stage->hold_until_ms)
+    cell_holds_release (stage);
+
   if (room.proven_now >= need)
     {
+      cell_holds_release (stage);
       start_all (cell, stage, place, count);
       cell_stage_update (cell, stage);
       return;
--- /dev/null
+++ b/src/cell/hold.c
@@ -0,0 +1,59 @@
+#include "cell_private.h"
+
+#include <stdlib.h>
+
+/*
+ * Room held for a gang that has found its workers and waits for the proofs of
+ * their approval, some 400 ms.  Without it tasks that need no gang take the
+ * room one by one meanwhile, and the gang finds its workers full each time.
+ */
+
+static MuxSize
+size_of (const CellStage *stage, uint32_t tasks)
+{
+  MuxSize size = stage->spec->size;
+
+  size.cpu_milli *= tasks;
+  size.mem_mib *= tasks;
+  size.accels *= tasks;
+  size.slots *= tasks;
+  return size;
+}
+
+bool
+cell_hold (CellStage *stage, CellWorker *worker, uint32_t tasks)
+{
+  CellHold *hold
+      = realloc (stage->hold, (stage->hold_count + 1) * sizeof *stage->hold);
+
+  if (hold == NULL)
+    return false;
+  stage->hold = hold;
+  hold[stage->hold_count++] = (CellHold){ worker, tasks };
+  worker->hold_count++;
+  worker->held = mux_size_add (worker->held, size_of (stage, tasks));
+  return true;
+}
+
+void
+cell_holds_release (CellStage *stage)
+{
+  for (uint32_t i = 0; i < stage->hold_count; i++)
+    {
+      CellHold *hold = &stage->hold[i];
+
+      hold->worker->hold_count--;
+      hold->worker->held
+          = mux_size_sub (hold->worker->held, size_of (stage, hold->tasks));
+    }
+  stage->hold_count = 0;
+}
+
+uint32_t
+cell_held (const CellStage *stage, const CellWorker *worker)
+{
+  for (uint32_t i = 0; i < stage->hold_count; i++)
+    if (stage->hold[i].worker == worker)
+      return stage->hold[i].tasks;
+  return 0;
+}
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -13,12 +13,13 @@
 #define SLOW_PASS_MS 16
 /* Gangs that workers are kept free for at once.  More of them would leave much
  * of the cell idle while none of them can start. */
-#define RESERVATIONS_MAX 2
+#define RESERVATIONS_MAX 3
 
 MuxSize
 cell_worker_free (const CellWorker *worker)
 {
-  return mux_size_sub (worker->info.capacity, worker->booked);
+  return mux_size_sub (worker->info.capacity,
+                       mux_size_add (worker->booked, worker->held));
 }
 
 /* How many tasks of the stage fit into @free. */
@@ -85,7 +86,7 @@
   if (!stage->ready)
     return;
   stage->ready = false;
-  stage->reserved_ms = 0;
+  cell_holds_release (stage);
   DL_DELETE (cell->plan, stage);
 }
 
@@ -116,7 +117,10 @@
   CellWorker *next;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  worker->reserved = NULL;
+  {
+    worker->last_reserved = worker->reserved;
+    worker->reserved = NULL;
+  }
 }
 
 void
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -36,8 +36,12 @@
   CellWorker *next;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->reserved == stage)
-    worker->reserved = NULL;
+  {
+    if (worker->reserved == stage)
+      worker->reserved = NULL;
+    if (worker->last_reserved == stage)
+      worker->last_reserved = NULL;
+  }
 }
 
 void
@@ -53,6 +57,8 @@
 cell_stage_free (MuxCell *cell, CellStage *stage)
 {
   cell_stage_leave_plan (cell, stage);
+  cell_holds_release (stage);
+  free (stage->hold);
   for (uint32_t i = 0; i < stage->spec->count; i++)
     if (stage->task[i].booking != NULL)
       cell_unbook (cell, stage->task[i].booking);
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -353,7 +353,8 @@
 static bool
 forgettable (const MuxCell *cell, const CellWorker *worker)
 {
-  bool unused = !worker->in_roster && worker->bookings == NULL;
+  bool unused = !worker->in_roster && worker->bookings == NULL
+                && worker->hold_count == 0;
 
   return unused && !worker->listed
          && (worker->dead || unlisted_for_good (cell, worker))
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -548,6 +548,34 @@
   world_free (world);
 }
 
+/*
+ * All processes are killed at once and start again.  Callers come back at
+ * once, too; a second spent on waiting for the dead planner's silence to end is
+ * a second in which nobody is served.
+ */
+static void
+test_all_restarted_plan_at_once (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint64_t call;
+
+  (void) state;
+  world->task_ms = 3000;
+  (void) world_submit (world, 0, world_job (1, 4, 1000), "job-a");
+  world_run (world, 500);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+  world_run (world, 300);
+  call = world_submit (world, 0, world_job (1, 2, 1000), "job-b");
+  world_run (world, 500);
+  assert_accepted (world, call);
+  assert_int_equal (world_starts (world, "job-b"), 2);
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, 1, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_starts (world, "job-a"), 4);
+  world_free (world);
+}
+
 static void
 test_unknown_queue (void **state)
 {
@@ -590,6 +618,7 @@
     cmocka_unit_test (test_room_is_never_exceeded),
     cmocka_unit_test (test_stopping_planner_hands_over),
     cmocka_unit_test (test_cut_between_daemons_keeps_the_planner),
+    cmocka_unit_test (test_all_restarted_plan_at_once),
     cmocka_unit_test (test_unknown_queue),
   };
 
