Tell a job's story from the daemons' logs; record where urgent jobs may run

cuminmux explain NAME reads the JSON lines of several daemons in any order and closes with the cause that bound the job.

Urgent jobs are now recorded, too, with the next group and without waiting for it; only those that died before their record wait for all workers.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -52,23 +52,30 @@
 }
 
 /*
- * The workers that a stage may run on are stored before the first start there.
- * A next planner then knows where runs can be that it has not heard of, and
- * need not wait for every worker of the cell before it goes on with the job.
- * Urgent jobs, over within a second, go without: the write would make them
- * wait some 40 ms each.
+ * The workers that a stage may run on are stored.  A next planner then knows
+ * where runs can be that it has not heard of, and need not wait for every
+ * worker of the cell before it goes on with the job.  For most jobs they are
+ * stored before the first start there.  Urgent ones, over within a second,
+ * would wait some 40 ms for that: they start on what was approved before the
+ * first record was made, and where no record stands the next planner waits for
+ * all workers.
  */
 static bool
-is_recorded (const CellStage *stage)
+may_start_on (const CellStage *stage, const CellApproval *approval)
 {
-  return stage->job->spec->queue.priority != 0;
+  bool urgent = stage->job->spec->queue.priority == 0;
+
+  return approval->stored || (urgent && approval->early);
 }
 
 void
 cell_approvals_written (CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->approval_count; i++)
-    stage->approval[i].written = stage->approval[i].yes;
+    {
+      stage->approval[i].written = stage->approval[i].yes;
+      stage->recorded = stage->recorded || stage->approval[i].yes;
+    }
 }
 
 void
@@ -98,8 +105,6 @@
 
   for (uint32_t i = 0; i < stage->former_count; i++)
     (void) json_array_append_new (list, json_string (stage->former[i]));
-  if (!is_recorded (stage) || stage->approval_count == 0)
-    return list;
   HASH_ITER (hh, cell->workers, worker, next)
   if (worker->slot < stage->approval_count && stage->approval[worker->slot].yes
       && !is_former (stage, worker->info.id))
@@ -141,9 +146,12 @@
 bool
 cell_stage_is_settled (MuxCell *cell, CellStage *stage)
 {
+  const MuxQueueSpec *queue = &stage->job->spec->queue;
+
   if (!stage->job->old)
     return true;
-  if (!is_recorded (stage) || !stage->job->spec->queue.approval.needed)
+  if (!queue->approval.needed
+      || (queue->priority == 0 && stage->former_count == 0))
     return cell_all_heard (cell);
   return former_heard (cell, stage);
 }
@@ -159,7 +167,7 @@
     return NULL;
   approval = &stage->approval[worker->slot];
   if (!approval->yes || approval->proof == NULL
-      || (is_recorded (stage) && !approval->stored)
+      || !may_start_on (stage, approval)
       || cell->time.now_ms > approval->until_ms - PROOF_MARGIN_MS)
     return NULL;
   return approval->proof;
@@ -421,8 +429,11 @@
   approval = cell_approval (stage, worker);
   if (approval == NULL)
     return;
-  if (!approval->yes && is_recorded (stage))
-    cell_job_dirty (cell, stage->job);
+  if (!approval->yes)
+    {
+      approval->early = !stage->recorded;
+      cell_job_dirty (cell, stage->job);
+    }
   approval->yes = true;
   free (approval->proof);
   approval->proof = strdup (given->proof);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -180,6 +180,7 @@
  * @yes: it may
  * @proof: to be shown at a start; owned; NULL: none
  * @until_ms: the proof is taken until then
+ * @early: known before the stage's first record was made
  * @written: it is in the progress on its way to the store
  * @stored: a next planner will know that tasks may run there
  */
@@ -189,6 +190,7 @@
   bool yes;
   char *proof;
   int64_t until_ms;
+  bool early;
   bool written;
   bool stored;
 } CellApproval;
@@ -296,6 +298,7 @@
   CellFailures failures;
   uint32_t approval_count;
   CellApproval *approval;
+  bool recorded; /* some approval of it went into a commit */
   uint32_t former_count;
   char (*former)[MUX_NAME_LEN]; /* workers that a former planner could use */
   bool asking;
--- /dev/null
+++ b/src/cli/explain.c
@@ -0,0 +1,357 @@
+#include "render.h"
+#include "verb.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Longest line of a log that is read; longer ones are no event of ours. */
+#define LINE_MAX_LEN 8192
+
+/* One event that touches the job, or what the daemons believed meanwhile. */
+typedef struct
+{
+  int64_t wall_ms;
+  size_t order; /* as read: events of one moment stay in it */
+  json_t *json;
+} Event;
+
+typedef struct
+{
+  const char *job;
+  Event *event;
+  size_t count;
+  size_t room;
+} Story;
+
+/* What is told of an event: a sentence with fields in braces. */
+typedef struct
+{
+  const char *event;
+  const char *sentence;
+} Sentence;
+
+static const Sentence sentences[] = {
+  { "accepted", "accepted into queue {queue} ({why})" },
+  { "refused", "not accepted, or not known to be: {why}" },
+  { "cancel", "its cancel was answered ({outcome})" },
+  { "cancelling", "cancelled; {running} of its runs are stopped" },
+  { "state_refused", "a question about it could not be answered" },
+  { "approvals",
+    "step {step}: {approved} of {asked} workers approved, asked by {asker}, "
+    "{took_ms} ms" },
+  { "start_refused",
+    "step {step} task {task} run {run}: {worker} answered {status}" },
+  { "run_ended", "step {step} task {task} run {run} on {worker} ended: {end}" },
+  { "run_still",
+    "step {step} task {task} on {worker} stood still at {percent} percent" },
+  { "stray_run",
+    "step {step} task {task} run {run} found on {worker} and stopped" },
+  { "job_failing", "it fails: {why}" },
+  { "job_ended", "{state} after {took_ms} ms; promised were {due_ms} ms" },
+  { "store_failing", "the store does not serve this daemon: {status}" },
+  { "store_back", "the store serves it again after {away_ms} ms" },
+  { "planner_began", "begins to plan, term {term}" },
+  { "planning", "plans {jobs} jobs, {after_ms} ms after it began" },
+  { "planner_ended", "plans no more: {why}" },
+  { "claim_doubted", "doubts its claim and orders nothing: {why}" },
+  { "worker_lost", "worker {worker} does not answer: {status}" },
+  { "worker_dead", "worker {worker} counts as dead: {why}" },
+};
+
+static const Sentence *
+sentence_of (const char *event)
+{
+  for (size_t i = 0; i < sizeof sentences / sizeof sentences[0]; i++)
+    if (strcmp (sentences[i].event, event) == 0)
+      return &sentences[i];
+  return NULL;
+}
+
+static const char *
+text_of (const json_t *json, const char *field)
+{
+  const char *text = json_string_value (json_object_get (json, field));
+
+  return text != NULL ? text : "";
+}
+
+/* Of the job itself, or of what all jobs depend on. */
+static bool
+belongs (const Story *story, const json_t *json)
+{
+  const char *event = text_of (json, "event");
+  const char *job = text_of (json, "job");
+
+  if (sentence_of (event) == NULL)
+    return false;
+  return job[0] == 0 || strcmp (job, story->job) == 0;
+}
+
+static bool
+keep (Story *story, json_t *json)
+{
+  Event *event;
+
+  if (story->count == story->room)
+    {
+      size_t room = story->room > 0 ? 2 * story->room : 64;
+
+      event = realloc (story->event, room * sizeof *event);
+      if (event == NULL)
+        return false;
+      story->event = event;
+      story->room = room;
+    }
+  story->event[story->count]
+      = (Event){ json_integer_value (json_object_get (json, "wall_ms")),
+                 story->count, json };
+  story->count++;
+  return true;
+}
+
+static bool
+read_story (Story *story, FILE *in)
+{
+  char line[LINE_MAX_LEN];
+
+  while (fgets (line, sizeof line, in) != NULL)
+    {
+      const char *begin = strchr (line, '{');
+      json_t *json = begin != NULL
+                         ? json_loads (begin, JSON_DISABLE_EOF_CHECK, NULL)
+                         : NULL;
+
+      if (json == NULL)
+        continue;
+      if (!belongs (story, json))
+        json_decref (json);
+      else if (!keep (story, json))
+        {
+          json_decref (json);
+          return false;
+        }
+    }
+  return true;
+}
+
+static int
+by_time (const void *x, const void *y)
+{
+  const Event *a = x;
+  const Event *b = y;
+
+  if (a->wall_ms != b->wall_ms)
+    return a->wall_ms < b->wall_ms ? -1 : 1;
+  return a->order < b->order ? -1 : 1;
+}
+
+static bool
+of_job (const Event *event)
+{
+  return json_object_get (event->json, "job") != NULL;
+}
+
+static void
+print_field (FILE *out, const json_t *json, const char *name, size_t len)
+{
+  char field[32];
+  char *text;
+
+  snprintf (field, sizeof field, "%.*s", (int) len, name);
+  text = mux_render_text (json_object_get (json, field));
+  fputs (text != NULL ? text : "-", out);
+  free (text);
+}
+
+static void
+print_event (FILE *out, const Event *event, int64_t begin_ms)
+{
+  const char *at = sentence_of (text_of (event->json, "event"))->sentence;
+  char *instance = mux_render_text (json_object_get (event->json, "instance"));
+
+  fprintf (out, "%+8" PRId64 " ms  %s: ", event->wall_ms - begin_ms,
+           instance != NULL ? instance : "-");
+  free (instance);
+  while (*at != 0)
+    {
+      const char *end = *at == '{' ? strchr (at, '}') : NULL;
+
+      if (end == NULL)
+        {
+          fputc (*at++, out);
+          continue;
+        }
+      print_field (out, event->json, at + 1, (size_t) (end - at - 1));
+      at = end + 1;
+    }
+  fputc ('\n', out);
+}
+
+static bool
+is (const Event *event, const char *name)
+{
+  return strcmp (text_of (event->json, "event"), name) == 0;
+}
+
+typedef struct
+{
+  uint32_t refused;
+  uint32_t failed;
+  uint32_t lost;
+  uint32_t stood_still;
+  uint32_t takeovers;
+  uint32_t store_failing;
+  const Event *ended;
+  bool cancelled;
+  bool accepted;
+} Counts;
+
+static Counts
+count_events (const Story *story, size_t first, size_t last)
+{
+  Counts counts = { .refused = 0 };
+
+  for (size_t i = first; i <= last; i++)
+    {
+      const Event *event = &story->event[i];
+      const char *end = text_of (event->json, "end");
+
+      counts.refused += is (event, "refused");
+      counts.accepted |= is (event, "accepted");
+      counts.cancelled |= is (event, "cancelling");
+      counts.failed += is (event, "run_ended") && strcmp (end, "failed") == 0;
+      counts.lost += is (event, "run_ended") && strcmp (end, "lapsed") == 0;
+      counts.stood_still += is (event, "run_still");
+      counts.takeovers += is (event, "planner_began");
+      counts.store_failing += is (event, "store_failing");
+      if (is (event, "job_ended"))
+        counts.ended = event;
+    }
+  return counts;
+}
+
+/* The one that binds: in the order in which each alone explains the rest. */
+static const char *
+cause_of (const Counts *counts)
+{
+  const json_t *json = counts->ended != NULL ? counts->ended->json : NULL;
+  int64_t took = json_integer_value (json_object_get (json, "took_ms"));
+  int64_t due = json_integer_value (json_object_get (json, "due_ms"));
+
+  if (counts->cancelled)
+    return "its caller cancelled it";
+  if (!counts->accepted && counts->refused > 0)
+    return "the store did not take it: it never ran";
+  if (json == NULL)
+    return "these logs do not show its end";
+  if (strcmp (text_of (json, "state"), "failed") == 0)
+    return "its tasks failed as often as the queue allows";
+  if (took <= due)
+    return "none: it ended in time";
+  if (counts->takeovers > 0)
+    return "another daemon took the planning over while it ran or waited";
+  if (counts->lost > 0)
+    return "a worker with its tasks was lost";
+  if (counts->stood_still > 0)
+    return "its tasks stood still on a worker and were run elsewhere";
+  if (counts->failed > 0)
+    return "failed runs were repeated";
+  if (counts->refused > 0 || counts->store_failing > 0)
+    return "the store failed while it was handed in";
+  return "it waited for room on workers that may run it";
+}
+
+static bool
+names_worker (const Story *story, const char *worker)
+{
+  for (size_t i = 0; i < story->count; i++)
+    if (of_job (&story->event[i])
+        && strcmp (text_of (story->event[i].json, "worker"), worker) == 0)
+      return true;
+  return false;
+}
+
+/* Troubles of a worker are told if the job had a run there. */
+static bool
+is_told (const Story *story, const Event *event)
+{
+  const char *worker = text_of (event->json, "worker");
+
+  return of_job (event) || worker[0] == 0 || names_worker (story, worker);
+}
+
+static void
+print_story (const Story *story, FILE *out, size_t first, size_t last)
+{
+  Counts counts = count_events (story, first, last);
+
+  for (size_t i = first; i <= last; i++)
+    if (is_told (story, &story->event[i]))
+      print_event (out, &story->event[i], story->event[first].wall_ms);
+  fprintf (out, "cause: %s\n", cause_of (&counts));
+}
+
+static int
+tell (Story *story, MuxCliCall *call)
+{
+  size_t first = story->count;
+  size_t last = 0;
+
+  if (story->count > 0)
+    qsort (story->event, story->count, sizeof *story->event, by_time);
+  for (size_t i = 0; i < story->count; i++)
+    if (of_job (&story->event[i]))
+      {
+        first = first == story->count ? i : first;
+        last = i;
+      }
+  if (first == story->count)
+    {
+      fprintf (call->host->err, "cuminmux: no line speaks of job %s\n",
+               story->job);
+      return MUX_EXIT_REFUSED;
+    }
+  print_story (story, call->host->out, first, last);
+  return MUX_EXIT_OK;
+}
+
+static FILE *
+open_log (MuxCliCall *call)
+{
+  const char *path = call->args.text[MUX_ARG_FILE];
+  FILE *file;
+
+  if (path == NULL)
+    return call->host->in;
+  file = fopen (path, "r");
+  if (file == NULL)
+    fprintf (call->host->err, "cuminmux: --file: can't read \"%s\": %s\n", path,
+             strerror (errno));
+  return file;
+}
+
+int
+mux_verb_explain (MuxCliCall *call)
+{
+  Story story = { .job = call->args.text[MUX_ARG_NAME] };
+  FILE *in = open_log (call);
+  int code;
+
+  if (in == NULL)
+    return MUX_EXIT_USAGE;
+  if (read_story (&story, in))
+    code = tell (&story, call);
+  else
+    {
+      fputs ("cuminmux: memory is out\n", call->host->err);
+      code = MUX_EXIT_LATER;
+    }
+  if (in != call->host->in)
+    fclose (in);
+  for (size_t i = 0; i < story.count; i++)
+    json_decref (story.event[i].json);
+  free (story.event);
+  return code;
+}
--- /dev/null
+++ b/test/unit/test_explain.c
@@ -0,0 +1,46 @@
+#include "support/cli_session.h"
+#include "support/test.h"
+
+static const char log_lines[]
+    = "{\"wall_ms\":2100,\"instance\":\"entry-2\",\"event\":\"job_ended\","
+      "\"job\":\"ab\",\"state\":\"completed\",\"took_ms\":1100,"
+      "\"due_ms\":900}\n"
+      "not JSON at all\n"
+      "  12.5 entry-1 {\"wall_ms\":1000,\"instance\":\"entry-1\","
+      "\"event\":\"accepted\",\"job\":\"ab\",\"queue\":\"q\","
+      "\"why\":\"planner\"}\n"
+      "{\"wall_ms\":1500,\"instance\":\"entry-2\",\"event\":"
+      "\"planner_began\",\"term\":7}\n"
+      "{\"wall_ms\":500,\"instance\":\"entry-2\",\"event\":"
+      "\"planner_began\",\"term\":3}\n"
+      "{\"wall_ms\":1200,\"instance\":\"entry-1\",\"event\":\"accepted\","
+      "\"job\":\"other\",\"queue\":\"q\",\"why\":\"stored\"}\n";
+
+/*
+ * A caller asks why its job was late.  The lines of two daemons lie in one file
+ * in no order, with lines of others between; the story has the job's own and
+ * those of the planner while it was open, and names the change of planner.
+ */
+static void
+test_story_in_time_order (void **state)
+{
+  CliSession *session = *state;
+
+  assert_int_equal (cli_session_run_with (session, "explain ab", log_lines),
+                    MUX_EXIT_OK);
+  assert_int_equal (cli_session_run_with (session, "explain nobody", log_lines),
+                    MUX_EXIT_REFUSED);
+  cli_session_expect (session, "explain ab --file /nowhere/at/all",
+                      MUX_EXIT_USAGE);
+  cli_session_assert_golden (session, "explain");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    CLI_SESSION (test_story_in_time_order),
+  };
+
+  return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
+}
