Carry repeated, long-running and filling steps, and keep a tight gang to a rack

Each occurrence has its own promised time; long-running tasks are never late; what fills is stopped where a serving task is over its target, and comes back after 10 s. A successor finds the occurrences that were begun and which jobs had started.

--- a/include/model/job.h
+++ b/include/model/job.h
@@ -85,7 +85,10 @@
  * @rack_sensitive: slower when its tasks run on more than one rack
  * @copies_allowed: a task may run twice at once; the first end counts
  * @long_running: runs until the job is cancelled, restarted whenever it ends
- * @fills: takes what others leave unused; its processors count nothing
+ * @fills: takes what others leave unused; its processors count nothing, and
+ *   it may slow those that serve beside it
+ * @tail_target_ms: a long-running task's own users' tail of response times is
+ *   to stay under this; 0: it has none
  * @label: that the worker must carry; "": any
  * @data_rack: where it runs fastest; "": anywhere
  * @per_worker_max: most tasks of one occurrence on a worker; 0: no bound
@@ -108,6 +111,7 @@
   char data_rack[MUX_NAME_LEN];
   uint32_t per_worker_max;
   uint32_t unavailable_max;
+  uint32_t tail_target_ms;
 } MuxStepSpec;
 
 /**
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -257,6 +257,7 @@
   uint32_t run;
   int64_t since_ms;
   uint32_t percent;
+  uint32_t usage;
   int64_t moved_ms;
   int64_t stop_at_ms;
   int64_t stop_clock_ms;
@@ -282,7 +283,8 @@
  * @failures: GANG: runs that failed
  * @approval: by the worker's slot
  * @asking: an approval question is under way
- * @due_ms: when its job should have ended
+ * @due_ms: when its occurrence should have ended
+ * @worthless_ms: after which that end is worth nothing
  * @latest_ms: latest start of this stage that still meets that
  */
 struct CellStage
@@ -303,6 +305,8 @@
   char (*former)[MUX_NAME_LEN]; /* workers that a former planner could use */
   bool asking;
   int64_t ask_after_ms;
+  int64_t due_ms;
+  int64_t worthless_ms;
   int64_t latest_ms;
   uint32_t rank; /* in time, late, or worth nothing any more */
   uint32_t hold_count;
@@ -410,6 +414,7 @@
   bool renewing;
   int64_t next_renew_ms;
   int64_t avoid_until_ms;
+  int64_t no_fill_until_ms;
   uint32_t strikes;
   MuxSize booked;
   MuxSize held;             /* room kept for gangs about to start */
@@ -626,12 +631,18 @@
 /** cell_job_resume() - go on with a job that was read from the store */
 void cell_job_resume (MuxCell *cell, CellJob *job);
 void cell_job_dirty (MuxCell *cell, CellJob *job);
+/** cell_job_occurrences() - those that a former planner had begun */
+void cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count);
 void cell_jobs_tick (MuxCell *cell);
 CellTask *cell_task_find (MuxCell *cell, const MuxTaskRef *ref);
 MuxTaskRef cell_task_ref (const CellTask *task);
 
 /* stage.c */
-CellStage *cell_stage_new (CellJob *job, uint32_t occurrence, uint32_t step);
+/** cell_stage_new() - @began_ms: when its occurrence was due to begin */
+CellStage *cell_stage_new (CellJob *job,
+                           uint32_t occurrence,
+                           uint32_t step,
+                           int64_t began_ms);
 void cell_stage_free (MuxCell *cell, CellStage *stage);
 /** cell_stage_leave_plan() - and give up what is kept free for it */
 void cell_stage_leave_plan (MuxCell *cell, CellStage *stage);
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -190,6 +190,33 @@
       }
 }
 
+static uint32_t
+room_in_rack (const Place *place, uint32_t count, const char *rack)
+{
+  uint32_t room = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (place[i].yes && strcmp (place[i].worker->info.rack, rack) == 0)
+      room += place[i].now;
+  return room;
+}
+
+/* Tasks that are slower over several racks use one, if it has room for all. */
+static void
+keep_to_one_rack (const CellStage *stage, Place *place, uint32_t count)
+{
+  const char *rack = NULL;
+
+  for (uint32_t i = 0; i < count && rack == NULL; i++)
+    if (place[i].yes
+        && room_in_rack (place, count, place[i].worker->info.rack)
+               >= stage->spec->count)
+      rack = place[i].worker->info.rack;
+  for (uint32_t i = 0; rack != NULL && i < count; i++)
+    if (strcmp (place[i].worker->info.rack, rack) != 0)
+      place[i].now = 0;
+}
+
 static void
 place_in (MuxCell *cell,
           CellStage *stage,
@@ -234,6 +261,8 @@
   count = collect (cell, stage, place);
   if (count > 0)
     qsort (place, count, sizeof *place, by_room);
+  if (stage->spec->rack_sensitive)
+    keep_to_one_rack (stage, place, count);
   place_in (cell, stage, place, count, reservations);
   free (place);
 }
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -63,7 +63,7 @@
 }
 
 static bool
-add_occurrence (CellJob *job, uint32_t occurrence)
+add_occurrence (CellJob *job, uint32_t occurrence, int64_t began_ms)
 {
   uint32_t steps = job->spec->step_count;
   CellStage **stage
@@ -74,7 +74,8 @@
   job->stage = stage;
   for (uint32_t i = 0; i < steps; i++)
     {
-      job->stage[job->stage_count] = cell_stage_new (job, occurrence, i);
+      job->stage[job->stage_count]
+          = cell_stage_new (job, occurrence, i, began_ms);
       if (job->stage[job->stage_count] == NULL)
         return false;
       job->stage_count++;
@@ -116,7 +117,7 @@
   set_times (cell, job);
   HASH_ADD_STR (cell->jobs, id, job);
   if (job->payload != NULL
-      && (spec->repetitions > 0 || add_occurrence (job, 0)))
+      && (spec->repetitions > 0 || add_occurrence (job, 0, job->began_ms)))
     return job;
   cell_job_free (cell, job);
   return NULL;
@@ -304,16 +305,32 @@
 static void
 add_due (MuxCell *cell, CellJob *job)
 {
-  while (occurrences_left (job)
-         && job->spec->first_due_ms
-                    + (int64_t) job->next_occurrence * job->spec->interval_ms
-                <= cell->time.wall_ms)
-    if (!add_occurrence (job, job->next_occurrence))
-      {
-        cell_log (cell, "occurrence_dropped", "{s:s, s:s}", "job", job->id,
-                  "why", "memory is out");
+  while (occurrences_left (job))
+    {
+      int64_t due_wall_ms
+          = job->spec->first_due_ms
+            + (int64_t) job->next_occurrence * job->spec->interval_ms;
+      int64_t ago_ms = cell->time.wall_ms - due_wall_ms;
+
+      if (ago_ms < 0)
         return;
-      }
+      if (!add_occurrence (job, job->next_occurrence,
+                           cell->time.now_ms - ago_ms))
+        {
+          cell_log (cell, "occurrence_dropped", "{s:s, s:s}", "job", job->id,
+                    "why", "memory is out");
+          return;
+        }
+    }
+}
+
+void
+cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count)
+{
+  while (job->spec->repetitions > 0 && job->next_occurrence < count
+         && job->next_occurrence < job->spec->repetitions)
+    if (!add_occurrence (job, job->next_occurrence, cell->time.now_ms))
+      return;
 }
 
 void
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -47,6 +47,7 @@
   const MuxStepSpec *spec = stage->spec;
 
   return cell_worker_usable (cell, worker)
+         && (!spec->fills || cell->time.now_ms >= worker->no_fill_until_ms)
          && strcmp (worker->info.service, stage->job->spec->queue.service) == 0
          && (spec->label[0] == 0 || strcmp (worker->info.kind, spec->label) == 0
              || strcmp (worker->info.rack, spec->label) == 0);
@@ -97,6 +98,15 @@
   RANK_WORTHLESS
 };
 
+/* What runs until it is cancelled is owed as long as it is away. */
+static uint32_t
+rank_of (const CellStage *stage, int64_t now_ms)
+{
+  if (stage->spec->long_running || now_ms < stage->due_ms)
+    return RANK_IN_TIME;
+  return now_ms < stage->worthless_ms ? RANK_LATE : RANK_WORTHLESS;
+}
+
 static void
 rank_all (MuxCell *cell)
 {
@@ -104,9 +114,7 @@
   int64_t now = cell->time.now_ms;
 
   DL_FOREACH (cell->plan, stage)
-  stage->rank = now < stage->job->due_ms         ? RANK_IN_TIME
-                : now < stage->job->worthless_ms ? RANK_LATE
-                                                 : RANK_WORTHLESS;
+  stage->rank = rank_of (stage, now);
   DL_SORT (cell->plan, order);
 }
 
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -179,7 +179,10 @@
   json_t *stage;
   size_t i;
 
-  (void) cell;
+  job->started = json_is_true (json_object_get (json, "started"));
+  cell_job_occurrences (
+      cell, job,
+      (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
   json_array_foreach (stages, i, stage) apply_stage (job, stage);
 }
 
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -16,6 +16,9 @@
 #define SHARES 100
 /* A worker where that happened is avoided for so long. */
 #define STILL_AVOID_MS 3000
+/* After a serving task was over its target nothing fills beside it for so
+ * long. */
+#define NO_FILL_MS 10000
 /* A worker that runs what we don't know has less room than booked here. */
 #define STRAY_AVOID_MS 1000
 
@@ -32,6 +35,7 @@
   CellTask *task = booking->task;
 
   booking->listed = true;
+  booking->usage = report->usage;
   task->stage->job->started = true;
   if (task->state == CELL_TASK_STARTING)
     task->state = CELL_TASK_RUNNING;
@@ -141,6 +145,29 @@
   cell_run_ended (cell, task, worker, run, MUX_RUN_LAPSED, "");
 }
 
+/* Tasks that fill must not push a serving task over its target.  Where one is
+ * over it, those beside it are stopped and none is placed for a while: the
+ * serving task's users are waiting, what fills is not. */
+static void
+protect_serving (MuxCell *cell, CellWorker *worker)
+{
+  bool over = false;
+  CellBooking *booking;
+
+  DL_FOREACH (worker->bookings, booking)
+  {
+    uint32_t target = booking->task->stage->spec->tail_target_ms;
+
+    over = over || (target > 0 && booking->listed && booking->usage > target);
+  }
+  if (!over)
+    return;
+  worker->no_fill_until_ms = cell->time.now_ms + NO_FILL_MS;
+  DL_FOREACH (worker->bookings, booking)
+  if (booking->task->stage->spec->fills)
+    cell_stop_booking (cell, booking);
+}
+
 static bool
 stands_still (const MuxCell *cell, const CellBooking *booking)
 {
@@ -203,6 +230,7 @@
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].number == 0)
       take_running (cell, worker, &reply->report[i]);
+  protect_serving (cell, worker);
   DL_FOREACH_SAFE (worker->bookings, booking, next)
   check_booking (cell, worker, booking, reply->clock_ms, ends < ENDS_PER_LIST);
   if (worker->seen != seen)
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -3,7 +3,10 @@
 #include <stdlib.h>
 
 CellStage *
-cell_stage_new (CellJob *job, uint32_t occurrence, uint32_t step)
+cell_stage_new (CellJob *job,
+                uint32_t occurrence,
+                uint32_t step,
+                int64_t began_ms)
 {
   CellStage *stage = calloc (1, sizeof *stage);
 
@@ -14,7 +17,9 @@
   stage->occurrence = occurrence;
   stage->step = step;
   stage->left = stage->spec->count;
-  stage->latest_ms = job->due_ms - stage->spec->estimate_ms;
+  stage->due_ms = job->due_ms + (began_ms - job->began_ms);
+  stage->worthless_ms = job->worthless_ms + (began_ms - job->began_ms);
+  stage->latest_ms = stage->due_ms - stage->spec->estimate_ms;
   stage->task = calloc (stage->spec->count, sizeof *stage->task);
   if (stage->task == NULL)
     {
--- a/src/model/job_json.c
+++ b/src/model/job_json.c
@@ -44,7 +44,8 @@
             && put_text (json, "label", step->label)
             && put_text (json, "data_rack", step->data_rack)
             && put_number (json, "per_worker_max", step->per_worker_max)
-            && put_number (json, "unavailable_max", step->unavailable_max);
+            && put_number (json, "unavailable_max", step->unavailable_max)
+            && put_number (json, "tail_target_ms", step->tail_target_ms);
 
   if (ok)
     return json;
@@ -145,6 +146,7 @@
   get_name (json, "data_rack", step->data_rack);
   step->per_worker_max = get_u32 (json, "per_worker_max");
   step->unavailable_max = get_u32 (json, "unavailable_max");
+  step->tail_target_ms = get_u32 (json, "tail_target_ms");
 }
 
 static void
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -334,6 +334,7 @@
       report->run = run->run;
       report->number = run->number;
       report->end = run->end;
+      report->usage = worker->usage;
       report->percent = worker->stuck_percent != 0
                             ? worker->stuck_percent
                             : (uint32_t) (spent * 100 / world->task_ms);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -58,6 +58,7 @@
  * @fault: of START and STOP
  * @cut: no call reaches it or comes back, from any cell
  * @fails: all that it starts fails after @task_ms
+ * @usage: what its runs report as their tail or processors
  * @stuck_percent: what its runs report, and they never end; 0: they work
  */
 typedef struct
@@ -68,6 +69,7 @@
   WorldFault fault;
   bool cut;
   bool fails;
+  uint32_t usage;
   uint32_t stuck_percent;
   uint64_t fence;
   uint64_t next_end;
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -624,6 +624,97 @@
   world_free (world);
 }
 
+static void
+test_occurrences_at_their_times (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t other = other_than (planner);
+  MuxJobSpec *job = world_job (1, 1, 1000);
+  int64_t first_ms = world->now_ms + 1000;
+
+  (void) state;
+  job->first_due_ms = 1700000000000 + first_ms;
+  job->repetitions = 3;
+  job->interval_ms = 2000;
+  (void) world_submit (world, other, job, "job-a");
+  world_run (world, 900);
+  assert_int_equal (world_starts (world, "job-a"), 0);
+  world_run (world, 400);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_cell_kill (world, planner);
+  world_run (world, 7000);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      assert_int_equal (world->start[i].task.occurrence, i);
+      assert_true (world->start[i].at_ms >= first_ms + 2000 * (int64_t) i);
+    }
+  assert_int_equal (world_state (world, other, "job-a"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+/*
+ * A long-running task ends, well or badly.  Its users are without it until it
+ * runs again; it never uses up its attempts and ends with its cancel alone.
+ */
+static void
+test_long_running_is_restarted (void **state)
+{
+  World *world = world_new (1, 2);
+  MuxJobSpec *job = world_job (1, 2, 1000);
+
+  (void) state;
+  job->step[0].long_running = true;
+  world->task_ms = 500;
+  world->worker[0].fails = true;
+  world->worker[1].fails = true;
+  (void) world_submit (world, 0, job, "job-a");
+  world_run (world, 12000);
+  assert_true (world_starts (world, "job-a") >= 12);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_ACTIVE);
+  (void) world_ask (world, 0, MUX_QUESTION_CANCEL, "job-a");
+  world_run (world, 1500);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_CANCELLED);
+  world_free (world);
+}
+
+/*
+ * A task that fills runs beside one that serves, whose users' response times
+ * then pass their target.  What fills has to go at once and must not come back
+ * to that worker soon.
+ */
+static void
+test_filling_task_leaves_a_serving_one (void **state)
+{
+  World *world = world_new (1, 1);
+  MuxJobSpec *serving = world_job (1, 1, 1000);
+  MuxJobSpec *filling = world_job (1, 1, 0);
+  uint32_t starts;
+
+  (void) state;
+  world->task_ms = 60000;
+  serving->step[0].long_running = true;
+  serving->step[0].tail_target_ms = 100;
+  filling->step[0].fills = true;
+  (void) world_submit (world, 0, serving, "job-a");
+  (void) world_submit (world, 0, filling, "job-b");
+  world_run (world, 3000);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  assert_int_equal (world_starts (world, "job-b"), 1);
+  world->worker[0].usage = 150;
+  world_run (world, 2500);
+  starts = world_starts (world, "job-b");
+  assert_int_equal (starts, 1);
+  for (uint32_t i = 0; i < world->start_count; i++)
+    if (strcmp (world->start[i].task.job, "job-b") == 0)
+      assert_int_equal (world->start[i].end, MUX_RUN_STOPPED);
+  world->worker[0].usage = 50;
+  world_run (world, 12000);
+  assert_int_equal (world_starts (world, "job-b"), 2);
+  world_free (world);
+}
+
 static void
 test_unknown_queue (void **state)
 {
@@ -669,6 +760,9 @@
     cmocka_unit_test (test_all_restarted_plan_at_once),
     cmocka_unit_test (test_turned_away_daemon_hands_jobs_to_the_planner),
     cmocka_unit_test (test_relayed_job_survives_the_planner),
+    cmocka_unit_test (test_occurrences_at_their_times),
+    cmocka_unit_test (test_long_running_is_restarted),
+    cmocka_unit_test (test_filling_task_leaves_a_serving_one),
     cmocka_unit_test (test_unknown_queue),
   };
 
--- a/tools/pages.mk
+++ b/tools/pages.mk
@@ -1,4 +1,4 @@
-# The generated tables of docs/OPERATING.md.
+# The generated tables of docs/OPERATIONS.md.
 .PHONY: pages check-pages
 pages: $(B)/cuminmuxd
 	tools/pages $<
