Look at workers only where something can start

Change: pools are compared by hash, gangs sort only to start, ask or reserve, stages without a proof that is taken now skip the workers.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -372,15 +372,28 @@
   free (question);
 }
 
+static uint32_t
+cost_ms_of (const CellStage *stage, uint32_t count)
+{
+  const MuxApprovalSpec *spec = &stage->job->spec->queue.approval;
+
+  return (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
+}
+
+bool
+cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count)
+{
+  return !stage->asking && cell->time.now_ms >= stage->ask_after_ms
+         && choose_member (cell, cost_ms_of (stage, count) > LONG_MS) != NULL;
+}
+
 bool
 cell_approval_ask (MuxCell *cell,
                    CellStage *stage,
                    CellWorker *const *candidates,
                    uint32_t count)
 {
-  const MuxApprovalSpec *spec = &stage->job->spec->queue.approval;
-  uint32_t cost_ms
-      = (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
+  uint32_t cost_ms = cost_ms_of (stage, count);
   CellMember *member = choose_member (cell, cost_ms > LONG_MS);
   CellQuestion *question;
 
@@ -438,6 +451,8 @@
   free (approval->proof);
   approval->proof = strdup (given->proof);
   approval->until_ms = until_ms;
+  if (until_ms > stage->proof_until_ms)
+    stage->proof_until_ms = until_ms;
 }
 
 static void
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -294,7 +294,8 @@
   uint32_t occurrence;
   uint32_t step;
   bool ready;
-  bool unlocked;
+  uint64_t service;       /* hash of the pool that runs it */
+  int64_t proof_until_ms; /* no proof is taken after this */
   uint32_t left;
   uint32_t run;
   CellFailures failures;
@@ -392,6 +393,7 @@
 struct CellWorker
 {
   MuxWorkerInfo info;
+  uint64_t service; /* hash of its pool */
   uint32_t slot;
   bool listed;
   int64_t unlisted_ms;
@@ -702,6 +704,8 @@
 cell_reports (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply);
 
 /* approve.c */
+/** cell_can_ask() - some daemon is free to ask about @count workers */
+bool cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count);
 bool cell_approval_ask (MuxCell *cell,
                         CellStage *stage,
                         CellWorker *const *candidates,
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -79,6 +79,13 @@
   return a->worker->slot < b->worker->slot ? -1 : 1;
 }
 
+static void
+sort (Place *place, uint32_t count)
+{
+  if (count > 0)
+    qsort (place, count, sizeof *place, by_room);
+}
+
 /* What any member has saved is valid for all. */
 static const char *
 gang_checkpoint (const CellStage *stage)
@@ -232,13 +239,16 @@
 
   if (room.proven_now >= need)
     {
+      sort (place, count);
       cell_holds_release (stage);
       start_all (cell, stage, place, count);
       cell_stage_update (cell, stage);
       return;
     }
-  if (!stage->asking && cell->time.now_ms >= stage->ask_after_ms)
+  if ((room.yes_now >= need || (room.yes_ever < need && room.unasked > 0))
+      && cell_can_ask (cell, stage, CANDIDATES_MAX))
     {
+      sort (place, count);
       if (room.yes_ever < need && room.unasked > 0)
         ask_first (cell, stage, place, count);
       else if (room.yes_now >= need)
@@ -247,20 +257,23 @@
   if (*reservations == 0 || room.yes_ever < need)
     return;
   (*reservations)--;
+  sort (place, count);
   reserve (stage, place, count);
 }
 
 void
 cell_place_gang (MuxCell *cell, CellStage *stage, uint32_t *reservations)
 {
-  Place *place = calloc (HASH_COUNT (cell->workers) + 1, sizeof *place);
+  Place *place;
   uint32_t count;
 
+  /* Its room is held; the answer decides. */
+  if (stage->asking)
+    return;
+  place = calloc (HASH_COUNT (cell->workers) + 1, sizeof *place);
   if (place == NULL)
     return;
   count = collect (cell, stage, place);
-  if (count > 0)
-    qsort (place, count, sizeof *place, by_room);
   if (stage->spec->rack_sensitive)
     keep_to_one_rack (stage, place, count);
   place_in (cell, stage, place, count, reservations);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -8,6 +8,7 @@
 #define CANDIDATES_FACTOR 3
 #define CANDIDATES_LEAST 6
 #define CANDIDATES_MAX 30
+#define NO_ROOM_MS 8
 
 static uint32_t
 running_there (const CellStage *stage, const CellWorker *worker)
@@ -161,7 +162,7 @@
   CellWorker *worker[CANDIDATES_MAX];
   uint32_t count;
 
-  if (stage->asking || cell->time.now_ms < stage->ask_after_ms)
+  if (!cell_can_ask (cell, stage, CANDIDATES_LEAST))
     return;
   candidate = calloc (HASH_COUNT (cell->workers) + 1, sizeof *candidate);
   if (candidate == NULL)
@@ -169,6 +170,9 @@
   count = collect (cell, stage, candidate);
   if (count > 0)
     qsort (candidate, count, sizeof *candidate, by_room);
+  /* Nobody has room: asked again when something can have changed. */
+  if (count == 0)
+    stage->ask_after_ms = cell->time.now_ms + NO_ROOM_MS;
   count = enough (candidate, count, cell_stage_waiting (stage));
   for (uint32_t i = 0; i < count; i++)
     worker[i] = candidate[i].worker;
@@ -179,7 +183,9 @@
 void
 cell_place_tasks (MuxCell *cell, CellStage *stage)
 {
-  bool short_of_workers = false;
+  bool needed = stage->job->spec->queue.approval.needed;
+  /* Without a proof that is taken now no worker needs to be looked at. */
+  bool short_of_workers = needed && cell->time.now_ms >= stage->proof_until_ms;
 
   for (uint32_t i = 0; i < stage->spec->count && !short_of_workers; i++)
     {
@@ -195,7 +201,7 @@
                             task->saved))
         return;
     }
-  if (short_of_workers && stage->job->spec->queue.approval.needed)
+  if (short_of_workers && needed)
     ask (cell, stage);
   cell_stage_update (cell, stage);
 }
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -46,9 +46,8 @@
 {
   const MuxStepSpec *spec = stage->spec;
 
-  return cell_worker_usable (cell, worker)
+  return worker->service == stage->service && cell_worker_usable (cell, worker)
          && (!spec->fills || cell->time.now_ms >= worker->no_fill_until_ms)
-         && strcmp (worker->info.service, stage->job->spec->queue.service) == 0
          && (spec->label[0] == 0 || strcmp (worker->info.kind, spec->label) == 0
              || strcmp (worker->info.rack, spec->label) == 0);
 }
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -16,6 +16,7 @@
   stage->spec = &job->spec->step[step];
   stage->occurrence = occurrence;
   stage->step = step;
+  stage->service = mux_hash_name (job->spec->queue.service, 0);
   stage->left = stage->spec->count;
   stage->due_ms = job->due_ms + (began_ms - job->began_ms);
   stage->worthless_ms = job->worthless_ms + (began_ms - job->began_ms);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -488,7 +488,7 @@
 {
   World *world = ((WorldCell *) sink)->world;
 
-  assert_true (reply->call < 256);
+  assert_true (reply->call < 8192);
   assert_false (world->answered[reply->call]);
   world->answer[reply->call] = *reply;
   world->answered[reply->call] = true;
@@ -623,7 +623,12 @@
       for (uint32_t c = 0; c < WORLD_CELLS_MAX; c++)
         if (world->cell[c].cell != NULL && !world->cell[c].dead
             && !world->cell[c].frozen && world->now_ms % 4 == 0)
-          (void) mux_cell_tick (world->cell[c].cell, time_of (world));
+          {
+            clock_t begin = clock ();
+
+            (void) mux_cell_tick (world->cell[c].cell, time_of (world));
+            world->core_clock += clock () - begin;
+          }
     }
 }
 
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -3,6 +3,8 @@
 
 #include "cell/cell.h"
 
+#include <time.h>
+
 /*
  * A few daemons' cores of stepped jobs on one fake clock, with a store, workers
  * and a policy service in memory.  All of it is plain data, so that a test can
@@ -10,10 +12,10 @@
  */
 
 #define WORLD_CELLS_MAX 3
-#define WORLD_WORKERS_MAX 8
-#define WORLD_ROWS_MAX 512
-#define WORLD_RUNS_MAX 256
-#define WORLD_STARTS_MAX 1024
+#define WORLD_WORKERS_MAX 352
+#define WORLD_ROWS_MAX 16384
+#define WORLD_RUNS_MAX 64
+#define WORLD_STARTS_MAX 32768
 
 /**
  * enum WorldFault - what becomes of a call
@@ -124,9 +126,10 @@
   bool lose_approvals;
   uint32_t approvals_asked;
   uint32_t commits;
+  clock_t core_clock; /* processor time inside the cores' ticks and replies */
   WorldEvent *events;
-  MuxQuestionReply answer[256]; /* by the question's call */
-  bool answered[256];
+  MuxQuestionReply answer[8192]; /* by the question's call */
+  bool answered[8192];
   uint64_t next_question;
 };
 
