--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -43,6 +43,7 @@
  * @seed: of what has to differ between daemons, such as who claims first
  * @lease_ms: lease asked of workers; also how long the tasks of a worker that
  *   can't be reached stay out of work
+ * @strength_milli: share of a processor, in thousandths: the strongest plans
  * @dead_ms: silence of the planner after which another daemon claims
  */
 typedef struct
@@ -56,6 +57,7 @@
   uint64_t seed;
   uint32_t lease_ms;
   uint32_t dead_ms;
+  uint32_t strength_milli;
 } MuxCellOptions;
 
 /**
--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -74,6 +74,7 @@
  * @call: question that is asked or answered            (*_ASK, *_TOLD)
  * @found: the answer is known                          (*_TOLD)
  * @table_ok: the store serves the sender               (HELLO, WELCOME)
+ * @strength_milli: share of a processor, in thousandths (HELLO)
  * @job_state: a MuxJobState                            (JOB_TOLD)
  * @outcome: a MuxOutcome                               (SUBMIT_TOLD)
  * @body: JSON of CONFIG_ROWS, of *_ASK and APPROVAL_TOLD, addresses of MEMBERS
@@ -113,6 +114,7 @@
   uint64_t call;
   bool found;
   bool table_ok;
+  uint32_t strength_milli;
   uint32_t job_state;
   uint32_t outcome;
   MuxBlob *body;
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -75,6 +75,7 @@
 };
 
 static const MuxPeerField hello_fields[] = {
+  { MUX_FIELD_U32, "strength_milli", offsetof (MuxPeerMsg, strength_milli) },
   { MUX_FIELD_ADDR, "from_addr", offsetof (MuxPeerMsg, from_addr) },
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
   { MUX_FIELD_BOOL, "stopping", offsetof (MuxPeerMsg, stopping) },
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -167,6 +167,7 @@
   uint64_t incarnation;
   int64_t heard_ms;
   bool table_ok;
+  uint32_t strength_milli;
   bool stopping;
   uint64_t asking; /* number of the approval question it works on */
   uint32_t asking_cost_ms;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -15,6 +15,10 @@
 /* Daemons claim one after the other, spread over this time, so that the first
  * is seen by the others before they try. */
 #define SPREAD_MS 250
+/* An instance of half a processor or more claims first; one of none would wait
+ * so much longer. */
+#define STRONG_MILLI 500
+#define WEAK_WAIT_MS 800
 /* After a failed try. */
 #define RETRY_MS 300
 /* A planner that the store turns away while it serves others is replaced after
@@ -157,14 +161,27 @@
   json_decref (json);
 }
 
+/* Planning costs a few thousandths of a processor for each worker; a weak
+ * instance leaves it to a stronger one, which claims earlier. */
+static int64_t
+weakness_ms (const MuxCell *cell)
+{
+  uint32_t strength = cell->options.strength_milli;
+
+  return strength < STRONG_MILLI
+             ? (int64_t) WEAK_WAIT_MS * (STRONG_MILLI - strength) / STRONG_MILLI
+             : 0;
+}
+
 /* The order in which daemons claim: by chance, but the same daemon does not
  * always come first. */
 static int64_t
 spread (const MuxCell *cell)
 {
-  return (int64_t) (mux_hash_name (cell->options.name,
-                                   cell->options.seed ^ cell->claim.version)
-                    % SPREAD_MS);
+  return weakness_ms (cell)
+         + (int64_t) (mux_hash_name (cell->options.name,
+                                     cell->options.seed ^ cell->claim.version)
+                      % SPREAD_MS);
 }
 
 /*
@@ -286,6 +303,7 @@
   snprintf (msg.to, sizeof msg.to, "%s", cell->claim.name);
   msg.from_incarnation = cell->options.incarnation;
   msg.table_ok = cell_store_ok (cell);
+  msg.strength_milli = cell->options.strength_milli;
   msg.stopping = cell->stopping;
   (void) cell->options.sink->peer_send (cell->options.sink, cell->claim.addr,
                                         &msg);
@@ -472,6 +490,7 @@
   member->incarnation = msg->from_incarnation;
   member->heard_ms = cell->time.now_ms;
   member->table_ok = msg->table_ok;
+  member->strength_milli = msg->strength_milli;
   member->stopping = msg->stopping;
 }
 
@@ -532,6 +551,7 @@
 
   HASH_ITER (hh, cell->members, member, next)
   if (member->table_ok && !member->stopping
+      && member->strength_milli >= cell->options.strength_milli
       && cell->time.now_ms - member->heard_ms < INT64_C (2) * HELLO_MS
       && (best == NULL || member->incarnation > best->incarnation))
     best = member;
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -69,6 +69,7 @@
                                                : given->peer_listen,
       .lease_ms = given->lease_ms,
       .dead_ms = given->dead_ms,
+      .strength_milli = given->strength_milli,
     },
   };
 
--- a/src/daemon/settings_table.c
+++ b/src/daemon/settings_table.c
@@ -2,11 +2,14 @@
 
 #include "core/core.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Characters of a CURVE key as Z85. */
 #define CURVE_KEY_LEN 40
 #define KIB 1024
+#define MILLI 1000
+#define CPU_SHARE_MAX 1024
 
 enum
 {
@@ -38,6 +41,7 @@
   TLS_KEY_FILE,
   STORE,
   APPROVALS,
+  STRENGTH,
   READY_LISTEN,
   METRICS_LISTEN,
   NODE_FILE,
@@ -117,6 +121,8 @@
     "formats" },
   [APPROVALS] = { "approvals", "CUMINMUX_APPROVALS", MUX_SETTING_ADDRESS, "",
     0, 0, "", "policy service that approves workers; none: not asked" },
+  [STRENGTH] = { "cpu-share", "CUMINMUX_CPU_SHARE", MUX_SETTING_TEXT, "", 0, 0,
+    "1", "processors of this instance, such as 0.25; the strongest plans" },
   [READY_LISTEN] = { "ready-listen", "CUMINMUX_READY_LISTEN",
     MUX_SETTING_ADDRESS, "", 0, 0, "",
     "address where the platform asks for readiness; goes with --store" },
@@ -164,6 +170,18 @@
       = mux_settings_addresses (options->settings, SEEDS, &options->seed_count);
 }
 
+/* A share such as "0.25", in thousandths; 0: it is none. */
+static uint32_t
+milli (const char *share)
+{
+  char *end = NULL;
+  double value = strtod (share, &end);
+
+  if (end == share || *end != 0 || !(value > 0 && value <= CPU_SHARE_MAX))
+    return 0;
+  return (uint32_t) (value * MILLI);
+}
+
 static void
 fill_integers (MuxDaemonOptions *options)
 {
@@ -181,6 +199,7 @@
   options->platform_threads = integer (options, PLATFORM_THREADS);
   options->list_every_ms = integer (options, LIST_EVERY_MS);
   options->body_max_kib = integer (options, BODY_MAX_KIB);
+  options->strength_milli = milli (text (options, STRENGTH));
   options->stop_after_ms = integer (options, STOP_AFTER_MS);
   options->log_level = (MuxLogLevel) integer (options, LOG_LEVEL);
 }
@@ -206,6 +225,9 @@
   if ((*options->curve_secret_key == 0) != (*options->curve_public_key == 0))
     mux_findings_add (findings, specs[CURVE_SECRET_KEY].env,
                       "goes together with CUMINMUX_CURVE_PUBLIC_KEY");
+  if (options->strength_milli == 0)
+    mux_findings_add (findings, "--cpu-share", "must be over 0 and at most %d",
+                      CPU_SHARE_MAX);
   if ((*options->store == 0) != (*options->ready_listen == 0))
     mux_findings_add (findings, "--store", "goes together with --ready-listen");
   if ((*options->tls_cert_file == 0) != (*options->tls_key_file == 0))
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -35,6 +35,7 @@
  * @tls_key_file: PEM key of the callers' side
  * @store: transactional store of stepped jobs; "": they are not served
  * @approvals: policy service that approves workers; "": none
+ * @strength_milli: share of a processor that this instance has
  * @ready_listen: where the platform asks for readiness
  * @metrics_listen: where the counters are served; "": nowhere
  * @log_level: highest severity number printed
@@ -71,6 +72,7 @@
   const char *tls_key_file;
   const char *store;
   const char *approvals;
+  uint32_t strength_milli;
   const char *ready_listen;
   const char *metrics_listen;
   MuxLogLevel log_level;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -647,6 +647,7 @@
     .seed = number,
     .lease_ms = LEASE_MS,
     .dead_ms = DEAD_MS,
+    .strength_milli = 1000,
   };
   static char names[WORLD_CELLS_MAX][MUX_NAME_LEN];
 
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -93,6 +93,7 @@
       msg->task = (MuxId){ 0x0123456789abcdef, 0xfedcba9876543210 };
       break;
     case MUX_PEER_HELLO:
+      msg->strength_milli = 250;
       strcpy (msg->from_addr, "10.20.30.41:7411");
       msg->table_ok = true;
       break;
