Let strong daemons carry the planner's calls to workers on a large cell

Cause: at 350 workers the planner's HTTP client took 0.4 of its 0.5 core; calls waited over a second, workers counted as lost. Change: over 96 workers each call goes through a strong daemon, chosen by the worker; it decides nothing, and an answer lost with it is an unanswered call like any other.

--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -36,6 +36,8 @@
   MUX_PEER_APPROVAL_TOLD, /* to the planner: it said so */
   MUX_PEER_SUBMIT_ASK,    /* to the planner: store this job */
   MUX_PEER_SUBMIT_TOLD,   /* from the planner: what became of it */
+  MUX_PEER_CARRY_ASK,     /* from the planner: make this call to a worker */
+  MUX_PEER_CARRY_TOLD,    /* to the planner: how it ended */
   MUX_PEER_VERB_COUNT
 } MuxPeerVerb;
 
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -135,6 +135,9 @@
   [MUX_PEER_JOB_ASK] = { ask_fields, COUNT (ask_fields) },
   [MUX_PEER_JOB_TOLD] = { job_told_fields, COUNT (job_told_fields) },
   [MUX_PEER_APPROVAL_ASK] = { ask_fields, COUNT (ask_fields) },
+  [MUX_PEER_CARRY_ASK] = { ask_fields, COUNT (ask_fields) },
+  [MUX_PEER_CARRY_TOLD]
+  = { approval_told_fields, COUNT (approval_told_fields) },
   [MUX_PEER_SUBMIT_ASK] = { ask_fields, COUNT (ask_fields) },
   [MUX_PEER_SUBMIT_TOLD] = { submit_told_fields, COUNT (submit_told_fields) },
   [MUX_PEER_APPROVAL_TOLD]
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -27,6 +27,20 @@
   mux_count (cell->options.counters, counter[verb], 1);
 }
 
+CellPending *
+cell_pending_add (MuxCell *cell, const CellPending *pending)
+{
+  CellPending *entry = malloc (sizeof *entry);
+
+  if (entry == NULL)
+    return NULL;
+  *entry = *pending;
+  entry->call_id = cell->next_call++;
+  entry->sent_ms = cell->time.now_ms;
+  HASH_ADD (hh, cell->pending, call_id, sizeof entry->call_id, entry);
+  return entry;
+}
+
 bool
 cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending)
 {
@@ -34,17 +48,13 @@
 
   if (call == NULL)
     return false;
-  entry = malloc (sizeof *entry);
+  entry = cell_pending_add (cell, pending);
   if (entry == NULL)
     {
       mux_cell_call_free (call);
       return false;
     }
-  *entry = *pending;
-  entry->call_id = cell->next_call++;
-  entry->sent_ms = cell->time.now_ms;
   call->call_id = entry->call_id;
-  HASH_ADD (hh, cell->pending, call_id, sizeof entry->call_id, entry);
   count_call (cell, call->verb);
   if (cell->options.sink->call (cell->options.sink, call))
     return true;
--- /dev/null
+++ b/src/cell/carry.c
@@ -0,0 +1,181 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * On a large cell the planner's calls to workers would cost it more than its
+ * processor has: strong daemons carry them.  They decide nothing; an order
+ * bears the planner's token, run and last moment, so that one that is carried
+ * out late, or whose answer is lost with its carrier, is settled like any
+ * other.
+ */
+
+/* Up to so many workers the planner calls them itself: the calls of 48 cost it
+ * 0.08 of a core. */
+#define CARRY_WORKERS 96
+/* A daemon of less than this carries nothing, unless all are weak. */
+#define CARRIER_MILLI 400
+#define MEMBER_SILENT_MS 700
+/* For the way to the carrier and back. */
+#define WAY_MS 300
+/* After a call that its carrier got no answer to: the worker may be out of the
+ * carrier's reach alone. */
+#define DIRECT_MS 5000
+#define OVERDUE_LOOK_MS 100
+
+static bool
+can_carry (const MuxCell *cell, const CellMember *member)
+{
+  return !member->stopping && member->strength_milli >= CARRIER_MILLI
+         && cell->time.now_ms - member->heard_ms < MEMBER_SILENT_MS
+         && strcmp (member->name, cell->options.name) != 0;
+}
+
+/* The same one for a worker as long as it lives, so that its connections are
+ * kept. */
+static CellMember *
+carrier_of (MuxCell *cell, const CellWorker *worker)
+{
+  CellMember *best = NULL;
+  uint64_t best_hash = 0;
+  CellMember *member;
+  CellMember *next;
+
+  if (HASH_COUNT (cell->workers) <= CARRY_WORKERS
+      || cell->time.now_ms < worker->direct_until_ms)
+    return NULL;
+  HASH_ITER (hh, cell->members, member, next)
+  {
+    uint64_t hash = mux_hash_name (member->name, worker->slot + 1);
+
+    if (!can_carry (cell, member) || (best != NULL && hash <= best_hash))
+      continue;
+    best = member;
+    best_hash = hash;
+  }
+  return best;
+}
+
+bool
+cell_worker_call (MuxCell *cell,
+                  CellWorker *worker,
+                  MuxCellCall *call,
+                  const CellPending *pending)
+{
+  CellMember *carrier = carrier_of (cell, worker);
+  MuxPeerMsg msg = { .verb = MUX_PEER_CARRY_ASK };
+  CellPending *entry;
+  bool sent;
+
+  if (carrier == NULL || call == NULL)
+    return cell_call (cell, call, pending);
+  entry = cell_pending_add (cell, pending);
+  if (entry == NULL)
+    {
+      mux_cell_call_free (call);
+      return false;
+    }
+  entry->verb = call->verb;
+  entry->overdue_ms = cell->time.now_ms + call->timeout_ms + WAY_MS;
+  snprintf (msg.from, sizeof msg.from, "%s", cell->options.name);
+  snprintf (msg.from_addr, sizeof msg.from_addr, "%s", cell->options.peer_addr);
+  snprintf (msg.to, sizeof msg.to, "%s", carrier->name);
+  msg.from_incarnation = cell->options.incarnation;
+  msg.call = entry->call_id;
+  msg.body = cell_json_blob (cell_carried_call_json (call));
+  sent = msg.body != NULL
+         && cell->options.sink->peer_send (cell->options.sink, carrier->addr,
+                                           &msg);
+  mux_blob_unref (msg.body);
+  mux_cell_call_free (call);
+  if (sent)
+    return true;
+  HASH_DEL (cell->pending, entry);
+  free (entry);
+  return false;
+}
+
+static void
+end_unanswered (MuxCell *cell, const CellPending *entry)
+{
+  MuxCellCall call = { .verb = entry->verb, .call_id = entry->call_id };
+  CellWorker *worker = cell_worker_find (cell, entry->worker);
+  MuxCellReply *reply = mux_cell_reply_new (&call, MUX_CELL_UNKNOWN);
+
+  if (worker != NULL)
+    worker->direct_until_ms = cell->time.now_ms + DIRECT_MS;
+  if (reply != NULL)
+    mux_cell_reply (cell, cell->time, reply);
+}
+
+/* A carrier that died keeps its answers. */
+void
+cell_carry_tick (MuxCell *cell)
+{
+  CellPending *entry;
+  CellPending *next;
+
+  if (cell->time.now_ms < cell->next_overdue_ms)
+    return;
+  cell->next_overdue_ms = cell->time.now_ms + OVERDUE_LOOK_MS;
+  HASH_ITER (hh, cell->pending, entry, next)
+  if (entry->overdue_ms != 0 && cell->time.now_ms > entry->overdue_ms)
+    {
+      entry->overdue_ms = 0;
+      end_unanswered (cell, entry);
+      /* Others may have ended with it: the rest is looked at next time. */
+      return;
+    }
+}
+
+/* The carrier's side. */
+
+static void
+carried (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  MuxPeerMsg msg = { .verb = MUX_PEER_CARRY_TOLD, .found = true };
+
+  snprintf (msg.from, sizeof msg.from, "%s", cell->options.name);
+  snprintf (msg.to, sizeof msg.to, "%s", pending->peer);
+  msg.from_incarnation = cell->options.incarnation;
+  msg.call = pending->number;
+  msg.body = cell_json_blob (cell_carried_reply_json (reply));
+  if (msg.body != NULL)
+    (void) cell->options.sink->peer_send (cell->options.sink,
+                                          pending->peer_addr, &msg);
+  mux_blob_unref (msg.body);
+}
+
+static void
+carry (MuxCell *cell, const MuxPeerMsg *msg)
+{
+  json_t *json = cell_blob_json (msg->body);
+  CellPending pending = { .done = carried, .number = msg->call };
+
+  snprintf (pending.peer, sizeof pending.peer, "%s", msg->from);
+  snprintf (pending.peer_addr, sizeof pending.peer_addr, "%s", msg->from_addr);
+  (void) cell_call (cell, cell_carried_call (json), &pending);
+  json_decref (json);
+}
+
+static void
+take (MuxCell *cell, const MuxPeerMsg *msg)
+{
+  json_t *json = cell_blob_json (msg->body);
+  MuxCellReply *reply = cell_carried_reply (json, msg->call);
+
+  json_decref (json);
+  if (reply != NULL)
+    mux_cell_reply (cell, cell->time, reply);
+}
+
+void
+cell_carry_peer (MuxCell *cell, const MuxPeerMsg *msg)
+{
+  if (msg->verb == MUX_PEER_CARRY_ASK)
+    carry (cell, msg);
+  else
+    take (cell, msg);
+}
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -154,6 +154,10 @@
     case MUX_PEER_SUBMIT_TOLD:
       cell_relay_peer (cell, msg);
       break;
+    case MUX_PEER_CARRY_ASK:
+    case MUX_PEER_CARRY_TOLD:
+      cell_carry_peer (cell, msg);
+      break;
     default:
       mux_count (cell->options.counters, MUX_COUNT_PEER_BAD, 1);
     }
@@ -166,6 +170,7 @@
   if (cell->role != CELL_PLANNING)
     return;
   cell_progress_tick (cell);
+  cell_carry_tick (cell);
   if (cell->time.now_ms >= cell->next_look_ms)
     {
       cell->next_look_ms = cell->time.now_ms + LOOK_MS;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -41,6 +41,7 @@
  * @worker: life of the worker called
  * @task: the task meant
  * @run: its run
+ * @overdue_ms: then it counts as unanswered; 0: its port answers by itself
  * @peer: daemon that waits for the outcome
  * @peer_addr: its address
  */
@@ -55,6 +56,8 @@
   char worker[MUX_NAME_LEN];
   MuxTaskRef task;
   uint32_t run;
+  MuxCellVerb verb;
+  int64_t overdue_ms;
   char peer[MUX_NAME_LEN];
   char peer_addr[MUX_ADDR_LEN];
   UT_hash_handle hh;
@@ -418,6 +421,7 @@
   int64_t next_renew_ms;
   int64_t avoid_until_ms;
   int64_t no_fill_until_ms;
+  int64_t direct_until_ms; /* no other daemon calls it */
   uint32_t strikes;
   MuxSize booked;
   MuxSize held;             /* room kept for gangs about to start */
@@ -538,6 +542,7 @@
   int64_t roster_next_ms;
   int64_t next_plan_ms;
   int64_t next_look_ms;
+  int64_t next_overdue_ms;
   int64_t slow_pass_ms;
   int64_t last_plan_ms;
   uint64_t next_question;
@@ -562,6 +567,23 @@
 json_t *cell_blob_json (const MuxBlob *blob);
 void cell_log (MuxCell *cell, const char *event, const char *format, ...);
 
+/* carry.c: calls to workers made by other daemons */
+/** cell_worker_call() - by a carrier, or by this daemon */
+bool cell_worker_call (MuxCell *cell,
+                       CellWorker *worker,
+                       MuxCellCall *call,
+                       const CellPending *pending);
+void cell_carry_peer (MuxCell *cell, const MuxPeerMsg *msg);
+void cell_carry_tick (MuxCell *cell);
+/** cell_pending_add() - NULL: memory is out */
+CellPending *cell_pending_add (MuxCell *cell, const CellPending *pending);
+
+/* carry_json.c */
+json_t *cell_carried_call_json (const MuxCellCall *call);
+MuxCellCall *cell_carried_call (const json_t *json);
+json_t *cell_carried_reply_json (const MuxCellReply *reply);
+MuxCellReply *cell_carried_reply (const json_t *json, uint64_t call_id);
+
 /* follow.c */
 void cell_follow_tick (MuxCell *cell, CellFollow *follow);
 void cell_follow_start (CellFollow *follow, uint64_t term, uint64_t version);
@@ -696,7 +718,7 @@
                      const char *checkpoint);
 /** cell_stop_stray() - stop a run that no booking stands for */
 void cell_stop_stray (MuxCell *cell,
-                      const CellWorker *worker,
+                      CellWorker *worker,
                       const MuxTaskRef *task,
                       uint32_t run);
 uint32_t cell_next_run (const MuxCell *cell, uint32_t last);
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -102,7 +102,7 @@
 
 static void
 send_stop (MuxCell *cell,
-           const CellWorker *worker,
+           CellWorker *worker,
            const MuxTaskRef *task,
            uint32_t run)
 {
@@ -120,12 +120,12 @@
   call->run = run;
   call->fence = cell->term;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS;
-  (void) cell_call (cell, call, &pending);
+  (void) cell_worker_call (cell, worker, call, &pending);
 }
 
 void
 cell_stop_stray (MuxCell *cell,
-                 const CellWorker *worker,
+                 CellWorker *worker,
                  const MuxTaskRef *task,
                  uint32_t run)
 {
@@ -286,7 +286,7 @@
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS;
   cell->starts++;
   mux_count (cell->options.counters, MUX_COUNT_STARTS, 1);
-  if (cell_call (cell, call, &pending))
+  if (cell_worker_call (cell, worker, call, &pending))
     return true;
   not_started (cell, task);
   return false;
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -8,6 +8,8 @@
 #define WAIT_MS 1000
 /* Renewals while ends wait to be stored, or after a failure. */
 #define PAUSE_MS 200
+/* A worker that does not answer through another daemon is called directly. */
+#define DIRECT_MS 5000
 /* The clocks of workers may be slow by this: a lease lasts longer than asked.
  */
 #define CLOCK_SLOW_PERCENT 2
@@ -253,6 +255,7 @@
       if (worker->reachable)
         cell_log (cell, "worker_lost", "{s:s, s:s}", "worker", worker->info.id,
                   "status", mux_cell_status_name (reply->status));
+      worker->direct_until_ms = cell->time.now_ms + DIRECT_MS;
       worker->reachable = false;
       if (worker->lost_ms == 0)
         worker->lost_ms = cell->time.now_ms;
@@ -298,7 +301,7 @@
       = worker->heard && worker->reachable && !worker->lost_marked
             ? cell_worker_lease (cell, worker)
             : 0;
-  worker->renewing = cell_call (cell, call, &pending);
+  worker->renewing = cell_worker_call (cell, worker, call, &pending);
   if (!worker->renewing)
     worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
 }
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -335,6 +335,8 @@
     case MUX_PEER_APPROVAL_TOLD:
     case MUX_PEER_SUBMIT_ASK:
     case MUX_PEER_SUBMIT_TOLD:
+    case MUX_PEER_CARRY_ASK:
+    case MUX_PEER_CARRY_TOLD:
       /* Of daemons that serve stepped jobs; none of them is a member here. */
       mux_count (core->counters, MUX_COUNT_EVENTS_DROPPED, 1);
       break;
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -104,6 +104,7 @@
     case MUX_PEER_JOB_ASK:
     case MUX_PEER_APPROVAL_ASK:
     case MUX_PEER_SUBMIT_ASK:
+    case MUX_PEER_CARRY_ASK:
       strcpy (msg->from_addr, "10.20.30.41:7411");
       msg->call = 77;
       msg->body = mux_blob_new (rows, sizeof rows - 1);
@@ -119,6 +120,7 @@
       msg->queued = 12;
       break;
     case MUX_PEER_APPROVAL_TOLD:
+    case MUX_PEER_CARRY_TOLD:
       msg->call = 77;
       msg->found = true;
       msg->body = mux_blob_new (rows, sizeof rows - 1);
