--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -3,9 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Workers named in the first policy question about a gang; the promised time
- * of its job counts a question about thirty. */
-#define CANDIDATES_MAX 40
+/* Workers named in the first policy question about a gang: the promised time
+ * of its job counts a question about thirty, */
+#define CANDIDATES_LEAST 40
+/* or so many times those that it needs, as a third is usually approved; */
+#define CANDIDATES_FACTOR 3
+/* the service takes a hundred at once. */
+#define CANDIDATES_MAX 100
 /* Room is held no longer than this for proofs; a question takes half of it. */
 #define HOLD_MAX_MS 900
 
@@ -112,13 +116,30 @@
         return;
 }
 
+/* From the most that any of them holds when it is empty. */
+static uint32_t
+candidates_wanted (const CellStage *stage, const Place *place, uint32_t count)
+{
+  uint32_t most = 1;
+  uint32_t wanted;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (place[i].ever > most)
+      most = place[i].ever;
+  wanted = CANDIDATES_FACTOR * ((stage->spec->count + most - 1) / most);
+  if (wanted < CANDIDATES_LEAST)
+    return CANDIDATES_LEAST;
+  return wanted < CANDIDATES_MAX ? wanted : CANDIDATES_MAX;
+}
+
 static void
 ask_first (MuxCell *cell, CellStage *stage, const Place *place, uint32_t count)
 {
   CellWorker *worker[CANDIDATES_MAX];
+  uint32_t wanted = candidates_wanted (stage, place, count);
   uint32_t n = 0;
 
-  for (uint32_t i = 0; i < count && n < CANDIDATES_MAX; i++)
+  for (uint32_t i = 0; i < count && n < wanted; i++)
     {
       const CellApproval *approval = cell_approval (stage, place[i].worker);
 
@@ -246,7 +267,7 @@
       return;
     }
   if ((room.yes_now >= need || (room.yes_ever < need && room.unasked > 0))
-      && cell_can_ask (cell, stage, CANDIDATES_MAX))
+      && cell_can_ask (cell, stage, CANDIDATES_LEAST))
     {
       sort (place, count);
       if (room.yes_ever < need && room.unasked > 0)
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -386,6 +386,7 @@
   bool order = call->verb != MUX_CELL_RENEW;
   WorldFault fault = worker != NULL && order ? worker->fault : WORLD_SERVES;
 
+  world->worker_calls[cell]++;
   if (worker == NULL || worker->cut || fault == WORLD_SILENT)
     answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
                  call->timeout_ms);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -126,6 +126,7 @@
   bool lose_approvals;
   uint32_t approvals_asked;
   uint32_t commits;
+  uint32_t worker_calls[WORLD_CELLS_MAX]; /* by the daemon that made them */
   clock_t core_clock; /* processor time inside the cores' ticks and replies */
   WorldEvent *events;
   MuxQuestionReply answer[8192]; /* by the question's call */
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -715,6 +715,43 @@
   world_free (world);
 }
 
+/*
+ * On a large cell other daemons make the planner's calls to workers.  One of
+ * them dies with calls on their way: what it was asked to start may run or not;
+ * it must run once all the same, and the planner must go on without it.
+ */
+static void
+test_carrier_dies_with_its_calls (void **state)
+{
+  World *world = world_new (CELLS, 100);
+  uint32_t planner = world_planner (world);
+  uint32_t carrier = other_than (planner);
+
+  (void) state;
+  world_run (world, 1500);
+  assert_true (world->worker_calls[carrier] > 0);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      (void) world_submit (world, planner, world_job (1, 20, 1000), id);
+    }
+  world_run (world, 120);
+  world_cell_kill (world, carrier);
+  world_run (world, 16000);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      assert_int_equal (world_state (world, planner, id), MUX_JOB_COMPLETED);
+    }
+  assert_false (world_twice (world));
+  assert_int_equal (world_planner (world), planner);
+  world_free (world);
+}
+
 static void
 test_unknown_queue (void **state)
 {
@@ -763,6 +800,7 @@
     cmocka_unit_test (test_occurrences_at_their_times),
     cmocka_unit_test (test_long_running_is_restarted),
     cmocka_unit_test (test_filling_task_leaves_a_serving_one),
+    cmocka_unit_test (test_carrier_dies_with_its_calls),
     cmocka_unit_test (test_unknown_queue),
   };
 
