--- a/src/cell/carry.c
+++ b/src/cell/carry.c
@@ -65,12 +65,13 @@
                   const CellPending *pending)
 {
   CellMember *carrier = carrier_of (cell, worker);
-  MuxPeerMsg msg = cell_message (cell, MUX_PEER_CARRY_ASK, carrier->name);
+  MuxPeerMsg msg;
   CellPending *entry;
   bool sent;
 
   if (carrier == NULL || call == NULL)
     return cell_call (cell, call, pending);
+  msg = cell_message (cell, MUX_PEER_CARRY_ASK, carrier->name);
   entry = cell_pending_add (cell, pending);
   if (entry == NULL)
     {
