Count the room that a gang holds as its own

Cause: held room was taken off everybody's free room, the gang's own too, so that its answered proofs found no room until the hold ran out 0.9 s later; and workers kept free were chosen anew in each pass. The test fails without the change.

--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -59,7 +59,9 @@
       continue;
     p->worker = worker;
     p->now
-        = bounded (stage, cell_worker_holds (stage, cell_worker_free (worker)));
+        = bounded (stage, cell_worker_holds (stage, cell_worker_free (worker))
+                              + cell_held (stage, worker));
+    p->kept = worker->last_reserved == stage;
     p->ever = bounded (stage, cell_worker_holds (stage, worker->info.capacity));
     p->yes = !needed || (approval != NULL && approval->yes);
     p->proven = !needed || cell_approval_proof (cell, stage, worker) != NULL;
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -752,6 +752,27 @@
   world_free (world);
 }
 
+/*
+ * A gang waits until its proofs have run out.  When its room is free at last it
+ * asks for them again and holds the room meanwhile; what it holds must count
+ * as room for itself, else it finds none when the answer comes and starts only
+ * when it gives the room up, 0.9 s later.
+ */
+static void
+test_gang_starts_on_the_room_it_holds (void **state)
+{
+  World *world = world_new (1, 1);
+
+  (void) state;
+  world->task_ms = 4000;
+  (void) world_submit (world, 0, world_job (1, 1, 32000), "job-a");
+  world_run (world, 300);
+  (void) world_submit (world, 0, gang (3, 9000), "job-b");
+  world_run (world, 4400);
+  assert_int_equal (world_starts (world, "job-b"), 3);
+  world_free (world);
+}
+
 static void
 test_unknown_queue (void **state)
 {
@@ -801,6 +822,7 @@
     cmocka_unit_test (test_long_running_is_restarted),
     cmocka_unit_test (test_filling_task_leaves_a_serving_one),
     cmocka_unit_test (test_carrier_dies_with_its_calls),
+    cmocka_unit_test (test_gang_starts_on_the_room_it_holds),
     cmocka_unit_test (test_unknown_queue),
   };
 
