--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -87,7 +87,6 @@
           && cell->time.now_ms - cell->store_failing_ms > STORE_AWAY_MS)
         cell_log (cell, "store_back", "{s:I}", "away_ms",
                   (json_int_t) (cell->time.now_ms - cell->store_failing_ms));
-      cell->store_ok_ms = cell->time.now_ms;
       cell->store_failing_ms = 0;
       return;
     }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -92,7 +92,6 @@
 void cell_verified (MuxCell *cell, int64_t at_ms);
 void cell_give_up_claim (MuxCell *cell);
 CellMember *cell_member_find (MuxCell *cell, const char *name);
-bool cell_is_planner (const MuxCell *cell);
 
 /* load.c: what a new planner reads */
 void cell_load_begin (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -507,7 +507,6 @@
   CellInquiry *inquiries;
 
   /* The store as this daemon sees it. */
-  int64_t store_ok_ms;       /* last answer that served */
   int64_t store_clock_ms;    /* the store's steady clock at its last answer, */
   int64_t store_clock_at_ms; /* and ours */
   int64_t store_failing_ms;  /* first failure since; 0: none */
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -30,12 +30,6 @@
  * over.  Well over what a busy core takes between two ticks. */
 #define PAUSE_MS 700
 
-bool
-cell_is_planner (const MuxCell *cell)
-{
-  return cell->role != CELL_FOLLOWER;
-}
-
 CellMember *
 cell_member_find (MuxCell *cell, const char *name)
 {
