cell: small instances leave the plan to strong ones, and a healed cut takes no plan

A daemon cut off also sent its claims into the cut. Change: before a silent planner is replaced the claim's table is read, and a newer sign of life there ends the silence; a planner with half the strength of a member, or less, names it heir and leaves; a small instance does not use the shortcut after a restart of all. Tests: test_cell_planner (a cut of each length from 1.5 to 6 s ended with a new claim before; the weak planner kept the plan before).

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -520,12 +520,15 @@
   bool verifying;
   bool beating;
   int64_t next_beat_ms;
+  bool yielding;
+  int64_t yield_after_ms;
   int64_t last_event_ms;
   bool claiming;
   int64_t claim_after_ms;
   int64_t claim_retry_ms;
   bool planner_restarted; /* its process is gone, a younger one answers */
   int64_t planner_heard_ms;
+  uint64_t beat_version;        /* of its last sign of life in the store */
   int64_t planner_welcome_ms;   /* its last answer to a greeting */
   int64_t planner_store_bad_ms; /* it says so since; 0: it does not */
   int64_t next_hello_ms;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -25,6 +25,12 @@
 #define STORE_BAD_MS 600
 /* The heir of a claim given up has so much of a start before the others. */
 #define HEIR_MS 350
+/* The plan goes to a member so many times as strong: less would not be worth
+ * the second of a takeover. */
+#define YIELD_FACTOR 2
+/* Not before a term is so old: the strong members have greeted it by then, and
+ * one that does not take the plan is not asked again at once. */
+#define YIELD_AFTER_MS 1000
 /* A pause of this thread's work after which the claim is read again before
  * anything is ordered: the instance may have been frozen while another took
  * over.  Well over what a busy core takes between two ticks. */
@@ -121,6 +127,8 @@
   cell->term_began_ms = cell->time.now_ms;
   cell->verifying = false;
   cell->beating = false;
+  cell->yielding = false;
+  cell->yield_after_ms = cell->time.now_ms + YIELD_AFTER_MS;
   cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
   cell->end_seq = 0;
   cell->worker_slots = 0;
@@ -182,8 +190,11 @@
 {
   bool ours;
 
-  if (strcmp (row->key, BEAT_KEY) == 0)
-    cell->planner_heard_ms = cell->time.now_ms;
+  if (strcmp (row->key, BEAT_KEY) == 0 && row->version > cell->beat_version)
+    {
+      cell->beat_version = row->version;
+      cell->planner_heard_ms = cell->time.now_ms;
+    }
   if (strcmp (row->key, CELL_CLAIM_KEY) != 0
       || row->version <= cell->claim.version)
     return;
@@ -283,6 +294,50 @@
     cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
 }
 
+static bool
+planner_is_silent (const MuxCell *cell)
+{
+  return cell->time.now_ms - cell->planner_heard_ms
+         > cell->options.dead_ms + spread (cell);
+}
+
+static void
+looked (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  uint64_t version = cell->claim.version;
+
+  (void) pending;
+  cell->claiming = false;
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    cell_claim_row (cell, &reply->row[i]);
+  if (reply->status != MUX_CELL_OK)
+    cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
+  else if (cell->claim.version == version && !cell->stopping
+           && planner_is_silent (cell))
+    claim (cell, "silent");
+}
+
+/*
+ * Guards against a takeover at the end of each cut: a daemon that was cut off
+ * has not heard the planner for seconds, and the call that follows the claim
+ * may hang on a dead connection while others are answered again.  The table is
+ * read first; a sign of life there that is newer than the last one known shows
+ * that the silence was our own.  A claim is so never sent into a cut, either,
+ * where it would lie until the cut ends.
+ */
+static void
+look_before_claim (MuxCell *cell)
+{
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
+  CellPending pending = { .done = looked };
+
+  if (call == NULL)
+    return;
+  call->table = MUX_TABLE_CLAIM;
+  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  cell->claiming = cell_call (cell, call, &pending);
+}
+
 static void
 hello (MuxCell *cell)
 {
@@ -320,7 +375,8 @@
   if (cell->claiming || cell->stopping || !cell->claim.known
       || !cell_store_ok (cell))
     return;
-  if (is_our_former_life (cell) && now >= cell->claim_retry_ms)
+  if (is_our_former_life (cell) && now >= cell->claim_retry_ms
+      && (weakness_ms (cell) == 0 || now >= cell->claim_after_ms))
     claim (cell, "own_former_life");
   if (cell->claiming || now < cell->claim_after_ms)
     return;
@@ -328,8 +384,8 @@
     claim (cell, "vacant");
   else if (cell->planner_restarted)
     claim (cell, "restarted");
-  else if (now - cell->planner_heard_ms > cell->options.dead_ms + spread (cell))
-    claim (cell, "silent");
+  else if (planner_is_silent (cell))
+    look_before_claim (cell);
   else if (cell->planner_store_bad_ms != 0
            && now - cell->planner_store_bad_ms > STORE_BAD_MS + spread (cell))
     claim (cell, "store_turns_it_away");
@@ -404,6 +460,77 @@
   cell->verifying = cell_call (cell, call, &pending);
 }
 
+static bool
+may_inherit (const MuxCell *cell, const CellMember *member)
+{
+  return member->table_ok && !member->stopping
+         && cell->time.now_ms - member->heard_ms < INT64_C (2) * HELLO_MS;
+}
+
+/* The strongest member, and of these the youngest: where daemons are restarted
+ * one after the other, it is the last to be restarted again.
+ * Return: NULL if none has @least_milli. */
+static const CellMember *
+choose_heir (const MuxCell *cell, uint32_t least_milli)
+{
+  const CellMember *best = NULL;
+  const CellMember *member;
+  const CellMember *next;
+
+  HASH_ITER (hh, cell->members, member, next)
+  {
+    if (!may_inherit (cell, member) || member->strength_milli < least_milli)
+      continue;
+    if (best == NULL || member->strength_milli > best->strength_milli
+        || (member->strength_milli == best->strength_milli
+            && member->incarnation > best->incarnation))
+      best = member;
+  }
+  return best;
+}
+
+/* Write that nobody plans, and who should. */
+static bool
+leave_claim (MuxCell *cell, const CellMember *heir, CellDone done)
+{
+  return write_claim (
+      cell,
+      json_pack ("{s:s, s:s, s:s, s:I, s:i}", "name", "", "addr", "", "heir",
+                 heir != NULL ? heir->name : "", "incarnation", (json_int_t) 0,
+                 "term", (int) cell->claim.term),
+      done);
+}
+
+static void
+yielded (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  (void) pending;
+  cell_log (cell, "claim_yielded", "{s:s}", "status",
+            mux_cell_status_name (reply->status));
+  cell->yielding = false;
+  cell->yield_after_ms = cell->time.now_ms + YIELD_AFTER_MS;
+  if (reply->status == MUX_CELL_OK)
+    cell_depose (cell, "yielded");
+}
+
+/*
+ * Guards against a small instance that keeps the plan which it took while the
+ * strong ones were away: planning for 350 workers needs more than its share of
+ * a processor, so that starts, ends and renewals are late and callers are
+ * refused for as long as it plans.
+ */
+static void
+yield_to_stronger (MuxCell *cell)
+{
+  const CellMember *heir;
+
+  if (cell->yielding || cell->time.now_ms < cell->yield_after_ms)
+    return;
+  heir = choose_heir (cell, YIELD_FACTOR * cell->options.strength_milli);
+  if (heir != NULL)
+    cell->yielding = leave_claim (cell, heir, yielded);
+}
+
 /*
  * Guards against a planner that was frozen, or whose instance was suspended,
  * while another took over: it wakes with all its state and would go on to
@@ -424,6 +551,8 @@
     }
   else if (!cell->beating && now >= cell->next_beat_ms)
     beat (cell);
+  if (cell->verified_ms != 0)
+    yield_to_stronger (cell);
 }
 
 void
@@ -525,24 +654,6 @@
   cell_depose (cell, "stopping");
 }
 
-/* The youngest member: where daemons are restarted one after the other, it is
- * the last to be restarted again. */
-static const char *
-choose_heir (MuxCell *cell)
-{
-  const CellMember *best = NULL;
-  CellMember *member;
-  CellMember *next;
-
-  HASH_ITER (hh, cell->members, member, next)
-  if (member->table_ok && !member->stopping
-      && member->strength_milli >= cell->options.strength_milli
-      && cell->time.now_ms - member->heard_ms < INT64_C (2) * HELLO_MS
-      && (best == NULL || member->incarnation > best->incarnation))
-    best = member;
-  return best != NULL ? best->name : "";
-}
-
 void
 cell_give_up_claim (MuxCell *cell)
 {
@@ -551,10 +662,7 @@
       cell->gave_up = true;
       return;
     }
-  if (!write_claim (cell,
-                    json_pack ("{s:s, s:s, s:s, s:I, s:i}", "name", "", "addr",
-                               "", "heir", choose_heir (cell), "incarnation",
-                               (json_int_t) 0, "term", (int) cell->claim.term),
+  if (!leave_claim (cell, choose_heir (cell, cell->options.strength_milli),
                     claim_left))
     cell->gave_up = true;
 }
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -9,6 +9,8 @@
 #define APPROVAL_MS 10
 #define PEER_MS 1
 #define LEASE_MS 4000
+/* Of daemons that are given no other. */
+#define STRENGTH_MILLI 1000
 #define DEAD_MS 1200
 #define WALL_MS INT64_C (1700000000000)
 
@@ -498,10 +500,13 @@
 static bool
 sink_peer_send (MuxCellSink *sink, const char *addr, const MuxPeerMsg *msg)
 {
-  World *world = ((WorldCell *) sink)->world;
+  const WorldCell *cell = (const WorldCell *) sink;
+  World *world = cell->world;
+  bool cut = world->peers_cut || cell->cut;
 
-  for (uint32_t i = 0; i < WORLD_CELLS_MAX && !world->peers_cut; i++)
-    if (world->cell[i].cell != NULL && strcmp (world->cell[i].addr, addr) == 0)
+  for (uint32_t i = 0; i < WORLD_CELLS_MAX && !cut; i++)
+    if (world->cell[i].cell != NULL && !world->cell[i].cut
+        && strcmp (world->cell[i].addr, addr) == 0)
       {
         WorldEvent *event = event_new (world, i, PEER_MS);
 
@@ -648,7 +653,8 @@
     .seed = number,
     .lease_ms = LEASE_MS,
     .dead_ms = DEAD_MS,
-    .strength_milli = 1000,
+    .strength_milli
+    = cell->strength_milli != 0 ? cell->strength_milli : STRENGTH_MILLI,
   };
   static char names[WORLD_CELLS_MAX][MUX_NAME_LEN];
 
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -104,6 +104,8 @@
   MuxCell *cell;
   bool frozen;
   bool dead;
+  bool cut;                /* messages from and to other daemons are lost */
+  uint32_t strength_milli; /* 0: a whole processor */
   WorldFault store;
   char addr[MUX_ADDR_LEN];
 } WorldCell;
--- /dev/null
+++ b/test/unit/test_cell_planner.c
@@ -0,0 +1,152 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#define CELLS 3
+#define WORKERS 4
+/* Of a small instance, and of one four times as large. */
+#define WEAK_MILLI 120
+#define STRONG_MILLI 500
+/* A planner's death is noticed after a second; its successor then reads. */
+#define TAKEOVER_MS 4000
+
+static uint64_t
+claim_version (const World *world)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == MUX_TABLE_CLAIM
+        && strcmp (world->row[i].key, "claim") == 0)
+      return world->row[i].version;
+  return 0;
+}
+
+/*
+ * A data centre is cut off from the others and from the store, and comes back.
+ * Its daemons have heard nothing of the planner for seconds, through no fault
+ * of the planner's: if they claimed as soon as the store answers again, each
+ * cut would end with a takeover, and all urgent jobs would wait for it.  A
+ * job's row is written at once, while the call that follows the claim still
+ * hangs on a connection of the time of the cut.
+ */
+static void
+test_daemon_back_from_a_cut_claims_nothing (void **state)
+{
+  (void) state;
+  for (int64_t cut_ms = 1500; cut_ms < 6000; cut_ms += 100)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint32_t planner = world_planner (world);
+      uint32_t other = (planner + 1) % CELLS;
+      uint64_t version;
+
+      world_run (world, 1000);
+      version = claim_version (world);
+      world->cell[other].cut = true;
+      world->cell[other].store = WORLD_SILENT;
+      world_run (world, cut_ms);
+      world->cell[other].store = WORLD_SERVES;
+      (void) world_submit (world, other, world_job (1, 1, 1000), "job-a");
+      world_run (world, 300);
+      world->cell[other].cut = false;
+      world_run (world, 3000);
+      assert_int_equal (claim_version (world), version);
+      assert_int_equal (world_planner (world), planner);
+      world_free (world);
+    }
+}
+
+/*
+ * The planner dies while another daemon is cut off from the store.  That one
+ * must still be able to claim once it is back, if nobody else is left.
+ */
+static void
+test_last_daemon_claims_after_a_cut (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t last = (planner + 1) % CELLS;
+
+  (void) state;
+  world->cell[last].store = WORLD_SILENT;
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != last)
+      world_cell_kill (world, i);
+  world_run (world, 4000);
+  world->cell[last].store = WORLD_SERVES;
+  world_run (world, TAKEOVER_MS);
+  assert_int_equal (world_planner (world), last);
+  world_free (world);
+}
+
+static void
+start_weak_alone (World *world, uint32_t weak)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != weak)
+      world_cell_kill (world, i);
+  world->cell[weak].strength_milli = WEAK_MILLI;
+  world_cell_start (world, weak);
+  world_run (world, TAKEOVER_MS);
+}
+
+/*
+ * All strong instances are away for a while, a small one plans meanwhile.  When
+ * they are back it must leave the plan to one of them: it has not the processor
+ * to plan for all workers, and callers would be refused for the rest of the
+ * day.
+ */
+static void
+test_weak_planner_yields_to_a_strong_daemon (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  start_weak_alone (world, 0);
+  assert_int_equal (world_planner (world), 0);
+  world->task_ms = 4000;
+  (void) world_submit (world, 0, world_job (1, 3, 1000), "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  world->cell[1].strength_milli = STRONG_MILLI;
+  world_cell_start (world, 1);
+  world_run (world, 2000);
+  assert_int_equal (world_planner (world), 1);
+  world_run (world, 5000);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * Daemons of like strength: none yields to another, else the plan would go
+ * round for ever.
+ */
+static void
+test_planner_keeps_the_plan_among_equals (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t version;
+
+  (void) state;
+  world_run (world, 1000);
+  version = claim_version (world);
+  world_cell_start (world, (planner + 1) % CELLS);
+  world_run (world, 5000);
+  assert_int_equal (claim_version (world), version);
+  assert_int_equal (world_planner (world), planner);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_daemon_back_from_a_cut_claims_nothing),
+    cmocka_unit_test (test_last_daemon_claims_after_a_cut),
+    cmocka_unit_test (test_weak_planner_yields_to_a_strong_daemon),
+    cmocka_unit_test (test_planner_keeps_the_plan_among_equals),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
