cell: plan a grown cell: other workers for each gang, bounded passes, a slow store taken as slow

Causes, from logs of the grown sites (350 workers, 150 jobs a second): 1. All gangs asked about the same hundred workers, in one order, were approved on the same third of them, and waited for those while most of the cell stood idle. Waits of gangs of 16 and more: half over 8.6 s. 2. Tasks were placed on the emptiest workers, so that no worker was empty for a gang; 14 gangs at once kept workers free. 3. A store 60 to 100 times slower was taken as away: the planner refused, all 35 daemons sent commits of their own, and the store turned all away. 4. After that a backlog of 3,700 jobs took the planner's whole processor (0.40 of 0.5 core): each pass looked at all workers for all stages. Change: gangs name workers in an order of their own and ask about others with room; tasks go to the fullest worker that holds them; five gangs keep workers free; wide gangs are planned earlier; four parts; what can't be stored in time is refused at once, finally, with a time to come back; a pass has a bound. Tests: test_cell_load, five stories, each failed before.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -39,6 +39,9 @@
   X (TERMS, "planner_terms_total", "times that this daemon began to plan")     \
   X (RUNS_FAILED, "runs_failed_total", "runs of tasks that ended as failed")   \
   X (RUNS_LOST, "runs_lost_total", "runs that ended with their worker")        \
+  X (PLAN_LOOKS, "plan_looks_total", "workers looked at for waiting tasks")    \
+  X (PLAN_CUT, "plan_passes_cut_total",                                        \
+     "planning passes cut for their length")                                   \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")
 
 /* Times in milliseconds, counted by ranges. */
--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -75,7 +75,8 @@
  * @ran_ms: how long it ran                             (GRANT_END, TASK_ENDED)
  * @call: question that is asked or answered            (*_ASK, *_TOLD)
  * @found: the answer is known                          (*_TOLD)
- * @table_ok: the store serves the sender               (HELLO, WELCOME)
+ * @table_ok: the store serves the sender               (HELLO, WELCOME,
+ *   SUBMIT_TOLD)
  * @strength_milli: share of a processor, in thousandths (HELLO)
  * @job_state: a MuxJobState                            (JOB_TOLD)
  * @outcome: a MuxOutcome                               (SUBMIT_TOLD)
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -108,6 +108,7 @@
 static const MuxPeerField submit_told_fields[] = {
   { MUX_FIELD_U64, "call", offsetof (MuxPeerMsg, call) },
   { MUX_FIELD_U32, "outcome", offsetof (MuxPeerMsg, outcome) },
+  { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
 };
 
 #define COUNT(array) ((uint32_t) (sizeof (array) / sizeof (array)[0]))
--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -395,6 +395,7 @@
       CellStage *stage = task->stage;
 
       stage->asking = false;
+      stage->round = 0;
       if (!answered)
         {
           unmark_asked (stage, question);
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -83,6 +83,7 @@
     }
   if (served)
     {
+      cell->store_served_ms = cell->time.now_ms;
       if (cell->store_failing_ms != 0
           && cell->time.now_ms - cell->store_failing_ms > STORE_AWAY_MS)
         cell_log (cell, "store_back", "{s:I}", "away_ms",
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -65,6 +65,7 @@
     }
   cell->options = *options;
   cell->next_call = 1;
+  cell->round = 1;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
     snprintf (cell->part[i].name, sizeof cell->part[i].name, "p%u",
               (unsigned) i);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -6,11 +6,11 @@
 #include <uthash.h>
 #include <utlist.h>
 
-/* Parts that jobs are spread over by their ids.  One part takes 200
- * transactions a second at 5 ms each; submissions and ends of today are some
- * 90 a second in all, so that two stay under a quarter of that each, and each
- * part more costs commits of its own. */
-#define CELL_PARTS 2
+/* Parts that jobs are spread over by their ids.  A part carries out one
+ * transaction after the other, and a commit holds 30 jobs; where a store takes
+ * 300 ms for each, with the commits of progress between, a part stores 50 jobs
+ * a second. */
+#define CELL_PARTS 4
 /* Most jobs of one commit: a call holds 100 entries, a job takes three. */
 #define CELL_COMMIT_JOBS 30
 /* A commit, scan or worker call without an answer for so long counts as lost;
@@ -289,6 +289,9 @@
 /**
  * struct CellStage - one step of one occurrence of a job
  * @ready: its turn has come and some task waits: it is in the plan
+ * @ready_ms: since when
+ * @round: of the planner's looks at all stages, in which it was looked at
+ * @reserving: workers are kept free for it
  * @left: tasks not yet done
  * @run: GANG: number of its last run
  * @failures: GANG: runs that failed
@@ -305,6 +308,9 @@
   uint32_t occurrence;
   uint32_t step;
   bool ready;
+  int64_t ready_ms;
+  uint64_t round;
+  bool reserving;
   uint64_t service;       /* hash of the pool that runs it */
   int64_t proof_until_ms; /* no proof is taken after this */
   uint32_t left;
@@ -471,6 +477,7 @@
   CellSubmission *submissions;
   bool submitting;
   int64_t submit_sent_ms;
+  int64_t submit_took_ms; /* the last answered commit of submissions */
   int64_t next_submit_ms;
 } CellPart;
 
@@ -509,6 +516,7 @@
   /* The store as this daemon sees it. */
   int64_t store_clock_ms;    /* the store's steady clock at its last answer, */
   int64_t store_clock_at_ms; /* and ours */
+  int64_t store_served_ms;   /* its last answer that was not a failure */
   int64_t store_failing_ms;  /* first failure since; 0: none */
 
   /* The claim. */
@@ -543,6 +551,9 @@
   CellMember *members;
   CellQuestion *questions;
   CellStage *plan; /* stages with waiting tasks, in planning order */
+  uint32_t plan_count;
+  uint32_t looks; /* workers looked at in this pass */
+  uint64_t round;
   bool replan;
   uint64_t end_seq;
   bool roster_loaded;
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -7,9 +7,14 @@
  * of its job counts a question about thirty, */
 #define CANDIDATES_LEAST 40
 /* or so many times those that it needs, as a third is usually approved; */
-#define CANDIDATES_FACTOR 3
+#define CANDIDATES_FACTOR 6
 /* the service takes a hundred at once. */
 #define CANDIDATES_MAX 100
+/* Tasks that unasked workers must have room for before more of them are named:
+ * so many times those that still lack room, as a third is usually approved. */
+#define MORE_FACTOR 4
+/* Odd, with its bits spread: 2 to the 64 over the golden ratio. */
+#define HASH_MULTIPLIER UINT64_C (0x9e3779b97f4a7c15)
 /* Room is held no longer than this for proofs; a question takes half of it. */
 #define HOLD_MAX_MS 900
 
@@ -20,7 +25,8 @@
   uint32_t ever; /* members that fit when it is empty */
   bool yes;
   bool proven;
-  bool kept; /* it was kept free for the gang in the pass before */
+  bool kept;     /* it was kept free for the gang in the pass before */
+  uint64_t turn; /* decides among workers that are alike */
 } Place;
 
 /* A worker that is kept free for an earlier gang is closed to this one, unless
@@ -42,14 +48,28 @@
   return max != 0 && n > max ? max : n;
 }
 
+/*
+ * Guards against gangs that all ask about the same workers: with many alike, an
+ * order that is the same for every gang names the same few dozen to the policy
+ * service each time, gangs then wait for those, and most of a large cell stands
+ * idle.
+ */
+static uint64_t
+turn_of (uint64_t job_hash, const CellWorker *worker)
+{
+  return (job_hash ^ worker->slot) * HASH_MULTIPLIER;
+}
+
 static uint32_t
 collect (MuxCell *cell, CellStage *stage, Place *place)
 {
   bool needed = stage->job->spec->queue.approval.needed;
+  uint64_t hash = mux_hash_name (stage->job->id, stage->step);
   CellWorker *worker;
   CellWorker *next;
   uint32_t n = 0;
 
+  cell->looks += HASH_COUNT (cell->workers);
   HASH_ITER (hh, cell->workers, worker, next)
   {
     const CellApproval *approval = cell_approval (stage, worker);
@@ -62,6 +82,7 @@
         = bounded (stage, cell_worker_holds (stage, cell_worker_free (worker))
                               + cell_held (stage, worker));
     p->kept = worker->last_reserved == stage;
+    p->turn = turn_of (hash, worker);
     p->ever = bounded (stage, cell_worker_holds (stage, worker->info.capacity));
     p->yes = !needed || (approval != NULL && approval->yes);
     p->proven = !needed || cell_approval_proof (cell, stage, worker) != NULL;
@@ -85,7 +106,7 @@
     return a->kept ? -1 : 1;
   if (a->now != b->now)
     return a->now > b->now ? -1 : 1;
-  return a->worker->slot < b->worker->slot ? -1 : 1;
+  return a->turn < b->turn ? -1 : 1;
 }
 
 static void
@@ -119,6 +140,11 @@
       if (!cell_start (cell, &stage->task[member], place[i].worker, run,
                        checkpoint))
         return;
+  cell_log (cell, "placed", "{s:s, s:i, s:i, s:i, s:I, s:I}", "job",
+            stage->job->id, "step", (int) stage->step, "tasks", (int) member,
+            "run", (int) run, "waited_ms",
+            (json_int_t) (cell->time.now_ms - stage->ready_ms), "late_ms",
+            (json_int_t) (cell->time.now_ms - stage->latest_ms));
 }
 
 /* From the most that any of them holds when it is empty. */
@@ -154,6 +180,31 @@
   (void) cell_approval_ask (cell, stage, worker, n);
 }
 
+/* What is approved has too little room now, others have enough. */
+static void
+ask_more (MuxCell *cell,
+          CellStage *stage,
+          const Place *place,
+          uint32_t count,
+          uint32_t lacking)
+{
+  CellWorker *worker[CANDIDATES_MAX];
+  uint32_t room = 0;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0;
+       i < count && n < CANDIDATES_MAX && room < MORE_FACTOR * lacking; i++)
+    {
+      const CellApproval *approval = cell_approval (stage, place[i].worker);
+
+      if (place[i].now == 0 || (approval != NULL && approval->asked))
+        continue;
+      worker[n++] = place[i].worker;
+      room += place[i].now;
+    }
+  (void) cell_approval_ask (cell, stage, worker, n);
+}
+
 /* Only those that the gang is about to start on; their room is held until the
  * answer. */
 static void
@@ -187,18 +238,23 @@
   uint32_t yes_now;
   uint32_t yes_ever;
   uint32_t unasked;
+  uint32_t unasked_now;
 } Room;
 
 static Room
 sum_up (CellStage *stage, const Place *place, uint32_t count)
 {
-  Room room = { 0, 0, 0, 0 };
+  Room room = { 0, 0, 0, 0, 0 };
 
   for (uint32_t i = 0; i < count; i++)
     {
       const CellApproval *approval = cell_approval (stage, place[i].worker);
 
-      room.unasked += approval == NULL || !approval->asked;
+      if (approval == NULL || !approval->asked)
+        {
+          room.unasked++;
+          room.unasked_now += place[i].now;
+        }
       if (!place[i].yes)
         continue;
       room.yes_now += place[i].now;
@@ -215,6 +271,7 @@
 {
   uint32_t held = 0;
 
+  stage->reserving = true;
   for (uint32_t i = 0; i < count && held < stage->spec->count; i++)
     if (place[i].yes)
       {
@@ -250,6 +307,30 @@
       place[i].now = 0;
 }
 
+static void
+ask (MuxCell *cell,
+     CellStage *stage,
+     Place *place,
+     uint32_t count,
+     const Room *room)
+{
+  uint32_t need = stage->spec->count;
+  bool first = room->yes_ever < need && room->unasked > 0;
+  bool again = room->yes_now >= need;
+  bool more = room->yes_now < need
+              && room->unasked_now >= MORE_FACTOR * (need - room->yes_now);
+
+  if (!first && !again && !more)
+    return;
+  sort (place, count);
+  if (first)
+    ask_first (cell, stage, place, count);
+  else if (again)
+    ask_again (cell, stage, place, count);
+  else
+    ask_more (cell, stage, place, count, need - room->yes_now);
+}
+
 static void
 place_in (MuxCell *cell,
           CellStage *stage,
@@ -271,15 +352,8 @@
       cell_stage_update (cell, stage);
       return;
     }
-  if ((room.yes_now >= need || (room.yes_ever < need && room.unasked > 0))
-      && cell_can_ask (cell, stage, CANDIDATES_LEAST))
-    {
-      sort (place, count);
-      if (room.yes_ever < need && room.unasked > 0)
-        ask_first (cell, stage, place, count);
-      else if (room.yes_now >= need)
-        ask_again (cell, stage, place, count);
-    }
+  if (cell_can_ask (cell, stage, CANDIDATES_LEAST))
+    ask (cell, stage, place, count, &room);
   if (*reservations == 0 || room.yes_ever < need)
     return;
   (*reservations)--;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -77,6 +77,7 @@
   CellWorker *worker;
   CellWorker *next;
 
+  cell->looks += HASH_COUNT (cell->workers);
   HASH_ITER (hh, cell->workers, worker, next)
   {
     int64_t cost;
@@ -111,7 +112,7 @@
   if (a->approved != b->approved)
     return a->approved ? -1 : 1;
   if (a->tasks != b->tasks)
-    return a->tasks > b->tasks ? -1 : 1;
+    return a->tasks < b->tasks ? -1 : 1;
   return a->worker->slot < b->worker->slot ? -1 : 1;
 }
 
@@ -122,6 +123,7 @@
   CellWorker *next;
   uint32_t n = 0;
 
+  cell->looks += HASH_COUNT (cell->workers);
   HASH_ITER (hh, cell->workers, worker, next)
   {
     const CellApproval *approval = cell_approval (stage, worker);
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -11,11 +11,23 @@
  * The others may wait seconds, so that this delay is nothing to them, and each
  * look costs a pass over the workers. */
 #define SLOW_PASS_MS 16
+/* Workers looked at in a pass over all stages, at some 40 ns each, and in one
+ * over the urgent ones.  A backlog of thousands would otherwise take all of the
+ * processor, new urgent jobs with it, and never shrink.  A pass that is cut
+ * goes on with those behind, until all have had their turn. */
+#define PASS_LOOKS 25000
+/* Those first in order have this part of each pass: the policy service takes
+ * few questions, and would be asked for those behind while the proofs of those
+ * in front run out. */
+#define FRONT_LOOKS 12500
+#define URGENT_PASS_LOOKS 6000
+/* A longer plan is put in order in the passes over all stages alone. */
+#define SORT_MAX 256
 /* Gangs that workers are kept free for at once: so many, or one for so many
  * workers.  More of them would leave much of the cell idle while none of them
  * can start. */
 #define RESERVATIONS_LEAST 3
-#define WORKERS_PER_RESERVATION 24
+#define WORKERS_PER_RESERVATION 70
 
 MuxSize
 cell_worker_free (const CellWorker *worker)
@@ -78,7 +90,10 @@
   if (stage->ready)
     return;
   stage->ready = true;
+  stage->ready_ms = cell->time.now_ms;
+  stage->round = 0;
   DL_APPEND (cell->plan, stage);
+  cell->plan_count++;
   cell->replan = true;
 }
 
@@ -90,6 +105,7 @@
   stage->ready = false;
   cell_holds_release (stage);
   DL_DELETE (cell->plan, stage);
+  cell->plan_count--;
 }
 
 enum
@@ -119,17 +135,29 @@
   DL_SORT (cell->plan, order);
 }
 
+/* It was looked at in this round, and others were not yet. */
+static bool
+rests (const MuxCell *cell, const CellStage *stage)
+{
+  return stage->round == cell->round;
+}
+
 static void
 clear_reservations (MuxCell *cell)
 {
   CellWorker *worker;
   CellWorker *next;
+  CellStage *stage;
 
   HASH_ITER (hh, cell->workers, worker, next)
   {
     worker->last_reserved = worker->reserved;
-    worker->reserved = NULL;
+    if (worker->reserved != NULL && !rests (cell, worker->reserved))
+      worker->reserved = NULL;
   }
+  DL_FOREACH (cell->plan, stage)
+  if (!rests (cell, stage))
+    stage->reserving = false;
 }
 
 static uint32_t
@@ -140,12 +168,63 @@
   return n > RESERVATIONS_LEAST ? n : RESERVATIONS_LEAST;
 }
 
-void
-cell_plan (MuxCell *cell)
+static void
+place (MuxCell *cell, CellStage *stage, uint32_t *reservations)
+{
+  /* What a former planner may have started is looked for first. */
+  if (!cell_stage_is_settled (cell, stage))
+    return;
+  if (stage->spec->gang)
+    cell_place_gang (cell, stage, reservations);
+  else
+    cell_place_tasks (cell, stage);
+}
+
+static void
+pass_over_urgent (MuxCell *cell)
+{
+  uint32_t reservations = reservations_max (cell);
+  CellStage *stage;
+  CellStage *next;
+
+  DL_FOREACH_SAFE (cell->plan, stage, next)
+  {
+    if (cell->looks > URGENT_PASS_LOOKS)
+      return;
+    if (stage->job->spec->queue.priority == 0)
+      place (cell, stage, &reservations);
+  }
+}
+
+static void
+pass_over_all (MuxCell *cell)
 {
   uint32_t reservations = reservations_max (cell);
   CellStage *stage;
   CellStage *next;
+
+  DL_FOREACH_SAFE (cell->plan, stage, next)
+  {
+    if (rests (cell, stage) && cell->looks > FRONT_LOOKS)
+      {
+        if (stage->reserving && reservations > 0)
+          reservations--;
+        continue;
+      }
+    if (cell->looks > PASS_LOOKS)
+      {
+        mux_count (cell->options.counters, MUX_COUNT_PLAN_CUT, 1);
+        return;
+      }
+    stage->round = cell->round;
+    place (cell, stage, &reservations);
+  }
+  cell->round++;
+}
+
+void
+cell_plan (MuxCell *cell)
+{
   bool all = cell->time.now_ms >= cell->slow_pass_ms;
 
   if (!cell_may_order (cell) || cell->stopping)
@@ -157,22 +236,16 @@
   cell->replan = false;
   cell->last_plan_ms = cell->time.now_ms;
   cell->next_plan_ms = cell->time.now_ms + IDLE_PASS_MS;
-  rank_all (cell);
+  if (all || cell->plan_count <= SORT_MAX)
+    rank_all (cell);
+  cell->looks = 0;
   if (all)
     {
       cell->slow_pass_ms = cell->time.now_ms + SLOW_PASS_MS;
       clear_reservations (cell);
+      pass_over_all (cell);
     }
-  DL_FOREACH_SAFE (cell->plan, stage, next)
-  {
-    if (!all && stage->job->spec->queue.priority != 0)
-      continue;
-    /* What a former planner may have started is looked for first. */
-    if (!cell_stage_is_settled (cell, stage))
-      continue;
-    if (stage->spec->gang)
-      cell_place_gang (cell, stage, &reservations);
-    else
-      cell_place_tasks (cell, stage);
-  }
+  else
+    pass_over_urgent (cell);
+  mux_count (cell->options.counters, MUX_COUNT_PLAN_LOOKS, cell->looks);
 }
--- a/src/cell/relay.c
+++ b/src/cell/relay.c
@@ -69,6 +69,7 @@
 
   msg.call = submission->call;
   msg.outcome = outcome;
+  msg.table_ok = cell_store_ok (cell);
   (void) cell->options.sink->peer_send (cell->options.sink,
                                         submission->peer_addr, &msg);
 }
@@ -126,6 +127,14 @@
                            "planner");
       return;
     }
+  /* A planner that the store serves, and that refuses, has more to store than
+   * the store can take: another daemon's commit would only come on top. */
+  if (msg->outcome == MUX_OUTCOME_REFUSED && msg->table_ok)
+    {
+      cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED,
+                           "behind");
+      return;
+    }
   take_back (submission, msg->outcome != MUX_OUTCOME_REFUSED);
   cell_submit_direct (cell, part);
 }
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -2,6 +2,12 @@
 
 #include <stdlib.h>
 
+/* A gang's workers are gathered one by one as they become free, some 2.5 s for
+ * 24 tasks with four of five workers busy.  It is planned that much earlier:
+ * else narrow gangs, which find room at once, go first until it is late, and of
+ * the largest tenth of gangs less than half as many end in time as of all. */
+#define GATHER_MS_PER_TASK 100
+
 CellStage *
 cell_stage_new (CellJob *job,
                 uint32_t occurrence,
@@ -21,6 +27,8 @@
   stage->due_ms = job->due_ms + (began_ms - job->began_ms);
   stage->worthless_ms = job->worthless_ms + (began_ms - job->began_ms);
   stage->latest_ms = stage->due_ms - stage->spec->estimate_ms;
+  if (stage->spec->gang)
+    stage->latest_ms -= (int64_t) stage->spec->count * GATHER_MS_PER_TASK;
   stage->task = calloc (stage->spec->count, sizeof *stage->task);
   if (stage->task == NULL)
     {
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -73,6 +73,26 @@
   submission_free (submission);
 }
 
+/*
+ * Guards against a store that is slow and gets slower: more jobs than it can
+ * take before their callers stop waiting would all be given up half done, and
+ * their next tries would come on top.  What can't be stored in time is refused
+ * at once, so that what is stored stays at what the store can carry.
+ */
+static bool
+is_behind (const CellPart *part)
+{
+  const CellSubmission *submission;
+  int64_t commits;
+  int64_t waiting;
+
+  if (part->submit_took_ms * 2 < GIVE_UP_MS)
+    return false;
+  commits = HOLD_MS / part->submit_took_ms;
+  DL_COUNT (part->submissions, submission, waiting);
+  return waiting > CELL_COMMIT_JOBS * (commits > 1 ? commits : 1);
+}
+
 void
 cell_submission_queue (MuxCell *cell, CellSubmission *submission)
 {
@@ -83,11 +103,13 @@
   DL_APPEND (part->submissions, submission);
   if (submission->peer[0] == 0 && cell_relay (cell, submission))
     return;
-  if (cell_store_ok (cell))
-    cell_submit_direct (cell, part);
-  else
+  if (!cell_store_ok (cell))
     cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED,
                          "store_away");
+  else if (is_behind (part))
+    cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED, "behind");
+  else
+    cell_submit_direct (cell, part);
 }
 
 void
@@ -204,6 +226,7 @@
   CellSubmission *next;
 
   part->submitting = false;
+  part->submit_took_ms = cell->time.now_ms - part->submit_sent_ms;
   DL_FOREACH_SAFE (part->submissions, submission, next)
   if (submission->sent)
     settle (cell, part, submission, reply);
@@ -294,7 +317,8 @@
       if (part->submissions == NULL)
         continue;
       if (part->submitting && cell->store_failing_ms == 0
-          && cell->time.now_ms - part->submit_sent_ms > SLOW_MS)
+          && cell->time.now_ms - part->submit_sent_ms > SLOW_MS
+          && cell->time.now_ms - cell->store_served_ms > SLOW_MS)
         cell_store_silent (cell, part->submit_sent_ms);
       cell_relay_tick (cell, part);
       give_up_overdue (cell, part);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -412,6 +412,15 @@
   mux_cell_call_free (call);
 }
 
+static bool
+is_approved (const World *world, const char *id)
+{
+  for (uint32_t i = 0; i < WORLD_WORKERS_MAX && world->approve_one_in != 0; i++)
+    if (strcmp (world->worker[i].info.id, id) == 0)
+      return i % world->approve_one_in == 0;
+  return true;
+}
+
 static void
 approve (World *world, uint32_t cell, MuxCellCall *call)
 {
@@ -429,8 +438,11 @@
   reply->approval = calloc (call->candidate_count + 1, sizeof *reply->approval);
   for (uint32_t i = 0; i < call->candidate_count; i++)
     {
-      MuxApproval *approval = &reply->approval[reply->approval_count++];
+      MuxApproval *approval = &reply->approval[reply->approval_count];
 
+      if (!is_approved (world, call->candidate[i]))
+        continue;
+      reply->approval_count++;
       snprintf (approval->worker, sizeof approval->worker, "%s",
                 call->candidate[i]);
       snprintf (approval->proof, sizeof approval->proof, "yes");
@@ -451,7 +463,10 @@
   else if (fault == WORLD_SILENT)
     reply->status = MUX_CELL_UNKNOWN;
   else if (call->verb == MUX_CELL_COMMIT)
-    do_commit (world, call, reply);
+    {
+      world->own_commits[cell]++;
+      do_commit (world, call, reply);
+    }
   else if (call->verb == MUX_CELL_SCAN)
     do_scan (world, call, reply);
   else
@@ -466,7 +481,8 @@
       return;
     }
   answer_call (world, cell, reply,
-               reply->status == MUX_CELL_UNKNOWN ? call->timeout_ms : STORE_MS);
+               reply->status == MUX_CELL_UNKNOWN ? call->timeout_ms
+                                                 : world->store_ms);
   mux_cell_call_free (call);
 }
 
@@ -739,6 +755,7 @@
   assert_non_null (world);
   world->now_ms = 1000;
   world->task_ms = 1000;
+  world->store_ms = STORE_MS;
   world->counters = mux_counters_new ();
   add_config (world);
   for (uint32_t i = 0; i < workers; i++)
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -126,8 +126,11 @@
   int64_t task_ms; /* run time of a task */
   bool peers_cut;  /* messages between daemons are lost */
   bool lose_approvals;
+  uint32_t approve_one_in; /* workers, by number; 0: all */
+  int64_t store_ms;        /* time of a call to the store */
   uint32_t approvals_asked;
   uint32_t commits;
+  uint32_t own_commits[WORLD_CELLS_MAX];  /* by the daemon that made them */
   uint32_t worker_calls[WORLD_CELLS_MAX]; /* by the daemon that made them */
   clock_t core_clock; /* processor time inside the cores' ticks and replies */
   WorldEvent *events;
--- /dev/null
+++ b/test/unit/test_cell_load.c
@@ -0,0 +1,239 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+
+#define CELLS 3
+/* Of a cell in which a gang uses a tenth of the workers. */
+#define MANY_WORKERS 200
+#define WORKERS 4
+/* More than the store takes from one planner before callers stop waiting. */
+#define BURST 500
+/* Waiting jobs, far more than the cell runs at once. */
+#define BACKLOG 500
+/* That come within a second and give cause for planning. */
+#define NEW_JOBS 100
+/* Under a tenth of a processor at some 40 ns each. */
+#define LOOKS_A_SECOND_MAX 2000000
+/* A transaction of a store that is a hundred times slower than usual. */
+#define SLOW_STORE_MS 500
+#define SLOWEST_STORE_MS 900
+
+static MuxJobSpec *
+wide_gang (void)
+{
+  MuxJobSpec *job = world_job (1, 20, 30000);
+
+  job->step[0].gang = true;
+  return job;
+}
+
+/*
+ * Two gangs of 20 come at once.  The policy service takes a hundred names in a
+ * question and approves a third of them.  If both ask about the same hundred
+ * workers they are approved on the same 33, the first takes 20, and the second
+ * waits until the first has ended while 180 workers stand idle.
+ */
+static void
+test_gangs_ask_about_different_workers (void **state)
+{
+  World *world = world_new (CELLS, MANY_WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world_run (world, 1000);
+  world->approve_one_in = 3;
+  world->task_ms = 8000;
+  (void) world_submit (world, planner, wide_gang (), "job-a");
+  (void) world_submit (world, planner, wide_gang (), "job-b");
+  world_run (world, 2500);
+  assert_int_equal (world_starts (world, "job-a"), 20);
+  assert_int_equal (world_starts (world, "job-b"), 20);
+  world_free (world);
+}
+
+static void
+submit_burst (World *world, uint32_t cell, uint64_t call[BURST])
+{
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      call[i] = world_submit (world, cell, world_job (1, 1, 10), id);
+    }
+}
+
+/* One job in each part, so that it is known how long a commit takes. */
+static void
+let_it_measure (World *world, uint32_t cell)
+{
+  for (uint32_t i = 0; i < 16; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "first-%u", i);
+      (void) world_submit (world, cell, world_job (1, 1, 10), id);
+    }
+  world_run (world, 3000);
+}
+
+static uint32_t
+count (const World *world, const uint64_t call[BURST], MuxOutcome outcome)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < BURST; i++)
+    n += world->answered[call[i]] && world->answer[call[i]].outcome == outcome;
+  return n;
+}
+
+/*
+ * The store is a hundred times slower than usual, and more jobs come than it
+ * can take.  If all of them were queued, all callers would wait for over a
+ * second and few jobs would be stored in time.  Those that can't be are refused
+ * at once, with a time to come back, the others are stored.
+ */
+static void
+test_jobs_beyond_a_slow_store_are_refused_at_once (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t call[BURST];
+  uint32_t refused;
+
+  (void) state;
+  world->store_ms = SLOW_STORE_MS;
+  let_it_measure (world, planner);
+  submit_burst (world, planner, call);
+  world_run (world, 50);
+  refused = count (world, call, MUX_OUTCOME_REFUSED);
+  assert_in_range (refused, BURST / 10, BURST * 9 / 10);
+  world_run (world, 3000);
+  assert_int_equal (count (world, call, MUX_OUTCOME_REFUSED), refused);
+  assert_int_equal (count (world, call, MUX_OUTCOME_ACCEPTED), BURST - refused);
+  world_free (world);
+}
+
+/*
+ * The same burst reaches a daemon that does not plan.  The planner refuses what
+ * it can't store; if the daemon then made commits of its own, all daemons would
+ * do so, and the store would turn away the planner's commits, too.
+ */
+static void
+test_refused_by_the_planner_is_final (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t other = (planner + 1) % CELLS;
+  uint64_t call[BURST];
+
+  (void) state;
+  world_run (world, 1000);
+  world->store_ms = SLOW_STORE_MS;
+  let_it_measure (world, planner);
+  submit_burst (world, other, call);
+  world_run (world, 50);
+  assert_in_range (count (world, call, MUX_OUTCOME_REFUSED), BURST / 10,
+                   BURST * 9 / 10);
+  world_run (world, 3000);
+  assert_int_equal (world->own_commits[other], 0);
+  world_free (world);
+}
+
+/*
+ * The store answers each call after 0.9 s.  A planner that takes this for an
+ * outage refuses all callers while the store would still take their jobs.
+ */
+static void
+test_slow_store_is_not_taken_as_away (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t call[4];
+
+  (void) state;
+  world_run (world, 1000);
+  world->store_ms = SLOWEST_STORE_MS;
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      call[i] = world_submit (world, planner, world_job (1, 1, 10), id);
+      world_run (world, 850);
+    }
+  world_run (world, 3000);
+  for (uint32_t i = 0; i < 4; i++)
+    assert_int_equal (world->answer[call[i]].outcome, MUX_OUTCOME_ACCEPTED);
+  world_free (world);
+}
+
+/*
+ * After an outage thousands of jobs wait on a cell that is full.  If each pass
+ * looked at all workers for each of them, the planner's processor would do
+ * nothing else: new urgent jobs would wait as well, and the backlog would never
+ * shrink.  Looks are bounded, and each waiting job still gets its turn.
+ */
+static void
+test_backlog_leaves_processor_for_new_jobs (void **state)
+{
+  World *world = world_new (1, MANY_WORKERS);
+  uint64_t looks;
+
+  (void) state;
+  world->task_ms = 20000;
+  world_run (world, 1000);
+  for (uint32_t i = 0; i < MANY_WORKERS; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "full-%u", i);
+      (void) world_submit (world, 0, world_job (1, 1, 31000), id);
+    }
+  world_run (world, 3000);
+  for (uint32_t i = 0; i < BACKLOG; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "wait-%u", i);
+      (void) world_submit (
+          world, 0, i % 2 == 0 ? wide_gang () : world_job (1, 3, 31000), id);
+    }
+  world_run (world, 3000);
+  looks = mux_counter_value (world->counters, MUX_COUNT_PLAN_LOOKS);
+  for (uint32_t i = 0; i < NEW_JOBS; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "new-%u", i);
+      (void) world_submit (world, 0, world_job (1, 1, 10), id);
+      world_run (world, 1000 / NEW_JOBS);
+    }
+  looks = mux_counter_value (world->counters, MUX_COUNT_PLAN_LOOKS) - looks;
+  assert_in_range (looks, 1, LOOKS_A_SECOND_MAX);
+  world->task_ms = 50;
+  world_run (world, 30000);
+  for (uint32_t i = 0; i < BACKLOG; i += 50)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "wait-%u", i);
+      assert_int_equal (world_state (world, 0, id), MUX_JOB_COMPLETED);
+    }
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_gangs_ask_about_different_workers),
+    cmocka_unit_test (test_jobs_beyond_a_slow_store_are_refused_at_once),
+    cmocka_unit_test (test_refused_by_the_planner_is_final),
+    cmocka_unit_test (test_slow_store_is_not_taken_as_away),
+    cmocka_unit_test (test_backlog_leaves_processor_for_new_jobs),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
