--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -45,6 +45,7 @@
  *   can't be reached stay out of work
  * @strength_milli: share of a processor, in thousandths: the strongest plans
  * @dead_ms: silence of the planner after which another daemon claims
+ * @ended_keep_s: how long the state of an ended job can be asked for, at least
  */
 typedef struct
 {
@@ -58,6 +59,7 @@
   uint32_t lease_ms;
   uint32_t dead_ms;
   uint32_t strength_milli;
+  uint32_t ended_keep_s;
 } MuxCellOptions;
 
 /**
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -152,6 +152,10 @@
 int64_t cell_worker_lease_left (const MuxCell *cell, const CellWorker *worker);
 bool cell_all_heard (const MuxCell *cell);
 
+/* sweep.c: rows of jobs that ended long ago */
+void cell_sweep_begin (MuxCell *cell);
+void cell_sweep_tick (MuxCell *cell);
+
 /* roster.c */
 void cell_roster_tick (MuxCell *cell);
 void cell_roster_load (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -481,6 +481,21 @@
   int64_t next_submit_ms;
 } CellPart;
 
+/**
+ * struct CellSweep - how far the planner is with removing old ends
+ * @part: that it reads
+ * @from: next page's first key
+ * @busy: a call is on its way
+ * @next_ms: no call before
+ */
+typedef struct
+{
+  uint32_t part;
+  char from[MUX_ROW_NAME_LEN];
+  bool busy;
+  int64_t next_ms;
+} CellSweep;
+
 typedef enum
 {
   CELL_FOLLOWER,
@@ -546,6 +561,7 @@
   /* Of the planner alone. */
   CellJob *jobs;
   CellEnded *ended;
+  CellSweep sweep;
   CellWorker *workers;
   uint32_t worker_slots;
   CellMember *members;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -135,6 +135,7 @@
   cell->worker_slots = 0;
   cell_log (cell, "planner_began", "{s:I, s:i}", "term",
             (json_int_t) cell->term, "count", (int) cell->claim.term);
+  cell_sweep_begin (cell);
   cell_load_begin (cell);
 }
 
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -290,8 +290,9 @@
   if (job->progress_stored)
     cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, job->id);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_ENDED, job->id)->value
-      = cell_json_blob (
-          json_pack ("{s:s}", "state", mux_job_state_name (job->end)));
+      = cell_json_blob (json_pack ("{s:s, s:I}", "state",
+                                   mux_job_state_name (job->end), "ended_ms",
+                                   (json_int_t) cell->time.wall_ms));
 }
 
 static void
--- /dev/null
+++ b/src/cell/sweep.c
@@ -0,0 +1,150 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Rows of ended jobs are kept as long as callers may ask for them, and then
+ * removed by the planner: without it the store would fill with a row for every
+ * job that ever was.  A pass reads page by page, with pauses, so that what is
+ * read at once stays small beside the store's rate.
+ */
+
+/* Passes during the time that a row is kept: rows stay a tenth longer. */
+#define PASSES_PER_KEEP 10
+/* Between two pages of up to 500 rows, and after a failure. */
+#define PAGE_PAUSE_MS 200
+#define RETRY_MS 5000
+/* Rows of a commit: a call holds 100 entries, a row takes two. */
+#define REMOVALS_MAX 45
+#define MS_PER_S 1000
+
+static int64_t
+keep_ms (const MuxCell *cell)
+{
+  return (int64_t) cell->options.ended_keep_s * MS_PER_S;
+}
+
+static void
+to_next_part (MuxCell *cell)
+{
+  CellSweep *sweep = &cell->sweep;
+
+  sweep->from[0] = 0;
+  sweep->part++;
+  sweep->next_ms = cell->time.now_ms + PAGE_PAUSE_MS;
+  if (sweep->part < CELL_PARTS)
+    return;
+  sweep->part = 0;
+  sweep->next_ms = cell->time.now_ms + keep_ms (cell) / PASSES_PER_KEEP;
+}
+
+/* A row without a time, or of the future, is left alone. */
+static bool
+is_old (const MuxCell *cell, const MuxCellRow *row)
+{
+  json_t *json = cell_blob_json (row->value);
+  int64_t ended_ms
+      = (int64_t) json_integer_value (json_object_get (json, "ended_ms"));
+
+  json_decref (json);
+  return ended_ms > 0 && cell->time.wall_ms - ended_ms > keep_ms (cell);
+}
+
+static void
+removed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  (void) pending;
+  cell->sweep.busy = false;
+  /* Lost, or not done: the same page is read again. */
+  cell->sweep.next_ms
+      = cell->time.now_ms
+        + (reply->status == MUX_CELL_OK ? PAGE_PAUSE_MS : RETRY_MS);
+  if (reply->status == MUX_CELL_OK)
+    mux_count (cell->options.counters, MUX_COUNT_ROWS_SWEPT, 1);
+}
+
+/* Return: false: nothing on the page is old, or no call could be made. */
+static bool
+remove_old (MuxCell *cell, const MuxCellReply *reply)
+{
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  CellPending pending = { .done = removed, .term = cell->term };
+  uint32_t n = 0;
+
+  if (call == NULL || !mux_cell_call_changes (call, 2 * REMOVALS_MAX))
+    {
+      mux_cell_call_free (call);
+      return false;
+    }
+  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  snprintf (call->part, sizeof call->part, "%s",
+            cell->part[cell->sweep.part].name);
+  for (uint32_t i = 0; i < reply->row_count && n < REMOVALS_MAX; i++)
+    {
+      const MuxCellRow *row = &reply->row[i];
+
+      if (!is_old (cell, row))
+        continue;
+      cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_ENDED, row->key)->version
+          = row->version;
+      cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_ENDED, row->key);
+      n++;
+    }
+  if (n == 0)
+    {
+      mux_cell_call_free (call);
+      return false;
+    }
+  cell->sweep.busy = cell_call (cell, call, &pending);
+  return cell->sweep.busy;
+}
+
+static void
+page_read (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  CellSweep *sweep = &cell->sweep;
+
+  (void) pending;
+  sweep->busy = false;
+  sweep->next_ms = cell->time.now_ms + PAGE_PAUSE_MS;
+  if (reply->status != MUX_CELL_OK)
+    {
+      sweep->next_ms = cell->time.now_ms + RETRY_MS;
+      return;
+    }
+  if (remove_old (cell, reply))
+    return;
+  if (reply->more && reply->row_count > 0)
+    cell_key_behind (sweep->from, reply->row[reply->row_count - 1].key);
+  else
+    to_next_part (cell);
+}
+
+void
+cell_sweep_tick (MuxCell *cell)
+{
+  CellSweep *sweep = &cell->sweep;
+  CellPending pending = { .done = page_read, .term = cell->term };
+  MuxCellCall *call;
+
+  if (!cell_may_order (cell) || sweep->busy
+      || cell->time.now_ms < sweep->next_ms)
+    return;
+  call = mux_cell_call_new (MUX_CELL_SCAN);
+  if (call == NULL)
+    return;
+  call->table = MUX_TABLE_ENDED;
+  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  snprintf (call->part, sizeof call->part, "%s", cell->part[sweep->part].name);
+  snprintf (call->from, sizeof call->from, "%s", sweep->from);
+  sweep->busy = cell_call (cell, call, &pending);
+}
+
+void
+cell_sweep_begin (MuxCell *cell)
+{
+  memset (&cell->sweep, 0, sizeof cell->sweep);
+  cell->sweep.next_ms = cell->time.now_ms + keep_ms (cell) / PASSES_PER_KEEP;
+}
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -70,6 +70,7 @@
       .lease_ms = given->lease_ms,
       .dead_ms = given->dead_ms,
       .strength_milli = given->strength_milli,
+      .ended_keep_s = given->key_keep_s,
     },
   };
 
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -11,6 +11,7 @@
 #define LEASE_MS 4000
 /* Of daemons that are given no other. */
 #define STRENGTH_MILLI 1000
+#define KEEP_S 86400
 #define DEAD_MS 1200
 #define WALL_MS INT64_C (1700000000000)
 
@@ -669,6 +670,7 @@
     .seed = number,
     .lease_ms = LEASE_MS,
     .dead_ms = DEAD_MS,
+    .ended_keep_s = world->keep_s != 0 ? world->keep_s : KEEP_S,
     .strength_milli
     = cell->strength_milli != 0 ? cell->strength_milli : STRENGTH_MILLI,
   };
@@ -882,6 +884,16 @@
   return false;
 }
 
+uint32_t
+world_ends (const World *world)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->row_count; i++)
+    n += world->row[i].table == MUX_TABLE_ENDED && !world->row[i].removed;
+  return n;
+}
+
 MuxJobSpec *
 world_job (uint32_t steps, uint32_t tasks, uint32_t cpu_milli)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -127,6 +127,7 @@
   bool peers_cut;  /* messages between daemons are lost */
   bool lose_approvals;
   uint32_t approve_one_in; /* workers, by number; 0: all */
+  uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   int64_t store_ms;        /* time of a call to the store */
   uint32_t approvals_asked;
   uint32_t commits;
@@ -149,6 +150,8 @@
 void world_run (World *world, int64_t ms);
 /** world_planner() - the cell that plans; WORLD_CELLS_MAX: none */
 uint32_t world_planner (const World *world);
+/** world_ends() - rows of ended jobs that stand in the store */
+uint32_t world_ends (const World *world);
 /** world_submit() - hand in; the answer comes while time passes
  * Return: number of the question */
 uint64_t
--- a/test/unit/test_cell_load.c
+++ b/test/unit/test_cell_load.c
@@ -9,6 +9,10 @@
 #define WORKERS 4
 /* More than the store takes from one planner before callers stop waiting. */
 #define BURST 500
+/* How long ends are kept, over the planner's own memory of 30 s, and as many
+ * as need several commits. */
+#define KEEP_S 100
+#define OLD_JOBS 150
 /* Waiting jobs, far more than the cell runs at once. */
 #define BACKLOG 500
 /* That come within a second and give cause for planning. */
@@ -224,6 +228,41 @@
   world_free (world);
 }
 
+/*
+ * A cell ends a hundred thousand jobs a day.  If their rows stayed, the store
+ * would be full after some months and take no new job.  Callers may ask for a
+ * job's end as long as the settings say; after that its row goes.
+ */
+static void
+test_ends_are_removed_when_their_time_is_over (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner;
+
+  (void) state;
+  world->keep_s = KEEP_S;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+  world_run (world, 2000);
+  planner = world_planner (world);
+  for (uint32_t i = 0; i < OLD_JOBS; i++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "old-%u", i);
+      (void) world_submit (world, planner, world_job (1, 1, 1000), id);
+    }
+  world_run (world, KEEP_S * 500);
+  assert_int_equal (world_ends (world), OLD_JOBS);
+  (void) world_submit (world, planner, world_job (1, 1, 10), "young");
+  world_run (world, KEEP_S * 800);
+  assert_int_equal (world_ends (world), 1);
+  assert_int_equal (world_state (world, planner, "young"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_state (world, (planner + 1) % CELLS, "old-0"),
+                    MUX_JOB_ABSENT);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -233,6 +272,7 @@
     cmocka_unit_test (test_refused_by_the_planner_is_final),
     cmocka_unit_test (test_slow_store_is_not_taken_as_away),
     cmocka_unit_test (test_backlog_leaves_processor_for_new_jobs),
+    cmocka_unit_test (test_ends_are_removed_when_their_time_is_over),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
