--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -155,53 +155,13 @@
                     "workers", list);
 }
 
-static void took_answer (MuxCell *cell,
-                         uint64_t number,
-                         bool answered,
-                         const MuxApproval *approvals,
-                         uint32_t count,
-                         uint32_t valid_ms);
-
 static void
 own_answer (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
-  took_answer (cell, pending->number, reply->status == MUX_CELL_OK,
-               reply->approval, reply->approval_count, reply->valid_ms);
-}
-
-static MuxCellCall *
-question_call (const json_t *question)
-{
-  const json_t *workers = json_object_get (question, "workers");
-  const char *job = json_string_value (json_object_get (question, "job"));
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_APPROVE);
-  size_t count = json_array_size (workers);
-
-  if (call == NULL)
-    return NULL;
-  call->candidate = calloc (count > 0 ? count : 1, sizeof *call->candidate);
-  if (call->candidate == NULL || job == NULL)
-    {
-      mux_cell_call_free (call);
-      return NULL;
-    }
-  snprintf (call->task.job, sizeof call->task.job, "%s", job);
-  call->task.occurrence = (uint32_t) json_integer_value (
-      json_object_get (question, "occurrence"));
-  call->task.step
-      = (uint32_t) json_integer_value (json_object_get (question, "step"));
-  call->timeout_ms = (uint32_t) json_integer_value (
-      json_object_get (question, "timeout_ms"));
-  for (size_t i = 0; i < count; i++)
-    {
-      const char *id = json_string_value (json_array_get (workers, i));
-
-      snprintf (call->candidate[i], MUX_NAME_LEN, "%s", id != NULL ? id : "");
-    }
-  call->candidate_count = (uint32_t) count;
-  return call;
+  cell_took_answer (cell, pending->number, reply->status == MUX_CELL_OK,
+                    reply->approval, reply->approval_count, reply->valid_ms);
 }
 
 static bool
@@ -218,7 +178,7 @@
       CellPending pending
           = { .done = own_answer, .term = cell->term, .number = number };
 
-      sent = cell_call (cell, question_call (question), &pending);
+      sent = cell_call (cell, cell_question_call (question), &pending);
       json_decref (question);
       return sent;
     }
@@ -374,13 +334,13 @@
   member->asking_until_ms = answered ? 0 : cell->time.now_ms + ASKER_REST_MS;
 }
 
-static void
-took_answer (MuxCell *cell,
-             uint64_t number,
-             bool answered,
-             const MuxApproval *approvals,
-             uint32_t count,
-             uint32_t valid_ms)
+void
+cell_took_answer (MuxCell *cell,
+                  uint64_t number,
+                  bool answered,
+                  const MuxApproval *approvals,
+                  uint32_t count,
+                  uint32_t valid_ms)
 {
   CellQuestion *question;
   CellTask *task;
@@ -424,7 +384,7 @@
 
   HASH_ITER (hh, cell->members, member, next)
   if (member->asking != 0 && cell->time.now_ms > member->asking_until_ms)
-    took_answer (cell, member->asking, false, NULL, 0, 0);
+    cell_took_answer (cell, member->asking, false, NULL, 0, 0);
 }
 
 void
@@ -439,86 +399,3 @@
     question_free (question);
   }
 }
-
-/* The other side: a daemon that asks on the planner's behalf. */
-static void
-tell (MuxCell *cell,
-      const char *name,
-      const char *addr,
-      uint64_t number,
-      json_t *body,
-      bool answered)
-{
-  MuxPeerMsg msg = cell_message (cell, MUX_PEER_APPROVAL_TOLD, name);
-
-  msg.call = number;
-  msg.found = answered;
-  msg.body = cell_json_blob (body);
-  (void) cell->options.sink->peer_send (cell->options.sink, addr, &msg);
-  mux_blob_unref (msg.body);
-}
-
-static void
-asked_answer (MuxCell *cell,
-              const CellPending *pending,
-              const MuxCellReply *reply)
-{
-  json_t *list = json_array ();
-
-  for (uint32_t i = 0; i < reply->approval_count; i++)
-    (void) json_array_append_new (list,
-                                  json_pack ("[ss]", reply->approval[i].worker,
-                                             reply->approval[i].proof));
-  tell (cell, pending->peer, pending->peer_addr, pending->number,
-        json_pack ("{s:i, s:o}", "valid_ms", (int) reply->valid_ms, "approved",
-                   list),
-        reply->status == MUX_CELL_OK);
-}
-
-static void
-ask_for_planner (MuxCell *cell, const MuxPeerMsg *msg)
-{
-  json_t *question = cell_blob_json (msg->body);
-  CellPending pending = { .done = asked_answer, .number = msg->call };
-
-  snprintf (pending.peer, sizeof pending.peer, "%s", msg->from);
-  snprintf (pending.peer_addr, sizeof pending.peer_addr, "%s", msg->from_addr);
-  if (!cell_call (cell, question_call (question), &pending))
-    tell (cell, msg->from, msg->from_addr, msg->call, json_object (), false);
-  json_decref (question);
-}
-
-static void
-take_told (MuxCell *cell, const MuxPeerMsg *msg)
-{
-  json_t *json = cell_blob_json (msg->body);
-  const json_t *list = json_object_get (json, "approved");
-  size_t count = json_array_size (list);
-  MuxApproval *approvals = calloc (count > 0 ? count : 1, sizeof *approvals);
-
-  for (size_t i = 0; approvals != NULL && i < count; i++)
-    {
-      const json_t *row = json_array_get (list, i);
-      const char *id = json_string_value (json_array_get (row, 0));
-      const char *proof = json_string_value (json_array_get (row, 1));
-
-      snprintf (approvals[i].worker, MUX_NAME_LEN, "%s", id != NULL ? id : "");
-      snprintf (approvals[i].proof, MUX_TOKEN_LEN, "%s",
-                proof != NULL ? proof : "");
-    }
-  took_answer (
-      cell, msg->call, msg->found && approvals != NULL, approvals,
-      approvals != NULL ? (uint32_t) count : 0,
-      (uint32_t) json_integer_value (json_object_get (json, "valid_ms")));
-  free (approvals);
-  json_decref (json);
-}
-
-void
-cell_approval_peer (MuxCell *cell, const MuxPeerMsg *msg)
-{
-  if (msg->verb == MUX_PEER_APPROVAL_ASK)
-    ask_for_planner (cell, msg);
-  else
-    take_told (cell, msg);
-}
--- /dev/null
+++ b/src/cell/approve_peer.c
@@ -0,0 +1,122 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Questions to the policy service as they travel between the planner and the
+ * daemons that ask on its behalf. */
+
+MuxCellCall *
+cell_question_call (const json_t *question)
+{
+  const json_t *workers = json_object_get (question, "workers");
+  const char *job = json_string_value (json_object_get (question, "job"));
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_APPROVE);
+  size_t count = json_array_size (workers);
+
+  if (call == NULL)
+    return NULL;
+  call->candidate = calloc (count > 0 ? count : 1, sizeof *call->candidate);
+  if (call->candidate == NULL || job == NULL)
+    {
+      mux_cell_call_free (call);
+      return NULL;
+    }
+  snprintf (call->task.job, sizeof call->task.job, "%s", job);
+  call->task.occurrence = (uint32_t) json_integer_value (
+      json_object_get (question, "occurrence"));
+  call->task.step
+      = (uint32_t) json_integer_value (json_object_get (question, "step"));
+  call->timeout_ms = (uint32_t) json_integer_value (
+      json_object_get (question, "timeout_ms"));
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *id = json_string_value (json_array_get (workers, i));
+
+      snprintf (call->candidate[i], MUX_NAME_LEN, "%s", id != NULL ? id : "");
+    }
+  call->candidate_count = (uint32_t) count;
+  return call;
+}
+
+static void
+tell (MuxCell *cell,
+      const char *name,
+      const char *addr,
+      uint64_t number,
+      json_t *body,
+      bool answered)
+{
+  MuxPeerMsg msg = cell_message (cell, MUX_PEER_APPROVAL_TOLD, name);
+
+  msg.call = number;
+  msg.found = answered;
+  msg.body = cell_json_blob (body);
+  (void) cell->options.sink->peer_send (cell->options.sink, addr, &msg);
+  mux_blob_unref (msg.body);
+}
+
+static void
+asked_answer (MuxCell *cell,
+              const CellPending *pending,
+              const MuxCellReply *reply)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < reply->approval_count; i++)
+    (void) json_array_append_new (list,
+                                  json_pack ("[ss]", reply->approval[i].worker,
+                                             reply->approval[i].proof));
+  tell (cell, pending->peer, pending->peer_addr, pending->number,
+        json_pack ("{s:i, s:o}", "valid_ms", (int) reply->valid_ms, "approved",
+                   list),
+        reply->status == MUX_CELL_OK);
+}
+
+static void
+ask_for_planner (MuxCell *cell, const MuxPeerMsg *msg)
+{
+  json_t *question = cell_blob_json (msg->body);
+  CellPending pending = { .done = asked_answer, .number = msg->call };
+
+  snprintf (pending.peer, sizeof pending.peer, "%s", msg->from);
+  snprintf (pending.peer_addr, sizeof pending.peer_addr, "%s", msg->from_addr);
+  if (!cell_call (cell, cell_question_call (question), &pending))
+    tell (cell, msg->from, msg->from_addr, msg->call, json_object (), false);
+  json_decref (question);
+}
+
+static void
+take_told (MuxCell *cell, const MuxPeerMsg *msg)
+{
+  json_t *json = cell_blob_json (msg->body);
+  const json_t *list = json_object_get (json, "approved");
+  size_t count = json_array_size (list);
+  MuxApproval *approvals = calloc (count > 0 ? count : 1, sizeof *approvals);
+
+  for (size_t i = 0; approvals != NULL && i < count; i++)
+    {
+      const json_t *row = json_array_get (list, i);
+      const char *id = json_string_value (json_array_get (row, 0));
+      const char *proof = json_string_value (json_array_get (row, 1));
+
+      snprintf (approvals[i].worker, MUX_NAME_LEN, "%s", id != NULL ? id : "");
+      snprintf (approvals[i].proof, MUX_TOKEN_LEN, "%s",
+                proof != NULL ? proof : "");
+    }
+  cell_took_answer (
+      cell, msg->call, msg->found && approvals != NULL, approvals,
+      approvals != NULL ? (uint32_t) count : 0,
+      (uint32_t) json_integer_value (json_object_get (json, "valid_ms")));
+  free (approvals);
+  json_decref (json);
+}
+
+void
+cell_approval_peer (MuxCell *cell, const MuxPeerMsg *msg)
+{
+  if (msg->verb == MUX_PEER_APPROVAL_ASK)
+    ask_for_planner (cell, msg);
+  else
+    take_told (cell, msg);
+}
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -90,8 +90,20 @@
 void cell_depose (MuxCell *cell, const char *why);
 bool cell_may_order (const MuxCell *cell);
 void cell_verified (MuxCell *cell, int64_t at_ms);
+/** cell_write_claim() - the row that says who plans, on condition that it is
+ * the one known; takes @value over */
+bool cell_write_claim (MuxCell *cell, json_t *value, CellDone done);
+
+/* leave.c: who plans next when a planner leaves by itself */
+void cell_yield_begin (MuxCell *cell);
+/** cell_yield_tick() - to a much stronger member */
+void cell_yield_tick (MuxCell *cell);
 void cell_give_up_claim (MuxCell *cell);
+
+/* member.c: the daemons that greet the planner */
 CellMember *cell_member_find (MuxCell *cell, const char *name);
+void cell_member_heard (MuxCell *cell, const MuxPeerMsg *hello);
+void cell_members_free (MuxCell *cell);
 
 /* load.c: what a new planner reads */
 void cell_load_begin (MuxCell *cell);
@@ -209,10 +221,22 @@
 /** cell_stage_is_settled() - no run of it that a former planner started can
  * be anywhere without being known */
 bool cell_stage_is_settled (MuxCell *cell, CellStage *stage);
-void cell_approval_peer (MuxCell *cell, const MuxPeerMsg *msg);
+/** cell_took_answer() - the question of that number was answered, or is lost */
+void cell_took_answer (MuxCell *cell,
+                       uint64_t number,
+                       bool answered,
+                       const MuxApproval *approvals,
+                       uint32_t count,
+                       uint32_t valid_ms);
 void cell_approvals_tick (MuxCell *cell);
 void cell_questions_free (MuxCell *cell);
 
+/* approve_peer.c */
+/** cell_question_call() - the call that asks what @question says
+ * Return: NULL if it can't be understood, or memory is out. */
+MuxCellCall *cell_question_call (const json_t *question);
+void cell_approval_peer (MuxCell *cell, const MuxPeerMsg *msg);
+
 /* plan.c, place.c, gang.c */
 void cell_plan (MuxCell *cell);
 void cell_plan_add (MuxCell *cell, CellStage *stage);
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -25,26 +25,11 @@
 #define STORE_BAD_MS 600
 /* The heir of a claim given up has so much of a start before the others. */
 #define HEIR_MS 350
-/* The plan goes to a member so many times as strong: less would not be worth
- * the second of a takeover. */
-#define YIELD_FACTOR 2
-/* Not before a term is so old: the strong members have greeted it by then, and
- * one that does not take the plan is not asked again at once. */
-#define YIELD_AFTER_MS 1000
 /* A pause of this thread's work after which the claim is read again before
  * anything is ordered: the instance may have been frozen while another took
  * over.  Well over what a busy core takes between two ticks. */
 #define PAUSE_MS 700
 
-CellMember *
-cell_member_find (MuxCell *cell, const char *name)
-{
-  CellMember *member;
-
-  HASH_FIND_STR (cell->members, name, member);
-  return member;
-}
-
 bool
 cell_may_order (const MuxCell *cell)
 {
@@ -67,19 +52,6 @@
   cell->verified_ms = 0;
 }
 
-static void
-members_free (MuxCell *cell)
-{
-  CellMember *member;
-  CellMember *next;
-
-  HASH_ITER (hh, cell->members, member, next)
-  {
-    HASH_DEL (cell->members, member);
-    free (member);
-  }
-}
-
 void
 cell_depose (MuxCell *cell, const char *why)
 {
@@ -104,7 +76,7 @@
     free (ended);
   }
   cell_workers_free (cell);
-  members_free (cell);
+  cell_members_free (cell);
   cell_questions_free (cell);
   cell->plan = NULL;
   cell->plan_count = 0;
@@ -128,8 +100,7 @@
   cell->term_began_ms = cell->time.now_ms;
   cell->verifying = false;
   cell->beating = false;
-  cell->yielding = false;
-  cell->yield_after_ms = cell->time.now_ms + YIELD_AFTER_MS;
+  cell_yield_begin (cell);
   cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
   cell->end_seq = 0;
   cell->worker_slots = 0;
@@ -256,8 +227,8 @@
 
 /* The claim stands beside the jobs too: whoever follows the jobs sees a new
  * planner before any job that was accepted after it. */
-static bool
-write_claim (MuxCell *cell, json_t *value, CellDone done)
+bool
+cell_write_claim (MuxCell *cell, json_t *value, CellDone done)
 {
   MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
   CellPending pending = { .done = done };
@@ -285,7 +256,7 @@
 {
   cell_log (cell, "claiming", "{s:s, s:s}", "why", why, "from",
             cell->claim.name);
-  cell->claiming = write_claim (
+  cell->claiming = cell_write_claim (
       cell,
       json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
                  cell->options.peer_addr, "incarnation",
@@ -462,77 +433,6 @@
   cell->verifying = cell_call (cell, call, &pending);
 }
 
-static bool
-may_inherit (const MuxCell *cell, const CellMember *member)
-{
-  return member->table_ok && !member->stopping
-         && cell->time.now_ms - member->heard_ms < INT64_C (2) * HELLO_MS;
-}
-
-/* The strongest member, and of these the youngest: where daemons are restarted
- * one after the other, it is the last to be restarted again.
- * Return: NULL if none has @least_milli. */
-static const CellMember *
-choose_heir (const MuxCell *cell, uint32_t least_milli)
-{
-  const CellMember *best = NULL;
-  const CellMember *member;
-  const CellMember *next;
-
-  HASH_ITER (hh, cell->members, member, next)
-  {
-    if (!may_inherit (cell, member) || member->strength_milli < least_milli)
-      continue;
-    if (best == NULL || member->strength_milli > best->strength_milli
-        || (member->strength_milli == best->strength_milli
-            && member->incarnation > best->incarnation))
-      best = member;
-  }
-  return best;
-}
-
-/* Write that nobody plans, and who should. */
-static bool
-leave_claim (MuxCell *cell, const CellMember *heir, CellDone done)
-{
-  return write_claim (
-      cell,
-      json_pack ("{s:s, s:s, s:s, s:I, s:i}", "name", "", "addr", "", "heir",
-                 heir != NULL ? heir->name : "", "incarnation", (json_int_t) 0,
-                 "term", (int) cell->claim.term),
-      done);
-}
-
-static void
-yielded (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
-{
-  (void) pending;
-  cell_log (cell, "claim_yielded", "{s:s}", "status",
-            mux_cell_status_name (reply->status));
-  cell->yielding = false;
-  cell->yield_after_ms = cell->time.now_ms + YIELD_AFTER_MS;
-  if (reply->status == MUX_CELL_OK)
-    cell_depose (cell, "yielded");
-}
-
-/*
- * Guards against a small instance that keeps the plan which it took while the
- * strong ones were away: planning for 350 workers needs more than its share of
- * a processor, so that starts, ends and renewals are late and callers are
- * refused for as long as it plans.
- */
-static void
-yield_to_stronger (MuxCell *cell)
-{
-  const CellMember *heir;
-
-  if (cell->yielding || cell->time.now_ms < cell->yield_after_ms)
-    return;
-  heir = choose_heir (cell, YIELD_FACTOR * cell->options.strength_milli);
-  if (heir != NULL)
-    cell->yielding = leave_claim (cell, heir, yielded);
-}
-
 /*
  * Guards against a planner that was frozen, or whose instance was suspended,
  * while another took over: it wakes with all its state and would go on to
@@ -554,7 +454,7 @@
   else if (!cell->beating && now >= cell->next_beat_ms)
     beat (cell);
   if (cell->verified_ms != 0)
-    yield_to_stronger (cell);
+    cell_yield_tick (cell);
 }
 
 void
@@ -586,30 +486,6 @@
                                         &msg);
 }
 
-static void
-note_member (MuxCell *cell, const MuxPeerMsg *msg)
-{
-  CellMember *member = cell_member_find (cell, msg->from);
-
-  if (member == NULL)
-    {
-      member = calloc (1, sizeof *member);
-      if (member == NULL)
-        return;
-      snprintf (member->name, sizeof member->name, "%s", msg->from);
-      HASH_ADD_STR (cell->members, name, member);
-      cell_log (cell, "member", "{s:s}", "name", member->name);
-    }
-  if (member->incarnation != msg->from_incarnation)
-    member->asking = 0;
-  snprintf (member->addr, sizeof member->addr, "%s", msg->from_addr);
-  member->incarnation = msg->from_incarnation;
-  member->heard_ms = cell->time.now_ms;
-  member->table_ok = msg->table_ok;
-  member->strength_milli = msg->strength_milli;
-  member->stopping = msg->stopping;
-}
-
 static void
 hear_planner (MuxCell *cell, const MuxPeerMsg *msg)
 {
@@ -639,32 +515,7 @@
   else
     {
       if (cell->role != CELL_FOLLOWER)
-        note_member (cell, msg);
+        cell_member_heard (cell, msg);
       welcome (cell, msg);
     }
 }
-
-static void
-claim_left (MuxCell *cell,
-            const CellPending *pending,
-            const MuxCellReply *reply)
-{
-  (void) pending;
-  cell_log (cell, "claim_given_up", "{s:s}", "status",
-            mux_cell_status_name (reply->status));
-  cell->gave_up = true;
-  cell_depose (cell, "stopping");
-}
-
-void
-cell_give_up_claim (MuxCell *cell)
-{
-  if (cell->role == CELL_FOLLOWER)
-    {
-      cell->gave_up = true;
-      return;
-    }
-  if (!leave_claim (cell, choose_heir (cell, cell->options.strength_milli),
-                    claim_left))
-    cell->gave_up = true;
-}
--- /dev/null
+++ b/src/cell/leave.c
@@ -0,0 +1,114 @@
+#include "cell_private.h"
+
+/* Who plans next when a planner leaves by itself. */
+
+/* The plan goes to a member so many times as strong: less would not be worth
+ * the second of a takeover. */
+#define YIELD_FACTOR 2
+/* Not before a term is so old: the strong members have greeted it by then, and
+ * one that does not take the plan is not asked again at once. */
+#define YIELD_AFTER_MS 1000
+/* A member that greeted within this time lives: two of its greetings fit. */
+#define HEARD_MS 500
+
+static bool
+may_inherit (const MuxCell *cell, const CellMember *member)
+{
+  return member->table_ok && !member->stopping
+         && cell->time.now_ms - member->heard_ms < HEARD_MS;
+}
+
+/* The strongest member, and of these the youngest: where daemons are restarted
+ * one after the other, it is the last to be restarted again.
+ * Return: NULL if none has @least_milli. */
+static const CellMember *
+choose_heir (const MuxCell *cell, uint32_t least_milli)
+{
+  const CellMember *best = NULL;
+  const CellMember *member;
+  const CellMember *next;
+
+  HASH_ITER (hh, cell->members, member, next)
+  {
+    if (!may_inherit (cell, member) || member->strength_milli < least_milli)
+      continue;
+    if (best == NULL || member->strength_milli > best->strength_milli
+        || (member->strength_milli == best->strength_milli
+            && member->incarnation > best->incarnation))
+      best = member;
+  }
+  return best;
+}
+
+/* Write that nobody plans, and who should. */
+static bool
+leave_claim (MuxCell *cell, const CellMember *heir, CellDone done)
+{
+  return cell_write_claim (
+      cell,
+      json_pack ("{s:s, s:s, s:s, s:I, s:i}", "name", "", "addr", "", "heir",
+                 heir != NULL ? heir->name : "", "incarnation", (json_int_t) 0,
+                 "term", (int) cell->claim.term),
+      done);
+}
+
+void
+cell_yield_begin (MuxCell *cell)
+{
+  cell->yielding = false;
+  cell->yield_after_ms = cell->time.now_ms + YIELD_AFTER_MS;
+}
+
+static void
+yielded (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  (void) pending;
+  cell_log (cell, "claim_yielded", "{s:s}", "status",
+            mux_cell_status_name (reply->status));
+  cell_yield_begin (cell);
+  if (reply->status == MUX_CELL_OK)
+    cell_depose (cell, "yielded");
+}
+
+/*
+ * Guards against a small instance that keeps the plan which it took while the
+ * strong ones were away: planning for 350 workers needs more than its share of
+ * a processor, so that starts, ends and renewals are late and callers are
+ * refused for as long as it plans.
+ */
+void
+cell_yield_tick (MuxCell *cell)
+{
+  const CellMember *heir;
+
+  if (cell->yielding || cell->time.now_ms < cell->yield_after_ms)
+    return;
+  heir = choose_heir (cell, YIELD_FACTOR * cell->options.strength_milli);
+  if (heir != NULL)
+    cell->yielding = leave_claim (cell, heir, yielded);
+}
+
+static void
+claim_left (MuxCell *cell,
+            const CellPending *pending,
+            const MuxCellReply *reply)
+{
+  (void) pending;
+  cell_log (cell, "claim_given_up", "{s:s}", "status",
+            mux_cell_status_name (reply->status));
+  cell->gave_up = true;
+  cell_depose (cell, "stopping");
+}
+
+void
+cell_give_up_claim (MuxCell *cell)
+{
+  if (cell->role == CELL_FOLLOWER)
+    {
+      cell->gave_up = true;
+      return;
+    }
+  if (!leave_claim (cell, choose_heir (cell, cell->options.strength_milli),
+                    claim_left))
+    cell->gave_up = true;
+}
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -1,10 +1,10 @@
 #include "cell_run.h"
 
-#include "adapter/peer.h"
 #include "base/log.h"
 #include "cell_thread.h"
 #include "clock.h"
 #include "platform/platform.h"
+#include "process.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -99,26 +99,15 @@
   return daemon->platform != NULL;
 }
 
-static const char *
-null_if_empty (const char *text)
-{
-  return *text != 0 ? text : NULL;
-}
-
 static bool
 make_peer (CellDaemon *daemon, MuxError *err)
 {
-  MuxPeerZmqOptions options = {
-    .inbox = mux_cell_thread_peers (daemon->thread),
-    .listen = daemon->options->peer_listen,
-    .name = daemon->options->name,
-    .queue = PEER_QUEUE,
-    .silent_ms = PEER_SILENT_MS,
-    .secret_key = null_if_empty (daemon->options->curve_secret_key),
-    .public_key = null_if_empty (daemon->options->curve_public_key),
-    .counters = daemon->counters,
-  };
+  MuxPeerZmqOptions options = mux_peer_options (daemon->options);
 
+  options.inbox = mux_cell_thread_peers (daemon->thread);
+  options.queue = PEER_QUEUE;
+  options.silent_ms = PEER_SILENT_MS;
+  options.counters = daemon->counters;
   daemon->peer = mux_peer_zmq_new (&options, daemon->peer_listen, err);
   return daemon->peer != NULL;
 }
@@ -166,29 +155,6 @@
   mux_counters_free (daemon->counters);
 }
 
-static void
-block_signals (sigset_t *wanted)
-{
-  sigemptyset (wanted);
-  sigaddset (wanted, SIGTERM);
-  sigaddset (wanted, SIGINT);
-  sigaddset (wanted, SIGHUP);
-  pthread_sigmask (SIG_BLOCK, wanted, NULL);
-  signal (SIGPIPE, SIG_IGN);
-}
-
-/* Settings come from flags and the environment, which don't change while a
- * process lives: a hang-up signal is noted and changes nothing. */
-static void
-wait_for_stop (const sigset_t *wanted)
-{
-  int number = 0;
-
-  while (sigwait (wanted, &number) != 0 || number == SIGHUP)
-    if (number == SIGHUP)
-      mux_log (MUX_LOG_NOTICE, "reload", "changed=nothing");
-}
-
 static void
 linger (void)
 {
@@ -216,7 +182,7 @@
   MuxError err = { MUX_ERROR_NONE, "" };
   sigset_t wanted;
 
-  block_signals (&wanted);
+  mux_block_signals (&wanted);
   if (!start (&daemon, &err))
     {
       mux_log (MUX_LOG_ERR, "start_failed", "error=\"%s\"", err.text);
@@ -225,7 +191,7 @@
     }
   mux_log (MUX_LOG_NOTICE, "started", "name=%s listen=%s peer=%s store=%s",
            options->name, options->listen, daemon.peer_listen, options->store);
-  wait_for_stop (&wanted);
+  mux_wait_for_stop (&wanted);
   leave (&daemon);
   cell_daemon_free (&daemon);
   return EXIT_SUCCESS;
--- /dev/null
+++ b/src/daemon/process.c
@@ -0,0 +1,45 @@
+#include "process.h"
+
+#include "base/log.h"
+
+#include <pthread.h>
+
+void
+mux_block_signals (sigset_t *wanted)
+{
+  sigemptyset (wanted);
+  sigaddset (wanted, SIGTERM);
+  sigaddset (wanted, SIGINT);
+  sigaddset (wanted, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, wanted, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+void
+mux_wait_for_stop (const sigset_t *wanted)
+{
+  int number = 0;
+
+  while (sigwait (wanted, &number) != 0 || number == SIGHUP)
+    if (number == SIGHUP)
+      mux_log (MUX_LOG_NOTICE, "reload", "changed=nothing");
+}
+
+static const char *
+null_if_empty (const char *text)
+{
+  return *text != 0 ? text : NULL;
+}
+
+MuxPeerZmqOptions
+mux_peer_options (const MuxDaemonOptions *given)
+{
+  MuxPeerZmqOptions options = {
+    .listen = given->peer_listen,
+    .name = given->name,
+    .secret_key = null_if_empty (given->curve_secret_key),
+    .public_key = null_if_empty (given->curve_public_key),
+  };
+
+  return options;
+}
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -1,12 +1,12 @@
 #include "run.h"
 
-#include "adapter/peer.h"
 #include "adapter/platform.h"
 #include "adapter/worker.h"
 #include "base/address.h"
 #include "clock.h"
 #include "core_thread.h"
 #include "pem.h"
+#include "process.h"
 #include "waiters.h"
 
 #include <inttypes.h>
@@ -127,26 +127,15 @@
   return daemon->platform != NULL;
 }
 
-static const char *
-null_if_empty (const char *text)
-{
-  return *text != 0 ? text : NULL;
-}
-
 static bool
 make_peer (Daemon *daemon, MuxError *err)
 {
-  MuxPeerZmqOptions options = {
-    .inbox = mux_inbox_port (daemon->inbox),
-    .listen = daemon->options->peer_listen,
-    .name = daemon->options->name,
-    .queue = PEER_QUEUE,
-    .silent_ms = SILENT_HEARTBEATS * daemon->options->heartbeat_ms,
-    .secret_key = null_if_empty (daemon->options->curve_secret_key),
-    .public_key = null_if_empty (daemon->options->curve_public_key),
-    .counters = daemon->counters,
-  };
+  MuxPeerZmqOptions options = mux_peer_options (daemon->options);
 
+  options.inbox = mux_inbox_port (daemon->inbox);
+  options.queue = PEER_QUEUE;
+  options.silent_ms = SILENT_HEARTBEATS * daemon->options->heartbeat_ms;
+  options.counters = daemon->counters;
   daemon->peer = mux_peer_zmq_new (&options, daemon->peer_listen, err);
   return daemon->peer != NULL;
 }
@@ -266,17 +255,6 @@
 }
 
 /* Blocked before any thread starts, so that all threads inherit it. */
-static void
-block_signals (sigset_t *stop)
-{
-  sigemptyset (stop);
-  sigaddset (stop, SIGTERM);
-  sigaddset (stop, SIGINT);
-  pthread_sigmask (SIG_BLOCK, stop, NULL);
-  /* A peer or caller that closes its end is an error of the write. */
-  signal (SIGPIPE, SIG_IGN);
-}
-
 static void
 linger (void)
 {
@@ -335,9 +313,8 @@
   Daemon daemon = { .options = options };
   MuxError err = { MUX_ERROR_NONE, "" };
   sigset_t stop;
-  int signal_number;
 
-  block_signals (&stop);
+  mux_block_signals (&stop);
   if (!start (&daemon, &err))
     {
       mux_log (MUX_LOG_ERR, "start_failed", "error=\"%s\"", err.text);
@@ -349,8 +326,7 @@
   warn_without_keys (&daemon);
   printf ("listening %s peer %s\n", daemon.listen, daemon.peer_listen);
   fflush (stdout);
-  while (sigwait (&stop, &signal_number) != 0)
-    continue;
+  mux_wait_for_stop (&stop);
   stop_gracefully (&daemon);
   daemon_free (&daemon);
   return EXIT_SUCCESS;
