cell: give up all calls of a dead carrier at one look

Cause: a daemon that carries the planner's calls to a third of 350 workers dies with some fifty on their way; the planner gave up one every 100 ms, so that the ends of what ran on the last worker were seen five seconds later. Ruled out: shorter deadlines of carried calls. Change: all overdue calls end at one look, each looked up again, as one may end others with it. Test: test_all_calls_of_a_dead_carrier_are_given_up, which failed before.

--- a/src/cell/carry.c
+++ b/src/cell/carry.c
@@ -24,6 +24,8 @@
  * carrier's reach alone. */
 #define DIRECT_MS 5000
 #define OVERDUE_LOOK_MS 100
+/* Ended at one look: more than a carrier's workers and their starts. */
+#define OVERDUE_MAX 512
 
 static bool
 can_carry (const MuxCell *cell, const CellMember *member)
@@ -107,10 +109,15 @@
     mux_cell_reply (cell, cell->time, reply);
 }
 
-/* A carrier that died keeps its answers. */
+/* A carrier that died keeps its answers.  All that are overdue end in one go:
+ * with one at a time the last of a carrier's fifty workers would be out of work
+ * for five seconds.  What ends may end others with it, so that each is looked
+ * up again. */
 void
 cell_carry_tick (MuxCell *cell)
 {
+  uint64_t overdue[OVERDUE_MAX];
+  uint32_t count = 0;
   CellPending *entry;
   CellPending *next;
 
@@ -118,12 +125,14 @@
     return;
   cell->next_overdue_ms = cell->time.now_ms + OVERDUE_LOOK_MS;
   HASH_ITER (hh, cell->pending, entry, next)
-  if (entry->overdue_ms != 0 && cell->time.now_ms > entry->overdue_ms)
+  if (entry->overdue_ms != 0 && cell->time.now_ms > entry->overdue_ms
+      && count < OVERDUE_MAX)
+    overdue[count++] = entry->call_id;
+  for (uint32_t i = 0; i < count; i++)
     {
-      entry->overdue_ms = 0;
-      end_unanswered (cell, entry);
-      /* Others may have ended with it: the rest is looked at next time. */
-      return;
+      HASH_FIND (hh, cell->pending, &overdue[i], sizeof overdue[i], entry);
+      if (entry != NULL)
+        end_unanswered (cell, entry);
     }
 }
 
--- a/test/unit/test_cell_load.c
+++ b/test/unit/test_cell_load.c
@@ -7,6 +7,8 @@
 /* Of a cell in which a gang uses a tenth of the workers. */
 #define MANY_WORKERS 200
 #define WORKERS 4
+/* So many that daemons carry the planner's calls. */
+#define CARRIED_WORKERS 100
 /* More than the store takes from one planner before callers stop waiting. */
 #define BURST 500
 /* How long ends are kept, over the planner's own memory of 30 s, and as many
@@ -228,6 +230,30 @@
   world_free (world);
 }
 
+/*
+ * A daemon that carries the planner's calls to half of the workers dies with a
+ * call to each on its way.  The planner has to take all of them as unanswered
+ * at once and ask again: one after the other, what ended on the last worker
+ * would be seen, and its caller told, only five seconds later.
+ */
+static void
+test_all_calls_of_a_dead_carrier_are_given_up (void **state)
+{
+  World *world = world_new (CELLS, CARRIED_WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world_run (world, 1500);
+  (void) world_submit (world, planner, world_job (1, CARRIED_WORKERS, 31000),
+                       "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), CARRIED_WORKERS);
+  world_cell_kill (world, (planner + 1) % CELLS);
+  world_run (world, 3500);
+  assert_int_equal (world_state (world, planner, "job-a"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
 /*
  * A cell ends a hundred thousand jobs a day.  If their rows stayed, the store
  * would be full after some months and take no new job.  Callers may ask for a
@@ -272,6 +298,7 @@
     cmocka_unit_test (test_refused_by_the_planner_is_final),
     cmocka_unit_test (test_slow_store_is_not_taken_as_away),
     cmocka_unit_test (test_backlog_leaves_processor_for_new_jobs),
+    cmocka_unit_test (test_all_calls_of_a_dead_carrier_are_given_up),
     cmocka_unit_test (test_ends_are_removed_when_their_time_is_over),
   };
 
