A soak of the daemons as processes under faults from outside

Ruled out: growing demo/'s cluster, whose stand-ins speak the product's older platform; its processes, HTTP caller and forwarder are used.

--- a/tools/check.mk
+++ b/tools/check.mk
@@ -12,7 +12,7 @@
 SUB = $(MAKE) --no-print-directory -j$(CHECK_JOBS)
 
 .PHONY: deps check check-format check-tidy check-cppcheck check-layers \
-  check-ratio check-known-red golden bench
+  check-soak check-known-red golden bench
 
 deps:
 	sh tools/deps
@@ -21,7 +21,7 @@
 	$(STEP) build $(SUB) all unit proof-programs benches
 	$(STEP) format $(SUB) check-format
 	$(STEP) layers $(SUB) check-layers
-	$(STEP) ratio $(SUB) check-ratio
+	$(STEP) soak-size $(SUB) check-soak
 	$(STEP) known-red $(SUB) check-known-red
 	$(STEP) pages $(SUB) check-pages
 	$(STEP) clang-tidy $(SUB) check-tidy
@@ -32,6 +32,7 @@
 	$(STEP) unit-tsan env $(TSAN_ENV) tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%) $(TSAN_PLATFORM:%=build/tsan/platform/%)
 	$(STEP) unit tools/run-tests $(UNIT)
 	$(STEP) proofs tools/run-tests $(PROOF)
+	$(STEP) soak $(SUB) soak-short
 
 check-format:
 	@clang-format --dry-run -Werror $(SOURCES)
@@ -53,8 +54,8 @@
 	tools/check-layers --self-test
 	tools/check-layers .
 
-check-ratio:
-	tools/check-ratio
+check-soak:
+	tools/check-soak
 
 check-known-red:
 	tools/check-known-red
