cell: begin the list of overdue calls with zeros; comments

Ruled out: reading behind the count. Change: the array starts with zeros; what the number of parts and the rounds are for.

--- a/src/cell/carry.c
+++ b/src/cell/carry.c
@@ -116,7 +116,7 @@
 void
 cell_carry_tick (MuxCell *cell)
 {
-  uint64_t overdue[OVERDUE_MAX];
+  uint64_t overdue[OVERDUE_MAX] = { 0 };
   uint32_t count = 0;
   CellPending *entry;
   CellPending *next;
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -9,7 +9,8 @@
 /* Parts that jobs are spread over by their ids.  A part carries out one
  * transaction after the other, and a commit holds 30 jobs; where a store takes
  * 300 ms for each, with the commits of progress between, a part stores 50 jobs
- * a second. */
+ * a second.  The number belongs to what is stored: with another one, open jobs
+ * are looked for in parts where they are not. */
 #define CELL_PARTS 4
 /* Most jobs of one commit: a call holds 100 entries, a job takes three. */
 #define CELL_COMMIT_JOBS 30
@@ -290,7 +291,7 @@
  * struct CellStage - one step of one occurrence of a job
  * @ready: its turn has come and some task waits: it is in the plan
  * @ready_ms: since when
- * @round: of the planner's looks at all stages, in which it was looked at
+ * @round: the planner's round of looks in which it was last looked at
  * @reserving: workers are kept free for it
  * @left: tasks not yet done
  * @run: GANG: number of its last run
@@ -569,7 +570,7 @@
   CellStage *plan; /* stages with waiting tasks, in planning order */
   uint32_t plan_count;
   uint32_t looks; /* workers looked at in this pass */
-  uint64_t round;
+  uint64_t round; /* of looks at all stages; several passes may share one */
   bool replan;
   uint64_t end_seq;
   bool roster_loaded;
