--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -6,7 +6,8 @@
 /* Workers named in the first policy question about a gang: the promised time
  * of its job counts a question about thirty, */
 #define CANDIDATES_LEAST 40
-/* or so many times those that it needs, as a third is usually approved; */
+/* or so many times those that it needs: a third is usually approved, and half
+ * of these are full; */
 #define CANDIDATES_FACTOR 6
 /* the service takes a hundred at once. */
 #define CANDIDATES_MAX 100
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -102,7 +102,8 @@
   bool approved;
 } Candidate;
 
-/* Those known to be approved first, then the roomiest. */
+/* Those known to be approved first, then those with least room: workers stay
+ * empty for gangs, which need many at once. */
 static int
 by_room (const void *x, const void *y)
 {
