--- a/test/unit/test_cell_planner.c
+++ b/test/unit/test_cell_planner.c
@@ -138,6 +138,37 @@
   world_free (world);
 }
 
+/*
+ * The store is away for all daemons and comes back for all.  Followers have
+ * heard from the planner that the store fails it, which was as true of
+ * themselves; if that counted as being turned away alone, the first one that
+ * the store serves again would claim, and urgent jobs would wait for a takeover
+ * when all could go on.
+ */
+static void
+test_planner_keeps_the_plan_after_an_outage_for_all (void **state)
+{
+  (void) state;
+  for (int64_t away_ms = 1000; away_ms < 6000; away_ms += 100)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint32_t planner = world_planner (world);
+      uint64_t version;
+
+      world_run (world, 1000);
+      version = claim_version (world);
+      for (uint32_t i = 0; i < CELLS; i++)
+        world->cell[i].store = WORLD_REFUSES;
+      world_run (world, away_ms);
+      for (uint32_t i = 0; i < CELLS; i++)
+        world->cell[i].store = WORLD_SERVES;
+      world_run (world, 3000);
+      assert_int_equal (claim_version (world), version);
+      assert_int_equal (world_planner (world), planner);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -146,6 +177,7 @@
     cmocka_unit_test (test_last_daemon_claims_after_a_cut),
     cmocka_unit_test (test_weak_planner_yields_to_a_strong_daemon),
     cmocka_unit_test (test_planner_keeps_the_plan_among_equals),
+    cmocka_unit_test (test_planner_keeps_the_plan_after_an_outage_for_all),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
