--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -179,6 +179,43 @@
   return change;
 }
 
+MuxCellCall *
+cell_scan_call (MuxCellTable table, const char *part)
+{
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
+
+  if (call == NULL)
+    return NULL;
+  call->table = table;
+  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  snprintf (call->part, sizeof call->part, "%s", part);
+  return call;
+}
+
+MuxCellCall *
+cell_commit_call (const char *part, uint32_t changes)
+{
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+
+  if (call == NULL || !mux_cell_call_changes (call, changes))
+    {
+      mux_cell_call_free (call);
+      return NULL;
+    }
+  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
+  snprintf (call->part, sizeof call->part, "%s", part);
+  return call;
+}
+
+void
+cell_expect (MuxCellCall *call,
+             MuxCellTable table,
+             const char *key,
+             uint64_t version)
+{
+  cell_change (call, MUX_CHANGE_EXPECT, table, key)->version = version;
+}
+
 /* A blank sorts before all that a key can hold. */
 void
 cell_key_behind (char next[MUX_ROW_NAME_LEN], const char *key)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -16,6 +16,16 @@
                             MuxChangeKind kind,
                             MuxCellTable table,
                             const char *key);
+/** cell_scan_call() - reads a table's part, from its first row on
+ * Return: NULL when memory is out; so do cell_commit_call() and cell_call(). */
+MuxCellCall *cell_scan_call (MuxCellTable table, const char *part);
+/** cell_commit_call() - with room for so many changes, none made yet */
+MuxCellCall *cell_commit_call (const char *part, uint32_t changes);
+/** cell_expect() - only if the row has that version; 0: if there is none */
+void cell_expect (MuxCellCall *call,
+                  MuxCellTable table,
+                  const char *key,
+                  uint64_t version);
 /** cell_key_behind() - the least key behind @key, to read on from */
 void cell_key_behind (char next[MUX_ROW_NAME_LEN], const char *key);
 /** cell_json_blob() - takes @json over; NULL: memory is out */
@@ -109,6 +119,9 @@
 void cell_load_begin (MuxCell *cell);
 void cell_load_tick (MuxCell *cell);
 void cell_fence_read (MuxCell *cell, CellPart *part);
+/** cell_fence_add() - two changes that make the commit this planner's alone */
+void
+cell_fence_add (const MuxCell *cell, const CellPart *part, MuxCellCall *call);
 
 /* jobs.c */
 CellJob *cell_job_add (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -200,6 +200,16 @@
   cell->claim_after_ms = cell->time.now_ms + spread (cell);
 }
 
+/* The next claim, with this daemon as the planner. */
+static json_t *
+own_claim (const MuxCell *cell)
+{
+  return json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
+                    cell->options.peer_addr, "incarnation",
+                    (json_int_t) cell->options.incarnation, "term",
+                    (int) cell->claim.term + 1);
+}
+
 static void
 claim_written (MuxCell *cell,
                const CellPending *pending,
@@ -213,11 +223,7 @@
   cell->claim_retry_ms = cell->time.now_ms + RETRY_MS;
   if (reply->status != MUX_CELL_OK || cell->stopping)
     return;
-  row.value = cell_json_blob (json_pack ("{s:s, s:s, s:I, s:i}", "name",
-                                         cell->options.name, "addr",
-                                         cell->options.peer_addr, "incarnation",
-                                         (json_int_t) cell->options.incarnation,
-                                         "term", (int) cell->claim.term + 1));
+  row.value = cell_json_blob (own_claim (cell));
   if (row.value == NULL)
     return;
   cell_claim_row (cell, &row);
@@ -230,20 +236,17 @@
 bool
 cell_write_claim (MuxCell *cell, json_t *value, CellDone done)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  MuxCellCall *call = cell_commit_call ("", 3);
   CellPending pending = { .done = done };
   MuxBlob *blob = cell_json_blob (value);
 
-  if (call == NULL || blob == NULL || !mux_cell_call_changes (call, 3))
+  if (call == NULL || blob == NULL)
     {
       mux_blob_unref (blob);
       mux_cell_call_free (call);
       return false;
     }
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_CLAIM, CELL_CLAIM_KEY)
-      ->version
-      = cell->claim.version;
+  cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->claim.version);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_CLAIM, CELL_CLAIM_KEY)->value
       = blob;
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_JOBS, CELL_CLAIM_KEY)->value
@@ -256,13 +259,7 @@
 {
   cell_log (cell, "claiming", "{s:s, s:s}", "why", why, "from",
             cell->claim.name);
-  cell->claiming = cell_write_claim (
-      cell,
-      json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
-                 cell->options.peer_addr, "incarnation",
-                 (json_int_t) cell->options.incarnation, "term",
-                 (int) cell->claim.term + 1),
-      claim_written);
+  cell->claiming = cell_write_claim (cell, own_claim (cell), claim_written);
   if (!cell->claiming)
     cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
 }
@@ -301,14 +298,10 @@
 static void
 look_before_claim (MuxCell *cell)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
   CellPending pending = { .done = looked };
 
-  if (call == NULL)
-    return;
-  call->table = MUX_TABLE_CLAIM;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell->claiming = cell_call (cell, call, &pending);
+  cell->claiming
+      = cell_call (cell, cell_scan_call (MUX_TABLE_CLAIM, ""), &pending);
 }
 
 static void
@@ -402,19 +395,13 @@
 static void
 beat (MuxCell *cell)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  MuxCellCall *call = cell_commit_call ("", 2);
   CellPending pending = { .done = beaten, .term = cell->term };
 
   cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
-  if (call == NULL || !mux_cell_call_changes (call, 2))
-    {
-      mux_cell_call_free (call);
-      return;
-    }
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_CLAIM, CELL_CLAIM_KEY)
-      ->version
-      = cell->term;
+  if (call == NULL)
+    return;
+  cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->term);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_CLAIM, BEAT_KEY)->value
       = mux_blob_new ("{}", 2);
   cell->beating = cell_call (cell, call, &pending);
@@ -423,14 +410,10 @@
 static void
 verify (MuxCell *cell)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
   CellPending pending = { .done = claim_checked, .term = cell->term };
 
-  if (call == NULL)
-    return;
-  call->table = MUX_TABLE_CLAIM;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell->verifying = cell_call (cell, call, &pending);
+  cell->verifying
+      = cell_call (cell, cell_scan_call (MUX_TABLE_CLAIM, ""), &pending);
 }
 
 /*
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -39,18 +39,14 @@
 static void
 send_scan (MuxCell *cell, CellFollow *follow, uint64_t number)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
+  MuxCellCall *call = cell_scan_call (
+      follow->table, follow->parted ? cell->part[follow->part].name : "");
   CellPending pending
       = { .done = followed, .term = follow->term, .number = number };
 
   if (call == NULL)
     return;
-  call->table = follow->table;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
   snprintf (call->from, sizeof call->from, "%s", follow->from);
-  if (follow->parted)
-    snprintf (call->part, sizeof call->part, "%s",
-              cell->part[follow->part].name);
   if (begins (follow) && follow->whole != NULL)
     follow->whole (cell, false);
   follow->busy = cell_call (cell, call, &pending);
--- a/src/cell/inquiry.c
+++ b/src/cell/inquiry.c
@@ -80,15 +80,12 @@
 static bool
 scan (MuxCell *cell, CellInquiry *inquiry, MuxCellTable table, CellDone done)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
+  MuxCellCall *call
+      = cell_scan_call (table, cell->part[cell_part_of (inquiry->id)].name);
   CellPending pending = { .done = done, .number = inquiry->call };
 
   if (call == NULL)
     return false;
-  call->table = table;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  snprintf (call->part, sizeof call->part, "%s",
-            cell->part[cell_part_of (inquiry->id)].name);
   snprintf (call->from, sizeof call->from, "%s", inquiry->id);
   snprintf (call->to, sizeof call->to, "%s" BEHIND, inquiry->id);
   return cell_call (cell, call, &pending);
@@ -117,20 +114,14 @@
 static bool
 write_cancel (MuxCell *cell, CellInquiry *inquiry)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  MuxCellCall *call
+      = cell_commit_call (cell->part[cell_part_of (inquiry->id)].name, 2);
   CellPending pending = { .done = cancel_written, .number = inquiry->call };
   char key[MUX_ROW_NAME_LEN];
 
-  if (call == NULL || !mux_cell_call_changes (call, 2))
-    {
-      mux_cell_call_free (call);
-      return false;
-    }
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  snprintf (call->part, sizeof call->part, "%s",
-            cell->part[cell_part_of (inquiry->id)].name);
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_JOBS, inquiry->id)->version
-      = inquiry->version;
+  if (call == NULL)
+    return false;
+  cell_expect (call, MUX_TABLE_JOBS, inquiry->id, inquiry->version);
   snprintf (key, sizeof key, "%s" CANCEL_MARK, inquiry->id);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_JOBS, key)->value
       = mux_blob_new ("{}", 2);
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -57,24 +57,23 @@
     part->load_next_ms += RETRY_MS;
 }
 
+void
+cell_fence_add (const MuxCell *cell, const CellPart *part, MuxCellCall *call)
+{
+  cell_expect (call, MUX_TABLE_FENCE, CELL_FENCE_KEY, part->fence_version);
+  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_FENCE, CELL_FENCE_KEY)->value
+      = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
+}
+
 static void
 write_fence (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  MuxCellCall *call = cell_commit_call (part->name, 2);
   CellPending pending = of_part (cell, part, fence_written);
 
-  if (call == NULL || !mux_cell_call_changes (call, 2))
-    {
-      mux_cell_call_free (call);
-      return;
-    }
-  snprintf (call->part, sizeof call->part, "%s", part->name);
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_FENCE, CELL_FENCE_KEY)
-      ->version
-      = part->fence_version;
-  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_FENCE, CELL_FENCE_KEY)->value
-      = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
+  if (call == NULL)
+    return;
+  cell_fence_add (cell, part, call);
   part->reading_fence = cell_call (cell, call, &pending);
 }
 
@@ -113,15 +112,10 @@
 void
 cell_fence_read (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
   CellPending pending = of_part (cell, part, fence_read);
 
-  if (call == NULL)
-    return;
-  call->table = MUX_TABLE_FENCE;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  snprintf (call->part, sizeof call->part, "%s", part->name);
-  part->reading_fence = cell_call (cell, call, &pending);
+  part->reading_fence = cell_call (
+      cell, cell_scan_call (MUX_TABLE_FENCE, part->name), &pending);
 }
 
 static void
@@ -168,14 +162,12 @@
 static void
 read_part (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_SCAN);
+  MuxCellCall *call = cell_scan_call (part->loading, part->name);
   CellPending pending = of_part (cell, part, part_read);
 
   if (call == NULL)
     return;
-  call->table = part->loading;
   call->timeout_ms = 2 * CELL_STORE_TIMEOUT_MS;
-  snprintf (call->part, sizeof call->part, "%s", part->name);
   snprintf (call->from, sizeof call->from, "%s", part->load_from);
   part->load_busy = cell_call (cell, call, &pending);
 }
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -298,7 +298,7 @@
 static void
 commit (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
+  MuxCellCall *call = cell_commit_call (part->name, 4 * ENDS_MAX + 2);
   CellPending pending = { .done = committed,
                           .term = cell->term,
                           .part = (uint32_t) (part - cell->part),
@@ -306,18 +306,9 @@
   uint32_t jobs = 0;
   CellJob *job;
 
-  if (call == NULL || !mux_cell_call_changes (call, 4 * ENDS_MAX + 2))
-    {
-      mux_cell_call_free (call);
-      return;
-    }
-  snprintf (call->part, sizeof call->part, "%s", part->name);
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_FENCE, CELL_FENCE_KEY)
-      ->version
-      = part->fence_version;
-  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_FENCE, CELL_FENCE_KEY)->value
-      = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
+  if (call == NULL)
+    return;
+  cell_fence_add (cell, part, call);
   for (job = part->dirty; job != NULL; job = job->dirty_next)
     {
       if (++jobs > ENDS_MAX)
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -50,17 +50,12 @@
 void
 cell_roster_load (MuxCell *cell)
 {
-  MuxCellCall *call;
   CellPending pending = { .done = roster_read, .term = cell->term };
 
   if (cell->time.now_ms < cell->roster_next_ms)
     return;
-  call = mux_cell_call_new (MUX_CELL_SCAN);
-  if (call == NULL)
-    return;
-  call->table = MUX_TABLE_ROSTER;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell->roster_busy = cell_call (cell, call, &pending);
+  cell->roster_busy
+      = cell_call (cell, cell_scan_call (MUX_TABLE_ROSTER, ""), &pending);
 }
 
 static bool
@@ -181,16 +176,10 @@
   wanted = wanted || wants_write (cell, worker);
   if (!wanted)
     return;
-  call = mux_cell_call_new (MUX_CELL_COMMIT);
-  if (call == NULL || !mux_cell_call_changes (call, GROUP + 1))
-    {
-      mux_cell_call_free (call);
-      return;
-    }
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_CLAIM, CELL_CLAIM_KEY)
-      ->version
-      = cell->term;
+  call = cell_commit_call ("", GROUP + 1);
+  if (call == NULL)
+    return;
+  cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->term);
   (void) fill (cell, call);
   cell->roster_busy = cell_call (cell, call, &pending);
   cell->roster_next_ms = cell->time.now_ms + RETRY_MS;
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -246,8 +246,8 @@
 {
   const char *id = submission->job->id;
 
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_JOBS, id);
-  cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_ENDED, id);
+  cell_expect (call, MUX_TABLE_JOBS, id, 0);
+  cell_expect (call, MUX_TABLE_ENDED, id, 0);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_JOBS, id)->value
       = mux_blob_ref (submission->value);
   submission->sent = true;
@@ -276,13 +276,9 @@
 
   if (part->submissions == NULL || part->submitting)
     return;
-  call = mux_cell_call_new (MUX_CELL_COMMIT);
-  if (call == NULL || !mux_cell_call_changes (call, 3 * CELL_COMMIT_JOBS))
-    {
-      mux_cell_call_free (call);
-      return;
-    }
-  snprintf (call->part, sizeof call->part, "%s", part->name);
+  call = cell_commit_call (part->name, 3 * CELL_COMMIT_JOBS);
+  if (call == NULL)
+    return;
   call->timeout_ms = TIMEOUT_MS;
   part->submit_sent_ms = cell->time.now_ms;
   DL_FOREACH (part->submissions, submission)
--- a/src/cell/sweep.c
+++ b/src/cell/sweep.c
@@ -65,45 +65,35 @@
     mux_count (cell->options.counters, MUX_COUNT_ROWS_SWEPT, 1);
 }
 
-/* Return: false: nothing on the page is old, or no call could be made. */
-static bool
-remove_old (MuxCell *cell, const MuxCellReply *reply)
+/* Return: NULL: nothing on the page is old, or memory is out. */
+static MuxCellCall *
+removal_call (const MuxCell *cell, const MuxCellReply *reply)
 {
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_COMMIT);
-  CellPending pending = { .done = removed, .term = cell->term };
+  MuxCellCall *call = NULL;
   uint32_t n = 0;
 
-  if (call == NULL || !mux_cell_call_changes (call, 2 * REMOVALS_MAX))
-    {
-      mux_cell_call_free (call);
-      return false;
-    }
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  snprintf (call->part, sizeof call->part, "%s",
-            cell->part[cell->sweep.part].name);
   for (uint32_t i = 0; i < reply->row_count && n < REMOVALS_MAX; i++)
     {
       const MuxCellRow *row = &reply->row[i];
 
       if (!is_old (cell, row))
         continue;
-      cell_change (call, MUX_CHANGE_EXPECT, MUX_TABLE_ENDED, row->key)->version
-          = row->version;
+      if (call == NULL)
+        call = cell_commit_call (cell->part[cell->sweep.part].name,
+                                 2 * REMOVALS_MAX);
+      if (call == NULL)
+        return NULL;
+      cell_expect (call, MUX_TABLE_ENDED, row->key, row->version);
       cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_ENDED, row->key);
       n++;
     }
-  if (n == 0)
-    {
-      mux_cell_call_free (call);
-      return false;
-    }
-  cell->sweep.busy = cell_call (cell, call, &pending);
-  return cell->sweep.busy;
+  return call;
 }
 
 static void
 page_read (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
+  CellPending removal = { .done = removed, .term = cell->term };
   CellSweep *sweep = &cell->sweep;
 
   (void) pending;
@@ -114,7 +104,8 @@
       sweep->next_ms = cell->time.now_ms + RETRY_MS;
       return;
     }
-  if (remove_old (cell, reply))
+  sweep->busy = cell_call (cell, removal_call (cell, reply), &removal);
+  if (sweep->busy)
     return;
   if (reply->more && reply->row_count > 0)
     cell_key_behind (sweep->from, reply->row[reply->row_count - 1].key);
@@ -132,12 +123,9 @@
   if (!cell_may_order (cell) || sweep->busy
       || cell->time.now_ms < sweep->next_ms)
     return;
-  call = mux_cell_call_new (MUX_CELL_SCAN);
+  call = cell_scan_call (MUX_TABLE_ENDED, cell->part[sweep->part].name);
   if (call == NULL)
     return;
-  call->table = MUX_TABLE_ENDED;
-  call->timeout_ms = CELL_STORE_TIMEOUT_MS;
-  snprintf (call->part, sizeof call->part, "%s", cell->part[sweep->part].name);
   snprintf (call->from, sizeof call->from, "%s", sweep->from);
   sweep->busy = cell_call (cell, call, &pending);
 }
