--- a/include/adapter/curl.h
+++ b/include/adapter/curl.h
@@ -12,6 +12,21 @@
 void mux_curl_set_up (CURL *curl, MuxBytes *body);
 /** mux_curl_set_timeouts() - @connect_ms: at most, within @timeout_ms */
 void mux_curl_set_timeouts (CURL *curl, long connect_ms, long timeout_ms);
+/**
+ * struct MuxCurlProbes - when the kernel gives a silent connection up
+ * @idle_s: without traffic, before the first probe
+ * @interval_s: between probes
+ * @silent_ms: bytes or probes unanswered for so long fail the connection
+ */
+typedef struct
+{
+  long idle_s;
+  long interval_s;
+  unsigned int silent_ms;
+} MuxCurlProbes;
+
+/** mux_curl_set_probes() - @probes must outlive @curl */
+void mux_curl_set_probes (CURL *curl, const MuxCurlProbes *probes);
 /** mux_curl_header() - of the last answer, until the next; NULL: absent */
 const char *mux_curl_header (CURL *curl, const char *name);
 /** mux_curl_says_its_end() - the last answer gave a length or came in chunks;
--- a/src/adapter/curl.c
+++ b/src/adapter/curl.c
@@ -1,5 +1,9 @@
 #include "adapter/curl.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #define BODY_MAX ((size_t) 64 << 20)
 
 /* A short return makes libcurl end the exchange with an error. */
@@ -35,6 +39,31 @@
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 }
 
+static int
+on_socket (void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+  const MuxCurlProbes *probes = ctx;
+
+  (void) purpose;
+  (void) setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &probes->silent_ms,
+                     sizeof probes->silent_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+/* Guards against a connection that something between the two ends has lost
+ * track of while an answer is waited for: no error ever shows, the call would
+ * sit out its whole timeout.  The kernel's probes go unanswered then, and the
+ * connection fails. */
+void
+mux_curl_set_probes (CURL *curl, const MuxCurlProbes *probes)
+{
+  curl_easy_setopt (curl, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (curl, CURLOPT_TCP_KEEPIDLE, probes->idle_s);
+  curl_easy_setopt (curl, CURLOPT_TCP_KEEPINTVL, probes->interval_s);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTDATA, (void *) probes);
+}
+
 const char *
 mux_curl_header (CURL *curl, const char *name)
 {
--- a/src/adapter/worker_http_client.c
+++ b/src/adapter/worker_http_client.c
@@ -2,18 +2,16 @@
 
 #include "adapter/curl.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define CONNECT_TIMEOUT_MS 1000L
-#define KEEPALIVE_IDLE_S 2L
-#define KEEPALIVE_INTERVAL_S 1L
-#define SILENT_MS 5000U
 /* A buffer that grew beyond this is given back after its call. */
 #define BODY_KEEP ((size_t) 64 << 10)
 
+static const MuxCurlProbes probes
+    = { .idle_s = 2, .interval_s = 1, .silent_ms = 5000 };
+
 struct MuxWorkerClient
 {
   CURL *curl;
@@ -37,22 +35,6 @@
   return atomic_load_explicit (client->stop, memory_order_relaxed);
 }
 
-/* Guards against a connection that something between the two ends has lost
- * track of while an answer is waited for: no error ever shows, the call would
- * sit out its whole timeout.  The kernel's probes go unanswered then, and the
- * connection fails after SILENT_MS. */
-static int
-on_socket (void *ctx, curl_socket_t fd, curlsocktype purpose)
-{
-  unsigned int silent_ms = SILENT_MS;
-
-  (void) ctx;
-  (void) purpose;
-  (void) setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
-                     sizeof silent_ms);
-  return CURL_SOCKOPT_OK;
-}
-
 /* Every call opens its connection and closes it: an idle connection that has
  * gone silent can then not swallow a call, and curl's own repeat of a request
  * on a dead kept connection, which would blur "not sent", never happens. */
@@ -65,10 +47,7 @@
   curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 1L);
-  curl_easy_setopt (curl, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt (curl, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
-  curl_easy_setopt (curl, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
-  curl_easy_setopt (curl, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  mux_curl_set_probes (curl, &probes);
   curl_easy_setopt (curl, CURLOPT_XFERINFOFUNCTION, on_progress);
   curl_easy_setopt (curl, CURLOPT_XFERINFODATA, client);
   curl_easy_setopt (curl, CURLOPT_NOPROGRESS, 0L);
