--- a/demo/demo_main.c
+++ b/demo/demo_main.c
@@ -36,13 +36,7 @@
 static const char *const data_centres[]
     = { "nizwa-hall", "bahla-hall", "izki-hall" };
 
-typedef struct
-{
-  const char *path;
-  const char *json;
-} Object;
-
-static const Object objects[] = {
+static const MuxClusterObject objects[] = {
   { "/v1/config/product/hajar-skies",
     "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,\"slots\":0}}" },
   { "/v1/config/class/basket-booking",
@@ -71,27 +65,6 @@
   bool drained;
 } Demo;
 
-static bool
-configure (Demo *demo, MuxError *err)
-{
-  for (uint32_t i = 0; i < sizeof objects / sizeof objects[0]; i++)
-    {
-      json_t *json = json_loads (objects[i].json, 0, NULL);
-      json_t *answer
-          = mux_http_json (demo->http, "PUT", demo->cluster->daemon[0].addr,
-                           objects[i].path, json, err);
-
-      json_decref (json);
-      if (answer == NULL)
-        return false;
-      json_decref (answer);
-    }
-  for (uint32_t i = 0; i < sizeof objects / sizeof objects[0]; i++)
-    if (!mux_cluster_await_path (demo->cluster, objects[i].path, START_MS, err))
-      return false;
-  return true;
-}
-
 static bool
 set_up (Demo *demo, const char *bin, MuxError *err)
 {
@@ -119,7 +92,9 @@
   printf ("demo: %d daemons and %d workers in 3 data centres, logs in %s\n",
           DAEMONS, WORKERS, demo->scratch);
   return mux_cluster_await (demo->cluster, START_MS, err)
-         && configure (demo, err);
+         && mux_cluster_configure (demo->cluster, objects,
+                                   sizeof objects / sizeof objects[0], START_MS,
+                                   err);
 }
 
 static void
--- a/demo/failover_main.c
+++ b/demo/failover_main.c
@@ -71,30 +71,21 @@
   Kill kills[KILLS];
 } Bench;
 
-static bool
-put (Bench *bench, const char *path, const char *text, MuxError *err)
-{
-  json_t *json = json_loads (text, 0, NULL);
-  json_t *answer = mux_http_json (
-      bench->http, "PUT", bench->cluster->daemon[0].addr, path, json, err);
-  bool ok = answer != NULL;
-
-  json_decref (json);
-  json_decref (answer);
-  return ok && mux_cluster_await_path (bench->cluster, path, START_MS, err);
-}
-
 static bool
 configure (Bench *bench, MuxError *err)
 {
   char booking[512];
   char lookup[512];
+  const MuxClusterObject objects[]
+      = { { "/v1/config/product/hajar-skies", product },
+          { "/v1/config/class/basket-booking", booking },
+          { "/v1/config/class/seat-lookup", lookup } };
 
   snprintf (booking, sizeof booking, class_text, "false");
   snprintf (lookup, sizeof lookup, class_text, "true");
-  return put (bench, "/v1/config/product/hajar-skies", product, err)
-         && put (bench, "/v1/config/class/basket-booking", booking, err)
-         && put (bench, "/v1/config/class/seat-lookup", lookup, err);
+  return mux_cluster_configure (bench->cluster, objects,
+                                sizeof objects / sizeof objects[0], START_MS,
+                                err);
 }
 
 static bool
--- a/demo/history_main.c
+++ b/demo/history_main.c
@@ -34,13 +34,7 @@
 static const char *const data_centres[DATA_CENTRES]
     = { "nizwa-hall", "bahla-hall", "izki-hall" };
 
-typedef struct
-{
-  const char *path;
-  const char *json;
-} Object;
-
-static const Object objects[] = {
+static const MuxClusterObject objects[] = {
   { "/v1/config/product/hajar-skies",
     "{\"quota\":{\"cpu_milli\":0,\"mem_mib\":0,\"accels\":0,\"slots\":0}}" },
   { "/v1/config/class/basket-booking",
@@ -69,8 +63,6 @@
     "{\"cpu_milli\":1000,\"mem_mib\":1024,\"accels\":0},\"run_ms\":40}" },
 };
 
-#define OBJECTS (sizeof objects / sizeof objects[0])
-
 typedef struct
 {
   uint64_t seed;
@@ -87,28 +79,6 @@
   uint32_t stuck; /* daemons that did not end after SIGTERM */
 } Run;
 
-static bool
-configure (Run *run, MuxError *err)
-{
-  MuxHttp *http = mux_http_new ();
-  bool ok = http != NULL;
-
-  for (uint32_t i = 0; ok && i < OBJECTS; i++)
-    {
-      json_t *json = json_loads (objects[i].json, 0, NULL);
-      json_t *answer = mux_http_json (http, "PUT", run->cluster->daemon[0].addr,
-                                      objects[i].path, json, err);
-
-      ok = answer != NULL;
-      json_decref (json);
-      json_decref (answer);
-    }
-  mux_http_free (http);
-  for (uint32_t i = 0; ok && i < OBJECTS; i++)
-    ok = mux_cluster_await_path (run->cluster, objects[i].path, START_MS, err);
-  return ok;
-}
-
 static bool
 set_up (Run *run, const char *bin, MuxError *err)
 {
@@ -131,7 +101,9 @@
     return false;
   run->cluster = mux_cluster_new (&options, err);
   return run->cluster != NULL && mux_cluster_await (run->cluster, START_MS, err)
-         && configure (run, err);
+         && mux_cluster_configure (run->cluster, objects,
+                                   sizeof objects / sizeof objects[0], START_MS,
+                                   err);
 }
 
 /* Everything at once, while the main thread carries out the plan. */
--- a/demo/support/cluster.c
+++ b/demo/support/cluster.c
@@ -350,6 +350,32 @@
                            cluster->daemon[i].name, path);
 }
 
+bool
+mux_cluster_configure (MuxCluster *cluster,
+                       const MuxClusterObject *objects,
+                       uint32_t count,
+                       uint32_t timeout_ms,
+                       MuxError *err)
+{
+  MuxHttp *http = mux_http_new ();
+  bool ok = http != NULL;
+
+  for (uint32_t i = 0; ok && i < count; i++)
+    {
+      json_t *json = json_loads (objects[i].json, 0, NULL);
+      json_t *answer = mux_http_json (http, "PUT", cluster->daemon[0].addr,
+                                      objects[i].path, json, err);
+
+      ok = answer != NULL;
+      json_decref (json);
+      json_decref (answer);
+    }
+  mux_http_free (http);
+  for (uint32_t i = 0; ok && i < count; i++)
+    ok = mux_cluster_await_path (cluster, objects[i].path, timeout_ms, err);
+  return ok;
+}
+
 void
 mux_cluster_kill (MuxMember *member)
 {
--- a/demo/support/cluster.h
+++ b/demo/support/cluster.h
@@ -93,6 +93,19 @@
                              const char *path,
                              uint32_t timeout_ms,
                              MuxError *err);
+/** struct MuxClusterObject - one object of the operators' configuration */
+typedef struct
+{
+  const char *path;
+  const char *json;
+} MuxClusterObject;
+
+/** mux_cluster_configure() - put each, until every daemon shows it */
+bool mux_cluster_configure (MuxCluster *cluster,
+                            const MuxClusterObject *objects,
+                            uint32_t count,
+                            uint32_t timeout_ms,
+                            MuxError *err);
 /** mux_cluster_kill() - kill -9, and reap */
 void mux_cluster_kill (MuxMember *member);
 /** mux_cluster_start_daemon(), mux_cluster_start_worker() - a new life under
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -884,6 +884,16 @@
   return false;
 }
 
+uint64_t
+world_claim_version (const World *world)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == MUX_TABLE_CLAIM
+        && strcmp (world->row[i].key, "claim") == 0)
+      return world->row[i].version;
+  return 0;
+}
+
 uint32_t
 world_ends (const World *world)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -150,6 +150,8 @@
 void world_run (World *world, int64_t ms);
 /** world_planner() - the cell that plans; WORLD_CELLS_MAX: none */
 uint32_t world_planner (const World *world);
+/** world_claim_version() - of the row that says who plans; 0: none */
+uint64_t world_claim_version (const World *world);
 /** world_ends() - rows of ended jobs that stand in the store */
 uint32_t world_ends (const World *world);
 /** world_submit() - hand in; the answer comes while time passes
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -529,17 +529,12 @@
 {
   World *world = world_new (CELLS, WORKERS);
   uint32_t planner = world_planner (world);
-  uint64_t version = 0;
 
   (void) state;
   world->peers_cut = true;
   world_run (world, 8000);
   assert_int_equal (world_planner (world), planner);
-  for (uint32_t i = 0; i < world->row_count; i++)
-    if (world->row[i].table == MUX_TABLE_CLAIM
-        && strcmp (world->row[i].key, "claim") == 0)
-      version = world->row[i].version;
-  assert_true (version < 40);
+  assert_true (world_claim_version (world) < 40);
   (void) world_submit (world, other_than (planner), world_job (1, 2, 1000),
                        "job-a");
   world_run (world, 2000);
--- a/test/unit/test_cell_load.c
+++ b/test/unit/test_cell_load.c
@@ -25,6 +25,28 @@
 #define SLOW_STORE_MS 500
 #define SLOWEST_STORE_MS 900
 
+static uint64_t
+submit_numbered (World *world,
+                 uint32_t cell,
+                 MuxJobSpec *job,
+                 const char *name,
+                 uint32_t number)
+{
+  char id[MUX_JOB_ID_LEN];
+
+  snprintf (id, sizeof id, "%s-%u", name, number);
+  return world_submit (world, cell, job, id);
+}
+
+static MuxJobState
+state_numbered (World *world, uint32_t cell, const char *name, uint32_t number)
+{
+  char id[MUX_JOB_ID_LEN];
+
+  snprintf (id, sizeof id, "%s-%u", name, number);
+  return world_state (world, cell, id);
+}
+
 static MuxJobSpec *
 wide_gang (void)
 {
@@ -62,12 +84,7 @@
 submit_burst (World *world, uint32_t cell, uint64_t call[BURST])
 {
   for (uint32_t i = 0; i < BURST; i++)
-    {
-      char id[16];
-
-      snprintf (id, sizeof id, "job-%u", i);
-      call[i] = world_submit (world, cell, world_job (1, 1, 10), id);
-    }
+    call[i] = submit_numbered (world, cell, world_job (1, 1, 10), "job", i);
 }
 
 /* One job in each part, so that it is known how long a commit takes. */
@@ -75,12 +92,7 @@
 let_it_measure (World *world, uint32_t cell)
 {
   for (uint32_t i = 0; i < 16; i++)
-    {
-      char id[16];
-
-      snprintf (id, sizeof id, "first-%u", i);
-      (void) world_submit (world, cell, world_job (1, 1, 10), id);
-    }
+    (void) submit_numbered (world, cell, world_job (1, 1, 10), "first", i);
   world_run (world, 3000);
 }
 
@@ -163,10 +175,8 @@
   world->store_ms = SLOWEST_STORE_MS;
   for (uint32_t i = 0; i < 4; i++)
     {
-      char id[16];
-
-      snprintf (id, sizeof id, "job-%u", i);
-      call[i] = world_submit (world, planner, world_job (1, 1, 10), id);
+      call[i]
+          = submit_numbered (world, planner, world_job (1, 1, 10), "job", i);
       world_run (world, 850);
     }
   world_run (world, 3000);
@@ -191,29 +201,17 @@
   world->task_ms = 20000;
   world_run (world, 1000);
   for (uint32_t i = 0; i < MANY_WORKERS; i++)
-    {
-      char id[16];
-
-      snprintf (id, sizeof id, "full-%u", i);
-      (void) world_submit (world, 0, world_job (1, 1, 31000), id);
-    }
+    (void) submit_numbered (world, 0, world_job (1, 1, 31000), "full", i);
   world_run (world, 3000);
   for (uint32_t i = 0; i < BACKLOG; i++)
-    {
-      char id[16];
-
-      snprintf (id, sizeof id, "wait-%u", i);
-      (void) world_submit (
-          world, 0, i % 2 == 0 ? wide_gang () : world_job (1, 3, 31000), id);
-    }
+    (void) submit_numbered (world, 0,
+                            i % 2 == 0 ? wide_gang () : world_job (1, 3, 31000),
+                            "wait", i);
   world_run (world, 3000);
   looks = mux_counter_value (world->counters, MUX_COUNT_PLAN_LOOKS);
   for (uint32_t i = 0; i < NEW_JOBS; i++)
     {
-      char id[16];
-
-      snprintf (id, sizeof id, "new-%u", i);
-      (void) world_submit (world, 0, world_job (1, 1, 10), id);
+      (void) submit_numbered (world, 0, world_job (1, 1, 10), "new", i);
       world_run (world, 1000 / NEW_JOBS);
     }
   looks = mux_counter_value (world->counters, MUX_COUNT_PLAN_LOOKS) - looks;
@@ -221,12 +219,7 @@
   world->task_ms = 50;
   world_run (world, 30000);
   for (uint32_t i = 0; i < BACKLOG; i += 50)
-    {
-      char id[16];
-
-      snprintf (id, sizeof id, "wait-%u", i);
-      assert_int_equal (world_state (world, 0, id), MUX_JOB_COMPLETED);
-    }
+    assert_int_equal (state_numbered (world, 0, "wait", i), MUX_JOB_COMPLETED);
   world_free (world);
 }
 
@@ -272,12 +265,7 @@
   world_run (world, 2000);
   planner = world_planner (world);
   for (uint32_t i = 0; i < OLD_JOBS; i++)
-    {
-      char id[16];
-
-      snprintf (id, sizeof id, "old-%u", i);
-      (void) world_submit (world, planner, world_job (1, 1, 1000), id);
-    }
+    (void) submit_numbered (world, planner, world_job (1, 1, 1000), "old", i);
   world_run (world, KEEP_S * 500);
   assert_int_equal (world_ends (world), OLD_JOBS);
   (void) world_submit (world, planner, world_job (1, 1, 10), "young");
--- a/test/unit/test_cell_planner.c
+++ b/test/unit/test_cell_planner.c
@@ -9,16 +9,6 @@
 /* A planner's death is noticed after a second; its successor then reads. */
 #define TAKEOVER_MS 4000
 
-static uint64_t
-claim_version (const World *world)
-{
-  for (uint32_t i = 0; i < world->row_count; i++)
-    if (world->row[i].table == MUX_TABLE_CLAIM
-        && strcmp (world->row[i].key, "claim") == 0)
-      return world->row[i].version;
-  return 0;
-}
-
 /*
  * A data centre is cut off from the others and from the store, and comes back.
  * Its daemons have heard nothing of the planner for seconds, through no fault
@@ -39,7 +29,7 @@
       uint64_t version;
 
       world_run (world, 1000);
-      version = claim_version (world);
+      version = world_claim_version (world);
       world->cell[other].cut = true;
       world->cell[other].store = WORLD_SILENT;
       world_run (world, cut_ms);
@@ -48,7 +38,7 @@
       world_run (world, 300);
       world->cell[other].cut = false;
       world_run (world, 3000);
-      assert_int_equal (claim_version (world), version);
+      assert_int_equal (world_claim_version (world), version);
       assert_int_equal (world_planner (world), planner);
       world_free (world);
     }
@@ -130,10 +120,10 @@
 
   (void) state;
   world_run (world, 1000);
-  version = claim_version (world);
+  version = world_claim_version (world);
   world_cell_start (world, (planner + 1) % CELLS);
   world_run (world, 5000);
-  assert_int_equal (claim_version (world), version);
+  assert_int_equal (world_claim_version (world), version);
   assert_int_equal (world_planner (world), planner);
   world_free (world);
 }
@@ -156,14 +146,14 @@
       uint64_t version;
 
       world_run (world, 1000);
-      version = claim_version (world);
+      version = world_claim_version (world);
       for (uint32_t i = 0; i < CELLS; i++)
         world->cell[i].store = WORLD_REFUSES;
       world_run (world, away_ms);
       for (uint32_t i = 0; i < CELLS; i++)
         world->cell[i].store = WORLD_SERVES;
       world_run (world, 3000);
-      assert_int_equal (claim_version (world), version);
+      assert_int_equal (world_claim_version (world), version);
       assert_int_equal (world_planner (world), planner);
       world_free (world);
     }
