claim: an outage for all replaces no planner

Cause: followers counted the planner's own report of a failing store while the store failed them too; the first one served again claimed, and the cell was without a planner for 1.3 s. Change: the report counts from the moment on at which the store answers this daemon, and while it goes on to answer a look each 200 ms. A planner that is turned away alone is replaced after the same 0.6 s as before. Ruled out: the time of the report alone (it stands for seconds in an outage for all), the daemon's last success (a waiting call tells nothing for 5 s).

--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -21,8 +21,11 @@
 /* After a failed try. */
 #define RETRY_MS 300
 /* A planner that the store turns away while it serves others is replaced after
- * this time. */
+ * this time, */
 #define STORE_BAD_MS 600
+/* in which the store has answered this daemon at least this often. */
+#define PROBE_MS 200
+#define PROBES_APART_MS 500
 /* The heir of a claim given up has so much of a start before the others. */
 #define HEIR_MS 350
 /* A pause of this thread's work after which the claim is read again before
@@ -175,6 +178,7 @@
   ours = cell->claim.incarnation == cell->options.incarnation;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_store_bad_ms = 0;
+  cell->turned_away_ms = 0;
   cell->planner_restarted = false;
   cell->planner_welcome_ms = 0;
   cell->next_hello_ms = 0;
@@ -271,6 +275,26 @@
          > cell->options.dead_ms + spread (cell);
 }
 
+/*
+ * Guards against a takeover at the end of each outage of the store: all daemons
+ * hear from the planner that the store fails it, which is as true of
+ * themselves, and the first one that is served again would replace it.  What
+ * the planner says counts from the moment on at which the store answers this
+ * daemon, and only while it goes on to answer.
+ */
+static bool
+is_turned_away_alone (MuxCell *cell)
+{
+  int64_t now = cell->time.now_ms;
+
+  if (cell->planner_store_bad_ms == 0)
+    return false;
+  if (cell->turned_away_ms == 0 || now - cell->probed_ms > PROBES_APART_MS)
+    cell->turned_away_ms = now;
+  cell->probed_ms = now;
+  return now - cell->turned_away_ms > STORE_BAD_MS + spread (cell);
+}
+
 static void
 looked (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
@@ -278,13 +302,21 @@
 
   (void) pending;
   cell->claiming = false;
+  cell->next_probe_ms = cell->time.now_ms + PROBE_MS;
   for (uint32_t i = 0; i < reply->row_count; i++)
     cell_claim_row (cell, &reply->row[i]);
   if (reply->status != MUX_CELL_OK)
-    cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
-  else if (cell->claim.version == version && !cell->stopping
-           && planner_is_silent (cell))
+    {
+      cell->turned_away_ms = 0;
+      cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
+      return;
+    }
+  if (cell->claim.version != version || cell->stopping)
+    return;
+  if (planner_is_silent (cell))
     claim (cell, "silent");
+  else if (is_turned_away_alone (cell))
+    claim (cell, "store_turns_it_away");
 }
 
 /*
@@ -350,11 +382,9 @@
     claim (cell, "vacant");
   else if (cell->planner_restarted)
     claim (cell, "restarted");
-  else if (planner_is_silent (cell))
+  else if (planner_is_silent (cell)
+           || (cell->planner_store_bad_ms != 0 && now >= cell->next_probe_ms))
     look_before_claim (cell);
-  else if (cell->planner_store_bad_ms != 0
-           && now - cell->planner_store_bad_ms > STORE_BAD_MS + spread (cell))
-    claim (cell, "store_turns_it_away");
 }
 
 static void
@@ -485,7 +515,10 @@
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_welcome_ms = cell->time.now_ms;
   if (msg->table_ok)
-    cell->planner_store_bad_ms = 0;
+    {
+      cell->planner_store_bad_ms = 0;
+      cell->turned_away_ms = 0;
+    }
   else if (cell->planner_store_bad_ms == 0)
     cell->planner_store_bad_ms = cell->time.now_ms;
 }
