cell: a line that tells by what right a job is started

Cause: of a task that ran twice the logs did not tell whether its job was older or younger than the claim of the second planner, nor how each of them had learned of it, so that a job stored behind a claim, one read anew and a worker wrongly taken as free looked alike. Change: the line of a placed step carries the version of the job's row, the term, and whether the job was loaded, told by the feed or stored by the planner. Ruled out: a line of its own for each job; three fields cost some 50 bytes. Conclusion: no decision is changed.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -336,6 +336,16 @@
   CellStage *next;
 };
 
+/**
+ * enum CellOrigin - how the planner came to know of a job
+ */
+typedef enum
+{
+  CELL_ORIGIN_LOAD,   /* read at its takeover */
+  CELL_ORIGIN_FEED,   /* stored by another daemon meanwhile */
+  CELL_ORIGIN_COMMIT, /* stored by itself */
+} CellOrigin;
+
 /**
  * struct CellJob - a job that the planner carries
  * @version: of its row
@@ -362,6 +372,7 @@
   int64_t due_ms;
   int64_t worthless_ms;
   bool old;
+  CellOrigin origin;
   bool started;
   bool cancelled;
   bool failed;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -113,6 +113,8 @@
   job->part = cell_part_of (job->id);
   job->version = version;
   job->old = version < cell->term;
+  job->origin
+      = cell->role == CELL_PLANNING ? CELL_ORIGIN_FEED : CELL_ORIGIN_LOAD;
   job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
   set_times (cell, job);
   HASH_ADD_STR (cell->jobs, id, job);
@@ -180,8 +182,10 @@
       return;
     }
   job = cell_job_add (cell, spec, version);
-  if (job != NULL)
-    cell_job_advance (cell, job);
+  if (job == NULL)
+    return;
+  job->origin = CELL_ORIGIN_COMMIT;
+  cell_job_advance (cell, job);
 }
 
 static void
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -133,6 +133,18 @@
     cell_stage_leave_plan (cell, stage);
 }
 
+static const char *
+known_by (CellOrigin origin)
+{
+  static const char *const name[] = {
+    [CELL_ORIGIN_LOAD] = "load",
+    [CELL_ORIGIN_FEED] = "feed",
+    [CELL_ORIGIN_COMMIT] = "own_commit",
+  };
+
+  return name[origin];
+}
+
 /* A line for a step, not for a task: 200 starts a second would cost a
  * hundredth of a processor. */
 void
@@ -141,9 +153,13 @@
   int64_t now = cell->time.now_ms;
   int64_t latest_ms = stage->due_ms - stage->spec->estimate_ms;
 
-  cell_log (cell, "placed", "{s:s, s:i, s:i, s:i, s:I, s:I}", "job",
-            stage->job->id, "step", (int) stage->step, "tasks", (int) tasks,
-            "run", (int) stage->run, "waited_ms",
+  /* Version and term tell whether the job is younger than the claim under which
+   * it is started, and so what its planner had to wait for. */
+  cell_log (cell, "placed", "{s:s, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:s}",
+            "job", stage->job->id, "step", (int) stage->step, "tasks",
+            (int) tasks, "run", (int) stage->run, "waited_ms",
             (json_int_t) (now - stage->ready_ms), "late_ms",
-            (json_int_t) (now - latest_ms));
+            (json_int_t) (now - latest_ms), "version",
+            (json_int_t) stage->job->version, "term", (json_int_t) cell->term,
+            "known_by", known_by (stage->job->origin));
 }
