cell: a job is started by right of having stored it only behind the fence

Cause: the planner's commit of jobs expected only that their rows are new. The same by another way: a planner that lost the history of the jobs read the parts anew, without the claim that the feed would have told first, and started what its successor had started. Class: an action of a former leader that no fenced write or read precedes. Change: each part has a second fence row, written at the takeover with the first and left alone after, so that commits of jobs, which expect it, do not collide with those of progress. Only jobs of such a commit go to the planner's own plan; a conflict there puts the claim in doubt. A job counts as old if it is older than that row, not than the claim. After a whole reading nothing is placed until the claim has been read once more. Ruled out: the existing fence row as condition (each commit of progress renews it: two commits of a part at a time would refuse each other); jobs by the feed alone (some 30 ms more for each urgent job). One condition more in a commit of jobs, no call more.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -50,6 +50,7 @@
                                                .whole = cell_workers_whole };
   cell->follow[FOLLOW_JOBS] = (CellFollow){ .table = MUX_TABLE_JOBS,
                                             .seen = cell_jobs_row,
+                                            .whole = cell_jobs_whole,
                                             .parted = true };
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -99,6 +99,9 @@
 void cell_claim_doubt (MuxCell *cell, const char *why);
 void cell_depose (MuxCell *cell, const char *why);
 bool cell_may_order (const MuxCell *cell);
+/** cell_jobs_whole() - all jobs are read anew from now on (not @ended), or have
+ * been */
+void cell_jobs_whole (MuxCell *cell, bool ended);
 void cell_verified (MuxCell *cell, int64_t at_ms);
 /** cell_write_claim() - the row that says who plans, on condition that it is
  * the one known; takes @value over */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -23,9 +23,11 @@
  * running tasks alone.  A successor waits it out before it counts a worker that
  * it never heard as free. */
 #define CELL_TRUST_MS 8000
-/* Keys of the rows of the claim, and of each part's fence. */
+/* Keys of the rows of the claim, and of each part's fence: one that each commit
+ * of progress renews, and one that stays for as long as a planner's term. */
 #define CELL_CLAIM_KEY "claim"
 #define CELL_FENCE_KEY "fence"
+#define CELL_TERM_KEY "term"
 
 typedef struct CellPending CellPending;
 typedef struct CellJob CellJob;
@@ -352,8 +354,8 @@
  * @began_ms: accepted, on this daemon's steady clock
  * @due_ms: promised end
  * @worthless_ms: after which its end is worth nothing
- * @old: its row is older than the planner's claim: a former planner may have
- *   started tasks of it anywhere
+ * @old: its row is older than this planner's fence of the part: a former
+ *   planner may have started tasks of it anywhere
  * @started: some task has run
  * @cancelled: by its caller
  * @failed: a task failed too often
@@ -460,6 +462,8 @@
 /**
  * struct CellPart - a part of the jobs' tables, as the planner keeps it
  * @fence_version: of the row that lets this planner change it
+ * @term_version: of the row that lets it store jobs and start them at once; a
+ *   former planner may have started any job that is older
  * @fenced: that row is ours
  * @fence_doubtful: a commit went unanswered, its version is to be read
  * @dirty: jobs with something to store
@@ -473,6 +477,7 @@
 {
   char name[MUX_ROW_NAME_LEN];
   uint64_t fence_version;
+  uint64_t term_version;
   bool fenced;
   bool fence_doubtful;
   bool reading_fence;
@@ -551,6 +556,10 @@
   CellRole role;
   uint64_t term; /* version of the claim held; 0: none */
   int64_t term_began_ms;
+  bool unconfirmed;    /* jobs were read without the claim beside them */
+  bool reading;        /* they still are */
+  bool confirming;     /* a call that reads the claim is on its way */
+  uint64_t readings;   /* of all jobs, begun so far */
   int64_t verified_ms; /* the claim was surely ours then */
   bool verifying;
   bool beating;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -103,6 +103,9 @@
   cell->term_began_ms = cell->time.now_ms;
   cell->verifying = false;
   cell->beating = false;
+  cell->unconfirmed = false;
+  cell->reading = false;
+  cell->confirming = false;
   cell_yield_begin (cell);
   cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
   cell->end_seq = 0;
@@ -405,6 +408,45 @@
     }
 }
 
+static void
+confirmed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  cell->confirming = false;
+  claim_checked (cell, pending, reply);
+  if (reply->status != MUX_CELL_OK || cell->term != pending->term
+      || pending->number != cell->readings || cell->reading)
+    return;
+  cell->unconfirmed = false;
+  cell->replan = true;
+}
+
+/*
+ * Guards against a planner that lost the history of the jobs and was replaced
+ * in it.  It reads the jobs anew, part by part, and finds those that its
+ * successor has stored and started; the claim, which a feed would have told of
+ * before them, stands in none of the parts.  Nothing is placed until the claim
+ * has been read once more after the last part: then it stood when they were
+ * read, and all that changes later comes by the feed again.
+ */
+static void
+confirm (MuxCell *cell)
+{
+  CellPending pending
+      = { .done = confirmed, .term = cell->term, .number = cell->readings };
+
+  cell->confirming
+      = cell_call (cell, cell_scan_call (MUX_TABLE_CLAIM, ""), &pending);
+}
+
+void
+cell_jobs_whole (MuxCell *cell, bool ended)
+{
+  cell->unconfirmed = true;
+  cell->reading = !ended;
+  if (!ended)
+    cell->readings++;
+}
+
 static void
 beaten (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
@@ -466,6 +508,8 @@
     }
   else if (!cell->beating && now >= cell->next_beat_ms)
     beat (cell);
+  if (cell->unconfirmed && !cell->reading && !cell->confirming)
+    confirm (cell);
   if (cell->verified_ms != 0)
     cell_yield_tick (cell);
 }
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -112,7 +112,9 @@
   snprintf (job->id, sizeof job->id, "%s", spec->id);
   job->part = cell_part_of (job->id);
   job->version = version;
-  job->old = version < cell->term;
+  /* Not than the claim: until its part was fenced a former planner that did
+   * not know of the claim could still store jobs, and start them. */
+  job->old = version < cell->part[job->part].term_version;
   job->origin
       = cell->role == CELL_PLANNING ? CELL_ORIGIN_FEED : CELL_ORIGIN_LOAD;
   job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -1,6 +1,7 @@
 #include "cell_private.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define RETRY_MS 100
 
@@ -50,6 +51,7 @@
   if (reply->status == MUX_CELL_OK)
     {
       part->fence_version = reply->version;
+      part->term_version = reply->version;
       part->fenced = true;
       part_tick (cell, part);
     }
@@ -65,24 +67,39 @@
       = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
 }
 
+/* Both rows in one commit: from then on no former planner can store progress,
+ * nor jobs that it would start. */
 static void
 write_fence (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = cell_commit_call (part->name, 2);
+  MuxCellCall *call = cell_commit_call (part->name, 3);
   CellPending pending = of_part (cell, part, fence_written);
 
   if (call == NULL)
     return;
   cell_fence_add (cell, part, call);
+  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_FENCE, CELL_TERM_KEY)->value
+      = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
   part->reading_fence = cell_call (cell, call, &pending);
 }
 
+static const MuxCellRow *
+find_row (const MuxCellReply *reply, const char *key)
+{
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    if (strcmp (reply->row[i].key, key) == 0)
+      return &reply->row[i];
+  return NULL;
+}
+
 static void
 fence_read (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
   CellPart *part = &cell->part[pending->part];
+  const MuxCellRow *fence = find_row (reply, CELL_FENCE_KEY);
+  const MuxCellRow *term_row = find_row (reply, CELL_TERM_KEY);
   json_t *json;
   uint64_t term;
 
@@ -93,7 +110,7 @@
       part->load_next_ms += RETRY_MS;
       return;
     }
-  json = reply->row_count > 0 ? cell_blob_json (reply->row[0].value) : NULL;
+  json = fence != NULL ? cell_blob_json (fence->value) : NULL;
   term = (uint64_t) json_integer_value (json_object_get (json, "term"));
   json_decref (json);
   if (term > cell->term)
@@ -101,12 +118,15 @@
       cell_depose (cell, "fenced");
       return;
     }
-  part->fence_version = reply->row_count > 0 ? reply->row[0].version : 0;
+  part->fence_version = fence != NULL ? fence->version : 0;
   part->fence_doubtful = false;
-  if (term < cell->term)
-    write_fence (cell, part);
-  else
-    part->fenced = true;
+  if (term < cell->term || term_row == NULL)
+    {
+      write_fence (cell, part);
+      return;
+    }
+  part->term_version = term_row->version;
+  part->fenced = true;
 }
 
 void
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -227,7 +227,7 @@
 {
   bool all = cell->time.now_ms >= cell->slow_pass_ms;
 
-  if (!cell_may_order (cell) || cell->stopping)
+  if (!cell_may_order (cell) || cell->stopping || cell->unconfirmed)
     return;
   if (cell->time.now_ms < cell->next_plan_ms && !cell->replan)
     return;
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -156,6 +156,15 @@
          || find_row (reply, MUX_TABLE_ENDED, submission->job->id);
 }
 
+/*
+ * Guards against a job that two planners start.  A planner that has a successor
+ * and does not know yet still stores jobs; if it started them by right of
+ * having stored them, the successor, which finds them in the store, would start
+ * them, too.  Only a commit on condition of the part's fence proves that the
+ * successor has not read the part: it will count the job as old, and wait for
+ * the workers where it may run.  Jobs of any other commit come by the feed,
+ * which tells of the successor first.
+ */
 static void
 hand_over (MuxCell *cell, const CellSubmission *submission, uint64_t version)
 {
@@ -172,11 +181,12 @@
 settle (MuxCell *cell,
         CellPart *part,
         CellSubmission *submission,
-        const MuxCellReply *reply)
+        const MuxCellReply *reply,
+        uint64_t fenced_term)
 {
   submission->sent = false;
-  /* The planner needs no feed for what it stored itself. */
-  if (reply->status == MUX_CELL_OK && cell->role == CELL_PLANNING)
+  if (reply->status == MUX_CELL_OK && fenced_term != 0
+      && fenced_term == cell->term)
     hand_over (cell, submission, reply->version);
   if (reply->status == MUX_CELL_OK)
     cell_submission_end (cell, part, submission, MUX_OUTCOME_ACCEPTED,
@@ -216,12 +226,25 @@
   }
 }
 
+/* The commit's condition on the part's fence held, whatever else did not. */
+static bool
+same_term (const CellPart *part, const MuxCellReply *reply)
+{
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    if (reply->row[i].table == MUX_TABLE_FENCE
+        && strcmp (reply->row[i].key, CELL_TERM_KEY) == 0)
+      return reply->row[i].version == part->term_version;
+  return false;
+}
+
 static void
 group_done (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
   CellPart *part = &cell->part[pending->part];
+  bool replaced = pending->number != 0 && reply->status == MUX_CELL_CONFLICT
+                  && !same_term (part, reply);
   CellSubmission *submission;
   CellSubmission *next;
 
@@ -229,11 +252,14 @@
   part->submit_took_ms = cell->time.now_ms - part->submit_sent_ms;
   DL_FOREACH_SAFE (part->submissions, submission, next)
   if (submission->sent)
-    settle (cell, part, submission, reply);
+    settle (cell, part, submission, reply, pending->number);
   if (reply->status == MUX_CELL_BAD)
     cell_log (cell, "commit_bad", "{s:s}", "part", part->name);
+  if (replaced)
+    cell_claim_doubt (cell, "submit_fenced");
   part->next_submit_ms
-      = reply->status == MUX_CELL_OK || reply->status == MUX_CELL_CONFLICT
+      = reply->status == MUX_CELL_OK
+                || (reply->status == MUX_CELL_CONFLICT && !replaced)
             ? cell->time.now_ms
             : cell->time.now_ms + RETRY_MS;
   give_up_overdue (cell, part);
@@ -276,9 +302,14 @@
 
   if (part->submissions == NULL || part->submitting)
     return;
-  call = cell_commit_call (part->name, 3 * CELL_COMMIT_JOBS);
+  call = cell_commit_call (part->name, 3 * CELL_COMMIT_JOBS + 1);
   if (call == NULL)
     return;
+  if (cell->role == CELL_PLANNING)
+    {
+      cell_expect (call, MUX_TABLE_FENCE, CELL_TERM_KEY, part->term_version);
+      pending.number = cell->term;
+    }
   call->timeout_ms = TIMEOUT_MS;
   part->submit_sent_ms = cell->time.now_ms;
   DL_FOREACH (part->submissions, submission)
--- a/test/unit/test_cell_terms.c
+++ b/test/unit/test_cell_terms.c
@@ -10,6 +10,10 @@
 /* So many jobs come in a burst, one in each step. */
 #define JOBS 30
 #define STEP_MS 20
+/* A store that answers more slowly than the policy service, and one that is 60
+ * times slower than usual. */
+#define BUSY_STORE_MS 40
+#define SLOW_STORE_MS 300
 /* Workers that the daemon which claims can't reach yet. */
 #define FAR_WORKERS 4
 /* Until all that was started has ended, also on a worker out of reach. */
@@ -82,6 +86,34 @@
     }
 }
 
+/*
+ * The same, with a store that is slow: from its claim to its fence of a part
+ * the new planner needs over half a second, in which the other stores a job and
+ * starts it on a worker that the new planner has not heard yet.  The job is
+ * younger than the claim, but was stored by a planner that could start it: the
+ * new one has to wait for the workers as with any older job.
+ */
+static void
+test_job_stored_between_claim_and_fence_starts_once (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 500; phase_ms += 25)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint32_t planner;
+
+      world_make_urgent (world);
+      world_run (world, 1000 + phase_ms);
+      planner = planner_with_a_successor (world);
+      world->store_ms = SLOW_STORE_MS;
+      submit_burst (world, planner);
+      world->cell[planner].deaf = 0;
+      world_run (world, SETTLE_MS);
+      assert_false (world_twice (world));
+      world_free (world);
+    }
+}
+
 /*
  * The same outage, and the store has forgotten its history: the planner reads
  * all jobs anew.  Among them is one that the new planner has stored and started
@@ -101,6 +133,7 @@
       world_make_urgent (world);
       world_run (world, 1000 + phase_ms);
       planner = planner_with_a_successor (world);
+      world->store_ms = BUSY_STORE_MS;
       world->forgotten = world->version;
       world->cell[planner].deaf = WORLD_DEAF (MUX_TABLE_CLAIM);
       submit_burst (world, world_planner (world));
@@ -116,6 +149,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_job_stored_behind_another_claim_starts_once),
+    cmocka_unit_test (test_job_stored_between_claim_and_fence_starts_once),
     cmocka_unit_test (test_job_read_anew_behind_another_claim_starts_once),
   };
 
