cell: ends are taken in whatever order a worker lists them

Cause: an end behind a higher number of the same list counted as told before; it was acknowledged with the others and never counted, and its task run again. Ruled out: that numbers always rise within a list; the workers' pages say how they are given, not how they are listed. Change: new is what is above the highest number of the lists before. The world of the tests learns orders that are carried out late, runs that a worker refuses as old, and ends that were acknowledged before their worker's lease lapsed. Conclusion: not seen outside of tests.

--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -113,14 +113,24 @@
     cell_stop_booking (cell, task->booking);
 }
 
+/*
+ * Guards against an end that is acknowledged and was never taken: a list need
+ * not name ends by rising numbers, and one behind a higher number would look
+ * like one that was told before.  Its task would be run again.  What is new is
+ * told by the highest number of the lists before.
+ */
 static void
-take_end (MuxCell *cell, CellWorker *worker, const MuxRunReport *report)
+take_end (MuxCell *cell,
+          CellWorker *worker,
+          const MuxRunReport *report,
+          uint64_t seen_before)
 {
   CellTask *task = cell_task_find (cell, &report->task);
 
-  if (report->number <= worker->seen)
+  if (report->number <= seen_before)
     return;
-  worker->seen = report->number;
+  if (report->number > worker->seen)
+    worker->seen = report->number;
   if (task == NULL)
     return;
   if (!is_ours (task, worker, report->run))
@@ -225,7 +235,7 @@
     if (reply->report[i].number != 0)
       {
         ends++;
-        take_end (cell, worker, &reply->report[i]);
+        take_end (cell, worker, &reply->report[i], seen);
       }
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].number == 0)
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -15,7 +15,8 @@
 #define DEAD_MS 1200
 #define WALL_MS INT64_C (1700000000000)
 
-/* Something that arrives at a cell later. */
+/* Something that arrives at a cell, or an order that arrives at a worker,
+ * later. */
 struct WorldEvent
 {
   int64_t due_ms;
@@ -23,6 +24,7 @@
   uint64_t incarnation; /* of the cell meant */
   MuxCellReply *reply;
   MuxCellCall *waiting; /* a FOLLOW or RENEW that waits for something new */
+  MuxCellCall *order;   /* carried out when it is due */
   bool is_peer;
   MuxPeerMsg peer;
   WorldEvent *prev;
@@ -66,6 +68,7 @@
 {
   mux_cell_reply_free (event->reply);
   mux_cell_call_free (event->waiting);
+  mux_cell_call_free (event->order);
   if (event->is_peer)
     mux_blob_unref (event->peer.body);
   free (event);
@@ -246,11 +249,46 @@
   return NULL;
 }
 
+static WorldPast *
+past_find (const World *world,
+           const WorldWorker *worker,
+           const MuxTaskRef *task)
+{
+  for (uint32_t i = 0; i < world->past_count; i++)
+    if (memcmp (&world->past[i].task, task, sizeof *task) == 0
+        && strcmp (world->past[i].worker, worker->info.id) == 0)
+      return &world->past[i];
+  return NULL;
+}
+
+/* No run of the task that is not higher is taken there any more. */
+static void
+past_add (World *world,
+          const WorldWorker *worker,
+          const MuxTaskRef *task,
+          uint32_t run)
+{
+  WorldPast *past = past_find (world, worker, task);
+
+  if (past == NULL)
+    {
+      world->past = realloc (world->past,
+                             (world->past_count + 1) * sizeof *world->past);
+      assert_non_null (world->past);
+      past = &world->past[world->past_count++];
+      *past = (WorldPast){ .task = *task };
+      memcpy (past->worker, worker->info.id, sizeof past->worker);
+    }
+  if (run > past->run)
+    past->run = run;
+}
+
 static void
 end_run (World *world, WorldWorker *worker, WorldRun *run, MuxRunEnd end)
 {
   WorldStart *start = start_of (world, run);
 
+  past_add (world, worker, &run->task, run->run);
   run->number = ++worker->next_end;
   run->end = end;
   if (start == NULL)
@@ -283,13 +321,22 @@
 }
 
 static void
-do_start (World *world, WorldWorker *worker, const MuxCellCall *call)
+do_start (World *world,
+          WorldWorker *worker,
+          const MuxCellCall *call,
+          MuxCellReply *reply)
 {
   WorldRun *run = run_find (worker, &call->task, call->run);
+  const WorldPast *past = past_find (world, worker, &call->task);
   WorldStart *start;
 
-  if (run != NULL)
+  if (run != NULL && run->number == 0)
     return;
+  if (past != NULL && call->run <= past->run)
+    {
+      reply->status = MUX_CELL_OLD_RUN;
+      return;
+    }
   run = free_run (worker);
   run->used = true;
   run->task = call->task;
@@ -314,6 +361,7 @@
 
   if (run != NULL && run->number == 0)
     end_run (world, worker, run, MUX_RUN_STOPPED);
+  past_add (world, worker, &call->task, call->run);
 }
 
 static void
@@ -325,12 +373,19 @@
   reply->report = calloc (WORLD_RUNS_MAX, sizeof *reply->report);
   for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
     {
-      WorldRun *run = &worker->run[i];
+      uint32_t slot = world->lists_backwards ? WORLD_RUNS_MAX - 1 - i : i;
+      WorldRun *run = &worker->run[slot];
       MuxRunReport *report = &reply->report[reply->report_count];
       int64_t spent = world->now_ms - run->began_ms;
 
       if (run->used && run->number != 0 && run->number <= call->acked)
-        run->used = false;
+        {
+          WorldStart *start = start_of (world, run);
+
+          if (start != NULL)
+            start->told = !run->lapsed;
+          run->used = false;
+        }
       if (!run->used)
         continue;
       report->task = run->task;
@@ -374,7 +429,7 @@
   if (call->lease_until_ms > worker->lease_until_ms)
     worker->lease_until_ms = call->lease_until_ms;
   if (call->verb == MUX_CELL_START)
-    do_start (world, worker, call);
+    do_start (world, worker, call, reply);
   else if (call->verb == MUX_CELL_STOP)
     do_stop (world, worker, call);
   else
@@ -389,6 +444,15 @@
          && worker >= world->worker + world->cell[cell].far_workers;
 }
 
+static void
+carry_out (World *world, const MuxCellCall *order)
+{
+  WorldWorker *worker = worker_at (world, order->addr);
+
+  if (worker != NULL)
+    mux_cell_reply_free (worker_serves (world, worker, order));
+}
+
 static void
 worker_call (World *world, uint32_t cell, MuxCellCall *call)
 {
@@ -409,6 +473,13 @@
       answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
                    call->timeout_ms);
     }
+  else if (fault == WORLD_LATE)
+    {
+      answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
+                   call->timeout_ms);
+      event_new (world, cell, world->late_ms)->order = call;
+      return;
+    }
   else if (call->verb == MUX_CELL_RENEW && call->wait_ms > 0
            && !has_ends (worker, call->acked))
     {
@@ -623,6 +694,15 @@
   {
     bool due = event->due_ms <= world->now_ms;
 
+    if (event->order != NULL)
+      {
+        if (!due)
+          continue;
+        DL_DELETE (world->events, event);
+        carry_out (world, event->order);
+        event_free (event);
+        continue;
+      }
     if (event->waiting != NULL && event->reply == NULL)
       end_wait (world, event, due);
     if (world->cell[event->cell].frozen && !world->cell[event->cell].dead)
@@ -646,9 +726,11 @@
         WorldWorker *worker = &world->worker[i];
         WorldRun *run = &worker->run[j];
 
-        if (!run->used || run->number != 0)
+        if (!run->used)
           continue;
-        if (worker->lease_until_ms <= world->now_ms)
+        if (run->number != 0)
+          run->lapsed = run->lapsed || worker->lease_until_ms <= world->now_ms;
+        else if (worker->lease_until_ms <= world->now_ms)
           end_run (world, worker, run, MUX_RUN_LAPSED);
         else if (run->ends_ms <= world->now_ms)
           end_run (world, worker, run,
@@ -822,6 +904,7 @@
   }
   for (uint32_t i = 0; i < world->row_count; i++)
     mux_blob_unref (world->row[i].value);
+  free (world->past);
   mux_counters_free (world->counters);
   free (world);
 }
@@ -922,6 +1005,30 @@
   return false;
 }
 
+bool
+world_twice_told (const World *world)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    for (uint32_t j = 0; j < i; j++)
+      {
+        const WorldStart *a = &world->start[j];
+        const WorldStart *b = &world->start[i];
+
+        if (memcmp (&a->task, &b->task, sizeof a->task) != 0)
+          continue;
+        if (a->ended_ms != 0 && b->at_ms >= a->ended_ms
+            && (a->end != MUX_RUN_DONE || !a->told))
+          continue;
+        print_message ("%s.%u.%u: run %u on worker %u from %lld to %lld (%d), "
+                       "run %u on worker %u from %lld\n",
+                       a->task.job, a->task.step, a->task.index, a->run,
+                       a->worker, (long long) a->at_ms, (long long) a->ended_ms,
+                       (int) a->end, b->run, b->worker, (long long) b->at_ms);
+        return true;
+      }
+  return false;
+}
+
 uint64_t
 world_claim_version (const World *world)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -26,6 +26,7 @@
   WORLD_REFUSES,      /* without effect, answered so */
   WORLD_LOSES_ANSWER, /* done, the caller hears nothing */
   WORLD_SILENT,       /* not done, the caller hears nothing */
+  WORLD_LATE,         /* orders: done seconds later, the caller hears nothing */
 } WorldFault;
 
 /* Bit of a table in a daemon's @deaf. */
@@ -45,6 +46,8 @@
  * struct WorldRun - a run at a worker, running or ended and not acknowledged
  * @ends_ms: when it ends by itself; INT64_MAX: never
  * @number: of its end; 0: it runs
+ * @lapsed: its worker's lease ended before that end was acknowledged, so that
+ *   it counts as never told
  */
 typedef struct
 {
@@ -56,8 +59,20 @@
   uint64_t number;
   MuxRunEnd end;
   uint32_t percent;
+  bool lapsed;
 } WorldRun;
 
+/**
+ * struct WorldPast - the highest run of a task that ended, or was stopped, at
+ * a worker
+ */
+typedef struct
+{
+  char worker[MUX_NAME_LEN];
+  MuxTaskRef task;
+  uint32_t run;
+} WorldPast;
+
 /**
  * struct WorldWorker - one life of a worker
  * @fault: of START and STOP
@@ -93,6 +108,7 @@
   int64_t at_ms;
   int64_t ended_ms; /* 0: it runs */
   MuxRunEnd end;
+  bool told; /* its end was acknowledged in time */
 } WorldStart;
 
 typedef struct WorldEvent WorldEvent;
@@ -128,9 +144,13 @@
   WorldWorker worker[WORLD_WORKERS_MAX];
   uint32_t start_count;
   WorldStart start[WORLD_STARTS_MAX];
+  uint32_t past_count;
+  WorldPast *past;
   int64_t task_ms; /* run time of a task */
   bool peers_cut;  /* messages between daemons are lost */
   bool lose_approvals;
+  bool lists_backwards;    /* workers list what is newest first */
+  int64_t late_ms;         /* after which WORLD_LATE orders are carried out */
   uint32_t approve_one_in; /* workers, by number; 0: all */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   int64_t store_ms;        /* time of a call to the store */
@@ -169,6 +189,9 @@
 MuxJobState world_state (World *world, uint32_t cell, const char *id);
 /** world_starts() - of the tasks of a job */
 uint32_t world_starts (const World *world, const char *id);
+/** world_twice_told() - two runs of a task at once, or one after it was done
+ * and that end was acknowledged, then or later */
+bool world_twice_told (const World *world);
 /** world_twice() - two runs of a task at once, or one after it was done */
 bool world_twice (const World *world);
 /** world_job() - @steps steps of @tasks tasks, one after the other */
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -768,6 +768,26 @@
   world_free (world);
 }
 
+/*
+ * Several tasks end on one worker at the same time, and it lists their ends
+ * with the last one first.  Taken by their numbers as they come, all but that
+ * one would look like ends that were told before: they would be acknowledged,
+ * never counted, and their tasks run again.
+ */
+static void
+test_ends_are_taken_in_any_order (void **state)
+{
+  World *world = world_new (CELLS, 1);
+
+  (void) state;
+  world->lists_backwards = true;
+  (void) world_submit (world, 0, world_job (1, 3, 1000), "job-a");
+  world_run (world, 6000);
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  world_free (world);
+}
+
 static void
 test_unknown_queue (void **state)
 {
@@ -818,6 +838,7 @@
     cmocka_unit_test (test_filling_task_leaves_a_serving_one),
     cmocka_unit_test (test_carrier_dies_with_its_calls),
     cmocka_unit_test (test_gang_starts_on_the_room_it_holds),
+    cmocka_unit_test (test_ends_are_taken_in_any_order),
     cmocka_unit_test (test_unknown_queue),
   };
 
