cell: a test that fails, a question whose daemon restarted

Cause: the planner takes note that a member's new process asks nothing, but not that the question of its former process is lost. The step counts as asking for good; a gang is not looked at while it asks. Questions about a hundred workers, those of wide gangs, count as lost only after 1.5 s, so that they alone are still open when a daemon is back. Change: a test alone; the world's policy service can take its time. Figures: none of 20 members started 4 s after the restart, with every worker free.

--- a/test/unit/test_cell_gangs.c
+++ b/test/unit/test_cell_gangs.c
@@ -10,6 +10,11 @@
 /* Over 96, so that daemons carry the planner's calls. */
 #define WORKERS 120
 #define GANG 20
+/* An answer of the policy service about a hundred workers, which wide gangs
+ * ask for, takes half a second to a second. */
+#define LONG_ANSWER_MS 300
+/* Two questions of that length, and as long again for what is asked anew. */
+#define STARTS_WITHIN_MS 4000
 /* A step is told of in the log once it has waited so long. */
 #define TOLD_AFTER_MS 5000
 /* More steps than lines in the time that is looked at. */
@@ -24,6 +29,44 @@
   return job;
 }
 
+static void
+wait_for_question (World *world)
+{
+  uint32_t before = world->approvals_asked;
+
+  for (uint32_t i = 0; i < 1000 && world->approvals_asked == before; i++)
+    world_run (world, 1);
+  assert_int_not_equal (world->approvals_asked, before);
+}
+
+/*
+ * A gang's question to the policy service is on its way through another daemon.
+ * That daemon is killed and back before the answer counts as lost, and greets
+ * the planner.  If the planner only takes note that the new process asks
+ * nothing, nobody ends the question: the step counts as asking for good, and
+ * never starts while the whole cell stands idle.
+ */
+static void
+test_question_ends_with_the_daemon_that_asked_it (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner;
+
+  (void) state;
+  world_run (world, 1500);
+  planner = world_planner (world);
+  world->approve_one_in = 3;
+  world->approval_ms = LONG_ANSWER_MS;
+  (void) world_submit (world, planner, gang_of (GANG, 30000), "job-a");
+  wait_for_question (world);
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world_cell_start (world, i);
+  world_run (world, STARTS_WITHIN_MS);
+  assert_int_equal (world_starts (world, "job-a"), GANG);
+  world_free (world);
+}
+
 /*
  * Steps wait for many seconds and the log says nothing of them: afterwards
  * nobody can tell a step that no worker is approved for from one whose turn
@@ -86,6 +129,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_log_says_what_a_waiting_step_lacks),
     cmocka_unit_test (test_log_names_a_run_that_does_not_end),
+    cmocka_unit_test (test_question_ends_with_the_daemon_that_asked_it),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
