cell: a question to the policy service ends by its own time

Cause: the time after which an answer counts as lost was kept with the daemon that asked. A daemon that restarted and greeted before that was noted as free, its question was found by nothing any more, and the step stood as asking for good. Eleven daemons killed at once lose eleven questions; those about a hundred workers, of wide gangs, are still open when the daemons are back. Ruled out: room, reservations and approvals, by the failing test's log: it lacks an answer, asked 4 s before. Change: a question carries its time and ends by it, whatever became of the daemon; the new process of a daemon ends what the former one asked at once. Figures: test_question_ends_with_the_daemon_that_asked_it fails without and passes with it, and with the first half alone; the 41 other tests of the cell that were run pass.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -199,6 +199,7 @@
   uint32_t candidate_count;
   uint32_t *slot; /* of the workers named */
   int64_t sent_ms;
+  int64_t until_ms; /* then its answer counts as lost */
   char member[MUX_NAME_LEN];
   UT_hash_handle hh;
 };
@@ -279,6 +280,7 @@
   question->step = cell_task_ref (&stage->task[0]);
   question->candidate_count = count;
   question->sent_ms = cell->time.now_ms;
+  question->until_ms = cell->time.now_ms + cost_ms + OVERDUE_MS;
   snprintf (question->member, sizeof question->member, "%s", member->name);
   if (!send_question (
           cell, member, question->number,
@@ -293,7 +295,7 @@
   stage->asked_ms = cell->time.now_ms;
   member->asking = question->number;
   member->asking_cost_ms = cost_ms;
-  member->asking_until_ms = cell->time.now_ms + cost_ms + OVERDUE_MS;
+  member->asking_until_ms = question->until_ms;
   return true;
 }
 
@@ -376,16 +378,21 @@
   cell->replan = true;
 }
 
-/* A daemon that died with a question, or its answer, lost on the way. */
+/*
+ * Guards against a step that never runs: its question went to a daemon that
+ * died, or the answer was lost on the way, and a step with a question under
+ * way is not planned.  The time belongs to the question, so that it ends
+ * whatever has become of the daemon since.
+ */
 void
 cell_approvals_tick (MuxCell *cell)
 {
-  CellMember *member;
-  CellMember *next;
+  CellQuestion *question;
+  CellQuestion *next;
 
-  HASH_ITER (hh, cell->members, member, next)
-  if (member->asking != 0 && cell->time.now_ms > member->asking_until_ms)
-    cell_took_answer (cell, member->asking, false, NULL, 0, 0);
+  HASH_ITER (hh, cell->questions, question, next)
+  if (cell->time.now_ms > question->until_ms)
+    cell_took_answer (cell, question->number, false, NULL, 0, 0);
 }
 
 void
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -182,7 +182,7 @@
   bool stopping;
   uint64_t asking; /* number of the approval question it works on */
   uint32_t asking_cost_ms;
-  int64_t asking_until_ms; /* then the answer counts as lost */
+  int64_t asking_until_ms; /* it is asked nothing before */
   UT_hash_handle hh;
 } CellMember;
 
--- a/src/cell/member.c
+++ b/src/cell/member.c
@@ -41,8 +41,10 @@
       HASH_ADD_STR (cell->members, name, member);
       cell_log (cell, "member", "{s:s}", "name", member->name);
     }
+  /* What its former process asked is lost with it, answer and all: the step
+   * asks anew at once. */
   if (member->incarnation != msg->from_incarnation)
-    member->asking = 0;
+    cell_took_answer (cell, member->asking, false, NULL, 0, 0);
   snprintf (member->addr, sizeof member->addr, "%s", msg->from_addr);
   member->incarnation = msg->from_incarnation;
   member->heard_ms = cell->time.now_ms;
