cell: a test that fails, a doubt ended by an old answer

cell_claim_doubt() forgets when the claim was last proved; the answer to any call that was sent before the doubt sets it again. A planner that was frozen so orders before it has read its claim, and whatever else relies on a doubt to wait for a reading does not wait.

Seen: frozen for 0.8 s while a sign of life was on its way, the planner starts a task 0.15 s after it woke, on the answer to a call of before the pause.

--- a/test/unit/test_cell_audit.c
+++ b/test/unit/test_cell_audit.c
@@ -118,11 +118,51 @@
     }
 }
 
+/* The store's time for a sign of life that is answered after the pause. */
+#define SLOW_STORE_MS 1000
+/* Over the pause after which the claim is read again. */
+#define PAUSE_MS 800
+
+/*
+ * The planner was frozen and must order nothing before it has read its claim
+ * again.  The answer to a sign of life that it wrote before the pause arrives
+ * after it, and counts as that proof, though another may have claimed between.
+ */
+static void
+test_answer_from_before_a_pause_proves_nothing (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t written;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->lose_approvals = true;
+  (void) world_submit (world, planner, world_job (1, 1, 1000), "job-a");
+  world_run (world, 1000);
+  assert_int_equal (world_starts (world, "job-a"), 0);
+  world->store_ms = SLOW_STORE_MS;
+  written = world->own_commits[planner];
+  while (world->own_commits[planner] == written)
+    world_run (world, 1);
+  world->cell[planner].frozen = true;
+  world->lose_approvals = false;
+  world_run (world, PAUSE_MS);
+  world->cell[planner].frozen = false;
+  world_run (world, SLOW_STORE_MS - 50);
+  assert_int_equal (world_starts (world, "job-a"), 0);
+  world_run (world, 2 * SLOW_STORE_MS);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_jobs_behind_another_claim_are_not_read_as_own),
+    cmocka_unit_test (test_answer_from_before_a_pause_proves_nothing),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
