cell: a load takes what is older than its fence

Cause: a new planner read every job of a part, also those stored behind another claim that came after its own fence; it took them for younger than its claim and started them, as the other did. Change: jobs younger than the fence are left to the feed, which begins at the own claim and tells of a later one before them. What is read by the load and what counts as old are now the same.

--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -152,6 +152,20 @@
   json_decref (json);
 }
 
+/*
+ * Guards against a job that two planners start: where another claimed after
+ * this one's fence, and fenced the part in turn, the jobs that it stored and
+ * started stand among those that are read here.  Jobs younger than the fence
+ * are left to the feed, which begins at the own claim and tells of another one
+ * first.
+ */
+static void
+job_read (MuxCell *cell, const CellPart *part, const MuxCellRow *row)
+{
+  if (row->version < part->term_version)
+    cell_jobs_row (cell, row);
+}
+
 static void
 part_read (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
@@ -165,7 +179,7 @@
     }
   for (uint32_t i = 0; i < reply->row_count; i++)
     if (part->loading == MUX_TABLE_JOBS)
-      cell_jobs_row (cell, &reply->row[i]);
+      job_read (cell, part, &reply->row[i]);
     else
       progress_row (cell, &reply->row[i]);
   if (reply->more && reply->row_count > 0)
