claim: what was asked before a doubt does not end it

Cause: an instance that was frozen doubts its claim when it wakes; an answer to its sign of life of before the pause, which had lain in its queue, ended the doubt, and it ordered on behind a successor. Change: only what was asked since the doubt arose confirms the claim.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -569,6 +569,7 @@
   bool confirming;     /* a call that reads the claim is on its way */
   uint64_t readings;   /* of all jobs, begun so far */
   int64_t verified_ms; /* the claim was surely ours then */
+  int64_t doubted_ms;  /* when it was last in doubt */
   bool verifying;
   bool beating;
   int64_t next_beat_ms;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -40,10 +40,12 @@
          && cell->time.now_ms - cell->verified_ms < CELL_TRUST_MS;
 }
 
+/* What was asked before a doubt arose says nothing about it: an answer that
+ * lay in a frozen instance's queue would end the doubt of its own pause. */
 void
 cell_verified (MuxCell *cell, int64_t at_ms)
 {
-  if (at_ms > cell->verified_ms)
+  if (at_ms > cell->verified_ms && at_ms >= cell->doubted_ms)
     cell->verified_ms = at_ms;
 }
 
@@ -53,6 +55,7 @@
   if (cell->verified_ms != 0)
     cell_log (cell, "claim_doubted", "{s:s}", "why", why);
   cell->verified_ms = 0;
+  cell->doubted_ms = cell->time.now_ms;
 }
 
 void
