cell: a test that fails, a part's commit taken for the claim

A commit of progress proves the fence of its part. Between a successor's claim and its fence of that part it still succeeds, and counts as proof of the claim: the old planner renews leases for 8 s from then on, while its successor counts these 8 s and the longest lease from its claim.

Seen: claim at 4.11 s, fences at 8.1 s, as the successor is turned away between; it counts a worker that it can't reach as free at 16.436 s; a run there goes on until 20.042 s, and the task is started elsewhere at 16.448 s. Ruled out: the marks of lost workers (none is written here).

--- a/test/unit/test_cell_audit.c
+++ b/test/unit/test_cell_audit.c
@@ -118,6 +118,89 @@
     }
 }
 
+/* Seconds that the successor is turned away, and that the old planner goes on
+ * to store what ends. */
+#define BETWEEN_MS 4000
+
+/* A short job each 100 ms, at the daemon. */
+static void
+run_with_short_jobs (World *world, uint32_t cell, int64_t ms)
+{
+  world->task_ms = 100;
+  for (int64_t i = 0; i < ms; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "short-%u", (unsigned) world->now_ms);
+      if (world->now_ms % 100 == 0)
+        (void) world_submit (world, cell, world_job (1, 1, 100), id);
+      world_run (world, 1);
+    }
+}
+
+/* Two runs of a task at the same time.  A run whose good end nobody could hear
+ * may be repeated. */
+static bool
+overlaps (const World *world)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    for (uint32_t j = 0; j < i; j++)
+      {
+        const WorldStart *a = &world->start[j];
+        const WorldStart *b = &world->start[i];
+
+        if (memcmp (&a->task, &b->task, sizeof a->task) == 0
+            && (a->ended_ms == 0 || b->at_ms < a->ended_ms))
+          return true;
+      }
+  return false;
+}
+
+/*
+ * A part of the store is away for the planner, the one that holds the claim.
+ * Another daemon claims and is turned away for seconds before it has fenced
+ * the other parts: the planner goes on to store there what ends, takes that for
+ * a proof of its claim, and renews leases for 8 s from then on.  Its successor
+ * counts the 8 s, and the longest lease, from its claim: it starts the tasks of
+ * a worker that it can't reach again while they still run there.
+ */
+static void
+test_commit_to_a_part_proves_no_claim (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t version = world_claim_version (world);
+  uint32_t other;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = 60000;
+  submit_jobs (world, planner, "long", 2);
+  world_run (world, 300);
+  assert_int_equal (world_starts (world, "long-0"), 2);
+  world->cell[planner].deaf = DEAF;
+  world->cell[planner].cut = true;
+  world->cell[planner].claim_away = true;
+  world->cell[planner].near_workers = HALF;
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world->cell[i].far_workers = HALF;
+  for (uint32_t i = 0;
+       i < CLAIM_WITHIN_MS && world_claim_version (world) == version; i++)
+    run_with_short_jobs (world, planner, 1);
+  other = world_planner (world);
+  assert_int_not_equal (other, planner);
+  world_cell_kill (world, CELLS - planner - other);
+  world->cell[other].store = WORLD_REFUSES;
+  run_with_short_jobs (world, planner, BETWEEN_MS);
+  world->cell[planner].store = WORLD_SILENT;
+  world->cell[other].store = WORLD_SERVES;
+  world_run (world, 20000);
+  assert_false (overlaps (world));
+  world_free (world);
+}
+
 /* The store's time for a sign of life that is answered after the pause. */
 #define SLOW_STORE_MS 1000
 /* Over the pause after which the claim is read again. */
@@ -162,6 +245,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_jobs_behind_another_claim_are_not_read_as_own),
+    cmocka_unit_test (test_commit_to_a_part_proves_no_claim),
     cmocka_unit_test (test_answer_from_before_a_pause_proves_nothing),
   };
 
