cell: a test that fails, an occurrence ahead of its time

An end that names a task which the planner does not know is acknowledged and not stored. A timed job's occurrence that its planner's time of day had begun is unknown to a successor whose time of day is behind: it forgets a good end and runs the task again when the time comes.

Seen: two starts of a task, the second after the first had ended well and was acknowledged; the planner's time of day 3 s ahead.

--- a/test/unit/test_cell_audit.c
+++ b/test/unit/test_cell_audit.c
@@ -201,6 +201,41 @@
   world_free (world);
 }
 
+/* The planner's time of day is ahead of the others' by this. */
+#define AHEAD_MS 3000
+
+/*
+ * The planner's time of day is ahead.  It begins an occurrence of a timed job
+ * when it is due there, the task ends well, and the planner dies before it has
+ * stored anything of it.  For its successor the occurrence is not due yet: it
+ * knows no such task, acknowledges the end without storing it, and runs the
+ * task again when the time comes.
+ */
+static void
+test_end_of_an_occurrence_not_due_here_counts (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  MuxJobSpec *job = world_job (1, 1, 1000);
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = 300;
+  world->cell[planner].wall_ms = AHEAD_MS;
+  job->repetitions = 2;
+  job->first_due_ms = WORLD_WALL_MS + world->now_ms + AHEAD_MS + 500;
+  job->interval_ms = 60000;
+  (void) world_submit (world, planner, job, "timed");
+  while (world_starts (world, "timed") == 0)
+    world_run (world, 1);
+  world_cell_kill (world, planner);
+  world_run (world, 8000);
+  assert_int_equal (world_starts (world, "timed"), 1);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
 /* The store's time for a sign of life that is answered after the pause. */
 #define SLOW_STORE_MS 1000
 /* Over the pause after which the claim is read again. */
@@ -246,6 +281,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_jobs_behind_another_claim_are_not_read_as_own),
     cmocka_unit_test (test_commit_to_a_part_proves_no_claim),
+    cmocka_unit_test (test_end_of_an_occurrence_not_due_here_counts),
     cmocka_unit_test (test_answer_from_before_a_pause_proves_nothing),
   };
 
