cell: a test that fails, a count out of an unconfirmed memory

A planner tells the count of waiting jobs out of its memory as long as it has not heard of another claim, whether its own was confirmed lately or not. Cut off from the store it goes on for as long as the cut lasts. States have no such fault: an end is shown only once it is stored, so that what is told is at worst the state of a moment ago.

Seen: 15 s after the cut, with 8 jobs waiting at the successor, the count told is that of before.

--- a/test/unit/test_cell_audit.c
+++ b/test/unit/test_cell_audit.c
@@ -236,6 +236,42 @@
   world_free (world);
 }
 
+/*
+ * A planner is cut off from the store and from the others.  Its successor takes
+ * jobs that wait; a caller who asks the one that is cut off for their number
+ * hears, for as long as the cut lasts, the number of the time before it.
+ */
+static void
+test_count_is_told_only_while_the_claim_is_trusted (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t call;
+
+  (void) state;
+  world_run (world, 1000);
+  world->lose_approvals = true;
+  call = world_ask (world, planner, MUX_QUESTION_STATE, "");
+  world_run (world, 100);
+  assert_true (world->answered[call]);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_PENDING);
+  world->cell[planner].store = WORLD_SILENT;
+  world->cell[planner].deaf = DEAF;
+  world->cell[planner].cut = true;
+  world->cell[planner].far_workers = WORKERS;
+  world_run (world, 7000);
+  submit_jobs (world, world_planner (world), "job", 1);
+  world_run (world, 8000);
+  call = world_ask (world, world_planner (world), MUX_QUESTION_STATE, "");
+  world_run (world, 100);
+  assert_int_equal (world->answer[call].pending, JOBS);
+  call = world_ask (world, planner, MUX_QUESTION_STATE, "");
+  world_run (world, 4000);
+  assert_true (world->answered[call]);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_REFUSED);
+  world_free (world);
+}
+
 /* The store's time for a sign of life that is answered after the pause. */
 #define SLOW_STORE_MS 1000
 /* Over the pause after which the claim is read again. */
@@ -282,6 +318,7 @@
     cmocka_unit_test (test_jobs_behind_another_claim_are_not_read_as_own),
     cmocka_unit_test (test_commit_to_a_part_proves_no_claim),
     cmocka_unit_test (test_end_of_an_occurrence_not_due_here_counts),
+    cmocka_unit_test (test_count_is_told_only_while_the_claim_is_trusted),
     cmocka_unit_test (test_answer_from_before_a_pause_proves_nothing),
   };
 
