cell: a part's commit proves no claim

A commit of progress that succeeded counted as proof of the claim, though it is on condition of its part's fence alone, which a successor writes after its claim. Only what names the claim's row counts now: the sign of life, each 500 ms, the roster, a reading. Ruled out: to write the claim's row into every part, two more entries in each takeover for the same end.

--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -244,7 +244,9 @@
 /*
  * What a commit wrote is stored only when it was answered.  Each commit also
  * renews the fence row, so that one that is carried out late, after a newer
- * one, finds its condition broken and can't bring old progress back.
+ * one, finds its condition broken and can't bring old progress back.  It proves
+ * the part's fence, not the claim: a successor may have claimed and not fenced
+ * this part yet, and already counts the time after which we order nothing.
  */
 static void
 committed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
@@ -256,7 +258,6 @@
     {
       part->fence_version = reply->version;
       part->stored_seq = pending->number;
-      cell_verified (cell, pending->sent_ms);
       take_stored (cell, part);
       part->dirty_since_ms = cell->time.now_ms;
       return;
