cell: an occurrence begins when a worker lists it

A timed job's occurrence that a former planner's time of day had begun was unknown to a successor behind it: a good end was acknowledged and forgotten, the task run again. What a worker lists of it now begins it here, as a record of it in the progress does. Ruled out: to leave unknown ends unacknowledged, as jobs that are over would then be listed for good.

test_end_of_an_occurrence_not_due_here_counts passes; the 29 of test_cell, too.

--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -221,6 +221,24 @@
   cell_stop_booking (cell, booking);
 }
 
+/*
+ * Guards against a task that runs again after it ended well: occurrences begin
+ * by the planner's time of day, and a former planner's may be ahead.  What a
+ * list names of an occurrence that is not due here would be unknown: its run
+ * would be stopped as a stray one, its end acknowledged and forgotten.
+ */
+static void
+begin_listed_occurrence (MuxCell *cell, const MuxTaskRef *task)
+{
+  CellJob *job = cell_job_find (cell, task->job);
+
+  if (job == NULL || job->ended || task->occurrence < job->next_occurrence
+      || task->occurrence >= job->spec->repetitions)
+    return;
+  cell_job_occurrences (cell, job, task->occurrence + 1);
+  cell_job_advance (cell, job);
+}
+
 void
 cell_reports (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply)
 {
@@ -231,6 +249,8 @@
 
   DL_FOREACH (worker->bookings, booking)
   booking->listed = false;
+  for (uint32_t i = 0; i < reply->report_count; i++)
+    begin_listed_occurrence (cell, &reply->report[i].task);
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].number != 0)
       {
