cell: a count is told only while the claim is trusted

A planner that was replaced and did not know told the count of waiting jobs out of its memory for as long as that lasted. It tells it only while it may order, and a caller's question waits for the next proof. Ruled out: the same for states; what is told there is never ahead of the store, and callers of a data centre that is cut off would be refused for nothing.

test_count_is_told_only_while_the_claim_is_trusted passes; the 29 of test_cell, too.

--- a/src/cell/inquiry.c
+++ b/src/cell/inquiry.c
@@ -209,7 +209,7 @@
   bool queue = inquiry->id[0] == 0;
 
   inquiry->next_ms = cell->time.now_ms + PLANNER_MS;
-  if (cell->claim.incarnation == 0)
+  if (cell->claim.incarnation == 0 || cell->role == CELL_PLANNING)
     return;
   msg.call = inquiry->call;
   msg.body = cell_json_blob (json_pack ("{s:s}", queue ? "queue" : "id",
@@ -219,11 +219,24 @@
   mux_blob_unref (msg.body);
 }
 
+/* Its claim was in doubt, or it has become the planner since. */
+static bool
+count_here (MuxCell *cell, CellInquiry *inquiry)
+{
+  if (inquiry->id[0] != 0 || !cell_may_order (cell))
+    return false;
+  answer_pending (cell, inquiry->call, cell_pending_of (cell, inquiry->queue));
+  inquiry_end (cell, inquiry);
+  return true;
+}
+
 static void
 act (MuxCell *cell, CellInquiry *inquiry)
 {
   bool sent = true;
 
+  if (count_here (cell, inquiry))
+    return;
   inquiry->next_ms = inquiry->give_up_ms;
   if (inquiry->step == STEP_PLANNER)
     ask_planner (cell, inquiry);
@@ -237,7 +250,12 @@
     retry_later (cell, inquiry, STEP_JOB);
 }
 
-/* The planner itself needs no call for what it has in memory. */
+/*
+ * The planner itself needs no call for what it has in memory.  A state is at
+ * worst an old one there, as an end is shown only once it is stored.  A count
+ * of waiting jobs is given only while the claim is trusted: without a bound a
+ * planner that was replaced would go on to leave out what came since.
+ */
 static bool
 answer_here (MuxCell *cell,
              const MuxQuestion *question,
@@ -250,6 +268,8 @@
     return false;
   if (id[0] == 0)
     {
+      if (!cell_may_order (cell))
+        return false;
       answer_pending (cell, question->call, cell_pending_of (cell, queue));
       return true;
     }
@@ -337,8 +357,10 @@
     }
   told.job_state = state;
   json_decref (json);
-  (void) cell->options.sink->peer_send (cell->options.sink, msg->from_addr,
-                                        &told);
+  /* A count that is not to be trusted is asked for again. */
+  if (id != NULL || cell_may_order (cell))
+    (void) cell->options.sink->peer_send (cell->options.sink, msg->from_addr,
+                                          &told);
 }
 
 static void
