cell: a test that fails, a word for a former process

What a peer was asked is found again by the number of the call alone, and these begin at 1 in each process. A daemon that was killed and is back at once takes the planner's word on a job of its former life for one of its own callers' jobs, and accepts what is not stored.

Seen: accepted at once on the late word, while the commit that holds the job had no effect.

--- a/test/unit/test_cell_audit.c
+++ b/test/unit/test_cell_audit.c
@@ -272,6 +272,41 @@
   world_free (world);
 }
 
+/*
+ * A daemon is killed while the planner stores a job for it, and is back at
+ * once.  Callers of the new process are numbered from the beginning again: the
+ * planner's late word for the former one is taken for another caller's job,
+ * which is accepted and never stored.
+ */
+static void
+test_word_for_a_former_process_accepts_nothing (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t entry = (planner + 1) % CELLS;
+  uint64_t call;
+
+  (void) state;
+  world_run (world, 1000);
+  (void) world_submit (world, planner, world_job (1, 1, 1000), "job-a");
+  world_run (world, 300);
+  world->store_ms = 1000;
+  call = world_submit (world, entry, world_job (1, 1, 1000), "job-a");
+  world_run (world, 20);
+  world->store_ms = 5;
+  world_cell_start (world, entry);
+  world_run (world, 500);
+  world->cell[planner].store = WORLD_SILENT;
+  world->next_question = call - 1;
+  assert_int_equal (
+      world_submit (world, entry, world_job (1, 1, 1000), "job-b"), call);
+  world_run (world, 600);
+  if (world->answered[call]
+      && world->answer[call].outcome == MUX_OUTCOME_ACCEPTED)
+    assert_true (is_stored (world, "job-b"));
+  world_free (world);
+}
+
 /* The store's time for a sign of life that is answered after the pause. */
 #define SLOW_STORE_MS 1000
 /* Over the pause after which the claim is read again. */
@@ -319,6 +354,7 @@
     cmocka_unit_test (test_commit_to_a_part_proves_no_claim),
     cmocka_unit_test (test_end_of_an_occurrence_not_due_here_counts),
     cmocka_unit_test (test_count_is_told_only_while_the_claim_is_trusted),
+    cmocka_unit_test (test_word_for_a_former_process_accepts_nothing),
     cmocka_unit_test (test_answer_from_before_a_pause_proves_nothing),
   };
 
