cell: a peer's word belongs to the process that asked

What a peer is asked was numbered from 1 in each process, so that a word for a former process was taken for the answer to another question: a job accepted that is not stored, another job's state, a reading's reply from a worker. The numbers now begin with the ms in which the process began. Ruled out: a field for it in the messages, which daemons of two versions beside each other would refuse.

--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -11,6 +11,9 @@
  * callers are refused at once rather than held.  Three short tries. */
 #define STORE_AWAY_MS 400
 
+/* A process makes fewer calls than 2 to this power in each ms of its life. */
+#define CALLS_PER_MS_BITS 20
+
 static void
 count_call (MuxCell *cell, MuxCellVerb verb)
 {
@@ -165,6 +168,26 @@
   return msg;
 }
 
+/*
+ * Guards against a peer's word that was asked for by a former process of the
+ * same name: calls are numbered from 1 in each, so that the word would be taken
+ * for another caller's, and accept a job that is not stored.  Processes are
+ * told apart by the ms in which they began.
+ */
+uint64_t
+cell_ask_number (const MuxCell *cell, uint64_t call)
+{
+  return (cell->options.incarnation << CALLS_PER_MS_BITS) + call;
+}
+
+uint64_t
+cell_call_asked (const MuxCell *cell, uint64_t number)
+{
+  uint64_t first = cell->options.incarnation << CALLS_PER_MS_BITS;
+
+  return number > first ? number - first : 0;
+}
+
 MuxCellChange *
 cell_change (MuxCellCall *call,
              MuxChangeKind kind,
--- a/src/cell/inquiry.c
+++ b/src/cell/inquiry.c
@@ -211,7 +211,7 @@
   inquiry->next_ms = cell->time.now_ms + PLANNER_MS;
   if (cell->claim.incarnation == 0 || cell->role == CELL_PLANNING)
     return;
-  msg.call = inquiry->call;
+  msg.call = cell_ask_number (cell, inquiry->call);
   msg.body = cell_json_blob (json_pack ("{s:s}", queue ? "queue" : "id",
                                         queue ? inquiry->queue : inquiry->id));
   (void) cell->options.sink->peer_send (cell->options.sink, cell->claim.addr,
@@ -366,7 +366,7 @@
 static void
 take (MuxCell *cell, const MuxPeerMsg *msg)
 {
-  CellInquiry *inquiry = find (cell, msg->call);
+  CellInquiry *inquiry = find (cell, cell_call_asked (cell, msg->call));
 
   if (inquiry == NULL || inquiry->step != STEP_PLANNER)
     return;
--- a/src/cell/relay.c
+++ b/src/cell/relay.c
@@ -31,7 +31,7 @@
   if (cell->role != CELL_FOLLOWER || cell->claim.incarnation == 0
       || !cell_planner_is_near (cell))
     return false;
-  msg.call = submission->call;
+  msg.call = cell_ask_number (cell, submission->call);
   msg.body = submission->value;
   submission->relayed = cell->options.sink->peer_send (cell->options.sink,
                                                        cell->claim.addr, &msg);
@@ -117,7 +117,8 @@
 take_told (MuxCell *cell, const MuxPeerMsg *msg)
 {
   CellPart *part = NULL;
-  CellSubmission *submission = find (cell, msg->call, &part);
+  CellSubmission *submission
+      = find (cell, cell_call_asked (cell, msg->call), &part);
 
   if (submission == NULL)
     return;
