--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -6,6 +6,12 @@
 /* call.c: calls and their replies. */
 /** cell_message() - to the daemon @to, with what every message has */
 MuxPeerMsg cell_message (const MuxCell *cell, MuxPeerVerb verb, const char *to);
+/** cell_ask_number() - of what a peer is asked, not given by any other process
+ */
+uint64_t cell_ask_number (const MuxCell *cell, uint64_t call);
+/** cell_call_asked() - the call that a peer's word belongs to; 0: none of ours
+ */
+uint64_t cell_call_asked (const MuxCell *cell, uint64_t number);
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
 void cell_store_result (MuxCell *cell, const MuxCellReply *reply);
 /** cell_store_silent() - no answer of it came since @since_ms */
@@ -160,6 +166,10 @@
 /** cell_stage_placed() - the last @tasks that waited were sent to workers */
 void cell_stage_placed (MuxCell *cell, const CellStage *stage, uint32_t tasks);
 
+/* wait.c */
+/** cell_waits_tick() - tell why the step that waits longest does */
+void cell_waits_tick (MuxCell *cell);
+
 /* progress.c */
 json_t *cell_progress_json (const MuxCell *cell, const CellJob *job);
 void cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
