cell: a random schedule of faults against the jobs' promises

Cause: the tests of single stories had each one takeover and one fault; two planners at once, feeds that hang, workers that only one daemon reaches, orders carried out late and a store without history came together in none of them. Change: test_cell_random plays seeds of 14 s of faults of all parts, some 90 a seed, with a job each 60 ms, then mends all and asks: no two runs of a task at once, none after an end that was acknowledged, no accepted job left. Others seeds by RANDOM_SEED and RANDOM_SEEDS.

--- /dev/null
+++ b/test/unit/test_cell_random.c
@@ -0,0 +1,276 @@
+#include "support/cell_world.h"
+#include "support/random.h"
+#include "support/test.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Daemons, store, links and workers of stepped jobs fail at any moment,
+ * together and again and again, while callers hand in jobs.  A user would see a
+ * task run twice, or an accepted job that never ends.  Each seed is one such
+ * quarter of a minute of bad luck; RANDOM_SEED and RANDOM_SEEDS choose others
+ * by hand. */
+
+#define SEED 1
+#define SEEDS 12
+#define CELLS 3
+#define WORKERS 8
+#define BUSY_MS 14000
+/* Longer than the wait for a worker that no planner has heard (16.5 s with the
+ * leases of these daemons), with the jobs that ran there behind it. */
+#define SETTLE_MS 40000
+/* Steps between two looks at what could fail next. */
+#define STEP_MS 20
+/* One step in so many brings a fault, a job. */
+#define FAULT_ONE_IN 8
+#define JOB_ONE_IN 3
+#define JOBS_MAX 400
+
+typedef struct
+{
+  World *world;
+  MuxRandom random;
+  uint32_t jobs;
+  uint64_t question[JOBS_MAX];
+} Chaos;
+
+static uint32_t
+below (Chaos *c, uint32_t bound)
+{
+  return mux_random_below (&c->random, bound);
+}
+
+static bool
+is_up (const WorldCell *cell)
+{
+  return !cell->dead && !cell->frozen;
+}
+
+static void
+job_name (char id[MUX_JOB_ID_LEN], uint32_t number)
+{
+  snprintf (id, MUX_JOB_ID_LEN, "job-%u", number);
+}
+
+static void
+submit (Chaos *c)
+{
+  uint32_t cell = below (c, CELLS);
+  char id[MUX_JOB_ID_LEN];
+  MuxJobSpec *job;
+
+  if (!is_up (&c->world->cell[cell]) || c->jobs == JOBS_MAX)
+    return;
+  job = world_job (1 + below (c, 2), 1 + below (c, 3), 2000 + below (c, 6000));
+  job->step[0].gang = below (c, 4) == 0;
+  job_name (id, c->jobs);
+  c->question[c->jobs++] = world_submit (c->world, cell, job, id);
+}
+
+static void
+fail_store (Chaos *c)
+{
+  static const WorldFault faults[]
+      = { WORLD_SERVES, WORLD_SERVES, WORLD_REFUSES, WORLD_SILENT,
+          WORLD_LOSES_ANSWER };
+  static const int64_t ms[] = { 5, 5, 40, 300 };
+  WorldFault fault = faults[below (c, 5)];
+  bool all = below (c, 3) == 0;
+  uint32_t one = below (c, CELLS);
+
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (all || i == one)
+      c->world->cell[i].store = fault;
+  if (below (c, 4) == 0)
+    c->world->store_ms = ms[below (c, 4)];
+  if (below (c, 6) == 0)
+    c->world->forgotten = c->world->version;
+}
+
+static void
+fail_feeds (Chaos *c)
+{
+  static const uint32_t deaf[]
+      = { 0,
+          0,
+          WORLD_DEAF (MUX_TABLE_CLAIM),
+          WORLD_DEAF (MUX_TABLE_JOBS),
+          WORLD_DEAF (MUX_TABLE_CLAIM) | WORLD_DEAF (MUX_TABLE_JOBS),
+          WORLD_DEAF (MUX_TABLE_WORKERS) };
+
+  c->world->cell[below (c, CELLS)].deaf = deaf[below (c, 6)];
+}
+
+static void
+fail_links (Chaos *c)
+{
+  WorldCell *cell = &c->world->cell[below (c, CELLS)];
+
+  cell->cut = below (c, 2) == 0;
+  cell->far_workers = below (c, 2) == 0 ? below (c, WORKERS) : 0;
+}
+
+static void
+fail_daemon (Chaos *c)
+{
+  uint32_t number = below (c, CELLS);
+  WorldCell *cell = &c->world->cell[number];
+
+  if (cell->dead)
+    world_cell_start (c->world, number);
+  else if (cell->frozen)
+    cell->frozen = false;
+  else if (below (c, 2) == 0)
+    world_cell_kill (c->world, number);
+  else
+    cell->frozen = true;
+}
+
+static void
+fail_worker (Chaos *c)
+{
+  static const WorldFault faults[]
+      = { WORLD_SERVES,       WORLD_SERVES, WORLD_REFUSES,
+          WORLD_LOSES_ANSWER, WORLD_SILENT, WORLD_LATE };
+  uint32_t number = below (c, WORKERS);
+  WorldWorker *worker = &c->world->worker[number];
+
+  c->world->late_ms = 500 + below (c, 6000);
+  if (below (c, 6) == 0)
+    world_worker_restart (c->world, number);
+  worker->fault = faults[below (c, 6)];
+  worker->cut = below (c, 3) == 0;
+  worker->fails = below (c, 10) == 0;
+}
+
+static void
+fail_something (Chaos *c)
+{
+  switch (below (c, 6))
+    {
+    case 0:
+    case 1:
+      fail_store (c);
+      break;
+    case 2:
+      fail_feeds (c);
+      break;
+    case 3:
+      fail_links (c);
+      break;
+    case 4:
+      fail_daemon (c);
+      break;
+    default:
+      fail_worker (c);
+    }
+}
+
+static void
+mend_all (World *world)
+{
+  world->store_ms = 5;
+  for (uint32_t i = 0; i < CELLS; i++)
+    {
+      WorldCell *cell = &world->cell[i];
+
+      if (cell->dead)
+        world_cell_start (world, i);
+      cell->frozen = false;
+      cell->cut = false;
+      cell->deaf = 0;
+      cell->far_workers = 0;
+      cell->store = WORLD_SERVES;
+    }
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      world->worker[i].fault = WORLD_SERVES;
+      world->worker[i].cut = false;
+      world->worker[i].fails = false;
+    }
+}
+
+static uint32_t
+lost_jobs (Chaos *c)
+{
+  uint32_t lost = 0;
+
+  for (uint32_t i = 0; i < c->jobs; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+      uint64_t question = c->question[i];
+      MuxJobState state;
+
+      if (!c->world->answered[question]
+          || c->world->answer[question].outcome != MUX_OUTCOME_ACCEPTED)
+        continue;
+      job_name (id, i);
+      state = world_state (c->world, 0, id);
+      if (state != MUX_JOB_COMPLETED && state != MUX_JOB_FAILED)
+        {
+          print_message ("%s is in state %d\n", id, (int) state);
+          lost++;
+        }
+    }
+  return lost;
+}
+
+static void
+play (uint64_t seed)
+{
+  World *world = world_new (CELLS, WORKERS);
+  Chaos c = { .world = world, .random = { seed } };
+  bool twice;
+  uint32_t lost;
+
+  world->task_ms = 300;
+  if (seed % 2 == 1)
+    world_make_urgent (world);
+  world_run (world, 1000);
+  for (uint32_t at_ms = 0; at_ms < BUSY_MS; at_ms += STEP_MS)
+    {
+      if (below (&c, FAULT_ONE_IN) == 0)
+        fail_something (&c);
+      if (below (&c, JOB_ONE_IN) == 0)
+        submit (&c);
+      world_run (world, STEP_MS);
+    }
+  mend_all (world);
+  world_run (world, SETTLE_MS);
+  twice = world_twice_told (world);
+  lost = lost_jobs (&c);
+  if (twice || lost > 0)
+    fail_msg ("seed %" PRIu64 ": twice %d, lost %u of %u jobs", seed,
+              (int) twice, lost, c.jobs);
+  world_free (world);
+}
+
+static uint64_t
+setting (const char *name, uint64_t otherwise)
+{
+  const char *text = getenv (name);
+
+  return text != NULL ? strtoull (text, NULL, 10) : otherwise;
+}
+
+static void
+test_no_task_runs_twice_and_no_job_is_lost (void **state)
+{
+  uint64_t seed = setting ("RANDOM_SEED", SEED);
+  uint64_t seeds = setting ("RANDOM_SEEDS", SEEDS);
+
+  (void) state;
+  for (uint64_t i = 0; i < seeds; i++)
+    play (seed + i);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_no_task_runs_twice_and_no_job_is_lost),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
