cell: a test that fails, a worker never asked again

Cause: renewed() drops an answer for a dead worker before it notes that no renewal is on its way any more. Where the removal from the roster takes longer than that answer, the worker is revived with the note and never asked again in this term: its room stays empty. Change: a test alone. In its world commits that change rows of one table can have a fault of their own, or be carried out late; a daemon can reach the first workers alone; readings can have pages.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -23,7 +23,7 @@
   uint64_t incarnation; /* of the cell meant */
   MuxCellReply *reply;
   MuxCellCall *waiting; /* a FOLLOW or RENEW that waits for something new */
-  MuxCellCall *order;   /* carried out when it is due */
+  MuxCellCall *late;    /* an order or a COMMIT that is carried out then */
   bool is_peer;
   MuxPeerMsg peer;
   WorldEvent *prev;
@@ -68,7 +68,7 @@
 {
   mux_cell_reply_free (event->reply);
   mux_cell_call_free (event->waiting);
-  mux_cell_call_free (event->order);
+  mux_cell_call_free (event->late);
   if (event->is_peer)
     mux_blob_unref (event->peer.body);
   free (event);
@@ -180,6 +180,17 @@
   return strcmp (((const MuxCellRow *) x)->key, ((const MuxCellRow *) y)->key);
 }
 
+static void
+cut_page (const World *world, MuxCellReply *reply)
+{
+  while (world->page_rows != 0 && reply->row_count > world->page_rows)
+    {
+      mux_blob_unref (reply->row[--reply->row_count].value);
+      reply->row[reply->row_count].value = NULL;
+      reply->more = true;
+    }
+}
+
 static void
 do_scan (World *world, const MuxCellCall *call, MuxCellReply *reply)
 {
@@ -196,6 +207,7 @@
     }
   if (reply->row_count > 0)
     qsort (reply->row, reply->row_count, sizeof *reply->row, by_key);
+  cut_page (world, reply);
   reply->version = world->version;
 }
 
@@ -440,21 +452,11 @@
 static bool
 in_reach (const World *world, uint32_t cell, const WorldWorker *worker)
 {
-  const WorldCell *caller = &world->cell[cell];
+  uint32_t near = world->cell[cell].near_workers;
 
   return worker != NULL && !worker->cut
-         && worker >= world->worker + caller->far_workers
-         && (caller->near_workers == 0
-             || worker < world->worker + caller->near_workers);
-}
-
-static void
-carry_out (World *world, const MuxCellCall *order)
-{
-  WorldWorker *worker = worker_at (world, order->addr);
-
-  if (worker != NULL)
-    mux_cell_reply_free (worker_serves (world, worker, order));
+         && worker >= world->worker + world->cell[cell].far_workers
+         && (near == 0 || worker < world->worker + near);
 }
 
 static void
@@ -481,7 +483,7 @@
     {
       answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
                    call->timeout_ms);
-      event_new (world, cell, world->late_ms)->order = call;
+      event_new (world, cell, world->late_ms)->late = call;
       return;
     }
   else if (call->verb == MUX_CELL_RENEW && call->wait_ms > 0
@@ -549,17 +551,62 @@
          && call->verb != MUX_CELL_FOLLOW;
 }
 
+static WorldFault
+store_fault (const WorldCell *cell, const MuxCellCall *call)
+{
+  if (cell->store != WORLD_SERVES || call->verb != MUX_CELL_COMMIT)
+    return cell->store;
+  for (uint32_t i = 0; i < call->change_count; i++)
+    if (call->change[i].kind != MUX_CHANGE_EXPECT
+        && cell->commits[call->change[i].table] != WORLD_SERVES)
+      return cell->commits[call->change[i].table];
+  return WORLD_SERVES;
+}
+
+/* The caller stops waiting; the commit is on its way all the same. */
+static void
+commit_late (World *world, uint32_t cell, MuxCellCall *call)
+{
+  answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
+               call->timeout_ms);
+  event_new (world, cell, world->late_ms)->late = call;
+}
+
+static void
+carry_out (World *world, const MuxCellCall *call)
+{
+  WorldWorker *worker = worker_at (world, call->addr);
+  MuxCellReply *reply;
+
+  if (call->verb != MUX_CELL_COMMIT)
+    {
+      if (worker != NULL)
+        mux_cell_reply_free (worker_serves (world, worker, call));
+      return;
+    }
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  do_commit (world, call, reply);
+  mux_cell_reply_free (reply);
+}
+
 static void
 store_call (World *world, uint32_t cell, MuxCellCall *call)
 {
-  WorldFault fault = misses_claim (world, cell, call) ? WORLD_SILENT
-                                                      : world->cell[cell].store;
-  MuxCellReply *reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  WorldFault fault = misses_claim (world, cell, call)
+                         ? WORLD_SILENT
+                         : store_fault (&world->cell[cell], call);
+  MuxCellReply *reply;
   bool served = true;
 
+  if (fault == WORLD_LATE && call->verb == MUX_CELL_COMMIT)
+    {
+      commit_late (world, cell, call);
+      return;
+    }
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
   if (fault == WORLD_REFUSES)
     reply->status = MUX_CELL_NOT_DONE;
-  else if (fault == WORLD_SILENT)
+  else if (fault == WORLD_SILENT || fault == WORLD_LATE)
     reply->status = MUX_CELL_UNKNOWN;
   else if (call->verb == MUX_CELL_COMMIT)
     {
@@ -713,12 +760,12 @@
   {
     bool due = event->due_ms <= world->now_ms;
 
-    if (event->order != NULL)
+    if (event->late != NULL)
       {
         if (!due)
           continue;
         DL_DELETE (world->events, event);
-        carry_out (world, event->order);
+        carry_out (world, event->late);
         event_free (event);
         continue;
       }
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -28,7 +28,7 @@
   WORLD_REFUSES,      /* without effect, answered so */
   WORLD_LOSES_ANSWER, /* done, the caller hears nothing */
   WORLD_SILENT,       /* not done, the caller hears nothing */
-  WORLD_LATE,         /* orders: done seconds later, the caller hears nothing */
+  WORLD_LATE,         /* the caller hears nothing; done @late_ms later */
 } WorldFault;
 
 /* Bit of a table in a daemon's @deaf. */
@@ -133,6 +133,7 @@
   int64_t wall_ms;         /* its time of day is ahead by this */
   uint32_t strength_milli; /* 0: a whole processor */
   WorldFault store;
+  WorldFault commits[MUX_TABLE_COUNT]; /* that change such a row */
   char addr[MUX_ADDR_LEN];
 } WorldCell;
 
@@ -155,11 +156,12 @@
   bool peers_cut;  /* messages between daemons are lost */
   bool lose_approvals;
   bool lists_backwards;    /* workers list what is newest first */
-  int64_t late_ms;         /* after which WORLD_LATE orders are carried out */
+  int64_t late_ms;         /* after which WORLD_LATE calls are carried out */
   int64_t approval_ms;     /* time of an answer of the policy service */
   uint32_t approve_one_in; /* workers, by number; 0: all */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   int64_t store_ms;        /* time of a call to the store */
+  uint32_t page_rows;      /* most rows of a reading; 0: all */
   uint32_t approvals_asked;
   uint32_t waits_told; /* lines of why a step waits */
   char wait_lacks[32]; /* what the last of them says it lacks */
