worker: one that is revived is asked again

Cause: the answer of a renewal that arrived between a worker's death and its revival was dropped whole, with the note that a renewal is on its way. The worker was never renewed again in that term, so never heard, and could not be forgotten either. Ruled out: clearing the note at the revival; a renewal still on its way would then be joined by a second one, and two lists could cross. Change: the note goes with the answer, whoever it is for. Figures: test_worker_is_used_again_after_its_lease fails without and passes with it, for refusals of 1 to 3 s; no call more.

--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -244,9 +244,12 @@
   CellWorker *worker = cell_worker_find (cell, pending->worker);
   bool first;
 
-  if (worker == NULL || worker->dead)
+  if (worker == NULL)
     return;
+  /* Also of a dead worker: it may be revived, and is then asked again. */
   worker->renewing = false;
+  if (worker->dead)
+    return;
   if (reply->status == MUX_CELL_OTHER_LIFE)
     {
       cell_worker_replaced (cell, worker);
