cell: a test that fails, a roster behind its planner

Cause: the planner takes a roster commit without an answer as not done, and one on its way as not there; a mark that says when a lease is over then stands while the lease is renewed. And a roster commit carried out late still finds its only condition, the claim, as it was: it brings an old mark, or a removal, back. Change: a test alone, four stories at moments closely together.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -1,10 +1,48 @@
 #include "support/cell_world.h"
 #include "support/test.h"
 
+/*
+ * A planner dies, and its successor can't reach one of the workers.  What is
+ * stored has to tell the successor how long something may run there.
+ */
+
 #define CELLS 3
 #define WORKERS 4
-/* The worker that is out of reach. */
+/* The worker that the successor does not reach. */
 #define LOST 0
+/* One task on each worker, with room left for two more. */
+#define TASK_CPU_MILLI 10000
+/* Longer than all that a successor waits for. */
+#define LONG_TASK_MS 60000
+/* A successor's claim, and all that it may wait for: trust in the former claim
+ * and a lease. */
+#define SETTLE_MS 16000
+
+static World *
+world_with_a_run_on_each_worker (void)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  world_run (world, 1000);
+  world->task_ms = LONG_TASK_MS;
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, WORKERS, TASK_CPU_MILLI), "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), WORKERS);
+  return world;
+}
+
+/* Shows that the planner uses the worker again. */
+static void
+fill_all_workers (World *world)
+{
+  uint32_t tasks = 2 * WORKERS - 1;
+
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, tasks, TASK_CPU_MILLI), "job-b");
+  world_run (world, 1000);
+  assert_int_equal (world_starts (world, "job-b"), tasks);
+}
 
 static WorldFault *
 roster_commits (World *world)
@@ -12,6 +50,122 @@
   return &world->cell[world_planner (world)].commits[MUX_TABLE_ROSTER];
 }
 
+static void
+end_behind_the_planner_s_death (World *world)
+{
+  uint32_t planner = world_planner (world);
+
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world->cell[i].far_workers = LOST + 1;
+  world_cell_kill (world, planner);
+  world_run (world, SETTLE_MS);
+  assert_int_not_equal (world_planner (world), planner);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A worker is out of reach for two seconds.  The planner stores when its lease
+ * will be over, and the answer is lost.  The worker comes back, its leases are
+ * renewed, and nobody takes the mark away.  Seconds later the planner dies: its
+ * successor finds a time that has passed, and starts the worker's tasks
+ * elsewhere while they run.
+ */
+static void
+mark_without_an_answer (int64_t cut_ms)
+{
+  World *world = world_with_a_run_on_each_worker ();
+
+  *roster_commits (world) = WORLD_LOSES_ANSWER;
+  world->worker[LOST].cut = true;
+  world_run (world, cut_ms);
+  world->worker[LOST].cut = false;
+  world_run (world, 3000);
+  *roster_commits (world) = WORLD_SERVES;
+  world_run (world, 2000);
+  fill_all_workers (world);
+  end_behind_the_planner_s_death (world);
+}
+
+/*
+ * The same, but the worker is back before a slow store has answered: its lease
+ * is renewed at once, the mark speaks of the one before, and the planner dies.
+ */
+static void
+mark_on_its_way (int64_t cut_ms, int64_t back_ms)
+{
+  World *world = world_with_a_run_on_each_worker ();
+
+  world->store_ms = 900;
+  world->worker[LOST].cut = true;
+  world_run (world, cut_ms);
+  world->worker[LOST].cut = false;
+  world_run (world, back_ms);
+  world->store_ms = 5;
+  end_behind_the_planner_s_death (world);
+}
+
+/*
+ * The same, but the mark is carried out three seconds late, when the worker has
+ * been back for long: the claim, its condition, is as it was.
+ */
+static void
+mark_carried_out_late (int64_t cut_ms)
+{
+  World *world = world_with_a_run_on_each_worker ();
+
+  world->late_ms = 3000;
+  *roster_commits (world) = WORLD_LATE;
+  world->worker[LOST].cut = true;
+  world_run (world, cut_ms);
+  world->worker[LOST].cut = false;
+  world_run (world, 500);
+  *roster_commits (world) = WORLD_SERVES;
+  world_run (world, 4000);
+  end_behind_the_planner_s_death (world);
+}
+
+/*
+ * A worker is lost for longer than its lease; the commit that takes it out of
+ * the roster is carried out late.  Meanwhile the planner has taken it out
+ * again, the worker is back, stands in the roster anew and runs tasks.  Then it
+ * is gone from there: a successor does not wait for it.
+ */
+static void
+removal_carried_out_late (int64_t late_ms)
+{
+  World *world = world_with_a_run_on_each_worker ();
+
+  world->worker[LOST].cut = true;
+  world_run (world, 3000);
+  world->late_ms = late_ms;
+  *roster_commits (world) = WORLD_LATE;
+  world_run (world, 2500);
+  *roster_commits (world) = WORLD_SERVES;
+  world->worker[LOST].cut = false;
+  world_run (world, 2000);
+  fill_all_workers (world);
+  world_run (world, late_ms);
+  end_behind_the_planner_s_death (world);
+}
+
+/* The stories above, each at moments that lie closely together. */
+static void
+test_roster_is_never_behind_its_planner (void **state)
+{
+  (void) state;
+  for (int64_t cut_ms = 1500; cut_ms < 3500; cut_ms += 200)
+    mark_without_an_answer (cut_ms);
+  for (int64_t cut_ms = 1500; cut_ms < 3000; cut_ms += 200)
+    for (int64_t back_ms = 200; back_ms < 1100; back_ms += 200)
+      mark_on_its_way (cut_ms, back_ms);
+  for (int64_t cut_ms = 1500; cut_ms < 3500; cut_ms += 200)
+    mark_carried_out_late (cut_ms);
+  for (int64_t late_ms = 2000; late_ms < 7000; late_ms += 1000)
+    removal_carried_out_late (late_ms);
+}
+
 /*
  * A worker is out of reach for longer than its lease.  The store does not take
  * the removal from the roster for a while, and meanwhile the last renewal is
@@ -50,6 +204,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_worker_is_used_again_after_its_lease),
+    cmocka_unit_test (test_roster_is_never_behind_its_planner),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
