roster: all that may stand is counted, late commits are fenced

Cause: the planner took a roster commit without an answer as not done, and one on its way as not there. A mark that says when a lease is over stood while the lease was renewed; a successor took the worker as free and started its tasks again. The only condition of a roster commit was the claim, which stays the same from commit to commit, so that one carried out late undid a newer entry. Ruled out: the version of each worker's row as its condition (twice the entries, half the workers in a call); dropping marks (a successor then waits 12 s). Change: a worker's roster state is the set of all that may stand: the commit on its way is in it from its sending on, an unanswered one until a commit without it is answered, a refused one not. A worker is used where the plain entry alone can stand, gets no leases while a mark may stand, is revived or forgotten only where nothing can stand. Each roster commit expects and renews a fence row, read with the roster and again after an unanswered commit. A mark is written only while the store serves, as its lost answer costs the worker its leases; a successor no longer takes a mark away from a worker that it has not heard. What it costs: a worker back while its mark is unanswered stays without leases until the store answers again.

--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -75,7 +75,7 @@
     {
       const CellWorker *worker = cell_worker_find (cell, stage->former[i]);
 
-      if (worker != NULL && worker->in_roster && !worker->heard
+      if (worker != NULL && cell_in_roster (worker) && !worker->heard
           && !worker->dead)
         return false;
     }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -199,6 +199,8 @@
 /* roster.c */
 void cell_roster_tick (MuxCell *cell);
 void cell_roster_load (MuxCell *cell);
+/** cell_in_roster() - the roster names it, or may do so */
+bool cell_in_roster (const CellWorker *worker);
 
 /* run.c: starts, stops, ends */
 CellBooking *
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -413,11 +413,23 @@
   UT_hash_handle hh;
 } CellEnded;
 
+/**
+ * enum CellRosterState - what the stored roster says of a worker
+ */
+typedef enum
+{
+  CELL_ROSTER_NONE = 1,   /* nothing: no next planner asks it */
+  CELL_ROSTER_NAMED = 2,  /* where it is: it may run something */
+  CELL_ROSTER_MARKED = 4, /* and when its lease is surely over */
+} CellRosterState;
+
 /**
  * struct CellWorker - one life of a worker, as the planner sees it
  * @slot: index of it in the stages' approvals; never used again in a term
  * @listed: in the platform's list
- * @in_roster: the stored roster names it, so that the next planner will ask
+ * @roster: all that the stored roster may say of it
+ * @roster_before: the same without the commit on its way
+ * @roster_asked: what that commit writes; 0: nothing of this worker
  * @heard: it has answered under our token: its list is complete
  * @reachable: the last call was answered
  * @clock_ms: its clock, as last told
@@ -436,10 +448,9 @@
   uint32_t slot;
   bool listed;
   int64_t unlisted_ms;
-  bool in_roster;
-  bool roster_asked;
-  bool lost_marked; /* the roster says when its lease is surely over */
-  bool mark_asked;
+  uint32_t roster; /* set of CellRosterState, as the two below */
+  uint32_t roster_before;
+  uint32_t roster_asked;
   int64_t lost_ms; /* out of reach since; 0: it is not */
   int64_t over_ms; /* as a former planner marked it; 0: not marked */
   bool heard;
@@ -607,6 +618,8 @@
   uint64_t end_seq;
   bool roster_loaded;
   bool roster_busy;
+  uint64_t roster_fence;      /* version that its next commit expects */
+  bool roster_fence_doubtful; /* a commit went unanswered, it is to be read */
   int64_t roster_next_ms;
   int64_t next_plan_ms;
   int64_t next_look_ms;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -28,6 +28,8 @@
     }
   cell->roster_loaded = false;
   cell->roster_busy = false;
+  cell->roster_fence = 0;
+  cell->roster_fence_doubtful = false;
   cell->roster_next_ms = 0;
 }
 
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -13,8 +13,34 @@
  */
 
 #define RETRY_MS 200
-/* Entries of one commit, beside the condition; a call holds 100. */
+/* Entries of one commit, beside the claim and the fence; a call holds 100. */
 #define GROUP 90
+#define FENCE_ENTRIES 3
+
+bool
+cell_in_roster (const CellWorker *worker)
+{
+  return worker->roster != CELL_ROSTER_NONE;
+}
+
+static void
+take_row (MuxCell *cell, const MuxCellReply *reply, const MuxCellRow *row)
+{
+  CellWorker *worker = cell_worker_add (cell, row->key);
+  json_t *json = cell_blob_json (row->value);
+  const char *addr = json_string_value (json_object_get (json, "addr"));
+  int64_t over_ms = json_integer_value (json_object_get (json, "over_ms"));
+
+  if (worker != NULL && addr != NULL)
+    {
+      snprintf (worker->info.addr, sizeof worker->info.addr, "%s", addr);
+      worker->roster = over_ms != 0 ? CELL_ROSTER_MARKED : CELL_ROSTER_NAMED;
+      worker->over_ms
+          = over_ms != 0 ? cell->time.now_ms + over_ms - reply->store_clock_ms
+                         : 0;
+    }
+  json_decref (json);
+}
 
 static void
 roster_read (MuxCell *cell,
@@ -27,23 +53,10 @@
   if (reply->status != MUX_CELL_OK)
     return;
   for (uint32_t i = 0; i < reply->row_count; i++)
-    {
-      CellWorker *worker = cell_worker_add (cell, reply->row[i].key);
-      json_t *json = cell_blob_json (reply->row[i].value);
-      const char *addr = json_string_value (json_object_get (json, "addr"));
-      int64_t over_ms = json_integer_value (json_object_get (json, "over_ms"));
-
-      if (worker != NULL && addr != NULL)
-        {
-          snprintf (worker->info.addr, sizeof worker->info.addr, "%s", addr);
-          worker->in_roster = true;
-          worker->over_ms = over_ms != 0 ? cell->time.now_ms + over_ms
-                                               - reply->store_clock_ms
-                                         : 0;
-          worker->lost_marked = over_ms != 0;
-        }
-      json_decref (json);
-    }
+    if (strcmp (reply->row[i].key, CELL_FENCE_KEY) == 0)
+      cell->roster_fence = reply->row[i].version;
+    else
+      take_row (cell, reply, &reply->row[i]);
   cell->roster_loaded = !reply->more;
 }
 
@@ -58,35 +71,51 @@
       = cell_call (cell, cell_scan_call (MUX_TABLE_ROSTER, ""), &pending);
 }
 
-static bool
-wants_entry (const CellWorker *worker)
-{
-  return !worker->in_roster && !worker->dead && worker->heard;
-}
-
 /* Out of reach for so long, a worker is marked with the time at which its
  * lease is surely over, so that a next planner need not assume the longest. */
 #define MARK_AFTER_MS 700
 
-static bool
-wants_mark (const MuxCell *cell, const CellWorker *worker)
+/* What the roster should say; where nothing is known, what it says.  A mark
+ * that goes unanswered leaves the worker without leases, so that none is sent
+ * to a store that fails. */
+static uint32_t
+wanted (const MuxCell *cell, const CellWorker *worker)
 {
-  return worker->in_roster && worker->heard && !worker->dead
-         && worker->lost_ms != 0 && !worker->lost_marked
-         && cell->time.now_ms - worker->lost_ms > MARK_AFTER_MS
-         && cell->store_clock_at_ms != 0;
+  if (worker->dead)
+    return CELL_ROSTER_NONE;
+  if (!worker->heard)
+    return worker->roster;
+  if (worker->lost_ms == 0)
+    return CELL_ROSTER_NAMED;
+  if (worker->roster == CELL_ROSTER_NONE
+      || cell->time.now_ms - worker->lost_ms <= MARK_AFTER_MS
+      || cell->store_clock_at_ms == 0 || cell->store_failing_ms != 0)
+    return worker->roster;
+  return CELL_ROSTER_MARKED;
 }
 
-static bool
-wants_unmark (const CellWorker *worker)
+/*
+ * Guards against a roster that is behind its planner, by which a next one would
+ * take a worker as free that runs something: a mark or a removal may stand
+ * though its answer is on its way, or was lost.  All that may stand is counted,
+ * and written again, until a commit without it is answered.
+ */
+static void
+settle (MuxCell *cell, MuxCellStatus status)
 {
-  return worker->lost_marked && !worker->dead && worker->lost_ms == 0;
-}
+  CellWorker *worker;
+  CellWorker *next;
 
-static bool
-wants_removal (const CellWorker *worker)
-{
-  return worker->in_roster && worker->dead;
+  HASH_ITER (hh, cell->workers, worker, next)
+  {
+    if (worker->roster_asked == 0)
+      continue;
+    if (status == MUX_CELL_OK)
+      worker->roster = worker->roster_asked;
+    else if (status != MUX_CELL_UNKNOWN)
+      worker->roster = worker->roster_before;
+    worker->roster_asked = 0;
+  }
 }
 
 static void
@@ -94,41 +123,29 @@
                 const CellPending *pending,
                 const MuxCellReply *reply)
 {
-  CellWorker *worker;
-  CellWorker *next;
-
   cell->roster_busy = false;
+  settle (cell, reply->status);
   if (reply->status == MUX_CELL_CONFLICT)
     cell_claim_doubt (cell, "roster_conflict");
+  if (reply->status == MUX_CELL_UNKNOWN || reply->status == MUX_CELL_CONFLICT)
+    cell->roster_fence_doubtful = true;
   if (reply->status != MUX_CELL_OK)
     {
       cell->roster_next_ms = cell->time.now_ms + RETRY_MS;
       return;
     }
+  cell->roster_fence = reply->version;
   cell_verified (cell, pending->sent_ms);
-  HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->roster_asked)
-    {
-      worker->in_roster = !worker->dead;
-      worker->lost_marked = worker->mark_asked;
-    }
   cell->replan = true;
 }
 
-static bool
-wants_write (const MuxCell *cell, const CellWorker *worker)
-{
-  return wants_entry (worker) || wants_removal (worker)
-         || wants_mark (cell, worker) || wants_unmark (worker);
-}
-
 /* The mark is a time of the store's clock, which all daemons can read. */
 static MuxBlob *
 entry (const MuxCell *cell, const CellWorker *worker)
 {
   int64_t over_ms = 0;
 
-  if (worker->mark_asked)
+  if (worker->roster_asked == CELL_ROSTER_MARKED)
     over_ms = cell->store_clock_ms
               + (cell->time.now_ms - cell->store_clock_at_ms)
               + cell_worker_lease_left (cell, worker);
@@ -136,51 +153,112 @@
                                     "over_ms", (json_int_t) over_ms));
 }
 
-static uint32_t
-fill (MuxCell *cell, MuxCellCall *call)
+static void
+write_entry (MuxCell *cell, CellWorker *worker, MuxCellCall *call)
+{
+  worker->roster_asked = wanted (cell, worker);
+  worker->roster_before = worker->roster;
+  worker->roster |= worker->roster_asked;
+  if (worker->roster_asked == CELL_ROSTER_NONE)
+    cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_ROSTER, worker->info.id);
+  else
+    cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_ROSTER, worker->info.id)->value
+        = entry (cell, worker);
+}
+
+static void
+write_entries (MuxCell *cell, MuxCellCall *call)
 {
   CellWorker *worker;
   CellWorker *next;
   uint32_t n = 0;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  {
-    worker->roster_asked = false;
-    if (n == GROUP || !wants_write (cell, worker))
-      continue;
-    worker->roster_asked = true;
-    worker->mark_asked = wants_mark (cell, worker);
-    n++;
-    if (worker->dead)
-      cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_ROSTER, worker->info.id);
-    else
-      cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_ROSTER, worker->info.id)
-          ->value
-          = entry (cell, worker);
-  }
-  return n;
+  if (n < GROUP && wanted (cell, worker) != worker->roster)
+    {
+      write_entry (cell, worker, call);
+      n++;
+    }
 }
 
-void
-cell_roster_tick (MuxCell *cell)
+/*
+ * Each commit expects the row that the one before wrote, and renews it: one
+ * that is carried out late, after a newer one, finds its condition broken and
+ * can't bring an old mark or removal back.  The claim's row stays as it is from
+ * commit to commit; it keeps out those of a former planner.
+ */
+static void
+add_fence (const MuxCell *cell, MuxCellCall *call)
 {
-  MuxCellCall *call;
+  cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->term);
+  cell_expect (call, MUX_TABLE_ROSTER, CELL_FENCE_KEY, cell->roster_fence);
+  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_ROSTER, CELL_FENCE_KEY)->value
+      = mux_blob_new ("{}", 2);
+}
+
+static void
+commit (MuxCell *cell)
+{
+  MuxCellCall *call = cell_commit_call ("", GROUP + FENCE_ENTRIES);
   CellPending pending = { .done = roster_written, .term = cell->term };
-  CellWorker *worker;
-  CellWorker *next;
-  bool wanted = false;
 
-  if (cell->roster_busy || cell->time.now_ms < cell->roster_next_ms)
+  if (call == NULL)
     return;
-  HASH_ITER (hh, cell->workers, worker, next)
-  wanted = wanted || wants_write (cell, worker);
-  if (!wanted)
+  add_fence (cell, call);
+  write_entries (cell, call);
+  cell->roster_busy = cell_call (cell, call, &pending);
+  if (!cell->roster_busy)
+    settle (cell, MUX_CELL_NOT_DONE);
+}
+
+static void
+fence_read (MuxCell *cell,
+            const CellPending *pending,
+            const MuxCellReply *reply)
+{
+  (void) pending;
+  cell->roster_busy = false;
+  if (reply->status != MUX_CELL_OK)
     return;
-  call = cell_commit_call ("", GROUP + 1);
+  cell->roster_fence = reply->row_count > 0 ? reply->row[0].version : 0;
+  cell->roster_fence_doubtful = false;
+  cell->roster_next_ms = cell->time.now_ms;
+}
+
+static void
+read_fence (MuxCell *cell)
+{
+  MuxCellCall *call = cell_scan_call (MUX_TABLE_ROSTER, "");
+  CellPending pending = { .done = fence_read, .term = cell->term };
+
   if (call == NULL)
     return;
-  cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->term);
-  (void) fill (cell, call);
+  snprintf (call->from, sizeof call->from, "%s", CELL_FENCE_KEY);
+  cell_key_behind (call->to, CELL_FENCE_KEY);
   cell->roster_busy = cell_call (cell, call, &pending);
+}
+
+static bool
+wants_commit (const MuxCell *cell)
+{
+  const CellWorker *worker;
+  const CellWorker *next;
+
+  HASH_ITER (hh, cell->workers, worker, next)
+  if (wanted (cell, worker) != worker->roster)
+    return true;
+  return false;
+}
+
+void
+cell_roster_tick (MuxCell *cell)
+{
+  if (cell->roster_busy || cell->time.now_ms < cell->roster_next_ms
+      || !wants_commit (cell))
+    return;
   cell->roster_next_ms = cell->time.now_ms + RETRY_MS;
+  if (cell->roster_fence_doubtful)
+    read_fence (cell);
+  else
+    commit (cell);
 }
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -41,6 +41,7 @@
     return NULL;
   snprintf (worker->info.id, sizeof worker->info.id, "%s", id);
   worker->slot = cell->worker_slots++;
+  worker->roster = CELL_ROSTER_NONE;
   HASH_ADD_KEYPTR (hh, cell->workers, worker->info.id, strlen (worker->info.id),
                    worker);
   return worker;
@@ -75,7 +76,7 @@
   const CellWorker *next;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->in_roster && !worker->heard && !worker->dead)
+  if (cell_in_roster (worker) && !worker->heard && !worker->dead)
     return false;
   return true;
 }
@@ -232,9 +233,9 @@
 bool
 cell_worker_usable (const MuxCell *cell, const CellWorker *worker)
 {
-  return worker->heard && worker->reachable && worker->in_roster
-         && !worker->lost_marked && worker->listed && !worker->dead
-         && !worker->info.draining
+  return worker->heard && worker->reachable
+         && worker->roster == CELL_ROSTER_NAMED && worker->listed
+         && !worker->dead && !worker->info.draining
          && cell->time.now_ms >= worker->avoid_until_ms;
 }
 
@@ -303,11 +304,12 @@
   call->wait_ms = waits ? WAIT_MS : 0;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
   /* An unanswered renewal may still arrive: asking for ever longer leases
-   * would keep the tasks of a lost worker out of work for good. */
-  call->lease_until_ms
-      = worker->heard && worker->reachable && !worker->lost_marked
-            ? cell_worker_lease (cell, worker)
-            : 0;
+   * would keep the tasks of a lost worker out of work for good.  None is asked
+   * either while the roster may say when the last one ends. */
+  call->lease_until_ms = worker->heard && worker->reachable
+                                 && (worker->roster & CELL_ROSTER_MARKED) == 0
+                             ? cell_worker_lease (cell, worker)
+                             : 0;
   worker->renewing = cell_worker_call (cell, worker, call, &pending);
   if (!worker->renewing)
     worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
@@ -333,20 +335,19 @@
   worker->reachable = false;
   worker->lease_until_ms = 0;
   worker->over_ms = 0;
-  worker->lost_marked = false;
   worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
 }
 
 static void
 worker_tick (MuxCell *cell, CellWorker *worker)
 {
-  if (worker->in_roster && !worker->dead && lease_is_over (cell, worker)
+  if (cell_in_roster (worker) && !worker->dead && lease_is_over (cell, worker)
       && (worker->lease_until_ms != 0 || !worker->heard))
     {
       if (!worker->reachable || !worker->heard)
         cell_worker_dead (cell, worker, "lease_over");
     }
-  if (worker->dead && !worker->lost_life && !worker->in_roster)
+  if (worker->dead && !worker->lost_life && !cell_in_roster (worker))
     revive (cell, worker);
   if (worker->dead || worker->info.addr[0] == 0)
     return;
@@ -364,7 +365,7 @@
 static bool
 forgettable (const MuxCell *cell, const CellWorker *worker)
 {
-  bool unused = !worker->in_roster && worker->bookings == NULL
+  bool unused = !cell_in_roster (worker) && worker->bookings == NULL
                 && worker->hold_count == 0;
 
   return unused && !worker->listed
