cell: a test that fails, a record that names not all workers

Cause: an urgent stage starts on workers before they are stored only while no record of it stands; a planner that read its predecessor's record counted it as none. If it dies before its own is stored, the third planner waits for the workers of the first record alone. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -12,6 +12,8 @@
 #define LOST 0
 /* One task on each worker, with room left for two more. */
 #define TASK_CPU_MILLI 10000
+/* Most of a worker: one task on each. */
+#define ALL_CPU_MILLI 30000
 /* Longer than all that a successor waits for. */
 #define LONG_TASK_MS 60000
 /* A successor's claim, and all that it may wait for: trust in the former claim
@@ -181,7 +183,7 @@
   for (int64_t refused_ms = 1000; refused_ms < 3000; refused_ms += 100)
     {
       World *world = world_new (CELLS, WORKERS);
-      MuxJobSpec *gang = world_job (1, WORKERS, 30000);
+      MuxJobSpec *gang = world_job (1, WORKERS, ALL_CPU_MILLI);
 
       gang->step[0].gang = true;
       world_run (world, 1000);
@@ -199,12 +201,69 @@
     }
 }
 
+/* The first run of all fails so much later, the others go on. */
+static void
+fail_first_run (World *world, int64_t ms)
+{
+  WorldWorker *worker = &world->worker[world->start[0].worker];
+
+  worker->fails = true;
+  worker->run[0].ends_ms = world->now_ms + ms;
+}
+
+static void
+all_progress (World *world, WorldFault fault)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].commits[MUX_TABLE_PROGRESS] = fault;
+}
+
+/*
+ * Urgent tasks start before the workers that may run them are stored, as a next
+ * planner that finds no record waits for all workers.  A planner dies with a
+ * record stored.  The next one reads it, starts the task on another worker
+ * without storing that, and dies as well.  The third finds the first one's
+ * record, waits for the workers in it alone, and starts the task once more
+ * while it runs.
+ */
+static void
+test_record_of_a_former_planner_names_all_workers (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t first = world_planner (world);
+  uint32_t second;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = LONG_TASK_MS;
+  world->approve_one_in = 2;
+  (void) world_submit (world, first, world_job (1, 2, ALL_CPU_MILLI), "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), 2);
+  world->approve_one_in = 0;
+  fail_first_run (world, 2000);
+  all_progress (world, WORLD_REFUSES);
+  world_cell_kill (world, first);
+  world_run (world, 2500);
+  second = world_planner (world);
+  assert_int_not_equal (second, first);
+  all_progress (world, WORLD_SERVES);
+  world_cell_kill (world, second);
+  world->worker[world->start[world->start_count - 1].worker].cut = true;
+  world_run (world, SETTLE_MS);
+  assert_true (world_starts (world, "job-a") > 2);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_worker_is_used_again_after_its_lease),
     cmocka_unit_test (test_roster_is_never_behind_its_planner),
+    cmocka_unit_test (test_record_of_a_former_planner_names_all_workers),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
