approve: a record that was read counts as recorded

Cause: after a takeover an urgent stage with a record of its former planner started on workers that stand in none; see the test. Ruled out: waiting for all workers after a second takeover (12 s where one is lost). Change: reading a record that names workers counts like writing one; a stage without one starts early as before. No call more.

--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -66,6 +66,9 @@
       if (id != NULL)
         snprintf (stage->former[stage->former_count++], MUX_NAME_LEN, "%s", id);
     }
+  /* Where a record stands, a next planner waits for those alone that it names,
+   * whoever wrote it: no start is early any more. */
+  stage->recorded = stage->former_count > 0;
 }
 
 static bool
