--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -86,7 +86,7 @@
 
   HASH_ITER (hh, cell->workers, worker, next)
   {
-    lack.unheard += worker->in_roster && !worker->heard && !worker->dead;
+    lack.unheard += cell_in_roster (worker) && !worker->heard && !worker->dead;
     if (!is_of_service (stage, worker))
       continue;
     if (cell->time.now_ms < worker->avoid_until_ms)
--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Daemons, store, links and workers of stepped jobs fail at any moment,
  * together and again and again, while callers hand in jobs.  A user would see a
@@ -72,10 +73,10 @@
 fail_store (Chaos *c)
 {
   static const WorldFault faults[]
-      = { WORLD_SERVES, WORLD_SERVES, WORLD_REFUSES, WORLD_SILENT,
-          WORLD_LOSES_ANSWER };
+      = { WORLD_SERVES, WORLD_SERVES,       WORLD_REFUSES,
+          WORLD_SILENT, WORLD_LOSES_ANSWER, WORLD_LATE };
   static const int64_t ms[] = { 5, 5, 40, 300 };
-  WorldFault fault = faults[below (c, 5)];
+  WorldFault fault = faults[below (c, 6)];
   bool all = below (c, 3) == 0;
   uint32_t one = below (c, CELLS);
 
@@ -84,10 +85,22 @@
       c->world->cell[i].store = fault;
   if (below (c, 4) == 0)
     c->world->store_ms = ms[below (c, 4)];
+  c->world->late_ms = 500 + below (c, 6000);
   if (below (c, 6) == 0)
     c->world->forgotten = c->world->version;
 }
 
+/* Commits of one table alone. */
+static void
+fail_commits (Chaos *c)
+{
+  static const WorldFault faults[]
+      = { WORLD_SERVES, WORLD_SERVES, WORLD_LOSES_ANSWER, WORLD_LATE };
+  WorldCell *cell = &c->world->cell[below (c, CELLS)];
+
+  cell->commits[below (c, MUX_TABLE_ROSTER + 1)] = faults[below (c, 4)];
+}
+
 static void
 fail_feeds (Chaos *c)
 {
@@ -147,12 +160,15 @@
 static void
 fail_something (Chaos *c)
 {
-  switch (below (c, 6))
+  switch (below (c, 7))
     {
     case 0:
     case 1:
       fail_store (c);
       break;
+    case 6:
+      fail_commits (c);
+      break;
     case 2:
       fail_feeds (c);
       break;
@@ -182,6 +198,7 @@
       cell->deaf = 0;
       cell->far_workers = 0;
       cell->store = WORLD_SERVES;
+      memset (cell->commits, 0, sizeof cell->commits);
     }
   for (uint32_t i = 0; i < WORKERS; i++)
     {
