cell: a test that fails, a change unheard behind a short outage

What users see: operators add a queue, and for seconds its callers are told that there is no such queue.

Cause: src/cell/follow.c sends a feed's call for 5 s and 1.5 s of grace while the store is not known to fail. A call that was lost in a silent outage of 1.5 s holds the feed until then, whatever the daemon's other calls are answered meanwhile; nothing sends it anew when the store is back.

The test plays it on the fake clock, with the outage at 15 points of the feeds' waits: no change is heard 3 s after the store's return (version 2 in force, 3 written). The world's store, when it goes silent, now loses what waits there as well; before, such calls were answered in the middle of the outage.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -23,6 +23,7 @@
   uint64_t incarnation; /* of the cell meant */
   MuxCellReply *reply;
   MuxCellCall *waiting; /* a FOLLOW or RENEW that waits for something new */
+  bool lost;            /* a FOLLOW at a store that went silent */
   bool is_peer;
   MuxPeerMsg peer;
   WorldEvent *prev;
@@ -555,6 +556,9 @@
   WorldCell *cell = (WorldCell *) sink;
 
   assert_non_null (fields);
+  if (strcmp (event, "config_in_force") == 0)
+    cell->config_version
+        = (uint64_t) json_integer_value (json_object_get (fields, "version"));
   if (getenv ("WORLD_LOG") != NULL)
     {
       char *text = json_dumps (fields, JSON_COMPACT);
@@ -601,6 +605,18 @@
     }
   if (is_deaf (world, event->cell, call))
     return;
+  if (!event->lost && world->cell[event->cell].store == WORLD_SILENT)
+    {
+      event->lost = true;
+      event->due_ms += call->timeout_ms - call->wait_ms;
+      return;
+    }
+  if (event->lost)
+    {
+      if (overdue)
+        event->reply = mux_cell_reply_new (call, MUX_CELL_UNKNOWN);
+      return;
+    }
   if (world->cell[event->cell].store == WORLD_REFUSES)
     {
       event->reply = mux_cell_reply_new (call, MUX_CELL_NOT_DONE);
@@ -743,8 +759,8 @@
   free (config);
 }
 
-void
-world_make_urgent (World *world)
+static void
+write_config (World *world, bool urgent)
 {
   WorldRow *row = row_find (world, MUX_TABLE_CONFIG, "", "config");
   size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
@@ -753,13 +769,26 @@
   assert_non_null (config);
   memcpy (config, row->value->bytes, size);
   config->version++;
-  config->item[0].priority = 0;
+  if (urgent)
+    config->item[0].priority = 0;
   mux_blob_unref (row->value);
   row->value = mux_blob_new (config, size);
   row->version = ++world->version;
   free (config);
 }
 
+void
+world_change_config (World *world)
+{
+  write_config (world, false);
+}
+
+void
+world_make_urgent (World *world)
+{
+  write_config (world, true);
+}
+
 static void
 list_worker (World *world, uint32_t number)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -25,7 +25,8 @@
   WORLD_SERVES,
   WORLD_REFUSES,      /* without effect, answered so */
   WORLD_LOSES_ANSWER, /* done, the caller hears nothing */
-  WORLD_SILENT,       /* not done, the caller hears nothing */
+  WORLD_SILENT,       /* not done, the caller hears nothing; a store that goes
+                         silent never answers what waits there, either */
 } WorldFault;
 
 typedef struct
@@ -109,6 +110,7 @@
   uint32_t far_workers;    /* so many, the first, are out of its reach */
   uint32_t strength_milli; /* 0: a whole processor */
   WorldFault store;
+  uint64_t config_version; /* in force, as its log says */
   char addr[MUX_ADDR_LEN];
 } WorldCell;
 
@@ -170,6 +172,8 @@
 bool world_twice (const World *world);
 /** world_job() - @steps steps of @tasks tasks, one after the other */
 MuxJobSpec *world_job (uint32_t steps, uint32_t tasks, uint32_t cpu_milli);
+/** world_change_config() - a newer version of the same queues */
+void world_change_config (World *world);
 /** world_make_urgent() - the queue's jobs, from now on */
 void world_make_urgent (World *world);
 /** world_worker_restart() - a new life at the same address */
