follow: a feed's call is given up in 1.6 s, or when the store turns

Cause: a call that waits for a table's changes was sent for 5 s with 1.5 s of grace. Lost in a silent outage of 1.5 s it held its feed for 6.5 s, whatever the daemon's other calls were answered meanwhile. All feeds shared this: configuration, claim, workers, jobs.

Ruled out: the connection. The store takes new calls on other connections at once; the daemons' commits were answered while their feeds hung. Weighed and not taken: two calls open at a time, the first answer taken (an older answer behind a newer one brings removed rows back); a call given up at each turn of the store however short it was out (a store that is slow and fails now and then would have each call given up before its answer).

Change: a call waits 1 s, is given up after 1.6 s and sent anew at once; earlier, once it is out for 600 ms, when another call shows that the store begins or ends to fail. What the old call is still answered is ignored by its number, and its time-out counts no more as a failure of the store. A feed knows up to when it is complete; at 3 s its word is unknown, and a caller whose queue is not found is told to come back instead of "no such queue". New lines feed_lost and feed_back tell how old what was known had become.

--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -63,6 +63,18 @@
   return false;
 }
 
+void
+cell_call_forget (MuxCell *cell, uint64_t call_id)
+{
+  CellPending *entry;
+
+  HASH_FIND (hh, cell->pending, &call_id, sizeof call_id, entry);
+  if (entry == NULL)
+    return;
+  HASH_DEL (cell->pending, entry);
+  free (entry);
+}
+
 static bool
 of_store (MuxCellVerb verb)
 {
@@ -84,6 +96,8 @@
   if (served)
     {
       cell->store_served_ms = cell->time.now_ms;
+      if (cell->store_failing_ms != 0)
+        cell->store_turned_ms = cell->time.now_ms;
       if (cell->store_failing_ms != 0
           && cell->time.now_ms - cell->store_failing_ms > STORE_AWAY_MS)
         cell_log (cell, "store_back", "{s:I}", "away_ms",
@@ -94,6 +108,7 @@
   if (cell->store_failing_ms != 0)
     return;
   cell->store_failing_ms = cell->time.now_ms;
+  cell->store_turned_ms = cell->time.now_ms;
   cell_log (cell, "store_failing", "{s:s}", "status",
             mux_cell_status_name (reply->status));
 }
@@ -102,6 +117,7 @@
 cell_store_silent (MuxCell *cell, int64_t since_ms)
 {
   cell->store_failing_ms = since_ms;
+  cell->store_turned_ms = cell->time.now_ms;
   cell_log (cell, "store_failing", "{s:s}", "status", "silent");
 }
 
@@ -133,7 +149,8 @@
 
   cell->time = time;
   HASH_FIND (hh, cell->pending, &reply->call_id, sizeof reply->call_id, entry);
-  if (of_store (reply->verb))
+  /* A call given up that ends in a time-out tells of a store long ago. */
+  if (entry != NULL && of_store (reply->verb))
     cell_store_result (cell, reply);
   if (entry != NULL)
     {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -38,17 +38,20 @@
 static void
 set_up_follows (MuxCell *cell)
 {
-  cell->follow[FOLLOW_CONFIG] = (CellFollow){ .table = MUX_TABLE_CONFIG,
-                                              .seen = config_row,
-                                              .on = true };
-  cell->follow[FOLLOW_CLAIM] = (CellFollow){ .table = MUX_TABLE_CLAIM,
+  cell->follow[FOLLOW_CONFIG] = (CellFollow){
+    .name = "config", .table = MUX_TABLE_CONFIG, .seen = config_row, .on = true
+  };
+  cell->follow[FOLLOW_CLAIM] = (CellFollow){ .name = "claim",
+                                             .table = MUX_TABLE_CLAIM,
                                              .seen = cell_claim_row,
                                              .whole = cell_claim_whole,
                                              .on = true };
-  cell->follow[FOLLOW_WORKERS] = (CellFollow){ .table = MUX_TABLE_WORKERS,
+  cell->follow[FOLLOW_WORKERS] = (CellFollow){ .name = "workers",
+                                               .table = MUX_TABLE_WORKERS,
                                                .seen = cell_worker_row,
                                                .whole = cell_workers_whole };
-  cell->follow[FOLLOW_JOBS] = (CellFollow){ .table = MUX_TABLE_JOBS,
+  cell->follow[FOLLOW_JOBS] = (CellFollow){ .name = "jobs",
+                                            .table = MUX_TABLE_JOBS,
                                             .seen = cell_jobs_row,
                                             .parted = true };
 }
@@ -109,6 +112,19 @@
     cell_answer (cell, question->call, MUX_OUTCOME_BAD);
 }
 
+/*
+ * Guards against a final answer on old knowledge: a queue that was added while
+ * this daemon heard nothing is not known here, and a caller who is told that
+ * there is none does not come back.
+ */
+static MuxOutcome
+no_queue (const MuxCell *cell)
+{
+  return cell_follow_is_known (cell, &cell->follow[FOLLOW_CONFIG])
+             ? MUX_OUTCOME_NO_QUEUE
+             : MUX_OUTCOME_REFUSED;
+}
+
 void
 mux_cell_question (MuxCell *cell, MuxCellTime time, MuxQuestion *question)
 {
@@ -121,7 +137,7 @@
   if (cell->config == NULL)
     cell_answer (cell, question->call, MUX_OUTCOME_REFUSED);
   else if (queue == NULL)
-    cell_answer (cell, question->call, MUX_OUTCOME_NO_QUEUE);
+    cell_answer (cell, question->call, no_queue (cell));
   else if (question->verb == MUX_QUESTION_SUBMIT && question->job != NULL)
     submit (cell, question, queue, id);
   else if (id[0] != 0 && !mux_job_id_valid (id))
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -7,6 +7,8 @@
 /** cell_message() - to the daemon @to, with what every message has */
 MuxPeerMsg cell_message (const MuxCell *cell, MuxPeerVerb verb, const char *to);
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
+/** cell_call_forget() - its reply will be ignored, whatever it says */
+void cell_call_forget (MuxCell *cell, uint64_t call_id);
 void cell_store_result (MuxCell *cell, const MuxCellReply *reply);
 /** cell_store_silent() - no answer of it came since @since_ms */
 void cell_store_silent (MuxCell *cell, int64_t since_ms);
@@ -53,6 +55,8 @@
 /* follow.c */
 void cell_follow_tick (MuxCell *cell, CellFollow *follow);
 void cell_follow_start (CellFollow *follow, uint64_t term, uint64_t version);
+/** cell_follow_is_known() - what the feed says is as young as it should be */
+bool cell_follow_is_known (const MuxCell *cell, const CellFollow *follow);
 
 /* submit.c, inquiry.c: callers */
 void cell_submit (MuxCell *cell, MuxQuestion *question);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -77,6 +77,7 @@
 
 /**
  * struct CellFollow - a table kept up with: read whole, then its changes
+ * @name: in the log
  * @table: which
  * @seen: told of each row
  * @whole: told when a whole reading begins (false) and ends (true); or NULL
@@ -84,6 +85,11 @@
  * @on: wanted at all
  * @loaded: read whole once
  * @busy: a call is on its way
+ * @call_id: of the last call
+ * @sent_ms: when that was sent
+ * @wait_ms: how long its answer may wait for a change
+ * @known_ms: all changes up to then are known; 0: of none
+ * @lost: a call that waited for changes was lost, none was answered since
  * @parted: its rows lie in the parts of the jobs, else in part ""
  * @part: part that is read now
  * @from: next page's first key
@@ -92,6 +98,7 @@
  */
 typedef struct
 {
+  const char *name;
   MuxCellTable table;
   CellRowSeen seen;
   void (*whole) (MuxCell *cell, bool ended);
@@ -99,6 +106,11 @@
   bool on;
   bool loaded;
   bool busy;
+  uint64_t call_id;
+  int64_t sent_ms;
+  uint32_t wait_ms;
+  int64_t known_ms;
+  bool lost;
   bool parted;
   uint32_t part;
   char from[MUX_ROW_NAME_LEN];
@@ -534,6 +546,7 @@
   int64_t store_clock_at_ms; /* and ours */
   int64_t store_served_ms;   /* its last answer that was not a failure */
   int64_t store_failing_ms;  /* first failure since; 0: none */
+  int64_t store_turned_ms;   /* it began to fail, or to serve again, then */
 
   /* The claim. */
   CellClaim claim;
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -2,15 +2,30 @@
 
 #include <stdio.h>
 
-/* A call waits so long for a change.  Short, so that a
- * connection that went silent is noticed soon. */
-#define WAIT_MS 5000
-#define WAIT_GRACE_MS 1500
-/* Twice what the slowest store seen takes for an answer. */
-#define PROBE_MS 600
-/* After a failure; a store that is away is asked twice a second. */
+/*
+ * How old what a feed says may be.  A change of the configuration is in force
+ * 2 s after it was acknowledged, and for one made around an outage of the store
+ * 3 s after the end of that (the platform's bounds); a cancelled job's tasks
+ * are gone, and what a draining worker says is known, after as much.  A call
+ * that is lost without a sign is given up after WAIT_MS and GRACE_MS, and the
+ * next one answered within PROBE_MS: 2.2 s, from the end of an outage on.
+ */
+
+/* A call waits so long for a change, in ms; each is paid for, and a daemon
+ * makes one a second for each table where nothing changes. */
+#define WAIT_MS 1000
+/* An answer that is so much later, in ms, does not come any more: twice what
+ * the slowest store seen takes. */
+#define GRACE_MS 600
+/* For an answer that waits for nothing, in ms: the same. */
+#define PROBE_MS GRACE_MS
+/* Between two calls of which the first failed at once, in ms. */
 #define RETRY_MS 250
-/* Between two answers with changes: rows that come closely together then
+/* What a feed says counts as unknown at this age, in ms.  Two calls follow each
+ * other when a change comes at the end of the first one's wait: twice WAIT_MS,
+ * and the store's answers. */
+#define UNKNOWN_MS 3000
+/* Between two answers with changes, in ms: rows that come closely together then
  * share one call, which is paid for; it delays a change by half of it. */
 #define REST_MS 30
 
@@ -24,12 +39,21 @@
   follow->term = term;
   follow->loaded = version != 0;
   follow->busy = false;
+  follow->known_ms = 0;
+  follow->lost = false;
   follow->part = 0;
   follow->from[0] = 0;
   follow->version = version;
   follow->next_ms = 0;
 }
 
+bool
+cell_follow_is_known (const MuxCell *cell, const CellFollow *follow)
+{
+  return follow->known_ms != 0
+         && cell->time.now_ms - follow->known_ms < UNKNOWN_MS;
+}
+
 static bool
 begins (const CellFollow *follow)
 {
@@ -37,27 +61,36 @@
 }
 
 static void
-send_scan (MuxCell *cell, CellFollow *follow, uint64_t number)
+send (MuxCell *cell, CellFollow *follow, MuxCellCall *call)
+{
+  CellPending pending = { .done = followed,
+                          .term = follow->term,
+                          .number = (uint64_t) (follow - cell->follow) };
+
+  follow->call_id = cell->next_call;
+  follow->sent_ms = cell->time.now_ms;
+  follow->wait_ms = call->wait_ms;
+  follow->busy = cell_call (cell, call, &pending);
+}
+
+static void
+send_scan (MuxCell *cell, CellFollow *follow)
 {
   MuxCellCall *call = cell_scan_call (
       follow->table, follow->parted ? cell->part[follow->part].name : "");
-  CellPending pending
-      = { .done = followed, .term = follow->term, .number = number };
 
   if (call == NULL)
     return;
   snprintf (call->from, sizeof call->from, "%s", follow->from);
   if (begins (follow) && follow->whole != NULL)
     follow->whole (cell, false);
-  follow->busy = cell_call (cell, call, &pending);
+  send (cell, follow, call);
 }
 
 static void
-send_follow (MuxCell *cell, CellFollow *follow, uint64_t number)
+send_follow (MuxCell *cell, CellFollow *follow)
 {
   MuxCellCall *call = mux_cell_call_new (MUX_CELL_FOLLOW);
-  CellPending pending
-      = { .done = followed, .term = follow->term, .number = number };
 
   if (call == NULL)
     return;
@@ -67,22 +100,95 @@
    * a change would leave callers refused for seconds after its return. */
   call->wait_ms = cell->store_failing_ms == 0 ? WAIT_MS : 0;
   call->timeout_ms
-      = cell->store_failing_ms == 0 ? WAIT_MS + WAIT_GRACE_MS : PROBE_MS;
-  follow->busy = cell_call (cell, call, &pending);
+      = cell->store_failing_ms == 0 ? WAIT_MS + GRACE_MS : PROBE_MS;
+  send (cell, follow, call);
+}
+
+static void
+note_loss (MuxCell *cell, CellFollow *follow, const char *why)
+{
+  /* Those that waited for nothing fail all through an outage. */
+  if (follow->wait_ms == 0)
+    return;
+  follow->lost = follow->known_ms != 0;
+  cell_log (cell, "feed_lost", "{s:s, s:s, s:I}", "feed", follow->name, "why",
+            why, "out_ms", (json_int_t) (cell->time.now_ms - follow->sent_ms));
+}
+
+static void
+note_answer (MuxCell *cell, CellFollow *follow)
+{
+  if (follow->lost)
+    cell_log (cell, "feed_back", "{s:s, s:I}", "feed", follow->name,
+              "behind_ms", (json_int_t) (cell->time.now_ms - follow->known_ms));
+  follow->lost = false;
+}
+
+/*
+ * Guards against a feed that says nothing of changes behind a short outage: its
+ * call was lost in it, with no sign of that on its connection, while the
+ * daemon's other calls are answered again.  Whenever one of these shows that
+ * the store begins or ends to fail, the calls sent before are sent anew; what
+ * the old ones are still answered is not heard, as it may be older than what is
+ * known by then.  A call that is not out for longer than an answer takes is
+ * left alone, so that a store that is slow and fails now and then does not
+ * have each call given up before its answer.
+ */
+static void
+give_up_doubtful (MuxCell *cell, CellFollow *follow)
+{
+  int64_t now = cell->time.now_ms;
+
+  if (!follow->busy || !follow->loaded
+      || follow->sent_ms >= cell->store_turned_ms
+      || now - follow->sent_ms < PROBE_MS)
+    return;
+  cell_call_forget (cell, follow->call_id);
+  follow->busy = false;
+  follow->next_ms = now;
+  note_loss (cell, follow,
+             cell->store_failing_ms != 0 ? "store_failing" : "store_back");
 }
 
 void
 cell_follow_tick (MuxCell *cell, CellFollow *follow)
 {
-  uint64_t number = (uint64_t) (follow - cell->follow);
-
-  if (!follow->on || follow->busy || cell->time.now_ms < follow->next_ms)
+  if (!follow->on)
+    return;
+  give_up_doubtful (cell, follow);
+  if (follow->busy || cell->time.now_ms < follow->next_ms)
     return;
   follow->next_ms = cell->time.now_ms + RETRY_MS;
   if (follow->loaded)
-    send_follow (cell, follow, number);
+    send_follow (cell, follow);
   else
-    send_scan (cell, follow, number);
+    send_scan (cell, follow);
+}
+
+/* An answer without changes that came when its wait was over was given then;
+ * of any other it is known only that it was given after the call was sent. */
+static int64_t
+given_ms (const MuxCell *cell,
+          const CellFollow *follow,
+          const MuxCellReply *reply)
+{
+  int64_t waited_ms = follow->sent_ms + follow->wait_ms;
+
+  return reply->row_count == 0 && cell->time.now_ms >= waited_ms
+             ? waited_ms
+             : follow->sent_ms;
+}
+
+static void
+failed (MuxCell *cell, CellFollow *follow, const MuxCellReply *reply)
+{
+  int64_t now = cell->time.now_ms;
+
+  follow->next_ms = follow->sent_ms + RETRY_MS;
+  if (follow->next_ms < now)
+    follow->next_ms = now;
+  if (reply->status == MUX_CELL_UNKNOWN)
+    note_loss (cell, follow, "silent");
 }
 
 /* The version of a whole reading is that of its first page: what changed
@@ -131,9 +237,11 @@
     }
   if (reply->status != MUX_CELL_OK)
     {
-      follow->next_ms = cell->time.now_ms + RETRY_MS;
+      failed (cell, follow, reply);
       return;
     }
+  note_answer (cell, follow);
+  follow->known_ms = given_ms (cell, follow, reply);
   for (uint32_t i = 0; i < reply->row_count; i++)
     {
       follow->seen (cell, &reply->row[i]);
--- a/test/unit/test_cell_feeds.c
+++ b/test/unit/test_cell_feeds.c
@@ -18,6 +18,14 @@
 #define NEXT_MS 500
 /* After the end of an outage a daemon is held to all bounds again. */
 #define CONTACT_MS 3000
+/* A cancelled job's tasks are gone by then. */
+#define CANCEL_MS 3000
+/* A silent store is noticed so soon, also by a daemon that has no caller. */
+#define NOTICE_MS 2300
+/* What was heard so long ago is no knowledge any more. */
+#define UNKNOWN_MS 3500
+/* Longer than any test, and short enough that its progress shows. */
+#define LONG_TASK_MS 60000
 
 static void
 all_stores (World *world, WorldFault fault)
@@ -70,11 +78,368 @@
     }
 }
 
+static uint32_t
+running (const World *world)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    n += world->start[i].ended_ms == 0;
+  return n;
+}
+
+/*
+ * A caller cancels a job just after a short outage, is told that it is done,
+ * and its tasks run on for seconds.  The daemon that took the cancel stored it;
+ * the planner, another one, learns of it by the changes of the table of jobs,
+ * and its call for these was lost in the outage.
+ */
+static void
+test_cancel_behind_a_short_outage_stops_its_tasks (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint64_t job;
+      uint64_t cancel;
+
+      world->task_ms = LONG_TASK_MS;
+      world_run (world, SETTLE_MS);
+      job = world_submit (world, 0, world_job (1, 4, 1000), "job");
+      world_run (world, 600 + phase_ms);
+      assert_int_equal (world->answer[job].outcome, MUX_OUTCOME_ACCEPTED);
+      assert_int_equal (running (world), 4);
+      silent_for (world, OUTAGE_MS);
+      world_run (world, NEXT_MS);
+      cancel = world_ask (world, (world_planner (world) + 1) % CELLS,
+                          MUX_QUESTION_CANCEL, "job");
+      world_run (world, CANCEL_MS);
+      assert_int_equal (world->answer[cancel].outcome, MUX_OUTCOME_CANCELLED);
+      assert_int_equal (running (world), 0);
+      world_free (world);
+    }
+}
+
+/*
+ * The store is silent and a daemon goes on to take callers, whom it holds until
+ * they give up.  It had no caller before, so that all its calls were waiting
+ * for changes, and none of them was due.
+ */
+static void
+test_silence_is_noticed_without_callers (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      World *world = world_new (CELLS, WORKERS);
+
+      world_run (world, SETTLE_MS + phase_ms);
+      for (uint32_t i = 0; i < CELLS; i++)
+        assert_true (mux_cell_ready (world->cell[i].cell));
+      world->peers_cut = true;
+      all_stores (world, WORLD_SILENT);
+      world_run (world, NOTICE_MS);
+      for (uint32_t i = 0; i < CELLS; i++)
+        assert_false (mux_cell_ready (world->cell[i].cell));
+      world_free (world);
+    }
+}
+
+static MuxOutcome
+ask_elsewhere (World *world, uint64_t call)
+{
+  MuxQuestion *question = calloc (1, sizeof *question);
+
+  assert_non_null (question);
+  question->verb = MUX_QUESTION_STATE;
+  question->call = call;
+  snprintf (question->host, sizeof question->host, "cell.example");
+  snprintf (question->path, sizeof question->path, "/unheard-of/x");
+  mux_cell_question (world->cell[0].cell,
+                     (MuxCellTime){ world->now_ms, world->now_ms }, question);
+  assert_true (world->answered[call]);
+  return world->answer[call].outcome;
+}
+
+/*
+ * A caller of a queue that was added a moment ago is told that there is none,
+ * and does not come back.  The daemon that he reached had heard nothing of the
+ * store for seconds, and answered from what it knew.
+ */
+static void
+test_no_queue_is_not_said_on_old_knowledge (void **state)
+{
+  World *world = world_new (1, 1);
+
+  (void) state;
+  world_run (world, SETTLE_MS);
+  assert_int_equal (ask_elsewhere (world, 200), MUX_OUTCOME_NO_QUEUE);
+  all_stores (world, WORLD_SILENT);
+  world_run (world, UNKNOWN_MS);
+  assert_int_equal (ask_elsewhere (world, 201), MUX_OUTCOME_REFUSED);
+  all_stores (world, WORLD_SERVES);
+  world_run (world, CONTACT_MS);
+  assert_int_equal (ask_elsewhere (world, 202), MUX_OUTCOME_NO_QUEUE);
+  world_free (world);
+}
+
+/* One daemon whose calls the test answers itself. */
+
+#define CALLS_MAX 16
+#define CLAIM_VERSION 5
+#define NEWER_VERSION 20
+#define TICK_MS 10
+
+typedef struct
+{
+  MuxCellSink sink; /* first */
+  MuxCounters *counters;
+  MuxCell *cell;
+  int64_t now_ms;
+  uint32_t count;
+  MuxCellCall *call[CALLS_MAX]; /* not answered yet */
+  uint32_t store_failing;       /* lines of the log */
+  uint64_t config_version;      /* in force */
+} Lone;
+
+static bool
+lone_call (MuxCellSink *sink, MuxCellCall *call)
+{
+  Lone *lone = (Lone *) sink;
+
+  assert_true (lone->count < CALLS_MAX);
+  lone->call[lone->count++] = call;
+  return true;
+}
+
+static void
+lone_answer (MuxCellSink *sink, const MuxQuestionReply *reply)
+{
+  (void) sink;
+  (void) reply;
+}
+
+static bool
+lone_peer_send (MuxCellSink *sink, const char *addr, const MuxPeerMsg *msg)
+{
+  (void) sink;
+  (void) addr;
+  (void) msg;
+  return true;
+}
+
+static void
+lone_log (MuxCellSink *sink, const char *event, json_t *fields)
+{
+  Lone *lone = (Lone *) sink;
+
+  if (strcmp (event, "store_failing") == 0)
+    lone->store_failing++;
+  if (strcmp (event, "config_in_force") == 0)
+    lone->config_version
+        = (uint64_t) json_integer_value (json_object_get (fields, "version"));
+  json_decref (fields);
+}
+
+static void
+lone_run (Lone *lone, int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i += TICK_MS)
+    {
+      lone->now_ms += TICK_MS;
+      (void) mux_cell_tick (lone->cell,
+                            (MuxCellTime){ lone->now_ms, lone->now_ms });
+    }
+}
+
+static uint32_t
+lone_waiting (const Lone *lone, MuxCellVerb verb, MuxCellTable table)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < lone->count; i++)
+    n += lone->call[i]->verb == verb && lone->call[i]->table == table;
+  return n;
+}
+
+/* The oldest of that kind. */
+static MuxCellCall *
+lone_take (Lone *lone, MuxCellVerb verb, MuxCellTable table)
+{
+  for (uint32_t i = 0; i < lone->count; i++)
+    if (lone->call[i]->verb == verb && lone->call[i]->table == table)
+      {
+        MuxCellCall *call = lone->call[i];
+
+        lone->call[i] = lone->call[--lone->count];
+        return call;
+      }
+  fail_msg ("no such call waits");
+  return NULL;
+}
+
+static void
+add_claim (MuxCellReply *reply, uint64_t version)
+{
+  static const char other[] = "{\"name\":\"entry-2\",\"addr\":\"10.0.0.2:7000"
+                              "\",\"incarnation\":9,\"term\":1}";
+  MuxCellRow *row;
+
+  assert_true (mux_cell_reply_rows (reply, 1));
+  row = &reply->row[reply->row_count++];
+  row->version = version;
+  if (reply->version < version)
+    reply->version = version;
+  snprintf (row->key, sizeof row->key, "claim");
+  row->value = mux_blob_new (other, strlen (other));
+}
+
+static void
+add_config (MuxCellReply *reply, uint64_t version)
+{
+  MuxCellRow *row;
+
+  assert_true (mux_cell_reply_rows (reply, 1));
+  row = &reply->row[reply->row_count++];
+  row->version = version;
+  reply->version = version;
+  row->table = MUX_TABLE_CONFIG;
+  snprintf (row->key, sizeof row->key, "config");
+  row->config = calloc (1, sizeof *row->config + sizeof row->config->item[0]);
+  assert_non_null (row->config);
+  row->config->version = version;
+}
+
+static void
+lone_reply (Lone *lone, MuxCellCall *call, MuxCellReply *reply)
+{
+  mux_cell_call_free (call);
+  mux_cell_reply (lone->cell, (MuxCellTime){ lone->now_ms, lone->now_ms },
+                  reply);
+}
+
+/* It knows the configuration and who plans, and waits for changes. */
+static Lone *
+lone_new (void)
+{
+  Lone *lone = calloc (1, sizeof *lone);
+  MuxCellOptions options = { .name = "entry-1",
+                             .data_centre = "nizwa-hall",
+                             .peer_addr = "10.0.0.1:7000",
+                             .incarnation = 1,
+                             .lease_ms = 4000,
+                             .dead_ms = 60000,
+                             .strength_milli = 1000,
+                             .ended_keep_s = 60 };
+  MuxCellCall *call;
+  MuxCellReply *reply;
+
+  assert_non_null (lone);
+  lone->sink
+      = (MuxCellSink){ lone_call, lone_answer, lone_peer_send, lone_log };
+  lone->counters = mux_counters_new ();
+  options.sink = &lone->sink;
+  options.counters = lone->counters;
+  lone->now_ms = 1000;
+  lone->cell = mux_cell_new (&options, NULL);
+  assert_non_null (lone->cell);
+  lone_run (lone, TICK_MS);
+  call = lone_take (lone, MUX_CELL_SCAN, MUX_TABLE_CONFIG);
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  add_config (reply, CLAIM_VERSION);
+  lone_reply (lone, call, reply);
+  call = lone_take (lone, MUX_CELL_SCAN, MUX_TABLE_CLAIM);
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  add_claim (reply, CLAIM_VERSION);
+  lone_reply (lone, call, reply);
+  lone_run (lone, 2 * TICK_MS);
+  return lone;
+}
+
+static void
+lone_free (Lone *lone)
+{
+  mux_cell_free (lone->cell);
+  for (uint32_t i = 0; i < lone->count; i++)
+    mux_cell_call_free (lone->call[i]);
+  mux_counters_free (lone->counters);
+  free (lone);
+}
+
+/* The store shows that it fails by another call, and serves again: the call
+ * that waited for a new configuration is given up, the next one answered.
+ * Return: the call given up. */
+static MuxCellCall *
+lone_over_an_outage (Lone *lone)
+{
+  MuxCellCall *old;
+  MuxCellCall *call;
+  MuxCellReply *reply;
+
+  lone_run (lone, OUTAGE_MS);
+  call = lone_take (lone, MUX_CELL_FOLLOW, MUX_TABLE_CLAIM);
+  lone_reply (lone, call, mux_cell_reply_new (call, MUX_CELL_UNKNOWN));
+  lone_run (lone, TICK_MS);
+  assert_int_equal (lone_waiting (lone, MUX_CELL_FOLLOW, MUX_TABLE_CONFIG), 2);
+  old = lone_take (lone, MUX_CELL_FOLLOW, MUX_TABLE_CONFIG);
+  call = lone_take (lone, MUX_CELL_FOLLOW, MUX_TABLE_CONFIG);
+  assert_int_equal (call->wait_ms, 0);
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  add_config (reply, NEWER_VERSION);
+  lone_reply (lone, call, reply);
+  lone_run (lone, 10 * TICK_MS);
+  assert_int_equal (lone->config_version, NEWER_VERSION);
+  assert_int_equal (lone->store_failing, 1);
+  return old;
+}
+
+/*
+ * Callers are refused, or a whole table is read again, for what the store said
+ * of a time long ago.  A feed's call was given up and sent anew, the new one
+ * was answered, and then the old one is: with rows older than those known, with
+ * "that history is gone", or with its time-out.
+ */
+static void
+test_late_answer_of_a_call_given_up_is_not_heard (void **state)
+{
+  static const MuxCellStatus late[]
+      = { MUX_CELL_OK, MUX_CELL_HISTORY, MUX_CELL_UNKNOWN, MUX_CELL_NOT_DONE };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof late / sizeof late[0]; i++)
+    {
+      Lone *lone = lone_new ();
+      MuxCellCall *old = lone_over_an_outage (lone);
+      MuxCellReply *reply = mux_cell_reply_new (old, late[i]);
+      MuxCellCall *call;
+
+      if (late[i] == MUX_CELL_OK)
+        add_config (reply, CLAIM_VERSION + 1);
+      lone_reply (lone, old, reply);
+      lone_run (lone, 10 * TICK_MS);
+      assert_int_equal (lone->config_version, NEWER_VERSION);
+      assert_int_equal (lone->store_failing, 1);
+      assert_int_equal (lone_waiting (lone, MUX_CELL_SCAN, MUX_TABLE_CONFIG),
+                        0);
+      assert_int_equal (lone_waiting (lone, MUX_CELL_FOLLOW, MUX_TABLE_CONFIG),
+                        1);
+      call = lone_take (lone, MUX_CELL_FOLLOW, MUX_TABLE_CONFIG);
+      assert_int_equal (call->after, NEWER_VERSION);
+      mux_cell_call_free (call);
+      lone_free (lone);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_change_behind_a_short_outage_is_in_force),
+    cmocka_unit_test (test_cancel_behind_a_short_outage_stops_its_tasks),
+    cmocka_unit_test (test_silence_is_noticed_without_callers),
+    cmocka_unit_test (test_no_queue_is_not_said_on_old_knowledge),
+    cmocka_unit_test (test_late_answer_of_a_call_given_up_is_not_heard),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
