--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -13,6 +13,8 @@
  */
 uint64_t cell_call_asked (const MuxCell *cell, uint64_t number);
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
+/** cell_call_forget() - its reply will be ignored, whatever it says */
+void cell_call_forget (MuxCell *cell, uint64_t call_id);
 void cell_store_result (MuxCell *cell, const MuxCellReply *reply);
 /** cell_store_silent() - no answer of it came since @since_ms */
 void cell_store_silent (MuxCell *cell, int64_t since_ms);
@@ -59,6 +61,8 @@
 /* follow.c */
 void cell_follow_tick (MuxCell *cell, CellFollow *follow);
 void cell_follow_start (CellFollow *follow, uint64_t term, uint64_t version);
+/** cell_follow_is_known() - what the feed says is as young as it should be */
+bool cell_follow_is_known (const MuxCell *cell, const CellFollow *follow);
 
 /* submit.c, inquiry.c: callers */
 void cell_submit (MuxCell *cell, MuxQuestion *question);
