cell: tests that fail, rows of another writer

Cause: the store is shared, and a row that this program reads may come from another writer, or from another version of it. Readers trust rows: keys are cut to the length of their field, the part of a row is not looked at, fields of another type read as 0.

Seen on the code as it is (build/release/unit/test_cell_foreign, each story run as a test of its own): 18 of 21 stories fail. An unreadable roster row lets the next planner start tasks that still run; unreadable progress lets it run tasks again that were done; a foreign key before a part's fence row, or a fence that names a claim of the future, stops every takeover; a roster longer than a page does, too; an entry with another worker's address has a worker's tasks started twice; a row in another part, or whose key is longer than ours, is taken for the one it resembles; a claim of another form is taken for vacant at once. Three hold already: a worker whose own entry became unreadable, two entries of one address, the progress of a long-running job.

Change: the stories as tests, and in cell_world rows of any content, pages of any length and counts of log lines and of calls to a worker.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -107,6 +107,42 @@
   return row != NULL && !row->removed ? row->version : 0;
 }
 
+/* The list of workers holds a MuxWorkerInfo, or "{}" for a worker of the world;
+ * anything else can't be read. */
+static MuxWorkerInfo *
+worker_of (const World *world, const WorldRow *row)
+{
+  const MuxWorkerInfo *info = NULL;
+  MuxWorkerInfo *copy;
+
+  if (row->value == NULL)
+    return NULL;
+  if (row->value->len == sizeof *info)
+    info = (const MuxWorkerInfo *) (const void *) row->value->bytes;
+  for (uint32_t i = 0; i < WORLD_WORKERS_MAX && info == NULL; i++)
+    if (strcmp (row->value->bytes, "{}") == 0
+        && strcmp (world->worker[i].info.id, row->key) == 0)
+      info = &world->worker[i].info;
+  copy = info != NULL ? malloc (sizeof *copy) : NULL;
+  if (copy != NULL)
+    memcpy (copy, info, sizeof *copy);
+  return copy;
+}
+
+static MuxQueueConfig *
+config_of (const WorldRow *row)
+{
+  size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
+  MuxQueueConfig *config;
+
+  if (row->value == NULL || row->value->len != size)
+    return NULL;
+  config = malloc (size);
+  if (config != NULL)
+    memcpy (config, row->value->bytes, size);
+  return config;
+}
+
 static void
 copy_row (const World *world, const WorldRow *from, MuxCellRow *to)
 {
@@ -116,18 +152,10 @@
   to->version = from->version;
   to->removed = from->removed;
   to->value = from->removed ? NULL : mux_blob_ref (from->value);
-  if (from->table == MUX_TABLE_CONFIG)
-    {
-      to->config = calloc (1, sizeof *to->config + sizeof to->config->item[0]);
-      memcpy (to->config, from->value->bytes, from->value->len);
-    }
+  if (from->table == MUX_TABLE_CONFIG && !from->removed)
+    to->config = config_of (from);
   if (from->table == MUX_TABLE_WORKERS && !from->removed)
-    for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
-      if (strcmp (world->worker[i].info.id, from->key) == 0)
-        {
-          to->worker = calloc (1, sizeof *to->worker);
-          *to->worker = world->worker[i].info;
-        }
+    to->worker = worker_of (world, from);
 }
 
 static void
@@ -177,6 +205,19 @@
   return strcmp (((const MuxCellRow *) x)->key, ((const MuxCellRow *) y)->key);
 }
 
+static void
+cut_page (MuxCellReply *reply, uint32_t rows)
+{
+  for (uint32_t i = rows; i < reply->row_count; i++)
+    {
+      mux_blob_unref (reply->row[i].value);
+      free (reply->row[i].config);
+      free (reply->row[i].worker);
+    }
+  reply->row_count = rows;
+  reply->more = true;
+}
+
 static void
 do_scan (World *world, const MuxCellCall *call, MuxCellReply *reply)
 {
@@ -193,6 +234,8 @@
     }
   if (reply->row_count > 0)
     qsort (reply->row, reply->row_count, sizeof *reply->row, by_key);
+  if (world->page_rows != 0 && reply->row_count > world->page_rows)
+    cut_page (reply, world->page_rows);
   reply->version = world->version;
 }
 
@@ -397,6 +440,8 @@
   WorldFault fault = worker != NULL && order ? worker->fault : WORLD_SERVES;
 
   world->worker_calls[cell]++;
+  if (worker != NULL)
+    worker->calls++;
   if (!in_reach (world, cell, worker) || fault == WORLD_SILENT)
     answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
                  call->timeout_ms);
@@ -549,12 +594,42 @@
   return true;
 }
 
+static WorldLogged *
+logged_find (World *world, const char *event)
+{
+  for (uint32_t i = 0; i < WORLD_EVENTS_MAX; i++)
+    if (world->logged[i].event[0] == 0
+        || strcmp (world->logged[i].event, event) == 0)
+      return &world->logged[i];
+  fail_msg ("more kinds of log lines than are counted");
+  return &world->logged[0];
+}
+
+static void
+count_logged (World *world, const char *event)
+{
+  WorldLogged *logged = logged_find (world, event);
+
+  snprintf (logged->event, sizeof logged->event, "%s", event);
+  logged->count++;
+}
+
+uint32_t
+world_logged (const World *world, const char *event)
+{
+  for (uint32_t i = 0; i < WORLD_EVENTS_MAX; i++)
+    if (strcmp (world->logged[i].event, event) == 0)
+      return world->logged[i].count;
+  return 0;
+}
+
 static void
 sink_log (MuxCellSink *sink, const char *event, json_t *fields)
 {
   WorldCell *cell = (WorldCell *) sink;
 
   assert_non_null (fields);
+  count_logged (cell->world, event);
   if (getenv ("WORLD_LOG") != NULL)
     {
       char *text = json_dumps (fields, JSON_COMPACT);
@@ -761,17 +836,60 @@
 }
 
 static void
-list_worker (World *world, uint32_t number)
+put_blob (World *world,
+          MuxCellTable table,
+          const char *part,
+          const char *key,
+          MuxBlob *value)
 {
-  WorldRow *row
-      = row_make (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id);
+  WorldRow *row = row_make (world, table, part, key);
 
   mux_blob_unref (row->value);
-  row->value = mux_blob_new ("{}", 2);
+  row->value = value;
   row->removed = false;
   row->version = ++world->version;
 }
 
+void
+world_put_row (World *world,
+               MuxCellTable table,
+               const char *part,
+               const char *key,
+               const char *value)
+{
+  put_blob (world, table, part, key,
+            value != NULL ? mux_blob_new (value, strlen (value)) : NULL);
+}
+
+void
+world_remove_row (World *world,
+                  MuxCellTable table,
+                  const char *part,
+                  const char *key)
+{
+  WorldRow *row = row_make (world, table, part, key);
+
+  row->removed = true;
+  row->version = ++world->version;
+}
+
+void
+world_list_as (World *world,
+               const char *part,
+               const char *key,
+               const MuxWorkerInfo *info)
+{
+  put_blob (world, MUX_TABLE_WORKERS, part, key,
+            mux_blob_new (info, sizeof *info));
+}
+
+static void
+list_worker (World *world, uint32_t number)
+{
+  world_put_row (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id,
+                 "{}");
+}
+
 static void
 add_worker (World *world, uint32_t number)
 {
@@ -839,7 +957,7 @@
     if (world->row[i].table == MUX_TABLE_CLAIM
         && strcmp (world->row[i].key, "claim") == 0)
       row = &world->row[i];
-  if (row == NULL)
+  if (row == NULL || row->value == NULL)
     return number;
   json = json_loadb (row->value->bytes, row->value->len, 0, NULL);
   name = json_string_value (json_object_get (json, "name"));
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -38,6 +38,18 @@
   MuxBlob *value;
 } WorldRow;
 
+/* Kinds of log lines that are counted, more than the cores have. */
+#define WORLD_EVENTS_MAX 128
+
+/**
+ * struct WorldLogged - how often an event was logged by any cell
+ */
+typedef struct
+{
+  char event[MUX_NAME_LEN];
+  uint32_t count;
+} WorldLogged;
+
 /**
  * struct WorldRun - a run at a worker, running or ended and not acknowledged
  * @ends_ms: when it ends by itself; INT64_MAX: never
@@ -76,6 +88,7 @@
   uint64_t fence;
   uint64_t next_end;
   int64_t lease_until_ms;
+  uint32_t calls; /* that reached its address, from any cell */
   WorldRun run[WORLD_RUNS_MAX];
 } WorldWorker;
 
@@ -131,11 +144,13 @@
   uint32_t approve_one_in; /* workers, by number; 0: all */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   int64_t store_ms;        /* time of a call to the store */
+  uint32_t page_rows;      /* most rows of one reading; 0: all */
   uint32_t approvals_asked;
   uint32_t commits;
   uint32_t own_commits[WORLD_CELLS_MAX];  /* by the daemon that made them */
   uint32_t worker_calls[WORLD_CELLS_MAX]; /* by the daemon that made them */
   clock_t core_clock; /* processor time inside the cores' ticks and replies */
+  WorldLogged logged[WORLD_EVENTS_MAX];
   WorldEvent *events;
   MuxQuestionReply answer[8192]; /* by the question's call */
   bool answered[8192];
@@ -172,6 +187,24 @@
 MuxJobSpec *world_job (uint32_t steps, uint32_t tasks, uint32_t cpu_milli);
 /** world_make_urgent() - the queue's jobs, from now on */
 void world_make_urgent (World *world);
+/** world_put_row() - as any writer may; @value NULL: none that can be read */
+void world_put_row (World *world,
+                    MuxCellTable table,
+                    const char *part,
+                    const char *key,
+                    const char *value);
+/** world_remove_row() - as any writer may */
+void world_remove_row (World *world,
+                       MuxCellTable table,
+                       const char *part,
+                       const char *key);
+/** world_list_as() - an entry in the list of workers, under any key */
+void world_list_as (World *world,
+                    const char *part,
+                    const char *key,
+                    const MuxWorkerInfo *info);
+/** world_logged() - how often the cells logged @event */
+uint32_t world_logged (const World *world, const char *event);
 /** world_worker_restart() - a new life at the same address */
 void world_worker_restart (World *world, uint32_t worker);
 
--- /dev/null
+++ b/test/unit/test_cell_foreign.c
@@ -0,0 +1,835 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+
+/* Rows of the store that another writer made, or another version of the
+ * program: such a row is never used, and everything else goes on. */
+
+#define CELLS 2
+#define WORKERS 4
+/* A worker that the world knows and its list does not; see stranger(). */
+#define STRANGER 9
+/* Tasks of this length outlive a takeover and the lease of a lost worker. */
+#define LONG_MS 20000
+/* From the planner's death until its successor has taken all over. */
+#define TAKEOVER_MS 4000
+/* As takeover, with the wait for the longest lease of a worker unheard. */
+#define LEASES_OVER_MS 22000
+/* Bytes that no writer of ours makes. */
+#define GARBAGE "\x01\xff{\"addr\""
+
+static void
+submit (World *world, uint32_t steps, uint32_t tasks, const char *id)
+{
+  uint64_t call = world_submit (world, world_planner (world),
+                                world_job (steps, tasks, 1000), id);
+
+  world_run (world, 400);
+  assert_true (world->answered[call]);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_ACCEPTED);
+}
+
+static void
+take_over (World *world)
+{
+  uint32_t planner = world_planner (world);
+
+  world_cell_kill (world, planner);
+  world_run (world, TAKEOVER_MS);
+  assert_int_not_equal (world_planner (world), planner);
+}
+
+static uint32_t
+starts_at (const World *world, uint32_t worker, const char *id)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    n += world->start[i].worker == worker
+         && strcmp (world->start[i].task.job, id) == 0;
+  return n;
+}
+
+/* The row of a table whose key is @key, in whatever part. */
+static const WorldRow *
+stored (const World *world, MuxCellTable table, const char *key)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == table && !world->row[i].removed
+        && strcmp (world->row[i].key, key) == 0)
+      return &world->row[i];
+  fail_msg ("no row %s in table %d", key, (int) table);
+  return NULL;
+}
+
+static void
+overwrite (World *world, MuxCellTable table, const char *key, const char *value)
+{
+  char part[MUX_ROW_NAME_LEN];
+
+  memcpy (part, stored (world, table, key)->part, sizeof part);
+  world_put_row (world, table, part, key, value);
+}
+
+/* A worker that serves whoever calls its address, and counts the calls. */
+static MuxWorkerInfo
+stranger (World *world)
+{
+  WorldWorker *worker = &world->worker[STRANGER];
+
+  worker->used = true;
+  worker->info = world->worker[0].info;
+  snprintf (worker->info.id, sizeof worker->info.id, "i-stranger");
+  snprintf (worker->info.addr, sizeof worker->info.addr, "10.9.0.1:8000");
+  return worker->info;
+}
+
+/*
+ * Another writer overwrites the entry of a worker that runs a task.  No task
+ * may start there any more; the one that runs must go on and end once, and the
+ * other workers go on as before.  When the entry can be read again the worker
+ * is used again.
+ */
+static void
+test_worker_whose_entry_became_unreadable (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  world->task_ms = LONG_MS;
+  submit (world, 1, 64, "before");
+  world_run (world, 1000);
+  assert_true (starts_at (world, 0, "before") > 0);
+  world->task_ms = 1000;
+  world_put_row (world, MUX_TABLE_WORKERS, "", "i-0-1", GARBAGE);
+  world_run (world, 100);
+  submit (world, 1, 48, "during");
+  world_run (world, 3000);
+  assert_int_equal (starts_at (world, 0, "during"), 0);
+  assert_int_equal (world_starts (world, "during"), 48);
+  world_put_row (world, MUX_TABLE_WORKERS, "", "i-0-1", "{}");
+  world_run (world, LONG_MS);
+  assert_int_equal (world_state (world, 0, "before"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_starts (world, "before"), 64);
+  submit (world, 1, 100, "after");
+  world_run (world, 1000);
+  assert_true (starts_at (world, 0, "after") > 0);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A table is read whole after its changes were forgotten, page by page, and
+ * each page holds rows that can't be read, also as its last.  All workers that
+ * can be read must be there, and none of the others be called.
+ */
+static void
+test_whole_reading_with_unreadable_rows (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxWorkerInfo info = stranger (world);
+
+  (void) state;
+  world->page_rows = 2;
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      char key[MUX_ROW_NAME_LEN];
+
+      snprintf (key, sizeof key, "i-%u-0", i);
+      world_put_row (world, MUX_TABLE_WORKERS, "", key, GARBAGE);
+      snprintf (key, sizeof key, "i-%u-%070u", i, i);
+      world_list_as (world, "", key, &info);
+    }
+  take_over (world);
+  submit (world, 1, 100, "job");
+  world_run (world, 5000);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_COMPLETED);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    assert_true (starts_at (world, i, "job") > 0);
+  assert_int_equal (world->worker[STRANGER].calls, 0);
+  world_free (world);
+}
+
+/*
+ * An entry stands under a key that is no worker's: longer than an id, with a
+ * line break that would end the header of a call, or in a part where the list
+ * does not lie.  Such an entry names no worker; what changes there, its removal
+ * too, changes nothing for the worker whose key it bears.
+ */
+static void
+test_keys_that_are_no_workers (void **state)
+{
+  static const char *const keys[]
+      = { "", "i-0-1\r\nX: y", "i 1", "i-\xc3\xbc",
+          "i-0000000000000000000000000000000000000000000000001" };
+  World *world = world_new (CELLS, WORKERS);
+  MuxWorkerInfo info = stranger (world);
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    world_list_as (world, "", keys[i], &info);
+  world_list_as (world, "elsewhere", "i-elsewhere", &info);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world_remove_row (world, MUX_TABLE_WORKERS, "elsewhere",
+                      world->worker[i].info.id);
+  world_run (world, 3000);
+  assert_int_equal (world->worker[STRANGER].calls, 0);
+  submit (world, 1, 100, "job");
+  world_run (world, 1000);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    assert_true (starts_at (world, i, "job") > 0);
+  world_free (world);
+}
+
+/*
+ * An entry names a service that no queue has.  The worker must not be called,
+ * nor be written into the roster; when a queue's service comes to be that one
+ * it is used.
+ */
+static void
+test_service_that_no_queue_names (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxWorkerInfo info = stranger (world);
+
+  (void) state;
+  snprintf (info.service, sizeof info.service, "unheard-of");
+  world_list_as (world, "", info.id, &info);
+  info.service[0] = 0;
+  world_list_as (world, "", "i-none", &info);
+  world_run (world, 3000);
+  assert_int_equal (world->worker[STRANGER].calls, 0);
+  world_list_as (world, "", info.id, &world->worker[STRANGER].info);
+  world_run (world, 1000);
+  assert_true (world->worker[STRANGER].calls > 0);
+  world_free (world);
+}
+
+/*
+ * Another writer gives the entry of a worker that runs tasks the address of
+ * another worker.  There another life answers, so that the planner would take
+ * the first for dead and start its tasks again while they run.  A life keeps
+ * the address at which it has answered.
+ */
+static void
+test_entry_with_the_address_of_another (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxWorkerInfo info = world->worker[0].info;
+
+  (void) state;
+  world->task_ms = LONG_MS;
+  submit (world, 1, 64, "job");
+  world_run (world, 1000);
+  snprintf (info.addr, sizeof info.addr, "%s", world->worker[1].info.addr);
+  world_list_as (world, "", info.id, &info);
+  world_run (world, LONG_MS + 2000);
+  assert_int_equal (world_starts (world, "job"), 64);
+  assert_false (world_twice (world));
+  assert_int_equal (world_state (world, 0, "job"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+/*
+ * Two entries bear one address, as after a crash that the list has not noticed
+ * yet.  The life that answers there keeps its tasks; the other is never used.
+ */
+static void
+test_two_entries_of_one_address (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxWorkerInfo info = world->worker[0].info;
+
+  (void) state;
+  world->task_ms = LONG_MS;
+  submit (world, 1, 64, "job");
+  world_run (world, 1000);
+  world_list_as (world, "", "i-twin", &info);
+  world_run (world, LONG_MS + 2000);
+  assert_int_equal (world_starts (world, "job"), 64);
+  assert_int_equal (world_state (world, 0, "job"), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+static void
+fail_if_roster_row_frees (const char *value)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  world->task_ms = LONG_MS;
+  submit (world, 1, 64, "job");
+  world_run (world, 1000);
+  overwrite (world, MUX_TABLE_ROSTER, "i-0-1", value);
+  world_remove_row (world, MUX_TABLE_WORKERS, "", "i-0-1");
+  take_over (world);
+  world_run (world, LEASES_OVER_MS);
+  assert_false (world_twice (world));
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_COMPLETED);
+  assert_int_equal (world->worker[0].run[0].used
+                        && world->worker[0].run[0].number == 0,
+                    false);
+  world_free (world);
+}
+
+/*
+ * The planner dies while a worker that lost its way to the list runs tasks; the
+ * roster's row for it can't be read.  A successor that drops the row takes all
+ * workers for heard and starts those tasks again while they run.  The key alone
+ * says that something may run there: it is waited for until the longest lease
+ * is over.
+ */
+static void
+test_unreadable_roster_row (void **state)
+{
+  static const char *const values[]
+      = { GARBAGE,
+          "{}",
+          "[]",
+          "{\"addr\":5}",
+          "{\"addr\":\"nowhere\"}",
+          "{\"addr\":\"10.1.0.1:0\",\"over_ms\":-1}",
+          NULL };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    fail_if_roster_row_frees (values[i]);
+}
+
+/*
+ * The mark of a lost worker says that its lease ends in years.  Its tasks would
+ * never run again; no planner can have asked for a lease longer than the one
+ * that all use.
+ */
+static void
+test_roster_mark_far_in_the_future (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  world->task_ms = LONG_MS;
+  submit (world, 1, 64, "job");
+  world_run (world, 1000);
+  overwrite (world, MUX_TABLE_ROSTER, "i-0-1",
+             "{\"addr\":\"10.1.0.1:8000\",\"over_ms\":9223372036854775807}");
+  world_remove_row (world, MUX_TABLE_WORKERS, "", "i-0-1");
+  world->worker[0].cut = true;
+  take_over (world);
+  world_run (world, LEASES_OVER_MS + LONG_MS);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * A roster longer than a page: a successor that reads the first page again and
+ * again never begins to plan.
+ */
+static void
+test_roster_of_several_pages (void **state)
+{
+  World *world = world_new (CELLS, 8);
+
+  (void) state;
+  submit (world, 1, 200, "before");
+  world_run (world, 3000);
+  world->page_rows = 3;
+  take_over (world);
+  submit (world, 1, 10, "after");
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, world_planner (world), "after"),
+                    MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+static void
+fail_if_progress_row_runs_again (const char *value)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t starts;
+
+  submit (world, 3, 8, "job");
+  world_run (world, 1000);
+  overwrite (world, MUX_TABLE_PROGRESS, "job", value);
+  starts = world_starts (world, "job");
+  assert_true (starts >= 8 && starts < 24);
+  world_cell_kill (world, world_planner (world));
+  world_run (world, LEASES_OVER_MS);
+  assert_int_equal (world_starts (world, "job"), starts);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_FAILED);
+  world_free (world);
+}
+
+/*
+ * The planner dies, and what it stored of a job's progress can't be read.  A
+ * successor that begins anew runs tasks again that were done.  Which were can't
+ * be told any more: nothing of the job starts again and its caller hears that
+ * it failed, rather than nothing for good.
+ */
+static void
+test_unreadable_progress_row (void **state)
+{
+  static const char *const values[] = {
+    GARBAGE,
+    NULL,
+    "[]",
+    "{\"started\":true}",
+    "{\"started\":true,\"occurrences\":\"1\",\"stages\":[]}",
+    "{\"started\":true,\"occurrences\":1,\"stages\":{}}",
+    "{\"started\":true,\"occurrences\":1,\"stages\":[7]}",
+    "{\"started\":true,\"occurrences\":1,\"stages\":[{\"occurrence\":0,"
+    "\"step\":0,\"done\":255,\"gang_failures\":[],\"failures\":[],"
+    "\"saved\":[],\"workers\":[]}]}",
+    "{\"started\":true,\"occurrences\":1,\"stages\":[{\"occurrence\":0,"
+    "\"step\":0,\"done\":\"zz\",\"gang_failures\":[],\"failures\":[],"
+    "\"saved\":[],\"workers\":[]}]}",
+    "{\"started\":true,\"occurrences\":1,\"stages\":[{\"occurrence\":0,"
+    "\"step\":9,\"done\":\"ff\",\"gang_failures\":[],\"failures\":[],"
+    "\"saved\":[],\"workers\":[]}]}",
+    "{\"started\":true,\"occurrences\":1,\"stages\":[{\"occurrence\":0,"
+    "\"step\":0,\"done\":\"ff\",\"gang_failures\":3,\"failures\":[],"
+    "\"saved\":[],\"workers\":[]}]}",
+  };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    fail_if_progress_row_runs_again (values[i]);
+}
+
+/*
+ * The same for a job whose tasks run until it is cancelled.  No task of it is
+ * ever done, so that nothing can be repeated by going on: it does, once all
+ * workers where it may run have been heard.
+ */
+static void
+test_unreadable_progress_of_a_service (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxJobSpec *job = world_job (1, 8, 1000);
+
+  (void) state;
+  job->step[0].long_running = true;
+  world->task_ms = 10 * LONG_MS;
+  (void) world_submit (world, world_planner (world), job, "job");
+  world_run (world, 2000);
+  overwrite (world, MUX_TABLE_PROGRESS, "job", GARBAGE);
+  take_over (world);
+  world_run (world, LEASES_OVER_MS);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_ACTIVE);
+  assert_int_equal (world_starts (world, "job"), 8);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+static void
+fail_if_fence_stops_takeover (const char *key, const char *value)
+{
+  World *world = world_new (CELLS, WORKERS);
+  char part[MUX_ROW_NAME_LEN];
+
+  submit (world, 1, 4, "before");
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      snprintf (part, sizeof part, "p%u", i);
+      world_put_row (world, MUX_TABLE_FENCE, part, key, value);
+    }
+  take_over (world);
+  submit (world, 1, 4, "after");
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, world_planner (world), "after"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * The fence row of a part can't be read, names a claim that there can't have
+ * been yet, or another row stands before it.  Every new planner would give up,
+ * or try its write for good, and no job runs any more.
+ */
+static void
+test_unreadable_fence_row (void **state)
+{
+  (void) state;
+  fail_if_fence_stops_takeover ("a", "{\"term\":1}");
+  fail_if_fence_stops_takeover ("fence", "{\"term\":-1}");
+  fail_if_fence_stops_takeover ("fence", "{\"term\":9000000000000000000}");
+  fail_if_fence_stops_takeover ("fence", "{\"term\":\"7\"}");
+  fail_if_fence_stops_takeover ("fence", GARBAGE);
+  fail_if_fence_stops_takeover ("fence", NULL);
+}
+
+/*
+ * A daemon of another version holds the claim, in a form that can't be read,
+ * and gives its sign of life.  A daemon that takes the claim for vacant
+ * replaces it at once, and the two replace each other in turn.  Only once the
+ * sign of life stays away is the claim taken.
+ */
+static void
+test_unreadable_claim_is_not_vacant (void **state)
+{
+  static const char *const values[]
+      = { GARBAGE,
+          "[]",
+          "{\"name\":\"entry-9\",\"addr\":\"10.0.0.9:7000\","
+          "\"incarnation\":\"7\"}",
+          "{\"name\":\"entry-9\",\"incarnation\":7}",
+          "{\"name\":9,\"addr\":\"10.0.0.9:7000\",\"incarnation\":7}",
+          NULL };
+
+  (void) state;
+  for (uint32_t v = 0; v < sizeof values / sizeof values[0]; v++)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint64_t version;
+
+      world_put_row (world, MUX_TABLE_CLAIM, "", "claim", values[v]);
+      version = world_claim_version (world);
+      for (uint32_t i = 0; i < 10; i++)
+        {
+          world_put_row (world, MUX_TABLE_CLAIM, "", "beat", "{}");
+          world_run (world, 500);
+          assert_int_equal (world_claim_version (world), version);
+        }
+      world_run (world, TAKEOVER_MS);
+      assert_true (world_planner (world) < CELLS);
+      submit (world, 1, 4, "job");
+      world_run (world, 3000);
+      assert_int_equal (world_state (world, 0, "job"), MUX_JOB_COMPLETED);
+      world_free (world);
+    }
+}
+
+/* Neither is a claim that lies elsewhere than in its table's own part. */
+static void
+test_claim_in_another_part (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint64_t version;
+
+  (void) state;
+  world_run (world, 1000);
+  version = world_claim_version (world);
+  world_put_row (world, MUX_TABLE_CLAIM, "x", "claim", GARBAGE);
+  world_put_row (world, MUX_TABLE_JOBS, "", "claim", GARBAGE);
+  world_run (world, 3000);
+  assert_int_equal (world_logged (world, "planner_ended"), 0);
+  submit (world, 1, 4, "job");
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, 0, "job"), MUX_JOB_COMPLETED);
+  assert_true (version > 0);
+  world_free (world);
+}
+
+/* A stored job in a form that this program writes. */
+static char *
+job_text (const char *id)
+{
+  MuxJobSpec *job = world_job (1, 1, 1000);
+  json_t *json;
+  char *text;
+
+  snprintf (job->id, sizeof job->id, "%s", id);
+  snprintf (job->queue.name, sizeof job->queue.name, "batch");
+  snprintf (job->queue.service, sizeof job->queue.service, "booking");
+  job->queue.attempts_max = 3;
+  job->queue.slack_milli = 4000;
+  json = mux_job_to_json (job);
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  mux_job_free (job);
+  return text;
+}
+
+/*
+ * A job's row lies in a part that is not its own, or names another job than its
+ * key does.  Its end could not be stored where the row is, so that each new
+ * planner would run it again.  It is never run, and jobs beside it are.
+ */
+static void
+test_job_row_out_of_place (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  char *text = job_text ("misplaced");
+  char part[MUX_ROW_NAME_LEN];
+
+  (void) state;
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      snprintf (part, sizeof part, "p%u", i);
+      world_put_row (world, MUX_TABLE_JOBS, part, "other-key", text);
+    }
+  world_put_row (world, MUX_TABLE_JOBS, "elsewhere", "misplaced", text);
+  world_run (world, 2000);
+  take_over (world);
+  submit (world, 1, 4, "job");
+  world_run (world, 3000);
+  assert_int_equal (world_starts (world, "misplaced"), 0);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_COMPLETED);
+  free (text);
+  world_free (world);
+}
+
+/*
+ * A row whose key begins as a job's id does and ends as a cancel's: cut to the
+ * length of an id it would cancel a job that nobody cancelled.
+ */
+static void
+test_cancel_key_longer_than_an_id (void **state)
+{
+  static const char id[] = "0123456789abcdef0123456789abcdef";
+  World *world = world_new (CELLS, WORKERS);
+  char part[MUX_ROW_NAME_LEN];
+
+  (void) state;
+  world->task_ms = 3000;
+  submit (world, 1, 4, id);
+  memcpy (part, stored (world, MUX_TABLE_JOBS, id)->part, sizeof part);
+  world_put_row (world, MUX_TABLE_JOBS, part,
+                 "0123456789abcdef0123456789abcdef-more!", "{}");
+  world_put_row (world, MUX_TABLE_JOBS, "elsewhere",
+                 "0123456789abcdef0123456789abcdef!", "{}");
+  world_run (world, 6000);
+  assert_int_equal (world_state (world, 0, id), MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
+static void
+fail_if_job_row_runs (const char *value)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  submit (world, 1, 4, "job");
+  world_cell_kill (world, world_planner (world));
+  overwrite (world, MUX_TABLE_JOBS, "job", value);
+  world_run (world, TAKEOVER_MS);
+  submit (world, 1, 4, "other");
+  world_run (world, LEASES_OVER_MS);
+  assert_int_equal (world_starts (world, "job"), 4);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_ACTIVE);
+  assert_int_equal (world_state (world, world_planner (world), "other"),
+                    MUX_JOB_COMPLETED);
+  assert_true (world_logged (world, "row_unreadable") >= 1);
+  world_free (world);
+}
+
+/*
+ * A job's row can't be read, or not whole.  Read with gaps it would run without
+ * its order, its attempts or its service.  It is not run and not removed: a
+ * daemon that understands it can go on, and its caller may cancel it.
+ */
+static void
+test_unreadable_job_row (void **state)
+{
+  static const char *const values[] = {
+    GARBAGE,
+    NULL,
+    "{\"id\":\"job\",\"steps\":[{\"count\":1}]}",
+    "{\"id\":\"job\",\"queue\":{\"service\":\"booking\"},"
+    "\"steps\":[{\"count\":1}]}",
+    "{\"id\":\"job\",\"queue\":{\"service\":\"booking\",\"attempts_max\":3},"
+    "\"steps\":[{\"count\":1},{\"count\":1,\"after\":\"1\"}]}",
+    "{\"id\":\"job\",\"queue\":{\"service\":\"booking\",\"attempts_max\":3},"
+    "\"payload\":7,\"steps\":[{\"count\":1}]}",
+    "{\"id\":\"job\",\"queue\":{\"service\":\"booking\",\"attempts_max\":3},"
+    "\"accepted_wall_ms\":-9223372036854775807,\"steps\":[{\"count\":1}]}",
+  };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    fail_if_job_row_runs (values[i]);
+}
+
+/*
+ * The row of a job's end can't be read.  That it stands says that the job
+ * ended; a caller who is told that there is no such job would hand it in anew.
+ */
+static void
+test_unreadable_end (void **state)
+{
+  static const char *const values[]
+      = { GARBAGE, NULL, "{}", "{\"state\":\"absent\"}", "{\"state\":3}" };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint64_t call;
+
+      submit (world, 1, 4, "job");
+      world_run (world, 3000);
+      overwrite (world, MUX_TABLE_ENDED, "job", values[i]);
+      take_over (world);
+      call
+          = world_ask (world, world_planner (world), MUX_QUESTION_STATE, "job");
+      world_run (world, 4000);
+      assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_REFUSED);
+      call = world_ask (world, world_planner (world), MUX_QUESTION_CANCEL,
+                        "job");
+      world_run (world, 4000);
+      assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_ABSENT);
+      world_free (world);
+    }
+}
+
+/* The end of another job, whose id begins alike, is not this one's. */
+static void
+test_end_of_a_job_whose_id_begins_alike (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  char id[MUX_JOB_ID_LEN];
+  char part[MUX_ROW_NAME_LEN];
+
+  (void) state;
+  submit (world, 1, 1, "job-1");
+  world_run (world, 3000);
+  memcpy (part, stored (world, MUX_TABLE_ENDED, "job-1")->part, sizeof part);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      snprintf (part, sizeof part, "p%u", i);
+      world_put_row (world, MUX_TABLE_ENDED, part, "job-1-more",
+                     "{\"state\":\"completed\",\"ended_ms\":1}");
+    }
+  snprintf (id, sizeof id, "job-1-");
+  take_over (world);
+  assert_int_equal (world_state (world, world_planner (world), id),
+                    MUX_JOB_ABSENT);
+  world_free (world);
+}
+
+/*
+ * A newer configuration can't be read.  The one before stays in force, callers
+ * are served on, and the log says so once, however often the row is read.
+ */
+static void
+test_unreadable_configuration (void **state)
+{
+  World *world = world_new (1, WORKERS);
+
+  (void) state;
+  world_put_row (world, MUX_TABLE_CONFIG, "", "config", GARBAGE);
+  world_put_row (world, MUX_TABLE_CONFIG, "", "wave", GARBAGE);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      world_run (world, 1000);
+      world->forgotten = world->version;
+      world_put_row (world, MUX_TABLE_ENDED, "elsewhere", "tick", "{}");
+    }
+  submit (world, 1, 4, "job");
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, 0, "job"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_logged (world, "row_unreadable"), 1);
+  world_put_row (world, MUX_TABLE_CONFIG, "", "config", "{}");
+  world_run (world, 1000);
+  assert_int_equal (world_logged (world, "row_unreadable"), 2);
+  world_free (world);
+}
+
+/* Bytes drawn from a seed, some of them of JSON. */
+static uint64_t
+draw (uint64_t *seed)
+{
+  *seed
+      = *seed * UINT64_C (6364136223846793005) + UINT64_C (1442695040888963407);
+  return *seed >> 33;
+}
+
+static void
+put_noise (World *world, uint64_t *seed)
+{
+  static const MuxCellTable tables[]
+      = { MUX_TABLE_WORKERS, MUX_TABLE_CONFIG, MUX_TABLE_ENDED,
+          MUX_TABLE_JOBS,    MUX_TABLE_FENCE,  MUX_TABLE_ROSTER };
+  static const char *const parts[] = { "", "p0", "p1", "p2", "p3", "x" };
+  static const char *const keys[]
+      = { "i-90", "config", "a", "a!", "i-91", "noise", "~", "!" };
+  static const char alphabet[] = "{}[]\":,0123456789-.eE truefalsn\\u\x01\xff";
+  char value[64];
+  size_t len = draw (seed) % (sizeof value - 1);
+
+  for (size_t i = 0; i < len; i++)
+    value[i] = alphabet[draw (seed) % (sizeof alphabet - 1)];
+  value[len] = 0;
+  world_put_row (world, tables[draw (seed) % 6], parts[draw (seed) % 6],
+                 keys[draw (seed) % 8], draw (seed) % 8 == 0 ? NULL : value);
+}
+
+/*
+ * Rows of noise come in all tables while jobs run and planners change.  No
+ * process ends, all jobs do, each task once, and no worker is called that the
+ * noise names.
+ */
+static void
+test_noise_in_all_tables (void **state)
+{
+  (void) state;
+  for (uint64_t seed = 1; seed <= 6; seed++)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint64_t draws = seed;
+      char id[MUX_JOB_ID_LEN];
+
+      for (uint32_t i = 0; i < 20; i++)
+        {
+          for (uint32_t j = 0; j < 10; j++)
+            put_noise (world, &draws);
+          snprintf (id, sizeof id, "job-%u", i);
+          if (i == 10)
+            take_over (world);
+          submit (world, 2, 4, id);
+        }
+      world_run (world, 5000);
+      for (uint32_t i = 0; i < 20; i++)
+        {
+          snprintf (id, sizeof id, "job-%u", i);
+          assert_int_equal (world_state (world, world_planner (world), id),
+                            MUX_JOB_COMPLETED);
+        }
+      assert_false (world_twice (world));
+      world_free (world);
+    }
+}
+
+/* All that fail as the code is. */
+static void
+test_rows_of_another_writer (void **state)
+{
+  test_whole_reading_with_unreadable_rows (state);
+  test_keys_that_are_no_workers (state);
+  test_service_that_no_queue_names (state);
+  test_entry_with_the_address_of_another (state);
+  test_unreadable_roster_row (state);
+  test_roster_mark_far_in_the_future (state);
+  test_roster_of_several_pages (state);
+  test_unreadable_progress_row (state);
+  test_unreadable_fence_row (state);
+  test_unreadable_claim_is_not_vacant (state);
+  test_claim_in_another_part (state);
+  test_job_row_out_of_place (state);
+  test_cancel_key_longer_than_an_id (state);
+  test_unreadable_job_row (state);
+  test_unreadable_end (state);
+  test_end_of_a_job_whose_id_begins_alike (state);
+  test_unreadable_configuration (state);
+  test_noise_in_all_tables (state);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_worker_whose_entry_became_unreadable),
+    cmocka_unit_test (test_two_entries_of_one_address),
+    cmocka_unit_test (test_unreadable_progress_of_a_service),
+    cmocka_unit_test (test_rows_of_another_writer),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
