platform: an entry is read whole or names no worker

Cause: a field that was missing or of another type read as 0 or "", so that a foreign entry named a worker of no service, with no room, at whatever address; base64 was decoded past bytes that are not of it; keys over 79 bytes were cut, and then bear the name of another row, or make a page that ends with one be read again for good; a NUL byte in one row's key made the answer, and with it the page, unreadable.

Change: wire_entry.c takes an entry only if all fields that an entry has are there, each of its type and in range, with a state that is known and an address that can be connected to; what an entry has besides is not looked at. A configuration is taken whole or not at all, as a route left out would have its callers told that there is no such queue. Names of rows have room for the 200 bytes that the store takes; a row whose own name can't be read has no key, and the rows beside it are read. The name of the first wrong field comes with the row; what it means is for the core to say.

--- a/include/base/address.h
+++ b/include/base/address.h
@@ -16,6 +16,10 @@
                         struct sockaddr_storage *addr,
                         socklen_t *len);
 
+/** mux_address_reachable() - whether @text, as mux_address_parse() reads it,
+ * can be connected to: it names a port and one host */
+bool mux_address_reachable (const char *text);
+
 /** mux_address_loopback() - whether @text, as mux_address_parse() reads it, is
  * reached from this instance alone */
 bool mux_address_loopback (const char *text);
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -11,8 +11,11 @@
 /* What the core of stepped jobs asks of the store, of workers and of the
  * policy service, and what comes back.  One call, one reply. */
 
-/* Bytes of a table's, part's or row's name with its closing NUL. */
-#define MUX_ROW_NAME_LEN 80
+/* Bytes of a part's or row's name: the store takes 200, and a mark that is put
+ * behind a name and the closing NUL come to it. */
+#define MUX_ROW_NAME_LEN 204
+/* Key of the row that holds the configuration in its table. */
+#define MUX_CONFIG_KEY "config"
 /* Bytes of a checkpoint's name or of an approval's proof, with NUL. */
 #define MUX_TOKEN_LEN 72
 
@@ -222,9 +225,10 @@
  * @key: its key
  * @version: of its last change
  * @removed: FOLLOW: it is gone
- * @value: content; owned; NULL: decoded below, or removed
- * @config: CONFIG: decoded; owned
- * @worker: WORKERS: decoded; owned
+ * @value: content; owned; NULL: removed, or none that can be read
+ * @config: CONFIG: decoded; owned; NULL: it can't be
+ * @worker: WORKERS: decoded; owned; NULL: it can't be
+ * @wrong: name of the field that kept it from being decoded; static; NULL: none
  */
 typedef struct
 {
@@ -236,6 +240,7 @@
   MuxBlob *value;
   MuxQueueConfig *config;
   MuxWorkerInfo *worker;
+  const char *wrong;
 } MuxCellRow;
 
 /**
--- a/src/base/address.c
+++ b/src/base/address.c
@@ -60,6 +60,21 @@
   return inet_pton (AF_INET, host, &v4->sin_addr) == 1;
 }
 
+bool
+mux_address_reachable (const char *text)
+{
+  struct sockaddr_storage addr;
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *) &addr;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *) &addr;
+  socklen_t len;
+
+  if (!mux_address_parse (text, &addr, &len))
+    return false;
+  if (addr.ss_family == AF_INET6)
+    return v6->sin6_port != 0 && !IN6_IS_ADDR_UNSPECIFIED (&v6->sin6_addr);
+  return v4->sin_port != 0 && v4->sin_addr.s_addr != INADDR_ANY;
+}
+
 bool
 mux_address_loopback (const char *text)
 {
