cell: a row of another writer is dropped alone

Readers took what they could of a row and went on; what was missing read as 0, and 0 has a meaning everywhere: no claim, no lease, nothing done, vacant.

Ruled out: keeping a job whose progress can't be read until some daemon can. Its ends would have to stay unacknowledged at the workers, which list 500 and hold back those of other jobs behind them; acknowledged, they are lost and a later planner repeats the tasks. Reading progress with gaps: the gap may be the bit that says done. Unlisting for good a worker whose entry moves: it is what already happens with an entry that can't be read, and ends with the next one that can.

The part of a row and its whole key are looked at everywhere; pages go on behind the last row that has a key, the roster's too. A stored job is read whole or not at all. job_unreadable is now row_unreadable, like the others.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -42,7 +42,15 @@
   X (PLAN_LOOKS, "plan_looks_total", "workers looked at for waiting tasks")    \
   X (PLAN_CUT, "plan_passes_cut_total",                                        \
      "planning passes cut for their length")                                   \
-  X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")
+  X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
+  X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
+     "stored rows under a key or in a part that is none")                      \
+  X (ROWS_BAD_VALUE, "rows_bad_value_total",                                   \
+     "stored rows whose bytes can't be read")                                  \
+  X (ROWS_BAD_FIELD, "rows_bad_field_total",                                   \
+     "stored rows with a field missing or of another type")                    \
+  X (WORKERS_OF_NO_QUEUE, "workers_of_no_queue_total",                         \
+     "workers listed with a service of no queue")
 
 /* Times in milliseconds, counted by ranges. */
 #define MUX_HISTOGRAMS(X)                                                   \
--- a/include/model/job.h
+++ b/include/model/job.h
@@ -18,6 +18,9 @@
 #define MUX_STEP_TASKS_MAX 4096
 /* Bytes of a job's payload, without its closing NUL. */
 #define MUX_JOB_PAYLOAD_MAX 4000
+/* Furthest time of day of a job, either way; sums of a few stay in 64 bits.  In
+ * ms, some 140,000 years. */
+#define MUX_WALL_MS_MAX (INT64_C (1) << 52)
 
 /**
  * struct MuxApprovalSpec - a policy service decides which workers may run a
--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -89,6 +89,9 @@
 
   if (!stage->job->old)
     return true;
+  /* Where it may run stood in what can't be read. */
+  if (stage->job->progress_lost)
+    return cell_all_heard (cell);
   if (!queue->approval.needed
       || (queue->priority == 0 && stage->former_count == 0))
     return cell_all_heard (cell);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -17,9 +17,18 @@
   size_t size;
   MuxQueueConfig *config;
 
-  if (row->config == NULL
-      || (cell->config != NULL
-          && row->config->version <= cell->config->version))
+  if (row->part[0] != 0 || row->removed
+      || strcmp (row->key, MUX_CONFIG_KEY) != 0)
+    return;
+  if (row->config == NULL)
+    {
+      /* The one in force stays: callers of its queues are served on. */
+      cell_row_bad (cell, row,
+                    row->wrong != NULL ? CELL_ROW_FIELD : CELL_ROW_VALUE,
+                    row->wrong != NULL ? row->wrong : "value");
+      return;
+    }
+  if ((cell->config != NULL && row->config->version <= cell->config->version))
     return;
   size = sizeof *config + row->config->count * sizeof config->item[0];
   config = malloc (size);
@@ -31,6 +40,8 @@
   memcpy (config, row->config, size);
   free (cell->config);
   cell->config = config;
+  for (uint32_t i = 0; i < config->count; i++)
+    cell_service_add (cell, config->item[i].service);
   cell_log (cell, "config_in_force", "{s:I, s:i}", "version",
             (json_int_t) config->version, "queues", (int) config->count);
 }
@@ -89,6 +100,8 @@
     HASH_DEL (cell->pending, entry);
     free (entry);
   }
+  cell_services_free (cell);
+  cell_bad_rows_free (cell);
   free (cell->config);
   free (cell);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -50,6 +50,37 @@
 json_t *cell_carried_reply_json (const MuxCellReply *reply);
 MuxCellReply *cell_carried_reply (const json_t *json, uint64_t call_id);
 
+/* foreign.c: rows of the store that can't be read */
+/**
+ * enum CellRowFault - why a row can't be read
+ */
+typedef enum
+{
+  CELL_ROW_KEY,   /* its key or part is none of its table */
+  CELL_ROW_VALUE, /* no bytes, or none of the table's form */
+  CELL_ROW_FIELD, /* a field is missing, of another type or out of range */
+} CellRowFault;
+
+/** cell_row_bad() - the row is dropped; told once for each version of it
+ * @what: names the field or part of it that is wrong */
+void cell_row_bad (MuxCell *cell,
+                   const MuxCellRow *row,
+                   CellRowFault fault,
+                   const char *what);
+/** cell_row_json() - its value; NULL: removed, or told as unreadable */
+json_t *cell_row_json (MuxCell *cell, const MuxCellRow *row);
+/** cell_reply_row() - the row of that key; NULL: there is none */
+const MuxCellRow *cell_reply_row (const MuxCellReply *reply, const char *key);
+/** cell_next_page() - the first key of the page behind @reply
+ * Return: false, and @from empty, when there is none. */
+bool cell_next_page (char from[MUX_ROW_NAME_LEN], const MuxCellReply *reply);
+void cell_bad_rows_free (MuxCell *cell);
+
+/* service.c: pools of workers that queues have named */
+void cell_service_add (MuxCell *cell, const char *name);
+bool cell_service_named (const MuxCell *cell, uint64_t hash);
+void cell_services_free (MuxCell *cell);
+
 /* follow.c */
 void cell_follow_tick (MuxCell *cell, CellFollow *follow);
 void cell_follow_start (CellFollow *follow, uint64_t term, uint64_t version);
@@ -159,7 +190,10 @@
 
 /* progress.c */
 json_t *cell_progress_json (const MuxCell *cell, const CellJob *job);
-void cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
+/** cell_progress_apply() - what a former planner had stored of the job
+ * Return: the field that can't be read, and nothing is applied; NULL: done. */
+const char *
+cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
 void cell_progress_tick (MuxCell *cell);
 uint64_t cell_stored_seq (const MuxCell *cell);
 
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -34,6 +34,8 @@
 typedef struct CellWorker CellWorker;
 typedef struct CellBooking CellBooking;
 typedef struct CellQuestion CellQuestion;
+typedef struct CellBadRow CellBadRow;
+typedef struct CellService CellService;
 
 typedef void (*CellDone) (MuxCell *cell,
                           const CellPending *pending,
@@ -350,6 +352,7 @@
  * @ended: nothing is left to do but to store the end
  * @dirty: something is to be stored
  * @progress_stored: a row of its progress stands
+ * @progress_lost: it can't be read
  */
 struct CellJob
 {
@@ -372,6 +375,7 @@
   bool end_stored;
   bool dirty_again; /* changed since the commit on its way was made */
   bool progress_stored;
+  bool progress_lost;
   uint32_t bookings;
   uint32_t next_occurrence;
   uint32_t stage_count;
@@ -425,6 +429,7 @@
   bool reachable;
   bool dead;
   bool lost_life; /* another life answers at its address */
+  bool useless;   /* told that no queue names its service */
   int64_t clock_ms;
   int64_t clock_at_ms;
   int64_t lease_until_ms;
@@ -509,7 +514,8 @@
  */
 typedef struct
 {
-  bool known; /* the row, or its absence, has been read */
+  bool known;      /* the row, or its absence, has been read */
+  bool unreadable; /* somebody may plan, who can't be told */
   char name[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
   char heir[MUX_NAME_LEN]; /* of a claim given up: who should take it first */
@@ -526,6 +532,8 @@
   CellPending *pending;
   CellFollow follow[FOLLOW_COUNT];
   MuxQueueConfig *config;
+  CellService *services;
+  CellBadRow *bad_rows;
   CellPart part[CELL_PARTS];
   CellInquiry *inquiries;
 
@@ -578,6 +586,7 @@
   uint64_t end_seq;
   bool roster_loaded;
   bool roster_busy;
+  char roster_from[MUX_ROW_NAME_LEN]; /* first key of its next page */
   int64_t roster_next_ms;
   int64_t next_plan_ms;
   int64_t next_look_ms;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -113,23 +113,63 @@
   cell_load_begin (cell);
 }
 
+/* Return: the field that keeps it from saying who plans; NULL: none. */
+static const char *
+wrong_in_claim (const json_t *json)
+{
+  const json_t *incarnation = json_object_get (json, "incarnation");
+  const char *name = json_string_value (json_object_get (json, "name"));
+  const char *addr = json_string_value (json_object_get (json, "addr"));
+
+  if (!json_is_integer (incarnation) || json_integer_value (incarnation) < 0)
+    return "incarnation";
+  if (json_integer_value (incarnation) == 0)
+    return NULL;
+  if (name == NULL || !mux_name_valid (name))
+    return "name";
+  return addr != NULL && addr[0] != 0 ? NULL : "addr";
+}
+
+/* How often the claim was taken is told for information alone. */
+static uint32_t
+read_count (const json_t *json)
+{
+  json_int_t count = json_integer_value (json_object_get (json, "term"));
+
+  return count > 0 && count < INT32_MAX ? (uint32_t) count : 0;
+}
+
+/*
+ * Guards against two daemons of which each can't read the other's claim, and
+ * which replace each other in turn: one that can't be read says that somebody
+ * plans, who is replaced only once its sign of life stays away.
+ */
 static void
-read_claim (CellClaim *claim, const MuxCellRow *row)
+read_claim (MuxCell *cell, CellClaim *claim, const MuxCellRow *row)
 {
-  json_t *json = row->removed ? NULL : cell_blob_json (row->value);
+  json_t *json = cell_row_json (cell, row);
+  const char *wrong = json != NULL ? wrong_in_claim (json) : NULL;
   const char *name = json_string_value (json_object_get (json, "name"));
   const char *addr = json_string_value (json_object_get (json, "addr"));
   const char *heir = json_string_value (json_object_get (json, "heir"));
 
   memset (claim, 0, sizeof *claim);
+  claim->version = row->version;
+  claim->known = true;
+  claim->unreadable = !row->removed && (json == NULL || wrong != NULL);
+  if (wrong != NULL)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
+  if (claim->unreadable)
+    {
+      json_decref (json);
+      return;
+    }
   snprintf (claim->name, sizeof claim->name, "%s", name != NULL ? name : "");
   snprintf (claim->addr, sizeof claim->addr, "%s", addr != NULL ? addr : "");
   snprintf (claim->heir, sizeof claim->heir, "%s", heir != NULL ? heir : "");
   claim->incarnation
       = (uint64_t) json_integer_value (json_object_get (json, "incarnation"));
-  claim->term = (uint32_t) json_integer_value (json_object_get (json, "term"));
-  claim->version = row->version;
-  claim->known = true;
+  claim->term = read_count (json);
   json_decref (json);
 }
 
@@ -164,9 +204,16 @@
 void
 cell_claim_row (MuxCell *cell, const MuxCellRow *row)
 {
+  CellClaim claim;
   bool ours;
 
-  if (strcmp (row->key, BEAT_KEY) == 0 && row->version > cell->beat_version)
+  if (row->part[0] != 0)
+    {
+      cell_row_bad (cell, row, CELL_ROW_KEY, "part");
+      return;
+    }
+  if (row->table == MUX_TABLE_CLAIM && strcmp (row->key, BEAT_KEY) == 0
+      && row->version > cell->beat_version)
     {
       cell->beat_version = row->version;
       cell->planner_heard_ms = cell->time.now_ms;
@@ -174,7 +221,14 @@
   if (strcmp (row->key, CELL_CLAIM_KEY) != 0
       || row->version <= cell->claim.version)
     return;
-  read_claim (&cell->claim, row);
+  read_claim (cell, &claim, row);
+  /* The copy beside the jobs only hastens what its own table tells. */
+  if (claim.unreadable && row->table == MUX_TABLE_JOBS)
+    {
+      cell_claim_doubt (cell, "claim_unreadable");
+      return;
+    }
+  cell->claim = claim;
   ours = cell->claim.incarnation == cell->options.incarnation;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_store_bad_ms = 0;
@@ -183,7 +237,7 @@
   cell->planner_welcome_ms = 0;
   cell->next_hello_ms = 0;
   cell->claim_after_ms = cell->time.now_ms + spread (cell);
-  if (cell->claim.incarnation == 0
+  if (cell->claim.incarnation == 0 && !cell->claim.unreadable
       && strcmp (cell->claim.heir, cell->options.name) != 0)
     cell->claim_after_ms += HEIR_MS;
   if (!ours)
@@ -219,7 +273,9 @@
                const CellPending *pending,
                const MuxCellReply *reply)
 {
-  MuxCellRow row = { .version = reply->version, .key = CELL_CLAIM_KEY };
+  MuxCellRow row = { .table = MUX_TABLE_CLAIM,
+                     .version = reply->version,
+                     .key = CELL_CLAIM_KEY };
 
   (void) pending;
   cell->claiming = false;
@@ -378,7 +434,7 @@
     claim (cell, "own_former_life");
   if (cell->claiming || now < cell->claim_after_ms)
     return;
-  if (cell->claim.incarnation == 0)
+  if (cell->claim.incarnation == 0 && !cell->claim.unreadable)
     claim (cell, "vacant");
   else if (cell->planner_restarted)
     claim (cell, "restarted");
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -92,12 +92,8 @@
 {
   if (begins (follow))
     follow->version = reply->version;
-  if (reply->more && reply->row_count > 0)
-    {
-      cell_key_behind (follow->from, reply->row[reply->row_count - 1].key);
-      return;
-    }
-  follow->from[0] = 0;
+  if (cell_next_page (follow->from, reply))
+    return;
   if (follow->parted && follow->part + 1 < CELL_PARTS)
     {
       follow->part++;
--- a/src/cell/inquiry.c
+++ b/src/cell/inquiry.c
@@ -128,13 +128,29 @@
   return cell_call (cell, call, &pending);
 }
 
+/* False: the row does not tell how the job ended. */
+static bool
+read_end (MuxCell *cell, const MuxCellRow *row, MuxJobState *state)
+{
+  json_t *json = cell_row_json (cell, row);
+  bool told = mux_job_state_parse (
+                  json_string_value (json_object_get (json, "state")), state)
+              && (*state == MUX_JOB_COMPLETED || *state == MUX_JOB_FAILED
+                  || *state == MUX_JOB_CANCELLED);
+
+  if (json != NULL && !told)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, "state");
+  json_decref (json);
+  return told;
+}
+
 static void
 ended_read (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
   CellInquiry *inquiry = find (cell, pending->number);
-  json_t *json;
+  const MuxCellRow *row;
   MuxJobState state = MUX_JOB_ABSENT;
 
   if (inquiry == NULL)
@@ -145,13 +161,18 @@
       retry_later (cell, inquiry, STEP_JOB);
       return;
     }
-  json = reply->row_count > 0 ? cell_blob_json (reply->row[0].value) : NULL;
-  if (json != NULL)
-    (void) mux_job_state_parse (
-        json_string_value (json_object_get (json, "state")), &state);
-  json_decref (json);
-  if (state == MUX_JOB_ABSENT)
-    end_with (cell, inquiry, MUX_OUTCOME_ABSENT);
+  row = cell_reply_row (reply, inquiry->id);
+  if (row == NULL)
+    {
+      end_with (cell, inquiry, MUX_OUTCOME_ABSENT);
+      return;
+    }
+  if (!read_end (cell, row, &state))
+    /* It ended, and how can't be told.  A caller who hears "no such job" would
+     * hand it in anew; that it can't be cancelled any more is true. */
+    end_with (cell, inquiry,
+              inquiry->verb == MUX_QUESTION_STATE ? MUX_OUTCOME_REFUSED
+                                                  : MUX_OUTCOME_ABSENT);
   else if (inquiry->verb == MUX_QUESTION_STATE)
     {
       cell_answer_state (cell, inquiry->call, state);
@@ -166,8 +187,11 @@
 static void
 job_found (MuxCell *cell, CellInquiry *inquiry, const MuxCellReply *reply)
 {
-  bool cancelled = reply->row_count > 1;
+  char cancel[MUX_ROW_NAME_LEN];
+  bool cancelled;
 
+  snprintf (cancel, sizeof cancel, "%s" CANCEL_MARK, inquiry->id);
+  cancelled = cell_reply_row (reply, cancel) != NULL;
   if (inquiry->verb == MUX_QUESTION_STATE)
     {
       cell_answer_state (cell, inquiry->call, MUX_JOB_ACTIVE);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -13,6 +13,8 @@
 /* Workers that a policy question of the promised time names. */
 #define PROMISED_CANDIDATES 30
 #define MILLI 1000
+/* Ends the key of a job's cancel, which begins with the job's id. */
+#define CANCEL_MARK '!'
 #define US_PER_MS 1000
 
 CellJob *
@@ -114,6 +116,7 @@
   job->version = version;
   job->old = version < cell->term;
   job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
+  cell_service_add (cell, spec->queue.service);
   set_times (cell, job);
   HASH_ADD_STR (cell->jobs, id, job);
   if (job->payload != NULL
@@ -150,15 +153,22 @@
 job_row (MuxCell *cell, const MuxCellRow *row)
 {
   MuxFindings findings = { .count = 0, .dropped = 0 };
-  json_t *json = cell_blob_json (row->value);
-  MuxJobSpec *spec = mux_job_from_json (json, &findings);
+  json_t *json = cell_row_json (cell, row);
+  MuxJobSpec *spec = json != NULL ? mux_job_from_json (json, &findings) : NULL;
   CellJob *job;
 
+  /* Not run, as gaps in it may be its order or its attempts, and not removed: a
+   * daemon that can read it goes on with it, and its caller can cancel it. */
+  if (json != NULL && spec == NULL)
+    cell_row_bad (cell, row, CELL_ROW_FIELD,
+                  findings.count > 0 ? findings.item[0].text : "memory is out");
   json_decref (json);
   if (spec == NULL)
+    return;
+  if (strcmp (spec->id, row->key) != 0)
     {
-      cell_log (cell, "job_unreadable", "{s:s, s:s}", "key", row->key, "why",
-                findings.count > 0 ? findings.item[0].text : "");
+      cell_row_bad (cell, row, CELL_ROW_FIELD, "id");
+      mux_job_free (spec);
       return;
     }
   job = cell_job_add (cell, spec, row->version);
@@ -185,31 +195,47 @@
 }
 
 static void
-cancel_row (MuxCell *cell, const char *key)
+cancel_row (MuxCell *cell, const char *id)
 {
-  char id[MUX_JOB_ID_LEN];
-  CellJob *job;
+  CellJob *job = cell_job_find (cell, id);
 
-  snprintf (id, sizeof id, "%.*s", (int) strlen (key) - 1, key);
-  job = cell_job_find (cell, id);
   if (job != NULL)
     cell_job_cancel (cell, job);
 }
 
+/*
+ * Guards against a row that stands for a job, or a cancel, which it is not: cut
+ * to the length of an id its key may be that of another job, and in a part that
+ * is not the id's own its end could not be stored, so that each new planner
+ * would run it again.
+ */
+static bool
+is_in_place (const MuxCell *cell, const MuxCellRow *row, const char *id)
+{
+  return mux_job_id_valid (id)
+         && strcmp (row->part, cell->part[cell_part_of (id)].name) == 0;
+}
+
 void
 cell_jobs_row (MuxCell *cell, const MuxCellRow *row)
 {
   size_t len = strlen (row->key);
+  char id[MUX_ROW_NAME_LEN];
+  bool is_cancel;
 
   if (row->part[0] == 0)
     {
       cell_claim_row (cell, row);
       return;
     }
-  if (row->removed || len == 0)
+  if (row->removed)
     return;
-  if (row->key[len - 1] == '!')
-    cancel_row (cell, row->key);
+  is_cancel = len > 0 && row->key[len - 1] == CANCEL_MARK;
+  snprintf (id, sizeof id, "%.*s", (int) (is_cancel ? len - 1 : len), row->key);
+  if (!is_in_place (cell, row, id))
+    cell_row_bad (cell, row, CELL_ROW_KEY, "key");
+  else if (is_cancel)
+    cancel_row (cell, id);
   else if (cell_job_find (cell, row->key) == NULL
            && !known_as_ended (cell, row->key))
     job_row (cell, row);
@@ -377,10 +403,29 @@
   return false;
 }
 
+/*
+ * Guards against tasks that are run again though they were done: what a former
+ * planner stored of the job can't be read, and with it which of them were.  Its
+ * caller hears that the job failed, which can be acted on, rather than nothing
+ * for good.  Tasks that run until they are cancelled are never done, and go on.
+ */
+static bool
+may_repeat (const CellJob *job)
+{
+  if (!job->progress_lost)
+    return false;
+  for (uint32_t i = 0; i < job->spec->step_count; i++)
+    if (!job->spec->step[i].long_running)
+      return true;
+  return job->spec->repetitions > 0;
+}
+
 void
 cell_job_resume (MuxCell *cell, CellJob *job)
 {
-  if (attempts_used (job))
+  if (may_repeat (job))
+    cell_job_fail (cell, job, "progress_unreadable");
+  else if (attempts_used (job))
     cell_job_fail (cell, job, "attempts_used_before");
   else
     cell_job_advance (cell, job);
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -27,6 +27,7 @@
     }
   cell->roster_loaded = false;
   cell->roster_busy = false;
+  cell->roster_from[0] = 0;
   cell->roster_next_ms = 0;
 }
 
@@ -77,13 +78,36 @@
   part->reading_fence = cell_call (cell, call, &pending);
 }
 
+/*
+ * Guards against a fence that no planner can pass: one that can't be read, or
+ * that names a claim which there can't have been when it was written (versions
+ * rise), as another writer may leave.  It counts as older than any claim and is
+ * written over, on condition of its version; whose claim stands is read again
+ * before anything is ordered, as a planner of another version may have made it.
+ */
+static uint64_t
+fence_term (MuxCell *cell, const MuxCellRow *row)
+{
+  json_t *json = cell_row_json (cell, row);
+  json_int_t term = json_integer_value (json_object_get (json, "term"));
+  bool sound = term > 0 && (uint64_t) term <= row->version;
+
+  if (json != NULL && !sound)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, "term");
+  json_decref (json);
+  if (sound)
+    return (uint64_t) term;
+  cell_claim_doubt (cell, "fence_unreadable");
+  return 0;
+}
+
 static void
 fence_read (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
   CellPart *part = &cell->part[pending->part];
-  json_t *json;
+  const MuxCellRow *row = cell_reply_row (reply, CELL_FENCE_KEY);
   uint64_t term;
 
   part->reading_fence = false;
@@ -93,15 +117,13 @@
       part->load_next_ms += RETRY_MS;
       return;
     }
-  json = reply->row_count > 0 ? cell_blob_json (reply->row[0].value) : NULL;
-  term = (uint64_t) json_integer_value (json_object_get (json, "term"));
-  json_decref (json);
+  term = row != NULL ? fence_term (cell, row) : 0;
   if (term > cell->term)
     {
       cell_depose (cell, "fenced");
       return;
     }
-  part->fence_version = reply->row_count > 0 ? reply->row[0].version : 0;
+  part->fence_version = row != NULL ? row->version : 0;
   part->fence_doubtful = false;
   if (term < cell->term)
     write_fence (cell, part);
@@ -122,13 +144,18 @@
 progress_row (MuxCell *cell, const MuxCellRow *row)
 {
   CellJob *job = cell_job_find (cell, row->key);
+  const char *wrong = NULL;
   json_t *json;
 
   if (job == NULL)
     return;
-  json = cell_blob_json (row->value);
+  json = cell_row_json (cell, row);
   job->progress_stored = true;
-  cell_progress_apply (cell, job, json);
+  if (json != NULL)
+    wrong = cell_progress_apply (cell, job, json);
+  if (wrong != NULL)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
+  job->progress_lost = json == NULL || wrong != NULL;
   json_decref (json);
 }
 
@@ -148,14 +175,9 @@
       cell_jobs_row (cell, &reply->row[i]);
     else
       progress_row (cell, &reply->row[i]);
-  if (reply->more && reply->row_count > 0)
-    cell_key_behind (part->load_from, reply->row[reply->row_count - 1].key);
-  else
-    {
-      part->load_from[0] = 0;
-      part->loading = part->loading == MUX_TABLE_JOBS ? MUX_TABLE_PROGRESS
-                                                      : MUX_TABLE_COUNT;
-    }
+  if (!cell_next_page (part->load_from, reply))
+    part->loading = part->loading == MUX_TABLE_JOBS ? MUX_TABLE_PROGRESS
+                                                    : MUX_TABLE_COUNT;
   part_tick (cell, part);
 }
 
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -9,6 +9,8 @@
 #define WINDOW_MS 30
 #define RETRY_MS 100
 #define BITS_PER_DIGIT 4
+/* Times of day of two daemons differ by less. */
+#define CLOCKS_APART_MS 600000
 /* Most jobs of one commit: a call holds 100 entries, an ended job takes four
  * beside the two of the fence. */
 #define ENDS_MAX 24
@@ -171,18 +173,128 @@
                json_object_get (json, "saved"));
 }
 
-void
+/* Return: whether @list is one of pairs, of a task's number and a @type. */
+static bool
+is_pair_list (const json_t *list, uint32_t tasks, json_type type)
+{
+  size_t i;
+  json_t *pair;
+
+  json_array_foreach (list, i, pair)
+  {
+    const json_t *index = json_array_get (pair, 0);
+    const json_t *value = json_array_get (pair, 1);
+
+    if (!json_is_integer (index) || json_integer_value (index) < 0
+        || json_integer_value (index) >= (json_int_t) tasks || value == NULL
+        || json_typeof (value) != type)
+      return false;
+  }
+  return json_is_array (list);
+}
+
+static bool
+is_bitmap (const json_t *value, uint32_t tasks)
+{
+  const char *text = json_string_value (value);
+  size_t digits = (tasks + BITS_PER_DIGIT - 1) / BITS_PER_DIGIT;
+
+  return text != NULL && strlen (text) == digits
+         && strspn (text, "0123456789abcdef") == digits;
+}
+
+static bool
+is_count (const json_t *value, json_int_t least, json_int_t most)
+{
+  return json_is_integer (value) && json_integer_value (value) >= least
+         && json_integer_value (value) <= most;
+}
+
+/* @at: its place among the stages, which are stored in order. */
+static const char *
+wrong_in_stage (const CellJob *job, size_t at, const json_t *json)
+{
+  json_int_t occurrence = (json_int_t) at / job->spec->step_count;
+  json_int_t step = (json_int_t) at % job->spec->step_count;
+  uint32_t tasks = job->spec->step[step].count;
+
+  if (!is_count (json_object_get (json, "occurrence"), occurrence, occurrence))
+    return "occurrence";
+  if (!is_count (json_object_get (json, "step"), step, step))
+    return "step";
+  if (!is_bitmap (json_object_get (json, "done"), tasks))
+    return "done";
+  if (!json_is_array (json_object_get (json, "gang_failures")))
+    return "gang_failures";
+  if (!is_pair_list (json_object_get (json, "failures"), tasks, JSON_ARRAY))
+    return "failures";
+  if (!is_pair_list (json_object_get (json, "saved"), tasks, JSON_STRING))
+    return "saved";
+  return json_is_array (json_object_get (json, "workers")) ? NULL : "workers";
+}
+
+/* Most occurrences that a planner may have begun, its clock ahead of ours. */
+static json_int_t
+occurrences_due (const MuxCell *cell, const CellJob *job)
+{
+  const MuxJobSpec *spec = job->spec;
+  int64_t since_ms = cell->time.wall_ms + CLOCKS_APART_MS - spec->first_due_ms;
+  int64_t due;
+
+  if (spec->repetitions == 0)
+    return 1;
+  if (since_ms < 0)
+    return 0;
+  due = spec->interval_ms > 0 ? since_ms / spec->interval_ms + 1
+                              : spec->repetitions;
+  return due < spec->repetitions ? due : spec->repetitions;
+}
+
+/* Read with gaps, tasks that were done would run again: it is whole or lost. */
+static const char *
+wrong_in_progress (const MuxCell *cell, const CellJob *job, const json_t *json)
+{
+  const json_t *stages = json_object_get (json, "stages");
+  const json_t *occurrences = json_object_get (json, "occurrences");
+  json_int_t least = job->spec->repetitions == 0 ? 1 : 0;
+  json_t *stage;
+  size_t i;
+
+  if (!json_is_boolean (json_object_get (json, "started")))
+    return "started";
+  if (!is_count (occurrences, least, occurrences_due (cell, job)))
+    return "occurrences";
+  if (!json_is_array (stages)
+      || json_array_size (stages)
+             != (uint64_t) json_integer_value (occurrences)
+                    * job->spec->step_count)
+    return "stages";
+  json_array_foreach (stages, i, stage)
+  {
+    const char *wrong = wrong_in_stage (job, i, stage);
+
+    if (wrong != NULL)
+      return wrong;
+  }
+  return NULL;
+}
+
+const char *
 cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json)
 {
+  const char *wrong = wrong_in_progress (cell, job, json);
   json_t *stages = json_object_get (json, "stages");
   json_t *stage;
   size_t i;
 
+  if (wrong != NULL)
+    return wrong;
   job->started = json_is_true (json_object_get (json, "started"));
   cell_job_occurrences (
       cell, job,
       (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
   json_array_foreach (stages, i, stage) apply_stage (job, stage);
+  return NULL;
 }
 
 uint64_t
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -1,5 +1,7 @@
 #include "cell_private.h"
 
+#include "base/address.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -15,6 +17,53 @@
 #define RETRY_MS 200
 /* Entries of one commit, beside the condition; a call holds 100. */
 #define GROUP 90
+/* No lease lasts so long: a mark further ahead is none. */
+#define MARK_MAX_MS 600000
+
+static const char *
+wrong_in_row (const json_t *json, int64_t store_clock_ms)
+{
+  const char *addr = json_string_value (json_object_get (json, "addr"));
+  const json_t *over = json_object_get (json, "over_ms");
+  json_int_t over_ms = json_integer_value (over);
+
+  if (addr == NULL || !mux_address_reachable (addr))
+    return "addr";
+  return json_is_integer (over) && over_ms >= 0
+                 && over_ms - store_clock_ms <= MARK_MAX_MS
+             ? NULL
+             : "over_ms";
+}
+
+/*
+ * Guards against tasks that run twice: the key of a row alone says that they
+ * may run at that worker.  If the rest can't be read it is waited for all the
+ * same, until the list of workers tells where it is, or the longest lease is
+ * over.
+ */
+static void
+take_row (MuxCell *cell, const MuxCellRow *row, int64_t store_clock_ms)
+{
+  CellWorker *worker = cell_worker_add (cell, row->key);
+  json_t *json = cell_row_json (cell, row);
+  const char *wrong = wrong_in_row (json, store_clock_ms);
+  int64_t over_ms = 0;
+
+  if (json != NULL && wrong != NULL)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
+  if (worker != NULL)
+    worker->in_roster = true;
+  if (worker != NULL && wrong == NULL)
+    {
+      snprintf (worker->info.addr, sizeof worker->info.addr, "%s",
+                json_string_value (json_object_get (json, "addr")));
+      over_ms = json_integer_value (json_object_get (json, "over_ms"));
+      worker->lost_marked = over_ms != 0;
+      worker->over_ms
+          = over_ms != 0 ? cell->time.now_ms + (over_ms - store_clock_ms) : 0;
+    }
+  json_decref (json);
+}
 
 static void
 roster_read (MuxCell *cell,
@@ -27,35 +76,28 @@
   if (reply->status != MUX_CELL_OK)
     return;
   for (uint32_t i = 0; i < reply->row_count; i++)
-    {
-      CellWorker *worker = cell_worker_add (cell, reply->row[i].key);
-      json_t *json = cell_blob_json (reply->row[i].value);
-      const char *addr = json_string_value (json_object_get (json, "addr"));
-      int64_t over_ms = json_integer_value (json_object_get (json, "over_ms"));
-
-      if (worker != NULL && addr != NULL)
-        {
-          snprintf (worker->info.addr, sizeof worker->info.addr, "%s", addr);
-          worker->in_roster = true;
-          worker->over_ms = over_ms != 0 ? cell->time.now_ms + over_ms
-                                               - reply->store_clock_ms
-                                         : 0;
-          worker->lost_marked = over_ms != 0;
-        }
-      json_decref (json);
-    }
-  cell->roster_loaded = !reply->more;
+    if (mux_name_valid (reply->row[i].key))
+      take_row (cell, &reply->row[i], reply->store_clock_ms);
+    else
+      cell_row_bad (cell, &reply->row[i], CELL_ROW_KEY, "key");
+  cell->roster_loaded = !cell_next_page (cell->roster_from, reply);
+  if (!cell->roster_loaded)
+    cell->roster_next_ms = cell->time.now_ms;
 }
 
 void
 cell_roster_load (MuxCell *cell)
 {
   CellPending pending = { .done = roster_read, .term = cell->term };
+  MuxCellCall *call;
 
   if (cell->time.now_ms < cell->roster_next_ms)
     return;
-  cell->roster_busy
-      = cell_call (cell, cell_scan_call (MUX_TABLE_ROSTER, ""), &pending);
+  call = cell_scan_call (MUX_TABLE_ROSTER, "");
+  if (call == NULL)
+    return;
+  snprintf (call->from, sizeof call->from, "%s", cell->roster_from);
+  cell->roster_busy = cell_call (cell, call, &pending);
 }
 
 static bool
--- a/src/cell/sweep.c
+++ b/src/cell/sweep.c
@@ -107,9 +107,7 @@
   sweep->busy = cell_call (cell, removal_call (cell, reply), &removal);
   if (sweep->busy)
     return;
-  if (reply->more && reply->row_count > 0)
-    cell_key_behind (sweep->from, reply->row[reply->row_count - 1].key);
-  else
+  if (!cell_next_page (sweep->from, reply))
     to_next_part (cell);
 }
 
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -122,20 +122,75 @@
   memcpy (worker->info.id, id, sizeof id);
 }
 
+/* Nothing new starts there; what runs goes on until it ends, or until its lease
+ * is over. */
+static void
+unlist (MuxCell *cell, CellWorker *worker)
+{
+  if (worker == NULL || !worker->listed)
+    return;
+  worker->listed = false;
+  worker->unlisted_ms = cell->time.now_ms;
+  cell_log (cell, "worker_unlisted", "{s:s}", "worker", worker->info.id);
+}
+
+/*
+ * Guards against tasks that run twice: an entry of another writer gives a life
+ * another's address, where another life answers, and the planner takes the
+ * first for dead while its tasks run.  A life keeps the address at which it has
+ * answered, to this planner or to the one that wrote the roster.
+ */
+static bool
+moves (const CellWorker *worker, const MuxWorkerInfo *entry)
+{
+  return worker != NULL && (worker->heard || worker->in_roster)
+         && worker->info.addr[0] != 0
+         && strcmp (worker->info.addr, entry->addr) != 0;
+}
+
+/* Return: what is wrong with the entry; NULL: nothing. */
+static const char *
+wrong_in_entry (const CellWorker *worker, const MuxCellRow *row)
+{
+  if (row->worker == NULL)
+    return row->wrong != NULL ? row->wrong : "value";
+  return moves (worker, row->worker) ? "address" : NULL;
+}
+
+static void
+tell_useless (MuxCell *cell, CellWorker *worker)
+{
+  if (worker->useless || cell->config == NULL
+      || cell_service_named (cell, worker->service))
+    return;
+  worker->useless = true;
+  mux_count (cell->options.counters, MUX_COUNT_WORKERS_OF_NO_QUEUE, 1);
+  cell_log (cell, "worker_of_no_queue", "{s:s, s:s}", "worker", worker->info.id,
+            "service", worker->info.service);
+}
+
 void
 cell_worker_row (MuxCell *cell, const MuxCellRow *row)
 {
   CellWorker *worker;
+  const char *wrong;
 
-  if (row->removed || row->worker == NULL)
+  /* The list lies in one part; an id goes into a header of each call. */
+  if (row->part[0] != 0 || !mux_name_valid (row->key))
     {
-      worker = cell_worker_find (cell, row->key);
-      if (worker != NULL && worker->listed)
-        {
-          worker->listed = false;
-          worker->unlisted_ms = cell->time.now_ms;
-          cell_log (cell, "worker_unlisted", "{s:s}", "worker", row->key);
-        }
+      cell_row_bad (cell, row, CELL_ROW_KEY, "key");
+      return;
+    }
+  worker = cell_worker_find (cell, row->key);
+  wrong = row->removed ? NULL : wrong_in_entry (worker, row);
+  if (wrong != NULL)
+    cell_row_bad (cell, row,
+                  row->worker == NULL && row->wrong == NULL ? CELL_ROW_VALUE
+                                                            : CELL_ROW_FIELD,
+                  wrong);
+  if (row->removed || wrong != NULL)
+    {
+      unlist (cell, worker);
       return;
     }
   worker = cell_worker_add (cell, row->key);
@@ -148,6 +203,7 @@
     cell_log (cell, "worker_draining", "{s:s}", "worker", row->key);
   worker->listed = true;
   take_entry (worker, row->worker);
+  tell_useless (cell, worker);
   cell->replan = true;
 }
 
@@ -211,8 +267,10 @@
 {
   int64_t now = cell->time.now_ms;
 
-  if (!worker->heard && worker->over_ms != 0)
-    return now > worker->over_ms + LAPSE_MARGIN_MS;
+  /* No mark of a former planner lies behind the end of the longest lease. */
+  if (!worker->heard && worker->over_ms != 0
+      && now - LAPSE_MARGIN_MS > worker->over_ms)
+    return true;
   if (!worker->heard)
     return now - cell->term_began_ms
            > CELL_TRUST_MS
@@ -334,6 +392,14 @@
   worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
 }
 
+/* Something of ours runs there, or may. */
+static bool
+is_of_use (const MuxCell *cell, const CellWorker *worker)
+{
+  return worker->in_roster || worker->bookings != NULL
+         || cell_service_named (cell, worker->service);
+}
+
 static void
 worker_tick (MuxCell *cell, CellWorker *worker)
 {
@@ -345,7 +411,7 @@
     }
   if (worker->dead && !worker->lost_life && !worker->in_roster)
     revive (cell, worker);
-  if (worker->dead || worker->info.addr[0] == 0)
+  if (worker->dead || worker->info.addr[0] == 0 || !is_of_use (cell, worker))
     return;
   take_acks (cell, worker);
   /* Gone from the list: what runs there is left to its lease, so that an end
--- a/src/model/job.c
+++ b/src/model/job.c
@@ -101,6 +101,9 @@
   else
     for (uint32_t i = 0; i < job->step_count; i++)
       check_step (job, i, findings);
+  if (job->first_due_ms > MUX_WALL_MS_MAX
+      || job->first_due_ms < -MUX_WALL_MS_MAX)
+    mux_findings_add (findings, "first_due_ms", "is out of range");
   if (job->payload != NULL && strlen (job->payload) > MUX_JOB_PAYLOAD_MAX)
     mux_findings_add (findings, "payload", "at most %d bytes",
                       MUX_JOB_PAYLOAD_MAX);
