--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -27,11 +27,16 @@
 #define FAULT_ONE_IN 8
 #define JOB_ONE_IN 3
 #define JOBS_MAX 400
+/* Longer than a takeover from a planner that the store turns away. */
+#define TURNED_AWAY_MS 2500
 
 typedef struct
 {
   World *world;
   MuxRandom random;
+  uint32_t turned_away; /* planner that the store refuses */
+  uint64_t claim;       /* then known */
+  int64_t serves_ms;    /* it is served again by then; 0: none is refused */
   uint32_t jobs;
   uint64_t question[JOBS_MAX];
 } Chaos;
@@ -157,10 +162,47 @@
   worker->fails = below (c, 10) == 0;
 }
 
+/* The store turns the planner away until another has claimed, and serves it
+ * again while its feeds still hang; the other does not reach all workers. */
+static void
+replace_planner (Chaos *c)
+{
+  World *world = c->world;
+  uint32_t planner = world_planner (world);
+
+  if (planner == WORLD_CELLS_MAX || c->serves_ms != 0)
+    return;
+  world->cell[planner].store = WORLD_REFUSES;
+  world->cell[planner].deaf
+      = WORLD_DEAF (MUX_TABLE_CLAIM) | WORLD_DEAF (MUX_TABLE_JOBS);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].far_workers = i != planner ? WORKERS / 2 : 0;
+  c->turned_away = planner;
+  c->claim = world_claim_version (world);
+  c->serves_ms = world->now_ms + TURNED_AWAY_MS;
+}
+
+static void
+serve_replaced (Chaos *c)
+{
+  World *world = c->world;
+
+  if (c->serves_ms == 0
+      || (world_claim_version (world) == c->claim
+          && world->now_ms < c->serves_ms))
+    return;
+  world->cell[c->turned_away].store = WORLD_SERVES;
+  if (below (c, 2) == 0)
+    world->forgotten = world->version;
+  if (below (c, 2) == 0)
+    world->cell[c->turned_away].deaf = WORLD_DEAF (MUX_TABLE_CLAIM);
+  c->serves_ms = 0;
+}
+
 static void
 fail_something (Chaos *c)
 {
-  switch (below (c, 7))
+  switch (below (c, 8))
     {
     case 0:
     case 1:
@@ -169,6 +211,9 @@
     case 6:
       fail_commits (c);
       break;
+    case 7:
+      replace_planner (c);
+      break;
     case 2:
       fail_feeds (c);
       break;
@@ -249,6 +294,7 @@
     {
       if (below (&c, FAULT_ONE_IN) == 0)
         fail_something (&c);
+      serve_replaced (&c);
       if (below (&c, JOB_ONE_IN) == 0)
         submit (&c);
       world_run (world, STEP_MS);
