--- a/test/unit/test_cell_foreign.c
+++ b/test/unit/test_cell_foreign.c
@@ -439,6 +439,32 @@
     }
 }
 
+/*
+ * Progress that is whole is taken, also of a job that runs several times: its
+ * occurrences are bounded by the time of day, so that a row of another writer
+ * can't have a planner make any number of them.
+ */
+static void
+test_progress_of_a_repeated_job (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxJobSpec *job = world_job (2, 4, 1000);
+
+  (void) state;
+  job->repetitions = 4;
+  job->interval_ms = 1500;
+  job->first_due_ms = 1700000000000 + world->now_ms;
+  (void) world_submit (world, world_planner (world), job, "job");
+  world_run (world, 3500);
+  take_over (world);
+  world_run (world, TAKEOVER_MS);
+  assert_int_equal (world_state (world, world_planner (world), "job"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  assert_int_equal (world_logged (world, "row_unreadable"), 0);
+  world_free (world);
+}
+
 /*
  * The same for a job whose tasks run until it is cancelled.  No task of it is
  * ever done, so that nothing can be repeated by going on: it does, once all
@@ -857,6 +883,7 @@
     cmocka_unit_test (test_roster_mark_far_in_the_future),
     cmocka_unit_test (test_roster_of_several_pages),
     cmocka_unit_test (test_unreadable_progress_row),
+    cmocka_unit_test (test_progress_of_a_repeated_job),
     cmocka_unit_test (test_unreadable_progress_of_a_service),
     cmocka_unit_test (test_unreadable_fence_row),
     cmocka_unit_test (test_unreadable_claim_is_not_vacant),
