worker: a lease is over only with the claim proved after it

A worker out of reach counted as free once the leases that its planner had asked for were over, though a successor that the planner did not know of may have renewed them. It counts as free now when the claim has been proved by a call that was sent after that moment; the sign of life is sent at once then, so that it costs a call to the store, 5 to 300 ms. Ruled out: to trust the claim for less than a lease, as outages of the store of some 5 s would then stop all starts. While the store is away no task of a lost worker is started elsewhere.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -467,8 +467,9 @@
   uint32_t roster; /* set of CellRosterState, as the two below */
   uint32_t roster_before;
   uint32_t roster_asked;
-  int64_t lost_ms; /* out of reach since; 0: it is not */
-  int64_t over_ms; /* as a former planner marked it; 0: not marked */
+  int64_t lost_ms;       /* out of reach since; 0: it is not */
+  int64_t over_ms;       /* as a former planner marked it; 0: not marked */
+  int64_t over_since_ms; /* its lease is over by what we know; 0: it is not */
   bool heard;
   bool reachable;
   bool dead;
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -281,6 +281,29 @@
   return clock_least (worker, now) > worker->lease_until_ms + LAPSE_MARGIN_MS;
 }
 
+/*
+ * Guards against a lease that a successor has renewed: a planner that was cut
+ * off with some of the workers trusts its claim for longer than a lease lasts,
+ * and would start the tasks of the others again while its successor goes on
+ * with them.  Only a proof of the claim that was asked for after the lease was
+ * over shows that nobody has renewed it.
+ */
+static bool
+surely_over (MuxCell *cell, CellWorker *worker)
+{
+  if (!lease_is_over (cell, worker))
+    {
+      worker->over_since_ms = 0;
+      return false;
+    }
+  if (worker->over_since_ms == 0)
+    {
+      worker->over_since_ms = cell->time.now_ms;
+      cell->next_beat_ms = cell->time.now_ms;
+    }
+  return cell->verified_ms >= worker->over_since_ms;
+}
+
 static bool
 unlisted_for_good (const MuxCell *cell, const CellWorker *worker)
 {
@@ -333,6 +356,7 @@
     cell_log (cell, "worker_back", "{s:s}", "worker", worker->info.id);
   worker->reachable = true;
   worker->lost_ms = 0;
+  worker->over_since_ms = 0;
   if (reply->clock_ms >= worker->clock_ms)
     {
       worker->clock_ms = reply->clock_ms;
@@ -393,6 +417,7 @@
   worker->reachable = false;
   worker->lease_until_ms = 0;
   worker->over_ms = 0;
+  worker->over_since_ms = 0;
   worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
 }
 
@@ -407,12 +432,11 @@
 static void
 worker_tick (MuxCell *cell, CellWorker *worker)
 {
-  if (cell_in_roster (worker) && !worker->dead && lease_is_over (cell, worker)
-      && (worker->lease_until_ms != 0 || !worker->heard))
-    {
-      if (!worker->reachable || !worker->heard)
-        cell_worker_dead (cell, worker, "lease_over");
-    }
+  if (cell_in_roster (worker) && !worker->dead
+      && (!worker->reachable || !worker->heard)
+      && (worker->lease_until_ms != 0 || !worker->heard)
+      && surely_over (cell, worker))
+    cell_worker_dead (cell, worker, "lease_over");
   if (worker->dead && !worker->lost_life && !cell_in_roster (worker))
     revive (cell, worker);
   if (worker->dead || worker->info.addr[0] == 0 || !is_of_use (cell, worker))
