cell: a test that fails, answers to a planner's former process

Cause: each process of a daemon numbers its calls and questions from 1 on. An answer that another daemon carries to a restarted planner is found under the number of a call of the new process: a start that was carried out counts as refused, and the task is started again while it runs. Ruled out: late starts, which a worker refuses once a stop of them has come.

--- a/test/unit/test_cell_gang_faults.c
+++ b/test/unit/test_cell_gang_faults.c
@@ -389,11 +389,28 @@
     play_seed (first + i);
 }
 
+/*
+ * The planner's process is killed with calls under way that other daemons
+ * carry, comes back, and plans again at once.  A worker refuses an order of the
+ * former process, as it has seen the new one, and the carrier tells so.  If the
+ * new process has a start under way by the same number it takes that for
+ * refused, and starts the task a second time while it runs.
+ */
+static void
+test_answer_to_a_former_process_ends_no_call (void **state)
+{
+  (void) state;
+  play_seed (53);
+  play_seed (375);
+  play_seed (780);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_gangs_end_after_any_faults),
+    cmocka_unit_test (test_answer_to_a_former_process_ends_no_call),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
