cell: no number of a former process is given again

Cause: calls to workers, questions to the policy service and callers' numbers began at 1 in each process. What other daemons tell a restarted one bears such a number alone: a fenced start of the former process counted as the refusal of a start of the new one, which was sent elsewhere while it ran. By the same way a renewal's list could be taken for that of another worker, approvals for those of another step, whose workers then count as approved for good, and a caller of a restarted daemon could be told that its job is accepted which never was stored. Change: numbers begin at the process's incarnation, which rises by 65536 for each millisecond. Ruled out: an incarnation in each answer, the same proof with a field more in six messages, of which relayed jobs and questions would have to keep it.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -64,7 +64,15 @@
       return NULL;
     }
   cell->options = *options;
-  cell->next_call = 1;
+  /*
+   * Guards against answers to a former process of this daemon, which others
+   * carry to its address: one that was found under the number of a call of
+   * this process would end that, and a start that was carried out would count
+   * as refused.  A younger process has a higher incarnation, by 65536 for each
+   * millisecond, which is more calls than any makes.
+   */
+  cell->next_call = options->incarnation;
+  cell->next_question = options->incarnation;
   cell->round = 1;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
     snprintf (cell->part[i].name, sizeof cell->part[i].name, "p%u",
--- a/src/daemon/cell_thread.c
+++ b/src/daemon/cell_thread.c
@@ -224,7 +224,7 @@
   thread->options = *options;
   thread->options.cell.sink = &thread->sink;
   thread->ring = mux_ring_new (options->queue);
-  thread->callers = mux_question_waiters_new ();
+  thread->callers = mux_question_waiters_new (options->cell.incarnation);
   thread->cell = mux_cell_new (&thread->options.cell, err);
   if (thread->ring != NULL && thread->callers != NULL && thread->cell != NULL)
     return thread;
--- a/src/daemon/question_waiters.c
+++ b/src/daemon/question_waiters.c
@@ -22,14 +22,14 @@
 };
 
 MuxQuestionWaiters *
-mux_question_waiters_new (void)
+mux_question_waiters_new (uint64_t first_call)
 {
   MuxQuestionWaiters *callers = calloc (1, sizeof *callers);
 
   if (callers == NULL)
     return NULL;
   pthread_mutex_init (&callers->lock, NULL);
-  callers->next_call = 1;
+  callers->next_call = first_call;
   return callers;
 }
 
--- a/src/daemon/question_waiters.h
+++ b/src/daemon/question_waiters.h
@@ -6,7 +6,11 @@
 /* Callers that wait for an answer to a question, found by its call number. */
 typedef struct MuxQuestionWaiters MuxQuestionWaiters;
 
-MuxQuestionWaiters *mux_question_waiters_new (void);
+/** mux_question_waiters_new() - numbers its calls from @first_call on
+ * Other daemons answer them by their number: one that a former process of this
+ * daemon gave must not come again, else a caller is told what became of
+ * another's job. */
+MuxQuestionWaiters *mux_question_waiters_new (uint64_t first_call);
 /** mux_question_waiters_free() - every caller has left */
 void mux_question_waiters_free (MuxQuestionWaiters *callers);
 /** mux_question_waiters_enter() - false: memory is out
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -9,6 +9,8 @@
 #define APPROVAL_MS 10
 #define PEER_MS 1
 #define LEASE_MS 4000
+/* Between the incarnations of two processes: more calls than one makes. */
+#define LIFE_BITS 32
 /* Workers' addresses, by their number from 1 on. */
 #define WORKER_NET "10.1.0."
 /* Of daemons that are given no other. */
@@ -742,7 +744,7 @@
     .name = name,
     .data_centre = "nizwa-hall",
     .peer_addr = cell->addr,
-    .incarnation = ++world->incarnation,
+    .incarnation = ++world->incarnation << LIFE_BITS,
     .seed = number,
     .lease_ms = LEASE_MS,
     .dead_ms = DEAD_MS,
--- a/test/unit/test_question_waiters.c
+++ b/test/unit/test_question_waiters.c
@@ -27,7 +27,7 @@
 static void
 test_each_gets_its_own (void **state)
 {
-  MuxQuestionWaiters *callers = mux_question_waiters_new ();
+  MuxQuestionWaiters *callers = mux_question_waiters_new (1);
   Waiter waiter[CALLERS];
   pthread_t thread[CALLERS];
 
@@ -64,7 +64,7 @@
 static void
 test_late_answer_finds_nobody (void **state)
 {
-  MuxQuestionWaiters *callers = mux_question_waiters_new ();
+  MuxQuestionWaiters *callers = mux_question_waiters_new (1);
   MuxQuestionReply reply = { .outcome = MUX_OUTCOME_ACCEPTED };
   MuxQuestionReply got;
   uint64_t first;
@@ -80,12 +80,38 @@
   mux_question_waiters_free (callers);
 }
 
+/*
+ * The planner answers a job that a daemon handed it just before it was killed.
+ * If the next process numbered its callers anew, one of them would be told
+ * that its job is accepted, and it would never run.
+ */
+static void
+test_next_process_gives_no_number_again (void **state)
+{
+  MuxQuestionWaiters *former = mux_question_waiters_new (1 << 16);
+  MuxQuestionWaiters *callers = mux_question_waiters_new (2 << 16);
+  MuxQuestionReply reply = { .outcome = MUX_OUTCOME_ACCEPTED };
+  MuxQuestionReply got;
+  uint64_t call;
+
+  (void) state;
+  assert_true (mux_question_waiters_enter (former, &reply.call));
+  assert_true (mux_question_waiters_enter (callers, &call));
+  assert_int_equal (call, 2 << 16);
+  assert_false (mux_question_waiters_answer (callers, &reply));
+  assert_false (mux_question_waiters_wait (former, reply.call, 0, &got));
+  assert_false (mux_question_waiters_wait (callers, call, 0, &got));
+  mux_question_waiters_free (former);
+  mux_question_waiters_free (callers);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_each_gets_its_own),
     cmocka_unit_test (test_late_answer_finds_nobody),
+    cmocka_unit_test (test_next_process_gives_no_number_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
