cell: a test that fails, a gang wider than a question

Cause: once a gang's room is free it asks for the proofs of all its workers at once, and only if they fit into one question of a hundred. A gang that needs more, and whose first proofs ran out while its workers were busy, never asks again. Change: a test; the world's policy service takes its time by the workers named.

--- a/test/unit/test_cell_gangs.c
+++ b/test/unit/test_cell_gangs.c
@@ -15,6 +15,17 @@
 #define LONG_ANSWER_MS 300
 /* Two questions of that length, and as long again for what is asked anew. */
 #define STARTS_WITHIN_MS 4000
+#define LARGE_CELL 350
+/* Tasks that fill it take so long; so many come in a job. */
+#define BUSY_MS 6000
+#define FILL_TASKS 10
+/* More workers than a question names. */
+#define WIDE_GANG 120
+/* A question about a hundred workers takes 1.1 s; two to learn who is approved,
+ * two for the proofs, and as much again. */
+#define QUESTION_MS 442
+#define QUESTION_WORKER_US 6370
+#define WIDE_STARTS_WITHIN_MS 8000
 /* A step is told of in the log once it has waited so long. */
 #define TOLD_AFTER_MS 5000
 /* More steps than lines in the time that is looked at. */
@@ -123,12 +134,48 @@
   world_free (world);
 }
 
+/*
+ * A gang needs 120 workers, one for each task, and all 350 of the cell are
+ * approved.  They are full when it learns so and empty later.  The policy
+ * service takes a hundred names in a question, and a proof is taken for two
+ * seconds.  If the proofs of all its workers had to come with one question, it
+ * would never have them, and wait for good.
+ */
+static void
+test_gang_wider_than_a_question_starts (void **state)
+{
+  World *world = world_new (CELLS, LARGE_CELL);
+  uint32_t planner;
+
+  (void) state;
+  world->task_ms = BUSY_MS;
+  world_run (world, 1500);
+  planner = world_planner (world);
+  for (uint32_t i = 0; i < LARGE_CELL / FILL_TASKS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "full-%u", i);
+      (void) world_submit (world, planner, world_job (1, FILL_TASKS, 31000),
+                           id);
+    }
+  world_run (world, 2000);
+  assert_int_equal (world->start_count, LARGE_CELL);
+  world_ask_slowly (world, QUESTION_MS, QUESTION_WORKER_US);
+  world_run (world, 200);
+  (void) world_submit (world, planner, gang_of (WIDE_GANG, 30000), "job-a");
+  world_run (world, BUSY_MS + WIDE_STARTS_WITHIN_MS);
+  assert_int_equal (world_starts (world, "job-a"), WIDE_GANG);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_log_says_what_a_waiting_step_lacks),
     cmocka_unit_test (test_log_names_a_run_that_does_not_end),
+    cmocka_unit_test (test_gang_wider_than_a_question_starts),
     cmocka_unit_test (test_question_ends_with_the_daemon_that_asked_it),
   };
 
