cell: the proofs of a wide gang come with several questions

Cause: a gang with room asked for the proofs of all its workers in one question, which names a hundred. One that needs more asked nothing, and its room was given back in each pass. Ruled out: approvals and room (228 members fit on approved workers, 350 on all). Change: workers whose proofs outlast a question are not asked about again, so that the rest come with the next one; room is held for all members meanwhile. A gang that fits into one question asks about fewer workers by the same rule.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -249,6 +249,20 @@
   return (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
 }
 
+bool
+cell_approval_lasts (const MuxCell *cell,
+                     const CellStage *stage,
+                     const CellWorker *worker,
+                     uint32_t count)
+{
+  int64_t answered_ms
+      = cell->time.now_ms + cost_ms_of (stage, count) + OVERDUE_MS;
+
+  return cell_approval_proof (cell, stage, worker) != NULL
+         && answered_ms
+                <= stage->approval[worker->slot].until_ms - PROOF_MARGIN_MS;
+}
+
 bool
 cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count)
 {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -228,6 +228,12 @@
 const char *cell_approval_proof (const MuxCell *cell,
                                  const CellStage *stage,
                                  const CellWorker *worker);
+/** cell_approval_lasts() - its proof is still taken when a question about
+ * @count workers that is sent now was answered */
+bool cell_approval_lasts (const MuxCell *cell,
+                          const CellStage *stage,
+                          const CellWorker *worker,
+                          uint32_t count);
 CellApproval *cell_approval (CellStage *stage, const CellWorker *worker);
 /** cell_approvals_stored() - what was known when the job's progress was
  * written stands in the store */
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -202,27 +202,52 @@
   (void) cell_approval_ask (cell, stage, worker, n);
 }
 
-/* Only those that the gang is about to start on; their room is held until the
- * answer. */
+/* Hold room for those of @left members that fit on workers whose proofs last
+ * over a question, or on the others.
+ * Return: members left. */
+static uint32_t
+hold_where (MuxCell *cell,
+            CellStage *stage,
+            const Place *place,
+            uint32_t count,
+            uint32_t left,
+            bool lasts)
+{
+  for (uint32_t i = 0; i < count && left > 0; i++)
+    {
+      uint32_t take = place[i].now < left ? place[i].now : left;
+
+      if (!place[i].yes || take == 0
+          || cell_approval_lasts (cell, stage, place[i].worker, CANDIDATES_MAX)
+                 != lasts)
+        continue;
+      if (!cell_hold (stage, place[i].worker, take))
+        return left;
+      left -= take;
+    }
+  return left;
+}
+
+/*
+ * Those that the gang is about to start on; their room is held until the
+ * answer.  Guards against a gang that waits for good as it needs more workers
+ * than a question names: their proofs come with several questions, one after
+ * the other, so that each asks for those alone that would not outlast it.
+ */
 static void
 ask_again (MuxCell *cell, CellStage *stage, const Place *place, uint32_t count)
 {
   CellWorker *worker[CANDIDATES_MAX];
   uint32_t left = stage->spec->count;
+  uint32_t lasting;
   uint32_t n = 0;
 
   cell_holds_release (stage);
-  for (uint32_t i = 0; i < count && n < CANDIDATES_MAX && left > 0; i++)
-    {
-      uint32_t take = place[i].now < left ? place[i].now : left;
-
-      if (!place[i].yes || take == 0)
-        continue;
-      worker[n++] = place[i].worker;
-      left -= take;
-      if (!cell_hold (stage, place[i].worker, take))
-        break;
-    }
+  left = hold_where (cell, stage, place, count, left, true);
+  lasting = stage->hold_count;
+  left = hold_where (cell, stage, place, count, left, false);
+  for (uint32_t i = lasting; i < stage->hold_count && n < CANDIDATES_MAX; i++)
+    worker[n++] = stage->hold[i].worker;
   if (left == 0 && cell_approval_ask (cell, stage, worker, n))
     stage->hold_until_ms = cell->time.now_ms + HOLD_MAX_MS;
   else
