cell: a test that fails, a gang and a worker that answers no start

Cause: a worker that refuses a start is left alone for a second, one that does not answer it is not. It renews its lease, is empty and approved, so that a gang chooses it for each next run, and is stopped for it each time. Change: a test alone.

--- a/test/unit/test_cell_gangs.c
+++ b/test/unit/test_cell_gangs.c
@@ -26,6 +26,9 @@
 #define QUESTION_MS 442
 #define QUESTION_WORKER_US 6370
 #define WIDE_STARTS_WITHIN_MS 8000
+/* Two starts that go unanswered, with what they take to be stopped, and one
+ * run. */
+#define ENDS_WITHOUT_IT_MS 9000
 /* A step is told of in the log once it has waited so long. */
 #define TOLD_AFTER_MS 5000
 /* More steps than lines in the time that is looked at. */
@@ -169,12 +172,40 @@
   world_free (world);
 }
 
+/*
+ * A worker carries out what it is told and answers its renewals, but its
+ * answers to starts are lost.  A gang that has a member there is stopped as
+ * soon as its start counts as unanswered.  If the worker is then taken for as
+ * good as any other, the gang chooses it again each time, as it is empty, and
+ * never comes to its end, though it needs 20 of 40 workers.
+ */
+static void
+test_gang_does_without_a_worker_that_answers_no_start (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner;
+
+  (void) state;
+  world_run (world, 1500);
+  planner = world_planner (world);
+  world->approve_one_in = 3;
+  (void) world_submit (world, planner, gang_of (GANG, 30000), "job-a");
+  world_run (world, 200);
+  assert_int_equal (world_starts (world, "job-a"), GANG);
+  world->worker[world->start[0].worker].fault = WORLD_LOSES_ANSWER;
+  world_worker_restart (world, world->start[1].worker);
+  world_run (world, ENDS_WITHOUT_IT_MS);
+  assert_int_equal (world_ends (world), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_log_says_what_a_waiting_step_lacks),
     cmocka_unit_test (test_log_names_a_run_that_does_not_end),
+    cmocka_unit_test (test_gang_does_without_a_worker_that_answers_no_start),
     cmocka_unit_test (test_gang_wider_than_a_question_starts),
     cmocka_unit_test (test_question_ends_with_the_daemon_that_asked_it),
   };
