cell: a worker whose starts go unanswered is left alone

Cause: a start that was not answered was stopped and settled, and its worker taken for as good as before; being empty it was chosen again by the gang. Ruled out: refused starts, after which a worker was left alone already. Change: a worker that does not answer a start is left alone for a second like one that refuses it; twice as long after each further one in a row, to 8 s, as the next run of a gang may come after more than a second. Starts of one moment count once, so that a daemon that dies with several on their way costs a second.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -414,6 +414,8 @@
  * @seen: ends up to this number are known
  * @store_seq: all ends up to @seen are stored once this number is reached
  * @booked: sum of its bookings
+ * @unserved_ms: how long it was avoided after its last start, as that was
+ *   refused or not answered; 0: it was served
  * @strikes: failed runs lately, without one that ended well between
  */
 struct CellWorker
@@ -442,6 +444,7 @@
   bool renewing;
   int64_t next_renew_ms;
   int64_t avoid_until_ms;
+  int64_t unserved_ms;
   int64_t no_fill_until_ms;
   int64_t direct_until_ms; /* no other daemon calls it */
   uint32_t strikes;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -10,8 +10,12 @@
 #define RUNS_PER_TERM 64
 /* After an unanswered or refused stop. */
 #define STOP_RETRY_MS 300
-/* A worker that refused a start as unhealthy is left alone for so long. */
+/* A worker that refused a start as unhealthy, or did not answer it, is left
+ * alone for so long, and twice as long after each further one in a row: the
+ * next run of a gang comes after a second or later, once all of this one have
+ * stopped. */
 #define UNHEALTHY_MS 1000
+#define UNHEALTHY_MAX_MS 8000
 /* Its room was less than booked here: its next list tells. */
 #define NO_ROOM_MS 300
 /* Failed runs in a row, without one that ended well, after which a worker is
@@ -186,6 +190,25 @@
   cell_job_advance (cell, stage->job);
 }
 
+/*
+ * Guards against a gang that never gets to work: a worker that serves renewals
+ * and no starts is empty, so that it is chosen first for each next run, all of
+ * which are stopped because of it.
+ */
+static void
+leave_alone (const MuxCell *cell, CellWorker *worker)
+{
+  int64_t ms = worker->unserved_ms * 2;
+
+  /* Starts of one moment count once. */
+  if (ms > 0 && cell->time.now_ms < worker->avoid_until_ms)
+    return;
+  if (ms < UNHEALTHY_MS)
+    ms = UNHEALTHY_MS;
+  worker->unserved_ms = ms < UNHEALTHY_MAX_MS ? ms : UNHEALTHY_MAX_MS;
+  worker->avoid_until_ms = cell->time.now_ms + worker->unserved_ms;
+}
+
 static void
 refused (MuxCell *cell,
          CellTask *task,
@@ -195,7 +218,7 @@
   CellApproval *approval = cell_approval (task->stage, worker);
 
   if (status == MUX_CELL_NOT_DONE)
-    worker->avoid_until_ms = cell->time.now_ms + UNHEALTHY_MS;
+    leave_alone (cell, worker);
   else if (status == MUX_CELL_NO_ROOM)
     worker->avoid_until_ms = cell->time.now_ms + NO_ROOM_MS;
   else if (status == MUX_CELL_OLD_RUN)
@@ -230,6 +253,7 @@
     return;
   if (reply->status == MUX_CELL_OK)
     {
+      worker->unserved_ms = 0;
       if (task->state == CELL_TASK_STARTING)
         task->state = CELL_TASK_RUNNING;
       if (!task->stage->job->started)
@@ -242,6 +266,7 @@
    * run has been answered and a later list shows that it is not there. */
   if (reply->status == MUX_CELL_UNKNOWN)
     {
+      leave_alone (cell, worker);
       if (task->stage->spec->gang)
         break_gang (cell, task->stage);
       else
