cell: a test that fails, answers that are later than the queue says

Cause: an answer of the policy service that is 0.4 s later than the queue's figures say counts as lost, and each further question is given the same time.

--- a/test/unit/test_cell_gangs.c
+++ b/test/unit/test_cell_gangs.c
@@ -26,6 +26,9 @@
 #define QUESTION_MS 442
 #define QUESTION_WORKER_US 6370
 #define WIDE_STARTS_WITHIN_MS 8000
+/* Over the 0.4 s by which an answer may be late at first. */
+#define LATE_ANSWER_MS 1000
+#define LATE_STARTS_WITHIN_MS 12000
 /* Two starts that go unanswered, with what they take to be stopped, and one
  * run. */
 #define ENDS_WITHOUT_IT_MS 9000
@@ -199,6 +202,29 @@
   world_free (world);
 }
 
+/*
+ * The policy service takes longer for a question than the queue says, be it
+ * that its configuration is older, that the service is loaded, or the daemon
+ * that asks.  If each answer counts as lost for being late, and the next
+ * question is given no more time, the step never starts while the service
+ * answers all that it is asked.
+ */
+static void
+test_late_answers_are_waited_for_in_the_end (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner;
+
+  (void) state;
+  world_run (world, 1500);
+  planner = world_planner (world);
+  world->approval_ms = LATE_ANSWER_MS;
+  (void) world_submit (world, planner, gang_of (GANG, 30000), "job-a");
+  world_run (world, LATE_STARTS_WITHIN_MS);
+  assert_int_equal (world_starts (world, "job-a"), GANG);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -206,6 +232,7 @@
     cmocka_unit_test (test_log_says_what_a_waiting_step_lacks),
     cmocka_unit_test (test_log_names_a_run_that_does_not_end),
     cmocka_unit_test (test_gang_does_without_a_worker_that_answers_no_start),
+    cmocka_unit_test (test_late_answers_are_waited_for_in_the_end),
     cmocka_unit_test (test_gang_wider_than_a_question_starts),
     cmocka_unit_test (test_question_ends_with_the_daemon_that_asked_it),
   };
