cell: late answers of the policy service are waited for in the end

Change: a question is given 0.4 s more than it should take, twice that after each one lost in a row, up to 3.2 s; the usual time again once an answer came within it. The time goes with the question, so that the daemon that asks waits as long. Ruled out: taking answers of questions that were given up, whose daemon may have been asked anew meanwhile, and whose service takes one at a time.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -13,8 +13,10 @@
 /* A proof is used no later than this before its end: a start takes some ms on
  * its way, more to a worker that is busy. */
 #define PROOF_MARGIN_MS 150
-/* An answer that is later than it should be by this counts as lost. */
+/* An answer that is later than it should be by this counts as lost; */
 #define OVERDUE_MS 400
+/* by twice as much after each lost one in a row, up to so many times: 3.2 s. */
+#define OVERDUE_DOUBLINGS 3
 /* A daemon that did not answer is asked nothing for so long. */
 #define ASKER_REST_MS 1500
 /* A daemon not heard of for so long is asked nothing. */
@@ -199,7 +201,8 @@
   uint32_t candidate_count;
   uint32_t *slot; /* of the workers named */
   int64_t sent_ms;
-  int64_t until_ms; /* then its answer counts as lost */
+  int64_t due_ms;   /* an answer by then is no later than usual */
+  int64_t until_ms; /* then it counts as lost */
   char member[MUX_NAME_LEN];
   UT_hash_handle hh;
 };
@@ -249,6 +252,21 @@
   return (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
 }
 
+/*
+ * Guards against a step that asks for good: a service, or a daemon, that is
+ * slower than the queue says would answer each question just after it was given
+ * up.
+ */
+static uint32_t
+overdue_ms_of (const CellStage *stage)
+{
+  uint32_t doublings = stage->lost_answers < OVERDUE_DOUBLINGS
+                           ? stage->lost_answers
+                           : OVERDUE_DOUBLINGS;
+
+  return OVERDUE_MS << doublings;
+}
+
 bool
 cell_approval_lasts (const MuxCell *cell,
                      const CellStage *stage,
@@ -277,6 +295,7 @@
                    uint32_t count)
 {
   uint32_t cost_ms = cost_ms_of (stage, count);
+  uint32_t timeout_ms = cost_ms + overdue_ms_of (stage);
   CellMember *member = choose_member (cell, cost_ms > LONG_MS);
   CellQuestion *question;
 
@@ -294,11 +313,11 @@
   question->step = cell_task_ref (&stage->task[0]);
   question->candidate_count = count;
   question->sent_ms = cell->time.now_ms;
-  question->until_ms = cell->time.now_ms + cost_ms + OVERDUE_MS;
+  question->due_ms = cell->time.now_ms + cost_ms + OVERDUE_MS;
+  question->until_ms = cell->time.now_ms + timeout_ms;
   snprintf (question->member, sizeof question->member, "%s", member->name);
-  if (!send_question (
-          cell, member, question->number,
-          question_json (stage, candidates, count, cost_ms + OVERDUE_MS)))
+  if (!send_question (cell, member, question->number,
+                      question_json (stage, candidates, count, timeout_ms)))
     {
       question_free (question);
       return false;
@@ -351,6 +370,26 @@
   member->asking_until_ms = answered ? 0 : cell->time.now_ms + ASKER_REST_MS;
 }
 
+/* The step may ask again; with more time where answers were late. */
+static void
+end_asking (MuxCell *cell,
+            CellStage *stage,
+            const CellQuestion *question,
+            bool answered)
+{
+  stage->asking = false;
+  stage->round = 0;
+  if (answered)
+    {
+      if (cell->time.now_ms <= question->due_ms)
+        stage->lost_answers = 0;
+      return;
+    }
+  stage->lost_answers++;
+  unmark_asked (stage, question);
+  stage->ask_after_ms = cell->time.now_ms + RETRY_MS;
+}
+
 void
 cell_took_answer (MuxCell *cell,
                   uint64_t number,
@@ -369,17 +408,9 @@
   release_member (cell, question, answered);
   if (task != NULL)
     {
-      CellStage *stage = task->stage;
-
-      stage->asking = false;
-      stage->round = 0;
-      if (!answered)
-        {
-          unmark_asked (stage, question);
-          stage->ask_after_ms = cell->time.now_ms + RETRY_MS;
-        }
+      end_asking (cell, task->stage, question, answered);
       for (uint32_t i = 0; i < count; i++)
-        take_approval (cell, stage, &approvals[i],
+        take_approval (cell, task->stage, &approvals[i],
                        cell->time.now_ms + valid_ms);
     }
   cell_log (cell, "approvals", "{s:s, s:i, s:s, s:b, s:i, s:i, s:I}", "job",
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -303,6 +303,7 @@
  * @approval: by the worker's slot
  * @asking: an approval question is under way
  * @asked_ms: when the last one was sent
+ * @lost_answers: not answered since one was in the usual time
  * @due_ms: when its occurrence should have ended
  * @worthless_ms: after which that end is worth nothing
  * @latest_ms: latest start of this stage that still meets that
@@ -331,6 +332,7 @@
   char (*former)[MUX_NAME_LEN]; /* workers that a former planner could use */
   bool asking;
   int64_t asked_ms;
+  uint32_t lost_answers;
   int64_t ask_after_ms;
   int64_t due_ms;
   int64_t worthless_ms;
--- a/test/unit/test_cell_gang_faults.c
+++ b/test/unit/test_cell_gang_faults.c
@@ -497,6 +497,19 @@
   play_seed (780);
 }
 
+/*
+ * The policy service gets slower than it was when the jobs came, by somewhat
+ * less than the time by which an answer may be late.  Those of a busy moment
+ * come a few ms after they were given up, again and again, and a gang of twelve
+ * stands for 25 s with most of the cell free.
+ */
+static void
+test_service_slower_than_told_holds_no_gang_up (void **state)
+{
+  (void) state;
+  play_faults_of (353, WORKERS, true);
+}
+
 int
 main (void)
 {
@@ -504,6 +517,7 @@
     cmocka_unit_test (test_gangs_end_after_any_faults),
     cmocka_unit_test (test_gangs_end_after_more_faults),
     cmocka_unit_test (test_answer_to_a_former_process_ends_no_call),
+    cmocka_unit_test (test_service_slower_than_told_holds_no_gang_up),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
