--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -19,6 +19,9 @@
 #define TOLD_AGAIN_MS 10000
 /* A step that no pass has looked at for so long waits for its turn. */
 #define UNSEEN_MS 1000
+/* Of a question that a step still has to ask, as far as its length matters for
+ * whom it may go to. */
+#define QUESTION_WORKERS 40
 
 /* What the workers have for a step; in tasks where it speaks of room. */
 typedef struct
@@ -134,11 +137,12 @@
     return "answer";
   if (unseen_ms (cell, stage) > UNSEEN_MS)
     return "turn";
+  if ((lack->yes_ever < need && lack->unasked > 0)
+      || (lack->yes_now >= need && lack->proven < need))
+    return cell_can_ask (cell, stage, QUESTION_WORKERS) ? "question" : "asker";
   if (lack->yes_ever < need)
     return "approvals";
-  if (lack->yes_now < need)
-    return "room";
-  return lack->proven < need ? "proofs" : "start";
+  return lack->yes_now < need ? "room" : "start";
 }
 
 static void
