--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -319,6 +319,7 @@
  * @approval: by the worker's slot
  * @asking: an approval question is under way
  * @asked_ms: when the last one was sent
+ * @lost_answers: not answered since one was in the usual time
  * @due_ms: when its occurrence should have ended
  * @worthless_ms: after which that end is worth nothing
  * @latest_ms: latest start of this stage that still meets that
@@ -347,6 +348,7 @@
   char (*former)[MUX_NAME_LEN]; /* workers that a former planner could use */
   bool asking;
   int64_t asked_ms;
+  uint32_t lost_answers;
   int64_t ask_after_ms;
   int64_t due_ms;
   int64_t worthless_ms;
@@ -455,6 +457,8 @@
  * @seen: ends up to this number are known
  * @store_seq: all ends up to @seen are stored once this number is reached
  * @booked: sum of its bookings
+ * @unserved_ms: how long it was avoided after its last start, as that was
+ *   refused or not answered; 0: it was served
  * @strikes: failed runs lately, without one that ended well between
  */
 struct CellWorker
@@ -484,6 +488,7 @@
   bool renewing;
   int64_t next_renew_ms;
   int64_t avoid_until_ms;
+  int64_t unserved_ms;
   int64_t no_fill_until_ms;
   int64_t direct_until_ms; /* no other daemon calls it */
   uint32_t strikes;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -9,6 +9,10 @@
 #define APPROVAL_MS 10
 #define PEER_MS 1
 #define LEASE_MS 4000
+/* Between the incarnations of two processes: more calls than one makes. */
+#define LIFE_BITS 32
+/* Workers' addresses, by their number from 1 on. */
+#define WORKER_NET "10.1.0."
 /* Of daemons that are given no other. */
 #define STRENGTH_MILLI 1000
 #define KEEP_S 86400
@@ -41,8 +45,7 @@
 static uint64_t
 incarnation_of (const World *world, uint32_t cell)
 {
-  return world->cell[cell].dead ? 0
-                                : (uint64_t) (uintptr_t) world->cell[cell].cell;
+  return world->cell[cell].dead ? 0 : world->cell[cell].life;
 }
 
 static WorldEvent *
@@ -256,13 +259,19 @@
 static bool
 do_follow (World *world, const MuxCellCall *call, MuxCellReply *reply)
 {
+  uint32_t news = 0;
+
   if (call->after < world->forgotten)
     {
       reply->status = MUX_CELL_HISTORY;
       return true;
     }
-  assert_true (mux_cell_reply_rows (reply, world->row_count));
-  for (uint32_t i = 0; i < world->row_count; i++)
+  for (uint32_t i = 0; i < world->row_count && call->after < world->version;
+       i++)
+    news += world->row[i].table == call->table
+            && world->row[i].version > call->after;
+  assert_true (mux_cell_reply_rows (reply, news));
+  for (uint32_t i = 0; i < world->row_count && news > 0; i++)
     if (world->row[i].table == call->table
         && world->row[i].version > call->after)
       copy_row (world, &world->row[i], &reply->row[reply->row_count++]);
@@ -277,6 +286,15 @@
 static WorldWorker *
 worker_at (World *world, const char *addr)
 {
+  size_t len = strlen (WORKER_NET);
+  uint32_t hint = strncmp (addr, WORKER_NET, len) == 0
+                      ? (uint32_t) strtoul (addr + len, NULL, 10)
+                      : 0;
+
+  /* Nearly always it is the one that its address counts. */
+  if (hint > 0 && hint <= WORLD_WORKERS_MAX && world->worker[hint - 1].used
+      && strcmp (world->worker[hint - 1].info.addr, addr) == 0)
+    return &world->worker[hint - 1];
   for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
     if (world->worker[i].used && strcmp (world->worker[i].info.addr, addr) == 0)
       return &world->worker[i];
@@ -344,7 +362,7 @@
 static WorldRun *
 run_find (WorldWorker *worker, const MuxTaskRef *task, uint32_t number)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < worker->run_end; i++)
     if (worker->run[i].used && worker->run[i].run == number
         && memcmp (&worker->run[i].task, task, sizeof *task) == 0)
       return &worker->run[i];
@@ -358,6 +376,8 @@
     if (!worker->run[i].used)
       {
         memset (&worker->run[i], 0, sizeof worker->run[i]);
+        if (i >= worker->run_end)
+          worker->run_end = i + 1;
         return &worker->run[i];
       }
   fail_msg ("a worker has no place for another run");
@@ -415,9 +435,9 @@
            MuxCellReply *reply)
 {
   reply->report = calloc (WORLD_RUNS_MAX, sizeof *reply->report);
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < worker->run_end; i++)
     {
-      uint32_t slot = world->lists_backwards ? WORLD_RUNS_MAX - 1 - i : i;
+      uint32_t slot = world->lists_backwards ? worker->run_end - 1 - i : i;
       WorldRun *run = &worker->run[slot];
       MuxRunReport *report = &reply->report[reply->report_count];
       int64_t spent = world->now_ms - run->began_ms;
@@ -447,7 +467,7 @@
 static bool
 has_ends (const WorldWorker *worker, uint64_t acked)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < worker->run_end; i++)
     if (worker->run[i].used && worker->run[i].number > acked)
       return true;
   return false;
@@ -532,11 +552,13 @@
 }
 
 static bool
-is_approved (const World *world, const char *id)
+is_approved (const World *world, const char *job, const char *id)
 {
+  uint32_t shift = world->approve_by_job ? mux_hash_name (job, 0) % 1024 : 0;
+
   for (uint32_t i = 0; i < WORLD_WORKERS_MAX && world->approve_one_in != 0; i++)
     if (strcmp (world->worker[i].info.id, id) == 0)
-      return i % world->approve_one_in == 0;
+      return (i + shift) % world->approve_one_in == 0;
   return true;
 }
 
@@ -559,14 +581,16 @@
     {
       MuxApproval *approval = &reply->approval[reply->approval_count];
 
-      if (!is_approved (world, call->candidate[i]))
+      if (!is_approved (world, call->task.job, call->candidate[i]))
         continue;
       reply->approval_count++;
       snprintf (approval->worker, sizeof approval->worker, "%s",
                 call->candidate[i]);
       snprintf (approval->proof, sizeof approval->proof, "yes");
     }
-  answer_call (world, cell, reply, world->approval_ms);
+  answer_call (world, cell, reply,
+               world->approval_ms
+                   + call->candidate_count * world->approval_us / 1000);
   mux_cell_call_free (call);
 }
 
@@ -866,7 +890,8 @@
 step_workers (World *world)
 {
   for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
-    for (uint32_t j = 0; world->worker[i].used && j < WORLD_RUNS_MAX; j++)
+    for (uint32_t j = 0; world->worker[i].used && j < world->worker[i].run_end;
+         j++)
       {
         WorldWorker *worker = &world->worker[i];
         WorldRun *run = &worker->run[j];
@@ -914,7 +939,7 @@
     .name = name,
     .data_centre = "nizwa-hall",
     .peer_addr = cell->addr,
-    .incarnation = ++world->incarnation,
+    .incarnation = ++world->incarnation << LIFE_BITS,
     .seed = number,
     .lease_ms = LEASE_MS,
     .dead_ms = DEAD_MS,
@@ -933,6 +958,7 @@
   cell->world = world;
   cell->number = number;
   mux_cell_free (cell->cell);
+  cell->life = options.incarnation;
   cell->cell = mux_cell_new (&options, NULL);
   assert_non_null (cell->cell);
   cell->dead = false;
@@ -969,8 +995,9 @@
   free (config);
 }
 
-static void
-write_config (World *world, bool urgent)
+/* A newer configuration, alike but for what the caller changes in it. */
+static MuxQueueConfig *
+change_config (World *world)
 {
   WorldRow *row = row_find (world, MUX_TABLE_CONFIG, "", "config");
   size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
@@ -979,10 +1006,17 @@
   assert_non_null (config);
   memcpy (config, row->value->bytes, size);
   config->version++;
-  if (urgent)
-    config->item[0].priority = 0;
+  return config;
+}
+
+static void
+put_config (World *world, MuxQueueConfig *config)
+{
+  WorldRow *row = row_find (world, MUX_TABLE_CONFIG, "", "config");
+
   mux_blob_unref (row->value);
-  row->value = mux_blob_new (config, size);
+  row->value
+      = mux_blob_new (config, sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec));
   row->version = ++world->version;
   free (config);
 }
@@ -990,13 +1024,28 @@
 void
 world_change_config (World *world)
 {
-  write_config (world, false);
+  put_config (world, change_config (world));
 }
 
 void
 world_make_urgent (World *world)
 {
-  write_config (world, true);
+  MuxQueueConfig *config = change_config (world);
+
+  config->item[0].priority = 0;
+  put_config (world, config);
+}
+
+void
+world_ask_slowly (World *world, uint32_t base_ms, uint32_t per_worker_us)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  config->item[0].approval.base_us = base_ms * 1000;
+  config->item[0].approval.per_worker_us = per_worker_us;
+  put_config (world, config);
+  world->approval_ms = base_ms;
+  world->approval_us = per_worker_us;
 }
 
 static void
@@ -1054,6 +1103,23 @@
                  "{}");
 }
 
+void
+world_worker_drains (World *world, uint32_t number, bool draining)
+{
+  world->worker[number].info.draining = draining;
+  list_worker (world, number);
+}
+
+void
+world_worker_unlist (World *world, uint32_t number, bool gone)
+{
+  WorldRow *row;
+
+  list_worker (world, number);
+  row = row_find (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id);
+  row->removed = gone;
+}
+
 static void
 add_worker (World *world, uint32_t number)
 {
@@ -1061,7 +1127,7 @@
 
   worker->used = true;
   snprintf (worker->info.id, sizeof worker->info.id, "i-%u-1", number);
-  snprintf (worker->info.addr, sizeof worker->info.addr, "10.1.0.%u:8000",
+  snprintf (worker->info.addr, sizeof worker->info.addr, WORKER_NET "%u:8000",
             number + 1);
   snprintf (worker->info.service, sizeof worker->info.service, "booking");
   snprintf (worker->info.kind, sizeof worker->info.kind, "a");
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -109,7 +109,8 @@
   uint64_t fence;
   uint64_t next_end;
   int64_t lease_until_ms;
-  uint32_t calls; /* that reached its address, from any cell */
+  uint32_t calls;   /* that reached its address, from any cell */
+  uint32_t run_end; /* places of @run ever used, from the first */
   WorldRun run[WORLD_RUNS_MAX];
 } WorldWorker;
 
@@ -137,6 +138,7 @@
   World *world;
   uint32_t number;
   MuxCell *cell;
+  uint64_t life; /* its process, by the order of their starts */
   bool frozen;
   bool dead;
   bool cut;                /* messages from and to other daemons are lost */
@@ -172,8 +174,10 @@
   bool lose_approvals;
   bool lists_backwards;    /* workers list what is newest first */
   int64_t late_ms;         /* after which WORLD_LATE calls are carried out */
-  int64_t approval_ms;     /* time of an answer of the policy service */
+  int64_t approval_ms;     /* time of an answer of the policy service, */
+  uint32_t approval_us;    /* and for each worker named in the question */
   uint32_t approve_one_in; /* workers, by number; 0: all */
+  bool approve_by_job;     /* other workers for each job */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   int64_t store_ms;        /* time of a call to the store */
   uint32_t page_rows;      /* most rows of one reading; 0: all */
@@ -244,6 +248,13 @@
                     const MuxWorkerInfo *info);
 /** world_logged() - how often the cells logged @event */
 uint32_t world_logged (const World *world, const char *event);
+/** world_ask_slowly() - the policy service takes so long from now on, and the
+ * queue's configuration says so */
+void world_ask_slowly (World *world, uint32_t base_ms, uint32_t per_worker_us);
+/** world_worker_drains() - it says that it will leave, or no longer */
+void world_worker_drains (World *world, uint32_t worker, bool draining);
+/** world_worker_unlist() - its entry lapses, or is back; it runs on */
+void world_worker_unlist (World *world, uint32_t worker, bool gone);
 /** world_worker_restart() - a new life at the same address */
 void world_worker_restart (World *world, uint32_t worker);
 
