cell: a test that fails, leases that a successor renewed

Cause: a planner trusts its claim for 8 s without a sign from the store, but the leases that it gave are over after 4 s. A successor claims after 1.2 s and may have renewed them; the planner takes the workers as free and starts their tasks again on one that it still reaches. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -10,7 +10,7 @@
 #define WORKERS 4
 /* The worker that the successor does not reach. */
 #define LOST 0
-/* One task on each worker, with room left for two more. */
+/* Three fit on a worker; the worker that gets lost runs some. */
 #define TASK_CPU_MILLI 10000
 /* Most of a worker: one task on each. */
 #define ALL_CPU_MILLI 30000
@@ -21,7 +21,7 @@
 #define SETTLE_MS 16000
 
 static World *
-world_with_a_run_on_each_worker (void)
+world_with_long_runs (void)
 {
   World *world = world_new (CELLS, WORKERS);
 
@@ -77,7 +77,7 @@
 static void
 mark_without_an_answer (int64_t cut_ms)
 {
-  World *world = world_with_a_run_on_each_worker ();
+  World *world = world_with_long_runs ();
 
   *roster_commits (world) = WORLD_LOSES_ANSWER;
   world->worker[LOST].cut = true;
@@ -97,7 +97,7 @@
 static void
 mark_on_its_way (int64_t cut_ms, int64_t back_ms)
 {
-  World *world = world_with_a_run_on_each_worker ();
+  World *world = world_with_long_runs ();
 
   world->store_ms = 900;
   world->worker[LOST].cut = true;
@@ -115,7 +115,7 @@
 static void
 mark_carried_out_late (int64_t cut_ms)
 {
-  World *world = world_with_a_run_on_each_worker ();
+  World *world = world_with_long_runs ();
 
   world->late_ms = 3000;
   *roster_commits (world) = WORLD_LATE;
@@ -137,7 +137,7 @@
 static void
 removal_carried_out_late (int64_t late_ms)
 {
-  World *world = world_with_a_run_on_each_worker ();
+  World *world = world_with_long_runs ();
 
   world->worker[LOST].cut = true;
   world_run (world, 3000);
@@ -257,6 +257,56 @@
   world_free (world);
 }
 
+/* Its worker is approved for the job's tasks then, and empty. */
+static void
+end_runs_of_the_lost_worker (World *world)
+{
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    world->worker[LOST].run[i].ends_ms = world->now_ms;
+  world_run (world, 300);
+}
+
+/* The planner and one worker on one side, all others on the other. */
+static void
+cut_planner_off (World *world)
+{
+  uint32_t planner = world_planner (world);
+
+  world->cell[planner].deaf = true;
+  world->cell[planner].cut = true;
+  world->cell[planner].near_workers = LOST + 1;
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world->cell[i].far_workers = LOST + 1;
+}
+
+/*
+ * Two regions lose each other, the planner is in the one without the store.  A
+ * successor takes over in the other and renews the leases of the workers there.
+ * The planner hears of nothing and still trusts its claim when the leases that
+ * it gave those workers are over: it started their tasks again, on a worker of
+ * its own region, while they run.
+ */
+static void
+test_lease_is_over_only_while_the_claim_is_sure (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 100)
+    {
+      World *world = world_with_long_runs ();
+      uint32_t planner = world_planner (world);
+
+      end_runs_of_the_lost_worker (world);
+      world_run (world, phase_ms);
+      cut_planner_off (world);
+      world->cell[planner].store = WORLD_SILENT;
+      world_run (world, SETTLE_MS);
+      assert_int_not_equal (world_planner (world), planner);
+      assert_false (world_twice (world));
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -264,6 +314,7 @@
     cmocka_unit_test (test_worker_is_used_again_after_its_lease),
     cmocka_unit_test (test_roster_is_never_behind_its_planner),
     cmocka_unit_test (test_record_of_a_former_planner_names_all_workers),
+    cmocka_unit_test (test_lease_is_over_only_while_the_claim_is_sure),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
