cell: a test that fails, an end that is passed over

Cause: the highest number of an end in a list counts as known while the list is still read; an end with a lower number behind it is passed over, acknowledged, and its task started again. Nothing that is promised of a worker's list says that it is in order. Change: a test alone. Not known whether any worker lists so.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -307,6 +307,56 @@
     }
 }
 
+static WorldRun *
+first_run (World *world, const char *id)
+{
+  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+    if (world->worker[0].run[i].used
+        && strcmp (world->worker[0].run[i].task.job, id) == 0)
+      return &world->worker[0].run[i];
+  fail_msg ("no run of %s", id);
+  return NULL;
+}
+
+static void
+start_one (World *world, const char *id, int64_t task_ms)
+{
+  world->task_ms = task_ms;
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, 1, TASK_CPU_MILLI), id);
+  world_run (world, 300);
+  assert_int_equal (world_starts (world, id), 1);
+}
+
+/*
+ * A worker ends two tasks while the planner does not hear it, and lists the
+ * later end first.  The planner took the number of that one for the highest
+ * that it knew, passed over the other and acknowledged both: the task that had
+ * ended well was started again.
+ */
+static void
+test_ends_are_taken_in_any_order (void **state)
+{
+  World *world = world_new (CELLS, 1);
+
+  (void) state;
+  world_run (world, 1000);
+  start_one (world, "job-a", 500);
+  start_one (world, "job-b", LONG_TASK_MS);
+  world_run (world, 1000);
+  start_one (world, "job-c", LONG_TASK_MS);
+  assert_true (first_run (world, "job-c") < first_run (world, "job-b"));
+  world->worker[0].cut = true;
+  first_run (world, "job-b")->ends_ms = world->now_ms + 10;
+  first_run (world, "job-c")->ends_ms = world->now_ms + 20;
+  world_run (world, 300);
+  world->worker[0].cut = false;
+  world_run (world, 6000);
+  assert_int_equal (world_starts (world, "job-b"), 1);
+  assert_int_equal (world_starts (world, "job-c"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -315,6 +365,7 @@
     cmocka_unit_test (test_roster_is_never_behind_its_planner),
     cmocka_unit_test (test_record_of_a_former_planner_names_all_workers),
     cmocka_unit_test (test_lease_is_over_only_while_the_claim_is_sure),
+    cmocka_unit_test (test_ends_are_taken_in_any_order),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
