cell: a test that fails, a wait that begins too early

Cause: a planner's commit of progress confirms its claim while its part is not fenced by the successor yet; the successor counts what it waits for an unheard worker, the trust in that claim and a lease, from its own claim. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -14,6 +14,11 @@
 #define TASK_CPU_MILLI 10000
 /* Most of a worker: one task on each. */
 #define ALL_CPU_MILLI 30000
+/* A call to the store, as usual and to one that is a hundred times slower. */
+#define USUAL_STORE_MS 5
+#define SLOW_STORE_MS 900
+/* More than a planner runs one after the other in five seconds. */
+#define SHORT_JOBS 100
 /* Longer than all that a successor waits for. */
 #define LONG_TASK_MS 60000
 /* A successor's claim, and all that it may wait for: trust in the former claim
@@ -99,12 +104,12 @@
 {
   World *world = world_with_long_runs ();
 
-  world->store_ms = 900;
+  world->store_ms = SLOW_STORE_MS;
   world->worker[LOST].cut = true;
   world_run (world, cut_ms);
   world->worker[LOST].cut = false;
   world_run (world, back_ms);
-  world->store_ms = 5;
+  world->store_ms = USUAL_STORE_MS;
   end_behind_the_planner_s_death (world);
 }
 
@@ -357,6 +362,117 @@
   world_free (world);
 }
 
+/* They run one after the other on the lost worker. */
+static void
+submit_short_jobs (World *world, uint32_t cell)
+{
+  world->task_ms = 100;
+  for (uint32_t i = 0; i < SHORT_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "short-%u", i);
+      (void) world_submit (world, cell, world_job (1, 1, 2000), id);
+    }
+  world_run (world, 300);
+}
+
+static void
+refuse_fences (World *world, uint32_t planner, WorldFault fault)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world->cell[i].commits[MUX_TABLE_FENCE] = fault;
+}
+
+static void
+wait_for_another_claim (World *world, uint64_t version)
+{
+  for (uint32_t i = 0; i < 5000 && world_claim_version (world) == version; i++)
+    world_run (world, 1);
+  assert_int_not_equal (world_claim_version (world), version);
+}
+
+/* The store fails the planner in the claim's part alone; another claims. */
+static World *
+world_with_a_claim_behind_the_planner (uint32_t *planner, int64_t store_ms)
+{
+  World *world = world_with_long_runs ();
+  uint64_t version = world_claim_version (world);
+
+  *planner = world_planner (world);
+  submit_short_jobs (world, *planner);
+  world->cell[*planner].commits[MUX_TABLE_CLAIM] = WORLD_SILENT;
+  world->cell[*planner].commits[MUX_TABLE_ROSTER] = WORLD_SILENT;
+  world->store_ms = store_ms;
+  cut_planner_off (world);
+  wait_for_another_claim (world, version);
+  return world;
+}
+
+/* An end that only the old planner heard, and could not store, may be followed
+ * by another run. */
+static bool
+runs_at_the_same_time (const World *world)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    for (uint32_t j = 0; j < i; j++)
+      {
+        const WorldStart *a = &world->start[j];
+        const WorldStart *b = &world->start[i];
+
+        if (memcmp (&a->task, &b->task, sizeof a->task) == 0
+            && (a->ended_ms == 0 || b->at_ms < a->ended_ms))
+          return true;
+      }
+  return false;
+}
+
+static void
+end_with_the_planner_without_store (World *world, uint32_t planner)
+{
+  world->cell[planner].store = WORLD_SILENT;
+  refuse_fences (world, planner, WORLD_SERVES);
+  world_run (world, 2 * SLOW_STORE_MS);
+  world->store_ms = USUAL_STORE_MS;
+  world_run (world, SETTLE_MS);
+  assert_false (runs_at_the_same_time (world));
+  world_free (world);
+}
+
+/*
+ * The store fails a planner in the claim's part alone.  Another daemon claims,
+ * and is turned away, or waits for a slow store, before it can fence the parts
+ * of the jobs.  So long the planner's commits of progress go through and
+ * confirm a claim that is not its own any more.  Then the store is away for it,
+ * and it goes on for eight seconds; a worker that it alone reaches keeps its
+ * tasks for a lease more.  The new planner counted from its claim and started
+ * these tasks again while they run.
+ */
+static void
+test_wait_for_an_unheard_worker_begins_at_the_last_fence (void **state)
+{
+  uint32_t planner;
+
+  (void) state;
+  for (int64_t fence_ms = 1000; fence_ms < 3500; fence_ms += 500)
+    {
+      World *world
+          = world_with_a_claim_behind_the_planner (&planner, USUAL_STORE_MS);
+
+      refuse_fences (world, planner, WORLD_REFUSES);
+      world_run (world, fence_ms);
+      end_with_the_planner_without_store (world, planner);
+    }
+  for (int64_t slow_ms = 300; slow_ms <= SLOW_STORE_MS; slow_ms += 50)
+    {
+      World *world = world_with_a_claim_behind_the_planner (&planner, slow_ms);
+
+      world_run (world, slow_ms);
+      end_with_the_planner_without_store (world, planner);
+    }
+}
+
 int
 main (void)
 {
@@ -366,6 +482,7 @@
     cmocka_unit_test (test_record_of_a_former_planner_names_all_workers),
     cmocka_unit_test (test_lease_is_over_only_while_the_claim_is_sure),
     cmocka_unit_test (test_ends_are_taken_in_any_order),
+    cmocka_unit_test (test_wait_for_an_unheard_worker_begins_at_the_last_fence),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
