load: the wait for unheard workers begins when all parts are fenced

Ruled out: that a commit of progress confirms nothing (a planner that is turned away in the claim's part alone would stop ordering while it stores ends). Change: what is waited for a worker that was never heard is counted from the moment at which the parts are fenced and read. No call more.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -602,12 +602,13 @@
   CellRole role;
   uint64_t term; /* version of the claim held; 0: none */
   int64_t term_began_ms;
-  bool unconfirmed;    /* jobs were read without the claim beside them */
-  bool reading;        /* they still are */
-  bool confirming;     /* a call that reads the claim is on its way */
-  uint64_t readings;   /* of all jobs, begun so far */
-  int64_t verified_ms; /* the claim was surely ours then */
-  int64_t doubted_ms;  /* when it was last in doubt */
+  int64_t planning_began_ms; /* all parts were fenced by then */
+  bool unconfirmed;          /* jobs were read without the claim beside them */
+  bool reading;              /* they still are */
+  bool confirming;           /* a call that reads the claim is on its way */
+  uint64_t readings;         /* of all jobs, begun so far */
+  int64_t verified_ms;       /* the claim was surely ours then */
+  int64_t doubted_ms;        /* when it was last in doubt */
   bool verifying;
   bool beating;
   int64_t next_beat_ms;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -251,6 +251,7 @@
   CellJob *next;
 
   cell->role = CELL_PLANNING;
+  cell->planning_began_ms = cell->time.now_ms;
   mux_count (cell->options.counters, MUX_COUNT_TERMS, 1);
   mux_observe (cell->options.counters, MUX_HIST_TAKEOVER,
                cell->time.now_ms - cell->term_began_ms);
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -261,7 +261,9 @@
  * on until its lease ends.  It is taken as free once even a slow clock there
  * must have passed the furthest lease that was asked; for one that has not
  * answered this planner, once a former planner can't have ordered any more
- * and the longest lease that it could ask has ended.
+ * and the longest lease that it could ask has ended.  That one's claim may be
+ * confirmed by each part of the jobs that is not fenced yet, so that the time
+ * begins when all are.
  */
 static bool
 lease_is_over (const MuxCell *cell, const CellWorker *worker)
@@ -273,7 +275,7 @@
       && now - LAPSE_MARGIN_MS > worker->over_ms)
     return true;
   if (!worker->heard)
-    return now - cell->term_began_ms
+    return now - cell->planning_began_ms
            > CELL_TRUST_MS
                  + (int64_t) cell->options.lease_ms
                        * (PERCENT + CLOCK_SLOW_PERCENT + 1) / PERCENT
