cell: a test that fails, a roster of several pages

Cause: the roster is read from its first row again while the store says that there are more; it returns 500 rows at a time. A cell of more workers than that gets no new planner. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -473,6 +473,27 @@
     }
 }
 
+/*
+ * A roster of more workers than the store returns in one answer.  A new planner
+ * has to read on: asking for the first page again and again it never planned,
+ * and no job ran any more.
+ */
+static void
+test_long_roster_is_read_whole (void **state)
+{
+  World *world = world_with_long_runs ();
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world->page_rows = 2;
+  world_cell_kill (world, planner);
+  world_run (world, 3000);
+  fill_all_workers (world);
+  assert_int_not_equal (world_planner (world), planner);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -483,6 +504,7 @@
     cmocka_unit_test (test_lease_is_over_only_while_the_claim_is_sure),
     cmocka_unit_test (test_ends_are_taken_in_any_order),
     cmocka_unit_test (test_wait_for_an_unheard_worker_begins_at_the_last_fence),
+    cmocka_unit_test (test_long_roster_is_read_whole),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
