cell: a test that fails, a mark before the end of a lease

Cause: the store's clock is taken as told when the answer arrives, though it was read before the answer set out; from a slow store that is up to a second ago. A mark made with it says that a lease is over so much too early. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -494,6 +494,37 @@
   world_free (world);
 }
 
+/*
+ * A worker is lost just after a start.  The planner of a slow store marks it
+ * with the end of its lease as a time of the store's clock, which it knew only
+ * as it was when the answer set out, and so a second too early.  Its successor,
+ * to which the store answers quickly, starts the task again while it runs.
+ */
+static void
+test_mark_is_not_before_the_end_of_the_lease (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 250)
+    for (int64_t dies_ms = 1000; dies_ms < 2400; dies_ms += 200)
+      {
+        World *world = world_new (CELLS, WORKERS);
+
+        world_make_urgent (world);
+        world_run (world, 1000 + phase_ms);
+        world->store_ms = SLOW_STORE_MS;
+        world->task_ms = LONG_TASK_MS;
+        (void) world_submit (world, world_planner (world),
+                             world_job (1, 1, TASK_CPU_MILLI), "job-a");
+        while (world->start_count == 0)
+          world_run (world, 1);
+        assert_int_equal (world->start[0].worker, LOST);
+        world->worker[LOST].cut = true;
+        world_run (world, dies_ms);
+        world->store_ms = USUAL_STORE_MS;
+        end_behind_the_planner_s_death (world);
+      }
+}
+
 int
 main (void)
 {
@@ -505,6 +536,7 @@
     cmocka_unit_test (test_ends_are_taken_in_any_order),
     cmocka_unit_test (test_wait_for_an_unheard_worker_begins_at_the_last_fence),
     cmocka_unit_test (test_long_roster_is_read_whole),
+    cmocka_unit_test (test_mark_is_not_before_the_end_of_the_lease),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
