call: the store's clock is never taken as behind

Cause: see the test. Ruled out: a larger margin at the mark's reader (the store's delay has no bound there either). Change: a told clock counts from the sending of its call, so that it can only be ahead, by the time of the call; calls that wait for changes don't tell it. Figures: test_mark_is_not_before_the_end_of_the_lease fails without and passes with it; the other 48 tests of the cell pass.

--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -91,11 +91,6 @@
   bool served
       = reply->status != MUX_CELL_NOT_DONE && reply->status != MUX_CELL_UNKNOWN;
 
-  if (reply->store_clock_ms != 0)
-    {
-      cell->store_clock_ms = reply->store_clock_ms;
-      cell->store_clock_at_ms = cell->time.now_ms;
-    }
   if (served)
     {
       cell->store_served_ms = cell->time.now_ms;
@@ -131,6 +126,24 @@
          || cell->time.now_ms - cell->store_failing_ms < STORE_AWAY_MS;
 }
 
+/*
+ * Guards against a mark in the roster that ends before the worker's lease: an
+ * answer tells the store's clock as it was at some moment behind the call, and
+ * from a slow store it is under way for a second.  Taken as the clock of the
+ * call's own time it is never behind.  A call that waits for changes tells it
+ * too vaguely.
+ */
+static void
+take_store_clock (MuxCell *cell,
+                  const CellPending *entry,
+                  const MuxCellReply *reply)
+{
+  if (reply->store_clock_ms == 0 || reply->verb == MUX_CELL_FOLLOW)
+    return;
+  cell->store_clock_ms = reply->store_clock_ms;
+  cell->store_clock_at_ms = entry->sent_ms;
+}
+
 static void
 observe (MuxCell *cell, const CellPending *entry, const MuxCellReply *reply)
 {
@@ -158,6 +171,7 @@
   if (entry != NULL)
     {
       HASH_DEL (cell->pending, entry);
+      take_store_clock (cell, entry, reply);
       observe (cell, entry, reply);
       /* What belongs to an earlier term speaks of state that is gone. */
       if (entry->term == 0 || entry->term == cell->term)
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -591,8 +591,8 @@
   CellInquiry *inquiries;
 
   /* The store as this daemon sees it. */
-  int64_t store_clock_ms;    /* the store's steady clock at its last answer, */
-  int64_t store_clock_at_ms; /* and ours */
+  int64_t store_clock_ms;    /* the store's steady clock as last told, */
+  int64_t store_clock_at_ms; /* and ours when that call was sent */
   int64_t store_served_ms;   /* its last answer that was not a failure */
   int64_t store_failing_ms;  /* first failure since; 0: none */
   int64_t store_turned_ms;   /* it began to fail, or to serve again, then */
