cell: a test that fails, a worker that is never given up

Cause: a successor that heard a marked worker once and lost it before the mark was taken away has asked no lease; without one it never takes the worker as free, and what it adopted there holds its tasks for good. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -525,6 +525,47 @@
       }
 }
 
+static void
+wait_for_planner_other_than (World *world, uint32_t planner)
+{
+  for (uint32_t i = 0; i < 5000 && world_planner (world) == planner; i++)
+    world_run (world, 1);
+  assert_int_not_equal (world_planner (world), planner);
+}
+
+/*
+ * A worker is marked as lost, and the planner dies.  The successor hears the
+ * worker, takes its tasks over, and loses it for good before the mark is taken
+ * away, so that it never asked for a lease.  It knew of no lease that could end
+ * and waited for ever; the tasks were never started again.
+ */
+static void
+test_worker_lost_after_its_first_list_is_given_up (void **state)
+{
+  World *world = world_with_long_runs ();
+  uint32_t planner = world_planner (world);
+  uint32_t lost = 0;
+
+  (void) state;
+  world->worker[LOST].cut = true;
+  world_run (world, 1800);
+  world_cell_kill (world, planner);
+  world->worker[LOST].cut = false;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].commits[MUX_TABLE_ROSTER] = WORLD_REFUSES;
+  wait_for_planner_other_than (world, planner);
+  world_run (world, 100);
+  world->worker[LOST].cut = true;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].commits[MUX_TABLE_ROSTER] = WORLD_SERVES;
+  world_run (world, SETTLE_MS);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    lost += world->start[i].worker == LOST;
+  assert_int_equal (world_starts (world, "job-a"), WORKERS + lost);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -537,6 +578,7 @@
     cmocka_unit_test (test_wait_for_an_unheard_worker_begins_at_the_last_fence),
     cmocka_unit_test (test_long_roster_is_read_whole),
     cmocka_unit_test (test_mark_is_not_before_the_end_of_the_lease),
+    cmocka_unit_test (test_worker_lost_after_its_first_list_is_given_up),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
