worker: the first list bounds a former planner's lease

Ruled out: waiting as long as for a worker that was never heard (12 s, though its list is known). Change: with the first list the furthest lease is a whole one from the worker's clock as told: a former planner's last order came before, and its leases were counted from a clock that is not ahead.

--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -322,6 +322,17 @@
          && cell->time.now_ms >= worker->avoid_until_ms;
 }
 
+/* A former planner's last order came before ours, and asked no longer lease
+ * than one from now; that may be all that is known of it. */
+static void
+take_former_lease (const MuxCell *cell, CellWorker *worker)
+{
+  int64_t until = worker->clock_ms + cell->options.lease_ms;
+
+  if (until > worker->lease_until_ms)
+    worker->lease_until_ms = until;
+}
+
 static void
 renewed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
@@ -364,6 +375,8 @@
       worker->clock_ms = reply->clock_ms;
       worker->clock_at_ms = cell->time.now_ms;
     }
+  if (first)
+    take_former_lease (cell, worker);
   worker->heard = true;
   worker->next_renew_ms = cell->time.now_ms;
   cell_reports (cell, worker, reply);
