cell: a test that fails, workers of the roster that are not asked

Cause: a worker that a successor reads from the roster counts as missing from the platform's list since the clock's beginning, and is not asked even once. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -566,6 +566,27 @@
   world_free (world);
 }
 
+/*
+ * A planner dies, and all workers are started anew.  The successor finds the
+ * old ones in the roster but not in the platform's list.  It took them for gone
+ * from that list for long and never asked them, and so waited out the longest
+ * lease, twelve seconds, though other lives answer at their addresses.
+ */
+static void
+test_roster_s_workers_are_asked_though_unlisted (void **state)
+{
+  World *world = world_with_long_runs ();
+
+  (void) state;
+  world_cell_kill (world, world_planner (world));
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world_worker_restart (world, i);
+  world_run (world, 4000);
+  assert_int_equal (world_starts (world, "job-a"), 2 * WORKERS);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -579,6 +600,7 @@
     cmocka_unit_test (test_long_roster_is_read_whole),
     cmocka_unit_test (test_mark_is_not_before_the_end_of_the_lease),
     cmocka_unit_test (test_worker_lost_after_its_first_list_is_given_up),
+    cmocka_unit_test (test_roster_s_workers_are_asked_though_unlisted),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
