roster: its workers are asked though they are not listed

Cause: see the test; the roster is there so that a successor asks workers that have lost their way to the store. Change: they are missing from the list since the roster was read, and asked for 2.5 s as any that vanishes from it.

--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -66,6 +66,9 @@
       snprintf (worker->info.addr, sizeof worker->info.addr, "%s",
                 json_string_value (json_object_get (json, "addr")));
       over_ms = json_integer_value (json_object_get (json, "over_ms"));
+      /* Missing from the platform's list since now: it is asked for a while
+       * before that counts. */
+      worker->unlisted_ms = cell->time.now_ms;
       worker->roster = over_ms != 0 ? CELL_ROSTER_MARKED : CELL_ROSTER_NAMED;
       worker->over_ms
           = over_ms != 0 ? cell->time.now_ms + (over_ms - store_clock_ms) : 0;
