cell: a guard, no worker left in the roster

Cause: an entry was taken as what the worker was when the answer came, not when the commit was made; see the test. Change: a test alone.

--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -14,9 +14,11 @@
 #define TASK_CPU_MILLI 10000
 /* Most of a worker: one task on each. */
 #define ALL_CPU_MILLI 30000
-/* A call to the store, as usual and to one that is a hundred times slower. */
+/* A call to the store, as usual and to one that is some 200 times slower. */
 #define USUAL_STORE_MS 5
 #define SLOW_STORE_MS 900
+/* Longer than a renewal waits, and in time for an answer. */
+#define SLOWEST_STORE_MS 1300
 /* More than a planner runs one after the other in five seconds. */
 #define SHORT_JOBS 100
 /* Longer than all that a successor waits for. */
@@ -587,6 +589,43 @@
   world_free (world);
 }
 
+static uint32_t
+workers_in_roster (const World *world)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->row_count; i++)
+    n += world->row[i].table == MUX_TABLE_ROSTER && !world->row[i].removed
+         && strncmp (world->row[i].key, "i-", 2) == 0;
+  return n;
+}
+
+/*
+ * A worker is started anew while its entry is on its way into the roster.  The
+ * planner took it as not there, as the worker was dead when the answer came; it
+ * stood for good, and each successor waited for a worker that is gone.
+ */
+static void
+test_roster_names_no_worker_replaced_meanwhile (void **state)
+{
+  (void) state;
+  for (int64_t up_ms = 50; up_ms < 1500; up_ms += 50)
+    {
+      World *world = world_new (CELLS, WORKERS);
+
+      world_run (world, 1000);
+      world->store_ms = SLOWEST_STORE_MS;
+      world_worker_restart (world, LOST);
+      world_run (world, up_ms);
+      world_worker_restart (world, LOST);
+      world_run (world, 3000);
+      world->store_ms = USUAL_STORE_MS;
+      world_run (world, 3000);
+      assert_int_equal (workers_in_roster (world), WORKERS);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -601,6 +640,7 @@
     cmocka_unit_test (test_mark_is_not_before_the_end_of_the_lease),
     cmocka_unit_test (test_worker_lost_after_its_first_list_is_given_up),
     cmocka_unit_test (test_roster_s_workers_are_asked_though_unlisted),
+    cmocka_unit_test (test_roster_names_no_worker_replaced_meanwhile),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
