cell: a time-out behind an outage is no failure of the store

Cause: a call lost in an outage ends when its time is up, up to 1.5 s after the store's return, and counted as a failure of that moment. The log said for a second that a store failed which served, callers could be refused for it, and each time the feeds' calls were given up once more.

Change: a call that ended in a time-out counts only if nothing else was answered in the last 600 ms, by when an answer comes if it comes at all. What fails at once, refused or reset, counts as before.

--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -142,6 +142,24 @@
     mux_observe (counters, MUX_HIST_APPROVAL, took_ms);
 }
 
+/*
+ * Guards against a store that is said to fail while it serves: calls lost in an
+ * outage end when their time is up, one after the other, until 1.5 s after its
+ * end, and callers would be refused for each.  A time-out tells of the store
+ * only if nothing else was answered lately.  What fails at once tells of now.
+ */
+static bool
+tells_of_now (const MuxCell *cell,
+              const CellPending *entry,
+              const MuxCellReply *reply)
+{
+  int64_t now = cell->time.now_ms;
+
+  return reply->status != MUX_CELL_UNKNOWN
+         || now - entry->sent_ms < CELL_ANSWER_MS
+         || now - cell->store_served_ms >= CELL_ANSWER_MS;
+}
+
 void
 mux_cell_reply (MuxCell *cell, MuxCellTime time, MuxCellReply *reply)
 {
@@ -150,7 +168,8 @@
   cell->time = time;
   HASH_FIND (hh, cell->pending, &reply->call_id, sizeof reply->call_id, entry);
   /* A call given up that ends in a time-out tells of a store long ago. */
-  if (entry != NULL && of_store (reply->verb))
+  if (entry != NULL && of_store (reply->verb)
+      && tells_of_now (cell, entry, reply))
     cell_store_result (cell, reply);
   if (entry != NULL)
     {
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -18,6 +18,9 @@
  * an answer takes some 10 ms, one of a loaded store under 100. */
 #define CELL_STORE_TIMEOUT_MS 1500
 #define CELL_WORKER_TIMEOUT_MS 700
+/* An answer that waits for nothing comes within so many ms, or not at all:
+ * twice what the slowest store seen takes. */
+#define CELL_ANSWER_MS 600
 /* A planner orders nothing when its claim has not been confirmed for so long:
  * longer than the store's usual outages of some 5 s, so that they leave the
  * running tasks alone.  A successor waits it out before it counts a worker that
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -7,18 +7,13 @@
  * 2 s after it was acknowledged, and for one made around an outage of the store
  * 3 s after the end of that (the platform's bounds); a cancelled job's tasks
  * are gone, and what a draining worker says is known, after as much.  A call
- * that is lost without a sign is given up after WAIT_MS and GRACE_MS, and the
- * next one answered within PROBE_MS: 2.2 s, from the end of an outage on.
+ * that is lost without a sign is given up after WAIT_MS and CELL_ANSWER_MS, and
+ * the next one answered within the latter: 2.2 s, from the end of an outage on.
  */
 
 /* A call waits so long for a change, in ms; each is paid for, and a daemon
  * makes one a second for each table where nothing changes. */
 #define WAIT_MS 1000
-/* An answer that is so much later, in ms, does not come any more: twice what
- * the slowest store seen takes. */
-#define GRACE_MS 600
-/* For an answer that waits for nothing, in ms: the same. */
-#define PROBE_MS GRACE_MS
 /* Between two calls of which the first failed at once, in ms. */
 #define RETRY_MS 250
 /* What a feed says counts as unknown at this age, in ms.  Two calls follow each
@@ -100,7 +95,7 @@
    * a change would leave callers refused for seconds after its return. */
   call->wait_ms = cell->store_failing_ms == 0 ? WAIT_MS : 0;
   call->timeout_ms
-      = cell->store_failing_ms == 0 ? WAIT_MS + GRACE_MS : PROBE_MS;
+      = cell->store_failing_ms == 0 ? WAIT_MS + CELL_ANSWER_MS : CELL_ANSWER_MS;
   send (cell, follow, call);
 }
 
@@ -141,7 +136,7 @@
 
   if (!follow->busy || !follow->loaded
       || follow->sent_ms >= cell->store_turned_ms
-      || now - follow->sent_ms < PROBE_MS)
+      || now - follow->sent_ms < CELL_ANSWER_MS)
     return;
   cell_call_forget (cell, follow->call_id);
   follow->busy = false;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -559,6 +559,8 @@
   if (strcmp (event, "config_in_force") == 0)
     cell->config_version
         = (uint64_t) json_integer_value (json_object_get (fields, "version"));
+  if (strcmp (event, "store_failing") == 0)
+    cell->store_failing++;
   if (getenv ("WORLD_LOG") != NULL)
     {
       char *text = json_dumps (fields, JSON_COMPACT);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -111,6 +111,7 @@
   uint32_t strength_milli; /* 0: a whole processor */
   WorldFault store;
   uint64_t config_version; /* in force, as its log says */
+  uint32_t store_failing;  /* how often its log said so */
   char addr[MUX_ADDR_LEN];
 } WorldCell;
 
--- a/test/unit/test_cell_feeds.c
+++ b/test/unit/test_cell_feeds.c
@@ -146,6 +146,37 @@
     }
 }
 
+/*
+ * The log says until 1.5 s after the end of an outage that the store fails, and
+ * callers are refused for it, while it serves.  Calls that were lost just
+ * before its return ended only when their time was up, one after the other, and
+ * each counted as a failure of that moment.
+ */
+static void
+test_time_out_behind_an_outage_is_no_failure (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  world_run (world, SETTLE_MS);
+  all_stores (world, WORLD_SILENT);
+  world_run (world, OUTAGE_MS - 100);
+  for (uint32_t i = 0; i < CELLS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      (void) world_submit (world, i, world_job (1, 1, 1000), id);
+      (void) world_ask (world, i, MUX_QUESTION_STATE, "other");
+    }
+  world_run (world, 100);
+  all_stores (world, WORLD_SERVES);
+  world_run (world, CONTACT_MS);
+  for (uint32_t i = 0; i < CELLS; i++)
+    assert_int_equal (world->cell[i].store_failing, 1);
+  world_free (world);
+}
+
 static MuxOutcome
 ask_elsewhere (World *world, uint64_t call)
 {
@@ -438,6 +469,7 @@
     cmocka_unit_test (test_change_behind_a_short_outage_is_in_force),
     cmocka_unit_test (test_cancel_behind_a_short_outage_stops_its_tasks),
     cmocka_unit_test (test_silence_is_noticed_without_callers),
+    cmocka_unit_test (test_time_out_behind_an_outage_is_no_failure),
     cmocka_unit_test (test_no_queue_is_not_said_on_old_knowledge),
     cmocka_unit_test (test_late_answer_of_a_call_given_up_is_not_heard),
   };
