--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -56,7 +56,7 @@
 }
 
 static void
-send (MuxCell *cell, CellFollow *follow, MuxCellCall *call)
+send_call (MuxCell *cell, CellFollow *follow, MuxCellCall *call)
 {
   CellPending pending = { .done = followed,
                           .term = follow->term,
@@ -79,7 +79,7 @@
   snprintf (call->from, sizeof call->from, "%s", follow->from);
   if (begins (follow) && follow->whole != NULL)
     follow->whole (cell, false);
-  send (cell, follow, call);
+  send_call (cell, follow, call);
 }
 
 static void
@@ -96,7 +96,7 @@
   call->wait_ms = cell->store_failing_ms == 0 ? WAIT_MS : 0;
   call->timeout_ms
       = cell->store_failing_ms == 0 ? WAIT_MS + CELL_ANSWER_MS : CELL_ANSWER_MS;
-  send (cell, follow, call);
+  send_call (cell, follow, call);
 }
 
 static void
