--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -151,6 +151,7 @@
   WorldFault store;
   WorldFault commits[MUX_TABLE_COUNT]; /* that change such a row */
   uint64_t config_version;             /* in force, as its log says */
+  uint32_t store_failing;              /* how often its log said so */
   char addr[MUX_ADDR_LEN];
 } WorldCell;
 
