docs: what proves a planner's term, and a model of its change

A model of the takeover beside that of the at-most-once path: two planners, three claims, commits that are late or unanswered, feeds that lag, starts that arrive late, workers that are not heard. It found the leases that a successor renewed.

--- a/tools/model.mk
+++ b/tools/model.mk
@@ -1,6 +1,8 @@
-# Checks the model of the at-most-once path, and that it fails when a guard is
-# taken out.  Needs spin (tools/deps does not install it; `make model` does).
+# Checks the models of the at-most-once path and of the takeover, and that each
+# fails when a guard is taken out.  Needs spin (tools/deps does not install it;
+# `make model` does).
 .PHONY: model
 model:
 	@command -v spin >/dev/null || { apt-get update && apt-get install -y --no-install-recommends spin; }
 	@tools/model docs/design/once.pml
+	@tools/model docs/design/takeover.pml
