--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -66,6 +66,9 @@
       if (id != NULL)
         snprintf (stage->former[stage->former_count++], MUX_NAME_LEN, "%s", id);
     }
+  /* Where a record stands, a next planner waits for those alone that it names,
+   * whoever wrote it: no start is early any more. */
+  stage->recorded = stage->former_count > 0;
 }
 
 static bool
@@ -75,7 +78,7 @@
     {
       const CellWorker *worker = cell_worker_find (cell, stage->former[i]);
 
-      if (worker != NULL && worker->in_roster && !worker->heard
+      if (worker != NULL && cell_in_roster (worker) && !worker->heard
           && !worker->dead)
         return false;
     }
@@ -89,6 +92,9 @@
 
   if (!stage->job->old)
     return true;
+  /* Where it may run stood in what can't be read. */
+  if (stage->job->progress_lost)
+    return cell_all_heard (cell);
   if (!queue->approval.needed
       || (queue->priority == 0 && stage->former_count == 0))
     return cell_all_heard (cell);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -17,9 +17,18 @@
   size_t size;
   MuxQueueConfig *config;
 
-  if (row->config == NULL
-      || (cell->config != NULL
-          && row->config->version <= cell->config->version))
+  if (row->part[0] != 0 || row->removed
+      || strcmp (row->key, MUX_CONFIG_KEY) != 0)
+    return;
+  if (row->config == NULL)
+    {
+      /* The one in force stays: callers of its queues are served on. */
+      cell_row_bad (cell, row,
+                    row->wrong != NULL ? CELL_ROW_FIELD : CELL_ROW_VALUE,
+                    row->wrong != NULL ? row->wrong : "value");
+      return;
+    }
+  if ((cell->config != NULL && row->config->version <= cell->config->version))
     return;
   size = sizeof *config + row->config->count * sizeof config->item[0];
   config = malloc (size);
@@ -31,6 +40,8 @@
   memcpy (config, row->config, size);
   free (cell->config);
   cell->config = config;
+  for (uint32_t i = 0; i < config->count; i++)
+    cell_service_add (cell, config->item[i].service);
   cell_log (cell, "config_in_force", "{s:I, s:i}", "version",
             (json_int_t) config->version, "queues", (int) config->count);
 }
@@ -53,6 +64,7 @@
   cell->follow[FOLLOW_JOBS] = (CellFollow){ .name = "jobs",
                                             .table = MUX_TABLE_JOBS,
                                             .seen = cell_jobs_row,
+                                            .whole = cell_jobs_whole,
                                             .parted = true };
 }
 
@@ -67,7 +79,15 @@
       return NULL;
     }
   cell->options = *options;
-  cell->next_call = 1;
+  /*
+   * Guards against answers to a former process of this daemon, which others
+   * carry to its address: one that was found under the number of a call of
+   * this process would end that, and a start that was carried out would count
+   * as refused.  A younger process has a higher incarnation, by 65536 for each
+   * millisecond, which is more calls than any makes.
+   */
+  cell->next_call = options->incarnation;
+  cell->next_question = options->incarnation;
   cell->round = 1;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
     snprintf (cell->part[i].name, sizeof cell->part[i].name, "p%u",
@@ -92,6 +112,8 @@
     HASH_DEL (cell->pending, entry);
     free (entry);
   }
+  cell_services_free (cell);
+  cell_bad_rows_free (cell);
   free (cell->config);
   free (cell);
 }
@@ -194,6 +216,7 @@
       cell_roster_tick (cell);
       cell_jobs_tick (cell);
       cell_approvals_tick (cell);
+      cell_waits_tick (cell);
       cell_sweep_tick (cell);
     }
   cell_workers_tick (cell);
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -171,6 +171,7 @@
 static void
 place (MuxCell *cell, CellStage *stage, uint32_t *reservations)
 {
+  stage->looked_ms = cell->time.now_ms;
   /* What a former planner may have started is looked for first. */
   if (!cell_stage_is_settled (cell, stage))
     return;
@@ -227,7 +228,7 @@
 {
   bool all = cell->time.now_ms >= cell->slow_pass_ms;
 
-  if (!cell_may_order (cell) || cell->stopping)
+  if (!cell_may_order (cell) || cell->stopping || cell->unconfirmed)
     return;
   if (cell->time.now_ms < cell->next_plan_ms && !cell->replan)
     return;
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -113,14 +113,24 @@
     cell_stop_booking (cell, task->booking);
 }
 
+/*
+ * Guards against an end that is acknowledged and was never taken: a list need
+ * not name ends by rising numbers, and one behind a higher number would look
+ * like one that was told before.  Its task would be run again.  What is new is
+ * told by the highest number of the lists before.
+ */
 static void
-take_end (MuxCell *cell, CellWorker *worker, const MuxRunReport *report)
+take_end (MuxCell *cell,
+          CellWorker *worker,
+          const MuxRunReport *report,
+          uint64_t seen_before)
 {
   CellTask *task = cell_task_find (cell, &report->task);
 
-  if (report->number <= worker->seen)
+  if (report->number <= seen_before)
     return;
-  worker->seen = report->number;
+  if (report->number > worker->seen)
+    worker->seen = report->number;
   if (task == NULL)
     return;
   if (!is_ours (task, worker, report->run))
@@ -211,6 +221,24 @@
   cell_stop_booking (cell, booking);
 }
 
+/*
+ * Guards against a task that runs again after it ended well: occurrences begin
+ * by the planner's time of day, and a former planner's may be ahead.  What a
+ * list names of an occurrence that is not due here would be unknown: its run
+ * would be stopped as a stray one, its end acknowledged and forgotten.
+ */
+static void
+begin_listed_occurrence (MuxCell *cell, const MuxTaskRef *task)
+{
+  CellJob *job = cell_job_find (cell, task->job);
+
+  if (job == NULL || job->ended || task->occurrence < job->next_occurrence
+      || task->occurrence >= job->spec->repetitions)
+    return;
+  cell_job_occurrences (cell, job, task->occurrence + 1);
+  cell_job_advance (cell, job);
+}
+
 void
 cell_reports (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply)
 {
@@ -221,11 +249,13 @@
 
   DL_FOREACH (worker->bookings, booking)
   booking->listed = false;
+  for (uint32_t i = 0; i < reply->report_count; i++)
+    begin_listed_occurrence (cell, &reply->report[i].task);
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].number != 0)
       {
         ends++;
-        take_end (cell, worker, &reply->report[i]);
+        take_end (cell, worker, &reply->report[i], seen);
       }
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].number == 0)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -41,6 +41,7 @@
     return NULL;
   snprintf (worker->info.id, sizeof worker->info.id, "%s", id);
   worker->slot = cell->worker_slots++;
+  worker->roster = CELL_ROSTER_NONE;
   HASH_ADD_KEYPTR (hh, cell->workers, worker->info.id, strlen (worker->info.id),
                    worker);
   return worker;
@@ -75,7 +76,7 @@
   const CellWorker *next;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->in_roster && !worker->heard && !worker->dead)
+  if (cell_in_roster (worker) && !worker->heard && !worker->dead)
     return false;
   return true;
 }
@@ -122,20 +123,75 @@
   memcpy (worker->info.id, id, sizeof id);
 }
 
+/* Nothing new starts there; what runs goes on until it ends, or until its lease
+ * is over. */
+static void
+unlist (MuxCell *cell, CellWorker *worker)
+{
+  if (worker == NULL || !worker->listed)
+    return;
+  worker->listed = false;
+  worker->unlisted_ms = cell->time.now_ms;
+  cell_log (cell, "worker_unlisted", "{s:s}", "worker", worker->info.id);
+}
+
+/*
+ * Guards against tasks that run twice: an entry of another writer gives a life
+ * another's address, where another life answers, and the planner takes the
+ * first for dead while its tasks run.  A life keeps the address at which it has
+ * answered, to this planner or to the one that wrote the roster.
+ */
+static bool
+moves (const CellWorker *worker, const MuxWorkerInfo *entry)
+{
+  return worker != NULL && (worker->heard || cell_in_roster (worker))
+         && worker->info.addr[0] != 0
+         && strcmp (worker->info.addr, entry->addr) != 0;
+}
+
+/* Return: what is wrong with the entry; NULL: nothing. */
+static const char *
+wrong_in_entry (const CellWorker *worker, const MuxCellRow *row)
+{
+  if (row->worker == NULL)
+    return row->wrong != NULL ? row->wrong : "value";
+  return moves (worker, row->worker) ? "address" : NULL;
+}
+
+static void
+tell_useless (MuxCell *cell, CellWorker *worker)
+{
+  if (worker->useless || cell->config == NULL
+      || cell_service_named (cell, worker->service))
+    return;
+  worker->useless = true;
+  mux_count (cell->options.counters, MUX_COUNT_WORKERS_OF_NO_QUEUE, 1);
+  cell_log (cell, "worker_of_no_queue", "{s:s, s:s}", "worker", worker->info.id,
+            "service", worker->info.service);
+}
+
 void
 cell_worker_row (MuxCell *cell, const MuxCellRow *row)
 {
   CellWorker *worker;
+  const char *wrong;
 
-  if (row->removed || row->worker == NULL)
+  /* The list lies in one part; an id goes into a header of each call. */
+  if (row->part[0] != 0 || !mux_name_valid (row->key))
+    {
+      cell_row_bad (cell, row, CELL_ROW_KEY, "key");
+      return;
+    }
+  worker = cell_worker_find (cell, row->key);
+  wrong = row->removed ? NULL : wrong_in_entry (worker, row);
+  if (wrong != NULL)
+    cell_row_bad (cell, row,
+                  row->worker == NULL && row->wrong == NULL ? CELL_ROW_VALUE
+                                                            : CELL_ROW_FIELD,
+                  wrong);
+  if (row->removed || wrong != NULL)
     {
-      worker = cell_worker_find (cell, row->key);
-      if (worker != NULL && worker->listed)
-        {
-          worker->listed = false;
-          worker->unlisted_ms = cell->time.now_ms;
-          cell_log (cell, "worker_unlisted", "{s:s}", "worker", row->key);
-        }
+      unlist (cell, worker);
       return;
     }
   worker = cell_worker_add (cell, row->key);
@@ -148,6 +204,7 @@
     cell_log (cell, "worker_draining", "{s:s}", "worker", row->key);
   worker->listed = true;
   take_entry (worker, row->worker);
+  tell_useless (cell, worker);
   cell->replan = true;
 }
 
@@ -204,17 +261,21 @@
  * on until its lease ends.  It is taken as free once even a slow clock there
  * must have passed the furthest lease that was asked; for one that has not
  * answered this planner, once a former planner can't have ordered any more
- * and the longest lease that it could ask has ended.
+ * and the longest lease that it could ask has ended.  That one's claim may be
+ * confirmed by each part of the jobs that is not fenced yet, so that the time
+ * begins when all are.
  */
 static bool
 lease_is_over (const MuxCell *cell, const CellWorker *worker)
 {
   int64_t now = cell->time.now_ms;
 
-  if (!worker->heard && worker->over_ms != 0)
-    return now > worker->over_ms + LAPSE_MARGIN_MS;
+  /* No mark of a former planner lies behind the end of the longest lease. */
+  if (!worker->heard && worker->over_ms != 0
+      && now - LAPSE_MARGIN_MS > worker->over_ms)
+    return true;
   if (!worker->heard)
-    return now - cell->term_began_ms
+    return now - cell->planning_began_ms
            > CELL_TRUST_MS
                  + (int64_t) cell->options.lease_ms
                        * (PERCENT + CLOCK_SLOW_PERCENT + 1) / PERCENT
@@ -222,6 +283,29 @@
   return clock_least (worker, now) > worker->lease_until_ms + LAPSE_MARGIN_MS;
 }
 
+/*
+ * Guards against a lease that a successor has renewed: a planner that was cut
+ * off with some of the workers trusts its claim for longer than a lease lasts,
+ * and would start the tasks of the others again while its successor goes on
+ * with them.  Only a proof of the claim that was asked for after the lease was
+ * over shows that nobody has renewed it.
+ */
+static bool
+surely_over (MuxCell *cell, CellWorker *worker)
+{
+  if (!lease_is_over (cell, worker))
+    {
+      worker->over_since_ms = 0;
+      return false;
+    }
+  if (worker->over_since_ms == 0)
+    {
+      worker->over_since_ms = cell->time.now_ms;
+      cell->next_beat_ms = cell->time.now_ms;
+    }
+  return cell->verified_ms >= worker->over_since_ms;
+}
+
 static bool
 unlisted_for_good (const MuxCell *cell, const CellWorker *worker)
 {
@@ -232,21 +316,35 @@
 bool
 cell_worker_usable (const MuxCell *cell, const CellWorker *worker)
 {
-  return worker->heard && worker->reachable && worker->in_roster
-         && !worker->lost_marked && worker->listed && !worker->dead
-         && !worker->info.draining
+  return worker->heard && worker->reachable
+         && worker->roster == CELL_ROSTER_NAMED && worker->listed
+         && !worker->dead && !worker->info.draining
          && cell->time.now_ms >= worker->avoid_until_ms;
 }
 
+/* A former planner's last order came before ours, and asked no longer lease
+ * than one from now; that may be all that is known of it. */
+static void
+take_former_lease (const MuxCell *cell, CellWorker *worker)
+{
+  int64_t until = worker->clock_ms + cell->options.lease_ms;
+
+  if (until > worker->lease_until_ms)
+    worker->lease_until_ms = until;
+}
+
 static void
 renewed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
   CellWorker *worker = cell_worker_find (cell, pending->worker);
   bool first;
 
-  if (worker == NULL || worker->dead)
+  if (worker == NULL)
     return;
+  /* Also of a dead worker: it may be revived, and is then asked again. */
   worker->renewing = false;
+  if (worker->dead)
+    return;
   if (reply->status == MUX_CELL_OTHER_LIFE)
     {
       cell_worker_replaced (cell, worker);
@@ -271,11 +369,14 @@
     cell_log (cell, "worker_back", "{s:s}", "worker", worker->info.id);
   worker->reachable = true;
   worker->lost_ms = 0;
+  worker->over_since_ms = 0;
   if (reply->clock_ms >= worker->clock_ms)
     {
       worker->clock_ms = reply->clock_ms;
       worker->clock_at_ms = cell->time.now_ms;
     }
+  if (first)
+    take_former_lease (cell, worker);
   worker->heard = true;
   worker->next_renew_ms = cell->time.now_ms;
   cell_reports (cell, worker, reply);
@@ -300,11 +401,12 @@
   call->wait_ms = waits ? WAIT_MS : 0;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
   /* An unanswered renewal may still arrive: asking for ever longer leases
-   * would keep the tasks of a lost worker out of work for good. */
-  call->lease_until_ms
-      = worker->heard && worker->reachable && !worker->lost_marked
-            ? cell_worker_lease (cell, worker)
-            : 0;
+   * would keep the tasks of a lost worker out of work for good.  None is asked
+   * either while the roster may say when the last one ends. */
+  call->lease_until_ms = worker->heard && worker->reachable
+                                 && (worker->roster & CELL_ROSTER_MARKED) == 0
+                             ? cell_worker_lease (cell, worker)
+                             : 0;
   worker->renewing = cell_worker_call (cell, worker, call, &pending);
   if (!worker->renewing)
     worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
@@ -330,22 +432,29 @@
   worker->reachable = false;
   worker->lease_until_ms = 0;
   worker->over_ms = 0;
-  worker->lost_marked = false;
+  worker->over_since_ms = 0;
   worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
 }
 
+/* Something of ours runs there, or may. */
+static bool
+is_of_use (const MuxCell *cell, const CellWorker *worker)
+{
+  return cell_in_roster (worker) || worker->bookings != NULL
+         || cell_service_named (cell, worker->service);
+}
+
 static void
 worker_tick (MuxCell *cell, CellWorker *worker)
 {
-  if (worker->in_roster && !worker->dead && lease_is_over (cell, worker)
-      && (worker->lease_until_ms != 0 || !worker->heard))
-    {
-      if (!worker->reachable || !worker->heard)
-        cell_worker_dead (cell, worker, "lease_over");
-    }
-  if (worker->dead && !worker->lost_life && !worker->in_roster)
+  if (cell_in_roster (worker) && !worker->dead
+      && (!worker->reachable || !worker->heard)
+      && (worker->lease_until_ms != 0 || !worker->heard)
+      && surely_over (cell, worker))
+    cell_worker_dead (cell, worker, "lease_over");
+  if (worker->dead && !worker->lost_life && !cell_in_roster (worker))
     revive (cell, worker);
-  if (worker->dead || worker->info.addr[0] == 0)
+  if (worker->dead || worker->info.addr[0] == 0 || !is_of_use (cell, worker))
     return;
   take_acks (cell, worker);
   /* Gone from the list: what runs there is left to its lease, so that an end
@@ -361,7 +470,7 @@
 static bool
 forgettable (const MuxCell *cell, const CellWorker *worker)
 {
-  bool unused = !worker->in_roster && worker->bookings == NULL
+  bool unused = !cell_in_roster (worker) && worker->bookings == NULL
                 && worker->hold_count == 0;
 
   return unused && !worker->listed
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -9,13 +9,17 @@
 #define APPROVAL_MS 10
 #define PEER_MS 1
 #define LEASE_MS 4000
+/* Between the incarnations of two processes: more calls than one makes. */
+#define LIFE_BITS 32
+/* Workers' addresses, by their number from 1 on. */
+#define WORKER_NET "10.1.0."
 /* Of daemons that are given no other. */
 #define STRENGTH_MILLI 1000
 #define KEEP_S 86400
 #define DEAD_MS 1200
-#define WALL_MS INT64_C (1700000000000)
 
-/* Something that arrives at a cell later. */
+/* Something that arrives at a cell, or an order that arrives at a worker,
+ * later. */
 struct WorldEvent
 {
   int64_t due_ms;
@@ -23,6 +27,7 @@
   uint64_t incarnation; /* of the cell meant */
   MuxCellReply *reply;
   MuxCellCall *waiting; /* a FOLLOW or RENEW that waits for something new */
+  MuxCellCall *late;    /* an order or a COMMIT that is carried out then */
   bool lost;            /* a FOLLOW at a store that went silent */
   bool is_peer;
   MuxPeerMsg peer;
@@ -31,16 +36,16 @@
 };
 
 static MuxCellTime
-time_of (const World *world)
+time_of (const World *world, uint32_t cell)
 {
-  return (MuxCellTime){ world->now_ms, WALL_MS + world->now_ms };
+  return (MuxCellTime){ world->now_ms, WORLD_WALL_MS + world->now_ms
+                                           + world->cell[cell].wall_ms };
 }
 
 static uint64_t
 incarnation_of (const World *world, uint32_t cell)
 {
-  return world->cell[cell].dead ? 0
-                                : (uint64_t) (uintptr_t) world->cell[cell].cell;
+  return world->cell[cell].dead ? 0 : world->cell[cell].life;
 }
 
 static WorldEvent *
@@ -67,6 +72,7 @@
 {
   mux_cell_reply_free (event->reply);
   mux_cell_call_free (event->waiting);
+  mux_cell_call_free (event->late);
   if (event->is_peer)
     mux_blob_unref (event->peer.body);
   free (event);
@@ -108,6 +114,42 @@
   return row != NULL && !row->removed ? row->version : 0;
 }
 
+/* The list of workers holds a MuxWorkerInfo, or "{}" for a worker of the world;
+ * anything else can't be read. */
+static MuxWorkerInfo *
+worker_of (const World *world, const WorldRow *row)
+{
+  const MuxWorkerInfo *info = NULL;
+  MuxWorkerInfo *copy;
+
+  if (row->value == NULL)
+    return NULL;
+  if (row->value->len == sizeof *info)
+    info = (const MuxWorkerInfo *) (const void *) row->value->bytes;
+  for (uint32_t i = 0; i < WORLD_WORKERS_MAX && info == NULL; i++)
+    if (strcmp (row->value->bytes, "{}") == 0
+        && strcmp (world->worker[i].info.id, row->key) == 0)
+      info = &world->worker[i].info;
+  copy = info != NULL ? malloc (sizeof *copy) : NULL;
+  if (copy != NULL)
+    memcpy (copy, info, sizeof *copy);
+  return copy;
+}
+
+static MuxQueueConfig *
+config_of (const WorldRow *row)
+{
+  size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
+  MuxQueueConfig *config;
+
+  if (row->value == NULL || row->value->len != size)
+    return NULL;
+  config = malloc (size);
+  if (config != NULL)
+    memcpy (config, row->value->bytes, size);
+  return config;
+}
+
 static void
 copy_row (const World *world, const WorldRow *from, MuxCellRow *to)
 {
@@ -117,18 +159,10 @@
   to->version = from->version;
   to->removed = from->removed;
   to->value = from->removed ? NULL : mux_blob_ref (from->value);
-  if (from->table == MUX_TABLE_CONFIG)
-    {
-      to->config = calloc (1, sizeof *to->config + sizeof to->config->item[0]);
-      memcpy (to->config, from->value->bytes, from->value->len);
-    }
+  if (from->table == MUX_TABLE_CONFIG && !from->removed)
+    to->config = config_of (from);
   if (from->table == MUX_TABLE_WORKERS && !from->removed)
-    for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
-      if (strcmp (world->worker[i].info.id, from->key) == 0)
-        {
-          to->worker = calloc (1, sizeof *to->worker);
-          *to->worker = world->worker[i].info;
-        }
+    to->worker = worker_of (world, from);
 }
 
 static void
@@ -178,6 +212,19 @@
   return strcmp (((const MuxCellRow *) x)->key, ((const MuxCellRow *) y)->key);
 }
 
+static void
+cut_page (MuxCellReply *reply, uint32_t rows)
+{
+  for (uint32_t i = rows; i < reply->row_count; i++)
+    {
+      mux_blob_unref (reply->row[i].value);
+      free (reply->row[i].config);
+      free (reply->row[i].worker);
+    }
+  reply->row_count = rows;
+  reply->more = true;
+}
+
 static void
 do_scan (World *world, const MuxCellCall *call, MuxCellReply *reply)
 {
@@ -194,6 +241,8 @@
     }
   if (reply->row_count > 0)
     qsort (reply->row, reply->row_count, sizeof *reply->row, by_key);
+  if (world->page_rows != 0 && reply->row_count > world->page_rows)
+    cut_page (reply, world->page_rows);
   reply->version = world->version;
 }
 
@@ -210,13 +259,19 @@
 static bool
 do_follow (World *world, const MuxCellCall *call, MuxCellReply *reply)
 {
+  uint32_t news = 0;
+
   if (call->after < world->forgotten)
     {
       reply->status = MUX_CELL_HISTORY;
       return true;
     }
-  assert_true (mux_cell_reply_rows (reply, world->row_count));
-  for (uint32_t i = 0; i < world->row_count; i++)
+  for (uint32_t i = 0; i < world->row_count && call->after < world->version;
+       i++)
+    news += world->row[i].table == call->table
+            && world->row[i].version > call->after;
+  assert_true (mux_cell_reply_rows (reply, news));
+  for (uint32_t i = 0; i < world->row_count && news > 0; i++)
     if (world->row[i].table == call->table
         && world->row[i].version > call->after)
       copy_row (world, &world->row[i], &reply->row[reply->row_count++]);
@@ -231,6 +286,15 @@
 static WorldWorker *
 worker_at (World *world, const char *addr)
 {
+  size_t len = strlen (WORKER_NET);
+  uint32_t hint = strncmp (addr, WORKER_NET, len) == 0
+                      ? (uint32_t) strtoul (addr + len, NULL, 10)
+                      : 0;
+
+  /* Nearly always it is the one that its address counts. */
+  if (hint > 0 && hint <= WORLD_WORKERS_MAX && world->worker[hint - 1].used
+      && strcmp (world->worker[hint - 1].info.addr, addr) == 0)
+    return &world->worker[hint - 1];
   for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
     if (world->worker[i].used && strcmp (world->worker[i].info.addr, addr) == 0)
       return &world->worker[i];
@@ -247,11 +311,46 @@
   return NULL;
 }
 
+static WorldPast *
+past_find (const World *world,
+           const WorldWorker *worker,
+           const MuxTaskRef *task)
+{
+  for (uint32_t i = 0; i < world->past_count; i++)
+    if (memcmp (&world->past[i].task, task, sizeof *task) == 0
+        && strcmp (world->past[i].worker, worker->info.id) == 0)
+      return &world->past[i];
+  return NULL;
+}
+
+/* No run of the task that is not higher is taken there any more. */
+static void
+past_add (World *world,
+          const WorldWorker *worker,
+          const MuxTaskRef *task,
+          uint32_t run)
+{
+  WorldPast *past = past_find (world, worker, task);
+
+  if (past == NULL)
+    {
+      world->past = realloc (world->past,
+                             (world->past_count + 1) * sizeof *world->past);
+      assert_non_null (world->past);
+      past = &world->past[world->past_count++];
+      *past = (WorldPast){ .task = *task };
+      memcpy (past->worker, worker->info.id, sizeof past->worker);
+    }
+  if (run > past->run)
+    past->run = run;
+}
+
 static void
 end_run (World *world, WorldWorker *worker, WorldRun *run, MuxRunEnd end)
 {
   WorldStart *start = start_of (world, run);
 
+  past_add (world, worker, &run->task, run->run);
   run->number = ++worker->next_end;
   run->end = end;
   if (start == NULL)
@@ -263,7 +362,7 @@
 static WorldRun *
 run_find (WorldWorker *worker, const MuxTaskRef *task, uint32_t number)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < worker->run_end; i++)
     if (worker->run[i].used && worker->run[i].run == number
         && memcmp (&worker->run[i].task, task, sizeof *task) == 0)
       return &worker->run[i];
@@ -277,6 +376,8 @@
     if (!worker->run[i].used)
       {
         memset (&worker->run[i], 0, sizeof worker->run[i]);
+        if (i >= worker->run_end)
+          worker->run_end = i + 1;
         return &worker->run[i];
       }
   fail_msg ("a worker has no place for another run");
@@ -284,13 +385,22 @@
 }
 
 static void
-do_start (World *world, WorldWorker *worker, const MuxCellCall *call)
+do_start (World *world,
+          WorldWorker *worker,
+          const MuxCellCall *call,
+          MuxCellReply *reply)
 {
   WorldRun *run = run_find (worker, &call->task, call->run);
+  const WorldPast *past = past_find (world, worker, &call->task);
   WorldStart *start;
 
-  if (run != NULL)
+  if (run != NULL && run->number == 0)
     return;
+  if (past != NULL && call->run <= past->run)
+    {
+      reply->status = MUX_CELL_OLD_RUN;
+      return;
+    }
   run = free_run (worker);
   run->used = true;
   run->task = call->task;
@@ -315,6 +425,7 @@
 
   if (run != NULL && run->number == 0)
     end_run (world, worker, run, MUX_RUN_STOPPED);
+  past_add (world, worker, &call->task, call->run);
 }
 
 static void
@@ -324,14 +435,21 @@
            MuxCellReply *reply)
 {
   reply->report = calloc (WORLD_RUNS_MAX, sizeof *reply->report);
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < worker->run_end; i++)
     {
-      WorldRun *run = &worker->run[i];
+      uint32_t slot = world->lists_backwards ? worker->run_end - 1 - i : i;
+      WorldRun *run = &worker->run[slot];
       MuxRunReport *report = &reply->report[reply->report_count];
       int64_t spent = world->now_ms - run->began_ms;
 
       if (run->used && run->number != 0 && run->number <= call->acked)
-        run->used = false;
+        {
+          WorldStart *start = start_of (world, run);
+
+          if (start != NULL)
+            start->told = !run->lapsed;
+          run->used = false;
+        }
       if (!run->used)
         continue;
       report->task = run->task;
@@ -349,7 +467,7 @@
 static bool
 has_ends (const WorldWorker *worker, uint64_t acked)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < worker->run_end; i++)
     if (worker->run[i].used && worker->run[i].number > acked)
       return true;
   return false;
@@ -375,7 +493,7 @@
   if (call->lease_until_ms > worker->lease_until_ms)
     worker->lease_until_ms = call->lease_until_ms;
   if (call->verb == MUX_CELL_START)
-    do_start (world, worker, call);
+    do_start (world, worker, call, reply);
   else if (call->verb == MUX_CELL_STOP)
     do_stop (world, worker, call);
   else
@@ -386,8 +504,11 @@
 static bool
 in_reach (const World *world, uint32_t cell, const WorldWorker *worker)
 {
+  uint32_t near = world->cell[cell].near_workers;
+
   return worker != NULL && !worker->cut
-         && worker >= world->worker + world->cell[cell].far_workers;
+         && worker >= world->worker + world->cell[cell].far_workers
+         && (near == 0 || worker < world->worker + near);
 }
 
 static void
@@ -398,6 +519,8 @@
   WorldFault fault = worker != NULL && order ? worker->fault : WORLD_SERVES;
 
   world->worker_calls[cell]++;
+  if (worker != NULL)
+    worker->calls++;
   if (!in_reach (world, cell, worker) || fault == WORLD_SILENT)
     answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
                  call->timeout_ms);
@@ -410,6 +533,13 @@
       answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
                    call->timeout_ms);
     }
+  else if (fault == WORLD_LATE)
+    {
+      answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
+                   call->timeout_ms);
+      event_new (world, cell, world->late_ms)->late = call;
+      return;
+    }
   else if (call->verb == MUX_CELL_RENEW && call->wait_ms > 0
            && !has_ends (worker, call->acked))
     {
@@ -422,11 +552,13 @@
 }
 
 static bool
-is_approved (const World *world, const char *id)
+is_approved (const World *world, const char *job, const char *id)
 {
+  uint32_t shift = world->approve_by_job ? mux_hash_name (job, 0) % 1024 : 0;
+
   for (uint32_t i = 0; i < WORLD_WORKERS_MAX && world->approve_one_in != 0; i++)
     if (strcmp (world->worker[i].info.id, id) == 0)
-      return i % world->approve_one_in == 0;
+      return (i + shift) % world->approve_one_in == 0;
   return true;
 }
 
@@ -449,14 +581,16 @@
     {
       MuxApproval *approval = &reply->approval[reply->approval_count];
 
-      if (!is_approved (world, call->candidate[i]))
+      if (!is_approved (world, call->task.job, call->candidate[i]))
         continue;
       reply->approval_count++;
       snprintf (approval->worker, sizeof approval->worker, "%s",
                 call->candidate[i]);
       snprintf (approval->proof, sizeof approval->proof, "yes");
     }
-  answer_call (world, cell, reply, APPROVAL_MS);
+  answer_call (world, cell, reply,
+               world->approval_ms
+                   + call->candidate_count * world->approval_us / 1000);
   mux_cell_call_free (call);
 }
 
@@ -464,20 +598,73 @@
 static bool
 is_deaf (const World *world, uint32_t cell, const MuxCellCall *call)
 {
-  return world->cell[cell].deaf
-         && (call->table == MUX_TABLE_CLAIM || call->table == MUX_TABLE_JOBS);
+  return (world->cell[cell].deaf & WORLD_DEAF (call->table)) != 0;
+}
+
+/* Its calls to the part where the claim stands are lost. */
+static bool
+misses_claim (const World *world, uint32_t cell, const MuxCellCall *call)
+{
+  return world->cell[cell].claim_away && call->part[0] == 0
+         && call->verb != MUX_CELL_FOLLOW;
+}
+
+static WorldFault
+store_fault (const WorldCell *cell, const MuxCellCall *call)
+{
+  if (cell->store != WORLD_SERVES || call->verb != MUX_CELL_COMMIT)
+    return cell->store;
+  for (uint32_t i = 0; i < call->change_count; i++)
+    if (call->change[i].kind != MUX_CHANGE_EXPECT
+        && cell->commits[call->change[i].table] != WORLD_SERVES)
+      return cell->commits[call->change[i].table];
+  return WORLD_SERVES;
+}
+
+/* The caller stops waiting; the commit is on its way all the same. */
+static void
+commit_late (World *world, uint32_t cell, MuxCellCall *call)
+{
+  answer_call (world, cell, mux_cell_reply_new (call, MUX_CELL_UNKNOWN),
+               call->timeout_ms);
+  event_new (world, cell, world->late_ms)->late = call;
+}
+
+static void
+carry_out (World *world, const MuxCellCall *call)
+{
+  WorldWorker *worker = worker_at (world, call->addr);
+  MuxCellReply *reply;
+
+  if (call->verb != MUX_CELL_COMMIT)
+    {
+      if (worker != NULL)
+        mux_cell_reply_free (worker_serves (world, worker, call));
+      return;
+    }
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  do_commit (world, call, reply);
+  mux_cell_reply_free (reply);
 }
 
 static void
 store_call (World *world, uint32_t cell, MuxCellCall *call)
 {
-  WorldFault fault = world->cell[cell].store;
-  MuxCellReply *reply = mux_cell_reply_new (call, MUX_CELL_OK);
+  WorldFault fault = misses_claim (world, cell, call)
+                         ? WORLD_SILENT
+                         : store_fault (&world->cell[cell], call);
+  MuxCellReply *reply;
   bool served = true;
 
+  if (fault == WORLD_LATE && call->verb == MUX_CELL_COMMIT)
+    {
+      commit_late (world, cell, call);
+      return;
+    }
+  reply = mux_cell_reply_new (call, MUX_CELL_OK);
   if (fault == WORLD_REFUSES)
     reply->status = MUX_CELL_NOT_DONE;
-  else if (fault == WORLD_SILENT)
+  else if (fault == WORLD_SILENT || fault == WORLD_LATE)
     reply->status = MUX_CELL_UNKNOWN;
   else if (call->verb == MUX_CELL_COMMIT)
     {
@@ -550,15 +737,51 @@
   return true;
 }
 
+static WorldLogged *
+logged_find (World *world, const char *event)
+{
+  for (uint32_t i = 0; i < WORLD_EVENTS_MAX; i++)
+    if (world->logged[i].event[0] == 0
+        || strcmp (world->logged[i].event, event) == 0)
+      return &world->logged[i];
+  fail_msg ("more kinds of log lines than are counted");
+  return &world->logged[0];
+}
+
+static void
+count_logged (World *world, const char *event)
+{
+  WorldLogged *logged = logged_find (world, event);
+
+  snprintf (logged->event, sizeof logged->event, "%s", event);
+  logged->count++;
+}
+
+uint32_t
+world_logged (const World *world, const char *event)
+{
+  for (uint32_t i = 0; i < WORLD_EVENTS_MAX; i++)
+    if (strcmp (world->logged[i].event, event) == 0)
+      return world->logged[i].count;
+  return 0;
+}
+
 static void
 sink_log (MuxCellSink *sink, const char *event, json_t *fields)
 {
   WorldCell *cell = (WorldCell *) sink;
 
   assert_non_null (fields);
+  if (strcmp (event, "step_waits") == 0)
+    {
+      cell->world->waits_told++;
+      snprintf (cell->world->wait_lacks, sizeof cell->world->wait_lacks, "%s",
+                json_string_value (json_object_get (fields, "lacks")));
+    }
   if (strcmp (event, "config_in_force") == 0)
     cell->config_version
         = (uint64_t) json_integer_value (json_object_get (fields, "version"));
+  count_logged (cell->world, event);
   if (strcmp (event, "store_failing") == 0)
     cell->store_failing++;
   if (getenv ("WORLD_LOG") != NULL)
@@ -582,9 +805,9 @@
   if (cell->dead || event->incarnation != incarnation_of (world, event->cell))
     return;
   if (event->is_peer)
-    mux_cell_peer (cell->cell, time_of (world), &event->peer);
+    mux_cell_peer (cell->cell, time_of (world, event->cell), &event->peer);
   else
-    mux_cell_reply (cell->cell, time_of (world), event->reply);
+    mux_cell_reply (cell->cell, time_of (world, event->cell), event->reply);
   event->reply = NULL;
 }
 
@@ -642,6 +865,15 @@
   {
     bool due = event->due_ms <= world->now_ms;
 
+    if (event->late != NULL)
+      {
+        if (!due)
+          continue;
+        DL_DELETE (world->events, event);
+        carry_out (world, event->late);
+        event_free (event);
+        continue;
+      }
     if (event->waiting != NULL && event->reply == NULL)
       end_wait (world, event, due);
     if (world->cell[event->cell].frozen && !world->cell[event->cell].dead)
@@ -660,14 +892,17 @@
 step_workers (World *world)
 {
   for (uint32_t i = 0; i < WORLD_WORKERS_MAX; i++)
-    for (uint32_t j = 0; world->worker[i].used && j < WORLD_RUNS_MAX; j++)
+    for (uint32_t j = 0; world->worker[i].used && j < world->worker[i].run_end;
+         j++)
       {
         WorldWorker *worker = &world->worker[i];
         WorldRun *run = &worker->run[j];
 
-        if (!run->used || run->number != 0)
+        if (!run->used)
           continue;
-        if (worker->lease_until_ms <= world->now_ms)
+        if (run->number != 0)
+          run->lapsed = run->lapsed || worker->lease_until_ms <= world->now_ms;
+        else if (worker->lease_until_ms <= world->now_ms)
           end_run (world, worker, run, MUX_RUN_LAPSED);
         else if (run->ends_ms <= world->now_ms)
           end_run (world, worker, run,
@@ -689,7 +924,7 @@
           {
             clock_t begin = clock ();
 
-            (void) mux_cell_tick (world->cell[c].cell, time_of (world));
+            (void) mux_cell_tick (world->cell[c].cell, time_of (world, c));
             world->core_clock += clock () - begin;
           }
     }
@@ -706,7 +941,7 @@
     .name = name,
     .data_centre = "nizwa-hall",
     .peer_addr = cell->addr,
-    .incarnation = ++world->incarnation,
+    .incarnation = ++world->incarnation << LIFE_BITS,
     .seed = number,
     .lease_ms = LEASE_MS,
     .dead_ms = DEAD_MS,
@@ -725,6 +960,7 @@
   cell->world = world;
   cell->number = number;
   mux_cell_free (cell->cell);
+  cell->life = options.incarnation;
   cell->cell = mux_cell_new (&options, NULL);
   assert_non_null (cell->cell);
   cell->dead = false;
@@ -761,8 +997,9 @@
   free (config);
 }
 
-static void
-write_config (World *world, bool urgent)
+/* A newer configuration, alike but for what the caller changes in it. */
+static MuxQueueConfig *
+change_config (World *world)
 {
   WorldRow *row = row_find (world, MUX_TABLE_CONFIG, "", "config");
   size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
@@ -771,10 +1008,17 @@
   assert_non_null (config);
   memcpy (config, row->value->bytes, size);
   config->version++;
-  if (urgent)
-    config->item[0].priority = 0;
+  return config;
+}
+
+static void
+put_config (World *world, MuxQueueConfig *config)
+{
+  WorldRow *row = row_find (world, MUX_TABLE_CONFIG, "", "config");
+
   mux_blob_unref (row->value);
-  row->value = mux_blob_new (config, size);
+  row->value
+      = mux_blob_new (config, sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec));
   row->version = ++world->version;
   free (config);
 }
@@ -782,27 +1026,102 @@
 void
 world_change_config (World *world)
 {
-  write_config (world, false);
+  put_config (world, change_config (world));
 }
 
 void
 world_make_urgent (World *world)
 {
-  write_config (world, true);
+  MuxQueueConfig *config = change_config (world);
+
+  config->item[0].priority = 0;
+  put_config (world, config);
+}
+
+void
+world_ask_slowly (World *world, uint32_t base_ms, uint32_t per_worker_us)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  config->item[0].approval.base_us = base_ms * 1000;
+  config->item[0].approval.per_worker_us = per_worker_us;
+  put_config (world, config);
+  world->approval_ms = base_ms;
+  world->approval_us = per_worker_us;
 }
 
 static void
-list_worker (World *world, uint32_t number)
+put_blob (World *world,
+          MuxCellTable table,
+          const char *part,
+          const char *key,
+          MuxBlob *value)
 {
-  WorldRow *row
-      = row_make (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id);
+  WorldRow *row = row_make (world, table, part, key);
 
   mux_blob_unref (row->value);
-  row->value = mux_blob_new ("{}", 2);
+  row->value = value;
   row->removed = false;
   row->version = ++world->version;
 }
 
+void
+world_put_row (World *world,
+               MuxCellTable table,
+               const char *part,
+               const char *key,
+               const char *value)
+{
+  put_blob (world, table, part, key,
+            value != NULL ? mux_blob_new (value, strlen (value)) : NULL);
+}
+
+void
+world_remove_row (World *world,
+                  MuxCellTable table,
+                  const char *part,
+                  const char *key)
+{
+  WorldRow *row = row_make (world, table, part, key);
+
+  row->removed = true;
+  row->version = ++world->version;
+}
+
+void
+world_list_as (World *world,
+               const char *part,
+               const char *key,
+               const MuxWorkerInfo *info)
+{
+  put_blob (world, MUX_TABLE_WORKERS, part, key,
+            mux_blob_new (info, sizeof *info));
+}
+
+static void
+list_worker (World *world, uint32_t number)
+{
+  world_put_row (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id,
+                 "{}");
+}
+
+void
+world_worker_drains (World *world, uint32_t number, bool draining)
+{
+  world->worker[number].info.draining = draining;
+  list_worker (world, number);
+}
+
+void
+world_worker_unlist (World *world, uint32_t number, bool gone)
+{
+  WorldRow *row;
+
+  list_worker (world, number);
+  row = row_find (world, MUX_TABLE_WORKERS, "", world->worker[number].info.id);
+  row->removed = gone;
+}
+
 static void
 add_worker (World *world, uint32_t number)
 {
@@ -810,7 +1129,7 @@
 
   worker->used = true;
   snprintf (worker->info.id, sizeof worker->info.id, "i-%u-1", number);
-  snprintf (worker->info.addr, sizeof worker->info.addr, "10.1.0.%u:8000",
+  snprintf (worker->info.addr, sizeof worker->info.addr, WORKER_NET "%u:8000",
             number + 1);
   snprintf (worker->info.service, sizeof worker->info.service, "booking");
   snprintf (worker->info.kind, sizeof worker->info.kind, "a");
@@ -828,6 +1147,7 @@
   world->now_ms = 1000;
   world->task_ms = 1000;
   world->store_ms = STORE_MS;
+  world->approval_ms = APPROVAL_MS;
   world->counters = mux_counters_new ();
   add_config (world);
   for (uint32_t i = 0; i < workers; i++)
@@ -854,6 +1174,7 @@
   }
   for (uint32_t i = 0; i < world->row_count; i++)
     mux_blob_unref (world->row[i].value);
+  free (world->past);
   mux_counters_free (world->counters);
   free (world);
 }
@@ -867,10 +1188,10 @@
   uint32_t number = WORLD_CELLS_MAX;
 
   for (uint32_t i = 0; i < world->row_count; i++)
-    if (world->row[i].table == MUX_TABLE_CLAIM
+    if (world->row[i].table == MUX_TABLE_CLAIM && world->row[i].part[0] == 0
         && strcmp (world->row[i].key, "claim") == 0)
       row = &world->row[i];
-  if (row == NULL)
+  if (row == NULL || row->value == NULL)
     return number;
   json = json_loadb (row->value->bytes, row->value->len, 0, NULL);
   name = json_string_value (json_object_get (json, "name"));
@@ -900,7 +1221,7 @@
   uint64_t number = question->call;
 
   question->job = job;
-  mux_cell_question (world->cell[cell].cell, time_of (world), question);
+  mux_cell_question (world->cell[cell].cell, time_of (world, cell), question);
   return number;
 }
 
@@ -910,7 +1231,7 @@
   MuxQuestion *question = question_new (world, verb, id);
   uint64_t number = question->call;
 
-  mux_cell_question (world->cell[cell].cell, time_of (world), question);
+  mux_cell_question (world->cell[cell].cell, time_of (world, cell), question);
   return number;
 }
 
@@ -954,11 +1275,35 @@
   return false;
 }
 
+bool
+world_twice_told (const World *world)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    for (uint32_t j = 0; j < i; j++)
+      {
+        const WorldStart *a = &world->start[j];
+        const WorldStart *b = &world->start[i];
+
+        if (memcmp (&a->task, &b->task, sizeof a->task) != 0)
+          continue;
+        if (a->ended_ms != 0 && b->at_ms >= a->ended_ms
+            && (a->end != MUX_RUN_DONE || !a->told))
+          continue;
+        print_message ("%s.%u.%u: run %u on worker %u from %lld to %lld (%d), "
+                       "run %u on worker %u from %lld\n",
+                       a->task.job, a->task.step, a->task.index, a->run,
+                       a->worker, (long long) a->at_ms, (long long) a->ended_ms,
+                       (int) a->end, b->run, b->worker, (long long) b->at_ms);
+        return true;
+      }
+  return false;
+}
+
 uint64_t
 world_claim_version (const World *world)
 {
   for (uint32_t i = 0; i < world->row_count; i++)
-    if (world->row[i].table == MUX_TABLE_CLAIM
+    if (world->row[i].table == MUX_TABLE_CLAIM && world->row[i].part[0] == 0
         && strcmp (world->row[i].key, "claim") == 0)
       return world->row[i].version;
   return 0;
