cell: a test that fails, a late answer that ends a later term

A planner that leaves the plan to a stronger daemon writes a claim of nobody. The call's pending has no term, so that its answer is heard whatever has become of the daemon since. Where the chosen daemon dies, the former planner sees by its feed that nobody plans, claims again and plans; then the answer to its leaving arrives and ends the new term. Its own claim stands in the store: the row is not news to it, and as it welcomes all that greet it, itself among them, nobody counts the planner as silent.

Ruled out: that the feed or a whole reading of the claim brings the term back (rows of a version that is known are passed over), and that another daemon takes over (a daemon started after it accepts jobs, relays them, and claims nothing).

The term of the leaving belongs into its pending; and a daemon that finds its own claim in the store and does not plan should claim anew.

--- /dev/null
+++ b/test/unit/test_cell_cold.c
@@ -0,0 +1,86 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+
+/* What a planner that is replaced, or in doubt, leaves behind. */
+
+#define CELLS 3
+#define WORKERS 4
+/* Of a small instance, and of one four times as large. */
+#define WEAK_MILLI 120
+#define STRONG_MILLI 500
+#define TAKEOVER_MS 4000
+/* An answer that is just not given up yet. */
+#define LATE_ANSWER_MS 1450
+#define USUAL_ANSWER_MS 5
+
+static void
+start_weak_alone (World *world, uint32_t weak)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != weak)
+      world_cell_kill (world, i);
+  world->cell[weak].strength_milli = WEAK_MILLI;
+  world_cell_start (world, weak);
+  world_run (world, TAKEOVER_MS);
+}
+
+/* The planner leaves the plan to a strong daemon, which dies; the answer to
+ * that commit is on its way. */
+static void
+yield_to_one_that_dies (World *world)
+{
+  uint64_t version = world_claim_version (world);
+  uint32_t members = world_logged (world, "member");
+
+  world->cell[1].strength_milli = STRONG_MILLI;
+  world_cell_start (world, 1);
+  while (world_logged (world, "member") == members)
+    world_run (world, 1);
+  world->store_ms = LATE_ANSWER_MS;
+  for (uint32_t i = 0; i < 5000 && world_claim_version (world) == version; i++)
+    world_run (world, 1);
+  assert_int_not_equal (world_claim_version (world), version);
+  world->store_ms = USUAL_ANSWER_MS;
+  world_cell_kill (world, 1);
+}
+
+/*
+ * Callers' jobs are accepted and none is ever started, until daemons are
+ * restarted.  A weak planner leaves the plan to a strong daemon, which dies in
+ * that moment; the weak one sees by its feed that nobody plans, claims again
+ * and plans.  Then the answer to its leaving arrives, a second late, and ends
+ * the new term.  Its claim stands in the store, it greets whoever asks, and so
+ * no daemon ever claims.
+ */
+static void
+test_late_answer_to_leaving_ends_no_later_term (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 250; phase_ms += 25)
+    {
+      World *world = world_new (CELLS, WORKERS);
+
+      start_weak_alone (world, 0);
+      world_run (world, phase_ms);
+      yield_to_one_that_dies (world);
+      world_run (world, 3000);
+      world_cell_start (world, 2);
+      world_run (world, 3000);
+      (void) world_submit (world, 2, world_job (1, 1, 1000), "job-a");
+      world_run (world, 20000);
+      assert_int_equal (world_starts (world, "job-a"), 1);
+      world_free (world);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_late_answer_to_leaving_ends_no_later_term),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
