cell: a test that fails, readings without a pause while in doubt

A planner whose claim is in doubt reads it again; when that is refused at once the next tick sends it again. The same holds for the reading that confirms jobs read anew, and for a part's fence after a commit without an answer: none of the three has a time before which it is not repeated. While nothing may be ordered the wish for a pass stays set, so that ticks come each 4 ms and not each 20.

Ruled out as the source: the feeds, which repeat a refused call after 250 ms, and the roster, after 200 ms.

On the test's clock each answer takes 5 ms and each tick comes after 4 ms.

A pause of 100 ms after a failure, as for the other readings, would end it.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -75,11 +75,54 @@
     }
 }
 
+/* Calls that a daemon repeats after a failure are 100 ms apart or more; it has
+ * a dozen kinds of them. */
+#define READS_MAX_PER_S 120
+#define FROZEN_MS 1000
+#define OUTAGE_MS 3000
+
+static uint64_t
+reads (const World *world)
+{
+  return mux_counter_value (world->counters, MUX_COUNT_TABLE_READS);
+}
+
+/*
+ * All daemons are refused by the store beyond its rate of readings, callers
+ * with them, for longer than the outage lasted.  The planner was frozen for a
+ * second and wakes in an outage: it reads the claim before it orders anything,
+ * and as each reading is refused at once it is repeated in each tick.  Each of
+ * them is paid for, the refused ones too.
+ */
+static void
+test_planner_in_doubt_does_not_flood_the_store (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t before;
+
+  (void) state;
+  world_run (world, 1000);
+  world->cell[planner].frozen = true;
+  world_run (world, FROZEN_MS);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].store = WORLD_REFUSES;
+  world->cell[planner].frozen = false;
+  world_run (world, 100);
+  before = reads (world);
+  world_run (world, OUTAGE_MS);
+  print_message ("%u reads a second\n",
+                 (unsigned) ((reads (world) - before) * 1000 / OUTAGE_MS));
+  assert_true (reads (world) - before < READS_MAX_PER_S * OUTAGE_MS / 1000);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_late_answer_to_leaving_ends_no_later_term),
+    cmocka_unit_test (test_planner_in_doubt_does_not_flood_the_store),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
