cell: a test that fails, a term's row that another writer changed

The planner's commits of jobs expect the version that the part's term row had at its takeover. Where that row changes under a claim that stands, each commit fails, the planner counts itself as replaced, reads its claim, finds it in force, and sends the same commit 60 ms later. The row is read again only when a commit of progress fails, and those expect the fence's row alone.

Ruled out: that the commits of progress find it (jobs that ran before had all ended; the row they expect did not change), and that time mends it (5 s later jobs are still refused).

In the test the row of all four parts is written over; of 8 jobs handed in 6 s later the first was started 0 times.

The fence of the part should be read again whenever a commit of jobs fails on the term's row, and the claim's doubt end with it.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -117,12 +117,68 @@
   world_free (world);
 }
 
+#define PARTS 4
+#define JOBS 8
+
+static void
+submit_jobs (World *world, uint32_t cell, const char *name)
+{
+  for (uint32_t i = 0; i < JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "%s-%u", name, i);
+      (void) world_submit (world, cell, world_job (1, 1, 1000), id);
+    }
+}
+
+/*
+ * Callers' jobs are refused for good, though the store serves all daemons.
+ * Another writer has left a row under the key that the planner's commits of
+ * jobs expect.  Each commit fails on it, the planner takes itself for replaced,
+ * reads its claim, finds that it stands, and tries the same commit again: the
+ * row's version is read at a takeover alone.
+ */
+static void
+test_term_row_of_another_writer_is_passed (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world_run (world, 1000);
+  submit_jobs (world, planner, "before");
+  world_run (world, 3000);
+  for (uint32_t i = 0; i < PARTS; i++)
+    {
+      char part[MUX_ROW_NAME_LEN];
+
+      snprintf (part, sizeof part, "p%u", i);
+      world_put_row (world, MUX_TABLE_FENCE, part, "term", "{}");
+    }
+  world_run (world, 1000);
+  submit_jobs (world, planner, "early");
+  world_run (world, 5000);
+  submit_jobs (world, planner, "late");
+  world_run (world, 5000);
+  assert_int_equal (world_starts (world, "before-0"), 1);
+  for (uint32_t i = 0; i < JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "late-%u", i);
+      assert_int_equal (world_starts (world, id), 1);
+    }
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_late_answer_to_leaving_ends_no_later_term),
     cmocka_unit_test (test_planner_in_doubt_does_not_flood_the_store),
+    cmocka_unit_test (test_term_row_of_another_writer_is_passed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
