cell: late answers of leaving, pauses between readings, another writer's term row

The answer to a planner's leaving was taken for whatever term stood when it came; a claim in doubt was read again each tick while the store refused; the row that commits of jobs expect was read at a takeover alone, so that another writer's change of it closed the part. Ruled out: that the row's change means a successor by itself (the other fence row tells, written in the same commit).

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -145,7 +145,7 @@
 void cell_jobs_whole (MuxCell *cell, bool ended);
 void cell_verified (MuxCell *cell, int64_t at_ms);
 /** cell_write_claim() - the row that says who plans, on condition that it is
- * the one known; takes @value over */
+ * the one known; takes @value over; @done finds the term in its number */
 bool cell_write_claim (MuxCell *cell, json_t *value, CellDone done);
 
 /* leave.c: who plans next when a planner leaves by itself */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -511,6 +511,7 @@
  *   former planner may have started any job that is older
  * @fenced: that row is ours
  * @fence_doubtful: a commit went unanswered, its version is to be read
+ * @term_doubtful: a commit of jobs found another version of that row
  * @dirty: jobs with something to store
  * @dirty_since_ms: the oldest of them
  * @committing: a commit is on its way
@@ -525,6 +526,7 @@
   uint64_t term_version;
   bool fenced;
   bool fence_doubtful;
+  bool term_doubtful;
   bool reading_fence;
   CellJob *dirty;
   int64_t dirty_since_ms;
@@ -613,6 +615,7 @@
   int64_t verified_ms;       /* the claim was surely ours then */
   int64_t doubted_ms;        /* when it was last in doubt */
   bool verifying;
+  int64_t next_verify_ms;
   bool beating;
   int64_t next_beat_ms;
   bool yielding;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -18,8 +18,11 @@
  * of it, claims first; one of none would wait so much longer. */
 #define STRONG_MILLI 250
 #define WEAK_WAIT_MS 800
-/* After a failed try. */
+/* After a failed try, */
 #define RETRY_MS 300
+/* and after a failed reading of the own claim, for which all starts wait: each
+ * reading is paid for, a refused one too. */
+#define VERIFY_RETRY_MS 100
 /* A planner that the store turns away while it serves others is replaced after
  * this time, */
 #define STORE_BAD_MS 600
@@ -303,7 +306,7 @@
 cell_write_claim (MuxCell *cell, json_t *value, CellDone done)
 {
   MuxCellCall *call = cell_commit_call ("", 3);
-  CellPending pending = { .done = done };
+  CellPending pending = { .done = done, .number = cell->term };
   MuxBlob *blob = cell_json_blob (value);
 
   if (call == NULL || blob == NULL)
@@ -456,7 +459,10 @@
 {
   cell->verifying = false;
   if (reply->status != MUX_CELL_OK || reply->row_count == 0)
-    return;
+    {
+      cell->next_verify_ms = cell->time.now_ms + VERIFY_RETRY_MS;
+      return;
+    }
   for (uint32_t i = 0; i < reply->row_count; i++)
     {
       const MuxCellRow *row = &reply->row[i];
@@ -562,12 +568,13 @@
     cell_claim_doubt (cell, "paused");
   if (cell->verified_ms == 0)
     {
-      if (!cell->verifying)
+      if (!cell->verifying && now >= cell->next_verify_ms)
         verify (cell);
     }
   else if (!cell->beating && now >= cell->next_beat_ms)
     beat (cell);
-  if (cell->unconfirmed && !cell->reading && !cell->confirming)
+  if (cell->unconfirmed && !cell->reading && !cell->confirming
+      && now >= cell->next_verify_ms)
     confirm (cell);
   if (cell->verified_ms != 0)
     cell_yield_tick (cell);
--- a/src/cell/leave.c
+++ b/src/cell/leave.c
@@ -62,9 +62,12 @@
 static void
 yielded (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
-  (void) pending;
   cell_log (cell, "claim_yielded", "{s:s}", "status",
             mux_cell_status_name (reply->status));
+  /* Late, it would end a newer term of the same process, whose claim would go
+   * on to stand in the store with nobody who plans. */
+  if (pending->number != cell->term)
+    return;
   cell_yield_begin (cell);
   if (reply->status == MUX_CELL_OK)
     cell_depose (cell, "yielded");
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -16,6 +16,7 @@
 
       part->fenced = false;
       part->fence_doubtful = false;
+      part->term_doubtful = false;
       part->reading_fence = false;
       part->dirty = NULL;
       part->committing = false;
@@ -109,6 +110,18 @@
   return 0;
 }
 
+/* Another writer's, or none: it is written over together with the fence, which
+ * shows that no successor has been there. */
+static bool
+is_own_term (const MuxCell *cell, const MuxCellRow *row)
+{
+  json_t *json = row != NULL ? cell_blob_json (row->value) : NULL;
+  json_int_t term = json_integer_value (json_object_get (json, "term"));
+
+  json_decref (json);
+  return (uint64_t) term == cell->term;
+}
+
 static void
 fence_read (MuxCell *cell,
             const CellPending *pending,
@@ -124,6 +137,7 @@
   if (reply->status != MUX_CELL_OK)
     {
       part->load_next_ms += RETRY_MS;
+      part->next_commit_ms = cell->time.now_ms + RETRY_MS;
       return;
     }
   term = fence != NULL ? fence_term (cell, fence) : 0;
@@ -134,7 +148,8 @@
     }
   part->fence_version = fence != NULL ? fence->version : 0;
   part->fence_doubtful = false;
-  if (term < cell->term || term_row == NULL)
+  part->term_doubtful = false;
+  if (term < cell->term || !is_own_term (cell, term_row))
     {
       write_fence (cell, part);
       return;
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -256,7 +256,10 @@
   if (reply->status == MUX_CELL_BAD)
     cell_log (cell, "commit_bad", "{s:s}", "part", part->name);
   if (replaced)
-    cell_claim_doubt (cell, "submit_fenced");
+    {
+      part->term_doubtful = true;
+      cell_claim_doubt (cell, "submit_fenced");
+    }
   part->next_submit_ms
       = reply->status == MUX_CELL_OK
                 || (reply->status == MUX_CELL_CONFLICT && !replaced)
@@ -290,6 +293,16 @@
   return false;
 }
 
+/* Whose row it is that refused the last commit: a successor's, which ends this
+ * term, or another writer's. */
+static void
+read_term (MuxCell *cell, CellPart *part)
+{
+  part->next_submit_ms = cell->time.now_ms + RETRY_MS;
+  if (!part->reading_fence)
+    cell_fence_read (cell, part);
+}
+
 /* One commit of a part at a time: those that come meanwhile share the next. */
 void
 cell_submit_direct (MuxCell *cell, CellPart *part)
@@ -302,6 +315,11 @@
 
   if (part->submissions == NULL || part->submitting)
     return;
+  if (cell->role == CELL_PLANNING && part->term_doubtful)
+    {
+      read_term (cell, part);
+      return;
+    }
   call = cell_commit_call (part->name, 3 * CELL_COMMIT_JOBS + 1);
   if (call == NULL)
     return;
