cell: a test that fails, a run number that is given in two terms

Each start takes a number, those that a worker refuses, too, and a term has 64 of them. A planner that gives more reaches into the range of its successor, which does not know: the numbers of failed runs are stored and read, but the task's last number is not raised by them. It gives the number of the failed run again, and a failure under it counts as one that is known.

Ruled out: that the worker refuses the number as an old one (it does so only where the first run was; there the task goes on 64 higher).

In the test 64 starts of a task are refused by unhealthy workers; the next, 65, fails, its worker drains and the planner dies. The successor gives 65 again, on another worker, and the task runs 4 times where its queue allows 3 attempts.

The numbers of stored failures should raise the last number of the task, and of the gang's step; a start that was surely not done need not use up a number.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -172,6 +172,69 @@
   world_free (world);
 }
 
+#define RUNS_PER_TERM 64
+#define ATTEMPTS_MAX 3
+/* Starts of one task that go wrong before the first one is carried out. */
+#define REFUSED_MAX 68
+
+static void
+set_workers (World *world, WorldFault fault)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      world->worker[i].fault = fault;
+      world->worker[i].fails = true;
+    }
+}
+
+static void
+wait_for_refused (World *world, uint32_t count)
+{
+  for (uint32_t i = 0;
+       i < 400000 && world_logged (world, "start_refused") < count; i++)
+    world_run (world, 1);
+  assert_true (world_logged (world, "start_refused") >= count);
+}
+
+/*
+ * A job counts as failed after one run more than its queue allows.  The workers
+ * are unhealthy for minutes and refuse its starts; the next one is carried out
+ * and fails, its worker leaves, and the planner dies.  By then it has given
+ * more run numbers than a term has: its successor gives that of the failed run
+ * again, and takes the new run's failure for the one that it has read.
+ */
+static void
+test_no_run_number_is_given_in_two_terms (void **state)
+{
+  (void) state;
+  for (uint32_t refused = RUNS_PER_TERM; refused < REFUSED_MAX; refused++)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint32_t planner = world_planner (world);
+
+      world_run (world, 1000);
+      set_workers (world, WORLD_REFUSES);
+      world->task_ms = 300;
+      (void) world_submit (world, planner, world_job (1, 1, 1000), "job-a");
+      wait_for_refused (world, refused);
+      set_workers (world, WORLD_SERVES);
+      while (world->start_count == 0)
+        world_run (world, 1);
+      set_workers (world, WORLD_REFUSES);
+      world_run (world, 1500);
+      assert_int_equal (world->start[0].end, MUX_RUN_FAILED);
+      world_worker_drains (world, world->start[0].worker, true);
+      world_cell_kill (world, planner);
+      world_run (world, 300);
+      set_workers (world, WORLD_SERVES);
+      world_run (world, 20000);
+      assert_int_equal (world_state (world, (planner + 1) % CELLS, "job-a"),
+                        MUX_JOB_FAILED);
+      assert_int_equal (world_starts (world, "job-a"), ATTEMPTS_MAX);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -179,6 +242,7 @@
     cmocka_unit_test (test_late_answer_to_leaving_ends_no_later_term),
     cmocka_unit_test (test_planner_in_doubt_does_not_flood_the_store),
     cmocka_unit_test (test_term_row_of_another_writer_is_passed),
+    cmocka_unit_test (test_no_run_number_is_given_in_two_terms),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
