cell: a successor gives no failed run's number again

Cause: a term had 64 run numbers, and starts that workers refuse take one each, so that a planner reached into its successor's range; the successor did not raise a task's last number by the failed runs that it read, gave one of them again, and took the new failure for the one it knew: one attempt too many. Change: what is read of failed runs raises the last number; a term has 1,024.

--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -66,16 +66,27 @@
   return list;
 }
 
+/*
+ * Guards against one attempt too many: @last is raised to the highest of the
+ * numbers, so that no later run bears that of a failed one; its failure would
+ * be taken for one that is known.
+ */
 static void
-runs_apply (CellFailures *failures, const json_t *list)
+runs_apply (CellFailures *failures, uint32_t *last, const json_t *list)
 {
-  const json_t *run;
+  const json_t *json;
   size_t i;
 
   failures->count = 0;
-  json_array_foreach (list, i, run) if (failures->count < CELL_FAILED_RUNS_MAX)
-      failures->run[failures->count++]
-      = (uint32_t) json_integer_value (run);
+  json_array_foreach (list, i, json)
+  {
+    uint32_t run = (uint32_t) json_integer_value (json);
+
+    if (failures->count < CELL_FAILED_RUNS_MAX)
+      failures->run[failures->count++] = run;
+    if (run > *last)
+      *last = run;
+  }
 }
 
 static json_t *
@@ -141,7 +152,8 @@
 
     if (index < 0 || index >= stage->spec->count)
       continue;
-    runs_apply (&stage->task[index].failures, json_array_get (pair, 1));
+    runs_apply (&stage->task[index].failures, &stage->task[index].run,
+                json_array_get (pair, 1));
   }
   json_array_foreach (saved, i, pair)
   {
@@ -167,7 +179,8 @@
     return;
   stage = job->stage[at];
   bitmap_apply (stage, done);
-  runs_apply (&stage->failures, json_object_get (json, "gang_failures"));
+  runs_apply (&stage->failures, &stage->run,
+              json_object_get (json, "gang_failures"));
   cell_approvals_apply (stage, json_object_get (json, "workers"));
   apply_pairs (stage, json_object_get (json, "failures"),
                json_object_get (json, "saved"));
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -6,8 +6,12 @@
 
 /* Run numbers of one planner's term.  A later planner does not know which
  * numbers its predecessor gave to starts that it never heard of, so that each
- * term has a range of its own. */
-#define RUNS_PER_TERM 64
+ * term has a range of its own: a start each second for a quarter of an hour,
+ * and 4 million terms. */
+#define RUNS_PER_TERM 1024
+/* A worker that calls a run old knows a higher one and does not say which: so
+ * many numbers are passed over at a time; 16 times fit into a term. */
+#define OLD_RUN_STEP 64
 /* After an unanswered or refused stop. */
 #define STOP_RETRY_MS 300
 /* A worker that refused a start as unhealthy, or did not answer it, is left
@@ -222,7 +226,7 @@
   else if (status == MUX_CELL_NO_ROOM)
     worker->avoid_until_ms = cell->time.now_ms + NO_ROOM_MS;
   else if (status == MUX_CELL_OLD_RUN)
-    task->run += RUNS_PER_TERM;
+    task->run += OLD_RUN_STEP;
   else if (status == MUX_CELL_FENCED)
     cell_claim_doubt (cell, "start_fenced");
   else if (status == MUX_CELL_UNPROVEN && approval != NULL)
