cell: the record of a stage names the workers of adopted runs

Cause: a planner that found runs of one which had stored no record wrote the first record itself, with its own approvals alone; a third planner waited for those workers and started the adopted runs again. And a load that left the younger rows to the feed left the cancels of older jobs, too. Change: a record names the workers of all runs that are booked; a cancel counts whatever its age.

--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -33,8 +33,48 @@
   return false;
 }
 
-/* Those of a former planner stay in the list: runs that this one adopted are
- * there. */
+static bool
+is_approved (const CellStage *stage, const CellWorker *worker)
+{
+  return worker->slot < stage->approval_count
+         && stage->approval[worker->slot].yes;
+}
+
+/* An earlier task runs at the same worker. */
+static bool
+added_before (const CellStage *stage, uint32_t index)
+{
+  const CellWorker *worker = stage->task[index].booking->worker;
+
+  for (uint32_t i = 0; i < index; i++)
+    if (stage->task[i].booking != NULL
+        && stage->task[i].booking->worker == worker)
+      return true;
+  return false;
+}
+
+static void
+add_adopted (const CellStage *stage, json_t *list)
+{
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      const CellBooking *booking = stage->task[i].booking;
+
+      if (booking == NULL || is_approved (stage, booking->worker)
+          || is_former (stage, booking->worker->info.id)
+          || added_before (stage, i))
+        continue;
+      (void) json_array_append_new (list,
+                                    json_string (booking->worker->info.id));
+    }
+}
+
+/*
+ * Guards against a run that a third planner starts again: the next one waits
+ * for the workers of this list alone.  Those of a former planner stay in it,
+ * and where that one left no record those where its runs were found are added,
+ * for no approval of this planner may ever name them.
+ */
 json_t *
 cell_approvals_json (const MuxCell *cell, const CellStage *stage)
 {
@@ -45,9 +85,9 @@
   for (uint32_t i = 0; i < stage->former_count; i++)
     (void) json_array_append_new (list, json_string (stage->former[i]));
   HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->slot < stage->approval_count && stage->approval[worker->slot].yes
-      && !is_former (stage, worker->info.id))
+  if (is_approved (stage, worker) && !is_former (stage, worker->info.id))
     (void) json_array_append_new (list, json_string (worker->info.id));
+  add_adopted (stage, list);
   return list;
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -174,6 +174,8 @@
 /** cell_jobs_take() - a job that this planner stored itself; takes @spec */
 void cell_jobs_take (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
 void cell_jobs_row (MuxCell *cell, const MuxCellRow *row);
+/** cell_is_cancel() - the row of the jobs' table is a job's cancel */
+bool cell_is_cancel (const MuxCellRow *row);
 void cell_job_cancel (MuxCell *cell, CellJob *job);
 void cell_job_fail (MuxCell *cell, CellJob *job, const char *why);
 void cell_job_advance (MuxCell *cell, CellJob *job);
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -222,12 +222,20 @@
          && strcmp (row->part, cell->part[cell_part_of (id)].name) == 0;
 }
 
+bool
+cell_is_cancel (const MuxCellRow *row)
+{
+  size_t len = strlen (row->key);
+
+  return len > 0 && row->key[len - 1] == CANCEL_MARK;
+}
+
 void
 cell_jobs_row (MuxCell *cell, const MuxCellRow *row)
 {
+  bool is_cancel = cell_is_cancel (row);
   size_t len = strlen (row->key);
   char id[MUX_ROW_NAME_LEN];
-  bool is_cancel;
 
   if (row->part[0] == 0)
     {
@@ -236,7 +244,6 @@
     }
   if (row->removed)
     return;
-  is_cancel = len > 0 && row->key[len - 1] == CANCEL_MARK;
   snprintf (id, sizeof id, "%.*s", (int) (is_cancel ? len - 1 : len), row->key);
   if (!is_in_place (cell, row, id))
     cell_row_bad (cell, row, CELL_ROW_KEY, "key");
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -191,12 +191,12 @@
  * this one's fence, and fenced the part in turn, the jobs that it stored and
  * started stand among those that are read here.  Jobs younger than the fence
  * are left to the feed, which begins at the own claim and tells of another one
- * first.
+ * first.  A cancel starts nothing, and counts from the beginning.
  */
 static void
 job_read (MuxCell *cell, const CellPart *part, const MuxCellRow *row)
 {
-  if (row->version < part->term_version)
+  if (row->version < part->term_version || cell_is_cancel (row))
     cell_jobs_row (cell, row);
 }
 
