--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -6,6 +6,12 @@
 /* call.c: calls and their replies. */
 /** cell_message() - to the daemon @to, with what every message has */
 MuxPeerMsg cell_message (const MuxCell *cell, MuxPeerVerb verb, const char *to);
+/** cell_ask_number() - of what a peer is asked, not given by any other process
+ */
+uint64_t cell_ask_number (const MuxCell *cell, uint64_t call);
+/** cell_call_asked() - the call that a peer's word belongs to; 0: none of ours
+ */
+uint64_t cell_call_asked (const MuxCell *cell, uint64_t number);
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
 /** cell_call_forget() - its reply will be ignored, whatever it says */
 void cell_call_forget (MuxCell *cell, uint64_t call_id);
@@ -52,6 +58,37 @@
 json_t *cell_carried_reply_json (const MuxCellReply *reply);
 MuxCellReply *cell_carried_reply (const json_t *json, uint64_t call_id);
 
+/* foreign.c: rows of the store that can't be read */
+/**
+ * enum CellRowFault - why a row can't be read
+ */
+typedef enum
+{
+  CELL_ROW_KEY,   /* its key or part is none of its table */
+  CELL_ROW_VALUE, /* no bytes, or none of the table's form */
+  CELL_ROW_FIELD, /* a field is missing, of another type or out of range */
+} CellRowFault;
+
+/** cell_row_bad() - the row is dropped; told once for each version of it
+ * @what: names the field or part of it that is wrong */
+void cell_row_bad (MuxCell *cell,
+                   const MuxCellRow *row,
+                   CellRowFault fault,
+                   const char *what);
+/** cell_row_json() - its value; NULL: removed, or told as unreadable */
+json_t *cell_row_json (MuxCell *cell, const MuxCellRow *row);
+/** cell_reply_row() - the row of that key; NULL: there is none */
+const MuxCellRow *cell_reply_row (const MuxCellReply *reply, const char *key);
+/** cell_next_page() - the first key of the page behind @reply
+ * Return: false, and @from empty, when there is none. */
+bool cell_next_page (char from[MUX_ROW_NAME_LEN], const MuxCellReply *reply);
+void cell_bad_rows_free (MuxCell *cell);
+
+/* service.c: pools of workers that queues have named */
+void cell_service_add (MuxCell *cell, const char *name);
+bool cell_service_named (const MuxCell *cell, uint64_t hash);
+void cell_services_free (MuxCell *cell);
+
 /* follow.c */
 void cell_follow_tick (MuxCell *cell, CellFollow *follow);
 void cell_follow_start (CellFollow *follow, uint64_t term, uint64_t version);
@@ -103,6 +140,9 @@
 void cell_claim_doubt (MuxCell *cell, const char *why);
 void cell_depose (MuxCell *cell, const char *why);
 bool cell_may_order (const MuxCell *cell);
+/** cell_jobs_whole() - all jobs are read anew from now on (not @ended), or have
+ * been */
+void cell_jobs_whole (MuxCell *cell, bool ended);
 void cell_verified (MuxCell *cell, int64_t at_ms);
 /** cell_write_claim() - the row that says who plans, on condition that it is
  * the one known; takes @value over */
@@ -161,9 +201,16 @@
 /** cell_stage_placed() - the last @tasks that waited were sent to workers */
 void cell_stage_placed (MuxCell *cell, const CellStage *stage, uint32_t tasks);
 
+/* wait.c */
+/** cell_waits_tick() - tell why the step that waits longest does */
+void cell_waits_tick (MuxCell *cell);
+
 /* progress.c */
 json_t *cell_progress_json (const MuxCell *cell, const CellJob *job);
-void cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
+/** cell_progress_apply() - what a former planner had stored of the job
+ * Return: the field that can't be read, and nothing is applied; NULL: done. */
+const char *
+cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
 void cell_progress_tick (MuxCell *cell);
 uint64_t cell_stored_seq (const MuxCell *cell);
 
@@ -190,6 +237,8 @@
 /* roster.c */
 void cell_roster_tick (MuxCell *cell);
 void cell_roster_load (MuxCell *cell);
+/** cell_in_roster() - the roster names it, or may do so */
+bool cell_in_roster (const CellWorker *worker);
 
 /* run.c: starts, stops, ends */
 CellBooking *
@@ -228,6 +277,12 @@
 const char *cell_approval_proof (const MuxCell *cell,
                                  const CellStage *stage,
                                  const CellWorker *worker);
+/** cell_approval_lasts() - its proof is still taken when a question about
+ * @count workers that is sent now was answered */
+bool cell_approval_lasts (const MuxCell *cell,
+                          const CellStage *stage,
+                          const CellWorker *worker,
+                          uint32_t count);
 CellApproval *cell_approval (CellStage *stage, const CellWorker *worker);
 /** cell_approvals_stored() - what was known when the job's progress was
  * written stands in the store */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -26,9 +26,11 @@
  * running tasks alone.  A successor waits it out before it counts a worker that
  * it never heard as free. */
 #define CELL_TRUST_MS 8000
-/* Keys of the rows of the claim, and of each part's fence. */
+/* Keys of the rows of the claim, and of each part's fence: one that each commit
+ * of progress renews, and one that stays for as long as a planner's term. */
 #define CELL_CLAIM_KEY "claim"
 #define CELL_FENCE_KEY "fence"
+#define CELL_TERM_KEY "term"
 
 typedef struct CellPending CellPending;
 typedef struct CellJob CellJob;
@@ -37,6 +39,8 @@
 typedef struct CellWorker CellWorker;
 typedef struct CellBooking CellBooking;
 typedef struct CellQuestion CellQuestion;
+typedef struct CellBadRow CellBadRow;
+typedef struct CellService CellService;
 
 typedef void (*CellDone) (MuxCell *cell,
                           const CellPending *pending,
@@ -197,7 +201,7 @@
   bool stopping;
   uint64_t asking; /* number of the approval question it works on */
   uint32_t asking_cost_ms;
-  int64_t asking_until_ms; /* then the answer counts as lost */
+  int64_t asking_until_ms; /* it is asked nothing before */
   UT_hash_handle hh;
 } CellMember;
 
@@ -276,6 +280,7 @@
  * @moved_ms: when that changed last
  * @stop_at_ms: when a stop is to be sent (again); 0: none wanted
  * @stop_clock_ms: worker's clock at the answered stop; 0: not answered
+ * @stopped_ms: when it was first to be stopped
  */
 struct CellBooking
 {
@@ -288,6 +293,7 @@
   int64_t moved_ms;
   int64_t stop_at_ms;
   int64_t stop_clock_ms;
+  int64_t stopped_ms;
   bool listed;
   CellBooking *prev;
   CellBooking *next;
@@ -307,12 +313,16 @@
  * @ready: its turn has come and some task waits: it is in the plan
  * @ready_ms: since when
  * @round: the planner's round of looks in which it was last looked at
+ * @looked_ms: when that was
+ * @told_ms: when the log last told that it waits; 0: never
  * @reserving: workers are kept free for it
  * @left: tasks not yet done
  * @run: GANG: number of its last run
  * @failures: GANG: runs that failed
  * @approval: by the worker's slot
  * @asking: an approval question is under way
+ * @asked_ms: when the last one was sent
+ * @lost_answers: not answered since one was in the usual time
  * @due_ms: when its occurrence should have ended
  * @worthless_ms: after which that end is worth nothing
  * @latest_ms: latest start of this stage that still meets that
@@ -326,6 +336,8 @@
   bool ready;
   int64_t ready_ms;
   uint64_t round;
+  int64_t looked_ms;
+  int64_t told_ms;
   bool reserving;
   uint64_t service;       /* hash of the pool that runs it */
   int64_t proof_until_ms; /* no proof is taken after this */
@@ -338,6 +350,8 @@
   uint32_t former_count;
   char (*former)[MUX_NAME_LEN]; /* workers that a former planner could use */
   bool asking;
+  int64_t asked_ms;
+  uint32_t lost_answers;
   int64_t ask_after_ms;
   int64_t due_ms;
   int64_t worthless_ms;
@@ -351,20 +365,31 @@
   CellStage *next;
 };
 
+/**
+ * enum CellOrigin - how the planner came to know of a job
+ */
+typedef enum
+{
+  CELL_ORIGIN_LOAD,   /* read at its takeover */
+  CELL_ORIGIN_FEED,   /* stored by another daemon meanwhile */
+  CELL_ORIGIN_COMMIT, /* stored by itself */
+} CellOrigin;
+
 /**
  * struct CellJob - a job that the planner carries
  * @version: of its row
  * @began_ms: accepted, on this daemon's steady clock
  * @due_ms: promised end
  * @worthless_ms: after which its end is worth nothing
- * @old: its row is older than the planner's claim: a former planner may have
- *   started tasks of it anywhere
+ * @old: its row is older than this planner's fence of the part: a former
+ *   planner may have started tasks of it anywhere
  * @started: some task has run
  * @cancelled: by its caller
  * @failed: a task failed too often
  * @ended: nothing is left to do but to store the end
  * @dirty: something is to be stored
  * @progress_stored: a row of its progress stands
+ * @progress_lost: it can't be read
  */
 struct CellJob
 {
@@ -377,6 +402,7 @@
   int64_t due_ms;
   int64_t worthless_ms;
   bool old;
+  CellOrigin origin;
   bool started;
   bool cancelled;
   bool failed;
@@ -387,6 +413,7 @@
   bool end_stored;
   bool dirty_again; /* changed since the commit on its way was made */
   bool progress_stored;
+  bool progress_lost;
   uint32_t bookings;
   uint32_t next_occurrence;
   uint32_t stage_count;
@@ -407,11 +434,23 @@
   UT_hash_handle hh;
 } CellEnded;
 
+/**
+ * enum CellRosterState - what the stored roster says of a worker
+ */
+typedef enum
+{
+  CELL_ROSTER_NONE = 1,   /* nothing: no next planner asks it */
+  CELL_ROSTER_NAMED = 2,  /* where it is: it may run something */
+  CELL_ROSTER_MARKED = 4, /* and when its lease is surely over */
+} CellRosterState;
+
 /**
  * struct CellWorker - one life of a worker, as the planner sees it
  * @slot: index of it in the stages' approvals; never used again in a term
  * @listed: in the platform's list
- * @in_roster: the stored roster names it, so that the next planner will ask
+ * @roster: all that the stored roster may say of it
+ * @roster_before: the same without the commit on its way
+ * @roster_asked: what that commit writes; 0: nothing of this worker
  * @heard: it has answered under our token: its list is complete
  * @reachable: the last call was answered
  * @clock_ms: its clock, as last told
@@ -421,6 +460,8 @@
  * @seen: ends up to this number are known
  * @store_seq: all ends up to @seen are stored once this number is reached
  * @booked: sum of its bookings
+ * @unserved_ms: how long it was avoided after its last start, as that was
+ *   refused or not answered; 0: it was served
  * @strikes: failed runs lately, without one that ended well between
  */
 struct CellWorker
@@ -430,16 +471,17 @@
   uint32_t slot;
   bool listed;
   int64_t unlisted_ms;
-  bool in_roster;
-  bool roster_asked;
-  bool lost_marked; /* the roster says when its lease is surely over */
-  bool mark_asked;
-  int64_t lost_ms; /* out of reach since; 0: it is not */
-  int64_t over_ms; /* as a former planner marked it; 0: not marked */
+  uint32_t roster; /* set of CellRosterState, as the two below */
+  uint32_t roster_before;
+  uint32_t roster_asked;
+  int64_t lost_ms;       /* out of reach since; 0: it is not */
+  int64_t over_ms;       /* as a former planner marked it; 0: not marked */
+  int64_t over_since_ms; /* its lease is over by what we know; 0: it is not */
   bool heard;
   bool reachable;
   bool dead;
   bool lost_life; /* another life answers at its address */
+  bool useless;   /* told that no queue names its service */
   int64_t clock_ms;
   int64_t clock_at_ms;
   int64_t lease_until_ms;
@@ -449,6 +491,7 @@
   bool renewing;
   int64_t next_renew_ms;
   int64_t avoid_until_ms;
+  int64_t unserved_ms;
   int64_t no_fill_until_ms;
   int64_t direct_until_ms; /* no other daemon calls it */
   uint32_t strikes;
@@ -464,6 +507,8 @@
 /**
  * struct CellPart - a part of the jobs' tables, as the planner keeps it
  * @fence_version: of the row that lets this planner change it
+ * @term_version: of the row that lets it store jobs and start them at once; a
+ *   former planner may have started any job that is older
  * @fenced: that row is ours
  * @fence_doubtful: a commit went unanswered, its version is to be read
  * @dirty: jobs with something to store
@@ -477,6 +522,7 @@
 {
   char name[MUX_ROW_NAME_LEN];
   uint64_t fence_version;
+  uint64_t term_version;
   bool fenced;
   bool fence_doubtful;
   bool reading_fence;
@@ -524,7 +570,8 @@
  */
 typedef struct
 {
-  bool known; /* the row, or its absence, has been read */
+  bool known;      /* the row, or its absence, has been read */
+  bool unreadable; /* somebody may plan, who can't be told */
   char name[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
   char heir[MUX_NAME_LEN]; /* of a claim given up: who should take it first */
@@ -541,12 +588,14 @@
   CellPending *pending;
   CellFollow follow[FOLLOW_COUNT];
   MuxQueueConfig *config;
+  CellService *services;
+  CellBadRow *bad_rows;
   CellPart part[CELL_PARTS];
   CellInquiry *inquiries;
 
   /* The store as this daemon sees it. */
-  int64_t store_clock_ms;    /* the store's steady clock at its last answer, */
-  int64_t store_clock_at_ms; /* and ours */
+  int64_t store_clock_ms;    /* the store's steady clock as last told, */
+  int64_t store_clock_at_ms; /* and ours when that call was sent */
   int64_t store_served_ms;   /* its last answer that was not a failure */
   int64_t store_failing_ms;  /* first failure since; 0: none */
   int64_t store_turned_ms;   /* it began to fail, or to serve again, then */
@@ -556,7 +605,13 @@
   CellRole role;
   uint64_t term; /* version of the claim held; 0: none */
   int64_t term_began_ms;
-  int64_t verified_ms; /* the claim was surely ours then */
+  int64_t planning_began_ms; /* all parts were fenced by then */
+  bool unconfirmed;          /* jobs were read without the claim beside them */
+  bool reading;              /* they still are */
+  bool confirming;           /* a call that reads the claim is on its way */
+  uint64_t readings;         /* of all jobs, begun so far */
+  int64_t verified_ms;       /* the claim was surely ours then */
+  int64_t doubted_ms;        /* when it was last in doubt */
   bool verifying;
   bool beating;
   int64_t next_beat_ms;
@@ -594,10 +649,14 @@
   uint64_t end_seq;
   bool roster_loaded;
   bool roster_busy;
+  uint64_t roster_fence;      /* version that its next commit expects */
+  bool roster_fence_doubtful; /* a commit went unanswered, it is to be read */
+  char roster_from[MUX_ROW_NAME_LEN]; /* first key of its next page */
   int64_t roster_next_ms;
   int64_t next_plan_ms;
   int64_t next_look_ms;
   int64_t next_overdue_ms;
+  int64_t next_wait_line_ms;
   int64_t slow_pass_ms;
   int64_t last_plan_ms;
   uint64_t next_question;
--- a/src/cell/inquiry.c
+++ b/src/cell/inquiry.c
@@ -128,13 +128,29 @@
   return cell_call (cell, call, &pending);
 }
 
+/* False: the row does not tell how the job ended. */
+static bool
+read_end (MuxCell *cell, const MuxCellRow *row, MuxJobState *state)
+{
+  json_t *json = cell_row_json (cell, row);
+  bool told = mux_job_state_parse (
+                  json_string_value (json_object_get (json, "state")), state)
+              && (*state == MUX_JOB_COMPLETED || *state == MUX_JOB_FAILED
+                  || *state == MUX_JOB_CANCELLED);
+
+  if (json != NULL && !told)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, "state");
+  json_decref (json);
+  return told;
+}
+
 static void
 ended_read (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
   CellInquiry *inquiry = find (cell, pending->number);
-  json_t *json;
+  const MuxCellRow *row;
   MuxJobState state = MUX_JOB_ABSENT;
 
   if (inquiry == NULL)
@@ -145,13 +161,18 @@
       retry_later (cell, inquiry, STEP_JOB);
       return;
     }
-  json = reply->row_count > 0 ? cell_blob_json (reply->row[0].value) : NULL;
-  if (json != NULL)
-    (void) mux_job_state_parse (
-        json_string_value (json_object_get (json, "state")), &state);
-  json_decref (json);
-  if (state == MUX_JOB_ABSENT)
-    end_with (cell, inquiry, MUX_OUTCOME_ABSENT);
+  row = cell_reply_row (reply, inquiry->id);
+  if (row == NULL)
+    {
+      end_with (cell, inquiry, MUX_OUTCOME_ABSENT);
+      return;
+    }
+  if (!read_end (cell, row, &state))
+    /* It ended, and how can't be told.  A caller who hears "no such job" would
+     * hand it in anew; that it can't be cancelled any more is true. */
+    end_with (cell, inquiry,
+              inquiry->verb == MUX_QUESTION_STATE ? MUX_OUTCOME_REFUSED
+                                                  : MUX_OUTCOME_ABSENT);
   else if (inquiry->verb == MUX_QUESTION_STATE)
     {
       cell_answer_state (cell, inquiry->call, state);
@@ -166,8 +187,11 @@
 static void
 job_found (MuxCell *cell, CellInquiry *inquiry, const MuxCellReply *reply)
 {
-  bool cancelled = reply->row_count > 1;
+  char cancel[MUX_ROW_NAME_LEN];
+  bool cancelled;
 
+  snprintf (cancel, sizeof cancel, "%s" CANCEL_MARK, inquiry->id);
+  cancelled = cell_reply_row (reply, cancel) != NULL;
   if (inquiry->verb == MUX_QUESTION_STATE)
     {
       cell_answer_state (cell, inquiry->call, MUX_JOB_ACTIVE);
@@ -209,9 +233,9 @@
   bool queue = inquiry->id[0] == 0;
 
   inquiry->next_ms = cell->time.now_ms + PLANNER_MS;
-  if (cell->claim.incarnation == 0)
+  if (cell->claim.incarnation == 0 || cell->role == CELL_PLANNING)
     return;
-  msg.call = inquiry->call;
+  msg.call = cell_ask_number (cell, inquiry->call);
   msg.body = cell_json_blob (json_pack ("{s:s}", queue ? "queue" : "id",
                                         queue ? inquiry->queue : inquiry->id));
   (void) cell->options.sink->peer_send (cell->options.sink, cell->claim.addr,
@@ -219,11 +243,24 @@
   mux_blob_unref (msg.body);
 }
 
+/* Its claim was in doubt, or it has become the planner since. */
+static bool
+count_here (MuxCell *cell, CellInquiry *inquiry)
+{
+  if (inquiry->id[0] != 0 || !cell_may_order (cell))
+    return false;
+  answer_pending (cell, inquiry->call, cell_pending_of (cell, inquiry->queue));
+  inquiry_end (cell, inquiry);
+  return true;
+}
+
 static void
 act (MuxCell *cell, CellInquiry *inquiry)
 {
   bool sent = true;
 
+  if (count_here (cell, inquiry))
+    return;
   inquiry->next_ms = inquiry->give_up_ms;
   if (inquiry->step == STEP_PLANNER)
     ask_planner (cell, inquiry);
@@ -237,7 +274,12 @@
     retry_later (cell, inquiry, STEP_JOB);
 }
 
-/* The planner itself needs no call for what it has in memory. */
+/*
+ * The planner itself needs no call for what it has in memory.  A state is at
+ * worst an old one there, as an end is shown only once it is stored.  A count
+ * of waiting jobs is given only while the claim is trusted: without a bound a
+ * planner that was replaced would go on to leave out what came since.
+ */
 static bool
 answer_here (MuxCell *cell,
              const MuxQuestion *question,
@@ -250,6 +292,8 @@
     return false;
   if (id[0] == 0)
     {
+      if (!cell_may_order (cell))
+        return false;
       answer_pending (cell, question->call, cell_pending_of (cell, queue));
       return true;
     }
@@ -337,14 +381,16 @@
     }
   told.job_state = state;
   json_decref (json);
-  (void) cell->options.sink->peer_send (cell->options.sink, msg->from_addr,
-                                        &told);
+  /* A count that is not to be trusted is asked for again. */
+  if (id != NULL || cell_may_order (cell))
+    (void) cell->options.sink->peer_send (cell->options.sink, msg->from_addr,
+                                          &told);
 }
 
 static void
 take (MuxCell *cell, const MuxPeerMsg *msg)
 {
-  CellInquiry *inquiry = find (cell, msg->call);
+  CellInquiry *inquiry = find (cell, cell_call_asked (cell, msg->call));
 
   if (inquiry == NULL || inquiry->step != STEP_PLANNER)
     return;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -1,6 +1,7 @@
 #include "cell_private.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define RETRY_MS 100
 
@@ -27,6 +28,9 @@
     }
   cell->roster_loaded = false;
   cell->roster_busy = false;
+  cell->roster_fence = 0;
+  cell->roster_fence_doubtful = false;
+  cell->roster_from[0] = 0;
   cell->roster_next_ms = 0;
 }
 
@@ -50,6 +54,7 @@
   if (reply->status == MUX_CELL_OK)
     {
       part->fence_version = reply->version;
+      part->term_version = reply->version;
       part->fenced = true;
       part_tick (cell, part);
     }
@@ -65,25 +70,53 @@
       = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
 }
 
+/* Both rows in one commit: from then on no former planner can store progress,
+ * nor jobs that it would start. */
 static void
 write_fence (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = cell_commit_call (part->name, 2);
+  MuxCellCall *call = cell_commit_call (part->name, 3);
   CellPending pending = of_part (cell, part, fence_written);
 
   if (call == NULL)
     return;
   cell_fence_add (cell, part, call);
+  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_FENCE, CELL_TERM_KEY)->value
+      = cell_json_blob (json_pack ("{s:I}", "term", (json_int_t) cell->term));
   part->reading_fence = cell_call (cell, call, &pending);
 }
 
+/*
+ * Guards against a fence that no planner can pass: one that can't be read, or
+ * that names a claim which there can't have been when it was written (versions
+ * rise), as another writer may leave.  It counts as older than any claim and is
+ * written over, on condition of its version; whose claim stands is read again
+ * before anything is ordered, as a planner of another version may have made it.
+ */
+static uint64_t
+fence_term (MuxCell *cell, const MuxCellRow *row)
+{
+  json_t *json = cell_row_json (cell, row);
+  json_int_t term = json_integer_value (json_object_get (json, "term"));
+  bool sound = term > 0 && (uint64_t) term <= row->version;
+
+  if (json != NULL && !sound)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, "term");
+  json_decref (json);
+  if (sound)
+    return (uint64_t) term;
+  cell_claim_doubt (cell, "fence_unreadable");
+  return 0;
+}
+
 static void
 fence_read (MuxCell *cell,
             const CellPending *pending,
             const MuxCellReply *reply)
 {
   CellPart *part = &cell->part[pending->part];
-  json_t *json;
+  const MuxCellRow *fence = cell_reply_row (reply, CELL_FENCE_KEY);
+  const MuxCellRow *term_row = cell_reply_row (reply, CELL_TERM_KEY);
   uint64_t term;
 
   part->reading_fence = false;
@@ -93,20 +126,21 @@
       part->load_next_ms += RETRY_MS;
       return;
     }
-  json = reply->row_count > 0 ? cell_blob_json (reply->row[0].value) : NULL;
-  term = (uint64_t) json_integer_value (json_object_get (json, "term"));
-  json_decref (json);
+  term = fence != NULL ? fence_term (cell, fence) : 0;
   if (term > cell->term)
     {
       cell_depose (cell, "fenced");
       return;
     }
-  part->fence_version = reply->row_count > 0 ? reply->row[0].version : 0;
+  part->fence_version = fence != NULL ? fence->version : 0;
   part->fence_doubtful = false;
-  if (term < cell->term)
-    write_fence (cell, part);
-  else
-    part->fenced = true;
+  if (term < cell->term || term_row == NULL)
+    {
+      write_fence (cell, part);
+      return;
+    }
+  part->term_version = term_row->version;
+  part->fenced = true;
 }
 
 void
@@ -122,16 +156,35 @@
 progress_row (MuxCell *cell, const MuxCellRow *row)
 {
   CellJob *job = cell_job_find (cell, row->key);
+  const char *wrong = NULL;
   json_t *json;
 
   if (job == NULL)
     return;
-  json = cell_blob_json (row->value);
+  json = cell_row_json (cell, row);
   job->progress_stored = true;
-  cell_progress_apply (cell, job, json);
+  if (json != NULL)
+    wrong = cell_progress_apply (cell, job, json);
+  if (wrong != NULL)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
+  job->progress_lost = json == NULL || wrong != NULL;
   json_decref (json);
 }
 
+/*
+ * Guards against a job that two planners start: where another claimed after
+ * this one's fence, and fenced the part in turn, the jobs that it stored and
+ * started stand among those that are read here.  Jobs younger than the fence
+ * are left to the feed, which begins at the own claim and tells of another one
+ * first.
+ */
+static void
+job_read (MuxCell *cell, const CellPart *part, const MuxCellRow *row)
+{
+  if (row->version < part->term_version)
+    cell_jobs_row (cell, row);
+}
+
 static void
 part_read (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
@@ -145,17 +198,12 @@
     }
   for (uint32_t i = 0; i < reply->row_count; i++)
     if (part->loading == MUX_TABLE_JOBS)
-      cell_jobs_row (cell, &reply->row[i]);
+      job_read (cell, part, &reply->row[i]);
     else
       progress_row (cell, &reply->row[i]);
-  if (reply->more && reply->row_count > 0)
-    cell_key_behind (part->load_from, reply->row[reply->row_count - 1].key);
-  else
-    {
-      part->load_from[0] = 0;
-      part->loading = part->loading == MUX_TABLE_JOBS ? MUX_TABLE_PROGRESS
-                                                      : MUX_TABLE_COUNT;
-    }
+  if (!cell_next_page (part->load_from, reply))
+    part->loading = part->loading == MUX_TABLE_JOBS ? MUX_TABLE_PROGRESS
+                                                    : MUX_TABLE_COUNT;
   part_tick (cell, part);
 }
 
@@ -203,6 +251,7 @@
   CellJob *next;
 
   cell->role = CELL_PLANNING;
+  cell->planning_began_ms = cell->time.now_ms;
   mux_count (cell->options.counters, MUX_COUNT_TERMS, 1);
   mux_observe (cell->options.counters, MUX_HIST_TAKEOVER,
                cell->time.now_ms - cell->term_began_ms);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -16,6 +16,8 @@
 #define WORLD_ROWS_MAX 16384
 #define WORLD_RUNS_MAX 64
 #define WORLD_STARTS_MAX 32768
+/* Time of day at the world's time 0. */
+#define WORLD_WALL_MS INT64_C (1700000000000)
 
 /**
  * enum WorldFault - what becomes of a call
@@ -27,8 +29,12 @@
   WORLD_LOSES_ANSWER, /* done, the caller hears nothing */
   WORLD_SILENT,       /* not done, the caller hears nothing; a store that goes
                          silent never answers what waits there, either */
+  WORLD_LATE,         /* the caller hears nothing; done @late_ms later */
 } WorldFault;
 
+/* Bit of a table in a daemon's @deaf. */
+#define WORLD_DEAF(table) (UINT32_C (1) << (table))
+
 typedef struct
 {
   MuxCellTable table;
@@ -39,10 +45,24 @@
   MuxBlob *value;
 } WorldRow;
 
+/* Kinds of log lines that are counted, more than the cores have. */
+#define WORLD_EVENTS_MAX 128
+
+/**
+ * struct WorldLogged - how often an event was logged by any cell
+ */
+typedef struct
+{
+  char event[MUX_NAME_LEN];
+  uint32_t count;
+} WorldLogged;
+
 /**
  * struct WorldRun - a run at a worker, running or ended and not acknowledged
  * @ends_ms: when it ends by itself; INT64_MAX: never
  * @number: of its end; 0: it runs
+ * @lapsed: its worker's lease ended before that end was acknowledged, so that
+ *   it counts as never told
  */
 typedef struct
 {
@@ -54,8 +74,20 @@
   uint64_t number;
   MuxRunEnd end;
   uint32_t percent;
+  bool lapsed;
 } WorldRun;
 
+/**
+ * struct WorldPast - the highest run of a task that ended, or was stopped, at
+ * a worker
+ */
+typedef struct
+{
+  char worker[MUX_NAME_LEN];
+  MuxTaskRef task;
+  uint32_t run;
+} WorldPast;
+
 /**
  * struct WorldWorker - one life of a worker
  * @fault: of START and STOP
@@ -77,6 +109,8 @@
   uint64_t fence;
   uint64_t next_end;
   int64_t lease_until_ms;
+  uint32_t calls;   /* that reached its address, from any cell */
+  uint32_t run_end; /* places of @run ever used, from the first */
   WorldRun run[WORLD_RUNS_MAX];
 } WorldWorker;
 
@@ -91,6 +125,7 @@
   int64_t at_ms;
   int64_t ended_ms; /* 0: it runs */
   MuxRunEnd end;
+  bool told; /* its end was acknowledged in time */
 } WorldStart;
 
 typedef struct WorldEvent WorldEvent;
@@ -103,15 +138,20 @@
   World *world;
   uint32_t number;
   MuxCell *cell;
+  uint64_t life; /* its process, by the order of their starts */
   bool frozen;
   bool dead;
   bool cut;                /* messages from and to other daemons are lost */
-  bool deaf;               /* its feeds of the claim and of jobs tell nothing */
+  uint32_t deaf;           /* WORLD_DEAF: its feeds of that table hang */
+  bool claim_away;         /* its calls to the claim's part get no answer */
   uint32_t far_workers;    /* so many, the first, are out of its reach */
+  uint32_t near_workers;   /* only so many, the first, are in it; 0: all */
+  int64_t wall_ms;         /* its time of day is ahead by this */
   uint32_t strength_milli; /* 0: a whole processor */
   WorldFault store;
-  uint64_t config_version; /* in force, as its log says */
-  uint32_t store_failing;  /* how often its log said so */
+  WorldFault commits[MUX_TABLE_COUNT]; /* that change such a row */
+  uint64_t config_version;             /* in force, as its log says */
+  uint32_t store_failing;              /* how often its log said so */
   char addr[MUX_ADDR_LEN];
 } WorldCell;
 
@@ -128,17 +168,28 @@
   WorldWorker worker[WORLD_WORKERS_MAX];
   uint32_t start_count;
   WorldStart start[WORLD_STARTS_MAX];
+  uint32_t past_count;
+  WorldPast *past;
   int64_t task_ms; /* run time of a task */
   bool peers_cut;  /* messages between daemons are lost */
   bool lose_approvals;
+  bool lists_backwards;    /* workers list what is newest first */
+  int64_t late_ms;         /* after which WORLD_LATE calls are carried out */
+  int64_t approval_ms;     /* time of an answer of the policy service, */
+  uint32_t approval_us;    /* and for each worker named in the question */
   uint32_t approve_one_in; /* workers, by number; 0: all */
+  bool approve_by_job;     /* other workers for each job */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   int64_t store_ms;        /* time of a call to the store */
+  uint32_t page_rows;      /* most rows of one reading; 0: all */
   uint32_t approvals_asked;
+  uint32_t waits_told; /* lines of why a step waits */
+  char wait_lacks[32]; /* what the last of them says it lacks */
   uint32_t commits;
   uint32_t own_commits[WORLD_CELLS_MAX];  /* by the daemon that made them */
   uint32_t worker_calls[WORLD_CELLS_MAX]; /* by the daemon that made them */
   clock_t core_clock; /* processor time inside the cores' ticks and replies */
+  WorldLogged logged[WORLD_EVENTS_MAX];
   WorldEvent *events;
   MuxQuestionReply answer[8192]; /* by the question's call */
   bool answered[8192];
@@ -169,6 +220,9 @@
 MuxJobState world_state (World *world, uint32_t cell, const char *id);
 /** world_starts() - of the tasks of a job */
 uint32_t world_starts (const World *world, const char *id);
+/** world_twice_told() - two runs of a task at once, or one after it was done
+ * and that end was acknowledged, then or later */
+bool world_twice_told (const World *world);
 /** world_twice() - two runs of a task at once, or one after it was done */
 bool world_twice (const World *world);
 /** world_job() - @steps steps of @tasks tasks, one after the other */
@@ -177,6 +231,31 @@
 void world_change_config (World *world);
 /** world_make_urgent() - the queue's jobs, from now on */
 void world_make_urgent (World *world);
+/** world_put_row() - as any writer may; @value NULL: none that can be read */
+void world_put_row (World *world,
+                    MuxCellTable table,
+                    const char *part,
+                    const char *key,
+                    const char *value);
+/** world_remove_row() - as any writer may */
+void world_remove_row (World *world,
+                       MuxCellTable table,
+                       const char *part,
+                       const char *key);
+/** world_list_as() - an entry in the list of workers, under any key */
+void world_list_as (World *world,
+                    const char *part,
+                    const char *key,
+                    const MuxWorkerInfo *info);
+/** world_logged() - how often the cells logged @event */
+uint32_t world_logged (const World *world, const char *event);
+/** world_ask_slowly() - the policy service takes so long from now on, and the
+ * queue's configuration says so */
+void world_ask_slowly (World *world, uint32_t base_ms, uint32_t per_worker_us);
+/** world_worker_drains() - it says that it will leave, or no longer */
+void world_worker_drains (World *world, uint32_t worker, bool draining);
+/** world_worker_unlist() - its entry lapses, or is back; it runs on */
+void world_worker_unlist (World *world, uint32_t worker, bool gone);
 /** world_worker_restart() - a new life at the same address */
 void world_worker_restart (World *world, uint32_t worker);
 
