cell: one numbering of calls, that of the process

Change: the core's own calls and questions bear their numbers alone; callers', which are given outside of it, are told apart by the incarnation added.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -184,7 +184,7 @@
       json_decref (question);
       return sent;
     }
-  msg.call = cell_ask_number (cell, number);
+  msg.call = number;
   msg.body = cell_json_blob (question);
   sent = msg.body != NULL
          && cell->options.sink->peer_send (cell->options.sink, member->addr,
--- a/src/cell/approve_peer.c
+++ b/src/cell/approve_peer.c
@@ -105,8 +105,8 @@
                 proof != NULL ? proof : "");
     }
   cell_took_answer (
-      cell, cell_call_asked (cell, msg->call), msg->found && approvals != NULL,
-      approvals, approvals != NULL ? (uint32_t) count : 0,
+      cell, msg->call, msg->found && approvals != NULL, approvals,
+      approvals != NULL ? (uint32_t) count : 0,
       (uint32_t) json_integer_value (json_object_get (json, "valid_ms")));
   free (approvals);
   json_decref (json);
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -11,9 +11,6 @@
  * callers are refused at once rather than held.  Three short tries. */
 #define STORE_AWAY_MS 400
 
-/* A process makes fewer calls than 2 to this power in each ms of its life. */
-#define CALLS_PER_MS_BITS 20
-
 static void
 count_call (MuxCell *cell, MuxCellVerb verb)
 {
@@ -220,22 +217,21 @@
 
 /*
  * Guards against a peer's word that was asked for by a former process of the
- * same name: calls are numbered from 1 in each, so that the word would be taken
- * for another caller's, and accept a job that is not stored.  Processes are
- * told apart by the ms in which they began.
+ * same name.  Callers are numbered outside of the core; where that begins anew
+ * with each process the word would be taken for another caller's, and accept a
+ * job that is not stored.  Incarnations of two processes lie further apart than
+ * either has callers, so that a number of the other belongs to nobody here.
  */
 uint64_t
 cell_ask_number (const MuxCell *cell, uint64_t call)
 {
-  return (cell->options.incarnation << CALLS_PER_MS_BITS) + call;
+  return cell->options.incarnation + call;
 }
 
 uint64_t
 cell_call_asked (const MuxCell *cell, uint64_t number)
 {
-  uint64_t first = cell->options.incarnation << CALLS_PER_MS_BITS;
-
-  return number > first ? number - first : 0;
+  return number - cell->options.incarnation;
 }
 
 MuxCellChange *
--- a/src/cell/carry.c
+++ b/src/cell/carry.c
@@ -82,7 +82,7 @@
     }
   entry->verb = call->verb;
   entry->overdue_ms = cell->time.now_ms + call->timeout_ms + WAY_MS;
-  msg.call = cell_ask_number (cell, entry->call_id);
+  msg.call = entry->call_id;
   msg.body = cell_json_blob (cell_carried_call_json (call));
   sent = msg.body != NULL
          && cell->options.sink->peer_send (cell->options.sink, carrier->addr,
@@ -168,8 +168,7 @@
 take (MuxCell *cell, const MuxPeerMsg *msg)
 {
   json_t *json = cell_blob_json (msg->body);
-  MuxCellReply *reply
-      = cell_carried_reply (json, cell_call_asked (cell, msg->call));
+  MuxCellReply *reply = cell_carried_reply (json, msg->call);
 
   json_decref (json);
   if (reply != NULL)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -6,11 +6,10 @@
 /* call.c: calls and their replies. */
 /** cell_message() - to the daemon @to, with what every message has */
 MuxPeerMsg cell_message (const MuxCell *cell, MuxPeerVerb verb, const char *to);
-/** cell_ask_number() - of what a peer is asked, not given by any other process
- */
+/** cell_ask_number() - of what a peer is asked for a caller, not given by any
+ * other process */
 uint64_t cell_ask_number (const MuxCell *cell, uint64_t call);
-/** cell_call_asked() - the call that a peer's word belongs to; 0: none of ours
- */
+/** cell_call_asked() - the caller that a peer's word is for */
 uint64_t cell_call_asked (const MuxCell *cell, uint64_t number);
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
 /** cell_call_forget() - its reply will be ignored, whatever it says */
