cell: a test that fails, a cancel behind the fence

A successor leaves the rows that are younger than its fence to the feed, so that it takes up no job that another planner has started since. Cancels lie among the jobs and are passed over with them, though a cancel whoever stored it only ends something: until the feed tells of it the cancelled job is planned.

Ruled out: that the first pass waits for the feed. It waits for the list of workers, which another call brings; where the feed's first call is lost, that is 1.6 s earlier.

In the test a successor takes 6 s to read from a slow store; a job cancelled in the first second of it is started over 2 s after the cancel was acknowledged.

Rows of cancels should be read whatever their version.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -294,6 +294,93 @@
   world_free (world);
 }
 
+#define SLOW_STORE_MS 300
+/* After a cancel was acknowledged nothing of the job is started. */
+#define CANCEL_MS 2000
+/* A feed's call that is lost without a sign is given up after so long. */
+#define LOST_CALL_MS 1600
+
+/* Parts that the daemon which holds the claim has fenced. */
+static uint32_t
+fenced (const World *world)
+{
+  uint64_t claim = world_claim_version (world);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->row_count; i++)
+    n += world->row[i].table == MUX_TABLE_FENCE
+         && strcmp (world->row[i].key, "fence") == 0
+         && world->row[i].version > claim;
+  return n;
+}
+
+static void
+wait_for_fences_of_a_successor (World *world, uint32_t planner)
+{
+  uint64_t version = world_claim_version (world);
+
+  world_cell_kill (world, planner);
+  while (world_claim_version (world) == version || fenced (world) < PARTS)
+    world_run (world, 1);
+}
+
+/*
+ * A cancelled job is started seconds after its cancel was acknowledged.  A
+ * successor has fenced the parts and reads many jobs from a slow store; a
+ * caller cancels one of them meanwhile.  The cancel is younger than the fence
+ * and is passed over where it is read; the call that follows the jobs is lost,
+ * and the planner, served quickly again, starts the job.
+ */
+static void
+test_cancel_behind_the_fence_is_read (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint64_t cancel;
+  int64_t acked_ms;
+  uint32_t plans;
+
+  (void) state;
+  world_run (world, 1000);
+  set_workers (world, WORLD_REFUSES);
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      char name[8];
+
+      snprintf (name, sizeof name, "job%u", i);
+      submit_jobs (world, planner, name);
+      world_run (world, 200);
+    }
+  (void) world_submit (world, planner, world_job (1, 1, 1000), "zz");
+  world_run (world, 1000);
+  world->page_rows = 1;
+  world->store_ms = SLOW_STORE_MS;
+  wait_for_fences_of_a_successor (world, planner);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].deaf = WORLD_DEAF (MUX_TABLE_JOBS);
+  cancel = world_ask (world, (planner + 1) % CELLS, MUX_QUESTION_CANCEL, "zz");
+  while (!world->answered[cancel])
+    world_run (world, 1);
+  assert_int_equal (world->answer[cancel].outcome, MUX_OUTCOME_CANCELLED);
+  acked_ms = world->now_ms;
+  set_workers (world, WORLD_SERVES);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].fails = false;
+  plans = world_logged (world, "planning");
+  while (world_logged (world, "planning") == plans)
+    world_run (world, 1);
+  world->page_rows = 0;
+  world->store_ms = USUAL_ANSWER_MS;
+  world_run (world, LOST_CALL_MS);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].deaf = 0;
+  world_run (world, 5000);
+  for (uint32_t i = 0; i < world->start_count; i++)
+    if (strcmp (world->start[i].task.job, "zz") == 0)
+      assert_true (world->start[i].at_ms - acked_ms < CANCEL_MS);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -303,6 +390,7 @@
     cmocka_unit_test (test_term_row_of_another_writer_is_passed),
     cmocka_unit_test (test_no_run_number_is_given_in_two_terms),
     cmocka_unit_test (test_record_names_workers_of_adopted_runs),
+    cmocka_unit_test (test_cancel_behind_the_fence_is_read),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
