cell: a test that fails, steps that look for unheard workers one by one

After a takeover each waiting step of an old job goes through all workers, in each pass, to find that one of them is not heard.

Ruled out: what else a pass does.

Whether all workers are heard should be found once in a pass.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -381,6 +381,55 @@
   world_free (world);
 }
 
+#define LARGE_WORKERS 352
+#define WAITING_JOBS 3000
+/* Of a core, that a planner may take while it only waits. */
+#define SHARE_MAX_PERCENT 50
+
+/*
+ * A successor of a cell of 352 workers with 3000 urgent jobs waiting can't
+ * reach one worker: until its lease is surely over nothing is started, and the
+ * planner takes all of its processor.  Each look at a waiting step goes through
+ * all workers to find that one is not heard, and counts as no look.
+ */
+static void
+test_waiting_for_a_worker_costs_little (void **state)
+{
+  World *world = world_new (CELLS, LARGE_WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t plans;
+  clock_t began;
+  uint32_t percent;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  for (uint32_t i = 0; i < LARGE_WORKERS; i++)
+    world->worker[i].fault = WORLD_REFUSES;
+  for (uint32_t i = 0; i < WAITING_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "wait-%u", i);
+      (void) world_submit (world, planner, world_job (1, 1, 1000), id);
+      if (i % 20 == 0)
+        world_run (world, 20);
+    }
+  world_run (world, 2000);
+  world->worker[99].cut = true;
+  plans = world_logged (world, "planning");
+  world_cell_kill (world, planner);
+  while (world_logged (world, "planning") == plans)
+    world_run (world, 1);
+  world_run (world, 1500);
+  began = world->core_clock;
+  world_run (world, 1000);
+  percent = (uint32_t) ((world->core_clock - began) * 100 / CLOCKS_PER_SEC);
+  print_message ("%u %% of a core, %u starts\n", percent, world->start_count);
+  assert_true (percent < SHARE_MAX_PERCENT);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -391,6 +440,7 @@
     cmocka_unit_test (test_no_run_number_is_given_in_two_terms),
     cmocka_unit_test (test_record_names_workers_of_adopted_runs),
     cmocka_unit_test (test_cancel_behind_the_fence_is_read),
+    cmocka_unit_test (test_waiting_for_a_worker_costs_little),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
