cell: a test that fails, workers asked without a pause

A renewal waits for news only where all ends that are known were acknowledged. Where they are not stored yet it is answered at once; the pause before the next one is made only if the answer told of a new end, and else the next tick sends it.

Ruled out: a worker that can't be reached (200 ms pause) and ends that are new in each answer (200 ms).

The pause belongs to each renewal that does not wait.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -430,6 +430,41 @@
   world_free (world);
 }
 
+/* A worker with ends that are not stored yet is asked this often. */
+#define ASKED_PER_S 5
+
+/*
+ * Each worker is asked hundreds of times a second, and each time is paid for.
+ * Tasks have ended while the store does not take the planner's progress: their
+ * ends are known and can't be acknowledged.  A renewal does not wait for news
+ * then, and as its answer tells nothing new it is sent again at once.
+ */
+static void
+test_unstored_ends_are_not_asked_for_without_pause (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t before;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = 300;
+  (void) world_submit (world, planner, world_job (1, WORKERS, ALL_CPU_MILLI),
+                       "job-a");
+  world_run (world, 200);
+  assert_int_equal (world_starts (world, "job-a"), WORKERS);
+  all_progress (world, WORLD_REFUSES);
+  world_run (world, 1000);
+  before = world->worker_calls[planner];
+  world_run (world, 2000);
+  print_message ("%u calls a second and worker\n",
+                 (world->worker_calls[planner] - before) / 2 / WORKERS);
+  assert_true (world->worker_calls[planner] - before
+               <= (ASKED_PER_S + 1) * 2 * WORKERS);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -441,6 +476,7 @@
     cmocka_unit_test (test_record_names_workers_of_adopted_runs),
     cmocka_unit_test (test_cancel_behind_the_fence_is_read),
     cmocka_unit_test (test_waiting_for_a_worker_costs_little),
+    cmocka_unit_test (test_unstored_ends_are_not_asked_for_without_pause),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
