cell: a test that fails, an end of a job that can't be read

A job's row that a planner can't read is dropped, so that a daemon that can goes on with it. What workers list of such a job counts as of no job: its run is stopped as a stray one, its end is acknowledged and forgotten. The daemon that can read the row starts the task again though it was done.

Ruled out: jobs that are younger than the fence, which come by the feed. Whoever could start one either had it before the fence, or saw the claim before it.

It takes a row that some daemons can read and others can't, as two versions of the program may write; where memory is out the same follows.

Ends of a job whose row stands and is not in use should not be acknowledged.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -2,6 +2,8 @@
 #include "support/test.h"
 
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* What a planner that is replaced, or in doubt, leaves behind. */
 
@@ -465,6 +467,72 @@
   world_free (world);
 }
 
+/* The value of a row as text; NULL: there is none. */
+static char *
+row_text (const World *world, MuxCellTable table, const char *key)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    {
+      const WorldRow *row = &world->row[i];
+
+      if (row->table == table && !row->removed && strcmp (row->key, key) == 0)
+        return strndup (row->value->bytes, row->value->len);
+    }
+  return NULL;
+}
+
+static const char *
+part_of (const World *world, const char *key)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (world->row[i].table == MUX_TABLE_JOBS
+        && strcmp (world->row[i].key, key) == 0)
+      return world->row[i].part;
+  return "";
+}
+
+static void
+take_over (World *world)
+{
+  uint32_t planner = world_planner (world);
+
+  world_cell_kill (world, planner);
+  world_run (world, 4000);
+  assert_int_not_equal (world_planner (world), planner);
+}
+
+/*
+ * A task that is done runs again.  A planner can't read the row of a job whose
+ * task runs; the run's end counts as one of no job, is acknowledged and
+ * forgotten.  The next planner can read the row and starts the task.
+ */
+static void
+test_end_of_an_unreadable_job_is_not_acknowledged (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  char part[MUX_ROW_NAME_LEN];
+  char *text;
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = 4000;
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 1000),
+                       "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  text = row_text (world, MUX_TABLE_JOBS, "job-a");
+  snprintf (part, sizeof part, "%s", part_of (world, "job-a"));
+  world_put_row (world, MUX_TABLE_JOBS, part, "job-a", "{}");
+  /* It ends while nobody plans. */
+  world->worker[world->start[0].worker].run[0].ends_ms = world->now_ms + 400;
+  take_over (world);
+  world_put_row (world, MUX_TABLE_JOBS, part, "job-a", text);
+  free (text);
+  take_over (world);
+  assert_false (world_twice_told (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -477,6 +545,7 @@
     cmocka_unit_test (test_cancel_behind_the_fence_is_read),
     cmocka_unit_test (test_waiting_for_a_worker_costs_little),
     cmocka_unit_test (test_unstored_ends_are_not_asked_for_without_pause),
+    cmocka_unit_test (test_end_of_an_unreadable_job_is_not_acknowledged),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
