cell: adopted runs are named once all are found

Cause: a record that named the workers of some adopted runs, while others were not found yet, would make the next planner wait for those alone. Change: they are named once nothing of a former planner can be unknown. Conclusion: the rule that an empty record means all workers holds.

--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -76,7 +76,7 @@
  * for no approval of this planner may ever name them.
  */
 json_t *
-cell_approvals_json (const MuxCell *cell, const CellStage *stage)
+cell_approvals_json (MuxCell *cell, const CellStage *stage)
 {
   json_t *list = json_array ();
   const CellWorker *worker;
@@ -87,7 +87,8 @@
   HASH_ITER (hh, cell->workers, worker, next)
   if (is_approved (stage, worker) && !is_former (stage, worker->info.id))
     (void) json_array_append_new (list, json_string (worker->info.id));
-  add_adopted (stage, list);
+  if (cell_stage_is_settled (cell, stage))
+    add_adopted (stage, list);
   return list;
 }
 
@@ -126,7 +127,7 @@
 }
 
 bool
-cell_stage_is_settled (MuxCell *cell, CellStage *stage)
+cell_stage_is_settled (MuxCell *cell, const CellStage *stage)
 {
   const MuxQueueSpec *queue = &stage->job->spec->queue;
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -207,7 +207,7 @@
 void cell_waits_tick (MuxCell *cell);
 
 /* progress.c */
-json_t *cell_progress_json (const MuxCell *cell, const CellJob *job);
+json_t *cell_progress_json (MuxCell *cell, const CellJob *job);
 /** cell_progress_apply() - what a former planner had stored of the job
  * Return: the field that can't be read, and nothing is applied; NULL: done. */
 const char *
@@ -291,11 +291,11 @@
 /** cell_approvals_written() - they go into a commit */
 void cell_approvals_written (CellStage *stage);
 /** cell_approvals_json() - ids of workers that the stage may run on */
-json_t *cell_approvals_json (const MuxCell *cell, const CellStage *stage);
+json_t *cell_approvals_json (MuxCell *cell, const CellStage *stage);
 void cell_approvals_apply (CellStage *stage, const json_t *json);
 /** cell_stage_is_settled() - no run of it that a former planner started can
  * be anywhere without being known */
-bool cell_stage_is_settled (MuxCell *cell, CellStage *stage);
+bool cell_stage_is_settled (MuxCell *cell, const CellStage *stage);
 /** cell_took_answer() - the question of that number was answered, or is lost */
 void cell_took_answer (MuxCell *cell,
                        uint64_t number,
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -115,7 +115,7 @@
 }
 
 static json_t *
-stage_json (const MuxCell *cell, const CellStage *stage)
+stage_json (MuxCell *cell, const CellStage *stage)
 {
   char bitmap[MUX_STEP_TASKS_MAX / BITS_PER_DIGIT + 2];
 
@@ -129,7 +129,7 @@
 }
 
 json_t *
-cell_progress_json (const MuxCell *cell, const CellJob *job)
+cell_progress_json (MuxCell *cell, const CellJob *job)
 {
   json_t *stages = json_array ();
 
@@ -396,7 +396,7 @@
 }
 
 static void
-add_job (const MuxCell *cell, MuxCellCall *call, CellJob *job)
+add_job (MuxCell *cell, MuxCellCall *call, CellJob *job)
 {
   char cancel[MUX_ROW_NAME_LEN];
 
