cell: what proves a term, and the rows of the jobs' table, in files of their own

Change: moved, with no decision altered: proof.c has by what right a planner orders, job_rows.c what the jobs' rows say. Conclusion: no behaviour changed.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -136,16 +136,22 @@
 void cell_claim_row (MuxCell *cell, const MuxCellRow *row);
 void cell_claim_whole (MuxCell *cell, bool ended);
 void cell_claim_peer (MuxCell *cell, const MuxPeerMsg *msg);
-void cell_claim_doubt (MuxCell *cell, const char *why);
 void cell_depose (MuxCell *cell, const char *why);
+/** cell_write_claim() - the row that says who plans, on condition that it is
+ * the one known; takes @value over; @done finds the term in its number */
+bool cell_write_claim (MuxCell *cell, json_t *value, CellDone done);
+
+/* proof.c: what proves a planner's term */
+/** cell_proof_begin() - a term begins */
+void cell_proof_begin (MuxCell *cell);
+/** cell_proof_tick() - keep it proved; @paused_ms: since the last event */
+void cell_proof_tick (MuxCell *cell, int64_t paused_ms);
+void cell_claim_doubt (MuxCell *cell, const char *why);
 bool cell_may_order (const MuxCell *cell);
 /** cell_jobs_whole() - all jobs are read anew from now on (not @ended), or have
  * been */
 void cell_jobs_whole (MuxCell *cell, bool ended);
 void cell_verified (MuxCell *cell, int64_t at_ms);
-/** cell_write_claim() - the row that says who plans, on condition that it is
- * the one known; takes @value over; @done finds the term in its number */
-bool cell_write_claim (MuxCell *cell, json_t *value, CellDone done);
 
 /* leave.c: who plans next when a planner leaves by itself */
 void cell_yield_begin (MuxCell *cell);
@@ -170,11 +176,8 @@
 CellJob *cell_job_add (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
 CellJob *cell_job_find (MuxCell *cell, const char *id);
 void cell_job_free (MuxCell *cell, CellJob *job);
-/** cell_jobs_take() - a job that this planner stored itself; takes @spec */
-void cell_jobs_take (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
-void cell_jobs_row (MuxCell *cell, const MuxCellRow *row);
-/** cell_is_cancel() - the row of the jobs' table is a job's cancel */
-bool cell_is_cancel (const MuxCellRow *row);
+/** cell_known_as_ended() - it ended while this daemon planned */
+bool cell_known_as_ended (MuxCell *cell, const char *id);
 void cell_job_cancel (MuxCell *cell, CellJob *job);
 void cell_job_fail (MuxCell *cell, CellJob *job, const char *why);
 void cell_job_advance (MuxCell *cell, CellJob *job);
@@ -187,6 +190,13 @@
 CellTask *cell_task_find (MuxCell *cell, const MuxTaskRef *ref);
 MuxTaskRef cell_task_ref (const CellTask *task);
 
+/* job_rows.c: the jobs' table */
+/** cell_jobs_take() - a job that this planner stored itself; takes @spec */
+void cell_jobs_take (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
+void cell_jobs_row (MuxCell *cell, const MuxCellRow *row);
+/** cell_is_cancel() - the row of the jobs' table is a job's cancel */
+bool cell_is_cancel (const MuxCellRow *row);
+
 /* stage.c */
 /** cell_stage_new() - @began_ms: when its occurrence was due to begin */
 CellStage *cell_stage_new (CellJob *job,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -26,9 +26,15 @@
  * running tasks alone.  A successor waits it out before it counts a worker that
  * it never heard as free. */
 #define CELL_TRUST_MS 8000
-/* Keys of the rows of the claim, and of each part's fence: one that each commit
- * of progress renews, and one that stays for as long as a planner's term. */
+/* A pause of this thread's work after which the claim is read again before
+ * anything is ordered: the instance may have been frozen while another took
+ * over.  Well over what a busy core takes between two ticks. */
+#define CELL_PAUSE_MS 700
+/* Keys of the rows of the claim and its sign of life, and of each part's fence:
+ * one that each commit of progress renews, and one that stays for as long as a
+ * planner's term. */
 #define CELL_CLAIM_KEY "claim"
+#define CELL_BEAT_KEY "beat"
 #define CELL_FENCE_KEY "fence"
 #define CELL_TERM_KEY "term"
 
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -5,10 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BEAT_KEY "beat"
-/* The planner writes a sign of life into the store this often; two of them fit
- * into dead_ms.  Each is a call that is paid for. */
-#define BEAT_MS 500
 /* Time between greetings to the planner; six of them fit into dead_ms. */
 #define HELLO_MS 250
 /* Daemons claim one after the other, spread over this time, so that the first
@@ -18,11 +14,8 @@
  * of it, claims first; one of none would wait so much longer. */
 #define STRONG_MILLI 250
 #define WEAK_WAIT_MS 800
-/* After a failed try, */
+/* After a failed try. */
 #define RETRY_MS 300
-/* and after a failed reading of the own claim, for which all starts wait: each
- * reading is paid for, a refused one too. */
-#define VERIFY_RETRY_MS 100
 /* A planner that the store turns away while it serves others is replaced after
  * this time, */
 #define STORE_BAD_MS 600
@@ -31,35 +24,6 @@
 #define PROBES_APART_MS 500
 /* The heir of a claim given up has so much of a start before the others. */
 #define HEIR_MS 350
-/* A pause of this thread's work after which the claim is read again before
- * anything is ordered: the instance may have been frozen while another took
- * over.  Well over what a busy core takes between two ticks. */
-#define PAUSE_MS 700
-
-bool
-cell_may_order (const MuxCell *cell)
-{
-  return cell->role == CELL_PLANNING && cell->verified_ms != 0
-         && cell->time.now_ms - cell->verified_ms < CELL_TRUST_MS;
-}
-
-/* What was asked before a doubt arose says nothing about it: an answer that
- * lay in a frozen instance's queue would end the doubt of its own pause. */
-void
-cell_verified (MuxCell *cell, int64_t at_ms)
-{
-  if (at_ms > cell->verified_ms && at_ms >= cell->doubted_ms)
-    cell->verified_ms = at_ms;
-}
-
-void
-cell_claim_doubt (MuxCell *cell, const char *why)
-{
-  if (cell->verified_ms != 0)
-    cell_log (cell, "claim_doubted", "{s:s}", "why", why);
-  cell->verified_ms = 0;
-  cell->doubted_ms = cell->time.now_ms;
-}
 
 void
 cell_depose (MuxCell *cell, const char *why)
@@ -107,13 +71,8 @@
   cell->role = CELL_LOADING;
   cell->term = cell->claim.version;
   cell->term_began_ms = cell->time.now_ms;
-  cell->verifying = false;
-  cell->beating = false;
-  cell->unconfirmed = false;
-  cell->reading = false;
-  cell->confirming = false;
+  cell_proof_begin (cell);
   cell_yield_begin (cell);
-  cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
   cell->end_seq = 0;
   cell->worker_slots = 0;
   cell_log (cell, "planner_began", "{s:I, s:i}", "term",
@@ -221,7 +180,7 @@
       cell_row_bad (cell, row, CELL_ROW_KEY, "part");
       return;
     }
-  if (row->table == MUX_TABLE_CLAIM && strcmp (row->key, BEAT_KEY) == 0
+  if (row->table == MUX_TABLE_CLAIM && strcmp (row->key, CELL_BEAT_KEY) == 0
       && row->version > cell->beat_version)
     {
       cell->beat_version = row->version;
@@ -452,134 +411,6 @@
     look_before_claim (cell);
 }
 
-static void
-claim_checked (MuxCell *cell,
-               const CellPending *pending,
-               const MuxCellReply *reply)
-{
-  cell->verifying = false;
-  if (reply->status != MUX_CELL_OK || reply->row_count == 0)
-    {
-      cell->next_verify_ms = cell->time.now_ms + VERIFY_RETRY_MS;
-      return;
-    }
-  for (uint32_t i = 0; i < reply->row_count; i++)
-    {
-      const MuxCellRow *row = &reply->row[i];
-
-      cell_claim_row (cell, row);
-      if (cell->role != CELL_FOLLOWER && row->version == cell->term)
-        cell_verified (cell, pending->sent_ms);
-    }
-}
-
-static void
-confirmed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
-{
-  cell->confirming = false;
-  claim_checked (cell, pending, reply);
-  if (reply->status != MUX_CELL_OK || cell->term != pending->term
-      || pending->number != cell->readings || cell->reading)
-    return;
-  cell->unconfirmed = false;
-  cell->replan = true;
-}
-
-/*
- * Guards against a planner that lost the history of the jobs and was replaced
- * in it.  It reads the jobs anew, part by part, and finds those that its
- * successor has stored and started; the claim, which a feed would have told of
- * before them, stands in none of the parts.  Nothing is placed until the claim
- * has been read once more after the last part: then it stood when they were
- * read, and all that changes later comes by the feed again.
- */
-static void
-confirm (MuxCell *cell)
-{
-  CellPending pending
-      = { .done = confirmed, .term = cell->term, .number = cell->readings };
-
-  cell->confirming
-      = cell_call (cell, cell_scan_call (MUX_TABLE_CLAIM, ""), &pending);
-}
-
-void
-cell_jobs_whole (MuxCell *cell, bool ended)
-{
-  cell->unconfirmed = true;
-  cell->reading = !ended;
-  if (!ended)
-    cell->readings++;
-}
-
-static void
-beaten (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
-{
-  cell->beating = false;
-  if (reply->status == MUX_CELL_OK)
-    cell_verified (cell, pending->sent_ms);
-  else if (reply->status == MUX_CELL_CONFLICT)
-    cell_claim_doubt (cell, "beat_conflict");
-}
-
-/*
- * Guards against planners that replace each other in turn: a daemon that is
- * cut off from the others, but not from the store, hears no planner and would
- * claim, upon which the others hear none.  All follow the table of the claim;
- * a sign of life there counts like a greeting, so that only a planner that is
- * silent on both ways is replaced.  Its condition confirms the claim besides.
- */
-static void
-beat (MuxCell *cell)
-{
-  MuxCellCall *call = cell_commit_call ("", 2);
-  CellPending pending = { .done = beaten, .term = cell->term };
-
-  cell->next_beat_ms = cell->time.now_ms + BEAT_MS;
-  if (call == NULL)
-    return;
-  cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->term);
-  cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_CLAIM, BEAT_KEY)->value
-      = mux_blob_new ("{}", 2);
-  cell->beating = cell_call (cell, call, &pending);
-}
-
-static void
-verify (MuxCell *cell)
-{
-  CellPending pending = { .done = claim_checked, .term = cell->term };
-
-  cell->verifying
-      = cell_call (cell, cell_scan_call (MUX_TABLE_CLAIM, ""), &pending);
-}
-
-/*
- * Guards against a planner that was frozen, or whose instance was suspended,
- * while another took over: it wakes with all its state and would go on to
- * order.  The steady clock used here counts suspended time, so the pause shows
- * between two ticks; nothing is ordered until the claim has been read again.
- */
-static void
-planner_tick (MuxCell *cell, int64_t paused_ms)
-{
-  int64_t now = cell->time.now_ms;
-
-  if (paused_ms > PAUSE_MS)
-    cell_claim_doubt (cell, "paused");
-  if (cell->verified_ms == 0)
-    {
-      if (!cell->verifying && now >= cell->next_verify_ms)
-        verify (cell);
-    }
-  else if (!cell->beating && now >= cell->next_beat_ms)
-    beat (cell);
-  if (cell->unconfirmed && !cell->reading && !cell->confirming
-      && now >= cell->next_verify_ms)
-    confirm (cell);
-  if (cell->verified_ms != 0)
-    cell_yield_tick (cell);
-}
-
 void
 cell_claim_tick (MuxCell *cell)
 {
@@ -588,12 +419,12 @@
   if (cell->role == CELL_FOLLOWER)
     {
       /* Silence that was our own is not held against the planner. */
-      if (paused_ms > PAUSE_MS)
+      if (paused_ms > CELL_PAUSE_MS)
         cell->planner_heard_ms = cell->time.now_ms;
       follower_tick (cell);
     }
   else
-    planner_tick (cell, paused_ms);
+    cell_proof_tick (cell, paused_ms);
 }
 
 /* Also from one that does not plan: its incarnation tells that the planner of
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -13,8 +13,6 @@
 /* Workers that a policy question of the promised time names. */
 #define PROMISED_CANDIDATES 30
 #define MILLI 1000
-/* Ends the key of a job's cancel, which begins with the job's id. */
-#define CANCEL_MARK '!'
 #define US_PER_MS 1000
 
 CellJob *
@@ -144,8 +142,8 @@
   free (job);
 }
 
-static bool
-known_as_ended (MuxCell *cell, const char *id)
+bool
+cell_known_as_ended (MuxCell *cell, const char *id)
 {
   CellEnded *ended;
 
@@ -153,107 +151,6 @@
   return ended != NULL;
 }
 
-static void
-job_row (MuxCell *cell, const MuxCellRow *row)
-{
-  MuxFindings findings = { .count = 0, .dropped = 0 };
-  json_t *json = cell_row_json (cell, row);
-  MuxJobSpec *spec = json != NULL ? mux_job_from_json (json, &findings) : NULL;
-  CellJob *job;
-
-  /* Not run, as gaps in it may be its order or its attempts, and not removed: a
-   * daemon that can read it goes on with it, and its caller can cancel it. */
-  if (json != NULL && spec == NULL)
-    cell_row_bad (cell, row, CELL_ROW_FIELD,
-                  findings.count > 0 ? findings.item[0].text : "memory is out");
-  json_decref (json);
-  if (spec == NULL)
-    return;
-  if (strcmp (spec->id, row->key) != 0)
-    {
-      cell_row_bad (cell, row, CELL_ROW_FIELD, "id");
-      mux_job_free (spec);
-      return;
-    }
-  job = cell_job_add (cell, spec, row->version);
-  if (job == NULL)
-    cell_log (cell, "job_dropped", "{s:s, s:s}", "key", row->key, "why",
-              "memory is out");
-  else if (cell->role == CELL_PLANNING)
-    cell_job_advance (cell, job);
-}
-
-void
-cell_jobs_take (MuxCell *cell, MuxJobSpec *spec, uint64_t version)
-{
-  CellJob *job;
-
-  if (cell_job_find (cell, spec->id) != NULL || known_as_ended (cell, spec->id))
-    {
-      mux_job_free (spec);
-      return;
-    }
-  job = cell_job_add (cell, spec, version);
-  if (job == NULL)
-    return;
-  job->origin = CELL_ORIGIN_COMMIT;
-  cell_job_advance (cell, job);
-}
-
-static void
-cancel_row (MuxCell *cell, const char *id)
-{
-  CellJob *job = cell_job_find (cell, id);
-
-  if (job != NULL)
-    cell_job_cancel (cell, job);
-}
-
-/*
- * Guards against a row that stands for a job, or a cancel, which it is not: cut
- * to the length of an id its key may be that of another job, and in a part that
- * is not the id's own its end could not be stored, so that each new planner
- * would run it again.
- */
-static bool
-is_in_place (const MuxCell *cell, const MuxCellRow *row, const char *id)
-{
-  return mux_job_id_valid (id)
-         && strcmp (row->part, cell->part[cell_part_of (id)].name) == 0;
-}
-
-bool
-cell_is_cancel (const MuxCellRow *row)
-{
-  size_t len = strlen (row->key);
-
-  return len > 0 && row->key[len - 1] == CANCEL_MARK;
-}
-
-void
-cell_jobs_row (MuxCell *cell, const MuxCellRow *row)
-{
-  bool is_cancel = cell_is_cancel (row);
-  size_t len = strlen (row->key);
-  char id[MUX_ROW_NAME_LEN];
-
-  if (row->part[0] == 0)
-    {
-      cell_claim_row (cell, row);
-      return;
-    }
-  if (row->removed)
-    return;
-  snprintf (id, sizeof id, "%.*s", (int) (is_cancel ? len - 1 : len), row->key);
-  if (!is_in_place (cell, row, id))
-    cell_row_bad (cell, row, CELL_ROW_KEY, "key");
-  else if (is_cancel)
-    cancel_row (cell, id);
-  else if (cell_job_find (cell, row->key) == NULL
-           && !known_as_ended (cell, row->key))
-    job_row (cell, row);
-}
-
 static void
 stop_all (MuxCell *cell, CellJob *job)
 {
