cell: a test that fails, a planner that ended its term and is not replaced

A planner that reads a fence of a younger claim ends its term. It counts on that claim to be told next. Where none stands, its own claim does: that row is not news to it, it does not claim while its own claim names a planner that answers, and it answers itself and all others.

Ruled out: that the fence is taken as unsound (it names a claim that could have stood when the row was written), and that the others notice (greetings are answered by daemons that do not plan, too).

A daemon that does not plan and finds its own claim in force should claim anew.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -533,6 +533,39 @@
   world_free (world);
 }
 
+/*
+ * Jobs are accepted and never started until daemons are restarted.  Another
+ * writer leaves a fence that names a claim younger than the planner's, and
+ * older than the row: the planner takes itself for replaced and ends its term.
+ * No other claim stands; its own is not news to it, and as it welcomes all that
+ * greet it nobody counts the planner as silent.
+ */
+static void
+test_planner_that_ended_its_term_is_replaced (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  char fence[64];
+
+  (void) state;
+  world_run (world, 1000);
+  snprintf (fence, sizeof fence, "{\"term\":%u}",
+            (unsigned) world_claim_version (world) + 1);
+  for (uint32_t i = 0; i < PARTS; i++)
+    {
+      char part[MUX_ROW_NAME_LEN];
+
+      snprintf (part, sizeof part, "p%u", i);
+      world_put_row (world, MUX_TABLE_FENCE, part, "fence", fence);
+    }
+  submit_jobs (world, planner, "early");
+  world_run (world, 10000);
+  submit_jobs (world, planner, "late");
+  world_run (world, 10000);
+  assert_int_equal (world_starts (world, "late-0"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -546,6 +579,7 @@
     cmocka_unit_test (test_waiting_for_a_worker_costs_little),
     cmocka_unit_test (test_unstored_ends_are_not_asked_for_without_pause),
     cmocka_unit_test (test_end_of_an_unreadable_job_is_not_acknowledged),
+    cmocka_unit_test (test_planner_that_ended_its_term_is_replaced),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
