cell: a test that fails, run numbers of a count of claims at its end

The count of claims is read as none from INT32_MAX on, and the next claim writes one more than it read: a daemon's own claim can be read back as none. The first run number of that term is (0 - 1) * 64 + 1, of 32 bits; after 64 more it is 0.

Ruled out: that a removed or unreadable claim leads there (the count begins at 1 again, which repeats numbers but is sound).

A count that is out of range should be kept below it, and none be taken as 1.

--- a/test/unit/test_cell_cold.c
+++ b/test/unit/test_cell_cold.c
@@ -566,6 +566,31 @@
   world_free (world);
 }
 
+/*
+ * Tasks get run numbers of ten digits, which start from 0 again after 64 of
+ * them.  Another writer leaves a claim of nobody that was taken often: the next
+ * claim's count is one more, which is read as none, and the term's first number
+ * is counted down from 0.
+ */
+static void
+test_count_of_claims_at_its_end_gives_sound_runs (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  world_run (world, 1000);
+  world_put_row (world, MUX_TABLE_CLAIM, "", "claim",
+                 "{\"name\":\"\",\"addr\":\"\",\"heir\":\"\","
+                 "\"incarnation\":0,\"term\":2147483646}");
+  world_run (world, 4000);
+  (void) world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 2000);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  print_message ("run %u\n", world->start[0].run);
+  assert_true (world->start[0].run < INT32_MAX);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -580,6 +605,7 @@
     cmocka_unit_test (test_unstored_ends_are_not_asked_for_without_pause),
     cmocka_unit_test (test_end_of_an_unreadable_job_is_not_acknowledged),
     cmocka_unit_test (test_planner_that_ended_its_term_is_replaced),
+    cmocka_unit_test (test_count_of_claims_at_its_end_gives_sound_runs),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
