claim: an own claim that stands is claimed anew, terms are counted in a ring

Cause: a planner that another writer's fence takes in ends its term; its own claim stands, it answers greetings, and nobody plans for good. And a count of claims at its end made run numbers begin at a number of ten digits and wrap. Change: a daemon that does not plan and whose claim stands claims anew after 1.5 s, in which it would have been told of another; terms are counted up to 2,097,151 and from 1 again. Ruled out: not believing the fence (it names a claim that could have stood).

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -30,6 +30,13 @@
  * anything is ordered: the instance may have been frozen while another took
  * over.  Well over what a busy core takes between two ticks. */
 #define CELL_PAUSE_MS 700
+/* Run numbers of one planner's term.  A later planner does not know which
+ * numbers its predecessor gave to starts that it never heard of, so that each
+ * term has a range of its own: a start each second for a quarter of an hour. */
+#define CELL_RUNS_PER_TERM 1024
+/* Terms are counted up to here and from 1 again, so that a run is a positive
+ * number of 32 bits: some 5,000 years at a claim a day. */
+#define CELL_TERMS_MAX (INT32_MAX / CELL_RUNS_PER_TERM)
 /* Keys of the rows of the claim and its sign of life, and of each part's fence:
  * one that each commit of progress renews, and one that stays for as long as a
  * planner's term. */
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -22,6 +22,9 @@
 /* in which the store has answered this daemon at least this often. */
 #define PROBE_MS 200
 #define PROBES_APART_MS 500
+/* A planner whose term has ended is told of the claim that ended it within this
+ * time, a waiting call's second and some 100 ms; its own is void until then. */
+#define OWN_CLAIM_MS 1500
 /* The heir of a claim given up has so much of a start before the others. */
 #define HEIR_MS 350
 
@@ -39,6 +42,7 @@
             (json_int_t) cell->term);
   cell->role = CELL_FOLLOWER;
   cell->term = 0;
+  cell->claim_after_ms = cell->time.now_ms + OWN_CLAIM_MS;
   cell->follow[FOLLOW_JOBS].on = false;
   cell->follow[FOLLOW_WORKERS].on = false;
   HASH_ITER (hh, cell->jobs, job, next_job)
@@ -104,7 +108,7 @@
 {
   json_int_t count = json_integer_value (json_object_get (json, "term"));
 
-  return count > 0 && count < INT32_MAX ? (uint32_t) count : 0;
+  return count > 0 ? (uint32_t) ((count - 1) % CELL_TERMS_MAX + 1) : 0;
 }
 
 /*
@@ -204,10 +208,6 @@
   cell->planner_restarted = false;
   cell->planner_welcome_ms = 0;
   cell->next_hello_ms = 0;
-  cell->claim_after_ms = cell->time.now_ms + spread (cell);
-  if (cell->claim.incarnation == 0 && !cell->claim.unreadable
-      && strcmp (cell->claim.heir, cell->options.name) != 0)
-    cell->claim_after_ms += HEIR_MS;
   if (!ours)
     cell_log (cell, "planner_is", "{s:s, s:I}", "name", cell->claim.name,
               "term", (json_int_t) cell->claim.version);
@@ -215,6 +215,10 @@
     begin_term (cell);
   else if (!ours)
     cell_depose (cell, "other_claim");
+  cell->claim_after_ms = cell->time.now_ms + spread (cell);
+  if (cell->claim.incarnation == 0 && !cell->claim.unreadable
+      && strcmp (cell->claim.heir, cell->options.name) != 0)
+    cell->claim_after_ms += HEIR_MS;
 }
 
 void
@@ -233,7 +237,7 @@
   return json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
                     cell->options.peer_addr, "incarnation",
                     (json_int_t) cell->options.incarnation, "term",
-                    (int) cell->claim.term + 1);
+                    (int) (cell->claim.term % CELL_TERMS_MAX + 1));
 }
 
 static void
@@ -387,6 +391,17 @@
          && strcmp (cell->claim.name, cell->options.name) == 0;
 }
 
+/*
+ * Guards against a cell without a planner: one that was taken in by a row of
+ * another writer ends its term, no other claim stands, and as it goes on to
+ * answer greetings nobody else claims.
+ */
+static bool
+is_own_claim (const MuxCell *cell)
+{
+  return cell->claim.incarnation == cell->options.incarnation;
+}
+
 static void
 follower_tick (MuxCell *cell)
 {
@@ -404,6 +419,8 @@
     return;
   if (cell->claim.incarnation == 0 && !cell->claim.unreadable)
     claim (cell, "vacant");
+  else if (is_own_claim (cell))
+    claim (cell, "own_claim");
   else if (cell->planner_restarted)
     claim (cell, "restarted");
   else if (planner_is_silent (cell)
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -4,11 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Run numbers of one planner's term.  A later planner does not know which
- * numbers its predecessor gave to starts that it never heard of, so that each
- * term has a range of its own: a start each second for a quarter of an hour,
- * and 4 million terms. */
-#define RUNS_PER_TERM 1024
 /* A worker that calls a run old knows a higher one and does not say which: so
  * many numbers are passed over at a time; 16 times fit into a term. */
 #define OLD_RUN_STEP 64
@@ -30,7 +25,7 @@
 uint32_t
 cell_next_run (const MuxCell *cell, uint32_t last)
 {
-  uint32_t base = (cell->claim.term - 1) * RUNS_PER_TERM + 1;
+  uint32_t base = (cell->claim.term - 1) * CELL_RUNS_PER_TERM + 1;
 
   return last + 1 > base ? last + 1 : base;
 }
