--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -333,6 +333,10 @@
 void cell_plan (MuxCell *cell);
 void cell_plan_add (MuxCell *cell, CellStage *stage);
 void cell_plan_drop (MuxCell *cell, CellStage *stage);
+/** cell_stage_bounded() - so many of @tasks may run on one worker */
+uint32_t cell_stage_bounded (const CellStage *stage, uint32_t tasks);
+/** cell_worker_serves() - it is of the stage's service and has its label */
+bool cell_worker_serves (const CellStage *stage, const CellWorker *worker);
 bool cell_worker_fits (const MuxCell *cell,
                        const CellStage *stage,
                        const CellWorker *worker);
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -41,14 +41,6 @@
          || stage->job->spec->queue.priority == 0;
 }
 
-static uint32_t
-bounded (const CellStage *stage, uint32_t n)
-{
-  uint32_t max = stage->spec->per_worker_max;
-
-  return max != 0 && n > max ? max : n;
-}
-
 /*
  * Guards against gangs that all ask about the same workers: with many alike, an
  * order that is the same for every gang names the same few dozen to the policy
@@ -79,12 +71,13 @@
     if (!cell_worker_fits (cell, stage, worker) || !open_to (stage, worker))
       continue;
     p->worker = worker;
-    p->now
-        = bounded (stage, cell_worker_holds (stage, cell_worker_free (worker))
-                              + cell_held (stage, worker));
+    p->now = cell_stage_bounded (
+        stage, cell_worker_holds (stage, cell_worker_free (worker))
+                   + cell_held (stage, worker));
     p->kept = worker->last_reserved == stage;
     p->turn = turn_of (hash, worker);
-    p->ever = bounded (stage, cell_worker_holds (stage, worker->info.capacity));
+    p->ever = cell_stage_bounded (
+        stage, cell_worker_holds (stage, worker->info.capacity));
     p->yes = !needed || (approval != NULL && approval->yes);
     p->proven = !needed || cell_approval_proof (cell, stage, worker) != NULL;
     if (p->ever > 0)
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -52,18 +52,33 @@
   return n;
 }
 
+uint32_t
+cell_stage_bounded (const CellStage *stage, uint32_t tasks)
+{
+  uint32_t max = stage->spec->per_worker_max;
+
+  return max != 0 && tasks > max ? max : tasks;
+}
+
+bool
+cell_worker_serves (const CellStage *stage, const CellWorker *worker)
+{
+  const char *label = stage->spec->label;
+
+  return worker->service == stage->service
+         && (label[0] == 0 || strcmp (worker->info.kind, label) == 0
+             || strcmp (worker->info.rack, label) == 0);
+}
+
 /* The worker may run the stage at all, whatever room it has now. */
 bool
 cell_worker_fits (const MuxCell *cell,
                   const CellStage *stage,
                   const CellWorker *worker)
 {
-  const MuxStepSpec *spec = stage->spec;
-
-  return worker->service == stage->service && cell_worker_usable (cell, worker)
-         && (!spec->fills || cell->time.now_ms >= worker->no_fill_until_ms)
-         && (spec->label[0] == 0 || strcmp (worker->info.kind, spec->label) == 0
-             || strcmp (worker->info.rack, spec->label) == 0);
+  return cell_worker_serves (stage, worker) && cell_worker_usable (cell, worker)
+         && (!stage->spec->fills
+             || cell->time.now_ms >= worker->no_fill_until_ms);
 }
 
 /* Urgent queues first; then what can still be in time, by its latest start;
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -38,24 +38,6 @@
   uint32_t proven;   /* free now where a proof is taken */
 } Lack;
 
-static bool
-is_of_service (const CellStage *stage, const CellWorker *worker)
-{
-  const char *label = stage->spec->label;
-
-  return worker->service == stage->service
-         && (label[0] == 0 || strcmp (worker->info.kind, label) == 0
-             || strcmp (worker->info.rack, label) == 0);
-}
-
-static uint32_t
-bounded (const CellStage *stage, uint32_t tasks)
-{
-  uint32_t max = stage->spec->per_worker_max;
-
-  return max != 0 && tasks > max ? max : tasks;
-}
-
 static void
 add_usable (const MuxCell *cell,
             CellStage *stage,
@@ -64,9 +46,9 @@
 {
   const CellApproval *approval = cell_approval (stage, worker);
   bool needed = stage->job->spec->queue.approval.needed;
-  uint32_t now
-      = bounded (stage, cell_worker_holds (stage, cell_worker_free (worker))
-                            + cell_held (stage, worker));
+  uint32_t now = cell_stage_bounded (
+      stage, cell_worker_holds (stage, cell_worker_free (worker))
+                 + cell_held (stage, worker));
 
   lack->held += worker->hold_count > 0 && cell_held (stage, worker) == 0;
   lack->unasked += needed && (approval == NULL || !approval->asked);
@@ -74,8 +56,8 @@
   if (needed && (approval == NULL || !approval->yes))
     return;
   lack->yes_now += now;
-  lack->yes_ever
-      += bounded (stage, cell_worker_holds (stage, worker->info.capacity));
+  lack->yes_ever += cell_stage_bounded (
+      stage, cell_worker_holds (stage, worker->info.capacity));
   if (!needed || cell_approval_proof (cell, stage, worker) != NULL)
     lack->proven += now;
 }
@@ -90,7 +72,7 @@
   HASH_ITER (hh, cell->workers, worker, next)
   {
     lack.unheard += cell_in_roster (worker) && !worker->heard && !worker->dead;
-    if (!is_of_service (stage, worker))
+    if (!cell_worker_serves (stage, worker))
       continue;
     if (cell->time.now_ms < worker->avoid_until_ms)
       lack.avoided++;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1309,6 +1309,19 @@
   return 0;
 }
 
+uint32_t
+world_fenced (const World *world)
+{
+  uint64_t claim = world_claim_version (world);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->row_count; i++)
+    n += world->row[i].table == MUX_TABLE_FENCE
+         && strcmp (world->row[i].key, "fence") == 0
+         && world->row[i].version > claim;
+  return n;
+}
+
 uint32_t
 world_ends (const World *world)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -208,6 +208,8 @@
 uint32_t world_planner (const World *world);
 /** world_claim_version() - of the row that says who plans; 0: none */
 uint64_t world_claim_version (const World *world);
+/** world_fenced() - parts that the daemon which holds the claim has fenced */
+uint32_t world_fenced (const World *world);
 /** world_ends() - rows of ended jobs that stand in the store */
 uint32_t world_ends (const World *world);
 /** world_submit() - hand in; the answer comes while time passes
--- a/test/unit/test_cell_audit.c
+++ b/test/unit/test_cell_audit.c
@@ -26,20 +26,6 @@
   assert_int_not_equal (world_claim_version (world), version);
 }
 
-/* Parts that the daemon which holds the claim has fenced. */
-static uint32_t
-fenced (const World *world)
-{
-  uint64_t claim = world_claim_version (world);
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < world->row_count; i++)
-    n += world->row[i].table == MUX_TABLE_FENCE
-         && strcmp (world->row[i].key, "fence") == 0
-         && world->row[i].version > claim;
-  return n;
-}
-
 static bool
 is_stored (const World *world, const char *id)
 {
@@ -73,7 +59,7 @@
   world_cell_kill (world, world_planner (world));
   wait_for_another_claim (world, version);
   reader = world_planner (world);
-  while (fenced (world) < PARTS)
+  while (world_fenced (world) < PARTS)
     world_run (world, 1);
   world->cell[reader].store = WORLD_REFUSES;
   world->cell[reader].deaf = DEAF;
--- a/test/unit/test_cell_replaced.c
+++ b/test/unit/test_cell_replaced.c
@@ -302,27 +302,13 @@
 /* A feed's call that is lost without a sign is given up after so long. */
 #define LOST_CALL_MS 1600
 
-/* Parts that the daemon which holds the claim has fenced. */
-static uint32_t
-fenced (const World *world)
-{
-  uint64_t claim = world_claim_version (world);
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < world->row_count; i++)
-    n += world->row[i].table == MUX_TABLE_FENCE
-         && strcmp (world->row[i].key, "fence") == 0
-         && world->row[i].version > claim;
-  return n;
-}
-
 static void
 wait_for_fences_of_a_successor (World *world, uint32_t planner)
 {
   uint64_t version = world_claim_version (world);
 
   world_cell_kill (world, planner);
-  while (world_claim_version (world) == version || fenced (world) < PARTS)
+  while (world_claim_version (world) == version || world_fenced (world) < PARTS)
     world_run (world, 1);
 }
 
