cell: ends of jobs whose row can't be read are stored beside them

Cause: a job's row that another writer, or another version, left unreadable names no job to the planner, so that an end of its tasks counted as one of no job: acknowledged and forgotten. A later planner that could read the row ran the task again. Ruled out: leaving such ends unacknowledged, which holds up all later ends of that worker. At most 4,096 such jobs.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -197,6 +197,28 @@
 /** cell_is_cancel() - the row of the jobs' table is a job's cancel */
 bool cell_is_cancel (const MuxCellRow *row);
 
+/* unread.c: jobs whose row can't be read, and the ends of their tasks */
+/** cell_unread_note() - there is such a job
+ * @seen: by its row; else by what stands beside it */
+void cell_unread_note (MuxCell *cell, const char *id, bool seen);
+/** cell_unread_mended() - its row can be read
+ * Return: true, and @spec is taken over, if it was not before. */
+bool cell_unread_mended (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
+/** cell_unread_end() - a worker lists an end of a job that is not known */
+void cell_unread_end (MuxCell *cell, const MuxRunReport *report);
+/** cell_unread_row() - while loading: false: it is not a row of such ends */
+bool cell_unread_row (MuxCell *cell, const MuxCellRow *row);
+/** cell_unread_add_rows() - to a commit of the part's progress
+ * Return: false when some were left out. */
+bool
+cell_unread_add_rows (MuxCell *cell, const CellPart *part, MuxCellCall *call);
+/** cell_unread_committed() - the end of that commit */
+void cell_unread_committed (MuxCell *cell, CellPart *part, bool stored);
+/** cell_unread_remove_row() - the job's own progress holds those ends now */
+void cell_unread_remove_row (MuxCellCall *call, const CellJob *job);
+void cell_unread_tick (MuxCell *cell);
+void cell_unread_free (MuxCell *cell);
+
 /* stage.c */
 /** cell_stage_new() - @began_ms: when its occurrence was due to begin */
 CellStage *cell_stage_new (CellJob *job,
@@ -222,6 +244,8 @@
  * Return: the field that can't be read, and nothing is applied; NULL: done. */
 const char *
 cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
+/** cell_progress_row() - as read, of a job that is known */
+void cell_progress_row (MuxCell *cell, const MuxCellRow *row);
 void cell_progress_tick (MuxCell *cell);
 uint64_t cell_stored_seq (const MuxCell *cell);
 
@@ -275,6 +299,13 @@
                      uint32_t run,
                      MuxRunEnd end,
                      const char *checkpoint);
+/** cell_end_apply() - what the end of a run means for its task, and nothing
+ * beyond: no order, no count of attempts */
+void cell_end_apply (MuxCell *cell,
+                     CellTask *task,
+                     uint32_t run,
+                     MuxRunEnd end,
+                     const char *checkpoint);
 /** cell_stop_stray() - stop a run that no booking stands for */
 void cell_stop_stray (MuxCell *cell,
                       CellWorker *worker,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -12,6 +12,10 @@
  * a second.  The number belongs to what is stored: with another one, open jobs
  * are looked for in parts where they are not. */
 #define CELL_PARTS 4
+/* Entries of a commit, as many as the store takes. */
+#define CELL_COMMIT_CHANGES 100
+/* Of these, rows with ends of jobs that can't be read. */
+#define CELL_UNREAD_ROWS 2
 /* Most jobs of one commit: a call holds 100 entries, a job takes three. */
 #define CELL_COMMIT_JOBS 30
 /* A commit, scan or worker call without an answer for so long counts as lost;
@@ -53,6 +57,7 @@
 typedef struct CellBooking CellBooking;
 typedef struct CellQuestion CellQuestion;
 typedef struct CellBadRow CellBadRow;
+typedef struct CellUnread CellUnread;
 typedef struct CellService CellService;
 
 typedef void (*CellDone) (MuxCell *cell,
@@ -403,6 +408,7 @@
  * @dirty: something is to be stored
  * @progress_stored: a row of its progress stands
  * @progress_lost: it can't be read
+ * @ends_stored: a row stands with ends that came while it could not be read
  */
 struct CellJob
 {
@@ -427,6 +433,7 @@
   bool dirty_again; /* changed since the commit on its way was made */
   bool progress_stored;
   bool progress_lost;
+  bool ends_stored;
   uint32_t bookings;
   uint32_t next_occurrence;
   uint32_t stage_count;
@@ -526,6 +533,7 @@
  * @fence_doubtful: a commit went unanswered, its version is to be read
  * @term_doubtful: a commit of jobs found another version of that row
  * @dirty: jobs with something to store
+ * @unread_dirty: jobs that can't be read, the same
  * @dirty_since_ms: the oldest of them
  * @committing: a commit is on its way
  * @commit_seq: ends that it covers
@@ -542,6 +550,7 @@
   bool term_doubtful;
   bool reading_fence;
   CellJob *dirty;
+  uint32_t unread_dirty;
   int64_t dirty_since_ms;
   int64_t next_commit_ms;
   bool committing;
@@ -652,6 +661,7 @@
   /* Of the planner alone. */
   CellJob *jobs;
   CellEnded *ended;
+  CellUnread *unread;
   CellSweep sweep;
   CellWorker *workers;
   uint32_t worker_slots;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -55,6 +55,7 @@
   cell_workers_free (cell);
   cell_members_free (cell);
   cell_questions_free (cell);
+  cell_unread_free (cell);
   cell->plan = NULL;
   cell->plan_count = 0;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -23,13 +23,18 @@
                   findings.count > 0 ? findings.item[0].text : "memory is out");
   json_decref (json);
   if (spec == NULL)
-    return;
+    {
+      cell_unread_note (cell, row->key, true);
+      return;
+    }
   if (strcmp (spec->id, row->key) != 0)
     {
       cell_row_bad (cell, row, CELL_ROW_FIELD, "id");
       mux_job_free (spec);
       return;
     }
+  if (cell_unread_mended (cell, spec, row->version))
+    return;
   job = cell_job_add (cell, spec, row->version);
   if (job == NULL)
     cell_log (cell, "job_dropped", "{s:s, s:s}", "key", row->key, "why",
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -200,7 +200,7 @@
       return;
     }
   job->dirty = true;
-  if (part->dirty == NULL)
+  if (part->dirty == NULL && part->unread_dirty == 0)
     part->dirty_since_ms = cell->time.now_ms;
   DL_APPEND2 (part->dirty, job, dirty_prev, dirty_next);
 }
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -19,6 +19,7 @@
       part->term_doubtful = false;
       part->reading_fence = false;
       part->dirty = NULL;
+      part->unread_dirty = 0;
       part->committing = false;
       part->stored_seq = 0;
       part->commit_seq = 0;
@@ -167,25 +168,6 @@
       cell, cell_scan_call (MUX_TABLE_FENCE, part->name), &pending);
 }
 
-static void
-progress_row (MuxCell *cell, const MuxCellRow *row)
-{
-  CellJob *job = cell_job_find (cell, row->key);
-  const char *wrong = NULL;
-  json_t *json;
-
-  if (job == NULL)
-    return;
-  json = cell_row_json (cell, row);
-  job->progress_stored = true;
-  if (json != NULL)
-    wrong = cell_progress_apply (cell, job, json);
-  if (wrong != NULL)
-    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
-  job->progress_lost = json == NULL || wrong != NULL;
-  json_decref (json);
-}
-
 /*
  * Guards against a job that two planners start: where another claimed after
  * this one's fence, and fenced the part in turn, the jobs that it stored and
@@ -200,6 +182,19 @@
     cell_jobs_row (cell, row);
 }
 
+/* Without its job it may be of one that will be read later: what it says must
+ * not be passed over then. */
+static void
+progress_read (MuxCell *cell, const MuxCellRow *row)
+{
+  if (cell_unread_row (cell, row))
+    return;
+  if (cell_job_find (cell, row->key) != NULL)
+    cell_progress_row (cell, row);
+  else if (mux_job_id_valid (row->key))
+    cell_unread_note (cell, row->key, false);
+}
+
 static void
 part_read (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
 {
@@ -215,7 +210,7 @@
     if (part->loading == MUX_TABLE_JOBS)
       job_read (cell, part, &reply->row[i]);
     else
-      progress_row (cell, &reply->row[i]);
+      progress_read (cell, &reply->row[i]);
   if (!cell_next_page (part->load_from, reply))
     part->loading = part->loading == MUX_TABLE_JOBS ? MUX_TABLE_PROGRESS
                                                     : MUX_TABLE_COUNT;
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -11,9 +11,12 @@
 #define BITS_PER_DIGIT 4
 /* Times of day of two daemons differ by less. */
 #define CLOCKS_APART_MS 600000
-/* Most jobs of one commit: a call holds 100 entries, an ended job takes four
- * beside the two of the fence. */
+/* Most jobs of one commit, and entries that it holds: an ended job takes four,
+ * or five, beside the two of the fence; two are left for ends of jobs that
+ * can't be read. */
 #define ENDS_MAX 24
+#define CHANGES_MAX (CELL_COMMIT_CHANGES - CELL_UNREAD_ROWS)
+#define CHANGES_PER_JOB 5
 
 static void
 bitmap_text (const CellStage *stage, char *text)
@@ -310,6 +313,25 @@
   return NULL;
 }
 
+void
+cell_progress_row (MuxCell *cell, const MuxCellRow *row)
+{
+  CellJob *job = cell_job_find (cell, row->key);
+  const char *wrong = NULL;
+  json_t *json;
+
+  if (job == NULL)
+    return;
+  json = cell_row_json (cell, row);
+  job->progress_stored = true;
+  if (json != NULL)
+    wrong = cell_progress_apply (cell, job, json);
+  if (wrong != NULL)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
+  job->progress_lost = json == NULL || wrong != NULL;
+  json_decref (json);
+}
+
 uint64_t
 cell_stored_seq (const MuxCell *cell)
 {
@@ -319,7 +341,8 @@
     {
       const CellPart *part = &cell->part[i];
 
-      if ((part->dirty != NULL || part->committing) && part->stored_seq < least)
+      if ((part->dirty != NULL || part->unread_dirty > 0 || part->committing)
+          && part->stored_seq < least)
         least = part->stored_seq;
     }
   return least;
@@ -338,6 +361,7 @@
         continue;
       job->in_commit = false;
       job->progress_stored = true;
+      job->ends_stored = false;
       if (job->dirty_again)
         {
           job->dirty_again = false;
@@ -355,10 +379,11 @@
 }
 
 static void
-put_back (CellPart *part)
+put_back (MuxCell *cell, CellPart *part)
 {
   CellJob *job;
 
+  cell_unread_committed (cell, part, false);
   for (job = part->dirty; job != NULL; job = job->dirty_next)
     {
       job->in_commit = false;
@@ -384,10 +409,11 @@
       part->fence_version = reply->version;
       part->stored_seq = pending->number;
       take_stored (cell, part);
+      cell_unread_committed (cell, part, true);
       part->dirty_since_ms = cell->time.now_ms;
       return;
     }
-  put_back (part);
+  put_back (cell, part);
   part->next_commit_ms = cell->time.now_ms + RETRY_MS;
   if (reply->status == MUX_CELL_UNKNOWN || reply->status == MUX_CELL_CONFLICT)
     part->fence_doubtful = true;
@@ -401,6 +427,8 @@
   char cancel[MUX_ROW_NAME_LEN];
 
   job->in_commit = true;
+  if (job->ends_stored)
+    cell_unread_remove_row (call, job);
   if (!job->ended)
     {
       cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_PROGRESS, job->id)->value
@@ -424,12 +452,13 @@
 static void
 commit (MuxCell *cell, CellPart *part)
 {
-  MuxCellCall *call = cell_commit_call (part->name, 4 * ENDS_MAX + 2);
+  MuxCellCall *call = cell_commit_call (part->name, CELL_COMMIT_CHANGES);
   CellPending pending = { .done = committed,
                           .term = cell->term,
                           .part = (uint32_t) (part - cell->part),
                           .number = cell->end_seq };
   uint32_t jobs = 0;
+  bool whole;
   CellJob *job;
 
   if (call == NULL)
@@ -437,18 +466,18 @@
   cell_fence_add (cell, part, call);
   for (job = part->dirty; job != NULL; job = job->dirty_next)
     {
-      if (++jobs > ENDS_MAX)
-        {
-          /* Those behind it are not stored yet. */
-          pending.number = part->stored_seq;
-          break;
-        }
+      if (jobs++ == ENDS_MAX
+          || call->change_count + CHANGES_PER_JOB > CHANGES_MAX)
+        break;
       add_job (cell, call, job);
     }
+  whole = cell_unread_add_rows (cell, part, call) && job == NULL;
+  if (!whole)
+    pending.number = part->stored_seq;
   part->committing = cell_call (cell, call, &pending);
   if (part->committing)
     return;
-  put_back (part);
+  put_back (cell, part);
   part->next_commit_ms = cell->time.now_ms + RETRY_MS;
 }
 
@@ -457,8 +486,8 @@
 {
   int64_t now = cell->time.now_ms;
 
-  if (part->dirty == NULL || part->committing || now < part->next_commit_ms
-      || now - part->dirty_since_ms < WINDOW_MS)
+  if ((part->dirty == NULL && part->unread_dirty == 0) || part->committing
+      || now < part->next_commit_ms || now - part->dirty_since_ms < WINDOW_MS)
     return;
   if (part->fence_doubtful)
     {
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -132,7 +132,10 @@
   if (report->number > worker->seen)
     worker->seen = report->number;
   if (task == NULL)
-    return;
+    {
+      cell_unread_end (cell, report);
+      return;
+    }
   if (!is_ours (task, worker, report->run))
     {
       take_other_end (cell, worker, task, report);
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -344,6 +344,30 @@
   return true;
 }
 
+void
+cell_end_apply (MuxCell *cell,
+                CellTask *task,
+                uint32_t run,
+                MuxRunEnd end,
+                const char *checkpoint)
+{
+  CellStage *stage = task->stage;
+
+  if (run > task->run)
+    task->run = run;
+  if (run > stage->run)
+    stage->run = run;
+  if (checkpoint[0] != 0)
+    snprintf (task->saved, sizeof task->saved, "%s", checkpoint);
+  if (end == MUX_RUN_DONE && stage->spec->gang)
+    gang_done (cell, stage);
+  else if (end == MUX_RUN_DONE && !stage->spec->long_running)
+    task_done (cell, task);
+  else if (end == MUX_RUN_FAILED && !stage->spec->long_running)
+    (void) add_failure (stage->spec->gang ? &stage->failures : &task->failures,
+                        run);
+}
+
 static void
 count_failure (MuxCell *cell, CellTask *task, CellWorker *worker, uint32_t run)
 {
--- /dev/null
+++ b/src/cell/unread.c
@@ -0,0 +1,498 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Jobs whose row can't be read, as another writer or another version of this
+ * program may leave it.  Nothing of them is started, but their tasks may run
+ * and end: such ends are stored beside the job's progress, and count once a
+ * planner can read the job.
+ *
+ * Guards against a task that is done and runs again: an end that is
+ * acknowledged is forgotten by its worker.  Left unacknowledged it would hold
+ * up all later ends of that worker.
+ */
+
+/* Behind a job's id: key of the row with its ends.  No id contains it. */
+#define ENDS_MARK "+"
+/* Behind a job's id: sorts after that key. */
+#define BEHIND "~"
+/* Jobs kept, each of some 200 bytes, and ends of each.  A row holds 64 KB, an
+ * end up to 110 bytes. */
+#define UNREAD_MAX 4096
+#define ENDS_MAX 400
+#define RETRY_MS 100
+#define MS_PER_S 1000
+
+/**
+ * struct CellUnreadEnd - an end of a run of such a job
+ * @task: which; its job is the one that holds this
+ */
+typedef struct
+{
+  MuxTaskRef task;
+  uint32_t run;
+  MuxRunEnd end;
+  char saved[MUX_TOKEN_LEN];
+} CellUnreadEnd;
+
+/**
+ * struct CellUnread - a job whose row can't be read
+ * @seen: there is such a row; else only something stored beside it
+ * @noted_wall_ms: time of day when its ends were last stored; 0: they are not
+ * @overflow: more ends came than are kept
+ * @dirty: its ends, or their removal, are to be stored
+ * @dirty_again: more came since the commit on its way was made
+ * @spec: as it can be read now, while what stands beside it is; owned
+ * @version: of that row
+ * @reading: the call that reads it is on its way
+ * @next_ms: no such call before
+ */
+struct CellUnread
+{
+  char id[MUX_JOB_ID_LEN];
+  uint32_t part;
+  bool seen;
+  int64_t noted_wall_ms;
+  bool overflow;
+  bool dirty;
+  bool in_commit;
+  bool dirty_again;
+  bool expired;
+  uint32_t end_count;
+  CellUnreadEnd *end;
+  MuxJobSpec *spec;
+  uint64_t version;
+  bool reading;
+  int64_t next_ms;
+  UT_hash_handle hh;
+};
+
+static CellUnread *
+find (MuxCell *cell, const char *id)
+{
+  CellUnread *unread;
+
+  HASH_FIND_STR (cell->unread, id, unread);
+  return unread;
+}
+
+static CellUnread *
+find_or_add (MuxCell *cell, const char *id)
+{
+  CellUnread *unread = find (cell, id);
+
+  if (unread != NULL || HASH_COUNT (cell->unread) >= UNREAD_MAX)
+    return unread;
+  unread = calloc (1, sizeof *unread);
+  if (unread == NULL)
+    return NULL;
+  snprintf (unread->id, sizeof unread->id, "%s", id);
+  unread->part = cell_part_of (unread->id);
+  HASH_ADD_STR (cell->unread, id, unread);
+  return unread;
+}
+
+static void
+unread_free (MuxCell *cell, CellUnread *unread)
+{
+  if (unread->dirty)
+    cell->part[unread->part].unread_dirty--;
+  HASH_DEL (cell->unread, unread);
+  mux_job_free (unread->spec);
+  free (unread->end);
+  free (unread);
+}
+
+void
+cell_unread_free (MuxCell *cell)
+{
+  CellUnread *unread;
+  CellUnread *next;
+
+  HASH_ITER (hh, cell->unread, unread, next)
+  unread_free (cell, unread);
+}
+
+void
+cell_unread_note (MuxCell *cell, const char *id, bool seen)
+{
+  CellUnread *unread = find_or_add (cell, id);
+
+  if (unread == NULL)
+    {
+      cell_log (cell, "unread_job_dropped", "{s:s, s:s}", "job", id, "why",
+                "too many, or memory is out");
+      return;
+    }
+  unread->seen = unread->seen || seen;
+  /* It could be read for a moment. */
+  mux_job_free (unread->spec);
+  unread->spec = NULL;
+}
+
+static void
+mark_dirty (MuxCell *cell, CellUnread *unread)
+{
+  CellPart *part = &cell->part[unread->part];
+
+  cell->end_seq++;
+  if (unread->dirty)
+    {
+      unread->dirty_again = unread->in_commit;
+      return;
+    }
+  unread->dirty = true;
+  if (part->dirty == NULL && part->unread_dirty == 0)
+    part->dirty_since_ms = cell->time.now_ms;
+  part->unread_dirty++;
+}
+
+static bool
+add_end (CellUnread *unread, const CellUnreadEnd *end)
+{
+  CellUnreadEnd *list;
+
+  for (uint32_t i = 0; i < unread->end_count; i++)
+    if (unread->end[i].run == end->run
+        && unread->end[i].task.occurrence == end->task.occurrence
+        && unread->end[i].task.step == end->task.step
+        && unread->end[i].task.index == end->task.index)
+      return false;
+  list = unread->end_count < ENDS_MAX
+             ? realloc (unread->end, (unread->end_count + 1) * sizeof *list)
+             : NULL;
+  if (list == NULL)
+    {
+      unread->overflow = true;
+      return true;
+    }
+  unread->end = list;
+  list[unread->end_count++] = *end;
+  return true;
+}
+
+void
+cell_unread_end (MuxCell *cell, const MuxRunReport *report)
+{
+  CellUnread *unread = find (cell, report->task.job);
+  CellUnreadEnd end
+      = { .task = report->task, .run = report->run, .end = report->end };
+
+  if (unread == NULL)
+    return;
+  /* Others change nothing but for what they saved. */
+  if (report->end != MUX_RUN_DONE && report->end != MUX_RUN_FAILED
+      && report->checkpoint[0] == 0)
+    return;
+  snprintf (end.saved, sizeof end.saved, "%s", report->checkpoint);
+  if (!add_end (unread, &end))
+    return;
+  cell_log (cell, "unread_job_end", "{s:s, s:i, s:i, s:i, s:s}", "job",
+            unread->id, "step", (int) end.task.step, "task",
+            (int) end.task.index, "run", (int) end.run, "end",
+            mux_run_end_name (end.end));
+  mark_dirty (cell, unread);
+}
+
+static json_t *
+ends_json (const MuxCell *cell, const CellUnread *unread)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < unread->end_count; i++)
+    {
+      const CellUnreadEnd *end = &unread->end[i];
+
+      (void) json_array_append_new (
+          list, json_pack ("[iiiiis]", (int) end->task.occurrence,
+                           (int) end->task.step, (int) end->task.index,
+                           (int) end->run, (int) end->end, end->saved));
+    }
+  return json_pack ("{s:I, s:b, s:o}", "noted_ms",
+                    (json_int_t) cell->time.wall_ms, "overflow",
+                    (int) unread->overflow, "ends", list);
+}
+
+static void
+add_row (const MuxCell *cell, MuxCellCall *call, CellUnread *unread)
+{
+  char key[MUX_ROW_NAME_LEN];
+
+  unread->in_commit = true;
+  snprintf (key, sizeof key, "%s" ENDS_MARK, unread->id);
+  if (unread->expired)
+    (void) cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
+  else
+    cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_PROGRESS, key)->value
+        = cell_json_blob (ends_json (cell, unread));
+}
+
+bool
+cell_unread_add_rows (MuxCell *cell, const CellPart *part, MuxCellCall *call)
+{
+  uint32_t rows = 0;
+  CellUnread *unread;
+  CellUnread *next;
+
+  if (part->unread_dirty == 0)
+    return true;
+  HASH_ITER (hh, cell->unread, unread, next)
+  {
+    if (!unread->dirty || &cell->part[unread->part] != part)
+      continue;
+    if (rows == CELL_UNREAD_ROWS)
+      return false;
+    add_row (cell, call, unread);
+    rows++;
+  }
+  return true;
+}
+
+void
+cell_unread_committed (MuxCell *cell, CellPart *part, bool stored)
+{
+  CellUnread *unread;
+  CellUnread *next;
+
+  HASH_ITER (hh, cell->unread, unread, next)
+  {
+    if (!unread->in_commit || &cell->part[unread->part] != part)
+      continue;
+    unread->in_commit = false;
+    if (!stored || unread->dirty_again)
+      {
+        unread->dirty_again = false;
+        continue;
+      }
+    unread->dirty = false;
+    part->unread_dirty--;
+    unread->noted_wall_ms = cell->time.wall_ms;
+    if (unread->expired)
+      unread_free (cell, unread);
+  }
+}
+
+void
+cell_unread_remove_row (MuxCellCall *call, const CellJob *job)
+{
+  char key[MUX_ROW_NAME_LEN];
+
+  snprintf (key, sizeof key, "%s" ENDS_MARK, job->id);
+  (void) cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
+}
+
+/* Return: whether @json is one end, which @end then holds. */
+static bool
+end_from_json (const json_t *json, CellUnreadEnd *end)
+{
+  int numbers[5];
+  const char *saved;
+
+  if (json_unpack ((json_t *) json, "[iiiiis]", &numbers[0], &numbers[1],
+                   &numbers[2], &numbers[3], &numbers[4], &saved)
+      != 0)
+    return false;
+  for (int i = 0; i < 5; i++)
+    if (numbers[i] < 0)
+      return false;
+  if (numbers[4] > MUX_RUN_ALONE)
+    return false;
+  end->task.occurrence = (uint32_t) numbers[0];
+  end->task.step = (uint32_t) numbers[1];
+  end->task.index = (uint32_t) numbers[2];
+  end->run = (uint32_t) numbers[3];
+  end->end = (MuxRunEnd) numbers[4];
+  snprintf (end->saved, sizeof end->saved, "%s", saved);
+  return true;
+}
+
+static void
+ends_from_json (MuxCell *cell,
+                const MuxCellRow *row,
+                const json_t *json,
+                CellUnread *unread)
+{
+  const json_t *list = json_object_get (json, "ends");
+  const json_t *item;
+  size_t i;
+
+  unread->noted_wall_ms
+      = (int64_t) json_integer_value (json_object_get (json, "noted_ms"));
+  unread->overflow = !json_is_array (list)
+                     || json_is_true (json_object_get (json, "overflow"));
+  json_array_foreach (list, i, item)
+  {
+    CellUnreadEnd end = { .run = 0 };
+
+    if (end_from_json (item, &end))
+      (void) add_end (unread, &end);
+    else
+      unread->overflow = true;
+  }
+  if (unread->overflow)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, "ends");
+}
+
+/* What is left of the task once that run has ended so. */
+static void
+apply_end (MuxCell *cell, CellJob *job, const CellUnreadEnd *end)
+{
+  MuxTaskRef ref = end->task;
+  CellTask *task;
+
+  snprintf (ref.job, sizeof ref.job, "%s", job->id);
+  cell_job_occurrences (cell, job, ref.occurrence + 1);
+  task = cell_task_find (cell, &ref);
+  if (task == NULL)
+    return;
+  job->started = true;
+  cell_end_apply (cell, task, end->run, end->end, end->saved);
+}
+
+/* Ends that are missing may be good ones: none of its tasks may run again. */
+static void
+apply (MuxCell *cell, CellJob *job, const CellUnread *unread)
+{
+  for (uint32_t i = 0; i < unread->end_count; i++)
+    apply_end (cell, job, &unread->end[i]);
+  job->progress_lost = job->progress_lost || unread->overflow;
+  job->ends_stored = unread->noted_wall_ms != 0;
+  cell_job_dirty (cell, job);
+}
+
+bool
+cell_unread_row (MuxCell *cell, const MuxCellRow *row)
+{
+  size_t len = strlen (row->key);
+  char id[MUX_ROW_NAME_LEN];
+  CellUnread *unread;
+  CellJob *job;
+  json_t *json;
+
+  if (len < 2 || strcmp (row->key + len - 1, ENDS_MARK) != 0)
+    return false;
+  snprintf (id, sizeof id, "%.*s", (int) (len - 1), row->key);
+  if (!mux_job_id_valid (id))
+    return true;
+  unread = find_or_add (cell, id);
+  if (unread == NULL)
+    return true;
+  json = cell_row_json (cell, row);
+  ends_from_json (cell, row, json, unread);
+  json_decref (json);
+  job = cell_job_find (cell, id);
+  if (job == NULL)
+    return true;
+  apply (cell, job, unread);
+  unread_free (cell, unread);
+  return true;
+}
+
+/* The rows beside the job, its progress before its ends. */
+static void
+take_rows (MuxCell *cell,
+           CellUnread *unread,
+           CellJob *job,
+           const MuxCellReply *reply)
+{
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    if (strcmp (reply->row[i].key, job->id) == 0)
+      cell_progress_row (cell, &reply->row[i]);
+  apply (cell, job, unread);
+}
+
+static void
+beside_read (MuxCell *cell,
+             const CellPending *pending,
+             const MuxCellReply *reply)
+{
+  CellUnread *unread = find (cell, pending->task.job);
+  CellJob *job;
+
+  if (unread == NULL)
+    return;
+  unread->reading = false;
+  unread->next_ms = cell->time.now_ms + RETRY_MS;
+  /* An end that came meanwhile is stored first: a commit on its way would
+   * bring the row back behind its removal. */
+  if (reply->status != MUX_CELL_OK || unread->spec == NULL || unread->in_commit)
+    return;
+  job = cell_job_add (cell, unread->spec, unread->version);
+  unread->spec = NULL;
+  if (job == NULL)
+    return;
+  job->old = true;
+  take_rows (cell, unread, job, reply);
+  cell_log (cell, "unread_job_back", "{s:s, s:i}", "job", job->id, "ends",
+            (int) unread->end_count);
+  unread_free (cell, unread);
+  cell_job_resume (cell, job);
+}
+
+static void
+read_beside (MuxCell *cell, CellUnread *unread)
+{
+  MuxCellCall *call
+      = cell_scan_call (MUX_TABLE_PROGRESS, cell->part[unread->part].name);
+  CellPending pending
+      = { .done = beside_read, .term = cell->term, .part = unread->part };
+
+  unread->next_ms = cell->time.now_ms + RETRY_MS;
+  if (call == NULL)
+    return;
+  snprintf (call->from, sizeof call->from, "%s", unread->id);
+  snprintf (call->to, sizeof call->to, "%s" BEHIND, unread->id);
+  snprintf (pending.task.job, sizeof pending.task.job, "%s", unread->id);
+  unread->reading = cell_call (cell, call, &pending);
+}
+
+/*
+ * Guards against a task that is done and runs again: to its row alone a job
+ * that can be read again looks like one that was just stored, of which nothing
+ * has run.
+ */
+bool
+cell_unread_mended (MuxCell *cell, MuxJobSpec *spec, uint64_t version)
+{
+  CellUnread *unread = find (cell, spec->id);
+
+  if (unread == NULL || cell->role != CELL_PLANNING)
+    return false;
+  mux_job_free (unread->spec);
+  unread->spec = spec;
+  unread->version = version;
+  if (!unread->reading)
+    read_beside (cell, unread);
+  return true;
+}
+
+/* Nothing else would ever remove ends whose job's row is gone. */
+static bool
+is_abandoned (const MuxCell *cell, const CellUnread *unread)
+{
+  int64_t keep_ms = (int64_t) cell->options.ended_keep_s * MS_PER_S;
+
+  return !unread->seen && unread->spec == NULL && unread->noted_wall_ms != 0
+         && cell->time.wall_ms - unread->noted_wall_ms > keep_ms;
+}
+
+void
+cell_unread_tick (MuxCell *cell)
+{
+  CellUnread *unread;
+  CellUnread *next;
+
+  HASH_ITER (hh, cell->unread, unread, next)
+  {
+    if (unread->spec != NULL && !unread->reading
+        && cell->time.now_ms >= unread->next_ms)
+      read_beside (cell, unread);
+    if (unread->expired || unread->dirty || !is_abandoned (cell, unread))
+      continue;
+    unread->expired = true;
+    mark_dirty (cell, unread);
+  }
+}
--- /dev/null
+++ b/test/unit/test_cell_unread.c
@@ -0,0 +1,228 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Jobs whose row another writer spoilt, and the ends of their tasks. */
+
+#define CELLS 3
+#define WORKERS 4
+#define MANY_WORKERS 64
+/* More ends of one job than a planner that can't read it keeps. */
+#define MANY_TASKS 420
+#define TASK_MS 4000
+#define TAKEOVER_MS 4000
+#define KEEP_S 60
+#define MS_PER_S 1000
+
+typedef struct
+{
+  World *world;
+  char part[MUX_ROW_NAME_LEN];
+  char *text; /* of the job's row */
+} Spoilt;
+
+static char *
+row_text (const World *world, const char *key, char *part)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    {
+      const WorldRow *row = &world->row[i];
+
+      if (row->table != MUX_TABLE_JOBS || row->removed
+          || strcmp (row->key, key) != 0)
+        continue;
+      snprintf (part, MUX_ROW_NAME_LEN, "%s", row->part);
+      return strndup (row->value->bytes, row->value->len);
+    }
+  return NULL;
+}
+
+static bool
+row_stands (const World *world, const char *key)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    if (!world->row[i].removed && strcmp (world->row[i].key, key) == 0)
+      return true;
+  return false;
+}
+
+static void
+take_over (World *world)
+{
+  uint32_t planner = world_planner (world);
+
+  world_cell_kill (world, planner);
+  world_run (world, TAKEOVER_MS);
+  assert_int_not_equal (world_planner (world), planner);
+}
+
+/* Its tasks run; the planner that started them is gone, its successor can't
+ * read the job's row; they end under that one. */
+static Spoilt
+job_that_ended_unread (uint32_t workers, uint32_t tasks)
+{
+  Spoilt spoilt = { .world = world_new (CELLS, workers) };
+  World *world = spoilt.world;
+
+  world_run (world, 1000);
+  world->task_ms = TASK_MS;
+  (void) world_submit (world, world_planner (world), world_job (1, tasks, 1000),
+                       "job-a");
+  world_run (world, 1500);
+  assert_int_equal (world_starts (world, "job-a"), tasks);
+  spoilt.text = row_text (world, "job-a", spoilt.part);
+  world_put_row (world, MUX_TABLE_JOBS, spoilt.part, "job-a", "{}");
+  for (uint32_t i = 0; i < workers; i++)
+    for (uint32_t j = 0; j < world->worker[i].run_end; j++)
+      world->worker[i].run[j].ends_ms = world->now_ms + 400;
+  take_over (world);
+  return spoilt;
+}
+
+static void
+mend (const Spoilt *spoilt)
+{
+  world_put_row (spoilt->world, MUX_TABLE_JOBS, spoilt->part, "job-a",
+                 spoilt->text);
+}
+
+static void
+spoilt_free (Spoilt *spoilt)
+{
+  free (spoilt->text);
+  world_free (spoilt->world);
+}
+
+/*
+ * A task that is done runs again.  The job's row is mended while the planner
+ * that could not read it goes on: by its version the row looks like that of a
+ * job which was just stored, and of which nothing has run.
+ */
+static void
+test_job_mended_under_its_planner_runs_nothing_again (void **state)
+{
+  Spoilt spoilt = job_that_ended_unread (WORKERS, 2);
+
+  (void) state;
+  mend (&spoilt);
+  world_run (spoilt.world, 2000);
+  assert_false (world_twice_told (spoilt.world));
+  assert_int_equal (world_starts (spoilt.world, "job-a"), 2);
+  assert_int_equal (
+      world_state (spoilt.world, world_planner (spoilt.world), "job-a"),
+      MUX_JOB_COMPLETED);
+  spoilt_free (&spoilt);
+}
+
+/*
+ * A task is tried once more than its queue allows.  A run of it fails while
+ * nobody can read the job; the failure is acknowledged and forgotten.
+ */
+static void
+test_failures_of_an_unreadable_job_count (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  Spoilt spoilt = { .world = world };
+
+  (void) state;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].fails = true;
+  world_run (world, 1000);
+  world->task_ms = 1000;
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 1000),
+                       "job-a");
+  world_run (world, 600);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  spoilt.text = row_text (world, "job-a", spoilt.part);
+  world_put_row (world, MUX_TABLE_JOBS, spoilt.part, "job-a", "{}");
+  take_over (world);
+  mend (&spoilt);
+  world_run (world, 20000);
+  assert_int_equal (world_starts (world, "job-a"), 3);
+  assert_int_equal (world_state (world, world_planner (world), "job-a"),
+                    MUX_JOB_FAILED);
+  spoilt_free (&spoilt);
+}
+
+/*
+ * Tasks that are done run again, of a job with more of them than the planner
+ * keeps ends of.  Its caller hears that the job failed instead.
+ */
+static void
+test_job_with_too_many_unread_ends_fails (void **state)
+{
+  Spoilt spoilt = job_that_ended_unread (MANY_WORKERS, MANY_TASKS);
+
+  (void) state;
+  mend (&spoilt);
+  world_run (spoilt.world, 4000);
+  assert_false (world_twice_told (spoilt.world));
+  assert_int_equal (
+      world_state (spoilt.world, world_planner (spoilt.world), "job-a"),
+      MUX_JOB_FAILED);
+  spoilt_free (&spoilt);
+}
+
+/*
+ * A worker's room looks taken and its list grows, for ends of a job that nobody
+ * can read are never acknowledged, nor any that come after them.
+ */
+static void
+test_unread_ends_hold_up_no_others (void **state)
+{
+  Spoilt spoilt = job_that_ended_unread (1, 1);
+  World *world = spoilt.world;
+
+  (void) state;
+  world->task_ms = 200;
+  (void) world_submit (world, world_planner (world), world_job (1, 3, 1000),
+                       "job-b");
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, world_planner (world), "job-b"),
+                    MUX_JOB_COMPLETED);
+  for (uint32_t i = 0; i < world->start_count; i++)
+    assert_true (world->start[i].told);
+  spoilt_free (&spoilt);
+}
+
+/*
+ * The store fills with ends of jobs that are gone: their rows were removed by
+ * the writer that had spoilt them, and no planner ever reads them.
+ */
+static void
+test_ends_without_a_job_are_removed (void **state)
+{
+  Spoilt spoilt = job_that_ended_unread (WORKERS, 1);
+  World *world = spoilt.world;
+
+  (void) state;
+  assert_true (row_stands (world, "job-a+"));
+  world_remove_row (world, MUX_TABLE_JOBS, spoilt.part, "job-a");
+  world->keep_s = KEEP_S;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_kill (world, i);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+  world_run (world, TAKEOVER_MS);
+  assert_true (row_stands (world, "job-a+"));
+  world_run (world, (KEEP_S + 2) * MS_PER_S);
+  assert_false (row_stands (world, "job-a+"));
+  spoilt_free (&spoilt);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_job_mended_under_its_planner_runs_nothing_again),
+    cmocka_unit_test (test_failures_of_an_unreadable_job_count),
+    cmocka_unit_test (test_job_with_too_many_unread_ends_fails),
+    cmocka_unit_test (test_unread_ends_hold_up_no_others),
+    cmocka_unit_test (test_ends_without_a_job_are_removed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
