cell: the time of day is the cell's, not the instance's

Cause: the time of day may jump by seconds on some instances, and back. Tasks of an occurrence that is known from a worker's list began before their time, and a job of a million rounds at one moment took all memory of the planner. Change: the planner takes the median of what it and those that greet it say and tells it; spans pass on the steady clock; an occurrence's tasks wait for its time whoever began it; at most 128 unfinished steps of a job's rounds at once.

--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -78,6 +78,8 @@
  * @table_ok: the store serves the sender               (HELLO, WELCOME,
  *   SUBMIT_TOLD)
  * @strength_milli: share of a processor, in thousandths (HELLO)
+ * @wall_ms: time of day; 0: not told                  (HELLO); that the cell
+ *   goes by                                            (WELCOME)
  * @job_state: a MuxJobState                            (JOB_TOLD)
  * @outcome: a MuxOutcome                               (SUBMIT_TOLD)
  * @body: JSON of CONFIG_ROWS, of *_ASK and APPROVAL_TOLD, addresses of MEMBERS
@@ -118,6 +120,7 @@
   bool found;
   bool table_ok;
   uint32_t strength_milli;
+  int64_t wall_ms;
   uint32_t job_state;
   uint32_t outcome;
   MuxBlob *body;
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -79,11 +79,13 @@
   { MUX_FIELD_ADDR, "from_addr", offsetof (MuxPeerMsg, from_addr) },
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
   { MUX_FIELD_BOOL, "stopping", offsetof (MuxPeerMsg, stopping) },
+  { MUX_FIELD_I64, "wall_ms", offsetof (MuxPeerMsg, wall_ms) },
 };
 
 static const MuxPeerField welcome_fields[] = {
   { MUX_FIELD_U64, "epoch", offsetof (MuxPeerMsg, epoch) },
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
+  { MUX_FIELD_I64, "wall_ms", offsetof (MuxPeerMsg, wall_ms) },
 };
 
 static const MuxPeerField ask_fields[] = {
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -178,7 +178,7 @@
 {
   CellPending *entry;
 
-  cell->time = time;
+  cell_set_time (cell, time);
   HASH_FIND (hh, cell->pending, &reply->call_id, sizeof reply->call_id, entry);
   /* A call given up that ends in a time-out tells of a store long ago. */
   if (entry != NULL && of_store (reply->verb)
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -153,7 +153,7 @@
   const MuxQueueSpec *queue = NULL;
   const char *id = NULL;
 
-  cell->time = time;
+  cell_set_time (cell, time);
   if (cell->config != NULL)
     queue = mux_queue_find (cell->config, question->host, question->path, &id);
   if (cell->config == NULL)
@@ -174,7 +174,7 @@
 void
 mux_cell_peer (MuxCell *cell, MuxCellTime time, const MuxPeerMsg *msg)
 {
-  cell->time = time;
+  cell_set_time (cell, time);
   switch (msg->verb)
     {
     case MUX_PEER_HELLO:
@@ -227,7 +227,7 @@
 int64_t
 mux_cell_tick (MuxCell *cell, MuxCellTime time)
 {
-  cell->time = time;
+  cell_set_time (cell, time);
   if (cell->last_event_ms == 0)
     cell->last_event_ms = time.now_ms;
   cell_claim_tick (cell);
@@ -254,7 +254,7 @@
 void
 mux_cell_stop (MuxCell *cell, MuxCellTime time)
 {
-  cell->time = time;
+  cell_set_time (cell, time);
   if (cell->stopping)
     return;
   cell->stopping = true;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -164,6 +164,14 @@
 void cell_member_heard (MuxCell *cell, const MuxPeerMsg *hello);
 void cell_members_free (MuxCell *cell);
 
+/* time_of_day.c: that the cell goes by */
+/** cell_set_time() - of the event that is taken now */
+void cell_set_time (MuxCell *cell, MuxCellTime time);
+/** cell_day_heard() - a member says what time of day it has; 0: it does not */
+void cell_day_heard (const MuxCell *cell, CellMember *member, int64_t wall_ms);
+/** cell_day_told() - the planner says which one the cell goes by */
+void cell_day_told (MuxCell *cell, int64_t wall_ms);
+
 /* load.c: what a new planner reads */
 void cell_load_begin (MuxCell *cell);
 void cell_load_tick (MuxCell *cell);
@@ -184,6 +192,11 @@
 /** cell_job_resume() - go on with a job that was read from the store */
 void cell_job_resume (MuxCell *cell, CellJob *job);
 void cell_job_dirty (MuxCell *cell, CellJob *job);
+/** cell_is_due() - the occurrence's time has come */
+bool cell_is_due (const MuxCell *cell, const CellJob *job, uint32_t occurrence);
+/** cell_occurrences_due() - most that a planner may have begun, its time of day
+ * ahead of ours */
+uint32_t cell_occurrences_due (const MuxCell *cell, const CellJob *job);
 /** cell_job_occurrences() - those that a former planner had begun */
 void cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count);
 void cell_jobs_tick (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -217,7 +217,9 @@
   bool table_ok;
   uint32_t strength_milli;
   bool stopping;
-  uint64_t asking; /* number of the approval question it works on */
+  bool day_known;
+  int64_t day_offset_ms; /* its time of day over our steady clock */
+  uint64_t asking;       /* number of the approval question it works on */
   uint32_t asking_cost_ms;
   int64_t asking_until_ms; /* it is asked nothing before */
   UT_hash_handle hh;
@@ -401,6 +403,7 @@
  * @worthless_ms: after which its end is worth nothing
  * @old: its row is older than this planner's fence of the part: a former
  *   planner may have started tasks of it anywhere
+ * @early: an occurrence was begun before its time
  * @started: some task has run
  * @cancelled: by its caller
  * @failed: a task failed too often
@@ -422,6 +425,7 @@
   int64_t worthless_ms;
   bool old;
   CellOrigin origin;
+  bool early;
   bool started;
   bool cancelled;
   bool failed;
@@ -607,7 +611,11 @@
 struct MuxCell
 {
   MuxCellOptions options;
-  MuxCellTime time;
+  MuxCellTime time; /* of this event; with the cell's time of day */
+  int64_t own_wall_ms;
+  int64_t day_offset_ms; /* of the cell's time of day over @time.now_ms */
+  int64_t day_told_ms;   /* a planner told it then; 0: none did */
+  int64_t next_day_look_ms;
   uint64_t next_call;
   CellPending *pending;
   CellFollow follow[FOLLOW_COUNT];
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -374,6 +374,7 @@
   msg.table_ok = cell_store_ok (cell);
   msg.strength_milli = cell->options.strength_milli;
   msg.stopping = cell->stopping;
+  msg.wall_ms = cell->own_wall_ms;
   (void) cell->options.sink->peer_send (cell->options.sink, cell->claim.addr,
                                         &msg);
 }
@@ -454,6 +455,8 @@
 
   msg.epoch = cell->term;
   msg.table_ok = cell_store_ok (cell);
+  if (cell->role != CELL_FOLLOWER)
+    msg.wall_ms = cell->time.wall_ms;
   (void) cell->options.sink->peer_send (cell->options.sink, hello->from_addr,
                                         &msg);
 }
@@ -473,6 +476,7 @@
     return;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_welcome_ms = cell->time.now_ms;
+  cell_day_told (cell, msg->wall_ms);
   if (msg->table_ok)
     {
       cell->planner_store_bad_ms = 0;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -12,6 +12,11 @@
 #define WORTHLESS_FACTOR 3
 /* Workers that a policy question of the promised time names. */
 #define PROMISED_CANDIDATES 30
+/* Times of day of two daemons differ by less. */
+#define CLOCKS_APART_MS 600000
+/* Begun and not done, of one job: the planner's memory for it is some 300 KB
+ * where each has 32 tasks. */
+#define UNFINISHED_STAGES_MAX 128
 #define MILLI 1000
 #define US_PER_MS 1000
 
@@ -228,6 +233,14 @@
   return job->next_occurrence < job->spec->repetitions;
 }
 
+/* The last that was begun is not due: a worker, or what is stored, names it. */
+static bool
+waits_for_its_time (const MuxCell *cell, const CellJob *job)
+{
+  return job->next_occurrence > 0
+         && !cell_is_due (cell, job, job->next_occurrence - 1);
+}
+
 static bool
 all_done (const CellJob *job)
 {
@@ -237,36 +250,81 @@
   return !occurrences_left (job);
 }
 
-/* An occurrence's due time has come, on this daemon's time of day. */
+/* By the cell's time of day; negative: it has come. */
+static int64_t
+until_due_ms (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
+{
+  return job->spec->first_due_ms + (int64_t) occurrence * job->spec->interval_ms
+         - cell->time.wall_ms;
+}
+
+bool
+cell_is_due (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
+{
+  return job->spec->repetitions == 0
+         || until_due_ms (cell, job, occurrence) <= 0;
+}
+
+/*
+ * Guards against a planner without memory: a job of a million occurrences at
+ * one moment would have a stage for each step of them all.  The next begins
+ * when one of these has ended.
+ */
+static bool
+too_many_unfinished (const CellJob *job)
+{
+  uint32_t unfinished = 0;
+
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    unfinished += job->stage[i]->left > 0;
+  return unfinished >= UNFINISHED_STAGES_MAX;
+}
+
+static bool
+add_next (MuxCell *cell, CellJob *job)
+{
+  int64_t began_ms
+      = cell->time.now_ms + until_due_ms (cell, job, job->next_occurrence);
+
+  if (add_occurrence (job, job->next_occurrence, began_ms))
+    return true;
+  cell_log (cell, "occurrence_dropped", "{s:s, s:s}", "job", job->id, "why",
+            "memory is out");
+  return false;
+}
+
 static void
 add_due (MuxCell *cell, CellJob *job)
 {
-  while (occurrences_left (job))
-    {
-      int64_t due_wall_ms
-          = job->spec->first_due_ms
-            + (int64_t) job->next_occurrence * job->spec->interval_ms;
-      int64_t ago_ms = cell->time.wall_ms - due_wall_ms;
-
-      if (ago_ms < 0)
-        return;
-      if (!add_occurrence (job, job->next_occurrence,
-                           cell->time.now_ms - ago_ms))
-        {
-          cell_log (cell, "occurrence_dropped", "{s:s, s:s}", "job", job->id,
-                    "why", "memory is out");
-          return;
-        }
-    }
+  while (occurrences_left (job)
+         && until_due_ms (cell, job, job->next_occurrence) <= 0
+         && !too_many_unfinished (job) && add_next (cell, job))
+    ;
+}
+
+uint32_t
+cell_occurrences_due (const MuxCell *cell, const CellJob *job)
+{
+  const MuxJobSpec *spec = job->spec;
+  int64_t since_ms = cell->time.wall_ms + CLOCKS_APART_MS - spec->first_due_ms;
+  int64_t due;
+
+  if (spec->repetitions == 0)
+    return 1;
+  if (since_ms < 0)
+    return 0;
+  due = spec->interval_ms > 0 ? since_ms / spec->interval_ms + 1
+                              : spec->repetitions;
+  return (uint32_t) (due < spec->repetitions ? due : spec->repetitions);
 }
 
 void
 cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count)
 {
-  while (job->spec->repetitions > 0 && job->next_occurrence < count
-         && job->next_occurrence < job->spec->repetitions)
-    if (!add_occurrence (job, job->next_occurrence, cell->time.now_ms))
-      return;
+  while (occurrences_left (job) && job->next_occurrence < count
+         && add_next (cell, job))
+    ;
+  job->early = waits_for_its_time (cell, job);
 }
 
 void
@@ -373,6 +431,13 @@
   cell_job_free (cell, job);
 }
 
+/* Time alone may bring it on. */
+static bool
+needs_look (const CellJob *job)
+{
+  return occurrences_left (job) || job->early || job->cancelled || job->failed;
+}
+
 void
 cell_jobs_tick (MuxCell *cell)
 {
@@ -383,9 +448,11 @@
   HASH_ITER (hh, cell->jobs, job, next)
   if (job->end_stored && job->bookings == 0)
     remember_ended (cell, job);
-  else if ((occurrences_left (job) || job->cancelled || job->failed)
-           && !job->ended)
-    cell_job_advance (cell, job);
+  else if (needs_look (job) && !job->ended)
+    {
+      job->early = job->early && waits_for_its_time (cell, job);
+      cell_job_advance (cell, job);
+    }
 }
 
 bool
--- a/src/cell/member.c
+++ b/src/cell/member.c
@@ -51,4 +51,5 @@
   member->table_ok = msg->table_ok;
   member->strength_milli = msg->strength_milli;
   member->stopping = msg->stopping;
+  cell_day_heard (cell, member, msg->wall_ms);
 }
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -9,8 +9,6 @@
 #define WINDOW_MS 30
 #define RETRY_MS 100
 #define BITS_PER_DIGIT 4
-/* Times of day of two daemons differ by less. */
-#define CLOCKS_APART_MS 600000
 /* Most jobs of one commit, and entries that it holds: an ended job takes four,
  * or five, beside the two of the fence; two are left for ends of jobs that
  * can't be read. */
@@ -249,23 +247,6 @@
   return json_is_array (json_object_get (json, "workers")) ? NULL : "workers";
 }
 
-/* Most occurrences that a planner may have begun, its clock ahead of ours. */
-static json_int_t
-occurrences_due (const MuxCell *cell, const CellJob *job)
-{
-  const MuxJobSpec *spec = job->spec;
-  int64_t since_ms = cell->time.wall_ms + CLOCKS_APART_MS - spec->first_due_ms;
-  int64_t due;
-
-  if (spec->repetitions == 0)
-    return 1;
-  if (since_ms < 0)
-    return 0;
-  due = spec->interval_ms > 0 ? since_ms / spec->interval_ms + 1
-                              : spec->repetitions;
-  return due < spec->repetitions ? due : spec->repetitions;
-}
-
 /* Read with gaps, tasks that were done would run again: it is whole or lost. */
 static const char *
 wrong_in_progress (const MuxCell *cell, const CellJob *job, const json_t *json)
@@ -278,7 +259,7 @@
 
   if (!json_is_boolean (json_object_get (json, "started")))
     return "started";
-  if (!is_count (occurrences, least, occurrences_due (cell, job)))
+  if (!is_count (occurrences, least, cell_occurrences_due (cell, job)))
     return "occurrences";
   if (!json_is_array (stages)
       || json_array_size (stages)
--- a/src/cell/unread.c
+++ b/src/cell/unread.c
@@ -343,6 +343,8 @@
   MuxTaskRef ref = end->task;
   CellTask *task;
 
+  if (ref.occurrence >= cell_occurrences_due (cell, job))
+    return;
   snprintf (ref.job, sizeof ref.job, "%s", job->id);
   cell_job_occurrences (cell, job, ref.occurrence + 1);
   task = cell_task_find (cell, &ref);
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -96,10 +96,12 @@
       msg->strength_milli = 250;
       strcpy (msg->from_addr, "10.20.30.41:7411");
       msg->table_ok = true;
+      msg->wall_ms = INT64_C (1700000000123);
       break;
     case MUX_PEER_WELCOME:
       msg->epoch = 42;
       msg->table_ok = true;
+      msg->wall_ms = INT64_C (1700000000124);
       break;
     case MUX_PEER_JOB_ASK:
     case MUX_PEER_APPROVAL_ASK:
--- /dev/null
+++ b/test/unit/test_cell_time_of_day.c
@@ -0,0 +1,316 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+
+/* What a time of day that jumps on some instances does to callers' jobs. */
+
+#define CELLS 3
+#define WORKERS 4
+#define JUMP_MS 2400
+#define ALL_CPU_MILLI 32000
+#define KEEP_S 60
+#define MS_PER_S 1000
+/* Between two ticks of a planner's jobs, and a start's way. */
+#define LATE_MS 120
+#define LONG_JUMP_MS 30000
+/* Of one job, in the time of the test: those running, a few times over. */
+#define ROUNDS_AT_ONCE_MAX 4000
+/* Each takes the whole worker. */
+#define FOLLOWING_JOBS 8
+
+static MuxJobSpec *
+timed_job (const World *world, int64_t in_ms, uint32_t times, int64_t every_ms)
+{
+  MuxJobSpec *job = world_job (1, 1, 1000);
+
+  job->repetitions = times;
+  job->first_due_ms = WORLD_WALL_MS + world->now_ms + in_ms;
+  job->interval_ms = every_ms;
+  return job;
+}
+
+/* Occurrence K of the job began once, no earlier than its time, and no later
+ * than is usual. */
+static void
+check_times (const World *world, int64_t first_ms, int64_t every_ms)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    {
+      const WorldStart *start = &world->start[i];
+      int64_t due_ms = first_ms + start->task.occurrence * every_ms;
+
+      print_message ("%u due at %lld began at %lld\n", start->task.occurrence,
+                     (long long) due_ms, (long long) start->at_ms);
+      assert_true (start->at_ms >= due_ms);
+      assert_true (start->at_ms <= due_ms + LATE_MS);
+    }
+}
+
+/*
+ * A timed job runs seconds before its time, when what it reads is not there
+ * yet.  The time of day of the planner's instance jumps ahead and, later, back.
+ */
+static void
+test_jump_ahead_starts_nothing_early (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  int64_t first_ms;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = 200;
+  first_ms = world->now_ms + 3000;
+  (void) world_submit (world, planner, timed_job (world, 3000, 6, 1000),
+                       "timed");
+  world_run (world, 1500);
+  world->cell[planner].wall_ms = JUMP_MS;
+  world_run (world, 3000);
+  world->cell[planner].wall_ms = 0;
+  world_run (world, 6000);
+  assert_int_equal (world_starts (world, "timed"), 6);
+  check_times (world, first_ms, 1000);
+  world_free (world);
+}
+
+/*
+ * A timed job runs seconds late, or a whole round of it at once.  The time of
+ * day of the planner's instance jumps back, and forward again.
+ */
+static void
+test_jump_back_starts_nothing_late (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  int64_t first_ms;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = 200;
+  first_ms = world->now_ms + 1000;
+  (void) world_submit (world, planner, timed_job (world, 1000, 6, 1000),
+                       "timed");
+  world_run (world, 500);
+  world->cell[planner].wall_ms = -JUMP_MS;
+  world_run (world, 3000);
+  world->cell[planner].wall_ms = 0;
+  world_run (world, 6000);
+  assert_int_equal (world_starts (world, "timed"), 6);
+  check_times (world, first_ms, 1000);
+  world_free (world);
+}
+
+/*
+ * The same in the first moments of a planner: the former one dies, and the
+ * daemon that takes over has a time of day that has jumped ahead.  It plans
+ * before any other daemon has greeted it.
+ */
+static void
+test_successor_goes_by_the_time_it_was_told (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  int64_t first_ms;
+
+  (void) state;
+  world_make_urgent (world);
+  world_run (world, 1000);
+  world->task_ms = 200;
+  first_ms = world->now_ms + 6000;
+  (void) world_submit (world, planner, timed_job (world, 6000, 1, 1000),
+                       "timed");
+  world_run (world, 3000);
+  world_cell_kill (world, planner);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].wall_ms = JUMP_MS;
+  while (world_planner (world) == planner)
+    world_run (world, 1);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].wall_ms = i == world_planner (world) ? JUMP_MS : 0;
+  world_run (world, 6000);
+  assert_int_equal (world_starts (world, "timed"), 1);
+  check_times (world, first_ms, 1000);
+  world_free (world);
+}
+
+/*
+ * A caller's job waits behind all that came after it.  The daemon that took it
+ * in has a time of day that jumped back: the job looks as old as the jump is
+ * long, too late to be of use, and what can still be in time goes first.
+ */
+static void
+test_job_of_a_daemon_behind_is_not_late (void **state)
+{
+  World *world = world_new (CELLS, 1);
+  uint32_t planner = world_planner (world);
+  uint32_t other = (planner + 1) % CELLS;
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = 400;
+  world->cell[other].wall_ms = -60000;
+  (void) world_submit (world, other, world_job (1, 1, ALL_CPU_MILLI), "first");
+  for (uint32_t i = 0; i < FOLLOWING_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "next-%u", i);
+      (void) world_submit (world, planner, world_job (1, 1, ALL_CPU_MILLI), id);
+    }
+  while (world->start_count < FOLLOWING_JOBS / 2)
+    world_run (world, 10);
+  assert_int_equal (world_starts (world, "first"), 1);
+  world_free (world);
+}
+
+/*
+ * A caller asks for a job that has just ended and hears that there is none.
+ * The time of day of the planner's instance jumps by more than rows of ended
+ * jobs are kept, and it removes them.
+ */
+static void
+test_jump_removes_no_ended_job (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner;
+
+  (void) state;
+  world->keep_s = KEEP_S;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_kill (world, i);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+  world_run (world, 4000);
+  planner = world_planner (world);
+  world->task_ms = 200;
+  (void) world_submit (world, planner, world_job (1, 1, 1000), "job-a");
+  world_run (world, 2000);
+  assert_int_equal (world_ends (world), 1);
+  world->cell[planner].wall_ms = 2 * KEEP_S * MS_PER_S;
+  world_run (world, KEEP_S * MS_PER_S / 2);
+  assert_int_equal (world_ends (world), 1);
+  world_free (world);
+}
+
+/*
+ * A task runs again after it was done, as in the story of an occurrence that is
+ * not due at the successor; here nobody tells the planner that its time of day
+ * is ahead, as it is alone.
+ */
+static void
+test_end_of_an_occurrence_that_a_lone_planner_began_counts (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world_cell_kill (world, i);
+  world_make_urgent (world);
+  world_run (world, 6000);
+  world->task_ms = 300;
+  world->cell[planner].wall_ms = JUMP_MS;
+  (void) world_submit (world, planner,
+                       timed_job (world, JUMP_MS + 500, 2, 60000), "timed");
+  while (world_starts (world, "timed") == 0)
+    world_run (world, 1);
+  assert_true (world->start[0].at_ms < world->now_ms + JUMP_MS);
+  world_cell_kill (world, planner);
+  world_cell_start (world, (planner + 1) % CELLS);
+  world_run (world, 8000);
+  assert_int_equal (world_starts (world, "timed"), 1);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * Half of a timed job's round runs seconds before its time.  A planner that is
+ * alone, and ahead, begins the round; its successor hears of a task of it and
+ * takes the whole round as begun.
+ */
+static void
+test_rest_of_a_round_begun_early_waits_for_its_time (void **state)
+{
+  World *world = world_new (CELLS, 2);
+  uint32_t planner = world_planner (world);
+  MuxJobSpec *job;
+  int64_t due_ms;
+
+  (void) state;
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (i != planner)
+      world_cell_kill (world, i);
+  world_make_urgent (world);
+  world_run (world, 6000);
+  world->worker[1].cut = true;
+  world_run (world, 2000);
+  world->task_ms = 300;
+  world->cell[planner].wall_ms = LONG_JUMP_MS;
+  job = timed_job (world, LONG_JUMP_MS + 500, 2, 60000);
+  job->step[0].count = 2;
+  job->step[0].size.cpu_milli = ALL_CPU_MILLI;
+  due_ms = world->now_ms + LONG_JUMP_MS + 500;
+  (void) world_submit (world, planner, job, "timed");
+  while (world_starts (world, "timed") == 0)
+    world_run (world, 1);
+  world_cell_kill (world, planner);
+  world->worker[1].cut = false;
+  world_cell_start (world, (planner + 1) % CELLS);
+  world_run (world, due_ms - world->now_ms - 1);
+  assert_int_equal (world_starts (world, "timed"), 1);
+  world_run (world, 2000);
+  assert_int_equal (world_starts (world, "timed"), 2);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/*
+ * No caller's job is started any more, and the planner is ended for its memory:
+ * one job has a round for each of a million moments, all of them now.
+ */
+static void
+test_job_of_a_million_rounds_leaves_room_for_others (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  clock_t began;
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = 200;
+  (void) world_submit (world, planner, timed_job (world, 0, 1000000, 0),
+                       "many");
+  world_run (world, 500);
+  (void) world_submit (world, planner, world_job (1, 1, 1000), "job-a");
+  began = world->core_clock;
+  world_run (world, 6000);
+  print_message (
+      "%ld ms of processor time\n",
+      (long) ((world->core_clock - began) * MS_PER_S / CLOCKS_PER_SEC));
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  assert_true (world_starts (world, "many") > 0);
+  assert_true (world_starts (world, "many") < ROUNDS_AT_ONCE_MAX);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_jump_ahead_starts_nothing_early),
+    cmocka_unit_test (test_jump_back_starts_nothing_late),
+    cmocka_unit_test (test_successor_goes_by_the_time_it_was_told),
+    cmocka_unit_test (test_job_of_a_daemon_behind_is_not_late),
+    cmocka_unit_test (test_jump_removes_no_ended_job),
+    cmocka_unit_test (
+        test_end_of_an_occurrence_that_a_lone_planner_began_counts),
+    cmocka_unit_test (test_rest_of_a_round_begun_early_waits_for_its_time),
+    cmocka_unit_test (test_job_of_a_million_rounds_leaves_room_for_others),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
