cell: what would be lost with a leaving worker is moved in time

Cause: a worker that leaves ends all that runs there. Nothing new was placed on it, but what ran was left to its end: work since the last checkpoint was lost, and callers waited for tasks that could not end. Ruled out: stopping all at the notice, which throws away what would end in time; waiting for the worker's own word at its end, which names no checkpoint. Change: evacuate.c: a task that ends in the time left, by its progress, is let be; one that saves its work is stopped as late as a stop can be carried out; one that does not is stopped and starts elsewhere at once. Tasks that run until they are cancelled stay.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -285,6 +285,12 @@
 /** cell_lease_of_former() - what a former planner may have asked of it */
 void cell_lease_of_former (const MuxCell *cell, CellWorker *worker);
 
+/* evacuate.c: what runs at a worker that leaves */
+/** cell_worker_leaves() - its entry in the list was read */
+void cell_worker_leaves (const MuxCell *cell, CellWorker *worker);
+/** cell_evacuate() - stop what would be lost with it */
+void cell_evacuate (MuxCell *cell, CellWorker *worker);
+
 /* sweep.c: rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
 void cell_sweep_tick (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -482,6 +482,8 @@
  * @roster: all that the stored roster may say of it
  * @roster_before: the same without the commit on its way
  * @roster_asked: what that commit writes; 0: nothing of this worker
+ * @leaves_at_ms: it says that it stays so long; 0: it does not leave, or does
+ * not say when
  * @heard: it has answered under our token: its list is complete
  * @reachable: the last call was answered
  * @clock_ms: its clock, as last told
@@ -502,6 +504,7 @@
   uint32_t slot;
   bool listed;
   int64_t unlisted_ms;
+  int64_t leaves_at_ms;
   uint32_t roster; /* set of CellRosterState, as the two below */
   uint32_t roster_before;
   uint32_t roster_asked;
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -215,6 +215,7 @@
     cell_log (cell, "worker_draining", "{s:s}", "worker", row->key);
   worker->listed = true;
   take_entry (worker, row->worker);
+  cell_worker_leaves (cell, worker);
   tell_useless (cell, worker);
   cell->replan = true;
 }
@@ -385,8 +386,10 @@
     return;
   if (!worker->renewing && cell->time.now_ms >= worker->next_renew_ms)
     renew (cell, worker);
-  if (worker->heard)
-    cell_stops_tick (cell, worker);
+  if (!worker->heard)
+    return;
+  cell_evacuate (cell, worker);
+  cell_stops_tick (cell, worker);
 }
 
 static bool
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1111,6 +1111,14 @@
                  "{}");
 }
 
+void
+world_worker_leaves (World *world, uint32_t number, uint32_t in_ms)
+{
+  world->worker[number].info.draining = true;
+  world->worker[number].info.leaves_ms = in_ms;
+  list_worker (world, number);
+}
+
 void
 world_worker_drains (World *world, uint32_t number, bool draining)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -258,6 +258,8 @@
 void world_ask_slowly (World *world, uint32_t base_ms, uint32_t per_worker_us);
 /** world_worker_drains() - it says that it will leave, or no longer */
 void world_worker_drains (World *world, uint32_t worker, bool draining);
+/** world_worker_leaves() - the same, and it says that it stays for @in_ms */
+void world_worker_leaves (World *world, uint32_t worker, uint32_t in_ms);
 /** world_worker_unlist() - its entry lapses, or is back; it runs on */
 void world_worker_unlist (World *world, uint32_t worker, bool gone);
 /** world_worker_restart() - a new life at the same address */
