--- a/src/cell/evacuate.c
+++ b/src/cell/evacuate.c
@@ -7,7 +7,8 @@
  * it would lose all since its last checkpoint, seconds of each processor.  One
  * that does not is stopped at once and runs elsewhere: its caller waits for the
  * time that is left otherwise, and gains nothing.  On a day on which two times
- * 31 of 370 workers left within two seconds 97 runs were lost with them, now one.
+ * 31 of 370 workers left within two seconds 97 runs were lost with them, now
+ * one.
  */
 
 /* A stop takes up to 0.9 s at a worker; its order and its end are on their way
