cuminmux report: what callers of each queue got, from daemons' logs

Cause: each search for what falls over at hundreds of instances began with a script over the same log lines; operators have no such thing, only the story of one job. Ruled out: counters, which can't tell why a job was late. The reader of lines is shared with `explain`, which also tells of evacuated runs. Conclusion: no plots (--svg) yet.

--- a/src/cli/arg_spec.c
+++ b/src/cli/arg_spec.c
@@ -2,6 +2,8 @@
 
 #define REVISION_MAX INT64_MAX
 #define TIMEOUT_MS_MAX 3600000
+/* A day. */
+#define SPAN_MAX_S 86400
 
 /* A number that fills a field of the model may be any; the model judges it. */
 #define MODEL MUX_CHECK_NUMBER, INT64_MIN, INT64_MAX, 0
@@ -75,9 +77,11 @@
                     "ask every daemon of --server and merge their answers" },
   [MUX_ARG_BODY] = { "body", "TEXT", MUX_CHECK_TEXT, 0, 0, 0, NULL,
                      "the body; default: standard input" },
-  [MUX_ARG_FILE]
-  = { "file", "PATH", MUX_CHECK_TEXT, 0, 0, 0, NULL, "file with the body" },
+  [MUX_ARG_FILE] = { "file", "PATH", MUX_CHECK_TEXT, 0, 0, 0, NULL,
+                     "file to read; default: standard input" },
   [MUX_ARG_GIVE_UP_MS]
   = { "give-up-ms", "MS", MUX_CHECK_NUMBER, 1, TIMEOUT_MS_MAX, 30000, NULL,
       "give up when it has not ended by then; default 30000" },
+  [MUX_ARG_SPAN_S] = { "span-s", "S", MUX_CHECK_NUMBER, 1, SPAN_MAX_S, 10, NULL,
+                       "length of the spans of time; default 10" },
 };
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -1,14 +1,10 @@
+#include "event_lines.h"
 #include "render.h"
-#include "verb.h"
 
-#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Longest line of a log that is read; longer ones are no event of ours. */
-#define LINE_MAX_LEN 8192
-
 /* One event that touches the job, or what the daemons believed meanwhile. */
 typedef struct
 {
@@ -52,6 +48,9 @@
   { "run_ended", "step {step} task {task} run {run} on {worker} ended: {end}" },
   { "run_still",
     "step {step} task {task} on {worker} stood still at {percent} percent" },
+  { "run_evacuated",
+    "step {step} task {task} on {worker}, which leaves in {stays_ms} ms, is "
+    "stopped at {percent} percent" },
   { "stray_run",
     "step {step} task {task} run {run} found on {worker} and stopped" },
   { "job_failing", "it fails: {why}" },
@@ -75,18 +74,10 @@
   return NULL;
 }
 
-static const char *
-text_of (const json_t *json, const char *field)
-{
-  const char *text = json_string_value (json_object_get (json, field));
-
-  return text != NULL ? text : "";
-}
-
 static bool
 is_of (const Story *story, const json_t *json)
 {
-  return strcmp (text_of (json, "job"), story->job) == 0;
+  return strcmp (mux_event_text (json, "job"), story->job) == 0;
 }
 
 /* Of the job itself, or of what all jobs depend on.  A line whose job is empty
@@ -94,7 +85,7 @@
 static bool
 belongs (const Story *story, const json_t *json)
 {
-  if (sentence_of (text_of (json, "event")) == NULL)
+  if (sentence_of (mux_event_text (json, "event")) == NULL)
     return false;
   return json_object_get (json, "job") == NULL || is_of (story, json);
 }
@@ -122,28 +113,16 @@
 }
 
 static bool
-read_story (Story *story, FILE *in)
+take (void *user, json_t *json)
 {
-  char line[LINE_MAX_LEN];
+  Story *story = user;
 
-  while (fgets (line, sizeof line, in) != NULL)
-    {
-      const char *begin = strchr (line, '{');
-      json_t *json = begin != NULL
-                         ? json_loads (begin, JSON_DISABLE_EOF_CHECK, NULL)
-                         : NULL;
-
-      if (json == NULL)
-        continue;
-      if (!belongs (story, json))
-        json_decref (json);
-      else if (!keep (story, json))
-        {
-          json_decref (json);
-          return false;
-        }
-    }
-  return true;
+  bool kept = belongs (story, json);
+  bool ok = !kept || keep (story, json);
+
+  if (!kept || !ok)
+    json_decref (json);
+  return ok;
 }
 
 static int
@@ -178,7 +157,8 @@
 static void
 print_event (FILE *out, const Event *event, int64_t begin_ms)
 {
-  const char *at = sentence_of (text_of (event->json, "event"))->sentence;
+  const char *at
+      = sentence_of (mux_event_text (event->json, "event"))->sentence;
   char *instance = mux_render_text (json_object_get (event->json, "instance"));
 
   fprintf (out, "%+8" PRId64 " ms  %s: ", event->wall_ms - begin_ms,
@@ -202,7 +182,7 @@
 static bool
 is (const Event *event, const char *name)
 {
-  return strcmp (text_of (event->json, "event"), name) == 0;
+  return strcmp (mux_event_text (event->json, "event"), name) == 0;
 }
 
 /* Refusals are counted from the first try on, all else between the job's
@@ -235,7 +215,7 @@
 static void
 count_event (Counts *counts, const Event *event)
 {
-  const char *end = text_of (event->json, "end");
+  const char *end = mux_event_text (event->json, "end");
 
   counts->cancelled |= is (event, "cancelling");
   counts->failed += is (event, "run_ended") && strcmp (end, "failed") == 0;
@@ -246,10 +226,11 @@
   counts->placed_late
       += is (event, "placed")
          && json_integer_value (json_object_get (event->json, "late_ms")) > 0;
-  counts->store_failing += is (event, "store_failing") && counts->ended != NULL
-                           && strcmp (text_of (event->json, "instance"),
-                                      text_of (counts->ended->json, "instance"))
-                                  == 0;
+  counts->store_failing
+      += is (event, "store_failing") && counts->ended != NULL
+         && strcmp (mux_event_text (event->json, "instance"),
+                    mux_event_text (counts->ended->json, "instance"))
+                == 0;
 }
 
 static Counts
@@ -264,7 +245,7 @@
       if (is (event, "refused") && !counts.accepted)
         {
           counts.refused++;
-          counts.why_refused = text_of (event->json, "why");
+          counts.why_refused = mux_event_text (event->json, "why");
         }
       counts.accepted |= is (event, "accepted");
       if (counts.accepted && (counts.ended == NULL || event <= counts.ended))
@@ -297,7 +278,7 @@
     return cause_of_refusal (counts);
   if (json == NULL)
     return "these logs do not show its end";
-  if (strcmp (text_of (json, "state"), "failed") == 0)
+  if (strcmp (mux_event_text (json, "state"), "failed") == 0)
     return "its tasks failed as often as the queue allows";
   if (took <= due)
     return counts->refused > 0
@@ -323,7 +304,8 @@
 {
   for (size_t i = 0; i < story->count; i++)
     if (of_job (&story->event[i])
-        && strcmp (text_of (story->event[i].json, "worker"), worker) == 0)
+        && strcmp (mux_event_text (story->event[i].json, "worker"), worker)
+               == 0)
       return true;
   return false;
 }
@@ -332,7 +314,7 @@
 static bool
 is_told (const Story *story, const Event *event)
 {
-  const char *worker = text_of (event->json, "worker");
+  const char *worker = mux_event_text (event->json, "worker");
 
   return of_job (event) || worker[0] == 0 || names_worker (story, worker);
 }
@@ -372,39 +354,14 @@
   return MUX_EXIT_OK;
 }
 
-static FILE *
-open_log (MuxCliCall *call)
-{
-  const char *path = call->args.text[MUX_ARG_FILE];
-  FILE *file;
-
-  if (path == NULL)
-    return call->host->in;
-  file = fopen (path, "r");
-  if (file == NULL)
-    fprintf (call->host->err, "cuminmux: --file: can't read \"%s\": %s\n", path,
-             strerror (errno));
-  return file;
-}
-
 int
 mux_verb_explain (MuxCliCall *call)
 {
   Story story = { .job = call->args.text[MUX_ARG_NAME] };
-  FILE *in = open_log (call);
-  int code;
+  int code = mux_event_lines_read (call, take, &story);
 
-  if (in == NULL)
-    return MUX_EXIT_USAGE;
-  if (read_story (&story, in))
+  if (code == MUX_EXIT_OK)
     code = tell (&story, call);
-  else
-    {
-      fputs ("cuminmux: memory is out\n", call->host->err);
-      code = MUX_EXIT_LATER;
-    }
-  if (in != call->host->in)
-    fclose (in);
   for (size_t i = 0; i < story.count; i++)
     json_decref (story.event[i].json);
   free (story.event);
--- a/src/cli/verb.h
+++ b/src/cli/verb.h
@@ -73,6 +73,7 @@
 int mux_verb_ticket (MuxCliCall *call);
 int mux_verb_keygen (MuxCliCall *call);
 int mux_verb_explain (MuxCliCall *call);
+int mux_verb_report (MuxCliCall *call);
 
 /** mux_call_read() - GET @path with up to one parameter (@name may be NULL)
  * @json: receives the answer, owned by the caller; NULL unless it is OK
