--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -192,6 +192,19 @@
 /** cell_job_resume() - go on with a job that was read from the store */
 void cell_job_resume (MuxCell *cell, CellJob *job);
 void cell_job_dirty (MuxCell *cell, CellJob *job);
+void cell_jobs_tick (MuxCell *cell);
+CellTask *cell_task_find (MuxCell *cell, const MuxTaskRef *ref);
+MuxTaskRef cell_task_ref (const CellTask *task);
+
+/* occurrence.c */
+/** cell_occurrence_add() - @began_ms: when it was due; false: memory is out */
+bool cell_occurrence_add (CellJob *job, uint32_t occurrence, int64_t began_ms);
+/** cell_occurrences_left() - some have not begun */
+bool cell_occurrences_left (const CellJob *job);
+/** cell_occurrences_begin() - those that are due */
+void cell_occurrences_begin (MuxCell *cell, CellJob *job);
+/** cell_occurrence_is_early() - the last that was begun is not due */
+bool cell_occurrence_is_early (const MuxCell *cell, const CellJob *job);
 /** cell_is_due() - the occurrence's time has come */
 bool cell_is_due (const MuxCell *cell, const CellJob *job, uint32_t occurrence);
 /** cell_occurrences_due() - most that a planner may have begun, its time of day
@@ -199,9 +212,6 @@
 uint32_t cell_occurrences_due (const MuxCell *cell, const CellJob *job);
 /** cell_job_occurrences() - those that a former planner had begun */
 void cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count);
-void cell_jobs_tick (MuxCell *cell);
-CellTask *cell_task_find (MuxCell *cell, const MuxTaskRef *ref);
-MuxTaskRef cell_task_ref (const CellTask *task);
 
 /* job_rows.c: the jobs' table */
 /** cell_jobs_take() - a job that this planner stored itself; takes @spec */
@@ -227,9 +237,23 @@
 cell_unread_add_rows (MuxCell *cell, const CellPart *part, MuxCellCall *call);
 /** cell_unread_committed() - the end of that commit */
 void cell_unread_committed (MuxCell *cell, CellPart *part, bool stored);
+void cell_unread_tick (MuxCell *cell);
+/** cell_unread_add_end() - false: it was known before */
+bool cell_unread_add_end (CellUnread *unread, const CellUnreadEnd *end);
+
+/* unread_rows.c */
+/** cell_unread_row_of() - the job of such a row; false: it is another one */
+bool cell_unread_row_of (const char *key, char id[MUX_ROW_NAME_LEN]);
+void cell_unread_put_row (const MuxCell *cell,
+                          MuxCellCall *call,
+                          CellUnread *unread);
+/** cell_unread_read_row() - @json: its value; NULL: it can't be read */
+void cell_unread_read_row (MuxCell *cell,
+                           const MuxCellRow *row,
+                           const json_t *json,
+                           CellUnread *unread);
 /** cell_unread_remove_row() - the job's own progress holds those ends now */
 void cell_unread_remove_row (MuxCellCall *call, const CellJob *job);
-void cell_unread_tick (MuxCell *cell);
 void cell_unread_free (MuxCell *cell);
 
 /* stage.c */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -457,6 +457,50 @@
   UT_hash_handle hh;
 };
 
+/**
+ * struct CellUnreadEnd - an end of a run of such a job
+ * @task: which; its job is the one that holds this
+ */
+typedef struct
+{
+  MuxTaskRef task;
+  uint32_t run;
+  MuxRunEnd end;
+  char saved[MUX_TOKEN_LEN];
+} CellUnreadEnd;
+
+/**
+ * struct CellUnread - a job whose row can't be read
+ * @seen: there is such a row; else only something stored beside it
+ * @noted_wall_ms: time of day when its ends were last stored; 0: they are not
+ * @overflow: more ends came than are kept
+ * @dirty: its ends, or their removal, are to be stored
+ * @dirty_again: more came since the commit on its way was made
+ * @spec: as it can be read now, while what stands beside it is; owned
+ * @version: of that row
+ * @reading: the call that reads it is on its way
+ * @next_ms: no such call before
+ */
+struct CellUnread
+{
+  char id[MUX_JOB_ID_LEN];
+  uint32_t part;
+  bool seen;
+  int64_t noted_wall_ms;
+  bool overflow;
+  bool dirty;
+  bool in_commit;
+  bool dirty_again;
+  bool expired;
+  uint32_t end_count;
+  CellUnreadEnd *end;
+  MuxJobSpec *spec;
+  uint64_t version;
+  bool reading;
+  int64_t next_ms;
+  UT_hash_handle hh;
+};
+
 /**
  * struct CellEnded - a job that ended while this daemon planned
  */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -12,11 +12,6 @@
 #define WORTHLESS_FACTOR 3
 /* Workers that a policy question of the promised time names. */
 #define PROMISED_CANDIDATES 30
-/* Times of day of two daemons differ by less. */
-#define CLOCKS_APART_MS 600000
-/* Begun and not done, of one job: the planner's memory for it is some 300 KB
- * where each has 32 tasks. */
-#define UNFINISHED_STAGES_MAX 128
 #define MILLI 1000
 #define US_PER_MS 1000
 
@@ -67,28 +62,6 @@
          + spec->queue.target_ms;
 }
 
-static bool
-add_occurrence (CellJob *job, uint32_t occurrence, int64_t began_ms)
-{
-  uint32_t steps = job->spec->step_count;
-  CellStage **stage
-      = realloc (job->stage, (job->stage_count + steps) * sizeof (CellStage *));
-
-  if (stage == NULL)
-    return false;
-  job->stage = stage;
-  for (uint32_t i = 0; i < steps; i++)
-    {
-      job->stage[job->stage_count]
-          = cell_stage_new (job, occurrence, i, began_ms);
-      if (job->stage[job->stage_count] == NULL)
-        return false;
-      job->stage_count++;
-    }
-  job->next_occurrence = occurrence + 1;
-  return true;
-}
-
 static void
 set_times (MuxCell *cell, CellJob *job)
 {
@@ -127,7 +100,7 @@
   set_times (cell, job);
   HASH_ADD_STR (cell->jobs, id, job);
   if (job->payload != NULL
-      && (spec->repetitions > 0 || add_occurrence (job, 0, job->began_ms)))
+      && (spec->repetitions > 0 || cell_occurrence_add (job, 0, job->began_ms)))
     return job;
   cell_job_free (cell, job);
   return NULL;
@@ -227,104 +200,13 @@
   cell_job_dirty (cell, job);
 }
 
-static bool
-occurrences_left (const CellJob *job)
-{
-  return job->next_occurrence < job->spec->repetitions;
-}
-
-/* The last that was begun is not due: a worker, or what is stored, names it. */
-static bool
-waits_for_its_time (const MuxCell *cell, const CellJob *job)
-{
-  return job->next_occurrence > 0
-         && !cell_is_due (cell, job, job->next_occurrence - 1);
-}
-
 static bool
 all_done (const CellJob *job)
 {
   for (uint32_t i = 0; i < job->stage_count; i++)
     if (job->stage[i]->left > 0)
       return false;
-  return !occurrences_left (job);
-}
-
-/* By the cell's time of day; negative: it has come. */
-static int64_t
-until_due_ms (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
-{
-  return job->spec->first_due_ms + (int64_t) occurrence * job->spec->interval_ms
-         - cell->time.wall_ms;
-}
-
-bool
-cell_is_due (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
-{
-  return job->spec->repetitions == 0
-         || until_due_ms (cell, job, occurrence) <= 0;
-}
-
-/*
- * Guards against a planner without memory: a job of a million occurrences at
- * one moment would have a stage for each step of them all.  The next begins
- * when one of these has ended.
- */
-static bool
-too_many_unfinished (const CellJob *job)
-{
-  uint32_t unfinished = 0;
-
-  for (uint32_t i = 0; i < job->stage_count; i++)
-    unfinished += job->stage[i]->left > 0;
-  return unfinished >= UNFINISHED_STAGES_MAX;
-}
-
-static bool
-add_next (MuxCell *cell, CellJob *job)
-{
-  int64_t began_ms
-      = cell->time.now_ms + until_due_ms (cell, job, job->next_occurrence);
-
-  if (add_occurrence (job, job->next_occurrence, began_ms))
-    return true;
-  cell_log (cell, "occurrence_dropped", "{s:s, s:s}", "job", job->id, "why",
-            "memory is out");
-  return false;
-}
-
-static void
-add_due (MuxCell *cell, CellJob *job)
-{
-  while (occurrences_left (job)
-         && until_due_ms (cell, job, job->next_occurrence) <= 0
-         && !too_many_unfinished (job) && add_next (cell, job))
-    ;
-}
-
-uint32_t
-cell_occurrences_due (const MuxCell *cell, const CellJob *job)
-{
-  const MuxJobSpec *spec = job->spec;
-  int64_t since_ms = cell->time.wall_ms + CLOCKS_APART_MS - spec->first_due_ms;
-  int64_t due;
-
-  if (spec->repetitions == 0)
-    return 1;
-  if (since_ms < 0)
-    return 0;
-  due = spec->interval_ms > 0 ? since_ms / spec->interval_ms + 1
-                              : spec->repetitions;
-  return (uint32_t) (due < spec->repetitions ? due : spec->repetitions);
-}
-
-void
-cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count)
-{
-  while (occurrences_left (job) && job->next_occurrence < count
-         && add_next (cell, job))
-    ;
-  job->early = waits_for_its_time (cell, job);
+  return !cell_occurrences_left (job);
 }
 
 void
@@ -339,7 +221,7 @@
                  job->cancelled ? MUX_JOB_CANCELLED : MUX_JOB_FAILED);
       return;
     }
-  add_due (cell, job);
+  cell_occurrences_begin (cell, job);
   if (job->stage_count > 0 && all_done (job))
     {
       end_job (cell, job, MUX_JOB_COMPLETED);
@@ -435,7 +317,8 @@
 static bool
 needs_look (const CellJob *job)
 {
-  return occurrences_left (job) || job->early || job->cancelled || job->failed;
+  return cell_occurrences_left (job) || job->early || job->cancelled
+         || job->failed;
 }
 
 void
@@ -450,7 +333,7 @@
     remember_ended (cell, job);
   else if (needs_look (job) && !job->ended)
     {
-      job->early = job->early && waits_for_its_time (cell, job);
+      job->early = job->early && cell_occurrence_is_early (cell, job);
       cell_job_advance (cell, job);
     }
 }
--- /dev/null
+++ b/src/cell/occurrence.c
@@ -0,0 +1,124 @@
+#include "cell_private.h"
+
+#include <stdlib.h>
+
+/* When the steps of a job that runs several times begin. */
+
+/* Times of day of two daemons differ by less. */
+#define CLOCKS_APART_MS 600000
+/* Begun and not done, of one job: the planner's memory for it is some 300 KB
+ * where each has 32 tasks. */
+#define UNFINISHED_STAGES_MAX 128
+
+bool
+cell_occurrence_add (CellJob *job, uint32_t occurrence, int64_t began_ms)
+{
+  uint32_t steps = job->spec->step_count;
+  CellStage **stage
+      = realloc (job->stage, (job->stage_count + steps) * sizeof (CellStage *));
+
+  if (stage == NULL)
+    return false;
+  job->stage = stage;
+  for (uint32_t i = 0; i < steps; i++)
+    {
+      job->stage[job->stage_count]
+          = cell_stage_new (job, occurrence, i, began_ms);
+      if (job->stage[job->stage_count] == NULL)
+        return false;
+      job->stage_count++;
+    }
+  job->next_occurrence = occurrence + 1;
+  return true;
+}
+
+bool
+cell_occurrences_left (const CellJob *job)
+{
+  return job->next_occurrence < job->spec->repetitions;
+}
+
+/* By the cell's time of day; negative: it has come. */
+static int64_t
+until_due_ms (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
+{
+  return job->spec->first_due_ms + (int64_t) occurrence * job->spec->interval_ms
+         - cell->time.wall_ms;
+}
+
+bool
+cell_is_due (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
+{
+  return job->spec->repetitions == 0
+         || until_due_ms (cell, job, occurrence) <= 0;
+}
+
+/*
+ * Guards against a planner without memory: a job of a million occurrences at
+ * one moment would have a stage for each step of them all.  The next begins
+ * when one of these has ended.
+ */
+static bool
+too_many_unfinished (const CellJob *job)
+{
+  uint32_t unfinished = 0;
+
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    unfinished += job->stage[i]->left > 0;
+  return unfinished >= UNFINISHED_STAGES_MAX;
+}
+
+static bool
+add_next (MuxCell *cell, CellJob *job)
+{
+  int64_t began_ms
+      = cell->time.now_ms + until_due_ms (cell, job, job->next_occurrence);
+
+  if (cell_occurrence_add (job, job->next_occurrence, began_ms))
+    return true;
+  cell_log (cell, "occurrence_dropped", "{s:s, s:s}", "job", job->id, "why",
+            "memory is out");
+  return false;
+}
+
+void
+cell_occurrences_begin (MuxCell *cell, CellJob *job)
+{
+  while (cell_occurrences_left (job)
+         && until_due_ms (cell, job, job->next_occurrence) <= 0
+         && !too_many_unfinished (job) && add_next (cell, job))
+    ;
+}
+
+uint32_t
+cell_occurrences_due (const MuxCell *cell, const CellJob *job)
+{
+  const MuxJobSpec *spec = job->spec;
+  int64_t since_ms = cell->time.wall_ms + CLOCKS_APART_MS - spec->first_due_ms;
+  int64_t due;
+
+  if (spec->repetitions == 0)
+    return 1;
+  if (since_ms < 0)
+    return 0;
+  due = spec->interval_ms > 0 ? since_ms / spec->interval_ms + 1
+                              : spec->repetitions;
+  return (uint32_t) (due < spec->repetitions ? due : spec->repetitions);
+}
+
+void
+cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count)
+{
+  while (cell_occurrences_left (job) && job->next_occurrence < count
+         && add_next (cell, job))
+    ;
+  job->early = cell_occurrence_is_early (cell, job);
+}
+
+/* The last that was begun is not due: a worker, or what is stored, names it. */
+bool
+cell_occurrence_is_early (const MuxCell *cell, const CellJob *job)
+{
+  return job->next_occurrence > 0
+         && !cell_is_due (cell, job, job->next_occurrence - 1);
+}
--- a/src/cell/unread.c
+++ b/src/cell/unread.c
@@ -15,8 +15,6 @@
  * up all later ends of that worker.
  */
 
-/* Behind a job's id: key of the row with its ends.  No id contains it. */
-#define ENDS_MARK "+"
 /* Behind a job's id: sorts after that key. */
 #define BEHIND "~"
 /* Jobs kept, each of some 200 bytes, and ends of each.  A row holds 64 KB, an
@@ -26,50 +24,6 @@
 #define RETRY_MS 100
 #define MS_PER_S 1000
 
-/**
- * struct CellUnreadEnd - an end of a run of such a job
- * @task: which; its job is the one that holds this
- */
-typedef struct
-{
-  MuxTaskRef task;
-  uint32_t run;
-  MuxRunEnd end;
-  char saved[MUX_TOKEN_LEN];
-} CellUnreadEnd;
-
-/**
- * struct CellUnread - a job whose row can't be read
- * @seen: there is such a row; else only something stored beside it
- * @noted_wall_ms: time of day when its ends were last stored; 0: they are not
- * @overflow: more ends came than are kept
- * @dirty: its ends, or their removal, are to be stored
- * @dirty_again: more came since the commit on its way was made
- * @spec: as it can be read now, while what stands beside it is; owned
- * @version: of that row
- * @reading: the call that reads it is on its way
- * @next_ms: no such call before
- */
-struct CellUnread
-{
-  char id[MUX_JOB_ID_LEN];
-  uint32_t part;
-  bool seen;
-  int64_t noted_wall_ms;
-  bool overflow;
-  bool dirty;
-  bool in_commit;
-  bool dirty_again;
-  bool expired;
-  uint32_t end_count;
-  CellUnreadEnd *end;
-  MuxJobSpec *spec;
-  uint64_t version;
-  bool reading;
-  int64_t next_ms;
-  UT_hash_handle hh;
-};
-
 static CellUnread *
 find (MuxCell *cell, const char *id)
 {
@@ -150,8 +104,8 @@
   part->unread_dirty++;
 }
 
-static bool
-add_end (CellUnread *unread, const CellUnreadEnd *end)
+bool
+cell_unread_add_end (CellUnread *unread, const CellUnreadEnd *end)
 {
   CellUnreadEnd *list;
 
@@ -188,7 +142,7 @@
       && report->checkpoint[0] == 0)
     return;
   snprintf (end.saved, sizeof end.saved, "%s", report->checkpoint);
-  if (!add_end (unread, &end))
+  if (!cell_unread_add_end (unread, &end))
     return;
   cell_log (cell, "unread_job_end", "{s:s, s:i, s:i, s:i, s:s}", "job",
             unread->id, "step", (int) end.task.step, "task",
@@ -197,39 +151,6 @@
   mark_dirty (cell, unread);
 }
 
-static json_t *
-ends_json (const MuxCell *cell, const CellUnread *unread)
-{
-  json_t *list = json_array ();
-
-  for (uint32_t i = 0; i < unread->end_count; i++)
-    {
-      const CellUnreadEnd *end = &unread->end[i];
-
-      (void) json_array_append_new (
-          list, json_pack ("[iiiiis]", (int) end->task.occurrence,
-                           (int) end->task.step, (int) end->task.index,
-                           (int) end->run, (int) end->end, end->saved));
-    }
-  return json_pack ("{s:I, s:b, s:o}", "noted_ms",
-                    (json_int_t) cell->time.wall_ms, "overflow",
-                    (int) unread->overflow, "ends", list);
-}
-
-static void
-add_row (const MuxCell *cell, MuxCellCall *call, CellUnread *unread)
-{
-  char key[MUX_ROW_NAME_LEN];
-
-  unread->in_commit = true;
-  snprintf (key, sizeof key, "%s" ENDS_MARK, unread->id);
-  if (unread->expired)
-    (void) cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
-  else
-    cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_PROGRESS, key)->value
-        = cell_json_blob (ends_json (cell, unread));
-}
-
 bool
 cell_unread_add_rows (MuxCell *cell, const CellPart *part, MuxCellCall *call)
 {
@@ -245,7 +166,7 @@
       continue;
     if (rows == CELL_UNREAD_ROWS)
       return false;
-    add_row (cell, call, unread);
+    cell_unread_put_row (cell, call, unread);
     rows++;
   }
   return true;
@@ -275,67 +196,6 @@
   }
 }
 
-void
-cell_unread_remove_row (MuxCellCall *call, const CellJob *job)
-{
-  char key[MUX_ROW_NAME_LEN];
-
-  snprintf (key, sizeof key, "%s" ENDS_MARK, job->id);
-  (void) cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
-}
-
-/* Return: whether @json is one end, which @end then holds. */
-static bool
-end_from_json (const json_t *json, CellUnreadEnd *end)
-{
-  int numbers[5];
-  const char *saved;
-
-  if (json_unpack ((json_t *) json, "[iiiiis]", &numbers[0], &numbers[1],
-                   &numbers[2], &numbers[3], &numbers[4], &saved)
-      != 0)
-    return false;
-  for (int i = 0; i < 5; i++)
-    if (numbers[i] < 0)
-      return false;
-  if (numbers[4] > MUX_RUN_ALONE)
-    return false;
-  end->task.occurrence = (uint32_t) numbers[0];
-  end->task.step = (uint32_t) numbers[1];
-  end->task.index = (uint32_t) numbers[2];
-  end->run = (uint32_t) numbers[3];
-  end->end = (MuxRunEnd) numbers[4];
-  snprintf (end->saved, sizeof end->saved, "%s", saved);
-  return true;
-}
-
-static void
-ends_from_json (MuxCell *cell,
-                const MuxCellRow *row,
-                const json_t *json,
-                CellUnread *unread)
-{
-  const json_t *list = json_object_get (json, "ends");
-  const json_t *item;
-  size_t i;
-
-  unread->noted_wall_ms
-      = (int64_t) json_integer_value (json_object_get (json, "noted_ms"));
-  unread->overflow = !json_is_array (list)
-                     || json_is_true (json_object_get (json, "overflow"));
-  json_array_foreach (list, i, item)
-  {
-    CellUnreadEnd end = { .run = 0 };
-
-    if (end_from_json (item, &end))
-      (void) add_end (unread, &end);
-    else
-      unread->overflow = true;
-  }
-  if (unread->overflow)
-    cell_row_bad (cell, row, CELL_ROW_FIELD, "ends");
-}
-
 /* What is left of the task once that run has ended so. */
 static void
 apply_end (MuxCell *cell, CellJob *job, const CellUnreadEnd *end)
@@ -368,22 +228,20 @@
 bool
 cell_unread_row (MuxCell *cell, const MuxCellRow *row)
 {
-  size_t len = strlen (row->key);
   char id[MUX_ROW_NAME_LEN];
   CellUnread *unread;
   CellJob *job;
   json_t *json;
 
-  if (len < 2 || strcmp (row->key + len - 1, ENDS_MARK) != 0)
+  if (!cell_unread_row_of (row->key, id))
     return false;
-  snprintf (id, sizeof id, "%.*s", (int) (len - 1), row->key);
   if (!mux_job_id_valid (id))
     return true;
   unread = find_or_add (cell, id);
   if (unread == NULL)
     return true;
   json = cell_row_json (cell, row);
-  ends_from_json (cell, row, json, unread);
+  cell_unread_read_row (cell, row, json, unread);
   json_decref (json);
   job = cell_job_find (cell, id);
   if (job == NULL)
--- /dev/null
+++ b/src/cell/unread_rows.c
@@ -0,0 +1,114 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Rows with ends of jobs that can't be read, as they are stored. */
+
+/* Behind a job's id: key of the row with its ends.  No id contains it. */
+#define ENDS_MARK "+"
+
+bool
+cell_unread_row_of (const char *key, char id[MUX_ROW_NAME_LEN])
+{
+  size_t len = strlen (key);
+
+  if (len < 2 || strcmp (key + len - 1, ENDS_MARK) != 0)
+    return false;
+  snprintf (id, MUX_ROW_NAME_LEN, "%.*s", (int) (len - 1), key);
+  return true;
+}
+
+static json_t *
+ends_json (const MuxCell *cell, const CellUnread *unread)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < unread->end_count; i++)
+    {
+      const CellUnreadEnd *end = &unread->end[i];
+
+      (void) json_array_append_new (
+          list, json_pack ("[iiiiis]", (int) end->task.occurrence,
+                           (int) end->task.step, (int) end->task.index,
+                           (int) end->run, (int) end->end, end->saved));
+    }
+  return json_pack ("{s:I, s:b, s:o}", "noted_ms",
+                    (json_int_t) cell->time.wall_ms, "overflow",
+                    (int) unread->overflow, "ends", list);
+}
+
+void
+cell_unread_put_row (const MuxCell *cell, MuxCellCall *call, CellUnread *unread)
+{
+  char key[MUX_ROW_NAME_LEN];
+
+  unread->in_commit = true;
+  snprintf (key, sizeof key, "%s" ENDS_MARK, unread->id);
+  if (unread->expired)
+    (void) cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
+  else
+    cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_PROGRESS, key)->value
+        = cell_json_blob (ends_json (cell, unread));
+}
+
+void
+cell_unread_remove_row (MuxCellCall *call, const CellJob *job)
+{
+  char key[MUX_ROW_NAME_LEN];
+
+  snprintf (key, sizeof key, "%s" ENDS_MARK, job->id);
+  (void) cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
+}
+
+/* Return: whether @json is one end, which @end then holds. */
+static bool
+end_from_json (const json_t *json, CellUnreadEnd *end)
+{
+  int numbers[5];
+  const char *saved;
+
+  if (json_unpack ((json_t *) json, "[iiiiis]", &numbers[0], &numbers[1],
+                   &numbers[2], &numbers[3], &numbers[4], &saved)
+      != 0)
+    return false;
+  for (int i = 0; i < 5; i++)
+    if (numbers[i] < 0)
+      return false;
+  if (numbers[4] > MUX_RUN_ALONE)
+    return false;
+  end->task.occurrence = (uint32_t) numbers[0];
+  end->task.step = (uint32_t) numbers[1];
+  end->task.index = (uint32_t) numbers[2];
+  end->run = (uint32_t) numbers[3];
+  end->end = (MuxRunEnd) numbers[4];
+  snprintf (end->saved, sizeof end->saved, "%s", saved);
+  return true;
+}
+
+void
+cell_unread_read_row (MuxCell *cell,
+                      const MuxCellRow *row,
+                      const json_t *json,
+                      CellUnread *unread)
+{
+  const json_t *list = json_object_get (json, "ends");
+  const json_t *item;
+  size_t i;
+
+  unread->noted_wall_ms
+      = (int64_t) json_integer_value (json_object_get (json, "noted_ms"));
+  unread->overflow = !json_is_array (list)
+                     || json_is_true (json_object_get (json, "overflow"));
+  json_array_foreach (list, i, item)
+  {
+    CellUnreadEnd end = { .run = 0 };
+
+    if (end_from_json (item, &end))
+      (void) cell_unread_add_end (unread, &end);
+    else
+      unread->overflow = true;
+  }
+  if (unread->overflow)
+    cell_row_bad (cell, row, CELL_ROW_FIELD, "ends");
+}
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1071,6 +1071,27 @@
   row->version = ++world->version;
 }
 
+const WorldRow *
+world_row (const World *world, MuxCellTable table, const char *key)
+{
+  for (uint32_t i = 0; i < world->row_count; i++)
+    {
+      const WorldRow *row = &world->row[i];
+
+      if (row->table == table && !row->removed && strcmp (row->key, key) == 0)
+        return row;
+    }
+  return NULL;
+}
+
+char *
+world_row_text (const World *world, MuxCellTable table, const char *key)
+{
+  const WorldRow *row = world_row (world, table, key);
+
+  return row != NULL ? strndup (row->value->bytes, row->value->len) : NULL;
+}
+
 void
 world_put_row (World *world,
                MuxCellTable table,
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -235,6 +235,11 @@
 void world_set_priority (World *world, uint32_t priority);
 /** world_make_urgent() - the queue's jobs, from now on */
 void world_make_urgent (World *world);
+/** world_row() - that stands in the store under the key; NULL: there is none */
+const WorldRow *
+world_row (const World *world, MuxCellTable table, const char *key);
+/** world_row_text() - its value as text, owned by the caller */
+char *world_row_text (const World *world, MuxCellTable table, const char *key);
 /** world_put_row() - as any writer may; @value NULL: none that can be read */
 void world_put_row (World *world,
                     MuxCellTable table,
