cell: tests that fail, ends of unreadable jobs that are acknowledged unstored

What callers see: a task that is done runs again. Seen on the code as it is: of 5,000 rows of one part that can't be read the planner remembers 4,096; the end of a task of another one is acknowledged without a row of its own, and the task is started a second time, by the next planner or, where the row is mended meanwhile, by the same. The same happens to a single job whose row names another job.

Ruled out: the progress of the job, which no planner could read here, and a run that lapsed; it ended well and its worker was heard.

--- a/test/unit/test_cell_unread.c
+++ b/test/unit/test_cell_unread.c
@@ -15,6 +15,7 @@
 #define TASK_MS 4000
 #define TAKEOVER_MS 4000
 #define KEEP_S 60
+#define PARTS 4
 #define MS_PER_S 1000
 
 typedef struct
@@ -204,6 +205,128 @@
   spoilt_free (&spoilt);
 }
 
+/* Of a job that the planner can't read, in the part of job-a and before it. */
+static void
+put_unreadable (const Spoilt *spoilt, uint32_t count)
+{
+  const char *part = spoilt->part;
+  uint32_t put = 0;
+
+  for (uint32_t i = 0; put < count; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "a-%u", i);
+      if (mux_hash_name (id, 0) % PARTS != mux_hash_name ("job-a", 0) % PARTS)
+        continue;
+      world_put_row (spoilt->world, MUX_TABLE_JOBS, part, id, "{}");
+      put++;
+    }
+}
+
+/* Its task runs; its row can't be read, as those of @others before it; the task
+ * ends under a successor that looked at them all. */
+static Spoilt
+job_that_ended_among (uint32_t others)
+{
+  Spoilt spoilt = { .world = world_new (CELLS, WORKERS) };
+  World *world = spoilt.world;
+
+  world_run (world, 1000);
+  world->task_ms = 3 * TASK_MS;
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 1000),
+                       "job-a");
+  world_run (world, 1500);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  spoil (&spoilt);
+  put_unreadable (&spoilt, others);
+  take_over (world);
+  world->worker[world->start[0].worker].run[0].ends_ms = world->now_ms + 100;
+  world_run (world, 1000);
+  return spoilt;
+}
+
+/* Rows of one part that can't be read: more than a planner remembers, as after
+ * another version of the program that was used for a while. */
+#define MANY_UNREADABLE 5000
+
+/*
+ * A task that is done runs again.  Thousands of jobs can't be read by the
+ * planner, which remembers some of them; the end of a task of another one
+ * counts as one of no job, is acknowledged and forgotten.  The next planner can
+ * read the row and starts the task.
+ */
+static void
+test_end_of_one_unreadable_job_of_thousands_is_kept (void **state)
+{
+  Spoilt spoilt = job_that_ended_among (MANY_UNREADABLE);
+  World *world = spoilt.world;
+
+  (void) state;
+  assert_int_equal (world->start[0].end, MUX_RUN_DONE);
+  mend (&spoilt);
+  take_over (world);
+  world_run (world, 2000);
+  assert_false (world_twice_told (world));
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  spoilt_free (&spoilt);
+}
+
+/*
+ * The same, and the row is mended while the planner goes on.  It does not
+ * remember that there was such a job, and takes it for one that was just stored
+ * and of which nothing has run.
+ */
+static void
+test_one_of_thousands_mended_under_its_planner_runs_nothing_again (void **state)
+{
+  Spoilt spoilt = job_that_ended_among (MANY_UNREADABLE);
+  World *world = spoilt.world;
+
+  (void) state;
+  mend (&spoilt);
+  world_run (world, 2000);
+  assert_false (world_twice_told (world));
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  assert_int_equal (world_state (world, world_planner (world), "job-a"),
+                    MUX_JOB_COMPLETED);
+  spoilt_free (&spoilt);
+}
+
+/*
+ * A task that is done runs again.  The id inside a job's row is another job's,
+ * as a writer left it that copied rows.  Such a row is no job to the planner,
+ * and an end of its task that of none.
+ */
+static void
+test_end_of_a_job_whose_row_names_another_is_kept (void **state)
+{
+  Spoilt spoilt = { .world = world_new (CELLS, WORKERS) };
+  World *world = spoilt.world;
+  char *other;
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = 3 * TASK_MS;
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 1000),
+                       "job-a");
+  world_run (world, 1500);
+  spoil (&spoilt);
+  other = strdup (spoilt.text);
+  *strstr (other, "job-a") = 'x';
+  world_put_row (world, MUX_TABLE_JOBS, spoilt.part, "job-a", other);
+  free (other);
+  take_over (world);
+  world->worker[world->start[0].worker].run[0].ends_ms = world->now_ms + 100;
+  world_run (world, 1000);
+  mend (&spoilt);
+  take_over (world);
+  world_run (world, 2000);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  assert_false (world_twice_told (world));
+  spoilt_free (&spoilt);
+}
+
 int
 main (void)
 {
@@ -213,6 +336,10 @@
     cmocka_unit_test (test_job_with_too_many_unread_ends_fails),
     cmocka_unit_test (test_unread_ends_hold_up_no_others),
     cmocka_unit_test (test_ends_without_a_job_are_removed),
+    cmocka_unit_test (test_end_of_one_unreadable_job_of_thousands_is_kept),
+    cmocka_unit_test (test_end_of_a_job_whose_row_names_another_is_kept),
+    cmocka_unit_test (
+        test_one_of_thousands_mended_under_its_planner_runs_nothing_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
