--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -69,11 +69,14 @@
  * struct MuxCellTime - the two clocks at one moment
  * @now_ms: steady, goes on while the instance is suspended
  * @wall_ms: time of day
+ * @heard_ms: on the steady clock: all that arrived by then has been taken; the
+ *   longer events wait for this core, the further it is behind @now_ms
  */
 typedef struct
 {
   int64_t now_ms;
   int64_t wall_ms;
+  int64_t heard_ms;
 } MuxCellTime;
 
 /** mux_cell_new() - NULL with @err set when memory is out */
--- a/src/daemon/cell_thread.c
+++ b/src/daemon/cell_thread.c
@@ -31,6 +31,7 @@
 typedef struct
 {
   EventKind kind;
+  int64_t arrived_ms;
   MuxQuestion *question;
   MuxCellReply *reply;
   MuxPeerMsg peer;
@@ -49,6 +50,7 @@
   MuxCellPort *platform;
   MuxPeerPort *peer;
   pthread_t thread;
+  int64_t heard_ms; /* all that arrived by then was handled */
   bool running;
   bool told;
   atomic_bool leave;
@@ -57,9 +59,21 @@
 };
 
 static MuxCellTime
-read_time (void)
+read_time (const MuxCellThread *thread)
 {
-  return (MuxCellTime){ mux_now_ms (), mux_wall_ms () };
+  return (MuxCellTime){ mux_now_ms (), mux_wall_ms (), thread->heard_ms };
+}
+
+static Event *
+event_new (EventKind kind)
+{
+  Event *event = calloc (1, sizeof *event);
+
+  if (event == NULL)
+    return NULL;
+  event->kind = kind;
+  event->arrived_ms = mux_now_ms ();
+  return event;
 }
 
 static bool
@@ -108,7 +122,7 @@
 {
   MuxCellThread *thread
       = (MuxCellThread *) ((char *) inbox - offsetof (MuxCellThread, replies));
-  Event *event = calloc (1, sizeof *event);
+  Event *event = event_new (EVENT_REPLY);
   struct timespec pause = { .tv_nsec = FULL_PAUSE_NS };
 
   if (event == NULL)
@@ -117,7 +131,6 @@
       mux_cell_reply_free (reply);
       return;
     }
-  event->kind = EVENT_REPLY;
   event->reply = reply;
   while (!mux_ring_push (thread->ring, event))
     {
@@ -136,11 +149,10 @@
 {
   MuxCellThread *thread
       = (MuxCellThread *) ((char *) inbox - offsetof (MuxCellThread, peers));
-  Event *event = calloc (1, sizeof *event);
+  Event *event = event_new (EVENT_PEER);
 
   if (event == NULL)
     return false;
-  event->kind = EVENT_PEER;
   event->peer = *msg;
   mux_blob_ref (msg->body);
   if (mux_ring_push (thread->ring, event))
@@ -153,11 +165,10 @@
 static bool
 push_question (MuxCellThread *thread, MuxQuestion *question)
 {
-  Event *event = calloc (1, sizeof *event);
+  Event *event = event_new (EVENT_QUESTION);
 
   if (event == NULL)
     return false;
-  event->kind = EVENT_QUESTION;
   event->question = question;
   if (mux_ring_push (thread->ring, event))
     return true;
@@ -236,8 +247,10 @@
 static void
 handle (MuxCellThread *thread, Event *event)
 {
-  MuxCellTime time = read_time ();
+  MuxCellTime time;
 
+  thread->heard_ms = event->arrived_ms;
+  time = read_time (thread);
   if (event->kind == EVENT_QUESTION)
     mux_cell_question (thread->cell, time, event->question);
   else if (event->kind == EVENT_REPLY)
@@ -247,21 +260,28 @@
   event_free (event);
 }
 
+/* Events leave the ring in the order in which they came, so that whatever
+ * arrived before the last one that was handled has been handled, too; with the
+ * ring empty that is all. */
 static bool
 handle_waiting (MuxCellThread *thread, int64_t wake_ms)
 {
   int64_t wait_ms = wake_ms - mux_now_ms ();
   Event *event
       = mux_ring_wait (thread->ring, wait_ms > 0 ? (int32_t) wait_ms : 0);
+  int64_t looked_ms = mux_now_ms ();
+  bool any = event != NULL;
 
-  if (event == NULL)
-    return false;
   for (int i = 0; event != NULL; i++)
     {
       handle (thread, event);
-      event = i < BATCH ? mux_ring_pop (thread->ring) : NULL;
+      if (i == BATCH)
+        return true;
+      looked_ms = mux_now_ms ();
+      event = mux_ring_pop (thread->ring);
     }
-  return true;
+  thread->heard_ms = looked_ms;
+  return any;
 }
 
 static void *
@@ -278,14 +298,14 @@
       if (atomic_load (&thread->leave) && !thread->told)
         {
           thread->told = true;
-          mux_cell_stop (thread->cell, read_time ());
+          mux_cell_stop (thread->cell, read_time (thread));
         }
       if (any && ticked_ms + TICK_LEAST_MS < wake_ms)
         wake_ms = ticked_ms + TICK_LEAST_MS;
       if (mux_now_ms () < wake_ms)
         continue;
       ticked_ms = mux_now_ms ();
-      wake_ms = mux_cell_tick (thread->cell, read_time ());
+      wake_ms = mux_cell_tick (thread->cell, read_time (thread));
       atomic_store (&thread->ready, mux_cell_ready (thread->cell));
     }
   return NULL;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -30,6 +30,7 @@
   MuxCellCall *waiting; /* a FOLLOW or RENEW that waits for something new */
   MuxCellCall *late;    /* an order or a COMMIT that is carried out then */
   bool lost;            /* a FOLLOW at a store that went silent */
+  bool waited;          /* in the queue of a cell that is late */
   bool is_peer;
   MuxPeerMsg peer;
   WorldEvent *prev;
@@ -39,8 +40,11 @@
 static MuxCellTime
 time_of (const World *world, uint32_t cell)
 {
-  return (MuxCellTime){ world->now_ms, WORLD_WALL_MS + world->now_ms
-                                           + world->cell[cell].wall_ms };
+  return (MuxCellTime){
+    .now_ms = world->now_ms,
+    .wall_ms = WORLD_WALL_MS + world->now_ms + world->cell[cell].wall_ms,
+    .heard_ms = world->now_ms - world->cell[cell].late_ms,
+  };
 }
 
 static uint64_t
@@ -857,6 +861,21 @@
     mux_cell_reply_free (reply);
 }
 
+/* It has arrived; a cell that is late takes it later.  False: now. */
+static bool
+queue_event (World *world, WorldEvent *event)
+{
+  int64_t late_ms = world->cell[event->cell].late_ms;
+
+  if (late_ms == 0 || event->waited)
+    return false;
+  mux_cell_call_free (event->waiting);
+  event->waiting = NULL;
+  event->waited = true;
+  event->due_ms = world->now_ms + late_ms;
+  return true;
+}
+
 static void
 step_events (World *world)
 {
@@ -882,6 +901,8 @@
       continue;
     if (event->waiting != NULL ? event->reply == NULL : !due)
       continue;
+    if (queue_event (world, event))
+      continue;
     DL_DELETE (world->events, event);
     deliver (world, event);
     event_free (event);
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -507,7 +507,7 @@
                        "job-a");
   world_run (world, 300);
   mux_cell_stop (world->cell[planner].cell,
-                 (MuxCellTime){ world->now_ms, 1700000000000 });
+                 (MuxCellTime){ world->now_ms, 1700000000000, world->now_ms });
   world_run (world, 400);
   assert_true (mux_cell_stopped (world->cell[planner].cell));
   assert_int_not_equal (world_planner (world), planner);
@@ -799,8 +799,9 @@
   question->call = 200;
   snprintf (question->host, sizeof question->host, "other.example");
   snprintf (question->path, sizeof question->path, "/batch/x");
-  mux_cell_question (world->cell[0].cell,
-                     (MuxCellTime){ world->now_ms, 1700000000000 }, question);
+  mux_cell_question (
+      world->cell[0].cell,
+      (MuxCellTime){ world->now_ms, 1700000000000, world->now_ms }, question);
   assert_true (world->answered[200]);
   assert_int_equal (world->answer[200].outcome, MUX_OUTCOME_NO_QUEUE);
   world_free (world);
--- a/test/unit/test_cell_feeds.c
+++ b/test/unit/test_cell_feeds.c
@@ -187,8 +187,9 @@
   question->call = call;
   snprintf (question->host, sizeof question->host, "cell.example");
   snprintf (question->path, sizeof question->path, "/unheard-of/x");
-  mux_cell_question (world->cell[0].cell,
-                     (MuxCellTime){ world->now_ms, world->now_ms }, question);
+  mux_cell_question (
+      world->cell[0].cell,
+      (MuxCellTime){ world->now_ms, world->now_ms, world->now_ms }, question);
   assert_true (world->answered[call]);
   return world->answer[call].outcome;
 }
@@ -279,8 +280,9 @@
   for (int64_t i = 0; i < ms; i += TICK_MS)
     {
       lone->now_ms += TICK_MS;
-      (void) mux_cell_tick (lone->cell,
-                            (MuxCellTime){ lone->now_ms, lone->now_ms });
+      (void) mux_cell_tick (
+          lone->cell,
+          (MuxCellTime){ lone->now_ms, lone->now_ms, lone->now_ms });
     }
 }
 
@@ -346,7 +348,8 @@
 lone_reply (Lone *lone, MuxCellCall *call, MuxCellReply *reply)
 {
   mux_cell_call_free (call);
-  mux_cell_reply (lone->cell, (MuxCellTime){ lone->now_ms, lone->now_ms },
+  mux_cell_reply (lone->cell,
+                  (MuxCellTime){ lone->now_ms, lone->now_ms, lone->now_ms },
                   reply);
 }
 
