cell: a planner that is late takes no new jobs, and says so

Callers of a cell past what its planner bears waited for 1.4 s, heard that nobody knows, and came again on top; of what was accepted nothing started in time.

Cause: jobs were taken at whatever rate they came. Each needs four turns of the planner before it starts, and each turn waits behind all that arrived before. Ruled out: the store, which served all along in the test.

Why it holds: what is refused was not stored; what was accepted is worked off.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -60,7 +60,8 @@
   X (STORE, "store_call_ms", "calls to the store that do not wait")         \
   X (WORKER, "worker_order_ms", "starts and stops until they are answered") \
   X (APPROVAL, "approval_ms", "questions to the policy service")            \
-  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")
+  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")             \
+  X (PLANNER_LATE, "planner_late_ms", "what arrives until the planner takes it")
 
 /**
  * enum MuxHistogram - names one histogram
--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -80,6 +80,7 @@
  * @strength_milli: share of a processor, in thousandths (HELLO)
  * @wall_ms: time of day; 0: not told                  (HELLO); that the cell
  *   goes by                                            (WELCOME)
+ * @late_ms: how long what arrives waits at the sender  (WELCOME)
  * @job_state: a MuxJobState                            (JOB_TOLD)
  * @outcome: a MuxOutcome                               (SUBMIT_TOLD)
  * @body: JSON of CONFIG_ROWS, of *_ASK and APPROVAL_TOLD, addresses of MEMBERS
@@ -121,6 +122,7 @@
   bool table_ok;
   uint32_t strength_milli;
   int64_t wall_ms;
+  uint32_t late_ms;
   uint32_t job_state;
   uint32_t outcome;
   MuxBlob *body;
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -86,6 +86,7 @@
   { MUX_FIELD_U64, "epoch", offsetof (MuxPeerMsg, epoch) },
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
   { MUX_FIELD_I64, "wall_ms", offsetof (MuxPeerMsg, wall_ms) },
+  { MUX_FIELD_U32, "late_ms", offsetof (MuxPeerMsg, late_ms) },
 };
 
 static const MuxPeerField ask_fields[] = {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -214,6 +214,7 @@
   if (cell->time.now_ms >= cell->next_look_ms)
     {
       cell->next_look_ms = cell->time.now_ms + LOOK_MS;
+      cell_late_tick (cell);
       cell_roster_tick (cell);
       cell_jobs_tick (cell);
       cell_unread_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -51,8 +51,8 @@
 /** cell_pending_add() - NULL: memory is out */
 CellPending *cell_pending_add (MuxCell *cell, const CellPending *pending);
 
-/* carry_wire.c: the bytes of a call and of its end; NULL: memory is out, or they
- * can't be read */
+/* carry_wire.c: the bytes of a call and of its end; NULL: memory is out, or
+ * they can't be read */
 MuxBlob *cell_carried_call_blob (const MuxCellCall *call);
 MuxCellCall *cell_carried_call (const MuxBlob *blob);
 MuxBlob *cell_carried_reply_blob (const MuxCellReply *reply);
@@ -95,6 +95,16 @@
 /** cell_follow_is_known() - what the feed says is as young as it should be */
 bool cell_follow_is_known (const MuxCell *cell, const CellFollow *follow);
 
+/* late.c: a planner that has more to do than its processor bears */
+/** cell_late_ms() - how long what arrives here waits until it is taken */
+int64_t cell_late_ms (const MuxCell *cell);
+/** cell_planner_late_ms() - the same of the planner; 0: it is not heard */
+int64_t cell_planner_late_ms (const MuxCell *cell);
+/** cell_takes_jobs() - what is accepted now can start in time */
+bool cell_takes_jobs (const MuxCell *cell);
+/** cell_late_tick() - the planner tells how late it is */
+void cell_late_tick (MuxCell *cell);
+
 /* submit.c, inquiry.c: callers */
 void cell_submit (MuxCell *cell, MuxQuestion *question);
 /** cell_submission_queue() - takes @submission over */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -720,14 +720,16 @@
   uint64_t beat_version;        /* of its last sign of life in the store */
   int64_t planner_welcome_ms;   /* its last answer to a greeting */
   int64_t planner_store_bad_ms; /* it says so since; 0: it does not */
-  int64_t turned_away_ms;       /* and this daemon is served since; 0: not */
-  int64_t probed_ms;            /* the store answered a look then */
+  int64_t planner_late_ms; /* as it says: what arrives there waits so long */
+  int64_t turned_away_ms;  /* and this daemon is served since; 0: not */
+  int64_t probed_ms;       /* the store answered a look then */
   int64_t next_probe_ms;
   int64_t next_hello_ms;
   bool stopping;
   bool gave_up;
 
   /* Of the planner alone. */
+  bool late; /* it takes no new jobs, as it told last */
   CellJob *jobs;
   CellEnded *ended;
   CellUnread *unread;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -56,6 +56,7 @@
   cell_members_free (cell);
   cell_questions_free (cell);
   cell_unread_free (cell);
+  cell->late = false;
   cell->plan = NULL;
   cell->plan_count = 0;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
@@ -205,6 +206,7 @@
   ours = cell->claim.incarnation == cell->options.incarnation;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_store_bad_ms = 0;
+  cell->planner_late_ms = 0;
   cell->turned_away_ms = 0;
   cell->planner_restarted = false;
   cell->planner_welcome_ms = 0;
@@ -457,6 +459,7 @@
   msg.table_ok = cell_store_ok (cell);
   if (cell->role != CELL_FOLLOWER)
     msg.wall_ms = cell->time.wall_ms;
+  msg.late_ms = (uint32_t) cell_late_ms (cell);
   (void) cell->options.sink->peer_send (cell->options.sink, hello->from_addr,
                                         &msg);
 }
@@ -476,6 +479,7 @@
     return;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_welcome_ms = cell->time.now_ms;
+  cell->planner_late_ms = msg->late_ms;
   cell_day_told (cell, msg->wall_ms);
   if (msg->table_ok)
     {
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -26,8 +26,11 @@
 void
 cell_answer (MuxCell *cell, uint64_t call, MuxOutcome outcome)
 {
+  /* A planner that is late has so much to work off before it takes more. */
   MuxQuestionReply reply
-      = { .call = call, .outcome = outcome, .retry_ms = COME_BACK_MS };
+      = { .call = call,
+          .outcome = outcome,
+          .retry_ms = COME_BACK_MS + (uint32_t) cell_planner_late_ms (cell) };
 
   cell->options.sink->answer (cell->options.sink, &reply);
 }
@@ -101,6 +104,14 @@
   if (submission->give_up_ms == 0)
     submission->give_up_ms = cell->time.now_ms + HOLD_MS;
   DL_APPEND (part->submissions, submission);
+  /* One that it knows is accepted as such. */
+  if (!cell_takes_jobs (cell)
+      && cell_job_find (cell, submission->job->id) == NULL)
+    {
+      cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED,
+                           "planner_late");
+      return;
+    }
   if (submission->peer[0] == 0 && cell_relay (cell, submission))
     return;
   if (!cell_store_ok (cell))
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -102,6 +102,7 @@
       msg->epoch = 42;
       msg->table_ok = true;
       msg->wall_ms = INT64_C (1700000000124);
+      msg->late_ms = 250;
       break;
     case MUX_PEER_JOB_ASK:
     case MUX_PEER_APPROVAL_ASK:
--- a/test/unit/test_cell_late.c
+++ b/test/unit/test_cell_late.c
@@ -90,8 +90,9 @@
 /*
  * Callers wait for 1.4 s and hear that nobody knows whether their job was
  * accepted; it is, by a planner that can't start it in time, and that is later
- * with each job.  The planner takes what arrives 2.5 s after it came.  New jobs
- * are refused at once, wherever they are handed in, until it has caught up.
+ * with each job.  The planner takes what arrives 2.5 s after it came: its
+ * planner_late line tells by how much.  New jobs are refused at once, wherever
+ * they are handed in, until it has caught up.
  */
 static void
 test_late_planner_refuses_new_jobs_at_once (void **state)
