--- a/tools/check.mk
+++ b/tools/check.mk
@@ -58,6 +58,7 @@
 	tools/check-soak
 
 check-known-red:
+	tools/check-known-red --self-test
 	tools/check-known-red
 
 GOLDEN = $(filter $(B)/unit/test_golden% $(B)/unit/test_cli%,$(UNIT))
