test world: workers that a test puts in place itself are played

Two tests that fill a place of the world by themselves failed since the world plays only those that it made: test_unheard_worker_blocks_its_own_jobs_alone and test_service_that_no_queue_names. The world looks at 352 places at least, as it did before.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -14,6 +14,8 @@
 /* Workers' addresses, by their number from 1 on: 256 in each /24. */
 #define WORKER_NET "10.1."
 #define WORKERS_PER_NET 256
+/* Places of workers that a test may fill by itself. */
+#define PLACED_WORKERS 352
 /* Of daemons that are given no other. */
 #define STRENGTH_MILLI 1000
 #define KEEP_S 86400
@@ -1220,6 +1222,7 @@
 
   assert_non_null (world);
   world->now_ms = 1000;
+  world->worker_end = PLACED_WORKERS;
   world->task_ms = 1000;
   world->store_ms = STORE_MS;
   world->approval_ms = APPROVAL_MS;
