cell: rounds that are done are stored as their number

Callers of a quarter of all jobs heard nothing of their ends: a job of 1,200 rounds had more progress than a row of the store holds, the commit was refused, and with it every commit of that part, again and again.

Cause: a stage of each round that ever began stood in the row, some 170 bytes. Made to come by a test that gives the world the store's bound of 64 KB; it was read before and had no run. Ruled out: the plan, which ran all rounds.

Change: the first rounds, all of whose steps are done, are stored as their number; a row without it, of an earlier version, reads as before.

--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -129,16 +129,34 @@
                     cell_approvals_json (cell, stage));
 }
 
+/*
+ * Stages of the first occurrences, all of them done: they are stored as their
+ * number.  Guards against a part whose commits the store refuses for good, as a
+ * job of some 400 occurrences had more progress than a row holds: nothing of
+ * any job there was stored any more, and no end of a task acknowledged.
+ */
+static uint32_t
+done_stages (const CellJob *job)
+{
+  uint32_t done = 0;
+
+  while (done < job->stage_count && job->stage[done]->left == 0)
+    done++;
+  return done - done % job->spec->step_count;
+}
+
 json_t *
 cell_progress_json (MuxCell *cell, const CellJob *job)
 {
   json_t *stages = json_array ();
+  uint32_t steps = job->spec->step_count;
+  uint32_t done = done_stages (job);
 
-  for (uint32_t i = 0; i < job->stage_count; i++)
+  for (uint32_t i = done; i < job->stage_count; i++)
     (void) json_array_append_new (stages, stage_json (cell, job->stage[i]));
-  return json_pack (
-      "{s:b, s:i, s:o}", "started", (int) job->started, "occurrences",
-      (int) job->stage_count / (int) job->spec->step_count, "stages", stages);
+  return json_pack ("{s:b, s:i, s:i, s:o}", "started", (int) job->started,
+                    "occurrences", (int) (job->stage_count / steps), "done",
+                    (int) (done / steps), "stages", stages);
 }
 
 static void
@@ -247,13 +265,36 @@
   return json_is_array (json_object_get (json, "workers")) ? NULL : "workers";
 }
 
+/* Stages that are stored as a number alone; none by an earlier version. */
+static uint64_t
+done_before (const CellJob *job, const json_t *json)
+{
+  return (uint64_t) json_integer_value (json_object_get (json, "done"))
+         * job->spec->step_count;
+}
+
+static void
+apply_done (CellJob *job, uint64_t stages)
+{
+  for (uint64_t i = 0; i < stages && i < job->stage_count; i++)
+    {
+      CellStage *stage = job->stage[i];
+
+      for (uint32_t j = 0; j < stage->spec->count; j++)
+        stage->task[j].state = CELL_TASK_DONE;
+      stage->left = 0;
+    }
+}
+
 /* Read with gaps, tasks that were done would run again: it is whole or lost. */
 static const char *
 wrong_in_progress (const MuxCell *cell, const CellJob *job, const json_t *json)
 {
   const json_t *stages = json_object_get (json, "stages");
   const json_t *occurrences = json_object_get (json, "occurrences");
+  const json_t *done = json_object_get (json, "done");
   json_int_t least = job->spec->repetitions == 0 ? 1 : 0;
+  uint64_t first = done_before (job, json);
   json_t *stage;
   size_t i;
 
@@ -261,14 +302,16 @@
     return "started";
   if (!is_count (occurrences, least, cell_occurrences_due (cell, job)))
     return "occurrences";
+  if (done != NULL && !is_count (done, 0, json_integer_value (occurrences)))
+    return "done";
   if (!json_is_array (stages)
-      || json_array_size (stages)
+      || first + json_array_size (stages)
              != (uint64_t) json_integer_value (occurrences)
                     * job->spec->step_count)
     return "stages";
   json_array_foreach (stages, i, stage)
   {
-    const char *wrong = wrong_in_stage (job, i, stage);
+    const char *wrong = wrong_in_stage (job, first + i, stage);
 
     if (wrong != NULL)
       return wrong;
@@ -290,6 +333,7 @@
   cell_job_occurrences (
       cell, job,
       (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
+  apply_done (job, done_before (job, json));
   json_array_foreach (stages, i, stage) apply_stage (job, stage);
   return NULL;
 }
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -193,6 +193,10 @@
                 change->key);
       reply->row_count++;
     }
+  for (uint32_t i = 0; i < call->change_count; i++)
+    if (call->change[i].value != NULL
+        && call->change[i].value->len > WORLD_ROW_BYTES)
+      reply->status = MUX_CELL_BAD;
   if (reply->status != MUX_CELL_OK)
     return;
   reply->version = ++world->version;
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -15,6 +15,8 @@
 #define WORLD_WORKERS_MAX 3000
 #define WORLD_ROWS_MAX 16384
 #define WORLD_RUNS_MAX 64
+/* Most that the value of a row holds. */
+#define WORLD_ROW_BYTES 65536
 #define WORLD_STARTS_MAX 32768
 /* Time of day at the world's time 0. */
 #define WORLD_WALL_MS INT64_C (1700000000000)
--- a/test/unit/test_cell_time_of_day.c
+++ b/test/unit/test_cell_time_of_day.c
@@ -288,6 +288,37 @@
   world_free (world);
 }
 
+/* Of so many rounds what is known of each does not fit into one row. */
+#define MANY_ROUNDS 1200
+#define ROUND_MS 10
+
+/*
+ * Jobs of a quarter of all callers never end: a job of many rounds has more
+ * progress than a row of the store holds.  The store refuses the commit, and
+ * with it all others of that part, ends of tasks among them; commit_refused in
+ * the log, again and again.  Rounds that are done are stored as their number.
+ */
+static void
+test_progress_of_many_rounds_fits_into_a_row (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = 20;
+  (void) world_submit (world, planner,
+                       timed_job (world, 0, MANY_ROUNDS, ROUND_MS), "many");
+  world_run (world, MANY_ROUNDS * ROUND_MS / 2);
+  world_cell_kill (world, planner);
+  world_run (world, MANY_ROUNDS * ROUND_MS / 2 + 10000);
+  print_message ("%u starts\n", world_starts (world, "many"));
+  assert_int_equal (world_state (world, (planner + 1) % CELLS, "many"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice_told (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -301,6 +332,7 @@
         test_end_of_an_occurrence_that_a_lone_planner_began_counts),
     cmocka_unit_test (test_rest_of_a_round_begun_early_waits_for_its_time),
     cmocka_unit_test (test_job_of_a_million_rounds_leaves_room_for_others),
+    cmocka_unit_test (test_progress_of_many_rounds_fits_into_a_row),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
