--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -288,7 +288,7 @@
 /** cell_waits_tick() - tell why the step that waits longest does */
 void cell_waits_tick (MuxCell *cell);
 
-/* progress.c */
+/* progress_rows.c */
 json_t *cell_progress_json (MuxCell *cell, const CellJob *job);
 /** cell_progress_apply() - what a former planner had stored of the job
  * Return: the field that can't be read, and nothing is applied; NULL: done. */
@@ -296,6 +296,7 @@
 cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json);
 /** cell_progress_row() - as read, of a job that is known */
 void cell_progress_row (MuxCell *cell, const MuxCellRow *row);
+/* progress.c: their commits */
 void cell_progress_tick (MuxCell *cell);
 uint64_t cell_stored_seq (const MuxCell *cell);
 
