--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -140,8 +140,10 @@
 bool cell_planner_is_near (const MuxCell *cell);
 bool cell_relay (MuxCell *cell, CellSubmission *submission);
 void cell_relay_told (MuxCell *cell,
+                      const CellPart *part,
                       const CellSubmission *submission,
-                      MuxOutcome outcome);
+                      MuxOutcome outcome,
+                      const char *why);
 void cell_relay_tick (MuxCell *cell, CellPart *part);
 void cell_relay_peer (MuxCell *cell, const MuxPeerMsg *msg);
 
--- a/src/cell/relay.c
+++ b/src/cell/relay.c
@@ -62,11 +62,16 @@
 
 void
 cell_relay_told (MuxCell *cell,
+                 const CellPart *part,
                  const CellSubmission *submission,
-                 MuxOutcome outcome)
+                 MuxOutcome outcome,
+                 const char *why)
 {
   MuxPeerMsg msg = cell_message (cell, MUX_PEER_SUBMIT_TOLD, submission->peer);
 
+  cell_log (cell, "submission_told", "{s:s, s:s, s:s, s:i, s:I}", "job",
+            submission->job->id, "to", submission->peer, "why", why, "outcome",
+            (int) outcome, "commit_ms", (json_int_t) part->submit_took_ms);
   msg.call = submission->call;
   msg.outcome = outcome;
   msg.table_ok = cell_store_ok (cell);
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -43,17 +43,20 @@
   free (submission);
 }
 
+/* How long the part's last commit of jobs took, by which the moment of storing
+ * can be told from that of the answer. */
 static void
 tell_caller (MuxCell *cell,
+             const CellPart *part,
              const CellSubmission *submission,
              MuxOutcome outcome,
              const char *why)
 {
   bool accepted = outcome == MUX_OUTCOME_ACCEPTED;
 
-  cell_log (cell, accepted ? "accepted" : "refused", "{s:s, s:s, s:s}", "job",
-            submission->job->id, "queue", submission->job->queue.name, "why",
-            why);
+  cell_log (cell, accepted ? "accepted" : "refused", "{s:s, s:s, s:s, s:I}",
+            "job", submission->job->id, "queue", submission->job->queue.name,
+            "why", why, "commit_ms", (json_int_t) part->submit_took_ms);
   if (accepted)
     mux_count (cell->options.counters, MUX_COUNT_JOBS_ACCEPTED, 1);
   else
@@ -69,9 +72,9 @@
                      const char *why)
 {
   if (submission->peer[0] != 0)
-    cell_relay_told (cell, submission, outcome);
+    cell_relay_told (cell, part, submission, outcome, why);
   else
-    tell_caller (cell, submission, outcome, why);
+    tell_caller (cell, part, submission, outcome, why);
   DL_DELETE (part->submissions, submission);
   submission_free (submission);
 }
