cell: a queue of more attempts than are counted comes to an end

A job that fails whenever it runs was started for good, its caller never heard: of failed runs 16 are told apart, and with a queue that allows 40 the count never got there. Found by asking each bound of a list what a caller sees when it is full.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -203,6 +203,9 @@
 /** cell_known_as_ended() - it ended while this daemon planned */
 bool cell_known_as_ended (MuxCell *cell, const char *id);
 void cell_job_cancel (MuxCell *cell, CellJob *job);
+/** cell_attempts_max() - failed runs of a task after which the job has failed
+ */
+uint32_t cell_attempts_max (const CellJob *job);
 void cell_job_fail (MuxCell *cell, CellJob *job, const char *why);
 void cell_job_advance (MuxCell *cell, CellJob *job);
 /** cell_job_resume() - go on with a job that was read from the store */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -259,7 +259,7 @@
 } CellTaskState;
 
 /* Most failed runs of a task, or gang, that are told apart.  Queues allow a
- * handful of attempts. */
+ * handful of attempts; where one allows more, so many are made. */
 #define CELL_FAILED_RUNS_MAX 16
 
 /**
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -231,6 +231,18 @@
     cell_stage_update (cell, job->stage[i]);
 }
 
+/*
+ * Guards against a job that is tried without end: failed runs are told apart up
+ * to a number, and with a queue that allows more the count never got there.
+ */
+uint32_t
+cell_attempts_max (const CellJob *job)
+{
+  uint32_t max = job->spec->queue.attempts_max;
+
+  return max < CELL_FAILED_RUNS_MAX ? max : CELL_FAILED_RUNS_MAX;
+}
+
 /*
  * Guards against one attempt too many: the former planner may have stored the
  * last failure that is allowed and died before it stored that the job failed.
@@ -238,7 +250,7 @@
 static bool
 attempts_used (const CellJob *job)
 {
-  uint32_t max = job->spec->queue.attempts_max;
+  uint32_t max = cell_attempts_max (job);
 
   for (uint32_t i = 0; i < job->stage_count; i++)
     {
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -389,7 +389,7 @@
     }
   if (stage->spec->long_running || !add_failure (failures, run))
     return;
-  if (failures->count >= stage->job->spec->queue.attempts_max)
+  if (failures->count >= cell_attempts_max (stage->job))
     cell_job_fail (cell, stage->job, "attempts_used");
 }
 
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1078,6 +1078,15 @@
   world_set_priority (world, 0);
 }
 
+void
+world_set_attempts (World *world, uint32_t attempts)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  config->item[0].attempts_max = attempts;
+  put_config (world, config);
+}
+
 void
 world_approve_unasked (World *world)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -240,6 +240,8 @@
 void world_set_priority (World *world, uint32_t priority);
 /** world_make_urgent() - the queue's jobs, from now on */
 void world_make_urgent (World *world);
+/** world_set_attempts() - that the queue's tasks have from now on */
+void world_set_attempts (World *world, uint32_t attempts);
 /** world_approve_unasked() - the queue's jobs need no approval from now on */
 void world_approve_unasked (World *world);
 /** world_row() - that stands in the store under the key; NULL: there is none */
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -807,6 +807,34 @@
   world_free (world);
 }
 
+#define MANY_ATTEMPTS 40
+#define ATTEMPTS_COUNTED 16
+
+/*
+ * A job that fails whenever it runs is started again for good, and its caller
+ * never hears.  Its queue allows more attempts than failed runs are told apart.
+ */
+static void
+test_queue_of_many_attempts_ends (void **state)
+{
+  World *world = world_new (CELLS, 4);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world_set_attempts (world, MANY_ATTEMPTS);
+  for (uint32_t i = 0; i < 4; i++)
+    world->worker[i].fails = true;
+  world->task_ms = 50;
+  world_run (world, 1000);
+  (void) world_submit (world, planner, world_job (1, 1, 1000), "job-a");
+  world_run (world, 60000);
+  print_message ("%u starts\n", world_starts (world, "job-a"));
+  assert_int_equal (world_state (world, planner, "job-a"), MUX_JOB_FAILED);
+  assert_true (world_starts (world, "job-a") >= ATTEMPTS_COUNTED);
+  assert_true (world_starts (world, "job-a") <= MANY_ATTEMPTS);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -838,6 +866,7 @@
     cmocka_unit_test (test_long_running_is_restarted),
     cmocka_unit_test (test_filling_task_leaves_a_serving_one),
     cmocka_unit_test (test_carrier_dies_with_its_calls),
+    cmocka_unit_test (test_queue_of_many_attempts_ends),
     cmocka_unit_test (test_gang_starts_on_the_room_it_holds),
     cmocka_unit_test (test_ends_are_taken_in_any_order),
     cmocka_unit_test (test_unknown_queue),
