cell: counts of waiting jobs are told again for 250 ms, heirs looked for as often

Where the planner's processor goes at 299 instances and 3,000 workers, by samples: a tenth in going through all jobs for each question how many of a queue wait, which all daemons ask; 2 % in looking at all members for a stronger one, each 4 ms. A count is told again for 250 ms, of the 2 s that callers are promised; the look is as often as members greet.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -131,9 +131,14 @@
 void cell_inquiry_peer (MuxCell *cell, const MuxPeerMsg *msg);
 void cell_answer (MuxCell *cell, uint64_t call, MuxOutcome outcome);
 void cell_answer_state (MuxCell *cell, uint64_t call, MuxJobState state);
-/* What the planner says of one of its jobs, or of a queue. */
+/** cell_state_of() - what the planner says of one of its jobs; false: nothing
+ */
 bool cell_state_of (MuxCell *cell, const char *id, MuxJobState *state);
+
+/* queue_count.c */
+/** cell_pending_of() - jobs of the queue that wait, now or a little before */
 uint32_t cell_pending_of (MuxCell *cell, const char *queue);
+void cell_queue_counts_free (MuxCell *cell);
 
 /* relay.c: jobs handed to the planner */
 /** cell_planner_is_near() - another daemon plans and answers */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -59,6 +59,7 @@
 typedef struct CellBadRow CellBadRow;
 typedef struct CellUnread CellUnread;
 typedef struct CellService CellService;
+typedef struct CellQueueCount CellQueueCount;
 
 typedef void (*CellDone) (MuxCell *cell,
                           const CellPending *pending,
@@ -733,6 +734,7 @@
   /* Of the planner alone. */
   bool late; /* it takes no new jobs, as it told last */
   CellJob *jobs;
+  CellQueueCount *queue_counts;
   CellEnded *ended;
   CellUnread *unread;
   bool unread_passed;      /* others can't be read, which are not in it */
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -55,6 +55,7 @@
   cell_workers_free (cell);
   cell_members_free (cell);
   cell_questions_free (cell);
+  cell_queue_counts_free (cell);
   cell_unread_free (cell);
   cell->late = false;
   cell->plan = NULL;
@@ -246,9 +247,9 @@
 static void look_before_claim (MuxCell *cell);
 
 /*
- * Guards against a cell without a planner: the claim stands, its answer is lost,
- * and its owner knows of it by nothing but a feed that may hang for as long.  So
- * the row is read back.
+ * Guards against a cell without a planner: the claim stands, its answer is
+ * lost, and its owner knows of it by nothing but a feed that may hang for as
+ * long.  So the row is read back.
  */
 static void
 claim_written (MuxCell *cell,
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -371,19 +371,6 @@
   return true;
 }
 
-uint32_t
-cell_pending_of (MuxCell *cell, const char *queue)
-{
-  CellJob *job;
-  CellJob *next;
-  uint32_t n = 0;
-
-  HASH_ITER (hh, cell->jobs, job, next)
-  n += !job->started && !job->cancelled && !job->ended
-       && strcmp (job->spec->queue.name, queue) == 0;
-  return n;
-}
-
 MuxTaskRef
 cell_task_ref (const CellTask *task)
 {
--- a/src/cell/leave.c
+++ b/src/cell/leave.c
@@ -8,6 +8,9 @@
 /* Not before a term is so old: the strong members have greeted it by then, and
  * one that does not take the plan is not asked again at once. */
 #define YIELD_AFTER_MS 1000
+/* Between two looks at the members, as far apart as their greetings: one each
+ * 4 ms at 299 of them took 2 % of the planner's processor. */
+#define YIELD_LOOK_MS 250
 /* A member that greeted within this time lives: two of its greetings fit. */
 #define HEARD_MS 500
 
@@ -87,6 +90,7 @@
   if (cell->yielding || cell->time.now_ms < cell->yield_after_ms)
     return;
   heir = choose_heir (cell, YIELD_FACTOR * cell->options.strength_milli);
+  cell->yield_after_ms = cell->time.now_ms + YIELD_LOOK_MS;
   if (heir != NULL)
     cell->yielding = leave_claim (cell, heir, yielded);
 }
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -807,6 +807,46 @@
   world_free (world);
 }
 
+/* Callers are promised a count that is no older. */
+#define COUNT_AGE_MS 2000
+#define WAITING_JOBS 5
+
+/*
+ * A caller hears for good that nothing waits in a queue.  The planner tells a
+ * count again for a while rather than going through all jobs for each question;
+ * what it tells may not be old.
+ */
+static void
+test_count_of_a_queue_is_young (void **state)
+{
+  World *world = world_new (CELLS, 1);
+  uint32_t planner = world_planner (world);
+  uint64_t call;
+
+  (void) state;
+  world_run (world, 1000);
+  call = world_ask (world, planner, MUX_QUESTION_STATE, "");
+  world_run (world, 50);
+  assert_int_equal (world->answer[call].pending, 0);
+  world->worker[0].fault = WORLD_REFUSES;
+  for (uint32_t i = 0; i < WAITING_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      (void) world_submit (world, planner, world_job (1, 1, 1000), id);
+    }
+  world_run (world, COUNT_AGE_MS);
+  for (uint32_t i = 0; i < CELLS; i++)
+    {
+      call = world_ask (world, i, MUX_QUESTION_STATE, "");
+      world_run (world, 50);
+      assert_true (world->answered[call]);
+      assert_int_equal (world->answer[call].pending, WAITING_JOBS);
+    }
+  world_free (world);
+}
+
 #define MANY_ATTEMPTS 40
 #define ATTEMPTS_COUNTED 16
 
@@ -866,6 +906,7 @@
     cmocka_unit_test (test_long_running_is_restarted),
     cmocka_unit_test (test_filling_task_leaves_a_serving_one),
     cmocka_unit_test (test_carrier_dies_with_its_calls),
+    cmocka_unit_test (test_count_of_a_queue_is_young),
     cmocka_unit_test (test_queue_of_many_attempts_ends),
     cmocka_unit_test (test_gang_starts_on_the_room_it_holds),
     cmocka_unit_test (test_ends_are_taken_in_any_order),
