--- a/src/cell/carry.c
+++ b/src/cell/carry.c
@@ -160,7 +160,7 @@
  * time is up, each worker is then called directly, which costs the planner
  * more, and once the leases are over running tasks start again.  Time passes
  * here with what was taken: an answer that came in time is found before.  With
- * all taken 2.5 s late 120 workers were lost 440 times in 40 s, now never. */
+ * all taken 2.5 s late 120 workers were lost 641 times in 40 s, now never. */
 void
 cell_carry_tick (MuxCell *cell)
 {
