cell: a test, carried bytes of another version do nothing

Six kinds of bytes that this version does not write, asked and told: no worker is called, no call ends, jobs go on.

--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -807,6 +807,63 @@
   world_free (world);
 }
 
+static void
+send_bytes (World *world, MuxPeerVerb verb, const char *bytes, size_t len)
+{
+  uint32_t planner = world_planner (world);
+  MuxPeerMsg msg = { .verb = verb, .call = 1 };
+  MuxCellTime time
+      = { world->now_ms, WORLD_WALL_MS + world->now_ms, world->now_ms };
+
+  snprintf (msg.from, sizeof msg.from, "entry-%u", other_than (planner));
+  msg.body = mux_blob_new (bytes, len);
+  mux_cell_peer (world->cell[planner].cell, time, &msg);
+  mux_blob_unref (msg.body);
+}
+
+/*
+ * A daemon of another version asks for a call to a worker, or tells the end of
+ * one, in bytes that this one can't read: JSON, a list that is too short or cut
+ * off, numbers where texts belong.  They call no worker and end no call; jobs
+ * go on.
+ */
+static void
+test_carried_bytes_of_another_version_do_nothing (void **state)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t len;
+  } bad[] = {
+    { "", 0 },
+    { "[0,1,[]]", 8 },
+    { "\x93\x01\x02\x03", 4 },
+    { "\x94\x05\x00\x01\xdd\xff\xff\xff\xff", 9 },
+    { "\x94\x05\x7f\x01\x90", 5 },
+    { "\xdc\x00\x10\x05\x05\x05\x05\x05\x05\x05\x05\x05\x05\x05\x05"
+      "\x05\x05\x05\x05",
+      19 },
+  };
+  World *world = world_new (CELLS, 4);
+  uint32_t before;
+
+  (void) state;
+  world_run (world, 1000);
+  before = world->worker_calls[world_planner (world)];
+  for (uint32_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      send_bytes (world, MUX_PEER_CARRY_ASK, bad[i].bytes, bad[i].len);
+      send_bytes (world, MUX_PEER_CARRY_TOLD, bad[i].bytes, bad[i].len);
+    }
+  assert_int_equal (world->worker_calls[world_planner (world)], before);
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 1000),
+                       "job-a");
+  world_run (world, 3000);
+  assert_int_equal (world_state (world, world_planner (world), "job-a"),
+                    MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
 /* Callers are promised a count that is no older. */
 #define COUNT_AGE_MS 2000
 #define WAITING_JOBS 5
@@ -906,6 +963,7 @@
     cmocka_unit_test (test_long_running_is_restarted),
     cmocka_unit_test (test_filling_task_leaves_a_serving_one),
     cmocka_unit_test (test_carrier_dies_with_its_calls),
+    cmocka_unit_test (test_carried_bytes_of_another_version_do_nothing),
     cmocka_unit_test (test_count_of_a_queue_is_young),
     cmocka_unit_test (test_queue_of_many_attempts_ends),
     cmocka_unit_test (test_gang_starts_on_the_room_it_holds),
