--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -152,6 +152,12 @@
 void cell_relay_tick (MuxCell *cell, CellPart *part);
 void cell_relay_peer (MuxCell *cell, const MuxPeerMsg *msg);
 
+/* claim_rows.c */
+/** cell_claim_read() - what a row of the claim says */
+void cell_claim_read (MuxCell *cell, CellClaim *claim, const MuxCellRow *row);
+/** cell_own_claim() - the next claim, with this daemon as the planner */
+json_t *cell_own_claim (const MuxCell *cell);
+
 /* claim.c: who plans */
 void cell_claim_tick (MuxCell *cell);
 void cell_claim_row (MuxCell *cell, const MuxCellRow *row);
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -88,66 +88,6 @@
   cell_load_begin (cell);
 }
 
-/* Return: the field that keeps it from saying who plans; NULL: none. */
-static const char *
-wrong_in_claim (const json_t *json)
-{
-  const json_t *incarnation = json_object_get (json, "incarnation");
-  const char *name = json_string_value (json_object_get (json, "name"));
-  const char *addr = json_string_value (json_object_get (json, "addr"));
-
-  if (!json_is_integer (incarnation) || json_integer_value (incarnation) < 0)
-    return "incarnation";
-  if (json_integer_value (incarnation) == 0)
-    return NULL;
-  if (name == NULL || !mux_name_valid (name))
-    return "name";
-  return addr != NULL && addr[0] != 0 ? NULL : "addr";
-}
-
-/* How often the claim was taken is told for information alone. */
-static uint32_t
-read_count (const json_t *json)
-{
-  json_int_t count = json_integer_value (json_object_get (json, "term"));
-
-  return count > 0 ? (uint32_t) ((count - 1) % CELL_TERMS_MAX + 1) : 0;
-}
-
-/*
- * Guards against two daemons of which each can't read the other's claim, and
- * which replace each other in turn: one that can't be read says that somebody
- * plans, who is replaced only once its sign of life stays away.
- */
-static void
-read_claim (MuxCell *cell, CellClaim *claim, const MuxCellRow *row)
-{
-  json_t *json = cell_row_json (cell, row);
-  const char *wrong = json != NULL ? wrong_in_claim (json) : NULL;
-  const char *name = json_string_value (json_object_get (json, "name"));
-  const char *addr = json_string_value (json_object_get (json, "addr"));
-  const char *heir = json_string_value (json_object_get (json, "heir"));
-
-  memset (claim, 0, sizeof *claim);
-  claim->version = row->version;
-  claim->known = true;
-  claim->unreadable = !row->removed && (json == NULL || wrong != NULL);
-  if (wrong != NULL)
-    cell_row_bad (cell, row, CELL_ROW_FIELD, wrong);
-  if (claim->unreadable)
-    {
-      json_decref (json);
-      return;
-    }
-  snprintf (claim->name, sizeof claim->name, "%s", name != NULL ? name : "");
-  snprintf (claim->addr, sizeof claim->addr, "%s", addr != NULL ? addr : "");
-  snprintf (claim->heir, sizeof claim->heir, "%s", heir != NULL ? heir : "");
-  claim->incarnation
-      = (uint64_t) json_integer_value (json_object_get (json, "incarnation"));
-  claim->term = read_count (json);
-  json_decref (json);
-}
-
 /* Planning costs a few thousandths of a processor for each worker; a weak
  * instance leaves it to a stronger one, which claims earlier. */
 static int64_t
@@ -196,7 +136,7 @@
   if (strcmp (row->key, CELL_CLAIM_KEY) != 0
       || row->version <= cell->claim.version)
     return;
-  read_claim (cell, &claim, row);
+  cell_claim_read (cell, &claim, row);
   /* The copy beside the jobs only hastens what its own table tells. */
   if (claim.unreadable && row->table == MUX_TABLE_JOBS)
     {
@@ -234,16 +174,6 @@
   cell->claim_after_ms = cell->time.now_ms + spread (cell);
 }
 
-/* The next claim, with this daemon as the planner. */
-static json_t *
-own_claim (const MuxCell *cell)
-{
-  return json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
-                    cell->options.peer_addr, "incarnation",
-                    (json_int_t) cell->options.incarnation, "term",
-                    (int) (cell->claim.term % CELL_TERMS_MAX + 1));
-}
-
 static void look_before_claim (MuxCell *cell);
 
 /*
@@ -268,7 +198,7 @@
     look_before_claim (cell);
   if (reply->status != MUX_CELL_OK || cell->stopping)
     return;
-  row.value = cell_json_blob (own_claim (cell));
+  row.value = cell_json_blob (cell_own_claim (cell));
   if (row.value == NULL)
     return;
   cell_claim_row (cell, &row);
@@ -304,7 +234,8 @@
 {
   cell_log (cell, "claiming", "{s:s, s:s}", "why", why, "from",
             cell->claim.name);
-  cell->claiming = cell_write_claim (cell, own_claim (cell), claim_written);
+  cell->claiming
+      = cell_write_claim (cell, cell_own_claim (cell), claim_written);
   if (!cell->claiming)
     cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
 }
