cell: random schedules with answers that end early and with late daemons; a wrong roster row

Two lines that were read and had no run. A roster row with a wrong address: its worker is out until the longest lease is over, then runs what waits, nothing twice.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -257,6 +257,21 @@
   reply->version = world->version;
 }
 
+/* Rows of one commit have the same version and stay together. */
+static void
+cut_answer (const World *world, MuxCellReply *reply)
+{
+  uint32_t rows = world->follow_rows;
+
+  while (rows > 0 && rows < reply->row_count
+         && reply->row[rows].version == reply->row[rows - 1].version)
+    rows++;
+  if (rows == 0 || rows >= reply->row_count)
+    return;
+  cut_page (reply, rows);
+  reply->version = reply->row[rows - 1].version;
+}
+
 static int
 by_version (const void *x, const void *y)
 {
@@ -289,6 +304,7 @@
   if (reply->row_count > 0)
     qsort (reply->row, reply->row_count, sizeof *reply->row, by_version);
   reply->version = world->version;
+  cut_answer (world, reply);
   return reply->row_count > 0;
 }
 
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -187,6 +187,7 @@
   uint32_t unread_max;     /* the same; 0: as usual */
   int64_t store_ms;        /* time of a call to the store */
   uint32_t page_rows;      /* most rows of one reading; 0: all */
+  uint32_t follow_rows;    /* the same of one answer to who follows a table */
   uint32_t approvals_asked;
   uint32_t waits_told; /* lines of why a step waits */
   char wait_lacks[32]; /* what the last of them says it lacks */
--- a/test/unit/test_cell_foreign.c
+++ b/test/unit/test_cell_foreign.c
@@ -313,6 +313,35 @@
   world_free (world);
 }
 
+/*
+ * Room stays empty for good, and tasks there are forgotten: the roster's row
+ * for a worker names an address where nobody answers.  Its true entry in the
+ * list is not taken, as a life keeps the address at which it was called before.
+ * That lasts until the longest lease is over, and no longer; what ran there
+ * goes on or runs again after its lease, and nothing runs twice.
+ */
+static void
+test_roster_row_with_a_wrong_address_costs_a_lease (void **state)
+{
+  World *world = world_new (CELLS, 1);
+
+  (void) state;
+  world->task_ms = LONG_MS;
+  submit (world, 1, 1, "before");
+  world_run (world, 1000);
+  overwrite (world, MUX_TABLE_ROSTER, "i-0-1", "{\"addr\":\"10.1.7.7:8000\"}");
+  take_over (world);
+  submit (world, 1, 1, "after");
+  world_run (world, LEASES_OVER_MS + 2 * LONG_MS);
+  assert_true (starts_at (world, 0, "after") > 0);
+  assert_int_equal (world_state (world, world_planner (world), "before"),
+                    MUX_JOB_COMPLETED);
+  assert_int_equal (world_state (world, world_planner (world), "after"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
 /*
  * A roster longer than a page: a successor that reads the first page again and
  * again never begins to plan.
@@ -869,6 +898,7 @@
     cmocka_unit_test (test_two_entries_of_one_address),
     cmocka_unit_test (test_unreadable_roster_row),
     cmocka_unit_test (test_roster_mark_far_in_the_future),
+    cmocka_unit_test (test_roster_row_with_a_wrong_address_costs_a_lease),
     cmocka_unit_test (test_roster_of_several_pages),
     cmocka_unit_test (test_unreadable_progress_row),
     cmocka_unit_test (test_progress_of_a_repeated_job),
--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -32,6 +32,9 @@
 #define JOBS_MAX 300
 /* Longer than a takeover from a planner that the store turns away. */
 #define TURNED_AWAY_MS 2500
+/* One step in so many makes a daemon late, or in time again. */
+#define LATE_ONE_IN 60
+#define LATE_MAX_MS 3000
 
 typedef struct
 {
@@ -311,8 +314,26 @@
   world_run (c->world, STEP_MS);
 }
 
+/* What is different from the usual world. */
+typedef struct
+{
+  uint32_t follow_rows;
+  bool late;
+} Variant;
+
+/* Some daemon takes what arrives later than before, up to a few seconds, or in
+ * time again. */
+static void
+make_late (Chaos *c)
+{
+  WorldCell *cell = &c->world->cell[below (c, CELLS)];
+
+  if (below (c, LATE_ONE_IN) == 0)
+    cell->late_ms = below (c, 2) == 0 ? 0 : below (c, LATE_MAX_MS);
+}
+
 static void
-play (uint64_t seed)
+play (uint64_t seed, const Variant *variant)
 {
   World *world = world_new (CELLS, WORKERS);
   Chaos c = { .world = world, .random = { seed } };
@@ -320,15 +341,22 @@
   uint32_t lost;
 
   world->task_ms = 300;
+  world->follow_rows = variant->follow_rows;
   if (seed % 2 == 1)
     world_make_urgent (world);
   world_run (world, 1000);
   for (uint32_t at_ms = 0; at_ms < BUSY_MS; at_ms += STEP_MS)
-    if (seed % 4 < 2)
-      step_of_chaos (&c);
-    else
-      step_of_takeovers (&c);
+    {
+      if (variant->late)
+        make_late (&c);
+      if (seed % 4 < 2)
+        step_of_chaos (&c);
+      else
+        step_of_takeovers (&c);
+    }
   mend_all (world);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].late_ms = 0;
   world_run (world, SETTLE_MS);
   twice = world_twice_told (world);
   lost = lost_jobs (&c);
@@ -347,14 +375,46 @@
 }
 
 static void
-test_no_task_runs_twice_and_no_job_is_lost (void **state)
+play_seeds (const Variant *variant)
 {
   uint64_t seed = setting ("RANDOM_SEED", SEED);
   uint64_t seeds = setting ("RANDOM_SEEDS", SEEDS);
 
-  (void) state;
   for (uint64_t i = 0; i < seeds; i++)
-    play (seed + i);
+    play (seed + i, variant);
+}
+
+static void
+test_no_task_runs_twice_and_no_job_is_lost (void **state)
+{
+  Variant usual = { .follow_rows = 0 };
+
+  (void) state;
+  play_seeds (&usual);
+}
+
+/*
+ * The same, and the store ends an answer to who follows a table behind any
+ * commit: a planner knows of a job before it knows of a claim that stands
+ * behind it.
+ */
+static void
+test_nor_with_answers_that_end_early (void **state)
+{
+  Variant cut = { .follow_rows = 1 };
+
+  (void) state;
+  play_seeds (&cut);
+}
+
+/* The same, and daemons are late at times: planner, carriers and followers. */
+static void
+test_nor_with_daemons_that_are_late (void **state)
+{
+  Variant late = { .late = true };
+
+  (void) state;
+  play_seeds (&late);
 }
 
 int
@@ -362,6 +422,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_no_task_runs_twice_and_no_job_is_lost),
+    cmocka_unit_test (test_nor_with_answers_that_end_early),
+    cmocka_unit_test (test_nor_with_daemons_that_are_late),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
