cell: heads of carried bytes are looked at before memory is taken for them

A daemon that gets nine bytes of another version, or worse, asked for 128 GB: the library takes memory for as many items as an array's head names before it reads them. Found under the address sanitizer by the test of such bytes, which passed in the release build, where the memory is refused or never touched. Change: no head may name more than what is left of the message; kinds that are not written here are refused. The test, unchanged in what it sends, passes in both.

--- a/src/cell/carry_wire.c
+++ b/src/cell/carry_wire.c
@@ -213,12 +213,80 @@
   return NULL;
 }
 
+/* Bytes of a number behind a head of one byte; 0: it is none of ours. */
+static size_t
+number_bytes (unsigned char head)
+{
+  if (head <= 0x7f || head >= 0xe0)
+    return 1;
+  if (head >= 0xcc && head <= 0xcf)
+    return 1 + ((size_t) 1 << (head - 0xcc));
+  if (head >= 0xd0 && head <= 0xd3)
+    return 1 + ((size_t) 1 << (head - 0xd0));
+  return 0;
+}
+
+static uint64_t
+big_endian (const unsigned char *bytes, size_t count)
+{
+  uint64_t value = 0;
+
+  for (size_t i = 0; i < count; i++)
+    value = value << 8 | bytes[i];
+  return value;
+}
+
+/* Bytes of the item at @at, of an array those of its head alone; 0: it is of no
+ * kind that is written here, or longer than what is left. */
+static size_t
+item_bytes (const unsigned char *at, size_t left)
+{
+  size_t number = number_bytes (at[0]);
+  size_t width;
+
+  if (number != 0)
+    return number <= left ? number : 0;
+  if ((at[0] & 0xf0) == 0x90)
+    return (at[0] & 0x0fU) < left ? 1 : 0;
+  if (at[0] == 0xdc)
+    return left >= 3 && big_endian (at + 1, 2) <= left - 3 ? 3 : 0;
+  if (at[0] < 0xc4 || at[0] > 0xc6)
+    return 0;
+  width = (size_t) 1 << (at[0] - 0xc4);
+  if (left < 1 + width || big_endian (at + 1, width) > left - 1 - width)
+    return 0;
+  return 1 + width + (size_t) big_endian (at + 1, width);
+}
+
+/*
+ * Guards against a daemon that ends for its memory: the library takes memory
+ * for as many items as an array's head names before it reads them, 128 GB for
+ * nine bytes.  Each item takes a byte at least, so that no head may name more
+ * than what is left.
+ */
+static bool
+heads_are_sound (const MuxBlob *blob)
+{
+  const unsigned char *bytes = (const unsigned char *) blob->bytes;
+  size_t at = 0;
+
+  while (at < blob->len)
+    {
+      size_t item = item_bytes (bytes + at, blob->len - at);
+
+      if (item == 0)
+        return false;
+      at += item;
+    }
+  return true;
+}
+
 /* Bytes of another version of the program are no array of that length. */
 static bool
 unpack (msgpack_unpacked *unpacked, const MuxBlob *blob, uint32_t fields)
 {
   msgpack_unpacked_init (unpacked);
-  return blob != NULL
+  return blob != NULL && heads_are_sound (blob)
          && msgpack_unpack_next (unpacked, blob->bytes, blob->len, NULL)
                 == MSGPACK_UNPACK_SUCCESS
          && is_array (&unpacked->data, fields);
