--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -823,9 +823,10 @@
 
 /*
  * A daemon of another version asks for a call to a worker, or tells the end of
- * one, in bytes that this one can't read: JSON, a list that is too short or cut
- * off, numbers where texts belong.  They call no worker and end no call; jobs
- * go on.
+ * one, in bytes that this one can't read: JSON, lists that are too short, cut
+ * off or say that they hold billions, numbers where texts belong.  They call no
+ * worker, end no call and take no memory, of which nine bytes asked for 128 GB;
+ * jobs go on.
  */
 static void
 test_carried_bytes_of_another_version_do_nothing (void **state)
