cell: a worker's stops are counted wherever one comes to be wanted

A read of the whole change: the count of bookings to be stopped was raised in one of the two places that set such a stop. An unanswered stop of a stray run that was adopted meanwhile set the other; it was then not sent again, and the count fell below zero when the booking went. Both places set it through one function now.

--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -80,6 +80,14 @@
   return task;
 }
 
+/* A stop is to be sent then; @stops counts each booking once. */
+static void
+stop_at (CellBooking *booking, int64_t at_ms)
+{
+  booking->worker->stops += booking->stop_at_ms == 0;
+  booking->stop_at_ms = at_ms;
+}
+
 static void
 stop_answered (MuxCell *cell,
                const CellPending *pending,
@@ -100,7 +108,7 @@
   if (reply->status == MUX_CELL_OK)
     task->booking->stop_clock_ms = reply->clock_ms;
   else
-    task->booking->stop_at_ms = cell->time.now_ms + STOP_RETRY_MS;
+    stop_at (task->booking, cell->time.now_ms + STOP_RETRY_MS);
 }
 
 static void
@@ -143,8 +151,7 @@
     return;
   if (booking->task->state != CELL_TASK_DONE)
     booking->task->state = CELL_TASK_STOPPING;
-  booking->stop_at_ms = cell->time.now_ms;
-  booking->worker->stops++;
+  stop_at (booking, cell->time.now_ms);
   booking->stopped_ms = cell->time.now_ms;
   cell_stops_tick (cell, booking->worker);
 }
