cell: place tasks of a job in one failure domain

Cause: a job's tasks were spread over all data centres. Nothing is heard of a task behind a cut until the cut ends, so that nearly every job under way waited for the cut of any one data centre.

Change: a step's tasks go to the data centre of the instance that accepted the job (stored in its row), else to the one with most room that holds the step, else to any; tasks that last are spread as before.

--- a/include/model/job.h
+++ b/include/model/job.h
@@ -123,6 +123,7 @@
  * @queue: the queue as it was when the job was accepted
  * @payload: handed to every task; owned
  * @accepted_wall_ms: time of day at acceptance
+ * @data_centre: of the instance that accepted it; "": not known
  * @first_due_ms: time of day of occurrence 0
  * @repetitions: occurrences; 0: the steps run once, at once
  * @interval_ms: between due times
@@ -135,6 +136,7 @@
   MuxQueueSpec queue;
   char *payload;
   int64_t accepted_wall_ms;
+  char data_centre[MUX_NAME_LEN];
   int64_t first_due_ms;
   uint32_t repetitions;
   uint32_t interval_ms;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -453,6 +453,12 @@
 /** cell_stage_order() - negative: @a goes first; of steps that were ranked */
 int cell_stage_order (const CellStage *a, const CellStage *b);
 
+/* failure_domain.c: what a cut between data centres separates */
+/** cell_choose_data_centre() - for the tasks of the stage that wait */
+void cell_choose_data_centre (MuxCell *cell, CellStage *stage);
+/** cell_is_outside() - of the data centre that the stage's tasks go to */
+bool cell_is_outside (const CellStage *stage, const CellWorker *worker);
+
 /* plan.c, place.c, gang.c */
 void cell_plan (MuxCell *cell);
 void cell_plan_add (MuxCell *cell, CellStage *stage);
@@ -466,6 +472,10 @@
                        const CellWorker *worker);
 MuxSize cell_worker_free (const CellWorker *worker);
 uint32_t cell_worker_holds (const CellStage *stage, MuxSize free);
+/** cell_worker_takes() - tasks of the stage that it has room for now */
+uint32_t cell_worker_takes (const MuxCell *cell,
+                            const CellStage *stage,
+                            const CellWorker *worker);
 void cell_place_tasks (MuxCell *cell, CellStage *stage);
 /** cell_hold() - keep room for @tasks of the stage at @worker
  * Return: false when memory is out. */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -329,6 +329,9 @@
   uint32_t tasks;
 } CellHold;
 
+/* Of a step whose tasks are placed in any data centre. */
+#define CELL_ANY_DATA_CENTRE 0
+
 /**
  * enum CellRank - what the end of a step that starts now would be worth
  */
@@ -371,6 +374,7 @@
   int64_t told_ms;
   bool reserving;
   uint64_t service;       /* hash of the pool that runs it */
+  uint64_t data_centre;   /* hash of the one that its tasks are placed in */
   int64_t proof_until_ms; /* no proof is taken after this */
   uint32_t left;
   uint32_t run;
@@ -549,7 +553,8 @@
 struct CellWorker
 {
   MuxWorkerInfo info;
-  uint64_t service; /* hash of its pool */
+  uint64_t service;     /* hash of its pool */
+  uint64_t data_centre; /* hash of its name */
   uint32_t slot;
   bool listed;
   int64_t unlisted_ms;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -30,11 +30,10 @@
          && stage->job->spec->queue.priority != 0;
 }
 
-/* How many tasks of the stage the worker could take now. */
-static uint32_t
-takes_now (const MuxCell *cell,
-           const CellStage *stage,
-           const CellWorker *worker)
+uint32_t
+cell_worker_takes (const MuxCell *cell,
+                   const CellStage *stage,
+                   const CellWorker *worker)
 {
   uint32_t n;
   uint32_t there;
@@ -53,8 +52,15 @@
              : stage->spec->per_worker_max - there;
 }
 
+/* What a worker costs beyond its room, in thousandths of a processor: a task
+ * goes where it failed before last, and rather outside the step's data centre
+ * than away from its data. */
+#define OUTSIDE_COST 500000
+#define FAR_COST 1000000
+#define FAILED_COST 10000000
+
 /* Smaller is better: the least room left over, so that wide gaps stay for
- * tasks that need them; near its data; not where the task failed before. */
+ * tasks that need them. */
 static int64_t
 cost_of (const CellTask *task, const CellWorker *worker)
 {
@@ -63,9 +69,11 @@
 
   if (spec->data_rack[0] != 0
       && strcmp (spec->data_rack, worker->info.rack) != 0)
-    cost += 1000000;
+    cost += FAR_COST;
   if (task->failed_slot == worker->slot + 1)
-    cost += 10000000;
+    cost += FAILED_COST;
+  if (cell_is_outside (task->stage, worker))
+    cost += OUTSIDE_COST;
   return cost;
 }
 
@@ -83,7 +91,7 @@
 {
   int64_t cost;
 
-  if (takes_now (cell, task->stage, worker) == 0)
+  if (cell_worker_takes (cell, task->stage, worker) == 0)
     return;
   cost = cost_of (task, worker);
   if (best->worker == NULL || cost < best->cost)
@@ -129,11 +137,13 @@
   CellWorker *worker;
   uint32_t tasks;
   bool approved;
-  bool near; /* it can start there once its approval is recorded */
+  bool outside; /* the step's data centre */
+  bool near;    /* it can start there once its approval is recorded */
 } Candidate;
 
-/* Those known to be approved first, then those with least room: workers stay
- * empty for gangs, which need many at once. */
+/* Those known to be approved first, then those of the step's data centre, then
+ * those with least room: workers stay empty for gangs, which need many at
+ * once. */
 static int
 by_room (const void *x, const void *y)
 {
@@ -142,6 +152,8 @@
 
   if (a->approved != b->approved)
     return a->approved ? -1 : 1;
+  if (a->outside != b->outside)
+    return a->outside ? 1 : -1;
   if (a->tasks != b->tasks)
     return a->tasks < b->tasks ? -1 : 1;
   return a->worker->slot < b->worker->slot ? -1 : 1;
@@ -158,7 +170,7 @@
   HASH_ITER (hh, cell->workers, worker, next)
   {
     const CellApproval *approval;
-    uint32_t tasks = takes_now (cell, stage, worker);
+    uint32_t tasks = cell_worker_takes (cell, stage, worker);
 
     if (tasks == 0)
       continue;
@@ -167,6 +179,7 @@
       continue;
     candidate[n++]
         = (Candidate){ worker, tasks, approval != NULL && approval->yes,
+                       cell_is_outside (stage, worker),
                        cell_approval_is_near (cell, approval) };
   }
   return n;
@@ -214,6 +227,7 @@
   candidate = calloc (HASH_COUNT (cell->workers) + 1, sizeof *candidate);
   if (candidate == NULL)
     return;
+  cell_choose_data_centre (cell, stage);
   count = collect (cell, stage, candidate);
   if (count > 0)
     qsort (candidate, count, sizeof *candidate, by_room);
@@ -238,6 +252,8 @@
   bool short_of_workers = needed && cell->time.now_ms >= stage->proof_until_ms;
   uint32_t sent = 0;
 
+  if (!needed)
+    cell_choose_data_centre (cell, stage);
   for (uint32_t i = 0; i < stage->spec->count && !short_of_workers; i++)
     {
       CellTask *task = &stage->task[i];
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -134,6 +134,7 @@
 
   question->job = NULL;
   job->accepted_wall_ms = cell->time.wall_ms;
+  (void) mux_name_copy (job->data_centre, cell->options.data_centre);
   if (submission != NULL)
     submission->value = cell_json_blob (mux_job_to_json (job));
   if (submission == NULL || submission->value == NULL)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -161,6 +161,7 @@
   memcpy (id, worker->info.id, sizeof id);
   worker->info = *entry;
   worker->service = mux_hash_name (entry->service, 0);
+  worker->data_centre = mux_hash_name (entry->data_centre, 0);
   memcpy (worker->info.id, id, sizeof id);
 }
 
--- a/src/model/job_json.c
+++ b/src/model/job_json.c
@@ -99,6 +99,7 @@
         && put (json, "queue", queue_to_json (&job->queue))
         && put_text (json, "payload", job->payload != NULL ? job->payload : "")
         && put_number (json, "accepted_wall_ms", job->accepted_wall_ms)
+        && put_text (json, "data_centre", job->data_centre)
         && put_number (json, "first_due_ms", job->first_due_ms)
         && put_number (json, "repetitions", job->repetitions)
         && put_number (json, "interval_ms", job->interval_ms)
@@ -219,6 +220,7 @@
   queue_from_json (json_object_get (json, "queue"), &job->queue, findings);
   job->accepted_wall_ms
       = get_number (json, "accepted_wall_ms", 0, MUX_WALL_MS_MAX, findings);
+  get_name (json, "data_centre", job->data_centre, findings);
   job->first_due_ms = get_number (json, "first_due_ms", -MUX_WALL_MS_MAX,
                                   MUX_WALL_MS_MAX, findings);
   job->repetitions = get_u32 (json, "repetitions", findings);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -988,7 +988,7 @@
     .sink = &cell->sink,
     .counters = world->counters,
     .name = name,
-    .data_centre = "nizwa-hall",
+    .data_centre = world_data_centre (world, number),
     .peer_addr = cell->addr,
     .incarnation = ++world->incarnation << LIFE_BITS,
     .seed = number,
@@ -1240,16 +1240,48 @@
   snprintf (worker->info.service, sizeof worker->info.service, "booking");
   snprintf (worker->info.kind, sizeof worker->info.kind, "a");
   snprintf (worker->info.rack, sizeof worker->info.rack, "r1-%u", number / 4);
+  snprintf (worker->info.data_centre, sizeof worker->info.data_centre, "%s",
+            world_data_centre (world, number));
   worker->info.capacity = (MuxSize){ 32000, 131072, 0, 0 };
   list_worker (world, number);
 }
 
+const char *
+world_data_centre (const World *world, uint32_t number)
+{
+  static const char *const name[WORLD_DATA_CENTRES_MAX]
+      = { "nizwa-hall", "bahla-hall", "izki-hall" };
+
+  return name[number % world->data_centres];
+}
+
+void
+world_cut_data_centre (World *world, uint32_t data_centre, bool cut)
+{
+  for (uint32_t i = 0; i < WORLD_CELLS_MAX; i++)
+    if (i % world->data_centres == data_centre)
+      {
+        world->cell[i].cut = cut;
+        world->cell[i].store = cut ? WORLD_SILENT : WORLD_SERVES;
+      }
+  for (uint32_t i = 0; i < world->worker_end; i++)
+    if (i % world->data_centres == data_centre)
+      world->worker[i].cut = cut;
+}
+
 World *
 world_new (uint32_t cells, uint32_t workers)
+{
+  return world_new_over (cells, workers, 1);
+}
+
+World *
+world_new_over (uint32_t cells, uint32_t workers, uint32_t data_centres)
 {
   World *world = calloc (1, sizeof *world);
 
   assert_non_null (world);
+  world->data_centres = data_centres;
   world->now_ms = 1000;
   world->worker_end = PLACED_WORKERS;
   world->task_ms = 1000;
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -12,6 +12,7 @@
  */
 
 #define WORLD_CELLS_MAX 3
+#define WORLD_DATA_CENTRES_MAX 3
 #define WORLD_WORKERS_MAX 3000
 #define WORLD_ROWS_MAX 16384
 #define WORLD_RUNS_MAX 64
@@ -165,6 +166,7 @@
   uint64_t forgotten; /* changes up to this version can't be followed */
   uint64_t incarnation;
   MuxCounters *counters;
+  uint32_t data_centres;
   WorldCell cell[WORLD_CELLS_MAX];
   uint32_t row_count;
   WorldRow row[WORLD_ROWS_MAX];
@@ -204,6 +206,14 @@
 
 /** world_new() - @cells daemons, @workers workers of 32 processors */
 World *world_new (uint32_t cells, uint32_t workers);
+/** world_new_over() - daemons and workers, by their numbers in turn, in so many
+ * data centres */
+World *world_new_over (uint32_t cells, uint32_t workers, uint32_t data_centres);
+/** world_data_centre() - name of the one that daemon or worker @number is in */
+const char *world_data_centre (const World *world, uint32_t number);
+/** world_cut_data_centre() - from the others and from the store, or no longer;
+ * daemons and workers on the far side, where no planner is, run on alone */
+void world_cut_data_centre (World *world, uint32_t data_centre, bool cut);
 void world_free (World *world);
 /** world_cell_start() - (again, as a new process) */
 void world_cell_start (World *world, uint32_t cell);
--- a/test/unit/test_job.c
+++ b/test/unit/test_job.c
@@ -17,6 +17,7 @@
   job->queue.approval = (MuxApprovalSpec){ true, 390000, 5500, 2500 };
   job->payload = strdup ("a \"text\" \xc3\xbc");
   job->accepted_wall_ms = 1700000000000;
+  snprintf (job->data_centre, sizeof job->data_centre, "derby-a");
   job->first_due_ms = 1700000001000;
   job->repetitions = 3;
   job->interval_ms = 500;
@@ -56,6 +57,7 @@
   assert_memory_equal (&read->queue.approval, &job->queue.approval,
                        sizeof job->queue.approval);
   assert_int_equal (read->accepted_wall_ms, job->accepted_wall_ms);
+  assert_string_equal (read->data_centre, job->data_centre);
   assert_int_equal (read->first_due_ms, job->first_due_ms);
   assert_int_equal (read->repetitions, 3);
   assert_int_equal (read->interval_ms, 500);
