cell: name the workers of a job's steps in its own row while commits are slow

Cause: a step starts only where a next planner will look for it, and the record of the workers approved is a commit of its own behind the policy service's answer. With a store of 236 ms a call an urgent job waited 0.6 s for the commit that accepted it and 1.1 s for its record; the question itself takes 40 ms.

Change: while commits take over 50 ms the planner names, in the row that accepts the job, workers that its steps may run on (early_record.c), and asks about these first; approved, they need no record. A next planner waits for the workers named as for those of the progress. Others are recorded before they are started on, as before. The choice of workers is candidate.c.

--- a/include/model/job.h
+++ b/include/model/job.h
@@ -12,6 +12,8 @@
 /* Bytes of a job's id with its closing NUL. */
 #define MUX_JOB_ID_LEN 33
 /* Most steps of a job: a step names the earlier ones in a 64-bit set. */
+/* Workers that a stored step names. */
+#define MUX_STEP_NAMED_MAX 100
 #define MUX_STEPS_MAX 64
 /* Most tasks of one step; over it a single job could fill the daemon's
  * memory.  Far above the widest step of the size to design for. */
@@ -95,6 +97,8 @@
  * @label: that the worker must carry; "": any
  * @data_rack: where it runs fastest; "": anywhere
  * @per_worker_max: most tasks of one occurrence on a worker; 0: no bound
+ * @named: workers that a task may have been started on, beside those that the
+ *   job's progress names; owned
  * @unavailable_max: tasks of a long-running step that may be away at once
  *   through the scheduler's own doing
  */
@@ -115,6 +119,8 @@
   uint32_t per_worker_max;
   uint32_t unavailable_max;
   uint32_t tail_target_ms;
+  uint32_t named_count;
+  char (*named)[MUX_NAME_LEN];
 } MuxStepSpec;
 
 /**
--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -338,7 +338,8 @@
   approval = cell_approval (stage, worker);
   if (approval == NULL)
     return;
-  if (!approval->yes)
+  approval->stored = approval->stored || cell_is_recorded (stage, worker);
+  if (!approval->yes && !approval->stored)
     {
       cell_job_dirty (cell, stage->job);
       if (stage->job->spec->queue.priority == 0)
--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -18,7 +18,8 @@
 cell_approvals_stored (CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->approval_count; i++)
-    stage->approval[i].stored = stage->approval[i].written;
+    stage->approval[i].stored
+        = stage->approval[i].stored || stage->approval[i].written;
 }
 
 static bool
@@ -30,6 +31,22 @@
   return false;
 }
 
+static bool
+is_named (const CellStage *stage, const char *id)
+{
+  for (uint32_t i = 0; i < stage->spec->named_count; i++)
+    if (strcmp (stage->spec->named[i], id) == 0)
+      return true;
+  return false;
+}
+
+bool
+cell_is_recorded (const CellStage *stage, const CellWorker *worker)
+{
+  return is_named (stage, worker->info.id)
+         || is_former (stage, worker->info.id);
+}
+
 static bool
 is_approved (const CellStage *stage, const CellWorker *worker)
 {
@@ -111,17 +128,25 @@
     }
 }
 
+/* Nothing of a former planner can run there without being known. */
 static bool
-former_heard (MuxCell *cell, const CellStage *stage)
+is_heard (MuxCell *cell, const char *id)
 {
-  for (uint32_t i = 0; i < stage->former_count; i++)
-    {
-      const CellWorker *worker = cell_worker_find (cell, stage->former[i]);
+  const CellWorker *worker = cell_worker_find (cell, id);
 
-      if (worker != NULL && cell_in_roster (worker) && !worker->heard
-          && !worker->dead)
-        return false;
-    }
+  return worker == NULL || !cell_in_roster (worker) || worker->heard
+         || worker->dead;
+}
+
+static bool
+recorded_heard (MuxCell *cell, const CellStage *stage)
+{
+  for (uint32_t i = 0; i < stage->former_count; i++)
+    if (!is_heard (cell, stage->former[i]))
+      return false;
+  for (uint32_t i = 0; i < stage->spec->named_count; i++)
+    if (!is_heard (cell, stage->spec->named[i]))
+      return false;
   return true;
 }
 
@@ -137,5 +162,5 @@
     return cell_all_heard (cell);
   if (!queue->approval.needed)
     return cell_all_heard (cell);
-  return former_heard (cell, stage);
+  return recorded_heard (cell, stage);
 }
--- /dev/null
+++ b/src/cell/candidate.c
@@ -0,0 +1,209 @@
+#include "cell_private.h"
+
+#include <stdlib.h>
+
+/*
+ * Workers that a policy question names for a step without a gang, and that are
+ * named beforehand in the record that is stored with the job.
+ */
+
+/* Room that the named ones have, as a multiple of what the tasks need: most
+ * services approve a third to two thirds. */
+#define ROOM_FACTOR 3
+#define NO_ROOM_MS 8
+/* Odd, with its bits spread: 2 to the 64 over the golden ratio. */
+#define HASH_MULTIPLIER UINT64_C (0x9e3779b97f4a7c15)
+
+typedef struct
+{
+  CellWorker *worker;
+  uint32_t tasks;
+  bool approved;
+  bool recorded; /* a start there waits for no commit */
+  bool outside;  /* the step's data centre */
+  bool near;     /* it can start there once its approval is recorded */
+  uint64_t turn; /* decides among workers that are alike */
+} Candidate;
+
+/* Those with least room first: workers stay empty for gangs, which need many
+ * at once. */
+static int
+by_room (const void *x, const void *y)
+{
+  const Candidate *a = x;
+  const Candidate *b = y;
+
+  if (a->approved != b->approved)
+    return a->approved ? -1 : 1;
+  if (a->recorded != b->recorded)
+    return a->recorded ? -1 : 1;
+  if (a->outside != b->outside)
+    return a->outside ? 1 : -1;
+  if (a->tasks != b->tasks)
+    return a->tasks < b->tasks ? -1 : 1;
+  return a->worker->slot < b->worker->slot ? -1 : 1;
+}
+
+static int
+by_turn (const void *x, const void *y)
+{
+  const Candidate *a = x;
+  const Candidate *b = y;
+
+  if (a->recorded != b->recorded)
+    return a->recorded ? -1 : 1;
+  if (a->outside != b->outside)
+    return a->outside ? 1 : -1;
+  return a->turn < b->turn ? -1 : 1;
+}
+
+static Candidate *
+candidates_new (const MuxCell *cell)
+{
+  return calloc (HASH_COUNT (cell->workers) + 1, sizeof (Candidate));
+}
+
+static uint32_t
+collect (MuxCell *cell, const CellStage *stage, Candidate *candidate)
+{
+  CellWorker *worker;
+  CellWorker *next;
+  uint32_t n = 0;
+
+  cell->looks += HASH_COUNT (cell->workers);
+  HASH_ITER (hh, cell->workers, worker, next)
+  {
+    const CellApproval *approval;
+    uint32_t tasks = cell_worker_takes (cell, stage, worker);
+
+    if (tasks == 0)
+      continue;
+    approval = cell_approval (stage, worker);
+    if (approval != NULL && approval->asked && !approval->yes)
+      continue;
+    candidate[n++] = (Candidate){
+      .worker = worker,
+      .tasks = tasks,
+      .approved = approval != NULL && approval->yes,
+      .recorded = cell_is_recorded (stage, worker),
+      .outside = cell_is_outside (stage, worker),
+      .near = cell_approval_is_near (cell, approval),
+    };
+  }
+  if (n > 0)
+    qsort (candidate, n, sizeof *candidate, by_room);
+  return n;
+}
+
+/* Whatever room they have now. */
+static uint32_t
+collect_later (MuxCell *cell, const CellStage *stage, Candidate *candidate)
+{
+  uint64_t hash = mux_hash_name (stage->job->id, stage->step);
+  CellWorker *worker;
+  CellWorker *next;
+  uint32_t n = 0;
+
+  cell->looks += HASH_COUNT (cell->workers);
+  HASH_ITER (hh, cell->workers, worker, next)
+  {
+    uint32_t tasks = cell_stage_bounded (
+        stage, cell_worker_holds (stage, worker->info.capacity));
+
+    if (tasks == 0 || !cell_worker_fits (cell, stage, worker))
+      continue;
+    candidate[n++] = (Candidate){
+      .worker = worker,
+      .tasks = tasks,
+      .recorded = cell_is_recorded (stage, worker),
+      .outside = cell_is_outside (stage, worker),
+      .turn = (hash ^ worker->slot) * HASH_MULTIPLIER,
+    };
+  }
+  if (n > 0)
+    qsort (candidate, n, sizeof *candidate, by_turn);
+  return n;
+}
+
+/* Enough workers that the share usually approved holds all tasks; those known
+ * to be approved count in full. */
+static uint32_t
+enough (const Candidate *candidate,
+        uint32_t count,
+        uint32_t waiting,
+        uint32_t least)
+{
+  uint32_t held = 0;
+  uint32_t n;
+
+  for (n = 0; n < count && n < CELL_CANDIDATES_MAX; n++)
+    {
+      if (n >= least && held >= ROOM_FACTOR * waiting)
+        break;
+      if (candidate[n].approved && held >= ROOM_FACTOR * waiting)
+        break;
+      held += candidate[n].approved ? ROOM_FACTOR * candidate[n].tasks
+                                    : candidate[n].tasks;
+    }
+  return n;
+}
+
+static uint32_t
+near_tasks (const Candidate *candidate, uint32_t count)
+{
+  uint32_t tasks = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    tasks += candidate[i].near ? candidate[i].tasks : 0;
+  return tasks;
+}
+
+static void
+name (CellWorker *worker[CELL_CANDIDATES_MAX],
+      const Candidate *candidate,
+      uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    worker[i] = candidate[i].worker;
+}
+
+uint32_t
+cell_candidates (MuxCell *cell,
+                 CellStage *stage,
+                 CellWorker *worker[CELL_CANDIDATES_MAX])
+{
+  Candidate *candidate = candidates_new (cell);
+  uint32_t waiting = cell_stage_waiting (stage);
+  uint32_t count;
+
+  if (candidate == NULL)
+    return 0;
+  count = collect (cell, stage, candidate);
+  /* Nobody has room: asked again when something can have changed. */
+  if (count == 0)
+    stage->ask_after_ms = cell->time.now_ms + NO_ROOM_MS;
+  /* The record of what was approved is on its way. */
+  if (near_tasks (candidate, count) >= waiting)
+    count = 0;
+  count = enough (candidate, count, waiting, CELL_CANDIDATES_LEAST);
+  name (worker, candidate, count);
+  free (candidate);
+  return count;
+}
+
+uint32_t
+cell_candidates_later (MuxCell *cell,
+                       const CellStage *stage,
+                       CellWorker *worker[CELL_CANDIDATES_MAX])
+{
+  Candidate *candidate = candidates_new (cell);
+  uint32_t count;
+
+  if (candidate == NULL)
+    return 0;
+  count = collect_later (cell, stage, candidate);
+  count = enough (candidate, count, stage->spec->count, CELL_NAMES_LATER);
+  name (worker, candidate, count);
+  free (candidate);
+  return count;
+}
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -209,6 +209,11 @@
 
 /* jobs.c */
 CellJob *cell_job_add (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
+/** cell_job_new() - a job in no table yet; takes @spec over
+ * Return: NULL when memory is out. */
+CellJob *cell_job_new (MuxCell *cell, MuxJobSpec *spec);
+/** cell_job_delete() - one that is in no table; NULL: nothing */
+void cell_job_delete (MuxCell *cell, CellJob *job);
 CellJob *cell_job_find (MuxCell *cell, const char *id);
 void cell_job_free (MuxCell *cell, CellJob *job);
 /** cell_known_as_ended() - it ended while this daemon planned */
@@ -244,8 +249,8 @@
 void cell_job_occurrences (MuxCell *cell, CellJob *job, uint32_t count);
 
 /* job_rows.c: the jobs' table */
-/** cell_jobs_take() - a job that this planner stored itself; takes @spec */
-void cell_jobs_take (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
+/** cell_jobs_take() - a job that this planner stored itself, as @row */
+void cell_jobs_take (MuxCell *cell, const MuxBlob *row, uint64_t version);
 void cell_jobs_row (MuxCell *cell, const MuxCellRow *row);
 /** cell_is_cancel() - the row of the jobs' table is a job's cancel */
 bool cell_is_cancel (const MuxCellRow *row);
@@ -428,6 +433,8 @@
 void cell_approvals_written (CellStage *stage);
 /** cell_approvals_json() - ids of workers that the stage may run on */
 json_t *cell_approvals_json (MuxCell *cell, const CellStage *stage);
+/** cell_is_recorded() - the stored record names the worker */
+bool cell_is_recorded (const CellStage *stage, const CellWorker *worker);
 void cell_approvals_apply (CellStage *stage, const json_t *json);
 /** cell_stage_is_settled() - no run of it that a former planner started can
  * be anywhere without being known */
@@ -459,6 +466,24 @@
 /** cell_is_outside() - of the data centre that the stage's tasks go to */
 bool cell_is_outside (const CellStage *stage, const CellWorker *worker);
 
+/* candidate.c: workers to ask the policy service about */
+/** cell_candidates() - that have room for tasks of the stage now
+ * Return: how many; 0 also when enough approvals are being recorded. */
+uint32_t cell_candidates (MuxCell *cell,
+                          CellStage *stage,
+                          CellWorker *worker[CELL_CANDIDATES_MAX]);
+/** cell_candidates_later() - that can hold tasks of the stage once its turn has
+ * come */
+uint32_t cell_candidates_later (MuxCell *cell,
+                                const CellStage *stage,
+                                CellWorker *worker[CELL_CANDIDATES_MAX]);
+
+/* early_record.c: workers named before they are asked about */
+/** cell_named_row() - the job's row @value with workers that its steps may run
+ * on
+ * Return: NULL when there are none to name, or memory is out. */
+MuxBlob *cell_named_row (MuxCell *cell, const MuxBlob *value);
+
 /* plan.c, place.c, gang.c */
 void cell_plan (MuxCell *cell);
 void cell_plan_add (MuxCell *cell, CellStage *stage);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -158,6 +158,7 @@
  * @job: what is stored
  * @call: caller who waits
  * @value: its row
+ * @row: as the commit on its way stores it; NULL: as @value
  * @give_up_ms: when the caller is answered, stored or not
  * @doubtful: a commit that held it went unanswered, or the planner did
  * @sent: it is in the commit on its way
@@ -171,6 +172,7 @@
   MuxJobSpec *job;
   uint64_t call;
   MuxBlob *value;
+  MuxBlob *row;
   int64_t give_up_ms;
   bool doubtful;
   bool sent;
@@ -226,6 +228,14 @@
   UT_hash_handle hh;
 } CellMember;
 
+/* Workers named in a policy question: so many at least, */
+#define CELL_CANDIDATES_LEAST 6
+/* and as many as the service takes. */
+#define CELL_CANDIDATES_MAX 100
+/* Workers named for a step whose turn has not come, at least: its tasks may
+ * find others free than those of now. */
+#define CELL_NAMES_LATER 12
+
 /**
  * struct CellApproval - what is known of one worker's right to run a stage
  * @slot: the worker's
@@ -607,7 +617,7 @@
  * @unread_dirty: jobs that can't be read, the same
  * @dirty_since_ms: the oldest of them
  * @hurry: a caller waits for what is to be stored
- * @committing: a commit is on its way
+ * @committing: a commit is on its way, since @commit_sent_ms
  * @commit_seq: ends that it covers
  * @stored_seq: ends up to this number of this part are stored
  * @loading: how far the takeover is with it
@@ -627,6 +637,7 @@
   int64_t next_commit_ms;
   bool hurry;
   bool committing;
+  int64_t commit_sent_ms;
   uint64_t commit_seq;
   uint64_t stored_seq;
   MuxCellTable loading; /* MUX_TABLE_COUNT: loaded */
@@ -699,6 +710,7 @@
   int64_t store_clock_at_ms; /* and ours when that call was sent */
   int64_t store_served_ms;   /* its last answer that was not a failure */
   int64_t store_failing_ms;  /* first failure since; 0: none */
+  int64_t commit_took_ms;    /* the last answered commit of any part */
   int64_t store_turned_ms;   /* it began to fail, or to serve again, then */
 
   /* The claim. */
--- /dev/null
+++ b/src/cell/early_record.c
@@ -0,0 +1,94 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/*
+ * Workers that the steps of a job may run on, named in the job's own row.
+ *
+ * Guards against urgent jobs that miss their time while the store is slow: a
+ * step starts only where a next planner will look for it, and a record made
+ * after the policy service's answer is one more commit, as long as the one that
+ * accepted the job.  A worker that is approved and not named is recorded first.
+ *
+ * Whoever reads the job reads its names.  The planner that wrote them stored
+ * the row on condition of the part's term, so that it is older than the fence
+ * of a next planner, which waits for the workers named as for those of the
+ * progress. Those are more than will be approved, and while one of them is not
+ * heard the step waits: workers are named early only where commits take long.
+ */
+
+/* A commit that takes less is waited for by a step's first start. */
+#define SLOW_COMMIT_MS 50
+/* Names of a step; wider steps record further workers as they are approved. */
+#define NAMES_MAX 32
+
+static bool
+is_worth_naming (const MuxJobSpec *spec, const MuxStepSpec *step)
+{
+  return spec->queue.approval.needed && spec->repetitions == 0 && !step->gang
+         && !step->long_running;
+}
+
+/* Return: false when memory is out. */
+static bool
+name_workers (MuxCell *cell, CellStage *stage, MuxStepSpec *step)
+{
+  CellWorker *worker[CELL_CANDIDATES_MAX];
+  uint32_t count;
+
+  cell_choose_data_centre (cell, stage);
+  count = step->after == 0 ? cell_candidates (cell, stage, worker)
+                           : cell_candidates_later (cell, stage, worker);
+  if (count > NAMES_MAX)
+    count = NAMES_MAX;
+  free (step->named);
+  step->named_count = 0;
+  step->named = calloc (count > 0 ? count : 1, sizeof *step->named);
+  if (step->named == NULL)
+    return false;
+  for (uint32_t i = 0; i < count; i++)
+    snprintf (step->named[i], MUX_NAME_LEN, "%s", worker[i]->info.id);
+  step->named_count = count;
+  return true;
+}
+
+static MuxBlob *
+row_of (MuxCell *cell, CellJob *draft)
+{
+  MuxJobSpec *spec = draft->spec;
+  uint32_t named = 0;
+
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    {
+      if (!is_worth_naming (spec, &spec->step[i]))
+        continue;
+      if (!name_workers (cell, draft->stage[i], &spec->step[i]))
+        return NULL;
+      named += spec->step[i].named_count;
+    }
+  return named > 0 ? cell_json_blob (mux_job_to_json (spec)) : NULL;
+}
+
+MuxBlob *
+cell_named_row (MuxCell *cell, const MuxBlob *value)
+{
+  MuxFindings findings = { .count = 0, .dropped = 0 };
+  MuxBlob *row = NULL;
+  MuxJobSpec *spec;
+  CellJob *draft;
+  json_t *json;
+
+  if (cell->commit_took_ms < SLOW_COMMIT_MS)
+    return NULL;
+  json = cell_blob_json (value);
+  spec = mux_job_from_json (json, &findings);
+  json_decref (json);
+  if (spec == NULL)
+    return NULL;
+  draft = cell_job_new (cell, spec);
+  if (draft != NULL && draft->stage_count > 0)
+    row = row_of (cell, draft);
+  cell_job_delete (cell, draft);
+  return row;
+}
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -48,21 +48,25 @@
 }
 
 void
-cell_jobs_take (MuxCell *cell, MuxJobSpec *spec, uint64_t version)
+cell_jobs_take (MuxCell *cell, const MuxBlob *row, uint64_t version)
 {
-  CellJob *job;
+  MuxFindings findings = { .count = 0, .dropped = 0 };
+  json_t *json = cell_blob_json (row);
+  MuxJobSpec *spec = mux_job_from_json (json, &findings);
+  CellJob *job = NULL;
 
-  if (cell_job_find (cell, spec->id) != NULL
-      || cell_known_as_ended (cell, spec->id))
+  if (spec != NULL
+      && (cell_job_find (cell, spec->id) != NULL
+          || cell_known_as_ended (cell, spec->id)))
+    mux_job_free (spec);
+  else if (spec != NULL)
+    job = cell_job_add (cell, spec, version);
+  if (job != NULL)
     {
-      mux_job_free (spec);
-      return;
+      job->origin = CELL_ORIGIN_COMMIT;
+      cell_job_advance (cell, job);
     }
-  job = cell_job_add (cell, spec, version);
-  if (job == NULL)
-    return;
-  job->origin = CELL_ORIGIN_COMMIT;
-  cell_job_advance (cell, job);
+  json_decref (json);
 }
 
 static void
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -77,7 +77,7 @@
 }
 
 CellJob *
-cell_job_add (MuxCell *cell, MuxJobSpec *spec, uint64_t version)
+cell_job_new (MuxCell *cell, MuxJobSpec *spec)
 {
   CellJob *job = calloc (1, sizeof *job);
 
@@ -89,21 +89,31 @@
   job->spec = spec;
   snprintf (job->id, sizeof job->id, "%s", spec->id);
   job->part = cell_part_of (job->id);
+  job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
+  set_times (cell, job);
+  if (job->payload != NULL
+      && (spec->repetitions > 0 || cell_occurrence_add (job, 0, job->began_ms)))
+    return job;
+  cell_job_delete (cell, job);
+  return NULL;
+}
+
+CellJob *
+cell_job_add (MuxCell *cell, MuxJobSpec *spec, uint64_t version)
+{
+  CellJob *job = cell_job_new (cell, spec);
+
+  if (job == NULL)
+    return NULL;
   job->version = version;
   /* Not than the claim: until its part was fenced a former planner that did
    * not know of the claim could still store jobs, and start them. */
   job->old = version < cell->part[job->part].term_version;
   job->origin
       = cell->role == CELL_PLANNING ? CELL_ORIGIN_FEED : CELL_ORIGIN_LOAD;
-  job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
-  cell_service_add (cell, spec->queue.service);
-  set_times (cell, job);
+  cell_service_add (cell, job->spec->queue.service);
   HASH_ADD_STR (cell->jobs, id, job);
-  if (job->payload != NULL
-      && (spec->repetitions > 0 || cell_occurrence_add (job, 0, job->began_ms)))
-    return job;
-  cell_job_free (cell, job);
-  return NULL;
+  return job;
 }
 
 void
@@ -112,6 +122,14 @@
   HASH_DEL (cell->jobs, job);
   if (job->dirty)
     DL_DELETE2 (cell->part[job->part].dirty, job, dirty_prev, dirty_next);
+  cell_job_delete (cell, job);
+}
+
+void
+cell_job_delete (MuxCell *cell, CellJob *job)
+{
+  if (job == NULL)
+    return;
   for (uint32_t i = 0; i < job->stage_count; i++)
     cell_stage_free (cell, job->stage[i]);
   free (job->stage);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -3,15 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Workers named in a policy question beyond those that the tasks would need
- * if all were approved: most services approve a third to two thirds. */
-#define CANDIDATES_FACTOR 3
-#define CANDIDATES_LEAST 6
-/* As many as the service takes.  With 30 at most wide steps asked several times
- * in turn: 2.5 questions a placed step, now 2.0. */
-#define CANDIDATES_MAX 100
-#define NO_ROOM_MS 8
-
 static uint32_t
 running_there (const CellStage *stage, const CellWorker *worker)
 {
@@ -132,116 +123,17 @@
   return best.worker;
 }
 
-typedef struct
-{
-  CellWorker *worker;
-  uint32_t tasks;
-  bool approved;
-  bool outside; /* the step's data centre */
-  bool near;    /* it can start there once its approval is recorded */
-} Candidate;
-
-/* Those known to be approved first, then those of the step's data centre, then
- * those with least room: workers stay empty for gangs, which need many at
- * once. */
-static int
-by_room (const void *x, const void *y)
-{
-  const Candidate *a = x;
-  const Candidate *b = y;
-
-  if (a->approved != b->approved)
-    return a->approved ? -1 : 1;
-  if (a->outside != b->outside)
-    return a->outside ? 1 : -1;
-  if (a->tasks != b->tasks)
-    return a->tasks < b->tasks ? -1 : 1;
-  return a->worker->slot < b->worker->slot ? -1 : 1;
-}
-
-static uint32_t
-collect (MuxCell *cell, CellStage *stage, Candidate *candidate)
-{
-  CellWorker *worker;
-  CellWorker *next;
-  uint32_t n = 0;
-
-  cell->looks += HASH_COUNT (cell->workers);
-  HASH_ITER (hh, cell->workers, worker, next)
-  {
-    const CellApproval *approval;
-    uint32_t tasks = cell_worker_takes (cell, stage, worker);
-
-    if (tasks == 0)
-      continue;
-    approval = cell_approval (stage, worker);
-    if (approval != NULL && approval->asked && !approval->yes)
-      continue;
-    candidate[n++]
-        = (Candidate){ worker, tasks, approval != NULL && approval->yes,
-                       cell_is_outside (stage, worker),
-                       cell_approval_is_near (cell, approval) };
-  }
-  return n;
-}
-
-/* Enough workers that the share usually approved holds all tasks; those known
- * to be approved count in full. */
-static uint32_t
-enough (const Candidate *candidate, uint32_t count, uint32_t waiting)
-{
-  uint32_t held = 0;
-  uint32_t n;
-
-  for (n = 0; n < count && n < CANDIDATES_MAX; n++)
-    {
-      if (n >= CANDIDATES_LEAST && held >= CANDIDATES_FACTOR * waiting)
-        break;
-      if (candidate[n].approved && held >= CANDIDATES_FACTOR * waiting)
-        break;
-      held += candidate[n].approved ? CANDIDATES_FACTOR * candidate[n].tasks
-                                    : candidate[n].tasks;
-    }
-  return n;
-}
-
-static uint32_t
-near_tasks (const Candidate *candidate, uint32_t count)
-{
-  uint32_t tasks = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    tasks += candidate[i].near ? candidate[i].tasks : 0;
-  return tasks;
-}
-
 static void
 ask (MuxCell *cell, CellStage *stage)
 {
-  Candidate *candidate;
-  CellWorker *worker[CANDIDATES_MAX];
+  CellWorker *worker[CELL_CANDIDATES_MAX];
   uint32_t count;
 
-  if (!cell_can_ask (cell, stage, CANDIDATES_LEAST))
-    return;
-  candidate = calloc (HASH_COUNT (cell->workers) + 1, sizeof *candidate);
-  if (candidate == NULL)
+  if (!cell_can_ask (cell, stage, CELL_CANDIDATES_LEAST))
     return;
   cell_choose_data_centre (cell, stage);
-  count = collect (cell, stage, candidate);
-  if (count > 0)
-    qsort (candidate, count, sizeof *candidate, by_room);
-  /* Nobody has room: asked again when something can have changed. */
-  if (count == 0)
-    stage->ask_after_ms = cell->time.now_ms + NO_ROOM_MS;
-  /* The record of what was approved is on its way. */
-  if (near_tasks (candidate, count) >= cell_stage_waiting (stage))
-    count = 0;
-  count = enough (candidate, count, cell_stage_waiting (stage));
-  for (uint32_t i = 0; i < count; i++)
-    worker[i] = candidate[i].worker;
+  count = cell_candidates (cell, stage, worker);
   (void) cell_approval_ask (cell, stage, worker, count);
-  free (candidate);
 }
 
 void
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -89,6 +89,7 @@
   CellPart *part = &cell->part[pending->part];
 
   part->committing = false;
+  cell->commit_took_ms = cell->time.now_ms - part->commit_sent_ms;
   if (reply->status == MUX_CELL_OK)
     {
       part->fence_version = reply->version;
@@ -149,6 +150,7 @@
   if (call == NULL)
     return;
   part->hurry = false;
+  part->commit_sent_ms = cell->time.now_ms;
   cell_fence_add (cell, part, call);
   for (job = part->dirty; job != NULL; job = job->dirty_next)
     {
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -38,6 +38,7 @@
 static void
 submission_free (CellSubmission *submission)
 {
+  mux_blob_unref (submission->row);
   mux_job_free (submission->job);
   mux_blob_unref (submission->value);
   free (submission);
@@ -183,13 +184,7 @@
 static void
 hand_over (MuxCell *cell, const CellSubmission *submission, uint64_t version)
 {
-  MuxFindings findings = { .count = 0, .dropped = 0 };
-  json_t *json = cell_blob_json (submission->value);
-  MuxJobSpec *spec = mux_job_from_json (json, &findings);
-
-  json_decref (json);
-  if (spec != NULL)
-    cell_jobs_take (cell, spec, version);
+  cell_jobs_take (cell, submission->row, version);
 }
 
 static void
@@ -265,6 +260,7 @@
 
   part->submitting = false;
   part->submit_took_ms = cell->time.now_ms - part->submit_sent_ms;
+  cell->commit_took_ms = part->submit_took_ms;
   DL_FOREACH_SAFE (part->submissions, submission, next)
   if (submission->sent)
     settle (cell, part, submission, reply, pending->number);
@@ -285,15 +281,28 @@
     cell_submit_direct (cell, part);
 }
 
+/* The workers named may be others than at an earlier try. */
+static void
+name_workers (MuxCell *cell, CellSubmission *submission)
+{
+  MuxBlob *named = cell->role == CELL_PLANNING
+                       ? cell_named_row (cell, submission->value)
+                       : NULL;
+
+  mux_blob_unref (submission->row);
+  submission->row = named != NULL ? named : mux_blob_ref (submission->value);
+}
+
 static void
-add_to_group (MuxCellCall *call, CellSubmission *submission)
+add_to_group (MuxCell *cell, MuxCellCall *call, CellSubmission *submission)
 {
   const char *id = submission->job->id;
 
   cell_expect (call, MUX_TABLE_JOBS, id, 0);
   cell_expect (call, MUX_TABLE_ENDED, id, 0);
+  name_workers (cell, submission);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_JOBS, id)->value
-      = mux_blob_ref (submission->value);
+      = mux_blob_ref (submission->row);
   submission->sent = true;
 }
 
@@ -351,7 +360,7 @@
       break;
     if (submission->relayed || twice_in_group (part, submission))
       continue;
-    add_to_group (call, submission);
+    add_to_group (cell, call, submission);
     jobs++;
   }
   if (jobs == 0)
--- a/src/model/job.c
+++ b/src/model/job.c
@@ -70,6 +70,8 @@
   if (job == NULL)
     return;
   free (job->payload);
+  for (uint32_t i = 0; i < job->step_count; i++)
+    free (job->step[i].named);
   free (job->step);
   free (job);
 }
--- a/src/model/job_json.c
+++ b/src/model/job_json.c
@@ -25,6 +25,23 @@
   return value[0] == 0 || put (object, key, json_string (value));
 }
 
+static bool
+put_named (json_t *object, const MuxStepSpec *step)
+{
+  json_t *list;
+
+  if (step->named_count == 0)
+    return true;
+  list = json_array ();
+  for (uint32_t i = 0; list != NULL && i < step->named_count; i++)
+    if (json_array_append_new (list, json_string (step->named[i])) != 0)
+      {
+        json_decref (list);
+        return false;
+      }
+  return list != NULL && put (object, "named", list);
+}
+
 static json_t *
 step_to_json (const MuxStepSpec *step)
 {
@@ -45,7 +62,8 @@
             && put_text (json, "data_rack", step->data_rack)
             && put_number (json, "per_worker_max", step->per_worker_max)
             && put_number (json, "unavailable_max", step->unavailable_max)
-            && put_number (json, "tail_target_ms", step->tail_target_ms);
+            && put_number (json, "tail_target_ms", step->tail_target_ms)
+            && put_named (json, step);
 
   if (ok)
     return json;
@@ -161,6 +179,37 @@
     mux_findings_add (findings, key, "is longer than a name");
 }
 
+/* A name that is lost would be a worker where a run is not looked for. */
+static void
+named_from_json (const json_t *json, MuxStepSpec *step, MuxFindings *findings)
+{
+  const json_t *list = json_object_get (json, "named");
+  size_t count = json_array_size (list);
+
+  if (list == NULL)
+    return;
+  if (!json_is_array (list) || count > MUX_STEP_NAMED_MAX)
+    {
+      mux_findings_add (findings, "named", "is no list of %d names at most",
+                        MUX_STEP_NAMED_MAX);
+      return;
+    }
+  step->named = calloc (count > 0 ? count : 1, sizeof *step->named);
+  if (step->named == NULL)
+    {
+      mux_findings_add (findings, "named", "memory is out");
+      return;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *name = json_string_value (json_array_get (list, i));
+
+      if (name == NULL || !mux_name_copy (step->named[i], name))
+        mux_findings_add (findings, "named", "one is no name");
+    }
+  step->named_count = (uint32_t) count;
+}
+
 static void
 step_from_json (const json_t *json, MuxStepSpec *step, MuxFindings *findings)
 {
@@ -183,6 +232,7 @@
   step->per_worker_max = get_u32 (json, "per_worker_max", findings);
   step->unavailable_max = get_u32 (json, "unavailable_max", findings);
   step->tail_target_ms = get_u32 (json, "tail_target_ms", findings);
+  named_from_json (json, step, findings);
 }
 
 static void
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -15,7 +15,7 @@
 #define WORLD_DATA_CENTRES_MAX 3
 #define WORLD_WORKERS_MAX 3000
 #define WORLD_ROWS_MAX 16384
-#define WORLD_RUNS_MAX 64
+#define WORLD_RUNS_MAX 192
 /* Most that the value of a row holds. */
 #define WORLD_ROW_BYTES 65536
 #define WORLD_STARTS_MAX 32768
--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -35,6 +35,12 @@
 /* One step in so many makes a daemon late, or in time again. */
 #define LATE_ONE_IN 60
 #define LATE_MAX_MS 3000
+/* The same of a slow store, and of a data centre that is cut off. */
+#define SLOW_ONE_IN 60
+#define SLOW_LEAST_MS 50
+#define SLOW_MORE_MS 350
+#define CUT_ONE_IN 80
+#define DATA_CENTRES 3
 
 typedef struct
 {
@@ -319,6 +325,7 @@
 {
   uint32_t follow_rows;
   bool late;
+  bool slow;
 } Variant;
 
 /* Some daemon takes what arrives later than before, up to a few seconds, or in
@@ -332,10 +339,26 @@
     cell->late_ms = below (c, 2) == 0 ? 0 : below (c, LATE_MAX_MS);
 }
 
+/* Commits take long, so that jobs name the workers that they may run on, and
+ * data centres are cut off in turn. */
+static void
+make_slow (Chaos *c)
+{
+  World *world = c->world;
+
+  if (below (c, SLOW_ONE_IN) == 0)
+    world->store_ms = below (c, 3) == 0
+                          ? 5
+                          : SLOW_LEAST_MS + (int64_t) below (c, SLOW_MORE_MS);
+  if (below (c, CUT_ONE_IN) == 0)
+    world_cut_data_centre (world, below (c, DATA_CENTRES), below (c, 2) == 0);
+}
+
 static void
 play (uint64_t seed, const Variant *variant)
 {
-  World *world = world_new (CELLS, WORKERS);
+  World *world
+      = world_new_over (CELLS, WORKERS, variant->slow ? DATA_CENTRES : 1);
   Chaos c = { .world = world, .random = { seed } };
   bool twice;
   uint32_t lost;
@@ -349,6 +372,8 @@
     {
       if (variant->late)
         make_late (&c);
+      if (variant->slow)
+        make_slow (&c);
       if (seed % 4 < 2)
         step_of_chaos (&c);
       else
@@ -417,6 +442,17 @@
   play_seeds (&late);
 }
 
+/* The same, and workers are named in jobs' rows while data centres are cut off.
+ */
+static void
+test_nor_with_a_slow_store_and_cuts (void **state)
+{
+  Variant slow = { .slow = true };
+
+  (void) state;
+  play_seeds (&slow);
+}
+
 int
 main (void)
 {
@@ -424,6 +460,7 @@
     cmocka_unit_test (test_no_task_runs_twice_and_no_job_is_lost),
     cmocka_unit_test (test_nor_with_answers_that_end_early),
     cmocka_unit_test (test_nor_with_daemons_that_are_late),
+    cmocka_unit_test (test_nor_with_a_slow_store_and_cuts),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_job.c
+++ b/test/unit/test_job.c
@@ -67,6 +67,56 @@
   json_decref (json);
 }
 
+static json_t *
+job_that_names (const char *named)
+{
+  MuxJobSpec *job = full_job ();
+  json_t *json = mux_job_to_json (job);
+  json_t *step = json_array_get (json_object_get (json, "steps"), 0);
+
+  assert_int_equal (
+      json_object_set_new (step, "named", json_loads (named, 0, NULL)), 0);
+  mux_job_free (job);
+  return json;
+}
+
+static void
+test_named_workers_are_read_back (void **state)
+{
+  json_t *json = job_that_names ("[\"i-1\",\"i-2\"]");
+  MuxFindings findings = { .count = 0 };
+  MuxJobSpec *read = mux_job_from_json (json, &findings);
+  json_t *again;
+
+  (void) state;
+  assert_non_null (read);
+  assert_int_equal (read->step[0].named_count, 2);
+  assert_string_equal (read->step[0].named[1], "i-2");
+  again = mux_job_to_json (read);
+  assert_true (json_equal (json, again));
+  json_decref (again);
+  json_decref (json);
+  mux_job_free (read);
+}
+
+/* Guards against a run that is not looked for as its worker's name was lost. */
+static void
+test_names_that_can_not_be_read_are_told (void **state)
+{
+  static const char *const wrong[] = { "{}", "[1]", "[\"i-1\",null]" };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof wrong / sizeof wrong[0]; i++)
+    {
+      json_t *json = job_that_names (wrong[i]);
+      MuxFindings findings = { .count = 0 };
+
+      assert_null (mux_job_from_json (json, &findings));
+      assert_true (findings.count > 0);
+      json_decref (json);
+    }
+}
+
 static void
 test_what_is_wrong_is_told_together (void **state)
 {
@@ -106,6 +156,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stored_form_is_read_back),
+    cmocka_unit_test (test_named_workers_are_read_back),
+    cmocka_unit_test (test_names_that_can_not_be_read_are_told),
     cmocka_unit_test (test_what_is_wrong_is_told_together),
     cmocka_unit_test (test_states_have_names),
   };
