cell: ask about a step when those before it have been placed

Cause: each step of a chain waited for its own question to the policy service and for the record of the answer, 60 ms on a calm second, and for over a second for the record while the store was slow.

Change: when the last task of a step has been sent, the steps after it are asked about once, if the question is short, a daemon is free, and the proofs outlast the declared time of what runs (ask_ahead.c). Else they ask when their turn has come, as before.

Ruled out: asking about gangs and patient queues ahead: their questions take half a second of a service that is the scarce resource of the large cells, and lapse before the steps before them end.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -244,6 +244,12 @@
   return (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
 }
 
+bool
+cell_question_is_short (const CellStage *stage, uint32_t count)
+{
+  return cost_ms_of (stage, count) <= LONG_MS;
+}
+
 /*
  * Guards against a step that asks for good: a service, or a daemon, that is
  * slower than the queue says would answer each question just after it was given
--- /dev/null
+++ b/src/cell/ask_ahead.c
@@ -0,0 +1,84 @@
+#include "cell_private.h"
+
+/*
+ * Questions about steps whose turn comes when those that run now have ended.
+ *
+ * Their proofs, and the record of where they may run, are there when it comes;
+ * else each step of a chain waits for a question and a commit, 60 ms with a
+ * store that answers at once and over a second with a slow one.  It is tried
+ * once, when the steps before have been placed; if no daemon is free to ask, or
+ * the proofs would not last, the step asks when its turn has come.
+ */
+
+/* Estimates are exceeded by as much as that. */
+#define OVERRUN_MS 500
+
+/* Long questions keep daemons from urgent ones, and are not worth repeating. */
+static bool
+is_short (const CellStage *stage)
+{
+  const MuxApprovalSpec *approval = &stage->job->spec->queue.approval;
+
+  return approval->needed && cell_question_is_short (stage, CELL_NAMES_LATER);
+}
+
+/* Of the steps that @stage comes after, all tasks have been sent to workers.
+ * Return: the longest declared time of those that run; -1: some wait. */
+static int64_t
+longest_before_ms (const CellStage *stage)
+{
+  const CellJob *job = stage->job;
+  uint32_t first = stage->occurrence * job->spec->step_count;
+  int64_t longest_ms = 0;
+
+  for (uint32_t i = 0; i < stage->step; i++)
+    {
+      const CellStage *before = job->stage[first + i];
+
+      if ((stage->spec->after >> i & 1) == 0 || before->left == 0)
+        continue;
+      if (cell_stage_waiting (before) > 0)
+        return -1;
+      if (before->spec->estimate_ms > longest_ms)
+        longest_ms = before->spec->estimate_ms;
+    }
+  return longest_ms;
+}
+
+static bool
+is_next (const CellStage *stage)
+{
+  int64_t longest_ms = longest_before_ms (stage);
+
+  return stage->left > 0 && !stage->ready && !stage->asking
+         && !stage->spec->gang && stage->approval_count == 0 && longest_ms > 0
+         && longest_ms + OVERRUN_MS
+                <= (int64_t) stage->job->spec->queue.approval.valid_ms;
+}
+
+static void
+ask (MuxCell *cell, CellStage *stage)
+{
+  CellWorker *worker[CELL_CANDIDATES_MAX];
+  uint32_t count;
+
+  if (!cell_can_ask (cell, stage, CELL_NAMES_LATER))
+    return;
+  cell_choose_data_centre (cell, stage);
+  count = cell_candidates_later (cell, stage, worker);
+  (void) cell_approval_ask (cell, stage, worker, count);
+}
+
+void
+cell_ask_ahead (MuxCell *cell, const CellStage *placed)
+{
+  const CellJob *job = placed->job;
+  uint32_t first = placed->occurrence * job->spec->step_count;
+
+  if (!is_short (placed) || job->cancelled || job->failed)
+    return;
+  for (uint32_t i = placed->step + 1; i < job->spec->step_count; i++)
+    if ((job->spec->step[i].after >> placed->step & 1) != 0
+        && is_next (job->stage[first + i]))
+      ask (cell, job->stage[first + i]);
+}
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -449,6 +449,14 @@
 void cell_approvals_tick (MuxCell *cell);
 void cell_questions_free (MuxCell *cell);
 
+/** cell_question_is_short() - one about @count workers takes no daemon from
+ * urgent steps */
+bool cell_question_is_short (const CellStage *stage, uint32_t count);
+
+/* ask_ahead.c */
+/** cell_ask_ahead() - about the steps that come after @placed */
+void cell_ask_ahead (MuxCell *cell, const CellStage *placed);
+
 /* approve_peer.c */
 /** cell_question_call() - the call that asks what @question says
  * Return: NULL if it can't be understood, or memory is out. */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -163,7 +163,10 @@
         sent++;
     }
   if (sent > 0 && cell_stage_waiting (stage) == 0)
-    cell_stage_placed (cell, stage, sent);
+    {
+      cell_stage_placed (cell, stage, sent);
+      cell_ask_ahead (cell, stage);
+    }
   if (short_of_workers && needed)
     ask (cell, stage);
   cell_stage_update (cell, stage);
--- /dev/null
+++ b/test/unit/test_cell_ask_ahead.c
@@ -0,0 +1,105 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <string.h>
+
+/* Questions about steps whose turn has not come. */
+
+#define CELLS 3
+#define WORKERS 8
+#define TASKS 4
+#define CPU_MILLI 1000
+#define QUESTION_MS 60
+/* A renewal's answer, a pass of the planner and the way to a worker. */
+#define MARGIN_MS 40
+/* Longer than a proof of the world's policy service lasts. */
+#define LONG_TASK_MS 8000
+
+static int64_t
+start_ms (const World *world, uint32_t step, bool last)
+{
+  int64_t at_ms = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    if (world->start[i].task.step == step && (last || at_ms == 0))
+      at_ms = world->start[i].at_ms;
+  return at_ms;
+}
+
+/* Guards against a question and a commit between any two steps of a chain. */
+static void
+test_next_step_starts_when_the_one_before_ends (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxJobSpec *job = world_job (3, TASKS, CPU_MILLI);
+
+  (void) state;
+  world_make_urgent (world);
+  world->approval_ms = QUESTION_MS;
+  world_run (world, 1000);
+  (void) world_submit (world, world_planner (world), job, "job-a");
+  world_run (world, 6000);
+  assert_int_equal (world_starts (world, "job-a"), 3 * TASKS);
+  for (uint32_t step = 1; step < 3; step++)
+    assert_in_range (start_ms (world, step, true)
+                         - start_ms (world, step - 1, true) - world->task_ms,
+                     0, MARGIN_MS);
+  world_free (world);
+}
+
+/* Guards against questions whose answers lapse unused: they take the policy
+ * service from others. */
+static void
+test_nothing_is_asked_that_would_lapse (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxJobSpec *job = world_job (2, TASKS, CPU_MILLI);
+
+  (void) state;
+  world->task_ms = LONG_TASK_MS;
+  job->step[0].estimate_ms = LONG_TASK_MS;
+  world_run (world, 1000);
+  (void) world_submit (world, world_planner (world), job, "job-a");
+  world_run (world, 2000);
+  assert_int_equal (world_starts (world, "job-a"), TASKS);
+  assert_int_equal (world->approvals_asked, 1);
+  world_run (world, LONG_TASK_MS + 2000);
+  assert_int_equal (world_starts (world, "job-a"), 2 * TASKS);
+  world_free (world);
+}
+
+/* Guards against a step that never runs, as the question that was asked ahead
+ * was lost with the daemon that asked it. */
+static void
+test_lost_question_is_asked_again (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  world_make_urgent (world);
+  world->approval_ms = QUESTION_MS;
+  world_run (world, 1000);
+  (void) world_submit (world, world_planner (world),
+                       world_job (2, TASKS, CPU_MILLI), "job-a");
+  while (world_starts (world, "job-a") < TASKS)
+    world_run (world, 1);
+  world->lose_approvals = true;
+  world_run (world, 500);
+  world->lose_approvals = false;
+  world_run (world, 6000);
+  assert_int_equal (world_starts (world, "job-a"), 2 * TASKS);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_next_step_starts_when_the_one_before_ends),
+    cmocka_unit_test (test_nothing_is_asked_that_would_lapse),
+    cmocka_unit_test (test_lost_question_is_asked_again),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
