cell: one turn of workers for gangs and other steps, comments without figures

The order among workers that are alike stood twice; it is cell_worker_turn now. early_record.c is named_row.c, after what it makes. No behaviour changes; the unit tests of the cell pass.

--- a/src/cell/approval_list.c
+++ b/src/cell/approval_list.c
@@ -5,10 +5,8 @@
 
 /*
  * What is known of workers' right to run a stage: an entry for each worker that
- * was asked about, by their slots.  An entry for each worker of the cell, of 32
- * bytes, takes 96 KB a stage where there are 3,000 of them; a planner with a
- * backlog of 4,000 stages ends for its memory.  With 350 workers a waiting step
- * took 15 KB in all, now 5 (test_cell_overload).
+ * was asked about, by their slots.  An entry for each worker of a large cell
+ * would end a planner with a backlog of thousands of stages for its memory.
  */
 
 /* Entries that a list grows by, as many as a question names. */
--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -13,8 +13,7 @@
 /* A proof is used no later than this before its end: a start takes some ms on
  * its way, more to a worker that is busy. */
 #define PROOF_MARGIN_MS 150
-/* The record of a new approval is stored within this time: a window of 30 ms
- * for those of one commit, and two commits of some 10 ms on a busy part. */
+/* The record of a new approval is stored within this time. */
 #define RECORD_MS 100
 /* An answer that is later than it should be by this counts as lost; */
 #define OVERDUE_MS 400
@@ -26,8 +25,8 @@
 #define MEMBER_SILENT_MS 700
 /* After a question that was lost or refused. */
 #define RETRY_MS 60
-/* Questions longer than this may not take up every daemon: an urgent one, of
- * some 10 ms, would wait behind them for half a second. */
+/* Questions longer than this may not take up every daemon: urgent ones would
+ * wait behind them. */
 #define LONG_MS 150
 #define US_PER_MS 1000
 
@@ -58,8 +57,7 @@
 /*
  * Guards against a question for what is known: between an answer and the commit
  * that records it no proof of it is taken yet, and the step asked again at
- * once.  A placed gang of a cell of 370 workers had 4.0 questions, without
- * these 3.6; another step 2.8 and 2.5.
+ * once.
  */
 bool
 cell_approval_is_near (const MuxCell *cell, const CellApproval *approval)
--- a/src/cell/ask_ahead.c
+++ b/src/cell/ask_ahead.c
@@ -4,16 +4,15 @@
  * Questions about steps whose turn comes when those that run now have ended.
  *
  * Their proofs, and the record of where they may run, are there when it comes;
- * else each step of a chain waits for a question and a commit, 60 ms with a
- * store that answers at once and over a second with a slow one.  It is tried
+ * else each step of a chain waits for a question and a commit.  It is tried
  * once, when the steps before have been placed; if no daemon is free to ask, or
  * the proofs would not last, the step asks when its turn has come.
  */
 
-/* Estimates are exceeded by as much as that. */
+/* By which tasks exceed their declared time. */
 #define OVERRUN_MS 500
 
-/* Long questions keep daemons from urgent ones, and are not worth repeating. */
+/* Long questions keep daemons from urgent ones. */
 static bool
 is_short (const CellStage *stage)
 {
--- a/src/cell/candidate.c
+++ b/src/cell/candidate.c
@@ -3,13 +3,14 @@
 #include <stdlib.h>
 
 /*
- * Workers that a policy question names for a step without a gang, and that are
- * named beforehand in the record that is stored with the job.
+ * Workers that a policy question, or a job's row, names for a step that is no
+ * gang.
  */
 
-/* Room that the named ones have, as a multiple of what the tasks need: most
- * services approve a third to two thirds. */
+/* Room of the workers named, as a multiple of what the tasks need: only a part
+ * of them is approved. */
 #define ROOM_FACTOR 3
+/* A step that no worker has room for asks again after so long. */
 #define NO_ROOM_MS 8
 /* Odd, with its bits spread: 2 to the 64 over the golden ratio. */
 #define HASH_MULTIPLIER UINT64_C (0x9e3779b97f4a7c15)
@@ -22,9 +23,20 @@
   bool recorded; /* a start there waits for no commit */
   bool outside;  /* the step's data centre */
   bool near;     /* it can start there once its approval is recorded */
-  uint64_t turn; /* decides among workers that are alike */
+  uint64_t turn;
 } Candidate;
 
+/*
+ * Guards against steps that all name the same workers: with many alike, an
+ * order that is the same for every job fills a few dozen, and most of a large
+ * cell stands idle.
+ */
+uint64_t
+cell_worker_turn (uint64_t job_hash, const CellWorker *worker)
+{
+  return (job_hash ^ worker->slot) * HASH_MULTIPLIER;
+}
+
 /* Those with least room first: workers stay empty for gangs, which need many
  * at once. */
 static int
@@ -95,7 +107,8 @@
   return n;
 }
 
-/* Whatever room they have now. */
+/* Whatever room they have now: it will be another when the step's turn comes.
+ */
 static uint32_t
 collect_later (MuxCell *cell, const CellStage *stage, Candidate *candidate)
 {
@@ -117,7 +130,7 @@
       .tasks = tasks,
       .recorded = cell_is_recorded (stage, worker),
       .outside = cell_is_outside (stage, worker),
-      .turn = (hash ^ worker->slot) * HASH_MULTIPLIER,
+      .turn = cell_worker_turn (hash, worker),
     };
   }
   if (n > 0)
@@ -159,9 +172,9 @@
 }
 
 static void
-name (CellWorker *worker[CELL_CANDIDATES_MAX],
-      const Candidate *candidate,
-      uint32_t count)
+copy_workers (CellWorker *worker[CELL_CANDIDATES_MAX],
+              const Candidate *candidate,
+              uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
     worker[i] = candidate[i].worker;
@@ -186,7 +199,7 @@
   if (near_tasks (candidate, count) >= waiting)
     count = 0;
   count = enough (candidate, count, waiting, CELL_CANDIDATES_LEAST);
-  name (worker, candidate, count);
+  copy_workers (worker, candidate, count);
   free (candidate);
   return count;
 }
@@ -203,7 +216,7 @@
     return 0;
   count = collect_later (cell, stage, candidate);
   count = enough (candidate, count, stage->spec->count, CELL_NAMES_LATER);
-  name (worker, candidate, count);
+  copy_workers (worker, candidate, count);
   free (candidate);
   return count;
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -480,13 +480,15 @@
 uint32_t cell_candidates (MuxCell *cell,
                           CellStage *stage,
                           CellWorker *worker[CELL_CANDIDATES_MAX]);
+/** cell_worker_turn() - decides among workers that are alike for a job */
+uint64_t cell_worker_turn (uint64_t job_hash, const CellWorker *worker);
 /** cell_candidates_later() - that can hold tasks of the stage once its turn has
  * come */
 uint32_t cell_candidates_later (MuxCell *cell,
                                 const CellStage *stage,
                                 CellWorker *worker[CELL_CANDIDATES_MAX]);
 
-/* early_record.c: workers named before they are asked about */
+/* named_row.c: workers named before they are asked about */
 /** cell_named_row() - the job's row @value with workers that its steps may run
  * on
  * Return: NULL when there are none to name, or memory is out. */
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -3,23 +3,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Workers named in the first policy question about a gang.  A question costs as
- * much as 70 names where gangs are long, so that one more is dearer than many
- * names: with 40 a placed gang had 3.3 questions, with 64 it has 3.0; */
+/* Workers named in the first policy question about a gang: one more question is
+ * dearer than many names; */
 #define CANDIDATES_LEAST 64
-/* or so many times those that it needs: a third is usually approved, and half
- * of these are full; */
+/* or so many times those that it needs: only a part is approved, and some of
+ * these are full; */
 #define CANDIDATES_FACTOR 6
 /* the service takes a hundred at once. */
 #define CANDIDATES_MAX 100
 /* Tasks that unasked workers must have room for before more of them are named:
- * so many times those that still lack room, as a third is usually approved. */
+ * so many times those that still lack room, as only a part is approved. */
 #define MORE_FACTOR 4
-/* And at least so many names as make the question longer by a quarter: of 278
- * questions about four workers or fewer 78 found none, at the same price. */
+/* And at least so many names as make the question longer by a quarter. */
 #define CHEAP_SHARE 4
-/* Odd, with its bits spread: 2 to the 64 over the golden ratio. */
-#define HASH_MULTIPLIER UINT64_C (0x9e3779b97f4a7c15)
 /* Room is held no longer than this for proofs; a question takes half of it. */
 #define HOLD_MAX_MS 900
 
@@ -47,18 +43,6 @@
          || stage->job->spec->queue.priority == 0;
 }
 
-/*
- * Guards against gangs that all ask about the same workers: with many alike, an
- * order that is the same for every gang names the same few dozen to the policy
- * service each time, gangs then wait for those, and most of a large cell stands
- * idle.
- */
-static uint64_t
-turn_of (uint64_t job_hash, const CellWorker *worker)
-{
-  return (job_hash ^ worker->slot) * HASH_MULTIPLIER;
-}
-
 static uint32_t
 collect (MuxCell *cell, CellStage *stage, Place *place)
 {
@@ -83,7 +67,7 @@
         stage, cell_worker_holds (stage, cell_worker_free (worker))
                    + cell_held (stage, worker));
     p->kept = worker->last_reserved == stage;
-    p->turn = turn_of (hash, worker);
+    p->turn = cell_worker_turn (hash, worker);
     p->ever = cell_stage_bounded (
         stage, cell_worker_holds (stage, worker->info.capacity));
     p->yes = !needed || (approval != NULL && approval->yes);
@@ -120,9 +104,8 @@
 }
 
 /*
- * Those approved alone, which then stand in front as in the whole order: of 350
- * workers a gang knows a few dozen, and to put all in order for each waiting
- * gang in each pass took 14 % of the planner's processor.
+ * Those approved alone, which then stand in front as in the whole order: to put
+ * all in order for each waiting gang in each pass takes too long.
  * Return: how many there are.
  */
 static uint32_t
--- a/src/cell/late.c
+++ b/src/cell/late.c
@@ -6,8 +6,7 @@
  */
 
 /* An accepted job needs four turns of the planner before it starts: its own
- * row, the policy service's answer, the record of it, the start.  At 0.5 s each
- * two of the 2.8 s in which urgent work is to start are gone. */
+ * row, the policy service's answer, the record of it, the start. */
 #define LATE_MAX_MS 500
 
 int64_t
--- a/src/cell/early_record.c
+++ b/src/cell/named_row.c
@@ -18,7 +18,7 @@
  * heard the step waits: workers are named early only where commits take long.
  */
 
-/* A commit that takes less is waited for by a step's first start. */
+/* A commit that takes less is worth waiting for before a step's first start. */
 #define SLOW_COMMIT_MS 50
 /* Names of a step; wider steps record further workers as they are approved. */
 #define NAMES_MAX 32
--- a/src/cell/rank.c
+++ b/src/cell/rank.c
@@ -7,10 +7,9 @@
  * What can still be in time goes before what can't, by the declared time of its
  * tasks: a step that has passed its latest start would take the room of one
  * that has not, and be late all the same.  Among these the operators' order of
- * queues decides, then the latest start.  By the latest start alone the tasks
- * of a patient queue, of which any gap holds one, took the room that a gang of
- * a more urgent queue needs all at once: with 1.2 times as much work as room 16
- * of 40 gangs began in time, by the order of queues 36 (test_cell_overload).
+ * queues decides, then the latest start: by the latest start alone the tasks of
+ * a patient queue, of which any gap holds one, take the room that a gang of a
+ * more urgent queue needs all at once.
  */
 
 CellRank
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -2,10 +2,9 @@
 
 #include <stdlib.h>
 
-/* A gang's workers are gathered one by one as they become free, some 2.5 s for
- * 24 tasks with four of five workers busy.  It is planned that much earlier:
- * else narrow gangs, which find room at once, go first until it is late, and of
- * the largest tenth of gangs less than half as many end in time as of all. */
+/* A gang's workers are gathered one by one as they become free.  It is planned
+ * that much earlier: else narrow gangs, which find room at once, go first until
+ * it is late. */
 #define GATHER_MS_PER_TASK 100
 
 CellStage *
@@ -144,8 +143,7 @@
   return name[origin];
 }
 
-/* A line for a step, not for a task: 200 starts a second would cost a
- * hundredth of a processor. */
+/* A line for a step, not for a task, to save processor time. */
 void
 cell_stage_placed (MuxCell *cell, const CellStage *stage, uint32_t tasks)
 {
