Revert "cell: store ends of single tasks in larger groups"

Suspected: an end that a worker lists just before it is cut off and that is acknowledged only after its lease was over; ends were acknowledged some 90 ms later with this change.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -346,7 +346,6 @@
   if (!approval->yes && !approval->stored)
     {
       cell_job_dirty (cell, stage->job);
-      cell->part[stage->job->part].waited_for = true;
       if (stage->job->spec->queue.priority == 0)
         cell->part[stage->job->part].hurry = true;
     }
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -616,8 +616,7 @@
  * @dirty: jobs with something to store
  * @unread_dirty: jobs that can't be read, the same
  * @dirty_since_ms: the oldest of them
- * @hurry: an urgent start waits for what is to be stored
- * @waited_for: a caller, or another start, does
+ * @hurry: a caller waits for what is to be stored
  * @committing: a commit is on its way, since @commit_sent_ms
  * @commit_seq: ends that it covers
  * @stored_seq: ends up to this number of this part are stored
@@ -637,7 +636,6 @@
   int64_t dirty_since_ms;
   int64_t next_commit_ms;
   bool hurry;
-  bool waited_for;
   bool committing;
   int64_t commit_sent_ms;
   uint64_t commit_seq;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -216,7 +216,6 @@
             (json_int_t) (cell->time.now_ms - job->began_ms), "due_ms",
             (json_int_t) (job->due_ms - job->began_ms));
   cell_job_dirty (cell, job);
-  cell->part[job->part].waited_for = true;
 }
 
 static bool
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -6,13 +6,9 @@
 
 /* What changed of the planner's jobs goes into the store. */
 
-/* What is stored goes in groups: all that comes within this time shares a
- * commit, which is paid for.  Where somebody waits for it a tenth of what an
- * urgent job may wait in all; */
+/* Ends are stored in groups: those that come within this time share a commit,
+ * which is paid for.  A tenth of what an urgent job may wait in all. */
 #define WINDOW_MS 30
-/* ends of single tasks wait until their worker's next renewal, which
- * acknowledges them. */
-#define UNHURRIED_MS 120
 #define RETRY_MS 100
 /* Most jobs of one commit, and entries that it holds: an ended job takes four,
  * or five, beside the two of the fence; two are left for ends of jobs that
@@ -73,7 +69,6 @@
   CellJob *job;
 
   cell_unread_committed (cell, part, false);
-  part->waited_for = true;
   for (job = part->dirty; job != NULL; job = job->dirty_next)
     {
       job->in_commit = false;
@@ -155,7 +150,6 @@
   if (call == NULL)
     return;
   part->hurry = false;
-  part->waited_for = false;
   part->commit_sent_ms = cell->time.now_ms;
   cell_fence_add (cell, part, call);
   for (job = part->dirty; job != NULL; job = job->dirty_next)
@@ -167,10 +161,7 @@
     }
   whole = cell_unread_add_rows (cell, part, call) && job == NULL;
   if (!whole)
-    {
-      pending.number = part->stored_seq;
-      part->waited_for = true;
-    }
+    pending.number = part->stored_seq;
   part->committing = cell_call (cell, call, &pending);
   if (part->committing)
     return;
@@ -178,14 +169,6 @@
   part->next_commit_ms = cell->time.now_ms + RETRY_MS;
 }
 
-static int64_t
-window_ms (const CellPart *part)
-{
-  if (part->hurry)
-    return 0;
-  return part->waited_for ? WINDOW_MS : UNHURRIED_MS;
-}
-
 static void
 part_tick (MuxCell *cell, CellPart *part)
 {
@@ -193,7 +176,7 @@
 
   if ((part->dirty == NULL && part->unread_dirty == 0) || part->committing
       || now < part->next_commit_ms
-      || now - part->dirty_since_ms < window_ms (part))
+      || (now - part->dirty_since_ms < WINDOW_MS && !part->hurry))
     return;
   if (part->fence_doubtful)
     {
