--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1414,6 +1414,15 @@
   return false;
 }
 
+int64_t
+world_first_start_ms (const World *world, const char *id)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    if (strcmp (world->start[i].task.job, id) == 0)
+      return world->start[i].at_ms;
+  return INT64_MAX;
+}
+
 bool
 world_twice_told (const World *world)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -238,6 +238,9 @@
 MuxJobState world_state (World *world, uint32_t cell, const char *id);
 /** world_starts() - of the tasks of a job */
 uint32_t world_starts (const World *world, const char *id);
+/** world_first_start_ms() - of any task of a job; INT64_MAX: none was started
+ */
+int64_t world_first_start_ms (const World *world, const char *id);
 /** world_twice_told() - two runs of a task at once, or one after it was done
  * and that end was acknowledged, then or later */
 bool world_twice_told (const World *world);
--- a/test/unit/test_cell_named.c
+++ b/test/unit/test_cell_named.c
@@ -18,15 +18,6 @@
 #define MARGIN_MS 100
 #define LONG_TASK_MS 30000
 
-static int64_t
-first_start_ms (const World *world, const char *id)
-{
-  for (uint32_t i = 0; i < world->start_count; i++)
-    if (strcmp (world->start[i].task.job, id) == 0)
-      return world->start[i].at_ms;
-  return INT64_MAX;
-}
-
 static int64_t
 last_start_ms (const World *world, const char *id, uint32_t step)
 {
@@ -82,7 +73,7 @@
                            world_job (1, TASKS, CPU_MILLI), "job-a");
       world_run (world, 10 * store_ms[i] + 1000);
       assert_int_equal (world_starts (world, "job-a"), TASKS);
-      took_ms = first_start_ms (world, "job-a") - sent_ms;
+      took_ms = world_first_start_ms (world, "job-a") - sent_ms;
       print_message ("store %d ms a call: first start after %d ms\n",
                      (int) store_ms[i], (int) took_ms);
       /* The store carries a commit out at once and answers later: the job comes
@@ -126,6 +117,13 @@
   world_free (world);
 }
 
+static void
+fail_records (World *world, WorldFault fault)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].commits[MUX_TABLE_PROGRESS] = fault;
+}
+
 /* The planner dies; the store is fast again, so that nothing else delays. */
 static uint32_t
 take_over_fast (World *world, uint32_t planner)
@@ -149,16 +147,14 @@
 
   (void) state;
   world->task_ms = LONG_TASK_MS;
-  for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].commits[MUX_TABLE_PROGRESS] = WORLD_REFUSES;
+  fail_records (world, WORLD_REFUSES);
   (void) world_submit (world, planner, world_job (1, TASKS, CPU_MILLI),
                        "job-a");
   world_run (world, 2000);
   assert_int_equal (world_starts (world, "job-a"), TASKS);
   assert_true (names_workers (world, "job-a"));
   world->worker[world->start[world->start_count - 1].worker].cut = true;
-  for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].commits[MUX_TABLE_PROGRESS] = WORLD_SERVES;
+  fail_records (world, WORLD_SERVES);
   (void) take_over_fast (world, planner);
   assert_int_equal (world_starts (world, "job-a"), TASKS);
   world_run (world, 40000);
@@ -254,12 +250,10 @@
   for (uint32_t i = 0; i < WORKERS; i++)
     if (i % DATA_CENTRES == planner % DATA_CENTRES)
       world_worker_drains (world, i, true);
-  for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].commits[MUX_TABLE_PROGRESS] = WORLD_REFUSES;
+  fail_records (world, WORLD_REFUSES);
   world_run (world, 6000);
   assert_int_equal (world_starts (world, "job-a"), 0);
-  for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].commits[MUX_TABLE_PROGRESS] = WORLD_SERVES;
+  fail_records (world, WORLD_SERVES);
   world_run (world, 6000);
   assert_int_equal (world_starts (world, "job-a"), TASKS);
   world_free (world);
--- a/test/unit/test_cell_overload.c
+++ b/test/unit/test_cell_overload.c
@@ -93,15 +93,6 @@
   return load;
 }
 
-static int64_t
-first_start_ms (const World *world, const char *id)
-{
-  for (uint32_t i = 0; i < world->start_count; i++)
-    if (strcmp (world->start[i].task.job, id) == 0)
-      return world->start[i].at_ms;
-  return INT64_MAX;
-}
-
 static uint32_t
 gangs_in_time (const Load *load)
 {
@@ -112,7 +103,8 @@
       char id[MUX_JOB_ID_LEN];
 
       snprintf (id, sizeof id, "gang-%u", i);
-      n += first_start_ms (load->world, id) - load->sent_ms[i] <= IN_TIME_MS;
+      n += world_first_start_ms (load->world, id) - load->sent_ms[i]
+           <= IN_TIME_MS;
     }
   return n;
 }
