cell: choose the data centre with the candidates, one walk of the record's lists

Cause: each of three callers chose the step's data centre right before it asked for candidates, so that a fourth could forget it; the names in a job's row and those of its progress were walked by twin loops; two tests set the fault of commits by loops of their own.

Change: cell_candidates and cell_candidates_later choose the data centre; contains and all_heard walk either list; world_set_commits serves both tests. A field's comment said what no longer held. No behaviour changes, no assertion is touched.

--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -23,27 +23,25 @@
 }
 
 static bool
-is_former (const CellStage *stage, const char *id)
+contains (char (*list)[MUX_NAME_LEN], uint32_t count, const char *id)
 {
-  for (uint32_t i = 0; i < stage->former_count; i++)
-    if (strcmp (stage->former[i], id) == 0)
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (list[i], id) == 0)
       return true;
   return false;
 }
 
 static bool
-is_named (const CellStage *stage, const char *id)
+is_former (const CellStage *stage, const char *id)
 {
-  for (uint32_t i = 0; i < stage->spec->named_count; i++)
-    if (strcmp (stage->spec->named[i], id) == 0)
-      return true;
-  return false;
+  return contains (stage->former, stage->former_count, id);
 }
 
 bool
 cell_is_recorded (const CellStage *stage, const CellWorker *worker)
 {
-  return is_named (stage, worker->info.id)
+  return contains (stage->spec->named, stage->spec->named_count,
+                   worker->info.id)
          || is_former (stage, worker->info.id);
 }
 
@@ -139,13 +137,10 @@
 }
 
 static bool
-recorded_heard (MuxCell *cell, const CellStage *stage)
+all_heard (MuxCell *cell, char (*list)[MUX_NAME_LEN], uint32_t count)
 {
-  for (uint32_t i = 0; i < stage->former_count; i++)
-    if (!is_heard (cell, stage->former[i]))
-      return false;
-  for (uint32_t i = 0; i < stage->spec->named_count; i++)
-    if (!is_heard (cell, stage->spec->named[i]))
+  for (uint32_t i = 0; i < count; i++)
+    if (!is_heard (cell, list[i]))
       return false;
   return true;
 }
@@ -162,5 +157,6 @@
     return cell_all_heard (cell);
   if (!queue->approval.needed)
     return cell_all_heard (cell);
-  return recorded_heard (cell, stage);
+  return all_heard (cell, stage->former, stage->former_count)
+         && all_heard (cell, stage->spec->named, stage->spec->named_count);
 }
--- a/src/cell/ask_ahead.c
+++ b/src/cell/ask_ahead.c
@@ -63,7 +63,6 @@
 
   if (!cell_can_ask (cell, stage, CELL_NAMES_LATER))
     return;
-  cell_choose_data_centre (cell, stage);
   count = cell_candidates_later (cell, stage, worker);
   (void) cell_approval_ask (cell, stage, worker, count);
 }
--- a/src/cell/candidate.c
+++ b/src/cell/candidate.c
@@ -191,6 +191,7 @@
 
   if (candidate == NULL)
     return 0;
+  cell_choose_data_centre (cell, stage);
   count = collect (cell, stage, candidate);
   /* Nobody has room: asked again when something can have changed. */
   if (count == 0)
@@ -206,7 +207,7 @@
 
 uint32_t
 cell_candidates_later (MuxCell *cell,
-                       const CellStage *stage,
+                       CellStage *stage,
                        CellWorker *worker[CELL_CANDIDATES_MAX])
 {
   Candidate *candidate = candidates_new (cell);
@@ -214,6 +215,7 @@
 
   if (candidate == NULL)
     return 0;
+  cell_choose_data_centre (cell, stage);
   count = collect_later (cell, stage, candidate);
   count = enough (candidate, count, stage->spec->count, CELL_NAMES_LATER);
   copy_workers (worker, candidate, count);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -474,7 +474,8 @@
 /** cell_is_outside() - of the data centre that the stage's tasks go to */
 bool cell_is_outside (const CellStage *stage, const CellWorker *worker);
 
-/* candidate.c: workers to ask the policy service about */
+/* candidate.c: workers to ask the policy service about, those of the data
+ * centre that is chosen for the stage before others */
 /** cell_candidates() - that have room for tasks of the stage now
  * Return: how many; 0 also when enough approvals are being recorded. */
 uint32_t cell_candidates (MuxCell *cell,
@@ -485,7 +486,7 @@
 /** cell_candidates_later() - that can hold tasks of the stage once its turn has
  * come */
 uint32_t cell_candidates_later (MuxCell *cell,
-                                const CellStage *stage,
+                                CellStage *stage,
                                 CellWorker *worker[CELL_CANDIDATES_MAX]);
 
 /* named_row.c: workers named before they are asked about */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -158,7 +158,7 @@
  * @job: what is stored
  * @call: caller who waits
  * @value: its row
- * @row: as the commit on its way stores it; NULL: as @value
+ * @row: as it was last sent to the store; NULL: not yet
  * @give_up_ms: when the caller is answered, stored or not
  * @doubtful: a commit that held it went unanswered, or the planner did
  * @sent: it is in the commit on its way
--- a/src/cell/named_row.c
+++ b/src/cell/named_row.c
@@ -37,7 +37,6 @@
   CellWorker *worker[CELL_CANDIDATES_MAX];
   uint32_t count;
 
-  cell_choose_data_centre (cell, stage);
   count = step->after == 0 ? cell_candidates (cell, stage, worker)
                            : cell_candidates_later (cell, stage, worker);
   if (count > NAMES_MAX)
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -131,7 +131,6 @@
 
   if (!cell_can_ask (cell, stage, CELL_CANDIDATES_LEAST))
     return;
-  cell_choose_data_centre (cell, stage);
   count = cell_candidates (cell, stage, worker);
   (void) cell_approval_ask (cell, stage, worker, count);
 }
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1255,6 +1255,13 @@
   return name[number % world->data_centres];
 }
 
+void
+world_set_commits (World *world, MuxCellTable table, WorldFault fault)
+{
+  for (uint32_t i = 0; i < WORLD_CELLS_MAX; i++)
+    world->cell[i].commits[table] = fault;
+}
+
 void
 world_cut_data_centre (World *world, uint32_t data_centre, bool cut)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -211,6 +211,9 @@
 World *world_new_over (uint32_t cells, uint32_t workers, uint32_t data_centres);
 /** world_data_centre() - name of the one that daemon or worker @number is in */
 const char *world_data_centre (const World *world, uint32_t number);
+/** world_set_commits() - what becomes of all daemons' commits that change such
+ * a row */
+void world_set_commits (World *world, MuxCellTable table, WorldFault fault);
 /** world_cut_data_centre() - from the others and from the store, or no longer;
  * daemons and workers on the far side, where no planner is, run on alone */
 void world_cut_data_centre (World *world, uint32_t data_centre, bool cut);
--- a/test/unit/test_cell_named.c
+++ b/test/unit/test_cell_named.c
@@ -117,13 +117,6 @@
   world_free (world);
 }
 
-static void
-fail_records (World *world, WorldFault fault)
-{
-  for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].commits[MUX_TABLE_PROGRESS] = fault;
-}
-
 /* The planner dies; the store is fast again, so that nothing else delays. */
 static uint32_t
 take_over_fast (World *world, uint32_t planner)
@@ -147,14 +140,14 @@
 
   (void) state;
   world->task_ms = LONG_TASK_MS;
-  fail_records (world, WORLD_REFUSES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
   (void) world_submit (world, planner, world_job (1, TASKS, CPU_MILLI),
                        "job-a");
   world_run (world, 2000);
   assert_int_equal (world_starts (world, "job-a"), TASKS);
   assert_true (names_workers (world, "job-a"));
   world->worker[world->start[world->start_count - 1].worker].cut = true;
-  fail_records (world, WORLD_SERVES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
   (void) take_over_fast (world, planner);
   assert_int_equal (world_starts (world, "job-a"), TASKS);
   world_run (world, 40000);
@@ -250,10 +243,10 @@
   for (uint32_t i = 0; i < WORKERS; i++)
     if (i % DATA_CENTRES == planner % DATA_CENTRES)
       world_worker_drains (world, i, true);
-  fail_records (world, WORLD_REFUSES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
   world_run (world, 6000);
   assert_int_equal (world_starts (world, "job-a"), 0);
-  fail_records (world, WORLD_SERVES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
   world_run (world, 6000);
   assert_int_equal (world_starts (world, "job-a"), TASKS);
   world_free (world);
--- a/test/unit/test_cell_replaced.c
+++ b/test/unit/test_cell_replaced.c
@@ -251,13 +251,6 @@
 #define ALL_CPU_MILLI 32000
 #define LONG_TASK_MS 60000
 
-static void
-all_progress (World *world, WorldFault fault)
-{
-  for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].commits[MUX_TABLE_PROGRESS] = fault;
-}
-
 /* The first run of all fails so much later, the others go on. */
 static void
 fail_first_run (World *world, int64_t ms)
@@ -289,16 +282,16 @@
   world_run (world, 1000);
   world->task_ms = LONG_TASK_MS;
   world->approve_one_in = 2;
-  all_progress (world, WORLD_REFUSES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
   (void) world_submit (world, first, world_job (1, 2, ALL_CPU_MILLI), "job-a");
   world_run (world, 500);
   assert_int_equal (world_starts (world, "job-a"), 0);
-  all_progress (world, WORLD_SERVES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
   world_run (world, 500);
   assert_int_equal (world_starts (world, "job-a"), 2);
-  all_progress (world, WORLD_REFUSES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
   world_cell_kill (world, first);
-  all_progress (world, WORLD_SERVES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
   fail_first_run (world, 3000);
   world_run (world, 4500);
   second = world_planner (world);
@@ -536,7 +529,7 @@
                        "job-a");
   world_run (world, 200);
   assert_int_equal (world_starts (world, "job-a"), WORKERS);
-  all_progress (world, WORLD_REFUSES);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
   world_run (world, 1000);
   before = world->worker_calls[planner];
   world_run (world, 2000);
