cell: tell the lives of a worker that keeps its id apart

Callers saw tasks that had ended well run a second time (TWICE), and on the larger cell wide gangs that were accepted and never ran (LOST).

Cause: a life of a worker was taken for its id. A worker that starts again under its id numbers its ends from the beginning; the planner passed over those not above the highest it knew, and acknowledged up to the former life's number, so that the worker forgot ends that nobody had taken. What the former life ran held its room until a stop was answered at a clock that had begun again. Ruled out: a planner that forgets and a store that lost progress; in both records all lines are of one term.

What an id can't keep apart has guards of its own: orders for a former life that the next one carries out (life.c, worker_lease.c), acknowledgements, entries of an older or younger life.

--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -102,7 +102,8 @@
  * @change_count: COMMIT: used entries of @change
  * @change: COMMIT; owned
  * @addr: worker's "ip:port"
- * @worker: life of the worker that is meant; any other refuses
+ * @worker: name of the worker's life that is meant (port/life.h); another id
+ *   refuses, another life of that id may not
  * @task: START, STOP; APPROVE: its step
  * @run: START, STOP
  * @fence: START, STOP, RENEW: token of the claim
@@ -112,7 +113,7 @@
  * @proof: START: of the approval; ""
  * @acked: RENEW: ends up to this number may be forgotten
  * @candidate_count: APPROVE: used entries of @candidate
- * @candidate: APPROVE: workers asked about; owned
+ * @candidate: APPROVE: lives of workers asked about; owned
  */
 typedef struct
 {
@@ -247,6 +248,8 @@
 
 /**
  * struct MuxApproval - a worker that may run the step asked about
+ * @worker: its life, as it was asked about
+ * @proof: to be shown
  */
 typedef struct
 {
--- a/src/cell/carry_wire.c
+++ b/src/cell/carry_wire.c
@@ -34,6 +34,7 @@
   REPLY_VERB,
   REPLY_STATUS,
   REPLY_CLOCK,
+  REPLY_BORN,
   REPLY_REPORTS,
   REPLY_FIELDS
 };
@@ -343,6 +344,7 @@
   put_number (&writer, reply->verb);
   put_number (&writer, reply->status);
   put_number (&writer, reply->clock_ms);
+  put_number (&writer, (int64_t) reply->born_ms);
   put_array (&writer, reply->report_count);
   for (uint32_t i = 0; i < reply->report_count; i++)
     put_report (&writer, &reply->report[i]);
@@ -381,6 +383,7 @@
   if (reply == NULL)
     return NULL;
   reply->clock_ms = number_at (list, REPLY_CLOCK);
+  reply->born_ms = (uint64_t) number_at (list, REPLY_BORN);
   if (read_reports (&list->via.array.ptr[REPLY_REPORTS], reply))
     return reply;
   mux_cell_reply_free (reply);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -334,6 +334,26 @@
 bool cell_worker_usable (const MuxCell *cell, const CellWorker *worker);
 bool cell_all_heard (MuxCell *cell);
 
+/** cell_worker_unlist() - it is missing from the platform's list */
+void cell_worker_unlist (MuxCell *cell, CellWorker *worker);
+/** cell_worker_take_entry() - what the list says of it, but for its name */
+void cell_worker_take_entry (CellWorker *worker, const MuxWorkerInfo *entry);
+
+/* life.c: workers that start again under their ids */
+/** cell_life_is_outdated() - a later life of that id has answered */
+bool cell_life_is_outdated (MuxCell *cell, const char *id, uint64_t born_ms);
+/** cell_lives_unlist() - all lives of that id but one; NULL: all */
+void cell_lives_unlist (MuxCell *cell, const char *id, const CellWorker *but);
+/** cell_life_next() - the life that answered in place of @former
+ * Return: NULL when memory is out. */
+CellWorker *
+cell_life_next (MuxCell *cell, const CellWorker *former, uint64_t born_ms);
+/** cell_lives_end() - of those before @worker, which has answered */
+void cell_lives_end (MuxCell *cell, CellWorker *worker);
+/** cell_life_listed_runs() - its first list has been taken: what is booked and
+ * was not named is not to begin any more */
+void cell_life_listed_runs (MuxCell *cell, CellWorker *worker);
+
 /* worker_lease.c: how long what runs at a worker may run on */
 /** cell_worker_lease() - on its clock, a whole one from now; 0: not known */
 int64_t cell_worker_lease (const MuxCell *cell, CellWorker *worker);
@@ -341,6 +361,8 @@
 int64_t cell_worker_lease_left (const MuxCell *cell, const CellWorker *worker);
 /** cell_lease_is_over() - nothing of ours can run there any more */
 bool cell_lease_is_over (MuxCell *cell, CellWorker *worker);
+/** cell_lease_of_stale() - what calls meant for a former life may have asked */
+void cell_lease_of_stale (const MuxCell *cell, CellWorker *worker);
 /** cell_lease_of_former() - what a former planner may have asked of it */
 void cell_lease_of_former (const MuxCell *cell, CellWorker *worker);
 
@@ -399,6 +421,9 @@
 CellLoss *cell_loss_add (CellTask *task);
 /** cell_lose_runs() - all that the dead @worker had */
 void cell_lose_runs (MuxCell *cell, CellWorker *worker);
+/** cell_lose_settled() - a run that is not at the worker, and was sent to its
+ * former life */
+void cell_lose_settled (MuxCell *cell, CellBooking *booking);
 /** cell_losses_heard() - that life of a worker answers, and no other at its
  * address */
 void cell_losses_heard (MuxCell *cell, const CellWorker *worker);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -317,12 +317,14 @@
  * @crashed: they ended while the run was there
  * @untold: they ended, and whether the run had begun there is not known
  * @unreachable: they may run on
+ * @unreachable_recorded: those of them that a former planner lost
  */
 typedef struct
 {
   uint32_t crashed;
   uint32_t untold;
   uint32_t unreachable;
+  uint32_t unreachable_recorded;
 } CellLosses;
 
 /**
@@ -356,6 +358,8 @@
  * @stop_clock_ms: worker's clock at the answered stop; 0: not answered
  * @stopped_ms: when it was first to be stopped
  * @began: the worker told that the run had begun
+ * @confirmed: a list of this life of the worker named it
+ * @former: life that the start was sent to, if another; owned; NULL: none
  */
 struct CellBooking
 {
@@ -370,7 +374,9 @@
   int64_t stop_clock_ms;
   int64_t stopped_ms;
   bool began;
+  bool confirmed;
   bool listed;
+  char *former;
   CellBooking *prev;
   CellBooking *next;
 };
@@ -594,6 +600,7 @@
 
 /**
  * struct CellWorker - one life of a worker, as the planner sees it
+ * @born_ms: when it began, as its name or its answers say; 0: they do not
  * @slot: index of it in the stages' approvals; never used again in a term
  * @listed: in the platform's list
  * @roster: all that the stored roster may say of it
@@ -606,7 +613,10 @@
  * @clock_ms: its clock, as last told
  * @clock_at_ms: our clock when that arrived
  * @lease_until_ms: furthest lease asked of it, on its clock
+ * @unanswered_ms: when the last call that was not answered was sent; 0: none
+ * @stale_until_ms: what was sent to its former life may still be carried out
  * @acked: ends up to this number are stored
+ * @acked_told: and it knows so of these
  * @seen: ends up to this number are known
  * @store_seq: all ends up to @seen are stored once this number is reached
  * @booked: sum of its bookings
@@ -618,6 +628,7 @@
 struct CellWorker
 {
   MuxWorkerInfo info;
+  uint64_t born_ms;
   uint64_t service;     /* hash of its pool */
   uint64_t data_centre; /* hash of its name */
   uint32_t slot;
@@ -638,7 +649,10 @@
   int64_t clock_ms;
   int64_t clock_at_ms;
   int64_t lease_until_ms;
+  int64_t unanswered_ms;
+  int64_t stale_until_ms;
   uint64_t acked;
+  uint64_t acked_told;
   uint64_t seen;
   uint64_t store_seq;
   bool renewing;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -46,7 +46,10 @@
   if (loss->open)
     return;
   if (!loss->ended && !is_old)
-    losses->unreachable++;
+    {
+      losses->unreachable++;
+      losses->unreachable_recorded += loss->recorded;
+    }
   else if (loss->began)
     losses->crashed++;
   else if (loss->recorded || !is_old)
@@ -174,7 +177,11 @@
 }
 
 static CellLoss *
-add (MuxCell *cell, CellTask *task, const CellWorker *worker, CellLoss what)
+add (MuxCell *cell,
+     CellTask *task,
+     const char *worker,
+     const char *addr,
+     CellLoss what)
 {
   CellLoss *loss = cell_loss_add (task);
 
@@ -182,8 +189,8 @@
     return NULL;
   *loss = what;
   loss->at_wall_ms = cell->time.wall_ms;
-  snprintf (loss->worker, sizeof loss->worker, "%s", worker->info.id);
-  snprintf (loss->addr, sizeof loss->addr, "%s", worker->info.addr);
+  snprintf (loss->worker, sizeof loss->worker, "%s", worker);
+  snprintf (loss->addr, sizeof loss->addr, "%s", addr);
   return loss;
 }
 
@@ -202,9 +209,13 @@
 }
 
 static void
-lose (MuxCell *cell, CellTask *task, const CellWorker *worker, CellLoss what)
+lose (MuxCell *cell,
+      CellTask *task,
+      const char *worker,
+      const char *addr,
+      CellLoss what)
 {
-  const CellLoss *loss = add (cell, task, worker, what);
+  const CellLoss *loss = add (cell, task, worker, addr, what);
 
   if (loss == NULL)
     return;
@@ -212,19 +223,27 @@
   changed (cell, task);
 }
 
+static bool
+loss_counts (const CellBooking *booking)
+{
+  const CellTask *task = booking->task;
+  const CellJob *job = task->stage->job;
+
+  return !booking->worker->info.draining && task->state != CELL_TASK_DONE
+         && !job->cancelled && !job->failed;
+}
+
 static void
 lose_run (MuxCell *cell, CellBooking *booking)
 {
   CellTask *task = booking->task;
-  const CellJob *job = task->stage->job;
   CellWorker *worker = booking->worker;
   CellLoss loss = { .run = booking->run,
                     .began = booking->began,
                     .ended = worker->lost_life };
   bool lasted = task->stage->spec->long_running
                 && cell->time.now_ms - booking->since_ms >= LASTED_MS;
-  bool counts = !worker->info.draining && task->state != CELL_TASK_DONE
-                && !job->cancelled && !job->failed;
+  bool counts = loss_counts (booking);
 
   cell_unbook (cell, booking);
   cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LAPSED, "");
@@ -232,7 +251,25 @@
   while (lasted && task->loss_count > 0)
     drop (task, 0);
   if (counts && !lasted)
-    lose (cell, task, worker, loss);
+    lose (cell, task, worker->info.id, worker->info.addr, loss);
+}
+
+void
+cell_lose_settled (MuxCell *cell, CellBooking *booking)
+{
+  CellTask *task = booking->task;
+  CellWorker *worker = booking->worker;
+  CellLoss loss
+      = { .run = booking->run, .began = booking->began, .ended = true };
+  bool counts = loss_counts (booking);
+  char former[MUX_NAME_LEN];
+
+  snprintf (former, sizeof former, "%s", booking->former);
+  cell_unbook (cell, booking);
+  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LAPSED, "");
+  (void) drop_open (task);
+  if (counts)
+    lose (cell, task, former, worker->info.addr, loss);
 }
 
 static void
@@ -283,7 +320,7 @@
         && strcmp (task->loss[i].worker, worker->info.id) == 0)
       return true;
   (void) drop_open (task);
-  if (add (cell, task, worker, open) == NULL)
+  if (add (cell, task, worker->info.id, worker->info.addr, open) == NULL)
     return false;
   changed (cell, task);
   if (task->stage->job->spec->queue.priority == 0)
@@ -405,7 +442,7 @@
   for (uint32_t i = 0; i < stage->spec->count; i++)
     if (stage->task[i].state == CELL_TASK_WAITING
         && stage->task[i].booking == NULL && stage->task[i].loss_count == 0)
-      lose (cell, &stage->task[i], worker, loss);
+      lose (cell, &stage->task[i], worker->info.id, worker->info.addr, loss);
 }
 
 static void
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -39,6 +39,7 @@
 
   booking->listed = true;
   booking->began = true;
+  booking->confirmed = true;
   booking->usage = report->usage;
   task->stage->job->started = true;
   if (task->state == CELL_TASK_STARTING)
@@ -182,6 +183,11 @@
   CellTask *task = booking->task;
   uint32_t run = booking->run;
 
+  if (booking->former != NULL)
+    {
+      cell_lose_settled (cell, booking);
+      return;
+    }
   cell_unbook (cell, booking);
   cell_run_ended (cell, task, worker, run, MUX_RUN_LAPSED, "");
 }
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -1,6 +1,7 @@
 #include "cell_private.h"
 
 #include "base/address.h"
+#include "port/life.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -89,7 +90,7 @@
   for (uint32_t i = 0; i < reply->row_count; i++)
     if (strcmp (reply->row[i].key, CELL_FENCE_KEY) == 0)
       cell->roster_fence = reply->row[i].version;
-    else if (mux_name_valid (reply->row[i].key))
+    else if (mux_life_valid (reply->row[i].key))
       take_row (cell, &reply->row[i], reply->store_clock_ms);
     else
       cell_row_bad (cell, &reply->row[i], CELL_ROW_KEY, "key");
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -65,6 +65,7 @@
   task->stage->job->bookings--;
   task->booking = NULL;
   cell->replan = true;
+  free (booking->former);
   free (booking);
 }
 
@@ -278,6 +279,7 @@
    * run has been answered and a later list shows that it is not there. */
   if (reply->status == MUX_CELL_UNKNOWN)
     {
+      worker->unanswered_ms = pending->sent_ms;
       leave_alone (cell, worker);
       if (task->stage->spec->gang)
         break_gang (cell, task->stage);
--- a/src/cell/suspect.c
+++ b/src/cell/suspect.c
@@ -35,7 +35,7 @@
   if (task->loss_count == 0)
     return 0;
   losses = cell_task_losses (cell, task);
-  return losses.crashed + losses.untold;
+  return losses.crashed + losses.untold + losses.unreachable_recorded;
 }
 
 static bool
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -1,5 +1,7 @@
 #include "cell_private.h"
 
+#include "port/life.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +17,8 @@
  * ms each, with their way through other daemons. */
 #define IDLE_RENEWALS_PER_S 400
 #define MS_PER_S 1000
+/* Ends are acknowledged to a worker that answered so lately, in ms. */
+#define ACK_FRESH_MS 500
 /* Places that the table by slots grows by. */
 #define SLOTS_GROW 64
 
@@ -55,6 +59,7 @@
   if (worker == NULL)
     return NULL;
   snprintf (worker->info.id, sizeof worker->info.id, "%s", id);
+  worker->born_ms = mux_life_born_ms (id);
   worker->slot = cell->worker_slots++;
   cell->worker_at[worker->slot] = worker;
   worker->roster = CELL_ROSTER_NONE;
@@ -145,8 +150,8 @@
 }
 
 /* The id stays: it is the key under which the worker is found. */
-static void
-take_entry (CellWorker *worker, const MuxWorkerInfo *entry)
+void
+cell_worker_take_entry (CellWorker *worker, const MuxWorkerInfo *entry)
 {
   char id[MUX_NAME_LEN];
 
@@ -159,10 +164,10 @@
 
 /* Nothing new starts there; what runs goes on until it ends, or until its lease
  * is over. */
-static void
-unlist (MuxCell *cell, CellWorker *worker)
+void
+cell_worker_unlist (MuxCell *cell, CellWorker *worker)
 {
-  if (worker == NULL || !worker->listed)
+  if (!worker->listed)
     return;
   worker->listed = false;
   worker->unlisted_ms = cell->time.now_ms;
@@ -204,46 +209,68 @@
             "service", worker->info.service);
 }
 
-void
-cell_worker_row (MuxCell *cell, const MuxCellRow *row)
+/* Where an entry can't be read, it is not known of which life it speaks. */
+static void
+drop_entry (MuxCell *cell, const MuxCellRow *row, const char *wrong)
 {
-  CellWorker *worker;
-  const char *wrong;
-
-  /* The list lies in one part; an id goes into a header of each call. */
-  if (row->part[0] != 0 || !mux_name_valid (row->key))
-    {
-      cell_row_bad (cell, row, CELL_ROW_KEY, "key");
-      return;
-    }
-  worker = cell_worker_find (cell, row->key);
-  wrong = row->removed ? NULL : wrong_in_entry (worker, row);
   if (wrong != NULL)
     cell_row_bad (cell, row,
                   row->worker == NULL && row->wrong == NULL ? CELL_ROW_VALUE
                                                             : CELL_ROW_FIELD,
                   wrong);
-  if (row->removed || wrong != NULL)
-    {
-      unlist (cell, worker);
-      return;
-    }
-  worker = cell_worker_add (cell, row->key);
+  cell_lives_unlist (cell, row->key, NULL);
+}
+
+static void
+take_row (MuxCell *cell, const MuxCellRow *row, const char *life)
+{
+  CellWorker *worker = cell_worker_add (cell, life);
+
   if (worker == NULL)
     return;
   if (!worker->listed)
-    cell_log (cell, "worker_listed", "{s:s, s:s, s:I}", "worker", row->key,
-              "addr", row->worker->addr, "born",
-              (json_int_t) row->worker->born_ms);
+    {
+      cell_log (cell, "worker_listed", "{s:s, s:s}", "worker", life, "addr",
+                row->worker->addr);
+      cell_lives_unlist (cell, row->key, worker);
+    }
   if (row->worker->draining && !worker->info.draining)
-    cell_log (cell, "worker_draining", "{s:s}", "worker", row->key);
+    cell_log (cell, "worker_draining", "{s:s}", "worker", life);
   worker->listed = true;
-  take_entry (worker, row->worker);
+  cell_worker_take_entry (worker, row->worker);
   cell_worker_leaves (cell, worker);
   tell_useless (cell, worker);
   cell->replan = true;
 }
 
+void
+cell_worker_row (MuxCell *cell, const MuxCellRow *row)
+{
+  const MuxWorkerInfo *entry = row->removed ? NULL : row->worker;
+  char life[MUX_NAME_LEN];
+  const char *wrong = NULL;
+
+  /* The list lies in one part; an id goes into a header of each call. */
+  if (row->part[0] != 0 || !mux_name_valid (row->key)
+      || !mux_life_name (life, row->key, entry != NULL ? entry->born_ms : 0))
+    {
+      cell_row_bad (cell, row, CELL_ROW_KEY, "key");
+      return;
+    }
+  /* Only the latest life of a worker tells of it, whoever writes. */
+  if (entry != NULL && cell_life_is_outdated (cell, row->key, entry->born_ms))
+    {
+      cell_row_bad (cell, row, CELL_ROW_FIELD, "born");
+      return;
+    }
+  if (!row->removed)
+    wrong = wrong_in_entry (cell_worker_find (cell, life), row);
+  if (row->removed || wrong != NULL)
+    drop_entry (cell, row, wrong);
+  else
+    take_row (cell, row, life);
+}
+
 /* A whole reading names those that are there: all others are missing. */
 void
 cell_workers_whole (MuxCell *cell, bool ended)
@@ -292,46 +319,38 @@
   return round_ms > WAIT_MS ? round_ms - WAIT_MS : 0;
 }
 
+/* It knows of all ends that it told that they are stored. */
+static bool
+knows_acks (const CellWorker *worker)
+{
+  return worker->acked == worker->seen && worker->acked_told == worker->acked;
+}
+
 static bool
 is_idle (const MuxCell *cell, const CellWorker *worker)
 {
   return worker->heard && worker->reachable && worker->bookings == NULL
-         && worker->acked == worker->seen
-         && cell->time.now_ms < worker->idle_until_ms;
+         && knows_acks (worker) && cell->time.now_ms < worker->idle_until_ms;
 }
 
 static void
-renewed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+not_renewed (MuxCell *cell, CellWorker *worker, MuxCellStatus status)
 {
-  CellWorker *worker = cell_worker_find (cell, pending->worker);
-  bool first;
+  if (worker->reachable)
+    cell_log (cell, "worker_lost", "{s:s, s:s}", "worker", worker->info.id,
+              "status", mux_cell_status_name (status));
+  cell_call_otherwise (cell, worker);
+  worker->reachable = false;
+  if (worker->lost_ms == 0)
+    worker->lost_ms = cell->time.now_ms;
+  worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
+}
+
+static void
+take_answer (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply)
+{
+  bool first = !worker->heard;
 
-  if (worker == NULL)
-    return;
-  /* Also of a dead worker: it may be revived, and is then asked again. */
-  worker->renewing = false;
-  if (worker->dead)
-    return;
-  if (reply->status == MUX_CELL_OTHER_LIFE)
-    {
-      cell_worker_replaced (cell, worker);
-      return;
-    }
-  if (reply->status == MUX_CELL_FENCED)
-    cell_claim_doubt (cell, "worker_fenced");
-  if (reply->status != MUX_CELL_OK)
-    {
-      if (worker->reachable)
-        cell_log (cell, "worker_lost", "{s:s, s:s}", "worker", worker->info.id,
-                  "status", mux_cell_status_name (reply->status));
-      cell_call_otherwise (cell, worker);
-      worker->reachable = false;
-      if (worker->lost_ms == 0)
-        worker->lost_ms = cell->time.now_ms;
-      worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
-      return;
-    }
-  first = !worker->heard;
   if (!worker->reachable && !first)
     cell_log (cell, "worker_back", "{s:s}", "worker", worker->info.id);
   worker->reachable = true;
@@ -345,8 +364,11 @@
       worker->clock_ms = reply->clock_ms;
       worker->clock_at_ms = cell->time.heard_ms;
     }
+  if (first)
+    cell_lives_end (cell, worker);
   if (first)
     cell_lease_of_former (cell, worker);
+  cell_lease_of_stale (cell, worker);
   worker->heard = true;
   /* While ends wait to be stored an answer does not wait for news: asked at
    * once again, a worker got 250 renewals a second. */
@@ -355,17 +377,96 @@
   worker->idle_until_ms = cell->time.now_ms + idle_pause_ms (cell);
   cell_reports (cell, worker, reply);
   if (first)
-    cell_losses_heard (cell, worker);
+    {
+      cell_life_listed_runs (cell, worker);
+      cell_losses_heard (cell, worker);
+    }
   cell->replan = cell->replan || first;
 }
 
+/* A later life answers a call that was meant for one that has ended. */
+static void
+take_other_life (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply)
+{
+  CellWorker *next = cell_life_next (cell, worker, reply->born_ms);
+
+  if (next != NULL && !next->dead)
+    take_answer (cell, next, reply);
+}
+
+/* An answer that does not tell of the life that was asked is none. */
+static MuxCellStatus
+renewal_status (const CellWorker *worker, const MuxCellReply *reply)
+{
+  return reply->status == MUX_CELL_OK && reply->born_ms < worker->born_ms
+             ? MUX_CELL_UNKNOWN
+             : reply->status;
+}
+
+static void
+renewed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  CellWorker *worker = cell_worker_find (cell, pending->worker);
+  MuxCellStatus status;
+
+  if (worker == NULL)
+    return;
+  /* Also of a dead worker: it may be revived, and is then asked again. */
+  worker->renewing = false;
+  if (worker->dead)
+    return;
+  status = renewal_status (worker, reply);
+  if (status == MUX_CELL_OTHER_LIFE)
+    {
+      cell_worker_replaced (cell, worker);
+      return;
+    }
+  if (status == MUX_CELL_FENCED)
+    cell_claim_doubt (cell, "worker_fenced");
+  if (status == MUX_CELL_UNKNOWN)
+    worker->unanswered_ms = pending->sent_ms;
+  if (status != MUX_CELL_OK)
+    {
+      not_renewed (cell, worker, status);
+      return;
+    }
+  if (worker->born_ms == 0)
+    worker->born_ms = reply->born_ms;
+  if (reply->born_ms > worker->born_ms)
+    {
+      take_other_life (cell, worker, reply);
+      return;
+    }
+  if (pending->number > worker->acked_told)
+    worker->acked_told = pending->number;
+  take_answer (cell, worker, reply);
+}
+
+/*
+ * Guards against ends that are forgotten though nobody took them: a worker may
+ * have started again under its id, with ends numbered from the beginning, and
+ * an acknowledgement says nothing of the life that it is meant for.  It goes to
+ * a life that has answered just now.
+ */
+static uint64_t
+acks_to_tell (const MuxCell *cell, const CellWorker *worker)
+{
+  bool fresh = worker->heard && worker->reachable
+               && cell->time.now_ms - worker->clock_at_ms <= ACK_FRESH_MS;
+
+  return worker->acked > worker->acked_told && fresh ? worker->acked : 0;
+}
+
 static void
 renew (MuxCell *cell, CellWorker *worker)
 {
   MuxCellCall *call = mux_cell_call_new (MUX_CELL_RENEW);
-  CellPending pending = { .done = renewed, .term = cell->term };
-  bool waits
-      = worker->heard && worker->reachable && worker->acked == worker->seen;
+  CellPending pending = { .done = renewed,
+                          .term = cell->term,
+                          .number = acks_to_tell (cell, worker) };
+  bool waits = worker->heard && worker->reachable
+               && worker->acked == worker->seen
+               && (worker->acked_told == worker->acked || pending.number != 0);
 
   if (call == NULL)
     return;
@@ -373,7 +474,7 @@
   snprintf (call->worker, sizeof call->worker, "%s", worker->info.id);
   snprintf (call->addr, sizeof call->addr, "%s", worker->info.addr);
   call->fence = cell->term;
-  call->acked = worker->acked;
+  call->acked = pending.number;
   call->wait_ms = waits ? WAIT_MS : 0;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
   /* An unanswered renewal may still arrive: asking for ever longer leases
--- a/src/cell/worker_lease.c
+++ b/src/cell/worker_lease.c
@@ -8,6 +8,8 @@
 #define PERCENT 100
 /* A lease lapses at the worker, its end shows there a little later. */
 #define LAPSE_MARGIN_MS 200
+/* Workers shorten a longer lease to this, in ms. */
+#define LEASE_MAX_MS 10000
 
 /* Not less than its clock shows now. */
 static int64_t
@@ -31,13 +33,38 @@
   return until;
 }
 
+static int64_t
+on_slow_clock (int64_t ms)
+{
+  return ms * PERCENT / (PERCENT - CLOCK_SLOW_PERCENT);
+}
+
+/*
+ * Guards against a lease that is taken for over too early: a call that was
+ * meant for a worker's former life, and is carried out late by this one, asks
+ * for a time on the former one's clock, and with that for the longest lease
+ * there is. Such a call may come behind the last answer. Return: until when a
+ * lease asked so may last; 0: all such calls were over.
+ */
+static int64_t
+stale_lease_over_ms (const CellWorker *worker)
+{
+  return worker->stale_until_ms > worker->clock_at_ms
+             ? worker->stale_until_ms + on_slow_clock (LEASE_MAX_MS)
+             : 0;
+}
+
 int64_t
 cell_worker_lease_left (const MuxCell *cell, const CellWorker *worker)
 {
+  int64_t now = cell->time.now_ms;
   int64_t left
-      = worker->lease_until_ms - clock_least (worker, cell->time.now_ms);
+      = on_slow_clock (worker->lease_until_ms - clock_least (worker, now));
+  int64_t stale = stale_lease_over_ms (worker) - now;
 
-  return left > 0 ? left * PERCENT / (PERCENT - CLOCK_SLOW_PERCENT) : 0;
+  if (stale > left)
+    left = stale;
+  return left > 0 ? left : 0;
 }
 
 /*
@@ -64,7 +91,8 @@
                  + (int64_t) cell->options.lease_ms
                        * (PERCENT + CLOCK_SLOW_PERCENT + 1) / PERCENT
                  + LAPSE_MARGIN_MS;
-  return clock_least (worker, now) > worker->lease_until_ms + LAPSE_MARGIN_MS;
+  return clock_least (worker, now) > worker->lease_until_ms + LAPSE_MARGIN_MS
+         && now > stale_lease_over_ms (worker) + LAPSE_MARGIN_MS;
 }
 
 /*
@@ -90,6 +118,17 @@
   return cell->verified_ms >= worker->over_since_ms;
 }
 
+/* What such a call asked for before this answer. */
+void
+cell_lease_of_stale (const MuxCell *cell, CellWorker *worker)
+{
+  int64_t until = worker->clock_ms + LEASE_MAX_MS;
+
+  if (cell->time.now_ms < worker->stale_until_ms
+      && until > worker->lease_until_ms)
+    worker->lease_until_ms = until;
+}
+
 /* A former planner's last order came before ours, and asked no longer lease
  * than one from now; that may be all that is known of it. */
 void
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -119,6 +119,7 @@
  * @life: counts its starts
  * @clock_ms: the world's time at which its own clock began; 0: they are the
  * same
+ * @list_ms: it tells the list of its present life then; 0: it has
  * @room: its last rooms before the present one, @room_next is written next
  */
 typedef struct
@@ -134,6 +135,7 @@
   int64_t down_until_ms;
   uint32_t life;
   int64_t clock_ms;
+  int64_t list_ms;
   WorldRoom room[WORLD_ROOMS_MAX];
   uint32_t room_next;
   uint64_t fence;
@@ -220,15 +222,16 @@
   uint32_t past_count;
   WorldPast *past;
   uint32_t job_count;
-  WorldJob *job;       /* that were handed in */
-  uint32_t over_room;  /* starts that brought a worker over its room */
-  bool late_order;     /* an order is carried out now that came late */
-  int64_t task_ms;     /* run time of a task */
-  int64_t crash_ms;    /* after which a task that crashes its worker does so */
-  int64_t down_ms;     /* a worker that crashed is back after so long */
-  bool same_ids;       /* workers that are back keep their ids */
-  bool silent_crashes; /* calls to it hang meanwhile, they are not refused */
-  bool peers_cut;      /* messages between daemons are lost */
+  WorldJob *job;        /* that were handed in */
+  uint32_t over_room;   /* starts that brought a worker over its room */
+  bool late_order;      /* an order is carried out now that came late */
+  int64_t task_ms;      /* run time of a task */
+  int64_t crash_ms;     /* after which a task that crashes its worker does so */
+  int64_t down_ms;      /* a worker that crashed is back after so long */
+  bool same_ids;        /* workers that are back keep their ids */
+  int64_t list_late_ms; /* a life under a former id is listed so much later */
+  bool silent_crashes;  /* calls to it hang meanwhile, they are not refused */
+  bool peers_cut;       /* messages between daemons are lost */
   bool lose_approvals;
   bool lists_backwards;    /* workers list what is newest first */
   int64_t late_ms;         /* after which WORLD_LATE calls are carried out */
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -2,6 +2,8 @@
 
 #include "support/test.h"
 
+#include "port/life.h"
+
 /* The workers of a fake cell. */
 
 #define WORKER_MS 1
@@ -118,9 +120,14 @@
 }
 
 void
-world_proof (const World *world, const char *id, char proof[MUX_TOKEN_LEN])
+world_proof (const World *world,
+             const char *candidate,
+             char proof[MUX_TOKEN_LEN])
 {
   uint32_t life = 0;
+  char id[MUX_NAME_LEN];
+
+  mux_life_id (id, candidate);
 
   for (uint32_t i = 0; i < world->worker_end; i++)
     if (world->worker[i].used && strcmp (world->worker[i].info.id, id) == 0)
@@ -294,7 +301,10 @@
 static bool
 is_meant (const WorldWorker *worker, const MuxCellCall *call)
 {
-  return strcmp (call->worker, worker->info.id) == 0;
+  char id[MUX_NAME_LEN];
+
+  mux_life_id (id, call->worker);
+  return strcmp (id, worker->info.id) == 0;
 }
 
 /* By the worker's own clock. */
@@ -430,6 +440,11 @@
 
       if (worker->down_until_ms != 0 && world->now_ms >= worker->down_until_ms)
         world_worker_restart (world, i);
+      if (worker->list_ms != 0 && world->now_ms >= worker->list_ms)
+        {
+          worker->list_ms = 0;
+          world_list_worker (world, i);
+        }
       for (uint32_t j = 0; worker->used && j < worker->run_end; j++)
         if (worker->run[j].used)
           step_run (world, worker, &worker->run[j]);
@@ -552,7 +567,7 @@
 
   worker->clock_ms = world->now_ms;
   worker->info.born_ms = (uint64_t) (WORLD_WALL_MS + world->now_ms);
-  world_list_worker (world, number);
+  worker->list_ms = world->now_ms + world->list_late_ms;
 }
 
 static void
--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -53,6 +53,8 @@
 #define ROOM_ONE_IN 25
 #define ROOM_SHARES 4
 #define ROOM_SHARE_MILLI 8000
+/* After which a worker that started again under its id is listed so. */
+#define LIST_LATE_MS 1500
 /* Of the world's queue. */
 #define ATTEMPTS 3
 
@@ -350,6 +352,7 @@
   bool slow;
   bool crashes;
   bool rooms;
+  bool same_ids;
 } Variant;
 
 /* Some daemon takes what arrives later than before, up to a few seconds, or in
@@ -421,6 +424,13 @@
 
   world->task_ms = 300;
   world->follow_rows = variant->follow_rows;
+  if (variant->same_ids)
+    world_keep_ids (world);
+  world->list_late_ms = variant->same_ids ? LIST_LATE_MS : 0;
+  /* Without a proof that is of one life nothing else keeps a late start from
+   * the next one. */
+  if (variant->same_ids && seed % 3 == 0)
+    world_approve_unasked (world);
   if (seed % 2 == 1)
     world_make_urgent (world);
   world_run (world, 1000);
@@ -537,6 +547,16 @@
   play_seeds (&rooms);
 }
 
+/* The same with workers that crash, and start again under their ids. */
+static void
+test_nor_with_workers_that_keep_their_ids (void **state)
+{
+  Variant same_ids = { .crashes = true, .same_ids = true };
+
+  (void) state;
+  play_seeds (&same_ids);
+}
+
 int
 main (void)
 {
@@ -547,6 +567,7 @@
     cmocka_unit_test (test_nor_with_a_slow_store_and_cuts),
     cmocka_unit_test (test_nor_with_workers_that_crash),
     cmocka_unit_test (test_nor_with_room_that_changes),
+    cmocka_unit_test (test_nor_with_workers_that_keep_their_ids),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
