test: late planners and last late orders meet workers that keep their ids

With the half-second guard of acks_to_tell() taken out no test failed, and none but the one story of stale_lease_over_ms() needed what guards leases of former lives. Two stories more, each of which fails without its guard and passes with it:

- a planner that is 1 s to 1.5 s late acknowledges what the former life's last answer listed, to the next one, which forgets ends that nobody took (acks_to_tell() without the half second: twice);
- an order for the former life comes as late as one can, and the worker is lost after an answer behind it (cell_lease_of_stale() taken out: the task runs twice).

stale_lease_over_ms() returning 0 fails test_lease_that_a_former_life_s_order_asked_is_waited_for, as it stands.

--- a/test/unit/test_cell_same_id.c
+++ b/test/unit/test_cell_same_id.c
@@ -178,20 +178,68 @@
     }
 }
 
+/* Between two jobs, and when the planner begins to be late. */
+#define JOB_EACH_MS 50
+#define LATE_FROM_MS 1000
+/* The last job, and the end of the planner's lateness. */
+#define LAST_JOB_MS 6000
+#define LATE_UNTIL_MS 9000
+
+/* Another daemon takes jobs in all the while; the worker starts again at
+ * @restart_ms, while its planner is late. */
+static void
+play_late_planner (int64_t late_ms, int64_t restart_ms)
+{
+  World *world = world_with_ids_kept (2, 1);
+  uint32_t planner = world_planner (world);
+
+  world_approve_unasked (world);
+  world->silent_crashes = true;
+  world->task_ms = 50;
+  for (int64_t at_ms = 0; at_ms < LATE_UNTIL_MS; at_ms += JOB_EACH_MS)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      if (at_ms == LATE_FROM_MS)
+        world->cell[planner].late_ms = late_ms;
+      if (at_ms == restart_ms)
+        world_worker_restart (world, 0);
+      snprintf (id, sizeof id, "job-%lld", (long long) at_ms);
+      if (at_ms < LAST_JOB_MS)
+        (void) world_submit (world, 1 - planner, world_job (1, 1, 1000), id);
+      world_run (world, JOB_EACH_MS);
+    }
+  world->cell[planner].late_ms = 0;
+  world_run (world, 10000);
+  assert_false (world_twice_told (world));
+  world_free (world);
+}
+
+/* Guards against ends of a next life that are forgotten untaken: a planner that
+ * is late acknowledges what the former one's last answer listed. */
+static void
+test_late_planner_acknowledges_no_end_of_a_next_life (void **state)
+{
+  (void) state;
+  for (int64_t late_ms = 1000; late_ms <= 1500; late_ms += 500)
+    for (int64_t restart_ms = 2000; restart_ms < 4500; restart_ms += 200)
+      play_late_planner (late_ms, restart_ms);
+}
+
 #define LONG_UP_MS 20000
 
-/* Guards against a lease that is taken for over: an order for the former life,
- * carried out late by the next one, asked for it by the former one's clock. */
+/* An order for the former life is carried out @late_ms late by the next one,
+ * and asks for a lease by the former one's clock.  The worker is lost @cut_ms
+ * behind the order. */
 static void
-test_lease_that_a_former_life_s_order_asked_is_waited_for (void **state)
+play_lease_of_a_former_life_s_order (int64_t late_ms, int64_t cut_ms)
 {
   World *world = world_with_ids_kept (1, 2);
 
-  (void) state;
   world_approve_unasked (world);
   world->task_ms = LONG_UP_MS;
   world->down_ms = 200;
-  world->late_ms = 3000;
+  world->late_ms = late_ms;
   world->worker[1].cut = true;
   world_run (world, LONG_UP_MS);
   world->worker[0].fault = WORLD_LATE;
@@ -200,7 +248,7 @@
   assert_int_equal (world_starts (world, "job-a"), 0);
   world->worker[0].fault = WORLD_SERVES;
   world_worker_crash (world, 0);
-  world_run (world, 3000);
+  world_run (world, cut_ms);
   assert_int_equal (world_starts (world, "job-a"), 1);
   world->worker[0].cut = true;
   world->worker[1].cut = false;
@@ -210,6 +258,26 @@
   world_free (world);
 }
 
+/* Guards against a lease that is taken for over: an order for the former life,
+ * carried out late by the next one, asked for it by the former one's clock. */
+static void
+test_lease_that_a_former_life_s_order_asked_is_waited_for (void **state)
+{
+  (void) state;
+  play_lease_of_a_former_life_s_order (3000, 3000);
+}
+
+/* Guards against the same where the worker answers once more when no such order
+ * can come any longer, and is lost then. */
+static void
+test_lease_asked_by_the_last_late_order_is_waited_for (void **state)
+{
+  (void) state;
+  for (int64_t late_ms = 13000; late_ms <= 14800; late_ms += 300)
+    for (int64_t cut_ms = late_ms + 200; cut_ms < late_ms + 3000; cut_ms += 700)
+      play_lease_of_a_former_life_s_order (late_ms, cut_ms);
+}
+
 static void
 list_life (World *world, uint32_t worker, uint64_t born_ms)
 {
@@ -262,6 +330,8 @@
     cmocka_unit_test (test_next_life_s_ends_are_not_acknowledged_untaken),
     cmocka_unit_test (
         test_lease_that_a_former_life_s_order_asked_is_waited_for),
+    cmocka_unit_test (test_late_planner_acknowledges_no_end_of_a_next_life),
+    cmocka_unit_test (test_lease_asked_by_the_last_late_order_is_waited_for),
     cmocka_unit_test (test_entry_of_another_life_changes_nothing),
   };
 
