cell: store when the orders of former planners are over

Callers saw jobs that were accepted, and whose tasks are to last, without a run for half a minute while there was room for them (LOST): workers gone for good, and planners lost every five seconds.

Ruled out: placing, and the policy service; step_waits said workers_unheard all the while.

Change: a successor marks each worker that does not answer it with the time, counted from its own beginning to plan, at which all orders of all planners before it are over. The next one takes that mark as it stands, or its own wait, whichever ends first.

test_planners_lost_in_a_row_wait_once failed before (4 starts for 8, two takeovers 5 s apart) and passes. With leases asked while the mark stands test_mark_of_a_worker_not_heard_falls_before_its_first_lease fails, with a mark that leaves out the trust test_mark_counts_the_trust_of_a_former_planner.

A mark is written after 0.7 s, once a renewal has failed, so that a takeover with all workers in reach writes none.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -359,6 +359,9 @@
 int64_t cell_worker_lease (const MuxCell *cell, CellWorker *worker);
 /** cell_worker_lease_left() - until the furthest lease is surely over */
 int64_t cell_worker_lease_left (const MuxCell *cell, const CellWorker *worker);
+/** cell_former_lease_left() - until all that a former planner may have ordered
+ * at a worker that was not heard is over */
+int64_t cell_former_lease_left (const MuxCell *cell);
 /** cell_lease_is_over() - nothing of ours can run there any more */
 bool cell_lease_is_over (MuxCell *cell, CellWorker *worker);
 /** cell_lease_of_stale() - what calls meant for a former life may have asked */
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -118,6 +118,29 @@
  * lease is surely over, so that a next planner need not assume the longest. */
 #define MARK_AFTER_MS 700
 
+/* A mark there can be read by a next planner, and says what is still true as it
+ * is written. */
+static bool
+can_mark (const MuxCell *cell, const CellWorker *worker)
+{
+  return cell->store_clock_at_ms != 0 && cell->store_failing_ms == 0
+         && worker->info.addr[0] != 0;
+}
+
+/*
+ * Guards against planners that are lost one after the other, each of which
+ * waits anew for a worker that none of them hears: the first one stores when
+ * the orders of all before it are over.  That holds for the next ones, too, as
+ * nothing is ordered there while the mark may stand.
+ */
+static bool
+wants_former_mark (const MuxCell *cell, const CellWorker *worker)
+{
+  return (worker->roster & CELL_ROSTER_NAMED) != 0 && worker->lost_ms != 0
+         && cell->time.now_ms - cell->planning_began_ms > MARK_AFTER_MS
+         && can_mark (cell, worker);
+}
+
 /* What the roster should say; where nothing is known, what it says.  A mark
  * that goes unanswered leaves the worker without leases, so that none is sent
  * to a store that fails. */
@@ -129,12 +152,13 @@
     return cell_stored_seq (cell) >= worker->store_seq ? CELL_ROSTER_NONE
                                                        : worker->roster;
   if (!worker->heard)
-    return worker->roster;
+    return wants_former_mark (cell, worker) ? CELL_ROSTER_MARKED
+                                            : worker->roster;
   if (worker->lost_ms == 0)
     return CELL_ROSTER_NAMED;
   if (worker->roster == CELL_ROSTER_NONE
       || cell->time.now_ms - worker->lost_ms <= MARK_AFTER_MS
-      || cell->store_clock_at_ms == 0 || cell->store_failing_ms != 0)
+      || !can_mark (cell, worker))
     return worker->roster;
   return CELL_ROSTER_MARKED;
 }
@@ -184,6 +208,13 @@
   cell->replan = true;
 }
 
+static int64_t
+lease_left (const MuxCell *cell, const CellWorker *worker)
+{
+  return worker->heard ? cell_worker_lease_left (cell, worker)
+                       : cell_former_lease_left (cell);
+}
+
 /* The mark is a time of the store's clock, which all daemons can read. */
 static MuxBlob *
 entry (const MuxCell *cell, const CellWorker *worker)
@@ -193,7 +224,7 @@
   if (worker->roster_asked == CELL_ROSTER_MARKED)
     over_ms = cell->store_clock_ms
               + (cell->time.now_ms - cell->store_clock_at_ms)
-              + cell_worker_lease_left (cell, worker);
+              + lease_left (cell, worker);
   return cell_json_blob (json_pack ("{s:s, s:I}", "addr", worker->info.addr,
                                     "over_ms", (json_int_t) over_ms));
 }
--- a/src/cell/worker_lease.c
+++ b/src/cell/worker_lease.c
@@ -67,14 +67,34 @@
   return left > 0 ? left : 0;
 }
 
+/*
+ * At a worker that has not answered this planner: no former planner can have
+ * ordered for longer, and the longest lease that one could ask has ended.  That
+ * one's claim may be used in each part of the jobs that is not fenced yet, so
+ * that the time begins when all are.
+ */
+static int64_t
+former_lease_over_ms (const MuxCell *cell)
+{
+  return cell->planning_began_ms + CELL_TRUST_MS
+         + (int64_t) cell->options.lease_ms * (PERCENT + CLOCK_SLOW_PERCENT + 1)
+               / PERCENT;
+}
+
+int64_t
+cell_former_lease_left (const MuxCell *cell)
+{
+  int64_t left = former_lease_over_ms (cell) - cell->time.now_ms;
+
+  return left > 0 ? left : 0;
+}
+
 /*
  * Guards against tasks that run twice: a worker that can't be reached may run
  * on until its lease ends.  It is taken as free once even a slow clock there
  * must have passed the furthest lease that was asked; for one that has not
- * answered this planner, once a former planner can't have ordered any more
- * and the longest lease that it could ask has ended.  That one's claim may be
- * used in each part of the jobs that is not fenced yet, so that the time
- * begins when all are.
+ * answered this planner, once all that a former planner may have ordered is
+ * over.
  */
 static bool
 lease_is_over (const MuxCell *cell, const CellWorker *worker)
@@ -86,11 +106,7 @@
       && now - LAPSE_MARGIN_MS > worker->over_ms)
     return true;
   if (!worker->heard)
-    return now - cell->planning_began_ms
-           > CELL_TRUST_MS
-                 + (int64_t) cell->options.lease_ms
-                       * (PERCENT + CLOCK_SLOW_PERCENT + 1) / PERCENT
-                 + LAPSE_MARGIN_MS;
+    return now - LAPSE_MARGIN_MS > former_lease_over_ms (cell);
   return clock_least (worker, now) > worker->lease_until_ms + LAPSE_MARGIN_MS
          && now > stale_lease_over_ms (worker) + LAPSE_MARGIN_MS;
 }
--- /dev/null
+++ b/test/unit/test_cell_takeovers.c
@@ -0,0 +1,278 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+/* Planners are lost one after the other while some workers are gone for good.
+ */
+
+#define CELLS 3
+#define WORKERS 8
+/* The first ones go. */
+#define GONE 4
+#define TAKEOVERS_MAX 4
+/* Most of a worker: one task on each. */
+#define ALL_CPU_MILLI 30000
+/* Longer than any of these stories. */
+#define LONG_TASK_MS 60000
+/* From a planner's loss to its successor's first pass. */
+#define TAKEOVER_MS 2000
+/* Trust in the claim of a planner that was lost, and the longest lease that it
+ * could ask, on the slowest clock. */
+#define TRUST_AND_LEASE_MS 12500
+/* A proof of the claim behind it, a question and a start. */
+#define PLACE_MS 1000
+/* A task's wait counts from the first planner that could not hear its worker;
+ * one more may be lost as it ends. */
+#define RESTART_MS (2 * TAKEOVER_MS + TRUST_AND_LEASE_MS + PLACE_MS)
+
+/* One task on each of half of the workers, which go for good with the planner.
+ */
+static World *
+world_with_workers_gone (bool same_ids)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  if (same_ids)
+    world_keep_ids (world);
+  world_run (world, 1000);
+  for (uint32_t i = GONE; i < WORKERS; i++)
+    world_worker_drains (world, i, true);
+  world_run (world, 100);
+  world->task_ms = LONG_TASK_MS;
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, GONE, ALL_CPU_MILLI), "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), GONE);
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = true;
+  for (uint32_t i = GONE; i < WORKERS; i++)
+    world_worker_drains (world, i, false);
+  return world;
+}
+
+/* Another process of that daemon is there soon. */
+static void
+lose_planner (World *world)
+{
+  uint32_t planner = world_planner (world);
+
+  if (planner == WORLD_CELLS_MAX)
+    return;
+  world_cell_kill (world, planner);
+  world_run (world, 100);
+  world_cell_start (world, planner);
+}
+
+/* The planner is lost with the workers, and @takeovers times more. */
+static int64_t
+lose_planners (World *world, uint32_t takeovers, int64_t apart_ms)
+{
+  int64_t gone_ms = world->now_ms;
+
+  lose_planner (world);
+  for (uint32_t i = 1; i <= takeovers; i++)
+    {
+      world_run (world, gone_ms + i * apart_ms - world->now_ms);
+      lose_planner (world);
+    }
+  return gone_ms;
+}
+
+static void
+play_takeovers (uint32_t takeovers, int64_t apart_ms, bool same_ids)
+{
+  World *world = world_with_workers_gone (same_ids);
+  int64_t gone_ms = lose_planners (world, takeovers, apart_ms);
+
+  world_run (world, gone_ms + RESTART_MS - world->now_ms);
+  assert_int_equal (world_starts (world, "job-a"), 2 * GONE);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/* Guards against tasks of workers that are gone for good which wait anew with
+ * each planner. */
+static void
+test_planners_lost_in_a_row_wait_once (void **state)
+{
+  (void) state;
+  for (uint32_t takeovers = 1; takeovers <= TAKEOVERS_MAX; takeovers++)
+    for (int64_t apart_ms = 3000; apart_ms <= 12000 / takeovers;
+         apart_ms += 500)
+      {
+        play_takeovers (takeovers, apart_ms, false);
+        play_takeovers (takeovers, apart_ms, true);
+      }
+}
+
+/* The worker that one planner or another does not reach. */
+#define LOST 0
+/* The task there lives on its lease; the planner's loss takes 1.2 s of it. */
+#define LIVES_ON_MS 2400
+
+static uint32_t
+wait_for_planner_other_than (World *world, uint32_t planner)
+{
+  for (uint32_t i = 0; i < 5000; i++)
+    {
+      uint32_t next = world_planner (world);
+
+      if (next != planner && next != WORLD_CELLS_MAX)
+        return next;
+      world_run (world, 1);
+    }
+  fail_msg ("nobody else plans");
+  return planner;
+}
+
+static void
+set_reach (World *world, bool reached)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].far_workers = reached ? 0 : LOST + 1;
+}
+
+/* One long task, which runs on the worker that will be out of reach. */
+static World *
+world_with_a_run_there (bool same_ids)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  if (same_ids)
+    world_keep_ids (world);
+  world_run (world, 1000);
+  world->task_ms = LONG_TASK_MS;
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, 1, ALL_CPU_MILLI), "job-a");
+  world_run (world, 300);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  assert_int_equal (world->start[0].worker, LOST);
+  return world;
+}
+
+/* No former order there is in force so long after the loss. */
+static void
+end_behind_the_last_loss (World *world)
+{
+  world_run (world, TAKEOVER_MS + TRUST_AND_LEASE_MS + PLACE_MS);
+  assert_false (world_twice (world));
+  world_free (world);
+}
+
+/* The second planner marks the worker as not heard, then hears it and renews
+ * what runs there, until long after the marked time.  The third does not reach
+ * it. */
+static void
+play_heard_after_its_mark (WorldFault fault,
+                           int64_t store_ms,
+                           int64_t far_ms,
+                           bool same_ids)
+{
+  World *world = world_with_a_run_there (same_ids);
+  uint32_t planner = world_planner (world);
+
+  set_reach (world, false);
+  world_cell_kill (world, planner);
+  planner = wait_for_planner_other_than (world, planner);
+  world->late_ms = far_ms;
+  world->store_ms = store_ms;
+  world_set_commits (world, MUX_TABLE_ROSTER, fault);
+  world_run (world, far_ms);
+  set_reach (world, true);
+  world_run (world, 500);
+  world_set_commits (world, MUX_TABLE_ROSTER, WORLD_SERVES);
+  world->store_ms = 5;
+  world_run (world, TRUST_AND_LEASE_MS + PLACE_MS);
+  set_reach (world, false);
+  world_cell_kill (world, planner);
+  end_behind_the_last_loss (world);
+}
+
+/* The same, and the store takes no other word on the worker any more. */
+static void
+play_heard_while_marked (WorldFault fault, int64_t far_ms)
+{
+  World *world = world_with_a_run_there (false);
+  uint32_t planner = world_planner (world);
+
+  set_reach (world, false);
+  world_cell_kill (world, planner);
+  planner = wait_for_planner_other_than (world, planner);
+  world_run (world, far_ms);
+  set_reach (world, true);
+  world_set_commits (world, MUX_TABLE_ROSTER, fault);
+  world_run (world, TRUST_AND_LEASE_MS + PLACE_MS);
+  set_reach (world, false);
+  world_cell_kill (world, planner);
+  world_set_commits (world, MUX_TABLE_ROSTER, WORLD_SERVES);
+  end_behind_the_last_loss (world);
+}
+
+/* Guards against a worker that is taken as free by the mark of a planner which
+ * has heard it since, and renewed its leases. */
+static void
+test_mark_of_a_worker_not_heard_falls_before_its_first_lease (void **state)
+{
+  static const WorldFault fault[]
+      = { WORLD_SERVES, WORLD_LOSES_ANSWER, WORLD_LATE, WORLD_REFUSES };
+
+  (void) state;
+  for (uint32_t i = 0; i < 4; i++)
+    for (int64_t far_ms = 700; far_ms <= LIVES_ON_MS; far_ms += 100)
+      play_heard_after_its_mark (fault[i], 5, far_ms, far_ms % 200 == 0);
+  for (int64_t far_ms = 700; far_ms <= LIVES_ON_MS; far_ms += 100)
+    {
+      play_heard_while_marked (WORLD_REFUSES, far_ms);
+      play_heard_while_marked (WORLD_SILENT, far_ms);
+    }
+  for (int64_t store_ms = 200; store_ms <= 800; store_ms += 200)
+    for (int64_t far_ms = 700; far_ms <= LIVES_ON_MS; far_ms += 200)
+      play_heard_after_its_mark (WORLD_SERVES, store_ms, far_ms, false);
+}
+
+/* The first planner is cut off with the worker and renews what runs there as
+ * long as it trusts its claim.  The second marks the worker and is lost. */
+static void
+play_former_planner_that_goes_on (int64_t phase_ms, int64_t second_ms)
+{
+  World *world = world_with_a_run_there (false);
+  uint32_t first = world_planner (world);
+  uint32_t second;
+
+  world_run (world, phase_ms);
+  set_reach (world, false);
+  world->cell[first].far_workers = 0;
+  world->cell[first].near_workers = LOST + 1;
+  world->cell[first].cut = true;
+  world->cell[first].deaf
+      = WORLD_DEAF (MUX_TABLE_CLAIM) | WORLD_DEAF (MUX_TABLE_JOBS);
+  world->cell[first].store = WORLD_SILENT;
+  second = wait_for_planner_other_than (world, first);
+  world_run (world, second_ms);
+  world_cell_kill (world, second);
+  (void) wait_for_planner_other_than (world, second);
+  end_behind_the_last_loss (world);
+}
+
+/* Guards against a mark that is over while a former planner, which does not
+ * know of its successors, still renews leases. */
+static void
+test_mark_counts_the_trust_of_a_former_planner (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 250)
+    for (int64_t second_ms = 500; second_ms < 9000; second_ms += 500)
+      play_former_planner_that_goes_on (phase_ms, second_ms);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_planners_lost_in_a_row_wait_once),
+    cmocka_unit_test (
+        test_mark_of_a_worker_not_heard_falls_before_its_first_lease),
+    cmocka_unit_test (test_mark_counts_the_trust_of_a_former_planner),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
