--- a/test/unit/test_cell_same_id.c
+++ b/test/unit/test_cell_same_id.c
@@ -1,8 +1,6 @@
 #include "support/cell_world.h"
 #include "support/test.h"
 
-#include <stdio.h>
-
 /* Workers start again under the ids that they had. */
 
 #define WORKERS 2
