cell: keep the plan in order as steps come and go

Cause: the cost of a pass grew with its backlog. Each pass ranked all waiting steps, sorted them, cleared the reservations of all, and walked past those that had had their turn or were not urgent; a backlog slowed the planner, which let the backlog grow. A step without a worker to look at counted as nothing, so that the limit of a pass did not hold for a backlog that waits for proofs.

Change: waiting steps stand in a balanced tree by rank, operators' order and latest start. A step is put in place when it begins to wait and at the two times at which its rank changes, which are known. A pass begins with the first in order, as before, and goes on where the round stands; steps not looked at yet stand in a set of their own and keep their turn in the round that they came in; urgent steps have one, too. Steps that workers are kept free for are a short list. A step costs as much of a pass as 10 workers, which is what its look takes; rounds of a long backlog take more passes for it.

That all steps have their turn passed before and passes now.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -45,6 +45,7 @@
      "jobs given up as workers crashed under a task")                          \
   X (PLAN_LOOKS, "plan_looks_total", "workers looked at for waiting tasks")    \
   X (PLAN_STEPS, "plan_steps_total", "waiting steps looked at by the planner") \
+  X (PLAN_MOVES, "plan_moves_total", "waiting steps put in planning order")    \
   X (PLAN_CUT, "plan_passes_cut_total",                                        \
      "planning passes cut for their length")                                   \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -538,9 +538,37 @@
 
 /* rank.c: the order of waiting steps */
 CellRank cell_stage_rank (const CellStage *stage, int64_t now_ms);
+/** cell_stage_ranked_until() - when that rank changes; INT64_MAX: never */
+int64_t cell_stage_ranked_until (const CellStage *stage, int64_t now_ms);
 /** cell_stage_order() - negative: @a goes first; of steps that were ranked */
 int cell_stage_order (const CellStage *a, const CellStage *b);
 
+/* tree.c: sets in order */
+void cell_tree_add (CellTree *tree, CellNode *node);
+void cell_tree_remove (CellTree *tree, CellNode *node);
+CellNode *cell_tree_first (const CellTree *tree);
+CellNode *cell_tree_next (const CellNode *node);
+
+/* plan_order.c: stages with waiting tasks, in planning order */
+void cell_order_init (CellOrder *order);
+void cell_order_add (MuxCell *cell, CellStage *stage);
+void cell_order_remove (MuxCell *cell, CellStage *stage);
+/** cell_order_rank() - of those whose rank has changed by now */
+void cell_order_rank (MuxCell *cell);
+/** cell_order_begin() - a pass, with the first in order */
+void cell_order_begin (CellOrder *order);
+/** cell_order_front() - the next in order; NULL: that was the last */
+CellStage *cell_order_front (CellOrder *order);
+/** cell_order_turn() - the next in the round, which may have been looked at
+ * before if its rank changed; NULL: all had their turn */
+CellStage *cell_order_turn (CellOrder *order);
+/** cell_order_is_done() - all had their turn in the round */
+bool cell_order_is_done (const CellOrder *order);
+void cell_order_new_round (CellOrder *order);
+/** cell_order_begin_urgent() - a pass over those of urgent queues */
+void cell_order_begin_urgent (CellOrder *order);
+CellStage *cell_order_urgent (CellOrder *order);
+
 /* failure_domain.c: what a cut between data centres separates */
 /** cell_choose_data_centre() - for the tasks of the stage that wait */
 void cell_choose_data_centre (MuxCell *cell, CellStage *stage);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -393,6 +393,52 @@
 /* Of a step whose tasks are placed in any data centre. */
 #define CELL_ANY_DATA_CENTRE 0
 
+/**
+ * struct CellNode - what a member of a CellTree holds for it
+ */
+typedef struct CellNode CellNode;
+struct CellNode
+{
+  CellNode *parent;
+  CellNode *child[2];
+  uint32_t weight;
+};
+
+/**
+ * struct CellTree - a set in order; all zero but @before: empty
+ * @before: the first comes before the second; never changes for two members
+ * @chance: state of what draws the weights
+ */
+typedef struct
+{
+  CellNode *root;
+  bool (*before) (const CellNode *, const CellNode *);
+  uint64_t chance;
+} CellTree;
+
+/**
+ * struct CellOrder - stages with waiting tasks, in planning order
+ * @planned: those that a pass has looked at
+ * @fresh: the others, in the same order
+ * @urgent: of both, those of urgent queues
+ * @ranked: of both, those whose rank will change, the next one first
+ * @front: where the present pass stands among @planned; NULL: at its end
+ * @turn: and the present round
+ * @next_urgent: and the present pass among @urgent
+ * @numbers: given to stages so far
+ */
+typedef struct
+{
+  CellTree planned;
+  CellTree fresh;
+  CellTree urgent;
+  CellTree ranked;
+  CellStage *front;
+  CellStage *turn;
+  CellStage *next_urgent;
+  uint64_t numbers;
+} CellOrder;
+
 /**
  * enum CellRank - what the end of a step that starts now would be worth
  */
@@ -410,7 +456,11 @@
  * @round: the planner's round of looks in which it was last looked at
  * @looked_ms: when that was
  * @told_ms: when the log last told that it waits; 0: never
+ * @is_fresh: no pass has looked at it since it became ready
+ * @number: decides among stages that are equal in planning order
+ * @ranked_until_ms: its rank changes then; INT64_MAX: never
  * @reserving: workers are kept free for it
+ * @counted_ms: they were counted in the pass of that time
  * @left: tasks not yet done
  * @run: GANG: number of its last run
  * @failures: GANG: runs that failed
@@ -438,7 +488,15 @@
   uint64_t round;
   int64_t looked_ms;
   int64_t told_ms;
+  bool is_fresh;
+  uint64_t number;
+  int64_t ranked_until_ms;
+  CellNode planned;
+  CellNode urgent;
+  CellNode ranked;
   bool reserving;
+  bool is_listed; /* among those that workers are kept free for */
+  int64_t counted_ms;
   uint64_t service;       /* hash of the pool that runs it */
   uint64_t data_centre;   /* hash of the one that its tasks are placed in */
   int64_t proof_until_ms; /* no proof is taken after this */
@@ -466,8 +524,8 @@
   CellHold *hold; /* GANG: room kept while its proofs are renewed */
   int64_t hold_until_ms;
   CellTask *task;
-  CellStage *prev;
-  CellStage *next;
+  CellStage *reserving_prev;
+  CellStage *reserving_next;
 };
 
 /**
@@ -834,8 +892,8 @@
   bool all_heard;          /* no worker of the roster is left to be heard */
   CellMember *members;
   CellQuestion *questions;
-  CellStage *plan; /* stages with waiting tasks, in planning order */
-  uint32_t plan_count;
+  CellOrder order;
+  CellStage *reserving;  /* stages that workers are kept free for */
   uint32_t looks;        /* workers looked at in this pass */
   uint32_t steps_looked; /* waiting steps, the same */
   uint64_t round; /* of looks at all stages; several passes may share one */
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -58,8 +58,6 @@
   cell_queue_counts_free (cell);
   cell_unread_free (cell);
   cell->late = false;
-  cell->plan = NULL;
-  cell->plan_count = 0;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
     {
       cell->part[i].dirty = NULL;
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -16,13 +16,13 @@
  * processor, new urgent jobs with it, and never shrink.  A pass that is cut
  * goes on with those behind, until all have had their turn. */
 #define PASS_LOOKS 25000
+/* A stage costs as much as so many workers, also where none is looked at. */
+#define STEP_LOOKS 10
 /* Those first in order have this part of each pass: the policy service takes
  * few questions, and would be asked for those behind while the proofs of those
  * in front run out. */
 #define FRONT_LOOKS 12500
 #define URGENT_PASS_LOOKS 6000
-/* A longer plan is put in order in the passes over all stages alone. */
-#define SORT_MAX 256
 /* Gangs that workers are kept free for at once: so many, or one for so many
  * workers.  More of them would leave much of the cell idle while none of them
  * can start. */
@@ -89,11 +89,20 @@
   stage->ready = true;
   stage->ready_ms = cell->time.now_ms;
   stage->round = 0;
-  DL_APPEND (cell->plan, stage);
-  cell->plan_count++;
+  cell_order_add (cell, stage);
   cell->replan = true;
 }
 
+static void
+stop_reserving (MuxCell *cell, CellStage *stage)
+{
+  stage->reserving = false;
+  if (!stage->is_listed)
+    return;
+  stage->is_listed = false;
+  DL_DELETE2 (cell->reserving, stage, reserving_prev, reserving_next);
+}
+
 void
 cell_plan_drop (MuxCell *cell, CellStage *stage)
 {
@@ -101,19 +110,8 @@
     return;
   stage->ready = false;
   cell_holds_release (stage);
-  DL_DELETE (cell->plan, stage);
-  cell->plan_count--;
-}
-
-static void
-rank_all (MuxCell *cell)
-{
-  CellStage *stage;
-  int64_t now = cell->time.now_ms;
-
-  DL_FOREACH (cell->plan, stage)
-  stage->rank = cell_stage_rank (stage, now);
-  DL_SORT (cell->plan, cell_stage_order);
+  stop_reserving (cell, stage);
+  cell_order_remove (cell, stage);
 }
 
 /* It was looked at in this round, and others were not yet. */
@@ -129,6 +127,7 @@
   CellWorker *worker;
   CellWorker *next;
   CellStage *stage;
+  CellStage *next_stage;
 
   HASH_ITER (hh, cell->workers, worker, next)
   {
@@ -136,9 +135,9 @@
     if (worker->reserved != NULL && !rests (cell, worker->reserved))
       worker->reserved = NULL;
   }
-  DL_FOREACH (cell->plan, stage)
+  DL_FOREACH_SAFE2 (cell->reserving, stage, next_stage, reserving_next)
   if (!rests (cell, stage))
-    stage->reserving = false;
+    stop_reserving (cell, stage);
 }
 
 static uint32_t
@@ -149,16 +148,27 @@
   return n > RESERVATIONS_LEAST ? n : RESERVATIONS_LEAST;
 }
 
+static void
+place_gang (MuxCell *cell, CellStage *stage, uint32_t *reservations)
+{
+  cell_place_gang (cell, stage, reservations);
+  if (!stage->ready || !stage->reserving || stage->is_listed)
+    return;
+  stage->is_listed = true;
+  DL_APPEND2 (cell->reserving, stage, reserving_prev, reserving_next);
+}
+
 static void
 place (MuxCell *cell, CellStage *stage, uint32_t *reservations)
 {
   stage->looked_ms = cell->time.now_ms;
   cell->steps_looked++;
+  cell->looks += STEP_LOOKS;
   /* What a former planner may have started is looked for first. */
   if (!cell_stage_is_settled (cell, stage))
     return;
   if (stage->spec->gang)
-    cell_place_gang (cell, stage, reservations);
+    place_gang (cell, stage, reservations);
   else
     cell_place_tasks (cell, stage);
 }
@@ -168,41 +178,84 @@
 {
   uint32_t reservations = reservations_max (cell);
   CellStage *stage;
-  CellStage *next;
 
-  DL_FOREACH_SAFE (cell->plan, stage, next)
+  cell_order_begin_urgent (&cell->order);
+  while (cell->looks <= URGENT_PASS_LOOKS
+         && (stage = cell_order_urgent (&cell->order)) != NULL)
+    place (cell, stage, &reservations);
+}
+
+static void
+pass_over_front (MuxCell *cell, uint32_t *reservations)
+{
+  CellStage *stage;
+
+  cell_order_begin (&cell->order);
+  while (cell->looks <= FRONT_LOOKS
+         && (stage = cell_order_front (&cell->order)) != NULL)
+    {
+      stage->round = cell->round;
+      place (cell, stage, reservations);
+    }
+}
+
+/* Those before @stage that keep their workers, as this pass passes over them.
+ */
+static void
+count_reserving (MuxCell *cell, const CellStage *stage, uint32_t *reservations)
+{
+  int64_t now_ms = cell->time.now_ms;
+  CellStage *other;
+
+  DL_FOREACH2 (cell->reserving, other, reserving_next)
   {
-    if (cell->looks > URGENT_PASS_LOOKS)
+    if (*reservations == 0)
       return;
-    if (stage->job->spec->queue.priority == 0)
-      place (cell, stage, &reservations);
+    if (!rests (cell, other) || other->looked_ms == now_ms
+        || other->counted_ms == now_ms || cell_stage_order (other, stage) > 0)
+      continue;
+    other->counted_ms = now_ms;
+    (*reservations)--;
   }
 }
 
+/* Return: false: some are left for the next pass. */
+static bool
+pass_over_rest (MuxCell *cell, uint32_t *reservations)
+{
+  CellStage *stage;
+
+  while (cell->looks <= PASS_LOOKS)
+    {
+      stage = cell_order_turn (&cell->order);
+      if (stage == NULL)
+        return true;
+      if (rests (cell, stage))
+        {
+          cell->looks += STEP_LOOKS;
+          continue;
+        }
+      stage->round = cell->round;
+      if (stage->spec->gang)
+        count_reserving (cell, stage, reservations);
+      place (cell, stage, reservations);
+    }
+  return cell_order_is_done (&cell->order);
+}
+
 static void
 pass_over_all (MuxCell *cell)
 {
   uint32_t reservations = reservations_max (cell);
-  CellStage *stage;
-  CellStage *next;
 
-  DL_FOREACH_SAFE (cell->plan, stage, next)
-  {
-    if (rests (cell, stage) && cell->looks > FRONT_LOOKS)
-      {
-        if (stage->reserving && reservations > 0)
-          reservations--;
-        continue;
-      }
-    if (cell->looks > PASS_LOOKS)
-      {
-        mux_count (cell->options.counters, MUX_COUNT_PLAN_CUT, 1);
-        return;
-      }
-    stage->round = cell->round;
-    place (cell, stage, &reservations);
-  }
+  pass_over_front (cell, &reservations);
+  if (!pass_over_rest (cell, &reservations))
+    {
+      mux_count (cell->options.counters, MUX_COUNT_PLAN_CUT, 1);
+      return;
+    }
   cell->round++;
+  cell_order_new_round (&cell->order);
 }
 
 /*
@@ -230,8 +283,7 @@
   cell->replan = false;
   cell->last_plan_ms = cell->time.now_ms;
   cell->next_plan_ms = cell->time.now_ms + IDLE_PASS_MS;
-  if (all || cell->plan_count <= SORT_MAX)
-    rank_all (cell);
+  cell_order_rank (cell);
   cell->looks = 0;
   cell->steps_looked = 0;
   if (all)
--- a/src/cell/rank.c
+++ b/src/cell/rank.c
@@ -22,6 +22,18 @@
   return now_ms < stage->worthless_ms ? CELL_RANK_LATE : CELL_RANK_WORTHLESS;
 }
 
+int64_t
+cell_stage_ranked_until (const CellStage *stage, int64_t now_ms)
+{
+  int64_t late_ms = stage->due_ms - stage->spec->estimate_ms;
+
+  if (stage->spec->long_running)
+    return INT64_MAX;
+  if (now_ms < late_ms)
+    return late_ms;
+  return now_ms < stage->worthless_ms ? stage->worthless_ms : INT64_MAX;
+}
+
 int
 cell_stage_order (const CellStage *a, const CellStage *b)
 {
--- /dev/null
+++ b/test/unit/test_cell_backlog.c
@@ -0,0 +1,187 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* What a backlog of steps that can't start costs the planner. */
+
+#define CELLS 3
+#define WORKERS 16
+#define WORKER_CPU_MILLI 32000
+#define FOREVER_MS 100000000
+#define BACKLOG 10000
+#define STEPS_PER_JOB 20
+#define BACKLOG_JOBS (BACKLOG / STEPS_PER_JOB)
+#define SUBMIT_EVERY_MS 5
+#define SETTLE_MS 3000
+/* Small jobs come meanwhile, for which there is room. */
+#define SMALL_CPU_MILLI 1000
+#define SMALL_TASK_MS 100
+#define SMALL_EVERY_MS 100
+#define SMALL_JOBS (LOOK_MS / SMALL_EVERY_MS)
+#define LOOK_S 10
+#define LOOK_MS 10000
+/* A second holds so many passes over all steps and over the urgent ones; */
+#define PASSES_PER_S (1000 / 16 + 1)
+#define URGENT_PASSES_PER_S (1000 / 4 + 1)
+/* each may look at so many workers, and a step costs as much as so many. */
+#define PASS_LOOKS 25000
+#define URGENT_PASS_LOOKS 6000
+#define STEP_LOOKS 10
+#define STEPS_MAX_PER_S                         \
+  (PASSES_PER_S * (PASS_LOOKS / STEP_LOOKS + 1) \
+   + URGENT_PASSES_PER_S * (URGENT_PASS_LOOKS / STEP_LOOKS + 1))
+/* All steps have had their turn after so many ms. */
+#define TURN_MS 2000
+/* A step that waits changes its place when it is late, and when its end has
+ * become worthless. */
+#define MOVES_PER_STEP 2
+
+typedef struct
+{
+  uint64_t steps;
+  uint64_t moves;
+} Work;
+
+static Work
+work (const World *world)
+{
+  return (Work){ .steps
+                 = mux_counter_value (world->counters, MUX_COUNT_PLAN_STEPS),
+                 .moves
+                 = mux_counter_value (world->counters, MUX_COUNT_PLAN_MOVES) };
+}
+
+/* Its steps may begin in any order, and each needs a whole worker. */
+static MuxJobSpec *
+wide_job (void)
+{
+  MuxJobSpec *job = world_job (STEPS_PER_JOB, 1, WORKER_CPU_MILLI);
+
+  for (uint32_t i = 0; i < STEPS_PER_JOB; i++)
+    job->step[i].after = 0;
+  return job;
+}
+
+/* It is to run as long as the test does. */
+static MuxJobSpec *
+full_job (void)
+{
+  MuxJobSpec *job = world_job (1, 1, WORKER_CPU_MILLI / 20 * 19);
+
+  job->step[0].estimate_ms = FOREVER_MS;
+  return job;
+}
+
+/* Every worker is full, but for a twentieth. */
+static World *
+full_world (void)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  world_run (world, 1000);
+  world->task_ms = FOREVER_MS;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "full-%u", i);
+      (void) world_submit (world, world_planner (world), full_job (), id);
+      world_run (world, 50);
+    }
+  world_run (world, 2000);
+  world->task_ms = SMALL_TASK_MS;
+  assert_int_equal (world->start_count, WORKERS);
+  return world;
+}
+
+static void
+add_backlog (World *world)
+{
+  for (uint32_t i = 0; i < BACKLOG_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "wait-%u", i);
+      (void) world_submit (world, world_planner (world), wide_job (), id);
+      world_run (world, SUBMIT_EVERY_MS);
+    }
+  world_run (world, SETTLE_MS);
+}
+
+static void
+submit_small_jobs (World *world)
+{
+  for (uint32_t i = 0; i < SMALL_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "small-%u", i);
+      (void) world_submit (world, world_planner (world),
+                           world_job (1, 1, SMALL_CPU_MILLI), id);
+      world_run (world, SMALL_EVERY_MS);
+    }
+}
+
+static Work
+work_of_backlog (World *world)
+{
+  Work before;
+  Work after;
+
+  add_backlog (world);
+  before = work (world);
+  submit_small_jobs (world);
+  after = work (world);
+  after.steps -= before.steps;
+  after.moves -= before.moves;
+  print_message ("%u steps wait; a second: %u looked at, %u moved\n", BACKLOG,
+                 (unsigned) after.steps / LOOK_S,
+                 (unsigned) after.moves / LOOK_S);
+  return after;
+}
+
+/* Guards against a planner that a backlog slows, so that the backlog grows. */
+static void
+test_pass_costs_no_more_for_a_longer_backlog (void **state)
+{
+  (void) state;
+  for (uint32_t urgent = 0; urgent < 2; urgent++)
+    {
+      World *world = full_world ();
+      Work done;
+
+      if (urgent != 0)
+        world_make_urgent (world);
+      done = work_of_backlog (world);
+      assert_true (done.steps <= (uint64_t) LOOK_S * STEPS_MAX_PER_S);
+      assert_true (done.moves <= (uint64_t) MOVES_PER_STEP * BACKLOG);
+      world_free (world);
+    }
+}
+
+/* Guards against steps that never have their turn behind a long backlog. */
+static void
+test_steps_behind_a_backlog_have_their_turn (void **state)
+{
+  World *world = full_world ();
+
+  (void) state;
+  world_approve_unasked (world);
+  (void) work_of_backlog (world);
+  world_run (world, TURN_MS);
+  assert_int_equal (world->start_count, WORKERS + SMALL_JOBS);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_pass_costs_no_more_for_a_longer_backlog),
+    cmocka_unit_test (test_steps_behind_a_backlog_have_their_turn),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
