cell: look at the jobs that time may change alone

Change: a job joins a list when one of these becomes true, and leaves it when none is, or with its end.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -46,6 +46,7 @@
   X (PLAN_LOOKS, "plan_looks_total", "workers looked at for waiting tasks")    \
   X (PLAN_STEPS, "plan_steps_total", "waiting steps looked at by the planner") \
   X (PLAN_MOVES, "plan_moves_total", "waiting steps put in planning order")    \
+  X (JOB_LOOKS, "job_looks_total", "jobs looked at for what time brings on")   \
   X (PLAN_CUT, "plan_passes_cut_total",                                        \
      "planning passes cut for their length")                                   \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -227,6 +227,8 @@
 /** cell_job_resume() - go on with a job that was read from the store */
 void cell_job_resume (MuxCell *cell, CellJob *job);
 void cell_job_dirty (MuxCell *cell, CellJob *job);
+/** cell_job_watch() - time alone may change it from now on */
+void cell_job_watch (MuxCell *cell, CellJob *job);
 void cell_jobs_tick (MuxCell *cell);
 CellTask *cell_task_find (MuxCell *cell, const MuxTaskRef *ref);
 MuxTaskRef cell_task_ref (const CellTask *task);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -552,6 +552,7 @@
  * @failed: a task failed too often
  * @ended: nothing is left to do but to store the end
  * @dirty: something is to be stored
+ * @watched: it is among those that are looked at from time to time
  * @progress_stored: a row of its progress stands
  * @progress_lost: it can't be read
  * @ends_stored: a row stands with ends that came while it could not be read
@@ -575,6 +576,7 @@
   bool ended;
   MuxJobState end;
   bool dirty;
+  bool watched;
   bool in_commit;
   bool end_stored;
   bool dirty_again; /* changed since the commit on its way was made */
@@ -588,6 +590,8 @@
   CellStage **stage;
   CellJob *dirty_prev;
   CellJob *dirty_next;
+  CellJob *watched_prev;
+  CellJob *watched_next;
   UT_hash_handle hh;
 };
 
@@ -878,6 +882,7 @@
   /* Of the planner alone. */
   bool late; /* it takes no new jobs, as it told last */
   CellJob *jobs;
+  CellJob *watched; /* jobs that time alone may change */
   CellQueueCount *queue_counts;
   CellEnded *ended;
   CellUnread *unread;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -113,9 +113,29 @@
       = cell->role == CELL_PLANNING ? CELL_ORIGIN_FEED : CELL_ORIGIN_LOAD;
   cell_service_add (cell, job->spec->queue.service);
   HASH_ADD_STR (cell->jobs, id, job);
+  if (cell_occurrences_left (job))
+    cell_job_watch (cell, job);
   return job;
 }
 
+void
+cell_job_watch (MuxCell *cell, CellJob *job)
+{
+  if (job->watched)
+    return;
+  job->watched = true;
+  DL_APPEND2 (cell->watched, job, watched_prev, watched_next);
+}
+
+static void
+unwatch (MuxCell *cell, CellJob *job)
+{
+  if (!job->watched)
+    return;
+  job->watched = false;
+  DL_DELETE2 (cell->watched, job, watched_prev, watched_next);
+}
+
 void
 cell_job_free (MuxCell *cell, CellJob *job)
 {
@@ -130,6 +150,7 @@
 {
   if (job == NULL)
     return;
+  unwatch (cell, job);
   for (uint32_t i = 0; i < job->stage_count; i++)
     cell_stage_free (cell, job->stage[i]);
   free (job->stage);
@@ -165,6 +186,7 @@
   if (job->cancelled || job->ended)
     return;
   job->cancelled = true;
+  cell_job_watch (cell, job);
   cell_log (cell, "cancelling", "{s:s, s:i}", "job", job->id, "running",
             (int) job->bookings);
   if (cell->role != CELL_PLANNING)
@@ -179,6 +201,7 @@
   if (job->failed || job->ended)
     return;
   job->failed = true;
+  cell_job_watch (cell, job);
   cell_log (cell, "job_failing", "{s:s, s:s}", "job", job->id, "why", why);
   stop_all (cell, job);
   cell_job_advance (cell, job);
@@ -351,23 +374,32 @@
          || job->failed;
 }
 
-void
-cell_jobs_tick (MuxCell *cell)
+static void
+look_at (MuxCell *cell, CellJob *job)
 {
-  CellJob *job;
-  CellJob *next;
-
-  forget_ended (cell);
-  HASH_ITER (hh, cell->jobs, job, next)
+  mux_count (cell->options.counters, MUX_COUNT_JOB_LOOKS, 1);
   if (job->end_stored && job->bookings == 0)
     remember_ended (cell, job);
-  else if (needs_look (job) && !job->ended)
+  else if (!needs_look (job) && !job->end_stored)
+    unwatch (cell, job);
+  else if (!job->ended)
     {
       job->early = job->early && cell_occurrence_is_early (cell, job);
       cell_job_advance (cell, job);
     }
 }
 
+void
+cell_jobs_tick (MuxCell *cell)
+{
+  CellJob *job;
+  CellJob *next;
+
+  forget_ended (cell);
+  DL_FOREACH_SAFE2 (cell->watched, job, next, watched_next)
+  look_at (cell, job);
+}
+
 bool
 cell_state_of (MuxCell *cell, const char *id, MuxJobState *state)
 {
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -113,6 +113,8 @@
          && add_next (cell, job))
     ;
   job->early = cell_occurrence_is_early (cell, job);
+  if (job->early)
+    cell_job_watch (cell, job);
 }
 
 /* The last that was begun is not due: a worker, or what is stored, names it. */
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -57,6 +57,8 @@
       /* A gang's other members may still be on their way out: the job stays
        * until their room is free. */
       job->end_stored = job->ended;
+      if (job->end_stored)
+        cell_job_watch (cell, job);
       for (uint32_t i = 0; i < job->stage_count; i++)
         {
           cell_approvals_stored (job->stage[i]);
--- a/test/unit/test_cell_backlog.c
+++ b/test/unit/test_cell_backlog.c
@@ -42,15 +42,16 @@
 {
   uint64_t steps;
   uint64_t moves;
+  uint64_t jobs;
 } Work;
 
 static Work
 work (const World *world)
 {
-  return (Work){ .steps
-                 = mux_counter_value (world->counters, MUX_COUNT_PLAN_STEPS),
-                 .moves
-                 = mux_counter_value (world->counters, MUX_COUNT_PLAN_MOVES) };
+  return (
+      Work){ .steps = mux_counter_value (world->counters, MUX_COUNT_PLAN_STEPS),
+             .moves = mux_counter_value (world->counters, MUX_COUNT_PLAN_MOVES),
+             .jobs = mux_counter_value (world->counters, MUX_COUNT_JOB_LOOKS) };
 }
 
 /* Its steps may begin in any order, and each needs a whole worker. */
@@ -125,20 +126,25 @@
 }
 
 static Work
-work_of_backlog (World *world)
+work_of_backlog (World *world, bool small_jobs)
 {
   Work before;
   Work after;
 
   add_backlog (world);
   before = work (world);
-  submit_small_jobs (world);
+  if (small_jobs)
+    submit_small_jobs (world);
+  else
+    world_run (world, LOOK_MS);
   after = work (world);
   after.steps -= before.steps;
   after.moves -= before.moves;
-  print_message ("%u steps wait; a second: %u looked at, %u moved\n", BACKLOG,
-                 (unsigned) after.steps / LOOK_S,
-                 (unsigned) after.moves / LOOK_S);
+  after.jobs -= before.jobs;
+  print_message ("%u steps wait; a second: %u looked at, %u moved, %u jobs\n",
+                 BACKLOG, (unsigned) after.steps / LOOK_S,
+                 (unsigned) after.moves / LOOK_S,
+                 (unsigned) after.jobs / LOOK_S);
   return after;
 }
 
@@ -154,7 +160,7 @@
 
       if (urgent != 0)
         world_make_urgent (world);
-      done = work_of_backlog (world);
+      done = work_of_backlog (world, true);
       assert_true (done.steps <= (uint64_t) LOOK_S * STEPS_MAX_PER_S);
       assert_true (done.moves <= (uint64_t) MOVES_PER_STEP * BACKLOG);
       world_free (world);
@@ -169,18 +175,31 @@
 
   (void) state;
   world_approve_unasked (world);
-  (void) work_of_backlog (world);
+  (void) work_of_backlog (world, true);
   world_run (world, TURN_MS);
   assert_int_equal (world->start_count, WORKERS + SMALL_JOBS);
   world_free (world);
 }
 
+/* Guards against looks at all jobs for the few that time alone changes. */
+static void
+test_waiting_jobs_need_no_looks (void **state)
+{
+  World *world = full_world ();
+
+  (void) state;
+  assert_int_equal (work_of_backlog (world, false).jobs, 0);
+  assert_int_equal (world->start_count, WORKERS);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_pass_costs_no_more_for_a_longer_backlog),
     cmocka_unit_test (test_steps_behind_a_backlog_have_their_turn),
+    cmocka_unit_test (test_waiting_jobs_need_no_looks),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
