test: random schedules with bursts of callers

world_burst() plays callers of a fake world at a multiple of their usual rate and tells what became of their calls. A variant of the random schedules has bursts of 2 to 10 times the usual rate for up to two seconds, among all other faults; 12 s after the last fault a quarter of the calls at the usual rate is to be served within three times the objective, each answered within a quarter of it; no accepted call is left open, none that was refused has run.

--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -1,6 +1,7 @@
 #include "support/cell_world.h"
 #include "support/random.h"
 #include "support/test.h"
+#include "support/world_callers.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -55,6 +56,21 @@
 #define ROOM_SHARE_MILLI 8000
 /* After which a worker that started again under its id is listed so. */
 #define LIST_LATE_MS 1500
+/* The same of a burst, at so many times the rate at which jobs come. */
+#define BURST_ONE_IN 70
+#define BURST_LEAST_MS 200
+#define BURST_MORE_MS 1800
+#define BURST_TIMES_MIN 2
+#define BURST_TIMES_MAX 10
+/* The users' bounds: the usual service is back so long after the last fault,
+ * when a job is served up to three times the objective of the world's queue
+ * and answered within a quarter of it. */
+#define RECOVERY_MS 12000
+#define WATCH_MS 2000
+#define OBJECTIVE_MS INT64_C (5000)
+#define SERVED_MS (3 * OBJECTIVE_MS)
+#define ANSWERED_MS (OBJECTIVE_MS / 4)
+#define SERVED_ONE_IN 4
 /* Of the world's queue. */
 #define ATTEMPTS 3
 
@@ -68,6 +84,9 @@
   bool crashes;         /* workers crash, some jobs crash theirs */
   uint32_t jobs;
   uint64_t question[JOBS_MAX];
+  WorldCallers callers; /* of bursts */
+  uint32_t times;
+  int64_t burst_until_ms;
 } Chaos;
 
 static uint32_t
@@ -353,6 +372,7 @@
   bool crashes;
   bool rooms;
   bool same_ids;
+  bool bursts;
 } Variant;
 
 /* Some daemon takes what arrives later than before, up to a few seconds, or in
@@ -412,16 +432,56 @@
     world_worker_room (world, i, ROOM_SHARES * ROOM_SHARE_MILLI);
 }
 
+/* Callers beyond the usual ones hand in jobs for a while. */
+static void
+burst (Chaos *c)
+{
+  int64_t now_ms = c->world->now_ms;
+
+  if (below (c, BURST_ONE_IN) == 0)
+    {
+      c->times
+          = BURST_TIMES_MIN + below (c, BURST_TIMES_MAX - BURST_TIMES_MIN + 1);
+      c->burst_until_ms = now_ms + BURST_LEAST_MS + below (c, BURST_MORE_MS);
+    }
+  if (now_ms < c->burst_until_ms)
+    world_callers_hand_in (&c->callers, c->times - 1, STEP_MS);
+}
+
+/* Return: the usual service is not back in time, or a job of a burst was lost,
+ * or refused and has run. */
+static bool
+burst_left_something (Chaos *c, int64_t watched_ms)
+{
+  WorldServed back
+      = world_served (&c->callers, watched_ms, ANSWERED_MS, SERVED_MS);
+  WorldServed all = world_served (&c->callers, 0, ANSWERED_MS, SERVED_MS);
+
+  print_message ("%u calls, %u refused; at last %u calls, %u answered late,"
+                 " %u served\n",
+                 all.calls, all.refused, back.calls, back.late_answers,
+                 back.in_time);
+  return back.calls == 0 || back.late_answers > 0
+         || back.in_time * SERVED_ONE_IN < back.calls || all.open > 0
+         || all.refused_and_run > 0;
+}
+
 static void
 play (uint64_t seed, const Variant *variant)
 {
   World *world
       = world_new_over (CELLS, WORKERS, variant->slow ? DATA_CENTRES : 1);
   Chaos c = { .world = world, .random = { seed }, .crashes = variant->crashes };
+  int64_t watched_ms;
   bool twice;
   bool over;
   uint32_t lost;
 
+  c.callers = (WorldCallers){ .world = world,
+                              .every_ms = STEP_MS * JOB_ONE_IN,
+                              .tasks = 2,
+                              .cpu_milli = 5000,
+                              .attempts = ATTEMPTS };
   world->task_ms = 300;
   world->follow_rows = variant->follow_rows;
   if (variant->same_ids)
@@ -444,6 +504,8 @@
         crash_worker (&c);
       if (variant->rooms)
         change_room (&c);
+      if (variant->bursts)
+        burst (&c);
       if (seed % 4 < 2)
         step_of_chaos (&c);
       else
@@ -454,6 +516,11 @@
     restore_rooms (world);
   for (uint32_t i = 0; i < CELLS; i++)
     world->cell[i].late_ms = 0;
+  if (variant->bursts)
+    world_run (world, RECOVERY_MS);
+  watched_ms = world->now_ms;
+  if (variant->bursts)
+    world_burst (&c.callers, 1, WATCH_MS);
   world_run (world, SETTLE_MS + (variant->crashes ? CRASH_SETTLE_MS : 0));
   twice = world_twice_told (world);
   over = world_over_budget (world) || world->over_room > 0;
@@ -461,6 +528,8 @@
   if (twice || over || lost > 0)
     fail_msg ("seed %" PRIu64 ": twice %d, over %d, lost %u of %u jobs", seed,
               (int) twice, (int) over, lost, c.jobs);
+  if (variant->bursts && burst_left_something (&c, watched_ms))
+    fail_msg ("seed %" PRIu64 ": a burst left something", seed);
   world_free (world);
 }
 
@@ -557,6 +626,17 @@
   play_seeds (&same_ids);
 }
 
+/* The same with bursts of callers: the usual service is back soon after, and
+ * what was refused in them does not run. */
+static void
+test_nor_with_bursts_of_callers (void **state)
+{
+  Variant bursts = { .bursts = true };
+
+  (void) state;
+  play_seeds (&bursts);
+}
+
 int
 main (void)
 {
@@ -568,6 +648,7 @@
     cmocka_unit_test (test_nor_with_workers_that_crash),
     cmocka_unit_test (test_nor_with_room_that_changes),
     cmocka_unit_test (test_nor_with_workers_that_keep_their_ids),
+    cmocka_unit_test (test_nor_with_bursts_of_callers),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
