cli: report the shares of the largest jobs in time

`accepted` and `refused` log the core-time that a job declares, work_ms, with an accelerator as eight cores and INT64_MAX as bound. `report` tells for each queue and span the shares in time of all jobs handed in, of the largest tenth and of the next fifth, in the table and in JSON; null where there are too few jobs, or lines without the field. A job refused for good was not in time.

Tables have room for 24 columns, as this one has 18; further ones were cut off without a word.

--- a/include/model/job.h
+++ b/include/model/job.h
@@ -171,6 +171,9 @@
 bool mux_job_id_valid (const char *id);
 MuxJobSpec *mux_job_new (uint32_t steps);
 void mux_job_free (MuxJobSpec *job);
+/** mux_job_core_ms() - core-time of all its tasks by their estimates, an
+ * accelerator as eight cores; INT64_MAX where it is more */
+int64_t mux_job_core_ms (const MuxJobSpec *job);
 /** mux_job_check() - what no single field shows; adds to @findings */
 bool mux_job_check (const MuxJobSpec *job, MuxFindings *findings);
 /** mux_job_to_json() - the form that is stored; NULL: memory is out */
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -55,9 +55,11 @@
 {
   bool accepted = outcome == MUX_OUTCOME_ACCEPTED;
 
-  cell_log (cell, accepted ? "accepted" : "refused", "{s:s, s:s, s:s, s:I}",
-            "job", submission->job->id, "queue", submission->job->queue.name,
-            "why", why, "commit_ms", (json_int_t) part->submit_took_ms);
+  cell_log (cell, accepted ? "accepted" : "refused",
+            "{s:s, s:s, s:s, s:I, s:I}", "job", submission->job->id, "queue",
+            submission->job->queue.name, "why", why, "commit_ms",
+            (json_int_t) part->submit_took_ms, "work_ms",
+            (json_int_t) mux_job_core_ms (submission->job));
   if (accepted)
     mux_count (cell->options.counters, MUX_COUNT_JOBS_ACCEPTED, 1);
   else
--- a/src/cli/render.c
+++ b/src/cli/render.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define COLUMNS_MAX 16
+#define COLUMNS_MAX 24
 #define PATH_LEN 96
 #define GAP "  "
 
--- a/src/cli/report.c
+++ b/src/cli/report.c
@@ -1,5 +1,6 @@
 #include "event_lines.h"
 #include "render.h"
+#include "report_sizes.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -44,6 +45,7 @@
   int64_t took_ms;
   int64_t due_ms;
   int64_t asked_ms; /* of the policy service, in all */
+  int64_t work_ms;  /* its core-time as declared; 0: not told */
   bool completed;
   bool bad_run;
   bool placed_late;
@@ -66,6 +68,7 @@
   int64_t asked_ms;
   uint32_t wait_count;
   int64_t *wait_ms;
+  MuxSizedJobs sized;
 } Row;
 
 typedef struct
@@ -114,6 +117,7 @@
 
   snprintf (job->queue, sizeof job->queue, "%s",
             mux_event_text (json, "queue"));
+  job->work_ms = mux_event_number (json, "work_ms");
   if (strcmp (event, "refused") == 0)
     {
       job->refused++;
@@ -251,10 +255,19 @@
                             : 0);
 }
 
+/* A job that was refused for good counts as well: it was not in time. */
+static bool
+count_size (Row *row, const Job *job)
+{
+  return job->work_ms == 0
+         || mux_sized_jobs_add (&row->sized, job->work_ms,
+                                job->completed && job->took_ms <= job->due_ms);
+}
+
 static bool
 count_job (Report *report, const Job *job)
 {
-  Row *row;
+  Row *row = NULL;
 
   if (job->queue[0] == 0)
     return true;
@@ -266,9 +279,10 @@
       row->refused += job->refused;
     }
   if (job->accepted_ms == 0)
-    return true;
+    return row == NULL || count_size (row, job);
   row = row_of (report, job->queue, job->accepted_ms);
-  return row != NULL && count_accepted (report, row, job);
+  return row != NULL && count_accepted (report, row, job)
+         && count_size (row, job);
 }
 
 static int
@@ -322,6 +336,7 @@
   for (uint32_t i = 0; i < LATE_COUNT; i++)
     (void) json_object_set_new (json, late_names[i],
                                 json_integer (row->late[i]));
+  mux_sized_jobs_tell (&row->sized, json);
   return json;
 }
 
@@ -343,6 +358,9 @@
                                        { "ESTIMATE", "late_estimate" },
                                        { "FAILED", "failed" },
                                        { "OPEN", "open" },
+                                       { "% ALL", "in_time_percent" },
+                                       { "LARGEST", "largest_tenth_percent" },
+                                       { "NEXT", "next_fifth_percent" },
                                        { NULL, NULL } };
   json_t *rows = json_array ();
 
@@ -390,7 +408,10 @@
     free (job);
   }
   for (uint32_t i = 0; i < report->row_count; i++)
-    free (report->row[i].wait_ms);
+    {
+      free (report->row[i].wait_ms);
+      mux_sized_jobs_clear (&report->row[i].sized);
+    }
   free (report->row);
   free (report->takeover_ms);
 }
--- a/src/model/job.c
+++ b/src/model/job.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define CPU_MILLI 1000
+#define ACCEL_CPU_MILLI 8000
+
 static const char *const state_names[MUX_JOB_STATE_COUNT] = {
   [MUX_JOB_QUEUED] = "queued",       [MUX_JOB_ACTIVE] = "active",
   [MUX_JOB_COMPLETED] = "completed", [MUX_JOB_FAILED] = "failed",
@@ -76,6 +79,30 @@
   free (job);
 }
 
+static uint64_t
+step_core_ms (const MuxStepSpec *step)
+{
+  uint64_t cpu_milli
+      = step->size.cpu_milli + (uint64_t) step->size.accels * ACCEL_CPU_MILLI;
+  uint64_t task_ms;
+  uint64_t all_ms;
+
+  if (__builtin_mul_overflow (cpu_milli, step->estimate_ms, &task_ms)
+      || __builtin_mul_overflow (task_ms / CPU_MILLI, step->count, &all_ms))
+    return INT64_MAX;
+  return all_ms < INT64_MAX ? all_ms : INT64_MAX;
+}
+
+int64_t
+mux_job_core_ms (const MuxJobSpec *job)
+{
+  uint64_t sum_ms = 0;
+
+  for (uint32_t i = 0; i < job->step_count && sum_ms < INT64_MAX; i++)
+    sum_ms += step_core_ms (&job->step[i]);
+  return sum_ms < INT64_MAX ? (int64_t) sum_ms : INT64_MAX;
+}
+
 static void
 check_step (const MuxJobSpec *job, uint32_t i, MuxFindings *findings)
 {
--- a/test/unit/test_job.c
+++ b/test/unit/test_job.c
@@ -151,6 +151,21 @@
   assert_false (mux_job_state_parse (NULL, &(MuxJobState){ 0 }));
 }
 
+static void
+test_core_time_counts_accelerators_and_has_a_bound (void **state)
+{
+  MuxJobSpec *job = full_job ();
+
+  (void) state;
+  /* Twice four tasks of half a core and an accelerator for 900 ms. */
+  assert_int_equal (mux_job_core_ms (job), 2 * 4 * 8.5 * 900);
+  job->step[1].size.cpu_milli = UINT32_MAX;
+  job->step[1].estimate_ms = UINT32_MAX;
+  job->step[1].count = UINT32_MAX;
+  assert_true (mux_job_core_ms (job) == INT64_MAX);
+  mux_job_free (job);
+}
+
 int
 main (void)
 {
@@ -160,6 +175,7 @@
     cmocka_unit_test (test_names_that_can_not_be_read_are_told),
     cmocka_unit_test (test_what_is_wrong_is_told_together),
     cmocka_unit_test (test_states_have_names),
+    cmocka_unit_test (test_core_time_counts_accelerators_and_has_a_bound),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_report.c
+++ b/test/unit/test_report.c
@@ -1,6 +1,10 @@
 #include "support/cli_session.h"
 #include "support/test.h"
 
+#include <stdio.h>
+
+#define SIZED_JOBS 20
+
 static const char log_lines[]
     = "{\"wall_ms\":1000,\"event\":\"accepted\",\"job\":\"fine\","
       "\"queue\":\"seats\",\"why\":\"planner\"}\n"
@@ -52,11 +56,53 @@
   cli_session_assert_golden (session, "report");
 }
 
+/* Of twenty jobs of a queue the two largest are late and refused for good, of
+ * the next four one is late, and one of the rest. */
+static void
+write_jobs_by_size (char *lines, size_t cap)
+{
+  size_t len = 0;
+
+  for (uint32_t i = 0; i < SIZED_JOBS; i++)
+    {
+      bool late = i == 0 || i == 2 || i == 10;
+
+      len += (size_t) snprintf (
+          lines + len, cap - len,
+          "{\"wall_ms\":1000,\"event\":\"%s\",\"job\":\"job-%u\","
+          "\"queue\":\"seats\",\"why\":\"planner\",\"work_ms\":%u}\n",
+          i == 1 ? "refused" : "accepted", i, (SIZED_JOBS - i) * 100);
+      if (i != 1)
+        len += (size_t) snprintf (
+            lines + len, cap - len,
+            "{\"wall_ms\":3000,\"event\":\"job_ended\",\"job\":\"job-%u\","
+            "\"state\":\"completed\",\"took_ms\":%u,\"due_ms\":1500}\n",
+            i, late ? 2000 : 900);
+    }
+}
+
+/* Wide jobs are served far less than the rest while the queue as a whole looks
+ * well. */
+static void
+test_shares_of_the_largest_jobs (void **state)
+{
+  static char lines[SIZED_JOBS * 400];
+  CliSession *session = *state;
+
+  write_jobs_by_size (lines, sizeof lines);
+  assert_int_equal (cli_session_run_with (session, "report", lines),
+                    MUX_EXIT_OK);
+  assert_int_equal (cli_session_run_with (session, "report --json", lines),
+                    MUX_EXIT_OK);
+  cli_session_assert_golden (session, "report_sizes");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     CLI_SESSION (test_table_by_queue_and_span),
+    CLI_SESSION (test_shares_of_the_largest_jobs),
   };
 
   return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
