cell: weigh crashes of workers by what else went down

Timeline of such a job: its worker goes down with eleven others, the task is placed 2 to 3 s later, the next outage takes that worker, and so a third time; the third loss gives the job up in the moment it is known. Hypotheses: (1) the count takes each end of a worker for the task's doing; (2) losses are counted twice by planners in turn; (3) jobs that crash their workers stand beside them. Ruled out: 2, as it happens under one planner, and 3, as the test's jobs crash nothing. 1 holds.

Change: the planner remembers which workers went out of reach and between which two moments (outage.c). What becomes of a loss (loss.c): in an outage, of a run that had lived for 0.5 s: nothing; of a younger one: a third of a crash; any five crashes still give a job up. A run that lived for 0.5 s, and twice as long as each that was lost, clears its task. The decision waits for 2 s, until the whole outage is known; only losses that no outage explains hold a task back for 20 s. Weight and life stand behind the marks in the stored rows: rows of the version before are read, and it reads these. Three crashes without an outage give a job up as before.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -412,11 +412,36 @@
                       const MuxTaskRef *task,
                       uint32_t run);
 uint32_t cell_next_run (const MuxCell *cell, uint32_t last);
-/* crash.c: runs that were lost with their workers */
+/* loss.c: what lost runs say of their task */
 /** cell_task_losses() - what became of the workers, as is known now */
 CellLosses cell_task_losses (const MuxCell *cell, const CellTask *task);
 /** cell_losses_allow() - the task may be started once more */
 bool cell_losses_allow (const MuxCell *cell, const CellTask *task);
+/** cell_losses_give_up() - it is not to be started any more */
+bool cell_losses_give_up (const MuxCell *cell, const CellTask *task);
+/** cell_life_acquits() - a run that lived so long shows that the task does not
+ * crash its workers */
+bool cell_life_acquits (const CellTask *task, int64_t lived_ms);
+
+/* outage.c: workers that went down together */
+/** cell_outage_note() - the worker is out of reach */
+void cell_outage_note (MuxCell *cell, const CellWorker *worker);
+/** cell_outage_span() - of a run that is lost with the worker */
+CellLossSpan cell_outage_span (const MuxCell *cell,
+                               const CellWorker *worker,
+                               int64_t from_ms);
+/** cell_lost_in_outage() - so many others went down while the run was there
+ * that it may be chance */
+bool cell_lost_in_outage (const MuxCell *cell,
+                          const CellTask *task,
+                          const CellLoss *loss);
+/** cell_is_calm() - no worker went out of reach lately */
+bool cell_is_calm (const MuxCell *cell);
+/** cell_run_lived_ms() - for how long at least, as its worker told */
+int64_t cell_run_lived_ms (const CellBooking *booking);
+bool cell_run_is_young (int64_t lived_ms);
+
+/* crash.c: runs that were lost with their workers */
 /** cell_loss_add() - zeroed, to be filled; NULL: memory is out */
 CellLoss *cell_loss_add (CellTask *task);
 /** cell_lose_runs() - all that the dead @worker had */
@@ -437,11 +462,21 @@
                              const CellWorker *worker);
 /** cell_loss_run_began() - the worker told that the run of that record has */
 void cell_loss_run_began (MuxCell *cell, CellTask *task);
+/** cell_loss_run_lives() - a list names the run */
+void cell_loss_run_lives (MuxCell *cell, const CellBooking *booking);
 /** cell_loss_run_ended() - the run of that record told its end */
 void cell_loss_run_ended (MuxCell *cell, CellTask *task);
 void cell_losses_tick (MuxCell *cell);
 void cell_losses_free (CellTask *task);
 
+/* crash_log.c: the same as the log tells it */
+/** cell_log_loss() - a run was lost */
+void cell_log_loss (MuxCell *cell, const CellTask *task, const CellLoss *loss);
+/** cell_log_crash() - a worker crashed with what it ran */
+void cell_log_crash (MuxCell *cell, const CellWorker *worker);
+/** cell_log_crashed_under() - each worker that the task lost */
+void cell_log_crashed_under (MuxCell *cell, const CellTask *task);
+
 /* crash_rows.c: losses as they are stored */
 json_t *cell_losses_json (const CellStage *stage);
 /** cell_losses_valid() - they can be read, of a step of @tasks; also NULL */
@@ -449,6 +484,8 @@
 void cell_losses_apply (CellStage *stage, const json_t *list);
 
 /* suspect.c: tasks under which workers crashed */
+/** cell_start_needs_record() - a next planner must know of its start */
+bool cell_start_needs_record (const MuxCell *cell, const CellTask *task);
 /** cell_suspicion() - workers that may have crashed for the task */
 uint32_t cell_suspicion (const MuxCell *cell, const CellTask *task);
 bool cell_task_may_start (const MuxCell *cell, const CellTask *task);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -76,6 +76,7 @@
  * @worker: life of the worker called
  * @task: the task meant
  * @run: its run
+ * @wait_ms: RENEW: so long of it the worker may wait
  * @overdue_ms: then it counts as unanswered; 0: its port answers by itself
  * @peer: daemon that waits for the outcome
  * @peer_addr: its address
@@ -92,6 +93,7 @@
   MuxTaskRef task;
   uint32_t run;
   MuxCellVerb verb;
+  uint32_t wait_ms;
   int64_t overdue_ms;
   char peer[MUX_NAME_LEN];
   char peer_addr[MUX_ADDR_LEN];
@@ -289,6 +291,43 @@
  * for. */
 #define CELL_LOSSES_MAX 8
 
+/* Workers that went down, as far as they are remembered. */
+#define CELL_DOWN_MAX 1024
+
+/**
+ * struct CellDown - a worker that went out of reach
+ * @addr: hash of its address
+ * @rack: hash of its rack's name; 0: none
+ * @from_ms: it went after this
+ * @to_ms: and before this
+ * @at_ms: when it was found to be
+ */
+typedef struct
+{
+  uint64_t addr;
+  uint64_t rack;
+  int64_t from_ms;
+  int64_t to_ms;
+  int64_t at_ms;
+} CellDown;
+
+/**
+ * struct CellLossSpan - when a run was at the worker with which it was lost
+ * @from_ms: since then at most
+ * @to_ms: the worker was out of reach by then; 0: another planner lost it
+ * @rack: hash of the name of its rack; 0: none
+ * @rack_workers: listed there then
+ * @workers: listed then
+ */
+typedef struct
+{
+  int64_t from_ms;
+  int64_t to_ms;
+  uint64_t rack;
+  uint32_t rack_workers;
+  uint32_t workers;
+} CellLossSpan;
+
 /**
  * struct CellLoss - a run that was lost with its worker, or may be
  * @run: its number; 0: not known
@@ -296,6 +335,9 @@
  * @recorded: by a former planner
  * @began: the worker told that it had begun
  * @ended: that life of the worker is over; else it is out of reach
+ * @in_outage: so many others went down meanwhile that it may be chance
+ * @lived_ms: the worker told of it for so long at least
+ * @span: when it was there
  * @at_wall_ms: when it was lost, by the cell's time of day
  * @worker: life of it
  * @addr: its address
@@ -307,6 +349,9 @@
   bool recorded;
   bool began;
   bool ended;
+  bool in_outage;
+  int64_t lived_ms;
+  CellLossSpan span;
   int64_t at_wall_ms;
   char worker[MUX_NAME_LEN];
   char addr[MUX_ADDR_LEN];
@@ -318,6 +363,9 @@
  * @untold: they ended, and whether the run had begun there is not known
  * @unreachable: they may run on
  * @unreachable_recorded: those of them that a former planner lost
+ * @crashed_in_outages: as @crashed, in an outage; none of these is counted
+ * above
+ * @other_in_outages: all others in an outage
  */
 typedef struct
 {
@@ -325,6 +373,9 @@
   uint32_t untold;
   uint32_t unreachable;
   uint32_t unreachable_recorded;
+  uint32_t crashed_in_outages;
+  uint32_t unreachable_in_outages;
+  uint32_t untold_in_outages;
 } CellLosses;
 
 /**
@@ -352,6 +403,7 @@
 /**
  * struct CellBooking - room held at a worker by one run of a task
  * @since_ms: when the start was sent, or the run first listed
+ * @told_ms: when the worker first told that it runs; 0: it has not
  * @percent: of its work, as last listed
  * @moved_ms: when that changed last
  * @stop_at_ms: when a stop is to be sent (again); 0: none wanted
@@ -367,6 +419,7 @@
   CellWorker *worker;
   uint32_t run;
   int64_t since_ms;
+  int64_t told_ms;
   uint32_t percent;
   uint32_t usage;
   int64_t moved_ms;
@@ -639,6 +692,7 @@
   uint32_t roster_before;
   uint32_t roster_asked;
   int64_t lost_ms;       /* out of reach since; 0: it is not */
+  int64_t went_ms;       /* and went before this */
   int64_t over_ms;       /* as a former planner marked it; 0: not marked */
   int64_t over_since_ms; /* its lease is over by what we know; 0: it is not */
   bool heard;
@@ -851,6 +905,8 @@
   int64_t next_look_ms;
   int64_t next_overdue_ms;
   int64_t next_loss_look_ms;
+  uint32_t down_next; /* counts them */
+  CellDown down[CELL_DOWN_MAX];
   int64_t next_wait_line_ms;
   int64_t slow_pass_ms;
   int64_t last_plan_ms;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -17,96 +17,12 @@
  * long not that it is taken for gone.
  */
 
-/* A task is given up when so many workers have crashed under it: two can be
- * chance while many workers start again; */
-#define CRASHES_MAX 3
-/* or two, and so many have ended that may have run it. */
-#define CRASHES_SURE 2
-#define LOSSES_MAX 5
-/* One less, and the next start waits for so long, in ms; behind them each one
- * for so much longer. */
-#define PAUSE_MS 20000
-#define LONG_PAUSE_MS 300000
-/* A worker that is not heard for so long, in ms, is gone.  Whether a start that
- * it did not answer began there is not asked any longer. */
-#define GONE_MS 30000
 /* What is meant to last, and ran for so long, in ms, did not crash it. */
 #define LASTED_MS 60000
 /* Between two looks at what time alone decides. */
 #define LOOK_MS 500
-/* Tasks named in the line of a crash. */
-#define NAMED_MAX 8
-#define NAME_LEN 80
-
-static void
-count_loss (CellLosses *losses, const CellLoss *loss, int64_t now_wall_ms)
-{
-  bool is_old = now_wall_ms - loss->at_wall_ms > GONE_MS;
-
-  if (loss->open)
-    return;
-  if (!loss->ended && !is_old)
-    {
-      losses->unreachable++;
-      losses->unreachable_recorded += loss->recorded;
-    }
-  else if (loss->began)
-    losses->crashed++;
-  else if (loss->recorded || !is_old)
-    losses->untold++;
-}
-
-CellLosses
-cell_task_losses (const MuxCell *cell, const CellTask *task)
-{
-  CellLosses losses = { 0 };
-
-  for (uint32_t i = 0; i < task->loss_count; i++)
-    count_loss (&losses, &task->loss[i], cell->time.wall_ms);
-  return losses;
-}
-
-static bool
-is_given_up (const MuxCell *cell, const CellTask *task)
-{
-  CellLosses losses = cell_task_losses (cell, task);
-
-  return losses.crashed >= CRASHES_MAX
-         || (losses.crashed >= CRASHES_SURE
-             && losses.crashed + losses.untold >= LOSSES_MAX);
-}
-
-static int64_t
-last_lost_ms (const CellTask *task)
-{
-  int64_t last = 0;
-
-  for (uint32_t i = 0; i < task->loss_count; i++)
-    if (task->loss[i].at_wall_ms > last)
-      last = task->loss[i].at_wall_ms;
-  return last;
-}
-
-bool
-cell_losses_allow (const MuxCell *cell, const CellTask *task)
-{
-  CellLosses losses = cell_task_losses (cell, task);
-  uint32_t all = losses.crashed + losses.untold + losses.unreachable;
-  int64_t since_ms = cell->time.wall_ms - last_lost_ms (task);
-
-  if (is_given_up (cell, task))
-    return false;
-  if (all >= LOSSES_MAX)
-    return since_ms > LONG_PAUSE_MS;
-  return all < LOSSES_MAX - 1 || since_ms > PAUSE_MS;
-}
-
-static void
-task_name (const CellTask *task, char name[NAME_LEN])
-{
-  snprintf (name, NAME_LEN, "%s.%u.%u.%u", task->stage->job->id,
-            task->stage->occurrence, task->stage->step, task->index);
-}
+/* A loss is looked at for so long, in ms, for others that went down with it. */
+#define OUTAGE_LOOK_MS 4000
 
 static void
 give_up (MuxCell *cell, const CellTask *task)
@@ -115,16 +31,7 @@
 
   if (job->failed || job->ended)
     return;
-  for (uint32_t i = 0; i < task->loss_count; i++)
-    {
-      const CellLoss *loss = &task->loss[i];
-
-      cell_log (cell, "worker_crashed_under",
-                "{s:s, s:i, s:i, s:i, s:s, s:s, s:I}", "job", job->id, "step",
-                (int) task->stage->step, "task", (int) task->index, "run",
-                (int) loss->run, "worker", loss->worker, "addr", loss->addr,
-                "lost_wall_ms", (json_int_t) loss->at_wall_ms);
-    }
+  cell_log_crashed_under (cell, task);
   mux_count (cell->options.counters, MUX_COUNT_JOBS_CRASHING, 1);
   cell_job_fail (cell, job, "crashes_workers");
 }
@@ -135,7 +42,7 @@
 {
   task->stage->loss_changes++;
   cell_job_dirty (cell, task->stage->job);
-  if (is_given_up (cell, task))
+  if (cell_losses_give_up (cell, task))
     give_up (cell, task);
 }
 
@@ -194,20 +101,6 @@
   return loss;
 }
 
-static void
-tell_loss (MuxCell *cell, const CellTask *task, const CellLoss *loss)
-{
-  CellLosses losses = cell_task_losses (cell, task);
-
-  cell_log (cell, "run_lost",
-            "{s:s, s:i, s:i, s:i, s:s, s:b, s:b, s:i, s:i, s:i}", "job",
-            task->stage->job->id, "step", (int) task->stage->step, "task",
-            (int) task->index, "run", (int) loss->run, "worker", loss->worker,
-            "worker_ended", (int) loss->ended, "began", (int) loss->began,
-            "crashed", (int) losses.crashed, "untold", (int) losses.untold,
-            "unreachable", (int) losses.unreachable);
-}
-
 static void
 lose (MuxCell *cell,
       CellTask *task,
@@ -215,11 +108,12 @@
       const char *addr,
       CellLoss what)
 {
-  const CellLoss *loss = add (cell, task, worker, addr, what);
+  CellLoss *loss = add (cell, task, worker, addr, what);
 
   if (loss == NULL)
     return;
-  tell_loss (cell, task, loss);
+  loss->in_outage = cell_lost_in_outage (cell, task, loss);
+  cell_log_loss (cell, task, loss);
   changed (cell, task);
 }
 
@@ -233,37 +127,86 @@
          && !job->cancelled && !job->failed;
 }
 
+/* Return: whether there were any. */
+static bool
+drop_all (CellTask *task)
+{
+  bool any = task->loss_count > 0;
+
+  while (task->loss_count > 0)
+    drop (task, 0);
+  return any;
+}
+
+/* Of a start that was not answered it is not known when the worker went. */
+static int64_t
+lost_from_ms (const CellBooking *booking)
+{
+  const CellWorker *worker = booking->worker;
+
+  return !booking->began && worker->clock_at_ms < booking->since_ms
+             ? worker->clock_at_ms
+             : booking->since_ms;
+}
+
+static CellLoss
+loss_of (const MuxCell *cell, const CellBooking *booking)
+{
+  return (CellLoss){ .run = booking->run,
+                     .began = booking->began,
+                     .ended = booking->worker->lost_life,
+                     .lived_ms = cell_run_lived_ms (booking),
+                     .span = cell_outage_span (cell, booking->worker,
+                                               lost_from_ms (booking)) };
+}
+
+static bool
+lasted (const MuxCell *cell, const CellBooking *booking)
+{
+  return booking->task->stage->spec->long_running
+         && cell->time.now_ms - booking->since_ms >= LASTED_MS;
+}
+
 static void
 lose_run (MuxCell *cell, CellBooking *booking)
 {
   CellTask *task = booking->task;
   CellWorker *worker = booking->worker;
-  CellLoss loss = { .run = booking->run,
-                    .began = booking->began,
-                    .ended = worker->lost_life };
-  bool lasted = task->stage->spec->long_running
-                && cell->time.now_ms - booking->since_ms >= LASTED_MS;
-  bool counts = loss_counts (booking);
+  CellLoss loss = loss_of (cell, booking);
+  bool bears = lasted (cell, booking);
+  bool counts = loss_counts (booking) && !bears;
 
+  snprintf (loss.addr, sizeof loss.addr, "%s", worker->info.addr);
   cell_unbook (cell, booking);
   cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LAPSED, "");
   (void) drop_open (task);
-  while (lasted && task->loss_count > 0)
-    drop (task, 0);
-  if (counts && !lasted)
+  if (bears || cell_life_acquits (task, loss.lived_ms))
+    (void) drop_all (task);
+  if (!cell_run_is_young (loss.lived_ms)
+      && cell_lost_in_outage (cell, task, &loss))
+    return;
+  if (counts)
     lose (cell, task, worker->info.id, worker->info.addr, loss);
 }
 
+void
+cell_loss_run_lives (MuxCell *cell, const CellBooking *booking)
+{
+  if (cell_life_acquits (booking->task, cell_run_lived_ms (booking))
+      && drop_all (booking->task))
+    changed (cell, booking->task);
+}
+
 void
 cell_lose_settled (MuxCell *cell, CellBooking *booking)
 {
   CellTask *task = booking->task;
   CellWorker *worker = booking->worker;
-  CellLoss loss
-      = { .run = booking->run, .began = booking->began, .ended = true };
+  CellLoss loss = loss_of (cell, booking);
   bool counts = loss_counts (booking);
   char former[MUX_NAME_LEN];
 
+  loss.ended = true;
   snprintf (former, sizeof former, "%s", booking->former);
   cell_unbook (cell, booking);
   cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LAPSED, "");
@@ -272,27 +215,6 @@
     lose (cell, task, former, worker->info.addr, loss);
 }
 
-static void
-tell_crash (MuxCell *cell, const CellWorker *worker)
-{
-  json_t *names = json_array ();
-  const CellBooking *booking;
-  uint32_t runs = 0;
-
-  DL_FOREACH (worker->bookings, booking)
-  {
-    char name[NAME_LEN];
-
-    task_name (booking->task, name);
-    if (runs++ < NAMED_MAX)
-      (void) json_array_append_new (names, json_string (name));
-  }
-  mux_count (cell->options.counters, MUX_COUNT_WORKERS_CRASHED, 1);
-  cell_log (cell, "worker_crashed", "{s:s, s:s, s:i, s:o}", "worker",
-            worker->info.id, "addr", worker->info.addr, "runs", (int) runs,
-            "tasks", names);
-}
-
 void
 cell_lose_runs (MuxCell *cell, CellWorker *worker)
 {
@@ -300,7 +222,7 @@
   CellBooking *next;
 
   if (worker->lost_life && !worker->info.draining)
-    tell_crash (cell, worker);
+    cell_log_crash (cell, worker);
   DL_FOREACH_SAFE (worker->bookings, booking, next)
   lose_run (cell, booking);
 }
@@ -348,6 +270,21 @@
 
 typedef bool (*TakeLoss) (CellTask *task, uint32_t i, const CellWorker *worker);
 
+/* Of one that a former planner recorded. */
+static void
+find_span (const MuxCell *cell,
+           const CellWorker *worker,
+           CellTask *task,
+           uint32_t i)
+{
+  CellLoss *loss = &task->loss[i];
+
+  if (i >= task->loss_count || loss->open || loss->span.to_ms != 0)
+    return;
+  loss->span = cell_outage_span (cell, worker, cell->planning_began_ms);
+  loss->in_outage = loss->in_outage || cell_lost_in_outage (cell, task, loss);
+}
+
 /* Of all losses that are known; @take says whether it changed one. */
 static void
 for_losses (MuxCell *cell, const CellWorker *worker, TakeLoss take)
@@ -363,7 +300,11 @@
         bool taken = false;
 
         for (uint32_t k = task->loss_count; k > 0; k--)
-          taken = take (task, k - 1, worker) || taken;
+          if (take (task, k - 1, worker))
+            {
+              taken = true;
+              find_span (cell, worker, task, k - 1);
+            }
         if (taken)
           changed (cell, task);
       }
@@ -436,7 +377,10 @@
 static void
 lose_former_runs (MuxCell *cell, CellStage *stage, const CellWorker *worker)
 {
-  CellLoss loss = { .ended = worker->lost_life, .recorded = true };
+  CellLoss loss
+      = { .ended = worker->lost_life,
+          .recorded = true,
+          .span = cell_outage_span (cell, worker, cell->planning_began_ms) };
 
   stage->former_lost = true;
   for (uint32_t i = 0; i < stage->spec->count; i++)
@@ -471,14 +415,42 @@
     lose_runs_of_former (cell, worker);
 }
 
+/* Whether others went down in the same moment shows a little later. */
+static bool
+take_outage (const MuxCell *cell, CellTask *task, uint32_t i)
+{
+  CellLoss *loss = &task->loss[i];
+
+  if (loss->in_outage || loss->open
+      || cell->time.now_ms - loss->span.to_ms > OUTAGE_LOOK_MS
+      || !cell_lost_in_outage (cell, task, loss))
+    return false;
+  loss->in_outage = true;
+  if (!cell_run_is_young (loss->lived_ms))
+    drop (task, i);
+  return true;
+}
+
+static void
+look_at_task (MuxCell *cell, CellTask *task)
+{
+  bool taken = false;
+
+  for (uint32_t i = task->loss_count; i > 0; i--)
+    taken = take_outage (cell, task, i - 1) || taken;
+  if (taken)
+    changed (cell, task);
+  else if (cell_losses_give_up (cell, task))
+    give_up (cell, task);
+}
+
 static void
 look_at (MuxCell *cell, const CellJob *job)
 {
   for (uint32_t i = 0; i < job->stage_count; i++)
     for (uint32_t j = 0; j < job->stage[i]->spec->count; j++)
-      if (job->stage[i]->task[j].loss_count > 0
-          && is_given_up (cell, &job->stage[i]->task[j]))
-        give_up (cell, &job->stage[i]->task[j]);
+      if (job->stage[i]->task[j].loss_count > 0)
+        look_at_task (cell, &job->stage[i]->task[j]);
 }
 
 void
--- a/src/cell/crash_rows.c
+++ b/src/cell/crash_rows.c
@@ -5,7 +5,8 @@
 
 /* Losses of a stage's tasks as they are stored, by the workers that were lost:
  * [worker, address, whether it has ended, time of day,
- *  [[task, run, marks], ...]]. */
+ *  [[task, run, marks, in an outage, lived], ...]].  Rows of older versions end
+ * at the marks, and these read no further. */
 
 enum
 {
@@ -21,6 +22,8 @@
   RUN_TASK,
   RUN_NUMBER,
   RUN_MARKS,
+  RUN_IN_OUTAGE,
+  RUN_LIVED_MS,
 };
 
 /* Marks of a run; see struct CellLoss. */
@@ -73,7 +76,9 @@
 
         (void) json_array_append_new (
             json_array_get (group_of (list, loss), LOST_RUNS),
-            json_pack ("[i, i, i]", (int) i, (int) loss->run, marks_of (loss)));
+            json_pack ("[i, i, i, i, I]", (int) i, (int) loss->run,
+                       marks_of (loss), (int) loss->in_outage,
+                       (json_int_t) loss->lived_ms));
       }
   return list;
 }
@@ -85,12 +90,21 @@
          && json_integer_value (value) <= most;
 }
 
+static bool
+is_number_if_any (const json_t *value, json_int_t most)
+{
+  return value == NULL || is_number (value, most);
+}
+
 static bool
 is_run (const json_t *run, uint32_t tasks)
 {
   return is_number (json_array_get (run, RUN_TASK), (json_int_t) tasks - 1)
          && is_number (json_array_get (run, RUN_NUMBER), UINT32_MAX)
-         && is_number (json_array_get (run, RUN_MARKS), MARKS_ALL);
+         && is_number (json_array_get (run, RUN_MARKS), MARKS_ALL)
+         && is_number_if_any (json_array_get (run, RUN_IN_OUTAGE), 1)
+         && is_number_if_any (json_array_get (run, RUN_LIVED_MS),
+                              INT64_MAX / 2);
 }
 
 static bool
@@ -138,6 +152,9 @@
   loss->run = (uint32_t) json_integer_value (json_array_get (run, RUN_NUMBER));
   loss->began = (marks & MARK_BEGAN) != 0;
   loss->open = (marks & MARK_OPEN) != 0;
+  loss->in_outage
+      = json_integer_value (json_array_get (run, RUN_IN_OUTAGE)) != 0;
+  loss->lived_ms = json_integer_value (json_array_get (run, RUN_LIVED_MS));
   loss->recorded = loss->open || (marks & MARK_RECORDED) != 0;
   if (loss->run > task->run)
     task->run = loss->run;
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -148,7 +148,7 @@
     for (uint32_t j = 0;
          place[i].proven && j < place[i].now && member < stage->spec->count;
          j++, member++)
-      if (cell_suspicion (cell, &stage->task[member]) > 0
+      if (cell_start_needs_record (cell, &stage->task[member])
           && !cell_start_is_recorded (cell, &stage->task[member],
                                       place[i].worker))
         recorded = false;
--- /dev/null
+++ b/src/cell/loss.c
@@ -0,0 +1,153 @@
+#include "cell_private.h"
+
+/* What the lost runs of a task say of it. */
+
+/* A task is given up when its crashes weigh so much, one in an outage a third
+ * of another: three do, or two and one in an outage, as two can be chance while
+ * many workers start again; */
+#define CRASH_WEIGHT 3
+#define WEIGHT_MAX 7
+/* or two, and so many have ended that may have run it; or so many crashed, and
+ * no run between them lived. */
+#define CRASHES_SURE 2
+#define LOSSES_MAX 5
+/* One less, and the next start waits for so long, in ms; behind them each one
+ * for so much longer. */
+#define PAUSE_MS 20000
+#define LONG_PAUSE_MS 300000
+/* So many in outages, and the next start waits until none goes on, but no
+ * longer than this, in ms: then the next loss tells. */
+#define OUTAGES_SURE 2
+#define OUTAGE_PAUSE_MS 4000
+/* A worker that is not heard for so long, in ms, is gone.  Whether a start that
+ * it did not answer began there is not asked any longer. */
+#define GONE_MS 30000
+/* Behind so many losses, some of them in outages, a start waits until it is
+ * known of each what became of its worker. */
+#define TOLD_MS (GONE_MS + 2000)
+#define BEGAN_SURE 3
+/* An outage is known for one after so long, in ms. */
+#define SETTLED_MS 2000
+/* A run that lived for so many times as long as any that was lost, and was not
+ * young, shows that its task bears it. */
+#define LIFE_FACTOR 2
+
+static void
+count_in_outage (CellLosses *losses, const CellLoss *loss, bool is_old)
+{
+  if (loss->began && (loss->ended || is_old))
+    losses->crashed_in_outages++;
+  else if (loss->began)
+    losses->unreachable_in_outages++;
+  else if (loss->recorded || !is_old)
+    losses->untold_in_outages++;
+}
+
+static void
+count_loss (CellLosses *losses, const CellLoss *loss, int64_t now_wall_ms)
+{
+  bool is_old = now_wall_ms - loss->at_wall_ms > GONE_MS;
+
+  if (loss->open)
+    return;
+  if (loss->in_outage)
+    count_in_outage (losses, loss, is_old);
+  else if (!loss->ended && !is_old)
+    {
+      losses->unreachable++;
+      losses->unreachable_recorded += loss->recorded;
+    }
+  else if (loss->began)
+    losses->crashed++;
+  else if (loss->recorded || !is_old)
+    losses->untold++;
+}
+
+CellLosses
+cell_task_losses (const MuxCell *cell, const CellTask *task)
+{
+  CellLosses losses = { 0 };
+
+  for (uint32_t i = 0; i < task->loss_count; i++)
+    count_loss (&losses, &task->loss[i], cell->time.wall_ms);
+  return losses;
+}
+
+static bool
+are_enough (const CellLosses *losses)
+{
+  uint32_t all = losses->crashed + losses->crashed_in_outages;
+  uint32_t untold = losses->untold + losses->untold_in_outages;
+
+  return losses->crashed * CRASH_WEIGHT + losses->crashed_in_outages
+             >= WEIGHT_MAX
+         || (losses->crashed >= CRASHES_SURE
+             && losses->crashed + losses->untold >= LOSSES_MAX)
+         || all >= LOSSES_MAX
+         || (all >= LOSSES_MAX - 1 && all + untold >= LOSSES_MAX);
+}
+
+static int64_t
+since_last_ms (const MuxCell *cell, const CellTask *task)
+{
+  int64_t last = 0;
+
+  for (uint32_t i = 0; i < task->loss_count; i++)
+    if (task->loss[i].at_wall_ms > last)
+      last = task->loss[i].at_wall_ms;
+  return cell->time.wall_ms - last;
+}
+
+/* An outage that explains the last of them would be known. */
+static bool
+are_settled (const MuxCell *cell, const CellTask *task)
+{
+  for (uint32_t i = 0; i < task->loss_count; i++)
+    if (task->loss[i].span.to_ms != 0
+        && cell->time.now_ms - task->loss[i].span.to_ms <= SETTLED_MS)
+      return false;
+  return since_last_ms (cell, task) > SETTLED_MS;
+}
+
+bool
+cell_losses_give_up (const MuxCell *cell, const CellTask *task)
+{
+  CellLosses losses = cell_task_losses (cell, task);
+
+  return are_enough (&losses) && are_settled (cell, task);
+}
+
+bool
+cell_losses_allow (const MuxCell *cell, const CellTask *task)
+{
+  CellLosses losses = cell_task_losses (cell, task);
+  uint32_t all = losses.crashed + losses.untold + losses.unreachable;
+  uint32_t began = losses.crashed + losses.unreachable
+                   + losses.crashed_in_outages + losses.unreachable_in_outages;
+  uint32_t untold = losses.untold + losses.untold_in_outages;
+  int64_t since_ms = since_last_ms (cell, task);
+
+  if (are_enough (&losses))
+    return false;
+  if (all >= LOSSES_MAX)
+    return since_ms > LONG_PAUSE_MS;
+  if (all >= LOSSES_MAX - 1)
+    return since_ms > PAUSE_MS;
+  if (began >= BEGAN_SURE && began + untold >= LOSSES_MAX)
+    return since_ms > TOLD_MS;
+  return losses.crashed_in_outages + losses.unreachable_in_outages
+                 + losses.untold_in_outages
+             < OUTAGES_SURE
+         || cell_is_calm (cell) || since_ms > OUTAGE_PAUSE_MS;
+}
+
+bool
+cell_life_acquits (const CellTask *task, int64_t lived_ms)
+{
+  if (task->loss_count == 0 || cell_run_is_young (lived_ms))
+    return false;
+  for (uint32_t i = 0; i < task->loss_count; i++)
+    if (lived_ms < LIFE_FACTOR * task->loss[i].lived_ms)
+      return false;
+  return true;
+}
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -166,7 +166,7 @@
       best = best_worker (cell, task);
       if (best.worker == NULL && best.kept_apart)
         continue;
-      if (best.worker != NULL && cell_suspicion (cell, task) > 0
+      if (best.worker != NULL && cell_start_needs_record (cell, task)
           && !cell_start_is_recorded (cell, task, best.worker))
         continue;
       if (best.worker == NULL)
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -39,6 +39,9 @@
 
   booking->listed = true;
   booking->began = true;
+  if (booking->told_ms == 0)
+    booking->told_ms = cell->time.heard_ms;
+  cell_loss_run_lives (cell, booking);
   booking->confirmed = true;
   booking->usage = report->usage;
   task->stage->job->started = true;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -266,6 +266,8 @@
     {
       worker->unserved_ms = 0;
       task->booking->began = true;
+      if (task->booking->told_ms == 0)
+        task->booking->told_ms = cell->time.heard_ms;
       cell_loss_run_began (cell, task);
       if (task->state == CELL_TASK_STARTING)
         task->state = CELL_TASK_RUNNING;
--- a/src/cell/suspect.c
+++ b/src/cell/suspect.c
@@ -35,7 +35,22 @@
   if (task->loss_count == 0)
     return 0;
   losses = cell_task_losses (cell, task);
-  return losses.crashed + losses.untold + losses.unreachable_recorded;
+  return losses.crashed + losses.untold + losses.unreachable_recorded
+         + (losses.crashed_in_outages > 0);
+}
+
+bool
+cell_start_needs_record (const MuxCell *cell, const CellTask *task)
+{
+  CellLosses losses;
+
+  if (task->loss_count == 0)
+    return false;
+  losses = cell_task_losses (cell, task);
+  return losses.crashed + losses.untold + losses.unreachable_recorded
+             + losses.crashed_in_outages + losses.unreachable_in_outages
+             + losses.untold_in_outages
+         > 0;
 }
 
 static bool
@@ -125,7 +140,8 @@
     {
       const CellLoss *loss = &task->loss[i];
 
-      if (loss->ended && loss->began && !is_among (list, *count, loss))
+      if (loss->ended && loss->began && !loss->in_outage
+          && !is_among (list, *count, loss))
         list[(*count)++] = loss;
     }
 }
@@ -160,7 +176,7 @@
 {
   return task->loss_count == 0
          || (cell_losses_allow (cell, task)
-             && (cell_suspicion (cell, task) == 0 || is_stored (task)));
+             && (!cell_start_needs_record (cell, task) || is_stored (task)));
 }
 
 bool
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -146,6 +146,11 @@
 cell_worker_replaced (MuxCell *cell, CellWorker *worker)
 {
   worker->lost_life = true;
+  if (worker->lost_ms == 0)
+    {
+      worker->went_ms = cell->time.now_ms;
+      cell_outage_note (cell, worker);
+    }
   cell_worker_dead (cell, worker, "other_life");
 }
 
@@ -333,8 +338,22 @@
          && knows_acks (worker) && cell->time.now_ms < worker->idle_until_ms;
 }
 
+/* A worker that was there would have answered once it had waited. */
+static int64_t
+went_by_ms (const MuxCell *cell, const CellPending *pending)
+{
+  int64_t due_ms = pending->sent_ms + pending->wait_ms;
+
+  return cell->time.now_ms - due_ms >= CELL_WORKER_TIMEOUT_MS
+             ? due_ms
+             : cell->time.now_ms;
+}
+
 static void
-not_renewed (MuxCell *cell, CellWorker *worker, MuxCellStatus status)
+not_renewed (MuxCell *cell,
+             CellWorker *worker,
+             const CellPending *pending,
+             MuxCellStatus status)
 {
   if (worker->reachable)
     cell_log (cell, "worker_lost", "{s:s, s:s}", "worker", worker->info.id,
@@ -342,7 +361,11 @@
   cell_call_otherwise (cell, worker);
   worker->reachable = false;
   if (worker->lost_ms == 0)
-    worker->lost_ms = cell->time.now_ms;
+    {
+      worker->lost_ms = cell->time.now_ms;
+      worker->went_ms = went_by_ms (cell, pending);
+      cell_outage_note (cell, worker);
+    }
   worker->next_renew_ms = cell->time.now_ms + PAUSE_MS;
 }
 
@@ -427,7 +450,7 @@
     worker->unanswered_ms = pending->sent_ms;
   if (status != MUX_CELL_OK)
     {
-      not_renewed (cell, worker, status);
+      not_renewed (cell, worker, pending, status);
       return;
     }
   if (worker->born_ms == 0)
@@ -476,6 +499,7 @@
   call->fence = cell->term;
   call->acked = pending.number;
   call->wait_ms = waits ? WAIT_MS : 0;
+  pending.wait_ms = call->wait_ms;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
   /* An unanswered renewal may still arrive: asking for ever longer leases
    * would keep the tasks of a lost worker out of work for good.  None is asked
--- /dev/null
+++ b/test/unit/test_cell_outage.c
@@ -0,0 +1,282 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Many workers crash by themselves, again and again: no task is the cause. */
+
+#define WORKERS 24
+#define CELLS 3
+#define RACK 4
+#define JOBS 24
+#define WAVES 5
+#define WAVE_MS 4000
+#define RACK_WAVES 8
+#define RACK_MS 2000
+#define SINGLES 20
+#define SINGLE_MS 1000
+#define SETTLE_MS 40000
+#define SHORT_MS 1000
+#define MEDIUM_MS 4000
+#define FOREVER_MS INT64_C (100000000)
+/* A task that is to last runs again within this time, with room for it. */
+#define RESTART_MS 6000
+#define TASKS 3
+#define PLANNER_DOWN_MS 2000
+
+typedef enum
+{
+  KIND_SHORT,
+  KIND_GANG,
+  KIND_LASTING,
+  KIND_COUNT
+} Kind;
+
+typedef void (*Outages) (World *world);
+
+static World *
+world_with_jobs (uint32_t cells, Kind kind, bool silent)
+{
+  static const int64_t task_ms[] = { SHORT_MS, MEDIUM_MS, FOREVER_MS };
+  World *world = world_new (cells, WORKERS);
+  char id[MUX_JOB_ID_LEN];
+
+  world->task_ms = task_ms[kind];
+  world->silent_crashes = silent;
+  for (uint32_t i = 0; i < JOBS; i++)
+    {
+      MuxJobSpec *job = world_job (kind == KIND_LASTING ? 1 : 4, TASKS, 4000);
+
+      for (uint32_t j = 0; j < job->step_count; j++)
+        {
+          job->step[j].gang = kind == KIND_GANG;
+          job->step[j].long_running = kind == KIND_LASTING;
+        }
+      snprintf (id, sizeof id, "job-%u", i);
+      (void) world_submit (world, 0, job, id);
+    }
+  world_run (world, 1000);
+  return world;
+}
+
+/* Half of the workers, each time others. */
+static void
+crash_halves (World *world)
+{
+  for (uint32_t i = 0; i < WAVES; i++)
+    {
+      for (uint32_t j = 0; j < WORKERS; j++)
+        if ((j * 7 + j / 3 + i) % 2 == 0)
+          world_worker_crash (world, j);
+      world_run (world, WAVE_MS);
+    }
+}
+
+/* Half of the workers, the same each time. */
+static void
+crash_same_half (World *world)
+{
+  for (uint32_t i = 0; i < WAVES; i++)
+    {
+      for (uint32_t j = 0; j < WORKERS; j += 2)
+        world_worker_crash (world, j);
+      world_run (world, WAVE_MS);
+    }
+}
+
+static void
+crash_halves_and_planners (World *world)
+{
+  for (uint32_t i = 0; i < WAVES; i++)
+    {
+      uint32_t planner = world_planner (world);
+
+      for (uint32_t j = i % 2; j < WORKERS; j += 2)
+        world_worker_crash (world, j);
+      if (planner < CELLS)
+        world_cell_kill (world, planner);
+      world_run (world, PLANNER_DOWN_MS);
+      if (planner < CELLS)
+        world_cell_start (world, planner);
+      world_run (world, WAVE_MS - PLANNER_DOWN_MS);
+    }
+}
+
+/* One rack after the other, each again and again. */
+static void
+crash_racks (World *world)
+{
+  for (uint32_t i = 0; i < RACK_WAVES; i++)
+    {
+      for (uint32_t j = 0; j < RACK; j++)
+        world_worker_crash (world, i % 2 * RACK + j);
+      world_run (world, RACK_MS);
+    }
+}
+
+/* The workers of one rack, one at a time. */
+static void
+crash_singly_in_a_rack (World *world)
+{
+  for (uint32_t i = 0; i < SINGLES; i++)
+    {
+      world_worker_crash (world, i * 3 % RACK);
+      world_run (world, SINGLE_MS);
+    }
+}
+
+static uint32_t
+running (const World *world, const char *id)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    n += world->start[i].ended_ms == 0
+         && strcmp (world->start[i].task.job, id) == 0;
+  return n;
+}
+
+static uint32_t
+failed_jobs (World *world, uint32_t jobs)
+{
+  char id[MUX_JOB_ID_LEN];
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < jobs; i++)
+    {
+      snprintf (id, sizeof id, "job-%u", i);
+      n += world_state (world, world_planner (world), id) == MUX_JOB_FAILED;
+    }
+  return n;
+}
+
+/* All lasting tasks run again soon after the last outage, all others end. */
+static void
+check_none_is_held_back (World *world, Kind kind)
+{
+  char id[MUX_JOB_ID_LEN];
+
+  world_run (world, kind == KIND_LASTING ? RESTART_MS : SETTLE_MS);
+  assert_int_equal (failed_jobs (world, JOBS), 0);
+  for (uint32_t i = 0; i < JOBS; i++)
+    {
+      snprintf (id, sizeof id, "job-%u", i);
+      if (kind == KIND_LASTING)
+        assert_int_equal (running (world, id), TASKS);
+      else
+        assert_int_equal (world_state (world, world_planner (world), id),
+                          MUX_JOB_COMPLETED);
+    }
+}
+
+static void
+play (uint32_t cells, Outages outages)
+{
+  for (uint32_t kind = 0; kind < KIND_COUNT; kind++)
+    for (uint32_t silent = 0; silent < 2; silent++)
+      {
+        World *world = world_with_jobs (cells, (Kind) kind, silent == 1);
+
+        print_message ("jobs of kind %u, silent %u\n", kind, silent);
+        outages (world);
+        check_none_is_held_back (world, (Kind) kind);
+        world_free (world);
+      }
+}
+
+/* Guards against jobs that are given up, or held back, as half of the workers
+ * goes down every few seconds. */
+static void
+test_jobs_survive_crashes_of_half_the_workers (void **state)
+{
+  (void) state;
+  play (1, crash_halves);
+}
+
+/* The same, where it is the same half. */
+static void
+test_jobs_survive_crashes_of_the_same_half (void **state)
+{
+  (void) state;
+  play (1, crash_same_half);
+}
+
+/* The same, and the planner goes with them. */
+static void
+test_jobs_survive_crashes_with_their_planners (void **state)
+{
+  (void) state;
+  play (CELLS, crash_halves_and_planners);
+}
+
+/* Guards against jobs that are given up as racks lose power in turn. */
+static void
+test_jobs_survive_crashes_of_racks (void **state)
+{
+  (void) state;
+  play (1, crash_racks);
+}
+
+/* Guards against jobs that are given up for the machines of a bad rack. */
+static void
+test_jobs_survive_single_crashes_in_a_rack (void **state)
+{
+  (void) state;
+  play (1, crash_singly_in_a_rack);
+}
+
+/* Guards against a task that is taken for a victim of outages, and goes on
+ * crashing its workers among them. */
+static void
+test_crashing_task_among_outages_is_given_up (void **state)
+{
+  static const Outages outages[]
+      = { crash_halves, crash_same_half, crash_racks, crash_singly_in_a_rack };
+
+  (void) state;
+  for (uint32_t i = 0; i < 2 * sizeof outages / sizeof outages[0]; i++)
+    {
+      World *world = world_with_jobs (1, KIND_SHORT, i % 2 == 1);
+
+      (void) world_submit (world, 0, world_crashing_job (1, 2000, 0), "crash");
+      outages[i / 2](world);
+      world_run (world, SETTLE_MS);
+      assert_false (world_over_budget (world));
+      assert_int_equal (world_state (world, 0, "crash"), MUX_JOB_FAILED);
+      assert_int_equal (failed_jobs (world, JOBS), 0);
+      world_free (world);
+    }
+}
+
+/* Guards against a step of which all tasks crash their workers that is taken
+ * for an outage. */
+static void
+test_wide_crashing_step_is_no_outage (void **state)
+{
+  World *world = world_new (1, WORKERS);
+
+  (void) state;
+  (void) world_submit (world, 0, world_crashing_job (WORKERS, 20000, WORKERS),
+                       "crash");
+  world_run (world, SETTLE_MS);
+  assert_false (world_over_budget (world));
+  assert_int_equal (world_state (world, 0, "crash"), MUX_JOB_FAILED);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_jobs_survive_crashes_of_half_the_workers),
+    cmocka_unit_test (test_jobs_survive_crashes_of_the_same_half),
+    cmocka_unit_test (test_jobs_survive_crashes_with_their_planners),
+    cmocka_unit_test (test_jobs_survive_crashes_of_racks),
+    cmocka_unit_test (test_jobs_survive_single_crashes_in_a_rack),
+    cmocka_unit_test (test_crashing_task_among_outages_is_given_up),
+    cmocka_unit_test (test_wide_crashing_step_is_no_outage),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
