cell: look for lost runs among the jobs that have some

Cause, in part: a planner goes through all its jobs for lost runs each time that a worker is heard first, or taken for gone, and twice a second besides. At a takeover that is workers times jobs; next to none of these has a lost run.

Change: the jobs with lost runs are a list. A job joins it with its first one and leaves it when none is left.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -444,6 +444,12 @@
 void cell_losses_tick (MuxCell *cell);
 void cell_losses_free (CellTask *task);
 
+/* crash_list.c */
+/** cell_losses_note() - of a job, after cell_loss_add() */
+void cell_losses_note (MuxCell *cell, CellJob *job);
+/** cell_losses_forget() - it has none left, or goes */
+void cell_losses_forget (MuxCell *cell, CellJob *job);
+
 /* crash_rows.c: losses as they are stored */
 json_t *cell_losses_json (const CellStage *stage);
 /** cell_losses_valid() - they can be read, of a step of @tasks; also NULL */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -553,6 +553,7 @@
  * @ended: nothing is left to do but to store the end
  * @dirty: something is to be stored
  * @watched: it is among those that are looked at from time to time
+ * @losing: it is among those with lost runs
  * @progress_stored: a row of its progress stands
  * @progress_lost: it can't be read
  * @ends_stored: a row stands with ends that came while it could not be read
@@ -577,6 +578,7 @@
   MuxJobState end;
   bool dirty;
   bool watched;
+  bool losing;
   bool in_commit;
   bool end_stored;
   bool dirty_again; /* changed since the commit on its way was made */
@@ -592,6 +594,8 @@
   CellJob *dirty_next;
   CellJob *watched_prev;
   CellJob *watched_next;
+  CellJob *losing_prev;
+  CellJob *losing_next;
   UT_hash_handle hh;
 };
 
@@ -883,6 +887,8 @@
   bool late; /* it takes no new jobs, as it told last */
   CellJob *jobs;
   CellJob *watched; /* jobs that time alone may change */
+  CellJob *losing;  /* jobs with lost runs */
+  uint32_t losing_count;
   CellQueueCount *queue_counts;
   CellEnded *ended;
   CellUnread *unread;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -187,6 +187,7 @@
 
   if (loss == NULL)
     return NULL;
+  cell_losses_note (cell, task->stage->job);
   *loss = what;
   loss->at_wall_ms = cell->time.wall_ms;
   snprintf (loss->worker, sizeof loss->worker, "%s", worker);
@@ -355,7 +356,8 @@
   CellJob *job;
   CellJob *next;
 
-  HASH_ITER (hh, cell->jobs, job, next)
+  mux_count (cell->options.counters, MUX_COUNT_JOB_LOOKS, cell->losing_count);
+  DL_FOREACH_SAFE2 (cell->losing, job, next, losing_next)
   for (uint32_t i = 0; i < job->stage_count && job->loss_count > 0; i++)
     for (uint32_t j = 0; j < job->stage[i]->spec->count; j++)
       {
@@ -490,8 +492,11 @@
   if (cell->time.now_ms < cell->next_loss_look_ms)
     return;
   cell->next_loss_look_ms = cell->time.now_ms + LOOK_MS;
-  HASH_ITER (hh, cell->jobs, job, next)
-  if (job->loss_count > 0 && !job->failed && !job->ended)
+  mux_count (cell->options.counters, MUX_COUNT_JOB_LOOKS, cell->losing_count);
+  DL_FOREACH_SAFE2 (cell->losing, job, next, losing_next)
+  if (job->loss_count == 0)
+    cell_losses_forget (cell, job);
+  else if (!job->failed && !job->ended)
     look_at (cell, job);
 }
 
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -151,6 +151,7 @@
   if (job == NULL)
     return;
   unwatch (cell, job);
+  cell_losses_forget (cell, job);
   for (uint32_t i = 0; i < job->stage_count; i++)
     cell_stage_free (cell, job->stage[i]);
   free (job->stage);
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -332,6 +332,7 @@
       (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
   apply_done (job, done_before (job, json));
   json_array_foreach (stages, i, stage) apply_stage (job, stage);
+  cell_losses_note (cell, job);
   return NULL;
 }
 
--- a/test/unit/test_cell_backlog.c
+++ b/test/unit/test_cell_backlog.c
@@ -32,6 +32,7 @@
 #define STEPS_MAX_PER_S                         \
   (PASSES_PER_S * (PASS_LOOKS / STEP_LOOKS + 1) \
    + URGENT_PASSES_PER_S * (URGENT_PASS_LOOKS / STEP_LOOKS + 1))
+#define TAKEOVER_MS 20000
 /* All steps have had their turn after so many ms. */
 #define TURN_MS 2000
 /* A step that waits changes its place when it is late, and when its end has
@@ -193,6 +194,31 @@
   world_free (world);
 }
 
+/*
+ * Guards against a takeover that lasts the longer, the more jobs wait: for each
+ * worker that is heard or gone all of them were looked at for lost runs.
+ */
+static void
+test_takeover_looks_at_no_waiting_job_for_each_worker (void **state)
+{
+  World *world = full_world ();
+  uint32_t planner;
+  uint64_t before;
+  uint64_t looks;
+
+  (void) state;
+  add_backlog (world);
+  planner = world_planner (world);
+  before = work (world).jobs;
+  world_cell_kill (world, planner);
+  world_run (world, TAKEOVER_MS);
+  assert_true (world_planner (world) < CELLS);
+  looks = work (world).jobs - before;
+  print_message ("%u jobs looked at in a takeover\n", (unsigned) looks);
+  assert_true (looks <= BACKLOG_JOBS + WORKERS);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -200,6 +226,7 @@
     cmocka_unit_test (test_pass_costs_no_more_for_a_longer_backlog),
     cmocka_unit_test (test_steps_behind_a_backlog_have_their_turn),
     cmocka_unit_test (test_waiting_jobs_need_no_looks),
+    cmocka_unit_test (test_takeover_looks_at_no_waiting_job_for_each_worker),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
