cell: refuse at once what would begin too late

Ruled out: a last moment in a relayed ask, after which a daemon could say "refused" of it: the planner's commit may take effect seconds after that moment, and its steady clock stands still while it is suspended.

Cause: nothing asked, at acceptance, whether the job can start. And a daemon whose planner did not answer stored jobs by itself, into a planner that was behind.

Change: the planner counts four times a second, by queue, what waits and can still be in time, and how fast it is placed while something waits. A job is taken while work over rate is under half of its slack. What tells a backlog from a gust is how much of its slack the backlog has waited, not its size; what the whole pool can't place in time is refused at any age; where workers are idle, or busy for queues that are served later, the wait is not for room and jobs are taken up to about when their ends are worth nothing. Jobs taken between two counts are counted as they come. The word travels in the planner's answer to greetings, so that every daemon refuses without asking; the time to come back is how long the backlog needs, spread by the job's id. A planner that has told of a backlog and answers neither asks nor greetings is overloaded, not away: it is asked no more and nothing is stored for it, until it has been silent for 2.5 s or another claims.

A successor goes by what the former planner told until it knows the pool, then by half of the pool until it has measured its own rate.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -65,7 +65,9 @@
   X (WORKER, "worker_order_ms", "starts and stops until they are answered") \
   X (APPROVAL, "approval_ms", "questions to the policy service")            \
   X (TAKEOVER, "takeover_ms", "from a claim to the first plan")             \
-  X (PLANNER_LATE, "planner_late_ms", "what arrives until the planner takes it")
+  X (PLANNER_LATE, "planner_late_ms",                                       \
+     "what arrives until the planner takes it")                             \
+  X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start")
 
 /**
  * enum MuxHistogram - names one histogram
--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -70,7 +70,8 @@
  *   grant is meant (GRANT_END)
  * @size: what was booked                               (GRANT)
  * @reason: why refused                                 (GRANT_REFUSED)
- * @retry_ms: when to ask again                         (GRANT_REFUSED)
+ * @retry_ms: when to ask again                         (GRANT_REFUSED,
+ *   SUBMIT_TOLD)
  * @state: how the task ended, a MuxTaskState           (GRANT_END, TASK_ENDED)
  * @ran_ms: how long it ran                             (GRANT_END, TASK_ENDED)
  * @call: question that is asked or answered            (*_ASK, *_TOLD)
@@ -83,8 +84,8 @@
  * @late_ms: how long what arrives waits at the sender  (WELCOME)
  * @job_state: a MuxJobState                            (JOB_TOLD)
  * @outcome: a MuxOutcome                               (SUBMIT_TOLD)
- * @body: JSON of CONFIG_ROWS, of *_ASK and APPROVAL_TOLD, addresses of MEMBERS
- * with blanks between them, or NULL; holds a reference
+ * @body: JSON of CONFIG_ROWS, WELCOME, *_ASK and APPROVAL_TOLD, addresses of
+ * MEMBERS with blanks between them, or NULL; holds a reference
  */
 typedef struct
 {
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -87,6 +87,7 @@
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
   { MUX_FIELD_I64, "wall_ms", offsetof (MuxPeerMsg, wall_ms) },
   { MUX_FIELD_U32, "late_ms", offsetof (MuxPeerMsg, late_ms) },
+  { MUX_FIELD_BODY, "body", offsetof (MuxPeerMsg, body) },
 };
 
 static const MuxPeerField ask_fields[] = {
@@ -111,6 +112,7 @@
 static const MuxPeerField submit_told_fields[] = {
   { MUX_FIELD_U64, "call", offsetof (MuxPeerMsg, call) },
   { MUX_FIELD_U32, "outcome", offsetof (MuxPeerMsg, outcome) },
+  { MUX_FIELD_U32, "retry_ms", offsetof (MuxPeerMsg, retry_ms) },
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
 };
 
--- /dev/null
+++ b/src/cell/admission.c
@@ -0,0 +1,299 @@
+#include "cell/admission.h"
+
+#include <stddef.h>
+
+#define MS_PER_S 1000
+/* Thousandths of a processor in one. */
+#define MILLI 1000
+/* Of the mean of the rate, counted while something waits. */
+#define RATE_MEMORY_MS 4000
+/* A rate that was measured for less is not known. */
+#define RATE_KNOWN_MS 2000
+/* As long as the rate is not known, the queue may have this part of its pool:
+ * one of so many. */
+#define UNKNOWN_PARTS 2
+/* Fewer steps than this are no backlog, */
+#define BACKLOG_STEPS 4
+/* nor what has waited for less than these thousandths of its slack in the mean:
+ * a gust that the pool has room for passes within it. */
+#define GUST_AGE 125
+/* From here on the backlog stands. */
+#define STANDING_AGE 250
+/* A pool is full with less than one of so many parts of it free. */
+#define FULL_PARTS 8
+/* In one that is not, something else is in the way of those that wait.  They
+ * take no room from others, and are taken until they would wait for so many
+ * times as long: about up to when their ends are worth nothing. */
+#define ROOM_FACTOR 8
+/* Thousandths of its slack that a new job may wait: the rest is for its way to
+ * the planner and for what comes first meanwhile. */
+#define WAIT_OF_SLACK 500
+#define RETRY_MIN_MS 500
+#define RETRY_MAX_MS 8000
+
+int64_t
+mux_admission_work (uint32_t tasks, uint32_t cpu_milli, uint32_t estimate_ms)
+{
+  int64_t work = (int64_t) cpu_milli * estimate_ms / MILLI * tasks;
+
+  return work > 0 ? work : 1;
+}
+
+void
+mux_admission_reset (MuxAdmission *admission, int64_t now_ms)
+{
+  admission->counted_ms = now_ms;
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      MuxAdmissionQueue *queue = &admission->queue[i];
+
+      queue->waiting = 0;
+      queue->placed = 0;
+      queue->rate = 0;
+      queue->busy_ms = 0;
+    }
+}
+
+static const MuxAdmissionQueue *
+find (const MuxAdmission *admission, uint64_t queue)
+{
+  for (uint32_t i = 0; i < admission->count; i++)
+    if (admission->queue[i].queue == queue)
+      return &admission->queue[i];
+  return NULL;
+}
+
+MuxAdmissionQueue *
+mux_admission_find (MuxAdmission *admission, uint64_t queue)
+{
+  MuxAdmissionQueue *made;
+
+  for (uint32_t i = 0; i < admission->count; i++)
+    if (admission->queue[i].queue == queue)
+      return &admission->queue[i];
+  if (admission->count == MUX_ADMISSION_QUEUES_MAX)
+    return NULL;
+  made = &admission->queue[admission->count++];
+  *made = (MuxAdmissionQueue){ .queue = queue };
+  return made;
+}
+
+void
+mux_admission_placed (MuxAdmission *admission, uint64_t queue, int64_t work)
+{
+  MuxAdmissionQueue *entry = mux_admission_find (admission, queue);
+
+  if (entry != NULL)
+    entry->placed += work;
+}
+
+void
+mux_admission_count_begin (MuxAdmission *admission)
+{
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      admission->queue[i].waiting = 0;
+      admission->queue[i].work = 0;
+      admission->queue[i].late_work = 0;
+      admission->queue[i].held_milli = 0;
+      admission->queue[i].aged = 0;
+    }
+}
+
+void
+mux_admission_waits (MuxAdmission *admission,
+                     uint64_t queue,
+                     const MuxAdmissionStep *step)
+{
+  MuxAdmissionQueue *entry = mux_admission_find (admission, queue);
+  int64_t age = MILLI;
+
+  if (entry == NULL)
+    return;
+  if (step->waited_ms < step->slack_ms)
+    age = step->waited_ms * MILLI / step->slack_ms;
+  entry->priority = step->priority;
+  entry->service = step->service;
+  if (step->late)
+    {
+      entry->late_work += step->work;
+      return;
+    }
+  entry->waiting++;
+  entry->work += step->work;
+  entry->aged += step->work * age;
+}
+
+void
+mux_admission_holds (MuxAdmission *admission, uint64_t queue, int64_t milli)
+{
+  MuxAdmissionQueue *entry = mux_admission_find (admission, queue);
+
+  if (entry != NULL)
+    entry->held_milli += milli;
+}
+
+/* Time in which nothing waited says nothing of how fast the queue could be
+ * served, and does not count. */
+static void
+measure (MuxAdmissionQueue *queue, int64_t passed_ms)
+{
+  int64_t rate = queue->placed * MS_PER_S / passed_ms;
+  int64_t memory_ms;
+
+  if (queue->waiting == 0 && queue->placed == 0)
+    return;
+  queue->placed = 0;
+  queue->busy_ms += passed_ms;
+  memory_ms = queue->busy_ms < RATE_MEMORY_MS ? queue->busy_ms : RATE_MEMORY_MS;
+  if (memory_ms < passed_ms)
+    memory_ms = passed_ms;
+  queue->rate += (rate - queue->rate) * passed_ms / memory_ms;
+}
+
+void
+mux_admission_count_end (MuxAdmission *admission, int64_t now_ms)
+{
+  int64_t passed_ms = now_ms - admission->counted_ms;
+
+  if (passed_ms <= 0)
+    return;
+  admission->counted_ms = now_ms;
+  for (uint32_t i = 0; i < admission->count; i++)
+    measure (&admission->queue[i], passed_ms);
+}
+
+static int64_t
+time_of (int64_t work, int64_t rate)
+{
+  int64_t ms;
+
+  if (rate <= 0)
+    return work > 0 ? MUX_ADMISSION_WAIT_MAX_MS : 0;
+  ms = work * MS_PER_S / rate;
+  return ms < MUX_ADMISSION_WAIT_MAX_MS ? ms : MUX_ADMISSION_WAIT_MAX_MS;
+}
+
+/* Until it is measured, of a part of the pool alone; a planner that does not
+ * know the pool yet goes by what the one before it told. */
+static int64_t
+unmeasured_wait_ms (const MuxAdmissionQueue *queue)
+{
+  if (queue->pool_milli == 0)
+    return queue->wait_ms;
+  return time_of (queue->work, queue->pool_milli / UNKNOWN_PARTS);
+}
+
+/* What those that are served later run on is room that this queue gets first.
+ */
+static bool
+has_room (const MuxAdmissionQueue *queue)
+{
+  return (queue->free_milli + queue->later_milli) * FULL_PARTS
+         >= queue->pool_milli;
+}
+
+static int64_t
+measured_wait_ms (const MuxAdmissionQueue *queue)
+{
+  int64_t age = queue->aged / queue->work;
+  /* Core-milliseconds a second are thousandths of a processor. */
+  int64_t spare = queue->free_milli + queue->later_rate;
+
+  if (age >= STANDING_AGE && has_room (queue))
+    return time_of (queue->work + queue->late_work, queue->rate) / ROOM_FACTOR;
+  if (age >= STANDING_AGE)
+    return time_of (queue->work, queue->rate);
+  /* The whole pool can't be faster. */
+  if (age < GUST_AGE || has_room (queue)
+      || queue->rate + spare > queue->pool_milli)
+    return queue->pool_milli > 0 ? time_of (queue->work, queue->pool_milli) : 0;
+  return time_of (queue->work, queue->rate + spare);
+}
+
+static void
+judge (MuxAdmissionQueue *queue)
+{
+  if (queue->waiting < BACKLOG_STEPS)
+    queue->wait_ms = 0;
+  else if (queue->busy_ms < RATE_KNOWN_MS)
+    queue->wait_ms = unmeasured_wait_ms (queue);
+  else
+    queue->wait_ms = measured_wait_ms (queue);
+}
+
+static void
+add_later (const MuxAdmission *admission, MuxAdmissionQueue *queue)
+{
+  queue->later_rate = 0;
+  queue->later_milli = 0;
+  for (uint32_t i = 0; i < admission->count; i++)
+    if (admission->queue[i].service == queue->service
+        && admission->queue[i].priority > queue->priority)
+      {
+        queue->later_rate += admission->queue[i].rate;
+        queue->later_milli += admission->queue[i].held_milli;
+      }
+}
+
+void
+mux_admission_judge (MuxAdmission *admission,
+                     uint64_t service,
+                     int64_t pool_milli,
+                     int64_t free_milli)
+{
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      MuxAdmissionQueue *queue = &admission->queue[i];
+
+      if (queue->service != service)
+        continue;
+      queue->pool_milli = pool_milli;
+      queue->free_milli = free_milli;
+      add_later (admission, queue);
+      judge (queue);
+    }
+}
+
+/*
+ * Guards against a cell that takes everything between two counts: at ten times
+ * what it serves, each count comes too late for seconds of work.
+ */
+void
+mux_admission_taken (MuxAdmission *admission, uint64_t queue, int64_t work)
+{
+  MuxAdmissionQueue *entry = mux_admission_find (admission, queue);
+
+  if (entry == NULL)
+    return;
+  entry->waiting++;
+  entry->work += work;
+  judge (entry);
+}
+
+int64_t
+mux_admission_wait_ms (const MuxAdmission *admission, uint64_t queue)
+{
+  const MuxAdmissionQueue *entry = find (admission, queue);
+
+  return entry != NULL ? entry->wait_ms : 0;
+}
+
+uint32_t
+mux_admission_retry_ms (const MuxAdmission *admission,
+                        const MuxAdmissionJob *job)
+{
+  int64_t wait_ms = mux_admission_wait_ms (admission, job->queue) * job->turns;
+  int64_t over_ms = wait_ms - job->slack_ms * WAIT_OF_SLACK / MILLI;
+  int64_t retry_ms;
+
+  if (wait_ms == 0 || over_ms <= 0)
+    return 0;
+  if (over_ms < RETRY_MIN_MS)
+    over_ms = RETRY_MIN_MS;
+  /* Callers who are refused together are told times that lie apart. */
+  retry_ms = over_ms + (int64_t) (job->spread % (uint64_t) over_ms);
+  return retry_ms < RETRY_MAX_MS
+             ? (uint32_t) retry_ms
+             : RETRY_MAX_MS / 2 + (uint32_t) (job->spread % (RETRY_MAX_MS / 2));
+}
--- /dev/null
+++ b/src/cell/admit.c
@@ -0,0 +1,347 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * Admission of the cell's jobs: the planner counts its backlog and tells the
+ * daemons that greet it, all of which refuse by it without asking.
+ */
+
+/* Between two counts: as often as daemons greet. */
+#define COUNT_MS 250
+/* Between two lines of the log on a queue with a backlog. */
+#define LINE_MS 1000
+/* What a planner told is forgotten after so long. */
+#define TOLD_KEEP_MS 5000
+/* A planner that answers neither asks nor greetings for so long, and has told
+ * of a backlog, is overloaded, */
+#define ASK_MS 300
+#define WELCOME_MS 600
+/* and counts as away when it has been silent for this time. */
+#define AWAY_MS 2500
+
+/* Jobs that were accepted under another priority are served apart. */
+static uint64_t
+queue_of (const MuxJobSpec *spec)
+{
+  return mux_hash_name (spec->queue.name, spec->queue.priority);
+}
+
+static int64_t
+work_of (const CellStage *stage, uint32_t tasks)
+{
+  return mux_admission_work (tasks, stage->spec->size.cpu_milli,
+                             stage->spec->estimate_ms);
+}
+
+void
+cell_admission_placed (MuxCell *cell, const CellStage *stage)
+{
+  if (!stage->spec->long_running)
+    mux_admission_placed (&cell->admission, queue_of (stage->job->spec),
+                          work_of (stage, 1));
+}
+
+/* What lasts, or comes at set times, waits for no end in time. */
+static bool
+is_timed (const MuxJobSpec *spec)
+{
+  if (spec->repetitions > 0)
+    return false;
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    if (spec->step[i].long_running)
+      return false;
+  return true;
+}
+
+static int64_t
+work_of_job (const MuxJobSpec *spec)
+{
+  int64_t work = 0;
+
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    work += mux_admission_work (spec->step[i].count,
+                                spec->step[i].size.cpu_milli,
+                                spec->step[i].estimate_ms);
+  return work;
+}
+
+void
+cell_admission_taken (MuxCell *cell, const MuxJobSpec *spec)
+{
+  if (cell->role == CELL_PLANNING && is_timed (spec))
+    mux_admission_taken (&cell->admission, queue_of (spec), work_of_job (spec));
+}
+
+/* Jobs that are about to be stored. */
+static void
+count_submissions (MuxCell *cell)
+{
+  const CellSubmission *submission;
+
+  for (uint32_t i = 0; i < CELL_PARTS; i++)
+    DL_FOREACH (cell->part[i].submissions, submission)
+    {
+      const MuxJobSpec *spec = submission->job;
+      MuxAdmissionStep step
+          = { .priority = spec->queue.priority,
+              .service = mux_hash_name (spec->queue.service, 0),
+              .work = work_of_job (spec),
+              .slack_ms = 1 };
+
+      if (is_timed (spec))
+        mux_admission_waits (&cell->admission, queue_of (spec), &step);
+    }
+}
+
+static void
+count_stage (MuxCell *cell, const CellStage *stage)
+{
+  int64_t now = cell->time.now_ms;
+  CellRank rank = cell_stage_rank (stage, now);
+  MuxAdmissionStep step = { .late = rank == CELL_RANK_LATE };
+
+  if (stage->spec->long_running || rank == CELL_RANK_WORTHLESS)
+    return;
+  step.priority = stage->job->spec->queue.priority;
+  step.service = stage->service;
+  step.work = work_of (stage, cell_stage_waiting (stage));
+  step.waited_ms = now - stage->ready_ms;
+  step.slack_ms = stage->due_ms - stage->spec->estimate_ms - stage->ready_ms;
+  mux_admission_waits (&cell->admission, queue_of (stage->job->spec), &step);
+}
+
+static void
+count_running (MuxCell *cell)
+{
+  const CellWorker *worker;
+  const CellWorker *next;
+  const CellBooking *booking;
+
+  HASH_ITER (hh, cell->workers, worker, next)
+  DL_FOREACH (worker->bookings, booking)
+  mux_admission_holds (&cell->admission,
+                       queue_of (booking->task->stage->job->spec),
+                       booking->task->stage->spec->size.cpu_milli);
+}
+
+static void
+count_backlog (MuxCell *cell)
+{
+  const CellStage *stage;
+
+  mux_admission_count_begin (&cell->admission);
+  DL_FOREACH (cell->plan, stage)
+  count_stage (cell, stage);
+  count_submissions (cell);
+  count_running (cell);
+  mux_admission_count_end (&cell->admission, cell->time.now_ms);
+}
+
+/* Workers that were not heard yet count as well: the pool is as large as it
+ * will be in a moment. */
+static void
+judge_pool (MuxCell *cell, uint64_t service)
+{
+  const CellWorker *worker;
+  const CellWorker *next;
+  int64_t all = 0;
+  int64_t free = 0;
+
+  HASH_ITER (hh, cell->workers, worker, next)
+  if (worker->service == service && !worker->dead)
+    {
+      all += worker->info.capacity.cpu_milli;
+      free += cell_worker_free (worker).cpu_milli;
+    }
+  mux_admission_judge (&cell->admission, service, all, free);
+}
+
+/* Each pool once, with the first of its queues. */
+static void
+judge_pools (MuxCell *cell)
+{
+  const MuxAdmission *admission = &cell->admission;
+
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      uint32_t first = 0;
+
+      while (admission->queue[first].service != admission->queue[i].service)
+        first++;
+      if (first == i)
+        judge_pool (cell, admission->queue[i].service);
+    }
+}
+
+static int64_t
+longest_wait_ms (const MuxCell *cell)
+{
+  int64_t longest = 0;
+
+  for (uint32_t i = 0; i < cell->admission.count; i++)
+    if (cell->admission.queue[i].wait_ms > longest)
+      longest = cell->admission.queue[i].wait_ms;
+  return longest;
+}
+
+static void
+tell_queue (MuxCell *cell, const MuxAdmissionQueue *queue)
+{
+  cell_log (
+      cell, "queue_waits", "{s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+      "priority", (int) queue->priority, "steps", (int) queue->waiting, "work",
+      (json_int_t) queue->work, "late", (json_int_t) queue->late_work, "rate",
+      (json_int_t) queue->rate, "age", (json_int_t) (queue->aged / queue->work),
+      "free", (json_int_t) (queue->free_milli + queue->later_milli), "pool",
+      (json_int_t) queue->pool_milli, "wait_ms", (json_int_t) queue->wait_ms);
+}
+
+static void
+tell_backlog (MuxCell *cell, int64_t longest_ms)
+{
+  bool backlog = longest_ms > 0;
+
+  mux_observe (cell->options.counters, MUX_HIST_BACKLOG, longest_ms);
+  if (backlog != cell->backlog)
+    cell_log (cell, backlog ? "backlog" : "backlog_over", "{s:I, s:i}",
+              "wait_ms", (json_int_t) longest_ms, "steps",
+              (int) cell->plan_count);
+  cell->backlog = backlog;
+  if (!backlog || cell->time.now_ms < cell->next_backlog_line_ms)
+    return;
+  cell->next_backlog_line_ms = cell->time.now_ms + LINE_MS;
+  for (uint32_t i = 0; i < cell->admission.count; i++)
+    if (cell->admission.queue[i].wait_ms > 0
+        && cell->admission.queue[i].work > 0)
+      tell_queue (cell, &cell->admission.queue[i]);
+}
+
+void
+cell_admission_tick (MuxCell *cell)
+{
+  int64_t now = cell->time.now_ms;
+
+  if (cell->admission_term != cell->term)
+    {
+      cell->admission_term = cell->term;
+      mux_admission_reset (&cell->admission, now);
+    }
+  else if (now < cell->admission.counted_ms + COUNT_MS)
+    return;
+  count_backlog (cell);
+  judge_pools (cell);
+  cell->admission_told_ms = now;
+  tell_backlog (cell, longest_wait_ms (cell));
+}
+
+MuxBlob *
+cell_admission_blob (const MuxCell *cell)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < cell->admission.count; i++)
+    {
+      const MuxAdmissionQueue *queue = &cell->admission.queue[i];
+
+      if (queue->wait_ms > 0)
+        (void) json_array_append_new (
+            list, json_pack ("[I, I]", (json_int_t) queue->queue,
+                             (json_int_t) queue->wait_ms));
+    }
+  return cell_json_blob (list);
+}
+
+void
+cell_admission_told (MuxCell *cell, const MuxBlob *body)
+{
+  json_t *list = body != NULL ? cell_blob_json (body) : NULL;
+  const json_t *entry;
+  size_t i;
+
+  for (uint32_t j = 0; j < cell->admission.count; j++)
+    cell->admission.queue[j].wait_ms = 0;
+  json_array_foreach (list, i, entry)
+  {
+    uint64_t hash = (uint64_t) json_integer_value (json_array_get (entry, 0));
+    json_int_t wait_ms = json_integer_value (json_array_get (entry, 1));
+    MuxAdmissionQueue *queue = mux_admission_find (&cell->admission, hash);
+
+    if (queue != NULL && wait_ms > 0 && wait_ms <= MUX_ADMISSION_WAIT_MAX_MS)
+      queue->wait_ms = wait_ms;
+  }
+  json_decref (list);
+  cell->admission_told_ms = cell->time.now_ms;
+}
+
+static bool
+is_known (const MuxCell *cell)
+{
+  return cell->admission_told_ms != 0
+         && cell->time.now_ms - cell->admission_told_ms < TOLD_KEEP_MS;
+}
+
+/* Steps of the longest chain. */
+static uint32_t
+turns_of (const MuxJobSpec *spec)
+{
+  uint32_t turns[MUX_STEPS_MAX] = { 0 };
+  uint32_t most = 1;
+
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    {
+      for (uint32_t j = 0; j < i; j++)
+        if ((spec->step[i].after >> j & 1) != 0 && turns[j] > turns[i])
+          turns[i] = turns[j];
+      turns[i]++;
+      if (turns[i] > most)
+        most = turns[i];
+    }
+  return most;
+}
+
+uint32_t
+cell_admission_retry_ms (const MuxCell *cell, const MuxJobSpec *spec)
+{
+  MuxAdmissionJob job = { .queue = queue_of (spec) };
+
+  if (!is_known (cell) || !is_timed (spec)
+      || mux_admission_wait_ms (&cell->admission, job.queue) == 0)
+    return 0;
+  job.slack_ms = cell_job_slack_ms (spec);
+  job.turns = turns_of (spec);
+  job.spread = mux_hash_name (spec->id, cell->claim.version);
+  return mux_admission_retry_ms (&cell->admission, &job);
+}
+
+static bool
+has_old_ask (const MuxCell *cell)
+{
+  const CellSubmission *submission;
+
+  for (uint32_t i = 0; i < CELL_PARTS; i++)
+    DL_FOREACH (cell->part[i].submissions, submission)
+  if (submission->relayed
+      && cell->time.now_ms - submission->relayed_ms >= ASK_MS)
+    return true;
+  return false;
+}
+
+/*
+ * Guards against a planner that gets more the less it can take: one that does
+ * not answer for its load would be asked on and on, each ask of unknown fate,
+ * or have all daemons store jobs for it.
+ */
+bool
+cell_planner_is_busy (const MuxCell *cell)
+{
+  int64_t silent_ms = cell->time.now_ms - cell->planner_welcome_ms;
+
+  if (cell->role != CELL_FOLLOWER || cell->planner_welcome_ms == 0
+      || cell->planner_store_bad_ms != 0 || silent_ms >= AWAY_MS)
+    return false;
+  if (longest_wait_ms (cell) == 0 && cell->planner_late_ms < ASK_MS)
+    return false;
+  return silent_ms >= WELCOME_MS || has_old_ask (cell);
+}
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -215,6 +215,7 @@
     {
       cell->next_look_ms = cell->time.now_ms + LOOK_MS;
       cell_late_tick (cell);
+      cell_admission_tick (cell);
       cell_roster_tick (cell);
       cell_losses_tick (cell);
       cell_jobs_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -108,6 +108,24 @@
 /** cell_late_tick() - the planner tells how late it is */
 void cell_late_tick (MuxCell *cell);
 
+/* admit.c: which new jobs are taken */
+/** cell_admission_placed() - a task of the stage was started */
+void cell_admission_placed (MuxCell *cell, const CellStage *stage);
+/** cell_admission_taken() - the planner goes to store the job */
+void cell_admission_taken (MuxCell *cell, const MuxJobSpec *spec);
+/** cell_admission_tick() - the planner counts its backlog */
+void cell_admission_tick (MuxCell *cell);
+/** cell_admission_blob() - what is told to other daemons; NULL: memory is out
+ */
+MuxBlob *cell_admission_blob (const MuxCell *cell);
+/** cell_admission_told() - by the planner; NULL: nothing waits */
+void cell_admission_told (MuxCell *cell, const MuxBlob *body);
+/** cell_admission_retry_ms() - the job would begin too late, when to come
+ * again; 0: it is taken */
+uint32_t cell_admission_retry_ms (const MuxCell *cell, const MuxJobSpec *spec);
+/** cell_planner_is_busy() - it lives, and does not answer for its load */
+bool cell_planner_is_busy (const MuxCell *cell);
+
 /* submit.c, inquiry.c: callers */
 void cell_submit (MuxCell *cell, MuxQuestion *question);
 /** cell_submission_queue() - takes @submission over */
@@ -215,6 +233,8 @@
 /** cell_job_delete() - one that is in no table; NULL: nothing */
 void cell_job_delete (MuxCell *cell, CellJob *job);
 CellJob *cell_job_find (MuxCell *cell, const char *id);
+/** cell_job_slack_ms() - how long it may wait in all and still end in time */
+int64_t cell_job_slack_ms (const MuxJobSpec *spec);
 void cell_job_free (MuxCell *cell, CellJob *job);
 /** cell_known_as_ended() - it ended while this daemon planned */
 bool cell_known_as_ended (MuxCell *cell, const char *id);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1,6 +1,7 @@
 #ifndef CELL_CELL_TYPES_H
 #define CELL_CELL_TYPES_H
 
+#include "cell/admission.h"
 #include "cell/cell.h"
 
 #include <uthash.h>
@@ -162,7 +163,8 @@
  * @give_up_ms: when the caller is answered, stored or not
  * @doubtful: a commit that held it went unanswered, or the planner did
  * @sent: it is in the commit on its way
- * @relayed: the planner was asked to store it
+ * @relayed: the planner was asked to store it, at @relayed_ms
+ * @retry_ms: told to its caller if it is refused; 0: as usual
  * @peer: daemon that asked for it; "": a caller of this one
  * @peer_addr: its address
  */
@@ -177,6 +179,8 @@
   bool doubtful;
   bool sent;
   bool relayed;
+  int64_t relayed_ms;
+  uint32_t retry_ms;
   char peer[MUX_NAME_LEN];
   char peer_addr[MUX_ADDR_LEN];
   CellSubmission *prev;
@@ -810,15 +814,20 @@
   int64_t planner_welcome_ms;   /* its last answer to a greeting */
   int64_t planner_store_bad_ms; /* it says so since; 0: it does not */
   int64_t planner_late_ms; /* as it says: what arrives there waits so long */
-  int64_t turned_away_ms;  /* and this daemon is served since; 0: not */
-  int64_t probed_ms;       /* the store answered a look then */
+  MuxAdmission admission;  /* the planner's, or as it told last */
+  int64_t admission_told_ms;
+  int64_t turned_away_ms; /* and this daemon is served since; 0: not */
+  int64_t probed_ms;      /* the store answered a look then */
   int64_t next_probe_ms;
   int64_t next_hello_ms;
   bool stopping;
   bool gave_up;
 
   /* Of the planner alone. */
-  bool late; /* it takes no new jobs, as it told last */
+  bool late;    /* it takes no new jobs, as it told last */
+  bool backlog; /* new jobs would wait, the same */
+  int64_t next_backlog_line_ms;
+  uint64_t admission_term; /* in which the backlog was counted last */
   CellJob *jobs;
   CellQueueCount *queue_counts;
   CellEnded *ended;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -399,10 +399,14 @@
   msg.epoch = cell->term;
   msg.table_ok = cell_store_ok (cell);
   if (cell->role != CELL_FOLLOWER)
-    msg.wall_ms = cell->time.wall_ms;
+    {
+      msg.wall_ms = cell->time.wall_ms;
+      msg.body = cell_admission_blob (cell);
+    }
   msg.late_ms = (uint32_t) cell_late_ms (cell);
   (void) cell->options.sink->peer_send (cell->options.sink, hello->from_addr,
                                         &msg);
+  mux_blob_unref (msg.body);
 }
 
 static void
@@ -421,6 +425,7 @@
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_welcome_ms = cell->time.now_ms;
   cell->planner_late_ms = msg->late_ms;
+  cell_admission_told (cell, msg->body);
   cell_day_told (cell, msg->wall_ms);
   if (msg->table_ok)
     {
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -62,6 +62,12 @@
          + spec->queue.target_ms;
 }
 
+int64_t
+cell_job_slack_ms (const MuxJobSpec *spec)
+{
+  return promised_ms (spec) - chain_ms (spec);
+}
+
 static void
 set_times (MuxCell *cell, CellJob *job)
 {
--- a/src/cell/relay.c
+++ b/src/cell/relay.c
@@ -35,6 +35,7 @@
   msg.body = submission->value;
   submission->relayed = cell->options.sink->peer_send (cell->options.sink,
                                                        cell->claim.addr, &msg);
+  submission->relayed_ms = cell->time.now_ms;
   return submission->relayed;
 }
 
@@ -74,6 +75,7 @@
             (int) outcome, "commit_ms", (json_int_t) part->submit_took_ms);
   msg.call = submission->call;
   msg.outcome = outcome;
+  msg.retry_ms = submission->retry_ms;
   msg.table_ok = cell_store_ok (cell);
   (void) cell->options.sink->peer_send (cell->options.sink,
                                         submission->peer_addr, &msg);
@@ -137,8 +139,9 @@
    * the store can take: another daemon's commit would only come on top. */
   if (msg->outcome == MUX_OUTCOME_REFUSED && msg->table_ok)
     {
+      submission->retry_ms = msg->retry_ms;
       cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED,
-                           "behind");
+                           msg->retry_ms != 0 ? "backlog" : "behind");
       return;
     }
   take_back (submission, msg->outcome != MUX_OUTCOME_REFUSED);
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -324,7 +324,10 @@
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS;
   mux_count (cell->options.counters, MUX_COUNT_STARTS, 1);
   if (cell_worker_call (cell, worker, call, &pending))
-    return true;
+    {
+      cell_admission_placed (cell, task->stage);
+      return true;
+    }
   not_started (cell, task);
   return false;
 }
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -23,18 +23,28 @@
  * second, another daemon may serve at once. */
 #define COME_BACK_MS 500
 
-void
-cell_answer (MuxCell *cell, uint64_t call, MuxOutcome outcome)
+static void
+answer (MuxCell *cell, uint64_t call, MuxOutcome outcome, uint32_t retry_ms)
 {
-  /* A planner that is late has so much to work off before it takes more. */
   MuxQuestionReply reply
-      = { .call = call,
-          .outcome = outcome,
-          .retry_ms = COME_BACK_MS + (uint32_t) cell_planner_late_ms (cell) };
+      = { .call = call, .outcome = outcome, .retry_ms = retry_ms };
 
   cell->options.sink->answer (cell->options.sink, &reply);
 }
 
+/* A planner that is late has so much to work off before it takes more. */
+static uint32_t
+usual_retry_ms (const MuxCell *cell)
+{
+  return COME_BACK_MS + (uint32_t) cell_planner_late_ms (cell);
+}
+
+void
+cell_answer (MuxCell *cell, uint64_t call, MuxOutcome outcome)
+{
+  answer (cell, call, outcome, usual_retry_ms (cell));
+}
+
 static void
 submission_free (CellSubmission *submission)
 {
@@ -44,6 +54,15 @@
   free (submission);
 }
 
+static MuxReason
+reason_of (const CellSubmission *submission, MuxOutcome outcome)
+{
+  if (outcome == MUX_OUTCOME_UNKNOWN)
+    return MUX_REASON_WRITE_UNKNOWN;
+  return submission->retry_ms != 0 ? MUX_REASON_OVERLOAD
+                                   : MUX_REASON_STORE_DOWN;
+}
+
 /* How long the part's last commit of jobs took, by which the moment of storing
  * can be told from that of the answer. */
 static void
@@ -54,15 +73,19 @@
              const char *why)
 {
   bool accepted = outcome == MUX_OUTCOME_ACCEPTED;
-
-  cell_log (cell, accepted ? "accepted" : "refused", "{s:s, s:s, s:s, s:I}",
-            "job", submission->job->id, "queue", submission->job->queue.name,
-            "why", why, "commit_ms", (json_int_t) part->submit_took_ms);
+  uint32_t retry_ms = submission->retry_ms != 0 ? submission->retry_ms
+                                                : usual_retry_ms (cell);
+
+  cell_log (cell, accepted ? "accepted" : "refused",
+            "{s:s, s:s, s:s, s:I, s:I}", "job", submission->job->id, "queue",
+            submission->job->queue.name, "why", why, "commit_ms",
+            (json_int_t) part->submit_took_ms, "retry_ms",
+            (json_int_t) (accepted ? 0 : retry_ms));
   if (accepted)
     mux_count (cell->options.counters, MUX_COUNT_JOBS_ACCEPTED, 1);
   else
-    mux_count_refused (cell->options.counters, MUX_REASON_STORE_DOWN);
-  cell_answer (cell, submission->call, outcome);
+    mux_count_refused (cell->options.counters, reason_of (submission, outcome));
+  answer (cell, submission->call, outcome, retry_ms);
 }
 
 void
@@ -100,22 +123,36 @@
   return waiting > CELL_COMMIT_JOBS * (commits > 1 ? commits : 1);
 }
 
+/* Why the cell does not take the job; NULL: it does, or knows it already. */
+static const char *
+overload (MuxCell *cell, CellSubmission *submission)
+{
+  if (cell_job_find (cell, submission->job->id) != NULL)
+    return NULL;
+  submission->retry_ms = cell_admission_retry_ms (cell, submission->job);
+  if (submission->retry_ms != 0)
+    return "backlog";
+  if (cell_takes_jobs (cell) && !cell_planner_is_busy (cell))
+    return NULL;
+  submission->retry_ms = usual_retry_ms (cell);
+  return cell_takes_jobs (cell) ? "planner_busy" : "planner_late";
+}
+
 void
 cell_submission_queue (MuxCell *cell, CellSubmission *submission)
 {
   CellPart *part = &cell->part[cell_part_of (submission->job->id)];
+  const char *why = overload (cell, submission);
 
   if (submission->give_up_ms == 0)
     submission->give_up_ms = cell->time.now_ms + HOLD_MS;
   DL_APPEND (part->submissions, submission);
-  /* One that it knows is accepted as such. */
-  if (!cell_takes_jobs (cell)
-      && cell_job_find (cell, submission->job->id) == NULL)
+  if (why != NULL)
     {
-      cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED,
-                           "planner_late");
+      cell_submission_end (cell, part, submission, MUX_OUTCOME_REFUSED, why);
       return;
     }
+  cell_admission_taken (cell, submission->job);
   if (submission->peer[0] == 0 && cell_relay (cell, submission))
     return;
   if (!cell_store_ok (cell))
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -103,6 +103,7 @@
       msg->table_ok = true;
       msg->wall_ms = INT64_C (1700000000124);
       msg->late_ms = 250;
+      msg->body = mux_blob_new (rows, sizeof rows - 1);
       break;
     case MUX_PEER_JOB_ASK:
     case MUX_PEER_APPROVAL_ASK:
@@ -115,6 +116,7 @@
     case MUX_PEER_SUBMIT_TOLD:
       msg->call = 77;
       msg->outcome = 6;
+      msg->retry_ms = 1250;
       break;
     case MUX_PEER_JOB_TOLD:
       msg->call = 77;
--- /dev/null
+++ b/test/unit/test_admission.c
@@ -0,0 +1,261 @@
+#include "cell/admission.h"
+
+#include "support/test.h"
+
+/* Which new jobs a cell takes, by its backlog and its rate of placing. */
+
+#define QUEUE 7
+#define OTHER 8
+#define POOL 1
+#define COUNT_MS 250
+/* Core-milliseconds in a second of a pool of 100 processors. */
+#define POOL_MILLI 100000
+#define SLACK_MS 2000
+
+typedef struct
+{
+  MuxAdmission admission;
+  int64_t now_ms;
+  int64_t free_milli;
+  int64_t later_milli; /* of a queue that is served later */
+} Play;
+
+static Play
+begin (void)
+{
+  return (Play){ .now_ms = 1000, .admission = { .counted_ms = 1000 } };
+}
+
+/* A count of @steps of one core-second each, waiting for @waited_ms, after
+ * @placed of them were placed. */
+static void
+count (Play *play, uint32_t steps, int64_t waited_ms, uint32_t placed)
+{
+  MuxAdmission *admission = &play->admission;
+  MuxAdmissionStep step = { .service = POOL,
+                            .work = mux_admission_work (1, 1000, 1000),
+                            .waited_ms = waited_ms,
+                            .slack_ms = SLACK_MS };
+
+  play->now_ms += COUNT_MS;
+  mux_admission_placed (admission, QUEUE,
+                        placed * mux_admission_work (1, 1000, 1000));
+  mux_admission_count_begin (admission);
+  for (uint32_t i = 0; i < steps; i++)
+    mux_admission_waits (admission, QUEUE, &step);
+  step = (MuxAdmissionStep){ .priority = 1, .service = POOL, .slack_ms = 1 };
+  mux_admission_waits (admission, OTHER, &step);
+  mux_admission_holds (admission, OTHER, play->later_milli);
+  mux_admission_count_end (admission, play->now_ms);
+  mux_admission_judge (admission, POOL, POOL_MILLI, play->free_milli);
+}
+
+static void
+count_for (Play *play,
+           int64_t ms,
+           uint32_t steps,
+           int64_t waited_ms,
+           uint32_t placed)
+{
+  for (int64_t i = 0; i < ms; i += COUNT_MS)
+    count (play, steps, waited_ms, placed);
+}
+
+static MuxAdmissionJob
+job (int64_t slack_ms)
+{
+  return (MuxAdmissionJob){ .queue = QUEUE, .slack_ms = slack_ms, .turns = 1 };
+}
+
+static uint32_t
+retry_ms (const Play *play, MuxAdmissionJob asked)
+{
+  return mux_admission_retry_ms (&play->admission, &asked);
+}
+
+/* A job is accepted that can't begin in time: work for 10 s is ahead of it. */
+static void
+test_job_behind_a_long_backlog_is_refused (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  count_for (&play, 5000, 400, 5000, 10);
+  assert_in_range (mux_admission_wait_ms (&play.admission, QUEUE), 9000, 11000);
+  assert_int_not_equal (retry_ms (&play, job (5000)), 0);
+  assert_int_equal (retry_ms (&play, job (60000)), 0);
+}
+
+/* Callers of a queue without a backlog are refused for that of another. */
+static void
+test_other_queue_is_not_refused (void **state)
+{
+  Play play = begin ();
+  MuxAdmissionJob other = job (1000);
+
+  (void) state;
+  other.queue = OTHER;
+  count_for (&play, 5000, 400, 5000, 10);
+  assert_int_equal (retry_ms (&play, other), 0);
+}
+
+/* Callers are refused by a cell that has room, for the pause between two of
+ * their jobs. */
+static void
+test_idle_time_is_no_low_rate (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  count_for (&play, 5000, 6, 300, 10);
+  count_for (&play, 60000, 0, 0, 0);
+  count (&play, 10, 300, 0);
+  assert_in_range (mux_admission_wait_ms (&play.admission, QUEUE), 1, 500);
+  assert_int_equal (retry_ms (&play, job (1000)), 0);
+}
+
+/* A gust of half a second is refused, though the pool holds all of it. */
+static void
+test_short_gust_is_taken (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  count_for (&play, 5000, 6, 50, 2);
+  count (&play, 60, 100, 2);
+  count (&play, 90, 200, 8);
+  assert_int_equal (retry_ms (&play, job (2000)), 0);
+}
+
+/* What the whole pool can't begin in time is accepted, as it has not waited
+ * for long yet. */
+static void
+test_gust_beyond_the_pool_is_refused (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  count_for (&play, 5000, 6, 50, 2);
+  count (&play, 1000, 100, 2);
+  assert_int_not_equal (retry_ms (&play, job (2000)), 0);
+}
+
+/* Callers are refused while workers are idle, or busy with what is served after
+ * them: the wait is not for room. */
+static void
+test_queue_with_room_is_taken_for_longer (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  play.free_milli = POOL_MILLI / 4;
+  count_for (&play, 5000, 400, 1500, 10);
+  assert_int_equal (retry_ms (&play, job (5000)), 0);
+  play.free_milli = 0;
+  count (&play, 400, 1500, 10);
+  assert_int_not_equal (retry_ms (&play, job (5000)), 0);
+  play.later_milli = POOL_MILLI / 4;
+  count (&play, 400, 1500, 10);
+  assert_int_equal (retry_ms (&play, job (5000)), 0);
+}
+
+/* A planner takes jobs without bound after its takeover, until it has measured
+ * how fast it places them. */
+static void
+test_new_planner_is_cautious (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  count (&play, 600, 0, 0);
+  assert_int_not_equal (retry_ms (&play, job (20000)), 0);
+  play = begin ();
+  count (&play, 60, 0, 0);
+  assert_int_equal (retry_ms (&play, job (5000)), 0);
+}
+
+/* Callers of a queue that is placed by nobody are told to come at once. */
+static void
+test_standstill_refuses (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  count_for (&play, 5000, 40, 200, 10);
+  count_for (&play, 20000, 40, 5000, 0);
+  assert_int_not_equal (retry_ms (&play, job (5000)), 0);
+}
+
+/* All who are refused come back at the same moment. */
+static void
+test_times_to_come_back_are_spread (void **state)
+{
+  Play play = begin ();
+  uint32_t least = UINT32_MAX;
+  uint32_t most = 0;
+
+  (void) state;
+  count_for (&play, 5000, 400, 5000, 10);
+  for (uint64_t i = 0; i < 1000; i++)
+    {
+      MuxAdmissionJob asked = job (4000);
+      uint32_t ms;
+
+      asked.spread = i * 7919;
+      ms = retry_ms (&play, asked);
+      least = ms < least ? ms : least;
+      most = ms > most ? ms : most;
+    }
+  assert_true (least >= 500 && most <= 8000 && most >= least + 2000);
+}
+
+/* A job of several steps waits in each of its turns. */
+static void
+test_steps_wait_one_after_the_other (void **state)
+{
+  Play play = begin ();
+  MuxAdmissionJob asked = job (30000);
+
+  (void) state;
+  count_for (&play, 5000, 400, 5000, 10);
+  assert_int_equal (retry_ms (&play, asked), 0);
+  asked.turns = 3;
+  assert_int_not_equal (retry_ms (&play, asked), 0);
+}
+
+/* A full table of queues is written beyond its end. */
+static void
+test_too_many_queues_are_not_refused (void **state)
+{
+  MuxAdmission admission = { .count = 0 };
+  MuxAdmissionStep step = { .work = 1, .slack_ms = 1 };
+
+  (void) state;
+  for (uint64_t i = 0; i < MUX_ADMISSION_QUEUES_MAX; i++)
+    assert_non_null (mux_admission_find (&admission, i + 1));
+  assert_null (mux_admission_find (&admission, UINT64_MAX));
+  mux_admission_waits (&admission, UINT64_MAX, &step);
+  mux_admission_placed (&admission, UINT64_MAX, step.work);
+  mux_admission_taken (&admission, UINT64_MAX, step.work);
+  assert_int_equal (mux_admission_wait_ms (&admission, UINT64_MAX), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_job_behind_a_long_backlog_is_refused),
+    cmocka_unit_test (test_other_queue_is_not_refused),
+    cmocka_unit_test (test_idle_time_is_no_low_rate),
+    cmocka_unit_test (test_short_gust_is_taken),
+    cmocka_unit_test (test_gust_beyond_the_pool_is_refused),
+    cmocka_unit_test (test_queue_with_room_is_taken_for_longer),
+    cmocka_unit_test (test_new_planner_is_cautious),
+    cmocka_unit_test (test_standstill_refuses),
+    cmocka_unit_test (test_times_to_come_back_are_spread),
+    cmocka_unit_test (test_steps_wait_one_after_the_other),
+    cmocka_unit_test (test_too_many_queues_are_not_refused),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
