--- a/src/cell/plan_order.c
+++ b/src/cell/plan_order.c
@@ -156,6 +156,21 @@
   return fresh;
 }
 
+static void
+visit_all (MuxCell *cell, const CellTree *tree, CellVisit visit)
+{
+  for (CellNode *node = cell_tree_first (tree); node != NULL;
+       node = cell_tree_next (node))
+    visit (cell, CONST_STAGE_OF (node, planned));
+}
+
+void
+cell_order_visit (MuxCell *cell, CellVisit visit)
+{
+  visit_all (cell, &cell->order.planned, visit);
+  visit_all (cell, &cell->order.fresh, visit);
+}
+
 void
 cell_order_begin (CellOrder *order)
 {
