test: random schedules with workers gone and planners lost in a row

A variant more of the random schedules: half of the workers are out of reach from the first second on, one of them comes back now and then, and planners are lost every three seconds or so.

--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -55,6 +55,13 @@
 #define ROOM_SHARE_MILLI 8000
 /* After which a worker that started again under its id is listed so. */
 #define LIST_LATE_MS 1500
+/* The same of a planner that is lost, and of a daemon that is back; of workers
+ * that are out of reach from the start, and of one that is back. */
+#define LOSE_ONE_IN 150
+#define BACK_ONE_IN 25
+#define GONE (WORKERS / 2)
+#define GONE_BACK_ONE_IN 200
+#define GONE_AT_MS 1000
 /* Of the world's queue. */
 #define ATTEMPTS 3
 
@@ -353,6 +360,7 @@
   bool crashes;
   bool rooms;
   bool same_ids;
+  bool gone;
 } Variant;
 
 /* Some daemon takes what arrives later than before, up to a few seconds, or in
@@ -412,6 +420,30 @@
     world_worker_room (world, i, ROOM_SHARES * ROOM_SHARE_MILLI);
 }
 
+static void
+lose_workers (World *world)
+{
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = true;
+}
+
+/* One planner after the other is lost, while workers are gone that only some of
+ * them, or none, will hear. */
+static void
+lose_planners (Chaos *c)
+{
+  World *world = c->world;
+  uint32_t planner = world_planner (world);
+
+  if (below (c, LOSE_ONE_IN) == 0 && planner != WORLD_CELLS_MAX)
+    world_cell_kill (world, planner);
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (world->cell[i].dead && below (c, BACK_ONE_IN) == 0)
+      world_cell_start (world, i);
+  if (below (c, GONE_BACK_ONE_IN) == 0)
+    world->worker[below (c, GONE)].cut = below (c, 2) == 0;
+}
+
 static void
 play (uint64_t seed, const Variant *variant)
 {
@@ -436,6 +468,10 @@
   world_run (world, 1000);
   for (uint32_t at_ms = 0; at_ms < BUSY_MS; at_ms += STEP_MS)
     {
+      if (variant->gone && at_ms == GONE_AT_MS)
+        lose_workers (world);
+      if (variant->gone)
+        lose_planners (&c);
       if (variant->late)
         make_late (&c);
       if (variant->slow)
@@ -557,6 +593,16 @@
   play_seeds (&same_ids);
 }
 
+/* The same with workers gone, and planners lost one after the other. */
+static void
+test_nor_with_workers_gone_and_planners_lost_in_a_row (void **state)
+{
+  Variant gone = { .gone = true };
+
+  (void) state;
+  play_seeds (&gone);
+}
+
 int
 main (void)
 {
@@ -568,6 +614,7 @@
     cmocka_unit_test (test_nor_with_workers_that_crash),
     cmocka_unit_test (test_nor_with_room_that_changes),
     cmocka_unit_test (test_nor_with_workers_that_keep_their_ids),
+    cmocka_unit_test (test_nor_with_workers_gone_and_planners_lost_in_a_row),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_cell_same_id.c
+++ b/test/unit/test_cell_same_id.c
@@ -226,7 +226,7 @@
       play_late_planner (late_ms, restart_ms);
 }
 
-#define LONG_UP_MS 20000
+#define LONG_UP_MS INT64_C (20000)
 
 /* An order for the former life is carried out @late_ms late by the next one,
  * and asks for a lease by the former one's clock.  The worker is lost @cut_ms
