--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -71,6 +71,13 @@
 #define SERVED_MS (3 * OBJECTIVE_MS)
 #define ANSWERED_MS (OBJECTIVE_MS / 4)
 #define SERVED_ONE_IN 4
+/* The same of a planner that is lost, and of a daemon that is back; of workers
+ * that are out of reach from the start, and of one that is back. */
+#define LOSE_ONE_IN 150
+#define BACK_ONE_IN 25
+#define GONE (WORKERS / 2)
+#define GONE_BACK_ONE_IN 200
+#define GONE_AT_MS 1000
 /* Of the world's queue. */
 #define ATTEMPTS 3
 
@@ -373,6 +380,7 @@
   bool rooms;
   bool same_ids;
   bool bursts;
+  bool gone;
 } Variant;
 
 /* Some daemon takes what arrives later than before, up to a few seconds, or in
@@ -466,6 +474,30 @@
          || all.refused_and_run > 0;
 }
 
+static void
+lose_workers (World *world)
+{
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = true;
+}
+
+/* One planner after the other is lost, while workers are gone that only some of
+ * them, or none, will hear. */
+static void
+lose_planners (Chaos *c)
+{
+  World *world = c->world;
+  uint32_t planner = world_planner (world);
+
+  if (below (c, LOSE_ONE_IN) == 0 && planner != WORLD_CELLS_MAX)
+    world_cell_kill (world, planner);
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (world->cell[i].dead && below (c, BACK_ONE_IN) == 0)
+      world_cell_start (world, i);
+  if (below (c, GONE_BACK_ONE_IN) == 0)
+    world->worker[below (c, GONE)].cut = below (c, 2) == 0;
+}
+
 static void
 play (uint64_t seed, const Variant *variant)
 {
@@ -496,6 +528,10 @@
   world_run (world, 1000);
   for (uint32_t at_ms = 0; at_ms < BUSY_MS; at_ms += STEP_MS)
     {
+      if (variant->gone && at_ms == GONE_AT_MS)
+        lose_workers (world);
+      if (variant->gone)
+        lose_planners (&c);
       if (variant->late)
         make_late (&c);
       if (variant->slow)
@@ -637,6 +673,16 @@
   play_seeds (&bursts);
 }
 
+/* The same with workers gone, and planners lost one after the other. */
+static void
+test_nor_with_workers_gone_and_planners_lost_in_a_row (void **state)
+{
+  Variant gone = { .gone = true };
+
+  (void) state;
+  play_seeds (&gone);
+}
+
 int
 main (void)
 {
@@ -649,6 +695,7 @@
     cmocka_unit_test (test_nor_with_room_that_changes),
     cmocka_unit_test (test_nor_with_workers_that_keep_their_ids),
     cmocka_unit_test (test_nor_with_bursts_of_callers),
+    cmocka_unit_test (test_nor_with_workers_gone_and_planners_lost_in_a_row),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
