cell: let a new planner see outages as soon as it begins

Callers saw, in the test world, a job given up that crashes nothing, beside one that does, where each outage of half the workers took the planner along (test_crashing_task_among_lost_planners_is_given_up, seen to fail: 1 of 24 jobs failed).

Cause: a successor finds workers of the roster gone before it has read the platform's list. The number of workers was counted from the list, 0 then, so that no share was large enough; and a worker that went out of reach between the claim and the first plan lay before the span of the runs that it had.

Change: workers of the roster count as known, and the span of a run that a former planner started begins with the successor's term.

Tests beside it: crashing tasks alone, in a gang and lasting, among outages; rows of losses as the version before wrote them; a variant of the random schedules with outages of half the workers.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -316,8 +316,8 @@
  * @from_ms: since then at most
  * @to_ms: the worker was out of reach by then; 0: another planner lost it
  * @rack: hash of the name of its rack; 0: none
- * @rack_workers: listed there then
- * @workers: listed then
+ * @rack_workers: known there then
+ * @workers: known then
  */
 typedef struct
 {
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -270,6 +270,13 @@
 
 typedef bool (*TakeLoss) (CellTask *task, uint32_t i, const CellWorker *worker);
 
+/* Of a run that a former planner started. */
+static CellLossSpan
+former_span (const MuxCell *cell, const CellWorker *worker)
+{
+  return cell_outage_span (cell, worker, cell->term_began_ms);
+}
+
 /* Of one that a former planner recorded. */
 static void
 find_span (const MuxCell *cell,
@@ -281,7 +288,7 @@
 
   if (i >= task->loss_count || loss->open || loss->span.to_ms != 0)
     return;
-  loss->span = cell_outage_span (cell, worker, cell->planning_began_ms);
+  loss->span = former_span (cell, worker);
   loss->in_outage = loss->in_outage || cell_lost_in_outage (cell, task, loss);
 }
 
@@ -377,10 +384,9 @@
 static void
 lose_former_runs (MuxCell *cell, CellStage *stage, const CellWorker *worker)
 {
-  CellLoss loss
-      = { .ended = worker->lost_life,
-          .recorded = true,
-          .span = cell_outage_span (cell, worker, cell->planning_began_ms) };
+  CellLoss loss = { .ended = worker->lost_life,
+                    .recorded = true,
+                    .span = former_span (cell, worker) };
 
   stage->former_lost = true;
   for (uint32_t i = 0; i < stage->spec->count; i++)
--- a/src/cell/outage.c
+++ b/src/cell/outage.c
@@ -49,11 +49,12 @@
   const CellWorker *next;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  {
-    span->workers += worker->listed;
-    span->rack_workers += worker->listed && span->rack != 0
-                          && rack_of (&worker->info) == span->rack;
-  }
+  if (worker->listed || cell_in_roster (worker))
+    {
+      span->workers++;
+      span->rack_workers
+          += span->rack != 0 && rack_of (&worker->info) == span->rack;
+    }
 }
 
 CellLossSpan
@@ -100,7 +101,7 @@
       const CellLoss *loss = &task->loss[i];
 
       if (!loss->open && loss->lived_ms < YOUNG_MS
-          && loss->span.to_ms >= from_ms)
+          && (loss->span.to_ms == 0 || loss->span.to_ms >= from_ms))
         put (list, mux_hash_name (loss->addr, 0));
     }
 }
@@ -126,8 +127,8 @@
 is_outage (const CellLossSpan *span, uint32_t all, uint32_t rack)
 {
   return all >= ALL_MAX
-         || (all >= ALL_MIN && all * ALL_SHARE >= span->workers - 1)
-         || (rack >= RACK_MIN && rack * RACK_SHARE >= span->rack_workers - 1);
+         || (all >= ALL_MIN && all * ALL_SHARE + 1 >= span->workers)
+         || (rack >= RACK_MIN && rack * RACK_SHARE + 1 >= span->rack_workers);
 }
 
 bool
--- a/test/unit/test_cell_outage.c
+++ b/test/unit/test_cell_outage.c
@@ -1,6 +1,7 @@
 #include "support/cell_world.h"
 #include "support/test.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -226,6 +227,34 @@
   play (1, crash_singly_in_a_rack);
 }
 
+/* One step of tasks that crash their workers, or of one that does. */
+static MuxJobSpec *
+crashing_job (Kind kind)
+{
+  MuxJobSpec *job = kind == KIND_GANG ? world_crashing_job (TASKS, 4000, 1)
+                                      : world_crashing_job (1, 2000, 0);
+
+  job->step[0].gang = kind == KIND_GANG;
+  job->step[0].long_running = kind == KIND_LASTING;
+  return job;
+}
+
+static void
+play_with_crashing_job (uint32_t cells, Outages outages, Kind kind, bool silent)
+{
+  World *world = world_with_jobs (cells, KIND_SHORT, silent);
+
+  print_message ("crashing job of kind %u, silent %d\n", kind, silent);
+  (void) world_submit (world, 0, crashing_job (kind), "crash");
+  outages (world);
+  world_run (world, SETTLE_MS);
+  assert_false (world_over_budget (world));
+  assert_int_equal (world_state (world, world_planner (world), "crash"),
+                    MUX_JOB_FAILED);
+  assert_int_equal (failed_jobs (world, JOBS), 0);
+  world_free (world);
+}
+
 /* Guards against a task that is taken for a victim of outages, and goes on
  * crashing its workers among them. */
 static void
@@ -235,18 +264,20 @@
       = { crash_halves, crash_same_half, crash_racks, crash_singly_in_a_rack };
 
   (void) state;
-  for (uint32_t i = 0; i < 2 * sizeof outages / sizeof outages[0]; i++)
-    {
-      World *world = world_with_jobs (1, KIND_SHORT, i % 2 == 1);
-
-      (void) world_submit (world, 0, world_crashing_job (1, 2000, 0), "crash");
-      outages[i / 2](world);
-      world_run (world, SETTLE_MS);
-      assert_false (world_over_budget (world));
-      assert_int_equal (world_state (world, 0, "crash"), MUX_JOB_FAILED);
-      assert_int_equal (failed_jobs (world, JOBS), 0);
-      world_free (world);
-    }
+  for (uint32_t i = 0; i < sizeof outages / sizeof outages[0]; i++)
+    for (uint32_t kind = 0; kind < KIND_COUNT; kind++)
+      play_with_crashing_job (1, outages[i], (Kind) kind, (i + kind) % 2 == 1);
+}
+
+/* The same, and the planner goes with each outage. */
+static void
+test_crashing_task_among_lost_planners_is_given_up (void **state)
+{
+  (void) state;
+  for (uint32_t kind = 0; kind < KIND_COUNT; kind++)
+    for (uint32_t silent = 0; silent < 2; silent++)
+      play_with_crashing_job (CELLS, crash_halves_and_planners, (Kind) kind,
+                              silent == 1);
 }
 
 /* Guards against a step of which all tasks crash their workers that is taken
@@ -265,6 +296,73 @@
   world_free (world);
 }
 
+#define MARKS_LAST 2
+
+/* Takes from each lost run what the version before did not write. */
+static void
+cut_losses (json_t *json)
+{
+  const char *key;
+  json_t *value;
+  size_t i;
+
+  if (json_is_object (json))
+    json_object_foreach (json, key, value)
+    {
+      json_t *group;
+      json_t *run;
+      size_t j;
+      size_t k;
+
+      if (strcmp (key, "lost") != 0)
+        {
+          cut_losses (value);
+          continue;
+        }
+      json_array_foreach (value, j, group) json_array_foreach (
+          json_array_get (group, json_array_size (group) - 1), k,
+          run) while (json_array_size (run) > MARKS_LAST + 1)
+          json_array_remove (run, MARKS_LAST + 1);
+    }
+  else if (json_is_array (json))
+    json_array_foreach (json, i, value) cut_losses (value);
+}
+
+/* Guards against a count of crashes that can't be read after an upgrade. */
+static void
+test_losses_of_the_version_before_are_read (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  char part[MUX_ROW_NAME_LEN];
+  json_t *json;
+  char *text;
+
+  (void) state;
+  (void) world_submit (world, 0, world_crashing_job (1, 2000, 0), "crash");
+  while (world_crashes (world, "crash") < 2)
+    world_run (world, 10);
+  world_run (world, 500);
+  world_cell_kill (world, planner);
+  text = world_row_text (world, MUX_TABLE_PROGRESS, "crash");
+  json = json_loads (text, 0, NULL);
+  assert_non_null (strstr (text, "\"lost\""));
+  free (text);
+  cut_losses (json);
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  memcpy (part, world_row (world, MUX_TABLE_PROGRESS, "crash")->part,
+          sizeof part);
+  world_put_row (world, MUX_TABLE_PROGRESS, part, "crash", text);
+  free (text);
+  world_run (world, SETTLE_MS);
+  assert_false (world_over_budget (world));
+  assert_int_equal (world_crashes (world, "crash"), 3);
+  assert_int_equal (world_state (world, world_planner (world), "crash"),
+                    MUX_JOB_FAILED);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -275,7 +373,9 @@
     cmocka_unit_test (test_jobs_survive_crashes_of_racks),
     cmocka_unit_test (test_jobs_survive_single_crashes_in_a_rack),
     cmocka_unit_test (test_crashing_task_among_outages_is_given_up),
+    cmocka_unit_test (test_crashing_task_among_lost_planners_is_given_up),
     cmocka_unit_test (test_wide_crashing_step_is_no_outage),
+    cmocka_unit_test (test_losses_of_the_version_before_are_read),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_cell_random.c
+++ b/test/unit/test_cell_random.c
@@ -46,6 +46,8 @@
 #define DOWN_LEAST_MS 200
 #define DOWN_MORE_MS 6000
 #define CRASHING_JOB_ONE_IN 12
+/* The same of half of them at once. */
+#define OUTAGE_ONE_IN 150
 /* A task under which several workers may have crashed waits for up to 30 s
  * before it starts again, twice. */
 #define CRASH_SETTLE_MS 60000
@@ -351,6 +353,7 @@
   bool late;
   bool slow;
   bool crashes;
+  bool outages;
   bool rooms;
   bool same_ids;
 } Variant;
@@ -397,6 +400,17 @@
     world_worker_crash (world, below (c, WORKERS));
 }
 
+static void
+crash_half (Chaos *c)
+{
+  uint32_t first = below (c, 2);
+
+  if (below (c, OUTAGE_ONE_IN) != 0)
+    return;
+  for (uint32_t i = first; i < WORKERS; i += 2)
+    world_worker_crash (c->world, i);
+}
+
 static void
 change_room (Chaos *c)
 {
@@ -442,6 +456,8 @@
         make_slow (&c);
       if (variant->crashes)
         crash_worker (&c);
+      if (variant->outages)
+        crash_half (&c);
       if (variant->rooms)
         change_room (&c);
       if (seed % 4 < 2)
@@ -537,6 +553,16 @@
   play_seeds (&crashes);
 }
 
+/* The same, and half of the workers crash at once at times. */
+static void
+test_nor_with_outages (void **state)
+{
+  Variant outages = { .crashes = true, .outages = true };
+
+  (void) state;
+  play_seeds (&outages);
+}
+
 /* The same, and workers' room shrinks and grows. */
 static void
 test_nor_with_room_that_changes (void **state)
@@ -566,6 +592,7 @@
     cmocka_unit_test (test_nor_with_daemons_that_are_late),
     cmocka_unit_test (test_nor_with_a_slow_store_and_cuts),
     cmocka_unit_test (test_nor_with_workers_that_crash),
+    cmocka_unit_test (test_nor_with_outages),
     cmocka_unit_test (test_nor_with_room_that_changes),
     cmocka_unit_test (test_nor_with_workers_that_keep_their_ids),
   };
