cell: bound what looks in vain take of the planner's time

What callers saw: within a burst, and for two seconds after a takeover in it, the planner placed next to nothing, and workers that answered were taken for lost (RECOVER).

Cause: a pass is bounded, the number of passes in a second is not: every event asks for one. With a backlog each uses up its limit, 2.7 million looks a second or a third of the planner's samples, nearly all at steps that can't start. What is left does not suffice for answers of workers and of the policy service; these time out, and starts and workers count as lost.

Ruled out: a lower limit for a pass: where many steps can start, each costs a look at all workers, and that is work that has to be done.

Change: looks at steps that still wait after them are counted apart. The next pass of the same kind follows after a time in proportion to them, 500 a millisecond, and after 4 or 16 ms as before where few were in vain.

Test: with 10,000 waiting steps and a small job each 8 ms, 965,938 looks in two seconds; before, 3,111,648, over the bound of two million and two passes. The small jobs all start.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -906,6 +906,7 @@
   CellOrder order;
   CellStage *reserving;  /* stages that workers are kept free for */
   uint32_t looks;        /* workers looked at in this pass */
+  uint32_t idle_looks;   /* for stages that still wait, the same */
   uint32_t steps_looked; /* waiting steps, the same */
   uint64_t round; /* of looks at all stages; several passes may share one */
   bool replan;
@@ -922,7 +923,7 @@
   int64_t next_loss_look_ms;
   int64_t next_wait_line_ms;
   int64_t slow_pass_ms;
-  int64_t last_plan_ms;
+  int64_t pass_ms; /* no pass before */
   uint64_t next_question;
 };
 
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -23,6 +23,9 @@
  * in front run out. */
 #define FRONT_LOOKS 12500
 #define URGENT_PASS_LOOKS 6000
+/* Between two passes, for so many looks that started nothing: what waits takes
+ * no more than this of the planner's processor from what can start. */
+#define IDLE_LOOKS_PER_MS 500
 /* Gangs that workers are kept free for at once: so many, or one for so many
  * workers.  More of them would leave much of the cell idle while none of them
  * can start. */
@@ -161,16 +164,21 @@
 static void
 place (MuxCell *cell, CellStage *stage, uint32_t *reservations)
 {
+  uint32_t looks = cell->looks;
+
   stage->looked_ms = cell->time.now_ms;
   cell->steps_looked++;
   cell->looks += STEP_LOOKS;
   /* What a former planner may have started is looked for first. */
-  if (!cell_stage_is_settled (cell, stage))
-    return;
-  if (stage->spec->gang)
-    place_gang (cell, stage, reservations);
-  else
-    cell_place_tasks (cell, stage);
+  if (cell_stage_is_settled (cell, stage))
+    {
+      if (stage->spec->gang)
+        place_gang (cell, stage, reservations);
+      else
+        cell_place_tasks (cell, stage);
+    }
+  if (stage->ready)
+    cell->idle_looks += cell->looks - looks;
 }
 
 static void
@@ -268,6 +276,14 @@
   return cell_follow_is_known (cell, &cell->follow[FOLLOW_WORKERS]);
 }
 
+static int64_t
+pause_ms (const MuxCell *cell, int64_t least_ms)
+{
+  int64_t idle_ms = cell->idle_looks / IDLE_LOOKS_PER_MS;
+
+  return idle_ms > least_ms ? idle_ms : least_ms;
+}
+
 void
 cell_plan (MuxCell *cell)
 {
@@ -278,22 +294,24 @@
     return;
   if (cell->time.now_ms < cell->next_plan_ms && !cell->replan)
     return;
-  if (cell->time.now_ms < cell->last_plan_ms + PASS_MS)
+  if (cell->time.now_ms < cell->pass_ms)
     return;
   cell->replan = false;
-  cell->last_plan_ms = cell->time.now_ms;
   cell->next_plan_ms = cell->time.now_ms + IDLE_PASS_MS;
   cell_order_rank (cell);
   cell->looks = 0;
+  cell->idle_looks = 0;
   cell->steps_looked = 0;
   if (all)
     {
-      cell->slow_pass_ms = cell->time.now_ms + SLOW_PASS_MS;
       clear_reservations (cell);
       pass_over_all (cell);
+      cell->slow_pass_ms = cell->time.now_ms + pause_ms (cell, SLOW_PASS_MS);
     }
   else
     pass_over_urgent (cell);
+  cell->pass_ms
+      = cell->time.now_ms + (all ? PASS_MS : pause_ms (cell, PASS_MS));
   mux_count (cell->options.counters, MUX_COUNT_PLAN_LOOKS, cell->looks);
   mux_count (cell->options.counters, MUX_COUNT_PLAN_STEPS, cell->steps_looked);
 }
--- a/test/unit/test_cell_backlog.c
+++ b/test/unit/test_cell_backlog.c
@@ -33,6 +33,15 @@
   (PASSES_PER_S * (PASS_LOOKS / STEP_LOOKS + 1) \
    + URGENT_PASSES_PER_S * (URGENT_PASS_LOOKS / STEP_LOOKS + 1))
 #define TAKEOVER_MS 20000
+/* Something happens so often, and what waits is looked at on each occasion, but
+ * in each kind of pass no more than so often in vain; a pass is not cut within
+ * a step, and each job that starts has its own looks. */
+#define OFTEN_MS 8
+#define OFTEN_JOBS 250
+#define IDLE_LOOKS_PER_MS 500
+#define OFTEN_LOOKS_MAX                                       \
+  (2 * IDLE_LOOKS_PER_MS * OFTEN_JOBS * OFTEN_MS + PASS_LOOKS \
+   + URGENT_PASS_LOOKS + (OFTEN_JOBS + 2) * (STEP_LOOKS + WORKERS))
 /* All steps have had their turn after so many ms. */
 #define TURN_MS 2000
 /* A step that waits changes its place when it is late, and when its end has
@@ -219,6 +228,41 @@
   world_free (world);
 }
 
+static uint64_t
+looks (const World *world)
+{
+  return mux_counter_value (world->counters, MUX_COUNT_PLAN_LOOKS);
+}
+
+/* Guards against a backlog that takes the planner's processor from what could
+ * start, look by look in vain. */
+static void
+test_looks_in_vain_are_bounded_by_time (void **state)
+{
+  World *world = full_world ();
+  uint64_t before;
+
+  (void) state;
+  world_approve_unasked (world);
+  add_backlog (world);
+  before = looks (world);
+  for (uint32_t i = 0; i < OFTEN_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "often-%u", i);
+      (void) world_submit (world, world_planner (world),
+                           world_job (1, 1, SMALL_CPU_MILLI), id);
+      world_run (world, OFTEN_MS);
+    }
+  print_message ("%u looks in %u ms\n", (unsigned) (looks (world) - before),
+                 OFTEN_JOBS * OFTEN_MS);
+  assert_true (looks (world) - before <= OFTEN_LOOKS_MAX);
+  world_run (world, TURN_MS);
+  assert_int_equal (world->start_count, WORKERS + OFTEN_JOBS);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -226,6 +270,7 @@
     cmocka_unit_test (test_pass_costs_no_more_for_a_longer_backlog),
     cmocka_unit_test (test_steps_behind_a_backlog_have_their_turn),
     cmocka_unit_test (test_waiting_jobs_need_no_looks),
+    cmocka_unit_test (test_looks_in_vain_are_bounded_by_time),
     cmocka_unit_test (test_takeover_looks_at_no_waiting_job_for_each_worker),
   };
 
