--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -613,6 +613,7 @@
  * @dirty: something is to be stored
  * @watched: it is among those that are looked at from time to time
  * @losing: it is among those with lost runs
+ * @counted: among those of its queue that wait
  * @progress_stored: a row of its progress stands
  * @progress_lost: it can't be read
  * @ends_stored: a row stands with ends that came while it could not be read
@@ -638,6 +639,7 @@
   bool dirty;
   bool watched;
   bool losing;
+  bool counted;
   bool in_commit;
   bool end_stored;
   bool dirty_again; /* changed since the commit on its way was made */
@@ -986,6 +988,7 @@
   CellOrder order;
   CellStage *reserving;  /* stages that workers are kept free for */
   uint32_t looks;        /* workers looked at in this pass */
+  uint32_t idle_looks;   /* for stages that still wait, the same */
   uint32_t steps_looked; /* waiting steps, the same */
   uint64_t round; /* of looks at all stages; several passes may share one */
   bool replan;
@@ -1004,7 +1007,7 @@
   CellDown down[CELL_DOWN_MAX];
   int64_t next_wait_line_ms;
   int64_t slow_pass_ms;
-  int64_t last_plan_ms;
+  int64_t pass_ms; /* no pass before */
   uint64_t next_question;
 };
 
--- a/test/unit/test_cell_backlog.c
+++ b/test/unit/test_cell_backlog.c
@@ -33,6 +33,17 @@
   (PASSES_PER_S * (PASS_LOOKS / STEP_LOOKS + 1) \
    + URGENT_PASSES_PER_S * (URGENT_PASS_LOOKS / STEP_LOOKS + 1))
 #define TAKEOVER_MS 20000
+#define COUNTS 10
+#define ANSWER_MS 300
+/* Something happens so often, and what waits is looked at on each occasion, but
+ * in each kind of pass no more than so often in vain; a pass is not cut within
+ * a step, and each job that starts has its own looks. */
+#define OFTEN_MS 8
+#define OFTEN_JOBS 250
+#define IDLE_LOOKS_PER_MS 500
+#define OFTEN_LOOKS_MAX                                       \
+  (2 * IDLE_LOOKS_PER_MS * OFTEN_JOBS * OFTEN_MS + PASS_LOOKS \
+   + URGENT_PASS_LOOKS + (OFTEN_JOBS + 2) * (STEP_LOOKS + WORKERS))
 /* All steps have had their turn after so many ms. */
 #define TURN_MS 2000
 /* A step that waits changes its place when it is late, and when its end has
@@ -219,6 +230,103 @@
   world_free (world);
 }
 
+static uint64_t
+looks (const World *world)
+{
+  return mux_counter_value (world->counters, MUX_COUNT_PLAN_LOOKS);
+}
+
+/* Guards against a backlog that takes the planner's processor from what could
+ * start, look by look in vain. */
+static void
+test_looks_in_vain_are_bounded_by_time (void **state)
+{
+  World *world = full_world ();
+  uint64_t before;
+
+  (void) state;
+  world_approve_unasked (world);
+  add_backlog (world);
+  before = looks (world);
+  for (uint32_t i = 0; i < OFTEN_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "often-%u", i);
+      (void) world_submit (world, world_planner (world),
+                           world_job (1, 1, SMALL_CPU_MILLI), id);
+      world_run (world, OFTEN_MS);
+    }
+  print_message ("%u looks in %u ms\n", (unsigned) (looks (world) - before),
+                 OFTEN_JOBS * OFTEN_MS);
+  assert_true (looks (world) - before <= OFTEN_LOOKS_MAX);
+  world_run (world, TURN_MS);
+  assert_int_equal (world->start_count, WORKERS + OFTEN_JOBS);
+  world_free (world);
+}
+
+static uint32_t
+count_of_queue (World *world)
+{
+  uint64_t call
+      = world_ask (world, world_planner (world), MUX_QUESTION_STATE, "");
+
+  world_run (world, ANSWER_MS);
+  assert_true (world->answered[call]);
+  return world->answer[call].pending;
+}
+
+/* Guards against questions for the length of a queue that go through it. */
+static void
+test_count_of_a_queue_looks_at_no_job (void **state)
+{
+  World *world = full_world ();
+  uint64_t before;
+
+  (void) state;
+  add_backlog (world);
+  before = work (world).jobs;
+  for (uint32_t i = 0; i < COUNTS; i++)
+    assert_int_equal (count_of_queue (world), BACKLOG_JOBS);
+  assert_int_equal (work (world).jobs, before);
+  world_free (world);
+}
+
+/* Guards against a count that misses a cancel, a takeover, a start or an end.
+ */
+static void
+test_count_of_a_queue_follows_its_jobs (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = SMALL_TASK_MS;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].fault = WORLD_REFUSES;
+  for (uint32_t i = 0; i < COUNTS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "job-%u", i);
+      (void) world_submit (world, world_planner (world),
+                           world_job (1, 1, SMALL_CPU_MILLI), id);
+    }
+  world_run (world, 1000);
+  assert_int_equal (count_of_queue (world), COUNTS);
+  (void) world_ask (world, world_planner (world), MUX_QUESTION_CANCEL, "job-0");
+  world_run (world, 1000);
+  assert_int_equal (count_of_queue (world), COUNTS - 1);
+  world_cell_kill (world, world_planner (world));
+  world_run (world, TAKEOVER_MS);
+  assert_int_equal (count_of_queue (world), COUNTS - 1);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].fault = WORLD_SERVES;
+  world_run (world, TAKEOVER_MS);
+  assert_int_equal (count_of_queue (world), 0);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -226,6 +334,9 @@
     cmocka_unit_test (test_pass_costs_no_more_for_a_longer_backlog),
     cmocka_unit_test (test_steps_behind_a_backlog_have_their_turn),
     cmocka_unit_test (test_waiting_jobs_need_no_looks),
+    cmocka_unit_test (test_looks_in_vain_are_bounded_by_time),
+    cmocka_unit_test (test_count_of_a_queue_looks_at_no_job),
+    cmocka_unit_test (test_count_of_a_queue_follows_its_jobs),
     cmocka_unit_test (test_takeover_looks_at_no_waiting_job_for_each_worker),
   };
 
