model: search the mark of a worker that was not heard

mark.pml was written without spin at hand and had two conditions over two lines, which spin takes for statements. `make model` plays it with the others.

--- a/docs/design/mark.pml
+++ b/docs/design/mark.pml
@@ -99,16 +99,14 @@
        :: !heard[p] && trusts (p) && token <= p ->
           heard[p] = true; token = p
        /* writes the entry without mark */
-       :: heard[p] && claim == p && (may_stand[p] || row != 0)
-          && (fresh[p] || !ROSTER_FENCE) ->
+       :: heard[p] && claim == p && (may_stand[p] || row != 0) && (fresh[p] || !ROSTER_FENCE) ->
           store (0);
           if
           :: may_stand[p] = false; fresh[p] = true
           :: skip
           fi
        /* renews */
-       :: heard[p] && trusts (p) && token <= p && now + LEASE > lease
-          && (!may_stand[p] || !NO_LEASE_MARKED) ->
+       :: heard[p] && trusts (p) && token <= p && now + LEASE > lease && (!may_stand[p] || !NO_LEASE_MARKED) ->
           lease = now + LEASE
        /* takes it as free */
        :: !heard[p] && claim == p && is_over (p) -> assert (now > lease)
--- a/tools/model.mk
+++ b/tools/model.mk
@@ -1,9 +1,11 @@
-# Checks the models of the at-most-once path, of the takeover and of the record of
-# workers, and that each fails when a guard is taken out.  Needs spin (tools/deps
-# does not install it; `make model` does).
+# Checks the models of the at-most-once path, of the takeover, of the record of
+# workers and of the mark of a worker that was not heard, and that each fails when
+# a guard is taken out.  Needs spin (tools/deps does not install it; `make model`
+# does).
 .PHONY: model
 model:
 	@command -v spin >/dev/null || { apt-get update && apt-get install -y --no-install-recommends spin; }
 	@tools/model docs/design/once.pml
 	@tools/model docs/design/takeover.pml
 	@tools/model docs/design/record.pml
+	@tools/model docs/design/mark.pml
