cell: let no step of many tasks hold up the passes behind it

Cause: the pause after a pass follows the looks for steps that still wait. A step of many tasks is looked at beyond the pass's limit, and counts as a whole where one of its tasks finds no room: with 350 workers and 351 tasks the next pass came 245 ms later, and would with thousands of workers after seconds.

Change: the pause follows at most the limit of the pass, 50 ms, or 12 for the pass over urgent steps.

Test: a small job handed in behind such a step begins after 113 ms; before, after 313, over the bound of 150.

--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -276,10 +276,14 @@
   return cell_follow_is_known (cell, &cell->follow[FOLLOW_WORKERS]);
 }
 
+/* A step of many tasks is looked at beyond the pass's limit, and may have
+ * started most of them: what is behind it waits no longer for that. */
 static int64_t
-pause_ms (const MuxCell *cell, int64_t least_ms)
+pause_ms (const MuxCell *cell, int64_t least_ms, uint32_t most_looks)
 {
-  int64_t idle_ms = cell->idle_looks / IDLE_LOOKS_PER_MS;
+  uint32_t looks
+      = cell->idle_looks < most_looks ? cell->idle_looks : most_looks;
+  int64_t idle_ms = looks / IDLE_LOOKS_PER_MS;
 
   return idle_ms > least_ms ? idle_ms : least_ms;
 }
@@ -306,12 +310,14 @@
     {
       clear_reservations (cell);
       pass_over_all (cell);
-      cell->slow_pass_ms = cell->time.now_ms + pause_ms (cell, SLOW_PASS_MS);
+      cell->slow_pass_ms
+          = cell->time.now_ms + pause_ms (cell, SLOW_PASS_MS, PASS_LOOKS);
     }
   else
     pass_over_urgent (cell);
   cell->pass_ms
-      = cell->time.now_ms + (all ? PASS_MS : pause_ms (cell, PASS_MS));
+      = cell->time.now_ms
+        + (all ? PASS_MS : pause_ms (cell, PASS_MS, URGENT_PASS_LOOKS));
   mux_count (cell->options.counters, MUX_COUNT_PLAN_LOOKS, cell->looks);
   mux_count (cell->options.counters, MUX_COUNT_PLAN_STEPS, cell->steps_looked);
 }
--- a/test/unit/test_cell_backlog.c
+++ b/test/unit/test_cell_backlog.c
@@ -33,6 +33,10 @@
   (PASSES_PER_S * (PASS_LOOKS / STEP_LOOKS + 1) \
    + URGENT_PASSES_PER_S * (URGENT_PASS_LOOKS / STEP_LOOKS + 1))
 #define TAKEOVER_MS 20000
+#define WIDE_WORKERS 350
+#define WIDE_CPU_MILLI 20000
+/* A commit, and the pause after a pass that was in vain to its limit. */
+#define BEHIND_MS (100 + PASS_LOOKS / IDLE_LOOKS_PER_MS)
 #define COUNTS 10
 #define ANSWER_MS 300
 /* Something happens so often, and what waits is looked at on each occasion, but
@@ -265,6 +269,32 @@
   world_free (world);
 }
 
+/* Guards against a step of many tasks, of which one finds no room, that holds
+ * up all that comes behind it. */
+static void
+test_wide_step_holds_up_nothing_behind_it (void **state)
+{
+  World *world = world_new (CELLS, WIDE_WORKERS);
+  int64_t begin_ms;
+
+  (void) state;
+  world_approve_unasked (world);
+  world_run (world, 1000);
+  world->task_ms = FOREVER_MS;
+  begin_ms = world->now_ms;
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, WIDE_WORKERS + 1, WIDE_CPU_MILLI), "wide");
+  world_run (world, 1);
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, 1, SMALL_CPU_MILLI), "small");
+  world_run (world, TURN_MS);
+  print_message ("small one began after %u ms\n",
+                 (unsigned) (world_first_start_ms (world, "small") - begin_ms));
+  assert_int_equal (world_starts (world, "wide"), WIDE_WORKERS);
+  assert_true (world_first_start_ms (world, "small") - begin_ms <= BEHIND_MS);
+  world_free (world);
+}
+
 static uint32_t
 count_of_queue (World *world)
 {
@@ -335,6 +365,7 @@
     cmocka_unit_test (test_steps_behind_a_backlog_have_their_turn),
     cmocka_unit_test (test_waiting_jobs_need_no_looks),
     cmocka_unit_test (test_looks_in_vain_are_bounded_by_time),
+    cmocka_unit_test (test_wide_step_holds_up_nothing_behind_it),
     cmocka_unit_test (test_count_of_a_queue_looks_at_no_job),
     cmocka_unit_test (test_count_of_a_queue_follows_its_jobs),
     cmocka_unit_test (test_takeover_looks_at_no_waiting_job_for_each_worker),
