cell: refuse by the room that a queue gets, and by whole waits

And under a burst a queue that operators put last took the room that gangs of an earlier one waited for.

Cause: a gang waits for many workers at once, so that its queue's own rate of placing is low with room to spare; the rate was taken for what the cell can do. What was placed between two counts was not taken off. Callers were told to come back when the backlog would be under the bound, within the burst.

Change: where processors are idle a queue is refused by the rate of the whole pool, late work included, if that is faster than its own; where later queues use the room by an eighth of its own wait; a later queue on a full pool behind the work of an earlier one that stands. What was placed since the last count is taken off. The time to come back is the whole wait and up to as much more. A planner counts as busy behind a wait of a second, not of any. While it may place nothing by its own rules nothing is counted: test_cell_room failed when 12 s of that passed for overload, and is as it was.

--- a/include/cell/admission.h
+++ b/include/cell/admission.h
@@ -32,6 +32,10 @@
  * @free_milli: of it, what nothing runs on
  * @held_milli: of it, what its tasks run on
  * @later_milli: what those of queues run on that are served later
+ * @all_work: of all queues of the pool, with what is late
+ * @all_rate: of these
+ * @first_work: of queues that are served first, and whose backlog stands
+ * @first_rate: of these
  * @later_rate: of the queues of the pool that are served later
  * @wait_ms: of a new job; 0: it is placed as it comes
  */
@@ -51,6 +55,10 @@
   int64_t free_milli;
   int64_t held_milli;
   int64_t later_milli;
+  int64_t all_work;
+  int64_t all_rate;
+  int64_t first_work;
+  int64_t first_rate;
   int64_t later_rate;
   int64_t wait_ms;
 } MuxAdmissionQueue;
@@ -83,7 +91,7 @@
 } MuxAdmissionJob;
 
 /**
- * struct MuxAdmissionStep - a step that waits
+ * struct MuxAdmissionStep - a step that waits and is worth something
  * @priority: of its queue
  * @service: hash of the pool that runs its tasks
  * @work: of its tasks, in core-milliseconds
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -22,8 +22,8 @@
 /* A pool is full with less than one of so many parts of it free. */
 #define FULL_PARTS 8
 /* In one that is not, something else is in the way of those that wait.  They
- * take no room from others, and are taken until they would wait for so many
- * times as long: about up to when their ends are worth nothing. */
+ * take no room from others, and are taken up to so many times the wait: what is
+ * refused then is a queue that is placed next to nothing of. */
 #define ROOM_FACTOR 8
 /* Thousandths of its slack that a new job may wait: the rest is for its way to
  * the planner and for what comes first meanwhile. */
@@ -174,6 +174,13 @@
   return ms < MUX_ADMISSION_WAIT_MAX_MS ? ms : MUX_ADMISSION_WAIT_MAX_MS;
 }
 
+/* Without what was placed since it was counted. */
+static int64_t
+work_ahead (const MuxAdmissionQueue *queue)
+{
+  return queue->work > queue->placed ? queue->work - queue->placed : 0;
+}
+
 /* Until it is measured, of a part of the pool alone; a planner that does not
  * know the pool yet goes by what the one before it told. */
 static int64_t
@@ -181,7 +188,7 @@
 {
   if (queue->pool_milli == 0)
     return queue->wait_ms;
-  return time_of (queue->work, queue->pool_milli / UNKNOWN_PARTS);
+  return time_of (work_ahead (queue), queue->pool_milli / UNKNOWN_PARTS);
 }
 
 /* What those that are served later run on is room that this queue gets first.
@@ -193,22 +200,53 @@
          >= queue->pool_milli;
 }
 
+static int64_t
+age_of (const MuxAdmissionQueue *queue)
+{
+  return queue->work > 0 ? queue->aged / queue->work : 0;
+}
+
+static bool
+stands (const MuxAdmissionQueue *queue)
+{
+  return queue->waiting >= BACKLOG_STEPS && age_of (queue) >= STANDING_AGE;
+}
+
+/* A queue that alone is not placed while processors are idle waits for what the
+ * others do not need, such as many workers at once; where nothing is placed,
+ * the planner or the policy service can't take more. */
+static int64_t
+wait_beside_room_ms (const MuxAdmissionQueue *queue)
+{
+  int64_t work = work_ahead (queue);
+  int64_t own_ms;
+  int64_t all_ms;
+
+  if (queue->free_milli * FULL_PARTS < queue->pool_milli)
+    return time_of (work, queue->rate) / ROOM_FACTOR;
+  own_ms = time_of (work + queue->late_work, queue->rate);
+  all_ms = time_of (queue->all_work, queue->all_rate);
+  return (all_ms < own_ms ? all_ms : own_ms) / ROOM_FACTOR;
+}
+
 static int64_t
 measured_wait_ms (const MuxAdmissionQueue *queue)
 {
-  int64_t age = queue->aged / queue->work;
   /* Core-milliseconds a second are thousandths of a processor. */
   int64_t spare = queue->free_milli + queue->later_rate;
 
-  if (age >= STANDING_AGE && has_room (queue))
-    return time_of (queue->work + queue->late_work, queue->rate) / ROOM_FACTOR;
-  if (age >= STANDING_AGE)
-    return time_of (queue->work, queue->rate);
+  if (has_room (queue) && stands (queue))
+    return wait_beside_room_ms (queue);
+  if (!has_room (queue) && (stands (queue) || queue->first_work > 0))
+    return time_of (work_ahead (queue) + queue->first_work,
+                    queue->rate + queue->first_rate);
   /* The whole pool can't be faster. */
-  if (age < GUST_AGE || has_room (queue)
+  if (age_of (queue) < GUST_AGE || has_room (queue)
       || queue->rate + spare > queue->pool_milli)
-    return queue->pool_milli > 0 ? time_of (queue->work, queue->pool_milli) : 0;
-  return time_of (queue->work, queue->rate + spare);
+    return queue->pool_milli > 0
+               ? time_of (work_ahead (queue), queue->pool_milli)
+               : 0;
+  return time_of (work_ahead (queue), queue->rate + spare);
 }
 
 static void
@@ -222,18 +260,42 @@
     queue->wait_ms = measured_wait_ms (queue);
 }
 
+/* Guards against queues that operators put first and that get nothing: tasks of
+ * a later one find room in each gap, which a gang needs all at once. */
+static void
+add_first (MuxAdmissionQueue *queue, const MuxAdmissionQueue *first)
+{
+  if (!stands (first))
+    return;
+  queue->first_work += first->work;
+  queue->first_rate += first->rate;
+}
+
 static void
-add_later (const MuxAdmission *admission, MuxAdmissionQueue *queue)
+add_others (const MuxAdmission *admission, MuxAdmissionQueue *queue)
 {
+  queue->all_work = 0;
+  queue->all_rate = 0;
+  queue->first_work = 0;
+  queue->first_rate = 0;
   queue->later_rate = 0;
   queue->later_milli = 0;
   for (uint32_t i = 0; i < admission->count; i++)
-    if (admission->queue[i].service == queue->service
-        && admission->queue[i].priority > queue->priority)
-      {
-        queue->later_rate += admission->queue[i].rate;
-        queue->later_milli += admission->queue[i].held_milli;
-      }
+    {
+      const MuxAdmissionQueue *other = &admission->queue[i];
+
+      if (other->service != queue->service)
+        continue;
+      queue->all_work += other->work + other->late_work;
+      queue->all_rate += other->rate;
+      if (other->priority < queue->priority)
+        add_first (queue, other);
+      else if (other->priority > queue->priority)
+        {
+          queue->later_rate += other->rate;
+          queue->later_milli += other->held_milli;
+        }
+    }
 }
 
 void
@@ -250,7 +312,7 @@
         continue;
       queue->pool_milli = pool_milli;
       queue->free_milli = free_milli;
-      add_later (admission, queue);
+      add_others (admission, queue);
       judge (queue);
     }
 }
@@ -283,17 +345,15 @@
 mux_admission_retry_ms (const MuxAdmission *admission,
                         const MuxAdmissionJob *job)
 {
-  int64_t wait_ms = mux_admission_wait_ms (admission, job->queue) * job->turns;
-  int64_t over_ms = wait_ms - job->slack_ms * WAIT_OF_SLACK / MILLI;
-  int64_t retry_ms;
+  int64_t wait_ms = mux_admission_wait_ms (admission, job->queue);
+  uint64_t retry_ms = (uint64_t) wait_ms;
 
-  if (wait_ms == 0 || over_ms <= 0)
+  if (wait_ms * job->turns <= job->slack_ms * WAIT_OF_SLACK / MILLI)
     return 0;
-  if (over_ms < RETRY_MIN_MS)
-    over_ms = RETRY_MIN_MS;
+  if (retry_ms < RETRY_MIN_MS)
+    retry_ms = RETRY_MIN_MS;
+  if (retry_ms > RETRY_MAX_MS / 2)
+    retry_ms = RETRY_MAX_MS / 2;
   /* Callers who are refused together are told times that lie apart. */
-  retry_ms = over_ms + (int64_t) (job->spread % (uint64_t) over_ms);
-  return retry_ms < RETRY_MAX_MS
-             ? (uint32_t) retry_ms
-             : RETRY_MAX_MS / 2 + (uint32_t) (job->spread % (RETRY_MAX_MS / 2));
+  return (uint32_t) (retry_ms + job->spread % retry_ms);
 }
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -14,6 +14,8 @@
 #define LINE_MS 1000
 /* What a planner told is forgotten after so long. */
 #define TOLD_KEEP_MS 5000
+/* A wait that is a backlog to be told of. */
+#define BACKLOG_MS 1000
 /* A planner that answers neither asks nor greetings for so long, and has told
  * of a backlog, is overloaded, */
 #define ASK_MS 300
@@ -67,10 +69,19 @@
   return work;
 }
 
+/* As long as the planner places nothing of its own accord, that it places
+ * nothing is no overload. */
+static bool
+may_place (const MuxCell *cell)
+{
+  return cell_may_order (cell) && !cell->unconfirmed
+         && cell_room_is_known (cell);
+}
+
 void
 cell_admission_taken (MuxCell *cell, const MuxJobSpec *spec)
 {
-  if (cell->role == CELL_PLANNING && is_timed (spec))
+  if (cell->role == CELL_PLANNING && may_place (cell) && is_timed (spec))
     mux_admission_taken (&cell->admission, queue_of (spec), work_of_job (spec));
 }
 
@@ -104,8 +115,8 @@
 
   if (stage->spec->long_running || rank == CELL_RANK_WORTHLESS)
     return;
-  step.priority = stage->job->spec->queue.priority;
   step.service = stage->service;
+  step.priority = stage->job->spec->queue.priority;
   step.work = work_of (stage, cell_stage_waiting (stage));
   step.waited_ms = now - stage->ready_ms;
   step.slack_ms = stage->due_ms - stage->spec->estimate_ms - stage->ready_ms;
@@ -189,19 +200,19 @@
 static void
 tell_queue (MuxCell *cell, const MuxAdmissionQueue *queue)
 {
-  cell_log (
-      cell, "queue_waits", "{s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
-      "priority", (int) queue->priority, "steps", (int) queue->waiting, "work",
-      (json_int_t) queue->work, "late", (json_int_t) queue->late_work, "rate",
-      (json_int_t) queue->rate, "age", (json_int_t) (queue->aged / queue->work),
-      "free", (json_int_t) (queue->free_milli + queue->later_milli), "pool",
-      (json_int_t) queue->pool_milli, "wait_ms", (json_int_t) queue->wait_ms);
+  cell_log (cell, "queue_waits", "{s:i, s:i, s:I, s:I, s:I, s:I, s:I, s:I}",
+            "priority", (int) queue->priority, "steps", (int) queue->waiting,
+            "work", (json_int_t) queue->work, "rate", (json_int_t) queue->rate,
+            "age", (json_int_t) queue->aged / queue->work, "free",
+            (json_int_t) queue->free_milli + queue->later_milli, "pool",
+            (json_int_t) queue->pool_milli, "wait_ms",
+            (json_int_t) queue->wait_ms);
 }
 
 static void
 tell_backlog (MuxCell *cell, int64_t longest_ms)
 {
-  bool backlog = longest_ms > 0;
+  bool backlog = longest_ms >= BACKLOG_MS;
 
   mux_observe (cell->options.counters, MUX_HIST_BACKLOG, longest_ms);
   if (backlog != cell->backlog)
@@ -222,17 +233,21 @@
 cell_admission_tick (MuxCell *cell)
 {
   int64_t now = cell->time.now_ms;
+  bool began = cell->admission_term != cell->term;
 
-  if (cell->admission_term != cell->term)
+  if (!began && now < cell->admission.counted_ms + COUNT_MS)
+    return;
+  cell->admission_term = cell->term;
+  cell->admission_told_ms = now;
+  if (began)
+    mux_admission_reset (&cell->admission, now);
+  if (!may_place (cell))
     {
-      cell->admission_term = cell->term;
-      mux_admission_reset (&cell->admission, now);
+      cell->admission.counted_ms = now;
+      return;
     }
-  else if (now < cell->admission.counted_ms + COUNT_MS)
-    return;
   count_backlog (cell);
   judge_pools (cell);
-  cell->admission_told_ms = now;
   tell_backlog (cell, longest_wait_ms (cell));
 }
 
@@ -341,7 +356,7 @@
   if (cell->role != CELL_FOLLOWER || cell->planner_welcome_ms == 0
       || cell->planner_store_bad_ms != 0 || silent_ms >= AWAY_MS)
     return false;
-  if (longest_wait_ms (cell) == 0 && cell->planner_late_ms < ASK_MS)
+  if (longest_wait_ms (cell) < BACKLOG_MS && cell->planner_late_ms < ASK_MS)
     return false;
   return silent_ms >= WELCOME_MS || has_old_ask (cell);
 }
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -159,6 +159,28 @@
   assert_int_equal (retry_ms (&play, job (5000)), 0);
 }
 
+/* A later queue takes the room that an earlier one waits for. */
+static void
+test_later_queue_is_refused_behind_an_earlier_one (void **state)
+{
+  MuxAdmissionStep late = { .priority = 1, .service = POOL, .slack_ms = 2000 };
+  Play play = begin ();
+  MuxAdmission *admission = &play.admission;
+  MuxAdmissionJob other = job (5000);
+
+  (void) state;
+  other.queue = OTHER;
+  late.work = mux_admission_work (1, 1000, 1000);
+  count_for (&play, 5000, 400, 1500, 10);
+  assert_int_equal (retry_ms (&play, other), 0);
+  for (uint32_t i = 0; i < 10; i++)
+    mux_admission_waits (admission, OTHER, &late);
+  mux_admission_judge (admission, POOL, POOL_MILLI, 0);
+  assert_int_not_equal (retry_ms (&play, other), 0);
+  mux_admission_judge (admission, POOL, POOL_MILLI, POOL_MILLI / 4);
+  assert_int_equal (retry_ms (&play, other), 0);
+}
+
 /* A planner takes jobs without bound after its takeover, until it has measured
  * how fast it places them. */
 static void
@@ -250,6 +272,7 @@
     cmocka_unit_test (test_short_gust_is_taken),
     cmocka_unit_test (test_gust_beyond_the_pool_is_refused),
     cmocka_unit_test (test_queue_with_room_is_taken_for_longer),
+    cmocka_unit_test (test_later_queue_is_refused_behind_an_earlier_one),
     cmocka_unit_test (test_new_planner_is_cautious),
     cmocka_unit_test (test_standstill_refuses),
     cmocka_unit_test (test_times_to_come_back_are_spread),
--- a/test/unit/test_cell_burst.c
+++ b/test/unit/test_cell_burst.c
@@ -11,7 +11,7 @@
 #define TASK_MS 1000
 /* A job of 4 tasks of 8 processors each 70 ms, every tenth one of 16: with 0.92
  * of the room of 16 workers of 32 processors, for a second each. */
-#define EACH_US 83000
+#define EACH_US INT64_C (83000)
 #define TASKS 4
 #define WIDE_TASKS 16
 #define WIDE_EACH 10
