test: queues beside idle workers, one that waits alone and all that stand

Two tests of the admission's rules for a pool with room: a queue of gangs that alone is not placed is taken, one is refused where late work shows that the planner takes no more.

--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -181,6 +181,41 @@
   assert_int_equal (retry_ms (&play, other), 0);
 }
 
+/* Gangs are refused beside idle workers, as few of them are placed, while all
+ * else is placed as it comes. */
+static void
+test_queue_that_alone_waits_beside_idle_workers_is_taken (void **state)
+{
+  Play play = begin ();
+
+  (void) state;
+  play.free_milli = POOL_MILLI / 4;
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      mux_admission_placed (&play.admission, OTHER,
+                            mux_admission_work (20, 1000, 1000));
+      count (&play, 400, 1500, 1);
+    }
+  assert_int_equal (retry_ms (&play, job (5000)), 0);
+}
+
+/* A planner that takes no more is given more, as workers stand idle. */
+static void
+test_standstill_beside_idle_workers_refuses (void **state)
+{
+  MuxAdmissionStep late = { .service = POOL, .late = true };
+  Play play = begin ();
+
+  (void) state;
+  play.free_milli = POOL_MILLI / 4;
+  late.work = mux_admission_work (1000, 1000, 1000);
+  count_for (&play, 5000, 100, 1500, 1);
+  assert_int_equal (retry_ms (&play, job (10000)), 0);
+  mux_admission_waits (&play.admission, QUEUE, &late);
+  mux_admission_judge (&play.admission, POOL, POOL_MILLI, play.free_milli);
+  assert_int_not_equal (retry_ms (&play, job (10000)), 0);
+}
+
 /* A planner takes jobs without bound after its takeover, until it has measured
  * how fast it places them. */
 static void
@@ -273,6 +308,8 @@
     cmocka_unit_test (test_gust_beyond_the_pool_is_refused),
     cmocka_unit_test (test_queue_with_room_is_taken_for_longer),
     cmocka_unit_test (test_later_queue_is_refused_behind_an_earlier_one),
+    cmocka_unit_test (test_queue_that_alone_waits_beside_idle_workers_is_taken),
+    cmocka_unit_test (test_standstill_beside_idle_workers_refuses),
     cmocka_unit_test (test_new_planner_is_cautious),
     cmocka_unit_test (test_standstill_refuses),
     cmocka_unit_test (test_times_to_come_back_are_spread),
