test: hand the backlog in while nobody plans

With admission most of a backlog that is handed in to a planner is refused: of 500 jobs 14 waited, and the tests of what a backlog costs would hold for nearly nothing. It is now taken while no daemon plans, each of its jobs is checked to be accepted, and small jobs belong to a queue that is served first.

--- a/test/unit/test_cell_backlog.c
+++ b/test/unit/test_cell_backlog.c
@@ -13,12 +13,14 @@
 #define BACKLOG 10000
 #define STEPS_PER_JOB 20
 #define BACKLOG_JOBS (BACKLOG / STEPS_PER_JOB)
-#define SUBMIT_EVERY_MS 5
 #define SETTLE_MS 3000
 /* Small jobs come meanwhile, for which there is room. */
 #define SMALL_CPU_MILLI 1000
 #define SMALL_TASK_MS 100
 #define SMALL_EVERY_MS 100
+#define BACKLOG_PRIORITY 2
+#define SMALL_PRIORITY 1
+#define CONFIG_MS 20
 #define SMALL_JOBS (LOOK_MS / SMALL_EVERY_MS)
 #define LOOK_S 10
 #define LOOK_MS 10000
@@ -113,18 +115,30 @@
   return world;
 }
 
+/* Taken while nobody plans, or most of it would be refused; small jobs that
+ * come later belong to a queue that is served first. */
 static void
 add_backlog (World *world)
 {
+  uint32_t planner = world_planner (world);
+  uint64_t call[BACKLOG_JOBS];
+
+  world_set_priority (world, BACKLOG_PRIORITY);
+  world_run (world, CONFIG_MS);
+  world_cell_kill (world, planner);
   for (uint32_t i = 0; i < BACKLOG_JOBS; i++)
     {
       char id[MUX_JOB_ID_LEN];
 
       snprintf (id, sizeof id, "wait-%u", i);
-      (void) world_submit (world, world_planner (world), wide_job (), id);
-      world_run (world, SUBMIT_EVERY_MS);
+      call[i] = world_submit (world, (planner + 1) % CELLS, wide_job (), id);
     }
   world_run (world, SETTLE_MS);
+  for (uint32_t i = 0; i < BACKLOG_JOBS; i++)
+    assert_int_equal (world->answer[call[i]].outcome, MUX_OUTCOME_ACCEPTED);
+  world_cell_start (world, planner);
+  world_set_priority (world, SMALL_PRIORITY);
+  world_run (world, SETTLE_MS);
 }
 
 static void
