cell: record a run once the loss before it counts

Cause: a loss that may be a cut needs no record of the next start (cell_start_needs_record), so that a run is not held back in a cut. The successor looks for runs without a record at tasks without losses only (lose_former_runs), as any task with one is thought to have a record.

Ways weighed: a record for each start after a loss, also after a cut, would hold back the restart of all lost runs while the store is away; counting a start behind each such loss would count against innocent tasks. Chosen: the run gets its record as soon as the loss before it counts: the worker has ended, time has told, or it turns out to be in an outage. A planner that is lost before that still loses it.

The test is new and failed before: four starts rather than three. Unchanged and green: test_cell_crash, test_cell_outage, test_cell_lives, test_cell_same_id, test_cell.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -503,6 +503,8 @@
 /* suspect.c: tasks under which workers crashed */
 /** cell_start_needs_record() - a next planner must know of its start */
 bool cell_start_needs_record (const MuxCell *cell, const CellTask *task);
+/** cell_start_has_record() - of a run that has not ended */
+bool cell_start_has_record (const CellTask *task);
 /** cell_suspicion() - workers that may have crashed for the task */
 uint32_t cell_suspicion (const MuxCell *cell, const CellTask *task);
 bool cell_task_may_start (const MuxCell *cell, const CellTask *task);
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -258,6 +258,26 @@
     changed (cell, task);
 }
 
+/*
+ * A run may have begun without a record, while the loss before it was taken for
+ * a cut.  It gets one once that loss counts.
+ * Return: whether it did.
+ */
+static bool
+record_run (MuxCell *cell, CellTask *task)
+{
+  const CellBooking *booking = task->booking;
+  CellLoss open = { .open = true };
+  const char *life;
+
+  if (booking == NULL || cell_start_has_record (task)
+      || !cell_start_needs_record (cell, task))
+    return false;
+  open.began = booking->began;
+  life = booking->former != NULL ? booking->former : booking->worker->info.id;
+  return add (cell, task, life, booking->worker->info.addr, open) != NULL;
+}
+
 typedef bool (*TakeLoss) (CellTask *task, uint32_t i, const CellWorker *worker);
 
 /* Of one that a former planner recorded. */
@@ -297,7 +317,10 @@
               find_span (cell, worker, task, k - 1);
             }
         if (taken)
-          changed (cell, task);
+          {
+            (void) record_run (cell, task);
+            changed (cell, task);
+          }
       }
 }
 
@@ -429,7 +452,7 @@
 
   for (uint32_t i = task->loss_count; i > 0; i--)
     taken = take_outage (cell, task, i - 1) || taken;
-  if (taken)
+  if (record_run (cell, task) || taken)
     changed (cell, task);
   else if (cell_losses_give_up (cell, task))
     give_up (cell, task);
--- a/src/cell/suspect.c
+++ b/src/cell/suspect.c
@@ -53,6 +53,15 @@
          > 0;
 }
 
+bool
+cell_start_has_record (const CellTask *task)
+{
+  for (uint32_t i = 0; i < task->loss_count; i++)
+    if (task->loss[i].open)
+      return true;
+  return false;
+}
+
 static bool
 is_on_trial (const MuxCell *cell, const CellBooking *booking)
 {
--- a/test/unit/test_cell_crash.c
+++ b/test/unit/test_cell_crash.c
@@ -326,6 +326,41 @@
   world_free (world);
 }
 
+/* A worker is silent beyond its lease, so that the task starts elsewhere, and
+ * starts again before the planner is lost; the next one does so behind it. */
+#define SILENT_MS 7000
+#define PLANNER_LATER_MS 2800
+
+/* Guards against a crash that is lost with its planner, as its run began while
+ * the one before was taken for cut off. */
+static void
+test_crash_after_a_silent_one_outlives_its_planner (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+
+  (void) state;
+  world->silent_crashes = true;
+  world->down_ms = SILENT_MS;
+  world->crash_ms = 2 * STEP_MS;
+  (void) world_submit (world, planner, world_crashing_job (1, 2000, 0),
+                       "job-a");
+  (void) wait_for_run (world, "job-a");
+  world_run (world, 2 * STEP_MS);
+  (void) wait_for_run (world, "job-a");
+  world->down_ms = DOWN_MS;
+  world_run (world, PLANNER_LATER_MS);
+  assert_int_equal (world_crashes (world, "job-a"), 2);
+  world_cell_kill (world, planner);
+  world_run (world, DAEMON_DOWN_MS);
+  world_cell_start (world, planner);
+  world_run (world, 2 * DAY_MS);
+  assert_int_equal (world_starts (world, "job-a"), CRASHES_ENOUGH);
+  assert_int_equal (world_state (world, world_planner (world), "job-a"),
+                    MUX_JOB_FAILED);
+  world_free (world);
+}
+
 #define WAVE_MS 8000
 
 /* Guards against jobs that are given up as a third of the workers starts again
@@ -422,6 +457,7 @@
     cmocka_unit_test (test_task_on_workers_that_leave_is_not_given_up),
     cmocka_unit_test (test_wide_step_that_crashes_takes_few_workers_more),
     cmocka_unit_test (test_crash_is_in_no_outage_that_comes_after_it),
+    cmocka_unit_test (test_crash_after_a_silent_one_outlives_its_planner),
     cmocka_unit_test (test_jobs_survive_many_workers_that_start_again),
     cmocka_unit_test (test_jobs_beside_crashing_ones_lose_little),
   };
