cell: keep a life in the roster until its moved runs are settled

Of its crashes the first counts nowhere behind a takeover, the next three in outages a third each.

The successor knows neither the loss nor the former life.

Cause: a dead life stays in the roster until what was lost there is stored, so that a successor counts an untold loss. That is asked as the life ends; runs that have moved to the next life are settled later, so that the roster forgot the life between the two. The same class of fault as with the span of such runs: what belongs to the former life is taken of the next one.

Change: a life stays in the roster while one of the runs that moved from it is not settled, and from then on until that is stored.

The test is new and failed before: a sixth start.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -356,6 +356,11 @@
 cell_life_next (MuxCell *cell, const CellWorker *former, uint64_t born_ms);
 /** cell_lives_end() - of those before @worker, which has answered */
 void cell_lives_end (MuxCell *cell, CellWorker *worker);
+/** cell_life_is_unsettled() - it is not known of all runs that were sent to the
+ * life whether they are at the next one */
+bool cell_life_is_unsettled (const CellWorker *worker);
+/** cell_life_settled() - it is known of one, and is to be stored */
+void cell_life_settled (MuxCell *cell, const char *life);
 /** cell_life_listed_runs() - its first list has been taken: what is booked and
  * was not named is not to begin any more */
 void cell_life_listed_runs (MuxCell *cell, CellWorker *worker);
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -203,6 +203,7 @@
   (void) drop_open (task);
   if (counts)
     lose (cell, task, former, worker->info.addr, loss);
+  cell_life_settled (cell, former);
 }
 
 void
--- a/src/cell/life.c
+++ b/src/cell/life.c
@@ -131,6 +131,38 @@
     }
 }
 
+static bool
+has_run_of (const CellWorker *life, const char *former)
+{
+  const CellBooking *booking;
+
+  DL_FOREACH (life->bookings, booking)
+  if (booking->former != NULL && !booking->confirmed
+      && strcmp (booking->former, former) == 0)
+    return true;
+  return false;
+}
+
+bool
+cell_life_is_unsettled (const CellWorker *worker)
+{
+  const CellWorker *life;
+
+  DL_FOREACH2 (worker->lives->life, life, lives_next)
+  if (has_run_of (life, worker->info.id))
+    return true;
+  return false;
+}
+
+void
+cell_life_settled (MuxCell *cell, const char *life)
+{
+  CellWorker *worker = cell_worker_find (cell, life);
+
+  if (worker != NULL)
+    worker->store_seq = cell->end_seq;
+}
+
 static void
 end_life (MuxCell *cell, CellWorker *former, CellWorker *next)
 {
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -149,8 +149,10 @@
 {
   /* Until what was lost there is stored a next planner asks it, too. */
   if (worker->dead)
-    return cell_stored_seq (cell) >= worker->store_seq ? CELL_ROSTER_NONE
-                                                       : worker->roster;
+    return cell_stored_seq (cell) >= worker->store_seq
+                   && !cell_life_is_unsettled (worker)
+               ? CELL_ROSTER_NONE
+               : worker->roster;
   if (!worker->heard)
     return wants_former_mark (cell, worker) ? CELL_ROSTER_MARKED
                                             : worker->roster;
--- a/test/unit/test_cell_outage.c
+++ b/test/unit/test_cell_outage.c
@@ -249,6 +249,66 @@
     }
 }
 
+#define OTHERS 5
+#define STEP_MS 4
+#define DOWN_MS 1000
+#define UNSTORED_MS 10000
+#define LIST_LATE_MS 500
+#define ROSTER_MS 100
+#define DAY_MS 120000
+
+/* Workers of other racks, at once with each crash of the job. */
+static void
+crash_others_with (World *world, const char *id)
+{
+  uint32_t seen = world_crashes (world, id);
+
+  for (int64_t end_ms = world->now_ms + DAY_MS; world->now_ms < end_ms;)
+    {
+      uint32_t worker;
+
+      world_run (world, STEP_MS);
+      if (world_crashes (world, id) == seen)
+        continue;
+      seen = world_crashes (world, id);
+      worker = world->start[world->start_count - 1].worker;
+      for (uint32_t i = 1; i <= OTHERS; i++)
+        world_worker_crash (world, (worker + i * RACK) % WORKERS);
+    }
+}
+
+/* Guards against a start too many as the first crash was lost with its planner
+ * and all others are in outages. */
+static void
+test_crash_lost_with_its_planner_gives_no_further_start (void **state)
+{
+  World *world = world_with_ids_kept (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  uint32_t known;
+
+  (void) state;
+  world->down_ms = DOWN_MS;
+  world->list_late_ms = LIST_LATE_MS;
+  (void) world_submit (world, planner, world_crashing_job (1, 2000, 0),
+                       "crash");
+  while (world_crashes (world, "crash") == 0)
+    world_run (world, STEP_MS);
+  known = world_logged (world, "worker_crashed");
+  while (world_logged (world, "worker_crashed") == known)
+    world_run (world, STEP_MS);
+  world_run (world, ROSTER_MS);
+  assert_int_equal (world_logged (world, "run_lost"), 0);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
+  world_run (world, UNSTORED_MS);
+  world_cell_kill (world, planner);
+  world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
+  crash_others_with (world, "crash");
+  assert_false (world_over_budget (world));
+  assert_int_equal (world_state (world, world_planner (world), "crash"),
+                    MUX_JOB_FAILED);
+  world_free (world);
+}
+
 /* Guards against a step of which all tasks crash their workers that is taken
  * for an outage. */
 static void
@@ -275,6 +335,7 @@
     cmocka_unit_test (test_jobs_survive_crashes_of_racks),
     cmocka_unit_test (test_jobs_survive_single_crashes_in_a_rack),
     cmocka_unit_test (test_crashing_task_among_outages_is_given_up),
+    cmocka_unit_test (test_crash_lost_with_its_planner_gives_no_further_start),
     cmocka_unit_test (test_wide_crashing_step_is_no_outage),
   };
 
