--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -381,6 +381,11 @@
 cell_life_next (MuxCell *cell, const CellWorker *former, uint64_t born_ms);
 /** cell_lives_end() - of those before @worker, which has answered */
 void cell_lives_end (MuxCell *cell, CellWorker *worker);
+/** cell_life_is_unsettled() - it is not known of all runs that were sent to the
+ * life whether they are at the next one */
+bool cell_life_is_unsettled (const CellWorker *worker);
+/** cell_life_settled() - it is known of one, and is to be stored */
+void cell_life_settled (MuxCell *cell, const char *life);
 /** cell_life_listed_runs() - its first list has been taken: what is booked and
  * was not named is not to begin any more */
 void cell_life_listed_runs (MuxCell *cell, CellWorker *worker);
@@ -528,6 +533,8 @@
 /* suspect.c: tasks under which workers crashed */
 /** cell_start_needs_record() - a next planner must know of its start */
 bool cell_start_needs_record (const MuxCell *cell, const CellTask *task);
+/** cell_start_has_record() - of a run that has not ended */
+bool cell_start_has_record (const CellTask *task);
 /** cell_suspicion() - workers that may have crashed for the task */
 uint32_t cell_suspicion (const MuxCell *cell, const CellTask *task);
 bool cell_task_may_start (const MuxCell *cell, const CellTask *task);
