cell: bound the work of a step that admission counts

A caller's job of tasks with the largest processors and estimate overflowed a signed product. Each step counts as ten million core-seconds at most, so that sums stay in 64 bits. test_huge_step_counts_as_much ended with a signed overflow under the undefined-behaviour sanitizer before; it, test_admission and test_cell_burst pass under the sanitizers with the change.

--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -5,6 +5,8 @@
 #define MS_PER_S 1000
 /* Thousandths of a processor in one. */
 #define MILLI 1000
+/* Of one step, in core-milliseconds: sums of them stay in 64 bits. */
+#define WORK_MAX INT64_C (10000000000)
 /* Of the mean of the rate, counted while something waits. */
 #define RATE_MEMORY_MS 4000
 /* A rate that was measured for less is not known. */
@@ -34,9 +36,14 @@
 int64_t
 mux_admission_work (uint32_t tasks, uint32_t cpu_milli, uint32_t estimate_ms)
 {
-  int64_t work = (int64_t) cpu_milli * estimate_ms / MILLI * tasks;
-
-  return work > 0 ? work : 1;
+  uint64_t work = (uint64_t) cpu_milli * estimate_ms / MILLI;
+
+  if (work > WORK_MAX)
+    work = WORK_MAX;
+  work *= tasks;
+  if (work > WORK_MAX)
+    return WORK_MAX;
+  return work > 0 ? (int64_t) work : 1;
 }
 
 void
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -280,6 +280,15 @@
   assert_int_not_equal (retry_ms (&play, asked), 0);
 }
 
+/* A caller's job of any size counts as none, as its work overflows. */
+static void
+test_huge_step_counts_as_much (void **state)
+{
+  (void) state;
+  assert_true (mux_admission_work (4096, UINT32_MAX, UINT32_MAX)
+               > mux_admission_work (1, 1000, 1000));
+}
+
 /* A full table of queues is written beyond its end. */
 static void
 test_too_many_queues_are_not_refused (void **state)
@@ -314,6 +323,7 @@
     cmocka_unit_test (test_standstill_refuses),
     cmocka_unit_test (test_times_to_come_back_are_spread),
     cmocka_unit_test (test_steps_wait_one_after_the_other),
+    cmocka_unit_test (test_huge_step_counts_as_much),
     cmocka_unit_test (test_too_many_queues_are_not_refused),
   };
 
