cell: let a pause behind lost runs begin once

Cause: the next start of a suspect is recorded first, and that record's time counted as the last loss, so that the pause which had just ended began anew, once for each worker tried. Ruled out: records that are not stored.

Change: the time of a record is none of a loss. test_pause_behind_lost_runs_begins_once failed before (4 starts for 5).

--- a/src/cell/loss.c
+++ b/src/cell/loss.c
@@ -87,13 +87,15 @@
          || (all >= LOSSES_MAX - 1 && all + untold >= LOSSES_MAX);
 }
 
+/* A start that is recorded is no loss, else a pause would begin anew with it.
+ */
 static int64_t
 since_last_ms (const MuxCell *cell, const CellTask *task)
 {
   int64_t last = 0;
 
   for (uint32_t i = 0; i < task->loss_count; i++)
-    if (task->loss[i].at_wall_ms > last)
+    if (!task->loss[i].open && task->loss[i].at_wall_ms > last)
       last = task->loss[i].at_wall_ms;
   return cell->time.wall_ms - last;
 }
--- a/test/unit/test_cell_outage.c
+++ b/test/unit/test_cell_outage.c
@@ -296,6 +296,52 @@
   world_free (world);
 }
 
+#define STEP_MS 4
+#define DAY_MS 100000
+
+/* Lets pass what is needed until the job has begun @starts runs.  Return:
+ * worker of the last one. */
+static uint32_t
+wait_for_start (World *world, const char *id, uint32_t starts)
+{
+  for (int64_t end_ms = world->now_ms + DAY_MS; world->now_ms < end_ms;)
+    {
+      world_run (world, STEP_MS);
+      if (world_starts (world, id) == starts)
+        return world->start[world->start_count - 1].worker;
+    }
+  fail_msg ("%s does not run", id);
+  return 0;
+}
+
+#define LOSSES 4
+#define PAUSE_MS 20000
+#define START_MS 1000
+
+/* Guards against a task that is held back for twice the pause, as a record of
+ * its next start counts as one more loss. */
+static void
+test_pause_behind_lost_runs_begins_once (void **state)
+{
+  World *world = world_new (1, WORKERS);
+
+  (void) state;
+  world->task_ms = FOREVER_MS;
+  (void) world_submit (world, 0, world_job (1, 1, 2000), "job-0");
+  for (uint32_t i = 1; i <= LOSSES; i++)
+    {
+      uint32_t lost = world_logged (world, "run_lost");
+      uint32_t worker = wait_for_start (world, "job-0", i);
+
+      world->worker[worker].cut = true;
+      while (world_logged (world, "run_lost") == lost)
+        world_run (world, STEP_MS);
+    }
+  world_run (world, PAUSE_MS + START_MS);
+  assert_int_equal (world_starts (world, "job-0"), LOSSES + 1);
+  world_free (world);
+}
+
 #define MARKS_LAST 2
 
 /* Takes from each lost run what the version before did not write. */
@@ -375,6 +421,7 @@
     cmocka_unit_test (test_crashing_task_among_outages_is_given_up),
     cmocka_unit_test (test_crashing_task_among_lost_planners_is_given_up),
     cmocka_unit_test (test_wide_crashing_step_is_no_outage),
+    cmocka_unit_test (test_pause_behind_lost_runs_begins_once),
     cmocka_unit_test (test_losses_of_the_version_before_are_read),
   };
 
