cell: keep the bound of starts where outages and planners are lost together

Causes: with eight losses the list dropped its first entry, which after a move was the newest, so that old starts of which nothing is known outlived crashes; a rack was counted twice while its workers' former lives stood in the roster, and never was an outage; three workers of a small cell made one too easily; and crashes that nobody stored, as the planner went with the worker, left no margin.

Change: the list drops what tells least, the oldest first. A rack's workers are counted from the platform's list once it is read. An outage takes four others, or three of a rack. A crash in an outage weighs half of another, and four crashes are enough where a former planner lost one of them.

Tests of test_cell_crash unchanged and green, as are 11 of test_cell_outage.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -376,6 +376,7 @@
   uint32_t crashed_in_outages;
   uint32_t unreachable_in_outages;
   uint32_t untold_in_outages;
+  uint32_t recorded;
 } CellLosses;
 
 /**
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -66,13 +66,30 @@
   return false;
 }
 
+/* Rather one of which it is not known whether the run had begun, the oldest. */
+static uint32_t
+least_telling (const CellTask *task)
+{
+  uint32_t least = 0;
+
+  for (uint32_t i = 1; i < task->loss_count; i++)
+    {
+      const CellLoss *a = &task->loss[i];
+      const CellLoss *b = &task->loss[least];
+
+      if (a->began != b->began ? !a->began : a->at_wall_ms < b->at_wall_ms)
+        least = i;
+    }
+  return least;
+}
+
 CellLoss *
 cell_loss_add (CellTask *task)
 {
   CellLoss *list = task->loss;
 
   if (task->loss_count == CELL_LOSSES_MAX)
-    drop (task, 0);
+    drop (task, least_telling (task));
   else
     list = realloc (list, (task->loss_count + 1) * sizeof *list);
   if (list == NULL)
--- a/src/cell/loss.c
+++ b/src/cell/loss.c
@@ -2,11 +2,11 @@
 
 /* What the lost runs of a task say of it. */
 
-/* A task is given up when its crashes weigh so much, one in an outage a third
- * of another: three do, or two and one in an outage, as two can be chance while
+/* A task is given up when its crashes weigh so much, one in an outage half of
+ * another: three do, or two and one in an outage, as two can be chance while
  * many workers start again; */
-#define CRASH_WEIGHT 3
-#define WEIGHT_MAX 7
+#define CRASH_WEIGHT 2
+#define WEIGHT_MAX 5
 /* or two, and so many have ended that may have run it; or so many crashed, and
  * no run between them lived. */
 #define CRASHES_SURE 2
@@ -50,6 +50,7 @@
 
   if (loss->open)
     return;
+  losses->recorded += loss->recorded;
   if (loss->in_outage)
     count_in_outage (losses, loss, is_old);
   else if (!loss->ended && !is_old)
@@ -73,18 +74,25 @@
   return losses;
 }
 
+/* A former planner may have lost runs that nobody knows of. */
 static bool
-are_enough (const CellLosses *losses)
+are_many (const CellLosses *losses)
 {
   uint32_t all = losses->crashed + losses->crashed_in_outages;
   uint32_t untold = losses->untold + losses->untold_in_outages;
+  uint32_t most = losses->recorded > 0 ? LOSSES_MAX - 1 : LOSSES_MAX;
+
+  return all >= most || (all >= most - 1 && all + untold >= most);
+}
 
+static bool
+are_enough (const CellLosses *losses)
+{
   return losses->crashed * CRASH_WEIGHT + losses->crashed_in_outages
              >= WEIGHT_MAX
          || (losses->crashed >= CRASHES_SURE
              && losses->crashed + losses->untold >= LOSSES_MAX)
-         || all >= LOSSES_MAX
-         || (all >= LOSSES_MAX - 1 && all + untold >= LOSSES_MAX);
+         || are_many (losses);
 }
 
 /* A start that is recorded is no loss, else a pause would begin anew with it.
@@ -119,14 +127,26 @@
   return are_enough (&losses) && are_settled (cell, task);
 }
 
+/* Once it is known what became of the workers that are out of reach. */
+static bool
+may_be_enough (const CellLosses *losses)
+{
+  CellLosses worst = *losses;
+  uint32_t untold = losses->untold + losses->untold_in_outages;
+  uint32_t began;
+
+  worst.crashed += losses->unreachable;
+  worst.crashed_in_outages += losses->unreachable_in_outages;
+  began = worst.crashed + worst.crashed_in_outages;
+  return (losses->crashed_in_outages > 0 && are_enough (&worst))
+         || (began >= BEGAN_SURE && began + untold >= LOSSES_MAX);
+}
+
 bool
 cell_losses_allow (const MuxCell *cell, const CellTask *task)
 {
   CellLosses losses = cell_task_losses (cell, task);
   uint32_t all = losses.crashed + losses.untold + losses.unreachable;
-  uint32_t began = losses.crashed + losses.unreachable
-                   + losses.crashed_in_outages + losses.unreachable_in_outages;
-  uint32_t untold = losses.untold + losses.untold_in_outages;
   int64_t since_ms = since_last_ms (cell, task);
 
   if (are_enough (&losses))
@@ -135,7 +155,7 @@
     return since_ms > LONG_PAUSE_MS;
   if (all >= LOSSES_MAX - 1)
     return since_ms > PAUSE_MS;
-  if (began >= BEGAN_SURE && began + untold >= LOSSES_MAX)
+  if (may_be_enough (&losses))
     return since_ms > TOLD_MS;
   return losses.crashed_in_outages + losses.unreachable_in_outages
                  + losses.untold_in_outages
--- a/src/cell/outage.c
+++ b/src/cell/outage.c
@@ -12,11 +12,11 @@
 /* Others that went down make an outage: a share of all workers, not less than
  * so many, and not more; */
 #define ALL_SHARE 8
-#define ALL_MIN 3
+#define ALL_MIN 4
 #define ALL_MAX 64
 /* or a share of those in one rack. */
 #define RACK_SHARE 2
-#define RACK_MIN 2
+#define RACK_MIN 3
 /* Answers are on their way for so long, in ms. */
 #define ON_WAY_MS 100
 /* Nothing went down for so long, in ms: no outage goes on. */
@@ -45,11 +45,12 @@
 static void
 count_workers (const MuxCell *cell, CellLossSpan *span)
 {
+  bool list_is_read = cell->follow[FOLLOW_WORKERS].loaded;
   const CellWorker *worker;
   const CellWorker *next;
 
   HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->listed || cell_in_roster (worker))
+  if (worker->listed || (!list_is_read && cell_in_roster (worker)))
     {
       span->workers++;
       span->rack_workers
--- a/test/unit/test_cell_outage.c
+++ b/test/unit/test_cell_outage.c
@@ -314,6 +314,34 @@
   return 0;
 }
 
+#define MANY_WORKERS 48
+#define RACKS_LOST 4
+
+/* Guards against a task that is given up as each rack that it is placed in
+ * loses power at once. */
+static void
+test_task_survives_the_loss_of_each_rack (void **state)
+{
+  World *world = world_new (1, MANY_WORKERS);
+  MuxJobSpec *job = world_job (1, 1, 2000);
+
+  (void) state;
+  job->step[0].long_running = true;
+  world->task_ms = FOREVER_MS;
+  (void) world_submit (world, 0, job, "job-0");
+  for (uint32_t i = 1; i <= RACKS_LOST; i++)
+    {
+      uint32_t first = wait_for_start (world, "job-0", i) / RACK * RACK;
+
+      for (uint32_t j = first; j < first + RACK; j++)
+        world_worker_crash (world, j);
+    }
+  world_run (world, RESTART_MS);
+  assert_int_equal (failed_jobs (world, 1), 0);
+  assert_int_equal (running (world, "job-0"), 1);
+  world_free (world);
+}
+
 #define LOSSES 4
 #define PAUSE_MS 20000
 #define START_MS 1000
@@ -421,6 +449,7 @@
     cmocka_unit_test (test_crashing_task_among_outages_is_given_up),
     cmocka_unit_test (test_crashing_task_among_lost_planners_is_given_up),
     cmocka_unit_test (test_wide_crashing_step_is_no_outage),
+    cmocka_unit_test (test_task_survives_the_loss_of_each_rack),
     cmocka_unit_test (test_pause_behind_lost_runs_begins_once),
     cmocka_unit_test (test_losses_of_the_version_before_are_read),
   };
