cell: keep no room for a gang beside tasks that never end

Cause: how many members of a gang a worker can ever hold was counted on the empty worker. Tasks that run until they are cancelled never leave; a gang that fits on the empty workers alone kept them free for good, and once all that waits was late, jobs behind it in the operators' order never got them. Ruled out: the policy service; the gang was approved on enough workers.

Change: what such tasks hold does not count as room that becomes free. The sums of a worker's bookings stand in room.c.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -366,6 +366,13 @@
 /** cell_worker_take_entry() - what the list says of it, but for its name */
 void cell_worker_take_entry (CellWorker *worker, const MuxWorkerInfo *entry);
 
+/* room.c */
+/** cell_room_take() - for a task of @stage */
+void cell_room_take (CellWorker *worker, const CellStage *stage);
+void cell_room_give (CellWorker *worker, const CellStage *stage);
+/** cell_room_ever() - once all that ends there has ended */
+MuxSize cell_room_ever (const CellWorker *worker);
+
 /* life.c: workers that start again under their ids */
 /** cell_life_join() - @worker to the lives of its id
  * Return: false when memory is out. */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -759,6 +759,7 @@
  * @seen: ends up to this number are known
  * @store_seq: all ends up to @seen are stored once this number is reached
  * @booked: sum of its bookings
+ * @lasting: of these, of tasks that run until they are cancelled
  * @stops: bookings that are to be stopped
  * @unserved_ms: how long it was avoided after its last start, as that was
  *   refused or not answered; 0: it was served
@@ -808,6 +809,7 @@
   int64_t idle_until_ms;   /* it is asked nothing while nothing runs there */
   uint32_t strikes;
   MuxSize booked;
+  MuxSize lasting;
   uint32_t stops;
   MuxSize held;             /* room kept for gangs about to start */
   uint32_t hold_count;      /* stages that hold some of it */
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -23,7 +23,7 @@
 {
   CellWorker *worker;
   uint32_t now;  /* members that fit at once */
-  uint32_t ever; /* members that fit when it is empty */
+  uint32_t ever; /* members that fit once all that ends there has ended */
   bool asked;
   bool yes;
   bool proven;
@@ -63,7 +63,7 @@
   p->kept = worker->last_reserved == stage;
   p->turn = cell_worker_turn (hash, worker);
   p->ever = cell_stage_bounded (
-      stage, cell_worker_holds (stage, worker->info.capacity));
+      stage, cell_worker_holds (stage, cell_room_ever (worker)));
   p->yes = !needed || (approval != NULL && approval->yes);
   p->proven = !needed || cell_proof_taken (cell, approval) != NULL;
   p->near = !p->proven && cell_approval_is_near (cell, approval);
@@ -192,7 +192,7 @@
   cell_stage_placed (cell, stage, member);
 }
 
-/* From the most that any of them holds when it is empty. */
+/* From the most that any of them can hold. */
 static uint32_t
 candidates_wanted (const CellStage *stage, const Place *place, uint32_t count)
 {
--- a/src/cell/life.c
+++ b/src/cell/life.c
@@ -98,11 +98,11 @@
 move_booking (const MuxCell *cell, CellBooking *booking, CellWorker *to)
 {
   CellWorker *from = booking->worker;
-  MuxSize size = booking->task->stage->spec->size;
+  const CellStage *stage = booking->task->stage;
 
   DL_DELETE (from->bookings, booking);
   from->stops -= booking->stop_at_ms != 0;
-  from->booked = mux_size_sub (from->booked, size);
+  cell_room_give (from, stage);
   if (booking->former == NULL)
     {
       booking->former = strdup (from->info.id);
@@ -113,7 +113,7 @@
   booking->listed = false;
   DL_APPEND (to->bookings, booking);
   to->stops += booking->stop_at_ms != 0;
-  to->booked = mux_size_add (to->booked, size);
+  cell_room_take (to, stage);
 }
 
 static void
--- /dev/null
+++ b/src/cell/room.c
@@ -0,0 +1,29 @@
+#include "cell_private.h"
+
+/* Room of workers that tasks of ours have. */
+
+void
+cell_room_take (CellWorker *worker, const CellStage *stage)
+{
+  worker->booked = mux_size_add (worker->booked, stage->spec->size);
+  if (stage->spec->long_running)
+    worker->lasting = mux_size_add (worker->lasting, stage->spec->size);
+}
+
+void
+cell_room_give (CellWorker *worker, const CellStage *stage)
+{
+  worker->booked = mux_size_sub (worker->booked, stage->spec->size);
+  if (stage->spec->long_running)
+    worker->lasting = mux_size_sub (worker->lasting, stage->spec->size);
+}
+
+/*
+ * Guards against room that is waited for, and kept from others, though it never
+ * becomes free: tasks that run until they are cancelled hold it.
+ */
+MuxSize
+cell_room_ever (const CellWorker *worker)
+{
+  return mux_size_sub (worker->info.capacity, worker->lasting);
+}
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -48,7 +48,7 @@
   if (run > task->stage->run)
     task->stage->run = run;
   task->stage->job->bookings++;
-  worker->booked = mux_size_add (worker->booked, task->stage->spec->size);
+  cell_room_take (worker, task->stage);
   DL_APPEND (worker->bookings, booking);
   return booking;
 }
@@ -61,7 +61,7 @@
 
   DL_DELETE (worker->bookings, booking);
   worker->stops -= booking->stop_at_ms != 0;
-  worker->booked = mux_size_sub (worker->booked, task->stage->spec->size);
+  cell_room_give (worker, task->stage);
   task->stage->job->bookings--;
   task->booking = NULL;
   cell->replan = true;
--- a/test/unit/test_cell_lasting.c
+++ b/test/unit/test_cell_lasting.c
@@ -11,6 +11,7 @@
 #define WORKERS 8
 /* Longer than any of these stories. */
 #define LONG_TASK_MS 60000
+#define LASTS_MS 600000
 #define LASTING_CPU_MILLI 4000
 /* Of each worker the most; a lasting task fits beside one. */
 #define BUSY_CPU_MILLI 26000
@@ -84,11 +85,53 @@
   world_free (world);
 }
 
+/* More than half of a worker, and more than is left beside it. */
+#define HALF_CPU_MILLI 17000
+#define WIDE_CPU_MILLI 20000
+#define SMALL_CPU_MILLI 10000
+/* Longer than the end of what waits is worth something. */
+#define BUSY_MS 30000
+
+/* Guards against room that is kept for a gang which can't have it, as tasks
+ * that never end hold the rest of those workers: others wait for good. */
+static void
+test_gang_keeps_no_room_beside_tasks_that_never_end (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxJobSpec *lasting = world_job (1, WORKERS, HALF_CPU_MILLI);
+  MuxJobSpec *gang = world_job (1, WORKERS, WIDE_CPU_MILLI);
+  uint32_t planner;
+
+  (void) state;
+  lasting->step[0].long_running = true;
+  gang->step[0].gang = true;
+  world_run (world, 1000);
+  planner = world_planner (world);
+  world->task_ms = LASTS_MS;
+  (void) world_submit (world, planner, lasting, "lasting");
+  world_run (world, 1000);
+  assert_int_equal (world_starts (world, "lasting"), WORKERS);
+  world->task_ms = BUSY_MS;
+  (void) world_submit (world, planner, world_job (1, WORKERS, SMALL_CPU_MILLI),
+                       "busy");
+  world_run (world, 1000);
+  assert_int_equal (world_starts (world, "busy"), WORKERS);
+  (void) world_submit (world, planner, gang, "gang");
+  world_run (world, 100);
+  (void) world_submit (world, planner, world_job (1, WORKERS, SMALL_CPU_MILLI),
+                       "small");
+  world_run (world, BUSY_MS + BACK_MS);
+  assert_int_equal (world_starts (world, "gang"), 0);
+  assert_int_equal (world_starts (world, "small"), WORKERS);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_lasting_task_takes_room_that_is_kept_for_gangs),
+    cmocka_unit_test (test_gang_keeps_no_room_beside_tasks_that_never_end),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_cell_outage.c
+++ b/test/unit/test_cell_outage.c
@@ -286,7 +286,7 @@
 #define UNSTORED_MS 10000
 #define LIST_LATE_MS 500
 #define ROSTER_MS 100
-#define DAY_MS 120000
+#define CRASHES_MS 120000
 
 /* Workers of other racks, at once with each crash of the job. */
 static void
@@ -294,7 +294,7 @@
 {
   uint32_t seen = world_crashes (world, id);
 
-  for (int64_t end_ms = world->now_ms + DAY_MS; world->now_ms < end_ms;)
+  for (int64_t end_ms = world->now_ms + CRASHES_MS; world->now_ms < end_ms;)
     {
       uint32_t worker;
 
@@ -356,7 +356,6 @@
   world_free (world);
 }
 
-#define STEP_MS 4
 #define DAY_MS 100000
 
 /* Lets pass what is needed until the job has begun @starts runs.  Return:
