cell: refuse beside idle workers only when what is placed has waited

Callers were refused while workers stood idle: the wait of a queue was its work over its rate also where room was free, so that a gang that waits for many workers at once, or jobs that no worker can hold, counted against all others of their queue.

Change: beside room a job is refused only if the tasks that are placed have waited for long in all queues of the pool, which shows a planner that can't take more; tasks that last count as no room that comes free. And a job that the planner has ended, or is about to store, is not refused when it comes again.

test_jobs_that_nothing_holds_refuse_no_others failed on the rule before.

--- a/include/cell/admission.h
+++ b/include/cell/admission.h
@@ -23,17 +23,19 @@
  * @service: hash of the pool that runs its tasks
  * @waiting: steps that wait and can still be in time
  * @work: of their tasks, in core-milliseconds
- * @late_work: of those that are late, and worth something
  * @aged: @work, times the thousandths of its slack that each has waited
  * @placed: core-milliseconds placed since the last count
+ * @placed_tasks: tasks, the same
+ * @placed_waited_ms: sum of how long these had waited
  * @rate: core-milliseconds placed in a second, while something waited
  * @busy_ms: how long something waited, in all counts
  * @pool_milli: of the pool that runs its tasks, as counted last; 0: not known
  * @free_milli: of it, what nothing runs on
  * @held_milli: of it, what its tasks run on
  * @later_milli: what those of queues run on that are served later
- * @all_work: of all queues of the pool, with what is late
- * @all_rate: of these
+ * @sojourn_ms: how long its tasks wait before they are placed, in the mean
+ * @unplaced_ms: since when none was
+ * @least_sojourn_ms: of the queues of the pool of which tasks are placed
  * @first_work: of queues that are served first, and whose backlog stands
  * @first_rate: of these
  * @later_rate: of the queues of the pool that are served later
@@ -46,17 +48,19 @@
   uint64_t service;
   uint32_t waiting;
   int64_t work;
-  int64_t late_work;
   int64_t aged;
   int64_t placed;
+  int64_t placed_tasks;
+  int64_t placed_waited_ms;
   int64_t rate;
   int64_t busy_ms;
   int64_t pool_milli;
   int64_t free_milli;
   int64_t held_milli;
   int64_t later_milli;
-  int64_t all_work;
-  int64_t all_rate;
+  int64_t sojourn_ms;
+  int64_t unplaced_ms;
+  int64_t least_sojourn_ms;
   int64_t first_work;
   int64_t first_rate;
   int64_t later_rate;
@@ -117,9 +121,12 @@
 /** mux_admission_find() - the queue's entry, made if needed; NULL: there are
  * too many */
 MuxAdmissionQueue *mux_admission_find (MuxAdmission *admission, uint64_t queue);
-/** mux_admission_placed() - tasks of the queue were started */
-void
-mux_admission_placed (MuxAdmission *admission, uint64_t queue, int64_t work);
+/** mux_admission_placed() - a task of the queue was started, after @waited_ms
+ */
+void mux_admission_placed (MuxAdmission *admission,
+                           uint64_t queue,
+                           int64_t work,
+                           int64_t waited_ms);
 /** mux_admission_count_begin() - before each count of what waits */
 void mux_admission_count_begin (MuxAdmission *admission);
 /** mux_admission_waits() - such a step of the queue waits */
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -23,10 +23,9 @@
 #define STANDING_AGE 250
 /* A pool is full with less than one of so many parts of it free. */
 #define FULL_PARTS 8
-/* In one that is not, something else is in the way of those that wait.  They
- * take no room from others, and are taken up to so many times the wait: what is
- * refused then is a queue that is placed next to nothing of. */
-#define ROOM_FACTOR 8
+/* In one that is not, jobs are taken until they would wait for so many times as
+ * long: they take no room from others. */
+#define ROOM_FACTOR 4
 /* Thousandths of its slack that a new job may wait: the rest is for its way to
  * the planner and for what comes first meanwhile. */
 #define WAIT_OF_SLACK 500
@@ -86,12 +85,18 @@
 }
 
 void
-mux_admission_placed (MuxAdmission *admission, uint64_t queue, int64_t work)
+mux_admission_placed (MuxAdmission *admission,
+                      uint64_t queue,
+                      int64_t work,
+                      int64_t waited_ms)
 {
   MuxAdmissionQueue *entry = mux_admission_find (admission, queue);
 
-  if (entry != NULL)
-    entry->placed += work;
+  if (entry == NULL)
+    return;
+  entry->placed += work;
+  entry->placed_tasks++;
+  entry->placed_waited_ms += waited_ms;
 }
 
 void
@@ -101,7 +106,6 @@
     {
       admission->queue[i].waiting = 0;
       admission->queue[i].work = 0;
-      admission->queue[i].late_work = 0;
       admission->queue[i].held_milli = 0;
       admission->queue[i].aged = 0;
     }
@@ -122,10 +126,7 @@
   entry->priority = step->priority;
   entry->service = step->service;
   if (step->late)
-    {
-      entry->late_work += step->work;
-      return;
-    }
+    return;
   entry->waiting++;
   entry->work += step->work;
   entry->aged += step->work * age;
@@ -140,22 +141,46 @@
     entry->held_milli += milli;
 }
 
+/* Moves @mean towards @value, as far as @passed_ms is of the memory. */
+static void
+add_to_mean (int64_t *mean, int64_t value, int64_t passed_ms, int64_t busy_ms)
+{
+  int64_t memory_ms = busy_ms < RATE_MEMORY_MS ? busy_ms : RATE_MEMORY_MS;
+
+  if (memory_ms < passed_ms)
+    memory_ms = passed_ms;
+  *mean += (value - *mean) * passed_ms / memory_ms;
+}
+
+static void
+measure_sojourn (MuxAdmissionQueue *queue, int64_t passed_ms)
+{
+  if (queue->placed_tasks == 0)
+    {
+      queue->unplaced_ms += passed_ms;
+      return;
+    }
+  queue->unplaced_ms = 0;
+  add_to_mean (&queue->sojourn_ms,
+               queue->placed_waited_ms / queue->placed_tasks, passed_ms,
+               queue->busy_ms);
+  queue->placed_tasks = 0;
+  queue->placed_waited_ms = 0;
+}
+
 /* Time in which nothing waited says nothing of how fast the queue could be
  * served, and does not count. */
 static void
 measure (MuxAdmissionQueue *queue, int64_t passed_ms)
 {
   int64_t rate = queue->placed * MS_PER_S / passed_ms;
-  int64_t memory_ms;
 
   if (queue->waiting == 0 && queue->placed == 0)
     return;
   queue->placed = 0;
   queue->busy_ms += passed_ms;
-  memory_ms = queue->busy_ms < RATE_MEMORY_MS ? queue->busy_ms : RATE_MEMORY_MS;
-  if (memory_ms < passed_ms)
-    memory_ms = passed_ms;
-  queue->rate += (rate - queue->rate) * passed_ms / memory_ms;
+  add_to_mean (&queue->rate, rate, passed_ms, queue->busy_ms);
+  measure_sojourn (queue, passed_ms);
 }
 
 void
@@ -219,21 +244,18 @@
   return queue->waiting >= BACKLOG_STEPS && age_of (queue) >= STANDING_AGE;
 }
 
-/* A queue that alone is not placed while processors are idle waits for what the
- * others do not need, such as many workers at once; where nothing is placed,
- * the planner or the policy service can't take more. */
+/*
+ * Beside room what waits does not wait for processors: a gang waits for many
+ * workers at once, and what no worker can hold waits for good.  Only if what is
+ * placed has waited, too, in all queues, is it the planner that can't take
+ * more.
+ */
 static int64_t
 wait_beside_room_ms (const MuxAdmissionQueue *queue)
 {
-  int64_t work = work_ahead (queue);
-  int64_t own_ms;
-  int64_t all_ms;
-
-  if (queue->free_milli * FULL_PARTS < queue->pool_milli)
-    return time_of (work, queue->rate) / ROOM_FACTOR;
-  own_ms = time_of (work + queue->late_work, queue->rate);
-  all_ms = time_of (queue->all_work, queue->all_rate);
-  return (all_ms < own_ms ? all_ms : own_ms) / ROOM_FACTOR;
+  if (stands (queue))
+    return queue->least_sojourn_ms / ROOM_FACTOR;
+  return time_of (work_ahead (queue), queue->pool_milli);
 }
 
 static int64_t
@@ -242,14 +264,11 @@
   /* Core-milliseconds a second are thousandths of a processor. */
   int64_t spare = queue->free_milli + queue->later_rate;
 
-  if (has_room (queue) && stands (queue))
-    return wait_beside_room_ms (queue);
-  if (!has_room (queue) && (stands (queue) || queue->first_work > 0))
+  if (stands (queue) || queue->first_work > 0)
     return time_of (work_ahead (queue) + queue->first_work,
                     queue->rate + queue->first_rate);
   /* The whole pool can't be faster. */
-  if (age_of (queue) < GUST_AGE || has_room (queue)
-      || queue->rate + spare > queue->pool_milli)
+  if (age_of (queue) < GUST_AGE || queue->rate + spare > queue->pool_milli)
     return queue->pool_milli > 0
                ? time_of (work_ahead (queue), queue->pool_milli)
                : 0;
@@ -261,6 +280,8 @@
 {
   if (queue->waiting < BACKLOG_STEPS)
     queue->wait_ms = 0;
+  else if (queue->pool_milli > 0 && has_room (queue))
+    queue->wait_ms = wait_beside_room_ms (queue);
   else if (queue->busy_ms < RATE_KNOWN_MS)
     queue->wait_ms = unmeasured_wait_ms (queue);
   else
@@ -278,11 +299,17 @@
   queue->first_rate += first->rate;
 }
 
+static bool
+is_placed (const MuxAdmissionQueue *queue)
+{
+  return queue->busy_ms > 0 && queue->unplaced_ms < RATE_MEMORY_MS;
+}
+
 static void
 add_others (const MuxAdmission *admission, MuxAdmissionQueue *queue)
 {
-  queue->all_work = 0;
-  queue->all_rate = 0;
+  int64_t least_ms = MUX_ADMISSION_WAIT_MAX_MS;
+
   queue->first_work = 0;
   queue->first_rate = 0;
   queue->later_rate = 0;
@@ -293,8 +320,8 @@
 
       if (other->service != queue->service)
         continue;
-      queue->all_work += other->work + other->late_work;
-      queue->all_rate += other->rate;
+      if (is_placed (other) && other->sojourn_ms < least_ms)
+        least_ms = other->sojourn_ms;
       if (other->priority < queue->priority)
         add_first (queue, other);
       else if (other->priority > queue->priority)
@@ -303,6 +330,8 @@
           queue->later_milli += other->held_milli;
         }
     }
+  /* Nothing is placed: that says nothing of how long it would wait. */
+  queue->least_sojourn_ms = least_ms < MUX_ADMISSION_WAIT_MAX_MS ? least_ms : 0;
 }
 
 void
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -42,7 +42,8 @@
 {
   if (!stage->spec->long_running)
     mux_admission_placed (&cell->admission, queue_of (stage->job->spec),
-                          work_of (stage, 1));
+                          work_of (stage, 1),
+                          cell->time.now_ms - stage->ready_ms);
 }
 
 /* What lasts, or comes at set times, waits for no end in time. */
@@ -132,9 +133,10 @@
 
   HASH_ITER (hh, cell->workers, worker, next)
   DL_FOREACH (worker->bookings, booking)
-  mux_admission_holds (&cell->admission,
-                       queue_of (booking->task->stage->job->spec),
-                       booking->task->stage->spec->size.cpu_milli);
+  if (!booking->task->stage->spec->long_running)
+    mux_admission_holds (&cell->admission,
+                         queue_of (booking->task->stage->job->spec),
+                         booking->task->stage->spec->size.cpu_milli);
 }
 
 static void
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -124,11 +124,26 @@
   return waiting > CELL_COMMIT_JOBS * (commits > 1 ? commits : 1);
 }
 
+/* It was accepted before, or is about to be. */
+static bool
+is_known (MuxCell *cell, const CellSubmission *submission)
+{
+  const char *id = submission->job->id;
+  const CellSubmission *other;
+
+  if (cell_job_find (cell, id) != NULL || cell_known_as_ended (cell, id))
+    return true;
+  DL_FOREACH (cell->part[cell_part_of (id)].submissions, other)
+  if (other != submission && strcmp (other->job->id, id) == 0)
+    return true;
+  return false;
+}
+
 /* Why the cell does not take the job; NULL: it does, or knows it already. */
 static const char *
 overload (MuxCell *cell, CellSubmission *submission)
 {
-  if (cell_job_find (cell, submission->job->id) != NULL)
+  if (is_known (cell, submission))
     return NULL;
   submission->retry_ms = cell_admission_retry_ms (cell, submission->job);
   if (submission->retry_ms != 0)
