test: a late start at a next life that nobody hears

Waiting for such starts would hold each task of a worker that is gone for 25 s, so that the cure needs a word of the platform or of the worker.

--- a/test/unit/test_cell_lives.c
+++ b/test/unit/test_cell_lives.c
@@ -206,6 +206,62 @@
   world_free (world);
 }
 
+/* A start that went unanswered comes @late_ms late, to the worker's next life;
+ * nobody hears that life, and another worker gets the task meanwhile. */
+static bool
+is_twice_behind_a_silent_life (uint32_t cells, int64_t late_ms, bool takeover)
+{
+  World *world = world_with_ids_kept (cells, WORKERS);
+  bool twice;
+
+  world_approve_unasked (world);
+  world->task_ms = LONG_UP_MS;
+  world->down_ms = 200;
+  world->late_ms = late_ms;
+  world->worker[1].cut = true;
+  world_run (world, LONG_UP_MS);
+  world->worker[0].fault = WORLD_LATE;
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 2000),
+                       "job-a");
+  world_run (world, 200);
+  world->worker[0].fault = WORLD_SERVES;
+  world_worker_crash (world, 0);
+  world->worker[0].cut = true;
+  world->worker[1].cut = false;
+  if (takeover)
+    world_cell_kill (world, world_planner (world));
+  world_run (world, 3 * LONG_UP_MS);
+  twice = world_twice_told (world);
+  world_free (world);
+  return twice;
+}
+
+/* Guards against a task that is placed again while its start may still come to
+ * the next life of a worker that is out of reach. */
+static void
+test_late_start_at_a_next_life_that_is_not_heard (void **state)
+{
+  uint32_t twice = 0;
+
+  (void) state;
+  for (int64_t late_ms = 2000; late_ms <= 14000; late_ms += 3000)
+    twice += is_twice_behind_a_silent_life (1, late_ms, false);
+  assert_int_equal (twice, 0);
+}
+
+/* Guards against the same where the next planner waits out the trust and the
+ * lease alone. */
+static void
+test_late_start_at_a_next_life_behind_a_takeover (void **state)
+{
+  uint32_t twice = 0;
+
+  (void) state;
+  for (int64_t late_ms = 8000; late_ms <= 14000; late_ms += 3000)
+    twice += is_twice_behind_a_silent_life (2, late_ms, true);
+  assert_int_equal (twice, 0);
+}
+
 int
 main (void)
 {
@@ -217,6 +273,8 @@
     cmocka_unit_test (test_late_planner_acknowledges_no_end_of_a_next_life),
     cmocka_unit_test (test_lease_asked_by_the_last_late_order_is_waited_for),
     cmocka_unit_test (test_entry_of_another_life_changes_nothing),
+    cmocka_unit_test (test_late_start_at_a_next_life_that_is_not_heard),
+    cmocka_unit_test (test_late_start_at_a_next_life_behind_a_takeover),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
