--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -369,7 +369,8 @@
  * @unreachable_recorded: those of them that a former planner lost
  * @crashed_in_outages: as @crashed, in an outage; none of these is counted
  * above
- * @other_in_outages: all others in an outage
+ * @unreachable_in_outages: as @unreachable, the same
+ * @untold_in_outages: as @untold, the same
  */
 typedef struct
 {
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-/* Between two passes; a pass looks at every waiting stage, and what several
- * events in a row change is planned once. */
+/* Between two passes: what several events in a row change is planned once. */
 #define PASS_MS 4
 /* A pass without any event: proofs run out and avoided workers come back. */
 #define IDLE_PASS_MS 100
--- a/test/unit/test_report.c
+++ b/test/unit/test_report.c
@@ -76,7 +76,7 @@
         len += (size_t) snprintf (
             lines + len, cap - len,
             "{\"wall_ms\":3000,\"event\":\"job_ended\",\"job\":\"job-%u\","
-            "\"state\":\"completed\",\"took_ms\":%u,\"due_ms\":1500}\n",
+            "\"state\":\"completed\",\"took_ms\":%d,\"due_ms\":1500}\n",
             i, late ? 2000 : 900);
     }
 }
