--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -373,6 +373,11 @@
 /** cell_room_ever() - once all that ends there has ended */
 MuxSize cell_room_ever (const CellWorker *worker);
 
+/* renew.c */
+/* Between renewals while ends wait to be stored, or after a failure. */
+#define CELL_RENEW_PAUSE_MS 200
+void cell_renew_if_due (MuxCell *cell, CellWorker *worker);
+
 /* life.c: workers that start again under their ids */
 /** cell_life_join() - @worker to the lives of its id
  * Return: false when memory is out. */
--- /dev/null
+++ b/src/cell/renew.c
@@ -0,0 +1,228 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+
+/* Renewals: they prolong a worker's leases, acknowledge its ends and ask for
+ * its list of runs. */
+
+/* A renewal's answer may wait so long for an end of a task. */
+#define WAIT_MS 1000
+/* Answers a second of workers on which nothing runs: a tenth of a core at 0.2
+ * ms each, with their way through other daemons. */
+#define IDLE_RENEWALS_PER_S 400
+#define MS_PER_S 1000
+/* Ends are acknowledged to a worker that answered so lately, in ms. */
+#define ACK_FRESH_MS 500
+
+/*
+ * Guards against a planner whose processor goes into asking workers that do
+ * nothing: of 3,000 it had 3,000 answers a second and served nobody.  What runs
+ * is asked for as before; a start finds out by itself whether its worker lives,
+ * and takes its lease along.
+ */
+static int64_t
+idle_pause_ms (const MuxCell *cell)
+{
+  int64_t round_ms
+      = (int64_t) HASH_COUNT (cell->workers) * MS_PER_S / IDLE_RENEWALS_PER_S;
+
+  return round_ms > WAIT_MS ? round_ms - WAIT_MS : 0;
+}
+
+/* It knows of all ends that it told that they are stored. */
+static bool
+knows_acks (const CellWorker *worker)
+{
+  return worker->acked == worker->seen && worker->acked_told == worker->acked;
+}
+
+static bool
+is_idle (const MuxCell *cell, const CellWorker *worker)
+{
+  return worker->heard && worker->reachable && worker->bookings == NULL
+         && knows_acks (worker) && cell->time.now_ms < worker->idle_until_ms;
+}
+
+/* A worker that was there would have answered once it had waited. */
+static int64_t
+went_by_ms (const MuxCell *cell, const CellPending *pending)
+{
+  int64_t due_ms = pending->sent_ms + pending->wait_ms;
+
+  return cell->time.now_ms - due_ms >= CELL_WORKER_TIMEOUT_MS
+             ? due_ms
+             : cell->time.now_ms;
+}
+
+static void
+not_renewed (MuxCell *cell,
+             CellWorker *worker,
+             const CellPending *pending,
+             MuxCellStatus status)
+{
+  if (worker->reachable)
+    cell_log (cell, "worker_lost", "{s:s, s:s}", "worker", worker->info.id,
+              "status", mux_cell_status_name (status));
+  cell_call_otherwise (cell, worker);
+  worker->reachable = false;
+  if (worker->lost_ms == 0)
+    {
+      worker->lost_ms = cell->time.now_ms;
+      worker->went_ms = went_by_ms (cell, pending);
+      cell_outage_note (cell, worker);
+    }
+  worker->next_renew_ms = cell->time.now_ms + CELL_RENEW_PAUSE_MS;
+}
+
+static void
+take_answer (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply)
+{
+  bool first = !worker->heard;
+
+  if (!worker->reachable && !first)
+    cell_log (cell, "worker_back", "{s:s}", "worker", worker->info.id);
+  worker->reachable = true;
+  worker->lost_ms = 0;
+  worker->over_since_ms = 0;
+  /* From when the answer came, not from when it is taken: a planner 2.5 s late
+   * asked for leases so much shorter, and 44 of 80 tasks lapsed and ran again.
+   */
+  if (reply->clock_ms >= worker->clock_ms)
+    {
+      worker->clock_ms = reply->clock_ms;
+      worker->clock_at_ms = cell->time.heard_ms;
+    }
+  if (first)
+    cell_lives_end (cell, worker);
+  if (first)
+    cell_lease_of_former (cell, worker);
+  cell_lease_of_stale (cell, worker);
+  worker->heard = true;
+  /* While ends wait to be stored an answer does not wait for news: asked at
+   * once again, a worker got 250 renewals a second. */
+  worker->next_renew_ms
+      = cell->time.now_ms
+        + (worker->acked == worker->seen ? 0 : CELL_RENEW_PAUSE_MS);
+  worker->idle_until_ms = cell->time.now_ms + idle_pause_ms (cell);
+  cell_reports (cell, worker, reply);
+  if (first)
+    {
+      cell_life_listed_runs (cell, worker);
+      cell_losses_heard (cell, worker);
+    }
+  cell->replan = cell->replan || first;
+}
+
+/* A later life answers a call that was meant for one that has ended. */
+static void
+take_other_life (MuxCell *cell, CellWorker *worker, const MuxCellReply *reply)
+{
+  CellWorker *next = cell_life_next (cell, worker, reply->born_ms);
+
+  if (next != NULL && !next->dead)
+    take_answer (cell, next, reply);
+}
+
+/* An answer that does not tell of the life that was asked is none. */
+static MuxCellStatus
+renewal_status (const CellWorker *worker, const MuxCellReply *reply)
+{
+  return reply->status == MUX_CELL_OK && reply->born_ms < worker->born_ms
+             ? MUX_CELL_UNKNOWN
+             : reply->status;
+}
+
+static void
+renewed (MuxCell *cell, const CellPending *pending, const MuxCellReply *reply)
+{
+  CellWorker *worker = cell_worker_find (cell, pending->worker);
+  MuxCellStatus status;
+
+  if (worker == NULL)
+    return;
+  /* Also of a dead worker: it may be revived, and is then asked again. */
+  worker->renewing = false;
+  if (worker->dead)
+    return;
+  status = renewal_status (worker, reply);
+  if (status == MUX_CELL_OTHER_LIFE)
+    {
+      cell_worker_replaced (cell, worker);
+      return;
+    }
+  if (status == MUX_CELL_FENCED)
+    cell_claim_doubt (cell, "worker_fenced");
+  if (status == MUX_CELL_UNKNOWN)
+    worker->unanswered_ms = pending->sent_ms;
+  if (status != MUX_CELL_OK)
+    {
+      not_renewed (cell, worker, pending, status);
+      return;
+    }
+  if (worker->born_ms == 0)
+    worker->born_ms = reply->born_ms;
+  if (reply->born_ms > worker->born_ms)
+    {
+      take_other_life (cell, worker, reply);
+      return;
+    }
+  if (pending->number > worker->acked_told)
+    worker->acked_told = pending->number;
+  take_answer (cell, worker, reply);
+}
+
+/*
+ * Guards against ends that are forgotten though nobody took them: a worker may
+ * have started again under its id, with ends numbered from the beginning, and
+ * an acknowledgement says nothing of the life that it is meant for.  It goes to
+ * a life that has answered just now.
+ */
+static uint64_t
+acks_to_tell (const MuxCell *cell, const CellWorker *worker)
+{
+  bool fresh = worker->heard && worker->reachable
+               && cell->time.now_ms - worker->clock_at_ms <= ACK_FRESH_MS;
+
+  return worker->acked > worker->acked_told && fresh ? worker->acked : 0;
+}
+
+static void
+renew (MuxCell *cell, CellWorker *worker)
+{
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_RENEW);
+  CellPending pending = { .done = renewed,
+                          .term = cell->term,
+                          .number = acks_to_tell (cell, worker) };
+  bool waits = worker->heard && worker->reachable
+               && worker->acked == worker->seen
+               && (worker->acked_told == worker->acked || pending.number != 0);
+
+  if (call == NULL)
+    return;
+  snprintf (pending.worker, sizeof pending.worker, "%s", worker->info.id);
+  snprintf (call->worker, sizeof call->worker, "%s", worker->info.id);
+  snprintf (call->addr, sizeof call->addr, "%s", worker->info.addr);
+  call->fence = cell->term;
+  call->acked = pending.number;
+  call->wait_ms = waits ? WAIT_MS : 0;
+  pending.wait_ms = call->wait_ms;
+  call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
+  /* An unanswered renewal may still arrive: asking for ever longer leases
+   * would keep the tasks of a lost worker out of work for good.  None is asked
+   * either while the roster may say when the last one ends. */
+  call->lease_until_ms = worker->heard && worker->reachable
+                                 && (worker->roster & CELL_ROSTER_MARKED) == 0
+                             ? cell_worker_lease (cell, worker)
+                             : 0;
+  worker->renewing = cell_worker_call (cell, worker, call, &pending);
+  if (!worker->renewing)
+    worker->next_renew_ms = cell->time.now_ms + CELL_RENEW_PAUSE_MS;
+}
+
+void
+cell_renew_if_due (MuxCell *cell, CellWorker *worker)
+{
+  if (!worker->renewing && cell->time.now_ms >= worker->next_renew_ms
+      && !is_idle (cell, worker))
+    renew (cell, worker);
+}
