cell: bring two comments up to date

CellLosses has a member that its comment left out, and the story of a queue's count still told of counts that are kept for a while. Comments alone; the formatter, the build and the four test programs concerned were run.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -371,6 +371,7 @@
  * above
  * @unreachable_in_outages: as @unreachable, the same
  * @untold_in_outages: as @untold, the same
+ * @recorded: those of all these that a former planner lost
  */
 typedef struct
 {
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -869,11 +869,7 @@
 #define COUNT_AGE_MS 2000
 #define WAITING_JOBS 5
 
-/*
- * A caller hears for good that nothing waits in a queue.  The planner tells a
- * count again for a while rather than going through all jobs for each question;
- * what it tells may not be old.
- */
+/* Guards against a caller who hears for good that nothing waits in a queue. */
 static void
 test_count_of_a_queue_is_young (void **state)
 {
