cell: take the share of new jobs that the planner can begin

What it did not know: the admission goes by the room of the pool, lateness was measured at the planner's own queue and not before, and daemons that heard no greeting in time stored each job themselves, past all admission.

Lateness is now also how long answers of workers take in the mean; steps that wait for their first look count beside free room. A planner that is behind lowers the share of new jobs that it takes (throttle.c), by how many began of those that came, and raises it again while it keeps up. It tells the share beside its greetings and in its sign of life in the store, so that daemons that don't hear it refuse at once, too; jobs are taken by a hash of their ids, and those refused are told times in the order in which they will be taken.

Ruled out before: the number of links, and larger passes.

--- a/include/cell/admission.h
+++ b/include/cell/admission.h
@@ -147,6 +147,8 @@
                           uint64_t service,
                           int64_t pool_milli,
                           int64_t free_milli);
+/** mux_admission_has_room() - what waits there does not wait for processors */
+bool mux_admission_has_room (const MuxAdmissionQueue *queue);
 /** mux_admission_taken() - a job was taken since the last count */
 void
 mux_admission_taken (MuxAdmission *admission, uint64_t queue, int64_t work);
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -225,8 +225,8 @@
 
 /* What those that are served later run on is room that this queue gets first.
  */
-static bool
-has_room (const MuxAdmissionQueue *queue)
+bool
+mux_admission_has_room (const MuxAdmissionQueue *queue)
 {
   return (queue->free_milli + queue->later_milli) * FULL_PARTS
          >= queue->pool_milli;
@@ -280,7 +280,7 @@
 {
   if (queue->waiting < BACKLOG_STEPS)
     queue->wait_ms = 0;
-  else if (queue->pool_milli > 0 && has_room (queue))
+  else if (queue->pool_milli > 0 && mux_admission_has_room (queue))
     queue->wait_ms = wait_beside_room_ms (queue);
   else if (queue->busy_ms < RATE_KNOWN_MS)
     queue->wait_ms = unmeasured_wait_ms (queue);
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -12,6 +12,8 @@
 #define COUNT_MS 250
 /* Between two lines of the log on a queue with a backlog. */
 #define LINE_MS 1000
+/* What is told is counted up this often. */
+#define TOLD_ANEW_MS 20
 /* What a planner told is forgotten after so long. */
 #define TOLD_KEEP_MS 5000
 /* A wait that is a backlog to be told of. */
@@ -238,30 +240,45 @@
       tell_queue (cell, &cell->admission.queue[i]);
 }
 
-void
-cell_admission_tick (MuxCell *cell)
+/* In a full pool steps wait for room, however soon they are looked at. */
+static bool
+some_pool_has_room (const MuxCell *cell)
 {
-  int64_t now = cell->time.now_ms;
-  bool began = cell->admission_term != cell->term;
+  for (uint32_t i = 0; i < cell->admission.count; i++)
+    if (cell->admission.queue[i].pool_milli > 0
+        && mux_admission_has_room (&cell->admission.queue[i]))
+      return true;
+  return false;
+}
 
-  if (!began && now < cell->admission.counted_ms + COUNT_MS)
-    return;
-  cell->admission_term = cell->term;
-  cell->admission_told_ms = now;
-  if (began)
-    mux_admission_reset (&cell->admission, now);
-  if (!may_place (cell))
-    {
-      cell->admission.counted_ms = now;
-      return;
-    }
-  count_backlog (cell);
-  judge_pools (cell);
-  tell_backlog (cell, longest_wait_ms (cell));
+static int64_t
+delay_ms (const MuxCell *cell)
+{
+  int64_t late_ms = cell_late_ms (cell);
+  int64_t turn_ms = some_pool_has_room (cell)
+                        ? mux_throttle_turn_ms (&cell->throttle, cell->unlooked)
+                        : 0;
+
+  return late_ms > turn_ms ? late_ms : turn_ms;
 }
 
-MuxBlob *
-cell_admission_blob (const MuxCell *cell)
+static void
+throttle (MuxCell *cell)
+{
+  uint32_t before = cell->throttle.share_milli;
+  int64_t behind_ms = delay_ms (cell);
+
+  mux_throttle_update (&cell->throttle, cell->time.now_ms, behind_ms);
+  if (cell->throttle.share_milli != before)
+    cell_log (cell, "share_taken", "{s:i, s:I, s:I, s:i, s:i}", "milli",
+              (int) cell->throttle.share_milli, "behind_ms",
+              (json_int_t) behind_ms, "answers_ms",
+              (json_int_t) cell_answers_late_ms (cell), "unlooked",
+              (int) cell->unlooked, "looked_s", (int) cell->throttle.rate);
+}
+
+static json_t *
+waits_json (const MuxCell *cell)
 {
   json_t *list = json_array ();
 
@@ -274,13 +291,59 @@
             list, json_pack ("[I, I]", (json_int_t) queue->queue,
                              (json_int_t) queue->wait_ms));
     }
-  return cell_json_blob (list);
+  return list;
+}
+
+/* Once for all daemons that greet in these moments: there are hundreds. */
+MuxBlob *
+cell_admission_blob (MuxCell *cell)
+{
+  if (cell->admission_blob != NULL
+      && cell->time.now_ms - cell->admission_blob_ms < TOLD_ANEW_MS)
+    return mux_blob_ref (cell->admission_blob);
+  mux_blob_unref (cell->admission_blob);
+  cell->admission_blob_ms = cell->time.now_ms;
+  cell->admission_blob = cell_json_blob (json_pack (
+      "{s:i, s:I, s:o}", "share_milli", (int) cell->throttle.share_milli,
+      "late_ms", (json_int_t) cell_late_ms (cell), "waits", waits_json (cell)));
+  return mux_blob_ref (cell->admission_blob);
+}
+
+static void
+count (MuxCell *cell)
+{
+  if (!may_place (cell))
+    {
+      cell->admission.counted_ms = cell->time.now_ms;
+      return;
+    }
+  count_backlog (cell);
+  judge_pools (cell);
+  tell_backlog (cell, longest_wait_ms (cell));
 }
 
 void
-cell_admission_told (MuxCell *cell, const MuxBlob *body)
+cell_admission_tick (MuxCell *cell)
+{
+  int64_t now = cell->time.now_ms;
+  bool began = cell->admission_term != cell->term;
+
+  if (!began && now < cell->admission.counted_ms + COUNT_MS)
+    return;
+  cell->admission_term = cell->term;
+  cell->admission_told_ms = now;
+  if (began)
+    {
+      mux_admission_reset (&cell->admission, now);
+      mux_throttle_reset (&cell->throttle, now);
+    }
+  count (cell);
+  throttle (cell);
+}
+
+static void
+take_waits (MuxCell *cell, const json_t *list)
 {
-  json_t *list = body != NULL ? cell_blob_json (body) : NULL;
   const json_t *entry;
   size_t i;
 
@@ -295,7 +358,24 @@
     if (queue != NULL && wait_ms > 0 && wait_ms <= MUX_ADMISSION_WAIT_MAX_MS)
       queue->wait_ms = wait_ms;
   }
-  json_decref (list);
+}
+
+void
+cell_admission_told (MuxCell *cell, const MuxBlob *body)
+{
+  json_t *json = body != NULL ? cell_blob_json (body) : NULL;
+  const json_t *share = json_object_get (json, "share_milli");
+  json_int_t share_milli = json_integer_value (share);
+  json_int_t late_ms = json_integer_value (json_object_get (json, "late_ms"));
+
+  take_waits (cell, json_object_get (json, "waits"));
+  cell->throttle.share_milli
+      = share != NULL && share_milli >= 0 && share_milli < MUX_THROTTLE_ALL
+            ? (uint32_t) share_milli
+            : MUX_THROTTLE_ALL;
+  cell->planner_late_ms
+      = late_ms > 0 && late_ms < MUX_ADMISSION_WAIT_MAX_MS ? late_ms : 0;
+  json_decref (json);
   cell->admission_told_ms = cell->time.now_ms;
 }
 
@@ -339,6 +419,24 @@
   return mux_admission_retry_ms (&cell->admission, &job);
 }
 
+/*
+ * Guards against a cell that takes all that comes while its planner can't look
+ * at it: with most of the room free, thousands of jobs were accepted, and the
+ * more there were the fewer began.  Between two updates the planner goes by
+ * what waits for it now.
+ */
+uint32_t
+cell_throttle_retry_ms (const MuxCell *cell, const MuxJobSpec *spec)
+{
+  uint32_t share_milli = cell->throttle.share_milli;
+
+  if (!is_known (cell))
+    return 0;
+  if (cell->role == CELL_PLANNING)
+    share_milli = mux_throttle_share_now (&cell->throttle, delay_ms (cell));
+  return mux_throttle_retry_ms (share_milli, mux_hash_name (spec->id, 0));
+}
+
 static bool
 has_old_ask (const MuxCell *cell)
 {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -115,6 +115,7 @@
   }
   cell_services_free (cell);
   cell_bad_rows_free (cell);
+  mux_blob_unref (cell->admission_blob);
   free (cell->worker_at);
   free (cell->config);
   free (cell);
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -75,6 +75,7 @@
   cell->role = CELL_LOADING;
   cell->term = cell->claim.version;
   cell->term_began_ms = cell->time.now_ms;
+  cell->answers = (CellAnswers){ .count = 0 };
   cell_proof_begin (cell);
   cell_yield_begin (cell);
   cell->end_seq = 0;
@@ -129,6 +130,9 @@
     {
       cell->beat_version = row->version;
       cell->planner_heard_ms = cell->time.now_ms;
+      if (cell->role == CELL_FOLLOWER && row->value != NULL
+          && !cell_planner_is_near (cell))
+        cell_admission_told (cell, row->value);
     }
   if (strcmp (row->key, CELL_CLAIM_KEY) != 0
       || row->version <= cell->claim.version)
@@ -421,7 +425,6 @@
     return;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_welcome_ms = cell->time.now_ms;
-  cell->planner_late_ms = msg->late_ms;
   cell_admission_told (cell, msg->body);
   cell_day_told (cell, msg->wall_ms);
   if (msg->table_ok)
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -120,6 +120,7 @@
   cell_service_add (cell, job->spec->queue.service);
   HASH_ADD_STR (cell->jobs, id, job);
   cell_queue_update (cell, job);
+  cell->throttle.taken += cell->role == CELL_PLANNING;
   if (cell_occurrences_left (job))
     cell_job_watch (cell, job);
   return job;
--- a/src/cell/proof.c
+++ b/src/cell/proof.c
@@ -134,7 +134,7 @@
     return;
   cell_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->term);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_CLAIM, CELL_BEAT_KEY)->value
-      = mux_blob_new ("{}", 2);
+      = cell_admission_blob (cell);
   cell->beating = cell_call (cell, call, &pending);
 }
 
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -138,6 +138,8 @@
   CellWorker *worker = cell_worker_find (cell, pending->worker);
   MuxCellStatus status;
 
+  if (reply->status == MUX_CELL_OK)
+    cell_answer_heard (cell, pending);
   if (worker == NULL)
     return;
   /* Also of a dead worker: it may be revived, and is then asked again. */
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -250,6 +250,8 @@
   CellWorker *worker = cell_worker_find (cell, pending->worker);
   CellTask *task = pending_task (cell, pending);
 
+  if (reply->status != MUX_CELL_UNKNOWN)
+    cell_answer_heard (cell, pending);
   if (reply->status != MUX_CELL_OK)
     cell_log (cell, "start_refused", "{s:s, s:i, s:i, s:i, s:s, s:s}", "job",
               pending->task.job, "step", (int) pending->task.step, "task",
@@ -272,8 +274,11 @@
       if (task->state == CELL_TASK_STARTING)
         task->state = CELL_TASK_RUNNING;
       if (!task->stage->job->started)
-        mux_observe (cell->options.counters, MUX_HIST_JOB_WAIT,
-                     cell->time.now_ms - task->stage->job->began_ms);
+        {
+          cell->throttle.begun++;
+          mux_observe (cell->options.counters, MUX_HIST_JOB_WAIT,
+                       cell->time.now_ms - task->stage->job->began_ms);
+        }
       task->stage->job->started = true;
       cell_queue_update (cell, task->stage->job);
       return;
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -148,6 +148,9 @@
   submission->retry_ms = cell_admission_retry_ms (cell, submission->job);
   if (submission->retry_ms != 0)
     return "backlog";
+  submission->retry_ms = cell_throttle_retry_ms (cell, submission->job);
+  if (submission->retry_ms != 0)
+    return "planner_overload";
   if (cell_takes_jobs (cell) && !cell_planner_is_busy (cell))
     return NULL;
   submission->retry_ms = usual_retry_ms (cell);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -606,7 +606,8 @@
 static bool
 queue_event (World *world, WorldEvent *event)
 {
-  int64_t late_ms = world->cell[event->cell].late_ms;
+  const WorldCell *cell = &world->cell[event->cell];
+  int64_t late_ms = cell->late_ms + cell->unread_ms;
 
   if (late_ms == 0 || event->waited)
     return false;
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -196,6 +196,7 @@
   uint32_t near_workers;   /* only so many, the first, are in it; 0: all */
   int64_t wall_ms;         /* its time of day is ahead by this */
   int64_t late_ms;         /* what arrives waits so long until it is taken */
+  int64_t unread_ms;       /* and so long before, without its knowledge */
   uint32_t strength_milli; /* 0: a whole processor */
   WorldFault store;
   WorldFault commits[MUX_TABLE_COUNT]; /* that change such a row */
--- /dev/null
+++ b/test/unit/test_cell_throttle.c
@@ -0,0 +1,223 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+
+/* A planner whose processor binds, with most of the workers free: what arrives
+ * waits on its connections, and it does not see for how long. */
+
+#define CELLS 3
+/* So many that other daemons carry the calls to them. */
+#define WORKERS 120
+#define TASK_MS 400
+#define CPU_MILLI 1000
+#define SENT_PER_S 60
+#define STEP_MS 10
+#define WARM_UP_MS 3000
+#define PLAY_MS 6000
+#define BEHIND_MS 400
+#define LOST_BEHIND_MS 1200
+#define AT_ONCE_MS 50
+#define JOBS_MAX 2048
+
+typedef struct
+{
+  char id[MUX_JOB_ID_LEN];
+  uint64_t call;
+  int64_t sent_ms;
+  int64_t refused_ms; /* 0: it was not */
+} Job;
+
+typedef struct
+{
+  World *world;
+  uint32_t planner;
+  uint32_t count;
+  Job job[JOBS_MAX];
+} Play;
+
+typedef struct
+{
+  uint32_t sent;
+  uint32_t refused;
+  uint32_t slow;   /* refused, and not at once */
+  uint32_t untold; /* refused without a time to come again */
+} Sum;
+
+/* At the daemons that do not plan. */
+static void
+send_new (Play *play)
+{
+  Job *job = &play->job[play->count];
+  uint32_t away = 1 + play->count % (CELLS - 1);
+
+  assert_true (play->count < JOBS_MAX);
+  snprintf (job->id, sizeof job->id, "job-%u", play->count);
+  job->sent_ms = play->world->now_ms;
+  job->call = world_submit (play->world, (play->planner + away) % CELLS,
+                            world_job (1, 1, CPU_MILLI), job->id);
+  play->count++;
+}
+
+static void
+take_refusals (Play *play)
+{
+  for (uint32_t i = 0; i < play->count; i++)
+    {
+      Job *job = &play->job[i];
+
+      if (job->refused_ms == 0 && play->world->answered[job->call]
+          && play->world->answer[job->call].outcome == MUX_OUTCOME_REFUSED)
+        job->refused_ms = play->world->now_ms;
+    }
+}
+
+static void
+play_for (Play *play, int64_t ms)
+{
+  int64_t sent = 0;
+
+  for (int64_t passed_ms = 0; passed_ms < ms; passed_ms += STEP_MS)
+    {
+      for (; sent < passed_ms * SENT_PER_S / 1000; sent++)
+        send_new (play);
+      world_run (play->world, STEP_MS);
+      take_refusals (play);
+    }
+}
+
+static Sum
+sum_since (const Play *play, int64_t from_ms)
+{
+  Sum sum = { 0 };
+
+  for (uint32_t i = 0; i < play->count; i++)
+    {
+      const Job *job = &play->job[i];
+
+      if (job->sent_ms < from_ms)
+        continue;
+      sum.sent++;
+      if (job->refused_ms == 0)
+        continue;
+      sum.refused++;
+      sum.slow += job->refused_ms - job->sent_ms > AT_ONCE_MS;
+      sum.untold += play->world->answer[job->call].retry_ms == 0;
+    }
+  print_message ("%u sent, %u refused\n", sum.sent, sum.refused);
+  return sum;
+}
+
+static Play *
+begin (void)
+{
+  Play *play = calloc (1, sizeof *play);
+
+  assert_non_null (play);
+  play->world = world_new (CELLS, WORKERS);
+  world_run (play->world, 2000);
+  play->world->task_ms = TASK_MS;
+  play->planner = world_planner (play->world);
+  return play;
+}
+
+static void
+finish (Play *play)
+{
+  world_free (play->world);
+  free (play);
+}
+
+/* Guards against a planner that is behind and takes all that comes, as long as
+ * workers are free. */
+static void
+test_planner_behind_its_sockets_takes_a_part (void **state)
+{
+  Play *play = begin ();
+  Sum sum;
+
+  (void) state;
+  play_for (play, WARM_UP_MS);
+  sum = sum_since (play, 0);
+  assert_int_equal (sum.refused, 0);
+  play->world->cell[play->planner].unread_ms = BEHIND_MS;
+  play_for (play, PLAY_MS);
+  sum = sum_since (play, play->world->now_ms - PLAY_MS / 2);
+  assert_true (sum.refused * 2 > sum.sent);
+  assert_true (sum.refused < sum.sent);
+  assert_int_equal (sum.slow, 0);
+  assert_int_equal (sum.untold, 0);
+  play->world->cell[play->planner].unread_ms = 0;
+  play_for (play, PLAY_MS);
+  sum = sum_since (play, play->world->now_ms - 1000);
+  assert_int_equal (sum.refused, 0);
+  finish (play);
+}
+
+/* Guards against workers that are taken for lost, and tasks run again, as the
+ * planner reads their answers late. */
+static void
+test_planner_behind_its_sockets_loses_no_worker (void **state)
+{
+  Play *play = begin ();
+  World *world = play->world;
+
+  (void) state;
+  world->task_ms = PLAY_MS;
+  play_for (play, WARM_UP_MS);
+  for (int64_t ms = 0; ms < LOST_BEHIND_MS; ms += BEHIND_MS / 4)
+    {
+      world->cell[play->planner].unread_ms = ms;
+      world_run (world, BEHIND_MS);
+    }
+  world_run (world, PLAY_MS);
+  assert_int_equal (world_logged (world, "worker_lost"), 0);
+  assert_int_equal (world_logged (world, "worker_dead"), 0);
+  assert_int_equal (world->start_count, play->count);
+  assert_false (world_twice (world));
+  finish (play);
+}
+
+/* Guards against daemons that store all that comes for a planner which has told
+ * that it is behind, and whose messages do not reach them. */
+static void
+test_planner_heard_by_its_sign_of_life_alone_is_given_no_more (void **state)
+{
+  Play *play = begin ();
+  World *world = play->world;
+  uint32_t other = (play->planner + 1) % CELLS;
+  uint32_t commits;
+  uint64_t call;
+
+  (void) state;
+  world->peers_cut = true;
+  world->cell[play->planner].late_ms = 800;
+  world_run (world, 4000);
+  assert_int_equal (world_planner (world), play->planner);
+  commits = world->own_commits[other];
+  call = world_submit (world, other, world_job (1, 1, CPU_MILLI), "job-a");
+  world_run (world, AT_ONCE_MS);
+  assert_true (world->answered[call]);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_REFUSED);
+  assert_true (world->answer[call].retry_ms > 0);
+  assert_int_equal (world->own_commits[other], commits);
+  world->cell[play->planner].late_ms = 0;
+  world_run (world, 4000);
+  call = world_submit (world, other, world_job (1, 1, CPU_MILLI), "job-a");
+  world_run (world, 1000);
+  assert_int_equal (world->answer[call].outcome, MUX_OUTCOME_ACCEPTED);
+  finish (play);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_planner_behind_its_sockets_takes_a_part),
+    cmocka_unit_test (test_planner_behind_its_sockets_loses_no_worker),
+    cmocka_unit_test (
+        test_planner_heard_by_its_sign_of_life_alone_is_given_no_more),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
