cell: keep a task from other workers while its start may still come

Callers would see a task run twice: its start went unanswered and was carried out up to 14 s late by the next life of its worker, under the same id and behind a cut, while the task ran elsewhere; 5 of 5 and 3 of 3 behind a takeover.

Cause: the lease of the former life was taken for the end of all that could run there. A start that is carried out late by a life that nobody has heard is bound by none: that life knows no token and no run, is called by the id that is expected, and has a clock of its own. Ruled out as what could tell the lives apart: each of these fields of the order; a proof of approval alone is good for one life, so that tasks which need one are not concerned.

A booking without proof whose start was neither answered nor listed now stays until the start can't come any more and the longest lease is over, also with its worker dead; the worker stays in the roster meanwhile. A successor waits as long for its tasks without approvals where a worker that it never heard is gone.

--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -152,11 +152,11 @@
 
   if (!stage->job->old)
     return true;
+  if (!queue->approval.needed)
+    return cell_all_heard (cell) && cell_late_starts_are_over (cell);
   /* Where it may run stood in what can't be read. */
   if (stage->job->progress_lost)
     return cell_all_heard (cell);
-  if (!queue->approval.needed)
-    return cell_all_heard (cell);
   return all_heard (cell, stage->former, stage->former_count)
          && all_heard (cell, stage->spec->named, stage->spec->named_count);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -434,6 +434,15 @@
 /** cell_lease_of_former() - what a former planner may have asked of it */
 void cell_lease_of_former (const MuxCell *cell, CellWorker *worker);
 
+/* late_start.c: starts that a worker's next life may still carry out */
+/** cell_start_may_come() - the booking's start, or a run of it is left */
+bool cell_start_may_come (const MuxCell *cell, const CellBooking *booking);
+/** cell_late_starts_of_former() - those of former planners at the worker, whose
+ * lease is over */
+void cell_late_starts_of_former (MuxCell *cell, const CellWorker *worker);
+/** cell_late_starts_are_over() - of all former planners at all such workers */
+bool cell_late_starts_are_over (const MuxCell *cell);
+
 /* evacuate.c: what runs at a worker that leaves */
 /** cell_worker_leaves() - its entry in the list was read */
 void cell_worker_leaves (const MuxCell *cell, CellWorker *worker);
@@ -514,7 +523,8 @@
 /* crash.c: runs that were lost with their workers */
 /** cell_loss_add() - zeroed, to be filled; NULL: memory is out */
 CellLoss *cell_loss_add (CellTask *task);
-/** cell_lose_runs() - all that the dead @worker had */
+/** cell_lose_runs() - all that the dead @worker had, but those whose start may
+ * still come to its next life */
 void cell_lose_runs (MuxCell *cell, CellWorker *worker);
 /** cell_lose_settled() - a run that is not at the worker, and was sent to its
  * former life */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -36,6 +36,8 @@
  * anything is ordered: the instance may have been frozen while another took
  * over.  Well over what a busy core takes between two ticks. */
 #define CELL_PAUSE_MS 700
+/* Orders that went unanswered are carried out after this time at the latest. */
+#define CELL_LATE_ORDERS_MS 15000
 /* Run numbers of one planner's term.  A later planner does not know which
  * numbers its predecessor gave to starts that it never heard of, so that each
  * term has a range of its own: a start each second for a quarter of an hour. */
@@ -977,13 +979,14 @@
   CellRole role;
   uint64_t term; /* version of the claim held; 0: none */
   int64_t term_began_ms;
-  int64_t planning_began_ms; /* all parts were fenced by then */
-  bool unconfirmed;          /* jobs were read without the claim beside them */
-  bool reading;              /* they still are */
-  bool confirming;           /* a call that reads the claim is on its way */
-  uint64_t readings;         /* of all jobs, begun so far */
-  int64_t verified_ms;       /* the claim was surely ours then */
-  int64_t doubted_ms;        /* when it was last in doubt */
+  int64_t planning_began_ms;    /* all parts were fenced by then */
+  int64_t late_starts_until_ms; /* of former planners, at next lives */
+  bool unconfirmed;    /* jobs were read without the claim beside them */
+  bool reading;        /* they still are */
+  bool confirming;     /* a call that reads the claim is on its way */
+  uint64_t readings;   /* of all jobs, begun so far */
+  int64_t verified_ms; /* the claim was surely ours then */
+  int64_t doubted_ms;  /* when it was last in doubt */
   bool verifying;
   int64_t next_verify_ms;
   bool beating;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -76,6 +76,7 @@
   cell->term = cell->claim.version;
   cell->term_began_ms = cell->time.now_ms;
   cell->answers = (CellAnswers){ .count = 0 };
+  cell->late_starts_until_ms = 0;
   cell_proof_begin (cell);
   cell_yield_begin (cell);
   cell->end_seq = 0;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -229,10 +229,9 @@
   CellBooking *booking;
   CellBooking *next;
 
-  if (worker->lost_life && !worker->info.draining)
-    cell_log_crash (cell, worker);
   DL_FOREACH_SAFE (worker->bookings, booking, next)
-  lose_run (cell, booking);
+  if (!cell_start_may_come (cell, booking))
+    lose_run (cell, booking);
 }
 
 /*
--- /dev/null
+++ b/src/cell/late_start.c
@@ -0,0 +1,50 @@
+#include "cell_private.h"
+
+/*
+ * Starts that a worker's next life may still carry out.
+ *
+ * Guards against a task that runs twice: a start that went unanswered may be
+ * carried out by a later life of its worker under the same id, which knows
+ * neither the run nor the planner's token, and asks for a lease by another
+ * clock.  As long as nobody hears that life, no other worker gets the task.
+ *
+ * A start with a proof of approval is none of these: a proof is good for one
+ * life.  Nor is one that its worker has answered, or listed; nor one to a
+ * worker whose lives have ids of their own.
+ */
+
+/* Workers shorten a longer lease to this, in ms, on clocks that may be slow. */
+#define LEASE_MAX_MS 10000
+#define SLOW_LEASE_MS (LEASE_MAX_MS * 100 / 98)
+#define MARGIN_MS 200
+
+/* From a start, or the last one that a planner can have sent, until no run of
+ * it can be left. */
+#define OVER_MS (CELL_LATE_ORDERS_MS + SLOW_LEASE_MS + MARGIN_MS)
+
+bool
+cell_start_may_come (const MuxCell *cell, const CellBooking *booking)
+{
+  const MuxQueueSpec *queue = &booking->task->stage->job->spec->queue;
+
+  return booking->worker->born_ms != 0 && !booking->began && !booking->confirmed
+         && !queue->approval.needed
+         && cell->time.now_ms < booking->since_ms + OVER_MS;
+}
+
+void
+cell_late_starts_of_former (MuxCell *cell, const CellWorker *worker)
+{
+  int64_t until_ms = cell->planning_began_ms + CELL_TRUST_MS + OVER_MS;
+
+  if (worker->heard || worker->born_ms == 0)
+    return;
+  if (until_ms > cell->late_starts_until_ms)
+    cell->late_starts_until_ms = until_ms;
+}
+
+bool
+cell_late_starts_are_over (const MuxCell *cell)
+{
+  return cell->time.now_ms >= cell->late_starts_until_ms;
+}
--- a/src/cell/life.c
+++ b/src/cell/life.c
@@ -17,10 +17,6 @@
  * room is booked there until the next one's lists and an answered stop tell.
  */
 
-/* Orders that went unanswered are carried out after this time at the latest, in
- * ms. */
-#define LATE_ORDERS_MS 15000
-
 bool
 cell_life_join (MuxCell *cell, CellWorker *worker)
 {
@@ -167,8 +163,8 @@
 end_life (MuxCell *cell, CellWorker *former, CellWorker *next)
 {
   if (former->unanswered_ms != 0
-      && former->unanswered_ms + LATE_ORDERS_MS > next->stale_until_ms)
-    next->stale_until_ms = former->unanswered_ms + LATE_ORDERS_MS;
+      && former->unanswered_ms + CELL_LATE_ORDERS_MS > next->stale_until_ms)
+    next->stale_until_ms = former->unanswered_ms + CELL_LATE_ORDERS_MS;
   move_bookings (cell, former, next);
   cell_worker_replaced (cell, former);
 }
@@ -179,7 +175,8 @@
   CellWorker *life;
 
   DL_FOREACH2 (worker->lives->life, life, lives_next)
-  if (!life->dead && life->born_ms < worker->born_ms)
+  if ((!life->dead || life->bookings != NULL)
+      && life->born_ms < worker->born_ms)
     end_life (cell, life, worker);
 }
 
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -151,6 +151,8 @@
   if (worker->dead)
     return cell_stored_seq (cell) >= worker->store_seq
                    && !cell_life_is_unsettled (worker)
+                   && worker->bookings == NULL
+                   && (worker->heard || cell_late_starts_are_over (cell))
                ? CELL_ROSTER_NONE
                : worker->roster;
   if (!worker->heard)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -136,6 +136,9 @@
   cell->replan = true;
   cell_log (cell, "worker_dead", "{s:s, s:s}", "worker", worker->info.id, "why",
             why);
+  if (worker->lost_life && !worker->info.draining)
+    cell_log_crash (cell, worker);
+  cell_late_starts_of_former (cell, worker);
   cell_lose_runs (cell, worker);
   cell_losses_of_dead (cell, worker);
   worker->store_seq = cell->end_seq;
@@ -332,6 +335,16 @@
   worker->next_renew_ms = cell->time.now_ms + CELL_RENEW_PAUSE_MS;
 }
 
+/* What was left of a dead worker's starts has come by now, or never will. */
+static void
+lose_late_starts (MuxCell *cell, CellWorker *worker)
+{
+  if (worker->bookings == NULL)
+    return;
+  cell_lose_runs (cell, worker);
+  worker->store_seq = cell->end_seq;
+}
+
 /* Something of ours runs there, or may. */
 static bool
 is_of_use (const MuxCell *cell, const CellWorker *worker)
@@ -348,6 +361,8 @@
       && (worker->lease_until_ms != 0 || !worker->heard)
       && cell_lease_is_over (cell, worker))
     cell_worker_dead (cell, worker, "lease_over");
+  if (worker->dead)
+    lose_late_starts (cell, worker);
   if (worker->dead && !worker->lost_life && !cell_in_roster (worker))
     revive (cell, worker);
   if (worker->dead || worker->info.addr[0] == 0 || !is_of_use (cell, worker))
--- a/test/unit/test_cell_lives.c
+++ b/test/unit/test_cell_lives.c
@@ -208,13 +208,16 @@
 
 /* A start that went unanswered comes @late_ms late, to the worker's next life;
  * nobody hears that life, and another worker gets the task meanwhile. */
-static bool
-is_twice_behind_a_silent_life (uint32_t cells, int64_t late_ms, bool takeover)
+static World *
+behind_a_silent_life (uint32_t cells,
+                      int64_t late_ms,
+                      bool asked,
+                      bool takeover)
 {
   World *world = world_with_ids_kept (cells, WORKERS);
-  bool twice;
 
-  world_approve_unasked (world);
+  if (!asked)
+    world_approve_unasked (world);
   world->task_ms = LONG_UP_MS;
   world->down_ms = 200;
   world->late_ms = late_ms;
@@ -230,6 +233,15 @@
   world->worker[1].cut = false;
   if (takeover)
     world_cell_kill (world, world_planner (world));
+  return world;
+}
+
+static bool
+is_twice_behind_a_silent_life (uint32_t cells, int64_t late_ms, bool takeover)
+{
+  World *world = behind_a_silent_life (cells, late_ms, false, takeover);
+  bool twice;
+
   world_run (world, 3 * LONG_UP_MS);
   twice = world_twice_told (world);
   world_free (world);
@@ -262,6 +274,40 @@
   assert_int_equal (twice, 0);
 }
 
+/* Guards against a task that never runs, as its start might come. */
+static void
+test_task_runs_elsewhere_once_its_start_can_t_come (void **state)
+{
+  (void) state;
+  for (uint32_t cells = 1; cells <= 2; cells++)
+    {
+      World *world
+          = behind_a_silent_life (cells, 4 * LONG_UP_MS, false, cells == 2);
+
+      world_run (world, 3 * LONG_UP_MS);
+      assert_int_equal (world_starts (world, "job-a"), 1);
+      assert_int_equal (world_state (world, cells - 1, "job-a"),
+                        MUX_JOB_COMPLETED);
+      world_free (world);
+    }
+}
+
+/* Longer than the lease, and than its end takes to be known. */
+#define LEASE_OVER_MS 10000
+
+/* Guards against tasks that wait for starts which a worker's next life refuses.
+ */
+static void
+test_approved_task_waits_for_the_lease_alone (void **state)
+{
+  World *world = behind_a_silent_life (1, 4 * LONG_UP_MS, true, false);
+
+  (void) state;
+  world_run (world, LEASE_OVER_MS);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -275,6 +321,8 @@
     cmocka_unit_test (test_entry_of_another_life_changes_nothing),
     cmocka_unit_test (test_late_start_at_a_next_life_that_is_not_heard),
     cmocka_unit_test (test_late_start_at_a_next_life_behind_a_takeover),
+    cmocka_unit_test (test_task_runs_elsewhere_once_its_start_can_t_come),
+    cmocka_unit_test (test_approved_task_waits_for_the_lease_alone),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
