cell: wait for the lease alone where the former planner has ended

A lasting task whose worker went with its planner stood still for up to 16 s: each successor counted the trust of the former planner in its claim, 8 s, before the lease, though the planner's process had been killed and another one answered under its name.

A later process that greets under the name of the planner before, from where that listened, or takes the claim from its own former process, shows that it orders nothing more. What it says nothing of are planners before that one: they may trust their claims for 8 s from when it took its own. A process that has just begun does not know when that was; the sign of life in the store now says for how long the planner has held its claim at least. The address counts too, as a machine may be replaced under its name while it runs on behind a cut.

--- a/docs/design/mark.pml
+++ b/docs/design/mark.pml
@@ -1,7 +1,7 @@
 /* Model of the roster's mark of a worker that was not heard: planners in turn,
    one worker, its row.  The first planner has heard the worker and renews its
    lease; each of them trusts its claim for TRUST after the next one has claimed,
-   and may or may not hear the worker.  Commits may be carried out late and their
+   and may or may not hear the worker.  One may end, and the next one learn of it.  Commits may be carried out late and their
    answers be lost.  A planner that did not hear the worker takes it as free when
    the mark that it read, or its own wait, is over; no lease may last then.
    spin -a mark.pml; gcc -O2 -DSAFETY -o pan pan.c; ./pan -m200000 -E */
@@ -11,6 +11,8 @@
 #define TRUST 2
 #define LEASE 1
 #define END 6
+/* the one that may end */
+#define ENDS 2
 /* Guards, all needed.  No lease is asked while the mark may stand: */
 #ifndef NO_LEASE_MARKED
 #define NO_LEASE_MARKED 1
@@ -32,6 +34,20 @@
 #define ON_CLAIM 1
 #endif
 
+/* where the planner before is known to have ended, those before that one may
+   still trust their claims: */
+#ifndef COUNT_EARLIER
+#define COUNT_EARLIER 1
+#endif
+/* and what it ordered lasts on: */
+#ifndef COUNT_LEASE
+#define COUNT_LEASE 1
+#endif
+/* nothing less than its end shows that it orders no more: */
+#ifndef ENDED
+#define ENDED 1
+#endif
+
 byte now = 1, claim = 1;
 byte row = 0; /* 0: no mark */
 byte token = 1, lease = 2;
@@ -42,11 +58,14 @@
 byte mine[NP + 2];  /* the mark that it read; 0: none */
 byte sent[NP + 2];  /* a mark on its way; 0: none */
 bool sent_fresh[NP + 2];
+bool ended[NP + 2]; /* its process */
+byte over[NP + 2];  /* former planners order no more, as far as it knows */
 
 byte i, p;
 
-#define trusts(p) (claim == p || now < began[p + 1] + TRUST)
-#define own_wait(p) (began[p] + TRUST + LEASE)
+#define trusts(p) (!ended[p] && (claim == p || now < began[p + 1] + TRUST))
+#define own_wait(p) (over[p] + (COUNT_LEASE -> LEASE : 0))
+#define earlier(p) (COUNT_EARLIER && began[p - 1] + TRUST > now -> began[p - 1] + TRUST : now)
 #define is_over(p) (now > own_wait (p) || (mine[p] != 0 && now > mine[p]))
 
 inline store (value)
@@ -68,6 +87,7 @@
   :: d_step { claim < NP ->
        claim++;
        began[claim] = now; mine[claim] = row; fresh[claim] = true;
+       over[claim] = now + TRUST;
        may_stand[claim] = (row != 0) }
   :: atomic {
        p = 1;
@@ -76,6 +96,11 @@
        :: break
        od;
        if
+       /* its process ends */
+       :: p == ENDS -> ended[p] = true
+       /* learns that the one before has ended */
+       :: !ended[p] && p > 1 && (ended[p - 1] || !ENDED) && over[p] > earlier (p) ->
+          over[p] = earlier (p)
        /* reads the fence again */
        :: !fresh[p] -> fresh[p] = true
        /* sends a mark */
@@ -99,7 +124,7 @@
        :: !heard[p] && trusts (p) && token <= p ->
           heard[p] = true; token = p
        /* writes the entry without mark */
-       :: heard[p] && claim == p && (may_stand[p] || row != 0) && (fresh[p] || !ROSTER_FENCE) ->
+       :: !ended[p] && heard[p] && claim == p && (may_stand[p] || row != 0) && (fresh[p] || !ROSTER_FENCE) ->
           store (0);
           if
           :: may_stand[p] = false; fresh[p] = true
@@ -109,7 +134,7 @@
        :: heard[p] && trusts (p) && token <= p && now + LEASE > lease && (!may_stand[p] || !NO_LEASE_MARKED) ->
           lease = now + LEASE
        /* takes it as free */
-       :: !heard[p] && claim == p && is_over (p) -> assert (now > lease)
+       :: !ended[p] && !heard[p] && claim == p && is_over (p) -> assert (now > lease)
        :: else
        fi;
        p = 0 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -419,6 +419,15 @@
  * was not named is not to begin any more */
 void cell_life_listed_runs (MuxCell *cell, CellWorker *worker);
 
+/* former.c: the planner before this one */
+/** cell_claim_is_held() - a sign of life of the planner was read */
+void cell_claim_is_held (MuxCell *cell, const MuxCellRow *row);
+/** cell_former_begin() - this daemon has taken the claim from @claim, which was
+ * known since @seen_ms */
+void cell_former_begin (MuxCell *cell, const CellClaim *claim, int64_t seen_ms);
+/** cell_former_heard() - a daemon greets, maybe a later process of it */
+void cell_former_heard (MuxCell *cell, const MuxPeerMsg *hello);
+
 /* worker_lease.c: how long what runs at a worker may run on */
 /** cell_worker_lease() - on its clock, a whole one from now; 0: not known */
 int64_t cell_worker_lease (const MuxCell *cell, CellWorker *worker);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -949,6 +949,23 @@
   int64_t last_ms;
 } CellAnswers;
 
+/**
+ * struct CellFormer - the planner before this one
+ * @name: "": the claim was given up, or nobody's
+ * @addr: where it listened for other daemons
+ * @incarnation: its process
+ * @earlier_until_ms: those before it order nothing after this
+ * @until_ms: nor does it
+ */
+typedef struct
+{
+  char name[MUX_NAME_LEN];
+  char addr[MUX_ADDR_LEN];
+  uint64_t incarnation;
+  int64_t earlier_until_ms;
+  int64_t until_ms;
+} CellFormer;
+
 struct MuxCell
 {
   MuxCellOptions options;
@@ -976,6 +993,9 @@
 
   /* The claim. */
   CellClaim claim;
+  int64_t claim_seen_ms; /* since when it is known here */
+  int64_t claim_held_ms; /* and by its planner's sign of life that stands */
+  CellFormer former;     /* of the planner */
   CellRole role;
   uint64_t term; /* version of the claim held; 0: none */
   int64_t term_began_ms;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -119,6 +119,8 @@
 cell_claim_row (MuxCell *cell, const MuxCellRow *row)
 {
   CellClaim claim;
+  CellClaim before;
+  int64_t before_seen_ms;
   bool ours;
 
   if (row->part[0] != 0)
@@ -131,6 +133,7 @@
     {
       cell->beat_version = row->version;
       cell->planner_heard_ms = cell->time.now_ms;
+      cell_claim_is_held (cell, row);
       if (cell->role == CELL_FOLLOWER && row->value != NULL
           && !cell_planner_is_near (cell))
         cell_admission_told (cell, row->value);
@@ -145,7 +148,10 @@
       cell_claim_doubt (cell, "claim_unreadable");
       return;
     }
+  before = cell->claim;
+  before_seen_ms = cell->claim_seen_ms;
   cell->claim = claim;
+  cell->claim_seen_ms = cell->time.now_ms;
   ours = cell->claim.incarnation == cell->options.incarnation;
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_store_bad_ms = 0;
@@ -158,7 +164,10 @@
     cell_log (cell, "planner_is", "{s:s, s:I}", "name", cell->claim.name,
               "term", (json_int_t) cell->claim.version);
   if (ours && cell->term != cell->claim.version)
-    begin_term (cell);
+    {
+      begin_term (cell);
+      cell_former_begin (cell, &before, before_seen_ms);
+    }
   else if (!ours)
     cell_depose (cell, "other_claim");
   cell->claim_after_ms = cell->time.now_ms + spread (cell);
@@ -445,7 +454,10 @@
   else
     {
       if (cell->role != CELL_FOLLOWER)
-        cell_member_heard (cell, msg);
+        {
+          cell_member_heard (cell, msg);
+          cell_former_heard (cell, msg);
+        }
       welcome (cell, msg);
     }
 }
--- a/src/cell/late_start.c
+++ b/src/cell/late_start.c
@@ -35,7 +35,7 @@
 void
 cell_late_starts_of_former (MuxCell *cell, const CellWorker *worker)
 {
-  int64_t until_ms = cell->planning_began_ms + CELL_TRUST_MS + OVER_MS;
+  int64_t until_ms = cell->former.until_ms + OVER_MS;
 
   if (worker->heard || worker->born_ms == 0)
     return;
--- a/src/cell/worker_lease.c
+++ b/src/cell/worker_lease.c
@@ -67,16 +67,12 @@
   return left > 0 ? left : 0;
 }
 
-/*
- * At a worker that has not answered this planner: no former planner can have
- * ordered for longer, and the longest lease that one could ask has ended.  That
- * one's claim may be used in each part of the jobs that is not fenced yet, so
- * that the time begins when all are.
- */
+/* At a worker that has not answered this planner: no former planner can have
+ * ordered for longer, and the longest lease that one could ask has ended. */
 static int64_t
 former_lease_over_ms (const MuxCell *cell)
 {
-  return cell->planning_began_ms + CELL_TRUST_MS
+  return cell->former.until_ms
          + (int64_t) cell->options.lease_ms * (PERCENT + CLOCK_SLOW_PERCENT + 1)
                / PERCENT;
 }
--- a/test/unit/test_cell_takeovers.c
+++ b/test/unit/test_cell_takeovers.c
@@ -24,16 +24,18 @@
  * one more may be lost as it ends. */
 #define RESTART_MS (2 * TAKEOVER_MS + TRUST_AND_LEASE_MS + PLACE_MS)
 
-/* One task on each of half of the workers, which go for good with the planner.
- */
+#define YOUNG_MS 1000
+
+/* One task on each of half of the workers, which go for good with the planner,
+ * when that has planned for @age_ms. */
 static World *
-world_with_workers_gone (bool same_ids)
+world_with_workers_gone (bool same_ids, int64_t age_ms)
 {
   World *world = world_new (CELLS, WORKERS);
 
   if (same_ids)
     world_keep_ids (world);
-  world_run (world, 1000);
+  world_run (world, age_ms);
   for (uint32_t i = GONE; i < WORKERS; i++)
     world_worker_drains (world, i, true);
   world_run (world, 100);
@@ -80,7 +82,7 @@
 static void
 play_takeovers (uint32_t takeovers, int64_t apart_ms, bool same_ids)
 {
-  World *world = world_with_workers_gone (same_ids);
+  World *world = world_with_workers_gone (same_ids, YOUNG_MS);
   int64_t gone_ms = lose_planners (world, takeovers, apart_ms);
 
   world_run (world, gone_ms + RESTART_MS - world->now_ms);
@@ -101,6 +103,29 @@
       play_takeovers (takeovers, apart_ms, apart_ms % 2000 == 0);
 }
 
+/* The longest lease that a planner can ask, on the slowest clock. */
+#define LEASE_MS 4500
+/* Those before a planner of that age trust no claim. */
+#define TRUST_MS 8000
+
+/* Guards against tasks of workers that went with their planner which wait for
+ * its trust in a claim, though another process bears its name. */
+static void
+test_planner_that_is_back_under_its_name_trusts_no_claim (void **state)
+{
+  (void) state;
+  for (uint32_t same_ids = 0; same_ids < 2; same_ids++)
+    {
+      World *world = world_with_workers_gone (same_ids != 0, TRUST_MS);
+
+      lose_planner (world);
+      world_run (world, TAKEOVER_MS + LEASE_MS + PLACE_MS);
+      assert_int_equal (world_starts (world, "job-a"), 2 * GONE);
+      assert_false (world_twice (world));
+      world_free (world);
+    }
+}
+
 /* The worker that one planner or another does not reach. */
 #define LOST 0
 /* The task there lives on its lease; the planner's loss takes 1.2 s of it. */
@@ -229,7 +254,9 @@
 /* The first planner is cut off with the worker and renews what runs there as
  * long as it trusts its claim.  The second marks the worker and is lost. */
 static void
-play_former_planner_that_goes_on (int64_t phase_ms, int64_t second_ms)
+play_former_planner_that_goes_on (int64_t phase_ms,
+                                  int64_t second_ms,
+                                  bool is_back)
 {
   World *world = world_with_a_run_there (false);
   uint32_t first = world_planner (world);
@@ -246,7 +273,13 @@
   second = wait_for_planner_other_than (world, first);
   world_run (world, second_ms);
   world_cell_kill (world, second);
-  (void) wait_for_planner_other_than (world, second);
+  if (is_back)
+    {
+      world_run (world, 100);
+      world_cell_start (world, second);
+    }
+  else
+    (void) wait_for_planner_other_than (world, second);
   end_behind_the_last_loss (world);
 }
 
@@ -258,7 +291,18 @@
   (void) state;
   for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 500)
     for (int64_t second_ms = 500; second_ms < 9000; second_ms += 1000)
-      play_former_planner_that_goes_on (phase_ms, second_ms);
+      play_former_planner_that_goes_on (phase_ms, second_ms, false);
+}
+
+/* Guards against the same where the second is back at once, which says nothing
+ * of the first. */
+static void
+test_planner_that_is_back_says_nothing_of_those_before_it (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 500)
+    for (int64_t second_ms = 500; second_ms < 9000; second_ms += 1000)
+      play_former_planner_that_goes_on (phase_ms, second_ms, true);
 }
 
 int
@@ -269,6 +313,9 @@
     cmocka_unit_test (
         test_mark_of_a_worker_not_heard_falls_before_its_first_lease),
     cmocka_unit_test (test_mark_counts_the_trust_of_a_former_planner),
+    cmocka_unit_test (test_planner_that_is_back_under_its_name_trusts_no_claim),
+    cmocka_unit_test (
+        test_planner_that_is_back_says_nothing_of_those_before_it),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
