cell: keep the lateness that a greeting tells, and clear two names

A planner of the version before tells its lateness in the greeting alone. The two limits of lateness in late.c and carry.c had one name.

--- a/src/cell/carry.c
+++ b/src/cell/carry.c
@@ -37,7 +37,7 @@
 /* Ended at one look: more than a carrier's workers and their starts. */
 #define OVERDUE_MAX 512
 /* A planner's lateness counts no further than this, in ms. */
-#define LATE_MAX_MS 3000
+#define LATENESS_MAX_MS 3000
 
 static bool
 can_carry (const MuxCell *cell, const CellMember *member, int64_t silent_ms)
@@ -185,7 +185,7 @@
 {
   int64_t late_ms = cell_answers_late_ms (cell);
 
-  return late_ms < LATE_MAX_MS ? late_ms : LATE_MAX_MS;
+  return late_ms < LATENESS_MAX_MS ? late_ms : LATENESS_MAX_MS;
 }
 
 /* A carrier that died keeps its answers.  All that are overdue end in one go:
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -436,6 +436,7 @@
   cell->planner_heard_ms = cell->time.now_ms;
   cell->planner_welcome_ms = cell->time.now_ms;
   cell_admission_told (cell, msg->body);
+  cell->planner_late_ms = msg->late_ms;
   cell_day_told (cell, msg->wall_ms);
   if (msg->table_ok)
     {
--- a/src/cell/throttle.c
+++ b/src/cell/throttle.c
@@ -12,7 +12,7 @@
 #define UNLOOKED_MIN 32
 /* A planner looks at so many steps in a second at least. */
 #define RATE_MIN 100
-#define MS_PER_S 1000
+#define MS_PER_S INT64_C (1000)
 /* What one update leaves of the share, in thousandths: by how much more came
  * than began, within these. */
 #define FALL_LEAST 400
