cell: judge lateness by answers that other daemons carry, and by what begins

The planner of 48 workers worked off 850 jobs read at its takeover, its workers' answers took 350 ms, and its share of new jobs stayed at 20 to 80 thousandths for 12 s; the landed code served them, late.

Calls of a planner's own are late with its processor, but nothing waits where it can't see it: there its own queue tells, as before. Lateness by answers counts where other daemons carry the calls, and only beside free room. The share falls while more come than begin, and rises while more begin than come, not by the delay alone.

--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -240,7 +240,6 @@
       tell_queue (cell, &cell->admission.queue[i]);
 }
 
-/* In a full pool steps wait for room, however soon they are looked at. */
 static bool
 some_pool_has_room (const MuxCell *cell)
 {
@@ -255,7 +254,7 @@
 delay_ms (const MuxCell *cell)
 {
   int64_t late_ms = cell_late_ms (cell);
-  int64_t turn_ms = some_pool_has_room (cell)
+  int64_t turn_ms = cell->has_room
                         ? mux_throttle_turn_ms (&cell->throttle, cell->unlooked)
                         : 0;
 
@@ -321,6 +320,7 @@
     }
   count_backlog (cell);
   judge_pools (cell);
+  cell->has_room = some_pool_has_room (cell);
   tell_backlog (cell, longest_wait_ms (cell));
 }
 
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1037,8 +1037,9 @@
 
   /* Of the planner alone. */
   CellAnswers answers;
-  bool late;    /* it takes no new jobs, as it told last */
-  bool backlog; /* new jobs would wait, the same */
+  bool late;     /* it takes no new jobs, as it told last */
+  bool backlog;  /* new jobs would wait, the same */
+  bool has_room; /* some pool is not full, as counted last */
   int64_t next_backlog_line_ms;
   uint64_t admission_term; /* in which the backlog was counted last */
   CellJob *jobs;
--- a/src/cell/late.c
+++ b/src/cell/late.c
@@ -20,12 +20,12 @@
 #define ANSWERS_KEEP_MS 1500
 #define US_PER_MS 1000
 
-/* Where other daemons make the calls, those that this one makes do not go the
- * way on which all others may wait. */
+/* Only answers that other daemons pass on wait where this one can't see it; a
+ * call of its own is late with its worker, too. */
 static bool
-tells (const MuxCell *cell, const CellPending *pending)
+is_carried (const CellPending *pending)
 {
-  return cell_calls_are_carried (cell) == (pending->overdue_ms != 0);
+  return pending->overdue_ms != 0;
 }
 
 void
@@ -35,7 +35,7 @@
   int64_t took_ms = cell->time.heard_ms - pending->sent_ms - pending->wait_ms;
 
   /* One that came before its wait was over may have come at any time. */
-  if (!tells (cell, pending) || took_ms < 0)
+  if (!is_carried (pending) || took_ms < 0)
     return;
   if (cell->time.now_ms - answers->last_ms > ANSWERS_KEEP_MS)
     answers->count = 0;
@@ -53,19 +53,21 @@
 {
   const CellAnswers *answers = &cell->answers;
 
-  if (cell->role != CELL_PLANNING || answers->count < ANSWERS_LEAST
+  if (cell->role != CELL_PLANNING || !cell_calls_are_carried (cell)
+      || answers->count < ANSWERS_LEAST
       || cell->time.now_ms - answers->last_ms > ANSWERS_KEEP_MS)
     return 0;
   return answers->mean_us / US_PER_MS;
 }
 
 /* Answers may wait before they get here, too, on connections that are not read
- * in time. */
+ * in time.  In a full pool that is no reason to refuse: what waits there waits
+ * for room. */
 int64_t
 cell_late_ms (const MuxCell *cell)
 {
   int64_t late_ms = cell->time.now_ms - cell->time.heard_ms;
-  int64_t answers_ms = cell_answers_late_ms (cell);
+  int64_t answers_ms = cell->has_room ? cell_answers_late_ms (cell) : 0;
 
   if (late_ms < answers_ms)
     late_ms = answers_ms;
--- a/src/cell/throttle.c
+++ b/src/cell/throttle.c
@@ -21,7 +21,7 @@
  * less than the third: of what is taken it is learned whether more can be. */
 #define RISE_PARTS 6
 #define RISE_LEAST 8
-#define SHARE_MIN 20
+#define SHARE_MIN 50
 /* Callers who are refused come again within these times; those who are taken
  * next, as the share rises, come first. */
 #define RETRY_MIN_MS 500
@@ -45,6 +45,25 @@
   return fall < FALL_MOST ? (uint32_t) fall : FALL_MOST;
 }
 
+/* More come than begin; what was taken before the last fall is still worked
+ * off while the delay shrinks. */
+static bool
+is_too_much (const MuxThrottle *throttle, int64_t delay_ms)
+{
+  return delay_ms > BEHIND_MS && delay_ms >= throttle->delay_ms
+         && throttle->begun < throttle->taken;
+}
+
+/* A planner that works off what it has is late for those, and can begin more
+ * than it takes. */
+static bool
+can_take_more (const MuxThrottle *throttle, int64_t delay_ms)
+{
+  return delay_ms < IN_TIME_MS
+         || (delay_ms < throttle->delay_ms
+             && throttle->begun > throttle->taken);
+}
+
 static uint32_t
 risen (uint32_t share)
 {
@@ -76,13 +95,9 @@
     return;
   measure (throttle, now_ms - throttle->updated_ms);
   throttle->updated_ms = now_ms;
-  if (delay_ms > BEHIND_MS && throttle->taken > 0)
-    {
-      /* What was taken before the last fall is still worked off. */
-      if (delay_ms >= throttle->delay_ms)
-        throttle->share_milli = fallen (throttle);
-    }
-  else if (delay_ms < IN_TIME_MS)
+  if (is_too_much (throttle, delay_ms))
+    throttle->share_milli = fallen (throttle);
+  else if (can_take_more (throttle, delay_ms))
     throttle->share_milli = risen (throttle->share_milli);
   throttle->delay_ms = delay_ms;
   throttle->taken = 0;
