--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -429,6 +429,8 @@
 void cell_former_heard (MuxCell *cell, const MuxPeerMsg *hello);
 
 /* worker_lease.c: how long what runs at a worker may run on */
+/** cell_longest_lease_ms() - that workers grant, on the slowest clock */
+int64_t cell_longest_lease_ms (void);
 /** cell_worker_lease() - on its clock, a whole one from now; 0: not known */
 int64_t cell_worker_lease (const MuxCell *cell, CellWorker *worker);
 /** cell_worker_lease_left() - until the furthest lease is surely over */
--- a/src/cell/late_start.c
+++ b/src/cell/late_start.c
@@ -13,14 +13,15 @@
  * worker whose lives have ids of their own.
  */
 
-/* Workers shorten a longer lease to this, in ms, on clocks that may be slow. */
-#define LEASE_MAX_MS 10000
-#define SLOW_LEASE_MS (LEASE_MAX_MS * 100 / 98)
 #define MARGIN_MS 200
 
 /* From a start, or the last one that a planner can have sent, until no run of
  * it can be left. */
-#define OVER_MS (CELL_LATE_ORDERS_MS + SLOW_LEASE_MS + MARGIN_MS)
+static int64_t
+over_ms (void)
+{
+  return CELL_LATE_ORDERS_MS + cell_longest_lease_ms () + MARGIN_MS;
+}
 
 bool
 cell_start_may_come (const MuxCell *cell, const CellBooking *booking)
@@ -29,13 +30,13 @@
 
   return booking->worker->born_ms != 0 && !booking->began && !booking->confirmed
          && !queue->approval.needed
-         && cell->time.now_ms < booking->since_ms + OVER_MS;
+         && cell->time.now_ms < booking->since_ms + over_ms ();
 }
 
 void
 cell_late_starts_of_former (MuxCell *cell, const CellWorker *worker)
 {
-  int64_t until_ms = cell->former.until_ms + OVER_MS;
+  int64_t until_ms = cell->former.until_ms + over_ms ();
 
   if (worker->heard || worker->born_ms == 0)
     return;
--- a/src/cell/worker_lease.c
+++ b/src/cell/worker_lease.c
@@ -39,6 +39,12 @@
   return ms * PERCENT / (PERCENT - CLOCK_SLOW_PERCENT);
 }
 
+int64_t
+cell_longest_lease_ms (void)
+{
+  return on_slow_clock (LEASE_MAX_MS);
+}
+
 /*
  * Guards against a lease that is taken for over too early: a call that was
  * meant for a worker's former life, and is carried out late by this one, asks
@@ -50,7 +56,7 @@
 stale_lease_over_ms (const CellWorker *worker)
 {
   return worker->stale_until_ms > worker->clock_at_ms
-             ? worker->stale_until_ms + on_slow_clock (LEASE_MAX_MS)
+             ? worker->stale_until_ms + cell_longest_lease_ms ()
              : 0;
 }
 
