test: planners whose term ends as workers go

A successor counts the trust of the planner before it, 8 s, and a lease from then on, for each worker that it can't hear: nothing of what that planner knew about its last orders is handed to it. So tasks that are to last and ran on workers which went with the planner are without a run for 17.2 to 21.1 s.

The new tests ask for a run within 9 s, 6 s after the last one and 3 s, with the deployed lease of 8 s, which the world of the tests can now be given; its own stays at 4 s. On this code five of seven fail, no task in time in any of their stories: planner cut off and back, 17.8 s; frozen and back, 17.8 s; claim given up, 16.7 to 17.3 s; gone for good, 17.8 s; the same process claims again, 16.7 s. A planner that stays starts them after 7.6 to 8.2 s. The seventh passes, and guards the other side: a former planner which renewed while it was cut off.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -7,6 +7,7 @@
 #define STORE_MS 5
 #define APPROVAL_MS 10
 #define PEER_MS 1
+/* Of daemons that are given no other; a deployed one asks for 8 s. */
 #define LEASE_MS 4000
 /* Between the incarnations of two processes: more calls than one makes. */
 #define LIFE_BITS 32
@@ -686,7 +687,7 @@
     .peer_addr = cell->addr,
     .incarnation = ++world->incarnation << LIFE_BITS,
     .seed = number,
-    .lease_ms = LEASE_MS,
+    .lease_ms = world->lease_ms != 0 ? world->lease_ms : LEASE_MS,
     .dead_ms = DEAD_MS,
     .ended_keep_s = world->keep_s != 0 ? world->keep_s : KEEP_S,
     .unread_max = world->unread_max,
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -242,6 +242,7 @@
   bool approve_by_job;     /* other workers for each job */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   uint32_t unread_max;     /* the same; 0: as usual */
+  uint32_t lease_ms;       /* the same; 0: 4 s */
   int64_t store_ms;        /* time of a call to the store */
   uint32_t page_rows;      /* most rows of one reading; 0: all */
   uint32_t follow_rows;    /* the same of one answer to who follows a table */
--- /dev/null
+++ b/test/unit/test_cell_handover.c
@@ -0,0 +1,309 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdlib.h>
+
+/* A planner's term ends, in one way or another, at the moment at which some
+ * workers are gone for good: what is to last and ran there runs again in time.
+ */
+
+#define CELLS 3
+#define WORKERS 8
+/* The first ones go. */
+#define GONE 4
+/* CUMINMUX_LEASE_MS in deploy/system.toml. */
+#define LEASE_MS 8000
+/* What is to last may be without a run for 3 s, from 6 s after its last one. */
+#define BACK_MS (6000 + 3000)
+/* Behind the last order and the last lease of any former planner. */
+#define SETTLED_MS 20000
+/* Most of a worker: one task on each. */
+#define ALL_CPU_MILLI 30000
+/* Longer than any of these stories. */
+#define LASTS_MS 600000
+/* Moments of a renewal, which waits for a second, at which workers go. */
+#define PHASES_MS 1000
+#define PHASE_MS 250
+
+static World *
+world_with_deployed_lease (void)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  world->lease_ms = LEASE_MS;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+  world_run (world, SETTLED_MS);
+  return world;
+}
+
+static void
+drain_others (World *world, bool draining)
+{
+  for (uint32_t i = GONE; i < WORKERS; i++)
+    world_worker_drains (world, i, draining);
+}
+
+/* One lasting task on each of half of the workers, which are gone just now. */
+static World *
+world_with_workers_gone (int64_t phase_ms)
+{
+  World *world = world_with_deployed_lease ();
+  MuxJobSpec *job = world_job (1, GONE, ALL_CPU_MILLI);
+
+  job->step[0].long_running = true;
+  drain_others (world, true);
+  world_run (world, 500);
+  world->task_ms = LASTS_MS;
+  (void) world_submit (world, world_planner (world), job, "lasting");
+  world_run (world, 2000 + phase_ms);
+  assert_int_equal (world_starts (world, "lasting"), GONE);
+  drain_others (world, false);
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = true;
+  return world;
+}
+
+/* The last start of a task, after its loss at @gone_ms. */
+static int64_t
+last_back_ms (const World *world, int64_t gone_ms)
+{
+  int64_t last_ms = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    if (world->start[i].at_ms > gone_ms)
+      last_ms = world->start[i].at_ms - gone_ms;
+  return last_ms;
+}
+
+/* Return: all tasks ran again in time. */
+static bool
+are_back (World *world, int64_t gone_ms)
+{
+  uint32_t starts;
+
+  world_run (world, gone_ms + BACK_MS - world->now_ms);
+  starts = world_starts (world, "lasting");
+  world_run (world, SETTLED_MS);
+  assert_false (world_twice (world));
+  assert_int_equal (world_starts (world, "lasting"), 2 * GONE);
+  print_message ("%u of %u back in time, the last after %lld ms\n",
+                 starts - GONE, GONE,
+                 (long long) last_back_ms (world, gone_ms));
+  world_free (world);
+  return starts == 2 * GONE;
+}
+
+/* Guards against a lease that is longer than the bound leaves room for. */
+static void
+test_planner_that_stays_starts_lost_tasks_in_time (void **state)
+{
+  uint32_t late = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      World *world = world_with_workers_gone (phase_ms);
+
+      late += !are_back (world, world->now_ms);
+    }
+  assert_int_equal (late, 0);
+}
+
+static void
+set_cut (World *world, uint32_t planner, bool cut)
+{
+  world->cell[planner].cut = cut;
+  world->cell[planner].store = cut ? WORLD_SILENT : WORLD_SERVES;
+}
+
+static bool
+play_cut (int64_t phase_ms, int64_t cut_ms)
+{
+  World *world = world_with_workers_gone (phase_ms);
+  uint32_t planner = world_planner (world);
+  int64_t gone_ms = world->now_ms;
+
+  set_cut (world, planner, true);
+  world_run (world, cut_ms);
+  assert_int_not_equal (world_planner (world), planner);
+  set_cut (world, planner, false);
+  return are_back (world, gone_ms);
+}
+
+/* Guards against tasks that wait out the trust of a planner which is back and
+ * knows that it orders nothing. */
+static void
+test_planner_cut_off_and_back_says_what_it_ordered (void **state)
+{
+  uint32_t late = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      late += !play_cut (phase_ms, 2000);
+      late += !play_cut (phase_ms, 5600);
+    }
+  assert_int_equal (late, 0);
+}
+
+/* Guards against the same after a planner that stood still. */
+static void
+test_planner_frozen_and_back_says_what_it_ordered (void **state)
+{
+  uint32_t late = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      World *world = world_with_workers_gone (phase_ms);
+      uint32_t planner = world_planner (world);
+      int64_t gone_ms = world->now_ms;
+
+      world->cell[planner].frozen = true;
+      world_run (world, 5600);
+      assert_int_not_equal (world_planner (world), planner);
+      world->cell[planner].frozen = false;
+      late += !are_back (world, gone_ms);
+    }
+  assert_int_equal (late, 0);
+}
+
+static bool
+play_stop (int64_t phase_ms, int64_t in_ms)
+{
+  World *world = world_with_workers_gone (phase_ms);
+  uint32_t planner = world_planner (world);
+  int64_t gone_ms = world->now_ms;
+
+  world_run (world, in_ms);
+  mux_cell_stop (world->cell[planner].cell,
+                 (MuxCellTime){ world->now_ms, WORLD_WALL_MS + world->now_ms,
+                                world->now_ms });
+  world_run (world, 400);
+  assert_true (mux_cell_stopped (world->cell[planner].cell));
+  world_cell_kill (world, planner);
+  assert_int_not_equal (world_planner (world), planner);
+  world_run (world, 100);
+  world_cell_start (world, planner);
+  return are_back (world, gone_ms);
+}
+
+/* Guards against tasks that wait out the trust of a planner which gave its
+ * claim up. */
+static void
+test_planner_that_gives_up_its_claim_orders_nothing_more (void **state)
+{
+  uint32_t late = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      late += !play_stop (phase_ms, 0);
+      late += !play_stop (phase_ms, 500);
+    }
+  assert_int_equal (late, 0);
+}
+
+/* Guards against tasks that wait out the trust of a planner whose instance
+ * never comes back. */
+static void
+test_planner_gone_for_good_is_followed_by_one_that_knows_its_orders (
+    void **state)
+{
+  uint32_t late = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      World *world = world_with_workers_gone (phase_ms);
+
+      world_cell_kill (world, world_planner (world));
+      late += !are_back (world, world->now_ms);
+    }
+  assert_int_equal (late, 0);
+}
+
+/* Its claim stands once more, as one that was carried out late. */
+static void
+claim_again (World *world)
+{
+  char *text = world_row_text (world, MUX_TABLE_CLAIM, "claim");
+
+  world_put_row (world, MUX_TABLE_CLAIM, "", "claim", text);
+  free (text);
+}
+
+/* Guards against a planner that waits out its own trust. */
+static void
+test_planner_that_claims_again_knows_its_own_orders (void **state)
+{
+  uint32_t late = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      World *world = world_with_workers_gone (phase_ms);
+      uint32_t planner = world_planner (world);
+      int64_t gone_ms = world->now_ms;
+      uint32_t began = world_logged (world, "planner_began");
+
+      claim_again (world);
+      world_run (world, 500);
+      assert_int_equal (world_planner (world), planner);
+      assert_int_equal (world_logged (world, "planner_began"), began + 1);
+      late += !are_back (world, gone_ms);
+    }
+  assert_int_equal (late, 0);
+}
+
+/* The workers are in nobody's reach but that of a planner which is cut off from
+ * everything else, and in nobody's once it is back. */
+static void
+play_cut_with_its_workers (int64_t phase_ms, int64_t cut_ms)
+{
+  World *world = world_with_workers_gone (phase_ms);
+  uint32_t planner = world_planner (world);
+
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = false;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].far_workers = i != planner ? GONE : 0;
+  world->cell[planner].near_workers = GONE;
+  set_cut (world, planner, true);
+  world_run (world, cut_ms);
+  assert_int_not_equal (world_planner (world), planner);
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = true;
+  set_cut (world, planner, false);
+  (void) are_back (world, world->now_ms);
+}
+
+/* Guards against a former planner's word by which leases that it renewed while
+ * it was cut off are over too early. */
+static void
+test_planner_cut_off_with_its_workers_counts_its_last_renewal (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    for (int64_t cut_ms = 2000; cut_ms <= 8000; cut_ms += 2000)
+      play_cut_with_its_workers (phase_ms, cut_ms);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_planner_that_stays_starts_lost_tasks_in_time),
+    cmocka_unit_test (test_planner_cut_off_and_back_says_what_it_ordered),
+    cmocka_unit_test (test_planner_frozen_and_back_says_what_it_ordered),
+    cmocka_unit_test (test_planner_that_gives_up_its_claim_orders_nothing_more),
+    cmocka_unit_test (
+        test_planner_gone_for_good_is_followed_by_one_that_knows_its_orders),
+    cmocka_unit_test (test_planner_that_claims_again_knows_its_own_orders),
+    cmocka_unit_test (
+        test_planner_cut_off_with_its_workers_counts_its_last_renewal),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
