--- a/test/unit/test_cell_lasting.c
+++ b/test/unit/test_cell_lasting.c
@@ -126,12 +126,66 @@
   world_free (world);
 }
 
+/* What comes in a second is a quarter more than fits. */
+#define STREAM_APART_MS 100
+#define STREAM_TASKS 8
+#define STREAM_TASK_MS 1000
+#define QUESTION_MIN_MS 100
+#define QUESTION_MAX_MS 600
+#define QUESTIONS_APART_MS 100
+/* Six seconds without a run, and three in which it is to run. */
+#define OWED_MS 9000
+
+static void
+submit_stream (World *world, uint32_t number)
+{
+  char id[MUX_JOB_ID_LEN];
+
+  snprintf (id, sizeof id, "stream-%u", number);
+  (void) world_submit (world, world_planner (world),
+                       world_job (1, STREAM_TASKS, LASTING_CPU_MILLI), id);
+  world_run (world, STREAM_APART_MS);
+}
+
+static void
+play_full_pool (uint32_t question_ms)
+{
+  World *world = world_with_a_lasting_task ();
+  uint32_t n = 0;
+
+  world_ask_slowly (world, question_ms, 1000);
+  world_set_priority (world, 1);
+  world_run (world, 100);
+  world->task_ms = STREAM_TASK_MS;
+  while (n < 3000 / STREAM_APART_MS)
+    submit_stream (world, n++);
+  end_its_run (world);
+  submit_stream (world, n++);
+  world->worker[world->start[0].worker].fails = false;
+  while (n < (3000 + OWED_MS) / STREAM_APART_MS)
+    submit_stream (world, n++);
+  assert_true (world_starts (world, "lasting") > 1);
+  world_free (world);
+}
+
+/* Guards against a lasting task that never runs in a full pool, as a more
+ * urgent queue takes each gap before its approval is there. */
+static void
+test_lasting_task_runs_again_in_a_full_pool (void **state)
+{
+  (void) state;
+  for (uint32_t ms = QUESTION_MIN_MS; ms <= QUESTION_MAX_MS;
+       ms += QUESTIONS_APART_MS)
+    play_full_pool (ms);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_lasting_task_takes_room_that_is_kept_for_gangs),
     cmocka_unit_test (test_gang_keeps_no_room_beside_tasks_that_never_end),
+    cmocka_unit_test (test_lasting_task_runs_again_in_a_full_pool),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
