cell: give a lasting task that is away room in a full pool

Callers saw a task that is to last without a run for 23 s where a third of 350 workers was gone: its step put 24 questions, each 0.6 s, and found the workers full that were approved. Cause: a step of a patient queue comes after all urgent work whatever it is owed, and the room that it saw was taken before answer and record were there. Ruled out: the wait for workers, which was over 10 s after the loss, and a lack of daemons that ask.

A step that is to last and has waited for a second now goes first, and holds room where it is approved, for no more tasks than wait, while it asks or its record is on its way. test_lasting_task_runs_again_in_a_full_pool failed before with questions of 0.1 s and passes with 0.1 to 0.6 s. Holding on all workers that were asked, too, was tried: 24 such steps then starve each other (test_cell_outage failed).

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -532,6 +532,7 @@
  */
 typedef enum
 {
+  CELL_RANK_OWED, /* it is to last, and has been away for a while */
   CELL_RANK_IN_TIME,
   CELL_RANK_LATE,
   CELL_RANK_WORTHLESS, /* it still ends, as was promised */
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -40,7 +40,7 @@
   if (!cell_worker_fits (cell, stage, worker)
       || kept_for_another (stage, worker))
     return 0;
-  n = cell_worker_holds (stage, cell_worker_free (worker));
+  n = cell_worker_holds (stage, cell_worker_free_for (stage, worker));
   if (stage->spec->per_worker_max == 0 || n == 0)
     return n;
   there = running_there (stage, worker);
@@ -143,6 +143,33 @@
   return best;
 }
 
+/*
+ * Guards against a task that is to last and never runs in a full pool: the room
+ * that a worker has as the policy service is asked about it is taken before the
+ * answer and its record are there.  So it is held meanwhile, where the worker
+ * is known to be approved.
+ */
+static void
+hold_approved (MuxCell *cell, CellStage *stage)
+{
+  uint32_t left = cell_stage_waiting (stage);
+
+  cell_holds_release (stage);
+  for (uint32_t i = 0; i < stage->approval_count && left > 0; i++)
+    {
+      const CellApproval *approval = &stage->approval[i];
+      CellWorker *worker = cell->worker_at[approval->slot];
+
+      if (worker == NULL || !approval->yes
+          || (!stage->asking && !cell_approval_is_near (cell, approval))
+          || cell_worker_takes (cell, stage, worker) == 0)
+        continue;
+      if (!cell_hold (stage, worker, 1))
+        return;
+      left--;
+    }
+}
+
 static void
 ask (MuxCell *cell, CellStage *stage)
 {
@@ -209,5 +236,7 @@
     }
   if (short_of_workers && needed)
     ask (cell, stage);
+  if (stage->rank == CELL_RANK_OWED)
+    hold_approved (cell, stage);
   cell_stage_update (cell, stage);
 }
