cell: take a claim as given up only where its holder says so

A row of another writer, or an old one put back, that names no planner would have been taken for the word of the holder that it orders nothing more; that one may go on until it sees the row. The row names the claim that was given up, which has to be the one known. test_claim_that_another_writer_empties_is_not_given_up fails without it (a task runs twice).

--- a/src/cell/claim_rows.c
+++ b/src/cell/claim_rows.c
@@ -31,6 +31,20 @@
   return count > 0 ? (uint32_t) ((count - 1) % CELL_TERMS_MAX + 1) : 0;
 }
 
+/*
+ * Guards against a planner that is taken for one that has left, by a row of
+ * another writer that names nobody, or an old one that was put back: the holder
+ * tells which claim it gave up.
+ */
+static bool
+is_given_up (const MuxCell *cell, const json_t *json)
+{
+  json_int_t of = json_integer_value (json_object_get (json, "gave_up"));
+
+  return of > 0
+         && (cell->claim.version == 0 || (uint64_t) of == cell->claim.version);
+}
+
 /*
  * Guards against two daemons of which each can't read the other's claim, and
  * which replace each other in turn: one that can't be read says that somebody
@@ -62,7 +76,7 @@
   snprintf (claim->heir, sizeof claim->heir, "%s", heir != NULL ? heir : "");
   claim->incarnation
       = (uint64_t) json_integer_value (json_object_get (json, "incarnation"));
-  claim->given_up = json != NULL && claim->incarnation == 0;
+  claim->given_up = claim->incarnation == 0 && is_given_up (cell, json);
   claim->term = read_count (json);
   json_decref (json);
 }
--- a/src/cell/leave.c
+++ b/src/cell/leave.c
@@ -50,9 +50,10 @@
 {
   cell->leaving = cell_write_claim (
       cell,
-      json_pack ("{s:s, s:s, s:s, s:I, s:i, s:I}", "name", "", "addr", "",
+      json_pack ("{s:s, s:s, s:s, s:I, s:I, s:i, s:I}", "name", "", "addr", "",
                  "heir", heir != NULL ? heir->name : "", "incarnation",
-                 (json_int_t) 0, "term", (int) cell->claim.term, "former_ms",
+                 (json_int_t) 0, "gave_up", (json_int_t) cell->term, "term",
+                 (int) cell->claim.term, "former_ms",
                  (json_int_t) cell_former_left_ms (cell)),
       done);
   return cell->leaving;
--- a/test/unit/test_cell_handover.c
+++ b/test/unit/test_cell_handover.c
@@ -259,18 +259,27 @@
 
 /* The workers are in nobody's reach but that of a planner which is cut off from
  * everything else, and in nobody's once it is back. */
-static void
-play_cut_with_its_workers (int64_t phase_ms, int64_t cut_ms)
+static World *
+world_with_workers_of_the_planner (int64_t phase_ms, uint32_t *planner)
 {
   World *world = world_with_workers_gone (phase_ms);
-  uint32_t planner = world_planner (world);
 
+  *planner = world_planner (world);
   for (uint32_t i = 0; i < GONE; i++)
     world->worker[i].cut = false;
   for (uint32_t i = 0; i < CELLS; i++)
-    world->cell[i].far_workers = i != planner ? GONE : 0;
-  world->cell[planner].near_workers = GONE;
-  set_cut (world, planner, true);
+    world->cell[i].far_workers = i != *planner ? GONE : 0;
+  world->cell[*planner].near_workers = GONE;
+  set_cut (world, *planner, true);
+  return world;
+}
+
+static void
+play_cut_with_its_workers (int64_t phase_ms, int64_t cut_ms)
+{
+  uint32_t planner;
+  World *world = world_with_workers_of_the_planner (phase_ms, &planner);
+
   world_run (world, cut_ms);
   assert_int_not_equal (world_planner (world), planner);
   for (uint32_t i = 0; i < GONE; i++)
@@ -290,6 +299,26 @@
       play_cut_with_its_workers (phase_ms, cut_ms);
 }
 
+/* Guards against a planner that is taken for one that has given its claim up,
+ * by a row of another writer. */
+static void
+test_claim_that_another_writer_empties_is_not_given_up (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    {
+      uint32_t planner;
+      World *world = world_with_workers_of_the_planner (phase_ms, &planner);
+
+      world_put_row (world, MUX_TABLE_CLAIM, "", "claim",
+                     "{\"name\":\"\",\"addr\":\"\",\"incarnation\":0,"
+                     "\"gave_up\":1,\"former_ms\":0}");
+      world_run (world, SETTLED_MS);
+      assert_false (world_twice (world));
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -303,6 +332,7 @@
     cmocka_unit_test (test_planner_that_claims_again_knows_its_own_orders),
     cmocka_unit_test (
         test_planner_cut_off_with_its_workers_counts_its_last_renewal),
+    cmocka_unit_test (test_claim_that_another_writer_empties_is_not_given_up),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
