cell: order nothing once a planner that stops has given its claim up

A yield that the store turned away let the planner order again, though by then it was stopping and the row by which it gives its claim up may have stood: its successor counts no trust then.

--- a/src/cell/leave.c
+++ b/src/cell/leave.c
@@ -79,7 +79,7 @@
   /* It may still be carried out, unless another claim comes before it. */
   if (reply->status == MUX_CELL_OK || reply->status == MUX_CELL_UNKNOWN)
     cell_depose (cell, "yielded");
-  else
+  else if (!cell->stopping)
     cell->leaving = false;
 }
 
--- a/test/unit/test_cell_handover.c
+++ b/test/unit/test_cell_handover.c
@@ -319,6 +319,68 @@
     }
 }
 
+#define WEAK_MILLI 100
+#define STRONG_MILLI 1000
+
+/* The store turns a weak planner's yield away; then that stops, and does not
+ * hear that its claim was given up.  Return: calls to workers since. */
+static uint32_t
+calls_after_stop (int64_t phase_ms, int64_t in_ms)
+{
+  World *world = world_new (CELLS, WORKERS);
+  MuxJobSpec *job = world_job (1, WORKERS, ALL_CPU_MILLI);
+  uint64_t version;
+  uint32_t calls;
+
+  job->step[0].long_running = true;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_kill (world, i);
+  world->cell[0].strength_milli = WEAK_MILLI;
+  world_cell_start (world, 0);
+  world_run (world, SETTLED_MS);
+  assert_int_equal (world_planner (world), 0);
+  world->task_ms = LASTS_MS;
+  (void) world_submit (world, 0, job, "job");
+  world_run (world, 2000 + phase_ms);
+  assert_int_equal (world_starts (world, "job"), WORKERS);
+  world->store_ms = 60;
+  world->cell[0].commits[MUX_TABLE_CLAIM] = WORLD_REFUSES;
+  world->cell[1].strength_milli = STRONG_MILLI;
+  world_cell_start (world, 1);
+  world_run (world, in_ms);
+  world->cell[0].commits[MUX_TABLE_CLAIM] = WORLD_LOSES_ANSWER;
+  world->cell[0].deaf
+      = WORLD_DEAF (MUX_TABLE_CLAIM) | WORLD_DEAF (MUX_TABLE_JOBS);
+  world->cell[0].cut = true;
+  version = world_claim_version (world);
+  mux_cell_stop (world->cell[0].cell,
+                 (MuxCellTime){ world->now_ms, WORLD_WALL_MS + world->now_ms,
+                                world->now_ms });
+  assert_int_not_equal (world_claim_version (world), version);
+  calls = world->worker_calls[0];
+  world_run (world, 2000);
+  calls = world->worker_calls[0] - calls;
+  if (calls != 0)
+    print_message ("stopped after %lld ms: %u calls\n", (long long) in_ms,
+                   calls);
+  world_free (world);
+  return calls;
+}
+
+/* Guards against a planner that orders behind the row by which it gave its
+ * claim up, as an earlier try to do so was turned away. */
+static void
+test_planner_that_yields_and_stops_orders_nothing_more (void **state)
+{
+  uint32_t calls = 0;
+
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < PHASES_MS; phase_ms += PHASE_MS)
+    for (int64_t in_ms = 200; in_ms <= 300; in_ms += 20)
+      calls += calls_after_stop (phase_ms, in_ms);
+  assert_int_equal (calls, 0);
+}
+
 int
 main (void)
 {
@@ -333,6 +395,7 @@
     cmocka_unit_test (
         test_planner_cut_off_with_its_workers_counts_its_last_renewal),
     cmocka_unit_test (test_claim_that_another_writer_empties_is_not_given_up),
+    cmocka_unit_test (test_planner_that_yields_and_stops_orders_nothing_more),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
