cell: count the long trust until the planner has heard that the store serves

Found by the review: behind an outage for all, a task ran twice. The planner trusts its claim for long while its members say that the store fails them; a daemon that then said otherwise, once, and was heard, took the trust as short from the last sign of life on, and counted leases as over that had been asked seconds later.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -949,6 +949,8 @@
  * @failing_number: of the last one that said that the store fails; 0: none
  * @taken_number: the last one that the holder of the claim has taken; 0: none
  * @taken_sent_ms: when that was sent
+ * @served_ms: since then it was surely known at each moment, to the holder,
+ * that the store serves this daemon
  * @sent_ms: when each of the last ones was, by their numbers
  */
 typedef struct
@@ -957,6 +959,7 @@
   uint64_t failing_number;
   uint64_t taken_number;
   int64_t taken_sent_ms;
+  int64_t served_ms;
   int64_t sent_ms[CELL_GREETINGS];
 } CellGreetings;
 
--- a/src/cell/trust.c
+++ b/src/cell/trust.c
@@ -61,32 +61,51 @@
   return number;
 }
 
+/* Greetings that said that the store fails were all overtaken by one that the
+ * planner has taken: an older one counts no more. */
+static bool
+says_served (const CellGreetings *greetings)
+{
+  return greetings->taken_number > greetings->failing_number;
+}
+
+/*
+ * Guards against a successor that takes the trust for short though the planner
+ * went on for long until a moment ago: while this daemon said that the store
+ * fails it, or had not been heard for so long that it did not count.
+ */
 void
 cell_greeting_taken (MuxCell *cell, uint64_t number)
 {
   CellGreetings *greetings = &cell->greetings;
+  int64_t now_ms = cell->time.now_ms;
 
   if (number <= greetings->taken_number || number > greetings->number
       || greetings->number - number >= CELL_GREETINGS)
     return;
+  if (!says_served (greetings)
+      || now_ms - greetings->taken_sent_ms > MEMBER_SURELY_MS)
+    greetings->served_ms = now_ms;
   greetings->taken_number = number;
   greetings->taken_sent_ms = greetings->sent_ms[number % CELL_GREETINGS];
 }
 
-/* Greetings that said that the store fails were all overtaken by one that the
- * planner has taken: an older one counts no more. */
 bool
 cell_trust_was_short (const MuxCell *cell)
 {
   const CellGreetings *greetings = &cell->greetings;
 
-  return greetings->taken_number > greetings->failing_number
+  return says_served (greetings)
          && cell->sign_seen_ms - greetings->taken_sent_ms <= MEMBER_SURELY_MS;
 }
 
 int64_t
 cell_trust_until_ms (const MuxCell *cell)
 {
-  return cell->sign_seen_ms
-         + (cell_trust_was_short (cell) ? TRUST_MS : CELL_TRUST_MS);
+  int64_t short_ms = cell->sign_seen_ms + TRUST_MS;
+
+  if (!cell_trust_was_short (cell))
+    return cell->sign_seen_ms + CELL_TRUST_MS;
+  return cell->greetings.served_ms > short_ms ? cell->greetings.served_ms
+                                              : short_ms;
 }
--- a/test/unit/test_cell_handover.c
+++ b/test/unit/test_cell_handover.c
@@ -319,6 +319,50 @@
     }
 }
 
+/* The store fails all for @out_ms, serves the others again, and the planner is
+ * killed @after_ms later, at the moment at which its workers are cut off. */
+static bool
+is_twice_after_outage (int64_t out_ms, int64_t after_ms)
+{
+  World *world = world_with_workers_gone (0);
+  uint32_t planner = world_planner (world);
+  bool twice;
+
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = false;
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].store = WORLD_SILENT;
+  world_run (world, out_ms);
+  for (uint32_t i = 0; i < CELLS; i++)
+    world->cell[i].store = i == planner ? WORLD_SILENT : WORLD_SERVES;
+  world_run (world, after_ms);
+  assert_int_equal (world_planner (world), planner);
+  for (uint32_t i = 0; i < GONE; i++)
+    world->worker[i].cut = true;
+  world_cell_kill (world, planner);
+  world_run (world, SETTLED_MS);
+  twice = world_twice (world);
+  if (twice)
+    print_message ("twice: outage of %lld ms, killed %lld ms later\n",
+                   (long long) out_ms, (long long) after_ms);
+  world_free (world);
+  return twice;
+}
+
+/* Guards against a successor that counts a short trust though its own greetings
+ * let the planner order for long until a moment ago. */
+static void
+test_planner_that_ordered_through_an_outage_is_waited_for (void **state)
+{
+  uint32_t twice = 0;
+
+  (void) state;
+  for (int64_t out_ms = 3000; out_ms <= 7000; out_ms += 1000)
+    for (int64_t after_ms = 200; after_ms <= 600; after_ms += 200)
+      twice += is_twice_after_outage (out_ms, after_ms);
+  assert_int_equal (twice, 0);
+}
+
 #define WEAK_MILLI 100
 #define STRONG_MILLI 1000
 
@@ -395,6 +439,8 @@
     cmocka_unit_test (
         test_planner_cut_off_with_its_workers_counts_its_last_renewal),
     cmocka_unit_test (test_claim_that_another_writer_empties_is_not_given_up),
+    cmocka_unit_test (
+        test_planner_that_ordered_through_an_outage_is_waited_for),
     cmocka_unit_test (test_planner_that_yields_and_stops_orders_nothing_more),
   };
 
