test: play crashing tasks among outages in a program of their own

Its stories and their bounds are unchanged; two of twelve and what they share have files of their own.

--- a/test/unit/test_cell_outage.c
+++ b/test/unit/test_cell_outage.c
@@ -1,4 +1,4 @@
-#include "support/cell_world.h"
+#include "support/outages.h"
 #include "support/test.h"
 
 #include <jansson.h>
@@ -7,125 +7,8 @@
 
 /* Many workers crash by themselves, again and again: no task is the cause. */
 
-#define WORKERS 24
-#define CELLS 3
-#define RACK 4
-#define JOBS 24
-#define WAVES 5
-#define WAVE_MS 4000
-#define RACK_WAVES 8
-#define RACK_MS 2000
-#define SINGLES 20
-#define SINGLE_MS 1000
-#define SETTLE_MS 40000
-#define SHORT_MS 1000
-#define MEDIUM_MS 4000
-#define FOREVER_MS INT64_C (100000000)
 /* A task that is to last runs again within this time, with room for it. */
 #define RESTART_MS 6000
-#define TASKS 3
-#define PLANNER_DOWN_MS 2000
-
-typedef enum
-{
-  KIND_SHORT,
-  KIND_GANG,
-  KIND_LASTING,
-  KIND_COUNT
-} Kind;
-
-typedef void (*Outages) (World *world);
-
-static World *
-world_with_jobs (uint32_t cells, Kind kind, bool silent)
-{
-  static const int64_t task_ms[] = { SHORT_MS, MEDIUM_MS, FOREVER_MS };
-  World *world = world_new (cells, WORKERS);
-  char id[MUX_JOB_ID_LEN];
-
-  world->task_ms = task_ms[kind];
-  world->silent_crashes = silent;
-  for (uint32_t i = 0; i < JOBS; i++)
-    {
-      MuxJobSpec *job = world_job (kind == KIND_LASTING ? 1 : 4, TASKS, 4000);
-
-      for (uint32_t j = 0; j < job->step_count; j++)
-        {
-          job->step[j].gang = kind == KIND_GANG;
-          job->step[j].long_running = kind == KIND_LASTING;
-        }
-      snprintf (id, sizeof id, "job-%u", i);
-      (void) world_submit (world, 0, job, id);
-    }
-  world_run (world, 1000);
-  return world;
-}
-
-/* Half of the workers, each time others. */
-static void
-crash_halves (World *world)
-{
-  for (uint32_t i = 0; i < WAVES; i++)
-    {
-      for (uint32_t j = 0; j < WORKERS; j++)
-        if ((j * 7 + j / 3 + i) % 2 == 0)
-          world_worker_crash (world, j);
-      world_run (world, WAVE_MS);
-    }
-}
-
-/* Half of the workers, the same each time. */
-static void
-crash_same_half (World *world)
-{
-  for (uint32_t i = 0; i < WAVES; i++)
-    {
-      for (uint32_t j = 0; j < WORKERS; j += 2)
-        world_worker_crash (world, j);
-      world_run (world, WAVE_MS);
-    }
-}
-
-static void
-crash_halves_and_planners (World *world)
-{
-  for (uint32_t i = 0; i < WAVES; i++)
-    {
-      uint32_t planner = world_planner (world);
-
-      for (uint32_t j = i % 2; j < WORKERS; j += 2)
-        world_worker_crash (world, j);
-      if (planner < CELLS)
-        world_cell_kill (world, planner);
-      world_run (world, PLANNER_DOWN_MS);
-      if (planner < CELLS)
-        world_cell_start (world, planner);
-      world_run (world, WAVE_MS - PLANNER_DOWN_MS);
-    }
-}
-
-/* One rack after the other, each again and again. */
-static void
-crash_racks (World *world)
-{
-  for (uint32_t i = 0; i < RACK_WAVES; i++)
-    {
-      for (uint32_t j = 0; j < RACK; j++)
-        world_worker_crash (world, i % 2 * RACK + j);
-      world_run (world, RACK_MS);
-    }
-}
-
-/* The workers of one rack, one at a time. */
-static void
-crash_singly_in_a_rack (World *world)
-{
-  for (uint32_t i = 0; i < SINGLES; i++)
-    {
-      world_worker_crash (world, i * 3 % RACK);
-      world_run (world, SINGLE_MS);
-    }
-}
 
 static uint32_t
 running (const World *world, const char *id)
@@ -138,33 +21,19 @@
   return n;
 }
 
-static uint32_t
-failed_jobs (World *world, uint32_t jobs)
-{
-  char id[MUX_JOB_ID_LEN];
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < jobs; i++)
-    {
-      snprintf (id, sizeof id, "job-%u", i);
-      n += world_state (world, world_planner (world), id) == MUX_JOB_FAILED;
-    }
-  return n;
-}
-
 /* All lasting tasks run again soon after the last outage, all others end. */
 static void
-check_none_is_held_back (World *world, Kind kind)
+check_none_is_held_back (World *world, OutageKind kind)
 {
   char id[MUX_JOB_ID_LEN];
 
-  world_run (world, kind == KIND_LASTING ? RESTART_MS : SETTLE_MS);
-  assert_int_equal (failed_jobs (world, JOBS), 0);
-  for (uint32_t i = 0; i < JOBS; i++)
+  world_run (world, kind == OUTAGE_LASTING ? RESTART_MS : OUTAGE_SETTLE_MS);
+  assert_int_equal (outage_failed_jobs (world, OUTAGE_JOBS), 0);
+  for (uint32_t i = 0; i < OUTAGE_JOBS; i++)
     {
       snprintf (id, sizeof id, "job-%u", i);
-      if (kind == KIND_LASTING)
-        assert_int_equal (running (world, id), TASKS);
+      if (kind == OUTAGE_LASTING)
+        assert_int_equal (running (world, id), OUTAGE_TASKS);
       else
         assert_int_equal (world_state (world, world_planner (world), id),
                           MUX_JOB_COMPLETED);
@@ -172,16 +41,16 @@
 }
 
 static void
-play (uint32_t cells, Outages outages)
+play (uint32_t cells, OutageWaves outages)
 {
-  for (uint32_t kind = 0; kind < KIND_COUNT; kind++)
+  for (uint32_t kind = 0; kind < OUTAGE_COUNT; kind++)
     for (uint32_t silent = 0; silent < 2; silent++)
       {
-        World *world = world_with_jobs (cells, (Kind) kind, silent == 1);
+        World *world = outage_world (cells, (OutageKind) kind, silent == 1);
 
         print_message ("jobs of kind %u, silent %u\n", kind, silent);
         outages (world);
-        check_none_is_held_back (world, (Kind) kind);
+        check_none_is_held_back (world, (OutageKind) kind);
         world_free (world);
       }
 }
@@ -192,7 +61,7 @@
 test_jobs_survive_crashes_of_half_the_workers (void **state)
 {
   (void) state;
-  play (1, crash_halves);
+  play (1, outage_halves);
 }
 
 /* The same, where it is the same half. */
@@ -200,7 +69,7 @@
 test_jobs_survive_crashes_of_the_same_half (void **state)
 {
   (void) state;
-  play (1, crash_same_half);
+  play (1, outage_same_half);
 }
 
 /* The same, and the planner goes with them. */
@@ -208,7 +77,7 @@
 test_jobs_survive_crashes_with_their_planners (void **state)
 {
   (void) state;
-  play (CELLS, crash_halves_and_planners);
+  play (OUTAGE_CELLS, outage_halves_and_planners);
 }
 
 /* Guards against jobs that are given up as racks lose power in turn. */
@@ -216,7 +85,7 @@
 test_jobs_survive_crashes_of_racks (void **state)
 {
   (void) state;
-  play (1, crash_racks);
+  play (1, outage_racks);
 }
 
 /* Guards against jobs that are given up for the machines of a bad rack. */
@@ -224,60 +93,7 @@
 test_jobs_survive_single_crashes_in_a_rack (void **state)
 {
   (void) state;
-  play (1, crash_singly_in_a_rack);
-}
-
-/* One step of tasks that crash their workers, or of one that does. */
-static MuxJobSpec *
-crashing_job (Kind kind)
-{
-  MuxJobSpec *job = kind == KIND_GANG ? world_crashing_job (TASKS, 4000, 1)
-                                      : world_crashing_job (1, 2000, 0);
-
-  job->step[0].gang = kind == KIND_GANG;
-  job->step[0].long_running = kind == KIND_LASTING;
-  return job;
-}
-
-static void
-play_with_crashing_job (uint32_t cells, Outages outages, Kind kind, bool silent)
-{
-  World *world = world_with_jobs (cells, KIND_SHORT, silent);
-
-  print_message ("crashing job of kind %u, silent %d\n", kind, silent);
-  (void) world_submit (world, 0, crashing_job (kind), "crash");
-  outages (world);
-  world_run (world, SETTLE_MS);
-  assert_false (world_over_budget (world));
-  assert_int_equal (world_state (world, world_planner (world), "crash"),
-                    MUX_JOB_FAILED);
-  assert_int_equal (failed_jobs (world, JOBS), 0);
-  world_free (world);
-}
-
-/* Guards against a task that is taken for a victim of outages, and goes on
- * crashing its workers among them. */
-static void
-test_crashing_task_among_outages_is_given_up (void **state)
-{
-  static const Outages outages[]
-      = { crash_halves, crash_same_half, crash_racks, crash_singly_in_a_rack };
-
-  (void) state;
-  for (uint32_t i = 0; i < sizeof outages / sizeof outages[0]; i++)
-    for (uint32_t kind = 0; kind < KIND_COUNT; kind++)
-      play_with_crashing_job (1, outages[i], (Kind) kind, (i + kind) % 2 == 1);
-}
-
-/* The same, and the planner goes with each outage. */
-static void
-test_crashing_task_among_lost_planners_is_given_up (void **state)
-{
-  (void) state;
-  for (uint32_t kind = 0; kind < KIND_COUNT; kind++)
-    for (uint32_t silent = 0; silent < 2; silent++)
-      play_with_crashing_job (CELLS, crash_halves_and_planners, (Kind) kind,
-                              silent == 1);
+  play (1, outage_singly_in_a_rack);
 }
 
 #define OTHERS 5
@@ -304,7 +120,7 @@
       seen = world_crashes (world, id);
       worker = world->start[world->start_count - 1].worker;
       for (uint32_t i = 1; i <= OTHERS; i++)
-        world_worker_crash (world, (worker + i * RACK) % WORKERS);
+        world_worker_crash (world, (worker + i * OUTAGE_RACK) % OUTAGE_WORKERS);
     }
 }
 
@@ -313,7 +129,7 @@
 static void
 test_crash_lost_with_its_planner_gives_no_further_start (void **state)
 {
-  World *world = world_with_ids_kept (CELLS, WORKERS);
+  World *world = world_with_ids_kept (OUTAGE_CELLS, OUTAGE_WORKERS);
   uint32_t planner = world_planner (world);
   uint32_t known;
 
@@ -345,12 +161,13 @@
 static void
 test_wide_crashing_step_is_no_outage (void **state)
 {
-  World *world = world_new (1, WORKERS);
+  World *world = world_new (1, OUTAGE_WORKERS);
 
   (void) state;
-  (void) world_submit (world, 0, world_crashing_job (WORKERS, 20000, WORKERS),
-                       "crash");
-  world_run (world, SETTLE_MS);
+  (void) world_submit (
+      world, 0, world_crashing_job (OUTAGE_WORKERS, 20000, OUTAGE_WORKERS),
+      "crash");
+  world_run (world, OUTAGE_SETTLE_MS);
   assert_false (world_over_budget (world));
   assert_int_equal (world_state (world, 0, "crash"), MUX_JOB_FAILED);
   world_free (world);
@@ -386,17 +203,18 @@
 
   (void) state;
   job->step[0].long_running = true;
-  world->task_ms = FOREVER_MS;
+  world->task_ms = OUTAGE_FOREVER_MS;
   (void) world_submit (world, 0, job, "job-0");
   for (uint32_t i = 1; i <= RACKS_LOST; i++)
     {
-      uint32_t first = wait_for_start (world, "job-0", i) / RACK * RACK;
+      uint32_t first
+          = wait_for_start (world, "job-0", i) / OUTAGE_RACK * OUTAGE_RACK;
 
-      for (uint32_t j = first; j < first + RACK; j++)
+      for (uint32_t j = first; j < first + OUTAGE_RACK; j++)
         world_worker_crash (world, j);
     }
   world_run (world, RESTART_MS);
-  assert_int_equal (failed_jobs (world, 1), 0);
+  assert_int_equal (outage_failed_jobs (world, 1), 0);
   assert_int_equal (running (world, "job-0"), 1);
   world_free (world);
 }
@@ -410,10 +228,10 @@
 static void
 test_pause_behind_lost_runs_begins_once (void **state)
 {
-  World *world = world_new (1, WORKERS);
+  World *world = world_new (1, OUTAGE_WORKERS);
 
   (void) state;
-  world->task_ms = FOREVER_MS;
+  world->task_ms = OUTAGE_FOREVER_MS;
   (void) world_submit (world, 0, world_job (1, 1, 2000), "job-0");
   for (uint32_t i = 1; i <= LOSSES; i++)
     {
@@ -465,7 +283,7 @@
 static void
 test_losses_of_the_version_before_are_read (void **state)
 {
-  World *world = world_new (CELLS, WORKERS);
+  World *world = world_new (OUTAGE_CELLS, OUTAGE_WORKERS);
   uint32_t planner = world_planner (world);
   char part[MUX_ROW_NAME_LEN];
   json_t *json;
@@ -488,7 +306,7 @@
           sizeof part);
   world_put_row (world, MUX_TABLE_PROGRESS, part, "crash", text);
   free (text);
-  world_run (world, SETTLE_MS);
+  world_run (world, OUTAGE_SETTLE_MS);
   assert_false (world_over_budget (world));
   assert_int_equal (world_crashes (world, "crash"), 3);
   assert_int_equal (world_state (world, world_planner (world), "crash"),
@@ -505,8 +323,6 @@
     cmocka_unit_test (test_jobs_survive_crashes_with_their_planners),
     cmocka_unit_test (test_jobs_survive_crashes_of_racks),
     cmocka_unit_test (test_jobs_survive_single_crashes_in_a_rack),
-    cmocka_unit_test (test_crashing_task_among_outages_is_given_up),
-    cmocka_unit_test (test_crashing_task_among_lost_planners_is_given_up),
     cmocka_unit_test (test_crash_lost_with_its_planner_gives_no_further_start),
     cmocka_unit_test (test_wide_crashing_step_is_no_outage),
     cmocka_unit_test (test_task_survives_the_loss_of_each_rack),
