--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -88,6 +88,7 @@
    */
   cell->next_call = options->incarnation;
   cell->next_question = options->incarnation;
+  cell->greetings.number = options->incarnation;
   cell->round = 1;
   cell_order_init (&cell->order);
   for (uint32_t i = 0; i < CELL_PARTS; i++)
--- a/src/cell/former.c
+++ b/src/cell/former.c
@@ -3,6 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* A greeting counts for a planner's trust in its claim for less. */
+#define UNAWARE_MS 1000
+
 /*
  * Until when planners before this one may order.
  *
@@ -42,17 +45,22 @@
   json_decref (json);
 }
 
-/* Of those before the holder; its signs of life tell it later than its claim.
+/*
+ * Of those before the holder; its signs of life tell it later than its claim.
+ * A holder that gave no sign of life may not have known of its claim, and have
+ * greeted the former planner as a daemon that the store fails.
  */
 static int64_t
 earlier_until_ms (const MuxCell *cell)
 {
   int64_t until_ms = cell->claim.former_until_ms;
 
-  return cell->beat_version > cell->claim.version
-                 && cell->sign_former_until_ms < until_ms
-             ? cell->sign_former_until_ms
-             : until_ms;
+  if (cell->claim.given_up)
+    return until_ms;
+  if (cell->beat_version <= cell->claim.version)
+    return until_ms + UNAWARE_MS;
+  return cell->sign_former_until_ms < until_ms ? cell->sign_former_until_ms
+                                               : until_ms;
 }
 
 /* This process planned, or a former one of this daemon. */
--- a/src/cell/leave.c
+++ b/src/cell/leave.c
@@ -48,7 +48,7 @@
 static bool
 leave_claim (MuxCell *cell, const CellMember *heir, CellDone done)
 {
-  cell->leaving = cell_write_claim (
+  bool sent = cell_write_claim (
       cell,
       json_pack ("{s:s, s:s, s:s, s:I, s:I, s:i, s:I}", "name", "", "addr", "",
                  "heir", heir != NULL ? heir->name : "", "incarnation",
@@ -56,7 +56,9 @@
                  (int) cell->claim.term, "former_ms",
                  (json_int_t) cell_former_left_ms (cell)),
       done);
-  return cell->leaving;
+
+  cell->leaving = cell->leaving || sent;
+  return sent;
 }
 
 void
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -143,6 +143,18 @@
   return best;
 }
 
+static uint32_t
+may_start (const MuxCell *cell, const CellStage *stage)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    n += stage->task[i].state == CELL_TASK_WAITING
+         && stage->task[i].booking == NULL
+         && cell_task_may_start (cell, &stage->task[i]);
+  return n;
+}
+
 /*
  * Guards against a task that is to last and never runs in a full pool: the room
  * that a worker has as the policy service is asked about it is taken before the
@@ -152,7 +164,7 @@
 static void
 hold_approved (MuxCell *cell, CellStage *stage)
 {
-  uint32_t left = cell_stage_waiting (stage);
+  uint32_t left = may_start (cell, stage);
 
   cell_holds_release (stage);
   for (uint32_t i = 0; i < stage->approval_count && left > 0; i++)
--- a/src/cell/trust.c
+++ b/src/cell/trust.c
@@ -1,7 +1,5 @@
 #include "cell_private.h"
 
-#include <string.h>
-
 /*
  * How long a planner orders without a proof of its claim, and so how long its
  * successor has to wait.
@@ -30,7 +28,7 @@
 
   HASH_ITER (hh, cell->members, member, next)
   {
-    if (strcmp (member->name, cell->options.name) == 0
+    if (member->incarnation == cell->options.incarnation
         || member->heard_ms < cell->trusted_ms - MEMBER_MS)
       continue;
     if (member->table_ok || cell->time.now_ms - member->heard_ms > SAID_MS)
@@ -103,9 +101,10 @@
 cell_trust_until_ms (const MuxCell *cell)
 {
   int64_t short_ms = cell->sign_seen_ms + TRUST_MS;
+  int64_t long_ms = cell->sign_seen_ms + CELL_TRUST_MS;
+  int64_t served_ms = cell->greetings.served_ms;
 
-  if (!cell_trust_was_short (cell))
-    return cell->sign_seen_ms + CELL_TRUST_MS;
-  return cell->greetings.served_ms > short_ms ? cell->greetings.served_ms
-                                              : short_ms;
+  if (!cell_trust_was_short (cell) || served_ms > long_ms)
+    return long_ms;
+  return served_ms > short_ms ? served_ms : short_ms;
 }
