--- /dev/null
+++ b/test/support/cell_chaos.c
@@ -0,0 +1,312 @@
+#include "support/cell_chaos.h"
+
+#include "support/test.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One step in so many brings a fault. */
+#define FAULT_ONE_IN 8
+#define TAKEOVER_ONE_IN 50
+/* In which the planner's own troubles of before are over. */
+#define CALM_MS 500
+/* Longer than a takeover from a planner that the store turns away. */
+#define TURNED_AWAY_MS 2500
+/* One step in so many hands in a job that crashes its workers. */
+#define CRASHING_JOB_ONE_IN 12
+
+uint32_t
+chaos_below (Chaos *c, uint32_t bound)
+{
+  return mux_random_below (&c->random, bound);
+}
+
+static bool
+is_up (const WorldCell *cell)
+{
+  return !cell->dead && !cell->frozen;
+}
+
+static void
+job_name (char id[MUX_JOB_ID_LEN], uint32_t number)
+{
+  snprintf (id, MUX_JOB_ID_LEN, "job-%u", number);
+}
+
+void
+chaos_submit (Chaos *c)
+{
+  uint32_t cell = chaos_below (c, CHAOS_CELLS);
+  char id[MUX_JOB_ID_LEN];
+  MuxJobSpec *job;
+
+  if (!is_up (&c->world->cell[cell]) || c->jobs == CHAOS_JOBS_MAX)
+    return;
+  if (c->crashes && chaos_below (c, CRASHING_JOB_ONE_IN) == 0)
+    job = world_crashing_job (1 + chaos_below (c, 3), 2000, chaos_below (c, 4));
+  else
+    job = world_job (1 + chaos_below (c, 2), 1 + chaos_below (c, 3),
+                     2000 + chaos_below (c, 6000));
+  job->step[0].gang = chaos_below (c, 4) == 0;
+  job_name (id, c->jobs);
+  c->question[c->jobs++] = world_submit (c->world, cell, job, id);
+}
+
+static void
+fail_store (Chaos *c)
+{
+  static const WorldFault faults[]
+      = { WORLD_SERVES, WORLD_SERVES,       WORLD_REFUSES,
+          WORLD_SILENT, WORLD_LOSES_ANSWER, WORLD_LATE };
+  static const int64_t ms[] = { 5, 5, 40, 300 };
+  WorldFault fault = faults[chaos_below (c, 6)];
+  bool all = chaos_below (c, 3) == 0;
+  uint32_t one = chaos_below (c, CHAOS_CELLS);
+
+  for (uint32_t i = 0; i < CHAOS_CELLS; i++)
+    if (all || i == one)
+      c->world->cell[i].store = fault;
+  if (chaos_below (c, 4) == 0)
+    c->world->store_ms = ms[chaos_below (c, 4)];
+  c->world->late_ms = 500 + chaos_below (c, 6000);
+  if (chaos_below (c, 6) == 0)
+    c->world->forgotten = c->world->version;
+}
+
+/* Commits of one table alone. */
+static void
+fail_commits (Chaos *c)
+{
+  static const WorldFault faults[]
+      = { WORLD_SERVES, WORLD_SERVES, WORLD_LOSES_ANSWER, WORLD_LATE };
+  WorldCell *cell = &c->world->cell[chaos_below (c, CHAOS_CELLS)];
+
+  cell->commits[chaos_below (c, MUX_TABLE_ROSTER + 1)]
+      = faults[chaos_below (c, 4)];
+}
+
+static void
+fail_feeds (Chaos *c)
+{
+  static const uint32_t deaf[]
+      = { 0,
+          0,
+          WORLD_DEAF (MUX_TABLE_CLAIM),
+          WORLD_DEAF (MUX_TABLE_JOBS),
+          WORLD_DEAF (MUX_TABLE_CLAIM) | WORLD_DEAF (MUX_TABLE_JOBS),
+          WORLD_DEAF (MUX_TABLE_WORKERS) };
+
+  c->world->cell[chaos_below (c, CHAOS_CELLS)].deaf = deaf[chaos_below (c, 6)];
+}
+
+static void
+fail_links (Chaos *c)
+{
+  WorldCell *cell = &c->world->cell[chaos_below (c, CHAOS_CELLS)];
+
+  cell->cut = chaos_below (c, 2) == 0;
+  cell->far_workers
+      = chaos_below (c, 2) == 0 ? chaos_below (c, CHAOS_WORKERS) : 0;
+}
+
+static void
+fail_daemon (Chaos *c)
+{
+  uint32_t number = chaos_below (c, CHAOS_CELLS);
+  WorldCell *cell = &c->world->cell[number];
+
+  if (cell->dead)
+    world_cell_start (c->world, number);
+  else if (cell->frozen)
+    cell->frozen = false;
+  else if (chaos_below (c, 2) == 0)
+    world_cell_kill (c->world, number);
+  else
+    cell->frozen = true;
+}
+
+static void
+fail_worker (Chaos *c)
+{
+  static const WorldFault faults[]
+      = { WORLD_SERVES,       WORLD_SERVES, WORLD_REFUSES,
+          WORLD_LOSES_ANSWER, WORLD_SILENT, WORLD_LATE };
+  uint32_t number = chaos_below (c, CHAOS_WORKERS);
+  WorldWorker *worker = &c->world->worker[number];
+
+  c->world->late_ms = 500 + chaos_below (c, 6000);
+  if (chaos_below (c, 6) == 0)
+    world_worker_restart (c->world, number);
+  worker->fault = faults[chaos_below (c, 6)];
+  worker->cut = chaos_below (c, 3) == 0;
+  worker->fails = chaos_below (c, 10) == 0;
+}
+
+/* The store turns the planner away until another has claimed, and serves it
+ * again while its feeds still hang; the other does not reach all workers. */
+static void
+replace_planner (Chaos *c)
+{
+  World *world = c->world;
+  uint32_t planner = world_planner (world);
+
+  if (planner == WORLD_CELLS_MAX || c->serves_ms != 0)
+    return;
+  world->cell[planner].store = WORLD_REFUSES;
+  world->cell[planner].deaf
+      = WORLD_DEAF (MUX_TABLE_CLAIM) | WORLD_DEAF (MUX_TABLE_JOBS);
+  for (uint32_t i = 0; i < CHAOS_CELLS; i++)
+    world->cell[i].far_workers = i != planner ? CHAOS_WORKERS / 2 : 0;
+  c->turned_away = planner;
+  c->claim = world_claim_version (world);
+  c->serves_ms = world->now_ms + TURNED_AWAY_MS;
+}
+
+void
+chaos_serve_replaced (Chaos *c)
+{
+  World *world = c->world;
+
+  if (c->serves_ms == 0
+      || (world_claim_version (world) == c->claim
+          && world->now_ms < c->serves_ms))
+    return;
+  world->cell[c->turned_away].store = WORLD_SERVES;
+  if (chaos_below (c, 2) == 0)
+    world->forgotten = world->version;
+  if (chaos_below (c, 2) == 0)
+    world->cell[c->turned_away].deaf = WORLD_DEAF (MUX_TABLE_CLAIM);
+  c->serves_ms = 0;
+}
+
+void
+chaos_fail_something (Chaos *c)
+{
+  switch (chaos_below (c, 8))
+    {
+    case 0:
+    case 1:
+      fail_store (c);
+      break;
+    case 6:
+      fail_commits (c);
+      break;
+    case 7:
+      replace_planner (c);
+      break;
+    case 2:
+      fail_feeds (c);
+      break;
+    case 3:
+      fail_links (c);
+      break;
+    case 4:
+      fail_daemon (c);
+      break;
+    default:
+      fail_worker (c);
+    }
+}
+
+void
+chaos_mend (World *world)
+{
+  world->store_ms = 5;
+  for (uint32_t i = 0; i < CHAOS_CELLS; i++)
+    {
+      WorldCell *cell = &world->cell[i];
+
+      if (cell->dead)
+        world_cell_start (world, i);
+      cell->frozen = false;
+      cell->cut = false;
+      cell->deaf = 0;
+      cell->far_workers = 0;
+      cell->store = WORLD_SERVES;
+      memset (cell->commits, 0, sizeof cell->commits);
+    }
+  for (uint32_t i = 0; i < CHAOS_WORKERS; i++)
+    {
+      world->worker[i].fault = WORLD_SERVES;
+      world->worker[i].cut = false;
+      world->worker[i].fails = false;
+    }
+}
+
+static uint32_t
+lost_jobs (Chaos *c)
+{
+  uint32_t lost = 0;
+
+  for (uint32_t i = 0; i < c->jobs; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+      uint64_t question = c->question[i];
+      MuxJobState state;
+
+      if (!c->world->answered[question]
+          || c->world->answer[question].outcome != MUX_OUTCOME_ACCEPTED)
+        continue;
+      job_name (id, i);
+      state = world_state (c->world, 0, id);
+      /* Nobody misses a job that crashes its workers, so that it may wait. */
+      if (state == MUX_JOB_COMPLETED
+          || (state != MUX_JOB_ABSENT && world_is_crashing (c->world, id))
+          || (state == MUX_JOB_FAILED
+              && world_may_fail (c->world, id, CHAOS_ATTEMPTS)))
+        continue;
+      print_message ("%s is in state %d\n", id, (int) state);
+      lost++;
+    }
+  return lost;
+}
+
+void
+chaos_check (Chaos *c, uint64_t seed)
+{
+  bool twice = world_twice_told (c->world);
+  bool over = world_over_budget (c->world) || c->world->over_room > 0;
+  uint32_t lost = lost_jobs (c);
+
+  if (twice || over || lost > 0)
+    fail_msg ("seed %" PRIu64 ": twice %d, over %d, lost %u of %u jobs", seed,
+              (int) twice, (int) over, lost, c->jobs);
+}
+
+void
+chaos_step (Chaos *c)
+{
+  if (chaos_below (c, FAULT_ONE_IN) == 0)
+    chaos_fail_something (c);
+  chaos_serve_replaced (c);
+  if (chaos_below (c, CHAOS_JOB_ONE_IN) == 0)
+    chaos_submit (c);
+  world_run (c->world, CHAOS_STEP_MS);
+}
+
+void
+chaos_step_of_takeovers (Chaos *c)
+{
+  if (c->serves_ms == 0 && chaos_below (c, TAKEOVER_ONE_IN) == 0)
+    {
+      chaos_mend (c->world);
+      world_run (c->world, CALM_MS + chaos_below (c, CALM_MS));
+      replace_planner (c);
+    }
+  if (chaos_below (c, FAULT_ONE_IN * FAULT_ONE_IN) == 0)
+    fail_store (c);
+  chaos_serve_replaced (c);
+  if (chaos_below (c, CHAOS_JOB_ONE_IN) == 0)
+    chaos_submit (c);
+  world_run (c->world, CHAOS_STEP_MS);
+}
+
+uint64_t
+chaos_setting (const char *name, uint64_t otherwise)
+{
+  const char *text = getenv (name);
+
+  return text != NULL ? strtoull (text, NULL, 10) : otherwise;
+}
