cell: tell by the store's clock until when former planners may order

The moment stands in the rows now, which each reader takes for what it is; a former planner that turns out to have ended is told at once, in a sign of life. No test of its own shows it: planners killed in a row in the test world count from the marks of the roster.

--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -303,9 +303,12 @@
   mux_blob_unref (cell->admission_blob);
   cell->admission_blob_ms = cell->time.now_ms;
   cell->admission_blob = cell_json_blob (json_pack (
-      "{s:i, s:I, s:I, s:o}", "share_milli", (int) cell->throttle.share_milli,
-      "late_ms", (json_int_t) cell_late_ms (cell), "former_ms",
-      (json_int_t) cell_former_left_ms (cell), "waits", waits_json (cell)));
+      "{s:i, s:I, s:I, s:I, s:o}", "share_milli",
+      (int) cell->throttle.share_milli, "late_ms",
+      (json_int_t) cell_late_ms (cell), "former_ms",
+      (json_int_t) cell_former_left_ms (cell), "former_over_ms",
+      (json_int_t) cell_store_moment_ms (cell, cell_former_left_ms (cell)),
+      "waits", waits_json (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
 
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -190,8 +190,10 @@
       take_store_clock (cell, entry, reply);
       observe (cell, entry, reply);
       /* What belongs to an earlier term speaks of state that is gone. */
+      cell->reply_clock_ms = reply->store_clock_ms;
       if (entry->term == 0 || entry->term == cell->term)
         entry->done (cell, entry, reply);
+      cell->reply_clock_ms = 0;
       free (entry);
     }
   mux_cell_reply_free (reply);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -452,6 +452,9 @@
 /** cell_former_begin() - this daemon is about to hold the claim that is known
  */
 void cell_former_begin (MuxCell *cell);
+/** cell_store_moment_ms() - @in_ms from now on the store's clock, at the
+ * latest; 0: that is not known */
+int64_t cell_store_moment_ms (const MuxCell *cell, int64_t in_ms);
 /** cell_former_left_ms() - for how long planners before this one may order */
 int64_t cell_former_left_ms (const MuxCell *cell);
 /** cell_former_heard() - a daemon greets, maybe the former planner */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1013,6 +1013,7 @@
   /* The store as this daemon sees it. */
   int64_t store_clock_ms;    /* the store's steady clock as last told, */
   int64_t store_clock_at_ms; /* and ours when that call was sent */
+  int64_t reply_clock_ms;    /* as told by the answer that is taken; 0: not */
   int64_t store_served_ms;   /* its last answer that was not a failure */
   int64_t store_failing_ms;  /* first failure since; 0: none */
   int64_t commit_took_ms;    /* the last answered commit of any part */
--- a/src/cell/former.c
+++ b/src/cell/former.c
@@ -29,10 +29,37 @@
   return json_integer_value (span);
 }
 
+/*
+ * The span counts from when the row is read.  Guards against a wait that begins
+ * anew with each daemon that reads the row: the store's clock, which all can
+ * read, tells the moment itself.
+ */
+static int64_t
+told_until_ms (const MuxCell *cell, const json_t *json)
+{
+  int64_t left_ms = span_left (json, CELL_TRUST_MS);
+  json_int_t over_ms
+      = json_integer_value (json_object_get (json, "former_over_ms"));
+
+  if (cell->reply_clock_ms != 0 && over_ms > 0
+      && over_ms - cell->reply_clock_ms < left_ms)
+    left_ms = over_ms - cell->reply_clock_ms;
+  return cell->time.now_ms + (left_ms > 0 ? left_ms : 0);
+}
+
+int64_t
+cell_store_moment_ms (const MuxCell *cell, int64_t in_ms)
+{
+  return cell->store_clock_at_ms != 0
+             ? cell->store_clock_ms
+                   + (cell->time.now_ms - cell->store_clock_at_ms) + in_ms
+             : 0;
+}
+
 void
 cell_claim_former (const MuxCell *cell, CellClaim *claim, const json_t *json)
 {
-  claim->former_until_ms = cell->time.now_ms + span_left (json, CELL_TRUST_MS);
+  claim->former_until_ms = told_until_ms (cell, json);
 }
 
 void
@@ -40,8 +67,7 @@
 {
   json_t *json = row->value != NULL ? cell_blob_json (row->value) : NULL;
 
-  cell->sign_former_until_ms
-      = cell->time.now_ms + span_left (json, CELL_TRUST_MS);
+  cell->sign_former_until_ms = told_until_ms (cell, json);
   json_decref (json);
 }
 
@@ -137,6 +163,8 @@
   cell_log (cell, "former_ended", "{s:s, s:I}", "name", former->name,
             "sooner_ms", (json_int_t) (former->until_ms - until_ms));
   former->until_ms = until_ms;
+  /* The next planner is to know, too. */
+  cell->next_beat_ms = cell->time.now_ms;
 }
 
 /*
