cell: write what former planners may still order in one place

The claim, the row without a holder and the sign of life each packed the span and its moment on the store's clock by themselves, the last asking for the span twice; the roster's mark worked the moment out once more. cell_former_tell and cell_store_moment_ms, which stands beside the store's clock now, serve all of them.

--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -307,15 +307,14 @@
   if (cell->admission_blob != NULL
       && cell->time.now_ms - cell->admission_blob_ms < TOLD_ANEW_MS)
     return mux_blob_ref (cell->admission_blob);
-  mux_blob_unref (cell->admission_blob);
+  cell_admission_forget (cell);
   cell->admission_blob_ms = cell->time.now_ms;
-  cell->admission_blob = cell_json_blob (json_pack (
-      "{s:i, s:I, s:I, s:I, s:o}", "share_milli",
-      (int) cell->throttle.share_milli, "late_ms",
-      (json_int_t) cell_late_ms (cell), "former_ms",
-      (json_int_t) cell_former_left_ms (cell), "former_over_ms",
-      (json_int_t) cell_store_moment_ms (cell, cell_former_left_ms (cell)),
-      "waits", waits_json (cell)));
+  cell->admission_blob = cell_json_blob (cell_former_tell (
+      cell,
+      json_pack ("{s:i, s:I, s:o}", "share_milli",
+                 (int) cell->throttle.share_milli, "late_ms",
+                 (json_int_t) cell_late_ms (cell), "waits", waits_json (cell)),
+      cell_former_left_ms (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
 
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -173,6 +173,15 @@
          || now - cell->store_served_ms >= CELL_ANSWER_MS;
 }
 
+int64_t
+cell_store_moment_ms (const MuxCell *cell, int64_t in_ms)
+{
+  return cell->store_clock_at_ms != 0
+             ? cell->store_clock_ms
+                   + (cell->time.now_ms - cell->store_clock_at_ms) + in_ms
+             : 0;
+}
+
 void
 mux_cell_reply (MuxCell *cell, MuxCellTime time, MuxCellReply *reply)
 {
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -18,6 +18,9 @@
 /** cell_store_silent() - no answer of it came since @since_ms */
 void cell_store_silent (MuxCell *cell, int64_t since_ms);
 bool cell_store_ok (const MuxCell *cell);
+/** cell_store_moment_ms() - @in_ms from now on the store's clock, at the
+ * latest; 0: that is not known */
+int64_t cell_store_moment_ms (const MuxCell *cell, int64_t in_ms);
 uint32_t cell_part_of (const char *id);
 MuxCellChange *cell_change (MuxCellCall *call,
                             MuxChangeKind kind,
@@ -455,9 +458,9 @@
 /** cell_former_begin() - this daemon is about to hold the claim that is known
  */
 void cell_former_begin (MuxCell *cell);
-/** cell_store_moment_ms() - @in_ms from now on the store's clock, at the
- * latest; 0: that is not known */
-int64_t cell_store_moment_ms (const MuxCell *cell, int64_t in_ms);
+/** cell_former_tell() - put into @json that planners before its writer may
+ * order for @left_ms more; Return: @json */
+json_t *cell_former_tell (const MuxCell *cell, json_t *json, int64_t left_ms);
 /** cell_former_left_ms() - for how long planners before this one may order */
 int64_t cell_former_left_ms (const MuxCell *cell);
 /** cell_former_heard() - a daemon greets, maybe the former planner */
--- a/src/cell/claim_rows.c
+++ b/src/cell/claim_rows.c
@@ -89,10 +89,11 @@
 
   if (left_ms < 0)
     left_ms = 0;
-  return json_pack ("{s:s, s:s, s:I, s:i, s:I, s:I}", "name",
-                    cell->options.name, "addr", cell->options.peer_addr,
-                    "incarnation", (json_int_t) cell->options.incarnation,
-                    "term", (int) (cell->claim.term % CELL_TERMS_MAX + 1),
-                    "former_ms", (json_int_t) left_ms, "former_over_ms",
-                    (json_int_t) cell_store_moment_ms (cell, left_ms));
+  return cell_former_tell (
+      cell,
+      json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
+                 cell->options.peer_addr, "incarnation",
+                 (json_int_t) cell->options.incarnation, "term",
+                 (int) (cell->claim.term % CELL_TERMS_MAX + 1)),
+      left_ms);
 }
--- a/src/cell/former.c
+++ b/src/cell/former.c
@@ -53,13 +53,15 @@
   return cell->time.now_ms + (left_ms > 0 ? left_ms : 0);
 }
 
-int64_t
-cell_store_moment_ms (const MuxCell *cell, int64_t in_ms)
+json_t *
+cell_former_tell (const MuxCell *cell, json_t *json, int64_t left_ms)
 {
-  return cell->store_clock_at_ms != 0
-             ? cell->store_clock_ms
-                   + (cell->time.now_ms - cell->store_clock_at_ms) + in_ms
-             : 0;
+  (void) json_object_set_new (json, "former_ms",
+                              json_integer ((json_int_t) left_ms));
+  (void) json_object_set_new (
+      json, "former_over_ms",
+      json_integer ((json_int_t) cell_store_moment_ms (cell, left_ms)));
+  return json;
 }
 
 void
--- a/src/cell/leave.c
+++ b/src/cell/leave.c
@@ -48,16 +48,12 @@
 static bool
 leave_claim (MuxCell *cell, const CellMember *heir, CellDone done)
 {
-  int64_t left_ms = cell_former_left_ms (cell);
+  json_t *row = json_pack (
+      "{s:s, s:s, s:s, s:I, s:I, s:i}", "name", "", "addr", "", "heir",
+      heir != NULL ? heir->name : "", "incarnation", (json_int_t) 0, "gave_up",
+      (json_int_t) cell->term, "term", (int) cell->claim.term);
   bool sent = cell_write_claim (
-      cell,
-      json_pack ("{s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:I}", "name", "", "addr",
-                 "", "heir", heir != NULL ? heir->name : "", "incarnation",
-                 (json_int_t) 0, "gave_up", (json_int_t) cell->term, "term",
-                 (int) cell->claim.term, "former_ms", (json_int_t) left_ms,
-                 "former_over_ms",
-                 (json_int_t) cell_store_moment_ms (cell, left_ms)),
-      done);
+      cell, cell_former_tell (cell, row, cell_former_left_ms (cell)), done);
 
   cell->leaving = cell->leaving || sent;
   return sent;
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -226,9 +226,7 @@
   int64_t over_ms = 0;
 
   if (worker->roster_asked == CELL_ROSTER_MARKED)
-    over_ms = cell->store_clock_ms
-              + (cell->time.now_ms - cell->store_clock_at_ms)
-              + lease_left (cell, worker);
+    over_ms = cell_store_moment_ms (cell, lease_left (cell, worker));
   return cell_json_blob (json_pack ("{s:s, s:I}", "addr", worker->info.addr,
                                     "over_ms", (json_int_t) over_ms));
 }
