cell: tell what askers and room are used for

The logs could not tell apart why wide gangs wait: which daemons ask and for whom, what of the answers led to a start, how long a step lacked a question, an answer, a proof, a record or room, and how much room stands free for gangs that wait.

`planner_load` tells each second of askers by queue and rank, and of the cell's processors booked, held and kept idle. `placed` tells what the step lacked for how long, and what its questions brought; `approvals` which of them only renewed proofs. Counters hold names, approvals given and used, time of askers and idle kept room. `cuminmux report --by-size` shows them for the largest tenth of each queue, the next fifth and the rest.

A planner that may not order now, as its claim is in doubt, told `step_waits lacks=list` as if nothing were placed, while its successor planned: it says `claim` now.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -36,6 +36,16 @@
   X (EVENTS, "core_events_total", "events handled by the core")                \
   X (EVENTS_DROPPED, "core_events_dropped_total", "late events for the gone")  \
   X (APPROVALS, "approval_questions_total", "questions to the policy service") \
+  X (APPROVAL_NAMES, "approval_names_total",                                   \
+     "workers named in the planner's questions")                               \
+  X (APPROVAL_TIME, "approval_time_ms_total",                                  \
+     "time that daemons worked on the planner's questions")                    \
+  X (APPROVALS_GIVEN, "approvals_given_total",                                 \
+     "approvals in the answers to these")                                      \
+  X (APPROVALS_USED, "approvals_used_total",                                   \
+     "approved workers that a step's start went to")                           \
+  X (KEPT_IDLE, "kept_idle_core_ms_total",                                     \
+     "free processor time of workers kept or held for waiting gangs")          \
   X (TERMS, "planner_terms_total", "times that this daemon began to plan")     \
   X (RUNS_FAILED, "runs_failed_total", "runs of tasks that ended as failed")   \
   X (RUNS_LOST, "runs_lost_total", "runs that ended with their worker")        \
--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -112,6 +112,13 @@
   }
 }
 
+uint32_t
+cell_askers (MuxCell *cell)
+{
+  count_askers (cell);
+  return cell->askers_alive;
+}
+
 static CellMember *
 choose_member (MuxCell *cell, bool is_long)
 {
@@ -191,20 +198,6 @@
   return sent;
 }
 
-/* Questions on their way, found again by their number. */
-struct CellQuestion
-{
-  uint64_t number;
-  MuxTaskRef step;
-  uint32_t candidate_count;
-  uint32_t *slot; /* of the workers named */
-  int64_t sent_ms;
-  int64_t due_ms;   /* an answer by then is no later than usual */
-  int64_t until_ms; /* then it counts as lost */
-  char member[MUX_NAME_LEN];
-  UT_hash_handle hh;
-};
-
 static bool
 add_entries (CellStage *stage, CellWorker *const *candidates, uint32_t count)
 {
@@ -214,6 +207,22 @@
   return true;
 }
 
+/* All of them are known to be approved. */
+static bool
+is_renewal (const CellStage *stage,
+            CellWorker *const *candidates,
+            uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const CellApproval *approval = cell_approval (stage, candidates[i]);
+
+      if (approval == NULL || !approval->yes)
+        return false;
+    }
+  return true;
+}
+
 static void
 mark_asked (CellStage *stage,
             CellQuestion *question,
@@ -325,6 +334,7 @@
   question->number = ++cell->next_question;
   question->step = cell_task_ref (&stage->task[0]);
   question->candidate_count = count;
+  question->is_renewal = is_renewal (stage, candidates, count);
   question->sent_ms = cell->time.now_ms;
   question->due_ms = cell->time.now_ms + cost_ms + OVERDUE_MS;
   question->until_ms = cell->time.now_ms + timeout_ms;
@@ -337,6 +347,7 @@
     }
   HASH_ADD (hh, cell->questions, number, sizeof question->number, question);
   mark_asked (stage, question, candidates);
+  cell_step_asks (cell, stage, question);
   stage->asking = true;
   stage->asked_ms = cell->time.now_ms;
   cell_member_asks (cell, member, question->number);
@@ -426,13 +437,15 @@
   if (task != NULL)
     {
       end_asking (cell, task->stage, question, answered);
+      cell_step_answered (cell, task->stage, question, count);
       for (uint32_t i = 0; i < count; i++)
         take_approval (cell, task->stage, &approvals[i],
                        cell->time.heard_ms + valid_ms);
     }
-  cell_log (cell, "approvals", "{s:s, s:i, s:s, s:b, s:i, s:i, s:I}", "job",
-            question->step.job, "step", (int) question->step.step, "asker",
-            question->member, "answered", (int) answered, "asked",
+  cell_log (cell, "approvals", "{s:s, s:i, s:s, s:b, s:b, s:i, s:i, s:I}",
+            "job", question->step.job, "step", (int) question->step.step,
+            "asker", question->member, "answered", (int) answered, "renewal",
+            (int) question->is_renewal, "asked",
             (int) question->candidate_count, "approved", (int) count, "took_ms",
             (json_int_t) (cell->time.now_ms - question->sent_ms));
   HASH_DEL (cell->questions, question);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -361,6 +361,32 @@
 /** cell_stage_placed() - the last @tasks that waited were sent to workers */
 void cell_stage_placed (MuxCell *cell, const CellStage *stage, uint32_t tasks);
 
+/* step_wait.c: what a step waits for, and what its questions brought */
+/** cell_step_wait_begin() - it has become ready */
+void cell_step_wait_begin (const MuxCell *cell, CellStage *stage);
+/** cell_step_lacks() - from now on it waits for that */
+void cell_step_lacks (const MuxCell *cell, CellStage *stage, CellLack lack);
+/** cell_step_asks() - @question about it is on its way */
+void cell_step_asks (const MuxCell *cell,
+                     CellStage *stage,
+                     const CellQuestion *question);
+/** cell_step_answered() - or it is lost, with no workers @approved */
+void cell_step_answered (const MuxCell *cell,
+                         CellStage *stage,
+                         const CellQuestion *question,
+                         uint32_t approved);
+/** cell_step_used() - a start with a proof goes to @worker */
+void cell_step_used (const MuxCell *cell,
+                     CellStage *stage,
+                     const CellWorker *worker);
+/** cell_step_wait_json() - how long it lacked what, in ms; owned by the caller
+ */
+json_t *cell_step_wait_json (const MuxCell *cell, const CellStage *stage);
+
+/* load_line.c */
+/** cell_load_line_tick() - tell what askers and room are used for */
+void cell_load_line_tick (MuxCell *cell);
+
 /* wait.c */
 /** cell_waits_tick() - tell why the step that waits longest does */
 void cell_waits_tick (MuxCell *cell);
@@ -653,6 +679,8 @@
 void cell_approvals_free (CellStage *stage);
 
 /* approve.c */
+/** cell_askers() - daemons that were heard lately, busy or not */
+uint32_t cell_askers (MuxCell *cell);
 /** cell_can_ask() - some daemon is free to ask about @count workers */
 bool cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count);
 bool cell_approval_ask (MuxCell *cell,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -262,18 +262,42 @@
  * @until_ms: the proof is taken until then
  * @written: it is in the progress on its way to the store
  * @stored: a next planner will know that tasks may run there
+ * @used: a start went there with a proof
  */
 typedef struct
 {
   uint32_t slot;
   bool asked;
   bool yes;
+  bool used;
   char *proof;
   int64_t until_ms;
   bool written;
   bool stored;
 } CellApproval;
 
+/**
+ * struct CellQuestion - a question to the policy service on its way
+ * @slot: of the workers named; owned
+ * @is_renewal: all of them are known to be approved
+ * @due_ms: an answer by then is no later than usual
+ * @until_ms: then it counts as lost
+ * @member: the daemon that puts it
+ */
+struct CellQuestion
+{
+  uint64_t number;
+  MuxTaskRef step;
+  uint32_t candidate_count;
+  uint32_t *slot;
+  bool is_renewal;
+  int64_t sent_ms;
+  int64_t due_ms;
+  int64_t until_ms;
+  char member[MUX_NAME_LEN];
+  UT_hash_handle hh;
+};
+
 /**
  * enum CellTaskState - where a task is in its life
  */
@@ -538,6 +562,41 @@
   CELL_RANK_WORTHLESS, /* it still ends, as was promised */
 } CellRank;
 
+/**
+ * enum CellLack - what keeps a step from its start
+ */
+typedef enum
+{
+  CELL_LACKS_TURN,   /* no pass has looked at it */
+  CELL_LACKS_ASKER,  /* no daemon is free to put its question */
+  CELL_LACKS_ANSWER, /* which workers are approved is being asked */
+  CELL_LACKS_PROOF,  /* proofs of approved workers are being renewed */
+  CELL_LACKS_RECORD, /* the approvals are not stored yet */
+  CELL_LACKS_ROOM,
+  CELL_LACK_COUNT
+} CellLack;
+
+/**
+ * struct CellStepWait - what a step has waited for since it became ready
+ * @lacks: what it lacks now
+ * @since_ms: since when
+ * @lacked_ms: how long it lacked each before
+ * @questions: put to the policy service for it
+ * @names: workers named in these
+ * @approved: approvals in the answers
+ * @used: workers that a start went to with a proof
+ */
+typedef struct
+{
+  CellLack lacks;
+  int64_t since_ms;
+  int64_t lacked_ms[CELL_LACK_COUNT];
+  uint32_t questions;
+  uint32_t names;
+  uint32_t approved;
+  uint32_t used;
+} CellStepWait;
+
 /**
  * struct CellStage - one step of one occurrence of a job
  * @ready: its turn has come and some task waits: it is in the plan
@@ -564,6 +623,7 @@
  * @asking: an approval question is under way
  * @asked_ms: when the last one was sent
  * @lost_answers: not answered since one was in the usual time
+ * @wait: as the log tells it when all its tasks were sent to workers
  * @due_ms: when its occurrence should have ended
  * @worthless_ms: after which that end is worth nothing
  * @latest_ms: latest start of this stage that still meets that
@@ -609,6 +669,7 @@
   int64_t asked_ms;
   uint32_t lost_answers;
   int64_t ask_after_ms;
+  CellStepWait wait;
   int64_t due_ms;
   int64_t worthless_ms;
   int64_t latest_ms;
@@ -1122,6 +1183,7 @@
   uint32_t down_next; /* counts them */
   CellDown down[CELL_DOWN_MAX];
   int64_t next_wait_line_ms;
+  int64_t next_load_line_ms;
   int64_t slow_pass_ms;
   int64_t pass_ms; /* no pass before */
   uint64_t next_question;
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -475,6 +475,16 @@
     ask_more (cell, stage, place, count, need - room->yes_now);
 }
 
+/* Of a gang that nobody was asked about in this look. */
+static CellLack
+what_lacks (const CellStage *stage, const Room *room)
+{
+  uint32_t need = stage->spec->count;
+
+  return room->yes_now >= need || room->yes_ever < need ? CELL_LACKS_ASKER
+                                                        : CELL_LACKS_ROOM;
+}
+
 static void
 place_in (MuxCell *cell,
           CellStage *stage,
@@ -495,6 +505,7 @@
       if (!starts_are_recorded (cell, stage, place, count))
         {
           hold_near (cell, stage, place, count);
+          cell_step_lacks (cell, stage, CELL_LACKS_RECORD);
           return;
         }
       cell_holds_release (stage);
@@ -506,10 +517,13 @@
     {
       count = sort_approved (place, count);
       hold_near (cell, stage, place, count);
+      cell_step_lacks (cell, stage, CELL_LACKS_RECORD);
       return;
     }
   if (may_ask)
     ask (cell, stage, place, count, &room);
+  if (!stage->asking)
+    cell_step_lacks (cell, stage, what_lacks (stage, &room));
   if (*reservations == 0 || room.yes_ever < need)
     return;
   (*reservations)--;
--- /dev/null
+++ b/src/cell/load_line.c
@@ -0,0 +1,100 @@
+#include "cell_private.h"
+
+#include <string.h>
+
+/*
+ * Tells each second what the planner's two scarce resources are used for: the
+ * daemons that ask the policy service, and room that is kept for gangs.
+ */
+
+#define LINE_MS 1000
+
+/* The cell's processors, in thousandths. */
+typedef struct
+{
+  uint64_t all;
+  uint64_t booked;
+  uint64_t held;      /* for gangs about to start, or gathering room */
+  uint64_t kept_idle; /* on workers that are kept free, beside the held */
+  uint32_t kept;      /* these workers */
+} Room;
+
+static void
+add_worker (Room *room, const CellWorker *worker)
+{
+  room->all += worker->info.capacity.cpu_milli;
+  room->booked += worker->booked.cpu_milli;
+  room->held += worker->held.cpu_milli;
+  if (worker->reserved == NULL)
+    return;
+  room->kept++;
+  room->kept_idle += cell_worker_free (worker).cpu_milli;
+}
+
+static Room
+room_of (const MuxCell *cell)
+{
+  Room room = { 0 };
+  const CellWorker *worker;
+  const CellWorker *next;
+
+  HASH_ITER (hh, cell->workers, worker, next)
+  if (cell_worker_usable (cell, worker))
+    add_worker (&room, worker);
+  return room;
+}
+
+static void
+add_one (json_t *counts, const char *name)
+{
+  json_int_t count = json_integer_value (json_object_get (counts, name));
+
+  (void) json_object_set_new (counts, name, json_integer (count + 1));
+}
+
+/* Of questions about steps that stand in the plan. */
+static void
+tell (MuxCell *cell, const Room *room)
+{
+  static const char *const rank[] = { [CELL_RANK_OWED] = "owed",
+                                      [CELL_RANK_IN_TIME] = "in_time",
+                                      [CELL_RANK_LATE] = "late",
+                                      [CELL_RANK_WORTHLESS] = "worthless" };
+  json_t *queues = json_object ();
+  json_t *ranks = json_object ();
+  const CellQuestion *question;
+  const CellQuestion *next;
+
+  HASH_ITER (hh, cell->questions, question, next)
+  {
+    const CellTask *task = cell_task_find (cell, &question->step);
+
+    if (task == NULL)
+      continue;
+    add_one (queues, task->stage->job->spec->queue.name);
+    add_one (ranks, rank[task->stage->rank]);
+  }
+  cell_log (cell, "planner_load",
+            "{s:i, s:i, s:o, s:o, s:I, s:I, s:I, s:I, s:i}", "askers",
+            (int) cell_askers (cell), "asking",
+            (int) HASH_COUNT (cell->questions), "asking_for", queues, "ranks",
+            ranks, "cores", (json_int_t) (room->all / 1000), "booked",
+            (json_int_t) (room->booked / 1000), "held",
+            (json_int_t) (room->held / 1000), "kept_idle",
+            (json_int_t) (room->kept_idle / 1000), "kept", (int) room->kept);
+}
+
+void
+cell_load_line_tick (MuxCell *cell)
+{
+  Room room;
+
+  if (cell->time.now_ms < cell->next_load_line_ms || !cell_may_order (cell)
+      || cell->order.planned.root == NULL)
+    return;
+  cell->next_load_line_ms = cell->time.now_ms + LINE_MS;
+  room = room_of (cell);
+  mux_count (cell->options.counters, MUX_COUNT_KEPT_IDLE,
+             room.held + room.kept_idle);
+  tell (cell, &room);
+}
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -209,6 +209,18 @@
   ask (cell, stage);
 }
 
+/* Of a step that nobody was asked about in this look. */
+static CellLack
+what_lacks (MuxCell *cell, const CellStage *stage, bool is_short)
+{
+  if (!is_short)
+    return CELL_LACKS_RECORD;
+  return !stage->job->spec->queue.approval.needed
+                 || cell_can_ask (cell, stage, CELL_CANDIDATES_LEAST)
+             ? CELL_LACKS_ROOM
+             : CELL_LACKS_ASKER;
+}
+
 void
 cell_place_tasks (MuxCell *cell, CellStage *stage)
 {
@@ -248,6 +260,8 @@
     }
   if (short_of_workers && needed)
     ask (cell, stage);
+  if (!stage->asking && cell_stage_waiting (stage) > 0)
+    cell_step_lacks (cell, stage, what_lacks (cell, stage, short_of_workers));
   if (stage->rank == CELL_RANK_OWED)
     hold_approved (cell, stage);
   cell_stage_update (cell, stage);
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -90,6 +90,7 @@
     return;
   stage->ready = true;
   stage->ready_ms = cell->time.now_ms;
+  cell_step_wait_begin (cell, stage);
   stage->round = 0;
   stage->is_unlooked = true;
   cell->unlooked++;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -333,6 +333,8 @@
   mux_count (cell->options.counters, MUX_COUNT_STARTS, 1);
   if (cell_worker_call (cell, worker, call, &pending))
     {
+      if (proof != NULL)
+        cell_step_used (cell, task->stage, worker);
       cell_admission_placed (cell, task->stage);
       return true;
     }
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -150,11 +150,17 @@
 
   /* Version and term tell whether the job is younger than the claim under which
    * it is started, and so what its planner had to wait for. */
-  cell_log (cell, "placed", "{s:s, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:s}",
+  cell_log (cell, "placed",
+            "{s:s, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:s, s:o, s:i, s:i, s:i, "
+            "s:i}",
             "job", stage->job->id, "step", (int) stage->step, "tasks",
             (int) tasks, "run", (int) stage->run, "waited_ms",
             (json_int_t) (now - stage->ready_ms), "late_ms",
             (json_int_t) (now - latest_ms), "version",
             (json_int_t) stage->job->version, "term", (json_int_t) cell->term,
-            "known_by", known_by (stage->job->origin));
+            "known_by", known_by (stage->job->origin), "lacked_ms",
+            cell_step_wait_json (cell, stage), "questions",
+            (int) stage->wait.questions, "names", (int) stage->wait.names,
+            "approved", (int) stage->wait.approved, "used",
+            (int) stage->wait.used);
 }
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -123,6 +123,8 @@
 {
   uint32_t need = stage->spec->gang ? stage->spec->count : 1;
 
+  if (!cell_may_order (cell))
+    return "claim";
   if (stopping (stage) > 0)
     return "ends";
   if (!cell_stage_is_settled (cell, stage))
--- a/src/cli/arg_spec.c
+++ b/src/cli/arg_spec.c
@@ -84,4 +84,7 @@
       "give up when it has not ended by then; default 30000" },
   [MUX_ARG_SPAN_S] = { "span-s", "S", MUX_CHECK_NUMBER, 1, SPAN_MAX_S, 10, NULL,
                        "length of the spans of time; default 10" },
+  [MUX_ARG_BY_SIZE]
+  = { "by-size", NULL, MUX_CHECK_SWITCH, 0, 1, 0, NULL,
+      "what the steps of large and small jobs waited for, in place of spans" },
 };
--- a/src/cli/args.h
+++ b/src/cli/args.h
@@ -43,6 +43,7 @@
   MUX_ARG_FILE,
   MUX_ARG_GIVE_UP_MS,
   MUX_ARG_SPAN_S,
+  MUX_ARG_BY_SIZE,
   MUX_ARG_ALL,
   MUX_ARG_COUNT
 } MuxArg;
--- a/src/cli/report.c
+++ b/src/cli/report.c
@@ -1,5 +1,6 @@
 #include "event_lines.h"
 #include "render.h"
+#include "report_by_size.h"
 #include "report_sizes.h"
 
 #include <inttypes.h>
@@ -420,8 +421,11 @@
 mux_verb_report (MuxCliCall *call)
 {
   Report report = { .span_ms = call->args.number[MUX_ARG_SPAN_S] * MS_PER_S };
-  int code = mux_event_lines_read (call, take, &report);
+  int code;
 
+  if (call->args.number[MUX_ARG_BY_SIZE] != 0)
+    return mux_report_by_size (call);
+  code = mux_event_lines_read (call, take, &report);
   if (code == MUX_EXIT_OK && count_all (&report))
     print (&report, call);
   else if (code == MUX_EXIT_OK)
--- a/src/cli/verbs.c
+++ b/src/cli/verbs.c
@@ -209,7 +209,7 @@
     NULL,
     NULL,
     "Tells what callers of each queue got, from daemons' logs.",
-    { NONE, { MUX_ARG_FILE, MUX_ARG_SPAN_S, MUX_ARG_END } },
+    { NONE, { MUX_ARG_FILE, MUX_ARG_SPAN_S, MUX_ARG_BY_SIZE, MUX_ARG_END } },
     mux_verb_report,
     true },
   { "keygen",
--- /dev/null
+++ b/test/unit/test_cell_step_wait.c
@@ -0,0 +1,90 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+
+#define CELLS 3
+#define WORKERS 12
+#define WARM_MS 1000
+#define RUN_MS 3000
+#define QUESTION_MS 200
+#define QUESTION_US_PER_WORKER 1000
+#define GANG_TASKS 6
+#define TASK_CPU_MILLI 14000
+#define TASK_MS 10000
+
+static uint64_t
+counted (const World *world, MuxCounter counter)
+{
+  return mux_counter_value (world->counters, counter);
+}
+
+static World *
+asking_world (void)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  world->task_ms = TASK_MS;
+  world_ask_slowly (world, QUESTION_MS, QUESTION_US_PER_WORKER);
+  world_run (world, WARM_MS);
+  return world;
+}
+
+static void
+submit_gang (World *world, const char *id)
+{
+  MuxJobSpec *job = world_job (1, GANG_TASKS, TASK_CPU_MILLI);
+
+  job->step[0].gang = true;
+  job->step[0].estimate_ms = TASK_MS;
+  (void) world_submit (world, world_planner (world), job, id);
+}
+
+/* Daemons ask all the time, and no figure says what their questions bring. */
+static void
+test_questions_and_their_use_are_counted (void **state)
+{
+  World *world = asking_world ();
+
+  (void) state;
+  submit_gang (world, "gang");
+  world_run (world, RUN_MS);
+  assert_int_equal (counted (world, MUX_COUNT_APPROVALS), 1);
+  assert_int_equal (counted (world, MUX_COUNT_APPROVAL_NAMES), WORKERS);
+  assert_int_equal (counted (world, MUX_COUNT_APPROVALS_GIVEN), WORKERS);
+  assert_in_range (counted (world, MUX_COUNT_APPROVALS_USED), 1, GANG_TASKS);
+  assert_in_range (counted (world, MUX_COUNT_APPROVAL_TIME), QUESTION_MS,
+                   2 * QUESTION_MS);
+  world_free (world);
+}
+
+/* Workers stand idle for a gang that can't start, and no figure says so. */
+static void
+test_room_kept_for_gangs_is_counted (void **state)
+{
+  World *world = asking_world ();
+
+  (void) state;
+  for (uint32_t i = 0; i < WORKERS / 2; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+
+      snprintf (id, sizeof id, "gang-%u", i);
+      submit_gang (world, id);
+    }
+  world_run (world, RUN_MS);
+  assert_true (world_logged (world, "planner_load") > 0);
+  assert_true (counted (world, MUX_COUNT_KEPT_IDLE) > 0);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_questions_and_their_use_are_counted),
+    cmocka_unit_test (test_room_kept_for_gangs_is_counted),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/unit/test_report.c
+++ b/test/unit/test_report.c
@@ -2,6 +2,7 @@
 #include "support/test.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define SIZED_JOBS 20
 
@@ -97,12 +98,47 @@
   cli_session_assert_golden (session, "report_sizes");
 }
 
+/* A gang's questions take the daemons' time, and no row says what they brought.
+ */
+static const char wait_lines[]
+    = "{\"wall_ms\":1000,\"event\":\"accepted\",\"job\":\"wide\","
+      "\"queue\":\"runs\",\"work_ms\":9000}\n"
+      "{\"wall_ms\":1900,\"event\":\"approvals\",\"job\":\"wide\",\"step\":0,"
+      "\"renewal\":false,\"asked\":100,\"approved\":33,\"took_ms\":1080}\n"
+      "{\"wall_ms\":3100,\"event\":\"approvals\",\"job\":\"wide\",\"step\":0,"
+      "\"renewal\":true,\"asked\":20,\"approved\":20,\"took_ms\":570}\n"
+      "{\"wall_ms\":3200,\"event\":\"placed\",\"job\":\"wide\",\"step\":0,"
+      "\"tasks\":40,\"late_ms\":-400,\"lacked_ms\":{\"answer\":1080,"
+      "\"proof\":570,\"room\":400,\"record\":90},\"used\":18}\n"
+      "{\"wall_ms\":9000,\"event\":\"job_ended\",\"job\":\"wide\","
+      "\"state\":\"completed\",\"took_ms\":8000,\"due_ms\":9000}\n";
+
+static void
+test_questions_and_waits_by_size (void **state)
+{
+  static char lines[sizeof wait_lines + SIZED_JOBS * 400];
+  CliSession *session = *state;
+
+  write_jobs_by_size (lines, sizeof lines);
+  strcat (lines, wait_lines);
+  assert_int_equal (cli_session_run_with (session, "report --by-size", lines),
+                    MUX_EXIT_OK);
+  assert_int_equal (
+      cli_session_run_with (session, "report --by-size --json", wait_lines),
+      MUX_EXIT_OK);
+  assert_int_equal (
+      cli_session_run_with (session, "report --by-size", "nothing\n"),
+      MUX_EXIT_OK);
+  cli_session_assert_golden (session, "report_by_size");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     CLI_SESSION (test_table_by_queue_and_span),
     CLI_SESSION (test_shares_of_the_largest_jobs),
+    CLI_SESSION (test_questions_and_waits_by_size),
   };
 
   return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
