--- a/src/cli/report_by_size.c
+++ b/src/cli/report_by_size.c
@@ -126,12 +126,18 @@
 {
   Report *report = user;
   const char *id = mux_event_text (json, "job");
-  Job *job = id[0] != 0 ? job_of (report, id) : NULL;
+  bool ok = true;
+  Job *job;
 
-  if (job != NULL)
-    take_event (job, json, mux_event_text (json, "event"));
+  if (id[0] != 0)
+    {
+      job = job_of (report, id);
+      ok = job != NULL;
+      if (ok)
+        take_event (job, json, mux_event_text (json, "event"));
+    }
   json_decref (json);
-  return id[0] == 0 || job != NULL;
+  return ok;
 }
 
 static bool
