test: gangs of many widths where questions bind

Here two questions of a hundred names for each gang, with the other queues', are nine tenths of the daemons' time, and gangs, urgent and patient tasks of different sizes together 97 % of the room, as on the users' deployment.

Bounds: of the widest tenth seven tenths of the share of all in time; three full questions of the policy service's time for each of them.

--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -300,12 +300,56 @@
 {
   uint32_t shift = world->approve_by_job ? mux_hash_name (job, 0) % 1024 : 0;
 
+  if (world->approve_by_chance)
+    return mux_hash_name (id, mux_hash_name (job, 0) % UINT32_MAX)
+               % world->approve_one_in
+           == 0;
   for (uint32_t i = 0; i < world->worker_end && world->approve_one_in != 0; i++)
     if (strcmp (world->worker[i].info.id, id) == 0)
       return (i + shift) % world->approve_one_in == 0;
   return true;
 }
 
+static WorldJob *
+job_of (const World *world, const char *id)
+{
+  for (uint32_t i = 0; i < world->job_count; i++)
+    if (strcmp (world->job[i].id, id) == 0)
+      return &world->job[i];
+  return NULL;
+}
+
+/* What an answer takes. */
+static int64_t
+approval_ms (const World *world, const MuxCellCall *call)
+{
+  WorldJob *job = job_of (world, call->task.job);
+  bool own = world->times_by_job && job != NULL;
+  int64_t base_ms = own ? job->approval_ms : world->approval_ms;
+  uint32_t each_us = own ? job->approval_us : world->approval_us;
+  int64_t took_ms = base_ms + call->candidate_count * each_us / 1000;
+
+  if (job != NULL)
+    job->asked_ms += took_ms;
+  return took_ms;
+}
+
+int64_t
+world_task_ms (const World *world, const MuxTaskRef *task)
+{
+  const WorldJob *job = world->times_by_job ? job_of (world, task->job) : NULL;
+
+  return job != NULL ? job->task_ms : world->task_ms;
+}
+
+int64_t
+world_asked_ms (const World *world, const char *id)
+{
+  const WorldJob *job = job_of (world, id);
+
+  return job != NULL ? job->asked_ms : 0;
+}
+
 static void
 approve (World *world, uint32_t cell, MuxCellCall *call)
 {
@@ -332,9 +376,7 @@
                 call->candidate[i]);
       world_proof (world, call->candidate[i], approval->proof);
     }
-  world_answer_call (world, cell, reply,
-                     world->approval_ms
-                         + call->candidate_count * world->approval_us / 1000);
+  world_answer_call (world, cell, reply, approval_ms (world, call));
   mux_cell_call_free (call);
 }
 
@@ -783,6 +825,15 @@
   put_config (world, config);
 }
 
+void
+world_set_slack (World *world, uint32_t slack_milli)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  config->item[0].slack_milli = slack_milli;
+  put_config (world, config);
+}
+
 void
 world_make_urgent (World *world)
 {
@@ -1017,6 +1068,10 @@
   assert_non_null (world->job);
   job = &world->job[world->job_count++];
   snprintf (job->id, sizeof job->id, "%s", id);
+  job->task_ms = world->task_ms;
+  job->approval_ms = world->approval_ms;
+  job->approval_us = world->approval_us;
+  job->asked_ms = 0;
   job->step_count = spec->step_count;
   job->size = calloc (spec->step_count, sizeof *job->size);
   assert_non_null (job->size);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -168,10 +168,18 @@
 
 /**
  * struct WorldJob - what the tasks of a job need, by its steps
+ * @task_ms: the world's when it was handed in
+ * @approval_ms: the same
+ * @approval_us: the same
+ * @asked_ms: time of the policy service that its questions took
  */
 typedef struct
 {
   char id[MUX_JOB_ID_LEN];
+  int64_t task_ms;
+  int64_t approval_ms;
+  uint32_t approval_us;
+  int64_t asked_ms;
   uint32_t step_count;
   MuxSize *size; /* owned */
 } WorldJob;
@@ -240,6 +248,8 @@
   uint32_t approval_us;    /* and for each worker named in the question */
   uint32_t approve_one_in; /* workers, by number; 0: all */
   bool approve_by_job;     /* other workers for each job */
+  bool approve_by_chance;  /* each worker by itself, not every n-th */
+  bool times_by_job;       /* the world's when a job came, not those of now */
   uint32_t keep_s;         /* of daemons started from now on; 0: a day */
   uint32_t unread_max;     /* the same; 0: as usual */
   uint32_t lease_ms;       /* the same; 0: 4 s */
@@ -323,6 +333,9 @@
 world_crashing_job (uint32_t tasks, uint32_t cpu_milli, uint32_t index);
 /** world_change_config() - a newer version of the same queues */
 void world_change_config (World *world);
+/** world_set_slack() - the queue's jobs may from now on take so many times their
+ * chain, in thousandths */
+void world_set_slack (World *world, uint32_t slack_milli);
 /** world_set_priority() - of the queue's jobs, from now on */
 void world_set_priority (World *world, uint32_t priority);
 /** world_make_urgent() - the queue's jobs, from now on */
@@ -352,6 +365,8 @@
                     const char *part,
                     const char *key,
                     const MuxWorkerInfo *info);
+/** world_asked_ms() - time of the policy service that a job's questions took */
+int64_t world_asked_ms (const World *world, const char *id);
 /** world_logged() - how often the cells logged @event */
 uint32_t world_logged (const World *world, const char *event);
 /** world_ask_slowly() - the policy service takes so long from now on, and the
--- a/test/support/cell_world_private.h
+++ b/test/support/cell_world_private.h
@@ -40,6 +40,9 @@
  * handed in here */
 MuxSize world_size_of (const World *world, const MuxTaskRef *task);
 
+/** world_task_ms() - how long a run of the task takes */
+int64_t world_task_ms (const World *world, const MuxTaskRef *task);
+
 /* cell_world_worker.c */
 void world_add_worker (World *world, uint32_t number);
 /** world_list_worker() - its entry stands in the list, or is renewed */
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -229,8 +229,9 @@
   run->run = call->run;
   run->began_ms = world->now_ms;
   run->crashes = is_crashing (call);
-  run->ends_ms
-      = worker->stuck_percent != 0 ? INT64_MAX : world->now_ms + world->task_ms;
+  run->ends_ms = worker->stuck_percent != 0
+                     ? INT64_MAX
+                     : world->now_ms + world_task_ms (world, &call->task);
   assert_true (world->start_count < WORLD_STARTS_MAX);
   start = &world->start[world->start_count++];
   memset (start, 0, sizeof *start);
@@ -283,9 +284,10 @@
       run->heard = run->number != 0;
       report->end = run->end;
       report->usage = worker->usage;
-      report->percent = worker->stuck_percent != 0
-                            ? worker->stuck_percent
-                            : (uint32_t) (spent * 100 / world->task_ms);
+      report->percent
+          = worker->stuck_percent != 0
+                ? worker->stuck_percent
+                : (uint32_t) (spent * 100 / world_task_ms (world, &run->task));
       reply->report_count++;
     }
 }
--- /dev/null
+++ b/test/unit/test_cell_askers.c
@@ -0,0 +1,217 @@
+#include "support/cell_world.h"
+#include "support/test.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * Gangs of many widths beside urgent and patient tasks, with room for all, and
+ * with questions to the policy service that nearly take up the daemons: two of
+ * them for each gang, with all that the service takes at once, are nine tenths
+ * of their time.
+ */
+
+#define CELLS 3
+#define WORKERS 350
+#define APPROVE_ONE_IN 3
+#define WARM_MS 1000
+#define LOAD_MS 24000
+#define DRAIN_MS 12000
+#define CONFIG_MS 10
+#define STEP_MS 20
+#define NAMES_MAX 100
+#define WIDTHS 10
+#define WIDEST 60
+#define CORES 4
+
+/**
+ * struct Queue - what is handed in
+ * @cores: thousandths of a processor of a task, of which a worker has 32,000
+ * @ask_ms: an answer of the policy service takes this,
+ * @ask_us: and this for each worker named
+ */
+typedef struct
+{
+  const char *name;
+  uint32_t priority;
+  uint32_t slack_milli;
+  uint32_t each_ms;
+  uint32_t task_ms;
+  uint32_t ask_ms;
+  uint32_t ask_us;
+  uint32_t cores[CORES];
+} Queue;
+
+/* Half of the workers, and 2.1 of the three daemons with two questions of 100
+ * names for each. */
+static const Queue gang = {
+  "gang", 1, 2200, 145, 4000, 62, 900, { 6000, 9000, 12000, 15000 },
+};
+/* A third of the workers, half a daemon with a question of 36 names. */
+static const Queue patient = {
+  "patient", 2, 4000, 78, 3400, 22, 330, { 2500, 3500, 3500, 4500 },
+};
+/* An eighth of the workers. */
+static const Queue urgent = {
+  "urgent", 0, 1500, 28, 640, 1, 20, { 4000, 5000, 5000, 6000 },
+};
+
+#define GANGS (LOAD_MS / 145 + 1)
+#define PATIENT_TASKS 25
+#define URGENT_TASKS 12
+/* The widest tenth are those of one width. */
+static const uint32_t width[WIDTHS]
+    = { 4, 20, 8, 36, 12, WIDEST, 6, 16, 26, 10 };
+
+/* What the queue promises: 2.2 times a run with a question about 30 workers,
+ * and a second. */
+#define PROMISED_MS (22 * (4000 + 62 + 27) / 10 + 1000)
+/* Two full questions learn of 66 workers that may run it, and one renews the
+ * proofs of those that it takes. */
+#define WIDEST_ASKED_MS (3 * (62 + NAMES_MAX * 900 / 1000))
+
+typedef struct
+{
+  World *world;
+  uint32_t gangs;
+  uint32_t urgent;
+  uint32_t patient;
+  int64_t sent_ms[GANGS];
+} Load;
+
+/**
+ * struct Served - of some gangs
+ * @asked_ms: time of the policy service that their questions took
+ */
+typedef struct
+{
+  uint32_t all;
+  uint32_t in_time;
+  int64_t asked_ms;
+} Served;
+
+static void
+submit (World *world, const Queue *queue, uint32_t number, uint32_t tasks)
+{
+  MuxJobSpec *job = world_job (1, tasks, queue->cores[number / WIDTHS % CORES]);
+  char id[MUX_JOB_ID_LEN];
+
+  snprintf (id, sizeof id, "%s-%u", queue->name, number);
+  job->step[0].gang = queue == &gang;
+  job->step[0].estimate_ms = queue->task_ms;
+  world->task_ms = queue->task_ms;
+  world_ask_slowly (world, queue->ask_ms, queue->ask_us);
+  world_set_priority (world, queue->priority);
+  world_set_slack (world, queue->slack_milli);
+  world_run (world, CONFIG_MS);
+  (void) world_submit (world, world_planner (world), job, id);
+}
+
+static bool
+is_due (const Queue *queue, uint32_t sent, int64_t at_ms)
+{
+  return at_ms >= (int64_t) sent * queue->each_ms;
+}
+
+static void
+submit_gang (Load *load)
+{
+  load->sent_ms[load->gangs] = load->world->now_ms;
+  submit (load->world, &gang, load->gangs, width[load->gangs % WIDTHS]);
+  load->gangs++;
+}
+
+static Load
+play_load (void)
+{
+  Load load = { .world = world_new (CELLS, WORKERS) };
+  World *world = load.world;
+  int64_t begin_ms;
+
+  world->approve_one_in = APPROVE_ONE_IN;
+  world->approve_by_chance = true;
+  world->times_by_job = true;
+  world_run (world, WARM_MS);
+  begin_ms = world->now_ms;
+  while (world->now_ms < begin_ms + LOAD_MS)
+    {
+      int64_t at_ms = world->now_ms - begin_ms;
+
+      if (load.gangs < GANGS && is_due (&gang, load.gangs, at_ms))
+        submit_gang (&load);
+      else if (is_due (&urgent, load.urgent, at_ms))
+        submit (world, &urgent, load.urgent++, URGENT_TASKS);
+      else if (is_due (&patient, load.patient, at_ms))
+        submit (world, &patient, load.patient++, PATIENT_TASKS);
+      else
+        world_run (world, STEP_MS);
+    }
+  world_run (world, DRAIN_MS);
+  return load;
+}
+
+static uint32_t
+done_by (const World *world, const char *id, int64_t at_ms)
+{
+  uint32_t done = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    done += strcmp (world->start[i].task.job, id) == 0
+            && world->start[i].end == MUX_RUN_DONE
+            && world->start[i].ended_ms != 0
+            && world->start[i].ended_ms <= at_ms;
+  return done;
+}
+
+/* Of gangs of @least tasks and more. */
+static Served
+served_of (const Load *load, uint32_t least)
+{
+  Served served = { 0 };
+
+  for (uint32_t i = 0; i < load->gangs; i++)
+    {
+      uint32_t tasks = width[i % WIDTHS];
+      char id[MUX_JOB_ID_LEN];
+
+      if (tasks < least)
+        continue;
+      snprintf (id, sizeof id, "gang-%u", i);
+      served.all++;
+      served.in_time
+          += done_by (load->world, id, load->sent_ms[i] + PROMISED_MS) == tasks;
+      served.asked_ms += world_asked_ms (load->world, id);
+    }
+  return served;
+}
+
+/* Callers with the widest gangs are not served while questions about them take
+ * up all daemons. */
+static void
+test_widest_gangs_wait_for_daemons_that_ask (void **state)
+{
+  Load load = play_load ();
+  Served all = served_of (&load, 0);
+  Served widest = served_of (&load, WIDEST);
+
+  (void) state;
+  print_message ("%u of %u gangs in time, %u of the %u widest; asked for %d ms "
+                 "each, for %d ms the widest\n",
+                 all.in_time, all.all, widest.in_time, widest.all,
+                 (int) (all.asked_ms / all.all),
+                 (int) (widest.asked_ms / widest.all));
+  assert_true (10 * widest.in_time * all.all >= 7 * all.in_time * widest.all);
+  assert_true (widest.asked_ms <= (int64_t) WIDEST_ASKED_MS * widest.all);
+  assert_false (world_twice (load.world));
+  world_free (load.world);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_widest_gangs_wait_for_daemons_that_ask),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
