--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -333,8 +333,8 @@
 world_crashing_job (uint32_t tasks, uint32_t cpu_milli, uint32_t index);
 /** world_change_config() - a newer version of the same queues */
 void world_change_config (World *world);
-/** world_set_slack() - the queue's jobs may from now on take so many times their
- * chain, in thousandths */
+/** world_set_slack() - the queue's jobs may from now on take so many times
+ * their chain, in thousandths */
 void world_set_slack (World *world, uint32_t slack_milli);
 /** world_set_priority() - of the queue's jobs, from now on */
 void world_set_priority (World *world, uint32_t priority);
