cell: reserve room for gangs at the moment of their start

Cause: questions, answers and room were decided apart. A question named the workers with room at that moment, for the members that lacked some; 0.6 to 1.1 s later others had it, and the step asked again: 319 workers named for each of the largest tenth's jobs, 120 approved, 20 used, while steps of the patient queue waited 13 s for a daemon that was free to ask. Room was kept by closing as few whole workers as would hold the gang when empty, a fifth of all for seconds; and a gang that asked lost what was kept for it, as a pass looks at no step with a question under way. Class: work that grows with the backlog on the path that drains it, and a resource that nobody accounts for.

Now the earliest moment is worked out at which the approved workers together have room for all members, from the progress of what runs there, and a share of each of these workers is reserved from then on. Others start beside it, or before it if they will have ended; urgent tasks go elsewhere first. The proofs are asked for when the start is no further off than a question takes. What is reserved stays so while the gang asks. A step asks about workers until those approved would hold it five times over, and no more then.

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -268,6 +268,12 @@
   return (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
 }
 
+int64_t
+cell_question_ms (const CellStage *stage, uint32_t count)
+{
+  return cost_ms_of (stage, count);
+}
+
 bool
 cell_question_is_short (const CellStage *stage, uint32_t count)
 {
--- a/src/cell/candidate.c
+++ b/src/cell/candidate.c
@@ -25,6 +25,7 @@
   bool approved;
   bool recorded; /* a start there waits for no commit */
   bool outside;  /* the step's data centre */
+  bool delays;   /* it takes room that is kept for a gang */
   bool near;     /* it can start there once its approval is recorded */
   uint64_t turn;
 } Candidate;
@@ -54,6 +55,8 @@
     return a->recorded ? -1 : 1;
   if (a->outside != b->outside)
     return a->outside ? 1 : -1;
+  if (a->delays != b->delays)
+    return a->delays ? 1 : -1;
   if (a->tasks != b->tasks)
     return a->tasks < b->tasks ? -1 : 1;
   return a->worker->slot < b->worker->slot ? -1 : 1;
@@ -130,6 +133,7 @@
            .approved = approval != NULL && approval->yes,
            .recorded = cell_is_recorded (stage, worker),
            .outside = cell_is_outside (stage, worker),
+           .delays = cell_delays_gang (cell, stage, worker),
            .near = cell_approval_is_near (cell, approval),
        });
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -681,6 +681,8 @@
 /* approve.c */
 /** cell_askers() - daemons that were heard lately, busy or not */
 uint32_t cell_askers (MuxCell *cell);
+/** cell_question_ms() - what a question about @count workers takes */
+int64_t cell_question_ms (const CellStage *stage, uint32_t count);
 /** cell_can_ask() - some daemon is free to ask about @count workers */
 bool cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count);
 bool cell_approval_ask (MuxCell *cell,
@@ -713,8 +715,8 @@
 /** cell_is_recorded() - the stored record names the worker */
 bool cell_is_recorded (const CellStage *stage, const CellWorker *worker);
 void cell_approvals_apply (CellStage *stage, const json_t *json);
-/** cell_approvals_take_former() - what is recorded of a former planner is known,
- * but for proofs */
+/** cell_approvals_take_former() - what is recorded of a former planner is
+ * known, but for proofs */
 void cell_approvals_take_former (MuxCell *cell, CellStage *stage);
 /** cell_stage_is_settled() - no run of it that a former planner started can
  * be anywhere without being known */
@@ -795,10 +797,63 @@
 /** cell_sample_end() - the stage's next look begins where this one stands */
 void cell_sample_end (CellStage *stage, const CellSample *sample);
 
-/* reserve.c: workers kept free for gangs */
-void cell_reserve (MuxCell *cell, CellStage *stage, CellWorker *worker);
-/** cell_reservation_renew() - a pass begins; @is_valid: it stays reserved */
-void cell_reservation_renew (MuxCell *cell, CellWorker *worker, bool is_valid);
+/* forecast.c: when running tasks will have ended */
+/** cell_booking_left_ms() - its run is expected to take so much longer */
+int64_t cell_booking_left_ms (const MuxCell *cell, const CellBooking *booking);
+/** cell_worker_free_at() - for @stage, if nothing starts there until @at_ms */
+MuxSize cell_worker_free_at (const MuxCell *cell,
+                             const CellStage *stage,
+                             const CellWorker *worker,
+                             int64_t at_ms);
+/** cell_worker_gaps() - for members of @stage there, in the order of time
+ * Return: how many, @gap_max at most. */
+uint32_t cell_worker_gaps (const MuxCell *cell,
+                           const CellStage *stage,
+                           CellWorker *worker,
+                           CellGap *gap,
+                           uint32_t gap_max);
+
+/* gather.c */
+/** cell_gather() - reserve room at @count approved workers for a gang that has
+ * too little now, and ask for proofs if the time has come and it @may_ask */
+void cell_gather (MuxCell *cell,
+                  CellStage *stage,
+                  CellWorker *const *worker,
+                  uint32_t count,
+                  bool may_ask);
+
+/* reserve.c: room kept for gangs */
+/** cell_reserve() - for @tasks more members of @stage, from @at_ms on
+ * Return: false: too many gangs have room there. */
+bool cell_reserve (MuxCell *cell,
+                   CellStage *stage,
+                   CellWorker *worker,
+                   uint32_t tasks,
+                   int64_t at_ms);
+/** cell_reservations_begin() - a pass begins: only those of stages that rest
+ * stay */
+void cell_reservations_begin (MuxCell *cell);
+/** cell_reservations_drop() - those of this pass */
+void cell_reservations_drop (MuxCell *cell, const CellStage *stage);
+/** cell_reservations_stand() - those of the pass before stay in this one
+ * Return: false: there were none. */
+bool cell_reservations_stand (MuxCell *cell, const CellStage *stage);
+/** cell_was_reserved() - in this pass or the one before */
+bool cell_was_reserved (const CellStage *stage, const CellWorker *worker);
+/** cell_reserved_for_others() - than @stage, up to @at_ms */
+MuxSize cell_reserved_for_others (const CellStage *stage,
+                                  const CellWorker *worker,
+                                  int64_t at_ms);
+/** cell_worker_spares() - tasks of @stage that may start there now, beside what
+ * is kept for another */
+uint32_t cell_worker_spares (const MuxCell *cell,
+                             const CellStage *stage,
+                             const CellWorker *worker);
+/** cell_delays_gang() - a task of @stage that starts there takes room that is
+ * kept for another */
+bool cell_delays_gang (const MuxCell *cell,
+                       const CellStage *stage,
+                       const CellWorker *worker);
 /** cell_reservations_clear() - nothing is kept for the stage any more */
 void cell_reservations_clear (MuxCell *cell, const CellStage *stage);
 /** cell_reservation_forget() - the worker goes */
@@ -838,6 +893,8 @@
 bool cell_room_is_known (const MuxCell *cell);
 void cell_plan_add (MuxCell *cell, CellStage *stage);
 void cell_plan_drop (MuxCell *cell, CellStage *stage);
+/** cell_stage_rests() - it was looked at in this round, and others were not */
+bool cell_stage_rests (const MuxCell *cell, const CellStage *stage);
 /** cell_stage_bounded() - so many of @tasks may run on one worker */
 uint32_t cell_stage_bounded (const CellStage *stage, uint32_t tasks);
 /** cell_worker_serves() - it is of the stage's service and has its label */
@@ -848,6 +905,8 @@
 MuxSize cell_worker_free (const CellWorker *worker);
 /** cell_worker_free_for() - with the room that @stage holds there */
 MuxSize cell_worker_free_for (const CellStage *stage, const CellWorker *worker);
+/** cell_size_of() - of @tasks of the stage's tasks */
+MuxSize cell_size_of (const CellStage *stage, uint32_t tasks);
 uint32_t cell_worker_holds (const CellStage *stage, MuxSize free);
 /** cell_worker_takes() - tasks of the stage that it has room for now */
 uint32_t cell_worker_takes (const MuxCell *cell,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -487,6 +487,37 @@
   uint32_t tasks;
 } CellHold;
 
+/**
+ * struct CellGap - room for members of a gang at a worker
+ * @at_ms: it is free from then on
+ * @tasks: members that it holds, besides those of earlier gaps
+ */
+typedef struct
+{
+  CellWorker *worker;
+  int64_t at_ms;
+  uint32_t tasks;
+} CellGap;
+
+/* Gangs that one worker's room is reserved for. */
+#define CELL_RESERVATIONS_MAX 6
+
+/**
+ * struct CellReservation - room of a worker kept for a waiting gang
+ * @size: so much,
+ * @at_ms: from then on
+ * @is_old: it was made in the pass before, and not in this one
+ * @stands: the same, and holds until its stage's turn in this one
+ */
+typedef struct
+{
+  CellStage *stage;
+  MuxSize size;
+  int64_t at_ms;
+  bool is_old;
+  bool stands;
+} CellReservation;
+
 /**
  * struct CellSample - workers that one look at a step passes over
  * @slot: of the next one
@@ -906,11 +937,11 @@
   MuxSize booked;
   MuxSize lasting;
   uint32_t stops;
-  MuxSize held;             /* room kept for gangs about to start */
-  uint32_t hold_count;      /* stages that hold some of it */
-  CellStage *reserved;      /* waiting gang that it is kept free for */
-  CellStage *last_reserved; /* in the pass before */
-  bool is_kept;             /* either of these: it is in the list of such */
+  MuxSize held;        /* room kept for gangs about to start */
+  uint32_t hold_count; /* stages that hold some of it */
+  uint32_t reservation_count;
+  CellReservation reservation[CELL_RESERVATIONS_MAX];
+  bool is_kept; /* it has any: it is in the list of such */
   CellWorker *kept_prev;
   CellWorker *kept_next;
   CellMember *carrier;      /* daemon that calls it; NULL: to be chosen */
@@ -1163,10 +1194,11 @@
   uint32_t askers_busy_long; /* of them, with a long question */
   CellQuestion *questions;
   CellOrder order;
-  CellStage *reserving;  /* stages that workers are kept free for */
-  uint32_t looks;        /* workers looked at in this pass */
-  uint32_t idle_looks;   /* for stages that still wait, the same */
-  uint32_t steps_looked; /* waiting steps, the same */
+  uint32_t late_reservations; /* left to late gangs in this pass */
+  CellStage *reserving;       /* stages that workers are kept free for */
+  uint32_t looks;             /* workers looked at in this pass */
+  uint32_t idle_looks;        /* for stages that still wait, the same */
+  uint32_t steps_looked;      /* waiting steps, the same */
   uint64_t round; /* of looks at all stages; several passes may share one */
   bool replan;
   uint64_t end_seq;
--- a/src/cell/evacuate.c
+++ b/src/cell/evacuate.c
@@ -36,23 +36,11 @@
     worker->leaves_at_ms = at_ms;
 }
 
-/* By its progress; before it has made any, by its declared time. */
-static int64_t
-time_left_ms (const MuxCell *cell, const CellBooking *booking)
-{
-  int64_t ran_ms = booking->moved_ms - booking->since_ms;
-  int64_t ends_ms = booking->since_ms + booking->task->stage->spec->estimate_ms;
-
-  if (booking->percent > 0)
-    ends_ms = booking->moved_ms
-              + ran_ms * (PERCENT - booking->percent) / booking->percent;
-  return ends_ms > cell->time.now_ms ? ends_ms - cell->time.now_ms : 0;
-}
-
 static bool
 ends_in_time (const MuxCell *cell, const CellBooking *booking, int64_t stays_ms)
 {
-  return time_left_ms (cell, booking) * LEFT_SURE_PERCENT / PERCENT <= stays_ms;
+  return cell_booking_left_ms (cell, booking) * LEFT_SURE_PERCENT / PERCENT
+         <= stays_ms;
 }
 
 /* Tasks that run until they are cancelled lose nothing, and serve as long as
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -3,22 +3,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Workers named in the first policy question about a gang: one more question is
- * dearer than many names; */
-#define CANDIDATES_LEAST 64
-/* or so many times those that it needs: only a part is approved, and some of
- * these are full; */
-#define CANDIDATES_FACTOR 6
-/* the service takes a hundred at once. */
+/* Workers named in the first policy question about a gang, as many as the
+ * service takes at once: one more question is dearer than many names. */
 #define CANDIDATES_MAX 100
-/* Tasks that unasked workers must have room for before more of them are named:
- * so many times those that still lack room, as only a part is approved.  A wide
- * gang seldom finds more: what is approved of less is kept for it. */
-#define MORE_FACTOR 2
+/* So many workers are named for each that is expected to be approved. */
+#define APPROVED_ONE_IN 3
+/* No more workers are asked about once those approved would hold the gang so
+ * many times over if they were empty: it waits for room. */
+#define KNOWN_FACTOR 5
 /* In a large cell a look ends with so many workers: twice those of a question.
  */
 #define PLENTY (2 * CANDIDATES_MAX)
-/* And at least so many names as make the question longer by a quarter. */
+/* A later question has at least so many names as make it longer by a quarter.
+ */
 #define CHEAP_SHARE 4
 /* Room is held no longer than this for proofs; a question takes half of it. */
 #define HOLD_MAX_MS 900
@@ -36,17 +33,6 @@
   uint64_t turn; /* decides among workers that are alike */
 } Place;
 
-/* A worker that is kept free for an earlier gang is closed to this one, unless
- * it holds room there already: it waits for its proofs alone, and would ask for
- * them again and again. */
-static bool
-open_to (const CellStage *stage, const CellWorker *worker)
-{
-  return worker->reserved == NULL || worker->reserved == stage
-         || cell_held (stage, worker) > 0
-         || stage->job->spec->queue.priority == 0;
-}
-
 /* Return: 1: it is one for some member, @p is filled in; 0: it is none. */
 static uint32_t
 look_at (const MuxCell *cell,
@@ -58,13 +44,12 @@
 {
   bool needed = stage->job->spec->queue.approval.needed;
 
-  if (!cell_worker_fits (cell, stage, worker) || !open_to (stage, worker))
+  if (!cell_worker_fits (cell, stage, worker))
     return 0;
   p->worker = worker;
   p->asked = approval != NULL && approval->asked;
-  p->now = cell_stage_bounded (
-      stage, cell_worker_holds (stage, cell_worker_free_for (stage, worker)));
-  p->kept = worker->last_reserved == stage;
+  p->now = cell_stage_bounded (stage, cell_worker_spares (cell, stage, worker));
+  p->kept = cell_was_reserved (stage, worker);
   p->turn = cell_worker_turn (hash, worker);
   p->ever = cell_stage_bounded (
       stage, cell_worker_holds (stage, cell_room_ever (worker)));
@@ -102,7 +87,7 @@
   uint32_t n = 0;
 
   DL_FOREACH2 (cell->kept, worker, kept_next)
-  if (worker->last_reserved == stage)
+  if (cell_was_reserved (stage, worker))
     n += look_at (cell, stage, worker, NULL, hash, &place[n]);
   return n;
 }
@@ -114,7 +99,7 @@
 {
   return stage->job->spec->queue.approval.needed
              ? approval != NULL && approval->yes
-             : worker->last_reserved == stage;
+             : cell_was_reserved (stage, worker);
 }
 
 static uint32_t
@@ -235,35 +220,6 @@
   cell_stage_placed (cell, stage, member);
 }
 
-/* From the most that any of them can hold. */
-static uint32_t
-candidates_wanted (const CellStage *stage, const Place *place, uint32_t count)
-{
-  uint32_t most = 1;
-  uint32_t wanted;
-
-  for (uint32_t i = 0; i < count; i++)
-    if (place[i].ever > most)
-      most = place[i].ever;
-  wanted = CANDIDATES_FACTOR * ((stage->spec->count + most - 1) / most);
-  if (wanted < CANDIDATES_LEAST)
-    return CANDIDATES_LEAST;
-  return wanted < CANDIDATES_MAX ? wanted : CANDIDATES_MAX;
-}
-
-static void
-ask_first (MuxCell *cell, CellStage *stage, const Place *place, uint32_t count)
-{
-  CellWorker *worker[CANDIDATES_MAX];
-  uint32_t wanted = candidates_wanted (stage, place, count);
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < count && n < wanted; i++)
-    if (!place[i].asked)
-      worker[n++] = place[i].worker;
-  (void) cell_approval_ask (cell, stage, worker, n);
-}
-
 static uint32_t
 cheap_names (const CellStage *stage)
 {
@@ -274,27 +230,29 @@
              : CANDIDATES_MAX;
 }
 
-/* What is approved has too little room now, others have enough. */
+/* About workers that are not known yet, those with most room first, until those
+ * that are expected to be approved would hold @lacking members when empty. */
 static void
-ask_more (MuxCell *cell,
-          CellStage *stage,
-          const Place *place,
-          uint32_t count,
-          uint32_t lacking)
+ask_about (MuxCell *cell,
+           CellStage *stage,
+           const Place *place,
+           uint32_t count,
+           uint32_t lacking)
 {
   CellWorker *worker[CANDIDATES_MAX];
+  uint32_t least
+      = stage->approval_count == 0 ? CANDIDATES_MAX : cheap_names (stage);
   uint32_t room = 0;
   uint32_t n = 0;
 
-  for (uint32_t i = 0;
-       i < count && n < CANDIDATES_MAX
-       && (room < MORE_FACTOR * lacking || n < cheap_names (stage));
+  for (uint32_t i = 0; i < count && n < CANDIDATES_MAX
+                       && (n < least || room < APPROVED_ONE_IN * lacking);
        i++)
     {
-      if (place[i].now == 0 || place[i].asked)
+      if (place[i].asked)
         continue;
       worker[n++] = place[i].worker;
-      room += place[i].now;
+      room += place[i].ever;
     }
   (void) cell_approval_ask (cell, stage, worker, n);
 }
@@ -379,7 +337,6 @@
   uint32_t yes_now;
   uint32_t yes_ever;
   uint32_t unasked;
-  uint32_t unasked_now;
 } Room;
 
 static Room
@@ -390,10 +347,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       if (!place[i].asked)
-        {
-          room.unasked++;
-          room.unasked_now += place[i].now;
-        }
+        room.unasked++;
       if (!place[i].yes)
         continue;
       room.yes_now += place[i].now;
@@ -406,19 +360,22 @@
   return room;
 }
 
-/* Keeps workers free until the gang fits: those approved with most room. */
+/* Room on the first @count places, which are approved. */
 static void
-reserve (MuxCell *cell, CellStage *stage, const Place *place, uint32_t count)
+gather (MuxCell *cell,
+        CellStage *stage,
+        const Place *place,
+        uint32_t count,
+        bool may_ask)
 {
-  uint32_t held = 0;
+  CellWorker **worker = calloc (count + 1, sizeof (CellWorker *));
 
-  stage->reserving = true;
-  for (uint32_t i = 0; i < count && held < stage->spec->count; i++)
-    if (place[i].yes)
-      {
-        cell_reserve (cell, stage, place[i].worker);
-        held += place[i].ever;
-      }
+  if (worker == NULL)
+    return;
+  for (uint32_t i = 0; i < count; i++)
+    worker[i] = place[i].worker;
+  cell_gather (cell, stage, worker, count, may_ask && !stage->asking);
+  free (worker);
 }
 
 static uint32_t
@@ -456,23 +413,16 @@
      const Room *room)
 {
   uint32_t need = stage->spec->count;
-  bool first = room->yes_ever < need && room->unasked > 0;
-  bool again = room->yes_now >= need;
-  bool more = room->yes_now < need
-              && room->unasked_now >= MORE_FACTOR * (need - room->yes_now);
 
-  if (!first && !again && !more)
-    return;
-  if (again && !first)
+  if (room->yes_now >= need)
     {
       ask_again (cell, stage, place, sort_approved (place, count));
       return;
     }
+  if (room->unasked == 0 || room->yes_ever >= KNOWN_FACTOR * need)
+    return;
   sort (place, count);
-  if (first)
-    ask_first (cell, stage, place, count);
-  else
-    ask_more (cell, stage, place, count, need - room->yes_now);
+  ask_about (cell, stage, place, count, KNOWN_FACTOR * need - room->yes_ever);
 }
 
 /* Of a gang that nobody was asked about in this look. */
@@ -485,6 +435,14 @@
                                                         : CELL_LACKS_ROOM;
 }
 
+/* What is left to gangs of its rank, of @reservations of those in time. */
+static uint32_t *
+reservations_of (MuxCell *cell, const CellStage *stage, uint32_t *reservations)
+{
+  return stage->rank > CELL_RANK_IN_TIME ? &cell->late_reservations
+                                         : reservations;
+}
+
 static void
 place_in (MuxCell *cell,
           CellStage *stage,
@@ -524,10 +482,11 @@
     ask (cell, stage, place, count, &room);
   if (!stage->asking)
     cell_step_lacks (cell, stage, what_lacks (stage, &room));
-  if (*reservations == 0 || room.yes_ever < need)
+  reservations = reservations_of (cell, stage, reservations);
+  if (*reservations == 0 || room.yes_ever < need || stage->hold_count > 0)
     return;
   (*reservations)--;
-  reserve (cell, stage, place, sort_approved (place, count));
+  gather (cell, stage, place, sort_approved (place, count), may_ask);
 }
 
 /* Those of a look, and those collected before. */
@@ -541,6 +500,19 @@
   return cell_sample_max (cell) + stage->approval_count + kept + 1;
 }
 
+/* What is reserved for a gang stays so while it asks; what is held for it takes
+ * the place of that. */
+static void
+keep_reservations (MuxCell *cell, CellStage *stage, uint32_t *reservations)
+{
+  reservations = reservations_of (cell, stage, reservations);
+  if (*reservations == 0 || stage->hold_count > 0
+      || !cell_reservations_stand (cell, stage))
+    return;
+  stage->reserving = true;
+  (*reservations)--;
+}
+
 void
 cell_place_gang (MuxCell *cell, CellStage *stage, uint32_t *reservations)
 {
@@ -548,15 +520,19 @@
   uint32_t count;
   bool may_ask;
 
-  /* Its room is held; the answer decides. */
-  if (stage->asking || !cell_gang_may_start (cell, stage))
+  if (stage->asking)
+    {
+      keep_reservations (cell, stage, reservations);
+      return;
+    }
+  if (!cell_gang_may_start (cell, stage))
     return;
   if (stage->job->spec->queue.approval.needed)
     cell_approvals_take_former (cell, stage);
   place = calloc (places_max (cell, stage), sizeof *place);
   if (place == NULL)
     return;
-  may_ask = cell_can_ask (cell, stage, CANDIDATES_LEAST);
+  may_ask = cell_can_ask (cell, stage, CANDIDATES_MAX);
   count = collect (cell, stage, may_ask, place);
   if (stage->spec->rack_sensitive)
     keep_to_one_rack (stage, place, count);
--- a/src/cell/hold.c
+++ b/src/cell/hold.c
@@ -8,8 +8,8 @@
  * room one by one meanwhile, and the gang finds its workers full each time.
  */
 
-static MuxSize
-size_of (const CellStage *stage, uint32_t tasks)
+MuxSize
+cell_size_of (const CellStage *stage, uint32_t tasks)
 {
   MuxSize size = stage->spec->size;
 
@@ -31,7 +31,7 @@
   stage->hold = hold;
   hold[stage->hold_count++] = (CellHold){ worker, tasks };
   worker->hold_count++;
-  worker->held = mux_size_add (worker->held, size_of (stage, tasks));
+  worker->held = mux_size_add (worker->held, cell_size_of (stage, tasks));
   return true;
 }
 
@@ -43,8 +43,8 @@
       CellHold *hold = &stage->hold[i];
 
       hold->worker->hold_count--;
-      hold->worker->held
-          = mux_size_sub (hold->worker->held, size_of (stage, hold->tasks));
+      hold->worker->held = mux_size_sub (hold->worker->held,
+                                         cell_size_of (stage, hold->tasks));
     }
   stage->hold_count = 0;
 }
@@ -56,7 +56,7 @@
 MuxSize
 cell_worker_free_for (const CellStage *stage, const CellWorker *worker)
 {
-  MuxSize own = size_of (stage, cell_held (stage, worker));
+  MuxSize own = cell_size_of (stage, cell_held (stage, worker));
   MuxSize others = mux_size_sub (worker->held, own);
 
   return mux_size_sub (worker->info.capacity,
--- a/src/cell/load_line.c
+++ b/src/cell/load_line.c
@@ -22,13 +22,19 @@
 static void
 add_worker (Room *room, const CellWorker *worker)
 {
+  MuxSize reserved;
+  uint64_t free_milli;
+
   room->all += worker->info.capacity.cpu_milli;
   room->booked += worker->booked.cpu_milli;
   room->held += worker->held.cpu_milli;
-  if (worker->reserved == NULL)
+  reserved = cell_reserved_for_others (NULL, worker, INT64_MAX);
+  if (reserved.cpu_milli == 0)
     return;
+  free_milli = cell_worker_free (worker).cpu_milli;
   room->kept++;
-  room->kept_idle += cell_worker_free (worker).cpu_milli;
+  room->kept_idle
+      += free_milli < reserved.cpu_milli ? free_milli : reserved.cpu_milli;
 }
 
 static Room
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -17,18 +17,6 @@
   return n;
 }
 
-/*
- * Guards against a task that is to last and waits beside free room, while gangs
- * for which it is kept can't start: it is owed as long as it is away, and fits
- * into a small part of it.
- */
-static bool
-kept_for_another (const CellStage *stage, const CellWorker *worker)
-{
-  return worker->reserved != NULL && worker->reserved != stage
-         && !stage->spec->long_running && stage->job->spec->queue.priority != 0;
-}
-
 uint32_t
 cell_worker_takes (const MuxCell *cell,
                    const CellStage *stage,
@@ -37,10 +25,9 @@
   uint32_t n;
   uint32_t there;
 
-  if (!cell_worker_fits (cell, stage, worker)
-      || kept_for_another (stage, worker))
+  if (!cell_worker_fits (cell, stage, worker))
     return 0;
-  n = cell_worker_holds (stage, cell_worker_free_for (stage, worker));
+  n = cell_worker_spares (cell, stage, worker);
   if (stage->spec->per_worker_max == 0 || n == 0)
     return n;
   there = running_there (stage, worker);
@@ -54,6 +41,7 @@
 /* What a worker costs beyond its room, in thousandths of a processor: a task
  * goes where it failed before last, and rather outside the step's data centre
  * than away from its data. */
+#define DELAY_COST 250000
 #define OUTSIDE_COST 500000
 #define FAR_COST 1000000
 #define FAILED_COST 10000000
@@ -75,6 +63,8 @@
     cost += FAILED_COST;
   if (cell_is_outside (task->stage, worker))
     cost += OUTSIDE_COST;
+  if (cell_delays_gang (cell, task->stage, worker))
+    cost += DELAY_COST;
   return cost;
 }
 
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -30,6 +30,8 @@
  * can start. */
 #define RESERVATIONS_LEAST 3
 #define WORKERS_PER_RESERVATION 70
+/* And late ones, beside these: one, and another for so many workers. */
+#define WORKERS_PER_LATE_RESERVATION 170
 
 MuxSize
 cell_worker_free (const CellWorker *worker)
@@ -121,9 +123,8 @@
   cell_order_remove (cell, stage);
 }
 
-/* It was looked at in this round, and others were not yet. */
-static bool
-rests (const MuxCell *cell, const CellStage *stage)
+bool
+cell_stage_rests (const MuxCell *cell, const CellStage *stage)
 {
   return stage->round == cell->round;
 }
@@ -131,16 +132,12 @@
 static void
 clear_reservations (MuxCell *cell)
 {
-  CellWorker *worker;
-  CellWorker *next;
   CellStage *stage;
   CellStage *next_stage;
 
-  DL_FOREACH_SAFE2 (cell->kept, worker, next, kept_next)
-  cell_reservation_renew (
-      cell, worker, worker->reserved != NULL && rests (cell, worker->reserved));
+  cell_reservations_begin (cell);
   DL_FOREACH_SAFE2 (cell->reserving, stage, next_stage, reserving_next)
-  if (!rests (cell, stage))
+  if (!cell_stage_rests (cell, stage))
     stop_reserving (cell, stage);
 }
 
@@ -225,7 +222,7 @@
   {
     if (*reservations == 0)
       return;
-    if (!rests (cell, other) || other->looked_ms == now_ms
+    if (!cell_stage_rests (cell, other) || other->looked_ms == now_ms
         || other->counted_ms == now_ms || cell_stage_order (other, stage) > 0)
       continue;
     other->counted_ms = now_ms;
@@ -244,7 +241,7 @@
       stage = cell_order_turn (&cell->order);
       if (stage == NULL)
         return true;
-      if (rests (cell, stage))
+      if (cell_stage_rests (cell, stage))
         {
           cell->looks += STEP_LOOKS;
           continue;
@@ -262,6 +259,8 @@
 {
   uint32_t reservations = reservations_max (cell);
 
+  cell->late_reservations
+      = 1 + HASH_COUNT (cell->workers) / WORKERS_PER_LATE_RESERVATION;
   pass_over_front (cell, &reservations);
   if (!pass_over_rest (cell, &reservations))
     {
--- a/src/cell/reserve.c
+++ b/src/cell/reserve.c
@@ -1,40 +1,226 @@
 #include "cell_private.h"
 
-/* Workers that are kept free for waiting gangs.  They stand in a list of their
- * own, as each step that leaves the plan gives up those kept for it. */
+/*
+ * Room of workers that is reserved for waiting gangs, each from the moment on
+ * at which it is expected to start.  Reservations are made anew in each pass,
+ * in planning order; those of the pass before are remembered until its end.
+ * Workers with any stand in a list of their own, as each step that leaves the
+ * plan gives up its own.
+ */
 
-static bool
-is_kept (const CellWorker *worker)
-{
-  return worker->reserved != NULL || worker->last_reserved != NULL;
-}
+/* Declared times may be exceeded by so much. */
+#define OVERRUN_PERCENT 25
+#define PERCENT 100
 
 static void
 update (MuxCell *cell, CellWorker *worker)
 {
-  if (worker->is_kept == is_kept (worker))
+  bool is_kept = worker->reservation_count > 0;
+
+  if (worker->is_kept == is_kept)
     return;
-  worker->is_kept = is_kept (worker);
-  if (worker->is_kept)
+  worker->is_kept = is_kept;
+  if (is_kept)
     DL_APPEND2 (cell->kept, worker, kept_prev, kept_next);
   else
     DL_DELETE2 (cell->kept, worker, kept_prev, kept_next);
 }
 
-void
-cell_reserve (MuxCell *cell, CellStage *stage, CellWorker *worker)
+static CellReservation *
+find (CellWorker *worker, const CellStage *stage)
 {
-  worker->reserved = stage;
+  for (uint32_t i = 0; i < worker->reservation_count; i++)
+    if (worker->reservation[i].stage == stage)
+      return &worker->reservation[i];
+  return NULL;
+}
+
+static void
+drop (MuxCell *cell, CellWorker *worker, CellReservation *reservation)
+{
+  *reservation = worker->reservation[--worker->reservation_count];
   update (cell, worker);
 }
 
-void
-cell_reservation_renew (MuxCell *cell, CellWorker *worker, bool is_valid)
+/* It goes behind all that is in time, which would take its room each time. */
+static bool
+is_late (const CellStage *stage)
 {
-  worker->last_reserved = worker->reserved;
-  if (!is_valid)
-    worker->reserved = NULL;
+  return stage->rank > CELL_RANK_IN_TIME;
+}
+
+bool
+cell_reserve (MuxCell *cell,
+              CellStage *stage,
+              CellWorker *worker,
+              uint32_t tasks,
+              int64_t at_ms)
+{
+  CellReservation *reservation = find (worker, stage);
+  MuxSize size = cell_size_of (stage, tasks);
+
+  if (reservation == NULL)
+    {
+      if (worker->reservation_count == CELL_RESERVATIONS_MAX)
+        return false;
+      reservation = &worker->reservation[worker->reservation_count++];
+    }
+  else if (!reservation->is_old)
+    size = mux_size_add (reservation->size, size);
+  *reservation
+      = (CellReservation){ .stage = stage, .size = size, .at_ms = at_ms };
   update (cell, worker);
+  return true;
+}
+
+void
+cell_reservations_begin (MuxCell *cell)
+{
+  CellWorker *worker;
+  CellWorker *next;
+
+  DL_FOREACH_SAFE2 (cell->kept, worker, next, kept_next)
+  for (uint32_t i = worker->reservation_count; i-- > 0;)
+    {
+      CellReservation *reservation = &worker->reservation[i];
+
+      if (cell_stage_rests (cell, reservation->stage))
+        continue;
+      if (reservation->is_old)
+        drop (cell, worker, reservation);
+      else if (is_late (reservation->stage) && !reservation->stands)
+        reservation->stands = true;
+      else
+        reservation->is_old = true;
+    }
+}
+
+void
+cell_reservations_drop (MuxCell *cell, const CellStage *stage)
+{
+  CellWorker *worker;
+
+  DL_FOREACH2 (cell->kept, worker, kept_next)
+  {
+    CellReservation *reservation = find (worker, stage);
+
+    if (reservation != NULL)
+      reservation->is_old = true;
+  }
+}
+
+bool
+cell_reservations_stand (MuxCell *cell, const CellStage *stage)
+{
+  CellWorker *worker;
+  bool any = false;
+
+  DL_FOREACH2 (cell->kept, worker, kept_next)
+  {
+    CellReservation *reservation = find (worker, stage);
+
+    if (reservation == NULL)
+      continue;
+    reservation->is_old = false;
+    reservation->stands = false;
+    any = true;
+  }
+  return any;
+}
+
+bool
+cell_was_reserved (const CellStage *stage, const CellWorker *worker)
+{
+  for (uint32_t i = 0; i < worker->reservation_count; i++)
+    if (worker->reservation[i].stage == stage)
+      return true;
+  return false;
+}
+
+/* A gang that goes before needs its room all at once, and takes it. */
+static bool
+is_for_another (const CellReservation *reservation, const CellStage *stage)
+{
+  if (reservation->is_old || reservation->stage == stage)
+    return false;
+  return stage == NULL || !stage->spec->gang
+         || cell_stage_order (stage, reservation->stage) > 0;
+}
+
+MuxSize
+cell_reserved_for_others (const CellStage *stage,
+                          const CellWorker *worker,
+                          int64_t at_ms)
+{
+  MuxSize size = { 0 };
+
+  for (uint32_t i = 0; i < worker->reservation_count; i++)
+    if (is_for_another (&worker->reservation[i], stage)
+        && worker->reservation[i].at_ms <= at_ms)
+      size = mux_size_add (size, worker->reservation[i].size);
+  return size;
+}
+
+/* A task of @stage that starts now will have ended by then. */
+static bool
+ends_by (const MuxCell *cell, const CellStage *stage, int64_t at_ms)
+{
+  int64_t takes_ms = (int64_t) stage->spec->estimate_ms
+                     * (PERCENT + OVERRUN_PERCENT) / PERCENT;
+
+  return cell->time.now_ms + takes_ms <= at_ms;
+}
+
+/* Urgent tasks can't wait, and go to other workers first.  One that is to last
+ * is owed its room as long as it is away, and fits into a small part of it. */
+static bool
+passes_over (const CellStage *stage)
+{
+  return stage->job->spec->queue.priority == 0 || stage->spec->long_running;
+}
+
+/* How many of @tasks that have room there now leave each gang its own. */
+static uint32_t
+beside (const MuxCell *cell,
+        const CellStage *stage,
+        const CellWorker *worker,
+        uint32_t tasks)
+{
+  for (uint32_t i = 0; i < worker->reservation_count && tasks > 0; i++)
+    {
+      const CellReservation *reservation = &worker->reservation[i];
+      int64_t at_ms = reservation->at_ms;
+      MuxSize free;
+      uint32_t left;
+
+      if (!is_for_another (reservation, stage) || ends_by (cell, stage, at_ms))
+        continue;
+      free = cell_worker_free_at (cell, stage, worker, at_ms);
+      free = mux_size_sub (free,
+                           cell_reserved_for_others (stage, worker, at_ms));
+      left = cell_worker_holds (stage, free);
+      tasks = left < tasks ? left : tasks;
+    }
+  return tasks;
+}
+
+uint32_t
+cell_worker_spares (const MuxCell *cell,
+                    const CellStage *stage,
+                    const CellWorker *worker)
+{
+  uint32_t now
+      = cell_worker_holds (stage, cell_worker_free_for (stage, worker));
+
+  return passes_over (stage) ? now : beside (cell, stage, worker, now);
+}
+
+bool
+cell_delays_gang (const MuxCell *cell,
+                  const CellStage *stage,
+                  const CellWorker *worker)
+{
+  return beside (cell, stage, worker, 1) == 0;
 }
 
 void
@@ -45,18 +231,16 @@
 
   DL_FOREACH_SAFE2 (cell->kept, worker, next, kept_next)
   {
-    if (worker->reserved == stage)
-      worker->reserved = NULL;
-    if (worker->last_reserved == stage)
-      worker->last_reserved = NULL;
-    update (cell, worker);
+    CellReservation *reservation = find (worker, stage);
+
+    if (reservation != NULL)
+      drop (cell, worker, reservation);
   }
 }
 
 void
 cell_reservation_forget (MuxCell *cell, CellWorker *worker)
 {
-  worker->reserved = NULL;
-  worker->last_reserved = NULL;
+  worker->reservation_count = 0;
   update (cell, worker);
 }
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -29,7 +29,7 @@
   uint32_t unheard;  /* workers of a former planner not heard from */
   uint32_t unusable; /* lost, leaving or not in the roster yet */
   uint32_t avoided;  /* after failures or a refused start */
-  uint32_t kept;     /* kept free for another gang */
+  uint32_t kept;     /* a task there would delay another gang */
   uint32_t held;     /* part of it held for another gang's start */
   uint32_t unasked;  /* the policy service was not asked about them */
   uint32_t room;     /* free now, approved or not */
@@ -46,9 +46,10 @@
 {
   const CellApproval *approval = cell_approval (stage, worker);
   bool needed = stage->job->spec->queue.approval.needed;
-  uint32_t now = cell_stage_bounded (
-      stage, cell_worker_holds (stage, cell_worker_free_for (stage, worker)));
+  uint32_t now
+      = cell_stage_bounded (stage, cell_worker_spares (cell, stage, worker));
 
+  lack->kept += cell_delays_gang (cell, stage, worker);
   lack->held += worker->hold_count > 0 && cell_held (stage, worker) == 0;
   lack->unasked += needed && (approval == NULL || !approval->asked);
   lack->room += now;
@@ -77,8 +78,6 @@
       lack.avoided++;
     else if (!cell_worker_usable (cell, worker))
       lack.unusable++;
-    else if (worker->reserved != NULL && worker->reserved != stage)
-      lack.kept++;
     else
       add_usable (cell, stage, worker, &lack);
   }
