report, test: conversions and a check that the linters ask for

The percentage in time is worked out in 64 bits, and the test world looks at a job once before it uses it.

--- a/src/cli/report_by_size.c
+++ b/src/cli/report_by_size.c
@@ -191,15 +191,15 @@
 {
   json_int_t jobs = sums->jobs;
   json_int_t placed = sums->placed > 0 ? sums->placed : 1;
-  json_t *row = json_pack ("{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
-                           "queue", queue, "size", size, "jobs", jobs,
-                           "in_time_percent", sums->in_time * PERCENT / jobs,
-                           "never_placed", jobs - sums->placed, "questions",
-                           (json_int_t) sums->questions, "asking_ms",
-                           (json_int_t) sums->asked_ms / jobs, "names",
-                           (json_int_t) sums->names / jobs, "approved",
-                           (json_int_t) sums->approved / jobs, "used",
-                           (json_int_t) sums->used / placed);
+  json_t *row = json_pack (
+      "{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queue", queue,
+      "size", size, "jobs", jobs, "in_time_percent",
+      (json_int_t) sums->in_time * PERCENT / jobs, "never_placed",
+      jobs - sums->placed, "questions", (json_int_t) sums->questions,
+      "asking_ms", (json_int_t) sums->asked_ms / jobs, "names",
+      (json_int_t) sums->names / jobs, "approved",
+      (json_int_t) sums->approved / jobs, "used",
+      (json_int_t) sums->used / placed);
 
   for (uint32_t i = 0; i < LACK_COUNT; i++)
     (void) json_object_set_new (
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -324,11 +324,16 @@
 approval_ms (const World *world, const MuxCellCall *call)
 {
   WorldJob *job = job_of (world, call->task.job);
-  bool own = world->times_by_job && job != NULL;
-  int64_t base_ms = own ? job->approval_ms : world->approval_ms;
-  uint32_t each_us = own ? job->approval_us : world->approval_us;
-  int64_t took_ms = base_ms + call->candidate_count * each_us / 1000;
+  int64_t base_ms = world->approval_ms;
+  uint32_t each_us = world->approval_us;
+  int64_t took_ms;
 
+  if (job != NULL && world->times_by_job)
+    {
+      base_ms = job->approval_ms;
+      each_us = job->approval_us;
+    }
+  took_ms = base_ms + call->candidate_count * each_us / 1000;
   if (job != NULL)
     job->asked_ms += took_ms;
   return took_ms;
