--- a/src/cell/gather.c
+++ b/src/cell/gather.c
@@ -86,7 +86,7 @@
   int64_t at_ms = gaps->gap[count - 1].at_ms;
   uint32_t left = stage->spec->count;
 
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < count && left > 0; i++)
     {
       const CellGap *gap = &gaps->gap[i];
       uint32_t take = gap->tasks < left ? gap->tasks : left;
