--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -352,7 +352,7 @@
                            uint32_t step,
                            int64_t began_ms);
 void cell_stage_free (MuxCell *cell, CellStage *stage);
-/** cell_stage_leave_plan() - and give up what is kept free for it */
+/** cell_stage_leave_plan() - and give up what is reserved for it */
 void cell_stage_leave_plan (MuxCell *cell, CellStage *stage);
 void cell_stage_update (MuxCell *cell, CellStage *stage);
 uint32_t cell_stage_waiting (const CellStage *stage);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -639,7 +639,7 @@
  * @is_fresh: no pass has looked at it since it became ready
  * @number: decides among stages that are equal in planning order
  * @ranked_until_ms: its rank changes then; INT64_MAX: never
- * @reserving: workers are kept free for it
+ * @reserving: room is reserved for it
  * @counted_ms: they were counted in the pass of that time
  * @sample_slot: where its next look at workers begins; 0: nowhere yet
  * @left: tasks not yet done
@@ -678,7 +678,7 @@
   CellNode urgent;
   CellNode ranked;
   bool reserving;
-  bool is_listed; /* among those that workers are kept free for */
+  bool is_listed; /* among those that room is reserved for */
   int64_t counted_ms;
   uint32_t sample_slot;
   uint64_t service;       /* hash of the pool that runs it */
@@ -941,9 +941,9 @@
   uint32_t hold_count; /* stages that hold some of it */
   uint32_t reservation_count;
   CellReservation reservation[CELL_RESERVATIONS_MAX];
-  bool is_kept; /* it has any: it is in the list of such */
-  CellWorker *kept_prev;
-  CellWorker *kept_next;
+  bool is_reserved; /* it has any: it is in the list of such */
+  CellWorker *reserved_prev;
+  CellWorker *reserved_next;
   CellMember *carrier;      /* daemon that calls it; NULL: to be chosen */
   int64_t carrier_until_ms; /* it is chosen anew after this */
   CellBooking *bookings;
@@ -1186,7 +1186,7 @@
   bool all_heard;          /* no worker of the roster is left to be heard */
   uint32_t worker_turn;    /* slot that the next look at workers begins with */
   int64_t worker_turn_ms;  /* when the last one was */
-  CellWorker *kept;        /* that are kept free for gangs */
+  CellWorker *reserved;    /* with room reserved for gangs */
   CellMember *members;
   CellMember *free_members;  /* that work on no approval question */
   int64_t askers_counted_ms; /* when the next two were counted */
@@ -1195,7 +1195,7 @@
   CellQuestion *questions;
   CellOrder order;
   uint32_t late_reservations; /* left to late gangs in this pass */
-  CellStage *reserving;       /* stages that workers are kept free for */
+  CellStage *reserving;       /* stages that room is reserved for */
   uint32_t looks;             /* workers looked at in this pass */
   uint32_t idle_looks;        /* for stages that still wait, the same */
   uint32_t steps_looked;      /* waiting steps, the same */
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -29,7 +29,7 @@
   bool yes;
   bool proven;
   bool near;     /* proven once its approval is recorded */
-  bool kept;     /* it was kept free for the gang in the pass before */
+  bool reserved; /* for the gang, in this pass or the one before */
   uint64_t turn; /* decides among workers that are alike */
 } Place;
 
@@ -49,7 +49,7 @@
   p->worker = worker;
   p->asked = approval != NULL && approval->asked;
   p->now = cell_stage_bounded (stage, cell_worker_spares (cell, stage, worker));
-  p->kept = cell_was_reserved (stage, worker);
+  p->reserved = cell_was_reserved (stage, worker);
   p->turn = cell_worker_turn (hash, worker);
   p->ever = cell_stage_bounded (
       stage, cell_worker_holds (stage, cell_room_ever (worker)));
@@ -81,12 +81,12 @@
 
 /* The others matter for a question alone. */
 static uint32_t
-collect_kept (MuxCell *cell, CellStage *stage, uint64_t hash, Place *place)
+collect_reserved (MuxCell *cell, CellStage *stage, uint64_t hash, Place *place)
 {
   CellWorker *worker;
   uint32_t n = 0;
 
-  DL_FOREACH2 (cell->kept, worker, kept_next)
+  DL_FOREACH2 (cell->reserved, worker, reserved_next)
   if (cell_was_reserved (stage, worker))
     n += look_at (cell, stage, worker, NULL, hash, &place[n]);
   return n;
@@ -129,14 +129,14 @@
   bool needed = stage->job->spec->queue.approval.needed;
   uint64_t hash = mux_hash_name (stage->job->id, stage->step);
   uint32_t n = needed ? collect_approved (cell, stage, hash, place)
-                      : collect_kept (cell, stage, hash, place);
+                      : collect_reserved (cell, stage, hash, place);
 
   if (may_ask || !needed)
     n += collect_sample (cell, stage, hash, &place[n]);
   return n;
 }
 
-/* Those kept free so far first, else the gang would change its mind in each
+/* Those reserved so far first, else the gang would change its mind in each
  * pass and none would ever be free; then the roomiest: fewest workers. */
 static int
 by_room (const void *x, const void *y)
@@ -146,8 +146,8 @@
 
   if (a->yes != b->yes)
     return a->yes ? -1 : 1;
-  if (a->kept != b->kept)
-    return a->kept ? -1 : 1;
+  if (a->reserved != b->reserved)
+    return a->reserved ? -1 : 1;
   if (a->now != b->now)
     return a->now > b->now ? -1 : 1;
   return a->turn < b->turn ? -1 : 1;
@@ -494,10 +494,10 @@
 places_max (const MuxCell *cell, const CellStage *stage)
 {
   const CellWorker *worker;
-  size_t kept = 0;
+  size_t reserved = 0;
 
-  DL_COUNT2 (cell->kept, worker, kept, kept_next);
-  return cell_sample_max (cell) + stage->approval_count + kept + 1;
+  DL_COUNT2 (cell->reserved, worker, reserved, reserved_next);
+  return cell_sample_max (cell) + stage->approval_count + reserved + 1;
 }
 
 /* What is reserved for a gang stays so while it asks; what is held for it takes
--- a/src/cell/load_line.c
+++ b/src/cell/load_line.c
@@ -15,7 +15,7 @@
   uint64_t all;
   uint64_t booked;
   uint64_t held;      /* for gangs about to start, or gathering room */
-  uint64_t kept_idle; /* on workers that are kept free, beside the held */
+  uint64_t kept_idle; /* on workers with reservations, beside the held */
   uint32_t kept;      /* these workers */
 } Room;
 
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -25,7 +25,7 @@
 /* Between two passes, for so many looks that started nothing: what waits takes
  * no more than this of the planner's processor from what can start. */
 #define IDLE_LOOKS_PER_MS 500
-/* Gangs that workers are kept free for at once: so many, or one for so many
+/* Gangs that room is reserved for at once: so many, or one for so many
  * workers.  More of them would leave much of the cell idle while none of them
  * can start. */
 #define RESERVATIONS_LEAST 3
--- a/src/cell/reserve.c
+++ b/src/cell/reserve.c
@@ -15,15 +15,15 @@
 static void
 update (MuxCell *cell, CellWorker *worker)
 {
-  bool is_kept = worker->reservation_count > 0;
+  bool is_reserved = worker->reservation_count > 0;
 
-  if (worker->is_kept == is_kept)
+  if (worker->is_reserved == is_reserved)
     return;
-  worker->is_kept = is_kept;
-  if (is_kept)
-    DL_APPEND2 (cell->kept, worker, kept_prev, kept_next);
+  worker->is_reserved = is_reserved;
+  if (is_reserved)
+    DL_APPEND2 (cell->reserved, worker, reserved_prev, reserved_next);
   else
-    DL_DELETE2 (cell->kept, worker, kept_prev, kept_next);
+    DL_DELETE2 (cell->reserved, worker, reserved_prev, reserved_next);
 }
 
 static CellReservation *
@@ -79,7 +79,7 @@
   CellWorker *worker;
   CellWorker *next;
 
-  DL_FOREACH_SAFE2 (cell->kept, worker, next, kept_next)
+  DL_FOREACH_SAFE2 (cell->reserved, worker, next, reserved_next)
   for (uint32_t i = worker->reservation_count; i-- > 0;)
     {
       CellReservation *reservation = &worker->reservation[i];
@@ -100,7 +100,7 @@
 {
   CellWorker *worker;
 
-  DL_FOREACH2 (cell->kept, worker, kept_next)
+  DL_FOREACH2 (cell->reserved, worker, reserved_next)
   {
     CellReservation *reservation = find (worker, stage);
 
@@ -115,7 +115,7 @@
   CellWorker *worker;
   bool any = false;
 
-  DL_FOREACH2 (cell->kept, worker, kept_next)
+  DL_FOREACH2 (cell->reserved, worker, reserved_next)
   {
     CellReservation *reservation = find (worker, stage);
 
@@ -229,7 +229,7 @@
   CellWorker *worker;
   CellWorker *next;
 
-  DL_FOREACH_SAFE2 (cell->kept, worker, next, kept_next)
+  DL_FOREACH_SAFE2 (cell->reserved, worker, next, reserved_next)
   {
     CellReservation *reservation = find (worker, stage);
 
