--- a/src/cell/load_line.c
+++ b/src/cell/load_line.c
@@ -1,20 +1,19 @@
 #include "cell_private.h"
 
-#include <string.h>
-
 /*
  * Tells each second what the planner's two scarce resources are used for: the
  * daemons that ask the policy service, and room that is kept for gangs.
  */
 
 #define LINE_MS 1000
+#define MILLI 1000
 
 /* The cell's processors, in thousandths. */
 typedef struct
 {
   uint64_t all;
   uint64_t booked;
-  uint64_t held;      /* for gangs about to start, or gathering room */
+  uint64_t held;      /* for gangs about to start */
   uint64_t kept_idle; /* on workers with reservations, beside the held */
   uint32_t kept;      /* these workers */
 } Room;
@@ -58,7 +57,6 @@
   (void) json_object_set_new (counts, name, json_integer (count + 1));
 }
 
-/* Of questions about steps that stand in the plan. */
 static void
 tell (MuxCell *cell, const Room *room)
 {
@@ -84,10 +82,10 @@
             "{s:i, s:i, s:o, s:o, s:I, s:I, s:I, s:I, s:i}", "askers",
             (int) cell_askers (cell), "asking",
             (int) HASH_COUNT (cell->questions), "asking_for", queues, "ranks",
-            ranks, "cores", (json_int_t) (room->all / 1000), "booked",
-            (json_int_t) (room->booked / 1000), "held",
-            (json_int_t) (room->held / 1000), "kept_idle",
-            (json_int_t) (room->kept_idle / 1000), "kept", (int) room->kept);
+            ranks, "cores", (json_int_t) (room->all / MILLI), "booked",
+            (json_int_t) (room->booked / MILLI), "held",
+            (json_int_t) (room->held / MILLI), "kept_idle",
+            (json_int_t) (room->kept_idle / MILLI), "kept", (int) room->kept);
 }
 
 void
