cell: ask nothing about gangs that need no approval

A gang of a queue without a policy asked the policy service, if it lacked room: whether its queue asks at all was looked at for proofs alone. It then waited for that answer, and where no service is named for its loss. test_gang_without_approval_asks_nobody fails on the code before.

--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -430,9 +430,10 @@
 what_lacks (const CellStage *stage, const Room *room)
 {
   uint32_t need = stage->spec->count;
+  bool asks = stage->job->spec->queue.approval.needed
+              && (room->yes_now >= need || room->yes_ever < need);
 
-  return room->yes_now >= need || room->yes_ever < need ? CELL_LACKS_ASKER
-                                                        : CELL_LACKS_ROOM;
+  return asks ? CELL_LACKS_ASKER : CELL_LACKS_ROOM;
 }
 
 /* What is left to gangs of its rank, of @reservations of those in time. */
@@ -516,6 +517,7 @@
 void
 cell_place_gang (MuxCell *cell, CellStage *stage, uint32_t *reservations)
 {
+  bool needed = stage->job->spec->queue.approval.needed;
   Place *place;
   uint32_t count;
   bool may_ask;
@@ -527,12 +529,12 @@
     }
   if (!cell_gang_may_start (cell, stage))
     return;
-  if (stage->job->spec->queue.approval.needed)
+  if (needed)
     cell_approvals_take_former (cell, stage);
   place = calloc (places_max (cell, stage), sizeof *place);
   if (place == NULL)
     return;
-  may_ask = cell_can_ask (cell, stage, CANDIDATES_MAX);
+  may_ask = needed && cell_can_ask (cell, stage, CANDIDATES_MAX);
   count = collect (cell, stage, may_ask, place);
   if (stage->spec->rack_sensitive)
     keep_to_one_rack (stage, place, count);
--- a/src/cell/gather.c
+++ b/src/cell/gather.c
@@ -131,12 +131,13 @@
 
   cell_reservations_drop (cell, stage);
   gaps = gaps_of (cell, stage, worker, count);
+  cell->looks += gaps.count;
   first = gaps.gap != NULL ? first_that_hold (&gaps, stage->spec->count) : 0;
   if (first > 0)
     {
       stage->reserving = true;
       reserve (cell, stage, &gaps, first);
-      if (may_ask && stage->job->spec->queue.approval.needed)
+      if (may_ask)
         ask_for_proofs (cell, stage, &gaps, gaps.gap[first - 1].at_ms);
     }
   free (gaps.gap);
--- a/test/unit/test_cell_reserve.c
+++ b/test/unit/test_cell_reserve.c
@@ -169,6 +169,26 @@
   world_free (world);
 }
 
+/* A gang that needs no approval waits for answers to questions about it. */
+static void
+test_gang_without_approval_asks_nobody (void **state)
+{
+  static const Work gang = { "gang", 1, 6, GANG_CPU_MILLI, 1000, true };
+  World *world = new_world (gang.tasks);
+  uint64_t questions;
+
+  (void) state;
+  fill (world, gang.tasks);
+  world_approve_unasked (world);
+  questions = mux_counter_value (world->counters, MUX_COUNT_APPROVALS);
+  submit (world, &gang);
+  world_run (world, 2 * FILL_MS);
+  assert_int_equal (started (world, "gang"), gang.tasks);
+  assert_int_equal (mux_counter_value (world->counters, MUX_COUNT_APPROVALS),
+                    questions);
+  world_free (world);
+}
+
 /* Each planner asks anew which workers may run a gang that waits. */
 static void
 test_next_planner_asks_for_proofs_alone (void **state)
@@ -200,6 +220,7 @@
     cmocka_unit_test (test_gang_keeps_its_room_while_it_asks),
     cmocka_unit_test (test_short_tasks_run_where_a_gang_will),
     cmocka_unit_test (test_late_gang_gets_room_among_patient_tasks),
+    cmocka_unit_test (test_gang_without_approval_asks_nobody),
     cmocka_unit_test (test_next_planner_asks_for_proofs_alone),
   };
 
