--- a/test/unit/test_cell_askers.c
+++ b/test/unit/test_cell_askers.c
@@ -22,13 +22,15 @@
 #define NAMES_MAX 100
 #define WIDTHS 10
 #define WIDEST 60
-#define CORES 4
+
+/* Sizes of tasks, by the number of their job. */
+#define SIZES 4
 
 /**
  * struct Queue - what is handed in
- * @cores: thousandths of a processor of a task, of which a worker has 32,000
  * @ask_ms: an answer of the policy service takes this,
  * @ask_us: and this for each worker named
+ * @cpu_milli: of a task; a worker has 32,000
  */
 typedef struct
 {
@@ -39,24 +41,50 @@
   uint32_t task_ms;
   uint32_t ask_ms;
   uint32_t ask_us;
-  uint32_t cores[CORES];
+  uint32_t cpu_milli[SIZES];
 } Queue;
 
+#define GANG_EACH_MS 145
+#define GANG_TASK_MS 4000
+#define GANG_ASK_MS 62
+#define GANG_ASK_US 900
+#define GANGS (LOAD_MS / GANG_EACH_MS + 1)
+
 /* Half of the workers, and 2.1 of the three daemons with two questions of 100
  * names for each. */
 static const Queue gang = {
-  "gang", 1, 2200, 145, 4000, 62, 900, { 6000, 9000, 12000, 15000 },
+  .name = "gang",
+  .priority = 1,
+  .slack_milli = 2200,
+  .each_ms = GANG_EACH_MS,
+  .task_ms = GANG_TASK_MS,
+  .ask_ms = GANG_ASK_MS,
+  .ask_us = GANG_ASK_US,
+  .cpu_milli = { 6000, 9000, 12000, 15000 },
 };
 /* A third of the workers, half a daemon with a question of 36 names. */
 static const Queue patient = {
-  "patient", 2, 4000, 78, 3400, 22, 330, { 2500, 3500, 3500, 4500 },
+  .name = "patient",
+  .priority = 2,
+  .slack_milli = 4000,
+  .each_ms = 78,
+  .task_ms = 3400,
+  .ask_ms = 22,
+  .ask_us = 330,
+  .cpu_milli = { 2500, 3500, 3500, 4500 },
 };
 /* An eighth of the workers. */
 static const Queue urgent = {
-  "urgent", 0, 1500, 28, 640, 1, 20, { 4000, 5000, 5000, 6000 },
+  .name = "urgent",
+  .priority = 0,
+  .slack_milli = 1500,
+  .each_ms = 28,
+  .task_ms = 640,
+  .ask_ms = 1,
+  .ask_us = 20,
+  .cpu_milli = { 4000, 5000, 5000, 6000 },
 };
 
-#define GANGS (LOAD_MS / 145 + 1)
 #define PATIENT_TASKS 25
 #define URGENT_TASKS 12
 /* The widest tenth are those of one width. */
@@ -65,10 +93,11 @@
 
 /* What the queue promises: 2.2 times a run with a question about 30 workers,
  * and a second. */
-#define PROMISED_MS (22 * (4000 + 62 + 27) / 10 + 1000)
+#define PROMISED_MS \
+  (22 * (GANG_TASK_MS + GANG_ASK_MS + 30 * GANG_ASK_US / 1000) / 10 + 1000)
 /* Two full questions learn of 66 workers that may run it, and one renews the
  * proofs of those that it takes. */
-#define WIDEST_ASKED_MS (3 * (62 + NAMES_MAX * 900 / 1000))
+#define WIDEST_ASKED_MS (3 * (GANG_ASK_MS + NAMES_MAX * GANG_ASK_US / 1000))
 
 typedef struct
 {
@@ -93,7 +122,8 @@
 static void
 submit (World *world, const Queue *queue, uint32_t number, uint32_t tasks)
 {
-  MuxJobSpec *job = world_job (1, tasks, queue->cores[number / WIDTHS % CORES]);
+  MuxJobSpec *job
+      = world_job (1, tasks, queue->cpu_milli[number / WIDTHS % SIZES]);
   char id[MUX_JOB_ID_LEN];
 
   snprintf (id, sizeof id, "%s-%u", queue->name, number);
