cell, test: one piece of code for what stood twice

Read again as a newcomer would: what a question takes had a wrapper around itself; what is reserved for others was summed for each gap of a worker, though it is the same for all of them, in the planner's pass; that a step is late was written in two files; the two tests of gangs each counted the runs that ended well by a moment (`world_done_by`).

--- a/src/cell/approve.c
+++ b/src/cell/approve.c
@@ -260,24 +260,18 @@
   free (question);
 }
 
-static uint32_t
-cost_ms_of (const CellStage *stage, uint32_t count)
+uint32_t
+cell_question_ms (const CellStage *stage, uint32_t count)
 {
   const MuxApprovalSpec *spec = &stage->job->spec->queue.approval;
 
   return (spec->base_us + count * spec->per_worker_us) / US_PER_MS + 1;
 }
 
-int64_t
-cell_question_ms (const CellStage *stage, uint32_t count)
-{
-  return cost_ms_of (stage, count);
-}
-
 bool
 cell_question_is_short (const CellStage *stage, uint32_t count)
 {
-  return cost_ms_of (stage, count) <= LONG_MS;
+  return cell_question_ms (stage, count) <= LONG_MS;
 }
 
 /*
@@ -302,7 +296,7 @@
                      uint32_t count)
 {
   int64_t answered_ms
-      = cell->time.now_ms + cost_ms_of (stage, count) + OVERDUE_MS;
+      = cell->time.now_ms + cell_question_ms (stage, count) + OVERDUE_MS;
 
   return cell_approval_proof (cell, stage, worker) != NULL
          && answered_ms
@@ -313,7 +307,8 @@
 cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count)
 {
   return !stage->asking && cell->time.now_ms >= stage->ask_after_ms
-         && choose_member (cell, cost_ms_of (stage, count) > LONG_MS) != NULL;
+         && choose_member (cell, cell_question_ms (stage, count) > LONG_MS)
+                != NULL;
 }
 
 bool
@@ -322,7 +317,7 @@
                    CellWorker *const *candidates,
                    uint32_t count)
 {
-  uint32_t cost_ms = cost_ms_of (stage, count);
+  uint32_t cost_ms = cell_question_ms (stage, count);
   uint32_t timeout_ms = cost_ms + overdue_ms_of (stage);
   CellMember *member = choose_member (cell, cost_ms > LONG_MS);
   CellQuestion *question;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -682,7 +682,7 @@
 /** cell_askers() - daemons that were heard lately, busy or not */
 uint32_t cell_askers (MuxCell *cell);
 /** cell_question_ms() - what a question about @count workers takes */
-int64_t cell_question_ms (const CellStage *stage, uint32_t count);
+uint32_t cell_question_ms (const CellStage *stage, uint32_t count);
 /** cell_can_ask() - some daemon is free to ask about @count workers */
 bool cell_can_ask (MuxCell *cell, const CellStage *stage, uint32_t count);
 bool cell_approval_ask (MuxCell *cell,
@@ -753,6 +753,8 @@
 /** cell_stage_ranked_until() - when that rank changes; INT64_MAX: never */
 int64_t cell_stage_ranked_until (const CellStage *stage, int64_t now_ms);
 /** cell_stage_order() - negative: @a goes first; of steps that were ranked */
+/** cell_stage_is_late() - it goes behind all that is in time */
+bool cell_stage_is_late (const CellStage *stage);
 int cell_stage_order (const CellStage *a, const CellStage *b);
 
 /* tree.c: sets in order */
--- a/src/cell/forecast.c
+++ b/src/cell/forecast.c
@@ -83,12 +83,10 @@
   return n;
 }
 
-/* Members that fit into @free, beside what is reserved for other gangs. */
+/* Members that fit into @free beside what is @reserved. */
 static uint32_t
-holds_beside (const CellStage *stage, const CellWorker *worker, MuxSize free)
+holds_beside (const CellStage *stage, MuxSize free, MuxSize reserved)
 {
-  MuxSize reserved = cell_reserved_for_others (stage, worker, INT64_MAX);
-
   return cell_stage_bounded (
       stage, cell_worker_holds (stage, mux_size_sub (free, reserved)));
 }
@@ -100,8 +98,9 @@
                   CellGap *gap,
                   uint32_t gap_max)
 {
+  MuxSize reserved = cell_reserved_for_others (stage, worker, INT64_MAX);
   MuxSize free = cell_worker_free_for (stage, worker);
-  uint32_t tasks = holds_beside (stage, worker, free);
+  uint32_t tasks = holds_beside (stage, free, reserved);
   uint32_t n = 0;
   End end[ENDS_MAX];
   uint32_t count = ends_of (cell, worker, end);
@@ -113,7 +112,7 @@
       uint32_t more;
 
       free = mux_size_add (free, end[i].size);
-      more = holds_beside (stage, worker, free);
+      more = holds_beside (stage, free, reserved);
       if (more <= tasks)
         continue;
       gap[n++] = (CellGap){ worker, cell->time.now_ms + end[i].left_ms,
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -440,8 +440,7 @@
 static uint32_t *
 reservations_of (MuxCell *cell, const CellStage *stage, uint32_t *reservations)
 {
-  return stage->rank > CELL_RANK_IN_TIME ? &cell->late_reservations
-                                         : reservations;
+  return cell_stage_is_late (stage) ? &cell->late_reservations : reservations;
 }
 
 static void
--- a/src/cell/rank.c
+++ b/src/cell/rank.c
@@ -66,3 +66,9 @@
     return a->latest_ms < b->latest_ms ? -1 : 1;
   return 0;
 }
+
+bool
+cell_stage_is_late (const CellStage *stage)
+{
+  return stage->rank > CELL_RANK_IN_TIME;
+}
--- a/src/cell/reserve.c
+++ b/src/cell/reserve.c
@@ -42,13 +42,6 @@
   update (cell, worker);
 }
 
-/* It goes behind all that is in time, which would take its room each time. */
-static bool
-is_late (const CellStage *stage)
-{
-  return stage->rank > CELL_RANK_IN_TIME;
-}
-
 bool
 cell_reserve (MuxCell *cell,
               CellStage *stage,
@@ -88,7 +81,7 @@
         continue;
       if (reservation->is_old)
         drop (cell, worker, reservation);
-      else if (is_late (reservation->stage) && !reservation->stands)
+      else if (cell_stage_is_late (reservation->stage) && !reservation->stands)
         reservation->stands = true;
       else
         reservation->is_old = true;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -339,6 +339,19 @@
   return took_ms;
 }
 
+uint32_t
+world_done_by (const World *world, const char *id, int64_t at_ms)
+{
+  uint32_t done = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    done += strcmp (world->start[i].task.job, id) == 0
+            && world->start[i].end == MUX_RUN_DONE
+            && world->start[i].ended_ms != 0
+            && world->start[i].ended_ms <= at_ms;
+  return done;
+}
+
 int64_t
 world_task_ms (const World *world, const MuxTaskRef *task)
 {
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -365,6 +365,8 @@
                     const char *part,
                     const char *key,
                     const MuxWorkerInfo *info);
+/** world_done_by() - runs of the job that ended well by @at_ms */
+uint32_t world_done_by (const World *world, const char *id, int64_t at_ms);
 /** world_asked_ms() - time of the policy service that a job's questions took */
 int64_t world_asked_ms (const World *world, const char *id);
 /** world_logged() - how often the cells logged @event */
--- a/test/unit/test_cell_askers.c
+++ b/test/unit/test_cell_askers.c
@@ -4,12 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
-/*
- * Gangs of many widths beside urgent and patient tasks, with room for all, and
- * with questions to the policy service that nearly take up the daemons: two of
- * them for each gang, with all that the service takes at once, are nine tenths
- * of their time.
- */
+/* Gangs of many widths beside urgent and patient tasks; two full questions for
+ * each gang, and the others', are nine tenths of the daemons' time. */
 
 #define CELLS 3
 #define WORKERS 350
@@ -180,19 +176,6 @@
   return load;
 }
 
-static uint32_t
-done_by (const World *world, const char *id, int64_t at_ms)
-{
-  uint32_t done = 0;
-
-  for (uint32_t i = 0; i < world->start_count; i++)
-    done += strcmp (world->start[i].task.job, id) == 0
-            && world->start[i].end == MUX_RUN_DONE
-            && world->start[i].ended_ms != 0
-            && world->start[i].ended_ms <= at_ms;
-  return done;
-}
-
 /* Of gangs of @least tasks and more. */
 static Served
 served_of (const Load *load, uint32_t least)
@@ -209,7 +192,8 @@
       snprintf (id, sizeof id, "gang-%u", i);
       served.all++;
       served.in_time
-          += done_by (load->world, id, load->sent_ms[i] + PROMISED_MS) == tasks;
+          += world_done_by (load->world, id, load->sent_ms[i] + PROMISED_MS)
+             == tasks;
       served.asked_ms += world_asked_ms (load->world, id);
     }
   return served;
--- a/test/unit/test_cell_wide_gangs.c
+++ b/test/unit/test_cell_wide_gangs.c
@@ -123,19 +123,6 @@
   return load;
 }
 
-static uint32_t
-done_by (const World *world, const char *id, int64_t at_ms)
-{
-  uint32_t done = 0;
-
-  for (uint32_t i = 0; i < world->start_count; i++)
-    done += strcmp (world->start[i].task.job, id) == 0
-            && world->start[i].end == MUX_RUN_DONE
-            && world->start[i].ended_ms != 0
-            && world->start[i].ended_ms <= at_ms;
-  return done;
-}
-
 /* Of gangs of @least tasks and more. */
 static Share
 share_of (const Load *load, uint32_t least)
@@ -152,7 +139,8 @@
       snprintf (id, sizeof id, "gang-%u", i);
       share.all++;
       share.in_time
-          += done_by (load->world, id, load->sent_ms[i] + PROMISED_MS) == tasks;
+          += world_done_by (load->world, id, load->sent_ms[i] + PROMISED_MS)
+             == tasks;
     }
   return share;
 }
