cell, platform: serve callers by keys of workspaces, revoke keys strictly

Callers of the shifted deployment show a key of a workspace.

Each call of a route that is not public needs a key; a job's row, and the row of its end, name its workspace, and another workspace is told of no such job, or that the id is taken.

Strict revocation: a key counts only while the configuration is proved to be the newest. The proof is the moment at which the store was sent the call that showed it, on the steady clock; its age is looked at after the caller's whole question was read. Ruled out: the configuration as a condition of the commit (a transaction of this store is of one part, and the jobs' parts are others); taking the moment of the answer (it may be long after the store looked).

--- a/include/base/reason.h
+++ b/include/base/reason.h
@@ -48,6 +48,11 @@
   X (WORKER_UNREACHED, "worker_unreached", 503, "no connection to worker")   \
   X (PEER_SILENT, "peer_silent", 503, "the peer did not answer")             \
   X (WRITE_UNKNOWN, "write_unknown", 503, "the answer of a write was lost")  \
+  X (NO_KEY, "no_key", 401, "no key is shown, or one of no workspace")       \
+  X (KEY_UNPROVEN, "key_unproven", 503,                                      \
+     "it can't be proved here that keys still hold")                         \
+  X (OTHER_WORKSPACE, "other_workspace", 409,                                \
+     "the id is that of another workspace's job")                            \
   X (KEY_IN_USE, "key_in_use", 409, "the same key is being handled")         \
   X (INTERNAL, "internal", 500, "out of memory or a broken invariant")
 
--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -46,6 +46,9 @@
  * @strength_milli: share of a processor, in thousandths: the strongest plans
  * @dead_ms: silence of the planner after which another daemon claims
  * @ended_keep_s: how long the state of an ended job can be asked for, at least
+ * @revoke_timeout_ms: no key is taken any more so long after its removal from
+ *   the configuration, whatever this daemon hears of it; 0: as soon as it does
+ * @quota_overrun_milli: thousandths of a quota that may be held beyond it
  * @unread_max: jobs whose row can't be read that are remembered; 0: as many as
  *   usual
  */
@@ -62,6 +65,8 @@
   uint32_t dead_ms;
   uint32_t strength_milli;
   uint32_t ended_keep_s;
+  uint32_t revoke_timeout_ms;
+  uint32_t quota_overrun_milli;
   uint32_t unread_max;
 } MuxCellOptions;
 
--- a/include/model/job.h
+++ b/include/model/job.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/id.h"
 #include "model/spec.h"
+#include "model/workspace.h"
 
 #include <jansson.h>
 #include <stdbool.h>
@@ -11,9 +12,9 @@
 
 /* Bytes of a job's id with its closing NUL. */
 #define MUX_JOB_ID_LEN 33
-/* Most steps of a job: a step names the earlier ones in a 64-bit set. */
 /* Workers that a stored step names. */
 #define MUX_STEP_NAMED_MAX 100
+/* Most steps of a job: a step names the earlier ones in a 64-bit set. */
 #define MUX_STEPS_MAX 64
 /* Most tasks of one step; over it a single job could fill the daemon's
  * memory.  Far above the widest step of the size to design for. */
@@ -51,6 +52,7 @@
  * @slack_milli: promised time as a multiple of the job's longest chain of
  *   work, in thousandths
  * @target_ms: added to that
+ * @is_public: its callers need no key
  * @approval: see struct MuxApprovalSpec
  */
 typedef struct
@@ -63,18 +65,21 @@
   uint32_t attempts_max;
   uint32_t slack_milli;
   uint32_t target_ms;
+  bool is_public;
   MuxApprovalSpec approval;
 } MuxQueueSpec;
 
 /**
  * struct MuxQueueConfig - the queues in force; one version is never changed
  * @version: grows with each change
+ * @workspaces: whose keys callers show; owned; NULL: no caller needs a key
  * @count: used entries
  * @item: the queues
  */
 typedef struct
 {
   uint64_t version;
+  MuxWorkspaces *workspaces;
   uint32_t count;
   MuxQueueSpec item[];
 } MuxQueueConfig;
@@ -126,6 +131,7 @@
 /**
  * struct MuxJobSpec - a job as accepted
  * @id: chosen by the caller; one id, one job
+ * @workspace: whose it is; "": it was accepted without a key
  * @queue: the queue as it was when the job was accepted
  * @payload: handed to every task; owned
  * @accepted_wall_ms: time of day at acceptance
@@ -139,6 +145,7 @@
 typedef struct
 {
   char id[MUX_JOB_ID_LEN];
+  char workspace[MUX_NAME_LEN];
   MuxQueueSpec queue;
   char *payload;
   int64_t accepted_wall_ms;
@@ -180,6 +187,11 @@
 json_t *mux_job_to_json (const MuxJobSpec *job);
 /** mux_job_from_json() - NULL with @findings when it is no stored job */
 MuxJobSpec *mux_job_from_json (const json_t *json, MuxFindings *findings);
+/** mux_queue_config_new() - with room for so many queues, zeroed
+ * Return: NULL when memory is out; so does mux_queue_config_copy(). */
+MuxQueueConfig *mux_queue_config_new (uint32_t count);
+MuxQueueConfig *mux_queue_config_copy (const MuxQueueConfig *from);
+void mux_queue_config_free (MuxQueueConfig *config);
 /** mux_queue_find() - the queue of @host with the longest prefix of @path
  * @rest: receives what follows the prefix in @path
  * Return: NULL when there is none. */
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -335,6 +335,8 @@
  * @host: that the caller named
  * @path: with the queue's prefix and the job's id
  * @give_up_ms: how long the caller waits
+ * @has_key: it shows a key
+ * @key: digest of that
  * @job: SUBMIT: without id and queue; owned
  */
 typedef struct
@@ -344,6 +346,8 @@
   char host[128];
   char path[256];
   uint32_t give_up_ms;
+  bool has_key;
+  MuxKeyDigest key;
   MuxJobSpec *job;
 } MuxQuestion;
 
@@ -363,6 +367,9 @@
   MUX_OUTCOME_REFUSED,   /* without effect; come back after @retry_ms */
   MUX_OUTCOME_UNKNOWN,   /* it may have, or still get, effect */
   MUX_OUTCOME_BAD,       /* the question itself is wrong */
+  MUX_OUTCOME_NO_KEY,    /* the key that it shows, if any, is nobody's */
+  MUX_OUTCOME_TAKEN,     /* the id is that of another workspace's job */
+  MUX_OUTCOME_TOO_LARGE, /* its workspace's quota can never hold it */
 } MuxOutcome;
 
 /**
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -14,7 +14,6 @@
 static void
 config_row (MuxCell *cell, const MuxCellRow *row)
 {
-  size_t size;
   MuxQueueConfig *config;
 
   if (row->part[0] != 0 || row->removed
@@ -23,27 +22,32 @@
   if (row->config == NULL)
     {
       /* The one in force stays: callers of its queues are served on. */
+      cell->config_unread = true;
       cell_row_bad (cell, row,
                     row->wrong != NULL ? CELL_ROW_FIELD : CELL_ROW_VALUE,
                     row->wrong != NULL ? row->wrong : "value");
       return;
     }
+  cell->config_unread = false;
   if ((cell->config != NULL && row->config->version <= cell->config->version))
     return;
-  size = sizeof *config + row->config->count * sizeof config->item[0];
-  config = malloc (size);
+  config = mux_queue_config_copy (row->config);
   if (config == NULL)
     {
       cell_log (cell, "config_dropped", "{s:s}", "why", "memory is out");
+      cell->config_unread = true;
       return;
     }
-  memcpy (config, row->config, size);
-  free (cell->config);
+  mux_queue_config_free (cell->config);
   cell->config = config;
+  cell_workspaces_configure (cell);
   for (uint32_t i = 0; i < config->count; i++)
     cell_service_add (cell, config->item[i].service);
-  cell_log (cell, "config_in_force", "{s:I, s:i}", "version",
-            (json_int_t) config->version, "queues", (int) config->count);
+  cell_log (
+      cell, "config_in_force", "{s:I, s:i, s:i, s:i}", "version",
+      (json_int_t) config->version, "queues", (int) config->count, "workspaces",
+      config->workspaces != NULL ? (int) config->workspaces->count : 0, "keys",
+      config->workspaces != NULL ? (int) config->workspaces->key_count : 0);
 }
 
 static void
@@ -118,13 +122,15 @@
   cell_bad_rows_free (cell);
   mux_blob_unref (cell->admission_blob);
   free (cell->worker_at);
-  free (cell->config);
+  cell_workspaces_free (cell);
+  mux_queue_config_free (cell->config);
   free (cell);
 }
 
 static void
 submit (MuxCell *cell,
         MuxQuestion *question,
+        const CellCaller *caller,
         const MuxQueueSpec *queue,
         const char *id)
 {
@@ -132,10 +138,16 @@
 
   question->job->queue = *queue;
   snprintf (question->job->id, sizeof question->job->id, "%s", id);
-  if (mux_job_check (question->job, &findings))
-    cell_submit (cell, question);
-  else
+  (void) mux_name_copy (question->job->workspace, caller->workspace);
+  if (!mux_job_check (question->job, &findings))
     cell_answer (cell, question->call, MUX_OUTCOME_BAD);
+  else if (cell_quota_never_holds (cell, question->job))
+    {
+      mux_count_refused (cell->options.counters, MUX_REASON_QUOTA);
+      cell_answer (cell, question->call, MUX_OUTCOME_TOO_LARGE);
+    }
+  else
+    cell_submit (cell, question);
 }
 
 /*
@@ -151,27 +163,43 @@
              : MUX_OUTCOME_REFUSED;
 }
 
+static void
+answer_caller (MuxCell *cell,
+               MuxQuestion *question,
+               const CellCaller *caller,
+               const MuxQueueSpec *queue,
+               const char *id)
+{
+  if (question->verb == MUX_QUESTION_SUBMIT && question->job != NULL)
+    submit (cell, question, caller, queue, id);
+  else if (id[0] != 0 && !mux_job_id_valid (id))
+    cell_answer (cell, question->call, MUX_OUTCOME_ABSENT);
+  else if (id[0] == 0 && question->verb != MUX_QUESTION_STATE)
+    cell_answer (cell, question->call, MUX_OUTCOME_BAD);
+  else
+    cell_inquire (cell, question, caller, queue, id);
+}
+
 void
 mux_cell_question (MuxCell *cell, MuxCellTime time, MuxQuestion *question)
 {
   const MuxQueueSpec *queue = NULL;
   const char *id = NULL;
+  MuxOutcome outcome = MUX_OUTCOME_REFUSED;
+  CellCaller caller;
 
   cell_set_time (cell, time);
   if (cell->config != NULL)
-    queue = mux_queue_find (cell->config, question->host, question->path, &id);
-  if (cell->config == NULL)
-    cell_answer (cell, question->call, MUX_OUTCOME_REFUSED);
-  else if (queue == NULL)
-    cell_answer (cell, question->call, no_queue (cell));
-  else if (question->verb == MUX_QUESTION_SUBMIT && question->job != NULL)
-    submit (cell, question, queue, id);
-  else if (id[0] != 0 && !mux_job_id_valid (id))
-    cell_answer (cell, question->call, MUX_OUTCOME_ABSENT);
-  else if (id[0] == 0 && question->verb != MUX_QUESTION_STATE)
-    cell_answer (cell, question->call, MUX_OUTCOME_BAD);
+    {
+      queue
+          = mux_queue_find (cell->config, question->host, question->path, &id);
+      outcome = queue != NULL ? cell_authorize (cell, question, queue, &caller)
+                              : no_queue (cell);
+    }
+  if (outcome == MUX_OUTCOME_ACCEPTED)
+    answer_caller (cell, question, &caller, queue, id);
   else
-    cell_inquire (cell, question, queue, id);
+    cell_answer (cell, question->call, outcome);
   mux_question_free (question);
 }
 
@@ -218,6 +246,7 @@
     {
       cell->next_look_ms = cell->time.now_ms + LOOK_MS;
       cell_late_tick (cell);
+      cell_quota_tick (cell);
       cell_admission_tick (cell);
       cell_roster_tick (cell);
       cell_losses_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -143,6 +143,48 @@
 /** cell_planner_is_busy() - it lives, and does not answer for its load */
 bool cell_planner_is_busy (const MuxCell *cell);
 
+/* authorize.c: callers and their keys */
+/** cell_config_age_ms() - since the configuration was surely the newest one;
+ * INT64_MAX: it never was */
+int64_t cell_config_age_ms (const MuxCell *cell);
+/** cell_config_proved() - no newer one stood in the store then */
+void cell_config_proved (MuxCell *cell, int64_t at_ms);
+/** cell_authorize() - who asks, by the key
+ * Return: ACCEPTED: @caller is filled in; else the answer. */
+MuxOutcome cell_authorize (MuxCell *cell,
+                           const MuxQuestion *question,
+                           const MuxQueueSpec *queue,
+                           CellCaller *caller);
+/** cell_caller_may_know() - of jobs of @workspace; "": of none */
+bool cell_caller_may_know (const CellCaller *caller, const char *workspace);
+/** cell_row_is_of() - the row of a job, or of its end, is not another
+ * workspace's */
+bool cell_row_is_of (const MuxCellRow *row, const CellCaller *caller);
+
+/* quota.c: what workspaces have running */
+/** cell_workspace() - of that name, made where it is new
+ * Return: NULL for "", or when memory is out. */
+CellWorkspace *cell_workspace (MuxCell *cell, const char *name);
+/** cell_workspaces_configure() - as the configuration in force says */
+void cell_workspaces_configure (MuxCell *cell);
+void cell_workspaces_free (MuxCell *cell);
+/** cell_quota_take() - a run of the stage may hold room from now on */
+void cell_quota_take (const CellStage *stage);
+void cell_quota_give (const CellStage *stage);
+/** cell_quota_spares() - tasks of the stage that may start now beside what its
+ * workspace has running, or may have */
+uint32_t cell_quota_spares (const MuxCell *cell, const CellStage *stage);
+/** cell_quota_wait() - a gang has less than it needs: others of its workspace
+ * leave it what becomes free */
+void cell_quota_wait (const MuxCell *cell, const CellStage *stage);
+/** cell_quota_leave() - the stage waits no longer */
+void cell_quota_leave (const CellStage *stage);
+/** cell_quota_tick() - count what a former planner may have started */
+void cell_quota_tick (MuxCell *cell);
+/** cell_quota_never_holds() - a task of the job, or a gang, by the quota of the
+ * configuration in force */
+bool cell_quota_never_holds (const MuxCell *cell, const MuxJobSpec *spec);
+
 /* submit.c, inquiry.c: callers */
 void cell_submit (MuxCell *cell, MuxQuestion *question);
 /** cell_submission_queue() - takes @submission over */
@@ -159,6 +201,7 @@
 void cell_submit_free (MuxCell *cell);
 void cell_inquire (MuxCell *cell,
                    const MuxQuestion *question,
+                   const CellCaller *caller,
                    const MuxQueueSpec *queue,
                    const char *id);
 void cell_inquiry_tick (MuxCell *cell);
@@ -167,8 +210,11 @@
 void cell_answer (MuxCell *cell, uint64_t call, MuxOutcome outcome);
 void cell_answer_state (MuxCell *cell, uint64_t call, MuxJobState state);
 /** cell_state_of() - what the planner says of one of its jobs; false: nothing
- */
-bool cell_state_of (MuxCell *cell, const char *id, MuxJobState *state);
+ * to that caller */
+bool cell_state_of (MuxCell *cell,
+                    const CellCaller *caller,
+                    const char *id,
+                    MuxJobState *state);
 
 /* queue_count.c */
 /** cell_queue_update() - the job waits, or no longer; only of one in the table
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -4,6 +4,7 @@
 #include "cell/admission.h"
 #include "cell/cell.h"
 #include "cell/throttle.h"
+#include "workspace_types.h"
 
 #include <uthash.h>
 #include <utlist.h>
@@ -197,6 +198,7 @@
 /**
  * struct CellInquiry - a question about one job that needs several calls
  * @call: caller who waits
+ * @caller: jobs of others are not shown
  * @verb: state or cancel
  * @id: of the job; "": the queue's count of waiting jobs
  * @queue: name of the queue
@@ -208,6 +210,7 @@
 struct CellInquiry
 {
   uint64_t call;
+  CellCaller caller;
   MuxQuestionVerb verb;
   char id[MUX_JOB_ID_LEN];
   char queue[MUX_NAME_LEN];
@@ -604,6 +607,7 @@
   CELL_LACKS_PROOF,  /* proofs of approved workers are being renewed */
   CELL_LACKS_RECORD, /* the approvals are not stored yet */
   CELL_LACKS_ROOM,
+  CELL_LACKS_QUOTA, /* its workspace has as much running as it may */
   CELL_LACK_COUNT
 } CellLack;
 
@@ -749,6 +753,7 @@
 {
   char id[MUX_JOB_ID_LEN];
   MuxJobSpec *spec;
+  CellWorkspace *workspace; /* NULL: it has none */
   MuxBlob *payload;
   uint32_t part;
   uint64_t version;
@@ -837,6 +842,7 @@
 typedef struct
 {
   char id[MUX_JOB_ID_LEN];
+  char workspace[MUX_NAME_LEN];
   MuxJobState state;
   int64_t ended_ms;
   UT_hash_handle hh;
@@ -1098,6 +1104,9 @@
   CellPending *pending;
   CellFollow follow[FOLLOW_COUNT];
   MuxQueueConfig *config;
+  int64_t config_proved_ms; /* it was the newest then; 0: never */
+  bool config_unread;       /* a newer one can't be read */
+  CellWorkspace *workspaces;
   CellService *services;
   CellBadRow *bad_rows;
   CellPart part[CELL_PARTS];
@@ -1211,6 +1220,8 @@
   uint32_t unlooked; /* steps that wait and no pass has looked at yet */
   int64_t next_plan_ms;
   int64_t next_look_ms;
+  uint64_t quota_term;   /* in which the next was counted last */
+  MuxQuota unheard_room; /* of workers whose runs are not known yet */
   int64_t next_overdue_ms;
   int64_t next_loss_look_ms;
   uint32_t down_next; /* counts them */
--- a/src/cell/follow.c
+++ b/src/cell/follow.c
@@ -20,6 +20,9 @@
  * other when a change comes at the end of the first one's wait: twice WAIT_MS,
  * and the store's answers. */
 #define UNKNOWN_MS 3000
+/* An answer with more rows than this may have been cut short, so that it does
+ * not prove that nothing came after them. */
+#define WHOLE_ROWS 16
 /* Between two answers with changes, in ms: rows that come closely together then
  * share one call, which is paid for; it delays a change by half of it. */
 #define REST_MS 30
@@ -186,6 +189,18 @@
     note_loss (cell, follow, "silent");
 }
 
+/*
+ * All that is known of the configuration by now holds up to the moment at which
+ * the call was sent: when it was answered may be long after it was looked at.
+ */
+static void
+prove (MuxCell *cell, const CellFollow *follow, const MuxCellReply *reply)
+{
+  if (follow->table == MUX_TABLE_CONFIG && reply->row_count <= WHOLE_ROWS
+      && !reply->more && begins (follow))
+    cell_config_proved (cell, follow->sent_ms);
+}
+
 /* The version of a whole reading is that of its first page: what changed
  * while the others were read is then seen again, which does no harm. */
 static void
@@ -242,6 +257,7 @@
     }
   follow->next_ms = cell->time.now_ms
                     + (reply->row_count > 0 && follow->loaded ? REST_MS : 0);
+  prove (cell, follow, reply);
   if (reply->verb == MUX_CELL_SCAN)
     page_read (cell, follow, reply);
   else if (reply->version > follow->version)
--- a/src/cell/inquiry.c
+++ b/src/cell/inquiry.c
@@ -162,7 +162,7 @@
       return;
     }
   row = cell_reply_row (reply, inquiry->id);
-  if (row == NULL)
+  if (row == NULL || !cell_row_is_of (row, &inquiry->caller))
     {
       end_with (cell, inquiry, MUX_OUTCOME_ABSENT);
       return;
@@ -192,6 +192,11 @@
 
   snprintf (cancel, sizeof cancel, "%s" CANCEL_MARK, inquiry->id);
   cancelled = cell_reply_row (reply, cancel) != NULL;
+  if (!cell_row_is_of (&reply->row[0], &inquiry->caller))
+    {
+      end_with (cell, inquiry, MUX_OUTCOME_ABSENT);
+      return;
+    }
   if (inquiry->verb == MUX_QUESTION_STATE)
     {
       cell_answer_state (cell, inquiry->call, MUX_JOB_ACTIVE);
@@ -226,18 +231,30 @@
     }
 }
 
+static json_t *
+ask_json (const CellInquiry *inquiry)
+{
+  json_t *json;
+
+  if (inquiry->id[0] == 0)
+    return json_pack ("{s:s}", "queue", inquiry->queue);
+  json = json_pack ("{s:s}", "id", inquiry->id);
+  if (inquiry->caller.is_bound)
+    (void) json_object_set_new (json, "workspace",
+                                json_string (inquiry->caller.workspace));
+  return json;
+}
+
 static void
 ask_planner (MuxCell *cell, CellInquiry *inquiry)
 {
   MuxPeerMsg msg = cell_message (cell, MUX_PEER_JOB_ASK, cell->claim.name);
-  bool queue = inquiry->id[0] == 0;
 
   inquiry->next_ms = cell->time.now_ms + PLANNER_MS;
   if (cell->claim.incarnation == 0 || cell->role == CELL_PLANNING)
     return;
   msg.call = cell_ask_number (cell, inquiry->call);
-  msg.body = cell_json_blob (json_pack ("{s:s}", queue ? "queue" : "id",
-                                        queue ? inquiry->queue : inquiry->id));
+  msg.body = cell_json_blob (ask_json (inquiry));
   (void) cell->options.sink->peer_send (cell->options.sink, cell->claim.addr,
                                         &msg);
   mux_blob_unref (msg.body);
@@ -283,6 +300,7 @@
 static bool
 answer_here (MuxCell *cell,
              const MuxQuestion *question,
+             const CellCaller *caller,
              const char *id,
              const char *queue)
 {
@@ -297,7 +315,7 @@
       answer_pending (cell, question->call, cell_pending_of (cell, queue));
       return true;
     }
-  if (!cell_state_of (cell, id, &state))
+  if (!cell_state_of (cell, caller, id, &state))
     return false;
   cell_answer_state (cell, question->call, state);
   return true;
@@ -306,12 +324,13 @@
 void
 cell_inquire (MuxCell *cell,
               const MuxQuestion *question,
+              const CellCaller *caller,
               const MuxQueueSpec *queue,
               const char *id)
 {
   CellInquiry *inquiry;
 
-  if (answer_here (cell, question, id, queue->name))
+  if (answer_here (cell, question, caller, id, queue->name))
     return;
   inquiry = calloc (1, sizeof *inquiry);
   if (inquiry == NULL)
@@ -320,6 +339,7 @@
       return;
     }
   inquiry->call = question->call;
+  inquiry->caller = *caller;
   inquiry->verb = question->verb;
   inquiry->give_up_ms = cell->time.now_ms + question->give_up_ms - ANSWER_MS;
   snprintf (inquiry->id, sizeof inquiry->id, "%s", id);
@@ -362,6 +382,18 @@
     overdue (cell, inquiry);
 }
 
+static CellCaller
+read_caller (const json_t *json)
+{
+  const char *workspace
+      = json_string_value (json_object_get (json, "workspace"));
+  CellCaller caller = { .is_bound = workspace != NULL };
+
+  if (workspace != NULL)
+    (void) mux_name_copy (caller.workspace, workspace);
+  return caller;
+}
+
 static void
 tell (MuxCell *cell, const MuxPeerMsg *msg)
 {
@@ -369,11 +401,12 @@
   json_t *json = cell_blob_json (msg->body);
   const char *id = json_string_value (json_object_get (json, "id"));
   const char *queue = json_string_value (json_object_get (json, "queue"));
+  CellCaller caller = read_caller (json);
   MuxJobState state = MUX_JOB_ABSENT;
 
   told.call = msg->call;
   if (id != NULL)
-    told.found = cell_state_of (cell, id, &state);
+    told.found = cell_state_of (cell, &caller, id, &state);
   else if (queue != NULL)
     {
       told.found = true;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -93,6 +93,7 @@
       return NULL;
     }
   job->spec = spec;
+  job->workspace = cell_workspace (cell, spec->workspace);
   snprintf (job->id, sizeof job->id, "%s", spec->id);
   job->part = cell_part_of (job->id);
   job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
@@ -371,6 +372,7 @@
   if (ended != NULL)
     {
       snprintf (ended->id, sizeof ended->id, "%s", job->id);
+      (void) mux_name_copy (ended->workspace, job->spec->workspace);
       ended->state = job->end;
       ended->ended_ms = cell->time.now_ms;
       HASH_ADD_STR (cell->ended, id, ended);
@@ -413,13 +415,18 @@
 }
 
 bool
-cell_state_of (MuxCell *cell, const char *id, MuxJobState *state)
+cell_state_of (MuxCell *cell,
+               const CellCaller *caller,
+               const char *id,
+               MuxJobState *state)
 {
   CellJob *job = cell_job_find (cell, id);
   CellEnded *ended;
 
   if (job != NULL)
     {
+      if (!cell_caller_may_know (caller, job->spec->workspace))
+        return false;
       *state = job->end_stored  ? job->end
                : job->cancelled ? MUX_JOB_CANCELLED
                : job->started   ? MUX_JOB_ACTIVE
@@ -427,7 +434,7 @@
       return true;
     }
   HASH_FIND_STR (cell->ended, id, ended);
-  if (ended == NULL)
+  if (ended == NULL || !cell_caller_may_know (caller, ended->workspace))
     return false;
   *state = ended->state;
   return true;
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -112,6 +112,19 @@
     part->next_commit_ms = cell->time.now_ms;
 }
 
+static json_t *
+end_json (const MuxCell *cell, const CellJob *job)
+{
+  const char *workspace = job->spec->workspace;
+  json_t *json
+      = json_pack ("{s:s, s:I}", "state", mux_job_state_name (job->end),
+                   "ended_ms", (json_int_t) cell->time.wall_ms);
+
+  if (workspace[0] != 0)
+    (void) json_object_set_new (json, "workspace", json_string (workspace));
+  return json;
+}
+
 static void
 add_job (MuxCell *cell, MuxCellCall *call, CellJob *job)
 {
@@ -138,9 +151,7 @@
   if (job->progress_stored)
     cell_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, job->id);
   cell_change (call, MUX_CHANGE_PUT, MUX_TABLE_ENDED, job->id)->value
-      = cell_json_blob (json_pack ("{s:s, s:I}", "state",
-                                   mux_job_state_name (job->end), "ended_ms",
-                                   (json_int_t) cell->time.wall_ms));
+      = cell_json_blob (end_json (cell, job));
 }
 
 static void
--- /dev/null
+++ b/src/cell/quota.c
@@ -0,0 +1,255 @@
+#include "cell_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Quotas of workspaces: what each has running at all workers together.
+ *
+ * Whatever may run holds room, as a booking, until it is known not to; the sum
+ * of a workspace's bookings is what it may have running.  Of a former planner's
+ * starts a successor knows once it has heard the workers.  Until then a
+ * workspace may have running, besides, at most what those workers can hold, and
+ * at most those of its tasks that the former planner may have started: the
+ * smaller of the two counts as running.
+ */
+
+/* A gang that has waited for so long has a claim to what becomes free before
+ * more urgent tasks of its workspace, in ms. */
+#define CLAIM_AFTER_MS 1000
+
+CellWorkspace *
+cell_workspace (MuxCell *cell, const char *name)
+{
+  CellWorkspace *workspace;
+
+  if (name[0] == 0)
+    return NULL;
+  HASH_FIND_STR (cell->workspaces, name, workspace);
+  if (workspace != NULL)
+    return workspace;
+  workspace = calloc (1, sizeof *workspace);
+  if (workspace == NULL)
+    return NULL;
+  (void) mux_name_copy (workspace->name, name);
+  HASH_ADD_STR (cell->workspaces, name, workspace);
+  return workspace;
+}
+
+void
+cell_workspaces_configure (MuxCell *cell)
+{
+  const MuxWorkspaces *given = cell->config->workspaces;
+
+  for (uint32_t i = 0; given != NULL && i < given->count; i++)
+    {
+      CellWorkspace *workspace = cell_workspace (cell, given->item[i].name);
+
+      if (workspace != NULL)
+        workspace->spec = given->item[i];
+    }
+  cell->replan = true;
+}
+
+void
+cell_workspaces_free (MuxCell *cell)
+{
+  CellWorkspace *workspace;
+  CellWorkspace *next;
+
+  HASH_ITER (hh, cell->workspaces, workspace, next)
+  {
+    HASH_DEL (cell->workspaces, workspace);
+    free (workspace);
+  }
+}
+
+void
+cell_quota_take (const CellStage *stage)
+{
+  CellWorkspace *workspace = stage->job->workspace;
+
+  if (workspace != NULL)
+    workspace->booked = mux_quota_add (workspace->booked, stage->spec->size, 1);
+}
+
+void
+cell_quota_give (const CellStage *stage)
+{
+  CellWorkspace *workspace = stage->job->workspace;
+
+  if (workspace != NULL)
+    workspace->booked = mux_quota_sub (workspace->booked, stage->spec->size, 1);
+}
+
+/* What a gang needs stays free of others that come behind it. */
+static MuxQuota
+claimed_by_gang (const MuxCell *cell,
+                 const CellWorkspace *workspace,
+                 const CellStage *stage)
+{
+  const CellStage *gang = workspace->gang;
+  MuxQuota none = { 0 };
+
+  if (gang == NULL || gang == stage)
+    return none;
+  if (cell_stage_order (stage, gang) < 0
+      && cell->time.now_ms - workspace->gang_since_ms < CLAIM_AFTER_MS)
+    return none;
+  return mux_quota_add (none, gang->spec->size, gang->spec->count);
+}
+
+/* A gang starts whole or not at all: one that is larger than the quota, by no
+ * more than that may be overrun, would never start. */
+static MuxQuota
+limit_for (const MuxCell *cell, const CellStage *stage)
+{
+  MuxQuota quota = stage->job->workspace->spec.quota;
+
+  if (!stage->spec->gang
+      || mux_quota_fits (quota, (MuxQuota){ 0 }, stage->spec->size)
+             >= stage->spec->count)
+    return quota;
+  return mux_quota_widen (quota, cell->options.quota_overrun_milli);
+}
+
+uint32_t
+cell_quota_spares (const MuxCell *cell, const CellStage *stage)
+{
+  const CellWorkspace *workspace = stage->job->workspace;
+  MuxQuota used;
+
+  if (workspace == NULL)
+    return UINT32_MAX;
+  used = mux_quota_least (workspace->unsettled, cell->unheard_room);
+  used = mux_quota_sum (used, workspace->booked);
+  used = mux_quota_sum (used, claimed_by_gang (cell, workspace, stage));
+  return mux_quota_fits (limit_for (cell, stage), used, stage->spec->size);
+}
+
+void
+cell_quota_wait (const MuxCell *cell, const CellStage *stage)
+{
+  CellWorkspace *workspace = stage->job->workspace;
+
+  if (workspace == NULL || workspace->gang == stage
+      || (workspace->gang != NULL
+          && cell_stage_order (workspace->gang, stage) <= 0))
+    return;
+  workspace->gang = stage;
+  workspace->gang_since_ms = cell->time.now_ms;
+}
+
+void
+cell_quota_leave (const CellStage *stage)
+{
+  CellWorkspace *workspace = stage->job->workspace;
+
+  if (workspace != NULL && workspace->gang == stage)
+    workspace->gang = NULL;
+}
+
+static MuxSize
+largest_room (MuxCell *cell)
+{
+  MuxSize largest = { 0 };
+  const CellWorker *worker;
+
+  for (worker = cell->workers; worker != NULL; worker = worker->hh.next)
+    {
+      const MuxSize *room = &worker->info.capacity;
+
+      if (room->cpu_milli > largest.cpu_milli)
+        largest.cpu_milli = room->cpu_milli;
+      if (room->mem_mib > largest.mem_mib)
+        largest.mem_mib = room->mem_mib;
+      if (room->accels > largest.accels)
+        largest.accels = room->accels;
+    }
+  return largest;
+}
+
+/* Of workers that may run something and were not heard yet; what one holds that
+ * the list does not name any more is not known. */
+static MuxQuota
+unheard_room (MuxCell *cell)
+{
+  MuxSize largest = largest_room (cell);
+  MuxQuota room = { 0 };
+  const CellWorker *worker;
+
+  for (worker = cell->workers; worker != NULL; worker = worker->hh.next)
+    if (cell_in_roster (worker) && !worker->heard && !worker->dead)
+      room = mux_quota_add (room, largest, 1);
+  return room;
+}
+
+static uint32_t
+unbooked (const CellStage *stage)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    n += stage->task[i].state != CELL_TASK_DONE
+         && stage->task[i].booking == NULL;
+  return n;
+}
+
+static void
+count_unsettled (MuxCell *cell, const CellJob *job)
+{
+  CellWorkspace *workspace = job->workspace;
+
+  if (workspace == NULL || !job->old)
+    return;
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    if (job->stage[i]->left > 0 && !cell_stage_is_settled (cell, job->stage[i]))
+      workspace->unsettled
+          = mux_quota_add (workspace->unsettled, job->stage[i]->spec->size,
+                           unbooked (job->stage[i]));
+}
+
+void
+cell_quota_tick (MuxCell *cell)
+{
+  bool is_new = cell->quota_term != cell->term;
+  bool all_heard = cell_all_heard (cell);
+  CellWorkspace *workspace;
+  const CellJob *job;
+
+  if (all_heard && !is_new
+      && cell->unheard_room.cpu_milli + cell->unheard_room.mem_mib == 0)
+    return;
+  cell->quota_term = cell->term;
+  cell->unheard_room = all_heard ? (MuxQuota){ 0 } : unheard_room (cell);
+  for (workspace = cell->workspaces; workspace != NULL;
+       workspace = workspace->hh.next)
+    workspace->unsettled = (MuxQuota){ 0 };
+  for (job = cell->jobs; job != NULL && !all_heard; job = job->hh.next)
+    count_unsettled (cell, job);
+  cell->replan = true;
+}
+
+bool
+cell_quota_never_holds (const MuxCell *cell, const MuxJobSpec *spec)
+{
+  CellWorkspace *workspace;
+  MuxQuota limit;
+
+  if (spec->workspace[0] == 0)
+    return false;
+  HASH_FIND_STR (cell->workspaces, spec->workspace, workspace);
+  if (workspace == NULL)
+    return false;
+  limit = mux_quota_widen (workspace->spec.quota,
+                           cell->options.quota_overrun_milli);
+  for (uint32_t i = 0; i < spec->step_count; i++)
+    {
+      const MuxStepSpec *step = &spec->step[i];
+
+      if (mux_quota_fits (limit, (MuxQuota){ 0 }, step->size)
+          < (step->gang ? step->count : 1))
+        return true;
+    }
+  return false;
+}
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -59,6 +59,8 @@
 {
   if (outcome == MUX_OUTCOME_UNKNOWN)
     return MUX_REASON_WRITE_UNKNOWN;
+  if (outcome == MUX_OUTCOME_TAKEN)
+    return MUX_REASON_OTHER_WORKSPACE;
   return submission->retry_ms != 0 ? MUX_REASON_OVERLOAD
                                    : MUX_REASON_STORE_DOWN;
 }
@@ -209,23 +211,34 @@
   cell_submission_queue (cell, submission);
 }
 
-static bool
+static const MuxCellRow *
 find_row (const MuxCellReply *reply, MuxCellTable table, const char *key)
 {
   for (uint32_t i = 0; i < reply->row_count; i++)
     if (reply->row[i].table == table && reply->row[i].version != 0
         && strcmp (reply->row[i].key, key) == 0)
-      return true;
-  return false;
+      return &reply->row[i];
+  return NULL;
 }
 
 /* The row, or the end, of the job stands already: an earlier sending of the
  * same job, or a repetition of this commit after a lost answer. */
+static const MuxCellRow *
+standing (const MuxCellReply *reply, const CellSubmission *submission)
+{
+  const char *id = submission->job->id;
+  const MuxCellRow *row = find_row (reply, MUX_TABLE_JOBS, id);
+
+  return row != NULL ? row : find_row (reply, MUX_TABLE_ENDED, id);
+}
+
 static bool
-stands (const MuxCellReply *reply, const CellSubmission *submission)
+is_of_other (const MuxCellRow *row, const CellSubmission *submission)
 {
-  return find_row (reply, MUX_TABLE_JOBS, submission->job->id)
-         || find_row (reply, MUX_TABLE_ENDED, submission->job->id);
+  CellCaller caller = { .is_bound = submission->job->workspace[0] != 0 };
+
+  (void) mux_name_copy (caller.workspace, submission->job->workspace);
+  return !cell_row_is_of (row, &caller);
 }
 
 /*
@@ -250,6 +263,10 @@
         const MuxCellReply *reply,
         uint64_t fenced_term)
 {
+  const MuxCellRow *row = reply->status == MUX_CELL_CONFLICT
+                              ? standing (reply, submission)
+                              : NULL;
+
   submission->sent = false;
   if (reply->status == MUX_CELL_OK && fenced_term != 0
       && fenced_term == cell->term)
@@ -257,7 +274,10 @@
   if (reply->status == MUX_CELL_OK)
     cell_submission_end (cell, part, submission, MUX_OUTCOME_ACCEPTED,
                          "stored");
-  else if (reply->status == MUX_CELL_CONFLICT && stands (reply, submission))
+  else if (row != NULL && is_of_other (row, submission))
+    cell_submission_end (cell, part, submission, MUX_OUTCOME_TAKEN,
+                         "other_workspace");
+  else if (row != NULL)
     cell_submission_end (cell, part, submission, MUX_OUTCOME_ACCEPTED, "known");
   else if (reply->status == MUX_CELL_UNKNOWN)
     submission->doubtful = true;
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -70,6 +70,8 @@
       .lease_ms = given->lease_ms,
       .dead_ms = given->dead_ms,
       .strength_milli = given->strength_milli,
+      .revoke_timeout_ms = given->revoke_timeout_ms,
+      .quota_overrun_milli = given->quota_overrun_milli,
       .ended_keep_s = given->key_keep_s,
     },
   };
--- a/src/daemon/settings_table.c
+++ b/src/daemon/settings_table.c
@@ -41,6 +41,8 @@
   TLS_KEY_FILE,
   STORE,
   APPROVALS,
+  REVOKE_TIMEOUT_MS,
+  QUOTA_OVERRUN,
   STRENGTH,
   READY_LISTEN,
   METRICS_LISTEN,
@@ -121,6 +123,14 @@
     "formats" },
   [APPROVALS] = { "approvals", "CUMINMUX_APPROVALS", MUX_SETTING_ADDRESS, "",
     0, 0, "", "policy service that approves workers; none: not asked" },
+  [REVOKE_TIMEOUT_MS] = { "revoke-timeout-ms", "CUMINMUX_REVOKE_TIMEOUT_MS",
+    MUX_SETTING_INTEGER, "ms", 100, 3600000, "",
+    "after its removal no key is taken for longer, also by a daemon that is "
+    "cut off; none: a daemon that is cut off goes on with what it knows" },
+  [QUOTA_OVERRUN] = { "quota-overrun", "CUMINMUX_QUOTA_OVERRUN",
+    MUX_SETTING_TEXT, "", 0, 0, "",
+    "part of a workspace's quota, such as 0.1, that a gang too large for the "
+    "quota may hold beyond it; none: nothing" },
   [STRENGTH] = { "cpu-share", "CUMINMUX_CPU_SHARE", MUX_SETTING_TEXT, "", 0, 0,
     "1", "processors of this instance, such as 0.25; the strongest plans" },
   [READY_LISTEN] = { "ready-listen", "CUMINMUX_READY_LISTEN",
@@ -170,16 +180,27 @@
       = mux_settings_addresses (options->settings, SEEDS, &options->seed_count);
 }
 
-/* A share such as "0.25", in thousandths; 0: it is none. */
-static uint32_t
-milli (const char *share)
+/* A number such as "0.25", in thousandths; false: it is none from 0 to @max. */
+static bool
+parse_milli (const char *text, double max, uint32_t *milli)
 {
   char *end = NULL;
-  double value = strtod (share, &end);
+  double value = strtod (text, &end);
+
+  if (end == text || *end != 0 || !(value >= 0 && value <= max))
+    return false;
+  *milli = (uint32_t) (value * MILLI);
+  return true;
+}
+
+/* 0: it is no share. */
+static uint32_t
+cpu_share_milli (const char *share)
+{
+  uint32_t milli = 0;
 
-  if (end == share || *end != 0 || !(value > 0 && value <= CPU_SHARE_MAX))
-    return 0;
-  return (uint32_t) (value * MILLI);
+  (void) parse_milli (share, CPU_SHARE_MAX, &milli);
+  return milli;
 }
 
 static void
@@ -199,7 +220,8 @@
   options->platform_threads = integer (options, PLATFORM_THREADS);
   options->list_every_ms = integer (options, LIST_EVERY_MS);
   options->body_max_kib = integer (options, BODY_MAX_KIB);
-  options->strength_milli = milli (text (options, STRENGTH));
+  options->strength_milli = cpu_share_milli (text (options, STRENGTH));
+  options->revoke_timeout_ms = integer (options, REVOKE_TIMEOUT_MS);
   options->stop_after_ms = integer (options, STOP_AFTER_MS);
   options->log_level = (MuxLogLevel) integer (options, LOG_LEVEL);
 }
@@ -214,7 +236,7 @@
 
 /* What no single setting shows. */
 static void
-check_together (const MuxDaemonOptions *options, MuxFindings *findings)
+check_together (MuxDaemonOptions *options, MuxFindings *findings)
 {
   if (options->suspect_ms <= options->heartbeat_ms)
     mux_findings_add (findings, "--suspect-ms", "must be over --heartbeat-ms");
@@ -228,6 +250,10 @@
   if (options->strength_milli == 0)
     mux_findings_add (findings, "--cpu-share", "must be over 0 and at most %d",
                       CPU_SHARE_MAX);
+  if (*text (options, QUOTA_OVERRUN) != 0
+      && !parse_milli (text (options, QUOTA_OVERRUN), 1,
+                       &options->quota_overrun_milli))
+    mux_findings_add (findings, "--quota-overrun", "must be from 0 to 1");
   if ((*options->store == 0) != (*options->ready_listen == 0))
     mux_findings_add (findings, "--store", "goes together with --ready-listen");
   if ((*options->tls_cert_file == 0) != (*options->tls_key_file == 0))
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -35,6 +35,9 @@
  * @tls_key_file: PEM key of the callers' side
  * @store: transactional store of stepped jobs; "": they are not served
  * @approvals: policy service that approves workers; "": none
+ * @revoke_timeout_ms: how long a key that was taken away may still be taken; 0:
+ *   until this daemon hears of it
+ * @quota_overrun_milli: thousandths of a quota that may be held beyond it
  * @strength_milli: share of a processor that this instance has
  * @ready_listen: where the platform asks for readiness
  * @metrics_listen: where the counters are served; "": nowhere
@@ -72,6 +75,8 @@
   const char *tls_key_file;
   const char *store;
   const char *approvals;
+  uint32_t revoke_timeout_ms;
+  uint32_t quota_overrun_milli;
   uint32_t strength_milli;
   const char *ready_listen;
   const char *metrics_listen;
--- a/src/model/job.c
+++ b/src/model/job.c
@@ -139,6 +139,43 @@
   return findings->count == before;
 }
 
+MuxQueueConfig *
+mux_queue_config_new (uint32_t count)
+{
+  MuxQueueConfig *config;
+
+  config = calloc (1, sizeof *config + count * sizeof config->item[0]);
+  if (config != NULL)
+    config->count = count;
+  return config;
+}
+
+MuxQueueConfig *
+mux_queue_config_copy (const MuxQueueConfig *from)
+{
+  MuxQueueConfig *config = mux_queue_config_new (from->count);
+
+  if (config == NULL)
+    return NULL;
+  memcpy (config, from, sizeof *from + from->count * sizeof from->item[0]);
+  if (from->workspaces == NULL)
+    return config;
+  config->workspaces = mux_workspaces_copy (from->workspaces);
+  if (config->workspaces != NULL)
+    return config;
+  free (config);
+  return NULL;
+}
+
+void
+mux_queue_config_free (MuxQueueConfig *config)
+{
+  if (config == NULL)
+    return;
+  mux_workspaces_free (config->workspaces);
+  free (config);
+}
+
 const MuxQueueSpec *
 mux_queue_find (const MuxQueueConfig *config,
                 const char *host,
--- a/src/model/job_json.c
+++ b/src/model/job_json.c
@@ -114,6 +114,7 @@
   json_t *json = json_object ();
   bool ok
       = json != NULL && put_text (json, "id", job->id)
+        && put_text (json, "workspace", job->workspace)
         && put (json, "queue", queue_to_json (&job->queue))
         && put_text (json, "payload", job->payload != NULL ? job->payload : "")
         && put_number (json, "accepted_wall_ms", job->accepted_wall_ms)
@@ -266,6 +267,7 @@
   /* Cut, it would be another job's. */
   if (strlen (id) < sizeof job->id)
     snprintf (job->id, sizeof job->id, "%s", id);
+  get_name (json, "workspace", job->workspace, findings);
   job->payload = strdup (get_text (json, "payload", findings));
   queue_from_json (json_object_get (json, "queue"), &job->queue, findings);
   job->accepted_wall_ms
--- a/src/port/cell.c
+++ b/src/port/cell.c
@@ -60,7 +60,7 @@
   for (uint32_t i = 0; i < reply->row_count; i++)
     {
       mux_blob_unref (reply->row[i].value);
-      free (reply->row[i].config);
+      mux_queue_config_free (reply->row[i].config);
       free (reply->row[i].worker);
     }
   free (reply->row);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -130,18 +130,17 @@
   return copy;
 }
 
+/* The row holds a configuration as it is in memory; its workspaces are the
+ * world's. */
 static MuxQueueConfig *
 config_of (const WorldRow *row)
 {
   size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
-  MuxQueueConfig *config;
 
   if (row->value == NULL || row->value->len != size)
     return NULL;
-  config = malloc (size);
-  if (config != NULL)
-    memcpy (config, row->value->bytes, size);
-  return config;
+  return mux_queue_config_copy (
+      (const MuxQueueConfig *) (const void *) row->value->bytes);
 }
 
 static void
@@ -176,6 +175,10 @@
         reply->status = MUX_CELL_CONFLICT;
       reply->row[reply->row_count].table = change->table;
       reply->row[reply->row_count].version = have;
+      if (have != 0)
+        reply->row[reply->row_count].value = mux_blob_ref (
+            world_row_find (world, change->table, call->part, change->key)
+                ->value);
       snprintf (reply->row[reply->row_count].key, MUX_ROW_NAME_LEN, "%s",
                 change->key);
       reply->row_count++;
@@ -751,6 +754,8 @@
     .dead_ms = DEAD_MS,
     .ended_keep_s = world->keep_s != 0 ? world->keep_s : KEEP_S,
     .unread_max = world->unread_max,
+    .revoke_timeout_ms = world->revoke_timeout_ms,
+    .quota_overrun_milli = world->quota_overrun_milli,
     .strength_milli
     = cell->strength_milli != 0 ? cell->strength_milli : STRENGTH_MILLI,
   };
@@ -828,6 +833,19 @@
   free (config);
 }
 
+void
+world_set_workspaces (World *world, MuxWorkspaces *workspaces)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  mux_workspaces_free (world->former_workspaces);
+  world->former_workspaces = world->workspaces;
+  world->workspaces = workspaces;
+  world->workspaces_ms = world->now_ms;
+  config->workspaces = workspaces;
+  put_config (world, config);
+}
+
 void
 world_change_config (World *world)
 {
@@ -1033,6 +1051,7 @@
   }
   for (uint32_t i = 0; i < world->row_count; i++)
     mux_blob_unref (world->row[i].value);
+  world_workspaces_free (world);
   free (world->past);
   for (uint32_t i = 0; i < world->job_count; i++)
     free (world->job[i].size);
@@ -1073,6 +1092,7 @@
   question->give_up_ms = 3000;
   snprintf (question->host, sizeof question->host, "cell.example");
   snprintf (question->path, sizeof question->path, "/batch/%s", id);
+  world_key (world, question);
   return question;
 }
 
@@ -1086,6 +1106,8 @@
   assert_non_null (world->job);
   job = &world->job[world->job_count++];
   snprintf (job->id, sizeof job->id, "%s", id);
+  snprintf (job->workspace, sizeof job->workspace, "%s",
+            world_workspace_of (world));
   job->task_ms = world->task_ms;
   job->approval_ms = world->approval_ms;
   job->approval_us = world->approval_us;
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -169,6 +169,7 @@
 /**
  * struct WorldJob - what the tasks of a job need, by its steps
  * @task_ms: the world's when it was handed in
+ * @workspace: of the key that was shown; "": none
  * @approval_ms: the same
  * @approval_us: the same
  * @asked_ms: time of the policy service that its questions took
@@ -176,6 +177,7 @@
 typedef struct
 {
   char id[MUX_JOB_ID_LEN];
+  char workspace[MUX_NAME_LEN];
   int64_t task_ms;
   int64_t approval_ms;
   uint32_t approval_us;
@@ -231,8 +233,15 @@
   uint32_t past_count;
   WorldPast *past;
   uint32_t job_count;
-  WorldJob *job;        /* that were handed in */
-  uint32_t over_room;   /* starts that brought a worker over its room */
+  WorldJob *job;             /* that were handed in */
+  uint32_t over_room;        /* starts that brought a worker over its room */
+  uint32_t over_quota;       /* that brought a workspace over its quota */
+  MuxWorkspaces *workspaces; /* as configured; NULL: none */
+  MuxWorkspaces *former_workspaces; /* as they were before */
+  int64_t workspaces_ms;            /* when the present ones came */
+  char key[MUX_KEY_DIGEST_LEN + 1]; /* that callers show; "": none */
+  uint32_t revoke_timeout_ms;       /* of daemons started from now on */
+  uint32_t quota_overrun_milli;     /* the same */
   bool late_order;      /* an order is carried out now that came late */
   int64_t task_ms;      /* run time of a task */
   int64_t crash_ms;     /* after which a task that crashes its worker does so */
@@ -336,6 +345,16 @@
 /** world_set_slack() - the queue's jobs may from now on take so many times
  * their chain, in thousandths */
 void world_set_slack (World *world, uint32_t slack_milli);
+/** world_set_workspaces() - takes @workspaces over; NULL: none from now on */
+void world_set_workspaces (World *world, MuxWorkspaces *workspaces);
+/** world_workspaces() - one for each name, which is its key, too; each may have
+ * @quota running */
+MuxWorkspaces *
+world_workspaces (const char *const *names, uint32_t count, MuxQuota quota);
+/** world_show_key() - of all callers from now on; "": none */
+void world_show_key (World *world, const char *key);
+/** world_running() - of the workspace's tasks, at all workers */
+MuxQuota world_running (const World *world, const char *workspace);
 /** world_set_priority() - of the queue's jobs, from now on */
 void world_set_priority (World *world, uint32_t priority);
 /** world_make_urgent() - the queue's jobs, from now on */
--- a/test/support/cell_world_private.h
+++ b/test/support/cell_world_private.h
@@ -40,6 +40,16 @@
  * handed in here */
 MuxSize world_size_of (const World *world, const MuxTaskRef *task);
 
+/* cell_world_workspaces.c */
+/** world_key() - that callers show */
+void world_key (const World *world, MuxQuestion *question);
+/** world_workspace_of() - of the key that callers show; "": of none */
+const char *world_workspace_of (const World *world);
+/** world_check_quota() - a start that brings a workspace over what it may have
+ * running is counted */
+void world_check_quota (World *world, const MuxTaskRef *task);
+void world_workspaces_free (World *world);
+
 /** world_task_ms() - how long a run of the task takes */
 int64_t world_task_ms (const World *world, const MuxTaskRef *task);
 
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -241,6 +241,7 @@
   start->at_ms = world->now_ms;
   start->crashes = run->crashes;
   check_room (world, worker, start);
+  world_check_quota (world, &call->task);
 }
 
 /* A run that is not there yet is refused when it comes. */
