cell: start nothing above a workspace's quota

A workspace's use is the sum of its tasks' bookings, which cover late orders and workers out of reach by the same reasoning as the room of a worker. What a former planner may have started counts from the takeover on, bounded by the room of workers not heard yet and by the workspace's tasks that may run there, whichever is less, so that one far below its quota does not wait. A gang that waits for its quota keeps what becomes free from what comes behind it, and after a second from all else of its workspace.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1220,7 +1220,7 @@
   uint32_t unlooked; /* steps that wait and no pass has looked at yet */
   int64_t next_plan_ms;
   int64_t next_look_ms;
-  uint64_t quota_term;   /* in which the next was counted last */
+  uint64_t quota_term;   /* all workers were heard in it */
   MuxQuota unheard_room; /* of workers whose runs are not known yet */
   int64_t next_overdue_ms;
   int64_t next_loss_look_ms;
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -528,6 +528,13 @@
     }
   if (!cell_gang_may_start (cell, stage))
     return;
+  if (cell_quota_spares (cell, stage) < stage->spec->count)
+    {
+      cell_quota_wait (cell, stage);
+      cell_holds_release (stage);
+      cell_step_lacks (cell, stage, CELL_LACKS_QUOTA);
+      return;
+    }
   if (needed)
     cell_approvals_take_former (cell, stage);
   place = calloc (places_max (cell, stage), sizeof *place);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -217,8 +217,14 @@
   bool needed = stage->job->spec->queue.approval.needed;
   /* Without a proof that is taken now no worker needs to be looked at. */
   bool short_of_workers = needed && cell->time.now_ms >= stage->proof_until_ms;
+  bool is_over_quota = cell_quota_spares (cell, stage) == 0;
   uint32_t sent = 0;
 
+  if (is_over_quota)
+    {
+      cell_step_lacks (cell, stage, CELL_LACKS_QUOTA);
+      return;
+    }
   if (!needed)
     cell_choose_data_centre (cell, stage);
   for (uint32_t i = 0; i < stage->spec->count && !short_of_workers; i++)
@@ -229,6 +235,11 @@
       if (task->state != CELL_TASK_WAITING || task->booking != NULL
           || !cell_task_may_start (cell, task))
         continue;
+      if (cell_quota_spares (cell, stage) == 0)
+        {
+          is_over_quota = true;
+          break;
+        }
       best = best_worker (cell, task);
       if (best.worker == NULL && best.kept_apart)
         continue;
@@ -251,7 +262,10 @@
   if (short_of_workers && needed)
     ask (cell, stage);
   if (!stage->asking && cell_stage_waiting (stage) > 0)
-    cell_step_lacks (cell, stage, what_lacks (cell, stage, short_of_workers));
+    cell_step_lacks (cell, stage,
+                     is_over_quota
+                         ? CELL_LACKS_QUOTA
+                         : what_lacks (cell, stage, short_of_workers));
   if (stage->rank == CELL_RANK_OWED)
     hold_approved (cell, stage);
   cell_stage_update (cell, stage);
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -119,6 +119,7 @@
   cell->unlooked -= stage->is_unlooked;
   stage->is_unlooked = false;
   cell_holds_release (stage);
+  cell_quota_leave (stage);
   stop_reserving (cell, stage);
   cell_order_remove (cell, stage);
 }
--- a/src/cell/quota.c
+++ b/src/cell/quota.c
@@ -209,25 +209,26 @@
                            unbooked (job->stage[i]));
 }
 
+/* Once all workers were heard in a term nothing of a former planner is left to
+ * be found. */
 void
 cell_quota_tick (MuxCell *cell)
 {
-  bool is_new = cell->quota_term != cell->term;
-  bool all_heard = cell_all_heard (cell);
   CellWorkspace *workspace;
   const CellJob *job;
+  bool all_heard;
 
-  if (all_heard && !is_new
-      && cell->unheard_room.cpu_milli + cell->unheard_room.mem_mib == 0)
+  if (cell->workspaces == NULL || cell->quota_term == cell->term)
     return;
-  cell->quota_term = cell->term;
+  all_heard = cell_all_heard (cell);
+  if (all_heard)
+    cell->quota_term = cell->term;
   cell->unheard_room = all_heard ? (MuxQuota){ 0 } : unheard_room (cell);
   for (workspace = cell->workspaces; workspace != NULL;
        workspace = workspace->hh.next)
     workspace->unsettled = (MuxQuota){ 0 };
   for (job = cell->jobs; job != NULL && !all_heard; job = job->hh.next)
     count_unsettled (cell, job);
-  cell->replan = true;
 }
 
 bool
--- a/src/cell/room.c
+++ b/src/cell/room.c
@@ -8,6 +8,7 @@
   worker->booked = mux_size_add (worker->booked, stage->spec->size);
   if (stage->spec->long_running)
     worker->lasting = mux_size_add (worker->lasting, stage->spec->size);
+  cell_quota_take (stage);
 }
 
 void
@@ -16,6 +17,7 @@
   worker->booked = mux_size_sub (worker->booked, stage->spec->size);
   if (stage->spec->long_running)
     worker->lasting = mux_size_sub (worker->lasting, stage->spec->size);
+  cell_quota_give (stage);
 }
 
 /*
--- a/src/cell/step_wait.c
+++ b/src/cell/step_wait.c
@@ -68,6 +68,7 @@
     [CELL_LACKS_TURN] = "turn",     [CELL_LACKS_ASKER] = "asker",
     [CELL_LACKS_ANSWER] = "answer", [CELL_LACKS_PROOF] = "proof",
     [CELL_LACKS_RECORD] = "record", [CELL_LACKS_ROOM] = "room",
+    [CELL_LACKS_QUOTA] = "quota",
   };
   const CellStepWait *wait = &stage->wait;
   json_t *json = json_object ();
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -132,6 +132,8 @@
     return "list";
   if (all_under_suspicion (cell, stage))
     return "crashes";
+  if (cell_quota_spares (cell, stage) < need)
+    return "quota";
   if (stage->asking)
     return "answer";
   if (unseen_ms (cell, stage) > UNSEEN_MS)
