cell: leave the balancer before keys can't be proved any more

From half of the revocation time on such a daemon is not ready, and its answers ask callers to use another connection.

Weighed besides: the configuration as a condition of the commit, which the store of this deployment can't do over two parts; proofs told on by the planner, of which those refused have no use after a change of keys unless the configuration is told on as well.

--- a/src/cell/authorize.c
+++ b/src/cell/authorize.c
@@ -32,6 +32,20 @@
          || cell_config_age_ms (cell) < most_ms - most_ms / CLOCK_PARTS;
 }
 
+/*
+ * Guards against callers who come, or stay, where they will be refused: the
+ * platform takes a second or two to send them elsewhere.
+ */
+bool
+cell_keys_are_served (const MuxCell *cell)
+{
+  int64_t most_ms = cell->options.revoke_timeout_ms;
+
+  return most_ms == 0 || cell->config == NULL
+         || cell->config->workspaces == NULL
+         || cell_config_age_ms (cell) < most_ms / 2;
+}
+
 /* A key that was added while this daemon heard nothing is not known here; a
  * caller who is told that it is nobody's does not come back. */
 static MuxOutcome
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -285,6 +285,7 @@
 mux_cell_ready (const MuxCell *cell)
 {
   return cell->config != NULL && cell->claim.known && !cell->stopping
+         && cell_keys_are_served (cell)
          && (cell_store_ok (cell)
              || (cell->role == CELL_FOLLOWER && cell_planner_is_near (cell)));
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -149,6 +149,8 @@
 int64_t cell_config_age_ms (const MuxCell *cell);
 /** cell_config_proved() - no newer one stood in the store then */
 void cell_config_proved (MuxCell *cell, int64_t at_ms);
+/** cell_keys_are_served() - and will be for some time */
+bool cell_keys_are_served (const MuxCell *cell);
 /** cell_authorize() - who asks, by the key
  * Return: ACCEPTED: @caller is filled in; else the answer. */
 MuxOutcome cell_authorize (MuxCell *cell,
--- a/test/unit/test_cell_keys.c
+++ b/test/unit/test_cell_keys.c
@@ -204,6 +204,27 @@
   world_free (world);
 }
 
+/* Guards against callers who are sent to a daemon that will have to refuse
+ * them. */
+static void
+test_daemon_out_of_touch_is_not_ready_before_it_refuses (void **state)
+{
+  World *world = world_with_keys (REVOKE_MS);
+  uint32_t cell = follower (world);
+
+  (void) state;
+  assert_true (mux_cell_ready (world->cell[cell].cell));
+  world->cell[cell].deaf = WORLD_DEAF (MUX_TABLE_CONFIG);
+  world_run (world, REVOKE_MS / 2);
+  assert_false (mux_cell_ready (world->cell[cell].cell));
+  assert_int_equal (ask (world, cell, MUX_QUESTION_STATE, ""),
+                    MUX_OUTCOME_PENDING);
+  world->cell[cell].deaf = 0;
+  world_run (world, 3000);
+  assert_true (mux_cell_ready (world->cell[cell].cell));
+  world_free (world);
+}
+
 static void
 test_daemon_out_of_touch_serves_on_where_revocation_is_not_strict (void **state)
 {
@@ -279,6 +300,7 @@
     cmocka_unit_test (test_key_that_is_taken_away_ends_everywhere),
     cmocka_unit_test (test_daemon_out_of_touch_takes_no_key_past_its_time),
     cmocka_unit_test (test_daemon_out_of_touch_serves_while_keys_are_proved),
+    cmocka_unit_test (test_daemon_out_of_touch_is_not_ready_before_it_refuses),
     cmocka_unit_test (
         test_daemon_out_of_touch_serves_on_where_revocation_is_not_strict),
     cmocka_unit_test (
