test: show that a job of many late rounds never ends

Rounds that are done are stored as their number, up to the first that is not; once the first ones are late, later ones go before them, and what is known of those in between outgrows the row, so that no commit of it is taken and nothing starts.

--- a/test/unit/test_cell_time_of_day.c
+++ b/test/unit/test_cell_time_of_day.c
@@ -319,6 +319,31 @@
   world_free (world);
 }
 
+/* Guards against a job that never ends once its first rounds are late and go
+ * behind later ones: what is known of all in between is stored. */
+static void
+test_progress_of_many_late_rounds_fits_into_a_row (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t planner = world_planner (world);
+  MuxJobSpec *job;
+
+  (void) state;
+  world_run (world, 1000);
+  world->task_ms = 20;
+  job = timed_job (world, 0, MANY_ROUNDS, ROUND_MS);
+  job->step[0].estimate_ms = 20;
+  (void) world_submit (world, planner, job, "many");
+  world_run (world, MANY_ROUNDS * ROUND_MS / 2);
+  world_cell_kill (world, planner);
+  world_run (world, MANY_ROUNDS * ROUND_MS / 2 + 10000);
+  print_message ("%u starts\n", world_starts (world, "many"));
+  assert_int_equal (world_state (world, (planner + 1) % CELLS, "many"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_twice_told (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -333,6 +358,7 @@
     cmocka_unit_test (test_rest_of_a_round_begun_early_waits_for_its_time),
     cmocka_unit_test (test_job_of_a_million_rounds_leaves_room_for_others),
     cmocka_unit_test (test_progress_of_many_rounds_fits_into_a_row),
+    cmocka_unit_test (test_progress_of_many_late_rounds_fits_into_a_row),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
