--- a/src/cell/quota.c
+++ b/src/cell/quota.c
@@ -223,7 +223,9 @@
   all_heard = cell_all_heard (cell);
   if (all_heard)
     cell->quota_term = cell->term;
-  cell->unheard_room = all_heard ? (MuxQuota){ 0 } : unheard_room (cell);
+  cell->unheard_room = (MuxQuota){ 0 };
+  if (!all_heard)
+    cell->unheard_room = unheard_room (cell);
   for (workspace = cell->workspaces; workspace != NULL;
        workspace = workspace->hh.next)
     workspace->unsettled = (MuxQuota){ 0 };
