--- a/src/cell/authorize.c
+++ b/src/cell/authorize.c
@@ -111,6 +111,21 @@
   return is_of;
 }
 
+void
+cell_keys_tick (MuxCell *cell)
+{
+  bool proved = cell->config != NULL && is_proved (cell);
+
+  if (proved == cell->keys_proved)
+    return;
+  cell->keys_proved = proved;
+  if (cell->config != NULL && cell->config->workspaces != NULL)
+    cell_log (cell, proved ? "keys_proved" : "keys_unproved", "{s:I, s:I, s:b}",
+              "version", (json_int_t) cell->config->version, "proof_age_ms",
+              (json_int_t) cell_config_age_ms (cell), "unread",
+              (int) cell->config_unread);
+}
+
 /* A configuration that can't be read may have taken keys away. */
 void
 cell_config_proved (MuxCell *cell, int64_t at_ms)
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -272,6 +272,7 @@
   cell->last_event_ms = time.now_ms;
   for (uint32_t i = 0; i < FOLLOW_COUNT; i++)
     cell_follow_tick (cell, &cell->follow[i]);
+  cell_keys_tick (cell);
   cell_submit_tick (cell);
   cell_inquiry_tick (cell);
   if (cell->role != CELL_FOLLOWER)
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -151,6 +151,8 @@
 void cell_config_proved (MuxCell *cell, int64_t at_ms);
 /** cell_keys_are_served() - and will be for some time */
 bool cell_keys_are_served (const MuxCell *cell);
+/** cell_keys_tick() - tell when keys begin, or end, to be proved */
+void cell_keys_tick (MuxCell *cell);
 /** cell_authorize() - who asks, by the key
  * Return: ACCEPTED: @caller is filled in; else the answer. */
 MuxOutcome cell_authorize (MuxCell *cell,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1110,6 +1110,7 @@
   MuxQueueConfig *config;
   int64_t config_proved_ms; /* it was the newest then; 0: never */
   bool config_unread;       /* a newer one can't be read */
+  bool keys_proved;         /* as told last */
   CellWorkspace *workspaces;
   CellService *services;
   CellBadRow *bad_rows;
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -79,8 +79,9 @@
                                                 : usual_retry_ms (cell);
 
   cell_log (cell, accepted ? "accepted" : "refused",
-            "{s:s, s:s, s:s, s:I, s:I, s:I}", "job", submission->job->id,
-            "queue", submission->job->queue.name, "why", why, "commit_ms",
+            "{s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "job", submission->job->id,
+            "queue", submission->job->queue.name, "workspace",
+            submission->job->workspace, "why", why, "commit_ms",
             (json_int_t) part->submit_took_ms, "work_ms",
             (json_int_t) mux_job_core_ms (submission->job), "retry_ms",
             (json_int_t) (accepted ? 0 : retry_ms));
--- a/tools/model.mk
+++ b/tools/model.mk
@@ -1,6 +1,6 @@
 # Checks the models of the at-most-once path, of the takeover, of the record of
-# workers and of the mark of a worker that was not heard, and that each fails when
-# a guard is taken out.  Needs spin (tools/deps does not install it; `make model`
+# workers, of the mark of a worker that was not heard and of keys that are taken
+# away, and that each fails when a guard is taken out.  Needs spin (tools/deps does not install it; `make model`
 # does).
 .PHONY: model
 model:
@@ -9,3 +9,4 @@
 	@tools/model docs/design/takeover.pml
 	@tools/model docs/design/record.pml
 	@tools/model docs/design/mark.pml
+	@tools/model docs/design/revocation.pml
