--- a/test/unit/test_cell_time_of_day.c
+++ b/test/unit/test_cell_time_of_day.c
@@ -292,23 +292,20 @@
 #define MANY_ROUNDS 1200
 #define ROUND_MS 10
 
-/*
- * Jobs of a quarter of all callers never end: a job of many rounds has more
- * progress than a row of the store holds.  The store refuses the commit, and
- * with it all others of that part, ends of tasks among them; commit_refused in
- * the log, again and again.  Rounds that are done are stored as their number.
- */
+/* A job of many rounds, and a change of planner half way; @estimate_ms: as its
+ * caller declares of each. */
 static void
-test_progress_of_many_rounds_fits_into_a_row (void **state)
+play_many_rounds (uint32_t estimate_ms)
 {
   World *world = world_new (CELLS, WORKERS);
   uint32_t planner = world_planner (world);
+  MuxJobSpec *job;
 
-  (void) state;
   world_run (world, 1000);
   world->task_ms = 20;
-  (void) world_submit (world, planner,
-                       timed_job (world, 0, MANY_ROUNDS, ROUND_MS), "many");
+  job = timed_job (world, 0, MANY_ROUNDS, ROUND_MS);
+  job->step[0].estimate_ms = estimate_ms;
+  (void) world_submit (world, planner, job, "many");
   world_run (world, MANY_ROUNDS * ROUND_MS / 2);
   world_cell_kill (world, planner);
   world_run (world, MANY_ROUNDS * ROUND_MS / 2 + 10000);
@@ -319,29 +316,26 @@
   world_free (world);
 }
 
+/*
+ * Jobs of a quarter of all callers never end: a job of many rounds has more
+ * progress than a row of the store holds.  The store refuses the commit, and
+ * with it all others of that part, ends of tasks among them; commit_refused in
+ * the log, again and again.  Rounds that are done are stored as their number.
+ */
+static void
+test_progress_of_many_rounds_fits_into_a_row (void **state)
+{
+  (void) state;
+  play_many_rounds (1000);
+}
+
 /* Guards against a job that never ends once its first rounds are late and go
  * behind later ones: what is known of all in between is stored. */
 static void
 test_progress_of_many_late_rounds_fits_into_a_row (void **state)
 {
-  World *world = world_new (CELLS, WORKERS);
-  uint32_t planner = world_planner (world);
-  MuxJobSpec *job;
-
   (void) state;
-  world_run (world, 1000);
-  world->task_ms = 20;
-  job = timed_job (world, 0, MANY_ROUNDS, ROUND_MS);
-  job->step[0].estimate_ms = 20;
-  (void) world_submit (world, planner, job, "many");
-  world_run (world, MANY_ROUNDS * ROUND_MS / 2);
-  world_cell_kill (world, planner);
-  world_run (world, MANY_ROUNDS * ROUND_MS / 2 + 10000);
-  print_message ("%u starts\n", world_starts (world, "many"));
-  assert_int_equal (world_state (world, (planner + 1) % CELLS, "many"),
-                    MUX_JOB_COMPLETED);
-  assert_false (world_twice_told (world));
-  world_free (world);
+  play_many_rounds (20);
 }
 
 int
