--- a/src/cli/arg_spec.c
+++ b/src/cli/arg_spec.c
@@ -87,4 +87,7 @@
   [MUX_ARG_BY_SIZE]
   = { "by-size", NULL, MUX_CHECK_SWITCH, 0, 1, 0, NULL,
       "what the steps of large and small jobs waited for, in place of spans" },
+  [MUX_ARG_BY_WORKSPACE]
+  = { "by-workspace", NULL, MUX_CHECK_SWITCH, 0, 1, 0, NULL,
+      "what callers of each workspace got, in place of spans" },
 };
--- a/src/cli/report.c
+++ b/src/cli/report.c
@@ -1,6 +1,7 @@
 #include "event_lines.h"
 #include "render.h"
 #include "report_by_size.h"
+#include "report_by_workspace.h"
 #include "report_sizes.h"
 
 #include <inttypes.h>
@@ -425,6 +426,8 @@
 
   if (call->args.number[MUX_ARG_BY_SIZE] != 0)
     return mux_report_by_size (call);
+  if (call->args.number[MUX_ARG_BY_WORKSPACE] != 0)
+    return mux_report_by_workspace (call);
   code = mux_event_lines_read (call, take, &report);
   if (code == MUX_EXIT_OK && count_all (&report))
     print (&report, call);
--- a/src/cli/report_by_size.c
+++ b/src/cli/report_by_size.c
@@ -25,11 +25,12 @@
   LACK_PROOF,
   LACK_RECORD,
   LACK_ROOM,
+  LACK_QUOTA,
   LACK_COUNT
 } Lack;
 
 static const char *const lack_names[LACK_COUNT]
-    = { "turn", "asker", "answer", "proof", "record", "room" };
+    = { "turn", "asker", "answer", "proof", "record", "room", "quota" };
 
 typedef struct
 {
@@ -261,6 +262,7 @@
                                        { "PROOF", "proof" },
                                        { "RECORD", "record" },
                                        { "ROOM", "room" },
+                                       { "QUOTA", "quota" },
                                        { NULL, NULL } };
   json_t *rows = rows_json (report);
 
--- a/test/unit/test_report.c
+++ b/test/unit/test_report.c
@@ -132,6 +132,46 @@
   cli_session_assert_golden (session, "report_by_size");
 }
 
+/* One workspace's quota holds its jobs up, and nothing tells it from the
+ * others.
+ */
+static const char workspace_lines[]
+    = "{\"wall_ms\":1000,\"event\":\"accepted\",\"job\":\"a\",\"workspace\":"
+      "\"desk\",\"queue\":\"seats\"}\n"
+      "{\"wall_ms\":1010,\"event\":\"accepted\",\"job\":\"a\",\"workspace\":"
+      "\"desk\",\"queue\":\"seats\"}\n"
+      "{\"wall_ms\":1020,\"event\":\"accepted\",\"job\":\"b\",\"workspace\":"
+      "\"desk\",\"queue\":\"seats\"}\n"
+      "{\"wall_ms\":1030,\"event\":\"refused\",\"job\":\"c\",\"workspace\":"
+      "\"night\",\"queue\":\"seats\",\"why\":\"backlog\"}\n"
+      "{\"wall_ms\":1040,\"event\":\"accepted\",\"job\":\"c\",\"workspace\":"
+      "\"night\",\"queue\":\"seats\"}\n"
+      "{\"wall_ms\":1050,\"event\":\"accepted\",\"job\":\"d\",\"queue\":"
+      "\"open\"}\n"
+      "{\"wall_ms\":1900,\"event\":\"placed\",\"job\":\"a\",\"step\":0,"
+      "\"lacked_ms\":{\"quota\":800,\"room\":20}}\n"
+      "{\"wall_ms\":1950,\"event\":\"placed\",\"job\":\"b\",\"step\":0,"
+      "\"lacked_ms\":{\"quota\":400}}\n"
+      "{\"wall_ms\":2900,\"event\":\"job_ended\",\"job\":\"a\",\"state\":"
+      "\"completed\",\"took_ms\":1900,\"due_ms\":1500}\n"
+      "{\"wall_ms\":2900,\"event\":\"job_ended\",\"job\":\"c\",\"state\":"
+      "\"completed\",\"took_ms\":900,\"due_ms\":1500}\n";
+
+static void
+test_what_callers_of_each_workspace_got (void **state)
+{
+  CliSession *session = *state;
+
+  assert_int_equal (
+      cli_session_run_with (session, "report --by-workspace", workspace_lines),
+      MUX_EXIT_OK);
+  assert_int_equal (cli_session_run_with (session,
+                                          "report --by-workspace --json",
+                                          workspace_lines),
+                    MUX_EXIT_OK);
+  cli_session_assert_golden (session, "report_by_workspace");
+}
+
 int
 main (void)
 {
@@ -139,6 +179,7 @@
     CLI_SESSION (test_table_by_queue_and_span),
     CLI_SESSION (test_shares_of_the_largest_jobs),
     CLI_SESSION (test_questions_and_waits_by_size),
+    CLI_SESSION (test_what_callers_of_each_workspace_got),
   };
 
   return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
