cell: give questions and the claim's types files of their own

cell.c and cell_types.h had grown with keys and quotas; callers' questions stand in question.c, what is known of the claim in claim_types.h, and cell_place_tasks() is three functions. No change of behaviour.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -5,6 +5,7 @@
 #include "cell/cell.h"
 #include "cell/run_time.h"
 #include "cell/throttle.h"
+#include "claim_types.h"
 #include "workspace_types.h"
 
 #include <uthash.h>
@@ -33,8 +34,6 @@
  * longer than the store's usual outages of some 5 s, so that they leave the
  * running tasks alone.  Where the store serves others it stops sooner. */
 #define CELL_TRUST_MS 8000
-/* Greetings of which it is known when they were sent: 8 s of them. */
-#define CELL_GREETINGS 32
 /* A pause of this thread's work after which the claim is read again before
  * anything is ordered: the instance may have been frozen while another took
  * over.  Well over what a busy core takes between two ticks. */
@@ -1028,74 +1027,6 @@
   CELL_PLANNING,
 } CellRole;
 
-/**
- * struct CellClaim - who plans, as the store says
- * @former_until_ms: planners before the holder order nothing after this
- */
-typedef struct
-{
-  bool known;      /* the row, or its absence, has been read */
-  bool unreadable; /* somebody may plan, who can't be told */
-  bool given_up;   /* by its last holder, which ordered nothing from then on */
-  char name[MUX_NAME_LEN];
-  char addr[MUX_ADDR_LEN];
-  char heir[MUX_NAME_LEN]; /* of a claim given up: who should take it first */
-  uint64_t incarnation;    /* 0: nobody */
-  uint64_t version;
-  uint32_t term; /* how often it was taken */
-  int64_t former_until_ms;
-} CellClaim;
-
-/**
- * struct CellGreetings - what a daemon has told the planner of the store
- * @number: of the last greeting
- * @failing_number: of the last one that said that the store fails; 0: none
- * @taken_number: the last one that the holder of the claim has taken; 0: none
- * @taken_sent_ms: when that was sent
- * @served_ms: since then it was surely known at each moment, to the holder,
- * that the store serves this daemon
- * @sent_ms: when each of the last ones was, by their numbers
- */
-typedef struct
-{
-  uint64_t number;
-  uint64_t failing_number;
-  uint64_t taken_number;
-  int64_t taken_sent_ms;
-  int64_t served_ms;
-  int64_t sent_ms[CELL_GREETINGS];
-} CellGreetings;
-
-/**
- * struct CellAnswers - how soon the planner hears of its calls to workers
- * @count: answers that @mean_us is of, as far as they count
- * @mean_us: how long they took, in the mean
- * @last_ms: when the last one was taken
- */
-typedef struct
-{
-  uint32_t count;
-  int64_t mean_us;
-  int64_t last_ms;
-} CellAnswers;
-
-/**
- * struct CellFormer - the planner before this one
- * @name: "": the claim was given up, or nobody's
- * @addr: where it listened for other daemons
- * @incarnation: its process
- * @earlier_until_ms: those before it order nothing after this
- * @until_ms: nor does it
- */
-typedef struct
-{
-  char name[MUX_NAME_LEN];
-  char addr[MUX_ADDR_LEN];
-  uint64_t incarnation;
-  int64_t earlier_until_ms;
-  int64_t until_ms;
-} CellFormer;
-
 struct MuxCell
 {
   MuxCellOptions options;
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -199,11 +199,26 @@
   ask (cell, stage);
 }
 
+/**
+ * struct Placing - one look at a step's waiting tasks
+ * @sent: starts on their way
+ * @over_quota: its workspace may have no more running
+ * @short_of_workers: some task has none to go to
+ */
+typedef struct
+{
+  uint32_t sent;
+  bool over_quota;
+  bool short_of_workers;
+} Placing;
+
 /* Of a step that nobody was asked about in this look. */
 static CellLack
-what_lacks (MuxCell *cell, const CellStage *stage, bool is_short)
+what_lacks (MuxCell *cell, const CellStage *stage, const Placing *placing)
 {
-  if (!is_short)
+  if (placing->over_quota)
+    return CELL_LACKS_QUOTA;
+  if (!placing->short_of_workers)
     return CELL_LACKS_RECORD;
   return !stage->job->spec->queue.approval.needed
                  || cell_can_ask (cell, stage, CELL_CANDIDATES_LEAST)
@@ -211,61 +226,75 @@
              : CELL_LACKS_ASKER;
 }
 
-void
-cell_place_tasks (MuxCell *cell, CellStage *stage)
+/* Return: false when its start can't be made: memory or a ring is out. */
+static bool
+place_task (MuxCell *cell, CellTask *task, Placing *placing)
 {
-  bool needed = stage->job->spec->queue.approval.needed;
-  /* Without a proof that is taken now no worker needs to be looked at. */
-  bool short_of_workers = needed && cell->time.now_ms >= stage->proof_until_ms;
-  bool is_over_quota = cell_quota_spares (cell, stage) == 0;
-  uint32_t sent = 0;
+  Choice best = best_worker (cell, task);
 
-  if (is_over_quota)
+  if (best.worker == NULL)
     {
-      cell_step_lacks (cell, stage, CELL_LACKS_QUOTA);
-      return;
+      placing->short_of_workers = !best.kept_apart;
+      return true;
     }
-  if (!needed)
-    cell_choose_data_centre (cell, stage);
-  for (uint32_t i = 0; i < stage->spec->count && !short_of_workers; i++)
+  if (cell_start_needs_record (cell, task)
+      && !cell_start_is_recorded (cell, task, best.worker))
+    return true;
+  if (!cell_start (cell, task, best.worker, cell_next_run (cell, task->run),
+                   task->saved))
+    return false;
+  placing->sent++;
+  return true;
+}
+
+static bool
+place_all (MuxCell *cell, CellStage *stage, Placing *placing)
+{
+  for (uint32_t i = 0; i < stage->spec->count && !placing->short_of_workers;
+       i++)
     {
       CellTask *task = &stage->task[i];
-      Choice best;
 
       if (task->state != CELL_TASK_WAITING || task->booking != NULL
           || !cell_task_may_start (cell, task))
         continue;
-      if (cell_quota_spares (cell, stage) == 0)
-        {
-          is_over_quota = true;
-          break;
-        }
-      best = best_worker (cell, task);
-      if (best.worker == NULL && best.kept_apart)
-        continue;
-      if (best.worker != NULL && cell_start_needs_record (cell, task)
-          && !cell_start_is_recorded (cell, task, best.worker))
-        continue;
-      if (best.worker == NULL)
-        short_of_workers = true;
-      else if (!cell_start (cell, task, best.worker,
-                            cell_next_run (cell, task->run), task->saved))
-        return;
-      else
-        sent++;
+      placing->over_quota = cell_quota_spares (cell, stage) == 0;
+      if (placing->over_quota)
+        return true;
+      if (!place_task (cell, task, placing))
+        return false;
+    }
+  return true;
+}
+
+void
+cell_place_tasks (MuxCell *cell, CellStage *stage)
+{
+  bool needed = stage->job->spec->queue.approval.needed;
+  Placing placing = {
+    .over_quota = cell_quota_spares (cell, stage) == 0,
+    /* Without a proof that is taken now no worker needs to be looked at. */
+    .short_of_workers = needed && cell->time.now_ms >= stage->proof_until_ms,
+  };
+
+  if (placing.over_quota)
+    {
+      cell_step_lacks (cell, stage, CELL_LACKS_QUOTA);
+      return;
     }
-  if (sent > 0 && cell_stage_waiting (stage) == 0)
+  if (!needed)
+    cell_choose_data_centre (cell, stage);
+  if (!place_all (cell, stage, &placing))
+    return;
+  if (placing.sent > 0 && cell_stage_waiting (stage) == 0)
     {
-      cell_stage_placed (cell, stage, sent);
+      cell_stage_placed (cell, stage, placing.sent);
       cell_ask_ahead (cell, stage);
     }
-  if (short_of_workers && needed)
+  if (placing.short_of_workers && needed)
     ask (cell, stage);
   if (!stage->asking && cell_stage_waiting (stage) > 0)
-    cell_step_lacks (cell, stage,
-                     is_over_quota
-                         ? CELL_LACKS_QUOTA
-                         : what_lacks (cell, stage, short_of_workers));
+    cell_step_lacks (cell, stage, what_lacks (cell, stage, &placing));
   if (stage->rank == CELL_RANK_OWED)
     hold_approved (cell, stage);
   cell_stage_update (cell, stage);
--- /dev/null
+++ b/src/cell/question.c
@@ -0,0 +1,81 @@
+#include "cell_private.h"
+
+#include <stdio.h>
+
+/* Callers' questions: which queue is meant, and who asks. */
+
+static void
+submit (MuxCell *cell,
+        MuxQuestion *question,
+        const CellCaller *caller,
+        const MuxQueueSpec *queue,
+        const char *id)
+{
+  MuxFindings findings = { .count = 0, .dropped = 0 };
+
+  question->job->queue = *queue;
+  snprintf (question->job->id, sizeof question->job->id, "%s", id);
+  (void) mux_name_copy (question->job->workspace, caller->workspace);
+  if (!mux_job_check (question->job, &findings))
+    cell_answer (cell, question->call, MUX_OUTCOME_BAD);
+  else if (cell_quota_never_holds (cell, question->job))
+    {
+      mux_count_refused (cell->options.counters, MUX_REASON_QUOTA);
+      cell_answer (cell, question->call, MUX_OUTCOME_TOO_LARGE);
+    }
+  else
+    cell_submit (cell, question);
+}
+
+/*
+ * Guards against a final answer on old knowledge: a queue that was added while
+ * this daemon heard nothing is not known here, and a caller who is told that
+ * there is none does not come back.
+ */
+static MuxOutcome
+no_queue (const MuxCell *cell)
+{
+  return cell_follow_is_known (cell, &cell->follow[FOLLOW_CONFIG])
+             ? MUX_OUTCOME_NO_QUEUE
+             : MUX_OUTCOME_REFUSED;
+}
+
+static void
+answer_caller (MuxCell *cell,
+               MuxQuestion *question,
+               const CellCaller *caller,
+               const MuxQueueSpec *queue,
+               const char *id)
+{
+  if (question->verb == MUX_QUESTION_SUBMIT && question->job != NULL)
+    submit (cell, question, caller, queue, id);
+  else if (id[0] != 0 && !mux_job_id_valid (id))
+    cell_answer (cell, question->call, MUX_OUTCOME_ABSENT);
+  else if (id[0] == 0 && question->verb != MUX_QUESTION_STATE)
+    cell_answer (cell, question->call, MUX_OUTCOME_BAD);
+  else
+    cell_inquire (cell, question, caller, queue, id);
+}
+
+void
+mux_cell_question (MuxCell *cell, MuxCellTime time, MuxQuestion *question)
+{
+  const MuxQueueSpec *queue = NULL;
+  const char *id = NULL;
+  MuxOutcome outcome = MUX_OUTCOME_REFUSED;
+  CellCaller caller;
+
+  cell_set_time (cell, time);
+  if (cell->config != NULL)
+    {
+      queue
+          = mux_queue_find (cell->config, question->host, question->path, &id);
+      outcome = queue != NULL ? cell_authorize (cell, question, queue, &caller)
+                              : no_queue (cell);
+    }
+  if (outcome == MUX_OUTCOME_ACCEPTED)
+    answer_caller (cell, question, &caller, queue, id);
+  else
+    cell_answer (cell, question->call, outcome);
+  mux_question_free (question);
+}
