--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -98,6 +98,12 @@
   job->part = cell_part_of (job->id);
   job->payload = mux_blob_new (spec->payload, strlen (spec->payload));
   set_times (cell, job);
+  /* Without its workspace no quota would bound it. */
+  if (job->workspace == NULL && spec->workspace[0] != 0)
+    {
+      cell_job_delete (cell, job);
+      return NULL;
+    }
   if (job->payload != NULL
       && (spec->repetitions > 0
           || cell_occurrence_add (cell, job, 0, job->began_ms)))
