cell: start a task that the quota's overrun alone holds

A task larger than its workspace's quota by no more than the overrun was accepted and never started: the limit for single tasks was the quota itself, that for what is refused the quota with its overrun. The test failed before.

--- a/src/cell/quota.c
+++ b/src/cell/quota.c
@@ -99,16 +99,15 @@
   return mux_quota_add (none, gang->spec->size, gang->spec->count);
 }
 
-/* A gang starts whole or not at all: one that is larger than the quota, by no
- * more than that may be overrun, would never start. */
+/* What starts whole or not at all, a gang or a task, and is larger than the
+ * quota by no more than that may be overrun would never start. */
 static MuxQuota
 limit_for (const MuxCell *cell, const CellStage *stage)
 {
   MuxQuota quota = stage->job->workspace->spec.quota;
+  uint32_t whole = stage->spec->gang ? stage->spec->count : 1;
 
-  if (!stage->spec->gang
-      || mux_quota_fits (quota, (MuxQuota){ 0 }, stage->spec->size)
-             >= stage->spec->count)
+  if (mux_quota_fits (quota, (MuxQuota){ 0 }, stage->spec->size) >= whole)
     return quota;
   return mux_quota_widen (quota, cell->options.quota_overrun_milli);
 }
--- a/test/unit/test_cell_quota.c
+++ b/test/unit/test_cell_quota.c
@@ -122,8 +122,10 @@
   world_free (world);
 }
 
+/* Guards against jobs that are accepted, as the overrun holds them, and wait
+ * for good. */
 static void
-test_gang_over_the_quota_starts_within_the_overrun (void **state)
+test_what_is_over_the_quota_starts_within_the_overrun (void **state)
 {
   World *world = world_new (CELLS, WORKERS);
 
@@ -137,6 +139,10 @@
   (void) world_submit (world, 0, gang (11), "gang");
   world_run (world, 2000);
   assert_int_equal (world_starts (world, "gang"), 11);
+  world_show_key (world, "night");
+  (void) world_submit (world, 0, world_job (1, 1, 11 * CPU_MILLI), "large");
+  world_run (world, 2000);
+  assert_int_equal (world_starts (world, "large"), 1);
   assert_int_equal (world->over_quota, 0);
   world_free (world);
 }
@@ -288,7 +294,7 @@
     cmocka_unit_test (test_waiting_for_quota_is_told),
     cmocka_unit_test (test_full_workspace_holds_nobody_else_back),
     cmocka_unit_test (test_gang_is_not_starved_by_tasks_of_its_workspace),
-    cmocka_unit_test (test_gang_over_the_quota_starts_within_the_overrun),
+    cmocka_unit_test (test_what_is_over_the_quota_starts_within_the_overrun),
     cmocka_unit_test (test_what_no_quota_can_hold_is_refused),
     cmocka_unit_test (test_lowered_quota_stops_nothing_that_runs),
     cmocka_unit_test (test_raised_quota_starts_what_waits),
