--- a/test/unit/test_cell_quota_random.c
+++ b/test/unit/test_cell_quota_random.c
@@ -1,10 +1,8 @@
 #include "support/cell_world.h"
 #include "support/test.h"
 
-/* Random schedules of two workspaces: quotas and keys that change, planners
- * that die or freeze, workers that are cut off or carry orders out late, a
- * store that fails or loses answers.  No start brings a workspace over its
- * quota, and all that was accepted ends. */
+/* Random schedules of two workspaces whose quotas change, under faults of
+ * daemons, workers and the store. */
 
 #define CELLS 3
 #define WORKERS 10
