--- a/src/cell/approve_record.c
+++ b/src/cell/approve_record.c
@@ -156,8 +156,7 @@
 {
   const CellWorker *worker = cell_worker_find (cell, id);
 
-  return worker == NULL || !cell_in_roster (worker) || worker->heard
-         || worker->dead;
+  return worker == NULL || !cell_worker_is_unheard (worker);
 }
 
 static bool
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -468,6 +468,9 @@
 void cell_workers_tick (MuxCell *cell);
 void cell_workers_free (MuxCell *cell);
 bool cell_worker_usable (const MuxCell *cell, const CellWorker *worker);
+/** cell_worker_is_unheard() - it may run what a former planner started, unknown
+ * to this one */
+bool cell_worker_is_unheard (const CellWorker *worker);
 bool cell_all_heard (MuxCell *cell);
 
 /** cell_worker_unlist() - it is missing from the platform's list */
--- a/src/cell/quota.c
+++ b/src/cell/quota.c
@@ -178,7 +178,7 @@
   const CellWorker *worker;
 
   for (worker = cell->workers; worker != NULL; worker = worker->hh.next)
-    if (cell_in_roster (worker) && !worker->heard && !worker->dead)
+    if (cell_worker_is_unheard (worker))
       room = mux_quota_add (room, largest, 1);
   return room;
 }
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -71,7 +71,7 @@
 
   HASH_ITER (hh, cell->workers, worker, next)
   {
-    lack.unheard += cell_in_roster (worker) && !worker->heard && !worker->dead;
+    lack.unheard += cell_worker_is_unheard (worker);
     if (!cell_worker_serves (stage, worker))
       continue;
     if (cell->time.now_ms < worker->avoid_until_ms)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -90,6 +90,12 @@
   worker_free (cell, worker);
 }
 
+bool
+cell_worker_is_unheard (const CellWorker *worker)
+{
+  return cell_in_roster (worker) && !worker->heard && !worker->dead;
+}
+
 static bool
 find_unheard (const MuxCell *cell)
 {
@@ -101,7 +107,7 @@
   HASH_ITER (hh, cell->workers, worker, next)
   {
     looks++;
-    found = cell_in_roster (worker) && !worker->heard && !worker->dead;
+    found = cell_worker_is_unheard (worker);
     if (found)
       break;
   }
