--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -699,6 +699,16 @@
 void cell_run_times_receive (MuxCell *cell, const json_t *list);
 void cell_run_times_tick (MuxCell *cell);
 
+/* worker_speed_learn.c: speeds of workers */
+
+/** cell_worker_speed_milli() - estimated speed, in thousandths of the pool's
+ * mean; 1000 if it is unknown or the pool's workers are alike */
+uint32_t cell_worker_speed_milli (const CellWorker *worker);
+/** cell_worker_expected_ms() - expected time of a run of the stage on the
+ * worker */
+uint32_t cell_worker_expected_ms (const CellStage *stage,
+                                  const CellWorker *worker);
+
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
 void cell_sweep_tick (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1065,6 +1065,8 @@
  * @reroutes: counts changes of its route; selects the proxy
  * @idle_until_ms: not called before this while nothing runs there
  * @consecutive_failures: failed runs since one ended well there
+ * @speed_milli: speed of runs there, in thousandths of the pool's mean; 0:
+ *   unknown, or the pool's workers are alike
  * @booked: room of its bookings
  * @long_running: part of @booked for tasks that run until they are cancelled
  * @stop_count: bookings for which a stop is to be sent
@@ -1120,6 +1122,7 @@
   uint32_t reroutes;
   int64_t idle_until_ms;
   uint32_t consecutive_failures;
+  uint32_t speed_milli;
   MuxSize booked;
   MuxSize long_running;
   uint32_t stop_count;
