cell: claim and yield by the ability to plan, not by CPU share alone

Cause: a daemon with a quarter of a core claimed without delay whatever its link and the size of the cell, and a planner yielded only for twice its CPU share.

Change: settings for the memory and link rate of the instance, sent with each hello. The planner computes the need of planning from workers, members and accepted jobs and publishes it in the admission blob. Ability is the smallest ratio of limit to need; the claim delay is proportional to what is missing of it, and a planner that misses some yields to a member with 1.5 times its own. Older versions refuse longer hellos, so the new fields are left out until the planner is known to take them. The tests of yielding use a weak share of 0.009 core: with their 4 to 8 workers 0.1 core meets the whole need.

With 48 workers and 0.25 core all instances are fully able and no claim moves.

--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -50,8 +50,10 @@
  * @lease_ms: lease requested from workers; tasks of an unreachable worker are
  *   not started elsewhere for as long
  * @dead_ms: silence of the planner after which another daemon claims
- * @cpu_share_milli: this instance's share of a processor, in thousandths; the
- *   daemon with the largest becomes the planner
+ * @cpu_share_milli: this instance's share of a processor, in thousandths
+ * @link_kbps: rate of its link, in kbit/s; 0: unknown
+ * @memory_mib: its memory, in MiB; 0: unknown.  By these three limits the most
+ *   able daemon becomes the planner, see cell/ability.h
  * @ended_retention_s: how long, at least, the state of an ended job is kept
  * @revoke_timeout_ms: a key is rejected so long after its removal from the
  *   configuration, even if this daemon can't read that; 0: only once it does
@@ -71,6 +73,8 @@
   uint32_t lease_ms;
   uint32_t dead_ms;
   uint32_t cpu_share_milli;
+  uint32_t link_kbps;
+  uint32_t memory_mib;
   uint32_t ended_retention_s;
   uint32_t revoke_timeout_ms;
   uint32_t quota_overrun_milli;
--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -96,9 +96,12 @@
  * @table_ok: the sender can use the store              (HELLO, HELLO_REPLY,
  *   SUBMIT_REPLY)
  * @cpu_share_milli: sender's share of a processor, in thousandths (HELLO)
+ * @link_kbps: rate of its link, in kbit/s; 0: unknown  (HELLO)
+ * @memory_mib: its memory, in MiB; 0: unknown          (HELLO)
  * @wall_ms: sender's time of day, 0: not given         (HELLO); the one that
  *   the cell goes by                                   (HELLO_REPLY)
- * @late_ms: how long what arrives waits at the sender  (HELLO_REPLY)
+ * @late_ms: how long what arrives waits at the sender  (HELLO_REPLY); the
+ *   round-trip time of its last hello                  (HELLO)
  * @job_state: a MuxJobState                            (JOB_REPLY)
  * @outcome: a MuxResponseOutcome                       (SUBMIT_REPLY)
  * @body: JSON (CONFIG_ROWS, HELLO_REPLY, *_QUERY, SUBMIT_REQUEST, PROXY_*,
@@ -140,6 +143,8 @@
   bool found;
   bool table_ok;
   uint32_t cpu_share_milli;
+  uint32_t link_kbps;
+  uint32_t memory_mib;
   int64_t wall_ms;
   uint32_t late_ms;
   uint32_t job_state;
--- a/src/adapter/peer_decode.c
+++ b/src/adapter/peer_decode.c
@@ -291,6 +291,7 @@
 static bool
 read_msg (Reader *reader, MuxPeerMsg *msg)
 {
+  MuxPeerFieldList list;
   uint32_t entries = 0;
   uint32_t verb = 0;
   uint64_t version = 0;
@@ -304,10 +305,13 @@
   if (!read_u32 (reader, "verb", MUX_PEER_VERB_COUNT - 1, &verb))
     return false;
   msg->verb = (MuxPeerVerb) verb;
-  if (entries != mux_peer_entry_count (msg->verb))
+  list = mux_peer_verb_fields[verb];
+  if (entries + list.optional == mux_peer_entry_count (msg->verb))
+    list = mux_peer_without_optional (&list);
+  else if (entries != mux_peer_entry_count (msg->verb))
     return fail (reader, "head", "has the wrong length");
   if (!read_list (reader, &mux_peer_common_fields, msg)
-      || !read_list (reader, &mux_peer_verb_fields[verb], msg))
+      || !read_list (reader, &list, msg))
     return false;
   if (reader->pos != reader->len)
     return fail (reader, "end", "is followed by more bytes");
--- a/src/adapter/peer_encode.c
+++ b/src/adapter/peer_encode.c
@@ -113,18 +113,36 @@
   return failed;
 }
 
+static bool
+has_optional (const MuxPeerMsg *msg, const MuxPeerFieldList *list)
+{
+  for (uint32_t i = list->count - list->optional; i < list->count; i++)
+    if (*(const uint32_t *) (const void *) ((const char *) msg
+                                            + list->fields[i].offset)
+        != 0)
+      return true;
+  return false;
+}
+
 static bool
 write_msg (Writer *writer, const MuxPeerMsg *msg)
 {
+  MuxPeerFieldList list = mux_peer_verb_fields[msg->verb];
+  uint32_t entries = mux_peer_entry_count (msg->verb);
   msgpack_packer pk;
   int failed;
 
+  if (!has_optional (msg, &list))
+    {
+      entries -= list.optional;
+      list = mux_peer_without_optional (&list);
+    }
   msgpack_packer_init (&pk, writer, writer_add);
-  failed = msgpack_pack_array (&pk, mux_peer_entry_count (msg->verb));
+  failed = msgpack_pack_array (&pk, entries);
   failed |= msgpack_pack_uint32 (&pk, MUX_PEER_VERSION);
   failed |= msgpack_pack_uint32 (&pk, (uint32_t) msg->verb);
   failed |= pack_list (&pk, msg, &mux_peer_common_fields);
-  failed |= pack_list (&pk, msg, &mux_peer_verb_fields[msg->verb]);
+  failed |= pack_list (&pk, msg, &list);
   return failed == 0;
 }
 
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -82,7 +82,12 @@
   { MUX_FIELD_BOOL, "table_ok", offsetof (MuxPeerMsg, table_ok) },
   { MUX_FIELD_BOOL, "stopping", offsetof (MuxPeerMsg, stopping) },
   { MUX_FIELD_I64, "wall_ms", offsetof (MuxPeerMsg, wall_ms) },
+  { MUX_FIELD_U32, "late_ms", offsetof (MuxPeerMsg, late_ms) },
+  { MUX_FIELD_U32, "link_kbps", offsetof (MuxPeerMsg, link_kbps) },
+  { MUX_FIELD_U32, "memory_mib", offsetof (MuxPeerMsg, memory_mib) },
 };
+/* The last three. */
+#define HELLO_OPTIONAL 3
 
 static const MuxPeerField hello_reply_fields[] = {
   { MUX_FIELD_U64, "epoch", offsetof (MuxPeerMsg, epoch) },
@@ -122,37 +127,39 @@
 #define COUNT(array) ((uint32_t) (sizeof (array) / sizeof (array)[0]))
 
 const MuxPeerFieldList mux_peer_common_fields
-    = { common_fields, COUNT (common_fields) };
+    = { common_fields, COUNT (common_fields), 0 };
 
 const MuxPeerFieldList mux_peer_verb_fields[MUX_PEER_VERB_COUNT] = {
-  [MUX_PEER_HEARTBEAT] = { heartbeat_fields, COUNT (heartbeat_fields) },
+  [MUX_PEER_HEARTBEAT] = { heartbeat_fields, COUNT (heartbeat_fields), 0 },
   [MUX_PEER_GRANT_REQUEST]
-  = { grant_request_fields, COUNT (grant_request_fields) },
-  [MUX_PEER_GRANT] = { grant_fields, COUNT (grant_fields) },
-  [MUX_PEER_GRANT_REFUSED] = { refused_fields, COUNT (refused_fields) },
-  [MUX_PEER_GRANT_CANCEL] = { task_fields, COUNT (task_fields) },
-  [MUX_PEER_GRANT_END] = { ended_fields, COUNT (ended_fields) },
-  [MUX_PEER_TASK_ENDED] = { ended_fields, COUNT (ended_fields) },
-  [MUX_PEER_HANDOVER] = { handover_fields, COUNT (handover_fields) },
-  [MUX_PEER_CONFIG_HINT] = { revision_fields, COUNT (revision_fields) },
-  [MUX_PEER_CONFIG_REQUEST] = { revision_fields, COUNT (revision_fields) },
-  [MUX_PEER_CONFIG_ROWS] = { config_rows_fields, COUNT (config_rows_fields) },
-  [MUX_PEER_BYE] = { NULL, 0 },
-  [MUX_PEER_MEMBERS] = { members_fields, COUNT (members_fields) },
-  [MUX_PEER_JOB_HINT] = { task_fields, COUNT (task_fields) },
-  [MUX_PEER_HELLO] = { hello_fields, COUNT (hello_fields) },
-  [MUX_PEER_HELLO_REPLY] = { hello_reply_fields, COUNT (hello_reply_fields) },
-  [MUX_PEER_JOB_QUERY] = { query_fields, COUNT (query_fields) },
-  [MUX_PEER_JOB_REPLY] = { job_reply_fields, COUNT (job_reply_fields) },
-  [MUX_PEER_APPROVAL_QUERY] = { query_fields, COUNT (query_fields) },
-  [MUX_PEER_PROXY_CALL] = { query_fields, COUNT (query_fields) },
+  = { grant_request_fields, COUNT (grant_request_fields), 0 },
+  [MUX_PEER_GRANT] = { grant_fields, COUNT (grant_fields), 0 },
+  [MUX_PEER_GRANT_REFUSED] = { refused_fields, COUNT (refused_fields), 0 },
+  [MUX_PEER_GRANT_CANCEL] = { task_fields, COUNT (task_fields), 0 },
+  [MUX_PEER_GRANT_END] = { ended_fields, COUNT (ended_fields), 0 },
+  [MUX_PEER_TASK_ENDED] = { ended_fields, COUNT (ended_fields), 0 },
+  [MUX_PEER_HANDOVER] = { handover_fields, COUNT (handover_fields), 0 },
+  [MUX_PEER_CONFIG_HINT] = { revision_fields, COUNT (revision_fields), 0 },
+  [MUX_PEER_CONFIG_REQUEST] = { revision_fields, COUNT (revision_fields), 0 },
+  [MUX_PEER_CONFIG_ROWS]
+  = { config_rows_fields, COUNT (config_rows_fields), 0 },
+  [MUX_PEER_BYE] = { NULL, 0, 0 },
+  [MUX_PEER_MEMBERS] = { members_fields, COUNT (members_fields), 0 },
+  [MUX_PEER_JOB_HINT] = { task_fields, COUNT (task_fields), 0 },
+  [MUX_PEER_HELLO] = { hello_fields, COUNT (hello_fields), HELLO_OPTIONAL },
+  [MUX_PEER_HELLO_REPLY]
+  = { hello_reply_fields, COUNT (hello_reply_fields), 0 },
+  [MUX_PEER_JOB_QUERY] = { query_fields, COUNT (query_fields), 0 },
+  [MUX_PEER_JOB_REPLY] = { job_reply_fields, COUNT (job_reply_fields), 0 },
+  [MUX_PEER_APPROVAL_QUERY] = { query_fields, COUNT (query_fields), 0 },
+  [MUX_PEER_PROXY_CALL] = { query_fields, COUNT (query_fields), 0 },
   [MUX_PEER_PROXY_REPLY]
-  = { approval_reply_fields, COUNT (approval_reply_fields) },
-  [MUX_PEER_SUBMIT_REQUEST] = { query_fields, COUNT (query_fields) },
+  = { approval_reply_fields, COUNT (approval_reply_fields), 0 },
+  [MUX_PEER_SUBMIT_REQUEST] = { query_fields, COUNT (query_fields), 0 },
   [MUX_PEER_SUBMIT_REPLY]
-  = { submit_reply_fields, COUNT (submit_reply_fields) },
+  = { submit_reply_fields, COUNT (submit_reply_fields), 0 },
   [MUX_PEER_APPROVAL_REPLY]
-  = { approval_reply_fields, COUNT (approval_reply_fields) },
+  = { approval_reply_fields, COUNT (approval_reply_fields), 0 },
 };
 
 static uint32_t
@@ -172,3 +179,9 @@
   return MUX_PEER_HEADER_ENTRIES + list_entry_count (&mux_peer_common_fields)
          + list_entry_count (&mux_peer_verb_fields[verb]);
 }
+
+MuxPeerFieldList
+mux_peer_without_optional (const MuxPeerFieldList *list)
+{
+  return (MuxPeerFieldList){ list->fields, list->count - list->optional, 0 };
+}
--- a/src/adapter/peer_fields.h
+++ b/src/adapter/peer_fields.h
@@ -46,16 +46,25 @@
 /* Array entries before the fields: version and verb. */
 #define MUX_PEER_HEADER_ENTRIES 2
 
+/**
+ * struct MuxPeerFieldList - fields in the order of the message
+ * @optional: how many of the last fields are left out if all of them are 0,
+ *   as versions without them refuse longer messages; all are MUX_FIELD_U32
+ */
 typedef struct
 {
   const MuxPeerField *fields;
   uint32_t count;
+  uint32_t optional;
 } MuxPeerFieldList;
 
 extern const MuxPeerFieldList mux_peer_common_fields;
 extern const MuxPeerFieldList mux_peer_verb_fields[MUX_PEER_VERB_COUNT];
 
-/** mux_peer_entry_count() - array entries of a message with this @verb */
+/** mux_peer_entry_count() - array entries of a message with this @verb and all
+ * its optional fields */
 uint32_t mux_peer_entry_count (MuxPeerVerb verb);
+/** mux_peer_without_optional() - the list without its optional fields */
+MuxPeerFieldList mux_peer_without_optional (const MuxPeerFieldList *list);
 
 #endif
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -86,6 +86,7 @@
 void
 cell_admission_accepted (MuxCell *cell, const MuxJobSpec *spec)
 {
+  cell_need_job_accepted (cell);
   if (cell->role == CELL_PLANNING && may_place (cell) && has_deadline (spec))
     mux_admission_accepted (&cell->admission, queue_of (spec),
                             work_of_job (cell, spec));
@@ -318,10 +319,11 @@
   cell->admission_blob_ms = cell->time.now_ms;
   cell->admission_blob = cell_blob_from_json (cell_predecessors_to_json (
       cell,
-      json_pack ("{s:i, s:I, s:o, s:o}", "share_milli",
+      json_pack ("{s:i, s:I, s:o, s:o, s:o}", "share_milli",
                  (int) cell->throttle.share_milli, "late_ms",
                  (json_int_t) cell_late_ms (cell), "waits", waits_json (cell),
-                 "run_times", cell_run_times_json (cell)),
+                 "run_times", cell_run_times_json (cell), "need",
+                 cell_need_json (cell)),
       cell_predecessors_left_ms (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
@@ -388,6 +390,7 @@
 
   apply_waits (cell, json_object_get (json, "waits"));
   cell_run_times_receive (cell, json_object_get (json, "run_times"));
+  cell_need_receive (cell, json);
   cell->throttle.share_milli = share != NULL && share_milli >= 0
                                        && share_milli < MUX_THROTTLE_FULL_MILLI
                                    ? (uint32_t) share_milli
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -305,6 +305,22 @@
  * that keeps it from claiming */
 void cell_claim_renewed (MuxCell *cell, int64_t at_ms);
 
+/* planner_need.c: the need of planning, and who meets it */
+/** cell_need_job_accepted() - this planner is about to store a job */
+void cell_need_job_accepted (MuxCell *cell);
+/** cell_need_tick() - computes the need if it is time; for the planner */
+void cell_need_tick (MuxCell *cell);
+/** cell_need_json() - for the admission blob
+ * Return: NULL if out of memory. */
+json_t *cell_need_json (const MuxCell *cell);
+/** cell_need_receive() - takes the need from the planner's admission blob */
+void cell_need_receive (MuxCell *cell, const json_t *blob);
+/** cell_own_ability_milli() - how much of the need this instance meets, in
+ * thousandths */
+uint32_t cell_own_ability_milli (const MuxCell *cell);
+uint32_t cell_member_ability_milli (const MuxCell *cell,
+                                    const CellMember *member);
+
 /* handover.c: handing the claim to another daemon */
 void cell_yield_begin (MuxCell *cell);
 /** cell_yield_tick() - hands over to a member with a much larger CPU share */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -251,9 +251,10 @@
  * @addr: where it listens for other daemons
  * @incarnation: of its process
  * @hello_number: number of its last hello
- * @last_contact_ms: when that was received
+ * @first_contact_ms: when the first hello of that process was received
+ * @last_contact_ms: when the last one was
  * @store_available: the store answers it, by its last hello
- * @cpu_share_milli: processor share, in thousandths
+ * @limits: of its instance
  * @stopping: it is shutting down
  * @wall_known: @wall_offset_ms is known
  * @wall_offset_ms: its time of day minus this daemon's monotonic clock
@@ -268,9 +269,10 @@
   char addr[MUX_ADDR_LEN];
   uint64_t incarnation;
   uint64_t hello_number;
+  int64_t first_contact_ms;
   int64_t last_contact_ms;
   bool store_available;
-  uint32_t cpu_share_milli;
+  MuxAbilityLimits limits;
   bool stopping;
   bool wall_known;
   int64_t wall_offset_ms;
@@ -1268,6 +1270,7 @@
   /* Until when planners before the holder may order, by its heartbeat. */
   int64_t heartbeat_predecessors_until_ms;
   CellHellos hellos;
+  CellNeed need;
   CellPredecessor predecessor; /* of this planner */
   CellRole role;
   uint64_t term; /* version of the claim held, the fencing token; 0: none */
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -10,11 +10,6 @@
 /* Claims are spread over this time, so that the other daemons see the first
  * one before they try. */
 #define JITTER_MS 250
-/* A daemon with a CPU share of a quarter of a core (48 workers take 0.08 of
- * it) claims without extra delay; one with no share waits WEAK_DELAY_MAX_MS
- * longer. */
-#define STRONG_SHARE_MILLI 250
-#define WEAK_DELAY_MAX_MS 800
 #define RETRY_MS 300
 /* A planner that can't reach the store is replaced once this daemon could for
  * this long, without a gap of more than PROBE_GAP_MAX_MS between replies. */
@@ -89,17 +84,21 @@
   cell_load_begin (cell);
 }
 
-/* Planning takes a few thousandths of a core per worker, so daemons with a
- * small CPU share let others claim first. */
-static int64_t
-weak_delay_ms (const MuxCell *cell)
+static bool
+is_successor (const MuxCell *cell)
 {
-  uint32_t share_milli = cell->options.cpu_share_milli;
+  return cell->claim.incarnation == 0 && !cell->claim.unreadable
+         && strcmp (cell->claim.successor, cell->options.name) == 0;
+}
 
-  return share_milli < STRONG_SHARE_MILLI
-             ? (int64_t) WEAK_DELAY_MAX_MS * (STRONG_SHARE_MILLI - share_milli)
-                   / STRONG_SHARE_MILLI
-             : 0;
+/* Daemons that can't do all of the planner's work let others claim first,
+ * except for one that the last planner has chosen: the others wait for it. */
+static int64_t
+ability_delay_ms (const MuxCell *cell)
+{
+  return is_successor (cell)
+             ? 0
+             : mux_ability_claim_delay_ms (cell_own_ability_milli (cell));
 }
 
 /* The jitter is a hash of name and claim version, so that it is not always
@@ -107,7 +106,7 @@
 static int64_t
 claim_delay_ms (const MuxCell *cell)
 {
-  return weak_delay_ms (cell)
+  return ability_delay_ms (cell)
          + (int64_t) (mux_hash_name (cell->options.name,
                                      cell->options.seed ^ cell->claim.version)
                       % JITTER_MS);
@@ -158,6 +157,8 @@
   cell->claim = claim;
   cell->claim_read_ms = cell->time.now_ms;
   cell->hellos.acked_number = 0;
+  if (cell->heartbeat_version <= claim.version)
+    cell->need.planner_sends = false;
   cell->planner_last_contact_ms = cell->time.now_ms;
   cell->planner_store_failing_since_ms = 0;
   cell->planner_late_ms = 0;
@@ -174,7 +175,7 @@
     cell_step_down (cell, "other_claim");
   cell->claim_after_ms = cell->time.now_ms + claim_delay_ms (cell);
   if (cell->claim.incarnation == 0 && !cell->claim.unreadable
-      && strcmp (cell->claim.successor, cell->options.name) != 0)
+      && !is_successor (cell))
     cell->claim_after_ms += SUCCESSOR_HEAD_START_MS;
 }
 
@@ -342,6 +343,11 @@
   msg.epoch = cell->claim.version;
   msg.call_id = cell_hello_next (cell, msg.table_ok);
   msg.cpu_share_milli = cell->options.cpu_share_milli;
+  if (cell->need.planner_sends)
+    {
+      msg.link_kbps = cell->options.link_kbps;
+      msg.memory_mib = cell->options.memory_mib;
+    }
   msg.stopping = cell->stopping;
   msg.wall_ms = cell->own_wall_ms;
   (void) cell->options.sink->peer_send (cell->options.sink, cell->claim.addr,
@@ -385,7 +391,7 @@
       || !cell_store_available (cell))
     return;
   if (is_own_previous_incarnation (cell) && now >= cell->claim_retry_ms
-      && (weak_delay_ms (cell) == 0 || now >= cell->claim_after_ms))
+      && (ability_delay_ms (cell) == 0 || now >= cell->claim_after_ms))
     send_claim (cell, "own_former_life");
   if (cell->claiming || now < cell->claim_after_ms)
     return;
--- a/src/cell/claim_types.h
+++ b/src/cell/claim_types.h
@@ -2,6 +2,7 @@
 #define CELL_CLAIM_TYPES_H
 
 #include "base/id.h"
+#include "cell/ability.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -73,6 +74,25 @@
   int64_t last_ms;
 } CellReplyLatency;
 
+/**
+ * struct CellNeed - the need of planning, computed by the planner
+ * @need: as computed or received
+ * @planner_sends: the claim's holder sends it, so it takes the members' limits
+ * @jobs_milli: running mean of jobs accepted per second, in thousandths
+ * @jobs_accepted: jobs accepted since @computed_ms
+ * @computed_ms: when @need was last computed
+ * @term: in this term
+ */
+typedef struct
+{
+  MuxAbilityNeed need;
+  bool planner_sends;
+  uint32_t jobs_milli;
+  uint32_t jobs_accepted;
+  int64_t computed_ms;
+  uint64_t term;
+} CellNeed;
+
 /**
  * struct CellPredecessor - the planner before this one
  * @name: "" if the claim had been released or had no holder
--- a/src/cell/handover.c
+++ b/src/cell/handover.c
@@ -2,15 +2,15 @@
 
 /* Handing the claim over when a planner steps down by itself. */
 
-/* How many times this daemon's CPU share a member needs to take over; for
- * less the second that a takeover takes is not worth it. */
-#define YIELD_FACTOR 2
 /* Minimum age of a term: the strong members have sent a hello by then, and
  * one that does not claim is not asked again at once. */
 #define YIELD_TERM_AGE_MS 1000
 /* Interval of checks of the members, that of their hellos: a check each 4 ms
  * with 299 members took 2 % of the planner's processor. */
 #define YIELD_CHECK_MS 250
+/* A member whose first hello is no older than this may not have stated all its
+ * limits yet: it does so once it knows that the planner takes them. */
+#define MEMBER_SETTLED_MS 600
 /* A member is alive if its last hello is no older than this; two hellos fit. */
 #define MEMBER_ALIVE_MS 500
 
@@ -18,30 +18,38 @@
 can_take_over (const MuxCell *cell, const CellMember *member)
 {
   return member->store_available && !member->stopping
+         && cell->time.now_ms - member->first_contact_ms >= MEMBER_SETTLED_MS
          && cell->time.processed_ms - member->last_contact_ms < MEMBER_ALIVE_MS;
 }
 
-/* The member with the largest CPU share and, among equals, the youngest
- * process: in a rolling restart it is the last one to be restarted again.
- *
- * Return: NULL if none has @min_share_milli. */
+/* Among members of equal ability and CPU share, the youngest process: in a
+ * rolling restart it is the last one to be restarted again. */
+static bool
+is_better (const MuxCell *cell, const CellMember *a, const CellMember *b)
+{
+  uint32_t ability_a = cell_member_ability_milli (cell, a);
+  uint32_t ability_b = cell_member_ability_milli (cell, b);
+
+  if (ability_a != ability_b)
+    return ability_a > ability_b;
+  if (a->limits.cpu_milli != b->limits.cpu_milli)
+    return a->limits.cpu_milli > b->limits.cpu_milli;
+  return a->incarnation > b->incarnation;
+}
+
+/* Return: the most able member; NULL if none has @min_milli. */
 static const CellMember *
-choose_successor (const MuxCell *cell, uint32_t min_share_milli)
+choose_successor (const MuxCell *cell, uint32_t min_milli)
 {
   const CellMember *best = NULL;
   const CellMember *member;
   const CellMember *next;
 
   HASH_ITER (hh, cell->members, member, next)
-  {
-    if (!can_take_over (cell, member)
-        || member->cpu_share_milli < min_share_milli)
-      continue;
-    if (best == NULL || member->cpu_share_milli > best->cpu_share_milli
-        || (member->cpu_share_milli == best->cpu_share_milli
-            && member->incarnation > best->incarnation))
-      best = member;
-  }
+  if (can_take_over (cell, member)
+      && cell_member_ability_milli (cell, member) >= min_milli
+      && (best == NULL || is_better (cell, member, best)))
+    best = member;
   return best;
 }
 
@@ -92,20 +100,24 @@
 }
 
 /*
- * A small instance may have become planner while the strong ones were away.
- * Planning for 350 workers takes more than its share of a processor, so that
- * starts, ends and renewals would be late, and callers be refused, for as long
- * as it is the planner.
+ * A small instance may have become planner while the able ones were away.
+ * Planning for 350 workers takes more than its share of a processor or its
+ * link carries, so that starts, ends and renewals would be late, and callers
+ * be refused, for as long as it is the planner.
  */
 void
 cell_yield_tick (MuxCell *cell)
 {
+  uint32_t ability_milli = cell_own_ability_milli (cell);
   const CellMember *successor;
 
-  if (cell->yield_busy || cell->time.now_ms < cell->yield_after_ms)
+  if (cell->yield_busy || cell->time.now_ms < cell->yield_after_ms
+      || cell->role != CELL_PLANNING || cell->need.term != cell->term)
+    return;
+  if (ability_milli >= MUX_ABILITY_FULL_MILLI)
     return;
-  successor
-      = choose_successor (cell, YIELD_FACTOR * cell->options.cpu_share_milli);
+  successor = choose_successor (cell, ability_milli * MUX_ABILITY_YIELD_MILLI
+                                          / MUX_ABILITY_FULL_MILLI);
   cell->yield_after_ms = cell->time.now_ms + YIELD_CHECK_MS;
   if (successor != NULL)
     cell->yield_busy = write_release (cell, successor, yield_written);
@@ -132,7 +144,7 @@
       return;
     }
   if (!write_release (cell,
-                      choose_successor (cell, cell->options.cpu_share_milli),
+                      choose_successor (cell, cell_own_ability_milli (cell)),
                       release_written))
     cell->claim_released = true;
 }
--- a/src/cell/member.c
+++ b/src/cell/member.c
@@ -75,13 +75,18 @@
   /* An approval query that its previous incarnation was putting is lost. It is
    * ended here, so that its step can send a new one at once. */
   if (member->incarnation != msg->from_incarnation)
-    cell_approval_query_done (cell, member->query_number, false, NULL, 0, 0);
+    {
+      cell_approval_query_done (cell, member->query_number, false, NULL, 0, 0);
+      member->first_contact_ms = cell->time.now_ms;
+    }
   snprintf (member->addr, sizeof member->addr, "%s", msg->from_addr);
   member->incarnation = msg->from_incarnation;
   member->hello_number = msg->call_id;
   member->last_contact_ms = cell->time.processed_ms;
   member->store_available = msg->table_ok;
-  member->cpu_share_milli = msg->cpu_share_milli;
+  member->limits = (MuxAbilityLimits){ .cpu_milli = msg->cpu_share_milli,
+                                       .link_kbps = msg->link_kbps,
+                                       .memory_mib = msg->memory_mib };
   member->stopping = msg->stopping;
   cell_member_set_wall_time (cell, member, msg->wall_ms);
   return true;
--- a/src/cell/predecessor.c
+++ b/src/cell/predecessor.c
@@ -79,6 +79,7 @@
   json_t *json = row->value != NULL ? cell_json_from_blob (row->value) : NULL;
 
   cell->heartbeat_predecessors_until_ms = read_until_ms (cell, json);
+  cell_need_receive (cell, json);
   json_decref (json);
 }
 
--- a/src/cell/proxy.c
+++ b/src/cell/proxy.c
@@ -44,7 +44,7 @@
 static bool
 can_proxy (const MuxCell *cell, const CellMember *member, int64_t max_age_ms)
 {
-  return !member->stopping && member->cpu_share_milli >= PROXY_SHARE_MILLI
+  return !member->stopping && member->limits.cpu_milli >= PROXY_SHARE_MILLI
          && cell->time.processed_ms - member->last_contact_ms < max_age_ms
          && strcmp (member->name, cell->options.name) != 0;
 }
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -72,6 +72,8 @@
       .lease_ms = given->lease_ms,
       .dead_ms = given->dead_ms,
       .cpu_share_milli = given->cpu_share_milli,
+      .link_kbps = given->link_kbps,
+      .memory_mib = given->memory_mib,
       .revoke_timeout_ms = given->revoke_timeout_ms,
       .quota_overrun_milli = given->quota_overrun_milli,
       .ended_retention_s = given->key_retention_s,
--- a/src/daemon/settings_table.c
+++ b/src/daemon/settings_table.c
@@ -10,6 +10,10 @@
 #define KIB 1024
 #define MILLI 1000
 #define CPU_SHARE_MAX 1024
+/* 16 TiB and 1 Tbit/s: well above any instance, and in range of their fields
+ * when they are counted in thousandths. */
+#define MEMORY_MAX_MB 16777216
+#define LINK_MAX_MBPS 1000000
 
 enum
 {
@@ -44,6 +48,8 @@
   REVOKE_TIMEOUT_MS,
   QUOTA_OVERRUN,
   CPU_SHARE,
+  MEMORY_MB,
+  LINK_MBPS,
   READY_LISTEN,
   METRICS_LISTEN,
   NODE_FILE,
@@ -132,7 +138,12 @@
     "part of a workspace's quota, such as 0.1, that a gang too large for the "
     "quota may hold beyond it; none: nothing" },
   [CPU_SHARE] = { "cpu-share", "CUMINMUX_CPU_SHARE", MUX_SETTING_TEXT, "", 0, 0,
-    "1", "processors of this instance, such as 0.25; the strongest plans" },
+    "1", "processors of this instance, such as 0.25; the most able plans" },
+  [MEMORY_MB] = { "memory-mb", "CUMINMUX_MEMORY_MB", MUX_SETTING_TEXT, "", 0, 0,
+    "", "memory of this instance in MiB; 0 or none: unknown, not considered" },
+  [LINK_MBPS] = { "link-mbps", "CUMINMUX_LINK_MBPS", MUX_SETTING_TEXT, "", 0, 0,
+    "", "rate of its link in Mbit/s, such as 200; 0 or none: unknown, not "
+    "considered" },
   [READY_LISTEN] = { "ready-listen", "CUMINMUX_READY_LISTEN",
     MUX_SETTING_ADDRESS, "", 0, 0, "",
     "address where the platform asks for readiness; goes with --store" },
@@ -180,19 +191,25 @@
       = mux_settings_addresses (options->settings, SEEDS, &options->seed_count);
 }
 
-/* Parses a number from 0 to @max, such as "0.25", in thousandths. */
+/* Parses a number from 0 to @max, such as "0.25", in units of 1 / @scale. */
 static bool
-parse_milli (const char *text, double max, uint32_t *milli)
+parse_scaled (const char *text, double max, double scale, uint32_t *scaled)
 {
   char *end = NULL;
   double value = strtod (text, &end);
 
   if (end == text || *end != 0 || !(value >= 0 && value <= max))
     return false;
-  *milli = (uint32_t) (value * MILLI);
+  *scaled = (uint32_t) (value * scale);
   return true;
 }
 
+static bool
+parse_milli (const char *text, double max, uint32_t *milli)
+{
+  return parse_scaled (text, max, MILLI, milli);
+}
+
 /* Return: 0 when @share is not a valid share. */
 static uint32_t
 cpu_share_milli (const char *share)
@@ -203,6 +220,26 @@
   return milli;
 }
 
+/* Limits of the instance that may be unknown.  They may have decimals: they
+ * come from templates of the platform. */
+static void
+fill_limits (MuxDaemonOptions *options, MuxFindings *findings)
+{
+  const char *memory = text (options, MEMORY_MB);
+  const char *link = text (options, LINK_MBPS);
+
+  if (*memory != 0
+      && !parse_scaled (memory, MEMORY_MAX_MB, 1, &options->memory_mib))
+    mux_findings_add (findings, "--memory-mb",
+                      "must be a number from 0, for unknown, to %d",
+                      MEMORY_MAX_MB);
+  if (*link != 0
+      && !parse_scaled (link, LINK_MAX_MBPS, MILLI, &options->link_kbps))
+    mux_findings_add (findings, "--link-mbps",
+                      "must be a number from 0, for unknown, to %d",
+                      LINK_MAX_MBPS);
+}
+
 static void
 fill_integers (MuxDaemonOptions *options)
 {
@@ -280,6 +317,7 @@
     return false;
   fill_texts (options);
   fill_integers (options);
+  fill_limits (options, findings);
   check_combinations (options, findings);
   if (findings->count == before)
     return true;
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -41,6 +41,8 @@
  *   until this daemon reads of the revocation
  * @quota_overrun_milli: thousandths of a quota that may be held beyond it
  * @cpu_share_milli: processor share of this instance, in thousandths
+ * @memory_mib: memory of this instance, in MiB; 0: unknown
+ * @link_kbps: rate of its link, in kbit/s; 0: unknown
  * @ready_listen: address of the readiness endpoint for the platform
  * @metrics_listen: address where the counters are served; "": not served
  * @log_level: highest syslog severity number that is printed
@@ -80,6 +82,8 @@
   uint32_t revoke_timeout_ms;
   uint32_t quota_overrun_milli;
   uint32_t cpu_share_milli;
+  uint32_t memory_mib;
+  uint32_t link_kbps;
   const char *ready_listen;
   const char *metrics_listen;
   MuxLogLevel log_level;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -766,6 +766,8 @@
     .quota_overrun_milli = world->quota_overrun_milli,
     .cpu_share_milli
     = cell->strength_milli != 0 ? cell->strength_milli : CPU_SHARE_MILLI,
+    .link_kbps = cell->link_kbps,
+    .memory_mib = cell->memory_mib,
   };
   static char names[WORLD_CELLS_MAX][MUX_NAME_LEN];
 
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -211,6 +211,8 @@
   int64_t input_delay_ms;       /* queueing delay of input, known to the core */
   int64_t unseen_delay_ms;      /* further delay that the core does not see */
   uint32_t strength_milli;      /* share of a processor; 0: a whole one */
+  uint32_t link_kbps;           /* rate of its link; 0: unknown */
+  uint32_t memory_mib;          /* its memory; 0: unknown */
   WorldFault store;
   WorldFault commits[MUX_TABLE_COUNT]; /* by table changed */
   uint64_t config_version;             /* last logged as in force */
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -94,6 +94,9 @@
       break;
     case MUX_PEER_HELLO:
       msg->cpu_share_milli = 250;
+      msg->link_kbps = 10000;
+      msg->memory_mib = 400;
+      msg->late_ms = 12;
       msg->epoch = 41;
       msg->call_id = 78;
       strcpy (msg->from_addr, "10.20.30.41:7411");
--- a/test/unit/test_cell_handover.c
+++ b/test/unit/test_cell_handover.c
@@ -365,7 +365,9 @@
   assert_int_equal (twice, 0);
 }
 
-#define WEAK_MILLI 100
+/* CPU shares of an instance that meets half of the need of planning for these
+ * few workers, and of a fully able one. */
+#define WEAK_MILLI 9
 #define STRONG_MILLI 1000
 
 /* The store refuses a weak planner's handover; then that planner stops, and
--- a/test/unit/test_peer_codec.c
+++ b/test/unit/test_peer_codec.c
@@ -89,6 +89,43 @@
   mux_blob_unref (blob);
 }
 
+/* Entries of a hello before it carried limits. */
+#define HELLO_ENTRIES_MIN 12
+
+static void
+check_hello (const MuxPeerMsg *sent, uint32_t entries)
+{
+  MuxBlob *blob = mux_peer_encode (sent);
+  MuxPeerMsg got;
+  MuxError err = { MUX_ERROR_NONE, "" };
+
+  assert_non_null (blob);
+  assert_int_equal ((unsigned char) blob->bytes[0], 0x90 | entries);
+  assert_true (mux_peer_decode (blob->bytes, blob->len, &got, &err));
+  assert_int_equal (got.link_kbps, sent->link_kbps);
+  assert_int_equal (got.memory_mib, sent->memory_mib);
+  assert_int_equal (got.late_ms, sent->late_ms);
+  mux_blob_unref (blob);
+}
+
+/* A hello must have the length that older versions take unless it carries the
+ * fields that they don't have: they refuse any other, and the sender would
+ * not be a member of an older planner. */
+static void
+test_hello_without_limits_has_its_former_length (void **state)
+{
+  MuxPeerMsg sent;
+
+  (void) state;
+  peer_sample (MUX_PEER_HELLO, &sent);
+  check_hello (&sent, HELLO_ENTRIES_MIN + 3);
+  sent.link_kbps = 0;
+  sent.late_ms = 0;
+  check_hello (&sent, HELLO_ENTRIES_MIN + 3);
+  sent.memory_mib = 0;
+  check_hello (&sent, HELLO_ENTRIES_MIN);
+}
+
 static void
 test_only_fields_of_verb_travel (void **state)
 {
@@ -362,6 +399,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_round_trip),
     cmocka_unit_test (test_optional_fields_absent),
+    cmocka_unit_test (test_hello_without_limits_has_its_former_length),
     cmocka_unit_test (test_only_fields_of_verb_travel),
     cmocka_unit_test (test_truncation_refused),
     cmocka_unit_test (test_trailing_bytes_refused),
