cell: start nothing while cancels may be unknown for too long

Cause: the planner learns of cancels by its feed of the jobs table alone. Behind a saturated link it started a task 3.78 s after a member had acknowledged the cancel of its job, too late to stop it within cancel_ms.

Change: cancel_age.h decides, from the age of the planner's knowledge of cancels, the delay of the feed and that of orders, whether a task that starts now could still be stopped in time; start_gate.c feeds it, and planning waits while it could not. A reply that may have been cut short proves nothing. Stops are sent before anything else, at once after a full ring, and cancels of a reply before its other rows; the planner's own cancels need no feed.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -59,6 +59,8 @@
   X (JOB_LOOKS, "job_looks_total", "jobs looked at for what time brings on")   \
   X (PLAN_CUT, "plan_passes_cut_total",                                        \
      "planning passes cut for their length")                                   \
+  X (STARTS_HELD, "starts_held_total",                                         \
+     "times that starts were held back as cancels may be unknown")             \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
@@ -70,15 +72,16 @@
      "workers listed with a service of no queue")
 
 /* Histograms of times in milliseconds: symbol, exported name, help. */
-#define MUX_HISTOGRAMS(X)                                                   \
-  X (JOB_WAIT, "job_wait_ms", "from a job's acceptance to its first start") \
-  X (JOB_TIME, "job_time_ms", "from a job's acceptance to its stored end")  \
-  X (STORE, "store_call_ms", "calls to the store that do not wait")         \
-  X (WORKER, "worker_order_ms", "starts and stops until they are answered") \
-  X (APPROVAL, "approval_ms", "questions to the policy service")            \
-  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")             \
-  X (PLANNER_LATE, "planner_late_ms",                                       \
-     "what arrives until the planner takes it")                             \
+#define MUX_HISTOGRAMS(X)                                                      \
+  X (JOB_WAIT, "job_wait_ms", "from a job's acceptance to its first start")    \
+  X (JOB_TIME, "job_time_ms", "from a job's acceptance to its stored end")     \
+  X (STORE, "store_call_ms", "calls to the store that do not wait")            \
+  X (WORKER, "worker_order_ms", "starts and stops until they are answered")    \
+  X (APPROVAL, "approval_ms", "questions to the policy service")               \
+  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")                \
+  X (CANCEL_AGE, "cancel_age_ms", "age of the planner's knowledge of cancels") \
+  X (PLANNER_LATE, "planner_late_ms",                                          \
+     "what arrives until the planner takes it")                                \
   X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start")
 
 /**
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -82,6 +82,13 @@
          || verb == MUX_CELL_FEED;
 }
 
+static bool
+is_worker_call (MuxCellVerb verb)
+{
+  return verb == MUX_CELL_START || verb == MUX_CELL_STOP
+         || verb == MUX_CELL_RENEW;
+}
+
 void
 cell_store_result (MuxCell *cell, const MuxCellReply *reply)
 {
@@ -158,6 +165,8 @@
     mux_observe (counters, MUX_HIST_WORKER, took_ms);
   else if (reply->verb == MUX_CELL_QUERY_APPROVAL)
     mux_observe (counters, MUX_HIST_APPROVAL, took_ms);
+  if (is_worker_call (reply->verb))
+    cell_start_gate_order (cell, entry, reply);
 }
 
 /*
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -76,6 +76,7 @@
   cell->feed[CELL_FEED_JOBS] = (CellFeed){ .name = "jobs",
                                            .table = MUX_TABLE_JOBS,
                                            .on_row = cell_jobs_row,
+                                           .on_reply = cell_cancels_apply,
                                            .on_full_read = cell_jobs_full_read,
                                            .by_part = true };
 }
@@ -172,12 +173,14 @@
   cell_load_tick (cell);
   if (cell->role != CELL_PLANNING)
     return;
+  cell_stops_tick_all (cell);
   cell_progress_tick (cell);
   cell_proxy_tick (cell);
   if (cell->time.now_ms >= cell->next_periodic_ms)
     {
       cell->next_periodic_ms = cell->time.now_ms + PERIODIC_MS;
       cell_late_tick (cell);
+      cell_start_gate_tick (cell);
       cell_quota_tick (cell);
       cell_admission_tick (cell);
       cell_roster_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -116,6 +116,31 @@
 /** cell_feed_is_fresh() - the table's copy is no older than allowed */
 bool cell_feed_is_fresh (const MuxCell *cell, const CellFeed *feed);
 
+/* start_gate.c: starts wait while cancels may be unknown */
+/** cell_start_gate_begin() - as this daemon begins to plan */
+void cell_start_gate_begin (MuxCell *cell);
+/** cell_start_gate_feed() - a feed was answered; for others than that of jobs
+ * this does nothing */
+void cell_start_gate_feed (MuxCell *cell,
+                           const CellFeed *feed,
+                           const MuxCellReply *reply);
+/** cell_start_gate_feed_lost() - likewise, for a call without a reply */
+void cell_start_gate_feed_lost (MuxCell *cell, const CellFeed *feed);
+/** cell_start_gate_order() - a worker answered, or a call to it was lost */
+void cell_start_gate_order (MuxCell *cell,
+                            const CellPending *pending,
+                            const MuxCellReply *reply);
+/** cell_starts_are_allowed() - a task that is started now can be stopped within
+ * the bound if an unknown cancel of its job was acknowledged */
+bool cell_starts_are_allowed (const MuxCell *cell);
+/** cell_cancel_stop_ms() - estimated time from such a cancel to the stop */
+int64_t cell_cancel_stop_ms (const MuxCell *cell);
+/** cell_jobs_feed_wait_ms() - how long the next call of the feed of jobs waits
+ * for changes, @usual_ms unless its knowledge is old */
+uint32_t cell_jobs_feed_wait_ms (const MuxCell *cell, uint32_t usual_ms);
+/** cell_start_gate_tick() - logs when starts are held back or resumed */
+void cell_start_gate_tick (MuxCell *cell);
+
 /* late.c: overload of the planner */
 /** cell_reply_latency_record() - adds the call that a worker has just answered
  * to the mean */
@@ -410,6 +435,9 @@
 cell_job_add_committed (MuxCell *cell, const MuxBlob *row, uint64_t version);
 /** cell_jobs_row() - takes a row that was read or came by the feed */
 void cell_jobs_row (MuxCell *cell, const MuxCellRow *row);
+/** cell_cancels_apply() - takes the cancels of a feed's reply before its other
+ * rows */
+void cell_cancels_apply (MuxCell *cell, const MuxCellReply *reply);
 /** cell_row_is_cancel() - the row is the cancel of a job */
 bool cell_row_is_cancel (const MuxCellRow *row);
 
@@ -737,6 +765,9 @@
 void cell_stop_booking (MuxCell *cell, CellBooking *booking);
 /** cell_stops_tick() - sends the stops that are due at the worker */
 void cell_stops_tick (MuxCell *cell, CellWorker *worker);
+/** cell_stops_tick_all() - the same at all workers, before anything else is
+ * sent */
+void cell_stops_tick_all (MuxCell *cell);
 /** cell_run_ended() - applies the end of a run and advances its job
  * @checkpoint: what the run saved; "": nothing */
 void cell_run_ended (MuxCell *cell,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -2,6 +2,7 @@
 #define CELL_CELL_TYPES_H
 
 #include "cell/admission.h"
+#include "cell/cancel_age.h"
 #include "cell/cell.h"
 #include "cell/run_time.h"
 #include "cell/throttle.h"
@@ -130,6 +131,7 @@
  * @name: in the log
  * @table: the table followed
  * @on_row: called for each row
+ * @on_reply: called for each reply before its rows; or NULL
  * @on_full_read: called when a full read begins (@ended false) and ends (true);
  *   or NULL
  * @term: the planner's term it belongs to; 0: runs in any role
@@ -152,6 +154,7 @@
   const char *name;
   MuxCellTable table;
   CellRowHandler on_row;
+  void (*on_reply) (MuxCell *cell, const MuxCellReply *reply);
   void (*on_full_read) (MuxCell *cell, bool ended);
   uint64_t term;
   bool enabled;
@@ -178,6 +181,28 @@
   CELL_FEED_COUNT
 };
 
+/**
+ * struct CellStartGate - what decides whether a planner may start tasks;
+ *   embedded in MuxCell
+ * @known_until_ms: all cancels committed up to here are known
+ * @rows_max: most rows in one reply of the feed of jobs
+ * @feed: delay of this feed's replies, beside the wait for changes
+ * @feed_lost: its last call was
+ * @order: delay of calls to workers, with their replies
+ * @held: last state in the log: starts are held back
+ * @held_since_ms: since when
+ */
+typedef struct
+{
+  int64_t known_until_ms;
+  uint32_t rows_max;
+  MuxDelay feed;
+  bool feed_lost;
+  MuxDelay order;
+  bool held;
+  int64_t held_since_ms;
+} CellStartGate;
+
 /**
  * struct CellSubmission - a submitted job until its caller is answered; owned
  *   by CellPart.submissions
@@ -1316,6 +1341,8 @@
 
   /* Used by the planner only. */
   CellReplyLatency reply_latency;
+  CellStartGate start_gate;
+  uint32_t stops_due; /* bookings of all workers with a stop to be sent */
   bool late;          /* last state in the log: it takes no new jobs */
   bool has_backlog;   /* last state in the log: new jobs would wait */
   bool pool_has_room; /* some pool of workers has free room */
--- a/src/cell/feed.c
+++ b/src/cell/feed.c
@@ -102,16 +102,17 @@
    * for a change would show so only after the wait, and callers would be
    * refused until then. */
   call->wait_ms = cell->store_failing_since_ms == 0 ? FEED_WAIT_MS : 0;
-  call->timeout_ms = cell->store_failing_since_ms == 0
-                         ? FEED_WAIT_MS + CELL_REPLY_MAX_MS
-                         : CELL_REPLY_MAX_MS;
+  if (call->wait_ms != 0 && feed->table == MUX_TABLE_JOBS)
+    call->wait_ms = cell_jobs_feed_wait_ms (cell, FEED_WAIT_MS);
+  call->timeout_ms = call->wait_ms + CELL_REPLY_MAX_MS;
   send_call (cell, feed, call);
 }
 
 static void
 log_loss (MuxCell *cell, CellFeed *feed, const char *why)
 {
-  /* Calls without a wait are those of an outage, and all fail. */
+  cell_start_gate_feed_lost (cell, feed);
+  /* Calls without a wait follow one that failed or was lost. */
   if (feed->wait_ms == 0)
     return;
   feed->lost = feed->known_until_ms != 0;
@@ -256,6 +257,8 @@
     }
   log_recovery (cell, feed);
   feed->known_until_ms = reply_as_of_ms (cell, feed, reply);
+  if (feed->on_reply != NULL)
+    feed->on_reply (cell, reply);
   for (uint32_t i = 0; i < reply->row_count; i++)
     {
       feed->on_row (cell, &reply->row[i]);
@@ -266,6 +269,7 @@
   feed->next_ms = cell->time.now_ms
                   + (reply->row_count > 0 && feed->loaded ? BATCH_PAUSE_MS : 0);
   confirm_config (cell, feed, reply);
+  cell_start_gate_feed (cell, feed, reply);
   if (reply->verb == MUX_CELL_SCAN)
     page_received (cell, feed, reply);
   else if (reply->version > feed->version)
--- a/src/cell/job_query.c
+++ b/src/cell/job_query.c
@@ -108,6 +108,17 @@
   return cell_call (cell, call, &pending);
 }
 
+/* The planner need not wait for its feed to show a cancel that it has written
+ * itself. */
+static void
+cancel_own (MuxCell *cell, const char *id)
+{
+  CellJob *job = cell->role == CELL_PLANNING ? cell_job_find (cell, id) : NULL;
+
+  if (job != NULL)
+    cell_job_cancel (cell, job);
+}
+
 static void
 cancel_written (MuxCell *cell,
                 const CellPending *pending,
@@ -119,6 +130,7 @@
     return;
   if (reply->status == MUX_CELL_OK)
     {
+      cancel_own (cell, query->id);
       finish (cell, query, MUX_RESPONSE_CANCELLED);
       return;
     }
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -101,6 +101,18 @@
   return len > 0 && row->key[len - 1] == CANCEL_SUFFIX;
 }
 
+/* Stops must not wait until the other rows of the reply have been read, which
+ * takes 50 ms for a thousand jobs. A cancel of a job that is read only now
+ * counts when its own row's turn comes. */
+void
+cell_cancels_apply (MuxCell *cell, const MuxCellReply *reply)
+{
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    if (cell_row_is_cancel (&reply->row[i]) && !reply->row[i].removed
+        && cell->role == CELL_PLANNING)
+      cell_jobs_row (cell, &reply->row[i]);
+}
+
 void
 cell_jobs_row (MuxCell *cell, const MuxCellRow *row)
 {
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -305,7 +305,7 @@
   bool is_full_pass = cell->time.now_ms >= cell->next_full_pass_ms;
 
   if (!cell_is_active_planner (cell) || cell->stopping || cell->jobs_unverified
-      || !cell_room_is_current (cell))
+      || !cell_room_is_current (cell) || !cell_starts_are_allowed (cell))
     return;
   if (cell->time.now_ms < cell->next_idle_pass_ms && !cell->replan)
     return;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -64,6 +64,7 @@
 
   DL_DELETE (worker->bookings, booking);
   worker->stop_count -= booking->next_stop_ms != 0;
+  cell->stops_due -= booking->next_stop_ms != 0;
   cell_room_release (worker, task->stage);
   task->stage->job->booking_count--;
   task->booking = NULL;
@@ -84,11 +85,12 @@
   return task;
 }
 
-/* Sends a stop at @at_ms; stop_count counts each booking once. */
+/* Sends a stop at @at_ms; both counts count each booking once. */
 static void
-schedule_stop (CellBooking *booking, int64_t at_ms)
+schedule_stop (MuxCell *cell, CellBooking *booking, int64_t at_ms)
 {
   booking->worker->stop_count += booking->next_stop_ms == 0;
+  cell->stops_due += booking->next_stop_ms == 0;
   booking->next_stop_ms = at_ms;
 }
 
@@ -112,10 +114,11 @@
   if (reply->status == MUX_CELL_OK)
     task->booking->stop_clock_ms = reply->worker_clock_ms;
   else
-    schedule_stop (task->booking, cell->time.now_ms + STOP_RETRY_MS);
+    schedule_stop (cell, task->booking, cell->time.now_ms + STOP_RETRY_MS);
 }
 
-static void
+/* Return: false if the stop can't be sent: out of memory, or a ring is full. */
+static bool
 send_stop (MuxCell *cell,
            CellWorker *worker,
            const MuxTaskRef *task,
@@ -127,7 +130,7 @@
   };
 
   if (call == NULL)
-    return;
+    return false;
   snprintf (pending.worker, sizeof pending.worker, "%s", worker->info.id);
   snprintf (call->worker, sizeof call->worker, "%s", worker->info.id);
   snprintf (call->addr, sizeof call->addr, "%s", worker->info.addr);
@@ -135,7 +138,7 @@
   call->run = run;
   call->fence = cell->term;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS;
-  (void) cell_worker_call (cell, worker, call, &pending);
+  return cell_worker_call (cell, worker, call, &pending);
 }
 
 void
@@ -145,7 +148,7 @@
                   uint32_t run)
 {
   if (cell_is_active_planner (cell))
-    send_stop (cell, worker, task, run);
+    (void) send_stop (cell, worker, task, run);
 }
 
 void
@@ -155,7 +158,7 @@
     return;
   if (booking->task->state != CELL_TASK_DONE)
     booking->task->state = CELL_TASK_STOPPING;
-  schedule_stop (booking, cell->time.now_ms);
+  schedule_stop (cell, booking, cell->time.now_ms);
   booking->stop_since_ms = cell->time.now_ms;
   cell_stops_tick (cell, booking->worker);
 }
@@ -176,13 +179,28 @@
     if (booking->next_stop_ms == 0 || cell->time.now_ms < booking->next_stop_ms)
       continue;
     ref = cell_task_ref (booking->task);
-    /* Not again while the reply is outstanding. */
-    booking->next_stop_ms
-        = cell->time.now_ms + CELL_WORKER_TIMEOUT_MS + STOP_RETRY_MS;
-    send_stop (cell, worker, &ref, booking->run);
+    /* Not again while the reply is outstanding; one that could not be sent is
+     * tried again at once, as the cancel bound leaves no second for it. */
+    if (send_stop (cell, worker, &ref, booking->run))
+      booking->next_stop_ms
+          = cell->time.now_ms + CELL_WORKER_TIMEOUT_MS + STOP_RETRY_MS;
   }
 }
 
+void
+cell_stops_tick_all (MuxCell *cell)
+{
+  if (cell->stops_due == 0 || !cell_is_active_planner (cell))
+    return;
+  for (uint32_t i = 0; i < cell->worker_slots; i++)
+    {
+      CellWorker *worker = cell->worker_by_slot[i];
+
+      if (worker != NULL && worker->confirmed && !worker->dead)
+        cell_stops_tick (cell, worker);
+    }
+}
+
 /* Stops the other members, which can't work without the lost one. */
 static void
 stop_gang (MuxCell *cell, CellStage *stage)
@@ -314,7 +332,8 @@
                           .task = cell_task_ref (task),
                           .run = run };
 
-  if (call == NULL || cell_book (cell, task, worker, run) == NULL)
+  if (call == NULL || !cell_starts_are_allowed (cell)
+      || cell_book (cell, task, worker, run) == NULL)
     {
       mux_cell_call_free (call);
       return false;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -511,6 +511,11 @@
 {
   WorldCell *cell = (WorldCell *) sink;
 
+  if (cell->ring_full)
+    {
+      mux_cell_call_free (call);
+      return false;
+    }
   if (call->verb == MUX_CELL_QUERY_APPROVAL)
     approve (cell->world, cell->number, call);
   else if (call->addr[0] != 0)
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -202,6 +202,7 @@
   uint64_t incarnation; /* of its process; grows with each start */
   bool frozen;
   bool dead;
+  bool ring_full;               /* its calls are not taken */
   bool isolated;                /* loses messages from and to other daemons */
   uint32_t hanging_feeds;       /* WORLD_FEED_BITs of feeds that hang */
   bool claim_unreachable;       /* its calls to the claim's part are lost */
