cell: weighted fair shares of workspaces in a full pool

Cause: planning order and expected waits ignored workspaces. With one of eight workspaces at ten times its usual load, the jobs of the seven others were refused for its backlog: 41 of their 102 jobs ended in time (test_cell_shares, 16 workers of 32 processors, usual load 0.83 of them). All that was accepted ended in time, so that the loss is in the refusals.

Change: include/cell/share.h divides the processors in use among the workspaces of a full pool by weight, at most what each demands. Waiting stages beyond the limit of their workspace go behind the rest of their rank, in classes by the excess; new jobs are judged by the wait of their workspace instead of that of the queue. A workspace's urgent work uses its share first. The retry time is when the wait is expected to be acceptable. Waits go to the other daemons with the key "shares" of the admission blob; without it, with no workspaces configured, with room, or with one workspace that has work, nothing changes. A successor goes on with the waits that it received until all workers were heard from, for 3 s at most. Log lines shares_limited, shares_free and share_exceeded, why=over_share, counter jobs_over_share_total.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -46,6 +46,8 @@
      "approved workers that a step's start went to")                           \
   X (KEPT_IDLE, "kept_idle_core_ms_total",                                     \
      "free processor time of workers kept or held for waiting gangs")          \
+  X (OVER_SHARE, "jobs_over_share_total",                                      \
+     "jobs refused beyond their workspace's fair share")                       \
   X (TERMS, "planner_terms_total", "times that this daemon began to plan")     \
   X (RUNS_FAILED, "runs_failed_total", "runs of tasks that ended as failed")   \
   X (RUNS_LOST, "runs_lost_total", "runs that ended with their worker")        \
--- a/include/cell/admission.h
+++ b/include/cell/admission.h
@@ -166,6 +166,12 @@
  * count */
 void
 mux_admission_accepted (MuxAdmission *admission, uint64_t queue, int64_t work);
+/** mux_admission_pool_rate() - core-milliseconds of the pool's queues that are
+ * placed per second while something waits; -1: not measured yet */
+int64_t mux_admission_pool_rate (const MuxAdmission *admission,
+                                 uint64_t service);
+/** mux_admission_acceptable_ms() - longest wait that a new job may have */
+int64_t mux_admission_acceptable_ms (const MuxAdmissionJob *job);
 /** mux_admission_wait_ms() - expected wait of a new job of the queue */
 int64_t mux_admission_wait_ms (const MuxAdmission *admission, uint64_t queue);
 /** mux_admission_retry_ms() - delay after which the caller is to retry; 0: the
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -386,6 +386,28 @@
   return entry != NULL ? entry->wait_ms : 0;
 }
 
+int64_t
+mux_admission_pool_rate (const MuxAdmission *admission, uint64_t service)
+{
+  int64_t rate = -1;
+
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      const MuxAdmissionQueue *queue = &admission->queue[i];
+
+      if (queue->service != service || queue->busy_ms < RATE_KNOWN_MS)
+        continue;
+      rate = (rate > 0 ? rate : 0) + queue->rate;
+    }
+  return rate;
+}
+
+int64_t
+mux_admission_acceptable_ms (const MuxAdmissionJob *job)
+{
+  return job->slack_ms * WAIT_SLACK_MILLI / MILLI / job->chain_length;
+}
+
 uint32_t
 mux_admission_retry_ms (const MuxAdmission *admission,
                         const MuxAdmissionJob *job)
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -86,9 +86,11 @@
 void
 cell_admission_accepted (MuxCell *cell, const MuxJobSpec *spec)
 {
-  if (cell->role == CELL_PLANNING && may_place (cell) && has_deadline (spec))
-    mux_admission_accepted (&cell->admission, queue_of (spec),
-                            work_of_job (cell, spec));
+  if (cell->role != CELL_PLANNING || !may_place (cell) || !has_deadline (spec))
+    return;
+  mux_admission_accepted (&cell->admission, queue_of (spec),
+                          work_of_job (cell, spec));
+  cell_shares_accepted (cell, spec, work_of_job (cell, spec));
 }
 
 /* Counts jobs that are about to be stored. */
@@ -318,10 +320,11 @@
   cell->admission_blob_ms = cell->time.now_ms;
   cell->admission_blob = cell_blob_from_json (cell_predecessors_to_json (
       cell,
-      json_pack ("{s:i, s:I, s:o, s:o}", "share_milli",
+      json_pack ("{s:i, s:I, s:o, s:o, s:o}", "share_milli",
                  (int) cell->throttle.share_milli, "late_ms",
                  (json_int_t) cell_late_ms (cell), "waits", waits_json (cell),
-                 "run_times", cell_run_times_json (cell)),
+                 "run_times", cell_run_times_json (cell), "shares",
+                 cell_shares_json (cell)),
       cell_predecessors_left_ms (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
@@ -336,6 +339,7 @@
     }
   count_backlog (cell);
   update_pools (cell);
+  cell_shares_count (cell);
   cell->pool_has_room = some_pool_has_room (cell);
   log_backlog (cell, longest_wait_ms (cell));
 }
@@ -388,6 +392,7 @@
 
   apply_waits (cell, json_object_get (json, "waits"));
   cell_run_times_receive (cell, json_object_get (json, "run_times"));
+  cell_shares_receive (cell, json_object_get (json, "shares"));
   cell->throttle.share_milli = share != NULL && share_milli >= 0
                                        && share_milli < MUX_THROTTLE_FULL_MILLI
                                    ? (uint32_t) share_milli
@@ -405,37 +410,23 @@
          && cell->time.now_ms - cell->admission_updated_ms < RECEIVED_KEEP_MS;
 }
 
-/* Returns the number of steps in the longest chain of dependent steps. */
-static uint32_t
-chain_length_of (const MuxJobSpec *spec)
-{
-  uint32_t length[MUX_STEPS_MAX] = { 0 };
-  uint32_t longest = 1;
-
-  for (uint32_t i = 0; i < spec->step_count; i++)
-    {
-      for (uint32_t j = 0; j < i; j++)
-        if ((spec->step[i].after >> j & 1) != 0 && length[j] > length[i])
-          length[i] = length[j];
-      length[i]++;
-      if (length[i] > longest)
-        longest = length[i];
-    }
-  return longest;
-}
-
 uint32_t
 cell_admission_retry_ms (const MuxCell *cell, const MuxJobSpec *spec)
 {
   MuxAdmissionJob job = { .queue = queue_of (spec) };
+  int64_t shares_wait_ms = cell_shares_wait_ms (cell, spec);
 
   if (!is_recent (cell) || !has_deadline (spec)
-      || mux_admission_wait_ms (&cell->admission, job.queue) == 0)
+      || (shares_wait_ms < 0
+          && mux_admission_wait_ms (&cell->admission, job.queue) == 0))
     return 0;
   job.slack_ms = cell_job_slack_ms (cell, spec);
-  job.chain_length = chain_length_of (spec);
+  job.chain_length = cell_job_chain_length (spec);
   job.jitter_seed = mux_hash_name (spec->id, cell->claim.version);
-  return mux_admission_retry_ms (&cell->admission, &job);
+  if (shares_wait_ms < 0)
+    return mux_admission_retry_ms (&cell->admission, &job);
+  return mux_shares_retry_ms (
+      shares_wait_ms, mux_admission_acceptable_ms (&job), job.jitter_seed);
 }
 
 /*
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -160,6 +160,27 @@
  * answer because of its load */
 bool cell_planner_is_overloaded (const MuxCell *cell);
 
+/* workspace_shares.c: fair shares of workspaces */
+/** cell_shares_count() - count what workspaces use and wait for, and class the
+ * waiting stages by it */
+void cell_shares_count (MuxCell *cell);
+/** cell_shares_accepted() - count a job of @work core-milliseconds that the
+ * planner is about to store */
+void cell_shares_accepted (MuxCell *cell, const MuxJobSpec *spec, int64_t work);
+/** cell_share_class_of_new() - class of a stage that has become ready */
+uint32_t cell_share_class_of_new (const MuxCell *cell, const CellStage *stage);
+/** cell_shares_wait_ms() - expected wait of a new job by its workspace's share;
+ * -1: shares do not limit its pool */
+int64_t cell_shares_wait_ms (const MuxCell *cell, const MuxJobSpec *spec);
+/** cell_share_refusal() - why a job was refused whose wait is too long, for the
+ * log; counts those beyond their workspace's share */
+const char *cell_share_refusal (MuxCell *cell, const MuxJobSpec *spec);
+/** cell_shares_json() - the expected waits for other daemons */
+json_t *cell_shares_json (const MuxCell *cell);
+/** cell_shares_receive() - apply the expected waits that the planner sent;
+ * NULL: it sent none, and shares limit nothing */
+void cell_shares_receive (MuxCell *cell, const json_t *list);
+
 /* authorize.c: callers and their keys */
 /** cell_config_age_ms() - time since the configuration was last confirmed as
  * the newest; INT64_MAX: never */
@@ -357,6 +378,8 @@
 /** cell_job_slack_ms() - how long the job may wait in all and still end by its
  * deadline */
 int64_t cell_job_slack_ms (const MuxCell *cell, const MuxJobSpec *spec);
+/** cell_job_chain_length() - steps in the longest chain of dependent steps */
+uint32_t cell_job_chain_length (const MuxJobSpec *spec);
 /** cell_job_remove() - frees a job of MuxCell.jobs */
 void cell_job_remove (MuxCell *cell, CellJob *job);
 /** cell_job_ended_recently() - it is in MuxCell.ended_jobs */
@@ -991,6 +1014,9 @@
 void cell_plan_order_init (CellPlanOrder *order);
 void cell_plan_order_add (MuxCell *cell, CellStage *stage);
 void cell_plan_order_remove (MuxCell *cell, CellStage *stage);
+/** cell_plan_order_set_class() - change a stage's share class */
+void
+cell_plan_order_set_class (MuxCell *cell, CellStage *stage, uint32_t class);
 /** cell_plan_order_rerank() - move the stages whose rank has changed by now */
 void cell_plan_order_rerank (MuxCell *cell);
 typedef void (*CellStageVisit) (MuxCell *cell, const CellStage *stage);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -4,6 +4,7 @@
 #include "cell/admission.h"
 #include "cell/cell.h"
 #include "cell/run_time.h"
+#include "cell/share.h"
 #include "cell/throttle.h"
 #include "claim_types.h"
 #include "workspace_types.h"
@@ -77,6 +78,7 @@
 typedef struct CellUnreadable CellUnreadable;
 typedef struct CellService CellService;
 typedef struct CellQueueCount CellQueueCount;
+typedef struct CellShareWalk CellShareWalk;
 
 /* Called once with the reply to a call; both arguments stay the caller's. */
 typedef void (*CellReplyHandler) (MuxCell *cell,
@@ -762,6 +764,7 @@
  * @worthless_ms: an end after this is worth nothing
  * @latest_start_ms: latest start that meets @deadline_ms
  * @rank: its rank in planning order
+ * @share_class: see mux_share_class(); 0: its workspace is within its share
  * @hold_count: entries of @hold
  * @hold: gang: room held while its proofs are renewed; owned
  * @holds_expire_ms: when that room is released
@@ -815,6 +818,7 @@
   int64_t worthless_ms;
   int64_t latest_start_ms;
   CellRank rank;
+  uint32_t share_class;
   uint32_t hold_count;
   CellHold *hold;
   int64_t holds_expire_ms;
@@ -1303,6 +1307,11 @@
   int64_t planner_late_ms;                /* its event delay, as it reports */
   MuxAdmission admission;                 /* the planner's, as last received */
   int64_t admission_updated_ms;
+  MuxShares shares;          /* the planner's, as last received */
+  CellShareWalk *share_walk; /* while stages are classed; else NULL */
+  uint32_t classed_stages;   /* waiting stages with a share_class above 0 */
+  bool is_contended;         /* some pool was at the last count, as logged */
+  int64_t next_share_log_ms;
   MuxThrottle throttle;    /* the planner's, as last received */
   MuxBlob *admission_blob; /* both, encoded for other daemons; NULL: none */
   int64_t admission_blob_ms;
--- a/src/cell/plan_order.c
+++ b/src/cell/plan_order.c
@@ -123,6 +123,15 @@
 {
   stage->is_unvisited = true;
   stage->number = ++cell->plan_order.last_number;
+  stage->share_class = cell_share_class_of_new (cell, stage);
+  insert_stage (cell, stage);
+}
+
+void
+cell_plan_order_set_class (MuxCell *cell, CellStage *stage, uint32_t class)
+{
+  remove_stage (cell, stage);
+  stage->share_class = class;
   insert_stage (cell, stage);
 }
 
--- a/src/cell/rank.c
+++ b/src/cell/rank.c
@@ -8,7 +8,9 @@
  * compared with the room.  Stages that can still end in time, by their expected
  * run time, go before those that can't: a stage past its latest start would
  * take the room of one that is not, and be late all the same.  Within a rank
- * the configured priority of the queue decides, then the latest start.  With
+ * work beyond the fair share of its workspace goes behind the rest, if the pool
+ * is full (share.h).  Then the configured priority of the queue decides, then
+ * the latest start.  With
  * the latest start alone, small tasks of a queue with late deadlines, which fit
  * into any free room, would take the room that a gang of a more urgent queue
  * needs all at once.
@@ -61,6 +63,8 @@
 
   if (a->rank != b->rank)
     return a->rank < b->rank ? -1 : 1;
+  if (a->share_class != b->share_class)
+    return a->share_class < b->share_class ? -1 : 1;
   if (x != y)
     return x < y ? -1 : 1;
   if (a->latest_start_ms != b->latest_start_ms)
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -160,7 +160,7 @@
     return NULL;
   submission->retry_ms = cell_admission_retry_ms (cell, submission->job);
   if (submission->retry_ms != 0)
-    return "backlog";
+    return cell_share_refusal (cell, submission->job);
   submission->retry_ms = cell_throttle_retry_ms (cell, submission->job);
   if (submission->retry_ms != 0)
     return "planner_overload";
