metrics: messages and bytes by verb and direction

Cause: nothing told what fills the link of a planner; only the messages and bytes to peers were counted, all together.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -84,6 +84,57 @@
      "what arrives until the planner takes it")                                \
   X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start")
 
+/*
+ * Messages whose number and bytes are counted, by kind: symbol, label. First
+ * calls to the store, the workers and the policy service that this daemon
+ * makes itself, then messages between daemons. Proxied calls are counted as
+ * calls where they are made; what the planner sends and receives for them is
+ * within "proxy_call" and "proxy_reply", and told apart by the last three.
+ */
+#define MUX_TRAFFIC_KINDS(X)           \
+  X (COMMIT, "commit")                 \
+  X (SCAN, "scan")                     \
+  X (FEED, "feed")                     \
+  X (START, "start")                   \
+  X (STOP, "stop")                     \
+  X (RENEW, "renew")                   \
+  X (APPROVAL, "approval")             \
+  X (HELLO, "hello")                   \
+  X (HELLO_REPLY, "hello_reply")       \
+  X (JOB_QUERY, "job_query")           \
+  X (JOB_REPLY, "job_reply")           \
+  X (APPROVAL_QUERY, "approval_query") \
+  X (APPROVAL_REPLY, "approval_reply") \
+  X (SUBMIT_REQUEST, "submit_request") \
+  X (SUBMIT_REPLY, "submit_reply")     \
+  X (PROXY_CALL, "proxy_call")         \
+  X (PROXY_REPLY, "proxy_reply")       \
+  X (OTHER_PEER, "other_peer")         \
+  X (PROXIED_START, "proxied_start")   \
+  X (PROXIED_STOP, "proxied_stop")     \
+  X (PROXIED_RENEW, "proxied_renew")
+
+/**
+ * enum MuxTraffic - names one kind of message
+ */
+typedef enum
+{
+#define MUX_TRAFFIC_ENUM(symbol, name) MUX_TRAFFIC_##symbol,
+  MUX_TRAFFIC_KINDS (MUX_TRAFFIC_ENUM)
+#undef MUX_TRAFFIC_ENUM
+      MUX_TRAFFIC_COUNT
+} MuxTraffic;
+
+/**
+ * enum MuxDirection - seen from this daemon
+ */
+typedef enum
+{
+  MUX_SENT,
+  MUX_RECEIVED,
+  MUX_DIRECTION_COUNT
+} MuxDirection;
+
 /**
  * enum MuxHistogram - names one histogram
  */
@@ -120,6 +171,19 @@
 void mux_count_refused (MuxCounters *counters, MuxReason reason);
 /** mux_count_retry() - count a retry or a fenced operation, for @reason */
 void mux_count_retry (MuxCounters *counters, MuxReason reason);
+/** mux_count_message() - count a message and its bytes
+ * @bytes: for HTTP path and body, without headers; for messages between
+ *   daemons all that is handed to the socket */
+void mux_count_message (MuxCounters *counters,
+                        MuxTraffic kind,
+                        MuxDirection direction,
+                        uint64_t bytes);
+uint64_t mux_messages_value (const MuxCounters *counters,
+                             MuxTraffic kind,
+                             MuxDirection direction);
+uint64_t mux_message_bytes_value (const MuxCounters *counters,
+                                  MuxTraffic kind,
+                                  MuxDirection direction);
 /** mux_observe() - record a time in ms; a negative one counts as 0 */
 void mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms);
 uint64_t mux_counter_value (const MuxCounters *counters, MuxCounter counter);
--- a/src/adapter/peer_link.c
+++ b/src/adapter/peer_link.c
@@ -115,7 +115,7 @@
   return NULL;
 }
 
-void
+bool
 mux_peer_links_send (MuxPeerLinks *links,
                      const char *addr,
                      const MuxBlob *blob,
@@ -126,7 +126,7 @@
   if (link == NULL)
     {
       count_dropped (links);
-      return;
+      return false;
     }
   link->last_send_ms = now_ms;
   if (link->unechoed_since_ms == 0)
@@ -137,12 +137,13 @@
       || zmq_send (link->socket, blob->bytes, blob->len, ZMQ_DONTWAIT) < 0)
     {
       count_dropped (links);
-      return;
+      return false;
     }
   if (links->counters == NULL)
-    return;
+    return true;
   mux_count (links->counters, MUX_COUNT_PEER_SENT, 1);
   mux_count (links->counters, MUX_COUNT_PEER_SENT_BYTES, blob->len);
+  return true;
 }
 
 static void
--- a/src/adapter/peer_link.h
+++ b/src/adapter/peer_link.h
@@ -74,8 +74,9 @@
 bool mux_peer_socket_set_common_options (void *socket,
                                          uint32_t silence_timeout_ms);
 /** mux_peer_links_send() - send @blob on the link of @addr, or drop it
- * Opens the link if there is none. */
-void mux_peer_links_send (MuxPeerLinks *links,
+ * Opens the link if there is none.
+ * Return: false if it was dropped. */
+bool mux_peer_links_send (MuxPeerLinks *links,
                           const char *addr,
                           const MuxBlob *blob,
                           int64_t now_ms);
--- a/src/adapter/peer_thread.c
+++ b/src/adapter/peer_thread.c
@@ -26,6 +26,32 @@
     mux_count (peer->counters, counter, 1);
 }
 
+static void
+count_message (const MuxPeerZmq *peer,
+               MuxPeerVerb verb,
+               MuxDirection direction,
+               size_t bytes)
+{
+  static const MuxTraffic kind[MUX_PEER_VERB_COUNT] = {
+    [MUX_PEER_HELLO] = MUX_TRAFFIC_HELLO,
+    [MUX_PEER_HELLO_REPLY] = MUX_TRAFFIC_HELLO_REPLY,
+    [MUX_PEER_JOB_QUERY] = MUX_TRAFFIC_JOB_QUERY,
+    [MUX_PEER_JOB_REPLY] = MUX_TRAFFIC_JOB_REPLY,
+    [MUX_PEER_APPROVAL_QUERY] = MUX_TRAFFIC_APPROVAL_QUERY,
+    [MUX_PEER_APPROVAL_REPLY] = MUX_TRAFFIC_APPROVAL_REPLY,
+    [MUX_PEER_SUBMIT_REQUEST] = MUX_TRAFFIC_SUBMIT_REQUEST,
+    [MUX_PEER_SUBMIT_REPLY] = MUX_TRAFFIC_SUBMIT_REPLY,
+    [MUX_PEER_PROXY_CALL] = MUX_TRAFFIC_PROXY_CALL,
+    [MUX_PEER_PROXY_REPLY] = MUX_TRAFFIC_PROXY_REPLY,
+  };
+
+  if (peer->counters != NULL)
+    mux_count_message (peer->counters,
+                       verb < MUX_PEER_HELLO ? MUX_TRAFFIC_OTHER_PEER
+                                             : kind[verb],
+                       direction, bytes);
+}
+
 void
 mux_peer_outgoing_free (MuxPeerOutgoing *out)
 {
@@ -42,9 +68,9 @@
   if (out == NULL)
     return false;
   blob = mux_peer_encode (&out->msg);
-  if (blob != NULL)
-    mux_peer_links_send (&peer->links, out->addr, blob, now);
-  else if (peer->counters != NULL)
+  if (blob != NULL && mux_peer_links_send (&peer->links, out->addr, blob, now))
+    count_message (peer, out->msg.verb, MUX_SENT, blob->len);
+  if (blob == NULL && peer->counters != NULL)
     mux_count_refused (peer->counters, MUX_REASON_INTERNAL);
   mux_blob_unref (blob);
   mux_peer_outgoing_free (out);
@@ -74,6 +100,7 @@
       return;
     }
   count (peer, MUX_COUNT_PEER_RECEIVED);
+  count_message (peer, msg.verb, MUX_RECEIVED, zmq_msg_size (payload));
   (void) peer->inbox->peer_msg (peer->inbox, &msg);
   mux_blob_unref (msg.body);
 }
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -18,6 +18,8 @@
   atomic_uint_fast64_t counter[MUX_COUNTER_COUNT];
   atomic_uint_fast64_t refused[MUX_REASON_COUNT];
   atomic_uint_fast64_t retry[MUX_REASON_COUNT];
+  atomic_uint_fast64_t messages[MUX_TRAFFIC_COUNT][MUX_DIRECTION_COUNT];
+  atomic_uint_fast64_t message_bytes[MUX_TRAFFIC_COUNT][MUX_DIRECTION_COUNT];
   atomic_uint_fast64_t bucket[MUX_HISTOGRAM_COUNT][BUCKET_COUNT];
   atomic_uint_fast64_t sum_ms[MUX_HISTOGRAM_COUNT];
 };
@@ -40,6 +42,15 @@
 #undef HISTOGRAM_INFO
 };
 
+static const char *const traffic_name[MUX_TRAFFIC_COUNT] = {
+#define TRAFFIC_NAME(symbol, name) [MUX_TRAFFIC_##symbol] = (name),
+  MUX_TRAFFIC_KINDS (TRAFFIC_NAME)
+#undef TRAFFIC_NAME
+};
+
+static const char *const direction_name[MUX_DIRECTION_COUNT]
+    = { [MUX_SENT] = "sent", [MUX_RECEIVED] = "received" };
+
 MuxCounters *
 mux_counters_new (void)
 {
@@ -82,6 +93,32 @@
   add (&counters->retry[reason], 1);
 }
 
+void
+mux_count_message (MuxCounters *counters,
+                   MuxTraffic kind,
+                   MuxDirection direction,
+                   uint64_t bytes)
+{
+  add (&counters->messages[kind][direction], 1);
+  add (&counters->message_bytes[kind][direction], bytes);
+}
+
+uint64_t
+mux_messages_value (const MuxCounters *counters,
+                    MuxTraffic kind,
+                    MuxDirection direction)
+{
+  return get (&counters->messages[kind][direction]);
+}
+
+uint64_t
+mux_message_bytes_value (const MuxCounters *counters,
+                         MuxTraffic kind,
+                         MuxDirection direction)
+{
+  return get (&counters->message_bytes[kind][direction]);
+}
+
 uint64_t
 mux_counter_value (const MuxCounters *counters, MuxCounter counter)
 {
@@ -148,6 +185,21 @@
               mux_reason_name ((MuxReason) i), get (&values[i]));
 }
 
+static void
+print_traffic (Text *text,
+               const char *name,
+               const char *help,
+               const atomic_uint_fast64_t values[][MUX_DIRECTION_COUNT])
+{
+  text_add (text, "# HELP cuminmux_%s %s\n# TYPE cuminmux_%s counter\n", name,
+            help, name);
+  for (uint32_t kind = 0; kind < MUX_TRAFFIC_COUNT; kind++)
+    for (uint32_t to = 0; to < MUX_DIRECTION_COUNT; to++)
+      text_add (text, "cuminmux_%s{verb=\"%s\",direction=\"%s\"} %" PRIu64 "\n",
+                name, traffic_name[kind], direction_name[to],
+                get (&values[kind][to]));
+}
+
 static void
 print_histogram (Text *text, const MuxCounters *counters, uint32_t histogram)
 {
@@ -184,6 +236,10 @@
                  counters->refused);
   print_reasons (&text, "retries_total", "retries and fencings by reason",
                  counters->retry);
+  print_traffic (&text, "traffic_messages_total",
+                 "messages of the scheduler by kind", counters->messages);
+  print_traffic (&text, "traffic_bytes_total", "their bytes",
+                 counters->message_bytes);
   for (uint32_t i = 0; i < MUX_HISTOGRAM_COUNT; i++)
     print_histogram (&text, counters, i);
   return text.len;
--- a/src/cell/proxy.c
+++ b/src/cell/proxy.c
@@ -94,6 +94,22 @@
   return worker->proxy;
 }
 
+static void
+count_proxied (const MuxCell *cell,
+               MuxCellVerb verb,
+               MuxDirection direction,
+               const MuxBlob *body)
+{
+  MuxTraffic kind = MUX_TRAFFIC_PROXIED_RENEW;
+
+  if (verb == MUX_CELL_START)
+    kind = MUX_TRAFFIC_PROXIED_START;
+  else if (verb == MUX_CELL_STOP)
+    kind = MUX_TRAFFIC_PROXIED_STOP;
+  mux_count_message (cell->options.counters, kind, direction,
+                     body != NULL ? body->len : 0);
+}
+
 bool
 cell_worker_call (MuxCell *cell,
                   CellWorker *worker,
@@ -121,6 +137,8 @@
   sent = msg.body != NULL
          && cell->options.sink->peer_send (cell->options.sink, proxy->addr,
                                            &msg);
+  if (sent)
+    count_proxied (cell, call->verb, MUX_SENT, msg.body);
   mux_blob_unref (msg.body);
   mux_cell_call_free (call);
   if (sent)
@@ -259,8 +277,10 @@
 {
   MuxCellReply *reply = cell_proxied_reply_decode (msg->body, msg->call_id);
 
-  if (reply != NULL)
-    mux_cell_reply (cell, cell->time, reply);
+  if (reply == NULL)
+    return;
+  count_proxied (cell, reply->verb, MUX_RECEIVED, msg->body);
+  mux_cell_reply (cell, cell->time, reply);
 }
 
 void
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -97,6 +97,7 @@
     .store = daemon->options->store,
     .approvals = daemon->options->approvals,
     .queue = CALL_QUEUE,
+    .counters = daemon->counters,
   };
 
   daemon->platform = mux_platform_new (&options, err);
