cell: limit what a late planner sends, and refuse early

Cause: behind a full link stops, leases and ends wait behind names of workers, queries ahead of time and polls of idle workers; and jobs were taken while starts were held back for unknown cancels.

Change: traffic_limit.h holds a level that falls while events or proxied replies are over 300 ms late and never exceeds the planner's capacity (cell_planner_capacity_milli, 1000 until ability is connected). It limits names in queries and rows beyond two for each waiting task, queries ahead of time and polls. At the full level nothing changes. While starts are held for over 0.5 s without a failing store, all daemons refuse new jobs at once, with a time to retry. A single late reply of the feed no longer holds starts back until the mean has forgotten it.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -61,6 +61,8 @@
      "planning passes cut for their length")                                   \
   X (STARTS_HELD, "starts_held_total",                                         \
      "times that starts were held back as cancels may be unknown")             \
+  X (TRAFFIC_LIMITED, "traffic_limited_total",                                 \
+     "times that the planner began to limit what it sends")                    \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -80,7 +80,7 @@
 may_place (const MuxCell *cell)
 {
   return cell_is_active_planner (cell) && !cell->jobs_unverified
-         && cell_room_is_current (cell);
+         && cell_room_is_current (cell) && cell_starts_are_allowed (cell);
 }
 
 void
--- a/src/cell/approval_query.c
+++ b/src/cell/approval_query.c
@@ -318,8 +318,13 @@
 cell_approval_query_send (MuxCell *cell,
                           CellStage *stage,
                           CellWorker *const *candidates,
-                          uint32_t count)
+                          uint32_t wanted)
 {
+  /* Proofs to be renewed are all in use. */
+  uint32_t count = is_renewal (stage, candidates, wanted)
+                       ? wanted
+                       : cell_traffic_names (cell, wanted,
+                                             cell_stage_waiting_tasks (stage));
   uint32_t cost_ms = cell_approval_query_ms (stage, count);
   uint32_t timeout_ms = cost_ms + overdue_ms_of (stage);
   CellMember *member = choose_member (cell, cost_ms > LONG_QUERY_MS);
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -181,6 +181,7 @@
       cell->next_periodic_ms = cell->time.now_ms + PERIODIC_MS;
       cell_late_tick (cell);
       cell_start_gate_tick (cell);
+      cell_traffic_tick (cell);
       cell_quota_tick (cell);
       cell_admission_tick (cell);
       cell_roster_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -138,9 +138,34 @@
 /** cell_jobs_feed_wait_ms() - how long the next call of the feed of jobs waits
  * for changes, @usual_ms unless its knowledge is old */
 uint32_t cell_jobs_feed_wait_ms (const MuxCell *cell, uint32_t usual_ms);
+/** cell_starts_held_ms() - how long starts have been held back
+ * Return: 0: they are not, or the store fails, and jobs are refused for that.
+ */
+int64_t cell_starts_held_ms (const MuxCell *cell);
 /** cell_start_gate_tick() - logs when starts are held back or resumed */
 void cell_start_gate_tick (MuxCell *cell);
 
+/* traffic.c: what a planner with a full link or processor leaves out */
+/** cell_planner_capacity_milli() - smallest ratio of what this instance has to
+ * what planning needs, at most 1000 */
+uint32_t cell_planner_capacity_milli (const MuxCell *cell);
+/** cell_traffic_begin() - as this daemon begins to plan */
+void cell_traffic_begin (MuxCell *cell);
+/** cell_traffic_tick() - adapts the limit */
+void cell_traffic_tick (MuxCell *cell);
+/** cell_traffic_names() - how many of @wanted workers a query or row names for
+ * @tasks waiting tasks */
+uint32_t
+cell_traffic_names (const MuxCell *cell, uint32_t wanted, uint32_t tasks);
+/** cell_traffic_allows_ahead() - queries may be sent ahead of time */
+bool cell_traffic_allows_ahead (const MuxCell *cell);
+/** cell_traffic_busy_pause_ms() - pause before a worker with runs is polled
+ * again */
+int64_t cell_traffic_busy_pause_ms (const MuxCell *cell);
+/** cell_traffic_idle_pause_ms() - likewise for one without, beside the usual
+ * one */
+int64_t cell_traffic_idle_pause_ms (const MuxCell *cell);
+
 /* late.c: overload of the planner */
 /** cell_reply_latency_record() - adds the call that a worker has just answered
  * to the mean */
@@ -150,6 +175,9 @@
 int64_t cell_reply_latency_ms (const MuxCell *cell);
 /** cell_late_ms() - how long events wait here until they are processed */
 int64_t cell_late_ms (const MuxCell *cell);
+/** cell_reported_late_ms() - the larger of this and of how long starts have
+ * been held back, as other daemons are told */
+int64_t cell_reported_late_ms (const MuxCell *cell);
 /** cell_planner_late_ms() - the same at the planner
  * Return: 0: it has not been heard from lately. */
 int64_t cell_planner_late_ms (const MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -6,6 +6,7 @@
 #include "cell/cell.h"
 #include "cell/run_time.h"
 #include "cell/throttle.h"
+#include "cell/traffic_limit.h"
 #include "claim_types.h"
 #include "workspace_types.h"
 
@@ -1342,10 +1343,12 @@
   /* Used by the planner only. */
   CellReplyLatency reply_latency;
   CellStartGate start_gate;
-  uint32_t stops_due; /* bookings of all workers with a stop to be sent */
-  bool late;          /* last state in the log: it takes no new jobs */
-  bool has_backlog;   /* last state in the log: new jobs would wait */
-  bool pool_has_room; /* some pool of workers has free room */
+  MuxTrafficLimit traffic_limit;
+  bool traffic_limited; /* last state in the log */
+  uint32_t stops_due;   /* bookings of all workers with a stop to be sent */
+  bool late;            /* last state in the log: it takes no new jobs */
+  bool has_backlog;     /* last state in the log: new jobs would wait */
+  bool pool_has_room;   /* some pool of workers has free room */
   int64_t next_backlog_log_ms;
   uint64_t admission_term; /* term in which the backlog was counted last */
   CellJob *jobs;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -433,7 +433,7 @@
       msg.wall_ms = cell->time.wall_ms;
       msg.body = cell_admission_blob (cell);
     }
-  msg.late_ms = (uint32_t) cell_late_ms (cell);
+  msg.late_ms = (uint32_t) cell_reported_late_ms (cell);
   (void) cell->options.sink->peer_send (cell->options.sink, hello->from_addr,
                                         &msg);
   mux_blob_unref (msg.body);
--- a/src/cell/late.c
+++ b/src/cell/late.c
@@ -77,11 +77,22 @@
   return late_ms > 0 ? late_ms : 0;
 }
 
+/* A job that would wait until the planner knows all cancels again is refused
+ * like one that would wait for the planner's processor. */
+int64_t
+cell_reported_late_ms (const MuxCell *cell)
+{
+  int64_t late_ms = cell_late_ms (cell);
+  int64_t held_ms = cell_starts_held_ms (cell);
+
+  return late_ms > held_ms ? late_ms : held_ms;
+}
+
 int64_t
 cell_planner_late_ms (const MuxCell *cell)
 {
   if (cell->role == CELL_PLANNING)
-    return cell_late_ms (cell);
+    return cell_reported_late_ms (cell);
   return cell->time.now_ms - cell->planner_last_contact_ms < PLANNER_CONTACT_MS
              ? cell->planner_late_ms
              : 0;
@@ -108,8 +119,9 @@
                cell_late_ms (cell));
   if (late != cell->late)
     cell_log (cell, late ? "planner_late" : "planner_in_time",
-              "{s:I, s:i, s:i}", "late_ms", (json_int_t) cell_late_ms (cell),
-              "workers", (int) HASH_COUNT (cell->workers), "jobs",
+              "{s:I, s:i, s:i}", "late_ms",
+              (json_int_t) cell_reported_late_ms (cell), "workers",
+              (int) HASH_COUNT (cell->workers), "jobs",
               (int) HASH_COUNT (cell->jobs));
   cell->late = late;
 }
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -277,6 +277,7 @@
             (json_int_t) cell->term, "jobs", (int) HASH_COUNT (cell->jobs),
             "after_ms", (json_int_t) (cell->time.now_ms - cell->term_began_ms));
   cell_start_gate_begin (cell);
+  cell_traffic_begin (cell);
   cell_feed_start (&cell->feed[CELL_FEED_JOBS], cell->term, cell->term);
   cell_feed_start (&cell->feed[CELL_FEED_WORKERS], cell->term, 0);
   HASH_ITER (hh, cell->jobs, job, next)
--- a/src/cell/named_workers.c
+++ b/src/cell/named_workers.c
@@ -44,6 +44,7 @@
                            : cell_candidates_ahead (cell, stage, worker);
   if (count > CANDIDATES_PER_STEP_MAX)
     count = CANDIDATES_PER_STEP_MAX;
+  count = cell_traffic_names (cell, count, step->count);
   free (step->named);
   step->named_count = 0;
   step->named = calloc (count > 0 ? count : 1, sizeof *step->named);
--- a/src/cell/query_ahead.c
+++ b/src/cell/query_ahead.c
@@ -75,7 +75,8 @@
   const CellJob *job = placed->job;
   uint32_t first = placed->occurrence * job->spec->step_count;
 
-  if (!is_short (placed) || job->cancelled || job->failed)
+  if (!is_short (placed) || !cell_traffic_allows_ahead (cell) || job->cancelled
+      || job->failed)
     return;
   for (uint32_t i = placed->step + 1; i < job->spec->step_count; i++)
     if ((job->spec->step[i].after >> placed->step & 1) != 0
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -27,7 +27,8 @@
   int64_t round_ms
       = (int64_t) HASH_COUNT (cell->workers) * MS_PER_S / IDLE_RENEWALS_PER_S;
 
-  return round_ms > RENEW_WAIT_MS ? round_ms - RENEW_WAIT_MS : 0;
+  return (round_ms > RENEW_WAIT_MS ? round_ms - RENEW_WAIT_MS : 0)
+         + cell_traffic_idle_pause_ms (cell);
 }
 
 /* The worker knows that all ends it has reported are stored. */
@@ -104,9 +105,10 @@
   worker->confirmed = true;
   /* While ends wait to be stored a renewal returns at once; polled again
    * without a pause, a worker got 250 renewals a second. */
-  worker->next_renew_ms
-      = cell->time.now_ms
-        + (worker->acked == worker->ends_seen ? 0 : CELL_RENEW_PAUSE_MS);
+  worker->next_renew_ms = cell->time.now_ms
+                          + (worker->acked == worker->ends_seen
+                                 ? cell_traffic_busy_pause_ms (cell)
+                                 : CELL_RENEW_PAUSE_MS);
   worker->idle_until_ms = cell->time.now_ms + idle_pause_ms (cell);
   cell_reports_apply (cell, worker, reply);
   if (first)
--- a/src/cell/start_gate.c
+++ b/src/cell/start_gate.c
@@ -89,20 +89,24 @@
 }
 
 /* A call whose reply is overdue, or was lost, is followed by one that is
- * answered within CELL_REPLY_MAX_MS if any is. */
+ * answered within CELL_REPLY_MAX_MS if any is, and processed here after the
+ * delay of all events. Without this limit a single late reply would hold starts
+ * back until the mean has forgotten it. */
 static int64_t
 feed_delay_ms (const MuxCell *cell)
 {
   const CellStartGate *gate = &cell->start_gate;
   const CellFeed *feed = &cell->feed[CELL_FEED_JOBS];
-  int64_t usual_ms = mux_delay_ms (&gate->feed);
+  int64_t most_ms
+      = CELL_REPLY_MAX_MS + (cell->time.now_ms - cell->time.processed_ms);
+  int64_t delay_ms = mux_delay_ms (&gate->feed);
   int64_t late_ms = 0;
 
   if (feed->busy)
     late_ms = cell->time.now_ms - feed->sent_ms - (int64_t) feed->wait_ms;
-  if (gate->feed_lost || late_ms > CELL_REPLY_MAX_MS)
-    late_ms = CELL_REPLY_MAX_MS;
-  return late_ms > usual_ms ? late_ms : usual_ms;
+  if (late_ms > delay_ms)
+    delay_ms = late_ms;
+  return gate->feed_lost || delay_ms > most_ms ? most_ms : delay_ms;
 }
 
 static MuxCancelAge
@@ -143,6 +147,17 @@
   return age.age_ms < (int64_t) usual_ms ? usual_ms - (uint32_t) age.age_ms : 0;
 }
 
+int64_t
+cell_starts_held_ms (const MuxCell *cell)
+{
+  const CellStartGate *gate = &cell->start_gate;
+
+  return cell->role == CELL_PLANNING && gate->held
+                 && cell->store_failing_since_ms == 0
+             ? cell->time.now_ms - gate->held_since_ms
+             : 0;
+}
+
 void
 cell_start_gate_tick (MuxCell *cell)
 {
--- a/test/unit/test_cell_cancel.c
+++ b/test/unit/test_cell_cancel.c
@@ -269,7 +269,7 @@
 {
   WorldCell *cell = &world->cell[planner];
 
-  switch (mux_random_below (random, 6))
+  switch (mux_random_below (random, 7))
     {
     case 0:
       cell->hanging_feeds = WORLD_FEED_BIT (MUX_TABLE_JOBS);
@@ -283,8 +283,12 @@
     case 3:
       cell->input_delay_ms = (int64_t) mux_random_below (random, 400);
       break;
+    case 4:
+      cell->unseen_delay_ms = (int64_t) mux_random_below (random, 2500);
+      break;
     default:
       cell->hanging_feeds = 0;
+      cell->unseen_delay_ms = 0;
       cell->input_delay_ms = 0;
       world->feed_rows = 0;
       world->store_ms = 5;
