test_cell_cancel: commits apart, and stops of runs started meanwhile

The feed that is behind had few replies to get through, as rows of one commit are delivered together: without the check for whole replies the test passed. Each job now has a commit of its own, and the test fails without that check (and without the gate).

--- a/test/unit/test_cell_cancel.c
+++ b/test/unit/test_cell_cancel.c
@@ -26,7 +26,12 @@
  * many jobs. */
 #define SLOW_STORE_MS 300
 #define QUEUED_JOBS 40
+#define COMMIT_GAP_MS 100
 #define LONG_TASK_MS 60000
+/* A call that waits a second and is lost ends after this time. */
+#define LOST_CALL_MS 1600
+/* A new job has been stored and its workers recorded by then. */
+#define STARTED_MS 300
 /* Shorter than a stop without a reply takes to be repeated. */
 #define FULL_MS 400
 /* Of the store; today's planner places nothing from 3 s after the last reply of
@@ -144,8 +149,9 @@
       snprintf (id, sizeof id, "behind%u", i);
       (void) world_submit (world, world_planner (world), world_job (1, 1, 100),
                            id);
+      /* A commit of its own for each: rows of one are delivered together. */
+      world_run (world, COMMIT_GAP_MS);
     }
-  world_run (world, 1000);
   acked_ms = cancel_acked_ms (world, other_than_planner (world), "chain");
   world_run (world, CUT_MS);
   assert_true (last_start_ms (world, "chain") - acked_ms < CANCEL_MS);
@@ -155,6 +161,38 @@
   world_free (world);
 }
 
+/*
+ * A task that was started while the feed's call was lost, and cancelled at any
+ * moment of that, is stopped within the bound. Guards against a gate that
+ * allows a start whose stop comes too late.
+ */
+static void
+test_task_started_during_a_lost_call_is_stopped_in_time (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms <= LOST_CALL_MS; phase_ms += 200)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint32_t planner = world_planner (world);
+      int64_t acked_ms;
+
+      world->task_ms = LONG_TASK_MS;
+      world_skip_approval (world);
+      world_run (world, SETTLE_MS);
+      world->cell[planner].hanging_feeds = WORLD_FEED_BIT (MUX_TABLE_JOBS);
+      world_run (world, phase_ms);
+      (void) world_submit (world, planner, world_job (1, 4, 1000), "long");
+      world_run (world, STARTED_MS);
+      assert_int_equal (running (world, "long"), 4);
+      acked_ms = cancel_acked_ms (world, other_than_planner (world), "long");
+      world_run (world, LOST_CALL_MS);
+      world->cell[planner].hanging_feeds = 0;
+      world_run (world, acked_ms + CANCEL_MS - world->now_ms);
+      assert_int_equal (running (world, "long"), 0);
+      world_free (world);
+    }
+}
+
 /* A planner that has acknowledged a cancel itself knows of it. */
 static void
 test_planners_own_cancel_needs_no_feed (void **state)
@@ -365,6 +403,7 @@
         test_planner_with_a_hanging_feed_starts_nothing_past_the_bound),
     cmocka_unit_test (
         test_planner_behind_with_its_feed_starts_nothing_past_the_bound),
+    cmocka_unit_test (test_task_started_during_a_lost_call_is_stopped_in_time),
     cmocka_unit_test (test_planners_own_cancel_needs_no_feed),
     cmocka_unit_test (test_stop_is_sent_once_it_can_be),
     cmocka_unit_test (test_usual_day_holds_no_start_back),
