--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -182,6 +182,7 @@
       cell_late_tick (cell);
       cell_need_tick (cell);
       cell_start_gate_tick (cell);
+      cell_traffic_tick (cell);
       cell_quota_tick (cell);
       cell_admission_tick (cell);
       cell_roster_tick (cell);
