cell: the planner's traffic limit follows its ability

Cause: the limit of the planner's traffic did not know the link and processor of its instance and reacted to late replies only. Change: cell_planner_capacity_milli() returns the ability to plan. Result: 13 tests of traffic and cancels pass; a fully able instance is not limited, as before.

--- a/src/cell/traffic.c
+++ b/src/cell/traffic.c
@@ -22,8 +22,7 @@
 uint32_t
 cell_planner_capacity_milli (const MuxCell *cell)
 {
-  (void) cell;
-  return MUX_TRAFFIC_FULL_MILLI;
+  return cell_own_ability_milli (cell);
 }
 
 void
