test/support: speed of a worker in the simulated cluster

Cause: tests of the estimate of the workers' speed, and of placing by it, need workers that run the same task in different times. Change: WorldWorker has speed_milli; a run takes its task's time * 1000 / speed_milli, and its progress follows that time. 0 means 1000.

--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -63,6 +63,7 @@
 
 /**
  * struct WorldRun - a run at a worker, running or ended and not acknowledged
+ * @takes_ms: run time at the worker's speed when it started
  * @ends_ms: time at which it ends by itself; INT64_MAX: never
  * @number: sequence number of its end; 0: still running
  * @lapsed: the worker's lease expired before the end was acknowledged, so that
@@ -76,6 +77,7 @@
   MuxTaskRef task;
   uint32_t run;
   int64_t began_ms;
+  int64_t takes_ms;
   int64_t ends_ms;
   uint64_t number;
   MuxRunEnd end;
@@ -117,6 +119,8 @@
  * @usage: usage that its runs report
  * @stuck_percent: progress that its runs report without ever ending; 0: they
  *   progress and end
+ * @speed_milli: speed of its runs in thousandths: one takes its task's time *
+ *   1000 / @speed_milli; 0: 1000.  A change affects the runs started later
  * @down_until_ms: it has crashed and restarts then; 0: it is up
  * @incarnation: counts its restarts
  * @clock_ms: simulated time at which its own clock was 0
@@ -134,6 +138,7 @@
   bool fails;
   uint32_t usage;
   uint32_t stuck_percent;
+  uint32_t speed_milli;
   int64_t down_until_ms;
   uint32_t incarnation;
   int64_t clock_ms;
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -7,6 +7,7 @@
 /* The workers of the simulated cluster. */
 
 #define WORKER_MS 1
+#define MILLI 1000
 /* The planner of a new world has contacted all workers by then. */
 #define FIRST_CONTACT_MS 1000
 /* Prefix of workers' addresses; the rest encodes the number + 1, 256 to a /24.
@@ -218,6 +219,18 @@
                  worker->info.capacity.cpu_milli);
 }
 
+static int64_t
+run_time_at (const World *world,
+             const WorldWorker *worker,
+             const MuxTaskRef *task)
+{
+  int64_t at_speed_one_ms = world_task_ms (world, task);
+
+  return worker->speed_milli == 0
+             ? at_speed_one_ms
+             : at_speed_one_ms * MILLI / worker->speed_milli;
+}
+
 static void
 do_start (World *world,
           WorldWorker *worker,
@@ -246,9 +259,9 @@
   run->run = call->run;
   run->began_ms = world->now_ms;
   run->crashes = is_crashing (call);
-  run->ends_ms = worker->stuck_percent != 0
-                     ? INT64_MAX
-                     : world->now_ms + world_task_ms (world, &call->task);
+  run->takes_ms = run_time_at (world, worker, &call->task);
+  run->ends_ms
+      = worker->stuck_percent != 0 ? INT64_MAX : world->now_ms + run->takes_ms;
   assert_true (world->start_count < WORLD_STARTS_MAX);
   start = &world->start[world->start_count++];
   memset (start, 0, sizeof *start);
@@ -302,10 +315,9 @@
       run->reported = run->number != 0;
       report->end = run->end;
       report->usage = worker->usage;
-      report->percent
-          = worker->stuck_percent != 0
-                ? worker->stuck_percent
-                : (uint32_t) (spent * 100 / world_task_ms (world, &run->task));
+      report->percent = worker->stuck_percent != 0
+                            ? worker->stuck_percent
+                            : (uint32_t) (spent * 100 / run->takes_ms);
       reply->report_count++;
     }
 }
