cell: learn, store and show the workers' speeds

Cause: the planner treats workers alike that differ by a factor of 2.4. Change: speeds are learned from ends of runs and, for gangs and long runs, from their progress; a stalled run counts, too. They are published every 500 ms, 1000 for all unless the workers of the pool differ significantly. Run times by queue are recorded as at speed one. Four rows of a new table hold the speeds for the next planner, which reads them while it plans; a failure costs only knowledge. Log lines, a histogram, 'cuminmux speeds' and a line of 'explain' show them.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -69,17 +69,20 @@
   X (WORKERS_OF_NO_QUEUE, "workers_of_no_queue_total",                         \
      "workers listed with a service of no queue")
 
-/* Histograms of times in milliseconds: symbol, exported name, help. */
-#define MUX_HISTOGRAMS(X)                                                   \
-  X (JOB_WAIT, "job_wait_ms", "from a job's acceptance to its first start") \
-  X (JOB_TIME, "job_time_ms", "from a job's acceptance to its stored end")  \
-  X (STORE, "store_call_ms", "calls to the store that do not wait")         \
-  X (WORKER, "worker_order_ms", "starts and stops until they are answered") \
-  X (APPROVAL, "approval_ms", "questions to the policy service")            \
-  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")             \
-  X (PLANNER_LATE, "planner_late_ms",                                       \
-     "what arrives until the planner takes it")                             \
-  X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start")
+/* Histograms of times in milliseconds, SPEED of thousandths: symbol, exported
+ * name, help. */
+#define MUX_HISTOGRAMS(X)                                                     \
+  X (JOB_WAIT, "job_wait_ms", "from a job's acceptance to its first start")   \
+  X (JOB_TIME, "job_time_ms", "from a job's acceptance to its stored end")    \
+  X (STORE, "store_call_ms", "calls to the store that do not wait")           \
+  X (WORKER, "worker_order_ms", "starts and stops until they are answered")   \
+  X (APPROVAL, "approval_ms", "questions to the policy service")              \
+  X (TAKEOVER, "takeover_ms", "from a claim to the first plan")               \
+  X (PLANNER_LATE, "planner_late_ms",                                         \
+     "what arrives until the planner takes it")                               \
+  X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start") \
+  X (SPEED, "worker_speed_milli",                                             \
+     "assumed speeds of workers, in thousandths, at the runs observed")
 
 /**
  * enum MuxHistogram - names one histogram
@@ -117,7 +120,8 @@
 void mux_count_refused (MuxCounters *counters, MuxReason reason);
 /** mux_count_retry() - count a retry or a fenced operation, for @reason */
 void mux_count_retry (MuxCounters *counters, MuxReason reason);
-/** mux_observe() - record a time in ms; a negative one counts as 0 */
+/** mux_observe() - record a value, a time in ms unless the histogram says
+ * otherwise; a negative one counts as 0 */
 void mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms);
 uint64_t mux_counter_value (const MuxCounters *counters, MuxCounter counter);
 uint64_t mux_refused_value (const MuxCounters *counters, MuxReason reason);
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -49,6 +49,7 @@
   MUX_TABLE_CLAIM,    /* the claim: which daemon is the planner */
   MUX_TABLE_FENCE,    /* by part: the claim that may change jobs there */
   MUX_TABLE_ROSTER,   /* workers that may run something of ours */
+  MUX_TABLE_SPEEDS,   /* speeds of workers, as observed */
   MUX_TABLE_CONFIG,   /* the operators' configuration; read only */
   MUX_TABLE_WORKERS,  /* the platform's list of workers; read only */
   MUX_TABLE_COUNT
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -11,6 +11,10 @@
     = { 1,   2,    5,    10,   20,    50,    100,  200,
         500, 1000, 2000, 5000, 10000, 20000, 60000 };
 #define BOUND_COUNT (sizeof bucket_bound_ms / sizeof bucket_bound_ms[0])
+/* Those of speeds, in thousandths. */
+static const int64_t bucket_bound_milli[BOUND_COUNT]
+    = { 100,  200,  300,  400,  500,  600,  700, 850,
+        1000, 1150, 1300, 1500, 2000, 3000, 5000 };
 #define BUCKET_COUNT (BOUND_COUNT + 1)
 
 struct MuxCounters
@@ -100,14 +104,21 @@
   return get (&counters->retry[reason]);
 }
 
+static const int64_t *
+bounds_of (uint32_t histogram)
+{
+  return histogram == MUX_HIST_SPEED ? bucket_bound_milli : bucket_bound_ms;
+}
+
 void
 mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms)
 {
+  const int64_t *bound = bounds_of (histogram);
   size_t i = 0;
 
   if (ms < 0)
     ms = 0;
-  while (i < BOUND_COUNT && ms > bucket_bound_ms[i])
+  while (i < BOUND_COUNT && ms > bound[i])
     i++;
   add (&counters->bucket[histogram][i], 1);
   add (&counters->sum_ms[histogram], (uint64_t) ms);
@@ -160,7 +171,7 @@
     {
       count += get (&counters->bucket[histogram][i]);
       text_add (text, "cuminmux_%s_bucket{le=\"%" PRId64 "\"} %" PRIu64 "\n",
-                name, bucket_bound_ms[i], count);
+                name, bounds_of (histogram)[i], count);
     }
   count += get (&counters->bucket[histogram][BOUND_COUNT]);
   text_add (text,
--- a/src/cell/bad_row.c
+++ b/src/cell/bad_row.c
@@ -78,6 +78,7 @@
     [MUX_TABLE_ENDED] = "ended",   [MUX_TABLE_CLAIM] = "claim",
     [MUX_TABLE_FENCE] = "fence",   [MUX_TABLE_ROSTER] = "roster",
     [MUX_TABLE_CONFIG] = "config", [MUX_TABLE_WORKERS] = "workers",
+    [MUX_TABLE_SPEEDS] = "speeds",
   };
 
   return (uint32_t) table < MUX_TABLE_COUNT ? names[table] : "?";
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -128,6 +128,7 @@
   }
   cell_services_free (cell);
   cell_bad_rows_free (cell);
+  cell_speed_rows_begin (cell);
   mux_blob_unref (cell->admission_blob);
   free (cell->worker_by_slot);
   cell_workspaces_free (cell);
@@ -187,6 +188,7 @@
       cell_approval_queries_tick (cell);
       cell_wait_log_tick (cell);
       cell_run_times_tick (cell);
+      cell_speeds_tick (cell);
       cell_load_log_tick (cell);
       cell_sweep_tick (cell);
     }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -700,7 +700,23 @@
 void cell_run_times_tick (MuxCell *cell);
 
 /* worker_speed_learn.c: speeds of workers */
-
+/** cell_speeds_begin() - a term begins */
+void cell_speeds_begin (MuxCell *cell);
+/** cell_speeds_differ() - whether speeds in the worker's pool differ
+ * significantly */
+bool cell_speeds_differ (MuxCell *cell, const CellWorker *worker);
+/** cell_speeds_tick() - publish the speeds learned since the last time */
+void cell_speeds_tick (MuxCell *cell);
+/** cell_speed_run_ended() - learn from a run that has just ended successfully,
+ * before its room is released */
+void cell_speed_run_ended (MuxCell *cell, CellBooking *booking);
+/** cell_speed_run_progressed() - learn from the progress of a running run */
+void cell_speed_run_progressed (MuxCell *cell, CellBooking *booking);
+/** cell_speed_log_placed() - log the speeds that were assumed of the workers of
+ * a step whose last tasks were started */
+void cell_speed_log_placed (MuxCell *cell, const CellStage *stage);
+/** cell_speed_run_stalled() - learn from a run that stands still */
+void cell_speed_run_stalled (MuxCell *cell, const CellBooking *booking);
 /** cell_worker_speed_milli() - estimated speed, in thousandths of the pool's
  * mean; 1000 if it is unknown or the pool's workers are alike */
 uint32_t cell_worker_speed_milli (const CellWorker *worker);
@@ -709,6 +725,15 @@
 uint32_t cell_worker_expected_ms (const CellStage *stage,
                                   const CellWorker *worker);
 
+/* worker_speed_rows.c: speeds as they are stored for the next planner */
+/** cell_speed_rows_begin() - forget what was read in an earlier term */
+void cell_speed_rows_begin (MuxCell *cell);
+/** cell_speed_rows_tick() - read the rows in the background, later write those
+ * that changed */
+void cell_speed_rows_tick (MuxCell *cell);
+/** cell_speed_restore() - take the worker's stored speed, once it was read */
+void cell_speed_restore (MuxCell *cell, CellWorker *worker);
+
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
 void cell_sweep_tick (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -6,6 +6,7 @@
 #include "cell/run_time.h"
 #include "cell/throttle.h"
 #include "claim_types.h"
+#include "speed_types.h"
 #include "workspace_types.h"
 
 #include <uthash.h>
@@ -515,6 +516,7 @@
  * @stop_clock_ms: the worker's clock when it confirmed the stop; 0: it has not
  * @stop_since_ms: since when a stop is wanted
  * @resumed: the run was started from a checkpoint
+ * @speed_learned: the worker's speed was learned from its progress
  * @began: the worker confirmed that the run has begun
  * @was_listed: named in some list of this incarnation of the worker
  * @listed: named in its last list
@@ -536,6 +538,7 @@
   int64_t stop_clock_ms;
   int64_t stop_since_ms;
   bool resumed;
+  bool speed_learned;
   bool began;
   bool was_listed;
   bool listed;
@@ -741,6 +744,7 @@
  * @tasks_left: tasks not done
  * @last_run: gang: highest run number given to it
  * @expected_ms: expected duration of a run
+ * @step_runs: its latest runs, to learn speeds from; owned; NULL: none yet
  * @failures: gang: failed runs
  * @loss_changes: counts changes of its tasks' losses
  * @losses_written: value of @loss_changes in the outstanding commit
@@ -795,6 +799,7 @@
   uint32_t tasks_left;
   uint32_t last_run;
   uint32_t expected_ms;
+  MuxStepRuns *step_runs;
   CellFailures failures;
   uint32_t loss_changes;
   uint32_t losses_written;
@@ -1067,6 +1072,13 @@
  * @consecutive_failures: failed runs since one ended well there
  * @speed_milli: speed of runs there, in thousandths of the pool's mean; 0:
  *   unknown, or the pool's workers are alike
+ * @speed: what @speed_milli is based on
+ * @speed_restored: the stored speeds were searched for it
+ * @speed_stored: its speed is stored, or about to be
+ * @stored_speed: with @speed_stored: as it is stored
+ * @speed_class: of @speed_milli, as last logged
+ * @logged_milli: @speed_milli as last logged; 0: it was not
+ * @last_list_ms: when its last list of runs arrived; 0: none has
  * @booked: room of its bookings
  * @long_running: part of @booked for tasks that run until they are cancelled
  * @stop_count: bookings for which a stop is to be sent
@@ -1123,6 +1135,13 @@
   int64_t idle_until_ms;
   uint32_t consecutive_failures;
   uint32_t speed_milli;
+  MuxWorkerSpeed speed;
+  bool speed_restored;
+  bool speed_stored;
+  MuxWorkerSpeed stored_speed;
+  MuxSpeedClass speed_class;
+  uint32_t logged_milli;
+  int64_t last_list_ms;
   MuxSize booked;
   MuxSize long_running;
   uint32_t stop_count;
@@ -1375,6 +1394,7 @@
   int64_t next_wait_log_ms;
   MuxRunTimes run_times; /* learned, or received from a planner */
   int64_t next_run_times_log_ms;
+  CellSpeeds speeds; /* of the workers */
   int64_t next_load_log_ms;
   int64_t next_full_pass_ms;    /* until then passes cover urgent steps only */
   int64_t next_pass_ms;         /* no pass before this */
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -34,6 +34,7 @@
   cell->roster_fence_unknown = false;
   cell->roster_from[0] = 0;
   cell->roster_next_ms = 0;
+  cell_speeds_begin (cell);
 }
 
 static CellPending
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -60,6 +60,7 @@
     {
       booking->percent = report->percent;
       booking->progressed_ms = cell->time.now_ms;
+      cell_speed_run_progressed (cell, booking);
     }
 }
 
@@ -153,7 +154,10 @@
       return true;
     }
   if (report->end == MUX_RUN_DONE)
-    cell_run_time_record (cell, task->booking);
+    {
+      cell_run_time_record (cell, task->booking);
+      cell_speed_run_ended (cell, task->booking);
+    }
   cell_unbook (cell, task->booking);
   cell_run_ended (cell, task, worker, report->run, report->end,
                   report->checkpoint);
@@ -265,6 +269,7 @@
             (int) booking->task->index, "worker", worker->info.id, "percent",
             (int) booking->percent);
   worker->avoid_until_ms = cell->time.now_ms + STALL_AVOID_MS;
+  cell_speed_run_stalled (cell, booking);
   cell_stop_booking (cell, booking);
 }
 
@@ -311,6 +316,7 @@
   DL_FOREACH_SAFE (worker->bookings, booking, next)
   check_booking (cell, worker, booking, reply->worker_clock_ms,
                  ends < ENDS_PER_REPORT_MAX);
+  worker->last_list_ms = cell->time.processed_ms;
   if (worker->ends_seen != seen)
     worker->ends_change_seq = cell->change_seq;
   /* Ends that wait at the worker are listed again soon. */
--- a/src/cell/run_time_learn.c
+++ b/src/cell/run_time_learn.c
@@ -12,6 +12,7 @@
 #define LOG_INTERVAL_MS 10000
 /* Numbers are sent as integers, in thousandths. */
 #define FIXED_POINT_SCALE 1000.0
+#define MILLI 1000
 
 static uint64_t
 queue_of (const MuxJobSpec *spec)
@@ -38,8 +39,29 @@
                               step->estimate_ms);
 }
 
+/* A gang takes as long as on the slowest of its workers. */
+static uint32_t
+speed_milli (const CellBooking *booking)
+{
+  const CellStage *stage = booking->task->stage;
+  uint32_t slowest = cell_worker_speed_milli (booking->worker);
+
+  if (!stage->spec->gang)
+    return slowest;
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    if (stage->task[i].booking != NULL)
+      {
+        uint32_t speed
+            = cell_worker_speed_milli (stage->task[i].booking->worker);
+
+        slowest = speed < slowest ? speed : slowest;
+      }
+  return slowest;
+}
+
 /* Skips runs that resumed a checkpoint or were started by a predecessor, as
- * their full run time is not known, and counts a gang once. */
+ * their full run time is not known, and counts a gang once.  Times are recorded
+ * as at speed one, so that they don't depend on which workers are used. */
 void
 cell_run_time_record (MuxCell *cell, const CellBooking *booking)
 {
@@ -50,9 +72,9 @@
       || task->state == CELL_TASK_DONE || booking->resumed
       || booking->run < cell_next_run (cell, 0))
     return;
-  mux_run_time_record (&cell->run_times, queue_of (stage->job->spec),
-                       stage->spec->estimate_ms,
-                       cell->time.now_ms - booking->booked_ms);
+  mux_run_time_record (
+      &cell->run_times, queue_of (stage->job->spec), stage->spec->estimate_ms,
+      (cell->time.now_ms - booking->booked_ms) * speed_milli (booking) / MILLI);
 }
 
 static json_int_t
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -69,6 +69,7 @@
     }
   cell_approvals_free (stage);
   free (stage->recorded);
+  free (stage->step_runs);
   free (stage->task);
   free (stage);
 }
@@ -153,6 +154,7 @@
   int64_t now = cell->time.now_ms;
   int64_t latest_ms = stage->deadline_ms - stage->expected_ms;
 
+  cell_speed_log_placed (cell, stage);
   /* By version and term the reader can tell whether the job was stored before
    * the planner's term began, and so what it had to wait for. */
   cell_log (cell, "placed",
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -42,6 +42,12 @@
   { "placed", "step {step}: its last {tasks} waiting tasks are sent, "
               "{waited_ms} ms after "
               "its turn came" },
+  { "placed_by_speed",
+    "step {step}: its workers have speeds from {slowest_milli} to "
+    "{fastest_milli} thousandths; {expected_ms} ms are expected on the "
+    "slowest" },
+  { "worker_speed", "worker {worker} counts as {class}, at {speed_milli} "
+                    "thousandths of the mean, after {runs} runs" },
   { "start_refused",
     "step {step} task {task} run {run}: {worker} answered {status}" },
   { "run_ended", "step {step} task {task} run {run} on {worker} ended: {end}" },
--- a/src/cli/verb.h
+++ b/src/cli/verb.h
@@ -74,6 +74,7 @@
 int mux_verb_keygen (MuxCliCall *call);
 int mux_verb_explain (MuxCliCall *call);
 int mux_verb_report (MuxCliCall *call);
+int mux_verb_speeds (MuxCliCall *call);
 
 /** mux_call_read() - GET @path
  * @query: parameter; none if its name is NULL
--- a/test/unit/test_explain.c
+++ b/test/unit/test_explain.c
@@ -114,6 +114,48 @@
   cli_session_assert_golden (session, "explain-crashes");
 }
 
+static const char speed_lines[]
+    = "{\"wall_ms\":1000,\"instance\":\"entry-1\",\"event\":\"accepted\","
+      "\"job\":\"ab\",\"queue\":\"q\",\"why\":\"planner\"}\n"
+      "{\"wall_ms\":1040,\"instance\":\"entry-1\",\"event\":"
+      "\"placed_by_speed\",\"job\":\"ab\",\"step\":0,"
+      "\"slowest_milli\":683,\"fastest_milli\":1640,"
+      "\"expected_ms\":2780}\n"
+      "{\"wall_ms\":900,\"instance\":\"entry-1\",\"event\":"
+      "\"worker_speed\",\"worker\":\"i-2\",\"class\":\"fast\","
+      "\"before\":\"usual\",\"speed_milli\":1640,\"uncertain_milli\":71,"
+      "\"runs\":14}\n"
+      "{\"wall_ms\":2900,\"instance\":\"entry-2\",\"event\":"
+      "\"worker_speed\",\"worker\":\"i-1\",\"class\":\"slow\","
+      "\"before\":\"usual\",\"speed_milli\":683,\"uncertain_milli\":60,"
+      "\"runs\":22}\n"
+      "{\"wall_ms\":2000,\"instance\":\"entry-1\",\"event\":"
+      "\"worker_speed\",\"worker\":\"i-1\",\"class\":\"usual\","
+      "\"before\":\"fast\",\"speed_milli\":1010,\"uncertain_milli\":90,"
+      "\"runs\":9}\n"
+      "{\"wall_ms\":2950,\"instance\":\"entry-1\",\"event\":"
+      "\"worker_speed\",\"class\":\"slow\"}\n"
+      "{\"wall_ms\":3100,\"instance\":\"entry-1\",\"event\":\"job_ended\","
+      "\"job\":\"ab\",\"state\":\"completed\",\"took_ms\":2100,"
+      "\"due_ms\":900}\n";
+
+/* Guards against a decision whose assumed speeds can't be seen: the explanation
+ * names them, and the list has the last line of each worker, whichever daemon
+ * wrote it, without lines that name no worker. */
+static void
+test_speeds_that_were_assumed (void **state)
+{
+  CliSession *session = *state;
+
+  assert_int_equal (cli_session_run_with (session, "speeds", speed_lines),
+                    MUX_EXIT_OK);
+  assert_int_equal (cli_session_run_with (session, "explain ab", speed_lines),
+                    MUX_EXIT_OK);
+  assert_int_equal (cli_session_run_with (session, "speeds", "no line\n"),
+                    MUX_EXIT_OK);
+  cli_session_assert_golden (session, "speeds");
+}
+
 int
 main (void)
 {
@@ -121,6 +163,7 @@
     CLI_SESSION (test_story_in_time_order),
     CLI_SESSION (test_cause_lies_between_acceptance_and_end),
     CLI_SESSION (test_failure_names_the_workers_that_crashed),
+    CLI_SESSION (test_speeds_that_were_assumed),
   };
 
   return cmocka_run_group_tests (tests, cli_session_begin, cli_session_end);
