--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -75,7 +75,8 @@
   X (WORKERS_OF_NO_QUEUE, "workers_of_no_queue_total",                         \
      "workers listed with a service of no queue")
 
-/* Histograms of times in milliseconds: symbol, exported name, help. */
+/* Histograms of times in milliseconds, SPEED of thousandths: symbol, exported
+ * name, help. */
 #define MUX_HISTOGRAMS(X)                                                      \
   X (JOB_WAIT, "job_wait_ms", "from a job's acceptance to its first start")    \
   X (JOB_TIME, "job_time_ms", "from a job's acceptance to its stored end")     \
@@ -86,7 +87,9 @@
   X (CANCEL_AGE, "cancel_age_ms", "age of the planner's knowledge of cancels") \
   X (PLANNER_LATE, "planner_late_ms",                                          \
      "what arrives until the planner takes it")                                \
-  X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start")
+  X (BACKLOG, "backlog_wait_ms", "how long a new job would wait for a start")  \
+  X (SPEED, "worker_speed_milli",                                              \
+     "assumed speeds of workers, in thousandths, at the runs observed")
 
 /*
  * Messages whose number and bytes are counted, by kind: symbol, label. First
@@ -188,7 +191,8 @@
 uint64_t mux_message_bytes_value (const MuxCounters *counters,
                                   MuxTraffic kind,
                                   MuxDirection direction);
-/** mux_observe() - record a time in ms; a negative one counts as 0 */
+/** mux_observe() - record a value, a time in ms unless the histogram says
+ * otherwise; a negative one counts as 0 */
 void mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms);
 uint64_t mux_counter_value (const MuxCounters *counters, MuxCounter counter);
 uint64_t mux_refused_value (const MuxCounters *counters, MuxReason reason);
