cell: an impaired planner hands over, and handovers are remembered

Cause: an able planner whose process is slowed or whose link is used up kept the claim as long as it answered hellos, and everything started late.

Change: the planner hands over to a healthy member of at least its ability once its events or its link have been late for 4 s. Members report in their hellos the round-trip time and the wait in their own event loop. The claim row carries the last handovers: at most two a minute, none for an impairment that the claim was just handed over for, none to a daemon that left for the same reason. No handover begins before the stored state is read, or while the store fails or is slow. A release without an answer ends the term after twice the store's last time instead of 1.5 s, and the same daemon claims again at once if the row is unchanged. The planner, which is among its own members without limits, is no candidate. Counters by reason, gauges of need and ability.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -67,7 +67,22 @@
   X (ROWS_BAD_FIELD, "rows_bad_field_total",                                   \
      "stored rows with a field missing or of another type")                    \
   X (WORKERS_OF_NO_QUEUE, "workers_of_no_queue_total",                         \
-     "workers listed with a service of no queue")
+     "workers listed with a service of no queue")                              \
+  X (HANDOVERS_ABILITY, "handovers_ability_total",                             \
+     "claims handed to a daemon that meets more of the need of planning")      \
+  X (HANDOVERS_LATE, "handovers_late_total",                                   \
+     "claims handed over because events waited for long")                      \
+  X (HANDOVERS_LINK, "handovers_link_total",                                   \
+     "claims handed over because of a slow link")                              \
+  X (HANDOVERS_STOP, "handovers_stop_total", "claims released by a stop")
+
+/* Values that rise and fall: symbol, exported name, help. */
+#define MUX_GAUGES(X)                                                          \
+  X (ABILITY, "ability_milli",                                                 \
+     "how much of the need of planning this instance meets, in thousandths")   \
+  X (NEED_CPU, "need_cpu_milli", "need of planning, in thousandths of a core") \
+  X (NEED_LINK, "need_link_kbps", "need of planning, link rate in kbit/s")     \
+  X (NEED_MEMORY, "need_memory_mib", "need of planning, memory in MiB")
 
 /* Histograms of times in milliseconds: symbol, exported name, help. */
 #define MUX_HISTOGRAMS(X)                                                   \
@@ -103,6 +118,17 @@
       MUX_COUNTER_COUNT
 } MuxCounter;
 
+/**
+ * enum MuxGauge - names one gauge
+ */
+typedef enum
+{
+#define MUX_GAUGE_ENUM(symbol, name, help) MUX_GAUGE_##symbol,
+  MUX_GAUGES (MUX_GAUGE_ENUM)
+#undef MUX_GAUGE_ENUM
+      MUX_GAUGE_COUNT
+} MuxGauge;
+
 typedef struct MuxCounters MuxCounters;
 
 /** mux_counters_new() - allocate counters, all zero
@@ -119,6 +145,9 @@
 void mux_count_retry (MuxCounters *counters, MuxReason reason);
 /** mux_observe() - record a time in ms; a negative one counts as 0 */
 void mux_observe (MuxCounters *counters, MuxHistogram histogram, int64_t ms);
+/** mux_gauge_set() - set the current value */
+void mux_gauge_set (MuxCounters *counters, MuxGauge gauge, uint64_t value);
+uint64_t mux_gauge_value (const MuxCounters *counters, MuxGauge gauge);
 uint64_t mux_counter_value (const MuxCounters *counters, MuxCounter counter);
 uint64_t mux_refused_value (const MuxCounters *counters, MuxReason reason);
 uint64_t mux_retry_value (const MuxCounters *counters, MuxReason reason);
--- a/include/port/peer.h
+++ b/include/port/peer.h
@@ -101,7 +101,8 @@
  * @wall_ms: sender's time of day, 0: not given         (HELLO); the one that
  *   the cell goes by                                   (HELLO_REPLY)
  * @late_ms: how long what arrives waits at the sender  (HELLO_REPLY); the
- *   round-trip time of its last hello                  (HELLO)
+ *   round-trip time of its last hello, less the wait at the sender (HELLO)
+ * @loop_ms: how long what arrives waits at the sender  (HELLO)
  * @job_state: a MuxJobState                            (JOB_REPLY)
  * @outcome: a MuxResponseOutcome                       (SUBMIT_REPLY)
  * @body: JSON (CONFIG_ROWS, HELLO_REPLY, *_QUERY, SUBMIT_REQUEST, PROXY_*,
@@ -147,6 +148,7 @@
   uint32_t memory_mib;
   int64_t wall_ms;
   uint32_t late_ms;
+  uint32_t loop_ms;
   uint32_t job_state;
   uint32_t outcome;
   MuxBlob *body;
--- a/src/adapter/peer_fields.c
+++ b/src/adapter/peer_fields.c
@@ -85,9 +85,10 @@
   { MUX_FIELD_U32, "late_ms", offsetof (MuxPeerMsg, late_ms) },
   { MUX_FIELD_U32, "link_kbps", offsetof (MuxPeerMsg, link_kbps) },
   { MUX_FIELD_U32, "memory_mib", offsetof (MuxPeerMsg, memory_mib) },
+  { MUX_FIELD_U32, "loop_ms", offsetof (MuxPeerMsg, loop_ms) },
 };
-/* The last three. */
-#define HELLO_OPTIONAL 3
+/* The last four. */
+#define HELLO_OPTIONAL 4
 
 static const MuxPeerField hello_reply_fields[] = {
   { MUX_FIELD_U64, "epoch", offsetof (MuxPeerMsg, epoch) },
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -16,6 +16,7 @@
 struct MuxCounters
 {
   atomic_uint_fast64_t counter[MUX_COUNTER_COUNT];
+  atomic_uint_fast64_t gauge[MUX_GAUGE_COUNT];
   atomic_uint_fast64_t refused[MUX_REASON_COUNT];
   atomic_uint_fast64_t retry[MUX_REASON_COUNT];
   atomic_uint_fast64_t bucket[MUX_HISTOGRAM_COUNT][BUCKET_COUNT];
@@ -34,6 +35,12 @@
 #undef COUNTER_INFO
 };
 
+static const CounterInfo gauge_info[MUX_GAUGE_COUNT] = {
+#define GAUGE_INFO(symbol, name, help) [MUX_GAUGE_##symbol] = { name, help },
+  MUX_GAUGES (GAUGE_INFO)
+#undef GAUGE_INFO
+};
+
 static const CounterInfo histogram_info[MUX_HISTOGRAM_COUNT] = {
 #define HISTOGRAM_INFO(symbol, name, help) [MUX_HIST_##symbol] = { name, help },
   MUX_HISTOGRAMS (HISTOGRAM_INFO)
@@ -82,6 +89,18 @@
   add (&counters->retry[reason], 1);
 }
 
+void
+mux_gauge_set (MuxCounters *counters, MuxGauge gauge, uint64_t value)
+{
+  atomic_store_explicit (&counters->gauge[gauge], value, memory_order_relaxed);
+}
+
+uint64_t
+mux_gauge_value (const MuxCounters *counters, MuxGauge gauge)
+{
+  return get (&counters->gauge[gauge]);
+}
+
 uint64_t
 mux_counter_value (const MuxCounters *counters, MuxCounter counter)
 {
@@ -148,6 +167,18 @@
               mux_reason_name ((MuxReason) i), get (&values[i]));
 }
 
+static void
+print_plain (Text *text,
+             const CounterInfo *info,
+             const char *type,
+             uint64_t value)
+{
+  text_add (text,
+            "# HELP cuminmux_%s %s\n# TYPE cuminmux_%s %s\n"
+            "cuminmux_%s %" PRIu64 "\n",
+            info->name, info->help, info->name, type, info->name, value);
+}
+
 static void
 print_histogram (Text *text, const MuxCounters *counters, uint32_t histogram)
 {
@@ -175,11 +206,10 @@
   Text text = { out, cap, 0 };
 
   for (uint32_t i = 0; i < MUX_COUNTER_COUNT; i++)
-    text_add (&text,
-              "# HELP cuminmux_%s %s\n# TYPE cuminmux_%s counter\n"
-              "cuminmux_%s %" PRIu64 "\n",
-              counter_info[i].name, counter_info[i].help, counter_info[i].name,
-              counter_info[i].name, get (&counters->counter[i]));
+    print_plain (&text, &counter_info[i], "counter",
+                 get (&counters->counter[i]));
+  for (uint32_t i = 0; i < MUX_GAUGE_COUNT; i++)
+    print_plain (&text, &gauge_info[i], "gauge", get (&counters->gauge[i]));
   print_reasons (&text, "refused_total", "refusals by reason",
                  counters->refused);
   print_reasons (&text, "retries_total", "retries and fencings by reason",
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -278,6 +278,23 @@
 /** cell_next_claim() - the row of the next claim, with this daemon as holder */
 json_t *cell_next_claim (const MuxCell *cell);
 
+/* claim_delay.c: how long a daemon lets others claim first */
+/** cell_is_successor() - the claim was released, and names this daemon */
+bool cell_is_successor (const MuxCell *cell);
+/** cell_ability_delay_ms() - delay for what this instance lacks of the need */
+int64_t cell_ability_delay_ms (const MuxCell *cell);
+/** cell_claim_delay_ms() - that and a jitter */
+int64_t cell_claim_delay_ms (const MuxCell *cell);
+
+/* handover_rows.c: the last handovers in the claim's row */
+/** cell_handovers_read() - adds those in @claim; NULL: none */
+void cell_handovers_read (const MuxCell *cell,
+                          MuxHandovers *handovers,
+                          const json_t *claim);
+/** cell_handovers_to_json() - Return: NULL if out of memory. */
+json_t *cell_handovers_to_json (const MuxCell *cell,
+                                const MuxHandovers *handovers);
+
 /* claim.c: leader election */
 void cell_claim_tick (MuxCell *cell);
 void cell_claim_row (MuxCell *cell, const MuxCellRow *row);
@@ -287,6 +304,9 @@
 /** cell_write_claim() - writes the claim's row if it is still the version
  * known; takes over @value; the pending call's context is the term */
 bool cell_write_claim (MuxCell *cell, json_t *value, CellReplyHandler on_reply);
+/** cell_claim_check() - reads the claim, and takes it if its holder is gone or
+ * is this daemon */
+void cell_claim_check (MuxCell *cell);
 
 /* heartbeat.c: heartbeats and checks of the planner's claim */
 /** cell_heartbeat_begin() - a term begins */
@@ -323,9 +343,11 @@
 
 /* handover.c: handing the claim to another daemon */
 void cell_yield_begin (MuxCell *cell);
-/** cell_yield_tick() - hands over to a member with a much larger CPU share */
+/** cell_yield_tick() - hands over to a member that plans better */
 void cell_yield_tick (MuxCell *cell);
 void cell_release_claim (MuxCell *cell);
+/** cell_release_timeout_ms() - how long the reply to a release is awaited */
+uint32_t cell_release_timeout_ms (const MuxCell *cell);
 
 /* member.c: the daemons that send hellos to the planner */
 CellMember *cell_member_find (MuxCell *cell, const char *name);
@@ -624,6 +646,10 @@
 uint64_t cell_hello_next (MuxCell *cell, bool store_available);
 /** cell_hello_acked() - the planner has acknowledged hello @number */
 void cell_hello_acked (MuxCell *cell, uint64_t number);
+/** cell_hello_round_trip_ms() - from a hello to its reply, lately, less the
+ * wait in the event loop here
+ * Return: 0: not known. */
+uint32_t cell_hello_round_trip_ms (const MuxCell *cell);
 /** cell_claim_lease_was_short() - the holder certainly did not extend its
  * claim for an outage of the store */
 bool cell_claim_lease_was_short (const MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -255,6 +255,9 @@
  * @last_contact_ms: when the last one was
  * @store_available: the store answers it, by its last hello
  * @limits: of its instance
+ * @round_trip_ms: of its hellos, less the wait there, as it reports; 0: it does
+ *   not
+ * @loop_ms: how long its events wait
  * @stopping: it is shutting down
  * @wall_known: @wall_offset_ms is known
  * @wall_offset_ms: its time of day minus this daemon's monotonic clock
@@ -273,6 +276,8 @@
   int64_t last_contact_ms;
   bool store_available;
   MuxAbilityLimits limits;
+  int64_t round_trip_ms;
+  int64_t loop_ms;
   bool stopping;
   bool wall_known;
   int64_t wall_offset_ms;
@@ -1289,9 +1294,9 @@
   int64_t next_verify_ms;
   bool heartbeat_busy; /* a commit of the heartbeat is outstanding */
   int64_t next_heartbeat_ms;
-  bool yield_busy;        /* a commit that hands the claim over is */
+  int64_t heartbeat_took_ms; /* until the last reply to one */
+  CellYield yield;
   bool claim_releasing;   /* the claim is being released */
-  int64_t yield_after_ms; /* no check for a stronger daemon before this */
   int64_t last_event_ms;  /* when the last tick ended */
   bool claiming;          /* a commit that takes the claim is outstanding */
   int64_t claim_after_ms; /* no attempt to take the claim before this, */
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -7,9 +7,6 @@
 
 /* Interval of hellos to the planner; six fit into dead_ms. */
 #define HELLO_INTERVAL_MS 250
-/* Claims are spread over this time, so that the other daemons see the first
- * one before they try. */
-#define JITTER_MS 250
 #define RETRY_MS 300
 /* A planner that can't reach the store is replaced once this daemon could for
  * this long, without a gap of more than PROBE_GAP_MAX_MS between replies. */
@@ -84,34 +81,6 @@
   cell_load_begin (cell);
 }
 
-static bool
-is_successor (const MuxCell *cell)
-{
-  return cell->claim.incarnation == 0 && !cell->claim.unreadable
-         && strcmp (cell->claim.successor, cell->options.name) == 0;
-}
-
-/* Daemons that can't do all of the planner's work let others claim first,
- * except for one that the last planner has chosen: the others wait for it. */
-static int64_t
-ability_delay_ms (const MuxCell *cell)
-{
-  return is_successor (cell)
-             ? 0
-             : mux_ability_claim_delay_ms (cell_own_ability_milli (cell));
-}
-
-/* The jitter is a hash of name and claim version, so that it is not always
- * the same daemon that claims first. */
-static int64_t
-claim_delay_ms (const MuxCell *cell)
-{
-  return ability_delay_ms (cell)
-         + (int64_t) (mux_hash_name (cell->options.name,
-                                     cell->options.seed ^ cell->claim.version)
-                      % JITTER_MS);
-}
-
 /*
  * The row alone decides who the planner is, whatever the reply to the commit
  * was: a claim whose reply was lost, or that was applied late, is found here
@@ -173,9 +142,9 @@
     begin_term (cell);
   else if (!ours)
     cell_step_down (cell, "other_claim");
-  cell->claim_after_ms = cell->time.now_ms + claim_delay_ms (cell);
+  cell->claim_after_ms = cell->time.now_ms + cell_claim_delay_ms (cell);
   if (cell->claim.incarnation == 0 && !cell->claim.unreadable
-      && !is_successor (cell))
+      && !cell_is_successor (cell))
     cell->claim_after_ms += SUCCESSOR_HEAD_START_MS;
 }
 
@@ -186,11 +155,9 @@
     return;
   cell->claim.known = true;
   cell->claim_read_ms = cell->time.now_ms;
-  cell->claim_after_ms = cell->time.now_ms + claim_delay_ms (cell);
+  cell->claim_after_ms = cell->time.now_ms + cell_claim_delay_ms (cell);
 }
 
-static void check_before_claim (MuxCell *cell);
-
 /*
  * If the reply to a successful claim is lost, its owner learns of the claim
  * only from a feed, which may hang for as long, and the cell has no planner
@@ -207,10 +174,11 @@
 
   (void) pending;
   cell->claiming = false;
-  cell->claim_after_ms = cell->time.now_ms + RETRY_MS + claim_delay_ms (cell);
+  cell->claim_after_ms
+      = cell->time.now_ms + RETRY_MS + cell_claim_delay_ms (cell);
   cell->claim_retry_ms = cell->time.now_ms + RETRY_MS;
   if (reply->status == MUX_CELL_UNKNOWN && !cell->stopping)
-    check_before_claim (cell);
+    cell_claim_check (cell);
   if (reply->status != MUX_CELL_OK || cell->stopping)
     return;
   row.value = cell_blob_from_json (cell_next_claim (cell));
@@ -238,6 +206,8 @@
       return false;
     }
   cell_call_expect (call, MUX_TABLE_CLAIM, CELL_CLAIM_KEY, cell->claim.version);
+  if (cell->role != CELL_FOLLOWER)
+    call->timeout_ms = cell_release_timeout_ms (cell);
   /* The predecessor has written no heartbeat later than the one known here. */
   if (cell->role == CELL_FOLLOWER)
     cell_call_expect (call, MUX_TABLE_CLAIM, CELL_HEARTBEAT_KEY,
@@ -266,7 +236,7 @@
 planner_is_silent (const MuxCell *cell)
 {
   return cell->time.now_ms - cell->planner_last_contact_ms
-         > cell->options.dead_ms + claim_delay_ms (cell);
+         > cell->options.dead_ms + cell_claim_delay_ms (cell);
 }
 
 /*
@@ -287,7 +257,18 @@
     cell->only_planner_failing_since_ms = now;
   cell->probed_ms = now;
   return now - cell->only_planner_failing_since_ms
-         > PLANNER_FAILING_MS + claim_delay_ms (cell);
+         > PLANNER_FAILING_MS + cell_claim_delay_ms (cell);
+}
+
+/*
+ * A daemon misled by a row of another writer ends its term while its own claim
+ * still exists; as it goes on to answer hellos, nobody else claims. So it has
+ * to claim again.
+ */
+static bool
+is_own_claim (const MuxCell *cell)
+{
+  return cell->claim.incarnation == cell->options.incarnation;
 }
 
 static void
@@ -310,7 +291,9 @@
     }
   if (cell->claim.version != version || cell->stopping)
     return;
-  if (planner_is_silent (cell))
+  if (is_own_claim (cell))
+    send_claim (cell, "own_claim");
+  else if (planner_is_silent (cell))
     send_claim (cell, "silent");
   else if (only_planner_is_failing (cell))
     send_claim (cell, "store_turns_it_away");
@@ -324,8 +307,8 @@
  * that no claim is sent into a partition, where it would be delivered at its
  * end.
  */
-static void
-check_before_claim (MuxCell *cell)
+void
+cell_claim_check (MuxCell *cell)
 {
   CellPending pending = { .on_reply = claim_table_read };
 
@@ -347,6 +330,8 @@
     {
       msg.link_kbps = cell->options.link_kbps;
       msg.memory_mib = cell->options.memory_mib;
+      msg.late_ms = cell_hello_round_trip_ms (cell);
+      msg.loop_ms = (uint32_t) (cell->time.now_ms - cell->time.processed_ms);
     }
   msg.stopping = cell->stopping;
   msg.wall_ms = cell->own_wall_ms;
@@ -369,17 +354,6 @@
          && strcmp (cell->claim.name, cell->options.name) == 0;
 }
 
-/*
- * A daemon misled by a row of another writer ends its term while its own claim
- * still exists; as it goes on to answer hellos, nobody else claims. So it has
- * to claim again.
- */
-static bool
-is_own_claim (const MuxCell *cell)
-{
-  return cell->claim.incarnation == cell->options.incarnation;
-}
-
 static void
 follower_tick (MuxCell *cell)
 {
@@ -391,7 +365,7 @@
       || !cell_store_available (cell))
     return;
   if (is_own_previous_incarnation (cell) && now >= cell->claim_retry_ms
-      && (ability_delay_ms (cell) == 0 || now >= cell->claim_after_ms))
+      && (cell_ability_delay_ms (cell) == 0 || now >= cell->claim_after_ms))
     send_claim (cell, "own_former_life");
   if (cell->claiming || now < cell->claim_after_ms)
     return;
@@ -404,7 +378,7 @@
   else if (planner_is_silent (cell)
            || (cell->planner_store_failing_since_ms != 0
                && now >= cell->next_probe_ms))
-    check_before_claim (cell);
+    cell_claim_check (cell);
 }
 
 void
@@ -454,7 +428,7 @@
       && !cell->planner_restarted)
     {
       cell->planner_restarted = true;
-      cell->claim_after_ms = cell->time.now_ms + claim_delay_ms (cell);
+      cell->claim_after_ms = cell->time.now_ms + cell_claim_delay_ms (cell);
     }
   if (msg->from_incarnation != cell->claim.incarnation)
     return;
--- a/src/cell/claim_lease.c
+++ b/src/cell/claim_lease.c
@@ -89,6 +89,27 @@
     hellos->served_since_ms = now_ms;
   hellos->acked_number = number;
   hellos->acked_sent_ms = hellos->sent_ms[number % CELL_HELLOS];
+  hellos->round_trip_ms = cell->time.processed_ms - hellos->acked_sent_ms;
+}
+
+/* A hello whose reply is still awaited counts with its age, if that is more. */
+uint32_t
+cell_hello_round_trip_ms (const MuxCell *cell)
+{
+  const CellHellos *hellos = &cell->hellos;
+  uint64_t next = hellos->acked_number + 1;
+  int64_t round_trip_ms = hellos->round_trip_ms;
+  int64_t waits_ms = 0;
+
+  if (hellos->acked_number == 0)
+    return 0;
+  if (hellos->number - hellos->acked_number >= CELL_HELLOS)
+    next = hellos->number - CELL_HELLOS + 1;
+  if (next <= hellos->number)
+    waits_ms = cell->time.processed_ms - hellos->sent_ms[next % CELL_HELLOS];
+  if (waits_ms > round_trip_ms)
+    round_trip_ms = waits_ms;
+  return round_trip_ms > 0 ? (uint32_t) round_trip_ms : 1;
 }
 
 bool
--- a/src/cell/claim_rows.c
+++ b/src/cell/claim_rows.c
@@ -62,6 +62,7 @@
 
   memset (claim, 0, sizeof *claim);
   cell_claim_read_predecessors (cell, claim, json);
+  cell_handovers_read (cell, &claim->handovers, json);
   claim->version = row->version;
   claim->known = true;
   claim->unreadable = !row->removed && (json == NULL || bad_field != NULL);
@@ -92,9 +93,11 @@
     left_ms = 0;
   return cell_predecessors_to_json (
       cell,
-      json_pack ("{s:s, s:s, s:I, s:i}", "name", cell->options.name, "addr",
-                 cell->options.peer_addr, "incarnation",
+      json_pack ("{s:s, s:s, s:I, s:i, s:o}", "name", cell->options.name,
+                 "addr", cell->options.peer_addr, "incarnation",
                  (json_int_t) cell->options.incarnation, "term",
-                 (int) (cell->claim.term_count % CELL_TERMS_MAX + 1)),
+                 (int) (cell->claim.term_count % CELL_TERMS_MAX + 1),
+                 "handovers",
+                 cell_handovers_to_json (cell, &cell->claim.handovers)),
       left_ms);
 }
--- a/src/cell/claim_types.h
+++ b/src/cell/claim_types.h
@@ -3,6 +3,7 @@
 
 #include "base/id.h"
 #include "cell/ability.h"
+#include "cell/handover_rules.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -22,6 +23,7 @@
  * @term_count: how many times the claim was taken
  * @predecessors_until_ms: planners before the holder send no orders to workers
  *   after this, on our steady clock
+ * @handovers: the last handovers
  */
 typedef struct
 {
@@ -35,6 +37,7 @@
   uint64_t version;
   uint32_t term_count;
   int64_t predecessors_until_ms;
+  MuxHandovers handovers;
 } CellClaim;
 
 /**
@@ -47,6 +50,7 @@
  * @acked_sent_ms: when that one was sent
  * @served_since_ms: from then on the holder has known without a gap that the
  *   store serves this daemon
+ * @round_trip_ms: from that hello to its reply, less the wait here
  * @sent_ms: sent times of the last hellos, indexed by number modulo
  *   CELL_HELLOS
  */
@@ -57,6 +61,7 @@
   uint64_t acked_number;
   int64_t acked_sent_ms;
   int64_t served_since_ms;
+  int64_t round_trip_ms;
   int64_t sent_ms[CELL_HELLOS];
 } CellHellos;
 
@@ -93,6 +98,29 @@
   uint64_t term;
 } CellNeed;
 
+/**
+ * struct CellYield - a planner's handovers to members
+ * @term: in this term
+ * @busy: a commit that hands the claim over is outstanding
+ * @after_ms: no check for a better planner before this
+ * @impairment: of this planner
+ * @reason: of the last handover, and what was known then
+ * @successor: member that it was to
+ * @own_milli: this daemon's ability
+ * @successor_milli: that of the successor
+ */
+typedef struct
+{
+  uint64_t term;
+  bool busy;
+  int64_t after_ms;
+  MuxImpairment impairment;
+  MuxHandoverReason reason;
+  char successor[MUX_NAME_LEN];
+  uint32_t own_milli;
+  uint32_t successor_milli;
+} CellYield;
+
 /**
  * struct CellPredecessor - the planner before this one
  * @name: "" if the claim had been released or had no holder
--- a/src/cell/heartbeat.c
+++ b/src/cell/heartbeat.c
@@ -129,6 +129,8 @@
                    const MuxCellReply *reply)
 {
   cell->heartbeat_busy = false;
+  /* Without the wait in the own event loop. */
+  cell->heartbeat_took_ms = cell->time.processed_ms - pending->sent_ms;
   if (reply->status == MUX_CELL_OK)
     cell_claim_renewed (cell, pending->sent_ms);
   else if (reply->status == MUX_CELL_CONFLICT)
--- a/src/cell/member.c
+++ b/src/cell/member.c
@@ -87,6 +87,8 @@
   member->limits = (MuxAbilityLimits){ .cpu_milli = msg->cpu_share_milli,
                                        .link_kbps = msg->link_kbps,
                                        .memory_mib = msg->memory_mib };
+  member->round_trip_ms = msg->late_ms;
+  member->loop_ms = msg->loop_ms;
   member->stopping = msg->stopping;
   cell_member_set_wall_time (cell, member, msg->wall_ms);
   return true;
--- a/src/cell/planner_need.c
+++ b/src/cell/planner_need.c
@@ -42,6 +42,18 @@
   return count;
 }
 
+static void
+set_gauges (MuxCell *cell)
+{
+  const MuxAbilityNeed *need = &cell->need.need;
+  MuxCounters *counters = cell->options.counters;
+
+  mux_gauge_set (counters, MUX_GAUGE_ABILITY, cell_own_ability_milli (cell));
+  mux_gauge_set (counters, MUX_GAUGE_NEED_CPU, need->cpu_milli);
+  mux_gauge_set (counters, MUX_GAUGE_NEED_LINK, need->link_kbps);
+  mux_gauge_set (counters, MUX_GAUGE_NEED_MEMORY, need->memory_mib);
+}
+
 /* A takeover begins with the need that the previous planner sent. */
 void
 cell_need_tick (MuxCell *cell)
@@ -63,6 +75,7 @@
                            .jobs_milli = need->jobs_milli };
   now = mux_ability_need (&load);
   need->need = mux_ability_need_follow (&need->need, &now);
+  set_gauges (cell);
 }
 
 /* Sent also while it is not known yet: it shows the members that this version
@@ -102,6 +115,7 @@
       = (MuxAbilityNeed){ .cpu_milli = read_number (json, "cpu_milli"),
                           .link_kbps = read_number (json, "link_kbps"),
                           .memory_mib = read_number (json, "memory_mib") };
+  set_gauges (cell);
 }
 
 uint32_t
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -516,7 +516,11 @@
   else if (call->addr[0] != 0)
     world_worker_call (cell->world, cell->number, call);
   else
-    store_call (cell->world, cell->number, call);
+    {
+      if (cell->older_version)
+        world_older_commit (call);
+      store_call (cell->world, cell->number, call);
+    }
   return true;
 }
 
@@ -547,6 +551,8 @@
         event->is_peer = true;
         event->peer = *msg;
         mux_blob_ref (msg->body);
+        if (cell->older_version)
+          world_older_message (&event->peer);
       }
   return true;
 }
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -213,6 +213,7 @@
   uint32_t strength_milli;      /* share of a processor; 0: a whole one */
   uint32_t link_kbps;           /* rate of its link; 0: unknown */
   uint32_t memory_mib;          /* its memory; 0: unknown */
+  bool older_version;           /* sends no need, limits or round-trip times */
   WorldFault store;
   WorldFault commits[MUX_TABLE_COUNT]; /* by table changed */
   uint64_t config_version;             /* last logged as in force */
--- a/test/support/cell_world_private.h
+++ b/test/support/cell_world_private.h
@@ -81,4 +81,11 @@
 /** world_step_workers() - ends the runs and starts the workers that are due */
 void world_step_workers (World *world);
 
+/* cell_world_older.c */
+/** world_older_message() - removes from @msg what older versions do not send;
+ * a changed body is a new reference */
+void world_older_message (MuxPeerMsg *msg);
+/** world_older_commit() - likewise from a heartbeat */
+void world_older_commit (MuxCellCall *call);
+
 #endif
--- a/test/support/peer_sample.c
+++ b/test/support/peer_sample.c
@@ -97,6 +97,7 @@
       msg->link_kbps = 10000;
       msg->memory_mib = 400;
       msg->late_ms = 12;
+      msg->loop_ms = 3;
       msg->epoch = 41;
       msg->call_id = 78;
       strcpy (msg->from_addr, "10.20.30.41:7411");
--- a/test/unit/test_cell_ability.c
+++ b/test/unit/test_cell_ability.c
@@ -1,6 +1,8 @@
 #include "support/cell_world.h"
 #include "support/test.h"
 
+#include "cell/ability.h"
+
 /* The most able daemon plans, in a cell of unlike instances. */
 
 #define CELLS 3
@@ -87,6 +89,25 @@
   world_free (world);
 }
 
+/* An operator compares the need with the instances' settings. */
+static void
+test_need_and_ability_are_shown (void **state)
+{
+  World *world = world_of (MANY_WORKERS, &able, &able, &able);
+
+  (void) state;
+  world_run (world, 3000);
+  assert_in_range (mux_gauge_value (world->counters, MUX_GAUGE_NEED_CPU), 350,
+                   500);
+  assert_in_range (mux_gauge_value (world->counters, MUX_GAUGE_NEED_LINK),
+                   20000, 60000);
+  assert_in_range (mux_gauge_value (world->counters, MUX_GAUGE_NEED_MEMORY), 40,
+                   120);
+  assert_int_equal (mux_gauge_value (world->counters, MUX_GAUGE_ABILITY),
+                    MUX_ABILITY_FULL_MILLI);
+  world_free (world);
+}
+
 /* Less than 1.5 times the ability is not worth a takeover. */
 static void
 test_little_more_ability_causes_no_handover (void **state)
@@ -147,6 +168,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_planner_with_a_slow_link_yields),
     cmocka_unit_test (test_fully_able_planner_keeps_the_claim),
+    cmocka_unit_test (test_need_and_ability_are_shown),
     cmocka_unit_test (test_little_more_ability_causes_no_handover),
     cmocka_unit_test (test_able_daemon_claims_first),
     cmocka_unit_test (test_weak_daemon_does_not_take_its_former_claim_at_once),
