--- a/tools/model.mk
+++ b/tools/model.mk
@@ -1,7 +1,7 @@
 # Checks the models of the at-most-once path, of the takeover, of the record of
 # workers, of the mark of a worker that was not heard and of keys that are taken
-# away, and that each fails when a guard is taken out.  Needs spin (tools/deps does not install it; `make model`
-# does).
+# away, of handovers by ability, and that each fails when a guard is taken out.
+# Needs spin (tools/deps does not install it; `make model` does).
 .PHONY: model
 model:
 	@command -v spin >/dev/null || { apt-get update && apt-get install -y --no-install-recommends spin; }
@@ -10,3 +10,4 @@
 	@tools/model docs/design/record.pml
 	@tools/model docs/design/mark.pml
 	@tools/model docs/design/revocation.pml
+	@tools/model docs/design/ability.pml
