cell: begin of runs whose start was answered late, for the workers' speeds

Cause: a run whose start is answered late, or that is adopted, counts as shorter than it is, and its worker as faster. Change: the begin is taken as the middle of the time from the start to its first report, which counts as uncertainty; adopted runs are not learned from. The log line of the speeds of a step moves to stage.c.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -712,9 +712,6 @@
 void cell_speed_run_ended (MuxCell *cell, CellBooking *booking);
 /** cell_speed_run_progressed() - learn from the progress of a running run */
 void cell_speed_run_progressed (MuxCell *cell, CellBooking *booking);
-/** cell_speed_log_placed() - log the speeds that were assumed of the workers of
- * a step whose last tasks were started */
-void cell_speed_log_placed (MuxCell *cell, const CellStage *stage);
 /** cell_speed_run_stalled() - learn from a run that stands still */
 void cell_speed_run_stalled (MuxCell *cell, const CellBooking *booking);
 /** cell_worker_speed_milli() - estimated speed, in thousandths of the pool's
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -516,7 +516,8 @@
  * @stop_clock_ms: the worker's clock when it confirmed the stop; 0: it has not
  * @stop_since_ms: since when a stop is wanted
  * @resumed: the run was started from a checkpoint
- * @speed_learned: the worker's speed was learned from its progress
+ * @speed_learned: the worker's speed was learned from its progress, or can't be
+ *   learned from the run
  * @began: the worker confirmed that the run has begun
  * @was_listed: named in some list of this incarnation of the worker
  * @listed: named in its last list
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -91,6 +91,8 @@
   booking = cell_book (cell, task, worker, report->run);
   if (booking == NULL)
     return;
+  /* When it began is not known. */
+  booking->speed_learned = true;
   task->state = CELL_TASK_RUNNING;
   update_running (cell, booking, report);
   if (task->stage->job->cancelled || task->stage->job->failed)
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -147,6 +147,35 @@
   return name[origin];
 }
 
+/* Logs the speeds that were assumed of its workers; nothing where all of them
+ * count as average. */
+static void
+log_speeds (MuxCell *cell, const CellStage *stage)
+{
+  const CellWorker *slowest = NULL;
+  uint32_t fastest_milli = 0;
+
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      const CellBooking *booking = stage->task[i].booking;
+      uint32_t milli;
+
+      if (booking == NULL)
+        continue;
+      milli = cell_worker_speed_milli (booking->worker);
+      if (slowest == NULL || milli < cell_worker_speed_milli (slowest))
+        slowest = booking->worker;
+      fastest_milli = milli > fastest_milli ? milli : fastest_milli;
+    }
+  if (slowest == NULL || slowest->speed_milli == 0)
+    return;
+  cell_log (cell, "placed_by_speed", "{s:s, s:i, s:i, s:i, s:i}", "job",
+            stage->job->id, "step", (int) stage->step, "slowest_milli",
+            (int) cell_worker_speed_milli (slowest), "fastest_milli",
+            (int) fastest_milli, "expected_ms",
+            (int) cell_worker_expected_ms (stage, slowest));
+}
+
 /* One line for a step, not for each task, to save processor time. */
 void
 cell_stage_log_placed (MuxCell *cell, const CellStage *stage, uint32_t tasks)
@@ -154,7 +183,7 @@
   int64_t now = cell->time.now_ms;
   int64_t latest_ms = stage->deadline_ms - stage->expected_ms;
 
-  cell_speed_log_placed (cell, stage);
+  log_speeds (cell, stage);
   /* By version and term the reader can tell whether the job was stored before
    * the planner's term began, and so what it had to wait for. */
   cell_log (cell, "placed",
--- a/src/cell/worker_speed_learn.c
+++ b/src/cell/worker_speed_learn.c
@@ -174,11 +174,26 @@
          && booking->stop_clock_ms == 0 && !stage->job->cancelled;
 }
 
+/* It began at any time between these two. */
+static int64_t
+start_took_ms (const CellBooking *booking)
+{
+  return booking->first_report_ms > booking->booked_ms
+             ? booking->first_report_ms - booking->booked_ms
+             : 0;
+}
+
 static int64_t
 began_ms (const CellBooking *booking)
 {
-  return booking->first_report_ms != 0 ? booking->first_report_ms
-                                       : booking->booked_ms;
+  return booking->booked_ms + start_took_ms (booking) / 2;
+}
+
+static double
+uncertain_begin_ms (const CellBooking *booking)
+{
+  return hypot (CALL_DEVIATION_MS,
+                UNIFORM_DEVIATION * (double) start_took_ms (booking));
 }
 
 static void
@@ -189,7 +204,7 @@
   int64_t last_ms = booking->worker->last_list_ms;
   int64_t gap_ms = to_ms - (last_ms > from_ms ? last_ms : from_ms);
   double took_ms = (double) (to_ms - from_ms);
-  double uncertain_ms = CALL_DEVIATION_MS;
+  double uncertain_ms = uncertain_begin_ms (booking);
 
   if (gap_ms > 0 && gap_ms < HELD_BACK_MIN_MS)
     {
@@ -244,7 +259,7 @@
       return;
     }
   took_ms = (double) ran_ms * PERCENT / booking->percent;
-  relative = hypot (CALL_DEVIATION_MS / ran_ms,
+  relative = hypot (uncertain_begin_ms (booking) / ran_ms,
                     PERCENT_DEVIATION / booking->percent);
   add_run (cell, booking, took_ms, took_ms * relative);
 }
@@ -445,35 +460,6 @@
   publish (cell, worker, passed_ms);
 }
 
-/* Nothing where all workers count as average. */
-void
-cell_speed_log_placed (MuxCell *cell, const CellStage *stage)
-{
-  const CellWorker *slowest = NULL;
-  uint32_t fastest_milli = 0;
-
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    {
-      const CellBooking *booking = stage->task[i].booking;
-      uint32_t milli;
-
-      if (booking == NULL)
-        continue;
-      milli = cell_worker_speed_milli (booking->worker);
-      if (slowest == NULL || milli < cell_worker_speed_milli (slowest))
-        slowest = booking->worker;
-      fastest_milli = milli > fastest_milli ? milli : fastest_milli;
-    }
-  if (slowest == NULL
-      || (slowest->speed_milli == 0 && fastest_milli == MEAN_SPEED_MILLI))
-    return;
-  cell_log (cell, "placed_by_speed", "{s:s, s:i, s:i, s:i, s:i}", "job",
-            stage->job->id, "step", (int) stage->step, "slowest_milli",
-            (int) cell_worker_speed_milli (slowest), "fastest_milli",
-            (int) fastest_milli, "expected_ms",
-            (int) cell_worker_expected_ms (stage, slowest));
-}
-
 uint32_t
 cell_worker_speed_milli (const CellWorker *worker)
 {
