cell: kinds of tasks that slow each other are kept apart

Cause: tasks of two kinds that slow each other were put on the same worker while others had room. Change: interference_learn.c feeds mux_interference_record() with the runs that end, with the kinds beside them, also those that ended before; a kind is the queue, with long-running and best-effort tasks apart (a step names no image). The order of found pairs first makes the look-up short. Gangs and the choice of workers for approval queries do not use the cost yet.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -63,6 +63,12 @@
      "planning passes cut for their length")                                   \
   X (STARTS_HELD, "starts_held_total",                                         \
      "times that starts were held back as cancels may be unknown")             \
+  X (INTERFERENCES, "interference_found_total",                                \
+     "pairs of kinds of tasks found to slow each other")                       \
+  X (STARTS_APART, "starts_kept_apart_total",                                  \
+     "starts of such kinds on workers without the other kind")                 \
+  X (STARTS_BESIDE, "starts_beside_total",                                     \
+     "starts of such kinds beside the other kind")                             \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
--- a/include/cell/interference.h
+++ b/include/cell/interference.h
@@ -25,6 +25,7 @@
  * @kind: kind whose runs were observed; 0 is no kind
  * @other: kind that ran beside it
  * @found: @other is found to slow @kind
+ * @changed: @found changed with the last run that was recorded
  * @last_beside: number of the last observation with @other beside it, see
  *   MuxInterference.observations
  * @weight: sum of the observations' weights
@@ -39,6 +40,7 @@
   uint64_t kind;
   uint64_t other;
   bool found;
+  bool changed;
   uint64_t last_beside;
   double weight;
   double share_mean;
@@ -53,7 +55,7 @@
  * @observations: runs recorded
  * @count: used entries of @pair
  * @found_count: pairs that are found
- * @pair: in no order
+ * @pair: those that are found come first
  */
 typedef struct
 {
@@ -98,7 +100,7 @@
                                   uint64_t kind,
                                   double share);
 /** mux_interference_record() - record a run
- * Return: whether a pair was found or dropped. */
+ * Return: whether pairs were found or dropped; they are marked as changed. */
 bool mux_interference_record (MuxInterference *all,
                               const MuxInterferenceRun *run);
 /** mux_interference_find() - the pair; NULL: it is not tracked */
@@ -110,6 +112,8 @@
 bool mux_interference_is_found (const MuxInterference *all,
                                 uint64_t kind,
                                 uint64_t other);
+/** mux_interference_concerns() - whether the kind is in a pair that is found */
+bool mux_interference_concerns (const MuxInterference *all, uint64_t kind);
 /** mux_interference_slowdown() - estimated logarithm of the factor by which the
  * other kind slows a run; 0 if it is unknown */
 double mux_interference_slowdown (const MuxInterferencePair *pair);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -776,6 +776,26 @@
 uint32_t cell_worker_expected_ms (const CellStage *stage,
                                   const CellWorker *worker);
 
+/* interference_learn.c: kinds of tasks that slow each other */
+/** cell_interference_kind() - kind of the stage's tasks: their queue, and
+ * whether they are long-running or best-effort */
+uint64_t cell_interference_kind (const CellStage *stage);
+/** cell_interference_record() - record a run that has just ended as @end, for
+ * itself and for the runs beside it */
+void cell_interference_record (MuxCell *cell,
+                               const CellBooking *booking,
+                               MuxRunEnd end);
+/** cell_interference_cost() - cost of the worker for tasks of the stage, as in
+ * place.c; 0 unless tasks there are found to slow them, or to be slowed */
+int64_t cell_interference_cost (const MuxCell *cell,
+                                const CellStage *stage,
+                                const CellWorker *worker);
+/** cell_interference_count() - count that a task of the stage is about to be
+ * started at the worker */
+void cell_interference_count (const MuxCell *cell,
+                              const CellStage *stage,
+                              const CellWorker *worker);
+
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
 void cell_sweep_tick (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -4,6 +4,7 @@
 #include "cell/admission.h"
 #include "cell/cancel_age.h"
 #include "cell/cell.h"
+#include "cell/interference.h"
 #include "cell/run_time.h"
 #include "cell/share.h"
 #include "cell/throttle.h"
@@ -529,6 +530,18 @@
   char checkpoint[MUX_TOKEN_LEN];
 };
 
+/**
+ * struct CellBeside - how long runs of a kind that have ended ran beside a
+ *   booking; embedded in it
+ * @kind: see cell_interference_kind(); 0: entry unused
+ * @ms: total time of these runs
+ */
+typedef struct
+{
+  uint64_t kind;
+  int64_t ms;
+} CellBeside;
+
 /**
  * struct CellBooking - room held at a worker by one run of a task, from its
  *   start until the run is known to be gone; owned by the worker's list
@@ -550,6 +563,8 @@
  * @previous_incarnation: incarnation that the start was sent to, if not
  *   @worker; owned; NULL: none
  * @previous_span: with @previous_incarnation: when the run was there
+ * @kind: of its task, see cell_interference_kind()
+ * @beside: kinds that ran beside it
  */
 struct CellBooking
 {
@@ -570,6 +585,8 @@
   bool listed;
   char *previous_incarnation;
   CellLossSpan previous_span;
+  uint64_t kind;
+  CellBeside beside[MUX_INTERFERENCE_BESIDE_MAX];
   CellBooking *prev;
   CellBooking *next;
 };
@@ -1414,6 +1431,7 @@
   int64_t next_wait_log_ms;
   MuxRunTimes run_times; /* learned, or received from a planner */
   int64_t next_run_times_log_ms;
+  MuxInterference interference; /* learned, or received from a planner */
   int64_t next_load_log_ms;
   int64_t next_full_pass_ms;    /* until then passes cover urgent steps only */
   int64_t next_pass_ms;         /* no pass before this */
--- a/src/cell/interference.c
+++ b/src/cell/interference.c
@@ -68,20 +68,44 @@
   return NULL;
 }
 
-static bool
-is_found (const MuxInterferencePair *pair)
-{
-  return pair != NULL && pair->found;
-}
-
 bool
 mux_interference_is_found (const MuxInterference *all,
                            uint64_t kind,
                            uint64_t other)
 {
-  return all->found_count > 0
-         && (is_found (mux_interference_find (all, kind, other))
-             || is_found (mux_interference_find (all, other, kind)));
+  for (uint32_t i = 0; i < all->found_count; i++)
+    {
+      const MuxInterferencePair *pair = &all->pair[i];
+
+      if ((pair->kind == kind && pair->other == other)
+          || (pair->kind == other && pair->other == kind))
+        return true;
+    }
+  return false;
+}
+
+bool
+mux_interference_concerns (const MuxInterference *all, uint64_t kind)
+{
+  for (uint32_t i = 0; i < all->found_count; i++)
+    if (all->pair[i].kind == kind || all->pair[i].other == kind)
+      return true;
+  return false;
+}
+
+/* Moves the pairs that are found to the front. */
+static void
+order (MuxInterference *all)
+{
+  all->found_count = 0;
+  for (uint32_t i = 0; i < all->count; i++)
+    if (all->pair[i].found)
+      {
+        MuxInterferencePair found = all->pair[i];
+
+        all->pair[i] = all->pair[all->found_count];
+        all->pair[all->found_count++] = found;
+      }
 }
 
 double
@@ -102,9 +126,8 @@
   return slowdown / sqrt (fmax (variance, VARIANCE_MIN) / pair->share_square);
 }
 
-/* Return: whether the pair was found or dropped. */
-static bool
-judge (MuxInterference *all, MuxInterferencePair *pair)
+static void
+judge (MuxInterferencePair *pair)
 {
   double slowdown = mux_interference_slowdown (pair);
   double confidence = mux_interference_confidence (pair);
@@ -113,11 +136,8 @@
             ? slowdown >= DROPPED_SLOWDOWN && confidence >= DROPPED_CONFIDENCE
             : slowdown >= FOUND_SLOWDOWN && confidence >= FOUND_CONFIDENCE;
 
-  if (found == pair->found)
-    return false;
+  pair->changed = found != pair->found;
   pair->found = found;
-  all->found_count += found ? 1 : -1U;
-  return true;
 }
 
 static void
@@ -194,14 +214,18 @@
       MuxInterferencePair *pair = &all->pair[i];
       double share;
 
+      pair->changed = false;
       if (pair->kind != run->kind)
         continue;
       share = share_beside (run, pair->other);
       if (share > 0)
         pair->last_beside = all->observations;
       update (pair, run->residual, share, run->weight);
-      changed = judge (all, pair) || changed;
+      judge (pair);
+      changed = changed || pair->changed;
     }
+  if (changed)
+    order (all);
   return changed;
 }
 
@@ -231,9 +255,9 @@
     entry = free_pair (all);
   if (entry == NULL)
     return false;
-  all->found_count -= entry->found;
   *entry = *pair;
+  entry->changed = false;
   entry->last_beside = all->observations;
-  all->found_count += entry->found;
+  order (all);
   return true;
 }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -66,7 +66,7 @@
     cost += OUTSIDE_DATA_CENTRE_COST;
   if (cell_delays_gang (cell, task->stage, worker))
     cost += GANG_DELAY_COST;
-  return cost;
+  return cost + cell_interference_cost (cell, task->stage, worker);
 }
 
 typedef struct
@@ -244,6 +244,7 @@
   if (cell_start_needs_record (cell, task)
       && !cell_start_is_recorded (cell, task, best.worker))
     return true;
+  cell_interference_count (cell, task->stage, best.worker);
   if (!cell_start_run (cell, task, best.worker,
                        cell_next_run (cell, task->last_run), task->checkpoint))
     return false;
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -154,6 +154,7 @@
     }
   if (report->end == MUX_RUN_DONE)
     cell_run_time_record (cell, task->booking);
+  cell_interference_record (cell, task->booking, report->end);
   cell_unbook (cell, task->booking);
   cell_run_ended (cell, task, worker, report->run, report->end,
                   report->checkpoint);
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -45,6 +45,7 @@
   booking->run = run;
   booking->booked_ms = cell->time.now_ms;
   booking->progressed_ms = cell->time.now_ms;
+  booking->kind = cell_interference_kind (task->stage);
   task->booking = booking;
   if (run > task->last_run)
     task->last_run = run;
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -20,6 +20,8 @@
 #define DEAD_MS 1200
 #define CRASH_MS 10
 #define DOWN_MS 1300
+/* Of a configuration with room for two queues. */
+#define CONFIG_BYTES (sizeof (MuxQueueConfig) + 2 * sizeof (MuxQueueSpec))
 
 static MuxCellTime
 time_of (const World *world, uint32_t cell)
@@ -146,7 +148,7 @@
 static MuxQueueConfig *
 config_of (const WorldRow *row)
 {
-  size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
+  size_t size = CONFIG_BYTES;
 
   if (row->value == NULL || row->value->len != size)
     return NULL;
@@ -380,6 +382,14 @@
   return job != NULL ? job->task_ms : world->task_ms;
 }
 
+bool
+world_is_other (const World *world, const MuxTaskRef *task)
+{
+  const WorldJob *job = job_of (world, task->job);
+
+  return job != NULL && job->other_queue;
+}
+
 int64_t
 world_approval_spent_ms (const World *world, const char *id)
 {
@@ -814,7 +824,7 @@
 add_config (World *world)
 {
   WorldRow *row = row_find_or_add (world, MUX_TABLE_CONFIG, "", "config");
-  MuxQueueConfig *config = calloc (1, sizeof *config + sizeof config->item[0]);
+  MuxQueueConfig *config = calloc (1, CONFIG_BYTES);
   MuxQueueSpec *queue = &config->item[0];
 
   config->version = 1;
@@ -828,7 +838,7 @@
   queue->slack_milli = 4000;
   queue->target_ms = 1000;
   queue->approval = (MuxApprovalSpec){ true, 5000, 100, 2000 };
-  row->value = mux_blob_new (config, sizeof *config + sizeof config->item[0]);
+  row->value = mux_blob_new (config, CONFIG_BYTES);
   row->removed = false;
   world_row_changed (world, row);
   free (config);
@@ -840,7 +850,7 @@
 change_config (World *world)
 {
   WorldRow *row = world_row_find (world, MUX_TABLE_CONFIG, "", "config");
-  size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
+  size_t size = CONFIG_BYTES;
   MuxQueueConfig *config = malloc (size);
 
   assert_non_null (config);
@@ -855,8 +865,7 @@
   WorldRow *row = world_row_find (world, MUX_TABLE_CONFIG, "", "config");
 
   mux_blob_unref (row->value);
-  row->value
-      = mux_blob_new (config, sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec));
+  row->value = mux_blob_new (config, CONFIG_BYTES);
   world_row_changed (world, row);
   free (config);
 }
@@ -889,6 +898,19 @@
   put_config (world, config);
 }
 
+void
+world_add_queue (World *world)
+{
+  MuxQueueConfig *config = change_config (world);
+  MuxQueueSpec *queue = &config->item[1];
+
+  *queue = config->item[0];
+  snprintf (queue->name, sizeof queue->name, "other");
+  snprintf (queue->prefix, sizeof queue->prefix, "/other/");
+  config->count = 2;
+  put_config (world, config);
+}
+
 void
 world_set_slack (World *world, uint32_t slack_milli)
 {
@@ -1119,7 +1141,8 @@
   request->call_id = ++world->next_request;
   request->timeout_ms = 3000;
   snprintf (request->host, sizeof request->host, "cell.example");
-  snprintf (request->path, sizeof request->path, "/batch/%s", id);
+  snprintf (request->path, sizeof request->path, "/%s/%s",
+            world->other_queue ? "other" : "batch", id);
   world_copy_key (world, request);
   return request;
 }
@@ -1140,6 +1163,7 @@
   job->approval_ms = world->approval_ms;
   job->approval_us = world->approval_us;
   job->approval_spent_ms = 0;
+  job->other_queue = world->other_queue;
   job->step_count = spec->step_count;
   job->size = calloc (spec->step_count, sizeof *job->size);
   assert_non_null (job->size);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -175,6 +175,7 @@
  * @approval_ms: likewise
  * @approval_us: likewise
  * @approval_spent_ms: total time that the policy service spent on its queries
+ * @other_queue: it was submitted to the second queue
  * @size: what a task of each step needs
  */
 typedef struct
@@ -185,6 +186,7 @@
   int64_t approval_ms;
   uint32_t approval_us;
   int64_t approval_spent_ms;
+  bool other_queue;
   uint32_t step_count;
   MuxSize *size; /* owned */
 } WorldJob;
@@ -265,7 +267,10 @@
   uint32_t approve_one_in;   /* every n-th worker is approved; 0: all */
   bool approve_by_job;       /* shifted by a hash of the job */
   bool approve_by_chance;    /* by a hash of worker and job instead */
-  bool times_at_submit; /* task and approval times as of a job's submission */
+  bool other_queue;      /* submissions go to the queue of world_add_queue() */
+  uint32_t slowed_milli; /* factor of the time of runs of the first queue that
+                            begin beside one of the other; 0: none */
+  bool times_at_submit;  /* task and approval times as of a job's submission */
   uint32_t ended_retention_s; /* ended_retention_s of daemons started later; 0:
                                  a day */
   uint32_t unreadable_max;    /* unreadable_max of these; 0: default */
@@ -362,6 +367,8 @@
 world_crashing_job (uint32_t tasks, uint32_t cpu_milli, uint32_t index);
 /** world_change_config() - stores the same configuration as a newer version */
 void world_change_config (World *world);
+/** world_add_queue() - configures a second queue like the first one */
+void world_add_queue (World *world);
 /** world_set_slack() - sets slack_milli of the queue */
 void world_set_slack (World *world, uint32_t slack_milli);
 /** world_set_workspaces() - configures @workspaces and takes them over; NULL:
--- a/test/support/cell_world_private.h
+++ b/test/support/cell_world_private.h
@@ -57,6 +57,8 @@
 
 /** world_task_ms() - returns the run time of a task */
 int64_t world_task_ms (const World *world, const MuxTaskRef *task);
+/** world_is_other() - whether its job was submitted to the second queue */
+bool world_is_other (const World *world, const MuxTaskRef *task);
 
 /* cell_world_worker.c */
 void world_add_worker (World *world, uint32_t number);
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -219,6 +219,21 @@
                  worker->info.capacity.cpu_milli);
 }
 
+/* Return: the time that a run takes which begins now at the worker. */
+static int64_t
+run_ms (const World *world, const WorldWorker *worker, const MuxTaskRef *task)
+{
+  int64_t ms = world_task_ms (world, task);
+
+  if (world->slowed_milli == 0 || world_is_other (world, task))
+    return ms;
+  for (uint32_t i = 0; i < worker->run_end; i++)
+    if (worker->run[i].used && worker->run[i].number == 0
+        && world_is_other (world, &worker->run[i].task))
+      return ms * world->slowed_milli / 1000;
+  return ms;
+}
+
 static void
 do_start (World *world,
           WorldWorker *worker,
@@ -249,7 +264,7 @@
   run->crashes = is_crashing (call);
   run->ends_ms = worker->stuck_percent != 0
                      ? INT64_MAX
-                     : world->now_ms + world_task_ms (world, &call->task);
+                     : world->now_ms + run_ms (world, worker, &call->task);
   assert_true (world->start_count < WORLD_STARTS_MAX);
   start = &world->start[world->start_count++];
   memset (start, 0, sizeof *start);
