cell: the next planner knows the kinds that slow each other

Cause: a new planner had to find the pairs again, and put them together until then. Change: the admission blob lists the pairs that are found under `interference`, with their statistics; followers take them over, and nothing is known without the key. Pairs that are not found are left out, as 64 of them would add 6 KB to the reply to each hello.

--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -321,11 +321,12 @@
   cell->admission_blob_ms = cell->time.now_ms;
   cell->admission_blob = cell_blob_from_json (cell_predecessors_to_json (
       cell,
-      json_pack ("{s:i, s:I, s:o, s:o, s:o, s:o}", "share_milli",
+      json_pack ("{s:i, s:I, s:o, s:o, s:o, s:o, s:o}", "share_milli",
                  (int) cell->throttle.share_milli, "late_ms",
                  (json_int_t) cell_late_ms (cell), "waits", waits_json (cell),
                  "run_times", cell_run_times_json (cell), "need",
-                 cell_need_json (cell), "shares", cell_shares_json (cell)),
+                 cell_need_json (cell), "shares", cell_shares_json (cell),
+                 "interference", cell_interference_json (cell)),
       cell_predecessors_left_ms (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
@@ -395,6 +396,7 @@
   cell_run_times_receive (cell, json_object_get (json, "run_times"));
   cell_need_receive (cell, json);
   cell_shares_receive (cell, json_object_get (json, "shares"));
+  cell_interference_receive (cell, json);
   cell->throttle.share_milli = share != NULL && share_milli >= 0
                                        && share_milli < MUX_THROTTLE_FULL_MILLI
                                    ? (uint32_t) share_milli
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -795,6 +795,12 @@
 void cell_interference_count (const MuxCell *cell,
                               const CellStage *stage,
                               const CellWorker *worker);
+/** cell_interference_json() - pairs that are found, for other daemons; owned by
+ * the caller */
+json_t *cell_interference_json (const MuxCell *cell);
+/** cell_interference_receive() - take over the pairs in the planner's admission
+ * blob, if this daemon does not plan; @blob may be NULL */
+void cell_interference_receive (MuxCell *cell, const json_t *blob);
 
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
--- a/src/cell/interference_learn.c
+++ b/src/cell/interference_learn.c
@@ -4,7 +4,8 @@
 
 /*
  * The planner learns which kinds of tasks slow each other on a worker, and
- * keeps them apart where another worker has room.
+ * keeps them apart where another worker has room.  It sends the pairs that are
+ * found to the other daemons: the next planner continues with them.
  */
 
 /* Cost of a worker with a task that slows this one, or is slowed by it, in
@@ -172,3 +173,66 @@
                  : MUX_COUNT_STARTS_BESIDE,
              1);
 }
+
+static json_int_t
+to_fixed_point (double value)
+{
+  return (json_int_t) lround (value * MILLI);
+}
+
+/* Pairs that are not found are left out: 64 of them take 6 KB, in the reply to
+ * each hello, and are learned again within seconds. */
+json_t *
+cell_interference_json (const MuxCell *cell)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < cell->interference.found_count; i++)
+    {
+      const MuxInterferencePair *pair = &cell->interference.pair[i];
+
+      (void) json_array_append_new (
+          list,
+          json_pack ("[I, I, I, I, I, I, I, I]", (json_int_t) pair->kind,
+                     (json_int_t) pair->other, to_fixed_point (pair->weight),
+                     to_fixed_point (pair->share_mean),
+                     to_fixed_point (pair->residual_mean),
+                     to_fixed_point (pair->share_square),
+                     to_fixed_point (pair->product),
+                     to_fixed_point (pair->residual_square)));
+    }
+  return list;
+}
+
+static double
+fixed_point_at (const json_t *entry, size_t index)
+{
+  return (double) json_integer_value (json_array_get (entry, index)) / MILLI;
+}
+
+void
+cell_interference_receive (MuxCell *cell, const json_t *blob)
+{
+  const json_t *entry;
+  size_t i;
+
+  if (blob == NULL || cell->role != CELL_FOLLOWER)
+    return;
+  cell->interference = (MuxInterference){ .count = 0 };
+  json_array_foreach (json_object_get (blob, "interference"), i, entry)
+  {
+    const MuxInterferencePair pair = {
+      .kind = (uint64_t) json_integer_value (json_array_get (entry, 0)),
+      .other = (uint64_t) json_integer_value (json_array_get (entry, 1)),
+      .found = true,
+      .weight = fixed_point_at (entry, 2),
+      .share_mean = fixed_point_at (entry, 3),
+      .residual_mean = fixed_point_at (entry, 4),
+      .share_square = fixed_point_at (entry, 5),
+      .product = fixed_point_at (entry, 6),
+      .residual_square = fixed_point_at (entry, 7),
+    };
+
+    (void) mux_interference_set (&cell->interference, &pair);
+  }
+}
--- a/test/unit/test_cell_interference.c
+++ b/test/unit/test_cell_interference.c
@@ -34,10 +34,13 @@
 submit (World *world, bool other, const char *id)
 {
   MuxJobSpec *job = world_job (1, 1, CPU_MILLI);
+  uint32_t cell = 0;
 
+  while (world->cell[cell].dead)
+    cell++;
   job->step[0].estimate_ms = other ? OTHER_MS : TASK_MS;
   world->task_ms = other ? OTHER_MS : TASK_MS;
-  (void) world_submit (world, 0, job, id);
+  (void) world_submit (world, cell, job, id);
 }
 
 /* Submits jobs of both kinds for a number of rounds.
@@ -193,6 +196,27 @@
   world_free (two);
 }
 
+/* Guards against a next planner that has to find the pairs again. */
+static void
+test_next_planner_knows_the_pairs (void **state)
+{
+  World *world = learned_world ();
+  uint32_t planner = world_planner (world);
+  uint32_t first;
+
+  (void) state;
+  world_cell_kill (world, planner);
+  world_run (world, 8000);
+  assert_true (world_planner (world) < WORLD_CELLS_MAX);
+  assert_int_not_equal (world_planner (world), planner);
+  first = world->start_count;
+  play (world, "later", ROUNDS, true);
+  assert_true (world->start_count - first >= ROUNDS);
+  assert_int_equal (starts_together (world, first, "later"), 0);
+  assert_int_equal (world_logged (world, "interference_found"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -200,6 +224,7 @@
     cmocka_unit_test (test_kinds_that_slow_each_other_are_kept_apart),
     cmocka_unit_test (test_without_other_room_nothing_waits),
     cmocka_unit_test (test_without_effect_placement_is_the_same),
+    cmocka_unit_test (test_next_planner_knows_the_pairs),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
