--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -65,6 +65,12 @@
      "times that starts were held back as cancels may be unknown")             \
   X (TRAFFIC_LIMITED, "traffic_limited_total",                                 \
      "times that the planner began to limit what it sends")                    \
+  X (INTERFERENCES, "interference_found_total",                                \
+     "pairs of kinds of tasks found to slow each other")                       \
+  X (STARTS_APART, "starts_kept_apart_total",                                  \
+     "starts of such kinds on workers without the other kind")                 \
+  X (STARTS_BESIDE, "starts_beside_total",                                     \
+     "starts of such kinds beside the other kind")                             \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -160,6 +160,7 @@
       cell_run_time_record (cell, task->booking);
       cell_speed_run_ended (cell, task->booking);
     }
+  cell_interference_record (cell, task->booking, report->end);
   cell_unbook (cell, task->booking);
   cell_run_ended (cell, task, worker, report->run, report->end,
                   report->checkpoint);
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -220,16 +220,23 @@
                  worker->info.capacity.cpu_milli);
 }
 
+/* Return: the time that a run takes which begins now at the worker. */
 static int64_t
 run_time_at (const World *world,
              const WorldWorker *worker,
              const MuxTaskRef *task)
 {
-  int64_t at_speed_one_ms = world_task_ms (world, task);
+  int64_t ms = world_task_ms (world, task);
 
-  return worker->speed_milli == 0
-             ? at_speed_one_ms
-             : at_speed_one_ms * MILLI / worker->speed_milli;
+  if (worker->speed_milli != 0)
+    ms = ms * MILLI / worker->speed_milli;
+  if (world->slowed_milli == 0 || world_is_other (world, task))
+    return ms;
+  for (uint32_t i = 0; i < worker->run_end; i++)
+    if (worker->run[i].used && worker->run[i].number == 0
+        && world_is_other (world, &worker->run[i].task))
+      return ms * world->slowed_milli / MILLI;
+  return ms;
 }
 
 static void
