--- a/src/cell/gang_reserve.c
+++ b/src/cell/gang_reserve.c
@@ -125,24 +125,6 @@
     (void) cell_approval_query_send (cell, stage, worker, n);
 }
 
-/*
- * Whether the gang may have a reservation for @at_ms.  One from after its
- * deadline keeps room from work that can still end in time.  As for gangs that
- * are late already, there are few of these, so that each starts some day.
- * Forecasts are too late rather than too early: with the latest start as the
- * bound, 146 instead of 149 of 166 gangs were in time (test_cell_askers).
- */
-static bool
-may_reserve (MuxCell *cell, const CellStage *stage, int64_t at_ms)
-{
-  if (cell_stage_is_late (stage) || at_ms <= stage->deadline_ms)
-    return true;
-  if (cell->late_reservations_left == 0)
-    return false;
-  cell->late_reservations_left--;
-  return true;
-}
-
 void
 cell_gang_reserve (MuxCell *cell,
                    CellStage *stage,
@@ -159,8 +141,7 @@
   first = openings.opening != NULL
               ? count_that_hold (&openings, stage->spec->count)
               : 0;
-  if (first > 0
-      && may_reserve (cell, stage, openings.opening[first - 1].from_ms))
+  if (first > 0)
     {
       stage->has_reservation = true;
       reserve (cell, stage, &openings, first);
