cell: fixes of a review of handovers and interference

Cause: a reply to the check before a claim could claim again although a feed had already begun the term; a median of the members' round trips blames the planner where most members have slow links; runs on workers whose speed is not known yet could pass for a disturbance by what often runs there. Change: the check ends unless this daemon is still a follower; the lower quartile of the round trips counts; such runs are skipped.

--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -289,7 +289,9 @@
       cell->claim_after_ms = cell->time.now_ms + RETRY_MS;
       return;
     }
-  if (cell->claim.version != version || cell->stopping)
+  /* A feed may have brought our claim before this reply. */
+  if (cell->claim.version != version || cell->stopping
+      || cell->role != CELL_FOLLOWER)
     return;
   if (is_own_claim (cell))
     send_claim (cell, "own_claim");
--- a/src/cell/handover.c
+++ b/src/cell/handover.c
@@ -17,14 +17,15 @@
 /* A member is alive if its last hello is no older than this; two hellos fit. */
 #define MEMBER_ALIVE_MS 500
 /* A member is healthy if its round-trip time is at most so much above the
- * median, as the planner's own delay is in all of them, and its events don't
- * wait for longer. */
+ * lower quartile of all, as the planner's own delay is in all of them, and its
+ * events don't wait for longer. */
 #define MEMBER_SLOWER_MAX_MS 200
 #define MEMBER_LOOP_MAX_MS 200
-/* The median is taken from so many reports at least: a single slow round trip
- * may be due to either end. */
+/* The quartile is taken from so many reports at least: a single slow round trip
+ * may be due to either end.  Most members may have slow links of their own. */
 #define REPORTS_MIN 2
-/* Resolution and range of the median. */
+#define QUARTILES 4
+/* Its resolution and range. */
 #define BUCKET_MS 25
 #define BUCKETS 160
 /* No handover while the store takes longer than this, or fails: no orders are
@@ -38,7 +39,7 @@
 {
   MuxHandoverReason reason;
   uint32_t min_milli;
-  int64_t median_ms; /* of the members' round-trip times */
+  int64_t round_trip_ms; /* lower quartile of the members' */
 } Requirements;
 
 /* The planner is among the members as well, without limits. */
@@ -61,7 +62,7 @@
   return required->reason == MUX_HANDOVER_NONE
          || (cell->time.now_ms - member->first_contact_ms >= MEMBER_SETTLED_MS
              && member->round_trip_ms
-                    <= required->median_ms + MEMBER_SLOWER_MAX_MS
+                    <= required->round_trip_ms + MEMBER_SLOWER_MAX_MS
              && member->loop_ms <= MEMBER_LOOP_MAX_MS
              && !mux_handovers_exclude (&cell->claim.handovers, member->name,
                                         required->reason, cell->time.now_ms));
@@ -188,10 +189,10 @@
     cell_claim_check (cell);
 }
 
-/* Return: the lower median of the round-trip times that members report; 0: too
- * few do. */
+/* Return: the lower quartile of the round-trip times that members report; 0:
+ * too few do. */
 static int64_t
-median_round_trip_ms (const MuxCell *cell)
+low_round_trip_ms (const MuxCell *cell)
 {
   uint32_t bucket[BUCKETS] = { 0 };
   uint32_t reports = 0;
@@ -213,7 +214,7 @@
   for (uint32_t i = 0; i < BUCKETS; i++)
     {
       seen += bucket[i];
-      if (2 * seen >= reports)
+      if (QUARTILES * seen >= reports)
         return (int64_t) i * BUCKET_MS;
     }
   return 0;
@@ -280,9 +281,9 @@
       || cell->role != CELL_PLANNING || cell->need.term != cell->term)
     return;
   cell->yield.after_ms = now + YIELD_CHECK_MS;
-  required.median_ms = median_round_trip_ms (cell);
+  required.round_trip_ms = low_round_trip_ms (cell);
   signs = (MuxImpairmentSigns){ .loop_ms = now - cell->time.processed_ms,
-                                .hello_ms = required.median_ms,
+                                .hello_ms = required.round_trip_ms,
                                 .reply_ms = cell_reply_latency_ms (cell),
                                 .able = own_milli >= MUX_ABILITY_FULL_MILLI };
   impaired = mux_impairment_update (&cell->yield.impairment, now, &signs);
--- a/src/cell/interference_learn.c
+++ b/src/cell/interference_learn.c
@@ -108,7 +108,9 @@
   uint32_t expected_ms = cell_worker_expected_ms (stage, booking->worker);
   MuxInterferenceRun run = { .kind = booking->kind };
 
-  if (took_ms <= 0 || expected_ms == 0)
+  /* A slower worker would look like a disturbance by what often runs there. */
+  if (took_ms <= 0 || expected_ms == 0
+      || !mux_worker_speed_is_known (&booking->worker->speed))
     return;
   run.residual = log (took_ms) - log (expected_ms);
   /* Tasks of a step share the error of their declared time. */
