Place single tasks by the speed of workers

Cause: where two thirds of the workers run everything 2.4 times slower, tasks with little slack are placed on them as on any other and end late, while tasks with ample slack fill the fast workers. The placed line gives the assumed speed and run time; pool_speeds tells when a pool becomes uneven.

--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -125,7 +125,7 @@
   step.priority = stage->job->spec->queue.priority;
   step.work = work_of (stage, cell_stage_waiting_tasks (stage));
   step.waited_ms = now - stage->ready_ms;
-  step.slack_ms = stage->deadline_ms - stage->expected_ms - stage->ready_ms;
+  step.slack_ms = stage->deadline_ms - stage->fastest_ms - stage->ready_ms;
   mux_admission_add_waiting (&cell->admission, queue_of (stage->job->spec),
                              &step);
 }
--- a/src/cell/candidate.c
+++ b/src/cell/candidate.c
@@ -18,6 +18,10 @@
 /* 2 to the 64 divided by the golden ratio: odd, with its bits well mixed. */
 #define HASH_MULTIPLIER UINT64_C (0x9e3779b97f4a7c15)
 
+/* Workers are ordered by cost of their speed in steps of this size, a risk of
+ * about 0.04 to be late; within a step by room. */
+#define SPEED_COST_STEP 10000
+
 typedef struct
 {
   CellWorker *worker;
@@ -27,6 +31,8 @@
   bool outside;        /* not in the data centre chosen for the stage */
   bool delays_gang;    /* a task there takes room reserved for a gang */
   bool being_recorded; /* usable once its approval is stored */
+  uint32_t speed_cost; /* in steps; 0: its speed suits the tasks best */
+  bool too_slow;       /* a run there is not in time with margin */
   uint64_t tie_break;
 } Candidate;
 
@@ -57,6 +63,8 @@
     return a->outside ? 1 : -1;
   if (a->delays_gang != b->delays_gang)
     return a->delays_gang ? 1 : -1;
+  if (a->speed_cost != b->speed_cost)
+    return a->speed_cost < b->speed_cost ? -1 : 1;
   if (a->tasks != b->tasks)
     return a->tasks < b->tasks ? -1 : 1;
   return a->worker->slot < b->worker->slot ? -1 : 1;
@@ -72,9 +80,25 @@
     return a->recorded ? -1 : 1;
   if (a->outside != b->outside)
     return a->outside ? 1 : -1;
+  if (a->speed_cost != b->speed_cost)
+    return a->speed_cost < b->speed_cost ? -1 : 1;
   return a->tie_break < b->tie_break ? -1 : 1;
 }
 
+/* Judges the worker's speed for a run that starts once a query has been
+ * answered. */
+static void
+judge_speed (const MuxCell *cell, const CellStage *stage, Candidate *candidate)
+{
+  int64_t in_ms = cell_promised_query_ms (&stage->job->spec->queue.approval);
+
+  candidate->speed_cost
+      = cell_speed_cost (cell, stage, candidate->worker, in_ms)
+        / SPEED_COST_STEP;
+  candidate->too_slow
+      = !cell_speed_suits (cell, stage, candidate->worker, in_ms);
+}
+
 /* Allocates entries for the workers of a scan and for the approved ones. */
 static Candidate *
 candidates_new (const MuxCell *cell, const CellStage *stage)
@@ -86,7 +110,7 @@
 /**
  * struct Found - workers found by a scan
  * @count: all of them
- * @inside: those in the stage's data centre
+ * @inside: those in the stage's data centre that are fast enough
  * @tasks: tasks that have room at these
  */
 typedef struct
@@ -97,10 +121,15 @@
 } Found;
 
 static void
-add (Found *found, Candidate *candidate, Candidate added)
+add (const MuxCell *cell,
+     const CellStage *stage,
+     Found *found,
+     Candidate *candidate,
+     Candidate added)
 {
+  judge_speed (cell, stage, &added);
   candidate[found->count++] = added;
-  if (added.outside)
+  if (added.outside || added.too_slow)
     return;
   found->inside++;
   found->tasks += added.tasks;
@@ -126,7 +155,7 @@
 
   if (tasks == 0)
     return;
-  add (found, candidate,
+  add (cell, stage, found, candidate,
        (Candidate){
            .worker = worker,
            .tasks = tasks,
@@ -210,7 +239,7 @@
 
       if (tasks == 0 || !cell_worker_is_eligible (cell, stage, worker))
         continue;
-      add (&found, candidate,
+      add (cell, stage, &found, candidate,
            (Candidate){
                .worker = worker,
                .tasks = tasks,
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -354,6 +354,9 @@
 void cell_job_delete (MuxCell *cell, CellJob *job);
 /** cell_job_find() - in MuxCell.jobs; NULL: not there */
 CellJob *cell_job_find (MuxCell *cell, const char *id);
+/** cell_promised_query_ms() - time of an approval query in a promised duration;
+ * 0: none is needed */
+uint32_t cell_promised_query_ms (const MuxApprovalSpec *approval);
 /** cell_job_slack_ms() - how long the job may wait in all and still end by its
  * deadline */
 int64_t cell_job_slack_ms (const MuxCell *cell, const MuxJobSpec *spec);
@@ -459,6 +462,10 @@
 void cell_unreadable_free (MuxCell *cell);
 
 /* stage.c */
+/** cell_stage_set_start_times() - updates what depends on the speed of the
+ * pool's fast workers: the latest start; only while the stage is not in the
+ * planning order */
+void cell_stage_set_start_times (const MuxCell *cell, CellStage *stage);
 /** cell_stage_new() - creates a stage
  * @began_ms: when its occurrence was due to begin
  * Return: NULL when out of memory. */
@@ -709,6 +716,43 @@
 uint32_t cell_worker_expected_ms (const CellStage *stage,
                                   const CellWorker *worker);
 
+/* pool_speed.c: speeds of the workers of each pool */
+/** cell_pool_speeds_tick() - counts the speeds of all workers if it is time */
+void cell_pool_speeds_tick (MuxCell *cell);
+/** cell_stage_has_uneven_pool() - whether speeds matter for the stage; false:
+ * it is placed as if they were not known */
+bool cell_stage_has_uneven_pool (const MuxCell *cell, const CellStage *stage);
+/** cell_speed_need() - what a run of the stage that starts in @in_ms needs, if
+ * the steps after it run at the same speed */
+MuxSpeedNeed
+cell_speed_need (const MuxCell *cell, const CellStage *stage, int64_t in_ms);
+/** cell_speed_cost() - cost of the worker's speed for a run of the stage that
+ * starts in @in_ms, see mux_speed_cost(); 0: the pool's workers are alike */
+uint32_t cell_speed_cost (const MuxCell *cell,
+                          const CellStage *stage,
+                          const CellWorker *worker,
+                          int64_t in_ms);
+/** cell_speed_suits() - whether such a run is in time with margin, or late on
+ * any worker */
+bool cell_speed_suits (const MuxCell *cell,
+                       const CellStage *stage,
+                       const CellWorker *worker,
+                       int64_t in_ms);
+/** cell_room_cost() - cost of a worker's free room: its processors in
+ * thousandths, or a part of the worker if speeds matter for the stage */
+int64_t cell_room_cost (const MuxCell *cell,
+                        const CellStage *stage,
+                        const CellWorker *worker);
+/** cell_stage_fastest_ms() - expected time of a run on the pool's fast workers
+ */
+uint32_t cell_stage_fastest_ms (const MuxCell *cell, const CellStage *stage);
+
+/* speed_wait.c: tasks that wait for a faster worker */
+/** cell_waits_for_speed() - whether the task waits instead of starting on
+ * @free, which is too slow for it */
+bool
+cell_waits_for_speed (MuxCell *cell, CellTask *task, const CellWorker *free);
+
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
 void cell_sweep_tick (MuxCell *cell);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -6,6 +6,7 @@
 #include "cell/run_time.h"
 #include "cell/throttle.h"
 #include "claim_types.h"
+#include "speed_types.h"
 #include "workspace_types.h"
 
 #include <uthash.h>
@@ -740,7 +741,12 @@
  * @proofs_expire_ms: all proofs for it have expired by then
  * @tasks_left: tasks not done
  * @last_run: gang: highest run number given to it
- * @expected_ms: expected duration of a run
+ * @expected_ms: expected duration of a run at speed one
+ * @after_ms: the same of the longest chain of steps that depend on it, with
+ *   their approval queries
+ * @fastest_ms: expected duration of a run on the pool's fast workers
+ * @speed_wait_since_ms: when one of its tasks first waited for a faster worker;
+ *   before @ready_ms: none has
  * @failures: gang: failed runs
  * @loss_changes: counts changes of its tasks' losses
  * @losses_written: value of @loss_changes in the outstanding commit
@@ -795,6 +801,9 @@
   uint32_t tasks_left;
   uint32_t last_run;
   uint32_t expected_ms;
+  uint32_t after_ms;
+  uint32_t fastest_ms;
+  int64_t speed_wait_since_ms;
   CellFailures failures;
   uint32_t loss_changes;
   uint32_t losses_written;
@@ -1374,6 +1383,7 @@
   CellDownEvent down_events[CELL_DOWN_MAX];
   int64_t next_wait_log_ms;
   MuxRunTimes run_times; /* learned, or received from a planner */
+  CellSpeeds speeds;     /* of the pools' workers */
   int64_t next_run_times_log_ms;
   int64_t next_load_log_ms;
   int64_t next_full_pass_ms;    /* until then passes cover urgent steps only */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -28,8 +28,8 @@
   return job;
 }
 
-static uint32_t
-approval_query_ms (const MuxApprovalSpec *approval)
+uint32_t
+cell_promised_query_ms (const MuxApprovalSpec *approval)
 {
   if (!approval->required)
     return 0;
@@ -53,7 +53,7 @@
         if ((spec->step[i].after >> j & 1) != 0 && end[j] > begin)
           begin = end[j];
       end[i] = begin + cell_expected_ms (cell, spec, &spec->step[i])
-               + approval_query_ms (&spec->queue.approval);
+               + cell_promised_query_ms (&spec->queue.approval);
       if (end[i] > longest)
         longest = end[i];
     }
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -42,6 +42,8 @@
  * worker where the task has failed before is the last choice; one outside the
  * stage's data centre is better than one away from its input data. */
 #define GANG_DELAY_COST 250000
+/* Where speeds matter: less than a risk of 0.4 to be late. */
+#define GANG_DELAY_COST_BESIDE_SPEED 100000
 #define OUTSIDE_DATA_CENTRE_COST 500000
 #define AWAY_FROM_DATA_COST 1000000
 #define FAILED_BEFORE_COST 10000000
@@ -55,7 +57,8 @@
   const MuxStepSpec *spec = task->stage->spec;
   int64_t cost = cell_suspected_crashes (cell, task) > 0
                      ? cell_suspect_cost (cell, task, worker)
-                     : cell_worker_free (worker).cpu_milli;
+                     : cell_room_cost (cell, task->stage, worker)
+                           + cell_speed_cost (cell, task->stage, worker, 0);
 
   if (spec->data_rack[0] != 0
       && strcmp (spec->data_rack, worker->info.rack) != 0)
@@ -65,7 +68,9 @@
   if (cell_is_outside_data_centre (task->stage, worker))
     cost += OUTSIDE_DATA_CENTRE_COST;
   if (cell_delays_gang (cell, task->stage, worker))
-    cost += GANG_DELAY_COST;
+    cost += cell_stage_has_uneven_pool (cell, task->stage)
+                ? GANG_DELAY_COST_BESIDE_SPEED
+                : GANG_DELAY_COST;
   return cost;
 }
 
@@ -241,6 +246,11 @@
       placement->short_of_workers = !best.kept_apart;
       return true;
     }
+  if (cell_waits_for_speed (cell, task, best.worker))
+    {
+      placement->short_of_workers = true;
+      return true;
+    }
   if (cell_start_needs_record (cell, task)
       && !cell_start_is_recorded (cell, task, best.worker))
     return true;
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -312,6 +312,7 @@
   if (cell->time.now_ms < cell->next_pass_ms)
     return;
   cell->replan = false;
+  cell_pool_speeds_tick (cell);
   cell->next_idle_pass_ms = cell->time.now_ms + IDLE_PASS_INTERVAL_MS;
   cell_plan_order_rerank (cell);
   cell->scan_cost = 0;
--- a/src/cell/plan_order.c
+++ b/src/cell/plan_order.c
@@ -78,6 +78,7 @@
   CellPlanOrder *order = &cell->plan_order;
   int64_t now_ms = cell->time.now_ms;
 
+  cell_stage_set_start_times (cell, stage);
   stage->rank = cell_stage_rank (stage, now_ms);
   stage->rank_expires_ms = cell_stage_rank_expires_ms (stage, now_ms);
   cell_tree_add (stage->is_unvisited ? &order->unvisited : &order->visited,
--- /dev/null
+++ b/src/cell/pool_speed.c
@@ -0,0 +1,164 @@
+#include "cell_private.h"
+
+#include <string.h>
+
+/*
+ * Speeds of the workers of each pool, as placement uses them.  A pool whose
+ * workers are alike is placed as if speeds were not known.
+ */
+
+/* Interval of counts; speeds of workers change slower than that. */
+#define COUNT_INTERVAL_MS 250
+/* Cost of free room where speeds differ, of a whole worker: less than that of
+ * speed which is not needed. */
+#define ROOM_COST 30000
+
+static CellSpeedPool *
+pool_find (CellSpeeds *speeds, uint64_t service)
+{
+  CellSpeedPool *pool;
+
+  for (uint32_t i = 0; i < speeds->count; i++)
+    if (speeds->pool[i].service == service)
+      return &speeds->pool[i];
+  if (speeds->count == CELL_SPEED_POOLS_MAX)
+    return NULL;
+  pool = &speeds->pool[speeds->count++];
+  memset (pool, 0, sizeof *pool);
+  pool->service = service;
+  return pool;
+}
+
+static void
+log_change (MuxCell *cell, const CellSpeedPool *pool)
+{
+  cell_log (cell, "pool_speeds", "{s:I, s:b, s:i, s:i}", "service",
+            (json_int_t) pool->service, "uneven", pool->is_uneven,
+            "slowest_milli", (int) pool->speeds.slowest_milli, "fastest_milli",
+            (int) pool->speeds.fastest_milli);
+}
+
+void
+cell_pool_speeds_tick (MuxCell *cell)
+{
+  CellSpeeds *speeds = &cell->speeds;
+  const CellWorker *worker;
+  const CellWorker *next;
+
+  if (cell->time.now_ms < speeds->next_count_ms)
+    return;
+  speeds->next_count_ms = cell->time.now_ms + COUNT_INTERVAL_MS;
+  for (uint32_t i = 0; i < speeds->count; i++)
+    memset (&speeds->pool[i].speeds, 0, sizeof speeds->pool[i].speeds);
+  HASH_ITER (hh, cell->workers, worker, next)
+  {
+    CellSpeedPool *pool
+        = worker->dead ? NULL : pool_find (speeds, worker->service);
+
+    if (pool != NULL)
+      mux_speed_pool_add (&pool->speeds, cell_worker_speed_milli (worker),
+                          worker->info.capacity.cpu_milli);
+  }
+  for (uint32_t i = 0; i < speeds->count; i++)
+    {
+      CellSpeedPool *pool = &speeds->pool[i];
+      bool was_uneven = pool->is_uneven;
+
+      mux_speed_pool_finish (&pool->speeds);
+      pool->is_uneven = mux_speed_pool_is_uneven (&pool->speeds);
+      if (pool->is_uneven != was_uneven)
+        log_change (cell, pool);
+    }
+}
+
+static const CellSpeedPool *
+uneven_pool (const MuxCell *cell, const CellStage *stage)
+{
+  const CellSpeeds *speeds = &cell->speeds;
+
+  /* A task that runs until it is cancelled has no end that speed changes. */
+  if (stage->spec->long_running)
+    return NULL;
+  for (uint32_t i = 0; i < speeds->count; i++)
+    if (speeds->pool[i].service == stage->service)
+      return speeds->pool[i].is_uneven ? &speeds->pool[i] : NULL;
+  return NULL;
+}
+
+bool
+cell_stage_has_uneven_pool (const MuxCell *cell, const CellStage *stage)
+{
+  return uneven_pool (cell, stage) != NULL;
+}
+
+MuxSpeedNeed
+cell_speed_need (const MuxCell *cell, const CellStage *stage, int64_t in_ms)
+{
+  const CellSpeedPool *pool = uneven_pool (cell, stage);
+  MuxSpeedNeed need = {
+    .left_ms = stage->deadline_ms - cell->time.now_ms - in_ms,
+    .expected_ms = stage->expected_ms + stage->after_ms,
+    .slowest_milli = MUX_SPEED_ONE_MILLI,
+    .fastest_milli = MUX_SPEED_ONE_MILLI,
+  };
+
+  if (pool != NULL)
+    {
+      need.slowest_milli = pool->speeds.slowest_milli;
+      need.fastest_milli = pool->speeds.fastest_milli;
+    }
+  return need;
+}
+
+uint32_t
+cell_speed_cost (const MuxCell *cell,
+                 const CellStage *stage,
+                 const CellWorker *worker,
+                 int64_t in_ms)
+{
+  MuxSpeedNeed need;
+
+  if (!cell_stage_has_uneven_pool (cell, stage))
+    return 0;
+  need = cell_speed_need (cell, stage, in_ms);
+  return mux_speed_cost (&need, cell_worker_speed_milli (worker));
+}
+
+bool
+cell_speed_suits (const MuxCell *cell,
+                  const CellStage *stage,
+                  const CellWorker *worker,
+                  int64_t in_ms)
+{
+  MuxSpeedNeed need;
+  MuxSpeedClass class;
+
+  if (!cell_stage_has_uneven_pool (cell, stage))
+    return true;
+  need = cell_speed_need (cell, stage, in_ms);
+  class = mux_speed_class (&need, cell_worker_speed_milli (worker));
+  return class == MUX_SPEED_ENOUGH || class == MUX_SPEED_NEEDED;
+}
+
+int64_t
+cell_room_cost (const MuxCell *cell,
+                const CellStage *stage,
+                const CellWorker *worker)
+{
+  uint64_t free = cell_worker_free (worker).cpu_milli;
+
+  if (!cell_stage_has_uneven_pool (cell, stage))
+    return (int64_t) free;
+  return (int64_t) (free * ROOM_COST
+                    / (uint64_t) (worker->info.capacity.cpu_milli + 1));
+}
+
+uint32_t
+cell_stage_fastest_ms (const MuxCell *cell, const CellStage *stage)
+{
+  const CellSpeedPool *pool = uneven_pool (cell, stage);
+
+  return pool != NULL ? (uint32_t) mux_speed_run_ms (stage->expected_ms,
+                                                     pool->speeds.fastest_milli)
+                      : stage->expected_ms;
+}
--- a/src/cell/rank.c
+++ b/src/cell/rank.c
@@ -34,7 +34,7 @@
 {
   if (stage->spec->long_running)
     return long_running_rank (stage, now_ms);
-  if (now_ms < stage->deadline_ms - stage->expected_ms)
+  if (now_ms < stage->deadline_ms - stage->fastest_ms)
     return CELL_RANK_IN_TIME;
   return now_ms < stage->worthless_ms ? CELL_RANK_LATE : CELL_RANK_WORTHLESS;
 }
@@ -42,7 +42,7 @@
 int64_t
 cell_stage_rank_expires_ms (const CellStage *stage, int64_t now_ms)
 {
-  int64_t late_ms = stage->deadline_ms - stage->expected_ms;
+  int64_t late_ms = stage->deadline_ms - stage->fastest_ms;
 
   if (stage->spec->long_running)
     return now_ms < stage->ready_ms + STARVED_AFTER_MS
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -9,6 +9,35 @@
  * find room at once, would go first until it is late. */
 #define GATHER_MS_PER_TASK 100
 
+/* Returns the longest expected time of the steps that depend on @step. */
+static uint32_t
+longest_after_ms (const MuxCell *cell, const CellJob *job, uint32_t step)
+{
+  const MuxJobSpec *spec = job->spec;
+  uint32_t after_ms[MUX_STEPS_MAX] = { 0 };
+
+  for (uint32_t i = spec->step_count; i-- > step + 1;)
+    {
+      uint32_t from_ms = cell_expected_ms (cell, spec, &spec->step[i])
+                         + cell_promised_query_ms (&spec->queue.approval)
+                         + after_ms[i];
+
+      for (uint32_t j = step; j < i; j++)
+        if ((spec->step[i].after >> j & 1) != 0 && from_ms > after_ms[j])
+          after_ms[j] = from_ms;
+    }
+  return after_ms[step];
+}
+
+void
+cell_stage_set_start_times (const MuxCell *cell, CellStage *stage)
+{
+  stage->fastest_ms = cell_stage_fastest_ms (cell, stage);
+  stage->latest_start_ms = stage->deadline_ms - stage->fastest_ms;
+  if (stage->spec->gang)
+    stage->latest_start_ms -= (int64_t) stage->spec->count * GATHER_MS_PER_TASK;
+}
+
 CellStage *
 cell_stage_new (const MuxCell *cell,
                 CellJob *job,
@@ -29,9 +58,8 @@
   stage->deadline_ms = job->deadline_ms + (began_ms - job->accepted_ms);
   stage->worthless_ms = job->worthless_ms + (began_ms - job->accepted_ms);
   stage->expected_ms = cell_expected_ms (cell, job->spec, stage->spec);
-  stage->latest_start_ms = stage->deadline_ms - stage->expected_ms;
-  if (stage->spec->gang)
-    stage->latest_start_ms -= (int64_t) stage->spec->count * GATHER_MS_PER_TASK;
+  stage->after_ms = longest_after_ms (cell, job, step);
+  cell_stage_set_start_times (cell, stage);
   stage->task = calloc (stage->spec->count, sizeof *stage->task);
   if (stage->task == NULL)
     {
@@ -146,18 +174,35 @@
   return name[origin];
 }
 
+/* Returns the speed of the slowest worker that runs a task of the stage. */
+static uint32_t
+lowest_speed_milli (const CellStage *stage)
+{
+  uint32_t lowest = UINT32_MAX;
+
+  for (uint32_t i = 0; i < stage->spec->count; i++)
+    {
+      const CellBooking *booking = stage->task[i].booking;
+
+      if (booking != NULL && cell_worker_speed_milli (booking->worker) < lowest)
+        lowest = cell_worker_speed_milli (booking->worker);
+    }
+  return lowest != UINT32_MAX ? lowest : MUX_SPEED_ONE_MILLI;
+}
+
 /* One line for a step, not for each task, to save processor time. */
 void
 cell_stage_log_placed (MuxCell *cell, const CellStage *stage, uint32_t tasks)
 {
   int64_t now = cell->time.now_ms;
-  int64_t latest_ms = stage->deadline_ms - stage->expected_ms;
+  int64_t latest_ms = stage->deadline_ms - stage->fastest_ms;
+  uint32_t speed_milli = lowest_speed_milli (stage);
 
   /* By version and term the reader can tell whether the job was stored before
    * the planner's term began, and so what it had to wait for. */
   cell_log (cell, "placed",
             "{s:s, s:i, s:i, s:i, s:I, s:I, s:I, s:I, s:s, s:o, s:i, s:i, s:i, "
-            "s:i}",
+            "s:i, s:i, s:I}",
             "job", stage->job->id, "step", (int) stage->step, "tasks",
             (int) tasks, "run", (int) stage->last_run, "waited_ms",
             (json_int_t) (now - stage->ready_ms), "late_ms",
@@ -167,5 +212,7 @@
             cell_step_wait_json (cell, stage), "questions",
             (int) stage->wait.queries, "names", (int) stage->wait.candidates,
             "approved", (int) stage->wait.approved, "used",
-            (int) stage->wait.used);
+            (int) stage->wait.used, "speed_milli", (int) speed_milli,
+            "expected_ms",
+            (json_int_t) mux_speed_run_ms (stage->expected_ms, speed_milli));
 }
