Gangs of even speed, names and forecasts by speed

Cause: a gang runs at the speed of its slowest member, and with speeds known it was still spread over fast and slow workers; queries named workers by room alone; in a burst jobs that were late on slow workers took them from jobs that were not. Change: a gang gets the least speed at which a set of its approved workers ends in time with margin, of even speed if possible and as early as possible. Names in its queries suit that speed first, and faster ones are queried if the approved are late. Work that would be late on the workers left leaves them to stages behind it and takes what is left at the end of the pass (speed_defer.c). A task waits for a faster worker also if that only lowers its risk to be late; test_speed_choice expected no wait at even odds, and now expects one there and none with margin. Forecasts, reservations and the slack by which jobs are refused use the speed; members get the speeds of pools with the admission message. gang_places.c is split off gang.c, unchanged but for the order by speed. The simulated cluster takes several queues.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -57,6 +57,8 @@
   X (PLAN_STEPS, "plan_steps_total", "waiting steps looked at by the planner") \
   X (PLAN_MOVES, "plan_moves_total", "waiting steps put in planning order")    \
   X (SPEED_WAITS, "speed_waits_total", "steps that waited for a fast worker")  \
+  X (SPEED_DEFERRED, "speed_deferred_total",                                   \
+     "times a step left slow workers to others")                               \
   X (JOB_LOOKS, "job_looks_total", "jobs looked at for what time brings on")   \
   X (PLAN_CUT, "plan_passes_cut_total",                                        \
      "planning passes cut for their length")                                   \
--- a/include/cell/speed_choice.h
+++ b/include/cell/speed_choice.h
@@ -118,9 +118,9 @@
 } MuxSpeedWait;
 
 /** mux_speed_should_wait() - whether the task waits: the faster worker ends it
- * in time, and sooner than the free one.  It does not wait for longer in all
- * than what the faster worker saves, so that a forecast that is wrong again and
- * again costs little. */
+ * sooner than the free one, and with less risk to be late.  It does not wait
+ * for longer in all than what the faster worker saves, so that a forecast that
+ * is wrong again and again costs little. */
 bool mux_speed_should_wait (const MuxSpeedNeed *need, const MuxSpeedWait *wait);
 
 /**
@@ -143,6 +143,8 @@
  * @start_ms: time until all members have room
  * @end_ms: expected time until it ends
  * @in_time: it is expected to end in time
+ * @has_margin: and with margin
+ * @is_mixed: some of its workers are faster than that by a ratio of 1.3
  */
 typedef struct
 {
@@ -150,12 +152,25 @@
   int64_t start_ms;
   int64_t end_ms;
   bool in_time;
+  bool has_margin;
+  bool is_mixed;
 } MuxSpeedSet;
 
+/** mux_speed_set_at() - the set of workers of @least_milli to @most_milli that
+ * has room first; its speed is 0 if they don't hold all members
+ * @offer: sorted by @at_ms
+ * @tasks: members */
+MuxSpeedSet mux_speed_set_at (const MuxSpeedOffer *offer,
+                              uint32_t count,
+                              const MuxSpeedNeed *need,
+                              uint32_t tasks,
+                              uint32_t least_milli,
+                              uint32_t most_milli);
 /** mux_speed_choose_set() - the least speed of the workers of a gang: among
- * those at which it ends in time with margin the one at which it starts first,
- * of equal ones the slowest; else the one at which it ends first; if it is late
- * at each, the one at which it starts first
+ * those at which it ends in time with margin, if possible on workers of even
+ * speed, the one at which it starts first, of equal ones the slowest; else the
+ * one at which it ends first; if it is late at each, the one at which it starts
+ * first
  * @offer: sorted by @at_ms
  * @tasks: members */
 MuxSpeedSet mux_speed_choose_set (const MuxSpeedOffer *offer,
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -318,10 +318,11 @@
   cell->admission_blob_ms = cell->time.now_ms;
   cell->admission_blob = cell_blob_from_json (cell_predecessors_to_json (
       cell,
-      json_pack ("{s:i, s:I, s:o, s:o}", "share_milli",
+      json_pack ("{s:i, s:I, s:o, s:o, s:o}", "share_milli",
                  (int) cell->throttle.share_milli, "late_ms",
                  (json_int_t) cell_late_ms (cell), "waits", waits_json (cell),
-                 "run_times", cell_run_times_json (cell)),
+                 "run_times", cell_run_times_json (cell), "speeds",
+                 cell_pool_speeds_json (cell)),
       cell_predecessors_left_ms (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
@@ -388,6 +389,7 @@
 
   apply_waits (cell, json_object_get (json, "waits"));
   cell_run_times_receive (cell, json_object_get (json, "run_times"));
+  cell_pool_speeds_receive (cell, json_object_get (json, "speeds"));
   cell->throttle.share_milli = share != NULL && share_milli >= 0
                                        && share_milli < MUX_THROTTLE_FULL_MILLI
                                    ? (uint32_t) share_milli
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -2,6 +2,7 @@
 #define CELL_CELL_PRIVATE_H
 
 #include "cell_types.h"
+#include "gang_types.h"
 
 /* call.c: calls and their replies. */
 /** cell_message() - a message to daemon @to with the sender's fields filled in
@@ -719,9 +720,23 @@
 /* pool_speed.c: speeds of the workers of each pool */
 /** cell_pool_speeds_tick() - counts the speeds of all workers if it is time */
 void cell_pool_speeds_tick (MuxCell *cell);
+/** cell_pool_fastest_milli() - speed of the fast workers of a pool, at least
+ * 1000; 1000 if they are alike */
+uint32_t cell_pool_fastest_milli (const MuxCell *cell, uint64_t service);
+/** cell_pool_speeds_json() - speeds of the uneven pools for other daemons;
+ * owned by the caller */
+json_t *cell_pool_speeds_json (const MuxCell *cell);
+/** cell_pool_speeds_receive() - apply speeds sent by the planner; @list may be
+ * NULL: an older one sends none, and all pools count as even */
+void cell_pool_speeds_receive (MuxCell *cell, const json_t *list);
 /** cell_stage_has_uneven_pool() - whether speeds matter for the stage; false:
  * it is placed as if they were not known */
 bool cell_stage_has_uneven_pool (const MuxCell *cell, const CellStage *stage);
+/** cell_placing_speed_milli() - speed of the stage's runs on the worker; 1000
+ * if the pool's workers are alike */
+uint32_t cell_placing_speed_milli (const MuxCell *cell,
+                                   const CellStage *stage,
+                                   const CellWorker *worker);
 /** cell_speed_need() - what a run of the stage that starts in @in_ms needs, if
  * the steps after it run at the same speed */
 MuxSpeedNeed
@@ -753,6 +768,15 @@
 bool
 cell_waits_for_speed (MuxCell *cell, CellTask *task, const CellWorker *free);
 
+/* speed_defer.c: stages that would be late on the workers left for them */
+/** cell_stage_defer() - places the stage again at the end of the next full pass
+ * Return: false if it is being placed there. */
+bool cell_stage_defer (MuxCell *cell, CellStage *stage);
+void cell_stage_undefer (MuxCell *cell, CellStage *stage);
+/** cell_stage_next_deferred() - takes the first deferred stage out of its list
+ * Return: NULL: there is none. */
+CellStage *cell_stage_next_deferred (MuxCell *cell);
+
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
 void cell_sweep_tick (MuxCell *cell);
@@ -1094,6 +1118,52 @@
                                CellOpening *opening,
                                uint32_t opening_max);
 
+/* gang_places.c: workers that may hold members of a gang */
+/** cell_places_max() - upper bound of what cell_places_collect() finds */
+size_t cell_places_max (const MuxCell *cell, const CellStage *stage);
+/** cell_places_collect() - collects workers that may hold members of the gang;
+ * those that are not approved only if a query may be sent
+ * Return: their number. */
+uint32_t cell_places_collect (MuxCell *cell,
+                              CellStage *stage,
+                              bool may_query,
+                              CellPlace *place);
+/** cell_places_sort() - sorts by preference for the gang */
+void cell_places_sort (CellPlace *place, uint32_t count);
+/** cell_places_sort_approved() - moves the approved places to the front and
+ * sorts these
+ * Return: their number. */
+uint32_t cell_places_sort_approved (CellPlace *place, uint32_t count);
+/** cell_places_restrict_to_one_rack() - restricts members that run slower
+ * across racks to one rack if one has room for all */
+void cell_places_restrict_to_one_rack (const CellStage *stage,
+                                       CellPlace *place,
+                                       uint32_t count);
+
+/* gang_speed.c: a set of workers of even speed for a gang */
+/** cell_gang_choose_speed() - chooses the least speed of the gang's workers
+ * among the approved places, and takes the room of slower ones out of @place;
+ * does nothing if the pool's workers are alike or all approved ones together
+ * don't hold the gang
+ * Return: true if the gang is expected to end in time there, or nothing was
+ * chosen because the workers are alike. */
+bool cell_gang_choose_speed (MuxCell *cell,
+                             CellStage *stage,
+                             CellPlace *place,
+                             uint32_t count);
+/** cell_gang_prefer_names() - marks the places that are not approved by whether
+ * their speed suits the gang, for cell_places_sort()
+ * Return: true if the gang is expected to end in time on workers that a query
+ * could add. */
+bool cell_gang_prefer_names (MuxCell *cell,
+                             const CellStage *stage,
+                             CellPlace *place,
+                             uint32_t count);
+/** cell_booking_speed_milli() - speed of a run; for a member of a gang that of
+ * its slowest worker */
+uint32_t cell_booking_speed_milli (const MuxCell *cell,
+                                   const CellBooking *booking);
+
 /* gang_reserve.c: reservations of a gang */
 /** cell_gang_reserve() - reserve room at @count approved workers for a gang
  * that has too little now, and, if @may_query, query for proofs when it is
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -747,6 +747,12 @@
  * @fastest_ms: expected duration of a run on the pool's fast workers
  * @speed_wait_since_ms: when one of its tasks first waited for a faster worker;
  *   before @ready_ms: none has
+ * @is_deferred: in MuxCell.deferred_stages
+ * @gang_speed_milli: gang: least speed chosen for its workers; 0: none chosen,
+ *   or the pool's workers are alike
+ * @gang_speed_until_ms: the choice is kept until then
+ * @no_names_until_ms: gang: no query adds faster workers before this
+ * @gang_in_time: it is expected to end in time there
  * @failures: gang: failed runs
  * @loss_changes: counts changes of its tasks' losses
  * @losses_written: value of @loss_changes in the outstanding commit
@@ -804,6 +810,11 @@
   uint32_t after_ms;
   uint32_t fastest_ms;
   int64_t speed_wait_since_ms;
+  bool is_deferred;
+  uint32_t gang_speed_milli;
+  int64_t gang_speed_until_ms;
+  int64_t no_names_until_ms;
+  bool gang_in_time;
   CellFailures failures;
   uint32_t loss_changes;
   uint32_t losses_written;
@@ -830,6 +841,8 @@
   CellTask *task;
   CellStage *reserving_prev;
   CellStage *reserving_next;
+  CellStage *deferred_prev;
+  CellStage *deferred_next;
 };
 
 /**
@@ -1384,6 +1397,10 @@
   int64_t next_wait_log_ms;
   MuxRunTimes run_times; /* learned, or received from a planner */
   CellSpeeds speeds;     /* of the pools' workers */
+  /* Would be late on the workers left for them; placed at the end of a full
+   * pass. */
+  CellStage *deferred_stages;
+  bool placing_deferred;
   int64_t next_run_times_log_ms;
   int64_t next_load_log_ms;
   int64_t next_full_pass_ms;    /* until then passes cover urgent steps only */
--- a/src/cell/forecast.c
+++ b/src/cell/forecast.c
@@ -16,7 +16,10 @@
 cell_booking_remaining_ms (const MuxCell *cell, const CellBooking *booking)
 {
   int64_t ran_ms = booking->progressed_ms - booking->booked_ms;
-  int64_t ends_ms = booking->booked_ms + booking->task->stage->expected_ms;
+  int64_t ends_ms
+      = booking->booked_ms
+        + mux_speed_run_ms (booking->task->stage->expected_ms,
+                            cell_booking_speed_milli (cell, booking));
 
   if (booking->percent > 0)
     ends_ms = booking->progressed_ms
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -1,7 +1,6 @@
 #include "cell_private.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 /*
  * Placement of a gang: its members, the tasks of one stage, start together or
@@ -10,18 +9,11 @@
  * which expires soon.
  */
 
-/* Most workers named in one approval query, as the policy service takes no
- * more. The first one about a gang names as many: a second query costs more
- * than many names. */
-#define QUERY_WORKERS_MAX 100
-/* Workers named for each one that is expected to be approved. */
-#define NAMED_PER_APPROVED 3
 /* No more workers are queried once the approved ones could, if they were empty,
  * hold this many times the gang's members: then it only waits for room. */
 #define KNOWN_ROOM_FACTOR 5
-/* In a large cell a scan ends after this many workers, twice those of a query.
- */
-#define SCAN_FOUND_MAX (2 * QUERY_WORKERS_MAX)
+/* If the gang is late on these, others are considered this often. */
+#define NAMES_RETRY_MS 200
 /* A later query names at least as many workers as lengthen it by this fraction
  * of its base time, a quarter. */
 #define CHEAP_NAMES_DIVISOR 4
@@ -29,180 +21,12 @@
  * takes half of it. */
 #define HOLD_MAX_MS 900
 
-typedef struct
-{
-  CellWorker *worker;
-  uint32_t fits_now;        /* members that fit at once */
-  uint32_t fits_eventually; /* members that fit beside long-running tasks */
-  bool queried;
-  bool approved;
-  bool proven;         /* has a proof that is valid now, or needs none */
-  bool being_recorded; /* its proof becomes valid once its approval is stored */
-  bool reserved;       /* for the gang, in this pass or the previous one */
-  uint64_t tie_break;  /* decides among equal workers */
-} Place;
-
-/* Returns 1 and fills in @p if the worker can hold a member, else 0. */
-static uint32_t
-fill_place (const MuxCell *cell,
-            const CellStage *stage,
-            CellWorker *worker,
-            const CellApproval *approval,
-            uint64_t hash,
-            Place *p)
-{
-  bool needs_approval = stage->job->spec->queue.approval.required;
-
-  if (!cell_worker_is_eligible (cell, stage, worker))
-    return 0;
-  p->worker = worker;
-  p->queried = approval != NULL && approval->queried;
-  p->fits_now = cell_stage_cap_per_worker (
-      stage, cell_worker_spare_tasks (cell, stage, worker));
-  p->reserved = cell_was_reserved (stage, worker);
-  p->tie_break = cell_worker_tie_break (hash, worker);
-  p->fits_eventually = cell_stage_cap_per_worker (
-      stage, cell_tasks_that_fit (stage, cell_room_eventual (worker)));
-  p->approved = !needs_approval || (approval != NULL && approval->approved);
-  p->proven = !needs_approval || cell_usable_proof (cell, approval) != NULL;
-  p->being_recorded
-      = !p->proven && cell_approval_is_being_recorded (cell, approval);
-  return p->fits_eventually > 0;
-}
-
-static uint32_t
-collect_approved (MuxCell *cell,
-                  const CellStage *stage,
-                  uint64_t hash,
-                  Place *place)
-{
-  uint32_t n = 0;
-
-  cell->scan_cost += stage->approval_count;
-  for (uint32_t i = 0; i < stage->approval_count; i++)
-    {
-      const CellApproval *approval = &stage->approval[i];
-      CellWorker *worker = cell->worker_by_slot[approval->slot];
-
-      if (worker != NULL && approval->approved)
-        n += fill_place (cell, stage, worker, approval, hash, &place[n]);
-    }
-  return n;
-}
-
-/* Collects the workers reserved for the gang in the previous pass, which a scan
- * of part of the workers might miss. */
-static uint32_t
-collect_reserved (MuxCell *cell, CellStage *stage, uint64_t hash, Place *place)
-{
-  CellWorker *worker;
-  uint32_t n = 0;
-
-  DL_FOREACH2 (cell->reserved_workers, worker, reserved_next)
-  if (cell_was_reserved (stage, worker))
-    n += fill_place (cell, stage, worker, NULL, hash, &place[n]);
-  return n;
-}
-
-static bool
-is_collected (const CellStage *stage,
-              const CellWorker *worker,
-              const CellApproval *approval)
-{
-  return stage->job->spec->queue.approval.required
-             ? approval != NULL && approval->approved
-             : cell_was_reserved (stage, worker);
-}
-
-static uint32_t
-collect_scanned (MuxCell *cell, CellStage *stage, uint64_t hash, Place *place)
-{
-  CellWorkerScan scan = cell_worker_scan_begin (cell, stage);
-  CellWorker *worker;
-  uint32_t n = 0;
-
-  while ((worker = cell_worker_scan_next (cell, &scan)) != NULL)
-    {
-      const CellApproval *approval = cell_approval_find (stage, worker);
-
-      if (is_collected (stage, worker, approval))
-        continue;
-      n += fill_place (cell, stage, worker, approval, hash, &place[n]);
-      if (scan.is_partial && n >= SCAN_FOUND_MAX)
-        break;
-    }
-  cell_worker_scan_end (stage, &scan);
-  return n;
-}
-
-/* If approval is required, workers that are not approved matter only if a query
- * may be sent. */
-static uint32_t
-collect (MuxCell *cell, CellStage *stage, bool may_query, Place *place)
-{
-  bool needs_approval = stage->job->spec->queue.approval.required;
-  uint64_t hash = mux_hash_name (stage->job->id, stage->step);
-  uint32_t n = needs_approval ? collect_approved (cell, stage, hash, place)
-                              : collect_reserved (cell, stage, hash, place);
-
-  if (may_query || !needs_approval)
-    n += collect_scanned (cell, stage, hash, &place[n]);
-  return n;
-}
-
-/* Approved workers first; among them those reserved so far, as the gang would
- * otherwise choose others in each pass and none would ever become free; then
- * those with most room, so that few workers are used. */
-static int
-by_room (const void *x, const void *y)
-{
-  const Place *a = x;
-  const Place *b = y;
-
-  if (a->approved != b->approved)
-    return a->approved ? -1 : 1;
-  if (a->reserved != b->reserved)
-    return a->reserved ? -1 : 1;
-  if (a->fits_now != b->fits_now)
-    return a->fits_now > b->fits_now ? -1 : 1;
-  return a->tie_break < b->tie_break ? -1 : 1;
-}
-
-static void
-sort (Place *place, uint32_t count)
-{
-  if (count > 0)
-    qsort (place, count, sizeof *place, by_room);
-}
-
-/*
- * Moves the approved places to the front and sorts these alone, in the order
- * that sort() gives them: sorting all places for each waiting gang in each pass
- * takes too long.  Returns their number.
- */
-static uint32_t
-sort_approved (Place *place, uint32_t count)
-{
-  uint32_t approved = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    if (place[i].approved)
-      {
-        Place first = place[i];
-
-        place[i] = place[approved];
-        place[approved++] = first;
-      }
-  sort (place, approved);
-  return approved;
-}
-
 /* Whether each start that has to be recorded before it is sent is stored.  Goes
  * on after the first that is not, so that all of them get into one commit. */
 static bool
 starts_are_recorded (MuxCell *cell,
                      CellStage *stage,
-                     const Place *place,
+                     const CellPlace *place,
                      uint32_t count)
 {
   uint32_t member = 0;
@@ -220,7 +44,10 @@
 }
 
 static void
-start_all (MuxCell *cell, CellStage *stage, const Place *place, uint32_t count)
+start_all (MuxCell *cell,
+           CellStage *stage,
+           const CellPlace *place,
+           uint32_t count)
 {
   const char *checkpoint = cell_stage_gang_checkpoint (stage);
   uint32_t run = cell_next_run (cell, stage->last_run);
@@ -243,7 +70,7 @@
 
   return spec->per_worker_us > 0
              ? spec->base_us / CHEAP_NAMES_DIVISOR / spec->per_worker_us
-             : QUERY_WORKERS_MAX;
+             : CELL_GANG_NAMES_MAX;
 }
 
 /* Queries workers that are not known yet, those with most room first, until
@@ -252,18 +79,19 @@
 static void
 query_unknown (MuxCell *cell,
                CellStage *stage,
-               const Place *place,
+               const CellPlace *place,
                uint32_t count,
                uint32_t missing)
 {
-  CellWorker *worker[QUERY_WORKERS_MAX];
-  uint32_t name_min = stage->approval_count == 0 ? QUERY_WORKERS_MAX
+  CellWorker *worker[CELL_GANG_NAMES_MAX];
+  uint32_t name_min = stage->approval_count == 0 ? CELL_GANG_NAMES_MAX
                                                  : cheap_name_count (stage);
   uint32_t room = 0;
   uint32_t n = 0;
 
-  for (uint32_t i = 0; i < count && n < QUERY_WORKERS_MAX
-                       && (n < name_min || room < NAMED_PER_APPROVED * missing);
+  for (uint32_t i = 0;
+       i < count && n < CELL_GANG_NAMES_MAX
+       && (n < name_min || room < CELL_GANG_NAMES_PER_APPROVED * missing);
        i++)
     {
       if (place[i].queried)
@@ -279,7 +107,7 @@
 static uint32_t
 hold_members (MuxCell *cell,
               CellStage *stage,
-              const Place *place,
+              const CellPlace *place,
               uint32_t count,
               uint32_t left,
               bool proof_lasts)
@@ -290,7 +118,7 @@
 
       if (!place[i].approved || take == 0
           || cell_proof_outlasts_query (cell, stage, place[i].worker,
-                                        QUERY_WORKERS_MAX)
+                                        CELL_GANG_NAMES_MAX)
                  != proof_lasts)
         continue;
       if (!cell_hold_add (stage, place[i].worker, take))
@@ -310,10 +138,10 @@
 static void
 renew_proofs (MuxCell *cell,
               CellStage *stage,
-              const Place *place,
+              const CellPlace *place,
               uint32_t count)
 {
-  CellWorker *worker[QUERY_WORKERS_MAX];
+  CellWorker *worker[CELL_GANG_NAMES_MAX];
   uint32_t left = stage->spec->count;
   uint32_t lasting;
   uint32_t n = 0;
@@ -322,7 +150,7 @@
   left = hold_members (cell, stage, place, count, left, true);
   lasting = stage->hold_count;
   left = hold_members (cell, stage, place, count, left, false);
-  for (uint32_t i = lasting; i < stage->hold_count && n < QUERY_WORKERS_MAX;
+  for (uint32_t i = lasting; i < stage->hold_count && n < CELL_GANG_NAMES_MAX;
        i++)
     worker[n++] = stage->hold[i].worker;
   if (left == 0 && cell_approval_query_send (cell, stage, worker, n))
@@ -335,7 +163,7 @@
 static void
 hold_until_recorded (MuxCell *cell,
                      CellStage *stage,
-                     const Place *place,
+                     const CellPlace *place,
                      uint32_t count)
 {
   uint32_t left = stage->spec->count;
@@ -363,10 +191,12 @@
   uint32_t approved_now;
   uint32_t approved_eventually;
   uint32_t unqueried;
+  uint32_t known_eventually; /* approved_eventually with slower workers */
+  bool in_time;              /* it is expected to end in time there */
 } Room;
 
 static Room
-sum_room (const Place *place, uint32_t count)
+sum_room (const CellPlace *place, uint32_t count)
 {
   Room room = { .proven_now = 0 };
 
@@ -390,69 +220,66 @@
 static void
 reserve (MuxCell *cell,
          CellStage *stage,
-         const Place *place,
+         const CellPlace *place,
          uint32_t count,
          bool may_query)
 {
   CellWorker **worker = calloc (count + 1, sizeof (CellWorker *));
+  uint32_t n = 0;
 
   if (worker == NULL)
     return;
   for (uint32_t i = 0; i < count; i++)
-    worker[i] = place[i].worker;
-  cell_gang_reserve (cell, stage, worker, count,
+    if (!place[i].unsuitable)
+      worker[n++] = place[i].worker;
+  cell_gang_reserve (cell, stage, worker, n,
                      may_query && !stage->query_pending);
   free (worker);
 }
 
+/* Returns the members for which workers are to be queried that are not known
+ * yet; 0: the gang waits for room. */
 static uint32_t
-room_in_rack (const Place *place, uint32_t count, const char *rack)
+members_to_query_for (MuxCell *cell,
+                      CellStage *stage,
+                      CellPlace *place,
+                      uint32_t count,
+                      const Room *room)
 {
-  uint32_t room = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    if (place[i].approved && strcmp (place[i].worker->info.rack, rack) == 0)
-      room += place[i].fits_now;
-  return room;
-}
+  uint32_t members = stage->spec->count;
+  uint32_t wanted = KNOWN_ROOM_FACTOR * members;
+  bool is_known = room->known_eventually >= wanted;
 
-/* Restricts members that run slower across racks to one rack if one has room
- * for all. */
-static void
-restrict_to_one_rack (const CellStage *stage, Place *place, uint32_t count)
-{
-  const char *rack = NULL;
-
-  for (uint32_t i = 0; i < count && rack == NULL; i++)
-    if (place[i].approved
-        && room_in_rack (place, count, place[i].worker->info.rack)
-               >= stage->spec->count)
-      rack = place[i].worker->info.rack;
-  for (uint32_t i = 0; rack != NULL && i < count; i++)
-    if (strcmp (place[i].worker->info.rack, rack) != 0)
-      place[i].fits_now = 0;
+  if (room->unqueried == 0 || (is_known && room->in_time)
+      || (is_known && cell->time.now_ms < stage->no_names_until_ms))
+    return 0;
+  stage->no_names_until_ms = cell->time.now_ms + NAMES_RETRY_MS;
+  if (cell_gang_prefer_names (cell, stage, place, count) && is_known)
+    return members;
+  return is_known ? 0 : wanted - room->known_eventually;
 }
 
 static void
 query_workers (MuxCell *cell,
                CellStage *stage,
-               Place *place,
+               CellPlace *place,
                uint32_t count,
                const Room *room)
 {
   uint32_t members = stage->spec->count;
+  uint32_t missing;
 
   if (room->approved_now >= members)
     {
-      renew_proofs (cell, stage, place, sort_approved (place, count));
+      renew_proofs (cell, stage, place,
+                    cell_places_sort_approved (place, count));
       return;
     }
-  if (room->unqueried == 0
-      || room->approved_eventually >= KNOWN_ROOM_FACTOR * members)
+  missing = members_to_query_for (cell, stage, place, count, room);
+  if (missing == 0)
     return;
-  sort (place, count);
-  query_unknown (cell, stage, place, count,
-                 KNOWN_ROOM_FACTOR * members - room->approved_eventually);
+  cell_places_sort (place, count);
+  query_unknown (cell, stage, place, count, missing);
 }
 
 /* Returns what blocks a gang for which no query was sent in this attempt. */
@@ -481,20 +308,27 @@
 static void
 place_members (MuxCell *cell,
                CellStage *stage,
-               Place *place,
+               CellPlace *place,
                uint32_t count,
                bool may_query,
                uint32_t *reservations_left)
 {
+  Room all = sum_room (place, count);
+  bool in_time = cell_gang_choose_speed (cell, stage, place, count);
   Room room = sum_room (place, count);
   uint32_t members = stage->spec->count;
 
+  room.known_eventually = all.approved_eventually;
+  room.in_time = in_time;
   if (stage->hold_count > 0 && cell->time.now_ms > stage->holds_expire_ms)
     cell_holds_release (stage);
+  if (!in_time && all.approved_eventually >= members
+      && cell_stage_defer (cell, stage))
+    return;
 
   if (room.proven_now >= members)
     {
-      count = sort_approved (place, count);
+      count = cell_places_sort_approved (place, count);
       if (!starts_are_recorded (cell, stage, place, count))
         {
           hold_until_recorded (cell, stage, place, count);
@@ -508,7 +342,7 @@
     }
   if (room.proven_soon >= members)
     {
-      count = sort_approved (place, count);
+      count = cell_places_sort_approved (place, count);
       hold_until_recorded (cell, stage, place, count);
       cell_step_set_blocked_on (cell, stage, CELL_BLOCKED_ON_RECORD);
       return;
@@ -522,19 +356,8 @@
       || stage->hold_count > 0)
     return;
   (*reservations_left)--;
-  reserve (cell, stage, place, sort_approved (place, count), may_query);
-}
-
-/* Returns an upper bound for the workers of a scan and those collected before
- * it. */
-static size_t
-places_max (const MuxCell *cell, const CellStage *stage)
-{
-  const CellWorker *worker;
-  size_t reserved = 0;
-
-  DL_COUNT2 (cell->reserved_workers, worker, reserved, reserved_next);
-  return cell_worker_scan_max (cell) + stage->approval_count + reserved + 1;
+  reserve (cell, stage, place, cell_places_sort_approved (place, count),
+           may_query);
 }
 
 /* Keeps the reservations of a gang while a query for it is pending.  Held room
@@ -554,7 +377,7 @@
 cell_place_gang (MuxCell *cell, CellStage *stage, uint32_t *reservations_left)
 {
   bool needs_approval = stage->job->spec->queue.approval.required;
-  Place *place;
+  CellPlace *place;
   uint32_t count;
   bool may_query;
 
@@ -574,13 +397,14 @@
     }
   if (needs_approval)
     cell_approvals_add_recorded (cell, stage);
-  place = calloc (places_max (cell, stage), sizeof *place);
+  place = calloc (cell_places_max (cell, stage), sizeof *place);
   if (place == NULL)
     return;
-  may_query = needs_approval && cell_can_query (cell, stage, QUERY_WORKERS_MAX);
-  count = collect (cell, stage, may_query, place);
+  may_query
+      = needs_approval && cell_can_query (cell, stage, CELL_GANG_NAMES_MAX);
+  count = cell_places_collect (cell, stage, may_query, place);
   if (stage->spec->rack_sensitive)
-    restrict_to_one_rack (stage, place, count);
+    cell_places_restrict_to_one_rack (stage, place, count);
   place_members (cell, stage, place, count, may_query, reservations_left);
   free (place);
 }
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -67,10 +67,18 @@
          + spec->queue.target_ms;
 }
 
+/* Of the critical path only the runs are shorter on fast workers, not the
+ * queries; these are a small part, and count as shortened too where speeds
+ * differ. */
 int64_t
 cell_job_slack_ms (const MuxCell *cell, const MuxJobSpec *spec)
 {
-  return promised_duration_ms (cell, spec) - critical_path_ms (cell, spec);
+  uint64_t service = mux_hash_name (spec->queue.service, 0);
+  int64_t path_ms = critical_path_ms (cell, spec);
+
+  return promised_duration_ms (cell, spec)
+         - path_ms * MUX_SPEED_ONE_MILLI
+               / cell_pool_fastest_milli (cell, service);
 }
 
 static void
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -246,7 +246,9 @@
       placement->short_of_workers = !best.kept_apart;
       return true;
     }
-  if (cell_waits_for_speed (cell, task, best.worker))
+  if (cell_waits_for_speed (cell, task, best.worker)
+      || (!cell_speed_suits (cell, task->stage, best.worker, 0)
+          && cell_stage_defer (cell, task->stage)))
     {
       placement->short_of_workers = true;
       return true;
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -122,6 +122,7 @@
   stage->is_unscanned = false;
   cell_holds_release (stage);
   cell_quota_unreserve (stage);
+  cell_stage_undefer (cell, stage);
   stop_reserving (cell, stage);
   cell_plan_order_remove (cell, stage);
 }
@@ -260,6 +261,18 @@
   return cell_plan_order_is_done (&cell->plan_order);
 }
 
+static void
+place_deferred (MuxCell *cell, uint32_t *reservations_left)
+{
+  CellStage *stage;
+
+  cell->placing_deferred = true;
+  while (cell->scan_cost <= FULL_PASS_SCAN_BUDGET
+         && (stage = cell_stage_next_deferred (cell)) != NULL)
+    place_stage (cell, stage, reservations_left);
+  cell->placing_deferred = false;
+}
+
 static void
 scan_all (MuxCell *cell)
 {
@@ -273,6 +286,7 @@
       mux_count (cell->options.counters, MUX_COUNT_PLAN_CUT, 1);
       return;
     }
+  place_deferred (cell, &reservations_left);
   cell->scan_round++;
   cell_plan_order_new_round (&cell->plan_order);
 }
--- a/src/cell/pool_speed.c
+++ b/src/cell/pool_speed.c
@@ -13,6 +13,9 @@
  * speed which is not needed. */
 #define ROOM_COST 30000
 
+/* Larger speeds in a message are ignored. */
+#define SPEED_MAX_MILLI 100000
+
 static CellSpeedPool *
 pool_find (CellSpeeds *speeds, uint64_t service)
 {
@@ -72,25 +75,94 @@
 }
 
 static const CellSpeedPool *
-uneven_pool (const MuxCell *cell, const CellStage *stage)
+uneven_pool_of (const MuxCell *cell, uint64_t service)
 {
   const CellSpeeds *speeds = &cell->speeds;
 
-  /* A task that runs until it is cancelled has no end that speed changes. */
-  if (stage->spec->long_running)
-    return NULL;
   for (uint32_t i = 0; i < speeds->count; i++)
-    if (speeds->pool[i].service == stage->service)
+    if (speeds->pool[i].service == service)
       return speeds->pool[i].is_uneven ? &speeds->pool[i] : NULL;
   return NULL;
 }
 
+/* A task that runs until it is cancelled has no end that speed changes. */
+static const CellSpeedPool *
+uneven_pool (const MuxCell *cell, const CellStage *stage)
+{
+  return stage->spec->long_running ? NULL
+                                   : uneven_pool_of (cell, stage->service);
+}
+
+uint32_t
+cell_pool_fastest_milli (const MuxCell *cell, uint64_t service)
+{
+  const CellSpeedPool *pool = uneven_pool_of (cell, service);
+
+  return pool != NULL && pool->speeds.fastest_milli > MUX_SPEED_ONE_MILLI
+             ? pool->speeds.fastest_milli
+             : MUX_SPEED_ONE_MILLI;
+}
+
+json_t *
+cell_pool_speeds_json (const MuxCell *cell)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < cell->speeds.count; i++)
+    {
+      const CellSpeedPool *pool = &cell->speeds.pool[i];
+
+      if (pool->is_uneven)
+        (void) json_array_append_new (
+            list, json_pack ("[I, i, i]", (json_int_t) pool->service,
+                             (int) pool->speeds.slowest_milli,
+                             (int) pool->speeds.fastest_milli));
+    }
+  return list;
+}
+
+void
+cell_pool_speeds_receive (MuxCell *cell, const json_t *list)
+{
+  const json_t *entry;
+  size_t i;
+
+  for (uint32_t j = 0; j < cell->speeds.count; j++)
+    cell->speeds.pool[j].is_uneven = false;
+  json_array_foreach (list, i, entry)
+  {
+    json_int_t service = json_integer_value (json_array_get (entry, 0));
+    json_int_t slowest = json_integer_value (json_array_get (entry, 1));
+    json_int_t fastest = json_integer_value (json_array_get (entry, 2));
+    CellSpeedPool *pool;
+
+    if (slowest <= 0 || fastest < slowest || fastest > SPEED_MAX_MILLI)
+      continue;
+    pool = pool_find (&cell->speeds, (uint64_t) service);
+    if (pool == NULL)
+      return;
+    pool->is_uneven = true;
+    pool->speeds.slowest_milli = (uint32_t) slowest;
+    pool->speeds.fastest_milli = (uint32_t) fastest;
+  }
+}
+
 bool
 cell_stage_has_uneven_pool (const MuxCell *cell, const CellStage *stage)
 {
   return uneven_pool (cell, stage) != NULL;
 }
 
+uint32_t
+cell_placing_speed_milli (const MuxCell *cell,
+                          const CellStage *stage,
+                          const CellWorker *worker)
+{
+  return cell_stage_has_uneven_pool (cell, stage)
+             ? cell_worker_speed_milli (worker)
+             : MUX_SPEED_ONE_MILLI;
+}
+
 MuxSpeedNeed
 cell_speed_need (const MuxCell *cell, const CellStage *stage, int64_t in_ms)
 {
--- a/src/cell/reserve.c
+++ b/src/cell/reserve.c
@@ -155,12 +155,16 @@
   return size;
 }
 
-/* Whether a task of @stage that starts now will have ended by @at_ms. */
+/* Whether a task of @stage that starts there now will have ended by @at_ms. */
 static bool
-ends_by (const MuxCell *cell, const CellStage *stage, int64_t at_ms)
+ends_by (const MuxCell *cell,
+         const CellStage *stage,
+         const CellWorker *worker,
+         int64_t at_ms)
 {
-  int64_t takes_ms
-      = (int64_t) stage->expected_ms * (PERCENT + OVERRUN_PERCENT) / PERCENT;
+  uint32_t speed_milli = cell_placing_speed_milli (cell, stage, worker);
+  int64_t takes_ms = mux_speed_run_ms (stage->expected_ms, speed_milli)
+                     * (PERCENT + OVERRUN_PERCENT) / PERCENT;
 
   return cell->time.now_ms + takes_ms <= at_ms;
 }
@@ -189,7 +193,8 @@
       MuxSize free;
       uint32_t left;
 
-      if (!is_for_another (reservation, stage) || ends_by (cell, stage, at_ms))
+      if (!is_for_another (reservation, stage)
+          || ends_by (cell, stage, worker, at_ms))
         continue;
       free = cell_worker_free_at (cell, stage, worker, at_ms);
       free = mux_size_sub (free,
--- a/src/cell/speed_choice.c
+++ b/src/cell/speed_choice.c
@@ -16,6 +16,8 @@
 #define EVEN_ODDS_MILLI 1000
 #define HOPELESS_MILLI 500
 #define EVEN_RISK_MILLI 500
+/* A task waits if its risk falls by this at least. */
+#define GAIN_MILLI 100
 /* Cost of the whole of the pool's range of speeds above what is needed.  It
  * equals a risk of 0.13, more than a run with margin has on slow workers. */
 #define SPARE_SPEED_COST 40000
@@ -169,7 +171,11 @@
   int64_t slow_ms = mux_speed_run_ms (need->expected_ms, wait->free_milli);
   int64_t fast_ms = mux_speed_run_ms (need->expected_ms, wait->fast_milli);
 
-  return slow_ms > need->left_ms && wait->opens_ms + fast_ms <= need->left_ms
+  uint32_t risk_now = mux_speed_risk_milli (slow_ms, need->left_ms);
+  uint32_t risk_later
+      = mux_speed_risk_milli (fast_ms, need->left_ms - wait->opens_ms);
+
+  return risk_later < EVEN_RISK_MILLI && risk_later + GAIN_MILLI <= risk_now
          && wait->opens_ms + fast_ms < slow_ms
          && wait->waited_ms < slow_ms - fast_ms;
 }
@@ -188,58 +194,67 @@
   return steps;
 }
 
-/* Returns the set that the workers of at least @least_milli make, with speed 0
- * if they don't hold all members. */
-static MuxSpeedSet
-set_at (const MuxSpeedOffer *offer,
-        uint32_t count,
-        const MuxSpeedNeed *need,
-        uint32_t tasks,
-        uint32_t least_milli)
+MuxSpeedSet
+mux_speed_set_at (const MuxSpeedOffer *offer,
+                  uint32_t count,
+                  const MuxSpeedNeed *need,
+                  uint32_t tasks,
+                  uint32_t least_milli,
+                  uint32_t most_milli)
 {
   MuxSpeedSet set = { .speed_milli = 0 };
   uint64_t held = 0;
   uint32_t lowest = UINT32_MAX;
+  uint32_t highest = 0;
 
   for (uint32_t i = 0; i < count && held < tasks; i++)
     {
-      if (offer[i].speed_milli < least_milli)
+      if (offer[i].speed_milli < least_milli
+          || offer[i].speed_milli > most_milli || offer[i].tasks == 0)
         continue;
       held += offer[i].tasks;
       set.start_ms = offer[i].at_ms;
-      if (offer[i].tasks > 0 && offer[i].speed_milli < lowest)
+      if (offer[i].speed_milli < lowest)
         lowest = offer[i].speed_milli;
+      if (offer[i].speed_milli > highest)
+        highest = offer[i].speed_milli;
     }
   if (held < tasks)
     return set;
+  set.is_mixed = mux_speed_above (highest, lowest) > 0;
   set.speed_milli = lowest;
   set.end_ms = set.start_ms + mux_speed_run_ms (need->expected_ms, lowest);
   set.in_time = set.end_ms <= need->left_ms;
+  set.has_margin = mux_speed_in_time_with_margin (set.end_ms - set.start_ms,
+                                                  need->left_ms - set.start_ms);
   return set;
 }
 
+/* Whether @a is better than @b, the best of the faster ones so far.  Fast
+ * workers in a set with slow ones do their work at the speed of these. */
 static bool
-has_margin (const MuxSpeedSet *set, const MuxSpeedNeed *need)
-{
-  return mux_speed_in_time_with_margin (set->end_ms - set->start_ms,
-                                        need->left_ms - set->start_ms);
-}
-
-/* Whether @a is better than @b, the best of the faster ones so far. */
-static bool
-is_better (const MuxSpeedSet *a, const MuxSpeedSet *b, const MuxSpeedNeed *need)
+is_better (const MuxSpeedSet *a, const MuxSpeedSet *b)
 {
   if (b->speed_milli == 0 || a->speed_milli == 0)
     return a->speed_milli != 0;
-  if (has_margin (a, need) != has_margin (b, need))
-    return has_margin (a, need);
-  if (has_margin (a, need))
+  if (a->has_margin != b->has_margin)
+    return a->has_margin;
+  if (a->has_margin && a->is_mixed != b->is_mixed)
+    return b->is_mixed;
+  if (a->has_margin)
     return a->start_ms <= b->start_ms + SAME_START_MS;
   if (a->in_time || b->in_time)
     return a->end_ms < b->end_ms;
   return a->start_ms <= b->start_ms + SAME_START_MS;
 }
 
+/* Returns the highest speed that is even with @least_milli. */
+static uint32_t
+even_limit (uint32_t least_milli)
+{
+  return (uint32_t) ((uint64_t) least_milli * EVEN_RATIO_TENTHS / TENTHS);
+}
+
 MuxSpeedSet
 mux_speed_choose_set (const MuxSpeedOffer *offer,
                       uint32_t count,
@@ -266,8 +281,13 @@
       /* The last level holds all workers. */
       if (level == LEVELS_MAX - 1)
         least_milli = lowest;
-      set = set_at (offer, count, need, tasks, least_milli);
-      if (is_better (&set, &best, need))
+      set = mux_speed_set_at (offer, count, need, tasks, least_milli,
+                              even_limit (least_milli));
+      if (is_better (&set, &best))
+        best = set;
+      set = mux_speed_set_at (offer, count, need, tasks, least_milli,
+                              UINT32_MAX);
+      if (is_better (&set, &best))
         best = set;
       if (least_milli <= lowest)
         break;
--- a/src/cell/speed_wait.c
+++ b/src/cell/speed_wait.c
@@ -134,8 +134,7 @@
   MuxSpeedWait wait = { .free_milli = cell_worker_speed_milli (free) };
   uint32_t next;
 
-  if (!cell_stage_has_uneven_pool (cell, stage)
-      || mux_speed_class (&need, wait.free_milli) != MUX_SPEED_TOO_SLOW)
+  if (cell_speed_suits (cell, stage, free, 0))
     return false;
   if (stage->speed_wait_since_ms >= stage->ready_ms)
     wait.waited_ms = cell->time.now_ms - stage->speed_wait_since_ms;
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -176,7 +176,7 @@
 
 /* Returns the speed of the slowest worker that runs a task of the stage. */
 static uint32_t
-lowest_speed_milli (const CellStage *stage)
+lowest_speed_milli (const MuxCell *cell, const CellStage *stage)
 {
   uint32_t lowest = UINT32_MAX;
 
@@ -184,8 +184,8 @@
     {
       const CellBooking *booking = stage->task[i].booking;
 
-      if (booking != NULL && cell_worker_speed_milli (booking->worker) < lowest)
-        lowest = cell_worker_speed_milli (booking->worker);
+      if (booking != NULL && cell_booking_speed_milli (cell, booking) < lowest)
+        lowest = cell_booking_speed_milli (cell, booking);
     }
   return lowest != UINT32_MAX ? lowest : MUX_SPEED_ONE_MILLI;
 }
@@ -196,7 +196,7 @@
 {
   int64_t now = cell->time.now_ms;
   int64_t latest_ms = stage->deadline_ms - stage->fastest_ms;
-  uint32_t speed_milli = lowest_speed_milli (stage);
+  uint32_t speed_milli = lowest_speed_milli (cell, stage);
 
   /* By version and term the reader can tell whether the job was stored before
    * the planner's term began, and so what it had to wait for. */
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -139,12 +139,15 @@
 static MuxQueueConfig *
 config_of (const WorldRow *row)
 {
-  size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
+  const MuxQueueConfig *config;
 
-  if (row->value == NULL || row->value->len != size)
+  if (row->value == NULL || row->value->len < sizeof *config)
     return NULL;
-  return mux_queue_config_copy (
-      (const MuxQueueConfig *) (const void *) row->value->bytes);
+  config = (const MuxQueueConfig *) (const void *) row->value->bytes;
+  if (row->value->len
+      != sizeof *config + config->count * sizeof config->item[0])
+    return NULL;
+  return mux_queue_config_copy (config);
 }
 
 static void
@@ -821,11 +824,10 @@
 change_config (World *world)
 {
   WorldRow *row = world_row_find (world, MUX_TABLE_CONFIG, "", "config");
-  size_t size = sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec);
-  MuxQueueConfig *config = malloc (size);
+  MuxQueueConfig *config = malloc (row->value->len);
 
   assert_non_null (config);
-  memcpy (config, row->value->bytes, size);
+  memcpy (config, row->value->bytes, row->value->len);
   config->version++;
   return config;
 }
@@ -836,12 +838,34 @@
   WorldRow *row = world_row_find (world, MUX_TABLE_CONFIG, "", "config");
 
   mux_blob_unref (row->value);
-  row->value
-      = mux_blob_new (config, sizeof (MuxQueueConfig) + sizeof (MuxQueueSpec));
+  row->value = mux_blob_new (
+      config, sizeof (MuxQueueConfig) + config->count * sizeof (MuxQueueSpec));
   row->version = ++world->version;
   free (config);
 }
 
+void
+world_set_queues (World *world, const MuxQueueSpec *queue, uint32_t count)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  config = realloc (config, sizeof *config + count * sizeof *queue);
+  assert_non_null (config);
+  config->count = count;
+  memcpy (config->item, queue, count * sizeof *queue);
+  put_config (world, config);
+}
+
+MuxQueueSpec
+world_queue (const World *world)
+{
+  const MuxQueueConfig *config
+      = (const void *) world_row (world, MUX_TABLE_CONFIG, "config")
+            ->value->bytes;
+
+  return config->item[0];
+}
+
 void
 world_set_workspaces (World *world, MuxWorkspaces *workspaces)
 {
@@ -1100,7 +1124,8 @@
   request->call_id = ++world->next_request;
   request->timeout_ms = 3000;
   snprintf (request->host, sizeof request->host, "cell.example");
-  snprintf (request->path, sizeof request->path, "/batch/%s", id);
+  snprintf (request->path, sizeof request->path, "/%s/%s",
+            world->queue[0] != 0 ? world->queue : "batch", id);
   world_copy_key (world, request);
   return request;
 }
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -248,8 +248,9 @@
   MuxWorkspaces *previous_workspaces; /* until the last change */
   int64_t workspaces_ms;              /* time of that change */
   char key[MUX_KEY_DIGEST_LEN + 1];   /* of all callers; "": none */
-  uint32_t revoke_timeout_ms;         /* setting of daemons started later */
-  uint32_t quota_overrun_milli;       /* likewise */
+  char queue[MUX_NAME_LEN];   /* requests are to prefix /queue/; "": /batch/ */
+  uint32_t revoke_timeout_ms; /* setting of daemons started later */
+  uint32_t quota_overrun_milli; /* likewise */
   bool late_call_running;  /* while a delayed START or STOP is carried out */
   int64_t task_ms;         /* run time of a task */
   int64_t crash_ms;        /* time from a start to the crash that it causes */
@@ -363,6 +364,10 @@
 world_crashing_job (uint32_t tasks, uint32_t cpu_milli, uint32_t index);
 /** world_change_config() - stores the same configuration as a newer version */
 void world_change_config (World *world);
+/** world_queue() - returns the first queue of the configuration */
+MuxQueueSpec world_queue (const World *world);
+/** world_set_queues() - configures these queues instead */
+void world_set_queues (World *world, const MuxQueueSpec *queue, uint32_t count);
 /** world_set_slack() - sets slack_milli of the queue */
 void world_set_slack (World *world, uint32_t slack_milli);
 /** world_set_workspaces() - configures @workspaces and takes them over; NULL:
--- a/test/unit/test_speed_choice.c
+++ b/test/unit/test_speed_choice.c
@@ -157,10 +157,18 @@
   /* Too late there as well. */
   wait.opens_ms = 500;
   assert_false (mux_speed_should_wait (&need, &wait));
-  /* In time on the free worker. */
+  /* In time on the free worker as often as not: the fast one is safer. */
   wait.opens_ms = 300;
   need.left_ms = 1480;
+  assert_true (mux_speed_should_wait (&need, &wait));
+  /* In time with margin on the free worker. */
+  need.left_ms = 2200;
+  assert_false (mux_speed_should_wait (&need, &wait));
+  /* It would end sooner on the free worker. */
+  need.left_ms = 1480;
+  wait.opens_ms = 900;
   assert_false (mux_speed_should_wait (&need, &wait));
+  wait.opens_ms = 300;
   /* The forecast was wrong for as long as waiting could gain. */
   need.left_ms = 1000;
   wait.waited_ms = 900;
@@ -190,10 +198,16 @@
   set = mux_speed_choose_set (offer, 5, &need, 16);
   assert_int_equal (set.speed_milli, FAST);
   assert_int_equal (set.start_ms, 0);
+  assert_false (set.is_mixed);
   /* The fast ones alone don't hold it. */
   set = mux_speed_choose_set (offer, 5, &need, 17);
   assert_int_equal (set.speed_milli, SLOW);
   assert_false (set.in_time);
+  /* The slow ones alone don't either. */
+  need = need_of (4000);
+  set = mux_speed_choose_set (offer, 5, &need, 25);
+  assert_int_equal (set.speed_milli, SLOW);
+  assert_true (set.is_mixed);
   set = mux_speed_choose_set (offer, 5, &need, 41);
   assert_int_equal (set.speed_milli, 0);
   set = mux_speed_choose_set (offer, 0, &need, 1);
