cell: rename speed_types.h to placing_types.h; a rack by index

Cause: the estimate of the workers' speed has a speed_types.h of its own, and the analyzer took the chosen rack's name for a null pointer. Change: placing_types.h; the rack is found by its place. Result: clang-tidy is quiet about gang_places.c.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -6,7 +6,7 @@
 #include "cell/run_time.h"
 #include "cell/throttle.h"
 #include "claim_types.h"
-#include "speed_types.h"
+#include "placing_types.h"
 #include "workspace_types.h"
 
 #include <uthash.h>
--- a/src/cell/gang_places.c
+++ b/src/cell/gang_places.c
@@ -207,16 +207,18 @@
                                   CellPlace *place,
                                   uint32_t count)
 {
-  const char *rack = NULL;
-
-  for (uint32_t i = 0; i < count && rack == NULL; i++)
-    if (place[i].approved
-        && room_in_rack (place, count, place[i].worker->info.rack)
-               >= stage->spec->count)
-      rack = place[i].worker->info.rack;
-  if (rack == NULL)
+  const char *rack;
+  uint32_t chosen = 0;
+
+  while (chosen < count
+         && (!place[chosen].approved
+             || room_in_rack (place, count, place[chosen].worker->info.rack)
+                    < stage->spec->count))
+    chosen++;
+  if (chosen == count)
     return;
+  rack = place[chosen].worker->info.rack;
   for (uint32_t i = 0; i < count; i++)
-    if (strcmp (rack, place[i].worker->info.rack) != 0)
+    if (strcmp (place[i].worker->info.rack, rack) != 0)
       place[i].fits_now = 0;
 }
--- a/src/cell/speed_types.h
+++ b/src/cell/placing_types.h
@@ -1,5 +1,5 @@
-#ifndef CELL_SPEED_TYPES_H
-#define CELL_SPEED_TYPES_H
+#ifndef CELL_PLACING_TYPES_H
+#define CELL_PLACING_TYPES_H
 
 #include "cell/speed_choice.h"
 #include "model/spec.h"
