--- a/include/cell/speed_choice.h
+++ b/include/cell/speed_choice.h
@@ -76,7 +76,7 @@
 } MuxSpeedNeed;
 
 /**
- * enum MuxSpeedClass - a worker's speed, for one run
+ * enum MuxSpeedFit - a worker's speed, for one run
  */
 typedef enum
 {
@@ -85,7 +85,7 @@
   MUX_SPEED_NEEDED,   /* in time with margin, and slow workers have none */
   MUX_SPEED_TIGHT,    /* in time without margin */
   MUX_SPEED_TOO_SLOW, /* late there, in time on the pool's fast workers */
-} MuxSpeedClass;
+} MuxSpeedFit;
 
 /** mux_speed_run_ms() - expected run time at that speed */
 int64_t mux_speed_run_ms (uint32_t expected_ms, uint32_t speed_milli);
@@ -93,7 +93,7 @@
  * leaves a quarter of that until @left_ms, as expected times are off by a log
  * standard deviation of 0.2 to 0.3 */
 bool mux_speed_in_time_with_margin (int64_t run_ms, int64_t left_ms);
-MuxSpeedClass mux_speed_class (const MuxSpeedNeed *need, uint32_t speed_milli);
+MuxSpeedFit mux_speed_fit (const MuxSpeedNeed *need, uint32_t speed_milli);
 /** mux_speed_risk_milli() - rough probability, in thousandths, that a run
  * expected to take @run_ms ends after @left_ms */
 uint32_t mux_speed_risk_milli (int64_t run_ms, int64_t left_ms);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1395,8 +1395,8 @@
   uint32_t down_event_count; /* events recorded in @down_events so far */
   CellDownEvent down_events[CELL_DOWN_MAX];
   int64_t next_wait_log_ms;
-  MuxRunTimes run_times; /* learned, or received from a planner */
-  CellSpeeds speeds;     /* of the pools' workers */
+  MuxRunTimes run_times;      /* learned, or received from a planner */
+  CellPoolSpeeds pool_speeds; /* of the pools' workers */
   /* Would be late on the workers left for them; placed at the end of a full
    * pass. */
   CellStage *deferred_stages;
--- a/src/cell/placing_types.h
+++ b/src/cell/placing_types.h
@@ -6,12 +6,12 @@
 
 /* Most pools whose workers' speeds are told apart; those of further pools count
  * as even. */
-#define CELL_SPEED_POOLS_MAX 16
+#define CELL_POOL_SPEEDS_MAX 16
 /* Most openings of fast workers that are considered for waiting tasks. */
 #define CELL_SPEED_OPENINGS_MAX 256
 
 /**
- * struct CellSpeedPool - speeds of the workers of a pool
+ * struct CellPoolSpeed - speeds of the workers of a pool
  * @service: hash of its name
  * @is_uneven: they differ; else placement ignores them
  * @speeds: capacity in processors by speed
@@ -21,7 +21,7 @@
   uint64_t service;
   bool is_uneven;
   MuxSpeedPool speeds;
-} CellSpeedPool;
+} CellPoolSpeed;
 
 /**
  * struct CellSpeedOpening - room that a running task will leave at a worker
@@ -56,7 +56,7 @@
 } CellSpeedSupply;
 
 /**
- * struct CellSpeeds - speeds of all pools, as the planner places by them;
+ * struct CellPoolSpeeds - speeds of all pools, as the planner places by them;
  *   embedded in MuxCell
  * @next_count_ms: when they are counted again
  * @count: entries of @pool
@@ -65,8 +65,8 @@
 {
   int64_t next_count_ms;
   uint32_t count;
-  CellSpeedPool pool[CELL_SPEED_POOLS_MAX];
+  CellPoolSpeed pool[CELL_POOL_SPEEDS_MAX];
   CellSpeedSupply supply;
-} CellSpeeds;
+} CellPoolSpeeds;
 
 #endif
--- a/src/cell/pool_speed.c
+++ b/src/cell/pool_speed.c
@@ -16,15 +16,15 @@
 /* Larger speeds in a message are ignored. */
 #define SPEED_MAX_MILLI 100000
 
-static CellSpeedPool *
-pool_find (CellSpeeds *speeds, uint64_t service)
+static CellPoolSpeed *
+pool_find (CellPoolSpeeds *speeds, uint64_t service)
 {
-  CellSpeedPool *pool;
+  CellPoolSpeed *pool;
 
   for (uint32_t i = 0; i < speeds->count; i++)
     if (speeds->pool[i].service == service)
       return &speeds->pool[i];
-  if (speeds->count == CELL_SPEED_POOLS_MAX)
+  if (speeds->count == CELL_POOL_SPEEDS_MAX)
     return NULL;
   pool = &speeds->pool[speeds->count++];
   memset (pool, 0, sizeof *pool);
@@ -33,7 +33,7 @@
 }
 
 static void
-log_change (MuxCell *cell, const CellSpeedPool *pool)
+log_change (MuxCell *cell, const CellPoolSpeed *pool)
 {
   cell_log (cell, "pool_speeds", "{s:I, s:b, s:i, s:i}", "service",
             (json_int_t) pool->service, "uneven", pool->is_uneven,
@@ -44,7 +44,7 @@
 void
 cell_pool_speeds_tick (MuxCell *cell)
 {
-  CellSpeeds *speeds = &cell->speeds;
+  CellPoolSpeeds *speeds = &cell->pool_speeds;
   const CellWorker *worker;
   const CellWorker *next;
 
@@ -55,7 +55,7 @@
     memset (&speeds->pool[i].speeds, 0, sizeof speeds->pool[i].speeds);
   HASH_ITER (hh, cell->workers, worker, next)
   {
-    CellSpeedPool *pool
+    CellPoolSpeed *pool
         = worker->dead ? NULL : pool_find (speeds, worker->service);
 
     if (pool != NULL)
@@ -64,7 +64,7 @@
   }
   for (uint32_t i = 0; i < speeds->count; i++)
     {
-      CellSpeedPool *pool = &speeds->pool[i];
+      CellPoolSpeed *pool = &speeds->pool[i];
       bool was_uneven = pool->is_uneven;
 
       mux_speed_pool_finish (&pool->speeds);
@@ -74,10 +74,10 @@
     }
 }
 
-static const CellSpeedPool *
+static const CellPoolSpeed *
 uneven_pool_of (const MuxCell *cell, uint64_t service)
 {
-  const CellSpeeds *speeds = &cell->speeds;
+  const CellPoolSpeeds *speeds = &cell->pool_speeds;
 
   for (uint32_t i = 0; i < speeds->count; i++)
     if (speeds->pool[i].service == service)
@@ -86,7 +86,7 @@
 }
 
 /* A task that runs until it is cancelled has no end that speed changes. */
-static const CellSpeedPool *
+static const CellPoolSpeed *
 uneven_pool (const MuxCell *cell, const CellStage *stage)
 {
   return stage->spec->long_running ? NULL
@@ -96,7 +96,7 @@
 uint32_t
 cell_pool_fastest_milli (const MuxCell *cell, uint64_t service)
 {
-  const CellSpeedPool *pool = uneven_pool_of (cell, service);
+  const CellPoolSpeed *pool = uneven_pool_of (cell, service);
 
   return pool != NULL && pool->speeds.fastest_milli > MUX_SPEED_ONE_MILLI
              ? pool->speeds.fastest_milli
@@ -108,9 +108,9 @@
 {
   json_t *list = json_array ();
 
-  for (uint32_t i = 0; i < cell->speeds.count; i++)
+  for (uint32_t i = 0; i < cell->pool_speeds.count; i++)
     {
-      const CellSpeedPool *pool = &cell->speeds.pool[i];
+      const CellPoolSpeed *pool = &cell->pool_speeds.pool[i];
 
       if (pool->is_uneven)
         (void) json_array_append_new (
@@ -127,18 +127,18 @@
   const json_t *entry;
   size_t i;
 
-  for (uint32_t j = 0; j < cell->speeds.count; j++)
-    cell->speeds.pool[j].is_uneven = false;
+  for (uint32_t j = 0; j < cell->pool_speeds.count; j++)
+    cell->pool_speeds.pool[j].is_uneven = false;
   json_array_foreach (list, i, entry)
   {
     json_int_t service = json_integer_value (json_array_get (entry, 0));
     json_int_t slowest = json_integer_value (json_array_get (entry, 1));
     json_int_t fastest = json_integer_value (json_array_get (entry, 2));
-    CellSpeedPool *pool;
+    CellPoolSpeed *pool;
 
     if (slowest <= 0 || fastest < slowest || fastest > SPEED_MAX_MILLI)
       continue;
-    pool = pool_find (&cell->speeds, (uint64_t) service);
+    pool = pool_find (&cell->pool_speeds, (uint64_t) service);
     if (pool == NULL)
       return;
     pool->is_uneven = true;
@@ -166,7 +166,7 @@
 MuxSpeedNeed
 cell_speed_need (const MuxCell *cell, const CellStage *stage, int64_t in_ms)
 {
-  const CellSpeedPool *pool = uneven_pool (cell, stage);
+  const CellPoolSpeed *pool = uneven_pool (cell, stage);
   MuxSpeedNeed need = {
     .left_ms = stage->deadline_ms - cell->time.now_ms - in_ms,
     .expected_ms = stage->expected_ms + stage->after_ms,
@@ -203,13 +203,13 @@
                   int64_t in_ms)
 {
   MuxSpeedNeed need;
-  MuxSpeedClass class;
+  MuxSpeedFit fit;
 
   if (!cell_stage_has_uneven_pool (cell, stage))
     return true;
   need = cell_speed_need (cell, stage, in_ms);
-  class = mux_speed_class (&need, cell_worker_speed_milli (worker));
-  return class == MUX_SPEED_ENOUGH || class == MUX_SPEED_NEEDED;
+  fit = mux_speed_fit (&need, cell_worker_speed_milli (worker));
+  return fit == MUX_SPEED_ENOUGH || fit == MUX_SPEED_NEEDED;
 }
 
 int64_t
@@ -228,7 +228,7 @@
 uint32_t
 cell_stage_fastest_ms (const MuxCell *cell, const CellStage *stage)
 {
-  const CellSpeedPool *pool = uneven_pool (cell, stage);
+  const CellPoolSpeed *pool = uneven_pool (cell, stage);
 
   return pool != NULL ? (uint32_t) mux_speed_run_ms (stage->expected_ms,
                                                      pool->speeds.fastest_milli)
--- a/src/cell/speed_choice.c
+++ b/src/cell/speed_choice.c
@@ -95,8 +95,8 @@
   return run_ms * MARGIN_PERCENT <= left_ms * PERCENT;
 }
 
-MuxSpeedClass
-mux_speed_class (const MuxSpeedNeed *need, uint32_t speed_milli)
+MuxSpeedFit
+mux_speed_fit (const MuxSpeedNeed *need, uint32_t speed_milli)
 {
   int64_t run_ms = mux_speed_run_ms (need->expected_ms, speed_milli);
   int64_t slow_ms = mux_speed_run_ms (need->expected_ms, need->slowest_milli);
--- a/src/cell/speed_wait.c
+++ b/src/cell/speed_wait.c
@@ -105,7 +105,7 @@
 static void
 list_openings (MuxCell *cell, const CellStage *stage, uint32_t least_milli)
 {
-  CellSpeedSupply *supply = &cell->speeds.supply;
+  CellSpeedSupply *supply = &cell->pool_speeds.supply;
   bool is_shared = !stage->job->spec->queue.approval.required
                    && stage->spec->label[0] == 0;
 
@@ -129,7 +129,7 @@
 cell_waits_for_speed (MuxCell *cell, CellTask *task, const CellWorker *free)
 {
   CellStage *stage = task->stage;
-  CellSpeedSupply *supply = &cell->speeds.supply;
+  CellSpeedSupply *supply = &cell->pool_speeds.supply;
   MuxSpeedNeed need = cell_speed_need (cell, stage, 0);
   MuxSpeedWait wait = { .free_milli = cell_worker_speed_milli (free) };
   uint32_t next;
--- a/test/unit/test_speed_choice.c
+++ b/test/unit/test_speed_choice.c
@@ -67,7 +67,7 @@
 
 /* Guards against ranking workers wrongly at each time that is left. */
 static void
-test_class_depends_on_the_time_left (void **state)
+test_fit_depends_on_the_time_left (void **state)
 {
   MuxSpeedNeed ample = need_of (2000); /* 1471 ms on slow ones + a quarter */
   MuxSpeedNeed tight = need_of (1500);
@@ -75,14 +75,14 @@
   MuxSpeedNeed hopeless = need_of (500); /* 606 ms on fast ones */
 
   (void) state;
-  assert_int_equal (mux_speed_class (&ample, SLOW), MUX_SPEED_ENOUGH);
-  assert_int_equal (mux_speed_class (&ample, FAST), MUX_SPEED_ENOUGH);
-  assert_int_equal (mux_speed_class (&tight, SLOW), MUX_SPEED_TIGHT);
-  assert_int_equal (mux_speed_class (&tight, FAST), MUX_SPEED_NEEDED);
-  assert_int_equal (mux_speed_class (&urgent, SLOW), MUX_SPEED_TOO_SLOW);
-  assert_int_equal (mux_speed_class (&urgent, FAST), MUX_SPEED_NEEDED);
-  assert_int_equal (mux_speed_class (&hopeless, SLOW), MUX_SPEED_ENOUGH);
-  assert_int_equal (mux_speed_class (&hopeless, FAST), MUX_SPEED_ENOUGH);
+  assert_int_equal (mux_speed_fit (&ample, SLOW), MUX_SPEED_ENOUGH);
+  assert_int_equal (mux_speed_fit (&ample, FAST), MUX_SPEED_ENOUGH);
+  assert_int_equal (mux_speed_fit (&tight, SLOW), MUX_SPEED_TIGHT);
+  assert_int_equal (mux_speed_fit (&tight, FAST), MUX_SPEED_NEEDED);
+  assert_int_equal (mux_speed_fit (&urgent, SLOW), MUX_SPEED_TOO_SLOW);
+  assert_int_equal (mux_speed_fit (&urgent, FAST), MUX_SPEED_NEEDED);
+  assert_int_equal (mux_speed_fit (&hopeless, SLOW), MUX_SPEED_ENOUGH);
+  assert_int_equal (mux_speed_fit (&hopeless, FAST), MUX_SPEED_ENOUGH);
 }
 
 /* Guards against fast workers taken by work that does not need them, and
@@ -138,7 +138,7 @@
                             .slowest_milli = MUX_SPEED_ONE_MILLI,
                             .fastest_milli = MUX_SPEED_ONE_MILLI };
 
-      assert_int_not_equal (mux_speed_class (&need, MUX_SPEED_ONE_MILLI),
+      assert_int_not_equal (mux_speed_fit (&need, MUX_SPEED_ONE_MILLI),
                             MUX_SPEED_TOO_SLOW);
     }
 }
@@ -258,7 +258,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_pool_tells_slow_and_fast_workers),
-    cmocka_unit_test (test_class_depends_on_the_time_left),
+    cmocka_unit_test (test_fit_depends_on_the_time_left),
     cmocka_unit_test (test_cost_prefers_the_slowest_that_is_in_time),
     cmocka_unit_test (test_cost_stays_in_range),
     cmocka_unit_test (test_equal_speeds_have_equal_cost),
