--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -2,6 +2,7 @@
 #define CELL_CELL_PRIVATE_H
 
 #include "cell_types.h"
+#include "gang_types.h"
 
 /* call.c: calls and their replies. */
 /** cell_message() - a message to daemon @to with the sender's fields filled in
@@ -466,6 +467,9 @@
 void cell_job_delete (MuxCell *cell, CellJob *job);
 /** cell_job_find() - in MuxCell.jobs; NULL: not there */
 CellJob *cell_job_find (MuxCell *cell, const char *id);
+/** cell_promised_query_ms() - time of an approval query in a promised duration;
+ * 0: none is needed */
+uint32_t cell_promised_query_ms (const MuxApprovalSpec *approval);
 /** cell_job_slack_ms() - how long the job may wait in all and still end by its
  * deadline */
 int64_t cell_job_slack_ms (const MuxCell *cell, const MuxJobSpec *spec);
@@ -576,6 +580,10 @@
 void cell_unreadable_free (MuxCell *cell);
 
 /* stage.c */
+/** cell_stage_set_start_times() - updates what depends on the speed of the
+ * pool's fast workers: the latest start; only while the stage is not in the
+ * planning order */
+void cell_stage_set_start_times (const MuxCell *cell, CellStage *stage);
 /** cell_stage_new() - creates a stage
  * @began_ms: when its occurrence was due to begin
  * Return: NULL when out of memory. */
@@ -876,6 +884,71 @@
 /** cell_interference_receive() - take over the pairs in the planner's admission
  * blob, if this daemon does not plan; @blob may be NULL */
 void cell_interference_receive (MuxCell *cell, const json_t *blob);
+/* pool_speed.c: speeds of the workers of each pool */
+/** cell_pool_speeds_tick() - counts the speeds of all workers if it is time */
+void cell_pool_speeds_tick (MuxCell *cell);
+/** cell_pool_fastest_milli() - speed of the fast workers of a pool, at least
+ * 1000; 1000 if they are alike */
+uint32_t cell_pool_fastest_milli (const MuxCell *cell, uint64_t service);
+/** cell_pool_speeds_json() - speeds of the uneven pools for other daemons;
+ * owned by the caller */
+json_t *cell_pool_speeds_json (const MuxCell *cell);
+/** cell_pool_speeds_receive() - apply speeds sent by the planner; @list may be
+ * NULL: an older one sends none, and all pools count as even */
+void cell_pool_speeds_receive (MuxCell *cell, const json_t *list);
+/** cell_stage_has_uneven_pool() - whether speeds matter for the stage; false:
+ * it is placed as if they were not known */
+bool cell_stage_has_uneven_pool (const MuxCell *cell, const CellStage *stage);
+/** cell_placing_speed_milli() - speed of the stage's runs on the worker; 1000
+ * if the pool's workers are alike */
+uint32_t cell_placing_speed_milli (const MuxCell *cell,
+                                   const CellStage *stage,
+                                   const CellWorker *worker);
+/** cell_speed_need() - what a run of the stage that starts in @in_ms needs, if
+ * the steps after it run at the same speed */
+MuxSpeedNeed
+cell_speed_need (const MuxCell *cell, const CellStage *stage, int64_t in_ms);
+/** cell_speed_cost() - cost of the worker's speed for a run of the stage that
+ * starts in @in_ms, see mux_speed_cost(); 0: the pool's workers are alike */
+uint32_t cell_speed_cost (const MuxCell *cell,
+                          const CellStage *stage,
+                          const CellWorker *worker,
+                          int64_t in_ms);
+/** cell_speed_suits() - whether such a run is in time with margin, or late on
+ * any worker */
+bool cell_speed_suits (const MuxCell *cell,
+                       const CellStage *stage,
+                       const CellWorker *worker,
+                       int64_t in_ms);
+/** cell_speed_is_too_slow() - whether such a run is late, and in time on the
+ * pool's fast workers */
+bool cell_speed_is_too_slow (const MuxCell *cell,
+                             const CellStage *stage,
+                             const CellWorker *worker,
+                             int64_t in_ms);
+/** cell_room_cost() - cost of a worker's free room: its processors in
+ * thousandths, or a part of the worker if speeds matter for the stage */
+int64_t cell_room_cost (const MuxCell *cell,
+                        const CellStage *stage,
+                        const CellWorker *worker);
+/** cell_stage_fastest_ms() - expected time of a run on the pool's fast workers
+ */
+uint32_t cell_stage_fastest_ms (const MuxCell *cell, const CellStage *stage);
+
+/* speed_wait.c: tasks that wait for a faster worker */
+/** cell_waits_for_speed() - whether the task waits instead of starting on
+ * @free, which is too slow for it */
+bool
+cell_waits_for_speed (MuxCell *cell, CellTask *task, const CellWorker *free);
+
+/* speed_defer.c: stages that would be late on the workers left for them */
+/** cell_stage_defer() - places the stage again at the end of the next full pass
+ * Return: false if it is being placed there. */
+bool cell_stage_defer (MuxCell *cell, CellStage *stage);
+void cell_stage_undefer (MuxCell *cell, CellStage *stage);
+/** cell_stage_next_deferred() - takes the first deferred stage out of its list
+ * Return: NULL: there is none. */
+CellStage *cell_stage_next_deferred (MuxCell *cell);
 
 /* sweep.c: removes rows of jobs that ended long ago */
 void cell_sweep_begin (MuxCell *cell);
@@ -1224,6 +1297,52 @@
                                CellOpening *opening,
                                uint32_t opening_max);
 
+/* gang_places.c: workers that may hold members of a gang */
+/** cell_places_max() - upper bound of what cell_places_collect() finds */
+size_t cell_places_max (const MuxCell *cell, const CellStage *stage);
+/** cell_places_collect() - collects workers that may hold members of the gang;
+ * those that are not approved only if a query may be sent
+ * Return: their number. */
+uint32_t cell_places_collect (MuxCell *cell,
+                              CellStage *stage,
+                              bool may_query,
+                              CellPlace *place);
+/** cell_places_sort() - sorts by preference for the gang */
+void cell_places_sort (CellPlace *place, uint32_t count);
+/** cell_places_sort_approved() - moves the approved places to the front and
+ * sorts these
+ * Return: their number. */
+uint32_t cell_places_sort_approved (CellPlace *place, uint32_t count);
+/** cell_places_restrict_to_one_rack() - restricts members that run slower
+ * across racks to one rack if one has room for all */
+void cell_places_restrict_to_one_rack (const CellStage *stage,
+                                       CellPlace *place,
+                                       uint32_t count);
+
+/* gang_speed.c: a set of workers of even speed for a gang */
+/** cell_gang_choose_speed() - chooses the least speed of the gang's workers
+ * among the approved places, and takes the room of slower ones out of @place;
+ * does nothing if the pool's workers are alike or all approved ones together
+ * don't hold the gang
+ * Return: true if the gang is expected to end in time there, or nothing was
+ * chosen because the workers are alike. */
+bool cell_gang_choose_speed (MuxCell *cell,
+                             CellStage *stage,
+                             CellPlace *place,
+                             uint32_t count);
+/** cell_gang_prefer_names() - marks the places that are not approved by whether
+ * their speed suits the gang, for cell_places_sort()
+ * Return: true if the gang is expected to end in time on workers that a query
+ * could add. */
+bool cell_gang_prefer_names (MuxCell *cell,
+                             const CellStage *stage,
+                             CellPlace *place,
+                             uint32_t count);
+/** cell_booking_speed_milli() - speed of a run; for a member of a gang that of
+ * its slowest worker */
+uint32_t cell_booking_speed_milli (const MuxCell *cell,
+                                   const CellBooking *booking);
+
 /* gang_reserve.c: reservations of a gang */
 /** cell_gang_reserve() - reserve room at @count approved workers for a gang
  * that has too little now, and, if @may_query, query for proofs when it is
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -10,6 +10,7 @@
 #include "cell/throttle.h"
 #include "cell/traffic_limit.h"
 #include "claim_types.h"
+#include "placing_types.h"
 #include "speed_types.h"
 #include "workspace_types.h"
 
@@ -796,8 +797,19 @@
  * @proofs_expire_ms: all proofs for it have expired by then
  * @tasks_left: tasks not done
  * @last_run: gang: highest run number given to it
- * @expected_ms: expected duration of a run
+ * @expected_ms: expected duration of a run at speed one
  * @step_runs: its latest runs, to learn speeds from; owned; NULL: none yet
+ * @after_ms: the same of the longest chain of steps that depend on it, with
+ *   their approval queries
+ * @fastest_ms: expected duration of a run on the pool's fast workers
+ * @speed_wait_since_ms: when one of its tasks first waited for a faster worker;
+ *   before @ready_ms: none has
+ * @is_deferred: in MuxCell.deferred_stages
+ * @gang_speed_milli: gang: least speed chosen for its workers; 0: none chosen,
+ *   or the pool's workers are alike
+ * @gang_speed_until_ms: the choice is kept until then
+ * @no_names_until_ms: gang: no query adds faster workers before this
+ * @gang_in_time: it is expected to end in time there
  * @failures: gang: failed runs
  * @loss_changes: counts changes of its tasks' losses
  * @losses_written: value of @loss_changes in the outstanding commit
@@ -854,6 +866,14 @@
   uint32_t last_run;
   uint32_t expected_ms;
   MuxStepRuns *step_runs;
+  uint32_t after_ms;
+  uint32_t fastest_ms;
+  int64_t speed_wait_since_ms;
+  bool is_deferred;
+  uint32_t gang_speed_milli;
+  int64_t gang_speed_until_ms;
+  int64_t no_names_until_ms;
+  bool gang_in_time;
   CellFailures failures;
   uint32_t loss_changes;
   uint32_t losses_written;
@@ -881,6 +901,8 @@
   CellTask *task;
   CellStage *reserving_prev;
   CellStage *reserving_next;
+  CellStage *deferred_prev;
+  CellStage *deferred_next;
 };
 
 /**
@@ -1457,7 +1479,12 @@
   uint32_t down_event_count; /* events recorded in @down_events so far */
   CellDownEvent down_events[CELL_DOWN_MAX];
   int64_t next_wait_log_ms;
-  MuxRunTimes run_times; /* learned, or received from a planner */
+  MuxRunTimes run_times;      /* learned, or received from a planner */
+  CellPoolSpeeds pool_speeds; /* of the pools' workers */
+  /* Would be late on the workers left for them; placed at the end of a full
+   * pass. */
+  CellStage *deferred_stages;
+  bool placing_deferred;
   int64_t next_run_times_log_ms;
   CellSpeeds speeds;            /* of the workers */
   MuxInterference interference; /* learned, or received from a planner */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -28,8 +28,8 @@
   return job;
 }
 
-static uint32_t
-approval_query_ms (const MuxApprovalSpec *approval)
+uint32_t
+cell_promised_query_ms (const MuxApprovalSpec *approval)
 {
   if (!approval->required)
     return 0;
@@ -53,7 +53,7 @@
         if ((spec->step[i].after >> j & 1) != 0 && end[j] > begin)
           begin = end[j];
       end[i] = begin + cell_expected_ms (cell, spec, &spec->step[i])
-               + approval_query_ms (&spec->queue.approval);
+               + cell_promised_query_ms (&spec->queue.approval);
       if (end[i] > longest)
         longest = end[i];
     }
@@ -67,10 +67,18 @@
          + spec->queue.target_ms;
 }
 
+/* Of the critical path only the runs are shorter on fast workers, not the
+ * queries; these are a small part, and count as shortened too where speeds
+ * differ. */
 int64_t
 cell_job_slack_ms (const MuxCell *cell, const MuxJobSpec *spec)
 {
-  return promised_duration_ms (cell, spec) - critical_path_ms (cell, spec);
+  uint64_t service = mux_hash_name (spec->queue.service, 0);
+  int64_t path_ms = critical_path_ms (cell, spec);
+
+  return promised_duration_ms (cell, spec)
+         - path_ms * MUX_SPEED_ONE_MILLI
+               / cell_pool_fastest_milli (cell, service);
 }
 
 uint32_t
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -20,8 +20,6 @@
 #define DEAD_MS 1200
 #define CRASH_MS 10
 #define DOWN_MS 1300
-/* Of a configuration with room for two queues. */
-#define CONFIG_BYTES (sizeof (MuxQueueConfig) + 2 * sizeof (MuxQueueSpec))
 
 static MuxCellTime
 time_of (const World *world, uint32_t cell)
@@ -148,12 +146,15 @@
 static MuxQueueConfig *
 config_of (const WorldRow *row)
 {
-  size_t size = CONFIG_BYTES;
+  const MuxQueueConfig *config;
 
-  if (row->value == NULL || row->value->len != size)
+  if (row->value == NULL || row->value->len < sizeof *config)
     return NULL;
-  return mux_queue_config_copy (
-      (const MuxQueueConfig *) (const void *) row->value->bytes);
+  config = (const MuxQueueConfig *) (const void *) row->value->bytes;
+  if (row->value->len
+      != sizeof *config + config->count * sizeof config->item[0])
+    return NULL;
+  return mux_queue_config_copy (config);
 }
 
 static void
@@ -830,7 +831,7 @@
 add_config (World *world)
 {
   WorldRow *row = row_find_or_add (world, MUX_TABLE_CONFIG, "", "config");
-  MuxQueueConfig *config = calloc (1, CONFIG_BYTES);
+  MuxQueueConfig *config = calloc (1, sizeof *config + sizeof config->item[0]);
   MuxQueueSpec *queue = &config->item[0];
 
   config->version = 1;
@@ -844,7 +845,7 @@
   queue->slack_milli = 4000;
   queue->target_ms = 1000;
   queue->approval = (MuxApprovalSpec){ true, 5000, 100, 2000 };
-  row->value = mux_blob_new (config, CONFIG_BYTES);
+  row->value = mux_blob_new (config, sizeof *config + sizeof config->item[0]);
   row->removed = false;
   world_row_changed (world, row);
   free (config);
@@ -856,11 +857,10 @@
 change_config (World *world)
 {
   WorldRow *row = world_row_find (world, MUX_TABLE_CONFIG, "", "config");
-  size_t size = CONFIG_BYTES;
-  MuxQueueConfig *config = malloc (size);
+  MuxQueueConfig *config = malloc (row->value->len);
 
   assert_non_null (config);
-  memcpy (config, row->value->bytes, size);
+  memcpy (config, row->value->bytes, row->value->len);
   config->version++;
   return config;
 }
@@ -871,11 +871,34 @@
   WorldRow *row = world_row_find (world, MUX_TABLE_CONFIG, "", "config");
 
   mux_blob_unref (row->value);
-  row->value = mux_blob_new (config, CONFIG_BYTES);
+  row->value = mux_blob_new (
+      config, sizeof (MuxQueueConfig) + config->count * sizeof (MuxQueueSpec));
   world_row_changed (world, row);
   free (config);
 }
 
+void
+world_set_queues (World *world, const MuxQueueSpec *queue, uint32_t count)
+{
+  MuxQueueConfig *config = change_config (world);
+
+  config = realloc (config, sizeof *config + count * sizeof *queue);
+  assert_non_null (config);
+  config->count = count;
+  memcpy (config->item, queue, count * sizeof *queue);
+  put_config (world, config);
+}
+
+MuxQueueSpec
+world_queue (const World *world)
+{
+  const MuxQueueConfig *config
+      = (const void *) world_row (world, MUX_TABLE_CONFIG, "config")
+            ->value->bytes;
+
+  return config->item[0];
+}
+
 void
 world_set_workspaces (World *world, MuxWorkspaces *workspaces)
 {
@@ -907,14 +930,11 @@
 void
 world_add_queue (World *world)
 {
-  MuxQueueConfig *config = change_config (world);
-  MuxQueueSpec *queue = &config->item[1];
+  MuxQueueSpec queue[2] = { world_queue (world), world_queue (world) };
 
-  *queue = config->item[0];
-  snprintf (queue->name, sizeof queue->name, "other");
-  snprintf (queue->prefix, sizeof queue->prefix, "/other/");
-  config->count = 2;
-  put_config (world, config);
+  snprintf (queue[1].name, sizeof queue[1].name, "other");
+  snprintf (queue[1].prefix, sizeof queue[1].prefix, "/other/");
+  world_set_queues (world, queue, 2);
 }
 
 void
@@ -1148,7 +1168,7 @@
   request->timeout_ms = 3000;
   snprintf (request->host, sizeof request->host, "cell.example");
   snprintf (request->path, sizeof request->path, "/%s/%s",
-            world->other_queue ? "other" : "batch", id);
+            world->queue[0] != 0 ? world->queue : "batch", id);
   world_copy_key (world, request);
   return request;
 }
@@ -1169,7 +1189,7 @@
   job->approval_ms = world->approval_ms;
   job->approval_us = world->approval_us;
   job->approval_spent_ms = 0;
-  job->other_queue = world->other_queue;
+  job->other_queue = strcmp (world->queue, "other") == 0;
   job->step_count = spec->step_count;
   job->size = calloc (spec->step_count, sizeof *job->size);
   assert_non_null (job->size);
--- a/test/unit/test_cell_interference.c
+++ b/test/unit/test_cell_interference.c
@@ -53,12 +53,13 @@
   for (uint32_t i = 0; i < rounds; i++)
     {
       snprintf (id, sizeof id, "%s-%u", name, i);
-      world->other_queue = false;
+      world->queue[0] = 0;
       submit (world, false, id);
       if (i % OTHER_EVERY == 0)
         {
           snprintf (id, sizeof id, "%s-other-%u", name, i);
-          world->other_queue = two_queues;
+          snprintf (world->queue, sizeof world->queue, "%s",
+                    two_queues ? "other" : "");
           submit (world, true, id);
         }
       world_run (world, EACH_MS);
@@ -147,7 +148,7 @@
   for (uint32_t i = 0; i < 30; i++)
     {
       snprintf (id, sizeof id, "fill-%u", i);
-      world->other_queue = true;
+      snprintf (world->queue, sizeof world->queue, "other");
       submit (world, true, id);
     }
   world_run (world, 500);
@@ -155,7 +156,7 @@
   for (uint32_t i = 0; i < 18; i++)
     {
       snprintf (id, sizeof id, "late-%u", i);
-      world->other_queue = false;
+      world->queue[0] = 0;
       submit (world, false, id);
     }
   world_run (world, 500);
