cancel_age: expired delays do not bound a ranged one

A delay that is only known within a range counts as the value nearest to the mean. The mean was taken before the expiry was checked, so that a reply that was held back repeated a mean of long ago. In a cell whose workers all hold their replies back, a hiccup counted until a reply came at once.

On expiry the estimate now begins from 0 before the range is applied.

--- a/src/cell/cancel_age.c
+++ b/src/cell/cancel_age.c
@@ -34,11 +34,13 @@
 {
   int64_t least_us = (least_ms > 0 ? least_ms : 0) * US_PER_MS;
   int64_t most_us = (most_ms > 0 ? most_ms : 0) * US_PER_MS;
-  int64_t took_us = clamp (delay->mean_us, least_us, most_us);
-  int64_t off_us = took_us - delay->mean_us;
+  int64_t took_us;
+  int64_t off_us;
 
   if (now_ms - delay->observed_ms > EXPIRY_MS)
-    delay->count = 0;
+    *delay = (MuxDelay){ .count = 0 };
+  took_us = clamp (delay->mean_us, least_us, most_us);
+  off_us = took_us - delay->mean_us;
   delay->observed_ms = now_ms;
   if (delay->count < WINDOW)
     delay->count++;
--- a/test/unit/test_cancel_age.c
+++ b/test/unit/test_cancel_age.c
@@ -115,6 +115,20 @@
   assert_int_equal (mux_delay_ms (&delay), 5);
 }
 
+/* Guards against a ranged value that takes up an expired mean: where all
+ * replies are held back, a hiccup would count for ever. */
+static void
+test_wait_for_a_change_does_not_keep_old_delays (void **state)
+{
+  MuxDelay delay = { .count = 0 };
+
+  (void) state;
+  for (int64_t i = 0; i < 20; i++)
+    mux_delay_add (&delay, i * STEP_MS, 900, 900);
+  mux_delay_add (&delay, 10000, -1000, 2000);
+  assert_int_equal (mux_delay_ms (&delay), 0);
+}
+
 int
 main (void)
 {
@@ -126,6 +140,7 @@
     cmocka_unit_test (test_single_slow_worker_is_no_delay),
     cmocka_unit_test (test_wait_for_a_change_is_no_delay),
     cmocka_unit_test (test_old_delays_are_forgotten),
+    cmocka_unit_test (test_wait_for_a_change_does_not_keep_old_delays),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
