start_gate: lost calls to workers count as the time they took

Cause: calls to workers that ended without a reply were left out of the delay of orders. With orders that take 1.5 s, longer than their time-out, and a feed that hangs, the estimate stayed at that of the calls that were answered, and steps of cancelled jobs were started too late. Change: once calls to two workers were lost within 3 s, orders count as taking no less than the longer one took, for 3 s. One worker that is down changes nothing. It is no sample of the mean: replies to other calls would lower it.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -195,6 +195,10 @@
  * @feed: delay of this feed's replies, beside the wait for changes
  * @feed_lost: its last call was
  * @order: delay of calls to workers, with their replies
+ * @lost_worker: hash of the worker whose call was lost last
+ * @lost_ms: when that was noticed; 0: never
+ * @orders_lost_ms: when calls to two workers were last found lost; 0: never
+ * @lost_order_ms: the longest that such a call took until then
  * @held: last state in the log: starts are held back
  * @held_since_ms: since when
  */
@@ -205,6 +209,10 @@
   MuxDelay feed;
   bool feed_lost;
   MuxDelay order;
+  uint64_t lost_worker;
+  int64_t lost_ms;
+  int64_t orders_lost_ms;
+  int64_t lost_order_ms;
   bool held;
   int64_t held_since_ms;
 } CellStartGate;
--- a/src/cell/start_gate.c
+++ b/src/cell/start_gate.c
@@ -25,6 +25,11 @@
  * short without saying so. */
 #define WHOLE_ROWS_MIN 16
 
+/* Calls lost at two workers within this time show that orders are slow; those
+ * of a single worker only that it may be down. As long as this they count, as
+ * the starts at an age of 3 s are held back in any case. */
+#define LOST_ORDERS_MS 3000
+
 void
 cell_start_gate_begin (MuxCell *cell)
 {
@@ -73,6 +78,31 @@
     cell->start_gate.feed_lost = true;
 }
 
+static bool
+is_recent (const MuxCell *cell, int64_t at_ms)
+{
+  return at_ms != 0 && cell->time.now_ms - at_ms <= LOST_ORDERS_MS;
+}
+
+/* A lost call took at least until its time-out. That is no sample for the mean,
+ * which the replies to other calls would lower again. */
+static void
+order_lost (MuxCell *cell, const CellPending *pending, int64_t took_ms)
+{
+  CellStartGate *gate = &cell->start_gate;
+  uint64_t worker = mux_hash_name (pending->worker, 0);
+
+  if (worker != gate->lost_worker && is_recent (cell, gate->lost_ms))
+    {
+      if (!is_recent (cell, gate->orders_lost_ms)
+          || took_ms > gate->lost_order_ms)
+        gate->lost_order_ms = took_ms;
+      gate->orders_lost_ms = cell->time.now_ms;
+    }
+  gate->lost_worker = worker;
+  gate->lost_ms = cell->time.now_ms;
+}
+
 void
 cell_start_gate_order (MuxCell *cell,
                        const CellPending *pending,
@@ -81,9 +111,13 @@
   int64_t took_ms = cell->time.processed_ms - pending->sent_ms;
 
   if (cell->role != CELL_PLANNING || pending->peer[0] != 0
-      || reply->status == MUX_CELL_UNKNOWN
       || reply->status == MUX_CELL_NOT_DONE)
     return;
+  if (reply->status == MUX_CELL_UNKNOWN)
+    {
+      order_lost (cell, pending, took_ms - pending->wait_ms);
+      return;
+    }
   mux_delay_add (&cell->start_gate.order, cell->time.now_ms,
                  took_ms - pending->wait_ms, took_ms);
 }
@@ -109,6 +143,18 @@
   return gate->feed_lost || delay_ms > most_ms ? most_ms : delay_ms;
 }
 
+static int64_t
+order_delay_ms (const MuxCell *cell)
+{
+  const CellStartGate *gate = &cell->start_gate;
+  int64_t delay_ms = mux_delay_ms (&gate->order);
+
+  return is_recent (cell, gate->orders_lost_ms)
+                 && gate->lost_order_ms > delay_ms
+             ? gate->lost_order_ms
+             : delay_ms;
+}
+
 static MuxCancelAge
 known (const MuxCell *cell)
 {
@@ -116,7 +162,7 @@
 
   return (MuxCancelAge){ .age_ms = cell->time.now_ms - gate->known_until_ms,
                          .feed_ms = feed_delay_ms (cell),
-                         .order_ms = mux_delay_ms (&gate->order) };
+                         .order_ms = order_delay_ms (cell) };
 }
 
 bool
--- a/test/unit/test_cell_cancel.c
+++ b/test/unit/test_cell_cancel.c
@@ -32,6 +32,9 @@
 #define LOST_CALL_MS 1600
 /* A new job has been stored and its workers recorded by then. */
 #define STARTED_MS 300
+/* Longer than a call to a worker may take, 700 ms. */
+#define SLOW_ORDER_MS 1500
+#define SLOW_JOBS 12
 /* Shorter than a stop without a reply takes to be repeated. */
 #define FULL_MS 400
 /* Of the store; today's planner places nothing from 3 s after the last reply of
@@ -193,6 +196,88 @@
     }
 }
 
+/*
+ * Orders reach all workers 1.5 s late, so that their calls end without a reply,
+ * and the feed hangs. Guards against a start whose order counts as being as
+ * quick as the calls that are answered.
+ */
+static void
+test_slow_orders_start_nothing_past_the_bound (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 2000; phase_ms += 250)
+    {
+      World *world = world_new (CELLS, WORKERS);
+      uint32_t planner = world_planner (world);
+      int64_t acked_ms[SLOW_JOBS];
+      char id[16];
+
+      world->task_ms = STEP_MS;
+      world->late_ms = SLOW_ORDER_MS;
+      world_skip_approval (world);
+      world_run (world, SETTLE_MS);
+      for (uint32_t i = 0; i < WORKERS; i++)
+        world->worker[i].fault = WORLD_LATE;
+      for (uint32_t i = 0; i < SLOW_JOBS; i++)
+        {
+          snprintf (id, sizeof id, "slow%u", i);
+          (void) world_submit (world, planner, world_job (STEPS, 1, 1000), id);
+          world_run (world, COMMIT_GAP_MS);
+        }
+      world_run (world, SETTLE_MS + phase_ms);
+      world->cell[planner].hanging_feeds = WORLD_FEED_BIT (MUX_TABLE_JOBS);
+      world_run (world, 50);
+      for (uint32_t i = 0; i < SLOW_JOBS; i++)
+        {
+          snprintf (id, sizeof id, "slow%u", i);
+          acked_ms[i] = cancel_acked_ms (world, other_than_planner (world), id);
+        }
+      world_run (world, CUT_MS);
+      for (uint32_t i = 0; i < SLOW_JOBS; i++)
+        {
+          snprintf (id, sizeof id, "slow%u", i);
+          assert_true (world_starts (world, id) > 0);
+          assert_true (last_start_ms (world, id) - acked_ms[i] < CANCEL_MS);
+        }
+      world_free (world);
+    }
+}
+
+/* Starts that are held in 8 phases of a feed's wait, with so many workers down
+ * and a feed that hangs for a time that holds none back by itself. */
+static uint32_t
+times_held (uint32_t workers_down)
+{
+  uint32_t held = 0;
+
+  for (int64_t phase_ms = 0; phase_ms < 2000; phase_ms += 250)
+    {
+      World *world = world_new (CELLS, WORKERS);
+
+      world_skip_approval (world);
+      world_run (world, SETTLE_MS);
+      for (uint32_t i = 0; i < workers_down; i++)
+        world->worker[i].unreachable = true;
+      world_run (world, SETTLE_MS + phase_ms);
+      world->cell[world_planner (world)].hanging_feeds
+          = WORLD_FEED_BIT (MUX_TABLE_JOBS);
+      world_run (world, SHORT_OUTAGE_MS);
+      held += world_logged (world, "starts_held");
+      world_free (world);
+    }
+  return held;
+}
+
+/* Guards against one dead worker that holds the starts at all others back. */
+static void
+test_dead_worker_holds_no_start_back (void **state)
+{
+  (void) state;
+  assert_int_equal (times_held (0), 0);
+  assert_int_equal (times_held (1), 0);
+  assert_true (times_held (WORKERS) > 0);
+}
+
 /* A planner that has acknowledged a cancel itself knows of it. */
 static void
 test_planners_own_cancel_needs_no_feed (void **state)
@@ -404,6 +489,8 @@
     cmocka_unit_test (
         test_planner_behind_with_its_feed_starts_nothing_past_the_bound),
     cmocka_unit_test (test_task_started_during_a_lost_call_is_stopped_in_time),
+    cmocka_unit_test (test_slow_orders_start_nothing_past_the_bound),
+    cmocka_unit_test (test_dead_worker_holds_no_start_back),
     cmocka_unit_test (test_planners_own_cancel_needs_no_feed),
     cmocka_unit_test (test_stop_is_sent_once_it_can_be),
     cmocka_unit_test (test_usual_day_holds_no_start_back),
