--- a/include/cell/handover_rules.h
+++ b/include/cell/handover_rules.h
@@ -53,8 +53,8 @@
 /**
  * struct MuxImpairmentSigns - signs of an impaired planner
  * @loop_ms: how long its events wait
- * @hello_ms: lower quartile of the round-trip times that the members report, which
- *   include the wait in the planner's event loop; 0: unknown
+ * @hello_ms: lower quartile of the round-trip times that the members report,
+ * which include the wait in the planner's event loop; 0: unknown
  * @reply_ms: mean latency of the replies to relayed calls; 0: unknown
  * @able: it meets the need of planning; one that doesn't is late by its load,
  *   as another one like it would be, so that its signs have to be stronger
