job_rows: a cancel with a bad key is reported once

Cause: cancels were read twice as whole rows, before the other rows of a reply and in their turn. A report is remembered, but only for 1,024 rows: a reply with more bad cancels counted each twice. Change: the first reading applies cancels only; the second reports. Result: 1,100 such rows counted 2,200 in rows_bad_key, now 1,100 (new test in test_cell_cancel); a single one counted once before, too.

--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -101,23 +101,41 @@
   return len > 0 && row->key[len - 1] == CANCEL_SUFFIX;
 }
 
+/* The id in the key of a job's row, or of its cancel's. */
+static void
+row_job_id (const MuxCellRow *row, char id[MUX_ROW_NAME_LEN])
+{
+  size_t len = strlen (row->key);
+
+  snprintf (id, MUX_ROW_NAME_LEN, "%.*s",
+            (int) (cell_row_is_cancel (row) ? len - 1 : len), row->key);
+}
+
 /* Stops must not wait until the other rows of the reply have been read, which
  * takes 50 ms for a thousand jobs. A cancel of a job that is read only now
- * counts when its own row's turn comes. */
+ * counts when its own row's turn comes, and a bad key is reported then. */
 void
 cell_cancels_apply (MuxCell *cell, const MuxCellReply *reply)
 {
+  char id[MUX_ROW_NAME_LEN];
+
+  if (cell->role != CELL_PLANNING)
+    return;
   for (uint32_t i = 0; i < reply->row_count; i++)
-    if (cell_row_is_cancel (&reply->row[i]) && !reply->row[i].removed
-        && cell->role == CELL_PLANNING)
-      cell_jobs_row (cell, &reply->row[i]);
+    {
+      const MuxCellRow *row = &reply->row[i];
+
+      if (!cell_row_is_cancel (row) || row->removed || row->part[0] == 0)
+        continue;
+      row_job_id (row, id);
+      if (is_in_place (cell, row, id))
+        cancel_row (cell, id);
+    }
 }
 
 void
 cell_jobs_row (MuxCell *cell, const MuxCellRow *row)
 {
-  bool is_cancel = cell_row_is_cancel (row);
-  size_t len = strlen (row->key);
   char id[MUX_ROW_NAME_LEN];
 
   if (row->part[0] == 0)
@@ -127,10 +145,10 @@
     }
   if (row->removed)
     return;
-  snprintf (id, sizeof id, "%.*s", (int) (is_cancel ? len - 1 : len), row->key);
+  row_job_id (row, id);
   if (!is_in_place (cell, row, id))
     cell_report_bad_row (cell, row, CELL_ROW_BAD_KEY, "key");
-  else if (is_cancel)
+  else if (cell_row_is_cancel (row))
     cancel_row (cell, id);
   else if (cell_job_find (cell, row->key) == NULL
            && !cell_job_ended_recently (cell, row->key))
--- a/test/unit/test_cell_cancel.c
+++ b/test/unit/test_cell_cancel.c
@@ -1,3 +1,4 @@
+#include "base/counters.h"
 #include "support/cell_world.h"
 #include "support/random.h"
 #include "support/test.h"
@@ -18,6 +19,8 @@
 #define STEP_MS 400
 #define CUT_MS 9000
 #define SEEDS 16
+/* More than are remembered as reported, 1,024. */
+#define BAD_CANCELS 1100
 #define RANDOM_JOBS 12
 #define RANDOM_ROUNDS 25
 /* A feed that is answered again shows the cancel within this time. */
@@ -386,6 +389,34 @@
       }
 }
 
+/* Guards against a row that counts twice because cancels are read before the
+ * other rows of a reply; only so many reported rows are remembered. */
+static void
+test_cancel_with_a_bad_key_counts_once (void **state)
+{
+  static const uint32_t counts[] = { 1, BAD_CANCELS };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof counts / sizeof *counts; i++)
+    {
+      World *world = world_new (1, WORKERS);
+
+      world_run (world, SETTLE_MS);
+      for (uint32_t row = 0; row < counts[i]; row++)
+        {
+          char key[16];
+
+          snprintf (key, sizeof key, "bad%u!", row);
+          world_put_row (world, MUX_TABLE_JOBS, "none", key, "{}");
+        }
+      world_run (world, SETTLE_MS);
+      assert_int_equal (
+          mux_counter_value (world->counters, MUX_COUNT_ROWS_BAD_KEY),
+          counts[i]);
+      world_free (world);
+    }
+}
+
 /* Breaks or mends one way by which the planner learns of cancels. */
 static void
 change_feed (World *world, uint32_t planner, MuxRandom *random)
@@ -495,6 +526,7 @@
     cmocka_unit_test (test_stop_is_sent_once_it_can_be),
     cmocka_unit_test (test_usual_day_holds_no_start_back),
     cmocka_unit_test (test_short_outage_holds_no_start_back),
+    cmocka_unit_test (test_cancel_with_a_bad_key_counts_once),
     cmocka_unit_test (test_random_faults_of_the_feed),
   };
 
