--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -132,6 +132,8 @@
     return "workers_unheard";
   if (!cell_room_is_current (cell))
     return "list";
+  if (!cell_starts_are_allowed (cell))
+    return "cancels";
   if (all_under_suspicion (cell, stage))
     return "crashes";
   if (cell_quota_tasks_allowed (cell, stage) < need)
--- a/test/unit/test_cell_cancel.c
+++ b/test/unit/test_cell_cancel.c
@@ -389,6 +389,22 @@
       }
 }
 
+/* Guards against a step whose wait is logged with another reason while starts
+ * are held back. */
+static void
+test_wait_for_held_starts_is_logged (void **state)
+{
+  World *world = world_with_long_chain ();
+
+  (void) state;
+  world->cell[world_planner (world)].hanging_feeds
+      = WORLD_FEED_BIT (MUX_TABLE_JOBS);
+  world_run (world, CUT_MS + SETTLE_MS);
+  assert_true (world->blocked_logged > 0);
+  assert_string_equal (world->blocked_on, "cancels");
+  world_free (world);
+}
+
 /* Guards against a row that counts twice because cancels are read before the
  * other rows of a reply; only so many reported rows are remembered. */
 static void
@@ -526,6 +542,7 @@
     cmocka_unit_test (test_stop_is_sent_once_it_can_be),
     cmocka_unit_test (test_usual_day_holds_no_start_back),
     cmocka_unit_test (test_short_outage_holds_no_start_back),
+    cmocka_unit_test (test_wait_for_held_starts_is_logged),
     cmocka_unit_test (test_cancel_with_a_bad_key_counts_once),
     cmocka_unit_test (test_random_faults_of_the_feed),
   };
