start_gate: lost calls to workers don't shorten the feed's wait

Cause: since lost calls count, two workers that are down behind proxies raise the delay of orders to 1 s, and the feed of jobs would wait for 250 ms only until they are back: the store charges for each call. Change: the wait follows the delay of the calls that are answered. No test shows the number of calls.

--- a/src/cell/start_gate.c
+++ b/src/cell/start_gate.c
@@ -185,8 +185,11 @@
 cell_jobs_feed_wait_ms (const MuxCell *cell, uint32_t usual_ms)
 {
   MuxCancelAge age = known (cell);
+  int64_t order_ms = mux_delay_ms (&cell->start_gate.order);
 
-  if (age.feed_ms + age.order_ms > SLOW_MS)
+  /* Not after lost calls: with two workers down the store would be asked four
+   * times a second until they are back. */
+  if (age.feed_ms + order_ms > SLOW_MS)
     usual_ms = SHORT_WAIT_MS;
   if (age.age_ms <= YOUNG_MS)
     return usual_ms;
