feed: the first lost call is logged even if it does not wait

Cause: the loss of a call without a wait was not logged, as such calls followed one that had failed. The feed of jobs now makes them in normal operation, too, after a reply with changes at the end of a wait; a hang from then on left no trace in the log. Change: not logged are calls sent while the store fails, full reads as before, and calls without a wait that follow a logged loss.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -147,8 +147,10 @@
  * @call_id: of the last call
  * @sent_ms: when it was sent
  * @wait_ms: how long its reply may wait for a change
+ * @logs_loss: its loss is logged: it reads changes, and was sent while the
+ * store did not fail
  * @known_until_ms: all changes made up to here are known; 0: none is
- * @lost: a call that waited for changes was lost and none was answered since
+ * @lost: the loss of a call was logged and none was answered since
  * @by_part: rows lie in the parts of the jobs; else in part ""
  * @part: part a full read is at
  * @from: first key of its next page
@@ -169,6 +171,7 @@
   uint64_t call_id;
   int64_t sent_ms;
   uint32_t wait_ms;
+  bool logs_loss;
   int64_t known_until_ms;
   bool lost;
   bool by_part;
--- a/src/cell/feed.c
+++ b/src/cell/feed.c
@@ -72,6 +72,8 @@
   feed->call_id = cell->next_call;
   feed->sent_ms = cell->time.now_ms;
   feed->wait_ms = call->wait_ms;
+  feed->logs_loss
+      = call->verb == MUX_CELL_FEED && cell->store_failing_since_ms == 0;
   feed->busy = cell_call (cell, call, &pending);
 }
 
@@ -112,8 +114,8 @@
 log_loss (MuxCell *cell, CellFeed *feed, const char *why)
 {
   cell_start_gate_feed_lost (cell, feed);
-  /* Calls without a wait follow one that failed or was lost. */
-  if (feed->wait_ms == 0)
+  /* Calls without a wait that follow a lost one are not logged again. */
+  if (!feed->logs_loss || (feed->wait_ms == 0 && feed->lost))
     return;
   feed->lost = feed->known_until_ms != 0;
   cell_log (cell, "feed_lost", "{s:s, s:s, s:I}", "feed", feed->name, "why",
--- a/test/unit/test_cell_cancel.c
+++ b/test/unit/test_cell_cancel.c
@@ -21,6 +21,8 @@
 #define SEEDS 16
 /* More than are remembered as reported, 1,024. */
 #define BAD_CANCELS 1100
+/* Of a planner; each loses a call. */
+#define FEEDS 4
 #define RANDOM_JOBS 12
 #define RANDOM_ROUNDS 25
 /* A feed that is answered again shows the cancel within this time. */
@@ -433,6 +435,28 @@
     }
 }
 
+/* Guards against a feed whose loss leaves no trace in the log, because its call
+ * follows a reply with changes and does not wait. */
+static void
+test_loss_of_a_call_without_a_wait_is_logged (void **state)
+{
+  (void) state;
+  for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 10)
+    {
+      World *world = world_new (1, WORKERS);
+
+      world_skip_approval (world);
+      world_run (world, SETTLE_MS + phase_ms);
+      (void) world_submit (world, 0, world_job (1, 1, 1000), "change");
+      /* The reply has arrived, and the next call is not sent yet. */
+      world_run (world, 25);
+      world->cell[0].store = WORLD_SILENT;
+      world_run (world, SHORT_OUTAGE_MS);
+      assert_int_equal (world_logged (world, "feed_lost"), FEEDS);
+      world_free (world);
+    }
+}
+
 /* Breaks or mends one way by which the planner learns of cancels. */
 static void
 change_feed (World *world, uint32_t planner, MuxRandom *random)
@@ -544,6 +568,7 @@
     cmocka_unit_test (test_short_outage_holds_no_start_back),
     cmocka_unit_test (test_wait_for_held_starts_is_logged),
     cmocka_unit_test (test_cancel_with_a_bad_key_counts_once),
+    cmocka_unit_test (test_loss_of_a_call_without_a_wait_is_logged),
     cmocka_unit_test (test_random_faults_of_the_feed),
   };
 
