ability.pml: operators at the ends of lines, as spin needs them

Cause: spin ends a statement at a line end, so that the model of handovers by ability was refused with a syntax error; it was written where spin was missing.

--- a/docs/design/ability.pml
+++ b/docs/design/ability.pml
@@ -145,10 +145,10 @@
        fi;
        if
        /* a planner hands over: any member may be better, for any reason */
-       :: d_step { term[d] != 0 && orders[d] && term[d] == claim && !waits[d]
-                   && ends[d] == 0 && claim < NT && s != d
-                   && (count[d] < 2 || !RATE) && count[d] < 4
-                   && ((from[d] & mark (s, reason)) == 0 || !EXCLUDE) ->
+       :: d_step { term[d] != 0 && orders[d] && term[d] == claim && !waits[d] &&
+                   ends[d] == 0 && claim < NT && s != d &&
+                   (count[d] < 2 || !RATE) && count[d] < 4 &&
+                   ((from[d] & mark (s, reason)) == 0 || !EXCLUDE) ->
             release (d); check () }
        /* the store carries the release out, or refuses it */
        :: d_step { ends[d] != 0 -> carry_out (d); check () }
