--- a/include/cell/share.h
+++ b/include/cell/share.h
@@ -86,12 +86,15 @@
  * struct MuxShares - state of all pools
  * @count: used entries of @share
  * @pool_count: used entries of @pool
+ * @outlier_factor: limits apply only while a workspace demands so many times
+ * the median by weight; 0: always
  * @overflow: more than MUX_SHARES_MAX pairs had demand: there are no limits
  */
 typedef struct
 {
   uint32_t count;
   uint32_t pool_count;
+  uint32_t outlier_factor;
   bool overflow;
   MuxShare share[MUX_SHARES_MAX];
   MuxSharePool pool[MUX_SHARE_POOLS_MAX];
--- a/src/adapter/peer_thread.c
+++ b/src/adapter/peer_thread.c
@@ -45,10 +45,11 @@
     [MUX_PEER_PROXY_REPLY] = MUX_TRAFFIC_PROXY_REPLY,
   };
 
+  bool is_other = verb < MUX_PEER_HELLO || verb >= MUX_PEER_VERB_COUNT;
+
   if (peer->counters != NULL)
     mux_count_message (peer->counters,
-                       verb < MUX_PEER_HELLO ? MUX_TRAFFIC_OTHER_PEER
-                                             : kind[verb],
+                       is_other ? MUX_TRAFFIC_OTHER_PEER : kind[verb],
                        direction, bytes);
 }
 
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -202,13 +202,40 @@
   return milli / weights;
 }
 
+static int
+by_value (const void *x, const void *y)
+{
+  const double *a = x;
+  const double *b = y;
+
+  return (*a > *b) - (*a < *b);
+}
+
+/* Whether a workspace demands a multiple of what the others do by weight.  In a
+ * burst of all of them limits would only put the small jobs of each behind its
+ * large ones. */
+static bool
+some_stands_out (const Claim *claim, uint32_t count, uint32_t factor)
+{
+  double demand[MUX_SHARES_MAX] = { 0 };
+
+  for (uint32_t i = 0; i < count; i++)
+    demand[i] = claim[i].demand / claim[i].weight;
+  qsort (demand, count, sizeof *demand, by_value);
+  return demand[count - 1] >= factor * demand[(count - 1) / 2];
+}
+
 static bool
-is_contended (const MuxSharePool *pool, const Claim *claim, uint32_t count)
+is_contended (const MuxSharePool *pool,
+              const Claim *claim,
+              uint32_t count,
+              uint32_t factor)
 {
   double demand = 0;
   double needed = (double) pool->pool_milli;
 
-  if (count < 2 || pool->free_milli * FREE_PARTS >= pool->pool_milli)
+  if (count < 2 || pool->free_milli * FREE_PARTS >= pool->pool_milli
+      || !some_stands_out (claim, count, factor))
     return false;
   for (uint32_t i = 0; i < count; i++)
     demand += claim[i].demand;
@@ -224,7 +251,9 @@
   uint32_t count = collect (shares, pool->service, claim);
   double unit;
 
-  pool->is_contended = !shares->overflow && is_contended (pool, claim, count);
+  pool->is_contended
+      = !shares->overflow
+        && is_contended (pool, claim, count, shares->outlier_factor);
   if (!pool->is_contended)
     return;
   unit = divide (claim, count, (double) (pool->pool_milli - pool->free_milli));
--- a/src/cell/worker_speed.c
+++ b/src/cell/worker_speed.c
@@ -273,7 +273,7 @@
 static double
 median (const double *value, uint32_t count)
 {
-  double sorted[MUX_STEP_RUNS_MAX];
+  double sorted[MUX_STEP_RUNS_MAX] = { 0 };
 
   for (uint32_t i = 0; i < count; i++)
     {
--- a/src/cell/workspace_shares.c
+++ b/src/cell/workspace_shares.c
@@ -12,6 +12,9 @@
  * were heard from, but for no longer than this, the predecessor's waits apply.
  */
 #define INHERITED_MS 3000
+/* Shares limit while a workspace demands so many times the median of all; in a
+ * burst of all alike they would only delay small jobs behind large ones. */
+#define OUTLIER_FACTOR 2
 #define LOG_INTERVAL_MS 1000
 /* Most workspaces logged at a time. */
 #define LOGGED_MAX 8
@@ -316,6 +319,7 @@
           && cell->time.now_ms - cell->planning_began_ms < INHERITED_MS))
     return;
   mux_shares_begin (&cell->shares);
+  cell->shares.outlier_factor = OUTLIER_FACTOR;
   count_workers (cell);
   cell_plan_order_visit (cell, count_waiting);
   mux_shares_set_limits (&cell->shares);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -882,8 +882,11 @@
 {
   MuxQueueConfig *config = change_config (world);
 
-  config = realloc (config, sizeof *config + count * sizeof *queue);
-  assert_non_null (config);
+  MuxQueueConfig *larger
+      = realloc (config, sizeof *config + count * sizeof *queue);
+
+  assert_non_null (larger);
+  config = larger;
   config->count = count;
   memcpy (config->item, queue, count * sizeof *queue);
   put_config (world, config);
--- a/test/unit/test_share.c
+++ b/test/unit/test_share.c
@@ -73,6 +73,27 @@
   free (shares);
 }
 
+/* Guards against limits in a burst of all workspaces, where they would put the
+ * small jobs of each behind its large ones. */
+static void
+test_burst_of_all_has_no_limits (void **state)
+{
+  MuxShares *shares = begin ();
+
+  (void) state;
+  shares->outlier_factor = 2;
+  add (shares, 1, 1000, 30000, 90000);
+  add (shares, 2, 1000, 30000, 110000);
+  add (shares, 3, 1000, 30000, 80000);
+  end (shares, 0);
+  assert_int_equal (limit (shares, 1), 0);
+  assert_int_equal (mux_shares_wait_ms (shares, POOL, 1, LEVEL), -1);
+  add (shares, 2, 1000, 0, 140000);
+  end (shares, 0);
+  assert_in_range (limit (shares, 2), 33332, 33334);
+  free (shares);
+}
+
 /* Guards against a share that lies idle as its workspace sends little. */
 static void
 test_what_one_does_not_demand_goes_to_the_others (void **state)
@@ -325,6 +346,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_limits_follow_the_weights),
+    cmocka_unit_test (test_burst_of_all_has_no_limits),
     cmocka_unit_test (test_what_one_does_not_demand_goes_to_the_others),
     cmocka_unit_test (test_workspace_without_weight_counts_as_the_mean),
     cmocka_unit_test (test_no_limits_without_contention),
--- a/test/unit/test_worker_speed.c
+++ b/test/unit/test_worker_speed.c
@@ -118,7 +118,7 @@
   {
     double took_ms;
     uint32_t worker;
-  } end[MUX_STEP_RUNS_MAX];
+  } end[MUX_STEP_RUNS_MAX] = { 0 };
 
   for (uint32_t i = 0; i < pool->tasks; i++)
     {
