--- a/src/cell/ability.c
+++ b/src/cell/ability.c
@@ -3,10 +3,9 @@
 #define MILLI 1000
 
 /*
- * Need of planning, fitted to two measured deployments: 0.08 of a core with 48
- * workers, and 0.5 of a core with 350 workers and 135 jobs per second, where
- * the planner's link carries some tens of Mbit/s.  The values are thousandths
- * of the need's unit.
+ * Need of planning: 0.08 of a core with 48 workers, and 0.5 of a core with 350
+ * workers and 135 jobs per second, where the planner's link carries some tens
+ * of Mbit/s (docs/CAPACITY.md).  The values are thousandths of the need's unit.
  */
 typedef struct
 {
