cell: CellSpeedGroup, for the workers of a pool or of one kind

Cause: CellSpeedPool and CellPoolSpeed stood side by side, one of the estimate and one of placing, and a reader took one for the other. Change: the one of the estimate, which also stands for a kind in a pool, is CellSpeedGroup. Result: a rename only; test_cell_worker_speed and test_cell_speed_rows pass.

--- a/src/cell/speed_types.h
+++ b/src/cell/speed_types.h
@@ -11,7 +11,7 @@
 #define CELL_SPEED_POOLS_MAX 32
 
 /**
- * struct CellSpeedPool - the workers of a pool, or of one kind in it
+ * struct CellSpeedGroup - the workers of a pool, or of one kind in it
  * @service: hash of the pool
  * @kind: hash of the kind's name; 0: all workers of the pool
  * @differ: their speeds differ significantly
@@ -29,7 +29,7 @@
   uint32_t known;
   double sum;
   double prior_log;
-} CellSpeedPool;
+} CellSpeedGroup;
 
 /* Rows that the speeds of all workers are stored in: of 5,400 workers each
  * holds 27 KB. */
@@ -72,14 +72,14 @@
 /**
  * struct CellSpeeds - state of the estimate; embedded in MuxCell
  * @pool_count: used entries of @pool
- * @pool: see struct CellSpeedPool
+ * @pool: see struct CellSpeedGroup
  * @rows: the stored speeds
  * @updated_ms: when speeds were last published; 0: not in this term
  */
 typedef struct
 {
   uint32_t pool_count;
-  CellSpeedPool pool[CELL_SPEED_POOLS_MAX];
+  CellSpeedGroup pool[CELL_SPEED_POOLS_MAX];
   CellSpeedRows rows;
   int64_t updated_ms;
 } CellSpeeds;
--- a/src/cell/worker_speed_learn.c
+++ b/src/cell/worker_speed_learn.c
@@ -47,10 +47,10 @@
 }
 
 /* Return: NULL if there are too many. */
-static CellSpeedPool *
+static CellSpeedGroup *
 pool_find (CellSpeeds *speeds, uint64_t service, uint64_t kind)
 {
-  CellSpeedPool *pool;
+  CellSpeedGroup *pool;
 
   for (uint32_t i = 0; i < speeds->pool_count; i++)
     if (speeds->pool[i].service == service && speeds->pool[i].kind == kind)
@@ -58,11 +58,11 @@
   if (speeds->pool_count == CELL_SPEED_POOLS_MAX)
     return NULL;
   pool = &speeds->pool[speeds->pool_count++];
-  *pool = (CellSpeedPool){ .service = service, .kind = kind };
+  *pool = (CellSpeedGroup){ .service = service, .kind = kind };
   return pool;
 }
 
-static CellSpeedPool *
+static CellSpeedGroup *
 pool_of (MuxCell *cell, const CellWorker *worker)
 {
   return pool_find (&cell->speeds, worker->service, 0);
@@ -71,12 +71,12 @@
 bool
 cell_speeds_differ (MuxCell *cell, const CellWorker *worker)
 {
-  const CellSpeedPool *pool = pool_of (cell, worker);
+  const CellSpeedGroup *pool = pool_of (cell, worker);
 
   return pool != NULL && pool->differ;
 }
 
-static CellSpeedPool *
+static CellSpeedGroup *
 kind_of (MuxCell *cell, const CellWorker *worker)
 {
   return pool_find (&cell->speeds, worker->service,
@@ -86,7 +86,7 @@
 static double
 prior_of (MuxCell *cell, const CellWorker *worker)
 {
-  const CellSpeedPool *kind = kind_of (cell, worker);
+  const CellSpeedGroup *kind = kind_of (cell, worker);
 
   return kind != NULL ? kind->prior_log : 0;
 }
@@ -282,7 +282,7 @@
 }
 
 static void
-count_worker (CellSpeedPool *pool, const CellWorker *worker)
+count_worker (CellSpeedGroup *pool, const CellWorker *worker)
 {
   if (pool == NULL)
     return;
@@ -326,15 +326,15 @@
 
   HASH_ITER (hh, cell->workers, worker, next)
   {
-    const CellSpeedPool *pool = pool_of (cell, worker);
+    const CellSpeedGroup *pool = pool_of (cell, worker);
 
     if (pool != NULL && pool->count > 0 && worker->speed.variance > 0)
       worker->speed.mean -= log (pool->sum / pool->count);
   }
   for (uint32_t i = 0; i < cell->speeds.pool_count; i++)
     {
-      CellSpeedPool *kind = &cell->speeds.pool[i];
-      const CellSpeedPool *pool = pool_find (&cell->speeds, kind->service, 0);
+      CellSpeedGroup *kind = &cell->speeds.pool[i];
+      const CellSpeedGroup *pool = pool_find (&cell->speeds, kind->service, 0);
 
       kind->prior_log
           = kind->kind != 0 && kind->count > 0 && pool != NULL && pool->differ
@@ -345,7 +345,7 @@
 
 /* Return: number of known speeds of the pool, which are put into @speed. */
 static uint32_t
-collect (MuxCell *cell, const CellSpeedPool *pool, MuxWorkerSpeed *speed)
+collect (MuxCell *cell, const CellSpeedGroup *pool, MuxWorkerSpeed *speed)
 {
   CellWorker *worker;
   CellWorker *next;
@@ -360,7 +360,7 @@
 
 static void
 compare_workers (MuxCell *cell,
-                 CellSpeedPool *pool,
+                 CellSpeedGroup *pool,
                  MuxWorkerSpeed *speed,
                  double *scratch)
 {
