cell: stored speeds stay in range; a job without slack is not refused unasked

Cause: found in review. A restored variance above the prior was written as one that the next reader rejects with its row; rows read before a failed page were searched unsorted; a negative slack in a contended pool refused a job that need not wait as backlog. Three comments told what was once observed. Change: the variance ends at MUX_SPEED_VARIANCE_MAX, entries are sorted with each page, slack counts from zero, and the comments give the reason alone.

--- a/include/cell/cancel_age.h
+++ b/include/cell/cancel_age.h
@@ -9,9 +9,7 @@
  *
  * Addresses the planner behind a saturated link or with an overloaded
  * processor: it learns of a cancel seconds after another daemon acknowledged
- * it, and a start that it sends takes as long to reach its worker. One was
- * observed to start a task 3.8 s after the cancel, too late to stop it within
- * the bound.
+ * it, and a start that it sends takes as long to reach its worker.
  *
  * A cancel that the planner does not know of was committed at most the age of
  * its knowledge ago. The next reply of the feed shows it after the feed's
--- a/include/cell/worker_speed.h
+++ b/include/cell/worker_speed.h
@@ -40,6 +40,8 @@
 } MuxWorkerSpeed;
 
 #define MUX_SPEED_RUNS_MAX 250
+/* Variance of a worker that was not observed, the largest there is. */
+#define MUX_SPEED_VARIANCE_MAX 0.25
 
 /**
  * struct MuxSpeedSample - one observation of a worker
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -430,6 +430,9 @@
   job.jitter_seed = mux_hash_name (spec->id, cell->claim.version);
   if (shares_wait_ms < 0)
     return mux_admission_retry_ms (&cell->admission, &job);
+  /* Without any slack a job that need not wait is accepted all the same. */
+  if (job.slack_ms < 0)
+    job.slack_ms = 0;
   return mux_shares_retry_ms (
       shares_wait_ms, mux_admission_acceptable_ms (&job), job.jitter_seed);
 }
--- a/src/cell/cancel_age.c
+++ b/src/cell/cancel_age.c
@@ -12,7 +12,7 @@
  * through a proxy some 30 ms. */
 #define FEED_MIN_MS 100
 #define ORDER_MIN_MS 50
-/* Kept free for what is not measured: steps of the event loop, clock drift and
+/* Kept free for what is not known: steps of the event loop, clock drift and
  * delays that grow until the stop. While the store is silent a feed's reply is
  * expected within 600 ms: starts are held back from an age of 3,050 ms on, no
  * sooner than all placing stops for want of the list of workers, at 3 s. */
--- a/src/cell/late.c
+++ b/src/cell/late.c
@@ -19,8 +19,7 @@
 /* is not used below this many, */
 #define LATENCY_SAMPLES_MIN 8
 /* and after this long and the mean without a reply: calls of one moment that
- * wait for a second are answered together, as late as the last ones. Without
- * the mean all 120 workers of a planner 1.1 s late to read were lost. */
+ * wait for a second are answered together, as late as the last ones. */
 #define LATENCY_EXPIRY_MS 1500
 #define US_PER_MS 1000
 
--- a/src/cell/worker_speed.c
+++ b/src/cell/worker_speed.c
@@ -7,7 +7,7 @@
 
 /* Variance of the speed of a worker that was not observed: a standard deviation
  * of 0.5 covers two classes with a ratio of 2.4. */
-#define PRIOR_VARIANCE 0.25
+#define PRIOR_VARIANCE MUX_SPEED_VARIANCE_MAX
 /* Growth of the variance with each run: with a variance of 0.08 of one
  * observation, half of the weight is on the last 20 runs. */
 #define RUN_VARIANCE 1e-4
--- a/src/cell/worker_speed_rows.c
+++ b/src/cell/worker_speed_rows.c
@@ -150,6 +150,9 @@
   (void) pending;
   rows->busy = false;
   rows->next_ms = cell->time.now_ms + READ_RETRY_MS;
+  /* A lookup may follow even if a later page can't be read. */
+  if (rows->stored_count > 0)
+    qsort (rows->stored, rows->stored_count, sizeof *rows->stored, compare);
   if (reply->status != MUX_CELL_OK)
     {
       cell_log (cell, "speeds_not_read", "{s:s, s:i}", "status",
@@ -199,7 +202,8 @@
   if (found == NULL || found->speed.runs <= worker->speed.runs)
     return;
   worker->speed = found->speed;
-  worker->speed.variance += STORED_VARIANCE;
+  worker->speed.variance
+      = fmin (found->speed.variance + STORED_VARIANCE, MUX_SPEED_VARIANCE_MAX);
   worker->speed_stored = true;
   worker->stored_speed = found->speed;
 }
