--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -81,24 +81,6 @@
                / cell_pool_fastest_milli (cell, service);
 }
 
-uint32_t
-cell_job_chain_length (const MuxJobSpec *spec)
-{
-  uint32_t length[MUX_STEPS_MAX] = { 0 };
-  uint32_t longest = 1;
-
-  for (uint32_t i = 0; i < spec->step_count; i++)
-    {
-      for (uint32_t j = 0; j < i; j++)
-        if ((spec->step[i].after >> j & 1) != 0 && length[j] > length[i])
-          length[i] = length[j];
-      length[i]++;
-      if (length[i] > longest)
-        longest = length[i];
-    }
-  return longest;
-}
-
 static void
 set_deadlines (MuxCell *cell, CellJob *job)
 {
