--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -14,7 +14,8 @@
 Store *store_new (void);
 const char *store_addr (const Store *store);
 /** store_put() - write a row as the operator or a worker does; takes @value */
-void store_put (Store *store, const char *table, const char *key, json_t *value);
+void
+store_put (Store *store, const char *table, const char *key, json_t *value);
 void store_remove (Store *store, const char *table, const char *key);
 /** store_claim_holder() - name in the claim; "" when there is none */
 void store_claim_holder (Store *store, char *name, size_t cap);
