cell: a commit that the store rejects is narrowed down to one job

Nothing in the log said that a commit was rejected.

Cause: commit_done() took a rejection like a failure of the store and sent the same commit every 100 ms, with the other jobs of the part in it. Submissions did the same for the jobs of one commit until their callers were refused; a job of many steps, with its candidate workers in the row, or many jobs of 40 KB in one call of 1 MB, were enough for that.

Now a rejection is logged with table, size and the store's words, one line a second at most, and counted (commits_rejected_total). The number of jobs of the next commit is halved until the store accepts one or a single job is left. That one goes behind the others and is tried again alone; after a third rejection, each followed by a commit that the store took, it is failed as not_storable, since it would otherwise hold back the acknowledgements of its part and never end. The commit in between holds the fence alone: a store that rejects everything fails no job. For submissions the single job is answered 503, the others are stored. A call stays below 960,000 bytes, and candidates that make a row too large are left out of it.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -75,6 +75,10 @@
   X (STARTS_BESIDE, "starts_beside_total",                                     \
      "starts of such kinds beside the other kind")                             \
   X (RUNS_STOPPED, "runs_stopped_total", "runs that ended on our order")       \
+  X (COMMITS_REJECTED, "commits_rejected_total",                               \
+     "commits that the store rejected as malformed or too large")              \
+  X (JOBS_NOT_STORABLE, "jobs_not_storable_total",                             \
+     "jobs given up as the store rejects their changes")                       \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
   X (ROWS_BAD_VALUE, "rows_bad_value_total",                                   \
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -18,6 +18,8 @@
  * room for a character appended to a key, to go on scanning behind it, and
  * for the closing NUL. */
 #define MUX_ROW_NAME_LEN 204
+/* Bytes of the reason of a rejection with its closing NUL. */
+#define MUX_REASON_LEN 96
 /* Key of the row of MUX_TABLE_CONFIG that holds the configuration. */
 #define MUX_CONFIG_KEY "config"
 /* Bytes of a checkpoint's name or an approval's proof with its closing NUL. */
@@ -284,6 +286,8 @@
  * @verb: of the call
  * @call_id: of the call
  * @status: see enum MuxCellStatus
+ * @rejection: COMMIT with BAD_REQUEST: what the store says of it, for the log;
+ *   printable ASCII
  * @version: COMMIT: of the rows written; SCAN, FEED: the newest in the store
  * @store_clock_ms: the store's monotonic clock; 0: not given
  * @more: SCAN: there are more rows behind the last one
@@ -304,6 +308,7 @@
   MuxCellVerb verb;
   uint64_t call_id;
   MuxCellStatus status;
+  char rejection[MUX_REASON_LEN];
   uint64_t version;
   int64_t store_clock_ms;
   bool more;
--- a/src/cell/bad_row.c
+++ b/src/cell/bad_row.c
@@ -70,8 +70,8 @@
   return true;
 }
 
-static const char *
-table_name (MuxCellTable table)
+const char *
+cell_table_name (MuxCellTable table)
 {
   static const char *const names[MUX_TABLE_COUNT] = {
     [MUX_TABLE_JOBS] = "jobs",     [MUX_TABLE_PROGRESS] = "progress",
@@ -99,8 +99,8 @@
     return;
   mux_count (cell->options.counters, counters[fault], 1);
   cell_log (cell, "row_unreadable", "{s:s, s:s, s:s, s:s, s:I}", "table",
-            table_name (row->table), "part", row->part, "key", row->key, "what",
-            what, "version", (json_int_t) row->version);
+            cell_table_name (row->table), "part", row->part, "key", row->key,
+            "what", what, "version", (json_int_t) row->version);
 }
 
 json_t *
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -10,6 +10,8 @@
 /* The store counts as unavailable once all calls have failed for this long,
  * three short attempts: callers are then refused at once instead of waiting. */
 #define STORE_UNAVAILABLE_MS 400
+/* Between two log lines about rejected commits. */
+#define REJECTION_LOG_MS 1000
 
 static void
 count_call (MuxCell *cell, MuxCellVerb verb)
@@ -27,6 +29,58 @@
   mux_count (cell->options.counters, counter[verb], 1);
 }
 
+/* Bytes of an entry of a commit beside its part, key and value. */
+#define ENTRY_BYTES 96
+/* Base64 takes four bytes for three. */
+#define BASE64_BYTES(len) (((len) + 2) / 3 * 4)
+
+size_t
+cell_commit_bytes (const MuxCellCall *call)
+{
+  size_t bytes = ENTRY_BYTES;
+
+  for (uint32_t i = 0; i < call->change_count; i++)
+    {
+      const MuxCellChange *change = &call->change[i];
+
+      bytes += ENTRY_BYTES + strlen (call->part) + strlen (change->key);
+      if (change->value != NULL)
+        bytes += BASE64_BYTES (change->value->len);
+    }
+  return bytes;
+}
+
+static void
+describe_commit (CellPending *entry, const MuxCellCall *call)
+{
+  uint32_t i = 0;
+
+  while (i + 1 < call->change_count
+         && (call->change[i].kind == MUX_CHANGE_EXPECT
+             || call->change[i].table == MUX_TABLE_FENCE))
+    i++;
+  if (call->change_count > 0)
+    entry->table = call->change[i].table;
+  entry->change_count = call->change_count;
+  entry->bytes = cell_commit_bytes (call);
+}
+
+/* One line a second at most: a commit may be repeated at once. */
+static void
+report_rejection (MuxCell *cell,
+                  const CellPending *entry,
+                  const MuxCellReply *reply)
+{
+  mux_count (cell->options.counters, MUX_COUNT_COMMITS_REJECTED, 1);
+  if (cell->time.now_ms < cell->next_rejection_log_ms)
+    return;
+  cell->next_rejection_log_ms = cell->time.now_ms + REJECTION_LOG_MS;
+  cell_log (cell, "commit_rejected", "{s:s, s:i, s:I, s:s}", "table",
+            cell_table_name (entry->table), "entries",
+            (int) entry->change_count, "bytes", (json_int_t) entry->bytes,
+            "why", reply->rejection);
+}
+
 CellPending *
 cell_pending_add (MuxCell *cell, const CellPending *pending)
 {
@@ -55,6 +109,8 @@
       return false;
     }
   call->call_id = entry->call_id;
+  if (call->verb == MUX_CELL_COMMIT)
+    describe_commit (entry, call);
   count_call (cell, call->verb);
   if (cell->options.sink->call (cell->options.sink, call))
     return true;
@@ -212,6 +268,9 @@
       HASH_DEL (cell->pending, entry);
       update_store_clock (cell, entry, reply);
       record_duration (cell, entry, reply);
+      if (reply->verb == MUX_CELL_COMMIT
+          && reply->status == MUX_CELL_BAD_REQUEST)
+        report_rejection (cell, entry, reply);
       /* A reply that belongs to an earlier term refers to state that is gone.
        */
       cell->reply_clock_ms = reply->store_clock_ms;
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -48,6 +48,8 @@
  * Return: NULL if out of memory. */
 MuxBlob *cell_blob_from_json (json_t *json);
 json_t *cell_json_from_blob (const MuxBlob *blob);
+/** cell_commit_bytes() - upper bound of the size of a commit as it is sent */
+size_t cell_commit_bytes (const MuxCellCall *call);
 void cell_log (MuxCell *cell, const char *event, const char *format, ...);
 
 /* proxy.c: calls to workers made by other daemons for the planner */
@@ -85,6 +87,8 @@
   CELL_ROW_BAD_FIELD, /* a field is missing, of another type or out of range */
 } CellRowFault;
 
+/** cell_table_name() - for the log */
+const char *cell_table_name (MuxCellTable table);
 /** cell_report_bad_row() - logs and counts a row that is ignored, once per
  * version of it
  * @what: name of the field or part of the row that is wrong */
@@ -548,11 +552,13 @@
 /** cell_unreadable_load_row() - takes a row that the takeover reads
  * Return: false: it is not a row of ends. */
 bool cell_unreadable_load_row (MuxCell *cell, const MuxCellRow *row);
-/** cell_unreadable_add_rows() - adds rows of ends to a commit of the part
+/** cell_unreadable_add_rows() - adds rows of ends to a commit of the part, and
+ * their number to @items
  * Return: false: some did not fit. */
 bool cell_unreadable_add_rows (MuxCell *cell,
                                const CellPart *part,
-                               MuxCellCall *call);
+                               MuxCellCall *call,
+                               uint32_t *items);
 /** cell_unreadable_committed() - that commit is done; @stored: it succeeded */
 void cell_unreadable_committed (MuxCell *cell, CellPart *part, bool stored);
 void cell_unreadable_tick (MuxCell *cell);
@@ -654,6 +660,17 @@
  * known */
 void cell_progress_row (MuxCell *cell, const MuxCellRow *row);
 
+/* rejection.c: commits of progress that the store rejects */
+/** cell_commit_items_max() - how many jobs and rows of unreadable jobs the next
+ * commit of a part may hold; 0: the fence alone */
+uint32_t cell_commit_items_max (const CellPart *part);
+/** cell_commit_rejected() - the store rejected the part's commit; to be called
+ * before CellJob.in_commit is reset */
+void
+cell_commit_rejected (MuxCell *cell, CellPart *part, const MuxCellReply *reply);
+/** cell_commit_accepted() - the store made the changes of the part's commit */
+void cell_commit_accepted (MuxCell *cell, CellPart *part);
+
 /* progress.c: commits of progress */
 void cell_progress_tick (MuxCell *cell);
 /** cell_stored_seq() - all changes up to this number are stored */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -37,6 +37,13 @@
 #define CELL_COMMIT_CHANGES_MAX 100
 /* Of these, rows with the ends of unreadable jobs. */
 #define CELL_UNREADABLE_ROWS_MAX 2
+/* Jobs of one commit of progress. */
+#define CELL_COMMIT_ITEMS_MAX 24
+/* Size of one commit as sent; the store's limit is 1 MB. */
+#define CELL_COMMIT_BYTES_MAX 960000
+/* Size of a row, as the store counts it, and as sent in base64. */
+#define CELL_ROW_BYTES_MAX 65536
+#define CELL_ROW_SENT_BYTES_MAX 88000
 /* Jobs of one commit: a job takes three of its 100 entries. */
 #define CELL_COMMIT_JOBS_MAX 30
 /* A commit, scan or worker call without a reply for this long counts as lost. A
@@ -103,6 +110,9 @@
  * @task: START, STOP: the task meant
  * @run: START, STOP: its run
  * @verb: of the call
+ * @table: COMMIT: of its first change
+ * @change_count: COMMIT: number of its entries
+ * @bytes: COMMIT: upper bound of its size as sent
  * @wait_ms: RENEW: how long the worker may hold its reply back
  * @overdue_ms: proxied calls: the call counts as lost from this moment; 0: the
  *   call's port ends it
@@ -121,6 +131,9 @@
   MuxTaskRef task;
   uint32_t run;
   MuxCellVerb verb;
+  MuxCellTable table;
+  uint32_t change_count;
+  size_t bytes;
   uint32_t wait_ms;
   int64_t overdue_ms;
   char peer[MUX_NAME_LEN];
@@ -957,6 +970,8 @@
  * @in_loss_list: in MuxCell.loss_jobs
  * @counted_waiting: counted in its queue's CellQueueCount
  * @in_commit: in the outstanding commit of its part
+ * @rejections: how often the store rejected a commit of its changes alone
+ * @not_storable: its changes are not committed until it has ended
  * @end_stored: its end is stored
  * @dirty_again: it changed after the outstanding commit was made
  * @progress_stored: it has a progress row
@@ -993,6 +1008,8 @@
   bool in_loss_list;
   bool counted_waiting;
   bool in_commit;
+  uint32_t rejections;
+  bool not_storable;
   bool end_stored;
   bool dirty_again;
   bool progress_stored;
@@ -1267,6 +1284,10 @@
  * @commit_now: commit without waiting for more changes
  * @committing: a commit of progress is outstanding
  * @commit_sent_ms: when it was sent
+ * @commit_items: jobs, and rows of unreadable jobs, in that commit
+ * @commit_narrowed: how often the number of these was halved after a rejection
+ * @commit_probe: the next commit holds the fence alone, to tell whether the
+ *   store accepts any commit
  * @commit_seq: unused
  * @stored_seq: changes up to this number are stored, see MuxCell.change_seq
  * @load_table: table the takeover reads next; MUX_TABLE_COUNT: all are read
@@ -1276,6 +1297,8 @@
  * @submissions: list of jobs to store; owned
  * @submitting: a commit of these is outstanding
  * @submit_sent_ms: when it was sent
+ * @submit_jobs: jobs in that commit
+ * @submit_jobs_max: jobs of the next one, after a rejection; 0: as usual
  * @submit_took_ms: how long the last answered one took
  * @next_submit_ms: no such commit before this
  */
@@ -1295,6 +1318,9 @@
   bool commit_now;
   bool committing;
   int64_t commit_sent_ms;
+  uint32_t commit_items;
+  uint32_t commit_narrowed;
+  bool commit_probe;
   uint64_t commit_seq;
   uint64_t stored_seq;
   MuxCellTable load_table;
@@ -1304,6 +1330,8 @@
   CellSubmission *submissions;
   bool submitting;
   int64_t submit_sent_ms;
+  uint32_t submit_jobs;
+  uint32_t submit_jobs_max;
   int64_t submit_took_ms;
   int64_t next_submit_ms;
 } CellPart;
@@ -1370,6 +1398,7 @@
   int64_t store_failing_since_ms; /* first failure since then; 0: none */
   int64_t commit_took_ms;         /* duration of the last commit of any part */
   int64_t store_changed_ms;       /* when it last began to fail, or to serve */
+  int64_t next_rejection_log_ms;
 
   /* The claim. */
   CellClaim claim;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -21,6 +21,8 @@
       part->dirty = NULL;
       part->unreadable_dirty = 0;
       part->committing = false;
+      part->commit_narrowed = 0;
+      part->commit_probe = false;
       part->stored_seq = 0;
       part->commit_seq = 0;
       part->load_table = MUX_TABLE_JOBS;
--- a/src/cell/named_workers.c
+++ b/src/cell/named_workers.c
@@ -56,11 +56,14 @@
   return true;
 }
 
+/* Return: NULL: no worker is named, the row would be too large, or out of
+ * memory. */
 static MuxBlob *
 row_of (MuxCell *cell, CellJob *draft)
 {
   MuxJobSpec *spec = draft->spec;
   uint32_t named = 0;
+  MuxBlob *row;
 
   for (uint32_t i = 0; i < spec->step_count; i++)
     {
@@ -70,7 +73,11 @@
         return NULL;
       named += spec->step[i].named_count;
     }
-  return named > 0 ? cell_blob_from_json (mux_job_to_json (spec)) : NULL;
+  row = named > 0 ? cell_blob_from_json (mux_job_to_json (spec)) : NULL;
+  if (row == NULL || row->len <= CELL_ROW_BYTES_MAX)
+    return row;
+  mux_blob_unref (row);
+  return NULL;
 }
 
 MuxBlob *
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -11,11 +11,12 @@
 #define COMMIT_WINDOW_MS 30
 /* After a commit that failed. */
 #define RETRY_MS 100
-/* Jobs of one commit, and entries for them: an ended job takes four or five,
- * beside the two of the fence; two entries are left for unreadable jobs. */
-#define COMMIT_JOBS_MAX 24
+/* Entries of one commit for jobs: an ended job takes four or five, beside the
+ * two of the fence; two entries are left for unreadable jobs. */
 #define JOB_CHANGES_MAX (CELL_COMMIT_CHANGES_MAX - CELL_UNREADABLE_ROWS_MAX)
 #define CHANGES_PER_JOB 5
+#define JOB_BYTES_MAX \
+  (CELL_COMMIT_BYTES_MAX - CELL_UNREADABLE_ROWS_MAX * CELL_ROW_SENT_BYTES_MAX)
 
 uint64_t
 cell_stored_seq (const MuxCell *cell)
@@ -46,6 +47,7 @@
       if (!job->in_commit)
         continue;
       job->in_commit = false;
+      job->rejections = 0;
       job->progress_stored = true;
       job->unreadable_ends_stored = false;
       if (job->dirty_again)
@@ -105,11 +107,14 @@
       part->stored_seq = pending->context;
       mark_stored (cell, part);
       cell_unreadable_committed (cell, part, true);
+      cell_commit_accepted (cell, part);
       part->dirty_since_ms = cell->time.now_ms;
       return;
     }
-  mark_not_stored (cell, part);
   part->next_commit_ms = cell->time.now_ms + RETRY_MS;
+  if (reply->status == MUX_CELL_BAD_REQUEST)
+    cell_commit_rejected (cell, part, reply);
+  mark_not_stored (cell, part);
   if (reply->status == MUX_CELL_UNKNOWN || reply->status == MUX_CELL_CONFLICT)
     part->fence_version_unknown = true;
   if (reply->status == MUX_CELL_CONFLICT)
@@ -159,6 +164,53 @@
       = cell_blob_from_json (end_json (cell, job));
 }
 
+/* Whether the job's changes may be part of a commit with @jobs jobs before it.
+ * A job whose changes were rejected is committed alone. */
+static bool
+fits (const MuxCellCall *call, uint32_t jobs, const CellJob *job)
+{
+  return call->change_count + CHANGES_PER_JOB <= JOB_CHANGES_MAX
+         && (jobs == 0 || job->rejections == 0)
+         && cell_commit_bytes (call) + CELL_ROW_SENT_BYTES_MAX <= JOB_BYTES_MAX;
+}
+
+/* Return: whether all jobs with something to store are in the commit. */
+static bool
+add_jobs (MuxCell *cell, CellPart *part, MuxCellCall *call)
+{
+  uint32_t max = cell_commit_items_max (part);
+  bool complete = true;
+  CellJob *job;
+
+  DL_FOREACH2 (part->dirty, job, dirty_next)
+  {
+    if (job->not_storable && !job->ended)
+      complete = false;
+    else if (part->commit_items >= max || !fits (call, part->commit_items, job))
+      return false;
+    else
+      {
+        add_job (cell, call, job);
+        part->commit_items++;
+        if (job->rejections > 0)
+          return job->dirty_next == NULL && complete;
+      }
+  }
+  return complete;
+}
+
+/* While commits are narrowed down the rows wait for the jobs. */
+static bool
+add_unreadable_rows (MuxCell *cell, CellPart *part, MuxCellCall *call)
+{
+  if (part->unreadable_dirty == 0)
+    return true;
+  if (part->commit_probe
+      || (part->commit_narrowed > 0 && part->commit_items > 0))
+    return false;
+  return cell_unreadable_add_rows (cell, part, call, &part->commit_items);
+}
+
 static void
 commit (MuxCell *cell, CellPart *part)
 {
@@ -167,26 +219,22 @@
                           .term = cell->term,
                           .part = (uint32_t) (part - cell->part),
                           .context = cell->change_seq };
-  uint32_t jobs = 0;
   bool complete;
-  CellJob *job;
 
   if (call == NULL)
     return;
   part->commit_now = false;
   part->commit_sent_ms = cell->time.now_ms;
   cell_fence_add (cell, part, call);
-  for (job = part->dirty; job != NULL; job = job->dirty_next)
-    {
-      if (jobs++ == COMMIT_JOBS_MAX
-          || call->change_count + CHANGES_PER_JOB > JOB_CHANGES_MAX)
-        break;
-      add_job (cell, call, job);
-    }
-  complete = cell_unreadable_add_rows (cell, part, call) && job == NULL;
+  part->commit_items = 0;
+  complete = add_jobs (cell, part, call);
+  complete = add_unreadable_rows (cell, part, call) && complete;
   if (!complete)
     pending.context = part->stored_seq;
-  part->committing = cell_call (cell, call, &pending);
+  if (part->commit_items > 0 || part->commit_probe)
+    part->committing = cell_call (cell, call, &pending);
+  else
+    mux_cell_call_free (call);
   if (part->committing)
     return;
   mark_not_stored (cell, part);
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -270,6 +270,29 @@
   cell_job_add_committed (cell, submission->sent_value, version);
 }
 
+/* The store rejected a commit of the job alone.  An earlier one that went
+ * unanswered may have stored it. */
+static void
+end_rejected (MuxCell *cell, CellPart *part, CellSubmission *submission)
+{
+  cell_submission_end (cell, part, submission,
+                       submission->outcome_unknown ? MUX_RESPONSE_UNKNOWN
+                                                   : MUX_RESPONSE_REFUSED,
+                       "rejected");
+}
+
+/* A rejected commit is narrowed down to the job it fails for. */
+static void
+limit_next_commit (CellPart *part, MuxCellStatus status)
+{
+  if (status == MUX_CELL_BAD_REQUEST && part->submit_jobs > 1)
+    part->submit_jobs_max = part->submit_jobs / 2;
+  else if (status == MUX_CELL_OK)
+    part->submit_jobs_max = part->submit_jobs_max * 2;
+  if (part->submit_jobs_max >= CELL_COMMIT_JOBS_MAX)
+    part->submit_jobs_max = 0;
+}
+
 static void
 apply_reply (MuxCell *cell,
              CellPart *part,
@@ -296,6 +319,8 @@
                          "known");
   else if (reply->status == MUX_CELL_UNKNOWN)
     submission->outcome_unknown = true;
+  else if (reply->status == MUX_CELL_BAD_REQUEST && part->submit_jobs == 1)
+    end_rejected (cell, part, submission);
 }
 
 /*
@@ -352,11 +377,10 @@
   part->submitting = false;
   part->submit_took_ms = cell->time.now_ms - part->submit_sent_ms;
   cell->commit_took_ms = part->submit_took_ms;
+  limit_next_commit (part, reply->status);
   DL_FOREACH_SAFE (part->submissions, submission, next)
   if (submission->in_commit)
     apply_reply (cell, part, submission, reply, pending->context);
-  if (reply->status == MUX_CELL_BAD_REQUEST)
-    cell_log (cell, "commit_bad", "{s:s}", "part", part->name);
   if (replaced)
     {
       part->term_version_unknown = true;
@@ -365,6 +389,7 @@
   part->next_submit_ms
       = reply->status == MUX_CELL_OK
                 || (reply->status == MUX_CELL_CONFLICT && !replaced)
+                || reply->status == MUX_CELL_BAD_REQUEST
             ? cell->time.now_ms
             : cell->time.now_ms + COMMIT_RETRY_MS;
   end_overdue (cell, part);
@@ -429,7 +454,8 @@
   CellPending pending
       = { .on_reply = commit_done, .part = (uint32_t) (part - cell->part) };
   CellSubmission *submission;
-  uint32_t jobs = 0;
+  uint32_t max = part->submit_jobs_max != 0 ? part->submit_jobs_max
+                                            : CELL_COMMIT_JOBS_MAX;
 
   if (part->submissions == NULL || part->submitting)
     return;
@@ -449,16 +475,19 @@
     }
   call->timeout_ms = COMMIT_TIMEOUT_MS;
   part->submit_sent_ms = cell->time.now_ms;
+  part->submit_jobs = 0;
   DL_FOREACH (part->submissions, submission)
   {
-    if (jobs == CELL_COMMIT_JOBS_MAX)
+    if (part->submit_jobs == max
+        || cell_commit_bytes (call) + CELL_ROW_SENT_BYTES_MAX
+               > CELL_COMMIT_BYTES_MAX)
       break;
     if (submission->relayed || id_is_in_commit (part, submission))
       continue;
     add_to_commit (cell, call, submission);
-    jobs++;
+    part->submit_jobs++;
   }
-  if (jobs == 0)
+  if (part->submit_jobs == 0)
     {
       mux_cell_call_free (call);
       return;
--- a/src/cell/unreadable.c
+++ b/src/cell/unreadable.c
@@ -211,9 +211,11 @@
 bool
 cell_unreadable_add_rows (MuxCell *cell,
                           const CellPart *part,
-                          MuxCellCall *call)
+                          MuxCellCall *call,
+                          uint32_t *items)
 {
   uint32_t rows = 0;
+  uint32_t max = cell_commit_items_max (part);
   CellUnreadable *unreadable;
   CellUnreadable *next;
 
@@ -223,10 +225,12 @@
   {
     if (!unreadable->dirty || &cell->part[unreadable->part] != part)
       continue;
-    if (rows == CELL_UNREADABLE_ROWS_MAX)
+    if (rows == CELL_UNREADABLE_ROWS_MAX
+        || (part->commit_narrowed > 0 && rows == max))
       return false;
     cell_unreadable_put_row (cell, call, unreadable);
     rows++;
+    (*items)++;
   }
   return true;
 }
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -172,6 +172,39 @@
     to->worker = worker_of (world, from);
 }
 
+/* Whether the store rejects the commit as malformed or too large. */
+static bool
+is_rejected (const World *world, const MuxCellCall *call)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = 0; i < call->change_count; i++)
+    {
+      const MuxCellChange *change = &call->change[i];
+      size_t len = change->value != NULL ? change->value->len : 0;
+
+      /* Quotes, names and braces of an entry; the value is in base64. */
+      bytes += 80 + strlen (change->key) + (len + 2) / 3 * 4;
+      if (len > WORLD_ROW_BYTES)
+        return true;
+      if (change->kind == MUX_CHANGE_PUT
+          && ((change->table == MUX_TABLE_PROGRESS
+               && strcmp (change->key, world->rejected_job) == 0)
+              || (change->table == MUX_TABLE_JOBS
+                  && strcmp (change->key, world->rejected_row) == 0)))
+        return true;
+    }
+  return bytes > WORLD_COMMIT_BYTES;
+}
+
+static void
+reject (World *world, MuxCellReply *reply)
+{
+  reply->status = MUX_CELL_BAD_REQUEST;
+  snprintf (reply->rejection, sizeof reply->rejection, "HTTP 400");
+  world->rejected_commits++;
+}
+
 static void
 do_commit (World *world, const MuxCellCall *call, MuxCellReply *reply)
 {
@@ -197,10 +230,8 @@
                 change->key);
       reply->row_count++;
     }
-  for (uint32_t i = 0; i < call->change_count; i++)
-    if (call->change[i].value != NULL
-        && call->change[i].value->len > WORLD_ROW_BYTES)
-      reply->status = MUX_CELL_BAD_REQUEST;
+  if (is_rejected (world, call))
+    reject (world, reply);
   if (reply->status != MUX_CELL_OK)
     return;
   reply->version = ++world->version;
@@ -503,6 +534,8 @@
     reply->status = MUX_CELL_NOT_DONE;
   else if (fault == WORLD_SILENT || fault == WORLD_LATE)
     reply->status = MUX_CELL_UNKNOWN;
+  else if (fault == WORLD_REJECTS && call->verb == MUX_CELL_COMMIT)
+    reject (world, reply);
   else if (call->verb == MUX_CELL_COMMIT)
     {
       world->own_commits[cell]++;
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -17,8 +17,10 @@
 #define WORLD_WORKERS_MAX 3000
 #define WORLD_ROWS_MAX 16384
 #define WORLD_RUNS_MAX 192
-/* Largest value of a row; a commit with a larger one is refused. */
+/* Largest value of a row, and of a commit as sent: the store rejects a larger
+ * one. */
 #define WORLD_ROW_BYTES 65536
+#define WORLD_COMMIT_BYTES 1000000
 #define WORLD_STARTS_MAX 32768
 /* Time of day at simulated time 0. */
 #define WORLD_WALL_MS INT64_C (1700000000000)
@@ -30,6 +32,7 @@
 {
   WORLD_SERVES,
   WORLD_REFUSES,      /* not carried out, and the reply says so */
+  WORLD_REJECTS,      /* commits: rejected as malformed; other calls: served */
   WORLD_LOSES_ANSWER, /* carried out, the reply is lost */
   WORLD_SILENT,       /* not carried out, no reply; a store that goes silent
                          does not reply to pending feeds, either */
@@ -282,8 +285,11 @@
   uint32_t unreadable_max;    /* unreadable_max of these; 0: default */
   uint32_t lease_ms;          /* of these; 0: 4 s */
   int64_t store_ms;           /* latency of a call to the store */
-  uint32_t page_rows;         /* page size of a scan; 0: unlimited */
-  uint32_t feed_rows;         /* likewise of a feed's reply */
+  char rejected_job[MUX_JOB_ID_LEN]; /* progress of it is rejected; "": none */
+  char rejected_row[MUX_JOB_ID_LEN]; /* the row of this job is; "": none */
+  uint32_t rejected_commits;
+  uint32_t page_rows; /* page size of a scan; 0: unlimited */
+  uint32_t feed_rows; /* likewise of a feed's reply */
   uint32_t approval_queries;
   uint32_t blocked_logged; /* step_waits lines logged */
   char blocked_on[32];     /* reason in the last of them */
