cell: progress that outgrows a row takes several

With the rejection narrowed down to one job that job would fail although it was accepted and nothing is wrong with it.

Cause: cell_progress_json() put all that is known of a job into one row: an entry for each step that had begun, those done included, for each failed and lost run, each checkpoint and each approved worker.

Now progress over 48 KB is written in rows of eight tasks or of a sixteenth of the approved workers, which are bounded by what is kept of a task; a row is written when it has changed. The row under the job's id holds which steps are done. A pass over the rows may take several commits: the first one ends with the row under the id, which makes a reader use the others, and acknowledgements wait for what a pass began with, so that a job that changes all the time holds none back. Rows of a job that ends are removed in as many commits as it takes; the row under the id says that it fails until then. Progress up to 48 KB is stored as before.

Related paths: a job whose own row would be over 64 KB is refused with 413; candidate workers are left out of a row that they make too large; the ends of an unreadable job are bounded by bytes; its progress is read page by page; workers that have ended leave the record of a predecessor.

--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -407,6 +407,7 @@
   MUX_RESPONSE_ID_IN_USE,    /* a job of another workspace has this id */
   MUX_RESPONSE_OVER_QUOTA,   /* the job needs more than the workspace's whole
                                 quota */
+  MUX_RESPONSE_TOO_LARGE,    /* the job does not fit into a row of the store */
 } MuxResponseOutcome;
 
 /**
--- a/src/cell/approval_record.c
+++ b/src/cell/approval_record.c
@@ -67,7 +67,14 @@
 }
 
 static void
-add_workers_of_runs (const CellStage *stage, json_t *list)
+add_to_record (json_t **row, uint32_t rows, const char *id)
+{
+  (void) json_array_append_new (row[mux_hash_name (id, 0) % rows],
+                                json_string (id));
+}
+
+static void
+add_workers_of_runs (const CellStage *stage, json_t **row, uint32_t rows)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
@@ -77,53 +84,60 @@
           || was_recorded (stage, booking->worker->info.id)
           || added_before (stage, i))
         continue;
-      (void) json_array_append_new (list,
-                                    json_string (booking->worker->info.id));
+      add_to_record (row, rows, booking->worker->info.id);
     }
 }
 
 /*
  * Builds the list to be stored.  The next planner waits for the workers in it
  * alone, and might start a run again that is at another one.  Workers recorded
- * by predecessors stay in the list.  If a predecessor left no record, as one of
- * an older version may, workers at which its runs were found are added, since
- * no approval of this planner may ever name them.
+ * by predecessors stay in the list until all of them have been heard from, and
+ * are then left out once they have ended: the list would grow with each restart
+ * of a worker.  If a predecessor left no record, as one of an older version
+ * may, workers at which its runs were found are added, since no approval of
+ * this planner may ever name them.
  */
-json_t *
-cell_approvals_json (MuxCell *cell, const CellStage *stage)
+void
+cell_approvals_json (MuxCell *cell,
+                     const CellStage *stage,
+                     json_t **row,
+                     uint32_t rows)
 {
-  json_t *list = json_array ();
+  bool is_settled = cell_stage_is_settled (cell, stage);
 
+  for (uint32_t i = 0; i < rows; i++)
+    row[i] = json_array ();
   for (uint32_t i = 0; i < stage->recorded_count; i++)
-    (void) json_array_append_new (list, json_string (stage->recorded[i]));
+    if (!is_settled || cell_worker_find (cell, stage->recorded[i]) != NULL)
+      add_to_record (row, rows, stage->recorded[i]);
   for (uint32_t i = 0; i < stage->approval_count; i++)
     {
       const CellWorker *worker = cell->worker_by_slot[stage->approval[i].slot];
 
       if (stage->approval[i].approved && worker != NULL
           && !was_recorded (stage, worker->info.id))
-        (void) json_array_append_new (list, json_string (worker->info.id));
+        add_to_record (row, rows, worker->info.id);
     }
-  if (cell_stage_is_settled (cell, stage))
-    add_workers_of_runs (stage, list);
-  return list;
+  if (is_settled)
+    add_workers_of_runs (stage, row, rows);
 }
 
 void
 cell_approvals_apply (CellStage *stage, const json_t *json)
 {
   size_t count = json_array_size (json);
+  char (*recorded)[MUX_NAME_LEN] = realloc (
+      stage->recorded, (stage->recorded_count + count + 1) * sizeof *recorded);
 
-  free (stage->recorded);
-  stage->recorded_count = 0;
-  stage->recorded = calloc (count + 1, sizeof *stage->recorded);
-  for (size_t i = 0; stage->recorded != NULL && i < count; i++)
+  if (recorded == NULL)
+    return;
+  stage->recorded = recorded;
+  for (size_t i = 0; i < count; i++)
     {
       const char *id = json_string_value (json_array_get (json, i));
 
       if (id != NULL)
-        snprintf (stage->recorded[stage->recorded_count++], MUX_NAME_LEN, "%s",
-                  id);
+        snprintf (recorded[stage->recorded_count++], MUX_NAME_LEN, "%s", id);
     }
 }
 
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -660,6 +660,42 @@
  * known */
 void cell_progress_row (MuxCell *cell, const MuxCellRow *row);
 
+/* progress_split.c: progress of a job in several rows, as it is written */
+/** cell_progress_split_begin() - the job's progress does not fit into one row
+ */
+void cell_progress_split_begin (MuxCell *cell, CellJob *job);
+/** cell_progress_split_add() - adds as many changed rows to a commit as fit
+ * Return: whether the commit stores all changes up to CellJob.pass_seq. */
+bool cell_progress_split_add (MuxCell *cell, MuxCellCall *call, CellJob *job);
+/** cell_progress_split_add_removals() - the job has ended: adds removals of its
+ * rows, but not of the one under its id
+ * Return: whether none is left besides those. */
+bool cell_progress_split_add_removals (MuxCellCall *call, CellJob *job);
+/** cell_progress_split_committed() - the commit with these rows is done;
+ * @stored: it succeeded */
+void cell_progress_split_committed (CellJob *job, bool stored);
+void cell_progress_split_free (CellJob *job);
+
+/* progress_split_rows.c: these rows as they are stored */
+/** cell_split_head_json() - the row under the job's id */
+json_t *cell_split_head_json (const CellJob *job);
+/** cell_split_job_json() - the job's own row */
+json_t *cell_split_job_json (const CellJob *job);
+/** cell_split_job_restore() - makes cell_split_job_json() a job that
+ * mux_job_from_json() reads; others are not changed */
+void cell_split_job_restore (json_t *json);
+/** cell_progress_is_split() - @json is of cell_split_head_json() */
+bool cell_progress_is_split (const json_t *json);
+/** cell_split_head_apply() - as cell_progress_apply() */
+const char *
+cell_split_head_apply (MuxCell *cell, CellJob *job, const json_t *json);
+/** cell_progress_split_row() - takes a row other than that under the job's id;
+ * ignored if its job is not known
+ * Return: false: it is no such row. */
+bool cell_progress_split_row (MuxCell *cell, const MuxCellRow *row);
+/** cell_split_row_read() - the store has this row of the job's progress */
+void cell_split_row_read (CellJob *job, const char *key, const MuxBlob *value);
+
 /* rejection.c: commits of progress that the store rejects */
 /** cell_commit_items_max() - how many jobs and rows of unreadable jobs the next
  * commit of a part may hold; 0: the fence alone */
@@ -1099,10 +1135,12 @@
 void cell_loss_list_remove (MuxCell *cell, CellJob *job);
 
 /* crash_rows.c: losses as they are stored */
-json_t *cell_losses_json (const CellStage *stage);
-/** cell_losses_valid() - checks the stored losses of a step of @tasks tasks;
- * NULL is valid */
-bool cell_losses_valid (const json_t *list, uint32_t tasks);
+/** cell_losses_json() - those of @count tasks from @first on */
+json_t *
+cell_losses_json (const CellStage *stage, uint32_t first, uint32_t count);
+/** cell_losses_valid() - checks the stored losses of these tasks; NULL is valid
+ */
+bool cell_losses_valid (const json_t *list, uint32_t first, uint32_t count);
 void cell_losses_apply (CellStage *stage, const json_t *list);
 
 /* suspect.c: where tasks suspected of crashing workers may start */
@@ -1184,11 +1222,16 @@
 /** cell_approvals_in_commit() - called when the approvals become part of a
  * commit */
 void cell_approvals_in_commit (CellStage *stage);
-/** cell_approvals_json() - ids of the workers that the stage may run on */
-json_t *cell_approvals_json (MuxCell *cell, const CellStage *stage);
+/** cell_approvals_json() - ids of the workers that the stage may run on
+ * @row: set to lists of them, owned by the caller; a hash of the id decides in
+ *   which of the @rows lists it is */
+void cell_approvals_json (MuxCell *cell,
+                          const CellStage *stage,
+                          json_t **row,
+                          uint32_t rows);
 /** cell_worker_is_recorded() - whether the stored record names the worker */
 bool cell_worker_is_recorded (const CellStage *stage, const CellWorker *worker);
-/** cell_approvals_apply() - take the record of a predecessor, as made by
+/** cell_approvals_apply() - adds the record of a predecessor, as made by
  * cell_approvals_json() */
 void cell_approvals_apply (CellStage *stage, const json_t *json);
 /** cell_approvals_add_recorded() - take over approvals recorded by a
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -44,6 +44,9 @@
 /* Size of a row, as the store counts it, and as sent in base64. */
 #define CELL_ROW_BYTES_MAX 65536
 #define CELL_ROW_SENT_BYTES_MAX 88000
+/* Size of a job's row when it is accepted; it is written again with another
+ * name of a field if its progress is split. */
+#define CELL_JOB_ROW_BYTES_MAX (CELL_ROW_BYTES_MAX - 64)
 /* Jobs of one commit: a job takes three of its 100 entries. */
 #define CELL_COMMIT_JOBS_MAX 30
 /* A commit, scan or worker call without a reply for this long counts as lost. A
@@ -931,6 +934,58 @@
   CellStage *deferred_next;
 };
 
+/* Bytes of the key of a row of a split progress. */
+#define CELL_PROGRESS_KEY_LEN 80
+
+/**
+ * struct CellProgressRow - a row of a job's split progress that is, or may be,
+ *   in the store; owned by the job
+ * @key: in the store; key of the table
+ * @hash: of its value in the store; 0: not known, or it is not there
+ * @in_commit: in the outstanding commit,
+ * @sent_hash: with this hash of its value; 0: it is removed
+ * @pass: the last pass that found something to store in it
+ */
+typedef struct
+{
+  char key[CELL_PROGRESS_KEY_LEN];
+  uint64_t hash;
+  bool in_commit;
+  uint64_t sent_hash;
+  uint32_t pass;
+  UT_hash_handle hh;
+} CellProgressRow;
+
+/**
+ * struct CellProgressSplit - how a job's progress is written that does not fit
+ *   into one row; embedded in the job
+ *
+ * A pass writes all rows that have changed, in one commit or several.  The
+ * first pass ends with the row under the job's id, which replaces the progress
+ * in one row.
+ * @begun: its progress is written so
+ * @stored: and is read so: the first pass has ended
+ * @may_be_stored: or a commit that would end it went unanswered
+ * @row: rows; owned
+ * @pass: number of the last pass
+ * @in_pass: it has not ended
+ * @pass_seq: it stores the changes up to this number, see MuxCell.change_seq
+ * @pass_at: position of its next row
+ * @sent_at: the same once the outstanding commit is done
+ */
+typedef struct
+{
+  bool begun;
+  bool stored;
+  bool may_be_stored;
+  CellProgressRow *row;
+  uint32_t pass;
+  bool in_pass;
+  uint64_t pass_seq;
+  uint64_t pass_at;
+  uint64_t sent_at;
+} CellProgressSplit;
+
 /**
  * enum CellOrigin - how the planner learned of a job
  */
@@ -974,7 +1029,12 @@
  * @not_storable: its changes are not committed until it has ended
  * @end_stored: its end is stored
  * @dirty_again: it changed after the outstanding commit was made
+ * @whole_in_commit: that stores all its changes up to the commit, of a split
+ *   progress those up to the pass
+ * @change_seq: number of its last change
  * @progress_stored: it has a progress row
+ * @split: of its progress
+ * @attempts_used: a predecessor recorded that it fails
  * @progress_unreadable: the progress row could not be read
  * @unreadable_ends_stored: it has a row of ends from the time when its own row
  *   was unreadable
@@ -1012,7 +1072,11 @@
   bool not_storable;
   bool end_stored;
   bool dirty_again;
+  bool whole_in_commit;
+  uint64_t change_seq;
   bool progress_stored;
+  CellProgressSplit split;
+  bool attempts_used;
   bool progress_unreadable;
   bool unreadable_ends_stored;
   uint32_t booking_count;
@@ -1061,10 +1125,14 @@
  * @dirty_again: it changed after that commit was made
  * @expired: its stored ends are to be removed
  * @end_count: entries of @end
+ * @end_bytes: upper bound of their size in the row
  * @end: owned
  * @spec: the job, now readable, until its progress is read; owned; NULL: none
  * @version: with @spec: of the job's row
  * @reading: the call that reads its progress is outstanding
+ * @row_count: entries of @row
+ * @row: progress rows of the pages read so far; owned
+ * @from: first key of the next page; "": the first page
  * @next_ms: no such call before this
  */
 struct CellUnreadable
@@ -1079,10 +1147,14 @@
   bool dirty_again;
   bool expired;
   uint32_t end_count;
+  uint32_t end_bytes;
   CellUnreadableEnd *end;
   MuxJobSpec *spec;
   uint64_t version;
   bool reading;
+  uint32_t row_count;
+  MuxCellRow *row;
+  char from[MUX_ROW_NAME_LEN];
   int64_t next_ms;
   UT_hash_handle hh;
 };
--- a/src/cell/crash_rows.c
+++ b/src/cell/crash_rows.c
@@ -67,11 +67,11 @@
 }
 
 json_t *
-cell_losses_json (const CellStage *stage)
+cell_losses_json (const CellStage *stage, uint32_t first, uint32_t count)
 {
   json_t *list = json_array ();
 
-  for (uint32_t i = 0; i < stage->spec->count; i++)
+  for (uint32_t i = first; i < first + count; i++)
     for (uint32_t j = 0; j < stage->task[i].loss_count; j++)
       {
         const CellLoss *loss = &stage->task[i].loss[j];
@@ -86,36 +86,38 @@
 }
 
 static bool
-is_number (const json_t *value, json_int_t max)
+is_number (const json_t *value, json_int_t min, json_int_t max)
 {
-  return json_is_integer (value) && json_integer_value (value) >= 0
+  return json_is_integer (value) && json_integer_value (value) >= min
          && json_integer_value (value) <= max;
 }
 
 static bool
 is_number_if_any (const json_t *value, json_int_t max)
 {
-  return value == NULL || is_number (value, max);
+  return value == NULL || is_number (value, 0, max);
 }
 
 static bool
-is_run (const json_t *run, uint32_t tasks)
+is_run (const json_t *run, uint32_t first, uint32_t count)
 {
-  return is_number (json_array_get (run, RUN_TASK), (json_int_t) tasks - 1)
-         && is_number (json_array_get (run, RUN_NUMBER), UINT32_MAX)
-         && is_number (json_array_get (run, RUN_FLAGS), FLAGS_ALL)
+  return is_number (json_array_get (run, RUN_TASK), first,
+                    (json_int_t) first + count - 1)
+         && is_number (json_array_get (run, RUN_NUMBER), 0, UINT32_MAX)
+         && is_number (json_array_get (run, RUN_FLAGS), 0, FLAGS_ALL)
          && is_number_if_any (json_array_get (run, RUN_IN_OUTAGE), 1)
          && is_number_if_any (json_array_get (run, RUN_RAN_MS), INT64_MAX / 2);
 }
 
 static bool
-is_group (const json_t *group, uint32_t tasks)
+is_group (const json_t *group, uint32_t first, uint32_t count)
 {
   const json_t *runs = json_array_get (group, LOST_RUNS);
   const json_t *run;
   size_t i;
 
-  json_array_foreach (runs, i, run) if (!is_run (run, tasks)) return false;
+  json_array_foreach (runs, i,
+                      run) if (!is_run (run, first, count)) return false;
   return json_is_string (json_array_get (group, LOST_WORKER))
          && json_is_string (json_array_get (group, LOST_ADDR))
          && json_is_boolean (json_array_get (group, LOST_ENDED))
@@ -124,13 +126,13 @@
 }
 
 bool
-cell_losses_valid (const json_t *list, uint32_t tasks)
+cell_losses_valid (const json_t *list, uint32_t first, uint32_t count)
 {
   const json_t *group;
   size_t i;
 
   json_array_foreach (list, i,
-                      group) if (!is_group (group, tasks)) return false;
+                      group) if (!is_group (group, first, count)) return false;
   return list == NULL || json_is_array (list);
 }
 
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -13,9 +13,12 @@
 {
   MuxFindings findings = { .count = 0, .dropped = 0 };
   json_t *json = cell_row_json (cell, row);
-  MuxJobSpec *spec = json != NULL ? mux_job_from_json (json, &findings) : NULL;
+  MuxJobSpec *spec;
   CellJob *job;
 
+  cell_split_job_restore (json);
+  spec = json != NULL ? mux_job_from_json (json, &findings) : NULL;
+
   /* An unreadable job is not run, as its dependencies or its attempts may be
    * what is missing.  It is not removed either: a daemon that can read it
    * continues it, and its caller can cancel it. */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -186,6 +186,7 @@
   for (uint32_t i = 0; i < job->stage_count; i++)
     cell_stage_free (cell, job->stage[i]);
   free (job->stage);
+  cell_progress_split_free (job);
   mux_blob_unref (job->payload);
   mux_job_free (job->spec);
   free (job);
@@ -245,7 +246,7 @@
 {
   CellPart *part = &cell->part[job->part];
 
-  cell->change_seq++;
+  job->change_seq = ++cell->change_seq;
   if (job->dirty)
     {
       job->dirty_again = job->in_commit;
@@ -326,6 +327,8 @@
 {
   uint32_t max = cell_attempts_max (job);
 
+  if (job->attempts_used)
+    return true;
   for (uint32_t i = 0; i < job->stage_count; i++)
     {
       const CellStage *stage = job->stage[i];
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -196,7 +196,8 @@
 static void
 progress_read (MuxCell *cell, const MuxCellRow *row)
 {
-  if (cell_unreadable_load_row (cell, row))
+  if (cell_unreadable_load_row (cell, row)
+      || cell_progress_split_row (cell, row))
     return;
   if (cell_job_find (cell, row->key) != NULL)
     cell_progress_row (cell, row);
--- a/src/cell/named_workers.c
+++ b/src/cell/named_workers.c
@@ -74,7 +74,7 @@
       named += spec->step[i].named_count;
     }
   row = named > 0 ? cell_blob_from_json (mux_job_to_json (spec)) : NULL;
-  if (row == NULL || row->len <= CELL_ROW_BYTES_MAX)
+  if (row == NULL || row->len <= CELL_JOB_ROW_BYTES_MAX)
     return row;
   mux_blob_unref (row);
   return NULL;
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -11,6 +11,9 @@
 #define COMMIT_WINDOW_MS 30
 /* After a commit that failed. */
 #define RETRY_MS 100
+/* Progress of a job that is larger takes several rows.  As the store counts it;
+ * a quarter below the limit of a row. */
+#define PROGRESS_ROW_BYTES_MAX 49152
 /* Entries of one commit for jobs: an ended job takes four or five, beside the
  * two of the fence; two entries are left for unreadable jobs. */
 #define JOB_CHANGES_MAX (CELL_COMMIT_CHANGES_MAX - CELL_UNREADABLE_ROWS_MAX)
@@ -35,40 +38,65 @@
   return min;
 }
 
+/* Whether the commit left nothing of the job to be stored. */
+static bool
+is_clean (const CellJob *job)
+{
+  return job->whole_in_commit && !job->dirty_again
+         && (job->ended || !job->split.begun
+             || job->change_seq <= job->split.pass_seq);
+}
+
 static void
-mark_stored (MuxCell *cell, CellPart *part)
+stages_stored (CellJob *job)
 {
-  CellJob *job;
-  CellJob *next;
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    {
+      cell_approvals_stored (job->stage[i]);
+      job->stage[i]->losses_stored = job->stage[i]->losses_written;
+    }
+}
 
-  for (job = part->dirty; job != NULL; job = next)
+/* Called for each job of a commit that succeeded. */
+static void
+job_stored (MuxCell *cell, CellPart *part, CellJob *job)
+{
+  bool clean = is_clean (job);
+
+  cell_progress_split_committed (job, true);
+  job->in_commit = false;
+  job->dirty_again = false;
+  job->rejections = 0;
+  job->progress_stored = true;
+  DL_DELETE2 (part->dirty, job, dirty_prev, dirty_next);
+  if (job->whole_in_commit)
     {
-      next = job->dirty_next;
-      if (!job->in_commit)
-        continue;
-      job->in_commit = false;
-      job->rejections = 0;
-      job->progress_stored = true;
       job->unreadable_ends_stored = false;
-      if (job->dirty_again)
-        {
-          job->dirty_again = false;
-          continue;
-        }
-      DL_DELETE2 (part->dirty, job, dirty_prev, dirty_next);
-      job->dirty = false;
-      /* Other members of a gang may still be stopping: the job is kept until
-       * their room is free. */
-      job->end_stored = job->ended;
-      if (job->end_stored)
-        cell_job_watch (cell, job);
-      for (uint32_t i = 0; i < job->stage_count; i++)
-        {
-          cell_approvals_stored (job->stage[i]);
-          job->stage[i]->losses_stored = job->stage[i]->losses_written;
-        }
+      stages_stored (job);
       cell->replan = true;
     }
+  if (!clean)
+    {
+      DL_APPEND2 (part->dirty, job, dirty_prev, dirty_next);
+      return;
+    }
+  job->dirty = false;
+  /* Other members of a gang may still be stopping: the job is kept until their
+   * room is free. */
+  job->end_stored = job->ended;
+  if (job->end_stored)
+    cell_job_watch (cell, job);
+}
+
+static void
+mark_stored (MuxCell *cell, CellPart *part)
+{
+  CellJob *job;
+  CellJob *next;
+
+  DL_FOREACH_SAFE2 (part->dirty, job, next, dirty_next)
+  if (job->in_commit)
+    job_stored (cell, part, job);
 }
 
 static void
@@ -79,6 +107,8 @@
   cell_unreadable_committed (cell, part, false);
   for (job = part->dirty; job != NULL; job = job->dirty_next)
     {
+      if (job->in_commit)
+        cell_progress_split_committed (job, false);
       job->in_commit = false;
       job->dirty_again = false;
     }
@@ -134,26 +164,17 @@
   return json;
 }
 
-static void
-add_job (MuxCell *cell, MuxCellCall *call, CellJob *job)
+/* Return: whether all of the job's end is in the commit. */
+static bool
+add_end (MuxCell *cell, MuxCellCall *call, CellJob *job)
 {
   char cancel[MUX_ROW_NAME_LEN];
 
-  job->in_commit = true;
+  if (!cell_progress_split_add_removals (call, job)
+      || call->change_count + CHANGES_PER_JOB > JOB_CHANGES_MAX)
+    return false;
   if (job->unreadable_ends_stored)
     cell_unreadable_remove_row (call, job);
-  if (!job->ended)
-    {
-      cell_call_add_change (call, MUX_CHANGE_PUT, MUX_TABLE_PROGRESS, job->id)
-          ->value
-          = cell_blob_from_json (cell_progress_json (cell, job));
-      for (uint32_t i = 0; i < job->stage_count; i++)
-        {
-          cell_approvals_in_commit (job->stage[i]);
-          job->stage[i]->losses_written = job->stage[i]->loss_changes;
-        }
-      return;
-    }
   cell_call_add_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_JOBS, job->id);
   /* Even if no cancel is known: one may have just been stored. */
   snprintf (cancel, sizeof cancel, "%s!", job->id);
@@ -162,6 +183,57 @@
     cell_call_add_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, job->id);
   cell_call_add_change (call, MUX_CHANGE_PUT, MUX_TABLE_ENDED, job->id)->value
       = cell_blob_from_json (end_json (cell, job));
+  return true;
+}
+
+/* Return: false: it does not fit into a row, and is not added. */
+static bool
+add_progress_row (MuxCell *cell, MuxCellCall *call, CellJob *job)
+{
+  MuxBlob *value = cell_blob_from_json (cell_progress_json (cell, job));
+
+  if (value != NULL && value->len > PROGRESS_ROW_BYTES_MAX)
+    {
+      mux_blob_unref (value);
+      return false;
+    }
+  cell_call_add_change (call, MUX_CHANGE_PUT, MUX_TABLE_PROGRESS, job->id)
+      ->value
+      = value;
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    {
+      cell_approvals_in_commit (job->stage[i]);
+      job->stage[i]->losses_written = job->stage[i]->loss_changes;
+    }
+  return true;
+}
+
+static bool
+add_progress (MuxCell *cell, MuxCellCall *call, CellJob *job)
+{
+  bool whole = true;
+
+  if (!job->split.begun && !add_progress_row (cell, call, job))
+    cell_progress_split_begin (cell, job);
+  if (job->split.begun)
+    whole = cell_progress_split_add (cell, call, job);
+  if (whole && job->unreadable_ends_stored)
+    cell_unreadable_remove_row (call, job);
+  return whole;
+}
+
+/* Return: the changes up to this number of the job are stored by the commit. */
+static uint64_t
+add_job (MuxCell *cell, CellPart *part, MuxCellCall *call, CellJob *job)
+{
+  job->in_commit = true;
+  part->commit_items++;
+  job->whole_in_commit
+      = job->ended ? add_end (cell, call, job) : add_progress (cell, call, job);
+  if (!job->whole_in_commit)
+    return part->stored_seq;
+  return job->split.begun && !job->ended ? job->split.pass_seq
+                                         : cell->change_seq;
 }
 
 /* Whether the job's changes may be part of a commit with @jobs jobs before it.
@@ -174,29 +246,31 @@
          && cell_commit_bytes (call) + CELL_ROW_SENT_BYTES_MAX <= JOB_BYTES_MAX;
 }
 
-/* Return: whether all jobs with something to store are in the commit. */
-static bool
+/* Return: changes of the part's jobs up to this number are stored by the
+ * commit. */
+static uint64_t
 add_jobs (MuxCell *cell, CellPart *part, MuxCellCall *call)
 {
   uint32_t max = cell_commit_items_max (part);
-  bool complete = true;
+  uint64_t stored_seq = cell->change_seq;
   CellJob *job;
 
   DL_FOREACH2 (part->dirty, job, dirty_next)
   {
-    if (job->not_storable && !job->ended)
-      complete = false;
-    else if (part->commit_items >= max || !fits (call, part->commit_items, job))
-      return false;
-    else
-      {
-        add_job (cell, call, job);
-        part->commit_items++;
-        if (job->rejections > 0)
-          return job->dirty_next == NULL && complete;
-      }
+    uint64_t job_seq = part->stored_seq;
+    bool is_held = job->not_storable && !job->ended;
+
+    if (!is_held
+        && (part->commit_items >= max || !fits (call, part->commit_items, job)))
+      return part->stored_seq;
+    if (!is_held)
+      job_seq = add_job (cell, part, call, job);
+    if (job_seq < stored_seq)
+      stored_seq = job_seq;
+    if (job->in_commit && job->rejections > 0)
+      return job->dirty_next == NULL ? stored_seq : part->stored_seq;
   }
-  return complete;
+  return stored_seq;
 }
 
 /* While commits are narrowed down the rows wait for the jobs. */
@@ -217,9 +291,7 @@
   MuxCellCall *call = cell_commit_call (part->name, CELL_COMMIT_CHANGES_MAX);
   CellPending pending = { .on_reply = commit_done,
                           .term = cell->term,
-                          .part = (uint32_t) (part - cell->part),
-                          .context = cell->change_seq };
-  bool complete;
+                          .part = (uint32_t) (part - cell->part) };
 
   if (call == NULL)
     return;
@@ -227,9 +299,8 @@
   part->commit_sent_ms = cell->time.now_ms;
   cell_fence_add (cell, part, call);
   part->commit_items = 0;
-  complete = add_jobs (cell, part, call);
-  complete = add_unreadable_rows (cell, part, call) && complete;
-  if (!complete)
+  pending.context = add_jobs (cell, part, call);
+  if (!add_unreadable_rows (cell, part, call))
     pending.context = part->stored_seq;
   if (part->commit_items > 0 || part->commit_probe)
     part->committing = cell_call (cell, call, &pending);
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "progress_fields.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,119 +7,27 @@
 /* The stored form of a job's progress: done tasks, failed and lost runs,
  * checkpoints, and the workers where tasks may run. */
 
-/* Done tasks are stored as a bitmap in hexadecimal digits, lowest task first.
- */
-#define BITS_PER_DIGIT 4
-
-static void
-bitmap_format (const CellStage *stage, char *text)
-{
-  uint32_t digits = (stage->spec->count + BITS_PER_DIGIT - 1) / BITS_PER_DIGIT;
-
-  for (uint32_t d = 0; d < digits; d++)
-    {
-      uint32_t value = 0;
-
-      for (uint32_t b = 0; b < BITS_PER_DIGIT; b++)
-        {
-          uint32_t i = d * BITS_PER_DIGIT + b;
-
-          if (i < stage->spec->count && stage->task[i].state == CELL_TASK_DONE)
-            value |= 1U << b;
-        }
-      text[d] = "0123456789abcdef"[value];
-    }
-  text[digits] = 0;
-}
-
-static void
-bitmap_apply (CellStage *stage, const char *text)
-{
-  size_t digits = strlen (text);
-
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    {
-      char digit[2] = { 0, 0 };
-
-      if (i / BITS_PER_DIGIT >= digits)
-        return;
-      digit[0] = text[i / BITS_PER_DIGIT];
-      if ((strtoul (digit, NULL, 16) >> (i % BITS_PER_DIGIT) & 1) == 0
-          || stage->task[i].state == CELL_TASK_DONE)
-        continue;
-      stage->task[i].state = CELL_TASK_DONE;
-      stage->tasks_left--;
-    }
-}
-
-static json_t *
-runs_json (const CellFailures *failures)
+static CellTaskRange
+all_tasks (const MuxStepSpec *step)
 {
-  json_t *list = json_array ();
-
-  for (uint32_t i = 0; i < failures->count; i++)
-    (void) json_array_append_new (list, json_integer (failures->run[i]));
-  return list;
-}
-
-/* Raises @last to the highest run number read, so that no later run gets the
- * number of a failed one: its own failure would not be counted. */
-static void
-runs_apply (CellFailures *failures, uint32_t *last, const json_t *list)
-{
-  const json_t *json;
-  size_t i;
-
-  failures->count = 0;
-  json_array_foreach (list, i, json)
-  {
-    uint32_t run = (uint32_t) json_integer_value (json);
-
-    if (failures->count < CELL_FAILED_RUNS_MAX)
-      failures->run[failures->count++] = run;
-    if (run > *last)
-      *last = run;
-  }
-}
-
-static json_t *
-failures_json (const CellStage *stage)
-{
-  json_t *list = json_array ();
-
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].failures.count > 0)
-      (void) json_array_append_new (
-          list,
-          json_pack ("[io]", (int) i, runs_json (&stage->task[i].failures)));
-  return list;
-}
-
-static json_t *
-checkpoints_json (const CellStage *stage)
-{
-  json_t *list = json_array ();
-
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].checkpoint[0] != 0
-        && stage->task[i].state != CELL_TASK_DONE)
-      (void) json_array_append_new (
-          list, json_pack ("[is]", (int) i, stage->task[i].checkpoint));
-  return list;
+  return (CellTaskRange){ .first = 0, .count = step->count };
 }
 
 static json_t *
 stage_json (MuxCell *cell, const CellStage *stage)
 {
-  char bitmap[MUX_STEP_TASKS_MAX / BITS_PER_DIGIT + 2];
+  CellTaskRange all = all_tasks (stage->spec);
+  json_t *workers;
 
-  bitmap_format (stage, bitmap);
-  return json_pack ("{s:i, s:i, s:s, s:o, s:o, s:o, s:o, s:o}", "occurrence",
+  cell_approvals_json (cell, stage, &workers, 1);
+  return json_pack ("{s:i, s:i, s:o, s:o, s:o, s:o, s:o, s:o}", "occurrence",
                     (int) stage->occurrence, "step", (int) stage->step, "done",
-                    bitmap, "gang_failures", runs_json (&stage->failures),
-                    "failures", failures_json (stage), "saved",
-                    checkpoints_json (stage), "lost", cell_losses_json (stage),
-                    "workers", cell_approvals_json (cell, stage));
+                    cell_done_json (stage, all), "gang_failures",
+                    cell_runs_json (&stage->failures), "failures",
+                    cell_failures_json (stage, all), "saved",
+                    cell_checkpoints_json (stage, all), "lost",
+                    cell_losses_json (stage, all.first, all.count), "workers",
+                    workers);
 }
 
 /*
@@ -153,90 +61,27 @@
                     (int) (done / steps), "stages", stages);
 }
 
-static void
-apply_pairs (CellStage *stage, const json_t *failures, const json_t *saved)
-{
-  size_t i;
-  json_t *pair;
-
-  json_array_foreach (failures, i, pair)
-  {
-    json_int_t index = json_integer_value (json_array_get (pair, 0));
-
-    if (index < 0 || index >= stage->spec->count)
-      continue;
-    runs_apply (&stage->task[index].failures, &stage->task[index].last_run,
-                json_array_get (pair, 1));
-  }
-  json_array_foreach (saved, i, pair)
-  {
-    json_int_t index = json_integer_value (json_array_get (pair, 0));
-    const char *text = json_string_value (json_array_get (pair, 1));
-
-    if (index >= 0 && index < stage->spec->count && text != NULL)
-      snprintf (stage->task[index].checkpoint,
-                sizeof stage->task[index].checkpoint, "%s", text);
-  }
-}
-
 static void
 apply_stage (CellJob *job, const json_t *json)
 {
   json_int_t at = json_integer_value (json_object_get (json, "occurrence"))
                       * job->spec->step_count
                   + json_integer_value (json_object_get (json, "step"));
-  const char *done = json_string_value (json_object_get (json, "done"));
   CellStage *stage;
 
-  if (at < 0 || at >= job->stage_count || done == NULL)
+  if (at < 0 || at >= job->stage_count)
     return;
   stage = job->stage[at];
-  bitmap_apply (stage, done);
-  runs_apply (&stage->failures, &stage->last_run,
-              json_object_get (json, "gang_failures"));
+  cell_done_apply (stage, all_tasks (stage->spec),
+                   json_object_get (json, "done"));
+  cell_runs_apply (&stage->failures, &stage->last_run,
+                   json_object_get (json, "gang_failures"));
   cell_approvals_apply (stage, json_object_get (json, "workers"));
-  apply_pairs (stage, json_object_get (json, "failures"),
-               json_object_get (json, "saved"));
+  cell_failures_apply (stage, json_object_get (json, "failures"));
+  cell_checkpoints_apply (stage, json_object_get (json, "saved"));
   cell_losses_apply (stage, json_object_get (json, "lost"));
 }
 
-/* Return: whether @list is a list of pairs of a task's index and a @type. */
-static bool
-is_pair_list (const json_t *list, uint32_t tasks, json_type type)
-{
-  size_t i;
-  json_t *pair;
-
-  json_array_foreach (list, i, pair)
-  {
-    const json_t *index = json_array_get (pair, 0);
-    const json_t *value = json_array_get (pair, 1);
-
-    if (!json_is_integer (index) || json_integer_value (index) < 0
-        || json_integer_value (index) >= (json_int_t) tasks || value == NULL
-        || json_typeof (value) != type)
-      return false;
-  }
-  return json_is_array (list);
-}
-
-static bool
-is_bitmap (const json_t *value, uint32_t tasks)
-{
-  const char *text = json_string_value (value);
-  size_t digits = (tasks + BITS_PER_DIGIT - 1) / BITS_PER_DIGIT;
-
-  return text != NULL && strlen (text) == digits
-         && strspn (text, "0123456789abcdef") == digits;
-}
-
-static bool
-is_integer_in_range (const json_t *value, json_int_t min, json_int_t max)
-{
-  return json_is_integer (value) && json_integer_value (value) >= min
-         && json_integer_value (value) <= max;
-}
-
 /* @at: index of the stage; stages are stored in order.
  * Return: name of the first bad field; NULL: none. */
 static const char *
@@ -244,22 +89,22 @@
 {
   json_int_t occurrence = (json_int_t) at / job->spec->step_count;
   json_int_t step = (json_int_t) at % job->spec->step_count;
-  uint32_t tasks = job->spec->step[step].count;
+  CellTaskRange all = all_tasks (&job->spec->step[step]);
 
-  if (!is_integer_in_range (json_object_get (json, "occurrence"), occurrence,
-                            occurrence))
+  if (!cell_integer_in_range (json_object_get (json, "occurrence"), occurrence,
+                              occurrence))
     return "occurrence";
-  if (!is_integer_in_range (json_object_get (json, "step"), step, step))
+  if (!cell_integer_in_range (json_object_get (json, "step"), step, step))
     return "step";
-  if (!is_bitmap (json_object_get (json, "done"), tasks))
+  if (!cell_done_valid (json_object_get (json, "done"), all))
     return "done";
   if (!json_is_array (json_object_get (json, "gang_failures")))
     return "gang_failures";
-  if (!is_pair_list (json_object_get (json, "failures"), tasks, JSON_ARRAY))
+  if (!cell_pairs_valid (json_object_get (json, "failures"), all, JSON_ARRAY))
     return "failures";
-  if (!is_pair_list (json_object_get (json, "saved"), tasks, JSON_STRING))
+  if (!cell_pairs_valid (json_object_get (json, "saved"), all, JSON_STRING))
     return "saved";
-  if (!cell_losses_valid (json_object_get (json, "lost"), tasks))
+  if (!cell_losses_valid (json_object_get (json, "lost"), all.first, all.count))
     return "lost";
   return json_is_array (json_object_get (json, "workers")) ? NULL : "workers";
 }
@@ -304,10 +149,11 @@
 
   if (!json_is_boolean (json_object_get (json, "started")))
     return "started";
-  if (!is_integer_in_range (occurrences, min, cell_occurrences_due (cell, job)))
+  if (!cell_integer_in_range (occurrences, min,
+                              cell_occurrences_due (cell, job)))
     return "occurrences";
   if (done != NULL
-      && !is_integer_in_range (done, 0, json_integer_value (occurrences)))
+      && !cell_integer_in_range (done, 0, json_integer_value (occurrences)))
     return "done";
   if (!json_is_array (stages)
       || first + json_array_size (stages)
@@ -327,11 +173,14 @@
 const char *
 cell_progress_apply (MuxCell *cell, CellJob *job, const json_t *json)
 {
-  const char *bad_field = bad_field_in_progress (cell, job, json);
+  const char *bad_field;
   json_t *stages = json_object_get (json, "stages");
   json_t *stage;
   size_t i;
 
+  if (cell_progress_is_split (json))
+    return cell_split_head_apply (cell, job, json);
+  bad_field = bad_field_in_progress (cell, job, json);
   if (bad_field != NULL)
     return bad_field;
   job->started = json_is_true (json_object_get (json, "started"));
@@ -355,6 +204,8 @@
     return;
   json = cell_row_json (cell, row);
   job->progress_stored = true;
+  if (cell_progress_is_split (json))
+    cell_split_row_read (job, row->key, row->value);
   if (json != NULL)
     bad_field = cell_progress_apply (cell, job, json);
   if (bad_field != NULL)
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -215,6 +215,16 @@
       cell_respond (cell, request->call_id, MUX_RESPONSE_REFUSED);
       return;
     }
+  if (submission->value->len > CELL_JOB_ROW_BYTES_MAX)
+    {
+      mux_count_refused (cell->options.counters, MUX_REASON_BODY_TOO_LARGE);
+      cell_log (cell, "job_too_large", "{s:s, s:I}", "job", job->id, "bytes",
+                (json_int_t) submission->value->len);
+      submission->job = job;
+      submission_free (submission);
+      cell_respond (cell, request->call_id, MUX_RESPONSE_TOO_LARGE);
+      return;
+    }
   submission->job = job;
   submission->request_id = request->call_id;
   if (request->timeout_ms < SUBMIT_TIMEOUT_MS + RESPONSE_MARGIN_MS)
--- a/src/cell/unreadable.c
+++ b/src/cell/unreadable.c
@@ -24,8 +24,12 @@
 /* So many times as many are recorded with ends: 64 K of 500 bytes, a quarter of
  * a daemon's memory.  Beyond that ends are left with their workers. */
 #define WITH_ENDS_FACTOR 16
-/* Ends kept of a job: a row holds 64 KB, an end takes up to 110 bytes. */
+/* Ends kept of a job. */
 #define ENDS_MAX 400
+/* Bytes of a job's row of ends, below the 64 KB that the store takes, and of an
+ * end in it, beside its checkpoint. */
+#define ENDS_BYTES_MAX 60000
+#define END_BYTES 64
 /* After a read of the progress that failed or came too early. */
 #define RETRY_MS 100
 #define MS_PER_S 1000
@@ -65,6 +69,17 @@
   return unreadable;
 }
 
+static void
+drop_rows (CellUnreadable *unreadable)
+{
+  for (uint32_t i = 0; i < unreadable->row_count; i++)
+    mux_blob_unref (unreadable->row[i].value);
+  free (unreadable->row);
+  unreadable->row = NULL;
+  unreadable->row_count = 0;
+  unreadable->from[0] = 0;
+}
+
 static void
 unreadable_free (MuxCell *cell, CellUnreadable *unreadable)
 {
@@ -73,6 +88,7 @@
   HASH_DEL (cell->unreadable, unreadable);
   mux_job_free (unreadable->spec);
   free (unreadable->end);
+  drop_rows (unreadable);
   free (unreadable);
 }
 
@@ -123,10 +139,25 @@
   part->unreadable_dirty++;
 }
 
+/* Size of @text in JSON. */
+static uint32_t
+json_bytes (const char *text)
+{
+  uint32_t bytes = 0;
+
+  for (; *text != 0; text++)
+    if ((unsigned char) *text < ' ')
+      bytes += sizeof "\\u0000" - 1;
+    else
+      bytes += *text == '"' || *text == '\\' ? 2 : 1;
+  return bytes;
+}
+
 bool
 cell_unreadable_add_end (CellUnreadable *unreadable,
                          const CellUnreadableEnd *end)
 {
+  uint32_t bytes = END_BYTES + json_bytes (end->checkpoint);
   CellUnreadableEnd *list;
 
   for (uint32_t i = 0; i < unreadable->end_count; i++)
@@ -135,15 +166,18 @@
         && unreadable->end[i].task.step == end->task.step
         && unreadable->end[i].task.index == end->task.index)
       return false;
-  list = unreadable->end_count < ENDS_MAX ? realloc (
-             unreadable->end, (unreadable->end_count + 1) * sizeof *list)
-                                          : NULL;
+  list = unreadable->end_count < ENDS_MAX
+                 && unreadable->end_bytes + bytes <= ENDS_BYTES_MAX
+             ? realloc (unreadable->end,
+                        (unreadable->end_count + 1) * sizeof *list)
+             : NULL;
   if (list == NULL)
     {
       unreadable->overflow = true;
       return true;
     }
   unreadable->end = list;
+  unreadable->end_bytes += bytes;
   list[unreadable->end_count++] = *end;
   return true;
 }
@@ -318,25 +352,50 @@
   return true;
 }
 
-/* Applies the job's progress row, then its ends: their keys are in that order.
+/* Keeps the rows of a page until all have been read.
+ * Return: false if out of memory. */
+static bool
+keep_rows (CellUnreadable *unreadable, const MuxCellReply *reply)
+{
+  MuxCellRow *list
+      = realloc (unreadable->row,
+                 (unreadable->row_count + reply->row_count + 1) * sizeof *list);
+
+  if (list == NULL)
+    return false;
+  unreadable->row = list;
+  for (uint32_t i = 0; i < reply->row_count; i++)
+    {
+      list[unreadable->row_count] = reply->row[i];
+      list[unreadable->row_count++].value = mux_blob_ref (reply->row[i].value);
+    }
+  return true;
+}
+
+/* Applies the job's progress rows, then its ends: their keys are in that order.
  */
 static void
-take_progress_rows (MuxCell *cell,
-                    CellUnreadable *unreadable,
-                    CellJob *job,
-                    const MuxCellReply *reply)
+take_progress_rows (MuxCell *cell, CellUnreadable *unreadable, CellJob *job)
 {
   char id[MUX_ROW_NAME_LEN];
 
-  for (uint32_t i = 0; i < reply->row_count; i++)
-    if (strcmp (reply->row[i].key, job->id) == 0)
-      cell_progress_row (cell, &reply->row[i]);
-    else if (cell_unreadable_row_job (reply->row[i].key, id)
-             && strcmp (id, job->id) == 0)
-      cell_unreadable_read_row (cell, &reply->row[i], unreadable);
+  for (uint32_t i = 0; i < unreadable->row_count; i++)
+    {
+      const MuxCellRow *row = &unreadable->row[i];
+
+      if (strcmp (row->key, job->id) == 0)
+        cell_progress_row (cell, row);
+      else if (cell_unreadable_row_job (row->key, id)
+               && strcmp (id, job->id) == 0)
+        cell_unreadable_read_row (cell, row, unreadable);
+      else
+        (void) cell_progress_split_row (cell, row);
+    }
   apply_ends (cell, job, unreadable);
 }
 
+static void read_progress (MuxCell *cell, CellUnreadable *unreadable);
+
 static void
 progress_read (MuxCell *cell,
                const CellPending *pending,
@@ -352,14 +411,22 @@
   /* An end that came meanwhile is stored first: an outstanding commit would
    * write the row again after its removal. */
   if (reply->status != MUX_CELL_OK || unreadable->spec == NULL
-      || unreadable->in_commit)
-    return;
+      || unreadable->in_commit || !keep_rows (unreadable, reply))
+    {
+      drop_rows (unreadable);
+      return;
+    }
+  if (cell_next_page (unreadable->from, reply))
+    {
+      read_progress (cell, unreadable);
+      return;
+    }
   job = cell_job_add (cell, unreadable->spec, unreadable->version);
   unreadable->spec = NULL;
   if (job == NULL)
     return;
   job->predates_term = true;
-  take_progress_rows (cell, unreadable, job, reply);
+  take_progress_rows (cell, unreadable, job);
   cell_log (cell, "unread_job_back", "{s:s, s:i}", "job", job->id, "ends",
             (int) unreadable->end_count);
   unreadable_free (cell, unreadable);
@@ -378,7 +445,8 @@
   unreadable->next_ms = cell->time.now_ms + RETRY_MS;
   if (call == NULL)
     return;
-  snprintf (call->from, sizeof call->from, "%s", unreadable->id);
+  snprintf (call->from, sizeof call->from, "%s",
+            unreadable->from[0] != 0 ? unreadable->from : unreadable->id);
   snprintf (call->to, sizeof call->to, "%s" KEY_RANGE_END, unreadable->id);
   snprintf (pending.task.job, sizeof pending.task.job, "%s", unreadable->id);
   unreadable->reading = cell_call (cell, call, &pending);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -285,6 +285,7 @@
   uint32_t unreadable_max;    /* unreadable_max of these; 0: default */
   uint32_t lease_ms;          /* of these; 0: 4 s */
   int64_t store_ms;           /* latency of a call to the store */
+  uint32_t checkpoint_len;    /* of what runs save each second; 0: nothing */
   char rejected_job[MUX_JOB_ID_LEN]; /* progress of it is rejected; "": none */
   char rejected_row[MUX_JOB_ID_LEN]; /* the row of this job is; "": none */
   uint32_t rejected_commits;
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -20,6 +20,8 @@
 #define ROOM_GRACE_MS 4500
 /* Workers shorten a longer lease to this. */
 #define LEASE_MAX_MS 10000
+/* Runs save a checkpoint at this interval. */
+#define CHECKPOINT_MS 1000
 
 /* Return: the worker's number + 1 as encoded in its address; 0: none.  Saves a
  * search at each call to a worker. */
@@ -323,6 +325,11 @@
       run->reported = run->number != 0;
       report->end = run->end;
       report->usage = worker->usage;
+      if (world->checkpoint_len > 0)
+        snprintf (
+            report->checkpoint, sizeof report->checkpoint, "%0*lld",
+            (int) world->checkpoint_len,
+            (long long) ((world->now_ms - run->began_ms) / CHECKPOINT_MS));
       report->percent = worker->stuck_percent != 0
                             ? worker->stuck_percent
                             : (uint32_t) (spent * 100 / run->takes_ms);
