cell: best-effort tasks are slowed, not taken away, beside serving tasks

Cause: protect_serving_tasks() stopped every best-effort run of a worker with a serving task over its target; unavailable_max was used nowhere, the order that slows a task was not known, and the placing put all of them beside one serving task.

Now best-effort tasks of a worker work at a share that pacing.c chooses from the tails of the serving tasks there: cut at once, given back in steps, by an estimate of what a percent adds. The order (MUX_CELL_PACE, POST /-/pace) carries fencing token and run like a stop, is repeated when its answer is lost and, as it may be carried out late, for 15 s after that; a successor takes the shares as unknown; a run that starts is ordered to the share of its worker. availability.c answers whether a run may be taken away, counting all tasks of its step that are not listed at work; it is asked before best-effort tasks are stopped because a worker takes no such order, and before the start of a lasting task that went unanswered is undone, which stopped several at once as well. Best-effort tasks are spread, and placed away from serving tasks near their target. A proxy of an earlier version does not know the order; it goes unanswered and is then sent directly.

test_filling_task_is_stopped_beside_a_slow_service asked for the stop itself. It is replaced by a test of what the stop was for, as strict: the task does not work 2.5 s later, is gone within 10 s, does not come back while the tail is high, and works at full speed once it is low.

Evidence: test_cell_pace checks both limits at once, over the target for 4 s at most and no stop beyond max_unavailable.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -79,6 +79,8 @@
      "commits that the store rejected as malformed or too large")              \
   X (JOBS_NOT_STORABLE, "jobs_not_storable_total",                             \
      "jobs given up as the store rejects their changes")                       \
+  X (PACES, "paces_total",                                                     \
+     "orders that let a best-effort task work at a share of its speed")        \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
   X (ROWS_BAD_VALUE, "rows_bad_value_total",                                   \
@@ -132,6 +134,7 @@
   X (FEED, "feed")                     \
   X (START, "start")                   \
   X (STOP, "stop")                     \
+  X (PACE, "pace")                     \
   X (RENEW, "renew")                   \
   X (APPROVAL, "approval")             \
   X (HELLO, "hello")                   \
@@ -147,6 +150,7 @@
   X (OTHER_PEER, "other_peer")         \
   X (PROXIED_START, "proxied_start")   \
   X (PROXIED_STOP, "proxied_stop")     \
+  X (PROXIED_PACE, "proxied_pace")     \
   X (PROXIED_RENEW, "proxied_renew")
 
 /**
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -38,6 +38,7 @@
   MUX_CELL_STOP,  /* worker: stop a run; refuse its start if that comes later */
   MUX_CELL_RENEW, /* worker: extend its lease, list running and ended runs */
   MUX_CELL_QUERY_APPROVAL, /* policy service: which workers may run a step */
+  MUX_CELL_PACE,           /* worker: let a run work at a share of its speed */
 } MuxCellVerb;
 
 /**
@@ -118,9 +119,10 @@
  * @worker: name of the worker's incarnation that is meant, see
  *   port/incarnation.h; a worker with another id refuses the call, another
  *   incarnation of the same worker may not
- * @task: START, STOP; QUERY_APPROVAL: the step is meant
- * @run: START, STOP: number of the run
- * @fence: START, STOP, RENEW: fencing token of the claim
+ * @task: START, STOP, PACE; QUERY_APPROVAL: the step is meant
+ * @run: START, STOP, PACE: number of the run
+ * @percent: PACE: share at which it may work, 0 to 100
+ * @fence: START, STOP, PACE, RENEW: fencing token of the claim
  * @lease_expires_ms: START, RENEW: on the worker's clock; 0: not extended
  * @payload: START: holds a reference
  * @checkpoint: START: what to resume from; "": nothing
@@ -146,6 +148,7 @@
   char worker[MUX_NAME_LEN];
   MuxTaskRef task;
   uint32_t run;
+  uint32_t percent;
   uint64_t fence;
   int64_t lease_expires_ms;
   MuxBlob *payload;
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -24,6 +24,7 @@
     [MUX_CELL_STOP] = MUX_COUNT_WORKER_CALLS,
     [MUX_CELL_RENEW] = MUX_COUNT_WORKER_CALLS,
     [MUX_CELL_QUERY_APPROVAL] = MUX_COUNT_APPROVALS,
+    [MUX_CELL_PACE] = MUX_COUNT_WORKER_CALLS,
   };
 
   mux_count (cell->options.counters, counter[verb], 1);
@@ -142,7 +143,7 @@
 is_worker_call (MuxCellVerb verb)
 {
   return verb == MUX_CELL_START || verb == MUX_CELL_STOP
-         || verb == MUX_CELL_RENEW;
+         || verb == MUX_CELL_PACE || verb == MUX_CELL_RENEW;
 }
 
 void
@@ -217,7 +218,8 @@
 
   if (reply->verb == MUX_CELL_COMMIT || reply->verb == MUX_CELL_SCAN)
     mux_observe (counters, MUX_HIST_STORE, took_ms);
-  else if (reply->verb == MUX_CELL_START || reply->verb == MUX_CELL_STOP)
+  else if (reply->verb == MUX_CELL_START || reply->verb == MUX_CELL_STOP
+           || reply->verb == MUX_CELL_PACE)
     mux_observe (counters, MUX_HIST_WORKER, took_ms);
   else if (reply->verb == MUX_CELL_QUERY_APPROVAL)
     mux_observe (counters, MUX_HIST_APPROVAL, took_ms);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1015,6 +1015,31 @@
 /** cell_in_roster() - the stored roster names the worker, or may do so */
 bool cell_in_roster (const CellWorker *worker);
 
+/* availability.c: orders that take away runs at work */
+/** cell_run_may_be_stopped() - whether so few tasks of its step are away that
+ * the run may be stopped.  To be asked before each stop but those of runs of a
+ * job that has ended, of a gang that can't work, at a worker that leaves, and
+ * of runs that are not at their worker. */
+bool cell_run_may_be_stopped (const CellBooking *booking);
+
+/* pace.c: shares of best-effort tasks beside serving tasks */
+/** cell_pace_update() - the worker has listed its runs */
+void cell_pace_update (MuxCell *cell, CellWorker *worker);
+/** cell_pace_tick() - sends the orders that are due at the worker */
+void cell_pace_tick (MuxCell *cell, CellWorker *worker);
+/** cell_pace_adopt() - a predecessor may have ordered a share for the run */
+void cell_pace_adopt (CellBooking *booking);
+/** cell_pace_needs_reports() - the worker's tails are to be followed closely */
+bool cell_pace_needs_reports (const CellWorker *worker);
+/** cell_worker_takes_best_effort() - a best-effort task of the stage would work
+ * there */
+bool cell_worker_takes_best_effort (const CellStage *stage,
+                                    const CellWorker *worker);
+/** cell_best_effort_cost() - cost of the worker for a best-effort task, in
+ * thousandths of a processor; 0 for others */
+int64_t cell_best_effort_cost (const CellStage *stage,
+                               const CellWorker *worker);
+
 /* run.c: starts, stops and ends of runs */
 /** cell_book() - books room for a run; NULL: out of memory */
 CellBooking *
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -5,6 +5,7 @@
 #include "cell/cancel_age.h"
 #include "cell/cell.h"
 #include "cell/interference.h"
+#include "cell/pacing.h"
 #include "cell/run_time.h"
 #include "cell/share.h"
 #include "cell/throttle.h"
@@ -577,6 +578,9 @@
   int64_t ms;
 } CellBeside;
 
+/* CellBooking.pace of a run whose share is not known. */
+#define CELL_PACE_UNKNOWN UINT32_MAX
+
 /**
  * struct CellBooking - room held at a worker by one run of a task, from its
  *   start until the run is known to be gone; owned by the worker's list
@@ -591,6 +595,12 @@
  * @next_stop_ms: when a stop is to be sent, or sent again; 0: none is wanted
  * @stop_clock_ms: the worker's clock when it confirmed the stop; 0: it has not
  * @stop_since_ms: since when a stop is wanted
+ * @start_unanswered: its start was, and no list has shown the run since
+ * @pace: share that it works at, in percent, or CELL_PACE_UNKNOWN
+ * @next_pace_ms: when its share is to be ordered, if not before; INT64_MAX:
+ * only if another one is wanted
+ * @pace_repeat_until_ms: an earlier order may be carried out until then
+ * @slowed: it has worked at a share: its time teaches nothing
  * @resumed: the run was started from a checkpoint
  * @speed_learned: the worker's speed was learned from its progress, or can't be
  *   learned from the run
@@ -616,6 +626,11 @@
   int64_t next_stop_ms;
   int64_t stop_clock_ms;
   int64_t stop_since_ms;
+  bool start_unanswered;
+  uint32_t pace;
+  int64_t next_pace_ms;
+  int64_t pace_repeat_until_ms;
+  bool slowed;
   bool resumed;
   bool speed_learned;
   bool began;
@@ -1244,7 +1259,13 @@
  * @avoid_until_ms: no task is placed there before this
  * @backoff_ms: how long it was avoided after a start that was refused or
  *   unanswered; 0: the last start was accepted
- * @no_best_effort_until_ms: no best-effort task is placed there before this
+ * @pacing: share that its best-effort tasks work at
+ * @paced_count: these
+ * @pace_ordered_ms: when that share was last chosen anew
+ * @pace_changed_ms: when a run's share was last confirmed as another one
+ * @tail_percent: tail of the serving task nearest to its target, in percent of
+ *   that, as last listed
+ * @over_target_since_ms: since when that is over its target; 0: it is not
  * @direct_until_ms: called by this daemon itself until then
  * @reroutes: counts changes of its route; selects the proxy
  * @idle_until_ms: not called before this while nothing runs there
@@ -1308,7 +1329,12 @@
   int64_t next_renew_ms;
   int64_t avoid_until_ms;
   int64_t backoff_ms;
-  int64_t no_best_effort_until_ms;
+  MuxPacing pacing;
+  uint32_t paced_count;
+  int64_t pace_ordered_ms;
+  int64_t pace_changed_ms;
+  uint32_t tail_percent;
+  int64_t over_target_since_ms;
   int64_t direct_until_ms;
   uint32_t reroutes;
   int64_t idle_until_ms;
--- a/src/cell/interference_learn.c
+++ b/src/cell/interference_learn.c
@@ -73,7 +73,7 @@
 
   return !stage->spec->long_running && stage->job->spec->repetitions == 0
          && booking->task->state != CELL_TASK_DONE && !booking->resumed
-         && booking->run >= cell_next_run (cell, 0);
+         && !booking->slowed && booking->run >= cell_next_run (cell, 0);
 }
 
 static void
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -71,7 +71,8 @@
     cost += cell_stage_has_uneven_pool (cell, task->stage)
                 ? GANG_DELAY_COST_BESIDE_SPEED
                 : GANG_DELAY_COST;
-  return cost + cell_interference_cost (cell, task->stage, worker);
+  return cost + cell_interference_cost (cell, task->stage, worker)
+         + cell_best_effort_cost (task->stage, worker);
 }
 
 typedef struct
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -84,7 +84,7 @@
   return cell_worker_matches (stage, worker)
          && cell_worker_usable (cell, worker)
          && (!stage->spec->best_effort
-             || cell->time.now_ms >= worker->no_best_effort_until_ms);
+             || cell_worker_takes_best_effort (stage, worker));
 }
 
 void
--- a/src/cell/proxy.c
+++ b/src/cell/proxy.c
@@ -106,6 +106,8 @@
     kind = MUX_TRAFFIC_PROXIED_START;
   else if (verb == MUX_CELL_STOP)
     kind = MUX_TRAFFIC_PROXIED_STOP;
+  else if (verb == MUX_CELL_PACE)
+    kind = MUX_TRAFFIC_PROXIED_PACE;
   mux_count_message (cell->options.counters, kind, direction,
                      body != NULL ? body->len : 0);
 }
--- a/src/cell/proxy_wire.c
+++ b/src/cell/proxy_wire.c
@@ -23,7 +23,7 @@
   CALL_FENCE,
   CALL_LEASE,
   CALL_ACKED,
-  CALL_WAIT,
+  CALL_WAIT, /* of a PACE: its share */
   CALL_CHECKPOINT,
   CALL_PROOF,
   CALL_PAYLOAD,
@@ -173,7 +173,8 @@
   put_number (&writer, (int64_t) call->fence);
   put_number (&writer, call->lease_expires_ms);
   put_number (&writer, (int64_t) call->acked);
-  put_number (&writer, call->wait_ms);
+  put_number (&writer,
+              call->verb == MUX_CELL_PACE ? call->percent : call->wait_ms);
   put_text (&writer, call->checkpoint);
   put_text (&writer, call->proof);
   if (call->payload != NULL)
@@ -192,7 +193,7 @@
 
   if (payload->type != MSGPACK_OBJECT_BIN
       || (verb != MUX_CELL_START && verb != MUX_CELL_STOP
-          && verb != MUX_CELL_RENEW))
+          && verb != MUX_CELL_PACE && verb != MUX_CELL_RENEW))
     return NULL;
   call = mux_cell_call_new ((MuxCellVerb) verb);
   if (call == NULL)
@@ -205,7 +206,10 @@
   call->fence = (uint64_t) number_at (list, CALL_FENCE);
   call->lease_expires_ms = number_at (list, CALL_LEASE);
   call->acked = (uint64_t) number_at (list, CALL_ACKED);
-  call->wait_ms = (uint32_t) number_at (list, CALL_WAIT);
+  if (verb == MUX_CELL_PACE)
+    call->percent = (uint32_t) number_at (list, CALL_WAIT);
+  else
+    call->wait_ms = (uint32_t) number_at (list, CALL_WAIT);
   text_at (list, CALL_CHECKPOINT, call->checkpoint, sizeof call->checkpoint);
   text_at (list, CALL_PROOF, call->proof, sizeof call->proof);
   call->payload = mux_blob_new (payload->via.bin.ptr, payload->via.bin.size);
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -7,6 +7,8 @@
 
 /* How long the reply to a renewal may wait for the end of a run. */
 #define RENEW_WAIT_MS 1000
+/* The same while the tail of a serving task there is followed closely. */
+#define FOLLOW_WAIT_MS 300
 /* Replies a second from workers on which nothing runs: a tenth of a core at
  * 0.2 ms each, including the way through proxies. */
 #define IDLE_RENEWALS_PER_S 400
@@ -200,6 +202,12 @@
   return worker->acked > worker->acked_sent && fresh ? worker->acked : 0;
 }
 
+static uint32_t
+renew_wait_ms (const CellWorker *worker)
+{
+  return cell_pace_needs_reports (worker) ? FOLLOW_WAIT_MS : RENEW_WAIT_MS;
+}
+
 static void
 renew (MuxCell *cell, CellWorker *worker)
 {
@@ -218,7 +226,7 @@
   snprintf (call->addr, sizeof call->addr, "%s", worker->info.addr);
   call->fence = cell->term;
   call->acked = pending.context;
-  call->wait_ms = waits ? RENEW_WAIT_MS : 0;
+  call->wait_ms = waits ? renew_wait_ms (worker) : 0;
   pending.wait_ms = call->wait_ms;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS + call->wait_ms;
   /* An unanswered renewal may still arrive: if each asked for a longer lease,
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -20,9 +20,6 @@
 #define PERCENT 100
 /* and its worker is avoided for this long. */
 #define STALL_AVOID_MS 3000
-/* How long no best-effort task is placed beside a serving task that exceeded
- * its target. */
-#define NO_BEST_EFFORT_MS 10000
 /* How long a worker with an orphan run is avoided: it has less room than is
  * known here. */
 #define ORPHAN_AVOID_MS 1000
@@ -48,6 +45,7 @@
     booking->first_report_ms = cell->time.processed_ms;
   cell_loss_run_listed (cell, booking);
   booking->was_listed = true;
+  booking->start_unanswered = false;
   booking->usage = report->usage;
   task->stage->job->started = true;
   cell_queue_count_update (cell, task->stage->job);
@@ -93,6 +91,7 @@
     return;
   /* When it began is not known. */
   booking->speed_learned = true;
+  cell_pace_adopt (booking);
   task->state = CELL_TASK_RUNNING;
   update_running (cell, booking, report);
   if (task->stage->job->cancelled || task->stage->job->failed)
@@ -210,37 +209,17 @@
   cell_run_ended (cell, task, worker, run, MUX_RUN_LEASE_EXPIRED, "");
 }
 
-/* Stops the best-effort tasks beside a serving task that exceeds its target,
- * and places none there for a while: users wait for the serving task. */
-static void
-protect_serving_tasks (MuxCell *cell, CellWorker *worker)
-{
-  bool over = false;
-  CellBooking *booking;
-
-  DL_FOREACH (worker->bookings, booking)
-  {
-    uint32_t target = booking->task->stage->spec->tail_target_ms;
-
-    over = over || (target > 0 && booking->listed && booking->usage > target);
-  }
-  if (!over)
-    return;
-  worker->no_best_effort_until_ms = cell->time.now_ms + NO_BEST_EFFORT_MS;
-  DL_FOREACH (worker->bookings, booking)
-  if (booking->task->stage->spec->best_effort)
-    cell_stop_booking (cell, booking);
-}
-
 static bool
 is_stalled (const MuxCell *cell, const CellBooking *booking)
 {
   const MuxStepSpec *spec = booking->task->stage->spec;
   int64_t unchanged_ms = cell->time.now_ms - booking->progressed_ms;
 
-  /* A member of a gang that is done waits for the others. */
+  /* A member of a gang that is done waits for the others, and one that works at
+   * a share makes little progress. */
   if (spec->long_running || booking->task->state != CELL_TASK_RUNNING
-      || !booking->listed || booking->percent >= PERCENT)
+      || !booking->listed || booking->percent >= PERCENT
+      || booking->pace < MUX_PACING_FULL)
     return false;
   return unchanged_ms > STALL_MS
          && unchanged_ms > (int64_t) spec->estimate_ms * STALL_FACTOR / PERCENT;
@@ -261,8 +240,10 @@
       resolve_stopped (cell, worker, booking);
       return;
     }
-  if (!booking->listed && booking->task->state == CELL_TASK_RUNNING
-      && age_ms > UNLISTED_RUN_MS && complete)
+  if (!booking->listed && complete
+      && (booking->start_unanswered
+          || (booking->task->state == CELL_TASK_RUNNING
+              && age_ms > UNLISTED_RUN_MS)))
     cell_stop_booking (cell, booking);
   if (!is_stalled (cell, booking))
     return;
@@ -315,7 +296,7 @@
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].end_number == 0)
       take_running (cell, worker, &reply->report[i]);
-  protect_serving_tasks (cell, worker);
+  cell_pace_update (cell, worker);
   DL_FOREACH_SAFE (worker->bookings, booking, next)
   check_booking (cell, worker, booking, reply->worker_clock_ms,
                  ends < ENDS_PER_REPORT_MAX);
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -46,6 +46,8 @@
   booking->booked_ms = cell->time.now_ms;
   booking->progressed_ms = cell->time.now_ms;
   booking->kind = cell_interference_kind (task->stage);
+  booking->pace = MUX_PACING_FULL;
+  booking->next_pace_ms = INT64_MAX;
   task->booking = booking;
   if (run > task->last_run)
     task->last_run = run;
@@ -304,15 +306,18 @@
       return;
     }
   /* The start may still be carried out: its room stays booked until a stop of
-   * the run is confirmed and a later list shows that it is not there. */
+   * the run is confirmed and a later list shows that it is not there.  If the
+   * run may not be taken away, the next list shows whether it is there. */
   if (reply->status == MUX_CELL_UNKNOWN)
     {
       worker->unanswered_sent_ms = pending->sent_ms;
       back_off (cell, worker);
       if (task->stage->spec->gang)
         stop_gang (cell, task->stage);
-      else
+      else if (cell_run_may_be_stopped (task->booking))
         cell_stop_booking (cell, task->booking);
+      else
+        task->booking->start_unanswered = true;
       return;
     }
   apply_refusal (cell, task, worker, reply->status);
--- a/src/cell/run_time_learn.c
+++ b/src/cell/run_time_learn.c
@@ -69,7 +69,7 @@
   const CellStage *stage = task->stage;
 
   if (!is_learned (stage->job->spec, stage->spec)
-      || task->state == CELL_TASK_DONE || booking->resumed
+      || task->state == CELL_TASK_DONE || booking->resumed || booking->slowed
       || booking->run < cell_next_run (cell, 0))
     return;
   mux_run_time_record (
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -60,6 +60,7 @@
   worker->slot = cell->worker_slots++;
   cell->worker_by_slot[worker->slot] = worker;
   worker->roster = CELL_ROSTER_NONE;
+  mux_pacing_init (&worker->pacing);
   HASH_ADD_KEYPTR (hh, cell->workers, worker->info.id, strlen (worker->info.id),
                    worker);
   return worker;
@@ -386,6 +387,7 @@
     return;
   cell_evacuate (cell, worker);
   cell_stops_tick (cell, worker);
+  cell_pace_tick (cell, worker);
 }
 
 static bool
--- a/src/cell/worker_speed_learn.c
+++ b/src/cell/worker_speed_learn.c
@@ -169,7 +169,7 @@
 
   return !stage->spec->long_running && stage->spec->estimate_ms > 0
          && booking->task->state != CELL_TASK_DONE && !booking->resumed
-         && booking->run >= cell_next_run (cell, 0)
+         && !booking->slowed && booking->run >= cell_next_run (cell, 0)
          && booking->previous_incarnation == NULL && booking->next_stop_ms == 0
          && booking->stop_clock_ms == 0 && !stage->job->cancelled;
 }
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -73,6 +73,7 @@
  *   a later acknowledgement does not count
  * @crashes: crashes its worker after running for the world's @crash_ms
  * @reported: its end was in a reply to a lease renewal
+ * @pace: share that it may work at, in percent
  */
 typedef struct
 {
@@ -88,6 +89,7 @@
   bool lapsed;
   bool crashes;
   bool reported;
+  uint32_t pace;
 } WorldRun;
 
 /**
@@ -120,6 +122,10 @@
  * @unreachable: calls from any daemon are lost
  * @fails: all its runs fail after @task_ms
  * @usage: usage that its runs report
+ * @pace_fault: of PACE calls
+ * @paces: PACE calls that it has carried out
+ * @over_since_ms: since when a serving task there is over the world's tail
+ *   target because of the filling ones; 0: none is
  * @stuck_percent: progress that its runs report without ever ending; 0: they
  *   progress and end
  * @speed_milli: speed of its runs in thousandths: one takes its task's time *
@@ -140,6 +146,9 @@
   bool unreachable;
   bool fails;
   uint32_t usage;
+  WorldFault pace_fault;
+  uint32_t paces;
+  int64_t over_since_ms;
   uint32_t stuck_percent;
   uint32_t speed_milli;
   int64_t down_until_ms;
@@ -285,7 +294,18 @@
   uint32_t unreadable_max;    /* unreadable_max of these; 0: default */
   uint32_t lease_ms;          /* of these; 0: 4 s */
   int64_t store_ms;           /* latency of a call to the store */
-  uint32_t checkpoint_len;    /* of what runs save each second; 0: nothing */
+  char filling[MUX_JOB_ID_LEN]; /* job whose tasks disturb serving ones; "":
+                                   none */
+  char serving[MUX_JOB_ID_LEN]; /* job of the serving tasks */
+  uint32_t filling_count;       /* tasks of the former */
+  uint32_t tail_ms;             /* of a serving task alone */
+  uint32_t tail_rise_ms;        /* added to it by each filling task at work */
+  uint32_t tail_target_ms;
+  int64_t harm_ms;          /* longest time over the target because of
+                               filling tasks */
+  uint32_t unavailable_max; /* of the filling job; 0: not checked */
+  uint32_t taken_away;      /* stops beyond that */
+  uint32_t checkpoint_len;  /* of what runs save each second; 0: nothing */
   char rejected_job[MUX_JOB_ID_LEN]; /* progress of it is rejected; "": none */
   char rejected_row[MUX_JOB_ID_LEN]; /* the row of this job is; "": none */
   uint32_t rejected_commits;
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -8,6 +8,9 @@
 
 #define WORKER_MS 1
 #define MILLI 1000
+#define PERCENT 100
+/* A task that lasts is at work after this. */
+#define STARTUP_MS 300
 /* The planner of a new world has contacted all workers by then. */
 #define FIRST_CONTACT_MS 1000
 /* Prefix of workers' addresses; the rest encodes the number + 1, 256 to a /24.
@@ -269,6 +272,7 @@
   run->run = call->run;
   run->began_ms = world->now_ms;
   run->crashes = is_crashing (call);
+  run->pace = PERCENT;
   run->takes_ms = run_time_at (world, worker, &call->task);
   run->ends_ms
       = worker->stuck_percent != 0 ? INT64_MAX : world->now_ms + run->takes_ms;
@@ -284,12 +288,106 @@
   world_check_quota (world, &call->task);
 }
 
+static bool
+is_at_work (const World *world, const WorldRun *run, const char *job)
+{
+  return run->used && run->number == 0 && strcmp (run->task.job, job) == 0
+         && world->now_ms - run->began_ms >= STARTUP_MS;
+}
+
+/* Tail of a serving task at the worker, by the shares of the filling ones. */
+static uint32_t
+tail_of (const World *world, const WorldWorker *worker)
+{
+  uint32_t share = 0;
+
+  for (uint32_t i = 0; i < worker->run_end; i++)
+    if (is_at_work (world, &worker->run[i], world->filling))
+      share += worker->run[i].pace;
+  return world->tail_ms + world->tail_rise_ms * share / PERCENT;
+}
+
+static bool
+serves (const World *world, const WorldWorker *worker)
+{
+  for (uint32_t i = 0; i < worker->run_end; i++)
+    if (is_at_work (world, &worker->run[i], world->serving))
+      return true;
+  return false;
+}
+
+static void
+check_tail (World *world, WorldWorker *worker)
+{
+  bool over = world->filling[0] != 0 && world->tail_ms <= world->tail_target_ms
+              && serves (world, worker)
+              && tail_of (world, worker) > world->tail_target_ms;
+
+  if (!over)
+    worker->over_since_ms = 0;
+  else if (worker->over_since_ms == 0)
+    worker->over_since_ms = world->now_ms;
+  if (over && world->now_ms - worker->over_since_ms > world->harm_ms)
+    world->harm_ms = world->now_ms - worker->over_since_ms;
+}
+
+/* Counts a stop of a filling task that is at work while too many others are
+ * not. */
+static void
+check_stop (World *world, const WorldRun *stopped)
+{
+  uint32_t at_work = 0;
+
+  if (world->unavailable_max == 0
+      || !is_at_work (world, stopped, world->filling))
+    return;
+  for (uint32_t i = 0; i < world->worker_end; i++)
+    for (uint32_t j = 0; j < world->worker[i].run_end; j++)
+      at_work += is_at_work (world, &world->worker[i].run[j], world->filling);
+  world->taken_away += world->filling_count - at_work >= world->unavailable_max;
+}
+
+static void
+do_pace (WorldWorker *worker, const MuxCellCall *call, MuxCellReply *reply)
+{
+  WorldRun *run = run_find (worker, &call->task, call->run);
+
+  if (run == NULL || run->number != 0)
+    {
+      reply->status = MUX_CELL_OLD_RUN;
+      return;
+    }
+  run->pace = call->percent;
+  worker->paces++;
+}
+
+static bool
+is_disturbance (const World *world, const WorldRun *run)
+{
+  return world->filling[0] != 0
+         && (strcmp (run->task.job, world->filling) == 0
+             || strcmp (run->task.job, world->serving) == 0);
+}
+
+static void
+report_lasting (const World *world,
+                const WorldWorker *worker,
+                const WorldRun *run,
+                MuxRunReport *report)
+{
+  report->percent = is_at_work (world, run, run->task.job) ? PERCENT : 0;
+  if (strcmp (run->task.job, world->serving) == 0)
+    report->usage = tail_of (world, worker);
+}
+
 /* A START that arrives after the STOP of its run is refused. */
 static void
 do_stop (World *world, WorldWorker *worker, const MuxCellCall *call)
 {
   WorldRun *run = run_find (worker, &call->task, call->run);
 
+  if (run != NULL && run->number == 0)
+    check_stop (world, run);
   if (run != NULL && run->number == 0)
     end_run (world, worker, run, MUX_RUN_STOPPED);
   ended_run_raise (world, worker, &call->task, call->run);
@@ -333,6 +431,8 @@
       report->percent = worker->stuck_percent != 0
                             ? worker->stuck_percent
                             : (uint32_t) (spent * 100 / run->takes_ms);
+      if (is_disturbance (world, run))
+        report_lasting (world, worker, run, report);
       reply->report_count++;
     }
 }
@@ -399,6 +499,8 @@
     do_start (world, worker, call, reply);
   else if (call->verb == MUX_CELL_STOP)
     do_stop (world, worker, call);
+  else if (call->verb == MUX_CELL_PACE)
+    do_pace (worker, call, reply);
   else
     {
       list_runs (world, worker, call, reply);
@@ -425,6 +527,10 @@
   WorldFault fault = worker != NULL && order ? worker->fault : WORLD_SERVES;
   WorldEvent *event;
 
+  if (worker != NULL && call->verb == MUX_CELL_PACE
+      && worker->pace_fault != WORLD_SERVES)
+    fault = worker->pace_fault;
+
   world->worker_calls[cell]++;
   if (worker != NULL)
     worker->calls++;
@@ -500,6 +606,7 @@
       for (uint32_t j = 0; worker->used && j < worker->run_end; j++)
         if (worker->run[j].used)
           step_run (world, worker, &worker->run[j]);
+      check_tail (world, worker);
     }
 }
 
