cell: orders of shares are looked for only when one is due

Each worker was gone through every 4 ms while best-effort tasks run there; the next due time is kept instead. A run that starts is ordered to its worker's share with the answer to its start, not with the next list.

--- a/src/cell/approval_record.c
+++ b/src/cell/approval_record.c
@@ -69,8 +69,9 @@
 static void
 add_to_record (json_t **row, uint32_t rows, const char *id)
 {
-  (void) json_array_append_new (row[mux_hash_name (id, 0) % rows],
-                                json_string (id));
+  uint64_t at = rows > 1 ? mux_hash_name (id, 0) % rows : 0;
+
+  (void) json_array_append_new (row[at], json_string (id));
 }
 
 static void
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1027,6 +1027,8 @@
 void cell_pace_update (MuxCell *cell, CellWorker *worker);
 /** cell_pace_tick() - sends the orders that are due at the worker */
 void cell_pace_tick (MuxCell *cell, CellWorker *worker);
+/** cell_pace_run_began() - the worker confirmed the start of the run */
+void cell_pace_run_began (CellBooking *booking);
 /** cell_pace_adopt() - a predecessor may have ordered a share for the run */
 void cell_pace_adopt (CellBooking *booking);
 /** cell_pace_needs_reports() - the worker's tails are to be followed closely */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1261,6 +1261,7 @@
  *   unanswered; 0: the last start was accepted
  * @pacing: share that its best-effort tasks work at
  * @paced_count: these
+ * @pace_due_ms: no order to them is due before this
  * @pace_ordered_ms: when that share was last chosen anew
  * @pace_changed_ms: when a run's share was last confirmed as another one
  * @tail_percent: tail of the serving task nearest to its target, in percent of
@@ -1331,6 +1332,7 @@
   int64_t backoff_ms;
   MuxPacing pacing;
   uint32_t paced_count;
+  int64_t pace_due_ms;
   int64_t pace_ordered_ms;
   int64_t pace_changed_ms;
   uint32_t tail_percent;
--- a/src/cell/pace.c
+++ b/src/cell/pace.c
@@ -95,9 +95,11 @@
   if (reply->status == MUX_CELL_OK)
     {
       pace_confirmed (cell, booking, (uint32_t) pending->context);
+      booking->worker->pace_due_ms = 0;
       cell_pace_tick (cell, booking->worker);
       return;
     }
+  booking->worker->pace_due_ms = 0;
   booking->next_pace_ms = cell->time.now_ms;
   if (reply->status == MUX_CELL_UNKNOWN)
     {
@@ -142,9 +144,11 @@
   uint32_t percent = worker->pacing.percent;
   CellBooking *booking;
 
-  if (!worker->pacing.is_known || worker->paced_count == 0
+  /* Called each 4 ms for each worker. */
+  if (cell->time.now_ms < worker->pace_due_ms || !worker->pacing.is_known
       || !cell_is_active_planner (cell))
     return;
+  worker->pace_due_ms = INT64_MAX;
   DL_FOREACH (worker->bookings, booking)
   {
     if (!is_paced (booking))
@@ -153,9 +157,18 @@
       booking->next_pace_ms = cell->time.now_ms;
     if (cell->time.now_ms >= booking->next_pace_ms)
       send_pace (cell, booking, percent);
+    if (booking->next_pace_ms < worker->pace_due_ms)
+      worker->pace_due_ms = booking->next_pace_ms;
   }
 }
 
+void
+cell_pace_run_began (CellBooking *booking)
+{
+  if (booking->task->stage->spec->best_effort)
+    booking->worker->pace_due_ms = 0;
+}
+
 /* Return: tail of the listed serving task nearest to its target, in percent of
  * that; 0: there is none. */
 static uint32_t
@@ -289,6 +302,7 @@
     observe (cell, worker, tail);
   else if (!worker->pacing.is_known || worker->pacing.percent < MUX_PACING_FULL)
     mux_pacing_init (&worker->pacing);
+  worker->pace_due_ms = 0;
   cell_pace_tick (cell, worker);
   watch_over_target (cell, worker, tail);
   stop_idle (cell, worker);
--- a/src/cell/progress_split.c
+++ b/src/cell/progress_split.c
@@ -24,14 +24,13 @@
 /* Entries kept free in a commit for the two rows that end the first pass, and
  * those that end a job. */
 #define ENTRIES_RESERVED 7
-#define ROWS_RESERVED 3
+#define BYTES_RESERVED ((size_t) 3 * CELL_ROW_SENT_BYTES_MAX)
 
 static bool
 has_room (const MuxCellCall *call)
 {
   return call->change_count + ENTRIES_RESERVED <= CELL_COMMIT_CHANGES_MAX
-         && cell_commit_bytes (call) + ROWS_RESERVED * CELL_ROW_SENT_BYTES_MAX
-                <= CELL_COMMIT_BYTES_MAX;
+         && cell_commit_bytes (call) + BYTES_RESERVED <= CELL_COMMIT_BYTES_MAX;
 }
 
 CellProgressRow *
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -290,6 +290,7 @@
     {
       worker->backoff_ms = 0;
       task->booking->began = true;
+      cell_pace_run_began (task->booking);
       if (task->booking->first_report_ms == 0)
         task->booking->first_report_ms = cell->time.processed_ms;
       cell_loss_run_began (cell, task);
