cell: a cut of the share does not wait for an unanswered order

A new share was ordered only once the order of the former one had been answered or given up, up to a second later. It is ordered at once and repeated for as long as the former one may still be carried out.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -597,6 +597,7 @@
  * @stop_since_ms: since when a stop is wanted
  * @start_unanswered: its start was, and no list has shown the run since
  * @pace: share that it works at, in percent, or CELL_PACE_UNKNOWN
+ * @pace_sent: share in the last order, or CELL_PACE_UNKNOWN
  * @next_pace_ms: when its share is to be ordered, if not before; INT64_MAX:
  * only if another one is wanted
  * @pace_repeat_until_ms: an earlier order may be carried out until then
@@ -628,6 +629,7 @@
   int64_t stop_since_ms;
   bool start_unanswered;
   uint32_t pace;
+  uint32_t pace_sent;
   int64_t next_pace_ms;
   int64_t pace_repeat_until_ms;
   bool slowed;
--- a/src/cell/pace.c
+++ b/src/cell/pace.c
@@ -132,12 +132,23 @@
   call->percent = percent;
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS;
   mux_count (cell->options.counters, MUX_COUNT_PACES, 1);
+  booking->pace_sent = percent;
   /* Not again while the reply is outstanding. */
   if (cell_worker_call (cell, worker, call, &pending))
     booking->next_pace_ms
         = cell->time.now_ms + CELL_WORKER_TIMEOUT_MS + RETRY_MS;
 }
 
+/* A new share does not wait for the answer to the order of another one, which
+ * may then be carried out after it. */
+static void
+supersede_order (const MuxCell *cell, CellBooking *booking)
+{
+  if (booking->pace != booking->pace_sent)
+    booking->pace_repeat_until_ms = cell->time.now_ms + CELL_LATE_ORDERS_MS;
+  booking->next_pace_ms = cell->time.now_ms;
+}
+
 void
 cell_pace_tick (MuxCell *cell, CellWorker *worker)
 {
@@ -153,7 +164,9 @@
   {
     if (!is_paced (booking))
       continue;
-    if (booking->pace != percent && booking->next_pace_ms == INT64_MAX)
+    if (booking->pace_sent != percent)
+      supersede_order (cell, booking);
+    else if (booking->pace != percent && booking->next_pace_ms == INT64_MAX)
       booking->next_pace_ms = cell->time.now_ms;
     if (cell->time.now_ms >= booking->next_pace_ms)
       send_pace (cell, booking, percent);
@@ -314,6 +327,7 @@
   if (!booking->task->stage->spec->best_effort)
     return;
   booking->pace = CELL_PACE_UNKNOWN;
+  booking->pace_sent = CELL_PACE_UNKNOWN;
   if (booking->worker->paced_count == 0)
     mux_pacing_forget (&booking->worker->pacing);
 }
--- a/src/cell/progress_split.c
+++ b/src/cell/progress_split.c
@@ -306,7 +306,7 @@
   {
     if (strcmp (row->key, job->id) == 0)
       continue;
-    if (!has_room (call))
+    if (!all && !has_room (call))
       return false;
     remove_row (call, row);
   }
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -47,6 +47,7 @@
   booking->progressed_ms = cell->time.now_ms;
   booking->kind = cell_interference_kind (task->stage);
   booking->pace = MUX_PACING_FULL;
+  booking->pace_sent = MUX_PACING_FULL;
   booking->next_pace_ms = INT64_MAX;
   task->booking = booking;
   if (run > task->last_run)
