--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1048,6 +1048,9 @@
 cell_book (MuxCell *cell, CellTask *task, CellWorker *worker, uint32_t run);
 /** cell_unbook() - frees the booking and its room */
 void cell_unbook (MuxCell *cell, CellBooking *booking);
+/** cell_pending_task() - the task that a START, STOP or PACE is about, while
+ * its booking is of the same run and worker; NULL: it is not */
+CellTask *cell_pending_task (MuxCell *cell, const CellPending *pending);
 /** cell_start_run() - books the run and sends its start
  * @checkpoint: what to resume from; "": nothing
  * Return: false: it was not sent, and nothing is booked. */
--- a/src/cell/pace.c
+++ b/src/cell/pace.c
@@ -1,7 +1,6 @@
 #include "cell_private.h"
 
 #include <stdio.h>
-#include <string.h>
 
 /*
  * Shares of best-effort tasks beside tasks that serve requests: orders to the
@@ -47,18 +46,6 @@
          && booking->task->state != CELL_TASK_STOPPING && booking->began;
 }
 
-static CellBooking *
-pending_booking (MuxCell *cell, const CellPending *pending)
-{
-  CellTask *task = cell_task_find (cell, &pending->task);
-
-  if (task == NULL || task->booking == NULL
-      || task->booking->run != pending->run
-      || strcmp (task->booking->worker->info.id, pending->worker) != 0)
-    return NULL;
-  return task->booking;
-}
-
 static void
 pace_confirmed (MuxCell *cell, CellBooking *booking, uint32_t percent)
 {
@@ -81,7 +68,8 @@
                const MuxCellReply *reply)
 {
   CellWorker *worker = cell_worker_find (cell, pending->worker);
-  CellBooking *booking = pending_booking (cell, pending);
+  CellTask *task = cell_pending_task (cell, pending);
+  CellBooking *booking;
 
   if (reply->status == MUX_CELL_OTHER_INCARNATION && worker != NULL)
     {
@@ -90,8 +78,9 @@
     }
   if (reply->status == MUX_CELL_FENCED)
     cell_claim_doubt (cell, "pace_fenced");
-  if (booking == NULL)
+  if (task == NULL)
     return;
+  booking = task->booking;
   if (reply->status == MUX_CELL_OK)
     {
       pace_confirmed (cell, booking, (uint32_t) pending->context);
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -77,8 +77,8 @@
   free (booking);
 }
 
-static CellTask *
-pending_task (MuxCell *cell, const CellPending *pending)
+CellTask *
+cell_pending_task (MuxCell *cell, const CellPending *pending)
 {
   CellTask *task = cell_task_find (cell, &pending->task);
 
@@ -103,7 +103,7 @@
                const CellPending *pending,
                const MuxCellReply *reply)
 {
-  CellTask *task = pending_task (cell, pending);
+  CellTask *task = cell_pending_task (cell, pending);
   CellWorker *worker = cell_worker_find (cell, pending->worker);
 
   if (reply->status == MUX_CELL_OTHER_INCARNATION && worker != NULL)
@@ -271,7 +271,7 @@
                 const MuxCellReply *reply)
 {
   CellWorker *worker = cell_worker_find (cell, pending->worker);
-  CellTask *task = pending_task (cell, pending);
+  CellTask *task = cell_pending_task (cell, pending);
 
   if (reply->status != MUX_CELL_UNKNOWN)
     cell_reply_latency_record (cell, pending);
