--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1022,14 +1022,14 @@
  * of runs that are not at their worker. */
 bool cell_run_may_be_stopped (const CellBooking *booking);
 
-/* pace.c: shares of best-effort tasks beside serving tasks */
+/* pace.c: paces of best-effort tasks beside serving tasks */
 /** cell_pace_update() - the worker has listed its runs */
 void cell_pace_update (MuxCell *cell, CellWorker *worker);
 /** cell_pace_tick() - sends the orders that are due at the worker */
 void cell_pace_tick (MuxCell *cell, CellWorker *worker);
 /** cell_pace_run_began() - the worker confirmed the start of the run */
 void cell_pace_run_began (CellBooking *booking);
-/** cell_pace_adopt() - a predecessor may have ordered a share for the run */
+/** cell_pace_adopt() - a predecessor may have ordered a pace for the run */
 void cell_pace_adopt (CellBooking *booking);
 /** cell_pace_needs_reports() - the worker's tails are to be followed closely */
 bool cell_pace_needs_reports (const CellWorker *worker);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -578,7 +578,7 @@
   int64_t ms;
 } CellBeside;
 
-/* CellBooking.pace of a run whose share is not known. */
+/* CellBooking.pace of a run whose pace is not known. */
 #define CELL_PACE_UNKNOWN UINT32_MAX
 
 /**
@@ -596,12 +596,13 @@
  * @stop_clock_ms: the worker's clock when it confirmed the stop; 0: it has not
  * @stop_since_ms: since when a stop is wanted
  * @start_unanswered: its start was, and no list has shown the run since
- * @pace: share that it works at, in percent, or CELL_PACE_UNKNOWN
- * @pace_sent: share in the last order, or CELL_PACE_UNKNOWN
- * @next_pace_ms: when its share is to be ordered, if not before; INT64_MAX:
+ * @pace: share of its speed that it works at, in percent, or
+ *   CELL_PACE_UNKNOWN
+ * @pace_sent: pace in the last order, or CELL_PACE_UNKNOWN
+ * @next_pace_ms: when its pace is to be ordered, if not before; INT64_MAX:
  * only if another one is wanted
  * @pace_repeat_until_ms: an earlier order may be carried out until then
- * @slowed: it has worked at a share: its time teaches nothing
+ * @slowed: its pace was ordered: its time teaches nothing
  * @resumed: the run was started from a checkpoint
  * @speed_learned: the worker's speed was learned from its progress, or can't be
  *   learned from the run
@@ -1261,11 +1262,11 @@
  * @avoid_until_ms: no task is placed there before this
  * @backoff_ms: how long it was avoided after a start that was refused or
  *   unanswered; 0: the last start was accepted
- * @pacing: share that its best-effort tasks work at
+ * @pacing: pace that its best-effort tasks work at
  * @paced_count: these
  * @pace_due_ms: no order to them is due before this
- * @pace_ordered_ms: when that share was last chosen anew
- * @pace_changed_ms: when a run's share was last confirmed as another one
+ * @pace_ordered_ms: when that pace was last chosen anew
+ * @pace_changed_ms: when a run's pace was last confirmed as another one
  * @tail_percent: tail of the serving task nearest to its target, in percent of
  *   that, as last listed
  * @over_target_since_ms: since when that is over its target; 0: it is not
--- a/src/cell/pace.c
+++ b/src/cell/pace.c
@@ -3,25 +3,25 @@
 #include <stdio.h>
 
 /*
- * Shares of best-effort tasks beside tasks that serve requests: orders to the
+ * Paces of best-effort tasks beside tasks that serve requests: orders to the
  * workers, and what is done where these have no effect.
  *
- * All best-effort tasks of a worker work at one share, see cell/pacing.h.  A
- * run starts at the full share, so that one that starts beside others is
+ * All best-effort tasks of a worker work at one pace, see cell/pacing.h.  A
+ * run starts at the full pace, so that one that starts beside others is
  * ordered to theirs as soon as it is known to have begun.  A planner does not
  * know what its predecessor has ordered: runs that it finds at their workers
- * have no known share until it has ordered one.
+ * have no known pace until it has ordered one.
  */
 
 /* After an order that was refused. */
 #define RETRY_MS 300
-/* The tail at a new share: a worker applies it within 100 ms, and reports the
+/* The tail at a new pace: a worker applies it within 100 ms, and reports the
  * tail of the last half second. */
 #define SETTLE_MS 650
 /* An order that went unanswered may be carried out after a newer one.  Until
  * that is over the newer one is repeated. */
 #define REPEAT_MS 1000
-/* Without a confirmed share for this long the tails are judged all the same. */
+/* Without a confirmed pace for this long the tails are judged all the same. */
 #define UNSETTLED_MAX_MS 1500
 /* A serving task that is over its target for this long, while orders have no
  * effect: best-effort tasks are stopped. */
@@ -33,10 +33,10 @@
 #define TAIL_FOLLOWED_PERCENT 60
 #define PERCENT 100
 /* Cost of a worker for a best-effort task, in thousandths of a processor: for
- * each such task beside a serving one, for a percent of the share that they may
+ * each such task beside a serving one, for a percent of the pace that they may
  * not work at, and for a percent of the tail's target. */
 #define BESIDE_COST 20000
-#define SHARE_COST 4000
+#define PACE_COST 4000
 #define TAIL_COST 1000
 
 static bool
@@ -128,7 +128,7 @@
         = cell->time.now_ms + CELL_WORKER_TIMEOUT_MS + RETRY_MS;
 }
 
-/* A new share does not wait for the answer to the order of another one, which
+/* A new pace does not wait for the answer to the order of another one, which
  * may then be carried out after it. */
 static void
 supersede_order (const MuxCell *cell, CellBooking *booking)
@@ -203,7 +203,7 @@
   return false;
 }
 
-/* Whether the share chosen last is in force, and the tail is that at it. */
+/* Whether the pace chosen last is in force, and the tail is that at it. */
 static bool
 is_settled (const MuxCell *cell, const CellWorker *worker)
 {
@@ -347,7 +347,7 @@
   DL_FOREACH (worker->bookings, booking)
   beside += booking->task->stage->spec->best_effort;
   return (beside + 1) * BESIDE_COST
-         + (int64_t) (MUX_PACING_FULL - worker->pacing.percent) * SHARE_COST
+         + (int64_t) (MUX_PACING_FULL - worker->pacing.percent) * PACE_COST
          + (int64_t) (worker->tail_percent < PERCENT ? worker->tail_percent
                                                      : PERCENT)
                * TAIL_COST;
--- a/src/cell/pacing.c
+++ b/src/cell/pacing.c
@@ -1,21 +1,21 @@
 #include "cell/pacing.h"
 
-/* Tails in percent of the target.  From OVER on the share is cut, to where the
+/* Tails in percent of the target.  From OVER on the pace is cut, to where the
  * tail is expected at GOAL; below CALM it is raised. */
 #define TAIL_OVER 95
 #define TAIL_GOAL 80
 #define TAIL_CALM 70
-/* Of runs whose share is not known, a tail below this shows that no share does
+/* Of runs whose pace is not known, a tail below this shows that no pace does
  * harm for now. */
 #define TAIL_LOW 35
-/* Steps in which the share is raised, while the rise of the tail is not known,
+/* Steps in which the pace is raised, while the rise of the tail is not known,
  * and at most. */
 #define STEP_UNKNOWN 10
 #define STEP_MAX 15
-/* Share chosen first for runs whose share is not known, and for one that starts
- * where a share of 0 was needed. */
+/* Share chosen first for runs whose pace is not known, and for one that starts
+ * where a pace of 0 was needed. */
 #define FIRST_PERCENT 30
-/* After a cut the share is not raised for this long. */
+/* After a cut the pace is not raised for this long. */
 #define HOLD_MS 3000
 /* Least rise assumed: a tail that fell meanwhile must not make it 0. */
 #define RISE_MIN_MILLI 50
@@ -33,17 +33,17 @@
   *pacing = (MuxPacing){ .is_known = false, .percent = MUX_PACING_FULL };
 }
 
-/* A larger rise counts at once, a smaller one in part: the share is raised the
+/* A larger rise counts at once, a smaller one in part: the pace is raised the
  * more carefully. */
 static void
 learn_rise (MuxPacing *pacing, uint32_t tail)
 {
-  int64_t shares = (int64_t) pacing->percent - pacing->last_percent;
+  int64_t change = (int64_t) pacing->percent - pacing->last_percent;
   int64_t rise;
 
-  if (!pacing->has_last || shares == 0)
+  if (!pacing->has_last || change == 0)
     return;
-  rise = ((int64_t) tail - pacing->last_tail) * MILLI / shares;
+  rise = ((int64_t) tail - pacing->last_tail) * MILLI / change;
   if (rise < RISE_MIN_MILLI)
     rise = RISE_MIN_MILLI;
   if (rise > UINT32_MAX)
@@ -55,7 +55,7 @@
         = (uint32_t) ((2 * (int64_t) pacing->rise_milli + rise) / 3);
 }
 
-/* Return: change of the share after which the tail is expected at GOAL. */
+/* Return: change of the pace after which the tail is expected at GOAL. */
 static int64_t
 change_to_goal (const MuxPacing *pacing, uint32_t tail)
 {
@@ -76,7 +76,7 @@
 }
 
 static uint32_t
-raise_share (const MuxPacing *pacing, uint32_t tail)
+raise_pace (const MuxPacing *pacing, uint32_t tail)
 {
   int64_t step = STEP_UNKNOWN;
 
@@ -102,7 +102,7 @@
       return cut (pacing, tail);
     }
   if (tail < TAIL_CALM && now_ms >= pacing->raise_after_ms)
-    return raise_share (pacing, tail);
+    return raise_pace (pacing, tail);
   return pacing->percent;
 }
 
--- a/src/cell/proxy_wire.c
+++ b/src/cell/proxy_wire.c
@@ -23,7 +23,7 @@
   CALL_FENCE,
   CALL_LEASE,
   CALL_ACKED,
-  CALL_WAIT, /* of a PACE: its share */
+  CALL_WAIT, /* of a PACE: its percentage */
   CALL_CHECKPOINT,
   CALL_PROOF,
   CALL_PAYLOAD,
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -216,7 +216,7 @@
   int64_t unchanged_ms = cell->time.now_ms - booking->progressed_ms;
 
   /* A member of a gang that is done waits for the others, and one that works at
-   * a share makes little progress. */
+   * a low pace makes little progress. */
   if (spec->long_running || booking->task->state != CELL_TASK_RUNNING
       || !booking->listed || booking->percent >= PERCENT
       || booking->pace < MUX_PACING_FULL)
--- a/test/unit/test_cell_pace.c
+++ b/test/unit/test_cell_pace.c
@@ -63,9 +63,9 @@
   return n;
 }
 
-/* Sum of the shares of all filling tasks. */
+/* Sum of the paces of all filling tasks. */
 static uint32_t
-shares (const World *world)
+paces (const World *world)
 {
   uint32_t sum = 0;
 
@@ -97,11 +97,11 @@
   world->tail_rise_ms = RISE_MS;
   world_run (world, 20000);
   assert_both_kept (world);
-  assert_true (shares (world) < FILL_TASKS * 100);
+  assert_true (paces (world) < FILL_TASKS * 100);
   assert_int_equal (world_starts (world, "filling"), FILL_TASKS);
   world->tail_rise_ms = CALM_RISE_MS;
   world_run (world, 30000);
-  assert_int_equal (shares (world), FILL_TASKS * 100);
+  assert_int_equal (paces (world), FILL_TASKS * 100);
   assert_both_kept (world);
   world_free (world);
 }
@@ -152,7 +152,7 @@
   play_faulty_orders (WORLD_LATE);
 }
 
-/* The planner is replaced while tasks work at a share: its successor, which
+/* The planner is replaced while tasks work at a pace: its successor, which
  * does not know that, must neither let them do harm nor leave them slow. */
 static void
 test_successor_of_a_planner_that_slowed_tasks (void **state)
@@ -168,12 +168,12 @@
   assert_both_kept (world);
   world->tail_rise_ms = CALM_RISE_MS;
   world_run (world, 30000);
-  assert_int_equal (shares (world), FILL_TASKS * 100);
+  assert_int_equal (paces (world), FILL_TASKS * 100);
   assert_both_kept (world);
   world_free (world);
 }
 
-/* A worker restarts while its tasks work at a share: those that start there or
+/* A worker restarts while its tasks work at a pace: those that start there or
  * elsewhere begin at the full one. */
 static void
 test_worker_restarts_while_tasks_are_slowed (void **state)
--- a/test/unit/test_pacing.c
+++ b/test/unit/test_pacing.c
@@ -2,7 +2,7 @@
 
 #include "support/test.h"
 
-/* The share of best-effort tasks, against a worker whose tail follows it. */
+/* The pace of best-effort tasks, against a worker whose tail follows it. */
 
 #define STEP_MS 1000
 #define ROUNDS 60
@@ -55,10 +55,10 @@
     }
 }
 
-/* The share is given back up to where the tail allows, and stays there: the
+/* The pace is given back up to where the tail allows, and stays there: the
  * tail must not swing over its target once a minute. */
 static void
-test_share_is_given_back_without_swinging (void **state)
+test_pace_is_given_back_without_swinging (void **state)
 {
   (void) state;
   for (uint32_t rise = 200; rise <= 20000; rise += 200)
@@ -81,7 +81,7 @@
 
 /* The disturbance ends: the tasks must work at their full speed again. */
 static void
-test_share_is_full_again_after_a_disturbance (void **state)
+test_pace_is_full_again_after_a_disturbance (void **state)
 {
   MuxPacing pacing;
   int64_t now_ms = 1000;
@@ -110,10 +110,10 @@
   assert_int_equal (pacing.percent, MUX_PACING_FULL);
 }
 
-/* A successor does not know the shares: where the tail is near its target it
+/* A successor does not know the paces: where the tail is near its target it
  * must not order a higher one, and where it is over it the lowest. */
 static void
-test_unknown_share (void **state)
+test_unknown_pace (void **state)
 {
   MuxPacing pacing;
 
@@ -129,10 +129,10 @@
   assert_int_equal (pacing.percent, MUX_PACING_FULL);
 }
 
-/* Nothing may start at a share of 0 while the tail is low and no task is there
+/* Nothing may start at a pace of 0 while the tail is low and no task is there
  * to observe it with. */
 static void
-test_share_for_the_first_task_after_a_cut (void **state)
+test_pace_for_the_first_task_after_a_cut (void **state)
 {
   MuxPacing pacing;
 
@@ -150,11 +150,11 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_tail_over_its_target_is_cut_at_once),
-    cmocka_unit_test (test_share_is_given_back_without_swinging),
-    cmocka_unit_test (test_share_is_full_again_after_a_disturbance),
+    cmocka_unit_test (test_pace_is_given_back_without_swinging),
+    cmocka_unit_test (test_pace_is_full_again_after_a_disturbance),
     cmocka_unit_test (test_load_of_the_serving_task_itself),
-    cmocka_unit_test (test_unknown_share),
-    cmocka_unit_test (test_share_for_the_first_task_after_a_cut),
+    cmocka_unit_test (test_unknown_pace),
+    cmocka_unit_test (test_pace_for_the_first_task_after_a_cut),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
