--- a/test/unit/test_cell_pace.c
+++ b/test/unit/test_cell_pace.c
@@ -235,7 +235,7 @@
   world_free (world);
 }
 
-#define SEEDS 24
+#define SEEDS 6
 #define CHANGES 20
 
 /* Changes how much the tasks disturb each other, at random moments. */
