cell: tasks are not stopped while an order to slow them may still work

With a serving task over its target for 2 s, a second cut of the pace was followed by stops in the same step, as its order could not be confirmed yet: tasks without a limit all at once, others as their limit allows.

--- a/src/cell/pace.c
+++ b/src/cell/pace.c
@@ -265,8 +265,10 @@
     worker->over_target_since_ms = 0;
   else if (worker->over_target_since_ms == 0)
     worker->over_target_since_ms = now;
+  /* An order that was sent just now may still have its effect. */
   if (worker->over_target_since_ms != 0
-      && now - worker->over_target_since_ms >= STOP_AFTER_MS)
+      && now - worker->over_target_since_ms >= STOP_AFTER_MS
+      && now - worker->pace_ordered_ms >= UNSETTLED_MAX_MS)
     stop_instead (cell, worker);
 }
 
