process tests: crowds of clients that keep to no limit

The daemon must live, what it and its sockets hold must stay below the memory of its instance, its descriptors below callers-max and 200, and an ordinary query and an ordinary job must be answered. The largest job of the platform's limits must be accepted in calm.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
   $(B)/libdaemon.a $(B)/libcli.a
 UNIT = $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c)) \
   $(patsubst platform/test/%.c,$(B)/platform/%,$(wildcard platform/test/test_*.c))
+# Tests of whole processes: memory and descriptors are bounded, so that they
+# run one at a time.
+PROCESS = $(patsubst %.c,$(B)/process/%,$(notdir $(wildcard test/process/*.c platform/test/process/*.c)))
 STANDIN = $(patsubst test/standin/%_main.c,$(B)/standin-%,$(wildcard test/standin/*_main.c))
 STANDIN_OBJ = $(patsubst test/%.c,$(B)/obj/test/%.o,$(filter-out %_main.c,$(wildcard test/standin/*.c)))
 BENCH = $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/bench_*.c))
@@ -39,9 +42,10 @@
 
 all: $(BINS) $(STANDIN) $(DEMO) $(SOAK)
 unit: $(UNIT)
+process-tests: $(PROCESS)
 benches: $(BENCH)
 proof-programs: $(PROOF)
-.PHONY: all unit benches proof-programs clean
+.PHONY: all unit process-tests benches proof-programs clean
 .SECONDARY:
 
 $(B)/obj/%.o: %.c
@@ -92,6 +96,10 @@
 	@$(TESTLINK)
 $(B)/platform/%: $(B)/obj/platform/test/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
+$(B)/process/%: $(B)/obj/test/process/%.o $(B)/cuminmuxd $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
+$(B)/process/%: $(B)/obj/platform/test/process/%.o $(B)/cuminmuxd $(TESTLIBS) $(LIBS)
+	@$(TESTLINK)
 $(B)/bench/%: $(B)/obj/bench/%.o $(TESTLIBS) $(LIBS)
 	@$(TESTLINK)
 $(B)/proof/%: $(B)/obj/test/proof/%.o $(TESTLIBS) $(LIBS)
--- /dev/null
+++ b/test/process/clients_v1.c
@@ -0,0 +1,358 @@
+/* Crowds of clients that keep to no limit, against the product's own interface
+ * of a daemon that runs as a process of its own. */
+#include "base/id.h"
+#include "demo/support/callers.h"
+#include "demo/support/cluster.h"
+#include "demo/support/proc.h"
+#include "support/client_crowd.h"
+#include "support/process_usage.h"
+#include "support/raw_http.h"
+#include "support/test.h"
+
+#include <libgen.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+/* Memory of the instance as the daemon is told.  The bound of every test: what
+ * the process and its sockets hold stays below it. */
+#define MEMORY_MB 96
+#define MEMORY_MB_TEXT "96"
+#define CALLERS_MAX 256
+#define CALLERS_MAX_TEXT "256"
+#define BODY_MAX_KIB_TEXT "1024"
+/* Descriptors that are not connections of callers. */
+#define OTHER_DESCRIPTORS 200
+#define CONNECTIONS 160
+#define LISTEN_MS 20000
+/* Longest wait for one answer, so that a daemon that hangs fails the test. */
+#define ANSWER_S 30
+#define BODY_BYTES 1000000
+#define SHORT_BYTES 10
+#define KIB 1024
+#define POST "POST /v1/request/basket HTTP/1.1\r\nHost: x\r\n"
+#define ORDINARY_REQUEST POST "Content-Length: 4\r\n\r\nseat"
+#define CHUNKED POST "Transfer-Encoding: chunked\r\n\r\n"
+
+typedef struct
+{
+  MuxProc *proc;
+  char addr[MUX_ADDR_LEN];
+  ProcessUsage peak;
+  char calm_reason[MUX_NAME_LEN]; /* for which a request is refused in calm */
+} Fixture;
+
+static const char *program_dir;
+
+static int
+tear_down (void **state)
+{
+  Fixture *fixture = *state;
+
+  mux_proc_free (fixture->proc);
+  free (fixture);
+  return 0;
+}
+
+static void
+watch_usage (void *arg)
+{
+  Fixture *fixture = arg;
+  const char *addr = fixture->addr;
+  ProcessUsage now
+      = process_usage_read (mux_proc_pid (fixture->proc), &addr, 1);
+  ProcessUsage *peak = &fixture->peak;
+
+  if (now.resident_kib + now.unread_kib > peak->resident_kib + peak->unread_kib)
+    {
+      peak->resident_kib = now.resident_kib;
+      peak->unread_kib = now.unread_kib;
+    }
+  if (now.peak_kib > peak->peak_kib)
+    peak->peak_kib = now.peak_kib;
+  if (now.descriptors > peak->descriptors)
+    peak->descriptors = now.descriptors;
+}
+
+/* Return: the status; 0: no complete answer.
+ * @reason: receives why the request was refused, MUX_NAME_LEN bytes */
+static int
+exchange (const char *addr, const char *text, char *reason)
+{
+  struct timeval timeout = { .tv_sec = ANSWER_S };
+  int fd = raw_connect (addr);
+  RawReply reply;
+  int status;
+
+  (void) setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  raw_send (fd, text, strlen (text));
+  reply = raw_read_reply (fd);
+  status = reply.status;
+  snprintf (reason, MUX_NAME_LEN, "%s", raw_header (&reply, "Cuminmux-Reason"));
+  raw_reply_free (&reply);
+  close (fd);
+  return status;
+}
+
+static int
+set_up (void **state)
+{
+  Fixture *fixture = calloc (1, sizeof *fixture);
+  char program[MUX_PATH_LEN];
+  const char *argv[]
+      = { program,        "--name",         "entry-0",         "--data-centre",
+          "nizwa-hall",   "--listen",       "127.0.0.1:0",     "--peer-listen",
+          "127.0.0.1:0",  "--callers-max",  CALLERS_MAX_TEXT,  "--memory-mb",
+          MEMORY_MB_TEXT, "--body-max-kib", BODY_MAX_KIB_TEXT, NULL };
+  MuxProcOptions options = { argv, NULL, LISTEN_MS };
+  MuxError err = { 0 };
+
+  snprintf (program, sizeof program, "%s/../cuminmuxd", program_dir);
+  fixture->proc = mux_proc_start (&options, &err);
+  if (fixture->proc == NULL)
+    fail_msg ("%s", err.text);
+  assert_true (
+      mux_proc_word (fixture->proc, 0, fixture->addr, sizeof fixture->addr));
+  /* There is no record to read the class from. */
+  assert_int_equal (
+      exchange (fixture->addr, ORDINARY_REQUEST, fixture->calm_reason), 503);
+  *state = fixture;
+  return 0;
+}
+
+/* The bounds that hold beside and after every crowd. */
+static void
+check_bounds (Fixture *fixture)
+{
+  const ProcessUsage *peak = &fixture->peak;
+  char reason[MUX_NAME_LEN];
+
+  watch_usage (fixture);
+  print_message ("peak %llu KiB, resident %llu KiB with unread %llu KiB, %u "
+                 "descriptors\n",
+                 (unsigned long long) peak->peak_kib,
+                 (unsigned long long) peak->resident_kib,
+                 (unsigned long long) peak->unread_kib, peak->descriptors);
+  assert_false (mux_proc_wait (fixture->proc, 0, NULL));
+/* The sanitizers' own memory is no part of the daemon's. */
+#if !defined __SANITIZE_ADDRESS__ && !defined __SANITIZE_THREAD__
+  assert_true (peak->peak_kib < MEMORY_MB * KIB);
+  assert_true (peak->resident_kib + peak->unread_kib < MEMORY_MB * KIB);
+#endif
+  /* Idle connections have as many descriptors as waiting callers. */
+  assert_true (peak->descriptors <= 2 * CALLERS_MAX + OTHER_DESCRIPTORS);
+  assert_int_equal (exchange (fixture->addr,
+                              "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
+                              reason),
+                    200);
+  assert_int_equal (exchange (fixture->addr, ORDINARY_REQUEST, reason), 503);
+  assert_string_equal (reason, fixture->calm_reason);
+}
+
+static ClientCrowdOptions
+crowd_options (Fixture *fixture, uint32_t connections)
+{
+  return (ClientCrowdOptions){ .addr = fixture->addr,
+                               .connections = connections,
+                               .on_progress = watch_usage,
+                               .arg = fixture };
+}
+
+/* Plays the crowd and checks the bounds while it stays open, and after it. */
+static void
+play (Fixture *fixture, const ClientCrowdOptions *options)
+{
+  ClientCrowd *crowd = client_crowd_new (options);
+
+  if (options->tail != NULL)
+    client_crowd_finish (crowd);
+  check_bounds (fixture);
+  client_crowd_free (crowd);
+  check_bounds (fixture);
+}
+
+static char *
+repeated (const char *text, size_t times)
+{
+  size_t len = strlen (text);
+  char *all = malloc (len * times + 1);
+
+  for (size_t i = 0; i < times; i++)
+    memcpy (all + i * len, text, len);
+  all[len * times] = 0;
+  return all;
+}
+
+static char *
+announced (size_t bytes)
+{
+  static char head[256];
+
+  snprintf (head, sizeof head, POST "Content-Length: %zu\r\n\r\n", bytes);
+  return head;
+}
+
+/* Guards against the memory of bodies that stop short of their end. */
+static void
+test_unfinished_bodies (void **state)
+{
+  Fixture *fixture = *state;
+  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
+  char *body = repeated ("x", BODY_BYTES - SHORT_BYTES);
+
+  options.head = announced (BODY_BYTES);
+  options.piece = body;
+  options.piece_len = strlen (body);
+  options.pieces = 1;
+  play (fixture, &options);
+  free (body);
+}
+
+/* Guards against the memory of whole bodies that end at once: each is copied
+ * for the core. */
+static void
+test_whole_bodies (void **state)
+{
+  Fixture *fixture = *state;
+  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
+  char *body = repeated ("x", BODY_BYTES - SHORT_BYTES);
+
+  options.head = announced (BODY_BYTES);
+  options.piece = body;
+  options.piece_len = strlen (body);
+  options.pieces = 1;
+  options.tail = "0123456789";
+  play (fixture, &options);
+  free (body);
+}
+
+/* Guards against the memory of chunked bodies without their last chunk. */
+static void
+test_unfinished_chunked_bodies (void **state)
+{
+  Fixture *fixture = *state;
+  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
+  char *data = repeated ("x", 16000);
+  char *chunk = malloc (16100);
+
+  options.head = CHUNKED;
+  options.piece_len
+      = (size_t) snprintf (chunk, 16100, "%x\r\n%s\r\n", 16000, data);
+  options.piece = chunk;
+  options.pieces = 60;
+  play (fixture, &options);
+  free (chunk);
+  free (data);
+}
+
+/* Guards against the memory of bodies in chunks of one byte. */
+static void
+test_unfinished_bodies_in_chunks_of_one_byte (void **state)
+{
+  Fixture *fixture = *state;
+  ClientCrowdOptions options = crowd_options (fixture, 2 * CONNECTIONS);
+  char *chunks = repeated ("1\r\nx\r\n", 1000);
+
+  options.head = CHUNKED;
+  options.piece = chunks;
+  options.piece_len = strlen (chunks);
+  options.pieces = 300;
+  play (fixture, &options);
+  free (chunks);
+}
+
+/* Guards against bodies over the limit, announced and not. */
+static void
+play_over_the_limit (Fixture *fixture, bool chunked)
+{
+  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
+  char *data = repeated ("x", 20000);
+  char *chunk = malloc (20100);
+
+  options.head = chunked ? CHUNKED : announced (1000000000);
+  options.piece_len = (size_t) snprintf (
+      chunk, 20100, chunked ? "4e20\r\n%s\r\n" : "%s", data);
+  options.piece = chunk;
+  options.pieces = 150;
+  play (fixture, &options);
+  free (chunk);
+  free (data);
+}
+
+static void
+test_announced_over_the_limit (void **state)
+{
+  play_over_the_limit (*state, false);
+}
+
+static void
+test_chunked_over_the_limit (void **state)
+{
+  play_over_the_limit (*state, true);
+}
+
+/* Guards against limits that a request within them meets. */
+static void
+test_largest_body_is_taken_in_calm (void **state)
+{
+  Fixture *fixture = *state;
+  char *body = repeated ("x", KIB * KIB);
+  char *text = malloc (KIB * KIB + KIB);
+  char reason[MUX_NAME_LEN];
+
+  snprintf (text, KIB * KIB + KIB, POST "Content-Length: %zu\r\n\r\n%s",
+            strlen (body), body);
+  assert_int_equal (exchange (fixture->addr, text, reason), 503);
+  assert_string_equal (reason, fixture->calm_reason);
+  check_bounds (fixture);
+  free (text);
+  free (body);
+}
+
+/* Guards against connections without a request that keep all others out. */
+static void
+test_silent_connections (void **state)
+{
+  Fixture *fixture = *state;
+  ClientCrowdOptions options = crowd_options (fixture, 8 * CALLERS_MAX);
+
+  play (fixture, &options);
+}
+
+/* Guards against memory that a crowd leaves on the account after it has gone:
+ * the next crowd would find less room than the first. */
+static void
+test_second_crowd_is_treated_as_the_first (void **state)
+{
+  test_unfinished_bodies (state);
+  test_whole_bodies (state);
+  test_unfinished_chunked_bodies (state);
+  test_unfinished_bodies (state);
+}
+
+#define PROCESS_TEST(test) \
+  cmocka_unit_test_setup_teardown (test, set_up, tear_down)
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+    PROCESS_TEST (test_unfinished_bodies),
+    PROCESS_TEST (test_whole_bodies),
+    PROCESS_TEST (test_unfinished_chunked_bodies),
+    PROCESS_TEST (test_unfinished_bodies_in_chunks_of_one_byte),
+    PROCESS_TEST (test_announced_over_the_limit),
+    PROCESS_TEST (test_chunked_over_the_limit),
+    PROCESS_TEST (test_largest_body_is_taken_in_calm),
+    PROCESS_TEST (test_silent_connections),
+    PROCESS_TEST (test_second_crowd_is_treated_as_the_first),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  program_dir = dirname (strdup (argv[0]));
+  signal (SIGPIPE, SIG_IGN);
+  mux_proc_guard ();
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tools/check.mk
+++ b/tools/check.mk
@@ -31,6 +31,8 @@
 	$(STEP) build-tsan $(SUB) VARIANT=tsan $(TSAN_TESTS:%=build/tsan/unit/%) $(TSAN_PLATFORM:%=build/tsan/platform/%)
 	$(STEP) unit-tsan env $(TSAN_ENV) tools/run-tests $(TSAN_TESTS:%=build/tsan/unit/%) $(TSAN_PLATFORM:%=build/tsan/platform/%)
 	$(STEP) unit env TEST_JOBS=$(CHECK_JOBS) tools/run-tests $(UNIT)
+	$(STEP) build-process $(SUB) process-tests
+	$(STEP) process env TEST_JOBS=1 TEST_TIMEOUT_S=600 tools/run-tests $(PROCESS)
 	$(STEP) proofs tools/run-tests $(PROOF)
 	$(STEP) soak $(SUB) soak-short
 
