platform: a body is measured before it is parsed

Callers saw connections break: a body of 100,000 nested arrays ended the daemon that read it, with no key and no valid route, and 300 whole bodies of 250,000 bytes that ended at once took 638 MB (numbers) to 2,793 MB (empty objects) of an instance told that it has 64.

The parser recurses for each level, past the 128 KB of a connection's thread, and what it makes of a text takes up to a hundred times the text. Nothing looked at the shape of a body first, and as many were parsed at once as there were connections.

mux_json_load() counts depth and values in one pass without memory of its own, and parses what is within 32 levels and 16,384 values and names; the largest job that the platform allows has 5,300. Objects of the configuration on the product's own interface have the same limits.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -81,6 +81,8 @@
      "jobs given up as the store rejects their changes")                       \
   X (PACES, "paces_total",                                                     \
      "orders that let a best-effort task work at a share of its speed")        \
+  X (JSON_OVER_LIMIT, "json_over_limit_total",                                 \
+     "bodies refused unparsed: nested too deep, or too many values")           \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
   X (ROWS_BAD_VALUE, "rows_bad_value_total",                                   \
--- a/src/core/config_change.c
+++ b/src/core/config_change.c
@@ -1,5 +1,7 @@
 #include "config_change.h"
 
+#include "base/json_load.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -160,9 +162,12 @@
 static void
 set_value (const MuxCoreRequest *request, ConfigChange *change)
 {
+  static const MuxJsonLimits limits
+      = { MUX_JSON_BODY_DEPTH_MAX, MUX_JSON_BODY_VALUES_MAX };
+
   if (request->verb == MUX_CORE_CONFIG_PUT && request->body != NULL)
-    change->value = json_loadb (request->body->bytes, request->body->len,
-                                JSON_REJECT_DUPLICATES, NULL);
+    change->value = mux_json_load (request->body->bytes, request->body->len,
+                                   &limits, JSON_REJECT_DUPLICATES, NULL);
   else if (request->verb == MUX_CORE_DRAIN && request->drain)
     change->value = json_object ();
 }
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -431,6 +431,12 @@
   assert_int_equal (config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", "{"),
                     0);
   assert_refused (cell, MUX_REASON_BAD_JSON);
+  /* Nested deeper than the limit. */
+  memset (value, '[', 40);
+  memset (value + 40, ']', 40);
+  value[80] = 0;
+  config_cell_put (cell, 0, MUX_CONFIG_CLASS, "desk", value);
+  assert_refused (cell, MUX_REASON_BAD_JSON);
   config_cell_put (cell, 0, MUX_CONFIG_CELL, "cell", "{\"idle\":1}");
   assert_finding (cell, "idle");
   config_cell_put (cell, 0, MUX_CONFIG_CELL, "other", "{\"idle_ppm\":1}");
