http: one account for what the bodies of callers hold

Callers saw their instance end: bodies of legal size that stop short of their end and stay open, whole, in pieces or in chunks, take its memory. 300 bodies of 250,000 bytes held 109 to 121 MB of an instance told that it has 64, 160 bodies of 1 MB on the product's own interface 187 to 330 MB of 96, and bodies over the limit as much: they were read to their end, what did not fit was dropped, and nothing was refused.

Each body had a limit and so had the connections, but nothing bounded their product. ulfius reads every body to its end and calls nobody before, so that neither server could.

The servers for callers, readiness and metrics now share a listener on libmicrohttpd, which ulfius itself stands on; requests and responses stay ulfius's. What bodies of over 8 KiB hold, with the copy that is made of each, is reserved from one account before the bytes are kept, and released on every way out: response, refusal, reset, time-out and stop. An announced length is reserved as a whole, or refused by the headers with 413 or 503; a chunked body as it grows, and beyond a limit it is discarded and refused at its end, or its connection closed when it goes on for as long again. Where the account is full, unfinished bodies older than a second make room. The receive buffer of a socket does not grow, since what it holds counts as the process's memory.

A body announced over the limit is answered before it is read, so that its connection is closed, which one golden session shows.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -83,6 +83,16 @@
      "orders that let a best-effort task work at a share of its speed")        \
   X (JSON_OVER_LIMIT, "json_over_limit_total",                                 \
      "bodies refused unparsed: nested too deep, or too many values")           \
+  X (BODIES_TOO_LARGE, "bodies_too_large_total",                               \
+     "requests refused as their body is over the limit")                       \
+  X (BODIES_NO_MEMORY, "bodies_no_memory_total",                               \
+     "requests refused as other bodies hold the memory for them")              \
+  X (BODIES_LATE, "bodies_late_total",                                         \
+     "connections closed as a body took longer than the receive timeout")      \
+  X (REQUESTS_TOO_MANY, "requests_too_many_total",                             \
+     "requests refused as as many are served as may be")                       \
+  X (CONNECTIONS_CLOSED, "connections_closed_total",                           \
+     "connections closed to make room for others")                             \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
      "stored rows under a key or in a part that is none")                      \
   X (ROWS_BAD_VALUE, "rows_bad_value_total",                                   \
@@ -105,7 +115,9 @@
      "how much of the need of planning this instance meets, in thousandths")   \
   X (NEED_CPU, "need_cpu_milli", "need of planning, in thousandths of a core") \
   X (NEED_LINK, "need_link_kbps", "need of planning, link rate in kbit/s")     \
-  X (NEED_MEMORY, "need_memory_mib", "need of planning, memory in MiB")
+  X (NEED_MEMORY, "need_memory_mib", "need of planning, memory in MiB")        \
+  X (REQUEST_MEMORY, "request_memory_bytes",                                   \
+     "memory reserved for large bodies of callers")
 
 /* Histograms of times in milliseconds, SPEED of thousandths: symbol, exported
  * name, help. */
--- a/src/adapter/listen.c
+++ b/src/adapter/listen.c
@@ -10,8 +10,21 @@
 
 #define LISTEN_BACKLOG 1024
 
+/* The kernel doubles the value, for its own overhead. */
+static bool
+set_receive_buffer (int fd, uint32_t bytes)
+{
+  int value = (int) (bytes / 2);
+
+  return bytes == 0
+         || setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof value) == 0;
+}
+
 int
-mux_listen_open (const char *listen_on, char *bound, MuxError *err)
+mux_listen_open (const char *listen_on,
+                 uint32_t receive_buffer_bytes,
+                 char *bound,
+                 MuxError *err)
 {
   struct sockaddr_storage addr;
   socklen_t len;
@@ -27,6 +40,7 @@
   fd = socket (addr.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd >= 0
       && setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) == 0
+      && set_receive_buffer (fd, receive_buffer_bytes)
       && bind (fd, (struct sockaddr *) &addr, len) == 0
       && listen (fd, LISTEN_BACKLOG) == 0
       && getsockname (fd, (struct sockaddr *) &addr, &len) == 0
--- a/src/daemon/cell_run.c
+++ b/src/daemon/cell_run.c
@@ -129,6 +129,8 @@
     .ready_listen = daemon->options->ready_listen,
     .metrics_listen = daemon->options->metrics_listen,
     .callers_max = daemon->options->callers_max,
+    .memory_bytes = daemon->options->request_memory_bytes,
+    .receive_timeout_s = daemon->options->receive_timeout_s,
   };
 
   daemon->server = mux_platform_server_new (&options, err);
--- a/src/daemon/http_routes.c
+++ b/src/daemon/http_routes.c
@@ -3,6 +3,7 @@
 #include "base/number.h"
 
 #include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 /* Longest timeout that a caller may set. */
@@ -358,11 +359,82 @@
   { "GET", "/readyz", MUX_CORE_STATUS, NULL, mux_respond_readyz },
 };
 
+/* Return: the length of the next segment of *@path, which is moved to its
+ * begin; 0: there is none.  Empty segments are skipped. */
+static size_t
+next_segment (const char **path)
+{
+  *path += strspn (*path, "/");
+  return strcspn (*path, "/");
+}
+
+static bool
+put_variable (struct _u_map *variables, const char *name, const char *value)
+{
+  const char *before = u_map_get (variables, name);
+  char *joined;
+  bool ok;
+
+  if (before == NULL)
+    return u_map_put (variables, name, value) == U_OK;
+  joined = msprintf ("%s,%s", before, value);
+  ok = joined != NULL && u_map_put (variables, name, joined) == U_OK;
+  o_free (joined);
+  return ok;
+}
+
+/* @pattern and @segment: one segment each, of the given lengths. */
+static bool
+match_segment (const char *pattern,
+               size_t pattern_len,
+               const char *segment,
+               size_t len,
+               struct _u_map *variables)
+{
+  char name[MUX_NAME_LEN];
+  char *encoded;
+  char *value;
+  bool ok;
+
+  if (pattern[0] != ':')
+    return pattern_len == len && strncmp (pattern, segment, len) == 0;
+  if (variables == NULL)
+    return true;
+  snprintf (name, sizeof name, "%.*s", (int) pattern_len - 1, pattern + 1);
+  encoded = o_strndup (segment, len);
+  value = encoded != NULL ? ulfius_url_decode (encoded) : NULL;
+  ok = value != NULL && put_variable (variables, name, value);
+  o_free (value);
+  o_free (encoded);
+  return ok;
+}
+
+/* @variables: receives the path's variables; NULL: they are not read */
+static bool
+match_path (const char *pattern, const char *path, struct _u_map *variables)
+{
+  for (;;)
+    {
+      size_t pattern_len = next_segment (&pattern);
+      size_t len = next_segment (&path);
+
+      if (pattern_len == 0 || len == 0)
+        return pattern_len == len;
+      if (!match_segment (pattern, pattern_len, path, len, variables))
+        return false;
+      pattern += pattern_len;
+      path += len;
+    }
+}
+
 const MuxRoute *
-mux_routes (uint32_t *count)
+mux_route_find (const char *method, const char *path, struct _u_map *variables)
 {
-  *count = sizeof routes / sizeof routes[0];
-  return routes;
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    if (strcmp (routes[i].method, method) == 0
+        && match_path (routes[i].path, path, NULL))
+      return match_path (routes[i].path, path, variables) ? &routes[i] : NULL;
+  return NULL;
 }
 
 bool
--- a/src/daemon/http_serve.c
+++ b/src/daemon/http_serve.c
@@ -98,17 +98,13 @@
 }
 
 static MuxReason
-parse_request (MuxHttpServer *server,
-               const MuxRoute *route,
+parse_request (const MuxRoute *route,
                const struct _u_request *request,
                MuxCoreRequest *core_request,
                MuxFindings *findings)
 {
   MuxReason reason = MUX_REASON_NONE;
 
-  /* ulfius keeps at most one byte beyond the limit and drops the rest. */
-  if (request->binary_body_length > server->options.body_max_bytes)
-    return MUX_REASON_BODY_TOO_LARGE;
   core_request->verb = route->verb;
   core_request->wall_ms = mux_wall_ms ();
   if (route->parse != NULL)
@@ -154,7 +150,7 @@
                            may_repeat_work (request), NULL);
       return;
     }
-  reason = parse_request (server, route, request, core_request, &findings);
+  reason = parse_request (route, request, core_request, &findings);
   if (reason == MUX_REASON_NONE)
     {
       submit_to_core (server, route, core_request, response);
@@ -164,19 +160,35 @@
   mux_respond_refusal (server, response, reason, false, &findings);
 }
 
-int
-mux_http_server_handle (const struct _u_request *request,
-                        struct _u_response *response,
-                        void *data)
+void
+mux_http_server_handle (MuxHttpHandler *handler,
+                        const struct _u_request *request,
+                        struct _u_response *response)
 {
-  const MuxRouteBinding *binding = data;
+  MuxHttpServer *server = (MuxHttpServer *) handler;
+  const MuxRoute *route = mux_route_find (request->http_verb, request->url_path,
+                                          request->map_url);
 
-  if (binding->route == NULL)
-    mux_respond_refusal (binding->server, response, MUX_REASON_UNKNOWN_PATH,
-                         false, NULL);
+  if (route == NULL)
+    mux_respond_refusal (server, response, MUX_REASON_UNKNOWN_PATH, false,
+                         NULL);
   else
-    handle_route (binding->server, binding->route, request, response);
-  if (binding->server->draining)
+    handle_route (server, route, request, response);
+  if (server->draining)
     u_map_put (response->map_header, "Connection", "close");
-  return U_CALLBACK_COMPLETE;
+}
+
+void
+mux_http_server_refuse (MuxHttpHandler *handler,
+                        const struct _u_request *request,
+                        MuxHttpRefusal refusal,
+                        struct _u_response *response)
+{
+  MuxHttpServer *server = (MuxHttpServer *) handler;
+  bool is_too_large = refusal == MUX_HTTP_BODY_TOO_LARGE;
+
+  mux_respond_refusal (server, response,
+                       is_too_large ? MUX_REASON_BODY_TOO_LARGE
+                                    : MUX_REASON_CALLERS_FULL,
+                       !is_too_large && may_repeat_work (request), NULL);
 }
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -25,7 +25,9 @@
  * @callers_max: bound on callers that wait for a response
  * @idle_timeout_s: a connection idle for this long is closed, unless its
  *   caller waits for a response
+ * @receive_timeout_s: time for a whole body
  * @body_max_bytes: largest request body
+ * @memory_bytes: for connections and requests
  * @tls_cert: certificate as PEM text; NULL: plain HTTP
  * @tls_key: private key as PEM text
  */
@@ -36,7 +38,9 @@
   const char *listen;
   uint32_t callers_max;
   uint32_t idle_timeout_s;
+  uint32_t receive_timeout_s;
   uint32_t body_max_bytes;
+  uint64_t memory_bytes;
   const char *tls_cert;
   const char *tls_key;
 } MuxHttpServerOptions;
--- a/src/daemon/http_server_private.h
+++ b/src/daemon/http_server_private.h
@@ -1,36 +1,23 @@
 #ifndef DAEMON_HTTP_SERVER_PRIVATE_H
 #define DAEMON_HTTP_SERVER_PRIVATE_H
 
+#include "adapter/http_listener.h"
 #include "http_server.h"
 #include "pending_calls.h"
 
-#include <microhttpd.h>
 #include <pthread.h>
 #include <stdatomic.h>
-#include <ulfius.h>
 
 typedef struct MuxRoute MuxRoute;
 
-/**
- * struct MuxRouteBinding - context that ulfius passes to a route's callback
- * @server: the server
- * @route: the route; NULL: no route matched
- */
-typedef struct
-{
-  MuxHttpServer *server;
-  const MuxRoute *route;
-} MuxRouteBinding;
-
 struct MuxHttpServer
 {
+  MuxHttpHandler handler; /* first member */
   MuxHttpServerOptions options;
+  uint32_t connections_max;
+  uint64_t body_memory_bytes;
   MuxPendingCalls *pending;
-  struct _u_instance ulfius;
-  bool ulfius_initialized;
-  bool listening;
-  int listen_fd;             /* from MHD_quiesce_daemon(); -1: none */
-  MuxRouteBinding *bindings; /* one for each route, then one for no match */
+  MuxHttpListener *listener; /* NULL: it does not listen */
   atomic_bool draining;
   pthread_mutex_t lock;        /* guards requests_in_flight */
   pthread_cond_t drained;      /* requests_in_flight has become 0 */
@@ -40,7 +27,7 @@
 /**
  * struct MuxRoute - a method and path, and how its requests are parsed
  * @method: HTTP method
- * @path: in ulfius's form, ":name" for a variable
+ * @path: segments after slashes, ":name" for a variable
  * @verb: verb of the request to the core
  * @parse: fills the request to the core; adds invalid fields to @findings, and
  *   sets @reason when the request is refused for another cause
@@ -58,9 +45,12 @@
   void (*handle_locally) (MuxHttpServer *server, struct _u_response *response);
 };
 
-/** mux_routes() - the route table
- * @count: receives its number of entries */
-const MuxRoute *mux_routes (uint32_t *count);
+/** mux_route_find() - find the route of a request
+ * @variables: receives the path's variables; one of a name that is there
+ *   already is joined to it by a comma
+ * Return: NULL when there is none. */
+const MuxRoute *
+mux_route_find (const char *method, const char *path, struct _u_map *variables);
 /** mux_route_is_first_attempt() - the caller has not sent its key before
  * True if the request has the header "Cuminmux-First: 1". */
 bool mux_route_is_first_attempt (const struct _u_request *request);
@@ -70,10 +60,15 @@
  * (MUX_PENDING_CALLS_RESERVED) are closed to the route */
 bool mux_route_uses_caller_slot (const MuxRoute *route);
 
-/** mux_http_server_handle() - ulfius callback of every route */
-int mux_http_server_handle (const struct _u_request *request,
-                            struct _u_response *response,
-                            void *binding);
+/** mux_http_server_handle() - respond to a whole request */
+void mux_http_server_handle (MuxHttpHandler *handler,
+                             const struct _u_request *request,
+                             struct _u_response *response);
+/** mux_http_server_refuse() - respond to a request that is not handled */
+void mux_http_server_refuse (MuxHttpHandler *handler,
+                             const struct _u_request *request,
+                             MuxHttpRefusal refusal,
+                             struct _u_response *response);
 
 /* The functions below act on the calling thread's connection: each connection
  * has a thread of its own. */
--- a/src/daemon/run.c
+++ b/src/daemon/run.c
@@ -192,7 +192,9 @@
     .listen = given->listen,
     .callers_max = given->callers_max,
     .idle_timeout_s = given->caller_idle_timeout_s,
+    .receive_timeout_s = given->receive_timeout_s,
     .body_max_bytes = given->body_max_kib * KIB,
+    .memory_bytes = given->request_memory_bytes,
     .tls_cert = daemon->tls_cert,
     .tls_key = daemon->tls_key,
   };
--- a/src/daemon/settings_table.c
+++ b/src/daemon/settings_table.c
@@ -1,7 +1,9 @@
 #include "settings_table.h"
 
 #include "core/core.h"
+#include "platform/platform.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +16,11 @@
  * when they are counted in thousandths. */
 #define MEMORY_MAX_MB 16777216
 #define LINK_MAX_MBPS 1000000
+#define MIB (UINT64_C (1) << 20)
+/* Assumed for an instance whose memory is unknown. */
+#define REQUEST_MEMORY_UNKNOWN_MIB 256
+/* Bodies have a quarter of the memory for requests, and each is held twice. */
+#define REQUEST_MEMORY_PER_BODY 8
 
 enum
 {
@@ -50,6 +57,8 @@
   CPU_SHARE,
   MEMORY_MB,
   LINK_MBPS,
+  REQUEST_MEMORY_MB,
+  RECEIVE_TIMEOUT_S,
   READY_LISTEN,
   METRICS_LISTEN,
   NODE_FILE,
@@ -144,6 +153,13 @@
   [LINK_MBPS] = { "link-mbps", "CUMINMUX_LINK_MBPS", MUX_SETTING_TEXT, "", 0, 0,
     "", "rate of its link in Mbit/s, such as 200; 0 or none: unknown, not "
     "considered" },
+  [REQUEST_MEMORY_MB] = { "request-memory-mb", "CUMINMUX_REQUEST_MEMORY_MB",
+    MUX_SETTING_TEXT, "", 0, 0, "",
+    "memory for callers' connections and requests in MiB; none: half of "
+    "--memory-mb, or 256 if that is unknown" },
+  [RECEIVE_TIMEOUT_S] = { "receive-timeout-s", "CUMINMUX_RECEIVE_TIMEOUT_S",
+    MUX_SETTING_INTEGER, "s", 1, 3600, "120",
+    "time for a caller to send a whole body" },
   [READY_LISTEN] = { "ready-listen", "CUMINMUX_READY_LISTEN",
     MUX_SETTING_ADDRESS, "", 0, 0, "",
     "address where the platform asks for readiness; goes with --store" },
@@ -240,6 +256,38 @@
                       LINK_MAX_MBPS);
 }
 
+/* So that the largest body has room. */
+static uint64_t
+request_memory_min (const MuxDaemonOptions *options)
+{
+  uint64_t bodies
+      = REQUEST_MEMORY_PER_BODY * (uint64_t) options->body_max_kib * KIB;
+
+  return *options->store == 0 && bodies > MUX_PLATFORM_SERVER_MEMORY_MIN
+             ? bodies
+             : MUX_PLATFORM_SERVER_MEMORY_MIN;
+}
+
+static void
+fill_request_memory (MuxDaemonOptions *options, MuxFindings *findings)
+{
+  const char *given = text (options, REQUEST_MEMORY_MB);
+  uint64_t min = request_memory_min (options);
+  uint32_t mib = options->memory_mib > 0 ? options->memory_mib / 2
+                                         : REQUEST_MEMORY_UNKNOWN_MIB;
+
+  if (*given == 0)
+    {
+      options->request_memory_bytes = mib * MIB > min ? mib * MIB : min;
+      return;
+    }
+  if (!parse_scaled (given, MEMORY_MAX_MB, 1, &mib) || mib * MIB < min)
+    mux_findings_add (findings, "--request-memory-mb",
+                      "must be a number from %" PRIu64 " to %d",
+                      (min + MIB - 1) / MIB, MEMORY_MAX_MB);
+  options->request_memory_bytes = mib * MIB;
+}
+
 static void
 fill_integers (MuxDaemonOptions *options)
 {
@@ -260,6 +308,7 @@
   options->cpu_share_milli = cpu_share_milli (text (options, CPU_SHARE));
   options->revoke_timeout_ms = integer (options, REVOKE_TIMEOUT_MS);
   options->stop_timeout_ms = integer (options, STOP_AFTER_MS);
+  options->receive_timeout_s = integer (options, RECEIVE_TIMEOUT_S);
   options->log_level = (MuxLogLevel) integer (options, LOG_LEVEL);
 }
 
@@ -318,6 +367,7 @@
   fill_texts (options);
   fill_integers (options);
   fill_limits (options, findings);
+  fill_request_memory (options, findings);
   check_combinations (options, findings);
   if (findings->count == before)
     return true;
--- a/src/daemon/settings_table.h
+++ b/src/daemon/settings_table.h
@@ -43,6 +43,8 @@
  * @cpu_share_milli: processor share of this instance, in thousandths
  * @memory_mib: memory of this instance, in MiB; 0: unknown
  * @link_kbps: rate of its link, in kbit/s; 0: unknown
+ * @request_memory_bytes: for the connections and the requests of callers
+ * @receive_timeout_s: time for a caller to send a whole body
  * @ready_listen: address of the readiness endpoint for the platform
  * @metrics_listen: address where the counters are served; "": not served
  * @log_level: highest syslog severity number that is printed
@@ -84,6 +86,8 @@
   uint32_t cpu_share_milli;
   uint32_t memory_mib;
   uint32_t link_kbps;
+  uint64_t request_memory_bytes;
+  uint32_t receive_timeout_s;
   const char *ready_listen;
   const char *metrics_listen;
   MuxLogLevel log_level;
--- a/test/support/door_bench.c
+++ b/test/support/door_bench.c
@@ -10,7 +10,9 @@
   fake_backend_open (
       fake, (MuxHttpServerOptions){ .callers_max = DOOR_BENCH_CALLERS_MAX,
                                     .idle_timeout_s = 1,
-                                    .body_max_bytes = DOOR_BENCH_BODY_MAX });
+                                    .body_max_bytes = DOOR_BENCH_BODY_MAX,
+                                    .memory_bytes = 64 << 20,
+                                    .receive_timeout_s = 120 });
   *state = fake;
   return 0;
 }
--- a/test/unit/test_golden_door.c
+++ b/test/unit/test_golden_door.c
@@ -86,7 +86,9 @@
   MuxHttpServerOptions options = { .listen = "127.0.0.1:0",
                                    .callers_max = 4,
                                    .idle_timeout_s = 60,
-                                   .body_max_bytes = BODY_MAX };
+                                   .body_max_bytes = BODY_MAX,
+                                   .memory_bytes = 64 << 20,
+                                   .receive_timeout_s = 120 };
   MuxError err = { MUX_ERROR_NONE, "" };
 
   assert_non_null (session);
--- a/test/unit/test_tls.c
+++ b/test/unit/test_tls.c
@@ -93,6 +93,8 @@
                      (MuxHttpServerOptions){ .callers_max = 1,
                                              .idle_timeout_s = 60,
                                              .body_max_bytes = 4096,
+                                             .memory_bytes = 64 << 20,
+                                             .receive_timeout_s = 120,
                                              .tls_cert = bench->right.cert,
                                              .tls_key = bench->right.key });
   *state = bench;
