http: connections that wait the longest make room for others

Callers saw no answer: 1,024 connections that send nothing, or headers that never end, kept all others out for as long as they liked, on the listener for callers, on the product's own interface, at the readiness probe and at the metrics alike. A new connection waited in the queue or was closed at once.

The connections were bounded, and the first ones kept their places: only 60 s without a byte ended one. An address is no measure, since all clients may come from a balancer's.

One whose request is served is never closed, so that no accepted job loses its response. Where a new one finds no room, the one goes that has waited the longest for its request or the rest of it: a usual request is whole within a round trip. If none waits, a response that has not been read for five seconds is cut off.

--- a/include/adapter/connection_table.h
+++ b/include/adapter/connection_table.h
@@ -68,8 +68,8 @@
 } MuxConnectionTable;
 
 /** mux_connections_add() - a connection was accepted
- * Return: the connection to close so that the limit holds, @connection itself;
- * NULL: there is room. */
+ * Return: the connection to close so that the limit holds, which is @connection
+ * itself when no other may be closed; NULL: there is room. */
 MuxConnection *mux_connections_add (MuxConnectionTable *table,
                                     MuxConnection *connection,
                                     int64_t now_ms);
--- a/src/adapter/connection_table.c
+++ b/src/adapter/connection_table.c
@@ -6,6 +6,8 @@
 /* A body younger than this is not closed to make room for another: under a
  * usual overload it would be sent in vain, and come again. */
 #define BODY_AGE_MS 1000
+/* A response that its caller has not read for this long may be cut off. */
+#define RESPONSE_AGE_MS 5000
 
 static void
 unlink_connection (MuxConnectionTable *table, MuxConnection *connection)
@@ -63,7 +65,15 @@
   MuxConnection *victim = NULL;
 
   if (table->count >= table->connections_max)
-    victim = connection;
+    {
+      if (table->waiting != NULL)
+        victim = table->waiting;
+      else if (table->responding != NULL
+               && now_ms - table->responding->since_ms >= RESPONSE_AGE_MS)
+        victim = table->responding;
+      else
+        victim = connection;
+    }
   link_connection (table, connection, MUX_CONNECTION_WAITING, now_ms);
   table->count++;
   if (victim != NULL)
