daemon: large blocks go back to the system when they are freed

Instances that crowds had visited kept growing: at the product's own interface each pair of crowds, 160 whole bodies of 1 MB and 160 chunked ones, left some 6 MB, and the ninth reached the 96 MB that the instance was told. The account was at zero in between.

The allocator maps blocks of 128 KB and more, but each one that is freed raises that size, up to 32 MB, and what an arena keeps with it. From then on bodies lie in the arenas, of which there are eight for each processor, and stay there.

With the size set, it does not rise. mallopt() does so for the process, since the handlers' copies and the core's are as large as the bodies.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -3,10 +3,12 @@
 #include "run.h"
 
 #include <inttypes.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <string.h>
 
 #define EXIT_USAGE 2
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
 
 static bool
 wants_help (int argc, char **argv)
@@ -26,6 +28,15 @@
   return false;
 }
 
+/* Large blocks go back to the system when they are freed.  Otherwise the
+ * allocator raises the size from which they do with each of them, and every
+ * arena keeps some. */
+static void
+bound_kept_memory (void)
+{
+  (void) mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -44,6 +55,7 @@
         fprintf (stderr, "cuminmuxd: and %" PRIu32 " more\n", findings.dropped);
       return EXIT_USAGE;
     }
+  bound_kept_memory ();
   mux_log_open ("cuminmuxd", options.log_level);
   code = *options.store != 0 ? mux_cell_run (&options)
                              : mux_daemon_run (&options);
--- a/test/process/clients_v1.c
+++ b/test/process/clients_v1.c
@@ -30,6 +30,7 @@
 #define ANSWER_S 30
 #define BODY_BYTES 1000000
 #define SHORT_BYTES 10
+#define CROWDS 8
 #define KIB 1024
 #define POST "POST /v1/request/basket HTTP/1.1\r\nHost: x\r\n"
 #define ORDINARY_REQUEST POST "Content-Length: 4\r\n\r\nseat"
@@ -331,6 +332,18 @@
   test_unfinished_bodies (state);
 }
 
+/* Guards against freed memory that the allocator keeps: each crowd would leave
+ * some. */
+static void
+test_crowds_one_after_another (void **state)
+{
+  for (uint32_t i = 0; i < CROWDS; i++)
+    {
+      test_whole_bodies (state);
+      test_unfinished_chunked_bodies (state);
+    }
+}
+
 #define PROCESS_TEST(test) \
   cmocka_unit_test_setup_teardown (test, set_up, tear_down)
 
@@ -347,6 +360,7 @@
     PROCESS_TEST (test_largest_body_is_taken_in_calm),
     PROCESS_TEST (test_silent_connections),
     PROCESS_TEST (test_second_crowd_is_treated_as_the_first),
+    PROCESS_TEST (test_crowds_one_after_another),
   };
 
   if (argc > 1)
