http: repeated headers are joined, as ulfius joins them

A header that a caller sends twice under one name reached the handlers with its last value alone since the servers share a listener; ulfius joins both by a comma, so that a request with two API keys is one with an unknown key. Headers and query parameters are now filled in by one function.

--- a/src/adapter/http_message.c
+++ b/src/adapter/http_message.c
@@ -1,56 +1,36 @@
 #include "http_message.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 static enum MHD_Result
-put_header (void *cls,
-            enum MHD_ValueKind kind,
-            const char *name,
-            const char *value)
-{
-  struct _u_map *map = cls;
-
-  (void) kind;
-  return u_map_put (map, name, value != NULL ? value : "") == U_OK ? MHD_YES
-                                                                   : MHD_NO;
-}
-
-static enum MHD_Result
-put_parameter (void *cls,
-               enum MHD_ValueKind kind,
-               const char *name,
-               const char *value)
+put_value (void *cls,
+           enum MHD_ValueKind kind,
+           const char *name,
+           const char *value)
 {
   struct _u_map *map = cls;
   const char *before = u_map_get (map, name);
+  const char *text = value != NULL ? value : "";
   char *joined;
-  size_t cap;
   bool ok;
 
+  (void) kind;
   if (before == NULL)
-    return put_header (cls, kind, name, value);
-  if (value == NULL)
-    value = "";
-  cap = strlen (before) + strlen (value) + sizeof ",";
-  joined = malloc (cap);
-  if (joined == NULL)
-    return MHD_NO;
-  snprintf (joined, cap, "%s,%s", before, value);
-  ok = u_map_put (map, name, joined) == U_OK;
-  free (joined);
+    return u_map_put (map, name, text) == U_OK ? MHD_YES : MHD_NO;
+  joined = msprintf ("%s,%s", before, text);
+  ok = joined != NULL && u_map_put (map, name, joined) == U_OK;
+  o_free (joined);
   return ok ? MHD_YES : MHD_NO;
 }
 
 static bool
 fill_map (struct MHD_Connection *connection,
           enum MHD_ValueKind kind,
-          MHD_KeyValueIterator put,
           struct _u_map *map)
 {
   int count = MHD_get_connection_values (connection, kind, NULL, NULL);
 
-  return MHD_get_connection_values (connection, kind, put, map) == count;
+  return MHD_get_connection_values (connection, kind, put_value, map) == count;
 }
 
 /* Return: a copy for ulfius to free; NULL when out of memory. */
@@ -77,10 +57,8 @@
   request->url_path = copy_text (url, strcspn (url, "?"));
   return request->http_verb != NULL && request->http_url != NULL
          && request->url_path != NULL
-         && fill_map (connection, MHD_HEADER_KIND, put_header,
-                      request->map_header)
-         && fill_map (connection, MHD_GET_ARGUMENT_KIND, put_parameter,
-                      request->map_url);
+         && fill_map (connection, MHD_HEADER_KIND, request->map_header)
+         && fill_map (connection, MHD_GET_ARGUMENT_KIND, request->map_url);
 }
 
 static bool
--- a/src/adapter/http_message.h
+++ b/src/adapter/http_message.h
@@ -8,8 +8,7 @@
 /** DOC: libmicrohttpd's requests and responses as ulfius's */
 
 /** http_request_fill() - fill a request without its body
- * Repeated query parameters are joined by commas; of repeated headers the last
- * one counts.
+ * Repeated headers and repeated query parameters are joined by commas.
  * @url: as the caller sent it, with the query
  * Return: false when out of memory. */
 bool http_request_fill (struct _u_request *request,
