--- a/src/daemon/http_server_private.h
+++ b/src/daemon/http_server_private.h
@@ -81,7 +81,8 @@
 /** mux_connection_peer_closed() - whether the caller has closed its side */
 bool mux_connection_peer_closed (void);
 /** mux_connection_has_duplicate_header() - whether a header occurs repeatedly
- * ulfius keeps one value of each name and silently drops the others. */
+ * The values of one name are joined; of names that differ in case the first one
+ * is found. */
 bool mux_connection_has_duplicate_header (const char *name);
 /** mux_connection_end_request() - a request is no longer in flight
  * Its response has been written, or its connection has been closed. */
--- a/test/unit/test_daemon_settings.c
+++ b/test/unit/test_daemon_settings.c
@@ -57,6 +57,39 @@
   assert_string_equal (findings.item[0].place, place);
 }
 
+static uint64_t
+request_memory (const char *memory, const char *given)
+{
+  MuxDaemonOptions options;
+  uint64_t bytes;
+
+  setenv ("CUMINMUX_REQUEST_MEMORY_MB", given, 1);
+  assert_true (read_limits (&options, memory, ""));
+  bytes = options.request_memory_bytes;
+  mux_daemon_options_free (&options);
+  return bytes;
+}
+
+/* Guards against callers that may hold more memory than the instance has, and
+ * against so little that the largest body is always refused. */
+static void
+test_request_memory_follows_the_instance (void **state)
+{
+  MuxDaemonOptions options;
+
+  (void) state;
+  assert_int_equal (request_memory ("160", ""), 80 << 20);
+  assert_int_equal (request_memory ("", ""), 256 << 20);
+  assert_int_equal (request_memory ("160", "48"), 48 << 20);
+  assert_int_equal (request_memory ("20", ""), 32 << 20);
+  setenv ("CUMINMUX_REQUEST_MEMORY_MB", "31", 1);
+  assert_false (read_limits (&options, "160", ""));
+  assert_string_equal (findings.item[0].place, "--request-memory-mb");
+  setenv ("CUMINMUX_REQUEST_MEMORY_MB", "much", 1);
+  assert_false (read_limits (&options, "160", ""));
+  setenv ("CUMINMUX_REQUEST_MEMORY_MB", "", 1);
+}
+
 /* A limit that is silently wrong would move the planner to a wrong
  * instance. */
 static void
@@ -76,6 +109,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_limits_are_read),
+    cmocka_unit_test (test_request_memory_follows_the_instance),
     cmocka_unit_test (test_limits_out_of_range_are_refused),
   };
 
