process tests: shared support for crowds and bounds

What a process holds is watched and checked in one place, and the crowds are built by functions that both programs share. Crowds and bounds are the same as before.

--- a/test/process/clients_v1.c
+++ b/test/process/clients_v1.c
@@ -5,15 +5,12 @@
 #include "demo/support/cluster.h"
 #include "demo/support/proc.h"
 #include "support/client_crowd.h"
-#include "support/process_usage.h"
+#include "support/process_bounds.h"
 #include "support/raw_http.h"
 #include "support/test.h"
 
 #include <libgen.h>
 #include <signal.h>
-#include <sys/socket.h>
-#include <sys/time.h>
-#include <unistd.h>
 
 /* Memory of the instance as the daemon is told.  The bound of every test: what
  * the process and its sockets hold stays below it. */
@@ -40,7 +37,7 @@
 {
   MuxProc *proc;
   char addr[MUX_ADDR_LEN];
-  ProcessUsage peak;
+  ProcessBounds bounds;
   char calm_reason[MUX_NAME_LEN]; /* for which a request is refused in calm */
 } Fixture;
 
@@ -56,43 +53,16 @@
   return 0;
 }
 
-static void
-watch_usage (void *arg)
-{
-  Fixture *fixture = arg;
-  const char *addr = fixture->addr;
-  ProcessUsage now
-      = process_usage_read (mux_proc_pid (fixture->proc), &addr, 1);
-  ProcessUsage *peak = &fixture->peak;
-
-  if (now.resident_kib + now.unread_kib > peak->resident_kib + peak->unread_kib)
-    {
-      peak->resident_kib = now.resident_kib;
-      peak->unread_kib = now.unread_kib;
-    }
-  if (now.peak_kib > peak->peak_kib)
-    peak->peak_kib = now.peak_kib;
-  if (now.descriptors > peak->descriptors)
-    peak->descriptors = now.descriptors;
-}
-
 /* Return: the status; 0: no complete answer.
  * @reason: receives why the request was refused, MUX_NAME_LEN bytes */
 static int
 exchange (const char *addr, const char *text, char *reason)
 {
-  struct timeval timeout = { .tv_sec = ANSWER_S };
-  int fd = raw_connect (addr);
-  RawReply reply;
-  int status;
+  RawReply reply = raw_exchange_text (addr, text, ANSWER_S);
+  int status = reply.status;
 
-  (void) setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  raw_send (fd, text, strlen (text));
-  reply = raw_read_reply (fd);
-  status = reply.status;
   snprintf (reason, MUX_NAME_LEN, "%s", raw_header (&reply, "Cuminmux-Reason"));
   raw_reply_free (&reply);
-  close (fd);
   return status;
 }
 
@@ -118,6 +88,13 @@
   /* There is no record to read the class from. */
   assert_int_equal (
       exchange (fixture->addr, ORDINARY_REQUEST, fixture->calm_reason), 503);
+  fixture->bounds = (ProcessBounds){
+    .pid = mux_proc_pid (fixture->proc),
+    .addrs = { fixture->addr },
+    .memory_mib = MEMORY_MB,
+    /* Idle connections have as many descriptors as waiting callers. */
+    .descriptors_max = 2 * CALLERS_MAX + OTHER_DESCRIPTORS,
+  };
   *state = fixture;
   return 0;
 }
@@ -126,23 +103,10 @@
 static void
 check_bounds (Fixture *fixture)
 {
-  const ProcessUsage *peak = &fixture->peak;
   char reason[MUX_NAME_LEN];
 
-  watch_usage (fixture);
-  print_message ("peak %llu KiB, resident %llu KiB with unread %llu KiB, %u "
-                 "descriptors\n",
-                 (unsigned long long) peak->peak_kib,
-                 (unsigned long long) peak->resident_kib,
-                 (unsigned long long) peak->unread_kib, peak->descriptors);
   assert_false (mux_proc_wait (fixture->proc, 0, NULL));
-/* The sanitizers' own memory is no part of the daemon's. */
-#if !defined __SANITIZE_ADDRESS__ && !defined __SANITIZE_THREAD__
-  assert_true (peak->peak_kib < MEMORY_MB * KIB);
-  assert_true (peak->resident_kib + peak->unread_kib < MEMORY_MB * KIB);
-#endif
-  /* Idle connections have as many descriptors as waiting callers. */
-  assert_true (peak->descriptors <= 2 * CALLERS_MAX + OTHER_DESCRIPTORS);
+  process_bounds_check (&fixture->bounds);
   assert_int_equal (exchange (fixture->addr,
                               "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
                               reason),
@@ -151,63 +115,42 @@
   assert_string_equal (reason, fixture->calm_reason);
 }
 
-static ClientCrowdOptions
-crowd_options (Fixture *fixture, uint32_t connections)
-{
-  return (ClientCrowdOptions){ .addr = fixture->addr,
-                               .connections = connections,
-                               .on_progress = watch_usage,
-                               .arg = fixture };
-}
-
-/* Plays the crowd and checks the bounds while it stays open, and after it. */
+/* Checks the bounds while a crowd stays open, and after it.  Each connection
+ * sends @head, @piece for @pieces times, and in the end @tail if it is not
+ * NULL.  Frees @head and @piece. */
 static void
-play (Fixture *fixture, const ClientCrowdOptions *options)
+play (Fixture *fixture,
+      uint32_t connections,
+      char *head,
+      char *piece,
+      uint32_t pieces,
+      const char *tail)
 {
-  ClientCrowd *crowd = client_crowd_new (options);
-
-  if (options->tail != NULL)
-    client_crowd_finish (crowd);
+  ClientCrowdOptions options = { .addr = fixture->addr,
+                                 .connections = connections,
+                                 .head = head,
+                                 .piece = piece,
+                                 .pieces = pieces,
+                                 .tail = tail,
+                                 .on_progress = process_bounds_watch,
+                                 .arg = &fixture->bounds };
+  ClientCrowd *clients = client_crowd_new (&options);
+
+  if (tail != NULL)
+    client_crowd_finish (clients);
   check_bounds (fixture);
-  client_crowd_free (crowd);
+  client_crowd_free (clients);
+  free (head);
+  free (piece);
   check_bounds (fixture);
 }
 
-static char *
-repeated (const char *text, size_t times)
-{
-  size_t len = strlen (text);
-  char *all = malloc (len * times + 1);
-
-  for (size_t i = 0; i < times; i++)
-    memcpy (all + i * len, text, len);
-  all[len * times] = 0;
-  return all;
-}
-
-static char *
-announced (size_t bytes)
-{
-  static char head[256];
-
-  snprintf (head, sizeof head, POST "Content-Length: %zu\r\n\r\n", bytes);
-  return head;
-}
-
 /* Guards against the memory of bodies that stop short of their end. */
 static void
 test_unfinished_bodies (void **state)
 {
-  Fixture *fixture = *state;
-  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
-  char *body = repeated ("x", BODY_BYTES - SHORT_BYTES);
-
-  options.head = announced (BODY_BYTES);
-  options.piece = body;
-  options.piece_len = strlen (body);
-  options.pieces = 1;
-  play (fixture, &options);
-  free (body);
+  play (*state, CONNECTIONS, crowd_announced (POST, BODY_BYTES),
+        crowd_text ("x", BODY_BYTES - SHORT_BYTES), 1, NULL);
 }
 
 /* Guards against the memory of whole bodies that end at once: each is copied
@@ -215,82 +158,38 @@
 static void
 test_whole_bodies (void **state)
 {
-  Fixture *fixture = *state;
-  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
-  char *body = repeated ("x", BODY_BYTES - SHORT_BYTES);
-
-  options.head = announced (BODY_BYTES);
-  options.piece = body;
-  options.piece_len = strlen (body);
-  options.pieces = 1;
-  options.tail = "0123456789";
-  play (fixture, &options);
-  free (body);
+  play (*state, CONNECTIONS, crowd_announced (POST, BODY_BYTES),
+        crowd_text ("x", BODY_BYTES - SHORT_BYTES), 1, "0123456789");
 }
 
 /* Guards against the memory of chunked bodies without their last chunk. */
 static void
 test_unfinished_chunked_bodies (void **state)
 {
-  Fixture *fixture = *state;
-  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
-  char *data = repeated ("x", 16000);
-  char *chunk = malloc (16100);
-
-  options.head = CHUNKED;
-  options.piece_len
-      = (size_t) snprintf (chunk, 16100, "%x\r\n%s\r\n", 16000, data);
-  options.piece = chunk;
-  options.pieces = 60;
-  play (fixture, &options);
-  free (chunk);
-  free (data);
+  play (*state, CONNECTIONS, strdup (CHUNKED), crowd_chunk (16000), 60, NULL);
 }
 
 /* Guards against the memory of bodies in chunks of one byte. */
 static void
 test_unfinished_bodies_in_chunks_of_one_byte (void **state)
 {
-  Fixture *fixture = *state;
-  ClientCrowdOptions options = crowd_options (fixture, 2 * CONNECTIONS);
-  char *chunks = repeated ("1\r\nx\r\n", 1000);
-
-  options.head = CHUNKED;
-  options.piece = chunks;
-  options.piece_len = strlen (chunks);
-  options.pieces = 300;
-  play (fixture, &options);
-  free (chunks);
-}
-
-/* Guards against bodies over the limit, announced and not. */
-static void
-play_over_the_limit (Fixture *fixture, bool chunked)
-{
-  ClientCrowdOptions options = crowd_options (fixture, CONNECTIONS);
-  char *data = repeated ("x", 20000);
-  char *chunk = malloc (20100);
-
-  options.head = chunked ? CHUNKED : announced (1000000000);
-  options.piece_len = (size_t) snprintf (
-      chunk, 20100, chunked ? "4e20\r\n%s\r\n" : "%s", data);
-  options.piece = chunk;
-  options.pieces = 150;
-  play (fixture, &options);
-  free (chunk);
-  free (data);
+  play (*state, 2 * CONNECTIONS, strdup (CHUNKED),
+        crowd_text ("1\r\nx\r\n", 1000), 300, NULL);
 }
 
+/* Guards against bodies that are announced far over the limit. */
 static void
 test_announced_over_the_limit (void **state)
 {
-  play_over_the_limit (*state, false);
+  play (*state, CONNECTIONS, crowd_announced (POST, 1000000000),
+        crowd_text ("x", 20000), 150, NULL);
 }
 
+/* Guards against chunked bodies that go on over the limit. */
 static void
 test_chunked_over_the_limit (void **state)
 {
-  play_over_the_limit (*state, true);
+  play (*state, CONNECTIONS, strdup (CHUNKED), crowd_chunk (20000), 150, NULL);
 }
 
 /* Guards against limits that a request within them meets. */
@@ -298,7 +197,7 @@
 test_largest_body_is_taken_in_calm (void **state)
 {
   Fixture *fixture = *state;
-  char *body = repeated ("x", KIB * KIB);
+  char *body = crowd_text ("x", KIB * KIB);
   char *text = malloc (KIB * KIB + KIB);
   char reason[MUX_NAME_LEN];
 
@@ -315,10 +214,7 @@
 static void
 test_silent_connections (void **state)
 {
-  Fixture *fixture = *state;
-  ClientCrowdOptions options = crowd_options (fixture, 8 * CALLERS_MAX);
-
-  play (fixture, &options);
+  play (*state, 8 * CALLERS_MAX, NULL, NULL, 0, NULL);
 }
 
 /* Guards against memory that a crowd leaves on the account after it has gone:
--- a/test/support/client_crowd.c
+++ b/test/support/client_crowd.c
@@ -32,6 +32,7 @@
 struct ClientCrowd
 {
   ClientCrowdOptions options;
+  size_t piece_len;
   Client *client;
   struct pollfd *wait;
   bool finishing;
@@ -81,7 +82,7 @@
   if (client->pieces_sent < options->pieces)
     {
       *bytes = options->piece + client->piece_sent;
-      return options->piece_len - client->piece_sent;
+      return crowd->piece_len - client->piece_sent;
     }
   *bytes = options->tail != NULL ? options->tail + client->tail_sent : NULL;
   return tail_len
@@ -99,7 +100,7 @@
   else if (client->pieces_sent < options->pieces)
     {
       client->piece_sent += n;
-      if (client->piece_sent < options->piece_len)
+      if (client->piece_sent < crowd->piece_len)
         return;
       client->piece_sent = 0;
       client->pieces_sent++;
@@ -201,6 +202,7 @@
   bool sending;
 
   crowd->options = *options;
+  crowd->piece_len = options->piece != NULL ? strlen (options->piece) : 0;
   crowd->client = calloc (options->connections, sizeof *crowd->client);
   crowd->wait = calloc (options->connections, sizeof *crowd->wait);
   for (uint32_t i = 0; i < options->connections; i++)
@@ -242,3 +244,36 @@
   free (crowd->wait);
   free (crowd);
 }
+
+char *
+crowd_text (const char *text, size_t times)
+{
+  size_t len = strlen (text);
+  char *all = malloc (len * times + 1);
+
+  for (size_t i = 0; i < times; i++)
+    memcpy (all + i * len, text, len);
+  all[len * times] = 0;
+  return all;
+}
+
+char *
+crowd_announced (const char *request, size_t bytes)
+{
+  size_t cap = strlen (request) + 64;
+  char *head = malloc (cap);
+
+  snprintf (head, cap, "%sContent-Length: %zu\r\n\r\n", request, bytes);
+  return head;
+}
+
+char *
+crowd_chunk (size_t bytes)
+{
+  char *data = crowd_text ("x", bytes);
+  char *chunk = malloc (bytes + 32);
+
+  snprintf (chunk, bytes + 32, "%zx\r\n%s\r\n", bytes, data);
+  free (data);
+  return chunk;
+}
--- a/test/support/client_crowd.h
+++ b/test/support/client_crowd.h
@@ -13,7 +13,6 @@
  * @connections: how many connections
  * @head: sent first; NULL: nothing
  * @piece: sent next, @pieces times; NULL: nothing
- * @piece_len: bytes of @piece
  * @tail: sent by client_crowd_finish(); NULL: nothing
  * @on_progress: called now and then while the crowd sends or waits
  * @arg: passed to @on_progress
@@ -24,7 +23,6 @@
   uint32_t connections;
   const char *head;
   const char *piece;
-  size_t piece_len;
   uint32_t pieces;
   const char *tail;
   void (*on_progress) (void *arg);
@@ -33,6 +31,14 @@
 
 typedef struct ClientCrowd ClientCrowd;
 
+/** crowd_text() - @text, repeated; the caller frees it */
+char *crowd_text (const char *text, size_t times);
+/** crowd_announced() - a head whose body has @bytes; the caller frees it
+ * @request: its first line and headers */
+char *crowd_announced (const char *request, size_t bytes);
+/** crowd_chunk() - a chunk of @bytes; the caller frees it */
+char *crowd_chunk (size_t bytes);
+
 /** client_crowd_new() - connect, and send the head and the pieces
  * Returns once every connection has sent all, was closed, or makes no progress;
  * the connections stay open. */
--- a/test/support/raw_http.c
+++ b/test/support/raw_http.c
@@ -5,6 +5,7 @@
 
 #include <strings.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 int
@@ -115,6 +116,20 @@
   return reply;
 }
 
+RawReply
+raw_exchange_text (const char *addr, const char *text, uint32_t timeout_s)
+{
+  struct timeval timeout = { .tv_sec = timeout_s };
+  int fd = raw_connect (addr);
+  RawReply reply;
+
+  (void) setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  raw_send (fd, text, strlen (text));
+  reply = raw_read_reply (fd);
+  close (fd);
+  return reply;
+}
+
 void
 raw_wait_closed (int fd)
 {
--- a/test/support/raw_http.h
+++ b/test/support/raw_http.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /* A HTTP client over a plain socket, for requests that a library would not
  * send. */
@@ -31,6 +32,10 @@
 RawReply raw_read_reply (int fd);
 /** raw_exchange() - connects, sends, reads one response and closes */
 RawReply raw_exchange (const char *addr, const void *bytes, size_t len);
+/** raw_exchange_text() - the same for a text, waiting @timeout_s at the most
+ * for each part of the response */
+RawReply
+raw_exchange_text (const char *addr, const char *text, uint32_t timeout_s);
 /** raw_header() - value of a header, in a static buffer; "" if absent */
 const char *raw_header (const RawReply *reply, const char *name);
 /** raw_wait_closed() - waits until the peer closes */
