--- a/include/adapter/http_listener.h
+++ b/include/adapter/http_listener.h
@@ -86,6 +86,12 @@
   const char *tls_key;
 } MuxHttpListenerOptions;
 
+/** mux_http_map_join() - put a header or a parameter; one of a name that is
+ * there already is joined to it by a comma
+ * Return: false when out of memory. */
+bool
+mux_http_map_join (struct _u_map *map, const char *name, const char *value);
+
 /* Bodies that are part of what each connection may hold. */
 #define MUX_HTTP_SMALL_BODY_BYTES 8192
 /* A connection's thread, the buffer of its headers, its request and response
--- a/src/adapter/http_message.c
+++ b/src/adapter/http_message.c
@@ -1,26 +1,33 @@
 #include "http_message.h"
 
+#include "adapter/http_listener.h"
+
 #include <string.h>
 
-static enum MHD_Result
-put_value (void *cls,
-           enum MHD_ValueKind kind,
-           const char *name,
-           const char *value)
+bool
+mux_http_map_join (struct _u_map *map, const char *name, const char *value)
 {
-  struct _u_map *map = cls;
   const char *before = u_map_get (map, name);
-  const char *text = value != NULL ? value : "";
   char *joined;
   bool ok;
 
-  (void) kind;
   if (before == NULL)
-    return u_map_put (map, name, text) == U_OK ? MHD_YES : MHD_NO;
-  joined = msprintf ("%s,%s", before, text);
+    return u_map_put (map, name, value) == U_OK;
+  joined = msprintf ("%s,%s", before, value);
   ok = joined != NULL && u_map_put (map, name, joined) == U_OK;
   o_free (joined);
-  return ok ? MHD_YES : MHD_NO;
+  return ok;
+}
+
+static enum MHD_Result
+put_value (void *cls,
+           enum MHD_ValueKind kind,
+           const char *name,
+           const char *value)
+{
+  (void) kind;
+  return mux_http_map_join (cls, name, value != NULL ? value : "") ? MHD_YES
+                                                                   : MHD_NO;
 }
 
 static bool
--- a/src/daemon/http_routes.c
+++ b/src/daemon/http_routes.c
@@ -368,21 +368,6 @@
   return strcspn (*path, "/");
 }
 
-static bool
-put_variable (struct _u_map *variables, const char *name, const char *value)
-{
-  const char *before = u_map_get (variables, name);
-  char *joined;
-  bool ok;
-
-  if (before == NULL)
-    return u_map_put (variables, name, value) == U_OK;
-  joined = msprintf ("%s,%s", before, value);
-  ok = joined != NULL && u_map_put (variables, name, joined) == U_OK;
-  o_free (joined);
-  return ok;
-}
-
 /* @pattern and @segment: one segment each, of the given lengths. */
 static bool
 match_segment (const char *pattern,
@@ -403,7 +388,7 @@
   snprintf (name, sizeof name, "%.*s", (int) pattern_len - 1, pattern + 1);
   encoded = o_strndup (segment, len);
   value = encoded != NULL ? ulfius_url_decode (encoded) : NULL;
-  ok = value != NULL && put_variable (variables, name, value);
+  ok = value != NULL && mux_http_map_join (variables, name, value);
   o_free (value);
   o_free (encoded);
   return ok;
