--- a/include/adapter/connection_table.h
+++ b/include/adapter/connection_table.h
@@ -28,7 +28,7 @@
  * @next: in the list of its state
  * @fd: its socket
  * @state: what it does
- * @closing: chosen to be closed; it is in no list any more
+ * @closing: it will be closed, and is in no list any more
  * @since_ms: begin of the request, of the response, or of the wait for one
  * @reserved_bytes: what its request holds of the account
  */
