http: under overload no connection makes room for another

The cause is told by a trial that printed each victim: while 0 to 100 requests are served, all 1,024 connections are open, nearly all of them kept by usual callers for ten seconds and more after a response. Since the longest wait makes room, these callers got in, were refused with 503 and came again, for four seconds longer, while the planner had a backlog to clear.

A listener now asks its handler whether it is overloaded. Then a connection beyond the limit is closed before it has a thread, and none makes room for another.

--- a/include/adapter/connection_table.h
+++ b/include/adapter/connection_table.h
@@ -50,6 +50,7 @@
  * @served_max: served at once
  * @memory: account of large bodies
  * @count: open, without those that are closing
+ * @closing: being closed
  * @served: being served
  * @closing_bytes: reserved by connections that are closing
  * @waiting: longest wait first
@@ -61,18 +62,25 @@
   uint32_t served_max;
   MuxMemoryAccount memory;
   uint32_t count;
+  uint32_t closing;
   uint32_t served;
   uint64_t closing_bytes;
   MuxConnection *waiting;
   MuxConnection *responding;
 } MuxConnectionTable;
 
-/** mux_connections_add() - a connection was accepted
- * Return: the connection to close so that the limit holds, which is @connection
- * itself when no other may be closed; NULL: there is room. */
-MuxConnection *mux_connections_add (MuxConnectionTable *table,
-                                    MuxConnection *connection,
-                                    int64_t now_ms);
+/** mux_connections_is_full() - whether as many are open as may be, with those
+ * that are closing */
+bool mux_connections_is_full (const MuxConnectionTable *table);
+/** mux_connections_add() - a connection was accepted */
+void mux_connections_add (MuxConnectionTable *table,
+                          MuxConnection *connection,
+                          int64_t now_ms);
+/** mux_connections_victim() - choose a connection to close if there are more
+ * than the limit
+ * Return: NULL when there are not, or none may be closed. */
+MuxConnection *mux_connections_victim (MuxConnectionTable *table,
+                                       int64_t now_ms);
 /** mux_connections_remove() - its socket is about to be closed */
 void mux_connections_remove (MuxConnectionTable *table,
                              MuxConnection *connection);
--- a/include/adapter/http_listener.h
+++ b/include/adapter/http_listener.h
@@ -47,6 +47,9 @@
   /* That request has ended: its response is sent, or its connection closed;
    * may be NULL. */
   void (*end) (MuxHttpHandler *handler);
+  /* Whether most requests are refused for load.  While they are, no connection
+   * is closed to make room for a new one.  May be NULL: never. */
+  bool (*is_overloaded) (MuxHttpHandler *handler);
 };
 
 /**
--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -91,6 +91,8 @@
      "connections closed as a body took longer than the receive timeout")      \
   X (REQUESTS_TOO_MANY, "requests_too_many_total",                             \
      "requests refused as as many are served as may be")                       \
+  X (CONNECTIONS_REFUSED, "connections_refused_total",                         \
+     "connections closed at once, under overload with all places taken")       \
   X (CONNECTIONS_CLOSED, "connections_closed_total",                           \
      "connections closed to make room for others")                             \
   X (ROWS_BAD_KEY, "rows_bad_key_total",                                       \
--- a/src/adapter/connection_table.c
+++ b/src/adapter/connection_table.c
@@ -55,27 +55,37 @@
   connection->closing = true;
   table->closing_bytes += connection->reserved_bytes;
   table->count--;
+  table->closing++;
 }
 
-MuxConnection *
+bool
+mux_connections_is_full (const MuxConnectionTable *table)
+{
+  return table->count + table->closing >= table->connections_max;
+}
+
+void
 mux_connections_add (MuxConnectionTable *table,
                      MuxConnection *connection,
                      int64_t now_ms)
 {
-  MuxConnection *victim = NULL;
-
-  if (table->count >= table->connections_max)
-    {
-      if (table->waiting != NULL)
-        victim = table->waiting;
-      else if (table->responding != NULL
-               && now_ms - table->responding->since_ms >= RESPONSE_AGE_MS)
-        victim = table->responding;
-      else
-        victim = connection;
-    }
   link_connection (table, connection, MUX_CONNECTION_WAITING, now_ms);
   table->count++;
+}
+
+MuxConnection *
+mux_connections_victim (MuxConnectionTable *table, int64_t now_ms)
+{
+  MuxConnection *victim = NULL;
+
+  if (table->count <= table->connections_max)
+    return NULL;
+  /* The last one that waits is the new one. */
+  if (table->waiting != NULL && table->waiting->next != NULL)
+    victim = table->waiting;
+  else if (table->responding != NULL
+           && now_ms - table->responding->since_ms >= RESPONSE_AGE_MS)
+    victim = table->responding;
   if (victim != NULL)
     choose (table, victim);
   return victim;
@@ -96,7 +106,10 @@
   mux_connections_release (table, connection);
   unlink_connection (table, connection);
   table->served -= connection->state == MUX_CONNECTION_SERVED;
-  table->count -= !connection->closing;
+  if (connection->closing)
+    table->closing--;
+  else
+    table->count--;
 }
 
 void
--- a/src/adapter/http_listener.c
+++ b/src/adapter/http_listener.c
@@ -27,6 +27,35 @@
   http_listener_count (listener, MUX_COUNT_CONNECTIONS_CLOSED);
 }
 
+static bool
+is_overloaded (const MuxHttpListener *listener)
+{
+  MuxHttpHandler *handler = listener->options.handler;
+
+  return handler->is_overloaded != NULL && handler->is_overloaded (handler);
+}
+
+/* Called before a connection has a thread.  Under overload one that is closed
+ * at once costs the least: its request would be refused. */
+static enum MHD_Result
+on_accept (void *cls, const struct sockaddr *addr, socklen_t len)
+{
+  MuxHttpListener *listener = cls;
+  bool is_full;
+
+  (void) addr;
+  (void) len;
+  if (!is_overloaded (listener))
+    return MHD_YES;
+  pthread_mutex_lock (&listener->lock);
+  is_full = mux_connections_is_full (&listener->table);
+  pthread_mutex_unlock (&listener->lock);
+  if (!is_full)
+    return MHD_YES;
+  http_listener_count (listener, MUX_COUNT_CONNECTIONS_REFUSED);
+  return MHD_NO;
+}
+
 static void
 on_connection_opened (MuxHttpListener *listener,
                       struct MHD_Connection *mhd,
@@ -35,15 +64,18 @@
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
   MuxConnection *connection = calloc (1, sizeof *connection);
-  const MuxConnection *victim;
+  MuxConnectionTable *table = &listener->table;
+  const MuxConnection *victim = NULL;
+  bool may_close = !is_overloaded (listener);
 
   *context = connection;
   if (connection == NULL)
     return;
   connection->fd = info != NULL ? info->connect_fd : -1;
   pthread_mutex_lock (&listener->lock);
-  victim
-      = mux_connections_add (&listener->table, connection, mux_monotonic_ms ());
+  mux_connections_add (table, connection, mux_monotonic_ms ());
+  if (may_close)
+    victim = mux_connections_victim (table, mux_monotonic_ms ());
   if (victim != NULL)
     http_listener_close (listener, victim);
   pthread_mutex_unlock (&listener->lock);
@@ -103,8 +135,8 @@
                                      (void *) (uintptr_t) given->tls_key };
     }
   options[used] = (struct MHD_OptionItem){ MHD_OPTION_END, 0, NULL };
-  return MHD_start_daemon (flags, 0, NULL, NULL, http_exchange_access, listener,
-                           MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+  return MHD_start_daemon (flags, 0, on_accept, listener, http_exchange_access,
+                           listener, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
 }
 
 static void
--- a/src/daemon/http_server.c
+++ b/src/daemon/http_server.c
@@ -86,9 +86,10 @@
     .tls_key = given->tls_key,
   };
 
-  server->handler
-      = (MuxHttpHandler){ mux_http_server_handle, mux_http_server_refuse,
-                          begin_request, end_request };
+  server->handler = (MuxHttpHandler){ .handle = mux_http_server_handle,
+                                      .refuse = mux_http_server_refuse,
+                                      .begin = begin_request,
+                                      .end = end_request };
   server->listener = mux_http_listener_new (&options, bound, err);
   return server->listener != NULL;
 }
