--- a/review/standin-2/cell.sh
+++ b/review/standin-2/cell.sh
@@ -44,9 +44,20 @@
   exit 2
 }
 
-# start_daemon N MEMORY_MB: daemon N listens on 127.0.0.1, at ports from a range
-# of its own
-port_base=$((20000 + $$ % 2000 * 16))
+# Ports below those that the system gives to outgoing connections; a range in
+# which nothing listens.
+find_ports () {
+  for try in $(seq 50); do
+    port_base=$((10000 + ($$ + try * 37) % 1400 * 16))
+    for port in $(seq $((port_base + 4)) $((port_base + 15))); do
+      (: < "/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue 2
+    done
+    return
+  done
+}
+find_ports
+
+# start_daemon N MEMORY_MB: daemon N listens on 127.0.0.1
 start_daemon () {
   eval "zone=\$(echo nizwa-hall bahla-hall izki-hall | cut -d' ' -f$((($1 - 1) % 3 + 1)))"
   port=$((port_base + $1 * 4))
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -777,6 +777,7 @@
       End *end = worker->ends;
 
       worker->ends = end->next;
+      note ("acked %s %s %ld %s", worker->id, end->task, end->run, end->how);
       free (end);
     }
   while (worker->ends == NULL && rc == 0 && worker->life == life
