--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -32,6 +32,7 @@
 #define HOLD_MAX_MS 10000
 #define STOP_MS 100
 #define ENDS_MAX 500
+#define SAVED_MAX 512
 
 /* ---- options ---- */
 static long work_ms = 1000;       /* of each task */
@@ -41,6 +42,10 @@
 static long crash_until_ms = 0;   /* no crash from then on */
 static long crash_every_ms = 2000;
 static long crash_down_ms = 2000; /* until the next worker is there */
+static long max_attempts = 4;     /* of the queue */
+static long fail_runs = 0;        /* so many runs of a task fail first */
+static long save_chars = 0;       /* length of a checkpoint; 0: none are made */
+static long save_every_ms = 2000; /* of work */
 static long seed = 1;
 
 static const struct
@@ -55,6 +60,10 @@
   { "crash_until_ms", &crash_until_ms },
   { "crash_every_ms", &crash_every_ms },
   { "crash_down_ms", &crash_down_ms },
+  { "max_attempts", &max_attempts },
+  { "fail_runs", &fail_runs },
+  { "save_chars", &save_chars },
+  { "save_every_ms", &save_every_ms },
   { "seed", &seed },
 };
 
@@ -547,6 +556,8 @@
   long run;
   long start_ms;
   long stop_ms; /* 0: not stopped */
+  long saves;   /* checkpoints made */
+  char saved[SAVED_MAX];
   Run *next;
 };
 
@@ -557,6 +568,7 @@
   char task[96];
   long run;
   const char *how;
+  char saved[SAVED_MAX];
   End *next;
 };
 
@@ -656,6 +668,7 @@
   snprintf (end->task, sizeof end->task, "%s", run->task);
   end->run = run->run;
   end->how = how;
+  snprintf (end->saved, sizeof end->saved, "%s", run->saved);
   while (*last != NULL)
     last = &(*last)->next;
   *last = end;
@@ -665,6 +678,45 @@
   pthread_cond_broadcast (&changed);
 }
 
+/* How often runs of a task have failed, at all workers. */
+static Past *failed;
+
+static const char *
+outcome (const char *task)
+{
+  Past *past = failed;
+
+  while (past != NULL && strcmp (past->task, task) != 0)
+    past = past->next;
+  if (past == NULL)
+    {
+      past = calloc (1, sizeof *past);
+      snprintf (past->task, sizeof past->task, "%s", task);
+      past->next = failed;
+      failed = past;
+    }
+  return past->run++ < fail_runs ? "failed" : "done";
+}
+
+/* A checkpoint is the name of an object: the task, its run and a number, filled
+ * up to the length asked for. */
+static void
+save (const Worker *worker, Run *run)
+{
+  long made = (now_ms () - run->start_ms) / save_every_ms;
+  int len;
+
+  if (save_chars == 0 || made <= run->saves)
+    return;
+  run->saves = made;
+  len = snprintf (run->saved, sizeof run->saved, "%s/%ld/%ld/", run->task,
+                  run->run, made);
+  for (; len < save_chars && len + 1 < SAVED_MAX; len++)
+    run->saved[len] = (char) ('a' + draw (26));
+  run->saved[len] = 0;
+  note ("saved %s %s %ld %s", worker->id, run->task, run->run, run->saved);
+}
+
 static void
 advance (Worker *worker)
 {
@@ -674,12 +726,13 @@
     {
       Run *run = *at;
 
+      save (worker, run);
       if (run->stop_ms != 0 && now >= run->stop_ms)
         end_run (worker, at, "stopped");
       else if (clock_of (worker) >= worker->lease_ms)
         end_run (worker, at, "lapsed");
       else if (run->stop_ms == 0 && now - run->start_ms >= work_ms)
-        end_run (worker, at, "done");
+        end_run (worker, at, outcome (run->task));
       else
         at = &run->next;
     }
@@ -737,7 +790,8 @@
   run->start_ms = now_ms ();
   run->next = worker->runs;
   worker->runs = run;
-  note ("start %s %s %ld", worker->id, task, number);
+  note ("start %s %s %ld %s", worker->id, task, number,
+        text_of (body, "checkpoint"));
   return worker_reply (worker, 200, NULL);
 }
 
@@ -792,7 +846,7 @@
   for (const Run *run = worker->runs; run != NULL; run = run->next)
     json_array_append_new (running,
                            json_pack ("[s, I, s, I, I]", run->task,
-                                      (json_int_t) run->run, "",
+                                      (json_int_t) run->run, run->saved,
                                       (json_int_t) percent_of (run),
                                       (json_int_t) 0));
   for (const End *end = worker->ends; end != NULL && listed < ENDS_MAX;
@@ -800,7 +854,8 @@
     json_array_append_new (finished,
                            json_pack ("[I, s, I, s, s]",
                                       (json_int_t) end->number, end->task,
-                                      (json_int_t) end->run, end->how, ""));
+                                      (json_int_t) end->run, end->how,
+                                      end->saved));
   reply = worker_reply (worker, 200, NULL);
   json_object_set_new (reply.json, "running", running);
   json_object_set_new (reply.json, "finished", finished);
@@ -1010,7 +1065,7 @@
                 "version", 1, "routes", "name", "r-1", "host", "desk.example",
                 "path_prefix", "/q/", "kind", "non_idempotent", "timeout_ms",
                 3000, "target_latency_ms", 1000, "priority", 1, "service",
-                "basket", "max_attempts", 4, "slack_factor", 4.0, "services",
+                "basket", "max_attempts", (int) max_attempts, "slack_factor", 4.0, "services",
                 "name", "basket", "health_path", "/health", "max_connections",
                 64, "protocol", "h1", "tls_enabled", 0, "enforces_capacity", 0,
                 "standby", 0, "limits", "max_header_bytes", 16384,
