--- a/review/standin-2/cell.sh
+++ b/review/standin-2/cell.sh
@@ -5,7 +5,6 @@
 tools=$root/target/review-2
 record=$case/record.txt
 dir=$(mktemp -d)
-started=
 
 for program in "$root/target/cuminmuxd" "$tools/platform" "$tools/client"; do
   if [ ! -x "$program" ]; then
@@ -15,9 +14,9 @@
 done
 : > "$record"
 
+# The shell's own children that still run, and no number that may be another's.
 end_all () {
-  for pid in $started; do
-    kill -CONT "$pid" 2>/dev/null
+  for pid in $(jobs -pr); do
     kill -KILL "$pid" 2>/dev/null
   done
   wait 2>/dev/null
@@ -34,8 +33,6 @@
 # start_platform WORKERS [NAME=VALUE...]
 start_platform () {
   "$tools/platform" "$dir" "$@" 2> "$dir/platform.err" &
-  platform=$!
-  started="$started $platform"
   for try in $(seq 100); do
     [ -e "$dir/store" ] && return
     sleep 0.1
@@ -76,7 +73,6 @@
       target/cuminmuxd
   ) >> "$dir/daemon-$1.log" 2>&1 &
   eval "daemon_$1=$!"
-  started="$started $!"
 }
 
 # wait_ready N...: until these daemons are ready
