Review: case 6 leaves out ends whose worker's lease lapsed

The rule TWICE excuses an end if the worker's lease lapsed before its acknowledgement. A line of case 7 that did nothing is gone.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,7 +2,8 @@
 # The planner is killed while the small tasks of some jobs run on a worker; they
 # end before its successor asks that worker, which lists 500 ends at a time.
 # Exits with 1 if a task starts again after its run has ended done and that end
-# is acknowledged then or later: the rule TWICE.
+# is acknowledged then or later, unless the worker's lease lapsed between the two:
+# the rule TWICE.
 case=$(cd "$(dirname "$0")" && pwd)
 . "$case/../standin-2/cell.sh"
 
@@ -38,8 +39,9 @@
 sleep 25
 note "state of the last: $("$tools/client" call GET "$front_3" "/q/$id")"
 awk '$2 == "start" { if ($4 in done) { again[$4] = $0 } }
-     $2 == "end" && $6 == "done" { if (!($4 in done)) done[$4] = $0 }
-     $2 == "acked" && $6 == "done" { acked[$4 " " $5] = $0 }
+     $2 == "end" && $6 == "done" { if (!($4 in done)) done[$4] = $0; ended[$4 " " $5] = $1 }
+     $2 == "lapse" { lapse[$3] = $1 }
+     $2 == "acked" && $6 == "done" && !($3 in lapse && lapse[$3] >= ended[$4 " " $5]) { acked[$4 " " $5] = $0 }
      END { for (t in again) { split(done[t], e, " "); if ((t " " e[5]) in acked) {
              print done[t]; print again[t]; print acked[t " " e[5]]; n++ } }
            print "twice " n + 0 }' "$dir/events" > "$dir/judged"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -62,6 +62,5 @@
 sleep 6
 for n in 1 2 3; do submit $n /q/; done
 note "requests that were handled as only version 2 allows: $broken of 18"
-grep -c " start " "$dir/events" > /dev/null
 [ $broken = 0 ] || exit 1
 exit 0
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -705,6 +705,7 @@
   long start_ms;
   long token;
   long lease_ms; /* on its clock */
+  bool lapsed;   /* the lease, since it was last renewed */
   long last_end;
   long sequence;
   long heartbeat_ms;
@@ -831,11 +832,22 @@
   note ("saved %s %s %ld %s", worker->id, run->task, run->run, run->saved);
 }
 
+static void
+note_lapse (Worker *worker)
+{
+  if (worker->lapsed || worker->lease_ms == 0
+      || clock_of (worker) < worker->lease_ms)
+    return;
+  worker->lapsed = true;
+  note ("lapse %s", worker->id);
+}
+
 static void
 advance (Worker *worker)
 {
   long now = now_ms ();
 
+  note_lapse (worker);
   for (Run **at = &worker->runs; *at != NULL;)
     {
       Run *run = *at;
@@ -871,7 +883,10 @@
   if (until > clock_of (worker) + HOLD_MAX_MS)
     until = clock_of (worker) + HOLD_MAX_MS;
   if (until > worker->lease_ms)
-    worker->lease_ms = until;
+    {
+      worker->lease_ms = until;
+      worker->lapsed = false;
+    }
 }
 
 static Run *
@@ -1029,6 +1044,7 @@
   worker->start_ms = now_ms ();
   worker->token = 0;
   worker->lease_ms = 0;
+  worker->lapsed = false;
   worker->last_end = 0;
   worker->sequence = 0;
   worker->back_ms = 0;
