--- a/review/standin-2/cell.sh
+++ b/review/standin-2/cell.sh
@@ -4,7 +4,6 @@
 root=$(cd "$case/../.." && pwd)
 tools=$root/target/review-2
 record=$case/record.txt
-dir=$(mktemp -d)
 
 for program in "$root/target/cuminmuxd" "$tools/platform" "$tools/client"; do
   if [ ! -x "$program" ]; then
@@ -12,6 +11,7 @@
     exit 2
   fi
 done
+dir=$(mktemp -d)
 : > "$record"
 
 # The shell's own children that still run, and no number that may be another's.
