--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -79,6 +79,12 @@
      "commits that the store rejected as malformed or too large")              \
   X (JOBS_NOT_STORABLE, "jobs_not_storable_total",                             \
      "jobs given up as the store rejects their changes")                       \
+  X (CHECKPOINTS_DROPPED, "checkpoints_dropped_total",                         \
+     "checkpoints of workers that exceed the limit and were not kept")         \
+  X (PROOFS_DROPPED, "proofs_dropped_total",                                   \
+     "approvals not used as their proof exceeds the limit")                    \
+  X (TOKENS_NO_MEMORY, "tokens_no_memory_total",                               \
+     "checkpoints and proofs not kept as others hold the memory for them")     \
   X (PACES, "paces_total",                                                     \
      "orders that let a best-effort task work at a share of its speed")        \
   X (JSON_OVER_LIMIT, "json_over_limit_total",                                 \
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -22,8 +22,10 @@
 #define MUX_REASON_LEN 96
 /* Key of the row of MUX_TABLE_CONFIG that holds the configuration. */
 #define MUX_CONFIG_KEY "config"
-/* Bytes of a checkpoint's name or an approval's proof with its closing NUL. */
-#define MUX_TOKEN_LEN 72
+/* Limits of the opaque texts that are only handed on.  A checkpoint is stored,
+ * so its limit counts it as a JSON string; 8 of them share a row. */
+#define MUX_CHECKPOINT_BYTES_MAX 4096
+#define MUX_PROOF_BYTES_MAX 8192
 
 /**
  * enum MuxCellVerb - operation of a call
@@ -125,8 +127,8 @@
  * @fence: START, STOP, PACE, RENEW: fencing token of the claim
  * @lease_expires_ms: START, RENEW: on the worker's clock; 0: not extended
  * @payload: START: holds a reference
- * @checkpoint: START: what to resume from; "": nothing
- * @proof: START: proof of the approval; "": none
+ * @checkpoint: START: what to resume from; holds a reference; NULL: nothing
+ * @proof: START: proof of the approval; holds a reference; NULL: none
  * @acked: RENEW: the worker may forget ends of runs up to this number
  * @candidate_count: QUERY_APPROVAL: used entries of @candidate
  * @candidate: QUERY_APPROVAL: incarnations of the workers queried; owned
@@ -152,8 +154,8 @@
   uint64_t fence;
   int64_t lease_expires_ms;
   MuxBlob *payload;
-  char checkpoint[MUX_TOKEN_LEN];
-  char proof[MUX_TOKEN_LEN];
+  MuxBlob *checkpoint;
+  MuxBlob *proof;
   uint64_t acked;
   uint32_t candidate_count;
   char (*candidate)[MUX_NAME_LEN];
@@ -206,7 +208,8 @@
  * @end_number: number of its end in the worker's list of ended runs; 0: it is
  *   running
  * @end: ended: how
- * @checkpoint: what a later run can resume from; "": nothing
+ * @checkpoint: what a later run can resume from; holds a reference; NULL:
+ *   nothing
  */
 typedef struct
 {
@@ -216,7 +219,7 @@
   uint32_t usage;
   uint64_t end_number;
   MuxRunEnd end;
-  char checkpoint[MUX_TOKEN_LEN];
+  MuxBlob *checkpoint;
 } MuxRunReport;
 
 /**
@@ -276,12 +279,12 @@
 /**
  * struct MuxApproval - a worker that may run the step of the query
  * @worker: its incarnation, as named in the query
- * @proof: to be presented to the worker with the start
+ * @proof: to be presented to the worker with the start; holds a reference
  */
 typedef struct
 {
   char worker[MUX_NAME_LEN];
-  char proof[MUX_TOKEN_LEN];
+  MuxBlob *proof;
 } MuxApproval;
 
 /**
@@ -341,6 +344,8 @@
  * Return: false when out of memory. */
 bool mux_cell_reply_alloc_rows (MuxCellReply *reply, uint32_t count);
 void mux_cell_reply_free (MuxCellReply *reply);
+/** mux_approvals_free() - free @count approvals with their proofs */
+void mux_approvals_free (MuxApproval *approvals, uint32_t count);
 const char *mux_cell_status_name (MuxCellStatus status);
 const char *mux_run_end_name (MuxRunEnd end);
 
--- a/src/cell/approval_list.c
+++ b/src/cell/approval_list.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -82,9 +83,9 @@
 }
 
 void
-cell_approvals_free (CellStage *stage)
+cell_approvals_free (MuxCell *cell, CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->approval_count; i++)
-    free (stage->approval[i].proof);
+    (void) cell_token_set (cell, &stage->approval[i].proof, NULL);
   free (stage->approval);
 }
--- a/src/cell/approval_query.c
+++ b/src/cell/approval_query.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,6 +29,10 @@
 /* Queries that take longer than this may not occupy all daemons, as urgent ones
  * would wait behind them. */
 #define LONG_QUERY_MS 150
+/* No query of a stage for this long after its proof could not be kept. */
+#define NO_MEMORY_BACKOFF_MS 1000
+/* Between two searches for expired proofs, which go through all jobs. */
+#define PROOF_SWEEP_MS 1000
 #define US_PER_MS 1000
 
 /*
@@ -36,7 +41,7 @@
  * jobs wait for these workers alone after a takeover and not for the whole
  * cell.  A stage without such a record has not run.
  */
-const char *
+MuxBlob *
 cell_usable_proof (const MuxCell *cell, const CellApproval *approval)
 {
   if (approval == NULL || !approval->approved || approval->proof == NULL
@@ -46,7 +51,7 @@
   return approval->proof;
 }
 
-const char *
+MuxBlob *
 cell_approval_proof (const MuxCell *cell,
                      const CellStage *stage,
                      const CellWorker *worker)
@@ -157,10 +162,10 @@
 
   for (uint32_t i = 0; i < count; i++)
     (void) json_array_append_new (list, json_string (candidates[i]->info.id));
-  return json_pack ("{s:s, s:i, s:i, s:i, s:o}", "job", stage->job->id,
+  return json_pack ("{s:s, s:i, s:i, s:i, s:o, s:b}", "job", stage->job->id,
                     "occurrence", (int) stage->occurrence, "step",
                     (int) stage->step, "timeout_ms", (int) timeout_ms,
-                    "workers", list);
+                    "workers", list, "whole_proofs", 1);
 }
 
 static void
@@ -366,6 +371,37 @@
   return true;
 }
 
+/* Jobs that can't start keep proofs that have expired. */
+static void
+drop_expired_proofs (MuxCell *cell)
+{
+  CellJob *job;
+  CellJob *next;
+
+  if (cell->time.now_ms < cell->tokens.next_sweep_ms)
+    return;
+  cell->tokens.next_sweep_ms = cell->time.now_ms + PROOF_SWEEP_MS;
+  HASH_ITER (hh, cell->jobs, job, next)
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    for (uint32_t j = 0; j < job->stage[i]->approval_count; j++)
+      {
+        CellApproval *approval = &job->stage[i]->approval[j];
+
+        if (cell->time.now_ms > approval->proof_expires_ms)
+          (void) cell_token_set (cell, &approval->proof, NULL);
+      }
+}
+
+/* Return: false: no memory is left for it. */
+static bool
+keep_proof (MuxCell *cell, CellApproval *approval, MuxBlob *proof)
+{
+  if (cell_token_set (cell, &approval->proof, proof))
+    return true;
+  drop_expired_proofs (cell);
+  return cell_token_set (cell, &approval->proof, proof);
+}
+
 static void
 apply_approval (MuxCell *cell,
                 CellStage *stage,
@@ -389,8 +425,12 @@
         cell->part[stage->job->part].commit_now = true;
     }
   approval->approved = true;
-  free (approval->proof);
-  approval->proof = strdup (granted->proof);
+  if (!keep_proof (cell, approval, granted->proof))
+    {
+      approval->proof_expires_ms = 0;
+      stage->no_query_until_ms = cell->time.now_ms + NO_MEMORY_BACKOFF_MS;
+      return;
+    }
   approval->proof_expires_ms = expires_ms;
   if (expires_ms > stage->proofs_expire_ms)
     stage->proofs_expire_ms = expires_ms;
--- a/src/cell/approval_query_peer.c
+++ b/src/cell/approval_query_peer.c
@@ -1,10 +1,18 @@
-#include "cell_private.h"
+#include "progress_fields.h"
+#include "token.h"
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
-/* Messages of approval queries between the planner and the daemons that put
- * them to the policy service for it. */
+/*
+ * Messages of approval queries between the planner and the daemons that put
+ * them to the policy service for it.
+ *
+ * The previous version cuts proofs.  So a query and its reply say that their
+ * sender does not ("whole_proofs"): a reply without that may hold a cut proof,
+ * and one to a query without it leaves out proofs that would be cut.
+ */
 
 MuxCellCall *
 cell_approval_query_call (const json_t *query)
@@ -64,12 +72,14 @@
   json_t *list = json_array ();
 
   for (uint32_t i = 0; i < reply->approval_count; i++)
-    (void) json_array_append_new (list,
-                                  json_pack ("[ss]", reply->approval[i].worker,
-                                             reply->approval[i].proof));
+    if (pending->whole_tokens || cell_token_is_short (reply->approval[i].proof))
+      (void) json_array_append_new (
+          list, json_pack ("[ss]", reply->approval[i].worker,
+                           reply->approval[i].proof->bytes));
   send_reply (cell, pending->peer, pending->peer_addr, pending->context,
-              json_pack ("{s:i, s:o}", "valid_ms", (int) reply->valid_ms,
-                         "approved", list),
+              json_pack ("{s:I, s:o, s:b}", "valid_ms",
+                         (json_int_t) reply->valid_ms, "approved", list,
+                         "whole_proofs", (int) pending->whole_tokens),
               reply->status == MUX_CELL_OK);
 }
 
@@ -77,7 +87,10 @@
 query_for_planner (MuxCell *cell, const MuxPeerMsg *msg)
 {
   json_t *query = cell_json_from_blob (msg->body);
-  CellPending pending = { .on_reply = query_reply, .context = msg->call_id };
+  CellPending pending = { .on_reply = query_reply,
+                          .context = msg->call_id,
+                          .whole_tokens = json_is_true (
+                              json_object_get (query, "whole_proofs")) };
 
   snprintf (pending.peer, sizeof pending.peer, "%s", msg->from);
   snprintf (pending.peer_addr, sizeof pending.peer_addr, "%s", msg->from_addr);
@@ -87,29 +100,41 @@
   json_decref (query);
 }
 
+/* Return: false: the row can't be used, or out of memory. */
+static bool
+read_approval (const json_t *row, bool whole, MuxApproval *approval)
+{
+  const char *id = json_string_value (json_array_get (row, 0));
+  const char *proof = json_string_value (json_array_get (row, 1));
+
+  if (id == NULL || proof == NULL || !mux_name_copy (approval->worker, id))
+    return false;
+  approval->proof = mux_blob_new (proof, strlen (proof));
+  return approval->proof != NULL
+         && (whole ? cell_proof_fits (approval->proof)
+                   : cell_token_is_short (approval->proof));
+}
+
+/* One approval that can't be used makes the reply an unanswered query, which
+ * goes to another daemon next. */
 static void
 receive_reply (MuxCell *cell, const MuxPeerMsg *msg)
 {
   json_t *json = cell_json_from_blob (msg->body);
   const json_t *list = json_object_get (json, "approved");
-  size_t count = json_array_size (list);
+  bool whole = json_is_true (json_object_get (json, "whole_proofs"));
+  const json_t *valid = json_object_get (json, "valid_ms");
+  uint32_t count = (uint32_t) json_array_size (list);
   MuxApproval *approvals = calloc (count > 0 ? count : 1, sizeof *approvals);
+  bool ok = msg->found && approvals != NULL
+            && cell_integer_in_range (valid, 0, UINT32_MAX);
 
-  for (size_t i = 0; approvals != NULL && i < count; i++)
-    {
-      const json_t *row = json_array_get (list, i);
-      const char *id = json_string_value (json_array_get (row, 0));
-      const char *proof = json_string_value (json_array_get (row, 1));
-
-      snprintf (approvals[i].worker, MUX_NAME_LEN, "%s", id != NULL ? id : "");
-      snprintf (approvals[i].proof, MUX_TOKEN_LEN, "%s",
-                proof != NULL ? proof : "");
-    }
-  cell_approval_query_done (
-      cell, msg->call_id, msg->found && approvals != NULL, approvals,
-      approvals != NULL ? (uint32_t) count : 0,
-      (uint32_t) json_integer_value (json_object_get (json, "valid_ms")));
-  free (approvals);
+  for (uint32_t i = 0; ok && i < count; i++)
+    ok = read_approval (json_array_get (list, i), whole, &approvals[i]);
+  cell_approval_query_done (cell, msg->call_id, ok, approvals, ok ? count : 0,
+                            ok ? (uint32_t) json_integer_value (valid) : 0);
+  if (approvals != NULL)
+    mux_approvals_free (approvals, count);
   json_decref (json);
 }
 
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include "base/log.h"
 
@@ -265,6 +266,7 @@
   if (entry != NULL && is_store_call (reply->verb)
       && shows_present_state (cell, entry, reply))
     cell_store_result (cell, reply);
+  cell_reply_drop_tokens (cell, reply);
   if (entry != NULL)
     {
       HASH_DEL (cell->pending, entry);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -73,8 +73,21 @@
  * memory or the bytes are malformed */
 MuxBlob *cell_proxied_call_encode (const MuxCellCall *call);
 MuxCellCall *cell_proxied_call_decode (const MuxBlob *blob);
-MuxBlob *cell_proxied_reply_encode (const MuxCellReply *reply);
-MuxCellReply *cell_proxied_reply_decode (const MuxBlob *blob, uint64_t call_id);
+/** cell_proxied_reply_encode()
+ * @whole: the planner takes texts that are not short, see
+ *   cell_proxied_call_takes_whole(); false: they are left out */
+MuxBlob *cell_proxied_reply_encode (const MuxCellReply *reply, bool whole);
+/** cell_proxied_reply_decode()
+ * @whole: set to whether its texts are whole, and so the proxy takes calls with
+ *   texts that are not short */
+MuxCellReply *
+cell_proxied_reply_decode (const MuxBlob *blob, uint64_t call_id, bool *whole);
+/** cell_proxied_call_is_short() - daemons of the previous protocol carry it
+ * whole */
+bool cell_proxied_call_is_short (const MuxCellCall *call);
+/** cell_proxied_call_takes_whole() - the planner that made the call takes texts
+ * that are not short in its reply */
+bool cell_proxied_call_takes_whole (const MuxCellCall *call);
 
 /* bad_row.c: rows of the store that can't be read */
 /**
@@ -566,6 +579,8 @@
 void cell_unreadable_tick (MuxCell *cell);
 
 /* unreadable_rows.c: their rows */
+/** cell_unreadable_free_ends() - free the list of ends */
+void cell_unreadable_free_ends (CellUnreadable *unreadable);
 /** cell_unreadable_add_end() - adds an end, or notes that there are too many
  * Return: false: it is known already. */
 bool cell_unreadable_add_end (CellUnreadable *unreadable,
@@ -610,8 +625,8 @@
 uint32_t cell_stage_waiting_tasks (const CellStage *stage);
 /** cell_stage_gang_has_ended() - no run of the gang holds room */
 bool cell_stage_gang_has_ended (const CellStage *stage);
-/** cell_stage_gang_checkpoint() - what the gang resumes from; "": nothing */
-const char *cell_stage_gang_checkpoint (const CellStage *stage);
+/** cell_stage_gang_checkpoint() - what the gang resumes from; NULL: nothing */
+MuxBlob *cell_stage_gang_checkpoint (const CellStage *stage);
 /** cell_stage_log_placed() - logs that starts of its last @tasks waiting tasks
  * were sent */
 void
@@ -1058,7 +1073,7 @@
                      CellTask *task,
                      CellWorker *worker,
                      uint32_t run,
-                     const char *checkpoint);
+                     MuxBlob *checkpoint);
 /** cell_stop_booking() - stops the run; repeated until it is confirmed */
 void cell_stop_booking (MuxCell *cell, CellBooking *booking);
 /** cell_stops_tick() - sends the stops that are due at the worker */
@@ -1073,14 +1088,14 @@
                      CellWorker *worker,
                      uint32_t run,
                      MuxRunEnd end,
-                     const char *checkpoint);
+                     MuxBlob *checkpoint);
 /** cell_end_apply() - applies the end of a run to its task alone: no orders, no
  * check of attempts */
 void cell_end_apply (MuxCell *cell,
                      CellTask *task,
                      uint32_t run,
                      MuxRunEnd end,
-                     const char *checkpoint);
+                     MuxBlob *checkpoint);
 /** cell_stop_orphan() - sends a stop of a run without a booking */
 void cell_stop_orphan (MuxCell *cell,
                        CellWorker *worker,
@@ -1213,7 +1228,7 @@
 /** cell_approval_add() - the entry of the worker, created if it is new
  * Return: NULL when out of memory. */
 CellApproval *cell_approval_add (CellStage *stage, const CellWorker *worker);
-void cell_approvals_free (CellStage *stage);
+void cell_approvals_free (MuxCell *cell, CellStage *stage);
 
 /* approval_query.c: approval queries */
 /** cell_queriers_alive() - number of daemons with recent contact, busy or
@@ -1231,13 +1246,12 @@
                                CellWorker *const *candidates,
                                uint32_t count);
 /** cell_approval_proof() - cell_usable_proof() of the worker's approval */
-const char *cell_approval_proof (const MuxCell *cell,
-                                 const CellStage *stage,
-                                 const CellWorker *worker);
+MuxBlob *cell_approval_proof (const MuxCell *cell,
+                              const CellStage *stage,
+                              const CellWorker *worker);
 /** cell_usable_proof() - the proof to send with a start now
  * Return: NULL if there is none, or @approval is NULL. */
-const char *cell_usable_proof (const MuxCell *cell,
-                               const CellApproval *approval);
+MuxBlob *cell_usable_proof (const MuxCell *cell, const CellApproval *approval);
 /** cell_approval_is_being_recorded() - whether the proof becomes usable once a
  * commit that is on its way stores the approval; false for NULL */
 bool cell_approval_is_being_recorded (const MuxCell *cell,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -122,6 +122,7 @@
  *   call's port ends it
  * @peer: daemon this one makes the call for; "": none
  * @peer_addr: address of @peer
+ * @whole_tokens: @peer takes texts that are not short, see token.h
  */
 struct CellPending
 {
@@ -142,6 +143,7 @@
   int64_t overdue_ms;
   char peer[MUX_NAME_LEN];
   char peer_addr[MUX_ADDR_LEN];
+  bool whole_tokens;
   UT_hash_handle hh;
 };
 
@@ -324,6 +326,8 @@
  * @query_cost_ms: expected duration of that
  * @no_query_until_ms: no query is sent to it before this
  * @is_free: puts no query, and is in MuxCell.free_members
+ * @whole_tokens_incarnation: its process that takes texts that are not short,
+ *   see token.h; 0: none is known
  */
 struct CellMember
 {
@@ -344,6 +348,7 @@
   uint32_t query_cost_ms;
   int64_t no_query_until_ms;
   bool is_free;
+  uint64_t whole_tokens_incarnation;
   CellMember *free_prev;
   CellMember *free_next;
   UT_hash_handle hh;
@@ -357,13 +362,27 @@
  * may have room by then. */
 #define CELL_CANDIDATES_AHEAD_MIN 12
 
+/**
+ * struct CellTokens - checkpoints and proofs that the planner keeps
+ * @bytes: memory that they take
+ * @next_log_ms: no log line about a dropped one before this
+ * @next_sweep_ms: no search for expired proofs before this
+ */
+typedef struct
+{
+  uint64_t bytes;
+  int64_t next_log_ms;
+  int64_t next_sweep_ms;
+} CellTokens;
+
 /**
  * struct CellApproval - whether one worker may run a stage; owned by the stage
  * @slot: slot of the worker
  * @queried: a query has named the worker
  * @approved: the worker may run the stage
  * @used: a start with a proof was sent to it
- * @proof: shown to the worker with a start; owned; NULL: none
+ * @proof: shown to the worker with a start, see cell_token_set(); owned; NULL:
+ *   none
  * @proof_expires_ms: the worker accepts @proof up to here
  * @in_commit: part of the outstanding commit of the job's progress
  * @stored: recorded, so that a successor knows that runs may be there
@@ -374,7 +393,7 @@
   bool queried;
   bool approved;
   bool used;
-  char *proof;
+  MuxBlob *proof;
   int64_t proof_expires_ms;
   bool in_commit;
   bool stored;
@@ -550,7 +569,8 @@
  * @loss_count: entries of @loss
  * @loss: lost runs; owned
  * @booking: the run that is, or may be, at a worker; NULL: none
- * @checkpoint: what the next run resumes from; "": nothing
+ * @checkpoint: what the next run resumes from, see cell_token_set(); owned;
+ *   NULL: nothing
  */
 struct CellTask
 {
@@ -563,7 +583,7 @@
   uint32_t loss_count;
   CellLoss *loss;
   CellBooking *booking;
-  char checkpoint[MUX_TOKEN_LEN];
+  MuxBlob *checkpoint;
 };
 
 /**
@@ -1116,14 +1136,14 @@
  * @task: the task; its job field is unused
  * @run: number of the run
  * @end: how it ended
- * @checkpoint: what it saved; "": nothing
+ * @checkpoint: what it saved; holds a reference; NULL: nothing
  */
 typedef struct
 {
   MuxTaskRef task;
   uint32_t run;
   MuxRunEnd end;
-  char checkpoint[MUX_TOKEN_LEN];
+  MuxBlob *checkpoint;
 } CellUnreadableEnd;
 
 /**
@@ -1143,7 +1163,7 @@
  * @dirty_again: it changed after that commit was made
  * @expired: its stored ends are to be removed
  * @end_count: entries of @end
- * @end_bytes: upper bound of their size in the row
+ * @saved_bytes: size of their checkpoints in the row
  * @end: owned
  * @spec: the job, now readable, until its progress is read; owned; NULL: none
  * @version: with @spec: of the job's row
@@ -1165,7 +1185,7 @@
   bool dirty_again;
   bool expired;
   uint32_t end_count;
-  uint32_t end_bytes;
+  uint32_t saved_bytes;
   CellUnreadableEnd *end;
   MuxJobSpec *spec;
   uint64_t version;
@@ -1502,6 +1522,7 @@
   int64_t commit_took_ms;         /* duration of the last commit of any part */
   int64_t store_changed_ms;       /* when it last began to fail, or to serve */
   int64_t next_rejection_log_ms;
+  CellTokens tokens;
 
   /* The claim. */
   CellClaim claim;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -188,7 +188,7 @@
 
   snprintf (loss.addr, sizeof loss.addr, "%s", worker->info.addr);
   cell_unbook (cell, booking);
-  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, "");
+  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, NULL);
   (void) drop_own_pending (task);
   if (long_run || cell_run_clears_task (task, loss.ran_ms))
     (void) drop_all (task);
@@ -220,7 +220,7 @@
   loss.span = booking->previous_span;
   snprintf (previous, sizeof previous, "%s", booking->previous_incarnation);
   cell_unbook (cell, booking);
-  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, "");
+  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, NULL);
   (void) drop_own_pending (task);
   if (counts)
     record_loss (cell, task, previous, worker->info.addr, loss);
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -49,7 +49,7 @@
            const CellPlace *place,
            uint32_t count)
 {
-  const char *checkpoint = cell_stage_gang_checkpoint (stage);
+  MuxBlob *checkpoint = cell_stage_gang_checkpoint (stage);
   uint32_t run = cell_next_run (cell, stage->last_run);
   uint32_t member = 0;
 
--- a/src/cell/progress_fields.c
+++ b/src/cell/progress_fields.c
@@ -1,4 +1,5 @@
 #include "progress_fields.h"
+#include "token.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -90,15 +91,16 @@
 }
 
 json_t *
-cell_checkpoints_json (const CellStage *stage, CellTaskRange range)
+cell_checkpoints_json (const CellStage *stage, CellTaskRange range, bool whole)
 {
   json_t *list = json_array ();
 
   for (uint32_t i = range.first; i < range.first + range.count; i++)
-    if (stage->task[i].checkpoint[0] != 0
-        && stage->task[i].state != CELL_TASK_DONE)
+    if (stage->task[i].checkpoint != NULL
+        && stage->task[i].state != CELL_TASK_DONE
+        && cell_token_is_short (stage->task[i].checkpoint) != whole)
       (void) json_array_append_new (
-          list, json_pack ("[is]", (int) i, stage->task[i].checkpoint));
+          list, json_pack ("[is]", (int) i, stage->task[i].checkpoint->bytes));
   return list;
 }
 
@@ -120,7 +122,10 @@
 }
 
 void
-cell_checkpoints_apply (CellStage *stage, const json_t *list)
+cell_checkpoints_apply (MuxCell *cell,
+                        CellStage *stage,
+                        const json_t *list,
+                        bool whole)
 {
   const json_t *pair;
   size_t i;
@@ -130,8 +135,16 @@
     CellTask *task
         = &stage->task[json_integer_value (json_array_get (pair, 0))];
 
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
-              json_string_value (json_array_get (pair, 1)));
+    const char *text = json_string_value (json_array_get (pair, 1));
+    MuxBlob *checkpoint;
+
+    /* The previous version may have cut a longer one. */
+    if (!whole && strlen (text) + 1 >= CELL_SHORT_TOKEN_LEN)
+      continue;
+    checkpoint = mux_blob_new (text, strlen (text));
+    if (checkpoint != NULL && cell_checkpoint_fits (checkpoint))
+      (void) cell_token_set (cell, &task->checkpoint, checkpoint);
+    mux_blob_unref (checkpoint);
   }
 }
 
--- a/src/cell/progress_fields.h
+++ b/src/cell/progress_fields.h
@@ -22,8 +22,10 @@
 json_t *cell_done_json (const CellStage *stage, CellTaskRange range);
 /** cell_failures_json() - [[task, [failed run, ...]], ...] */
 json_t *cell_failures_json (const CellStage *stage, CellTaskRange range);
-/** cell_checkpoints_json() - [[task, checkpoint], ...] */
-json_t *cell_checkpoints_json (const CellStage *stage, CellTaskRange range);
+/** cell_checkpoints_json() - [[task, checkpoint], ...]
+ * @whole: those that the previous version would cut; false: the others */
+json_t *
+cell_checkpoints_json (const CellStage *stage, CellTaskRange range, bool whole);
 /** cell_runs_json() - [failed run, ...] */
 json_t *cell_runs_json (const CellFailures *failures);
 
@@ -32,7 +34,10 @@
 void
 cell_done_apply (CellStage *stage, CellTaskRange range, const json_t *json);
 void cell_failures_apply (CellStage *stage, const json_t *list);
-void cell_checkpoints_apply (CellStage *stage, const json_t *list);
+void cell_checkpoints_apply (MuxCell *cell,
+                             CellStage *stage,
+                             const json_t *list,
+                             bool whole);
 /** cell_runs_apply() - sets @failures, and raises @last to the highest run
  * number read */
 void
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -20,12 +20,13 @@
   json_t *workers;
 
   cell_approvals_json (cell, stage, &workers, 1);
-  return json_pack ("{s:i, s:i, s:o, s:o, s:o, s:o, s:o, s:o}", "occurrence",
-                    (int) stage->occurrence, "step", (int) stage->step, "done",
-                    cell_done_json (stage, all), "gang_failures",
-                    cell_runs_json (&stage->failures), "failures",
-                    cell_failures_json (stage, all), "saved",
-                    cell_checkpoints_json (stage, all), "lost",
+  return json_pack ("{s:i, s:i, s:o, s:o, s:o, s:o, s:o, s:o, s:o}",
+                    "occurrence", (int) stage->occurrence, "step",
+                    (int) stage->step, "done", cell_done_json (stage, all),
+                    "gang_failures", cell_runs_json (&stage->failures),
+                    "failures", cell_failures_json (stage, all), "saved",
+                    cell_checkpoints_json (stage, all, false), "saved_whole",
+                    cell_checkpoints_json (stage, all, true), "lost",
                     cell_losses_json (stage, all.first, all.count), "workers",
                     workers);
 }
@@ -62,7 +63,7 @@
 }
 
 static void
-apply_stage (CellJob *job, const json_t *json)
+apply_stage (MuxCell *cell, CellJob *job, const json_t *json)
 {
   json_int_t at = json_integer_value (json_object_get (json, "occurrence"))
                       * job->spec->step_count
@@ -78,7 +79,9 @@
                    json_object_get (json, "gang_failures"));
   cell_approvals_apply (stage, json_object_get (json, "workers"));
   cell_failures_apply (stage, json_object_get (json, "failures"));
-  cell_checkpoints_apply (stage, json_object_get (json, "saved"));
+  cell_checkpoints_apply (cell, stage, json_object_get (json, "saved"), false);
+  cell_checkpoints_apply (cell, stage, json_object_get (json, "saved_whole"),
+                          true);
   cell_losses_apply (stage, json_object_get (json, "lost"));
 }
 
@@ -90,6 +93,7 @@
   json_int_t occurrence = (json_int_t) at / job->spec->step_count;
   json_int_t step = (json_int_t) at % job->spec->step_count;
   CellTaskRange all = all_tasks (&job->spec->step[step]);
+  const json_t *whole = json_object_get (json, "saved_whole");
 
   if (!cell_integer_in_range (json_object_get (json, "occurrence"), occurrence,
                               occurrence))
@@ -104,6 +108,8 @@
     return "failures";
   if (!cell_pairs_valid (json_object_get (json, "saved"), all, JSON_STRING))
     return "saved";
+  if (whole != NULL && !cell_pairs_valid (whole, all, JSON_STRING))
+    return "saved_whole";
   if (!cell_losses_valid (json_object_get (json, "lost"), all.first, all.count))
     return "lost";
   return json_is_array (json_object_get (json, "workers")) ? NULL : "workers";
@@ -188,7 +194,7 @@
       cell, job,
       (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
   apply_done (job, stored_leading_done_stages (job, json));
-  json_array_foreach (stages, i, stage) apply_stage (job, stage);
+  json_array_foreach (stages, i, stage) apply_stage (cell, job, stage);
   cell_loss_list_add (cell, job);
   return NULL;
 }
--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -15,15 +15,17 @@
  *
  * Rows under ID#OCCURRENCE.STEP.tNUMBER, with what is known of TASKS_PER_ROW
  * tasks, and of the gang in the first one: {"accepted", "done",
- * "gang_failures", "failures", "saved", "lost"}; fields without content are
- * left out.  Rows under ID#OCCURRENCE.STEP.wNUMBER: {"accepted", "workers"}.
- * "accepted" is the time of day when the job was accepted: rows of an earlier
- * job with its id are ignored.
+ * "gang_failures", "failures", "saved", "saved_whole", "lost"}; fields without
+ * content are left out.  Rows under ID#OCCURRENCE.STEP.wNUMBER: {"accepted",
+ * "workers"}. "accepted" is the time of day when the job was accepted: rows of
+ * an earlier job with its id are ignored.
  */
 
 /* At most 16 failed runs, 8 lost runs with their workers, and a checkpoint are
  * kept of a task: 7 KB, if each byte of a name has to be escaped. */
 #define TASKS_PER_ROW 8
+/* A row whose long checkpoints would make it larger is stored without them. */
+#define ROW_BYTES_MAX 49152
 #define KEY_MARK '#'
 #define KEY_FORMAT "%s#%" PRIu32 ".%" PRIu32 ".%c%" PRIu32
 #define HEX 16
@@ -102,8 +104,12 @@
   if (row == 0)
     add_list (json, "gang_failures", cell_runs_json (&stage->failures));
   add_list (json, "failures", cell_failures_json (stage, range));
-  add_list (json, "saved", cell_checkpoints_json (stage, range));
+  add_list (json, "saved", cell_checkpoints_json (stage, range, false));
+  add_list (json, "saved_whole", cell_checkpoints_json (stage, range, true));
   add_list (json, "lost", cell_losses_json (stage, range.first, range.count));
+  if (json_object_get (json, "saved_whole") != NULL
+      && json_dumpb (json, NULL, 0, JSON_COMPACT) > ROW_BYTES_MAX)
+    (void) json_object_del (json, "saved_whole");
   return finish_row (stage, json);
 }
 
@@ -322,6 +328,7 @@
   const json_t *runs = json_object_get (json, "gang_failures");
   const json_t *failures = json_object_get (json, "failures");
   const json_t *saved = json_object_get (json, "saved");
+  const json_t *whole = json_object_get (json, "saved_whole");
 
   if (!is_absent_or (done, cell_done_valid (done, range)))
     return "done";
@@ -331,6 +338,8 @@
     return "failures";
   if (!is_absent_or (saved, cell_pairs_valid (saved, range, JSON_STRING)))
     return "saved";
+  if (!is_absent_or (whole, cell_pairs_valid (whole, range, JSON_STRING)))
+    return "saved_whole";
   return cell_losses_valid (json_object_get (json, "lost"), range.first,
                             range.count)
              ? NULL
@@ -338,10 +347,12 @@
 }
 
 static const char *
-apply_tasks (CellStage *stage, uint32_t row, const json_t *json)
+apply_tasks (MuxCell *cell, CellStage *stage, uint32_t row, const json_t *json)
 {
   CellTaskRange range = range_of (stage->spec, row);
   const char *bad_field = bad_field_in_tasks (json, range);
+  const json_t *saved = json_object_get (json, "saved");
+  const json_t *whole = json_object_get (json, "saved_whole");
 
   if (bad_field != NULL)
     return bad_field;
@@ -350,18 +361,22 @@
     cell_runs_apply (&stage->failures, &stage->last_run,
                      json_object_get (json, "gang_failures"));
   cell_failures_apply (stage, json_object_get (json, "failures"));
-  cell_checkpoints_apply (stage, json_object_get (json, "saved"));
+  cell_checkpoints_apply (cell, stage, saved, false);
+  cell_checkpoints_apply (cell, stage, whole, true);
   cell_losses_apply (stage, json_object_get (json, "lost"));
   return NULL;
 }
 
 static const char *
-apply_row (CellStage *stage, CellSplitRow row, const json_t *json)
+apply_row (MuxCell *cell,
+           CellStage *stage,
+           CellSplitRow row,
+           const json_t *json)
 {
   const json_t *workers = json_object_get (json, "workers");
 
   if (row.kind == CELL_SPLIT_TASKS)
-    return apply_tasks (stage, row.number, json);
+    return apply_tasks (cell, stage, row.number, json);
   if (!json_is_array (workers))
     return "workers";
   cell_approvals_apply (stage, workers);
@@ -415,7 +430,7 @@
   cell_split_row_read (job, row->key, row->value);
   json = stage != NULL ? cell_row_json (cell, row) : NULL;
   if (json != NULL && is_of_job (json, job))
-    bad_field = apply_row (stage, split, json);
+    bad_field = apply_row (cell, stage, split, json);
   if (bad_field != NULL)
     cell_report_bad_row (cell, row, CELL_ROW_BAD_FIELD, bad_field);
   if (stage != NULL && (json == NULL || bad_field != NULL))
--- a/src/cell/proxy.c
+++ b/src/cell/proxy.c
@@ -112,6 +112,15 @@
                      body != NULL ? body->len : 0);
 }
 
+/* A proxy of the previous protocol would reject the call, see proxy_wire.c. */
+static bool
+can_carry (const CellMember *proxy, const MuxCellCall *call)
+{
+  return cell_proxied_call_is_short (call)
+         || (proxy->whole_tokens_incarnation != 0
+             && proxy->whole_tokens_incarnation == proxy->incarnation);
+}
+
 bool
 cell_worker_call (MuxCell *cell,
                   CellWorker *worker,
@@ -123,7 +132,7 @@
   CellPending *entry;
   bool sent;
 
-  if (proxy == NULL || call == NULL)
+  if (proxy == NULL || call == NULL || !can_carry (proxy, call))
     return cell_call (cell, call, pending);
   msg = cell_message (cell, MUX_PEER_PROXY_CALL, proxy->name);
   entry = cell_pending_add (cell, pending);
@@ -256,7 +265,7 @@
 
   msg.found = true;
   msg.call_id = pending->context;
-  msg.body = cell_proxied_reply_encode (reply);
+  msg.body = cell_proxied_reply_encode (reply, pending->whole_tokens);
   if (msg.body != NULL)
     (void) cell->options.sink->peer_send (cell->options.sink,
                                           pending->peer_addr, &msg);
@@ -266,21 +275,30 @@
 static void
 proxy_call_received (MuxCell *cell, const MuxPeerMsg *msg)
 {
+  MuxCellCall *call = cell_proxied_call_decode (msg->body);
   CellPending pending
       = { .on_reply = proxied_call_done, .context = msg->call_id };
 
+  if (call == NULL)
+    return;
+  pending.whole_tokens = cell_proxied_call_takes_whole (call);
   snprintf (pending.peer, sizeof pending.peer, "%s", msg->from);
   snprintf (pending.peer_addr, sizeof pending.peer_addr, "%s", msg->from_addr);
-  (void) cell_call (cell, cell_proxied_call_decode (msg->body), &pending);
+  (void) cell_call (cell, call, &pending);
 }
 
 static void
 proxy_reply_received (MuxCell *cell, const MuxPeerMsg *msg)
 {
-  MuxCellReply *reply = cell_proxied_reply_decode (msg->body, msg->call_id);
+  CellMember *member = cell_member_find (cell, msg->from);
+  bool whole = false;
+  MuxCellReply *reply
+      = cell_proxied_reply_decode (msg->body, msg->call_id, &whole);
 
   if (reply == NULL)
     return;
+  if (whole && member != NULL)
+    member->whole_tokens_incarnation = msg->from_incarnation;
   count_proxied (cell, reply->verb, MUX_RECEIVED, msg->body);
   mux_cell_reply (cell, cell->time, reply);
 }
--- a/src/cell/proxy_wire.c
+++ b/src/cell/proxy_wire.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include <msgpack.h>
 #include <stdio.h>
@@ -10,6 +11,12 @@
  * arrays with the fields in the order of the enums below. There are thousands
  * a second: as JSON they took a third of the planner's processor on a cell of
  * 350 workers.
+ *
+ * The previous protocol cuts checkpoints and proofs. So a call with a text that
+ * is not short has one more field, which the previous protocol rejects whole. A
+ * planner marks its renewals, see RENEW_MARK, and only the reply to a marked
+ * one has texts that are not short, and one more field. In a reply without that
+ * field a text that is not short may be a cut one.
  */
 
 enum
@@ -27,7 +34,8 @@
   CALL_CHECKPOINT,
   CALL_PROOF,
   CALL_PAYLOAD,
-  CALL_FIELDS
+  CALL_FIELDS,
+  CALL_WHOLE_FIELDS = CALL_FIELDS + 1
 };
 
 enum
@@ -37,7 +45,8 @@
   REPLY_CLOCK,
   REPLY_STARTED,
   REPLY_REPORTS,
-  REPLY_FIELDS
+  REPLY_FIELDS,
+  REPLY_WHOLE_FIELDS = REPLY_FIELDS + 1
 };
 
 enum
@@ -52,6 +61,12 @@
   REPORT_FIELDS
 };
 
+/* In a renewal's field for a proof, which it has no other use for: the reply
+ * may have texts that are not short. */
+#define RENEW_MARK "whole"
+/* Value of the additional fields. */
+#define WHOLE_FORMAT 1
+
 /* Each write may fail for lack of memory; @failed collects the results, and
  * is checked at the end. */
 typedef struct
@@ -105,6 +120,15 @@
   put_bytes (writer, text, strlen (text));
 }
 
+static void
+put_token (Writer *writer, const MuxBlob *token)
+{
+  if (token != NULL)
+    put_bytes (writer, token->bytes, token->len);
+  else
+    put_text (writer, "");
+}
+
 static void
 put_task (Writer *writer, const MuxTaskRef *task)
 {
@@ -141,6 +165,17 @@
   text[len] = 0;
 }
 
+/* Return: NULL for an empty text. */
+static MuxBlob *
+token_at (const msgpack_object *list, uint32_t i)
+{
+  const msgpack_object *item = &list->via.array.ptr[i];
+
+  return item->type == MSGPACK_OBJECT_BIN && item->via.bin.size > 0
+             ? mux_blob_new (item->via.bin.ptr, item->via.bin.size)
+             : NULL;
+}
+
 static void
 task_at (const msgpack_object *list, uint32_t i, MuxTaskRef *task)
 {
@@ -157,13 +192,28 @@
          && object->via.array.size == fields;
 }
 
+bool
+cell_proxied_call_is_short (const MuxCellCall *call)
+{
+  return cell_token_is_short (call->checkpoint)
+         && cell_token_is_short (call->proof);
+}
+
+bool
+cell_proxied_call_takes_whole (const MuxCellCall *call)
+{
+  return call->verb == MUX_CELL_RENEW && call->proof != NULL
+         && strcmp (call->proof->bytes, RENEW_MARK) == 0;
+}
+
 MuxBlob *
 cell_proxied_call_encode (const MuxCellCall *call)
 {
   Writer writer;
+  bool whole = !cell_proxied_call_is_short (call);
 
   writer_begin (&writer);
-  put_array (&writer, CALL_FIELDS);
+  put_array (&writer, whole ? CALL_WHOLE_FIELDS : CALL_FIELDS);
   put_number (&writer, call->verb);
   put_number (&writer, call->timeout_ms);
   put_text (&writer, call->addr);
@@ -175,12 +225,14 @@
   put_number (&writer, (int64_t) call->acked);
   put_number (&writer,
               call->verb == MUX_CELL_PACE ? call->percent : call->wait_ms);
-  put_text (&writer, call->checkpoint);
-  put_text (&writer, call->proof);
-  if (call->payload != NULL)
-    put_bytes (&writer, call->payload->bytes, call->payload->len);
+  put_token (&writer, call->checkpoint);
+  if (call->verb == MUX_CELL_RENEW)
+    put_text (&writer, RENEW_MARK);
   else
-    put_text (&writer, "");
+    put_token (&writer, call->proof);
+  put_token (&writer, call->payload);
+  if (whole)
+    put_number (&writer, WHOLE_FORMAT);
   return writer_end (&writer);
 }
 
@@ -210,8 +262,8 @@
     call->percent = (uint32_t) number_at (list, CALL_WAIT);
   else
     call->wait_ms = (uint32_t) number_at (list, CALL_WAIT);
-  text_at (list, CALL_CHECKPOINT, call->checkpoint, sizeof call->checkpoint);
-  text_at (list, CALL_PROOF, call->proof, sizeof call->proof);
+  call->checkpoint = token_at (list, CALL_CHECKPOINT);
+  call->proof = token_at (list, CALL_PROOF);
   call->payload = mux_blob_new (payload->via.bin.ptr, payload->via.bin.size);
   if (call->payload != NULL && call->addr[0] != 0)
     return call;
@@ -287,15 +339,27 @@
   return true;
 }
 
-/* Another version of the program writes arrays of another length. */
 static bool
-unpack (msgpack_unpacked *unpacked, const MuxBlob *blob, uint32_t fields)
+has_fields (const msgpack_object *list, uint32_t fields, bool *whole)
+{
+  *whole
+      = is_array (list, fields + 1) && number_at (list, fields) == WHOLE_FORMAT;
+  return *whole || is_array (list, fields);
+}
+
+/* Another version of the program writes arrays of another length.
+ * @whole: set to whether the array has the additional field */
+static bool
+unpack (msgpack_unpacked *unpacked,
+        const MuxBlob *blob,
+        uint32_t fields,
+        bool *whole)
 {
   msgpack_unpacked_init (unpacked);
   return blob != NULL && heads_are_valid (blob)
          && msgpack_unpack_next (unpacked, blob->bytes, blob->len, NULL)
                 == MSGPACK_UNPACK_SUCCESS
-         && is_array (&unpacked->data, fields);
+         && has_fields (&unpacked->data, fields, whole);
 }
 
 MuxCellCall *
@@ -303,15 +367,16 @@
 {
   MuxCellCall *call = NULL;
   msgpack_unpacked unpacked;
+  bool whole;
 
-  if (unpack (&unpacked, blob, CALL_FIELDS))
+  if (unpack (&unpacked, blob, CALL_FIELDS, &whole))
     call = read_call (&unpacked.data);
   msgpack_unpacked_destroy (&unpacked);
   return call;
 }
 
 static void
-put_report (Writer *writer, const MuxRunReport *report)
+put_report (Writer *writer, const MuxRunReport *report, bool whole)
 {
   put_array (writer, REPORT_FIELDS);
   put_task (writer, &report->task);
@@ -320,11 +385,13 @@
   put_number (writer, report->usage);
   put_number (writer, (int64_t) report->end_number);
   put_number (writer, report->end);
-  put_text (writer, report->checkpoint);
+  put_token (writer, whole || cell_token_is_short (report->checkpoint)
+                         ? report->checkpoint
+                         : NULL);
 }
 
 static void
-read_report (const msgpack_object *list, MuxRunReport *report)
+read_report (const msgpack_object *list, MuxRunReport *report, bool whole)
 {
   int64_t end = number_at (list, REPORT_END);
 
@@ -336,29 +403,34 @@
   report->end = end >= 0 && end <= MUX_RUN_GANG_INCOMPLETE
                     ? (MuxRunEnd) end
                     : MUX_RUN_LEASE_EXPIRED;
-  text_at (list, REPORT_CHECKPOINT, report->checkpoint,
-           sizeof report->checkpoint);
+  report->checkpoint = token_at (list, REPORT_CHECKPOINT);
+  if (whole || cell_token_is_short (report->checkpoint))
+    return;
+  mux_blob_unref (report->checkpoint);
+  report->checkpoint = NULL;
 }
 
 MuxBlob *
-cell_proxied_reply_encode (const MuxCellReply *reply)
+cell_proxied_reply_encode (const MuxCellReply *reply, bool whole)
 {
   Writer writer;
 
   writer_begin (&writer);
-  put_array (&writer, REPLY_FIELDS);
+  put_array (&writer, whole ? REPLY_WHOLE_FIELDS : REPLY_FIELDS);
   put_number (&writer, reply->verb);
   put_number (&writer, reply->status);
   put_number (&writer, reply->worker_clock_ms);
   put_number (&writer, (int64_t) reply->worker_started_ms);
   put_array (&writer, reply->report_count);
   for (uint32_t i = 0; i < reply->report_count; i++)
-    put_report (&writer, &reply->report[i]);
+    put_report (&writer, &reply->report[i], whole);
+  if (whole)
+    put_number (&writer, WHOLE_FORMAT);
   return writer_end (&writer);
 }
 
 static bool
-read_reports (const msgpack_object *list, MuxCellReply *reply)
+read_reports (const msgpack_object *list, MuxCellReply *reply, bool whole)
 {
   if (list->type != MSGPACK_OBJECT_ARRAY)
     return false;
@@ -369,14 +441,14 @@
     {
       if (!is_array (&list->via.array.ptr[i], REPORT_FIELDS))
         return false;
-      read_report (&list->via.array.ptr[i], &reply->report[i]);
+      read_report (&list->via.array.ptr[i], &reply->report[i], whole);
       reply->report_count++;
     }
   return true;
 }
 
 static MuxCellReply *
-read_reply (const msgpack_object *list, uint64_t call_id)
+read_reply (const msgpack_object *list, uint64_t call_id, bool whole)
 {
   MuxCellCall call = { .verb = (MuxCellVerb) number_at (list, REPLY_VERB),
                        .call_id = call_id };
@@ -390,20 +462,20 @@
     return NULL;
   reply->worker_clock_ms = number_at (list, REPLY_CLOCK);
   reply->worker_started_ms = (uint64_t) number_at (list, REPLY_STARTED);
-  if (read_reports (&list->via.array.ptr[REPLY_REPORTS], reply))
+  if (read_reports (&list->via.array.ptr[REPLY_REPORTS], reply, whole))
     return reply;
   mux_cell_reply_free (reply);
   return NULL;
 }
 
 MuxCellReply *
-cell_proxied_reply_decode (const MuxBlob *blob, uint64_t call_id)
+cell_proxied_reply_decode (const MuxBlob *blob, uint64_t call_id, bool *whole)
 {
   MuxCellReply *reply = NULL;
   msgpack_unpacked unpacked;
 
-  if (unpack (&unpacked, blob, REPLY_FIELDS))
-    reply = read_reply (&unpacked.data, call_id);
+  if (unpack (&unpacked, blob, REPLY_FIELDS, whole))
+    reply = read_reply (&unpacked.data, call_id, *whole);
   msgpack_unpacked_destroy (&unpacked);
   return reply;
 }
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -51,9 +52,8 @@
   cell_queue_count_update (cell, task->stage->job);
   if (task->state == CELL_TASK_STARTING)
     task->state = CELL_TASK_RUNNING;
-  if (report->checkpoint[0] != 0)
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s",
-              report->checkpoint);
+  if (report->checkpoint != NULL)
+    (void) cell_token_set (cell, &task->checkpoint, report->checkpoint);
   if (report->percent != booking->percent)
     {
       booking->percent = report->percent;
@@ -206,7 +206,7 @@
       return;
     }
   cell_unbook (cell, booking);
-  cell_run_ended (cell, task, worker, run, MUX_RUN_LEASE_EXPIRED, "");
+  cell_run_ended (cell, task, worker, run, MUX_RUN_LEASE_EXPIRED, NULL);
 }
 
 static bool
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -331,9 +332,9 @@
                 CellTask *task,
                 CellWorker *worker,
                 uint32_t run,
-                const char *checkpoint)
+                MuxBlob *checkpoint)
 {
-  const char *proof = cell_approval_proof (cell, task->stage, worker);
+  MuxBlob *proof = cell_approval_proof (cell, task->stage, worker);
   MuxCellCall *call = mux_cell_call_new (MUX_CELL_START);
   CellPending pending = { .on_reply = start_answered,
                           .term = cell->term,
@@ -346,13 +347,13 @@
       mux_cell_call_free (call);
       return false;
     }
-  task->booking->resumed = checkpoint[0] != 0;
+  task->booking->resumed = checkpoint != NULL;
   task->state = CELL_TASK_STARTING;
   snprintf (pending.worker, sizeof pending.worker, "%s", worker->info.id);
   snprintf (call->worker, sizeof call->worker, "%s", worker->info.id);
   snprintf (call->addr, sizeof call->addr, "%s", worker->info.addr);
-  snprintf (call->checkpoint, sizeof call->checkpoint, "%s", checkpoint);
-  snprintf (call->proof, sizeof call->proof, "%s", proof != NULL ? proof : "");
+  call->checkpoint = mux_blob_ref (checkpoint);
+  call->proof = mux_blob_ref (proof);
   call->task = pending.task;
   call->run = run;
   call->fence = cell->term;
@@ -406,7 +407,7 @@
                 CellTask *task,
                 uint32_t run,
                 MuxRunEnd end,
-                const char *checkpoint)
+                MuxBlob *checkpoint)
 {
   CellStage *stage = task->stage;
 
@@ -414,8 +415,8 @@
     task->last_run = run;
   if (run > stage->last_run)
     stage->last_run = run;
-  if (checkpoint[0] != 0)
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s", checkpoint);
+  if (checkpoint != NULL)
+    (void) cell_token_set (cell, &task->checkpoint, checkpoint);
   if (end == MUX_RUN_DONE && stage->spec->gang)
     mark_gang_done (cell, stage);
   else if (end == MUX_RUN_DONE && !stage->spec->long_running)
@@ -452,7 +453,7 @@
                 CellWorker *worker,
                 uint32_t run,
                 MuxRunEnd end,
-                const char *checkpoint)
+                MuxBlob *checkpoint)
 {
   CellStage *stage = task->stage;
   CellJob *job = stage->job;
@@ -462,8 +463,8 @@
       cell_job_mark_dirty (cell, job);
       cell_loss_run_ended (cell, task);
     }
-  if (checkpoint[0] != 0)
-    snprintf (task->checkpoint, sizeof task->checkpoint, "%s", checkpoint);
+  if (checkpoint != NULL)
+    (void) cell_token_set (cell, &task->checkpoint, checkpoint);
   if (end != MUX_RUN_DONE)
     cell_log (cell, "run_ended", "{s:s, s:i, s:i, s:i, s:s, s:s}", "job",
               job->id, "step", (int) stage->step, "task", (int) task->index,
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "token.h"
 
 #include <stdlib.h>
 
@@ -94,8 +95,9 @@
       if (stage->task[i].booking != NULL)
         cell_unbook (cell, stage->task[i].booking);
       cell_losses_free (&stage->task[i]);
+      (void) cell_token_set (cell, &stage->task[i].checkpoint, NULL);
     }
-  cell_approvals_free (stage);
+  cell_approvals_free (cell, stage);
   free (stage->recorded);
   free (stage->step_runs);
   free (stage->task);
@@ -123,13 +125,13 @@
 }
 
 /* A checkpoint of one member is valid for all. */
-const char *
+MuxBlob *
 cell_stage_gang_checkpoint (const CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].checkpoint[0] != 0)
+    if (stage->task[i].checkpoint != NULL)
       return stage->task[i].checkpoint;
-  return "";
+  return NULL;
 }
 
 static bool
--- a/src/cell/unreadable.c
+++ b/src/cell/unreadable.c
@@ -81,7 +81,7 @@
     cell->part[unreadable->part].unreadable_dirty--;
   HASH_DEL (cell->unreadable, unreadable);
   mux_job_free (unreadable->spec);
-  free (unreadable->end);
+  cell_unreadable_free_ends (unreadable);
   drop_rows (unreadable);
   free (unreadable);
 }
@@ -138,7 +138,7 @@
 is_relevant (const MuxRunReport *report)
 {
   return report->end == MUX_RUN_DONE || report->end == MUX_RUN_FAILED
-         || report->checkpoint[0] != 0;
+         || report->checkpoint != NULL;
 }
 
 /*
@@ -182,7 +182,7 @@
     }
   if (unreadable == NULL)
     return true;
-  snprintf (end.checkpoint, sizeof end.checkpoint, "%s", report->checkpoint);
+  end.checkpoint = report->checkpoint;
   if (!cell_unreadable_add_end (unreadable, &end))
     return true;
   cell_log (cell, "unread_job_end", "{s:s, s:i, s:i, s:i, s:s}", "job",
@@ -292,7 +292,7 @@
     {
       cell_unreadable_read_row (cell, row, &own);
       apply_ends (cell, job, &own);
-      free (own.end);
+      cell_unreadable_free_ends (&own);
       return true;
     }
   unreadable = find_or_add (cell, id, unreadable_max (cell) * WITH_ENDS_FACTOR);
--- a/src/cell/unreadable_rows.c
+++ b/src/cell/unreadable_rows.c
@@ -1,4 +1,5 @@
-#include "cell_private.h"
+#include "progress_fields.h"
+#include "token.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,6 +16,11 @@
  * end in it, beside its checkpoint. */
 #define ENDS_BYTES_MAX 60000
 #define END_BYTES 64
+/* The rest of the row is for checkpoints; an end is kept without its own once
+ * that is used up. */
+#define SAVED_BYTES_MAX (ENDS_BYTES_MAX - ENDS_MAX * END_BYTES)
+/* Of a checkpoint in the row, beside its text. */
+#define SAVED_BYTES 16
 
 bool
 cell_unreadable_row_job (const char *key, char id[MUX_ROW_NAME_LEN])
@@ -27,25 +33,15 @@
   return true;
 }
 
-/* Size of @text in JSON. */
-static uint32_t
-json_bytes (const char *text)
-{
-  uint32_t bytes = 0;
-
-  for (; *text != 0; text++)
-    if ((unsigned char) *text < ' ')
-      bytes += sizeof "\\u0000" - 1;
-    else
-      bytes += *text == '"' || *text == '\\' ? 2 : 1;
-  return bytes;
-}
-
 bool
 cell_unreadable_add_end (CellUnreadable *unreadable,
                          const CellUnreadableEnd *end)
 {
-  uint32_t bytes = END_BYTES + json_bytes (end->checkpoint);
+  const MuxBlob *saved = end->checkpoint;
+  size_t bytes
+      = saved != NULL
+            ? SAVED_BYTES + cell_json_text_bytes (saved->bytes, saved->len)
+            : 0;
   CellUnreadableEnd *list;
 
   for (uint32_t i = 0; i < unreadable->end_count; i++)
@@ -54,22 +50,49 @@
         && unreadable->end[i].task.step == end->task.step
         && unreadable->end[i].task.index == end->task.index)
       return false;
-  list = unreadable->end_count < ENDS_MAX
-                 && unreadable->end_bytes + bytes <= ENDS_BYTES_MAX
-             ? realloc (unreadable->end,
-                        (unreadable->end_count + 1) * sizeof *list)
-             : NULL;
+  list = unreadable->end_count < ENDS_MAX ? realloc (
+             unreadable->end, (unreadable->end_count + 1) * sizeof *list)
+                                          : NULL;
   if (list == NULL)
     {
       unreadable->overflow = true;
       return true;
     }
   unreadable->end = list;
-  unreadable->end_bytes += bytes;
-  list[unreadable->end_count++] = *end;
+  list[unreadable->end_count] = *end;
+  list[unreadable->end_count].checkpoint = NULL;
+  if (unreadable->saved_bytes + bytes <= SAVED_BYTES_MAX)
+    {
+      unreadable->saved_bytes += (uint32_t) bytes;
+      list[unreadable->end_count].checkpoint = mux_blob_ref (end->checkpoint);
+    }
+  unreadable->end_count++;
   return true;
 }
 
+void
+cell_unreadable_free_ends (CellUnreadable *unreadable)
+{
+  for (uint32_t i = 0; i < unreadable->end_count; i++)
+    mux_blob_unref (unreadable->end[i].checkpoint);
+  free (unreadable->end);
+}
+
+/* Checkpoints that the previous version would cut: [[number of the end,
+ * checkpoint], ...]. */
+static json_t *
+saved_whole_json (const CellUnreadable *unreadable)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < unreadable->end_count; i++)
+    if (!cell_token_is_short (unreadable->end[i].checkpoint))
+      (void) json_array_append_new (
+          list,
+          json_pack ("[is]", (int) i, unreadable->end[i].checkpoint->bytes));
+  return list;
+}
+
 static json_t *
 ends_json (const MuxCell *cell, const CellUnreadable *unreadable)
 {
@@ -82,11 +105,16 @@
       (void) json_array_append_new (
           list, json_pack ("[iiiiis]", (int) end->task.occurrence,
                            (int) end->task.step, (int) end->task.index,
-                           (int) end->run, (int) end->end, end->checkpoint));
+                           (int) end->run, (int) end->end,
+                           end->checkpoint != NULL
+                                   && cell_token_is_short (end->checkpoint)
+                               ? end->checkpoint->bytes
+                               : ""));
     }
-  return json_pack ("{s:I, s:b, s:o}", "noted_ms",
+  return json_pack ("{s:I, s:b, s:o, s:o}", "noted_ms",
                     (json_int_t) cell->time.wall_ms, "overflow",
-                    (int) unreadable->overflow, "ends", list);
+                    (int) unreadable->overflow, "ends", list, "saved_whole",
+                    saved_whole_json (unreadable));
 }
 
 void
@@ -116,6 +144,26 @@
                                key);
 }
 
+/* Return: the checkpoint of the end at @index; NULL: nothing is stored of it.
+ */
+static MuxBlob *
+saved_whole (const json_t *list, size_t index)
+{
+  const json_t *pair;
+  size_t i;
+
+  json_array_foreach (list, i, pair)
+  {
+    const char *text = json_string_value (json_array_get (pair, 1));
+
+    if (text != NULL
+        && cell_integer_in_range (json_array_get (pair, 0), (json_int_t) index,
+                                  (json_int_t) index))
+      return mux_blob_new (text, strlen (text));
+  }
+  return NULL;
+}
+
 /* Return: false: @json is not an end, and @end is not set. */
 static bool
 end_from_json (const json_t *json, CellUnreadableEnd *end)
@@ -137,7 +185,9 @@
   end->task.index = (uint32_t) numbers[2];
   end->run = (uint32_t) numbers[3];
   end->end = (MuxRunEnd) numbers[4];
-  snprintf (end->checkpoint, sizeof end->checkpoint, "%s", saved);
+  /* The previous version may have cut a longer one. */
+  if (saved[0] != 0 && strlen (saved) + 1 < CELL_SHORT_TOKEN_LEN)
+    end->checkpoint = mux_blob_new (saved, strlen (saved));
   return true;
 }
 
@@ -148,6 +198,7 @@
 {
   json_t *json = cell_row_json (cell, row);
   const json_t *list = json_object_get (json, "ends");
+  const json_t *whole = json_object_get (json, "saved_whole");
   const json_t *item;
   size_t i;
 
@@ -159,10 +210,15 @@
   {
     CellUnreadableEnd end = { .run = 0 };
 
-    if (end_from_json (item, &end))
-      (void) cell_unreadable_add_end (unreadable, &end);
-    else
-      unreadable->overflow = true;
+    if (!end_from_json (item, &end))
+      {
+        unreadable->overflow = true;
+        continue;
+      }
+    if (end.checkpoint == NULL)
+      end.checkpoint = saved_whole (whole, i);
+    (void) cell_unreadable_add_end (unreadable, &end);
+    mux_blob_unref (end.checkpoint);
   }
   json_decref (json);
   if (unreadable->overflow)
--- a/src/port/cell.c
+++ b/src/port/cell.c
@@ -29,6 +29,8 @@
   free (call->change);
   free (call->candidate);
   mux_blob_unref (call->payload);
+  mux_blob_unref (call->checkpoint);
+  mux_blob_unref (call->proof);
   free (call);
 }
 
@@ -52,6 +54,14 @@
   return reply->row != NULL;
 }
 
+void
+mux_approvals_free (MuxApproval *approvals, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    mux_blob_unref (approvals[i].proof);
+  free (approvals);
+}
+
 void
 mux_cell_reply_free (MuxCellReply *reply)
 {
@@ -64,8 +74,10 @@
       free (reply->row[i].worker);
     }
   free (reply->row);
+  for (uint32_t i = 0; i < reply->report_count; i++)
+    mux_blob_unref (reply->report[i].checkpoint);
   free (reply->report);
-  free (reply->approval);
+  mux_approvals_free (reply->approval, reply->approval_count);
   free (reply);
 }
 
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -454,7 +454,7 @@
       reply->approval_count++;
       snprintf (approval->worker, sizeof approval->worker, "%s",
                 call->candidate[i]);
-      world_proof (world, call->candidate[i], approval->proof);
+      approval->proof = world_proof (world, call->candidate[i]);
     }
   world_answer_call (world, cell, reply, approval_ms (world, call));
   mux_cell_call_free (call);
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -306,6 +306,9 @@
   uint32_t unavailable_max; /* of the filling job; 0: not checked */
   uint32_t taken_away;      /* stops beyond that */
   uint32_t checkpoint_len;  /* of what runs save each second; 0: nothing */
+  uint32_t proof_len;       /* of approvals' proofs, at least */
+  uint32_t resumed;         /* starts with a checkpoint */
+  uint32_t cut_checkpoints; /* of these, with one of another length */
   char rejected_job[MUX_JOB_ID_LEN]; /* progress of it is rejected; "": none */
   char rejected_row[MUX_JOB_ID_LEN]; /* the row of this job is; "": none */
   uint32_t rejected_commits;
--- a/test/support/cell_world_private.h
+++ b/test/support/cell_world_private.h
@@ -79,9 +79,8 @@
  * @call over */
 void world_worker_call (World *world, uint32_t cell, MuxCellCall *call);
 /** world_proof() - the policy service's proof that the worker's present
- * incarnation accepts */
-void
-world_proof (const World *world, const char *id, char proof[MUX_TOKEN_LEN]);
+ * incarnation accepts; a new reference */
+MuxBlob *world_proof (const World *world, const char *id);
 /** world_step_workers() - ends the runs and starts the workers that are due */
 void world_step_workers (World *world);
 
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -6,6 +6,9 @@
 
 /* The workers of the simulated cluster. */
 
+/* Bytes of a proof with its closing NUL. */
+#define PROOF_LEN_MAX 16384
+#define CHECKPOINT_LEN_MAX 16384
 #define WORKER_MS 1
 #define MILLI 1000
 #define PERCENT 100
@@ -145,11 +148,10 @@
   return &worker->run[0];
 }
 
-void
-world_proof (const World *world,
-             const char *candidate,
-             char proof[MUX_TOKEN_LEN])
+MuxBlob *
+world_proof (const World *world, const char *candidate)
 {
+  char proof[PROOF_LEN_MAX];
   uint32_t incarnation = 0;
   char id[MUX_NAME_LEN];
 
@@ -158,17 +160,31 @@
   for (uint32_t i = 0; i < world->worker_end; i++)
     if (world->worker[i].used && strcmp (world->worker[i].info.id, id) == 0)
       incarnation = world->worker[i].incarnation;
-  snprintf (proof, MUX_TOKEN_LEN, "yes %u", incarnation);
+  return mux_blob_new (proof, (size_t) snprintf (proof, sizeof proof, "%0*u",
+                                                 (int) world->proof_len,
+                                                 incarnation + 1));
+}
+
+static MuxBlob *
+world_checkpoint (const World *world, int64_t ran_ms)
+{
+  char text[CHECKPOINT_LEN_MAX];
+
+  return mux_blob_new (
+      text, (size_t) snprintf (text, sizeof text, "%0*lld",
+                               (int) world->checkpoint_len,
+                               (long long) (ran_ms / CHECKPOINT_MS)));
 }
 
 /* The proof was issued for this incarnation, or none is needed. */
 static bool
-is_proven (const World *world, const WorldWorker *worker, const char *shown)
+is_proven (const World *world, const WorldWorker *worker, const MuxBlob *shown)
 {
-  char proof[MUX_TOKEN_LEN];
+  MuxBlob *proof = world_proof (world, worker->info.id);
+  bool same = shown == NULL || strcmp (shown->bytes, proof->bytes) == 0;
 
-  world_proof (world, worker->info.id, proof);
-  return shown[0] == 0 || strcmp (shown, proof) == 0;
+  mux_blob_unref (proof);
+  return same;
 }
 
 /* The payload is "crash" (all tasks) or "crash N" (the task of that index). */
@@ -266,6 +282,9 @@
       reply->status = MUX_CELL_PROOF_REFUSED;
       return;
     }
+  world->resumed += call->checkpoint != NULL;
+  world->cut_checkpoints += call->checkpoint != NULL
+                            && call->checkpoint->len != world->checkpoint_len;
   run = free_run (worker);
   run->used = true;
   run->task = call->task;
@@ -424,10 +443,8 @@
       report->end = run->end;
       report->usage = worker->usage;
       if (world->checkpoint_len > 0)
-        snprintf (
-            report->checkpoint, sizeof report->checkpoint, "%0*lld",
-            (int) world->checkpoint_len,
-            (long long) ((world->now_ms - run->began_ms) / CHECKPOINT_MS));
+        report->checkpoint
+            = world_checkpoint (world, world->now_ms - run->began_ms);
       report->percent = worker->stuck_percent != 0
                             ? worker->stuck_percent
                             : (uint32_t) (spent * 100 / run->takes_ms);
--- a/test/unit/test_cell_progress_split.c
+++ b/test/unit/test_cell_progress_split.c
@@ -160,7 +160,7 @@
   (void) state;
   world_run (world, 1000);
   world->task_ms = 12000;
-  world->checkpoint_len = MUX_TOKEN_LEN - 1;
+  world->checkpoint_len = 160;
   for (uint32_t i = 0; i < WORKERS; i++)
     world->worker[i].speed_milli = 600 + 100 * i;
   job->step[0].size.mem_mib = 1;
@@ -256,7 +256,7 @@
   json_t *saved = json_array ();
   json_t *json;
   char done[OLD_TASKS / 4 + 1];
-  char checkpoint[MUX_TOKEN_LEN];
+  char checkpoint[80];
   char *text;
 
   memset (done, '0', sizeof done - 1);
@@ -264,7 +264,7 @@
   done[sizeof done - 1] = 0;
   for (int i = OLD_DONE; i < OLD_TASKS; i++)
     {
-      snprintf (checkpoint, sizeof checkpoint, "%071d", i);
+      snprintf (checkpoint, sizeof checkpoint, "%070d", i);
       json_array_append_new (saved, json_pack ("[is]", i, checkpoint));
     }
   json = json_pack ("{s:b, s:i, s:i, s:[{s:i, s:i, s:s, s:[], s:[], s:o, s:[], "
