Wait for all ends of a worker before its tasks start elsewhere

Cause: a worker lists 500 ends at a time. A successor took its first answer as the end of the wait for runs of its predecessor, however long its list was. The flag for it, confirmed, also says that the worker's lease may be renewed, which has to begin with the first answer.

Change: runs_known is set by a list of under 500 ends and is what stages, quotas, failed and cancelled jobs and the record of approved workers wait for; leases go by confirmed as before. list_full, list_complete and two counters tell of it. The number of ends listed counts those that can't be read, also through proxies.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -79,6 +79,10 @@
      "commits that the store rejected as malformed or too large")              \
   X (JOBS_NOT_STORABLE, "jobs_not_storable_total",                             \
      "jobs given up as the store rejects their changes")                       \
+  X (LISTS_FULL, "lists_full_total",                                           \
+     "workers' lists that left ends out while their runs were unknown")        \
+  X (LISTS_UNREADABLE, "lists_unreadable_total",                               \
+     "workers' lists not used as an entry can't be read")                      \
   X (CHECKPOINTS_DROPPED, "checkpoints_dropped_total",                         \
      "checkpoints of workers that exceed the limit and were not kept")         \
   X (PROOFS_DROPPED, "proofs_dropped_total",                                   \
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -22,6 +22,9 @@
 #define MUX_REASON_LEN 96
 /* Key of the row of MUX_TABLE_CONFIG that holds the configuration. */
 #define MUX_CONFIG_KEY "config"
+/* A worker lists this many ends at most; the others follow once these are
+ * acknowledged. */
+#define MUX_ENDS_PER_LIST 500
 /* Limits of the opaque texts that are only handed on.  A checkpoint is stored,
  * so its limit counts it as a JSON string; 8 of them share a row. */
 #define MUX_CHECKPOINT_BYTES_MAX 4096
@@ -293,7 +296,8 @@
  * @call_id: of the call
  * @status: see enum MuxCellStatus
  * @rejection: COMMIT with BAD_REQUEST: what the store says of it, for the log;
- *   printable ASCII
+ *   printable ASCII.  RENEW with UNKNOWN: name of the list that can't be read;
+ *   "": none
  * @version: COMMIT: of the rows written; SCAN, FEED: the newest in the store
  * @store_clock_ms: the store's monotonic clock; 0: not given
  * @more: SCAN: there are more rows behind the last one
@@ -303,6 +307,8 @@
  * @worker_clock_ms: the worker's clock when it replied; 0: not given
  * @worker_started_ms: start of the incarnation that replied, on the worker's
  *   clock; 0: not given
+ * @end_count: RENEW: ends in the worker's list, whether or not they could be
+ *   read
  * @report_count: used entries of @report
  * @report: RENEW: running runs, and ended ones not yet acknowledged; owned
  * @approval_count: used entries of @approval
@@ -322,6 +328,7 @@
   MuxCellRow *row;
   int64_t worker_clock_ms;
   uint64_t worker_started_ms;
+  uint32_t end_count;
   uint32_t report_count;
   MuxRunReport *report;
   uint32_t approval_count;
--- a/src/cell/approval_record.c
+++ b/src/cell/approval_record.c
@@ -169,18 +169,18 @@
 
 /* Whether no run of a predecessor can be there without being known. */
 static bool
-is_confirmed (MuxCell *cell, const char *id)
+runs_are_known (MuxCell *cell, const char *id)
 {
   const CellWorker *worker = cell_worker_find (cell, id);
 
-  return worker == NULL || !cell_worker_is_unconfirmed (worker);
+  return worker == NULL || !cell_worker_runs_unknown (worker);
 }
 
 static bool
-all_confirmed (MuxCell *cell, char (*list)[MUX_NAME_LEN], uint32_t count)
+all_known (MuxCell *cell, char (*list)[MUX_NAME_LEN], uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
-    if (!is_confirmed (cell, list[i]))
+    if (!runs_are_known (cell, list[i]))
       return false;
   return true;
 }
@@ -188,16 +188,17 @@
 /* Returns the longest time until the leases of all listed workers not heard
  * from are over. */
 static int64_t
-unconfirmed_ms (MuxCell *cell, char (*list)[MUX_NAME_LEN], uint32_t count)
+unknown_ms (MuxCell *cell, char (*list)[MUX_NAME_LEN], uint32_t count)
 {
   int64_t longest_ms = 0;
 
   for (uint32_t i = 0; i < count; i++)
     {
-      int64_t left_ms = is_confirmed (cell, list[i])
+      const CellWorker *worker = cell_worker_find (cell, list[i]);
+      /* One that has answered lists the rest of its ends soon. */
+      int64_t left_ms = runs_are_known (cell, list[i]) || worker->confirmed
                             ? 0
-                            : cell_unconfirmed_lease_left (
-                                cell, cell_worker_find (cell, list[i]));
+                            : cell_unconfirmed_lease_left (cell, worker);
 
       if (left_ms > longest_ms)
         longest_ms = left_ms;
@@ -209,9 +210,9 @@
 cell_stage_settles_in_ms (MuxCell *cell, const CellStage *stage)
 {
   int64_t recorded_ms
-      = unconfirmed_ms (cell, stage->recorded, stage->recorded_count);
+      = unknown_ms (cell, stage->recorded, stage->recorded_count);
   int64_t named_ms
-      = unconfirmed_ms (cell, stage->spec->named, stage->spec->named_count);
+      = unknown_ms (cell, stage->spec->named, stage->spec->named_count);
 
   return recorded_ms > named_ms ? recorded_ms : named_ms;
 }
@@ -224,11 +225,10 @@
   if (!stage->job->predates_term)
     return true;
   if (!queue->approval.required)
-    return cell_all_workers_confirmed (cell)
-           && cell_late_starts_are_over (cell);
+    return cell_all_runs_known (cell) && cell_late_starts_are_over (cell);
   /* The record of its workers can't be read. */
   if (stage->job->progress_unreadable)
-    return cell_all_workers_confirmed (cell);
-  return all_confirmed (cell, stage->recorded, stage->recorded_count)
-         && all_confirmed (cell, stage->spec->named, stage->spec->named_count);
+    return cell_all_runs_known (cell);
+  return all_known (cell, stage->recorded, stage->recorded_count)
+         && all_known (cell, stage->spec->named, stage->spec->named_count);
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -740,10 +740,11 @@
 void cell_workers_tick (MuxCell *cell);
 void cell_workers_free (MuxCell *cell);
 bool cell_worker_usable (const MuxCell *cell, const CellWorker *worker);
-/** cell_worker_is_unconfirmed() - it has not answered this planner yet, and
- * may run tasks that a predecessor started */
-bool cell_worker_is_unconfirmed (const CellWorker *worker);
-bool cell_all_workers_confirmed (MuxCell *cell);
+/** cell_worker_runs_unknown() - a predecessor may have started runs there that
+ * it has not listed to this planner yet */
+bool cell_worker_runs_unknown (const CellWorker *worker);
+/** cell_all_runs_known() - this is so of no worker */
+bool cell_all_runs_known (MuxCell *cell);
 
 /** cell_worker_unlist() - it is missing from the platform's list */
 void cell_worker_unlist (MuxCell *cell, CellWorker *worker);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1241,7 +1241,8 @@
  * struct CellWorker - one incarnation of a worker, as the planner sees it;
  *   owned by MuxCell.workers
  *
- * Its runs are unknown until it is @confirmed.  It may become unreachable and
+ * It is called and its lease renewed once it is @confirmed; what a predecessor
+ * started there is known from @runs_known on.  It may become unreachable and
  * come back; it is @dead once it has ended or its lease is over.
  * @info: as the platform lists it; its id is the key of the table
  * @incarnations: all incarnations of the same worker
@@ -1261,7 +1262,11 @@
  * @stored_expiry_ms: when its lease is over, as a predecessor recorded; 0: it
  *   did not
  * @lease_over_since_ms: its lease was over by this moment; 0: it is not
- * @confirmed: it has listed its runs to this planner
+ * @confirmed: it has answered this planner
+ * @runs_known: all runs that a predecessor started there are known: it has
+ *   listed all its ends, see MUX_ENDS_PER_LIST
+ * @list_full_since_ms: when its first list left ends out; 0: none did, or
+ *   @runs_known
  * @reachable: it answered the last call
  * @dead: nothing of ours runs there any more
  * @replaced: another incarnation answers at its address
@@ -1336,6 +1341,8 @@
   int64_t stored_expiry_ms;
   int64_t lease_over_since_ms;
   bool confirmed;
+  bool runs_known;
+  int64_t list_full_since_ms;
   bool reachable;
   bool dead;
   bool replaced;
@@ -1605,14 +1612,14 @@
   CellSweep sweep;
   CellWorker *workers;
   CellIncarnations *incarnations;
-  uint32_t worker_slots;       /* slots given out in this term */
-  uint32_t direct_workers;     /* workers called without a proxy */
-  CellWorker **worker_by_slot; /* by slot; owned; NULL: forgotten */
-  int64_t all_confirmed_at_ms; /* when @all_confirmed was computed */
-  bool all_confirmed;          /* each worker of the roster has listed its runs,
-                                  or its lease is over */
-  uint32_t worker_scan_slot;   /* slot the next check of workers begins at */
-  int64_t worker_scanned_ms;   /* when the last one was */
+  uint32_t worker_slots;        /* slots given out in this term */
+  uint32_t direct_workers;      /* workers called without a proxy */
+  CellWorker **worker_by_slot;  /* by slot; owned; NULL: forgotten */
+  int64_t all_runs_known_at_ms; /* when @all_runs_known was computed */
+  bool all_runs_known;       /* each worker of the roster has listed its runs,
+                               or its lease is over */
+  uint32_t worker_scan_slot; /* slot the next check of workers begins at */
+  int64_t worker_scanned_ms; /* when the last one was */
   CellWorker *reserved_workers; /* workers with reservations */
   CellMember *members;
   CellMember *free_members;          /* those that put no approval query */
@@ -1639,7 +1646,7 @@
   int64_t next_idle_pass_ms; /* next pass if nothing changes */
   int64_t next_periodic_ms;  /* next run of the periodic checks */
   uint64_t quota_term;       /* all workers were confirmed in this term */
-  MuxQuota unconfirmed_room; /* of workers that have not listed their runs */
+  MuxQuota unknown_room;     /* of workers that have not listed their runs */
   int64_t next_overdue_ms;   /* next check for lost proxied calls */
   int64_t next_loss_check_ms;
   uint32_t down_event_count; /* events recorded in @down_events so far */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -292,7 +292,7 @@
     return;
   if (job->cancelled || job->failed)
     {
-      if (job->booking_count == 0 && cell_all_workers_confirmed (cell))
+      if (job->booking_count == 0 && cell_all_runs_known (cell))
         end_job (cell, job,
                  job->cancelled ? MUX_JOB_CANCELLED : MUX_JOB_FAILED);
       return;
--- a/src/cell/load.c
+++ b/src/cell/load.c
@@ -272,7 +272,7 @@
 
   cell->role = CELL_PLANNING;
   /* The roster may have been read at this same event time. */
-  cell->all_confirmed_at_ms = -1;
+  cell->all_runs_known_at_ms = -1;
   cell->planning_began_ms = cell->time.now_ms;
   mux_count (cell->options.counters, MUX_COUNT_TERMS, 1);
   mux_observe (cell->options.counters, MUX_HIST_TAKEOVER,
--- a/src/cell/proxy_wire.c
+++ b/src/cell/proxy_wire.c
@@ -15,8 +15,9 @@
  * The previous protocol cuts checkpoints and proofs. So a call with a text that
  * is not short has one more field, which the previous protocol rejects whole. A
  * planner marks its renewals, see RENEW_MARK, and only the reply to a marked
- * one has texts that are not short, and one more field. In a reply without that
- * field a text that is not short may be a cut one.
+ * one has texts that are not short, and one more field, the number of ends
+ * listed. In a reply without that field a text that is not short may be a cut
+ * one.
  */
 
 enum
@@ -46,7 +47,8 @@
   REPLY_STARTED,
   REPLY_REPORTS,
   REPLY_FIELDS,
-  REPLY_WHOLE_FIELDS = REPLY_FIELDS + 1
+  REPLY_END_COUNT = REPLY_FIELDS,
+  REPLY_WHOLE_FIELDS
 };
 
 enum
@@ -64,7 +66,7 @@
 /* In a renewal's field for a proof, which it has no other use for: the reply
  * may have texts that are not short. */
 #define RENEW_MARK "whole"
-/* Value of the additional fields. */
+/* Value of a call's additional field. */
 #define WHOLE_FORMAT 1
 
 /* Each write may fail for lack of memory; @failed collects the results, and
@@ -342,8 +344,7 @@
 static bool
 has_fields (const msgpack_object *list, uint32_t fields, bool *whole)
 {
-  *whole
-      = is_array (list, fields + 1) && number_at (list, fields) == WHOLE_FORMAT;
+  *whole = is_array (list, fields + 1);
   return *whole || is_array (list, fields);
 }
 
@@ -369,7 +370,8 @@
   msgpack_unpacked unpacked;
   bool whole;
 
-  if (unpack (&unpacked, blob, CALL_FIELDS, &whole))
+  if (unpack (&unpacked, blob, CALL_FIELDS, &whole)
+      && (!whole || number_at (&unpacked.data, CALL_FIELDS) == WHOLE_FORMAT))
     call = read_call (&unpacked.data);
   msgpack_unpacked_destroy (&unpacked);
   return call;
@@ -425,7 +427,7 @@
   for (uint32_t i = 0; i < reply->report_count; i++)
     put_report (&writer, &reply->report[i], whole);
   if (whole)
-    put_number (&writer, WHOLE_FORMAT);
+    put_number (&writer, reply->end_count);
   return writer_end (&writer);
 }
 
@@ -442,6 +444,7 @@
       if (!is_array (&list->via.array.ptr[i], REPORT_FIELDS))
         return false;
       read_report (&list->via.array.ptr[i], &reply->report[i], whole);
+      reply->end_count += reply->report[i].end_number != 0;
       reply->report_count++;
     }
   return true;
@@ -463,7 +466,11 @@
   reply->worker_clock_ms = number_at (list, REPLY_CLOCK);
   reply->worker_started_ms = (uint64_t) number_at (list, REPLY_STARTED);
   if (read_reports (&list->via.array.ptr[REPLY_REPORTS], reply, whole))
-    return reply;
+    {
+      if (whole)
+        reply->end_count = (uint32_t) number_at (list, REPLY_END_COUNT);
+      return reply;
+    }
   mux_cell_reply_free (reply);
   return NULL;
 }
--- a/src/cell/quota.c
+++ b/src/cell/quota.c
@@ -122,7 +122,7 @@
 
   if (workspace == NULL)
     return UINT32_MAX;
-  used = mux_quota_min (workspace->unsettled, cell->unconfirmed_room);
+  used = mux_quota_min (workspace->unsettled, cell->unknown_room);
   used = mux_quota_sum (used, workspace->booked);
   used = mux_quota_sum (used, kept_for_gang (cell, workspace, stage));
   return mux_quota_tasks_left (limit_for (cell, stage), used,
@@ -171,18 +171,18 @@
   return largest;
 }
 
-/* Sums up workers that may run something and were not heard from yet.  Each
+/* Sums up workers that may run something that is not known yet.  Each
  * counts as the largest one, since the size of those no longer in the worker
  * list is not known. */
 static MuxQuota
-room_of_unconfirmed (MuxCell *cell)
+room_of_unknown (MuxCell *cell)
 {
   MuxSize largest = largest_capacity (cell);
   MuxQuota room = { 0 };
   const CellWorker *worker;
 
   for (worker = cell->workers; worker != NULL; worker = worker->hh.next)
-    if (cell_worker_is_unconfirmed (worker))
+    if (cell_worker_runs_unknown (worker))
       room = mux_quota_add (room, largest, 1);
   return room;
 }
@@ -213,27 +213,27 @@
                            unbooked_tasks (job->stage[i]));
 }
 
-/* Once all workers were heard from in a term, no run of a predecessor is left
- * to be found. */
+/* Once all workers have listed their runs in a term, no run of a predecessor is
+ * left to be found. */
 void
 cell_quota_tick (MuxCell *cell)
 {
   CellWorkspace *workspace;
   const CellJob *job;
-  bool all_confirmed;
+  bool all_known;
 
   if (cell->workspaces == NULL || cell->quota_term == cell->term)
     return;
-  all_confirmed = cell_all_workers_confirmed (cell);
-  if (all_confirmed)
+  all_known = cell_all_runs_known (cell);
+  if (all_known)
     cell->quota_term = cell->term;
-  cell->unconfirmed_room = (MuxQuota){ 0 };
-  if (!all_confirmed)
-    cell->unconfirmed_room = room_of_unconfirmed (cell);
+  cell->unknown_room = (MuxQuota){ 0 };
+  if (!all_known)
+    cell->unknown_room = room_of_unknown (cell);
   for (workspace = cell->workspaces; workspace != NULL;
        workspace = workspace->hh.next)
     workspace->unsettled = (MuxQuota){ 0 };
-  for (job = cell->jobs; job != NULL && !all_confirmed; job = job->hh.next)
+  for (job = cell->jobs; job != NULL && !all_known; job = job->hh.next)
     count_unsettled (cell, job);
 }
 
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -44,7 +44,7 @@
 static bool
 is_idle (const MuxCell *cell, const CellWorker *worker)
 {
-  return worker->confirmed && worker->reachable && worker->bookings == NULL
+  return worker->runs_known && worker->reachable && worker->bookings == NULL
          && acks_are_delivered (worker)
          && cell->time.now_ms < worker->idle_until_ms;
 }
@@ -61,6 +61,20 @@
              : cell->time.now_ms;
 }
 
+/* One line for each time that the worker is lost by it. */
+static void
+report_unreadable_list (MuxCell *cell,
+                        const CellWorker *worker,
+                        const MuxCellReply *reply)
+{
+  if (reply->rejection[0] == 0)
+    return;
+  mux_count (cell->options.counters, MUX_COUNT_LISTS_UNREADABLE, 1);
+  if (worker->reachable || !worker->confirmed)
+    cell_log (cell, "list_unreadable", "{s:s, s:s}", "worker", worker->info.id,
+              "field", reply->rejection);
+}
+
 static void
 renewal_failed (MuxCell *cell,
                 CellWorker *worker,
@@ -172,6 +186,7 @@
     worker->unanswered_sent_ms = pending->sent_ms;
   if (status != MUX_CELL_OK)
     {
+      report_unreadable_list (cell, worker, reply);
       renewal_failed (cell, worker, pending, status);
       return;
     }
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -7,9 +7,6 @@
 /* Processes what a worker lists in reply to RENEW: its runs, and the ends of
  * runs that were not acknowledged. */
 
-/* A worker lists this many ends at most: a run that has ended may be missing
- * from a list of that length. */
-#define ENDS_PER_REPORT_MAX 500
 /* A run that is confirmed and in no list for this long is stopped, so that its
  * room is not held forever. */
 #define UNLISTED_RUN_MS 2500
@@ -275,13 +272,46 @@
   cell_job_advance (cell, job);
 }
 
+/*
+ * A run of a predecessor that has ended may be missing from a list that leaves
+ * ends out: its task would be started again, and its end then be listed and
+ * acknowledged.
+ */
+static void
+update_runs_known (MuxCell *cell,
+                   CellWorker *worker,
+                   const MuxCellReply *reply,
+                   bool complete)
+{
+  if (worker->runs_known)
+    return;
+  if (!complete)
+    {
+      mux_count (cell->options.counters, MUX_COUNT_LISTS_FULL, 1);
+      if (worker->list_full_since_ms != 0)
+        return;
+      worker->list_full_since_ms = cell->time.now_ms;
+      cell_log (cell, "list_full", "{s:s, s:i, s:i}", "worker", worker->info.id,
+                "runs", (int) reply->report_count, "ends",
+                (int) reply->end_count);
+      return;
+    }
+  worker->runs_known = true;
+  cell->replan = true;
+  if (worker->list_full_since_ms != 0)
+    cell_log (cell, "list_complete", "{s:s, s:I}", "worker", worker->info.id,
+              "took_ms",
+              (json_int_t) (cell->time.now_ms - worker->list_full_since_ms));
+  worker->list_full_since_ms = 0;
+}
+
 void
 cell_reports_apply (MuxCell *cell,
                     CellWorker *worker,
                     const MuxCellReply *reply)
 {
   uint64_t seen = worker->ends_seen;
-  uint32_t ends = 0;
+  bool complete = reply->end_count < MUX_ENDS_PER_LIST;
   bool left;
   CellBooking *booking;
   CellBooking *next;
@@ -290,16 +320,14 @@
   booking->listed = false;
   for (uint32_t i = 0; i < reply->report_count; i++)
     begin_listed_occurrence (cell, &reply->report[i].task);
-  for (uint32_t i = 0; i < reply->report_count; i++)
-    ends += reply->report[i].end_number != 0;
   left = take_ends (cell, worker, reply);
   for (uint32_t i = 0; i < reply->report_count; i++)
     if (reply->report[i].end_number == 0)
       take_running (cell, worker, &reply->report[i]);
   cell_pace_update (cell, worker);
   DL_FOREACH_SAFE (worker->bookings, booking, next)
-  check_booking (cell, worker, booking, reply->worker_clock_ms,
-                 ends < ENDS_PER_REPORT_MAX);
+  check_booking (cell, worker, booking, reply->worker_clock_ms, complete);
+  update_runs_known (cell, worker, reply, complete);
   worker->last_list_ms = cell->time.processed_ms;
   if (worker->ends_seen != seen)
     worker->ends_change_seq = cell->change_seq;
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -72,7 +72,7 @@
 
   HASH_ITER (hh, cell->workers, worker, next)
   {
-    supply.unconfirmed += cell_worker_is_unconfirmed (worker);
+    supply.unconfirmed += cell_worker_runs_unknown (worker);
     if (!cell_worker_matches (stage, worker))
       continue;
     if (cell->time.now_ms < worker->avoid_until_ms)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -92,13 +92,13 @@
 }
 
 bool
-cell_worker_is_unconfirmed (const CellWorker *worker)
+cell_worker_runs_unknown (const CellWorker *worker)
 {
-  return cell_in_roster (worker) && !worker->confirmed && !worker->dead;
+  return cell_in_roster (worker) && !worker->runs_known && !worker->dead;
 }
 
 static bool
-find_unconfirmed (const MuxCell *cell)
+find_unknown (const MuxCell *cell)
 {
   const CellWorker *worker;
   const CellWorker *next;
@@ -108,7 +108,7 @@
   HASH_ITER (hh, cell->workers, worker, next)
   {
     scanned++;
-    found = cell_worker_is_unconfirmed (worker);
+    found = cell_worker_runs_unknown (worker);
     if (found)
       break;
   }
@@ -119,18 +119,18 @@
 /*
  * Looked up once per event time: thousands of waiting steps ask in each pass,
  * and with one unreachable worker of 350, scanning all of them each time took
- * 81 percent of a core where 7 are left. Within one event time a worker can
- * only become confirmed.
+ * 81 percent of a core where 7 are left. Within one event time a worker's runs
+ * can only become known.
  */
 bool
-cell_all_workers_confirmed (MuxCell *cell)
+cell_all_runs_known (MuxCell *cell)
 {
-  if (cell->all_confirmed_at_ms != cell->time.now_ms)
+  if (cell->all_runs_known_at_ms != cell->time.now_ms)
     {
-      cell->all_confirmed_at_ms = cell->time.now_ms;
-      cell->all_confirmed = !find_unconfirmed (cell);
+      cell->all_runs_known_at_ms = cell->time.now_ms;
+      cell->all_runs_known = !find_unknown (cell);
     }
-  return cell->all_confirmed;
+  return cell->all_runs_known;
 }
 
 /* The worker has ended, or its lease has: no run is left there. */
@@ -338,6 +338,8 @@
 {
   worker->dead = false;
   worker->confirmed = false;
+  worker->runs_known = false;
+  worker->list_full_since_ms = 0;
   worker->reachable = false;
   worker->lease_expires_ms = 0;
   worker->stored_expiry_ms = 0;
--- a/src/cell/workspace_shares.c
+++ b/src/cell/workspace_shares.c
@@ -315,7 +315,7 @@
 cell_shares_count (MuxCell *cell)
 {
   if (cell->workspaces == NULL
-      || (!cell_all_workers_confirmed (cell)
+      || (!cell_all_runs_known (cell)
           && cell->time.now_ms - cell->planning_began_ms < INHERITED_MS))
     return;
   mux_shares_begin (&cell->shares);
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1163,6 +1163,8 @@
   }
   for (uint32_t i = 0; i < world->row_count; i++)
     mux_blob_unref (world->row[i].value);
+  for (uint32_t i = 0; i < world->worker_end; i++)
+    free (world->worker[i].run);
   world_workspaces_free (world);
   free (world->ended_run);
   for (uint32_t i = 0; i < world->job_count; i++)
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -16,7 +16,6 @@
 #define WORLD_DATA_CENTRES_MAX 3
 #define WORLD_WORKERS_MAX 3000
 #define WORLD_ROWS_MAX 16384
-#define WORLD_RUNS_MAX 192
 /* Largest value of a row, and of a commit as sent: the store rejects a larger
  * one. */
 #define WORLD_ROW_BYTES 65536
@@ -162,7 +161,8 @@
   int64_t lease_until_ms;
   uint32_t calls;   /* sent to its address by any daemon */
   uint32_t run_end; /* entries of @run from here on were never used */
-  WorldRun run[WORLD_RUNS_MAX];
+  uint32_t run_capacity;
+  WorldRun *run; /* owned */
 } WorldWorker;
 
 /**
@@ -280,6 +280,7 @@
   bool peers_cut;          /* all messages between daemons are lost */
   bool lose_approvals;
   bool reports_newest_first; /* workers report their newest runs first */
+  bool unreadable_lists;     /* of workers, with an entry that is none */
   int64_t late_ms;           /* delay of WORLD_LATE calls */
   int64_t approval_ms;       /* time that an approval query takes, */
   uint32_t approval_us;      /* plus this for each candidate */
@@ -485,5 +486,7 @@
 World *world_with_ids_kept (uint32_t cells, uint32_t workers);
 /** world_worker_restart() - restarts a worker at the same address */
 void world_worker_restart (World *world, uint32_t worker);
+/** world_worker_copy() - makes worker @to a copy of @from with its runs */
+void world_worker_copy (World *world, uint32_t to, uint32_t from);
 
 #endif
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -6,6 +6,8 @@
 
 /* The workers of the simulated cluster. */
 
+/* Entries of a worker's first list of runs. */
+#define RUNS_MIN 64
 /* Bytes of a proof with its closing NUL. */
 #define PROOF_LEN_MAX 16384
 #define CHECKPOINT_LEN_MAX 16384
@@ -136,16 +138,21 @@
 static WorldRun *
 free_run (WorldWorker *worker)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
-    if (!worker->run[i].used)
-      {
-        memset (&worker->run[i], 0, sizeof worker->run[i]);
-        if (i >= worker->run_end)
-          worker->run_end = i + 1;
-        return &worker->run[i];
-      }
-  fail_msg ("a worker has no place for another run");
-  return &worker->run[0];
+  uint32_t i = 0;
+
+  while (i < worker->run_end && worker->run[i].used)
+    i++;
+  if (i == worker->run_capacity)
+    {
+      worker->run_capacity = 2 * worker->run_capacity + RUNS_MIN;
+      worker->run
+          = realloc (worker->run, worker->run_capacity * sizeof *worker->run);
+      assert_non_null (worker->run);
+    }
+  if (i == worker->run_end)
+    worker->run_end++;
+  memset (&worker->run[i], 0, sizeof worker->run[i]);
+  return &worker->run[i];
 }
 
 MuxBlob *
@@ -412,13 +419,50 @@
   ended_run_raise (world, worker, &call->task, call->run);
 }
 
+static int
+by_number (const void *x, const void *y)
+{
+  const uint64_t *a = x;
+  const uint64_t *b = y;
+
+  return *a < *b ? -1 : *a > *b;
+}
+
+/* Returns the highest number of an end that is listed: the lowest ones come
+ * first. */
+static uint64_t
+listed_through (const WorldWorker *worker, uint64_t acked)
+{
+  uint64_t *number = calloc (worker->run_end + 1, sizeof *number);
+  uint32_t count = 0;
+  uint64_t through = UINT64_MAX;
+
+  for (uint32_t i = 0; i < worker->run_end; i++)
+    if (worker->run[i].used && worker->run[i].number > acked)
+      number[count++] = worker->run[i].number;
+  qsort (number, count, sizeof *number, by_number);
+  if (count > MUX_ENDS_PER_LIST)
+    through = number[MUX_ENDS_PER_LIST - 1];
+  free (number);
+  return through;
+}
+
 static void
 list_runs (World *world,
            WorldWorker *worker,
            const MuxCellCall *call,
            MuxCellReply *reply)
 {
-  reply->report = calloc (WORLD_RUNS_MAX, sizeof *reply->report);
+  uint64_t through = listed_through (worker, call->acked);
+
+  if (world->unreadable_lists)
+    {
+      reply->status = MUX_CELL_UNKNOWN;
+      snprintf (reply->rejection, sizeof reply->rejection, "finished");
+      return;
+    }
+
+  reply->report = calloc (worker->run_end + 1, sizeof *reply->report);
   for (uint32_t i = 0; i < worker->run_end; i++)
     {
       uint32_t slot = world->reports_newest_first ? worker->run_end - 1 - i : i;
@@ -434,8 +478,9 @@
             start->acknowledged = !run->lapsed;
           run->used = false;
         }
-      if (!run->used)
+      if (!run->used || run->number > through)
         continue;
+      reply->end_count += run->number != 0;
       report->task = run->task;
       report->run = run->run;
       report->end_number = run->number;
@@ -693,6 +738,20 @@
   world_list_worker (world, number);
 }
 
+void
+world_worker_copy (World *world, uint32_t to, uint32_t from)
+{
+  WorldWorker *worker = &world->worker[to];
+
+  free (worker->run);
+  *worker = world->worker[from];
+  worker->run = calloc (worker->run_capacity + 1, sizeof *worker->run);
+  assert_non_null (worker->run);
+  if (worker->run_end > 0)
+    memcpy (worker->run, world->worker[from].run,
+            worker->run_end * sizeof *worker->run);
+}
+
 /* Ends all its runs without a report. */
 static void
 end_incarnation (World *world, WorldWorker *worker)
@@ -711,7 +770,8 @@
       start->ended_ms = world->now_ms;
       start->end = MUX_RUN_LEASE_EXPIRED;
     }
-  memset (worker->run, 0, sizeof worker->run);
+  if (worker->run_end > 0)
+    memset (worker->run, 0, worker->run_end * sizeof *worker->run);
   worker->incarnation++;
 }
 
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -242,7 +242,7 @@
   world->worker[0].unreachable = true;
   world_cell_kill (world, planner);
   world_run (world, TAKEOVER_MS);
-  world->worker[1] = world->worker[0];
+  world_worker_copy (world, 1, 0);
   world->worker[1].unreachable = false;
   snprintf (world->worker[1].info.addr, MUX_ADDR_LEN, "10.1.0.99:8000");
   world_worker_restart (world, 1);
@@ -399,7 +399,8 @@
   world->worker[0].stuck_percent = 0;
   world->worker[1].stuck_percent = 0;
   for (uint32_t i = 0; i < 2; i++)
-    world->worker[i].run[0].percent = 40;
+    if (world->worker[i].run_end > 0)
+      world->worker[i].run[0].percent = 40;
   world->worker[world->start[0].worker].stuck_percent = 40;
   world_run (world, 8000);
   assert_true (world_starts (world, "job-a") >= 2);
--- a/test/unit/test_cell_roster.c
+++ b/test/unit/test_cell_roster.c
@@ -269,7 +269,7 @@
 static void
 end_runs_of_the_lost_worker (World *world)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < world->worker[LOST].run_end; i++)
     world->worker[LOST].run[i].ends_ms = world->now_ms;
   world_run (world, 300);
 }
@@ -318,7 +318,7 @@
 static WorldRun *
 first_run (World *world, const char *id)
 {
-  for (uint32_t i = 0; i < WORLD_RUNS_MAX; i++)
+  for (uint32_t i = 0; i < world->worker[0].run_end; i++)
     if (world->worker[0].run[i].used
         && strcmp (world->worker[0].run[i].task.job, id) == 0)
       return &world->worker[0].run[i];
