Put configurations with names of any length in force

What callers saw: the operator adds a route with a name of 54 characters and takes another away.

Cause: names stood in arrays of 48 bytes, hosts and paths in arrays of 128, and a longer one made the whole version unreadable. Entries of workers with a long pool, zone or label were left out for the same reason; the labels of steps and the host and path of requests were cut.

Change: a text of 47 bytes or more is known by a derived name, its beginning and its 128-bit hash, so that rows, messages and counts stay bounded and the previous version reads them; hosts and paths are allocated. A route with another field that can't be used takes no jobs (503, queue_unusable) and leaves the others in force; a version whose number, addresses or tenants can't be read is rejected whole as before, since its callers would be told that there is no such queue. Gauges tell which version is in force and that a newer one is not.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -128,6 +128,11 @@
   X (NEED_CPU, "need_cpu_milli", "need of planning, in thousandths of a core") \
   X (NEED_LINK, "need_link_kbps", "need of planning, link rate in kbit/s")     \
   X (NEED_MEMORY, "need_memory_mib", "need of planning, memory in MiB")        \
+  X (CONFIG_VERSION, "config_version", "configuration in force; 0: none")      \
+  X (CONFIG_UNREADABLE, "config_unreadable",                                   \
+     "1: the store has a newer configuration that can't be used")              \
+  X (QUEUES_UNUSABLE, "queues_unusable",                                       \
+     "queues in force that take no jobs as a field can't be used")             \
   X (REQUEST_MEMORY, "request_memory_bytes",                                   \
      "memory reserved for large bodies of callers")
 
--- a/include/base/id.h
+++ b/include/base/id.h
@@ -55,6 +55,11 @@
  * Return: false if @src was too long and has been truncated. */
 bool mux_name_copy (char dst[MUX_NAME_LEN], const char *src);
 
+/** mux_name_of_text() - name of a text of any length: the text itself up to 46
+ * bytes, else 47 bytes made of its beginning and its 128-bit hash, so that two
+ * texts have the same name only if they are the same */
+void mux_name_of_text (char dst[MUX_NAME_LEN], const char *text);
+
 /** mux_name_valid() - whether @name is 1 to 47 bytes of a-z A-Z 0-9 . _ - */
 bool mux_name_valid (const char *name);
 
--- a/include/base/reason.h
+++ b/include/base/reason.h
@@ -53,6 +53,8 @@
      "it can't be proved here that keys still hold")                         \
   X (OTHER_WORKSPACE, "other_workspace", 409,                                \
      "the id is that of another workspace's job")                            \
+  X (QUEUE_UNUSABLE, "queue_unusable", 503,                                  \
+     "a field of the queue's configuration can't be used")                   \
   X (KEY_IN_USE, "key_in_use", 409, "the same key is being handled")         \
   X (INTERNAL, "internal", 500, "out of memory or a broken invariant")
 
--- a/include/model/job.h
+++ b/include/model/job.h
@@ -44,8 +44,11 @@
 /**
  * struct MuxQueueSpec - a queue of jobs and its service level
  * @name: unique among queues
- * @host: HTTP host in the requests of its callers
- * @prefix: path prefix of its jobs
+ * @host: HTTP host in the requests of its callers; owned by the configuration;
+ *   NULL in a job
+ * @prefix: path prefix of its jobs; as @host
+ * @bad_field: name of the field because of which it can't be used, and takes no
+ *   jobs; static; NULL: none
  * @service: pool of workers that runs its tasks
  * @priority: 0 is the most urgent
  * @attempts_max: failed runs after which a task, and thereby its job, fails
@@ -58,8 +61,9 @@
 typedef struct
 {
   char name[MUX_NAME_LEN];
-  char host[128];
-  char prefix[128];
+  char *host;
+  char *prefix;
+  const char *bad_field;
   char service[MUX_NAME_LEN];
   uint32_t priority;
   uint32_t attempts_max;
@@ -74,7 +78,7 @@
  * @version: grows with each change
  * @workspaces: workspaces and their keys; owned; NULL: no caller needs a key
  * @count: used entries
- * @item: the queues
+ * @item: the queues; their hosts and prefixes are owned
  */
 typedef struct
 {
@@ -192,6 +196,8 @@
 /** mux_job_from_json() - reads the stored form
  * Return: NULL, with @findings: it is not a valid job. */
 MuxJobSpec *mux_job_from_json (const json_t *json, MuxFindings *findings);
+/** mux_job_set_queue() - make @queue the queue of the job */
+void mux_job_set_queue (MuxJobSpec *job, const MuxQueueSpec *queue);
 /** mux_queue_config_new() - allocates a zeroed configuration of @count queues
  * Return: NULL when out of memory; so does mux_queue_config_copy(). */
 MuxQueueConfig *mux_queue_config_new (uint32_t count);
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -383,8 +383,8 @@
  * struct MuxRequest - a caller's request to the cell
  * @verb: operation
  * @call_id: names the caller that waits; returned in the response
- * @host: host name that the caller addressed
- * @path: prefix of the queue and id of the job
+ * @host: host name that the caller addressed; owned
+ * @path: prefix of the queue and id of the job; owned
  * @timeout_ms: how long the caller waits
  * @has_key: an API key came with the request
  * @key: digest of that key
@@ -394,8 +394,8 @@
 {
   MuxRequestVerb verb;
   uint64_t call_id;
-  char host[128];
-  char path[256];
+  char *host;
+  char *path;
   uint32_t timeout_ms;
   bool has_key;
   MuxKeyDigest key;
--- a/src/base/id.c
+++ b/src/base/id.c
@@ -109,6 +109,38 @@
   return fits;
 }
 
+/* Copies the printable ASCII bytes that @text begins with and fills the rest,
+ * so that no character of several bytes is cut. */
+static void
+put_beginning (char *dst, size_t len, const char *text)
+{
+  size_t i = 0;
+
+  for (; i < len && text[i] > ' ' && text[i] < 0x7f; i++)
+    dst[i] = text[i];
+  memset (dst + i, '_', len - i);
+}
+
+void
+mux_name_of_text (char dst[MUX_NAME_LEN], const char *text)
+{
+  enum
+  {
+    MARK_AT = MUX_NAME_LEN - MUX_ID_HEX_LEN - 1
+  };
+  size_t len = strlen (text);
+
+  /* A text of the length of a derived name could be one. */
+  if (len < MUX_NAME_LEN - 1)
+    {
+      (void) mux_name_copy (dst, text);
+      return;
+    }
+  put_beginning (dst, MARK_AT, text);
+  dst[MARK_AT] = '~';
+  mux_id_format (id_of_hash (XXH3_128bits (text, len)), dst + MARK_AT + 1);
+}
+
 bool
 mux_name_valid (const char *name)
 {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -15,6 +15,34 @@
 /* Interval of checks whose cost grows with the number of jobs. */
 #define PERIODIC_MS 50
 
+static void
+set_config_unreadable (MuxCell *cell, bool unreadable)
+{
+  cell->config_unreadable = unreadable;
+  mux_gauge_set (cell->options.counters, MUX_GAUGE_CONFIG_UNREADABLE,
+                 unreadable);
+}
+
+/* A line for each; the other queues are in force. */
+static void
+report_unusable_queues (MuxCell *cell)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < cell->config->count; i++)
+    {
+      const MuxQueueSpec *queue = &cell->config->item[i];
+
+      if (queue->bad_field == NULL)
+        continue;
+      count++;
+      cell_log (cell, "queue_unusable", "{s:s, s:i, s:s, s:I}", "queue",
+                queue->name, "index", (int) i, "what", queue->bad_field,
+                "version", (json_int_t) cell->config->version);
+    }
+  mux_gauge_set (cell->options.counters, MUX_GAUGE_QUEUES_UNUSABLE, count);
+}
+
 static void
 config_row (MuxCell *cell, const MuxCellRow *row)
 {
@@ -26,21 +54,21 @@
   if (row->config == NULL)
     {
       /* The one in force stays, so that callers of its queues are served. */
-      cell->config_unreadable = true;
+      set_config_unreadable (cell, true);
       cell_report_bad_row (cell, row,
                            row->bad_field != NULL ? CELL_ROW_BAD_FIELD
                                                   : CELL_ROW_BAD_VALUE,
                            row->bad_field != NULL ? row->bad_field : "value");
       return;
     }
-  cell->config_unreadable = false;
+  set_config_unreadable (cell, false);
   if ((cell->config != NULL && row->config->version <= cell->config->version))
     return;
   config = mux_queue_config_copy (row->config);
   if (config == NULL)
     {
       cell_log (cell, "config_dropped", "{s:s}", "why", "out of memory");
-      cell->config_unreadable = true;
+      set_config_unreadable (cell, true);
       return;
     }
   mux_queue_config_free (cell->config);
@@ -48,6 +76,9 @@
   cell_workspaces_configure (cell);
   for (uint32_t i = 0; i < config->count; i++)
     cell_service_add (cell, config->item[i].service);
+  report_unusable_queues (cell);
+  mux_gauge_set (cell->options.counters, MUX_GAUGE_CONFIG_VERSION,
+                 config->version);
   cell_log (
       cell, "config_in_force", "{s:I, s:i, s:i, s:i}", "version",
       (json_int_t) config->version, "queues", (int) config->count, "workspaces",
--- a/src/cell/request.c
+++ b/src/cell/request.c
@@ -14,7 +14,13 @@
 {
   MuxFindings findings = { .count = 0, .dropped = 0 };
 
-  request->job->queue = *queue;
+  if (queue->bad_field != NULL)
+    {
+      mux_count_refused (cell->options.counters, MUX_REASON_QUEUE_UNUSABLE);
+      cell_respond (cell, request->call_id, MUX_RESPONSE_REFUSED);
+      return;
+    }
+  mux_job_set_queue (request->job, queue);
   snprintf (request->job->id, sizeof request->job->id, "%s", id);
   (void) mux_name_copy (request->job->workspace, caller->workspace);
   if (!mux_job_check (request->job, &findings))
--- a/src/model/job.c
+++ b/src/model/job.c
@@ -79,6 +79,14 @@
   free (job);
 }
 
+void
+mux_job_set_queue (MuxJobSpec *job, const MuxQueueSpec *queue)
+{
+  job->queue = *queue;
+  job->queue.host = NULL;
+  job->queue.prefix = NULL;
+}
+
 static uint64_t
 step_core_ms (const MuxStepSpec *step)
 {
@@ -152,20 +160,31 @@
   return config;
 }
 
+static bool
+copy_queue (MuxQueueSpec *to, const MuxQueueSpec *from)
+{
+  *to = *from;
+  to->host = strdup (from->host);
+  to->prefix = strdup (from->prefix);
+  return to->host != NULL && to->prefix != NULL;
+}
+
 MuxQueueConfig *
 mux_queue_config_copy (const MuxQueueConfig *from)
 {
   MuxQueueConfig *config = mux_queue_config_new (from->count);
+  bool ok = config != NULL;
 
-  if (config == NULL)
+  if (!ok)
     return NULL;
-  memcpy (config, from, sizeof *from + from->count * sizeof from->item[0]);
-  if (from->workspaces == NULL)
+  config->version = from->version;
+  for (uint32_t i = 0; i < from->count; i++)
+    ok = copy_queue (&config->item[i], &from->item[i]) && ok;
+  if (from->workspaces != NULL)
+    config->workspaces = mux_workspaces_copy (from->workspaces);
+  if (ok && (from->workspaces == NULL || config->workspaces != NULL))
     return config;
-  config->workspaces = mux_workspaces_copy (from->workspaces);
-  if (config->workspaces != NULL)
-    return config;
-  free (config);
+  mux_queue_config_free (config);
   return NULL;
 }
 
@@ -175,6 +194,11 @@
   if (config == NULL)
     return;
   mux_workspaces_free (config->workspaces);
+  for (uint32_t i = 0; i < config->count; i++)
+    {
+      free (config->item[i].host);
+      free (config->item[i].prefix);
+    }
   free (config);
 }
 
--- a/src/port/cell.c
+++ b/src/port/cell.c
@@ -122,5 +122,7 @@
   if (request == NULL)
     return;
   mux_job_free (request->job);
+  free (request->host);
+  free (request->path);
   free (request);
 }
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -860,6 +860,11 @@
   world->cell[cell].dead = true;
 }
 
+/* Of all configurations, which hold pointers to them. */
+static char host[] = "cell.example";
+static char batch_prefix[] = "/batch/";
+static char other_prefix[] = "/other/";
+
 static void
 add_config (World *world)
 {
@@ -870,8 +875,8 @@
   config->version = 1;
   config->count = 1;
   snprintf (queue->name, sizeof queue->name, "batch");
-  snprintf (queue->host, sizeof queue->host, "cell.example");
-  snprintf (queue->prefix, sizeof queue->prefix, "/batch/");
+  queue->host = host;
+  queue->prefix = batch_prefix;
   snprintf (queue->service, sizeof queue->service, "booking");
   queue->priority = 1;
   queue->attempts_max = 3;
@@ -969,7 +974,7 @@
   MuxQueueSpec queue[2] = { world_queue (world), world_queue (world) };
 
   snprintf (queue[1].name, sizeof queue[1].name, "other");
-  snprintf (queue[1].prefix, sizeof queue[1].prefix, "/other/");
+  queue[1].prefix = other_prefix;
   world_set_queues (world, queue, 2);
 }
 
@@ -1204,9 +1209,10 @@
   request->verb = verb;
   request->call_id = ++world->next_request;
   request->timeout_ms = 3000;
-  snprintf (request->host, sizeof request->host, "cell.example");
-  snprintf (request->path, sizeof request->path, "/%s/%s",
-            world->queue[0] != 0 ? world->queue : "batch", id);
+  request->host = strdup (host);
+  assert_true (asprintf (&request->path, "/%s/%s",
+                         world->queue[0] != 0 ? world->queue : "batch", id)
+               > 0);
   world_copy_key (world, request);
   return request;
 }
--- a/test/unit/test_cell.c
+++ b/test/unit/test_cell.c
@@ -779,8 +779,8 @@
   (void) state;
   request->verb = MUX_REQUEST_QUERY;
   request->call_id = 200;
-  snprintf (request->host, sizeof request->host, "other.example");
-  snprintf (request->path, sizeof request->path, "/batch/x");
+  request->host = strdup ("other.example");
+  request->path = strdup ("/batch/x");
   mux_cell_request (
       world->cell[0].cell,
       (MuxCellTime){ world->now_ms, 1700000000000, world->now_ms }, request);
--- a/test/unit/test_cell_feeds.c
+++ b/test/unit/test_cell_feeds.c
@@ -187,8 +187,8 @@
   assert_non_null (question);
   question->verb = MUX_REQUEST_QUERY;
   question->call_id = call;
-  snprintf (question->host, sizeof question->host, "cell.example");
-  snprintf (question->path, sizeof question->path, "/unheard-of/x");
+  question->host = strdup ("cell.example");
+  question->path = strdup ("/unheard-of/x");
   mux_cell_request (
       world->cell[0].cell,
       (MuxCellTime){ world->now_ms, world->now_ms, world->now_ms }, question);
@@ -341,7 +341,7 @@
   reply->version = version;
   row->table = MUX_TABLE_CONFIG;
   snprintf (row->key, sizeof row->key, "config");
-  row->config = calloc (1, sizeof *row->config + sizeof row->config->item[0]);
+  row->config = mux_queue_config_new (0);
   assert_non_null (row->config);
   row->config->version = version;
 }
@@ -468,6 +468,46 @@
     }
 }
 
+static char other_prefix[] = "/other/";
+
+/* Guards against a queue that can't be used taking the others out of force, or
+ * taking jobs that it can't run. */
+static void
+test_unusable_queue_takes_no_jobs_and_harms_no_other (void **state)
+{
+  World *world = world_new (CELLS, 2);
+  MuxQueueSpec queue[2];
+  uint64_t call;
+
+  (void) state;
+  world_add_queue (world);
+  world_run (world, 1000);
+  (void) world_submit (world, 0, world_job (1, 1, 1000), "job-a");
+  world_run (world, 500);
+  queue[0] = world_queue (world);
+  queue[1] = queue[0];
+  snprintf (queue[1].name, sizeof queue[1].name, "other");
+  queue[1].prefix = other_prefix;
+  queue[0].bad_field = "priority";
+  world_set_queues (world, queue, 2);
+  world_run (world, 500);
+  assert_int_equal (
+      mux_gauge_value (world->counters, MUX_GAUGE_QUEUES_UNUSABLE), 1);
+  assert_int_equal (world_logged (world, "queue_unusable"), CELLS);
+  call = world_submit (world, 0, world_job (1, 1, 1000), "job-b");
+  world_run (world, 500);
+  assert_int_equal (world->response[call].outcome, MUX_RESPONSE_REFUSED);
+  snprintf (world->queue, sizeof world->queue, "other");
+  call = world_submit (world, 0, world_job (1, 1, 1000), "job-c");
+  world_run (world, 3000);
+  assert_int_equal (world->response[call].outcome, MUX_RESPONSE_ACCEPTED);
+  world->queue[0] = 0;
+  assert_int_equal (world_state (world, 0, "job-a"), MUX_JOB_COMPLETED);
+  assert_int_equal (world_starts (world, "job-b"), 0);
+  assert_int_equal (world_starts (world, "job-c"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -478,6 +518,7 @@
     cmocka_unit_test (test_time_out_behind_an_outage_is_no_failure),
     cmocka_unit_test (test_no_queue_is_not_said_on_old_knowledge),
     cmocka_unit_test (test_late_answer_of_a_call_given_up_is_not_heard),
+    cmocka_unit_test (test_unusable_queue_takes_no_jobs_and_harms_no_other),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_cell_speed_load.c
+++ b/test/unit/test_cell_speed_load.c
@@ -261,6 +261,7 @@
 static void
 configure (World *world)
 {
+  static char prefix[QUEUES][32];
   MuxQueueSpec queue[QUEUES];
 
   for (Queue q = 0; q < QUEUES; q++)
@@ -269,7 +270,8 @@
 
       queue[q] = world_queue (world);
       snprintf (queue[q].name, sizeof queue[q].name, "%s", k->name);
-      snprintf (queue[q].prefix, sizeof queue[q].prefix, "/%s/", k->name);
+      snprintf (prefix[q], sizeof prefix[q], "/%s/", k->name);
+      queue[q].prefix = prefix[q];
       queue[q].priority = q;
       queue[q].slack_milli = k->slack_milli;
       queue[q].target_ms = k->target_ms;
