--- a/include/model/job.h
+++ b/include/model/job.h
@@ -144,7 +144,7 @@
  * @data_centre: of the instance that accepted it; "": not known
  * @first_due_ms: time of day at which occurrence 0 is due
  * @repetitions: number of occurrences; 0: the steps run once, immediately
- * @interval_ms: time between two occurrences
+ * @interval_ms: time between two occurrences, 0 to MUX_WALL_MS_MAX
  * @step_count: used entries of @step
  * @step: the steps; owned
  */
@@ -158,7 +158,7 @@
   char data_centre[MUX_NAME_LEN];
   int64_t first_due_ms;
   uint32_t repetitions;
-  uint32_t interval_ms;
+  int64_t interval_ms;
   uint32_t step_count;
   MuxStepSpec *step;
 } MuxJobSpec;
@@ -187,10 +187,12 @@
 /** mux_job_core_ms() - returns the estimated core time of all tasks in ms, an
  * accelerator counted as eight cores; at most INT64_MAX */
 int64_t mux_job_core_ms (const MuxJobSpec *job);
-/** mux_job_check() - checks a job's limits and dependencies
+/** mux_job_check() - checks a job's id, limits and dependencies
  * @findings: receives what is wrong
  * Return: false: something is wrong. */
 bool mux_job_check (const MuxJobSpec *job, MuxFindings *findings);
+/** mux_job_check_content() - the same without its id */
+bool mux_job_check_content (const MuxJobSpec *job, MuxFindings *findings);
 /** mux_job_to_json() - returns the stored form; NULL: out of memory */
 json_t *mux_job_to_json (const MuxJobSpec *job);
 /** mux_job_from_json() - reads the stored form
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -41,12 +41,24 @@
   return job->next_occurrence < job->spec->repetitions;
 }
 
+/* Time of day; at most MUX_WALL_MS_MAX, which is never reached. */
+static int64_t
+due_ms (const MuxJobSpec *spec, uint32_t occurrence)
+{
+  int64_t due;
+
+  if (__builtin_mul_overflow (spec->interval_ms, (int64_t) occurrence, &due)
+      || __builtin_add_overflow (due, spec->first_due_ms, &due)
+      || due > MUX_WALL_MS_MAX)
+    return MUX_WALL_MS_MAX;
+  return due;
+}
+
 /* By the cell's wall clock; negative: it is past due. */
 static int64_t
 until_due_ms (const MuxCell *cell, const CellJob *job, uint32_t occurrence)
 {
-  return job->spec->first_due_ms + (int64_t) occurrence * job->spec->interval_ms
-         - cell->time.wall_ms;
+  return due_ms (job->spec, occurrence) - cell->time.wall_ms;
 }
 
 bool
--- a/src/model/job.c
+++ b/src/model/job.c
@@ -119,7 +119,7 @@
 
   snprintf (place, sizeof place, "steps[%" PRIu32 "]", i);
   if (step->count == 0 || step->count > MUX_STEP_TASKS_MAX)
-    mux_findings_add (findings, place, "must have 1 to %d tasks",
+    mux_findings_add (findings, place, "must have a count of 1 to %d tasks",
                       MUX_STEP_TASKS_MAX);
   if (step->after >> i != 0)
     mux_findings_add (findings, place, "may depend on earlier steps only");
@@ -134,6 +134,15 @@
     mux_findings_add (findings, "id",
                       "must be 1 to %d characters of a-z A-Z 0-9 -",
                       MUX_JOB_ID_LEN - 1);
+  (void) mux_job_check_content (job, findings);
+  return findings->count == before;
+}
+
+bool
+mux_job_check_content (const MuxJobSpec *job, MuxFindings *findings)
+{
+  uint32_t before = findings->count;
+
   if (job->step_count == 0 || job->step_count > MUX_STEPS_MAX)
     mux_findings_add (findings, "steps", "must have 1 to %d entries",
                       MUX_STEPS_MAX);
@@ -143,6 +152,8 @@
   if (job->first_due_ms > MUX_WALL_MS_MAX
       || job->first_due_ms < -MUX_WALL_MS_MAX)
     mux_findings_add (findings, "first_due_ms", "is out of range");
+  if (job->interval_ms < 0 || job->interval_ms > MUX_WALL_MS_MAX)
+    mux_findings_add (findings, "interval_ms", "is out of range");
   if (job->payload != NULL && strlen (job->payload) > MUX_JOB_PAYLOAD_MAX)
     mux_findings_add (findings, "payload", "must be at most %d bytes",
                       MUX_JOB_PAYLOAD_MAX);
--- a/src/model/job_json.c
+++ b/src/model/job_json.c
@@ -280,7 +280,8 @@
   job->first_due_ms = get_number (json, "first_due_ms", -MUX_WALL_MS_MAX,
                                   MUX_WALL_MS_MAX, findings);
   job->repetitions = get_u32 (json, "repetitions", findings);
-  job->interval_ms = get_u32 (json, "interval_ms", findings);
+  job->interval_ms
+      = get_number (json, "interval_ms", 0, MUX_WALL_MS_MAX, findings);
   for (uint32_t i = 0; i < job->step_count; i++)
     step_from_json (json_array_get (steps, i), &job->step[i], findings);
   return job->payload != NULL;
--- a/test/unit/test_cell_time_of_day.c
+++ b/test/unit/test_cell_time_of_day.c
@@ -337,6 +337,36 @@
   play_many_occurrences (20);
 }
 
+/* Guards against occurrences that begin at once because the time of a later one
+ * can't be held: by its interval, or by their sum. */
+static void
+test_occurrences_of_long_intervals_wait (void **state)
+{
+  static const int64_t intervals_ms[]
+      = { INT64_C (7776000000), INT64_C (1) << 32, MUX_WALL_MS_MAX };
+
+  (void) state;
+  for (uint32_t i = 0; i < sizeof intervals_ms / sizeof intervals_ms[0]; i++)
+    {
+      World *world = world_new (CELLS, WORKERS);
+
+      world_run (world, 1000);
+      world->task_ms = 200;
+      (void) world_submit (
+          world, world_planner (world),
+          timed_job (world, 0, i == 0 ? 4 : UINT32_MAX, intervals_ms[i]),
+          "timed");
+      world_run (world, 4000);
+      assert_int_equal (world_starts (world, "timed"), 1);
+      world_cell_kill (world, world_planner (world));
+      world_run (world, 8000);
+      assert_int_equal (world_starts (world, "timed"), 1);
+      assert_int_equal (world_state (world, world_planner (world), "timed"),
+                        MUX_JOB_ACTIVE);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -353,6 +383,7 @@
     cmocka_unit_test (test_job_of_a_million_occurrences_leaves_room_for_others),
     cmocka_unit_test (test_progress_of_many_occurrences_fits_into_a_row),
     cmocka_unit_test (test_progress_of_many_late_rounds_fits_into_a_row),
+    cmocka_unit_test (test_occurrences_of_long_intervals_wait),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_job.c
+++ b/test/unit/test_job.c
@@ -67,6 +67,32 @@
   json_decref (json);
 }
 
+/* Guards against a row with a long interval that another version reads as
+ * another one, or that is not read back. */
+static void
+test_long_interval_is_stored_exactly (void **state)
+{
+  MuxJobSpec *job = full_job ();
+  MuxFindings findings = { .count = 0 };
+  json_t *json;
+  MuxJobSpec *read;
+
+  (void) state;
+  job->interval_ms = MUX_WALL_MS_MAX;
+  json = mux_job_to_json (job);
+  assert_int_equal (json_integer_value (json_object_get (json, "interval_ms")),
+                    MUX_WALL_MS_MAX);
+  read = mux_job_from_json (json, &findings);
+  assert_non_null (read);
+  assert_true (read->interval_ms == MUX_WALL_MS_MAX);
+  mux_job_free (read);
+  json_object_set_new (json, "interval_ms", json_integer (MUX_WALL_MS_MAX + 1));
+  assert_null (mux_job_from_json (json, &findings));
+  assert_string_equal (findings.item[0].place, "interval_ms");
+  json_decref (json);
+  mux_job_free (job);
+}
+
 static json_t *
 job_that_names (const char *named)
 {
@@ -172,6 +198,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stored_form_is_read_back),
+    cmocka_unit_test (test_long_interval_is_stored_exactly),
     cmocka_unit_test (test_named_workers_are_read_back),
     cmocka_unit_test (test_names_that_can_not_be_read_are_told),
     cmocka_unit_test (test_what_is_wrong_is_told_together),
