Log what a lost lease and a lost run are taken from

Not reproduced; the lines that came with the report don't tell the hypotheses apart.

Change: worker_dead and worker_heard tell the furthest lease, the call that asked for it and when, and the reading that the worker's clock is computed from; run_ended tells by which evidence; state_refused says whether a job does not exist, which is what its "outcome":4 meant. Workers of the test world have slow clocks on request, and test_cell_random_leases plays runs longer than a lease with workers out of reach and planners lost, late or with a slow store.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -847,7 +847,12 @@
 int64_t cell_longest_lease_ms (void);
 /** cell_worker_extend_lease() - records a request for a full lease from now
  * Return: its expiry on the worker's clock; 0: the clock is not known. */
-int64_t cell_worker_extend_lease (const MuxCell *cell, CellWorker *worker);
+int64_t cell_worker_extend_lease (const MuxCell *cell,
+                                  CellWorker *worker,
+                                  CellLeaseSource source);
+/** cell_lease_json() - what the end of the worker's lease is taken from, for
+ * the log; times in ms, on its clock where the name says so */
+json_t *cell_lease_json (const MuxCell *cell, const CellWorker *worker);
 /** cell_worker_lease_left() - until the latest lease has certainly expired */
 int64_t cell_worker_lease_left (const MuxCell *cell, const CellWorker *worker);
 /** cell_predecessor_lease_left() - until all leases that a predecessor may
@@ -1083,13 +1088,15 @@
  * sent */
 void cell_stops_tick_all (MuxCell *cell);
 /** cell_run_ended() - applies the end of a run and advances its job
+ * @evidence: what shows that it has ended, for the log
  * @checkpoint: what the run saved; "": nothing */
 void cell_run_ended (MuxCell *cell,
                      CellTask *task,
                      CellWorker *worker,
                      uint32_t run,
                      MuxRunEnd end,
-                     MuxBlob *checkpoint);
+                     MuxBlob *checkpoint,
+                     const char *evidence);
 /** cell_end_apply() - applies the end of a run to its task alone: no orders, no
  * check of attempts */
 void cell_end_apply (MuxCell *cell,
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1237,6 +1237,19 @@
   UT_hash_handle hh;
 } CellIncarnations;
 
+/**
+ * enum CellLeaseSource - call, or assumption, that the furthest expiry of a
+ *   lease comes from
+ */
+typedef enum
+{
+  CELL_LEASE_NONE,
+  CELL_LEASE_START,
+  CELL_LEASE_RENEWAL,
+  CELL_LEASE_PREDECESSOR, /* a predecessor's last order */
+  CELL_LEASE_STALE,       /* a late call to an earlier incarnation */
+} CellLeaseSource;
+
 /**
  * struct CellWorker - one incarnation of a worker, as the planner sees it;
  *   owned by MuxCell.workers
@@ -1274,6 +1287,8 @@
  * @clock_ms: its clock, as last reported
  * @clock_at_ms: when that report arrived
  * @lease_expires_ms: furthest lease requested from it, on its clock
+ * @lease_raised_ms: when @lease_expires_ms was set
+ * @lease_source: by what
  * @unanswered_sent_ms: when the last call without a reply was sent; 0: none
  * @late_orders_until_ms: calls to its previous incarnation may still arrive
  *   until then
@@ -1350,6 +1365,8 @@
   int64_t clock_ms;
   int64_t clock_at_ms;
   int64_t lease_expires_ms;
+  int64_t lease_raised_ms;
+  CellLeaseSource lease_source;
   int64_t unanswered_sent_ms;
   int64_t late_orders_until_ms;
   uint64_t acked;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -188,7 +188,8 @@
 
   snprintf (loss.addr, sizeof loss.addr, "%s", worker->info.addr);
   cell_unbook (cell, booking);
-  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, NULL);
+  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, NULL,
+                  worker->replaced ? "worker_replaced" : "lease_over");
   (void) drop_own_pending (task);
   if (long_run || cell_run_clears_task (task, loss.ran_ms))
     (void) drop_all (task);
@@ -220,7 +221,8 @@
   loss.span = booking->previous_span;
   snprintf (previous, sizeof previous, "%s", booking->previous_incarnation);
   cell_unbook (cell, booking);
-  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, NULL);
+  cell_run_ended (cell, task, worker, loss.run, MUX_RUN_LEASE_EXPIRED, NULL,
+                  "stopped_and_not_listed");
   (void) drop_own_pending (task);
   if (counts)
     record_loss (cell, task, previous, worker->info.addr, loss);
--- a/src/cell/job_query.c
+++ b/src/cell/job_query.c
@@ -69,8 +69,9 @@
     cell_log (cell, "cancel", "{s:s, s:i}", "job", query->id, "outcome",
               (int) outcome);
   else if (outcome != MUX_RESPONSE_NO_JOB || query->id[0] != 0)
-    cell_log (cell, "state_refused", "{s:s, s:i}", "job", query->id, "outcome",
-              (int) outcome);
+    cell_log (cell, "state_refused", "{s:s, s:s, s:i}", "job", query->id, "why",
+              outcome == MUX_RESPONSE_NO_JOB ? "no_job" : "no_answer",
+              "outcome", (int) outcome);
   cell_respond (cell, query->request_id, outcome);
   query_free (cell, query);
 }
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -129,6 +129,10 @@
   cell_reports_apply (cell, worker, reply);
   if (first)
     {
+      cell_log (cell, "worker_heard", "{s:s, s:s, s:i, s:i, s:o}", "worker",
+                worker->info.id, "addr", worker->info.addr, "runs",
+                (int) reply->report_count, "ends", (int) reply->end_count,
+                "lease", cell_lease_json (cell, worker));
       cell_incarnation_runs_listed (cell, worker);
       cell_losses_worker_confirmed (cell, worker);
     }
@@ -251,7 +255,7 @@
   call->lease_expires_ms
       = worker->confirmed && worker->reachable
                 && (worker->roster & CELL_ROSTER_WITH_EXPIRY) == 0
-            ? cell_worker_extend_lease (cell, worker)
+            ? cell_worker_extend_lease (cell, worker, CELL_LEASE_RENEWAL)
             : 0;
   worker->renewing = cell_worker_call (cell, worker, call, &pending);
   if (!worker->renewing)
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -120,7 +120,7 @@
     return;
   if (report->end == MUX_RUN_DONE || report->end == MUX_RUN_FAILED)
     cell_run_ended (cell, task, worker, report->run, report->end,
-                    report->checkpoint);
+                    report->checkpoint, "listed");
   if (task->state == CELL_TASK_DONE && task->booking != NULL)
     cell_stop_booking (cell, task->booking);
 }
@@ -159,7 +159,7 @@
   cell_interference_record (cell, task->booking, report->end);
   cell_unbook (cell, task->booking);
   cell_run_ended (cell, task, worker, report->run, report->end,
-                  report->checkpoint);
+                  report->checkpoint, "listed");
   return true;
 }
 
@@ -203,7 +203,8 @@
       return;
     }
   cell_unbook (cell, booking);
-  cell_run_ended (cell, task, worker, run, MUX_RUN_LEASE_EXPIRED, NULL);
+  cell_run_ended (cell, task, worker, run, MUX_RUN_LEASE_EXPIRED, NULL,
+                  "stopped_and_not_listed");
 }
 
 static bool
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -357,7 +357,8 @@
   call->task = pending.task;
   call->run = run;
   call->fence = cell->term;
-  call->lease_expires_ms = cell_worker_extend_lease (cell, worker);
+  call->lease_expires_ms
+      = cell_worker_extend_lease (cell, worker, CELL_LEASE_START);
   call->payload = mux_blob_ref (task->stage->job->payload);
   call->timeout_ms = CELL_WORKER_TIMEOUT_MS;
   mux_count (cell->options.counters, MUX_COUNT_STARTS, 1);
@@ -453,7 +454,8 @@
                 CellWorker *worker,
                 uint32_t run,
                 MuxRunEnd end,
-                MuxBlob *checkpoint)
+                MuxBlob *checkpoint,
+                const char *evidence)
 {
   CellStage *stage = task->stage;
   CellJob *job = stage->job;
@@ -466,10 +468,10 @@
   if (checkpoint != NULL)
     (void) cell_token_set (cell, &task->checkpoint, checkpoint);
   if (end != MUX_RUN_DONE)
-    cell_log (cell, "run_ended", "{s:s, s:i, s:i, s:i, s:s, s:s}", "job",
+    cell_log (cell, "run_ended", "{s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job",
               job->id, "step", (int) stage->step, "task", (int) task->index,
               "run", (int) run, "worker", worker->info.id, "end",
-              mux_run_end_name (end));
+              mux_run_end_name (end), "evidence", evidence);
   if (end == MUX_RUN_FAILED)
     mux_count (cell->options.counters, MUX_COUNT_RUNS_FAILED, 1);
   else if (end == MUX_RUN_STOPPED)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -141,8 +141,12 @@
     return;
   worker->dead = true;
   cell->replan = true;
-  cell_log (cell, "worker_dead", "{s:s, s:s}", "worker", worker->info.id, "why",
-            why);
+  cell_log (cell, "worker_dead", "{s:s, s:s, s:s, s:I, s:o}", "worker",
+            worker->info.id, "why", why, "addr", worker->info.addr, "silent_ms",
+            (json_int_t) (worker->unreachable_since_ms != 0
+                              ? cell->time.now_ms - worker->unreachable_since_ms
+                              : 0),
+            "lease", cell_lease_json (cell, worker));
   if (worker->replaced && !worker->info.draining)
     cell_log_crash (cell, worker);
   cell_late_starts_of_predecessor (cell, worker);
@@ -342,6 +346,7 @@
   worker->list_full_since_ms = 0;
   worker->reachable = false;
   worker->lease_expires_ms = 0;
+  worker->lease_source = CELL_LEASE_NONE;
   worker->stored_expiry_ms = 0;
   worker->lease_over_since_ms = 0;
   worker->next_renew_ms = cell->time.now_ms + CELL_RENEW_PAUSE_MS;
--- a/src/cell/worker_lease.c
+++ b/src/cell/worker_lease.c
@@ -19,8 +19,24 @@
   return worker->clock_ms + passed * (PERCENT - CLOCK_SLOW_PERCENT) / PERCENT;
 }
 
+/* Records that the lease may last until @until on the worker's clock. */
+static void
+raise_lease (const MuxCell *cell,
+             CellWorker *worker,
+             int64_t until,
+             CellLeaseSource source)
+{
+  if (until <= worker->lease_expires_ms)
+    return;
+  worker->lease_expires_ms = until;
+  worker->lease_raised_ms = cell->time.now_ms;
+  worker->lease_source = source;
+}
+
 int64_t
-cell_worker_extend_lease (const MuxCell *cell, CellWorker *worker)
+cell_worker_extend_lease (const MuxCell *cell,
+                          CellWorker *worker,
+                          CellLeaseSource source)
 {
   int64_t until;
 
@@ -28,8 +44,7 @@
     return 0;
   until = worker_clock_min_ms (worker, cell->time.now_ms)
           + cell->options.lease_ms;
-  if (until > worker->lease_expires_ms)
-    worker->lease_expires_ms = until;
+  raise_lease (cell, worker, until, source);
   return until;
 }
 
@@ -157,9 +172,8 @@
 {
   int64_t until = worker->clock_ms + LEASE_MAX_MS;
 
-  if (cell->time.now_ms < worker->late_orders_until_ms
-      && until > worker->lease_expires_ms)
-    worker->lease_expires_ms = until;
+  if (cell->time.now_ms < worker->late_orders_until_ms)
+    raise_lease (cell, worker, until, CELL_LEASE_STALE);
 }
 
 /* A predecessor's last order came before ours, and requested no longer lease
@@ -167,8 +181,33 @@
 void
 cell_lease_of_predecessor (const MuxCell *cell, CellWorker *worker)
 {
-  int64_t until = worker->clock_ms + cell->options.lease_ms;
+  raise_lease (cell, worker, worker->clock_ms + cell->options.lease_ms,
+               CELL_LEASE_PREDECESSOR);
+}
+
+json_t *
+cell_lease_json (const MuxCell *cell, const CellWorker *worker)
+{
+  static const char *const sources[]
+      = { [CELL_LEASE_NONE] = "none",
+          [CELL_LEASE_START] = "start",
+          [CELL_LEASE_RENEWAL] = "renewal",
+          [CELL_LEASE_PREDECESSOR] = "predecessor",
+          [CELL_LEASE_STALE] = "stale" };
+  int64_t now = cell->time.now_ms;
 
-  if (until > worker->lease_expires_ms)
-    worker->lease_expires_ms = until;
+  if (!worker->confirmed)
+    return json_pack (
+        "{s:s, s:I, s:I}", "source",
+        worker->stored_expiry_ms != 0 ? "roster" : "claim", "stored_over_ms",
+        (json_int_t) (worker->stored_expiry_ms != 0
+                          ? now - worker->stored_expiry_ms
+                          : 0),
+        "orders_over_ms", (json_int_t) (now - cell->predecessor.until_ms));
+  return json_pack (
+      "{s:s, s:I, s:I, s:I, s:I}", "source", sources[worker->lease_source],
+      "raised_ms_ago", (json_int_t) (now - worker->lease_raised_ms),
+      "until_clock", (json_int_t) worker->lease_expires_ms, "clock",
+      (json_int_t) worker_clock_min_ms (worker, now), "clock_read_ms_ago",
+      (json_int_t) (now - worker->clock_at_ms));
 }
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -132,6 +132,7 @@
  * @down_until_ms: it has crashed and restarts then; 0: it is up
  * @incarnation: counts its restarts
  * @clock_ms: simulated time at which its own clock was 0
+ * @slow_percent: by which its own clock runs slow
  * @list_ms: time at which its entry in the list of workers is updated after a
  *   restart; 0: up to date
  * @room: ring of its last capacities; @room_next is overwritten next
@@ -153,6 +154,7 @@
   int64_t down_until_ms;
   uint32_t incarnation;
   int64_t clock_ms;
+  uint32_t slow_percent;
   int64_t list_ms;
   WorldRoom room[WORLD_ROOMS_MAX];
   uint32_t room_next;
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -522,7 +522,8 @@
 static int64_t
 clock_of (const World *world, const WorldWorker *worker)
 {
-  return world->now_ms - worker->clock_ms;
+  return (world->now_ms - worker->clock_ms) * (PERCENT - worker->slow_percent)
+         / PERCENT;
 }
 
 /* Checks a call and applies its fence and lease on arrival.  The reply to a
--- a/test/support/chaos_variants.c
+++ b/test/support/chaos_variants.c
@@ -52,6 +52,13 @@
 #define SERVED_MS (3 * OBJECTIVE_MS)
 #define ANSWERED_MS (OBJECTIVE_MS / 4)
 #define SERVED_ONE_IN 4
+/* How long runs take, and with long ones how much longer; one step in so many
+ * changes it. */
+#define TASK_MS 300
+#define LONG_TASK_MS 12000
+#define TASK_TIME_ONE_IN 10
+/* By which workers' clocks are slow at most. */
+#define SLOW_CLOCK_PERCENT 2
 /* One step in so many kills the planner, restarts a daemon that is down, or
  * changes whether one of the UNREACHABLE_WORKERS is reachable. */
 #define LOSE_ONE_IN 150
@@ -191,6 +198,20 @@
         = chaos_below (c, 2) == 0;
 }
 
+static void
+slow_clocks (Chaos *c)
+{
+  for (uint32_t i = 0; i < CHAOS_WORKERS; i++)
+    c->world->worker[i].slow_percent = chaos_below (c, SLOW_CLOCK_PERCENT + 1);
+}
+
+static void
+change_task_time (Chaos *c)
+{
+  if (chaos_below (c, TASK_TIME_ONE_IN) == 0)
+    c->world->task_ms = TASK_MS + (int64_t) chaos_below (c, LONG_TASK_MS);
+}
+
 static void
 play (uint64_t seed, const ChaosVariant *variant)
 {
@@ -204,7 +225,7 @@
                               .tasks = 2,
                               .cpu_milli = 5000,
                               .attempts = CHAOS_ATTEMPTS };
-  world->task_ms = 300;
+  world->task_ms = TASK_MS;
   world->feed_rows = variant->feed_rows;
   if (variant->same_ids)
     world_keep_ids (world);
@@ -215,6 +236,8 @@
     world_skip_approval (world);
   if (seed % 2 == 1)
     world_make_urgent (world);
+  if (variant->long_tasks)
+    slow_clocks (&c);
   world_run (world, 1000);
   for (uint32_t at_ms = 0; at_ms < BUSY_MS; at_ms += CHAOS_STEP_MS)
     {
@@ -234,11 +257,14 @@
         change_room (&c);
       if (variant->bursts)
         burst (&c);
+      if (variant->long_tasks)
+        change_task_time (&c);
       if (seed % 4 < 2)
         chaos_step (&c);
       else
         chaos_step_of_takeovers (&c);
     }
+  world->task_ms = TASK_MS;
   chaos_heal (world);
   if (variant->rooms)
     restore_rooms (world);
--- a/test/support/chaos_variants.h
+++ b/test/support/chaos_variants.h
@@ -16,6 +16,7 @@
  * @same_ids: restarted workers keep their ids
  * @bursts: callers submit at a multiple of the usual rate at times
  * @gone: planners are lost while half of the workers are unreachable
+ * @long_tasks: runs may take longer than a lease, and workers' clocks are slow
  */
 typedef struct
 {
@@ -28,6 +29,7 @@
   bool same_ids;
   bool bursts;
   bool gone;
+  bool long_tasks;
 } ChaosVariant;
 
 /** chaos_play_seeds() - plays RANDOM_SEEDS schedules, from seed RANDOM_SEED on
