Bound the log lines about unreadable rows

What operators saw: some 60 odd entries among the workers' that another writer rewrites each 150 ms leave 6,060 lines, 1.1 MB, in 15 s at the planner.

Cause: a row is reported once for each version, and nothing bounds how often another writer changes it.

Change: at most five lines a second for each table, with the number of rows left out; the counters count all.

Evidence: without the bound test_odd_entries_that_change_fill_no_log fails.

--- a/src/cell/bad_row.c
+++ b/src/cell/bad_row.c
@@ -13,6 +13,11 @@
  * starts over. At 72 bytes an entry: 72 KB at most. */
 #define BAD_ROWS_MAX 1024
 
+/* Lines a second about the rows of a table: another writer may change them as
+ * often as it likes. */
+#define LINES_PER_S 5
+#define MS_PER_S 1000
+
 /**
  * struct CellBadRow - a row that was reported as unreadable
  * @name: hash of its table, part and key
@@ -84,6 +89,24 @@
   return (uint32_t) table < MUX_TABLE_COUNT ? names[table] : "?";
 }
 
+/* Return: whether the table's rows may have another line now. */
+static bool
+may_log (const MuxCell *cell, CellBadRowLines *lines)
+{
+  if (cell->time.now_ms - lines->since_ms >= MS_PER_S)
+    {
+      lines->since_ms = cell->time.now_ms;
+      lines->logged = 0;
+    }
+  if (lines->logged < LINES_PER_S)
+    {
+      lines->logged++;
+      return true;
+    }
+  lines->left_out++;
+  return false;
+}
+
 void
 cell_report_bad_row (MuxCell *cell,
                      const MuxCellRow *row,
@@ -95,12 +118,18 @@
           [CELL_ROW_BAD_VALUE] = MUX_COUNT_ROWS_BAD_VALUE,
           [CELL_ROW_BAD_FIELD] = MUX_COUNT_ROWS_BAD_FIELD };
 
+  CellBadRowLines *lines = &cell->bad_row_lines[row->table];
+
   if (row->removed || !is_new (cell, row))
     return;
   mux_count (cell->options.counters, counters[fault], 1);
-  cell_log (cell, "row_unreadable", "{s:s, s:s, s:s, s:s, s:I}", "table",
+  if (!may_log (cell, lines))
+    return;
+  cell_log (cell, "row_unreadable", "{s:s, s:s, s:s, s:s, s:I, s:i}", "table",
             cell_table_name (row->table), "part", row->part, "key", row->key,
-            "what", what, "version", (json_int_t) row->version);
+            "what", what, "version", (json_int_t) row->version, "left_out",
+            (int) lines->left_out);
+  lines->left_out = 0;
 }
 
 json_t *
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -362,6 +362,19 @@
  * may have room by then. */
 #define CELL_CANDIDATES_AHEAD_MIN 12
 
+/**
+ * struct CellBadRowLines - log lines about unreadable rows of a table
+ * @since_ms: begin of the second that @logged counts
+ * @logged: lines since then
+ * @left_out: rows without a line since the last one that has one
+ */
+typedef struct
+{
+  int64_t since_ms;
+  uint32_t logged;
+  uint32_t left_out;
+} CellBadRowLines;
+
 /**
  * struct CellTokens - checkpoints and proofs that the planner keeps
  * @bytes: memory that they take
@@ -1534,6 +1547,7 @@
   CellWorkspace *workspaces;
   CellService *services;
   CellBadRow *bad_rows;
+  CellBadRowLines bad_row_lines[MUX_TABLE_COUNT];
   CellPart part[CELL_PARTS];
   CellJobQuery *job_queries;
 
--- a/test/unit/test_cell_foreign.c
+++ b/test/unit/test_cell_foreign.c
@@ -1,3 +1,4 @@
+#include "base/counters.h"
 #include "support/cell_world.h"
 #include "support/test.h"
 
@@ -888,6 +889,44 @@
     }
 }
 
+#define ODD_ROWS 60
+#define ODD_EVERY_MS 150
+#define ODD_MS 15000
+#define ODD_LINES_PER_S 5
+
+/* Guards against a log that another writer fills by changing its odd entries
+ * again and again, and against jobs that wait for that. */
+static void
+test_odd_entries_that_change_fill_no_log (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t versions = 0;
+
+  (void) state;
+  world->task_ms = 500;
+  world_run (world, 1000);
+  for (uint32_t at_ms = 0; at_ms < ODD_MS; at_ms += ODD_EVERY_MS)
+    {
+      for (uint32_t i = 0; i < ODD_ROWS; i++, versions++)
+        {
+          char key[MUX_ROW_NAME_LEN];
+
+          snprintf (key, sizeof key, "i-odd-%u", i);
+          world_put_row (world, MUX_TABLE_WORKERS, "", key, GARBAGE);
+        }
+      world_run (world, ODD_EVERY_MS);
+    }
+  assert_true (world_logged (world, "row_unreadable")
+               <= ODD_LINES_PER_S * (ODD_MS / 1000 + 1));
+  assert_true (world_logged (world, "row_unreadable") > 0);
+  assert_int_equal (
+      mux_counter_value (world->counters, MUX_COUNT_ROWS_BAD_VALUE), versions);
+  submit (world, 1, 8, "after");
+  world_run (world, 2000);
+  assert_true (has_completed (world, "after"));
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -915,6 +954,7 @@
     cmocka_unit_test (test_end_of_a_job_whose_id_begins_alike),
     cmocka_unit_test (test_unreadable_configuration),
     cmocka_unit_test (test_noise_in_all_tables),
+    cmocka_unit_test (test_odd_entries_that_change_fill_no_log),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
