--- a/src/cell/approval_query.c
+++ b/src/cell/approval_query.c
@@ -427,7 +427,6 @@
   approval->approved = true;
   if (!keep_proof (cell, approval, granted->proof))
     {
-      approval->proof_expires_ms = 0;
       stage->no_query_until_ms = cell->time.now_ms + NO_MEMORY_BACKOFF_MS;
       return;
     }
--- a/src/cell/token.c
+++ b/src/cell/token.c
@@ -10,8 +10,10 @@
 #define BYTES_PER_MIB ((uint64_t) 1 << 20)
 /* Of the allocator, for each text. */
 #define ALLOCATION_BYTES 16
-/* Between two log lines of a kind. */
+/* Between two log lines. */
 #define LOG_INTERVAL_MS 1000
+/* A control character in JSON. */
+#define JSON_CHAR_BYTES_MAX (sizeof "\\u0000" - 1)
 
 size_t
 cell_json_text_bytes (const char *text, size_t len)
@@ -20,7 +22,7 @@
 
   for (size_t i = 0; i < len; i++)
     if ((unsigned char) text[i] < ' ')
-      bytes += sizeof "\\u0000" - 1;
+      bytes += JSON_CHAR_BYTES_MAX;
     else
       bytes += text[i] == '"' || text[i] == '\\' ? 2 : 1;
   return bytes;
@@ -36,11 +38,14 @@
 bool
 cell_checkpoint_fits (const MuxBlob *checkpoint)
 {
-  return checkpoint == NULL
-         || (checkpoint->len <= MUX_CHECKPOINT_BYTES_MAX
-             && cell_json_text_bytes (checkpoint->bytes, checkpoint->len)
-                    <= MUX_CHECKPOINT_BYTES_MAX
-             && !has_nul (checkpoint));
+  if (checkpoint == NULL)
+    return true;
+  if (checkpoint->len > MUX_CHECKPOINT_BYTES_MAX || has_nul (checkpoint))
+    return false;
+  /* Most are so short that their characters need not be looked at. */
+  return checkpoint->len * JSON_CHAR_BYTES_MAX <= MUX_CHECKPOINT_BYTES_MAX
+         || cell_json_text_bytes (checkpoint->bytes, checkpoint->len)
+                <= MUX_CHECKPOINT_BYTES_MAX;
 }
 
 bool
