Refuse messages between daemons with a field that does not fit

An order could have named another worker, task or run. Read; no daemon of ours sends such a message.

Change: each field is read with its type and range, and one that does not fit makes the call or reply none, like a malformed one.

--- a/src/cell/approval_query_peer.c
+++ b/src/cell/approval_query_peer.c
@@ -14,37 +14,53 @@
  * and one to a query without it leaves out proofs that would be cut.
  */
 
-MuxCellCall *
-cell_approval_query_call (const json_t *query)
+/* Return: false unless it is a number from 0 to UINT32_MAX. */
+static bool
+read_u32 (const json_t *json, const char *field, uint32_t *value)
+{
+  const json_t *number = json_object_get (json, field);
+
+  *value = (uint32_t) json_integer_value (number);
+  return cell_integer_in_range (number, 0, UINT32_MAX);
+}
+
+/* Return: false: a field is missing, too long or out of range. */
+static bool
+read_query (const json_t *query, MuxCellCall *call)
 {
   const json_t *workers = json_object_get (query, "workers");
   const char *job = json_string_value (json_object_get (query, "job"));
-  MuxCellCall *call = mux_cell_call_new (MUX_CELL_QUERY_APPROVAL);
-  size_t count = json_array_size (workers);
 
-  if (call == NULL)
-    return NULL;
-  call->candidate = calloc (count > 0 ? count : 1, sizeof *call->candidate);
-  if (call->candidate == NULL || job == NULL)
-    {
-      mux_cell_call_free (call);
-      return NULL;
-    }
+  if (job == NULL || !mux_job_id_valid (job)
+      || !read_u32 (query, "occurrence", &call->task.occurrence)
+      || !read_u32 (query, "step", &call->task.step)
+      || !read_u32 (query, "timeout_ms", &call->timeout_ms))
+    return false;
   snprintf (call->task.job, sizeof call->task.job, "%s", job);
-  call->task.occurrence
-      = (uint32_t) json_integer_value (json_object_get (query, "occurrence"));
-  call->task.step
-      = (uint32_t) json_integer_value (json_object_get (query, "step"));
-  call->timeout_ms
-      = (uint32_t) json_integer_value (json_object_get (query, "timeout_ms"));
-  for (size_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < call->candidate_count; i++)
     {
       const char *id = json_string_value (json_array_get (workers, i));
 
-      snprintf (call->candidate[i], MUX_NAME_LEN, "%s", id != NULL ? id : "");
+      if (id == NULL || !mux_name_copy (call->candidate[i], id))
+        return false;
     }
+  return true;
+}
+
+MuxCellCall *
+cell_approval_query_call (const json_t *query)
+{
+  size_t count = json_array_size (json_object_get (query, "workers"));
+  MuxCellCall *call = mux_cell_call_new (MUX_CELL_QUERY_APPROVAL);
+
+  if (call == NULL)
+    return NULL;
+  call->candidate = calloc (count > 0 ? count : 1, sizeof *call->candidate);
   call->candidate_count = (uint32_t) count;
-  return call;
+  if (call->candidate != NULL && read_query (query, call))
+    return call;
+  mux_cell_call_free (call);
+  return NULL;
 }
 
 static void
--- a/src/cell/proxy_wire.c
+++ b/src/cell/proxy_wire.c
@@ -140,51 +140,77 @@
   put_number (writer, task->index);
 }
 
-/* Return: 0 if it is no number in range. */
+/* Fields of an array that was received.  @ok tells whether all that were read
+ * so far are of their types and ranges. */
+typedef struct
+{
+  const msgpack_object *list;
+  bool ok;
+} Reader;
+
+/* Return: 0 unless it is a number from @min to @max. */
 static int64_t
-number_at (const msgpack_object *list, uint32_t i)
+number_at (Reader *reader, uint32_t i, int64_t min, int64_t max)
 {
-  const msgpack_object *item = &list->via.array.ptr[i];
+  const msgpack_object *item = &reader->list->via.array.ptr[i];
+  bool is_number = item->type == MSGPACK_OBJECT_NEGATIVE_INTEGER
+                   || (item->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+                       && item->via.u64 <= INT64_MAX);
 
-  if (item->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+  if (is_number && item->via.i64 >= min && item->via.i64 <= max)
     return item->via.i64;
-  if (item->type == MSGPACK_OBJECT_POSITIVE_INTEGER
-      && item->via.u64 <= INT64_MAX)
-    return (int64_t) item->via.u64;
+  reader->ok = false;
   return 0;
 }
 
+static uint32_t
+u32_at (Reader *reader, uint32_t i)
+{
+  return (uint32_t) number_at (reader, i, 0, UINT32_MAX);
+}
+
+static uint64_t
+u63_at (Reader *reader, uint32_t i)
+{
+  return (uint64_t) number_at (reader, i, 0, INT64_MAX);
+}
+
 static void
-text_at (const msgpack_object *list, uint32_t i, char *text, size_t size)
+text_at (Reader *reader, uint32_t i, char *text, size_t size)
 {
-  const msgpack_object *item = &list->via.array.ptr[i];
-  size_t len = item->type == MSGPACK_OBJECT_BIN ? item->via.bin.size : 0;
+  const msgpack_object *item = &reader->list->via.array.ptr[i];
 
-  if (len >= size)
-    len = size - 1;
-  if (len > 0)
-    memcpy (text, item->via.bin.ptr, len);
-  text[len] = 0;
+  text[0] = 0;
+  if (item->type != MSGPACK_OBJECT_BIN || item->via.bin.size >= size)
+    {
+      reader->ok = false;
+      return;
+    }
+  memcpy (text, item->via.bin.ptr, item->via.bin.size);
+  text[item->via.bin.size] = 0;
 }
 
 /* Return: NULL for an empty text. */
 static MuxBlob *
-token_at (const msgpack_object *list, uint32_t i)
+token_at (Reader *reader, uint32_t i)
 {
-  const msgpack_object *item = &list->via.array.ptr[i];
+  const msgpack_object *item = &reader->list->via.array.ptr[i];
 
-  return item->type == MSGPACK_OBJECT_BIN && item->via.bin.size > 0
-             ? mux_blob_new (item->via.bin.ptr, item->via.bin.size)
-             : NULL;
+  if (item->type == MSGPACK_OBJECT_BIN)
+    return item->via.bin.size > 0
+               ? mux_blob_new (item->via.bin.ptr, item->via.bin.size)
+               : NULL;
+  reader->ok = false;
+  return NULL;
 }
 
 static void
-task_at (const msgpack_object *list, uint32_t i, MuxTaskRef *task)
+task_at (Reader *reader, uint32_t i, MuxTaskRef *task)
 {
-  text_at (list, i, task->job, sizeof task->job);
-  task->occurrence = (uint32_t) number_at (list, i + 1);
-  task->step = (uint32_t) number_at (list, i + 2);
-  task->index = (uint32_t) number_at (list, i + 3);
+  text_at (reader, i, task->job, sizeof task->job);
+  task->occurrence = u32_at (reader, i + 1);
+  task->step = u32_at (reader, i + 2);
+  task->index = u32_at (reader, i + 3);
 }
 
 static bool
@@ -239,10 +265,10 @@
 }
 
 static MuxCellCall *
-read_call (const msgpack_object *list)
+read_call (Reader *reader)
 {
-  const msgpack_object *payload = &list->via.array.ptr[CALL_PAYLOAD];
-  int64_t verb = number_at (list, CALL_VERB);
+  const msgpack_object *payload = &reader->list->via.array.ptr[CALL_PAYLOAD];
+  int64_t verb = number_at (reader, CALL_VERB, 0, MUX_CELL_PACE);
   MuxCellCall *call;
 
   if (payload->type != MSGPACK_OBJECT_BIN
@@ -252,22 +278,22 @@
   call = mux_cell_call_new ((MuxCellVerb) verb);
   if (call == NULL)
     return NULL;
-  call->timeout_ms = (uint32_t) number_at (list, CALL_TIMEOUT);
-  text_at (list, CALL_ADDR, call->addr, sizeof call->addr);
-  text_at (list, CALL_WORKER, call->worker, sizeof call->worker);
-  task_at (list, CALL_TASK, &call->task);
-  call->run = (uint32_t) number_at (list, CALL_RUN);
-  call->fence = (uint64_t) number_at (list, CALL_FENCE);
-  call->lease_expires_ms = number_at (list, CALL_LEASE);
-  call->acked = (uint64_t) number_at (list, CALL_ACKED);
+  call->timeout_ms = u32_at (reader, CALL_TIMEOUT);
+  text_at (reader, CALL_ADDR, call->addr, sizeof call->addr);
+  text_at (reader, CALL_WORKER, call->worker, sizeof call->worker);
+  task_at (reader, CALL_TASK, &call->task);
+  call->run = u32_at (reader, CALL_RUN);
+  call->fence = u63_at (reader, CALL_FENCE);
+  call->lease_expires_ms = number_at (reader, CALL_LEASE, INT64_MIN, INT64_MAX);
+  call->acked = u63_at (reader, CALL_ACKED);
   if (verb == MUX_CELL_PACE)
-    call->percent = (uint32_t) number_at (list, CALL_WAIT);
+    call->percent = u32_at (reader, CALL_WAIT);
   else
-    call->wait_ms = (uint32_t) number_at (list, CALL_WAIT);
-  call->checkpoint = token_at (list, CALL_CHECKPOINT);
-  call->proof = token_at (list, CALL_PROOF);
+    call->wait_ms = u32_at (reader, CALL_WAIT);
+  call->checkpoint = token_at (reader, CALL_CHECKPOINT);
+  call->proof = token_at (reader, CALL_PROOF);
   call->payload = mux_blob_new (payload->via.bin.ptr, payload->via.bin.size);
-  if (call->payload != NULL && call->addr[0] != 0)
+  if (reader->ok && call->payload != NULL && call->addr[0] != 0)
     return call;
   mux_cell_call_free (call);
   return NULL;
@@ -368,11 +394,13 @@
 {
   MuxCellCall *call = NULL;
   msgpack_unpacked unpacked;
+  Reader reader = { .list = &unpacked.data, .ok = true };
   bool whole;
 
   if (unpack (&unpacked, blob, CALL_FIELDS, &whole)
-      && (!whole || number_at (&unpacked.data, CALL_FIELDS) == WHOLE_FORMAT))
-    call = read_call (&unpacked.data);
+      && (!whole
+          || number_at (&reader, CALL_FIELDS, WHOLE_FORMAT, WHOLE_FORMAT) != 0))
+    call = read_call (&reader);
   msgpack_unpacked_destroy (&unpacked);
   return call;
 }
@@ -392,24 +420,28 @@
                          : NULL);
 }
 
-static void
+/* Return: false: a field is not of its type or range. */
+static bool
 read_report (const msgpack_object *list, MuxRunReport *report, bool whole)
 {
-  int64_t end = number_at (list, REPORT_END);
+  Reader reader = { .list = list, .ok = true };
+  int64_t end = number_at (&reader, REPORT_END, INT64_MIN, INT64_MAX);
 
-  task_at (list, REPORT_TASK, &report->task);
-  report->run = (uint32_t) number_at (list, REPORT_RUN);
-  report->percent = (uint32_t) number_at (list, REPORT_PERCENT);
-  report->usage = (uint32_t) number_at (list, REPORT_USAGE);
-  report->end_number = (uint64_t) number_at (list, REPORT_NUMBER);
+  task_at (&reader, REPORT_TASK, &report->task);
+  report->run = u32_at (&reader, REPORT_RUN);
+  report->percent = u32_at (&reader, REPORT_PERCENT);
+  report->usage = u32_at (&reader, REPORT_USAGE);
+  report->end_number = u63_at (&reader, REPORT_NUMBER);
   report->end = end >= 0 && end <= MUX_RUN_GANG_INCOMPLETE
                     ? (MuxRunEnd) end
                     : MUX_RUN_LEASE_EXPIRED;
-  report->checkpoint = token_at (list, REPORT_CHECKPOINT);
-  if (whole || cell_token_is_short (report->checkpoint))
-    return;
-  mux_blob_unref (report->checkpoint);
-  report->checkpoint = NULL;
+  report->checkpoint = token_at (&reader, REPORT_CHECKPOINT);
+  if (!whole && !cell_token_is_short (report->checkpoint))
+    {
+      mux_blob_unref (report->checkpoint);
+      report->checkpoint = NULL;
+    }
+  return reader.ok;
 }
 
 MuxBlob *
@@ -443,9 +475,10 @@
     {
       if (!is_array (&list->via.array.ptr[i], REPORT_FIELDS))
         return false;
-      read_report (&list->via.array.ptr[i], &reply->report[i], whole);
-      reply->end_count += reply->report[i].end_number != 0;
       reply->report_count++;
+      if (!read_report (&list->via.array.ptr[i], &reply->report[i], whole))
+        return false;
+      reply->end_count += reply->report[i].end_number != 0;
     }
   return true;
 }
@@ -453,24 +486,24 @@
 static MuxCellReply *
 read_reply (const msgpack_object *list, uint64_t call_id, bool whole)
 {
-  MuxCellCall call = { .verb = (MuxCellVerb) number_at (list, REPLY_VERB),
+  Reader reader = { .list = list, .ok = true };
+  MuxCellCall call = { .verb = (MuxCellVerb) number_at (&reader, REPLY_VERB, 0,
+                                                        MUX_CELL_PACE),
                        .call_id = call_id };
-  int64_t status = number_at (list, REPLY_STATUS);
-  MuxCellReply *reply;
+  int64_t status = number_at (&reader, REPLY_STATUS, 0, MUX_CELL_BAD_REQUEST);
+  MuxCellReply *reply = mux_cell_reply_new (&call, (MuxCellStatus) status);
 
-  if (status < 0 || status > MUX_CELL_BAD_REQUEST)
-    return NULL;
-  reply = mux_cell_reply_new (&call, (MuxCellStatus) status);
   if (reply == NULL)
     return NULL;
-  reply->worker_clock_ms = number_at (list, REPLY_CLOCK);
-  reply->worker_started_ms = (uint64_t) number_at (list, REPLY_STARTED);
-  if (read_reports (&list->via.array.ptr[REPLY_REPORTS], reply, whole))
-    {
-      if (whole)
-        reply->end_count = (uint32_t) number_at (list, REPLY_END_COUNT);
-      return reply;
-    }
+  reply->worker_clock_ms
+      = number_at (&reader, REPLY_CLOCK, INT64_MIN, INT64_MAX);
+  reply->worker_started_ms = u63_at (&reader, REPLY_STARTED);
+  reader.ok = read_reports (&list->via.array.ptr[REPLY_REPORTS], reply, whole)
+              && reader.ok;
+  if (whole)
+    reply->end_count = u32_at (&reader, REPLY_END_COUNT);
+  if (reader.ok)
+    return reply;
   mux_cell_reply_free (reply);
   return NULL;
 }
--- a/test/unit/test_cell_tokens.c
+++ b/test/unit/test_cell_tokens.c
@@ -219,6 +219,104 @@
   mux_cell_call_free (call);
 }
 
+static void
+pack_text (msgpack_packer *packer, const char *text)
+{
+  msgpack_pack_bin_with_body (packer, text, strlen (text));
+}
+
+/* A proxied start with these fields. */
+static MuxBlob *
+start_bytes (const char *worker, const char *job, uint64_t run)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  MuxBlob *blob;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 16);
+  msgpack_pack_int64 (&packer, MUX_CELL_START);
+  msgpack_pack_int64 (&packer, 1500);
+  pack_text (&packer, "127.0.0.1:80");
+  pack_text (&packer, worker);
+  pack_text (&packer, job);
+  for (uint32_t i = 0; i < 3; i++)
+    msgpack_pack_int64 (&packer, 0);
+  msgpack_pack_uint64 (&packer, run);
+  for (uint32_t i = 0; i < 4; i++)
+    msgpack_pack_int64 (&packer, 7);
+  for (uint32_t i = 0; i < 3; i++)
+    pack_text (&packer, "x");
+  blob = mux_blob_new (buffer.data, buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return blob;
+}
+
+static bool
+is_start (const char *worker, const char *job, uint64_t run)
+{
+  MuxBlob *blob = start_bytes (worker, job, run);
+  MuxCellCall *call = cell_proxied_call_decode (blob);
+  bool decoded = call != NULL;
+
+  mux_cell_call_free (call);
+  mux_blob_unref (blob);
+  return decoded;
+}
+
+/* Guards against an order for another worker, task or run because a field of
+ * the one received was cut or read as 0. */
+static void
+test_proxied_call_with_a_field_that_does_not_fit_is_none (void **state)
+{
+  char name[MUX_NAME_LEN + 1];
+
+  (void) state;
+  memset (name, 'w', sizeof name - 1);
+  name[sizeof name - 1] = 0;
+  assert_true (is_start ("i-1", "5c0e7a21d94b36f8", 1));
+  assert_true (is_start (name + 1, "5c0e7a21d94b36f8", UINT32_MAX));
+  assert_false (is_start (name, "5c0e7a21d94b36f8", 1));
+  assert_false (is_start ("i-1", name, 1));
+  assert_false (is_start ("i-1", "5c0e7a21d94b36f8", UINT64_C (1) << 32));
+  assert_false (is_start ("i-1", "5c0e7a21d94b36f8", UINT64_MAX));
+}
+
+/* Guards against a query about another step or worker for the same reason. */
+static void
+test_approval_query_with_a_field_that_does_not_fit_is_none (void **state)
+{
+  static const char *const queries[] = {
+    "{\"job\":\"a\",\"occurrence\":0,\"step\":0,\"timeout_ms\":5}",
+    "{\"job\":\"a\",\"occurrence\":4294967296,\"step\":0,\"timeout_ms\":5}",
+    "{\"job\":\"a\",\"occurrence\":0,\"step\":-1,\"timeout_ms\":5}",
+    "{\"job\":\"a\",\"occurrence\":0,\"step\":\"1\",\"timeout_ms\":5}",
+    "{\"job\":\"a\",\"occurrence\":0,\"step\":0}",
+    "{\"job\":\"a b\",\"occurrence\":0,\"step\":0,\"timeout_ms\":5}",
+    "{\"job\":\"a\",\"occurrence\":0,\"step\":0,\"timeout_ms\":5,"
+    "\"workers\":[\"0123456789abcdef0123456789abcdef0123456789abcdef\"]}",
+    "{\"job\":\"a\",\"occurrence\":0,\"step\":0,\"timeout_ms\":5,"
+    "\"workers\":[7]}"
+  };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof queries / sizeof queries[0]; i++)
+    {
+      json_t *json = json_loads (queries[i], 0, NULL);
+      MuxCellCall *call = cell_approval_query_call (json);
+
+      assert_non_null (json);
+      /* The first one is valid. */
+      if (i == 0)
+        assert_non_null (call);
+      else
+        assert_null (call);
+      mux_cell_call_free (call);
+      json_decref (json);
+    }
+}
+
 static MuxCellReply *
 reply_with (MuxBlob *checkpoint)
 {
@@ -304,6 +402,9 @@
     cmocka_unit_test (test_proofs_take_a_bounded_part_of_memory),
     cmocka_unit_test (
         test_long_proxied_call_is_no_call_of_the_previous_protocol),
+    cmocka_unit_test (test_proxied_call_with_a_field_that_does_not_fit_is_none),
+    cmocka_unit_test (
+        test_approval_query_with_a_field_that_does_not_fit_is_none),
     cmocka_unit_test (
         test_long_checkpoints_are_left_out_for_the_previous_protocol),
     cmocka_unit_test (test_checkpoint_that_may_be_cut_is_not_used),
