Store jobs with a long interval without the planner

What callers would see: a job with an interval over 32 bits that is relayed to a planner of the previous version gets 504 for as long as that one plans.

Cause: such a planner can't read the job and drops it without a reply, so that the daemon that took it waits until the caller's time is over.

Change: a job that the previous version can't read is not relayed; the daemon that took it stores it.

Evidence: without the change test_job_of_a_long_interval_is_stored_by_its_daemon fails.

--- a/src/cell/relay.c
+++ b/src/cell/relay.c
@@ -25,6 +25,14 @@
                 < HELLO_REPLY_MAX_AGE_MS;
 }
 
+/* A planner of the previous version can't read a longer interval, and drops the
+ * job without a reply. */
+static bool
+previous_version_reads (const MuxJobSpec *job)
+{
+  return job->interval_ms <= UINT32_MAX;
+}
+
 bool
 cell_relay (MuxCell *cell, CellSubmission *submission)
 {
@@ -32,7 +40,8 @@
       = cell_message (cell, MUX_PEER_SUBMIT_REQUEST, cell->claim.name);
 
   if (cell->role != CELL_FOLLOWER || cell->claim.incarnation == 0
-      || !cell_planner_is_reachable (cell))
+      || !cell_planner_is_reachable (cell)
+      || !previous_version_reads (submission->job))
     return false;
   msg.call_id = cell_peer_request_id (cell, submission->request_id);
   msg.body = submission->value;
--- a/test/unit/test_cell_time_of_day.c
+++ b/test/unit/test_cell_time_of_day.c
@@ -367,6 +367,36 @@
     }
 }
 
+/* Guards against a job that is never accepted beside a planner of the previous
+ * version, which drops one with a longer interval when it is relayed. */
+static void
+test_job_of_a_long_interval_is_stored_by_its_daemon (void **state)
+{
+  World *world = world_new (CELLS, WORKERS);
+  uint32_t follower;
+  uint32_t commits;
+  uint64_t call;
+
+  (void) state;
+  world_run (world, 2000);
+  follower = (world_planner (world) + 1) % CELLS;
+  commits = world->own_commits[follower];
+  call = world_submit (world, follower, timed_job (world, 0, 2, UINT32_MAX),
+                       "relayed");
+  world_run (world, 500);
+  assert_int_equal (world->response[call].outcome, MUX_RESPONSE_ACCEPTED);
+  assert_int_equal (world->own_commits[follower], commits);
+  call = world_submit (world, follower,
+                       timed_job (world, 0, 2, INT64_C (1) << 32), "stored");
+  world_run (world, 500);
+  assert_int_equal (world->response[call].outcome, MUX_RESPONSE_ACCEPTED);
+  assert_true (world->own_commits[follower] > commits);
+  world_run (world, 3000);
+  assert_int_equal (world_starts (world, "relayed"), 1);
+  assert_int_equal (world_starts (world, "stored"), 1);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -384,6 +414,7 @@
     cmocka_unit_test (test_progress_of_many_occurrences_fits_into_a_row),
     cmocka_unit_test (test_progress_of_many_late_rounds_fits_into_a_row),
     cmocka_unit_test (test_occurrences_of_long_intervals_wait),
+    cmocka_unit_test (test_job_of_a_long_interval_is_stored_by_its_daemon),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
