Take progress with a name or run that does not fit as unreadable

What callers would see: tasks that may run or be done are started again after a takeover, if another writer changed their job's row of progress.

A worker's name in the record of approved workers was cut at 47 bytes, or left out if it is no text, and a successor waits for the workers of that list alone; numbers of failed runs were read by their lower 32 bits, or as 0, and names and addresses of lost runs were cut.

Change: such a field makes the row unreadable like any other bad field; the job fails then, as its done tasks might run again, and no other is touched.

--- a/src/cell/crash_rows.c
+++ b/src/cell/crash_rows.c
@@ -109,6 +109,12 @@
          && is_number_if_any (json_array_get (run, RUN_RAN_MS), INT64_MAX / 2);
 }
 
+static bool
+is_text (const json_t *value, size_t size)
+{
+  return json_is_string (value) && json_string_length (value) < size;
+}
+
 static bool
 is_group (const json_t *group, uint32_t first, uint32_t count)
 {
@@ -118,8 +124,8 @@
 
   json_array_foreach (runs, i,
                       run) if (!is_run (run, first, count)) return false;
-  return json_is_string (json_array_get (group, LOST_WORKER))
-         && json_is_string (json_array_get (group, LOST_ADDR))
+  return is_text (json_array_get (group, LOST_WORKER), MUX_NAME_LEN)
+         && is_text (json_array_get (group, LOST_ADDR), MUX_ADDR_LEN)
          && json_is_boolean (json_array_get (group, LOST_ENDED))
          && json_is_integer (json_array_get (group, LOST_AT))
          && json_is_array (runs);
--- a/src/cell/progress_fields.c
+++ b/src/cell/progress_fields.c
@@ -166,6 +166,50 @@
   return json_is_array (list);
 }
 
+bool
+cell_runs_valid (const json_t *list)
+{
+  const json_t *run;
+  size_t i;
+
+  json_array_foreach (list, i, run)
+  {
+    if (!cell_integer_in_range (run, 0, UINT32_MAX))
+      return false;
+  }
+  return json_is_array (list);
+}
+
+bool
+cell_failures_valid (const json_t *list, CellTaskRange range)
+{
+  const json_t *pair;
+  size_t i;
+
+  if (!cell_pairs_valid (list, range, JSON_ARRAY))
+    return false;
+  json_array_foreach (list, i, pair)
+  {
+    if (!cell_runs_valid (json_array_get (pair, 1)))
+      return false;
+  }
+  return true;
+}
+
+bool
+cell_workers_valid (const json_t *list)
+{
+  const json_t *worker;
+  size_t i;
+
+  json_array_foreach (list, i, worker)
+  {
+    if (!json_is_string (worker) || json_string_length (worker) >= MUX_NAME_LEN)
+      return false;
+  }
+  return json_is_array (list);
+}
+
 bool
 cell_done_valid (const json_t *value, CellTaskRange range)
 {
--- a/src/cell/progress_fields.h
+++ b/src/cell/progress_fields.h
@@ -46,6 +46,13 @@
 /** cell_pairs_valid() - @list is a list of pairs of the index of a task of
  * @range and a value of @type */
 bool cell_pairs_valid (const json_t *list, CellTaskRange range, json_type type);
+/** cell_runs_valid() - @list is a list of run numbers */
+bool cell_runs_valid (const json_t *list);
+/** cell_failures_valid() - @list is one of cell_failures_json() for @range */
+bool cell_failures_valid (const json_t *list, CellTaskRange range);
+/** cell_workers_valid() - @list is a list of names; one that were cut or left
+ * out would not be waited for */
+bool cell_workers_valid (const json_t *list);
 bool cell_done_valid (const json_t *value, CellTaskRange range);
 bool
 cell_integer_in_range (const json_t *value, json_int_t min, json_int_t max);
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -102,9 +102,9 @@
     return "step";
   if (!cell_done_valid (json_object_get (json, "done"), all))
     return "done";
-  if (!json_is_array (json_object_get (json, "gang_failures")))
+  if (!cell_runs_valid (json_object_get (json, "gang_failures")))
     return "gang_failures";
-  if (!cell_pairs_valid (json_object_get (json, "failures"), all, JSON_ARRAY))
+  if (!cell_failures_valid (json_object_get (json, "failures"), all))
     return "failures";
   if (!cell_pairs_valid (json_object_get (json, "saved"), all, JSON_STRING))
     return "saved";
@@ -112,7 +112,8 @@
     return "saved_whole";
   if (!cell_losses_valid (json_object_get (json, "lost"), all.first, all.count))
     return "lost";
-  return json_is_array (json_object_get (json, "workers")) ? NULL : "workers";
+  return cell_workers_valid (json_object_get (json, "workers")) ? NULL
+                                                                : "workers";
 }
 
 /* Number of stages that are stored as a number alone; 0 in rows of an earlier
--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -332,9 +332,9 @@
 
   if (!is_absent_or (done, cell_done_valid (done, range)))
     return "done";
-  if (!is_absent_or (runs, json_is_array (runs)))
+  if (!is_absent_or (runs, cell_runs_valid (runs)))
     return "gang_failures";
-  if (!is_absent_or (failures, cell_pairs_valid (failures, range, JSON_ARRAY)))
+  if (!is_absent_or (failures, cell_failures_valid (failures, range)))
     return "failures";
   if (!is_absent_or (saved, cell_pairs_valid (saved, range, JSON_STRING)))
     return "saved";
@@ -377,7 +377,7 @@
 
   if (row.kind == CELL_SPLIT_TASKS)
     return apply_tasks (cell, stage, row.number, json);
-  if (!json_is_array (workers))
+  if (!cell_workers_valid (workers))
     return "workers";
   cell_approvals_apply (stage, workers);
   return NULL;
--- a/test/unit/test_cell_foreign.c
+++ b/test/unit/test_cell_foreign.c
@@ -21,6 +21,8 @@
 #define TAKEOVER_MS 4000
 /* A takeover and the wait for the longest lease of an unconfirmed worker. */
 #define LEASES_OVER_MS 16000
+/* A byte longer than any name. */
+#define LONG_NAME "0123456789abcdef0123456789abcdef0123456789abcdef"
 /* Bytes that this program never writes. */
 #define GARBAGE "\x01\xff{\"addr\""
 
@@ -434,15 +436,29 @@
     const char *field;
     const char *value;
   } changes[] = {
-    { "started", NULL },       { "occurrences", "\"1\"" },
-    { "occurrences", "0" },    { "occurrences", "4294967295" },
-    { "stages", "[]" },        { "stages", "{}" },
-    { "stages", "[7,7,7]" },   { "occurrence", "1" },
-    { "step", "1" },           { "step", "-1" },
-    { "done", "255" },         { "done", "\"zz\"" },
-    { "done", "\"0\"" },       { "gang_failures", "3" },
-    { "failures", "[[0,5]]" }, { "failures", "[[8,[1]]]" },
-    { "saved", "[[0,{}]]" },   { "workers", NULL },
+    { "started", NULL },
+    { "occurrences", "\"1\"" },
+    { "occurrences", "0" },
+    { "occurrences", "4294967295" },
+    { "stages", "[]" },
+    { "stages", "{}" },
+    { "stages", "[7,7,7]" },
+    { "occurrence", "1" },
+    { "step", "1" },
+    { "step", "-1" },
+    { "done", "255" },
+    { "done", "\"zz\"" },
+    { "done", "\"0\"" },
+    { "gang_failures", "3" },
+    { "failures", "[[0,5]]" },
+    { "failures", "[[8,[1]]]" },
+    { "saved", "[[0,{}]]" },
+    { "workers", NULL },
+    { "workers", "[7]" },
+    { "workers", "[\"" LONG_NAME "\"]" },
+    { "gang_failures", "[\"1\"]" },
+    { "gang_failures", "[4294967296]" },
+    { "failures", "[[0,[-1]]]" },
   };
 
   (void) state;
