Keep objects only for tasks that were started

cell_stage_new() allocated 120 bytes for each task when a job was added: 31 MB for one request, and the same again at each takeover.

Now a task has an object from its first start until it is done. All others share two constant objects, and a stage of which no task was started has not even a table. Objects that say no more than a shared one are freed at the next tick, when no other code holds on to a task. Rows of a split progress of which nothing is known are not built in each pass.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -134,7 +134,9 @@
   X (QUEUES_UNUSABLE, "queues_unusable",                                       \
      "queues in force that take no jobs as a field can't be used")             \
   X (REQUEST_MEMORY, "request_memory_bytes",                                   \
-     "memory reserved for large bodies of callers")
+     "memory reserved for large bodies of callers")                            \
+  X (TASK_OBJECTS, "task_objects",                                             \
+     "planner: tasks that were started and are not done, or lost runs")
 
 /* Histograms of times in milliseconds, SPEED of thousandths: symbol, exported
  * name, help. */
--- a/src/cell/approval_query.c
+++ b/src/cell/approval_query.c
@@ -346,7 +346,7 @@
       return false;
     }
   query->number = ++cell->last_approval_query;
-  query->step = cell_task_ref (&stage->task[0]);
+  query->step = cell_stage_ref (stage);
   query->candidate_count = count;
   query->is_renewal = is_renewal (stage, candidates, count);
   query->sent_ms = cell->time.now_ms;
@@ -477,19 +477,19 @@
                           uint32_t valid_ms)
 {
   CellApprovalQuery *query;
-  CellTask *task;
+  CellStage *stage;
 
   HASH_FIND (hh, cell->approval_queries, &number, sizeof number, query);
   if (query == NULL)
     return;
-  task = cell_task_find (cell, &query->step);
+  stage = cell_stage_find (cell, &query->step);
   release_member (cell, query, answered);
-  if (task != NULL)
+  if (stage != NULL)
     {
-      end_query (cell, task->stage, query, answered);
-      cell_step_query_done (cell, task->stage, query, count);
+      end_query (cell, stage, query, answered);
+      cell_step_query_done (cell, stage, query, count);
       for (uint32_t i = 0; i < count; i++)
-        apply_approval (cell, task->stage, &approvals[i],
+        apply_approval (cell, stage, &approvals[i],
                         cell->time.processed_ms + valid_ms);
     }
   cell_log (cell, "approvals", "{s:s, s:i, s:s, s:b, s:b, s:i, s:i, s:I}",
--- a/src/cell/approval_record.c
+++ b/src/cell/approval_record.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -57,11 +57,11 @@
 static bool
 added_before (const CellStage *stage, uint32_t index)
 {
-  const CellWorker *worker = stage->task[index].booking->worker;
+  const CellWorker *worker = cell_task_view (stage, index)->booking->worker;
 
   for (uint32_t i = 0; i < index; i++)
-    if (stage->task[i].booking != NULL
-        && stage->task[i].booking->worker == worker)
+    if (cell_task_view (stage, i)->booking != NULL
+        && cell_task_view (stage, i)->booking->worker == worker)
       return true;
   return false;
 }
@@ -77,9 +77,9 @@
 static void
 add_workers_of_runs (const CellStage *stage, json_t **row, uint32_t rows)
 {
-  for (uint32_t i = 0; i < stage->spec->count; i++)
+  for (uint32_t i = 0; i < stage->spec->count && stage->task_objects > 0; i++)
     {
-      const CellBooking *booking = stage->task[i].booking;
+      const CellBooking *booking = cell_task_view (stage, i)->booking;
 
       if (booking == NULL || is_approved (stage, booking->worker)
           || was_recorded (stage, booking->worker->info.id)
--- a/src/cell/availability.c
+++ b/src/cell/availability.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 /*
  * Whether an order of ours may take away a run that is at work.
@@ -32,6 +32,7 @@
   if (!stage->spec->long_running || stage->spec->unavailable_max == 0)
     return true;
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    away += &stage->task[i] != booking->task && !is_at_work (&stage->task[i]);
+    away += cell_task_view (stage, i) != booking->task
+            && !is_at_work (cell_task_view (stage, i));
   return away < stage->spec->unavailable_max;
 }
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -236,6 +236,7 @@
 mux_cell_tick (MuxCell *cell, MuxCellTime time)
 {
   cell_set_time (cell, time);
+  cell_tasks_tick (cell);
   if (cell->last_event_ms == 0)
     cell->last_event_ms = time.now_ms;
   cell_claim_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -513,8 +513,13 @@
 /** cell_job_watch() - checks the job periodically from now on */
 void cell_job_watch (MuxCell *cell, CellJob *job);
 void cell_jobs_tick (MuxCell *cell);
-/** cell_task_find() - NULL: its job, or that occurrence of it, is not known */
+/** cell_stage_find() - stage of the task; NULL: its job, or that occurrence of
+ * it, is not known */
+CellStage *cell_stage_find (MuxCell *cell, const MuxTaskRef *ref);
+/** cell_task_find() - the same for its object, see cell_task_get() */
 CellTask *cell_task_find (MuxCell *cell, const MuxTaskRef *ref);
+/** cell_stage_ref() - names the first task of the stage */
+MuxTaskRef cell_stage_ref (const CellStage *stage);
 MuxTaskRef cell_task_ref (const CellTask *task);
 
 /* occurrence.c */
@@ -1014,8 +1019,9 @@
 /* speed_wait.c: tasks that wait for a faster worker */
 /** cell_waits_for_speed() - whether the task waits instead of starting on
  * @free, which is too slow for it */
-bool
-cell_waits_for_speed (MuxCell *cell, CellTask *task, const CellWorker *free);
+bool cell_waits_for_speed (MuxCell *cell,
+                           const CellTask *task,
+                           const CellWorker *free);
 
 /* speed_defer.c: stages that would be late on the workers left for them */
 /** cell_stage_defer() - places the stage again at the end of the next full pass
@@ -1196,7 +1202,7 @@
 /** cell_losses_valid() - checks the stored losses of these tasks; NULL is valid
  */
 bool cell_losses_valid (const json_t *list, uint32_t first, uint32_t count);
-void cell_losses_apply (CellStage *stage, const json_t *list);
+void cell_losses_apply (MuxCell *cell, CellStage *stage, const json_t *list);
 
 /* suspect.c: where tasks suspected of crashing workers may start */
 /** cell_start_needs_record() - the start has to be stored first, for a
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -572,7 +572,7 @@
 } CellLosses;
 
 /**
- * struct CellTask - a task of a stage; owned by the stage
+ * struct CellTask - a task of a stage that was started; owned by the stage
  * @stage: the stage
  * @index: of the task in it
  * @state: see enum CellTaskState
@@ -584,6 +584,7 @@
  * @booking: the run that is, or may be, at a worker; NULL: none
  * @checkpoint: what the next run resumes from, see cell_token_set(); owned;
  *   NULL: nothing
+ * @is_changed: in MuxCell.changed_tasks
  */
 struct CellTask
 {
@@ -597,6 +598,9 @@
   CellLoss *loss;
   CellBooking *booking;
   MuxBlob *checkpoint;
+  bool is_changed;
+  CellTask *changed_prev;
+  CellTask *changed_next;
 };
 
 /**
@@ -914,7 +918,10 @@
  * @hold_count: entries of @hold
  * @hold: gang: room held while its proofs are renewed; owned
  * @holds_expire_ms: when that room is released
- * @task: spec->count tasks; owned
+ * @task: table of its tasks by index, see stage_tasks.h; owned; NULL: none has
+ *   an object
+ * @task_objects: tasks with an object
+ * @all_done: without a table: all tasks are done; else none was started
  */
 struct CellStage
 {
@@ -978,7 +985,9 @@
   uint32_t hold_count;
   CellHold *hold;
   int64_t holds_expire_ms;
-  CellTask *task;
+  CellTask **task;
+  uint32_t task_objects;
+  bool all_done;
   CellStage *reserving_prev;
   CellStage *reserving_next;
   CellStage *deferred_prev;
@@ -1632,8 +1641,10 @@
   int64_t next_backlog_log_ms;
   uint64_t admission_term; /* term in which the backlog was counted last */
   CellJob *jobs;
-  CellJob *watched;   /* jobs that the passing of time alone may change */
-  CellJob *loss_jobs; /* jobs with lost runs */
+  CellTask *changed_tasks; /* tasks that may need no object any more */
+  uint64_t task_objects;   /* tasks with an object, of all jobs */
+  CellJob *watched;        /* jobs that the passing of time alone may change */
+  CellJob *loss_jobs;      /* jobs with lost runs */
   uint32_t loss_job_count;
   CellQueueCount *queue_counts;
   CellEndedJob *ended_jobs;
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -343,10 +343,10 @@
   for (uint32_t i = 0; i < job->stage_count && job->loss_count > 0; i++)
     for (uint32_t j = 0; j < job->stage[i]->spec->count; j++)
       {
-        CellTask *task = &job->stage[i]->task[j];
+        CellTask *task = cell_task_object (job->stage[i], j);
         bool any_changed = false;
 
-        for (uint32_t k = task->loss_count; k > 0; k--)
+        for (uint32_t k = task != NULL ? task->loss_count : 0; k > 0; k--)
           if (update (task, k - 1, worker))
             {
               any_changed = true;
@@ -436,10 +436,16 @@
 
   stage->predecessor_runs_lost = true;
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].state == CELL_TASK_WAITING
-        && stage->task[i].booking == NULL && stage->task[i].loss_count == 0)
-      record_loss (cell, &stage->task[i], worker->info.id, worker->info.addr,
-                   loss);
+    {
+      const CellTask *view = cell_task_view (stage, i);
+      CellTask *task = view->state == CELL_TASK_WAITING && view->booking == NULL
+                               && view->loss_count == 0
+                           ? cell_task_get (cell, stage, i)
+                           : NULL;
+
+      if (task != NULL)
+        record_loss (cell, task, worker->info.id, worker->info.addr, loss);
+    }
 }
 
 static void
@@ -504,8 +510,8 @@
 {
   for (uint32_t i = 0; i < job->stage_count; i++)
     for (uint32_t j = 0; j < job->stage[i]->spec->count; j++)
-      if (job->stage[i]->task[j].loss_count > 0)
-        check_task (cell, &job->stage[i]->task[j]);
+      if (cell_task_view (job->stage[i], j)->loss_count > 0)
+        check_task (cell, cell_task_object (job->stage[i], j));
 }
 
 void
--- a/src/cell/crash_rows.c
+++ b/src/cell/crash_rows.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -72,9 +72,9 @@
   json_t *list = json_array ();
 
   for (uint32_t i = first; i < first + count; i++)
-    for (uint32_t j = 0; j < stage->task[i].loss_count; j++)
+    for (uint32_t j = 0; j < cell_task_view (stage, i)->loss_count; j++)
       {
-        const CellLoss *loss = &stage->task[i].loss[j];
+        const CellLoss *loss = &cell_task_view (stage, i)->loss[j];
 
         (void) json_array_append_new (
             json_array_get (group_of (list, loss), LOST_RUNS),
@@ -143,12 +143,15 @@
 }
 
 static void
-apply_run (CellStage *stage, const json_t *group, const json_t *run)
+apply_run (MuxCell *cell,
+           CellStage *stage,
+           const json_t *group,
+           const json_t *run)
 {
-  CellTask *task
-      = &stage->task[json_integer_value (json_array_get (run, RUN_TASK))];
+  json_int_t index = json_integer_value (json_array_get (run, RUN_TASK));
+  CellTask *task = cell_task_get (cell, stage, (uint32_t) index);
   json_int_t flags = json_integer_value (json_array_get (run, RUN_FLAGS));
-  CellLoss *loss = cell_loss_add (task);
+  CellLoss *loss = task != NULL ? cell_loss_add (task) : NULL;
 
   if (loss == NULL)
     return;
@@ -171,7 +174,7 @@
 }
 
 void
-cell_losses_apply (CellStage *stage, const json_t *list)
+cell_losses_apply (MuxCell *cell, CellStage *stage, const json_t *list)
 {
   const json_t *group;
   const json_t *run;
@@ -181,6 +184,6 @@
   json_array_foreach (list, i, group)
   {
     json_array_foreach (json_array_get (group, LOST_RUNS), j, run)
-        apply_run (stage, group, run);
+        apply_run (cell, stage, group, run);
   }
 }
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdlib.h>
 
@@ -36,8 +36,8 @@
     for (uint32_t j = 0; place[i].proven && j < place[i].fits_now
                          && member < stage->spec->count;
          j++, member++)
-      if (cell_start_needs_record (cell, &stage->task[member])
-          && !cell_start_is_recorded (cell, &stage->task[member],
+      if (cell_start_needs_record (cell, cell_task_view (stage, member))
+          && !cell_start_is_recorded (cell, cell_task_object (stage, member),
                                       place[i].worker))
         recorded = false;
   return recorded;
@@ -57,9 +57,13 @@
     for (uint32_t j = 0; place[i].proven && j < place[i].fits_now
                          && member < stage->spec->count;
          j++, member++)
-      if (!cell_start_run (cell, &stage->task[member], place[i].worker, run,
-                           checkpoint))
-        return;
+      {
+        CellTask *task = cell_task_get (cell, stage, member);
+
+        if (task == NULL
+            || !cell_start_run (cell, task, place[i].worker, run, checkpoint))
+          return;
+      }
   cell_stage_log_placed (cell, stage, member);
 }
 
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -208,8 +208,8 @@
     {
       cell_stage_leave_plan (cell, job->stage[i]);
       for (uint32_t j = 0; j < job->stage[i]->spec->count; j++)
-        if (job->stage[i]->task[j].booking != NULL)
-          cell_stop_booking (cell, job->stage[i]->task[j].booking);
+        if (cell_task_view (job->stage[i], j)->booking != NULL)
+          cell_stop_booking (cell, cell_task_view (job->stage[i], j)->booking);
     }
 }
 
@@ -336,7 +336,8 @@
       if (stage->failures.count >= max && !stage->spec->long_running)
         return true;
       for (uint32_t j = 0; j < stage->spec->count; j++)
-        if (stage->task[j].failures.count >= max && !stage->spec->long_running)
+        if (cell_task_view (stage, j)->failures.count >= max
+            && !stage->spec->long_running)
           return true;
     }
   return false;
@@ -465,19 +466,26 @@
   return true;
 }
 
+MuxTaskRef
+cell_stage_ref (const CellStage *stage)
+{
+  MuxTaskRef ref = { .occurrence = stage->occurrence, .step = stage->step };
+
+  snprintf (ref.job, sizeof ref.job, "%s", stage->job->id);
+  return ref;
+}
+
 MuxTaskRef
 cell_task_ref (const CellTask *task)
 {
-  MuxTaskRef ref = { .occurrence = task->stage->occurrence,
-                     .step = task->stage->step,
-                     .index = task->index };
+  MuxTaskRef ref = cell_stage_ref (task->stage);
 
-  snprintf (ref.job, sizeof ref.job, "%s", task->stage->job->id);
+  ref.index = task->index;
   return ref;
 }
 
-CellTask *
-cell_task_find (MuxCell *cell, const MuxTaskRef *ref)
+CellStage *
+cell_stage_find (MuxCell *cell, const MuxTaskRef *ref)
 {
   CellJob *job = cell_job_find (cell, ref->job);
   uint64_t at;
@@ -487,5 +495,13 @@
   at = (uint64_t) ref->occurrence * job->spec->step_count + ref->step;
   if (at >= job->stage_count || ref->index >= job->stage[at]->spec->count)
     return NULL;
-  return &job->stage[at]->task[ref->index];
+  return job->stage[at];
+}
+
+CellTask *
+cell_task_find (MuxCell *cell, const MuxTaskRef *ref)
+{
+  CellStage *stage = cell_stage_find (cell, ref);
+
+  return stage != NULL ? cell_task_get (cell, stage, ref->index) : NULL;
 }
--- a/src/cell/load_log.c
+++ b/src/cell/load_log.c
@@ -71,12 +71,12 @@
 
   HASH_ITER (hh, cell->approval_queries, query, next)
   {
-    const CellTask *task = cell_task_find (cell, &query->step);
+    const CellStage *stage = cell_stage_find (cell, &query->step);
 
-    if (task == NULL)
+    if (stage == NULL)
       continue;
-    count_name (queues, task->stage->job->spec->queue.name);
-    count_name (ranks, rank[task->stage->rank]);
+    count_name (queues, stage->job->spec->queue.name);
+    count_name (ranks, rank[stage->rank]);
   }
   cell_log (cell, "planner_load",
             "{s:i, s:i, s:o, s:o, s:I, s:I, s:I, s:I, s:i}", "askers",
--- a/src/cell/outage.c
+++ b/src/cell/outage.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 /*
  * Correlated failures of workers (outages).
@@ -133,7 +133,7 @@
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
-      const CellTask *task = &stage->task[i];
+      const CellTask *task = cell_task_view (stage, i);
       const CellBooking *booking = task->booking;
 
       add_losses (task, from_ms, set);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -12,8 +12,8 @@
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    n += stage->task[i].booking != NULL
-         && stage->task[i].booking->worker == worker;
+    n += cell_task_view (stage, i)->booking != NULL
+         && cell_task_view (stage, i)->booking->worker == worker;
   return n;
 }
 
@@ -147,9 +147,12 @@
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    n += stage->task[i].state == CELL_TASK_WAITING
-         && stage->task[i].booking == NULL
-         && cell_task_may_start (cell, &stage->task[i]);
+    {
+      const CellTask *task = cell_task_view (stage, i);
+
+      n += task->state == CELL_TASK_WAITING && task->booking == NULL
+           && cell_task_may_start (cell, task);
+    }
   return n;
 }
 
@@ -235,35 +238,54 @@
              : CELL_BLOCKED_ON_QUERIER;
 }
 
-/* Returns false if the start can't be sent: out of memory, or a ring is
- * full. */
+/* Return: false: the start can't be sent: out of memory, or a ring is full. */
+static bool
+start_at (MuxCell *cell,
+          CellStage *stage,
+          uint32_t index,
+          CellWorker *worker,
+          Placement *placement)
+{
+  CellTask *task = cell_task_get (cell, stage, index);
+
+  if (task == NULL)
+    return false;
+  if (cell_start_needs_record (cell, task)
+      && !cell_start_is_recorded (cell, task, worker))
+    return true;
+  cell_interference_count (cell, stage, worker);
+  if (!cell_start_run (cell, task, worker, cell_next_run (cell, task->last_run),
+                       task->checkpoint))
+    return false;
+  placement->sent++;
+  return true;
+}
+
+/* As start_at(), at the best worker, if any.  The task gets an object only
+ * once it starts. */
 static bool
-place_task (MuxCell *cell, CellTask *task, Placement *placement)
+place_task (MuxCell *cell,
+            CellStage *stage,
+            uint32_t index,
+            Placement *placement)
 {
-  Choice best = best_worker (cell, task);
+  CellTask task = cell_task_copy (stage, index);
+  Choice best = best_worker (cell, &task);
 
   if (best.worker == NULL)
     {
       placement->short_of_workers = !best.kept_apart;
       return true;
     }
-  if (cell_waits_for_speed (cell, task, best.worker)
-      || (task->stage->job->spec->queue.priority > 0
-          && cell_speed_is_too_slow (cell, task->stage, best.worker, 0)
-          && cell_stage_defer (cell, task->stage)))
+  if (cell_waits_for_speed (cell, &task, best.worker)
+      || (stage->job->spec->queue.priority > 0
+          && cell_speed_is_too_slow (cell, stage, best.worker, 0)
+          && cell_stage_defer (cell, stage)))
     {
       placement->short_of_workers = true;
       return true;
     }
-  if (cell_start_needs_record (cell, task)
-      && !cell_start_is_recorded (cell, task, best.worker))
-    return true;
-  cell_interference_count (cell, task->stage, best.worker);
-  if (!cell_start_run (cell, task, best.worker,
-                       cell_next_run (cell, task->last_run), task->checkpoint))
-    return false;
-  placement->sent++;
-  return true;
+  return start_at (cell, stage, index, best.worker, placement);
 }
 
 static bool
@@ -272,7 +294,7 @@
   for (uint32_t i = 0; i < stage->spec->count && !placement->short_of_workers;
        i++)
     {
-      CellTask *task = &stage->task[i];
+      const CellTask *task = cell_task_view (stage, i);
 
       if (task->state != CELL_TASK_WAITING || task->booking != NULL
           || !cell_task_may_start (cell, task))
@@ -280,7 +302,7 @@
       placement->over_quota = cell_quota_tasks_allowed (cell, stage) == 0;
       if (placement->over_quota)
         return true;
-      if (!place_task (cell, task, placement))
+      if (!place_task (cell, stage, i, placement))
         return false;
     }
   return true;
--- a/src/cell/progress_fields.c
+++ b/src/cell/progress_fields.c
@@ -1,4 +1,5 @@
 #include "progress_fields.h"
+#include "stage_tasks.h"
 #include "token.h"
 
 #include <stdio.h>
@@ -18,7 +19,7 @@
 
   for (uint32_t i = 0; i < range.count; i++)
     {
-      if (stage->task[range.first + i].state == CELL_TASK_DONE)
+      if (cell_task_view (stage, range.first + i)->state == CELL_TASK_DONE)
         value |= 1U << i % BITS_PER_DIGIT;
       if (i % BITS_PER_DIGIT != BITS_PER_DIGIT - 1 && i + 1 < range.count)
         continue;
@@ -29,7 +30,10 @@
 }
 
 void
-cell_done_apply (CellStage *stage, CellTaskRange range, const json_t *json)
+cell_done_apply (MuxCell *cell,
+                 CellStage *stage,
+                 CellTaskRange range,
+                 const json_t *json)
 {
   const char *text = json_string_value (json);
   size_t digits = text != NULL ? strlen (text) : 0;
@@ -37,13 +41,9 @@
   for (uint32_t i = 0; i < range.count && i / BITS_PER_DIGIT < digits; i++)
     {
       char digit[2] = { text[i / BITS_PER_DIGIT], 0 };
-      CellTask *task = &stage->task[range.first + i];
 
-      if ((strtoul (digit, NULL, 16) >> (i % BITS_PER_DIGIT) & 1) == 0
-          || task->state == CELL_TASK_DONE)
-        continue;
-      task->state = CELL_TASK_DONE;
-      stage->tasks_left--;
+      if ((strtoul (digit, NULL, 16) >> (i % BITS_PER_DIGIT) & 1) != 0)
+        (void) cell_task_done (cell, stage, range.first + i);
     }
 }
 
@@ -83,10 +83,11 @@
   json_t *list = json_array ();
 
   for (uint32_t i = range.first; i < range.first + range.count; i++)
-    if (stage->task[i].failures.count > 0)
+    if (cell_task_view (stage, i)->failures.count > 0)
       (void) json_array_append_new (
-          list, json_pack ("[io]", (int) i,
-                           cell_runs_json (&stage->task[i].failures)));
+          list,
+          json_pack ("[io]", (int) i,
+                     cell_runs_json (&cell_task_view (stage, i)->failures)));
   return list;
 }
 
@@ -96,28 +97,39 @@
   json_t *list = json_array ();
 
   for (uint32_t i = range.first; i < range.first + range.count; i++)
-    if (stage->task[i].checkpoint != NULL
-        && stage->task[i].state != CELL_TASK_DONE
-        && cell_token_is_short (stage->task[i].checkpoint) != whole)
-      (void) json_array_append_new (
-          list, json_pack ("[is]", (int) i, stage->task[i].checkpoint->bytes));
+    {
+      const CellTask *task = cell_task_view (stage, i);
+
+      if (task->checkpoint != NULL && task->state != CELL_TASK_DONE
+          && cell_token_is_short (task->checkpoint) != whole)
+        (void) json_array_append_new (
+            list, json_pack ("[is]", (int) i, task->checkpoint->bytes));
+    }
   return list;
 }
 
-/* The indices were checked, see cell_pairs_valid(). */
+/* The index was checked, see cell_pairs_valid(). */
+static CellTask *
+listed_task (MuxCell *cell, CellStage *stage, const json_t *pair)
+{
+  json_int_t index = json_integer_value (json_array_get (pair, 0));
+
+  return cell_task_get (cell, stage, (uint32_t) index);
+}
+
 void
-cell_failures_apply (CellStage *stage, const json_t *list)
+cell_failures_apply (MuxCell *cell, CellStage *stage, const json_t *list)
 {
   const json_t *pair;
   size_t i;
 
   json_array_foreach (list, i, pair)
   {
-    CellTask *task
-        = &stage->task[json_integer_value (json_array_get (pair, 0))];
+    CellTask *task = listed_task (cell, stage, pair);
 
-    cell_runs_apply (&task->failures, &task->last_run,
-                     json_array_get (pair, 1));
+    if (task != NULL)
+      cell_runs_apply (&task->failures, &task->last_run,
+                       json_array_get (pair, 1));
   }
 }
 
@@ -132,9 +144,7 @@
 
   json_array_foreach (list, i, pair)
   {
-    CellTask *task
-        = &stage->task[json_integer_value (json_array_get (pair, 0))];
-
+    CellTask *task = listed_task (cell, stage, pair);
     const char *text = json_string_value (json_array_get (pair, 1));
     MuxBlob *checkpoint;
 
@@ -142,7 +152,7 @@
     if (!whole && strlen (text) + 1 >= CELL_SHORT_TOKEN_LEN)
       continue;
     checkpoint = mux_blob_new (text, strlen (text));
-    if (checkpoint != NULL && cell_checkpoint_fits (checkpoint))
+    if (task != NULL && checkpoint != NULL && cell_checkpoint_fits (checkpoint))
       (void) cell_token_set (cell, &task->checkpoint, checkpoint);
     mux_blob_unref (checkpoint);
   }
--- a/src/cell/progress_fields.h
+++ b/src/cell/progress_fields.h
@@ -31,9 +31,11 @@
 
 /* These take what the check below them has found valid. */
 
-void
-cell_done_apply (CellStage *stage, CellTaskRange range, const json_t *json);
-void cell_failures_apply (CellStage *stage, const json_t *list);
+void cell_done_apply (MuxCell *cell,
+                      CellStage *stage,
+                      CellTaskRange range,
+                      const json_t *json);
+void cell_failures_apply (MuxCell *cell, CellStage *stage, const json_t *list);
 void cell_checkpoints_apply (MuxCell *cell,
                              CellStage *stage,
                              const json_t *list,
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -1,4 +1,5 @@
 #include "progress_fields.h"
+#include "stage_tasks.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -73,16 +74,16 @@
   if (at < 0 || at >= job->stage_count)
     return;
   stage = job->stage[at];
-  cell_done_apply (stage, all_tasks (stage->spec),
+  cell_done_apply (cell, stage, all_tasks (stage->spec),
                    json_object_get (json, "done"));
   cell_runs_apply (&stage->failures, &stage->last_run,
                    json_object_get (json, "gang_failures"));
   cell_approvals_apply (stage, json_object_get (json, "workers"));
-  cell_failures_apply (stage, json_object_get (json, "failures"));
+  cell_failures_apply (cell, stage, json_object_get (json, "failures"));
   cell_checkpoints_apply (cell, stage, json_object_get (json, "saved"), false);
   cell_checkpoints_apply (cell, stage, json_object_get (json, "saved_whole"),
                           true);
-  cell_losses_apply (stage, json_object_get (json, "lost"));
+  cell_losses_apply (cell, stage, json_object_get (json, "lost"));
 }
 
 /* @at: index of the stage; stages are stored in order.
@@ -126,16 +127,10 @@
 }
 
 static void
-apply_done (CellJob *job, uint64_t stages)
+apply_done (MuxCell *cell, CellJob *job, uint64_t stages)
 {
   for (uint64_t i = 0; i < stages && i < job->stage_count; i++)
-    {
-      CellStage *stage = job->stage[i];
-
-      for (uint32_t j = 0; j < stage->spec->count; j++)
-        stage->task[j].state = CELL_TASK_DONE;
-      stage->tasks_left = 0;
-    }
+    cell_tasks_done (cell, job->stage[i]);
 }
 
 /* Checks the whole of it, as tasks that are done would run again if only a part
@@ -194,7 +189,7 @@
   cell_occurrences_restore (
       cell, job,
       (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
-  apply_done (job, stored_leading_done_stages (job, json));
+  apply_done (cell, job, stored_leading_done_stages (job, json));
   json_array_foreach (stages, i, stage) apply_stage (cell, job, stage);
   cell_loss_list_add (cell, job);
   return NULL;
--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -1,4 +1,5 @@
 #include "progress_fields.h"
+#include "stage_tasks.h"
 #include "progress_split.h"
 
 #include <inttypes.h>
@@ -73,7 +74,7 @@
 is_any_done (const CellStage *stage, CellTaskRange range)
 {
   for (uint32_t i = 0; i < range.count; i++)
-    if (stage->task[range.first + i].state == CELL_TASK_DONE)
+    if (cell_task_view (stage, range.first + i)->state == CELL_TASK_DONE)
       return true;
   return false;
 }
@@ -93,12 +94,30 @@
   return json;
 }
 
+/* Most rows of a wide stage: building each of them in each pass to find that
+ * it is empty takes a planner's whole processor. */
+static bool
+is_empty (const CellStage *stage, uint32_t row)
+{
+  CellTaskRange range = range_of (stage->spec, row);
+
+  if (row == 0 && stage->failures.count > 0)
+    return false;
+  for (uint32_t i = 0; i < range.count; i++)
+    if (cell_task_view (stage, range.first + i) != &cell_waiting_task)
+      return false;
+  return true;
+}
+
 json_t *
 cell_split_tasks_json (const CellStage *stage, uint32_t row)
 {
   CellTaskRange range = range_of (stage->spec, row);
-  json_t *json = json_object ();
+  json_t *json;
 
+  if (is_empty (stage, row))
+    return NULL;
+  json = json_object ();
   if (is_any_done (stage, range))
     (void) json_object_set_new (json, "done", cell_done_json (stage, range));
   if (row == 0)
@@ -233,18 +252,13 @@
   return json_is_array (open) ? NULL : "open";
 }
 
-static void
-mark_done (CellStage *stage)
-{
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    stage->task[i].state = CELL_TASK_DONE;
-  stage->tasks_left = 0;
-}
-
 /* @open: entry of the occurrence in the list of those that are not done; NULL:
  * it is done. */
 static void
-apply_occurrence (CellJob *job, uint32_t occurrence, const json_t *open)
+apply_occurrence (MuxCell *cell,
+                  CellJob *job,
+                  uint32_t occurrence,
+                  const json_t *open)
 {
   uint32_t steps = job->spec->step_count;
   uint64_t set = UINT64_MAX;
@@ -253,7 +267,7 @@
     set = strtoull (json_string_value (json_array_get (open, 1)), NULL, HEX);
   for (uint32_t i = 0; i < steps; i++)
     if ((set >> i & 1) != 0)
-      mark_done (job->stage[occurrence * steps + i]);
+      cell_tasks_done (cell, job->stage[occurrence * steps + i]);
 }
 
 const char *
@@ -282,7 +296,7 @@
           = json_integer_value (json_array_get (entry, 0)) == (json_int_t) i
             && entry != NULL;
 
-      apply_occurrence (job, i, is_open ? entry : NULL);
+      apply_occurrence (cell, job, i, is_open ? entry : NULL);
       next += is_open;
     }
   return NULL;
@@ -356,14 +370,14 @@
 
   if (bad_field != NULL)
     return bad_field;
-  cell_done_apply (stage, range, json_object_get (json, "done"));
+  cell_done_apply (cell, stage, range, json_object_get (json, "done"));
   if (json_object_get (json, "gang_failures") != NULL)
     cell_runs_apply (&stage->failures, &stage->last_run,
                      json_object_get (json, "gang_failures"));
-  cell_failures_apply (stage, json_object_get (json, "failures"));
+  cell_failures_apply (cell, stage, json_object_get (json, "failures"));
   cell_checkpoints_apply (cell, stage, saved, false);
   cell_checkpoints_apply (cell, stage, whole, true);
-  cell_losses_apply (stage, json_object_get (json, "lost"));
+  cell_losses_apply (cell, stage, json_object_get (json, "lost"));
   return NULL;
 }
 
--- a/src/cell/quota.c
+++ b/src/cell/quota.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -193,8 +193,8 @@
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    n += stage->task[i].state != CELL_TASK_DONE
-         && stage->task[i].booking == NULL;
+    n += cell_task_view (stage, i)->state != CELL_TASK_DONE
+         && cell_task_view (stage, i)->booking == NULL;
   return n;
 }
 
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "stage_tasks.h"
 #include "token.h"
 
 #include <stdio.h>
@@ -74,6 +75,7 @@
   task->stage->job->booking_count--;
   task->booking = NULL;
   cell->replan = true;
+  cell_task_changed (cell, task);
   free (booking->previous_incarnation);
   free (booking);
 }
@@ -211,8 +213,8 @@
 stop_gang (MuxCell *cell, CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].booking != NULL)
-      cell_stop_booking (cell, stage->task[i].booking);
+    if (cell_task_view (stage, i)->booking != NULL)
+      cell_stop_booking (cell, cell_task_view (stage, i)->booking);
 }
 
 static void
@@ -373,22 +375,14 @@
   return false;
 }
 
-static void
-mark_task_done (MuxCell *cell, CellTask *task)
-{
-  if (task->state == CELL_TASK_DONE)
-    return;
-  task->state = CELL_TASK_DONE;
-  task->stage->tasks_left--;
-  (void) cell;
-}
-
 /* A gang is done when one of its members is. */
 static void
-mark_gang_done (MuxCell *cell, CellStage *stage)
+mark_done (MuxCell *cell, const CellTask *task)
 {
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    mark_task_done (cell, &stage->task[i]);
+  if (task->stage->spec->gang)
+    cell_tasks_done (cell, task->stage);
+  else
+    (void) cell_task_done (cell, task->stage, task->index);
 }
 
 /* Return: false: the run is counted already. */
@@ -418,10 +412,8 @@
     stage->last_run = run;
   if (checkpoint != NULL)
     (void) cell_token_set (cell, &task->checkpoint, checkpoint);
-  if (end == MUX_RUN_DONE && stage->spec->gang)
-    mark_gang_done (cell, stage);
-  else if (end == MUX_RUN_DONE && !stage->spec->long_running)
-    mark_task_done (cell, task);
+  if (end == MUX_RUN_DONE && (stage->spec->gang || !stage->spec->long_running))
+    mark_done (cell, task);
   else if (end == MUX_RUN_FAILED && !stage->spec->long_running)
     (void) add_failure (stage->spec->gang ? &stage->failures : &task->failures,
                         run);
@@ -481,10 +473,7 @@
   if (end == MUX_RUN_DONE && !stage->spec->long_running)
     {
       worker->consecutive_failures = 0;
-      if (stage->spec->gang)
-        mark_gang_done (cell, stage);
-      else
-        mark_task_done (cell, task);
+      mark_done (cell, task);
     }
   else if (task->state != CELL_TASK_DONE && task->booking == NULL)
     task->state = CELL_TASK_WAITING;
--- a/src/cell/run_time_learn.c
+++ b/src/cell/run_time_learn.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <math.h>
 
@@ -49,13 +49,13 @@
   if (!stage->spec->gang)
     return slowest;
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].booking != NULL)
-      {
-        uint32_t speed
-            = cell_worker_speed_milli (stage->task[i].booking->worker);
+    {
+      const CellBooking *member = cell_task_view (stage, i)->booking;
+      uint32_t speed
+          = member != NULL ? cell_worker_speed_milli (member->worker) : slowest;
 
-        slowest = speed < slowest ? speed : slowest;
-      }
+      slowest = speed < slowest ? speed : slowest;
+    }
   return slowest;
 }
 
--- a/src/cell/speed_wait.c
+++ b/src/cell/speed_wait.c
@@ -126,7 +126,9 @@
 }
 
 bool
-cell_waits_for_speed (MuxCell *cell, CellTask *task, const CellWorker *free)
+cell_waits_for_speed (MuxCell *cell,
+                      const CellTask *task,
+                      const CellWorker *free)
 {
   CellStage *stage = task->stage;
   CellSpeedSupply *supply = &cell->pool_speeds.supply;
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -1,4 +1,5 @@
 #include "cell_private.h"
+#include "stage_tasks.h"
 #include "token.h"
 
 #include <stdlib.h>
@@ -61,17 +62,6 @@
   stage->expected_ms = cell_expected_ms (cell, job->spec, stage->spec);
   stage->after_ms = longest_after_ms (cell, job, step);
   cell_stage_set_start_times (cell, stage);
-  stage->task = calloc (stage->spec->count, sizeof *stage->task);
-  if (stage->task == NULL)
-    {
-      free (stage);
-      return NULL;
-    }
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    {
-      stage->task[i].stage = stage;
-      stage->task[i].index = i;
-    }
   return stage;
 }
 
@@ -90,17 +80,10 @@
   cell_stage_leave_plan (cell, stage);
   cell_holds_release (stage);
   free (stage->hold);
-  for (uint32_t i = 0; i < stage->spec->count; i++)
-    {
-      if (stage->task[i].booking != NULL)
-        cell_unbook (cell, stage->task[i].booking);
-      cell_losses_free (&stage->task[i]);
-      (void) cell_token_set (cell, &stage->task[i].checkpoint, NULL);
-    }
+  cell_tasks_free (cell, stage);
   cell_approvals_free (cell, stage);
   free (stage->recorded);
   free (stage->step_runs);
-  free (stage->task);
   free (stage);
 }
 
@@ -109,9 +92,14 @@
 {
   uint32_t n = 0;
 
+  if (stage->task == NULL)
+    return stage->all_done ? 0 : stage->spec->count;
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    n += stage->task[i].state == CELL_TASK_WAITING
-         && stage->task[i].booking == NULL;
+    {
+      const CellTask *task = cell_task_view (stage, i);
+
+      n += task->state == CELL_TASK_WAITING && task->booking == NULL;
+    }
   return n;
 }
 
@@ -119,7 +107,7 @@
 cell_stage_gang_has_ended (const CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].booking != NULL)
+    if (cell_task_view (stage, i)->booking != NULL)
       return false;
   return true;
 }
@@ -129,8 +117,8 @@
 cell_stage_gang_checkpoint (const CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].checkpoint != NULL)
-      return stage->task[i].checkpoint;
+    if (cell_task_view (stage, i)->checkpoint != NULL)
+      return cell_task_view (stage, i)->checkpoint;
   return NULL;
 }
 
@@ -187,7 +175,7 @@
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
-      const CellBooking *booking = stage->task[i].booking;
+      const CellBooking *booking = cell_task_view (stage, i)->booking;
       uint32_t milli;
 
       if (booking == NULL)
@@ -214,7 +202,7 @@
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
-      const CellBooking *booking = stage->task[i].booking;
+      const CellBooking *booking = cell_task_view (stage, i)->booking;
 
       if (booking != NULL && cell_booking_speed_milli (cell, booking) < lowest)
         lowest = cell_booking_speed_milli (cell, booking);
--- a/src/cell/suspect.c
+++ b/src/cell/suspect.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <string.h>
 
@@ -112,7 +112,7 @@
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
-      const CellTask *task = &stage->task[i];
+      const CellTask *task = cell_task_view (stage, i);
 
       if (task->booking != NULL)
         add_trial (cell, task->booking, &trials);
@@ -171,7 +171,7 @@
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    add_crashed (&stage->task[i], list, &count, limit);
+    add_crashed (cell_task_view (stage, i), list, &count, limit);
   return count == limit;
 }
 
@@ -213,7 +213,7 @@
 cell_gang_may_start (const MuxCell *cell, const CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (!losses_allow_start (cell, &stage->task[i]))
+    if (!losses_allow_start (cell, cell_task_view (stage, i)))
       return false;
   return true;
 }
--- a/src/cell/wait.c
+++ b/src/cell/wait.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "stage_tasks.h"
 
 #include <string.h>
 
@@ -101,8 +101,8 @@
   if (stage->spec->gang)
     return !cell_gang_may_start (cell, stage);
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    if (stage->task[i].state == CELL_TASK_WAITING
-        && cell_task_may_start (cell, &stage->task[i]))
+    if (cell_task_view (stage, i)->state == CELL_TASK_WAITING
+        && cell_task_may_start (cell, cell_task_view (stage, i)))
       return false;
   return true;
 }
@@ -113,8 +113,8 @@
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < stage->spec->count; i++)
-    n += stage->task[i].booking != NULL
-         && stage->task[i].state == CELL_TASK_STOPPING;
+    n += cell_task_view (stage, i)->booking != NULL
+         && cell_task_view (stage, i)->state == CELL_TASK_STOPPING;
   return n;
 }
 
@@ -187,7 +187,7 @@
     return 0;
   for (uint32_t i = 0; i < stage->spec->count; i++)
     {
-      const CellTask *task = &stage->task[i];
+      const CellTask *task = cell_task_view (stage, i);
 
       if (task->booking == NULL || task->state != CELL_TASK_STOPPING)
         continue;
