Accept only jobs that each daemon has the memory to plan

Each job is now counted by one rule from its steps, tasks, occurrences and approvals. The planner accepts as much as the instance with the least memory can plan, a quarter of that memory, and tells all daemons the limit, what is used and the rate at which it is released. A job takes at most an eighth of what is free and a sender at most four times what it leaves free, so that ordinary jobs and other senders find room. What does not fit is refused with 503 and a time by which enough is released at the present rate, and with 400, the bytes and the limit if an empty planner would refuse it.

The new tests of the cell do not compile before, for want of the response and the counters.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -89,6 +89,10 @@
      "approvals not used as their proof exceeds the limit")                    \
   X (TOKENS_NO_MEMORY, "tokens_no_memory_total",                               \
      "checkpoints and proofs not kept as others hold the memory for them")     \
+  X (JOBS_NO_MEMORY, "jobs_no_memory_total",                                   \
+     "jobs refused as others hold the memory for jobs")                        \
+  X (JOBS_LEFT_OUT, "jobs_left_out_total",                                     \
+     "stored jobs that the planner had no memory for and left in the store")   \
   X (PACES, "paces_total",                                                     \
      "orders that let a best-effort task work at a share of its speed")        \
   X (JSON_OVER_LIMIT, "json_over_limit_total",                                 \
@@ -135,6 +139,9 @@
      "queues in force that take no jobs as a field can't be used")             \
   X (REQUEST_MEMORY, "request_memory_bytes",                                   \
      "memory reserved for large bodies of callers")                            \
+  X (JOB_MEMORY, "job_memory_bytes", "planner: memory counted for jobs")       \
+  X (JOB_MEMORY_LIMIT, "job_memory_limit_bytes",                               \
+     "memory for jobs, by the instance that has the least")                    \
   X (TASK_OBJECTS, "task_objects",                                             \
      "planner: tasks that were started and are not done, or lost runs")
 
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -423,6 +423,7 @@
   MUX_RESPONSE_OVER_QUOTA,   /* the job needs more than the workspace's whole
                                 quota */
   MUX_RESPONSE_TOO_LARGE,    /* the job does not fit into a row of the store */
+  MUX_RESPONSE_NEVER_FITS,   /* its steps take more memory than any job may */
 } MuxResponseOutcome;
 
 /**
@@ -432,6 +433,8 @@
  * @state: STATE: of the job
  * @pending: PENDING: jobs of the queue of which no task has started
  * @retry_ms: REFUSED: when to retry
+ * @bytes: NEVER_FITS: memory that the job takes,
+ * @max_bytes: and that a job may take
  */
 typedef struct
 {
@@ -440,6 +443,8 @@
   MuxJobState state;
   uint32_t pending;
   uint32_t retry_ms;
+  uint64_t bytes;
+  uint64_t max_bytes;
 } MuxResponse;
 
 /* What the HTTP front end needs of the rest of the daemon; may be called from
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "job_memory.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -321,13 +321,14 @@
   cell->admission_blob_ms = cell->time.now_ms;
   cell->admission_blob = cell_blob_from_json (cell_predecessors_to_json (
       cell,
-      json_pack ("{s:i, s:I, s:o, s:o, s:o, s:o, s:o, s:o}", "share_milli",
+      json_pack ("{s:i, s:I, s:o, s:o, s:o, s:o, s:o, s:o, s:o}", "share_milli",
                  (int) cell->throttle.share_milli, "late_ms",
                  (json_int_t) cell_late_ms (cell), "waits", waits_json (cell),
                  "run_times", cell_run_times_json (cell), "need",
                  cell_need_json (cell), "shares", cell_shares_json (cell),
                  "interference", cell_interference_json (cell), "speeds",
-                 cell_pool_speeds_json (cell)),
+                 cell_pool_speeds_json (cell), "job_memory",
+                 cell_job_memory_json (cell)),
       cell_predecessors_left_ms (cell)));
   return mux_blob_ref (cell->admission_blob);
 }
@@ -363,6 +364,7 @@
       mux_throttle_reset (&cell->throttle, now);
     }
   count (cell);
+  cell_job_memory_tick (cell);
   update_throttle (cell);
 }
 
@@ -399,6 +401,7 @@
   cell_shares_receive (cell, json_object_get (json, "shares"));
   cell_interference_receive (cell, json);
   cell_pool_speeds_receive (cell, json_object_get (json, "speeds"));
+  cell_job_memory_receive (cell, json_object_get (json, "job_memory"));
   cell->throttle.share_milli = share != NULL && share_milli >= 0
                                        && share_milli < MUX_THROTTLE_FULL_MILLI
                                    ? (uint32_t) share_milli
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -1,3 +1,4 @@
+#include "job_memory.h"
 #include "stage_tasks.h"
 
 #include <stdio.h>
@@ -221,6 +222,7 @@
       cell_losses_tick (cell);
       cell_jobs_tick (cell);
       cell_unreadable_tick (cell);
+      cell_jobs_left_out_tick (cell);
       cell_approval_queries_tick (cell);
       cell_wait_log_tick (cell);
       cell_run_times_tick (cell);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -489,6 +489,8 @@
 /** cell_promised_query_ms() - time of an approval query in a promised duration;
  * 0: none is needed */
 uint32_t cell_promised_query_ms (const MuxApprovalSpec *approval);
+/** cell_promised_duration_ms() - within which the job is promised to end */
+int64_t cell_promised_duration_ms (const MuxCell *cell, const MuxJobSpec *spec);
 /** cell_job_slack_ms() - how long the job may wait in all and still end by its
  * deadline */
 int64_t cell_job_slack_ms (const MuxCell *cell, const MuxJobSpec *spec);
@@ -566,6 +568,10 @@
  * Return: true, and @spec is taken over, if it could not before. */
 bool
 cell_unreadable_recover (MuxCell *cell, MuxJobSpec *spec, uint64_t version);
+/** cell_unreadable_cancel() - the store has a cancel of the job */
+void cell_unreadable_cancel (MuxCell *cell, const char *id);
+/** cell_unreadable_is_recovering() - the job's progress is being read */
+bool cell_unreadable_is_recovering (MuxCell *cell, const char *id);
 /** cell_unreadable_keep_end() - keeps an end of a run of a job not known here
  * Return: false: it can't be kept, and must not be acknowledged. */
 bool cell_unreadable_keep_end (MuxCell *cell, const MuxRunReport *report);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -74,6 +74,8 @@
 /* Terms are counted up to here and then from 1 again, so that a run number is a
  * positive 32-bit integer: some 5,000 years at one claim a day. */
 #define CELL_TERMS_MAX (INT32_MAX / CELL_RUNS_PER_TERM)
+/* Limit of a job's stages that have begun and not ended. */
+#define CELL_UNFINISHED_STAGES_MAX 128
 /* Keys of stored rows: the claim, the planner's heartbeat, and two fence rows
  * of each part, one renewed by each commit of progress, one written once a
  * term. */
@@ -253,6 +255,7 @@
  * @in_commit: in the outstanding commit
  * @relayed: waits for the reply of the planner, since @relayed_ms
  * @retry_ms: when the caller is to retry, if refused; 0: the default
+ * @bytes: counted in CellJobMemory; 0: it is not
  * @peer: daemon that relayed the job here; "": submitted to this one
  * @peer_addr: address of @peer
  */
@@ -269,6 +272,7 @@
   bool relayed;
   int64_t relayed_ms;
   uint32_t retry_ms;
+  uint64_t bytes;
   char peer[MUX_NAME_LEN];
   char peer_addr[MUX_ADDR_LEN];
   CellSubmission *prev;
@@ -1098,6 +1102,7 @@
  * @progress_unreadable: the progress row could not be read
  * @unreadable_ends_stored: it has a row of ends from the time when its own row
  *   was unreadable
+ * @bytes: counted in CellJobMemory
  * @booking_count: runs that hold room
  * @loss_count: lost runs of all its tasks
  * @next_occurrence: index of the next occurrence to begin
@@ -1139,6 +1144,7 @@
   bool attempts_used;
   bool progress_unreadable;
   bool unreadable_ends_stored;
+  uint64_t bytes;
   uint32_t booking_count;
   uint32_t loss_count;
   uint32_t next_occurrence;
@@ -1178,6 +1184,7 @@
  * @id: key of the table
  * @part: index of its part
  * @has_row: its row exists; else only ends of it are known
+ * @cancelled: the store has a cancel of it
  * @stored_wall_ms: when its ends were last stored; 0: they are not
  * @overflow: some of its ends were not kept
  * @dirty: its ends, or their removal, are to be stored
@@ -1200,6 +1207,7 @@
   char id[MUX_JOB_ID_LEN];
   uint32_t part;
   bool has_row;
+  bool cancelled;
   int64_t stored_wall_ms;
   bool overflow;
   bool dirty;
@@ -1521,6 +1529,77 @@
   int64_t next_ms;
 } CellSweep;
 
+typedef struct CellJobSender CellJobSender;
+
+/**
+ * struct CellLeftOutJob - a job that is read from the store again; owned by
+ *   CellLeftOut
+ * @spec: owned
+ * @version: of its row
+ * @cancelled: the store has a cancel of it
+ */
+typedef struct
+{
+  MuxJobSpec *spec;
+  uint64_t version;
+  bool cancelled;
+} CellLeftOutJob;
+
+/* Jobs read again at a time: the progress of each is a call of its own. */
+#define CELL_LEFT_OUT_JOBS_MAX 64
+
+/**
+ * struct CellLeftOut - search for jobs that were left in the store; embedded in
+ *   MuxCell
+ * @active: a search has begun
+ * @busy: its call is outstanding
+ * @part: part it is at
+ * @from: first key of its next page
+ * @next_ms: no call before this
+ * @count: used entries of @job
+ * @job: the most urgent jobs found so far, in order
+ * @bytes: that these take
+ * @others: jobs found that are not among them
+ */
+typedef struct
+{
+  bool active;
+  bool busy;
+  uint32_t part;
+  char from[MUX_ROW_NAME_LEN];
+  int64_t next_ms;
+  uint32_t count;
+  CellLeftOutJob job[CELL_LEFT_OUT_JOBS_MAX];
+  uint64_t bytes;
+  uint32_t others;
+} CellLeftOut;
+
+/**
+ * struct CellJobMemory - memory that jobs take, see job_memory.h; embedded in
+ *   MuxCell
+ * @used_bytes: by the planner's jobs, and by those that this daemon is about
+ *   to store
+ * @senders: the same by sender
+ * @limit_bytes: for all jobs, by the instance with the least memory; 0: not
+ *   known
+ * @planner_used_bytes: as the planner sent it
+ * @released_bytes: since @counted_ms
+ * @release_rate: bytes a second; the planner's
+ * @counted_ms: when the rate was last updated
+ * @left_out: the planner left jobs in the store for want of memory
+ */
+typedef struct
+{
+  uint64_t used_bytes;
+  CellJobSender *senders;
+  uint64_t limit_bytes;
+  uint64_t planner_used_bytes;
+  uint64_t released_bytes;
+  uint64_t release_rate;
+  int64_t counted_ms;
+  bool left_out;
+} CellJobMemory;
+
 /**
  * enum CellRole - role of this daemon
  *
@@ -1570,6 +1649,8 @@
   int64_t store_changed_ms;       /* when it last began to fail, or to serve */
   int64_t next_rejection_log_ms;
   CellTokens tokens;
+  CellJobMemory job_memory;
+  CellLeftOut left_out;
 
   /* The claim. */
   CellClaim claim;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "job_memory.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -49,6 +49,7 @@
   cell_members_free (cell);
   cell_approval_queries_free (cell);
   cell_unreadable_free (cell);
+  cell_jobs_left_out_free (cell);
   cell->late = false;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
     {
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "job_memory.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -39,7 +39,8 @@
       mux_job_free (spec);
       return;
     }
-  if (cell_unreadable_recover (cell, spec, row->version))
+  if (cell_job_leave_out (cell, spec)
+      || cell_unreadable_recover (cell, spec, row->version))
     return;
   job = cell_job_add (cell, spec, row->version);
   if (job == NULL)
@@ -81,6 +82,8 @@
 
   if (job != NULL)
     cell_job_cancel (cell, job);
+  else
+    cell_unreadable_cancel (cell, id);
 }
 
 /*
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -1,3 +1,4 @@
+#include "job_memory.h"
 #include "stage_tasks.h"
 
 #include <inttypes.h>
@@ -60,8 +61,8 @@
   return longest;
 }
 
-static int64_t
-promised_duration_ms (const MuxCell *cell, const MuxJobSpec *spec)
+int64_t
+cell_promised_duration_ms (const MuxCell *cell, const MuxJobSpec *spec)
 {
   return critical_path_ms (cell, spec) * spec->queue.slack_milli / MILLI
          + spec->queue.target_ms;
@@ -76,7 +77,7 @@
   uint64_t service = mux_hash_name (spec->queue.service, 0);
   int64_t path_ms = critical_path_ms (cell, spec);
 
-  return promised_duration_ms (cell, spec)
+  return cell_promised_duration_ms (cell, spec)
          - path_ms * MUX_SPEED_ONE_MILLI
                / cell_pool_fastest_milli (cell, service);
 }
@@ -85,7 +86,7 @@
 set_deadlines (MuxCell *cell, CellJob *job)
 {
   const MuxJobSpec *spec = job->spec;
-  int64_t promised = promised_duration_ms (cell, spec);
+  int64_t promised = cell_promised_duration_ms (cell, spec);
   int64_t age_ms = cell->time.wall_ms - spec->accepted_wall_ms;
 
   if (age_ms < 0)
@@ -106,6 +107,7 @@
       return NULL;
     }
   job->spec = spec;
+  job->bytes = cell_job_memory_charge (cell, spec);
   job->workspace = cell_workspace_get (cell, spec->workspace);
   snprintf (job->id, sizeof job->id, "%s", spec->id);
   job->part = cell_part_of (job->id);
@@ -187,6 +189,7 @@
     cell_stage_free (cell, job->stage[i]);
   free (job->stage);
   cell_progress_split_free (job);
+  cell_job_memory_release (cell, job->spec, job->bytes);
   mux_blob_unref (job->payload);
   mux_job_free (job->spec);
   free (job);
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -6,9 +6,6 @@
 
 /* Wall clocks of two daemons differ by less. */
 #define WALL_CLOCK_DIFF_MAX_MS 600000
-/* Limit of a job's stages that have begun and not ended: they take the
- * planner some 300 KB of memory if each has 32 tasks. */
-#define UNFINISHED_STAGES_MAX 128
 
 bool
 cell_occurrence_add (const MuxCell *cell,
@@ -82,7 +79,7 @@
 
   for (uint32_t i = 0; i < job->stage_count; i++)
     unfinished += job->stage[i]->tasks_left > 0;
-  return unfinished >= UNFINISHED_STAGES_MAX;
+  return unfinished >= CELL_UNFINISHED_STAGES_MAX;
 }
 
 static bool
--- a/src/cell/submit.c
+++ b/src/cell/submit.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "job_memory.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -52,8 +52,10 @@
 }
 
 static void
-submission_free (CellSubmission *submission)
+submission_free (MuxCell *cell, CellSubmission *submission)
 {
+  if (submission->bytes != 0)
+    cell_job_memory_release (cell, submission->job, submission->bytes);
   mux_blob_unref (submission->sent_value);
   mux_job_free (submission->job);
   mux_blob_unref (submission->value);
@@ -110,7 +112,7 @@
   else
     respond_to_submission (cell, part, submission, outcome, why);
   DL_DELETE (part->submissions, submission);
-  submission_free (submission);
+  submission_free (cell, submission);
 }
 
 /*
@@ -154,6 +156,12 @@
 {
   if (is_known (cell, submission))
     return NULL;
+  submission->retry_ms = cell_job_memory_retry_ms (cell, submission->job);
+  if (submission->retry_ms != 0)
+    {
+      mux_count (cell->options.counters, MUX_COUNT_JOBS_NO_MEMORY, 1);
+      return "job_memory";
+    }
   submission->retry_ms = cell_admission_retry_ms (cell, submission->job);
   if (submission->retry_ms != 0)
     return cell_share_refusal (cell, submission->job);
@@ -180,6 +188,7 @@
       cell_submission_end (cell, part, submission, MUX_RESPONSE_REFUSED, why);
       return;
     }
+  submission->bytes = cell_job_memory_charge (cell, submission->job);
   cell_admission_accepted (cell, submission->job);
   if (submission->peer[0] == 0 && cell_relay (cell, submission))
     return;
@@ -193,6 +202,20 @@
     cell_submissions_commit (cell, part);
 }
 
+static void
+respond_never_fits (MuxCell *cell, uint64_t request_id, const MuxJobSpec *job)
+{
+  MuxResponse reply = { .call_id = request_id,
+                        .outcome = MUX_RESPONSE_NEVER_FITS,
+                        .bytes = cell_job_bytes (job),
+                        .max_bytes = cell_job_max_bytes (cell) };
+
+  mux_count_refused (cell->options.counters, MUX_REASON_NEVER_FITS);
+  cell_log (cell, "job_never_fits", "{s:s, s:I, s:I}", "job", job->id, "bytes",
+            (json_int_t) reply.bytes, "max", (json_int_t) reply.max_bytes);
+  cell->options.sink->respond (cell->options.sink, &reply);
+}
+
 void
 cell_submit (MuxCell *cell, MuxRequest *request)
 {
@@ -217,11 +240,17 @@
       cell_log (cell, "job_too_large", "{s:s, s:I}", "job", job->id, "bytes",
                 (json_int_t) submission->value->len);
       submission->job = job;
-      submission_free (submission);
+      submission_free (cell, submission);
       cell_respond (cell, request->call_id, MUX_RESPONSE_TOO_LARGE);
       return;
     }
   submission->job = job;
+  if (cell_job_bytes (job) > cell_job_max_bytes (cell))
+    {
+      respond_never_fits (cell, request->call_id, job);
+      submission_free (cell, submission);
+      return;
+    }
   submission->request_id = request->call_id;
   if (request->timeout_ms < SUBMIT_TIMEOUT_MS + RESPONSE_MARGIN_MS)
     submission->deadline_ms
@@ -288,7 +317,7 @@
       DL_FOREACH_SAFE (cell->part[i].submissions, submission, next)
       {
         DL_DELETE (cell->part[i].submissions, submission);
-        submission_free (submission);
+        submission_free (cell, submission);
       }
     }
 }
--- a/src/cell/unreadable.c
+++ b/src/cell/unreadable.c
@@ -116,6 +116,23 @@
   unreadable->spec = NULL;
 }
 
+void
+cell_unreadable_cancel (MuxCell *cell, const char *id)
+{
+  CellUnreadable *unreadable = find (cell, id);
+
+  if (unreadable != NULL)
+    unreadable->cancelled = true;
+}
+
+bool
+cell_unreadable_is_recovering (MuxCell *cell, const char *id)
+{
+  const CellUnreadable *unreadable = find (cell, id);
+
+  return unreadable != NULL && unreadable->spec != NULL;
+}
+
 static void
 mark_dirty (MuxCell *cell, CellUnreadable *unreadable)
 {
@@ -354,6 +371,7 @@
 {
   CellUnreadable *unreadable = find (cell, pending->task.job);
   CellJob *job;
+  bool cancelled;
 
   if (unreadable == NULL)
     return;
@@ -380,7 +398,10 @@
   take_progress_rows (cell, unreadable, job);
   cell_log (cell, "unread_job_back", "{s:s, s:i}", "job", job->id, "ends",
             (int) unreadable->end_count);
+  cancelled = unreadable->cancelled;
   unreadable_free (cell, unreadable);
+  if (cancelled)
+    cell_job_cancel (cell, job);
   cell_job_resume (cell, job);
 }
 
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -18,6 +18,17 @@
 #define GROWTH_MAX_BYTES (8 * BYTES_PER_MIB)
 #define FEW_TASKS 300
 #define SHORT_TASK_MS 50
+/* Instances with little memory: a quarter of it is for jobs, and an eighth of
+ * that for one job. */
+#define SMALL_MIB 8
+#define LARGE_MIB 64
+#define SMALL_LIMIT_BYTES (SMALL_MIB * BYTES_PER_MIB / 4)
+/* Jobs that fill it many times over: a task takes a pointer. */
+#define JOBS 700
+#define JOB_TASKS 1000
+/* Of the jobs that an instance with more memory has accepted. */
+#define STORED_JOBS 400
+#define QUICK_TASK_MS 4
 
 static int64_t
 allocated_bytes (void)
@@ -105,10 +116,202 @@
   world_free (world);
 }
 
+/* Restarts all daemons with this memory. */
+static void
+set_memory (World *world, uint32_t memory_mib)
+{
+  for (uint32_t i = 0; i < CELLS; i++)
+    {
+      world->cell[i].memory_mib = memory_mib;
+      world_cell_kill (world, i);
+    }
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+}
+
+static World *
+small_world (void)
+{
+  World *world = world_new (CELLS, WORKERS);
+
+  world_skip_approval (world);
+  set_memory (world, SMALL_MIB);
+  world_run (world, 12000);
+  return world;
+}
+
+static uint32_t
+count_outcomes (const World *world,
+                uint64_t first,
+                uint64_t last,
+                MuxResponseOutcome outcome)
+{
+  uint32_t n = 0;
+
+  for (uint64_t i = first; i <= last; i++)
+    n += world->answered[i] && world->response[i].outcome == outcome;
+  return n;
+}
+
+/* Guards against accepting more jobs than the planner, and each daemon that
+ * takes over, has memory for. */
+static void
+test_jobs_beyond_the_memory_for_jobs_are_refused (void **state)
+{
+  World *world = small_world ();
+  uint64_t first = world->next_request + 1;
+  uint64_t last;
+  uint32_t accepted;
+  uint64_t ordinary;
+
+  (void) state;
+  world->task_ms = 600000;
+  for (uint32_t i = 0; i < JOBS; i++)
+    {
+      submit_numbered (world, wide_job (1, JOB_TASKS), i);
+      world_run (world, 20);
+    }
+  world_run (world, 2000);
+  last = world->next_request;
+  accepted = count_outcomes (world, first, last, MUX_RESPONSE_ACCEPTED);
+  print_message (
+      "%u of %d accepted, %lld bytes\n", (unsigned) accepted, JOBS,
+      (long long) mux_gauge_value (world->counters, MUX_GAUGE_JOB_MEMORY));
+  assert_in_range (accepted, 100, SMALL_LIMIT_BYTES / (JOB_TASKS * 8));
+  assert_int_equal (count_outcomes (world, first, last, MUX_RESPONSE_REFUSED)
+                        + accepted,
+                    JOBS);
+  assert_true (mux_counter_value (world->counters, MUX_COUNT_JOBS_NO_MEMORY)
+               > 0);
+  assert_in_range (world->response[last].retry_ms, 1000, 60000);
+  assert_true (mux_gauge_value (world->counters, MUX_GAUGE_JOB_MEMORY)
+               <= SMALL_LIMIT_BYTES);
+  world_add_queue (world);
+  world_run (world, 1000);
+  snprintf (world->queue, sizeof world->queue, "other");
+  ordinary = world_submit (world, 0, wide_job (1, 1), "ordinary");
+  world_run (world, 1000);
+  assert_int_equal (world->response[ordinary].outcome, MUX_RESPONSE_ACCEPTED);
+  world_free (world);
+}
+
+/* Guards against a job that waits forever as it never fits. */
+static void
+test_job_over_the_memory_of_any_is_refused_with_its_size (void **state)
+{
+  World *world = small_world ();
+  uint64_t request
+      = world_submit (world, 0, wide_job (WIDE_STEPS, WIDE_TASKS), "job-a");
+
+  (void) state;
+  world_run (world, 1000);
+  assert_int_equal (world->response[request].outcome, MUX_RESPONSE_NEVER_FITS);
+  assert_true (world->response[request].bytes
+               > world->response[request].max_bytes);
+  assert_int_equal (world->response[request].max_bytes, SMALL_LIMIT_BYTES / 8);
+  assert_null (world_row (world, MUX_TABLE_JOBS, "job-a"));
+  world_free (world);
+}
+
+/* Guards against accepting by the planner's memory alone what a smaller
+ * instance can't plan after it. */
+static void
+test_the_instance_with_the_least_memory_sets_the_limit (void **state)
+{
+  World *world = new_world ();
+  uint64_t request;
+
+  (void) state;
+  for (uint32_t i = 0; i < CELLS; i++)
+    {
+      world->cell[i].memory_mib = i == 2 ? SMALL_MIB : LARGE_MIB;
+      world_cell_kill (world, i);
+    }
+  for (uint32_t i = 0; i < CELLS; i++)
+    world_cell_start (world, i);
+  world_run (world, 12000);
+  assert_int_equal (
+      mux_gauge_value (world->counters, MUX_GAUGE_JOB_MEMORY_LIMIT),
+      SMALL_LIMIT_BYTES);
+  request = world_submit (world, 0, wide_job (WIDE_STEPS, WIDE_TASKS), "job-a");
+  world_run (world, 1000);
+  assert_int_equal (world->response[request].outcome, MUX_RESPONSE_NEVER_FITS);
+  world_free (world);
+}
+
+/* As many jobs in the store as take several times the memory of a small
+ * instance. */
+static World *
+world_with_stored_jobs (void)
+{
+  World *world = new_world ();
+
+  set_memory (world, LARGE_MIB);
+  world_run (world, 12000);
+  world->task_ms = QUICK_TASK_MS;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].unreachable = true;
+  for (uint32_t i = 0; i < STORED_JOBS; i++)
+    {
+      MuxJobSpec *job = wide_job (2, 1);
+
+      /* Most of it is counted, and little of it has to run. */
+      job->step[1].named_count = 0;
+      job->repetitions = 3;
+      job->interval_ms = 1;
+      job->first_due_ms = WORLD_WALL_MS;
+      submit_numbered (world, job, i);
+      world_run (world, 10);
+    }
+  world_run (world, 2000);
+  return world;
+}
+
+/* Guards against a successor that ends, or loses jobs, as it has less memory
+ * than the planner that accepted them. */
+static void
+test_smaller_successor_plans_what_fits_and_then_the_rest (void **state)
+{
+  World *world = world_with_stored_jobs ();
+  uint32_t completed = 0;
+
+  (void) state;
+  set_memory (world, 2);
+  world_run (world, 8000);
+  assert_true (mux_counter_value (world->counters, MUX_COUNT_JOBS_LEFT_OUT)
+               > 0);
+  assert_true (mux_gauge_value (world->counters, MUX_GAUGE_JOB_MEMORY)
+               <= BYTES_PER_MIB);
+  assert_true (world_request (world, 0, MUX_REQUEST_CANCEL, "job-7") != 0);
+  world_run (world, 2000);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world->worker[i].unreachable = false;
+  world_run (world, 300000);
+  for (uint32_t i = 0; i < STORED_JOBS; i++)
+    {
+      char id[MUX_JOB_ID_LEN];
+      MuxJobState job_state;
+
+      snprintf (id, sizeof id, "job-%u", i);
+      job_state = world_state (world, i % CELLS, id);
+      completed += job_state == MUX_JOB_COMPLETED;
+      assert_int_equal (job_state,
+                        i == 7 ? MUX_JOB_CANCELLED : MUX_JOB_COMPLETED);
+    }
+  assert_int_equal (completed, STORED_JOBS - 1);
+  assert_int_equal (world_starts (world, "job-7"), 0);
+  assert_false (world_double_run_acked (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_jobs_beyond_the_memory_for_jobs_are_refused),
+    cmocka_unit_test (test_job_over_the_memory_of_any_is_refused_with_its_size),
+    cmocka_unit_test (test_the_instance_with_the_least_memory_sets_the_limit),
+    cmocka_unit_test (test_smaller_successor_plans_what_fits_and_then_the_rest),
     cmocka_unit_test (test_waiting_tasks_take_no_memory_of_their_own),
     cmocka_unit_test (test_tasks_that_are_done_take_no_memory_of_their_own),
   };
