Keep calls for ended incarnations by id, and for successors

The planner took a worker's lease as over up to 4 s before its runs ended.

A call for one incarnation that a later one under the same id carries out asks for a lease by another clock, and with that for the longest there is. Only calls that had been given up counted, and for the next incarnation alone.

Late calls are now kept by the worker's id, one entry for each incarnation that has ended, and concern all later ones; those that have no answer yet as an incarnation ends count as well. The roster carries them, in the commit that adds the next incarnation or removes the former one, so that no successor reads the one without the other. A successor counts the longest lease at a worker's first answer where such calls may have come before, and waits for them where it never hears the worker. After its first answer the worker knows the successor's fencing token and refuses its predecessor's calls. No lease is asked of a worker that the roster does not name yet.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -780,6 +780,13 @@
  * Return: false if out of memory. */
 bool cell_incarnation_add (MuxCell *cell, CellWorker *worker);
 void cell_incarnation_remove (MuxCell *cell, CellWorker *worker);
+/** cell_incarnations_get() - those of @id, known or not; NULL when out of
+ * memory */
+CellIncarnations *cell_incarnations_get (MuxCell *cell, const char *id);
+/** cell_incarnations_free() - forgets an id without incarnations */
+void cell_incarnations_free (MuxCell *cell, CellIncarnations *incarnations);
+/** cell_incarnations_free_all() - the same for all ids */
+void cell_incarnations_free_all (MuxCell *cell);
 /** cell_incarnation_is_outdated() - a later incarnation of that id has
  * answered */
 bool cell_incarnation_is_outdated (MuxCell *cell,
@@ -866,18 +873,17 @@
 json_t *cell_lease_json (const MuxCell *cell, const CellWorker *worker);
 /** cell_worker_lease_left() - until the latest lease has certainly expired */
 int64_t cell_worker_lease_left (const MuxCell *cell, const CellWorker *worker);
-/** cell_predecessor_lease_left() - until all leases that a predecessor may
- * have requested of an unconfirmed worker have expired */
-int64_t cell_predecessor_lease_left (const MuxCell *cell);
-/** cell_unconfirmed_lease_left() - the same for @worker, whose expiry the
- * roster may hold */
+/** cell_unconfirmed_lease_left() - until all leases that a predecessor may
+ * have requested of an unconfirmed worker, whose expiry the roster may hold,
+ * have expired */
 int64_t cell_unconfirmed_lease_left (const MuxCell *cell,
                                      const CellWorker *worker);
 /** cell_lease_is_over() - no run of ours can go on there */
 bool cell_lease_is_over (MuxCell *cell, CellWorker *worker);
 /** cell_lease_of_stale() - accounts for leases requested by late calls to an
- * earlier incarnation */
-void cell_lease_of_stale (const MuxCell *cell, CellWorker *worker);
+ * earlier incarnation, as the worker answers
+ * @first: its first answer to this planner */
+void cell_lease_of_stale (const MuxCell *cell, CellWorker *worker, bool first);
 /** cell_lease_of_predecessor() - accounts for leases that a predecessor may
  * have requested */
 void cell_lease_of_predecessor (const MuxCell *cell, CellWorker *worker);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -115,6 +115,7 @@
  * @worker: incarnation of the worker called
  * @task: START, STOP: the task meant
  * @run: START, STOP: its run
+ * @asks_for_lease: START, RENEW: for a lease
  * @verb: of the call
  * @table: COMMIT: of its first change
  * @change_count: COMMIT: number of its entries
@@ -137,6 +138,7 @@
   char worker[MUX_NAME_LEN];
   MuxTaskRef task;
   uint32_t run;
+  bool asks_for_lease;
   MuxCellVerb verb;
   MuxCellTable table;
   uint32_t change_count;
@@ -1254,16 +1256,47 @@
   CELL_ROSTER_WITH_EXPIRY = 4, /* and when its lease is certainly over */
 } CellRosterState;
 
+/* Ended incarnations of one worker whose late calls are kept apart. */
+#define CELL_LATE_CALLS_MAX 4
+
+/**
+ * struct CellLateCalls - calls meant for an incarnation that has ended, see
+ *   late_calls.h
+ * @started_ms: when that incarnation started: only later ones are concerned
+ * @until_ms: they may arrive until then
+ * @own: they are of this planner
+ */
+typedef struct
+{
+  uint64_t started_ms;
+  int64_t until_ms;
+  bool own;
+} CellLateCalls;
+
 /**
  * struct CellIncarnations - the known incarnations of one worker; owned by
  *   MuxCell.incarnations
  * @id: of the worker; key of the table
  * @incarnation: list of them
+ * @late_count: entries of @late
+ * @late: calls to incarnations that have ended
+ * @late_changes: counts the changes of @late
+ * @late_sent: value of @late_changes in the outstanding commit
+ * @late_stored: value of @late_changes in the store
+ * @late_in_commit: the outstanding commit of the roster holds their row
+ * @late_in_store: the store may hold their row
  */
 typedef struct
 {
   char id[MUX_NAME_LEN];
   CellWorker *incarnation;
+  uint32_t late_count;
+  CellLateCalls late[CELL_LATE_CALLS_MAX];
+  uint32_t late_changes;
+  uint32_t late_sent;
+  uint32_t late_stored;
+  bool late_in_commit;
+  bool late_in_store;
   UT_hash_handle hh;
 } CellIncarnations;
 
@@ -1319,9 +1352,9 @@
  * @lease_expires_ms: furthest lease requested from it, on its clock
  * @lease_raised_ms: when @lease_expires_ms was set
  * @lease_source: by what
- * @unanswered_sent_ms: when the last call without a reply was sent; 0: none
- * @late_orders_until_ms: calls to its previous incarnation may still arrive
- *   until then
+ * @unanswered_sent_ms: when the last call that asked for a lease and was given
+ *   up without a reply was sent; 0: none
+ * @of_predecessor: the roster named it when this planner read that
  * @acked: its ends up to this number are stored
  * @acked_sent: and an acknowledgement of those up to this one has been sent
  * @ends_seen: its ends up to this number are known here
@@ -1398,7 +1431,7 @@
   int64_t lease_raised_ms;
   CellLeaseSource lease_source;
   int64_t unanswered_sent_ms;
-  int64_t late_orders_until_ms;
+  bool of_predecessor;
   uint64_t acked;
   uint64_t acked_sent;
   uint64_t ends_seen;
@@ -1735,6 +1768,9 @@
   CellSweep sweep;
   CellWorker *workers;
   CellIncarnations *incarnations;
+  bool late_calls_changed;       /* of some id; not stored yet */
+  int64_t late_rows_obsolete_ms; /* since when some row holds none; 0: none */
+  int64_t next_late_calls_ms;
   uint32_t worker_slots;        /* slots given out in this term */
   uint32_t direct_workers;      /* workers called without a proxy */
   CellWorker **worker_by_slot;  /* by slot; owned; NULL: forgotten */
--- a/src/cell/incarnation.c
+++ b/src/cell/incarnation.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "late_calls.h"
 
 #include "port/incarnation.h"
 
@@ -18,6 +18,41 @@
  * there until the next one's lists and an answered stop settle it.
  */
 
+CellIncarnations *
+cell_incarnations_get (MuxCell *cell, const char *id)
+{
+  CellIncarnations *incarnations;
+
+  HASH_FIND_STR (cell->incarnations, id, incarnations);
+  if (incarnations != NULL)
+    return incarnations;
+  incarnations = calloc (1, sizeof *incarnations);
+  if (incarnations == NULL)
+    return NULL;
+  snprintf (incarnations->id, sizeof incarnations->id, "%s", id);
+  HASH_ADD_STR (cell->incarnations, id, incarnations);
+  return incarnations;
+}
+
+void
+cell_incarnations_free (MuxCell *cell, CellIncarnations *incarnations)
+{
+  HASH_DEL (cell->incarnations, incarnations);
+  free (incarnations);
+}
+
+void
+cell_incarnations_free_all (MuxCell *cell)
+{
+  CellIncarnations *incarnations;
+  CellIncarnations *next;
+
+  HASH_ITER (hh, cell->incarnations, incarnations, next)
+  cell_incarnations_free (cell, incarnations);
+  cell->late_calls_changed = false;
+  cell->late_rows_obsolete_ms = 0;
+}
+
 bool
 cell_incarnation_add (MuxCell *cell, CellWorker *worker)
 {
@@ -25,15 +60,9 @@
   CellIncarnations *incarnations;
 
   mux_incarnation_worker (id, worker->info.id);
-  HASH_FIND_STR (cell->incarnations, id, incarnations);
+  incarnations = cell_incarnations_get (cell, id);
   if (incarnations == NULL)
-    {
-      incarnations = calloc (1, sizeof *incarnations);
-      if (incarnations == NULL)
-        return false;
-      snprintf (incarnations->id, sizeof incarnations->id, "%s", id);
-      HASH_ADD_STR (cell->incarnations, id, incarnations);
-    }
+    return false;
   worker->incarnations = incarnations;
   DL_APPEND2 (incarnations->incarnation, worker, incarnations_prev,
               incarnations_next);
@@ -47,10 +76,9 @@
 
   DL_DELETE2 (incarnations->incarnation, worker, incarnations_prev,
               incarnations_next);
-  if (incarnations->incarnation != NULL)
-    return;
-  HASH_DEL (cell->incarnations, incarnations);
-  free (incarnations);
+  if (incarnations->incarnation == NULL
+      && !cell_late_calls_are_needed (incarnations))
+    cell_incarnations_free (cell, incarnations);
 }
 
 static CellIncarnations *
@@ -168,11 +196,7 @@
 static void
 end_incarnation (MuxCell *cell, CellWorker *earlier, CellWorker *next)
 {
-  if (earlier->unanswered_sent_ms != 0
-      && earlier->unanswered_sent_ms + CELL_LATE_ORDERS_MS
-             > next->late_orders_until_ms)
-    next->late_orders_until_ms
-        = earlier->unanswered_sent_ms + CELL_LATE_ORDERS_MS;
+  cell_late_calls_end (cell, earlier);
   move_bookings (cell, earlier, next);
   cell_worker_replaced (cell, earlier);
 }
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -117,7 +117,7 @@
     cell_incarnations_end_earlier (cell, worker);
   if (first)
     cell_lease_of_predecessor (cell, worker);
-  cell_lease_of_stale (cell, worker);
+  cell_lease_of_stale (cell, worker, first);
   worker->confirmed = true;
   /* While ends wait to be stored a renewal returns at once; polled again
    * without a pause, a worker got 250 renewals a second. */
@@ -186,7 +186,7 @@
     }
   if (status == MUX_CELL_FENCED)
     cell_claim_doubt (cell, "worker_fenced");
-  if (status == MUX_CELL_UNKNOWN)
+  if (status == MUX_CELL_UNKNOWN && pending->asks_for_lease)
     worker->unanswered_sent_ms = pending->sent_ms;
   if (status != MUX_CELL_OK)
     {
@@ -251,12 +251,14 @@
   /* An unanswered renewal may still arrive: if each asked for a longer lease,
    * the tasks of a lost worker could never be started elsewhere. No lease is
    * asked for either while the roster may hold the time when the last one
-   * ends. */
+   * ends, or before it names the worker: a successor would not know that such
+   * a call may reach the worker's next incarnation. */
   call->lease_expires_ms
       = worker->confirmed && worker->reachable
-                && (worker->roster & CELL_ROSTER_WITH_EXPIRY) == 0
+                && worker->roster == CELL_ROSTER_NAMED
             ? cell_worker_extend_lease (cell, worker, CELL_LEASE_RENEWAL)
             : 0;
+  pending.asks_for_lease = call->lease_expires_ms != 0;
   worker->renewing = cell_worker_call (cell, worker, call, &pending);
   if (!worker->renewing)
     worker->next_renew_ms = cell->time.now_ms + CELL_RENEW_PAUSE_MS;
--- a/src/cell/roster.c
+++ b/src/cell/roster.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "late_calls.h"
 
 #include "base/address.h"
 #include "port/incarnation.h"
@@ -60,7 +60,10 @@
   if (json != NULL && bad != NULL)
     cell_report_bad_row (cell, row, CELL_ROW_BAD_FIELD, bad);
   if (worker != NULL)
-    worker->roster = CELL_ROSTER_NAMED;
+    {
+      worker->roster = CELL_ROSTER_NAMED;
+      worker->of_predecessor = true;
+    }
   if (worker != NULL && bad == NULL)
     {
       snprintf (worker->info.addr, sizeof worker->info.addr, "%s",
@@ -93,7 +96,8 @@
       cell->roster_fence = reply->row[i].version;
     else if (mux_incarnation_valid (reply->row[i].key))
       load_row (cell, &reply->row[i], reply->store_clock_ms);
-    else
+    else if (!cell_late_calls_load (cell, &reply->row[i],
+                                    reply->store_clock_ms))
       cell_report_bad_row (cell, &reply->row[i], CELL_ROW_BAD_KEY, "key");
   cell->roster_loaded = !cell_next_page (cell->roster_from, reply);
   if (!cell->roster_loaded)
@@ -202,6 +206,7 @@
 {
   cell->roster_busy = false;
   resolve_states (cell, reply->status);
+  cell_late_calls_written (cell, reply->status);
   if (reply->status == MUX_CELL_CONFLICT)
     cell_claim_doubt (cell, "roster_conflict");
   if (reply->status == MUX_CELL_UNKNOWN || reply->status == MUX_CELL_CONFLICT)
@@ -220,7 +225,7 @@
 lease_left (const MuxCell *cell, const CellWorker *worker)
 {
   return worker->confirmed ? cell_worker_lease_left (cell, worker)
-                           : cell_predecessor_lease_left (cell);
+                           : cell_unconfirmed_lease_left (cell, worker);
 }
 
 /* The expiry is by the store's clock, which all daemons can read. */
@@ -252,15 +257,19 @@
         = entry_value (cell, worker);
 }
 
+/* An incarnation is added, or removed, with or after the late calls to those
+ * that have ended: a successor that reads the one would not know of the
+ * others. */
 static void
 write_entries (MuxCell *cell, MuxCellCall *call)
 {
   CellWorker *worker;
   CellWorker *next;
-  uint32_t n = 0;
+  uint32_t n = cell_late_calls_write (cell, call, COMMIT_WORKERS_MAX / 2);
 
   HASH_ITER (hh, cell->workers, worker, next)
-  if (n < COMMIT_WORKERS_MAX && wanted_state (cell, worker) != worker->roster)
+  if (n < COMMIT_WORKERS_MAX && wanted_state (cell, worker) != worker->roster
+      && cell_late_calls_are_stored (worker))
     {
       write_entry (cell, worker, call);
       n++;
@@ -294,8 +303,10 @@
   add_fence (cell, call);
   write_entries (cell, call);
   cell->roster_busy = cell_call (cell, call, &pending);
-  if (!cell->roster_busy)
-    resolve_states (cell, MUX_CELL_NOT_DONE);
+  if (cell->roster_busy)
+    return;
+  resolve_states (cell, MUX_CELL_NOT_DONE);
+  cell_late_calls_written (cell, MUX_CELL_NOT_DONE);
 }
 
 static void
@@ -331,6 +342,8 @@
   const CellWorker *worker;
   const CellWorker *next;
 
+  if (cell_late_calls_are_due (cell))
+    return true;
   HASH_ITER (hh, cell->workers, worker, next)
   if (wanted_state (cell, worker) != worker->roster)
     return true;
@@ -340,6 +353,7 @@
 void
 cell_roster_tick (MuxCell *cell)
 {
+  cell_late_calls_tick (cell);
   if (cell->roster_busy || cell->time.now_ms < cell->roster_next_ms
       || !wants_commit (cell))
     return;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -341,7 +341,8 @@
   CellPending pending = { .on_reply = start_answered,
                           .term = cell->term,
                           .task = cell_task_ref (task),
-                          .run = run };
+                          .run = run,
+                          .asks_for_lease = true };
 
   if (call == NULL || !cell_starts_are_allowed (cell)
       || cell_book (cell, task, worker, run) == NULL)
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "late_calls.h"
 
 #include "port/incarnation.h"
 
@@ -89,6 +89,7 @@
 
   HASH_ITER (hh, cell->workers, worker, next)
   worker_free (cell, worker);
+  cell_incarnations_free_all (cell);
 }
 
 bool
@@ -149,6 +150,7 @@
             "lease", cell_lease_json (cell, worker));
   if (worker->replaced && !worker->info.draining)
     cell_log_crash (cell, worker);
+  cell_late_calls_end (cell, worker);
   cell_late_starts_of_predecessor (cell, worker);
   cell_lose_runs (cell, worker);
   cell_losses_worker_dead (cell, worker);
--- a/src/cell/worker_lease.c
+++ b/src/cell/worker_lease.c
@@ -1,4 +1,4 @@
-#include "cell_private.h"
+#include "late_calls.h"
 
 /* How long runs may go on at a worker without renewal. */
 
@@ -62,8 +62,8 @@
 
 /*
  * A call meant for an earlier incarnation of the worker, and carried out late
- * by this one, asks for an expiry on the earlier one's clock, and with that
- * for the longest lease there is. Such a call may come after the last reply.
+ * by this one, asks for the longest lease there is. Such a call may come after
+ * the last reply.
  *
  * Return: until when such a lease may last; 0: no such call can arrive any
  * more.
@@ -71,9 +71,10 @@
 static int64_t
 stale_lease_until_ms (const CellWorker *worker)
 {
-  return worker->late_orders_until_ms > worker->clock_at_ms
-             ? worker->late_orders_until_ms + cell_longest_lease_ms ()
-             : 0;
+  int64_t until_ms = cell_late_calls_until_ms (worker, worker->confirmed);
+
+  return until_ms > worker->clock_at_ms ? until_ms + cell_longest_lease_ms ()
+                                        : 0;
 }
 
 int64_t
@@ -100,23 +101,26 @@
                / PERCENT;
 }
 
-int64_t
-cell_predecessor_lease_left (const MuxCell *cell)
+/* An expiry stored by a predecessor takes late calls into account. */
+static int64_t
+unconfirmed_lease_until_ms (const MuxCell *cell, const CellWorker *worker)
 {
-  int64_t left = predecessor_lease_until_ms (cell) - cell->time.now_ms;
-
-  return left > 0 ? left : 0;
+  int64_t until_ms = predecessor_lease_until_ms (cell);
+  int64_t stale_ms = stale_lease_until_ms (worker);
+
+  if (stale_ms > until_ms)
+    until_ms = stale_ms;
+  return worker->stored_expiry_ms != 0 && worker->stored_expiry_ms < until_ms
+             ? worker->stored_expiry_ms
+             : until_ms;
 }
 
 int64_t
 cell_unconfirmed_lease_left (const MuxCell *cell, const CellWorker *worker)
 {
-  int64_t left = cell_predecessor_lease_left (cell);
-  int64_t stored_left = worker->stored_expiry_ms - cell->time.now_ms;
+  int64_t left = unconfirmed_lease_until_ms (cell, worker) - cell->time.now_ms;
 
-  if (worker->stored_expiry_ms == 0 || stored_left >= left)
-    return left;
-  return stored_left > 0 ? stored_left : 0;
+  return left > 0 ? left : 0;
 }
 
 /*
@@ -130,13 +134,8 @@
 {
   int64_t now = cell->time.now_ms;
 
-  /* An expiry stored by a predecessor is never after the end of the longest
-   * lease. */
-  if (!worker->confirmed && worker->stored_expiry_ms != 0
-      && now - EXPIRY_MARGIN_MS > worker->stored_expiry_ms)
-    return true;
   if (!worker->confirmed)
-    return now - EXPIRY_MARGIN_MS > predecessor_lease_until_ms (cell);
+    return now - EXPIRY_MARGIN_MS > unconfirmed_lease_until_ms (cell, worker);
   return worker_clock_min_ms (worker, now)
              > worker->lease_expires_ms + EXPIRY_MARGIN_MS
          && now > stale_lease_until_ms (worker) + EXPIRY_MARGIN_MS;
@@ -166,14 +165,19 @@
 }
 
 /* A late call to an earlier incarnation may have requested the longest lease
- * before this reply. */
+ * before this reply.  A predecessor's did so before the first reply, from which
+ * on the worker knows this planner's fencing token. */
 void
-cell_lease_of_stale (const MuxCell *cell, CellWorker *worker)
+cell_lease_of_stale (const MuxCell *cell, CellWorker *worker, bool first)
 {
-  int64_t until = worker->clock_ms + LEASE_MAX_MS;
-
-  if (cell->time.now_ms < worker->late_orders_until_ms)
-    raise_lease (cell, worker, until, CELL_LEASE_STALE);
+  int64_t until_ms = cell_late_calls_until_ms (worker, !first);
+  int64_t passed_ms = cell->time.now_ms - until_ms;
+
+  if (passed_ms < 0)
+    passed_ms = 0;
+  if (until_ms != 0 && passed_ms < LEASE_MAX_MS)
+    raise_lease (cell, worker, worker->clock_ms + LEASE_MAX_MS - passed_ms,
+                 CELL_LEASE_STALE);
 }
 
 /* A predecessor's last order came before ours, and requested no longer lease
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -118,6 +118,8 @@
 /**
  * struct WorldWorker - a worker
  * @fault: of START and STOP calls
+ * @late_renewals: RENEW calls are not answered, and carried out the world's
+ *   @late_ms later
  * @unreachable: calls from any daemon are lost
  * @fails: all its runs fail after @task_ms
  * @usage: usage that its runs report
@@ -143,6 +145,7 @@
   bool listed;
   MuxWorkerInfo info;
   WorldFault fault;
+  bool late_renewals;
   bool unreachable;
   bool fails;
   uint32_t usage;
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -590,6 +590,8 @@
   WorldFault fault = worker != NULL && order ? worker->fault : WORLD_SERVES;
   WorldEvent *event;
 
+  if (worker != NULL && worker->late_renewals && !order)
+    fault = WORLD_LATE;
   if (worker != NULL && call->verb == MUX_CELL_PACE
       && worker->pace_fault != WORLD_SERVES)
     fault = worker->pace_fault;
