Forget the occurrences of a repeated job that are done

The stages of each occurrence stayed until the whole job had ended, some 650 bytes for each step, and a successor that read "so many are done" made all of them again.

The first occurrences that are done are now forgotten once no task of them has an object; a successor skips them, and the stored form is the same. What comes late for one finds no task, as after the job's end. Where an unfinished occurrence keeps done ones behind it, their stages count as memory for jobs, and no further one begins while none is left.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -91,6 +91,8 @@
      "checkpoints and proofs not kept as others hold the memory for them")     \
   X (JOBS_NO_MEMORY, "jobs_no_memory_total",                                   \
      "jobs refused as others hold the memory for jobs")                        \
+  X (OCCURRENCES_HELD, "occurrences_held_total",                               \
+     "times an occurrence waited for the memory of earlier ones of its job")   \
   X (JOBS_LEFT_OUT, "jobs_left_out_total",                                     \
      "stored jobs that the planner had no memory for and left in the store")   \
   X (PACES, "paces_total",                                                     \
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -515,6 +515,10 @@
 /** cell_job_watch() - checks the job periodically from now on */
 void cell_job_watch (MuxCell *cell, CellJob *job);
 void cell_jobs_tick (MuxCell *cell);
+/** cell_job_stage() - a stage of the job; NULL: its occurrence has not begun,
+ * or is done and forgotten */
+CellStage *
+cell_job_stage (const CellJob *job, uint32_t occurrence, uint32_t step);
 /** cell_stage_find() - stage of the task; NULL: its job, or that occurrence of
  * it, is not known */
 CellStage *cell_stage_find (MuxCell *cell, const MuxTaskRef *ref);
@@ -528,7 +532,7 @@
 /** cell_occurrence_add() - creates the stages of the occurrence
  * @began_ms: when it was due
  * Return: false if out of memory. */
-bool cell_occurrence_add (const MuxCell *cell,
+bool cell_occurrence_add (MuxCell *cell,
                           CellJob *job,
                           uint32_t occurrence,
                           int64_t began_ms);
@@ -545,6 +549,9 @@
 /** cell_occurrences_due() - upper bound of the occurrences that any planner
  * may have begun, whose wall clock may be ahead of ours */
 uint32_t cell_occurrences_due (const MuxCell *cell, const CellJob *job);
+/** cell_occurrences_skip() - the first @count are done, as a predecessor
+ * recorded; before any has begun */
+void cell_occurrences_skip (CellJob *job, uint32_t count);
 /** cell_occurrences_restore() - begins those that a predecessor had begun */
 void cell_occurrences_restore (MuxCell *cell, CellJob *job, uint32_t count);
 
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1108,8 +1108,10 @@
  * @booking_count: runs that hold room
  * @loss_count: lost runs of all its tasks
  * @next_occurrence: index of the next occurrence to begin
+ * @first_occurrence: those before it are done, and have no stages any more
  * @stage_count: entries of @stage
- * @stage: stages of the occurrences begun, in order; owned
+ * @stage: stages of the occurrences from there on that have begun, in order;
+ *   owned
  */
 struct CellJob
 {
@@ -1150,6 +1152,7 @@
   uint32_t booking_count;
   uint32_t loss_count;
   uint32_t next_occurrence;
+  uint32_t first_occurrence;
   uint32_t stage_count;
   CellStage **stage;
   CellJob *dirty_prev;
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -131,6 +131,43 @@
   free (sender);
 }
 
+/* Stages beyond those of the occurrences that may be unfinished: done ones
+ * that begun before them is still not. */
+static uint64_t
+extra_stages (const CellJob *job)
+{
+  uint64_t counted = occurrences_at_once (job->spec) * job->spec->step_count;
+
+  return job->stage_count > counted ? job->stage_count - counted : 0;
+}
+
+void
+cell_job_memory_update (MuxCell *cell, CellJob *job)
+{
+  uint64_t bytes = cell_job_bytes (job->spec)
+                   + extra_stages (job) * (sizeof (CellStage) + BLOCK_BYTES);
+  CellJobSender *sender = find_sender (cell, job->spec);
+
+  if (bytes == job->bytes)
+    return;
+  cell->job_memory.used_bytes += bytes - job->bytes;
+  if (sender != NULL)
+    sender->bytes += bytes - job->bytes;
+  job->bytes = bytes;
+}
+
+bool
+cell_job_may_grow (const MuxCell *cell, const CellJob *job)
+{
+  uint64_t next = job->stage_count + job->spec->step_count;
+
+  if (next <= occurrences_at_once (job->spec) * job->spec->step_count
+      || cell->job_memory.used_bytes < cell_job_memory_own_limit (cell))
+    return true;
+  mux_count (cell->options.counters, MUX_COUNT_OCCURRENCES_HELD, 1);
+  return false;
+}
+
 uint64_t
 cell_job_memory_own_limit (const MuxCell *cell)
 {
--- a/src/cell/job_memory.h
+++ b/src/cell/job_memory.h
@@ -17,6 +17,12 @@
 uint64_t cell_job_memory_charge (MuxCell *cell, const MuxJobSpec *spec);
 void
 cell_job_memory_release (MuxCell *cell, const MuxJobSpec *spec, uint64_t bytes);
+/** cell_job_memory_update() - counts the stages that the job has begun beyond
+ * those counted for it in advance */
+void cell_job_memory_update (MuxCell *cell, CellJob *job);
+/** cell_job_may_grow() - whether a further occurrence may begin: it was counted
+ * in advance, or there is memory for it */
+bool cell_job_may_grow (const MuxCell *cell, const CellJob *job);
 /** cell_job_memory_own_limit() - what this instance can plan, in bytes */
 uint64_t cell_job_memory_own_limit (const MuxCell *cell);
 /** cell_job_max_bytes() - the largest job that is ever accepted */
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -489,17 +489,26 @@
 }
 
 CellStage *
-cell_stage_find (MuxCell *cell, const MuxTaskRef *ref)
+cell_job_stage (const CellJob *job, uint32_t occurrence, uint32_t step)
 {
-  CellJob *job = cell_job_find (cell, ref->job);
   uint64_t at;
 
-  if (job == NULL || ref->step >= job->spec->step_count)
-    return NULL;
-  at = (uint64_t) ref->occurrence * job->spec->step_count + ref->step;
-  if (at >= job->stage_count || ref->index >= job->stage[at]->spec->count)
+  if (occurrence < job->first_occurrence || step >= job->spec->step_count)
     return NULL;
-  return job->stage[at];
+  at = (uint64_t) (occurrence - job->first_occurrence) * job->spec->step_count
+       + step;
+  return at < job->stage_count ? job->stage[at] : NULL;
+}
+
+CellStage *
+cell_stage_find (MuxCell *cell, const MuxTaskRef *ref)
+{
+  const CellJob *job = cell_job_find (cell, ref->job);
+  CellStage *stage = NULL;
+
+  if (job != NULL)
+    stage = cell_job_stage (job, ref->occurrence, ref->step);
+  return stage != NULL && ref->index < stage->spec->count ? stage : NULL;
 }
 
 CellTask *
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -1,6 +1,7 @@
-#include "cell_private.h"
+#include "job_memory.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* When the occurrences of a repeated job begin. */
 
@@ -8,7 +9,7 @@
 #define WALL_CLOCK_DIFF_MAX_MS 600000
 
 bool
-cell_occurrence_add (const MuxCell *cell,
+cell_occurrence_add (MuxCell *cell,
                      CellJob *job,
                      uint32_t occurrence,
                      int64_t began_ms)
@@ -29,9 +30,53 @@
       job->stage_count++;
     }
   job->next_occurrence = occurrence + 1;
+  cell_job_memory_update (cell, job);
   return true;
 }
 
+/* A result that comes late for it finds no task: its run is stopped, and its
+ * end changes nothing.  What has a task's object is not forgotten: the run or
+ * the loss that it stands for is. */
+static bool
+can_be_forgotten (const CellJob *job, uint32_t first_stage)
+{
+  for (uint32_t i = 0; i < job->spec->step_count; i++)
+    {
+      const CellStage *stage = job->stage[first_stage + i];
+
+      if (stage->tasks_left > 0 || stage->task_objects > 0
+          || stage->query_pending)
+        return false;
+    }
+  return true;
+}
+
+/*
+ * Forgets the first occurrences that are done, except for the last one begun;
+ * they are stored as a number alone.  Otherwise a job that is repeated for
+ * months would take more memory with each occurrence.
+ */
+static void
+forget_done (MuxCell *cell, CellJob *job)
+{
+  uint32_t steps = job->spec->step_count;
+  uint32_t n = 0;
+
+  /* A pass over split progress goes by positions of stages. */
+  if (job->in_commit || job->split.in_pass)
+    return;
+  while (n + steps < job->stage_count && can_be_forgotten (job, n))
+    n += steps;
+  if (n == 0)
+    return;
+  for (uint32_t i = 0; i < n; i++)
+    cell_stage_free (cell, job->stage[i]);
+  job->stage_count -= n;
+  job->first_occurrence += n / steps;
+  memmove (job->stage, job->stage + n, job->stage_count * sizeof (CellStage *));
+  cell_job_memory_update (cell, job);
+}
+
 bool
 cell_occurrences_left (const CellJob *job)
 {
@@ -98,12 +143,24 @@
 void
 cell_occurrences_begin (MuxCell *cell, CellJob *job)
 {
+  forget_done (cell, job);
   while (cell_occurrences_left (job)
          && until_due_ms (cell, job, job->next_occurrence) <= 0
-         && !too_many_unfinished (job) && add_next (cell, job))
+         && !too_many_unfinished (job) && cell_job_may_grow (cell, job)
+         && add_next (cell, job))
     ;
 }
 
+void
+cell_occurrences_skip (CellJob *job, uint32_t count)
+{
+  if (job->stage_count > 0 || job->spec->repetitions == 0 || count == 0)
+    return;
+  /* The last one is kept, so that a job of which all are done ends. */
+  job->first_occurrence = count - 1;
+  job->next_occurrence = count - 1;
+}
+
 uint32_t
 cell_occurrences_due (const MuxCell *cell, const CellJob *job)
 {
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -54,26 +54,27 @@
 {
   json_t *stages = json_array ();
   uint32_t steps = job->spec->step_count;
+  uint32_t first = job->first_occurrence;
   uint32_t done = leading_done_stages (job);
 
   for (uint32_t i = done; i < job->stage_count; i++)
     (void) json_array_append_new (stages, stage_json (cell, job->stage[i]));
   return json_pack ("{s:b, s:i, s:i, s:o}", "started", (int) job->started,
-                    "occurrences", (int) (job->stage_count / steps), "done",
-                    (int) (done / steps), "stages", stages);
+                    "occurrences", (int) (first + job->stage_count / steps),
+                    "done", (int) (first + done / steps), "stages", stages);
 }
 
 static void
 apply_stage (MuxCell *cell, CellJob *job, const json_t *json)
 {
-  json_int_t at = json_integer_value (json_object_get (json, "occurrence"))
-                      * job->spec->step_count
-                  + json_integer_value (json_object_get (json, "step"));
-  CellStage *stage;
+  json_t *occurrence = json_object_get (json, "occurrence");
+  json_t *step = json_object_get (json, "step");
+  CellStage *stage
+      = cell_job_stage (job, (uint32_t) json_integer_value (occurrence),
+                        (uint32_t) json_integer_value (step));
 
-  if (at < 0 || at >= job->stage_count)
+  if (stage == NULL)
     return;
-  stage = job->stage[at];
   cell_done_apply (cell, stage, all_tasks (stage->spec),
                    json_object_get (json, "done"));
   cell_runs_apply (&stage->failures, &stage->last_run,
@@ -117,20 +118,21 @@
                                                                 : "workers";
 }
 
-/* Number of stages that are stored as a number alone; 0 in rows of an earlier
- * version, which lack the field. */
-static uint64_t
-stored_leading_done_stages (const CellJob *job, const json_t *json)
+/* Number of occurrences that are stored as a number alone; 0 in rows of an
+ * earlier version, which lack the field. */
+static uint32_t
+stored_done_occurrences (const json_t *json)
 {
-  return (uint64_t) json_integer_value (json_object_get (json, "done"))
-         * job->spec->step_count;
+  return (uint32_t) json_integer_value (json_object_get (json, "done"));
 }
 
 static void
-apply_done (MuxCell *cell, CellJob *job, uint64_t stages)
+apply_done (MuxCell *cell, CellJob *job, uint32_t occurrences)
 {
-  for (uint64_t i = 0; i < stages && i < job->stage_count; i++)
-    cell_tasks_done (cell, job->stage[i]);
+  for (uint32_t i = job->first_occurrence; i < occurrences; i++)
+    for (uint32_t j = 0; j < job->spec->step_count; j++)
+      if (cell_job_stage (job, i, j) != NULL)
+        cell_tasks_done (cell, cell_job_stage (job, i, j));
 }
 
 /* Checks the whole of it, as tasks that are done would run again if only a part
@@ -145,7 +147,8 @@
   const json_t *occurrences = json_object_get (json, "occurrences");
   const json_t *done = json_object_get (json, "done");
   json_int_t min = job->spec->repetitions == 0 ? 1 : 0;
-  uint64_t first = stored_leading_done_stages (job, json);
+  uint64_t first
+      = (uint64_t) stored_done_occurrences (json) * job->spec->step_count;
   json_t *stage;
   size_t i;
 
@@ -186,10 +189,11 @@
   if (bad_field != NULL)
     return bad_field;
   job->started = json_is_true (json_object_get (json, "started"));
+  cell_occurrences_skip (job, stored_done_occurrences (json));
   cell_occurrences_restore (
       cell, job,
       (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
-  apply_done (cell, job, stored_leading_done_stages (job, json));
+  apply_done (cell, job, stored_done_occurrences (json));
   json_array_foreach (stages, i, stage) apply_stage (cell, job, stage);
   cell_loss_list_add (cell, job);
   return NULL;
--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -158,7 +158,7 @@
   char text[HEX + 1];
 
   for (uint32_t i = 0; i < steps; i++)
-    if (job->stage[occurrence * steps + i]->tasks_left == 0)
+    if (cell_job_stage (job, occurrence, i)->tasks_left == 0)
       {
         set |= UINT64_C (1) << i;
         done++;
@@ -172,10 +172,11 @@
 json_t *
 cell_split_head_json (const CellJob *job)
 {
-  uint32_t occurrences = job->stage_count / job->spec->step_count;
+  uint32_t occurrences
+      = job->first_occurrence + job->stage_count / job->spec->step_count;
   json_t *open = json_array ();
 
-  for (uint32_t i = 0; i < occurrences; i++)
+  for (uint32_t i = job->first_occurrence; i < occurrences; i++)
     {
       json_t *json = open_occurrence_json (job, i);
 
@@ -267,7 +268,17 @@
     set = strtoull (json_string_value (json_array_get (open, 1)), NULL, HEX);
   for (uint32_t i = 0; i < steps; i++)
     if ((set >> i & 1) != 0)
-      cell_tasks_done (cell, job->stage[occurrence * steps + i]);
+      cell_tasks_done (cell, cell_job_stage (job, occurrence, i));
+}
+
+/* Return: number of the first occurrences that are done; the list is in their
+ * order. */
+static uint32_t
+first_open (const json_t *open, uint32_t occurrences)
+{
+  return json_array_size (open) > 0 ? (uint32_t) json_integer_value (
+             json_array_get (json_array_get (open, 0), 0))
+                                    : occurrences;
 }
 
 const char *
@@ -285,11 +296,13 @@
   job->split.begun = true;
   job->split.stored = true;
   job->split.may_be_stored = true;
-  cell_occurrences_restore (
-      cell, job,
-      (uint32_t) json_integer_value (json_object_get (json, "occurrences")));
-  occurrences = job->stage_count / job->spec->step_count;
-  for (uint32_t i = 0; i < occurrences; i++)
+  occurrences
+      = (uint32_t) json_integer_value (json_object_get (json, "occurrences"));
+  cell_occurrences_skip (job, first_open (open, occurrences));
+  cell_occurrences_restore (cell, job, occurrences);
+  occurrences
+      = job->first_occurrence + job->stage_count / job->spec->step_count;
+  for (uint32_t i = job->first_occurrence; i < occurrences; i++)
     {
       const json_t *entry = json_array_get (open, next);
       bool is_open
@@ -411,13 +424,9 @@
           uint32_t step,
           CellSplitRow row)
 {
-  uint64_t at = (uint64_t) occurrence * job->spec->step_count + step;
-  CellStage *stage;
+  CellStage *stage = cell_job_stage (job, occurrence, step);
 
-  if (step >= job->spec->step_count || at >= job->stage_count)
-    return NULL;
-  stage = job->stage[at];
-  if (stage->tasks_left == 0
+  if (stage == NULL || stage->tasks_left == 0
       || (row.kind == CELL_SPLIT_TASKS
           && row.number >= cell_split_task_rows (stage->spec)))
     return NULL;
--- a/src/cell/query_ahead.c
+++ b/src/cell/query_ahead.c
@@ -28,13 +28,12 @@
 static int64_t
 longest_dependency_ms (const CellStage *stage)
 {
-  const CellJob *job = stage->job;
-  uint32_t first = stage->occurrence * job->spec->step_count;
   int64_t longest_ms = 0;
 
   for (uint32_t i = 0; i < stage->step; i++)
     {
-      const CellStage *before = job->stage[first + i];
+      const CellStage *before
+          = cell_job_stage (stage->job, stage->occurrence, i);
 
       if ((stage->spec->after >> i & 1) == 0 || before->tasks_left == 0)
         continue;
@@ -73,13 +72,16 @@
 cell_query_ahead (MuxCell *cell, const CellStage *placed)
 {
   const CellJob *job = placed->job;
-  uint32_t first = placed->occurrence * job->spec->step_count;
 
   if (!is_short (placed) || !cell_traffic_allows_ahead (cell) || job->cancelled
       || job->failed)
     return;
   for (uint32_t i = placed->step + 1; i < job->spec->step_count; i++)
-    if ((job->spec->step[i].after >> placed->step & 1) != 0
-        && can_query_ahead (job->stage[first + i]))
-      query_candidates (cell, job->stage[first + i]);
+    {
+      CellStage *stage = cell_job_stage (job, placed->occurrence, i);
+
+      if ((stage->spec->after >> placed->step & 1) != 0
+          && can_query_ahead (stage))
+        query_candidates (cell, stage);
+    }
 }
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -125,12 +125,9 @@
 static bool
 dependencies_are_done (const CellStage *stage)
 {
-  const CellJob *job = stage->job;
-  uint32_t first = stage->occurrence * job->spec->step_count;
-
   for (uint32_t i = 0; i < stage->step; i++)
     if ((stage->spec->after >> i & 1) != 0
-        && job->stage[first + i]->tasks_left > 0)
+        && cell_job_stage (stage->job, stage->occurrence, i)->tasks_left > 0)
       return false;
   return true;
 }
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -1,3 +1,4 @@
+#include "src/cell/cell_private.h"
 #include "support/cell_world.h"
 #include "support/test.h"
 
@@ -29,6 +30,9 @@
 /* Of the jobs that an instance with more memory has accepted. */
 #define STORED_JOBS 400
 #define QUICK_TASK_MS 4
+/* Occurrences of a repeated job, far more than may be unfinished. */
+#define OCCURRENCES 3000
+#define REPEAT_MS 10
 
 static int64_t
 allocated_bytes (void)
@@ -305,10 +309,49 @@
   world_free (world);
 }
 
+static uint32_t
+stages_of (const World *world, const char *id)
+{
+  const CellJob *job
+      = cell_job_find (world->cell[world_planner (world)].cell, id);
+
+  return job != NULL ? job->stage_count : 0;
+}
+
+/* Guards against memory for each occurrence that a repeated job has ever had,
+ * in its planner and in each that takes over. */
+static void
+test_done_occurrences_of_a_repeated_job_take_no_memory (void **state)
+{
+  World *world = new_world ();
+  MuxJobSpec *job = wide_job (2, 1);
+
+  (void) state;
+  world->task_ms = QUICK_TASK_MS;
+  job->step[1].after = 1;
+  job->repetitions = OCCURRENCES;
+  job->interval_ms = REPEAT_MS;
+  job->first_due_ms = WORLD_WALL_MS + world->now_ms;
+  submit_numbered (world, job, 0);
+  world_run (world, (int64_t) OCCURRENCES * REPEAT_MS * 2 / 3);
+  assert_in_range (stages_of (world, "job-0"), 1,
+                   CELL_UNFINISHED_STAGES_MAX + 2);
+  world_cell_kill (world, world_planner (world));
+  world_run (world, 6000);
+  assert_in_range (stages_of (world, "job-0"), 1,
+                   2 * CELL_UNFINISHED_STAGES_MAX);
+  world_run (world, 60000);
+  assert_int_equal (world_state (world, world_planner (world), "job-0"),
+                    MUX_JOB_COMPLETED);
+  assert_false (world_double_run_acked (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_done_occurrences_of_a_repeated_job_take_no_memory),
     cmocka_unit_test (test_jobs_beyond_the_memory_for_jobs_are_refused),
     cmocka_unit_test (test_job_over_the_memory_of_any_is_refused_with_its_size),
     cmocka_unit_test (test_the_instance_with_the_least_memory_sets_the_limit),
