--- a/test/support/cell_chaos.c
+++ b/test/support/cell_chaos.c
@@ -143,6 +143,8 @@
   worker->fault = faults[chaos_below (c, 6)];
   worker->unreachable = chaos_below (c, 3) == 0;
   worker->fails = chaos_below (c, 10) == 0;
+  if (c->world->same_ids)
+    worker->late_renewals = chaos_below (c, 5) == 0;
 }
 
 /* The store refuses the planner until another daemon has claimed, then serves
@@ -234,6 +236,7 @@
       world->worker[i].fault = WORLD_SERVES;
       world->worker[i].unreachable = false;
       world->worker[i].fails = false;
+      world->worker[i].late_renewals = false;
     }
 }
 
