--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -309,6 +309,30 @@
   world_free (world);
 }
 
+/* Guards against a record of a loss for each task that waits, as a planner and
+ * a worker are lost at once: they may have been started there. */
+static void
+test_tasks_that_can_t_have_started_lose_no_run (void **state)
+{
+  World *world = new_world ();
+  uint32_t pool_tasks = WORKERS * 32000 / CPU_MILLI;
+
+  (void) state;
+  for (uint32_t i = 0; i < WIDE_JOBS; i++)
+    submit_numbered (world, wide_job (WIDE_STEPS, WIDE_TASKS), i);
+  world_run (world, 1000);
+  world->worker[0].unreachable = true;
+  world_cell_kill (world, world_planner (world));
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      world_run (world, 100);
+      assert_true (mux_gauge_value (world->counters, MUX_GAUGE_TASK_OBJECTS)
+                   <= 4 * pool_tasks);
+    }
+  assert_true (world_logged (world, "worker_dead") > 0);
+  world_free (world);
+}
+
 static uint32_t
 stages_of (const World *world, const char *id)
 {
@@ -351,6 +375,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_tasks_that_can_t_have_started_lose_no_run),
     cmocka_unit_test (test_done_occurrences_of_a_repeated_job_take_no_memory),
     cmocka_unit_test (test_jobs_beyond_the_memory_for_jobs_are_refused),
     cmocka_unit_test (test_job_over_the_memory_of_any_is_refused_with_its_size),
