--- a/src/cell/late_calls.c
+++ b/src/cell/late_calls.c
@@ -81,12 +81,6 @@
   return true;
 }
 
-static bool
-asks_for_lease (const CellPending *pending)
-{
-  return pending->asks_for_lease;
-}
-
 /* Return: when the last call was sent that asks the worker for a lease and has
  * no answer; 0: none is known. */
 static int64_t
@@ -97,7 +91,7 @@
   const CellPending *next;
 
   HASH_ITER (hh, cell->pending, pending, next)
-  if (asks_for_lease (pending) && pending->sent_ms > last_ms
+  if (pending->asks_for_lease && pending->sent_ms > last_ms
       && strcmp (pending->worker, worker->info.id) == 0)
     last_ms = pending->sent_ms;
   return last_ms;
