Call a worker that was never heard while it counts as dead

A worker that a successor has never heard stays in the roster, as dead, for as long as its predecessor's starts may arrive there, 25 s, and was not called before its entry was gone.

No lease is asked for before it answers, and starts that may arrive late are waited for as before. The new test counts two starts on the code before, one now.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -755,6 +755,9 @@
 /** cell_worker_replaced() - another incarnation answers at its address */
 void cell_worker_replaced (MuxCell *cell, CellWorker *worker);
 void cell_worker_mark_dead (MuxCell *cell, CellWorker *worker, const char *why);
+/** cell_worker_reset_dead() - the same incarnation may be used again, once it
+ * answers */
+void cell_worker_reset_dead (MuxCell *cell, CellWorker *worker);
 void cell_workers_tick (MuxCell *cell);
 void cell_workers_free (MuxCell *cell);
 bool cell_worker_usable (const MuxCell *cell, const CellWorker *worker);
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -162,6 +162,18 @@
              : reply->status;
 }
 
+/* A dead worker answers for the first time, as the same incarnation. */
+static bool
+is_back (const CellWorker *worker,
+         const MuxCellReply *reply,
+         MuxCellStatus status)
+{
+  return worker->dead && !worker->replaced && !worker->confirmed
+         && status == MUX_CELL_OK
+         && (worker->started_ms == 0
+             || reply->worker_started_ms == worker->started_ms);
+}
+
 static void
 renew_replied (MuxCell *cell,
                const CellPending *pending,
@@ -176,9 +188,14 @@
     return;
   /* Also for a dead worker: it may come back, and is then polled again. */
   worker->renewing = false;
-  if (worker->dead)
-    return;
   status = renewal_status (worker, reply);
+  if (is_back (worker, reply, status))
+    cell_worker_reset_dead (cell, worker);
+  if (worker->dead)
+    {
+      worker->next_renew_ms = cell->time.now_ms + CELL_RENEW_PAUSE_MS;
+      return;
+    }
   if (status == MUX_CELL_OTHER_INCARNATION)
     {
       cell_worker_replaced (cell, worker);
--- a/src/cell/worker.c
+++ b/src/cell/worker.c
@@ -339,8 +339,8 @@
 
 /* Its lease expired while it was unreachable; the same incarnation may come
  * back, having ended all its runs. */
-static void
-reset_dead (MuxCell *cell, CellWorker *worker)
+void
+cell_worker_reset_dead (MuxCell *cell, CellWorker *worker)
 {
   worker->dead = false;
   worker->confirmed = false;
@@ -372,6 +372,19 @@
          || cell_service_is_known (cell, worker->service);
 }
 
+/*
+ * A worker that this planner has never heard stays in the roster, as dead, for
+ * as long as starts of a predecessor may arrive there.  It is called all the
+ * same: ends that it lists once it is back must be known before their tasks
+ * run elsewhere.
+ */
+static bool
+may_answer_yet (const CellWorker *worker)
+{
+  return worker->dead && !worker->replaced && !worker->confirmed
+         && worker->listed;
+}
+
 static void
 worker_tick (MuxCell *cell, CellWorker *worker)
 {
@@ -383,8 +396,12 @@
   if (worker->dead)
     lose_late_starts (cell, worker);
   if (worker->dead && !worker->replaced && !cell_in_roster (worker))
-    reset_dead (cell, worker);
-  if (worker->dead || worker->info.addr[0] == 0 || !is_needed (cell, worker))
+    cell_worker_reset_dead (cell, worker);
+  if (worker->info.addr[0] == 0 || !is_needed (cell, worker))
+    return;
+  if (may_answer_yet (worker))
+    cell_renew_if_due (cell, worker);
+  if (worker->dead)
     return;
   update_acks (cell, worker);
   /* Gone from the list: its runs are left to their lease, so that they end
--- a/test/unit/test_cell_takeovers.c
+++ b/test/unit/test_cell_takeovers.c
@@ -306,10 +306,47 @@
       play_former_planner_that_goes_on (phase_ms, second_ms, true);
 }
 
+#define SHORT_TASK_MS 3000
+/* After the leases that a predecessor could request are over. */
+#define BACK_MS 10000
+#define ROOM_ELSEWHERE_MS 4000
+
+/* Guards against a task that runs again although its worker, which a successor
+ * had taken as gone, is back with the end of its run: it was not called. */
+static void
+test_end_at_a_worker_that_is_back_is_known_before_a_start_elsewhere (
+    void **state)
+{
+  World *world = world_with_ids_kept (2, 2);
+
+  (void) state;
+  world->task_ms = SHORT_TASK_MS;
+  world_worker_room (world, 1, 0);
+  world_run (world, 1000);
+  (void) world_submit (world, world_planner (world), world_job (1, 1, 1000),
+                       "job-a");
+  world_run (world, 500);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  world->worker[0].unreachable = true;
+  world_cell_kill (world, world_planner (world));
+  world_run (world, BACK_MS);
+  world->worker[0].unreachable = false;
+  world_run (world, ROOM_ELSEWHERE_MS);
+  world_worker_room (world, 1, ALL_CPU_MILLI);
+  world_run (world, 6000);
+  assert_true (world_logged (world, "worker_dead") > 0);
+  assert_int_equal (world_starts (world, "job-a"), 1);
+  assert_int_equal (world_state (world, world_planner (world), "job-a"),
+                    MUX_JOB_COMPLETED);
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (
+        test_end_at_a_worker_that_is_back_is_known_before_a_start_elsewhere),
     cmocka_unit_test (test_planners_lost_in_a_row_wait_once),
     cmocka_unit_test (
         test_mark_of_a_worker_not_heard_falls_before_its_first_lease),
