Bound the memory for runs of tasks that have no size

What callers would see: a few jobs of lasting tasks without a size end their planner, and each successor, in time (found by asking which accepted jobs exceed the memory; not seen at a user's).

Such tasks take no room at a worker, and the planner started all of them, with an object and a booking of 456 bytes each. A start now waits while what is known of runs takes a third of the memory of the instance that has the least: 93,000 runs at 128 MB by their sizes, above the 81,000 of the size to design for. A gang waits until all its members have room.

The tests of the file read the number of objects from the planner, as the gauge of the test world is shared with followers, which set it to none.

--- a/include/cell/job_room.h
+++ b/include/cell/job_room.h
@@ -30,6 +30,10 @@
  * @memory_mib: its memory; 0: unknown
  * Return: in bytes. */
 uint64_t mux_job_room_limit (uint32_t memory_mib);
+/** mux_job_room_runs_limit() - memory for what is known of runs, where jobs
+ * have @limit_bytes
+ * Return: in bytes. */
+uint64_t mux_job_room_runs_limit (uint64_t limit_bytes);
 /** mux_job_room_job_max() - the largest job that an empty room accepts
  * Return: in bytes. */
 uint64_t mux_job_room_job_max (uint64_t limit_bytes);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1760,6 +1760,7 @@
   CellJob *jobs;
   CellTask *changed_tasks; /* tasks that may need no object any more */
   uint64_t task_objects;   /* tasks with an object, of all jobs */
+  uint64_t booking_count;  /* bookings of all workers */
   CellJob *watched;        /* jobs that the passing of time alone may change */
   CellJob *loss_jobs;      /* jobs with lost runs */
   uint32_t loss_job_count;
--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -1,3 +1,4 @@
+#include "job_memory.h"
 #include "stage_tasks.h"
 
 #include <stdlib.h>
@@ -409,6 +410,11 @@
       cell_step_set_blocked_on (cell, stage, CELL_BLOCKED_ON_QUOTA);
       return;
     }
+  if (cell_runs_left (cell) < stage->spec->count)
+    {
+      mux_count (cell->options.counters, MUX_COUNT_STARTS_NO_MEMORY, 1);
+      return;
+    }
   if (needs_approval)
     cell_approvals_add_recorded (cell, stage);
   place = calloc (cell_places_max (cell, stage), sizeof *place);
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -205,6 +205,20 @@
   return mux_job_room_job_max (limit_bytes (cell));
 }
 
+uint32_t
+cell_runs_left (const MuxCell *cell)
+{
+  uint64_t limit = mux_job_room_runs_limit (limit_bytes (cell));
+  uint64_t task_bytes = sizeof (CellTask) + BLOCK_BYTES;
+  uint64_t run_bytes = sizeof (CellBooking) + BLOCK_BYTES;
+  uint64_t used
+      = cell->task_objects * task_bytes + cell->booking_count * run_bytes;
+
+  if (used >= limit)
+    return 0;
+  return (uint32_t) ((limit - used) / (task_bytes + run_bytes));
+}
+
 /* A follower's own jobs are those that it is about to store, and the planner
  * does not know of all of them.  A daemon that takes over reads the jobs that
  * the planner had. */
--- a/src/cell/job_room.c
+++ b/src/cell/job_room.c
@@ -2,7 +2,9 @@
 
 /* Jobs take at most this part of an instance's memory, */
 #define MEMORY_PART 4
-/* or this much where its memory is not known. */
+/* and what is known of runs this one; */
+#define RUNS_PART 3
+/* or jobs this much where its memory is not known. */
 #define MEMORY_DEFAULT_MIB 64
 #define BYTES_PER_MIB ((uint64_t) 1 << 20)
 /* A job takes at most this part of what is free. */
@@ -24,6 +26,12 @@
   return (mib != 0 ? mib : 1) * BYTES_PER_MIB;
 }
 
+uint64_t
+mux_job_room_runs_limit (uint64_t limit_bytes)
+{
+  return limit_bytes / RUNS_PART * MEMORY_PART;
+}
+
 uint64_t
 mux_job_room_job_max (uint64_t limit_bytes)
 {
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -1,3 +1,4 @@
+#include "job_memory.h"
 #include "stage_tasks.h"
 
 #include <stdlib.h>
@@ -288,6 +289,15 @@
   return start_at (cell, stage, index, best.worker, placement);
 }
 
+static bool
+has_memory (const MuxCell *cell)
+{
+  if (cell_runs_left (cell) > 0)
+    return true;
+  mux_count (cell->options.counters, MUX_COUNT_STARTS_NO_MEMORY, 1);
+  return false;
+}
+
 static bool
 place_waiting (MuxCell *cell, CellStage *stage, Placement *placement)
 {
@@ -300,7 +310,7 @@
           || !cell_task_may_start (cell, task))
         continue;
       placement->over_quota = cell_quota_tasks_allowed (cell, stage) == 0;
-      if (placement->over_quota)
+      if (placement->over_quota || !has_memory (cell))
         return true;
       if (!place_task (cell, stage, i, placement))
         return false;
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -57,6 +57,7 @@
   if (run > task->stage->last_run)
     task->stage->last_run = run;
   task->stage->job->booking_count++;
+  cell->booking_count++;
   cell_room_book (worker, task->stage);
   DL_APPEND (worker->bookings, booking);
   return booking;
@@ -73,6 +74,7 @@
   cell->stops_due -= booking->next_stop_ms != 0;
   cell_room_release (worker, task->stage);
   task->stage->job->booking_count--;
+  cell->booking_count--;
   task->booking = NULL;
   cell->replan = true;
   cell_task_changed (cell, task);
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -42,6 +42,20 @@
   return (int64_t) (info.uordblks + info.hblkhd);
 }
 
+/* Return: tasks with an object in the planner, or in any daemon while there is
+ * none. */
+static uint64_t
+task_objects (const World *world)
+{
+  uint64_t most = 0;
+
+  for (uint32_t i = 0; i < CELLS; i++)
+    if (world->cell[i].cell != NULL && !world->cell[i].dead
+        && world->cell[i].cell->task_objects > most)
+      most = world->cell[i].cell->task_objects;
+  return most;
+}
+
 /* Its steps do not depend on each other. */
 static MuxJobSpec *
 wide_job (uint32_t steps, uint32_t tasks)
@@ -110,13 +124,11 @@
     world_run (world, 10);
   world_run (world, 1000);
   assert_true (world_starts (world, "job-0") >= FEW_TASKS);
-  assert_true (mux_gauge_value (world->counters, MUX_GAUGE_TASK_OBJECTS)
-               <= running_max);
+  assert_true (task_objects (world) <= running_max);
   world_run (world, 20000);
   assert_int_equal (world_state (world, 1, "job-0"), MUX_JOB_COMPLETED);
   assert_int_equal (world_starts (world, "job-0"), 2 * FEW_TASKS);
-  assert_int_equal (mux_gauge_value (world->counters, MUX_GAUGE_TASK_OBJECTS),
-                    0);
+  assert_int_equal (task_objects (world), 0);
   world_free (world);
 }
 
@@ -326,13 +338,40 @@
   for (uint32_t i = 0; i < 200; i++)
     {
       world_run (world, 100);
-      assert_true (mux_gauge_value (world->counters, MUX_GAUGE_TASK_OBJECTS)
-                   <= 4 * pool_tasks);
+      assert_true (task_objects (world) <= 4 * pool_tasks);
     }
   assert_true (world_logged (world, "worker_dead") > 0);
   world_free (world);
 }
 
+/* Guards against runs without number of tasks that take no room at a worker. */
+static void
+test_tasks_without_a_size_start_within_the_memory_for_runs (void **state)
+{
+  World *world = small_world ();
+  MuxJobSpec *job = wide_job (3, 3000);
+  uint64_t runs_bytes = SMALL_MIB * BYTES_PER_MIB / 3;
+  uint64_t objects;
+
+  (void) state;
+  world->task_ms = 600000;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      job->step[i].size = (MuxSize){ 0 };
+      job->step[i].long_running = true;
+    }
+  submit_numbered (world, job, 0);
+  world_run (world, 8000);
+  objects = task_objects (world);
+  print_message ("%u started\n", world_starts (world, "job-0"));
+  assert_true (objects > 1000);
+  assert_true (objects * (sizeof (CellTask) + sizeof (CellBooking))
+               <= runs_bytes);
+  assert_true (mux_counter_value (world->counters, MUX_COUNT_STARTS_NO_MEMORY)
+               > 0);
+  world_free (world);
+}
+
 static uint32_t
 stages_of (const World *world, const char *id)
 {
@@ -375,6 +414,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (
+        test_tasks_without_a_size_start_within_the_memory_for_runs),
     cmocka_unit_test (test_tasks_that_can_t_have_started_lose_no_run),
     cmocka_unit_test (test_done_occurrences_of_a_repeated_job_take_no_memory),
     cmocka_unit_test (test_jobs_beyond_the_memory_for_jobs_are_refused),
