--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1174,6 +1174,18 @@
 bool cell_run_was_short (int64_t ran_ms);
 
 /* crash.c: runs that were lost with their workers */
+/** cell_loss_record() - counts a lost run against the task */
+void cell_loss_record (MuxCell *cell,
+                       CellTask *task,
+                       const char *worker,
+                       const char *addr,
+                       CellLoss value);
+/** cell_predecessor_span() - the span of a run that a predecessor started */
+CellLossSpan cell_predecessor_span (const MuxCell *cell,
+                                    const CellWorker *worker);
+/** cell_losses_of_predecessor() - counts the runs that a predecessor may have
+ * had at @worker, which has ended and was never heard */
+void cell_losses_of_predecessor (MuxCell *cell, const CellWorker *worker);
 /** cell_loss_add() - appends a zeroed loss
  * Return: NULL if out of memory. */
 CellLoss *cell_loss_add (CellTask *task);
--- a/src/cell/crash.c
+++ b/src/cell/crash.c
@@ -22,12 +22,6 @@
 #define LONG_RUN_MS 60000
 /* Interval of checks that depend on time alone. */
 #define CHECK_INTERVAL_MS 500
-/* Room for so many stages at first. */
-#define STAGES_MIN 16
-/* Runs of a predecessor that are taken to be lost with a worker, as many as so
- * many of their pools hold. */
-#define POOLS_MAX_MILLI 2000
-#define MILLI 1000
 /* A loss is checked for this long against other workers that went down with
  * it. */
 #define OUTAGE_CHECK_MS 4000
@@ -129,12 +123,12 @@
   return loss;
 }
 
-static void
-record_loss (MuxCell *cell,
-             CellTask *task,
-             const char *worker,
-             const char *addr,
-             CellLoss value)
+void
+cell_loss_record (MuxCell *cell,
+                  CellTask *task,
+                  const char *worker,
+                  const char *addr,
+                  CellLoss value)
 {
   CellLoss *loss = add_loss (cell, task, worker, addr, value);
 
@@ -203,7 +197,7 @@
       && cell_lost_in_outage (cell, task, &loss))
     return;
   if (counts)
-    record_loss (cell, task, worker->info.id, worker->info.addr, loss);
+    cell_loss_record (cell, task, worker->info.id, worker->info.addr, loss);
 }
 
 void
@@ -231,7 +225,7 @@
                   "stopped_and_not_listed");
   (void) drop_own_pending (task);
   if (counts)
-    record_loss (cell, task, previous, worker->info.addr, loss);
+    cell_loss_record (cell, task, previous, worker->info.addr, loss);
   cell_incarnation_resolved (cell, previous);
 }
 
@@ -315,9 +309,8 @@
                             uint32_t i,
                             const CellWorker *worker);
 
-/* The span of a run that a predecessor started. */
-static CellLossSpan
-predecessor_span (const MuxCell *cell, const CellWorker *worker)
+CellLossSpan
+cell_predecessor_span (const MuxCell *cell, const CellWorker *worker)
 {
   return cell_outage_span (cell, worker, cell->term_began_ms);
 }
@@ -333,7 +326,7 @@
 
   if (i >= task->loss_count || loss->outcome_unknown || loss->span.to_ms != 0)
     return;
-  loss->span = predecessor_span (cell, worker);
+  loss->span = cell_predecessor_span (cell, worker);
   loss->in_outage = loss->in_outage || cell_lost_in_outage (cell, task, loss);
 }
 
@@ -424,123 +417,6 @@
   for_each_loss (cell, worker, update_worker_confirmed);
 }
 
-/*
- * If the planner fails with the first crash, its successor gets no reply from
- * a worker that was approved for the step, or finds another incarnation at its
- * address, and can't tell which of the step's tasks had been started there. So
- * the loss counts for each of them. A task that is already a suspect has a
- * record of its start.
- */
-static uint32_t
-lose_predecessor_runs_of (MuxCell *cell,
-                          CellStage *stage,
-                          const CellWorker *worker,
-                          uint32_t max)
-{
-  CellLoss loss = { .worker_ended = worker->replaced,
-                    .from_predecessor = true,
-                    .span = predecessor_span (cell, worker) };
-  uint32_t started = 0;
-
-  stage->predecessor_runs_lost = true;
-  for (uint32_t i = 0; i < stage->spec->count && started < max; i++)
-    {
-      const CellTask *view = cell_task_view (stage, i);
-      CellTask *task = NULL;
-
-      started += view->state != CELL_TASK_DONE;
-      if (view->state == CELL_TASK_WAITING && view->booking == NULL
-          && view->loss_count == 0)
-        task = cell_task_get (cell, stage, i);
-      if (task != NULL)
-        record_loss (cell, task, worker->info.id, worker->info.addr, loss);
-    }
-  return started;
-}
-
-/* Returns how many tasks of the stage its whole pool can hold. */
-static uint32_t
-pool_tasks (const MuxCell *cell, const CellStage *stage)
-{
-  uint64_t tasks = 0;
-  const CellWorker *worker;
-  const CellWorker *next;
-
-  HASH_ITER (hh, cell->workers, worker, next)
-  if (worker->service == stage->service)
-    tasks += cell_tasks_that_fit (stage, worker->info.capacity);
-  return tasks > 0 && tasks < UINT32_MAX ? (uint32_t) tasks : UINT32_MAX;
-}
-
-static bool
-may_have_runs_at (const CellStage *stage, const CellWorker *worker)
-{
-  return stage->ready && !stage->predecessor_runs_lost
-         && (!stage->job->spec->queue.approval.required
-             || cell_worker_is_recorded (stage, worker));
-}
-
-static int
-in_planning_order (const void *a, const void *b)
-{
-  return cell_stage_compare (*(CellStage *const *) a, *(CellStage *const *) b);
-}
-
-/* Return: the stages that may have had runs there, in planning order; owned by
- * the caller; NULL when out of memory. */
-static CellStage **
-stages_at (const MuxCell *cell, const CellWorker *worker, uint32_t *count)
-{
-  CellStage **list = NULL;
-  uint32_t capacity = 0;
-  CellJob *job;
-  CellJob *next;
-
-  *count = 0;
-  HASH_ITER (hh, cell->jobs, job, next)
-  for (uint32_t i = 0; i < job->stage_count && job->predates_term; i++)
-    if (may_have_runs_at (job->stage[i], worker))
-      {
-        if (*count == capacity)
-          {
-            CellStage **larger;
-
-            capacity = capacity * 2 + STAGES_MIN;
-            larger = realloc (list, capacity * sizeof (CellStage *));
-            if (larger == NULL)
-              return list;
-            list = larger;
-          }
-        list[(*count)++] = job->stage[i];
-      }
-  if (*count > 0)
-    qsort (list, *count, sizeof (CellStage *), in_planning_order);
-  return list;
-}
-
-/*
- * A planner starts the first tasks of a stage first, and the stages in
- * planning order: only as many can have been started as the pool holds, or
- * twice as many as the order may have been another one.  To suspect all tasks
- * that wait would take the memory that these have none of.
- */
-static void
-lose_predecessor_runs (MuxCell *cell, const CellWorker *worker)
-{
-  uint64_t pools_milli = 0;
-  uint32_t count;
-  CellStage **list = stages_at (cell, worker, &count);
-
-  for (uint32_t i = 0; i < count && pools_milli < POOLS_MAX_MILLI; i++)
-    {
-      uint32_t max = pool_tasks (cell, list[i]);
-      uint32_t started = lose_predecessor_runs_of (cell, list[i], worker, max);
-
-      pools_milli += (uint64_t) started * MILLI / max;
-    }
-  free (list);
-}
-
 void
 cell_losses_worker_dead (MuxCell *cell, const CellWorker *worker)
 {
@@ -548,7 +424,7 @@
                  worker->replaced ? update_worker_ended
                                   : update_worker_unreachable);
   if (!worker->confirmed && !worker->info.draining)
-    lose_predecessor_runs (cell, worker);
+    cell_losses_of_predecessor (cell, worker);
 }
 
 /* Whether other workers went down at the same moment shows a little later. */
