--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -94,8 +94,7 @@
   return json;
 }
 
-/* Most rows of a wide stage: building each of them in each pass to find that
- * it is empty takes a planner's whole processor. */
+/* Most rows of a wide stage are: they need not be built in each pass. */
 static bool
 is_empty (const CellStage *stage, uint32_t row)
 {
