Count what a job's split progress takes, and keep it in a table

What callers would see: wide jobs that were accepted outgrow the memory that was counted for them, and may end their planner (found by measuring what a job gives back; not seen at a user's).

Progress that does not fit into one row of the store takes a row for each eight tasks of a step.

A stage now has a table of its rows, 24 bytes each, whose keys follow from their places; rows without a stage are kept by key as before. The stored form is the same.

--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -728,8 +728,8 @@
  * ignored if its job is not known
  * Return: false: it is no such row. */
 bool cell_progress_split_row (MuxCell *cell, const MuxCellRow *row);
-/** cell_split_row_read() - the store has this row of the job's progress */
-void cell_split_row_read (CellJob *job, const char *key, const MuxBlob *value);
+/** cell_split_head_read() - the store has this row under the job's id */
+void cell_split_head_read (CellJob *job, const MuxBlob *value);
 
 /* rejection.c: commits of progress that the store rejects */
 /** cell_commit_items_max() - how many jobs and rows of unreadable jobs the next
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -854,6 +854,39 @@
   uint32_t used;
 } CellStepWait;
 
+/* Bytes of the key of a row of a split progress. */
+#define CELL_PROGRESS_KEY_LEN 80
+
+/**
+ * struct CellProgressRow - a row of a job's split progress
+ * @hash: of its value in the store; 0: not known, or it is not there
+ * @sent_hash: with @in_commit: the same after the commit; 0: it is removed
+ * @pass: the last pass that found something to store in it
+ * @known: it is, or may be, in the store
+ * @in_commit: in the outstanding commit
+ */
+typedef struct
+{
+  uint64_t hash;
+  uint64_t sent_hash;
+  uint32_t pass;
+  bool known;
+  bool in_commit;
+} CellProgressRow;
+
+/**
+ * struct CellStrayRow - a row of a job's split progress whose stage is not
+ *   there: it is to be removed; owned by the job
+ * @key: in the store; key of the table
+ * @row: see struct CellProgressRow
+ */
+typedef struct
+{
+  char key[CELL_PROGRESS_KEY_LEN];
+  CellProgressRow row;
+  UT_hash_handle hh;
+} CellStrayRow;
+
 /**
  * struct CellStage - one step of one occurrence of a job; owned by the job
  *
@@ -928,6 +961,9 @@
  *   an object
  * @task_objects: tasks with an object
  * @all_done: without a table: all tasks are done; else none was started
+ * @split_row: its rows of a split progress, those of tasks first; owned; NULL:
+ *   none is known
+ * @split_known: of these, those that are or may be in the store
  */
 struct CellStage
 {
@@ -994,34 +1030,14 @@
   CellTask **task;
   uint32_t task_objects;
   bool all_done;
+  CellProgressRow *split_row;
+  uint32_t split_known;
   CellStage *reserving_prev;
   CellStage *reserving_next;
   CellStage *deferred_prev;
   CellStage *deferred_next;
 };
 
-/* Bytes of the key of a row of a split progress. */
-#define CELL_PROGRESS_KEY_LEN 80
-
-/**
- * struct CellProgressRow - a row of a job's split progress that is, or may be,
- *   in the store; owned by the job
- * @key: in the store; key of the table
- * @hash: of its value in the store; 0: not known, or it is not there
- * @in_commit: in the outstanding commit,
- * @sent_hash: with this hash of its value; 0: it is removed
- * @pass: the last pass that found something to store in it
- */
-typedef struct
-{
-  char key[CELL_PROGRESS_KEY_LEN];
-  uint64_t hash;
-  bool in_commit;
-  uint64_t sent_hash;
-  uint32_t pass;
-  UT_hash_handle hh;
-} CellProgressRow;
-
 /**
  * struct CellProgressSplit - how a job's progress is written that does not fit
  *   into one row; embedded in the job
@@ -1032,7 +1048,9 @@
  * @begun: its progress is written so
  * @stored: and is read so: the first pass has ended
  * @may_be_stored: or a commit that would end it went unanswered
- * @row: rows; owned
+ * @head: row under the job's id
+ * @stray: rows without a stage; owned
+ * @known: rows that are, or may be, in the store, without @head
  * @pass: number of the last pass
  * @in_pass: it has not ended
  * @pass_seq: it stores the changes up to this number, see MuxCell.change_seq
@@ -1044,7 +1062,9 @@
   bool begun;
   bool stored;
   bool may_be_stored;
-  CellProgressRow *row;
+  CellProgressRow head;
+  CellStrayRow *stray;
+  uint32_t known;
   uint32_t pass;
   bool in_pass;
   uint64_t pass_seq;
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -1,6 +1,7 @@
 #include "job_memory.h"
 
 #include "cell/job_room.h"
+#include "progress_split.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -53,11 +54,21 @@
   return spec->repetitions < most ? spec->repetitions : most;
 }
 
+/* The table of its tasks, and that of the rows of a split progress. */
+static uint64_t
+tables_bytes (const MuxStepSpec *step)
+{
+  uint64_t rows = cell_split_task_rows (step) + CELL_SPLIT_WORKER_ROWS;
+
+  return step->count * sizeof (CellTask *) + rows * sizeof (CellProgressRow)
+         + 2 * BLOCK_BYTES;
+}
+
 static uint64_t
 stage_bytes (const MuxJobSpec *spec, const MuxStepSpec *step)
 {
-  uint64_t bytes = sizeof (CellStage) + sizeof (CellStage *)
-                   + step->count * sizeof (CellTask *) + 2 * BLOCK_BYTES;
+  uint64_t bytes = sizeof (CellStage) + sizeof (CellStage *) + BLOCK_BYTES
+                   + tables_bytes (step);
 
   if (spec->queue.approval.required)
     bytes += APPROVALS * sizeof (CellApproval) + BLOCK_BYTES;
--- a/src/cell/jobs.c
+++ b/src/cell/jobs.c
@@ -177,10 +177,10 @@
     return;
   unwatch (cell, job);
   cell_loss_list_remove (cell, job);
+  cell_progress_split_free (job);
   for (uint32_t i = 0; i < job->stage_count; i++)
     cell_stage_free (cell, job->stage[i]);
   free (job->stage);
-  cell_progress_split_free (job);
   cell_job_memory_release (cell, job->spec, job->bytes);
   mux_blob_unref (job->payload);
   mux_job_free (job->spec);
--- a/src/cell/occurrence.c
+++ b/src/cell/occurrence.c
@@ -45,7 +45,7 @@
       const CellStage *stage = job->stage[first_stage + i];
 
       if (stage->tasks_left > 0 || stage->task_objects > 0
-          || stage->query_pending)
+          || stage->split_known > 0 || stage->query_pending)
         return false;
     }
   return true;
--- a/src/cell/progress_rows.c
+++ b/src/cell/progress_rows.c
@@ -211,7 +211,7 @@
   json = cell_row_json (cell, row);
   job->progress_stored = true;
   if (cell_progress_is_split (json))
-    cell_split_row_read (job, row->key, row->value);
+    cell_split_head_read (job, row->value);
   if (json != NULL)
     bad_field = cell_progress_apply (cell, job, json);
   if (bad_field != NULL)
--- a/src/cell/progress_split.c
+++ b/src/cell/progress_split.c
@@ -33,31 +33,6 @@
          && cell_commit_bytes (call) + BYTES_RESERVED <= CELL_COMMIT_BYTES_MAX;
 }
 
-CellProgressRow *
-cell_split_row_add (CellJob *job, const char *key)
-{
-  CellProgressRow *row;
-
-  HASH_FIND_STR (job->split.row, key, row);
-  if (row != NULL)
-    return row;
-  row = calloc (1, sizeof *row);
-  if (row == NULL)
-    return NULL;
-  snprintf (row->key, sizeof row->key, "%s", key);
-  HASH_ADD_STR (job->split.row, key, row);
-  return row;
-}
-
-void
-cell_split_row_read (CellJob *job, const char *key, const MuxBlob *value)
-{
-  CellProgressRow *row = cell_split_row_add (job, key);
-
-  if (row != NULL && value != NULL)
-    row->hash = XXH3_64bits (value->bytes, value->len);
-}
-
 void
 cell_progress_split_begin (MuxCell *cell, CellJob *job)
 {
@@ -67,12 +42,16 @@
 }
 
 /* Adds the row to the commit if it differs from the stored one; takes @json.
+ * @row: NULL: out of memory
  * Return: false if out of memory. */
 static bool
-write_row (MuxCellCall *call, CellJob *job, const char *key, json_t *json)
+write_row (MuxCellCall *call,
+           const CellJob *job,
+           CellProgressRow *row,
+           const char *key,
+           json_t *json)
 {
   MuxBlob *value = cell_blob_from_json (json);
-  CellProgressRow *row = cell_split_row_add (job, key);
   uint64_t hash;
 
   if (row == NULL || value == NULL)
@@ -94,19 +73,29 @@
   return true;
 }
 
+static bool
+write_head (MuxCellCall *call, CellJob *job)
+{
+  return write_row (call, job, &job->split.head, job->id,
+                    cell_split_head_json (job));
+}
+
 static void
-remove_row (MuxCellCall *call, CellProgressRow *row)
+remove_row (MuxCellCall *call, const CellSplitRef *ref)
 {
-  row->in_commit = true;
-  row->sent_hash = 0;
-  cell_call_add_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, row->key);
+  char key[CELL_PROGRESS_KEY_LEN];
+
+  cell_split_ref_key (ref, key);
+  ref->row->in_commit = true;
+  ref->row->sent_hash = 0;
+  cell_call_add_change (call, MUX_CHANGE_REMOVE, MUX_TABLE_PROGRESS, key);
 }
 
 /* Return: false: the commit is full; the pass goes on at @position. */
 static bool
 write_stage_row (MuxCellCall *call,
                  CellJob *job,
-                 const CellStage *stage,
+                 CellStage *stage,
                  CellSplitRow row,
                  json_t *json)
 {
@@ -120,16 +109,13 @@
       return false;
     }
   cell_split_key (stage, row, key);
-  return write_row (call, job, key, json);
+  return write_row (call, job, cell_split_row_get (job, stage, row), key, json);
 }
 
 /* Return: the number of rows written, or without content, from the stage's row
  * number @from on. */
 static uint32_t
-write_tasks (MuxCellCall *call,
-             CellJob *job,
-             const CellStage *stage,
-             uint32_t from)
+write_tasks (MuxCellCall *call, CellJob *job, CellStage *stage, uint32_t from)
 {
   uint32_t rows = cell_split_task_rows (stage->spec);
 
@@ -146,7 +132,7 @@
 write_workers (MuxCell *cell,
                MuxCellCall *call,
                CellJob *job,
-               const CellStage *stage,
+               CellStage *stage,
                uint32_t from)
 {
   json_t *json[CELL_SPLIT_WORKER_ROWS];
@@ -174,7 +160,7 @@
              uint32_t at,
              uint32_t from)
 {
-  const CellStage *stage = job->stage[at];
+  CellStage *stage = job->stage[at];
   uint32_t task_rows = cell_split_task_rows (stage->spec);
   uint32_t next;
 
@@ -192,21 +178,14 @@
                                        : POSITION (at + 1, 0);
 }
 
-/* Rows with nothing to store any more, as their stage is done. */
 static bool
-add_old_removals (MuxCellCall *call, CellJob *job)
+remove_if_old (CellJob *job, const CellSplitRef *ref, void *call)
 {
-  CellProgressRow *row;
-  CellProgressRow *next;
-
-  HASH_ITER (hh, job->split.row, row, next)
-  {
-    if (row->pass == job->split.pass || row->in_commit)
-      continue;
-    if (!has_room (call))
-      return false;
-    remove_row (call, row);
-  }
+  if (ref->row->pass == job->split.pass || ref->row->in_commit)
+    return true;
+  if (!has_room (call))
+    return false;
+  remove_row (call, ref);
   return true;
 }
 
@@ -242,7 +221,9 @@
         return next;
       position = next;
     }
-  return add_old_removals (call, job) ? POSITION_END : POSITION_REMOVALS;
+  /* Rows with nothing to store any more, as their stage is done. */
+  return cell_split_rows_visit (job, remove_if_old, call) ? POSITION_END
+                                                          : POSITION_REMOVALS;
 }
 
 /* The row under the job's id makes a reader use the other ones.  The job's own
@@ -258,7 +239,7 @@
   cell_call_add_change (call, MUX_CHANGE_PUT, MUX_TABLE_JOBS, job->id)->value
       = value;
   job->split.may_be_stored = true;
-  return write_row (call, job, job->id, cell_split_head_json (job));
+  return write_head (call, job);
 }
 
 bool
@@ -272,8 +253,7 @@
   if (!has_room (call))
     return false;
   /* Before the removal of rows of stages that are done. */
-  if (split->stored
-      && !write_row (call, job, job->id, cell_split_head_json (job)))
+  if (split->stored && !write_head (call, job))
     return false;
   split->sent_at = write_rows (cell, call, job);
   if (split->sent_at == POSITION_END && !split->stored
@@ -286,70 +266,70 @@
 static bool
 has_room_for_removals (const MuxCellCall *call, const CellJob *job)
 {
-  return call->change_count + HASH_COUNT (job->split.row) + ENTRIES_RESERVED
+  return call->change_count + job->split.known + ENTRIES_RESERVED
          <= CELL_COMMIT_CHANGES_MAX;
 }
 
+/* The removals of a job that has ended: all of them, or as many as fit. */
+typedef struct
+{
+  MuxCellCall *call;
+  bool all;
+} Removals;
+
+static bool
+remove_any (CellJob *job, const CellSplitRef *ref, void *context)
+{
+  Removals *removals = context;
+
+  (void) job;
+  if (!removals->all && !has_room (removals->call))
+    return false;
+  remove_row (removals->call, ref);
+  return true;
+}
+
 bool
 cell_progress_split_add_removals (MuxCellCall *call, CellJob *job)
 {
-  bool all = has_room_for_removals (call, job);
-  CellProgressRow *row;
-  CellProgressRow *next;
+  Removals removals = { call, has_room_for_removals (call, job) };
 
   /* It says how the job ends, which the rows that are left do not. */
-  if (!all && job->split.may_be_stored
-      && (!has_room (call)
-          || !write_row (call, job, job->id, cell_split_head_json (job))))
+  if (!removals.all && job->split.may_be_stored
+      && (!has_room (call) || !write_head (call, job)))
     return false;
-  HASH_ITER (hh, job->split.row, row, next)
-  {
-    if (strcmp (row->key, job->id) == 0)
-      continue;
-    if (!all && !has_room (call))
-      return false;
-    remove_row (call, row);
-  }
-  return all;
+  (void) cell_split_rows_visit (job, remove_any, &removals);
+  return removals.all;
 }
 
-static void
-row_committed (CellJob *job, CellProgressRow *row, bool stored)
+/* Return: whether the row is gone from the store. */
+static bool
+end_commit (CellProgressRow *row, bool stored)
 {
   row->in_commit = false;
   row->hash = stored ? row->sent_hash : 0;
-  if (!stored || row->sent_hash != 0)
-    return;
-  HASH_DEL (job->split.row, row);
-  free (row);
+  return stored && row->sent_hash == 0;
+}
+
+static bool
+row_committed (CellJob *job, const CellSplitRef *ref, void *stored)
+{
+  if (ref->row->in_commit && end_commit (ref->row, *(bool *) stored))
+    cell_split_row_forget (job, ref);
+  return true;
 }
 
 void
 cell_progress_split_committed (CellJob *job, bool stored)
 {
   CellProgressSplit *split = &job->split;
-  CellProgressRow *row;
-  CellProgressRow *next;
 
-  HASH_ITER (hh, split->row, row, next)
-  if (row->in_commit)
-    row_committed (job, row, stored);
+  if (split->head.in_commit)
+    (void) end_commit (&split->head, stored);
+  (void) cell_split_rows_visit (job, row_committed, &stored);
   if (!stored || !split->in_pass || job->ended)
     return;
   split->pass_at = split->sent_at;
   split->in_pass = split->sent_at != POSITION_END;
   split->stored = split->stored || !split->in_pass;
 }
-
-void
-cell_progress_split_free (CellJob *job)
-{
-  CellProgressRow *row;
-  CellProgressRow *next;
-
-  HASH_ITER (hh, job->split.row, row, next)
-  {
-    HASH_DEL (job->split.row, row);
-    free (row);
-  }
-}
--- a/src/cell/progress_split.h
+++ b/src/cell/progress_split.h
@@ -36,7 +36,46 @@
                               const CellStage *stage,
                               json_t *json[CELL_SPLIT_WORKER_ROWS]);
 
-/** cell_split_row_add() - Return: NULL if out of memory. */
-CellProgressRow *cell_split_row_add (CellJob *job, const char *key);
+/* progress_split_table.c: what is known of the rows in the store */
+
+/**
+ * struct CellSplitRef - one of these rows
+ * @stage: its stage; NULL: it has none
+ * @index: with @stage: of the row in CellStage.split_row
+ * @stray: without a stage: its entry
+ * @row: the row
+ */
+typedef struct
+{
+  CellStage *stage;
+  uint32_t index;
+  CellStrayRow *stray;
+  CellProgressRow *row;
+} CellSplitRef;
+
+/** cell_split_row_get() - a row of a stage, which counts as known from then on
+ * Return: NULL if out of memory. */
+CellProgressRow *
+cell_split_row_get (CellJob *job, CellStage *stage, CellSplitRow row);
+/** cell_split_row_read() - the store has this row
+ * @stage: NULL: it is not there any more, or not yet
+ * @value: NULL: its content does not matter */
+void cell_split_row_read (CellJob *job,
+                          CellStage *stage,
+                          CellSplitRow row,
+                          const char *key,
+                          const MuxBlob *value);
+/** cell_split_ref_key() - key of the row in the store */
+void cell_split_ref_key (const CellSplitRef *ref,
+                         char key[CELL_PROGRESS_KEY_LEN]);
+/** cell_split_row_forget() - the row is not in the store any more */
+void cell_split_row_forget (CellJob *job, const CellSplitRef *ref);
+/** cell_split_rows_visit() - calls @visit for all known rows, but for that
+ * under the job's id, until it returns false Return: false: it did. */
+bool cell_split_rows_visit (CellJob *job,
+                            bool (*visit) (CellJob *job,
+                                           const CellSplitRef *ref,
+                                           void *context),
+                            void *context);
 
 #endif
--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * The stored form of a split progress.
@@ -213,6 +214,13 @@
   (void) json_object_del (json, "split_steps");
 }
 
+void
+cell_split_head_read (CellJob *job, const MuxBlob *value)
+{
+  if (value != NULL)
+    job->split.head.hash = XXH3_64bits (value->bytes, value->len);
+}
+
 bool
 cell_progress_is_split (const json_t *json)
 {
@@ -416,20 +424,14 @@
          == (json_int_t) job->spec->accepted_wall_ms;
 }
 
-/* Return: the stage that the row is about; NULL: it has none, or is done. */
-static CellStage *
-stage_of (const CellJob *job,
-          uint32_t occurrence,
-          uint32_t step,
-          CellSplitRow row)
+/* Whether the row says something of the stage: that it is done is stored under
+ * the job's id. */
+static bool
+is_of_stage (const CellStage *stage, CellSplitRow row)
 {
-  CellStage *stage = cell_job_stage (job, occurrence, step);
-
-  if (stage == NULL || stage->tasks_left == 0
-      || (row.kind == CELL_SPLIT_TASKS
-          && row.number >= cell_split_task_rows (stage->spec)))
-    return NULL;
-  return stage;
+  return stage != NULL && stage->tasks_left > 0
+         && (row.kind != CELL_SPLIT_TASKS
+             || row.number < cell_split_task_rows (stage->spec));
 }
 
 /* A row whose job is not stored in this form was written by a first pass that
@@ -446,16 +448,18 @@
 
   if (!job->split.stored)
     {
-      (void) cell_split_row_add (job, row->key);
+      cell_split_row_read (job, stage, split, row->key, NULL);
       return;
     }
-  cell_split_row_read (job, row->key, row->value);
-  json = stage != NULL ? cell_row_json (cell, row) : NULL;
+  cell_split_row_read (job, stage, split, row->key, row->value);
+  if (!is_of_stage (stage, split))
+    return;
+  json = cell_row_json (cell, row);
   if (json != NULL && is_of_job (json, job))
     bad_field = apply_row (cell, stage, split, json);
   if (bad_field != NULL)
     cell_report_bad_row (cell, row, CELL_ROW_BAD_FIELD, bad_field);
-  if (stage != NULL && (json == NULL || bad_field != NULL))
+  if (json == NULL || bad_field != NULL)
     job->progress_unreadable = true;
   cell_loss_list_add (cell, job);
   json_decref (json);
@@ -474,6 +478,6 @@
     return false;
   job = cell_job_find (cell, id);
   if (job != NULL)
-    take_row (cell, job, stage_of (job, occurrence, step, split), split, row);
+    take_row (cell, job, cell_job_stage (job, occurrence, step), split, row);
   return true;
 }
--- a/src/cell/stage.c
+++ b/src/cell/stage.c
@@ -84,6 +84,7 @@
   cell_approvals_free (cell, stage);
   free (stage->recorded);
   free (stage->step_runs);
+  free (stage->split_row);
   free (stage);
 }
 
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -1,4 +1,4 @@
-#include "src/cell/cell_private.h"
+#include "src/cell/stage_tasks.h"
 #include "support/cell_world.h"
 #include "support/test.h"
 
@@ -33,6 +33,8 @@
 /* Occurrences of a repeated job, far more than may be unfinished. */
 #define OCCURRENCES 3000
 #define REPEAT_MS 10
+/* No worker has so much. */
+#define NEVER_CPU_MILLI 70000
 
 static int64_t
 allocated_bytes (void)
@@ -372,6 +374,42 @@
   world_free (world);
 }
 
+/* Guards against a job that takes more than was counted for it when it was
+ * accepted, as its progress outgrows a row of the store. */
+static void
+test_job_with_split_progress_takes_what_is_counted (void **state)
+{
+  World *world = new_world ();
+  MuxJobSpec *spec = wide_job (4, WIDE_TASKS);
+  MuxCell *cell = world->cell[world_planner (world)].cell;
+  int64_t counted_bytes;
+  int64_t took_bytes;
+  CellJob *job;
+
+  (void) state;
+  for (uint32_t i = 0; i < 4; i++)
+    spec->step[i].size.cpu_milli = NEVER_CPU_MILLI;
+  submit_numbered (world, spec, 0);
+  world_run (world, 1000);
+  job = cell_job_find (cell, "job-0");
+  assert_non_null (job);
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    for (uint32_t j = 1; j < WIDE_TASKS; j++)
+      (void) cell_task_done (cell, job->stage[i], j);
+  cell_progress_split_begin (cell, job);
+  cell_job_mark_dirty (cell, job);
+  world_run (world, 10000);
+  assert_true (job->split.stored);
+  counted_bytes = (int64_t) job->bytes;
+  took_bytes = allocated_bytes ();
+  cell_job_remove (cell, job);
+  took_bytes -= allocated_bytes ();
+  print_message ("%lld of %lld bytes\n", (long long) took_bytes,
+                 (long long) counted_bytes);
+  assert_true (took_bytes <= counted_bytes);
+  world_free (world);
+}
+
 static uint32_t
 stages_of (const World *world, const char *id)
 {
@@ -414,6 +452,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_job_with_split_progress_takes_what_is_counted),
     cmocka_unit_test (
         test_tasks_without_a_size_start_within_the_memory_for_runs),
     cmocka_unit_test (test_tasks_that_can_t_have_started_lose_no_run),
