Count the lists of workers of a step as they grow

What callers would see: jobs whose steps need approvals are accepted beyond the memory for jobs, as a step was counted with 30 workers, and each query and each takeover may name more (read; not seen at a user's).

What jobs take is now updated once a second, with the entries and names of workers beyond those counted in advance: new jobs are refused by what is really held. The new test fails on the code before.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1642,6 +1642,7 @@
  * @released_bytes: by jobs that ended since @counted_ms
  * @release_rate: bytes a second; the planner's
  * @counted_ms: when the rate was last updated
+ * @next_update_ms: when what jobs take is next updated
  * @left_out: the planner left jobs in the store for want of memory
  */
 typedef struct
@@ -1653,6 +1654,7 @@
   uint64_t released_bytes;
   uint64_t release_rate;
   int64_t counted_ms;
+  int64_t next_update_ms;
   bool left_out;
 } CellJobMemory;
 
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -13,6 +13,8 @@
 #define JOB_BLOCKS 7
 /* Workers that approval queries about a step usually name. */
 #define APPROVALS 30
+/* Between two updates of what jobs take that are there. */
+#define UPDATE_INTERVAL_MS 1000
 /* The rate of releases is a running mean over this time. */
 #define RATE_WINDOW_MS 10000
 #define MS_PER_S 1000
@@ -152,6 +154,17 @@
   return job->stage_count > counted ? job->stage_count - counted : 0;
 }
 
+/* What is known of workers, beyond those counted in advance. */
+static uint64_t
+extra_workers_bytes (const CellStage *stage)
+{
+  uint64_t bytes = stage->approval_capacity * sizeof (CellApproval)
+                   + (uint64_t) stage->recorded_count * MUX_NAME_LEN;
+  uint64_t counted = APPROVALS * sizeof (CellApproval);
+
+  return bytes > counted ? bytes - counted : 0;
+}
+
 void
 cell_job_memory_update (MuxCell *cell, CellJob *job)
 {
@@ -159,6 +172,8 @@
                    + extra_stages (job) * (sizeof (CellStage) + BLOCK_BYTES);
   CellJobSender *sender = find_sender (cell, job->spec);
 
+  for (uint32_t i = 0; i < job->stage_count; i++)
+    bytes += extra_workers_bytes (job->stage[i]);
   if (bytes == job->bytes)
     return;
   cell->job_memory.used_bytes += bytes - job->bytes;
@@ -276,12 +291,27 @@
   memory->released_bytes = 0;
 }
 
+/* Lists of workers grow by queries, of which each changes a few jobs. */
+static void
+update_jobs (MuxCell *cell)
+{
+  CellJob *job;
+  CellJob *next;
+
+  if (cell->time.now_ms < cell->job_memory.next_update_ms)
+    return;
+  cell->job_memory.next_update_ms = cell->time.now_ms + UPDATE_INTERVAL_MS;
+  HASH_ITER (hh, cell->jobs, job, next)
+  cell_job_memory_update (cell, job);
+}
+
 void
 cell_job_memory_tick (MuxCell *cell)
 {
   CellJobMemory *memory = &cell->job_memory;
   int64_t passed_ms = cell->time.now_ms - memory->counted_ms;
 
+  update_jobs (cell);
   if (passed_ms > 0 && memory->counted_ms != 0)
     update_rate (memory, passed_ms);
   memory->counted_ms = cell->time.now_ms;
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -410,6 +410,37 @@
   world_free (world);
 }
 
+#define MANY_WORKERS 200
+
+/* Guards against lists of workers that queries make longer, and that nothing
+ * counts. */
+static void
+test_lists_of_workers_count_as_memory_of_their_job (void **state)
+{
+  World *world = world_new (CELLS, MANY_WORKERS);
+  MuxJobSpec *spec = wide_job (1, 1);
+  MuxCell *cell = world->cell[world_planner (world)].cell;
+  CellWorker *worker;
+  CellWorker *next;
+  CellJob *job;
+  uint64_t before;
+
+  (void) state;
+  world_run (world, 3000);
+  spec->step[0].size.cpu_milli = NEVER_CPU_MILLI;
+  submit_numbered (world, spec, 0);
+  world_run (world, 1000);
+  job = cell_job_find (cell, "job-0");
+  assert_non_null (job);
+  before = cell->job_memory.used_bytes;
+  HASH_ITER (hh, cell->workers, worker, next)
+  (void) cell_approval_add (job->stage[0], worker);
+  world_run (world, 1500);
+  assert_true (cell->job_memory.used_bytes
+               >= before + (MANY_WORKERS - 64) * sizeof (CellApproval));
+  world_free (world);
+}
+
 static uint32_t
 stages_of (const World *world, const char *id)
 {
@@ -452,6 +483,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_lists_of_workers_count_as_memory_of_their_job),
     cmocka_unit_test (test_job_with_split_progress_takes_what_is_counted),
     cmocka_unit_test (
         test_tasks_without_a_size_start_within_the_memory_for_runs),
