Bound the starts that have no reply and the runs of a worker

The cause: tasks without a size take no room, so all that memory for runs allowed were started in one pass. Each start takes memory in the client, in the table of pending calls and for its reply until that came, and the list of a worker's runs, which is read whole, had no bound.

No start is made while 4,096 have no reply, counted for the term, and a worker has 4,096 runs at most, whatever their size. Both wait, as for room; cuminmux_starts_no_memory_total counts the former. A task with a size is bound by room as before, unless it is smaller than a 4,096th of its worker.

A job's places in the tables of jobs, senders and queues are counted with it now; test_job_with_split_progress_takes_what_is_counted submits two jobs more so that the tables of the world are there before and after.

test_tasks_without_a_size_are_not_started_all_at_once finds more than 4,096 runs at a worker without the first bound, and 8,199 calls without a reply with the first and without the second.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -94,7 +94,7 @@
   X (OCCURRENCES_HELD, "occurrences_held_total",                               \
      "times an occurrence waited for the memory of earlier ones of its job")   \
   X (STARTS_NO_MEMORY, "starts_no_memory_total",                               \
-     "times a start waited as runs hold the memory for runs")                  \
+     "times a start waited for memory that runs or other starts hold")         \
   X (JOBS_LEFT_OUT, "jobs_left_out_total",                                     \
      "stored jobs that the planner had no memory for and left in the store")   \
   X (PACES, "paces_total",                                                     \
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -74,6 +74,12 @@
 /* Terms are counted up to here and then from 1 again, so that a run number is a
  * positive 32-bit integer: some 5,000 years at one claim a day. */
 #define CELL_TERMS_MAX (INT32_MAX / CELL_RUNS_PER_TERM)
+/* Limit of runs at one worker, as tasks may have no size: its list of them is
+ * read whole each second. */
+#define CELL_WORKER_RUNS_MAX 4096
+/* No task is started while so many starts have no reply: each takes some 3 KB
+ * until then. */
+#define CELL_STARTS_UNANSWERED_MAX 4096
 /* Limit of a job's stages that have begun and not ended. */
 #define CELL_UNFINISHED_STAGES_MAX 128
 /* Keys of stored rows: the claim, the planner's heartbeat, and two fence rows
@@ -1411,6 +1417,7 @@
  * @last_list_ms: when its last list of runs arrived; 0: none has
  * @booked: room of its bookings
  * @long_running: part of @booked for tasks that run until they are cancelled
+ * @run_count: number of its bookings
  * @stop_count: bookings for which a stop is to be sent
  * @held: room held for gangs about to start
  * @hold_count: stages that hold some of it
@@ -1484,6 +1491,7 @@
   int64_t last_list_ms;
   MuxSize booked;
   MuxSize long_running;
+  uint32_t run_count;
   uint32_t stop_count;
   MuxSize held;
   uint32_t hold_count;
@@ -1783,8 +1791,9 @@
   CellTask *changed_tasks; /* tasks that may need no object any more */
   uint64_t task_objects;   /* tasks with an object, of all jobs */
   uint64_t booking_count;  /* bookings of all workers */
-  CellJob *watched;        /* jobs that the passing of time alone may change */
-  CellJob *loss_jobs;      /* jobs with lost runs */
+  uint32_t starts_unanswered;
+  CellJob *watched;   /* jobs that the passing of time alone may change */
+  CellJob *loss_jobs; /* jobs with lost runs */
   uint32_t loss_job_count;
   CellQueueCount *queue_counts;
   CellEndedJob *ended_jobs;
--- a/src/cell/claim.c
+++ b/src/cell/claim.c
@@ -50,6 +50,7 @@
   cell_approval_queries_free (cell);
   cell_unreadable_free (cell);
   cell_jobs_left_out_free (cell);
+  cell->starts_unanswered = 0;
   cell->late = false;
   for (uint32_t i = 0; i < CELL_PARTS; i++)
     {
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -9,8 +9,9 @@
 /* Of the allocator, for each block. */
 #define BLOCK_BYTES UINT64_C (16)
 /* Blocks of a job: itself, its spec, two copies of the payload with a header
- * each, the lists of steps and stages. */
-#define JOB_BLOCKS 7
+ * each, the lists of steps and stages, its place in the tables of jobs and of
+ * senders, and the table of its workspace or queue. */
+#define JOB_BLOCKS 14
 /* Workers that approval queries about a step usually name. */
 #define APPROVALS 30
 /* Between two updates of what jobs take that are there. */
@@ -240,7 +241,7 @@
   uint64_t used
       = cell->task_objects * task_bytes + cell->booking_count * run_bytes;
 
-  if (used >= limit)
+  if (used >= limit || cell->starts_unanswered >= CELL_STARTS_UNANSWERED_MAX)
     return 0;
   return (uint32_t) ((limit - used) / (task_bytes + run_bytes));
 }
--- a/src/cell/job_memory.h
+++ b/src/cell/job_memory.h
@@ -28,7 +28,8 @@
 /** cell_job_max_bytes() - the largest job that is ever accepted */
 uint64_t cell_job_max_bytes (const MuxCell *cell);
 /** cell_runs_left() - how many further runs there is memory for; tasks without
- * a size would start in any number */
+ * a size would start in any number.  0 also while too many starts have no
+ * reply */
 uint32_t cell_runs_left (const MuxCell *cell);
 /** cell_job_memory_retry_ms() - when a job is to come again that there is no
  * memory for now; 0: it is accepted */
--- a/src/cell/plan.c
+++ b/src/cell/plan.c
@@ -43,18 +43,24 @@
                        mux_size_add (worker->booked, worker->held));
 }
 
+static uint32_t
+min_count (uint32_t a, uint32_t b)
+{
+  return a < b ? a : b;
+}
+
 uint32_t
 cell_tasks_that_fit (const CellStage *stage, MuxSize free)
 {
   MuxSize need = stage->spec->size;
-  uint32_t n = UINT32_MAX;
+  uint32_t n = CELL_WORKER_RUNS_MAX;
 
   if (need.cpu_milli > 0 && !stage->spec->best_effort)
-    n = free.cpu_milli / need.cpu_milli;
-  if (need.mem_mib > 0 && free.mem_mib / need.mem_mib < n)
-    n = free.mem_mib / need.mem_mib;
-  if (need.accels > 0 && free.accels / need.accels < n)
-    n = free.accels / need.accels;
+    n = min_count (n, free.cpu_milli / need.cpu_milli);
+  if (need.mem_mib > 0)
+    n = min_count (n, free.mem_mib / need.mem_mib);
+  if (need.accels > 0)
+    n = min_count (n, free.accels / need.accels);
   return n;
 }
 
--- a/src/cell/reserve.c
+++ b/src/cell/reserve.c
@@ -212,7 +212,12 @@
 {
   uint32_t now
       = cell_tasks_that_fit (stage, cell_worker_free_for (stage, worker));
+  uint32_t left = worker->run_count < CELL_WORKER_RUNS_MAX
+                      ? CELL_WORKER_RUNS_MAX - worker->run_count
+                      : 0;
 
+  if (now > left)
+    now = left;
   return ignores_reservations (stage)
              ? now
              : tasks_beside_reserved (cell, stage, worker, now);
--- a/src/cell/room.c
+++ b/src/cell/room.c
@@ -5,6 +5,7 @@
 void
 cell_room_book (CellWorker *worker, const CellStage *stage)
 {
+  worker->run_count++;
   worker->booked = mux_size_add (worker->booked, stage->spec->size);
   if (stage->spec->long_running)
     worker->long_running
@@ -15,6 +16,7 @@
 void
 cell_room_release (CellWorker *worker, const CellStage *stage)
 {
+  worker->run_count--;
   worker->booked = mux_size_sub (worker->booked, stage->spec->size);
   if (stage->spec->long_running)
     worker->long_running
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -278,6 +278,7 @@
   CellWorker *worker = cell_worker_find (cell, pending->worker);
   CellTask *task = cell_pending_task (cell, pending);
 
+  cell->starts_unanswered--;
   if (reply->status != MUX_CELL_UNKNOWN)
     cell_reply_latency_record (cell, pending);
   if (reply->status != MUX_CELL_OK)
@@ -369,6 +370,7 @@
   mux_count (cell->options.counters, MUX_COUNT_STARTS, 1);
   if (cell_worker_call (cell, worker, call, &pending))
     {
+      cell->starts_unanswered++;
       if (proof != NULL)
         cell_step_proof_used (cell, task->stage, worker);
       cell_admission_placed (cell, task->stage);
