Start failed tasks again while they hold all the memory for runs

Cause: a start waited for memory for a run and for an object of its task. A task that has failed has its object, which counts as used until the task is done: it waited for memory that it held itself.

Evidence: with 16 jobs of 1,000 tasks that have failed once, at an instance of 4 MiB, the code before has all 16,000 objects after 210 s and no start (test_tasks_that_failed_are_started_again_without_memory). Orders of planning that go round all tasks are needed to come there, so that no run of processes has shown it.

An object counts only for a task that has none, and up to 256 runs of tasks that have one start without memory for them: these are what frees memory.

Measured: the test ends all 16,000 tasks; test_cell_job_memory passes with its bounds on objects unchanged.

--- a/src/cell/gang.c
+++ b/src/cell/gang.c
@@ -410,7 +410,8 @@
       cell_step_set_blocked_on (cell, stage, CELL_BLOCKED_ON_QUOTA);
       return;
     }
-  if (cell_runs_left (cell) < stage->spec->count)
+  if (!cell_runs_have_memory (cell, stage->spec->count,
+                              stage->spec->count - stage->task_objects))
     {
       mux_count (cell->options.counters, MUX_COUNT_STARTS_NO_MEMORY, 1);
       return;
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -23,6 +23,9 @@
 #define MEMBER_RECENT_MS 10000
 /* While jobs are left in the store this part of the memory is kept for them. */
 #define LEFT_OUT_PART 8
+/* Runs of tasks that were started before may be as many without memory for
+ * them: some 80 KB. */
+#define RUNS_MIN 256
 #define RECEIVED_MAX ((json_int_t) 1 << 50)
 
 /**
@@ -232,18 +235,29 @@
   return mux_job_room_job_max (limit_bytes (cell));
 }
 
-uint32_t
-cell_runs_left (const MuxCell *cell)
+static uint64_t
+runs_bytes (uint64_t tasks, uint64_t runs)
+{
+  return tasks * (sizeof (CellTask) + BLOCK_BYTES)
+         + runs * (sizeof (CellBooking) + BLOCK_BYTES);
+}
+
+/* Tasks that have failed may hold all the memory until they are done, so that
+ * some runs of these always start. */
+bool
+cell_runs_have_memory (const MuxCell *cell, uint32_t runs, uint32_t new_tasks)
 {
   uint64_t limit = mux_job_room_runs_limit (limit_bytes (cell));
-  uint64_t task_bytes = sizeof (CellTask) + BLOCK_BYTES;
-  uint64_t run_bytes = sizeof (CellBooking) + BLOCK_BYTES;
-  uint64_t used = cell->task_objects * task_bytes + cell->failure_bytes
-                  + cell->booking_count * run_bytes;
-
-  if (used >= limit || cell->starts_unanswered >= CELL_STARTS_UNANSWERED_MAX)
-    return 0;
-  return (uint32_t) ((limit - used) / (task_bytes + run_bytes));
+  uint64_t wanted = cell->failure_bytes
+                    + runs_bytes (cell->task_objects + new_tasks,
+                                  cell->booking_count + runs);
+
+  if (cell->starts_unanswered >= CELL_STARTS_UNANSWERED_MAX)
+    return false;
+  return wanted <= limit
+         || (new_tasks == 0
+             && (cell->booking_count == 0
+                 || cell->booking_count + runs <= RUNS_MIN));
 }
 
 /* A follower's own jobs are those that it is about to store, and the planner
--- a/src/cell/job_memory.h
+++ b/src/cell/job_memory.h
@@ -27,10 +27,12 @@
 uint64_t cell_job_memory_own_limit (const MuxCell *cell);
 /** cell_job_max_bytes() - the largest job that is ever accepted */
 uint64_t cell_job_max_bytes (const MuxCell *cell);
-/** cell_runs_left() - how many further runs there is memory for; tasks without
- * a size would start in any number.  0 also while too many starts have no
- * reply */
-uint32_t cell_runs_left (const MuxCell *cell);
+/** cell_runs_have_memory() - whether there is memory for further runs; tasks
+ * without a size would start in any number.  There is none while too many
+ * starts have no reply
+ * @new_tasks: of these, tasks that have no object yet */
+bool
+cell_runs_have_memory (const MuxCell *cell, uint32_t runs, uint32_t new_tasks);
 /** cell_job_memory_retry_ms() - when a job is to come again that there is no
  * memory for now; 0: it is accepted */
 uint32_t cell_job_memory_retry_ms (const MuxCell *cell, const MuxJobSpec *spec);
--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -290,9 +290,9 @@
 }
 
 static bool
-has_memory (const MuxCell *cell)
+has_memory (const MuxCell *cell, const CellStage *stage, uint32_t index)
 {
-  if (cell_runs_left (cell) > 0)
+  if (cell_runs_have_memory (cell, 1, cell_task_object (stage, index) == NULL))
     return true;
   mux_count (cell->options.counters, MUX_COUNT_STARTS_NO_MEMORY, 1);
   return false;
@@ -310,8 +310,10 @@
           || !cell_task_may_start (cell, task))
         continue;
       placement->over_quota = cell_quota_tasks_allowed (cell, stage) == 0;
-      if (placement->over_quota || !has_memory (cell))
+      if (placement->over_quota)
         return true;
+      if (!has_memory (cell, stage, i))
+        continue;
       if (!place_task (cell, stage, i, placement))
         return false;
     }
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -523,6 +523,60 @@
   world_free (world);
 }
 
+#define FAILED_JOBS 16
+#define LEAST_MIB 4
+
+/* As if all tasks of the job had failed once. */
+static void
+fail_all_tasks (MuxCell *cell, CellJob *job)
+{
+  for (uint32_t i = 0; i < job->stage[0]->spec->count; i++)
+    {
+      CellTask *task = cell_task_get (cell, job->stage[0], i);
+
+      task->last_run = 1;
+      assert_true (mux_failed_runs_reserve (&task->failures));
+      assert_true (mux_failed_runs_add (&task->failures, 1));
+    }
+}
+
+/* Guards against a planner that starts nothing any more, as tasks that have
+ * failed and wait to be started again hold all the memory for runs. */
+static void
+test_tasks_that_failed_are_started_again_without_memory (void **state)
+{
+  World *world = new_world ();
+  MuxCell *cell;
+  char id[MUX_JOB_ID_LEN];
+
+  (void) state;
+  set_memory (world, LEAST_MIB);
+  world_run (world, 12000);
+  cell = world->cell[world_planner (world)].cell;
+  for (uint32_t i = 0; i < FAILED_JOBS; i++)
+    {
+      MuxJobSpec *job = wide_job (1, JOB_TASKS);
+
+      job->step[0].size.cpu_milli = NEVER_CPU_MILLI;
+      submit_numbered (world, job, i);
+      world_run (world, 500);
+      snprintf (id, sizeof id, "job-%u", (unsigned) i);
+      assert_non_null (cell_job_find (cell, id));
+      fail_all_tasks (cell, cell_job_find (cell, id));
+    }
+  assert_true (cell->task_objects * sizeof (CellTask)
+               > LEAST_MIB * BYTES_PER_MIB / 3);
+  world->task_ms = QUICK_TASK_MS;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    world_worker_room (world, i, 8 * NEVER_CPU_MILLI);
+  world_run (world, 10000);
+  for (uint32_t i = 0; i < 100 && cell->task_objects > 0; i++)
+    world_run (world, 2000);
+  assert_int_equal (cell->task_objects, 0);
+  assert_int_equal (world->start_count, FAILED_JOBS * JOB_TASKS);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -540,6 +594,7 @@
     cmocka_unit_test (test_smaller_successor_plans_what_fits_and_then_the_rest),
     cmocka_unit_test (test_waiting_tasks_take_no_memory_of_their_own),
     cmocka_unit_test (test_tasks_that_are_done_take_no_memory_of_their_own),
+    cmocka_unit_test (test_tasks_that_failed_are_started_again_without_memory),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
