Let one function change the state of a task, and none leave DONE

Cause: DONE was final by a comment alone. Seven places assigned the state of a task; cancel_start(), for a start that is refused or not sent, set any task to WAITING. The task's next end took one more off tasks_left of its step, unsigned and unchecked. Below 0 the step counted as not begun: all its tasks ran again, under run numbers given before.

All runs of a gang that is done by a late end are stopped.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -79,6 +79,8 @@
      "commits that the store rejected as malformed or too large")              \
   X (JOBS_NOT_STORABLE, "jobs_not_storable_total",                             \
      "jobs given up as the store rejects their changes")                       \
+  X (TASKS_MISCOUNTED, "tasks_miscounted_total",                               \
+     "tasks done in steps that had none left: a defect")                       \
   X (PROGRESS_HELD, "progress_held_total",                                     \
      "times a job's progress was not stored as its failed runs exceed a row")  \
   X (LISTS_FULL, "lists_full_total",                                           \
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1114,6 +1114,8 @@
                      MuxBlob *checkpoint);
 /** cell_stop_booking() - stops the run; repeated until it is confirmed */
 void cell_stop_booking (MuxCell *cell, CellBooking *booking);
+/** cell_stage_stop_runs() - stops all runs of the stage */
+void cell_stage_stop_runs (MuxCell *cell, CellStage *stage);
 /** cell_stops_tick() - sends the stops that are due at the worker */
 void cell_stops_tick (MuxCell *cell, CellWorker *worker);
 /** cell_stops_tick_all() - the same at all workers, before anything else is
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -459,7 +459,8 @@
  * DONE when a run ends well.  STARTING or RUNNING to STOPPING when a stop is
  * wanted; any of these back to WAITING when the run is known to be gone.  A run
  * that a worker lists and that is not known here takes its task from WAITING to
- * RUNNING.  DONE is final, and reached from any state.
+ * RUNNING.  DONE is final, and reached from any state; see
+ * cell_task_set_state().
  */
 typedef enum
 {
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -1,4 +1,5 @@
 #include "attempts.h"
+#include "stage_tasks.h"
 #include "token.h"
 
 #include <stdio.h>
@@ -48,7 +49,7 @@
   task->stage->job->started = true;
   cell_queue_count_update (cell, task->stage->job);
   if (task->state == CELL_TASK_STARTING)
-    task->state = CELL_TASK_RUNNING;
+    (void) cell_task_set_state (cell, task, CELL_TASK_RUNNING);
   if (report->checkpoint != NULL)
     (void) cell_token_set (cell, &task->checkpoint, report->checkpoint);
   if (report->percent != booking->percent)
@@ -89,7 +90,7 @@
   /* When it began is not known. */
   booking->speed_learned = true;
   cell_pace_adopt (booking);
-  task->state = CELL_TASK_RUNNING;
+  (void) cell_task_set_state (cell, task, CELL_TASK_RUNNING);
   update_running (cell, booking, report);
   if (task->stage->job->cancelled || task->stage->job->failed)
     cell_stop_booking (cell, booking);
@@ -121,7 +122,11 @@
   if (report->end == MUX_RUN_DONE || report->end == MUX_RUN_FAILED)
     cell_run_ended (cell, task, worker, report->run, report->end,
                     report->checkpoint, "listed");
-  if (task->state == CELL_TASK_DONE && task->booking != NULL)
+  if (task->state != CELL_TASK_DONE)
+    return;
+  if (task->stage->spec->gang)
+    cell_stage_stop_runs (cell, task->stage);
+  else if (task->booking != NULL)
     cell_stop_booking (cell, task->booking);
 }
 
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -165,8 +165,7 @@
 {
   if (booking->next_stop_ms != 0 || booking->stop_clock_ms != 0)
     return;
-  if (booking->task->state != CELL_TASK_DONE)
-    booking->task->state = CELL_TASK_STOPPING;
+  (void) cell_task_set_state (cell, booking->task, CELL_TASK_STOPPING);
   schedule_stop (cell, booking, cell->time.now_ms);
   booking->stop_since_ms = cell->time.now_ms;
   cell_stops_tick (cell, booking->worker);
@@ -210,9 +209,8 @@
     }
 }
 
-/* Stops the other members, which can't work without the lost one. */
-static void
-stop_gang (MuxCell *cell, CellStage *stage)
+void
+cell_stage_stop_runs (MuxCell *cell, CellStage *stage)
 {
   for (uint32_t i = 0; i < stage->spec->count; i++)
     if (cell_task_view (stage, i)->booking != NULL)
@@ -225,9 +223,10 @@
   CellStage *stage = task->stage;
 
   cell_unbook (cell, task->booking);
-  task->state = CELL_TASK_WAITING;
+  (void) cell_task_set_state (cell, task, CELL_TASK_WAITING);
+  /* The other members can't work without this one. */
   if (stage->spec->gang)
-    stop_gang (cell, stage);
+    cell_stage_stop_runs (cell, stage);
   cell_job_advance (cell, stage->job);
 }
 
@@ -302,7 +301,7 @@
         task->booking->first_report_ms = cell->time.processed_ms;
       cell_loss_run_began (cell, task);
       if (task->state == CELL_TASK_STARTING)
-        task->state = CELL_TASK_RUNNING;
+        (void) cell_task_set_state (cell, task, CELL_TASK_RUNNING);
       if (!task->stage->job->started)
         {
           cell->throttle.started++;
@@ -321,7 +320,7 @@
       worker->unanswered_sent_ms = pending->sent_ms;
       back_off (cell, worker);
       if (task->stage->spec->gang)
-        stop_gang (cell, task->stage);
+        cell_stage_stop_runs (cell, task->stage);
       else if (cell_run_may_be_stopped (task->booking))
         cell_stop_booking (cell, task->booking);
       else
@@ -347,7 +346,8 @@
                           .run = run,
                           .asks_for_lease = true };
 
-  if (call == NULL || !cell_starts_are_allowed (cell)
+  if (call == NULL || task->state == CELL_TASK_DONE
+      || !cell_starts_are_allowed (cell)
       || cell_book (cell, task, worker, run) == NULL)
     {
       mux_cell_call_free (call);
@@ -355,7 +355,7 @@
     }
   cell_attempts_run_begins (cell, task, run);
   task->booking->resumed = checkpoint != NULL;
-  task->state = CELL_TASK_STARTING;
+  (void) cell_task_set_state (cell, task, CELL_TASK_STARTING);
   snprintf (pending.worker, sizeof pending.worker, "%s", worker->info.id);
   snprintf (call->worker, sizeof call->worker, "%s", worker->info.id);
   snprintf (call->addr, sizeof call->addr, "%s", worker->info.addr);
@@ -412,7 +412,7 @@
   CellStage *stage = task->stage;
 
   raise_last_run (task, run);
-  if (checkpoint != NULL)
+  if (checkpoint != NULL && task->state != CELL_TASK_DONE)
     (void) cell_token_set (cell, &task->checkpoint, checkpoint);
   if (end == MUX_RUN_DONE && (stage->spec->gang || !stage->spec->long_running))
     mark_done (cell, task);
@@ -457,7 +457,7 @@
       cell_job_mark_dirty (cell, job);
       cell_loss_run_ended (cell, task);
     }
-  if (checkpoint != NULL)
+  if (checkpoint != NULL && task->state != CELL_TASK_DONE)
     (void) cell_token_set (cell, &task->checkpoint, checkpoint);
   if (end != MUX_RUN_DONE)
     cell_log (cell, "run_ended", "{s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job",
@@ -475,11 +475,11 @@
       worker->consecutive_failures = 0;
       mark_done (cell, task);
     }
-  else if (task->state != CELL_TASK_DONE && task->booking == NULL)
-    task->state = CELL_TASK_WAITING;
+  else if (task->booking == NULL)
+    (void) cell_task_set_state (cell, task, CELL_TASK_WAITING);
   if (end == MUX_RUN_FAILED)
     count_failure (cell, task, worker, run);
   if (end != MUX_RUN_DONE && stage->spec->gang)
-    stop_gang (cell, stage);
+    cell_stage_stop_runs (cell, stage);
   cell_job_advance (cell, job);
 }
--- a/src/cell/stage_tasks.c
+++ b/src/cell/stage_tasks.c
@@ -82,23 +82,44 @@
   return task != NULL ? task : add_object (cell, stage, index);
 }
 
+/* Dependent steps start once no task is left: each task counts once. */
+static void
+count_done (MuxCell *cell, CellStage *stage)
+{
+  if (stage->tasks_left > 0)
+    {
+      stage->tasks_left--;
+      return;
+    }
+  mux_count (cell->options.counters, MUX_COUNT_TASKS_MISCOUNTED, 1);
+  cell_log (cell, "task_miscounted", "{s:s, s:i, s:i}", "job", stage->job->id,
+            "occurrence", (int) stage->occurrence, "step", (int) stage->step);
+}
+
+bool
+cell_task_set_state (MuxCell *cell, CellTask *task, CellTaskState state)
+{
+  if (task->state == CELL_TASK_DONE)
+    return false;
+  task->state = state;
+  if (state == CELL_TASK_DONE)
+    count_done (cell, task->stage);
+  cell_task_changed (cell, task);
+  return true;
+}
+
 bool
 cell_task_done (MuxCell *cell, CellStage *stage, uint32_t index)
 {
   CellTask *task = cell_task_object (stage, index);
 
-  if (cell_task_view (stage, index)->state == CELL_TASK_DONE)
-    return false;
-  if (task == NULL && !make_table (stage))
+  if (task != NULL)
+    return cell_task_set_state (cell, task, CELL_TASK_DONE);
+  if (cell_task_view (stage, index)->state == CELL_TASK_DONE
+      || !make_table (stage))
     return false;
-  stage->tasks_left--;
-  if (task == NULL)
-    {
-      stage->task[index] = done_entry ();
-      return true;
-    }
-  task->state = CELL_TASK_DONE;
-  cell_task_changed (cell, task);
+  stage->task[index] = done_entry ();
+  count_done (cell, stage);
   return true;
 }
 
--- a/src/cell/stage_tasks.h
+++ b/src/cell/stage_tasks.h
@@ -50,6 +50,9 @@
  * says no more than a shared object is freed at the next tick.
  * Return: NULL when out of memory. */
 CellTask *cell_task_get (MuxCell *cell, CellStage *stage, uint32_t index);
+/** cell_task_set_state() - changes the state of a task; no other code does
+ * Return: false: the task is done, which is final. */
+bool cell_task_set_state (MuxCell *cell, CellTask *task, CellTaskState state);
 /** cell_task_done() - marks the task as done
  * Return: false: it was. */
 bool cell_task_done (MuxCell *cell, CellStage *stage, uint32_t index);
--- a/test/support/cell_chaos.c
+++ b/test/support/cell_chaos.c
@@ -35,11 +35,24 @@
   snprintf (id, MUX_JOB_ID_LEN, "job-%u", number);
 }
 
+void
+chaos_submit_job (Chaos *c, uint32_t cell, MuxJobSpec *job)
+{
+  char id[MUX_JOB_ID_LEN];
+
+  if (!is_up (&c->world->cell[cell]) || c->jobs == CHAOS_JOBS_MAX)
+    {
+      mux_job_free (job);
+      return;
+    }
+  job_name (id, c->jobs);
+  c->request[c->jobs++] = world_submit (c->world, cell, job, id);
+}
+
 void
 chaos_submit (Chaos *c)
 {
   uint32_t cell = chaos_below (c, CHAOS_CELLS);
-  char id[MUX_JOB_ID_LEN];
   MuxJobSpec *job;
 
   if (!is_up (&c->world->cell[cell]) || c->jobs == CHAOS_JOBS_MAX)
@@ -50,8 +63,7 @@
     job = world_job (1 + chaos_below (c, 2), 1 + chaos_below (c, 3),
                      2000 + chaos_below (c, 6000));
   job->step[0].gang = chaos_below (c, 4) == 0;
-  job_name (id, c->jobs);
-  c->request[c->jobs++] = world_submit (c->world, cell, job, id);
+  chaos_submit_job (c, cell, job);
 }
 
 static void
@@ -237,6 +249,7 @@
       world->worker[i].unreachable = false;
       world->worker[i].fails = false;
       world->worker[i].late_renewals = false;
+      world->worker[i].refuses_renewals = false;
     }
 }
 
@@ -257,7 +270,7 @@
       job_name (id, i);
       state = world_state (c->world, 0, id);
       /* A job that crashes its workers may still be waiting. */
-      if (state == MUX_JOB_COMPLETED
+      if ((state == MUX_JOB_COMPLETED && world_is_done (c->world, id))
           || (state != MUX_JOB_ABSENT && world_is_crashing (c->world, id))
           || (state == MUX_JOB_FAILED
               && world_may_fail (c->world, id, CHAOS_ATTEMPTS)))
@@ -273,11 +286,27 @@
 {
   bool twice = world_double_run_acked (c->world);
   bool over = world_over_crash_budget (c->world) || c->world->over_capacity > 0;
+  bool out_of_order = world_out_of_order (c->world);
+  uint64_t miscounted
+      = mux_counter_value (c->world->counters, MUX_COUNT_TASKS_MISCOUNTED);
   uint32_t lost = count_lost_jobs (c);
 
-  if (twice || over || lost > 0)
-    fail_msg ("seed %" PRIu64 ": twice %d, over %d, lost %u of %u jobs", seed,
-              (int) twice, (int) over, lost, c->jobs);
+  if (twice || over || out_of_order || miscounted > 0 || lost > 0)
+    fail_msg ("seed %" PRIu64 ": twice %d, over %d, out of order %d, "
+              "miscounted %" PRIu64 ", lost %u of %u jobs",
+              seed, (int) twice, (int) over, (int) out_of_order, miscounted,
+              lost, c->jobs);
+}
+
+void
+chaos_step_of_few_faults (Chaos *c)
+{
+  if (chaos_below (c, FAULT_ONE_IN * FAULT_ONE_IN) == 0)
+    chaos_toggle_fault (c);
+  chaos_end_refusal (c);
+  if (chaos_below (c, FAULT_ONE_IN * FAULT_ONE_IN) == 0)
+    chaos_submit (c);
+  world_run (c->world, CHAOS_STEP_MS);
 }
 
 void
--- a/test/support/cell_chaos.h
+++ b/test/support/cell_chaos.h
@@ -36,12 +36,17 @@
   WorldCallers callers; /* of the jobs of bursts */
   uint32_t burst_factor;
   int64_t burst_until_ms;
+  int64_t cut_since_ms;   /* workers are cut off; 0: none is */
+  uint32_t late_refusals; /* of the world, at the last step */
 } Chaos;
 
 /** chaos_below() - draws a number below @bound */
 uint32_t chaos_below (Chaos *c, uint32_t bound);
 /** chaos_submit() - submits a job at a random daemon, if that is up */
 void chaos_submit (Chaos *c);
+/** chaos_submit_job() - submits @job, which it takes over, at a daemon, if that
+ * is up */
+void chaos_submit_job (Chaos *c, uint32_t cell, MuxJobSpec *job);
 /** chaos_toggle_fault() - injects or ends a random fault */
 void chaos_toggle_fault (Chaos *c);
 /** chaos_end_refusal() - lets the store serve the refused planner again once
@@ -50,14 +55,17 @@
 /** chaos_step() - runs one step with any fault at any time: few takeovers, many
  * faults at once */
 void chaos_step (Chaos *c);
+/** chaos_step_of_few_faults() - the same with an eighth of the faults, and
+ * fewer jobs */
+void chaos_step_of_few_faults (Chaos *c);
 /** chaos_step_of_takeovers() - runs one step with few faults other than
  * takeovers, one after the other at random moments */
 void chaos_step_of_takeovers (Chaos *c);
 /** chaos_heal() - ends the faults that chaos_toggle_fault() injects */
 void chaos_heal (World *world);
-/** chaos_check() - fails the test if a task ran twice, too often after crashes
- * or beyond its worker's capacity, or if an accepted job neither completed nor
- * may have failed */
+/** chaos_check() - fails the test if a task ran twice, too often after crashes,
+ * beyond its worker's capacity or before those that it depends on, or if an
+ * accepted job neither completed nor may have failed */
 void chaos_check (Chaos *c, uint64_t seed);
 /** chaos_setting() - reads a number from the environment; @otherwise if unset
  */
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -1173,7 +1173,7 @@
   world_workspaces_free (world);
   free (world->ended_run);
   for (uint32_t i = 0; i < world->job_count; i++)
-    free (world->job[i].size);
+    free (world->job[i].step);
   free (world->job);
   mux_counters_free (world->counters);
   free (world);
@@ -1235,10 +1235,13 @@
   job->approval_spent_ms = 0;
   job->other_queue = strcmp (world->queue, "other") == 0;
   job->step_count = spec->step_count;
-  job->size = calloc (spec->step_count, sizeof *job->size);
-  assert_non_null (job->size);
+  job->step = calloc (spec->step_count, sizeof *job->step);
+  assert_non_null (job->step);
   for (uint32_t i = 0; i < spec->step_count; i++)
-    job->size[i] = spec->step[i].size;
+    job->step[i] = (WorldStep){ .tasks = spec->step[i].count,
+                                .size = spec->step[i].size,
+                                .after = spec->step[i].after,
+                                .gang = spec->step[i].gang };
 }
 
 MuxSize
@@ -1247,7 +1250,7 @@
   for (uint32_t i = 0; i < world->job_count; i++)
     if (strcmp (world->job[i].id, task->job) == 0
         && task->step < world->job[i].step_count)
-      return world->job[i].size[task->step];
+      return world->job[i].step[task->step].size;
   return (MuxSize){ 0 };
 }
 
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -36,6 +36,8 @@
   WORLD_SILENT,       /* not carried out, no reply; a store that goes silent
                          does not reply to pending feeds, either */
   WORLD_LATE,         /* no reply; carried out @late_ms later */
+  WORLD_REFUSES_LATE, /* orders: not carried out, and the reply says so when the
+                         call's timeout is over */
 } WorldFault;
 
 /* Bit of a table in @hanging_feeds of a daemon. */
@@ -120,6 +122,7 @@
  * @fault: of START and STOP calls
  * @late_renewals: RENEW calls are not answered, and carried out the world's
  *   @late_ms later
+ * @refuses_renewals: RENEW calls are refused at once
  * @unreachable: calls from any daemon are lost
  * @fails: all its runs fail after @task_ms
  * @usage: usage that its runs report
@@ -146,6 +149,7 @@
   MuxWorkerInfo info;
   WorldFault fault;
   bool late_renewals;
+  bool refuses_renewals;
   bool unreachable;
   bool fails;
   uint32_t usage;
@@ -190,6 +194,17 @@
   bool end_lost;
 } WorldStart;
 
+/**
+ * struct WorldStep - a step of a job that was submitted, as in MuxStepSpec
+ */
+typedef struct
+{
+  uint32_t tasks;
+  MuxSize size;
+  uint64_t after;
+  bool gang;
+} WorldStep;
+
 /**
  * struct WorldJob - a job that was submitted
  * @workspace: that the caller's key belongs to; "": none
@@ -198,7 +213,7 @@
  * @approval_us: likewise
  * @approval_spent_ms: total time that the policy service spent on its queries
  * @other_queue: it was submitted to the second queue
- * @size: what a task of each step needs
+ * @step: its steps
  */
 typedef struct
 {
@@ -210,7 +225,7 @@
   int64_t approval_spent_ms;
   bool other_queue;
   uint32_t step_count;
-  MuxSize *size; /* owned */
+  WorldStep *step; /* owned */
 } WorldJob;
 
 typedef struct WorldEvent WorldEvent;
@@ -318,8 +333,9 @@
   char rejected_job[MUX_JOB_ID_LEN]; /* progress of it is rejected; "": none */
   char rejected_row[MUX_JOB_ID_LEN]; /* the row of this job is; "": none */
   uint32_t rejected_commits;
-  uint32_t page_rows; /* page size of a scan; 0: unlimited */
-  uint32_t feed_rows; /* likewise of a feed's reply */
+  uint32_t late_refusals; /* orders that workers refuse late */
+  uint32_t page_rows;     /* page size of a scan; 0: unlimited */
+  uint32_t feed_rows;     /* likewise of a feed's reply */
   uint32_t approval_queries;
   uint32_t blocked_logged; /* step_waits lines logged */
   char blocked_on[32];     /* reason in the last of them */
@@ -390,6 +406,12 @@
 /** world_double_run() - whether two runs of a task overlapped, or one was
  * started after another was done */
 bool world_double_run (const World *world);
+/** world_out_of_order() - whether a task was started before each task of the
+ * steps that its own depends on had a run that ended well */
+bool world_out_of_order (const World *world);
+/** world_is_done() - whether each task of a job that is not repeated had a run
+ * that ended well */
+bool world_is_done (const World *world, const char *id);
 /** world_over_crash_budget() - whether a task that crashes its workers was
  * started three times more after it had crashed three of them */
 bool world_over_crash_budget (const World *world);
--- a/test/support/cell_world_check.c
+++ b/test/support/cell_world_check.c
@@ -77,6 +77,83 @@
   return memcmp (&a->task, &b->task, sizeof a->task) == 0;
 }
 
+/* Whether the task, or its gang, had a run that ended well by @at_ms. */
+static bool
+was_done (const World *world, const MuxTaskRef *task, bool gang, int64_t at_ms)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    {
+      const WorldStart *start = &world->start[i];
+
+      if (start->end == MUX_RUN_DONE && start->ended_ms != 0
+          && start->ended_ms <= at_ms && start->task.step == task->step
+          && start->task.occurrence == task->occurrence
+          && (gang || start->task.index == task->index)
+          && strcmp (start->task.job, task->job) == 0)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_step_done (const World *world,
+              const WorldJob *job,
+              const WorldStart *start,
+              uint32_t step)
+{
+  MuxTaskRef task = start->task;
+
+  task.step = step;
+  for (task.index = 0; task.index < job->step[step].tasks; task.index++)
+    if (!was_done (world, &task, job->step[step].gang, start->at_ms))
+      {
+        print_message ("%s.%u.%u: started at %lld before task %u of step %u "
+                       "was done\n",
+                       task.job, start->task.step, start->task.index,
+                       (long long) start->at_ms, task.index, step);
+        return false;
+      }
+  return true;
+}
+
+bool
+world_out_of_order (const World *world)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    for (uint32_t j = 0; j < world->job_count; j++)
+      {
+        const WorldStart *start = &world->start[i];
+        const WorldJob *job = &world->job[j];
+
+        for (uint32_t k = 0;
+             strcmp (job->id, start->task.job) == 0 && k < start->task.step
+             && start->task.step < job->step_count;
+             k++)
+          if ((job->step[start->task.step].after >> k & 1) != 0
+              && !is_step_done (world, job, start, k))
+            return true;
+      }
+  return false;
+}
+
+bool
+world_is_done (const World *world, const char *id)
+{
+  const WorldJob *job = NULL;
+  MuxTaskRef task = { .occurrence = 0 };
+
+  for (uint32_t i = 0; i < world->job_count && job == NULL; i++)
+    if (strcmp (world->job[i].id, id) == 0)
+      job = &world->job[i];
+  assert_non_null (job);
+  snprintf (task.job, sizeof task.job, "%s", id);
+  for (task.step = 0; task.step < job->step_count; task.step++)
+    for (task.index = 0; task.index < job->step[task.step].tasks; task.index++)
+      if (!was_done (world, &task, job->step[task.step].gang, world->now_ms))
+        return false;
+  return true;
+}
+
 /* Counts the crashes of workers during earlier runs of the task of start @i. */
 static uint32_t
 crashes_before (const World *world, uint32_t i)
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -592,6 +592,8 @@
 
   if (worker != NULL && worker->late_renewals && !order)
     fault = WORLD_LATE;
+  if (worker != NULL && worker->refuses_renewals && !order)
+    fault = WORLD_REFUSES;
   if (worker != NULL && call->verb == MUX_CELL_PACE
       && worker->pace_fault != WORLD_SERVES)
     fault = worker->pace_fault;
@@ -609,6 +611,13 @@
   else if (fault == WORLD_REFUSES)
     world_answer_call (world, cell,
                        mux_cell_reply_new (call, MUX_CELL_NOT_DONE), WORKER_MS);
+  else if (fault == WORLD_REFUSES_LATE)
+    {
+      world->late_refusals++;
+      world_answer_call (world, cell,
+                         mux_cell_reply_new (call, MUX_CELL_NOT_DONE),
+                         call->timeout_ms);
+    }
   else if (fault == WORLD_LOSES_ANSWER)
     {
       mux_cell_reply_free (world_worker_execute (world, worker, call));
--- a/test/support/chaos_variants.c
+++ b/test/support/chaos_variants.c
@@ -59,6 +59,20 @@
 #define TASK_TIME_ONE_IN 10
 /* By which workers' clocks are slow at most. */
 #define SLOW_CLOCK_PERCENT 2
+/* One step in so many cuts workers off, until a lease of theirs counts as over
+ * and a start is refused elsewhere, or longer; one lets a worker refuse starts
+ * late, or serve. */
+#define CUT_WORKERS_ONE_IN 20
+#define CUT_LEAST_MS 3000
+#define CUT_MOST_MS 8000
+#define LATE_REFUSALS_ONE_IN 10
+#define WIDE_JOB_ONE_IN 20
+#define WIDE_TASKS 16
+#define WIDE_CPU_MILLI 500
+#define WIDE_PER_WORKER 3
+#define SLOW_WORKER_MILLI 60
+#define CUT_TASK_MS 1500
+#define CUTS_BUSY_MS 42000
 /* One step in so many kills the planner, restarts a daemon that is down, or
  * changes whether one of the UNREACHABLE_WORKERS is reachable. */
 #define LOSE_ONE_IN 150
@@ -198,6 +212,64 @@
         = chaos_below (c, 2) == 0;
 }
 
+/* Calls to half of the workers are lost, then refused if they are renewals, and
+ * then served again. */
+static void
+set_cut (World *world, bool unreachable, bool refuses_renewals)
+{
+  for (uint32_t i = 0; i < CHAOS_WORKERS; i += 2)
+    {
+      world->worker[i].unreachable = unreachable;
+      world->worker[i].refuses_renewals = refuses_renewals;
+    }
+}
+
+/* Some of its tasks run on slow workers, too, and there is room for the others
+ * there. */
+static MuxJobSpec *
+wide_job (void)
+{
+  MuxJobSpec *job = world_job (2, WIDE_TASKS, WIDE_CPU_MILLI);
+
+  for (uint32_t i = 0; i < job->step_count; i++)
+    job->step[i].per_worker_max = WIDE_PER_WORKER;
+  return job;
+}
+
+/* Cuts half of the workers off for about a lease, while some of the others,
+ * which are slow, refuse starts late.  Tasks of wide steps then are done on
+ * those that are cut off, and not on the others.  The cut often ends while a
+ * start is being refused. */
+static void
+cut_workers (Chaos *c)
+{
+  World *world = c->world;
+  bool cut = c->cut_since_ms != 0;
+  int64_t cut_ms = world->now_ms - c->cut_since_ms;
+
+  if (chaos_below (c, WIDE_JOB_ONE_IN) == 0)
+    chaos_submit_job (c, chaos_below (c, CHAOS_CELLS), wide_job ());
+  if (cut
+      && (cut_ms >= CUT_MOST_MS
+          || (cut_ms >= CUT_LEAST_MS && world->late_refusals != c->late_refusals
+              && chaos_below (c, 2) == 0)))
+    {
+      set_cut (world, false, false);
+      c->cut_since_ms = 0;
+    }
+  else if (cut && cut_ms >= CUT_LEAST_MS)
+    set_cut (world, false, true);
+  else if (!cut && chaos_below (c, CUT_WORKERS_ONE_IN) == 0)
+    {
+      set_cut (world, true, false);
+      c->cut_since_ms = world->now_ms;
+    }
+  c->late_refusals = world->late_refusals;
+  if (chaos_below (c, LATE_REFUSALS_ONE_IN) == 0)
+    world->worker[1 + 2 * chaos_below (c, CHAOS_WORKERS / 2)].fault
+        = chaos_below (c, 3) == 0 ? WORLD_SERVES : WORLD_REFUSES_LATE;
+}
+
 static void
 slow_clocks (Chaos *c)
 {
@@ -225,7 +297,7 @@
                               .tasks = 2,
                               .cpu_milli = 5000,
                               .attempts = CHAOS_ATTEMPTS };
-  world->task_ms = TASK_MS;
+  world->task_ms = variant->cuts ? CUT_TASK_MS : TASK_MS;
   world->feed_rows = variant->feed_rows;
   if (variant->same_ids)
     world_keep_ids (world);
@@ -238,8 +310,12 @@
     world_make_urgent (world);
   if (variant->long_tasks)
     slow_clocks (&c);
+  for (uint32_t i = 1;
+       variant->cuts && !variant->long_tasks && i < CHAOS_WORKERS; i += 2)
+    world->worker[i].speed_milli = SLOW_WORKER_MILLI;
   world_run (world, 1000);
-  for (uint32_t at_ms = 0; at_ms < BUSY_MS; at_ms += CHAOS_STEP_MS)
+  for (uint32_t at_ms = 0; at_ms < (variant->cuts ? CUTS_BUSY_MS : BUSY_MS);
+       at_ms += CHAOS_STEP_MS)
     {
       if (variant->gone && at_ms == UNREACHABLE_AT_MS)
         make_workers_unreachable (world);
@@ -259,7 +335,11 @@
         burst (&c);
       if (variant->long_tasks)
         change_task_time (&c);
-      if (seed % 4 < 2)
+      if (variant->cuts)
+        cut_workers (&c);
+      if (variant->cuts && seed % 4 != 0)
+        chaos_step_of_few_faults (&c);
+      else if (seed % 4 < 2)
         chaos_step (&c);
       else
         chaos_step_of_takeovers (&c);
@@ -268,6 +348,8 @@
   chaos_heal (world);
   if (variant->rooms)
     restore_rooms (world);
+  for (uint32_t i = 0; variant->cuts && i < CHAOS_WORKERS; i++)
+    world->worker[i].speed_milli = 0;
   for (uint32_t i = 0; i < CHAOS_CELLS; i++)
     world->cell[i].input_delay_ms = 0;
   if (variant->bursts)
--- a/test/support/chaos_variants.h
+++ b/test/support/chaos_variants.h
@@ -16,6 +16,8 @@
  * @same_ids: restarted workers keep their ids
  * @bursts: callers submit at a multiple of the usual rate at times
  * @gone: planners are lost while half of the workers are unreachable
+ * @cuts: workers are out of reach for about a lease, as tasks end there, while
+ *   others refuse starts late
  * @long_tasks: runs may take longer than a lease, and workers' clocks are slow
  */
 typedef struct
@@ -30,6 +32,7 @@
   bool bursts;
   bool gone;
   bool long_tasks;
+  bool cuts;
 } ChaosVariant;
 
 /** chaos_play_seeds() - plays RANDOM_SEEDS schedules, from seed RANDOM_SEED on
