Count no failed run of a task that is done

Callers would see a job shown as failed although all its tasks end well.

Cause: the end of a run can be heard while the next run of its task is under way elsewhere. Where that run fails before its stop arrives it used an attempt of a task that is done.

Evidence: test_failed_run_of_a_done_task_uses_no_attempt, with a queue of one attempt, ends as failed on the code before.

cell_attempts_count() counts no run of a task that is done, for single tasks and gangs alike.

Measured: the test's job completes.

--- a/src/cell/attempts.c
+++ b/src/cell/attempts.c
@@ -63,8 +63,9 @@
 {
   MuxFailedRuns *failed = failed_runs_of (task);
   Before before = before_change (failed);
-  bool counted
-      = !task->stage->spec->long_running && mux_failed_runs_add (failed, run);
+  bool counted = task->state != CELL_TASK_DONE
+                 && !task->stage->spec->long_running
+                 && mux_failed_runs_add (failed, run);
 
   changed (cell, task->stage->job, failed, before);
   return counted;
--- a/src/cell/attempts.h
+++ b/src/cell/attempts.h
@@ -11,7 +11,8 @@
 /** cell_attempts_reserve() - makes room for a failed run of the task
  * Return: false if out of memory. */
 bool cell_attempts_reserve (MuxCell *cell, CellTask *task);
-/** cell_attempts_count() - counts a failed run, for which there is room
+/** cell_attempts_count() - counts a failed run, for which there is room, unless
+ * the task is done
  * Return: false: it does not count, or no more. */
 bool cell_attempts_count (MuxCell *cell, CellTask *task, uint32_t run);
 /** cell_attempts_run_begins() - a run of the task begins: no end of a lower one
--- a/test/unit/test_cell_done.c
+++ b/test/unit/test_cell_done.c
@@ -132,6 +132,30 @@
   world_free (world);
 }
 
+/* The later run fails after the task's end was heard: it uses no attempt of a
+ * task that is done. */
+static void
+test_failed_run_of_a_done_task_uses_no_attempt (void **state)
+{
+  World *world = new_world ();
+
+  (void) state;
+  world_set_attempts (world, 1);
+  world_run (world, 1000);
+  world->worker[NEXT].fails = true;
+  (void) world_submit (world, 0, world_job (2, 2, WHOLE_MILLI), JOB);
+  start_again_elsewhere (world, WORLD_SERVES);
+  /* Stops get no reply, so that the run fails by itself. */
+  world->worker[NEXT].fault = WORLD_SILENT;
+  world->worker[FIRST].refuses_renewals = false;
+  world_run (world, 2 * TASK_MS);
+  assert_int_equal (world->start[2].end, MUX_RUN_FAILED);
+  world->worker[NEXT].fault = WORLD_SERVES;
+  world->worker[NEXT].fails = false;
+  assert_step_waits (world);
+  world_free (world);
+}
+
 /* A gang is done by a member that was out of reach, while its next run is under
  * way and one start of that is refused: no member starts again, and what runs
  * is stopped. */
@@ -258,6 +282,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_refused_start_leaves_a_done_task_done),
     cmocka_unit_test (test_unanswered_start_leaves_a_done_task_done),
+    cmocka_unit_test (test_failed_run_of_a_done_task_uses_no_attempt),
     cmocka_unit_test (test_gang_that_is_done_is_not_started_again),
     cmocka_unit_test (test_cancelled_job_with_a_done_task_ends),
     cmocka_unit_test (test_done_is_final),
