--- a/tools/model.mk
+++ b/tools/model.mk
@@ -1,7 +1,7 @@
 # Checks the models of the at-most-once path, of the takeover, of the record of
 # workers, of the mark of a worker that was not heard and of keys that are taken
 # away, of handovers by ability, of workers that start again under their ids, and
-# that each fails when a guard is taken out.
+# of how failed runs are counted, and that each fails when a guard is taken out.
 # Needs spin (tools/deps does not install it; `make model` does).
 .PHONY: model
 model:
@@ -13,3 +13,4 @@
 	@tools/model docs/design/revocation.pml
 	@tools/model docs/design/ability.pml
 	@tools/model docs/design/restart.pml
+	@tools/model docs/design/attempts.pml
