End a scan for starts where none can have memory

Since failed tasks start without memory for their objects, a scan of a step goes on behind a task that has to wait. Where no task at all can start, as while too many starts have no reply, it looked at each task of each step in each pass; it ends at the first one again.

test_all_attempts_are_used also asks that the memory counted for failed runs is given back.

--- a/src/cell/place.c
+++ b/src/cell/place.c
@@ -313,7 +313,11 @@
       if (placement->over_quota)
         return true;
       if (!has_memory (cell, stage, i))
-        continue;
+        {
+          if (!cell_runs_have_memory (cell, 1, 0))
+            return true;
+          continue;
+        }
       if (!place_task (cell, stage, i, placement))
         return false;
     }
--- a/test/unit/test_cell_attempts.c
+++ b/test/unit/test_cell_attempts.c
@@ -102,6 +102,8 @@
       world_run (world, 1000 * (1 + (int64_t) attempts[i]));
       assert_int_equal (world_starts (world, JOB), attempts[i]);
       assert_int_equal (world_state (world, 0, JOB), MUX_JOB_FAILED);
+      assert_int_equal (world->cell[world_planner (world)].cell->failure_bytes,
+                        0);
       world_free (world);
     }
 }
