Tell when a job's progress is held, and keep row formats in one file

Progress that waits until its failed runs fit into a row was told by a counter alone, which names no job. progress_held is a line at the beginning of each such wait.

No format and no decision changes: test_cell_attempts and test_cell_progress_split pass as they were.

--- a/src/cell/attempts.c
+++ b/src/cell/attempts.c
@@ -15,43 +15,40 @@
 }
 
 static bool
-is_scattered (const MuxFailedRuns *failed)
+exceeds_row (const MuxFailedRuns *failed)
 {
   return failed->range_count > STORED_RANGES_MAX;
 }
 
-/* What was known of @failed before a change of it. */
+/* What failed runs take of the limits that their job and the planner count. */
 typedef struct
 {
   uint64_t bytes;
-  bool scattered;
-} Before;
+  bool exceeds_row;
+} Usage;
 
-static Before
-before_change (const MuxFailedRuns *failed)
+static Usage
+usage_of (const MuxFailedRuns *failed)
 {
-  return (Before){ .bytes = mux_failed_runs_bytes (failed),
-                   .scattered = is_scattered (failed) };
+  return (Usage){ .bytes = mux_failed_runs_bytes (failed),
+                  .exceeds_row = exceeds_row (failed) };
 }
 
 static void
-changed (MuxCell *cell,
-         CellJob *job,
-         const MuxFailedRuns *failed,
-         Before before)
+changed (MuxCell *cell, CellJob *job, const MuxFailedRuns *failed, Usage before)
 {
   cell->failure_bytes += mux_failed_runs_bytes (failed) - before.bytes;
-  job->scattered_failures += is_scattered (failed);
-  job->scattered_failures -= before.scattered;
-  job->attempts_form
-      = job->attempts_form || !cell_attempts_are_listed (job, failed);
+  job->oversized_failures += exceeds_row (failed);
+  job->oversized_failures -= before.exceeds_row;
+  job->stores_counts
+      = job->stores_counts || !cell_attempts_are_listed (job, failed);
 }
 
 bool
 cell_attempts_reserve (MuxCell *cell, CellTask *task)
 {
   MuxFailedRuns *failed = failed_runs_of (task);
-  Before before = before_change (failed);
+  Usage before = usage_of (failed);
   bool reserved = mux_failed_runs_reserve (failed);
 
   changed (cell, task->stage->job, failed, before);
@@ -62,7 +59,7 @@
 cell_attempts_count (MuxCell *cell, CellTask *task, uint32_t run)
 {
   MuxFailedRuns *failed = failed_runs_of (task);
-  Before before = before_change (failed);
+  Usage before = usage_of (failed);
   bool counted = task->state != CELL_TASK_DONE
                  && !task->stage->spec->long_running
                  && mux_failed_runs_add (failed, run);
@@ -77,7 +74,7 @@
             MuxFailedRuns *failed,
             uint32_t through)
 {
-  Before before = before_change (failed);
+  Usage before = usage_of (failed);
 
   mux_failed_runs_close (failed, through);
   changed (cell, job, failed, before);
@@ -124,7 +121,7 @@
 void
 cell_attempts_clear (MuxCell *cell, CellJob *job, MuxFailedRuns *failed)
 {
-  Before before = before_change (failed);
+  Usage before = usage_of (failed);
 
   mux_failed_runs_clear (failed);
   changed (cell, job, failed, before);
@@ -133,7 +130,7 @@
 void
 cell_attempts_read (MuxCell *cell, CellJob *job, MuxFailedRuns *failed)
 {
-  changed (cell, job, failed, (Before){ .bytes = 0, .scattered = false });
+  changed (cell, job, failed, (Usage){ .bytes = 0 });
 }
 
 bool
@@ -179,16 +176,29 @@
     }
 }
 
+/* Closes what all workers have told, or their leases have ended.
+ * Return: whether the job's failed runs still exceed a row. */
+static bool
+exceed_row (MuxCell *cell, CellJob *job)
+{
+  for (uint32_t i = 0; job->oversized_failures > 0 && i < job->stage_count
+                       && cell_all_runs_known (cell);
+       i++)
+    close_stage (cell, job->stage[i]);
+  return job->oversized_failures > 0;
+}
+
 bool
 cell_attempts_exceed_row (MuxCell *cell, CellJob *job)
 {
-  if (job->scattered_failures == 0)
-    return false;
-  /* All ends that count have been told. */
-  for (uint32_t i = 0; i < job->stage_count && cell_all_runs_known (cell); i++)
-    close_stage (cell, job->stage[i]);
-  if (job->scattered_failures == 0)
+  bool was_held = job->progress_held;
+
+  job->progress_held = exceed_row (cell, job);
+  if (!job->progress_held)
     return false;
   mux_count (cell->options.counters, MUX_COUNT_PROGRESS_HELD, 1);
+  if (!was_held)
+    cell_log (cell, "progress_held", "{s:s, s:i}", "job", job->id, "tasks",
+              (int) job->oversized_failures);
   return true;
 }
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -553,6 +553,19 @@
 /** cell_occurrences_restore() - begins those that a predecessor had begun */
 void cell_occurrences_restore (MuxCell *cell, CellJob *job, uint32_t count);
 
+/* job_row_format.c */
+/** cell_job_row_add() - adds the job's own row to a commit, in a form that an
+ * earlier version takes as unreadable
+ * Return: false if out of memory. */
+bool cell_job_row_add (MuxCellCall *call, const CellJob *job);
+/** cell_job_row_mark() - the same, if the previous version can't read what is
+ * stored of failed runs, unless that row is stored
+ * Return: false if out of memory. */
+bool cell_job_row_mark (MuxCellCall *call, CellJob *job);
+/** cell_job_row_restore() - makes a row of cell_job_row_add() one that
+ * mux_job_from_json() reads; others are not changed */
+void cell_job_row_restore (json_t *json);
+
 /* job_rows.c: rows of the table of jobs */
 /** cell_job_add_committed() - adds a job that this planner has just stored */
 void
@@ -712,17 +725,6 @@
 /* progress_split_rows.c: these rows as they are stored */
 /** cell_split_head_json() - the row under the job's id */
 json_t *cell_split_head_json (const CellJob *job);
-/** cell_job_row_add() - adds the job's own row to a commit, in a form that an
- * earlier version takes as unreadable
- * Return: false if out of memory. */
-bool cell_job_row_add (MuxCellCall *call, const CellJob *job);
-/** cell_attempts_form_add() - the same, unless earlier versions can read all
- * that is stored of failed runs, or the row is stored
- * Return: false if out of memory. */
-bool cell_attempts_form_add (MuxCellCall *call, CellJob *job);
-/** cell_split_job_restore() - makes a row of cell_job_row_add() a job that
- * mux_job_from_json() reads; others are not changed */
-void cell_split_job_restore (json_t *json);
 /** cell_progress_is_split() - @json is of cell_split_head_json() */
 bool cell_progress_is_split (const json_t *json);
 /** cell_split_head_apply() - as cell_progress_apply() */
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1113,11 +1113,13 @@
  * @progress_stored: it has a progress row
  * @split: of its progress
  * @attempts_used: a predecessor recorded that it fails
- * @attempts_form: its row is to be stored as one that the previous version
- *   can't read, as that could not read the failures of some task
- * @attempts_form_in_commit: the outstanding commit of its part does so
- * @attempts_form_stored: it is
- * @scattered_failures: tasks and gangs with more ranges of failed runs than a
+ * @stores_counts: failed runs of some task are stored as a count, which the
+ *   previous version can't read
+ * @marked_row_in_commit: the outstanding commit of its part stores its row as
+ *   cell_job_row_mark() does
+ * @marked_row_stored: it is stored so
+ * @progress_held: that is not stored now, see cell_attempts_exceed_row()
+ * @oversized_failures: tasks and gangs with more ranges of failed runs than a
  *   row has room for
  * @progress_unreadable: the progress row could not be read
  * @unreadable_ends_stored: it has a row of ends from the time when its own row
@@ -1164,10 +1166,11 @@
   bool progress_stored;
   CellProgressSplit split;
   bool attempts_used;
-  bool attempts_form;
-  bool attempts_form_in_commit;
-  bool attempts_form_stored;
-  uint32_t scattered_failures;
+  bool stores_counts;
+  bool marked_row_in_commit;
+  bool marked_row_stored;
+  bool progress_held;
+  uint32_t oversized_failures;
   bool progress_unreadable;
   bool unreadable_ends_stored;
   uint64_t bytes;
--- a/src/cell/job_left_out.c
+++ b/src/cell/job_left_out.c
@@ -199,7 +199,7 @@
       || cell_unreadable_is_recovering (cell, row->key))
     return;
   json = cell_json_from_blob (row->value);
-  cell_split_job_restore (json);
+  cell_job_row_restore (json);
   spec = mux_job_from_json (json, &findings);
   json_decref (json);
   if (spec != NULL && strcmp (spec->id, row->key) == 0)
--- a/src/cell/job_rows.c
+++ b/src/cell/job_rows.c
@@ -16,7 +16,7 @@
   MuxJobSpec *spec;
   CellJob *job;
 
-  cell_split_job_restore (json);
+  cell_job_row_restore (json);
   spec = json != NULL ? mux_job_from_json (json, &findings) : NULL;
 
   /* An unreadable job is not run, as its dependencies or its attempts may be
--- a/src/cell/progress.c
+++ b/src/cell/progress.c
@@ -66,9 +66,8 @@
   bool clean = is_clean (job);
 
   cell_progress_split_committed (job, true);
-  job->attempts_form_stored
-      = job->attempts_form_stored || job->attempts_form_in_commit;
-  job->attempts_form_in_commit = false;
+  job->marked_row_stored = job->marked_row_stored || job->marked_row_in_commit;
+  job->marked_row_in_commit = false;
   job->in_commit = false;
   job->dirty_again = false;
   job->rejections = 0;
@@ -114,7 +113,7 @@
     {
       if (job->in_commit)
         cell_progress_split_committed (job, false);
-      job->attempts_form_in_commit = false;
+      job->marked_row_in_commit = false;
       job->in_commit = false;
       job->dirty_again = false;
     }
@@ -219,7 +218,7 @@
 {
   bool whole = true;
 
-  if (!cell_attempts_form_add (call, job))
+  if (!cell_job_row_mark (call, job))
     return false;
   if (!job->split.begun && !add_progress_row (cell, call, job))
     cell_progress_split_begin (cell, job);
--- a/src/cell/progress_split.c
+++ b/src/cell/progress_split.c
@@ -232,7 +232,7 @@
 static bool
 write_first_head (MuxCellCall *call, CellJob *job)
 {
-  if (!job->attempts_form_in_commit && !cell_job_row_add (call, job))
+  if (!job->marked_row_in_commit && !cell_job_row_add (call, job))
     return false;
   job->split.may_be_stored = true;
   return write_head (call, job);
--- a/src/cell/progress_split_rows.c
+++ b/src/cell/progress_split_rows.c
@@ -188,60 +188,6 @@
                     (int) occurrences, "open", open);
 }
 
-/* Names of the field "steps" in a job's row with which a version that does not
- * know them takes the job as unreadable. */
-static const char *const steps_field[] = { "split_steps", "attempts_steps" };
-
-static json_t *
-job_json (const CellJob *job)
-{
-  json_t *json = mux_job_to_json (job->spec);
-  const char *field = steps_field[job->attempts_form];
-
-  if (json_object_set (json, field, json_object_get (json, "steps")) != 0
-      || json_object_del (json, "steps") != 0)
-    {
-      json_decref (json);
-      return NULL;
-    }
-  return json;
-}
-
-bool
-cell_job_row_add (MuxCellCall *call, const CellJob *job)
-{
-  MuxBlob *value = cell_blob_from_json (job_json (job));
-
-  if (value == NULL)
-    return false;
-  cell_call_add_change (call, MUX_CHANGE_PUT, MUX_TABLE_JOBS, job->id)->value
-      = value;
-  return true;
-}
-
-bool
-cell_attempts_form_add (MuxCellCall *call, CellJob *job)
-{
-  if (!job->attempts_form || job->attempts_form_stored)
-    return true;
-  job->attempts_form_in_commit = cell_job_row_add (call, job);
-  return job->attempts_form_in_commit;
-}
-
-void
-cell_split_job_restore (json_t *json)
-{
-  for (size_t i = 0; i < sizeof steps_field / sizeof steps_field[0]; i++)
-    {
-      json_t *steps = json_object_get (json, steps_field[i]);
-
-      if (steps == NULL || json_object_get (json, "steps") != NULL)
-        continue;
-      (void) json_object_set (json, "steps", steps);
-      (void) json_object_del (json, steps_field[i]);
-    }
-}
-
 void
 cell_split_head_read (CellJob *job, const MuxBlob *value)
 {
