Keep no failed runs by number where runs have used up their memory

Cause: up to 16 failed runs of a task are kept by number, 152 bytes where none follow each other. What they take counts, but tasks that were started before go on starting without memory for them, so that 350,000 of these at 128 MB could each take that much beside a full third of the memory.

Where runs take more than their memory, a start closes the lower runs at any number of failures: the count stays, and the ranges go. The job's row is then one that the previous version can't read, as with many failures.

--- a/include/cell/failed_runs.h
+++ b/include/cell/failed_runs.h
@@ -15,8 +15,8 @@
  * enough.
  */
 
-/* So many failed runs are always kept by number: an earlier version can read no
- * more, and no other form. */
+/* So many failed runs are kept by number while there is memory: an earlier
+ * version can read no more, and no other form. */
 #define MUX_FAILED_RUNS_LISTED 16
 
 /**
@@ -56,9 +56,11 @@
  * its runs
  * Return: false if out of memory. */
 bool mux_failed_runs_append (MuxFailedRuns *failed, MuxRunRange range);
-/** mux_failed_runs_close() - no end of a run up to @through counts any more.
- * The runs are forgotten unless an earlier version can read all of them. */
-void mux_failed_runs_close (MuxFailedRuns *failed, uint32_t through);
+/** mux_failed_runs_close() - no end of a run up to @through counts any more,
+ * and these runs are forgotten
+ * @kept: fewer failed runs than this are kept by number, and not closed */
+void
+mux_failed_runs_close (MuxFailedRuns *failed, uint32_t through, uint32_t kept);
 /** mux_failed_runs_bytes() - allocated for the ranges */
 uint64_t mux_failed_runs_bytes (const MuxFailedRuns *failed);
 void mux_failed_runs_clear (MuxFailedRuns *failed);
--- a/src/cell/attempts.c
+++ b/src/cell/attempts.c
@@ -1,5 +1,6 @@
 #include "attempts.h"
 
+#include "job_memory.h"
 #include "stage_tasks.h"
 
 /* Ranges of failed runs of a task that a row has room for.  There are more
@@ -76,7 +77,9 @@
 {
   Usage before = usage_of (failed);
 
-  mux_failed_runs_close (failed, through);
+  mux_failed_runs_close (
+      failed, through,
+      cell_runs_exceed_memory (cell) ? 0 : MUX_FAILED_RUNS_LISTED);
   changed (cell, job, failed, before);
 }
 
--- a/src/cell/failed_runs.c
+++ b/src/cell/failed_runs.c
@@ -98,11 +98,11 @@
 }
 
 void
-mux_failed_runs_close (MuxFailedRuns *failed, uint32_t through)
+mux_failed_runs_close (MuxFailedRuns *failed, uint32_t through, uint32_t kept)
 {
   uint32_t closed;
 
-  if (failed->count < MUX_FAILED_RUNS_LISTED
+  if (failed->count == 0 || failed->count < kept
       || through <= failed->closed_through)
     return;
   failed->closed_through = through;
--- a/src/cell/job_memory.c
+++ b/src/cell/job_memory.c
@@ -235,11 +235,22 @@
   return mux_job_room_job_max (limit_bytes (cell));
 }
 
-static uint64_t
-runs_bytes (uint64_t tasks, uint64_t runs)
+/* With @tasks objects and @runs runs beside those that there are. */
+static bool
+runs_fit (const MuxCell *cell, uint32_t tasks, uint32_t runs)
 {
-  return tasks * (sizeof (CellTask) + BLOCK_BYTES)
-         + runs * (sizeof (CellBooking) + BLOCK_BYTES);
+  uint64_t task_bytes = sizeof (CellTask) + BLOCK_BYTES;
+  uint64_t run_bytes = sizeof (CellBooking) + BLOCK_BYTES;
+
+  return (cell->task_objects + tasks) * task_bytes
+             + (cell->booking_count + runs) * run_bytes + cell->failure_bytes
+         <= mux_job_room_runs_limit (limit_bytes (cell));
+}
+
+bool
+cell_runs_exceed_memory (const MuxCell *cell)
+{
+  return !runs_fit (cell, 0, 0);
 }
 
 /* Tasks that have failed may hold all the memory until they are done, so that
@@ -247,14 +258,9 @@
 bool
 cell_runs_have_memory (const MuxCell *cell, uint32_t runs, uint32_t new_tasks)
 {
-  uint64_t limit = mux_job_room_runs_limit (limit_bytes (cell));
-  uint64_t wanted = cell->failure_bytes
-                    + runs_bytes (cell->task_objects + new_tasks,
-                                  cell->booking_count + runs);
-
   if (cell->starts_unanswered >= CELL_STARTS_UNANSWERED_MAX)
     return false;
-  return wanted <= limit
+  return runs_fit (cell, new_tasks, runs)
          || (new_tasks == 0
              && (cell->booking_count == 0
                  || cell->booking_count + runs <= RUNS_MIN));
--- a/src/cell/job_memory.h
+++ b/src/cell/job_memory.h
@@ -33,6 +33,9 @@
  * @new_tasks: of these, tasks that have no object yet */
 bool
 cell_runs_have_memory (const MuxCell *cell, uint32_t runs, uint32_t new_tasks);
+/** cell_runs_exceed_memory() - whether what is known of runs takes more than
+ * the memory for it */
+bool cell_runs_exceed_memory (const MuxCell *cell);
 /** cell_job_memory_retry_ms() - when a job is to come again that there is no
  * memory for now; 0: it is accepted */
 uint32_t cell_job_memory_retry_ms (const MuxCell *cell, const MuxJobSpec *spec);
--- a/test/unit/test_cell_job_memory.c
+++ b/test/unit/test_cell_job_memory.c
@@ -1,3 +1,4 @@
+#include "src/cell/attempts.h"
 #include "src/cell/stage_tasks.h"
 #include "support/cell_world.h"
 #include "support/test.h"
@@ -525,36 +526,39 @@
 
 #define FAILED_JOBS 16
 #define LEAST_MIB 4
+#define KEPT_FAILURES 8
 
-/* As if all tasks of the job had failed once. */
+/* As if every other run of each task of the job had failed. */
 static void
-fail_all_tasks (MuxCell *cell, CellJob *job)
+fail_all_tasks (MuxCell *cell, CellJob *job, uint32_t failures)
 {
   for (uint32_t i = 0; i < job->stage[0]->spec->count; i++)
     {
       CellTask *task = cell_task_get (cell, job->stage[0], i);
 
-      task->last_run = 1;
-      assert_true (mux_failed_runs_reserve (&task->failures));
-      assert_true (mux_failed_runs_add (&task->failures, 1));
+      task->last_run = 2 * failures;
+      for (uint32_t j = 0; j < failures; j++)
+        {
+          assert_true (cell_attempts_reserve (cell, task));
+          assert_true (cell_attempts_count (cell, task, 2 * j + 1));
+        }
     }
 }
 
-/* Guards against a planner that starts nothing any more, as tasks that have
- * failed and wait to be started again hold all the memory for runs. */
-static void
-test_tasks_that_failed_are_started_again_without_memory (void **state)
+/* Return: a world with FAILED_JOBS jobs that no worker has room for, with so
+ * many failures of each task. */
+static World *
+world_of_failed_tasks (uint32_t failures)
 {
   World *world = new_world ();
-  MuxCell *cell;
   char id[MUX_JOB_ID_LEN];
 
-  (void) state;
+  world_set_attempts (world, UINT32_MAX);
   set_memory (world, LEAST_MIB);
   world_run (world, 12000);
-  cell = world->cell[world_planner (world)].cell;
   for (uint32_t i = 0; i < FAILED_JOBS; i++)
     {
+      MuxCell *cell = world->cell[world_planner (world)].cell;
       MuxJobSpec *job = wide_job (1, JOB_TASKS);
 
       job->step[0].size.cpu_milli = NEVER_CPU_MILLI;
@@ -562,8 +566,20 @@
       world_run (world, 500);
       snprintf (id, sizeof id, "job-%u", (unsigned) i);
       assert_non_null (cell_job_find (cell, id));
-      fail_all_tasks (cell, cell_job_find (cell, id));
+      fail_all_tasks (cell, cell_job_find (cell, id), failures);
     }
+  return world;
+}
+
+/* Guards against a planner that starts nothing any more, as tasks that have
+ * failed and wait to be started again hold all the memory for runs. */
+static void
+test_tasks_that_failed_are_started_again_without_memory (void **state)
+{
+  World *world = world_of_failed_tasks (1);
+  MuxCell *cell = world->cell[world_planner (world)].cell;
+
+  (void) state;
   assert_true (cell->task_objects * sizeof (CellTask)
                > LEAST_MIB * BYTES_PER_MIB / 3);
   world->task_ms = QUICK_TASK_MS;
@@ -577,6 +593,35 @@
   world_free (world);
 }
 
+/* Guards against failed runs that are kept by number where there is no memory
+ * for them: each further failure would take more. */
+static void
+test_failed_runs_are_not_kept_by_number_without_memory (void **state)
+{
+  World *world = world_of_failed_tasks (KEPT_FAILURES);
+  MuxCell *cell = world->cell[world_planner (world)].cell;
+  uint64_t bytes = cell->failure_bytes;
+
+  (void) state;
+  assert_true (bytes + cell->task_objects * sizeof (CellTask)
+               > LEAST_MIB * BYTES_PER_MIB / 3);
+  world->task_ms = QUICK_TASK_MS;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      world->worker[i].fails = true;
+      world_worker_room (world, i, 8 * NEVER_CPU_MILLI);
+    }
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      world_run (world, 1000);
+      assert_true (cell->failure_bytes <= bytes);
+    }
+  print_message ("%llu bytes, then %llu\n", (unsigned long long) bytes,
+                 (unsigned long long) cell->failure_bytes);
+  assert_true (cell->failure_bytes < bytes);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -595,6 +640,7 @@
     cmocka_unit_test (test_waiting_tasks_take_no_memory_of_their_own),
     cmocka_unit_test (test_tasks_that_are_done_take_no_memory_of_their_own),
     cmocka_unit_test (test_tasks_that_failed_are_started_again_without_memory),
+    cmocka_unit_test (test_failed_runs_are_not_kept_by_number_without_memory),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_failed_runs.c
+++ b/test/unit/test_failed_runs.c
@@ -62,7 +62,7 @@
   (void) state;
   for (uint32_t run = 1; run < 200000; run += 2)
     {
-      mux_failed_runs_close (&failed, run - 1);
+      mux_failed_runs_close (&failed, run - 1, MUX_FAILED_RUNS_LISTED);
       assert_true (add (&failed, run));
       assert_false (add (&failed, run));
     }
@@ -81,7 +81,7 @@
   (void) state;
   for (uint32_t run = 2; run < 2 * MUX_FAILED_RUNS_LISTED; run += 2)
     {
-      mux_failed_runs_close (&failed, run - 1);
+      mux_failed_runs_close (&failed, run - 1, MUX_FAILED_RUNS_LISTED);
       assert_true (add (&failed, run));
     }
   assert_int_equal (failed.range_count, MUX_FAILED_RUNS_LISTED - 1);
@@ -98,13 +98,13 @@
   (void) state;
   for (uint32_t run = 1; run <= 30; run++)
     assert_true (add (&failed, run));
-  mux_failed_runs_close (&failed, 20);
+  mux_failed_runs_close (&failed, 20, MUX_FAILED_RUNS_LISTED);
   assert_int_equal (failed.count, 30);
   assert_int_equal (failed.range[0].first, 21);
   assert_false (add (&failed, 20));
   assert_false (add (&failed, 21));
   assert_true (add (&failed, 31));
-  mux_failed_runs_close (&failed, 40);
+  mux_failed_runs_close (&failed, 40, MUX_FAILED_RUNS_LISTED);
   assert_int_equal (failed.range_count, 0);
   assert_int_equal (mux_failed_runs_bytes (&failed), 0);
   assert_false (add (&failed, 35));
@@ -204,7 +204,8 @@
 }
 
 /* A planner starts a run once all workers have been heard from.  Some numbers
- * are skipped, as those of a term have a range of their own. */
+ * are skipped, as those of a term have a range of their own.  At times there is
+ * no memory to keep runs by number. */
 static void
 start (History *h)
 {
@@ -212,7 +213,9 @@
   assert_int_equal (h->failed.count, h->failures);
   h->run += 1 + mux_random_below (&h->random, 8) / 7 * 5;
   h->ended = false;
-  mux_failed_runs_close (&h->failed, h->run - 1);
+  mux_failed_runs_close (
+      &h->failed, h->run - 1,
+      mux_random_below (&h->random, 4) == 0 ? 0 : MUX_FAILED_RUNS_LISTED);
 }
 
 static void
