Tell a miscount where a whole step is marked as done

Found on reading: a step that is marked as done in one go set its count of tasks left to 0 whatever it was, so that a count too high, which keeps later steps from starting, passed without a word.

After each task of the step is marked the count must be 0; if it is not, tasks_miscounted_total and task_miscounted tell it, as where it would fall below 0.

Measured: test_impossible_count_is_told sets three tasks left in a step of which all are done, and finds the line; before, there is none.

--- a/src/cell/stage_tasks.c
+++ b/src/cell/stage_tasks.c
@@ -82,20 +82,24 @@
   return task != NULL ? task : add_object (cell, stage, index);
 }
 
-/* Dependent steps start once no task is left: each task counts once. */
 static void
-count_done (MuxCell *cell, CellStage *stage)
+report_miscount (MuxCell *cell, const CellStage *stage)
 {
-  if (stage->tasks_left > 0)
-    {
-      stage->tasks_left--;
-      return;
-    }
   mux_count (cell->options.counters, MUX_COUNT_TASKS_MISCOUNTED, 1);
   cell_log (cell, "task_miscounted", "{s:s, s:i, s:i}", "job", stage->job->id,
             "occurrence", (int) stage->occurrence, "step", (int) stage->step);
 }
 
+/* Dependent steps start once no task is left: each task counts once. */
+static void
+count_done (MuxCell *cell, CellStage *stage)
+{
+  if (stage->tasks_left > 0)
+    stage->tasks_left--;
+  else
+    report_miscount (cell, stage);
+}
+
 bool
 cell_task_set_state (MuxCell *cell, CellTask *task, CellTaskState state)
 {
@@ -128,6 +132,8 @@
 {
   for (uint32_t i = 0; i < stage->spec->count && stage->task != NULL; i++)
     (void) cell_task_done (cell, stage, i);
+  if (stage->task != NULL && stage->tasks_left > 0)
+    report_miscount (cell, stage);
   stage->tasks_left = 0;
   stage->all_done = true;
 }
--- a/test/unit/test_cell_done.c
+++ b/test/unit/test_cell_done.c
@@ -273,6 +273,10 @@
   assert_int_equal (
       mux_counter_value (world->counters, MUX_COUNT_TASKS_MISCOUNTED), 1);
   assert_int_equal (world_logged (world, "task_miscounted"), 1);
+  stage->tasks_left = 3;
+  cell_tasks_done (cell, stage);
+  assert_int_equal (stage->tasks_left, 0);
+  assert_int_equal (world_logged (world, "task_miscounted"), 2);
   world_free (world);
 }
 
