Take no run number that no planner gives

Callers would see a task started more often than its queue allows, where a worker or another writer of the store names a run near 2^32.

Cause: run numbers are read as any 32-bit number, and the next one is one above the highest that is known. Since ends without a booking raise that, an end of run 4,294,967,295 makes it wrap around: later runs get numbers that are given already, and a failure of such a number does not count.

Evidence: without the check in reports.c, run numbers of the task fall in test_run_number_of_no_planner_counts_for_nothing.

Planners give numbers up to 2^31 - 1, by CELL_TERMS_MAX. An end of a higher one, or of 0, is acknowledged, told (stray_end) and counts for nothing; a listed run is stopped as a stray one; a stored one raises no number, and is a bad field in the form that only this version writes. There a count of fewer failures than the runs beside it is one, too.

--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -75,6 +75,9 @@
 /* Terms are counted up to here and then from 1 again, so that a run number is a
  * positive 32-bit integer: some 5,000 years at one claim a day. */
 #define CELL_TERMS_MAX (INT32_MAX / CELL_RUNS_PER_TERM)
+/* The highest run number that a planner gives; one above is of another writer.
+ */
+#define CELL_RUN_MAX INT32_MAX
 /* Limit of runs at one worker, as tasks may have no size: its list of them is
  * read whole each second. */
 #define CELL_WORKER_RUNS_MAX 4096
--- a/src/cell/progress_fields.c
+++ b/src/cell/progress_fields.c
@@ -149,8 +149,16 @@
   return pairs_json (stage, range, count_json);
 }
 
-/* Raises @last to the highest run number read, so that no later run gets the
- * number of a failed one: its own failure would not be counted. */
+/* No later run gets the number of a failed one: its own failure would not be
+ * counted. */
+static void
+raise_last (uint32_t *last, uint32_t run)
+{
+  if (run > *last && run <= CELL_RUN_MAX)
+    *last = run;
+}
+
+/* @last: the highest run number so far */
 static void
 runs_apply (MuxCell *cell,
             CellJob *job,
@@ -170,8 +178,7 @@
       (void) mux_failed_runs_add (failed, run);
     else
       job->progress_unreadable = true;
-    if (run > *last)
-      *last = run;
+    raise_last (last, run);
   }
   cell_attempts_read (cell, job, failed);
 }
@@ -199,13 +206,11 @@
 
       if (!mux_failed_runs_append (failed, range))
         job->progress_unreadable = true;
-      if (range.last > *last)
-        *last = range.last;
+      raise_last (last, range.last);
     }
   failed->count = number_at (list, COUNT_FAILED);
   failed->closed_through = number_at (list, COUNT_CLOSED);
-  if (failed->closed_through > *last)
-    *last = failed->closed_through;
+  raise_last (last, failed->closed_through);
   cell_attempts_read (cell, job, failed);
 }
 
@@ -328,16 +333,18 @@
   return json_is_array (list);
 }
 
-/* Ranges are in order, with gaps between, above the runs that count no more. */
+/* Ranges are in order, with gaps between, above the runs that count no more,
+ * and their runs are among those that failed. */
 static bool
 count_valid (const json_t *list)
 {
+  json_int_t failed = json_integer_value (json_array_get (list, COUNT_FAILED));
   json_int_t last = json_integer_value (json_array_get (list, COUNT_CLOSED));
 
   if (!cell_integer_in_range (json_array_get (list, COUNT_FAILED), 1,
                               UINT32_MAX)
       || !cell_integer_in_range (json_array_get (list, COUNT_CLOSED), 0,
-                                 UINT32_MAX))
+                                 CELL_RUN_MAX))
     return false;
   for (size_t i = COUNT_RANGES; i < json_array_size (list); i++)
     {
@@ -345,13 +352,14 @@
       json_int_t first = json_integer_value (json_array_get (range, 0));
       json_int_t min = i == COUNT_RANGES ? last + 1 : last + 2;
 
-      if (!cell_integer_in_range (json_array_get (range, 0), min, UINT32_MAX)
+      if (!cell_integer_in_range (json_array_get (range, 0), min, CELL_RUN_MAX)
           || !cell_integer_in_range (json_array_get (range, 1), first,
-                                     UINT32_MAX))
+                                     CELL_RUN_MAX))
         return false;
       last = json_integer_value (json_array_get (range, 1));
+      failed -= last - first + 1;
     }
-  return true;
+  return failed >= 0;
 }
 
 static bool
--- a/src/cell/reports.c
+++ b/src/cell/reports.c
@@ -33,6 +33,13 @@
          && task->booking->worker == worker && task->booking->run == run;
 }
 
+/* Whether some planner may have started the run. */
+static bool
+is_run_number (uint32_t run)
+{
+  return run > 0 && run <= CELL_RUN_MAX;
+}
+
 static void
 update_running (MuxCell *cell, CellBooking *booking, const MuxRunReport *report)
 {
@@ -79,7 +86,8 @@
   CellTask *task = cell_task_find (cell, &report->task);
   CellBooking *booking;
 
-  if (task == NULL || task->booking != NULL || task->state == CELL_TASK_DONE)
+  if (task == NULL || task->booking != NULL || task->state == CELL_TASK_DONE
+      || !is_run_number (report->run))
     {
       stop_orphan (cell, worker, report);
       return;
@@ -149,6 +157,12 @@
     return true;
   if (report->end_number > worker->ends_seen)
     worker->ends_seen = report->end_number;
+  if (!is_run_number (report->run))
+    {
+      cell_log (cell, "stray_end", "{s:s, s:I, s:s}", "job", report->task.job,
+                "run", (json_int_t) report->run, "worker", worker->info.id);
+      return true;
+    }
   if (task == NULL)
     return cell_unreadable_keep_end (cell, report);
   if (report->end == MUX_RUN_FAILED && !cell_attempts_reserve (cell, task))
--- a/test/unit/test_cell_attempts.c
+++ b/test/unit/test_cell_attempts.c
@@ -65,6 +65,14 @@
   world_run (world, 1000);
 }
 
+/* Sets whether half of the workers can be reached. */
+static void
+set_reachable_half (World *world, bool reachable)
+{
+  for (uint32_t i = 0; i < WORKERS; i += 2)
+    world->worker[i].unreachable = !reachable;
+}
+
 static uint32_t
 failed_runs (const World *world)
 {
@@ -141,6 +149,71 @@
   world_free (world);
 }
 
+/* All runs fail; a successor hears from half of the workers first, and from the
+ * others before their leases are over: no attempt more or less. */
+static void
+test_failures_heard_of_late_in_a_takeover_count (void **state)
+{
+  static const uint32_t attempts[] = { 17, 120 };
+
+  (void) state;
+  for (size_t i = 0; i < sizeof attempts / sizeof attempts[0]; i++)
+    {
+      World *world = new_world (attempts[i]);
+      uint32_t planner = world_planner (world);
+
+      set_failing (world, true);
+      world->task_ms = 4;
+      world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_REFUSES);
+      (void) world_submit (world, other_than (planner), world_job (1, 1, 1000),
+                           JOB);
+      run_to_starts (world, attempts[i] - 2);
+      world_cell_kill (world, planner);
+      world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
+      set_reachable_half (world, false);
+      while (world_planner (world) == planner)
+        world_run (world, 10);
+      world_run (world, 1000);
+      set_reachable_half (world, true);
+      world_run (world, 40000);
+      assert_int_equal (world_starts (world, JOB), attempts[i]);
+      assert_int_equal (world_state (world, world_planner (world), JOB),
+                        MUX_JOB_FAILED);
+      world_free (world);
+    }
+}
+
+/* A worker lists the end of a run with the highest number that it can name: the
+ * next runs of the task would get numbers that are given already, and their
+ * failures not count. */
+static void
+test_run_number_of_no_planner_counts_for_nothing (void **state)
+{
+  World *world = new_world (LISTED_MAX + 4);
+  WorldWorker *worker = &world->worker[0];
+  WorldRun *run;
+
+  (void) state;
+  set_failing (world, true);
+  (void) world_submit (world, 0, world_job (1, 1, 1000), JOB);
+  run_to_starts (world, 4);
+  assert_true (worker->run_end < worker->run_capacity);
+  run = &worker->run[worker->run_end++];
+  *run = (WorldRun){ .used = true,
+                     .task = world->start[0].task,
+                     .run = UINT32_MAX,
+                     .takes_ms = 1,
+                     .number = ++worker->next_end,
+                     .end = MUX_RUN_FAILED };
+  world_run (world, 60000);
+  assert_int_equal (world_starts (world, JOB), LISTED_MAX + 4);
+  assert_int_equal (world_state (world, 0, JOB), MUX_JOB_FAILED);
+  for (uint32_t i = 1; i < world->start_count; i++)
+    assert_true (world->start[i].run > world->start[i - 1].run);
+  assert_int_equal (world_logged (world, "stray_end"), 1);
+  world_free (world);
+}
+
 /* Planners die one after the other, some without having stored any end, so that
  * workers tell their successors of the same ends again. */
 static void
@@ -384,6 +457,8 @@
     "[[0,[20,-1]]],",
     "[[0,\"20\"]],",
     "[[1,[20,30]]],",
+    "[[0,[2,30,[40,42]]]],",
+    "[[0,[20,2147483648]]],",
   };
 
   (void) state;
@@ -516,15 +591,13 @@
   run_to_starts (world, 200);
   world_cell_kill (world, planner);
   world_set_commits (world, MUX_TABLE_PROGRESS, WORLD_SERVES);
-  for (uint32_t i = 0; i < WORKERS; i += 2)
-    world->worker[i].unreachable = true;
+  set_reachable_half (world, false);
   while (world_planner (world) == planner)
     world_run (world, 10);
   world_run (world, 2500);
   starts = world_starts (world, JOB);
   print_message ("%u ranges after %u starts\n", planner_ranges (world), starts);
-  for (uint32_t i = 0; i < WORKERS; i += 2)
-    world->worker[i].unreachable = false;
+  set_reachable_half (world, true);
   set_failing (world, false);
   world->task_ms = TASK_MS;
   world_run (world, TAKEOVER_MS);
@@ -545,6 +618,8 @@
     cmocka_unit_test (test_job_that_fails_more_often_than_listed_completes),
     cmocka_unit_test (test_gang_uses_all_attempts),
     cmocka_unit_test (test_attempts_are_counted_over_takeovers),
+    cmocka_unit_test (test_failures_heard_of_late_in_a_takeover_count),
+    cmocka_unit_test (test_run_number_of_no_planner_counts_for_nothing),
     cmocka_unit_test (test_late_end_gives_no_attempt_beyond_the_lease),
     cmocka_unit_test (test_changed_configuration_leaves_a_job_its_attempts),
     cmocka_unit_test (test_previous_version_reads_few_failures_or_no_job),
