--- a/test/support/cell_chaos.c
+++ b/test/support/cell_chaos.c
@@ -14,6 +14,10 @@
 #define CALM_MS 500
 /* Longer than a takeover from a planner that the store refuses. */
 #define REFUSED_MS 2500
+/* One job in so many has tasks that always fail. */
+#define FAILING_JOB_ONE_IN 6
+#define FAILING_TASKS 2
+#define FAILING_CPU_MILLI 500
 /* One job in so many crashes its workers. */
 #define CRASHING_JOB_ONE_IN 12
 
@@ -35,6 +39,17 @@
   snprintf (id, MUX_JOB_ID_LEN, "job-%u", number);
 }
 
+/* All runs of its tasks fail. */
+static MuxJobSpec *
+failing_job (void)
+{
+  MuxJobSpec *job = world_job (1, FAILING_TASKS, FAILING_CPU_MILLI);
+
+  free (job->payload);
+  job->payload = strdup ("fail");
+  return job;
+}
+
 void
 chaos_submit_job (Chaos *c, uint32_t cell, MuxJobSpec *job)
 {
@@ -57,7 +72,9 @@
 
   if (!is_up (&c->world->cell[cell]) || c->jobs == CHAOS_JOBS_MAX)
     return;
-  if (c->crashes && chaos_below (c, CRASHING_JOB_ONE_IN) == 0)
+  if (c->attempts != 0 && chaos_below (c, FAILING_JOB_ONE_IN) == 0)
+    job = failing_job ();
+  else if (c->crashes && chaos_below (c, CRASHING_JOB_ONE_IN) == 0)
     job = world_crashing_job (1 + chaos_below (c, 3), 2000, chaos_below (c, 4));
   else
     job = world_job (1 + chaos_below (c, 2), 1 + chaos_below (c, 3),
@@ -253,6 +270,12 @@
     }
 }
 
+static uint32_t
+attempts_of (const Chaos *c)
+{
+  return c->attempts != 0 ? c->attempts : CHAOS_ATTEMPTS;
+}
+
 static uint32_t
 count_lost_jobs (Chaos *c)
 {
@@ -273,7 +296,7 @@
       if ((state == MUX_JOB_COMPLETED && world_is_done (c->world, id))
           || (state != MUX_JOB_ABSENT && world_is_crashing (c->world, id))
           || (state == MUX_JOB_FAILED
-              && world_may_fail (c->world, id, CHAOS_ATTEMPTS)))
+              && world_may_fail (c->world, id, attempts_of (c))))
         continue;
       print_message ("%s is in state %d\n", id, (int) state);
       lost++;
@@ -285,7 +308,8 @@
 chaos_check (Chaos *c, uint64_t seed)
 {
   bool twice = world_double_run_acked (c->world);
-  bool over = world_over_crash_budget (c->world) || c->world->over_capacity > 0;
+  bool over = world_over_crash_budget (c->world) || c->world->over_capacity > 0
+              || world_over_budget (c->world, attempts_of (c));
   bool out_of_order = world_out_of_order (c->world);
   uint64_t miscounted
       = mux_counter_value (c->world->counters, MUX_COUNT_TASKS_MISCOUNTED);
--- a/test/support/cell_chaos.h
+++ b/test/support/cell_chaos.h
@@ -31,6 +31,8 @@
   uint64_t claim;           /* version of the claim row when that began */
   int64_t refused_until_ms; /* at the latest; 0: none is refused */
   bool crashes;             /* some jobs crash their workers */
+  uint32_t attempts;        /* of the queue, where some jobs always fail; 0:
+                               CHAOS_ATTEMPTS, and none does */
   uint32_t jobs;            /* submitted, but for those of bursts */
   uint64_t request[CHAOS_JOBS_MAX];
   WorldCallers callers; /* of the jobs of bursts */
@@ -63,9 +65,9 @@
 void chaos_step_of_takeovers (Chaos *c);
 /** chaos_heal() - ends the faults that chaos_toggle_fault() injects */
 void chaos_heal (World *world);
-/** chaos_check() - fails the test if a task ran twice, too often after crashes,
- * beyond its worker's capacity or before those that it depends on, or if an
- * accepted job neither completed nor may have failed */
+/** chaos_check() - fails the test if a task ran twice, too often after crashes
+ * or failures, beyond its worker's capacity or before those that it depends on,
+ * or if an accepted job neither completed nor may have failed */
 void chaos_check (Chaos *c, uint64_t seed);
 /** chaos_setting() - reads a number from the environment; @otherwise if unset
  */
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -73,6 +73,7 @@
  * @lapsed: the worker's lease expired before the end was acknowledged, so that
  *   a later acknowledgement does not count
  * @crashes: crashes its worker after running for the world's @crash_ms
+ * @fails: fails whatever its worker does, as its job's payload is "fail"
  * @reported: its end was in a reply to a lease renewal
  * @pace: share that it may work at, in percent
  */
@@ -89,6 +90,7 @@
   uint32_t percent;
   bool lapsed;
   bool crashes;
+  bool fails;
   bool reported;
   uint32_t pace;
 } WorldRun;
@@ -420,8 +422,12 @@
 bool world_is_crashing (const World *world, const char *id);
 /** world_crashes() - counts the job's runs that a worker's crash ended */
 uint32_t world_crashes (const World *world, const char *id);
-/** world_may_fail() - whether some task of the job has failed @attempts times,
- * or lost two runs, or the reports of their ends, to workers' crashes */
+/** world_over_budget() - whether a task, or gang, was started after @attempts
+ * runs of it had failed whose ends are acknowledged by now */
+bool world_over_budget (const World *world, uint32_t attempts);
+/** world_may_fail() - whether some task of the job, or gang, has failed
+ * @attempts times, or lost two runs, or the reports of their ends, to workers'
+ * crashes */
 bool world_may_fail (const World *world, const char *id, uint32_t attempts);
 /** world_job() - creates a job of @steps sequential steps of @tasks tasks */
 MuxJobSpec *world_job (uint32_t steps, uint32_t tasks, uint32_t cpu_milli);
--- a/test/support/cell_world_check.c
+++ b/test/support/cell_world_check.c
@@ -216,6 +216,80 @@
   return n;
 }
 
+static bool
+is_of_gang (const World *world, const WorldStart *start)
+{
+  for (uint32_t i = 0; i < world->job_count; i++)
+    if (strcmp (world->job[i].id, start->task.job) == 0
+        && start->task.step < world->job[i].step_count)
+      return world->job[i].step[start->task.step].gang;
+  return false;
+}
+
+/* Whether they are runs of one task, or of one gang. */
+static bool
+is_same_unit (const WorldStart *a, const WorldStart *b, bool gang)
+{
+  return a->task.step == b->task.step
+         && a->task.occurrence == b->task.occurrence
+         && (gang || a->task.index == b->task.index)
+         && strcmp (a->task.job, b->task.job) == 0;
+}
+
+static bool
+has_failed (const WorldStart *start)
+{
+  return start->ended_ms != 0 && start->end == MUX_RUN_FAILED;
+}
+
+/* Counts the runs that failed by @until_ms, of the task or gang of @start but
+ * for its own run; several members of a gang may fail in one run. */
+static uint32_t
+failed_runs (const World *world,
+             const WorldStart *start,
+             int64_t until_ms,
+             bool acknowledged)
+{
+  bool gang = is_of_gang (world, start);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < world->start_count; i++)
+    {
+      const WorldStart *run = &world->start[i];
+      bool is_first = has_failed (run) && run->ended_ms <= until_ms
+                      && (!acknowledged || run->acknowledged)
+                      && run->run != start->run
+                      && is_same_unit (run, start, gang);
+
+      for (uint32_t j = 0; is_first && gang && j < i; j++)
+        is_first
+            = !(has_failed (&world->start[j]) && world->start[j].run == run->run
+                && world->start[j].ended_ms <= until_ms
+                && (!acknowledged || world->start[j].acknowledged)
+                && is_same_unit (&world->start[j], run, true));
+      n += is_first;
+    }
+  return n;
+}
+
+bool
+world_over_budget (const World *world, uint32_t attempts)
+{
+  for (uint32_t i = 0; i < world->start_count; i++)
+    {
+      const WorldStart *start = &world->start[i];
+
+      if (failed_runs (world, start, start->at_ms, true) < attempts)
+        continue;
+      print_message (
+          "%s.%u.%u: run %u is started at %lld after %u failed runs\n",
+          start->task.job, start->task.step, start->task.index, start->run,
+          (long long) start->at_ms, attempts);
+      return true;
+    }
+  return false;
+}
+
 bool
 world_may_fail (const World *world, const char *id, uint32_t attempts)
 {
@@ -223,18 +297,15 @@
     {
       const WorldStart *start = &world->start[i];
       uint32_t crashed = 0;
-      uint32_t failed = 0;
 
       if (strcmp (start->task.job, id) != 0)
         continue;
       for (uint32_t j = 0; j < world->start_count; j++)
-        if (is_same_task (start, &world->start[j]))
-          {
-            crashed += world->start[j].crashed || world->start[j].end_lost;
-            failed += world->start[j].ended_ms != 0
-                      && world->start[j].end == MUX_RUN_FAILED;
-          }
-      if (crashed >= CRASHES_TO_FAIL || failed >= attempts)
+        crashed += is_same_task (start, &world->start[j])
+                   && (world->start[j].crashed || world->start[j].end_lost);
+      if (crashed >= CRASHES_TO_FAIL
+          || failed_runs (world, start, INT64_MAX, false) + has_failed (start)
+                 >= attempts)
         return true;
     }
   return false;
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -209,6 +209,12 @@
              && index == call->task.index);
 }
 
+static bool
+is_failing (const MuxCellCall *call)
+{
+  return call->payload != NULL && strcmp (call->payload->bytes, "fail") == 0;
+}
+
 static bool
 exceeds (MuxSize booked, MuxSize room)
 {
@@ -298,6 +304,7 @@
   run->run = call->run;
   run->began_ms = world->now_ms;
   run->crashes = is_crashing (call);
+  run->fails = is_failing (call);
   run->pace = PERCENT;
   run->takes_ms = run_time_at (world, worker, &call->task);
   run->ends_ms
@@ -660,7 +667,8 @@
   else if (run->crashes && world->now_ms >= run->began_ms + world->crash_ms)
     world_worker_crash (world, (uint32_t) (worker - world->worker));
   else if (run->ends_ms <= world->now_ms)
-    end_run (world, worker, run, worker->fails ? MUX_RUN_FAILED : MUX_RUN_DONE);
+    end_run (world, worker, run,
+             worker->fails || run->fails ? MUX_RUN_FAILED : MUX_RUN_DONE);
 }
 
 void
--- a/test/support/chaos_variants.c
+++ b/test/support/chaos_variants.c
@@ -72,6 +72,8 @@
 #define WIDE_PER_WORKER 3
 #define SLOW_WORKER_MILLI 60
 #define CUT_TASK_MS 1500
+/* Runs of jobs that always fail. */
+#define SHORT_TASK_MS 40
 #define CUTS_BUSY_MS 42000
 /* One step in so many kills the planner, restarts a daemon that is down, or
  * changes whether one of the UNREACHABLE_WORKERS is reachable. */
@@ -289,7 +291,10 @@
 {
   World *world = world_new_over (CHAOS_CELLS, CHAOS_WORKERS,
                                  variant->slow ? DATA_CENTRES : 1);
-  Chaos c = { .world = world, .random = { seed }, .crashes = variant->crashes };
+  Chaos c = { .world = world,
+              .random = { seed },
+              .crashes = variant->crashes,
+              .attempts = variant->attempts };
   int64_t watched_ms;
 
   c.callers = (WorldCallers){ .world = world,
@@ -306,6 +311,11 @@
    * must be kept from the next incarnation by other means. */
   if (variant->same_ids && seed % 3 == 0)
     world_skip_approval (world);
+  if (variant->attempts != 0)
+    {
+      world_set_attempts (world, variant->attempts);
+      world->task_ms = SHORT_TASK_MS;
+    }
   if (seed % 2 == 1)
     world_make_urgent (world);
   if (variant->long_tasks)
--- a/test/support/chaos_variants.h
+++ b/test/support/chaos_variants.h
@@ -18,6 +18,7 @@
  * @gone: planners are lost while half of the workers are unreachable
  * @cuts: workers are out of reach for about a lease, as tasks end there, while
  *   others refuse starts late
+ * @attempts: of the queue, where some jobs always fail; 0: as usual
  * @long_tasks: runs may take longer than a lease, and workers' clocks are slow
  */
 typedef struct
@@ -33,6 +34,7 @@
   bool gone;
   bool long_tasks;
   bool cuts;
+  uint32_t attempts;
 } ChaosVariant;
 
 /** chaos_play_seeds() - plays RANDOM_SEEDS schedules, from seed RANDOM_SEED on
