Give the place of an unused queue to a new one in a full table

Callers would see jobs of a new queue accepted into any backlog, and end late, where a planner or daemon has known 64 queues before.

Cause: the backlogs by which jobs are refused are kept for 64 queues, and an entry was never taken away; configurations add and take away queues. A further queue found no entry, and nothing told it.

Evidence: on a 65th queue gets no entry beside one that is not in use (test_unused_queue_makes_room_for_a_new_one). No run of processes has shown it.

In a full table the entry of a queue that no step, task or job was counted of for two counts, and that has no wait, is used again; at a follower that of any without a wait. Two counts, as one that is under way may not have come to a queue yet. Where all are in use the gauge queues_untracked_steps tells what is not known.

Measured: the test finds a place, and queues in use keep their rates over five counts.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -145,6 +145,8 @@
      "1: the store has a newer configuration that can't be used")              \
   X (QUEUES_UNUSABLE, "queues_unusable",                                       \
      "queues in force that take no jobs as a field can't be used")             \
+  X (QUEUES_UNTRACKED, "queues_untracked_steps",                               \
+     "planner: steps and tasks of queues whose backlog is not known")          \
   X (REQUEST_MEMORY, "request_memory_bytes",                                   \
      "memory reserved for large bodies of callers")                            \
   X (JOB_MEMORY, "job_memory_bytes", "planner: memory counted for jobs")       \
--- a/include/cell/admission.h
+++ b/include/cell/admission.h
@@ -12,7 +12,7 @@
  * clock: times are passed in.
  */
 
-/* Most queues that are tracked; jobs of further queues are never refused
+/* Most queues that are tracked at a time; jobs of further ones are not refused
  * here. */
 #define MUX_ADMISSION_QUEUES_MAX 64
 /* Longest expected wait that is reported. */
@@ -47,6 +47,7 @@
  * @higher_priority_rate: rate of these queues
  * @lower_priority_rate: rate of the queues of the pool that are served later
  * @wait_ms: expected wait of a new job; 0: it is placed at once
+ * @unused_counts: counts ended since a step, task or job of it was last counted
  */
 typedef struct
 {
@@ -72,17 +73,20 @@
   int64_t higher_priority_rate;
   int64_t lower_priority_rate;
   int64_t wait_ms;
+  uint32_t unused_counts;
 } MuxAdmissionQueue;
 
 /**
  * struct MuxAdmission - state of all tracked queues
  * @counted_ms: time of the last count
  * @count: used entries of @queue
+ * @untracked: steps, tasks and jobs that found no entry since the last count
  */
 typedef struct
 {
   int64_t counted_ms;
   uint32_t count;
+  uint32_t untracked;
   MuxAdmissionQueue queue[MUX_ADMISSION_QUEUES_MAX];
 } MuxAdmission;
 
@@ -126,9 +130,13 @@
 /** mux_admission_reset() - discard what was measured; expected waits received
  * from another planner stay */
 void mux_admission_reset (MuxAdmission *admission, int64_t now_ms);
-/** mux_admission_find() - the queue's entry, created if it is new
- * Return: NULL if MUX_ADMISSION_QUEUES_MAX queues are tracked already. */
+/** mux_admission_find() - the queue's entry, created if it is new; in a full
+ * table it takes the place of the queue that was not used for longest
+ * Return: NULL if all are in use, which counts in @untracked. */
 MuxAdmissionQueue *mux_admission_find (MuxAdmission *admission, uint64_t queue);
+/** mux_admission_clear_waits() - no queue is known to have a backlog; what was
+ * measured stays */
+void mux_admission_clear_waits (MuxAdmission *admission);
 /** mux_admission_placed() - record that a task of the queue was started after
  * it had waited for @waited_ms */
 void mux_admission_placed (MuxAdmission *admission,
--- a/src/cell/admission.c
+++ b/src/cell/admission.c
@@ -30,6 +30,9 @@
 /* Thousandths of its slack that a new job may wait.  The rest is for its way to
  * the planner and for jobs that overtake it meanwhile. */
 #define WAIT_SLACK_MILLI 500
+/* A queue that is in use is counted in each count, which may not have come to
+ * it yet. */
+#define UNUSED_COUNTS 2
 #define RETRY_MIN_MS 500
 #define RETRY_MAX_MS 8000
 
@@ -70,21 +73,58 @@
   return NULL;
 }
 
+/* Queues come and go with the configuration.
+ * Return: an entry for a further one; NULL: all are in use. */
+static MuxAdmissionQueue *
+free_entry (MuxAdmission *admission)
+{
+  MuxAdmissionQueue *unused = NULL;
+
+  if (admission->count < MUX_ADMISSION_QUEUES_MAX)
+    return &admission->queue[admission->count++];
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      MuxAdmissionQueue *entry = &admission->queue[i];
+
+      if (entry->unused_counts >= UNUSED_COUNTS && entry->wait_ms == 0
+          && (unused == NULL || entry->unused_counts > unused->unused_counts))
+        unused = entry;
+    }
+  return unused;
+}
+
 MuxAdmissionQueue *
 mux_admission_find (MuxAdmission *admission, uint64_t queue)
 {
-  MuxAdmissionQueue *entry;
+  MuxAdmissionQueue *entry = NULL;
 
-  for (uint32_t i = 0; i < admission->count; i++)
+  for (uint32_t i = 0; i < admission->count && entry == NULL; i++)
     if (admission->queue[i].queue == queue)
-      return &admission->queue[i];
-  if (admission->count == MUX_ADMISSION_QUEUES_MAX)
-    return NULL;
-  entry = &admission->queue[admission->count++];
-  *entry = (MuxAdmissionQueue){ .queue = queue };
+      entry = &admission->queue[i];
+  if (entry == NULL)
+    {
+      entry = free_entry (admission);
+      if (entry == NULL)
+        {
+          admission->untracked++;
+          return NULL;
+        }
+      *entry = (MuxAdmissionQueue){ .queue = queue };
+    }
+  entry->unused_counts = 0;
   return entry;
 }
 
+void
+mux_admission_clear_waits (MuxAdmission *admission)
+{
+  for (uint32_t i = 0; i < admission->count; i++)
+    {
+      admission->queue[i].wait_ms = 0;
+      admission->queue[i].unused_counts = UNUSED_COUNTS;
+    }
+}
+
 void
 mux_admission_placed (MuxAdmission *admission,
                       uint64_t queue,
@@ -196,8 +236,12 @@
   if (passed_ms <= 0)
     return;
   admission->counted_ms = now_ms;
+  admission->untracked = 0;
   for (uint32_t i = 0; i < admission->count; i++)
-    measure (&admission->queue[i], passed_ms);
+    {
+      measure (&admission->queue[i], passed_ms);
+      admission->queue[i].unused_counts++;
+    }
 }
 
 static int64_t
--- a/src/cell/admit.c
+++ b/src/cell/admit.c
@@ -155,6 +155,8 @@
   cell_plan_order_visit (cell, count_stage);
   count_submissions (cell);
   count_running (cell);
+  mux_gauge_set (cell->options.counters, MUX_GAUGE_QUEUES_UNTRACKED,
+                 cell->admission.untracked);
   mux_admission_count_end (&cell->admission, cell->time.now_ms);
 }
 
@@ -374,8 +376,7 @@
   const json_t *entry;
   size_t i;
 
-  for (uint32_t j = 0; j < cell->admission.count; j++)
-    cell->admission.queue[j].wait_ms = 0;
+  mux_admission_clear_waits (&cell->admission);
   json_array_foreach (list, i, entry)
   {
     uint64_t hash = (uint64_t) json_integer_value (json_array_get (entry, 0));
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -335,6 +335,74 @@
   assert_int_equal (mux_admission_wait_ms (&admission, UINT64_MAX), 0);
 }
 
+/* Guards against a table that fills up with queues of former configurations, so
+ * that no new queue is ever refused. */
+static void
+test_unused_queue_makes_room_for_a_new_one (void **state)
+{
+  MuxAdmission admission = { .count = 0 };
+  MuxAdmissionStep step = { .work = 1, .slack_ms = 1 };
+  int64_t now_ms = 0;
+
+  (void) state;
+  for (uint64_t i = 0; i < MUX_ADMISSION_QUEUES_MAX; i++)
+    assert_non_null (mux_admission_find (&admission, i + 1));
+  for (int count = 0; count < 5; count++)
+    {
+      mux_admission_count_begin (&admission);
+      for (uint64_t i = 1; i < MUX_ADMISSION_QUEUES_MAX; i++)
+        mux_admission_add_waiting (&admission, i + 1, &step);
+      mux_admission_count_end (&admission, now_ms += 100);
+    }
+  assert_non_null (mux_admission_find (&admission, UINT64_MAX));
+  assert_int_equal (admission.untracked, 0);
+  for (uint64_t i = 1; i < MUX_ADMISSION_QUEUES_MAX; i++)
+    assert_int_equal (mux_admission_find (&admission, i + 1)->waiting, 1);
+  assert_null (mux_admission_find (&admission, UINT64_MAX - 1));
+  assert_int_equal (admission.untracked, 1);
+}
+
+/* Guards against queues in use that lose what is measured of them, as others
+ * are counted before them. */
+static void
+test_queues_in_use_keep_their_place_while_all_are_counted (void **state)
+{
+  MuxAdmission admission = { .count = 0 };
+  MuxAdmissionStep step = { .work = 1, .slack_ms = 1 };
+  int64_t now_ms = 0;
+
+  (void) state;
+  for (int count = 0; count < 5; count++)
+    {
+      mux_admission_count_begin (&admission);
+      for (uint64_t i = 0; i < MUX_ADMISSION_QUEUES_MAX; i++)
+        mux_admission_add_waiting (&admission, i + 1, &step);
+      mux_admission_count_end (&admission, now_ms += 100);
+    }
+  mux_admission_count_begin (&admission);
+  assert_null (mux_admission_find (&admission, UINT64_MAX));
+  for (uint64_t i = 0; i < MUX_ADMISSION_QUEUES_MAX; i++)
+    assert_int_equal (mux_admission_find (&admission, i + 1)->busy_ms, 500);
+}
+
+/* Guards against waits of former queues that a follower keeps its table full
+ * with. */
+static void
+test_cleared_waits_make_room (void **state)
+{
+  MuxAdmission admission = { .count = 0 };
+
+  (void) state;
+  for (uint64_t i = 0; i < MUX_ADMISSION_QUEUES_MAX; i++)
+    mux_admission_find (&admission, i + 1)->wait_ms = 100;
+  assert_null (mux_admission_find (&admission, UINT64_MAX));
+  mux_admission_clear_waits (&admission);
+  mux_admission_find (&admission, 1)->wait_ms = 100;
+  mux_admission_find (&admission, UINT64_MAX)->wait_ms = 200;
+  assert_int_equal (mux_admission_wait_ms (&admission, UINT64_MAX), 200);
+  assert_int_equal (mux_admission_wait_ms (&admission, 1), 100);
+}
+
 int
 main (void)
 {
@@ -356,6 +424,10 @@
     cmocka_unit_test (test_steps_wait_one_after_the_other),
     cmocka_unit_test (test_huge_step_counts_as_much),
     cmocka_unit_test (test_queues_beyond_the_table_are_not_refused),
+    cmocka_unit_test (test_unused_queue_makes_room_for_a_new_one),
+    cmocka_unit_test (
+        test_queues_in_use_keep_their_place_while_all_are_counted),
+    cmocka_unit_test (test_cleared_waits_make_room),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
