--- a/src/cell/handover.c
+++ b/src/cell/handover.c
@@ -8,8 +8,7 @@
 /* Minimum age of a term: the able members have sent a hello by then, and one
  * that does not claim is not asked again at once. */
 #define YIELD_TERM_AGE_MS 1000
-/* Interval of checks of the members, that of their hellos: a check each 4 ms
- * with 299 members took 2 % of the planner's processor. */
+/* Interval of checks of the members: that of their hellos. */
 #define YIELD_CHECK_MS 250
 /* A member whose first hello is no older than this may not have stated all its
  * limits yet: it does so once it knows that the planner takes them. */
@@ -263,8 +262,8 @@
 
 /*
  * A small instance may have become planner while the able ones were away.
- * Planning for 350 workers takes more than its share of a processor or its
- * link carries, so that starts, ends and renewals would be late, and callers
+ * Planning may take more than its share of a processor or its link carries, so
+ * that starts, ends and renewals would be late, and callers
  * be refused, for as long as it is the planner.  The same holds for an able
  * instance whose processor or link is taken by something else.
  */
--- a/src/cell/proxy_wire.c
+++ b/src/cell/proxy_wire.c
@@ -8,9 +8,8 @@
 
 /*
  * Proxied calls to workers and their replies as sent between daemons: msgpack
- * arrays with the fields in the order of the enums below. There are thousands
- * a second: as JSON they took a third of the planner's processor on a cell of
- * 350 workers.
+ * arrays with the fields in the order of the enums below, as there are
+ * thousands a second.
  *
  * The previous protocol cuts checkpoints and proofs. So a call with a text that
  * is not short has one more field, which the previous protocol rejects whole. A
--- a/src/cell/renew.c
+++ b/src/cell/renew.c
@@ -105,9 +105,8 @@
   worker->reachable = true;
   worker->unreachable_since_ms = 0;
   worker->lease_over_since_ms = 0;
-  /* The time when the reply arrived, not when it is processed: a planner 2.5
-   * s late asked for leases so much shorter, and 44 of 80 tasks' leases
-   * expired and they ran again. */
+  /* The time when the reply arrived, not when it is processed: a planner that
+   * is late would ask for leases that are shorter by as much. */
   if (reply->worker_clock_ms >= worker->clock_ms)
     {
       worker->clock_ms = reply->worker_clock_ms;
@@ -119,8 +118,7 @@
     cell_lease_of_predecessor (cell, worker);
   cell_lease_of_stale (cell, worker, first);
   worker->confirmed = true;
-  /* While ends wait to be stored a renewal returns at once; polled again
-   * without a pause, a worker got 250 renewals a second. */
+  /* While ends wait to be stored a renewal returns at once. */
   worker->next_renew_ms = cell->time.now_ms
                           + (worker->acked == worker->ends_seen
                                  ? cell_traffic_busy_pause_ms (cell)
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -176,8 +176,7 @@
 {
   CellBooking *booking;
 
-  /* Called each 4 ms for each worker: going through all bookings of 350 workers
-   * would take 7 % of the planner's processor. */
+  /* Called in each tick for each worker, most of which have no stop to send. */
   if (worker->stop_count == 0 || !cell_is_active_planner (cell))
     return;
   DL_FOREACH (worker->bookings, booking)
--- a/src/cell/share.c
+++ b/src/cell/share.c
@@ -14,8 +14,7 @@
 #define STAYS_OF 8
 /* Processors in use and in demand, in quarters of the limit, below which work
  * is within it, in the first and in the second class.  A gang often takes a
- * quarter of the limit: with none to spare, and all at 1.4 times their usual
- * load, 629 of 984 jobs were in time instead of 676 (docs/design/shares.md). */
+ * quarter of the limit, see docs/design/shares.md. */
 #define WITHIN_QUARTERS 5
 #define FIRST_CLASS_QUARTERS 6
 #define SECOND_CLASS_QUARTERS 8
