Keep proofs of approvals and checks of message bytes in files of their own

When a start may be sent with a proof is in approval_proof.c now, and the check of a message's lengths before the library reads it in proxy_wire_heads.c. Moved as they were, but for cell_proof_usable_until_ms(), which names a difference that three places took.

--- a/src/cell/approval_query.c
+++ b/src/cell/approval_query.c
@@ -11,11 +11,6 @@
  * daemon that has none pending, itself included.
  */
 
-/* A proof is used no later than this before it expires: a start takes some ms
- * on its way, and longer to a busy worker. */
-#define PROOF_MARGIN_MS 150
-/* Longest time in which a new approval is stored. */
-#define RECORD_MAX_MS 100
 /* A reply counts as lost when it is later than expected by this time, */
 #define OVERDUE_MS 400
 /* doubled after each lost one in a row, up to this many times, i.e. 3.2 s. */
@@ -35,44 +30,6 @@
 #define PROOF_SWEEP_MS 1000
 #define US_PER_MS 1000
 
-/*
- * A proof is used only after the approval is stored.  The stored workers of a
- * stage tell the next planner where runs may be that it does not know, so that
- * jobs wait for these workers alone after a takeover and not for the whole
- * cell.  A stage without such a record has not run.
- */
-MuxBlob *
-cell_usable_proof (const MuxCell *cell, const CellApproval *approval)
-{
-  if (approval == NULL || !approval->approved || approval->proof == NULL
-      || !approval->stored
-      || cell->time.now_ms > approval->proof_expires_ms - PROOF_MARGIN_MS)
-    return NULL;
-  return approval->proof;
-}
-
-MuxBlob *
-cell_approval_proof (const MuxCell *cell,
-                     const CellStage *stage,
-                     const CellWorker *worker)
-{
-  return cell_usable_proof (cell, cell_approval_find (stage, worker));
-}
-
-/*
- * Without this test a stage would repeat its query between the reply and the
- * commit that stores it, as no proof is usable then.
- */
-bool
-cell_approval_is_being_recorded (const MuxCell *cell,
-                                 const CellApproval *approval)
-{
-  return approval != NULL && approval->approved && approval->proof != NULL
-         && !approval->stored
-         && cell->time.now_ms + RECORD_MAX_MS
-                <= approval->proof_expires_ms - PROOF_MARGIN_MS;
-}
-
 static bool
 member_can_query (const MuxCell *cell, const CellMember *member)
 {
@@ -306,8 +263,8 @@
       = cell->time.now_ms + cell_approval_query_ms (stage, count) + OVERDUE_MS;
 
   return cell_approval_proof (cell, stage, worker) != NULL
-         && answered_ms <= cell_approval_find (stage, worker)->proof_expires_ms
-                               - PROOF_MARGIN_MS;
+         && answered_ms <= cell_proof_usable_until_ms (
+                cell_approval_find (stage, worker));
 }
 
 bool
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -69,6 +69,10 @@
  * Return: NULL if out of memory. */
 CellPending *cell_pending_add (MuxCell *cell, const CellPending *pending);
 
+/* proxy_wire_heads.c */
+/** cell_msgpack_heads_valid() - whether no array or text of the bytes names
+ * more than is there, and all are of types that proxy_wire.c writes */
+bool cell_msgpack_heads_valid (const MuxBlob *blob);
 /* proxy_wire.c: proxied calls and replies as bytes; all return NULL if out of
  * memory or the bytes are malformed */
 MuxBlob *cell_proxied_call_encode (const MuxCellCall *call);
@@ -1301,6 +1305,9 @@
                                CellStage *stage,
                                CellWorker *const *candidates,
                                uint32_t count);
+/* approval_proof.c */
+/** cell_proof_usable_until_ms() - no start is sent with the proof later */
+int64_t cell_proof_usable_until_ms (const CellApproval *approval);
 /** cell_approval_proof() - cell_usable_proof() of the worker's approval */
 MuxBlob *cell_approval_proof (const MuxCell *cell,
                               const CellStage *stage,
