Fail a task that has no run number left

Callers would see a job that never ends where a worker, or a row of the store, names run 2^31 - 1 of a task.

Cause: an end of a run over 2^31 - 1 counts for nothing, but the highest number itself raised the number of the next run beyond it. That run was started, its end counted for nothing, and so for each further one. Lost runs of a row raised the next number without a bound, and not that of their gang.

A task that is not done, has no run and has had the highest number has no attempt left, so that its job fails, at the end of a run, after a refused start and when a successor reads it. cell_task_raise_last_run() is the one function that raises run numbers, for the task and its gang, and ignores those that no planner gives; a worker that rejects numbers as old can't raise them over the highest.

test_bad_counts_start_nothing has a queue of 2^32 - 1 attempts instead of 110, so that none of its counts fails the job as attempts that are used.

--- a/src/cell/attempts.c
+++ b/src/cell/attempts.c
@@ -95,10 +95,24 @@
   return failed->count >= job->spec->queue.attempts_max;
 }
 
+/* Whether the task has to be started again, and no run number is left. */
+static bool
+run_numbers_used (const CellStage *stage, const CellTask *task)
+{
+  uint32_t last = stage->spec->gang ? stage->last_run : task->last_run;
+
+  return last >= CELL_RUN_MAX && task->state != CELL_TASK_DONE
+         && task->booking == NULL;
+}
+
 bool
 cell_task_attempts_used (CellTask *task)
 {
-  return is_used (task->stage->job, failed_runs_of (task));
+  const CellStage *stage = task->stage;
+
+  return run_numbers_used (stage, task)
+         || (task->state != CELL_TASK_DONE && !stage->spec->long_running
+             && is_used (stage->job, failed_runs_of (task)));
 }
 
 bool
@@ -109,14 +123,18 @@
   for (uint32_t i = 0; i < job->stage_count; i++)
     {
       const CellStage *stage = job->stage[i];
+      bool counts = !stage->spec->long_running;
 
-      if (stage->spec->long_running)
-        continue;
-      if (is_used (job, &stage->failures))
+      if (counts && is_used (job, &stage->failures))
         return true;
       for (uint32_t j = 0; j < stage->spec->count; j++)
-        if (is_used (job, &cell_task_view (stage, j)->failures))
-          return true;
+        {
+          const CellTask *task = cell_task_view (stage, j);
+
+          if (run_numbers_used (stage, task)
+              || (counts && is_used (job, &task->failures)))
+            return true;
+        }
     }
   return false;
 }
--- a/src/cell/attempts.h
+++ b/src/cell/attempts.h
@@ -18,9 +18,11 @@
 /** cell_attempts_run_begins() - a run of the task begins: no end of a lower one
  * counts any more */
 void cell_attempts_run_begins (MuxCell *cell, CellTask *task, uint32_t run);
-/** cell_task_attempts_used() - whether the task has no attempt left */
+/** cell_task_attempts_used() - whether the task is not done and has no attempt,
+ * or no run number, left */
 bool cell_task_attempts_used (CellTask *task);
-/** cell_attempts_used() - whether some task of the job has no attempt left */
+/** cell_attempts_used() - the same of some task of the job, or a predecessor
+ * recorded it */
 bool cell_attempts_used (const CellJob *job);
 /** cell_attempts_clear() - frees the failed runs of a task or gang of @job */
 void cell_attempts_clear (MuxCell *cell, CellJob *job, MuxFailedRuns *failed);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -1151,6 +1151,9 @@
                        uint32_t run);
 /** cell_next_run() - the run number after @last, in the range of this term */
 uint32_t cell_next_run (const MuxCell *cell, uint32_t last);
+/** cell_task_raise_last_run() - no later run gets the number of this one, which
+ * is ignored over CELL_RUN_MAX */
+void cell_task_raise_last_run (CellTask *task, uint32_t run);
 /* loss.c: whether a task that lost runs is started again */
 /** cell_task_losses() - counts the task's lost runs by what became of their
  * workers */
--- a/src/cell/crash_rows.c
+++ b/src/cell/crash_rows.c
@@ -169,8 +169,7 @@
   loss->ran_ms = json_integer_value (json_array_get (run, RUN_RAN_MS));
   loss->from_predecessor
       = loss->outcome_unknown || (flags & FLAG_FROM_PREDECESSOR) != 0;
-  if (loss->run > task->last_run)
-    task->last_run = loss->run;
+  cell_task_raise_last_run (task, loss->run);
 }
 
 void
--- a/src/cell/run.c
+++ b/src/cell/run.c
@@ -35,6 +35,18 @@
   return last + 1 > base ? last + 1 : base;
 }
 
+/* Its end would count as one of the later run. */
+void
+cell_task_raise_last_run (CellTask *task, uint32_t run)
+{
+  if (run > CELL_RUN_MAX)
+    return;
+  if (run > task->last_run)
+    task->last_run = run;
+  if (run > task->stage->last_run)
+    task->stage->last_run = run;
+}
+
 CellBooking *
 cell_book (MuxCell *cell, CellTask *task, CellWorker *worker, uint32_t run)
 {
@@ -52,10 +64,7 @@
   booking->pace_sent = MUX_PACING_FULL;
   booking->next_pace_ms = INT64_MAX;
   task->booking = booking;
-  if (run > task->last_run)
-    task->last_run = run;
-  if (run > task->stage->last_run)
-    task->stage->last_run = run;
+  cell_task_raise_last_run (task, run);
   task->stage->job->booking_count++;
   cell->booking_count++;
   cell_room_book (worker, task->stage);
@@ -216,6 +225,13 @@
       cell_stop_booking (cell, cell_task_view (stage, i)->booking);
 }
 
+static void
+fail_without_attempts (MuxCell *cell, CellTask *task)
+{
+  if (cell_task_attempts_used (task))
+    cell_job_fail (cell, task->stage->job, "attempts_used");
+}
+
 static void
 cancel_start (MuxCell *cell, CellTask *task)
 {
@@ -223,6 +239,7 @@
 
   cell_unbook (cell, task->booking);
   (void) cell_task_set_state (cell, task, CELL_TASK_WAITING);
+  fail_without_attempts (cell, task);
   /* The other members can't work without this one. */
   if (stage->spec->gang)
     cell_stage_stop_runs (cell, stage);
@@ -246,6 +263,15 @@
   worker->avoid_until_ms = cell->time.now_ms + worker->backoff_ms;
 }
 
+static void
+skip_runs (CellTask *task)
+{
+  uint32_t left = CELL_RUN_MAX - task->last_run;
+
+  cell_task_raise_last_run (
+      task, task->last_run + (left < OLD_RUN_STEP ? left : OLD_RUN_STEP));
+}
+
 static void
 apply_refusal (MuxCell *cell,
                CellTask *task,
@@ -259,13 +285,11 @@
   else if (status == MUX_CELL_NO_ROOM)
     worker->avoid_until_ms = cell->time.now_ms + NO_ROOM_AVOID_MS;
   else if (status == MUX_CELL_OLD_RUN)
-    task->last_run += OLD_RUN_STEP;
+    skip_runs (task);
   else if (status == MUX_CELL_FENCED)
     cell_claim_doubt (cell, "start_fenced");
   else if (status == MUX_CELL_PROOF_REFUSED && approval != NULL)
     approval->proof_expires_ms = 0;
-  if (task->last_run > task->stage->last_run)
-    task->stage->last_run = task->last_run;
 }
 
 static void
@@ -390,17 +414,6 @@
     (void) cell_task_done (cell, task->stage, task->index);
 }
 
-/* No later run gets the number of one that has ended: its own failure would not
- * be counted. */
-static void
-raise_last_run (CellTask *task, uint32_t run)
-{
-  if (run > task->last_run)
-    task->last_run = run;
-  if (run > task->stage->last_run)
-    task->stage->last_run = run;
-}
-
 void
 cell_end_apply (MuxCell *cell,
                 CellTask *task,
@@ -410,7 +423,7 @@
 {
   CellStage *stage = task->stage;
 
-  raise_last_run (task, run);
+  cell_task_raise_last_run (task, run);
   if (checkpoint != NULL && task->state != CELL_TASK_DONE)
     (void) cell_token_set (cell, &task->checkpoint, checkpoint);
   if (end == MUX_RUN_DONE && (stage->spec->gang || !stage->spec->long_running))
@@ -424,8 +437,6 @@
 static void
 count_failure (MuxCell *cell, CellTask *task, CellWorker *worker, uint32_t run)
 {
-  CellJob *job = task->stage->job;
-
   task->failed_slot = worker->slot + 1;
   worker->consecutive_failures++;
   if (worker->consecutive_failures >= FAILURES_MAX)
@@ -434,8 +445,7 @@
       cell_log (cell, "worker_avoided", "{s:s, s:i}", "worker", worker->info.id,
                 "strikes", (int) worker->consecutive_failures);
     }
-  if (cell_attempts_count (cell, task, run) && cell_task_attempts_used (task))
-    cell_job_fail (cell, job, "attempts_used");
+  (void) cell_attempts_count (cell, task, run);
 }
 
 void
@@ -450,7 +460,7 @@
   CellStage *stage = task->stage;
   CellJob *job = stage->job;
 
-  raise_last_run (task, run);
+  cell_task_raise_last_run (task, run);
   if (end != MUX_RUN_LEASE_EXPIRED)
     {
       cell_job_mark_dirty (cell, job);
@@ -478,6 +488,7 @@
     (void) cell_task_set_state (cell, task, CELL_TASK_WAITING);
   if (end == MUX_RUN_FAILED)
     count_failure (cell, task, worker, run);
+  fail_without_attempts (cell, task);
   if (end != MUX_RUN_DONE && stage->spec->gang)
     cell_stage_stop_runs (cell, stage);
   cell_job_advance (cell, job);
--- a/test/unit/test_cell_attempts.c
+++ b/test/unit/test_cell_attempts.c
@@ -183,6 +183,24 @@
     }
 }
 
+/* Some worker lists a failed run of the first task that was started. */
+static void
+list_end (World *world, uint32_t number)
+{
+  WorldWorker *worker = &world->worker[0];
+
+  while (worker < &world->worker[WORKERS - 1]
+         && worker->run_end == worker->run_capacity)
+    worker++;
+  assert_true (worker->run_end < worker->run_capacity);
+  worker->run[worker->run_end++] = (WorldRun){ .used = true,
+                                               .task = world->start[0].task,
+                                               .run = number,
+                                               .takes_ms = 1,
+                                               .number = ++worker->next_end,
+                                               .end = MUX_RUN_FAILED };
+}
+
 /* A worker lists the end of a run with the highest number that it can name: the
  * next runs of the task would get numbers that are given already, and their
  * failures not count. */
@@ -190,21 +208,12 @@
 test_run_number_of_no_planner_counts_for_nothing (void **state)
 {
   World *world = new_world (LISTED_MAX + 4);
-  WorldWorker *worker = &world->worker[0];
-  WorldRun *run;
 
   (void) state;
   set_failing (world, true);
   (void) world_submit (world, 0, world_job (1, 1, 1000), JOB);
   run_to_starts (world, 4);
-  assert_true (worker->run_end < worker->run_capacity);
-  run = &worker->run[worker->run_end++];
-  *run = (WorldRun){ .used = true,
-                     .task = world->start[0].task,
-                     .run = UINT32_MAX,
-                     .takes_ms = 1,
-                     .number = ++worker->next_end,
-                     .end = MUX_RUN_FAILED };
+  list_end (world, UINT32_MAX);
   world_run (world, 60000);
   assert_int_equal (world_starts (world, JOB), LISTED_MAX + 4);
   assert_int_equal (world_state (world, 0, JOB), MUX_JOB_FAILED);
@@ -214,6 +223,30 @@
   world_free (world);
 }
 
+/* After the highest run number there is none for a further start, whose end
+ * would not count: the job ends, as failed. */
+static void
+test_no_run_starts_after_the_highest_number (void **state)
+{
+  (void) state;
+  for (uint32_t members = 1; members <= 2; members++)
+    {
+      World *world = new_world (UINT32_MAX);
+
+      set_failing (world, true);
+      (void) world_submit (
+          world, 0, members > 1 ? gang (members) : world_job (1, 1, 1000), JOB);
+      run_to_starts (world, 4 * members);
+      list_end (world, INT32_MAX);
+      world_run (world, 60000);
+      assert_int_equal (world_state (world, 0, JOB), MUX_JOB_FAILED);
+      for (uint32_t j = 0; j < world->start_count; j++)
+        assert_true (world->start[j].run < INT32_MAX);
+      assert_int_equal (world_logged (world, "stray_end"), 0);
+      world_free (world);
+    }
+}
+
 /* Planners die one after the other, some without having stored any end, so that
  * workers tell their successors of the same ends again. */
 static void
@@ -442,6 +475,21 @@
   world_free (world);
 }
 
+/* As test_no_run_starts_after_the_highest_number, read by a successor. */
+static void
+test_stored_highest_number_starts_nothing (void **state)
+{
+  World *world = world_with_waiting_job (110);
+
+  (void) state;
+  read_progress (world, "[]", "[[0,[20,2147483646,[2147483647,2147483647]]]],");
+  give_room (world);
+  assert_int_equal (world_starts (world, JOB), 0);
+  assert_int_equal (world_state (world, world_planner (world), JOB),
+                    MUX_JOB_FAILED);
+  world_free (world);
+}
+
 /* A count that can't be right, as another writer may leave it, counts as an
  * unreadable progress: no task starts by it. */
 static void
@@ -464,7 +512,7 @@
   (void) state;
   for (size_t i = 0; i < sizeof counts / sizeof counts[0]; i++)
     {
-      World *world = world_with_waiting_job (110);
+      World *world = world_with_waiting_job (UINT32_MAX);
 
       read_progress (world, "[]", counts[i]);
       give_room (world);
@@ -620,6 +668,8 @@
     cmocka_unit_test (test_attempts_are_counted_over_takeovers),
     cmocka_unit_test (test_failures_heard_of_late_in_a_takeover_count),
     cmocka_unit_test (test_run_number_of_no_planner_counts_for_nothing),
+    cmocka_unit_test (test_no_run_starts_after_the_highest_number),
+    cmocka_unit_test (test_stored_highest_number_starts_nothing),
     cmocka_unit_test (test_late_end_gives_no_attempt_beyond_the_lease),
     cmocka_unit_test (test_changed_configuration_leaves_a_job_its_attempts),
     cmocka_unit_test (test_previous_version_reads_few_failures_or_no_job),
