Keep a count of failed runs from wrapping around

A task could be started after its last attempt where its stored count is 2^32 - 1 and a further end is told.

Cause: the count is 32 bits wide, as a queue's max_attempts is, and was raised without a bound. Each of the failures has a run number of its own, so that only a count that another writer has stored comes near.

Evidence: test_count_does_not_wrap counts 0 failed runs after 2^32 - 1 on the code before.

The count stays at 2^32 - 1, which is all attempts of any queue.

--- a/include/cell/failed_runs.h
+++ b/include/cell/failed_runs.h
@@ -30,7 +30,7 @@
 
 /**
  * struct MuxFailedRuns - failed runs of a task or gang; all zero: none
- * @count: runs that failed
+ * @count: runs that failed, at most UINT32_MAX
  * @closed_through: no end of a run up to here counts any more
  * @range_count: entries of @range
  * @range_capacity: allocated entries
--- a/src/cell/failed_runs.c
+++ b/src/cell/failed_runs.c
@@ -71,7 +71,8 @@
   if (run <= failed->closed_through
       || (at < failed->range_count && failed->range[at].first <= run))
     return false;
-  failed->count++;
+  if (failed->count < UINT32_MAX)
+    failed->count++;
   joins_next = at < failed->range_count && failed->range[at].first == run + 1;
   joins_previous = at > 0 && failed->range[at - 1].last + 1 == run;
   if (joins_next && joins_previous)
--- a/test/unit/test_failed_runs.c
+++ b/test/unit/test_failed_runs.c
@@ -53,6 +53,21 @@
   mux_failed_runs_clear (&failed);
 }
 
+/* A count that wraps around gives a task all its attempts again. */
+static void
+test_count_does_not_wrap (void **state)
+{
+  MuxFailedRuns failed = { .count = UINT32_MAX - 1 };
+
+  (void) state;
+  for (uint32_t run = 1; run <= 3; run++)
+    {
+      assert_true (add (&failed, run));
+      assert_int_equal (failed.count, UINT32_MAX);
+    }
+  mux_failed_runs_clear (&failed);
+}
+
 /* Memory must not grow with the number of attempts. */
 static void
 test_many_attempts_take_no_memory (void **state)
@@ -282,6 +297,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_each_run_counts_once),
     cmocka_unit_test (test_highest_run_numbers),
+    cmocka_unit_test (test_count_does_not_wrap),
     cmocka_unit_test (test_many_attempts_take_no_memory),
     cmocka_unit_test (test_few_failed_runs_are_kept),
     cmocka_unit_test (test_close_within_a_range),
