--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -83,6 +83,8 @@
      "tasks done in steps that had none left: a defect")                       \
   X (PROGRESS_HELD, "progress_held_total",                                     \
      "times a job's progress was not stored as its failed runs exceed a row")  \
+  X (CALLS_TIMED_OUT, "calls_timed_out_total",                                 \
+     "calls that ended without a response within their timeout")               \
   X (LISTS_FULL, "lists_full_total",                                           \
      "workers' lists that left ends out while their runs were unknown")        \
   X (LISTS_UNREADABLE, "lists_unreadable_total",                               \
