Give every call of the cell an end of its own

Cause: only calls made by a proxy had a limit in the cell. For all others it relied on the port, and a defect of the HTTP client, or a lack of memory for a reply, had no other end.

All calls that wait for a reply stand in one table (src/cell/pending.c), each with its timeout and 300 ms in an ordered set of deadlines, on every daemon. One that is past it ends as a call without a reply, with a counter (calls_overdue_total) and, if no proxy made it, a line (call_overdue); a later reply finds no entry. All that are overdue end in one pass; of proxied ones at most 512 did.

--- a/include/base/counters.h
+++ b/include/base/counters.h
@@ -85,6 +85,8 @@
      "times a job's progress was not stored as its failed runs exceed a row")  \
   X (CALLS_TIMED_OUT, "calls_timed_out_total",                                 \
      "calls that ended without a response within their timeout")               \
+  X (CALLS_OVERDUE, "calls_overdue_total",                                     \
+     "calls taken as lost that had no reply past their time")                  \
   X (LISTS_FULL, "lists_full_total",                                           \
      "workers' lists that left ends out while their runs were unknown")        \
   X (LISTS_UNREADABLE, "lists_unreadable_total",                               \
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -353,6 +353,7 @@
 void mux_cell_reply_free (MuxCellReply *reply);
 /** mux_approvals_free() - free @count approvals with their proofs */
 void mux_approvals_free (MuxApproval *approvals, uint32_t count);
+const char *mux_cell_verb_name (MuxCellVerb verb);
 const char *mux_cell_status_name (MuxCellStatus status);
 const char *mux_run_end_name (MuxRunEnd end);
 
--- a/src/cell/call.c
+++ b/src/cell/call.c
@@ -11,8 +11,6 @@
 /* The store counts as unavailable once all calls have failed for this long,
  * three short attempts: callers are then refused at once instead of waiting. */
 #define STORE_UNAVAILABLE_MS 400
-/* Between two log lines about rejected commits. */
-#define REJECTION_LOG_MS 1000
 
 static void
 count_call (MuxCell *cell, MuxCellVerb verb)
@@ -76,27 +74,13 @@
   mux_count (cell->options.counters, MUX_COUNT_COMMITS_REJECTED, 1);
   if (cell->time.now_ms < cell->next_rejection_log_ms)
     return;
-  cell->next_rejection_log_ms = cell->time.now_ms + REJECTION_LOG_MS;
+  cell->next_rejection_log_ms = cell->time.now_ms + CELL_REPEATED_LOG_MS;
   cell_log (cell, "commit_rejected", "{s:s, s:i, s:I, s:s}", "table",
             cell_table_name (entry->table), "entries",
             (int) entry->change_count, "bytes", (json_int_t) entry->bytes,
             "why", reply->rejection);
 }
 
-CellPending *
-cell_pending_add (MuxCell *cell, const CellPending *pending)
-{
-  CellPending *entry = malloc (sizeof *entry);
-
-  if (entry == NULL)
-    return NULL;
-  *entry = *pending;
-  entry->call_id = cell->next_call++;
-  entry->sent_ms = cell->time.now_ms;
-  HASH_ADD (hh, cell->pending, call_id, sizeof entry->call_id, entry);
-  return entry;
-}
-
 bool
 cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending)
 {
@@ -104,7 +88,7 @@
 
   if (call == NULL)
     return false;
-  entry = cell_pending_add (cell, pending);
+  entry = cell_pending_add (cell, pending, call);
   if (entry == NULL)
     {
       mux_cell_call_free (call);
@@ -116,21 +100,17 @@
   count_call (cell, call->verb);
   if (cell->options.sink->call (cell->options.sink, call))
     return true;
-  HASH_DEL (cell->pending, entry);
-  free (entry);
+  cell_pending_remove (cell, entry);
   return false;
 }
 
 void
 cell_call_abandon (MuxCell *cell, uint64_t call_id)
 {
-  CellPending *entry;
+  CellPending *entry = cell_pending_find (cell, call_id);
 
-  HASH_FIND (hh, cell->pending, &call_id, sizeof call_id, entry);
-  if (entry == NULL)
-    return;
-  HASH_DEL (cell->pending, entry);
-  free (entry);
+  if (entry != NULL)
+    cell_pending_remove (cell, entry);
 }
 
 static bool
@@ -256,33 +236,35 @@
 }
 
 void
-mux_cell_reply (MuxCell *cell, MuxCellTime time, MuxCellReply *reply)
+cell_reply_received (MuxCell *cell, MuxCellReply *reply)
 {
-  CellPending *entry;
+  CellPending *entry = cell_pending_find (cell, reply->call_id);
 
-  cell_set_time (cell, time);
-  HASH_FIND (hh, cell->pending, &reply->call_id, sizeof reply->call_id, entry);
   /* An abandoned call that times out says nothing of the store now. */
   if (entry != NULL && is_store_call (reply->verb)
       && shows_present_state (cell, entry, reply))
     cell_store_result (cell, reply);
   cell_reply_drop_tokens (cell, reply);
-  if (entry != NULL)
-    {
-      HASH_DEL (cell->pending, entry);
-      update_store_clock (cell, entry, reply);
-      record_duration (cell, entry, reply);
-      if (reply->verb == MUX_CELL_COMMIT
-          && reply->status == MUX_CELL_BAD_REQUEST)
-        report_rejection (cell, entry, reply);
-      /* A reply that belongs to an earlier term refers to state that is gone.
-       */
-      cell->reply_clock_ms = reply->store_clock_ms;
-      if (entry->term == 0 || entry->term == cell->term)
-        entry->on_reply (cell, entry, reply);
-      cell->reply_clock_ms = 0;
-      free (entry);
-    }
+  if (entry == NULL)
+    return;
+  cell_pending_take (cell, entry);
+  update_store_clock (cell, entry, reply);
+  record_duration (cell, entry, reply);
+  if (reply->verb == MUX_CELL_COMMIT && reply->status == MUX_CELL_BAD_REQUEST)
+    report_rejection (cell, entry, reply);
+  cell->reply_clock_ms = reply->store_clock_ms;
+  /* A reply that belongs to an earlier term refers to state that is gone. */
+  if (entry->term == 0 || entry->term == cell->term)
+    entry->on_reply (cell, entry, reply);
+  cell->reply_clock_ms = 0;
+  free (entry);
+}
+
+void
+mux_cell_reply (MuxCell *cell, MuxCellTime time, MuxCellReply *reply)
+{
+  cell_set_time (cell, time);
+  cell_reply_received (cell, reply);
   mux_cell_reply_free (reply);
 }
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -146,19 +146,12 @@
 void
 mux_cell_free (MuxCell *cell)
 {
-  CellPending *entry;
-  CellPending *next;
-
   if (cell == NULL)
     return;
   cell_step_down (cell, "end");
   cell_submit_free (cell);
   cell_job_queries_free (cell);
-  HASH_ITER (hh, cell->pending, entry, next)
-  {
-    HASH_DEL (cell->pending, entry);
-    free (entry);
-  }
+  cell_pending_free (cell);
   cell_services_free (cell);
   cell_bad_rows_free (cell);
   cell_speed_rows_begin (cell);
@@ -242,6 +235,7 @@
   if (cell->last_event_ms == 0)
     cell->last_event_ms = time.now_ms;
   cell_claim_tick (cell);
+  cell_pending_tick (cell, time.now_ms - cell->last_event_ms);
   cell->last_event_ms = time.now_ms;
   for (uint32_t i = 0; i < CELL_FEED_COUNT; i++)
     cell_feed_tick (cell, &cell->feed[i]);
--- a/src/cell/cell_private.h
+++ b/src/cell/cell_private.h
@@ -16,6 +16,8 @@
 uint64_t cell_peer_request_caller (const MuxCell *cell,
                                    uint64_t peer_request_id);
 bool cell_call (MuxCell *cell, MuxCellCall *call, const CellPending *pending);
+/** cell_reply_received() - processes a reply, which stays the caller's */
+void cell_reply_received (MuxCell *cell, MuxCellReply *reply);
 /** cell_call_abandon() - ignores the call's reply */
 void cell_call_abandon (MuxCell *cell, uint64_t call_id);
 void cell_store_result (MuxCell *cell, const MuxCellReply *reply);
@@ -65,9 +67,22 @@
 void cell_proxy_tick (MuxCell *cell);
 /** cell_uses_proxies() - whether the cell has enough workers to proxy calls */
 bool cell_uses_proxies (const MuxCell *cell);
-/** cell_pending_add() - records a call whose reply is awaited
+
+/* pending.c: calls whose replies are awaited */
+/** cell_pending_add() - records @call, which is about to be sent
  * Return: NULL if out of memory. */
-CellPending *cell_pending_add (MuxCell *cell, const CellPending *pending);
+CellPending *cell_pending_add (MuxCell *cell,
+                               const CellPending *pending,
+                               const MuxCellCall *call);
+/** cell_pending_find() - Return: NULL: it has ended */
+CellPending *cell_pending_find (MuxCell *cell, uint64_t call_id);
+/** cell_pending_take() - removes an entry, which the caller frees */
+void cell_pending_take (MuxCell *cell, CellPending *entry);
+void cell_pending_remove (MuxCell *cell, CellPending *entry);
+void cell_pending_free (MuxCell *cell);
+/** cell_pending_tick() - ends calls that are past their time
+ * @paused_ms: time since the last event was processed */
+void cell_pending_tick (MuxCell *cell, int64_t paused_ms);
 
 /* proxy_wire_heads.c */
 /** cell_msgpack_heads_valid() - whether no array or text of the bytes names
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -16,6 +16,8 @@
 #include "speed_types.h"
 #include "workspace_types.h"
 
+#include "base/deadlines.h"
+
 #include <uthash.h>
 #include <utlist.h>
 
@@ -66,6 +68,8 @@
  * before any order is sent: the instance may have been frozen while another
  * daemon took over.  Well above the time between two ticks on a busy core. */
 #define CELL_PAUSE_MAX_MS 700
+/* Between two log lines of events that may come at once again. */
+#define CELL_REPEATED_LOG_MS 1000
 /* An order without a reply is carried out within this time or never. */
 #define CELL_LATE_ORDERS_MS 15000
 /* Run numbers of one term.  A planner does not know which numbers its
@@ -131,8 +135,9 @@
  * @change_count: COMMIT: number of its entries
  * @bytes: COMMIT: upper bound of its size as sent
  * @wait_ms: RENEW: how long the worker may hold its reply back
- * @overdue_ms: proxied calls: the call counts as lost from this moment; 0: the
- *   call's port ends it
+ * @deadline: in MuxCell.call_deadlines: from then on it counts as lost, see
+ *   pending.c
+ * @proxied: another daemon makes it for this one
  * @peer: daemon this one makes the call for; "": none
  * @peer_addr: address of @peer
  * @whole_tokens: @peer takes texts that are not short, see token.h
@@ -154,7 +159,8 @@
   uint32_t change_count;
   size_t bytes;
   uint32_t wait_ms;
-  int64_t overdue_ms;
+  MuxDeadline deadline;
+  bool proxied;
   char peer[MUX_NAME_LEN];
   char peer_addr[MUX_ADDR_LEN];
   bool whole_tokens;
@@ -1695,6 +1701,11 @@
   int64_t next_wall_check_ms;
   uint64_t next_call; /* id of the next call */
   CellPending *pending;
+  /* Of @pending, by the cell's monotonic clock less @paused_total_ms. */
+  MuxDeadlines call_deadlines;
+  int64_t paused_total_ms; /* in which this process did not run */
+  int64_t next_pending_check_ms;
+  int64_t next_overdue_log_ms;
   CellFeed feed[CELL_FEED_COUNT];
   MuxQueueConfig *config;      /* in force; owned; NULL: none read yet */
   int64_t config_confirmed_ms; /* when it was the newest one; 0: never */
@@ -1839,12 +1850,12 @@
   bool roster_fence_unknown; /* a commit went unanswered: read it */
   char roster_from[MUX_ROW_NAME_LEN]; /* first key of the next page */
   int64_t roster_next_ms;
-  uint32_t unscanned_steps;  /* waiting steps that no pass has scanned */
-  int64_t next_idle_pass_ms; /* next pass if nothing changes */
-  int64_t next_periodic_ms;  /* next run of the periodic checks */
-  uint64_t quota_term;       /* all workers were confirmed in this term */
-  MuxQuota unknown_room;     /* of workers that have not listed their runs */
-  int64_t next_overdue_ms;   /* next check for lost proxied calls */
+  uint32_t unscanned_steps;    /* waiting steps that no pass has scanned */
+  int64_t next_idle_pass_ms;   /* next pass if nothing changes */
+  int64_t next_periodic_ms;    /* next run of the periodic checks */
+  uint64_t quota_term;         /* all workers were confirmed in this term */
+  MuxQuota unknown_room;       /* of workers that have not listed their runs */
+  int64_t next_proxy_check_ms; /* next count of workers called directly */
   int64_t next_loss_check_ms;
   uint32_t down_event_count; /* events recorded in @down_events so far */
   CellDownEvent down_events[CELL_DOWN_MAX];
--- a/src/cell/late.c
+++ b/src/cell/late.c
@@ -23,14 +23,6 @@
 #define LATENCY_EXPIRY_MS 1500
 #define US_PER_MS 1000
 
-/* Replies to proxied calls may wait on their way, where this daemon does not
- * see it.  A call made by this daemon itself is only late if its worker is. */
-static bool
-is_proxied (const CellPending *pending)
-{
-  return pending->overdue_ms != 0;
-}
-
 static bool
 is_expired (const MuxCell *cell)
 {
@@ -47,8 +39,10 @@
   int64_t took_ms
       = cell->time.processed_ms - pending->sent_ms - pending->wait_ms;
 
-  /* The latency of a reply that came before its wait was over is not known. */
-  if (!is_proxied (pending) || took_ms < 0)
+  /* Replies to proxied calls may wait on their way, where this daemon does not
+   * see it.  A call made by this daemon itself is only late if its worker is.
+   * The latency of a reply that came before its wait was over is not known. */
+  if (!pending->proxied || took_ms < 0)
     return;
   if (is_expired (cell))
     answers->count = 0;
--- a/src/cell/proxy.c
+++ b/src/cell/proxy.c
@@ -24,22 +24,16 @@
 #define MEMBER_GONE_MS 4000
 /* How often a worker's proxy is chosen again among all members. */
 #define PROXY_KEPT_MS 1000
-/* Added to the time-out for the way to the proxy and back. */
-#define ROUND_TRIP_MS 300
 /* How long a worker is called directly after its proxy got no reply: it may
  * be unreachable from the proxy alone. */
 #define DIRECT_MS 5000
 /* Limit of workers called directly while others are proxied: as many as
  * without proxies, which takes 0.16 of a core and 30 MB. */
 #define DIRECT_MAX PROXY_WORKERS_MIN
-#define OVERDUE_CHECK_MS 100
+#define CHECK_INTERVAL_MS 100
 /* Added to the hash seed to choose another proxy: greater than any slot, so
  * that no worker's first choice is the same. */
 #define REROUTE_HASH_STEP 65536
-/* Calls ended in one pass: more than a proxy's workers and their starts. */
-#define OVERDUE_MAX 512
-/* Upper bound of the planner's own delay that is taken into account. */
-#define OWN_DELAY_MAX_MS 3000
 
 static bool
 can_proxy (const MuxCell *cell, const CellMember *member, int64_t max_age_ms)
@@ -135,14 +129,13 @@
   if (proxy == NULL || call == NULL || !can_carry (proxy, call))
     return cell_call (cell, call, pending);
   msg = cell_message (cell, MUX_PEER_PROXY_CALL, proxy->name);
-  entry = cell_pending_add (cell, pending);
+  entry = cell_pending_add (cell, pending, call);
   if (entry == NULL)
     {
       mux_cell_call_free (call);
       return false;
     }
-  entry->verb = call->verb;
-  entry->overdue_ms = cell->time.now_ms + call->timeout_ms + ROUND_TRIP_MS;
+  entry->proxied = true;
   msg.call_id = entry->call_id;
   msg.body = cell_proxied_call_encode (call);
   sent = msg.body != NULL
@@ -154,8 +147,7 @@
   mux_cell_call_free (call);
   if (sent)
     return true;
-  HASH_DEL (cell->pending, entry);
-  free (entry);
+  cell_pending_remove (cell, entry);
   return false;
 }
 
@@ -194,64 +186,13 @@
   cell->direct_workers += cell->time.now_ms < worker->direct_until_ms;
 }
 
-static void
-end_unanswered (MuxCell *cell, const CellPending *entry)
-{
-  MuxCellCall call = { .verb = entry->verb, .call_id = entry->call_id };
-  CellWorker *worker = cell_worker_find (cell, entry->worker);
-  MuxCellReply *reply = mux_cell_reply_new (&call, MUX_CELL_UNKNOWN);
-
-  /* An unanswered renewal reroutes the worker itself. */
-  if (worker != NULL && entry->verb != MUX_CELL_RENEW)
-    cell_worker_reroute (cell, worker);
-  if (reply != NULL)
-    mux_cell_reply (cell, cell->time, reply);
-}
-
-/* Replies that wait on connections that this daemon reads late don't count
- * against their workers, up to a limit. */
-static int64_t
-own_delay_ms (const MuxCell *cell)
-{
-  int64_t late_ms = cell_reply_latency_ms (cell);
-
-  return late_ms < OWN_DELAY_MAX_MS ? late_ms : OWN_DELAY_MAX_MS;
-}
-
-/* A proxy that died takes its replies with it. All overdue calls end in one
- * pass: with one at a time the last of a proxy's fifty workers would be
- * unusable for five seconds. The handler of one may end others, so each is
- * looked up again.
- *
- * An overloaded planner must not take its workers for lost: their replies
- * wait in its own queue when their time is up, each worker is then called
- * directly, which costs the planner more, and once the leases expire running
- * tasks start again. So a call is overdue only once all that arrived up to its
- * time limit has been processed. With all events processed 2.5 s late 120
- * workers were lost 641 times in 40 s; with this rule, never. */
 void
 cell_proxy_tick (MuxCell *cell)
 {
-  uint64_t overdue[OVERDUE_MAX] = { 0 };
-  int64_t processed_ms = cell->time.processed_ms - own_delay_ms (cell);
-  uint32_t count = 0;
-  CellPending *entry;
-  CellPending *next;
-
-  if (cell->time.now_ms < cell->next_overdue_ms)
+  if (cell->time.now_ms < cell->next_proxy_check_ms)
     return;
-  cell->next_overdue_ms = cell->time.now_ms + OVERDUE_CHECK_MS;
+  cell->next_proxy_check_ms = cell->time.now_ms + CHECK_INTERVAL_MS;
   count_direct (cell);
-  HASH_ITER (hh, cell->pending, entry, next)
-  if (entry->overdue_ms != 0 && processed_ms > entry->overdue_ms
-      && count < OVERDUE_MAX)
-    overdue[count++] = entry->call_id;
-  for (uint32_t i = 0; i < count; i++)
-    {
-      HASH_FIND (hh, cell->pending, &overdue[i], sizeof overdue[i], entry);
-      if (entry != NULL)
-        end_unanswered (cell, entry);
-    }
 }
 
 /* The proxy's side. */
@@ -300,7 +241,8 @@
   if (whole && member != NULL)
     member->whole_tokens_incarnation = msg->from_incarnation;
   count_proxied (cell, reply->verb, MUX_RECEIVED, msg->body);
-  mux_cell_reply (cell, cell->time, reply);
+  cell_reply_received (cell, reply);
+  mux_cell_reply_free (reply);
 }
 
 void
--- a/src/port/cell.c
+++ b/src/port/cell.c
@@ -81,6 +81,23 @@
   free (reply);
 }
 
+const char *
+mux_cell_verb_name (MuxCellVerb verb)
+{
+  static const char *const names[] = {
+    [MUX_CELL_COMMIT] = "commit",
+    [MUX_CELL_SCAN] = "scan",
+    [MUX_CELL_FEED] = "feed",
+    [MUX_CELL_START] = "start",
+    [MUX_CELL_STOP] = "stop",
+    [MUX_CELL_RENEW] = "renew",
+    [MUX_CELL_QUERY_APPROVAL] = "query_approval",
+    [MUX_CELL_PACE] = "pace",
+  };
+
+  return (uint32_t) verb <= MUX_CELL_PACE ? names[verb] : "?";
+}
+
 /* The texts of both tables stand in log lines, so they don't follow the names
  * of the values. */
 const char *
--- a/test/support/cell_chaos.c
+++ b/test/support/cell_chaos.c
@@ -247,6 +247,7 @@
 chaos_heal (World *world)
 {
   world->store_ms = 5;
+  world->swallow_one_in = 0;
   for (uint32_t i = 0; i < CHAOS_CELLS; i++)
     {
       WorldCell *cell = &world->cell[i];
--- a/test/support/cell_world.c
+++ b/test/support/cell_world.c
@@ -560,6 +560,17 @@
   mux_cell_call_free (call);
 }
 
+static bool
+is_swallowed (World *world, const MuxCellCall *call)
+{
+  uint32_t verbs = world->swallow_verbs;
+
+  return world->swallow_one_in != 0
+         && (verbs == 0 || (verbs & UINT32_C (1) << call->verb) != 0)
+         && mux_random_below (&world->swallow_random, world->swallow_one_in)
+                == 0;
+}
+
 /* The cores' sink. */
 
 static bool
@@ -572,6 +583,15 @@
       mux_cell_call_free (call);
       return false;
     }
+  if (is_swallowed (cell->world, call))
+    {
+      if (mux_random_below (&cell->world->swallow_random, 2) == 0)
+        {
+          mux_cell_call_free (call);
+          return true;
+        }
+      call->call_id = WORLD_NO_CALL;
+    }
   if (call->verb == MUX_CELL_QUERY_APPROVAL)
     approve (cell->world, cell->number, call);
   else if (call->addr[0] != 0)
--- a/test/support/cell_world.h
+++ b/test/support/cell_world.h
@@ -2,6 +2,7 @@
 #define SUPPORT_CELL_WORLD_H
 
 #include "cell/cell.h"
+#include "support/random.h"
 
 #include <time.h>
 
@@ -74,7 +75,8 @@
  *   a later acknowledgement does not count
  * @crashes: crashes its worker after running for the world's @crash_ms
  * @fails: fails whatever its worker does, as its job's payload is "fail"
- * @reported: its end was in a reply to a lease renewal
+ * @reported: its end was in a reply to a lease renewal that some daemon
+ * receives
  * @pace: share that it may work at, in percent
  */
 typedef struct
@@ -301,6 +303,10 @@
   bool silent_crashes;     /* calls to a crashed worker hang; false: refused */
   bool peers_cut;          /* all messages between daemons are lost */
   bool lose_approvals;
+  uint32_t swallow_one_in; /* of the daemons' calls one in so many never gets a
+                              reply; 0: all do */
+  uint32_t swallow_verbs;  /* bits of MuxCellVerb of such calls; 0: any */
+  MuxRandom swallow_random;
   bool reports_newest_first; /* workers report their newest runs first */
   bool unreadable_lists;     /* of workers, with an entry that is none */
   int64_t late_ms;           /* delay of WORLD_LATE calls */
--- a/test/support/cell_world_private.h
+++ b/test/support/cell_world_private.h
@@ -5,6 +5,9 @@
 
 /* Internals shared by the files of the simulated cluster (cell_world*.c). */
 
+/* Id of a call whose reply no daemon receives. */
+#define WORLD_NO_CALL 0
+
 /* A delivery that is due later: a reply or a message to a daemon, or a delayed
  * call to a worker or the store. */
 struct WorldEvent
--- a/test/support/cell_world_worker.c
+++ b/test/support/cell_world_worker.c
@@ -491,7 +491,7 @@
       report->task = run->task;
       report->run = run->run;
       report->end_number = run->number;
-      run->reported = run->number != 0;
+      run->reported = run->number != 0 && call->call_id != WORLD_NO_CALL;
       report->end = run->end;
       report->usage = worker->usage;
       if (world->checkpoint_len > 0)
--- a/test/support/chaos_variants.c
+++ b/test/support/chaos_variants.c
@@ -83,6 +83,9 @@
 #define UNREACHABLE_TOGGLE_ONE_IN 200
 #define UNREACHABLE_AT_MS 1000
 
+/* One step in so many changes which calls never get a reply. */
+#define SWALLOW_ONE_IN 30
+
 /* Sets or ends the input delay of a daemon. */
 static void
 toggle_input_delay (Chaos *c)
@@ -272,6 +275,17 @@
         = chaos_below (c, 3) == 0 ? WORLD_SERVES : WORLD_REFUSES_LATE;
 }
 
+static void
+toggle_swallowed_calls (Chaos *c)
+{
+  static const uint32_t one_in[] = { 0, 0, 2, 10, 50 };
+
+  if (chaos_below (c, SWALLOW_ONE_IN) != 0)
+    return;
+  c->world->swallow_one_in = one_in[chaos_below (c, 5)];
+  c->world->swallow_verbs = chaos_below (c, UINT32_C (1) << MUX_CELL_PACE);
+}
+
 static void
 slow_clocks (Chaos *c)
 {
@@ -302,6 +316,7 @@
                               .tasks = 2,
                               .cpu_milli = 5000,
                               .attempts = CHAOS_ATTEMPTS };
+  world->swallow_random.state = seed;
   world->task_ms = variant->cuts ? CUT_TASK_MS : TASK_MS;
   world->feed_rows = variant->feed_rows;
   if (variant->same_ids)
@@ -345,6 +360,8 @@
         burst (&c);
       if (variant->long_tasks)
         change_task_time (&c);
+      if (variant->swallowed)
+        toggle_swallowed_calls (&c);
       if (variant->cuts)
         cut_workers (&c);
       if (variant->cuts && seed % 4 != 0)
--- a/test/support/chaos_variants.h
+++ b/test/support/chaos_variants.h
@@ -18,6 +18,8 @@
  * @gone: planners are lost while half of the workers are unreachable
  * @cuts: workers are out of reach for about a lease, as tasks end there, while
  *   others refuse starts late
+ * @swallowed: calls of daemons to the store, workers and the policy service
+ *   never get a reply
  * @attempts: of the queue, where some jobs always fail; 0: as usual
  * @long_tasks: runs may take longer than a lease, and workers' clocks are slow
  */
@@ -34,6 +36,7 @@
   bool gone;
   bool long_tasks;
   bool cuts;
+  bool swallowed;
   uint32_t attempts;
 } ChaosVariant;
 
