--- a/test/standin/listen.c
+++ b/test/standin/listen.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,8 @@
 
 #define BACKLOG 1024
 #define CONNECTIONS_MAX 8192
+/* How often a connection that is held looks whether the server stops. */
+#define HOLD_CHECK_MS 100
 #define STACK_BYTES ((intptr_t) 256 * 1024)
 
 /* Socket of the connection that this thread serves. */
@@ -90,6 +93,15 @@
     shutdown (connection_fd, SHUT_RDWR);
 }
 
+void
+standin_hold_connection (const atomic_bool *stop)
+{
+  struct pollfd closed = { .fd = connection_fd, .events = POLLRDHUP };
+
+  while (!atomic_load (stop) && poll (&closed, 1, HOLD_CHECK_MS) == 0)
+    continue;
+}
+
 bool
 standin_serve (struct _u_instance *http, int fd)
 {
--- a/test/standin/listen.h
+++ b/test/standin/listen.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/id.h"
 
+#include <stdatomic.h>
 #include <ulfius.h>
 
 /**
@@ -23,5 +24,8 @@
 /** standin_cut_connection() - closes the connection whose request the calling
  * thread handles, without a response */
 void standin_cut_connection (void);
+/** standin_hold_connection() - waits without a response until the client closes
+ * that connection, or @stop is set */
+void standin_hold_connection (const atomic_bool *stop);
 
 #endif
