Test that calls of the demo's and the soak's client end in time

A checker whose own call never ends finds nothing. The client of demo/ and of the soak leaves its time limit to curl_easy_perform(), as the adapters of the own interface did, and was the one client without a test of it.

--- a/test/unit/test_curl_deadlines.c
+++ b/test/unit/test_curl_deadlines.c
@@ -3,6 +3,7 @@
 #include "src/cli/client.h"
 
 #include "base/clock.h"
+#include "demo/support/http.h"
 #include "support/random.h"
 #include "support/slow_servers.h"
 #include "support/test.h"
@@ -75,6 +76,20 @@
   mux_cli_response_free (&response);
 }
 
+static void
+call_demo_client (const char *addr, uint32_t timeout_ms)
+{
+  MuxHttp *http = mux_http_new ();
+  MuxHttpAsk ask = {
+    .method = "GET", .addr = addr, .path = "/0/1", .timeout_ms = timeout_ms
+  };
+  MuxHttpReply reply;
+
+  if (mux_http_call (http, &ask, &reply, NULL))
+    mux_http_reply_clear (&reply);
+  mux_http_free (http);
+}
+
 static void *
 run_calls (void *ctx)
 {
@@ -144,6 +159,15 @@
   check_client (call_cli_client);
 }
 
+/* Guards against a call of the demo's and the soak's client that outlives its
+ * timeout: a check that waits finds nothing. */
+static void
+test_demo_calls_end_in_time (void **state)
+{
+  (void) state;
+  check_client (call_demo_client);
+}
+
 /* Guards against a connection's time limit that ends an exchange which has one,
  * and against a connection that is waited for until the whole timeout. */
 static void
@@ -182,6 +206,7 @@
     cmocka_unit_test (test_worker_calls_end_in_time),
     cmocka_unit_test (test_platform_calls_end_in_time),
     cmocka_unit_test (test_command_line_requests_end_in_time),
+    cmocka_unit_test (test_demo_calls_end_in_time),
     cmocka_unit_test (test_connecting_has_a_limit_of_its_own),
   };
 
