Let calls be overdue only past the delay of the client's thread

Cause: the cell gives a call up 300 ms after its timeout, and the client's thread was later than that. An answer that it read afterwards found no entry.

The thread records when it last looked for requests whose timeout is over, at least ten times a second, and the port tells by how much that is late (MuxCellPort.late_ms). The cell waits for as much longer, up to 3 s as for replies through proxies.

--- a/include/cell/cell.h
+++ b/include/cell/cell.h
@@ -107,6 +107,9 @@
 /** mux_cell_peer() - handles a message of another daemon; @msg stays the
  * caller's */
 void mux_cell_peer (MuxCell *cell, MuxCellTime time, const MuxPeerMsg *msg);
+/** mux_cell_set_port_late() - by how many ms calls of this daemon end late that
+ * are past their timeout; they count as lost by so much later */
+void mux_cell_set_port_late (MuxCell *cell, int64_t late_ms);
 /** mux_cell_tick() - does what is due
  * Return: latest time of the next call, on the monotonic clock in ms. */
 int64_t mux_cell_tick (MuxCell *cell, MuxCellTime time);
--- a/include/port/cell.h
+++ b/include/port/cell.h
@@ -366,6 +366,9 @@
    * can't be queued; exactly one reply follows if it returned true, none
    * otherwise. */
   bool (*call) (MuxCellPort *port, MuxCellCall *call);
+  /* Returns by how many ms the port is late in ending calls whose timeout is
+   * over, as far as it knows; callable from any thread. */
+  int64_t (*late_ms) (MuxCellPort *port);
   void (*free) (MuxCellPort *port);
 };
 
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -1704,6 +1704,7 @@
   /* Of @pending, by the cell's monotonic clock less @paused_total_ms. */
   MuxDeadlines call_deadlines;
   int64_t paused_total_ms; /* in which this process did not run */
+  int64_t port_late_ms;    /* see mux_cell_set_port_late() */
   int64_t next_pending_check_ms;
   int64_t next_overdue_log_ms;
   CellFeed feed[CELL_FEED_COUNT];
--- a/src/cell/pending.c
+++ b/src/cell/pending.c
@@ -13,8 +13,7 @@
  * back. */
 #define REPLY_MARGIN_MS 300
 #define CHECK_INTERVAL_MS 100
-/* Upper bound of the delay of replies on connections that this daemon reads
- * late. */
+/* Upper bound of this daemon's own delay that is taken into account. */
 #define OWN_DELAY_MAX_MS 3000
 
 CellPending *
@@ -71,11 +70,20 @@
   cell_pending_remove (cell, entry);
 }
 
+void
+mux_cell_set_port_late (MuxCell *cell, int64_t late_ms)
+{
+  cell->port_late_ms = late_ms;
+}
+
+/* By which this daemon reads replies on its connections late. */
 static int64_t
 own_delay_ms (const MuxCell *cell)
 {
   int64_t late_ms = cell_reply_latency_ms (cell);
 
+  if (late_ms < cell->port_late_ms)
+    late_ms = cell->port_late_ms;
   return late_ms < OWN_DELAY_MAX_MS ? late_ms : OWN_DELAY_MAX_MS;
 }
 
--- a/src/daemon/cell_thread.c
+++ b/src/daemon/cell_thread.c
@@ -310,6 +310,8 @@
       if (mux_boottime_ms () < wake_ms)
         continue;
       last_tick_ms = mux_boottime_ms ();
+      mux_cell_set_port_late (thread->cell,
+                              thread->platform->late_ms (thread->platform));
       wake_ms = mux_cell_tick (thread->cell, read_time (thread));
       atomic_store (&thread->ready, mux_cell_ready (thread->cell));
     }
--- a/test/unit/test_cell_pending.c
+++ b/test/unit/test_cell_pending.c
@@ -97,17 +97,18 @@
 static void
 test_service_goes_on_after_calls_without_replies (void **state)
 {
+  static const int64_t swallow_ms[] = { 4 * SWALLOW_MS, 40 * SWALLOW_MS };
   static const MuxCellVerb verbs[]
       = { MUX_CELL_RENEW, MUX_CELL_FEED, MUX_CELL_COMMIT, MUX_CELL_SCAN,
           MUX_CELL_QUERY_APPROVAL };
 
   (void) state;
-  for (uint32_t i = 0; i < sizeof verbs / sizeof *verbs; i++)
+  for (uint32_t i = 0; i < 2 * (sizeof verbs / sizeof *verbs); i++)
     {
       World *world = world_of (WORKERS);
 
       (void) world_submit (world, 1, world_job (2, 2, 1000), "before");
-      run_without_replies (world, verbs[i], 4 * SWALLOW_MS);
+      run_without_replies (world, verbs[i / 2], swallow_ms[i % 2]);
       world_run (world, 2 * END_MS);
       (void) world_submit (world, 1, world_job (2, 2, 1000), "after");
       world_run (world, END_MS);
@@ -175,6 +176,27 @@
   world_free (world);
 }
 
+/* Guards against replies that count as lost while the port's thread, which is
+ * late, has yet to read them. */
+static void
+test_late_port_loses_no_reply (void **state)
+{
+  World *world = world_new (1, WORKERS);
+
+  (void) state;
+  world_run (world, SETTLE_MS);
+  world->task_ms = LONG_TASK_MS;
+  (void) world_submit (world, 0, world_job (1, 4, 1000), "job");
+  for (uint32_t i = 0; i < SETTLE_MS && world_starts (world, "job") < 4; i++)
+    world_run (world, 1);
+  world->cell[0].unseen_delay_ms = PAUSE_MS;
+  mux_cell_set_port_late (world->cell[0].cell, PAUSE_MS);
+  world_run (world, END_MS);
+  assert_int_equal (overdue (world), 0);
+  assert_int_equal (world_starts (world, "job"), 4);
+  world_free (world);
+}
+
 /* Guards against a reply that comes after its call has ended and changes what
  * was done since. */
 static void
@@ -207,6 +229,7 @@
     cmocka_unit_test (test_takeover_goes_on_after_reads_without_replies),
     cmocka_unit_test (test_proxied_start_without_a_reply_is_made_again),
     cmocka_unit_test (test_pause_ends_no_call),
+    cmocka_unit_test (test_late_port_loses_no_reply),
     cmocka_unit_test (test_reply_after_the_end_of_its_call_changes_nothing),
   };
 
