--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -199,7 +199,7 @@
                          "--platform",
                          platform,
                          NULL };
-  MuxProcOptions options = { argv, log, READY_MS };
+  MuxProcOptions options = { argv, log, READY_MS, NULL };
   MuxError err = { 0 };
 
   snprintf (path, sizeof path, "%s/cuminmuxd", cluster->options.bin);
--- a/bench/bench_door.c
+++ b/bench/bench_door.c
@@ -284,7 +284,7 @@
                          "127.0.0.1:0", "--capacity", capacity, "--data-centre",
                          "dc-a",        "--rack",     "r",      "--log",
                          "/dev/null",   NULL };
-  MuxProcOptions options = { argv, NULL, READY_MS };
+  MuxProcOptions options = { argv, NULL, READY_MS, NULL };
   MuxError err = { 0 };
 
   snprintf (path, sizeof path, "%s/standin-worker", bin);
--- a/bench/slopes_daemon.c
+++ b/bench/slopes_daemon.c
@@ -97,7 +97,7 @@
                          "--seeds",
                          cluster->seed_peer,
                          NULL };
-  MuxProcOptions options = { argv, log, READY_MS };
+  MuxProcOptions options = { argv, log, READY_MS, NULL };
   MuxError err = { 0 };
 
   snprintf (daemon->name, sizeof daemon->name, "entry-%u", index + 1);
--- a/demo/support/cluster.c
+++ b/demo/support/cluster.c
@@ -20,7 +20,7 @@
               MuxError *err)
 {
   char err_path[MUX_PATH_LEN];
-  MuxProcOptions proc = { argv, err_path, LISTEN_MS };
+  MuxProcOptions proc = { argv, err_path, LISTEN_MS, NULL };
 
   snprintf (err_path, sizeof err_path, "%s/%s.err", options->scratch,
             member->name);
--- a/demo/support/proc.c
+++ b/demo/support/proc.c
@@ -72,6 +72,18 @@
   return (int64_t) t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+/* NULL leaves @fd as it is. */
+static void
+append_to (const char *path, int fd)
+{
+  int file = path != NULL
+                 ? open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)
+                 : -1;
+
+  if (file >= 0)
+    dup2 (file, fd);
+}
+
 /* Child's side: only async-signal-safe calls, the driver may have threads. */
 static void
 run_child (const MuxProcOptions *options,
@@ -79,8 +91,6 @@
            pid_t parent,
            const sigset_t *mask)
 {
-  int err_fd;
-
   setpgid (0, 0);
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (getppid () != parent)
@@ -89,13 +99,8 @@
   signal (SIGTERM, SIG_DFL);
   sigprocmask (SIG_SETMASK, mask, NULL);
   dup2 (out_fd, STDOUT_FILENO);
-  if (options->err_path != NULL)
-    {
-      err_fd = open (options->err_path,
-                     O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-      if (err_fd >= 0)
-        dup2 (err_fd, STDERR_FILENO);
-    }
+  append_to (options->out_path, STDOUT_FILENO);
+  append_to (options->err_path, STDERR_FILENO);
   execv (options->argv[0], (char *const *) options->argv);
   _exit (127);
 }
--- a/demo/support/proc.h
+++ b/demo/support/proc.h
@@ -17,12 +17,15 @@
  * @argv: program path and arguments, closed by NULL
  * @err_path: file that its standard error is appended to; NULL: ours
  * @listen_ms: wait so long for its line "listening …"; 0: don't wait
+ * @out_path: file that its standard output is appended to; NULL: none, and for
+ *   that line it has to be
  */
 typedef struct
 {
   const char *const *argv;
   const char *err_path;
   uint32_t listen_ms;
+  const char *out_path;
 } MuxProcOptions;
 
 typedef struct MuxProc MuxProc;
--- a/test/process/clients_v1.c
+++ b/test/process/clients_v1.c
@@ -76,7 +76,7 @@
           "nizwa-hall",   "--listen",       "127.0.0.1:0",     "--peer-listen",
           "127.0.0.1:0",  "--callers-max",  CALLERS_MAX_TEXT,  "--memory-mb",
           MEMORY_MB_TEXT, "--body-max-kib", BODY_MAX_KIB_TEXT, NULL };
-  MuxProcOptions options = { argv, NULL, LISTEN_MS };
+  MuxProcOptions options = { argv, NULL, LISTEN_MS, NULL };
   MuxError err = { 0 };
 
   snprintf (program, sizeof program, "%s/../cuminmuxd", program_dir);
--- a/test/unit/test_proc.c
+++ b/test/unit/test_proc.c
@@ -11,7 +11,7 @@
 start (const char *script, MuxError *err)
 {
   const char *const argv[] = { "/bin/sh", "-c", script, NULL };
-  const MuxProcOptions options = { argv, NULL, LONG_MS };
+  const MuxProcOptions options = { argv, NULL, LONG_MS, NULL };
 
   return mux_proc_start (&options, err);
 }
